--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Connect the decisions to sockets, disks, clocks, metrics and logs."""
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the private modules of the package."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the fleet with small fakes."""
--- /dev/null
+++ b/packages/client/src/pimentobend/__init__.py
@@ -0,0 +1,1 @@
+"""Drive a proxy fleet from the command line."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decide routing, limits, health, agreement and membership."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Check, version and spread the tables of routes and pools."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agree on a replicated log among the control replicas."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/health/__init__.py
@@ -0,0 +1,1 @@
+"""Detect failing backend servers and eject them above the floor."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Claim work that may not be repeated."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Follow which backend servers and daemons are alive."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the values that pass between filters."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/request/__init__.py
@@ -0,0 +1,1 @@
+"""Pass one request through a visible list of filters."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Admit requests to a pool and select backend servers."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small helpers without decisions."""
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/__init__.py
@@ -0,0 +1,1 @@
+"""Run the proxy daemon."""
