--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/health/__init__.py
@@ -0,0 +1,1 @@
+"""Measure detection and false ejections on a simulated fleet."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/health/leased.py
@@ -0,0 +1,162 @@
+"""Run the real observers and floor owners over simulated paths."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from pimentobend_bench._internal.health.policies import EjectionPolicy
+from pimentobend_bench._internal.health.policies import Setting
+from pimentobend_core._internal.health.floor import FloorOwner
+from pimentobend_core._internal.health.limits import TICK_S
+from pimentobend_core._internal.health.messages import AttemptStarted
+from pimentobend_core._internal.health.messages import ConfigurePools
+from pimentobend_core._internal.health.messages import EjectionsGranted
+from pimentobend_core._internal.health.messages import EjectionStarted
+from pimentobend_core._internal.health.messages import EvidenceReported
+from pimentobend_core._internal.health.messages import FloorInput
+from pimentobend_core._internal.health.messages import FloorOutput
+from pimentobend_core._internal.health.messages import FloorTick
+from pimentobend_core._internal.health.messages import HealthInput
+from pimentobend_core._internal.health.messages import HealthOutput
+from pimentobend_core._internal.health.messages import HealthTick
+from pimentobend_core._internal.health.messages import OwnershipConfirmed
+from pimentobend_core._internal.health.messages import OwnershipTaken
+from pimentobend_core._internal.health.messages import ServiceServersChanged
+from pimentobend_core._internal.health.observer import PoolHealth
+from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.traffic.messages import HealthChanged
+from pimentobend_core._internal.traffic.messages import ServersChanged
+
+OWNERS = ("o1", "o2", "o3")
+
+
+class LeasedEjection(EjectionPolicy):
+    """Eject by the project's own decisions.
+
+    Three control replicas stand by; exactly one of them is confirmed as the
+    owner, as an elected leader would be.
+    """
+
+    name = "pimentobend"
+
+    def __init__(self) -> None:
+        self.records: list[tuple[float, FloorOutput]] = []
+        self.on_change: Callable[[], None] = lambda: None
+
+    @property
+    def owner(self) -> str | None:
+        """Return the replica that a majority confirms."""
+        return self._owner
+
+    def start(self, setting: Setting) -> None:
+        """Begin with no servers, and the first replica as the owner."""
+        self._setting = setting
+        self._servers: tuple[Server, ...] = ()
+        self._weights: dict[str, Mapping[str, float]] = {}
+        self._observers: dict[str, PoolHealth] = {}
+        self._owners: dict[str, FloorOwner] = {}
+        self._owner: str | None = None
+        self._term = 0
+        for daemon in setting.daemons:
+            self.restart_daemon(daemon)
+        for owner in OWNERS:
+            self.restart_owner(owner)
+        self.elect(OWNERS[0])
+        setting.scheduler.after(TICK_S, self._tick)
+
+    def weights(self, daemon: str) -> Mapping[str, float]:
+        """Return the weights that the daemon's observer gave."""
+        return self._weights[daemon]
+
+    def change_servers(self, servers: tuple[Server, ...]) -> None:
+        """Give all processes the list of servers."""
+        self._servers = servers
+        for daemon in self._observers:
+            self._tell(daemon, ServersChanged(servers))
+        for owner in self._owners:
+            self._tell_owner(owner, self._listed())
+
+    def attempt_started(self, daemon: str, started: AttemptStarted) -> None:
+        """Pass the start of an attempt to the daemon's observer."""
+        self._tell(daemon, started)
+
+    def attempt_ended(self, daemon: str, ended: AttemptEnded) -> None:
+        """Pass the end of an attempt to the daemon's observer."""
+        self._tell(daemon, ended)
+
+    def restart_daemon(self, daemon: str) -> None:
+        """Lose a daemon's memory."""
+        self._observers[daemon] = PoolHealth(self._setting.pool, daemon)
+        self._weights[daemon] = {}
+        if self._servers:
+            self._tell(daemon, ServersChanged(self._servers))
+
+    def restart_owner(self, owner: str) -> None:
+        """Lose a replica's memory; it is no longer the owner."""
+        self._owners[owner] = FloorOwner()
+        if self._owner == owner:
+            self._owner = None
+        self._tell_owner(owner, ConfigurePools((self._setting.pool,)))
+        if self._servers:
+            self._tell_owner(owner, self._listed())
+
+    def elect(self, owner: str) -> None:
+        """Confirm another replica from now on; the old one is not told."""
+        self._term += 1
+        self._owner = owner
+        self._tell_owner(owner, OwnershipTaken(self._term))
+
+    def _listed(self) -> ServiceServersChanged:
+        return ServiceServersChanged(self._setting.pool.service, self._servers)
+
+    def _tick(self) -> None:
+        for daemon in self._observers:
+            self._tell(daemon, HealthTick())
+        if self._owner is not None:
+            confirmed_at = self._setting.scheduler.now
+            self._tell_owner(self._owner, OwnershipConfirmed(self._term, confirmed_at))
+        for owner in self._owners:
+            self._tell_owner(owner, FloorTick())
+        self._setting.scheduler.after(TICK_S, self._tick)
+
+    def _tell(self, daemon: str, message: HealthInput) -> None:
+        outputs = self._observers[daemon].handle(message, self._setting.scheduler.now)
+        for output in outputs:
+            self._take(daemon, output)
+
+    def _take(self, daemon: str, output: HealthOutput) -> None:
+        match output:
+            case HealthChanged():
+                self._weights[daemon] = dict(output.weights)
+                self.on_change()
+            case EvidenceReported():
+                for owner in OWNERS:
+                    self._send_report(daemon, owner, output)
+
+    def _send_report(self, daemon: str, owner: str, report: EvidenceReported) -> None:
+        for delay_s in self._setting.paths.delays(daemon, owner):
+            self._setting.scheduler.after(
+                delay_s, lambda: self._tell_owner(owner, report)
+            )
+
+    def _tell_owner(self, owner: str, message: FloorInput) -> None:
+        outputs = self._owners[owner].handle(message, self._setting.scheduler.now)
+        for output in outputs:
+            self._take_from_owner(owner, output)
+
+    def _take_from_owner(self, owner: str, output: FloorOutput) -> None:
+        if not isinstance(output, EjectionsGranted):
+            self.records.append((self._setting.scheduler.now, output))
+            return
+        for delay_s in self._setting.paths.delays(owner, output.observer):
+            self._setting.scheduler.after(
+                delay_s, lambda: self._tell(output.observer, output)
+            )
+
+    def ejections(self) -> tuple[tuple[float, str], ...]:
+        """Return when which server was ejected from the whole fleet."""
+        return tuple(
+            (at, record.ejection.server_id)
+            for at, record in self.records
+            if isinstance(record, EjectionStarted)
+        )
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
@@ -0,0 +1,49 @@
+"""Name the fleets to simulate."""
+
+from typing import NamedTuple
+
+
+class Shape(NamedTuple):
+    """Describe one service, its callers and its daemons."""
+
+    name: str
+    service: str
+    servers: int
+    slots: int  # a server
+    daemons: int
+    rate: float  # requests a second, all daemons together
+    service_s: float  # median
+    sigma: float  # of the logarithm of the service time
+    straggler_share: float
+    straggler_ratio: float
+    floor: float
+    timeout_s: float
+    path_s: float  # round trip within a region
+    far_path_s: float  # round trip between the regions
+    far_share: float  # traffic to a far server against a near one
+
+
+QALAMKAR = Shape(
+    name="qalamkar",
+    service="bookings",
+    servers=8,
+    slots=6,
+    daemons=24,
+    rate=480.0,
+    service_s=0.03,
+    sigma=0.5,
+    straggler_share=0.01,
+    straggler_ratio=30.0,
+    floor=0.5,
+    timeout_s=5.0,
+    path_s=0.001,
+    far_path_s=0.061,
+    far_share=0.2,
+)
+KATTEVAKT = QALAMKAR._replace(
+    name="kattevakt-8", service="schedule", slots=3, rate=240.0, path_s=0.0028
+)
+KATTEVAKT_BOOKING = KATTEVAKT._replace(
+    name="kattevakt-14", service="booking", servers=14, daemons=30, rate=420.0
+)
+SHAPES = (QALAMKAR, KATTEVAKT, KATTEVAKT_BOOKING)
