Excuse a stated queue and weigh votes by their age

Cause: two stragglers on one server queue short work behind them, and several observers called the server slow; a hung server was voted good for seconds after it last served. Change: an answer that states a queue is allowed the time to work it off; votes carry their age; the simulated selection follows stated load.

--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -53,6 +53,7 @@
         self._in_flight: Counter[tuple[str, str]] = Counter()
         self._idle: Counter[tuple[str, str]] = Counter()
         self._dead: Counter[tuple[str, str]] = Counter()
+        self._loads: dict[tuple[str, str], float] = {}
         pool = Pool(shape.service, shape.service, shape.floor, 100, hedge=False)
         policy.start(Setting(self.scheduler, self.paths, pool, self.daemons))
         self.announce()
@@ -96,9 +97,13 @@
             ids[bisect.bisect(sums, self._rng.random() * total, hi=len(ids) - 1)]
             for _ in range(2)
         )
-        is_busier = self._in_flight[daemon, first] > self._in_flight[daemon, second]
+        is_busier = self._load(daemon, first) > self._load(daemon, second)
         return second if is_busier else first
 
+    def _load(self, daemon: str, server_id: str) -> float:
+        key = (daemon, server_id)
+        return self._loads.get(key, 0.0) + self._in_flight[key] / self.shape.slots
+
     def _preference(
         self, daemon: str, server: SimulatedServer, weights: Mapping[str, float]
     ) -> float:
@@ -158,6 +163,11 @@
         ended = outcome.ended
         key = (outcome.daemon, ended.server_id)
         self._in_flight[key] -= 1
+        if ended.kind in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
+            load = self.servers[ended.server_id].load(self.scheduler.now)
+            self._loads[key] = load.in_use / load.slots
+            ended = ended._replace(load=load)
+            outcome = outcome._replace(ended=ended)
         if ended.kind in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
             self._idle[key] += 1
         elif ended.kind is AttemptKind.NO_ANSWER:
--- a/packages/bench/src/pimentobend_bench/_internal/health/servers.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/servers.py
@@ -7,6 +7,7 @@
 from pimentobend_bench._internal.health.faults import Work
 from pimentobend_bench._internal.health.shapes import Shape
 from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import LoadReport
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
@@ -50,6 +51,12 @@
         self._slow_until = now + cold_s
         self._cold_ratio = ratio
 
+    def load(self, now: float) -> LoadReport:
+        """Return the requests in work and waiting."""
+        busy = sum(free_at > now for free_at in self._free_at)
+        waiting = sum(start > now for start in self._waiting)
+        return LoadReport(busy + waiting, self._shape.slots)
+
     def serve(self, rng: random.Random, now: float) -> Work:
         """Take a request; ``service_s`` of the result includes the queue."""
         self._waiting = [start for start in self._waiting if start > now]
--- a/packages/core/src/pimentobend_core/_internal/health/latency.py
+++ b/packages/core/src/pimentobend_core/_internal/health/latency.py
@@ -4,11 +4,14 @@
 import statistics
 from collections.abc import Mapping
 
+from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.request import LoadReport
 from pimentobend_core._internal.models.server import Server
 
 _SMALLEST_S = 0.0005
 _FIRST_STEP = 0.5  # in the logarithm of seconds
 _LAST_STEP = 0.08
+_LARGEST_QUEUE = 3.0  # requests a slot; a server that lies excuses no more
 
 
 class MedianTracker:
@@ -48,12 +51,16 @@
         tracker = self._medians.setdefault(server.server_id, MedianTracker())
         tracker.add(self._log(server.region, latency_s))
 
-    def excess(self, server: Server, latency_s: float) -> float | None:
-        """Return the log ratio to the median of the peers, if there are any."""
+    def excess(self, server: Server, ended: AttemptEnded) -> float | None:
+        """Return the log ratio to the median of the peers, if there are any.
+
+        A server that states a queue is allowed the time to work it off.
+        """
         usual = self.usual(server.server_id)
         if usual is None:
             return None
-        return self._log(server.region, latency_s) - usual
+        expected = usual + _queue_allowance(ended.load)
+        return self._log(server.region, ended.latency_s) - expected
 
     def usual(self, server_id: str) -> float | None:
         """Return the median of the peers' medians as the logarithm of seconds."""
@@ -88,3 +95,10 @@
         if now - began > self.MINIMUM_MEMORY_S:
             older, newer, began = newer, latency_s, now
         self._minima[region] = (older, min(newer, latency_s), began)
+
+
+def _queue_allowance(load: LoadReport | None) -> float:
+    if load is None or load.slots <= 0:
+        return 0.0
+    ratio = load.in_use / load.slots
+    return math.log(max(1.0, min(_LARGEST_QUEUE, ratio)))
--- a/packages/core/src/pimentobend_core/_internal/health/limits.py
+++ b/packages/core/src/pimentobend_core/_internal/health/limits.py
@@ -2,7 +2,7 @@
 
 SCORE_LIMIT = 1.5
 SUSPECT_SCORE = 1.0  # an observer avoids the server
-BAD_SCORE = 0.25  # an observer's vote for an ejection
+BAD_SCORE = 0.2  # an observer's vote for an ejection
 GOOD_SCORE = 0.15  # below it, an observer's vote against
 
 LEASE_S = 6.0
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -38,6 +38,7 @@
     server_id: str
     incarnation: int
     score: float  # relative to the server's peers, 0 to SCORE_LIMIT
+    age_s: float  # since an attempt last showed anything
     reason: Reason
 
 
--- a/packages/core/src/pimentobend_core/_internal/health/opinions.py
+++ b/packages/core/src/pimentobend_core/_internal/health/opinions.py
@@ -101,10 +101,11 @@
     ) -> Mapping[str, Mapping[str, ServerEvidence]]:
         votes: dict[str, dict[str, ServerEvidence]] = {}
         for (observer, _), view in self._views.items():
-            if now - view.heard_at >= FRESH_S:
-                continue
+            age_s = now - view.heard_at
             number = (view.report.term, view.report.sequence)
             for evidence in view.report.servers:
+                if age_s + evidence.age_s >= FRESH_S:
+                    continue
                 if number < seen_from.get(evidence.server_id, number):
                     continue
                 given = votes.setdefault(evidence.server_id, {})
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -36,7 +36,6 @@
 
     COLD_S = 20.0
     RECENT_S = 5.0
-    VOTE_S = 2.5
     FRESH_FAILURE_S = 5.0
     # Silence of connections that served before may be the connections' own.
     REUSED_LIMIT = 0.4
@@ -77,11 +76,11 @@
 
     def is_recent(self, now: float) -> bool:
         """Say whether attempts showed anything of late."""
-        return self._silence > 0 or now - self._sampled_at < self.RECENT_S
+        return self.age_s(now) < self.RECENT_S
 
-    def is_vote(self, now: float) -> bool:
-        """Say whether attempts showed enough just now to count as a vote."""
-        return self._silence > 0 or now - self._sampled_at < self.VOTE_S
+    def age_s(self, now: float) -> float:
+        """Return the seconds since attempts last showed anything."""
+        return 0.0 if self._silence > 0 else now - self._sampled_at
 
     def judge(self, ended: AttemptEnded, now: float) -> Verdict:
         """Say what an ended attempt shows."""
--- a/packages/core/src/pimentobend_core/_internal/health/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/health/roster.py
@@ -64,7 +64,7 @@
             record.add(ended, None, now)
             return
         route = self._route(ended.route)
-        record.add(ended, route.excess(record.server, ended.latency_s), now)
+        record.add(ended, route.excess(record.server, ended), now)
         if not record.is_cold(now):
             route.add(record.server, ended.latency_s, now)
 
@@ -109,16 +109,16 @@
     def evidence(
         self, scores: Mapping[str, float], now: float
     ) -> tuple[ServerEvidence, ...]:
-        """Return what to report of the servers that showed anything just now."""
+        """Return what to report of the servers that have scores."""
         return tuple(
             ServerEvidence(
                 server_id,
                 self._records[server_id].server.incarnation,
                 round(score, 2),
+                round(self._records[server_id].age_s(now), 2),
                 self._records[server_id].reason,
             )
             for server_id, score in scores.items()
-            if self._records[server_id].is_vote(now)
         )
 
     def is_suspicious(self, server_id: str) -> bool:
