Test detection and the floor by tables and state machines

Cause: the floor must hold also when owners change, messages are lost or delayed and daemons restart. Change: contract tests in tables; two derandomised state machines over a faulty network; benches detection and false-ejections; long work in the slots excuses more latency, and silence counts after half a second.

--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -48,6 +48,8 @@
         }
         self.daemons = tuple(f"d{number}" for number in range(1, shape.daemons + 1))
         self.on_outcome: Callable[[Outcome], None] = lambda outcome: None
+        self.started: dict[str, float] = dict.fromkeys(self.servers, 0.0)
+        self.attempts: Counter[str] = Counter()
         self._rng = random.Random(seed)
         self._tickets = itertools.count()
         self._in_flight: Counter[tuple[str, str]] = Counter()
@@ -125,6 +127,8 @@
         if was_reused:
             self._idle[key] -= 1
         self._in_flight[key] += 1
+        self.started[server_id] = self.scheduler.now
+        self.attempts[server_id] += 1
         started = AttemptStarted(ticket, "all", server_id, was_reused)
         self.policy.attempt_started(daemon, started)
         latency_s = work.service_s
--- a/packages/bench/src/pimentobend_bench/_internal/health/policies.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/policies.py
@@ -35,6 +35,10 @@
     def weights(self, daemon: str) -> Mapping[str, float]:
         """Return the weights below 1 of one daemon."""
 
+    def ejections(self) -> tuple[tuple[float, str], ...]:
+        """Return when which server was ejected from the whole fleet."""
+        return ()
+
     def change_servers(self, servers: tuple[Server, ...]) -> None:
         """Take the pool's whole list of servers."""
         return
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -14,7 +14,14 @@
     summary: str
 
 
-COMMANDS: dict[str, Entry] = {}
+COMMANDS: dict[str, Entry] = {
+    "detection": Entry(
+        "health.detection", "DetectionCommand", "time until a failing server is out"
+    ),
+    "false-ejections": Entry(
+        "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
+    ),
+}
 
 
 def create_command(name: str) -> Command:
--- a/packages/core/src/pimentobend_core/_internal/health/detectors.py
+++ b/packages/core/src/pimentobend_core/_internal/health/detectors.py
@@ -55,14 +55,16 @@
     reason = Reason.SLOW
     ALLOWED_EXCESS = 0.9  # log ratio: 2.5 times the peers' latency
     GAIN = 0.15
+    GAIN_BELOW = 0.3
     LARGEST_STEP = 0.2  # one straggler says no more than a slow answer
-    SMALLEST_STEP = -0.13
+    SMALLEST_STEP = -0.3
 
     def step(self, sample: Sample) -> float:
         """Return the bounded excess over what is allowed."""
         if sample.failed or sample.excess is None:
             return 0.0
-        step = self.GAIN * (sample.excess - self.ALLOWED_EXCESS)
+        beyond = sample.excess - self.ALLOWED_EXCESS
+        step = beyond * (self.GAIN if beyond > 0 else self.GAIN_BELOW)
         return max(self.SMALLEST_STEP, min(self.LARGEST_STEP, step))
 
 
--- a/packages/core/src/pimentobend_core/_internal/health/flights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/flights.py
@@ -8,7 +8,7 @@
 from pimentobend_core._internal.health.record import Overdue
 
 OVERDUE_RATIO = 8.0  # times the peers' usual latency
-OVERDUE_LEAST_S = 0.25
+OVERDUE_LEAST_S = 0.5
 _FORGET_S = 120.0
 
 
--- /dev/null
+++ b/tests/lib/health_network.py
@@ -0,0 +1,168 @@
+"""Run observers and floor owners on a small faulty network."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from health_samples import POOL
+from health_samples import make_ended
+from health_samples import make_servers
+
+from pimentobend_core._internal.health.capacity import required_servers
+from pimentobend_core._internal.health.floor import FloorOwner
+from pimentobend_core._internal.health.limits import TICK_S
+from pimentobend_core._internal.health.messages import ConfigurePools
+from pimentobend_core._internal.health.messages import EjectionsGranted
+from pimentobend_core._internal.health.messages import EvidenceReported
+from pimentobend_core._internal.health.messages import FloorInput
+from pimentobend_core._internal.health.messages import FloorTick
+from pimentobend_core._internal.health.messages import HealthInput
+from pimentobend_core._internal.health.messages import HealthTick
+from pimentobend_core._internal.health.messages import OwnershipConfirmed
+from pimentobend_core._internal.health.messages import OwnershipTaken
+from pimentobend_core._internal.health.messages import ServiceServersChanged
+from pimentobend_core._internal.health.observer import PoolHealth
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.traffic.messages import HealthChanged
+from pimentobend_core._internal.traffic.messages import ServersChanged
+
+OWNERS = ("o1", "o2")
+_ROUNDING = 1e-6
+
+
+class _Delivery(NamedTuple):
+    at: float
+    number: int
+    action: Callable[[], None]
+
+
+class HealthNetwork:
+    """Own the processes; a daemon's clock begins at its start."""
+
+    def __init__(
+        self, daemons: tuple[str, ...], servers: int, floor: float, seed: int
+    ) -> None:
+        self.now = 0.0
+        self.sick: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        self.delay_s = 0.0
+        self.confirmed: str | None = None
+        self.violations: list[str] = []
+        self._rng = random.Random(seed)
+        self._numbers = itertools.count()
+        self._deliveries: list[_Delivery] = []
+        self._pool = POOL._replace(floor=floor)
+        self._servers = make_servers(servers)
+        self._term = 0
+        self._offsets: dict[str, float] = {}
+        self._observers: dict[str, PoolHealth] = {}
+        self._owners: dict[str, FloorOwner] = {}
+        self._weights: dict[str, dict[str, float]] = {}
+        for daemon in daemons:
+            self.restart_daemon(daemon)
+        for owner in OWNERS:
+            self.restart_owner(owner)
+        self.elect(OWNERS[0])
+
+    def restart_daemon(self, daemon: str) -> None:
+        """Lose a daemon's memory; its clock begins anew."""
+        self._offsets[daemon] = -self.now
+        self._observers[daemon] = PoolHealth(self._pool, daemon)
+        self._weights[daemon] = {}
+        self._tell(daemon, ServersChanged(self._servers))
+
+    def restart_owner(self, owner: str) -> None:
+        """Lose a replica's memory."""
+        self._owners[owner] = FloorOwner()
+        if self.confirmed == owner:
+            self.confirmed = None
+        self._tell_owner(owner, ConfigurePools((self._pool,)))
+        self._tell_owner(owner, ServiceServersChanged("bookings", self._servers))
+
+    def elect(self, owner: str) -> None:
+        """Begin a term; the earlier owner hears nothing of it."""
+        self._term += 1
+        self.confirmed = owner
+        self._tell_owner(owner, OwnershipTaken(self._term))
+
+    def run(self, seconds: float) -> None:
+        """Pass time in ticks, with one attempt a server, daemon and tick."""
+        for _ in range(round(seconds / TICK_S)):
+            self.now += TICK_S
+            self._deliver()
+            for daemon in self._observers:
+                self._serve(daemon)
+                self._tell(daemon, HealthTick())
+            if self.confirmed:
+                confirmation = OwnershipConfirmed(self._term, self.now)
+                self._tell_owner(self.confirmed, confirmation)
+            for owner in OWNERS:
+                self._tell_owner(owner, FloorTick())
+            self._check()
+
+    def ejected(self) -> set[str]:
+        """Return the servers that some daemon gives nothing."""
+        return {
+            server_id
+            for weights in self._weights.values()
+            for server_id, weight in weights.items()
+            if weight == 0
+        }
+
+    def _serve(self, daemon: str) -> None:
+        for number in range(1, len(self._servers) + 1):
+            if (daemon, str(number)) in self.cut:
+                ended = make_ended(
+                    number, AttemptKind.NOT_CONNECTED, 0, was_reused=False
+                )
+            elif str(number) in self.sick:
+                ended = make_ended(number, status=500)
+            else:
+                ended = make_ended(number)
+            self._tell(daemon, ended)
+
+    def _tell(self, daemon: str, message: HealthInput) -> None:
+        local = self.now + self._offsets[daemon]
+        for output in self._observers[daemon].handle(message, local):
+            if isinstance(output, HealthChanged):
+                self._weights[daemon] = dict(output.weights)
+            else:
+                self._send_report(daemon, output)
+
+    def _send_report(self, daemon: str, report: EvidenceReported) -> None:
+        for owner in OWNERS:
+            self._send(daemon, owner, lambda to=owner: self._tell_owner(to, report))
+
+    def _tell_owner(self, owner: str, message: FloorInput) -> None:
+        for output in self._owners[owner].handle(message, self.now):
+            if isinstance(output, EjectionsGranted):
+                grant = output
+                self._send(
+                    owner,
+                    grant.observer,
+                    lambda grant=grant: self._tell(grant.observer, grant),
+                )
+
+    def _send(self, sender: str, receiver: str, action: Callable[[], None]) -> None:
+        if (sender, receiver) in self.cut or self._rng.random() < self.loss:
+            return
+        for _ in range(1 + (self._rng.random() < self.loss)):
+            at = self.now + self._rng.random() * self.delay_s
+            heapq.heappush(self._deliveries, _Delivery(at, next(self._numbers), action))
+
+    def _deliver(self) -> None:
+        while self._deliveries and self._deliveries[0].at <= self.now:
+            heapq.heappop(self._deliveries).action()
+
+    def _check(self) -> None:
+        count = len(self._servers)
+        kept = required_servers(self._pool.floor, count)
+        if count - len(self.ejected()) < kept:
+            self.violations.append(f"{self.now}: {sorted(self.ejected())} ejected")
+        for daemon, weights in self._weights.items():
+            capacity = count - sum(1 - weight for weight in weights.values())
+            if capacity < kept - _ROUNDING:
+                self.violations.append(f"{self.now}: {daemon} keeps {capacity}")
