--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/compact/__init__.py
@@ -0,0 +1,1 @@
+"""Store large tables in packed bytes behind typed rows."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/compact/heap.py
@@ -0,0 +1,149 @@
+"""Keep records in one byte array, found through an open-addressing index."""
+
+import sys
+import zlib
+from array import array
+from collections.abc import Iterator
+from struct import Struct
+
+MAX_KEY_BYTES = 0xFFFF
+_HEADER = Struct("<HI")  # bytes of the key, bytes of the record
+_EMPTY = 0
+_REMOVED = 1
+_FIRST_OFFSET = 2  # offsets below stand for the two marks above
+_MIN_SLOTS = 8
+_MAX_HEAP_BYTES = 0xFFFF_FFFF
+_SLACK_BYTES = 4096
+
+
+class RecordHeap:
+    """Map keys to records, both bytes, without an object for either."""
+
+    def __init__(self) -> None:
+        self._heap = bytearray(_FIRST_OFFSET)
+        self._dead_bytes = 0
+        self._index = array("I", [_EMPTY]) * _MIN_SLOTS
+        self._used_slots = 0  # rows and removal marks
+        self._count = 0
+
+    @property
+    def footprint_bytes(self) -> int:
+        """Return the bytes of the record array and of the index."""
+        return sys.getsizeof(self._heap) + sys.getsizeof(self._index)
+
+    def __len__(self) -> int:
+        return self._count
+
+    def get(self, key: bytes) -> bytes | None:
+        """Return a key's record."""
+        slot = self._find(key)
+        return None if slot is None else self._record(self._index[slot])
+
+    def put(self, key: bytes, record: bytes) -> None:
+        """Store a key's record; raise OverflowError when it can't fit."""
+        size = _HEADER.size + len(key) + len(record)
+        if len(key) > MAX_KEY_BYTES or len(self._heap) + size > _MAX_HEAP_BYTES:
+            raise OverflowError(f"no room for a record of {size} bytes")
+        slot = self._find(key)
+        if slot is None:
+            self._insert(key, self._append(key, record))
+            self._count += 1
+        else:
+            self._dead_bytes += self._size(self._index[slot])
+            self._index[slot] = self._append(key, record)
+        self._tidy()
+
+    def remove(self, key: bytes) -> bool:
+        """Remove a key's record and say whether there was one."""
+        slot = self._find(key)
+        if slot is None:
+            return False
+        self._dead_bytes += self._size(self._index[slot])
+        self._index[slot] = _REMOVED
+        self._count -= 1
+        self._tidy()
+        return True
+
+    def items(self) -> Iterator[tuple[bytes, bytes]]:
+        """Yield every key with its record."""
+        for offset in self._index:
+            if offset >= _FIRST_OFFSET:
+                yield self._key(offset), self._record(offset)
+
+    def _append(self, key: bytes, record: bytes) -> int:
+        offset = len(self._heap)
+        self._heap += _HEADER.pack(len(key), len(record))
+        self._heap += key
+        self._heap += record
+        return offset
+
+    def _size(self, offset: int) -> int:
+        key_bytes, record_bytes = _HEADER.unpack_from(self._heap, offset)
+        return _HEADER.size + int(key_bytes) + int(record_bytes)
+
+    def _key(self, offset: int) -> bytes:
+        key_bytes, _ = _HEADER.unpack_from(self._heap, offset)
+        start = offset + _HEADER.size
+        return bytes(self._heap[start : start + key_bytes])
+
+    def _has_key(self, offset: int, key: bytes) -> bool:
+        key_bytes, _ = _HEADER.unpack_from(self._heap, offset)
+        return key_bytes == len(key) and self._heap.startswith(
+            key, offset + _HEADER.size
+        )
+
+    def _record(self, offset: int) -> bytes:
+        key_bytes, record_bytes = _HEADER.unpack_from(self._heap, offset)
+        start = offset + _HEADER.size + key_bytes
+        return bytes(self._heap[start : start + record_bytes])
+
+    def _find(self, key: bytes) -> int | None:
+        mask = len(self._index) - 1
+        slot = zlib.crc32(key) & mask
+        while (offset := self._index[slot]) != _EMPTY:
+            if offset != _REMOVED and self._has_key(offset, key):
+                return slot
+            slot = (slot + 1) & mask
+        return None
+
+    def _insert(self, key: bytes, offset: int) -> None:
+        mask = len(self._index) - 1
+        slot = zlib.crc32(key) & mask
+        while self._index[slot] != _EMPTY:
+            slot = (slot + 1) & mask
+        self._index[slot] = offset
+        self._used_slots += 1
+
+    def _tidy(self) -> None:
+        if self._dead_bytes > len(self._heap) // 4 + _SLACK_BYTES:
+            self._rewrite()
+        elif self._used_slots * 4 > len(self._index) * 3:
+            self._reindex()
+
+    def _rewrite(self) -> None:
+        live = [offset for offset in self._index if offset >= _FIRST_OFFSET]
+        heap = bytearray(_FIRST_OFFSET)
+        for offset in sorted(live):
+            heap += self._heap[offset : offset + self._size(offset)]
+        self._heap = heap
+        self._dead_bytes = 0
+        self._rebuild_index(self._scan())
+
+    def _scan(self) -> Iterator[int]:
+        offset = _FIRST_OFFSET
+        while offset < len(self._heap):
+            yield offset
+            offset += self._size(offset)
+
+    def _reindex(self) -> None:
+        self._rebuild_index(o for o in self._index if o >= _FIRST_OFFSET)
+
+    def _rebuild_index(self, offsets: Iterator[int]) -> None:
+        live = list(offsets)
+        slots = _MIN_SLOTS
+        while slots * 5 < (self._count + 1) * 8:
+            slots *= 2
+        self._index = array("I", [_EMPTY]) * slots
+        self._used_slots = 0
+        for offset in live:
+            self._insert(self._key(offset), offset)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/compact/interner.py
@@ -0,0 +1,63 @@
+"""Share equal values between rows under small numbers."""
+
+import sys
+from collections.abc import Hashable
+from typing import Generic
+from typing import TypeVar
+
+Value = TypeVar("Value", bound=Hashable)
+
+
+class Interner(Generic[Value]):
+    """Number distinct values and forget those that no row uses."""
+
+    def __init__(self) -> None:
+        self._values: list[Value | None] = []
+        self._uses: list[int] = []
+        self._numbers: dict[Value, int] = {}
+        self._free: list[int] = []
+
+    @property
+    def footprint_bytes(self) -> int:
+        """Return the bytes of the containers and of the distinct values."""
+        containers = (self._values, self._uses, self._numbers, self._free)
+        values = sum(sys.getsizeof(value) for value in self._numbers)
+        return sum(sys.getsizeof(container) for container in containers) + values
+
+    def __len__(self) -> int:
+        return len(self._numbers)
+
+    def acquire(self, value: Value) -> int:
+        """Return the value's number and count one more use of it."""
+        number = self._numbers.get(value)
+        if number is None:
+            number = self._add(value)
+        self._uses[number] += 1
+        return number
+
+    def release(self, number: int) -> None:
+        """Count one use less, and free the number after the last."""
+        self._uses[number] -= 1
+        if self._uses[number]:
+            return
+        del self._numbers[self.value(number)]
+        self._values[number] = None
+        self._free.append(number)
+
+    def value(self, number: int) -> Value:
+        """Return the value of a number that is in use."""
+        value = self._values[number]
+        if value is None:
+            raise KeyError(number)
+        return value
+
+    def _add(self, value: Value) -> int:
+        if self._free:
+            number = self._free.pop()
+            self._values[number] = value
+        else:
+            number = len(self._values)
+            self._values.append(value)
+            self._uses.append(0)
+        self._numbers[value] = number
+        return number
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/compact/packed.py
@@ -0,0 +1,108 @@
+"""Hold rows as packed records."""
+
+import abc
+import struct
+from collections.abc import Iterator
+
+from pimentobend_core._internal.compact.heap import MAX_KEY_BYTES
+from pimentobend_core._internal.compact.heap import RecordHeap
+from pimentobend_core._internal.compact.rows import Row
+from pimentobend_core._internal.compact.rows import RowError
+from pimentobend_core._internal.compact.rows import Rows
+
+
+class PackedRows(Rows[Row]):
+    """Hold each row as bytes, and build its object when it is asked for."""
+
+    def __init__(self) -> None:
+        self._heap = RecordHeap()
+
+    @property
+    def footprint_bytes(self) -> int:
+        """Return the bytes of the records, of the index and of shared values."""
+        return self._heap.footprint_bytes + self._shared_bytes()
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def __contains__(self, key: str) -> bool:
+        return self._heap.get(encode_text(key)) is not None
+
+    def get(self, key: str) -> Row | None:
+        """Return the row of a key."""
+        record = self._heap.get(encode_text(key))
+        return None if record is None else self._unpack(key, record)
+
+    def put(self, row: Row) -> None:
+        """Add a row, or replace that of its key; raise RowError if it can't fit."""
+        text = self._key_of(row)
+        key = encode_text(text)
+        self._check_fit(row, text, key)
+        record = self._pack(row)
+        replaced = self._heap.get(key)
+        try:
+            self._heap.put(key, record)
+        except OverflowError as error:
+            self._release(record)
+            raise RowError("table is full", context=repr(text)) from error
+        if replaced is not None:
+            self._release(replaced)
+
+    def remove(self, key: str) -> bool:
+        """Remove a key's row and say whether there was one."""
+        encoded = encode_text(key)
+        record = self._heap.get(encoded)
+        if record is None:
+            return False
+        self._heap.remove(encoded)
+        self._release(record)
+        return True
+
+    def rows(self) -> Iterator[Row]:
+        """Yield every row, in no stated order."""
+        for key, record in self._heap.items():
+            yield self._unpack(decode_text(key), record)
+
+    @abc.abstractmethod
+    def _key_of(self, row: Row) -> str:
+        """Return the key of a row."""
+
+    @abc.abstractmethod
+    def _check(self, row: Row) -> None:
+        """Raise struct.error when a number of the row does not fit its column."""
+
+    @abc.abstractmethod
+    def _pack(self, row: Row) -> bytes:
+        """Return a row without its key, and count its uses of shared values."""
+
+    @abc.abstractmethod
+    def _unpack(self, key: str, record: bytes) -> Row:
+        """Return the row of a record."""
+
+    @abc.abstractmethod
+    def _release(self, record: bytes) -> None:
+        """Give up a record's uses of shared values."""
+
+    @abc.abstractmethod
+    def _shared_bytes(self) -> int:
+        """Return the bytes of the shared values."""
+
+    def _check_fit(self, row: Row, text: str, key: bytes) -> None:
+        if len(key) > MAX_KEY_BYTES:
+            raise RowError("key is too long", context=f"{len(key)} bytes")
+        try:
+            self._check(row)
+        except struct.error as error:
+            raise RowError(
+                "number does not fit its column", context=repr(text), hint=str(error)
+            ) from error
+
+
+def encode_text(text: str) -> bytes:
+    """Return the UTF-8 bytes of any string."""
+    return text.encode("utf-8", "surrogatepass")
+
+
+def decode_text(encoded: bytes) -> str:
+    """Return the string of bytes that ``encode_text`` gave."""
+    return encoded.decode("utf-8", "surrogatepass")
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -0,0 +1,58 @@
+"""Store routes in packed bytes."""
+
+from struct import Struct
+
+from pimentobend_core._internal.compact.interner import Interner
+from pimentobend_core._internal.compact.packed import PackedRows
+from pimentobend_core._internal.compact.packed import decode_text
+from pimentobend_core._internal.compact.packed import encode_text
+from pimentobend_core._internal.models.tables import Route
+
+_NUMBERS = Struct("<I?")  # timeout in ms, repeatable
+_SHARED = Struct("<III")  # numbers of host, methods and pool
+
+
+class CompactRoutes(PackedRows[Route]):
+    """Hold routes by name; hosts, methods and pools are shared between rows."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._texts: Interner[str] = Interner()
+        self._methods: Interner[tuple[str, ...]] = Interner()
+
+    def _key_of(self, row: Route) -> str:
+        return row.name
+
+    def _check(self, row: Route) -> None:
+        _NUMBERS.pack(row.timeout_ms, row.repeatable)
+
+    def _pack(self, row: Route) -> bytes:
+        shared = _SHARED.pack(
+            self._texts.acquire(row.host),
+            self._methods.acquire(row.methods),
+            self._texts.acquire(row.pool),
+        )
+        numbers = _NUMBERS.pack(row.timeout_ms, row.repeatable)
+        return shared + numbers + encode_text(row.path)
+
+    def _unpack(self, key: str, record: bytes) -> Route:
+        host, methods, pool = _SHARED.unpack_from(record)
+        timeout_ms, repeatable = _NUMBERS.unpack_from(record, _SHARED.size)
+        return Route(
+            name=key,
+            host=self._texts.value(host),
+            path=decode_text(record[_SHARED.size + _NUMBERS.size :]),
+            methods=self._methods.value(methods),
+            pool=self._texts.value(pool),
+            repeatable=repeatable,
+            timeout_ms=timeout_ms,
+        )
+
+    def _release(self, record: bytes) -> None:
+        host, methods, pool = _SHARED.unpack_from(record)
+        self._texts.release(host)
+        self._methods.release(methods)
+        self._texts.release(pool)
+
+    def _shared_bytes(self) -> int:
+        return self._texts.footprint_bytes + self._methods.footprint_bytes
