--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/__init__.py
@@ -0,0 +1,1 @@
+"""Keep a replica's records in its data folder."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -0,0 +1,197 @@
+"""Lead: replicate, commit by majority, and hold the lease."""
+
+from pimentobend_core._internal.consensus.constants import APPEND_BYTES
+from pimentobend_core._internal.consensus.constants import CAUGHT_UP_ENTRIES
+from pimentobend_core._internal.consensus.constants import HEARTBEAT_S
+from pimentobend_core._internal.consensus.constants import LEASE_S
+from pimentobend_core._internal.consensus.constants import SNAPSHOT_CHUNK_BYTES
+from pimentobend_core._internal.consensus.constants import WINDOW_ENTRIES
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import Snapshot
+from pimentobend_core._internal.consensus.members import MemberAction
+from pimentobend_core._internal.consensus.members import MemberChange
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.members import change_members
+from pimentobend_core._internal.consensus.messages import AppendEntries
+from pimentobend_core._internal.consensus.messages import AppendReply
+from pimentobend_core._internal.consensus.messages import InstallSnapshot
+from pimentobend_core._internal.consensus.messages import SnapshotReply
+from pimentobend_core._internal.consensus.progress import Mode
+from pimentobend_core._internal.consensus.progress import Progress
+from pimentobend_core._internal.consensus.state import ReplicaState
+
+
+class Leader:
+    """Own the progress of the peers during one term."""
+
+    def __init__(self, state: ReplicaState, now: float) -> None:
+        self._state = state
+        self._peers: dict[str, Progress] = {}
+        self._heartbeat_at = now + HEARTBEAT_S
+        self._elected_at = now
+        self._first_index = state.log.last_index + 1
+        self.append((Entry(state.term, self._first_index, b""),), now)
+
+    @property
+    def has_committed(self) -> bool:
+        """Say whether an entry of this term is committed."""
+        return self._state.commit_index >= self._first_index
+
+    @property
+    def next_tick(self) -> float:
+        """Return when ``tick`` is due, in seconds of the clock."""
+        return self._heartbeat_at
+
+    def lease_ends_at(self, now: float) -> float:
+        """Return until when no other replica can be leading."""
+        acked_at = {peer: each.acked_at for peer, each in self._peers.items()}
+        acked_at[self._state.replica_id] = now
+        return self._state.members.quorum_value(acked_at) + LEASE_S
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats that are due."""
+        if now < self._heartbeat_at:
+            return
+        self._heartbeat_at = now + HEARTBEAT_S
+        for peer_id in self._peers:
+            self._feed(peer_id, now, is_heartbeat=True)
+
+    def append(self, entries: tuple[Entry, ...], now: float) -> None:
+        """Append entries of this term and replicate them."""
+        self._state.append(entries)
+        self._follow_members(now)
+        for peer_id, progress in self._peers.items():
+            if progress.snapshot is None:
+                self._feed(peer_id, now)
+        self._advance_commit()
+
+    def changed_members(self, change: MemberChange) -> Members | None:
+        """Return the members after a change that is allowed now, else None."""
+        if not self.has_committed:
+            return None
+        if self._state.log.members_index > self._state.commit_index:
+            return None
+        if change.action is MemberAction.PROMOTE:
+            progress = self._peers.get(change.replica_id)
+            behind_from = self._state.commit_index - CAUGHT_UP_ENTRIES
+            if progress is None or progress.match_index < max(1, behind_from):
+                return None
+        return change_members(self._state.members, change)
+
+    def on_reply(
+        self, sender: str, reply: AppendReply | SnapshotReply, now: float
+    ) -> None:
+        """Take in a peer's answer, which also extends the lease."""
+        progress = self._peers.get(sender)
+        if progress is None:
+            return
+        progress.acked_at = max(progress.acked_at, reply.sent_at)
+        if isinstance(reply, SnapshotReply):
+            self._on_snapshot_reply(sender, progress, reply, now)
+        elif progress.snapshot is None:
+            self._on_append_reply(sender, progress, reply, now)
+
+    def peers(self) -> tuple[tuple[str, int, str], ...]:
+        """Return id, matching index and mode of each peer."""
+        return tuple(
+            (peer_id, each.match_index, each.mode.value)
+            for peer_id, each in self._peers.items()
+        )
+
+    def _on_append_reply(
+        self, sender: str, progress: Progress, reply: AppendReply, now: float
+    ) -> None:
+        if not reply.is_accepted:
+            if progress.reject(reply.last_index):
+                self._feed(sender, now)
+            return
+        if progress.accept(reply.last_index):
+            self._advance_commit()
+        if progress.next_index <= self._state.log.last_index:
+            self._feed(sender, now)
+
+    def _on_snapshot_reply(
+        self, sender: str, progress: Progress, reply: SnapshotReply, now: float
+    ) -> None:
+        snapshot = progress.snapshot
+        if snapshot is None or reply.last_index != snapshot.log_index:
+            return
+        if reply.is_done:
+            progress.end_snapshot()
+            self._advance_commit()
+            self._feed(sender, now)
+            return
+        is_further = reply.offset_bytes > progress.offset_bytes
+        progress.offset_bytes = reply.offset_bytes
+        if is_further:
+            self._feed(sender, now)
+
+    def _follow_members(self, now: float) -> None:
+        peer_ids = self._state.peer_ids
+        for peer_id in set(self._peers) - set(peer_ids):
+            del self._peers[peer_id]
+        for peer_id in peer_ids:
+            if peer_id not in self._peers:
+                next_index = self._state.log.last_index
+                self._peers[peer_id] = Progress(next_index, self._elected_at)
+
+    def _feed(self, peer_id: str, now: float, *, is_heartbeat: bool = False) -> None:
+        progress = self._peers[peer_id]
+        is_compacted = progress.next_index <= self._state.log.base.log_index
+        if is_compacted and progress.snapshot is None and self._state.snapshot:
+            progress.begin_snapshot(self._state.snapshot)
+        if progress.snapshot is not None:
+            self._feed_snapshot(peer_id, progress, progress.snapshot, now)
+        else:
+            self._feed_entries(peer_id, progress, now, is_heartbeat)
+
+    def _feed_entries(
+        self, peer_id: str, progress: Progress, now: float, is_heartbeat: bool
+    ) -> None:
+        log = self._state.log
+        entries: tuple[Entry, ...] = ()
+        if progress.mode is Mode.PROBE:
+            if progress.is_waiting and not is_heartbeat:
+                return
+            progress.is_waiting = True
+            entries = log.batch(progress.next_index, APPEND_BYTES)
+        elif progress.next_index - progress.match_index <= WINDOW_ENTRIES:
+            entries = log.batch(progress.next_index, APPEND_BYTES)
+        if not entries and not is_heartbeat and progress.mode is Mode.STREAM:
+            return
+        prev_index = progress.next_index - 1
+        message = AppendEntries(
+            self._state.term,
+            prev_index,
+            log.term_at(prev_index) or 0,
+            entries,
+            self._state.commit_index,
+            now,
+        )
+        self._state.send(peer_id, message)
+        if progress.mode is Mode.STREAM:
+            progress.next_index += len(entries)
+
+    def _feed_snapshot(
+        self, peer_id: str, progress: Progress, snapshot: Snapshot, now: float
+    ) -> None:
+        first = progress.offset_bytes
+        message = InstallSnapshot(
+            self._state.term,
+            snapshot.log_index,
+            snapshot.term,
+            snapshot.members,
+            first,
+            len(snapshot.state),
+            snapshot.state[first : first + SNAPSHOT_CHUNK_BYTES],
+            now,
+        )
+        self._state.send(peer_id, message)
+
+    def _advance_commit(self) -> None:
+        state = self._state
+        matched = {peer: each.match_index for peer, each in self._peers.items()}
+        matched[state.replica_id] = state.log.last_index
+        log_index = int(state.members.quorum_value(matched))
+        if state.log.term_at(log_index) == state.term:
+            state.commit(log_index)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/members.py
@@ -0,0 +1,87 @@
+"""Define who stores the replicated log and who votes on it."""
+
+import enum
+from collections.abc import Mapping
+from typing import NamedTuple
+
+
+class Member(NamedTuple):
+    """Name a control replica and the address that its link listens on."""
+
+    replica_id: str
+    address: str
+
+
+class Members(NamedTuple):
+    """List the replicas that vote and those that only copy the log."""
+
+    voters: tuple[Member, ...]
+    learners: tuple[Member, ...] = ()
+
+    @property
+    def voter_ids(self) -> frozenset[str]:
+        """Return the ids of the replicas that vote."""
+        return frozenset(member.replica_id for member in self.voters)
+
+    @property
+    def all(self) -> tuple[Member, ...]:
+        """Return voters and learners."""
+        return self.voters + self.learners
+
+    @property
+    def quorum(self) -> int:
+        """Return how many voters make a majority."""
+        return len(self.voters) // 2 + 1
+
+    def has_quorum(self, replica_ids: frozenset[str]) -> bool:
+        """Say whether these replicas hold a majority of the votes."""
+        return len(self.voter_ids & replica_ids) >= self.quorum
+
+    def quorum_value(self, values: Mapping[str, float]) -> float:
+        """Return the highest value that a majority of the voters has reached."""
+        reached = sorted((values[voter] for voter in self.voter_ids), reverse=True)
+        return reached[self.quorum - 1]
+
+
+NO_MEMBERS = Members(())
+
+
+class MemberAction(enum.IntEnum):
+    """Name the steps of a membership change."""
+
+    ADD_LEARNER = 0
+    PROMOTE = 1
+    REMOVE = 2
+
+
+class MemberChange(NamedTuple):
+    """Change one member; ``address`` matters only to ``ADD_LEARNER``."""
+
+    action: MemberAction
+    replica_id: str
+    address: str = ""
+
+
+def change_members(members: Members, change: MemberChange) -> Members | None:
+    """Return the changed members, or None when the change does not fit."""
+    known = {member.replica_id: member for member in members.all}
+    if change.action is MemberAction.ADD_LEARNER:
+        if change.replica_id in known:
+            return None
+        learner = Member(change.replica_id, change.address)
+        return members._replace(learners=(*members.learners, learner))
+    if change.replica_id not in known:
+        return None
+    remaining = Members(
+        _without(members.voters, change.replica_id),
+        _without(members.learners, change.replica_id),
+    )
+    if change.action is MemberAction.REMOVE:
+        return remaining if remaining.voters else None
+    if change.replica_id in members.voter_ids:
+        return None
+    return remaining._replace(voters=(*remaining.voters, known[change.replica_id]))
+
+
+def _without(members: tuple[Member, ...], replica_id: str) -> tuple[Member, ...]:
+    return tuple(member for member in members if member.replica_id != replica_id)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -0,0 +1,262 @@
+"""Run one replica of the log: elections, replication, proposals and reads."""
+
+import random
+from collections.abc import Mapping
+from typing import assert_never
+
+from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
+from pimentobend_core._internal.consensus.constants import PENDING_PROPOSALS
+from pimentobend_core._internal.consensus.constants import RETAINED_ENTRIES
+from pimentobend_core._internal.consensus.election import Election
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import Snapshot
+from pimentobend_core._internal.consensus.entries import StoredState
+from pimentobend_core._internal.consensus.follower import Follower
+from pimentobend_core._internal.consensus.leader import Leader
+from pimentobend_core._internal.consensus.messages import AppendEntries
+from pimentobend_core._internal.consensus.messages import AppendReply
+from pimentobend_core._internal.consensus.messages import ChangeMembers
+from pimentobend_core._internal.consensus.messages import Compact
+from pimentobend_core._internal.consensus.messages import InstallSnapshot
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import PeerMessage
+from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
+from pimentobend_core._internal.consensus.messages import Received
+from pimentobend_core._internal.consensus.messages import ReplicaInput
+from pimentobend_core._internal.consensus.messages import ReplicaOutput
+from pimentobend_core._internal.consensus.messages import RequestVote
+from pimentobend_core._internal.consensus.messages import Tick
+from pimentobend_core._internal.consensus.messages import VoteReply
+from pimentobend_core._internal.consensus.state import ReplicaState
+from pimentobend_core._internal.consensus.state import Role
+from pimentobend_core._internal.pipes import StatefulFilter
+
+
+class Replica(StatefulFilter[ReplicaInput, ReplicaOutput]):
+    """Own one replica's log and role; see ``Persist`` for the order of outputs."""
+
+    def __init__(
+        self, replica_id: str, stored: StoredState, seed: int, now: float
+    ) -> None:
+        rng = random.Random(f"{seed}/{replica_id}")
+        self._state = ReplicaState(replica_id, stored, rng, now)
+        self._election = Election(self._state)
+        self._follower = Follower(self._state)
+        self._leader: Leader | None = None
+        self._pending: dict[int, int] = {}  # proposal ids by log index
+
+    @property
+    def next_tick(self) -> float:
+        """Return when the next ``Tick`` is due, in seconds of the clock."""
+        if self._leader is not None:
+            return self._leader.next_tick
+        return self._state.election_at
+
+    @property
+    def commit_index(self) -> int:
+        """Return the index of the last committed entry that is known."""
+        return self._state.commit_index
+
+    @property
+    def state(self) -> ReplicaState:
+        """Return the shared state, to be read only."""
+        return self._state
+
+    def handle(self, message: ReplicaInput, now: float) -> tuple[ReplicaOutput, ...]:
+        """Take one message at ``now`` (seconds) and return those that follow."""
+        self._expire(now)
+        committed_before = self._state.commit_index
+        match message:
+            case Received():
+                self._receive(message.sender, message.message, now)
+            case Tick():
+                self._tick(now)
+            case Propose():
+                self._propose(message.proposals, now)
+            case ChangeMembers():
+                self._change_members(message, now)
+            case ReadIndex():
+                self._read(message.read_id)
+            case Compact():
+                self._compact(message)
+            case _:
+                assert_never(message)
+        if self._state.commit_index > committed_before:
+            self._finish_committed(now)
+        return self._state.take_outputs()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        state = self._state
+        return {
+            "replica_id": state.replica_id,
+            "role": state.role.value,
+            "term": state.term,
+            "leader_id": state.leader_id,
+            "commit_index": state.commit_index,
+            "last_index": state.log.last_index,
+            "base_index": state.log.base.log_index,
+            "snapshot_index": state.snapshot.log_index if state.snapshot else 0,
+            "voters": sorted(state.members.voter_ids),
+            "learners": [member.replica_id for member in state.members.learners],
+            "pending": len(self._pending),
+            "peers": [list(peer) for peer in self._peers()],
+        }
+
+    def _peers(self) -> tuple[tuple[str, int, str], ...]:
+        return self._leader.peers() if self._leader is not None else ()
+
+    def _expire(self, now: float) -> None:
+        """Stop leading once the lease has ended."""
+        if self._leader is not None and now >= self._leader.lease_ends_at(now):
+            self._follow(now)
+
+    def _tick(self, now: float) -> None:
+        if self._leader is not None:
+            self._leader.tick(now)
+        elif now >= self._state.election_at:
+            if not self._state.is_voter:
+                self._state.restart_election_timer(now)
+            elif self._election.start(now):
+                self._lead(now)
+
+    def _receive(self, sender: str, message: PeerMessage, now: float) -> None:
+        if self._is_out_of_turn(message, now):
+            return
+        if message.term > self._state.term and not _is_pre_vote(message):
+            self._state.set_term(message.term, None)
+            self._follow(now)
+        if isinstance(message, RequestVote):
+            self._election.answer(sender, message, now)
+        elif isinstance(message, VoteReply):
+            if self._election.count(sender, message, now):
+                self._lead(now)
+        elif isinstance(message, AppendEntries | InstallSnapshot):
+            self._hear_leader(sender, message, now)
+        elif self._leader is not None and message.term == self._state.term:
+            self._leader.on_reply(sender, message, now)
+
+    def _is_out_of_turn(self, message: PeerMessage, now: float) -> bool:
+        """Say whether a vote is asked for while a leader may hold its lease."""
+        if not isinstance(message, RequestVote) or message.is_pre_vote:
+            return False
+        return self._leader is not None or self._election.hears_leader(now)
+
+    def _hear_leader(
+        self, sender: str, message: AppendEntries | InstallSnapshot, now: float
+    ) -> None:
+        state = self._state
+        if message.term < state.term:
+            refusal = AppendReply(state.term, False, 0, message.sent_at)
+            state.send(sender, refusal)
+            return
+        state.role = Role.FOLLOWER
+        state.set_leader(sender)
+        state.heard_at = now
+        state.restart_election_timer(now)
+        if isinstance(message, AppendEntries):
+            self._follower.append(sender, message)
+        else:
+            self._follower.install(sender, message)
+
+    def _lead(self, now: float) -> None:
+        self._state.role = Role.LEADER
+        self._state.set_leader(self._state.replica_id)
+        self._leader = Leader(self._state, now)
+
+    def _follow(self, now: float) -> None:
+        """Give up leading or standing; proposals on the way are in doubt."""
+        self._state.role = Role.FOLLOWER
+        self._state.set_leader(None)
+        if self._leader is None:
+            return
+        self._leader = None
+        self._state.restart_election_timer(now)
+        for log_index, proposal_id in sorted(self._pending.items()):
+            term = self._state.log.term_at(log_index) or 0
+            self._state.emit(Proposed(proposal_id, Outcome.UNKNOWN, term, log_index))
+        self._pending.clear()
+
+    def _propose(self, proposals: tuple[Proposal, ...], now: float) -> None:
+        if self._leader is None:
+            for proposal in proposals:
+                self._refuse(proposal.proposal_id, self._no_leader())
+            return
+        entries: list[Entry] = []
+        for proposal in proposals:
+            if not 0 < len(proposal.command) <= COMMAND_BYTES:
+                self._refuse(proposal.proposal_id, Outcome.REJECTED)
+            elif len(self._pending) >= PENDING_PROPOSALS:
+                self._refuse(proposal.proposal_id, Outcome.OVERLOADED)
+            else:
+                log_index = self._state.log.last_index + len(entries) + 1
+                self._pending[log_index] = proposal.proposal_id
+                entries.append(Entry(self._state.term, log_index, proposal.command))
+        if entries:
+            self._leader.append(tuple(entries), now)
+
+    def _change_members(self, message: ChangeMembers, now: float) -> None:
+        if self._leader is None:
+            self._refuse(message.proposal_id, self._no_leader())
+            return
+        members = self._leader.changed_members(message.change)
+        if members is None:
+            self._refuse(message.proposal_id, Outcome.REJECTED)
+            return
+        log_index = self._state.log.last_index + 1
+        self._pending[log_index] = message.proposal_id
+        entry = Entry(self._state.term, log_index, b"", members)
+        self._leader.append((entry,), now)
+
+    def _read(self, read_id: int) -> None:
+        state = self._state
+        if self._leader is None:
+            outcome = self._no_leader()
+            state.emit(ReadReady(read_id, outcome, leader_id=state.leader_id))
+        elif not self._leader.has_committed:
+            state.emit(ReadReady(read_id, Outcome.NO_MAJORITY))
+        else:
+            state.emit(ReadReady(read_id, Outcome.COMMITTED, state.commit_index))
+
+    def _compact(self, message: Compact) -> None:
+        state = self._state
+        term = state.log.term_at(message.log_index)
+        is_old = state.snapshot and state.snapshot.log_index >= message.log_index
+        if term is None or is_old or message.log_index > state.commit_index:
+            return
+        members = state.log.members_at(message.log_index)
+        snapshot = Snapshot(term, message.log_index, members, message.state)
+        state.compact(snapshot, RETAINED_ENTRIES)
+
+    def _finish_committed(self, now: float) -> None:
+        """Answer the proposals that are committed now."""
+        state = self._state
+        while self._pending:
+            log_index = next(iter(self._pending))
+            if log_index > state.commit_index:
+                break
+            proposal_id = self._pending.pop(log_index)
+            term = state.log.term_at(log_index) or 0
+            state.emit(Proposed(proposal_id, Outcome.COMMITTED, term, log_index))
+        is_removed = self._leader is not None and not state.is_voter
+        if is_removed and state.log.members_index <= state.commit_index:
+            self._follow(now)
+
+    def _no_leader(self) -> Outcome:
+        known = self._state.leader_id is not None
+        return Outcome.NOT_LEADER if known else Outcome.NO_MAJORITY
+
+    def _refuse(self, proposal_id: int, outcome: Outcome) -> None:
+        leader_id = self._state.leader_id
+        self._state.emit(Proposed(proposal_id, outcome, leader_id=leader_id))
+
+
+def _is_pre_vote(message: PeerMessage) -> bool:
+    """Say whether a message speaks of a term that nobody has entered yet."""
+    if isinstance(message, RequestVote):
+        return message.is_pre_vote
+    return isinstance(message, VoteReply) and message.is_pre_vote and message.is_granted
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/storage.py
@@ -0,0 +1,71 @@
+"""Rebuild a replica's stored state from its records."""
+
+from collections.abc import Iterable
+
+from pimentobend_core._internal.consensus.entries import BaseRecord
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import Record
+from pimentobend_core._internal.consensus.entries import Snapshot
+from pimentobend_core._internal.consensus.entries import StoredState
+from pimentobend_core._internal.consensus.entries import TermRecord
+from pimentobend_core._internal.consensus.exceptions import CorruptLogError
+
+
+def replay(records: Iterable[Record], snapshot: Snapshot | None) -> StoredState:
+    """Return the state that the records and the snapshot describe.
+
+    Raises ``CorruptLogError`` where they leave a gap.
+    """
+    term = TermRecord(0, None)
+    base: BaseRecord | None = None
+    entries: list[Entry] = []
+    for record in records:
+        if isinstance(record, BaseRecord):
+            base, entries = record, []
+        elif isinstance(record, TermRecord):
+            term = record
+        elif base is None:
+            raise CorruptLogError("the log does not begin with its base")
+        else:
+            _place(record.entry, base, entries)
+    if base is None:
+        raise CorruptLogError("the log has no base")
+    state = StoredState(term.term, term.voted_for, base, tuple(entries), snapshot)
+    return _join_snapshot(state)
+
+
+def _place(entry: Entry, base: BaseRecord, entries: list[Entry]) -> None:
+    position = entry.log_index - base.log_index - 1
+    if not 0 <= position <= len(entries):
+        raise CorruptLogError(
+            "an entry does not follow the ones before it",
+            context=f"index {entry.log_index}, log from {base.log_index}",
+        )
+    del entries[position:]
+    entries.append(entry)
+
+
+def _join_snapshot(state: StoredState) -> StoredState:
+    """Drop entries that a crash left behind an installed snapshot."""
+    snapshot = state.snapshot
+    base = state.base
+    if snapshot is None:
+        if base.log_index:
+            raise CorruptLogError("the snapshot before the log is missing")
+        return state
+    if snapshot.log_index < base.log_index:
+        raise CorruptLogError(
+            "the snapshot ends before the log begins",
+            context=f"snapshot {snapshot.log_index}, log from {base.log_index}",
+        )
+    if _term_at(state, snapshot.log_index) == snapshot.term:
+        return state
+    after = BaseRecord(snapshot.term, snapshot.log_index, snapshot.members)
+    return state._replace(base=after, entries=())
+
+
+def _term_at(state: StoredState, log_index: int) -> int | None:
+    position = log_index - state.base.log_index - 1
+    if position < 0:
+        return state.base.term
+    return state.entries[position].term if position < len(state.entries) else None
