--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/checks.py
@@ -0,0 +1,53 @@
+"""Check announcements before they change any state."""
+
+from pimentobend_core._internal.models.server import Announcement
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+
+LEASE_MIN_S = 1.0
+LEASE_MAX_S = 60.0
+SLOTS_MAX = 4096
+NAME_CHARACTERS = 128
+PORT_MAX = 65535
+
+_FOLLOWING = {
+    ServerState.STARTING: frozenset(ServerState),
+    ServerState.READY: frozenset({ServerState.READY, ServerState.DRAINING}),
+    ServerState.DRAINING: frozenset({ServerState.DRAINING}),
+}
+
+
+def find_faults(announcement: Announcement) -> tuple[str, ...]:
+    """Return every fault of an announcement taken by itself."""
+    server = announcement.server
+    faults = [
+        f"{field}: must have 1 to {NAME_CHARACTERS} characters"
+        for field in ("server_id", "service", "host", "data_centre", "region")
+        if not 1 <= len(getattr(server, field)) <= NAME_CHARACTERS
+    ]
+    if not 1 <= server.port <= PORT_MAX:
+        faults.append(f"port: must be 1 to {PORT_MAX}")
+    if not 1 <= server.slots <= SLOTS_MAX:
+        faults.append(f"slots: must be 1 to {SLOTS_MAX}")
+    if server.incarnation < 0:
+        faults.append("incarnation: must not be negative")
+    if not LEASE_MIN_S <= announcement.lease_s <= LEASE_MAX_S:
+        faults.append(f"lease_s: must be {LEASE_MIN_S:g} to {LEASE_MAX_S:g}")
+    return tuple(faults)
+
+
+def find_transition_faults(known: Server, following: Server) -> tuple[str, ...]:
+    """Return the faults of an announcement against the one before it."""
+    if following.incarnation > known.incarnation:
+        return ()
+    if following.incarnation < known.incarnation:
+        return (f"incarnation: {known.incarnation} has announced itself already",)
+    faults = []
+    if following.state not in _FOLLOWING[known.state]:
+        faults.append(
+            f"state: {following.state.value} does not follow {known.state.value}"
+            " within one incarnation"
+        )
+    if following.service != known.service:
+        faults.append("service: does not change within one incarnation")
+    return tuple(faults)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -0,0 +1,153 @@
+"""Keep the leases of the servers that announce themselves to this instance."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.membership.checks import find_faults
+from pimentobend_core._internal.membership.checks import find_transition_faults
+from pimentobend_core._internal.membership.messages import AnnouncementAccepted
+from pimentobend_core._internal.membership.messages import AnnouncementRefused
+from pimentobend_core._internal.membership.messages import Presence
+from pimentobend_core._internal.membership.messages import Rank
+from pimentobend_core._internal.membership.messages import RegistryInput
+from pimentobend_core._internal.membership.messages import RegistryOutput
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import WithdrawalAccepted
+from pimentobend_core._internal.models.server import Announcement
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import Withdrawal
+from pimentobend_core._internal.pipes import StatefulFilter
+
+SERVERS_MAX = 256
+RENEWALS_A_LEASE = 3
+PAUSE_S = 2.0  # a longer silence of the registry itself counts as a pause
+FORGET_S = 120.0  # longer than any lease, so that late messages are refused
+
+
+class _Lease(NamedTuple):
+    """Hold one server; times are seconds of the clock."""
+
+    server: Server
+    presence: Presence
+    until: float  # end of the lease, or when the row is forgotten
+
+
+class ServerRegistry(StatefulFilter[RegistryInput, RegistryOutput]):
+    """Turn announcements and the passing of time into events.
+
+    ``epoch`` must grow at each start of the instance, so that its rows
+    replace those of its earlier life.
+    """
+
+    def __init__(self, instance_id: str, epoch: int = 0) -> None:
+        self._instance_id = instance_id
+        self._epoch = epoch
+        self._sequence = 0
+        self._leases: dict[str, _Lease] = {}
+        self._ran_at: float | None = None
+
+    def handle(self, message: RegistryInput, now: float) -> tuple[RegistryOutput, ...]:
+        """Take an announcement, a withdrawal or a tick."""
+        self._excuse_pause(now)
+        expired = self._expire(now)
+        match message:
+            case Announcement():
+                return expired + self._announce(message, now)
+            case Withdrawal():
+                return expired + self._withdraw(message, now)
+            case _:
+                return expired
+
+    def events(self) -> tuple[ServerEvent, ...]:
+        """Return every row as an event, for a new parent in the spread tree."""
+        return tuple(
+            self._event(lease.presence, lease.server)
+            for lease in list(self._leases.values())
+        )
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the leases as JSON-compatible values."""
+        return {
+            "instance": self._instance_id,
+            "epoch": self._epoch,
+            "sequence": self._sequence,
+            "servers": {
+                server_id: {
+                    "service": lease.server.service,
+                    "state": lease.server.state.value,
+                    "incarnation": lease.server.incarnation,
+                    "presence": lease.presence.value,
+                    "until": lease.until,
+                }
+                for server_id, lease in sorted(self._leases.items())
+            },
+        }
+
+    def _announce(
+        self, message: Announcement, now: float
+    ) -> tuple[RegistryOutput, ...]:
+        server = message.server
+        faults = find_faults(message)
+        known = self._leases.get(server.server_id)
+        if known is not None:
+            faults += find_transition_faults(known.server, server)
+            faults += _find_withdrawal_faults(known, server)
+        elif len(self._leases) >= SERVERS_MAX:
+            faults += (f"server_id: {SERVERS_MAX} servers are announced already",)
+        if faults:
+            return (AnnouncementRefused(server.server_id, faults),)
+        self._leases[server.server_id] = _Lease(
+            server, Presence.LIVE, now + message.lease_s
+        )
+        accepted = AnnouncementAccepted(
+            server.server_id, message.lease_s, message.lease_s / RENEWALS_A_LEASE
+        )
+        if known is not None and known[:2] == (server, Presence.LIVE):
+            return (accepted,)
+        return (accepted, self._event(Presence.LIVE, server))
+
+    def _withdraw(self, message: Withdrawal, now: float) -> tuple[RegistryOutput, ...]:
+        accepted = WithdrawalAccepted(message.server_id)
+        known = self._leases.get(message.server_id)
+        if known is None or message.incarnation < known.server.incarnation:
+            return (accepted,)
+        if known.presence is Presence.WITHDRAWN:
+            return (accepted,)
+        return (accepted, self._end(known.server, Presence.WITHDRAWN, now))
+
+    def _expire(self, now: float) -> tuple[RegistryOutput, ...]:
+        events = []
+        for server_id, lease in list(self._leases.items()):
+            if lease.until > now:
+                continue
+            if lease.presence is Presence.LIVE:
+                events.append(self._end(lease.server, Presence.EXPIRED, now))
+            else:
+                del self._leases[server_id]
+        return tuple(events)
+
+    def _end(self, server: Server, presence: Presence, now: float) -> ServerEvent:
+        self._leases[server.server_id] = _Lease(server, presence, now + FORGET_S)
+        return self._event(presence, server)
+
+    def _event(self, presence: Presence, server: Server) -> ServerEvent:
+        self._sequence += 1
+        rank = Rank(self._epoch, self._sequence)
+        return ServerEvent(self._instance_id, rank, presence, server)
+
+    def _excuse_pause(self, now: float) -> None:
+        """Extend the leases by the time in which no renewal could be taken."""
+        ran_at, self._ran_at = self._ran_at, now
+        if ran_at is None or now - ran_at <= PAUSE_S:
+            return
+        pause = now - ran_at
+        for server_id, lease in self._leases.items():
+            if lease.presence is Presence.LIVE:
+                self._leases[server_id] = lease._replace(until=lease.until + pause)
+
+
+def _find_withdrawal_faults(known: _Lease, server: Server) -> tuple[str, ...]:
+    withdrawn = known.presence is Presence.WITHDRAWN
+    if withdrawn and server.incarnation <= known.server.incarnation:
+        return (f"incarnation: {known.server.incarnation} has withdrawn",)
+    return ()
--- /dev/null
+++ b/tests/unit/membership/test_registry.py
@@ -0,0 +1,149 @@
+"""Check leases, incarnations and withdrawals at one instance."""
+
+import pytest
+
+from pimentobend_core._internal.membership.messages import AnnouncementAccepted
+from pimentobend_core._internal.membership.messages import AnnouncementRefused
+from pimentobend_core._internal.membership.messages import Presence
+from pimentobend_core._internal.membership.messages import RegistryInput
+from pimentobend_core._internal.membership.messages import RegistryTick
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.registry import FORGET_S
+from pimentobend_core._internal.membership.registry import ServerRegistry
+from pimentobend_core._internal.models.server import Announcement
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.models.server import Withdrawal
+
+READY = ServerState.READY
+SERVER = Server(
+    "kiln-1", "bookings", "127.0.0.1", 9001, 6, "lahore-a", "punjab", READY, 7
+)
+LATER = SERVER._replace(incarnation=8)
+TICK = RegistryTick()
+LIVE, WITHDRAWN, EXPIRED = Presence.LIVE, Presence.WITHDRAWN, Presence.EXPIRED
+
+
+def _announce(lease_s: float = 6.0, **changes: object) -> Announcement:
+    return Announcement(SERVER._replace(**changes), lease_s)  # type: ignore[arg-type]
+
+
+Step = tuple[float, RegistryInput]
+
+
+def _run(steps: list[Step]) -> list[object]:
+    registry = ServerRegistry("daemon-1", epoch=3)
+    return [output for now, step in steps for output in registry.handle(step, now)]
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        pytest.param([(0, _announce())], [LIVE], id="announced"),
+        pytest.param([(0, _announce()), (1, _announce())], [LIVE], id="renewed"),
+        pytest.param(
+            [(0, _announce()), *((t, TICK) for t in range(1, 7))],
+            [LIVE, EXPIRED],
+            id="lease-past",
+        ),
+        pytest.param(
+            [(0, _announce()), (2, TICK), (3, _announce()), (5, TICK), (7, TICK)],
+            [LIVE],
+            id="renewal-extends",
+        ),
+        pytest.param(
+            [(0, _announce()), *((t, TICK) for t in (2, 4, 6)), (7, _announce())],
+            [LIVE, EXPIRED, LIVE],
+            id="announced-after-expiry",
+        ),
+        pytest.param(
+            [(0, _announce()), (60, TICK)], [LIVE], id="pause-of-the-registry"
+        ),
+        pytest.param(
+            [(0, _announce()), (1, _announce(state=ServerState.DRAINING))],
+            [LIVE, LIVE],
+            id="draining",
+        ),
+        pytest.param(
+            [(0, _announce()), (1, Withdrawal("kiln-1", 7))],
+            [LIVE, WITHDRAWN],
+            id="withdrawn",
+        ),
+        pytest.param(
+            [(0, _announce()), *[(1, Withdrawal("kiln-1", 7))] * 2],
+            [LIVE, WITHDRAWN],
+            id="withdrawn-twice",
+        ),
+        pytest.param(
+            [(0, _announce()), (1, Withdrawal("kiln-1", 6))],
+            [LIVE],
+            id="late-withdrawal-of-an-earlier-life",
+        ),
+        pytest.param([(0, Withdrawal("kiln-9", 7))], [], id="withdrawal-of-unknown"),
+        pytest.param(
+            [(0, _announce()), (1, Withdrawal("kiln-1", 7)), (2, _announce())],
+            [LIVE, WITHDRAWN],
+            id="late-renewal-after-withdrawal",
+        ),
+        pytest.param(
+            [
+                (0, _announce()),
+                (1, Withdrawal("kiln-1", 7)),
+                (2, _announce(incarnation=8)),
+            ],
+            [LIVE, WITHDRAWN, LIVE],
+            id="restarted-after-withdrawal",
+        ),
+    ],
+)
+def test_events(steps: list[Step], expected: list[Presence]) -> None:
+    events = [output for output in _run(steps) if isinstance(output, ServerEvent)]
+    assert [event.presence for event in events] == expected
+    assert [event.rank for event in events] == [
+        (3, number) for number in range(1, len(expected) + 1)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "fault"),
+    [
+        (None, _announce(lease_s=0.0), "lease_s"),
+        (None, _announce(lease_s=-1.0), "lease_s"),
+        (None, _announce(lease_s=3600.0), "lease_s"),
+        (None, _announce(lease_s=float("nan")), "lease_s"),
+        (None, _announce(port=0), "port"),
+        (None, _announce(slots=0), "slots"),
+        (None, _announce(server_id=""), "server_id"),
+        (None, _announce(service="s" * 129), "service"),
+        (None, _announce(incarnation=-1), "incarnation"),
+        (_announce(), _announce(incarnation=6), "incarnation"),
+        (_announce(), _announce(state=ServerState.STARTING), "state"),
+        (_announce(state=ServerState.DRAINING), _announce(), "state"),
+        (_announce(), _announce(service="catalogue"), "service"),
+    ],
+)
+def test_refused(first: Announcement | None, second: Announcement, fault: str) -> None:
+    steps: list[Step] = [] if first is None else [(0, first)]
+    last = _run([*steps, (1, second)])[-1]
+    assert isinstance(last, AnnouncementRefused)
+    assert [text.partition(":")[0] for text in last.faults] == [fault]
+
+
+def test_every_fault_is_named() -> None:
+    (refused,) = _run([(0, _announce(lease_s=0.0, port=0, slots=0))])
+    assert isinstance(refused, AnnouncementRefused)
+    assert len(refused.faults) == 3
+
+
+def test_renewal_is_asked_within_the_lease() -> None:
+    accepted = _run([(0, _announce())])[0]
+    assert isinstance(accepted, AnnouncementAccepted)
+    assert accepted.renew_after_s * 2 < accepted.lease_s
+
+
+def test_gone_server_is_forgotten() -> None:
+    registry = ServerRegistry("daemon-1")
+    registry.handle(_announce(), 0)
+    registry.handle(Withdrawal("kiln-1", 7), 1)
+    registry.handle(TICK, 1 + FORGET_S)
+    assert registry.events() == ()
