Add the request pipe and its adapters

Cause: the thin path needs the filters from a received request to its answer, and the tasks and sockets around them.

--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/clock.py
@@ -0,0 +1,14 @@
+"""Read the clock of the runtime."""
+
+import eventlet.hubs
+
+from pimentobend_core._internal.ports import ClockPort
+
+
+class HubClock(ClockPort):
+    """Read the clock of eventlet's hub, which tests pause and advance."""
+
+    def now(self) -> float:
+        """Return seconds of the hub's clock."""
+        seconds: float = eventlet.hubs.get_hub().clock()
+        return seconds
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/__init__.py
@@ -0,0 +1,1 @@
+"""Speak HTTP with callers, backend servers and operators."""
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -0,0 +1,197 @@
+"""Send requests to backend servers over kept connections."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+from urllib3.exceptions import TimeoutError as PoolTimeoutError
+
+from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
+from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.headers import DEADLINE_MS
+from pimentobend_adapters._internal.http.headers import LOAD
+from pimentobend_adapters._internal.http.headers import RAN
+from pimentobend_adapters._internal.http.headers import REQUEST_ID
+from pimentobend_adapters._internal.http.headers import find_header
+from pimentobend_adapters._internal.http.headers import parse_load
+from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.ports import AnswerBody
+from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import BackendPort
+from pimentobend_core._internal.ports import Body
+from pimentobend_core._internal.ports import ClockPort
+
+CONNECT_TIMEOUT_S = 1.0
+KEPT_CONNECTIONS = 32
+MS_PER_S = 1000
+
+
+class AnswerTruncatedError(AdapterError):
+    """Report an answer that ended before its stated length."""
+
+
+class _Connection(HTTPConnection):
+    """Remember whether a connection has served a request before."""
+
+    requests_sent = 0
+    connected = False
+
+    def connect(self) -> None:
+        """Open the connection."""
+        super().connect()
+        self.connected = True
+        self.requests_sent = 0
+
+    def request(self, *args: Any, **kwargs: Any) -> None:
+        """Send a request and count it."""
+        super().request(*args, **kwargs)
+        self.requests_sent += 1
+
+
+class _Pool(urllib3.HTTPConnectionPool):
+    """Keep connections of one server."""
+
+    ConnectionCls = _Connection
+
+
+class _StreamedAnswer(AnswerBody):
+    """Read an answer in pieces from its connection."""
+
+    def __init__(self, response: Any) -> None:
+        self._response = response
+        self._is_finished = False
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the pieces; raise AnswerTruncatedError on an early end."""
+        try:
+            yield from self._response.stream(CHUNK_BYTES, decode_content=False)
+        except (HTTPError, OSError) as error:
+            raise AnswerTruncatedError(
+                "the answer broke off", context=type(error).__name__
+            ) from error
+        self._is_finished = True
+        self._response.release_conn()
+
+    def close(self) -> None:
+        """Close the connection unless the answer was read to its end."""
+        if not self._is_finished:
+            self._response.close()
+
+
+class BackendClient(BackendPort):
+    """Own the connections to backend servers."""
+
+    def __init__(self, clock: ClockPort) -> None:
+        self._clock = clock
+        self._pools: dict[tuple[str, int], _Pool] = {}
+
+    def send(
+        self, server: Server, head: RequestHead, body: Body, deadline: float
+    ) -> Attempted:
+        """Run one attempt; ``deadline`` is in seconds of the clock."""
+        started = self._clock.now()
+        remaining_s = max(0.001, deadline - started)
+        timeout = eventlet.Timeout(remaining_s)
+        try:
+            response = self._open(server, head, body, remaining_s)
+        except eventlet.Timeout as expired:
+            if expired is not timeout:
+                raise
+            return self._failed(AttemptKind.NO_ANSWER, started)
+        except BodyBrokenError:
+            return self._failed(AttemptKind.CANCELLED, started)
+        except (HTTPError, OSError) as error:
+            return self._failed(_kind_of(error), started)
+        finally:
+            timeout.cancel()
+        return self._answered(response, started)
+
+    def forget(self, server: Server) -> None:
+        """Close the kept connections of a server that left."""
+        pool = self._pools.pop((server.host, server.port), None)
+        if pool is not None:
+            pool.close()
+
+    def _open(
+        self, server: Server, head: RequestHead, body: Body, remaining_s: float
+    ) -> Any:
+        pool = self._pool(server)
+        return pool.urlopen(
+            head.method,
+            _target(head),
+            body=_payload(body),
+            headers=_request_headers(head, body, remaining_s),
+            redirect=False,
+            retries=False,
+            preload_content=False,
+            decode_content=False,
+            timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, remaining_s)),
+        )
+
+    def _pool(self, server: Server) -> _Pool:
+        address = (server.host, server.port)
+        if address not in self._pools:
+            self._pools[address] = _Pool(*address, maxsize=KEPT_CONNECTIONS)
+        return self._pools[address]
+
+    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+        latency_s = self._clock.now() - started
+        return Attempted(kind, 0, (), None, latency_s, False, None)
+
+    def _answered(self, response: Any, started: float) -> Attempted:
+        headers = tuple(response.headers.items())
+        connection = response.connection
+        is_refused = find_header(headers, RAN) == Ran.NOT_RUN.value
+        body = _StreamedAnswer(response)
+        if is_refused:
+            body.close()
+        return Attempted(
+            kind=AttemptKind.REFUSED if is_refused else AttemptKind.ANSWERED,
+            status=response.status,
+            headers=without_hop_by_hop(headers),
+            body=body,
+            latency_s=self._clock.now() - started,
+            was_reused=getattr(connection, "requests_sent", 1) > 1,
+            load=parse_load(find_header(headers, LOAD)),
+        )
+
+
+def _kind_of(error: Exception) -> AttemptKind:
+    is_unconnected = isinstance(error, NewConnectionError)
+    if isinstance(error, PoolTimeoutError):
+        is_unconnected = type(error).__name__ == "ConnectTimeoutError"
+    return AttemptKind.NOT_CONNECTED if is_unconnected else AttemptKind.NO_ANSWER
+
+
+def _target(head: RequestHead) -> str:
+    return f"{head.path}?{head.query}" if head.query else head.path
+
+
+def _payload(body: Body) -> Any:
+    if body.length == 0:
+        return None
+    return body.chunks()
+
+
+def _request_headers(
+    head: RequestHead, body: Body, remaining_s: float
+) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for name, value in without_hop_by_hop(head.headers):
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    for name in [n for n in headers if n.lower() == "content-length"]:
+        del headers[name]
+    if body.length:
+        headers["Content-Length"] = str(body.length)
+    headers[DEADLINE_MS] = str(int(remaining_s * MS_PER_S))
+    headers[REQUEST_ID] = head.request_id
+    return headers
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -0,0 +1,52 @@
+"""Name the headers of the interfaces and drop those of one hop."""
+
+from pimentobend_core._internal.models.request import Headers
+from pimentobend_core._internal.models.request import LoadReport
+
+IDEMPOTENCY_KEY = "Idempotency-Key"
+DEADLINE_MS = "Pimentobend-Deadline-Ms"
+ORGANISATION = "Pimentobend-Organisation"
+RAN = "Pimentobend-Ran"
+REASON = "Pimentobend-Reason"
+LOAD = "Pimentobend-Load"
+REQUEST_ID = "Pimentobend-Request-Id"
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def without_hop_by_hop(headers: Headers) -> Headers:
+    """Drop hop-by-hop headers and those that Connection names."""
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name.lower() == "connection":
+            dropped.update(token.strip().lower() for token in value.split(","))
+    return tuple((n, v) for n, v in headers if n.lower() not in dropped)
+
+
+def find_header(headers: Headers, name: str) -> str | None:
+    """Return the first value of a header, or None."""
+    wanted = name.lower()
+    for candidate, value in headers:
+        if candidate.lower() == wanted:
+            return value
+    return None
+
+
+def parse_load(value: str | None) -> LoadReport | None:
+    """Parse ``in_use/slots``; None when it is absent or malformed."""
+    in_use, _, slots = (value or "").partition("/")
+    if in_use.isascii() and in_use.isdigit() and slots.isascii() and slots.isdigit():
+        return LoadReport(int(in_use), int(slots))
+    return None
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -0,0 +1,79 @@
+"""Serve WSGI applications on sockets that the task owns."""
+
+import io
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import eventlet.wsgi
+
+from pimentobend_adapters._internal.exceptions import AdapterError
+
+MAX_CONNECTIONS = 1024
+IDLE_TIMEOUT_S = 75.0
+BACKLOG = 512
+
+
+class ListenError(AdapterError):
+    """Report an address that cannot be listened on."""
+
+
+class Address(NamedTuple):
+    """Name a TCP address."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class HttpServer:
+    """Own one listening socket and the connections taken from it."""
+
+    def __init__(self, address: Address, application: Callable[..., Any]) -> None:
+        try:
+            self._socket = eventlet.listen(tuple(address), backlog=BACKLOG)
+        except OSError as error:
+            raise ListenError(
+                "cannot listen",
+                context=f"{address}: {error.strerror}",
+                hint="is another process on this address?",
+            ) from error
+        self._application = application
+        self._greenlet: Any = None
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use, with the port that the system chose."""
+        return Address(*self._socket.getsockname()[:2])
+
+    def start(self) -> None:
+        """Start serving."""
+        self._greenlet = eventlet.spawn(self._serve)
+
+    def close(self) -> None:
+        """Take no new connections."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._socket.close()
+
+    def _serve(self) -> None:
+        eventlet.wsgi.server(
+            self._socket,
+            self._application,
+            log=_NoLog(),
+            log_output=False,
+            max_size=MAX_CONNECTIONS,
+            socket_timeout=IDLE_TIMEOUT_S,
+            debug=False,
+        )
+
+
+class _NoLog(io.StringIO):
+    """Drop the server's own lines; requests are logged as events."""
+
+    def write(self, text: str) -> int:
+        """Drop the text."""
+        return len(text)
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/__init__.py
@@ -0,0 +1,1 @@
+"""Carry frames between the processes of the fleet."""
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -0,0 +1,139 @@
+"""Let request tasks ask the tasks that own the pools' traffic."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import eventlet
+import eventlet.event
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.tables import Pool
+from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.ports import ClockPort
+from pimentobend_core._internal.ports import TrafficPort
+from pimentobend_core._internal.traffic.messages import Abandon
+from pimentobend_core._internal.traffic.messages import Acquire
+from pimentobend_core._internal.traffic.messages import ConfigurePool
+from pimentobend_core._internal.traffic.messages import Granted
+from pimentobend_core._internal.traffic.messages import ServersChanged
+from pimentobend_core._internal.traffic.messages import TrafficInput
+from pimentobend_core._internal.traffic.messages import TrafficOutput
+from pimentobend_core._internal.traffic.messages import TrafficTick
+
+TICK_S = 0.05
+GRACE_S = 1.0  # past the deadline, for the owner's own refusal
+
+TrafficOwner = StatefulFilter[TrafficInput, TrafficOutput]
+TrafficTask = FilterTask[TrafficInput, TrafficOutput]
+
+
+class TrafficTasks(TrafficPort):
+    """Run one traffic task a pool and match its replies to those who wait."""
+
+    def __init__(
+        self,
+        create_owner: Callable[[Pool], TrafficOwner],
+        clock: ClockPort,
+        attempts: Outlet[AttemptEnded],
+    ) -> None:
+        self._create_owner = create_owner
+        self._clock = clock
+        self._attempts = attempts
+        self._tasks: dict[str, TrafficTask] = {}
+        self._waiting: dict[int, Any] = {}
+        self._tickets = itertools.count(1)
+
+    @property
+    def tasks(self) -> tuple[TrafficTask, ...]:
+        """Return the running tasks."""
+        return tuple(self._tasks.values())
+
+    def configure(self, pools: tuple[Pool, ...]) -> None:
+        """Start, change and stop tasks so that they follow the table of pools."""
+        names = {pool.name for pool in pools}
+        for name in [name for name in self._tasks if name not in names]:
+            self._tasks.pop(name).stop()
+        for pool in pools:
+            if pool.name not in self._tasks:
+                self._tasks[pool.name] = self._start(pool)
+            self._tasks[pool.name].put(ConfigurePool(pool))
+
+    def put(self, pool: str, message: TrafficInput) -> None:
+        """Send a message to a pool's task, if the pool exists."""
+        if pool in self._tasks:
+            self._tasks[pool].put(message)
+
+    def servers_changed(self, pool: str, message: ServersChanged) -> None:
+        """Give a pool's task its list of servers."""
+        self.put(pool, message)
+
+    def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
+        """Wait for a backend server until the deadline."""
+        if pool not in self._tasks:
+            return Failure(_no_pool(pool))
+        event = eventlet.event.Event()
+        self._waiting[message.ticket] = event
+        self._tasks[pool].put(message)
+        try:
+            return self._wait(pool, message, event)
+        finally:
+            self._waiting.pop(message.ticket, None)
+
+    def ended(self, message: AttemptEnded) -> None:
+        """Report an ended attempt to the pool's traffic and health tasks."""
+        self.put(message.pool, message)
+        self._attempts.put(message)
+
+    def _wait(
+        self, pool: str, message: Acquire, event: Any
+    ) -> Result[Granted, Refusal]:
+        limit_s = max(0.0, message.deadline - self._clock.now()) + GRACE_S
+        reply: TrafficOutput | None = None
+        try:
+            with eventlet.Timeout(limit_s, False):
+                reply = event.wait()
+        finally:
+            if reply is None:
+                self._tasks[pool].put(Abandon(message.ticket))
+        if isinstance(reply, Granted):
+            return Success(reply)
+        if reply is None:
+            return Failure(_no_pool(pool))
+        return Failure(reply.refusal)
+
+    def _start(self, pool: Pool) -> TrafficTask:
+        task: TrafficTask = FilterTask(
+            f"traffic.{pool.name}",
+            self._create_owner(pool),
+            CallOutlet(self._resolve),
+            self._clock,
+            Ticking(TICK_S, TrafficTick()),
+        )
+        task.start()
+        return task
+
+    def _resolve(self, reply: TrafficOutput) -> None:
+        event = self._waiting.pop(reply.ticket, None)
+        if event is not None:
+            event.send(reply)
+
+
+def _no_pool(pool: str) -> Refusal:
+    return Refusal(
+        status=503,
+        ran=Ran.NOT_RUN,
+        reason=RefusalReason.NO_SERVER,
+        detail=f"the pool {pool!r} is not in force",
+        retry_after_s=1,
+    )
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/models/events.py
@@ -0,0 +1,20 @@
+"""Define the events that go to logs and metrics."""
+
+from typing import NamedTuple
+
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import RefusalReason
+
+
+class RequestEnded(NamedTuple):
+    """Describe a request that was answered or refused."""
+
+    request_id: str
+    organisation: str
+    method: str
+    path: str
+    status: int
+    ran: Ran
+    reason: RefusalReason | None
+    server_id: str
+    duration_s: float
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -0,0 +1,69 @@
+"""Get a slot for one attempt and send it."""
+
+import itertools
+
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import BackendPort
+from pimentobend_core._internal.ports import TrafficPort
+from pimentobend_core._internal.request.stages import Admitted
+from pimentobend_core._internal.request.stages import Attempting
+from pimentobend_core._internal.request.stages import Tried
+from pimentobend_core._internal.traffic.messages import Acquire
+
+
+class AdmissionFilter(Filter[Attempting, Admitted]):
+    """Wait for a slot of a selected backend server."""
+
+    def __init__(self, traffic: TrafficPort) -> None:
+        self._traffic = traffic
+        self._tickets = itertools.count(1)
+
+    def apply(self, value: Attempting) -> Result[Admitted, Refusal]:
+        """Return the request with its server, or the owner's refusal."""
+        request = value.request
+        ticket = next(self._tickets)
+        message = Acquire(
+            ticket=ticket,
+            route=request.route.name,
+            organisation=request.head.organisation,
+            deadline=request.head.deadline,
+            repeatable=request.route.repeatable,
+            excluded=frozenset(value.tried),
+            is_retry=bool(value.tried),
+        )
+        granted = self._traffic.acquire(request.route.pool, message)
+        return granted.map(lambda grant: Admitted(request, ticket, grant.server))
+
+
+class AttemptFilter(Filter[Admitted, Tried]):
+    """Send the request to its server and report how that ended."""
+
+    def __init__(self, backend: BackendPort, traffic: TrafficPort) -> None:
+        self._backend = backend
+        self._traffic = traffic
+
+    def apply(self, value: Admitted) -> Result[Tried, Refusal]:
+        """Return the ended attempt; it is never a refusal of its own."""
+        request = value.request
+        attempted = self._backend.send(
+            value.server, request.head, request.body, request.head.deadline
+        )
+        self._traffic.ended(
+            AttemptEnded(
+                ticket=value.ticket,
+                pool=request.route.pool,
+                route=request.route.name,
+                server_id=value.server.server_id,
+                kind=attempted.kind,
+                status=attempted.status,
+                latency_s=attempted.latency_s,
+                was_reused=attempted.was_reused,
+                load=attempted.load,
+            )
+        )
+        return Success(Tried(request, value.server, attempted))
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -0,0 +1,42 @@
+"""Claim work that may not be repeated before it is sent."""
+
+from returns.result import Failure
+from returns.result import Result
+
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import Claim
+from pimentobend_core._internal.ports import LedgerPort
+from pimentobend_core._internal.request.stages import Claimed
+from pimentobend_core._internal.request.stages import Finished
+from pimentobend_core._internal.request.stages import Routed
+
+
+class IdempotencyFilter(Filter[Routed, Finished]):
+    """Hold a ledger claim around the filters that send the work."""
+
+    def __init__(self, ledger: LedgerPort, inner: Filter[Claimed, Finished]) -> None:
+        self._ledger = ledger
+        self._inner = inner
+
+    def apply(self, value: Routed) -> Result[Finished, Refusal]:
+        """Run the inner filters, under a claim when the work needs one."""
+        if value.route.repeatable or value.head.idempotency_key is None:
+            return self._inner.apply(Claimed(*value, claim=None))
+        claimed = self._ledger.claim(value.head)
+        if not isinstance(claimed, Failure):
+            return self._run(value, claimed.unwrap())
+        return Failure(claimed.failure())
+
+    def _run(self, value: Routed, claim: Claim) -> Result[Finished, Refusal]:
+        result = self._inner.apply(Claimed(*value, claim=claim))
+        self._settle(claim, result)
+        return result
+
+    def _settle(self, claim: Claim, result: Result[Finished, Refusal]) -> None:
+        if isinstance(result, Failure):
+            refusal = result.failure()
+            self._ledger.settle(claim, refusal.ran, refusal.status)
+            return
+        finished = result.unwrap()
+        self._ledger.settle(claim, finished.ran, finished.attempted.status)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/request/pipe.py
@@ -0,0 +1,46 @@
+"""Join the filters that a request passes."""
+
+from typing import NamedTuple
+
+from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import BackendPort
+from pimentobend_core._internal.ports import ClockPort
+from pimentobend_core._internal.ports import LedgerPort
+from pimentobend_core._internal.ports import TablesPort
+from pimentobend_core._internal.ports import TrafficPort
+from pimentobend_core._internal.request.attempt import AdmissionFilter
+from pimentobend_core._internal.request.attempt import AttemptFilter
+from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.dispatch import DispatchFilter
+from pimentobend_core._internal.request.dispatch import RetryPolicy
+from pimentobend_core._internal.request.idempotency import IdempotencyFilter
+from pimentobend_core._internal.request.judgement import JudgementFilter
+from pimentobend_core._internal.request.route import RouteFilter
+from pimentobend_core._internal.request.stages import Finished
+from pimentobend_core._internal.request.stages import Received
+
+
+class RequestPorts(NamedTuple):
+    """Hold what the request pipe asks of the rest of the process."""
+
+    clock: ClockPort
+    tables: TablesPort
+    traffic: TrafficPort
+    ledger: LedgerPort
+    backend: BackendPort
+    retries: RetryPolicy
+
+
+def build_request_pipe(ports: RequestPorts) -> Filter[Received, Finished]:
+    """Return the filters from a received request to its answer."""
+    attempt = (
+        AdmissionFilter(ports.traffic)
+        .then(AttemptFilter(ports.backend, ports.traffic))
+        .then(JudgementFilter())
+    )
+    dispatch = DispatchFilter(attempt, ports.retries, ports.clock)
+    return (
+        DeadlineFilter(ports.clock)
+        .then(RouteFilter(ports.tables))
+        .then(IdempotencyFilter(ports.ledger, dispatch))
+    )
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -0,0 +1,160 @@
+"""Check JSON documents and name every fault at once."""
+
+import abc
+import json
+import re
+from collections.abc import Iterator
+from collections.abc import Mapping
+from typing import NamedTuple
+
+SHOWN_CHARACTERS = 60
+
+
+class Fault(NamedTuple):
+    """Name one fault of a document."""
+
+    place: str  # a key such as routes[3].pool, or a line
+    value: str
+    expected: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.value}, expected {self.expected}"
+
+
+def make_fault(place: str, value: object, expected: str) -> Fault:
+    """Return a fault with its value cut to a readable length."""
+    shown = json.dumps(value, ensure_ascii=False, default=str)
+    if len(shown) > SHOWN_CHARACTERS:
+        shown = shown[:SHOWN_CHARACTERS] + "..."
+    return Fault(place, shown, expected)
+
+
+class Check(abc.ABC):
+    """Find the faults of one value."""
+
+    @abc.abstractmethod
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield the faults of the value at a place."""
+
+
+class TextCheck(Check):
+    """Expect a string that matches a pattern."""
+
+    def __init__(self, pattern: str, expected: str) -> None:
+        self._pattern = re.compile(pattern)
+        self._expected = expected
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield a fault unless the value is a matching string."""
+        if not isinstance(value, str) or not self._pattern.fullmatch(value):
+            yield make_fault(place, value, self._expected)
+
+
+class WholeCheck(Check):
+    """Expect a whole number within bounds."""
+
+    def __init__(self, least: int, most: int) -> None:
+        self._least = least
+        self._most = most
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield a fault unless the value is a whole number within bounds."""
+        is_whole = isinstance(value, int) and not isinstance(value, bool)
+        if not (is_whole and self._least <= value <= self._most):  # type: ignore[operator]
+            expected = f"a whole number from {self._least} to {self._most}"
+            yield make_fault(place, value, expected)
+
+
+class NumberCheck(Check):
+    """Expect a number within bounds."""
+
+    def __init__(self, least: float, most: float) -> None:
+        self._least = least
+        self._most = most
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield a fault unless the value is a number within bounds."""
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not (is_number and self._least <= value <= self._most):  # type: ignore[operator]
+            expected = f"a number from {self._least:g} to {self._most:g}"
+            yield make_fault(place, value, expected)
+
+
+class FlagCheck(Check):
+    """Expect true or false."""
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield a fault unless the value is a boolean."""
+        if not isinstance(value, bool):
+            yield make_fault(place, value, "true or false")
+
+
+class ListCheck(Check):
+    """Expect a list whose items pass a check."""
+
+    def __init__(self, item: Check, most: int) -> None:
+        self._item = item
+        self._most = most
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield the faults of the list and of its items."""
+        if not isinstance(value, list):
+            yield make_fault(place, value, "a list")
+            return
+        if len(value) > self._most:
+            yield make_fault(place, len(value), f"at most {self._most} items")
+            return
+        for number, item in enumerate(value):
+            yield from self._item.find(f"{place}[{number}]", item)
+
+
+class ObjectCheck(Check):
+    """Expect an object with known keys."""
+
+    def __init__(
+        self,
+        required: Mapping[str, Check],
+        optional: Mapping[str, Check] | None = None,
+    ) -> None:
+        self._required = required
+        self._optional = optional or {}
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield the faults of the object, of its keys and of their values."""
+        if not isinstance(value, dict):
+            yield make_fault(place or "document", value, "an object")
+            return
+        known = {**self._required, **self._optional}
+        for key in value:
+            if key not in known:
+                expected = f"one of {', '.join(sorted(known))}"
+                yield make_fault(_join(place, key), "unknown key", expected)
+        for key, check in known.items():
+            if key in value:
+                yield from check.find(_join(place, key), value[key])
+            elif key in self._required:
+                yield Fault(_join(place, key), "missing", "a value")
+
+
+def parse_document(text: str) -> tuple[object, tuple[Fault, ...]]:
+    """Parse JSON text; the faults name bad syntax and repeated keys."""
+    repeated: list[Fault] = []
+
+    def build(pairs: list[tuple[str, object]]) -> dict[str, object]:
+        result: dict[str, object] = {}
+        for key, value in pairs:
+            if key in result:
+                repeated.append(Fault(key, "repeated key", "each key once"))
+            result[key] = value
+        return result
+
+    try:
+        document = json.loads(text, object_pairs_hook=build)
+    except (json.JSONDecodeError, RecursionError) as error:
+        line = getattr(error, "lineno", 1)
+        return None, (Fault(f"line {line}", str(error), "JSON"),)
+    return document, tuple(repeated)
+
+
+def _join(place: str, key: str) -> str:
+    return f"{place}.{key}" if place else key
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/exceptions.py
@@ -0,0 +1,23 @@
+"""Define the errors of the daemon."""
+
+from collections.abc import Iterable
+
+from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_core._internal.utils.checks import Fault
+
+
+class DaemonError(PimentobendError):
+    """Report why the daemon cannot run."""
+
+
+class SettingsError(DaemonError):
+    """Report every fault of a settings file."""
+
+    def __init__(self, path: str, faults: Iterable[Fault]) -> None:
+        self.faults = tuple(faults)
+        lines = "; ".join(str(fault) for fault in self.faults)
+        super().__init__(
+            f"the settings have {len(self.faults)} fault(s): {lines}",
+            context=path,
+            hint="docs/OPERATING.md lists the settings",
+        )
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Serve backend servers and operators over HTTP."""
