Test the replicated log and its data folder under faults

Random walks found a cluster without a leader: a replica with its own removal uncommitted did not stand, and it was the only one whose log was current. It stands now until its removal commits.

--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
@@ -1,9 +1,9 @@
 """Define the errors of the data folder."""
 
-from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_adapters._internal.exceptions import AdapterError
 
 
-class DiskError(PimentobendError):
+class DiskError(AdapterError):
     """Report that the data folder did not take or give what was asked."""
 
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
@@ -32,12 +32,12 @@
         self._files = files
         self._sequence = 0  # of the last synced block
         self._size_bytes = 0  # of the log up to its last synced block
-        self._is_loaded = False
+        self._has_torn_end = False  # a write failed in this process
 
     def load(self, members: Members) -> StoredState:
         """Return what is stored, with a torn end cut off; raise ``DiskError``."""
         try:
-            if self._is_loaded:
+            if self._has_torn_end:
                 self._cut(self._size_bytes)
             return self._load(members)
         except OSError as error:
@@ -51,17 +51,22 @@
 
     def append(self, records: tuple[Record, ...]) -> None:
         """Store records as one block and sync it; raise ``DiskError``."""
+        if self._has_torn_end:
+            raise DiskError("the log has a failed write at its end")
         block = encode_block(self._sequence + 1, encode_records(records))
         try:
             self._files.append(LOG, block)
             self._files.sync(LOG)
         except OSError as error:
+            self._has_torn_end = True
             raise _disk_error("the log cannot be written", error) from error
         self._sequence += 1
         self._size_bytes += len(block)
 
     def save(self, snapshot: Snapshot, records: tuple[Record, ...]) -> None:
         """Store a snapshot, then a log of these records; raise ``DiskError``."""
+        if self._has_torn_end:
+            raise DiskError("the log has a failed write at its end")
         try:
             self._replace(SNAPSHOT, encode_block(1, encode_snapshot(snapshot)))
             self._replace_log(records)
@@ -90,7 +95,6 @@
         state = replay(records, snapshot)
         if self._size_bytes < len(data):
             self._cut(self._size_bytes)
-        self._is_loaded = True
         return state
 
     def _load_snapshot(self) -> Snapshot | None:
@@ -121,6 +125,7 @@
     def _cut(self, size_bytes: int) -> None:
         self._files.truncate(LOG, size_bytes)
         self._files.sync(LOG)
+        self._has_torn_end = False
 
 
 def _disk_error(message: str, error: OSError) -> DiskError:
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -119,7 +119,7 @@
         if self._leader is not None:
             self._leader.tick(now)
         elif now >= self._state.election_at:
-            if not self._state.is_voter:
+            if not self._state.may_stand:
                 self._state.restart_election_timer(now)
             elif self._election.start(now):
                 self._lead(now)
--- a/packages/core/src/pimentobend_core/_internal/consensus/state.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/state.py
@@ -68,6 +68,12 @@
         """Say whether this replica votes."""
         return self.replica_id in self.members.voter_ids
 
+    @property
+    def may_stand(self) -> bool:
+        """Say whether this replica votes, or would until its removal commits."""
+        committed = self.log.members_at(self.commit_index)
+        return self.is_voter or self.replica_id in committed.voter_ids
+
     @property
     def is_only_voter(self) -> bool:
         """Say whether this replica's vote is all that is needed."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/writes.py
@@ -0,0 +1,30 @@
+"""Part the outputs of several inputs into writes and what waits for them."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from pimentobend_core._internal.consensus.messages import Persist
+from pimentobend_core._internal.consensus.messages import PersistSnapshot
+from pimentobend_core._internal.consensus.messages import ReplicaOutput
+
+
+class Batch(NamedTuple):
+    """Hold writes, in order, and the outputs that may leave after them."""
+
+    writes: tuple[Persist | PersistSnapshot, ...]
+    released: tuple[ReplicaOutput, ...]
+
+
+def batch_outputs(outputs: Iterable[ReplicaOutput]) -> Batch:
+    """Join neighbouring writes, so that many inputs share one sync."""
+    writes: list[Persist | PersistSnapshot] = []
+    released: list[ReplicaOutput] = []
+    for output in outputs:
+        last = writes[-1] if writes else None
+        if isinstance(output, Persist) and isinstance(last, Persist):
+            writes[-1] = Persist(last.records + output.records)
+        elif isinstance(output, Persist | PersistSnapshot):
+            writes.append(output)
+        else:
+            released.append(output)
+    return Batch(tuple(writes), tuple(released))
--- /dev/null
+++ b/tests/lib/replica_cluster.py
@@ -0,0 +1,271 @@
+"""Drive replicas over a fake network and fake disks, and watch their promises."""
+
+from typing import NamedTuple
+
+from memory_disk import DiskFault
+from memory_disk import MemoryDisk
+
+from pimentobend_adapters._internal.disk.exceptions import DiskError
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.members import NO_MEMBERS
+from pimentobend_core._internal.consensus.members import Member
+from pimentobend_core._internal.consensus.members import MemberChange
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import ChangeMembers
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import Compact
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import PeerMessage
+from pimentobend_core._internal.consensus.messages import Persist
+from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
+from pimentobend_core._internal.consensus.messages import Received
+from pimentobend_core._internal.consensus.messages import ReplicaInput
+from pimentobend_core._internal.consensus.messages import ReplicaOutput
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.consensus.messages import Send
+from pimentobend_core._internal.consensus.messages import Tick
+from pimentobend_core._internal.consensus.replica import Replica
+from pimentobend_core._internal.consensus.state import Role
+from pimentobend_core._internal.consensus.writes import batch_outputs
+
+
+class Flight(NamedTuple):
+    """Hold a message on its way."""
+
+    sender: str
+    recipient: str
+    message: PeerMessage
+
+
+class Node:
+    """Hold one replica, its disk, and the commands that it has applied."""
+
+    def __init__(self, replica_id: str, members: Members) -> None:
+        self.replica_id = replica_id
+        self.initial_members = members
+        self.disk = MemoryDisk()
+        self.replica: Replica | None = None
+        self.applied: list[bytes] = []
+        self.crash_after: int | None = None  # outputs that still leave
+
+
+class Cluster:
+    """Own the nodes, the messages on their way and what was promised."""
+
+    def __init__(self, voter_ids: str, other_ids: str = "", seed: int = 0) -> None:
+        voters = tuple(Member(each, f"address-{each}") for each in voter_ids)
+        self.now = 0.0
+        self.flights: list[Flight] = []
+        self.cut: set[tuple[str, str]] = set()
+        self.nodes = {each: Node(each, Members(voters)) for each in voter_ids}
+        self.nodes.update({each: Node(each, NO_MEMBERS) for each in other_ids})
+        self.outcomes: dict[int, Proposed] = {}
+        self.reads: dict[int, ReadReady] = {}
+        self.commands: dict[int, bytes] = {}
+        self.leaders: dict[int, str] = {}
+        self.committed: dict[int, Entry] = {}
+        self._seed = seed
+        self._starts = 0
+        for replica_id in self.nodes:
+            self.restart(replica_id)
+
+    def restart(self, replica_id: str) -> None:
+        """Start a node from its disk."""
+        node = self.nodes[replica_id]
+        stored = node.disk.load(node.initial_members)
+        self._starts += 1
+        seed = self._seed * 1000 + self._starts
+        node.replica = Replica(replica_id, stored, seed, self.now)
+        node.applied = _decode(stored.snapshot.state) if stored.snapshot else []
+        node.crash_after = None
+
+    def crash(self, replica_id: str) -> None:
+        """End a node; what it did not sync is lost."""
+        self.nodes[replica_id].replica = None
+
+    def handle(self, replica_id: str, *messages: ReplicaInput) -> None:
+        """Let a node take messages that share one sync."""
+        node = self.nodes[replica_id]
+        if node.replica is None:
+            return
+        outputs: list[ReplicaOutput] = []
+        for message in messages:
+            outputs.extend(node.replica.handle(message, self.now))
+            self._watch_leader(node)
+        batch = batch_outputs(outputs)
+        try:
+            for write in batch.writes:
+                if isinstance(write, Persist):
+                    node.disk.append(write.records)
+                else:
+                    node.disk.save(write.snapshot, write.records)
+        except DiskError:
+            self.crash(replica_id)
+            return
+        self._release(node, batch.released)
+
+    def propose(self, replica_id: str, *commands: bytes) -> list[int]:
+        """Propose commands and return the proposals' ids."""
+        proposals = []
+        for command in commands:
+            proposal_id = len(self.commands) + 1
+            self.commands[proposal_id] = command
+            proposals.append(Proposal(proposal_id, command))
+        self.handle(replica_id, Propose(tuple(proposals)))
+        return [proposal.proposal_id for proposal in proposals]
+
+    def change_members(self, replica_id: str, change: MemberChange) -> int:
+        """Propose a change of members and return the proposal's id."""
+        proposal_id = len(self.commands) + 1
+        self.commands[proposal_id] = b""
+        self.handle(replica_id, ChangeMembers(proposal_id, change))
+        return proposal_id
+
+    def read(self, replica_id: str) -> ReadReady | None:
+        """Ask for a read and check that it would see all that was promised."""
+        promised = max(self.committed, default=0)
+        read_id = len(self.reads) + 1
+        self.handle(replica_id, ReadIndex(read_id))
+        ready = self.reads.get(read_id)
+        if ready is not None and ready.outcome is Outcome.COMMITTED:
+            assert ready.log_index >= promised, "a read missed committed entries"
+        return ready
+
+    def compact(self, replica_id: str) -> None:
+        """Let a node replace its applied entries by a snapshot."""
+        node = self.nodes[replica_id]
+        if node.replica is not None:
+            state = _encode(node.applied)
+            self.handle(replica_id, Compact(node.replica.commit_index, state))
+
+    def deliver(self, position: int, *, keep: bool = False) -> None:
+        """Deliver a message on its way; with ``keep`` it will come once more."""
+        flight = self.flights[position]
+        if not keep:
+            del self.flights[position]
+        if (flight.sender, flight.recipient) not in self.cut:
+            self.handle(flight.recipient, Received(flight.sender, flight.message))
+
+    def run(self, seconds: float, step_s: float = 0.05) -> None:
+        """Let time pass with a network that delivers all that is not cut."""
+        for _ in range(round(seconds / step_s)):
+            self.now += step_s
+            self.tick()
+            for _ in range(len(self.flights)):
+                self.deliver(0)
+
+    def tick(self) -> None:
+        """Let each node see the time."""
+        for replica_id, node in self.nodes.items():
+            if node.replica is not None and node.replica.next_tick <= self.now:
+                self.handle(replica_id, Tick())
+
+    def isolate(self, replica_id: str) -> None:
+        """Cut a node off from all others, both ways."""
+        for other in self.nodes:
+            self.cut.update({(replica_id, other), (other, replica_id)})
+
+    def heal(self) -> None:
+        """Mend all cuts, restart what is down and forget what is on its way."""
+        self.cut.clear()
+        self.flights.clear()
+        for replica_id, node in self.nodes.items():
+            node.disk.fault = None
+            node.crash_after = None
+            if node.replica is None:
+                self.restart(replica_id)
+
+    @property
+    def leader(self) -> str | None:
+        """Return the leader of the highest term."""
+        running = [each.replica for each in self.nodes.values() if each.replica]
+        leading = [each for each in running if each.state.role is Role.LEADER]
+        if not leading:
+            return None
+        return max(leading, key=lambda each: each.state.term).state.replica_id
+
+    def check(self) -> None:
+        """Assert what has to hold at any moment."""
+        running = [each for each in self.nodes.values() if each.replica is not None]
+        longest = max((node.applied for node in running), key=len, default=[])
+        for node in running:
+            assert longest[: len(node.applied)] == node.applied, "states differ"
+        self._check_logs_match([each.replica for each in running if each.replica])
+        self._check_outcomes()
+
+    def _check_logs_match(self, replicas: list[Replica]) -> None:
+        for replica in replicas:
+            log = replica.state.log
+            for index in range(log.base.log_index + 1, log.last_index + 1):
+                for other in replicas:
+                    theirs = other.state.log
+                    if theirs.term_at(index) != log.term_at(index):
+                        continue
+                    if index <= theirs.base.log_index:
+                        continue
+                    assert theirs.entry(index) == log.entry(index), "logs differ"
+                    before = theirs.term_at(index - 1)
+                    assert before == log.term_at(index - 1), "logs differ before"
+
+    def _check_outcomes(self) -> None:
+        ran = {entry.command for entry in self.committed.values()}
+        for proposal_id, proposed in self.outcomes.items():
+            command = self.commands[proposal_id]
+            if proposed.outcome is Outcome.COMMITTED:
+                entry = self.committed[proposed.log_index]
+                assert entry.command == command, "an answer names another entry"
+            elif proposed.outcome is not Outcome.UNKNOWN and command:
+                assert command not in ran, "a refused command ran"
+
+    def _watch_leader(self, node: Node) -> None:
+        if node.replica is None or node.replica.state.role is not Role.LEADER:
+            return
+        state = node.replica.state
+        known = self.leaders.setdefault(state.term, node.replica_id)
+        assert known == node.replica_id, "two leaders in one term"
+        for index, entry in self.committed.items():
+            if entry.term < state.term and index > state.log.base.log_index:
+                assert index <= state.log.last_index, "a leader lacks an entry"
+                assert state.log.entry(index) == entry, "a leader has another entry"
+
+    def _release(self, node: Node, outputs: tuple[ReplicaOutput, ...]) -> None:
+        for output in outputs:
+            if node.crash_after is not None:
+                node.crash_after -= 1
+                if node.crash_after < 0:
+                    self.crash(node.replica_id)
+                    return
+            self._take(node, output)
+
+    def _take(self, node: Node, output: ReplicaOutput) -> None:
+        if isinstance(output, Send):
+            flight = Flight(node.replica_id, output.recipient, output.message)
+            self.flights.append(flight)
+        elif isinstance(output, Committed):
+            for entry in output.entries:
+                known = self.committed.setdefault(entry.log_index, entry)
+                assert known == entry, "a committed entry was replaced"
+                if entry.is_command:
+                    node.applied.append(entry.command)
+        elif isinstance(output, Restored):
+            node.applied = _decode(output.snapshot.state)
+        elif isinstance(output, Proposed):
+            assert output.proposal_id not in self.outcomes, "two answers"
+            self.outcomes[output.proposal_id] = output
+        elif isinstance(output, ReadReady):
+            self.reads[output.read_id] = output
+
+
+def _encode(applied: list[bytes]) -> bytes:
+    return b"\n".join(applied)
+
+
+def _decode(state: bytes) -> list[bytes]:
+    return state.split(b"\n") if state else []
+
+
+__all__ = ["Cluster", "DiskFault", "Node"]
--- /dev/null
+++ b/tests/unit/consensus/test_replica.py
@@ -0,0 +1,230 @@
+"""Check single decisions of a replica and of small clusters."""
+
+import pytest
+from memory_disk import DiskFault
+from replica_cluster import Cluster
+
+from pimentobend_core._internal.consensus.constants import ELECTION_MIN_S
+from pimentobend_core._internal.consensus.constants import LEASE_S
+from pimentobend_core._internal.consensus.entries import BaseRecord
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import StoredState
+from pimentobend_core._internal.consensus.members import Member
+from pimentobend_core._internal.consensus.members import MemberAction
+from pimentobend_core._internal.consensus.members import MemberChange
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import AppendEntries
+from pimentobend_core._internal.consensus.messages import AppendReply
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import PeerMessage
+from pimentobend_core._internal.consensus.messages import Received
+from pimentobend_core._internal.consensus.messages import RequestVote
+from pimentobend_core._internal.consensus.messages import Tick
+from pimentobend_core._internal.consensus.messages import VoteReply
+from pimentobend_core._internal.consensus.replica import Replica
+from pimentobend_core._internal.consensus.state import Role
+
+MEMBERS = Members(tuple(Member(each, f"address-{each}") for each in "abc"))
+ENTRIES = (Entry(1, 1, b"one"), Entry(2, 2, b"two"))
+STORED = StoredState(2, None, BaseRecord(0, 0, MEMBERS), ENTRIES, None)
+
+
+def _elected() -> Cluster:
+    cluster = Cluster("abc", "def", seed=5)
+    cluster.run(3.0)
+    assert cluster.leader is not None
+    return cluster
+
+
+def _leader(cluster: Cluster) -> str:
+    leader = cluster.leader
+    assert leader is not None
+    return leader
+
+
+def _outcome(cluster: Cluster, node: str, command: bytes) -> Outcome | None:
+    (proposal_id,) = cluster.propose(node, command)
+    cluster.run(0.5)
+    proposed = cluster.outcomes.get(proposal_id)
+    return proposed.outcome if proposed else None
+
+
+def _replica_leading_term_3() -> Replica:
+    replica = Replica("a", STORED, seed=1, now=0.0)
+    replica.handle(Tick(), 2.0)
+    replica.handle(Received("b", VoteReply(3, True, True)), 2.0)
+    replica.handle(Received("b", VoteReply(3, True, False)), 2.0)
+    assert replica.state.role is Role.LEADER
+    return replica
+
+
+@pytest.mark.parametrize(("matched", "committed"), [(0, 0), (1, 0), (2, 0), (3, 3)])
+def test_only_entries_of_the_own_term_commit(matched: int, committed: int) -> None:
+    replica = _replica_leading_term_3()
+    reply = AppendReply(3, True, matched, 2.0)
+    replica.handle(Received("b", reply), 2.1)
+    assert replica.commit_index == committed
+
+
+@pytest.mark.parametrize(
+    ("since_heard_s", "message", "answers"),
+    [
+        (ELECTION_MIN_S * 0.9, RequestVote(9, 2, 2, False), False),
+        (ELECTION_MIN_S * 1.01, RequestVote(9, 2, 2, False), True),
+        (ELECTION_MIN_S * 0.9, RequestVote(9, 2, 2, True), False),
+        (ELECTION_MIN_S * 1.01, RequestVote(9, 2, 2, True), True),
+        (ELECTION_MIN_S * 1.01, RequestVote(9, 1, 2, False), False),
+        (ELECTION_MIN_S * 1.01, RequestVote(9, 9, 1, False), False),
+        (ELECTION_MIN_S * 1.01, RequestVote(1, 9, 9, False), False),
+        (ELECTION_MIN_S * 1.01, RequestVote(2, 9, 9, True), False),
+    ],
+)
+def test_votes(since_heard_s: float, message: PeerMessage, answers: bool) -> None:
+    replica = Replica("b", STORED, seed=1, now=0.0)
+    heartbeat = AppendEntries(2, 2, 2, (), 0, 1.0)
+    replica.handle(Received("a", heartbeat), 5.0)
+    outputs = replica.handle(Received("c", message), 5.0 + since_heard_s)
+    granted = [
+        output.message.is_granted
+        for output in outputs
+        if hasattr(output, "message") and isinstance(output.message, VoteReply)
+    ]
+    assert any(granted) == answers
+
+
+@pytest.mark.parametrize("is_pre_vote", [True, False])
+def test_a_vote_is_given_once_a_term(is_pre_vote: bool) -> None:
+    replica = Replica("b", STORED, seed=1, now=0.0)
+    request = RequestVote(9, 2, 2, is_pre_vote)
+    replies = [
+        output.message
+        for sender in "ac"
+        for output in replica.handle(Received(sender, request), 2.0)
+        if hasattr(output, "message") and isinstance(output.message, VoteReply)
+    ]
+    assert [reply.is_granted for reply in replies] == [True, is_pre_vote]
+
+
+def test_the_only_voter_leads_at_once() -> None:
+    cluster = Cluster("a")
+    cluster.tick()
+    assert cluster.leader == "a"
+    assert _outcome(cluster, "a", b"x") is Outcome.COMMITTED
+
+
+@pytest.mark.parametrize("asked", ["leader", "follower", "learner"])
+def test_outcomes_by_role(asked: str) -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    others = [each for each in "abc" if each != leader]
+    node = {"leader": leader, "follower": others[0], "learner": "d"}[asked]
+    expected = {
+        "leader": Outcome.COMMITTED,
+        "follower": Outcome.NOT_LEADER,
+        "learner": Outcome.NO_MAJORITY,
+    }
+    assert _outcome(cluster, node, b"x") is expected[asked]
+
+
+@pytest.mark.parametrize("blocked", ["both ways", "cannot be heard", "cannot hear"])
+def test_a_cut_off_leader_stops_within_its_lease(blocked: str) -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    for other in cluster.nodes:
+        if blocked != "cannot hear":
+            cluster.cut.add((leader, other))
+        if blocked != "cannot be heard":
+            cluster.cut.add((other, leader))
+    (in_flight,) = cluster.propose(leader, b"in flight")
+    cluster.now += LEASE_S
+    (late,) = cluster.propose(leader, b"late")
+    assert cluster.outcomes[late].outcome is Outcome.NO_MAJORITY
+    assert cluster.outcomes[in_flight].outcome is Outcome.UNKNOWN
+    cluster.run(3.0)
+    assert cluster.leader != leader
+    assert _outcome(cluster, _leader(cluster), b"next") is Outcome.COMMITTED
+    cluster.check()
+
+
+@pytest.mark.parametrize("changes", [300, 3000])
+@pytest.mark.parametrize("compacts", [True, False])
+def test_a_replica_catches_up(changes: int, compacts: bool) -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    away = next(each for each in "abc" if each != leader)
+    cluster.crash(away)
+    for first in range(0, changes, 100):
+        cluster.propose(leader, *(b"%d" % each for each in range(first, first + 100)))
+        cluster.run(0.1)
+    if compacts:
+        cluster.compact(leader)
+    cluster.restart(away)
+    cluster.run(1.0)
+    assert cluster.nodes[away].applied == [b"%d" % each for each in range(changes)]
+
+
+@pytest.mark.parametrize("compacts", [True, False])
+def test_a_lost_replica_is_replaced_and_a_second_one_lost(compacts: bool) -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    lost, second = (each for each in "abc" if each != leader)
+    cluster.propose(leader, *(b"%d" % each for each in range(1500)))
+    cluster.run(0.5)
+    if compacts:
+        cluster.compact(leader)
+    cluster.crash(lost)
+    for action, node in (
+        (MemberAction.ADD_LEARNER, "d"),
+        (MemberAction.PROMOTE, "d"),
+        (MemberAction.REMOVE, lost),
+    ):
+        change = MemberChange(action, node, f"address-{node}")
+        proposal_id = cluster.change_members(leader, change)
+        cluster.run(0.5)
+        assert cluster.outcomes[proposal_id].outcome is Outcome.COMMITTED, action
+    cluster.crash(second)
+    assert _outcome(cluster, leader, b"after") is Outcome.COMMITTED
+    assert len(cluster.nodes["d"].applied) == 1501
+
+
+def test_a_learner_is_promoted_only_once_it_has_caught_up() -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    cluster.propose(leader, *(b"%d" % each for each in range(500)))
+    cluster.run(0.2)
+    cluster.isolate("d")
+    added = MemberChange(MemberAction.ADD_LEARNER, "d", "address-d")
+    cluster.change_members(leader, added)
+    cluster.run(0.2)
+    promoted = MemberChange(MemberAction.PROMOTE, "d")
+    refused = cluster.change_members(leader, promoted)
+    cluster.cut.clear()
+    cluster.run(0.5)
+    taken = cluster.change_members(leader, promoted)
+    cluster.run(0.2)
+    assert cluster.outcomes[refused].outcome is Outcome.REJECTED
+    assert cluster.outcomes[taken].outcome is Outcome.COMMITTED
+
+
+@pytest.mark.parametrize("fault", list(DiskFault))
+def test_a_failed_sync_is_never_acknowledged(fault: DiskFault) -> None:
+    cluster = _elected()
+    leader = _leader(cluster)
+    cluster.nodes[leader].disk.fault = fault
+    (proposal_id,) = cluster.propose(leader, b"x")
+    assert not cluster.flights
+    assert proposal_id not in cluster.outcomes
+    cluster.run(3.0)
+    assert _outcome(cluster, _leader(cluster), b"y") is Outcome.COMMITTED
+    cluster.heal()
+    cluster.run(3.0)
+    cluster.check()
+
+
+def test_a_new_leader_comes_within_3_s() -> None:
+    for seed in range(20):
+        cluster = Cluster("abcde", seed=seed)
+        cluster.run(3.0)
+        cluster.crash(_leader(cluster))
+        cluster.run(3.0)
+        assert _outcome(cluster, _leader(cluster), b"x") is Outcome.COMMITTED
