Measure slopes and a hop with bench commands

Change: the bench commands slopes (a fresh process a reading, least-squares line, residual, a plot each) and hop (open loop, latency from the moment a request was due, direct and through a proxy in the same run).

--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Measure slopes and work out the target size from them."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -0,0 +1,6 @@
+"""List every probe by its name."""
+
+from pimentobend_bench._internal.capacity import storage_probes
+from pimentobend_bench._internal.capacity.probe import Probe
+
+PROBES: dict[str, Probe] = {probe.name: probe for probe in (*storage_probes.PROBES,)}
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/__init__.py
@@ -0,0 +1,1 @@
+"""Measure what one hop adds to a request."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
@@ -0,0 +1,145 @@
+"""Compare requests through one hop with direct ones."""
+
+import json
+import math
+import statistics
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from pimentobend_bench._internal.capacity.figures import HopFigure
+from pimentobend_bench._internal.capacity.figures import load_figures
+from pimentobend_bench._internal.capacity.figures import save_figures
+from pimentobend_bench._internal.capacity.figures import stamp
+from pimentobend_bench._internal.capacity.hop.proxies import STARTERS
+from pimentobend_bench._internal.capacity.hop.proxies import ProxyStarter
+from pimentobend_bench._internal.capacity.process import BenchProcess
+from pimentobend_bench._internal.capacity.process import cpu_seconds
+from pimentobend_bench._internal.command import Command
+from pimentobend_bench._internal.command import Status
+
+RATES_PER_S = (50, 150, 250)
+RUNS = 5
+_MIN_WINDOW_S = 6.0
+_MIN_REQUESTS = 600
+_WARM_UP_S = 1.0
+_LOAD_TIMEOUT_S = 60.0
+_LOAD = "pimentobend_bench._internal.capacity.hop.load"
+_BACKEND = "pimentobend_bench._internal.capacity.hop.backend"
+
+
+class Window(NamedTuple):
+    """Hold one window's percentiles and the proxy's processor time."""
+
+    p50_s: float
+    p99_s: float
+    requests: int
+    failed: int
+    cpu_per_request_s: float
+
+
+class HopCommand(Command):
+    """Print added latency and CPU a request for each proxy and rate."""
+
+    name = "hop"
+    usage = "hop [runs]"
+    summary = "CPU a request and added latency of one hop, real processes"
+
+    def run(self, args: Sequence[str]) -> Status:
+        """Measure every proxy and store the figures."""
+        if args and not args[0].isdigit():
+            print(f"usage: {self.usage}")
+            return Status.USAGE
+        figures = load_figures()
+        figures["hops"] = measure_hops(int(args[0]) if args else RUNS)
+        stamp(figures, "python -m pimentobend_bench hop")
+        save_figures(figures)
+        return Status.SUCCESS
+
+
+def measure_hops(runs: int) -> list[HopFigure]:
+    """Measure and print each proxy at each rate."""
+    print(
+        f"{'proxy':18} {'rate/s':>6} {'direct p50':>11} {'p99 ms':>7}"
+        f" {'added p50':>10} {'p99 ms':>7} {'worst':>7} {'ratio p50':>10} {'p99':>5}"
+        f" {'CPU ms':>7} {'failed':>7}"
+    )
+    hops = []
+    for starter in STARTERS.values():
+        for rate_per_s in RATES_PER_S:
+            hops.append(_measure(starter, rate_per_s, runs))
+            _print(hops[-1])
+    return hops
+
+
+def _measure(starter: ProxyStarter, rate_per_s: int, runs: int) -> HopFigure:
+    with BenchProcess([_BACKEND]) as backend:
+        backend_port = int(backend.read_line())
+        proxy, proxy_port = starter.start(backend_port)
+        with proxy:
+            pairs = [
+                (
+                    _run_window(backend_port, backend.pid, rate_per_s, seed),
+                    _run_window(proxy_port, proxy.pid, rate_per_s, seed),
+                )
+                for seed in range(1, runs + 1)
+            ]
+    return _summarise(starter.name, rate_per_s, pairs)
+
+
+def _run_window(port: int, pid: int, rate_per_s: int, seed: int) -> Window:
+    seconds = max(_MIN_WINDOW_S, _MIN_REQUESTS / rate_per_s)
+    cpu_before_s = cpu_seconds(pid)
+    arguments = [port, rate_per_s, seconds, _WARM_UP_S, seed]
+    with BenchProcess([_LOAD, *map(str, arguments)]) as load:
+        report = json.loads(load.output(_LOAD_TIMEOUT_S))
+    cpu_s = cpu_seconds(pid) - cpu_before_s
+    latencies = sorted(report["latencies_s"])
+    if not latencies:
+        raise RuntimeError("no request was answered")
+    share_counted = seconds / (seconds + _WARM_UP_S)
+    requests = len(latencies) + report["failed"]
+    return Window(
+        p50_s=percentile(latencies, 0.50),
+        p99_s=percentile(latencies, 0.99),
+        requests=requests,
+        failed=report["failed"],
+        cpu_per_request_s=cpu_s * share_counted / requests,
+    )
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return the least value that ``share`` of the ordered values don't exceed."""
+    return ordered[max(0, math.ceil(len(ordered) * share) - 1)]
+
+
+def _summarise(
+    name: str, rate_per_s: int, pairs: Sequence[tuple[Window, Window]]
+) -> HopFigure:
+    added_p50 = [through.p50_s - direct.p50_s for direct, through in pairs]
+    added_p99 = [through.p99_s - direct.p99_s for direct, through in pairs]
+    return HopFigure(
+        proxy=name,
+        rate_per_s=rate_per_s,
+        runs=len(pairs),
+        requests=sum(through.requests for _, through in pairs),
+        failed=sum(direct.failed + through.failed for direct, through in pairs),
+        direct_p50_s=statistics.median(direct.p50_s for direct, _ in pairs),
+        direct_p99_s=statistics.median(direct.p99_s for direct, _ in pairs),
+        added_p50_s=statistics.median(added_p50),
+        added_p99_s=statistics.median(added_p99),
+        worst_added_p99_s=max(added_p99),
+        ratio_p50=statistics.median(t.p50_s / d.p50_s for d, t in pairs),
+        ratio_p99=statistics.median(t.p99_s / d.p99_s for d, t in pairs),
+        cpu_per_request_s=statistics.median(t.cpu_per_request_s for _, t in pairs),
+    )
+
+
+def _print(hop: HopFigure) -> None:
+    print(
+        f"{hop['proxy']:18} {hop['rate_per_s']:6} {hop['direct_p50_s'] * 1e3:11.2f}"
+        f" {hop['direct_p99_s'] * 1e3:7.2f} {hop['added_p50_s'] * 1e3:10.2f}"
+        f" {hop['added_p99_s'] * 1e3:7.2f} {hop['worst_added_p99_s'] * 1e3:7.2f}"
+        f" {hop['ratio_p50']:10.2f} {hop['ratio_p99']:5.2f}"
+        f" {hop['cpu_per_request_s'] * 1e3:7.2f} {hop['failed']:7}",
+        flush=True,
+    )
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/rows.py
@@ -0,0 +1,80 @@
+"""Make rows of the size that the fleet is designed for."""
+
+import hashlib
+from collections.abc import Iterator
+
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.models.tables import Pool
+from pimentobend_core._internal.models.tables import Route
+
+_POOLS = 580
+_DATA_CENTRES = 7
+_PORTS = 11
+_FIRST_PORT = 8_000
+_FIRST_INCARNATION = 1_700_000_000_000
+
+
+def make_route(number: int) -> Route:
+    """Return the route of a number."""
+    return Route(
+        name=f"route-{number:05d}",
+        host=f"service-{number % _POOLS}.example",
+        path=f"/v1/{_word('path', number)}",
+        methods=("GET", "HEAD") if number % 3 else ("POST",),
+        pool=f"pool-{number % _POOLS}",
+        repeatable=bool(number % 3),
+        timeout_ms=1_000 + number % 7,
+    )
+
+
+def make_pool(number: int) -> Pool:
+    """Return the pool of a number."""
+    return Pool(
+        name=f"pool-{number}",
+        service=f"service-{number}",
+        floor=0.5,
+        queue_limit=100 + number % 7,
+        hedge=False,
+    )
+
+
+def make_server(number: int) -> Server:
+    """Return the server of a number."""
+    data_centre = number % _DATA_CENTRES
+    return Server(
+        server_id=f"server-{number:05d}",
+        service=f"service-{number % _POOLS}",
+        host=f"10.{data_centre}.{number >> 8}.{number & 255}",
+        port=_FIRST_PORT + number % _PORTS,
+        slots=3 + number % 4,
+        data_centre=f"dc-{data_centre}",
+        region=f"region-{data_centre % 2}",
+        state=ServerState.READY,
+        incarnation=_FIRST_INCARNATION + number,
+    )
+
+
+def make_routes(count: int) -> Iterator[Route]:
+    """Yield the first routes."""
+    return (make_route(number) for number in range(count))
+
+
+def make_pools(count: int = _POOLS) -> Iterator[Pool]:
+    """Yield the first pools."""
+    return (make_pool(number) for number in range(count))
+
+
+def make_servers(count: int) -> Iterator[Server]:
+    """Yield the first servers."""
+    return (make_server(number) for number in range(count))
+
+
+def make_organisation(number: int) -> str:
+    """Return the name of an organisation."""
+    return f"organisation-{_word('organisation', number)}"
+
+
+def _word(kind: str, number: int) -> str:
+    """Return letters that compress no better than real names do."""
+    return hashlib.blake2b(f"{kind}/{number}".encode(), digest_size=6).hexdigest()
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/storage_probes.py
@@ -0,0 +1,97 @@
+"""Measure the memory of routes, servers and organisations."""
+
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+from pimentobend_bench._internal.capacity.probe import MemoryProbe
+from pimentobend_bench._internal.capacity.rows import make_routes
+from pimentobend_bench._internal.capacity.rows import make_servers
+from pimentobend_core._internal.compact.routes import CompactRoutes
+from pimentobend_core._internal.compact.rows import DictRows
+from pimentobend_core._internal.compact.rows import Rows
+from pimentobend_core._internal.compact.servers import CompactServers
+
+_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
+_SERVER_SIZES = (5_000, 10_000, 20_000, 40_000)
+_ORGANISATION_SIZES = (10_000, 21_250, 42_500, 85_000)
+_WARM_UP_ROWS = 4
+
+
+class RowsProbe(MemoryProbe):
+    """Fill a table of rows."""
+
+    def __init__(
+        self,
+        name: str,
+        sized_by: str,
+        create: Callable[[], Rows[Any]],
+        make: Callable[[int], Iterable[Any]],
+        sizes: tuple[int, ...],
+    ) -> None:
+        self.name = name
+        self.sized_by = sized_by
+        self.sizes = sizes
+        self.mechanism = f"core {create().__module__.rpartition('_internal.')[2]}"
+        self._create = create
+        self._make = make
+
+    def warm_up(self) -> None:
+        """Fill a small table."""
+        self._fill(_WARM_UP_ROWS)
+
+    def build(self, size: int) -> object:
+        """Return a table of ``size`` rows."""
+        return self._fill(size)
+
+    def _fill(self, size: int) -> Rows[Any]:
+        table = self._create()
+        for row in self._make(size):
+            table.put(row)
+        return table
+
+
+class OrganisationDictProbe(MemoryProbe):
+    """Keep two counters for each organisation by its name."""
+
+    name = "memory-organisation-dict"
+    sized_by = "organisations"
+    sizes = _ORGANISATION_SIZES
+    mechanism = "baseline"
+
+    def warm_up(self) -> None:
+        """Need no code but the interpreter's."""
+
+    def build(self, size: int) -> object:
+        """Return the counters of ``size`` organisations."""
+        source = random.Random(size)
+        return {
+            f"organisation-{number}": [source.random(), source.random()]
+            for number in range(size)
+        }
+
+
+PROBES = (
+    RowsProbe(
+        "memory-route-dict",
+        "routes",
+        lambda: DictRows(lambda route: str(route.name)),
+        make_routes,
+        _ROUTE_SIZES,
+    ),
+    RowsProbe(
+        "memory-route-compact", "routes", CompactRoutes, make_routes, _ROUTE_SIZES
+    ),
+    RowsProbe(
+        "memory-server-dict",
+        "servers",
+        lambda: DictRows(lambda server: str(server.server_id)),
+        make_servers,
+        _SERVER_SIZES,
+    ),
+    RowsProbe(
+        "memory-server-compact", "servers", CompactServers, make_servers, _SERVER_SIZES
+    ),
+    OrganisationDictProbe(),
+)
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -14,7 +14,23 @@
     summary: str
 
 
-COMMANDS: dict[str, Entry] = {}
+COMMANDS: dict[str, Entry] = {
+    "slopes": Entry(
+        "capacity.slopes",
+        "SlopesCommand",
+        "memory, bytes and CPU against sizes, with a line fitted",
+    ),
+    "hop": Entry(
+        "capacity.hop.command",
+        "HopCommand",
+        "CPU a request and added latency of one hop, real processes",
+    ),
+    "slope-point": Entry(
+        "capacity.point",
+        "PointCommand",
+        "take one reading of one probe in a fresh process",
+    ),
+}
 
 
 def create_command(name: str) -> Command:
--- a/tests/unit/compact/test_rows.py
+++ b/tests/unit/compact/test_rows.py
@@ -5,11 +5,11 @@
 from typing import NamedTuple
 
 import pytest
-from table_rows import make_route
-from table_rows import make_routes
-from table_rows import make_server
-from table_rows import make_servers
 
+from pimentobend_bench._internal.capacity.rows import make_route
+from pimentobend_bench._internal.capacity.rows import make_routes
+from pimentobend_bench._internal.capacity.rows import make_server
+from pimentobend_bench._internal.capacity.rows import make_servers
 from pimentobend_core._internal.compact.routes import CompactRoutes
 from pimentobend_core._internal.compact.rows import DictRows
 from pimentobend_core._internal.compact.rows import RowError
