Serve a request end to end through separate processes

Cause: the whole path comes first, thin. Change: the daemon with its roles, the interfaces of servers and operators, the client's commands, stand-in servers, a demo, and tests that start control, an instance and servers as processes. Conclusion: the path stands; ejection, replicas and ledger are next.

--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -18,15 +18,16 @@
 In = TypeVar("In")
 Out = TypeVar("Out")
 Message = TypeVar("Message")
+Taken = TypeVar("Taken", contravariant=True)
 
 DUMP_TIMEOUT_S = 2.0
 
 
-class Outlet(abc.ABC, Generic[Message]):
+class Outlet(abc.ABC, Generic[Taken]):
     """Take the messages that a task gives out."""
 
     @abc.abstractmethod
-    def put(self, message: Message) -> None:
+    def put(self, message: Taken) -> None:
         """Take one message without waiting."""
 
 
--- /dev/null
+++ b/packages/client/src/pimentobend/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each command."""
--- /dev/null
+++ b/packages/client/src/pimentobend/_internal/commands/validate.py
@@ -0,0 +1,25 @@
+"""Check tables in a file."""
+
+from pimentobend._internal.command import Command
+from pimentobend._internal.command import Context
+from pimentobend._internal.command import print_result
+from pimentobend._internal.files import read_tables
+from pimentobend._internal.status import Status
+
+
+class ValidateCommand(Command):
+    """Check both tables and name every fault."""
+
+    usage = "pimentobend validate [--json] FILE"
+    summary = "check tables in a file"
+    arguments_least = 1
+    arguments_most = 1
+
+    def execute(self, context: Context) -> Status:
+        """Check the file; faults end the command with the code FAULTS."""
+        tables = read_tables(context.arguments[0])
+        routes = len(tables["routes"])
+        pools = len(tables["pools"])
+        line = f"no faults: {routes} routes, {pools} pools"
+        print_result(context, {"routes": routes, "pools": pools}, [line])
+        return Status.SUCCESS
--- /dev/null
+++ b/packages/client/src/pimentobend/_internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Run the whole system in one process, with stand-in backend servers."""
--- /dev/null
+++ b/packages/client/src/pimentobend/_internal/demo/stand_in.py
@@ -0,0 +1,153 @@
+"""Stand in for a backend server, healthy or failing gray."""
+
+import abc
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import urllib3
+
+from pimentobend_adapters._internal.http.headers import LOAD
+from pimentobend_adapters._internal.http.server import Address
+from pimentobend_adapters._internal.http.server import HttpServer
+
+LEASE_S = 6.0
+RENEW_S = 2.0
+ANNOUNCE_RETRY_S = 0.2
+ANNOUNCE_TIMEOUT_S = 2.0
+PROBE_PATH = "/health"
+
+Environ = dict[str, Any]
+
+
+class Behaviour(abc.ABC):
+    """Decide how a stand-in server treats one piece of work."""
+
+    @abc.abstractmethod
+    def serve(self) -> int:
+        """Do the work and return the HTTP status."""
+
+
+class Fine(Behaviour):
+    """Answer after the usual time."""
+
+    def __init__(self, service_time_s: float) -> None:
+        self._service_time_s = service_time_s
+
+    def serve(self) -> int:
+        """Wait for the service time and succeed."""
+        eventlet.sleep(self._service_time_s)
+        return 200
+
+
+class HalfAlive(Behaviour):
+    """Fail real work at once; probes are answered elsewhere."""
+
+    def serve(self) -> int:
+        """Fail."""
+        return 500
+
+
+class StandInOptions(NamedTuple):
+    """Describe one stand-in server."""
+
+    server_id: str
+    service: str
+    slots: int
+    data_centre: str
+    region: str
+    daemon: Address  # its servers' interface
+
+
+class StandInServer:
+    """Serve requests, count runs, and announce itself to a daemon."""
+
+    def __init__(
+        self, options: StandInOptions, address: Address, behaviour: Behaviour
+    ) -> None:
+        self._options = options
+        self._behaviour = behaviour
+        self._http = HttpServer(address, self)
+        self._pool = urllib3.PoolManager(retries=False, timeout=ANNOUNCE_TIMEOUT_S)
+        self._in_use = 0
+        self._state = "ready"
+        self._incarnation = time.time_ns()
+        self._announcer: Any = None
+        self.runs: list[str] = []  # the key of each piece of work that ran
+
+    @property
+    def address(self) -> Address:
+        """Return the address that it serves on."""
+        return self._http.address
+
+    def start(self) -> None:
+        """Serve, and announce until stopped."""
+        self._http.start()
+        self._announcer = eventlet.spawn(self._announce)
+
+    def stop(self) -> None:
+        """Stop announcing and serving."""
+        if self._announcer is not None:
+            self._announcer.kill()
+        self._http.close()
+
+    def drain(self) -> None:
+        """Announce that it takes no more work."""
+        self._state = "draining"
+        self._send_announcement()
+
+    def __call__(
+        self, environ: Environ, start_response: Callable[..., Any]
+    ) -> list[bytes]:
+        """Answer one request."""
+        if environ["PATH_INFO"] == PROBE_PATH:
+            return self._reply(start_response, 200, "probe answered")
+        environ["wsgi.input"].read()
+        self._in_use += 1
+        try:
+            status = self._behaviour.serve()
+        finally:
+            self._in_use -= 1
+        self.runs.append(environ.get("HTTP_IDEMPOTENCY_KEY", ""))
+        return self._reply(start_response, status, self._options.server_id)
+
+    def _reply(
+        self, start_response: Callable[..., Any], status: int, text: str
+    ) -> list[bytes]:
+        content = f"{text}\n".encode()
+        headers = [
+            ("Content-Type", "text/plain"),
+            ("Content-Length", str(len(content))),
+            (LOAD, f"{self._in_use}/{self._options.slots}"),
+        ]
+        start_response(f"{status} Stand-in", headers)
+        return [content]
+
+    def _announce(self) -> None:
+        while True:
+            sent = self._send_announcement()
+            eventlet.sleep(RENEW_S if sent else ANNOUNCE_RETRY_S)
+
+    def _send_announcement(self) -> bool:
+        options = self._options
+        document = {
+            "server_id": options.server_id,
+            "service": options.service,
+            "host": self.address.host,
+            "port": self.address.port,
+            "slots": options.slots,
+            "data_centre": options.data_centre,
+            "region": options.region,
+            "state": self._state,
+            "incarnation": self._incarnation,
+            "lease_s": LEASE_S,
+        }
+        url = f"http://{options.daemon}/announce"
+        try:
+            response = self._pool.request("POST", url, body=json.dumps(document))
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
--- /dev/null
+++ b/packages/client/src/pimentobend/_internal/operators.py
@@ -0,0 +1,88 @@
+"""Speak with the operators' interface of a daemon."""
+
+import json
+import pathlib
+import urllib.parse
+from collections.abc import Mapping
+from typing import Any
+
+import urllib3
+
+from pimentobend._internal.exceptions import ClientError
+from pimentobend._internal.exceptions import RefusedError
+from pimentobend._internal.exceptions import UnreachableError
+
+TIMEOUT_S = 15.0
+HTTP_OK = 200
+
+Document = dict[str, Any]
+
+
+class OperatorsClient:
+    """Send requests to one daemon."""
+
+    def __init__(self, address: str, token_file: str | None) -> None:
+        self._address = address
+        self._token_file = token_file
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(total=TIMEOUT_S)
+        )
+
+    def get(self, path: str, **query: str) -> Document:
+        """Read a document; raise UnreachableError or RefusedError."""
+        return self._send("GET", path, None, query)
+
+    def put(self, path: str, content: bytes, **query: str) -> Document:
+        """Replace a document; raise UnreachableError or RefusedError."""
+        return self._send("PUT", path, content, query)
+
+    def post(self, path: str, **query: str) -> Document:
+        """Ask for an action; raise UnreachableError or RefusedError."""
+        return self._send("POST", path, b"", query)
+
+    def _send(
+        self, method: str, path: str, content: bytes | None, query: Mapping[str, str]
+    ) -> Document:
+        url = f"http://{self._address}{path}?{urllib.parse.urlencode(query)}"
+        try:
+            response = self._http.request(
+                method, url, body=content, headers=self._headers()
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise UnreachableError(
+                "no daemon answers",
+                context=f"{self._address}: {type(error).__name__}",
+                hint="is the daemon running? set --operators=HOST:PORT",
+            ) from error
+        return _read(response.status, response.data)
+
+    def _headers(self) -> dict[str, str]:
+        if self._token_file is None:
+            return {}
+        try:
+            token = pathlib.Path(self._token_file).read_text(encoding="utf-8").strip()
+        except OSError as error:
+            raise ClientError(
+                "cannot read the token file", context=str(error.strerror)
+            ) from error
+        return {"Authorization": f"Bearer {token}"}
+
+
+def _read(status: int, content: bytes) -> Document:
+    try:
+        document = json.loads(content)
+    except ValueError as error:
+        raise ClientError(
+            "the answer is not JSON",
+            context=f"status {status}",
+            hint="is this the operators' address of a daemon?",
+        ) from error
+    if status == HTTP_OK:
+        result: Document = document
+        return result
+    raise RefusedError(
+        status,
+        document.get("error", f"status {status}"),
+        tuple(document.get("faults", ())),
+        document.get("hint", ""),
+    )
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/main.py
@@ -0,0 +1,60 @@
+"""Parse the daemon's command line."""
+
+import enum
+import sys
+from typing import Any
+
+from absl import flags
+
+from pimentobend_adapters._internal.logs import configure_logs
+from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobendd._internal.daemon import Daemon
+from pimentobendd._internal.exceptions import SettingsError
+from pimentobendd._internal.settings import load_settings
+
+
+class Status(enum.IntEnum):
+    """Name the daemon's exit codes."""
+
+    SUCCESS = 0
+    ERROR = 1
+    USAGE = 2
+
+
+def run(argv: list[str]) -> Status:
+    """Read the settings and serve until a signal to stop."""
+    values: Any = flags.FlagValues()  # type: ignore[no-untyped-call]
+    flags.DEFINE_string(
+        "settings", None, "path of the settings file", flag_values=values
+    )
+    flags.DEFINE_boolean(
+        "check", False, "check the settings and exit", flag_values=values
+    )
+    try:
+        values(argv)
+    except flags.Error as error:
+        print(f"pimentobendd: {error}", file=sys.stderr)
+        return Status.USAGE
+    if values.settings is None:
+        print("usage: pimentobendd --settings=FILE [--check]", file=sys.stderr)
+        return Status.USAGE
+    return _serve(values.settings, values.check)
+
+
+def _serve(path: str, is_check: bool) -> Status:
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"pimentobendd: {path}: {fault}", file=sys.stderr)
+        return Status.USAGE
+    if is_check:
+        print(f"{path}: no faults")
+        return Status.SUCCESS
+    configure_logs(settings.instance)
+    try:
+        Daemon(settings).run()
+    except PimentobendError as error:
+        print(f"pimentobendd: {error}", file=sys.stderr)
+        return Status.ERROR
+    return Status.SUCCESS
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -0,0 +1,49 @@
+"""Hold the tables in force and tell the tasks that depend on them."""
+
+from collections.abc import Callable
+
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.tables import Route
+from pimentobend_core._internal.models.tables import Tables
+from pimentobend_core._internal.ports import TablesPort
+
+EMPTY_TABLES = Tables(term=0, log_index=0, routes=(), pools=())
+
+
+class TablesInForce(TablesPort):
+    """Own the version in force; it never goes back."""
+
+    def __init__(self) -> None:
+        self._tables = EMPTY_TABLES
+        self._followers: list[Callable[[Tables], None]] = []
+
+    def match(self, head: RequestHead) -> Route | None:
+        """Return the route for a request."""
+        matching = [route for route in self._tables.routes if _matches(route, head)]
+        return max(matching, key=lambda route: len(route.path), default=None)
+
+    def current(self) -> Tables:
+        """Return the version in force."""
+        return self._tables
+
+    def follow(self, function: Callable[[Tables], None]) -> None:
+        """Call a function with each version that comes into force."""
+        self._followers.append(function)
+
+    def put(self, tables: Tables) -> bool:
+        """Put a version in force unless it is no newer; say whether it was."""
+        if tables[:2] <= self._tables[:2]:
+            return False
+        self._tables = tables
+        for function in self._followers:
+            function(tables)
+        return True
+
+
+def _matches(route: Route, head: RequestHead) -> bool:
+    if route.host not in ("*", head.host):
+        return False
+    if route.methods and head.method not in route.methods:
+        return False
+    prefix = route.path.rstrip("/")
+    return head.path == prefix or head.path.startswith(f"{prefix}/")
