Refuse malformed requests truthfully at every interface

Cause: tables of bad input against a real daemon found that a repeated Content-Length was taken by its first value, that refusals written by the HTTP library carried no Pimentobend-Ran, that a chunked answer which broke off became a bare 500, and that a server could announce any host. Change: lengths are compared in the raw headers, a protocol class adds the refusal's headers, the head of a streamed answer is sent at once, and an announced host must lie within announce_from.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -43,8 +43,9 @@
 
 
 def _find_fault(environ: Environ) -> str | None:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not (length.isascii() and length.isdigit()):
+    lengths = {v for name, v in _headers(environ) if name.lower() == "content-length"}
+    length = "".join(lengths) or "0"
+    if len(lengths) > 1 or not (length.isascii() and length.isdigit()):
         return "Content-Length is not one whole number"
     encoding = environ.get("HTTP_TRANSFER_ENCODING")
     if encoding is not None and environ.get("CONTENT_LENGTH"):
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -9,10 +9,12 @@
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_adapters._internal.http.protocol import RefusingProtocol
 
 MAX_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 75.0
 BACKLOG = 512
+WRITE_AT_ONCE = 1  # bytes; an answer that breaks off has its head sent
 
 
 class ListenError(AdapterError):
@@ -68,6 +70,8 @@
             max_size=MAX_CONNECTIONS,
             socket_timeout=IDLE_TIMEOUT_S,
             debug=False,
+            protocol=RefusingProtocol,
+            minimum_chunk_size=WRITE_AT_ONCE,
         )
 
 
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
@@ -62,7 +62,10 @@
         parsed = parse_announcement(document)
         if isinstance(parsed, Failure):
             return _refuse(parsed.failure().faults)
-        return self._ask(parsed.unwrap().server.server_id, parsed.unwrap())
+        server = parsed.unwrap().server
+        if not self._is_allowed(server.host):
+            return _refuse(("host: not an IP number within announce_from",))
+        return self._ask(server.server_id, parsed.unwrap())
 
     def _withdraw(self, document: bytes) -> Reply:
         parsed = parse_withdrawal(document)
--- /dev/null
+++ b/tests/unit/request/test_pipe.py
@@ -0,0 +1,147 @@
+"""Check what the request pipe makes of every ending of its attempts."""
+
+from typing import NamedTuple
+
+import pytest
+from fake_ports import FakeBackend
+from fake_ports import FakeBody
+from fake_ports import FakeClock
+from fake_ports import FakeLedger
+from fake_ports import FakeRetries
+from fake_ports import FakeTables
+from fake_ports import FakeTraffic
+from fake_ports import make_head
+from fake_ports import make_route
+from returns.result import Failure
+
+from pimentobend_core._internal.models.request import AttemptKind as Kind
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.request.pipe import RequestPorts
+from pimentobend_core._internal.request.pipe import build_request_pipe
+from pimentobend_core._internal.request.stages import Received
+
+ANSWER = (Kind.ANSWERED, 200)
+FAILURE = (Kind.ANSWERED, 500)
+REFUSED = (Kind.REFUSED, 503)
+UNCONNECTED = (Kind.NOT_CONNECTED, 0)
+SILENT = (Kind.NO_ANSWER, 0)
+BROKEN = (Kind.TRUNCATED, 200)
+GONE = (Kind.CANCELLED, 0)
+
+
+class Case(NamedTuple):
+    """Describe one request and what the caller must be told."""
+
+    name: str
+    repeatable: bool
+    endings: tuple[tuple[Kind, int], ...]
+    status: int
+    ran: Ran
+    attempts: int
+    retries: int = 9
+    can_replay: bool = True
+    grants: int = 10
+
+
+CASES = [
+    Case("answer", True, (ANSWER,), 200, Ran.RAN, 1),
+    Case("retried failure", True, (FAILURE, ANSWER), 200, Ran.RAN, 2),
+    Case("failure, no budget", True, (FAILURE,), 500, Ran.RAN, 1, retries=0),
+    Case("failure not repeated", False, (FAILURE,), 500, Ran.RAN, 1),
+    Case("refused, then served", False, (REFUSED, ANSWER), 200, Ran.RAN, 2),
+    Case("unconnected, then served", False, (UNCONNECTED, ANSWER), 200, Ran.RAN, 2),
+    Case("unconnected, no budget", False, (UNCONNECTED,), 502, Ran.NOT_RUN, 1, 0),
+    Case("refused everywhere", False, (REFUSED,) * 3, 503, Ran.NOT_RUN, 3),
+    Case("silence not repeated", False, (SILENT,), 504, Ran.UNKNOWN, 1),
+    Case("truncation not repeated", False, (BROKEN,), 502, Ran.UNKNOWN, 1),
+    Case("caller gone", False, (GONE,), 499, Ran.UNKNOWN, 1),
+    Case("silence repeated", True, (SILENT, ANSWER), 200, Ran.RAN, 2),
+    Case("silence, then refused", True, (SILENT, REFUSED), 503, Ran.UNKNOWN, 2, 1),
+    Case("failure, then refused", True, (FAILURE, REFUSED), 503, Ran.RAN, 2, 1),
+    Case("silence, then no slot", True, (SILENT,), 503, Ran.UNKNOWN, 1, grants=1),
+    Case("refused, then no slot", False, (REFUSED,), 503, Ran.NOT_RUN, 1, grants=1),
+    Case("no slot", False, (), 503, Ran.NOT_RUN, 0, grants=0),
+    Case("streamed body", True, (SILENT,), 504, Ran.UNKNOWN, 1, can_replay=False),
+    Case("streamed, unsent", True, (UNCONNECTED, ANSWER), 200, Ran.RAN, 2, 9, False),
+]
+
+
+@pytest.mark.parametrize("has_key", [False, True], ids=["keyless", "keyed"])
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_outcome_is_truthful(case: Case, has_key: bool) -> None:
+    backend = FakeBackend(case.endings)
+    traffic = FakeTraffic(case.grants)
+    ledger = FakeLedger()
+    pipe = build_request_pipe(
+        RequestPorts(
+            clock=FakeClock(),
+            tables=FakeTables(make_route(case.repeatable)),
+            traffic=traffic,
+            ledger=ledger,
+            backend=backend,
+            retries=FakeRetries(case.retries),
+        )
+    )
+    head = make_head("key" if has_key else None)
+    result = pipe.apply(Received(head, FakeBody(case.can_replay)))
+    if isinstance(result, Failure):
+        status, ran = result.failure().status, result.failure().ran
+    else:
+        finished = result.unwrap()
+        status, ran = finished.attempted.status, finished.ran
+    assert (status, ran, len(backend.sent)) == (case.status, case.ran, case.attempts)
+    assert len(traffic.ends) == case.attempts
+    assert len(set(backend.sent)) == case.attempts
+    is_claimed = has_key and not case.repeatable
+    assert ledger.settled == ([case.ran] if is_claimed else [])
+
+
+LEDGER_REFUSALS = [
+    Refusal(503, Ran.NOT_RUN, RefusalReason.LEDGER, "no majority"),
+    Refusal(409, Ran.UNKNOWN, RefusalReason.IN_PROGRESS, "in progress"),
+    Refusal(409, Ran.RAN, RefusalReason.ALREADY_RAN, "ran"),
+]
+
+
+@pytest.mark.parametrize("refusal", LEDGER_REFUSALS, ids=lambda r: r.reason.value)
+def test_nothing_is_sent_without_a_claim(refusal: Refusal) -> None:
+    backend = FakeBackend(())
+    ports = RequestPorts(
+        clock=FakeClock(),
+        tables=FakeTables(make_route(repeatable=False)),
+        traffic=FakeTraffic(),
+        ledger=FakeLedger(refusal),
+        backend=backend,
+        retries=FakeRetries(9),
+    )
+    result = build_request_pipe(ports).apply(Received(make_head("key"), FakeBody()))
+    assert result == Failure(refusal)
+    assert backend.sent == []
+
+
+@pytest.mark.parametrize(
+    ("has_route", "remaining_s", "reason"),
+    [
+        (False, 5.0, RefusalReason.NO_ROUTE),
+        (True, 0.0, RefusalReason.DEADLINE),
+        (True, -1.0, RefusalReason.DEADLINE),
+    ],
+)
+def test_refused_before_a_slot(
+    has_route: bool, remaining_s: float, reason: RefusalReason
+) -> None:
+    traffic = FakeTraffic()
+    ports = RequestPorts(
+        clock=FakeClock(),
+        tables=FakeTables(make_route(repeatable=True) if has_route else None),
+        traffic=traffic,
+        ledger=FakeLedger(),
+        backend=FakeBackend(()),
+        retries=FakeRetries(9),
+    )
+    head = make_head(remaining_s=remaining_s)
+    refusal = build_request_pipe(ports).apply(Received(head, FakeBody())).failure()
+    assert (refusal.reason, refusal.ran) == (reason, Ran.NOT_RUN)
+    assert traffic.asked == []
