Add the ledger of work that may not be repeated

LedgerState applies claims, settlements and look-ups from a replicated log by log time, which is summed from the leader's elapsed time so that a wrong wall clock ages nothing. LedgerService gathers commands into entries on a replica; LedgerClient owns a daemon's claims. A claim that a daemon gives up is released under its id, which also refuses copies of it that come later.

The state machine found that a claim sent twice could be refused by its first copy and granted to its second one, after the holder released the key, which left the key locked by nobody.

--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -0,0 +1,253 @@
+"""Claim, settle and look up work from a daemon."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.ledger.client_messages import AskClaim
+from pimentobend_core._internal.ledger.client_messages import AskLookUp
+from pimentobend_core._internal.ledger.client_messages import AskSettle
+from pimentobend_core._internal.ledger.client_messages import ClaimDenied
+from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClientInput
+from pimentobend_core._internal.ledger.client_messages import ClientOutput
+from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import ReplyArrived
+from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.keys import digest_key
+from pimentobend_core._internal.ledger.keys import find_group
+from pimentobend_core._internal.ledger.messages import Claimed
+from pimentobend_core._internal.ledger.messages import ClaimId
+from pimentobend_core._internal.ledger.messages import ClaimRefusal
+from pimentobend_core._internal.ledger.messages import ClaimRefused
+from pimentobend_core._internal.ledger.messages import ClaimWork
+from pimentobend_core._internal.ledger.messages import Command
+from pimentobend_core._internal.ledger.messages import CommandResult
+from pimentobend_core._internal.ledger.messages import LookUpWork
+from pimentobend_core._internal.ledger.messages import Settled
+from pimentobend_core._internal.ledger.messages import SettleWork
+from pimentobend_core._internal.ledger.messages import WorkFound
+from pimentobend_core._internal.ledger.refusals import NO_MAJORITY
+from pimentobend_core._internal.ledger.refusals import refuse_claim
+from pimentobend_core._internal.ledger.routing import GroupRoute
+from pimentobend_core._internal.ledger.service_messages import LedgerRequest
+from pimentobend_core._internal.ledger.service_messages import Unserved
+from pimentobend_core._internal.ledger.service_messages import UnservedReason
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.pipes import StatefulFilter
+
+ANSWER_WAIT_S = 1.0  # for a claim or a look-up, all tries together
+RESEND_S = 0.3
+SETTLE_RESEND_MAX_S = 5.0
+SETTLE_KEEP_S = 3600.0
+REDIRECTS_MAX = 4
+
+# No copy of a claim that was refused so can be granted later.
+_FINAL_REFUSALS = (ClaimRefusal.ALREADY_RAN, ClaimRefusal.CLAIM_ENDED)
+
+
+class _Pending(NamedTuple):
+    """Hold a command without its result; times are seconds of the clock."""
+
+    command: Command
+    ticket: int  # of no use to a settlement
+    give_up_at: float
+    resend_at: float
+    tries: int
+    redirects: int
+
+
+class LedgerClient(StatefulFilter[ClientInput, ClientOutput]):
+    """Own the claims of one daemon.
+
+    ``groups`` lists the replicas of each replicated log. ``epoch`` must never
+    repeat: it tells the claims of this life of the daemon from earlier ones.
+    """
+
+    def __init__(
+        self, instance_id: str, epoch: int, groups: tuple[tuple[str, ...], ...]
+    ) -> None:
+        self._instance_id = instance_id
+        self._epoch = epoch
+        self._routes = tuple(GroupRoute(replicas) for replicas in groups)
+        self._pending: dict[int, _Pending] = {}
+        self._held: dict[ClaimId, bytes] = {}  # digests of granted claims
+        self._next_token = 1
+
+    @property
+    def unsettled(self) -> int:
+        """Return how many claims are held or wait to be settled."""
+        settles = sum(_is_settle(pending) for pending in self._pending.values())
+        return len(self._held) + settles
+
+    def handle(self, message: ClientInput, now: float) -> tuple[ClientOutput, ...]:
+        """Take a request of this daemon, a reply or a tick."""
+        match message:
+            case AskClaim():
+                return self._ask_claim(message, now)
+            case AskSettle():
+                return self._ask_settle(message, now)
+            case AskLookUp():
+                return self._ask_look_up(message, now)
+            case ReplyArrived():
+                return self._take_reply(message, now)
+            case _:
+                return self._tick(now)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the client's state as JSON-compatible values."""
+        return {
+            "epoch": self._epoch,
+            "held": len(self._held),
+            "pending": len(self._pending),
+            "groups": [route.dump() for route in self._routes],
+        }
+
+    def _ask_claim(self, message: AskClaim, now: float) -> tuple[ClientOutput, ...]:
+        digest = digest_key(message.key)
+        if not self._route(digest).is_open(now):
+            return (ClaimDenied(message.ticket, NO_MAJORITY),)
+        busy_s = max(0.0, message.deadline - now)
+        claim_id = ClaimId(self._instance_id, self._epoch, self._next_token)
+        command = ClaimWork(digest, claim_id, message.fingerprint, busy_s)
+        give_up_at = min(now + ANSWER_WAIT_S, message.deadline)
+        return self._start(command, message.ticket, give_up_at, now)
+
+    def _ask_settle(self, message: AskSettle, now: float) -> tuple[ClientOutput, ...]:
+        digest = self._held.pop(message.claim_id, None)
+        if digest is None:
+            return ()
+        command = SettleWork(digest, message.claim_id, message.ran, message.status)
+        return self._start(command, 0, now + SETTLE_KEEP_S, now)
+
+    def _ask_look_up(self, message: AskLookUp, now: float) -> tuple[ClientOutput, ...]:
+        command = LookUpWork(digest_key(message.key))
+        return self._start(command, message.ticket, now + ANSWER_WAIT_S, now)
+
+    def _start(
+        self, command: Command, ticket: int, give_up_at: float, now: float
+    ) -> tuple[ClientOutput, ...]:
+        token = self._next_token
+        self._next_token += 1
+        self._pending[token] = _Pending(command, ticket, give_up_at, now, 0, 0)
+        return (self._send(token, now),)
+
+    def _send(self, token: int, now: float) -> SendRequest:
+        pending = self._pending[token]
+        wait_s = RESEND_S
+        if _is_settle(pending):
+            wait_s = min(RESEND_S * 2**pending.tries, SETTLE_RESEND_MAX_S)
+        self._pending[token] = pending._replace(
+            resend_at=now + wait_s, tries=pending.tries + 1
+        )
+        group = find_group(pending.command.digest, len(self._routes))
+        request = LedgerRequest(self._instance_id, token, pending.command)
+        return SendRequest(group, self._routes[group].replica_id, request)
+
+    def _take_reply(
+        self, message: ReplyArrived, now: float
+    ) -> tuple[ClientOutput, ...]:
+        reply = message.reply
+        pending = self._pending.get(reply.token)
+        if pending is None:
+            return ()
+        route = self._route(pending.command.digest)
+        if isinstance(reply.result, Unserved):
+            return self._take_unserved(reply.token, reply.result, now)
+        if not _answers(reply.result, pending.command):
+            return ()
+        route.succeed()
+        if now >= pending.give_up_at:
+            return self._give_up(reply.token, now)
+        del self._pending[reply.token]
+        return self._conclude(pending, reply.result, now)
+
+    def _conclude(
+        self, pending: _Pending, result: CommandResult, now: float
+    ) -> tuple[ClientOutput, ...]:
+        match result:
+            case Claimed():
+                self._held[result.claim_id] = pending.command.digest
+                return (ClaimGranted(pending.ticket, result.claim_id),)
+            case ClaimRefused():
+                denied = ClaimDenied(pending.ticket, refuse_claim(result))
+                if result.reason in _FINAL_REFUSALS:
+                    return (denied,)
+                return (denied, *self._release(pending.command, now))
+            case WorkFound():
+                return (LookedUp(pending.ticket, result),)
+            case _:
+                return ()
+
+    def _take_unserved(
+        self, token: int, unserved: Unserved, now: float
+    ) -> tuple[ClientOutput, ...]:
+        pending = self._pending[token]
+        route = self._route(pending.command.digest)
+        if _is_redirect(unserved) and pending.redirects < REDIRECTS_MAX:
+            route.follow(unserved.leader_id)
+            redirects = pending.redirects + 1
+            self._pending[token] = pending._replace(redirects=redirects)
+            return (self._send(token, now),)
+        if _is_settle(pending):
+            self._pending[token] = pending._replace(redirects=0)
+            route.skip()
+            return ()
+        route.fail(now)
+        return self._give_up(token, now)
+
+    def _give_up(self, token: int, now: float) -> tuple[ClientOutput, ...]:
+        """Answer that nothing was sent, and release what may be claimed yet."""
+        pending = self._pending.pop(token)
+        command = pending.command
+        match command:
+            case ClaimWork():
+                denied = ClaimDenied(pending.ticket, NO_MAJORITY)
+                return (denied, *self._release(command, now))
+            case LookUpWork():
+                return (LookedUp(pending.ticket, None),)
+            case SettleWork():
+                return ()
+
+    def _release(self, command: Command, now: float) -> tuple[ClientOutput, ...]:
+        """Refuse the copies of a claim that may still be under way."""
+        if not isinstance(command, ClaimWork):
+            return ()
+        release = SettleWork(command.digest, command.claim_id, Ran.NOT_RUN, 0)
+        return self._start(release, 0, now + SETTLE_KEEP_S, now)
+
+    def _tick(self, now: float) -> tuple[ClientOutput, ...]:
+        outputs: list[ClientOutput] = []
+        for token, pending in tuple(self._pending.items()):
+            if now >= pending.give_up_at:
+                if pending.tries > 1:
+                    self._route(pending.command.digest).fail(now)
+                outputs.extend(self._give_up(token, now))
+            elif now >= pending.resend_at:
+                self._route(pending.command.digest).skip()
+                outputs.append(self._send(token, now))
+        return tuple(outputs)
+
+    def _route(self, digest: bytes) -> GroupRoute:
+        return self._routes[find_group(digest, len(self._routes))]
+
+
+def _is_settle(pending: _Pending) -> bool:
+    return isinstance(pending.command, SettleWork)
+
+
+def _is_redirect(unserved: Unserved) -> bool:
+    is_led = unserved.leader_id is not None
+    return unserved.reason is UnservedReason.NOT_LEADER and is_led
+
+
+def _answers(result: CommandResult, command: Command) -> bool:
+    """Say whether a result belongs to a command, whatever its token says."""
+    match command:
+        case ClaimWork():
+            if isinstance(result, Claimed):
+                return result.claim_id == command.claim_id
+            return isinstance(result, ClaimRefused)
+        case SettleWork():
+            return result == Settled(command.claim_id)
+        case LookUpWork():
+            return isinstance(result, WorkFound)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/ledger/state.py
@@ -0,0 +1,196 @@
+"""Apply committed ledger commands, the same way on every replica."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.ledger.messages import Claimed
+from pimentobend_core._internal.ledger.messages import ClaimId
+from pimentobend_core._internal.ledger.messages import ClaimRefusal
+from pimentobend_core._internal.ledger.messages import ClaimRefused
+from pimentobend_core._internal.ledger.messages import ClaimWork
+from pimentobend_core._internal.ledger.messages import Command
+from pimentobend_core._internal.ledger.messages import CommandBatch
+from pimentobend_core._internal.ledger.messages import CommandResult
+from pimentobend_core._internal.ledger.messages import LookUpWork
+from pimentobend_core._internal.ledger.messages import Settled
+from pimentobend_core._internal.ledger.messages import SettleWork
+from pimentobend_core._internal.ledger.messages import WorkFound
+from pimentobend_core._internal.ledger.messages import WorkState
+from pimentobend_core._internal.ledger.store import EntryStore
+from pimentobend_core._internal.ledger.store import Generation
+from pimentobend_core._internal.models.request import Ran
+
+BUSY_MAX_S = 3600.0
+RELEASED_MAX = 8  # claims remembered a key, so that late copies are refused
+
+_STATES = {
+    Ran.RAN: WorkState.RAN,
+    Ran.UNKNOWN: WorkState.UNKNOWN,
+    Ran.NOT_RUN: WorkState.RELEASED,
+}
+
+
+class Entry(NamedTuple):
+    """Hold what is known of one key; times are seconds of log time."""
+
+    state: WorkState
+    claim_id: ClaimId
+    fingerprint: bytes
+    status: int
+    changed_at: float
+    busy_until: float
+    released: tuple[ClaimId, ...]
+
+
+class LedgerState:
+    """Hold the ledger of one replicated log.
+
+    It reads no clock: the same batches give the same state and results.
+    """
+
+    def __init__(self) -> None:
+        self._clock_s = 0.0
+        self._entries: EntryStore[Entry] = EntryStore()
+
+    @property
+    def clock_s(self) -> float:
+        """Return log time in seconds."""
+        return self._clock_s
+
+    def apply(self, batch: CommandBatch) -> tuple[CommandResult, ...]:
+        """Apply one committed entry and return a result for each command."""
+        self._clock_s += max(0.0, batch.elapsed_s)
+        self._entries.advance(self._clock_s)
+        return tuple(self._apply(command) for command in batch.commands)
+
+    def export(self) -> tuple[Generation[Entry], ...]:
+        """Return every entry, the earliest generation first."""
+        return self._entries.export()
+
+    @classmethod
+    def restore(
+        cls, clock_s: float, generations: tuple[Generation[Entry], ...]
+    ) -> "LedgerState":
+        """Create the state that ``clock_s`` and ``export`` described."""
+        state = cls()
+        state._clock_s = clock_s
+        state._entries = EntryStore.restore(generations)
+        return state
+
+    def dump(self) -> Mapping[str, object]:
+        """Return counts as JSON-compatible values."""
+        return {"log_time_s": self._clock_s, "entries": len(self._entries)}
+
+    def _apply(self, command: Command) -> CommandResult:
+        match command:
+            case ClaimWork():
+                return self._claim(command)
+            case SettleWork():
+                return self._settle(command)
+            case LookUpWork():
+                return self._look_up(command)
+
+    def _claim(self, command: ClaimWork) -> Claimed | ClaimRefused:
+        entry = self._entries.get(command.digest)
+        if entry is None:
+            return self._grant(command, ())
+        holds = entry.claim_id == command.claim_id
+        if holds and entry.state is WorkState.CLAIMED:
+            return Claimed(command.claim_id)
+        if holds or _has_ended(entry, command.claim_id):
+            return ClaimRefused(ClaimRefusal.CLAIM_ENDED, 0)
+        if entry.state is WorkState.RELEASED:
+            return self._grant(command, entry.released)
+        if entry.fingerprint != command.fingerprint:
+            return ClaimRefused(ClaimRefusal.KEY_REUSED, 0)
+        if entry.state is WorkState.RAN:
+            return ClaimRefused(ClaimRefusal.ALREADY_RAN, entry.status)
+        return ClaimRefused(self._unsettled(entry), 0)
+
+    def _grant(self, command: ClaimWork, released: tuple[ClaimId, ...]) -> Claimed:
+        busy_s = min(max(0.0, command.busy_s), BUSY_MAX_S)
+        entry = Entry(
+            WorkState.CLAIMED,
+            command.claim_id,
+            command.fingerprint,
+            0,
+            self._clock_s,
+            self._clock_s + busy_s,
+            released,
+        )
+        self._entries.put(command.digest, entry)
+        return Claimed(command.claim_id)
+
+    def _settle(self, command: SettleWork) -> Settled:
+        entry = self._entries.get(command.digest)
+        if entry is None or entry.state is WorkState.RELEASED:
+            self._settle_unheld(command, entry)
+        elif entry.claim_id == command.claim_id:
+            self._settle_held(command, entry)
+        elif command.ran is Ran.NOT_RUN and entry.state is WorkState.CLAIMED:
+            released = _remember(entry.released, command.claim_id)
+            self._entries.put(command.digest, entry._replace(released=released))
+        return Settled(command.claim_id)
+
+    def _settle_held(self, command: SettleWork, entry: Entry) -> None:
+        """Record the first outcome; a late answer may still turn UNKNOWN to RAN."""
+        late = entry.state is WorkState.UNKNOWN and command.ran is Ran.RAN
+        if late or entry.state is WorkState.CLAIMED:
+            self._put_outcome(command, entry)
+
+    def _settle_unheld(self, command: SettleWork, entry: Entry | None) -> None:
+        """Record an outcome while nobody holds the key.
+
+        A release that overtook its claim leaves a mark that refuses the
+        claim. Any other outcome without its claim is kept, as the safe side.
+        """
+        unheld = entry or Entry(
+            WorkState.RELEASED, command.claim_id, b"", 0, self._clock_s, 0.0, ()
+        )
+        is_release = command.ran is Ran.NOT_RUN
+        if is_release or not _has_ended(unheld, command.claim_id):
+            self._put_outcome(command, unheld._replace(claim_id=command.claim_id))
+
+    def _put_outcome(self, command: SettleWork, entry: Entry) -> None:
+        released = entry.released
+        if command.ran is Ran.NOT_RUN:
+            released = _remember(released, command.claim_id)
+        settled = entry._replace(
+            state=_STATES[command.ran],
+            status=command.status,
+            changed_at=self._clock_s,
+            released=released,
+        )
+        self._entries.put(command.digest, settled)
+
+    def _look_up(self, command: LookUpWork) -> WorkFound:
+        entry = self._entries.get(command.digest)
+        if entry is None:
+            return WorkFound(WorkState.FREE, 0, "", 0.0)
+        state = entry.state
+        is_claimed = state is WorkState.CLAIMED
+        if is_claimed and self._unsettled(entry) is ClaimRefusal.UNKNOWN:
+            state = WorkState.UNKNOWN
+        age_s = self._clock_s - entry.changed_at
+        return WorkFound(state, entry.status, entry.claim_id.instance_id, age_s)
+
+    def _unsettled(self, entry: Entry) -> ClaimRefusal:
+        is_busy = entry.state is WorkState.CLAIMED and (
+            self._clock_s < entry.busy_until
+        )
+        return ClaimRefusal.IN_PROGRESS if is_busy else ClaimRefusal.UNKNOWN
+
+
+def _has_ended(entry: Entry, claim_id: ClaimId) -> bool:
+    """Say whether a claim of the same life, this or a later one, was released."""
+    return any(
+        claim_id[:2] == ended[:2] and claim_id.sequence <= ended.sequence
+        for ended in entry.released
+    )
+
+
+def _remember(released: tuple[ClaimId, ...], claim_id: ClaimId) -> tuple[ClaimId, ...]:
+    same = [ended for ended in released if ended[:2] == claim_id[:2]]
+    others = tuple(ended for ended in released if ended[:2] != claim_id[:2])
+    latest = max([claim_id, *same])
+    return (*others, latest)[-RELEASED_MAX:]
--- /dev/null
+++ b/tests/lib/ledger_world.py
@@ -0,0 +1,240 @@
+"""Run the ledger's client and service over a fake log and network."""
+
+import collections
+import enum
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from pimentobend_core._internal.ledger.client import LedgerClient
+from pimentobend_core._internal.ledger.client_messages import AskClaim
+from pimentobend_core._internal.ledger.client_messages import AskLookUp
+from pimentobend_core._internal.ledger.client_messages import AskSettle
+from pimentobend_core._internal.ledger.client_messages import ClaimDenied
+from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClientOutput
+from pimentobend_core._internal.ledger.client_messages import ClientTick
+from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import ReplyArrived
+from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.messages import ClaimId
+from pimentobend_core._internal.ledger.messages import LedgerKey
+from pimentobend_core._internal.ledger.service import LedgerService
+from pimentobend_core._internal.ledger.service_messages import CompactLog
+from pimentobend_core._internal.ledger.service_messages import EntryAccepted
+from pimentobend_core._internal.ledger.service_messages import EntryCommitted
+from pimentobend_core._internal.ledger.service_messages import EntryUnserved
+from pimentobend_core._internal.ledger.service_messages import LedgerReply
+from pimentobend_core._internal.ledger.service_messages import LedgerRequest
+from pimentobend_core._internal.ledger.service_messages import ProposeEntry
+from pimentobend_core._internal.ledger.service_messages import ServiceOutput
+from pimentobend_core._internal.ledger.service_messages import Unserved
+from pimentobend_core._internal.ledger.service_messages import UnservedReason
+from pimentobend_core._internal.models.request import Ran
+
+REPLICAS = ("replica-1", "replica-2", "replica-3")
+PRINT = b"p" * 8
+SETTLING_TICKS = 14  # longer than two waits between settlements
+
+
+class Work(enum.Enum):
+    """Name what becomes of work that was allowed to be sent."""
+
+    RAN = "ran"
+    REFUSED = "refused"  # the server states that it did not run
+    LOST_RAN = "lost-ran"  # no answer, and it ran
+    LOST_NOT_RUN = "lost-not-run"  # no answer, and it did not run
+    CRASH_BEFORE_SEND = "crash-before-send"
+    CRASH_AFTER_SEND = "crash-after-send"
+
+
+REPORTED = {
+    Work.RAN: Ran.RAN,
+    Work.REFUSED: Ran.NOT_RUN,
+    Work.LOST_RAN: Ran.UNKNOWN,
+    Work.LOST_NOT_RUN: Ran.UNKNOWN,
+}
+
+
+class Granted(NamedTuple):
+    """Hold work that a daemon may send once."""
+
+    daemon: str
+    claim_id: ClaimId
+    ticket: int
+
+
+class Pending(NamedTuple):
+    """Hold an entry that the leader proposed."""
+
+    proposal_id: int
+    payload: bytes
+
+
+Letter = SendRequest | LedgerReply
+
+
+class LedgerWorld:
+    """Own the daemons, the replicas and what lies between them."""
+
+    def __init__(self, daemons: Iterable[str]) -> None:
+        self.now = 0.0
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.answers: dict[int, list[ClaimGranted | ClaimDenied]] = {}
+        self.keys: dict[int, str] = {}
+        self.found: dict[int, LookedUp] = {}
+        self.network: list[Letter] = []
+        self.granted: list[Granted] = []
+        self.has_majority = True
+        self.leader = REPLICAS[0]
+        self.log: list[bytes] = []
+        self.pending: list[Pending] = []
+        self.services = {name: LedgerService() for name in REPLICAS}
+        self._epochs = dict.fromkeys(daemons, 1)
+        self.daemons = {name: self._start(name) for name in self._epochs}
+        self._tickets = 0
+
+    def ask(self, daemon: str, key: str, wait_s: float = 5.0) -> int:
+        """Let a caller ask for work; return the ticket."""
+        self._tickets += 1
+        ticket = self._tickets
+        self.keys[ticket] = key
+        self.answers[ticket] = []
+        ask = AskClaim(ticket, LedgerKey("org", key), PRINT, self.now + wait_s)
+        self._take(daemon, self.daemons[daemon].handle(ask, self.now))
+        return ticket
+
+    def look_up(self, daemon: str, key: str) -> int:
+        """Let an operator ask what is known of a key; return the ticket."""
+        self._tickets += 1
+        ask = AskLookUp(self._tickets, LedgerKey("org", key))
+        self._take(daemon, self.daemons[daemon].handle(ask, self.now))
+        return self._tickets
+
+    def work(self, granted: Granted, work: Work) -> None:
+        """Let work that was allowed end in one way."""
+        self.granted.remove(granted)
+        if work in (Work.RAN, Work.LOST_RAN, Work.CRASH_AFTER_SEND):
+            self.runs[self.keys[granted.ticket]] += 1
+        if work not in REPORTED:
+            self.crash(granted.daemon)
+            return
+        settle = AskSettle(granted.claim_id, REPORTED[work], 200)
+        outputs = self.daemons[granted.daemon].handle(settle, self.now)
+        self._take(granted.daemon, outputs)
+
+    def crash(self, daemon: str) -> None:
+        """Restart a daemon without its memory; work not yet sent is lost."""
+        self._epochs[daemon] += 1
+        self.daemons[daemon] = self._start(daemon)
+        self.granted = [one for one in self.granted if one.daemon != daemon]
+
+    def deliver(self, position: int, keep: bool = False) -> None:
+        """Deliver a letter, and with ``keep`` leave a copy under way."""
+        letter = self.network[position] if keep else self.network.pop(position)
+        if isinstance(letter, LedgerReply):
+            daemon = letter.recipient
+            arrived = ReplyArrived(letter)
+            self._take(daemon, self.daemons[daemon].handle(arrived, self.now))
+            return
+        service = self.services[letter.replica_id]
+        outputs = service.handle(letter.request, self.now)
+        self._serve(letter.replica_id, outputs)
+
+    def commit(self, count: int = 1) -> None:
+        """Commit the next proposed entries and tell the leader."""
+        for proposal_id, payload in self.pending[:count]:
+            self.log.append(payload)
+            self.pending.pop(0)
+            accepted = EntryAccepted(proposal_id, len(self.log))
+            leader = self.services[self.leader]
+            self._serve(self.leader, leader.handle(accepted, self.now))
+        self.catch_up(self.leader)
+
+    def catch_up(self, replica: str) -> None:
+        """Hand a replica the committed entries that it has not applied."""
+        service = self.services[replica]
+        for index in range(service.applied_index, len(self.log)):
+            entry = EntryCommitted(index + 1, self.log[index])
+            self._serve(replica, service.handle(entry, self.now))
+
+    def change_leader(self, replica: str, committed: int) -> None:
+        """Let another replica lead; the first pending entries may survive."""
+        left, self.pending = self.pending, []
+        self.log.extend(payload for _, payload in left[:committed])
+        former, self.leader = self.leader, replica
+        self.catch_up(replica)
+        lost = Unserved(UnservedReason.LOST, None)
+        for proposal_id, _ in left:
+            unserved = EntryUnserved(proposal_id, lost)
+            outputs = self.services[former].handle(unserved, self.now)
+            self._serve(former, outputs)
+
+    def restart_replica(self, replica: str) -> None:
+        """Let a replica lose its memory and apply the log from its start."""
+        if replica == self.leader:
+            others = [name for name in REPLICAS if name != replica]
+            self.change_leader(others[0], committed=len(self.pending))
+        self.services[replica] = LedgerService()
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass for the daemons."""
+        self.now += seconds
+        for name, client in self.daemons.items():
+            self._take(name, client.handle(ClientTick(), self.now))
+
+    def settle_down(self) -> None:
+        """Deliver everything in order until nothing is under way."""
+        self.has_majority = True
+        for _ in range(SETTLING_TICKS):
+            self.flow()
+            self.tick(1.0)
+
+    def flow(self) -> None:
+        """Deliver and commit in order, without time passing."""
+        while self.network or self.pending:
+            self.commit(len(self.pending))
+            if self.network:
+                self.deliver(0)
+
+    def _start(self, name: str) -> LedgerClient:
+        return LedgerClient(name, self._epochs[name], (REPLICAS,))
+
+    def _take(self, daemon: str, outputs: tuple[ClientOutput, ...]) -> None:
+        for output in outputs:
+            if isinstance(output, SendRequest):
+                self.network.append(output)
+            elif isinstance(output, LookedUp):
+                self.found[output.ticket] = output
+            else:
+                self.answers[output.ticket].append(output)
+            if isinstance(output, ClaimGranted):
+                self.granted.append(Granted(daemon, output.claim_id, output.ticket))
+
+    def _serve(self, replica: str, outputs: tuple[ServiceOutput, ...]) -> None:
+        for output in outputs:
+            if isinstance(output, LedgerReply):
+                self.network.append(output)
+            elif isinstance(output, ProposeEntry):
+                self._propose(replica, output)
+            else:
+                assert isinstance(output, CompactLog)
+
+    def _propose(self, replica: str, entry: ProposeEntry) -> None:
+        if replica == self.leader and self.has_majority:
+            self.pending.append(Pending(entry.proposal_id, entry.payload))
+            return
+        reason, leader = UnservedReason.NOT_LEADER, self.leader
+        if not self.has_majority:
+            reason, leader = UnservedReason.NO_MAJORITY, ""
+        refused = Unserved(reason, leader or None)
+        unserved = EntryUnserved(entry.proposal_id, refused)
+        outputs = self.services[replica].handle(unserved, self.now)
+        self._serve(replica, outputs)
+
+
+def is_request(letter: Letter, kind: type) -> bool:
+    """Say whether a letter carries a command of a kind."""
+    if not isinstance(letter, SendRequest):
+        return False
+    request: LedgerRequest = letter.request
+    return isinstance(request.command, kind)
