Add the daemon's side of the ledger

Cause: claims of work that may not be repeated must reach the replicas. A grant that nobody waits for any more is released as not run.

--- a/packages/adapters/src/pimentobend_adapters/_internal/asking.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/asking.py
@@ -23,8 +23,14 @@
 
     def put(self, message: Reply) -> None:
         """Wake those who wait for the reply's name."""
-        for event in self._waiting.pop(self._name_of(message), []):
+        self.give(message)
+
+    def give(self, message: Reply) -> bool:
+        """Wake those who wait for the reply's name; say whether anyone did."""
+        events = self._waiting.pop(self._name_of(message), [])
+        for event in events:
             event.send(message)
+        return bool(events)
 
     def ask(
         self, name: Hashable, send: Callable[[], None], timeout_s: float
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -0,0 +1,109 @@
+"""Let request tasks claim work through the task that owns the ledger client."""
+
+import itertools
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_adapters._internal.asking import Replies
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.ledger.client import LedgerClient
+from pimentobend_core._internal.ledger.client_messages import AskLookUp
+from pimentobend_core._internal.ledger.client_messages import AskSettle
+from pimentobend_core._internal.ledger.client_messages import ClaimDenied
+from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClientInput
+from pimentobend_core._internal.ledger.client_messages import ClientOutput
+from pimentobend_core._internal.ledger.client_messages import ClientTick
+from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import ReplyArrived
+from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import create_ask
+from pimentobend_core._internal.ledger.messages import ClaimId
+from pimentobend_core._internal.ledger.messages import LedgerKey
+from pimentobend_core._internal.ledger.messages import WorkFound
+from pimentobend_core._internal.ledger.refusals import NO_MAJORITY
+from pimentobend_core._internal.ledger.wire import decode_reply
+from pimentobend_core._internal.ledger.wire import encode_request
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.ports import Claim
+from pimentobend_core._internal.ports import ClockPort
+from pimentobend_core._internal.ports import LedgerPort
+
+KIND_REQUEST = "ledger.request"
+KIND_REPLY = "ledger.reply"
+TICK_S = 0.05
+CLAIM_TIMEOUT_S = 10.0  # the client itself gives up long before
+
+TicketReply = ClaimGranted | ClaimDenied | LookedUp
+
+
+class LedgerTasks(LedgerPort):
+    """Run the task of the ledger client and match its replies."""
+
+    def __init__(self, client: LedgerClient, link: Link, clock: ClockPort) -> None:
+        self._link = link
+        self._tickets = itertools.count(1)
+        self._replies: Replies[TicketReply] = Replies(lambda reply: reply.ticket)
+        self._claims: dict[str, ClaimId] = {}
+        self._task: FilterTask[ClientInput, ClientOutput] = FilterTask(
+            "ledger-client",
+            client,
+            CallOutlet(self._take),
+            clock,
+            Ticking(TICK_S, ClientTick()),
+        )
+
+    @property
+    def task(self) -> FilterTask[ClientInput, ClientOutput]:
+        """Return the task that owns the client."""
+        return self._task
+
+    def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
+        """Make a claim durable, or refuse truthfully."""
+        key = head.idempotency_key or ""
+        ask = create_ask(next(self._tickets), head, key)
+        reply = self._replies.ask(
+            ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
+        )
+        if isinstance(reply, ClaimGranted):
+            claim = Claim(key, "/".join(str(part) for part in reply.claim_id))
+            self._claims[claim.claim_id] = reply.claim_id
+            return Success(claim)
+        if isinstance(reply, ClaimDenied):
+            return Failure(reply.refusal)
+        return Failure(NO_MAJORITY)
+
+    def settle(self, claim: Claim, ran: Ran, status: int) -> None:
+        """Record the outcome of a claim."""
+        claim_id = self._claims.pop(claim.claim_id)
+        self._task.put(AskSettle(claim_id, ran, status))
+
+    def look_up(self, organisation: str, key: str) -> WorkFound | None:
+        """Return what is known of a key; None when no majority answers."""
+        ask = AskLookUp(next(self._tickets), LedgerKey(organisation, key))
+        reply = self._replies.ask(
+            ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
+        )
+        return reply.found if isinstance(reply, LookedUp) else None
+
+    def take_frame(self, frame: Frame) -> None:
+        """Take a replica's reply; raise CodecError for other bytes."""
+        reply = decode_reply(frame.payload, self._link.address)
+        self._task.put(ReplyArrived(reply))
+
+    def _take(self, message: ClientOutput) -> None:
+        if isinstance(message, SendRequest):
+            payload = encode_request(message.group, message.request)
+            self._link.send(message.replica_id, KIND_REQUEST, payload)
+            return
+        is_awaited = self._replies.give(message)
+        if isinstance(message, ClaimGranted) and not is_awaited:
+            self._task.put(AskSettle(message.claim_id, Ran.NOT_RUN, 0))
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/ledger/wire.py
@@ -0,0 +1,78 @@
+"""Encode the requests and replies between daemons and the ledger's replicas."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.ledger.codec import decode_command
+from pimentobend_core._internal.ledger.codec import decode_result
+from pimentobend_core._internal.ledger.codec import encode_command
+from pimentobend_core._internal.ledger.codec import encode_result
+from pimentobend_core._internal.ledger.service_messages import LedgerReply
+from pimentobend_core._internal.ledger.service_messages import LedgerRequest
+from pimentobend_core._internal.ledger.service_messages import Unserved
+from pimentobend_core._internal.ledger.service_messages import UnservedReason
+
+
+class GroupRequest(NamedTuple):
+    """Name the group whose replica a request is for."""
+
+    group: int
+    request: LedgerRequest
+
+
+class _WireRequest(NamedTuple):
+    group: int
+    token: int
+    command: bytes
+
+
+class _WireReply(NamedTuple):
+    token: int
+    result: bytes | None  # None when the replica gave none
+    reason: str
+    leader_id: str | None
+
+
+_REQUEST_DECODER = msgspec.msgpack.Decoder(_WireRequest)
+_REPLY_DECODER = msgspec.msgpack.Decoder(_WireReply)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_request(group: int, request: LedgerRequest) -> bytes:
+    """Encode a request; its sender travels with the frame."""
+    command = encode_command(request.command)
+    return _ENCODER.encode(_WireRequest(group, request.token, command))
+
+
+def decode_request(payload: bytes, sender: str) -> GroupRequest:
+    """Decode a request of a sender; raise CodecError for other bytes."""
+    try:
+        wire = _REQUEST_DECODER.decode(payload)
+    except msgspec.DecodeError as error:
+        raise CodecError("a ledger request does not decode") from error
+    request = LedgerRequest(sender, wire.token, decode_command(wire.command))
+    return GroupRequest(wire.group, request)
+
+
+def encode_reply(reply: LedgerReply) -> bytes:
+    """Encode a reply; its recipient is the address it is sent to."""
+    result = reply.result
+    if isinstance(result, Unserved):
+        wire = _WireReply(reply.token, None, result.reason.value, result.leader_id)
+    else:
+        wire = _WireReply(reply.token, encode_result(result), "", None)
+    return _ENCODER.encode(wire)
+
+
+def decode_reply(payload: bytes, recipient: str) -> LedgerReply:
+    """Decode a reply to a recipient; raise CodecError for other bytes."""
+    try:
+        wire = _REPLY_DECODER.decode(payload)
+        if wire.result is not None:
+            return LedgerReply(recipient, wire.token, decode_result(wire.result))
+        unserved = Unserved(UnservedReason(wire.reason), wire.leader_id)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise CodecError("a ledger reply does not decode") from error
+    return LedgerReply(recipient, wire.token, unserved)
