--- a/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -1,6 +1,17 @@
 """List every probe by its name."""
 
+from pimentobend_bench._internal.capacity import configuration_probes
+from pimentobend_bench._internal.capacity import link_probes
+from pimentobend_bench._internal.capacity import membership_probes
 from pimentobend_bench._internal.capacity import storage_probes
 from pimentobend_bench._internal.capacity.probe import Probe
 
-PROBES: dict[str, Probe] = {probe.name: probe for probe in (*storage_probes.PROBES,)}
+PROBES: dict[str, Probe] = {
+    probe.name: probe
+    for probe in (
+        *storage_probes.PROBES,
+        *membership_probes.PROBES,
+        *configuration_probes.PROBES,
+        *link_probes.PROBES,
+    )
+}
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
@@ -0,0 +1,104 @@
+"""Measure changes of the tables and whole tables."""
+
+import zlib
+from collections.abc import Callable
+
+import msgspec
+
+from pimentobend_bench._internal.capacity.probe import BytesProbe
+from pimentobend_bench._internal.capacity.probe import CpuProbe
+from pimentobend_bench._internal.capacity.rows import make_pools
+from pimentobend_bench._internal.capacity.rows import make_routes
+from pimentobend_core._internal.models.tables import Route
+from pimentobend_core._internal.models.tables import Tables
+
+_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
+_BATCH_SIZES = (1, 4, 16, 64, 256)
+_ROUTES_DECODER = msgspec.msgpack.Decoder(tuple[Route, ...])
+_TABLES_DECODER = msgspec.msgpack.Decoder(Tables)
+
+
+def make_tables(routes: int) -> Tables:
+    """Return tables of a number of routes and all pools."""
+    return Tables(
+        term=3,
+        log_index=200_000,
+        routes=tuple(make_routes(routes)),
+        pools=tuple(make_pools()),
+    )
+
+
+class ChangedRowsBytesProbe(BytesProbe):
+    """Encode changed routes."""
+
+    name = "bytes-configuration-change"
+    sized_by = "changed routes"
+    sizes = _BATCH_SIZES
+    mechanism = "core models.tables, msgpack"
+
+    def encode(self, size: int) -> bytes:
+        """Return the encoded rows."""
+        return msgspec.msgpack.encode(tuple(make_routes(size)))
+
+
+class ChangedRowsCpuProbe(CpuProbe):
+    """Decode changed routes."""
+
+    name = "cpu-configuration-change-decode"
+    sized_by = "changed routes"
+    sizes = _BATCH_SIZES
+    mechanism = "core models.tables, msgpack"
+
+    def prepare(self, size: int) -> Callable[[], object]:
+        """Return an operation that decodes the rows."""
+        encoded = msgspec.msgpack.encode(tuple(make_routes(size)))
+        return lambda: _ROUTES_DECODER.decode(encoded)
+
+
+class WholeTablesBytesProbe(BytesProbe):
+    """Encode and compress whole tables, as a catch-up from nothing."""
+
+    name = "bytes-catch-up-compressed"
+    sized_by = "routes"
+    sizes = _ROUTE_SIZES
+    mechanism = "core models.tables, msgpack, zlib"
+
+    def encode(self, size: int) -> bytes:
+        """Return the compressed tables."""
+        return zlib.compress(msgspec.msgpack.encode(make_tables(size)))
+
+
+class WholeTablesPlainBytesProbe(BytesProbe):
+    """Encode whole tables."""
+
+    name = "bytes-catch-up-plain"
+    sized_by = "routes"
+    sizes = _ROUTE_SIZES
+    mechanism = "core models.tables, msgpack"
+
+    def encode(self, size: int) -> bytes:
+        """Return the encoded tables."""
+        return msgspec.msgpack.encode(make_tables(size))
+
+
+class WholeTablesCpuProbe(CpuProbe):
+    """Decompress and decode whole tables."""
+
+    name = "cpu-catch-up-decode"
+    sized_by = "routes"
+    sizes = _ROUTE_SIZES
+    mechanism = "core models.tables, msgpack, zlib"
+
+    def prepare(self, size: int) -> Callable[[], object]:
+        """Return an operation that reads the tables."""
+        encoded = zlib.compress(msgspec.msgpack.encode(make_tables(size)))
+        return lambda: _TABLES_DECODER.decode(zlib.decompress(encoded))
+
+
+PROBES = (
+    ChangedRowsBytesProbe(),
+    ChangedRowsCpuProbe(),
+    WholeTablesBytesProbe(),
+    WholeTablesPlainBytesProbe(),
+    WholeTablesCpuProbe(),
+)
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
@@ -0,0 +1,132 @@
+"""Measure the server registry and the fleet's view."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+import msgspec
+
+from pimentobend_bench._internal.capacity.probe import BytesProbe
+from pimentobend_bench._internal.capacity.probe import CpuProbe
+from pimentobend_bench._internal.capacity.probe import MemoryProbe
+from pimentobend_bench._internal.capacity.rows import make_server
+from pimentobend_bench._internal.capacity.target import DAEMONS
+from pimentobend_core._internal.membership.messages import Presence
+from pimentobend_core._internal.membership.messages import Rank
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import ServerEvents
+from pimentobend_core._internal.membership.registry import ServerRegistry
+from pimentobend_core._internal.membership.view import MembershipView
+from pimentobend_core._internal.models.server import Announcement
+
+_VIEW_SIZES = (2_500, 5_000, 10_000, 20_000)
+_BATCH_SIZES = (1, 4, 16, 64, 256)
+_REGISTRY_SIZES = (3, 11, 44, 128, 256)
+_LEASE_S = 10.0
+_FIRST_EPOCH = 1_700_000_000_000_000_000
+
+
+def make_event(number: int, sequence: int, presence: Presence) -> ServerEvent:
+    """Return one instance's word on the server of a number."""
+    return ServerEvent(
+        instance_id=f"instance-{number % DAEMONS:04d}",
+        rank=Rank(_FIRST_EPOCH + number % DAEMONS, sequence),
+        presence=presence,
+        server=make_server(number),
+    )
+
+
+def fill_view(size: int) -> MembershipView:
+    """Return a view of ``size`` servers, fed through the wire format."""
+    view = MembershipView()
+    for event in _events(size):
+        wire = msgspec.msgpack.encode(event)
+        view.handle(msgspec.msgpack.decode(wire, type=ServerEvent), 0.0)
+    return view
+
+
+class ViewMemoryProbe(MemoryProbe):
+    """Fill the fleet's view with servers."""
+
+    name = "memory-view-server"
+    sized_by = "servers"
+    sizes = _VIEW_SIZES
+    mechanism = "core membership.view"
+
+    def warm_up(self) -> None:
+        """Fill a small view."""
+        fill_view(4)
+
+    def build(self, size: int) -> object:
+        """Return a filled view."""
+        return fill_view(size)
+
+
+class ViewEventCpuProbe(CpuProbe):
+    """Take one server's withdrawal or return into a view."""
+
+    name = "cpu-membership-event"
+    sized_by = "servers"
+    sizes = _VIEW_SIZES
+    mechanism = "core membership.view"
+
+    def prepare(self, size: int) -> Callable[[], object]:
+        """Return an operation that takes the next event of one server."""
+        view = fill_view(size)
+        flapping = _flap()
+        return lambda: view.handle(next(flapping), 1.0)
+
+
+class EventBytesProbe(BytesProbe):
+    """Encode a batch of events."""
+
+    name = "bytes-membership-event"
+    sized_by = "events"
+    sizes = _BATCH_SIZES
+    mechanism = "core membership.messages, msgpack"
+
+    def encode(self, size: int) -> bytes:
+        """Return the encoded batch."""
+        return msgspec.msgpack.encode(ServerEvents(tuple(_events(size))))
+
+
+class LeaseRenewalCpuProbe(CpuProbe):
+    """Renew the leases of all servers of one instance."""
+
+    name = "cpu-lease-renewal"
+    sized_by = "servers of one instance"
+    reads = "processor time to renew all"
+    sizes = _REGISTRY_SIZES
+    mechanism = "core membership.registry"
+
+    def prepare(self, size: int) -> Callable[[], object]:
+        """Return an operation that renews every lease once."""
+        registry = ServerRegistry("instance-0000", _FIRST_EPOCH)
+        announcements = [
+            Announcement(make_server(number), _LEASE_S) for number in range(size)
+        ]
+
+        def renew() -> None:
+            for announcement in announcements:
+                registry.handle(announcement, 0.0)
+
+        return renew
+
+
+def _events(size: int) -> Iterator[ServerEvent]:
+    return (make_event(number, number, Presence.LIVE) for number in range(size))
+
+
+def _flap() -> Iterator[ServerEvent]:
+    sequence = _FIRST_EPOCH
+    while True:
+        sequence += 1
+        presence = Presence.WITHDRAWN if sequence % 2 else Presence.LIVE
+        yield make_event(0, sequence, presence)
+
+
+PROBES = (
+    ViewMemoryProbe(),
+    ViewEventCpuProbe(),
+    EventBytesProbe(),
+    LeaseRenewalCpuProbe(),
+)
