--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
@@ -3,6 +3,7 @@
 import json
 import math
 import statistics
+from collections.abc import Iterable
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -41,30 +42,33 @@
     """Print added latency and CPU a request for each proxy and rate."""
 
     name = "hop"
-    usage = "hop [runs]"
+    usage = "hop [runs [proxy ...]]"
     summary = "CPU a request and added latency of one hop, real processes"
 
     def run(self, args: Sequence[str]) -> Status:
         """Measure every proxy and store the figures."""
-        if args and not args[0].isdigit():
-            print(f"usage: {self.usage}")
+        if args and not (args[0].isdigit() and STARTERS.keys() >= set(args[1:])):
+            print(f"usage: {self.usage}; proxies: {', '.join(map(repr, STARTERS))}")
             return Status.USAGE
         figures = load_figures()
-        figures["hops"] = measure_hops(int(args[0]) if args else RUNS)
+        names = args[1:] or list(STARTERS)
+        hops = measure_hops(int(args[0]) if args else RUNS, names)
+        kept = [hop for hop in figures.get("hops", []) if hop["proxy"] not in names]
+        figures["hops"] = kept + hops
         stamp(figures, "python -m pimentobend_bench hop")
         save_figures(figures)
         return Status.SUCCESS
 
 
-def measure_hops(runs: int) -> list[HopFigure]:
-    """Measure and print each proxy at each rate."""
+def measure_hops(runs: int, names: Iterable[str]) -> list[HopFigure]:
+    """Measure and print the named proxies at each rate."""
     print(
-        f"{'proxy':18} {'rate/s':>6} {'direct p50':>11} {'p99 ms':>7}"
+        f"{'proxy':26} {'rate/s':>6} {'direct p50':>11} {'p99 ms':>7}"
         f" {'added p50':>10} {'p99 ms':>7} {'worst':>7} {'ratio p50':>10} {'p99':>5}"
         f" {'CPU ms':>7} {'failed':>7}"
     )
     hops = []
-    for starter in STARTERS.values():
+    for starter in (STARTERS[name] for name in names):
         for rate_per_s in RATES_PER_S:
             hops.append(_measure(starter, rate_per_s, runs))
             _print(hops[-1])
@@ -74,15 +78,13 @@
 def _measure(starter: ProxyStarter, rate_per_s: int, runs: int) -> HopFigure:
     with BenchProcess([_BACKEND]) as backend:
         backend_port = int(backend.read_line())
-        proxy, proxy_port = starter.start(backend_port)
-        with proxy:
-            pairs = [
-                (
-                    _run_window(backend_port, backend.pid, rate_per_s, seed),
-                    _run_window(proxy_port, proxy.pid, rate_per_s, seed),
-                )
-                for seed in range(1, runs + 1)
-            ]
+        with starter.start(backend_port) as proxy:
+            pairs = []
+            for seed in range(1, runs + 1):
+                proxy.renew()
+                direct = _run_window(backend_port, backend.pid, rate_per_s, seed)
+                through = _run_window(proxy.port, proxy.pid, rate_per_s, seed)
+                pairs.append((direct, through))
     return _summarise(starter.name, rate_per_s, pairs)
 
 
@@ -136,7 +138,7 @@
 
 def _print(hop: HopFigure) -> None:
     print(
-        f"{hop['proxy']:18} {hop['rate_per_s']:6} {hop['direct_p50_s'] * 1e3:11.2f}"
+        f"{hop['proxy']:26} {hop['rate_per_s']:6} {hop['direct_p50_s'] * 1e3:11.2f}"
         f" {hop['direct_p99_s'] * 1e3:7.2f} {hop['added_p50_s'] * 1e3:10.2f}"
         f" {hop['added_p99_s'] * 1e3:7.2f} {hop['worst_added_p99_s'] * 1e3:7.2f}"
         f" {hop['ratio_p50']:10.2f} {hop['ratio_p99']:5.2f}"
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/process.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/process.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 from collections.abc import Mapping
 from collections.abc import Sequence
 from types import TracebackType
@@ -14,6 +15,7 @@
 _USER_TIME_FIELD = 11  # counted from behind the command's closing bracket
 _SYSTEM_TIME_FIELD = 12
 _STOP_TIMEOUT_S = 10.0
+_ERROR_CHARACTERS = 2_000
 
 
 class Usage(NamedTuple):
@@ -52,10 +54,11 @@
     def __init__(
         self, arguments: Sequence[str], environment: Mapping[str, str] | None = None
     ) -> None:
+        self._errors = tempfile.TemporaryFile("w+")  # noqa: SIM115
         self._process = subprocess.Popen(
             [sys.executable, "-m", *arguments],
             stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE,
+            stderr=self._errors,
             env={**os.environ, "EVENTLET_NO_GREENDNS": "yes", **(environment or {})},
             text=True,
         )
@@ -83,11 +86,16 @@
 
     def output(self, timeout_s: float) -> str:
         """Wait for the process's end and return what it printed."""
-        output, errors = self._process.communicate(timeout=timeout_s)
+        output, _ = self._process.communicate(timeout=timeout_s)
         if self._process.returncode:
-            raise RuntimeError(f"bench process failed: {errors[-2000:]}")
+            raise RuntimeError(f"bench process failed: {self.errors()}")
         return output
 
+    def errors(self) -> str:
+        """Return the last of what the process wrote to its error output."""
+        self._errors.seek(0)
+        return self._errors.read()[-_ERROR_CHARACTERS:]
+
     def stop(self) -> None:
         """End the process if it still runs."""
         if self._process.poll() is None:
@@ -97,6 +105,6 @@
             except subprocess.TimeoutExpired:
                 self._process.kill()
                 self._process.wait()
-        for stream in (self._process.stdout, self._process.stderr):
-            if stream is not None:
-                stream.close()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+        self._errors.close()
