--- a/tests/unit/health/test_detectors.py
+++ b/tests/unit/health/test_detectors.py
@@ -32,7 +32,18 @@
         (FailureDetector(), [FAILED, *[FAST] * 9] * 20, False),
         (FailureDetector(), [SLOW] * 50, False),
     ],
-    ids=str,
+    ids=[
+        "slow",
+        "slow-thrice",
+        "three-stragglers",
+        "stragglers-among-fast",
+        "no-peers",
+        "failures-are-not-slow",
+        "failing",
+        "failing-half",
+        "failing-a-tenth",
+        "slow-is-no-failure",
+    ],
 )
 def test_scores(detector: Detector, samples: list[Sample], is_suspect: bool) -> None:
     for sample in samples:
@@ -40,7 +51,9 @@
     assert (detector.score >= SUSPECT_SCORE) is is_suspect
 
 
-@pytest.mark.parametrize("detector", [LatencyDetector(), FailureDetector()])
+@pytest.mark.parametrize(
+    "detector", [LatencyDetector(), FailureDetector()], ids=["slow", "failing"]
+)
 def test_a_score_is_bounded_and_fades(detector: Detector) -> None:
     for sample in [STRAGGLER, FAILED] * 100:
         detector.add(sample)
