--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -14,7 +14,12 @@
     summary: str
 
 
-COMMANDS: dict[str, Entry] = {}
+COMMANDS: dict[str, Entry] = {
+    "crest": Entry("traffic.crest", "Crest", "goodput and latency at a crest"),
+    "head-of-line": Entry(
+        "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
+    ),
+}
 
 
 def create_command(name: str) -> Command:
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions of a request on simulated servers."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
@@ -0,0 +1,293 @@
+"""Run several daemons' traffic before shared fake servers, in simulated time."""
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pimentobend_bench._internal.traffic.servers import FakeServer
+from pimentobend_bench._internal.traffic.servers import OverflowMode
+from pimentobend_bench._internal.traffic.servers import Work
+from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import LoadReport
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.traffic.messages import Acquire
+from pimentobend_core._internal.traffic.messages import Granted
+from pimentobend_core._internal.traffic.messages import Rejected
+from pimentobend_core._internal.traffic.messages import ServersChanged
+from pimentobend_core._internal.traffic.messages import TrafficInput
+from pimentobend_core._internal.traffic.messages import TrafficOutput
+from pimentobend_core._internal.traffic.messages import TrafficTick
+from pimentobend_core._internal.traffic.retries import RetryBudget
+
+TICK_S = 0.05
+REGION_LATENCY_S = 0.0005  # one way
+FAR_LATENCY_S = 0.03  # one way
+CLIENT_LATENCY_S = 0.001  # one way
+
+Traffic = StatefulFilter[TrafficInput, TrafficOutput]
+
+
+class Place(NamedTuple):
+    """Name a data centre and its region."""
+
+    data_centre: str
+    region: str
+
+
+class Shape(NamedTuple):
+    """Describe one service's servers and the daemons before them."""
+
+    name: str
+    servers: int
+    slots: int
+    daemons: int
+    places: tuple[Place, ...]
+    mean_service_s: float
+    mode: OverflowMode = OverflowMode.SHED
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return the requests of mean size that the slots can serve."""
+        return self.servers * self.slots / self.mean_service_s
+
+
+class Arrival(NamedTuple):
+    """Describe one request of a caller."""
+
+    at: float
+    daemon: int
+    route: str
+    organisation: str
+    service_s: float
+    timeout_s: float
+    is_straggler: bool
+
+
+class Outcome(NamedTuple):
+    """Tell how a request ended; a refusal has a reason."""
+
+    arrival: Arrival
+    ended_at: float
+    reason: str  # "answered", "late" or why it was refused
+    attempts: int
+
+    @property
+    def latency_s(self) -> float:
+        """Return the time since the request was due."""
+        return self.ended_at - self.arrival.at
+
+    @property
+    def is_good(self) -> bool:
+        """Say whether the answer came in time."""
+        return self.reason == "answered"
+
+
+class Request:
+    """Follow one request through its attempts."""
+
+    def __init__(self, arrival: Arrival) -> None:
+        self.arrival = arrival
+        self.deadline = arrival.at + arrival.timeout_s
+        self.excluded: frozenset[str] = frozenset()
+        self.attempts = 0
+
+
+class Simulation:
+    """Own the simulated clock, the servers and the daemons."""
+
+    def __init__(self, shape: Shape, create: Callable[[int, Place], Traffic]) -> None:
+        self._shape = shape
+        self._now = 0.0
+        self._count = 0
+        self._events: list[tuple[float, int, Callable[..., None], tuple[object, ...]]]
+        self._events = []
+        self._servers = _servers(shape)
+        self._fakes = {
+            server.server_id: FakeServer(server.slots, shape.mode, self._later)
+            for server in self._servers
+        }
+        self._places = [
+            shape.places[number % len(shape.places)] for number in range(shape.daemons)
+        ]
+        self._daemons = [
+            create(number, place) for number, place in enumerate(self._places)
+        ]
+        self._budgets = [RetryBudget() for _ in self._daemons]
+        self._waiting: dict[int, Request] = {}
+        self._outcomes: list[Outcome] = []
+        self._sheds = 0
+
+    @property
+    def outcomes(self) -> list[Outcome]:
+        """Return how every request ended."""
+        return self._outcomes
+
+    @property
+    def sheds(self) -> int:
+        """Return the attempts that servers shed."""
+        return self._sheds
+
+    @property
+    def busy_s(self) -> float:
+        """Return the slot seconds worked."""
+        return sum(fake.busy_s for fake in self._fakes.values())
+
+    def run(self, arrivals: list[Arrival]) -> list[Outcome]:
+        """Run all arrivals to their ends and return the outcomes."""
+        for number in range(len(self._daemons)):
+            self._give(number, ServersChanged(self._servers))
+            self._later(TICK_S * number / len(self._daemons), self._tick, number)
+        for arrival in arrivals:
+            self._at(arrival.at + CLIENT_LATENCY_S, self._arrive, Request(arrival))
+        expected = len(arrivals)
+        while self._events and len(self._outcomes) < expected:
+            self._now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        return self._outcomes
+
+    def _at(self, when: float, action: Callable[..., None], *args: object) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (when, self._count, action, args))
+
+    def _later(self, delay: float, action: Callable[..., None], *args: object) -> None:
+        self._at(self._now + delay, action, *args)
+
+    def _tick(self, number: int) -> None:
+        self._give(number, TrafficTick())
+        self._later(TICK_S, self._tick, number)
+
+    def _arrive(self, request: Request) -> None:
+        self._acquire(request, is_retry=False)
+
+    def _acquire(self, request: Request, is_retry: bool) -> None:
+        self._count += 1
+        ticket = self._count
+        self._waiting[ticket] = request
+        arrival = request.arrival
+        message = Acquire(
+            ticket=ticket,
+            route=arrival.route,
+            organisation=arrival.organisation,
+            deadline=request.deadline - CLIENT_LATENCY_S,
+            repeatable=True,
+            excluded=request.excluded,
+            is_retry=is_retry,
+        )
+        self._give(arrival.daemon, message)
+
+    def _give(self, number: int, message: TrafficInput) -> None:
+        for output in self._daemons[number].handle(message, self._now):
+            request = self._waiting.pop(output.ticket)
+            if isinstance(output, Rejected):
+                self._end(request, output.refusal.reason.value)
+            else:
+                self._send(number, request, output)
+
+    def _send(self, number: int, request: Request, granted: Granted) -> None:
+        request.attempts += 1
+        is_far = granted.server.region != self._places[number].region
+        latency_s = FAR_LATENCY_S if is_far else REGION_LATENCY_S
+        self._later(latency_s, self._serve, number, request, granted, latency_s)
+
+    def _serve(
+        self, number: int, request: Request, granted: Granted, latency_s: float
+    ) -> None:
+        fake = self._fakes[granted.server.server_id]
+
+        def answer(kind: AttemptKind) -> None:
+            self._later(
+                latency_s,
+                self._answered,
+                number,
+                request,
+                _ended(request, granted, kind, fake.report()),
+            )
+
+        work = Work(
+            request.arrival.service_s,
+            request.deadline,
+            lambda: answer(AttemptKind.ANSWERED),
+        )
+        if not fake.offer(work):
+            self._sheds += 1
+            answer(AttemptKind.REFUSED)
+
+    def _answered(self, number: int, request: Request, message: AttemptEnded) -> None:
+        self._give(number, message)
+        if message.kind is AttemptKind.ANSWERED:
+            self._budgets[number].note_success()
+            is_late = self._now + CLIENT_LATENCY_S > request.deadline
+            self._end(request, "late" if is_late else "answered")
+            return
+        request.excluded |= {message.server_id}
+        if self._budgets[number].may_retry(
+            message.kind, True, request.deadline, self._now
+        ):
+            self._acquire(request, is_retry=True)
+        else:
+            self._end(request, "backend")
+
+    def _end(self, request: Request, reason: str) -> None:
+        ended_at = self._now + CLIENT_LATENCY_S
+        self._outcomes.append(
+            Outcome(request.arrival, ended_at, reason, request.attempts)
+        )
+
+
+def _servers(shape: Shape) -> tuple[Server, ...]:
+    return tuple(
+        Server(
+            server_id=f"s{number:03}",
+            service=shape.name,
+            host="127.0.0.1",
+            port=8000 + number,
+            slots=shape.slots,
+            data_centre=shape.places[number % len(shape.places)].data_centre,
+            region=shape.places[number % len(shape.places)].region,
+            state=ServerState.READY,
+            incarnation=1,
+        )
+        for number in range(shape.servers)
+    )
+
+
+def _ended(
+    request: Request, granted: Granted, kind: AttemptKind, load: LoadReport
+) -> AttemptEnded:
+    return AttemptEnded(
+        ticket=granted.ticket,
+        pool="pool",
+        route=request.arrival.route,
+        server_id=granted.server.server_id,
+        kind=kind,
+        status=200 if kind is AttemptKind.ANSWERED else 503,
+        latency_s=0.0,
+        was_reused=True,
+        load=load,
+    )
+
+
+def create_arrivals(
+    shape: Shape,
+    seed: int,
+    until_s: float,
+    load: Callable[[float], float],
+    draw: Callable[[random.Random, float, int], Arrival],
+) -> list[Arrival]:
+    """Draw Poisson arrivals; ``load`` is a share of the capacity at a time."""
+    rng = random.Random(seed)
+    arrivals: list[Arrival] = []
+    peak = max(load(step * until_s / 1000) for step in range(1000))
+    now = 0.0
+    while True:
+        now += rng.expovariate(peak * shape.capacity_per_s)
+        if now >= until_s:
+            return arrivals
+        daemon = rng.randrange(shape.daemons)
+        arrival = draw(rng, now, daemon)
+        if rng.random() * peak < load(now):
+            arrivals.append(arrival)
--- a/packages/core/src/pimentobend_core/_internal/traffic/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/messages.py
@@ -18,6 +18,7 @@
     repeatable: bool
     excluded: frozenset[str]  # servers that earlier attempts used
     is_retry: bool
+    is_hedge: bool = False  # refused at once unless slots are to spare
 
 
 class Granted(NamedTuple):
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/traffic/refusals.py
@@ -0,0 +1,38 @@
+"""Build the refusals of a pool; each is given before any work starts."""
+
+import math
+import random
+
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
+
+RETRY_AFTER_LIMIT_S = 30
+STATUS_OVER_SHARE = 429
+STATUS_UNAVAILABLE = 503
+
+DETAILS = {
+    RefusalReason.QUEUE_FULL: "the pool's queue is full",
+    RefusalReason.FAIR_SHARE: "the organisation uses more than its share",
+    RefusalReason.DEADLINE: "the pool cannot answer before the deadline",
+    RefusalReason.NO_SERVER: "the pool has no usable backend server",
+}
+
+
+class Refusals:
+    """Build refusals whose Retry-After spreads the callers' return."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def build(self, reason: RefusalReason, wait_s: float) -> Refusal:
+        """Refuse for a reason, with the wait expected in seconds."""
+        spread_s = min(RETRY_AFTER_LIMIT_S, 1 + math.ceil(max(0.0, wait_s)))
+        is_over = reason is RefusalReason.FAIR_SHARE
+        return Refusal(
+            status=STATUS_OVER_SHARE if is_over else STATUS_UNAVAILABLE,
+            ran=Ran.NOT_RUN,
+            reason=reason,
+            detail=DETAILS[reason],
+            retry_after_s=1 + self._rng.randrange(spread_s),
+        )
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -0,0 +1,106 @@
+"""Bound retries and hedges by what succeeded lately."""
+
+from pimentobend_core._internal.models.request import AttemptKind
+
+RETRY_SHARE = 0.2  # of recent successes
+RETRY_FLOOR_PER_S = 2.0
+HEDGE_SHARE = 0.02  # of recent successes
+HEDGE_FLOOR_PER_S = 0.0
+CAPACITY_S = 5.0  # seconds' worth of floor that may be saved up
+CAPACITY_TOKENS = 20.0
+
+NOT_RUN_KINDS = (AttemptKind.REFUSED, AttemptKind.NOT_CONNECTED)
+
+
+class TokenBudget:
+    """Earn a share of a token for each success, and a floor with time."""
+
+    def __init__(self, share: float, floor_per_s: float) -> None:
+        self._share = share
+        self._floor_per_s = floor_per_s
+        self._capacity = CAPACITY_TOKENS + CAPACITY_S * floor_per_s
+        self._tokens = CAPACITY_S * floor_per_s
+        self._earned_at: float | None = None
+
+    @property
+    def tokens(self) -> float:
+        """Return the tokens at hand."""
+        return self._tokens
+
+    def earn(self) -> None:
+        """Count one success."""
+        self._tokens = min(self._capacity, self._tokens + self._share)
+
+    def spend(self, now: float) -> bool:
+        """Take a token at ``now`` (seconds); False when none is left."""
+        self._earn_floor(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _earn_floor(self, now: float) -> None:
+        if self._earned_at is not None:
+            earned = max(0.0, now - self._earned_at) * self._floor_per_s
+            self._tokens = min(self._capacity, self._tokens + earned)
+        self._earned_at = now
+
+
+def is_safe_to_repeat(kind: AttemptKind, repeatable: bool) -> bool:
+    """Say whether the work of an ended attempt may be sent once more."""
+    if kind in (AttemptKind.ANSWERED, AttemptKind.CANCELLED):
+        return False
+    return repeatable or kind in NOT_RUN_KINDS
+
+
+class RetryBudget:
+    """Allow retries out of a share of recent successes and a small floor."""
+
+    def __init__(
+        self, share: float = RETRY_SHARE, floor_per_s: float = RETRY_FLOOR_PER_S
+    ) -> None:
+        self._budget = TokenBudget(share, floor_per_s)
+
+    @property
+    def tokens(self) -> float:
+        """Return the retries at hand."""
+        return self._budget.tokens
+
+    def note_success(self) -> None:
+        """Count one request that was answered."""
+        self._budget.earn()
+
+    def may_retry(
+        self, kind: AttemptKind, repeatable: bool, deadline: float, now: float
+    ) -> bool:
+        """Say whether an ended attempt may be retried, and spend a token if so.
+
+        ``deadline`` and ``now`` are in seconds of the clock.
+        """
+        if now >= deadline or not is_safe_to_repeat(kind, repeatable):
+            return False
+        return self._budget.spend(now)
+
+
+class HedgeBudget:
+    """Allow a second attempt on slow repeatable work out of spare budget."""
+
+    def __init__(
+        self, share: float = HEDGE_SHARE, floor_per_s: float = HEDGE_FLOOR_PER_S
+    ) -> None:
+        self._budget = TokenBudget(share, floor_per_s)
+
+    @property
+    def tokens(self) -> float:
+        """Return the hedges at hand."""
+        return self._budget.tokens
+
+    def note_success(self) -> None:
+        """Count one request that was answered."""
+        self._budget.earn()
+
+    def may_hedge(self, repeatable: bool, deadline: float, now: float) -> bool:
+        """Say whether a hedge may be sent, and spend a token if so."""
+        if not repeatable or now >= deadline:
+            return False
+        return self._budget.spend(now)
--- /dev/null
+++ b/tests/unit/traffic/test_retries.py
@@ -0,0 +1,69 @@
+"""Check which attempts may be repeated, and how often."""
+
+import pytest
+
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.traffic.retries import HedgeBudget
+from pimentobend_core._internal.traffic.retries import RetryBudget
+
+
+@pytest.mark.parametrize(
+    ("kind", "repeatable", "allowed"),
+    [
+        (AttemptKind.REFUSED, False, True),
+        (AttemptKind.REFUSED, True, True),
+        (AttemptKind.NOT_CONNECTED, False, True),
+        (AttemptKind.NOT_CONNECTED, True, True),
+        (AttemptKind.NO_ANSWER, False, False),
+        (AttemptKind.NO_ANSWER, True, True),
+        (AttemptKind.TRUNCATED, False, False),
+        (AttemptKind.TRUNCATED, True, True),
+        (AttemptKind.ANSWERED, False, False),
+        (AttemptKind.ANSWERED, True, False),
+        (AttemptKind.CANCELLED, False, False),
+        (AttemptKind.CANCELLED, True, False),
+    ],
+)
+def test_only_safe_work_is_retried(
+    kind: AttemptKind, repeatable: bool, allowed: bool
+) -> None:
+    assert RetryBudget().may_retry(kind, repeatable, 10.0, 1.0) is allowed
+
+
+@pytest.mark.parametrize(("deadline", "allowed"), [(0.5, False), (1.0, False)])
+def test_nothing_is_retried_after_the_deadline(deadline: float, allowed: bool) -> None:
+    budget = RetryBudget()
+    assert budget.may_retry(AttemptKind.REFUSED, True, deadline, 1.0) is allowed
+
+
+@pytest.mark.parametrize("failures", [100, 10_000])
+@pytest.mark.parametrize("successes", [0, 50, 1000])
+def test_retries_stay_within_a_share(successes: int, failures: int) -> None:
+    budget = RetryBudget(share=0.2, floor_per_s=2.0)
+    for _ in range(successes):
+        budget.note_success()
+    retries = sum(
+        budget.may_retry(AttemptKind.NO_ANSWER, True, 9.0, 0.0) for _ in range(failures)
+    )
+    assert 10 <= retries <= 10 + 0.2 * successes
+
+
+def test_floor_returns_with_time() -> None:
+    budget = RetryBudget(share=0.0, floor_per_s=2.0)
+    while budget.may_retry(AttemptKind.REFUSED, True, 9.0, 0.0):
+        pass
+    allowed = [budget.may_retry(AttemptKind.REFUSED, True, 9.0, 1.0) for _ in range(3)]
+    assert allowed == [True, True, False]
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "successes", "allowed"),
+    [(True, 100, True), (True, 0, False), (False, 100, False)],
+)
+def test_hedges_need_repeatable_work_and_successes(
+    repeatable: bool, successes: int, allowed: bool
+) -> None:
+    budget = HedgeBudget()
+    for _ in range(successes):
+        budget.note_success()
+    assert budget.may_hedge(repeatable, 9.0, 0.0) is allowed
