--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -19,6 +19,21 @@
     "head-of-line": Entry(
         "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
     ),
+    "slopes": Entry(
+        "capacity.slopes",
+        "SlopesCommand",
+        "memory, bytes and CPU against sizes, with a line fitted",
+    ),
+    "hop": Entry(
+        "capacity.hop.command",
+        "HopCommand",
+        "CPU a request and added latency of one hop, real processes",
+    ),
+    "slope-point": Entry(
+        "capacity.point",
+        "PointCommand",
+        "take one reading of one probe in a fresh process",
+    ),
 }
 
 
