--- a/tests/unit/traffic/test_retries.py
+++ b/tests/unit/traffic/test_retries.py
@@ -70,9 +70,9 @@
     assert budget.may_hedge(repeatable, 9.0, 0.0) is allowed
 
 
-@pytest.mark.parametrize(("pool", "allowed"), [("bookings", 10), ("catalogue", 30)])
+@pytest.mark.parametrize(("pool", "allowed"), [("bookings", 10), ("catalogue", 22)])
 def test_each_pool_has_its_own_budget(pool: str, allowed: int) -> None:
-    policy = BudgetedRetries(share=0.2, floor_per_s=2.0)
+    policy = BudgetedRetries(share=0.125, floor_per_s=2.0)
     for _ in range(100):
         policy.succeeded("catalogue", 0.0)
     assert sum(policy.may_retry(pool, 0.0) for _ in range(1000)) == allowed
