--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -195,10 +195,9 @@
         return tuple(given)
 
     def _serve_next(self, now: float) -> TrafficOutput | None:
-        for_size = {
-            size: self._candidates(size, now, allow_far=False) for size in SizeClass
-        }
-        sizes = tuple(size for size in SizeClass if for_size[size])
+        waiting = self._queue.sizes()
+        for_size = {size: self._candidates(size, now, False) for size in waiting}
+        sizes = tuple(size for size in waiting if for_size[size])
         for entry in self._queue.first(sizes, SCAN_DEPTH):
             message = entry.message
             if self._is_hopeless(message, now):
--- a/packages/core/src/pimentobend_core/_internal/traffic/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/roster.py
@@ -8,8 +8,9 @@
 from pimentobend_core._internal.traffic.selection import Candidate
 from pimentobend_core._internal.traffic.selection import Proximity
 from pimentobend_core._internal.traffic.slots import ServerSlots
+from pimentobend_core._internal.traffic.slots import SlotsView
 
-SPARE_SLOTS = 2.0  # free slots that leave one behind
+FAR_SLOTS_KEPT = 1.0  # a server
 
 
 class Roster:
@@ -81,20 +82,15 @@
         Servers of another region are given when no near one is usable, or
         when ``allow_far`` is set and they have slots to spare.
         """
-        usable = [slots for slots in self._slots.values() if slots.is_usable]
-        near = [slots for slots in usable if self._is_near(slots)]
-        found = [
-            self._candidate(slots, now, hold_s)
-            for slots in near or usable
-            if self._has_room(slots, now, hold_s, spare)
-        ]
-        if allow_far and near:
-            found += [
-                self._candidate(slots, now, hold_s)
-                for slots in usable
-                if not self._is_near(slots)
-                and self._has_room(slots, now, hold_s, SPARE_SLOTS - 1)
+        reach = self._in_reach()
+        found = self._with_room(reach, now, hold_s, spare)
+        if allow_far and reach and self._is_near(reach[0]):
+            far = [
+                slots
+                for slots in self._slots.values()
+                if slots.is_usable and not self._is_near(slots)
             ]
+            found += self._with_room(far, now, hold_s, FAR_SLOTS_KEPT)
         return found
 
     def barred(self, excluded: frozenset[str], now: float) -> frozenset[str]:
@@ -103,14 +99,13 @@
         A server that only lacked a free slot may. Once every server in reach
         was tried, all of them may.
         """
-        usable = [slots for slots in self._slots.values() if slots.is_usable]
-        near = [slots for slots in usable if self._is_near(slots)]
+        reach = self._in_reach()
         barred = frozenset(
             slots.server.server_id
-            for slots in near or usable
+            for slots in reach
             if slots.server.server_id in excluded and slots.is_failing(now)
         )
-        return barred if len(barred) < len(near or usable) else frozenset()
+        return barred if len(barred) < len(reach) else frozenset()
 
     def dump(self, now: float, hold_s: float) -> dict[str, object]:
         """Return the state as JSON-compatible values."""
@@ -130,22 +125,30 @@
     def _is_near(self, slots: ServerSlots) -> bool:
         return slots.server.region == self._local_region
 
-    @staticmethod
-    def _has_room(slots: ServerSlots, now: float, hold_s: float, spare: float) -> bool:
-        # A server with a single slot has none to keep back.
-        kept = spare if slots.server.slots > 1 else 0.0
-        return slots.free(now, hold_s) >= 1.0 + kept
+    def _in_reach(self) -> list[ServerSlots]:
+        """Return the usable servers of this region, or else all usable ones."""
+        usable = [slots for slots in self._slots.values() if slots.is_usable]
+        return [slots for slots in usable if self._is_near(slots)] or usable
 
-    def _candidate(self, slots: ServerSlots, now: float, hold_s: float) -> Candidate:
-        server = slots.server
+    def _with_room(
+        self, some: list[ServerSlots], now: float, hold_s: float, spare: float
+    ) -> list[Candidate]:
+        found = []
+        for slots in some:
+            view = slots.view(now, hold_s)
+            # A server with a single slot has none to keep back.
+            kept = spare if slots.server.slots > 1 else 0.0
+            if view.free >= 1.0 + kept:
+                found.append(self._candidate(slots.server, view))
+        return found
+
+    def _candidate(self, server: Server, view: SlotsView) -> Candidate:
         proximity = Proximity.FAR
         if server.region == self._local_region:
             proximity = Proximity.REGION
         if server.data_centre == self._local_data_centre:
             proximity = Proximity.DATA_CENTRE
-        return Candidate(
-            server.server_id, proximity, slots.load(now, hold_s), slots.weight(now)
-        )
+        return Candidate(server.server_id, proximity, view.load, view.weight)
 
     def _forget(self, server_id: str) -> None:
         slots = self._slots[server_id]
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -1,6 +1,7 @@
 """Estimate the free slots of backend servers that several daemons share."""
 
 import math
+from typing import NamedTuple
 
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -21,6 +22,14 @@
 )
 
 
+class SlotsView(NamedTuple):
+    """Describe a server at one moment."""
+
+    free: float  # slots
+    load: float  # share of the slots in use, failures added
+    weight: float  # share of its normal traffic
+
+
 class ServerSlots:
     """Follow one server: own requests, the others' and its weight.
 
@@ -99,20 +108,21 @@
 
     def others(self, now: float, hold_s: float) -> float:
         """Estimate the requests that other daemons have on the server."""
+        if not self._others:
+            return 0.0
         pace_s = hold_s * 2 ** self._backoff_now(now)
         age_s = max(0.0, now - self._others_at)
-        return self._others * math.exp(-age_s / pace_s) if self._others else 0.0
+        return self._others * math.exp(-age_s / pace_s)
 
-    def free(self, now: float, hold_s: float) -> float:
-        """Estimate the slots that one more request may take."""
-        limit = math.ceil(self._server.slots * self.weight(now))
-        return limit - self._in_flight - self.others(now, hold_s)
-
-    def load(self, now: float, hold_s: float) -> float:
-        """Return the share of slots in use, recent failures added."""
-        slots = max(1, self._server.slots)
+    def view(self, now: float, hold_s: float) -> SlotsView:
+        """Estimate what the server can take, failures added to its load."""
+        weight = self.weight(now)
         in_use = self._in_flight + self.others(now, hold_s)
-        return in_use / slots + self._failures_now(now)
+        return SlotsView(
+            free=math.ceil(self._server.slots * weight) - in_use,
+            load=in_use / max(1, self._server.slots) + self._failures_now(now),
+            weight=weight,
+        )
 
     def is_failing(self, now: float) -> bool:
         """Say whether attempts on the server failed lately."""
--- a/packages/core/src/pimentobend_core/_internal/traffic/waiting.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/waiting.py
@@ -87,6 +87,10 @@
         """Return how many waiting requests are served before this one."""
         return sum(bisect.bisect_left(lane, entry) for lane in self._lanes.values())
 
+    def sizes(self) -> tuple[SizeClass, ...]:
+        """Return the size classes of which any request waits."""
+        return tuple(size for size, lane in self._lanes.items() if lane)
+
     def first(self, sizes: tuple[SizeClass, ...], depth: int) -> list[Waiting]:
         """Return up to ``depth`` entries a lane, the first to be served first."""
         heads = [entry for size in sizes for entry in self._lanes[size][:depth]]
