Let the load of a server age towards the pool's usual load

Cause: an old report faded to nothing, so that unknown servers looked idle. Change: as a report ages, the load tends to the share that other daemons use in the pool; the benches run a named policy only.

--- a/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
@@ -10,9 +10,9 @@
 from pimentobend_bench._internal.command import Status
 from pimentobend_bench._internal.traffic.servers import OverflowMode
 from pimentobend_bench._internal.traffic.shapes import PIMENTOBEND
-from pimentobend_bench._internal.traffic.shapes import POLICIES
 from pimentobend_bench._internal.traffic.shapes import SHAPES
 from pimentobend_bench._internal.traffic.shapes import Policy
+from pimentobend_bench._internal.traffic.shapes import named
 from pimentobend_bench._internal.traffic.shapes import quantile
 from pimentobend_bench._internal.traffic.simulation import Arrival
 from pimentobend_bench._internal.traffic.simulation import Outcome
@@ -51,7 +51,7 @@
     """Raise demand to several times its mean within a second."""
 
     name = "crest"
-    usage = "crest [--seed N] [--multiple X ...] [--mode shed|backlog] [--shape TEXT]"
+    usage = "crest [--seed N] [--multiple X ...] [--mode shed|backlog] [--shape T]"
     summary = "goodput and latency at a crest of demand"
 
     def run(self, args: Sequence[str]) -> Status:
@@ -69,7 +69,7 @@
             if options.shape not in shape.name:
                 continue
             for multiple in options.multiple:
-                for policy in POLICIES:
+                for policy in named(options.policy):
                     result = measure(
                         shape._replace(mode=mode), policy, multiple, options.seed
                     )
@@ -144,4 +144,5 @@
     parser.add_argument("--multiple", type=float, nargs="+", default=[3.0, 5.0])
     parser.add_argument("--mode", choices=("shed", "backlog"), default="shed")
     parser.add_argument("--shape", default="")
+    parser.add_argument("--policy", default="")
     return parser.parse_args(args)
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
@@ -9,9 +9,9 @@
 from pimentobend_bench._internal.command import Status
 from pimentobend_bench._internal.traffic.servers import OverflowMode
 from pimentobend_bench._internal.traffic.shapes import PIMENTOBEND
-from pimentobend_bench._internal.traffic.shapes import POLICIES
 from pimentobend_bench._internal.traffic.shapes import SHAPES
 from pimentobend_bench._internal.traffic.shapes import Policy
+from pimentobend_bench._internal.traffic.shapes import named
 from pimentobend_bench._internal.traffic.shapes import quantile
 from pimentobend_bench._internal.traffic.simulation import Arrival
 from pimentobend_bench._internal.traffic.simulation import Outcome
@@ -71,7 +71,7 @@
             for load in options.load:
                 for own_route in (False, True):
                     run = Run(shape._replace(mode=mode), load, own_route, options.seed)
-                    missed += _compare(run)
+                    missed += _compare(run, named(options.policy))
         print(f"{missed} rows of pimentobend above the target of {TARGET_RATIO}")
         return Status.TARGET_MISSED if missed else Status.SUCCESS
 
@@ -114,10 +114,10 @@
     )
 
 
-def _compare(run: Run) -> int:
+def _compare(run: Run, policies: Sequence[Policy]) -> int:
     """Print the rows of one run and return how many miss the target."""
     missed = 0
-    for policy in POLICIES:
+    for policy in policies:
         without = measure(run, policy, 0.0)
         behind = measure(run, policy, STRAGGLER_SHARE)
         ratio = behind.p99_ms / without.p99_ms
@@ -140,4 +140,5 @@
     parser.add_argument("--load", type=float, nargs="+", default=[0.5])
     parser.add_argument("--mode", choices=("shed", "backlog"), default="shed")
     parser.add_argument("--shape", default="")
+    parser.add_argument("--policy", default="")
     return parser.parse_args(args)
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/shapes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/shapes.py
@@ -64,6 +64,11 @@
 POLICIES = (PIMENTOBEND, ROUND_ROBIN, FIFO_QUEUE)
 
 
+def named(text: str) -> list[Policy]:
+    """Return the policies whose name holds ``text``."""
+    return [policy for policy in POLICIES if text in policy.name]
+
+
 def quantile(values: Sequence[float], share: float) -> float:
     """Return a quantile by nearest rank, or NaN of nothing."""
     if not values:
--- a/packages/core/src/pimentobend_core/_internal/traffic/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/roster.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.traffic.slots import SlotsView
 
 FAR_SLOTS_KEPT = 1.0  # a server
+USUAL_GAIN = 0.05
 
 
 class Roster:
@@ -21,6 +22,7 @@
         self._local_region = local_region
         self._slots: dict[str, ServerSlots] = {}
         self._health: dict[str, float] = {}
+        self._usual_share = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -72,7 +74,10 @@
         self, server_id: str, message: AttemptEnded, was_probe: bool, now: float
     ) -> None:
         """Learn from an ended attempt, before its release."""
-        self._slots[server_id].note_end(message, was_probe, now)
+        slots = self._slots[server_id]
+        slots.note_end(message, was_probe, now)
+        if message.load is not None:
+            self._usual_share += USUAL_GAIN * (slots.others_share - self._usual_share)
 
     def free(
         self, now: float, hold_s: float, spare: float, allow_far: bool
@@ -135,7 +140,7 @@
     ) -> list[Candidate]:
         found = []
         for slots in some:
-            view = slots.view(now, hold_s)
+            view = slots.view(now, hold_s, self._usual_share)
             # A server with a single slot has none to keep back.
             kept = spare if slots.server.slots > 1 else 0.0
             if view.free >= 1.0 + kept:
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -45,7 +45,7 @@
         self._health_weight = 1.0
         self._in_flight = 0
         self._others = 0.0
-        self._others_at = 0.0
+        self._others_at = float("-inf")
         self._backoff = 0.0
         self._backoff_at = 0.0
         self._failures = 0.0
@@ -56,6 +56,11 @@
         """Return the server as it last announced itself."""
         return self._server
 
+    @property
+    def others_share(self) -> float:
+        """Return the share of slots that the others had at the last report."""
+        return min(1.0, self._others / max(1, self._server.slots))
+
     @property
     def in_flight(self) -> int:
         """Return the requests that this daemon has on the server."""
@@ -108,19 +113,24 @@
 
     def others(self, now: float, hold_s: float) -> float:
         """Estimate the requests that other daemons have on the server."""
-        if not self._others:
-            return 0.0
-        pace_s = hold_s * 2 ** self._backoff_now(now)
-        age_s = max(0.0, now - self._others_at)
-        return self._others * math.exp(-age_s / pace_s)
+        return self._others * self._freshness(now, hold_s)
+
+    def view(self, now: float, hold_s: float, usual_share: float) -> SlotsView:
+        """Estimate what the server can take, failures added to its load.
 
-    def view(self, now: float, hold_s: float) -> SlotsView:
-        """Estimate what the server can take, failures added to its load."""
+        As a report ages, the load tends to ``usual_share``, the share of
+        slots that other daemons use in the pool, and the free slots to what
+        a probe may try.
+        """
         weight = self.weight(now)
-        in_use = self._in_flight + self.others(now, hold_s)
+        slots = max(1, self._server.slots)
+        freshness = self._freshness(now, hold_s)
+        others = self._others * freshness
+        usual = usual_share * slots * (1.0 - freshness)
+        load = (self._in_flight + others + usual) / slots
         return SlotsView(
-            free=math.ceil(self._server.slots * weight) - in_use,
-            load=in_use / max(1, self._server.slots) + self._failures_now(now),
+            free=math.ceil(self._server.slots * weight) - self._in_flight - others,
+            load=load + self._failures_now(now),
             weight=weight,
         )
 
@@ -155,6 +165,11 @@
             # The report counts the request that it came with.
             self._set_others(end.load.in_use - self._in_flight, now)
 
+    def _freshness(self, now: float, hold_s: float) -> float:
+        """Return the share of the reported requests that still run."""
+        pace_s = hold_s * 2 ** self._backoff_now(now)
+        return math.exp(-max(0.0, now - self._others_at) / pace_s)
+
     def _set_others(self, others: int, now: float) -> None:
         self._others = float(min(max(0, others), OTHERS_LIMIT * self._server.slots))
         self._others_at = now
