Offer work that full servers refused unrun more often, at a smaller price

Cause: with several daemons before a server, a report is old by the time it is used; three attempts were too few and 2 to 4 % of short requests gave up at half load, though a refusal by a full server costs it almost nothing. Change: up to 8 offers while every ending is a refusal, each for a quarter of a retry's token; other endings keep 3 attempts. RetryPolicy gains may_offer_again, which falls back to may_retry.

--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -6,6 +6,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.pipes import Filter
@@ -16,6 +17,7 @@
 from pimentobend_core._internal.request.stages import Judged
 
 MAX_ATTEMPTS = 3
+MAX_OFFERS = 8  # of work that every server so far refused unrun
 _STRENGTH = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
 
 
@@ -26,6 +28,10 @@
     def may_retry(self, pool: str, now: float) -> bool:
         """Take one retry from the pool's budget at ``now`` (seconds)."""
 
+    def may_offer_again(self, pool: str, now: float) -> bool:
+        """Take one retry of work that a server refused unrun."""
+        return self.may_retry(pool, now)
+
     @abc.abstractmethod
     def succeeded(self, pool: str, now: float) -> None:
         """Credit the pool's budget with a success at ``now`` (seconds)."""
@@ -65,14 +71,22 @@
             if judged.refusal is None:
                 self._policy.succeeded(pool, now)
             return False
-        if attempts >= MAX_ATTEMPTS or now >= value.head.deadline:
+        if now >= value.head.deadline:
             return False
-        if not self._policy.may_retry(pool, now):
+        if not self._may_afford(judged.attempted.kind, pool, attempts, now):
             return False
         if judged.attempted.body is not None:
             judged.attempted.body.close()
         return True
 
+    def _may_afford(
+        self, kind: AttemptKind, pool: str, attempts: int, now: float
+    ) -> bool:
+        if kind is AttemptKind.REFUSED:
+            may_offer = self._policy.may_offer_again
+            return attempts < MAX_OFFERS and may_offer(pool, now)
+        return attempts < MAX_ATTEMPTS and self._policy.may_retry(pool, now)
+
 
 def _outcome(judged: Judged, ran: Ran, attempts: int) -> Result[Finished, Refusal]:
     if judged.refusal is not None:
--- a/packages/core/src/pimentobend_core/_internal/traffic/policy.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/policy.py
@@ -1,6 +1,7 @@
 """Give each pool a retry budget of its own."""
 
 from pimentobend_core._internal.request.dispatch import RetryPolicy
+from pimentobend_core._internal.traffic.retries import OFFER_COST
 from pimentobend_core._internal.traffic.retries import RETRY_FLOOR_PER_S
 from pimentobend_core._internal.traffic.retries import RETRY_SHARE
 from pimentobend_core._internal.traffic.retries import TokenBudget
@@ -20,6 +21,10 @@
         """Take one retry from the pool's budget at ``now`` (seconds)."""
         return self._budget(pool).spend(now)
 
+    def may_offer_again(self, pool: str, now: float) -> bool:
+        """Take one retry of work that a server refused unrun."""
+        return self._budget(pool).spend(now, OFFER_COST)
+
     def succeeded(self, pool: str, now: float) -> None:
         """Credit the pool's budget with a success at ``now`` (seconds)."""
         self._budget(pool).earn()
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -4,6 +4,7 @@
 
 RETRY_SHARE = 0.2  # of recent successes
 RETRY_FLOOR_PER_S = 2.0
+OFFER_COST = 0.25  # tokens; a refusal before the work costs a server little
 HEDGE_SHARE = 0.02  # of recent successes
 HEDGE_FLOOR_PER_S = 0.0
 CAPACITY_S = 5.0  # seconds' worth of floor that may be saved up
@@ -31,12 +32,12 @@
         """Count one success."""
         self._tokens = min(self._capacity, self._tokens + self._share)
 
-    def spend(self, now: float) -> bool:
-        """Take a token at ``now`` (seconds); False when none is left."""
+    def spend(self, now: float, cost: float = 1.0) -> bool:
+        """Take ``cost`` tokens at ``now`` (seconds); False when they are spent."""
         self._earn_floor(now)
-        if self._tokens < 1.0:
+        if self._tokens < cost:
             return False
-        self._tokens -= 1.0
+        self._tokens -= cost
         return True
 
     def _earn_floor(self, now: float) -> None:
@@ -79,7 +80,8 @@
         """
         if now >= deadline or not is_safe_to_repeat(kind, repeatable):
             return False
-        return self._budget.spend(now)
+        cost = OFFER_COST if kind is AttemptKind.REFUSED else 1.0
+        return self._budget.spend(now, cost)
 
 
 class HedgeBudget:
