Bound attempts beyond the reported slots by a budget

Cause: each server's own pause after a refusal grew with every refusal, so that a daemon waited while slots were free elsewhere; stragglers moved the mean by which reports age. Change: a probe, which goes beyond what the last report showed, takes a token; an answer earns a quarter of one and a probe's answer its own token back; reports age by the median; a route is classed after 8 samples.

--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -21,6 +21,7 @@
 from pimentobend_core._internal.traffic.messages import TrafficOutput
 from pimentobend_core._internal.traffic.messages import TrafficTick
 from pimentobend_core._internal.traffic.refusals import Refusals
+from pimentobend_core._internal.traffic.retries import TokenBudget
 from pimentobend_core._internal.traffic.roster import Roster
 from pimentobend_core._internal.traffic.selection import Candidate
 from pimentobend_core._internal.traffic.selection import LeastLoadedOfFew
@@ -34,6 +35,8 @@
 
 WAIT_SHARE = 0.5  # of the time left when a request arrives
 FAR_ROUND_TRIP_S = 0.06
+PROBE_SHARE = 0.25  # of answers
+PROBE_FLOOR_PER_S = 5.0
 SCAN_DEPTH = 4  # entries a lane
 SHORT_SLOTS_KEPT = 1.0  # a server
 
@@ -67,6 +70,7 @@
         self._times = RouteTimes()
         self._shares = FairShares(seed)
         self._refusals = Refusals(rng)
+        self._probes = TokenBudget(PROBE_SHARE, PROBE_FLOOR_PER_S)
         self._in_flight: dict[int, InFlight] = {}
         self._now = 0.0
 
@@ -98,10 +102,11 @@
             "queued": len(self._queue),
             "queue_limit": self._pool.queue_limit,
             "in_flight": len(self._in_flight),
+            "probes": round(self._probes.tokens, 2),
             "organisations": self._shares.active,
             "long_routes": sorted(self._times.long_routes),
             "mean_hold_s": round(self._times.pool.mean_s, 4),
-            "servers": self._roster.dump(self._now, self._times.pool.mean_s),
+            "servers": self._roster.dump(self._now, self._times.pool.usual_s),
         }
 
     def _acquire(self, message: Acquire, now: float) -> tuple[TrafficOutput, ...]:
@@ -159,9 +164,7 @@
     def _hedge(self, message: Acquire, size: SizeClass, now: float) -> TrafficOutput:
         """Grant a hedge only a slot that nobody waits for."""
         if not len(self._queue):
-            spare = self._roster.free(
-                now, self._times.pool.mean_s, SHORT_SLOTS_KEPT, allow_far=False
-            )
+            spare = self._candidates(SizeClass.LONG, now, allow_far=False)
             fresh = [one for one in spare if one.server_id not in message.excluded]
             if fresh:
                 return self._grant(message, self._selector.select(fresh), now)
@@ -171,6 +174,8 @@
         held = self._in_flight.pop(message.ticket, None)
         if held is None:
             return
+        if message.kind is AttemptKind.ANSWERED:
+            self._probes.earn(1.0 if held.is_probe else PROBE_SHARE)
         is_whole = message.kind is AttemptKind.ANSWERED and message.status < 500
         if is_whole:
             self._times.note(held.route, now - held.granted_at, now)
@@ -213,7 +218,11 @@
         self, size: SizeClass, now: float, allow_far: bool
     ) -> list[Candidate]:
         spare = SHORT_SLOTS_KEPT if size is SizeClass.LONG else 0.0
-        return self._roster.free(now, self._times.pool.mean_s, spare, allow_far)
+        hold_s = self._times.pool.usual_s
+        found = self._roster.free(now, hold_s, spare, allow_far)
+        if self._probes.can_spend(now):
+            return found
+        return [candidate for candidate in found if not candidate.is_probe]
 
     def _choose(
         self, message: Acquire, candidates: list[Candidate], now: float
@@ -225,9 +234,11 @@
         return self._selector.select(candidates) if candidates else None
 
     def _grant(self, message: Acquire, chosen: Candidate, now: float) -> Granted:
-        is_probe = self._roster.take(chosen.server_id)
+        self._roster.take(chosen.server_id)
+        if chosen.is_probe:
+            self._probes.spend(now)
         self._in_flight[message.ticket] = InFlight(
-            chosen.server_id, message.route, now, is_probe
+            chosen.server_id, message.route, now, chosen.is_probe
         )
         return Granted(message.ticket, self._roster.server(chosen.server_id))
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -28,9 +28,15 @@
         """Return the tokens at hand."""
         return self._tokens
 
-    def earn(self) -> None:
-        """Count one success."""
-        self._tokens = min(self._capacity, self._tokens + self._share)
+    def earn(self, tokens: float | None = None) -> None:
+        """Count one success, worth the budget's share or some other tokens."""
+        earned = self._share if tokens is None else tokens
+        self._tokens = min(self._capacity, self._tokens + earned)
+
+    def can_spend(self, now: float) -> bool:
+        """Say whether a token is at hand at ``now`` (seconds)."""
+        self._earn_floor(now)
+        return self._tokens >= 1.0
 
     def spend(self, now: float, cost: float = 1.0) -> bool:
         """Take ``cost`` tokens at ``now`` (seconds); False when they are spent."""
--- a/packages/core/src/pimentobend_core/_internal/traffic/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/roster.py
@@ -153,7 +153,9 @@
             proximity = Proximity.REGION
         if server.data_centre == self._local_data_centre:
             proximity = Proximity.DATA_CENTRE
-        return Candidate(server.server_id, proximity, view.load, view.weight)
+        return Candidate(
+            server.server_id, proximity, view.load, view.weight, view.is_probe
+        )
 
     def _forget(self, server_id: str) -> None:
         slots = self._slots[server_id]
--- a/packages/core/src/pimentobend_core/_internal/traffic/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/selection.py
@@ -25,6 +25,7 @@
     proximity: Proximity
     load: float  # share of its slots in use, failures added
     weight: float  # share of its normal traffic, above 0 and up to 1
+    is_probe: bool  # the last report showed no free slot
 
 
 class Selector(abc.ABC):
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -28,6 +28,7 @@
     free: float  # slots
     load: float  # share of the slots in use, failures added
     weight: float  # share of its normal traffic
+    is_probe: bool  # the last report showed no free slot
 
 
 class ServerSlots:
@@ -132,6 +133,7 @@
             free=math.ceil(self._server.slots * weight) - self._in_flight - others,
             load=load + self._failures_now(now),
             weight=weight,
+            is_probe=self._in_flight + 1 + self._others > self._server.slots,
         )
 
     def is_failing(self, now: float) -> bool:
@@ -153,7 +155,7 @@
     def note_end(self, end: AttemptEnded, was_probe: bool, now: float) -> None:
         """Learn from an ended attempt, before its release."""
         if end.kind is AttemptKind.REFUSED:
-            self._change_backoff(1.0, now)
+            self._change_backoff(0.0, now)
             self._set_others(self._server.slots - self._in_flight + 1, now)
             return
         if end.kind in FAILED_KINDS or end.status >= 500:
--- a/packages/core/src/pimentobend_core/_internal/traffic/times.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/times.py
@@ -8,7 +8,7 @@
 AGE_HALF_LIFE_S = 30.0
 ACTIVE_ROUTE_S = 60.0
 CLASSIFY_EVERY_S = 1.0
-LEARNT_SAMPLES = 20
+LEARNT_SAMPLES = 8
 LONG_MULTIPLE = 4.0
 STRAGGLER_MULTIPLE = 4.0
 MEAN_GAIN = 0.02
@@ -79,6 +79,13 @@
         """Return the median."""
         return self._median.value
 
+    @property
+    def usual_s(self) -> float:
+        """Return the time after which a report on slots is half forgotten."""
+        if not self._samples:
+            return DEFAULT_HOLD_S
+        return max(LEAST_HOLD_S, self._median.value)
+
     @property
     def noted_at(self) -> float:
         """Return when the last request ended."""
--- a/tests/unit/traffic/test_retries.py
+++ b/tests/unit/traffic/test_retries.py
@@ -49,12 +49,16 @@
     assert 10 <= retries <= 10 + 0.2 * successes
 
 
-def test_floor_returns_with_time() -> None:
+@pytest.mark.parametrize(
+    ("kind", "returned"),
+    [(AttemptKind.NOT_CONNECTED, 2), (AttemptKind.REFUSED, 8)],
+)
+def test_floor_returns_with_time(kind: AttemptKind, returned: int) -> None:
     budget = RetryBudget(share=0.0, floor_per_s=2.0)
-    while budget.may_retry(AttemptKind.REFUSED, True, 9.0, 0.0):
+    while budget.may_retry(kind, True, 9.0, 0.0):
         pass
-    allowed = [budget.may_retry(AttemptKind.REFUSED, True, 9.0, 1.0) for _ in range(3)]
-    assert allowed == [True, True, False]
+    allowed = [budget.may_retry(kind, True, 9.0, 1.0) for _ in range(returned + 1)]
+    assert allowed == [True] * returned + [False]
 
 
 @pytest.mark.parametrize(
