Earn a tenth of a probe an answer, and pause a little after refusals

Cause: at the crest too many probes met full servers. Change: an answer earns a tenth of a probe; each refusal adds half a doubling to a server's pause, up to three.

--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -35,7 +35,7 @@
 
 WAIT_SHARE = 0.5  # of the time left when a request arrives
 FAR_ROUND_TRIP_S = 0.06
-PROBE_SHARE = 0.25  # of answers
+PROBE_SHARE = 0.1  # of answers
 PROBE_FLOOR_PER_S = 5.0
 SCAN_DEPTH = 4  # entries a lane
 SHORT_SLOTS_KEPT = 1.0  # a server
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -11,7 +11,7 @@
 COLD_RAMP_S = 10.0
 COLD_WEIGHT = 0.2
 FAILURE_HALF_LIFE_S = 2.0
-BACKOFF_LIMIT = 5.0  # doublings
+BACKOFF_LIMIT = 3.0  # doublings
 BACKOFF_HALF_LIFE_S = 2.0
 FAILURE_TRACE = 0.1  # failures, below which a server counts as sound
 OTHERS_LIMIT = 2  # times the slots
@@ -155,7 +155,7 @@
     def note_end(self, end: AttemptEnded, was_probe: bool, now: float) -> None:
         """Learn from an ended attempt, before its release."""
         if end.kind is AttemptKind.REFUSED:
-            self._change_backoff(0.0, now)
+            self._change_backoff(0.5, now)
             self._set_others(self._server.slots - self._in_flight + 1, now)
             return
         if end.kind in FAILED_KINDS or end.status >= 500:
