Spread rows down a tree of relays

Rows of any kind go from their author up to the root, which numbers them, and down to every instance in windows of 0.2 s.

--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the ledger on fakes with stated round trips."""
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the spread of rows over a small fake network."""
--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -64,6 +64,13 @@
     events: tuple[ServerEvent, ...]
 
 
+class ServerForgotten(NamedTuple):
+    """Say that an instance no longer speaks of a server."""
+
+    instance_id: str
+    server_id: str
+
+
 class InstanceLost(NamedTuple):
     """Report that an instance gave no answer to round trips."""
 
@@ -95,4 +102,11 @@
 RegistryOutput = (
     AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted | ServerEvent
 )
-ViewInput = ServerEvent | ServerEvents | InstanceLost | InstanceFound | ViewTick
+ViewInput = (
+    ServerEvent
+    | ServerEvents
+    | ServerForgotten
+    | InstanceLost
+    | InstanceFound
+    | ViewTick
+)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -0,0 +1,74 @@
+"""Turn changes of servers into rows of the tree, and back."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.membership.messages import Presence
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import ServerEvents
+from pimentobend_core._internal.membership.messages import ServerForgotten
+from pimentobend_core._internal.membership.messages import ViewInput
+from pimentobend_core._internal.membership.spread.liveness import read_row
+from pimentobend_core._internal.membership.spread.messages import Row
+from pimentobend_core._internal.membership.spread.messages import RowId
+from pimentobend_core._internal.membership.spread.messages import RowKind
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+
+
+class _Payload(NamedTuple):
+    """Hold what a row's id and rank do not tell of a server."""
+
+    presence: Presence
+    service: str
+    host: str
+    port: int
+    slots: int
+    data_centre: str
+    region: str
+    state: ServerState
+    incarnation: int
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_Payload)
+
+
+def create_server_row(event: ServerEvent) -> Row:
+    """Describe a change of a server as a row of its instance."""
+    server = event.server
+    payload = _Payload(event.presence, *server[1:])
+    row_id = RowId(RowKind.SERVERS, event.instance_id, server.server_id)
+    is_final = event.presence is not Presence.LIVE
+    return Row(row_id, event.rank, _ENCODER.encode(payload), is_final)
+
+
+def read_server_row(row: Row) -> ServerEvent | ServerForgotten:
+    """Return the change that a row describes; raise CodecError for others."""
+    _, instance_id, server_id = row.row_id
+    if not row.payload:
+        return ServerForgotten(instance_id, server_id)
+    try:
+        payload = _DECODER.decode(row.payload)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise CodecError("server row does not decode", context=str(error)) from error
+    server = Server(server_id, *payload[1:])
+    return ServerEvent(instance_id, row.rank, payload.presence, server)
+
+
+def read_rows(rows: tuple[Row, ...]) -> tuple[ViewInput, ...]:
+    """Return what rows tell the fleet's view; rows of other kinds are left out."""
+    events: list[ServerEvent] = []
+    others: list[ViewInput] = []
+    for row in rows:
+        if row.row_id.kind == RowKind.LIVENESS:
+            others.append(read_row(row))
+        if row.row_id.kind == RowKind.SERVERS:
+            read = read_server_row(row)
+            if isinstance(read, ServerEvent):
+                events.append(read)
+            else:
+                others.append(read)
+    return (ServerEvents(tuple(events)), *others) if events else tuple(others)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -0,0 +1,339 @@
+"""Follow the tree from below: attach, catch up, publish, change the parent."""
+
+import random
+from collections.abc import Mapping
+
+from pimentobend_core._internal.membership.messages import Rank
+from pimentobend_core._internal.membership.spread.gate import SnapshotGate
+from pimentobend_core._internal.membership.spread.messages import START
+from pimentobend_core._internal.membership.spread.messages import Alive
+from pimentobend_core._internal.membership.spread.messages import Attach
+from pimentobend_core._internal.membership.spread.messages import Beacon
+from pimentobend_core._internal.membership.spread.messages import Busy
+from pimentobend_core._internal.membership.spread.messages import ClientInput
+from pimentobend_core._internal.membership.spread.messages import Delta
+from pimentobend_core._internal.membership.spread.messages import Echo
+from pimentobend_core._internal.membership.spread.messages import FetchSnapshot
+from pimentobend_core._internal.membership.spread.messages import FromPeer
+from pimentobend_core._internal.membership.spread.messages import PublishRows
+from pimentobend_core._internal.membership.spread.messages import Row
+from pimentobend_core._internal.membership.spread.messages import RowId
+from pimentobend_core._internal.membership.spread.messages import RowsArrived
+from pimentobend_core._internal.membership.spread.messages import SpreadOutput
+from pimentobend_core._internal.membership.spread.messages import ToPeers
+from pimentobend_core._internal.membership.spread.publisher import Publisher
+from pimentobend_core._internal.membership.spread.store import FINAL_ROW_S
+from pimentobend_core._internal.membership.spread.store import RowStore
+from pimentobend_core._internal.pipes import StatefulFilter
+
+SILENCE_S = 1.5  # without a beacon another parent is asked
+AWAY_S = 5.0  # without a parent an empty store asks a peer
+LIVE_S = 2.5  # without a new pulse the root is not heard
+NOT_LIVE_MIN_S = 3.0  # another parent is asked when the followed one is cut off
+NOT_LIVE_MAX_S = 60.0
+CATCH_UP_WAIT_S = 2.0  # for the answer to an attachment
+MISMATCHES_MAX = 10  # beacons with another digest at the same position
+SNAPSHOT_RETRY_MAX_S = 300.0
+PEER_BYTES_A_SECOND = 50_000.0
+
+
+class SpreadClient(StatefulFilter[ClientInput, SpreadOutput]):
+    """Hold the fleet's rows in a daemon.
+
+    ``parents`` are asked in their order, ``peers`` serve a snapshot while no
+    parent does. ``epoch`` must grow at each start of the instance.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        epoch: int,
+        parents: tuple[str, ...],
+        peers: tuple[str, ...] = (),
+    ) -> None:
+        self.store = RowStore()
+        self._instance_id = instance_id
+        self._parents = parents
+        self._peers = peers
+        self._turn = 0
+        self._life = Rank(epoch, 0)
+        self._publisher = Publisher(self.store)
+        self._echoed: dict[RowId, Row] = {}
+        self._gate = SnapshotGate(PEER_BYTES_A_SECOND)
+        self._rng = random.Random(f"{instance_id}/{epoch}")
+        self._is_attached = False
+        self._is_live = False
+        self._heard_at: float | None = None
+        self._live_at: float | None = None
+        self._pulse = (0, 0)  # the root's epoch and count
+        self._not_live_wait_s = NOT_LIVE_MIN_S
+        self._mismatches = 0
+        self._catch_up_at = 0.0
+        self._snapshot_wait_s = 0.0
+        self._snapshot_after = 0.0
+
+    @property
+    def is_attached(self) -> bool:
+        """Say whether a parent is heard that hears this instance."""
+        return self._is_attached
+
+    @property
+    def is_live(self) -> bool:
+        """Say whether beacons of the root reach this instance."""
+        return self._is_attached and self._is_live
+
+    @property
+    def pulse(self) -> int:
+        """Return the root's latest count that was heard."""
+        return self._pulse[1]
+
+    @property
+    def echoed(self) -> tuple[Row, ...]:
+        """Return the rows that came without a number."""
+        return tuple(self._echoed.values())
+
+    @property
+    def parent(self) -> str:
+        """Return the parent that is asked or followed."""
+        return self._parents[self._turn % len(self._parents)]
+
+    @property
+    def unconfirmed(self) -> int:
+        """Return how many own rows have not come back down the tree."""
+        return self._publisher.waiting
+
+    def follow(self, parents: tuple[str, ...]) -> None:
+        """Follow other parents from the next tick on."""
+        self._parents = parents
+        self._turn = 0
+        self._is_attached = False
+        self._is_live = False
+        self._heard_at = None
+
+    def handle(self, message: ClientInput, now: float) -> tuple[SpreadOutput, ...]:
+        """Take a message of a peer, rows of this instance or a tick."""
+        match message:
+            case FromPeer():
+                return self._take(message, now)
+            case PublishRows():
+                self._publisher.add(message.rows, now)
+                return (*self._echo(message.rows), *self._publish(now))
+            case _:
+                return self._tick(now)
+
+    def arrive(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
+        """Give numbered rows on unless an echo brought them, or later ones."""
+        news = []
+        for row in rows:
+            echoed = self._echoed.get(row.row_id)
+            if echoed is None or echoed.rank < row.rank:
+                news.append(row)
+            if echoed is not None and echoed.rank <= row.rank:
+                del self._echoed[row.row_id]
+        return (RowsArrived(tuple(news)),) if news else ()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "position": list(self.store.position),
+            "rows": len(self.store),
+            "digest": f"{self.store.digest:016x}",
+            "parent": self.parent if self._parents else None,
+            "attached": self._is_attached,
+            "live": self.is_live,
+            "unconfirmed": self.unconfirmed,
+            "echoed": len(self._echoed),
+        }
+
+    def _take(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
+        sender, message = received
+        match message:
+            case Delta():
+                return self._take_delta(sender, message, now)
+            case Beacon() if self._is_parent(sender):
+                return self._take_beacon(message, now)
+            case Busy() if self._is_parent(sender):
+                return self._take_busy(message, now)
+            case Echo():
+                return self._echo(message.rows)
+            case FetchSnapshot():
+                return self._serve_peer(sender, now)
+            case _:
+                return ()
+
+    def _is_parent(self, sender: str) -> bool:
+        return bool(self._parents) and sender == self.parent
+
+    def _take_delta(
+        self, sender: str, delta: Delta, now: float
+    ) -> tuple[SpreadOutput, ...]:
+        if self._is_parent(sender):
+            self._is_attached = True
+            self._heard_at = now
+        if delta.position < self.store.position:
+            return ()
+        if not delta.is_snapshot and not self._follows(delta):
+            if self._is_parent(sender) and now >= self._catch_up_at:
+                return (self._attach(now),)
+            return ()
+        return self._apply(delta, now)
+
+    def _follows(self, delta: Delta) -> bool:
+        """Say whether no row lies between the store and a delta."""
+        held = self.store.position
+        if delta.position.epoch == held.epoch:
+            return delta.after <= held.number
+        if held.epoch != delta.base.epoch:
+            return False
+        return delta.after <= min(held.number, delta.base.number)
+
+    def _apply(self, delta: Delta, now: float) -> tuple[SpreadOutput, ...]:
+        self._catch_up_at = now
+        is_new_epoch = delta.position.epoch != self.store.position.epoch
+        ahead = []
+        arrived = []
+        for numbered in delta.rows:
+            row = numbered.row
+            if self.store.put(numbered, now):
+                arrived.append(row)
+            elif self.store.get(row.row_id) != row:
+                ahead.append(row.row_id)
+            self._publisher.confirm(row)
+        if delta.is_snapshot:
+            arrived += self._drop_missing(delta, now)
+            self._snapshot_after = now + self._snapshot_wait_s
+        self.store.position = delta.position
+        self.store.base = delta.base
+        kept = (self.store.get(row_id) for row_id in ahead)
+        self._publisher.repair(tuple(row for row in kept if row is not None))
+        if is_new_epoch or delta.is_snapshot:
+            self.store.sort()
+            self._publisher.review(delta.base.number)
+        return self.arrive(tuple(arrived))
+
+    def _drop_missing(self, delta: Delta, now: float) -> list[Row]:
+        """Drop old rows that a snapshot lacks, and return final ones instead.
+
+        Younger rows would still be in it, also when they became final: a root
+        without them lost them when it took over, so they are published again.
+        """
+        present = {numbered.row.row_id for numbered in delta.rows}
+        missing = [row for row in self.store.rows() if row.row_id not in present]
+        dropped = []
+        for row in missing:
+            if self.store.age_s(row.row_id, now) < FINAL_ROW_S:
+                self._publisher.repair((row,))
+                continue
+            self.store.drop(row.row_id)
+            dropped.append(row._replace(payload=b"", is_final=True))
+        return dropped
+
+    def _echo(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
+        """Give rows on that have no number yet."""
+        news = []
+        for row in rows:
+            known = self._echoed.get(row.row_id) or self.store.get(row.row_id)
+            if known is None or known.rank < row.rank:
+                self._echoed[row.row_id] = row
+                news.append(row)
+        return (RowsArrived(tuple(news)),) if news else ()
+
+    def _take_beacon(self, beacon: Beacon, now: float) -> tuple[SpreadOutput, ...]:
+        self._is_attached = True
+        self._heard_at = now
+        pulse = (beacon.position.epoch, beacon.pulse)
+        if pulse > self._pulse:
+            self._pulse = pulse
+            self._live_at = now
+            self._is_live = True
+            self._not_live_wait_s = NOT_LIVE_MIN_S
+        alive = ToPeers((self.parent,), Alive(self._life, self.store.position))
+        if beacon.position < self.store.position:
+            return (alive,)
+        self.store.forget(beacon.floor)
+        if beacon.digest == self.store.digest:
+            self._mismatches = 0
+            self._snapshot_wait_s = 0.0
+            self._adopt(beacon)
+            return (alive,)
+        if now < self._catch_up_at:
+            return (alive,)
+        if beacon.position != self.store.position:
+            return (alive, self._attach(now))
+        self._mismatches += 1
+        if self._mismatches < MISMATCHES_MAX or now < self._snapshot_after:
+            return (alive,)
+        self._mismatches = 0
+        self._snapshot_wait_s = min(SNAPSHOT_RETRY_MAX_S, 2 * self._snapshot_wait_s + 5)
+        return (alive, self._attach(now, wants_snapshot=True))
+
+    def _adopt(self, beacon: Beacon) -> None:
+        """Take over a position whose rows are all held already."""
+        is_new_epoch = beacon.position.epoch != self.store.position.epoch
+        self.store.position = beacon.position
+        self.store.base = beacon.base
+        if is_new_epoch:
+            self._publisher.review(beacon.base.number)
+        self._publisher.confirm_held()
+
+    def _take_busy(self, busy: Busy, now: float) -> tuple[SpreadOutput, ...]:
+        self._is_attached = True
+        self._heard_at = now
+        self._catch_up_at = now + busy.retry_after_s
+        if len(self.store) or not busy.peers:
+            return ()
+        return (ToPeers((self._rng.choice(busy.peers),), FetchSnapshot()),)
+
+    def _serve_peer(self, sender: str, now: float) -> tuple[SpreadOutput, ...]:
+        if not len(self.store) or not self._gate.admit(len(self.store), now):
+            return ()
+        return (ToPeers((sender,), create_snapshot(self.store)),)
+
+    def _tick(self, now: float) -> tuple[SpreadOutput, ...]:
+        if self._live_at is None:
+            self._live_at = now
+        if now - self._live_at >= LIVE_S:
+            self._is_live = False
+        outputs = self._publish(now)
+        if not self._parents:
+            return outputs
+        if self._is_silent(now):
+            self._is_attached = False
+            return (*outputs, *self._try_next(now))
+        if not self._is_live and now - self._live_at >= self._not_live_wait_s:
+            self._not_live_wait_s = min(NOT_LIVE_MAX_S, 2 * self._not_live_wait_s)
+            return (*outputs, *self._try_next(now))
+        return outputs
+
+    def _try_next(self, now: float) -> tuple[SpreadOutput, ...]:
+        if self._heard_at is not None:
+            self._turn += 1
+        self._heard_at = now + self._rng.random() * SILENCE_S / 2
+        return (self._attach(now), *self._ask_peer(now))
+
+    def _is_silent(self, now: float) -> bool:
+        return self._heard_at is None or now - self._heard_at >= SILENCE_S
+
+    def _ask_peer(self, now: float) -> tuple[SpreadOutput, ...]:
+        away_s = 0.0 if self._live_at is None else now - self._live_at
+        if len(self.store) or not self._peers or away_s < AWAY_S:
+            return ()
+        return (ToPeers((self._rng.choice(self._peers),), FetchSnapshot()),)
+
+    def _attach(self, now: float, wants_snapshot: bool = False) -> SpreadOutput:
+        self._catch_up_at = now + CATCH_UP_WAIT_S
+        self._life = Rank(self._life.epoch, self._life.sequence + 1)
+        position = START if wants_snapshot else self.store.position
+        attach = Attach(position, self.store.digest, self._life, wants_snapshot)
+        return ToPeers((self.parent,), attach)
+
+    def _publish(self, now: float) -> tuple[SpreadOutput, ...]:
+        if not self._is_attached:
+            return ()
+        publish = self._publisher.take(now)
+        return () if publish is None else (ToPeers((self.parent,), publish),)
+
+
+def create_snapshot(store: RowStore) -> Delta:
+    """Return a message with every row of a store."""
+    return Delta(store.position, store.base, 0, True, store.since(0))
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
@@ -0,0 +1,281 @@
+"""Pass rows down to children and up to the root."""
+
+import random
+from collections.abc import Mapping
+
+from pimentobend_core._internal.membership.spread.children import Children
+from pimentobend_core._internal.membership.spread.client import SpreadClient
+from pimentobend_core._internal.membership.spread.client import create_snapshot
+from pimentobend_core._internal.membership.spread.gate import SnapshotGate
+from pimentobend_core._internal.membership.spread.liveness import create_lost_row
+from pimentobend_core._internal.membership.spread.liveness import create_row
+from pimentobend_core._internal.membership.spread.liveness import is_attached
+from pimentobend_core._internal.membership.spread.messages import Alive
+from pimentobend_core._internal.membership.spread.messages import Attach
+from pimentobend_core._internal.membership.spread.messages import Beacon
+from pimentobend_core._internal.membership.spread.messages import BecomeRoot
+from pimentobend_core._internal.membership.spread.messages import Busy
+from pimentobend_core._internal.membership.spread.messages import Delta
+from pimentobend_core._internal.membership.spread.messages import Echo
+from pimentobend_core._internal.membership.spread.messages import FollowParents
+from pimentobend_core._internal.membership.spread.messages import FromPeer
+from pimentobend_core._internal.membership.spread.messages import NumberedRow
+from pimentobend_core._internal.membership.spread.messages import Position
+from pimentobend_core._internal.membership.spread.messages import Publish
+from pimentobend_core._internal.membership.spread.messages import PublishRows
+from pimentobend_core._internal.membership.spread.messages import RelayInput
+from pimentobend_core._internal.membership.spread.messages import Row
+from pimentobend_core._internal.membership.spread.messages import RowId
+from pimentobend_core._internal.membership.spread.messages import RowKind
+from pimentobend_core._internal.membership.spread.messages import SpreadOutput
+from pimentobend_core._internal.membership.spread.messages import SpreadTick
+from pimentobend_core._internal.membership.spread.messages import ToPeers
+from pimentobend_core._internal.membership.spread.orphans import OrphanFinder
+from pimentobend_core._internal.pipes import StatefulFilter
+
+WINDOW_S = 0.2  # rows of so long share a message
+BEACON_S = 0.5
+FORGET_CHECK_S = 60.0
+ORPHAN_CHECK_S = 2.0
+PEERS_NAMED = 3
+
+
+class RelayNode(StatefulFilter[RelayInput, SpreadOutput]):
+    """Serve children, and be the root or follow a parent.
+
+    ``siblings`` are the relays of the same region: while no parent is heard
+    they carry echoes, so that a region cut off still learns of its changes.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        epoch: int,
+        parents: tuple[str, ...],
+        siblings: tuple[str, ...] = (),
+    ) -> None:
+        self._instance_id = instance_id
+        self._siblings = siblings
+        self._client = SpreadClient(instance_id, epoch, parents)
+        self._store = self._client.store
+        self._children = Children()
+        self._gate = SnapshotGate()
+        self._rng = random.Random(f"{instance_id}/{epoch}/relay")
+        self._is_root = False
+        self._pulse = 0  # counted while this is the root
+        self._upwards: dict[RowId, Row] = {}
+        self._flushed = self._store.position
+        self._flush_at = 0.0
+        self._beacon_at = 0.0
+        self._forget_at = 0.0
+        self._orphans = OrphanFinder(self._store, instance_id)
+        self._orphans_at = 0.0
+
+    @property
+    def position(self) -> Position:
+        """Return up to where the root's order is known."""
+        return self._store.position
+
+    @property
+    def digest(self) -> int:
+        """Return the digest of the rows."""
+        return self._store.digest
+
+    def handle(self, message: RelayInput, now: float) -> tuple[SpreadOutput, ...]:
+        """Take a message of a peer, a change of role, own rows or a tick."""
+        match message:
+            case FromPeer():
+                return self._take(message, now)
+            case PublishRows() if self._is_root:
+                return self._number(message.rows, now)
+            case PublishRows():
+                return self._client.handle(message, now)
+            case BecomeRoot():
+                return self._lead(message.term, now)
+            case FollowParents():
+                self._is_root = False
+                self._client.follow(message.parents)
+                return ()
+            case SpreadTick():
+                return self._tick(now)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "is_root": self._is_root,
+            "children": sorted(self._children),
+            "upwards": len(self._upwards),
+            **self._client.dump(),
+        }
+
+    def _take(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
+        sender, message = received
+        match message:
+            case Attach():
+                return self._take_attach(sender, message, now)
+            case Alive():
+                return self._take_alive(sender, message, now)
+            case Publish():
+                return self._take_publish(message.rows, now)
+            case Echo():
+                arrived = self._client.handle(received, now)
+                if message.is_forwarded:
+                    return (*arrived, *self._echo(message.rows, ()))
+                return arrived
+            case _ if not self._is_root:
+                return self._client.handle(received, now)
+            case _:
+                return ()
+
+    def _take_attach(
+        self, child: str, attach: Attach, now: float
+    ) -> tuple[SpreadOutput, ...]:
+        if not self._children.attach(child, attach.life, now):
+            return ()
+        reply = self._create_reply(attach, now)
+        if not isinstance(reply, Busy):
+            self._children.sync(child)
+        return (ToPeers((child,), reply),)
+
+    def _take_alive(
+        self, child: str, alive: Alive, now: float
+    ) -> tuple[SpreadOutput, ...]:
+        """Tell the fleet of a child once it has answered a beacon."""
+        life = self._children.hear(child, alive.life, now)
+        if life is None:
+            return ()
+        if is_attached(self._store, child, life.epoch, self._instance_id):
+            return ()
+        row = create_row(child, life, self._instance_id)
+        known = self._upwards.get(row.row_id) or self._store.get(row.row_id)
+        if known is not None and known.rank >= row.rank:
+            return ()
+        return self._take_publish((row,), now)
+
+    def _create_reply(self, attach: Attach, now: float) -> Delta | Beacon | Busy:
+        held = self._store.position
+        if held.epoch == 0:
+            return self._beacon()
+        if attach.digest == self._store.digest and not attach.wants_snapshot:
+            return self._beacon()
+        after = self._find_common(attach.position)
+        if after is not None and not attach.wants_snapshot:
+            rows = self._store.since(after)
+            return Delta(held, self._store.base, after, False, rows)
+        if self._gate.admit(len(self._store), now):
+            return create_snapshot(self._store)
+        peers = self._children.synced
+        named = tuple(self._rng.sample(peers, min(PEERS_NAMED, len(peers))))
+        return Busy(self._gate.retry_after_s(now, self._rng.random()), named)
+
+    def _find_common(self, position: Position) -> int | None:
+        """Return the number up to which a child's rows are known to be ours."""
+        held = self._store.position
+        if position.epoch == held.epoch:
+            number = min(position.number, held.number)
+        elif position.epoch == self._store.base.epoch:
+            number = min(position.number, self._store.base.number)
+        else:
+            return None
+        return number if number >= self._store.floor and number > 0 else None
+
+    def _take_publish(
+        self, rows: tuple[Row, ...], now: float
+    ) -> tuple[SpreadOutput, ...]:
+        if self._is_root:
+            return self._number(rows, now)
+        for row in rows:
+            known = self._upwards.get(row.row_id)
+            if known is None or known.rank < row.rank:
+                self._upwards[row.row_id] = row
+        if self._client.is_live:
+            return ()
+        rows = tuple(row for row in rows if row.row_id.kind != RowKind.LIVENESS)
+        if not rows:
+            return ()
+        heard = self._client.handle(FromPeer("", Echo(rows, False)), now)
+        return (*heard, *self._echo(rows, self._siblings))
+
+    def _echo(
+        self, rows: tuple[Row, ...], siblings: tuple[str, ...]
+    ) -> tuple[SpreadOutput, ...]:
+        outputs: list[SpreadOutput] = []
+        if len(self._children):
+            outputs.append(ToPeers(tuple(self._children), Echo(rows, False)))
+        if siblings:
+            outputs.append(ToPeers(siblings, Echo(rows, True)))
+        return tuple(outputs)
+
+    def _number(self, rows: tuple[Row, ...], now: float) -> tuple[SpreadOutput, ...]:
+        news = []
+        for row in rows:
+            known = self._store.get(row.row_id)
+            if known is not None and known.rank >= row.rank:
+                continue
+            epoch, number = self._store.position
+            self._store.position = Position(epoch, number + 1)
+            self._store.put(NumberedRow(number + 1, row), now)
+            news.append(row)
+        return self._client.arrive(tuple(news))
+
+    def _lead(self, term: int, now: float) -> tuple[SpreadOutput, ...]:
+        if term <= self._store.position.epoch:
+            return ()
+        self._is_root = True
+        self._store.base = self._store.position
+        self._store.position = Position(term, self._store.position.number)
+        rows = (*self._upwards.values(), *self._client.echoed)
+        self._upwards = {}
+        return self._number(rows, now)
+
+    def _tick(self, now: float) -> tuple[SpreadOutput, ...]:
+        outputs: tuple[SpreadOutput, ...] = ()
+        if not self._is_root:
+            outputs = self._client.handle(SpreadTick(), now)
+        outputs += self._report_lost(now)
+        is_beacon_due = now >= self._beacon_at
+        if is_beacon_due or now >= self._flush_at:
+            self._flush_at = now + WINDOW_S
+            outputs += (*self._flush_down(), *self._flush_up())
+        if is_beacon_due:
+            self._beacon_at = now + BEACON_S
+            self._pulse += 1
+            if len(self._children):
+                outputs += (ToPeers(tuple(self._children), self._beacon()),)
+        if self._is_root and now >= self._orphans_at:
+            self._orphans_at = now + ORPHAN_CHECK_S
+            outputs += self._take_publish(self._orphans.find(now), now)
+        if self._is_root and now >= self._forget_at:
+            self._forget_at = now + FORGET_CHECK_S
+            self._store.forget(self._store.find_floor(now))
+        return outputs
+
+    def _report_lost(self, now: float) -> tuple[SpreadOutput, ...]:
+        lost = self._children.remove_lost(now)
+        rows = tuple(create_lost_row(name, life) for name, life in lost)
+        return self._take_publish(rows, now) if rows else ()
+
+    def _flush_down(self) -> tuple[SpreadOutput, ...]:
+        flushed, held = self._flushed, self._store.position
+        if held == flushed:
+            return ()
+        self._flushed = held
+        after = flushed.number
+        if flushed.epoch != held.epoch:
+            after = min(after, self._store.base.number)
+        children = self._children.synced
+        if not children:
+            return ()
+        delta = Delta(held, self._store.base, after, False, self._store.since(after))
+        return (ToPeers(children, delta),)
+
+    def _flush_up(self) -> tuple[SpreadOutput, ...]:
+        if not self._upwards or not self._client.is_attached:
+            return ()
+        rows, self._upwards = tuple(self._upwards.values()), {}
+        return (ToPeers((self._client.parent,), Publish(rows)),)
+
+    def _beacon(self) -> Beacon:
+        held = self._store
+        pulse = self._pulse if self._is_root else self._client.pulse
+        return Beacon(held.position, held.base, held.digest, held.floor, pulse)
--- a/packages/core/src/pimentobend_core/_internal/membership/view.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/view.py
@@ -12,6 +12,7 @@
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServerEvents
+from pimentobend_core._internal.membership.messages import ServerForgotten
 from pimentobend_core._internal.membership.messages import ServiceChanged
 from pimentobend_core._internal.membership.messages import ViewInput
 from pimentobend_core._internal.models.server import Server
@@ -70,6 +71,8 @@
                 return self._give(self._take((message,), now))
             case ServerEvents():
                 return self._give(self._take(message.events, now))
+            case ServerForgotten():
+                return self._give(self._forget_server(message))
             case InstanceLost():
                 self._lost.setdefault(message.instance_id, now)
                 return ()
@@ -159,6 +162,14 @@
             if now - lost_at >= FORGET_S:
                 self._forget_instance(instance_id)
 
+    def _forget_server(self, message: ServerForgotten) -> set[str]:
+        instance_id, server_id = message
+        row = self._rows.get(server_id, {}).get(instance_id)
+        if row is None:
+            return set()
+        self._drop(server_id, instance_id)
+        return {row.server.service}
+
     def _forget_instance(self, instance_id: str) -> None:
         for server_id in tuple(self._by_instance.get(instance_id, ())):
             self._drop(server_id, instance_id)
@@ -194,7 +205,7 @@
         heard: list[Server] = []
         silent: list[Server] = []
         for server_id in sorted(self._by_service.get(service, ())):
-            rows = self._rows[server_id]
+            rows = self._rows.get(server_id, {})
             server = _merge(rows.values())
             if server is None or server.service != service:
                 continue
@@ -209,6 +220,8 @@
 def _merge(rows: Iterable[_Row]) -> Server | None:
     """Return the live server that several instances' rows describe."""
     rows = tuple(rows)
+    if not rows:
+        return None
     incarnation = max(row.server.incarnation for row in rows)
     latest = [row for row in rows if row.server.incarnation == incarnation]
     if any(row.presence is Presence.WITHDRAWN for row in latest):
--- a/tests/unit/ledger/test_crash_points.py
+++ b/tests/unit/ledger/test_crash_points.py
@@ -136,9 +136,18 @@
     world.network.reverse()
 
 
+def _ask_and_answer_past_the_deadline(world: LedgerWorld) -> None:
+    world.ask(HERE, KEY, wait_s=0.2)
+    world.deliver(0)
+    world.commit()
+    world.now += 0.2
+    world.deliver(0)
+
+
 @pytest.mark.parametrize(
     "fault",
     [
+        _ask_and_answer_past_the_deadline,
         _ask_without_majority,
         _ask_of_a_silent_leader,
         _ask_and_lose_the_answer,
