Add the configuration on the replicated log and its spread to daemons

A daemon with a wrong digest asks for all rows by a flag: asking from the first version instead was answered by deltas, which a damaged daemon refused and asked again without end.

--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -0,0 +1,209 @@
+"""Follow the tables of other daemons and pass them on."""
+
+from collections.abc import Mapping
+
+from pimentobend_core._internal.configuration.children import Children
+from pimentobend_core._internal.configuration.exceptions import ConfigurationError
+from pimentobend_core._internal.configuration.follower_messages import CatchUp
+from pimentobend_core._internal.configuration.follower_messages import Current
+from pimentobend_core._internal.configuration.follower_messages import Deltas
+from pimentobend_core._internal.configuration.follower_messages import FollowerInput
+from pimentobend_core._internal.configuration.follower_messages import FollowerOutput
+from pimentobend_core._internal.configuration.follower_messages import FollowerTick
+from pimentobend_core._internal.configuration.follower_messages import SourcesChanged
+from pimentobend_core._internal.configuration.follower_messages import SpreadMessage
+from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
+from pimentobend_core._internal.configuration.follower_messages import SpreadSent
+from pimentobend_core._internal.configuration.follower_messages import VersionInForce
+from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.history import DeltaHistory
+from pimentobend_core._internal.configuration.messages import FIRST_VERSION
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.messages import VersionedDelta
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.configuration.versioned import VersionedTables
+from pimentobend_core._internal.pipes import StatefulFilter
+
+TICK_S = 0.5
+ASK_INTERVAL_S = 2.0
+ANSWER_TIMEOUT_S = 1.0
+START_WAIT_S = 1.5  # to hear several sources before the first version is in force
+
+
+class TablesFollower(StatefulFilter[FollowerInput, FollowerOutput]):
+    """Own a daemon's tables, which only step forward, and serve its followers."""
+
+    def __init__(
+        self, sources: tuple[str, ...], now: float, stored: WholeTables | None = None
+    ) -> None:
+        self._sources = sources
+        self._tables = VersionedTables()
+        self._history = DeltaHistory()
+        self._children = Children()
+        self._source_position = 0
+        self._asked_at: float | None = None
+        self._answered_at = now
+        self._started_at = now
+        self._unheard: set[str] | None = set(sources) if sources else None
+        self._in_force = FIRST_VERSION
+        self._is_damaged = False  # the rows do not have the digest of their version
+        if stored is not None:
+            self._tables.replace(stored)
+
+    @property
+    def tables(self) -> VersionedTables:
+        """Return the tables, to be read only."""
+        return self._tables
+
+    @property
+    def in_force(self) -> Version:
+        """Return the version that was put in force."""
+        return self._in_force
+
+    def handle(self, message: FollowerInput, now: float) -> tuple[FollowerOutput, ...]:
+        """Take a message of another daemon, or let time pass."""
+        match message:
+            case SpreadReceived():
+                outputs = self._receive(message.sender, message.message, now)
+            case SourcesChanged():
+                self._sources = message.sources
+                self._source_position = 0
+                outputs = ()
+            case FollowerTick():
+                outputs = self._tick(now)
+        return outputs + self._put_in_force(now)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "version": str(self._tables.version),
+            "in_force": str(self._in_force),
+            "digest": self._tables.digest.hex(),
+            "is_damaged": self._is_damaged,
+            "source": self._source,
+            "children": self._children.versions(),
+        }
+
+    @property
+    def _source(self) -> str | None:
+        if not self._sources:
+            return None
+        return self._sources[self._source_position % len(self._sources)]
+
+    def _receive(
+        self, sender: str, message: SpreadMessage, now: float
+    ) -> tuple[FollowerOutput, ...]:
+        if isinstance(message, CatchUp):
+            return self._serve(sender, message, now)
+        self._answered_at = now
+        if self._unheard is not None:
+            self._unheard.discard(sender)
+        match message:
+            case Current():
+                return self._compare(sender, message, now)
+            case Deltas():
+                return self._take_deltas(sender, message.deltas, now)
+            case Whole():
+                return self._take_whole(message.tables)
+
+    def _tick(self, now: float) -> tuple[FollowerOutput, ...]:
+        self._children.expire(now)
+        if self._asked_at is None:
+            return tuple(self._ask(source, now) for source in self._sources)
+        source = self._source
+        if source is None:
+            return ()
+        is_unanswered = self._answered_at < self._asked_at
+        if is_unanswered and now - self._asked_at >= ANSWER_TIMEOUT_S:
+            self._source_position += 1
+            return (self._ask(self._source or source, now),)
+        if now - self._asked_at >= ASK_INTERVAL_S:
+            return (self._ask(source, now),)
+        return ()
+
+    def _ask(self, source: str, now: float) -> SpreadSent:
+        self._asked_at = now
+        tables = self._tables
+        asked = CatchUp(tables.version, tables.digest, wants_whole=self._is_damaged)
+        return SpreadSent(source, asked)
+
+    def _serve(
+        self, sender: str, asked: CatchUp, now: float
+    ) -> tuple[FollowerOutput, ...]:
+        self._children.hear(sender, asked.version, now)
+        tables = self._tables
+        if self._is_damaged or tables.version < asked.version:
+            return (SpreadSent(sender, Current(self._in_force, b"")),)
+        if asked.wants_whole:
+            return (SpreadSent(sender, Whole(tables.whole())),)
+        if asked.version == tables.version:
+            return (SpreadSent(sender, Current(tables.version, tables.digest)),)
+        deltas = self._history.since(asked.version)
+        if deltas is None:
+            return (SpreadSent(sender, Whole(tables.whole())),)
+        return (SpreadSent(sender, Deltas(deltas)),)
+
+    def _compare(
+        self, sender: str, current: Current, now: float
+    ) -> tuple[FollowerOutput, ...]:
+        if current.version > self._tables.version:
+            return (self._ask(sender, now),)
+        is_same = current.version == self._tables.version
+        is_other = is_same and current.digest != self._tables.digest
+        if is_other and current.digest and sender in self._sources:
+            self._is_damaged = True
+            return (self._ask(sender, now),)
+        return ()
+
+    def _take_deltas(
+        self, sender: str, deltas: tuple[VersionedDelta, ...], now: float
+    ) -> tuple[FollowerOutput, ...]:
+        for versioned in deltas:
+            if versioned.version <= self._tables.version:
+                continue
+            if self._is_damaged or versioned.delta.base != self._tables.version:
+                return (self._ask(sender, now),)
+            self._tables.apply(versioned.delta, versioned.version)
+            if self._tables.digest != versioned.digest:
+                self._is_damaged = True
+                self._history.clear()
+                return (self._ask(sender, now),)
+            self._history.append(versioned)
+        return ()
+
+    def _take_whole(self, whole: WholeTables) -> tuple[FollowerOutput, ...]:
+        is_repair = self._is_damaged and whole.version == self._tables.version
+        if whole.version <= self._tables.version and not is_repair:
+            return ()
+        tables = VersionedTables()
+        try:
+            tables.replace(whole)
+        except ConfigurationError:
+            return ()
+        self._tables = tables
+        self._history.clear()
+        self._is_damaged = False
+        is_in_force = whole.version == self._in_force
+        return (VersionInForce(whole.version),) if is_in_force else ()
+
+    def _put_in_force(self, now: float) -> tuple[FollowerOutput, ...]:
+        version = self._tables.version
+        if self._is_damaged or version <= self._in_force or self._is_starting(now):
+            return ()
+        before = self._in_force
+        self._in_force = version
+        return (VersionInForce(version), *self._push(before))
+
+    def _is_starting(self, now: float) -> bool:
+        """Wait for several sources, as the first to answer may be behind."""
+        if self._unheard and now - self._started_at < START_WAIT_S:
+            return True
+        self._unheard = None
+        return False
+
+    def _push(self, before: Version) -> tuple[FollowerOutput, ...]:
+        deltas = self._history.since(before)
+        message: SpreadMessage = Current(self._tables.version, self._tables.digest)
+        if deltas:
+            message = Deltas(deltas)
+        return tuple(SpreadSent(each, message) for each in self._children.addresses())
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -0,0 +1,147 @@
+"""Serve changes of the tables on a control replica, in front of its log."""
+
+from collections.abc import Mapping
+
+from pimentobend_core._internal.configuration.codec import decode_command
+from pimentobend_core._internal.configuration.codec import decode_snapshot
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.messages import ChangeOutcome
+from pimentobend_core._internal.configuration.messages import TablesCommand
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.service_messages import ChangeAsked
+from pimentobend_core._internal.configuration.service_messages import ChangeReplied
+from pimentobend_core._internal.configuration.service_messages import ServiceInput
+from pimentobend_core._internal.configuration.service_messages import ServiceOutput
+from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.configuration.state import ConfigurationState
+from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
+from pimentobend_core._internal.consensus.constants import COMPACT_ENTRIES
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import Compact
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.pipes import StatefulFilter
+
+_REFUSALS = {
+    Outcome.NOT_LEADER: ChangeOutcome.NOT_LEADER,
+    Outcome.NO_MAJORITY: ChangeOutcome.NO_MAJORITY,
+    Outcome.OVERLOADED: ChangeOutcome.OVERLOADED,
+    Outcome.REJECTED: ChangeOutcome.TOO_LARGE,
+    Outcome.STORAGE: ChangeOutcome.STORAGE,
+    Outcome.UNKNOWN: ChangeOutcome.UNKNOWN,
+}
+
+
+class ConfigurationService(StatefulFilter[ServiceInput, ServiceOutput]):
+    """Turn tables into deltas, propose them, and answer once they are applied."""
+
+    def __init__(self, replica_id: str) -> None:
+        self._replica_id = replica_id
+        self._state = ConfigurationState()
+        self._asked: dict[int, ChangeAsked] = {}  # by proposal id
+        self._next_id = 1
+        self._leader = LeaderChanged(0, None)
+        self._applied = Version(0, 0)
+        self._compacted_index = 0
+
+    @property
+    def state(self) -> ConfigurationState:
+        """Return the replicated state, to be read only."""
+        return self._state
+
+    def handle(self, message: ServiceInput, now: float) -> tuple[ServiceOutput, ...]:
+        """Take a change, or news of the log."""
+        match message:
+            case ChangeAsked():
+                return self._ask(message)
+            case Committed():
+                return self._apply(message.entries)
+            case Proposed():
+                return self._finish(message)
+            case Restored():
+                return self._restore(message)
+            case LeaderChanged():
+                self._leader = message
+        return ()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            **self._state.dump(),
+            "applied_index": self._applied.log_index,
+            "waiting": len(self._asked),
+            "leader_id": self._leader.leader_id,
+        }
+
+    def _ask(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
+        first = self._state.answer(asked.change_id)
+        if first is not None:
+            return (ChangeReplied(asked.token, first.outcome, first.version),)
+        if self._leader.leader_id != self._replica_id:
+            known = self._leader.leader_id is not None
+            outcome = ChangeOutcome.NOT_LEADER if known else ChangeOutcome.NO_MAJORITY
+            return (self._reply(asked, outcome),)
+        if self._applied.term != self._leader.term:
+            # entries of earlier leaders may not be applied yet
+            return (self._reply(asked, ChangeOutcome.NO_MAJORITY),)
+        if asked.expected != self._state.tables.version:
+            return (self._reply(asked, ChangeOutcome.CONFLICT),)
+        return self._propose(asked)
+
+    def _propose(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
+        delta = self._state.tables.diff(asked.routes, asked.pools)
+        command = encode(TablesCommand(asked.change_id, delta))
+        if len(command) > COMMAND_BYTES:
+            return (self._reply(asked, ChangeOutcome.TOO_LARGE),)
+        proposal_id = self._next_id
+        self._next_id += 1
+        self._asked[proposal_id] = asked
+        return (Propose((Proposal(proposal_id, command),)),)
+
+    def _apply(self, entries: tuple[Entry, ...]) -> tuple[ServiceOutput, ...]:
+        outputs: list[ServiceOutput] = []
+        for entry in entries:
+            version = Version(entry.term, entry.log_index)
+            self._applied = version
+            if not entry.is_command:
+                continue
+            changed = self._state.apply(decode_command(entry.command), version)
+            if changed is not None:
+                outputs.append(TablesAccepted(changed))
+        outputs.extend(self._compact())
+        return tuple(outputs)
+
+    def _finish(self, proposed: Proposed) -> tuple[ServiceOutput, ...]:
+        asked = self._asked.pop(proposed.proposal_id, None)
+        if asked is None:
+            return ()
+        if proposed.outcome is not Outcome.COMMITTED:
+            return (self._reply(asked, _REFUSALS[proposed.outcome]),)
+        answer = self._state.answer(asked.change_id)
+        if answer is None:
+            return (self._reply(asked, ChangeOutcome.UNKNOWN),)
+        return (ChangeReplied(asked.token, answer.outcome, answer.version),)
+
+    def _restore(self, message: Restored) -> tuple[ServiceOutput, ...]:
+        snapshot = message.snapshot
+        self._state.restore(decode_snapshot(snapshot.state))
+        self._applied = Version(snapshot.term, snapshot.log_index)
+        self._compacted_index = snapshot.log_index
+        return (TablesReplaced(self._state.tables.whole()),)
+
+    def _compact(self) -> tuple[ServiceOutput, ...]:
+        log_index = self._applied.log_index
+        if log_index - self._compacted_index < COMPACT_ENTRIES:
+            return ()
+        self._compacted_index = log_index
+        return (Compact(log_index, encode(self._state.snapshot())),)
+
+    def _reply(self, asked: ChangeAsked, outcome: ChangeOutcome) -> ChangeReplied:
+        version = self._state.tables.version
+        return ChangeReplied(asked.token, outcome, version, self._leader.leader_id)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -0,0 +1,54 @@
+"""Define the messages of the configuration's service on a control replica."""
+
+from typing import NamedTuple
+
+from pimentobend_core._internal.configuration.messages import ChangeOutcome
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.messages import VersionedDelta
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import Compact
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.models.tables import Pool
+from pimentobend_core._internal.models.tables import Route
+
+
+class ChangeAsked(NamedTuple):
+    """Ask for checked tables in place of the expected version.
+
+    The token is the asker's; it comes back in the reply.
+    """
+
+    token: int
+    change_id: str
+    expected: Version
+    routes: tuple[Route, ...]
+    pools: tuple[Pool, ...]
+
+
+class ChangeReplied(NamedTuple):
+    """Answer a change; ``leader_id`` may name the replica to ask instead."""
+
+    token: int
+    outcome: ChangeOutcome
+    version: Version
+    leader_id: str | None = None
+
+
+class TablesAccepted(NamedTuple):
+    """Give a version that a majority has stored."""
+
+    delta: VersionedDelta
+
+
+class TablesReplaced(NamedTuple):
+    """Give all tables after a replica skipped versions."""
+
+    whole: WholeTables
+
+
+ServiceInput = ChangeAsked | Committed | Restored | Proposed | LeaderChanged
+ServiceOutput = Propose | Compact | ChangeReplied | TablesAccepted | TablesReplaced
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -0,0 +1,122 @@
+"""Hold one version of both tables and step to the next."""
+
+import hashlib
+from typing import TypeVar
+
+import msgspec
+
+from pimentobend_core._internal.compact.routes import CompactRoutes
+from pimentobend_core._internal.compact.rows import DictRows
+from pimentobend_core._internal.compact.rows import Rows
+from pimentobend_core._internal.configuration.exceptions import ConfigurationError
+from pimentobend_core._internal.configuration.messages import FIRST_VERSION
+from pimentobend_core._internal.configuration.messages import TablesDelta
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.models.tables import Pool
+from pimentobend_core._internal.models.tables import Route
+
+DIGEST_BYTES = 16
+_MODULUS = 1 << (8 * DIGEST_BYTES)
+_Row = TypeVar("_Row", Route, Pool)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+class VersionedTables:
+    """Own the rows of a version, and a digest that is kept up row by row."""
+
+    def __init__(self) -> None:
+        self._version = FIRST_VERSION
+        self._routes: Rows[Route] = CompactRoutes()
+        self._pools: Rows[Pool] = DictRows(lambda pool: pool.name)
+        self._sum = 0
+
+    @property
+    def version(self) -> Version:
+        """Return the version of the rows."""
+        return self._version
+
+    @property
+    def digest(self) -> bytes:
+        """Return a digest of the rows, whatever their order."""
+        return self._sum.to_bytes(DIGEST_BYTES, "little")
+
+    def routes(self) -> tuple[Route, ...]:
+        """Return the routes by name."""
+        return tuple(sorted(self._routes.rows()))
+
+    def pools(self) -> tuple[Pool, ...]:
+        """Return the pools by name."""
+        return tuple(sorted(self._pools.rows()))
+
+    def whole(self) -> WholeTables:
+        """Return all rows."""
+        return WholeTables(self._version, self.digest, self.routes(), self.pools())
+
+    def diff(self, routes: tuple[Route, ...], pools: tuple[Pool, ...]) -> TablesDelta:
+        """Return the delta that leads to these rows."""
+        return TablesDelta(
+            self._version,
+            *_diff_rows(self._routes, routes),
+            *_diff_rows(self._pools, pools),
+        )
+
+    def apply(self, delta: TablesDelta, version: Version) -> None:
+        """Step to a version; raise ConfigurationError where the base differs."""
+        if delta.base != self._version:
+            raise ConfigurationError(
+                "a delta does not follow the version in force",
+                context=f"{delta.base} after {self._version}",
+            )
+        for route_name in delta.removed_routes:
+            self._remove(self._routes, route_name)
+        for route in delta.routes:
+            self._put(self._routes, route)
+        for pool_name in delta.removed_pools:
+            self._remove(self._pools, pool_name)
+        for pool in delta.pools:
+            self._put(self._pools, pool)
+        self._version = version
+
+    def replace(self, whole: WholeTables) -> None:
+        """Take over all rows; raise ConfigurationError where the digest differs."""
+        self._routes = CompactRoutes()
+        self._pools = DictRows(lambda pool: pool.name)
+        self._sum = 0
+        for route in whole.routes:
+            self._put(self._routes, route)
+        for pool in whole.pools:
+            self._put(self._pools, pool)
+        self._version = whole.version
+        if self.digest != whole.digest:
+            raise ConfigurationError(
+                "tables do not have their digest", context=str(whole.version)
+            )
+
+    def _put(self, rows: Rows[_Row], row: _Row) -> None:
+        self._remove(rows, row.name)
+        rows.put(row)
+        self._sum = (self._sum + _hash(row)) % _MODULUS
+
+    def _remove(self, rows: Rows[_Row], name: str) -> None:
+        row = rows.get(name)
+        if row is None:
+            return
+        self._sum = (self._sum - _hash(row)) % _MODULUS
+        rows.remove(name)
+
+
+def _diff_rows(
+    rows: Rows[_Row], wanted: tuple[_Row, ...]
+) -> tuple[tuple[_Row, ...], tuple[str, ...]]:
+    changed = tuple(row for row in wanted if rows.get(row.name) != row)
+    names = {row.name for row in wanted}
+    removed = (row.name for row in rows.rows() if row.name not in names)
+    return changed, tuple(sorted(removed))
+
+
+def _hash(row: Route | Pool) -> int:
+    """Return a row's part of the digest; the kind of row counts too."""
+    content = _ENCODER.encode((type(row).__name__, row))
+    digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "little")
--- /dev/null
+++ b/tests/unit/configuration/test_service.py
@@ -0,0 +1,210 @@
+"""Check how a control replica takes changes of the tables."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from table_fakes import make_pool
+from table_fakes import make_route
+
+from pimentobend_core._internal.configuration.codec import decode_command
+from pimentobend_core._internal.configuration.codec import decode_snapshot
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.messages import ChangeOutcome
+from pimentobend_core._internal.configuration.messages import TablesCommand
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.service import ConfigurationService
+from pimentobend_core._internal.configuration.service_messages import ChangeAsked
+from pimentobend_core._internal.configuration.service_messages import ChangeReplied
+from pimentobend_core._internal.configuration.service_messages import ServiceInput
+from pimentobend_core._internal.configuration.service_messages import ServiceOutput
+from pimentobend_core._internal.configuration.state import KEPT_ANSWERS
+from pimentobend_core._internal.configuration.state import ConfigurationState
+from pimentobend_core._internal.configuration.versioned import VersionedTables
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import Snapshot
+from pimentobend_core._internal.consensus.members import NO_MEMBERS
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.exceptions import CodecError
+
+POOLS = (make_pool(),)
+
+
+class Log:
+    """Fake the replicated log of one service; commits when told."""
+
+    def __init__(self) -> None:
+        self.service = ConfigurationService("a")
+        self.entries: list[Entry] = []
+        self.waiting: list[Propose] = []
+        self.replies: list[ChangeReplied] = []
+        self.send(LeaderChanged(3, "a"))
+        self.append(b"")
+
+    def send(self, message: ServiceInput) -> tuple[ServiceOutput, ...]:
+        outputs = self.service.handle(message, 0.0)
+        for output in outputs:
+            if isinstance(output, Propose):
+                self.waiting.append(output)
+            if isinstance(output, ChangeReplied):
+                self.replies.append(output)
+        return outputs
+
+    def append(self, command: bytes) -> Entry:
+        entry = Entry(3, len(self.entries) + 1, command)
+        self.entries.append(entry)
+        self.send(Committed((entry,)))
+        return entry
+
+    def commit(self) -> None:
+        waiting, self.waiting = self.waiting, []
+        for propose in waiting:
+            for proposal_id, command in propose.proposals:
+                entry = self.append(command)
+                outcome = Outcome.COMMITTED
+                self.send(Proposed(proposal_id, outcome, 3, entry.log_index))
+
+    def ask(
+        self, change_id: str, *numbers: int, expected: Version | None = None
+    ) -> int:
+        """Ask for routes of these numbers and return the token."""
+        token = len(self.replies) + len(self.waiting) + 1
+        expected = expected or self.service.state.tables.version
+        routes = tuple(make_route(number) for number in numbers)
+        self.send(ChangeAsked(token, change_id, expected, routes, POOLS))
+        return token
+
+
+def test_equal_versions_race_with_one_winner() -> None:
+    log = Log()
+    log.ask("change-1", 1)
+    log.ask("change-2", 2)
+    log.commit()
+    outcomes = [reply.outcome for reply in log.replies]
+    assert outcomes == [ChangeOutcome.ACCEPTED, ChangeOutcome.CONFLICT]
+    assert log.service.state.tables.routes() == (make_route(1),)
+
+
+@pytest.mark.parametrize("others", [0, 1, 500])
+def test_a_resent_change_gets_its_first_answer(others: int) -> None:
+    log = Log()
+    expected = log.service.state.tables.version
+    log.ask("change-1", 1, expected=expected)
+    log.commit()
+    for number in range(others):
+        log.ask(f"other-{number}", number)
+        log.commit()
+    before = log.service.state.tables.version
+    log.ask("change-1", 1, expected=expected)
+    assert log.replies[-1][1:3] == log.replies[0][1:3]
+    assert log.service.state.tables.version == before
+
+
+def test_a_change_resent_before_its_answer_runs_once() -> None:
+    log = Log()
+    log.ask("change-1", 1)
+    log.ask("change-1", 1)
+    log.commit()
+    assert [reply.outcome for reply in log.replies] == [ChangeOutcome.ACCEPTED] * 2
+    assert log.replies[0].version == log.replies[1].version
+
+
+@pytest.mark.parametrize(
+    ("leader", "expected"),
+    [
+        (LeaderChanged(4, None), ChangeOutcome.NO_MAJORITY),
+        (LeaderChanged(4, "b"), ChangeOutcome.NOT_LEADER),
+        (LeaderChanged(4, "a"), ChangeOutcome.NO_MAJORITY),
+    ],
+)
+def test_only_a_settled_leader_takes_changes(
+    leader: LeaderChanged, expected: ChangeOutcome
+) -> None:
+    log = Log()
+    log.send(leader)
+    log.ask("change-1", 1)
+    assert log.replies[-1].outcome is expected
+    assert not log.waiting
+
+
+@pytest.mark.parametrize(
+    ("outcome", "expected"),
+    [
+        (Outcome.UNKNOWN, ChangeOutcome.UNKNOWN),
+        (Outcome.STORAGE, ChangeOutcome.STORAGE),
+        (Outcome.NO_MAJORITY, ChangeOutcome.NO_MAJORITY),
+    ],
+)
+def test_refusals_of_the_log_are_passed_on(
+    outcome: Outcome, expected: ChangeOutcome
+) -> None:
+    log = Log()
+    log.ask("change-1", 1)
+    (proposal,) = log.waiting.pop().proposals
+    log.send(Proposed(proposal.proposal_id, outcome))
+    assert log.replies[-1].outcome is expected
+    assert log.service.state.tables.routes() == ()
+
+
+def test_answers_are_kept_for_a_bounded_number_of_changes() -> None:
+    state = ConfigurationState()
+    delta = state.tables.diff((), ())
+    for number in range(KEPT_ANSWERS + 1):
+        state.apply(TablesCommand(f"change-{number}", delta), Version(1, number + 1))
+    assert state.answer("change-0") is None
+    assert state.answer("change-1") is not None
+
+
+def test_a_snapshot_carries_tables_and_answers() -> None:
+    log = Log()
+    log.ask("change-1", 1, 2)
+    log.commit()
+    content = encode(log.service.state.snapshot())
+    other = ConfigurationService("b")
+    other.handle(Restored(Snapshot(3, 2, NO_MEMBERS, content)), 0.0)
+    assert other.state.tables.whole() == log.service.state.tables.whole()
+    assert other.state.answer("change-1") == log.service.state.answer("change-1")
+
+
+NUMBERS = st.dictionaries(st.integers(0, 6), st.integers(1, 3))
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(before=NUMBERS, after=NUMBERS)
+def test_a_delta_leads_from_one_version_to_another(
+    before: dict[int, int], after: dict[int, int]
+) -> None:
+    first = tuple(make_route(*item) for item in before.items())
+    second = tuple(make_route(*item) for item in after.items())
+    stepping = VersionedTables()
+    stepping.apply(stepping.diff(first, POOLS), Version(1, 1))
+    delta = stepping.diff(second, POOLS)
+    stepping.apply(delta, Version(1, 2))
+    direct = VersionedTables()
+    direct.apply(direct.diff(second, POOLS), Version(1, 2))
+    assert stepping.whole() == direct.whole()
+    assert len(delta.routes) == sum(before.get(n) != t for n, t in after.items())
+
+
+@settings(derandomize=True, deadline=None, max_examples=300)
+@given(position=st.integers(0, 10_000), byte=st.integers(0, 255))
+def test_noise_decodes_or_is_a_codec_error(position: int, byte: int) -> None:
+    state = ConfigurationState()
+    delta = state.tables.diff((make_route(1),), POOLS)
+    command = TablesCommand("change-1", delta)
+    state.apply(command, Version(1, 1))
+    for content, decode in (
+        (encode(command), decode_command),
+        (encode(state.snapshot()), decode_snapshot),
+    ):
+        changed = bytearray(content)
+        changed[position % len(changed)] = byte
+        try:
+            assert isinstance(decode(bytes(changed)), tuple)
+        except CodecError as error:
+            assert "does not decode" in str(error)
