--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -184,7 +184,7 @@
         self._history.clear()
         self._is_damaged = False
         is_in_force = whole.version == self._in_force
-        return (VersionInForce(whole.version),) if is_in_force else ()
+        return (VersionInForce(whole),) if is_in_force else ()
 
     def _put_in_force(self, now: float) -> tuple[FollowerOutput, ...]:
         version = self._tables.version
@@ -192,7 +192,7 @@
             return ()
         before = self._in_force
         self._in_force = version
-        return (VersionInForce(version), *self._push(before))
+        return (VersionInForce(self._tables.whole()), *self._push(before))
 
     def _is_starting(self, now: float) -> bool:
         """Wait for several sources, as the first to answer may be behind."""
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -55,9 +55,9 @@
 
 
 class VersionInForce(NamedTuple):
-    """Put the follower's tables in force."""
+    """Put tables in force."""
 
-    version: Version
+    tables: WholeTables
 
 
 class SourcesChanged(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Propose
 from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
@@ -50,5 +51,5 @@
     whole: WholeTables
 
 
-ServiceInput = ChangeAsked | Committed | Restored | Proposed | LeaderChanged
+ServiceInput = ChangeAsked | Committed | Restored | Proposed | LeaderChanged | ReadReady
 ServiceOutput = Propose | Compact | ChangeReplied | TablesAccepted | TablesReplaced
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/control/__init__.py
@@ -0,0 +1,1 @@
+"""Run the replicated state on the instances with a disk."""
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -0,0 +1,237 @@
+"""Run a replica of the log between its disk, its peers and its state."""
+
+from collections.abc import Mapping
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import eventlet.queue
+
+from pimentobend_adapters._internal.disk.exceptions import DiskError
+from pimentobend_adapters._internal.disk.task import DiskTask
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_core._internal.consensus.codec import decode_message
+from pimentobend_core._internal.consensus.codec import encode_message
+from pimentobend_core._internal.consensus.entries import StoredState
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import ChangeMembers
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
+from pimentobend_core._internal.consensus.messages import Received
+from pimentobend_core._internal.consensus.messages import ReplicaInput
+from pimentobend_core._internal.consensus.messages import ReplicaOutput
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.consensus.messages import Send
+from pimentobend_core._internal.consensus.messages import Tick
+from pimentobend_core._internal.consensus.replica import Replica
+from pimentobend_core._internal.consensus.writes import batch_outputs
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.ports import ClockPort
+
+REOPEN_S = 1.0
+BATCH_INPUTS = 256
+
+LogOutput = Committed | Restored | Proposed | ReadReady | LeaderChanged
+
+
+class ReplicaSettings(NamedTuple):
+    """Name a replica; its id is the address of its link."""
+
+    group: str
+    replica_id: str
+    first_members: Members  # of an empty data folder; none to join later
+    seed: int
+
+
+class ReplicaTask(Outlet[ReplicaInput]):
+    """Own a replica; inputs that wait during a sync share the next one."""
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        disk: DiskTask,
+        link: Link,
+        outlet: Outlet[LogOutput],
+        clock: ClockPort,
+    ) -> None:
+        self._settings = settings
+        self._disk = disk
+        self._link = link
+        self._outlet = outlet
+        self._clock = clock
+        self._inbox: Any = eventlet.queue.LightQueue()
+        self._replica: Replica | None = None
+        self._applied_index = 0
+        self._in_flight: set[int] = set()
+        self._disk_faults = 0
+        self._greenlet: Any = None
+
+    @property
+    def name(self) -> str:
+        """Return the name of the task in dumps."""
+        return f"replica-{self._settings.group}"
+
+    @property
+    def kind(self) -> str:
+        """Return the kind of the frames between the replicas."""
+        return f"replica.{self._settings.group}"
+
+    def start(self) -> None:
+        """Load what is stored and start; raise ``DiskError``."""
+        self._disk.start()
+        self._open(self._disk.load(self._settings.first_members))
+        self._greenlet = eventlet.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop, as a crash would."""
+        self._greenlet.kill()
+        self._disk.stop()
+
+    def put(self, message: ReplicaInput) -> None:
+        """Put a message into the inbox."""
+        self._inbox.put(message)
+
+    def take(self, frame: Frame) -> None:
+        """Take another replica's frame; raise ``FrameError``."""
+        try:
+            message = decode_message(frame.payload)
+        except CodecError as error:
+            raise FrameError(error.message, context=frame.kind) from error
+        self.put(Received(frame.sender, message))
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        state: dict[str, object] = {
+            "applied_index": self._applied_index,
+            "in_flight": len(self._in_flight),
+            "disk_faults": self._disk_faults,
+        }
+        if self._replica is not None:
+            state.update(self._replica.dump())
+        return state
+
+    def _run(self) -> None:
+        while True:
+            if self._replica is None:
+                self._reopen()
+            else:
+                self._step(self._replica)
+
+    def _step(self, replica: Replica) -> None:
+        """Handle what waits, sync once, and let the rest out."""
+        messages = self._next_messages(replica.next_tick)
+        outputs: list[ReplicaOutput] = []
+        for message in messages:
+            self._in_flight.update(_proposal_ids(message))
+            outputs.extend(replica.handle(message, self._clock.now()))
+        batch = batch_outputs(outputs)
+        synced = self._disk.write(batch.writes) if batch.writes else 0
+        if synced < len(batch.writes):
+            self._fail(messages, can_refuse=synced == 0)
+            return
+        for output in batch.released:
+            self._release(output)
+
+    def _next_messages(self, due: float) -> list[ReplicaInput]:
+        wait_s = max(0.0, due - self._clock.now())
+        try:
+            messages = [self._inbox.get(timeout=wait_s)]
+        except eventlet.queue.Empty:
+            return [Tick()]
+        while len(messages) < BATCH_INPUTS and not self._inbox.empty():
+            messages.append(self._inbox.get())
+        return [*messages, Tick()]
+
+    def _release(self, output: ReplicaOutput) -> None:
+        match output:
+            case Send():
+                payload = encode_message(output.message)
+                self._link.send(output.recipient, self.kind, payload)
+            case Committed():
+                self._release_entries(output)
+            case Restored():
+                self._release_snapshot(output)
+            case Proposed():
+                self._in_flight.discard(output.proposal_id)
+                self._outlet.put(output)
+            case ReadReady() | LeaderChanged():
+                self._outlet.put(output)
+
+    def _release_entries(self, committed: Committed) -> None:
+        """Pass on entries, but for those applied before the disk was reopened."""
+        entries = tuple(
+            entry
+            for entry in committed.entries
+            if entry.log_index > self._applied_index
+        )
+        if entries:
+            self._applied_index = entries[-1].log_index
+            self._outlet.put(Committed(entries))
+
+    def _release_snapshot(self, restored: Restored) -> None:
+        if restored.snapshot.log_index > self._applied_index:
+            self._applied_index = restored.snapshot.log_index
+            self._outlet.put(restored)
+
+    def _open(self, stored: StoredState) -> None:
+        self._replica = Replica(
+            self._settings.replica_id, stored, self._settings.seed, self._clock.now()
+        )
+        self._outlet.put(LeaderChanged(stored.term, None))
+        if stored.snapshot is not None:
+            self._release_snapshot(Restored(stored.snapshot))
+
+    def _fail(self, messages: list[ReplicaInput], *, can_refuse: bool) -> None:
+        """Forget what is not stored; only what left no trace is refused."""
+        self._replica = None
+        self._disk_faults += 1
+        try:
+            stored = self._disk.load(self._settings.first_members)
+        except DiskError:
+            self._end_proposals(set())
+            return
+        refused: set[int] = set()
+        if can_refuse:
+            refused.update(*(_proposal_ids(message) for message in messages))
+        self._end_proposals(refused)
+        self._open(stored)
+
+    def _end_proposals(self, refused: set[int]) -> None:
+        for proposal_id in sorted(self._in_flight):
+            is_refused = proposal_id in refused
+            outcome = Outcome.STORAGE if is_refused else Outcome.UNKNOWN
+            self._outlet.put(Proposed(proposal_id, outcome))
+        self._in_flight.clear()
+        self._outlet.put(LeaderChanged(0, None))
+
+    def _reopen(self) -> None:
+        """Refuse what is asked, and try the disk again after a while."""
+        with eventlet.Timeout(REOPEN_S, False):
+            while True:
+                self._refuse(self._inbox.get())
+        try:
+            self._open(self._disk.load(self._settings.first_members))
+        except DiskError:
+            self._disk_faults += 1
+
+    def _refuse(self, message: ReplicaInput) -> None:
+        if isinstance(message, ReadIndex):
+            self._outlet.put(ReadReady(message.read_id, Outcome.STORAGE))
+        for proposal_id in _proposal_ids(message):
+            self._outlet.put(Proposed(proposal_id, Outcome.STORAGE))
+
+
+def _proposal_ids(message: ReplicaInput) -> tuple[int, ...]:
+    if isinstance(message, Propose):
+        return tuple(proposal.proposal_id for proposal in message.proposals)
+    if isinstance(message, ChangeMembers):
+        return (message.proposal_id,)
+    return ()
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -0,0 +1,77 @@
+"""Pass the tables on from control through the daemons."""
+
+from collections.abc import Callable
+
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.follower import TICK_S
+from pimentobend_core._internal.configuration.follower import TablesFollower
+from pimentobend_core._internal.configuration.follower_messages import CatchUp
+from pimentobend_core._internal.configuration.follower_messages import Current
+from pimentobend_core._internal.configuration.follower_messages import Deltas
+from pimentobend_core._internal.configuration.follower_messages import FollowerInput
+from pimentobend_core._internal.configuration.follower_messages import FollowerOutput
+from pimentobend_core._internal.configuration.follower_messages import FollowerTick
+from pimentobend_core._internal.configuration.follower_messages import SpreadMessage
+from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
+from pimentobend_core._internal.configuration.follower_messages import SpreadSent
+from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.models.tables import Tables
+from pimentobend_core._internal.ports import ClockPort
+
+_KINDS: dict[str, type[SpreadMessage]] = {
+    "tables.catch-up": CatchUp,
+    "tables.deltas": Deltas,
+    "tables.whole": Whole,
+    "tables.current": Current,
+}
+_NAMES = {kind: name for name, kind in _KINDS.items()}
+KINDS = frozenset(_KINDS)
+
+
+class TablesSpread:
+    """Run a follower of the tables on the process's link."""
+
+    def __init__(
+        self,
+        link: Link,
+        sources: tuple[str, ...],
+        put_in_force: Callable[[Tables], object],
+        clock: ClockPort,
+    ) -> None:
+        self._link = link
+        self._put_in_force = put_in_force
+        self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
+            "tables",
+            TablesFollower(sources, clock.now()),
+            CallOutlet(self._release),
+            clock,
+            Ticking(TICK_S, FollowerTick()),
+        )
+
+    def take(self, frame: Frame) -> None:
+        """Take another daemon's frame; raise ``FrameError``."""
+        try:
+            message = decode(frame.payload, _KINDS[frame.kind])
+        except CodecError as error:
+            raise FrameError(error.message, context=frame.kind) from error
+        self.task.put(SpreadReceived(frame.sender, message))
+
+    def _release(self, output: FollowerOutput) -> None:
+        if isinstance(output, SpreadSent):
+            kind = _NAMES[type(output.message)]
+            self._link.send(output.recipient, kind, encode(output.message))
+        else:
+            self._put_in_force(_join(output.tables))
+
+
+def _join(whole: WholeTables) -> Tables:
+    return Tables(*whole.version, whole.routes, whole.pools)
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -20,6 +20,9 @@
 from pimentobend_adapters._internal.metrics import RequestMetrics
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_core._internal.models.events import RequestEnded
+from pimentobendd._internal.control.role import ControlRole
+from pimentobendd._internal.control.spread import KINDS as SPREAD_KINDS
+from pimentobendd._internal.control.spread import TablesSpread
 from pimentobendd._internal.control_port import Version
 from pimentobendd._internal.instance_role import InstanceRole
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
@@ -31,8 +34,6 @@
 from pimentobendd._internal.keys import read_token
 from pimentobendd._internal.local_ledger import LocalLedger
 from pimentobendd._internal.settings import Settings
-from pimentobendd._internal.single_control import SingleControl
-from pimentobendd._internal.table_frames import TableFrames
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
@@ -55,7 +56,10 @@
             CallOutlet(self._take_frame),
             self._report_frame_fault,
         )
-        self._table_frames = TableFrames(self._link, self._tables, settings.control)
+        self._spread = TablesSpread(
+            self._link, self._sources(), self._tables.put, self._clock
+        )
+        self._control = self._create_control()
         self._instance = self._create_instance()
         self._operators = HttpServer(settings.operators, self._create_operators())
         self._tables.follow(
@@ -67,7 +71,9 @@
     def start(self) -> None:
         """Start all tasks and listen."""
         self._link.start()
-        self._table_frames.start()
+        self._spread.task.start()
+        if self._control is not None:
+            self._control.start()
         if self._instance is not None:
             self._instance.start()
         self._operators.start()
@@ -88,6 +94,8 @@
             self._instance.stop_listening()
             self._finish_requests(self._instance)
         self._operators.close()
+        if self._control is not None:
+            self._control.stop()
         self._link.close()
         self._log.info("stopped")
 
@@ -110,10 +118,32 @@
                 "dropped_frames": self._link.dropped_frames,
             },
         }
+        state["spread"] = self._spread.task.dump()
+        if self._control is not None:
+            state.update(self._control.dump())
         if self._instance is not None:
             state.update(self._instance.dump())
         return state
 
+    def _sources(self) -> tuple[str, ...]:
+        """Return where the tables come from, relays first."""
+        settings = self._settings
+        sources = (*settings.relays, *settings.control)
+        return tuple(each for each in sources if each != self._link.address)
+
+    def _create_control(self) -> ControlRole | None:
+        settings = self._settings
+        if "control" not in settings.roles or settings.data_folder is None:
+            return None
+        return ControlRole(
+            self._link,
+            settings.control,
+            settings.data_folder,
+            self._spread.task.put,
+            self._clock,
+            seed=time.time_ns(),
+        )
+
     def _create_instance(self) -> InstanceRole | None:
         if "instance" not in self._settings.roles:
             return None
@@ -127,9 +157,9 @@
         )
 
     def _create_operators(self) -> OperatorsInterface:
-        is_control = "control" in self._settings.roles
+        control = self._control
         ports = OperatorsPorts(
-            control=SingleControl(self._tables) if is_control else None,
+            control=control.changes if control else None,
             tables=self._tables.current,
             sections={
                 "/v1/status": self._status,
@@ -137,20 +167,21 @@
                 "/v1/servers": self._give_servers,
                 "/v1/ejections": self._give_ejections,
             },
-            actions={},
+            actions=control.members.actions if control else {},
         )
         return OperatorsInterface(ports, read_token(self._settings.operator_token_file))
 
     def _status(self, query: Query) -> Reply:
         current = self._tables.current()
-        return Reply(
-            200,
-            {
-                "instance": self._settings.instance,
-                "roles": sorted(self._settings.roles),
-                "version": str(Version(*current[:2])),
-            },
-        )
+        state: dict[str, object] = {
+            "instance": self._settings.instance,
+            "roles": sorted(self._settings.roles),
+            "version": str(Version(*current[:2])),
+            "followers": self._spread.task.dump().get("children", {}),
+        }
+        if self._control is not None:
+            state["control"] = self._control.status()
+        return Reply(200, state)
 
     def _give_dump(self, query: Query) -> Reply:
         return Reply(200, self.dump())
@@ -168,7 +199,10 @@
 
     def _take_frame(self, frame: Frame) -> None:
         try:
-            self._table_frames.take(frame)
+            if frame.kind in SPREAD_KINDS:
+                self._spread.take(frame)
+            elif self._control is not None and frame.kind in self._control.kinds:
+                self._control.take(frame)
         except FrameError as error:
             self._report_frame_fault(error)
 
--- /dev/null
+++ b/tests/functional/test_replicas.py
@@ -0,0 +1,96 @@
+"""Run control replicas as processes, end them, and count what was accepted."""
+
+import threading
+from typing import Any
+
+import pytest
+from processes import Fleet
+from processes import wait_until
+from replicas import Accepted
+from replicas import Replicas
+
+CHANGES = 24
+KILLED_AT = 8
+
+
+def _link(replicas: Replicas, name: str) -> str:
+    listen: dict[str, Any] = replicas.settings[name]["listen"]
+    return str(listen["link"])
+
+
+@pytest.mark.parametrize("victim", ["leader", "follower"])
+def test_sigkill_during_changes_loses_nothing(fleet: Fleet, victim: str) -> None:
+    replicas = Replicas(fleet, 3)
+    wait_until(replicas.leader)
+    leader = replicas.leader()
+    others = [name for name in replicas.names if name != leader]
+    killed = leader if victim == "leader" else others[0]
+    assert killed is not None
+    killing = threading.Thread(target=replicas.kill, args=[killed])
+    accepted: list[Accepted] = []
+    for number in range(CHANGES):
+        if number == KILLED_AT:
+            killing.start()
+        accepted.append(replicas.apply(others[number % 2], number))
+    killing.join()
+    versions = [each.version for each in accepted]
+    assert versions == sorted(set(versions))
+    replicas.start(killed)
+    expected = {f"r{each.number}" for each in accepted}
+    for name in replicas.names:
+        wait_until(lambda name=name: replicas.route_names(name) == expected)
+        assert replicas.status(name)["version"] == replicas.version
+
+
+def test_all_replicas_end_and_start_again(fleet: Fleet) -> None:
+    replicas = Replicas(fleet, 3)
+    for number in range(5):
+        replicas.apply(replicas.names[number % 3], number)
+    before = replicas.version
+    for name in replicas.names:
+        replicas.kill(name)
+    for name in replicas.names:
+        replicas.start(name)
+    wait_until(lambda: replicas.status(replicas.names[0])["version"] == before)
+    replicas.apply(replicas.names[1], 5)
+    assert replicas.route_names(replicas.names[1]) >= {f"r{n}" for n in range(5)}
+
+
+def test_a_replica_is_replaced_and_a_second_one_lost(fleet: Fleet) -> None:
+    replicas = Replicas(fleet, 3)
+    replicas.apply(replicas.names[0], 0)
+    wait_until(replicas.leader)
+    leader = replicas.leader()
+    assert leader is not None
+    lost, second = (name for name in replicas.names if name != leader)
+    replicas.kill(lost)
+    replicas.join("control-new")
+    address = _link(replicas, "control-new")
+    for action, target in (
+        ("add", address),
+        ("promote", address),
+        ("remove", _link(replicas, lost)),
+    ):
+        wait_until(
+            lambda action=action, target=target: (
+                replicas.member_action(leader, action, target).status == 200
+            )
+        )
+    replicas.kill(second)
+    replicas.apply(leader, 1)
+    wait_until(lambda: replicas.route_names("control-new") == {"r0", "r1"})
+    assert replicas.status("control-new")["version"] == replicas.version
+
+
+def test_without_a_majority_changes_are_refused_as_not_run(fleet: Fleet) -> None:
+    replicas = Replicas(fleet, 3)
+    replicas.apply(replicas.names[0], 0)
+    survivor, *others = replicas.names
+    for name in others:
+        replicas.kill(name)
+    wait_until(lambda: replicas.status(survivor)["control"]["leader_id"] is None)
+    target = f"tables?version={replicas.version}&change=late"
+    answer = replicas.request("PUT", survivor, target, b'{"routes": [], "pools": []}')
+    assert answer.status == 503
+    assert b"not run" in answer.content
+    assert replicas.route_names(survivor) == {"r0"}
--- /dev/null
+++ b/tests/lib/replicas.py
@@ -0,0 +1,124 @@
+"""Run control replicas as processes and change their tables."""
+
+import json
+import signal
+import time
+import urllib.error
+from typing import Any
+from typing import NamedTuple
+
+from processes import Answer
+from processes import Fleet
+from processes import Process
+from processes import call
+from processes import free_address
+from settings_of import control_settings
+
+RETRY_S = 0.1
+APPLY_TIMEOUT_S = 30.0
+POOLS = [{"name": "p", "service": "catalogue"}]
+
+
+class Accepted(NamedTuple):
+    """Hold a change that was acknowledged."""
+
+    number: int
+    version: tuple[int, int]
+
+
+class Replicas:
+    """Own control processes on loopback and the version that was seen last."""
+
+    def __init__(self, fleet: Fleet, count: int) -> None:
+        self._fleet = fleet
+        links = [free_address() for _ in range(count)]
+        self.settings: dict[str, dict[str, Any]] = {}
+        for position, link in enumerate(links):
+            name = f"control-{position}"
+            settings = control_settings(name, str(fleet.folder), link)
+            self.settings[name] = settings | {"control": links}
+        self._processes: dict[str, Process] = {}
+        self.names = list(self.settings)
+        self.version = "0.0"
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name: str) -> None:
+        """Start a replica's process."""
+        self._processes[name] = self._fleet.start_daemon(self.settings[name])
+
+    def join(self, name: str) -> None:
+        """Start a replica with a new address that is no member yet."""
+        settings = control_settings(name, str(self._fleet.folder))
+        links = self.settings[self.names[0]]["control"]
+        self.settings[name] = settings | {"control": links}
+        self.names.append(name)
+        self.start(name)
+
+    def kill(self, name: str) -> None:
+        """End a replica's process with SIGKILL."""
+        self._processes[name].signal(signal.SIGKILL)
+        self._processes[name].wait()
+        del self._processes[name]
+
+    def leader(self) -> str | None:
+        """Return the replica that says it leads, of the highest term."""
+        terms = {}
+        for name in self._processes:
+            control = self.status(name)["control"]
+            if control["role"] == "leader":
+                terms[name] = control["term"]
+        return max(terms, key=lambda name: terms[name], default=None)
+
+    def status(self, name: str) -> dict[str, Any]:
+        """Return a replica's status."""
+        status: dict[str, Any] = json.loads(self.request("GET", name, "status").content)
+        return status
+
+    def route_names(self, name: str) -> set[str]:
+        """Return the names of the routes in force at a replica."""
+        tables = json.loads(self.request("GET", name, "tables").content)
+        return {route["name"] for route in tables["routes"]}
+
+    def apply(self, name: str, number: int) -> Accepted:
+        """Apply routes 0 to ``number``, at other replicas where need be."""
+        rows = [
+            {"name": f"r{n}", "path": f"/{n}", "pool": "p", "repeatable": True}
+            for n in range(number + 1)
+        ]
+        body = json.dumps({"routes": rows, "pools": POOLS}).encode()
+        target = f"tables?version={self.version}&change=change-{number}"
+        order = self.names[self.names.index(name) :] + self.names
+        until = time.monotonic() + APPLY_TIMEOUT_S
+        position = 0
+        while time.monotonic() < until:
+            each = order[position % len(order)]
+            position += 1
+            if each not in self._processes:
+                continue
+            answer = self._try(each, target, body)
+            if answer is not None and answer.status == 200:
+                self.version = json.loads(answer.content)["version"]
+                term, log_index = self.version.split(".")
+                return Accepted(number, (int(term), int(log_index)))
+            if answer is not None and answer.status not in (503, 504):
+                raise AssertionError(f"{answer.status}: {answer.content!r}")
+            time.sleep(RETRY_S)
+        raise TimeoutError(f"change {number} was not accepted")
+
+    def member_action(self, name: str, action: str, address: str) -> Answer:
+        """Change one member."""
+        return self.request("POST", name, f"replicas/{action}?address={address}")
+
+    def _try(self, name: str, target: str, body: bytes) -> Answer | None:
+        try:
+            return self.request("PUT", name, target, body)
+        except (OSError, urllib.error.URLError):
+            return None
+
+    def request(
+        self, method: str, name: str, target: str, body: bytes | None = None
+    ) -> Answer:
+        """Send one request to a replica's interface for operators."""
+        operators = self.settings[name]["listen"]["operators"]
+        return call(method, f"http://{operators}/v1/{target}", body)
