--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,6 +15,12 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "detection": Entry(
+        "health.detection", "DetectionCommand", "time until a failing server is out"
+    ),
+    "false-ejections": Entry(
+        "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
+    ),
     "slopes": Entry(
         "capacity.slopes",
         "SlopesCommand",
