Let changes of members be sent again

A change already in force was rejected, so that an operator who lost the answer could not tell it from one that does not fit. The functional tests ask the present leader and wait for each replica, as a loaded machine may elect another leader meanwhile.

--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -71,12 +71,13 @@
             return None
         if self._state.log.members_index > self._state.commit_index:
             return None
-        if change.action is MemberAction.PROMOTE:
-            progress = self._peers.get(change.replica_id)
-            behind_from = self._state.commit_index - CAUGHT_UP_ENTRIES
-            if progress is None or progress.match_index < max(1, behind_from):
-                return None
-        return change_members(self._state.members, change)
+        changed = change_members(self._state.members, change)
+        if changed is None or changed == self._state.members:
+            return changed
+        is_promotion = change.action is MemberAction.PROMOTE
+        if is_promotion and not self._has_caught_up(change.replica_id):
+            return None
+        return changed
 
     def on_reply(
         self, sender: str, reply: AppendReply | SnapshotReply, now: float
@@ -98,6 +99,11 @@
             for peer_id, each in self._peers.items()
         )
 
+    def _has_caught_up(self, peer_id: str) -> bool:
+        progress = self._peers.get(peer_id)
+        behind_from = self._state.commit_index - CAUGHT_UP_ENTRIES
+        return progress is not None and progress.match_index >= max(1, behind_from)
+
     def _on_append_reply(
         self, sender: str, progress: Progress, reply: AppendReply, now: float
     ) -> None:
--- a/packages/core/src/pimentobend_core/_internal/consensus/members.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/members.py
@@ -63,15 +63,17 @@
 
 
 def change_members(members: Members, change: MemberChange) -> Members | None:
-    """Return the changed members, or None when the change does not fit."""
+    """Return the changed members, or None when the change does not fit.
+
+    A change that is in force already leaves them as they are, so that it may
+    be sent again.
+    """
     known = {member.replica_id: member for member in members.all}
     if change.action is MemberAction.ADD_LEARNER:
         if change.replica_id in known:
-            return None
+            return members
         learner = Member(change.replica_id, change.address)
         return members._replace(learners=(*members.learners, learner))
-    if change.replica_id not in known:
-        return None
     remaining = Members(
         _without(members.voters, change.replica_id),
         _without(members.learners, change.replica_id),
@@ -79,6 +81,8 @@
     if change.action is MemberAction.REMOVE:
         return remaining if remaining.voters else None
     if change.replica_id in members.voter_ids:
+        return members
+    if change.replica_id not in known:
         return None
     return remaining._replace(voters=(*remaining.voters, known[change.replica_id]))
 
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -53,7 +53,9 @@
         replicas.start(name)
     wait_until(lambda: replicas.status(replicas.names[0])["version"] == before)
     replicas.apply(replicas.names[1], 5)
-    assert replicas.route_names(replicas.names[1]) >= {f"r{n}" for n in range(5)}
+    expected = {f"r{n}" for n in range(6)}
+    for name in replicas.names:
+        wait_until(lambda name=name: replicas.route_names(name) == expected)
 
 
 def test_a_replica_is_replaced_and_a_second_one_lost(fleet: Fleet) -> None:
@@ -72,12 +74,10 @@
         ("remove", _link(replicas, lost)),
     ):
         wait_until(
-            lambda action=action, target=target: (
-                replicas.member_action(leader, action, target).status == 200
-            )
+            lambda action=action, target=target: replicas.member_action(action, target)
         )
     replicas.kill(second)
-    replicas.apply(leader, 1)
+    replicas.apply("control-new", 1)
     wait_until(lambda: replicas.route_names("control-new") == {"r0", "r1"})
     assert replicas.status("control-new")["version"] == replicas.version
 
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -106,9 +106,13 @@
             time.sleep(RETRY_S)
         raise TimeoutError(f"change {number} was not accepted")
 
-    def member_action(self, name: str, action: str, address: str) -> Answer:
-        """Change one member."""
-        return self.request("POST", name, f"replicas/{action}?address={address}")
+    def member_action(self, action: str, address: str) -> bool:
+        """Ask the leader to change one member; say whether it did."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        target = f"replicas/{action}?address={address}"
+        return self.request("POST", leader, target).status == 200
 
     def _try(self, name: str, target: str, body: bytes) -> Answer | None:
         try:
--- a/tests/unit/consensus/test_replica.py
+++ b/tests/unit/consensus/test_replica.py
@@ -13,6 +13,7 @@
 from pimentobend_core._internal.consensus.members import MemberAction
 from pimentobend_core._internal.consensus.members import MemberChange
 from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.members import change_members
 from pimentobend_core._internal.consensus.messages import AppendEntries
 from pimentobend_core._internal.consensus.messages import AppendReply
 from pimentobend_core._internal.consensus.messages import Outcome
@@ -228,3 +229,33 @@
         cluster.crash(_leader(cluster))
         cluster.run(3.0)
         assert _outcome(cluster, _leader(cluster), b"x") is Outcome.COMMITTED
+
+
+CHANGES = [
+    (MemberAction.ADD_LEARNER, "d", "abc", "d"),
+    (MemberAction.ADD_LEARNER, "a", "abc", ""),
+    (MemberAction.PROMOTE, "a", "abc", ""),
+    (MemberAction.REMOVE, "a", "bc", ""),
+    (MemberAction.REMOVE, "x", "abc", ""),
+]
+
+
+@pytest.mark.parametrize(("action", "node", "voters", "learners"), CHANGES)
+def test_a_change_of_members_may_be_sent_again(
+    action: MemberAction, node: str, voters: str, learners: str
+) -> None:
+    change = MemberChange(action, node, f"address-{node}")
+    once = change_members(MEMBERS, change)
+    assert once is not None
+    assert change_members(once, change) == once
+    assert "".join(sorted(once.voter_ids)) == voters
+    assert "".join(each.replica_id for each in once.learners) == learners
+
+
+@pytest.mark.parametrize(
+    "change",
+    [MemberChange(MemberAction.PROMOTE, "x"), MemberChange(MemberAction.REMOVE, "a")],
+)
+def test_a_change_that_does_not_fit_is_refused(change: MemberChange) -> None:
+    alone = Members((Member("a", "address-a"),))
+    assert change_members(alone, change) is None
