Select by learnt load and weigh servers on real requests

Cause: the thin path's round robin sent work to sick servers. Change: PoolTraffic, RouteMatcher and BudgetedRetries take the places of the thin ones, a health task a pool gives weights to its traffic task and evidence to the floor's owner, and work that may not be repeated goes over a new connection, as a kept one may be silently dead.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -32,6 +32,7 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEPT_CONNECTIONS = 32
+MIN_REMAINING_S = 0.001
 MS_PER_S = 1000
 
 
@@ -94,15 +95,22 @@
         self._clock = clock
         self._pools: dict[tuple[str, int], _Pool] = {}
 
+    def will_reuse(self, server: Server) -> bool:
+        """Say whether a kept connection to the server is at hand."""
+        pool = self._pools.get((server.host, server.port))
+        idle: list[Any] = [] if pool is None or pool.pool is None else pool.pool.queue
+        return bool(idle) and idle[-1] is not None
+
     def send(
-        self, server: Server, head: RequestHead, body: Body, deadline: float
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> Attempted:
-        """Run one attempt; ``deadline`` is in seconds of the clock."""
+        """Run one attempt until the head's deadline."""
         started = self._clock.now()
-        remaining_s = max(0.001, deadline - started)
+        remaining_s = max(MIN_REMAINING_S, head.deadline - started)
         timeout = eventlet.Timeout(remaining_s)
+        pool = self._pool(server) if is_repeatable else _create_pool(server)
         try:
-            response = self._open(server, head, body, remaining_s)
+            response = _open(pool, head, body, remaining_s)
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
@@ -113,6 +121,8 @@
             return self._failed(_kind_of(error), started)
         finally:
             timeout.cancel()
+            if not is_repeatable:
+                pool.close()
         return self._answered(response, started)
 
     def forget(self, server: Server) -> None:
@@ -121,26 +131,10 @@
         if pool is not None:
             pool.close()
 
-    def _open(
-        self, server: Server, head: RequestHead, body: Body, remaining_s: float
-    ) -> Any:
-        pool = self._pool(server)
-        return pool.urlopen(
-            head.method,
-            _target(head),
-            body=_payload(body),
-            headers=_request_headers(head, body, remaining_s),
-            redirect=False,
-            retries=False,
-            preload_content=False,
-            decode_content=False,
-            timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, remaining_s)),
-        )
-
     def _pool(self, server: Server) -> _Pool:
         address = (server.host, server.port)
         if address not in self._pools:
-            self._pools[address] = _Pool(*address, maxsize=KEPT_CONNECTIONS)
+            self._pools[address] = _create_pool(server)
         return self._pools[address]
 
     def _failed(self, kind: AttemptKind, started: float) -> Attempted:
@@ -165,6 +159,24 @@
         )
 
 
+def _create_pool(server: Server) -> _Pool:
+    return _Pool(server.host, server.port, maxsize=KEPT_CONNECTIONS)
+
+
+def _open(pool: _Pool, head: RequestHead, body: Body, remaining_s: float) -> Any:
+    return pool.urlopen(
+        head.method,
+        _target(head),
+        body=_payload(body),
+        headers=_request_headers(head, body, remaining_s),
+        redirect=False,
+        retries=False,
+        preload_content=False,
+        decode_content=False,
+        timeout=urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, remaining_s)),
+    )
+
+
 def _kind_of(error: Exception) -> AttemptKind:
     is_unconnected = isinstance(error, NewConnectionError)
     if isinstance(error, PoolTimeoutError):
--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -1,9 +1,8 @@
 """Let request tasks ask the tasks that own the pools' traffic."""
 
-import itertools
+import abc
 from collections.abc import Callable
 from typing import Any
-from typing import NamedTuple
 
 import eventlet
 import eventlet.event
@@ -13,7 +12,8 @@
 
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
@@ -38,9 +38,16 @@
 TrafficTask = FilterTask[TrafficInput, TrafficOutput]
 
 
-class _Waiter(NamedTuple):
-    pool: str
-    event: Any  # an eventlet event
+class AttemptObserver(abc.ABC):
+    """Follow the attempts of all pools."""
+
+    @abc.abstractmethod
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Take an attempt that begins."""
+
+    @abc.abstractmethod
+    def ended(self, message: AttemptEnded) -> None:
+        """Take an attempt that ended."""
 
 
 class TrafficTasks(TrafficPort):
@@ -50,15 +57,13 @@
         self,
         create_owner: Callable[[Pool], TrafficOwner],
         clock: ClockPort,
-        attempts: Outlet[AttemptEnded],
+        attempts: AttemptObserver,
     ) -> None:
         self._create_owner = create_owner
         self._clock = clock
         self._attempts = attempts
         self._tasks: dict[str, TrafficTask] = {}
-        self._waiting: dict[int, _Waiter] = {}
-        self._is_ticking = False
-        self._tickets = itertools.count(1)
+        self._waiting: dict[int, Any] = {}
 
     @property
     def tasks(self) -> tuple[TrafficTask, ...]:
@@ -89,18 +94,21 @@
         if pool not in self._tasks:
             return Failure(_no_pool(pool))
         event = eventlet.event.Event()
-        self._waiting[message.ticket] = _Waiter(pool, event)
-        self._ensure_ticking()
+        self._waiting[message.ticket] = event
         self._tasks[pool].put(message)
         try:
             return self._wait(pool, message, event)
         finally:
             self._waiting.pop(message.ticket, None)
 
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Report an attempt that begins to those who observe."""
+        self._attempts.started(pool, message)
+
     def ended(self, message: AttemptEnded) -> None:
-        """Report an ended attempt to the pool's traffic and health tasks."""
+        """Report an ended attempt to the pool's traffic task and to observers."""
         self.put(message.pool, message)
-        self._attempts.put(message)
+        self._attempts.ended(message)
 
     def _wait(
         self, pool: str, message: Acquire, event: Any
@@ -125,27 +133,15 @@
             self._create_owner(pool),
             CallOutlet(self._resolve),
             self._clock,
+            Ticking(TICK_S, TrafficTick()),
         )
         task.start()
         return task
 
     def _resolve(self, reply: TrafficOutput) -> None:
-        waiter = self._waiting.pop(reply.ticket, None)
-        if waiter is not None:
-            waiter.event.send(reply)
-
-    def _ensure_ticking(self) -> None:
-        if not self._is_ticking:
-            self._is_ticking = True
-            eventlet.spawn_n(self._tick)
-
-    def _tick(self) -> None:
-        """Let queued requests expire; a pool without any takes no ticks."""
-        while self._waiting:
-            eventlet.sleep(TICK_S)
-            for pool in {waiter.pool for waiter in self._waiting.values()}:
-                self.put(pool, TrafficTick())
-        self._is_ticking = False
+        event = self._waiting.pop(reply.ticket, None)
+        if event is not None:
+            event.send(reply)
 
 
 def _no_pool(pool: str) -> Refusal:
--- a/packages/client/src/pimentobend/_internal/demo/script.py
+++ b/packages/client/src/pimentobend/_internal/demo/script.py
@@ -137,7 +137,7 @@
 
     def _ejected(self) -> set[str]:
         rows = self._operators.get("/v1/ejections")["ejections"]
-        return {row["server"] for row in rows}
+        return {row["server"] for row in rows if row["state"] == "ejected"}
 
 
 def _wait_until(condition: Callable[[], bool], timeout_s: float) -> bool:
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -6,6 +6,7 @@
 
 from returns.result import Result
 
+from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
@@ -96,6 +97,10 @@
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
         """Wait for a backend server until the deadline."""
 
+    @abc.abstractmethod
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Report an attempt that begins."""
+
     @abc.abstractmethod
     def ended(self, message: AttemptEnded) -> None:
         """Report an ended attempt; its slot is free again."""
@@ -116,8 +121,16 @@
 class BackendPort(abc.ABC):
     """Send requests to backend servers."""
 
+    @abc.abstractmethod
+    def will_reuse(self, server: Server) -> bool:
+        """Say whether repeatable work would go over a kept connection now."""
+
     @abc.abstractmethod
     def send(
-        self, server: Server, head: RequestHead, body: Body, deadline: float
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> Attempted:
-        """Run one attempt; ``deadline`` is in seconds of the clock."""
+        """Run one attempt until the head's deadline.
+
+        Work that may not be repeated goes over a new connection: one that
+        was kept may have gone silent, and would leave the outcome unknown.
+        """
--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -5,6 +5,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.pipes import Filter
@@ -50,8 +51,18 @@
     def apply(self, value: Admitted) -> Result[Tried, Refusal]:
         """Return the ended attempt; it is never a refusal of its own."""
         request = value.request
+        is_repeatable = request.route.repeatable
+        self._traffic.started(
+            request.route.pool,
+            AttemptStarted(
+                ticket=value.ticket,
+                route=request.route.name,
+                server_id=value.server.server_id,
+                was_reused=is_repeatable and self._backend.will_reuse(value.server),
+            ),
+        )
         attempted = self._backend.send(
-            value.server, request.head, request.body, request.head.deadline
+            value.server, request.head, request.body, is_repeatable
         )
         self._traffic.ended(
             AttemptEnded(
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -119,6 +119,7 @@
             return None
         return InstanceRole(
             settings=self._settings,
+            link=self._link,
             tables=self._tables,
             ledger=LocalLedger(),
             metrics=self._metrics,
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -1,14 +1,18 @@
 """Join the tasks of the role instance."""
 
+import zlib
 from collections.abc import Mapping
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.health import HealthTasks
 from pimentobend_adapters._internal.http.backend import BackendClient
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.server import HttpServer
+from pimentobend_adapters._internal.links.link import Link
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
+from pimentobend_adapters._internal.observers import AttemptObservers
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -32,10 +36,11 @@
 from pimentobend_core._internal.ports import LedgerPort
 from pimentobend_core._internal.request.pipe import RequestPorts
 from pimentobend_core._internal.request.pipe import build_request_pipe
-from pimentobend_core._internal.traffic.round_robin import RoundRobinTraffic
+from pimentobend_core._internal.traffic.policy import BudgetedRetries
+from pimentobend_core._internal.traffic.pool import PoolTraffic
+from pimentobendd._internal.evidence import EvidenceReports
 from pimentobendd._internal.interfaces.servers import RegistryReply
 from pimentobendd._internal.interfaces.servers import ServersInterface
-from pimentobendd._internal.retries import SteadyRetries
 from pimentobendd._internal.settings import Settings
 from pimentobendd._internal.tables import TablesInForce
 
@@ -52,6 +57,7 @@
     def __init__(
         self,
         settings: Settings,
+        link: Link,
         tables: TablesInForce,
         ledger: LedgerPort,
         metrics: Metrics,
@@ -61,8 +67,19 @@
         assert settings.callers is not None and settings.servers is not None
         self._settings = settings
         clock = HubClock()
+        self.evidence = EvidenceReports(
+            link, settings.control, clock, lambda grant: self.health.granted(grant)
+        )
+        self.health = HealthTasks(
+            settings.instance,
+            clock,
+            lambda pool, weights: self.traffic.put(pool, weights),
+            self.evidence,
+        )
         self.traffic = TrafficTasks(
-            self._create_traffic, clock, AttemptMetrics(metrics)
+            self._create_traffic,
+            clock,
+            AttemptObservers(self.health, AttemptMetrics(metrics)),
         )
         self.pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
             "pools", PoolServers(), CallOutlet(self._give_servers), clock
@@ -89,7 +106,7 @@
                 traffic=self.traffic,
                 ledger=ledger,
                 backend=BackendClient(clock),
-                retries=SteadyRetries(),
+                retries=BudgetedRetries(),
             )
         )
         self.front = CallerFront(pipe, clock, events)
@@ -120,22 +137,27 @@
             "pools": self.pools.dump(),
         }
         state.update({task.name: task.dump() for task in self.traffic.tasks})
+        state.update({task.name: task.dump() for task in self.health.tasks})
         state["requests"] = {"in_flight": self.front.in_flight}
         return state
 
     def ejections(self) -> list[Mapping[str, object]]:
         """Return a row for each backend server that is ejected here."""
-        return []
+        return self.health.ejections()
 
-    def _create_traffic(self, pool: Pool) -> RoundRobinTraffic:
-        return RoundRobinTraffic()
+    def _create_traffic(self, pool: Pool) -> PoolTraffic:
+        settings = self._settings
+        seed = zlib.crc32(f"{settings.instance}/{pool.name}".encode())
+        return PoolTraffic(pool, settings.data_centre, settings.region, seed)
 
     def _follow_tables(self, tables: Tables) -> None:
         self.traffic.configure(tables.pools)
+        self.health.configure(tables.pools)
         self.pools.put(tables)
 
     def _give_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
+        self.health.servers_changed(message.pool, message.change)
 
     def _take_registry_output(self, message: RegistryOutput) -> None:
         if isinstance(message, ServerEvent):
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -6,6 +6,7 @@
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import TablesPort
+from pimentobend_core._internal.traffic.routing import RouteMatcher
 
 EMPTY_TABLES = Tables(term=0, log_index=0, routes=(), pools=())
 
@@ -15,12 +16,12 @@
 
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
+        self._matcher = RouteMatcher(EMPTY_TABLES)
         self._followers: list[Callable[[Tables], None]] = []
 
     def match(self, head: RequestHead) -> Route | None:
         """Return the route for a request."""
-        matching = [route for route in self._tables.routes if _matches(route, head)]
-        return max(matching, key=lambda route: len(route.path), default=None)
+        return self._matcher.match(head.method, head.host, head.path)
 
     def current(self) -> Tables:
         """Return the version in force."""
@@ -35,15 +36,7 @@
         if tables[:2] <= self._tables[:2]:
             return False
         self._tables = tables
+        self._matcher = RouteMatcher(tables)
         for function in self._followers:
             function(tables)
         return True
-
-
-def _matches(route: Route, head: RequestHead) -> bool:
-    if route.host not in ("*", head.host):
-        return False
-    if route.methods and head.method not in route.methods:
-        return False
-    prefix = route.path.rstrip("/")
-    return head.path == prefix or head.path.startswith(f"{prefix}/")
--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
@@ -61,6 +62,7 @@
 
     def __init__(self, grants: int = 10) -> None:
         self._grants = grants
+        self.starts: list[AttemptStarted] = []
         self.ends: list[AttemptEnded] = []
         self.asked: list[Acquire] = []
 
@@ -72,6 +74,10 @@
             return Failure(refusal)
         return Success(Granted(message.ticket, make_server(f"s{len(self.asked)}")))
 
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Remember the attempt that begins."""
+        self.starts.append(message)
+
     def ended(self, message: AttemptEnded) -> None:
         """Remember the ended attempt."""
         self.ends.append(message)
@@ -104,8 +110,12 @@
         self._endings = list(endings)
         self.sent: list[str] = []
 
+    def will_reuse(self, server: Server) -> bool:
+        """Say that no connection is kept."""
+        return False
+
     def send(
-        self, server: Server, head: RequestHead, body: Body, deadline: float
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> Attempted:
         """End the attempt as the test chose."""
         kind, status = self._endings[len(self.sent)]
