--- a/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -1,6 +1,7 @@
 """List every probe by its name."""
 
 from pimentobend_bench._internal.capacity import configuration_probes
+from pimentobend_bench._internal.capacity import ledger_probes
 from pimentobend_bench._internal.capacity import link_probes
 from pimentobend_bench._internal.capacity import membership_probes
 from pimentobend_bench._internal.capacity import storage_probes
@@ -12,6 +13,7 @@
         *storage_probes.PROBES,
         *membership_probes.PROBES,
         *configuration_probes.PROBES,
+        *ledger_probes.PROBES,
         *link_probes.PROBES,
     )
 }
