--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -21,6 +21,10 @@
     "false-ejections": Entry(
         "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
     ),
+    "crest": Entry("traffic.crest", "Crest", "goodput and latency at a crest"),
+    "head-of-line": Entry(
+        "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
+    ),
     "slopes": Entry(
         "capacity.slopes",
         "SlopesCommand",
