--- a/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -5,12 +5,14 @@
 from pimentobend_bench._internal.capacity import link_probes
 from pimentobend_bench._internal.capacity import membership_probes
 from pimentobend_bench._internal.capacity import storage_probes
+from pimentobend_bench._internal.capacity import traffic_probes
 from pimentobend_bench._internal.capacity.probe import Probe
 
 PROBES: dict[str, Probe] = {
     probe.name: probe
     for probe in (
         *storage_probes.PROBES,
+        *traffic_probes.PROBES,
         *membership_probes.PROBES,
         *configuration_probes.PROBES,
         *ledger_probes.PROBES,
