--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -1,6 +1,6 @@
 """Let request tasks ask the tasks that own the pools' traffic."""
 
-import itertools
+import abc
 from collections.abc import Callable
 from typing import Any
 
@@ -12,8 +12,8 @@
 
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
@@ -38,6 +38,18 @@
 TrafficTask = FilterTask[TrafficInput, TrafficOutput]
 
 
+class AttemptObserver(abc.ABC):
+    """Follow the attempts of all pools."""
+
+    @abc.abstractmethod
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Take an attempt that begins."""
+
+    @abc.abstractmethod
+    def ended(self, message: AttemptEnded) -> None:
+        """Take an attempt that ended."""
+
+
 class TrafficTasks(TrafficPort):
     """Run one traffic task a pool and match its replies to those who wait."""
 
@@ -45,14 +57,13 @@
         self,
         create_owner: Callable[[Pool], TrafficOwner],
         clock: ClockPort,
-        attempts: Outlet[AttemptEnded],
+        attempts: AttemptObserver,
     ) -> None:
         self._create_owner = create_owner
         self._clock = clock
         self._attempts = attempts
         self._tasks: dict[str, TrafficTask] = {}
         self._waiting: dict[int, Any] = {}
-        self._tickets = itertools.count(1)
 
     @property
     def tasks(self) -> tuple[TrafficTask, ...]:
@@ -90,10 +101,14 @@
         finally:
             self._waiting.pop(message.ticket, None)
 
+    def started(self, pool: str, message: AttemptStarted) -> None:
+        """Report an attempt that begins to those who observe."""
+        self._attempts.started(pool, message)
+
     def ended(self, message: AttemptEnded) -> None:
-        """Report an ended attempt to the pool's traffic and health tasks."""
+        """Report an ended attempt to the pool's traffic task and to observers."""
         self.put(message.pool, message)
-        self._attempts.put(message)
+        self._attempts.ended(message)
 
     def _wait(
         self, pool: str, message: Acquire, event: Any
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,6 +15,16 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "detection": Entry(
+        "health.detection", "DetectionCommand", "time until a failing server is out"
+    ),
+    "false-ejections": Entry(
+        "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
+    ),
+    "crest": Entry("traffic.crest", "Crest", "goodput and latency at a crest"),
+    "head-of-line": Entry(
+        "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
+    ),
     "slopes": Entry(
         "capacity.slopes",
         "SlopesCommand",
