--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -46,13 +46,20 @@
     worst_added_p99_s: float
 
 
+class Stage(TypedDict):
+    """Spell what a process uses after a step; the processor time is the step's."""
+
+    after: str
+    private_bytes: int
+    cpu_s: float
+    idle_cpu_share: float  # of one core
+
+
 class WholeFigure(TypedDict):
-    """Spell what one process with the whole table uses."""
+    """Spell the steps of a real daemon, and of its parts in one process."""
 
-    process: str
-    stages: list[tuple[str, int]]
-    load_cpu_s: float
-    idle_cpu_share: float
+    daemon: list[Stage]
+    parts: list[Stage]
 
 
 class Figures(TypedDict, total=False):
@@ -61,10 +68,9 @@
     command: str
     commit: str
     measured_at: str
-    machine: str
     slopes: dict[str, SlopeFigure]
     hops: list[HopFigure]
-    whole: list[WholeFigure]
+    whole: WholeFigure
 
 
 def load_figures(path: pathlib.Path = FIGURES) -> Figures:
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/__init__.py
@@ -0,0 +1,1 @@
+"""Load the whole table into one process."""
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -35,6 +35,11 @@
         "HopCommand",
         "CPU a request and added latency of one hop, real processes",
     ),
+    "whole-table": Entry(
+        "capacity.whole.command",
+        "WholeTableCommand",
+        "9,000 routes, 580 pools, servers, organisations in one process",
+    ),
     "slope-point": Entry(
         "capacity.point",
         "PointCommand",
