--- a/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
@@ -13,13 +13,11 @@
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import ServerEvent
-from pimentobend_core._internal.membership.messages import ServerEvents
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.membership.view import MembershipView
 from pimentobend_core._internal.models.server import Announcement
 
 _VIEW_SIZES = (2_500, 5_000, 10_000, 20_000)
-_BATCH_SIZES = (1, 4, 16, 64, 256)
 _REGISTRY_SIZES = (3, 11, 44, 128, 256)
 _LEASE_S = 10.0
 _FIRST_EPOCH = 1_700_000_000_000_000_000
@@ -76,19 +74,6 @@
         return lambda: view.handle(next(flapping), 1.0)
 
 
-class EventBytesProbe(BytesProbe):
-    """Encode a batch of events."""
-
-    name = "bytes-membership-event"
-    sized_by = "events"
-    sizes = _BATCH_SIZES
-    mechanism = "core membership.messages, msgpack"
-
-    def encode(self, size: int) -> bytes:
-        """Return the encoded batch."""
-        return msgspec.msgpack.encode(ServerEvents(tuple(_events(size))))
-
-
 class LeaseRenewalCpuProbe(CpuProbe):
     """Renew the leases of all servers of one instance."""
 
@@ -159,7 +144,6 @@
 PROBES = (
     ViewMemoryProbe(),
     ViewEventCpuProbe(),
-    EventBytesProbe(),
     LeaseRenewalCpuProbe(),
     LeaseRenewalBytesProbe(),
 )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
@@ -8,12 +8,13 @@
 from pimentobend_bench._internal.capacity.page.costs import Costs
 from pimentobend_bench._internal.capacity.page.costs import describe_module
 from pimentobend_bench._internal.capacity.page.flows import EVENTS_PER_LIFE
-from pimentobend_bench._internal.capacity.page.flows import membership
+from pimentobend_bench._internal.capacity.page.flows import event_cpu_s
 from pimentobend_bench._internal.capacity.target import CONTROL_BYTES_PER_S
 from pimentobend_bench._internal.capacity.target import DAEMONS
 from pimentobend_bench._internal.capacity.target import DATA_CENTRES
 from pimentobend_bench._internal.capacity.target import REGION_LINK_BITS_PER_S
 from pimentobend_bench._internal.capacity.target import ROUTES
+from pimentobend_bench._internal.capacity.target import SERVERS
 from pimentobend_bench._internal.capacity.target import SERVERS_PER_DAEMON
 
 _CORE = "pimentobend_core._internal"
@@ -42,15 +43,14 @@
 
 
 def _lost(costs: Costs, name: str, instances: int) -> FailureDay:
-    event = membership(costs)
     events = instances * SERVERS_PER_DAEMON * EVENTS_PER_LIFE
-    load_bytes = events * costs.each("bytes-membership-event")
+    load_bytes = events * costs.each("bytes-spread-row")
     return FailureDay(
         name,
         f"{instances} daemons, {instances * SERVERS_PER_DAEMON:.0f} servers,"
         f" {events:.0f} events until all are back",
         f"{load_bytes / 1e3:.1f} KB: {load_bytes / CONTROL_BYTES_PER_S:.1f} s of its"
-        f" bytes a second, {events * event.cpu_s_each:.2f} s of CPU",
+        f" bytes a second, {events * event_cpu_s(costs):.2f} s of CPU",
         "none while the tables stay; a lost replica is replaced through the log",
         (
             describe_module(f"{_CORE}.membership.view"),
@@ -85,13 +85,16 @@
     compressed = costs.at("bytes-catch-up-compressed", ROUTES)
     serve_s = costs.at("cpu-catch-up-serve", ROUTES)
     take_s = costs.at("cpu-catch-up-take", ROUTES)
+    rows = costs.at("bytes-spread-snapshot", SERVERS)
+    rows_s = SERVERS * event_cpu_s(costs)
     link_s = DAEMONS / 2 * whole * 8 / REGION_LINK_BITS_PER_S
     return FailureDay(
         "restart of everything",
-        f"{DAEMONS:,} catch-ups of {whole / 1e3:.0f} KB"
-        f" ({compressed / 1e3:.0f} KB if compressed, which is not built)",
-        f"{take_s * 1e3:.0f} ms of CPU to take them;"
-        f" {whole / CONTROL_BYTES_PER_S:.0f} s of its bytes a second",
+        f"{DAEMONS:,} catch-ups of {whole / 1e3:.0f} KB of tables"
+        f" ({compressed / 1e3:.0f} KB if compressed, which is not built) and"
+        f" {rows / 1e3:.0f} KB of servers",
+        f"{take_s * 1e3:.0f} ms of CPU to take the tables, {rows_s:.1f} s the servers;"
+        f" {(whole + rows) / CONTROL_BYTES_PER_S:.0f} s of its bytes a second",
         f"{serve_s * 1e3:.0f} ms of CPU a catch-up:"
         f" {DAEMONS / CONTROL_REPLICAS * serve_s:.0f} s of a core on each of"
         f" {CONTROL_REPLICAS} replicas without relays,"
@@ -99,6 +102,7 @@
         f" the link between regions is full for {link_s:.0f} s without relays there",
         (
             describe_module(f"{_CORE}.configuration.follower"),
+            describe_module(f"{_CORE}.membership.spread.gate"),
             describe_module(f"{_CORE}.membership.registry"),
         ),
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -13,6 +13,7 @@
 from pimentobend_bench._internal.capacity.target import SERVERS_PER_DAEMON
 from pimentobend_core._internal.configuration.follower import ASK_INTERVAL_S
 from pimentobend_core._internal.membership.registry import RENEWALS_A_LEASE
+from pimentobend_core._internal.membership.spread.relay import BEACON_S
 
 LEASE_S = 10.0
 EVENTS_PER_LIFE = 2  # a server's end and its return
@@ -87,8 +88,24 @@
         "membership events",
         "pimentobend_core._internal.membership.spread",
         lives * EVENTS_PER_LIFE / DAY_S,
-        costs.each("bytes-membership-event") + costs.frame_bytes,
-        costs.at("cpu-membership-event", SERVERS) + costs.frame_cpu_s,
+        costs.at("bytes-spread-row", 1) + costs.frame_bytes,
+        event_cpu_s(costs) + costs.frame_cpu_s,
+    )
+
+
+def event_cpu_s(costs: Costs) -> float:
+    """Return the seconds that one row of a delta takes, view included."""
+    return costs.each("cpu-spread-row") + costs.at("cpu-membership-event", SERVERS)
+
+
+def beacons(costs: Costs, children: float = 1.0) -> Flow:
+    """Return the beacons of the tree and the answers to them."""
+    return Flow(
+        "beacons of the tree",
+        "pimentobend_core._internal.membership.spread",
+        children / BEACON_S,
+        costs.at("bytes-beacon", SERVERS) + 2 * costs.frame_bytes,
+        costs.frame_cpu_s,
     )
 
 
@@ -99,6 +116,7 @@
         digest_exchange(costs),
         changes(costs),
         membership(costs),
+        beacons(costs),
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -8,9 +8,11 @@
 from pimentobend_bench._internal.capacity.page.budgets import peak_cpu_share
 from pimentobend_bench._internal.capacity.page.costs import Costs
 from pimentobend_bench._internal.capacity.page.costs import describe_module
+from pimentobend_bench._internal.capacity.page.flows import beacons
 from pimentobend_bench._internal.capacity.page.flows import changes
 from pimentobend_bench._internal.capacity.page.flows import daemon_flows
 from pimentobend_bench._internal.capacity.page.flows import digest_exchange
+from pimentobend_bench._internal.capacity.page.flows import membership
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.page.flows import total_cpu_share
 from pimentobend_bench._internal.capacity.target import DAEMONS
@@ -61,6 +63,7 @@
             f"tables in force: {describe_module(f'{_CORE}.configuration.follower')}",
             f"routes compiled: {describe_module(f'{_CORE}.traffic.routing')}",
             f"servers of the fleet: {describe_module(f'{_CORE}.membership.view')}",
+            f"rows of the tree: {describe_module(f'{_CORE}.membership.spread.store')}",
             f"leases of its own: {describe_module(f'{_CORE}.membership.registry')}",
             f"pools' queues and slots: {describe_module(f'{_CORE}.traffic.pool')}",
             f"organisations: {describe_module(f'{_CORE}.traffic.fairness')}",
@@ -79,10 +82,16 @@
 def _relay(costs: Costs) -> Role:
     asked = digest_exchange(costs, DAEMONS_PER_RELAY)
     pushed = changes(costs)
-    sent_bytes = asked.bytes_per_s + pushed.per_s * DAEMONS_PER_RELAY * (
-        pushed.bytes_each
+    heard = beacons(costs, DAEMONS_PER_RELAY)
+    rows = membership(costs)
+    sent_bytes = (
+        heard.bytes_per_s
+        + asked.bytes_per_s
+        + pushed.per_s * DAEMONS_PER_RELAY * (pushed.bytes_each)
     )
-    cpu = asked.cpu_share + pushed.cpu_share
+    sent_bytes += rows.bytes_per_s * DAEMONS_PER_RELAY
+    cpu = asked.cpu_share + pushed.cpu_share + heard.cpu_share + rows.cpu_share
+    cpu += rows.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
     cpu += pushed.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
     return Role(
         f"relay (one in each of {RELAYS} data centres,"
@@ -90,14 +99,17 @@
         (
             "tables and the last deltas:"
             f" {describe_module(f'{_CORE}.configuration.history')}",
+            f"rows of the tree: {describe_module(f'{_CORE}.membership.spread.relay')}",
             "its followers' versions:"
             f" {describe_module(f'{_CORE}.configuration.children')}",
         ),
         (
-            f"{asked.per_s:.0f} digest questions a second,"
-            f" {sent_bytes / 1e3:.1f} KB/s both ways with the changes",
+            f"{asked.per_s:.0f} digest questions and {heard.per_s:.0f} beacons a"
+            f" second, {sent_bytes / 1e3:.1f} KB/s both ways with changes and rows",
         ),
-        f"{costs.at('memory-route-follower', ROUTES) / 1e6:.1f} MB above a bare daemon",
+        f"{costs.at('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables and"
+        f" {costs.at('memory-spread-row', SERVERS) / 1e6:.1f} MB of rows above a bare"
+        " daemon",
         f"{cpu:.2%} of a core",
         "as in normal hours: requests do not pass a relay",
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/parts.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/parts.py
@@ -39,6 +39,7 @@
 def _load_tables() -> None:
     from pimentobend_bench._internal.capacity.configuration_probes import make_tables
     from pimentobend_bench._internal.capacity.membership_probes import fill_view
+    from pimentobend_bench._internal.capacity.row_probes import fill_store
     from pimentobend_bench._internal.capacity.rows import make_organisation
     from pimentobend_bench._internal.capacity.target import ORGANISATIONS
     from pimentobend_bench._internal.capacity.target import ROUTES
@@ -53,6 +54,8 @@
     _note("9,000 routes and 580 pools, matched")
     view = fill_view(SERVERS)
     _note("20,000 servers in the view")
+    store = fill_store(SERVERS)
+    _note("20,000 rows of servers for the tree")
     pools = [PoolTraffic(pool, "dc-0", "region-0", 1) for pool in tables.pools]
     for pool, traffic in zip(tables.pools, pools, strict=True):
         traffic.handle(ServersChanged(view.servers(pool.service)), 0.0)
@@ -61,7 +64,7 @@
         traffic = pools[number % len(pools)]
         traffic._shares.charge(make_organisation(number), 0.0)
     _note("85,000 organisations")
-    del tables, matcher, view, pools
+    del tables, matcher, view, store, pools
 
 
 if __name__ == "__main__":
