--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the replicated log and its data folder."""
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,6 +15,15 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "apply": Entry(
+        "consensus.apply", "ApplyCommand", "time until a change is acknowledged"
+    ),
+    "failover": Entry(
+        "consensus.failover", "FailoverCommand", "time without a leader after a crash"
+    ),
+    "recovery": Entry(
+        "consensus.recovery", "RecoveryCommand", "time to recover against log length"
+    ),
     "detection": Entry(
         "health.detection", "DetectionCommand", "time until a failing server is out"
     ),
