--- a/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -94,7 +94,9 @@
             )
 
     def _put(self, rows: Rows[_Row], row: _Row) -> None:
-        self._remove(rows, row.name)
+        replaced = rows.get(row.name)
+        if replaced is not None:
+            self._sum -= _hash(replaced)
         rows.put(row)
         self._sum = (self._sum + _hash(row)) % _MODULUS
 
