--- a/packages/core/src/pimentobend_core/_internal/consensus/storage.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/storage.py
@@ -4,11 +4,16 @@
 
 from pimentobend_core._internal.consensus.entries import BaseRecord
 from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.entries import EntryRecord
 from pimentobend_core._internal.consensus.entries import Record
 from pimentobend_core._internal.consensus.entries import Snapshot
 from pimentobend_core._internal.consensus.entries import StoredState
 from pimentobend_core._internal.consensus.entries import TermRecord
 from pimentobend_core._internal.consensus.exceptions import CorruptLogError
+from pimentobend_core._internal.consensus.members import Member
+from pimentobend_core._internal.consensus.members import Members
+
+RESTART_TERMS = 1_000_000  # more elections than a cluster holds in its life
 
 
 def replay(records: Iterable[Record], snapshot: Snapshot | None) -> StoredState:
@@ -69,3 +74,18 @@
     if position < 0:
         return state.base.term
     return state.entries[position].term if position < len(state.entries) else None
+
+
+def restart_alone(stored: StoredState, member: Member) -> tuple[Record, ...]:
+    """Return records that make a copied state the start of a new cluster.
+
+    The only voter is ``member``. The term rises by ``RESTART_TERMS``, so that
+    daemons that saw later versions of the lost cluster follow the new one.
+    """
+    members = Members((member,))
+    entries = (entry._replace(members=None) for entry in stored.entries)
+    return (
+        stored.base._replace(members=members),
+        TermRecord(stored.term + RESTART_TERMS, None),
+        *(EntryRecord(entry) for entry in entries),
+    )
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -9,6 +9,8 @@
 from replicas import Accepted
 from replicas import Replicas
 
+from pimentobendd.restore import main
+
 CHANGES = 24
 KILLED_AT = 8
 
@@ -94,3 +96,24 @@
     assert answer.status == 503
     assert b"not run" in answer.content
     assert replicas.route_names(survivor) == {"r0"}
+
+
+def test_a_new_cluster_starts_from_a_copied_folder(fleet: Fleet) -> None:
+    replicas = Replicas(fleet, 3)
+    for number in range(5):
+        replicas.apply(replicas.names[0], number)
+    copied = replicas.names[1]
+    expected = {f"r{n}" for n in range(5)}
+    wait_until(lambda: replicas.route_names(copied) == expected)
+    for name in replicas.names:
+        replicas.kill(name)
+    folder = f"{replicas.settings[copied]['data_folder']}/configuration"
+    address = _link(replicas, copied)
+    arguments = [f"--folder={folder}", f"--address={address}"]
+    assert main(["restore", *arguments]) == 0
+    before = tuple(int(part) for part in replicas.version.split("."))
+    replicas.start(copied)
+    wait_until(lambda: replicas.route_names(copied) == expected)
+    replicas.version = replicas.status(copied)["version"]
+    accepted = replicas.apply(copied, 5)
+    assert accepted.version > before
