--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -44,6 +44,16 @@
         "HopCommand",
         "CPU a request and added latency of one hop, real processes",
     ),
+    "whole-table": Entry(
+        "capacity.whole.command",
+        "WholeTableCommand",
+        "9,000 routes, 580 pools, servers, organisations in one process",
+    ),
+    "capacity": Entry(
+        "capacity.command",
+        "CapacityCommand",
+        "remake docs/CAPACITY.md, its figures and plots",
+    ),
     "slope-point": Entry(
         "capacity.point",
         "PointCommand",
