--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -3,6 +3,7 @@
 import abc
 from collections.abc import Callable
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 import eventlet.event
@@ -12,7 +13,6 @@
 
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import Ran
@@ -50,6 +50,11 @@
         """Take an attempt that ended."""
 
 
+class _Waiter(NamedTuple):
+    pool: str
+    event: Any  # an eventlet event
+
+
 class TrafficTasks(TrafficPort):
     """Run one traffic task a pool and match its replies to those who wait."""
 
@@ -63,7 +68,8 @@
         self._clock = clock
         self._attempts = attempts
         self._tasks: dict[str, TrafficTask] = {}
-        self._waiting: dict[int, Any] = {}
+        self._waiting: dict[int, _Waiter] = {}
+        self._is_ticking = False
 
     @property
     def tasks(self) -> tuple[TrafficTask, ...]:
@@ -94,7 +100,8 @@
         if pool not in self._tasks:
             return Failure(_no_pool(pool))
         event = eventlet.event.Event()
-        self._waiting[message.ticket] = event
+        self._waiting[message.ticket] = _Waiter(pool, event)
+        self._ensure_ticking()
         self._tasks[pool].put(message)
         try:
             return self._wait(pool, message, event)
@@ -133,15 +140,27 @@
             self._create_owner(pool),
             CallOutlet(self._resolve),
             self._clock,
-            Ticking(TICK_S, TrafficTick()),
         )
         task.start()
         return task
 
     def _resolve(self, reply: TrafficOutput) -> None:
-        event = self._waiting.pop(reply.ticket, None)
-        if event is not None:
-            event.send(reply)
+        waiter = self._waiting.pop(reply.ticket, None)
+        if waiter is not None:
+            waiter.event.send(reply)
+
+    def _ensure_ticking(self) -> None:
+        if not self._is_ticking:
+            self._is_ticking = True
+            eventlet.spawn_n(self._tick)
+
+    def _tick(self) -> None:
+        """Let queued requests expire; a pool without any takes no ticks."""
+        while self._waiting:
+            eventlet.sleep(TICK_S)
+            for pool in {waiter.pool for waiter in self._waiting.values()}:
+                self.put(pool, TrafficTick())
+        self._is_ticking = False
 
 
 def _no_pool(pool: str) -> Refusal:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -1,6 +1,7 @@
 """List every probe by its name."""
 
 from pimentobend_bench._internal.capacity import configuration_probes
+from pimentobend_bench._internal.capacity import health_probes
 from pimentobend_bench._internal.capacity import ledger_probes
 from pimentobend_bench._internal.capacity import link_probes
 from pimentobend_bench._internal.capacity import membership_probes
@@ -19,6 +20,7 @@
         *traffic_probes.PROBES,
         *membership_probes.PROBES,
         *configuration_probes.PROBES,
+        *health_probes.PROBES,
         *ledger_probes.PROBES,
         *link_probes.PROBES,
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
@@ -39,7 +39,8 @@
 
 def _measure() -> Figures:
     figures = Figures()
-    stamp(figures, "python -m pimentobend_bench capacity")
+    for section in ("whole-table", "hop", "slopes"):
+        stamp(figures, section)
     figures["whole"] = measure_whole()
     figures["hops"] = measure_hops(RUNS, STARTERS)
     figures["slopes"] = measure_slopes(PROBES)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/daemons.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/daemons.py
@@ -5,6 +5,7 @@
 import socket
 import tempfile
 import time
+import urllib.error
 import urllib.request
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -21,6 +22,7 @@
 _START_TIMEOUT_S = 20.0
 _TABLES_TIMEOUT_S = 60.0
 _POLL_S = 0.05
+_NO_LEADER_STATUS = 503
 _CALL_TIMEOUT_S = 30.0
 
 
@@ -83,9 +85,16 @@
             "pools": [pool._asdict() for pool in pools],
         }
         url = f"http://{self.listen['operators']}/v1/tables"
-        expected = self.get("/v1/status")["version"]
-        answer = call("PUT", f"{url}?version={expected}&change=bench", document)
-        return str(answer["version"])
+        until = time.monotonic() + _START_TIMEOUT_S
+        while True:
+            expected = self.get("/v1/status")["version"]
+            try:
+                answer = call("PUT", f"{url}?version={expected}&change=bench", document)
+                return str(answer["version"])
+            except urllib.error.HTTPError as error:
+                if error.code != _NO_LEADER_STATUS or time.monotonic() > until:
+                    raise
+            time.sleep(_POLL_S)
 
     def wait_for_version(self, version: str) -> None:
         """Wait until the daemon has the tables of a version in force."""
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -62,12 +62,18 @@
     parts: list[Stage]
 
 
-class Figures(TypedDict, total=False):
-    """Spell all figures of the page."""
+class Run(TypedDict):
+    """Spell where a section's figures come from."""
 
     command: str
     commit: str
     measured_at: str
+
+
+class Figures(TypedDict, total=False):
+    """Spell all figures of the page."""
+
+    runs: dict[str, Run]
     slopes: dict[str, SlopeFigure]
     hops: list[HopFigure]
     whole: WholeFigure
@@ -91,13 +97,16 @@
     return fit_line([Point(int(size), value) for size, value in figure["points"]])
 
 
-def stamp(figures: Figures, command: str) -> None:
-    """Note the command, the commit and the date of a run."""
-    figures["command"] = command
-    figures["commit"] = _git("rev-parse", "--short=12", "HEAD")
+def stamp(figures: Figures, section: str) -> None:
+    """Note the command, the commit and the date of a section's run."""
+    commit = _git("rev-parse", "--short=12", "HEAD")
     if _git("status", "--porcelain", "--", "packages"):
-        figures["commit"] += " with uncommitted changes"
-    figures["measured_at"] = time.strftime("%Y-%m-%d %H:%M UTC", time.gmtime())
+        commit += " with uncommitted changes"
+    figures.setdefault("runs", {})[section] = Run(
+        command=f"python -m pimentobend_bench {section}",
+        commit=commit,
+        measured_at=time.strftime("%Y-%m-%d %H:%M UTC", time.gmtime()),
+    )
 
 
 def _git(*arguments: str) -> str:
--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
@@ -0,0 +1,91 @@
+"""Measure what a pool's observer takes and reports."""
+
+import itertools
+from collections.abc import Callable
+
+from pimentobend_bench._internal.capacity.probe import BytesProbe
+from pimentobend_bench._internal.capacity.probe import CpuProbe
+from pimentobend_bench._internal.capacity.probe import MemoryProbe
+from pimentobend_bench._internal.capacity.rows import make_pools
+from pimentobend_bench._internal.capacity.rows import make_server
+from pimentobend_core._internal.health.limits import TICK_S
+from pimentobend_core._internal.health.messages import EvidenceReported
+from pimentobend_core._internal.health.messages import HealthTick
+from pimentobend_core._internal.health.messages import Reason
+from pimentobend_core._internal.health.messages import ServerEvidence
+from pimentobend_core._internal.health.observer import PoolHealth
+from pimentobend_core._internal.health.wire import encode_health
+from pimentobend_core._internal.traffic.messages import ServersChanged
+
+_SERVER_SIZES = (8, 16, 34, 68, 136)
+_POOL_SIZES = (145, 290, 580, 1_160)
+_SERVERS_PER_POOL = 34
+_OBSERVER = "instance-0001"
+
+
+def _create_health(servers: int) -> PoolHealth:
+    health = PoolHealth(next(make_pools(1)), _OBSERVER)
+    rows = tuple(make_server(number) for number in range(servers))
+    health.handle(ServersChanged(rows), 0.0)
+    return health
+
+
+class HealthMemoryProbe(MemoryProbe):
+    """Hold the observers of pools with their servers."""
+
+    name = "memory-pool-health"
+    sized_by = "pools"
+    sizes = _POOL_SIZES
+    mechanism = "core health.observer"
+
+    def warm_up(self) -> None:
+        """Create one."""
+        self.build(1)
+
+    def build(self, size: int) -> object:
+        """Return the observers."""
+        return [_create_health(_SERVERS_PER_POOL) for _ in range(size)]
+
+
+class HealthTickCpuProbe(CpuProbe):
+    """Let one tick of a healthy pool pass."""
+
+    name = "cpu-health-tick"
+    sized_by = "servers of the pool"
+    sizes = _SERVER_SIZES
+    mechanism = "core health.observer"
+
+    def prepare(self, size: int) -> Callable[[], object]:
+        """Return an operation that takes the next tick."""
+        health = _create_health(size)
+        ticks = itertools.count(1)
+        return lambda: health.handle(HealthTick(), next(ticks) * TICK_S)
+
+
+class EvidenceBytesProbe(BytesProbe):
+    """Encode a report of servers with evidence."""
+
+    name = "bytes-evidence-report"
+    sized_by = "servers with evidence"
+    sizes = (0, 1, 8, 34)
+    mechanism = "core health.wire"
+
+    def encode(self, size: int) -> bytes:
+        """Return the encoded report."""
+        servers = tuple(_make_evidence(number) for number in range(size))
+        pool = next(make_pools(1))
+        return encode_health(
+            EvidenceReported(
+                pool.name, pool.service, _OBSERVER, 12_345.678, 3, 1_000, servers
+            )
+        )
+
+
+def _make_evidence(number: int) -> ServerEvidence:
+    server = make_server(number)
+    return ServerEvidence(
+        server.server_id, server.incarnation, 0.37, 0.215, Reason.SLOW
+    )
+
+
+PROBES = (HealthMemoryProbe(), HealthTickCpuProbe(), EvidenceBytesProbe())
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
@@ -55,7 +55,7 @@
         figures = load_figures()
         kept = [hop for hop in figures.get("hops", []) if hop["proxy"] not in names]
         figures["hops"] = kept + hops
-        stamp(figures, "python -m pimentobend_bench hop")
+        stamp(figures, "hop")
         save_figures(figures)
         return Status.SUCCESS
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -165,7 +165,8 @@
         CONTROL_BYTES_PER_S / 1e3,
         "KB/s",
         f"flows below, both ways, leases of {LEASE_S:g} s",
-        "longer leases; compressed catch-ups",
+        "reports of evidence for pools with news only, several pools in a frame, and"
+        " to a relay that joins them; longer leases",
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -11,7 +11,10 @@
 from pimentobend_bench._internal.capacity.target import ROUTES
 from pimentobend_bench._internal.capacity.target import SERVERS
 from pimentobend_bench._internal.capacity.target import SERVERS_PER_DAEMON
+from pimentobend_bench._internal.capacity.target import SERVICES
 from pimentobend_core._internal.configuration.follower import ASK_INTERVAL_S
+from pimentobend_core._internal.health.limits import REPORT_IDLE_S
+from pimentobend_core._internal.health.limits import TICK_S as HEALTH_TICK_S
 from pimentobend_core._internal.membership.registry import RENEWALS_A_LEASE
 from pimentobend_core._internal.membership.spread.relay import BEACON_S
 
@@ -109,6 +112,32 @@
     )
 
 
+def evidence(costs: Costs) -> Flow:
+    """Return the reports of servers' health, one a pool, to the floor's owner."""
+    return Flow(
+        "evidence of servers' health, every pool",
+        "pimentobend_core._internal.health.observer",
+        SERVICES / REPORT_IDLE_S,
+        costs.at("bytes-evidence-report", 0) + costs.frame_bytes,
+        0.0,
+    )
+
+
+def health_ticks(costs: Costs) -> Flow:
+    """Return the ticks of all pools' observers, for their servers alone.
+
+    A tick of a pool without servers is part of the reading at rest.
+    """
+    servers = SERVERS / SERVICES
+    return Flow(
+        "ticks of servers' health, every pool",
+        "pimentobend_core._internal.health.observer",
+        SERVICES / HEALTH_TICK_S,
+        0.0,
+        costs.each("cpu-health-tick") * servers,
+    )
+
+
 def daemon_flows(costs: Costs) -> tuple[Flow, ...]:
     """Return what a daemon without followers exchanges in normal hours."""
     return (
@@ -117,6 +146,8 @@
         changes(costs),
         membership(costs),
         beacons(costs),
+        evidence(costs),
+        health_ticks(costs),
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -13,6 +13,7 @@
 from pimentobend_bench._internal.capacity.page.flows import changes
 from pimentobend_bench._internal.capacity.page.flows import daemon_flows
 from pimentobend_bench._internal.capacity.page.flows import digest_exchange
+from pimentobend_bench._internal.capacity.page.flows import evidence
 from pimentobend_bench._internal.capacity.page.flows import membership
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.target import DAEMONS
@@ -120,6 +121,8 @@
     asked = digest_exchange(costs, RELAYS / CONTROL_REPLICAS)
     direct = digest_exchange(costs, DAEMONS / CONTROL_REPLICAS)
     pushed = changes(costs)
+    reports = evidence(costs)
+    reports_cpu = reports.per_s * DAEMONS * costs.frame_cpu_s
     return Role(
         f"control replica ({CONTROL_REPLICAS})",
         (
@@ -130,13 +133,17 @@
         (
             f"{pushed.per_s:.3f} changes a second, each to"
             f" {CONTROL_REPLICAS - 1} replicas and to its relays",
+            f"evidence of health: {reports.per_s * DAEMONS:,.0f} reports a second,"
+            f" {reports.bytes_per_s * DAEMONS / 1e6:.1f} MB/s, to the one owner of the"
+            f" floor: {describe_module(f'{_CORE}.health.floor')}",
             f"with relays {asked.per_s:.1f} digest questions a second; without,"
             f" {direct.per_s:.0f} and {direct.bytes_per_s / 1e3:.1f} KB/s",
         ),
         f"{costs.at('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables above a"
         " bare daemon; the log is bounded by compaction",
         f"{pushed.cpu_share + asked.cpu_share:.2%} of a core with relays,"
-        f" {pushed.cpu_share + direct.cpu_share:.2%} without",
+        f" {pushed.cpu_share + direct.cpu_share:.2%} without; the owner of the floor"
+        f" {reports_cpu:.1f} cores for the reports' frames alone",
         "as in normal hours: requests need no control replica",
     )
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/tables.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/tables.py
@@ -180,10 +180,13 @@
 
 
 def write_stamp(figures: Figures) -> str:
-    """Return where the figures come from."""
-    return (
-        f"Remade by `{figures['command']}` at commit {figures['commit']},"
-        f" {figures['measured_at']}."
+    """Return where the figures of each section come from."""
+    return write_table(
+        ["command", "commit", "date"],
+        [
+            [f"`{run['command']}`", run["commit"], run["measured_at"]]
+            for _, run in sorted(figures["runs"].items())
+        ],
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/slopes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/slopes.py
@@ -13,12 +13,13 @@
 from pimentobend_bench._internal.capacity.figures import stamp
 from pimentobend_bench._internal.capacity.fit import Point
 from pimentobend_bench._internal.capacity.fit import fit_line
+from pimentobend_bench._internal.capacity.probe import BytesProbe
 from pimentobend_bench._internal.capacity.probe import Probe
 from pimentobend_bench._internal.capacity.process import BenchProcess
 from pimentobend_bench._internal.command import Command
 from pimentobend_bench._internal.command import Status
 
-_PROCESSES_PER_POINT = 3
+_PROCESSES_PER_POINT = 3  # a message has the same bytes in every process
 _POINT_TIMEOUT_S = 120.0
 _PLOTS = FIGURES.parent
 
@@ -39,7 +40,7 @@
         figures = load_figures()
         slopes = {**figures.get("slopes", {}), **measured}
         figures["slopes"] = {name: slopes[name] for name in slopes if name in PROBES}
-        stamp(figures, "python -m pimentobend_bench slopes")
+        stamp(figures, "slopes")
         save_figures(figures)
         return Status.SUCCESS
 
@@ -73,9 +74,8 @@
 
 
 def _median(probe: Probe, size: int) -> float:
-    return statistics.median(
-        _read_point(probe.name, size) for _ in range(_PROCESSES_PER_POINT)
-    )
+    processes = 1 if isinstance(probe, BytesProbe) else _PROCESSES_PER_POINT
+    return statistics.median(_read_point(probe.name, size) for _ in range(processes))
 
 
 def _read_point(name: str, size: int) -> float:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
@@ -40,7 +40,7 @@
         whole = measure_whole()
         figures = load_figures()
         figures["whole"] = whole
-        stamp(figures, "python -m pimentobend_bench whole-table")
+        stamp(figures, "whole-table")
         save_figures(figures)
         return Status.SUCCESS
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/parts.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/parts.py
@@ -44,6 +44,7 @@
     from pimentobend_bench._internal.capacity.target import ORGANISATIONS
     from pimentobend_bench._internal.capacity.target import ROUTES
     from pimentobend_bench._internal.capacity.target import SERVERS
+    from pimentobend_core._internal.health.observer import PoolHealth
     from pimentobend_core._internal.traffic.messages import ServersChanged
     from pimentobend_core._internal.traffic.pool import PoolTraffic
     from pimentobend_core._internal.traffic.routing import RouteMatcher
@@ -60,11 +61,15 @@
     for pool, traffic in zip(tables.pools, pools, strict=True):
         traffic.handle(ServersChanged(view.servers(pool.service)), 0.0)
     _note("580 pools' traffic with their servers")
+    observers = [PoolHealth(pool, "instance-0001") for pool in tables.pools]
+    for pool, observer in zip(tables.pools, observers, strict=True):
+        observer.handle(ServersChanged(view.servers(pool.service)), 0.0)
+    _note("580 pools' health with their servers")
     for number in range(ORGANISATIONS):
         traffic = pools[number % len(pools)]
         traffic._shares.charge(make_organisation(number), 0.0)
     _note("85,000 organisations")
-    del tables, matcher, view, store, pools
+    del tables, matcher, view, store, pools, observers
 
 
 if __name__ == "__main__":
