Run the floor's owner and the ledger's groups on the control replicas

Cause: ejections and claims were decided in one process's memory. Change: the role control runs the floor's owner in the term that its replica leads, confirmed by reads of the log, and four replicated groups of the ledger; every process has a ledger client; frames are routed by kind; what operators read moved from the daemon into its own module. Test processes take ports below those of outgoing connections, as two runs at once met on one.

--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -7,8 +7,9 @@
 from pimentobend_adapters._internal.disk.files import FolderFiles
 from pimentobend_adapters._internal.disk.folder import FolderDisk
 from pimentobend_adapters._internal.disk.task import DiskTask
-from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.ledger import KIND_REQUEST
 from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_core._internal.configuration.follower_messages import Deltas
@@ -23,7 +24,9 @@
 from pimentobend_core._internal.consensus.members import NO_MEMBERS
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.changes import KIND_ASK
 from pimentobendd._internal.control.changes import KIND_REPLY
@@ -32,6 +35,9 @@
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
+from pimentobendd._internal.evidence import KIND_REPORT
+from pimentobendd._internal.floor_role import FloorRole
+from pimentobendd._internal.ledger_role import LedgerRole
 
 GROUP = "configuration"
 _STATUS = ("role", "term", "leader_id", "commit_index", "voters", "learners", "peers")
@@ -49,6 +55,7 @@
         clock: ClockPort,
         seed: int,
     ) -> None:
+        members = first_members(link.address, control)
         self._address = link.address
         self._spread = spread
         self.changes = ReplicatedControl(link, lambda asked: self._service.put(asked))
@@ -59,36 +66,38 @@
             clock,
         )
         self.replica = ReplicaTask(
-            ReplicaSettings(
-                GROUP, link.address, _first_members(link.address, control), seed
-            ),
+            ReplicaSettings(GROUP, link.address, members, seed),
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
             CallOutlet(self._take_log),
             clock,
         )
         self.members = MembersInterface(self.replica.put)
-
-    @property
-    def kinds(self) -> frozenset[str]:
-        """Return the kinds of the frames that ``take`` takes."""
-        return frozenset((self.replica.kind, KIND_ASK, KIND_REPLY))
+        self.floor = FloorRole(link, clock, self.replica.put)
+        self.ledger = LedgerRole(link, members, data_folder, clock, seed)
 
     def start(self) -> None:
         """Load the data folder and start; raise ``DiskError``."""
         self._service.start()
+        self.floor.start()
         self.replica.start()
-
-    def take(self, frame: Frame) -> None:
-        """Take another control instance's frame; raise ``FrameError``."""
-        if frame.kind == self.replica.kind:
-            self.replica.take(frame)
-        else:
-            self.changes.take(frame)
+        self.ledger.start()
+
+    def register(self, router: FrameRouter) -> None:
+        """Take the frames that are for control."""
+        router.register(self.replica.kind, self.replica.take)
+        router.register(KIND_ASK, self.changes.take)
+        router.register(KIND_REPLY, self.changes.take)
+        router.register(KIND_REPORT, self.floor.take_report)
+        router.register(KIND_REQUEST, self.ledger.take_request)
+        for kind in self.ledger.replica_kinds:
+            router.register(kind, self.ledger.take_replica_frame)
 
     def stop(self) -> None:
         """Stop the replica; what it acknowledged is on its disk."""
+        self.ledger.stop()
         self.replica.stop()
+        self.floor.stop()
         self._service.stop()
 
     def status(self) -> Mapping[str, object]:
@@ -101,11 +110,18 @@
         return {
             self.replica.name: self.replica.dump(),
             self._service.name: self._service.dump(),
+            "floor": self.floor.dump(),
+            **self.ledger.dump(),
         }
 
     def _take_log(self, output: LogOutput) -> None:
         if isinstance(output, Proposed) and self.members.take(output):
             return
+        if isinstance(output, LeaderChanged):
+            self.floor.follow_leader(output)
+        if isinstance(output, ReadReady):
+            self.floor.take_read(output)
+            return
         self._service.put(output)
 
     def _release(self, output: ServiceOutput) -> None:
@@ -121,7 +137,7 @@
                 self.replica.put(output)
 
 
-def _first_members(address: str, control: tuple[str, ...]) -> Members:
+def first_members(address: str, control: tuple[str, ...]) -> Members:
     """Return the members of a new cluster; none for one that joins later."""
     if address not in control:
         return NO_MEMBERS
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -3,36 +3,37 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
 from typing import Any
-from typing import cast
 
 import eventlet
 import eventlet.event
 
 from pimentobend_adapters._internal.clock import HubClock
-from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.http.server import HttpServer
-from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.ledger import KIND_REPLY
+from pimentobend_adapters._internal.ledger import LedgerTasks
 from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.metrics import RequestMetrics
 from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_core._internal.ledger.client import LedgerClient
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobendd._internal.control.role import ControlRole
 from pimentobendd._internal.control.spread import KINDS as SPREAD_KINDS
 from pimentobendd._internal.control.spread import TablesSpread
 from pimentobendd._internal.control_port import Version
+from pimentobendd._internal.evidence import KIND_GRANT
 from pimentobendd._internal.instance_role import InstanceRole
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
 from pimentobendd._internal.interfaces.operators import OperatorsPorts
-from pimentobendd._internal.interfaces.operators import Query
 from pimentobendd._internal.interfaces.operators import dump_text
-from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.keys import read_key
 from pimentobendd._internal.keys import read_token
-from pimentobendd._internal.local_ledger import LocalLedger
+from pimentobendd._internal.ledger_role import LEDGER_GROUPS
+from pimentobendd._internal.sections import Sections
 from pimentobendd._internal.settings import Settings
 from pimentobendd._internal.tables import TablesInForce
 
@@ -50,17 +51,28 @@
         self._stopping: Any = eventlet.event.Event()
         self._metrics = Metrics(settings.statsd, settings.instance)
         self._tables = TablesInForce()
+        self._router = FrameRouter(self._report_frame_fault)
         self._link = Link(
             str(settings.link),
             read_key(settings.link_key_file),
-            CallOutlet(self._take_frame),
+            self._router,
             self._report_frame_fault,
         )
         self._spread = TablesSpread(
             self._link, self._sources(), self._tables.put, self._clock
         )
+        self._ledger = self._create_ledger()
         self._control = self._create_control()
         self._instance = self._create_instance()
+        self._sections = Sections(
+            settings,
+            self._tables.current,
+            self._spread,
+            self._ledger,
+            self._control,
+            self._instance,
+        )
+        self._register_frames()
         self._operators = HttpServer(settings.operators, self._create_operators())
         self._tables.follow(
             lambda tables: self._log.info(
@@ -72,6 +84,7 @@
         """Start all tasks and listen."""
         self._link.start()
         self._spread.task.start()
+        self._ledger.task.start()
         if self._control is not None:
             self._control.start()
         if self._instance is not None:
@@ -99,43 +112,32 @@
         self._link.close()
         self._log.info("stopped")
 
-    def dump(self) -> Mapping[str, object]:
-        """Return the state of the process, a section for each task."""
-        current = self._tables.current()
-        state: dict[str, object] = {
-            "instance": self._settings.instance,
-            "data_centre": self._settings.data_centre,
-            "region": self._settings.region,
-            "roles": sorted(self._settings.roles),
-            "tables": {
-                "version": str(Version(*current[:2])),
-                "routes": len(current.routes),
-                "pools": len(current.pools),
-            },
-            "link": {
-                "bytes_sent": self._link.bytes_sent,
-                "bytes_received": self._link.bytes_received,
-                "dropped_frames": self._link.dropped_frames,
-            },
-        }
-        state["spread"] = self._spread.task.dump()
-        if self._control is not None:
-            state.update(self._control.dump())
-        if self._instance is not None:
-            state.update(self._instance.dump())
-        return state
-
     def _sources(self) -> tuple[str, ...]:
         """Return where the tables come from, relays first."""
         settings = self._settings
         sources = (*settings.relays, *settings.control)
         return tuple(each for each in sources if each != self._link.address)
 
+    def _register_frames(self) -> None:
+        for kind in SPREAD_KINDS:
+            self._router.register(kind, self._spread.take)
+        self._router.register(KIND_REPLY, self._ledger.take_frame)
+        if self._control is not None:
+            self._control.register(self._router)
+        if self._instance is not None:
+            self._router.register(KIND_GRANT, self._instance.evidence.take_frame)
+
+    def _create_ledger(self) -> LedgerTasks:
+        settings = self._settings
+        groups = (settings.control,) * LEDGER_GROUPS
+        client = LedgerClient(settings.instance, time.time_ns(), groups)
+        return LedgerTasks(client, self._link, self._clock)
+
     def _create_control(self) -> ControlRole | None:
         settings = self._settings
         if "control" not in settings.roles or settings.data_folder is None:
             return None
-        return ControlRole(
+        control = ControlRole(
             self._link,
             settings.control,
             settings.data_folder,
@@ -143,71 +145,36 @@
             self._clock,
             seed=time.time_ns(),
         )
+        self._tables.follow(control.floor.follow_tables)
+        return control
 
     def _create_instance(self) -> InstanceRole | None:
         if "instance" not in self._settings.roles:
             return None
-        return InstanceRole(
+        instance = InstanceRole(
             settings=self._settings,
             link=self._link,
             tables=self._tables,
-            ledger=LocalLedger(),
+            ledger=self._ledger,
             metrics=self._metrics,
             events=CallOutlet(self._record),
             epoch=time.time_ns(),
         )
+        if self._control is not None:
+            instance.follow_services(self._control.floor.follow_servers)
+        return instance
 
     def _create_operators(self) -> OperatorsInterface:
         control = self._control
         ports = OperatorsPorts(
             control=control.changes if control else None,
             tables=self._tables.current,
-            sections={
-                "/v1/status": self._status,
-                "/v1/dump": self._give_dump,
-                "/v1/servers": self._give_servers,
-                "/v1/ejections": self._give_ejections,
-            },
+            sections=self._sections.by_path,
             actions=control.members.actions if control else {},
         )
         return OperatorsInterface(ports, read_token(self._settings.operator_token_file))
 
-    def _status(self, query: Query) -> Reply:
-        current = self._tables.current()
-        state: dict[str, object] = {
-            "instance": self._settings.instance,
-            "roles": sorted(self._settings.roles),
-            "version": str(Version(*current[:2])),
-            "followers": self._spread.task.dump().get("children", {}),
-        }
-        if self._control is not None:
-            state["control"] = self._control.status()
-        return Reply(200, state)
-
-    def _give_dump(self, query: Query) -> Reply:
-        return Reply(200, self.dump())
-
-    def _give_servers(self, query: Query) -> Reply:
-        rows: list[object] = []
-        if self._instance is not None:
-            for servers in self._instance.pools.dump().values():
-                rows.extend(cast(list[object], servers))
-        return Reply(200, {"servers": rows})
-
-    def _give_ejections(self, query: Query) -> Reply:
-        rows = [] if self._instance is None else self._instance.ejections()
-        return Reply(200, {"ejections": rows})
-
-    def _take_frame(self, frame: Frame) -> None:
-        try:
-            if frame.kind in SPREAD_KINDS:
-                self._spread.take(frame)
-            elif self._control is not None and frame.kind in self._control.kinds:
-                self._control.take(frame)
-        except FrameError as error:
-            self._report_frame_fault(error)
-
-    def _report_frame_fault(self, error: FrameError) -> None:
+    def _report_frame_fault(self, error: PimentobendError) -> None:
         self._metrics.count("link.refused")
         self._log.warning("frame-refused", error=str(error))
 
@@ -232,7 +199,7 @@
 
     def _print_dump(self) -> None:
         eventlet.spawn_n(
-            lambda: print(dump_text(self.dump()), file=sys.stdout, flush=True)
+            lambda: print(dump_text(self._sections.dump()), file=sys.stdout, flush=True)
         )
 
     def _finish_requests(self, instance: InstanceRole) -> None:
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -0,0 +1,150 @@
+"""Run the owner of the floor beside the configuration's leader."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
+import eventlet
+
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.logs import get_log
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
+from pimentobend_core._internal.health.floor import FloorOwner
+from pimentobend_core._internal.health.limits import TICK_S
+from pimentobend_core._internal.health.messages import ConfigurePools
+from pimentobend_core._internal.health.messages import EjectionEnded
+from pimentobend_core._internal.health.messages import EjectionsGranted
+from pimentobend_core._internal.health.messages import EjectionStarted
+from pimentobend_core._internal.health.messages import EjectionWithheld
+from pimentobend_core._internal.health.messages import FloorInput
+from pimentobend_core._internal.health.messages import FloorOutput
+from pimentobend_core._internal.health.messages import FloorTick
+from pimentobend_core._internal.health.messages import OwnershipConfirmed
+from pimentobend_core._internal.health.messages import OwnershipLost
+from pimentobend_core._internal.health.messages import OwnershipTaken
+from pimentobend_core._internal.health.messages import ServiceServersChanged
+from pimentobend_core._internal.health.wire import decode_report
+from pimentobend_core._internal.health.wire import encode_health
+from pimentobend_core._internal.membership.messages import ServiceChanged
+from pimentobend_core._internal.models.tables import Tables
+from pimentobend_core._internal.ports import ClockPort
+from pimentobendd._internal.evidence import KIND_GRANT
+
+CONFIRM_INTERVAL_S = 0.5
+
+
+class FloorRole:
+    """Own the floor while this process leads the configuration's log.
+
+    The term is confirmed by reads of the log, each of which a majority has
+    to answer, so an owner that is cut off stops granting.
+    """
+
+    def __init__(
+        self, link: Link, clock: ClockPort, read: Callable[[ReadIndex], None]
+    ) -> None:
+        self._link = link
+        self._clock = clock
+        self._read = read
+        self._log = get_log()
+        self._term: int | None = None
+        self._reads: dict[int, float] = {}  # when each began, in seconds
+        self._last_read = 0
+        self._addresses: dict[str, str] = {}  # of the observers
+        self._confirmer: Any = None
+        self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
+            "floor",
+            FloorOwner(),
+            CallOutlet(self._release),
+            clock,
+            Ticking(TICK_S, FloorTick()),
+        )
+
+    def start(self) -> None:
+        """Start the task and the confirmations of its term."""
+        self._task.start()
+        self._confirmer = eventlet.spawn(self._confirm)
+
+    def stop(self) -> None:
+        """Stop granting."""
+        self._confirmer.kill()
+        self._task.stop()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of the owner."""
+        return self._task.dump()
+
+    def take_report(self, frame: Frame) -> None:
+        """Take a daemon's evidence; raise CodecError for other bytes."""
+        report = decode_report(frame.payload)
+        self._addresses[report.observer] = frame.sender
+        self._task.put(report)
+
+    def follow_tables(self, tables: Tables) -> None:
+        """Put the floors of new tables in force."""
+        self._task.put(ConfigurePools(tables.pools))
+
+    def follow_servers(self, message: ServiceChanged) -> None:
+        """Take the live servers of a service."""
+        servers = message.change.servers
+        self._task.put(ServiceServersChanged(message.service, servers))
+
+    def follow_leader(self, message: LeaderChanged) -> None:
+        """Take the ownership while this replica leads."""
+        self._reads.clear()
+        if message.leader_id == self._link.address:
+            self._term = message.term
+            self._task.put(OwnershipTaken(message.term))
+            return
+        self._term = None
+        self._task.put(OwnershipLost())
+
+    def take_read(self, message: ReadReady) -> None:
+        """Confirm the term by a read that a majority answered."""
+        began_at = self._reads.pop(message.read_id, None)
+        if began_at is None or self._term is None:
+            return
+        if message.outcome is Outcome.COMMITTED:
+            self._task.put(OwnershipConfirmed(self._term, began_at))
+
+    def _confirm(self) -> None:
+        while True:
+            if self._term is not None:
+                self._last_read += 1
+                self._reads = {self._last_read: self._clock.now()}
+                self._read(ReadIndex(self._last_read))
+            eventlet.sleep(CONFIRM_INTERVAL_S)
+
+    def _release(self, output: FloorOutput) -> None:
+        match output:
+            case EjectionsGranted():
+                address = self._addresses.get(output.observer)
+                if address is not None:
+                    self._link.send(address, KIND_GRANT, encode_health(output))
+            case EjectionStarted():
+                self._log.warning(
+                    "server-ejected",
+                    service=output.service,
+                    server=output.ejection.server_id,
+                    reason=output.ejection.reason.value,
+                    observers=output.observers,
+                    timeout_s=round(output.timeout_s, 1),
+                )
+            case EjectionEnded():
+                self._log.info(
+                    "server-returned", service=output.service, server=output.server_id
+                )
+            case EjectionWithheld():
+                self._log.warning(
+                    "ejection-withheld",
+                    service=output.service,
+                    server=output.server_id,
+                    cause=output.cause,
+                )
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -1,6 +1,7 @@
 """Join the tasks of the role instance."""
 
 import zlib
+from collections.abc import Callable
 from collections.abc import Mapping
 
 from pimentobend_adapters._internal.asking import Replies
@@ -66,6 +67,7 @@
     ) -> None:
         assert settings.callers is not None and settings.servers is not None
         self._settings = settings
+        self._followers: list[Callable[[ServiceChanged], None]] = []
         clock = HubClock()
         self.evidence = EvidenceReports(
             link, settings.control, clock, lambda grant: self.health.granted(grant)
@@ -87,7 +89,7 @@
         self.view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
             "view",
             MembershipView(),
-            self.pools,
+            CallOutlet(self._give_service),
             clock,
             Ticking(VIEW_TICK_S, ViewTick()),
         )
@@ -155,6 +157,15 @@
         self.health.configure(tables.pools)
         self.pools.put(tables)
 
+    def follow_services(self, function: Callable[[ServiceChanged], None]) -> None:
+        """Call a function with each change of a service's live servers."""
+        self._followers.append(function)
+
+    def _give_service(self, message: ServiceChanged) -> None:
+        self.pools.put(message)
+        for function in self._followers:
+            function(message)
+
     def _give_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
         self.health.servers_changed(message.pool, message.change)
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -0,0 +1,179 @@
+"""Run this process's replicas of the ledger's groups."""
+
+import pathlib
+from collections.abc import Mapping
+
+from pimentobend_adapters._internal.disk.files import FolderFiles
+from pimentobend_adapters._internal.disk.folder import FolderDisk
+from pimentobend_adapters._internal.disk.task import DiskTask
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.ledger import KIND_REPLY
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import Compact
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.ledger.service import LedgerService
+from pimentobend_core._internal.ledger.service_messages import CompactLog
+from pimentobend_core._internal.ledger.service_messages import EntryAccepted
+from pimentobend_core._internal.ledger.service_messages import EntryCommitted
+from pimentobend_core._internal.ledger.service_messages import EntryUnserved
+from pimentobend_core._internal.ledger.service_messages import LedgerReply
+from pimentobend_core._internal.ledger.service_messages import ProposeEntry
+from pimentobend_core._internal.ledger.service_messages import ServiceInput
+from pimentobend_core._internal.ledger.service_messages import ServiceOutput
+from pimentobend_core._internal.ledger.service_messages import StateRestored
+from pimentobend_core._internal.ledger.service_messages import Unserved
+from pimentobend_core._internal.ledger.service_messages import UnservedReason
+from pimentobend_core._internal.ledger.wire import decode_request
+from pimentobend_core._internal.ledger.wire import encode_reply
+from pimentobend_core._internal.ports import ClockPort
+from pimentobendd._internal.control.replica_task import LogOutput
+from pimentobendd._internal.control.replica_task import ReplicaSettings
+from pimentobendd._internal.control.replica_task import ReplicaTask
+
+LEDGER_GROUPS = 4  # the same in the whole fleet: it says which log owns a key
+
+_REASONS = {
+    Outcome.NOT_LEADER: UnservedReason.NOT_LEADER,
+    Outcome.NO_MAJORITY: UnservedReason.NO_MAJORITY,
+    Outcome.REJECTED: UnservedReason.NO_MAJORITY,
+    Outcome.STORAGE: UnservedReason.NO_MAJORITY,
+    Outcome.OVERLOADED: UnservedReason.OVERLOADED,
+    Outcome.UNKNOWN: UnservedReason.LOST,
+}
+
+
+class LedgerGroup:
+    """Join one replicated log with the ledger's service on it."""
+
+    def __init__(
+        self,
+        number: int,
+        link: Link,
+        members: Members,
+        data_folder: pathlib.Path,
+        clock: ClockPort,
+        seed: int,
+    ) -> None:
+        name = f"ledger-{number}"
+        self._link = link
+        self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
+            name, LedgerService(), CallOutlet(self._release), clock
+        )
+        self.replica = ReplicaTask(
+            ReplicaSettings(name, link.address, members, seed),
+            DiskTask(FolderDisk(FolderFiles(data_folder / name))),
+            link,
+            CallOutlet(self._take_log),
+            clock,
+        )
+
+    def start(self) -> None:
+        """Load the data folder and start; raise ``DiskError``."""
+        self._service.start()
+        self.replica.start()
+
+    def stop(self) -> None:
+        """Stop the replica; what it acknowledged is on its disk."""
+        self.replica.stop()
+        self._service.stop()
+
+    def put(self, message: ServiceInput) -> None:
+        """Take a daemon's command."""
+        self._service.put(message)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of both tasks."""
+        return {
+            self._service.name: self._service.dump(),
+            self.replica.name: self.replica.dump(),
+        }
+
+    def _take_log(self, output: LogOutput) -> None:
+        match output:
+            case Committed():
+                for entry in output.entries:
+                    self._service.put(EntryCommitted(entry.log_index, entry.command))
+            case Restored():
+                snapshot = output.snapshot
+                self._service.put(StateRestored(snapshot.log_index, snapshot.state))
+            case Proposed():
+                self._service.put(_conclude(output))
+            case _:
+                pass
+
+    def _release(self, output: ServiceOutput) -> None:
+        match output:
+            case LedgerReply():
+                self._link.send(output.recipient, KIND_REPLY, encode_reply(output))
+            case ProposeEntry():
+                proposal = Proposal(output.proposal_id, output.payload)
+                self.replica.put(Propose((proposal,)))
+            case CompactLog():
+                self.replica.put(Compact(output.log_index, output.state))
+
+
+class LedgerRole:
+    """Own the replicas of all groups in this process."""
+
+    def __init__(
+        self,
+        link: Link,
+        members: Members,
+        data_folder: pathlib.Path,
+        clock: ClockPort,
+        seed: int,
+    ) -> None:
+        self._groups = tuple(
+            LedgerGroup(number, link, members, data_folder, clock, seed + number)
+            for number in range(LEDGER_GROUPS)
+        )
+        self._by_kind = {group.replica.kind: group for group in self._groups}
+
+    @property
+    def replica_kinds(self) -> frozenset[str]:
+        """Return the kinds of the frames between replicas."""
+        return frozenset(self._by_kind)
+
+    def start(self) -> None:
+        """Start all groups; raise ``DiskError``."""
+        for group in self._groups:
+            group.start()
+
+    def stop(self) -> None:
+        """Stop all groups."""
+        for group in self._groups:
+            group.stop()
+
+    def take_replica_frame(self, frame: Frame) -> None:
+        """Take another replica's frame; raise ``FrameError``."""
+        self._by_kind[frame.kind].replica.take(frame)
+
+    def take_request(self, frame: Frame) -> None:
+        """Take a daemon's command; raise ``CodecError`` or ``FrameError``."""
+        asked = decode_request(frame.payload, frame.sender)
+        if not 0 <= asked.group < LEDGER_GROUPS:
+            raise FrameError("no such ledger group", context=str(asked.group))
+        self._groups[asked.group].put(asked.request)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of all groups."""
+        state: dict[str, object] = {}
+        for group in self._groups:
+            state.update(group.dump())
+        return state
+
+
+def _conclude(proposed: Proposed) -> EntryAccepted | EntryUnserved:
+    if proposed.outcome is Outcome.COMMITTED:
+        return EntryAccepted(proposed.proposal_id, proposed.log_index)
+    unserved = Unserved(_REASONS[proposed.outcome], proposed.leader_id)
+    return EntryUnserved(proposed.proposal_id, unserved)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,5 +1,7 @@
 """Start the project's programs as processes of a test, and end them."""
 
+import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -17,6 +19,8 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
+FIRST_PORT = 12_000
+END_PORT = 32_000
 
 
 class Answer(NamedTuple):
@@ -27,11 +31,19 @@
     content: bytes
 
 
+_PORTS = itertools.cycle(range(FIRST_PORT, END_PORT))
+# Processes start far apart, and below the ports of outgoing connections.
+for _ in range(os.getpid() * 97 % (END_PORT - FIRST_PORT)):
+    next(_PORTS)
+
+
 def free_address() -> str:
     """Return a loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    for port in _PORTS:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+    raise AssertionError("no port is free")
 
 
 def wait_until(
