Let a server that failed once be tried again

Cause: the demo's half-alive server got 1 request in 29 s and was never ejected: after a failure its load kept a trace that lost every draw against idle servers, so health saw no evidence and a cured server would have stayed idle. Change: failures weigh on the load for a half-life of 0.5 s and count nothing below a trace; health is what weighs servers for longer. Ruled out: health's scores, which rose as soon as it was tried.

--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -9,7 +9,7 @@
 
 COLD_RAMP_S = 10.0
 COLD_WEIGHT = 0.2
-FAILURE_HALF_LIFE_S = 2.0
+FAILURE_HALF_LIFE_S = 0.5  # health weighs servers; this only turns retries away
 BACKOFF_LIMIT = 5.0  # doublings
 BACKOFF_HALF_LIFE_S = 2.0
 FAILURE_TRACE = 0.1  # failures, below which a server counts as sound
@@ -158,7 +158,10 @@
         return _decayed(self._backoff, now - self._backoff_at, BACKOFF_HALF_LIFE_S)
 
     def _failures_now(self, now: float) -> float:
-        return _decayed(self._failures, now - self._failed_at, FAILURE_HALF_LIFE_S)
+        age_s = now - self._failed_at
+        failures = _decayed(self._failures, age_s, FAILURE_HALF_LIFE_S)
+        # A trace would lose every draw against an idle server, for good.
+        return failures if failures >= FAILURE_TRACE else 0.0
 
 
 def _decayed(value: float, age_s: float, half_life_s: float) -> float:
