--- /dev/null
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
@@ -0,0 +1,138 @@
+"""Drive the ledger's client and service over a path with stated delays."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pimentobend_core._internal.ledger.client import LedgerClient
+from pimentobend_core._internal.ledger.client_messages import AskClaim
+from pimentobend_core._internal.ledger.client_messages import AskSettle
+from pimentobend_core._internal.ledger.client_messages import ClaimDenied
+from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClientOutput
+from pimentobend_core._internal.ledger.client_messages import ReplyArrived
+from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.messages import LedgerKey
+from pimentobend_core._internal.ledger.service import LedgerService
+from pimentobend_core._internal.ledger.service_messages import EntryAccepted
+from pimentobend_core._internal.ledger.service_messages import EntryCommitted
+from pimentobend_core._internal.ledger.service_messages import LedgerReply
+from pimentobend_core._internal.ledger.service_messages import ProposeEntry
+from pimentobend_core._internal.ledger.service_messages import ServiceOutput
+from pimentobend_core._internal.models.request import Ran
+
+DEADLINE_S = 5.0
+WORK_S = 0.02
+PRINT = b"p" * 8
+
+
+class PathDelays(NamedTuple):
+    """State the delays of a claim, in seconds."""
+
+    to_leader_s: float  # one way
+    to_majority_s: float  # round trip
+    sync_s: float  # of one entry on a disk; entries sync one after another
+
+
+class PathReport(NamedTuple):
+    """Tell what became of the claims."""
+
+    granted: int
+    denied: int
+    entries: int
+    latencies_s: list[float]
+
+
+class ClaimPath:
+    """Own one daemon, one leading service and simulated time."""
+
+    def __init__(self, delays: PathDelays, service: LedgerService, seed: int) -> None:
+        self._delays = delays
+        self._service = service
+        self._client = LedgerClient("daemon", 1, (("leader",),))
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self._now = 0.0
+        self._disk_free_at = 0.0
+        self._asked_at: dict[int, float] = {}
+        self._index = 0
+        self._denied = 0
+        self._latencies_s: list[float] = []
+
+    def run(self, claims_a_second: float, seconds: float) -> PathReport:
+        """Offer claims at random times and return what became of them."""
+        due = 0.0
+        for ticket in itertools.count(1):
+            due += self._rng.expovariate(claims_a_second)
+            if due >= seconds:
+                break
+            self._asked_at[ticket] = due
+            self._at(due, self._create_ask(ticket, due))
+        while self._events:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+        granted = len(self._latencies_s)
+        return PathReport(granted, self._denied, self._index, self._latencies_s)
+
+    def _at(self, due: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (due, next(self._numbers), action))
+
+    def _create_ask(self, ticket: int, due: float) -> Callable[[], None]:
+        key = LedgerKey("organisation", f"key-{ticket}")
+        ask = AskClaim(ticket, key, PRINT, due + DEADLINE_S)
+        return lambda: self._take(self._client.handle(ask, self._now))
+
+    def _take(self, outputs: tuple[ClientOutput, ...]) -> None:
+        for output in outputs:
+            if isinstance(output, SendRequest):
+                self._request(output)
+            elif isinstance(output, ClaimDenied):
+                self._denied += 1
+            elif isinstance(output, ClaimGranted):
+                self._latencies_s.append(self._now - self._asked_at[output.ticket])
+                self._settle_later(output)
+
+    def _settle_later(self, granted: ClaimGranted) -> None:
+        settle = AskSettle(granted.claim_id, Ran.RAN, 200)
+        self._at(
+            self._now + WORK_S,
+            lambda: self._take(self._client.handle(settle, self._now)),
+        )
+
+    def _request(self, output: SendRequest) -> None:
+        self._at(
+            self._now + self._delays.to_leader_s,
+            lambda: self._serve(self._service.handle(output.request, self._now)),
+        )
+
+    def _serve(self, outputs: tuple[ServiceOutput, ...]) -> None:
+        for output in outputs:
+            if isinstance(output, ProposeEntry):
+                self._propose(output)
+            elif isinstance(output, LedgerReply):
+                self._reply(output)
+
+    def _propose(self, entry: ProposeEntry) -> None:
+        synced_at = max(self._now, self._disk_free_at) + self._delays.sync_s
+        self._disk_free_at = synced_at
+        self._index += 1
+        index = self._index
+        self._at(
+            synced_at + self._delays.to_majority_s, lambda: self._commit(entry, index)
+        )
+
+    def _commit(self, entry: ProposeEntry, index: int) -> None:
+        accepted = EntryAccepted(entry.proposal_id, index)
+        committed = EntryCommitted(index, entry.payload)
+        self._serve(self._service.handle(accepted, self._now))
+        self._serve(self._service.handle(committed, self._now))
+
+    def _reply(self, reply: LedgerReply) -> None:
+        arrived = ReplyArrived(reply)
+        self._at(
+            self._now + self._delays.to_leader_s,
+            lambda: self._take(self._client.handle(arrived, self._now)),
+        )
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -40,6 +40,15 @@
         "PointCommand",
         "take one reading of one probe in a fresh process",
     ),
+    "claims": Entry(
+        "ledger.claims", "ClaimsCommand", "claims a second and their added latency"
+    ),
+    "spread-bytes": Entry(
+        "membership.spread_bytes", "SpreadBytesCommand", "bytes a second a daemon"
+    ),
+    "spread-time": Entry(
+        "membership.spread_time", "SpreadTimeCommand", "time until in force everywhere"
+    ),
 }
 
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/service.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service.py
@@ -33,11 +33,17 @@
 class LedgerService(StatefulFilter[ServiceInput, ServiceOutput]):
     """Gather commands into entries, apply what is committed, and reply.
 
-    While fewer than ``PIPELINE_ENTRIES`` are in flight a command is proposed
+    While fewer than ``pipeline_entries`` are in flight a command is proposed
     at once; under load it waits and shares its entry with others.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        batch_commands: int = BATCH_COMMANDS,
+        pipeline_entries: int = PIPELINE_ENTRIES,
+    ) -> None:
+        self._batch_commands = batch_commands
+        self._pipeline_entries = pipeline_entries
         self._state = LedgerState()
         self._applied_index = 0
         self._compacted_index = 0
@@ -85,10 +91,10 @@
         }
 
     def _propose(self, now: float) -> tuple[ServiceOutput, ...]:
-        if not self._waiting or len(self._in_flight) >= PIPELINE_ENTRIES:
+        if not self._waiting or len(self._in_flight) >= self._pipeline_entries:
             return ()
-        requests = tuple(self._waiting[:BATCH_COMMANDS])
-        del self._waiting[:BATCH_COMMANDS]
+        requests = tuple(self._waiting[: self._batch_commands])
+        del self._waiting[: self._batch_commands]
         elapsed_s = 0.0 if self._stamped_at is None else now - self._stamped_at
         self._stamped_at = now
         batch = CommandBatch(elapsed_s, tuple(request.command for request in requests))
