Keep two ledger entries in flight

Cause: with four, a claim waits behind three syncs of 2 ms. Change: one entry on the disk and one on its way.

--- a/packages/core/src/pimentobend_core/_internal/ledger/service.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service.py
@@ -24,7 +24,7 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 BATCH_COMMANDS = 256
-PIPELINE_ENTRIES = 4
+PIPELINE_ENTRIES = 2  # one on the disk and one on its way
 WAITING_COMMANDS = 8192
 COMPACT_ENTRIES = 10_000
 RESULTS_KEPT = 1024  # of entries whose proposal has not ended yet
