--- a/packages/core/src/pimentobend_core/_internal/ledger/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/codec.py
@@ -16,7 +16,6 @@
 from pimentobend_core._internal.ledger.messages import Settled
 from pimentobend_core._internal.ledger.messages import SettleWork
 from pimentobend_core._internal.ledger.messages import WorkFound
-from pimentobend_core._internal.ledger.state import Entry
 from pimentobend_core._internal.ledger.state import LedgerState
 from pimentobend_core._internal.ledger.store import Generation
 
@@ -50,7 +49,7 @@
 
     version: int
     clock_s: float
-    generations: tuple[Generation[Entry], ...]
+    generations: tuple[Generation, ...]
 
 
 _COMMANDS = (ClaimWork, SettleWork, LookUpWork)
--- a/packages/core/src/pimentobend_core/_internal/ledger/state.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/state.py
@@ -1,7 +1,6 @@
 """Apply committed ledger commands, the same way on every replica."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from pimentobend_core._internal.ledger.messages import Claimed
 from pimentobend_core._internal.ledger.messages import ClaimId
@@ -16,6 +15,9 @@
 from pimentobend_core._internal.ledger.messages import SettleWork
 from pimentobend_core._internal.ledger.messages import WorkFound
 from pimentobend_core._internal.ledger.messages import WorkState
+from pimentobend_core._internal.ledger.packing import Entry
+from pimentobend_core._internal.ledger.packing import pack_entry
+from pimentobend_core._internal.ledger.packing import unpack_entry
 from pimentobend_core._internal.ledger.store import EntryStore
 from pimentobend_core._internal.ledger.store import Generation
 from pimentobend_core._internal.models.request import Ran
@@ -30,18 +32,6 @@
 }
 
 
-class Entry(NamedTuple):
-    """Hold what is known of one key; times are seconds of log time."""
-
-    state: WorkState
-    claim_id: ClaimId
-    fingerprint: bytes
-    status: int
-    changed_at: float
-    busy_until: float
-    released: tuple[ClaimId, ...]
-
-
 class LedgerState:
     """Hold the ledger of one replicated log.
 
@@ -50,7 +40,7 @@
 
     def __init__(self) -> None:
         self._clock_s = 0.0
-        self._entries: EntryStore[Entry] = EntryStore()
+        self._entries = EntryStore()
 
     @property
     def clock_s(self) -> float:
@@ -63,13 +53,13 @@
         self._entries.advance(self._clock_s)
         return tuple(self._apply(command) for command in batch.commands)
 
-    def export(self) -> tuple[Generation[Entry], ...]:
+    def export(self) -> tuple[Generation, ...]:
         """Return every entry, the earliest generation first."""
         return self._entries.export()
 
     @classmethod
     def restore(
-        cls, clock_s: float, generations: tuple[Generation[Entry], ...]
+        cls, clock_s: float, generations: tuple[Generation, ...]
     ) -> "LedgerState":
         """Create the state that ``clock_s`` and ``export`` described."""
         state = cls()
@@ -81,6 +71,13 @@
         """Return counts as JSON-compatible values."""
         return {"log_time_s": self._clock_s, "entries": len(self._entries)}
 
+    def _get(self, digest: bytes) -> Entry | None:
+        packed = self._entries.get(digest)
+        return None if packed is None else unpack_entry(packed)
+
+    def _put(self, digest: bytes, entry: Entry) -> None:
+        self._entries.put(digest, pack_entry(entry))
+
     def _apply(self, command: Command) -> CommandResult:
         match command:
             case ClaimWork():
@@ -91,7 +88,7 @@
                 return self._look_up(command)
 
     def _claim(self, command: ClaimWork) -> Claimed | ClaimRefused:
-        entry = self._entries.get(command.digest)
+        entry = self._get(command.digest)
         if entry is None:
             return self._grant(command, ())
         holds = entry.claim_id == command.claim_id
@@ -118,18 +115,18 @@
             self._clock_s + busy_s,
             released,
         )
-        self._entries.put(command.digest, entry)
+        self._put(command.digest, entry)
         return Claimed(command.claim_id)
 
     def _settle(self, command: SettleWork) -> Settled:
-        entry = self._entries.get(command.digest)
+        entry = self._get(command.digest)
         if entry is None or entry.state is WorkState.RELEASED:
             self._settle_unheld(command, entry)
         elif entry.claim_id == command.claim_id:
             self._settle_held(command, entry)
         elif command.ran is Ran.NOT_RUN and entry.state is WorkState.CLAIMED:
             released = _remember(entry.released, command.claim_id)
-            self._entries.put(command.digest, entry._replace(released=released))
+            self._put(command.digest, entry._replace(released=released))
         return Settled(command.claim_id)
 
     def _settle_held(self, command: SettleWork, entry: Entry) -> None:
@@ -161,10 +158,10 @@
             changed_at=self._clock_s,
             released=released,
         )
-        self._entries.put(command.digest, settled)
+        self._put(command.digest, settled)
 
     def _look_up(self, command: LookUpWork) -> WorkFound:
-        entry = self._entries.get(command.digest)
+        entry = self._get(command.digest)
         if entry is None:
             return WorkFound(WorkState.FREE, 0, "", 0.0)
         state = entry.state
--- a/packages/core/src/pimentobend_core/_internal/ledger/store.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/store.py
@@ -1,34 +1,30 @@
-"""Keep entries by digest until they are older than the stated age."""
+"""Keep packed entries by digest until they are older than the stated age."""
 
 import collections
-from typing import Generic
 from typing import NamedTuple
-from typing import TypeVar
 
 KEEP_S = 86_400.0  # an entry is kept at least so long after its last change
 GENERATION_S = 7_200.0
 
-Value = TypeVar("Value")
 
-
-class Generation(NamedTuple, Generic[Value]):
+class Generation(NamedTuple):
     """Hold the entries that changed within one span of log time."""
 
     began_at: float  # seconds of log time
-    entries: dict[bytes, Value]
+    entries: dict[bytes, bytes]
 
 
-class EntryStore(Generic[Value]):
+class EntryStore:
     """Hold entries in generations, so that expiry drops many at once."""
 
     def __init__(self) -> None:
-        first: Generation[Value] = Generation(0.0, {})
+        first = Generation(0.0, {})
         self._generations = collections.deque([first])
 
     def __len__(self) -> int:
         return sum(len(generation.entries) for generation in self._generations)
 
-    def get(self, digest: bytes) -> Value | None:
+    def get(self, digest: bytes) -> bytes | None:
         """Return the entry of a digest, if one is kept."""
         for generation in reversed(self._generations):
             value = generation.entries.get(digest)
@@ -36,7 +32,7 @@
                 return value
         return None
 
-    def put(self, digest: bytes, value: Value) -> None:
+    def put(self, digest: bytes, value: bytes) -> None:
         """Keep an entry from now on."""
         for generation in self._generations:
             generation.entries.pop(digest, None)
@@ -51,14 +47,14 @@
         while self._is_past(clock_s):
             self._generations.popleft()
 
-    def export(self) -> tuple[Generation[Value], ...]:
+    def export(self) -> tuple[Generation, ...]:
         """Return the generations, the earliest first."""
         return tuple(self._generations)
 
     @classmethod
-    def restore(cls, generations: tuple[Generation[Value], ...]) -> "EntryStore[Value]":
+    def restore(cls, generations: tuple[Generation, ...]) -> "EntryStore":
         """Create the store that ``export`` described."""
-        store: EntryStore[Value] = cls()
+        store = cls()
         if generations:
             store._generations = collections.deque(generations)
         return store
--- a/tests/unit/ledger/test_state.py
+++ b/tests/unit/ledger/test_state.py
@@ -21,6 +21,7 @@
 from pimentobend_core._internal.ledger.messages import SettleWork
 from pimentobend_core._internal.ledger.messages import WorkFound
 from pimentobend_core._internal.ledger.messages import WorkState
+from pimentobend_core._internal.ledger.packing import unpack_entry
 from pimentobend_core._internal.ledger.state import LedgerState
 from pimentobend_core._internal.ledger.store import GENERATION_S
 from pimentobend_core._internal.ledger.store import KEEP_S
@@ -219,4 +220,4 @@
         claim_id = ClaimId(f"daemon-{number}", 1, 1)
         state.apply(CommandBatch(0.0, (_claim(claim_id), _settle(claim_id, NOT_RUN))))
     ((_, entries),) = state.export()
-    assert len(entries[KEY].released) == min(releases, 8)
+    assert len(unpack_entry(entries[KEY]).released) == min(releases, 8)
