--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,6 +15,15 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "apply": Entry(
+        "consensus.apply", "ApplyCommand", "time until a change is acknowledged"
+    ),
+    "failover": Entry(
+        "consensus.failover", "FailoverCommand", "time without a leader after a crash"
+    ),
+    "recovery": Entry(
+        "consensus.recovery", "RecoveryCommand", "time to recover against log length"
+    ),
     "detection": Entry(
         "health.detection", "DetectionCommand", "time until a failing server is out"
     ),
@@ -35,6 +44,16 @@
         "HopCommand",
         "CPU a request and added latency of one hop, real processes",
     ),
+    "whole-table": Entry(
+        "capacity.whole.command",
+        "WholeTableCommand",
+        "9,000 routes, 580 pools, servers, organisations in one process",
+    ),
+    "capacity": Entry(
+        "capacity.command",
+        "CapacityCommand",
+        "remake docs/CAPACITY.md, its figures and plots",
+    ),
     "slope-point": Entry(
         "capacity.point",
         "PointCommand",
