Spread servers to every instance and drain them everywhere

Cause: a server was known only to the instance that it announces itself to, and the operators' drain had nothing behind it. Change: a membership role in every process joins the tree's node (relay on control, root while it leads, client elsewhere) with the view and the pools; the registry keeps a server drained until it restarts. Conclusion: the fleet acts together; regions are not yet in the tree's plan, as the settings name no region of a control instance.

--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -33,6 +33,19 @@
     server: Server
 
 
+class DrainServer(NamedTuple):
+    """Give a server no new work, whatever it announces until it restarts."""
+
+    server_id: str
+
+
+class DrainReplied(NamedTuple):
+    """Say whether a server that was to drain announces itself here."""
+
+    server_id: str
+    is_known: bool
+
+
 class RegistryTick(NamedTuple):
     """Let leases expire."""
 
@@ -98,9 +111,13 @@
     change: ServersChanged
 
 
-RegistryInput = Announcement | Withdrawal | RegistryTick
+RegistryInput = Announcement | Withdrawal | DrainServer | RegistryTick
 RegistryOutput = (
-    AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted | ServerEvent
+    AnnouncementAccepted
+    | AnnouncementRefused
+    | WithdrawalAccepted
+    | DrainReplied
+    | ServerEvent
 )
 ViewInput = (
     ServerEvent
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -7,6 +7,8 @@
 from pimentobend_core._internal.membership.checks import find_transition_faults
 from pimentobend_core._internal.membership.messages import AnnouncementAccepted
 from pimentobend_core._internal.membership.messages import AnnouncementRefused
+from pimentobend_core._internal.membership.messages import DrainReplied
+from pimentobend_core._internal.membership.messages import DrainServer
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import RegistryInput
@@ -15,6 +17,7 @@
 from pimentobend_core._internal.membership.messages import WithdrawalAccepted
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.models.server import Withdrawal
 from pimentobend_core._internal.pipes import StatefulFilter
 
@@ -44,6 +47,7 @@
         self._epoch = epoch
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
+        self._drained: dict[str, int] = {}  # incarnations
         self._ran_at: float | None = None
 
     def handle(self, message: RegistryInput, now: float) -> tuple[RegistryOutput, ...]:
@@ -55,6 +59,8 @@
                 return expired + self._announce(message, now)
             case Withdrawal():
                 return expired + self._withdraw(message, now)
+            case DrainServer():
+                return expired + self._drain(message.server_id)
             case _:
                 return expired
 
@@ -86,7 +92,7 @@
     def _announce(
         self, message: Announcement, now: float
     ) -> tuple[RegistryOutput, ...]:
-        server = message.server
+        server = self._as_drained(message.server)
         faults = find_faults(message)
         known = self._leases.get(server.server_id)
         if known is not None:
@@ -106,6 +112,23 @@
             return (accepted,)
         return (accepted, self._event(Presence.LIVE, server))
 
+    def _drain(self, server_id: str) -> tuple[RegistryOutput, ...]:
+        known = self._leases.get(server_id)
+        if known is None or known.presence is not Presence.LIVE:
+            return (DrainReplied(server_id, is_known=False),)
+        self._drained[server_id] = known.server.incarnation
+        replied = DrainReplied(server_id, is_known=True)
+        server = self._as_drained(known.server)
+        if server == known.server:
+            return (replied,)
+        self._leases[server_id] = known._replace(server=server)
+        return (replied, self._event(Presence.LIVE, server))
+
+    def _as_drained(self, server: Server) -> Server:
+        if self._drained.get(server.server_id) != server.incarnation:
+            return server
+        return server._replace(state=ServerState.DRAINING)
+
     def _withdraw(self, message: Withdrawal, now: float) -> tuple[RegistryOutput, ...]:
         accepted = WithdrawalAccepted(message.server_id)
         known = self._leases.get(message.server_id)
@@ -124,6 +147,7 @@
                 events.append(self._end(lease.server, Presence.EXPIRED, now))
             else:
                 del self._leases[server_id]
+                self._drained.pop(server_id, None)
         return tuple(events)
 
     def _end(self, server: Server, presence: Presence, now: float) -> ServerEvent:
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -57,6 +57,7 @@
     ) -> None:
         members = first_members(link.address, control)
         self._address = link.address
+        self._followers: list[Callable[[LeaderChanged], None]] = []
         self._spread = spread
         self.changes = ReplicatedControl(link, lambda asked: self._service.put(asked))
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
@@ -83,6 +84,10 @@
         self.replica.start()
         self.ledger.start()
 
+    def follow_leader(self, function: Callable[[LeaderChanged], None]) -> None:
+        """Call a function with each leader of the configuration's log."""
+        self._followers.append(function)
+
     def register(self, router: FrameRouter) -> None:
         """Take the frames that are for control."""
         router.register(self.replica.kind, self.replica.take)
@@ -119,6 +124,8 @@
             return
         if isinstance(output, LeaderChanged):
             self.floor.follow_leader(output)
+            for function in self._followers:
+                function(output)
         if isinstance(output, ReadReady):
             self.floor.take_read(output)
             return
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from typing import Any
 
 import eventlet
@@ -27,12 +28,16 @@
 from pimentobendd._internal.control_port import Version
 from pimentobendd._internal.evidence import KIND_GRANT
 from pimentobendd._internal.instance_role import InstanceRole
+from pimentobendd._internal.instance_role import SharedParts
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
 from pimentobendd._internal.interfaces.operators import OperatorsPorts
+from pimentobendd._internal.interfaces.operators import Section
 from pimentobendd._internal.interfaces.operators import dump_text
 from pimentobendd._internal.keys import read_key
 from pimentobendd._internal.keys import read_token
 from pimentobendd._internal.ledger_role import LEDGER_GROUPS
+from pimentobendd._internal.membership_role import KIND_SPREAD
+from pimentobendd._internal.membership_role import MembershipRole
 from pimentobendd._internal.sections import Sections
 from pimentobendd._internal.settings import Settings
 from pimentobendd._internal.tables import TablesInForce
@@ -62,6 +67,14 @@
             self._link, self._sources(), self._tables.put, self._clock
         )
         self._ledger = self._create_ledger()
+        self._membership = MembershipRole(
+            self._link,
+            time.time_ns(),
+            self._sources(),
+            "control" in settings.roles,
+            self._clock,
+        )
+        self._tables.follow(self._membership.follow_tables)
         self._control = self._create_control()
         self._instance = self._create_instance()
         self._sections = Sections(
@@ -69,6 +82,7 @@
             self._tables.current,
             self._spread,
             self._ledger,
+            self._membership,
             self._control,
             self._instance,
         )
@@ -85,6 +99,7 @@
         self._link.start()
         self._spread.task.start()
         self._ledger.task.start()
+        self._membership.start()
         if self._control is not None:
             self._control.start()
         if self._instance is not None:
@@ -109,6 +124,7 @@
         self._operators.close()
         if self._control is not None:
             self._control.stop()
+        self._membership.stop()
         self._link.close()
         self._log.info("stopped")
 
@@ -121,6 +137,7 @@
     def _register_frames(self) -> None:
         for kind in SPREAD_KINDS:
             self._router.register(kind, self._spread.take)
+        self._router.register(KIND_SPREAD, self._membership.take_frame)
         self._router.register(KIND_REPLY, self._ledger.take_frame)
         if self._control is not None:
             self._control.register(self._router)
@@ -146,23 +163,22 @@
             seed=time.time_ns(),
         )
         self._tables.follow(control.floor.follow_tables)
+        self._membership.follow(control.floor.follow_servers)
+        control.follow_leader(self._membership.follow_leader)
         return control
 
     def _create_instance(self) -> InstanceRole | None:
         if "instance" not in self._settings.roles:
             return None
-        instance = InstanceRole(
+        return InstanceRole(
             settings=self._settings,
-            link=self._link,
+            parts=SharedParts(
+                self._link, self._membership, self._metrics, time.time_ns()
+            ),
             tables=self._tables,
             ledger=self._ledger,
-            metrics=self._metrics,
             events=CallOutlet(self._record),
-            epoch=time.time_ns(),
         )
-        if self._control is not None:
-            instance.follow_services(self._control.floor.follow_servers)
-        return instance
 
     def _create_operators(self) -> OperatorsInterface:
         control = self._control
@@ -170,10 +186,18 @@
             control=control.changes if control else None,
             tables=self._tables.current,
             sections=self._sections.by_path,
-            actions=control.members.actions if control else {},
+            actions=self._actions(),
         )
         return OperatorsInterface(ports, read_token(self._settings.operator_token_file))
 
+    def _actions(self) -> Mapping[str, Section]:
+        actions: dict[str, Section] = {}
+        if self._control is not None:
+            actions.update(self._control.members.actions)
+        if self._instance is not None:
+            actions["/v1/drain"] = self._instance.drain
+        return actions
+
     def _report_frame_fault(self, error: PimentobendError) -> None:
         self._metrics.count("link.refused")
         self._log.warning("frame-refused", error=str(error))
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -1,8 +1,8 @@
 """Join the tasks of the role instance."""
 
 import zlib
-from collections.abc import Callable
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.clock import HubClock
@@ -19,18 +19,14 @@
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import Ticking
 from pimentobend_adapters._internal.traffic import TrafficTasks
+from pimentobend_core._internal.membership.messages import DrainReplied
+from pimentobend_core._internal.membership.messages import DrainServer
 from pimentobend_core._internal.membership.messages import RegistryInput
 from pimentobend_core._internal.membership.messages import RegistryOutput
 from pimentobend_core._internal.membership.messages import RegistryTick
 from pimentobend_core._internal.membership.messages import ServerEvent
-from pimentobend_core._internal.membership.messages import ServiceChanged
-from pimentobend_core._internal.membership.messages import ViewInput
-from pimentobend_core._internal.membership.messages import ViewTick
-from pimentobend_core._internal.membership.pools import PoolServers
 from pimentobend_core._internal.membership.pools import PoolServersChanged
-from pimentobend_core._internal.membership.pools import PoolServersInput
 from pimentobend_core._internal.membership.registry import ServerRegistry
-from pimentobend_core._internal.membership.view import MembershipView
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Tables
@@ -40,34 +36,49 @@
 from pimentobend_core._internal.traffic.policy import BudgetedRetries
 from pimentobend_core._internal.traffic.pool import PoolTraffic
 from pimentobendd._internal.evidence import EvidenceReports
+from pimentobendd._internal.interfaces.operators import Query
+from pimentobendd._internal.interfaces.replies import Reply
+from pimentobendd._internal.interfaces.replies import make_error
+from pimentobendd._internal.interfaces.servers import ANSWER_TIMEOUT_S
 from pimentobendd._internal.interfaces.servers import RegistryReply
 from pimentobendd._internal.interfaces.servers import ServersInterface
+from pimentobendd._internal.membership_role import MembershipRole
 from pimentobendd._internal.settings import Settings
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
-VIEW_TICK_S = 1.0
+
+
+class SharedParts(NamedTuple):
+    """Hold the parts of a process that its roles share.
+
+    ``epoch`` grows at each start of the process.
+    """
+
+    link: Link
+    membership: MembershipRole
+    metrics: Metrics
+    epoch: int
 
 
 class InstanceRole:
     """Take callers' requests and the announcements of backend servers.
 
-    The flow of servers is a pipe of tasks: registry, view, pools, traffic.
+    The flow of servers is a pipe of tasks: registry, spread, view, pools, traffic.
     """
 
     def __init__(
         self,
         settings: Settings,
-        link: Link,
+        parts: SharedParts,
         tables: TablesInForce,
         ledger: LedgerPort,
-        metrics: Metrics,
         events: Outlet[RequestEnded],
-        epoch: int,
     ) -> None:
+        link, membership, metrics, epoch = parts
         assert settings.callers is not None and settings.servers is not None
         self._settings = settings
-        self._followers: list[Callable[[ServiceChanged], None]] = []
+        self._membership = membership
         clock = HubClock()
         self.evidence = EvidenceReports(
             link, settings.control, clock, lambda grant: self.health.granted(grant)
@@ -83,20 +94,10 @@
             clock,
             AttemptObservers(self.health, AttemptMetrics(metrics)),
         )
-        self.pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
-            "pools", PoolServers(), CallOutlet(self._give_servers), clock
-        )
-        self.view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
-            "view",
-            MembershipView(),
-            CallOutlet(self._give_service),
-            clock,
-            Ticking(VIEW_TICK_S, ViewTick()),
-        )
         self._replies: Replies[RegistryReply] = Replies(lambda reply: reply.server_id)
         self.registry: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
-            ServerRegistry(settings.instance, epoch),
+            ServerRegistry(link.address, epoch),
             CallOutlet(self._take_registry_output),
             clock,
             Ticking(REGISTRY_TICK_S, RegistryTick()),
@@ -117,12 +118,12 @@
             settings.servers,
             ServersInterface(self.registry, self._replies, settings.announce_from),
         )
+        membership.follow_pools(self._give_servers)
         tables.follow(self._follow_tables)
 
     def start(self) -> None:
         """Start the tasks, then listen."""
-        for task in (self.pools, self.view, self.registry):
-            task.start()
+        self.registry.start()
         self._callers.start()
         self._servers.start()
 
@@ -135,14 +136,25 @@
         """Return the state of the role's tasks."""
         state: dict[str, object] = {
             "registry": self.registry.dump(),
-            "view": self.view.dump(),
-            "pools": self.pools.dump(),
         }
         state.update({task.name: task.dump() for task in self.traffic.tasks})
         state.update({task.name: task.dump() for task in self.health.tasks})
         state["requests"] = {"in_flight": self.front.in_flight}
         return state
 
+    def drain(self, query: Query) -> Reply:
+        """Give no new work to a server that announces itself here."""
+        server_id = query.get("server", "")
+        reply = self._replies.ask(
+            server_id,
+            lambda: self.registry.put(DrainServer(server_id)),
+            ANSWER_TIMEOUT_S,
+        )
+        if isinstance(reply, DrainReplied) and reply.is_known:
+            return Reply(200, {"server": server_id, "state": "draining"})
+        hint = "ask the instance that the server announces itself to"
+        return make_error(404, "no such server announces itself here", hint=hint)
+
     def ejections(self) -> list[Mapping[str, object]]:
         """Return a row for each backend server that is ejected here."""
         return self.health.ejections()
@@ -155,16 +167,6 @@
     def _follow_tables(self, tables: Tables) -> None:
         self.traffic.configure(tables.pools)
         self.health.configure(tables.pools)
-        self.pools.put(tables)
-
-    def follow_services(self, function: Callable[[ServiceChanged], None]) -> None:
-        """Call a function with each change of a service's live servers."""
-        self._followers.append(function)
-
-    def _give_service(self, message: ServiceChanged) -> None:
-        self.pools.put(message)
-        for function in self._followers:
-            function(message)
 
     def _give_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
@@ -172,6 +174,6 @@
 
     def _take_registry_output(self, message: RegistryOutput) -> None:
         if isinstance(message, ServerEvent):
-            self.view.put(message)
+            self._membership.publish(message)
             return
         self._replies.put(message)
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.membership.announcement import parse_withdrawal
 from pimentobend_core._internal.membership.messages import AnnouncementAccepted
 from pimentobend_core._internal.membership.messages import AnnouncementRefused
+from pimentobend_core._internal.membership.messages import DrainReplied
 from pimentobend_core._internal.membership.messages import RegistryInput
 from pimentobend_core._internal.membership.messages import WithdrawalAccepted
 from pimentobend_core._internal.models.server import Announcement
@@ -24,7 +25,9 @@
 
 ANSWER_TIMEOUT_S = 2.0
 
-RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
+RegistryReply = (
+    AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted | DrainReplied
+)
 
 
 class ServersInterface:
@@ -81,7 +84,7 @@
             return make_error(503, "the registry gave no answer", hint="send it again")
         if isinstance(reply, AnnouncementRefused):
             return _refuse(reply.faults)
-        if isinstance(reply, WithdrawalAccepted):
+        if not isinstance(reply, AnnouncementAccepted):
             return Reply(200, {"server_id": server_id})
         return Reply(
             200,
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -0,0 +1,163 @@
+"""Join the fleet's view of servers with the tree that spreads it."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import ServiceChanged
+from pimentobend_core._internal.membership.messages import ViewInput
+from pimentobend_core._internal.membership.messages import ViewTick
+from pimentobend_core._internal.membership.pools import PoolServers
+from pimentobend_core._internal.membership.pools import PoolServersChanged
+from pimentobend_core._internal.membership.pools import PoolServersInput
+from pimentobend_core._internal.membership.rows import create_server_row
+from pimentobend_core._internal.membership.rows import read_rows
+from pimentobend_core._internal.membership.spread.client import SpreadClient
+from pimentobend_core._internal.membership.spread.codec import decode_message
+from pimentobend_core._internal.membership.spread.codec import encode_message
+from pimentobend_core._internal.membership.spread.messages import BecomeRoot
+from pimentobend_core._internal.membership.spread.messages import FollowParents
+from pimentobend_core._internal.membership.spread.messages import FromPeer
+from pimentobend_core._internal.membership.spread.messages import PublishRows
+from pimentobend_core._internal.membership.spread.messages import RelayInput
+from pimentobend_core._internal.membership.spread.messages import RowsArrived
+from pimentobend_core._internal.membership.spread.messages import SpreadOutput
+from pimentobend_core._internal.membership.spread.messages import SpreadTick
+from pimentobend_core._internal.membership.spread.relay import RelayNode
+from pimentobend_core._internal.membership.view import MembershipView
+from pimentobend_core._internal.models.tables import Tables
+from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.ports import ClockPort
+
+KIND_SPREAD = "spread"
+SPREAD_TICK_S = 0.1
+VIEW_TICK_S = 1.0
+
+Node = StatefulFilter[RelayInput, SpreadOutput]
+
+
+class MembershipRole:
+    """Own this process's place in the tree and its view of the fleet.
+
+    A control instance is a relay, and the root while it leads; any other
+    process is a client of the tree. Ids in the tree are addresses of links.
+    """
+
+    def __init__(
+        self,
+        link: Link,
+        epoch: int,
+        parents: tuple[str, ...],
+        is_relay: bool,
+        clock: ClockPort,
+    ) -> None:
+        self._link = link
+        self._parents = parents
+        self._followers: list[Callable[[ServiceChanged], None]] = []
+        self._pool_followers: list[Callable[[PoolServersChanged], None]] = []
+        self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
+            "spread-servers",
+            _create_node(link.address, epoch, parents, is_relay),
+            CallOutlet(self._release),
+            clock,
+            Ticking(SPREAD_TICK_S, SpreadTick()),
+        )
+        self._view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
+            "view",
+            MembershipView(),
+            CallOutlet(self._give),
+            clock,
+            Ticking(VIEW_TICK_S, ViewTick()),
+        )
+
+        self._pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
+            "pools", PoolServers(), CallOutlet(self._give_pool), clock
+        )
+        self.follow(self._pools.put)
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self._pools.start()
+        self._view.start()
+        self._node.start()
+
+    def stop(self) -> None:
+        """Stop the tasks."""
+        self._node.stop()
+        self._view.stop()
+        self._pools.stop()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of the tasks."""
+        tasks = {"view": self._view.dump(), "pools": self._pools.dump()}
+        return {**tasks, self._node.name: self._node.dump()}
+
+    def servers(self) -> list[object]:
+        """Return a row for each live server of each pool."""
+        return [row for rows in self._pools.dump().values() for row in _listed(rows)]
+
+    def follow(self, function: Callable[[ServiceChanged], None]) -> None:
+        """Call a function with each change of a service's live servers."""
+        self._followers.append(function)
+
+    def follow_pools(self, function: Callable[[PoolServersChanged], None]) -> None:
+        """Call a function with each change of a pool's live servers."""
+        self._pool_followers.append(function)
+
+    def follow_tables(self, tables: Tables) -> None:
+        """Take the pools of new tables."""
+        self._pools.put(tables)
+
+    def publish(self, event: ServerEvent) -> None:
+        """Take a change of a server that announces itself to this process."""
+        self._view.put(event)
+        self._node.put(PublishRows((create_server_row(event),)))
+
+    def follow_leader(self, message: LeaderChanged) -> None:
+        """Be the tree's root while this replica leads."""
+        if message.leader_id == self._link.address:
+            self._node.put(BecomeRoot(message.term))
+            return
+        leader = () if message.leader_id is None else (message.leader_id,)
+        others = tuple(one for one in self._parents if one not in leader)
+        self._node.put(FollowParents((*leader, *others)))
+
+    def take_frame(self, frame: Frame) -> None:
+        """Take another instance's frame; raise ``CodecError`` for other bytes."""
+        self._node.put(FromPeer(frame.sender, decode_message(frame.payload)))
+
+    def _release(self, output: SpreadOutput) -> None:
+        if isinstance(output, RowsArrived):
+            for message in read_rows(output.rows):
+                self._view.put(message)
+            return
+        payload = encode_message(output.message)
+        for recipient in output.recipients:
+            self._link.send(recipient, KIND_SPREAD, payload)
+
+    def _give(self, message: ServiceChanged) -> None:
+        for function in self._followers:
+            function(message)
+
+    def _give_pool(self, message: PoolServersChanged) -> None:
+        for function in self._pool_followers:
+            function(message)
+
+
+def _listed(rows: object) -> list[object]:
+    return rows if isinstance(rows, list) else []
+
+
+def _create_node(
+    instance_id: str, epoch: int, parents: tuple[str, ...], is_relay: bool
+) -> Node:
+    if is_relay:
+        return RelayNode(instance_id, epoch, parents)
+    client: Node = SpreadClient(instance_id, epoch, parents)  # type: ignore[assignment]
+    return client
--- a/packages/daemon/src/pimentobendd/_internal/sections.py
+++ b/packages/daemon/src/pimentobendd/_internal/sections.py
@@ -14,6 +14,7 @@
 from pimentobendd._internal.interfaces.operators import Section
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import make_error
+from pimentobendd._internal.membership_role import MembershipRole
 from pimentobendd._internal.settings import Settings
 
 
@@ -26,6 +27,7 @@
         tables: Callable[[], Tables],
         spread: TablesSpread,
         ledger: LedgerTasks,
+        membership: MembershipRole,
         control: ControlRole | None,
         instance: InstanceRole | None,
     ) -> None:
@@ -33,6 +35,7 @@
         self._tables = tables
         self._spread = spread
         self._ledger = ledger
+        self._membership = membership
         self._control = control
         self._instance = instance
 
@@ -63,6 +66,7 @@
             },
             "spread": self._spread.task.dump(),
             "ledger-client": self._ledger.task.dump(),
+            **self._membership.dump(),
         }
         if self._control is not None:
             state.update(self._control.dump())
@@ -83,11 +87,7 @@
         return Reply(200, state)
 
     def _servers(self, query: Query) -> Reply:
-        rows: list[object] = []
-        if self._instance is not None:
-            for servers in self._instance.pools.dump().values():
-                rows.extend(cast(list[object], servers))
-        return Reply(200, {"servers": rows})
+        return Reply(200, {"servers": self._membership.servers()})
 
     def _ejections(self, query: Query) -> Reply:
         rows = [] if self._instance is None else self._instance.ejections()
