Remake the capacity page

Change: every section measured again; rows for the link between regions in normal hours and for the claims that the ledger's instances hold.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -4,7 +4,11 @@
 
 from pimentobend_bench._internal.capacity.page.costs import Costs
 from pimentobend_bench._internal.capacity.page.flows import LEASE_S
+from pimentobend_bench._internal.capacity.page.flows import beacons
 from pimentobend_bench._internal.capacity.page.flows import daemon_flows
+from pimentobend_bench._internal.capacity.page.flows import digest_exchange
+from pimentobend_bench._internal.capacity.page.flows import evidence
+from pimentobend_bench._internal.capacity.page.flows import membership
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.page.flows import total_cpu_share
 from pimentobend_bench._internal.capacity.target import ADDED_LATENCY_S
@@ -20,6 +24,7 @@
 from pimentobend_core._internal.configuration.follower import ANSWER_TIMEOUT_S
 from pimentobend_core._internal.configuration.follower import ASK_INTERVAL_S
 from pimentobend_core._internal.configuration.follower import TICK_S
+from pimentobend_core._internal.ledger.store import KEEP_S
 
 WHOLE_TABLE_PROXY = "pimentobendd, whole table"
 CODE_PART = "the daemon's code"
@@ -29,6 +34,7 @@
 RELAYS = 7  # one a data centre
 REGION_RELAYS = 4  # in the region without the leader
 MINUTE_S = 60.0
+LEDGER_MEMORY_BYTES = 1e9  # of one replica, for keys
 
 
 class Budget(NamedTuple):
@@ -61,8 +67,9 @@
         _whole_memory(costs),
         _added_memory(costs),
         _bytes(costs),
-        _instances(),
+        _instances(costs),
         _region_link(costs),
+        _region_restart(costs),
     )
 
 
@@ -82,6 +89,11 @@
     return costs.parts[-1]["private_bytes"] - costs.part_bytes(CODE_PART)
 
 
+def ledger_keys_per_s(costs: Costs) -> float:
+    """Return the claims a second whose kept keys fit a replica."""
+    return LEDGER_MEMORY_BYTES / costs.each("memory-ledger-key") / KEEP_S
+
+
 def spread_time_s() -> float:
     """Return how long a change takes to every daemon with one relay lost.
 
@@ -154,7 +166,8 @@
         CONTROL_MEMORY_BYTES / 1e6,
         "MB",
         "`whole-table`, after less before the tables",
-        "packed rows in the view; pools' traffic created at a pool's first request",
+        "one copy of the servers' rows, packed, for view and tree; traffic and health"
+        " of a pool created at its first request",
     )
 
 
@@ -170,19 +183,41 @@
     )
 
 
-def _instances() -> Budget:
+def _instances(costs: Costs) -> Budget:
+    left = CONTROL_INSTANCES - CONTROL_REPLICAS - RELAYS
+    groups = left // LEDGER_REPLICAS_PER_GROUP
+    claims_per_s = groups * ledger_keys_per_s(costs)
     return Budget(
         "instances set aside",
-        CONTROL_REPLICAS + RELAYS + LEDGER_REPLICAS_PER_GROUP,
+        CONTROL_REPLICAS + RELAYS + groups * LEDGER_REPLICAS_PER_GROUP,
         CONTROL_INSTANCES,
         "instances",
-        f"{CONTROL_REPLICAS} control replicas, a relay in each data centre, one"
-        " group of ledger replicas; more groups by the rate of claims, below",
+        f"{CONTROL_REPLICAS} control replicas, a relay in each data centre,"
+        f" {groups} groups of {LEDGER_REPLICAS_PER_GROUP} ledger replicas; these hold"
+        f" {claims_per_s:.0f} claims a second all day long in 1 GB each, and the"
+        " letter does not say how many are asked",
         "ledger entries in packed bytes",
     )
 
 
 def _region_link(costs: Costs) -> Budget:
+    other_region = DAEMONS / 2
+    reports = other_region * evidence(costs).bytes_per_s
+    questions = other_region * digest_exchange(costs).bytes_per_s
+    rows = REGION_RELAYS * (beacons(costs).bytes_per_s + membership(costs).bytes_per_s)
+    return Budget(
+        "link between regions, normal hours, control alone",
+        (reports + questions + rows) * 8 / 1e6,
+        REGION_LINK_BITS_PER_S / 1e6,
+        "Mbit/s",
+        "both ways together: evidence to the floor's owner"
+        f" {reports * 8 / 1e6:.1f}, questions to control without relays"
+        f" {questions * 8 / 1e6:.1f}, the tree {rows * 8 / 1e6:.2f}",
+        "evidence for pools with news only, joined by the region's relays",
+    )
+
+
+def _region_restart(costs: Costs) -> Budget:
     restart_bytes = DAEMONS / 2 * catch_up_bytes(costs)
     return Budget(
         "link between regions, restart of everything within a minute",
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -3,9 +3,11 @@
 from typing import NamedTuple
 
 from pimentobend_bench._internal.capacity.page.budgets import CONTROL_REPLICAS
+from pimentobend_bench._internal.capacity.page.budgets import LEDGER_MEMORY_BYTES
 from pimentobend_bench._internal.capacity.page.budgets import RELAYS
 from pimentobend_bench._internal.capacity.page.budgets import added_memory_bytes
 from pimentobend_bench._internal.capacity.page.budgets import control_cpu_share
+from pimentobend_bench._internal.capacity.page.budgets import ledger_keys_per_s
 from pimentobend_bench._internal.capacity.page.budgets import peak_cpu_share
 from pimentobend_bench._internal.capacity.page.costs import Costs
 from pimentobend_bench._internal.capacity.page.costs import describe_module
@@ -21,8 +23,6 @@
 from pimentobend_bench._internal.capacity.target import SERVERS
 
 _CORE = "pimentobend_core._internal"
-KEEP_DAY_S = 86_400.0
-LEDGER_MEMORY_BYTES = 1e9
 KEYED_PER_MILLE = 1
 DAEMONS_PER_RELAY = DAEMONS / RELAYS
 
@@ -49,11 +49,6 @@
     )
 
 
-def ledger_keys_per_s(costs: Costs) -> float:
-    """Return the claims a second whose keys of a day fit the stated memory."""
-    return LEDGER_MEMORY_BYTES / costs.each("memory-ledger-key") / KEEP_DAY_S
-
-
 def _daemon(costs: Costs) -> Role:
     flows = daemon_flows(costs)
     whole_mb = costs.parts[-1]["private_bytes"] / 1e6
