--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,6 +15,15 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "apply": Entry(
+        "consensus.apply", "ApplyCommand", "time until a change is acknowledged"
+    ),
+    "failover": Entry(
+        "consensus.failover", "FailoverCommand", "time without a leader after a crash"
+    ),
+    "recovery": Entry(
+        "consensus.recovery", "RecoveryCommand", "time to recover against log length"
+    ),
     "detection": Entry(
         "health.detection", "DetectionCommand", "time until a failing server is out"
     ),
@@ -50,6 +59,15 @@
         "PointCommand",
         "take one reading of one probe in a fresh process",
     ),
+    "claims": Entry(
+        "ledger.claims", "ClaimsCommand", "claims a second and their added latency"
+    ),
+    "spread-bytes": Entry(
+        "membership.spread_bytes", "SpreadBytesCommand", "bytes a second a daemon"
+    ),
+    "spread-time": Entry(
+        "membership.spread_time", "SpreadTimeCommand", "time until in force everywhere"
+    ),
 }
 
 
