--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -100,7 +100,14 @@
         self._inbox.put(message)
 
     def take(self, frame: Frame) -> None:
-        """Take another replica's frame; raise ``FrameError``."""
+        """Take another replica's frame; raise ``FrameError``.
+
+        A dead replica's address may be another cluster's by now, so only
+        members are heard, and those that the settings name.
+        """
+        known = self._known_ids()
+        if known and frame.sender not in known:
+            raise FrameError("the sender is no member", context=frame.sender)
         try:
             message = decode_message(frame.payload)
         except CodecError as error:
@@ -118,6 +125,13 @@
             state.update(self._replica.dump())
         return state
 
+    def _known_ids(self) -> frozenset[str]:
+        """Return the members; none for a replica that waits to be added."""
+        members = self._settings.first_members.all
+        if self._replica is not None:
+            members += self._replica.state.members.all
+        return frozenset(member.replica_id for member in members)
+
     def _run(self) -> None:
         while True:
             if self._replica is None:
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -48,6 +48,7 @@
         clock: ClockPort,
     ) -> None:
         self._link = link
+        self._sources = frozenset(sources)
         self._put_in_force = put_in_force
         self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
             "tables",
@@ -63,6 +64,8 @@
             message = decode(frame.payload, _KINDS[frame.kind])
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
+        if not isinstance(message, CatchUp) and frame.sender not in self._sources:
+            raise FrameError("tables from an unknown source", context=frame.sender)
         self.task.put(SpreadReceived(frame.sender, message))
 
     def _release(self, output: FollowerOutput) -> None:
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -88,6 +88,7 @@
     replicas = Replicas(fleet, 3)
     replicas.apply(replicas.names[0], 0)
     survivor, *others = replicas.names
+    wait_until(lambda: replicas.route_names(survivor) == {"r0"})
     for name in others:
         replicas.kill(name)
     wait_until(lambda: replicas.status(survivor)["control"]["leader_id"] is None)
--- /dev/null
+++ b/tests/unit/consensus/test_replica_task.py
@@ -0,0 +1,125 @@
+"""Check the task around a replica: whom it hears, and what a bad disk does."""
+
+from typing import NamedTuple
+
+import eventlet
+import pytest
+from memory_disk import DiskFault
+from memory_disk import MemoryDisk
+
+from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.disk.task import DiskTask
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_core._internal.consensus.codec import encode_message
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.members import Member
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import AppendEntries
+from pimentobend_core._internal.consensus.messages import Committed
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobendd._internal.control.replica_task import LogOutput
+from pimentobendd._internal.control.replica_task import ReplicaSettings
+from pimentobendd._internal.control.replica_task import ReplicaTask
+
+WAIT_S = 10.0
+
+
+class Sent(NamedTuple):
+    peer: str
+    kind: str
+    payload: bytes
+
+
+class FakeLink:
+    """Keep what was sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[Sent] = []
+
+    def send(self, peer: str, kind: str, payload: bytes) -> None:
+        self.sent.append(Sent(peer, kind, payload))
+
+
+class Site:
+    """Own one running replica task with a fake disk and a fake link."""
+
+    def __init__(self, voters: str) -> None:
+        members = Members(tuple(Member(each, each) for each in voters))
+        self.disk = MemoryDisk()
+        self.outputs: list[LogOutput] = []
+        self.link = FakeLink()
+        self.task = ReplicaTask(
+            ReplicaSettings("test", "a", members, 1),
+            DiskTask(self.disk),
+            self.link,  # type: ignore[arg-type]
+            CallOutlet(self.outputs.append),
+            HubClock(),
+        )
+        self.task.start()
+
+    def propose(self, proposal_id: int) -> Outcome:
+        """Propose a command and wait for its outcome."""
+        command = b"command %d" % proposal_id
+        self.task.put(Propose((Proposal(proposal_id, command),)))
+        with eventlet.Timeout(WAIT_S):
+            while True:
+                ended = [each for each in self.outputs if isinstance(each, Proposed)]
+                for output in ended:
+                    if output.proposal_id == proposal_id:
+                        return output.outcome
+                eventlet.sleep(0.01)
+
+    def commands(self) -> list[bytes]:
+        """Return the commands given out to be applied."""
+        entries: list[Entry] = []
+        for output in self.outputs:
+            if isinstance(output, Committed):
+                entries.extend(output.entries)
+        return [entry.command for entry in entries if entry.is_command]
+
+
+@pytest.mark.parametrize(
+    ("voters", "sender", "is_heard"),
+    [("abc", "b", True), ("abc", "x", False), ("", "x", True)],
+)
+def test_only_members_are_heard(voters: str, sender: str, is_heard: bool) -> None:
+    site = Site(voters)
+    message = encode_message(AppendEntries(5, 0, 0, (), 0, 1.0))
+    frame = Frame(sender, site.task.kind, message)
+    if is_heard:
+        site.task.take(frame)
+    else:
+        with pytest.raises(FrameError, match="no member"):
+            site.task.take(frame)
+    with eventlet.Timeout(WAIT_S, False):
+        while is_heard and not site.link.sent:
+            eventlet.sleep(0.01)
+    assert (sender in {sent.peer for sent in site.link.sent}) == is_heard
+    site.task.stop()
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome"),
+    [
+        (DiskFault.LOST, Outcome.STORAGE),
+        (None, Outcome.COMMITTED),
+    ],
+)
+def test_a_bad_disk_refuses(fault: DiskFault | None, outcome: Outcome) -> None:
+    site = Site("a")
+    eventlet.sleep(0.05)
+    assert site.propose(1) is Outcome.COMMITTED
+    site.disk.fault = fault
+    assert site.propose(2) is outcome
+    eventlet.sleep(0.05)
+    assert site.propose(3) is Outcome.COMMITTED
+    expected = [b"command 1", b"command 2", b"command 3"]
+    if outcome is not Outcome.COMMITTED:
+        del expected[1]
+    assert site.commands() == expected
+    site.task.stop()
