Refuse a second process on an address

The listening sockets were opened with SO_REUSEPORT, the library's default: two daemons with one address in their settings both started, and the kernel dealt the connections between them, so that an operator's change could be accepted by a process of another cluster. Seen: two servers opened on one address; now the second raises ListenError. It fits the acknowledged change that a cluster's leader did not hold in the parallel functional tests, but that run was not repeated with the old code to show it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -36,7 +36,9 @@
 
     def __init__(self, address: Address, application: Callable[..., Any]) -> None:
         try:
-            self._socket = eventlet.listen(tuple(address), backlog=BACKLOG)
+            self._socket = eventlet.listen(
+                tuple(address), backlog=BACKLOG, reuse_port=False
+            )
         except OSError as error:
             raise ListenError(
                 "cannot listen",
