Bound the bytes of deltas that a relay sends a window

Change: a window carries at most 500 kB to all children of a relay, in order, and beacons name no position meanwhile. The state machine runs with such windows too. Conclusion: the load is bounded; a change made while everything restarts waits behind the rows.

--- a/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -248,7 +248,7 @@
             self._is_live = True
             self._not_live_wait_s = NOT_LIVE_MIN_S
         alive = ToPeers((self.parent,), Alive(self._life, self.store.position))
-        if beacon.position < self.store.position:
+        if not _names_position(beacon) or beacon.position < self.store.position:
             return (alive,)
         self.store.forget(beacon.floor)
         if beacon.digest == self.store.digest:
@@ -334,6 +334,11 @@
         return () if publish is None else (ToPeers((self.parent,), publish),)
 
 
+def _names_position(beacon: Beacon) -> bool:
+    """Say whether a beacon's sender has passed on all rows that it holds."""
+    return beacon.position.number > 0 or beacon.base == START
+
+
 def create_snapshot(store: RowStore) -> Delta:
     """Return a message with every row of a store."""
     return Delta(store.position, store.base, 0, True, store.since(0))
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
@@ -6,6 +6,7 @@
 from pimentobend_core._internal.membership.spread.children import Children
 from pimentobend_core._internal.membership.spread.client import SpreadClient
 from pimentobend_core._internal.membership.spread.client import create_snapshot
+from pimentobend_core._internal.membership.spread.gate import ROW_BYTES
 from pimentobend_core._internal.membership.spread.gate import SnapshotGate
 from pimentobend_core._internal.membership.spread.liveness import create_lost_row
 from pimentobend_core._internal.membership.spread.liveness import create_row
@@ -34,6 +35,7 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 WINDOW_S = 0.2  # rows of so long share a message
+FLUSH_BYTES = 500_000  # to all children together, a window
 BEACON_S = 0.5
 FORGET_CHECK_S = 60.0
 ORPHAN_CHECK_S = 2.0
@@ -241,7 +243,7 @@
             self._beacon_at = now + BEACON_S
             self._pulse += 1
             if len(self._children):
-                outputs += (ToPeers(tuple(self._children), self._beacon()),)
+                outputs += (ToPeers(tuple(self._children), self._periodic_beacon()),)
         if self._is_root and now >= self._orphans_at:
             self._orphans_at = now + ORPHAN_CHECK_S
             outputs += self._take_publish(self._orphans.find(now), now)
@@ -259,14 +261,20 @@
         flushed, held = self._flushed, self._store.position
         if held == flushed:
             return ()
-        self._flushed = held
         after = flushed.number
         if flushed.epoch != held.epoch:
             after = min(after, self._store.base.number)
         children = self._children.synced
+        rows = self._store.since(after)
+        limit = max(1, FLUSH_BYTES // (ROW_BYTES * max(1, len(children))))
+        if len(rows) > limit:
+            rows = rows[:limit]
+            # An earlier root's rows that this one lacks have numbers ahead of it.
+            held = min(held, Position(held.epoch, rows[-1].number))
+        self._flushed = held
         if not children:
             return ()
-        delta = Delta(held, self._store.base, after, False, self._store.since(after))
+        delta = Delta(held, self._store.base, after, False, rows)
         return (ToPeers(children, delta),)
 
     def _flush_up(self) -> tuple[SpreadOutput, ...]:
@@ -279,3 +287,10 @@
         held = self._store
         pulse = self._pulse if self._is_root else self._client.pulse
         return Beacon(held.position, held.base, held.digest, held.floor, pulse)
+
+    def _periodic_beacon(self) -> Beacon:
+        """Return a beacon that names no position while rows wait to go down."""
+        beacon = self._beacon()
+        if self._flushed == beacon.position:
+            return beacon
+        return beacon._replace(position=Position(beacon.position.epoch, 0))
--- a/tests/unit/membership/test_spread.py
+++ b/tests/unit/membership/test_spread.py
@@ -8,6 +8,7 @@
 from pimentobend_core._internal.membership.messages import InstanceLost
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.rows import read_rows
+from pimentobend_core._internal.membership.spread import relay
 from pimentobend_core._internal.membership.spread.gate import SnapshotGate
 from pimentobend_core._internal.membership.spread.messages import Delta
 from pimentobend_core._internal.membership.spread.messages import PeerMessage
@@ -173,3 +174,36 @@
     fleet.observers.append(observe)
     assert _spread(fleet, _create_row(1), DRAIN_S) is not None
     assert crossings == ["replica-1"]
+
+
+def _has_rows(fleet: Fleet, name: str, rows: list[Row]) -> bool:
+    return all(row.row_id in fleet.arrived[name] for row in rows)
+
+
+@pytest.mark.parametrize("flush_bytes", [300, 3000])
+def test_deltas_at_a_restart_of_all_are_paced(
+    flush_bytes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(relay, "FLUSH_BYTES", flush_bytes)
+    fleet = Fleet(SHAPE, seed=3)
+    fleet.lead("replica-0")
+    sizes: list[int] = []
+
+    def observe(sender: str, recipients: tuple[str, ...], message: PeerMessage) -> None:
+        if isinstance(message, Delta) and len(recipients) > 1:
+            sizes.append(len(message.rows) * len(recipients) * relay.ROW_BYTES)
+
+    fleet.observers.append(observe)
+    names = fleet.names(TreeRole.DAEMON)
+    rows = [Row(RowId(RowKind.EJECTIONS, n, "row"), Rank(1, 1), b"") for n in names]
+    for row in rows:
+        fleet.publish(row.row_id.author, [row])
+    took_s = fleet.run_until(
+        lambda: all(
+            row.row_id in fleet.arrived[name] for name in names for row in rows
+        ),
+        60.0,
+    )
+    assert took_s is not None
+    assert sizes
+    assert max(sizes) <= flush_bytes
--- a/tests/unit/membership/test_spread_machine.py
+++ b/tests/unit/membership/test_spread_machine.py
@@ -14,6 +14,7 @@
 from pimentobend_core._internal.membership.messages import ViewTick
 from pimentobend_core._internal.membership.rows import create_server_row
 from pimentobend_core._internal.membership.rows import read_rows
+from pimentobend_core._internal.membership.spread import relay
 from pimentobend_core._internal.membership.spread.client import SpreadClient
 from pimentobend_core._internal.membership.spread.messages import START
 from pimentobend_core._internal.membership.spread.messages import Position
@@ -162,7 +163,24 @@
         }
 
 
+class PacedSpreadMachine(SpreadMachine):
+    """Let a window carry one row or two only."""
+
+    def __init__(self) -> None:
+        self.flush_bytes = relay.FLUSH_BYTES
+        relay.FLUSH_BYTES = 2 * relay.ROW_BYTES
+        super().__init__()
+
+    def teardown(self) -> None:
+        try:
+            super().teardown()
+        finally:
+            relay.FLUSH_BYTES = self.flush_bytes
+
+
 TestSpread = SpreadMachine.TestCase
+TestPacedSpread = PacedSpreadMachine.TestCase
 TestSpread.settings = settings(
     derandomize=True, max_examples=100, stateful_step_count=25, deadline=None
 )
+TestPacedSpread.settings = TestSpread.settings
