--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -1,6 +1,7 @@
 """Estimate the free slots of backend servers that several daemons share."""
 
 import math
+from typing import NamedTuple
 
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -10,7 +11,7 @@
 COLD_RAMP_S = 10.0
 COLD_WEIGHT = 0.2
 FAILURE_HALF_LIFE_S = 0.5  # health weighs servers; this only turns retries away
-BACKOFF_LIMIT = 5.0  # doublings
+BACKOFF_LIMIT = 3.0  # doublings
 BACKOFF_HALF_LIFE_S = 2.0
 FAILURE_TRACE = 0.1  # failures, below which a server counts as sound
 OTHERS_LIMIT = 2  # times the slots
@@ -21,6 +22,15 @@
 )
 
 
+class SlotsView(NamedTuple):
+    """Describe a server at one moment."""
+
+    free: float  # slots
+    load: float  # share of the slots in use, failures added
+    weight: float  # share of its normal traffic
+    is_probe: bool  # the last report showed no free slot
+
+
 class ServerSlots:
     """Follow one server: own requests, the others' and its weight.
 
@@ -36,7 +46,7 @@
         self._health_weight = 1.0
         self._in_flight = 0
         self._others = 0.0
-        self._others_at = 0.0
+        self._others_at = float("-inf")
         self._backoff = 0.0
         self._backoff_at = 0.0
         self._failures = 0.0
@@ -47,6 +57,11 @@
         """Return the server as it last announced itself."""
         return self._server
 
+    @property
+    def others_share(self) -> float:
+        """Return the share of slots that the others had at the last report."""
+        return min(1.0, self._others / max(1, self._server.slots))
+
     @property
     def in_flight(self) -> int:
         """Return the requests that this daemon has on the server."""
@@ -99,20 +114,27 @@
 
     def others(self, now: float, hold_s: float) -> float:
         """Estimate the requests that other daemons have on the server."""
-        pace_s = hold_s * 2 ** self._backoff_now(now)
-        age_s = max(0.0, now - self._others_at)
-        return self._others * math.exp(-age_s / pace_s) if self._others else 0.0
+        return self._others * self._freshness(now, hold_s)
 
-    def free(self, now: float, hold_s: float) -> float:
-        """Estimate the slots that one more request may take."""
-        limit = math.ceil(self._server.slots * self.weight(now))
-        return limit - self._in_flight - self.others(now, hold_s)
+    def view(self, now: float, hold_s: float, usual_share: float) -> SlotsView:
+        """Estimate what the server can take, failures added to its load.
 
-    def load(self, now: float, hold_s: float) -> float:
-        """Return the share of slots in use, recent failures added."""
+        As a report ages, the load tends to ``usual_share``, the share of
+        slots that other daemons use in the pool, and the free slots to what
+        a probe may try.
+        """
+        weight = self.weight(now)
         slots = max(1, self._server.slots)
-        in_use = self._in_flight + self.others(now, hold_s)
-        return in_use / slots + self._failures_now(now)
+        freshness = self._freshness(now, hold_s)
+        others = self._others * freshness
+        usual = usual_share * slots * (1.0 - freshness)
+        load = (self._in_flight + others + usual) / slots
+        return SlotsView(
+            free=math.ceil(self._server.slots * weight) - self._in_flight - others,
+            load=load + self._failures_now(now),
+            weight=weight,
+            is_probe=self._in_flight + 1 + self._others > self._server.slots,
+        )
 
     def is_failing(self, now: float) -> bool:
         """Say whether attempts on the server failed lately."""
@@ -133,7 +155,7 @@
     def note_end(self, end: AttemptEnded, was_probe: bool, now: float) -> None:
         """Learn from an ended attempt, before its release."""
         if end.kind is AttemptKind.REFUSED:
-            self._change_backoff(1.0, now)
+            self._change_backoff(0.5, now)
             self._set_others(self._server.slots - self._in_flight + 1, now)
             return
         if end.kind in FAILED_KINDS or end.status >= 500:
@@ -145,6 +167,11 @@
             # The report counts the request that it came with.
             self._set_others(end.load.in_use - self._in_flight, now)
 
+    def _freshness(self, now: float, hold_s: float) -> float:
+        """Return the share of the reported requests that still run."""
+        pace_s = hold_s * 2 ** self._backoff_now(now)
+        return math.exp(-max(0.0, now - self._others_at) / pace_s)
+
     def _set_others(self, others: int, now: float) -> None:
         self._others = float(min(max(0, others), OTHERS_LIMIT * self._server.slots))
         self._others_at = now
