Show the small organisations' p99 at the crest

Cause: p99 at the crest comes near the timeout, and who waits was not known. Change: a column for the small organisations' p99.

--- a/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
@@ -44,6 +44,7 @@
     late: int
     gave_up: int
     sheds: int
+    light_p99_ms: float  # of the small organisations' requests
     light_answered: float  # share of the small organisations' requests
 
 
@@ -61,7 +62,7 @@
         print(
             f"{'service':31}{'x mean':>7} {'policy':12}{'goodput':>8}{'p50 ms':>8}"
             f"{'p99 ms':>8}{'refused':>8}{'late':>7}{'gave up':>8}{'sheds':>8}"
-            f"{'light ok':>9}"
+            f"{'light p99':>10}{'light ok':>9}"
         )
         missed = 0
         mode = OverflowMode(options.mode)
@@ -123,6 +124,7 @@
         late=reasons["late"],
         gave_up=reasons["backend"],
         sheds=simulation.sheds,
+        light_p99_ms=1000 * quantile([o.latency_s for o in light if o.is_good], 0.99),
         light_answered=sum(one.is_good for one in light) / max(1, len(light)),
     )
 
@@ -133,7 +135,8 @@
     print(
         f"{shape.name:31}{multiple:7.1f} {policy.name:12}{result.goodput:8.1%}"
         f"{result.p50_ms:8.0f}{result.p99_ms:8.0f}{result.refused:8}{result.late:7}"
-        f"{result.gave_up:8}{result.sheds:8}{result.light_answered:9.1%}",
+        f"{result.gave_up:8}{result.sheds:8}{result.light_p99_ms:10.0f}"
+        f"{result.light_answered:9.1%}",
         flush=True,
     )
 
