Ask all observers on a suspicion, and settle longer

Cause: idle reports are seconds old, so old good votes delayed an agreement, while short jams of long work on healthy servers passed it. Change: the owner solicits reports while it weighs a suspicion; a good vote speaks for 1.2 s; agreement must hold 0.7 s; a slow answer counts double; scores are taken beyond twice the peers' median; silence of connections that served before stays below a vote. Scripted scenarios run on simulated time.

--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -16,6 +16,7 @@
 from pimentobend_bench._internal.health.scheduler import Scheduler
 from pimentobend_bench._internal.health.servers import SimulatedServer
 from pimentobend_bench._internal.health.shapes import Shape
+from pimentobend_core._internal.health.flights import OVERDUE_LEAST_S
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -147,8 +148,15 @@
             None,
         )
         outcome = Outcome(daemon, self.scheduler.now, ended)
+        if was_reused and latency_s > OVERDUE_LEAST_S:
+            # One silent connection is reason to open new ones.
+            self.scheduler.after(OVERDUE_LEAST_S, lambda: self._drop_idle(key))
         self.scheduler.after(latency_s, lambda: self._end(outcome))
 
+    def _drop_idle(self, key: tuple[str, str]) -> None:
+        self._idle[key] = 0
+        self._dead[key] = 0
+
     def _work(self, daemon: str, server_id: str, was_reused: bool) -> Work:
         server = self.servers[server_id]
         if not self.paths.is_whole(daemon, server_id):
@@ -175,8 +183,6 @@
         if ended.kind in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
             self._idle[key] += 1
         elif ended.kind is AttemptKind.NO_ANSWER:
-            # One silent connection is reason to open a new one next.
-            self._idle[key] = 0
-            self._dead[key] = 0
+            self._drop_idle(key)
         self.policy.attempt_ended(outcome.daemon, ended)
         self.on_outcome(outcome)
--- a/packages/bench/src/pimentobend_bench/_internal/health/leased.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/leased.py
@@ -71,8 +71,11 @@
     def change_servers(self, servers: tuple[Server, ...]) -> None:
         """Give all processes the list of servers."""
         self._servers = servers
+        on_change, self.on_change = self.on_change, lambda: None
         for daemon in self._observers:
             self._tell(daemon, ServersChanged(servers))
+        self.on_change = on_change
+        self.on_change()
         for owner in self._owners:
             self._tell_owner(owner, self._listed())
 
--- a/packages/core/src/pimentobend_core/_internal/health/account.py
+++ b/packages/core/src/pimentobend_core/_internal/health/account.py
@@ -7,6 +7,7 @@
 from pimentobend_core._internal.health.capacity import ServiceSize
 from pimentobend_core._internal.health.capacity import required_servers
 from pimentobend_core._internal.health.limits import HOLD_S
+from pimentobend_core._internal.health.limits import SOLICIT_S
 from pimentobend_core._internal.health.messages import Ejection
 from pimentobend_core._internal.health.messages import EjectionEnded
 from pimentobend_core._internal.health.messages import EjectionStarted
@@ -19,7 +20,8 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
-SETTLE_S = 0.3  # a common cause shows on the other servers meanwhile
+SOLICIT_FOR_S = 5.0
+SETTLE_S = 0.7  # a common cause shows on the other servers meanwhile
 
 
 class _Active(NamedTuple):
@@ -47,6 +49,8 @@
         self._ended_in: dict[str, tuple[int, int]] = {}
         self._agreed_since: dict[str, float] = {}
         self._withheld: dict[str, str] = {}
+        self._suspected_since: dict[str, float] = {}
+        self._solicited_at = -SOLICIT_S
         self._term = 0
         self._sequence = 0
 
@@ -75,6 +79,7 @@
         self._held_until.clear()
         self._ended_in.clear()
         self._agreed_since.clear()
+        self._suspected_since.clear()
         self._withheld.clear()
         self._sequence = 0
 
@@ -94,6 +99,24 @@
             self._held_until[active.ejection.server_id] = now + HOLD_S
         return tuple(active.ejection for active in ordered)
 
+    def should_solicit(self, now: float) -> bool:
+        """Say whether to ask all observers for reports, and note that.
+
+        A suspicion that stays without agreement is one-sided; it is not worth
+        the reports for long.
+        """
+        self._suspected_since = {
+            server_id: self._suspected_since.get(server_id, now)
+            for server_id in self._suspects(now) - self._active.keys()
+        }
+        is_new = any(
+            now - since < SOLICIT_FOR_S for since in self._suspected_since.values()
+        )
+        if not is_new or now - self._solicited_at < SOLICIT_S:
+            return False
+        self._solicited_at = now
+        return True
+
     def settle(self, now: float) -> tuple[FloorOutput, ...]:
         """End ejections that are over and begin those that are agreed on."""
         return (
@@ -146,7 +169,7 @@
             for each in candidates
         }
         withheld: dict[str, str] = {}
-        is_common = self._is_common_cause(candidates)
+        is_common = 2 * len(self._suspects(now)) > len(self._ready())
         for candidate in candidates:
             if now - self._agreed_since[candidate.server_id] < SETTLE_S:
                 continue
@@ -171,9 +194,9 @@
             and candidate.incarnation == self._servers[candidate.server_id].incarnation
         )
 
-    def _is_common_cause(self, candidates: tuple[Candidate, ...]) -> bool:
-        suspects = len(candidates) + len(self._active)
-        return 2 * suspects > len(self._ready())
+    def _suspects(self, now: float) -> frozenset[str]:
+        suspects = self._opinions.suspects(self._ended_in, now)
+        return (suspects | self._active.keys()) & self._ready()
 
     def _may_lose(self, server_id: str, now: float) -> bool:
         lost = self._lost(now) | {server_id}
--- a/packages/core/src/pimentobend_core/_internal/health/detectors.py
+++ b/packages/core/src/pimentobend_core/_internal/health/detectors.py
@@ -54,8 +54,7 @@
 
     reason = Reason.SLOW
     ALLOWED_EXCESS = 0.9  # log ratio: 2.5 times the peers' latency
-    GAIN = 0.15
-    GAIN_BELOW = 0.3
+    GAIN = 0.3
     LARGEST_STEP = 0.2  # one straggler says no more than a slow answer
     SMALLEST_STEP = -0.3
 
@@ -64,8 +63,7 @@
         if sample.failed or sample.excess is None:
             return 0.0
         beyond = sample.excess - self.ALLOWED_EXCESS
-        step = beyond * (self.GAIN if beyond > 0 else self.GAIN_BELOW)
-        return max(self.SMALLEST_STEP, min(self.LARGEST_STEP, step))
+        return max(self.SMALLEST_STEP, min(self.LARGEST_STEP, self.GAIN * beyond))
 
 
 class FailureDetector(Detector):
--- a/packages/core/src/pimentobend_core/_internal/health/floor.py
+++ b/packages/core/src/pimentobend_core/_internal/health/floor.py
@@ -129,8 +129,10 @@
         for account in accounts:
             before = account.sequence
             outputs.extend(account.settle(now))
-            if account.sequence != before:
-                outputs.extend(self._grants(account, account.reports(now), now))
+            should_solicit = account.should_solicit(now)
+            if account.sequence != before or should_solicit:
+                reports = account.reports(now)
+                outputs.extend(self._grants(account, reports, now, should_solicit))
         return tuple(outputs)
 
     def _grants(
@@ -138,6 +140,7 @@
         account: ServiceAccount,
         reports: Iterable[EvidenceReported],
         now: float,
+        should_solicit: bool = False,
     ) -> tuple[FloorOutput, ...]:
         if self._term is None or not self._may_grant(now):
             return ()
@@ -152,6 +155,7 @@
                 report.asked_at,
                 LEASE_S,
                 ejections,
+                should_solicit,
             )
             for report in reports
         )
--- a/packages/core/src/pimentobend_core/_internal/health/latency.py
+++ b/packages/core/src/pimentobend_core/_internal/health/latency.py
@@ -101,5 +101,4 @@
     if load is None or load.slots <= 0:
         return 0.0
     ratio = load.in_use / load.slots
-    # Long work in the slots lets short work behind it wait disproportionately.
-    return 2 * math.log(max(1.0, min(_LARGEST_QUEUE, ratio)))
+    return math.log(max(1.0, min(_LARGEST_QUEUE, ratio)))
--- a/packages/core/src/pimentobend_core/_internal/health/limits.py
+++ b/packages/core/src/pimentobend_core/_internal/health/limits.py
@@ -13,6 +13,7 @@
 HOLD_S = EXPIRY_S * (1 + CLOCK_RATE_MARGIN)
 TAKEOVER_S = (OWNER_LEASE_S + EXPIRY_S) * (1 + CLOCK_RATE_MARGIN)
 
+SOLICIT_S = 0.5  # between two requests for reports on a suspicion
 REPORT_URGENT_S = 0.25
 REPORT_HOLDING_S = 1.0
 REPORT_IDLE_S = 2.0
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -81,6 +81,7 @@
     asked_at: float
     lease_s: float
     ejections: tuple[Ejection, ...]
+    report_now: bool  # the owner weighs a suspicion
 
 
 class OwnershipTaken(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/health/observer.py
+++ b/packages/core/src/pimentobend_core/_internal/health/observer.py
@@ -68,7 +68,8 @@
             case ConfigurePool():
                 self._pool = message.pool
             case EjectionsGranted():
-                self._leases.accept(message, now)
+                if self._leases.accept(message, now) and message.report_now:
+                    self._reports.hurry()
             case HealthTick():
                 self._roster.tick(now)
         self._follow_ejections(now)
--- a/packages/core/src/pimentobend_core/_internal/health/opinions.py
+++ b/packages/core/src/pimentobend_core/_internal/health/opinions.py
@@ -11,7 +11,8 @@
 from pimentobend_core._internal.health.messages import Reason
 from pimentobend_core._internal.health.messages import ServerEvidence
 
-FRESH_S = 2.5  # a vote counts this long
+BAD_VOTE_S = 2.5  # an attempt speaks against its server this long
+GOOD_VOTE_S = 1.2  # and for it
 HEARD_S = 4.5  # beyond it an observer counts as cut off
 KNOWN_S = 600.0  # an observer cut off is remembered this long
 OBSERVER_QUORUM = 2
@@ -71,6 +72,17 @@
             del self._views[key]
         return len({observer for observer, _ in self._views})
 
+    def suspects(
+        self, seen_from: Mapping[str, tuple[int, int]], now: float
+    ) -> frozenset[str]:
+        """Return the servers on which it is worth to hear all observers."""
+        quorum = min(OBSERVER_QUORUM, self.known_observers(now))
+        return frozenset(
+            server_id
+            for server_id, votes in self._votes(seen_from, now).items()
+            if _total(votes) >= quorum * SUSPECT_SCORE / 2
+        )
+
     def candidates(
         self, seen_from: Mapping[str, tuple[int, int]], now: float
     ) -> tuple[Candidate, ...]:
@@ -104,7 +116,8 @@
             age_s = now - view.heard_at
             number = (view.report.term, view.report.sequence)
             for evidence in view.report.servers:
-                if age_s + evidence.age_s >= FRESH_S:
+                limit_s = GOOD_VOTE_S if evidence.score < BAD_SCORE else BAD_VOTE_S
+                if age_s + evidence.age_s >= limit_s:
                     continue
                 if number < seen_from.get(evidence.server_id, number):
                     continue
@@ -126,10 +139,14 @@
 ) -> Candidate | None:
     bad = [vote for vote in votes.values() if vote.score >= BAD_SCORE]
     good = [vote for vote in votes.values() if vote.score < GOOD_SCORE]
-    total = sum(vote.score for vote in bad)
+    total = _total(votes)
     if len(bad) < quorum or total < quorum * SUSPECT_SCORE:
         return None
     if len(bad) <= len(good) + missing:
         return None
     worst = max(bad, key=lambda vote: vote.score)
     return Candidate(server_id, worst.incarnation, total, len(bad), worst.reason)
+
+
+def _total(votes: Mapping[str, ServerEvidence]) -> float:
+    return sum(vote.score for vote in votes.values() if vote.score >= BAD_SCORE)
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -38,8 +38,7 @@
     RECENT_S = 5.0
     FRESH_FAILURE_S = 5.0
     # Silence of connections that served before may be the connections' own.
-    REUSED_LIMIT = 0.4
-    REUSED_STEP = 0.2
+    REUSED_SCORE = 0.19  # below a vote
     FRESH_STEP = 0.25
     STUCK_STEP = 0.15  # a refusal while attempts hang and none is served
     STUCK_S = 1.0
@@ -114,8 +113,9 @@
 
     def note_silence(self, overdue: Overdue) -> None:
         """Take the attempts in flight that should have been answered."""
-        reused = min(self.REUSED_LIMIT, self.REUSED_STEP * overdue.reused)
-        silence = reused + self.FRESH_STEP * overdue.fresh
+        silence = self.FRESH_STEP * overdue.fresh
+        if overdue.reused:
+            silence += self.REUSED_SCORE
         if not silence:
             self._stuck = 0
         silence += self.STUCK_STEP * self._stuck
--- a/packages/core/src/pimentobend_core/_internal/health/reports.py
+++ b/packages/core/src/pimentobend_core/_internal/health/reports.py
@@ -27,6 +27,10 @@
         self._reported = dict(scores)
         return True
 
+    def hurry(self) -> None:
+        """Report at the next occasion."""
+        self._reported_at = None
+
     def last_scores(self) -> Mapping[str, float]:
         """Return the scores last reported."""
         return dict(self._reported)
--- a/packages/core/src/pimentobend_core/_internal/health/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/health/roster.py
@@ -16,6 +16,7 @@
 from pimentobend_core._internal.models.server import ServerState
 
 _ROUTE_LIMIT = 256
+_PEERS_RATIO = 2.0  # where all score high, they also differ more
 _NO_OVERDUE = Overdue(0, 0)
 
 
@@ -162,4 +163,4 @@
     if score < GOOD_SCORE:
         return score
     peers = [other for peer_id, other in recent.items() if peer_id != server_id]
-    return max(0.0, score - statistics.median(peers))
+    return max(0.0, score - _PEERS_RATIO * statistics.median(peers))
--- /dev/null
+++ b/tests/lib/scenario/__init__.py
@@ -0,0 +1,1 @@
+"""Run scripted scenarios on simulated time."""
--- /dev/null
+++ b/tests/scenarios/test_scenarios.py
@@ -0,0 +1,13 @@
+"""Run every scenario beside this file."""
+
+import pathlib
+
+import pytest
+from scenario.runner import run
+
+SCENARIOS = sorted(pathlib.Path(__file__).parent.glob("*.scenario"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path: pathlib.Path) -> None:
+    assert run(path.read_text()) == ()
--- a/tests/unit/health/test_observer.py
+++ b/tests/unit/health/test_observer.py
@@ -76,6 +76,7 @@
                 asked_at,
                 LEASE_S,
                 ejections,
+                False,
             )
         )
 
