Count silence while nothing else is served as a vote

Cause: hung work on connections that served before never became a vote, while selection already kept new work away; half of the servers looking bad is no safe ground to eject any. Change: an attempt unanswered for 1.5 s with nothing served meanwhile counts fully; ejections are withheld when half of the servers are suspected; agreement settles for 0.5 s.

--- a/packages/core/src/pimentobend_core/_internal/health/account.py
+++ b/packages/core/src/pimentobend_core/_internal/health/account.py
@@ -21,7 +21,7 @@
 from pimentobend_core._internal.models.server import ServerState
 
 SOLICIT_FOR_S = 5.0
-SETTLE_S = 0.7  # a common cause shows on the other servers meanwhile
+SETTLE_S = 0.5  # a common cause shows on the other servers meanwhile
 
 
 class _Active(NamedTuple):
@@ -169,7 +169,7 @@
             for each in candidates
         }
         withheld: dict[str, str] = {}
-        is_common = 2 * len(self._suspects(now)) > len(self._ready())
+        is_common = 2 * len(self._suspects(now)) >= len(self._ready())
         for candidate in candidates:
             if now - self._agreed_since[candidate.server_id] < SETTLE_S:
                 continue
--- a/packages/core/src/pimentobend_core/_internal/health/flights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/flights.py
@@ -9,6 +9,7 @@
 
 OVERDUE_RATIO = 8.0  # times the peers' usual latency
 OVERDUE_LEAST_S = 0.5
+STUCK_S = 1.5  # with nothing served meanwhile, not the connection's own silence
 _FORGET_S = 120.0
 
 
@@ -22,6 +23,7 @@
 
     def __init__(self) -> None:
         self._flights: dict[int, _Flight] = {}
+        self._served_at: dict[str, float] = {}
 
     def start(self, started: AttemptStarted, now: float) -> None:
         """Take an attempt that begins at ``now`` (seconds)."""
@@ -31,6 +33,10 @@
         """Forget an ended attempt."""
         self._flights.pop(ticket, None)
 
+    def note_served(self, server_id: str, now: float) -> None:
+        """Note that a server answers on some connection."""
+        self._served_at[server_id] = now
+
     def forget(self, server_id: str) -> None:
         """Forget the attempts on a server that is ejected."""
         self._flights = {
@@ -55,8 +61,11 @@
             limit_s = max(OVERDUE_LEAST_S, OVERDUE_RATIO * math.exp(expected))
             if now - at < limit_s:
                 continue
+            is_weak = started.was_reused and now - at < STUCK_S
+            if started.was_reused and self._served_since(started.server_id, at):
+                continue
             seen = counts.get(started.server_id, Overdue(0, 0))
-            counts[started.server_id] = _count(seen, started.was_reused)
+            counts[started.server_id] = _count(seen, is_weak)
         return counts
 
     def pairs(self) -> frozenset[tuple[str, str]]:
@@ -66,6 +75,9 @@
             for flight in self._flights.values()
         )
 
+    def _served_since(self, server_id: str, at: float) -> bool:
+        return self._served_at.get(server_id, -math.inf) > at
+
     def _expire(self, now: float) -> None:
         # An attempt whose end was never reported must not stay for good.
         old = [
@@ -77,7 +89,7 @@
             del self._flights[ticket]
 
 
-def _count(seen: Overdue, was_reused: bool) -> Overdue:
-    if was_reused:
-        return seen._replace(reused=seen.reused + 1)
-    return seen._replace(fresh=seen.fresh + 1)
+def _count(seen: Overdue, is_weak: bool) -> Overdue:
+    if is_weak:
+        return seen._replace(weak=seen.weak + 1)
+    return seen._replace(strong=seen.strong + 1)
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -27,8 +27,8 @@
 class Overdue(NamedTuple):
     """Count the attempts in flight that should have been answered."""
 
-    reused: int
-    fresh: int
+    weak: int  # it may be the connection that is silent
+    strong: int
 
 
 class ServerRecord:
@@ -37,9 +37,8 @@
     COLD_S = 20.0
     RECENT_S = 5.0
     FRESH_FAILURE_S = 5.0
-    # Silence of connections that served before may be the connections' own.
-    REUSED_SCORE = 0.19  # below a vote
-    FRESH_STEP = 0.25
+    WEAK_SCORE = 0.19  # below a vote
+    STRONG_STEP = 0.25
     STUCK_STEP = 0.15  # a refusal while attempts hang and none is served
     STUCK_S = 1.0
     SILENCE_LIMIT = 1.5
@@ -113,9 +112,9 @@
 
     def note_silence(self, overdue: Overdue) -> None:
         """Take the attempts in flight that should have been answered."""
-        silence = self.FRESH_STEP * overdue.fresh
-        if overdue.reused:
-            silence += self.REUSED_SCORE
+        silence = self.STRONG_STEP * overdue.strong
+        if overdue.weak:
+            silence += self.WEAK_SCORE
         if not silence:
             self._stuck = 0
         silence += self.STUCK_STEP * self._stuck
--- a/packages/core/src/pimentobend_core/_internal/health/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/health/roster.py
@@ -64,6 +64,7 @@
         if record.judge(ended, now) is not Verdict.SERVED:
             record.add(ended, None, now)
             return
+        self._flights.note_served(ended.server_id, now)
         route = self._route(ended.route)
         record.add(ended, route.excess(record.server, ended), now)
         if not record.is_cold(now):
