Let slow servers settle for a second, and end the newest ejection first

Change: slowness must be agreed on for 1 s; grants list the oldest ejection first, and the newest is ended first; a vote begins at 0.15.

--- a/packages/core/src/pimentobend_core/_internal/health/account.py
+++ b/packages/core/src/pimentobend_core/_internal/health/account.py
@@ -14,6 +14,7 @@
 from pimentobend_core._internal.health.messages import EjectionWithheld
 from pimentobend_core._internal.health.messages import EvidenceReported
 from pimentobend_core._internal.health.messages import FloorOutput
+from pimentobend_core._internal.health.messages import Reason
 from pimentobend_core._internal.health.opinions import Candidate
 from pimentobend_core._internal.health.opinions import Opinions
 from pimentobend_core._internal.health.timeouts import Timeouts
@@ -22,11 +23,11 @@
 
 SOLICIT_FOR_S = 5.0
 SETTLE_S = 0.5  # a common cause shows on the other servers meanwhile
+SETTLE_SLOW_S = 1.0  # long work in the slots delays the rest about as long
 
 
 class _Active(NamedTuple):
     ejection: Ejection
-    score: float
     until: float
 
 
@@ -94,10 +95,9 @@
 
     def lease(self, now: float) -> tuple[Ejection, ...]:
         """Return the ejections to lease out, and count them as lost meanwhile."""
-        ordered = sorted(self._active.values(), key=lambda each: -each.score)
-        for active in ordered:
-            self._held_until[active.ejection.server_id] = now + HOLD_S
-        return tuple(active.ejection for active in ordered)
+        for server_id in self._active:
+            self._held_until[server_id] = now + HOLD_S
+        return tuple(active.ejection for active in self._active.values())
 
     def should_solicit(self, now: float) -> bool:
         """Say whether to ask all observers for reports, and note that.
@@ -157,9 +157,10 @@
                 yield self._end(server_id)
 
     def _revoke_below_floor(self, now: float) -> Iterator[FloorOutput]:
-        ordered = sorted(self._active, key=lambda each: self._active[each].score)
+        # Observers keep the oldest ejections too, so all agree meanwhile.
+        newest_first = list(reversed(self._active))
         excess = self._required(now) - len(self._ready() - self._active.keys())
-        for server_id in ordered[: max(0, excess)]:
+        for server_id in newest_first[: max(0, excess)]:
             yield self._end(server_id)
 
     def _begin_agreed(self, now: float) -> Iterator[FloorOutput]:
@@ -171,7 +172,7 @@
         withheld: dict[str, str] = {}
         is_common = 2 * len(self._suspects(now)) >= len(self._ready())
         for candidate in candidates:
-            if now - self._agreed_since[candidate.server_id] < SETTLE_S:
+            if now - self._agreed_since[candidate.server_id] < _settle_s(candidate):
                 continue
             if is_common:
                 withheld[candidate.server_id] = "common-cause"
@@ -207,9 +208,7 @@
         ejection = Ejection(
             candidate.server_id, candidate.incarnation, candidate.reason
         )
-        self._active[candidate.server_id] = _Active(
-            ejection, candidate.score, now + timeout_s
-        )
+        self._active[candidate.server_id] = _Active(ejection, now + timeout_s)
         self._sequence += 1
         return EjectionStarted(self._service, ejection, candidate.observers, timeout_s)
 
@@ -238,5 +237,9 @@
         return required_servers(self._floor, self._size.largest(now))
 
 
+def _settle_s(candidate: Candidate) -> float:
+    return SETTLE_SLOW_S if candidate.reason is Reason.SLOW else SETTLE_S
+
+
 def _is_ready(server: Server) -> bool:
     return server.state is ServerState.READY
--- a/packages/core/src/pimentobend_core/_internal/health/limits.py
+++ b/packages/core/src/pimentobend_core/_internal/health/limits.py
@@ -2,8 +2,8 @@
 
 SCORE_LIMIT = 1.5
 SUSPECT_SCORE = 1.0  # an observer avoids the server
-BAD_SCORE = 0.2  # an observer's vote for an ejection
-GOOD_SCORE = 0.15  # below it, an observer's vote against
+BAD_SCORE = 0.15  # an observer's vote for an ejection
+GOOD_SCORE = 0.1  # below it, an observer's vote against
 
 LEASE_S = 6.0
 OWNER_LEASE_S = 3.0
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -70,7 +70,7 @@
     """Lease a service's whole list of ejections to one observer.
 
     The lease runs ``lease_s`` seconds from ``asked_at`` on the observer's
-    clock. The list is ordered by weight of evidence.
+    clock. The oldest ejection comes first.
     """
 
     pool: str
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -37,7 +37,7 @@
     COLD_S = 20.0
     RECENT_S = 5.0
     FRESH_FAILURE_S = 5.0
-    WEAK_SCORE = 0.19  # below a vote
+    WEAK_SCORE = 0.14  # below a vote
     STRONG_STEP = 0.25
     STUCK_STEP = 0.15  # a refusal while attempts hang and none is served
     STUCK_S = 1.0
--- a/packages/core/src/pimentobend_core/_internal/health/reports.py
+++ b/packages/core/src/pimentobend_core/_internal/health/reports.py
@@ -7,7 +7,7 @@
 from pimentobend_core._internal.health.limits import REPORT_IDLE_S
 from pimentobend_core._internal.health.limits import REPORT_URGENT_S
 
-_BAND = 0.2  # a score that enters another band is news
+_BAND = 0.15  # a score that enters another band is news
 
 
 class ReportSchedule:
