--- a/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
@@ -13,13 +13,11 @@
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import ServerEvent
-from pimentobend_core._internal.membership.messages import ServerEvents
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.membership.view import MembershipView
 from pimentobend_core._internal.models.server import Announcement
 
 _VIEW_SIZES = (2_500, 5_000, 10_000, 20_000)
-_BATCH_SIZES = (1, 4, 16, 64, 256)
 _REGISTRY_SIZES = (3, 11, 44, 128, 256)
 _LEASE_S = 10.0
 _FIRST_EPOCH = 1_700_000_000_000_000_000
@@ -76,19 +74,6 @@
         return lambda: view.handle(next(flapping), 1.0)
 
 
-class EventBytesProbe(BytesProbe):
-    """Encode a batch of events."""
-
-    name = "bytes-membership-event"
-    sized_by = "events"
-    sizes = _BATCH_SIZES
-    mechanism = "core membership.messages, msgpack"
-
-    def encode(self, size: int) -> bytes:
-        """Return the encoded batch."""
-        return msgspec.msgpack.encode(ServerEvents(tuple(_events(size))))
-
-
 class LeaseRenewalCpuProbe(CpuProbe):
     """Renew the leases of all servers of one instance."""
 
@@ -112,6 +97,38 @@
         return renew
 
 
+class LeaseRenewalBytesProbe(BytesProbe):
+    """Write the requests and answers that renew leases over HTTP."""
+
+    name = "bytes-lease-renewal"
+    sized_by = "servers of one instance"
+    reads = "bytes of requests and answers"
+    sizes = _REGISTRY_SIZES
+    mechanism = "daemon interfaces.servers"
+
+    def encode(self, size: int) -> bytes:
+        """Return all bytes of both directions."""
+        return b"".join(_exchange(number) for number in range(size))
+
+
+def _exchange(number: int) -> bytes:
+    server = make_server(number)
+    asked = msgspec.json.encode({**server._asdict(), "lease_s": _LEASE_S})
+    answer = msgspec.json.encode(
+        {"server_id": server.server_id, "lease_s": _LEASE_S, "renew_after_s": 3.33}
+    )
+    request = (
+        f"POST /announce HTTP/1.1\r\nHost: {server.host}:{server.port}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(asked)}\r\n\r\n"
+    )
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(answer)}\r\n"
+        "Date: Fri, 04 Dec 2026 11:00:00 GMT\r\n\r\n"
+    )
+    return request.encode() + asked + head.encode() + answer
+
+
 def _events(size: int) -> Iterator[ServerEvent]:
     return (make_event(number, number, Presence.LIVE) for number in range(size))
 
@@ -127,6 +144,6 @@
 PROBES = (
     ViewMemoryProbe(),
     ViewEventCpuProbe(),
-    EventBytesProbe(),
     LeaseRenewalCpuProbe(),
+    LeaseRenewalBytesProbe(),
 )
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -15,12 +15,25 @@
 
 
 COMMANDS: dict[str, Entry] = {
+    "apply": Entry(
+        "consensus.apply", "ApplyCommand", "time until a change is acknowledged"
+    ),
+    "failover": Entry(
+        "consensus.failover", "FailoverCommand", "time without a leader after a crash"
+    ),
+    "recovery": Entry(
+        "consensus.recovery", "RecoveryCommand", "time to recover against log length"
+    ),
     "detection": Entry(
         "health.detection", "DetectionCommand", "time until a failing server is out"
     ),
     "false-ejections": Entry(
         "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
     ),
+    "crest": Entry("traffic.crest", "Crest", "goodput and latency at a crest"),
+    "head-of-line": Entry(
+        "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
+    ),
     "slopes": Entry(
         "capacity.slopes",
         "SlopesCommand",
@@ -31,11 +44,30 @@
         "HopCommand",
         "CPU a request and added latency of one hop, real processes",
     ),
+    "whole-table": Entry(
+        "capacity.whole.command",
+        "WholeTableCommand",
+        "9,000 routes, 580 pools, servers, organisations in one process",
+    ),
+    "capacity": Entry(
+        "capacity.command",
+        "CapacityCommand",
+        "remake docs/CAPACITY.md, its figures and plots",
+    ),
     "slope-point": Entry(
         "capacity.point",
         "PointCommand",
         "take one reading of one probe in a fresh process",
     ),
+    "claims": Entry(
+        "ledger.claims", "ClaimsCommand", "claims a second and their added latency"
+    ),
+    "spread-bytes": Entry(
+        "membership.spread_bytes", "SpreadBytesCommand", "bytes a second a daemon"
+    ),
+    "spread-time": Entry(
+        "membership.spread_time", "SpreadTimeCommand", "time until in force everywhere"
+    ),
 }
 
 
