Report for longer in the test of an owner without a majority

Slowness settles for 1 s since the last change, so 0.75 s of reports could not eject even with a majority; the case without one must now hold for longer.

--- a/tests/unit/health/test_floor.py
+++ b/tests/unit/health/test_floor.py
@@ -215,7 +215,7 @@
     if is_lost:
         owner.tell(OwnershipLost())
     owner.wait(waited_s)
-    owner.report(_views(2, 0), 0.75)
+    owner.report(_views(2, 0), 1.75)
     assert (owner.ejected == {"3"}) is grants
 
 
