--- a/packages/core/src/pimentobend_core/_internal/health/account.py
+++ b/packages/core/src/pimentobend_core/_internal/health/account.py
@@ -7,24 +7,27 @@
 from pimentobend_core._internal.health.capacity import ServiceSize
 from pimentobend_core._internal.health.capacity import required_servers
 from pimentobend_core._internal.health.limits import HOLD_S
+from pimentobend_core._internal.health.limits import SOLICIT_S
 from pimentobend_core._internal.health.messages import Ejection
 from pimentobend_core._internal.health.messages import EjectionEnded
 from pimentobend_core._internal.health.messages import EjectionStarted
 from pimentobend_core._internal.health.messages import EjectionWithheld
 from pimentobend_core._internal.health.messages import EvidenceReported
 from pimentobend_core._internal.health.messages import FloorOutput
+from pimentobend_core._internal.health.messages import Reason
 from pimentobend_core._internal.health.opinions import Candidate
 from pimentobend_core._internal.health.opinions import Opinions
 from pimentobend_core._internal.health.timeouts import Timeouts
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
-SETTLE_S = 0.3  # a common cause shows on the other servers meanwhile
+SOLICIT_FOR_S = 5.0
+SETTLE_S = 0.5  # a common cause shows on the other servers meanwhile
+SETTLE_SLOW_S = 1.0  # long work in the slots delays the rest about as long
 
 
 class _Active(NamedTuple):
     ejection: Ejection
-    score: float
     until: float
 
 
@@ -47,6 +50,8 @@
         self._ended_in: dict[str, tuple[int, int]] = {}
         self._agreed_since: dict[str, float] = {}
         self._withheld: dict[str, str] = {}
+        self._suspected_since: dict[str, float] = {}
+        self._solicited_at = -SOLICIT_S
         self._term = 0
         self._sequence = 0
 
@@ -75,6 +80,7 @@
         self._held_until.clear()
         self._ended_in.clear()
         self._agreed_since.clear()
+        self._suspected_since.clear()
         self._withheld.clear()
         self._sequence = 0
 
@@ -89,10 +95,27 @@
 
     def lease(self, now: float) -> tuple[Ejection, ...]:
         """Return the ejections to lease out, and count them as lost meanwhile."""
-        ordered = sorted(self._active.values(), key=lambda each: -each.score)
-        for active in ordered:
-            self._held_until[active.ejection.server_id] = now + HOLD_S
-        return tuple(active.ejection for active in ordered)
+        for server_id in self._active:
+            self._held_until[server_id] = now + HOLD_S
+        return tuple(active.ejection for active in self._active.values())
+
+    def should_solicit(self, now: float) -> bool:
+        """Say whether to ask all observers for reports, and note that.
+
+        A suspicion that stays without agreement is one-sided; it is not worth
+        the reports for long.
+        """
+        self._suspected_since = {
+            server_id: self._suspected_since.get(server_id, now)
+            for server_id in self._suspects(now) - self._active.keys()
+        }
+        is_new = any(
+            now - since < SOLICIT_FOR_S for since in self._suspected_since.values()
+        )
+        if not is_new or now - self._solicited_at < SOLICIT_S:
+            return False
+        self._solicited_at = now
+        return True
 
     def settle(self, now: float) -> tuple[FloorOutput, ...]:
         """End ejections that are over and begin those that are agreed on."""
@@ -134,9 +157,10 @@
                 yield self._end(server_id)
 
     def _revoke_below_floor(self, now: float) -> Iterator[FloorOutput]:
-        ordered = sorted(self._active, key=lambda each: self._active[each].score)
+        # Observers keep the oldest ejections too, so all agree meanwhile.
+        newest_first = list(reversed(self._active))
         excess = self._required(now) - len(self._ready() - self._active.keys())
-        for server_id in ordered[: max(0, excess)]:
+        for server_id in newest_first[: max(0, excess)]:
             yield self._end(server_id)
 
     def _begin_agreed(self, now: float) -> Iterator[FloorOutput]:
@@ -146,9 +170,9 @@
             for each in candidates
         }
         withheld: dict[str, str] = {}
-        is_common = self._is_common_cause(candidates)
+        is_common = 2 * len(self._suspects(now)) >= len(self._ready())
         for candidate in candidates:
-            if now - self._agreed_since[candidate.server_id] < SETTLE_S:
+            if now - self._agreed_since[candidate.server_id] < _settle_s(candidate):
                 continue
             if is_common:
                 withheld[candidate.server_id] = "common-cause"
@@ -171,9 +195,9 @@
             and candidate.incarnation == self._servers[candidate.server_id].incarnation
         )
 
-    def _is_common_cause(self, candidates: tuple[Candidate, ...]) -> bool:
-        suspects = len(candidates) + len(self._active)
-        return 2 * suspects > len(self._ready())
+    def _suspects(self, now: float) -> frozenset[str]:
+        suspects = self._opinions.suspects(self._ended_in, now)
+        return (suspects | self._active.keys()) & self._ready()
 
     def _may_lose(self, server_id: str, now: float) -> bool:
         lost = self._lost(now) | {server_id}
@@ -184,9 +208,7 @@
         ejection = Ejection(
             candidate.server_id, candidate.incarnation, candidate.reason
         )
-        self._active[candidate.server_id] = _Active(
-            ejection, candidate.score, now + timeout_s
-        )
+        self._active[candidate.server_id] = _Active(ejection, now + timeout_s)
         self._sequence += 1
         return EjectionStarted(self._service, ejection, candidate.observers, timeout_s)
 
@@ -215,5 +237,9 @@
         return required_servers(self._floor, self._size.largest(now))
 
 
+def _settle_s(candidate: Candidate) -> float:
+    return SETTLE_SLOW_S if candidate.reason is Reason.SLOW else SETTLE_S
+
+
 def _is_ready(server: Server) -> bool:
     return server.state is ServerState.READY
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -70,7 +70,7 @@
     """Lease a service's whole list of ejections to one observer.
 
     The lease runs ``lease_s`` seconds from ``asked_at`` on the observer's
-    clock. The list is ordered by weight of evidence.
+    clock. The oldest ejection comes first.
     """
 
     pool: str
@@ -81,6 +81,7 @@
     asked_at: float
     lease_s: float
     ejections: tuple[Ejection, ...]
+    report_now: bool  # the owner weighs a suspicion
 
 
 class OwnershipTaken(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/health/reports.py
+++ b/packages/core/src/pimentobend_core/_internal/health/reports.py
@@ -7,7 +7,7 @@
 from pimentobend_core._internal.health.limits import REPORT_IDLE_S
 from pimentobend_core._internal.health.limits import REPORT_URGENT_S
 
-_BAND = 0.25  # a score that enters another band is news
+_BAND = 0.15  # a score that enters another band is news
 
 
 class ReportSchedule:
@@ -27,6 +27,10 @@
         self._reported = dict(scores)
         return True
 
+    def hurry(self) -> None:
+        """Report at the next occasion."""
+        self._reported_at = None
+
     def last_scores(self) -> Mapping[str, float]:
         """Return the scores last reported."""
         return dict(self._reported)
--- a/packages/core/src/pimentobend_core/_internal/health/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/health/roster.py
@@ -16,6 +16,7 @@
 from pimentobend_core._internal.models.server import ServerState
 
 _ROUTE_LIMIT = 256
+_PEERS_RATIO = 2.0  # where all score high, they also differ more
 _NO_OVERDUE = Overdue(0, 0)
 
 
@@ -63,6 +64,7 @@
         if record.judge(ended, now) is not Verdict.SERVED:
             record.add(ended, None, now)
             return
+        self._flights.note_served(ended.server_id, now)
         route = self._route(ended.route)
         record.add(ended, route.excess(record.server, ended), now)
         if not record.is_cold(now):
@@ -162,4 +164,4 @@
     if score < GOOD_SCORE:
         return score
     peers = [other for peer_id, other in recent.items() if peer_id != server_id]
-    return max(0.0, score - statistics.median(peers))
+    return max(0.0, score - _PEERS_RATIO * statistics.median(peers))
