Bound the ticks of health tasks, and share frames of evidence

Cause: with 580 pools a daemon at rest ticked 2,320 observers a second and sent each pool's report in a frame of its own: 20 % of a core and most of 34.7 KB a second. Change: pools with attempts in flight or servers not wholly healthy tick four times a second, the others share 200 ticks a second; reports and grants that are not urgent wait 250 ms for their recipient's frame, which is compressed. Ruled out: fewer reports of calm pools, as an observer not heard for 4.5 s counts against an ejection. Conclusion: one owner of the floor still takes a report from every pool of every daemon, which at 1,800 daemons is too many.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
@@ -14,7 +14,7 @@
 from pimentobend_core._internal.health.messages import Reason
 from pimentobend_core._internal.health.messages import ServerEvidence
 from pimentobend_core._internal.health.observer import PoolHealth
-from pimentobend_core._internal.health.wire import encode_health
+from pimentobend_core._internal.health.wire import encode_reports
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
 _SERVER_SIZES = (8, 16, 34, 68, 136)
@@ -73,12 +73,28 @@
     def encode(self, size: int) -> bytes:
         """Return the encoded report."""
         servers = tuple(_make_evidence(number) for number in range(size))
-        pool = next(make_pools(1))
-        return encode_health(
-            EvidenceReported(
-                pool.name, pool.service, _OBSERVER, 12_345.678, 3, 1_000, servers
-            )
-        )
+        return encode_reports((_make_report(0, servers),))
+
+
+class EvidenceBatchProbe(BytesProbe):
+    """Encode the reports of several healthy pools for one frame."""
+
+    name = "bytes-evidence-batch"
+    sized_by = "reports"
+    sizes = (10, 25, 50, 100, 200)
+    mechanism = "core health.wire"
+
+    def encode(self, size: int) -> bytes:
+        """Return the encoded reports."""
+        return encode_reports(tuple(_make_report(n, ()) for n in range(size)))
+
+
+def _make_report(number: int, servers: tuple[ServerEvidence, ...]) -> EvidenceReported:
+    *_, pool = make_pools(number + 1)
+    asked_at = 12_345.678 + number * TICK_S
+    return EvidenceReported(
+        pool.name, pool.service, _OBSERVER, asked_at, 3, 1_000, servers
+    )
 
 
 def _make_evidence(number: int) -> ServerEvidence:
@@ -88,4 +104,9 @@
     )
 
 
-PROBES = (HealthMemoryProbe(), HealthTickCpuProbe(), EvidenceBytesProbe())
+PROBES = (
+    HealthMemoryProbe(),
+    HealthTickCpuProbe(),
+    EvidenceBytesProbe(),
+    EvidenceBatchProbe(),
+)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -178,8 +178,8 @@
         CONTROL_BYTES_PER_S / 1e3,
         "KB/s",
         f"flows below, both ways, leases of {LEASE_S:g} s",
-        "reports of evidence for pools with news only, several pools in a frame, and"
-        " to a relay that joins them; longer leases",
+        "reports of evidence for pools with news only, joined by a relay; longer"
+        " leases",
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -15,8 +15,10 @@
 from pimentobend_core._internal.configuration.follower import ASK_INTERVAL_S
 from pimentobend_core._internal.health.limits import REPORT_IDLE_S
 from pimentobend_core._internal.health.limits import TICK_S as HEALTH_TICK_S
+from pimentobend_core._internal.health.ticks import TICKS_A_ROUND
 from pimentobend_core._internal.membership.registry import RENEWALS_A_LEASE
 from pimentobend_core._internal.membership.spread.relay import BEACON_S
+from pimentobendd._internal.evidence import WINDOW_S
 
 LEASE_S = 10.0
 EVENTS_PER_LIFE = 2  # a server's end and its return
@@ -113,16 +115,27 @@
 
 
 def evidence(costs: Costs) -> Flow:
-    """Return the reports of servers' health, one a pool, to the floor's owner."""
+    """Return the frames of reports on healthy pools to the floor's owner."""
+    batch = reports_per_s() * WINDOW_S
     return Flow(
         "evidence of servers' health, every pool",
-        "pimentobend_core._internal.health.observer",
-        SERVICES / REPORT_IDLE_S,
-        costs.at("bytes-evidence-report", 0) + costs.frame_bytes,
-        0.0,
+        "pimentobendd._internal.evidence",
+        1 / WINDOW_S,
+        costs.at("bytes-evidence-batch", batch) + costs.frame_bytes,
+        costs.frame_cpu_s,
     )
 
 
+def reports_per_s() -> float:
+    """Return how many pools one daemon reports on in a second."""
+    return min(SERVICES / REPORT_IDLE_S, ticks_per_s())
+
+
+def ticks_per_s() -> float:
+    """Return the ticks of the observers of all pools of one daemon."""
+    return min(SERVICES, TICKS_A_ROUND) / HEALTH_TICK_S
+
+
 def health_ticks(costs: Costs) -> Flow:
     """Return the ticks of all pools' observers, for their servers alone.
 
@@ -132,7 +145,7 @@
     return Flow(
         "ticks of servers' health, every pool",
         "pimentobend_core._internal.health.observer",
-        SERVICES / HEALTH_TICK_S,
+        ticks_per_s(),
         0.0,
         costs.each("cpu-health-tick") * servers,
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -17,6 +17,7 @@
 from pimentobend_bench._internal.capacity.page.flows import digest_exchange
 from pimentobend_bench._internal.capacity.page.flows import evidence
 from pimentobend_bench._internal.capacity.page.flows import membership
+from pimentobend_bench._internal.capacity.page.flows import reports_per_s
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.target import DAEMONS
 from pimentobend_bench._internal.capacity.target import ROUTES
@@ -128,7 +129,7 @@
         (
             f"{pushed.per_s:.3f} changes a second, each to"
             f" {CONTROL_REPLICAS - 1} replicas and to its relays",
-            f"evidence of health: {reports.per_s * DAEMONS:,.0f} reports a second,"
+            f"evidence of health: {reports_per_s() * DAEMONS:,.0f} reports a second,"
             f" {reports.bytes_per_s * DAEMONS / 1e6:.1f} MB/s, to the one owner of the"
             f" floor: {describe_module(f'{_CORE}.health.floor')}",
             f"with relays {asked.per_s:.1f} digest questions a second; without,"
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -1,5 +1,6 @@
 """Encode the messages between observers and the floor's owner."""
 
+import zlib
 from typing import TypeVar
 
 import msgspec
@@ -8,30 +9,41 @@
 from pimentobend_core._internal.health.messages import EjectionsGranted
 from pimentobend_core._internal.health.messages import EvidenceReported
 
+BATCH_BYTES_MAX = 4 * 1024 * 1024
+
 _ENCODER = msgspec.msgpack.Encoder()
-_REPORT_DECODER = msgspec.msgpack.Decoder(EvidenceReported)
-_GRANT_DECODER = msgspec.msgpack.Decoder(EjectionsGranted)
+_REPORTS_DECODER = msgspec.msgpack.Decoder(tuple[EvidenceReported, ...])
+_GRANTS_DECODER = msgspec.msgpack.Decoder(tuple[EjectionsGranted, ...])
 
 Message = TypeVar("Message")
 
 
-def encode_health(message: EvidenceReported | EjectionsGranted) -> bytes:
-    """Encode a report or a grant."""
-    return _ENCODER.encode(message)
+def encode_reports(reports: tuple[EvidenceReported, ...]) -> bytes:
+    """Encode reports of one observer."""
+    return zlib.compress(_ENCODER.encode(reports), 1)
+
+
+def encode_grants(grants: tuple[EjectionsGranted, ...]) -> bytes:
+    """Encode grants to one observer."""
+    return zlib.compress(_ENCODER.encode(grants), 1)
 
 
-def decode_report(payload: bytes) -> EvidenceReported:
-    """Decode a report; raise CodecError for other bytes."""
-    return _decode(_REPORT_DECODER, payload)
+def decode_reports(payload: bytes) -> tuple[EvidenceReported, ...]:
+    """Decode reports; raise CodecError for other bytes."""
+    return _decode(_REPORTS_DECODER, payload)
 
 
-def decode_grant(payload: bytes) -> EjectionsGranted:
-    """Decode a grant; raise CodecError for other bytes."""
-    return _decode(_GRANT_DECODER, payload)
+def decode_grants(payload: bytes) -> tuple[EjectionsGranted, ...]:
+    """Decode grants; raise CodecError for other bytes."""
+    return _decode(_GRANTS_DECODER, payload)
 
 
 def _decode(decoder: "msgspec.msgpack.Decoder[Message]", payload: bytes) -> Message:
+    inflater = zlib.decompressobj()
     try:
-        return decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("a health message does not decode") from error
+        body = inflater.decompress(payload, BATCH_BYTES_MAX)
+        if not inflater.eof:
+            raise CodecError("health messages are too large or cut")
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
+        raise CodecError("health messages do not decode") from error
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -35,7 +35,7 @@
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
-from pimentobendd._internal.evidence import KIND_REPORT
+from pimentobendd._internal.evidence import KIND_REPORTS
 from pimentobendd._internal.floor_role import FloorRole
 from pimentobendd._internal.ledger_role import LedgerRole
 
@@ -93,7 +93,7 @@
         router.register(self.replica.kind, self.replica.take)
         router.register(KIND_ASK, self.changes.take)
         router.register(KIND_REPLY, self.changes.take)
-        router.register(KIND_REPORT, self.floor.take_report)
+        router.register(KIND_REPORTS, self.floor.take_reports)
         router.register(KIND_REQUEST, self.ledger.take_request)
         for kind in self.ledger.replica_kinds:
             router.register(kind, self.ledger.take_replica_frame)
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -26,7 +26,7 @@
 from pimentobendd._internal.control.spread import KINDS as SPREAD_KINDS
 from pimentobendd._internal.control.spread import TablesSpread
 from pimentobendd._internal.control_port import Version
-from pimentobendd._internal.evidence import KIND_GRANT
+from pimentobendd._internal.evidence import KIND_GRANTS
 from pimentobendd._internal.instance_role import InstanceRole
 from pimentobendd._internal.instance_role import SharedParts
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
@@ -142,7 +142,7 @@
         if self._control is not None:
             self._control.register(self._router)
         if self._instance is not None:
-            self._router.register(KIND_GRANT, self._instance.evidence.take_frame)
+            self._router.register(KIND_GRANTS, self._instance.evidence.take_frame)
 
     def _create_ledger(self) -> LedgerTasks:
         settings = self._settings
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -2,17 +2,20 @@
 
 from collections.abc import Callable
 
+from pimentobend_adapters._internal.links.batches import Batches
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.link import Link
 from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_core._internal.health.limits import BAD_SCORE
 from pimentobend_core._internal.health.messages import EjectionsGranted
 from pimentobend_core._internal.health.messages import EvidenceReported
-from pimentobend_core._internal.health.wire import decode_grant
-from pimentobend_core._internal.health.wire import encode_health
+from pimentobend_core._internal.health.wire import decode_grants
+from pimentobend_core._internal.health.wire import encode_reports
 from pimentobend_core._internal.ports import ClockPort
 
-KIND_REPORT = "floor.report"
-KIND_GRANT = "floor.grant"
+KIND_REPORTS = "floor.reports"
+KIND_GRANTS = "floor.grants"
+WINDOW_S = 0.25  # reports that are not urgent share a frame
 OWNER_SILENT_S = 4.0  # then all control instances are asked
 
 
@@ -32,19 +35,24 @@
         self._give_grant = give_grant
         self._owner: str | None = None
         self._heard_at = 0.0
+        self._batches: Batches[EvidenceReported] = Batches(self._send, WINDOW_S)
 
     def put(self, message: EvidenceReported) -> None:
         """Send one report."""
-        payload = encode_health(message)
+        is_urgent = any(one.score >= BAD_SCORE for one in message.servers)
         for address in self._recipients():
-            self._link.send(address, KIND_REPORT, payload)
+            self._batches.put(address, message, is_urgent)
 
     def take_frame(self, frame: Frame) -> None:
-        """Take a grant; raise CodecError for other bytes."""
-        grant = decode_grant(frame.payload)
+        """Take grants; raise CodecError for other bytes."""
+        grants = decode_grants(frame.payload)
         self._owner = frame.sender
         self._heard_at = self._clock.now()
-        self._give_grant(grant)
+        for grant in grants:
+            self._give_grant(grant)
+
+    def _send(self, address: str, reports: tuple[EvidenceReported, ...]) -> None:
+        self._link.send(address, KIND_REPORTS, encode_reports(reports))
 
     def _recipients(self) -> tuple[str, ...]:
         is_silent = self._clock.now() - self._heard_at > OWNER_SILENT_S
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from pimentobend_adapters._internal.links.batches import Batches
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.link import Link
 from pimentobend_adapters._internal.logs import get_log
@@ -30,12 +31,13 @@
 from pimentobend_core._internal.health.messages import OwnershipLost
 from pimentobend_core._internal.health.messages import OwnershipTaken
 from pimentobend_core._internal.health.messages import ServiceServersChanged
-from pimentobend_core._internal.health.wire import decode_report
-from pimentobend_core._internal.health.wire import encode_health
+from pimentobend_core._internal.health.wire import decode_reports
+from pimentobend_core._internal.health.wire import encode_grants
 from pimentobend_core._internal.membership.messages import ServiceChanged
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
-from pimentobendd._internal.evidence import KIND_GRANT
+from pimentobendd._internal.evidence import KIND_GRANTS
+from pimentobendd._internal.evidence import WINDOW_S
 
 CONFIRM_INTERVAL_S = 0.5
 
@@ -59,6 +61,7 @@
         self._last_read = 0
         self._addresses: dict[str, str] = {}  # of the observers
         self._confirmer: Any = None
+        self._batches: Batches[EjectionsGranted] = Batches(self._send, WINDOW_S)
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
             "floor",
             FloorOwner(),
@@ -81,11 +84,11 @@
         """Return the state of the owner."""
         return self._task.dump()
 
-    def take_report(self, frame: Frame) -> None:
+    def take_reports(self, frame: Frame) -> None:
         """Take a daemon's evidence; raise CodecError for other bytes."""
-        report = decode_report(frame.payload)
-        self._addresses[report.observer] = frame.sender
-        self._task.put(report)
+        for report in decode_reports(frame.payload):
+            self._addresses[report.observer] = frame.sender
+            self._task.put(report)
 
     def follow_tables(self, tables: Tables) -> None:
         """Put the floors of new tables in force."""
@@ -114,6 +117,9 @@
         if message.outcome is Outcome.COMMITTED:
             self._task.put(OwnershipConfirmed(self._term, began_at))
 
+    def _send(self, address: str, grants: tuple[EjectionsGranted, ...]) -> None:
+        self._link.send(address, KIND_GRANTS, encode_grants(grants))
+
     def _confirm(self) -> None:
         while True:
             if self._term is not None:
@@ -127,7 +133,8 @@
             case EjectionsGranted():
                 address = self._addresses.get(output.observer)
                 if address is not None:
-                    self._link.send(address, KIND_GRANT, encode_health(output))
+                    is_urgent = bool(output.ejections) or output.report_now
+                    self._batches.put(address, output, is_urgent)
             case EjectionStarted():
                 self._log.warning(
                     "server-ejected",
--- /dev/null
+++ b/tests/unit/health/test_ticks.py
@@ -0,0 +1,36 @@
+"""Check that ticks are bounded, and that no pool is left out."""
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from pimentobend_core._internal.health.ticks import TickRounds
+
+POOLS = [f"pool-{number}" for number in range(100)]
+
+
+@given(
+    count=strategies.integers(0, 100),
+    urgent=strategies.sets(strategies.sampled_from(POOLS)),
+    budget=strategies.integers(1, 120),
+)
+@settings(derandomize=True)
+def test_urgent_pools_tick_in_each_round(
+    count: int, urgent: set[str], budget: int
+) -> None:
+    pools = POOLS[:count]
+    due = TickRounds(budget).next_round(pools, urgent)
+    assert urgent & set(pools) <= set(due)
+    assert len(set(due)) == len(due)
+    assert len(due) <= max(budget, len(urgent & set(pools)) + 1)
+
+
+@pytest.mark.parametrize(
+    ("count", "budget", "rounds"), [(8, 50, 1), (100, 50, 2), (100, 30, 4), (3, 1, 3)]
+)
+def test_every_pool_has_its_turn(count: int, budget: int, rounds: int) -> None:
+    pools = POOLS[:count]
+    ticks = TickRounds(budget)
+    ticked = {pool for _ in range(rounds) for pool in ticks.next_round(pools, ())}
+    assert ticked == set(pools)
