Record the outcomes of claims before a daemon exits

Change: after the requests in flight, up to 5 s for pending commands of the ledger client; a log line says when that was not enough.

--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -43,6 +43,7 @@
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
+SETTLE_WAIT_S = 5.0
 SIGNALS_TO_STOP = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -121,6 +122,7 @@
         if self._instance is not None:
             self._instance.stop_listening()
             self._finish_requests(self._instance)
+            self._settle_claims()
         self._operators.close()
         if self._control is not None:
             self._control.stop()
@@ -226,6 +228,15 @@
             lambda: print(dump_text(self._sections.dump()), file=sys.stdout, flush=True)
         )
 
+    def _settle_claims(self) -> None:
+        """Wait a little for the outcomes of claims to be recorded."""
+        until = self._clock.now() + SETTLE_WAIT_S
+        while self._ledger.task.dump().get("pending"):
+            if self._clock.now() >= until:
+                self._log.error("shutdown-unsettled")
+                return
+            eventlet.sleep(DRAIN_POLL_S)
+
     def _finish_requests(self, instance: InstanceRole) -> None:
         grace_s = self._settings.shutdown_grace_s
         until = self._clock.now() + grace_s
