Confirm reads by a majority, name replicas by their data folder, and number versions by the operators

Cause: the platform's machines may be suspended without the steady clock counting, so a lease does not prove leadership for a read; a replica that lost its disk came back under its old id and could vote twice; operators of the platform number versions themselves and send patches. Ruled out: wall-clock leases (they jump); ids kept by operators (nobody types them there). Checks: the read check of the replica cluster now runs when a read is released, against what was promised when it was asked.

--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -8,7 +8,7 @@
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Ticking
@@ -48,7 +48,7 @@
 class LedgerTasks(LedgerPort):
     """Run the task of the ledger client and match its replies."""
 
-    def __init__(self, client: LedgerClient, link: Link, clock: ClockPort) -> None:
+    def __init__(self, client: LedgerClient, link: Transport, clock: ClockPort) -> None:
         self._link = link
         self._tickets = itertools.count(1)
         self._replies: Replies[TicketReply] = Replies(lambda reply: reply.ticket)
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -10,7 +10,7 @@
 
 MAGIC = b"PMB"
 VERSION = 1
-TAG_BYTES = 32
+TAG_BYTES = 16  # of a truncated HMAC-SHA-256
 HEAD_BYTES = len(MAGIC) + 1 + TAG_BYTES
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
@@ -62,4 +62,4 @@
 
 
 def _tag(body: bytes, key: bytes) -> bytes:
-    return hmac.new(key, bytes([VERSION]) + body, hashlib.sha256).digest()
+    return hmac.new(key, bytes([VERSION]) + body, hashlib.sha256).digest()[:TAG_BYTES]
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
@@ -13,6 +13,7 @@
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.frames import open_frame
 from pimentobend_adapters._internal.links.frames import seal_frame
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
 
 SEND_BUFFER_FRAMES = 64
@@ -21,7 +22,7 @@
 RECONNECT_MAX_MS = 2000
 
 
-class Link:
+class Link(Transport):
     """Receive on one socket and send on one a peer; frames may be lost."""
 
     def __init__(
--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -1,16 +1,27 @@
 """Store routes in packed bytes."""
 
 from struct import Struct
+from typing import NamedTuple
 
 from pimentobend_core._internal.compact.interner import Interner
 from pimentobend_core._internal.compact.packed import PackedRows
 from pimentobend_core._internal.compact.packed import decode_text
 from pimentobend_core._internal.compact.packed import encode_text
 from pimentobend_core._internal.models.tables import Route
+from pimentobend_core._internal.models.tables import Split
 
 _NUMBERS = Struct("<I?")  # timeout in ms, repeatable
-_SHARED = Struct("<III")  # numbers of host, methods and pool
-_FIXED = Struct("<IIII?")  # both of the above
+_SHARED = Struct("<IIII")  # numbers of host, methods, pool and rules
+_FIXED = Struct("<IIIII?")  # both of the above
+
+
+class _Rules(NamedTuple):
+    """Hold the columns in which many routes are alike."""
+
+    splits: tuple[Split, ...]
+    max_attempts: int
+    priority: int
+    target_latency_ms: int
 
 
 class CompactRoutes(PackedRows[Route]):
@@ -20,6 +31,7 @@
         super().__init__()
         self._texts: Interner[str] = Interner()
         self._methods: Interner[tuple[str, ...]] = Interner()
+        self._rules: Interner[_Rules] = Interner()
 
     def _key_of(self, row: Route) -> str:
         return row.name
@@ -32,12 +44,13 @@
             self._texts.acquire(row.host),
             self._methods.acquire(row.methods),
             self._texts.acquire(row.pool),
+            self._rules.acquire(_Rules(*row[7:])),
         )
         numbers = _NUMBERS.pack(row.timeout_ms, row.repeatable)
         return shared + numbers + encode_text(row.path)
 
     def _unpack(self, key: str, record: bytes) -> Route:
-        host, methods, pool, timeout_ms, repeatable = _FIXED.unpack_from(record)
+        host, methods, pool, rules, timeout_ms, repeatable = _FIXED.unpack_from(record)
         value = self._texts.value
         return Route(
             key,
@@ -47,13 +60,16 @@
             value(pool),
             repeatable,
             timeout_ms,
+            *self._rules.value(rules),
         )
 
     def _release(self, record: bytes) -> None:
-        host, methods, pool = _SHARED.unpack_from(record)
+        host, methods, pool, rules = _SHARED.unpack_from(record)
         self._texts.release(host)
         self._methods.release(methods)
         self._texts.release(pool)
+        self._rules.release(rules)
 
     def _shared_bytes(self) -> int:
-        return self._texts.footprint_bytes + self._methods.footprint_bytes
+        shared = (self._texts, self._methods, self._rules)
+        return sum(each.footprint_bytes for each in shared)
--- a/packages/core/src/pimentobend_core/_internal/configuration/history.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/history.py
@@ -48,4 +48,5 @@
 def count_rows(versioned: VersionedDelta) -> int:
     """Return how many rows a delta names."""
     delta = versioned.delta
-    return sum(len(part) for part in delta[1:])
+    parts = (delta.routes, delta.removed_routes, delta.pools, delta.removed_pools)
+    return sum(len(part) for part in parts)
--- a/packages/core/src/pimentobend_core/_internal/configuration/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/messages.py
@@ -3,6 +3,7 @@
 import enum
 from typing import NamedTuple
 
+from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -28,6 +29,8 @@
     removed_routes: tuple[str, ...]
     pools: tuple[Pool, ...]
     removed_pools: tuple[str, ...]
+    limits: ClientLimits | None = None
+    label: int = 0
 
 
 class VersionedDelta(NamedTuple):
@@ -45,6 +48,8 @@
     digest: bytes
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
+    limits: ClientLimits | None = None
+    label: int = 0
 
 
 class TablesCommand(NamedTuple):
@@ -63,6 +68,7 @@
     NO_MAJORITY = "no-majority"
     OVERLOADED = "overloaded"
     TOO_LARGE = "too-large"
+    INVALID = "invalid"  # the tables that would result have faults
     STORAGE = "storage"
     UNKNOWN = "unknown"  # resend it with its id to learn the outcome
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -7,6 +7,7 @@
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import TablesCommand
+from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.service_messages import ChangeAsked
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
@@ -90,12 +91,25 @@
         if self._applied.term != self._leader.term:
             # entries of earlier leaders may not be applied yet
             return (self._reply(asked, ChangeOutcome.NO_MAJORITY),)
-        if asked.expected != self._state.tables.version:
+        if not self._is_expected(asked):
             return (self._reply(asked, ChangeOutcome.CONFLICT),)
         return self._propose(asked)
 
+    def _is_expected(self, asked: ChangeAsked) -> bool:
+        tables = self._state.tables
+        if asked.label is None:
+            return asked.expected == tables.version
+        return asked.label.base == tables.label
+
     def _propose(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
-        delta = self._state.tables.diff(asked.routes, asked.pools)
+        delta = self._state.delta(asked)
+        if not self._state.is_valid(delta, asked.label):
+            return (self._reply(asked, ChangeOutcome.INVALID),)
+        return self._propose_delta(asked, delta)
+
+    def _propose_delta(
+        self, asked: ChangeAsked, delta: TablesDelta
+    ) -> tuple[ServiceOutput, ...]:
         command = encode(TablesCommand(asked.change_id, delta))
         if len(command) > COMMAND_BYTES:
             return (self._reply(asked, ChangeOutcome.TOO_LARGE),)
@@ -126,7 +140,10 @@
         answer = self._state.answer(asked.change_id)
         if answer is None:
             return (self._reply(asked, ChangeOutcome.UNKNOWN),)
-        return (ChangeReplied(asked.token, answer.outcome, answer.version),)
+        label = self._state.tables.label
+        return (
+            ChangeReplied(asked.token, answer.outcome, answer.version, label=label),
+        )
 
     def _restore(self, message: Restored) -> tuple[ServiceOutput, ...]:
         snapshot = message.snapshot
@@ -143,5 +160,11 @@
         return (Compact(log_index, encode(self._state.snapshot())),)
 
     def _reply(self, asked: ChangeAsked, outcome: ChangeOutcome) -> ChangeReplied:
-        version = self._state.tables.version
-        return ChangeReplied(asked.token, outcome, version, self._leader.leader_id)
+        tables = self._state.tables
+        return ChangeReplied(
+            asked.token,
+            outcome,
+            tables.version,
+            self._leader.leader_id,
+            tables.label,
+        )
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -13,14 +13,30 @@
 from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
+from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
 
+class NextLabel(NamedTuple):
+    """Number a change by the operators' own count, in place of log versions."""
+
+    base: int  # the number that the change builds on
+    number: int
+
+
+class Removals(NamedTuple):
+    """Make a change a patch: rows not named stay as they are."""
+
+    routes: tuple[str, ...]
+    pools: tuple[str, ...]
+
+
 class ChangeAsked(NamedTuple):
     """Ask for checked tables in place of the expected version.
 
-    The token is the asker's; it comes back in the reply.
+    The token is the asker's; it comes back in the reply. With a label the
+    change builds on the operators' number and ``expected`` counts for nothing.
     """
 
     token: int
@@ -28,6 +44,9 @@
     expected: Version
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
+    limits: ClientLimits | None = None
+    label: NextLabel | None = None
+    removals: Removals | None = None  # None where routes and pools are whole
 
 
 class ChangeReplied(NamedTuple):
@@ -37,6 +56,7 @@
     outcome: ChangeOutcome
     version: Version
     leader_id: str | None = None
+    label: int = 0
 
 
 class TablesAccepted(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -13,6 +13,7 @@
 from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -29,8 +30,20 @@
         self._version = FIRST_VERSION
         self._routes: Rows[Route] = CompactRoutes()
         self._pools: Rows[Pool] = DictRows(lambda pool: pool.name)
+        self._limits: ClientLimits | None = None
+        self._label = 0
         self._sum = 0
 
+    @property
+    def label(self) -> int:
+        """Return the operators' own number of the version."""
+        return self._label
+
+    @property
+    def limits(self) -> ClientLimits | None:
+        """Return the limits on callers, where the operators stated them."""
+        return self._limits
+
     @property
     def version(self) -> Version:
         """Return the version of the rows."""
@@ -39,7 +52,10 @@
     @property
     def digest(self) -> bytes:
         """Return a digest of the rows, whatever their order."""
-        return self._sum.to_bytes(DIGEST_BYTES, "little")
+        if self._limits is None and not self._label:
+            return self._sum.to_bytes(DIGEST_BYTES, "little")
+        total = (self._sum + _hash_values((self._limits, self._label))) % _MODULUS
+        return total.to_bytes(DIGEST_BYTES, "little")
 
     def routes(self) -> tuple[Route, ...]:
         """Return the routes by name."""
@@ -51,7 +67,14 @@
 
     def whole(self) -> WholeTables:
         """Return all rows."""
-        return WholeTables(self._version, self.digest, self.routes(), self.pools())
+        return WholeTables(
+            self._version,
+            self.digest,
+            self.routes(),
+            self.pools(),
+            self._limits,
+            self._label,
+        )
 
     def diff(self, routes: tuple[Route, ...], pools: tuple[Pool, ...]) -> TablesDelta:
         """Return the delta that leads to these rows."""
@@ -59,8 +82,14 @@
             self._version,
             *_diff_rows(self._routes, routes),
             *_diff_rows(self._pools, pools),
+            self._limits,
+            self._label,
         )
 
+    def has_pool(self, name: str) -> bool:
+        """Say whether the table of pools has a row of this name."""
+        return name in self._pools
+
     def apply(self, delta: TablesDelta, version: Version) -> None:
         """Step to a version; raise ConfigurationError where the base differs."""
         if delta.base != self._version:
@@ -76,6 +105,8 @@
             self._remove(self._pools, pool_name)
         for pool in delta.pools:
             self._put(self._pools, pool)
+        self._limits = delta.limits
+        self._label = delta.label
         self._version = version
 
     def replace(self, whole: WholeTables) -> None:
@@ -87,6 +118,8 @@
             self._put(self._routes, route)
         for pool in whole.pools:
             self._put(self._pools, pool)
+        self._limits = whole.limits
+        self._label = whole.label
         self._version = whole.version
         if self.digest != whole.digest:
             raise ConfigurationError(
@@ -119,6 +152,10 @@
 
 def _hash(row: Route | Pool) -> int:
     """Return a row's part of the digest; the kind of row counts too."""
-    content = _ENCODER.encode((type(row).__name__, row))
+    return _hash_values((type(row).__name__, row))
+
+
+def _hash_values(values: tuple[object, ...]) -> int:
+    content = _ENCODER.encode(values)
     digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, "little")
--- a/packages/core/src/pimentobend_core/_internal/consensus/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/codec.py
@@ -1,6 +1,7 @@
 """Encode the messages between replicas and the records on their disks."""
 
 from typing import Any
+from typing import NamedTuple
 from typing import cast
 
 import msgspec
@@ -22,6 +23,7 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 _ENVELOPES = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
+_ADDRESSED = msgspec.msgpack.Decoder(tuple[str, str, bytes])
 _SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
 
 # A type's place is its number on the wire; new ones go to the end.
@@ -55,6 +57,28 @@
         raise CodecError("a replica's message does not decode") from error
 
 
+class Envelope(NamedTuple):
+    """Carry a message between two replicas, named by their ids."""
+
+    sender: str
+    recipient: str
+    message: PeerMessage
+
+
+def encode_envelope(sender: str, recipient: str, message: PeerMessage) -> bytes:
+    """Return a message with the ids of both replicas as bytes."""
+    return _ENCODER.encode((sender, recipient, encode_message(message)))
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Return the envelope of the bytes; raise ``CodecError``."""
+    try:
+        sender, recipient, content = _ADDRESSED.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CodecError("a replica's envelope does not decode") from error
+    return Envelope(sender, recipient, decode_message(content))
+
+
 def encode_records(records: tuple[Record, ...]) -> bytes:
     """Return records, which are synced together, as bytes."""
     numbered = [(_RECORD_NUMBERS[type(record)], record) for record in records]
--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -1,5 +1,7 @@
 """Lead: replicate, commit by majority, and hold the lease."""
 
+from typing import NamedTuple
+
 from pimentobend_core._internal.consensus.constants import APPEND_BYTES
 from pimentobend_core._internal.consensus.constants import CAUGHT_UP_ENTRIES
 from pimentobend_core._internal.consensus.constants import HEARTBEAT_S
@@ -15,12 +17,22 @@
 from pimentobend_core._internal.consensus.messages import AppendEntries
 from pimentobend_core._internal.consensus.messages import AppendReply
 from pimentobend_core._internal.consensus.messages import InstallSnapshot
+from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import SnapshotReply
 from pimentobend_core._internal.consensus.progress import Mode
 from pimentobend_core._internal.consensus.progress import Progress
 from pimentobend_core._internal.consensus.state import ReplicaState
 
 
+class _Read(NamedTuple):
+    """Hold a read that waits for a majority to confirm the leader."""
+
+    read_id: int
+    asked_at: float
+    log_index: int
+
+
 class Leader:
     """Own the progress of the peers during one term."""
 
@@ -30,6 +42,7 @@
         self._heartbeat_at = now + HEARTBEAT_S
         self._elected_at = now
         self._first_index = state.log.last_index + 1
+        self._reads: list[_Read] = []
         self.append((Entry(state.term, self._first_index, b""),), now)
 
     @property
@@ -56,6 +69,23 @@
         for peer_id in self._peers:
             self._feed(peer_id, now, is_heartbeat=True)
 
+    def read(self, read_id: int, now: float) -> None:
+        """Answer a read once a majority has followed this leader since ``now``.
+
+        The lease alone does not do: the clock may have stood still while
+        another leader was elected.
+        """
+        self._reads.append(_Read(read_id, now, self._state.commit_index))
+        self._heartbeat_at = now
+        self.tick(now)
+        self._finish_reads(now)
+
+    def refuse_reads(self) -> None:
+        """Refuse the reads that are not confirmed."""
+        for read in self._reads:
+            self._state.emit(ReadReady(read.read_id, Outcome.NO_MAJORITY))
+        self._reads.clear()
+
     def append(self, entries: tuple[Entry, ...], now: float) -> None:
         """Append entries of this term and replicate them."""
         self._state.append(entries)
@@ -75,7 +105,7 @@
         if changed is None or changed == self._state.members:
             return changed
         is_promotion = change.action is MemberAction.PROMOTE
-        if is_promotion and not self._has_caught_up(change.replica_id):
+        if is_promotion and not self.has_caught_up(change.replica_id):
             return None
         return changed
 
@@ -87,6 +117,7 @@
         if progress is None:
             return
         progress.acked_at = max(progress.acked_at, reply.sent_at)
+        self._finish_reads(now)
         if isinstance(reply, SnapshotReply):
             self._on_snapshot_reply(sender, progress, reply, now)
         elif progress.snapshot is None:
@@ -99,7 +130,22 @@
             for peer_id, each in self._peers.items()
         )
 
-    def _has_caught_up(self, peer_id: str) -> bool:
+    def quiet_s(self, now: float) -> dict[str, float]:
+        """Return for how many seconds each peer has acknowledged nothing."""
+        return {peer: now - each.acked_at for peer, each in self._peers.items()}
+
+    def _finish_reads(self, now: float) -> None:
+        if not self._reads:
+            return
+        acked_at = {peer: each.acked_at for peer, each in self._peers.items()}
+        acked_at[self._state.replica_id] = now
+        confirmed_at = self._state.members.quorum_value(acked_at)
+        while self._reads and self._reads[0].asked_at <= confirmed_at:
+            read = self._reads.pop(0)
+            self._state.emit(ReadReady(read.read_id, Outcome.COMMITTED, read.log_index))
+
+    def has_caught_up(self, peer_id: str) -> bool:
+        """Say whether a peer has copied the log up to a few entries."""
         progress = self._peers.get(peer_id)
         behind_from = self._state.commit_index - CAUGHT_UP_ENTRIES
         return progress is not None and progress.match_index >= max(1, behind_from)
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -80,7 +80,7 @@
             case ChangeMembers():
                 self._change_members(message, now)
             case ReadIndex():
-                self._read(message.read_id)
+                self._read(message.read_id, now)
             case Compact():
                 self._compact(message)
             case _:
@@ -89,6 +89,14 @@
             self._finish_committed(now)
         return self._state.take_outputs()
 
+    def quiet_s(self, now: float) -> Mapping[str, float]:
+        """Return how long each peer has acknowledged nothing; empty unless leading."""
+        return {} if self._leader is None else self._leader.quiet_s(now)
+
+    def has_caught_up(self, replica_id: str) -> bool:
+        """Say whether this replica leads and a peer has copied its log."""
+        return self._leader is not None and self._leader.has_caught_up(replica_id)
+
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
         state = self._state
@@ -174,6 +182,7 @@
         self._state.set_leader(None)
         if self._leader is None:
             return
+        self._leader.refuse_reads()
         self._leader = None
         self._state.restart_election_timer(now)
         for log_index, proposal_id in sorted(self._pending.items()):
@@ -212,7 +221,7 @@
         entry = Entry(self._state.term, log_index, b"", members)
         self._leader.append((entry,), now)
 
-    def _read(self, read_id: int) -> None:
+    def _read(self, read_id: int, now: float) -> None:
         state = self._state
         if self._leader is None:
             outcome = self._no_leader()
@@ -220,7 +229,7 @@
         elif not self._leader.has_committed:
             state.emit(ReadReady(read_id, Outcome.NO_MAJORITY))
         else:
-            state.emit(ReadReady(read_id, Outcome.COMMITTED, state.commit_index))
+            self._leader.read(read_id, now)
 
     def _compact(self, message: Compact) -> None:
         state = self._state
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -0,0 +1,172 @@
+"""Keep the cluster at its size: admit candidates and replace lost replicas."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.consensus.formation import address_of
+from pimentobend_core._internal.consensus.members import MemberAction
+from pimentobend_core._internal.consensus.members import MemberChange
+from pimentobend_core._internal.consensus.members import Members
+from pimentobend_core._internal.consensus.messages import ChangeMembers
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.pipes import StatefulFilter
+
+FIRST_PROPOSAL_ID = 1 << 49  # above those of the service and of operators
+VOTERS = 5  # a majority outlives two lost disks
+CANDIDATE_S = 2.0  # a candidate repeats itself every 0.5 s
+VOTER_QUIET_S = 3.0  # beyond a restart and a new connection
+LEARNER_QUIET_S = 10.0
+LIVE_S = 1.0  # a peer that acknowledged a heartbeat within it is counted on
+CHANGE_TIMEOUT_S = 3.0
+
+
+class CandidateHeard(NamedTuple):
+    """Report a replica that asks to be a member."""
+
+    replica_id: str
+
+
+class LeaderView(NamedTuple):
+    """Describe the cluster as its leader sees it."""
+
+    replica_id: str
+    members: Members
+    quiet_s: Mapping[str, float]  # by id of each other member
+    caught_up: frozenset[str]  # learners
+
+
+class SupervisorTick(NamedTuple):
+    """Let time pass; ``view`` is None on a replica that does not lead."""
+
+    view: LeaderView | None
+
+
+SupervisorInput = CandidateHeard | SupervisorTick | Proposed
+
+
+class Supervisor(StatefulFilter[SupervisorInput, ChangeMembers]):
+    """Propose one change of members at a time while this replica leads."""
+
+    def __init__(self) -> None:
+        self._heard_at: dict[str, float] = {}
+        self._next_id = FIRST_PROPOSAL_ID
+        self._pending: tuple[int, float] | None = None  # proposal id, proposed at
+
+    def handle(self, message: SupervisorInput, now: float) -> tuple[ChangeMembers, ...]:
+        """Take a candidate, the end of a change, or a tick."""
+        match message:
+            case CandidateHeard():
+                self._heard_at[message.replica_id] = now
+                return ()
+            case Proposed():
+                if self._pending and self._pending[0] == message.proposal_id:
+                    self._pending = None
+                return ()
+            case SupervisorTick():
+                return self._tick(message.view, now)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "candidates": sorted(self._heard_at),
+            "pending": self._pending[0] if self._pending else None,
+        }
+
+    def _tick(self, view: LeaderView | None, now: float) -> tuple[ChangeMembers, ...]:
+        self._heard_at = {
+            each: heard_at
+            for each, heard_at in self._heard_at.items()
+            if now - heard_at < CANDIDATE_S
+        }
+        if self._pending and now - self._pending[1] >= CHANGE_TIMEOUT_S:
+            self._pending = None
+        if view is None or self._pending is not None:
+            return ()
+        change = choose_change(view, tuple(sorted(self._heard_at)))
+        if change is None:
+            return ()
+        proposal_id = self._next_id
+        self._next_id += 1
+        self._pending = (proposal_id, now)
+        return (ChangeMembers(proposal_id, change),)
+
+
+def choose_change(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
+    """Return the next step towards a full cluster, or None where there is none."""
+    return (
+        _remove_wiped(view, candidates)
+        or _replace_voter(view)
+        or _promote(view)
+        or _add_learner(view, candidates)
+        or _remove_learner(view)
+    )
+
+
+def _remove_wiped(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
+    """Remove a member whose address came back under a new id."""
+    addresses = {address_of(each): each for each in candidates}
+    for member in view.members.all:
+        successor = addresses.get(address_of(member.replica_id))
+        if successor is None or successor == member.replica_id:
+            continue
+        if _survives_without(view, member.replica_id):
+            return MemberChange(MemberAction.REMOVE, member.replica_id)
+    return None
+
+
+def _replace_voter(view: LeaderView) -> MemberChange | None:
+    """Remove a silent voter once a learner can take its place."""
+    if not _ready_learners(view) or len(view.members.voters) < VOTERS:
+        return None
+    quiet = [
+        (view.quiet_s.get(each, 0.0), each)
+        for each in view.members.voter_ids
+        if each != view.replica_id
+    ]
+    quiet_s, voter = max(quiet, default=(0.0, ""))
+    if quiet_s < VOTER_QUIET_S or not _survives_without(view, voter):
+        return None
+    return MemberChange(MemberAction.REMOVE, voter)
+
+
+def _promote(view: LeaderView) -> MemberChange | None:
+    ready = _ready_learners(view)
+    if not ready or len(view.members.voters) >= VOTERS:
+        return None
+    return MemberChange(MemberAction.PROMOTE, ready[0])
+
+
+def _add_learner(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
+    known = {member.replica_id for member in view.members.all}
+    for candidate in candidates:
+        if candidate not in known:
+            address = address_of(candidate)
+            return MemberChange(MemberAction.ADD_LEARNER, candidate, address)
+    return None
+
+
+def _remove_learner(view: LeaderView) -> MemberChange | None:
+    for member in view.members.learners:
+        if view.quiet_s.get(member.replica_id, 0.0) >= LEARNER_QUIET_S:
+            return MemberChange(MemberAction.REMOVE, member.replica_id)
+    return None
+
+
+def _ready_learners(view: LeaderView) -> tuple[str, ...]:
+    return tuple(
+        member.replica_id
+        for member in view.members.learners
+        if member.replica_id in view.caught_up
+        and view.quiet_s.get(member.replica_id, LIVE_S) < LIVE_S
+    )
+
+
+def _survives_without(view: LeaderView, replica_id: str) -> bool:
+    """Say whether the voters left after a removal have a live majority."""
+    voters = view.members.voter_ids - {replica_id}
+    live = [
+        voter
+        for voter in voters
+        if voter == view.replica_id or view.quiet_s.get(voter, LIVE_S) < LIVE_S
+    ]
+    return len(live) > len(voters) // 2
--- a/packages/daemon/src/pimentobendd/_internal/control/changes.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/changes.py
@@ -13,7 +13,7 @@
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_core._internal.configuration.checks import read_pools
 from pimentobend_core._internal.configuration.checks import read_routes
 from pimentobend_core._internal.configuration.codec import decode
@@ -73,7 +73,9 @@
 class ReplicatedControl(ControlPort):
     """Ask the local replica, or through it the leader, and wait for the answer."""
 
-    def __init__(self, link: Link, ask_local: Callable[[ChangeAsked], None]) -> None:
+    def __init__(
+        self, link: Transport, ask_local: Callable[[ChangeAsked], None]
+    ) -> None:
         self._link = link
         self._ask_local = ask_local
         self._replies: Replies[ChangeReplied] = Replies(lambda reply: reply.token)
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -11,11 +11,12 @@
 from pimentobend_adapters._internal.disk.task import DiskTask
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_core._internal.consensus.codec import decode_message
-from pimentobend_core._internal.consensus.codec import encode_message
+from pimentobend_core._internal.consensus.codec import decode_envelope
+from pimentobend_core._internal.consensus.codec import encode_envelope
 from pimentobend_core._internal.consensus.entries import StoredState
+from pimentobend_core._internal.consensus.formation import address_of
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import Committed
@@ -32,6 +33,7 @@
 from pimentobend_core._internal.consensus.messages import Send
 from pimentobend_core._internal.consensus.messages import Tick
 from pimentobend_core._internal.consensus.replica import Replica
+from pimentobend_core._internal.consensus.supervisor import LeaderView
 from pimentobend_core._internal.consensus.writes import batch_outputs
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.ports import ClockPort
@@ -43,7 +45,7 @@
 
 
 class ReplicaSettings(NamedTuple):
-    """Name a replica; its id is the address of its link."""
+    """Name a replica; its id begins with the address of its link."""
 
     group: str
     replica_id: str
@@ -58,7 +60,7 @@
         self,
         settings: ReplicaSettings,
         disk: DiskTask,
-        link: Link,
+        link: Transport,
         outlet: Outlet[LogOutput],
         clock: ClockPort,
     ) -> None:
@@ -105,14 +107,17 @@
         A dead replica's address may be another cluster's by now, so only
         members are heard, and those that the settings name.
         """
-        known = self._known_ids()
-        if known and frame.sender not in known:
-            raise FrameError("the sender is no member", context=frame.sender)
         try:
-            message = decode_message(frame.payload)
+            envelope = decode_envelope(frame.payload)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
-        self.put(Received(frame.sender, message))
+        if envelope.recipient != self._settings.replica_id:
+            raise FrameError("another replica is meant", context=envelope.recipient)
+        known = self._known_ids()
+        is_known = envelope.sender in known or self._settings.replica_id not in known
+        if known and not is_known:
+            raise FrameError("the sender is no member", context=envelope.sender)
+        self.put(Received(envelope.sender, envelope.message))
 
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
@@ -125,6 +130,24 @@
             state.update(self._replica.dump())
         return state
 
+    def leader_view(self) -> LeaderView | None:
+        """Return the cluster as this replica sees it while it leads."""
+        replica = self._replica
+        if replica is None or replica.state.leader_id != replica.state.replica_id:
+            return None
+        members = replica.state.members
+        learners = (member.replica_id for member in members.learners)
+        return LeaderView(
+            replica.state.replica_id,
+            members,
+            replica.quiet_s(self._clock.now()),
+            frozenset(each for each in learners if replica.has_caught_up(each)),
+        )
+
+    def is_member(self) -> bool:
+        """Say whether the log that this replica holds names it as a member."""
+        return self._settings.replica_id in self._known_ids()
+
     def _known_ids(self) -> frozenset[str]:
         """Return the members; none for a replica that waits to be added."""
         members = self._settings.first_members.all
@@ -167,8 +190,10 @@
     def _release(self, output: ReplicaOutput) -> None:
         match output:
             case Send():
-                payload = encode_message(output.message)
-                self._link.send(output.recipient, self.kind, payload)
+                payload = encode_envelope(
+                    self._settings.replica_id, output.recipient, output.message
+                )
+                self._link.send(address_of(output.recipient), self.kind, payload)
             case Committed():
                 self._release_entries(output)
             case Restored():
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -8,8 +8,8 @@
 from pimentobend_adapters._internal.disk.folder import FolderDisk
 from pimentobend_adapters._internal.disk.task import DiskTask
 from pimentobend_adapters._internal.ledger import KIND_REQUEST
-from pimentobend_adapters._internal.links.link import Link
 from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_core._internal.configuration.follower_messages import Deltas
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        link: Link,
+        link: Transport,
         control: tuple[str, ...],
         data_folder: pathlib.Path,
         spread: Callable[[SpreadReceived], None],
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -4,7 +4,7 @@
 
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Ticking
@@ -42,7 +42,7 @@
 
     def __init__(
         self,
-        link: Link,
+        link: Transport,
         sources: tuple[str, ...],
         put_in_force: Callable[[Tables], object],
         clock: ClockPort,
@@ -77,4 +77,4 @@
 
 
 def _join(whole: WholeTables) -> Tables:
-    return Tables(*whole.version, whole.routes, whole.pools)
+    return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -4,7 +4,7 @@
 
 from pimentobend_adapters._internal.links.batches import Batches
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.health.limits import BAD_SCORE
 from pimentobend_core._internal.health.messages import EjectionsGranted
@@ -24,7 +24,7 @@
 
     def __init__(
         self,
-        link: Link,
+        link: Transport,
         control: tuple[str, ...],
         clock: ClockPort,
         give_grant: Callable[[EjectionsGranted], None],
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -8,7 +8,7 @@
 
 from pimentobend_adapters._internal.links.batches import Batches
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
@@ -50,7 +50,7 @@
     """
 
     def __init__(
-        self, link: Link, clock: ClockPort, read: Callable[[ReadIndex], None]
+        self, link: Transport, clock: ClockPort, read: Callable[[ReadIndex], None]
     ) -> None:
         self._link = link
         self._clock = clock
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -10,7 +10,7 @@
 from pimentobend_adapters._internal.http.backend import BackendClient
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.server import HttpServer
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.observers import AttemptObservers
@@ -55,7 +55,7 @@
     ``epoch`` grows at each start of the process.
     """
 
-    link: Link
+    link: Transport
     membership: MembershipRole
     metrics: Metrics
     epoch: int
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -9,7 +9,7 @@
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.ledger import KIND_REPLY
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_core._internal.consensus.members import Members
@@ -57,7 +57,7 @@
     def __init__(
         self,
         number: int,
-        link: Link,
+        link: Transport,
         members: Members,
         data_folder: pathlib.Path,
         clock: ClockPort,
@@ -126,7 +126,7 @@
 
     def __init__(
         self,
-        link: Link,
+        link: Transport,
         members: Members,
         data_folder: pathlib.Path,
         clock: ClockPort,
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.link import Link
+from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Ticking
@@ -51,7 +51,7 @@
 
     def __init__(
         self,
-        link: Link,
+        link: Transport,
         epoch: int,
         parents: tuple[str, ...],
         is_relay: bool,
--- a/tests/lib/replica_cluster.py
+++ b/tests/lib/replica_cluster.py
@@ -65,6 +65,7 @@
         self.nodes.update({each: Node(each, NO_MEMBERS) for each in other_ids})
         self.outcomes: dict[int, Proposed] = {}
         self.reads: dict[int, ReadReady] = {}
+        self.promised: dict[int, int] = {}  # the last index when a read was asked
         self.commands: dict[int, bytes] = {}
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, Entry] = {}
@@ -127,13 +128,17 @@
 
     def read(self, replica_id: str) -> ReadReady | None:
         """Ask for a read and check that it would see all that was promised."""
-        promised = max(self.committed, default=0)
-        read_id = len(self.reads) + 1
+        read_id = len(self.promised) + 1
+        self.promised[read_id] = max(self.committed, default=0)
         self.handle(replica_id, ReadIndex(read_id))
-        ready = self.reads.get(read_id)
-        if ready is not None and ready.outcome is Outcome.COMMITTED:
+        return self.reads.get(read_id)
+
+    def _take_read(self, ready: ReadReady) -> None:
+        """Check that a read sees all that was promised before it was asked."""
+        self.reads[ready.read_id] = ready
+        if ready.outcome is Outcome.COMMITTED:
+            promised = self.promised[ready.read_id]
             assert ready.log_index >= promised, "a read missed committed entries"
-        return ready
 
     def compact(self, replica_id: str) -> None:
         """Let a node replace its applied entries by a snapshot."""
@@ -257,7 +262,7 @@
             assert output.proposal_id not in self.outcomes, "two answers"
             self.outcomes[output.proposal_id] = output
         elif isinstance(output, ReadReady):
-            self.reads[output.read_id] = output
+            self._take_read(output)
 
 
 def _encode(applied: list[bytes]) -> bytes:
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -12,7 +12,7 @@
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
-from pimentobend_core._internal.consensus.codec import encode_message
+from pimentobend_core._internal.consensus.codec import encode_envelope
 from pimentobend_core._internal.consensus.entries import Entry
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
@@ -89,7 +89,7 @@
 )
 def test_only_members_are_heard(voters: str, sender: str, is_heard: bool) -> None:
     site = Site(voters)
-    message = encode_message(AppendEntries(5, 0, 0, (), 0, 1.0))
+    message = encode_envelope(sender, "a", AppendEntries(5, 0, 0, (), 0, 1.0))
     frame = Frame(sender, site.task.kind, message)
     if is_heard:
         site.task.take(frame)
