--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -0,0 +1,202 @@
+"""Ask the daemons beside the servers what they offer."""
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+import eventlet.event
+
+from pimentobend_adapters._internal.forwarding.host import HostTasks
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.forwarding.messages import Ask
+from pimentobend_core._internal.forwarding.messages import Bids
+from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.forwarding.selection import find_distance
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.ports import ClockPort
+
+KIND_ASK = "ask"
+KIND_BIDS = "bids"
+FRESH_S = 0.03  # a bid is used again by requests that come close together
+ASK_LIMIT = 6  # daemons asked at one distance
+UNREACHABLE_AFTER = 2  # questions without an answer
+TIMEOUTS_S = {
+    Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon longer
+    Distance.REGION: 0.08,
+    Distance.FAR: 0.2,  # a round trip takes 60 ms
+}
+
+
+class _Known(NamedTuple):
+    bids: Bids
+    received_at: float
+
+
+class _Round:
+    """Hold the questions of one round that have no answer yet."""
+
+    def __init__(self, addresses: set[str]) -> None:
+        self.waiting = addresses
+        self.event: Any = eventlet.event.Event()
+
+    def answered(self, address: str) -> None:
+        """Take an answer; the last one ends the round."""
+        self.waiting.discard(address)
+        if not self.waiting and not self.event.ready():
+            self.event.send(None)
+
+
+class OfferBoard:
+    """Own the newest bids by daemon, service and route."""
+
+    def __init__(
+        self,
+        own: Callable[[], PeerRow],
+        link: Transport,
+        host: HostTasks,
+        clock: ClockPort,
+        on_unreachable: Callable[[str], None],
+    ) -> None:
+        self._own = own
+        self._link = link
+        self._host = host
+        self._clock = clock
+        self._on_unreachable = on_unreachable
+        self._peers: tuple[PeerRow, ...] = ()
+        self._unreachable: set[str] = set()
+        self._known: dict[tuple[str, str, str], _Known] = {}
+        self._tokens = itertools.count(1)
+        self._rounds: dict[int, tuple[_Round, str, Ask]] = {}
+        self._unanswered: dict[str, int] = {}
+
+    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        """Take the list of daemons."""
+        self._peers = peers
+
+    def follow_reachability(self, address: str, *, is_reachable: bool) -> None:
+        """Take whether a daemon answers."""
+        if is_reachable:
+            self._unreachable.discard(address)
+            self._unanswered.pop(address, None)
+        else:
+            self._unreachable.add(address)
+
+    def ask(
+        self, service: str, route: str, distance: Distance
+    ) -> tuple[Candidate, ...]:
+        """Return the servers of a service up to a distance, freshly asked."""
+        own = self._own()
+        rows = [
+            row
+            for row in (own, *self._peers)
+            if find_distance(own, row) <= distance and self._may_serve(row, service)
+        ]
+        rows.sort(key=lambda row: find_distance(own, row))
+        now = self._clock.now()
+        stale = [
+            row for row in rows if self._is_stale((row.address, service, route), now)
+        ]
+        self._ask_all(stale[:ASK_LIMIT], service, route, distance)
+        now = self._clock.now()
+        return tuple(
+            candidate
+            for row in rows
+            for candidate in self._candidates(own, row, service, route, now)
+        )
+
+    def bid_age_s(self, candidate: Candidate, service: str, route: str) -> float:
+        """Return how old a candidate's bid is, in seconds."""
+        known = self._known.get((candidate.peer.address, service, route))
+        return self._clock.now() - known.received_at if known else 0.0
+
+    def take_ask(self, frame: Frame) -> None:
+        """Answer another daemon; raise ``CodecError`` for other bytes."""
+        ask = decode(frame.payload, Ask)
+        eventlet.spawn_n(self._answer, frame.sender, ask)
+
+    def take_bids(self, frame: Frame) -> None:
+        """Take another daemon's answer; raise ``CodecError`` for other bytes."""
+        self._take(frame.sender, decode(frame.payload, Bids))
+
+    def _may_serve(self, row: PeerRow, service: str) -> bool:
+        if row.is_leaving or row.address in self._unreachable:
+            return False
+        return any(each.service == service and each.is_ready for each in row.servers)
+
+    def _is_stale(self, key: tuple[str, str, str], now: float) -> bool:
+        known = self._known.get(key)
+        return known is None or now - known.received_at > FRESH_S
+
+    def _ask_all(
+        self, rows: list[PeerRow], service: str, route: str, distance: Distance
+    ) -> None:
+        """Ask daemons at once and wait until all answered or the time is up."""
+        if not rows:
+            return
+        pending = _Round({row.address for row in rows})
+        tokens = []
+        own_address = self._link.address
+        for row in rows:
+            ask = Ask(next(self._tokens), service, route)
+            self._rounds[ask.token] = (pending, row.address, ask)
+            tokens.append(ask.token)
+            if row.address == own_address:
+                eventlet.spawn_n(self._ask_self, ask)
+            else:
+                self._link.send(row.address, KIND_ASK, encode(ask))
+        with eventlet.Timeout(TIMEOUTS_S[distance], False):
+            pending.event.wait()
+        for token in tokens:
+            self._rounds.pop(token, None)
+        for address in pending.waiting:
+            self._miss(address)
+
+    def _miss(self, address: str) -> None:
+        misses = self._unanswered.get(address, 0) + 1
+        self._unanswered[address] = misses
+        if misses >= UNREACHABLE_AFTER:
+            self._on_unreachable(address)
+
+    def _ask_self(self, ask: Ask) -> None:
+        bids = self._host.ask(ask)
+        if bids is not None:
+            self._take(self._link.address, bids)
+
+    def _answer(self, sender: str, ask: Ask) -> None:
+        # tokens of several daemons may be alike
+        bids = self._host.ask(ask._replace(token=next(self._tokens)))
+        if bids is not None:
+            reply = bids._replace(token=ask.token)
+            self._link.send(sender, KIND_BIDS, encode(reply))
+
+    def _take(self, sender: str, bids: Bids) -> None:
+        self._unanswered.pop(sender, None)
+        found = self._rounds.get(bids.token)
+        if found is None:
+            return
+        pending, address, ask = found
+        if address != sender:
+            return
+        key = (sender, ask.service, ask.route)
+        self._known[key] = _Known(bids, self._clock.now())
+        pending.answered(sender)
+
+    def _candidates(
+        self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
+    ) -> list[Candidate]:
+        key = (row.address, service, route)
+        known = self._known.get(key)
+        if known is None:
+            return []
+        if now - known.received_at > FRESH_S + TIMEOUTS_S[Distance.FAR]:
+            del self._known[key]
+            return []
+        peer = row._replace(process_id=known.bids.process_id)
+        distance = find_distance(own, row)
+        return [Candidate(peer, bid, distance) for bid in known.bids.bids]
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -0,0 +1,222 @@
+"""Call a backend server on this machine."""
+
+import enum
+import select
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import NewConnectionError
+from urllib3.util import SKIP_HEADER
+
+from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import read_answer
+from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.headers import HeaderNames
+from pimentobend_adapters._internal.http.headers import find_header
+from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import Headers
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import Body
+from pimentobend_core._internal.ports import ClockPort
+
+CONNECT_TIMEOUT_S = 1.0
+KEPT_CONNECTIONS = 8  # a server
+IDLE_S = 3.0  # shorter than the idle timeouts of usual servers
+UNSAFE_IDLE_S = 1.0  # a shorter idle time leaves less chance of a silent connection
+MS_PER_S = 1000
+LEAST_MS = 1
+SUCCESS = range(200, 300)
+MISDIRECTED = 421
+
+
+class _Fate(enum.Enum):
+    """Name what becomes of a connection after a call."""
+
+    KEPT = "kept"
+    CLOSED = "closed"
+    PASSED_ON = "passed-on"  # the answer's reader closes it
+
+
+class _Idle(NamedTuple):
+    connection: Any
+    since: float
+
+
+class ServerCalls:
+    """Own the connections to the backend servers beside this daemon."""
+
+    def __init__(
+        self, names: HeaderNames, clock: ClockPort, on_connect: Callable[[], None]
+    ) -> None:
+        self._names = names
+        self._clock = clock
+        self._on_connect = on_connect
+        self._idle: dict[str, list[_Idle]] = {}
+
+    def call(
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
+    ) -> Attempted:
+        """Run one attempt; a killed caller closes the connection."""
+        started = self._clock.now()
+        connection = None
+        fate = _Fate.CLOSED
+        try:
+            connection = self._connect(server, is_repeatable)
+            attempted, fate = self._exchange(connection, server, head, body, started)
+            return attempted
+        except NewConnectionError:
+            return self._failed(AttemptKind.NOT_CONNECTED, started)
+        except BodyBrokenError:
+            return self._failed(AttemptKind.CANCELLED, started)
+        except (HTTPError, OSError) as error:
+            return self._failed(_kind_of(error, connection), started)
+        finally:
+            if connection is not None:
+                self._release(server, connection, fate)
+
+    def forget(self, server_id: str) -> None:
+        """Close the kept connections of a server that left."""
+        for idle in self._idle.pop(server_id, []):
+            idle.connection.close()
+
+    def _connect(self, server: Server, is_repeatable: bool) -> Any:
+        limit_s = IDLE_S if is_repeatable else UNSAFE_IDLE_S
+        kept = self._idle.get(server.server_id, [])
+        while kept:
+            idle = kept.pop()
+            is_fresh = self._clock.now() - idle.since < limit_s
+            if is_fresh and not _is_readable(idle.connection):
+                return idle.connection
+            idle.connection.close()
+        connection = HTTPConnection(server.host, server.port, timeout=CONNECT_TIMEOUT_S)
+        self._on_connect()
+        connection.connect()
+        connection.sock.settimeout(None)
+        return connection
+
+    def _exchange(
+        self,
+        connection: Any,
+        server: Server,
+        head: RequestHead,
+        body: Body,
+        started: float,
+    ) -> tuple[Attempted, _Fate]:
+        connection.request(
+            head.method,
+            _target(head),
+            body=None if body.length == 0 else body.chunks(),
+            headers=self._headers(server, head, body),
+            chunked=body.length is None,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+        response = connection.getresponse()
+        headers = tuple(response.headers.items())
+        if not self._is_answer(response.status, headers, head):
+            return self._failed(AttemptKind.TRUNCATED, started), _Fate.CLOSED
+        content, is_whole = read_answer(response, connection)
+        will_close = _will_close(headers, response)
+        kind = AttemptKind.ANSWERED
+        if self._is_refusal(response.status, headers):
+            kind = AttemptKind.REFUSED
+        attempted = make_attempted(
+            kind,
+            self._clock.now() - started,
+            response.status,
+            without_hop_by_hop(headers),
+            content,
+        )
+        if not is_whole:
+            return attempted, _Fate.PASSED_ON
+        return attempted, _Fate.CLOSED if will_close else _Fate.KEPT
+
+    def _is_answer(self, status: int, headers: Headers, head: RequestHead) -> bool:
+        """Say whether an answer is the server's own and to this request."""
+        names = self._names
+        echoed = find_header(headers, names.request_id)
+        if echoed is not None and echoed != head.request_id:
+            return False
+        if find_header(headers, "Content-Encoding") is not None:
+            return False
+        is_stamped = not names.stamp or find_header(headers, names.stamp) is not None
+        return is_stamped or status not in SUCCESS
+
+    def _is_refusal(self, status: int, headers: Headers) -> bool:
+        names = self._names
+        if names.not_run and find_header(headers, names.not_run) is not None:
+            return True
+        return bool(names.expected_server) and status == MISDIRECTED
+
+    def _headers(self, server: Server, head: RequestHead, body: Body) -> dict[str, str]:
+        names = self._names
+        headers: dict[str, str] = {}
+        for name, value in without_hop_by_hop(head.headers):
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        own = {
+            names.request_id: head.request_id,
+            names.deadline_ms: str(self._remaining_ms(head)),
+            "Content-Length": str(body.length) if body.length else None,
+        }
+        if names.expected_server:
+            own[names.expected_server] = server.server_id
+        replaced = {name.lower() for name in own}
+        headers = {n: v for n, v in headers.items() if n.lower() not in replaced}
+        headers.update({name: v for name, v in own.items() if v is not None})
+        lowered = {name.lower() for name in headers}
+        for added in ("accept-encoding", "user-agent"):
+            if added not in lowered:
+                headers[added] = SKIP_HEADER
+        return headers
+
+    def _remaining_ms(self, head: RequestHead) -> int:
+        remaining_s = head.deadline - self._clock.now()
+        return max(LEAST_MS, int(remaining_s * MS_PER_S))
+
+    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+        return make_attempted(kind, self._clock.now() - started)
+
+    def _release(self, server: Server, connection: Any, fate: _Fate) -> None:
+        if fate is _Fate.PASSED_ON:
+            return
+        kept = self._idle.setdefault(server.server_id, [])
+        if fate is _Fate.KEPT and len(kept) < KEPT_CONNECTIONS:
+            kept.append(_Idle(connection, self._clock.now()))
+        else:
+            connection.close()
+
+
+def _kind_of(error: Exception, connection: Any) -> AttemptKind:
+    if connection is None:
+        return AttemptKind.NOT_CONNECTED
+    if type(error).__name__ == "ConnectTimeoutError":
+        return AttemptKind.NOT_CONNECTED
+    return AttemptKind.NO_ANSWER
+
+
+def _target(head: RequestHead) -> str:
+    return f"{head.path}?{head.query}" if head.query else head.path
+
+
+def _will_close(headers: Headers, response: Any) -> bool:
+    value = find_header(headers, "Connection") or ""
+    raw = getattr(response, "_original_response", None)
+    return "close" in value.lower() or bool(getattr(raw, "will_close", True))
+
+
+def _is_readable(connection: Any) -> bool:
+    """Say whether bytes or an end wait on a connection that should be quiet."""
+    descriptor = connection.sock.fileno()
+    if descriptor < 0:
+        return True
+    poller = eventlet.patcher.original("select").poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -0,0 +1,218 @@
+"""Run the delivery of each request between its caller and the daemons."""
+
+import itertools
+from typing import Any
+
+import eventlet
+import eventlet.queue
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.host import HostTasks
+from pimentobend_adapters._internal.forwarding.host import LocalAttempt
+from pimentobend_adapters._internal.forwarding.peers import PeerClient
+from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_core._internal.forwarding.delivery import AskServers
+from pimentobend_core._internal.forwarding.delivery import AttemptDone
+from pimentobend_core._internal.forwarding.delivery import CallerLeft
+from pimentobend_core._internal.forwarding.delivery import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery import Deliver
+from pimentobend_core._internal.forwarding.delivery import Delivery
+from pimentobend_core._internal.forwarding.delivery import DeliveryInput
+from pimentobend_core._internal.forwarding.delivery import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery import Offers
+from pimentobend_core._internal.forwarding.delivery import Refuse
+from pimentobend_core._internal.forwarding.delivery import SendAttempt
+from pimentobend_core._internal.forwarding.delivery import Stop
+from pimentobend_core._internal.forwarding.delivery import TimerDue
+from pimentobend_core._internal.forwarding.delivery import WakeAt
+from pimentobend_core._internal.forwarding.events import AttemptJudged
+from pimentobend_core._internal.forwarding.events import AttemptSent
+from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.forwarding.messages import Submit
+from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import ClockPort
+from pimentobend_core._internal.request.dispatch import RetryPolicy
+from pimentobend_core._internal.request.stages import Finished
+from pimentobend_core._internal.request.stages import Routed
+
+MS_PER_S = 1000
+CALLER_LEFT = Refusal(
+    499, Ran.UNKNOWN, RefusalReason.CALLER_LEFT, "the caller closed its connection"
+)
+
+
+class DeliveryPorts:
+    """Hold what the deliveries of a process share."""
+
+    def __init__(
+        self,
+        process_id: int,
+        board: OfferBoard,
+        host: HostTasks,
+        peers: PeerClient,
+        repeats: RetryPolicy,
+        clock: ClockPort,
+        events: Outlet[ForwardingEvent],
+    ) -> None:
+        self.process_id = process_id
+        self.board = board
+        self.host = host
+        self.peers = peers
+        self.repeats = repeats
+        self.clock = clock
+        self.events = events
+        self.numbers = itertools.count(1)
+
+
+class DeliveryFilter(Filter[Routed, Finished]):
+    """Turn a routed request into its answer."""
+
+    def __init__(self, ports: DeliveryPorts) -> None:
+        self._ports = ports
+
+    def apply(self, value: Routed) -> Result[Finished, Refusal]:
+        """Return the answer, or a refusal that is true of all attempts."""
+        return _DeliveryTask(self._ports, value).run()
+
+
+class _DeliveryTask:
+    """Own one delivery, its inbox and its attempts."""
+
+    def __init__(self, ports: DeliveryPorts, value: Routed) -> None:
+        self._ports = ports
+        self._value = value
+        self._inbox: Any = eventlet.queue.LightQueue()
+        self._wake_at = value.head.deadline
+        self._attempts: dict[int, Any] = {}  # greenlets
+        self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
+        self._results: dict[int, Attempted] = {}
+        self._delivery = Delivery(
+            value.head.request_id,
+            value.route,
+            value.pool,
+            value.head.deadline,
+            value.body.can_replay,
+            ports.repeats,
+        )
+
+    def run(self) -> Result[Finished, Refusal]:
+        """Run until the delivery ends."""
+        if self._value.on_caller_left is not None:
+            self._value.on_caller_left(lambda: self._inbox.put(CallerLeft()))
+        now = self._ports.clock.now
+        outputs = self._delivery.begin(now())
+        while True:
+            for output in outputs:
+                ended = self._follow(output)
+                if ended is not None:
+                    return ended
+            outputs = self._delivery.handle(self._next(), now())
+
+    def _next(self) -> DeliveryInput:
+        wait_s = max(0.0, self._wake_at - self._ports.clock.now())
+        try:
+            message: DeliveryInput = self._inbox.get(timeout=wait_s)
+        except eventlet.queue.Empty:
+            return TimerDue()
+        return message
+
+    def _follow(self, output: DeliveryOutput) -> Result[Finished, Refusal] | None:
+        match output:
+            case WakeAt():
+                self._wake_at = output.due
+            case AskServers():
+                eventlet.spawn_n(self._ask, output.distance)
+            case SendAttempt():
+                self._send(output)
+            case CancelAttempt():
+                self._cancel(output.number)
+            case Deliver():
+                attempted = self._results.pop(output.number)
+                self._close_others()
+                _, candidate = self._attempt_ids[output.number]
+                return Success(
+                    Finished(
+                        attempted,
+                        Ran.RAN,
+                        candidate.server_id,
+                        len(self._attempt_ids),
+                    )
+                )
+            case Refuse():
+                self._close_others()
+                return Failure(output.refusal)
+            case Stop():
+                self._close_others()
+                return Failure(CALLER_LEFT)
+        return None
+
+    def _ask(self, distance: Distance) -> None:
+        value = self._value
+        service = value.pool
+        candidates = self._ports.board.ask(service, value.route.name, distance)
+        self._inbox.put(Offers(candidates, distance))
+
+    def _send(self, output: SendAttempt) -> None:
+        ports, value = self._ports, self._value
+        candidate = output.candidate
+        attempt_id = f"{ports.process_id:x}-{next(ports.numbers):x}"
+        self._attempt_ids[output.number] = (attempt_id, candidate)
+        route = value.route
+        submit = Submit(
+            attempt_id,
+            candidate.server_id,
+            route.name,
+            route.priority,
+            route.repeatable,
+            route.target_latency_ms / MS_PER_S,
+            value.head.deadline,
+        )
+        age_s = ports.board.bid_age_s(candidate, value.pool, route.name)
+        ports.events.put(
+            AttemptSent(
+                value.head.request_id, attempt_id, candidate, age_s, output.is_hedge
+            )
+        )
+        attempt = LocalAttempt(submit, value.head, value.body)
+        self._attempts[output.number] = eventlet.spawn(
+            self._run_attempt, output.number, candidate, attempt
+        )
+
+    def _run_attempt(
+        self, number: int, candidate: Candidate, attempt: LocalAttempt
+    ) -> None:
+        ports = self._ports
+        if candidate.peer.process_id == ports.process_id:
+            attempted = ports.host.run(attempt)
+        else:
+            attempted = ports.peers.run(candidate.peer, attempt)
+        self._results[number] = attempted
+        request_id = attempt.head.request_id
+        ports.events.put(
+            AttemptJudged(request_id, attempt.submit.attempt_id, attempted)
+        )
+        self._inbox.put(AttemptDone(number, attempted.kind, attempted.status))
+
+    def _cancel(self, number: int) -> None:
+        greenlet = self._attempts.pop(number, None)
+        if greenlet is not None:
+            greenlet.kill()
+        attempt_id, candidate = self._attempt_ids[number]
+        if candidate.peer.process_id == self._ports.process_id:
+            self._ports.host.withdraw(attempt_id)
+
+    def _close_others(self) -> None:
+        """Close the answers that are not given to the caller."""
+        for attempted in self._results.values():
+            if attempted.body is not None:
+                attempted.body.close()
+        self._results.clear()
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -0,0 +1,149 @@
+"""Take the attempts that other daemons send for the servers beside this one."""
+
+import http.client
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+
+import eventlet
+
+from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
+from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
+from pimentobend_adapters._internal.forwarding.hop import SUBMIT_HEADER
+from pimentobend_adapters._internal.forwarding.hop import HopError
+from pimentobend_adapters._internal.forwarding.hop import HopResult
+from pimentobend_adapters._internal.forwarding.hop import HopSubmit
+from pimentobend_adapters._internal.forwarding.hop import decode_submit
+from pimentobend_adapters._internal.forwarding.hop import encode_hop
+from pimentobend_adapters._internal.forwarding.host import HostTasks
+from pimentobend_adapters._internal.forwarding.host import LocalAttempt
+from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
+from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.bodies import read_body
+from pimentobend_adapters._internal.http.headers import HeaderNames
+from pimentobend_adapters._internal.http.headers import find_header
+from pimentobend_adapters._internal.http.requests import Environ
+from pimentobend_adapters._internal.http.requests import get_content_length
+from pimentobend_adapters._internal.http.requests import get_headers
+from pimentobend_core._internal.forwarding.messages import Submit
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import Body
+from pimentobend_core._internal.ports import ClockPort
+
+RECONNECT_S = 0.4  # in which an origin whose connection broke asks again
+MS_PER_S = 1000
+WRONG_PROCESS = "wrong-process"
+BROKEN_REQUEST = "broken-request"
+
+StartResponse = Callable[..., Any]
+
+
+class PeerFront:
+    """Serve other daemons as a WSGI application."""
+
+    def __init__(
+        self, process_id: int, host: HostTasks, names: HeaderNames, clock: ClockPort
+    ) -> None:
+        self._process_id = process_id
+        self._host = host
+        self._names = names
+        self._clock = clock
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Run one attempt, or give the end of one that was sent before."""
+        try:
+            hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
+            body = read_body(environ["wsgi.input"], get_content_length(environ))
+        except (HopError, BodyBrokenError):
+            result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
+            yield from _write_result(result, start_response)
+            return
+        if hop.process_id != self._process_id:
+            result = HopResult(AttemptKind.DECLINED, WRONG_PROCESS)
+            yield from _write_result(result, start_response)
+            return
+        attempt = self._read_attempt(environ, hop, body)
+        connection = environ["wsgi.input"].get_socket()
+        watch = ConnectionWatch(
+            connection, lambda: self._lose_origin(attempt.submit.attempt_id)
+        )
+        try:
+            attempted = self._host.run(attempt)
+        finally:
+            watch.stop()
+        yield from _write_attempted(attempted, start_response)
+
+    def _read_attempt(
+        self, environ: Environ, hop: HopSubmit, body: Body
+    ) -> LocalAttempt:
+        now = self._clock.now()
+        deadline = now + hop.remaining_ms / MS_PER_S
+        submit = Submit(
+            hop.attempt_id,
+            hop.server_id,
+            hop.route,
+            hop.priority,
+            hop.is_repeatable,
+            hop.target_ms / MS_PER_S,
+            deadline,
+        )
+        headers = tuple(
+            (name, value)
+            for name, value in get_headers(environ)
+            if name.lower() != SUBMIT_HEADER.lower()
+        )
+        head = RequestHead(
+            request_id=find_header(headers, self._names.request_id) or "",
+            method=environ["REQUEST_METHOD"],
+            host=environ.get("HTTP_HOST") or "",
+            path=environ["RAW_PATH_INFO"],
+            query=environ.get("QUERY_STRING") or "",
+            headers=headers,
+            organisation="",
+            idempotency_key=None,
+            received_at=now,
+            deadline=deadline,
+        )
+        return LocalAttempt(submit, head, body)
+
+    def _lose_origin(self, attempt_id: str) -> None:
+        eventlet.spawn_after(RECONNECT_S, self._withdraw_unless_asked, attempt_id)
+
+    def _withdraw_unless_asked(self, attempt_id: str) -> None:
+        if not self._host.has_waiters(attempt_id):
+            self._host.withdraw(attempt_id)
+
+
+def _write_result(result: HopResult, start_response: StartResponse) -> Iterator[bytes]:
+    headers = [(RESULT_HEADER, encode_hop(result)), ("Content-Length", "0")]
+    start_response("200 OK", headers)
+    yield b""
+
+
+def _write_attempted(
+    attempted: Attempted, start_response: StartResponse
+) -> Iterator[bytes]:
+    body = attempted.body
+    if body is None:
+        reason = find_header(attempted.headers, "reason") or ""
+        yield from _write_result(HopResult(attempted.kind, reason), start_response)
+        return
+    headers = [
+        (name, value)
+        for name, value in attempted.headers
+        if name.lower() != "content-length"
+    ]
+    headers.append((RESULT_HEADER, encode_hop(HopResult(attempted.kind, ""))))
+    if isinstance(body, BufferedAnswer):
+        headers.append(("Content-Length", str(body.length)))
+    reason = http.client.responses.get(attempted.status, "Unknown")
+    start_response(f"{attempted.status} {reason}", headers)
+    try:
+        yield from body.chunks()
+    finally:
+        body.close()
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -0,0 +1,166 @@
+"""Send attempts to the daemons beside their servers."""
+
+from typing import Any
+from typing import NamedTuple
+
+import eventlet
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.util import SKIP_HEADER
+
+from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import read_answer
+from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
+from pimentobend_adapters._internal.forwarding.hop import SUBMIT_HEADER
+from pimentobend_adapters._internal.forwarding.hop import HopError
+from pimentobend_adapters._internal.forwarding.hop import HopSubmit
+from pimentobend_adapters._internal.forwarding.hop import decode_result
+from pimentobend_adapters._internal.forwarding.hop import encode_hop
+from pimentobend_adapters._internal.forwarding.host import LocalAttempt
+from pimentobend_adapters._internal.forwarding.peer_front import BROKEN_REQUEST
+from pimentobend_adapters._internal.forwarding.peer_front import WRONG_PROCESS
+from pimentobend_adapters._internal.http.headers import find_header
+from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import Body
+from pimentobend_core._internal.ports import ClockPort
+
+CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, with a lost packet
+RESEND_MIN_S = 0.05
+RESEND_MAX_S = 1.0
+MS_PER_S = 1000
+
+
+class _Sent(NamedTuple):
+    """Hold the end of one try to reach the daemon."""
+
+    attempted: Attempted | None  # None where it has to be tried again
+    may_have_arrived: bool
+
+
+class PeerClient:
+    """Send each attempt until its end is known.
+
+    The daemon beside the server runs an attempt once, so a try whose
+    connection broke is repeated on a new one.
+    """
+
+    def __init__(self, clock: ClockPort) -> None:
+        self._clock = clock
+
+    def run(self, peer: PeerRow, attempt: LocalAttempt) -> Attempted:
+        """Return the end of an attempt; a killed caller closes the connection."""
+        started = self._clock.now()
+        submit = attempt.submit
+        may_have_arrived = False
+        wait_s = RESEND_MIN_S
+        while self._clock.now() < submit.deadline:
+            sent = self._try(peer, attempt, may_have_arrived)
+            if sent.attempted is not None:
+                return sent.attempted._replace(latency_s=self._clock.now() - started)
+            may_have_arrived = may_have_arrived or sent.may_have_arrived
+            if not may_have_arrived:
+                return self._failed(AttemptKind.NOT_CONNECTED, started)
+            if not attempt.body.can_replay:
+                break
+            eventlet.sleep(wait_s)
+            wait_s = min(RESEND_MAX_S, wait_s * 2)
+        return self._failed(AttemptKind.NO_ANSWER, started)
+
+    def _try(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> _Sent:
+        connection = HTTPConnection(
+            peer.host, peer.forward_port, timeout=CONNECT_TIMEOUT_S
+        )
+        is_passed_on = False
+        has_sent = False
+        try:
+            connection.connect()
+            connection.sock.settimeout(None)
+            has_sent = True
+            hop = self._hop(peer, attempt, is_resent)
+            with eventlet.Timeout(hop.remaining_ms / MS_PER_S, False):
+                attempted, is_passed_on = self._exchange(connection, attempt, hop)
+                return _Sent(self._judge(attempted, is_resent), True)
+            return _Sent(None, True)
+        except (HTTPError, OSError, HopError):
+            return _Sent(None, has_sent)
+        finally:
+            if not is_passed_on:
+                connection.close()
+
+    def _judge(self, attempted: Attempted, is_resent: bool) -> Attempted | None:
+        """Tell what a result means when an earlier copy may have arrived."""
+        if attempted.kind is AttemptKind.CANCELLED:
+            reason = find_header(attempted.headers, "reason")
+            return None if reason == BROKEN_REQUEST else attempted
+        is_other = find_header(attempted.headers, "reason") == WRONG_PROCESS
+        if is_other and is_resent:
+            return attempted._replace(kind=AttemptKind.NO_ANSWER)
+        return attempted
+
+    def _exchange(
+        self, connection: Any, attempt: LocalAttempt, hop: HopSubmit
+    ) -> tuple[Attempted, bool]:
+        head, body = attempt.head, attempt.body
+        connection.request(
+            head.method,
+            f"{head.path}?{head.query}" if head.query else head.path,
+            body=None if body.length == 0 else body.chunks(),
+            headers=_headers(head, body, hop),
+            chunked=body.length is None,
+            preload_content=False,
+            decode_content=False,
+            enforce_content_length=True,
+        )
+        response = connection.getresponse()
+        headers = tuple(response.headers.items())
+        result = decode_result(find_header(headers, RESULT_HEADER) or "")
+        headers = tuple(
+            (name, value)
+            for name, value in without_hop_by_hop(headers)
+            if name.lower() != RESULT_HEADER.lower()
+        )
+        if result.reason:
+            headers = (("reason", result.reason),)
+        if result.kind not in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
+            return make_attempted(result.kind, 0.0, headers=headers), False
+        content, is_whole = read_answer(response, connection)
+        attempted = make_attempted(result.kind, 0.0, response.status, headers, content)
+        return attempted, not is_whole
+
+    def _hop(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> HopSubmit:
+        submit = attempt.submit
+        remaining_s = submit.deadline - self._clock.now()
+        return HopSubmit(
+            submit.attempt_id,
+            submit.server_id,
+            submit.route,
+            submit.priority,
+            submit.is_repeatable,
+            int(submit.target_s * MS_PER_S),
+            max(1, int(remaining_s * MS_PER_S)),
+            peer.process_id,
+            is_resent,
+        )
+
+    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+        return make_attempted(kind, self._clock.now() - started)
+
+
+def _headers(head: RequestHead, body: Body, hop: HopSubmit) -> dict[str, str]:
+    headers: dict[str, str] = {}
+    for name, value in without_hop_by_hop(head.headers):
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    for name in [each for each in headers if each.lower() == "content-length"]:
+        del headers[name]
+    if body.length:
+        headers["Content-Length"] = str(body.length)
+    headers[SUBMIT_HEADER] = encode_hop(hop)
+    lowered = {name.lower() for name in headers}
+    for added in ("accept-encoding", "user-agent"):
+        if added not in lowered:
+            headers[added] = SKIP_HEADER
+    return headers
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -5,16 +5,21 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Any
+from typing import NamedTuple
 
 from returns.result import Failure
+from returns.result import Result
 
+from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
+from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
 from pimentobend_adapters._internal.http.backend import AnswerTruncatedError
 from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
-from pimentobend_adapters._internal.http.headers import RAN
-from pimentobend_adapters._internal.http.headers import REASON
-from pimentobend_adapters._internal.http.headers import REQUEST_ID
+from pimentobend_adapters._internal.http.headers import OWN_NAMES
+from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
+from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
+from pimentobend_adapters._internal.http.requests import find_excess
 from pimentobend_adapters._internal.http.requests import parse_request
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.models.events import RequestEnded
@@ -22,6 +27,8 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.request.stages import Finished
@@ -30,6 +37,15 @@
 StartResponse = Callable[..., Any]
 
 
+class FrontTerms(NamedTuple):
+    """Hold what differs between the interfaces that callers use."""
+
+    names: HeaderNames = OWN_NAMES
+    caller_service: str = ""  # beside which the requests begin
+    limits: Callable[[], ClientLimits | None] = lambda: None
+    watches_callers: bool = False
+
+
 class CallerFront:
     """Serve callers as a WSGI application in front of the request pipe."""
 
@@ -38,11 +54,14 @@
         pipe: Filter[Received, Finished],
         clock: ClockPort,
         events: Outlet[RequestEnded],
+        terms: FrontTerms | None = None,
     ) -> None:
         self._pipe = pipe
         self._clock = clock
         self._events = events
+        self._terms = terms or FrontTerms()
         self._in_flight = 0
+        self._is_stopping = False
 
     @property
     def in_flight(self) -> int:
@@ -62,23 +81,62 @@
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
+        if self._is_stopping and CONNECTION_KEY in environ:
+            environ[CONNECTION_KEY].close_connection = True
+        too_large = find_excess(environ, self._terms.limits())
+        if too_large is not None:
+            environ[CONNECTION_KEY].close_connection = True
+            yield from self._refuse(too_large, "", start_response)
+            return
         started = self._clock.now()
-        received = parse_request(environ, started)
+        received = parse_request(environ, started, self._terms.names)
         if isinstance(received, Failure):
-            yield from _refuse(received.failure(), "", start_response)
+            yield from self._refuse(received.failure(), "", start_response)
             return
-        request = received.unwrap()
+        request = self._mark(received.unwrap())
+        watches = _Watches(environ) if self._terms.watches_callers else None
+        if watches is not None:
+            request = request._replace(on_caller_left=watches.start)
+        try:
+            result = self._pipe.apply(request)
+        finally:
+            if watches is not None:
+                watches.stop()
+        yield from self._give(request, result, start_response)
+
+    def _give(
+        self,
+        request: Received,
+        result: Result[Finished, Refusal],
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
         request_id = request.head.request_id
-        result = self._pipe.apply(request)
         if isinstance(result, Failure):
             refusal = result.failure()
             self._record(request, refusal.status, refusal.ran, refusal.reason)
-            yield from _refuse(refusal, request_id, start_response)
+            yield from self._refuse(refusal, request_id, start_response)
             return
         finished = result.unwrap()
         status = finished.attempted.status
         self._record(request, status, finished.ran, None, finished.server_id)
-        yield from _answer(finished, request_id, start_response)
+        yield from self._answer(finished, request.head, start_response)
+
+    def _mark(self, request: Received) -> Received:
+        """Name the service beside which the request began, whatever was sent."""
+        name = self._terms.names.caller_service
+        if not name:
+            return request
+        headers = tuple(
+            (each, value)
+            for each, value in request.head.headers
+            if each.lower() != name.lower()
+        )
+        headers = (*headers, (name, self._terms.caller_service))
+        return request._replace(head=request.head._replace(headers=headers))
+
+    def stop(self) -> None:
+        """Let each caller's connection end with its next answer."""
+        self._is_stopping = True
 
     def _record(
         self,
@@ -103,28 +161,64 @@
             )
         )
 
+    def _refuse(
+        self, refusal: Refusal, request_id: str, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        yield from _write_refusal(
+            refusal, request_id, self._terms.names, start_response
+        )
+
+    def _answer(
+        self, finished: Finished, head: RequestHead, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        yield from _write_answer(finished, head, self._terms.names, start_response)
+
+
+class _Watches:
+    """Own the watch on a caller's connection."""
+
+    def __init__(self, environ: Environ) -> None:
+        self._connection = environ["wsgi.input"].get_socket()
+        self._watch: ConnectionWatch | None = None
+
+    def start(self, on_left: Callable[[], None]) -> None:
+        """Call a function once the caller has closed its connection."""
+        self._watch = ConnectionWatch(self._connection, on_left)
+
+    def stop(self) -> None:
+        """Stop watching, so that the connection may be read again."""
+        if self._watch is not None:
+            self._watch.stop()
+
 
-def _refuse(
-    refusal: Refusal, request_id: str, start_response: StartResponse
+def _write_refusal(
+    refusal: Refusal,
+    request_id: str,
+    names: HeaderNames,
+    start_response: StartResponse,
 ) -> Iterator[bytes]:
     content = f"{refusal.detail}\n".encode()
     headers = [
         ("Content-Type", "text/plain; charset=utf-8"),
         ("Content-Length", str(len(content))),
-        (RAN, refusal.ran.value),
-        (REASON, refusal.reason.value),
+        (names.ran, refusal.ran.value),
+        (names.reason, refusal.reason.value),
     ]
     if request_id:
-        headers.append((REQUEST_ID, request_id))
+        headers.append((names.request_id, request_id))
     if refusal.retry_after_s is not None:
         headers.append(("Retry-After", str(refusal.retry_after_s)))
     start_response(_status_line(refusal.status), headers)
     yield content
 
 
-def _answer(
-    finished: Finished, request_id: str, start_response: StartResponse
+def _write_answer(
+    finished: Finished,
+    head: RequestHead,
+    names: HeaderNames,
+    start_response: StartResponse,
 ) -> Iterator[bytes]:
+    request_id = head.request_id
     body = finished.attempted.body
     assert body is not None
     try:
@@ -133,10 +227,15 @@
     except AnswerTruncatedError as error:
         body.close()
         refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
-        yield from _refuse(refusal, request_id, start_response)
+        yield from _write_refusal(refusal, request_id, names, start_response)
         return
-    headers = [*finished.attempted.headers, (REQUEST_ID, request_id)]
-    headers.append((RAN, finished.ran.value))
+    headers = list(finished.attempted.headers)
+    if find_header(finished.attempted.headers, names.request_id) is None:
+        headers.append((names.request_id, request_id))
+    headers.append((names.ran, finished.ran.value))
+    if isinstance(body, BufferedAnswer) and head.method != "HEAD":
+        headers = [each for each in headers if each[0].lower() != "content-length"]
+        headers.append(("Content-Length", str(body.length)))
     start_response(_status_line(finished.attempted.status), headers)
     try:
         yield from start
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -1,5 +1,7 @@
 """Name the headers of the interfaces and drop those of one hop."""
 
+from typing import NamedTuple
+
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import LoadReport
 
@@ -11,6 +13,24 @@
 LOAD = "Pimentobend-Load"
 REQUEST_ID = "Pimentobend-Request-Id"
 
+
+class HeaderNames(NamedTuple):
+    """Name the headers that callers and backend servers use; empty for none."""
+
+    request_id: str = REQUEST_ID
+    deadline_ms: str = DEADLINE_MS
+    organisation: str = ORGANISATION
+    idempotency_key: str = IDEMPOTENCY_KEY
+    ran: str = RAN
+    reason: str = REASON
+    not_run: str = ""  # on an answer: the server states that it did not run the work
+    expected_server: str = ""  # on a request: the only server that may run it
+    caller_service: str = ""  # on a request: the service beside which it began
+    stamp: str = ""  # on an answer: the server's own mark, without which it is none
+
+
+OWN_NAMES = HeaderNames()
+
 HOP_BY_HOP = frozenset(
     {
         "connection",
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -10,6 +10,8 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
 
+CONNECTION_KEY = "pimentobend.connection"  # of the handler in the environment
+IDLE_KEY = "pimentobend.idle"  # of what returns the idle time in seconds, or None
 _LIBRARY_REFUSAL = b"HTTP/1.0 4"
 _LINE_END = b"\r\n"
 
@@ -22,6 +24,19 @@
         super().setup()
         self.wfile: Any = _RefusalWriter(self.wfile)
 
+    def _read_request_line(self) -> Any:
+        """Wait for a request as long as a connection may be idle now."""
+        idle_s = self.server.environ[IDLE_KEY]()
+        if idle_s is not None:
+            self.server.keepalive = idle_s
+        return super()._read_request_line()
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the request's environment, with the handler in it."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[CONNECTION_KEY] = self
+        return environ
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -9,6 +9,7 @@
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_adapters._internal.http.protocol import IDLE_KEY
 from pimentobend_adapters._internal.http.protocol import RefusingProtocol
 
 MAX_CONNECTIONS = 1024
@@ -34,7 +35,12 @@
 class HttpServer:
     """Own one listening socket and the connections taken from it."""
 
-    def __init__(self, address: Address, application: Callable[..., Any]) -> None:
+    def __init__(
+        self,
+        address: Address,
+        application: Callable[..., Any],
+        idle_s: Callable[[], float | None] = lambda: None,
+    ) -> None:
         try:
             self._socket = eventlet.listen(
                 tuple(address), backlog=BACKLOG, reuse_port=False
@@ -46,6 +52,7 @@
                 hint="is another process on this address?",
             ) from error
         self._application = application
+        self._idle_s = idle_s
         self._greenlet: Any = None
 
     @property
@@ -73,6 +80,7 @@
             socket_timeout=IDLE_TIMEOUT_S,
             debug=False,
             protocol=RefusingProtocol,
+            environ={IDLE_KEY: self._idle_s},
             minimum_chunk_size=WRITE_AT_ONCE,
         )
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/logs.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/logs.py
@@ -3,12 +3,18 @@
 import logging
 import sys
 from typing import Any
+from typing import TextIO
 
 import structlog
 
 
-def configure_logs(instance: str, level: int = logging.INFO) -> None:
-    """Set the format of all log lines, which name the instance."""
+def configure_logs(
+    instance: str, stream: TextIO | None = None, level: int = logging.INFO
+) -> None:
+    """Set the format of all log lines, which name the instance.
+
+    They go to standard error unless another stream is given.
+    """
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
@@ -20,7 +26,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.clear_contextvars()
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -9,7 +9,9 @@
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import FollowerInput
 from pimentobend_core._internal.configuration.follower_messages import FollowerOutput
+from pimentobend_core._internal.configuration.follower_messages import FollowersChanged
 from pimentobend_core._internal.configuration.follower_messages import FollowerTick
+from pimentobend_core._internal.configuration.follower_messages import NewerSeen
 from pimentobend_core._internal.configuration.follower_messages import SourcesChanged
 from pimentobend_core._internal.configuration.follower_messages import SpreadMessage
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
@@ -27,6 +29,7 @@
 TICK_S = 0.5
 ASK_INTERVAL_S = 2.0
 ANSWER_TIMEOUT_S = 1.0
+HINT_INTERVAL_S = 0.15  # between questions to daemons that have a newer version
 START_WAIT_S = 1.5  # to hear several sources before the first version is in force
 
 
@@ -46,6 +49,7 @@
         self._started_at = now
         self._unheard: set[str] | None = set(sources) if sources else None
         self._in_force = FIRST_VERSION
+        self._followers: tuple[str, ...] = ()
         self._is_damaged = False  # the rows do not have the digest of their version
         if stored is not None:
             self._tables.replace(stored)
@@ -69,6 +73,11 @@
                 self._sources = message.sources
                 self._source_position = 0
                 outputs = ()
+            case NewerSeen():
+                outputs = self._follow_hint(message, now)
+            case FollowersChanged():
+                self._followers = message.addresses
+                outputs = ()
             case FollowerTick():
                 outputs = self._tick(now)
         return outputs + self._put_in_force(now)
@@ -121,6 +130,14 @@
             return (self._ask(source, now),)
         return ()
 
+    def _follow_hint(self, hint: NewerSeen, now: float) -> tuple[FollowerOutput, ...]:
+        is_asked = self._asked_at is not None and (
+            now - self._asked_at < HINT_INTERVAL_S
+        )
+        if hint.version <= self._tables.version or is_asked:
+            return ()
+        return (self._ask(hint.address, now),)
+
     def _ask(self, source: str, now: float) -> SpreadSent:
         self._asked_at = now
         tables = self._tables
@@ -206,4 +223,5 @@
         message: SpreadMessage = Current(self._tables.version, self._tables.digest)
         if deltas:
             message = Deltas(deltas)
-        return tuple(SpreadSent(each, message) for each in self._children.addresses())
+        recipients = dict.fromkeys((*self._children.addresses(), *self._followers))
+        return tuple(SpreadSent(each, message) for each in recipients)
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -66,9 +66,24 @@
     sources: tuple[str, ...]
 
 
+class NewerSeen(NamedTuple):
+    """Name a daemon that has a newer version in force."""
+
+    address: str
+    version: Version
+
+
+class FollowersChanged(NamedTuple):
+    """Name daemons that are given each new version without asking."""
+
+    addresses: tuple[str, ...]
+
+
 class FollowerTick(NamedTuple):
     """Let time pass; due every ``TICK_S`` seconds."""
 
 
-FollowerInput = SpreadReceived | SourcesChanged | FollowerTick
+FollowerInput = (
+    SpreadReceived | SourcesChanged | NewerSeen | FollowersChanged | FollowerTick
+)
 FollowerOutput = SpreadSent | VersionInForce
--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -11,12 +11,15 @@
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.service_messages import ChangeAsked
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
+from pimentobend_core._internal.configuration.service_messages import ReadAsked
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
+from pimentobend_core._internal.consensus.constants import COMPACT_BYTES
 from pimentobend_core._internal.consensus.constants import COMPACT_ENTRIES
 from pimentobend_core._internal.consensus.entries import Entry
 from pimentobend_core._internal.consensus.messages import Committed
@@ -26,6 +29,8 @@
 from pimentobend_core._internal.consensus.messages import Proposal
 from pimentobend_core._internal.consensus.messages import Propose
 from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.pipes import StatefulFilter
 
@@ -50,6 +55,9 @@
         self._leader = LeaderChanged(0, None)
         self._applied = Version(0, 0)
         self._compacted_index = 0
+        self._reads: dict[int, int] = {}  # tokens by read id
+        self._unapplied: list[tuple[int, int]] = []  # log index and token of reads
+        self._applied_bytes = 0  # since the last compaction
 
     @property
     def state(self) -> ConfigurationState:
@@ -61,8 +69,12 @@
         match message:
             case ChangeAsked():
                 return self._ask(message)
+            case ReadAsked():
+                return self._ask_read(message.token)
+            case ReadReady():
+                return self._take_read(message)
             case Committed():
-                return self._apply(message.entries)
+                return (*self._apply(message.entries), *self._finish_reads())
             case Proposed():
                 return self._finish(message)
             case Restored():
@@ -118,6 +130,28 @@
         self._asked[proposal_id] = asked
         return (Propose((Proposal(proposal_id, command),)),)
 
+    def _ask_read(self, token: int) -> tuple[ServiceOutput, ...]:
+        read_id = self._next_id
+        self._next_id += 1
+        self._reads[read_id] = token
+        return (ReadIndex(read_id),)
+
+    def _take_read(self, ready: ReadReady) -> tuple[ServiceOutput, ...]:
+        token = self._reads.pop(ready.read_id, None)
+        if token is None:
+            return ()
+        if ready.outcome is not Outcome.COMMITTED:
+            return (TablesRead(token, None, ready.leader_id),)
+        self._unapplied.append((ready.log_index, token))
+        return self._finish_reads()
+
+    def _finish_reads(self) -> tuple[ServiceOutput, ...]:
+        """Answer the reads whose entries are applied."""
+        applied = self._applied.log_index
+        due = [token for index, token in self._unapplied if index <= applied]
+        self._unapplied = [each for each in self._unapplied if each[0] > applied]
+        return tuple(TablesRead(token, self._state.tables.whole()) for token in due)
+
     def _apply(self, entries: tuple[Entry, ...]) -> tuple[ServiceOutput, ...]:
         outputs: list[ServiceOutput] = []
         for entry in entries:
@@ -125,6 +159,7 @@
             self._applied = version
             if not entry.is_command:
                 continue
+            self._applied_bytes += len(entry.command)
             changed = self._state.apply(decode_command(entry.command), version)
             if changed is not None:
                 outputs.append(TablesAccepted(changed))
@@ -150,13 +185,16 @@
         self._state.restore(decode_snapshot(snapshot.state))
         self._applied = Version(snapshot.term, snapshot.log_index)
         self._compacted_index = snapshot.log_index
-        return (TablesReplaced(self._state.tables.whole()),)
+        replaced = TablesReplaced(self._state.tables.whole())
+        return (replaced, *self._finish_reads())
 
     def _compact(self) -> tuple[ServiceOutput, ...]:
         log_index = self._applied.log_index
-        if log_index - self._compacted_index < COMPACT_ENTRIES:
+        is_long = log_index - self._compacted_index >= COMPACT_ENTRIES
+        if not is_long and self._applied_bytes < COMPACT_BYTES:
             return ()
         self._compacted_index = log_index
+        self._applied_bytes = 0
         return (Compact(log_index, encode(self._state.snapshot())),)
 
     def _reply(self, asked: ChangeAsked, outcome: ChangeOutcome) -> ChangeReplied:
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Propose
 from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.models.tables import ClientLimits
@@ -59,6 +60,20 @@
     label: int = 0
 
 
+class ReadAsked(NamedTuple):
+    """Ask for the newest tables; the token is the asker's."""
+
+    token: int
+
+
+class TablesRead(NamedTuple):
+    """Answer a read; ``whole`` is None where nobody can be sure of the newest."""
+
+    token: int
+    whole: WholeTables | None
+    leader_id: str | None = None
+
+
 class TablesAccepted(NamedTuple):
     """Give a version that a majority has stored."""
 
@@ -71,5 +86,21 @@
     whole: WholeTables
 
 
-ServiceInput = ChangeAsked | Committed | Restored | Proposed | LeaderChanged | ReadReady
-ServiceOutput = Propose | Compact | ChangeReplied | TablesAccepted | TablesReplaced
+ServiceInput = (
+    ChangeAsked
+    | ReadAsked
+    | Committed
+    | Restored
+    | Proposed
+    | LeaderChanged
+    | ReadReady
+)
+ServiceOutput = (
+    Propose
+    | Compact
+    | ReadIndex
+    | ChangeReplied
+    | TablesRead
+    | TablesAccepted
+    | TablesReplaced
+)
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forward requests through the daemon beside a backend server."""
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -0,0 +1,346 @@
+"""Decide the attempts of one request, from its route to its answer."""
+
+import enum
+import zlib
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.forwarding.selection import Need
+from pimentobend_core._internal.forwarding.selection import choose
+from pimentobend_core._internal.forwarding.selection import is_worth_asking
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.tables import DEFAULT_MAX_ATTEMPTS
+from pimentobend_core._internal.models.tables import Route
+from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.request.dispatch import RetryPolicy
+
+MAX_OFFERS = 12  # of work that was declined or refused unrun
+ASK_AGAIN_S = 0.1  # while no server takes work
+HOLD_SHARE = 0.6  # of the time left, in which unsent work waits for a server
+RISK_HOLD_SHARE = 0.2  # of the target, in which unsafe work waits for a sound server
+RISK_LIMIT = 0.5  # above it a server more likely fails than answers
+HEDGE_MULTIPLE = 1.2  # of the time in which nine of ten requests are answered
+HEDGE_LEAST_S = 0.05
+HEDGE_TARGET_SHARE = 0.5  # of the target, at which a hedge is due at the latest
+RETRY_AFTER_S = 1.0
+SERVER_ERROR = 500
+MS_PER_S = 1000
+
+
+class Offers(NamedTuple):
+    """Give the servers that take work up to a distance."""
+
+    candidates: tuple[Candidate, ...]
+    distance: Distance
+
+
+class AttemptDone(NamedTuple):
+    """Report the end of an attempt; ``status`` is 0 without an answer."""
+
+    number: int
+    kind: AttemptKind
+    status: int
+    reason: str = ""
+
+
+class TimerDue(NamedTuple):
+    """Report that the time asked for has come."""
+
+
+class CallerLeft(NamedTuple):
+    """Report that nobody waits for the answer."""
+
+
+DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft
+
+
+class AskServers(NamedTuple):
+    """Ask the daemons up to a distance what their servers offer."""
+
+    distance: Distance
+
+
+class SendAttempt(NamedTuple):
+    """Send the request to a server."""
+
+    number: int
+    candidate: Candidate
+    is_hedge: bool
+
+
+class CancelAttempt(NamedTuple):
+    """Break off an attempt whose answer is not needed."""
+
+    number: int
+
+
+class Deliver(NamedTuple):
+    """Give the caller the answer of an attempt."""
+
+    number: int
+
+
+class Refuse(NamedTuple):
+    """Give the caller a refusal."""
+
+    refusal: Refusal
+
+
+class Stop(NamedTuple):
+    """End without an answer, as nobody waits for one."""
+
+
+class WakeAt(NamedTuple):
+    """Ask for ``TimerDue`` at a time of the clock; a later one replaces it."""
+
+    due: float
+
+
+DeliveryOutput = (
+    AskServers | SendAttempt | CancelAttempt | Deliver | Refuse | Stop | WakeAt
+)
+
+
+class _Phase(enum.Enum):
+    ASKING = "asking"
+    WAITING = "waiting"
+    ENDED = "ended"
+
+
+class Delivery(StatefulFilter[DeliveryInput, DeliveryOutput]):
+    """Own the attempts of one request."""
+
+    def __init__(
+        self,
+        request_id: str,
+        route: Route,
+        pool: str,
+        deadline: float,
+        can_replay: bool,
+        repeats: RetryPolicy,
+    ) -> None:
+        self._request_id = request_id
+        self._pool = pool
+        self._deadline = deadline
+        self._can_replay = can_replay
+        self._is_repeatable = route.repeatable
+        self._max_attempts = route.max_attempts or DEFAULT_MAX_ATTEMPTS
+        self._need = Need(route.repeatable, route.target_latency_ms / MS_PER_S)
+        self._repeats = repeats
+        self._phase = _Phase.WAITING
+        self._begun_at = 0.0
+        self._numbers = 0
+        self._running: dict[int, Candidate] = {}
+        self._tried: set[str] = set()  # servers that the request may have run on
+        self._turned_away: set[str] = set()  # servers that took no work just now
+        self._reached = 0  # servers that the request may have run on
+        self._offers = 0  # that were declined or refused
+        self._ran = Ran.NOT_RUN
+        self._hedge_at: float | None = None
+        self._ask_at: float | None = None
+        self._failed: AttemptDone | None = None  # an answer to give if no better comes
+
+    def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
+        """Return the first steps at ``now`` (seconds)."""
+        self._begun_at = now
+        return (*self._ask(Distance.DATA_CENTRE), self._wake())
+
+    def handle(self, message: DeliveryInput, now: float) -> tuple[DeliveryOutput, ...]:
+        """Take offers, the end of an attempt, or the passing of time."""
+        if self._phase is _Phase.ENDED:
+            return ()
+        match message:
+            case Offers():
+                outputs = self._take_offers(message, now)
+            case AttemptDone():
+                outputs = self._end(message, now)
+            case TimerDue():
+                outputs = self._time(now)
+            case CallerLeft():
+                outputs = (*self._cancel_all(), self._finish(Stop()))
+        return outputs if self._is_ended() else (*outputs, self._wake())
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "request_id": self._request_id,
+            "pool": self._pool,
+            "phase": self._phase.value,
+            "running": [each.server_id for each in self._running.values()],
+            "tried": sorted(self._tried),
+            "ran": self._ran.value,
+        }
+
+    def _is_ended(self) -> bool:
+        return self._phase is _Phase.ENDED
+
+    def _ask(self, distance: Distance) -> tuple[DeliveryOutput, ...]:
+        self._phase = _Phase.ASKING
+        self._ask_at = None
+        return (AskServers(distance),)
+
+    def _wake(self) -> WakeAt:
+        times = (self._deadline, self._hedge_at, self._ask_at)
+        return WakeAt(min(each for each in times if each is not None))
+
+    def _take_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
+        if self._phase is not _Phase.ASKING:
+            return ()
+        excluded = frozenset(self._tried | self._turned_away)
+        best = choose(offers.candidates, self._need, excluded)
+        if offers.distance < Distance.FAR:
+            further = Distance(offers.distance + 1)
+            if is_worth_asking(further, best, self._need):
+                return self._ask(further)
+        if best is None or self._waits_for_better(best, now):
+            return self._hold(now)
+        return self._send(best, now)
+
+    def _waits_for_better(self, best: Candidate, now: float) -> bool:
+        """Hold unsafe work for a moment while every server seems to fail."""
+        if self._is_repeatable or best.bid.risk < RISK_LIMIT:
+            return False
+        return now - self._begun_at < RISK_HOLD_SHARE * self._need.target_s
+
+    def _hold(self, now: float) -> tuple[DeliveryOutput, ...]:
+        self._phase = _Phase.WAITING
+        if self._running:
+            return ()
+        limit = self._begun_at + HOLD_SHARE * (self._deadline - self._begun_at)
+        if now >= limit:
+            return self._give_up(RefusalReason.NO_SERVER, "no server takes the work")
+        self._ask_at = now + ASK_AGAIN_S
+        self._turned_away.clear()
+        return ()
+
+    def _send(self, candidate: Candidate, now: float) -> tuple[DeliveryOutput, ...]:
+        self._phase = _Phase.WAITING
+        is_hedge = bool(self._running)
+        if self._reached and not self._repeats.may_retry(self._pool, now):
+            return () if is_hedge else self._give_failed()
+        self._numbers += 1
+        self._running[self._numbers] = candidate
+        self._tried.add(candidate.server_id)
+        self._reached += 1
+        self._hedge_at = self._find_hedge_time(candidate, now)
+        return (SendAttempt(self._numbers, candidate, is_hedge),)
+
+    def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
+        if not self._is_repeatable or not self._can_replay:
+            return None
+        if self._reached >= self._max_attempts:
+            return None
+        bid = candidate.bid
+        delay_s = bid.wait_s + max(HEDGE_LEAST_S, HEDGE_MULTIPLE * bid.usual_s)
+        if self._need.target_s:
+            delay_s = min(delay_s, HEDGE_TARGET_SHARE * self._need.target_s)
+        return now + delay_s
+
+    def _end(self, done: AttemptDone, now: float) -> tuple[DeliveryOutput, ...]:
+        candidate = self._running.pop(done.number, None)
+        if candidate is None:
+            return ()
+        match done.kind:
+            case AttemptKind.ANSWERED:
+                return self._take_answer(done, now)
+            case AttemptKind.DECLINED | AttemptKind.NOT_CONNECTED:
+                self._turn_away(candidate)
+                return self._offer_again(now, is_free=True)
+            case AttemptKind.REFUSED:
+                self._turn_away(candidate)
+                return self._offer_again(now, is_free=False)
+            case _:
+                self._ran = Ran.UNKNOWN
+                return self._retry(now)
+
+    def _turn_away(self, candidate: Candidate) -> None:
+        self._reached -= 1
+        self._tried.discard(candidate.server_id)
+        self._turned_away.add(candidate.server_id)
+
+    def _take_answer(self, done: AttemptDone, now: float) -> tuple[DeliveryOutput, ...]:
+        if done.status < SERVER_ERROR:
+            self._repeats.succeeded(self._pool, now)
+            return (*self._cancel_all(), self._finish(Deliver(done.number)))
+        self._ran = Ran.RAN
+        self._failed = done
+        return self._retry(now)
+
+    def _offer_again(self, now: float, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
+        """Offer work elsewhere that has not run."""
+        self._offers += 1
+        if self._running:
+            return ()
+        is_affordable = is_free or self._repeats.may_offer_again(self._pool, now)
+        if self._offers >= MAX_OFFERS or not is_affordable:
+            return self._give_up(RefusalReason.BACKEND, "every server turned it away")
+        if not self._can_replay and not is_free:
+            return self._give_up(RefusalReason.BACKEND, "the body was sent")
+        return self._ask(Distance.DATA_CENTRE)
+
+    def _retry(self, now: float) -> tuple[DeliveryOutput, ...]:
+        """Repeat work that may run more than once."""
+        self._hedge_at = None
+        if self._running:
+            return ()
+        may_repeat = self._is_repeatable and self._can_replay
+        if not may_repeat or self._reached >= self._max_attempts:
+            return self._give_failed()
+        return self._ask(Distance.DATA_CENTRE)
+
+    def _give_failed(self) -> tuple[DeliveryOutput, ...]:
+        """Give the server's own failure, or say that the outcome is unknown."""
+        if self._failed is not None:
+            return (self._finish(Deliver(self._failed.number)),)
+        if self._ran is Ran.NOT_RUN:
+            return self._give_up(RefusalReason.NO_SERVER, "no server takes the work")
+        return self._give_up(RefusalReason.BACKEND, "the server gave no answer")
+
+    def _time(self, now: float) -> tuple[DeliveryOutput, ...]:
+        if now >= self._deadline:
+            return self._expire()
+        if self._hedge_at is not None and now >= self._hedge_at:
+            self._hedge_at = None
+            if self._phase is _Phase.WAITING and self._running:
+                return self._ask(Distance.DATA_CENTRE)
+        if self._ask_at is not None and now >= self._ask_at:
+            return self._ask(Distance.DATA_CENTRE)
+        return ()
+
+    def _expire(self) -> tuple[DeliveryOutput, ...]:
+        if self._running:
+            self._ran = Ran.UNKNOWN
+        cancelled = self._cancel_all()
+        if self._failed is not None:
+            return (*cancelled, self._finish(Deliver(self._failed.number)))
+        detail = "the deadline passed"
+        return (*cancelled, *self._give_up(RefusalReason.DEADLINE, detail))
+
+    def _cancel_all(self) -> tuple[DeliveryOutput, ...]:
+        outputs = tuple(CancelAttempt(number) for number in self._running)
+        self._running.clear()
+        return outputs
+
+    def _give_up(
+        self, reason: RefusalReason, detail: str
+    ) -> tuple[DeliveryOutput, ...]:
+        if self._ran is Ran.NOT_RUN:
+            refusal = Refusal(503, Ran.NOT_RUN, reason, detail, self._retry_after_s())
+        else:
+            status = 504 if reason is RefusalReason.DEADLINE else 502
+            refusal = Refusal(status, self._ran, reason, detail)
+        return (self._finish(Refuse(refusal)),)
+
+    def _retry_after_s(self) -> float:
+        """Return a delay that differs between requests, so that they spread."""
+        share = zlib.crc32(self._request_id.encode()) / 0xFFFFFFFF
+        return round(RETRY_AFTER_S * (0.5 + share), 2)
+
+    def _finish(self, output: DeliveryOutput) -> DeliveryOutput:
+        self._phase = _Phase.ENDED
+        return output
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -0,0 +1,297 @@
+"""Decide what the backend servers beside a daemon run, and when."""
+
+import bisect
+import enum
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from pimentobend_core._internal.forwarding.durations import RouteDurations
+from pimentobend_core._internal.forwarding.liveness import Liveness
+from pimentobend_core._internal.forwarding.messages import Ask
+from pimentobend_core._internal.forwarding.messages import Bid
+from pimentobend_core._internal.forwarding.messages import Bids
+from pimentobend_core._internal.forwarding.messages import CallEnded
+from pimentobend_core._internal.forwarding.messages import CancelCall
+from pimentobend_core._internal.forwarding.messages import Declined
+from pimentobend_core._internal.forwarding.messages import DeclineReason
+from pimentobend_core._internal.forwarding.messages import EndKind
+from pimentobend_core._internal.forwarding.messages import HostInput
+from pimentobend_core._internal.forwarding.messages import HostOutput
+from pimentobend_core._internal.forwarding.messages import HostTick
+from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import ServerListed
+from pimentobend_core._internal.forwarding.messages import ServerUnlisted
+from pimentobend_core._internal.forwarding.messages import StartCall
+from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import Submit
+from pimentobend_core._internal.forwarding.messages import Withdraw
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.pipes import StatefulFilter
+
+QUEUE_LIMIT = 128  # attempts a server
+RECORDS_LIMIT = 20_000  # attempts; 12 s at the design's rate need 3,000
+KEEP_S = 5.0  # past the deadline, after which no origin asks again
+UNREACHABLE_S = 0.5  # without offers after a connection was refused
+
+
+class _Phase(enum.Enum):
+    QUEUED = "queued"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class _Record:
+    """Hold one attempt for as long as it may be submitted again."""
+
+    __slots__ = ("phase", "started_at", "submit")
+
+    def __init__(self, submit: Submit) -> None:
+        self.submit = submit
+        self.phase = _Phase.QUEUED
+        self.started_at = 0.0
+
+
+class _Place(NamedTuple):
+    """Order the queue: urgent first, then as they came."""
+
+    priority: int
+    number: int
+    attempt_id: str
+
+
+class _Hosted:
+    """Hold what is known of one server."""
+
+    def __init__(self, server: Server, now: float) -> None:
+        self.server = server
+        self.running: set[str] = set()
+        self.queue: list[_Place] = []
+        self.liveness = Liveness(now)
+        self.durations = RouteDurations()
+        self.unreachable_until = 0.0
+
+    @property
+    def is_ready(self) -> bool:
+        """Say whether the server takes new work."""
+        return self.server.state is not ServerState.DRAINING
+
+    @property
+    def free_slots(self) -> int:
+        """Return how many more requests the server can run."""
+        return max(0, self.server.slots - len(self.running))
+
+
+class ServerHost(StatefulFilter[HostInput, HostOutput]):
+    """Own the slots, the queue and the attempts of the servers beside a daemon.
+
+    Every request for these servers passes here, so what runs is known exactly,
+    and an attempt runs at most once however often it is submitted.
+    """
+
+    def __init__(self, process_id: int) -> None:
+        self._process_id = process_id
+        self._servers: dict[str, _Hosted] = {}
+        self._records: dict[str, _Record] = {}
+        self._number = 0
+        self._is_stopping = False
+
+    def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
+        """Take a question, an attempt, the end of a call or a tick."""
+        match message:
+            case Ask():
+                return (self._bid(message, now),)
+            case Submit():
+                return self._submit(message, now)
+            case CallEnded():
+                return self._end(message, now)
+            case Withdraw():
+                return self._withdraw(message.attempt_id, now)
+            case ServerListed():
+                return self._list(message.server, now)
+            case ServerUnlisted():
+                return self._unlist(message.server_id)
+            case StopTaking():
+                self._is_stopping = True
+            case HostTick():
+                return self._tick(now)
+        return ()
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "attempts": len(self._records),
+            "is_stopping": self._is_stopping,
+            "servers": {
+                server_id: {
+                    "service": hosted.server.service,
+                    "state": hosted.server.state.value,
+                    "slots": hosted.server.slots,
+                    "running": sorted(hosted.running),
+                    "queued": [place.attempt_id for place in hosted.queue],
+                }
+                for server_id, hosted in sorted(self._servers.items())
+            },
+        }
+
+    def _bid(self, ask: Ask, now: float) -> Bids:
+        bids = tuple(
+            self._describe(hosted, ask.route, now)
+            for hosted in self._servers.values()
+            if hosted.server.service == ask.service and self._may_offer(hosted, now)
+        )
+        return Bids(ask.token, self._process_id, bids)
+
+    def _may_offer(self, hosted: _Hosted, now: float) -> bool:
+        if self._is_stopping or not hosted.is_ready:
+            return False
+        return now >= hosted.unreachable_until and len(hosted.queue) < QUEUE_LIMIT
+
+    def _describe(self, hosted: _Hosted, route: str, now: float) -> Bid:
+        durations = hosted.durations.of(route)
+        wait_s = 0.0
+        if not hosted.free_slots:
+            ahead = len(hosted.queue) + 1
+            wait_s = ahead * durations.mean_s / max(1, hosted.server.slots)
+        return Bid(
+            hosted.server.server_id,
+            round(hosted.liveness.risk(now), 3),
+            hosted.free_slots,
+            round(wait_s, 3),
+            round(durations.usual_s, 3),
+        )
+
+    def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
+        if submit.attempt_id in self._records:
+            return (Joined(submit.attempt_id),)
+        hosted = self._servers.get(submit.server_id)
+        record = _Record(submit)
+        reason = self._find_reason(hosted, submit, now)
+        if hosted is None or reason is not None:
+            # kept, as a delayed copy of the submission must not run later
+            self._records[submit.attempt_id] = record
+            return (self._decline(record, reason or DeclineReason.NO_SERVER),)
+        self._records[submit.attempt_id] = record
+        self._number += 1
+        place = _Place(submit.priority, self._number, submit.attempt_id)
+        bisect.insort(hosted.queue, place)
+        hosted.durations.of(submit.route, submit.target_s)
+        return self._start(hosted, now)
+
+    def _find_reason(
+        self, hosted: _Hosted | None, submit: Submit, now: float
+    ) -> DeclineReason | None:
+        if hosted is None:
+            return DeclineReason.NO_SERVER
+        if self._is_stopping or not hosted.is_ready:
+            return DeclineReason.DRAINING
+        if now >= submit.deadline:
+            return DeclineReason.DEADLINE
+        is_full = len(hosted.queue) >= QUEUE_LIMIT
+        if is_full or len(self._records) >= RECORDS_LIMIT:
+            return DeclineReason.FULL
+        return None
+
+    def _start(self, hosted: _Hosted, now: float) -> tuple[HostOutput, ...]:
+        """Give the free slots to those who wait."""
+        outputs: list[HostOutput] = []
+        while hosted.queue and hosted.free_slots and hosted.is_ready:
+            place = hosted.queue.pop(0)
+            record = self._records[place.attempt_id]
+            submit = record.submit
+            if now >= submit.deadline:
+                outputs.append(self._decline(record, DeclineReason.DEADLINE))
+                continue
+            record.phase = _Phase.RUNNING
+            record.started_at = now
+            hosted.running.add(submit.attempt_id)
+            survival = hosted.durations.of(submit.route, submit.target_s).survival
+            hosted.liveness.sent(submit.attempt_id, survival, now)
+            outputs.append(StartCall(submit.attempt_id, hosted.server))
+        return tuple(outputs)
+
+    def _end(self, ended: CallEnded, now: float) -> tuple[HostOutput, ...]:
+        record = self._records.get(ended.attempt_id)
+        if record is None or record.phase is not _Phase.RUNNING:
+            return ()
+        record.phase = _Phase.ENDED
+        hosted = self._servers.get(record.submit.server_id)
+        if hosted is None:
+            return ()
+        hosted.running.discard(ended.attempt_id)
+        self._judge(hosted, record, ended.kind, now)
+        return self._start(hosted, now)
+
+    def _judge(
+        self, hosted: _Hosted, record: _Record, kind: EndKind, now: float
+    ) -> None:
+        attempt_id = record.submit.attempt_id
+        if kind is EndKind.GOOD:
+            route = record.submit.route
+            hosted.durations.of(route).note(now - record.started_at)
+            hosted.liveness.ended(attempt_id, now, is_good=True)
+        elif kind is EndKind.GIVEN_UP:
+            hosted.liveness.ended(attempt_id, now, is_good=None)
+        else:
+            hosted.liveness.ended(attempt_id, now, is_good=False)
+        if kind is EndKind.UNREACHABLE:
+            hosted.unreachable_until = now + UNREACHABLE_S
+
+    def _withdraw(self, attempt_id: str, now: float) -> tuple[HostOutput, ...]:
+        """Drop a queued attempt; break off one that may be repeated."""
+        record = self._records.get(attempt_id)
+        if record is None:
+            return ()
+        if record.phase is _Phase.QUEUED:
+            hosted = self._servers.get(record.submit.server_id)
+            if hosted is not None:
+                hosted.queue = [
+                    place for place in hosted.queue if place.attempt_id != attempt_id
+                ]
+            return (self._decline(record, DeclineReason.WITHDRAWN),)
+        if record.phase is _Phase.RUNNING and record.submit.is_repeatable:
+            return (CancelCall(attempt_id),)
+        return ()
+
+    def _decline(self, record: _Record, reason: DeclineReason) -> Declined:
+        record.phase = _Phase.ENDED
+        return Declined(record.submit.attempt_id, reason)
+
+    def _list(self, server: Server, now: float) -> tuple[HostOutput, ...]:
+        hosted = self._servers.get(server.server_id)
+        if hosted is None or server.incarnation != hosted.server.incarnation:
+            gone = self._unlist(server.server_id)
+            hosted = self._servers[server.server_id] = _Hosted(server, now)
+            return gone
+        hosted.server = server
+        if hosted.is_ready:
+            return self._start(hosted, now)
+        return self._clear(hosted, DeclineReason.DRAINING)
+
+    def _unlist(self, server_id: str) -> tuple[HostOutput, ...]:
+        hosted = self._servers.pop(server_id, None)
+        return () if hosted is None else self._clear(hosted, DeclineReason.NO_SERVER)
+
+    def _clear(self, hosted: _Hosted, reason: DeclineReason) -> tuple[HostOutput, ...]:
+        records = [self._records[place.attempt_id] for place in hosted.queue]
+        hosted.queue.clear()
+        return tuple(self._decline(record, reason) for record in records)
+
+    def _tick(self, now: float) -> tuple[HostOutput, ...]:
+        outputs: list[HostOutput] = []
+        for hosted in self._servers.values():
+            late = [
+                place
+                for place in hosted.queue
+                if now >= self._records[place.attempt_id].submit.deadline
+            ]
+            for place in late:
+                hosted.queue.remove(place)
+                record = self._records[place.attempt_id]
+                outputs.append(self._decline(record, DeclineReason.DEADLINE))
+        self._records = {
+            attempt_id: record
+            for attempt_id, record in self._records.items()
+            if record.phase is not _Phase.ENDED or now < record.submit.deadline + KEEP_S
+        }
+        return tuple(outputs)
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -33,18 +33,23 @@
     server: Server
     presence: Presence
     until: float  # end of the lease, or when the row is forgotten
+    sequence: int = 0  # of the newest announcement
 
 
 class ServerRegistry(StatefulFilter[RegistryInput, RegistryOutput]):
     """Turn announcements and the passing of time into events.
 
     ``epoch`` must grow at each start of the instance, so that its rows
-    replace those of its earlier life.
+    replace those of its earlier life. With ``one_an_address`` incarnations are
+    times, and a later server replaces an earlier one at its address.
     """
 
-    def __init__(self, instance_id: str, epoch: int = 0) -> None:
+    def __init__(
+        self, instance_id: str, epoch: int = 0, *, one_an_address: bool = False
+    ) -> None:
         self._instance_id = instance_id
         self._epoch = epoch
+        self._one_an_address = one_an_address
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
         self._drained: dict[str, int] = {}  # incarnations
@@ -93,7 +98,11 @@
         self, message: Announcement, now: float
     ) -> tuple[RegistryOutput, ...]:
         server = self._as_drained(message.server)
+        if self._is_late(message):
+            return (self._accept(message),)
         faults = find_faults(message)
+        if self._one_an_address and not faults:
+            faults = self._find_later(server)
         known = self._leases.get(server.server_id)
         if known is not None:
             faults += find_transition_faults(known.server, server)
@@ -102,15 +111,47 @@
             faults += (f"server_id: {SERVERS_MAX} servers are announced already",)
         if faults:
             return (AnnouncementRefused(server.server_id, faults),)
+        replaced = self._replace_at_address(server, now)
         self._leases[server.server_id] = _Lease(
-            server, Presence.LIVE, now + message.lease_s
-        )
-        accepted = AnnouncementAccepted(
-            server.server_id, message.lease_s, message.lease_s / RENEWALS_A_LEASE
+            server, Presence.LIVE, now + message.lease_s, message.sequence
         )
+        accepted = self._accept(message)
         if known is not None and known[:2] == (server, Presence.LIVE):
-            return (accepted,)
-        return (accepted, self._event(Presence.LIVE, server))
+            return (accepted, *replaced)
+        return (accepted, *replaced, self._event(Presence.LIVE, server))
+
+    def _accept(self, message: Announcement) -> AnnouncementAccepted:
+        lease_s = message.lease_s
+        return AnnouncementAccepted(
+            message.server.server_id, lease_s, lease_s / RENEWALS_A_LEASE
+        )
+
+    def _is_late(self, message: Announcement) -> bool:
+        """Say whether a later announcement of the same incarnation is known."""
+        known = self._leases.get(message.server.server_id)
+        if known is None or known.server.incarnation != message.server.incarnation:
+            return False
+        return message.sequence < known.sequence
+
+    def _find_later(self, server: Server) -> tuple[str, ...]:
+        later = [
+            lease.server.server_id
+            for lease in self._leases.values()
+            if _is_at(lease.server, server)
+            and lease.server.incarnation > server.incarnation
+        ]
+        return tuple(f"address: {each} started there later" for each in later)
+
+    def _replace_at_address(self, server: Server, now: float) -> list[RegistryOutput]:
+        if not self._one_an_address:
+            return []
+        return [
+            self._end(lease.server, Presence.WITHDRAWN, now)
+            for lease in list(self._leases.values())
+            if lease.presence is Presence.LIVE
+            and _is_at(lease.server, server)
+            and lease.server.server_id != server.server_id
+        ]
 
     def _drain(self, server_id: str) -> tuple[RegistryOutput, ...]:
         known = self._leases.get(server_id)
@@ -170,6 +211,10 @@
                 self._leases[server_id] = lease._replace(until=lease.until + pause)
 
 
+def _is_at(known: Server, server: Server) -> bool:
+    return (known.host, known.port) == (server.host, server.port)
+
+
 def _find_withdrawal_faults(known: _Lease, server: Server) -> tuple[str, ...]:
     withdrawn = known.presence is Presence.WITHDRAWN
     if withdrawn and server.incarnation <= known.server.incarnation:
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -27,6 +27,9 @@
     IN_PROGRESS = "in-progress"
     ALREADY_RAN = "already-ran"
     DRAINING = "draining"
+    CALLER_LEFT = "caller-left"
+    NO_TABLES = "no-tables"
+    TOO_LARGE = "too-large"
 
 
 class Refusal(NamedTuple):
@@ -36,7 +39,7 @@
     ran: Ran
     reason: RefusalReason
     detail: str
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
 
 Headers = tuple[tuple[str, str], ...]
@@ -66,6 +69,7 @@
     NO_ANSWER = "no-answer"  # bytes were sent, and no answer came
     TRUNCATED = "truncated"  # the answer ended before its stated length
     CANCELLED = "cancelled"  # the caller went away
+    DECLINED = "declined"  # the daemon beside the server took no work
 
 
 class LoadReport(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/models/server.py
+++ b/packages/core/src/pimentobend_core/_internal/models/server.py
@@ -31,6 +31,7 @@
 
     server: Server
     lease_s: float
+    sequence: int = 0  # grows with each announcement of one incarnation
 
 
 class Withdrawal(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -28,7 +28,7 @@
     repeatable: bool  # may the work be run more than once
     timeout_ms: int
     splits: tuple[Split, ...] = ()
-    max_attempts: int = DEFAULT_MAX_ATTEMPTS  # servers that one request may reach
+    max_attempts: int = 0  # servers that one request may reach; 0 for the default
     priority: int = 0  # 0 is the most urgent
     target_latency_ms: int = 0  # 0 where none is stated
 
--- a/packages/core/src/pimentobend_core/_internal/request/idempotency.py
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -12,6 +12,10 @@
 from pimentobend_core._internal.request.stages import Routed
 
 
+def _claim(value: Routed, claim: Claim | None) -> Claimed:
+    return Claimed(value.head, value.body, value.route, claim)
+
+
 class IdempotencyFilter(Filter[Routed, Finished]):
     """Hold a ledger claim around the filters that send the work."""
 
@@ -22,14 +26,14 @@
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
         """Run the inner filters, under a claim when the work needs one."""
         if value.route.repeatable or value.head.idempotency_key is None:
-            return self._inner.apply(Claimed(*value, claim=None))
+            return self._inner.apply(_claim(value, None))
         claimed = self._ledger.claim(value.head)
         if not isinstance(claimed, Failure):
             return self._run(value, claimed.unwrap())
         return Failure(claimed.failure())
 
     def _run(self, value: Routed, claim: Claim) -> Result[Finished, Refusal]:
-        result = self._inner.apply(Claimed(*value, claim=claim))
+        result = self._inner.apply(_claim(value, claim))
         self._settle(claim, result)
         return result
 
--- a/packages/core/src/pimentobend_core/_internal/request/route.py
+++ b/packages/core/src/pimentobend_core/_internal/request/route.py
@@ -1,5 +1,8 @@
 """Find the route of a request."""
 
+import random
+from collections.abc import Callable
+
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -7,29 +10,57 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import TablesPort
 from pimentobend_core._internal.request.stages import Received
 from pimentobend_core._internal.request.stages import Routed
 
 MS_PER_S = 1000
+RETRY_AFTER_S = 0.5  # a daemon that starts has its tables within a second
+NO_TABLES = Refusal(
+    status=503,
+    ran=Ran.NOT_RUN,
+    reason=RefusalReason.NO_TABLES,
+    detail="no tables are in force here yet",
+    retry_after_s=RETRY_AFTER_S,
+)
 
 
 class RouteFilter(Filter[Received, Routed]):
-    """Give a request its route and the earlier of the two deadlines."""
+    """Give a request its route, its pool and the earlier of the two deadlines."""
 
-    def __init__(self, tables: TablesPort) -> None:
+    def __init__(
+        self, tables: TablesPort, draw: Callable[[], float] = random.random
+    ) -> None:
         self._tables = tables
+        self._draw = draw
 
     def apply(self, value: Received) -> Result[Routed, Refusal]:
         """Return the routed request, or a refusal when no route matches."""
+        if not self._tables.current().log_index:
+            return Failure(NO_TABLES)
         route = self._tables.match(value.head)
         if route is None:
             return Failure(_no_route(value))
         latest = value.head.received_at + route.timeout_ms / MS_PER_S
         deadline = min(value.head.deadline, latest)
         head = value.head._replace(deadline=deadline)
-        return Success(Routed(head, value.body, route))
+        pool = choose_pool(route, self._draw())
+        return Success(Routed(head, value.body, route, pool, value.on_caller_left))
+
+
+def choose_pool(route: Route, draw: float) -> str:
+    """Return the pool that a draw from 0 to 1 falls to by the splits' weights."""
+    total = sum(split.weight for split in route.splits)
+    if total <= 0:
+        return route.pool
+    left = draw * total
+    for split in route.splits:
+        left -= split.weight
+        if left < 0:
+            return split.pool
+    return next(each.pool for each in reversed(route.splits) if each.weight > 0)
 
 
 def _no_route(value: Received) -> Refusal:
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -1,5 +1,6 @@
 """Define the stages that a request passes on its way through the pipe."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from pimentobend_core._internal.models.request import Ran
@@ -11,12 +12,16 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import Claim
 
+# Calls a function once the caller has closed its connection.
+OnCallerLeft = Callable[[Callable[[], None]], None]
+
 
 class Received(NamedTuple):
     """Hold a request as the front end gave it."""
 
     head: RequestHead
     body: Body
+    on_caller_left: OnCallerLeft | None = None
 
 
 class Routed(NamedTuple):
@@ -25,6 +30,8 @@
     head: RequestHead
     body: Body
     route: Route
+    pool: str = ""  # the one chosen among the route's splits
+    on_caller_left: OnCallerLeft | None = None
 
 
 class Claimed(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -16,11 +16,15 @@
 class TokenBudget:
     """Earn a share of a token for each success, and a floor with time."""
 
-    def __init__(self, share: float, floor_per_s: float) -> None:
+    def __init__(
+        self, share: float, floor_per_s: float, capacity: float | None = None
+    ) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
-        self._capacity = CAPACITY_TOKENS + CAPACITY_S * floor_per_s
-        self._tokens = CAPACITY_S * floor_per_s
+        if capacity is None:
+            capacity = CAPACITY_TOKENS + CAPACITY_S * floor_per_s
+        self._capacity = capacity
+        self._tokens = min(capacity, CAPACITY_S * floor_per_s)
         self._earned_at: float | None = None
 
     @property
--- a/packages/core/src/pimentobend_core/_internal/traffic/routing.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/routing.py
@@ -42,6 +42,9 @@
     prefix = _without_slash(path)
     while True:
         for route in paths.get(prefix, ()):
+            is_folder = len(route.path) > 1 and route.path.endswith("/")
+            if is_folder and not path.startswith(route.path):
+                continue
             if not route.methods or method in route.methods:
                 return route
         if not prefix:
--- /dev/null
+++ b/packages/core/src/pimentobend_core/tables.py
@@ -0,0 +1,21 @@
+"""Give other packages the types of the configuration."""
+
+from pimentobend_core._internal.configuration.messages import ChangeOutcome
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.configuration.service_messages import NextLabel
+from pimentobend_core._internal.configuration.service_messages import Removals
+from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.models.tables import Pool
+from pimentobend_core._internal.models.tables import Route
+from pimentobend_core._internal.models.tables import Split
+
+__all__ = [
+    "ChangeOutcome",
+    "ClientLimits",
+    "NextLabel",
+    "Pool",
+    "Removals",
+    "Route",
+    "Split",
+    "WholeTables",
+]
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -20,6 +20,7 @@
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.consensus.members import NO_MEMBERS
 from pimentobend_core._internal.consensus.members import Member
@@ -140,6 +141,8 @@
                 self._spread(SpreadReceived(self._address, message))
             case TablesReplaced():
                 self._spread(SpreadReceived(self._address, Whole(output.whole)))
+            case TablesRead():
+                pass  # the operators' interface here reads the tables in force
             case _:
                 self.replica.put(output)
 
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -27,14 +27,19 @@
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
 
-_KINDS: dict[str, type[SpreadMessage]] = {
+KIND_TYPES: dict[str, type[SpreadMessage]] = {
     "tables.catch-up": CatchUp,
     "tables.deltas": Deltas,
     "tables.whole": Whole,
     "tables.current": Current,
 }
-_NAMES = {kind: name for name, kind in _KINDS.items()}
-KINDS = frozenset(_KINDS)
+_NAMES = {kind: name for name, kind in KIND_TYPES.items()}
+KINDS = frozenset(KIND_TYPES)
+
+
+def name_of(message: SpreadMessage) -> str:
+    """Return the kind of the frame that carries a message."""
+    return _NAMES[type(message)]
 
 
 class TablesSpread:
@@ -61,7 +66,7 @@
     def take(self, frame: Frame) -> None:
         """Take another daemon's frame; raise ``FrameError``."""
         try:
-            message = decode(frame.payload, _KINDS[frame.kind])
+            message = decode(frame.payload, KIND_TYPES[frame.kind])
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         if not isinstance(message, CatchUp) and frame.sender not in self._sources:
@@ -70,7 +75,7 @@
 
     def _release(self, output: FollowerOutput) -> None:
         if isinstance(output, SpreadSent):
-            kind = _NAMES[type(output.message)]
+            kind = name_of(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
             self._put_in_force(_join(output.tables))
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Join the daemons that forward through the one beside each server."""
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -0,0 +1,196 @@
+"""Run a replica of the configuration on an instance with a disk."""
+
+import pathlib
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
+import eventlet
+
+from pimentobend_adapters._internal.disk.files import FolderFiles
+from pimentobend_adapters._internal.disk.folder import FolderDisk
+from pimentobend_adapters._internal.disk.task import DiskTask
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.logs import get_log
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.follower_messages import Deltas
+from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
+from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.service import ConfigurationService
+from pimentobend_core._internal.configuration.service_messages import ChangeReplied
+from pimentobend_core._internal.configuration.service_messages import ServiceInput
+from pimentobend_core._internal.configuration.service_messages import ServiceOutput
+from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesRead
+from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.consensus.formation import first_members
+from pimentobend_core._internal.consensus.messages import ChangeMembers
+from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.supervisor import FIRST_PROPOSAL_ID
+from pimentobend_core._internal.consensus.supervisor import CandidateHeard
+from pimentobend_core._internal.consensus.supervisor import Supervisor
+from pimentobend_core._internal.consensus.supervisor import SupervisorInput
+from pimentobend_core._internal.consensus.supervisor import SupervisorTick
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.ports import ClockPort
+from pimentobendd._internal.control.replica_task import LogOutput
+from pimentobendd._internal.control.replica_task import ReplicaSettings
+from pimentobendd._internal.control.replica_task import ReplicaTask
+from pimentobendd._internal.fleet.configuration import KINDS
+from pimentobendd._internal.fleet.configuration import LeaderCalls
+from pimentobendd._internal.fleet.identity import load_identity
+
+GROUP = "configuration"
+KIND_CANDIDATE = "candidate"
+SUPERVISE_S = 0.25
+CANDIDATE_INTERVAL_S = 0.5
+LEADER_QUIET_S = 1.0  # then this replica may have been removed
+
+
+class FleetControl:
+    """Own a replica, the service in front of it and the cluster's supervisor."""
+
+    def __init__(
+        self,
+        link: Transport,
+        data_folder: pathlib.Path,
+        founders: tuple[str, ...],
+        is_first_start: bool,
+        spread: Callable[[SpreadReceived], None],
+        clock: ClockPort,
+        seed: int,
+    ) -> None:
+        identity = load_identity(
+            FolderFiles(data_folder / "replica"),
+            link.address,
+            founders,
+            is_first_start=is_first_start,
+        )
+        self.replica_id = identity.replica_id
+        self._link = link
+        self._clock = clock
+        self._spread = spread
+        self._log = get_log()
+        self._peers: tuple[PeerRow, ...] = ()
+        self._leader_id: str | None = None
+        self._lost_leader_at = clock.now()
+        self.calls = LeaderCalls(link, lambda asked: self._service.put(asked), clock)
+        self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
+            "configuration",
+            ConfigurationService(identity.replica_id),
+            CallOutlet(self._release),
+            clock,
+        )
+        self._replica = ReplicaTask(
+            ReplicaSettings(GROUP, identity.replica_id, first_members(identity), seed),
+            DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
+            link,
+            CallOutlet(self._take_log),
+            clock,
+        )
+        self._supervisor: FilterTask[SupervisorInput, ChangeMembers] = FilterTask(
+            "supervisor", Supervisor(), CallOutlet(self._change_members), clock
+        )
+        self._greenlets: list[Any] = []
+
+    def start(self) -> None:
+        """Load the data folder and start; raise ``DiskError``."""
+        self._service.start()
+        self._supervisor.start()
+        self._replica.start()
+        self._greenlets = [
+            eventlet.spawn(self._supervise),
+            eventlet.spawn(self._stand),
+        ]
+
+    def stop(self) -> None:
+        """Stop the replica; what it acknowledged is on its disk."""
+        for greenlet in self._greenlets:
+            greenlet.kill()
+        self._replica.stop()
+        self._supervisor.stop()
+        self._service.stop()
+
+    def register(self, router: FrameRouter) -> None:
+        """Take the frames that are for control."""
+        router.register(self._replica.kind, self._replica.take)
+        router.register(KIND_CANDIDATE, self._take_candidate)
+        for kind in KINDS:
+            router.register(kind, self.calls.take)
+
+    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        """Take the list of daemons."""
+        self._peers = peers
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of the tasks, a section each."""
+        return {
+            self._replica.name: self._replica.dump(),
+            self._service.name: self._service.dump(),
+            self._supervisor.name: self._supervisor.dump(),
+        }
+
+    def _supervise(self) -> None:
+        while True:
+            eventlet.sleep(SUPERVISE_S)
+            self._supervisor.put(SupervisorTick(self._replica.leader_view()))
+
+    def _stand(self) -> None:
+        """Ask the leader for membership while this replica is none."""
+        payload = encode(CandidateHeard(self.replica_id))
+        while True:
+            eventlet.sleep(CANDIDATE_INTERVAL_S)
+            if not self._is_outside():
+                continue
+            for peer in self._peers:
+                if peer.is_control:
+                    self._link.send(peer.address, KIND_CANDIDATE, payload)
+
+    def _is_outside(self) -> bool:
+        if not self._replica.is_member():
+            return True
+        if self._leader_id is not None:
+            return False
+        return self._clock.now() - self._lost_leader_at > LEADER_QUIET_S
+
+    def _take_candidate(self, frame: Frame) -> None:
+        self._supervisor.put(decode(frame.payload, CandidateHeard))
+
+    def _change_members(self, output: ChangeMembers) -> None:
+        self._log.info(
+            "members-change",
+            action=output.change.action.name.lower(),
+            replica=output.change.replica_id,
+            proposal=output.proposal_id,
+        )
+        self._replica.put(output)
+
+    def _take_log(self, output: LogOutput) -> None:
+        if isinstance(output, Proposed) and output.proposal_id >= FIRST_PROPOSAL_ID:
+            self._supervisor.put(output)
+            return
+        if isinstance(output, LeaderChanged):
+            if self._leader_id is not None and output.leader_id is None:
+                self._lost_leader_at = self._clock.now()
+            self._leader_id = output.leader_id
+            self._log.info("leader", term=output.term, leader=output.leader_id)
+        self._service.put(output)
+
+    def _release(self, output: ServiceOutput) -> None:
+        match output:
+            case ChangeReplied() | TablesRead():
+                self.calls.put(output)
+            case TablesAccepted():
+                message = Deltas((output.delta,))
+                self._spread(SpreadReceived(self._link.address, message))
+            case TablesReplaced():
+                whole = Whole(output.whole)
+                self._spread(SpreadReceived(self._link.address, whole))
+            case _:
+                self._replica.put(output)
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -0,0 +1,330 @@
+"""Join the roles of one process that finds its fleet from seeds."""
+
+import pathlib
+import secrets
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import eventlet
+import eventlet.event
+
+from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.http.server import HttpServer
+from pimentobend_adapters._internal.links.datagrams import DatagramLink
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.logs import get_log
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_core._internal.gossip.codec import decode_message
+from pimentobend_core._internal.gossip.codec import encode_message
+from pimentobend_core._internal.gossip.messages import GossipInput
+from pimentobend_core._internal.gossip.messages import GossipOutput
+from pimentobend_core._internal.gossip.messages import GossipReceived
+from pimentobend_core._internal.gossip.messages import GossipTick
+from pimentobend_core._internal.gossip.messages import NewerTablesSeen
+from pimentobend_core._internal.gossip.messages import OwnRowChanged
+from pimentobend_core._internal.gossip.messages import PeersChanged
+from pimentobend_core._internal.gossip.messages import PeerUnreachable
+from pimentobend_core._internal.gossip.messages import ReachabilityChanged
+from pimentobend_core._internal.gossip.messages import SeedsChanged
+from pimentobend_core._internal.gossip.messages import SendGossip
+from pimentobend_core._internal.gossip.messages import TablesChanged
+from pimentobend_core._internal.gossip.node import TICK_S
+from pimentobend_core._internal.gossip.node import GossipNode
+from pimentobend_core._internal.gossip.rows import HostedServer
+from pimentobend_core._internal.gossip.rows import Life
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.models.tables import Tables
+from pimentobendd._internal.exceptions import SettingsError
+from pimentobendd._internal.fleet.control import FleetControl
+from pimentobendd._internal.fleet.dialect import Dialect
+from pimentobendd._internal.fleet.events import ForwardingLog
+from pimentobendd._internal.fleet.events import RequestLog
+from pimentobendd._internal.fleet.instance import FleetInstance
+from pimentobendd._internal.fleet.instance import InstancePorts
+from pimentobendd._internal.fleet.settings import FleetSettings
+from pimentobendd._internal.fleet.settings import load_fleet_settings
+from pimentobendd._internal.fleet.tables import FleetTables
+from pimentobendd._internal.interfaces.operators import dump_text
+from pimentobendd._internal.keys import LOOPBACK_KEY
+from pimentobendd._internal.tables import TablesInForce
+
+KIND_GOSSIP = "gossip"
+SETTINGS_POLL_S = 1.0  # the file may change without a signal
+DRAIN_POLL_S = 0.05
+UNREADY_S = 2.6  # until those who ask whether callers may be sent here know
+END_MARGIN_S = 0.4  # before the time at which the process is killed
+
+
+class FleetDaemon:
+    """Own the parts of one process."""
+
+    def __init__(self, path: str, settings: FleetSettings, dialect: Dialect) -> None:
+        self._path = path
+        self._settings = settings
+        self._dialect = dialect
+        self._log = get_log()
+        self._clock = HubClock()
+        self._process_id = secrets.randbits(62)
+        self._stopping: Any = eventlet.event.Event()
+        self._is_stopping = False
+        self._tables = TablesInForce()
+        self._router = FrameRouter(self._report_frame_fault)
+        self._link = DatagramLink(
+            settings.link, LOOPBACK_KEY, self._router, self._report_frame_fault
+        )
+        self._row = self._create_row()
+        self._gossip: FilterTask[GossipInput, GossipOutput] = FilterTask(
+            "gossip",
+            GossipNode(self._row, settings.seeds, self._process_id),
+            CallOutlet(self._take_gossip),
+            self._clock,
+            Ticking(TICK_S, GossipTick()),
+        )
+        self._spread = FleetTables(self._link, self._tables.put, self._clock)
+        self._control = self._create_control()
+        self._instance = self._create_instance()
+        self._listeners = self._create_listeners()
+        self._tables.follow(self._follow_tables)
+        self._register_frames()
+
+    def run(self) -> None:
+        """Serve until a signal to stop, then finish what is in flight."""
+        signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
+        signal.signal(signal.SIGINT, lambda *_: self._request_stop())
+        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
+        signal.signal(signal.SIGUSR1, lambda *_: self._print_dump())
+        self.start()
+        self._stopping.wait()
+        self.stop()
+
+    def start(self) -> None:
+        """Start all tasks and listen."""
+        self._link.start()
+        self._gossip.start()
+        self._spread.task.start()
+        if self._control is not None:
+            self._control.start()
+        if self._instance is not None:
+            self._instance.start()
+        for listener in self._listeners:
+            listener.start()
+        eventlet.spawn_n(self._poll_settings)
+        self._log.info(
+            "started",
+            roles=",".join(sorted(self._settings.roles)),
+            process=f"{self._process_id:x}",
+            seeds=",".join(self._settings.seeds),
+        )
+
+    def stop(self) -> None:
+        """Take no new work, wait for what is in flight, then close."""
+        began = self._clock.now()
+        self._is_stopping = True
+        self._log.info("stopping", grace_s=self._settings.grace_s)
+        self._change_row(self._row._replace(is_leaving=True, servers=()))
+        if self._instance is not None:
+            self._instance.stop_taking()
+            self._finish(self._instance, began)
+            self._instance.close()
+        if self._control is not None:
+            self._control.stop()
+        self._link.close()
+        self._log.info("stopped", took_s=round(self._clock.now() - began, 3))
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of the process, a section for each task."""
+        tables = self._tables.current()
+        state: dict[str, object] = {
+            "instance": self._settings.instance,
+            "process": f"{self._process_id:x}",
+            "tables": {
+                "version": str(Version(*tables[:2])),
+                "label": tables.label,
+                "routes": len(tables.routes),
+                "pools": len(tables.pools),
+            },
+            "gossip": self._gossip.dump(),
+            "spread": self._spread.task.dump(),
+        }
+        if self._control is not None:
+            state.update(self._control.dump())
+        if self._instance is not None:
+            state.update(self._instance.dump())
+        return state
+
+    def _create_row(self) -> PeerRow:
+        settings = self._settings
+        return PeerRow(
+            address=settings.link,
+            life=Life(time.time_ns() // 1_000_000, 0),
+            process_id=self._process_id,
+            data_centre=settings.data_centre,
+            region=settings.region,
+            is_control="control" in settings.roles,
+            forward_port=settings.forward.port if settings.forward else 0,
+            is_leaving=False,
+            servers=(),
+        )
+
+    def _create_control(self) -> FleetControl | None:
+        settings = self._settings
+        if "control" not in settings.roles or settings.data_folder is None:
+            return None
+        return FleetControl(
+            self._link,
+            pathlib.Path(settings.data_folder),
+            settings.seeds,
+            settings.first_start,
+            self._spread.task.put,
+            self._clock,
+            seed=self._process_id,
+        )
+
+    def _create_instance(self) -> FleetInstance | None:
+        if "instance" not in self._settings.roles:
+            return None
+        ports = InstancePorts(
+            dialect=self._dialect,
+            process_id=self._process_id,
+            link=self._link,
+            tables=self._tables,
+            own_row=lambda: self._row,
+            on_servers=self._change_servers,
+            on_unreachable=lambda each: self._gossip.put(PeerUnreachable(each)),
+            forwarding=ForwardingLog(),
+            requests=RequestLog(),
+            on_connect=lambda: None,
+        )
+        return FleetInstance(self._settings, ports)
+
+    def _create_listeners(self) -> list[HttpServer]:
+        settings, dialect = self._settings, self._dialect
+        listeners = []
+        if settings.ready is not None:
+            ready = dialect.create_ready(self._is_ready)
+            listeners.append(HttpServer(settings.ready, ready))
+        if settings.operators is not None and self._control is not None:
+            operators = dialect.create_operators(self._control.calls)
+            listeners.append(HttpServer(settings.operators, operators))
+        return listeners
+
+    def _register_frames(self) -> None:
+        self._router.register(KIND_GOSSIP, self._take_gossip_frame)
+        self._spread.register(self._router)
+        if self._control is not None:
+            self._control.register(self._router)
+        if self._instance is not None:
+            self._instance.register(self._router)
+
+    def _is_ready(self) -> bool:
+        return not self._is_stopping and self._tables.current().log_index > 0
+
+    def _change_servers(self, servers: tuple[HostedServer, ...]) -> None:
+        for server in servers:
+            self._log.info("server-listed", **server._asdict())
+        if not self._is_stopping:
+            self._change_row(self._row._replace(servers=servers))
+
+    def _change_row(self, row: PeerRow) -> None:
+        self._row = row
+        self._gossip.put(OwnRowChanged(row))
+
+    def _take_gossip_frame(self, frame: Frame) -> None:
+        message = decode_message(frame.payload)
+        self._gossip.put(GossipReceived(frame.sender, message))
+
+    def _take_gossip(self, output: GossipOutput) -> None:
+        match output:
+            case SendGossip():
+                payload = encode_message(output.message)
+                self._link.send(output.recipient, KIND_GOSSIP, payload)
+            case PeersChanged():
+                self._follow_peers(output.peers)
+            case ReachabilityChanged():
+                self._follow_reachability(output)
+            case NewerTablesSeen():
+                self._spread.see_newer(output.address, output.version)
+
+    def _follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        if self._control is not None:
+            self._control.follow_peers(peers)
+            self._spread.follow_peers(self._row, peers)
+        if self._instance is not None:
+            self._instance.board.follow_peers(peers)
+            instances = sum(1 for row in peers if row.forward_port)
+            self._instance.budget.follow_fleet(instances + 1)
+
+    def _follow_reachability(self, output: ReachabilityChanged) -> None:
+        event = "peer-found" if output.is_reachable else "peer-lost"
+        self._log.info(event, peer=output.address)
+        if self._instance is not None:
+            self._instance.board.follow_reachability(
+                output.address, is_reachable=output.is_reachable
+            )
+
+    def _follow_tables(self, tables: Tables) -> None:
+        version = Version(*tables[:2])
+        self._gossip.put(TablesChanged(version))
+        self._log.info("tables-in-force", version=str(version), label=tables.label)
+
+    def _report_frame_fault(self, error: PimentobendError) -> None:
+        self._log.warning("frame-refused", error=str(error))
+
+    def _poll_settings(self) -> None:
+        """Read the settings again once their file has changed."""
+        stamp = _stamp(self._path)
+        while True:
+            eventlet.sleep(SETTINGS_POLL_S)
+            current = _stamp(self._path)
+            if current != stamp:
+                stamp = current
+                self._reload()
+
+    def _reload(self) -> None:
+        try:
+            settings = load_fleet_settings(self._path)
+        except SettingsError as error:
+            self._log.error("reload-refused", error=str(error))
+            return
+        if settings.seeds != self._settings.seeds:
+            self._gossip.put(SeedsChanged(settings.seeds))
+        self._settings = settings
+        self._log.info("reloaded", seeds=",".join(settings.seeds))
+
+    def _request_stop(self) -> None:
+        if not self._stopping.ready():
+            self._stopping.send(None)
+
+    def _print_dump(self) -> None:
+        eventlet.spawn_n(
+            lambda: print(dump_text(self.dump()), file=sys.stdout, flush=True)
+        )
+
+    def _finish(self, instance: FleetInstance, began: float) -> None:
+        """Serve until callers know better and nothing is in flight."""
+        least_s = min(UNREADY_S, self._settings.grace_s / 2)
+        most_s = max(0.0, self._settings.grace_s - END_MARGIN_S)
+        while True:
+            waited_s = self._clock.now() - began
+            is_idle = not instance.in_flight
+            if waited_s >= most_s or (is_idle and waited_s >= least_s):
+                break
+            eventlet.sleep(DRAIN_POLL_S)
+        if instance.in_flight:
+            self._log.error("shutdown-cut", in_flight=instance.in_flight)
+
+
+def _stamp(path: str) -> tuple[int, int] | None:
+    try:
+        status = pathlib.Path(path).stat()
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_size
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -0,0 +1,227 @@
+"""Run the role instance: callers, forwarded requests and the servers beside."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_adapters._internal.asking import Replies
+from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.forwarding.board import KIND_ASK
+from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.calls import ServerCalls
+from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
+from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
+from pimentobend_adapters._internal.forwarding.host import HostTasks
+from pimentobend_adapters._internal.forwarding.peer_front import PeerFront
+from pimentobend_adapters._internal.forwarding.peers import PeerClient
+from pimentobend_adapters._internal.http.front import CallerFront
+from pimentobend_adapters._internal.http.front import FrontTerms
+from pimentobend_adapters._internal.http.server import HttpServer
+from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.gossip.rows import HostedServer
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.membership.messages import AnnouncementAccepted
+from pimentobend_core._internal.membership.messages import AnnouncementRefused
+from pimentobend_core._internal.membership.messages import Presence
+from pimentobend_core._internal.membership.messages import RegistryInput
+from pimentobend_core._internal.membership.messages import RegistryOutput
+from pimentobend_core._internal.membership.messages import RegistryTick
+from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import WithdrawalAccepted
+from pimentobend_core._internal.membership.registry import ServerRegistry
+from pimentobend_core._internal.models.events import RequestEnded
+from pimentobend_core._internal.models.server import Announcement
+from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.models.server import Withdrawal
+from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.route import RouteFilter
+from pimentobend_core._internal.traffic.shared_budget import SharedBudget
+from pimentobendd._internal.fleet.dialect import Dialect
+from pimentobendd._internal.fleet.dialect import ServersPort
+from pimentobendd._internal.fleet.settings import FleetSettings
+from pimentobendd._internal.tables import TablesInForce
+
+REGISTRY_TICK_S = 0.5
+ANSWER_TIMEOUT_S = 0.8  # servers turn elsewhere after a second
+
+RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
+
+
+class ServersBeside(ServersPort):
+    """Own the registry of the servers that announce themselves here."""
+
+    def __init__(
+        self, address: str, epoch: int, on_change: Callable[[ServerEvent], None]
+    ) -> None:
+        self._on_change = on_change
+        self._replies: Replies[RegistryReply] = Replies(lambda reply: reply.server_id)
+        self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
+            "registry",
+            ServerRegistry(address, epoch, one_an_address=True),
+            CallOutlet(self._release),
+            HubClock(),
+            Ticking(REGISTRY_TICK_S, RegistryTick()),
+        )
+
+    def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
+        """Take an announcement, or return its faults."""
+        reply = self._replies.ask(
+            announcement.server.server_id,
+            lambda: self.task.put(announcement),
+            ANSWER_TIMEOUT_S,
+        )
+        if isinstance(reply, AnnouncementRefused):
+            return Failure(reply.faults)
+        return Success(None)
+
+    def withdraw(self, withdrawal: Withdrawal) -> None:
+        """Take a server's last word."""
+        self._replies.ask(
+            withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
+        )
+
+    def _release(self, output: RegistryOutput) -> None:
+        if isinstance(output, ServerEvent):
+            self._on_change(output)
+        elif isinstance(output, RegistryReply):
+            self._replies.put(output)
+
+
+class InstancePorts(NamedTuple):
+    """Hold what the role asks of the rest of the process."""
+
+    dialect: Dialect
+    process_id: int
+    link: Transport
+    tables: TablesInForce
+    own_row: Callable[[], PeerRow]
+    on_servers: Callable[[tuple[HostedServer, ...]], None]
+    on_unreachable: Callable[[str], None]
+    forwarding: Outlet[ForwardingEvent]
+    requests: Outlet[RequestEnded]
+    on_connect: Callable[[], None]
+
+
+class FleetInstance:
+    """Own the tasks between callers, other daemons and the servers beside."""
+
+    def __init__(self, settings: FleetSettings, ports: InstancePorts) -> None:
+        assert settings.callers and settings.forward and settings.servers
+        clock = HubClock()
+        dialect, process_id = ports.dialect, ports.process_id
+        link, tables = ports.link, ports.tables
+        names = dialect.names
+        self._on_servers = ports.on_servers
+        self._servers: dict[str, Server] = {}
+        self.host = HostTasks(
+            process_id,
+            ServerCalls(names, clock, ports.on_connect),
+            clock,
+            ports.forwarding,
+        )
+        self.board = OfferBoard(
+            ports.own_row, link, self.host, clock, ports.on_unreachable
+        )
+        self.registry = ServersBeside(link.address, process_id, self._take_server)
+        self.budget = SharedBudget(settings.budget)
+        delivery = DeliveryPorts(
+            process_id,
+            self.board,
+            self.host,
+            PeerClient(clock),
+            self.budget,
+            clock,
+            ports.forwarding,
+        )
+        pipe = (
+            DeadlineFilter(clock)
+            .then(RouteFilter(tables))
+            .then(DeliveryFilter(delivery))
+        )
+        terms = FrontTerms(
+            names,
+            settings.beside.service if settings.beside else "",
+            lambda: tables.current().limits,
+            watches_callers=True,
+        )
+        self.front = CallerFront(pipe, clock, ports.requests, terms)
+        idle_s = lambda: _idle_s(tables.current().limits)  # noqa: E731
+        beside = settings.beside.address if settings.beside else ""
+        self._listeners = (
+            HttpServer(settings.callers, self.front, idle_s),
+            HttpServer(
+                settings.forward, PeerFront(process_id, self.host, names, clock)
+            ),
+            HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests and attempts that have no answer yet."""
+        return self.front.in_flight + self.host.running
+
+    def start(self) -> None:
+        """Start the tasks, then listen."""
+        self.registry.task.start()
+        self.host.start()
+        for listener in self._listeners:
+            listener.start()
+
+    def stop_taking(self) -> None:
+        """Decline work for the servers beside, and let connections end."""
+        self.host.stop_taking()
+        self.front.stop()
+
+    def close(self) -> None:
+        """Take no new connections."""
+        for listener in self._listeners:
+            listener.close()
+
+    def register(self, router: FrameRouter) -> None:
+        """Take the frames between origins and hosts."""
+        router.register(KIND_ASK, self.board.take_ask)
+        router.register(KIND_BIDS, self.board.take_bids)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the state of the role's tasks."""
+        return {
+            "registry": self.registry.task.dump(),
+            "host": self.host.dump(),
+            "requests": {"in_flight": self.front.in_flight},
+        }
+
+    def _take_server(self, event: ServerEvent) -> None:
+        server = event.server
+        if event.presence is Presence.LIVE:
+            self._servers[server.server_id] = server
+            self.host.list_server(server)
+        else:
+            self._servers.pop(server.server_id, None)
+            self.host.unlist_server(server.server_id)
+        self._on_servers(
+            tuple(
+                HostedServer(
+                    each.server_id,
+                    each.service,
+                    each.state is not ServerState.DRAINING,
+                )
+                for each in self._servers.values()
+            )
+        )
+
+
+def _idle_s(limits: ClientLimits | None) -> float | None:
+    return None if limits is None else limits.idle_timeout_ms / 1000
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -0,0 +1,197 @@
+"""Read and check the settings of a daemon that finds its fleet from seeds."""
+
+import ipaddress
+import json
+import pathlib
+from typing import Any
+from typing import NamedTuple
+from typing import cast
+
+from pimentobend_adapters._internal.http.server import Address
+from pimentobend_core._internal.configuration.checks import NAME
+from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
+from pimentobend_core._internal.utils.checks import Fault
+from pimentobend_core._internal.utils.checks import FlagCheck
+from pimentobend_core._internal.utils.checks import ListCheck
+from pimentobend_core._internal.utils.checks import NumberCheck
+from pimentobend_core._internal.utils.checks import ObjectCheck
+from pimentobend_core._internal.utils.checks import TextCheck
+from pimentobend_core._internal.utils.checks import WholeCheck
+from pimentobend_core._internal.utils.checks import parse_document
+from pimentobendd._internal.exceptions import SettingsError
+
+MAX_SEEDS = 64
+MAX_PORT = 65535
+MAX_SECONDS = 3600.0
+
+_ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 number and a port")
+_PATH = TextCheck(r"[^\0]{1,1023}", "a path")
+_ROLE = TextCheck(r"instance|control", "instance or control")
+_SECONDS = NumberCheck(0, MAX_SECONDS)
+_SETTINGS = ObjectCheck(
+    required={
+        "instance": TextCheck(r"[!-~]{1,128}", "a name without spaces"),
+        "data_centre": NAME,
+        "region": NAME,
+        "roles": ListCheck(_ROLE, 2),
+        "ip": TextCheck(r"[0-9.]{7,15}", "an IPv4 number"),
+        "link_port": WholeCheck(1, MAX_PORT),
+        "seeds": ListCheck(_ADDRESS, MAX_SEEDS),
+    },
+    optional={
+        "listen": ObjectCheck(
+            {},
+            {
+                "callers": _ADDRESS,
+                "forward": _ADDRESS,
+                "ready": _ADDRESS,
+                "servers": _ADDRESS,
+                "operators": _ADDRESS,
+            },
+        ),
+        "beside": ObjectCheck({"service": NAME, "address": _ADDRESS}),
+        "first_start": FlagCheck(),
+        "data_folder": _PATH,
+        "heartbeat_s": NumberCheck(0.1, MAX_SECONDS),
+        "grace_s": _SECONDS,
+        "retry_budget": ObjectCheck(
+            {
+                "ratio": NumberCheck(0, 10),
+                "window_s": NumberCheck(0.1, MAX_SECONDS),
+                "allowance": NumberCheck(0, 1_000_000),
+            }
+        ),
+    },
+)
+DEFAULT_HEARTBEAT_S = 2.0
+DEFAULT_GRACE_S = 10.0
+DEFAULT_BUDGET = BudgetTerms(ratio=0.2, window_s=10.0, allowance=50.0)
+
+
+class Beside(NamedTuple):
+    """Name the backend server on the same machine."""
+
+    service: str
+    address: str
+
+
+class FleetSettings(NamedTuple):
+    """Hold the checked settings of one process."""
+
+    instance: str
+    data_centre: str
+    region: str
+    roles: frozenset[str]
+    ip: str
+    link_port: int  # the same on every daemon of the fleet
+    seeds: tuple[str, ...]  # link addresses of daemons that may know others
+    callers: Address | None
+    forward: Address | None
+    ready: Address | None
+    servers: Address | None
+    operators: Address | None
+    beside: Beside | None
+    first_start: bool  # the whole fleet starts for the first time
+    data_folder: pathlib.Path | None
+    heartbeat_s: float
+    grace_s: float  # between the signal to stop and the end
+    budget: BudgetTerms
+
+    @property
+    def link(self) -> str:
+        """Return the address of this process's link."""
+        return f"{self.ip}:{self.link_port}"
+
+
+def load_fleet_settings(path: str) -> FleetSettings:
+    """Read a settings file; raise SettingsError with every fault."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = Fault(path, str(error), "a readable UTF-8 file")
+        raise SettingsError(path, [fault]) from error
+    return parse_fleet_settings(text, path)
+
+
+def parse_fleet_settings(text: str, path: str) -> FleetSettings:
+    """Check settings given as JSON text; raise SettingsError with every fault."""
+    document, faults = parse_document(text)
+    if isinstance(document, dict):
+        document = {key: value for key, value in document.items() if value is not None}
+    if document is not None:
+        faults += tuple(_SETTINGS.find("", document))
+    if faults:
+        raise SettingsError(path, faults)
+    values = cast(dict[str, Any], document)
+    faults = tuple(_find_contradictions(values))
+    if faults:
+        raise SettingsError(path, faults)
+    return _build(values)
+
+
+def _find_contradictions(values: dict[str, Any]) -> list[Fault]:
+    faults: list[Fault] = []
+    roles = values["roles"]
+    listen = values.get("listen", {})
+    if not roles:
+        faults.append(Fault("roles", json.dumps(roles), "at least one role"))
+    if "instance" in roles:
+        for key in ("callers", "forward", "servers"):
+            if key not in listen:
+                faults.append(Fault(f"listen.{key}", "missing", "an address"))
+    if "control" in roles and "data_folder" not in values:
+        faults.append(Fault("data_folder", "missing", "a path (role control)"))
+    places = [(f"listen.{key}", text) for key, text in listen.items()]
+    places += [(f"seeds[{i}]", text) for i, text in enumerate(values["seeds"])]
+    places.append(("ip", f"{values['ip']}:1"))
+    if "beside" in values:
+        places.append(("beside.address", values["beside"]["address"]))
+    for place, text in places:
+        if not _is_address(text):
+            faults.append(Fault(place, text, "an IPv4 number and a port up to 65535"))
+    return faults
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return int(port) <= MAX_PORT
+
+
+def _address(text: str | None) -> Address | None:
+    if text is None:
+        return None
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
+def _build(values: dict[str, Any]) -> FleetSettings:
+    listen = values.get("listen", {})
+    link_port = values["link_port"]
+    folder = values.get("data_folder")
+    beside = values.get("beside")
+    seeds = (text.rpartition(":")[0] for text in values["seeds"])
+    budget = values.get("retry_budget")
+    return FleetSettings(
+        instance=values["instance"],
+        data_centre=values["data_centre"],
+        region=values["region"],
+        roles=frozenset(values["roles"]),
+        ip=values["ip"],
+        link_port=link_port,
+        seeds=tuple(f"{host}:{link_port}" for host in seeds),
+        callers=_address(listen.get("callers")),
+        forward=_address(listen.get("forward")),
+        ready=_address(listen.get("ready")),
+        servers=_address(listen.get("servers")),
+        operators=_address(listen.get("operators")),
+        beside=Beside(**beside) if beside else None,
+        first_start=values.get("first_start", False),
+        data_folder=pathlib.Path(folder) if folder else None,
+        heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
+        grace_s=values.get("grace_s", DEFAULT_GRACE_S),
+        budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+    )
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -0,0 +1,98 @@
+"""Follow the tables of the fleet's daemons and pass them on."""
+
+from collections.abc import Callable
+
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.tasks import CallOutlet
+from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.follower import TICK_S
+from pimentobend_core._internal.configuration.follower import TablesFollower
+from pimentobend_core._internal.configuration.follower_messages import FollowerInput
+from pimentobend_core._internal.configuration.follower_messages import FollowerOutput
+from pimentobend_core._internal.configuration.follower_messages import FollowersChanged
+from pimentobend_core._internal.configuration.follower_messages import FollowerTick
+from pimentobend_core._internal.configuration.follower_messages import NewerSeen
+from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
+from pimentobend_core._internal.configuration.follower_messages import SpreadSent
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.models.tables import Tables
+from pimentobend_core._internal.ports import ClockPort
+from pimentobendd._internal.control.spread import KIND_TYPES
+from pimentobendd._internal.control.spread import name_of
+
+FOLLOWERS_MAX = 256  # daemons that a control instance gives each version
+
+
+class FleetTables:
+    """Run a follower of the tables on the process's link."""
+
+    def __init__(
+        self,
+        link: Transport,
+        put_in_force: Callable[[Tables], object],
+        clock: ClockPort,
+    ) -> None:
+        self._link = link
+        self._put_in_force = put_in_force
+        self._followers: tuple[str, ...] = ()
+        self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
+            "tables",
+            TablesFollower((), clock.now()),
+            CallOutlet(self._release),
+            clock,
+            Ticking(TICK_S, FollowerTick()),
+        )
+
+    def register(self, router: FrameRouter) -> None:
+        """Take the frames that spread the tables."""
+        for kind in KIND_TYPES:
+            router.register(kind, self.take)
+
+    def take(self, frame: Frame) -> None:
+        """Take another daemon's frame; raise ``FrameError``."""
+        try:
+            message = decode(frame.payload, KIND_TYPES[frame.kind])
+        except CodecError as error:
+            raise FrameError(error.message, context=frame.kind) from error
+        self.task.put(SpreadReceived(frame.sender, message))
+
+    def see_newer(self, address: str, version: Version) -> None:
+        """Take that a daemon has a newer version in force."""
+        self.task.put(NewerSeen(address, version))
+
+    def follow_peers(self, own: PeerRow, peers: tuple[PeerRow, ...]) -> None:
+        """Give new versions to the daemons that this control instance serves.
+
+        These are the ones of its own data centre, and of those that have no
+        control instance.
+        """
+        served = {row.data_centre for row in peers if row.is_control}
+        served.discard(own.data_centre)
+        followers = tuple(
+            row.address
+            for row in peers
+            if not row.is_control and row.data_centre not in served
+        )[:FOLLOWERS_MAX]
+        if followers != self._followers:
+            self._followers = followers
+            self.task.put(FollowersChanged(followers))
+
+    def _release(self, output: FollowerOutput) -> None:
+        if isinstance(output, SpreadSent):
+            kind = name_of(output.message)
+            self._link.send(output.recipient, kind, encode(output.message))
+        else:
+            self._put_in_force(_join(output.tables))
+
+
+def _join(whole: WholeTables) -> Tables:
+    return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
--- /dev/null
+++ b/packages/daemon/src/pimentobendd/fleet.py
@@ -0,0 +1,41 @@
+"""Run a daemon that finds its fleet from seeds, under a dialect."""
+
+import sys
+
+from pimentobend_adapters._internal.logs import configure_logs
+from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobendd._internal.exceptions import SettingsError
+from pimentobendd._internal.fleet.daemon import FleetDaemon
+from pimentobendd._internal.fleet.dialect import Application
+from pimentobendd._internal.fleet.dialect import ConfigurationPort
+from pimentobendd._internal.fleet.dialect import Dialect
+from pimentobendd._internal.fleet.dialect import LabelledChange
+from pimentobendd._internal.fleet.dialect import ServersPort
+from pimentobendd._internal.fleet.settings import load_fleet_settings
+from pimentobendd._internal.main import Status
+
+__all__ = [
+    "Application",
+    "ConfigurationPort",
+    "Dialect",
+    "LabelledChange",
+    "ServersPort",
+    "run_fleet_daemon",
+]
+
+
+def run_fleet_daemon(path: str, dialect: Dialect) -> int:
+    """Read the settings and serve until a signal to stop; return the exit code."""
+    try:
+        settings = load_fleet_settings(path)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(f"pimentobendd: {path}: {fault}", file=sys.stderr)
+        return Status.USAGE
+    configure_logs(settings.instance, sys.stdout)
+    try:
+        FleetDaemon(path, settings, dialect).run()
+    except PimentobendError as error:
+        print(f"pimentobendd: {error}", file=sys.stderr)
+        return Status.ERROR
+    return Status.SUCCESS
--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -54,7 +54,7 @@
 
     def current(self) -> Tables:
         """Return empty tables."""
-        return Tables(0, 0, (), ())
+        return Tables(1, 1, (), ())
 
 
 class FakeTraffic(TrafficPort):
