--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -104,7 +104,9 @@
 
     def _stream(self, peer: str, data: bytes) -> None:
         try:
-            stream = eventlet.connect(_split(peer), timeout=CONNECT_TIMEOUT_S)
+            stream = eventlet.green.socket.create_connection(
+                _split(peer), timeout=CONNECT_TIMEOUT_S
+            )
             try:
                 stream.settimeout(STREAM_TIMEOUT_S)
                 stream.sendall(_LENGTH.pack(len(data)) + data)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -35,7 +35,7 @@
         "region": NAME,
         "roles": ListCheck(_ROLE, 2),
         "ip": TextCheck(r"[0-9.]{7,15}", "an IPv4 number"),
-        "link_port": WholeCheck(1, MAX_PORT),
+        "link_ports": ListCheck(WholeCheck(1, MAX_PORT), 2),
         "seeds": ListCheck(_ADDRESS, MAX_SEEDS),
     },
     optional={
@@ -133,6 +133,8 @@
     faults: list[Fault] = []
     roles = values["roles"]
     listen = values.get("listen", {})
+    if not values["link_ports"]:
+        faults.append(Fault("link_ports", "[]", "the first and the last port"))
     if not roles:
         faults.append(Fault("roles", json.dumps(roles), "at least one role"))
     if "instance" in roles:
@@ -170,7 +172,7 @@
 
 def _build(values: dict[str, Any]) -> FleetSettings:
     listen = values.get("listen", {})
-    link_port = values["link_port"]
+    link_port = values["link_ports"][0]
     folder = values.get("data_folder")
     beside = values.get("beside")
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
--- a/packages/daemon/src/pimentobendd/_internal/main.py
+++ b/packages/daemon/src/pimentobendd/_internal/main.py
@@ -1,6 +1,5 @@
 """Parse the daemon's command line."""
 
-import enum
 import sys
 from typing import Any
 
@@ -11,14 +10,7 @@
 from pimentobendd._internal.daemon import Daemon
 from pimentobendd._internal.exceptions import SettingsError
 from pimentobendd._internal.settings import load_settings
-
-
-class Status(enum.IntEnum):
-    """Name the daemon's exit codes."""
-
-    SUCCESS = 0
-    ERROR = 1
-    USAGE = 2
+from pimentobendd._internal.status import Status
 
 
 def run(argv: list[str]) -> Status:
--- a/packages/daemon/src/pimentobendd/fleet.py
+++ b/packages/daemon/src/pimentobendd/fleet.py
@@ -12,7 +12,7 @@
 from pimentobendd._internal.fleet.dialect import LabelledChange
 from pimentobendd._internal.fleet.dialect import ServersPort
 from pimentobendd._internal.fleet.settings import load_fleet_settings
-from pimentobendd._internal.main import Status
+from pimentobendd._internal.status import Status
 
 __all__ = [
     "Application",
--- a/packages/daemon/src/pimentobendd/restore.py
+++ b/packages/daemon/src/pimentobendd/restore.py
@@ -12,7 +12,7 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.storage import restart_alone
 from pimentobend_core._internal.exceptions import PimentobendError
-from pimentobendd._internal.main import Status
+from pimentobendd._internal.status import Status
 
 USAGE = "usage: python -m pimentobendd.restore --folder=DIR --address=IP:PORT"
 
