Set no socket time limit on the answer of a server or a daemon

Cause: urllib3 sets the connection's time limit again for each request, so the connect limit of 1 s ended every answer that took longer (log: attempt-judged no-answer at 1004 ms). Ruled out: cuts of the path (the daemon beside the server logged its call as running).

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -98,7 +98,7 @@
         connection = HTTPConnection(server.host, server.port, timeout=CONNECT_TIMEOUT_S)
         self._on_connect()
         connection.connect()
-        connection.sock.settimeout(None)
+        connection.timeout = None  # the library sets it again for each request
         return connection
 
     def _exchange(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -78,7 +78,7 @@
         has_sent = False
         try:
             connection.connect()
-            connection.sock.settimeout(None)
+            connection.timeout = None  # the library sets it again for each request
             has_sent = True
             hop = self._hop(peer, attempt, is_resent)
             with eventlet.Timeout(hop.remaining_ms / MS_PER_S, False):
