Tell a reset from an end, try doubtful servers, and withdraw attempts at once

Ruled out: truncation by length (urllib3 checks it). Change: StrictSocket; a withdraw frame; slower recovery in the liveness model, trials of doubtful servers by safe requests, full cost of risk for the last attempt.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 import eventlet
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
 from urllib3.util import SKIP_HEADER
@@ -15,6 +14,7 @@
 from pimentobend_adapters._internal.forwarding.answers import make_attempted
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
@@ -95,7 +95,9 @@
             if is_fresh and not _is_readable(idle.connection):
                 return idle.connection
             idle.connection.close()
-        connection = HTTPConnection(server.host, server.port, timeout=CONNECT_TIMEOUT_S)
+        connection = StrictConnection(
+            server.host, server.port, timeout=CONNECT_TIMEOUT_S
+        )
         self._on_connect()
         connection.connect()
         connection.timeout = None  # the library sets it again for each request
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -209,6 +209,8 @@
         attempt_id, candidate = self._attempt_ids[number]
         if candidate.peer.process_id == self._ports.process_id:
             self._ports.host.withdraw(attempt_id)
+        else:
+            self._ports.peers.withdraw(candidate.peer, attempt_id)
 
     def _close_others(self) -> None:
         """Close the answers that are not given to the caller."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -11,10 +11,12 @@
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempted
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
+from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.host import ServerHost
@@ -145,6 +147,10 @@
         cell = self._cells.get(attempt_id)
         return cell is not None and cell.waiters > 0
 
+    def take_withdraw(self, frame: Frame) -> None:
+        """Take another daemon's withdrawal; raise ``CodecError``."""
+        self._task.put(decode(frame.payload, Withdraw))
+
     def withdraw(self, attempt_id: str) -> None:
         """Take back an attempt that its origin no longer waits for."""
         self._task.put(Withdraw(attempt_id))
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -33,7 +33,7 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
-RECONNECT_S = 0.4  # in which an origin whose connection broke asks again
+RECONNECT_S = 0.25  # in which an origin whose connection broke asks again
 MS_PER_S = 1000
 WRONG_PROCESS = "wrong-process"
 BROKEN_REQUEST = "broken-request"
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 import eventlet
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.util import SKIP_HEADER
 
@@ -19,8 +18,12 @@
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peer_front import BROKEN_REQUEST
 from pimentobend_adapters._internal.forwarding.peer_front import WRONG_PROCESS
+from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
@@ -28,6 +31,7 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
+KIND_WITHDRAW = "withdraw"
 CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, with a lost packet
 RESEND_MIN_S = 0.05
 RESEND_MAX_S = 1.0
@@ -48,8 +52,9 @@
     connection broke is repeated on a new one.
     """
 
-    def __init__(self, clock: ClockPort) -> None:
+    def __init__(self, clock: ClockPort, link: Transport) -> None:
         self._clock = clock
+        self._link = link
 
     def run(self, peer: PeerRow, attempt: LocalAttempt) -> Attempted:
         """Return the end of an attempt; a killed caller closes the connection."""
@@ -70,8 +75,16 @@
             wait_s = min(RESEND_MAX_S, wait_s * 2)
         return self._failed(AttemptKind.NO_ANSWER, started)
 
+    def withdraw(self, peer: PeerRow, attempt_id: str) -> None:
+        """Tell a daemon that nobody waits for an attempt.
+
+        The frame may be lost; the daemon then notices the closed connection.
+        """
+        payload = encode(Withdraw(attempt_id))
+        self._link.send(peer.address, KIND_WITHDRAW, payload)
+
     def _try(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> _Sent:
-        connection = HTTPConnection(
+        connection = StrictConnection(
             peer.host, peer.forward_port, timeout=CONNECT_TIMEOUT_S
         )
         is_passed_on = False
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -130,7 +130,7 @@
         self._can_replay = can_replay
         self._is_repeatable = route.repeatable
         self._max_attempts = route.max_attempts or DEFAULT_MAX_ATTEMPTS
-        self._need = Need(route.repeatable, route.target_latency_ms / MS_PER_S)
+        self._target_s = route.target_latency_ms / MS_PER_S
         self._repeats = repeats
         self._phase = _Phase.WAITING
         self._begun_at = 0.0
@@ -184,6 +184,15 @@
         self._ask_at = None
         return (AskServers(distance),)
 
+    def _need(self) -> Need:
+        has_second_chance = (
+            self._is_repeatable
+            and self._can_replay
+            and not self._running
+            and self._reached + 1 < self._max_attempts
+        )
+        return Need(has_second_chance, self._target_s)
+
     def _wake(self) -> WakeAt:
         times = (self._deadline, self._hedge_at, self._ask_at)
         return WakeAt(min(each for each in times if each is not None))
@@ -192,10 +201,11 @@
         if self._phase is not _Phase.ASKING:
             return ()
         excluded = frozenset(self._tried | self._turned_away)
-        best = choose(offers.candidates, self._need, excluded)
+        need = self._need()
+        best = choose(offers.candidates, need, excluded)
         if offers.distance < Distance.FAR:
             further = Distance(offers.distance + 1)
-            if is_worth_asking(further, best, self._need):
+            if is_worth_asking(further, best, need):
                 return self._ask(further)
         if best is None or self._waits_for_better(best, now):
             return self._hold(now)
@@ -205,7 +215,7 @@
         """Hold unsafe work for a moment while every server seems to fail."""
         if self._is_repeatable or best.bid.risk < RISK_LIMIT:
             return False
-        return now - self._begun_at < RISK_HOLD_SHARE * self._need.target_s
+        return now - self._begun_at < RISK_HOLD_SHARE * self._target_s
 
     def _hold(self, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
@@ -237,8 +247,8 @@
             return None
         bid = candidate.bid
         delay_s = bid.wait_s + max(HEDGE_LEAST_S, HEDGE_MULTIPLE * bid.usual_s)
-        if self._need.target_s:
-            delay_s = min(delay_s, HEDGE_TARGET_SHARE * self._need.target_s)
+        if self._target_s:
+            delay_s = min(delay_s, HEDGE_TARGET_SHARE * self._target_s)
         return now + delay_s
 
     def _end(self, done: AttemptDone, now: float) -> tuple[DeliveryOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -32,6 +32,8 @@
 QUEUE_LIMIT = 128  # attempts a server
 RECORDS_LIMIT = 20_000  # attempts; 12 s at the design's rate need 3,000
 KEEP_S = 5.0  # past the deadline, after which no origin asks again
+TRIAL_INTERVAL_S = 1.5  # at the longest, a doubtful server is tried so often
+TRIAL_RISK = 0.1  # above it a server is doubtful
 UNREACHABLE_S = 0.5  # without offers after a connection was refused
 
 
@@ -153,12 +155,15 @@
         if not hosted.free_slots:
             ahead = len(hosted.queue) + 1
             wait_s = ahead * durations.mean_s / max(1, hosted.server.slots)
+        risk = hosted.liveness.risk(now)
+        is_quiet = hosted.liveness.quiet_s(now) >= TRIAL_INTERVAL_S
         return Bid(
             hosted.server.server_id,
-            round(hosted.liveness.risk(now), 3),
+            round(risk, 3),
             hosted.free_slots,
             round(wait_s, 3),
             round(durations.usual_s, 3),
+            risk > TRIAL_RISK and is_quiet and hosted.free_slots > 0,
         )
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -10,11 +10,11 @@
 from collections import deque
 from collections.abc import Callable
 
-FAILURES_PER_S = 0.08  # a healthy server begins to fail; a few a minute
-RECOVERIES_PER_S = 0.3  # a failing server recovers after some seconds
+FAILURES_PER_S = 0.035  # a healthy server begins to fail twice a minute
+RECOVERIES_PER_S = 0.1  # a failing server recovers after about ten seconds
 FAIL_SHARE = 0.8  # of the requests at a failing server
 ERROR_SHARE = 0.02  # of the requests at a healthy server
-FIRST_RISK = 0.15  # of a server that has answered nothing yet
+FIRST_RISK = 0.1  # of a server that has answered nothing yet
 LEAST_SURVIVAL = 0.002
 EVIDENCE_S = 15.0
 MAX_EVIDENCE = 128  # requests
@@ -80,6 +80,11 @@
             risk = min(0.999, odds / (1.0 + odds))
         return _drift(risk, now - at)
 
+    def quiet_s(self, now: float) -> float:
+        """Return how long ago the newest request was sent, in seconds."""
+        sent_at = self._evidence[-1].sent_at if self._evidence else self._since
+        return now - sent_at
+
     def _forget(self, now: float) -> None:
         """Fold old evidence into the first risk."""
         while len(self._evidence) > MAX_EVIDENCE or (
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -14,6 +14,7 @@
     free_slots: int
     wait_s: float  # until a slot is free
     usual_s: float  # in which nine of ten of the route's requests are answered
+    wants_trial: bool = False  # a repeatable request should try whether it answers
 
 
 class Ask(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -22,8 +22,9 @@
     Distance.REGION: 0.03,  # bytes between data centres are billed
     Distance.FAR: 0.25,  # bytes between regions are billed ten times higher
 }
-LEAST_RISK = 0.04  # of a server that has answered a moment ago
+LEAST_RISK = 0.02  # of a server that has answered a moment ago
 REPEATABLE_RISK_COST = 0.2  # a repeatable request has a second chance
+TRIAL_WORTH = 0.25  # of learning whether a doubtful server answers again
 WAIT_COST = 1.0  # for a wait as long as the route's target
 BUSY_COST = 0.02  # for the last free slot
 DEFAULT_TARGET_S = 1.0
@@ -45,9 +46,14 @@
 class Need(NamedTuple):
     """Describe what a request asks of its server."""
 
-    is_repeatable: bool
+    has_second_chance: bool  # the request may be sent once more
     target_s: float  # 0 where the route states none
 
+    @property
+    def risk_cost(self) -> float:
+        """Return what a failure costs, as a share of the request's worth."""
+        return REPEATABLE_RISK_COST if self.has_second_chance else 1.0
+
 
 def find_distance(own: PeerRow, peer: PeerRow) -> Distance:
     """Return how far a daemon is from this one."""
@@ -61,11 +67,11 @@
 def cost_of(candidate: Candidate, need: Need) -> float:
     """Return the expected cost of a server, as a share of the request's worth."""
     bid = candidate.bid
-    risk_cost = REPEATABLE_RISK_COST if need.is_repeatable else 1.0
     wait = bid.wait_s / (need.target_s or DEFAULT_TARGET_S)
     busy = BUSY_COST / (1 + bid.free_slots)
     distance = DISTANCE_COSTS[candidate.distance]
-    return bid.risk * risk_cost + wait * WAIT_COST + busy + distance
+    trial = TRIAL_WORTH if bid.wants_trial and need.has_second_chance else 0.0
+    return bid.risk * need.risk_cost + wait * WAIT_COST + busy + distance - trial
 
 
 def choose(
@@ -80,6 +86,5 @@
     """Say whether servers at a distance may cost less than the best one so far."""
     if best is None:
         return True
-    risk_cost = REPEATABLE_RISK_COST if need.is_repeatable else 1.0
-    least = DISTANCE_COSTS[distance] + LEAST_RISK * risk_cost
+    least = DISTANCE_COSTS[distance] + LEAST_RISK * need.risk_cost
     return cost_of(best, need) > least
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -18,6 +18,7 @@
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.peer_front import PeerFront
+from pimentobend_adapters._internal.forwarding.peers import KIND_WITHDRAW
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.front import FrontTerms
@@ -141,7 +142,7 @@
             process_id,
             self.board,
             self.host,
-            PeerClient(clock),
+            PeerClient(clock, link),
             self.budget,
             clock,
             ports.forwarding,
@@ -194,6 +195,7 @@
         """Take the frames between origins and hosts."""
         router.register(KIND_ASK, self.board.take_ask)
         router.register(KIND_BIDS, self.board.take_bids)
+        router.register(KIND_WITHDRAW, self.host.take_withdraw)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
--- /dev/null
+++ b/tests/unit/forwarding/test_liveness.py
@@ -0,0 +1,94 @@
+"""Check the estimate of whether a server answers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentobend_core._internal.forwarding.durations import Durations
+from pimentobend_core._internal.forwarding.liveness import EVIDENCE_S
+from pimentobend_core._internal.forwarding.liveness import FIRST_RISK
+from pimentobend_core._internal.forwarding.liveness import Liveness
+
+
+def learnt(seconds: float = 0.1) -> Durations:
+    durations = Durations(1.0)
+    for number in range(100):
+        durations.note(seconds * (0.8 + 0.4 * (number % 10) / 10))
+    return durations
+
+
+CASES = [
+    ("nothing known", [], 0.0, (FIRST_RISK, FIRST_RISK)),
+    ("an answer", [True], 0.0, (0.0, 0.05)),
+    ("answers", [True] * 5, 0.0, (0.0, 0.01)),
+    ("an error among answers", [True, True, False, True, True], 0.0, (0.0, 0.1)),
+    ("an error", [True, False], 0.0, (0.2, 0.9)),
+    ("errors", [False] * 3, 0.0, (0.98, 1.0)),
+    ("errors long ago", [False] * 3, 30.0, (0.2, 0.4)),
+    ("an answer long ago", [True] * 5, 30.0, (0.2, 0.4)),
+    ("given up at once", [None], 0.0, (FIRST_RISK, 0.2)),
+]
+
+
+@pytest.mark.parametrize(
+    ("ends", "later_s", "bounds"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
+)
+def test_risk_follows_the_ends(
+    ends: list[bool | None], later_s: float, bounds: tuple[float, float]
+) -> None:
+    liveness = Liveness(0.0)
+    for number, is_good in enumerate(ends):
+        liveness.sent(str(number), learnt().survival, 0.0)
+        liveness.ended(str(number), 0.0, is_good=is_good)
+    assert bounds[0] <= liveness.risk(later_s) <= bounds[1]
+
+
+def test_risk_grows_with_the_age_of_what_runs() -> None:
+    liveness = Liveness(0.0)
+    for number in range(5):
+        liveness.sent(str(number), learnt().survival, number * 0.1)
+        liveness.ended(str(number), number * 0.1 + 0.1, is_good=True)
+    liveness.sent("open", learnt().survival, 0.6)
+    risks = [liveness.risk(0.6 + age) for age in (0.0, 0.1, 0.2, 0.4, 0.9)]
+    assert risks == sorted(risks)
+    assert risks[0] < 0.05
+    assert risks[-1] > 0.5
+
+
+@given(st.lists(st.tuples(st.floats(0, 1), st.sampled_from([True, False, None]))))
+def test_risk_is_a_probability(steps: list[tuple[float, bool | None]]) -> None:
+    liveness = Liveness(0.0)
+    now = 0.0
+    for number, (wait_s, is_good) in enumerate(steps):
+        now += wait_s
+        liveness.sent(str(number), learnt().survival, now)
+        if number % 3:
+            liveness.ended(str(number), now, is_good=is_good)
+        assert 0.0 <= liveness.risk(now) < 1.0
+
+
+def test_old_evidence_counts_on_in_the_first_risk() -> None:
+    liveness = Liveness(0.0)
+    for number in range(400):
+        now = number * 0.1
+        liveness.sent(str(number), learnt().survival, now)
+        liveness.ended(str(number), now, is_good=True)
+    assert liveness.risk(40.0) < 0.01
+    assert liveness.quiet_s(40.0 + EVIDENCE_S) > EVIDENCE_S
+
+
+@pytest.mark.parametrize(
+    ("seconds", "least", "most"),
+    [(0.0, 1.0, 1.0), (0.05, 0.95, 1.0), (0.1, 0.3, 0.7), (0.3, 0.0, 0.06)],
+)
+def test_survival_follows_the_durations(
+    seconds: float, least: float, most: float
+) -> None:
+    assert least <= learnt().survival(seconds) <= most
+
+
+def test_stragglers_do_not_pass_for_the_usual_time() -> None:
+    durations = learnt()
+    before = durations.usual_s
+    durations.note(10.0)
+    assert durations.usual_s < 1.5 * before
