Keep connections to servers, survive answers that are not HTTP, and gossip less

Ruled out: answers that announce the connection's end. Change: the strict socket keeps its wrapper; http.client's errors end an attempt; pings every 0.5 s and mostly near; heartbeats every 0.25 s.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -1,6 +1,7 @@
 """Hold answers so that they can be given more than once."""
 
 from collections.abc import Iterator
+from http.client import HTTPException
 from typing import Any
 
 from urllib3.exceptions import HTTPError
@@ -49,7 +50,7 @@
         try:
             while piece := self._response.read(CHUNK_BYTES):
                 yield piece
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
             raise AnswerTruncatedError(
                 "the answer broke off", context=type(error).__name__
             ) from error
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -3,6 +3,7 @@
 import enum
 import select
 from collections.abc import Callable
+from http.client import HTTPException
 from typing import Any
 from typing import NamedTuple
 
@@ -75,7 +76,7 @@
             return self._failed(AttemptKind.NOT_CONNECTED, started)
         except BodyBrokenError:
             return self._failed(AttemptKind.CANCELLED, started)
-        except (HTTPError, OSError) as error:
+        except (HTTPError, HTTPException, OSError) as error:
             return self._failed(_kind_of(error, connection), started)
         finally:
             if connection is not None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -1,5 +1,6 @@
 """Send attempts to the daemons beside their servers."""
 
+from http.client import HTTPException
 from typing import Any
 from typing import NamedTuple
 
@@ -98,7 +99,7 @@
                 attempted, is_passed_on = self._exchange(connection, attempt, hop)
                 return _Sent(self._judge(attempted, is_resent), True)
             return _Sent(None, True)
-        except (HTTPError, OSError, HopError):
+        except (HTTPError, HTTPException, OSError, HopError):
             return _Sent(None, has_sent)
         finally:
             if not is_passed_on:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -1,11 +1,15 @@
 """Open connections that tell a reset from an end."""
 
 import errno
+import socket
 from collections.abc import Callable
 from typing import Any
 
+import eventlet.green.socket
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError
+from urllib3.exceptions import NewConnectionError
 
 
 class ResetError(OSError):
@@ -35,6 +39,16 @@
     """Speak HTTP over a ``StrictSocket``."""
 
     def _new_conn(self) -> Any:
-        """Open the connection."""
-        plain: Any = super()._new_conn()
-        return StrictSocket(plain.fd, set_nonblocking=False)
+        """Open the connection; raise an error of urllib3's."""
+        try:
+            plain = eventlet.green.socket.create_connection(
+                (self.host, self.port), self.timeout
+            )
+        except TimeoutError as error:
+            raise ConnectTimeoutError(self, f"no connection to {self.host}") from error
+        except OSError as error:
+            raise NewConnectionError(self, f"no connection: {error}") from error
+        plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        strict = StrictSocket(plain.fd, set_nonblocking=False)
+        strict.plain = plain  # it closes the descriptor once nothing refers to it
+        return strict
--- a/packages/core/src/pimentobend_core/_internal/consensus/constants.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/constants.py
@@ -1,6 +1,6 @@
 """Name the times and sizes of the replicated log."""
 
-HEARTBEAT_S = 0.15
+HEARTBEAT_S = 0.25  # three may be lost before an election
 ELECTION_MIN_S = 0.9
 ELECTION_MAX_S = 1.5
 ELECTION_RETRY_MIN_S = 0.2
--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -27,17 +27,17 @@
 from pimentobend_core._internal.gossip.table import PeerTable
 from pimentobend_core._internal.pipes import StatefulFilter
 
-TICK_S = 0.25
+TICK_S = 0.5
 ACK_TIMEOUT_S = 0.3  # four round trips between regions
 JOIN_INTERVAL_S = 0.25
 SEED_INTERVAL_S = 3.0  # to seeds whose rows are not known
 PULL_INTERVAL_S = 1.0
 RUMOURS_A_MESSAGE = 6  # rows; with them a message fits a datagram
-RUMOUR_ROUNDS = 3  # times the logarithm of the fleet's size
+RUMOUR_ROUNDS = 2  # times the logarithm of the fleet's size
 REPING_INTERVAL_S = 1.0  # of a daemon that does not answer
 REPING_MAX_S = 8.0
 FORGET_S = 120.0  # without an answer or a newer row
-DISTANCE_SHARES = (0.6, 0.9)  # of pings that stay in the data centre, in the region
+DISTANCE_SHARES = (0.75, 0.96)  # of pings that stay in the data centre, in the region
 FAN_OUT = 3  # daemons that hear of a change of the own row at once
 
 
