--- a/packages/core/src/pimentobend_core/_internal/gossip/table.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/table.py
@@ -1,12 +1,13 @@
 """Hold the newest row of each daemon."""
 
-import zlib
+import hashlib
 from collections.abc import Iterable
 from collections.abc import Iterator
 
 from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
 
+DIGEST_BYTES = 7  # a linear checksum would cancel out between similar rows
 MAX_ROWS = 4096  # twice the fleet that the system is designed for
 
 
@@ -74,4 +75,6 @@
 
 
 def _hash(row: PeerRow) -> int:
-    return zlib.crc32(f"{row.address}/{row.life}".encode())
+    content = f"{row.address}/{row.life.incarnation}/{row.life.revision}".encode()
+    digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "little")
--- /dev/null
+++ b/tests/unit/gossip/test_node.py
@@ -0,0 +1,211 @@
+"""Check how daemons find each other and keep a list of the fleet."""
+
+import random
+from collections import deque
+
+import pytest
+
+from pimentobend_core._internal.configuration.messages import FIRST_VERSION
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.gossip.codec import decode_message
+from pimentobend_core._internal.gossip.codec import encode_message
+from pimentobend_core._internal.gossip.messages import Ack
+from pimentobend_core._internal.gossip.messages import GossipInput
+from pimentobend_core._internal.gossip.messages import GossipMessage
+from pimentobend_core._internal.gossip.messages import GossipReceived
+from pimentobend_core._internal.gossip.messages import GossipTick
+from pimentobend_core._internal.gossip.messages import NewerTablesSeen
+from pimentobend_core._internal.gossip.messages import OwnRowChanged
+from pimentobend_core._internal.gossip.messages import PeersChanged
+from pimentobend_core._internal.gossip.messages import PeerUnreachable
+from pimentobend_core._internal.gossip.messages import Ping
+from pimentobend_core._internal.gossip.messages import Pull
+from pimentobend_core._internal.gossip.messages import ReachabilityChanged
+from pimentobend_core._internal.gossip.messages import Rows
+from pimentobend_core._internal.gossip.messages import SendGossip
+from pimentobend_core._internal.gossip.messages import TablesChanged
+from pimentobend_core._internal.gossip.node import TICK_S
+from pimentobend_core._internal.gossip.node import GossipNode
+from pimentobend_core._internal.gossip.rows import HostedServer
+from pimentobend_core._internal.gossip.rows import Life
+from pimentobend_core._internal.gossip.rows import PeerRow
+
+SERVER = HostedServer("s", "bookings", True)
+
+
+def make_row(number: int, *, incarnation: int = 1, zones: int = 4) -> PeerRow:
+    zone = number % zones
+    return PeerRow(
+        f"10.0.0.{number}:7",
+        Life(incarnation, 0),
+        number,
+        f"zone-{zone}",
+        f"region-{zone % 2}",
+        number < 3,
+        8,
+        False,
+        (),
+    )
+
+
+class Fleet:
+    """Own nodes and deliver their messages, some of which get lost."""
+
+    def __init__(self, size: int, seeds: int = 3, lost_share: float = 0.0) -> None:
+        self.now = 0.0
+        self.rng = random.Random(size)
+        self.lost_share = lost_share
+        self.seeds = tuple(make_row(number).address for number in range(seeds))
+        self.nodes: dict[str, GossipNode] = {}
+        self.down: set[str] = set()
+        self.cut: set[frozenset[str]] = set()
+        self.peers: dict[str, tuple[PeerRow, ...]] = {}
+        self.seen: list[tuple[str, object]] = []
+        self.inbox: deque[tuple[str, GossipInput]] = deque()
+        for number in range(size):
+            self.start(make_row(number))
+
+    def start(self, row: PeerRow) -> None:
+        self.nodes[row.address] = GossipNode(row, self.seeds, self.rng.randrange(999))
+        self.peers[row.address] = ()
+        self.down.discard(row.address)
+
+    def give(self, address: str, message: GossipInput) -> None:
+        self.inbox.append((address, message))
+        while self.inbox:
+            self._handle(*self.inbox.popleft())
+
+    def _handle(self, address: str, message: GossipInput) -> None:
+        if address in self.down or address not in self.nodes:
+            return
+        for output in self.nodes[address].handle(message, self.now):
+            if isinstance(output, SendGossip):
+                self._send(address, output)
+            elif isinstance(output, PeersChanged):
+                self.peers[address] = output.peers
+            else:
+                self.seen.append((address, output))
+
+    def run(self, seconds: float) -> None:
+        until = self.now + seconds
+        while self.now < until:
+            self.now += TICK_S
+            for address in list(self.nodes):
+                self.give(address, GossipTick())
+
+    def knows_all(self, address: str) -> bool:
+        return len(self.peers[address]) == len(self.nodes) - 1
+
+    def _send(self, sender: str, output: SendGossip) -> None:
+        is_cut = frozenset((sender, output.recipient)) in self.cut
+        if is_cut or self.rng.random() < self.lost_share:
+            return
+        message = decode_message(encode_message(output.message))
+        self.inbox.append((output.recipient, GossipReceived(sender, message)))
+
+
+@pytest.mark.parametrize(
+    ("size", "lost_share", "within_s"),
+    [(2, 0.0, 4.0), (35, 0.0, 4.0), (35, 0.3, 8.0), (120, 0.0, 4.0)],
+)
+def test_all_find_each_other_from_the_seeds(
+    size: int, lost_share: float, within_s: float
+) -> None:
+    fleet = Fleet(size, lost_share=lost_share)
+    fleet.run(within_s)
+    assert all(fleet.knows_all(address) for address in fleet.nodes)
+
+
+@pytest.mark.parametrize("size", [10, 60, 120])
+def test_a_new_server_is_known_everywhere_within_4_s(size: int) -> None:
+    fleet = Fleet(size)
+    fleet.run(4.0)
+    address = make_row(5).address
+    fleet.give(address, OwnRowChanged(make_row(5)._replace(servers=(SERVER,))))
+    fleet.run(4.0)
+    for other, peers in fleet.peers.items():
+        if other != address:
+            assert (SERVER,) in [row.servers for row in peers if row.address == address]
+
+
+def test_a_restarted_daemon_is_found_though_the_seeds_are_down() -> None:
+    fleet = Fleet(12)
+    fleet.run(3.0)
+    fleet.down.update(fleet.seeds)
+    fleet.run(2.0)
+    fleet.start(make_row(7, incarnation=2))
+    fleet.run(10.0)
+    assert len(fleet.peers[make_row(7).address]) >= 8
+
+
+def test_a_daemon_whose_clock_went_back_refutes_its_earlier_row() -> None:
+    fleet = Fleet(6)
+    fleet.run(2.0)
+    fleet.start(make_row(4, incarnation=0)._replace(process_id=99))
+    fleet.run(6.0)
+    for address, peers in fleet.peers.items():
+        if address != make_row(4).address:
+            ids = {row.process_id for row in peers if row.address.endswith(".4:7")}
+            assert ids == {99}
+
+
+def test_a_cut_path_is_noticed_and_so_is_its_return() -> None:
+    fleet = Fleet(4)
+    fleet.run(2.0)
+    pair = (make_row(0).address, make_row(3).address)
+    fleet.cut.add(frozenset(pair))
+    fleet.seen.clear()
+    fleet.run(40.0)
+    assert (pair[0], ReachabilityChanged(pair[1], False)) in fleet.seen
+    fleet.cut.clear()
+    fleet.run(20.0)
+    assert (pair[0], ReachabilityChanged(pair[1], True)) in fleet.seen
+    assert not [s for s in fleet.seen if "0.1:7" in str(s[1])]
+
+
+def test_another_kind_of_silence_counts_too() -> None:
+    fleet = Fleet(4)
+    fleet.run(2.0)
+    fleet.seen.clear()
+    other = make_row(1).address
+    fleet.give(make_row(0).address, PeerUnreachable(other))
+    assert fleet.seen == [(make_row(0).address, ReachabilityChanged(other, False))]
+    fleet.give(make_row(0).address, PeerUnreachable("10.9.9.9:1"))
+    assert len(fleet.seen) == 1
+
+
+def test_a_newer_version_is_seen_from_pings() -> None:
+    fleet = Fleet(3)
+    fleet.run(2.0)
+    newer = Version(3, 9)
+    fleet.give(make_row(1).address, TablesChanged(newer))
+    fleet.run(6.0)
+    hints = [(a, o) for a, o in fleet.seen if isinstance(o, NewerTablesSeen)]
+    assert {address for address, _ in hints} == {
+        make_row(0).address,
+        make_row(2).address,
+    }
+    assert {hint.version for _, hint in hints} == {newer}
+
+
+ROW = make_row(1)._replace(servers=(SERVER,))
+MESSAGES: list[GossipMessage] = [
+    Ping(1, 2, FIRST_VERSION, (ROW,)),
+    Ack(1, 2, Version(1, 2), ()),
+    Pull(((ROW.address, ROW.life),)),
+    Rows((ROW,), ("a",)),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+def test_messages_survive_the_wire(message: GossipMessage) -> None:
+    assert decode_message(encode_message(message)) == message
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"\x93", b"\x92\x09\x90", b"\x92\x00\x91\x01", b"noise" * 9]
+)
+def test_other_bytes_are_a_codec_error(data: bytes) -> None:
+    with pytest.raises(CodecError):
+        decode_message(data)
--- /dev/null
+++ b/tests/unit/platform/test_platform.py
@@ -0,0 +1,355 @@
+"""Check the platform's calls against good and bad input, and its layer."""
+
+import ast
+import json
+import pathlib
+import subprocess
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from pimentobend_core.servers import Announcement
+from pimentobend_core.servers import ServerState
+from pimentobend_core.servers import Withdrawal
+from pimentobend_core.tables import ChangeOutcome
+from pimentobend_core.tables import WholeTables
+from pimentobend_platform import documents
+from pimentobend_platform.dialect import NAMES
+from pimentobend_platform.dialect import PlatformDialect
+from pimentobend_platform.servers import read_heartbeat
+from pimentobendd.fleet import ConfigurationPort
+from pimentobendd.fleet import LabelledChange
+from pimentobendd.fleet import ServersPort
+
+ROOT = pathlib.Path(__file__).parents[3]
+ROUTE_COLUMNS = [
+    "name",
+    "host",
+    "pathPrefix",
+    "type",
+    "timeoutS",
+    "targetLatencyS",
+    "priority",
+    "trafficSplit",
+    "maxAttempts",
+    "service",
+]
+SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+ROWS = [
+    ["r1", "h.example", "/x/", "safe", 3, 1.5, 2, SPLIT, 2, None],
+    ["r2", "g.example", "/y/z/", "unsafe", 4.5, 1.5, 1, None, 2, "b"],
+]
+SERVICES = {
+    "columns": ["name", "healthCheckPath", "maxConnections", "protocol", "tls"],
+    "rows": [["a", "/healthz", 360, "h1", False], ["b", "/healthz", 360, "h1", False]],
+}
+WHOLE: dict[str, Any] = {
+    "version": "0000000c",
+    "routes": {"columns": ROUTE_COLUMNS, "rows": ROWS},
+    "services": SERVICES,
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+}
+HEARTBEAT: dict[str, Any] = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "a", "version": "v1", "zone": "z", "slots": 3},
+    "status": {"state": "ready", "seq": 4, "warmupRemainingS": 0},
+    "born": 1700000000000,
+}
+
+
+def changed(document: dict[str, Any], path: str, value: object) -> bytes:
+    """Return a document with one value replaced, or removed by ``...``."""
+    copy = json.loads(json.dumps(document))
+    *parents, last = path.split(".")
+    place = copy
+    for each in parents:
+        place = place[int(each) if each.isdigit() else each]
+    key: Any = int(last) if last.isdigit() else last
+    if value is ...:
+        del place[key]
+    else:
+        place[key] = value
+    return json.dumps(copy).encode()
+
+
+def test_a_configuration_reads_back_as_it_was_put() -> None:
+    change = documents.read_whole(json.dumps(WHOLE).encode(), "00000005")
+    assert change.label == (5, 12)
+    tables = WholeTables(
+        (1, 2),  # type: ignore[arg-type]
+        b"",
+        change.routes,
+        change.pools,
+        change.limits,
+        change.label.number,
+    )
+    assert json.loads(json.dumps(documents.write_tables(tables))) == WHOLE
+
+
+@pytest.mark.parametrize("base", ["00000005", "00000006"])
+def test_equal_orders_have_equal_ids(base: str) -> None:
+    data = json.dumps(WHOLE).encode()
+    first = documents.read_whole(data, "00000005").change_id
+    assert (documents.read_whole(data, base).change_id == first) == (base[-1] == "5")
+
+
+BAD = [
+    ("cut short", json.dumps(WHOLE).encode()[:-20]),
+    ("not JSON", b"\xff\xfe"),
+    ("empty", b""),
+    ("a list", b"[]"),
+    ("no version", changed(WHOLE, "version", ...)),
+    ("a version that is no number", changed(WHOLE, "version", "zz")),
+    ("an unknown service", changed(WHOLE, "routes.rows.1.9", "c")),
+    ("an unknown service in a split", changed(WHOLE, "routes.rows.0.7.1.service", "c")),
+    ("a weight below 0", changed(WHOLE, "routes.rows.0.7.1.weight", -1)),
+    ("a long timeout", changed(WHOLE, "routes.rows.0.4", 601)),
+    ("an empty host", changed(WHOLE, "routes.rows.0.1", "")),
+    ("no host", changed(WHOLE, "routes.rows.0.1", None)),
+    ("a row too short", changed(WHOLE, "routes.rows.0.9", ...)),
+    ("a timeout of another type", changed(WHOLE, "routes.rows.0.4", "3")),
+    ("no service and no split", changed(WHOLE, "routes.rows.0.7", None)),
+]
+
+
+@pytest.mark.parametrize("data", [b[1] for b in BAD], ids=[b[0] for b in BAD])
+def test_invalid_configurations_are_refused(data: bytes) -> None:
+    with pytest.raises(documents.DocumentError):
+        documents.read_whole(data, "0")
+
+
+def test_a_patch_names_its_rows() -> None:
+    patch = {
+        "version": "0000000e",
+        "upsert": {"routes": {"columns": ROUTE_COLUMNS, "rows": ROWS[:1]}},
+        "remove": {"routes": ["r9"]},
+    }
+    change = documents.read_patch(json.dumps(patch).encode(), "0000000c")
+    assert [route.name for route in change.routes] == ["r1"]
+    assert change.removals == (("r9",), ())
+
+
+FOREIGN = [
+    ("not JSON", b"\x00\x01"),
+    ("no address", changed(HEARTBEAT, "address", ...)),
+    ("an address of another type", changed(HEARTBEAT, "address", 5)),
+    ("an address without a port", changed(HEARTBEAT, "address", "10.0.0.1")),
+    ("an unknown state", changed(HEARTBEAT, "status.state", "happy")),
+    ("no sequence", changed(HEARTBEAT, "status.seq", ...)),
+    ("slots of another type", changed(HEARTBEAT, "info.slots", "3")),
+    ("a birth that is no whole number", changed(HEARTBEAT, "born", 1.5)),
+    ("no service", changed(HEARTBEAT, "info.service", ...)),
+]
+
+
+@pytest.mark.parametrize("data", [f[1] for f in FOREIGN], ids=[f[0] for f in FOREIGN])
+def test_foreign_heartbeats_name_no_server(data: bytes) -> None:
+    assert read_heartbeat("i-1", data) is None
+
+
+@pytest.mark.parametrize(
+    ("state", "expected"),
+    [("ready", ServerState.READY), ("draining", ServerState.DRAINING)],
+)
+def test_a_heartbeat_announces_its_server(state: str, expected: ServerState) -> None:
+    announcement = read_heartbeat("i-1", changed(HEARTBEAT, "status.state", state))
+    assert announcement is not None
+    assert announcement.sequence == 4
+    server = announcement.server
+    assert server[:5] == ("i-1", "a", "10.128.0.9", 8080, 3)
+    assert (server.state, server.incarnation) == (expected, 1700000000000)
+
+
+class FakeConfiguration(ConfigurationPort):
+    """Give one outcome to every change."""
+
+    def __init__(self, outcome: ChangeOutcome, tables: WholeTables | None) -> None:
+        self.outcome = outcome
+        self.tables = tables
+
+    def apply(self, change: LabelledChange) -> ChangeOutcome:
+        return self.outcome
+
+    def read(self) -> WholeTables | None:
+        return self.tables
+
+
+class FakeServers(ServersPort):
+    """Keep what was announced and withdrawn."""
+
+    def __init__(self, faults: tuple[str, ...] = ()) -> None:
+        self.faults = faults
+        self.taken: list[Announcement | Withdrawal] = []
+
+    def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
+        self.taken.append(announcement)
+        return Failure(self.faults) if self.faults else Success(None)
+
+    def withdraw(self, withdrawal: Withdrawal) -> None:
+        self.taken.append(withdrawal)
+
+
+class Input:
+    """Read bytes as the WSGI input does."""
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def read(self, size: int) -> bytes:
+        piece, self.data = self.data[:size], self.data[size:]
+        return piece
+
+
+def call(
+    application: Callable[..., Any],
+    method: str,
+    path: str,
+    data: bytes = b"",
+    *,
+    stated: int | None = None,
+) -> str:
+    """Call a WSGI application and return its status."""
+    statuses: list[str] = []
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "CONTENT_LENGTH": str(len(data) if stated is None else stated),
+        "HTTP_IF_MATCH": "0000000b",
+        "wsgi.input": Input(data),
+    }
+    list(application(environ, lambda status, headers: statuses.append(status)))
+    return statuses[0][:3]
+
+
+GOOD_BODY = json.dumps(WHOLE).encode()
+EMPTY = WholeTables((0, 0), b"", (), ())  # type: ignore[arg-type]
+ORDERS = [
+    ("PUT", GOOD_BODY, ChangeOutcome.ACCEPTED, "200"),
+    ("PUT", GOOD_BODY, ChangeOutcome.CONFLICT, "412"),
+    ("PUT", GOOD_BODY, ChangeOutcome.INVALID, "400"),
+    ("PUT", GOOD_BODY, ChangeOutcome.NO_MAJORITY, "503"),
+    ("PUT", GOOD_BODY, ChangeOutcome.NOT_LEADER, "503"),
+    ("PUT", GOOD_BODY, ChangeOutcome.STORAGE, "503"),
+    ("PUT", GOOD_BODY, ChangeOutcome.UNKNOWN, "504"),
+    ("PUT", b"{", ChangeOutcome.ACCEPTED, "400"),
+    ("PATCH", b'{"version":"0000000e"}', ChangeOutcome.ACCEPTED, "200"),
+    ("PATCH", b"{}", ChangeOutcome.ACCEPTED, "400"),
+    ("POST", GOOD_BODY, ChangeOutcome.ACCEPTED, "405"),
+]
+
+
+@pytest.mark.parametrize(("method", "data", "outcome", "status"), ORDERS)
+def test_orders(method: str, data: bytes, outcome: ChangeOutcome, status: str) -> None:
+    application = PlatformDialect().create_operators(FakeConfiguration(outcome, None))
+    assert call(application, method, "/-/config", data) == status
+
+
+@pytest.mark.parametrize(("tables", "status"), [(None, "503"), (EMPTY, "200")])
+def test_reads(tables: WholeTables | None, status: str) -> None:
+    port = FakeConfiguration(ChangeOutcome.ACCEPTED, tables)
+    application = PlatformDialect().create_operators(port)
+    assert call(application, "GET", "/-/config") == status
+    assert call(application, "GET", "/-/other") == "404"
+
+
+BEATS = [
+    ("PUT", "/-/instances/i-1", HEARTBEAT, (), "200", 1),
+    ("PUT", "/-/instances/i-1", HEARTBEAT, ("late",), "409", 1),
+    ("PUT", "/-/instances/", HEARTBEAT, (), "404", 0),
+    ("PUT", "/-/instances/a/b", HEARTBEAT, (), "404", 0),
+    ("PUT", "/-/instances/i-1", {"address": "x"}, (), "400", 0),
+    ("PUT", "/-/instances/i-1", {**HEARTBEAT, "address": "1.1.1.1:1"}, (), "400", 0),
+    ("POST", "/-/instances/i-1", HEARTBEAT, (), "405", 0),
+    ("DELETE", "/-/instances/i-1", {"born": 5}, (), "200", 1),
+    ("DELETE", "/-/instances/i-1", {}, (), "200", 1),
+    ("DELETE", "/-/instances/i-1", {"born": "x"}, (), "400", 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "document", "faults", "status", "taken"), BEATS
+)
+def test_heartbeats(
+    method: str,
+    path: str,
+    document: dict[str, Any],
+    faults: tuple[str, ...],
+    status: str,
+    taken: int,
+) -> None:
+    servers = FakeServers(faults)
+    application = PlatformDialect().create_servers(servers, "10.128.0.9:8080")
+    data = json.dumps(document).encode()
+    assert call(application, method, path, data) == status
+    assert len(servers.taken) == taken
+    assert call(application, method, path, data, stated=len(data) + 9) in (
+        "400",
+        "404",
+    )
+
+
+@pytest.mark.parametrize(
+    ("is_ready", "path", "status"),
+    [
+        (True, "/-/readyz", "200"),
+        (False, "/-/readyz", "503"),
+        (True, "/", "404"),
+    ],
+)
+def test_ready(is_ready: bool, path: str, status: str) -> None:
+    application = PlatformDialect().create_ready(lambda: is_ready)
+    assert call(application, "GET", path) == status
+
+
+WIRE_NAMES = [
+    name for name in NAMES if name.startswith("X-") and "Idempotency" not in name
+] + [
+    "warmupRemainingS",
+    "trafficSplit",
+    "pathPrefix",
+    "heartbeatAddr",
+    "seedNodes",
+    "/-/",
+]
+SOURCES = sorted((ROOT / "packages").rglob("src/**/*.py"))
+
+
+@pytest.mark.parametrize("path", SOURCES, ids=lambda path: path.stem)
+def test_nothing_outside_knows_the_platforms_names(path: pathlib.Path) -> None:
+    text = path.read_text()
+    assert [name for name in WIRE_NAMES if name in text] == []
+
+
+@pytest.mark.parametrize(
+    "path", sorted((ROOT / "platform").rglob("*.py")), ids=lambda path: path.stem
+)
+def test_the_platform_folder_builds_on_public_names(path: pathlib.Path) -> None:
+    modules = {
+        node.module
+        for node in ast.walk(ast.parse(path.read_text()))
+        if isinstance(node, ast.ImportFrom) and node.module
+    }
+    assert [module for module in modules if "_internal" in module] == []
+
+
+def test_the_standard_module_platform_is_not_hidden() -> None:
+    program = "import platform, pimentobend_platform; print(platform.python_version())"
+    done = subprocess.run(
+        [sys.executable, "-c", program],
+        capture_output=True,
+        text=True,
+        cwd=ROOT / "deploy",
+        env={"PYTHONPATH": str(ROOT / "platform")},
+        check=False,
+    )
+    assert done.stdout.startswith("3.")
