Bound the log, count events, and end connections of a daemon that stops

Cause: an answer to a request that was read before SIGTERM kept its connection open (found by the functional test of a stopped daemon); log lines were unbounded and a reader that stands still would have blocked the process. Ruled out: closing idle connections at once (callers go on using them). Change: the connection's end is announced with the answer; a budget of lines with ordinary ones left out first; a writer that never waits; counters and histograms on a metrics address; a summary line of failed deliveries; tests of whole fleets as processes.

--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
@@ -0,0 +1,95 @@
+"""Count events and expose them to a collector over HTTP."""
+
+import bisect
+from collections import Counter
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+PREFIX = "pimentobend"
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+MAX_SERIES = 256  # label values of one counter; further ones count as "other"
+
+
+class Histogram:
+    """Count durations by bucket."""
+
+    def __init__(self) -> None:
+        self.counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def note(self, seconds: float) -> None:
+        """Take one duration."""
+        self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.total_s += seconds
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return the counts of durations up to each bound."""
+        bounds = [*map(str, BUCKETS_S), "+Inf"]
+        total = 0
+        rows: list[tuple[str, float]] = []
+        for bound, count in zip(bounds, self.counts, strict=True):
+            total += count
+            rows.append((bound, float(total)))
+        return rows
+
+
+class CounterTable:
+    """Own the counters and histograms of a process."""
+
+    def __init__(self) -> None:
+        self._counters: dict[str, Counter[str]] = {}
+        self._histograms: dict[str, Histogram] = {}
+
+    def count(self, name: str, label: str = "") -> None:
+        """Add one to a counter, under a label value where it has any."""
+        counter = self._counters.setdefault(name, Counter())
+        if label not in counter and len(counter) >= MAX_SERIES:
+            label = "other"
+        counter[label] += 1
+
+    def time(self, name: str, seconds: float) -> None:
+        """Take one duration in seconds."""
+        self._histograms.setdefault(name, Histogram()).note(seconds)
+
+    def collect(self) -> Iterator[Any]:
+        """Yield the metrics as the library's families.
+
+        The library is imported at the first collection, as many processes
+        are never asked.
+        """
+        from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import HistogramMetricFamily
+
+        for name, counter in sorted(self._counters.items()):
+            counted = CounterMetricFamily(f"{PREFIX}_{name}", name, labels=["kind"])
+            for label, value in sorted(counter.items()):
+                counted.add_metric([label], value)
+            yield counted
+        for name, histogram in sorted(self._histograms.items()):
+            yield HistogramMetricFamily(
+                f"{PREFIX}_{name}_seconds",
+                name,
+                buckets=histogram.buckets(),
+                sum_value=histogram.total_s,
+            )
+
+
+def create_metrics_application(table: CounterTable) -> Callable[..., Any]:
+    """Return a WSGI application that exposes the metrics as text."""
+
+    def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Any:
+        from prometheus_client import CollectorRegistry
+        from prometheus_client import generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(table)  # type: ignore[arg-type]
+        content = generate_latest(registry)
+        headers = [
+            ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+            ("Content-Length", str(len(content))),
+        ]
+        start_response("200 OK", headers)
+        return [content]
+
+    return answer
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -1,7 +1,9 @@
 """Run the delivery of each request between its caller and the daemons."""
 
-import itertools
+from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Any
+from typing import NamedTuple
 
 import eventlet
 import eventlet.queue
@@ -30,6 +32,7 @@
 from pimentobend_core._internal.forwarding.delivery import WakeAt
 from pimentobend_core._internal.forwarding.events import AttemptJudged
 from pimentobend_core._internal.forwarding.events import AttemptSent
+from pimentobend_core._internal.forwarding.events import DeliveryEnded
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -45,32 +48,24 @@
 from pimentobend_core._internal.request.stages import Routed
 
 MS_PER_S = 1000
+SERVER_ERROR = 500
 CALLER_LEFT = Refusal(
     499, Ran.UNKNOWN, RefusalReason.CALLER_LEFT, "the caller closed its connection"
 )
 
 
-class DeliveryPorts:
+class DeliveryPorts(NamedTuple):
     """Hold what the deliveries of a process share."""
 
-    def __init__(
-        self,
-        process_id: int,
-        board: OfferBoard,
-        host: HostTasks,
-        peers: PeerClient,
-        repeats: RetryPolicy,
-        clock: ClockPort,
-        events: Outlet[ForwardingEvent],
-    ) -> None:
-        self.process_id = process_id
-        self.board = board
-        self.host = host
-        self.peers = peers
-        self.repeats = repeats
-        self.clock = clock
-        self.events = events
-        self.numbers = itertools.count(1)
+    process_id: int
+    board: OfferBoard
+    host: HostTasks
+    peers: PeerClient
+    repeats: RetryPolicy
+    clock: ClockPort
+    events: Outlet[ForwardingEvent]
+    tables_version: Callable[[], str]
+    numbers: Iterator[int]  # of attempts, each once in a process' life
 
 
 class DeliveryFilter(Filter[Routed, Finished]):
@@ -95,6 +90,7 @@
         self._attempts: dict[int, Any] = {}  # greenlets
         self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
         self._results: dict[int, Attempted] = {}
+        self._ends: dict[int, str] = {}
         self._delivery = Delivery(
             value.head.request_id,
             value.route,
@@ -114,9 +110,29 @@
             for output in outputs:
                 ended = self._follow(output)
                 if ended is not None:
+                    self._sum_up(ended)
                     return ended
             outputs = self._delivery.handle(self._next(), now())
 
+    def _sum_up(self, ended: Result[Finished, Refusal]) -> None:
+        """Report the attempts of a request that failed."""
+        if ended.map(lambda each: each.attempted.status < SERVER_ERROR).value_or(False):
+            return
+        value = self._value
+        attempts = tuple(
+            f"{attempt_id}@{candidate.server_id}:{self._ends.get(number, 'running')}"
+            for number, (attempt_id, candidate) in self._attempt_ids.items()
+        )
+        self._ports.events.put(
+            DeliveryEnded(
+                value.head.request_id,
+                value.route.name,
+                value.pool,
+                self._ports.tables_version(),
+                attempts,
+            )
+        )
+
     def _next(self) -> DeliveryInput:
         wait_s = max(0.0, self._wake_at - self._ports.clock.now())
         try:
@@ -175,6 +191,7 @@
             route.repeatable,
             route.target_latency_ms / MS_PER_S,
             value.head.deadline,
+            value.head.request_id,
         )
         age_s = ports.board.bid_age_s(candidate, value.pool, route.name)
         ports.events.put(
@@ -196,6 +213,7 @@
         else:
             attempted = ports.peers.run(candidate.peer, attempt)
         self._results[number] = attempted
+        self._ends[number] = attempted.kind.value
         request_id = attempt.head.request_id
         ports.events.put(
             AttemptJudged(request_id, attempt.submit.attempt_id, attempted)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -83,6 +83,12 @@
     ) -> LocalAttempt:
         now = self._clock.now()
         deadline = now + hop.remaining_ms / MS_PER_S
+        headers = tuple(
+            (name, value)
+            for name, value in get_headers(environ)
+            if name.lower() != SUBMIT_HEADER.lower()
+        )
+        request_id = find_header(headers, self._names.request_id) or ""
         submit = Submit(
             hop.attempt_id,
             hop.server_id,
@@ -91,14 +97,10 @@
             hop.is_repeatable,
             hop.target_ms / MS_PER_S,
             deadline,
-        )
-        headers = tuple(
-            (name, value)
-            for name, value in get_headers(environ)
-            if name.lower() != SUBMIT_HEADER.lower()
+            request_id,
         )
         head = RequestHead(
-            request_id=find_header(headers, self._names.request_id) or "",
+            request_id=request_id,
             method=environ["REQUEST_METHOD"],
             host=environ.get("HTTP_HOST") or "",
             path=environ["RAW_PATH_INFO"],
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -81,8 +81,6 @@
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
-        if self._is_stopping and CONNECTION_KEY in environ:
-            environ[CONNECTION_KEY].close_connection = True
         too_large = find_excess(environ, self._terms.limits())
         if too_large is not None:
             environ[CONNECTION_KEY].close_connection = True
@@ -102,6 +100,8 @@
         finally:
             if watches is not None:
                 watches.stop()
+        if self._is_stopping and CONNECTION_KEY in environ:
+            environ[CONNECTION_KEY].close_connection = True
         yield from self._give(request, result, start_response)
 
     def _give(
--- a/packages/adapters/src/pimentobend_adapters/_internal/logs.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/logs.py
@@ -3,20 +3,35 @@
 import logging
 import sys
 from typing import Any
-from typing import TextIO
 
 import structlog
 
+from pimentobend_adapters._internal.log_volume import BoundedWriter
+from pimentobend_adapters._internal.log_volume import VolumeLimit
 
-def configure_logs(
-    instance: str, stream: TextIO | None = None, level: int = logging.INFO
-) -> None:
-    """Set the format of all log lines, which name the instance.
 
-    They go to standard error unless another stream is given.
+def configure_logs(instance: str, level: int = logging.INFO) -> None:
+    """Set the format of all log lines, which name the instance."""
+    _configure(instance, sys.stderr, (), level)
+
+
+def configure_bounded_logs(instance: str) -> VolumeLimit:
+    """Write to standard output, within a budget and without ever waiting.
+
+    The caller runs ``report`` of what is returned as a task.
     """
+    writer = BoundedWriter(sys.stdout.fileno())
+    limit = VolumeLimit(writer)
+    _configure(instance, writer, (limit,), logging.INFO)
+    return limit
+
+
+def _configure(
+    instance: str, stream: Any, processors: tuple[Any, ...], level: int
+) -> None:
     structlog.configure(
         processors=[
+            *processors,
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
@@ -26,7 +41,7 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
-        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.clear_contextvars()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -35,4 +35,14 @@
     attempted: Attempted
 
 
-ForwardingEvent = HostDecided | AttemptSent | AttemptJudged
+class DeliveryEnded(NamedTuple):
+    """Sum up the attempts of a request that did not end well."""
+
+    request_id: str
+    route: str
+    pool: str
+    tables: str  # version of the tables that decided
+    attempts: tuple[str, ...]  # attempt id, server and how it ended
+
+
+ForwardingEvent = HostDecided | AttemptSent | AttemptJudged | DeliveryEnded
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -42,6 +42,7 @@
     is_repeatable: bool
     target_s: float  # 0 where the route states none
     deadline: float  # of the clock
+    request_id: str = ""
 
 
 class Withdraw(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -12,6 +12,8 @@
 import eventlet.event
 
 from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.exposition import CounterTable
+from pimentobend_adapters._internal.exposition import create_metrics_application
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.datagrams import DatagramLink
 from pimentobend_adapters._internal.links.frames import Frame
@@ -73,6 +75,7 @@
         self._log = get_log()
         self._clock = HubClock()
         self._process_id = secrets.randbits(62)
+        self._counters = CounterTable()
         self._stopping: Any = eventlet.event.Event()
         self._is_stopping = False
         self._tables = TablesInForce()
@@ -199,9 +202,9 @@
             own_row=lambda: self._row,
             on_servers=self._change_servers,
             on_unreachable=lambda each: self._gossip.put(PeerUnreachable(each)),
-            forwarding=ForwardingLog(),
-            requests=RequestLog(),
-            on_connect=lambda: None,
+            forwarding=ForwardingLog(self._counters),
+            requests=RequestLog(self._counters),
+            on_connect=lambda: self._counters.count("server_connections"),
         )
         return FleetInstance(self._settings, ports)
 
@@ -214,6 +217,9 @@
         if settings.operators is not None and self._control is not None:
             operators = dialect.create_operators(self._control.calls)
             listeners.append(HttpServer(settings.operators, operators))
+        if settings.metrics is not None:
+            metrics = create_metrics_application(self._counters)
+            listeners.append(HttpServer(settings.metrics, metrics))
         return listeners
 
     def _register_frames(self) -> None:
@@ -264,6 +270,7 @@
 
     def _follow_reachability(self, output: ReachabilityChanged) -> None:
         event = "peer-found" if output.is_reachable else "peer-lost"
+        self._counters.count(event.replace("-", "_"))
         self._log.info(event, peer=output.address)
         if self._instance is not None:
             self._instance.board.follow_reachability(
@@ -276,6 +283,7 @@
         self._log.info("tables-in-force", version=str(version), label=tables.label)
 
     def _report_frame_fault(self, error: PimentobendError) -> None:
+        self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
 
     def _poll_settings(self) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -1,73 +1,117 @@
-"""Write the decisions on requests to the log."""
+"""Write the decisions on requests to the log, and count them."""
 
 from typing import Any
 
+from pimentobend_adapters._internal.exposition import CounterTable
+from pimentobend_adapters._internal.log_volume import ORDINARY
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.forwarding.events import AttemptJudged
 from pimentobend_core._internal.forwarding.events import AttemptSent
+from pimentobend_core._internal.forwarding.events import DeliveryEnded
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Declined
+from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.events import RequestEnded
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.ports import Attempted
 
 MS_PER_S = 1000
+SERVER_ERROR = 500
 
 
 class ForwardingLog(Outlet[ForwardingEvent]):
     """Write a line for each decision on an attempt."""
 
-    def __init__(self) -> None:
+    def __init__(self, counters: CounterTable) -> None:
         self._log = get_log()
+        self._counters = counters
 
     def put(self, message: ForwardingEvent) -> None:
-        """Write one event."""
+        """Write and count one event."""
         match message:
             case AttemptSent():
-                bid = message.candidate.bid
+                self._write_sent(message)
+            case AttemptJudged():
+                attempted = message.attempted
+                self._counters.count("attempts", attempted.kind.value)
+                self._counters.time("attempt", attempted.latency_s)
                 self._log.info(
-                    "attempt-sent",
+                    "attempt-judged",
                     request_id=message.request_id,
                     attempt_id=message.attempt_id,
-                    server=bid.server_id,
-                    peer=message.candidate.peer.address,
-                    distance=message.candidate.distance.name.lower(),
-                    risk=bid.risk,
-                    free_slots=bid.free_slots,
-                    wait_ms=_ms(bid.wait_s),
-                    bid_age_ms=_ms(message.bid_age_s),
-                    is_hedge=message.is_hedge,
+                    **_describe(attempted),
                 )
-            case AttemptJudged():
+            case DeliveryEnded():
                 self._log.info(
-                    "attempt-judged",
+                    "delivery-failed",
                     request_id=message.request_id,
-                    attempt_id=message.attempt_id,
-                    **_describe(message.attempted),
+                    route=message.route,
+                    pool=message.pool,
+                    tables=message.tables,
+                    attempts=" ".join(message.attempts),
                 )
             case _:
                 self._write_host(message.action, message.attempt_id, message.detail)
 
-    def _write_host(self, action: str, attempt_id: str, detail: object) -> None:
+    def _write_sent(self, message: AttemptSent) -> None:
+        bid = message.candidate.bid
+        self._counters.count("hedges" if message.is_hedge else "sent")
+        self._log.info(
+            "attempt-sent",
+            request_id=message.request_id,
+            attempt_id=message.attempt_id,
+            server=bid.server_id,
+            peer=message.candidate.peer.address,
+            distance=message.candidate.distance.name.lower(),
+            risk=bid.risk,
+            free_slots=bid.free_slots,
+            wait_ms=_ms(bid.wait_s),
+            bid_age_ms=_ms(message.bid_age_s),
+            is_hedge=message.is_hedge,
+            **{ORDINARY: not message.is_hedge},
+        )
+
+    def _write_host(
+        self,
+        action: str,
+        attempt_id: str,
+        detail: Submit | Declined | Joined | Attempted,
+    ) -> None:
         values: dict[str, Any] = {}
-        if isinstance(detail, Submit):
-            values = {"server": detail.server_id, "route": detail.route}
-        elif isinstance(detail, Declined):
-            values = {"reason": detail.reason.value}
-        elif isinstance(detail, Attempted):
-            values = _describe(detail)
+        match detail:
+            case Submit():
+                values = {
+                    "request_id": detail.request_id,
+                    "server": detail.server_id,
+                    "route": detail.route,
+                    ORDINARY: True,
+                }
+            case Declined():
+                values = {"reason": detail.reason.value}
+                self._counters.count("declined", detail.reason.value)
+            case Attempted():
+                values = _describe(detail)
+            case _:
+                self._counters.count("joined")
         self._log.info(action, attempt_id=attempt_id, **values)
 
 
 class RequestLog(Outlet[RequestEnded]):
     """Write a line for each request that ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, counters: CounterTable) -> None:
         self._log = get_log()
+        self._counters = counters
 
     def put(self, message: RequestEnded) -> None:
-        """Write one event."""
+        """Write and count one event."""
+        reason = message.reason.value if message.reason else None
+        self._counters.count("requests", str(message.status))
+        if reason is not None:
+            self._counters.count("refusals", f"{reason} {message.ran.value}")
+        self._counters.time("request", message.duration_s)
         self._log.info(
             "request-ended",
             request_id=message.request_id,
@@ -75,17 +119,20 @@
             path=message.path,
             status=message.status,
             ran=message.ran.value,
-            reason=message.reason.value if message.reason else None,
+            reason=reason,
             server=message.server_id,
             duration_ms=_ms(message.duration_s),
+            **{ORDINARY: message.status < SERVER_ERROR},
         )
 
 
 def _describe(attempted: Attempted) -> dict[str, Any]:
+    is_good = attempted.kind is AttemptKind.ANSWERED
     return {
         "outcome": attempted.kind.value,
         "status": attempted.status,
         "latency_ms": _ms(attempted.latency_s),
+        ORDINARY: is_good and attempted.status < SERVER_ERROR,
     }
 
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -1,5 +1,6 @@
 """Run the role instance: callers, forwarded requests and the servers beside."""
 
+import itertools
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -28,6 +29,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.gossip.rows import HostedServer
 from pimentobend_core._internal.gossip.rows import PeerRow
@@ -145,6 +147,8 @@
             self.budget,
             clock,
             ports.forwarding,
+            lambda: str(Version(*tables.current()[:2])),
+            itertools.count(1),
         )
         pipe = (
             DeadlineFilter(clock)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -47,6 +47,7 @@
                 "ready": _ADDRESS,
                 "servers": _ADDRESS,
                 "operators": _ADDRESS,
+                "metrics_port": WholeCheck(1, MAX_PORT),
             },
         ),
         "beside": ObjectCheck({"service": NAME, "address": _ADDRESS}),
@@ -90,6 +91,7 @@
     ready: Address | None
     servers: Address | None
     operators: Address | None
+    metrics: Address | None
     beside: Beside | None
     first_start: bool  # the whole fleet starts for the first time
     data_folder: pathlib.Path | None
@@ -143,7 +145,8 @@
                 faults.append(Fault(f"listen.{key}", "missing", "an address"))
     if "control" in roles and "data_folder" not in values:
         faults.append(Fault("data_folder", "missing", "a path (role control)"))
-    places = [(f"listen.{key}", text) for key, text in listen.items()]
+    addresses = {key: text for key, text in listen.items() if key != "metrics_port"}
+    places = [(f"listen.{key}", text) for key, text in addresses.items()]
     places += [(f"seeds[{i}]", text) for i, text in enumerate(values["seeds"])]
     places.append(("ip", f"{values['ip']}:1"))
     if "beside" in values:
@@ -177,6 +180,7 @@
     beside = values.get("beside")
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
     budget = values.get("retry_budget")
+    metrics_port = listen.get("metrics_port")
     return FleetSettings(
         instance=values["instance"],
         data_centre=values["data_centre"],
@@ -190,6 +194,7 @@
         ready=_address(listen.get("ready")),
         servers=_address(listen.get("servers")),
         operators=_address(listen.get("operators")),
+        metrics=Address(values["ip"], metrics_port) if metrics_port else None,
         beside=Beside(**beside) if beside else None,
         first_start=values.get("first_start", False),
         data_folder=pathlib.Path(folder) if folder else None,
--- a/packages/daemon/src/pimentobendd/fleet.py
+++ b/packages/daemon/src/pimentobendd/fleet.py
@@ -2,7 +2,9 @@
 
 import sys
 
-from pimentobend_adapters._internal.logs import configure_logs
+import eventlet
+
+from pimentobend_adapters._internal.logs import configure_bounded_logs
 from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobendd._internal.exceptions import SettingsError
 from pimentobendd._internal.fleet.daemon import FleetDaemon
@@ -32,7 +34,8 @@
         for fault in error.faults:
             print(f"pimentobendd: {path}: {fault}", file=sys.stderr)
         return Status.USAGE
-    configure_logs(settings.instance, sys.stdout)
+    limit = configure_bounded_logs(settings.instance)
+    eventlet.spawn_n(limit.report)
     try:
         FleetDaemon(path, settings, dialect).run()
     except PimentobendError as error:
--- /dev/null
+++ b/tests/lib/platform_server.py
@@ -0,0 +1,95 @@
+"""Stand in for a backend server that speaks as the platform's do."""
+
+import json
+import time
+import urllib.request
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from threading import Event
+from threading import Thread
+from typing import Any
+
+PREFIX = "X-Pimentobend-"
+
+
+class PlatformServer:
+    """Own a server that announces itself and counts what it ran."""
+
+    def __init__(self, host: str, service: str, control: str, slots: int = 3) -> None:
+        self.ran: list[str] = []
+        self.callers: list[str] = []
+        self.hold_s = 0.0
+        self.hangs = False
+        self._stop = Event()
+        self._control = control
+        self._sequence = 0
+        self.state = "ready"
+        self.server_id = f"i-{time.time_ns():x}"
+        outer = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def _serve(self) -> None:
+                outer.serve(self)
+
+            do_GET = do_POST = do_PUT = _serve  # noqa: N815
+
+            def log_message(self, *args: Any) -> None:
+                pass
+
+        self._http = ThreadingHTTPServer((host, 0), Handler)
+        self._http.daemon_threads = True
+        self.address = f"{host}:{self._http.server_port}"
+        self._heartbeat = {
+            "address": self.address,
+            "info": {"service": service, "version": "v1", "zone": "a", "slots": slots},
+            "born": time.time_ns() // 1_000_000,
+        }
+
+    def start(self) -> None:
+        """Serve, and send heartbeats."""
+        Thread(target=self._http.serve_forever, daemon=True).start()
+        Thread(target=self._beat, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop without a word."""
+        self._stop.set()
+        self._http.shutdown()
+        self._http.server_close()
+
+    def serve(self, request: BaseHTTPRequestHandler) -> None:
+        """Run one request."""
+        length = int(request.headers.get("Content-Length") or 0)
+        request.rfile.read(length)
+        request_id = request.headers[f"{PREFIX}Request-Id"]
+        self.ran.append(request_id)
+        self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
+        if self.hangs:
+            self._stop.wait(60)
+        time.sleep(self.hold_s)
+        content = self.server_id.encode()
+        request.send_response(200)
+        request.send_header(f"{PREFIX}Request-Id", request_id)
+        request.send_header(f"{PREFIX}Server-Stamp", "stamp")
+        request.send_header("Content-Length", str(len(content)))
+        request.end_headers()
+        request.wfile.write(content)
+
+    def beat(self) -> int:
+        """Send one heartbeat and return the status, 0 without an answer."""
+        self._sequence += 1
+        status = {"state": self.state, "seq": self._sequence, "warmupRemainingS": 0}
+        url = f"http://{self._control}/-/instances/{self.server_id}"
+        data = json.dumps({**self._heartbeat, "status": status}).encode()
+        request = urllib.request.Request(url, data, method="PUT")
+        try:
+            with urllib.request.urlopen(request, timeout=1) as answer:
+                code: int = answer.status
+                return code
+        except OSError:
+            return 0
+
+    def _beat(self) -> None:
+        while not self._stop.wait(0.3):
+            self.beat()
