--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -192,6 +192,7 @@
             route.target_latency_ms / MS_PER_S,
             value.head.deadline,
             value.head.request_id,
+            output.is_repeat,
         )
         age_s = ports.board.bid_age_s(candidate, value.pool, route.name)
         ports.events.put(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -32,6 +32,7 @@
 from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
 from pimentobend_core._internal.forwarding.messages import StopTaking
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -42,6 +43,7 @@
 from pimentobend_core._internal.ports import Attempted
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
+from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 TICK_S = 0.1
 ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process stands still
@@ -80,6 +82,7 @@
     def __init__(
         self,
         process_id: int,
+        terms: BudgetTerms,
         calls: ServerCalls,
         clock: ClockPort,
         events: Outlet[ForwardingEvent],
@@ -91,7 +94,7 @@
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
-            ServerHost(process_id),
+            ServerHost(process_id, terms),
             CallOutlet(self._release),
             clock,
             Ticking(TICK_S, HostTick()),
@@ -111,6 +114,10 @@
         """Decline all further work."""
         self._task.put(StopTaking())
 
+    def follow_sizes(self, sizes: ServiceSizes) -> None:
+        """Take the number of servers of each service."""
+        self._task.put(sizes)
+
     def dump(self) -> Mapping[str, object]:
         """Return the state of the task."""
         return {**self._task.dump(), "cells": len(self._cells)}
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -98,6 +98,7 @@
             hop.target_ms / MS_PER_S,
             deadline,
             request_id,
+            hop.is_repeat,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -158,6 +158,7 @@
             max(1, int(remaining_s * MS_PER_S)),
             peer.process_id,
             is_resent,
+            submit.is_repeat,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> Attempted:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -71,6 +71,7 @@
     number: int
     candidate: Candidate
     is_hedge: bool
+    is_repeat: bool  # an earlier attempt may have reached a server
 
 
 class CancelAttempt(NamedTuple):
@@ -140,6 +141,7 @@
         self._turned_away: set[str] = set()  # servers that took no work just now
         self._reached = 0  # servers that the request may have run on
         self._offers = 0  # that were declined or refused
+        self._has_arrived = False  # an attempt has reached a server
         self._ran = Ran.NOT_RUN
         self._hedge_at: float | None = None
         self._ask_at: float | None = None
@@ -231,14 +233,15 @@
     def _send(self, candidate: Candidate, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         is_hedge = bool(self._running)
-        if self._reached and not self._repeats.may_retry(self._pool, now):
+        is_repeat = is_hedge or self._has_arrived
+        if is_repeat and not self._repeats.may_retry(self._pool, now):
             return () if is_hedge else self._give_failed()
         self._numbers += 1
         self._running[self._numbers] = candidate
         self._tried.add(candidate.server_id)
         self._reached += 1
         self._hedge_at = self._find_hedge_time(candidate, now)
-        return (SendAttempt(self._numbers, candidate, is_hedge),)
+        return (SendAttempt(self._numbers, candidate, is_hedge, is_repeat),)
 
     def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
         if not self._is_repeatable or not self._can_replay:
@@ -257,14 +260,17 @@
             return ()
         match done.kind:
             case AttemptKind.ANSWERED:
+                self._has_arrived = True
                 return self._take_answer(done, now)
             case AttemptKind.DECLINED | AttemptKind.NOT_CONNECTED:
                 self._turn_away(candidate)
-                return self._offer_again(now, is_free=True)
+                return self._offer_again(is_free=True)
             case AttemptKind.REFUSED:
+                self._has_arrived = True
                 self._turn_away(candidate)
-                return self._offer_again(now, is_free=False)
+                return self._offer_again(is_free=False)
             case _:
+                self._has_arrived = True
                 self._ran = Ran.UNKNOWN
                 return self._retry(now)
 
@@ -281,13 +287,12 @@
         self._failed = done
         return self._retry(now)
 
-    def _offer_again(self, now: float, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
+    def _offer_again(self, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
         """Offer work elsewhere that has not run."""
         self._offers += 1
         if self._running:
             return ()
-        is_affordable = is_free or self._repeats.may_offer_again(self._pool, now)
-        if self._offers >= MAX_OFFERS or not is_affordable:
+        if self._offers >= MAX_OFFERS:
             return self._give_up(RefusalReason.BACKEND, "every server turned it away")
         if not self._can_replay and not is_free:
             return self._give_up(RefusalReason.BACKEND, "the body was sent")
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -21,6 +21,7 @@
 from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
 from pimentobend_core._internal.forwarding.messages import StopTaking
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -28,6 +29,8 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
+from pimentobend_core._internal.traffic.shared_budget import ServerBudget
 
 QUEUE_LIMIT = 128  # attempts a server
 RECORDS_LIMIT = 20_000  # attempts; 12 s at the design's rate need 3,000
@@ -65,8 +68,9 @@
 class _Hosted:
     """Hold what is known of one server."""
 
-    def __init__(self, server: Server, now: float) -> None:
+    def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
         self.server = server
+        self.budget = ServerBudget(terms)
         self.running: set[str] = set()
         self.queue: list[_Place] = []
         self.liveness = Liveness(now)
@@ -91,8 +95,10 @@
     and an attempt runs at most once however often it is submitted.
     """
 
-    def __init__(self, process_id: int) -> None:
+    def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
+        self._terms = terms
+        self._sizes: dict[str, int] = {}
         self._servers: dict[str, _Hosted] = {}
         self._records: dict[str, _Record] = {}
         self._number = 0
@@ -115,6 +121,8 @@
                 return self._unlist(message.server_id)
             case StopTaking():
                 self._is_stopping = True
+            case ServiceSizes():
+                self._sizes = dict(message.servers)
             case HostTick():
                 return self._tick(now)
         return ()
@@ -178,6 +186,7 @@
             return (self._decline(record, reason or DeclineReason.NO_SERVER),)
         self._records[submit.attempt_id] = record
         self._number += 1
+        hosted.budget.note(now, is_repeat=submit.is_repeat)
         place = _Place(submit.priority, self._number, submit.attempt_id)
         bisect.insort(hosted.queue, place)
         hosted.durations.of(submit.route, submit.target_s)
@@ -195,6 +204,9 @@
         is_full = len(hosted.queue) >= QUEUE_LIMIT
         if is_full or len(self._records) >= RECORDS_LIMIT:
             return DeclineReason.FULL
+        servers = self._sizes.get(hosted.server.service, 1)
+        if submit.is_repeat and not hosted.budget.allows(servers, now):
+            return DeclineReason.BUDGET
         return None
 
     def _start(self, hosted: _Hosted, now: float) -> tuple[HostOutput, ...]:
@@ -266,7 +278,7 @@
         hosted = self._servers.get(server.server_id)
         if hosted is None or server.incarnation != hosted.server.incarnation:
             gone = self._unlist(server.server_id)
-            hosted = self._servers[server.server_id] = _Hosted(server, now)
+            hosted = self._servers[server.server_id] = _Hosted(server, self._terms, now)
             return gone
         hosted.server = server
         if hosted.is_ready:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -44,6 +44,7 @@
     target_s: float  # 0 where the route states none
     deadline: float  # of the clock
     request_id: str = ""
+    is_repeat: bool = False  # an earlier attempt may have reached a server
 
 
 class Withdraw(NamedTuple):
@@ -85,6 +86,12 @@
     """Decline all further work, as the process is about to stop."""
 
 
+class ServiceSizes(NamedTuple):
+    """Give the number of servers of each service in the fleet."""
+
+    servers: tuple[tuple[str, int], ...]
+
+
 class HostTick(NamedTuple):
     """Let queued attempts expire."""
 
@@ -97,6 +104,7 @@
     | ServerListed
     | ServerUnlisted
     | StopTaking
+    | ServiceSizes
     | HostTick
 )
 
@@ -109,6 +117,7 @@
     FULL = "full"
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
+    BUDGET = "budget"  # too many repeats reach the service
 
 
 class StartCall(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -264,9 +264,7 @@
             self._control.follow_peers(peers)
             self._spread.follow_peers(self._row, peers)
         if self._instance is not None:
-            self._instance.board.follow_peers(peers)
-            instances = sum(1 for row in peers if row.forward_port)
-            self._instance.budget.follow_fleet(instances + 1)
+            self._instance.follow_peers(peers)
 
     def _follow_reachability(self, output: ReachabilityChanged) -> None:
         event = "peer-found" if output.is_reachable else "peer-lost"
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -1,6 +1,7 @@
 """Run the role instance: callers, forwarded requests and the servers beside."""
 
 import itertools
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -32,6 +33,7 @@
 from pimentobend_adapters._internal.tasks import Ticking
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.gossip.rows import HostedServer
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.membership.messages import AnnouncementAccepted
@@ -51,7 +53,7 @@
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.route import RouteFilter
-from pimentobend_core._internal.traffic.shared_budget import SharedBudget
+from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
 from pimentobendd._internal.fleet.settings import FleetSettings
@@ -131,6 +133,7 @@
         self._servers: dict[str, Server] = {}
         self.host = HostTasks(
             process_id,
+            settings.budget,
             ServerCalls(names, clock, ports.on_connect),
             clock,
             ports.forwarding,
@@ -139,13 +142,12 @@
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = ServersBeside(link.address, process_id, self._take_server)
-        self.budget = SharedBudget(settings.budget)
         delivery = DeliveryPorts(
             process_id,
             self.board,
             self.host,
             PeerClient(clock, link),
-            self.budget,
+            OriginBudget(),
             clock,
             ports.forwarding,
             lambda: str(Version(*tables.current()[:2])),
@@ -178,6 +180,13 @@
         """Return the requests and attempts that have no answer yet."""
         return self.front.in_flight + self.host.running
 
+    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        """Take the list of daemons and of the servers beside them."""
+        self.board.follow_peers(peers)
+        services = [each.service for row in peers for each in row.servers]
+        services += [server.service for server in self._servers.values()]
+        self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
+
     def start(self) -> None:
         """Start the tasks, then listen."""
         self.registry.task.start()
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -18,14 +18,17 @@
 from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
 from pimentobend_core._internal.forwarding.messages import StopTaking
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 SERVER = Server("s", "bookings", "10.0.0.1", 80, 2, "a", "r", ServerState.READY, 1)
+TERMS = BudgetTerms(ratio=0.2, window_s=10.0, allowance=10.0)
 DRAINING = SERVER._replace(state=ServerState.DRAINING)
 RESTARTED = SERVER._replace(incarnation=2)
 
@@ -40,7 +43,7 @@
     """Hold a host with one server of two slots."""
 
     def __init__(self, server: Server = SERVER) -> None:
-        self.host = ServerHost(7)
+        self.host = ServerHost(7, TERMS)
         self.now = 0.0
         self.give(ServerListed(server))
 
@@ -144,6 +147,20 @@
         [submit("1"), Withdraw("1")],
         started("1"),
     ),
+    (
+        "repeats within the budget",
+        [submit(f"r{number}")._replace(is_repeat=True) for number in range(2)],
+        started("r0", "r1"),
+    ),
+    (
+        "a repeat over the budget",
+        [
+            ServiceSizes((("bookings", 10),)),
+            submit("r")._replace(is_repeat=True),
+            submit("first"),
+        ],
+        [*declined("r", DeclineReason.BUDGET), *started("first")],
+    ),
     ("nothing to withdraw", [Withdraw("1")], []),
     ("an end of nothing", [ended("1")], []),
     (
