--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -76,6 +76,7 @@
         self._clock = HubClock()
         self._process_id = secrets.randbits(62)
         self._counters = CounterTable()
+        self._peer_processes: dict[str, int] = {}  # by address
         self._stopping: Any = eventlet.event.Event()
         self._is_stopping = False
         self._tables = TablesInForce()
@@ -260,6 +261,14 @@
                 self._spread.see_newer(output.address, output.version)
 
     def _follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        processes = {row.address: row.process_id for row in peers}
+        for address, process_id in processes.items():
+            if self._peer_processes.get(address) != process_id:
+                process = f"{process_id:x}"
+                self._log.info("peer-joined", peer=address, process=process)
+        for address in self._peer_processes.keys() - processes.keys():
+            self._log.info("peer-forgotten", peer=address)
+        self._peer_processes = processes
         if self._control is not None:
             self._control.follow_peers(peers)
             self._spread.follow_peers(self._row, peers)
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -283,6 +283,8 @@
 
 def test_a_restarted_daemon_takes_the_tables_from_its_neighbour(fleet: Fleet) -> None:
     first, second = fleet.instances
+    joined = f"'peer-joined' instance='n-{second.ip}' peer='{first.address(8410)}'"
+    until(lambda: joined in second.log(), "the neighbour knows the daemon")
     for process in fleet.control:
         process.kill()
     first.kill()
