--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -1,6 +1,7 @@
 """Ask the daemons beside the servers what they offer."""
 
 import itertools
+import random
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -23,8 +24,16 @@
 
 KIND_ASK = "ask"
 KIND_BIDS = "bids"
-FRESH_S = 0.03  # a bid is used again by requests that come close together
-ASK_LIMIT = 6  # daemons asked at one distance
+FRESH_S = {  # in which a bid is used again by other requests
+    Distance.DATA_CENTRE: 0.03,
+    Distance.REGION: 0.03,
+    Distance.FAR: 0.3,  # bytes between regions are billed
+}
+ASK_LIMITS = {  # daemons asked at once
+    Distance.DATA_CENTRE: 6,
+    Distance.REGION: 6,
+    Distance.FAR: 2,
+}
 UNREACHABLE_AFTER = 2  # questions without an answer
 TIMEOUTS_S = {
     Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon longer
@@ -97,12 +106,9 @@
             for row in (own, *self._peers)
             if find_distance(own, row) <= distance and self._may_serve(row, service)
         ]
-        rows.sort(key=lambda row: find_distance(own, row))
         now = self._clock.now()
-        stale = [
-            row for row in rows if self._is_stale((row.address, service, route), now)
-        ]
-        self._ask_all(stale[:ASK_LIMIT], service, route, distance)
+        stale = [row for row in rows if self._is_stale(own, row, service, route, now)]
+        self._ask_all(_choose(own, stale), service, route, distance)
         now = self._clock.now()
         return tuple(
             candidate
@@ -129,9 +135,12 @@
             return False
         return any(each.service == service and each.is_ready for each in row.servers)
 
-    def _is_stale(self, key: tuple[str, str, str], now: float) -> bool:
-        known = self._known.get(key)
-        return known is None or now - known.received_at > FRESH_S
+    def _is_stale(
+        self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
+    ) -> bool:
+        known = self._known.get((row.address, service, route))
+        limit_s = FRESH_S[find_distance(own, row)]
+        return known is None or now - known.received_at > limit_s
 
     def _ask_all(
         self, rows: list[PeerRow], service: str, route: str, distance: Distance
@@ -194,9 +203,18 @@
         known = self._known.get(key)
         if known is None:
             return []
-        if now - known.received_at > FRESH_S + TIMEOUTS_S[Distance.FAR]:
+        distance = find_distance(own, row)
+        if now - known.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
             del self._known[key]
             return []
         peer = row._replace(process_id=known.bids.process_id)
-        distance = find_distance(own, row)
         return [Candidate(peer, bid, distance) for bid in known.bids.bids]
+
+
+def _choose(own: PeerRow, rows: list[PeerRow]) -> list[PeerRow]:
+    """Draw the daemons to ask, so many at each distance."""
+    chosen: list[PeerRow] = []
+    for distance, limit in ASK_LIMITS.items():
+        there = [row for row in rows if find_distance(own, row) is distance]
+        chosen.extend(random.sample(there, min(limit, len(there))))
+    return chosen
--- a/packages/adapters/src/pimentobend_adapters/_internal/logs.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from collections.abc import MutableMapping
 from typing import Any
 
 import structlog
@@ -10,6 +11,20 @@
 from pimentobend_adapters._internal.log_volume import VolumeLimit
 
 
+class _Named:
+    """Name the instance on each line, whichever task writes it."""
+
+    def __init__(self, instance: str) -> None:
+        self._instance = instance
+
+    def __call__(
+        self, logger: Any, method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        """Return the event with the instance's name."""
+        event["instance"] = self._instance
+        return event
+
+
 def configure_logs(instance: str, level: int = logging.INFO) -> None:
     """Set the format of all log lines, which name the instance."""
     _configure(instance, sys.stderr, (), level)
@@ -32,7 +47,7 @@
     structlog.configure(
         processors=[
             *processors,
-            structlog.contextvars.merge_contextvars,
+            _Named(instance),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.KeyValueRenderer(
@@ -44,8 +59,6 @@
         logger_factory=structlog.WriteLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
-    structlog.contextvars.clear_contextvars()
-    structlog.contextvars.bind_contextvars(instance=instance)
 
 
 def get_log() -> Any:
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -277,14 +277,20 @@
     until(lambda: fleet.read() == [3, 3], "the newest version is read")
 
 
+def joined(process: Process, other: Process) -> bool:
+    """Say whether a process has heard of another."""
+    lines = process.log().splitlines()
+    peer = f"peer='{other.address(8410)}'"
+    return any("'peer-joined'" in line and peer in line for line in lines)
+
+
 def logs(fleet: Fleet) -> str:
     return "".join(process.log() for process in fleet.control)
 
 
 def test_a_restarted_daemon_takes_the_tables_from_its_neighbour(fleet: Fleet) -> None:
     first, second = fleet.instances
-    joined = f"'peer-joined' instance='n-{second.ip}' peer='{first.address(8410)}'"
-    until(lambda: joined in second.log(), "the neighbour knows the daemon")
+    until(lambda: joined(second, first), "the neighbour knows the daemon")
     for process in fleet.control:
         process.kill()
     first.kill()
--- /dev/null
+++ b/tests/unit/forwarding/test_board.py
@@ -0,0 +1,175 @@
+"""Check whom a daemon asks for offers, and what it makes of silence."""
+
+from typing import NamedTuple
+
+import pytest
+
+from pimentobend_adapters._internal.forwarding import board as module
+from pimentobend_adapters._internal.forwarding.board import KIND_ASK
+from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.host import HostTasks
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.forwarding.messages import Ask
+from pimentobend_core._internal.forwarding.messages import Bid
+from pimentobend_core._internal.forwarding.messages import Bids
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.gossip.rows import HostedServer
+from pimentobend_core._internal.gossip.rows import Life
+from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.ports import ClockPort
+
+OWN_ADDRESS = "10.0.0.0:7"
+
+
+class Place(NamedTuple):
+    """Say where a daemon is, and what stands beside it."""
+
+    data_centre: str
+    region: str
+    service: str = "bookings"
+    is_ready: bool = True
+    is_leaving: bool = False
+
+
+NEAR = Place("a", "r")
+REGION = Place("b", "r")
+FAR = Place("c", "s")
+
+
+def make_row(number: int, place: Place) -> PeerRow:
+    server = HostedServer(f"s{number}", place.service, place.is_ready)
+    return PeerRow(
+        f"10.0.0.{number}:7",
+        Life(1, 0),
+        number,
+        place.data_centre,
+        place.region,
+        False,
+        8,
+        place.is_leaving,
+        (server,),
+    )
+
+
+class SteadyClock(ClockPort):
+    """Stand still unless told."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class FakeLink(Transport):
+    """Answer the asks of daemons that are up at once."""
+
+    def __init__(self, up: set[str]) -> None:
+        self.up = up
+        self.asked: list[str] = []
+        self.board: OfferBoard | None = None
+
+    @property
+    def address(self) -> str:
+        return OWN_ADDRESS
+
+    def start(self) -> None:
+        pass
+
+    def close(self) -> None:
+        pass
+
+    def send(self, peer: str, kind: str, payload: bytes) -> None:
+        assert kind == KIND_ASK
+        self.asked.append(peer)
+        if peer in self.up:
+            token = decode(payload, Ask).token
+            bids = Bids(token, 5, (Bid(f"s-{peer}", 0.1, 3, 0.0, 0.2),))
+            assert self.board is not None
+            self.board.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
+
+
+class Setting:
+    """Hold a board among daemons at some places."""
+
+    def __init__(
+        self, places: list[Place], monkeypatch: pytest.MonkeyPatch, down: int = 0
+    ) -> None:
+        short = {distance: 0.01 for distance in Distance}
+        monkeypatch.setattr(module, "TIMEOUTS_S", short)
+        rows = tuple(make_row(n + 1, place) for n, place in enumerate(places))
+        self.link = FakeLink({row.address for row in rows[down:]})
+        self.clock = SteadyClock()
+        self.unreachable: list[str] = []
+        own = make_row(0, Place("a", "r", service="other"))
+        host: HostTasks = None  # type: ignore[assignment]
+        self.board = OfferBoard(
+            lambda: own, self.link, host, self.clock, self.unreachable.append
+        )
+        self.link.board = self.board
+        self.board.follow_peers(rows)
+
+    def ask(self, distance: Distance) -> int:
+        self.link.asked.clear()
+        return len(self.board.ask("bookings", "r1", distance))
+
+
+ASKED = [
+    ("one near", [NEAR, REGION, FAR], Distance.DATA_CENTRE, 1),
+    ("the region", [NEAR, REGION, FAR], Distance.REGION, 2),
+    ("all", [NEAR, REGION, FAR], Distance.FAR, 3),
+    ("few far ones", [FAR] * 9, Distance.FAR, 2),
+    ("few of many", [NEAR] * 30, Distance.DATA_CENTRE, 6),
+    ("another service", [NEAR._replace(service="x")], Distance.FAR, 0),
+    ("one that is draining", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
+    ("one that leaves", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
+    ("nobody", [], Distance.FAR, 0),
+]
+
+
+@pytest.mark.parametrize(
+    ("places", "distance", "asked"), [a[1:] for a in ASKED], ids=[a[0] for a in ASKED]
+)
+def test_who_is_asked(
+    places: list[Place],
+    distance: Distance,
+    asked: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setting = Setting(places, monkeypatch)
+    assert setting.ask(distance) == asked
+    assert len(setting.link.asked) == asked
+
+
+@pytest.mark.parametrize(
+    ("place", "later_s", "asks_again"),
+    [(NEAR, 0.02, False), (NEAR, 0.04, True), (FAR, 0.2, False), (FAR, 0.4, True)],
+)
+def test_how_long_a_bid_holds(
+    place: Place, later_s: float, asks_again: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    setting = Setting([place], monkeypatch)
+    setting.ask(Distance.FAR)
+    setting.clock.time += later_s
+    assert setting.ask(Distance.FAR) == 1
+    assert bool(setting.link.asked) == asks_again
+
+
+def test_a_daemon_that_does_not_answer_is_reported(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    setting = Setting([NEAR, NEAR], monkeypatch, down=1)
+    for _ in range(3):
+        assert setting.ask(Distance.FAR) == 1
+        setting.clock.time += 1.0
+    assert setting.unreachable[0] == "10.0.0.1:7"
+    setting.board.follow_reachability("10.0.0.1:7", is_reachable=False)
+    setting.ask(Distance.FAR)
+    assert setting.link.asked == ["10.0.0.2:7"]
+    setting.board.follow_reachability("10.0.0.1:7", is_reachable=True)
+    setting.ask(Distance.FAR)
+    assert "10.0.0.1:7" in setting.link.asked
