Tell the story of a request from log files

A command joins the lines of several daemons by request and attempt, in order; cut lines are counted.

--- a/packages/client/src/pimentobend/_internal/registry.py
+++ b/packages/client/src/pimentobend/_internal/registry.py
@@ -27,6 +27,7 @@
         "stand_in", "StandInCommand", "run a stand-in backend server", True
     ),
     "status": Entry("status", "StatusCommand", "tell which processes are behind"),
+    "story": Entry("story", "StoryCommand", "tell what became of a request"),
     "validate": Entry("validate", "ValidateCommand", "check tables in a file"),
 }
 
--- /dev/null
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -0,0 +1,67 @@
+"""Check that every fault of a fleet's settings is named."""
+
+import json
+from typing import Any
+
+import pytest
+
+from pimentobendd._internal.exceptions import SettingsError
+from pimentobendd._internal.fleet.settings import parse_fleet_settings
+
+GOOD: dict[str, Any] = {
+    "instance": "i-1",
+    "data_centre": "a",
+    "region": "r",
+    "roles": ["instance"],
+    "ip": "10.0.0.1",
+    "link_ports": [7600, 7615],
+    "seeds": ["10.0.0.2:8080"],
+    "listen": {
+        "callers": "10.0.0.1:1",
+        "forward": "10.0.0.1:2",
+        "ready": "10.0.0.1:3",
+        "servers": "10.0.0.1:4",
+        "metrics_port": 5,
+    },
+    "beside": {"service": "s", "address": "10.0.0.1:6"},
+    "retry_budget": {"ratio": 0.2, "window_s": 10, "allowance": 56},
+}
+
+
+def changed(**changes: Any) -> str:
+    return json.dumps({k: v for k, v in {**GOOD, **changes}.items() if v is not ...})
+
+
+FAULTS = [
+    ("nothing", "{}", ["instance", "roles", "ip", "link_ports", "seeds"]),
+    ("not JSON", "x", ["line 1"]),
+    ("an unknown key", changed(colour=1), ["colour"]),
+    ("no role", changed(roles=[]), ["roles"]),
+    ("an unknown role", changed(roles=["boss"]), ["roles[0]"]),
+    ("no port", changed(link_ports=[]), ["link_ports"]),
+    ("a port too high", changed(link_ports=[70000]), ["link_ports[0]"]),
+    ("a seed without a port", changed(seeds=["10.0.0.1"]), ["seeds[0]"]),
+    ("a seed that is no number", changed(seeds=["1.2.3.400:1"]), ["seeds[0]"]),
+    ("no addresses", changed(listen={}), ["callers", "forward", "servers"]),
+    ("control without a folder", changed(roles=["control"]), ["data_folder"]),
+    ("a budget of words", changed(retry_budget={"ratio": "x"}), ["retry_budget.ratio"]),
+]
+
+
+@pytest.mark.parametrize(
+    ("text", "places"), [f[1:] for f in FAULTS], ids=[f[0] for f in FAULTS]
+)
+def test_faults_are_named(text: str, places: list[str]) -> None:
+    with pytest.raises(SettingsError) as caught:
+        parse_fleet_settings(text, "file")
+    message = str(caught.value)
+    assert [place for place in places if place not in message] == []
+
+
+def test_good_settings_are_read() -> None:
+    settings = parse_fleet_settings(changed(data_folder=None), "file")
+    assert settings.seeds == ("10.0.0.2:7600",)
+    assert settings.link == "10.0.0.1:7600"
+    assert settings.metrics == ("10.0.0.1", 5)
+    assert settings.budget.allowance == 56
+    assert not settings.first_start
