Ask the seeds as soon as a daemon starts

Ruled out: slow answers of the seeds (60 ms). Change: a tick at the start. Before: 0.5 s to the first peer.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -113,6 +113,7 @@
         """Start all tasks and listen."""
         self._link.start()
         self._gossip.start()
+        self._gossip.put(GossipTick())  # the seeds are asked at once
         self._spread.task.start()
         if self._control is not None:
             self._control.start()
