Write requests in one place, split the delivery's messages, and bound short times

Cause: a test drew a time whose logarithm is none; it would have ended a host's task. Ruled out: times of real clocks, which are longer, but an error there would stop all offers. Change: times below 0.1 ms count as that; calls and hops share the code that writes a request; unused names are gone. Before: 1 failed of 567. After: the forwarding tests pass.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -10,10 +10,10 @@
 import eventlet
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
-from urllib3.util import SKIP_HEADER
 
 from pimentobend_adapters._internal.forwarding.answers import make_attempted
 from pimentobend_adapters._internal.forwarding.answers import read_answer
+from pimentobend_adapters._internal.forwarding.requests import send_request
 from pimentobend_adapters._internal.http.bodies import BodyBrokenError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import HeaderNames
@@ -112,17 +112,7 @@
         body: Body,
         started: float,
     ) -> tuple[Attempted, _Fate]:
-        connection.request(
-            head.method,
-            _target(head),
-            body=None if body.length == 0 else body.chunks(),
-            headers=self._headers(server, head, body),
-            chunked=body.length is None,
-            preload_content=False,
-            decode_content=False,
-            enforce_content_length=True,
-        )
-        response = connection.getresponse()
+        response = send_request(connection, head, body, self._own(server, head))
         headers = tuple(response.headers.items())
         if not self._is_answer(response.status, headers, head):
             return self._failed(AttemptKind.TRUNCATED, started), _Fate.CLOSED
@@ -159,26 +149,16 @@
             return True
         return bool(names.expected_server) and status == MISDIRECTED
 
-    def _headers(self, server: Server, head: RequestHead, body: Body) -> dict[str, str]:
+    def _own(self, server: Server, head: RequestHead) -> dict[str, str]:
+        """Return the headers that the server is told by this daemon."""
         names = self._names
-        headers: dict[str, str] = {}
-        for name, value in without_hop_by_hop(head.headers):
-            headers[name] = f"{headers[name]}, {value}" if name in headers else value
         own = {
             names.request_id: head.request_id,
             names.deadline_ms: str(self._remaining_ms(head)),
-            "Content-Length": str(body.length) if body.length else None,
         }
         if names.expected_server:
             own[names.expected_server] = server.server_id
-        replaced = {name.lower() for name in own}
-        headers = {n: v for n, v in headers.items() if n.lower() not in replaced}
-        headers.update({name: v for name, v in own.items() if v is not None})
-        lowered = {name.lower() for name in headers}
-        for added in ("accept-encoding", "user-agent"):
-            if added not in lowered:
-                headers[added] = SKIP_HEADER
-        return headers
+        return own
 
     def _remaining_ms(self, head: RequestHead) -> int:
         remaining_s = head.deadline - self._clock.now()
@@ -205,10 +185,6 @@
     return AttemptKind.NO_ANSWER
 
 
-def _target(head: RequestHead) -> str:
-    return f"{head.path}?{head.query}" if head.query else head.path
-
-
 def _will_close(headers: Headers, response: Any) -> bool:
     value = find_header(headers, "Connection") or ""
     raw = getattr(response, "_original_response", None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -6,7 +6,6 @@
 
 import eventlet
 from urllib3.exceptions import HTTPError
-from urllib3.util import SKIP_HEADER
 
 from pimentobend_adapters._internal.forwarding.answers import make_attempted
 from pimentobend_adapters._internal.forwarding.answers import read_answer
@@ -19,6 +18,7 @@
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peer_front import BROKEN_REQUEST
 from pimentobend_adapters._internal.forwarding.peer_front import WRONG_PROCESS
+from pimentobend_adapters._internal.forwarding.requests import send_request
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
@@ -27,9 +27,7 @@
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.models.request import AttemptKind
-from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.ports import Attempted
-from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
 KIND_WITHDRAW = "withdraw"
@@ -118,18 +116,8 @@
     def _exchange(
         self, connection: Any, attempt: LocalAttempt, hop: HopSubmit
     ) -> tuple[Attempted, bool]:
-        head, body = attempt.head, attempt.body
-        connection.request(
-            head.method,
-            f"{head.path}?{head.query}" if head.query else head.path,
-            body=None if body.length == 0 else body.chunks(),
-            headers=_headers(head, body, hop),
-            chunked=body.length is None,
-            preload_content=False,
-            decode_content=False,
-            enforce_content_length=True,
-        )
-        response = connection.getresponse()
+        own = {SUBMIT_HEADER: encode_hop(hop)}
+        response = send_request(connection, attempt.head, attempt.body, own)
         headers = tuple(response.headers.items())
         result = decode_result(find_header(headers, RESULT_HEADER) or "")
         headers = tuple(
@@ -163,19 +151,3 @@
 
     def _failed(self, kind: AttemptKind, started: float) -> Attempted:
         return make_attempted(kind, self._clock.now() - started)
-
-
-def _headers(head: RequestHead, body: Body, hop: HopSubmit) -> dict[str, str]:
-    headers: dict[str, str] = {}
-    for name, value in without_hop_by_hop(head.headers):
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    for name in [each for each in headers if each.lower() == "content-length"]:
-        del headers[name]
-    if body.length:
-        headers["Content-Length"] = str(body.length)
-    headers[SUBMIT_HEADER] = encode_hop(hop)
-    lowered = {name.lower() for name in headers}
-    for added in ("accept-encoding", "user-agent"):
-        if added not in lowered:
-            headers[added] = SKIP_HEADER
-    return headers
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -3,8 +3,20 @@
 import enum
 import zlib
 from collections.abc import Mapping
-from typing import NamedTuple
 
+from pimentobend_core._internal.forwarding.delivery_messages import AskServers
+from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
+from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
+from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
+from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import Offers
+from pimentobend_core._internal.forwarding.delivery_messages import Refuse
+from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import Stop
+from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
+from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Need
@@ -32,81 +44,6 @@
 MS_PER_S = 1000
 
 
-class Offers(NamedTuple):
-    """Give the servers that take work up to a distance."""
-
-    candidates: tuple[Candidate, ...]
-    distance: Distance
-
-
-class AttemptDone(NamedTuple):
-    """Report the end of an attempt; ``status`` is 0 without an answer."""
-
-    number: int
-    kind: AttemptKind
-    status: int
-    reason: str = ""
-
-
-class TimerDue(NamedTuple):
-    """Report that the time asked for has come."""
-
-
-class CallerLeft(NamedTuple):
-    """Report that nobody waits for the answer."""
-
-
-DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft
-
-
-class AskServers(NamedTuple):
-    """Ask the daemons up to a distance what their servers offer."""
-
-    distance: Distance
-
-
-class SendAttempt(NamedTuple):
-    """Send the request to a server."""
-
-    number: int
-    candidate: Candidate
-    is_hedge: bool
-    is_repeat: bool  # an earlier attempt may have reached a server
-
-
-class CancelAttempt(NamedTuple):
-    """Break off an attempt whose answer is not needed."""
-
-    number: int
-
-
-class Deliver(NamedTuple):
-    """Give the caller the answer of an attempt."""
-
-    number: int
-
-
-class Refuse(NamedTuple):
-    """Give the caller a refusal."""
-
-    refusal: Refusal
-
-
-class Stop(NamedTuple):
-    """End without an answer, as nobody waits for one."""
-
-
-class WakeAt(NamedTuple):
-    """Ask for ``TimerDue`` at a time of the clock; a later one replaces it."""
-
-    due: float
-
-
-DeliveryOutput = (
-    AskServers | SendAttempt | CancelAttempt | Deliver | Refuse | Stop | WakeAt
-)
-
-
 class _Phase(enum.Enum):
     ASKING = "asking"
     WAITING = "waiting"
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -0,0 +1,83 @@
+"""Define what a delivery takes and asks for."""
+
+from typing import NamedTuple
+
+from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import Refusal
+
+
+class Offers(NamedTuple):
+    """Give the servers that take work up to a distance."""
+
+    candidates: tuple[Candidate, ...]
+    distance: Distance
+
+
+class AttemptDone(NamedTuple):
+    """Report the end of an attempt; ``status`` is 0 without an answer."""
+
+    number: int
+    kind: AttemptKind
+    status: int
+    reason: str = ""
+
+
+class TimerDue(NamedTuple):
+    """Report that the time asked for has come."""
+
+
+class CallerLeft(NamedTuple):
+    """Report that nobody waits for the answer."""
+
+
+DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft
+
+
+class AskServers(NamedTuple):
+    """Ask the daemons up to a distance what their servers offer."""
+
+    distance: Distance
+
+
+class SendAttempt(NamedTuple):
+    """Send the request to a server."""
+
+    number: int
+    candidate: Candidate
+    is_hedge: bool
+    is_repeat: bool  # an earlier attempt may have reached a server
+
+
+class CancelAttempt(NamedTuple):
+    """Break off an attempt whose answer is not needed."""
+
+    number: int
+
+
+class Deliver(NamedTuple):
+    """Give the caller the answer of an attempt."""
+
+    number: int
+
+
+class Refuse(NamedTuple):
+    """Give the caller a refusal."""
+
+    refusal: Refusal
+
+
+class Stop(NamedTuple):
+    """End without an answer, as nobody waits for one."""
+
+
+class WakeAt(NamedTuple):
+    """Ask for ``TimerDue`` at a time of the clock; a later one replaces it."""
+
+    due: float
+
+
+DeliveryOutput = (
+    AskServers | SendAttempt | CancelAttempt | Deliver | Refuse | Stop | WakeAt
+)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -10,6 +10,7 @@
 TARGET_TO_MEDIAN = 0.2  # before any answer: the median as a share of the target
 FIRST_SPREAD = 0.8  # of the logarithm of the time
 LEAST_SPREAD = 0.2
+LEAST_S = 1e-4  # shorter times tell nothing of a server
 NINE_OF_TEN = 1.2816  # standard deviations
 MEAN_OF_STRAGGLERS = 1.0 + STRAGGLER_SHARE * (STRAGGLER_MULTIPLE - 1.0)
 
@@ -44,7 +45,7 @@
         gain = max(GAIN, 1.0 / self._answers)
         # a straggler must not pass for the usual time
         limit = self._mean + 3 * math.sqrt(self._variance)
-        sample = min(math.log(max(seconds, 1e-4)), limit)
+        sample = min(math.log(max(seconds, LEAST_S)), limit)
         distance = sample - self._mean
         self._mean += gain * distance
         self._variance += gain * (distance**2 - self._variance)
@@ -52,7 +53,7 @@
 
     def survival(self, seconds: float) -> float:
         """Return the share of requests that take longer than ``seconds``."""
-        if seconds <= 0:
+        if seconds < LEAST_S:
             return 1.0
         usual = self._tail(math.log(seconds))
         straggler = self._tail(math.log(seconds / STRAGGLER_MULTIPLE))
--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -57,7 +57,6 @@
         self._misses: dict[str, int] = {}
         self._repinged_at: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
-        self._joined_at = float("-inf")
         self._seeded_at = float("-inf")
         self._pulled_at = float("-inf")
         self._announced: tuple[PeerRow, ...] = ()
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -78,8 +78,9 @@
             kind = name_of(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._put_in_force(_join(output.tables))
+            self._put_in_force(join_tables(output.tables))
 
 
-def _join(whole: WholeTables) -> Tables:
+def join_tables(whole: WholeTables) -> Tables:
+    """Return tables that were given whole."""
     return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -21,12 +21,12 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import SpreadSent
 from pimentobend_core._internal.configuration.messages import Version
-from pimentobend_core._internal.configuration.messages import WholeTables
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.spread import KIND_TYPES
+from pimentobendd._internal.control.spread import join_tables
 from pimentobendd._internal.control.spread import name_of
 
 FOLLOWERS_MAX = 256  # daemons that a control instance gives each version
@@ -91,8 +91,4 @@
             kind = name_of(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._put_in_force(_join(output.tables))
-
-
-def _join(whole: WholeTables) -> Tables:
-    return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
+            self._put_in_force(join_tables(output.tables))
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -4,20 +4,20 @@
 
 import pytest
 
-from pimentobend_core._internal.forwarding.delivery import AskServers
-from pimentobend_core._internal.forwarding.delivery import AttemptDone
-from pimentobend_core._internal.forwarding.delivery import CallerLeft
-from pimentobend_core._internal.forwarding.delivery import CancelAttempt
-from pimentobend_core._internal.forwarding.delivery import Deliver
 from pimentobend_core._internal.forwarding.delivery import Delivery
-from pimentobend_core._internal.forwarding.delivery import DeliveryInput
-from pimentobend_core._internal.forwarding.delivery import DeliveryOutput
-from pimentobend_core._internal.forwarding.delivery import Offers
-from pimentobend_core._internal.forwarding.delivery import Refuse
-from pimentobend_core._internal.forwarding.delivery import SendAttempt
-from pimentobend_core._internal.forwarding.delivery import Stop
-from pimentobend_core._internal.forwarding.delivery import TimerDue
-from pimentobend_core._internal.forwarding.delivery import WakeAt
+from pimentobend_core._internal.forwarding.delivery_messages import AskServers
+from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
+from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
+from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
+from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import Offers
+from pimentobend_core._internal.forwarding.delivery_messages import Refuse
+from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import Stop
+from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
+from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -1,6 +1,7 @@
 """Check the estimate of whether a server answers."""
 
 import pytest
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -55,6 +56,7 @@
     assert risks[-1] > 0.5
 
 
+@example([(0.0, True), (5e-324, True)])  # the logarithm of nearly nothing
 @given(st.lists(st.tuples(st.floats(0, 1), st.sampled_from([True, False, None]))))
 def test_risk_is_a_probability(steps: list[tuple[float, bool | None]]) -> None:
     liveness = Liveness(0.0)
