--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -28,7 +28,6 @@
     target_ms: int
     remaining_ms: int  # until the deadline
     process_id: int  # of the daemon that is meant
-    is_resent: bool  # an earlier copy may have arrived
     is_repeat: bool  # an earlier attempt of the request may have reached a server
 
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -93,7 +93,7 @@
             connection.connect()
             connection.timeout = None  # the library sets it again for each request
             has_sent = True
-            hop = self._hop(peer, attempt, is_resent)
+            hop = self._hop(peer, attempt)
             with eventlet.Timeout(hop.remaining_ms / MS_PER_S, False):
                 attempted, is_passed_on = self._exchange(connection, attempt, hop)
                 is_done = True
@@ -137,7 +137,7 @@
         attempted = make_attempted(result.kind, 0.0, response.status, headers, content)
         return attempted, not is_whole
 
-    def _hop(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> HopSubmit:
+    def _hop(self, peer: PeerRow, attempt: LocalAttempt) -> HopSubmit:
         submit = attempt.submit
         remaining_s = submit.deadline - self._clock.now()
         return HopSubmit(
@@ -149,7 +149,6 @@
             int(submit.target_s * MS_PER_S),
             max(1, int(remaining_s * MS_PER_S)),
             peer.process_id,
-            is_resent,
             submit.is_repeat,
         )
 
