--- /dev/null
+++ b/tests/lib/platform_fleet.py
@@ -0,0 +1,234 @@
+"""Start a fleet of the platform's processes on loopback addresses."""
+
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+from typing import NamedTuple
+
+from platform_server import PREFIX
+from platform_server import PlatformServer
+
+ROOT = pathlib.Path(__file__).parents[2]
+WAIT_S = 40.0  # until something comes true; nothing below is timed
+GRACE_S = 5.0
+ROUTES = {
+    "columns": ["name", "host", "pathPrefix", "type", "timeoutS", "service"],
+    "rows": [
+        ["look", "a.example", "/look/", "safe", 10, "shop"],
+        ["book", "a.example", "/book/", "unsafe", 10, "shop"],
+    ],
+}
+SERVICES = {"columns": ["name", "healthCheckPath"], "rows": [["shop", "/healthz"]]}
+_BLOCKS = itertools.count(os.getpid() % 200)
+
+
+class Answer(NamedTuple):
+    """Hold an answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 12.0,
+) -> Answer:
+    """Send one request; the status is 0 without an answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, found, response.read())
+    except (OSError, http.client.HTTPException):
+        return Answer(0, {}, b"")
+    finally:
+        connection.close()
+
+
+def until(condition: Callable[[], Any], what: str) -> None:
+    """Wait until a condition is true."""
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline, what
+        time.sleep(0.1)
+
+
+class Process:
+    """Own one daemon on a loopback address of its own."""
+
+    def __init__(self, fleet: "Fleet", number: int, is_control: bool) -> None:
+        self.ip = f"127.{fleet.block}.0.{number}"
+        self.is_control = is_control
+        self.folder = fleet.folder / str(number)
+        self.folder.mkdir()
+        self._fleet = fleet
+        self._popen: subprocess.Popen[bytes] | None = None
+        self.server: PlatformServer | None = None
+        if not is_control:
+            self.server = PlatformServer(self.ip, "shop", f"{self.ip}:8403")
+
+    def address(self, port: int) -> str:
+        """Return an address of this process."""
+        return f"{self.ip}:{port}"
+
+    def start(self, *, first: bool = False) -> None:
+        """Start the process."""
+        settings: dict[str, Any] = {
+            "instance": f"n-{self.ip}",
+            "data_centre": "a",
+            "region": "r",
+            "roles": ["control" if self.is_control else "instance"],
+            "ip": self.ip,
+            "link_ports": [8410, 8420],
+            "seeds": self._fleet.seeds,
+            "first_start": first,
+            "grace_s": GRACE_S,
+            "listen": {"operators": self.address(8403)},
+        }
+        if self.is_control:
+            settings["data_folder"] = str(self.folder / "data")
+        else:
+            assert self.server is not None
+            settings["beside"] = {"service": "shop", "address": self.server.address}
+            settings["listen"] = {
+                "callers": self.address(8400),
+                "forward": self.address(8401),
+                "ready": self.address(8402),
+                "servers": self.address(8403),
+            }
+        path = self.folder / "settings.json"
+        path.write_text(json.dumps(settings))
+        with (self.folder / "log").open("ab") as log:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", "pimentobend_platform"],
+                env={
+                    **os.environ,
+                    "PIMENTOBEND_SETTINGS": str(path),
+                    "PYTHONPATH": str(ROOT / "platform"),
+                    "EVENTLET_NO_GREENDNS": "yes",
+                },
+                stdout=log,
+                stderr=log,
+                cwd=ROOT / "deploy",
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        assert self._popen is not None
+        self._popen.send_signal(number)
+
+    def wait(self) -> int:
+        """Wait for the end and return the exit code."""
+        assert self._popen is not None
+        return self._popen.wait(WAIT_S)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+    def request(
+        self, path: str = "/look/1", method: str = "GET", request_id: str = "1"
+    ) -> Answer:
+        """Send a caller's request."""
+        headers = {
+            "Host": "a.example",
+            f"{PREFIX}Request-Id": request_id,
+            f"{PREFIX}Deadline-Ms": "10000",
+        }
+        return ask(self.address(8400), method, path, b"", headers)
+
+    def is_ready(self) -> bool:
+        """Say whether callers may be sent here."""
+        return ask(self.address(8402), "GET", "/-/readyz").status == 200
+
+    def log(self) -> str:
+        """Return what the process wrote."""
+        return (self.folder / "log").read_text()
+
+
+class Fleet:
+    """Own three control instances and two with a server beside them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.block = 10 + next(_BLOCKS) % 240
+        self.seeds = [f"127.{self.block}.0.{number}:8403" for number in (1, 2, 3)]
+        self.control = [Process(self, number, True) for number in (1, 2, 3)]
+        self.instances = [Process(self, number, False) for number in (4, 5)]
+        self._label = 0
+
+    @property
+    def processes(self) -> list[Process]:
+        """Return all processes."""
+        return [*self.control, *self.instances]
+
+    def start(self) -> None:
+        """Start everything and put the first configuration in force."""
+        for process in self.processes:
+            process.start(first=True)
+            if process.server is not None:
+                process.server.start()
+        self.put(ROUTES)
+        for process in self.instances:
+            until(process.is_ready, "an instance is ready")
+            until(lambda p=process: p.request().status == 200, "a request is served")
+
+    @property
+    def label(self) -> int:
+        """Return the operators' number of the last order."""
+        return self._label
+
+    def put(self, routes: dict[str, Any]) -> int:
+        """Put a configuration at any control instance until it is acknowledged."""
+        base, self._label = self._label, self._label + 1
+        body = {
+            "version": f"{self._label:08x}",
+            "routes": routes,
+            "services": SERVICES,
+        }
+        data = json.dumps(body).encode()
+        headers = {"If-Match": f"{base:08x}"}
+        statuses: list[int] = []
+
+        def put() -> bool:
+            for process in self.control:
+                answer = ask(process.address(8403), "PUT", "/-/config", data, headers)
+                statuses.append(answer.status)
+                if answer.status in (200, 412):
+                    return True
+            return False
+
+        until(put, "a configuration is acknowledged")
+        return statuses[-1]
+
+    def read(self) -> list[int]:
+        """Return the labels that the control instances read back."""
+        labels = []
+        for process in self.control:
+            answer = ask(process.address(8403), "GET", "/-/config")
+            if answer.status == 200:
+                labels.append(int(json.loads(answer.body)["version"], 16))
+        return labels
+
+    def stop(self) -> None:
+        """End everything that this fleet started."""
+        for process in self.processes:
+            process.kill()
+            if process.server is not None:
+                process.server.stop()
