Keep the faults of one process of the soak apart

Cause: README command 2 on a clean clone gave 1834 passed, 1 error, in the set-up of test_a_server_that_hangs_ends_with_the_time_limit: the daemon's log says "cannot listen for links; 127.177.0.4:8410: Address already in use". A daemon of an earlier soak was still there. A stop may take its whole grace, longer than the schedule allows; the next fault of that process then started a second daemon, and the first was no longer known and never ended.

Ruled out: the load beside it (the log names the address), and two fleets of one test run on one block (the daemon had the soak's label).

Change: a lock per process, held from the end of a daemon to its next start; start() refuses while the daemon runs; a fleet takes a block of addresses at which nothing listens.

--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -46,7 +46,7 @@
 
 
 def make_schedule(seed: int, seconds: float, processes: int) -> tuple[Step, ...]:
-    """Return the faults of a seed; those of one process do not overlap."""
+    """Return the faults of a seed, with time between those of one process."""
     rng = random.Random(seed)
     steps: list[Step] = []
     free_at = [0.0] * processes
@@ -100,6 +100,10 @@
     def _play(self, step: Step, began: float) -> None:
         time.sleep(max(0.0, step.at_s - (time.monotonic() - began)))
         process = self.fleet.processes[step.process]
+        with process.lock:  # a stop may take longer than its schedule
+            self._apply(step, process)
+
+    def _apply(self, step: Step, process: Process) -> None:
         match step.fault:
             case "pause":
                 process.signal(signal.SIGSTOP)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -6,8 +6,10 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Callable
 from typing import Any
@@ -27,6 +29,7 @@
     ],
 }
 SERVICES = {"columns": ["name", "healthCheckPath"], "rows": [["shop", "/healthz"]]}
+PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # that a process listens at
 _BLOCKS = itertools.count(os.getpid() % 200)
 
 
@@ -67,8 +70,33 @@
         time.sleep(0.1)
 
 
+def is_free(ip: str) -> bool:
+    """Say whether nothing listens at the ports of a process."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                return False
+    return True
+
+
+def free_block() -> int:
+    """Return the second byte of loopback addresses that no other fleet uses."""
+    for _ in range(240):
+        block = 10 + next(_BLOCKS) % 240
+        if all(is_free(f"127.{block}.0.{number}") for number in range(1, 6)):
+            return block
+    raise AssertionError("no loopback addresses are free")
+
+
 class Process:
-    """Own one daemon on a loopback address of its own."""
+    """Own one daemon on a loopback address of its own.
+
+    Hold ``lock`` from ending the daemon until it is started again, so that a
+    second fault never starts a second daemon at the same address.
+    """
 
     def __init__(self, fleet: "Fleet", number: int, is_control: bool) -> None:
         self.ip = f"127.{fleet.block}.0.{number}"
@@ -77,6 +105,7 @@
         self.folder.mkdir()
         self._fleet = fleet
         self._popen: subprocess.Popen[bytes] | None = None
+        self.lock = threading.Lock()
         self.server: PlatformServer | None = None
         if not is_control:
             self.server = PlatformServer(self.ip, "shop", f"{self.ip}:8403")
@@ -86,7 +115,8 @@
         return f"{self.ip}:{port}"
 
     def start(self, *, first: bool = False) -> None:
-        """Start the process."""
+        """Start the process, which has to have ended before."""
+        assert self._popen is None or self._popen.poll() is not None
         settings: dict[str, Any] = {
             "instance": f"n-{self.ip}",
             "data_centre": "a",
@@ -167,7 +197,7 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
-        self.block = 10 + next(_BLOCKS) % 240
+        self.block = free_block()
         self.seeds = [f"127.{self.block}.0.{number}:8403" for number in (1, 2, 3)]
         self.control = [Process(self, number, True) for number in (1, 2, 3)]
         self.instances = [Process(self, number, False) for number in (4, 5)]
