Let a replica that waits to join hear its own cluster alone

On the own interface a replica's id is its address, and one that waits to be added has no members, so it heard everybody: at the address of a dead replica of another cluster it voted for that cluster's candidate and stored its entries. Runs of tests beside each other are handed each other's ports.

Ruled out: changes of members without a majority, and acknowledgements before the sync: 600 examples of the rejoin machine and the walks of the log found none.

Change: such a replica hears the replicas that its settings list, and its members. On the users' platform ids are never used twice; there the check kept a replica that had been away from a leader that joined meanwhile, so it goes.

--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -51,6 +51,9 @@
     replica_id: str
     first_members: Members  # of an empty data folder; none to join later
     seed: int
+    listed: (
+        frozenset[str] | None
+    )  # heard beside the members; None: ids are never reused
 
 
 class ReplicaTask(Outlet[ReplicaInput]):
@@ -104,8 +107,8 @@
     def take(self, frame: Frame) -> None:
         """Take another replica's frame; raise ``FrameError``.
 
-        A dead replica's address may be another cluster's by now, so only
-        members are heard, and those that the settings name.
+        Where an id is an address, a dead replica's may be another cluster's by
+        now, so only members are heard, and the replicas that the settings list.
         """
         try:
             envelope = decode_envelope(frame.payload)
@@ -113,9 +116,7 @@
             raise FrameError(error.message, context=frame.kind) from error
         if envelope.recipient != self._settings.replica_id:
             raise FrameError("another replica is meant", context=envelope.recipient)
-        known = self._known_ids()
-        is_known = envelope.sender in known or self._settings.replica_id not in known
-        if known and not is_known:
+        if not self._hears(envelope.sender):
             raise FrameError("the sender is no member", context=envelope.sender)
         self.put(Received(envelope.sender, envelope.message))
 
@@ -148,6 +149,10 @@
         """Say whether the log that this replica holds names it as a member."""
         return self._settings.replica_id in self._known_ids()
 
+    def _hears(self, sender: str) -> bool:
+        listed = self._settings.listed
+        return listed is None or sender in listed or sender in self._known_ids()
+
     def _known_ids(self) -> frozenset[str]:
         """Return the members; none for a replica that waits to be added."""
         members = self._settings.first_members.all
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -57,6 +57,9 @@
         seed: int,
     ) -> None:
         members = first_members(link.address, control)
+        settings = ReplicaSettings(
+            GROUP, link.address, members, seed, frozenset(control)
+        )
         self._address = link.address
         self._followers: list[Callable[[LeaderChanged], None]] = []
         self._spread = spread
@@ -68,7 +71,7 @@
             clock,
         )
         self.replica = ReplicaTask(
-            ReplicaSettings(GROUP, link.address, members, seed),
+            settings,
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
             CallOutlet(self._take_log),
@@ -76,7 +79,7 @@
         )
         self.members = MembersInterface(self.replica.put)
         self.floor = FloorRole(link, clock, self.replica.put)
-        self.ledger = LedgerRole(link, members, data_folder, clock, seed)
+        self.ledger = LedgerRole(link, settings, data_folder, clock)
 
     def start(self) -> None:
         """Load the data folder and start; raise ``DiskError``."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -88,7 +88,9 @@
             clock,
         )
         self._replica = ReplicaTask(
-            ReplicaSettings(GROUP, identity.replica_id, first_members(identity), seed),
+            ReplicaSettings(
+                GROUP, identity.replica_id, first_members(identity), seed, listed=None
+            ),
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
             CallOutlet(self._take_log),
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -12,7 +12,6 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import Committed
 from pimentobend_core._internal.consensus.messages import Compact
 from pimentobend_core._internal.consensus.messages import Outcome
@@ -56,20 +55,18 @@
 
     def __init__(
         self,
-        number: int,
+        settings: ReplicaSettings,
         link: Transport,
-        members: Members,
         data_folder: pathlib.Path,
         clock: ClockPort,
-        seed: int,
     ) -> None:
-        name = f"ledger-{number}"
+        name = settings.group
         self._link = link
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             name, LedgerService(), CallOutlet(self._release), clock
         )
         self.replica = ReplicaTask(
-            ReplicaSettings(name, link.address, members, seed),
+            settings,
             DiskTask(FolderDisk(FolderFiles(data_folder / name))),
             link,
             CallOutlet(self._take_log),
@@ -127,13 +124,19 @@
     def __init__(
         self,
         link: Transport,
-        members: Members,
+        settings: ReplicaSettings,
         data_folder: pathlib.Path,
         clock: ClockPort,
-        seed: int,
     ) -> None:
         self._groups = tuple(
-            LedgerGroup(number, link, members, data_folder, clock, seed + number)
+            LedgerGroup(
+                settings._replace(
+                    group=f"ledger-{number}", seed=settings.seed + number
+                ),
+                link,
+                data_folder,
+                clock,
+            )
             for number in range(LEDGER_GROUPS)
         )
         self._by_kind = {group.replica.kind: group for group in self._groups}
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -1,6 +1,8 @@
 """Run control replicas as processes, end them, and count what was accepted."""
 
+import pathlib
 import threading
+import time
 from typing import Any
 
 import pytest
@@ -13,6 +15,7 @@
 
 CHANGES = 24
 KILLED_AT = 8
+ELECTED_AGAIN_S = 5.0  # several election timeouts
 
 
 def _link(replicas: Replicas, name: str) -> str:
@@ -84,6 +87,36 @@
     assert replicas.status("control-new")["version"] == replicas.version
 
 
+def test_a_replica_at_a_reused_address_counts_for_no_other_cluster(
+    tmp_path: pathlib.Path,
+) -> None:
+    fleets = [Fleet(tmp_path / name) for name in ("first", "second")]
+    for each in fleets:
+        each.folder.mkdir()
+    try:
+        first, second = (Replicas(each, 3) for each in fleets)
+        first.apply(first.names[0], 0)
+        second.apply(second.names[0], 0)
+        wait_until(first.leader)
+        leader = first.leader()
+        assert leader is not None
+        lost, survivor = (name for name in first.names if name != leader)
+        first.kill(lost)
+        second.join("control-new", _link(first, lost))
+        first.kill(leader)
+        target = f"tables?version={first.version}&change=alone"
+        body = b'{"routes": [], "pools": []}'
+        until = time.monotonic() + ELECTED_AGAIN_S
+        while time.monotonic() < until:
+            answer = first.request("PUT", survivor, target, body)
+            assert answer.status in (503, 504), "not accepted by one replica alone"
+        assert first.route_names(survivor) == {"r0"}
+        assert second.route_names("control-new") <= {"r0"}
+    finally:
+        for each in fleets:
+            each.stop()
+
+
 def test_without_a_majority_changes_are_refused_as_not_run(fleet: Fleet) -> None:
     replicas = Replicas(fleet, 3)
     replicas.apply(replicas.names[0], 0)
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -47,9 +47,9 @@
         """Start a replica's process."""
         self._processes[name] = self._fleet.start_daemon(self.settings[name])
 
-    def join(self, name: str) -> None:
-        """Start a replica with a new address that is no member yet."""
-        settings = control_settings(name, str(self._fleet.folder))
+    def join(self, name: str, link: str | None = None) -> None:
+        """Start a replica that is no member yet, by default at a new address."""
+        settings = control_settings(name, str(self._fleet.folder), link)
         links = self.settings[self.names[0]]["control"]
         self.settings[name] = settings | {"control": links}
         self.names.append(name)
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -48,13 +48,15 @@
 class Site:
     """Own one running replica task with a fake disk and a fake link."""
 
-    def __init__(self, voters: str) -> None:
+    def __init__(self, voters: str, listed: str | None = "") -> None:
         members = Members(tuple(Member(each, each) for each in voters))
         self.disk = MemoryDisk()
         self.outputs: list[LogOutput] = []
         self.link = FakeLink()
         self.task = ReplicaTask(
-            ReplicaSettings("test", "a", members, 1),
+            ReplicaSettings(
+                "test", "a", members, 1, None if listed is None else frozenset(listed)
+            ),
             DiskTask(self.disk),
             self.link,  # type: ignore[arg-type]
             CallOutlet(self.outputs.append),
@@ -84,11 +86,21 @@
 
 
 @pytest.mark.parametrize(
-    ("voters", "sender", "is_heard"),
-    [("abc", "b", True), ("abc", "x", False), ("", "x", True)],
+    ("voters", "listed", "sender", "is_heard"),
+    [
+        ("abc", "", "b", True),
+        ("abc", "", "x", False),
+        ("abc", "bcx", "x", True),  # added while this replica was away
+        ("", "x", "x", True),  # joins at the cluster that the settings list
+        ("", "bc", "x", False),  # another cluster knew a replica at this address
+        ("abc", None, "x", True),  # no other replica was ever called "a"
+        ("", None, "x", True),
+    ],
 )
-def test_only_members_are_heard(voters: str, sender: str, is_heard: bool) -> None:
-    site = Site(voters)
+def test_only_members_and_listed_replicas_are_heard(
+    voters: str, listed: str | None, sender: str, is_heard: bool
+) -> None:
+    site = Site(voters, listed)
     message = encode_envelope(sender, "a", AppendEntries(5, 0, 0, (), 0, 1.0))
     frame = Frame(sender, site.task.kind, message)
     if is_heard:
