Send repeats where the retry budget is not spent, and declined hedges again

Change: bids say whether the server takes repeats, and repeats go only there. A hedge that was declined, or found nobody, is due again after 0.2 s. It joins a queue only when the first server is doubtful by now. A doubtful server is tried only with a sound one to fall back on. A failed first attempt costs half of the target.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -117,6 +117,7 @@
             deadline,
             request_id,
             hop.is_repeat,
+            hop.may_follow_repeat,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -17,11 +17,13 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
 from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
 from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
+from pimentobend_core._internal.forwarding.selection import RISK_LIMIT
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Need
 from pimentobend_core._internal.forwarding.selection import choose
 from pimentobend_core._internal.forwarding.selection import is_worth_asking
+from pimentobend_core._internal.forwarding.selection import select_for_repeat
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
@@ -35,10 +37,10 @@
 ASK_AGAIN_S = 0.1  # while no server takes work
 HOLD_SHARE = 0.6  # of the time left, in which unsent work waits for a server
 RISK_HOLD_SHARE = 0.2  # of the target, in which unsafe work waits for a sound server
-RISK_LIMIT = 0.5  # above it a server more likely fails than answers
 HEDGE_MULTIPLE = 1.2  # of the time in which nine of ten requests are answered
 HEDGE_LEAST_S = 0.05
 HEDGE_TARGET_SHARE = 0.5  # of the target, at which a hedge is due at the latest
+HEDGE_AGAIN_S = 0.2  # after a hedge that no server took
 RETRY_AFTER_S = 1.0
 SERVER_ERROR = 500
 MS_PER_S = 1000
@@ -140,15 +142,21 @@
         if self._phase is not _Phase.ASKING:
             return ()
         excluded = frozenset(self._tried | self._turned_away)
+        candidates = offers.candidates
+        is_repeat = self._is_repeat()
+        if is_repeat:
+            candidates = select_for_repeat(candidates, self._running.values())
         need = self._need()
-        best = choose(offers.candidates, need, excluded)
+        best = choose(candidates, need, excluded)
         if offers.distance < Distance.FAR:
             further = Distance(offers.distance + 1)
             if is_worth_asking(further, best, need):
                 return self._ask(further)
-        if best is None or self._waits_for_better(best, now):
+        if best is None and is_repeat and choose(offers.candidates, need, excluded):
+            return self._leave_unrepeated(now)
+        if best is None or self._waits_for_better(best.candidate, now):
             return self._hold(now)
-        return self._send(best, now)
+        return self._send(best.candidate, now)
 
     def _waits_for_better(self, best: Candidate, now: float) -> bool:
         """Hold unsafe work for a moment while every server seems to fail."""
@@ -159,6 +167,7 @@
     def _hold(self, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         if self._running:
+            self._hedge_at = now + HEDGE_AGAIN_S
             return ()
         limit = self._begun_at + HOLD_SHARE * (self._deadline - self._begun_at)
         if now >= limit:
@@ -170,9 +179,9 @@
     def _send(self, candidate: Candidate, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         is_hedge = bool(self._running)
-        is_repeat = is_hedge or self._has_arrived
+        is_repeat = self._is_repeat()
         if is_repeat and not self._repeats.may_retry(self._pool, now):
-            return () if is_hedge else self._give_failed()
+            return self._leave_unrepeated(now)
         self._numbers += 1
         self._running[self._numbers] = candidate
         self._tried.add(candidate.server_id)
@@ -180,10 +189,20 @@
         self._hedge_at = self._find_hedge_time(candidate, now)
         return (SendAttempt(self._numbers, candidate, is_hedge, is_repeat),)
 
+    def _is_repeat(self) -> bool:
+        """Say whether one more attempt would draw on the retry budget."""
+        return bool(self._running) or self._has_arrived
+
+    def _leave_unrepeated(self, now: float) -> tuple[DeliveryOutput, ...]:
+        """Go on without one more attempt, as the retry budget is spent."""
+        self._phase = _Phase.WAITING
+        if not self._running:
+            return self._give_failed()
+        self._hedge_at = now + HEDGE_AGAIN_S
+        return ()
+
     def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
-        if not self._is_repeatable or not self._can_replay:
-            return None
-        if self._reached >= self._max_attempts:
+        if not self._may_hedge():
             return None
         bid = candidate.bid
         delay_s = bid.wait_s + max(HEDGE_LEAST_S, HEDGE_MULTIPLE * bid.usual_s)
@@ -191,6 +210,11 @@
             delay_s = min(delay_s, HEDGE_TARGET_SHARE * self._target_s)
         return now + delay_s
 
+    def _may_hedge(self) -> bool:
+        if not self._is_repeatable or not self._can_replay:
+            return False
+        return self._reached < self._max_attempts and self._offers < MAX_OFFERS
+
     def _end(self, done: AttemptDone, now: float) -> tuple[DeliveryOutput, ...]:
         candidate = self._running.pop(done.number, None)
         if candidate is None:
@@ -201,11 +225,11 @@
                 return self._take_answer(done, now)
             case AttemptKind.DECLINED | AttemptKind.NOT_CONNECTED:
                 self._turn_away(candidate)
-                return self._offer_again(is_free=True)
+                return self._offer_again(now, is_free=True)
             case AttemptKind.REFUSED:
                 self._has_arrived = True
                 self._turn_away(candidate)
-                return self._offer_again(is_free=False)
+                return self._offer_again(now, is_free=False)
             case _:
                 self._has_arrived = True
                 self._ran = Ran.UNKNOWN
@@ -224,10 +248,12 @@
         self._failed = done
         return self._retry(now)
 
-    def _offer_again(self, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
+    def _offer_again(self, now: float, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
         """Offer work elsewhere that has not run."""
         self._offers += 1
         if self._running:
+            if self._may_hedge():
+                self._hedge_at = now + HEDGE_AGAIN_S
             return ()
         if self._offers >= MAX_OFFERS:
             return self._give_up(RefusalReason.BACKEND, "every server turned it away")
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -70,7 +70,7 @@
 
     def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
         self.server = server
-        self.budget = ServerBudget(terms)
+        self.budget = ServerBudget(terms, now)
         self.running: set[str] = set()
         self.queue: list[_Place] = []
         self.liveness = Liveness(now)
@@ -172,8 +172,13 @@
             round(wait_s, 3),
             round(durations.usual_s, 3),
             risk > TRIAL_RISK and is_quiet and hosted.free_slots > 0,
+            self._takes_repeats(hosted, now),
         )
 
+    def _takes_repeats(self, hosted: _Hosted, now: float) -> bool:
+        servers = self._sizes.get(hosted.server.service, 1)
+        return hosted.budget.allows(servers, now)
+
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (Joined(submit.attempt_id),)
@@ -186,7 +191,8 @@
             return (self._decline(record, reason or DeclineReason.NO_SERVER),)
         self._records[submit.attempt_id] = record
         self._number += 1
-        hosted.budget.note(now, is_repeat=submit.is_repeat)
+        is_repeat = submit.is_repeat or submit.may_follow_repeat
+        hosted.budget.note(now, is_repeat=is_repeat)
         place = _Place(submit.priority, self._number, submit.attempt_id)
         bisect.insort(hosted.queue, place)
         hosted.durations.of(submit.route, submit.target_s)
@@ -204,8 +210,7 @@
         is_full = len(hosted.queue) >= QUEUE_LIMIT
         if is_full or len(self._records) >= RECORDS_LIMIT:
             return DeclineReason.FULL
-        servers = self._sizes.get(hosted.server.service, 1)
-        if submit.is_repeat and not hosted.budget.allows(servers, now):
+        if submit.is_repeat and not self._takes_repeats(hosted, now):
             return DeclineReason.BUDGET
         return None
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -15,6 +15,7 @@
     wait_s: float  # until a slot is free
     usual_s: float  # in which nine of ten of the route's requests are answered
     wants_trial: bool = False  # a repeatable request should try whether it answers
+    takes_repeats: bool = True  # its part of the retry budget is not spent
 
 
 class Ask(NamedTuple):
@@ -45,6 +46,7 @@
     deadline: float  # of the clock
     request_id: str = ""
     is_repeat: bool = False  # an earlier attempt may have reached a server
+    may_follow_repeat: bool = False  # may be called by a run that is a repeat
 
 
 class Withdraw(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -23,8 +23,10 @@
     Distance.FAR: 0.25,  # bytes between regions are billed ten times higher
 }
 LEAST_RISK = 0.02  # of a server that has answered a moment ago
-REPEATABLE_RISK_COST = 0.2  # a repeatable request has a second chance
-TRIAL_WORTH = 0.25  # of learning whether a doubtful server answers again
+REPEATABLE_RISK_COST = 0.5  # a second chance comes after half of the target
+TRIAL_WORTH = 0.5  # of learning whether a doubtful server answers again
+RISK_LIMIT = 0.5  # above it a server more likely fails than answers
+FALLBACK_RISK = 0.1  # of the server that a failed trial is repeated on, at the most
 WAIT_COST = 1.0  # for a wait as long as the route's target
 BUSY_COST = 0.02  # for the last free slot
 DEFAULT_TARGET_S = 1.0
@@ -48,6 +50,7 @@
 
     has_second_chance: bool  # the request may be sent once more
     target_s: float  # 0 where the route states none
+    may_try: bool = False  # whether a doubtful server answers again
 
     @property
     def risk_cost(self) -> float:
@@ -70,21 +73,47 @@
     wait = bid.wait_s / (need.target_s or DEFAULT_TARGET_S)
     busy = BUSY_COST / (1 + bid.free_slots)
     distance = DISTANCE_COSTS[candidate.distance]
-    trial = TRIAL_WORTH if bid.wants_trial and need.has_second_chance else 0.0
+    trial = TRIAL_WORTH if bid.wants_trial and need.may_try else 0.0
     return bid.risk * need.risk_cost + wait * WAIT_COST + busy + distance - trial
 
 
+class Choice(NamedTuple):
+    """Hold the cheapest server and what it is expected to cost."""
+
+    candidate: Candidate
+    cost: float
+
+
 def choose(
     candidates: Iterable[Candidate], need: Need, tried: frozenset[str]
-) -> Candidate | None:
+) -> Choice | None:
     """Return the cheapest server that was not tried."""
     fresh = [each for each in candidates if each.server_id not in tried]
-    return min(fresh, key=lambda each: cost_of(each, need), default=None)
+    if need.has_second_chance:
+        is_sound = any(each.bid.risk < FALLBACK_RISK for each in fresh)
+        need = need._replace(may_try=is_sound)
+    choices = (Choice(each, cost_of(each, need)) for each in fresh)
+    return min(choices, key=lambda each: each.cost, default=None)
 
 
-def is_worth_asking(distance: Distance, best: Candidate | None, need: Need) -> bool:
+def is_worth_asking(distance: Distance, best: Choice | None, need: Need) -> bool:
     """Say whether servers at a distance may cost less than the best one so far."""
-    if best is None:
-        return True
     least = DISTANCE_COSTS[distance] + LEAST_RISK * need.risk_cost
-    return cost_of(best, need) > least
+    return best is None or best.cost > least
+
+
+def select_for_repeat(
+    candidates: tuple[Candidate, ...], running: Iterable[Candidate]
+) -> tuple[Candidate, ...]:
+    """Return the servers that may take one more attempt of a request.
+
+    While its server seems to work, one in a queue would only lengthen it.
+    """
+    affordable = tuple(each for each in candidates if each.bid.takes_repeats)
+    bids = {each.server_id: each.bid for each in running}
+    if not bids:
+        return affordable
+    bids.update((c.server_id, c.bid) for c in candidates if c.server_id in bids)
+    if any(bid.risk >= RISK_LIMIT for bid in bids.values()):
+        return affordable
+    return tuple(each for each in affordable if each.bid.free_slots)
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -48,9 +48,17 @@
 
 
 def candidate(
-    name: str, risk: float = 0.0, distance: Distance = Distance.DATA_CENTRE
+    name: str,
+    risk: float = 0.0,
+    distance: Distance = Distance.DATA_CENTRE,
+    *,
+    takes_repeats: bool = True,
+    wants_trial: bool = False,
+    free_slots: int = 3,
 ) -> Candidate:
-    return Candidate(PEER, Bid(name, risk, 3, 0.0, 0.2), distance)
+    wait_s = 0.0 if free_slots else 0.1
+    bid = Bid(name, risk, free_slots, wait_s, 0.2, wants_trial, takes_repeats)
+    return Candidate(PEER, bid, distance)
 
 
 class Case(NamedTuple):
@@ -198,6 +206,87 @@
     assert driver.end(2, AttemptKind.ANSWERED, 200) == [CancelAttempt(1), Deliver(2)]
 
 
+def test_a_declined_hedge_is_sent_elsewhere() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.wait()
+    driver.offer(candidate("b"))
+    assert driver.end(2, AttemptKind.DECLINED) == []
+    assert driver.wait() == [AskServers(Distance.DATA_CENTRE)]
+    (sent,) = driver.offer(candidate("b"), candidate("c"))
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == "c"
+    assert driver.now < DEADLINE
+
+
+@pytest.mark.parametrize(
+    ("first_risk", "risk_now", "free_slots", "is_sent"),
+    [
+        (0.0, 0.0, 1, True),
+        (0.0, 0.0, 0, False),  # the whole service is busy
+        (0.0, 0.9, 0, True),  # the server has stopped answering since
+        (0.9, None, 0, True),  # it was tried, and tells nothing new
+    ],
+)
+def test_a_hedge_joins_a_queue_only_when_the_first_server_is_doubtful(
+    first_risk: float, risk_now: float | None, free_slots: int, is_sent: bool
+) -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a", first_risk))
+    driver.wait()
+    known = () if risk_now is None else (candidate("a", risk_now),)
+    outputs = driver.offer(*known, candidate("b", free_slots=free_slots))
+    assert bool(outputs) == is_sent
+    assert is_sent or driver.wake_at < DEADLINE, "asks again"
+
+
+@pytest.mark.parametrize("repeats", [0, 10])
+def test_a_hedge_waits_for_the_retry_budget(repeats: int) -> None:
+    driver = Driver(Case(repeats=repeats))
+    driver.offer(candidate("a"))
+    driver.wait()
+    assert driver.offer(candidate("b", takes_repeats=repeats == 0)) == []
+    assert driver.wait() == [AskServers(Distance.DATA_CENTRE)]
+    assert driver.now < DEADLINE
+
+
+def test_a_repeat_goes_where_the_budget_is_not_spent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.end(1, AttemptKind.ANSWERED, 500)
+    (sent,) = driver.offer(
+        candidate("b", takes_repeats=False), candidate("c", risk=0.3)
+    )
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == "c"
+
+
+def test_a_failure_is_given_at_once_when_the_budget_is_spent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.end(1, AttemptKind.ANSWERED, 500)
+    assert driver.offer(candidate("b", takes_repeats=False)) == [Deliver(1)]
+
+
+TRIALS = [
+    ("with a sound server to fall back on", SAFE, candidate("b"), "a"),
+    ("only a doubtful one besides", SAFE, candidate("b", risk=0.4), "b"),
+    ("no budget to fall back", SAFE, candidate("b", takes_repeats=False), "a"),
+    ("one attempt only", Case(max_attempts=1), candidate("b"), "b"),
+    ("work that may not be repeated", UNSAFE, candidate("b"), "b"),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "other", "chosen"), [t[1:] for t in TRIALS], ids=[t[0] for t in TRIALS]
+)
+def test_who_tries_a_doubtful_server(case: Case, other: Candidate, chosen: str) -> None:
+    driver = Driver(case)
+    (sent,) = driver.offer(candidate("a", risk=0.9, wants_trial=True), other)
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == chosen
+
+
 @pytest.mark.parametrize("case", [UNSAFE, Case(max_attempts=1), Case(can_replay=False)])
 def test_what_is_never_hedged(case: Case) -> None:
     driver = Driver(case)
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -162,6 +162,14 @@
         ],
         [*declined("r", DeclineReason.BUDGET), *started("first")],
     ),
+    (
+        "calls that may belong to a repeat are counted and not held back",
+        [
+            *(submit(f"c{n}")._replace(may_follow_repeat=True) for n in range(5)),
+            submit("r")._replace(is_repeat=True),
+        ],
+        [*started("c0", "c1"), *declined("r", DeclineReason.BUDGET)],
+    ),
     ("nothing to withdraw", [Withdraw("1")], []),
     ("an end of nothing", [ended("1")], []),
     (
