--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -31,7 +31,7 @@
 }
 ASK_LIMITS = {  # daemons asked at once
     Distance.DATA_CENTRE: 6,
-    Distance.REGION: 6,
+    Distance.REGION: 4,
     Distance.FAR: 2,
 }
 UNREACHABLE_AFTER = 2  # questions without an answer
--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -7,80 +7,59 @@
 
 import argparse
 import pathlib
-import random
 import shutil
-import signal
 import sys
 import tempfile
 import threading
 import time
-from typing import NamedTuple
+from collections import Counter
 
-from platform_fleet import ROUTES
 from platform_fleet import Fleet
-from platform_fleet import Process
 from platform_fleet import until
-
-FAULTS = ("kill", "stop", "pause", "wipe")
-PAUSES_S = (0.3, 0.8, 2.0)  # between faults
-DOWN_S = (0.2, 1.0, 3.0)
-CLIENTS = 3  # an instance
-NOT_RUN = 503
-
-
-class Step(NamedTuple):
-    """Hold one fault: what, to which process, when, and for how long."""
-
-    at_s: float
-    fault: str
-    process: int  # its place in the fleet's list
-    down_s: float
-
-
-class Sent(NamedTuple):
-    """Hold what a caller saw of one booking."""
-
-    request_id: str
-    status: int
-    ran: str
-
-
-def make_schedule(seed: int, seconds: float, processes: int) -> tuple[Step, ...]:
-    """Return the faults of a seed, with time between those of one process."""
-    rng = random.Random(seed)
-    steps: list[Step] = []
-    free_at = [0.0] * processes
-    now = 0.0
-    while True:
-        now += rng.choice(PAUSES_S)
-        if now >= seconds:
-            return tuple(steps)
-        process = rng.randrange(processes)
-        step = Step(now, rng.choice(FAULTS), process, rng.choice(DOWN_S))
-        if now >= free_at[process]:
-            free_at[process] = now + step.down_s + 2.0
-            steps.append(step)
+from platform_server import PREFIX
+from soak_faults import Span
+from soak_faults import Step
+from soak_faults import make_faults
+from soak_faults import make_schedule
+from soak_traffic import Caller
+from soak_traffic import Operator
+from soak_traffic import Sent
+
+CALLERS = 3  # an instance
+CALM_S = 2.0  # before a request, without which a cut is no shutdown's
+NOT_RUN = (408, 421, 429, 503)  # statuses that promise it
+BUDGET_RATIO = 0.2  # the default of the settings, as is the next
+BUDGET_ALLOWANCE = 60
 
 
 class Soak:
     """Own a fleet, its callers, its operator and what they saw."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, seed: int = 1) -> None:
         self.fleet = Fleet(folder)
-        self.sent: list[Sent] = []
-        self.acknowledged = 0
+        self.operator = Operator(self.fleet, seed)
+        self.callers = [
+            Caller(process, number, seed)
+            for process in self.fleet.instances
+            for number in range(CALLERS)
+        ]
+        self.spans: list[Span] = []
+        self._faults = make_faults()
         self._stopping = threading.Event()
-        self._wiped = False
+
+    @property
+    def sent(self) -> list[Sent]:
+        """Return what all callers saw."""
+        return [sent for caller in self.callers for sent in caller.sent]
 
     def run(self, schedule: tuple[Step, ...], seconds: float) -> list[str]:
         """Play a schedule and return the promises that were broken."""
         self.fleet.start()
+        tasks = [caller.run for caller in self.callers]
+        tasks += [self.operator.order, self.operator.read]
         threads = [
-            threading.Thread(target=self._call, args=(process, number))
-            for process in self.fleet.instances
-            for number in range(CLIENTS)
+            threading.Thread(target=task, args=(self._stopping,)) for task in tasks
         ]
-        threads.append(threading.Thread(target=self._operate))
         for thread in threads:
             thread.start()
         began = time.monotonic()
@@ -101,91 +80,111 @@
         time.sleep(max(0.0, step.at_s - (time.monotonic() - began)))
         process = self.fleet.processes[step.process]
         with process.lock:  # a stop may take longer than its schedule
-            self._apply(step, process)
-
-    def _apply(self, step: Step, process: Process) -> None:
-        match step.fault:
-            case "pause":
-                process.signal(signal.SIGSTOP)
-                time.sleep(step.down_s)
-                process.signal(signal.SIGCONT)
-                return
-            case "stop":
-                process.signal(signal.SIGTERM)
-                process.wait()
-            case _:
-                process.kill()
-        if step.fault == "wipe" and process.is_control and not self._wiped:
-            self._wiped = True  # one disk is what the settings allow to be lost
-            shutil.rmtree(process.folder / "data", ignore_errors=True)
-        time.sleep(step.down_s)
-        process.start()
-
-    def _call(self, process: Process, number: int) -> None:
-        count = 0
-        while not self._stopping.is_set():
-            count += 1
-            request_id = f"{process.ip}-{number}-{count}"
-            answer = process.request("/book/1", "POST", request_id)
-            ran = answer.headers.get("pimentobend-ran", "")
-            self.sent.append(Sent(request_id, answer.status, ran))
-            if answer.status == 0:
-                time.sleep(0.1)
-
-    def _operate(self) -> None:
-        while not self._stopping.is_set():
-            if self.fleet.put(ROUTES) == 200:
-                self.acknowledged = self.fleet.label
-            time.sleep(0.5)
+            came = time.monotonic()
+            self._faults[step.fault].apply(process, step.down_s)
+            self.spans.append(Span(step.fault, process, came, time.monotonic()))
 
     def _check(self) -> list[str]:
         for process in self.fleet.instances:
             until(process.is_ready, "every instance is ready again")
             until(lambda p=process: p.request().status == 200, "and serves")  # type: ignore[misc]
-        broken: list[str] = []
-        runs: dict[str, int] = {}
-        for process in self.fleet.instances:
-            assert process.server is not None
-            for request_id in process.server.ran:
-                runs[request_id] = runs.get(request_id, 0) + 1
-        for sent in self.sent:
-            ran = runs.get(sent.request_id, 0)
-            if ran > 1:
-                broken.append(f"{sent} ran {ran} times")
-            if ran and (sent.status == NOT_RUN or sent.ran == "not-run"):
-                broken.append(f"{sent} ran, and was refused as not run")
-            if not ran and sent.status == 200:
-                broken.append(f"{sent} was answered and did not run")
         until(self.fleet.read, "the configuration is read")
-        if min(self.fleet.read()) < self.acknowledged:
-            broken.append(f"version {self.acknowledged} was acknowledged and is gone")
+        runs = Counter(
+            request_id
+            for process in self.fleet.instances
+            if process.server is not None
+            for request_id in process.server.ran
+        )
+        return [
+            *(fault for sent in self.sent for fault in self._check_request(sent, runs)),
+            *self._check_configuration(),
+            *self._check_drains(),
+            *self._check_budget(runs),
+        ]
+
+    def _check_request(self, sent: Sent, runs: Counter[str]) -> list[str]:
+        ran = runs[sent.request_id]
+        status, headers, _ = sent.answer
+        broken: list[str] = []
+        if ran > 1 and not sent.is_safe:
+            broken.append(f"{sent} ran {ran} times")
+        says_not_run = headers.get("pimentobend-ran") == "not-run"
+        if ran and (status in NOT_RUN or says_not_run):
+            broken.append(f"{sent} ran, and was refused as not run")
+        if not ran and status == 200:
+            broken.append(f"{sent} was answered and did not run")
+        echoed = headers.get(f"{PREFIX}Request-Id".lower(), sent.request_id)
+        if echoed != sent.request_id:
+            broken.append(f"{sent} got the answer of another request")
+        if status == 0 and ran and self._is_cut_by_stop(sent):
+            broken.append(f"{sent} was cut by a shutdown")
+        return broken
+
+    def _is_cut_by_stop(self, sent: Sent) -> bool:
+        """Say whether a stop of its process is all that met a request."""
+        since = sent.began - CALM_S
+        met = [s for s in self.spans if s.began < sent.ended and s.ended > since]
+        return (
+            sent.is_direct
+            and len(met) == 1
+            and met[0].fault == "stop"
+            and met[0].process is sent.process
+            and sent.began < met[0].began
+        )
+
+    def _check_configuration(self) -> list[str]:
+        broken = [
+            f"read {read.label} after {read.acknowledged} was acknowledged"
+            for read in self.operator.reads
+            if read.label < read.acknowledged
+        ]
+        if min(self.fleet.read()) < self.operator.acknowledged:
+            broken.append(f"{self.operator.acknowledged} was acknowledged and is gone")
         return broken
 
+    def _check_drains(self) -> list[str]:
+        return [
+            f"{process.ip}: work reached a server that had left for 2.5 s"
+            for process in self.fleet.instances
+            if process.server is not None
+            for began, ended in process.server.drained
+            if any(began < at < ended for at in process.server.arrived_at)
+        ]
 
-def main() -> int:
-    """Play one seed and return the exit code."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=20.0)
-    options = parser.parse_args()
-    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
-    soak = Soak(folder)
-    schedule = make_schedule(options.seed, options.seconds, len(soak.fleet.processes))
+    def _check_budget(self, runs: Counter[str]) -> list[str]:
+        repeats = sum(count - 1 for count in runs.values())
+        limit = BUDGET_ALLOWANCE + BUDGET_RATIO * len(self.sent)
+        return [f"{repeats} repeats ran"] if repeats > limit else []
+
+
+def play(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+    """Play one seed, print what was seen, and return the broken promises."""
+    soak = Soak(folder, seed)
+    schedule = make_schedule(seed, seconds, soak.fleet.processes)
     for step in schedule:
         print(*step)
     try:
-        broken = soak.run(schedule, options.seconds)
+        broken = soak.run(schedule, seconds)
     except AssertionError as error:
         broken = [str(error)]
     finally:
         soak.fleet.stop()
-    statuses = [sent.status for sent in soak.sent]
-    counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    print(f"seed {options.seed}: {len(statuses)} bookings {counts}")
-    print(f"acknowledged up to {soak.acknowledged}; broken: {len(broken)}")
+    statuses = sorted(Counter(sent.answer.status for sent in soak.sent).items())
+    print(f"seed {seed}: {len(soak.sent)} requests {dict(statuses)}")
+    print(f"{len(soak.operator.reads)} reads, up to {soak.operator.acknowledged}")
     for line in broken[:20]:
-        print(line)
-    if broken:
+        print("broken:", line)
+    return broken
+
+
+def main() -> int:
+    """Play one seed and return the exit code."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    options = parser.parse_args()
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
+    if play(options.seed, options.seconds, folder):
         print(f"logs in {folder}")
         return 1
     shutil.rmtree(folder)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import socket
 import subprocess
@@ -15,6 +16,7 @@
 from typing import Any
 from typing import NamedTuple
 
+from fault_proxy import FaultProxy
 from platform_server import PREFIX
 from platform_server import PlatformServer
 
@@ -107,8 +109,12 @@
         self._popen: subprocess.Popen[bytes] | None = None
         self.lock = threading.Lock()
         self.server: PlatformServer | None = None
+        self.to_server = FaultProxy(self.ip)  # between the daemon and its server
+        self.to_callers = FaultProxy(self.ip)
         if not is_control:
-            self.server = PlatformServer(self.ip, "shop", f"{self.ip}:8403")
+            self.server = PlatformServer(
+                self.ip, "shop", f"{self.ip}:8403", self.to_server.address
+            )
 
     def address(self, port: int) -> str:
         """Return an address of this process."""
@@ -133,7 +139,7 @@
             settings["data_folder"] = str(self.folder / "data")
         else:
             assert self.server is not None
-            settings["beside"] = {"service": "shop", "address": self.server.address}
+            settings["beside"] = {"service": "shop", "address": self.server.announced}
             settings["listen"] = {
                 "callers": self.address(8400),
                 "forward": self.address(8401),
@@ -161,6 +167,14 @@
         assert self._popen is not None
         self._popen.send_signal(number)
 
+    def limit_files(self, size_bytes: int | None) -> None:
+        """Let files grow no further than a size, as on a full disk; None ends it."""
+        assert self._popen is not None
+        size = resource.RLIM_INFINITY if size_bytes is None else size_bytes
+        resource.prlimit(
+            self._popen.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY)
+        )
+
     def wait(self) -> int:
         """Wait for the end and return the exit code."""
         assert self._popen is not None
@@ -213,6 +227,8 @@
         for process in self.processes:
             process.start(first=True)
             if process.server is not None:
+                process.to_server.start(process.server.address)
+                process.to_callers.start(process.address(8400))
                 process.server.start()
         self.put(ROUTES)
         for process in self.instances:
@@ -249,16 +265,21 @@
 
     def read(self) -> list[int]:
         """Return the labels that the control instances read back."""
-        labels = []
-        for process in self.control:
-            answer = ask(process.address(8403), "GET", "/-/config")
-            if answer.status == 200:
-                labels.append(int(json.loads(answer.body)["version"], 16))
-        return labels
+        labels = (self.read_at(process) for process in self.control)
+        return [label for label in labels if label is not None]
+
+    def read_at(self, process: Process) -> int | None:
+        """Return the label that a control instance reads back, if it is sure."""
+        answer = ask(process.address(8403), "GET", "/-/config", timeout_s=3.0)
+        if answer.status != 200:
+            return None
+        return int(json.loads(answer.body)["version"], 16)
 
     def stop(self) -> None:
         """End everything that this fleet started."""
         for process in self.processes:
             process.kill()
+            process.to_server.stop()
+            process.to_callers.stop()
             if process.server is not None:
                 process.server.stop()
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -15,16 +15,23 @@
 class PlatformServer:
     """Own a server that announces itself and counts what it ran."""
 
-    def __init__(self, host: str, service: str, control: str, slots: int = 3) -> None:
+    def __init__(
+        self,
+        host: str,
+        service: str,
+        control: str,
+        announced: str | None = None,
+        slots: int = 3,
+    ) -> None:
         self.ran: list[str] = []
+        self.arrived_at: list[float] = []  # in seconds of the steady clock
         self.callers: list[str] = []
         self.hold_s = 0.0
         self.hangs = False
         self._stop = Event()
         self._control = control
         self._sequence = 0
-        self.state = "ready"
-        self.server_id = f"i-{time.time_ns():x}"
+        self.drained: list[tuple[float, float]] = []  # spans without new work
         outer = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -41,10 +48,19 @@
         self._http = ThreadingHTTPServer((host, 0), Handler)
         self._http.daemon_threads = True
         self.address = f"{host}:{self._http.server_port}"
+        self.announced = announced or self.address
+        self._info = {"service": service, "version": "v1", "zone": "a", "slots": slots}
+        self.begin_again()
+
+    def begin_again(self) -> None:
+        """Take the place of the server that was here, under another id."""
+        born = time.time_ns()
+        self.server_id = f"i-{born:x}"
+        self.state = "ready"
         self._heartbeat = {
-            "address": self.address,
-            "info": {"service": service, "version": "v1", "zone": "a", "slots": slots},
-            "born": time.time_ns() // 1_000_000,
+            "address": self.announced,
+            "info": self._info,
+            "born": born // 1_000_000,
         }
 
     def start(self) -> None:
@@ -63,6 +79,7 @@
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         request_id = request.headers[f"{PREFIX}Request-Id"]
+        self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
         if self.hangs:
--- a/tests/unit/fleet/test_soak_faults.py
+++ b/tests/unit/fleet/test_soak_faults.py
@@ -9,11 +9,11 @@
 
 import platform_fleet
 import pytest
-from fleet_soak import FAULTS
 from fleet_soak import Soak
-from fleet_soak import Step
+from soak_faults import Step
 
 STOP_TAKES_S = 0.3
+FAULTS = ("kill", "stop", "pause", "wipe")  # those that end or hold a process
 
 
 class SlowProcess:
