Survive a reload that comes during the start

Change: SIGHUP is ignored from the first line of the program on. The settings file's stamp is taken before it is read, so that a change during the start is seen by the poll. The soak starts a process again that a signal ended before its program ran, as the platform does.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -52,7 +52,7 @@
 from pimentobendd._internal.fleet.instance import FleetInstance
 from pimentobendd._internal.fleet.instance import InstancePorts
 from pimentobendd._internal.fleet.settings import FleetSettings
-from pimentobendd._internal.fleet.settings import load_fleet_settings
+from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.tables import FleetTables
 from pimentobendd._internal.interfaces.operators import dump_text
 from pimentobendd._internal.keys import LOOPBACK_KEY
@@ -68,8 +68,10 @@
 class FleetDaemon:
     """Own the parts of one process."""
 
-    def __init__(self, path: str, settings: FleetSettings, dialect: Dialect) -> None:
-        self._path = path
+    def __init__(
+        self, file: SettingsFile, settings: FleetSettings, dialect: Dialect
+    ) -> None:
+        self._file = file
         self._settings = settings
         self._dialect = dialect
         self._log = get_log()
@@ -296,17 +298,14 @@
 
     def _poll_settings(self) -> None:
         """Read the settings again once their file has changed."""
-        stamp = _stamp(self._path)
         while True:
             eventlet.sleep(SETTINGS_POLL_S)
-            current = _stamp(self._path)
-            if current != stamp:
-                stamp = current
+            if self._file.has_changed():
                 self._reload()
 
     def _reload(self) -> None:
         try:
-            settings = load_fleet_settings(self._path)
+            settings = self._file.load()
         except SettingsError as error:
             self._log.error("reload-refused", error=str(error))
             return
@@ -336,11 +335,3 @@
             eventlet.sleep(DRAIN_POLL_S)
         if instance.in_flight:
             self._log.error("shutdown-cut", in_flight=instance.in_flight)
-
-
-def _stamp(path: str) -> tuple[int, int] | None:
-    try:
-        status = pathlib.Path(path).stat()
-    except OSError:
-        return None
-    return status.st_mtime_ns, status.st_size
--- a/packages/daemon/src/pimentobendd/fleet.py
+++ b/packages/daemon/src/pimentobendd/fleet.py
@@ -13,7 +13,7 @@
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import LabelledChange
 from pimentobendd._internal.fleet.dialect import ServersPort
-from pimentobendd._internal.fleet.settings import load_fleet_settings
+from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.status import Status
 
 __all__ = [
@@ -28,8 +28,9 @@
 
 def run_fleet_daemon(path: str, dialect: Dialect) -> int:
     """Read the settings and serve until a signal to stop; return the exit code."""
+    file = SettingsFile(path)
     try:
-        settings = load_fleet_settings(path)
+        settings = file.load()
     except SettingsError as error:
         for fault in error.faults:
             print(f"pimentobendd: {path}: {fault}", file=sys.stderr)
@@ -37,7 +38,7 @@
     limit = configure_bounded_logs(settings.instance)
     eventlet.spawn_n(limit.report)
     try:
-        FleetDaemon(path, settings, dialect).run()
+        FleetDaemon(file, settings, dialect).run()
     except PimentobendError as error:
         print(f"pimentobendd: {error}", file=sys.stderr)
         return Status.ERROR
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -8,6 +8,7 @@
 SEEDS = [  # seed, seconds, and for one that ever failed the cause
     (1, 6.0, ""),
     (2, 6.0, ""),
+    (114, 12.0, "a reload during the start ended the process"),
 ]
 
 
--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -160,7 +160,8 @@
 def play(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
     """Play one seed, print what was seen, and return the broken promises."""
     soak = Soak(folder, seed)
-    schedule = make_schedule(seed, seconds, soak.fleet.processes)
+    are_control = tuple(process.is_control for process in soak.fleet.processes)
+    schedule = make_schedule(seed, seconds, are_control)
     for step in schedule:
         print(*step)
     try:
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -122,7 +122,7 @@
 
     def start(self, *, first: bool = False) -> None:
         """Start the process, which has to have ended before."""
-        assert self._popen is None or self._popen.poll() is not None
+        assert self.has_ended()
         settings: dict[str, Any] = {
             "instance": f"n-{self.ip}",
             "data_centre": "a",
@@ -180,6 +180,10 @@
         assert self._popen is not None
         return self._popen.wait(WAIT_S)
 
+    def has_ended(self) -> bool:
+        """Say whether the process has ended."""
+        return self._popen is None or self._popen.poll() is not None
+
     def kill(self) -> None:
         """End the process at once."""
         if self._popen is not None and self._popen.poll() is None:
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -46,9 +46,9 @@
     def apply(self, process: Process, down_s: float) -> None:
         """Harm a process for a time."""
 
-    def fits(self, process: Process) -> bool:
-        """Say whether a process can meet the fault."""
-        return self.on_control if process.is_control else self.on_instance
+    def fits(self, is_control: bool) -> bool:
+        """Say whether a process of a role can meet the fault."""
+        return self.on_control if is_control else self.on_instance
 
 
 class Kill(Fault):
@@ -118,6 +118,9 @@
     def apply(self, process: Process, down_s: float) -> None:
         """Harm a process for a time."""
         process.signal(signal.SIGHUP)
+        time.sleep(down_s)
+        if process.has_ended():  # it came before the program could take it
+            process.start()
 
 
 class Hang(Fault):
@@ -189,20 +192,23 @@
 
 
 def make_schedule(
-    seed: int, seconds: float, processes: list[Process]
+    seed: int, seconds: float, are_control: tuple[bool, ...]
 ) -> tuple[Step, ...]:
-    """Return the faults of a seed, with time between those of one process."""
+    """Return the faults of a seed, with time between those of one process.
+
+    ``are_control`` says for each process whether its role is control.
+    """
     rng = random.Random(seed)
     faults = make_faults()
     steps: list[Step] = []
-    free_at = [0.0] * len(processes)
+    free_at = [0.0] * len(are_control)
     now = 0.0
     while True:
         now += rng.choice(PAUSES_S)
         if now >= seconds:
             return tuple(steps)
-        process = rng.randrange(len(processes))
-        fitting = [name for name, f in faults.items() if f.fits(processes[process])]
+        process = rng.randrange(len(are_control))
+        fitting = [name for name, f in faults.items() if f.fits(are_control[process])]
         step = Step(now, rng.choice(fitting), process, rng.choice(DOWN_S))
         if now >= free_at[process]:
             free_at[process] = now + step.down_s + SETTLE_S
--- a/tests/unit/platform/test_platform_layer.py
+++ b/tests/unit/platform/test_platform_layer.py
@@ -52,3 +52,17 @@
         check=False,
     )
     assert done.stdout.startswith("3.")
+
+
+def test_a_reload_is_harmless_from_the_first_import_on(tmp_path: pathlib.Path) -> None:
+    program = "import signal; print(signal.getsignal(signal.SIGHUP).name); 1 / 0"
+    (tmp_path / "eventlet.py").write_text(program)
+    ended = subprocess.run(
+        [sys.executable, "-m", "pimentobend_platform"],
+        env={"PYTHONPATH": f"{tmp_path}:{ROOT / 'platform'}"},
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert ended.stdout == "SIG_IGN\n", ended.stderr
