Count what a process sends to others by kind of message

Cause: which messages fill the links was known from scratch counters only.

Change: sent_frames and sent_frame_bytes on the metrics address, by kind, at the one place that frames leave from; the counter's number of kinds is bounded.

--- a/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
@@ -41,12 +41,12 @@
         self._counters: dict[str, Counter[str]] = {}
         self._histograms: dict[str, Histogram] = {}
 
-    def count(self, name: str, label: str = "") -> None:
-        """Add one to a counter, under a label value where it has any."""
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Add to a counter, under a label value where it has any."""
         counter = self._counters.setdefault(name, Counter())
         if label not in counter and len(counter) >= MAX_SERIES:
             label = "other"
-        counter[label] += 1
+        counter[label] += amount
 
     def time(self, name: str, seconds: float) -> None:
         """Take one duration in seconds."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -40,11 +40,13 @@
         key: bytes,
         outlet: Outlet[Frame],
         on_fault: Callable[[FrameError], None],
+        on_sent: Callable[[str, int], None] = lambda kind, size_bytes: None,
     ) -> None:
         self._address = address
         self._key = key
         self._outlet = outlet
         self._on_fault = on_fault
+        self._on_sent = on_sent
         self._dropped_frames = 0
         self._sending = 0
         self._greenlets: list[Any] = []
@@ -71,6 +73,7 @@
     def send(self, peer: str, kind: str, payload: bytes) -> None:
         """Send one message to a peer's address without waiting."""
         data = seal_frame(Frame(self._address, kind, payload), self._key)
+        self._on_sent(kind, len(data))
         if len(data) > MAX_DATAGRAM_BYTES:
             self._send_stream(peer, data)
             return
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -84,7 +84,11 @@
         self._tables = TablesInForce()
         self._router = FrameRouter(self._report_frame_fault)
         self._link = DatagramLink(
-            settings.link, LOOPBACK_KEY, self._router, self._report_frame_fault
+            settings.link,
+            LOOPBACK_KEY,
+            self._router,
+            self._report_frame_fault,
+            self._count_sent,
         )
         self._row = self._create_row()
         self._gossip: FilterTask[GossipInput, GossipOutput] = FilterTask(
@@ -292,6 +296,10 @@
         self._gossip.put(TablesChanged(version))
         self._log.info("tables-in-force", version=str(version), label=tables.label)
 
+    def _count_sent(self, kind: str, size_bytes: int) -> None:
+        self._counters.count("sent_frames", kind)
+        self._counters.count("sent_frame_bytes", kind, size_bytes)
+
     def _report_frame_fault(self, error: PimentobendError) -> None:
         self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
