Serve what is due first, and hold repeats for budget until the target

Change: a queue is ordered by when work is due: its route's target after it came, half a target later for each lower rank. The wait that is bid is the sum of what is due before. Work whose deadline leaves less than half of the route's median is declined unrun. A doubtful server costs its full risk while no sound one takes repeats. A hedge above a cost of 0.5 is not sent. Work that has not run waits for budget until its target, asking ever more rarely.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -193,7 +193,6 @@
             value.head.deadline,
             value.head.request_id,
             output.is_repeat,
-            ports.host.runs_repeat,
         )
         age_s = ports.board.bid_age_s(candidate, value.pool, route.name)
         ports.events.put(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -29,7 +29,6 @@
     remaining_ms: int  # until the deadline
     process_id: int  # of the daemon that is meant
     is_repeat: bool  # an earlier attempt of the request may have reached a server
-    may_follow_repeat: bool  # may be called by a run that is a repeat
 
 
 class HopResult(NamedTuple):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -91,7 +91,6 @@
         self._clock = clock
         self._events = events
         self._cells: dict[str, _Cell] = {}
-        self._repeats = 0  # attempts without a result that are repeats
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
@@ -106,11 +105,6 @@
         """Return the number of attempts without a result."""
         return sum(1 for cell in self._cells.values() if cell.ended_at is None)
 
-    @property
-    def runs_repeat(self) -> bool:
-        """Say whether a server beside this daemon may run a repeat."""
-        return self._repeats > 0
-
     def start(self) -> None:
         """Start the task."""
         self._task.start()
@@ -147,7 +141,6 @@
         cell = self._cells.get(attempt_id)
         if cell is None:
             cell = self._cells[attempt_id] = _Cell(attempt)
-            self._repeats += attempt.submit.is_repeat
             self._task.put(attempt.submit)
         cell.waiters += 1
         try:
@@ -210,7 +203,6 @@
         if cell is None or cell.ended_at is not None:
             return
         cell.ended_at = self._clock.now()
-        self._repeats -= cell.attempt.submit.is_repeat
         cell.result.send(attempted)
         if attempted.kind is not AttemptKind.DECLINED:
             self._events.put(HostDecided("call-ended", attempt_id, attempted))
@@ -227,8 +219,6 @@
                 is_late = now > cell.attempt.submit.deadline + ANSWER_KEEP_S
                 if is_late:
                     del self._cells[attempt_id]
-                    if cell.ended_at is None:
-                        self._repeats -= cell.attempt.submit.is_repeat
                 elif is_old:
                     _drop_body(cell)
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -117,7 +117,6 @@
             deadline,
             request_id,
             hop.is_repeat,
-            hop.may_follow_repeat,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -150,7 +150,6 @@
             max(1, int(remaining_s * MS_PER_S)),
             peer.process_id,
             submit.is_repeat,
-            submit.may_follow_repeat,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> Attempted:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -17,8 +17,10 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
 from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
 from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
+from pimentobend_core._internal.forwarding.selection import HEDGE_COST_LIMIT
 from pimentobend_core._internal.forwarding.selection import RISK_LIMIT
 from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Choice
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Need
 from pimentobend_core._internal.forwarding.selection import choose
@@ -34,7 +36,8 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
 MAX_OFFERS = 12  # of work that was declined or refused unrun
-ASK_AGAIN_S = 0.1  # while no server takes work
+ASK_AGAIN_S = 0.1  # while no server takes work, twice as long each time
+ASK_AGAIN_MAX_S = 0.8
 HOLD_SHARE = 0.6  # of the time left, in which unsent work waits for a server
 RISK_HOLD_SHARE = 0.2  # of the target, in which unsafe work waits for a sound server
 HEDGE_MULTIPLE = 1.2  # of the time in which nine of ten requests are answered
@@ -84,6 +87,7 @@
         self._ran = Ran.NOT_RUN
         self._hedge_at: float | None = None
         self._ask_at: float | None = None
+        self._ask_again_s = ASK_AGAIN_S
         self._failed: AttemptDone | None = None  # an answer to give if no better comes
 
     def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
@@ -153,14 +157,18 @@
             if is_worth_asking(further, best, need):
                 return self._ask(further)
         if best is None and is_repeat and choose(offers.candidates, need, excluded):
-            return self._leave_unrepeated(now)
-        if best is None or self._waits_for_better(best.candidate, now):
+            # nobody has budget left; an answer that failed is given at once
+            can_wait = self._running or self._failed is None
+            return self._hold(now) if can_wait else self._give_failed()
+        if best is None or self._waits_for_better(best, now):
             return self._hold(now)
         return self._send(best.candidate, now)
 
-    def _waits_for_better(self, best: Candidate, now: float) -> bool:
-        """Hold unsafe work for a moment while every server seems to fail."""
-        if self._is_repeatable or best.bid.risk < RISK_LIMIT:
+    def _waits_for_better(self, best: Choice, now: float) -> bool:
+        """Hold a hedge that costs too much, and for a moment unsafe work at risk."""
+        if self._running:
+            return best.cost > HEDGE_COST_LIMIT
+        if self._is_repeatable or best.candidate.bid.risk < RISK_LIMIT:
             return False
         return now - self._begun_at < RISK_HOLD_SHARE * self._target_s
 
@@ -169,10 +177,13 @@
         if self._running:
             self._hedge_at = now + HEDGE_AGAIN_S
             return ()
-        limit = self._begun_at + HOLD_SHARE * (self._deadline - self._begun_at)
-        if now >= limit:
-            return self._give_up(RefusalReason.NO_SERVER, "no server takes the work")
-        self._ask_at = now + ASK_AGAIN_S
+        hold_s = HOLD_SHARE * (self._deadline - self._begun_at)
+        if self._has_arrived and self._target_s:
+            hold_s = min(hold_s, self._target_s)
+        if now >= self._begun_at + hold_s:
+            return self._give_failed()
+        self._ask_at = now + self._ask_again_s
+        self._ask_again_s = min(ASK_AGAIN_MAX_S, 2 * self._ask_again_s)
         self._turned_away.clear()
         return ()
 
@@ -181,7 +192,7 @@
         is_hedge = bool(self._running)
         is_repeat = self._is_repeat()
         if is_repeat and not self._repeats.may_retry(self._pool, now):
-            return self._leave_unrepeated(now)
+            return self._hold(now) if is_hedge else self._give_failed()
         self._numbers += 1
         self._running[self._numbers] = candidate
         self._tried.add(candidate.server_id)
@@ -193,14 +204,6 @@
         """Say whether one more attempt would draw on the retry budget."""
         return bool(self._running) or self._has_arrived
 
-    def _leave_unrepeated(self, now: float) -> tuple[DeliveryOutput, ...]:
-        """Go on without one more attempt, as the retry budget is spent."""
-        self._phase = _Phase.WAITING
-        if not self._running:
-            return self._give_failed()
-        self._hedge_at = now + HEDGE_AGAIN_S
-        return ()
-
     def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
         if not self._may_hedge():
             return None
--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -19,7 +19,8 @@
     """Follow the logarithm of the answer times of one route."""
 
     def __init__(self, target_s: float) -> None:
-        first_s = (target_s or DEFAULT_TARGET_S) * TARGET_TO_MEDIAN
+        self.patience_s = target_s or DEFAULT_TARGET_S  # after which work is due
+        first_s = self.patience_s * TARGET_TO_MEDIAN
         self._mean = math.log(first_s)
         self._variance = FIRST_SPREAD**2
         self._answers = 2  # the first guess counts as much as two answers
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -1,10 +1,11 @@
 """Decide what the backend servers beside a daemon run, and when."""
 
-import bisect
 import enum
 from collections.abc import Mapping
-from typing import NamedTuple
 
+from pimentobend_core._internal.forwarding.backlog import Backlog
+from pimentobend_core._internal.forwarding.backlog import Place
+from pimentobend_core._internal.forwarding.durations import DEFAULT_TARGET_S
 from pimentobend_core._internal.forwarding.durations import RouteDurations
 from pimentobend_core._internal.forwarding.liveness import Liveness
 from pimentobend_core._internal.forwarding.messages import Ask
@@ -37,6 +38,8 @@
 KEEP_S = 30.0  # past the deadline, while a copy may be held up on its way
 TRIAL_INTERVAL_S = 1.5  # at the longest, a doubtful server is tried so often
 TRIAL_RISK = 0.1  # above it a server is doubtful
+RANK_SHARE = 0.5  # of the target, by which work of the next rank is due later
+LEAST_TIME_SHARE = 0.5  # of the median, below which hardly an answer comes
 UNREACHABLE_S = 0.5  # without offers after a connection was refused
 
 
@@ -57,22 +60,14 @@
         self.started_at = 0.0
 
 
-class _Place(NamedTuple):
-    """Order the queue: urgent first, then as they came."""
-
-    priority: int
-    number: int
-    attempt_id: str
-
-
 class _Hosted:
     """Hold what is known of one server."""
 
     def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
         self.server = server
-        self.budget = ServerBudget(terms, now)
+        self.budget = ServerBudget(terms)
         self.running: set[str] = set()
-        self.queue: list[_Place] = []
+        self.backlog = Backlog()
         self.liveness = Liveness(now)
         self.durations = RouteDurations()
         self.unreachable_until = 0.0
@@ -138,7 +133,7 @@
                     "state": hosted.server.state.value,
                     "slots": hosted.server.slots,
                     "running": sorted(hosted.running),
-                    "queued": [place.attempt_id for place in hosted.queue],
+                    "queued": [place.attempt_id for place in hosted.backlog],
                 }
                 for server_id, hosted in sorted(self._servers.items())
             },
@@ -155,14 +150,14 @@
     def _may_offer(self, hosted: _Hosted, now: float) -> bool:
         if self._is_stopping or not hosted.is_ready:
             return False
-        return now >= hosted.unreachable_until and len(hosted.queue) < QUEUE_LIMIT
+        return now >= hosted.unreachable_until and len(hosted.backlog) < QUEUE_LIMIT
 
     def _describe(self, hosted: _Hosted, route: str, now: float) -> Bid:
         durations = hosted.durations.of(route)
         wait_s = 0.0
         if not hosted.free_slots:
-            ahead = len(hosted.queue) + 1
-            wait_s = ahead * durations.mean_s / max(1, hosted.server.slots)
+            ahead_s = hosted.backlog.work_before(now + durations.patience_s)
+            wait_s = (ahead_s + durations.mean_s) / max(1, hosted.server.slots)
         risk = hosted.liveness.risk(now)
         is_quiet = hosted.liveness.quiet_s(now) >= TRIAL_INTERVAL_S
         return Bid(
@@ -191,11 +186,14 @@
             return (self._decline(record, reason or DeclineReason.NO_SERVER),)
         self._records[submit.attempt_id] = record
         self._number += 1
-        is_repeat = submit.is_repeat or submit.may_follow_repeat
-        hosted.budget.note(now, is_repeat=is_repeat)
-        place = _Place(submit.priority, self._number, submit.attempt_id)
-        bisect.insort(hosted.queue, place)
-        hosted.durations.of(submit.route, submit.target_s)
+        hosted.budget.note(now, is_repeat=submit.is_repeat)
+        durations = hosted.durations.of(submit.route, submit.target_s)
+        target_s = submit.target_s or DEFAULT_TARGET_S
+        durations.patience_s = target_s * (1.0 + RANK_SHARE * submit.priority)
+        due = min(now + durations.patience_s, submit.deadline)
+        attempt_id = submit.attempt_id
+        place = Place(due, self._number, attempt_id, durations.mean_s)
+        hosted.backlog.add(place)
         return self._start(hosted, now)
 
     def _find_reason(
@@ -207,7 +205,7 @@
             return DeclineReason.DRAINING
         if now >= submit.deadline:
             return DeclineReason.DEADLINE
-        is_full = len(hosted.queue) >= QUEUE_LIMIT
+        is_full = len(hosted.backlog) >= QUEUE_LIMIT
         if is_full or len(self._records) >= RECORDS_LIMIT:
             return DeclineReason.FULL
         if submit.is_repeat and not self._takes_repeats(hosted, now):
@@ -217,11 +215,10 @@
     def _start(self, hosted: _Hosted, now: float) -> tuple[HostOutput, ...]:
         """Give the free slots to those who wait."""
         outputs: list[HostOutput] = []
-        while hosted.queue and hosted.free_slots and hosted.is_ready:
-            place = hosted.queue.pop(0)
-            record = self._records[place.attempt_id]
+        while hosted.backlog and hosted.free_slots and hosted.is_ready:
+            record = self._records[hosted.backlog.take().attempt_id]
             submit = record.submit
-            if now >= submit.deadline:
+            if not self._has_time(hosted, submit, now):
                 outputs.append(self._decline(record, DeclineReason.DEADLINE))
                 continue
             record.phase = _Phase.RUNNING
@@ -232,6 +229,11 @@
             outputs.append(StartCall(submit.attempt_id, hosted.server))
         return tuple(outputs)
 
+    def _has_time(self, hosted: _Hosted, submit: Submit, now: float) -> bool:
+        """Say whether an answer may come before the deadline."""
+        least_s = LEAST_TIME_SHARE * hosted.durations.of(submit.route).median_s
+        return now + least_s < submit.deadline
+
     def _end(self, ended: CallEnded, now: float) -> tuple[HostOutput, ...]:
         record = self._records.get(ended.attempt_id)
         if record is None or record.phase is not _Phase.RUNNING:
@@ -267,9 +269,7 @@
         if record.phase is _Phase.QUEUED:
             hosted = self._servers.get(record.submit.server_id)
             if hosted is not None:
-                hosted.queue = [
-                    place for place in hosted.queue if place.attempt_id != attempt_id
-                ]
+                hosted.backlog.remove(attempt_id)
             return (self._decline(record, DeclineReason.WITHDRAWN),)
         if record.phase is _Phase.RUNNING and record.submit.is_repeatable:
             return (CancelCall(attempt_id),)
@@ -295,8 +295,8 @@
         return () if hosted is None else self._clear(hosted, DeclineReason.NO_SERVER)
 
     def _clear(self, hosted: _Hosted, reason: DeclineReason) -> tuple[HostOutput, ...]:
-        records = [self._records[place.attempt_id] for place in hosted.queue]
-        hosted.queue.clear()
+        places = hosted.backlog.clear()
+        records = [self._records[place.attempt_id] for place in places]
         return tuple(self._decline(record, reason) for record in records)
 
     def _tick(self, now: float) -> tuple[HostOutput, ...]:
@@ -304,11 +304,13 @@
         for hosted in self._servers.values():
             late = [
                 place
-                for place in hosted.queue
-                if now >= self._records[place.attempt_id].submit.deadline
+                for place in hosted.backlog
+                if not self._has_time(
+                    hosted, self._records[place.attempt_id].submit, now
+                )
             ]
             for place in late:
-                hosted.queue.remove(place)
+                hosted.backlog.remove(place.attempt_id)
                 record = self._records[place.attempt_id]
                 outputs.append(self._decline(record, DeclineReason.DEADLINE))
         self._records = {
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -46,7 +46,6 @@
     deadline: float  # of the clock
     request_id: str = ""
     is_repeat: bool = False  # an earlier attempt may have reached a server
-    may_follow_repeat: bool = False  # may be called by a run that is a repeat
 
 
 class Withdraw(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -23,9 +23,10 @@
     Distance.FAR: 0.25,  # bytes between regions are billed ten times higher
 }
 LEAST_RISK = 0.02  # of a server that has answered a moment ago
-REPEATABLE_RISK_COST = 0.5  # a second chance comes after half of the target
-TRIAL_WORTH = 0.5  # of learning whether a doubtful server answers again
+REPEATABLE_RISK_COST = 0.2  # a repeatable request has a second chance
+TRIAL_WORTH = 0.25  # of learning whether a doubtful server answers again
 RISK_LIMIT = 0.5  # above it a server more likely fails than answers
+HEDGE_COST_LIMIT = 0.5  # above it a hedge is not worth its bytes and its slot
 FALLBACK_RISK = 0.1  # of the server that a failed trial is repeated on, at the most
 WAIT_COST = 1.0  # for a wait as long as the route's target
 BUSY_COST = 0.02  # for the last free slot
@@ -52,10 +53,9 @@
     target_s: float  # 0 where the route states none
     may_try: bool = False  # whether a doubtful server answers again
 
-    @property
-    def risk_cost(self) -> float:
+    def risk_cost(self, *, is_trial: bool = False) -> float:
         """Return what a failure costs, as a share of the request's worth."""
-        return REPEATABLE_RISK_COST if self.has_second_chance else 1.0
+        return REPEATABLE_RISK_COST if self.has_second_chance or is_trial else 1.0
 
 
 def find_distance(own: PeerRow, peer: PeerRow) -> Distance:
@@ -73,8 +73,10 @@
     wait = bid.wait_s / (need.target_s or DEFAULT_TARGET_S)
     busy = BUSY_COST / (1 + bid.free_slots)
     distance = DISTANCE_COSTS[candidate.distance]
-    trial = TRIAL_WORTH if bid.wants_trial and need.may_try else 0.0
-    return bid.risk * need.risk_cost + wait * WAIT_COST + busy + distance - trial
+    is_trial = bid.wants_trial and need.may_try
+    risk = bid.risk * need.risk_cost(is_trial=is_trial)
+    trial = TRIAL_WORTH if is_trial else 0.0
+    return risk + wait * WAIT_COST + busy + distance - trial
 
 
 class Choice(NamedTuple):
@@ -90,15 +92,17 @@
     """Return the cheapest server that was not tried."""
     fresh = [each for each in candidates if each.server_id not in tried]
     if need.has_second_chance:
-        is_sound = any(each.bid.risk < FALLBACK_RISK for each in fresh)
-        need = need._replace(may_try=is_sound)
+        sound = [each.bid for each in fresh if each.bid.risk < FALLBACK_RISK]
+        # trials are few, so they go on while the retry budget is spent
+        has_budget = any(bid.takes_repeats for bid in sound)
+        need = need._replace(has_second_chance=has_budget, may_try=bool(sound))
     choices = (Choice(each, cost_of(each, need)) for each in fresh)
     return min(choices, key=lambda each: each.cost, default=None)
 
 
 def is_worth_asking(distance: Distance, best: Choice | None, need: Need) -> bool:
     """Say whether servers at a distance may cost less than the best one so far."""
-    least = DISTANCE_COSTS[distance] + LEAST_RISK * need.risk_cost
+    least = DISTANCE_COSTS[distance] + LEAST_RISK * need.risk_cost()
     return best is None or best.cost > least
 
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -6,7 +6,7 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.traffic.retries import TokenBudget
 
-SHARE_IN_USE = 0.6  # of the budget; calls of repeated runs are not held back
+SHARE_IN_USE = 0.5  # of the budget; a repeated request makes up to two calls again
 ORIGIN_SHARE = 0.3  # of successes: what one origin repeats at the most
 ORIGIN_FLOOR_PER_S = 0.5
 ORIGIN_TOKENS = 10.0
@@ -45,9 +45,8 @@
 class ServerBudget:
     """Bound the repeats that reach one server to its part of the service's."""
 
-    def __init__(self, terms: BudgetTerms, now: float) -> None:
+    def __init__(self, terms: BudgetTerms) -> None:
         self._terms = terms
-        self._began_at = now
         self._arrivals: deque[tuple[float, bool]] = deque()
         self._repeats = 0
 
@@ -59,20 +58,9 @@
     def allows(self, servers: int, now: float) -> bool:
         """Say whether one more repeat may arrive at one of so many servers."""
         self._forget(now)
-        terms = self._terms
-        earned = terms.ratio * (len(self._arrivals) - self._repeats)
-        allowance = terms.allowance / max(1, servers)
-        limit = SHARE_IN_USE * earned + self._allowed_share(now) * allowance
-        return self._repeats + 1 <= limit
-
-    def _allowed_share(self, now: float) -> float:
-        """Return the usable share of the allowance.
-
-        What an earlier process spent in the same window is not known, so a
-        new one starts with what that one had to leave.
-        """
-        is_whole = now - self._began_at >= self._terms.window_s
-        return SHARE_IN_USE if is_whole else 1.0 - SHARE_IN_USE
+        firsts = len(self._arrivals) - self._repeats
+        limit = self._terms.ratio * firsts + self._terms.allowance / max(1, servers)
+        return self._repeats + 1 <= SHARE_IN_USE * limit
 
     def _forget(self, now: float) -> None:
         while self._arrivals and now - self._arrivals[0][0] > self._terms.window_s:
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentobend_core._internal.forwarding.delivery import ASK_AGAIN_MAX_S
 from pimentobend_core._internal.forwarding.delivery import Delivery
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
@@ -268,6 +269,25 @@
     assert driver.offer(candidate("b", takes_repeats=False)) == [Deliver(1)]
 
 
+@pytest.mark.parametrize(
+    ("case", "takes_repeats", "chosen"),
+    [
+        (SAFE, True, "free"),
+        (SAFE, False, "busy"),  # a failure would stand
+        (UNSAFE, True, "busy"),
+    ],
+)
+def test_a_doubtful_server_or_a_queue(
+    case: Case, takes_repeats: bool, chosen: str
+) -> None:
+    driver = Driver(case)
+    busy = candidate("busy", free_slots=0, takes_repeats=takes_repeats)
+    bid = busy.bid._replace(wait_s=0.5 * TARGET_MS / 1000)
+    (sent,) = driver.offer(candidate("free", risk=0.8), busy._replace(bid=bid))
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == chosen
+
+
 TRIALS = [
     ("with a sound server to fall back on", SAFE, candidate("b"), "a"),
     ("only a doubtful one besides", SAFE, candidate("b", risk=0.4), "b"),
@@ -356,3 +376,38 @@
     driver.offer(candidate("a", risk))
     asked = [each for each in driver.outputs if isinstance(each, AskServers)]
     assert asked[-1].distance is furthest
+
+
+@pytest.mark.parametrize(
+    ("case", "kind", "holds"),
+    [
+        (UNSAFE, AttemptKind.REFUSED, True),
+        (SAFE, AttemptKind.REFUSED, True),
+        (SAFE, AttemptKind.NO_ANSWER, True),
+        (SAFE, AttemptKind.ANSWERED, False),  # a failed answer is at hand
+    ],
+)
+def test_a_repeat_waits_for_budget_until_the_target(
+    case: Case, kind: AttemptKind, holds: bool
+) -> None:
+    driver = Driver(case)
+    driver.offer(candidate("a"))
+    driver.end(1, kind, 500)
+    asked = 0
+    while not isinstance(driver.outputs[-1], Refuse | Deliver):
+        driver.offer(candidate("b", takes_repeats=False))
+        if not isinstance(driver.outputs[-1], Refuse | Deliver):
+            driver.wait()
+            asked += 1
+    assert (driver.now > 0.0) == holds
+    assert driver.now <= TARGET_MS / 1000 + ASK_AGAIN_MAX_S
+    assert asked < 10
+
+
+def test_a_dear_hedge_is_not_sent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a", risk=0.9))
+    driver.wait()
+    far = candidate("b", risk=0.4, distance=Distance.FAR, free_slots=0)
+    assert driver.offer(far) == []
+    assert driver.wake_at < DEADLINE
