Expect cold servers to be slow, and give ranks more weight in the queue

The daemons had lost what they knew of usual times, the servers were cold, and eight requests that take a little longer than a first guess multiplied to certainty.

Ruled out: the retry budget (10 repeats a server were free), lost servers.

Change: the platform's remaining warm-up is decoded into Server.is_cold. A cold server's times are taken as twice the usual ones, in evidence, bids and what is learnt. With fewer than six answers of a route, a long time tells less. Work of the next rank may come a whole target later, and what it takes is taken off. A row is not changed when its servers are not.

--- a/packages/core/src/pimentobend_core/_internal/compact/servers.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/servers.py
@@ -10,8 +10,8 @@
 from pimentobend_core._internal.models.server import ServerState
 
 _NUMBERS = Struct("<HIQ")  # port, slots, incarnation
-_SHARED = Struct("<IIIB")  # numbers of service, data centre, region and state
-_FIXED = Struct("<IIIBHIQ")  # both of the above
+_SHARED = Struct("<IIIB?")  # numbers of service, data centre, region, state; cold
+_FIXED = Struct("<IIIB?HIQ")  # both of the above
 _STATES = tuple(ServerState)
 
 
@@ -35,14 +35,16 @@
             self._places.acquire(row.data_centre),
             self._places.acquire(row.region),
             _STATES.index(row.state),
+            row.is_cold,
         )
         numbers = _NUMBERS.pack(row.port, row.slots, row.incarnation)
         return shared + numbers + encode_text(row.host)
 
     def _unpack(self, key: str, record: bytes) -> Server:
-        service, data_centre, region, state, port, slots, incarnation = (
-            _FIXED.unpack_from(record)
+        service, data_centre, region, state, is_cold, *numbers = _FIXED.unpack_from(
+            record
         )
+        port, slots, incarnation = numbers
         place = self._places.value
         return Server(
             key,
@@ -54,10 +56,11 @@
             place(region),
             _STATES[state],
             incarnation,
+            is_cold,
         )
 
     def _release(self, record: bytes) -> None:
-        service, data_centre, region, _ = _SHARED.unpack_from(record)
+        service, data_centre, region, *_ = _SHARED.unpack_from(record)
         self._services.release(service)
         self._places.release(data_centre)
         self._places.release(region)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -8,8 +8,11 @@
 STRAGGLER_MULTIPLE = 6.0
 DEFAULT_TARGET_S = 1.0
 TARGET_TO_MEDIAN = 0.2  # before any answer: the median as a share of the target
+FIRST_ANSWERS = 2  # the first guess counts as much as so many answers
+KNOWN_ANSWERS = 8  # with fewer, a long time tells less of a server
 FIRST_SPREAD = 0.8  # of the logarithm of the time
 LEAST_SPREAD = 0.2
+RANK_SHARE = 1.0  # of the target, by which work of the next rank may come later
 LEAST_S = 1e-4  # shorter times tell nothing of a server
 NINE_OF_TEN = 1.2816  # standard deviations
 MEAN_OF_STRAGGLERS = 1.0 + STRAGGLER_SHARE * (STRAGGLER_MULTIPLE - 1.0)
@@ -19,11 +22,16 @@
     """Follow the logarithm of the answer times of one route."""
 
     def __init__(self, target_s: float) -> None:
-        self.patience_s = target_s or DEFAULT_TARGET_S  # after which work is due
-        first_s = self.patience_s * TARGET_TO_MEDIAN
+        self._patience_s = target_s or DEFAULT_TARGET_S
+        first_s = self._patience_s * TARGET_TO_MEDIAN
         self._mean = math.log(first_s)
         self._variance = FIRST_SPREAD**2
-        self._answers = 2  # the first guess counts as much as two answers
+        self._answers = FIRST_ANSWERS
+
+    @property
+    def patience_s(self) -> float:
+        """Return how long work may wait and still be answered when it is wanted."""
+        return max(0.0, self._patience_s - self.mean_s)
 
     @property
     def median_s(self) -> float:
@@ -40,6 +48,12 @@
         """Return the time in which nine of ten requests are answered."""
         return math.exp(self._mean + NINE_OF_TEN * math.sqrt(self._variance))
 
+    def want(self, target_s: float, rank: int) -> float:
+        """Take when answers are wanted and return the patience; 0 is the first rank."""
+        target_s = target_s or DEFAULT_TARGET_S
+        self._patience_s = target_s * (1.0 + RANK_SHARE * rank)
+        return self.patience_s
+
     def note(self, seconds: float) -> None:
         """Take the time of one answered request."""
         self._answers += 1
@@ -58,7 +72,8 @@
             return 1.0
         usual = self._tail(math.log(seconds))
         straggler = self._tail(math.log(seconds / STRAGGLER_MULTIPLE))
-        return (1.0 - STRAGGLER_SHARE) * usual + STRAGGLER_SHARE * straggler
+        share = (1.0 - STRAGGLER_SHARE) * usual + STRAGGLER_SHARE * straggler
+        return float(share ** min(1.0, (self._answers + FIRST_ANSWERS) / KNOWN_ANSWERS))
 
     def _tail(self, logarithm: float) -> float:
         deviations = (logarithm - self._mean) / math.sqrt(2 * self._variance)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -5,9 +5,9 @@
 
 from pimentobend_core._internal.forwarding.backlog import Backlog
 from pimentobend_core._internal.forwarding.backlog import Place
-from pimentobend_core._internal.forwarding.durations import DEFAULT_TARGET_S
 from pimentobend_core._internal.forwarding.durations import RouteDurations
 from pimentobend_core._internal.forwarding.liveness import Liveness
+from pimentobend_core._internal.forwarding.liveness import Survival
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.messages import Bids
@@ -38,7 +38,7 @@
 KEEP_S = 30.0  # past the deadline, while a copy may be held up on its way
 TRIAL_INTERVAL_S = 1.5  # at the longest, a doubtful server is tried so often
 TRIAL_RISK = 0.1  # above it a server is doubtful
-RANK_SHARE = 0.5  # of the target, by which work of the next rank is due later
+COLD_MULTIPLE = 2.0  # of the usual times, while a server warms up
 LEAST_TIME_SHARE = 0.5  # of the median, below which hardly an answer comes
 UNREACHABLE_S = 0.5  # without offers after a connection was refused
 
@@ -77,6 +77,17 @@
         """Say whether the server takes new work."""
         return self.server.state is not ServerState.DRAINING
 
+    @property
+    def slowness(self) -> float:
+        """Return how many times as long as usual answers take."""
+        return COLD_MULTIPLE if self.server.is_cold else 1.0
+
+    def survival(self, submit: Submit) -> Survival:
+        """Return the share of a route's requests that take longer, by seconds."""
+        durations = self.durations.of(submit.route, submit.target_s)
+        slowness = self.slowness
+        return lambda seconds: durations.survival(seconds / slowness)
+
     @property
     def free_slots(self) -> int:
         """Return how many more requests the server can run."""
@@ -154,10 +165,12 @@
 
     def _describe(self, hosted: _Hosted, route: str, now: float) -> Bid:
         durations = hosted.durations.of(route)
+        slowness = hosted.slowness
         wait_s = 0.0
         if not hosted.free_slots:
             ahead_s = hosted.backlog.work_before(now + durations.patience_s)
-            wait_s = (ahead_s + durations.mean_s) / max(1, hosted.server.slots)
+            ahead_s += durations.mean_s
+            wait_s = slowness * ahead_s / max(1, hosted.server.slots)
         risk = hosted.liveness.risk(now)
         is_quiet = hosted.liveness.quiet_s(now) >= TRIAL_INTERVAL_S
         return Bid(
@@ -165,7 +178,7 @@
             round(risk, 3),
             hosted.free_slots,
             round(wait_s, 3),
-            round(durations.usual_s, 3),
+            round(slowness * durations.usual_s, 3),
             risk > TRIAL_RISK and is_quiet and hosted.free_slots > 0,
             self._takes_repeats(hosted, now),
         )
@@ -188,9 +201,9 @@
         self._number += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
-        target_s = submit.target_s or DEFAULT_TARGET_S
-        durations.patience_s = target_s * (1.0 + RANK_SHARE * submit.priority)
-        due = min(now + durations.patience_s, submit.deadline)
+        due = min(
+            now + durations.want(submit.target_s, submit.priority), submit.deadline
+        )
         attempt_id = submit.attempt_id
         place = Place(due, self._number, attempt_id, durations.mean_s)
         hosted.backlog.add(place)
@@ -224,7 +237,7 @@
             record.phase = _Phase.RUNNING
             record.started_at = now
             hosted.running.add(submit.attempt_id)
-            survival = hosted.durations.of(submit.route, submit.target_s).survival
+            survival = hosted.survival(submit)
             hosted.liveness.sent(submit.attempt_id, survival, now)
             outputs.append(StartCall(submit.attempt_id, hosted.server))
         return tuple(outputs)
@@ -252,7 +265,8 @@
         attempt_id = record.submit.attempt_id
         if kind is EndKind.GOOD:
             route = record.submit.route
-            hosted.durations.of(route).note(now - record.started_at)
+            seconds = (now - record.started_at) / hosted.slowness
+            hosted.durations.of(route).note(seconds)
             hosted.liveness.ended(attempt_id, now, is_good=True)
         elif kind is EndKind.GIVEN_UP:
             hosted.liveness.ended(attempt_id, now, is_good=None)
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -30,6 +30,7 @@
     region: str
     state: ServerState
     incarnation: int
+    is_cold: bool = False
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/core/src/pimentobend_core/_internal/models/server.py
+++ b/packages/core/src/pimentobend_core/_internal/models/server.py
@@ -24,6 +24,7 @@
     region: str
     state: ServerState
     incarnation: int  # grows at each start of the server
+    is_cold: bool = False  # answers slowly for some seconds after its start
 
 
 class Announcement(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -244,7 +244,7 @@
     def _change_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
             self._log.info("server-listed", **server._asdict())
-        if not self._is_stopping:
+        if not self._is_stopping and servers != self._row.servers:
             self._change_row(self._row._replace(servers=servers))
 
     def _change_row(self, row: PeerRow) -> None:
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -236,6 +236,28 @@
     assert wait_s == pytest.approx((waiting + 1) * alone.bid().bids[0].wait_s, rel=0.01)
 
 
+@pytest.mark.parametrize(("is_cold", "is_doubtful"), [(True, False), (False, True)])
+def test_a_cold_server_may_be_slow(is_cold: bool, is_doubtful: bool) -> None:
+    bench = Bench(SERVER._replace(is_cold=is_cold, slots=6))
+    bench.give(*(submit(f"{number}") for number in range(6)))
+    bench.now = 0.6  # half of a route's requests take 0.2 s at first
+    assert (bench.bid().bids[0].risk > 0.9) == is_doubtful
+
+
+def test_what_a_cold_server_takes_is_not_taken_for_usual() -> None:
+    waits = []
+    for is_cold in (True, False):
+        server = SERVER._replace(is_cold=is_cold, slots=1)
+        bench = Bench(server)
+        for number in range(30):
+            bench.give(submit(f"{number}", deadline=999.0))
+            bench.now += 2.0 if is_cold else 1.0
+            bench.give(ended(f"{number}"))
+        bench.give(ServerListed(server._replace(is_cold=False)), submit("running"))
+        waits.append(bench.bid().bids[0].wait_s)
+    assert waits[0] == pytest.approx(waits[1], rel=0.01)
+
+
 def test_a_short_route_is_bid_the_shorter_wait() -> None:
     bench = Bench(SERVER._replace(slots=1))
     bench.give(submit("running"))
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -164,6 +164,14 @@
     assert (server.state, server.incarnation) == (expected, 1700000000000)
 
 
+@pytest.mark.parametrize(("seconds", "is_cold"), [(0, False), (0.4, True), (3, True)])
+def test_a_server_that_warms_up_is_cold(seconds: float, is_cold: bool) -> None:
+    data = changed(HEARTBEAT, "status.warmupRemainingS", seconds)
+    announcement = read_heartbeat("i-1", data)
+    assert announcement is not None
+    assert announcement.server.is_cold == is_cold
+
+
 class FakeConfiguration(ConfigurationPort):
     """Give one outcome to every change."""
 
