Ask for a hedge ever more rarely, and hold what both links share in their base

A hedge that is too dear or finds nobody was asked for every 0.2 s until the deadline, each time up to 12 daemons: 50 rounds for a request of 10 s.

Ruled out: no limit on rounds; a server may come free at any time.

Change: the pause between questions doubles up to 0.8 s, for hedges as for work that waits. Transport holds what both links share.

Before and after: 50 rounds in 10 s, now 16 at the most (a test).

--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -42,27 +42,13 @@
         on_fault: Callable[[FrameError], None],
         on_sent: Callable[[str, int], None] = lambda kind, size_bytes: None,
     ) -> None:
-        self._address = address
-        self._key = key
-        self._outlet = outlet
-        self._on_fault = on_fault
+        super().__init__(address, key, outlet, on_fault)
         self._on_sent = on_sent
-        self._dropped_frames = 0
         self._sending = 0
         self._greenlets: list[Any] = []
         self._datagrams, self._listener = _listen(address)
         self._receiving = eventlet.GreenPool(MAX_STREAMS)
 
-    @property
-    def address(self) -> str:
-        """Return the address that peers send to."""
-        return self._address
-
-    @property
-    def dropped_frames(self) -> int:
-        """Return how many frames could not be sent."""
-        return self._dropped_frames
-
     def start(self) -> None:
         """Start receiving."""
         self._greenlets = [
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
@@ -32,22 +32,13 @@
         outlet: Outlet[Frame],
         on_fault: Callable[[FrameError], None],
     ) -> None:
-        self._address = address
-        self._key = key
-        self._outlet = outlet
-        self._on_fault = on_fault
+        super().__init__(address, key, outlet, on_fault)
         self._peers: dict[str, Any] = {}
         self._greenlet: Any = None
-        self._dropped_frames = 0
         self._bytes_sent = 0
         self._bytes_received = 0
         self._socket = _listen(address)
 
-    @property
-    def address(self) -> str:
-        """Return the address that peers send to."""
-        return self._address
-
     @property
     def bytes_sent(self) -> int:
         """Return the bytes given to sockets so far."""
@@ -58,11 +49,6 @@
         """Return the bytes taken from the socket so far."""
         return self._bytes_received
 
-    @property
-    def dropped_frames(self) -> int:
-        """Return how many frames found no room in a peer's buffer."""
-        return self._dropped_frames
-
     def start(self) -> None:
         """Start receiving."""
         self._greenlet = eventlet.spawn(self._receive)
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
@@ -1,15 +1,38 @@
 """Define what carries frames to other processes."""
 
 import abc
+from collections.abc import Callable
+
+from pimentobend_adapters._internal.exceptions import FrameError
+from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.tasks import Outlet
 
 
 class Transport(abc.ABC):
     """Send frames, which may be lost, come twice or come late."""
 
+    def __init__(
+        self,
+        address: str,
+        key: bytes,
+        outlet: Outlet[Frame],
+        on_fault: Callable[[FrameError], None],
+    ) -> None:
+        self._address = address
+        self._key = key
+        self._outlet = outlet
+        self._on_fault = on_fault
+        self._dropped_frames = 0
+
     @property
-    @abc.abstractmethod
     def address(self) -> str:
         """Return the address that peers send to."""
+        return self._address
+
+    @property
+    def dropped_frames(self) -> int:
+        """Return how many frames could not be sent."""
+        return self._dropped_frames
 
     @abc.abstractmethod
     def start(self) -> None:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -36,14 +36,13 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
 MAX_OFFERS = 12  # of work that was declined or refused unrun
-ASK_AGAIN_S = 0.1  # while no server takes work, twice as long each time
+ASK_AGAIN_S = 0.1  # while no server takes the work or a hedge, doubled each time
 ASK_AGAIN_MAX_S = 0.8
 HOLD_SHARE = 0.6  # of the time left, in which unsent work waits for a server
 RISK_HOLD_SHARE = 0.2  # of the target, in which unsafe work waits for a sound server
 HEDGE_MULTIPLE = 1.2  # of the time in which nine of ten requests are answered
 HEDGE_LEAST_S = 0.05
 HEDGE_TARGET_SHARE = 0.5  # of the target, at which a hedge is due at the latest
-HEDGE_AGAIN_S = 0.2  # after a hedge that no server took
 RETRY_AFTER_S = 1.0
 SERVER_ERROR = 500
 MS_PER_S = 1000
@@ -175,18 +174,22 @@
     def _hold(self, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         if self._running:
-            self._hedge_at = now + HEDGE_AGAIN_S
+            self._hedge_at = self._next_ask(now)
             return ()
         hold_s = HOLD_SHARE * (self._deadline - self._begun_at)
         if self._has_arrived and self._target_s:
             hold_s = min(hold_s, self._target_s)
         if now >= self._begun_at + hold_s:
             return self._give_failed()
-        self._ask_at = now + self._ask_again_s
-        self._ask_again_s = min(ASK_AGAIN_MAX_S, 2 * self._ask_again_s)
+        self._ask_at = self._next_ask(now)
         self._turned_away.clear()
         return ()
 
+    def _next_ask(self, now: float) -> float:
+        pause_s = self._ask_again_s
+        self._ask_again_s = min(ASK_AGAIN_MAX_S, 2 * pause_s)
+        return now + pause_s
+
     def _send(self, candidate: Candidate, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         is_hedge = bool(self._running)
@@ -256,7 +259,7 @@
         self._offers += 1
         if self._running:
             if self._may_hedge():
-                self._hedge_at = now + HEDGE_AGAIN_S
+                self._hedge_at = self._next_ask(now)
             return ()
         if self._offers >= MAX_OFFERS:
             return self._give_up(RefusalReason.BACKEND, "every server turned it away")
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -411,3 +411,13 @@
     far = candidate("b", risk=0.4, distance=Distance.FAR, free_slots=0)
     assert driver.offer(far) == []
     assert driver.wake_at < DEADLINE
+
+
+def test_a_hedge_that_nobody_takes_is_asked_for_ever_more_rarely() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    asked = 0
+    while driver.now < DEADLINE and not isinstance(driver.outputs[-1], Refuse):
+        asked += AskServers(Distance.DATA_CENTRE) in driver.wait()
+        driver.offer(candidate("a", free_slots=0))
+    assert 5 < asked <= DEADLINE / ASK_AGAIN_MAX_S + 4
