Split the tests of a delivery from those of its hedges

Change: the driver is in tests/lib, repeats, hedges and trials have their own file. No check was altered.

--- /dev/null
+++ b/tests/unit/forwarding/test_hedges.py
@@ -0,0 +1,191 @@
+"""Check repeats, hedges and trials: when they are sent, and where."""
+
+import pytest
+from delivery_driver import DEADLINE
+from delivery_driver import SAFE
+from delivery_driver import TARGET_MS
+from delivery_driver import UNSAFE
+from delivery_driver import Case
+from delivery_driver import Driver
+from delivery_driver import candidate
+
+from pimentobend_core._internal.forwarding.delivery import ASK_AGAIN_MAX_S
+from pimentobend_core._internal.forwarding.delivery_messages import AskServers
+from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import Refuse
+from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
+from pimentobend_core._internal.forwarding.selection import Candidate
+from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.models.request import AttemptKind
+
+
+def test_a_slow_safe_request_is_hedged_and_the_loser_cancelled() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    assert driver.wait() == [AskServers(Distance.DATA_CENTRE)]
+    (sent,) = driver.offer(candidate("a"), candidate("b"))
+    assert isinstance(sent, SendAttempt)
+    assert (sent.candidate.server_id, sent.is_hedge) == ("b", True)
+    assert driver.end(2, AttemptKind.ANSWERED, 200) == [CancelAttempt(1), Deliver(2)]
+
+
+def test_a_declined_hedge_is_sent_elsewhere() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.wait()
+    driver.offer(candidate("b"))
+    assert driver.end(2, AttemptKind.DECLINED) == []
+    assert driver.wait() == [AskServers(Distance.DATA_CENTRE)]
+    (sent,) = driver.offer(candidate("b"), candidate("c"))
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == "c"
+    assert driver.now < DEADLINE
+
+
+@pytest.mark.parametrize(
+    ("first_risk", "risk_now", "free_slots", "is_sent"),
+    [
+        (0.0, 0.0, 1, True),
+        (0.0, 0.0, 0, False),  # the whole service is busy
+        (0.0, 0.9, 0, True),  # the server has stopped answering since
+        (0.9, None, 0, True),  # it was tried, and tells nothing new
+    ],
+)
+def test_a_hedge_joins_a_queue_only_when_the_first_server_is_doubtful(
+    first_risk: float, risk_now: float | None, free_slots: int, is_sent: bool
+) -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a", first_risk))
+    driver.wait()
+    known = () if risk_now is None else (candidate("a", risk_now),)
+    outputs = driver.offer(*known, candidate("b", free_slots=free_slots))
+    assert bool(outputs) == is_sent
+    assert is_sent or driver.wake_at < DEADLINE, "asks again"
+
+
+@pytest.mark.parametrize("repeats", [0, 10])
+def test_a_hedge_waits_for_the_retry_budget(repeats: int) -> None:
+    driver = Driver(Case(repeats=repeats))
+    driver.offer(candidate("a"))
+    driver.wait()
+    assert driver.offer(candidate("b", takes_repeats=repeats == 0)) == []
+    assert driver.wait() == [AskServers(Distance.DATA_CENTRE)]
+    assert driver.now < DEADLINE
+
+
+def test_a_repeat_goes_where_the_budget_is_not_spent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.end(1, AttemptKind.ANSWERED, 500)
+    (sent,) = driver.offer(
+        candidate("b", takes_repeats=False), candidate("c", risk=0.3)
+    )
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == "c"
+
+
+def test_a_failure_is_given_at_once_when_the_budget_is_spent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.end(1, AttemptKind.ANSWERED, 500)
+    assert driver.offer(candidate("b", takes_repeats=False)) == [Deliver(1)]
+
+
+@pytest.mark.parametrize(
+    ("case", "takes_repeats", "chosen"),
+    [
+        (SAFE, True, "free"),
+        (SAFE, False, "busy"),  # a failure would stand
+        (UNSAFE, True, "busy"),
+    ],
+)
+def test_a_doubtful_server_or_a_queue(
+    case: Case, takes_repeats: bool, chosen: str
+) -> None:
+    driver = Driver(case)
+    busy = candidate("busy", free_slots=0, takes_repeats=takes_repeats)
+    bid = busy.bid._replace(wait_s=0.5 * TARGET_MS / 1000)
+    (sent,) = driver.offer(candidate("free", risk=0.8), busy._replace(bid=bid))
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == chosen
+
+
+TRIALS = [
+    ("with a sound server to fall back on", SAFE, candidate("b"), "a"),
+    ("only a doubtful one besides", SAFE, candidate("b", risk=0.4), "b"),
+    ("no budget to fall back", SAFE, candidate("b", takes_repeats=False), "a"),
+    ("one attempt only", Case(max_attempts=1), candidate("b"), "b"),
+    ("work that may not be repeated", UNSAFE, candidate("b"), "b"),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "other", "chosen"), [t[1:] for t in TRIALS], ids=[t[0] for t in TRIALS]
+)
+def test_who_tries_a_doubtful_server(case: Case, other: Candidate, chosen: str) -> None:
+    driver = Driver(case)
+    (sent,) = driver.offer(candidate("a", risk=0.9, wants_trial=True), other)
+    assert isinstance(sent, SendAttempt)
+    assert sent.candidate.server_id == chosen
+
+
+@pytest.mark.parametrize("case", [UNSAFE, Case(max_attempts=1), Case(can_replay=False)])
+def test_what_is_never_hedged(case: Case) -> None:
+    driver = Driver(case)
+    driver.offer(candidate("a"))
+    assert driver.wake_at == DEADLINE
+
+
+def test_a_failure_waits_for_the_hedge() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.wait()
+    driver.offer(candidate("b"))
+    assert driver.end(1, AttemptKind.ANSWERED, 500) == []
+    assert driver.end(2, AttemptKind.NO_ANSWER) == [Deliver(1)]
+
+
+@pytest.mark.parametrize(
+    ("case", "kind", "holds"),
+    [
+        (UNSAFE, AttemptKind.REFUSED, True),
+        (SAFE, AttemptKind.REFUSED, True),
+        (SAFE, AttemptKind.NO_ANSWER, True),
+        (SAFE, AttemptKind.ANSWERED, False),  # a failed answer is at hand
+    ],
+)
+def test_a_repeat_waits_for_budget_until_the_target(
+    case: Case, kind: AttemptKind, holds: bool
+) -> None:
+    driver = Driver(case)
+    driver.offer(candidate("a"))
+    driver.end(1, kind, 500)
+    asked = 0
+    while not isinstance(driver.outputs[-1], Refuse | Deliver):
+        driver.offer(candidate("b", takes_repeats=False))
+        if not isinstance(driver.outputs[-1], Refuse | Deliver):
+            driver.wait()
+            asked += 1
+    assert (driver.now > 0.0) == holds
+    assert driver.now <= TARGET_MS / 1000 + ASK_AGAIN_MAX_S
+    assert asked < 10
+
+
+def test_a_dear_hedge_is_not_sent() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a", risk=0.9))
+    driver.wait()
+    far = candidate("b", risk=0.4, distance=Distance.FAR, free_slots=0)
+    assert driver.offer(far) == []
+    assert driver.wake_at < DEADLINE
+
+
+def test_a_hedge_that_nobody_takes_is_asked_for_ever_more_rarely() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    asked = 0
+    while driver.now < DEADLINE and not isinstance(driver.outputs[-1], Refuse):
+        asked += AskServers(Distance.DATA_CENTRE) in driver.wait()
+        driver.offer(candidate("a", free_slots=0))
+    assert 5 < asked <= DEADLINE / ASK_AGAIN_MAX_S + 4
