Do not ask far daemons for a hedge while its server seems to work

Change: such a hedge waits for the next question; it is offered further away only once the server that runs the request seems to fail. The choice of the next server is a step of its own.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -3,6 +3,7 @@
 import enum
 import zlib
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
@@ -25,6 +26,7 @@
 from pimentobend_core._internal.forwarding.selection import Need
 from pimentobend_core._internal.forwarding.selection import choose
 from pimentobend_core._internal.forwarding.selection import is_worth_asking
+from pimentobend_core._internal.forwarding.selection import seems_to_fail
 from pimentobend_core._internal.forwarding.selection import select_for_repeat
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
@@ -54,6 +56,14 @@
     ENDED = "ended"
 
 
+class _Found(NamedTuple):
+    """Hold the best server of those that were asked."""
+
+    best: Choice | None
+    is_spare_hedge: bool  # the server that runs the request seems to work
+    lacks_budget: bool  # servers were found, and none takes repeats
+
+
 class Delivery(StatefulFilter[DeliveryInput, DeliveryOutput]):
     """Own the attempts of one request."""
 
@@ -144,24 +154,34 @@
     def _take_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
         if self._phase is not _Phase.ASKING:
             return ()
-        excluded = frozenset(self._tried | self._turned_away)
-        candidates = offers.candidates
-        is_repeat = self._is_repeat()
-        if is_repeat:
-            candidates = select_for_repeat(candidates, self._running.values())
-        need = self._need()
-        best = choose(candidates, need, excluded)
+        found = self._choose(offers.candidates)
+        if found.best is None and found.is_spare_hedge and offers.candidates:
+            return self._hold(now)
         if offers.distance < Distance.FAR:
             further = Distance(offers.distance + 1)
-            if is_worth_asking(further, best, need):
+            if is_worth_asking(further, found.best, self._need()):
                 return self._ask(further)
-        if best is None and is_repeat and choose(offers.candidates, need, excluded):
-            # nobody has budget left; an answer that failed is given at once
+        if found.best is None and found.lacks_budget:
+            # an answer that failed is given at once
             can_wait = self._running or self._failed is None
             return self._hold(now) if can_wait else self._give_failed()
-        if best is None or self._waits_for_better(best, now):
+        if found.best is None or self._waits_for_better(found.best, now):
             return self._hold(now)
-        return self._send(best.candidate, now)
+        return self._send(found.best.candidate, now)
+
+    def _choose(self, candidates: tuple[Candidate, ...]) -> _Found:
+        """Return the best server that may take the next attempt."""
+        excluded = frozenset(self._tried | self._turned_away)
+        need = self._need()
+        if not self._is_repeat():
+            return _Found(choose(candidates, need, excluded), False, False)
+        running = self._running.values()
+        # while its server seems to work, a hedge in a queue would only lengthen it
+        is_spare = bool(running) and not seems_to_fail(running, candidates)
+        affordable = select_for_repeat(candidates, may_queue=not is_spare)
+        best = choose(affordable, need, excluded)
+        lacks_budget = best is None and choose(candidates, need, excluded) is not None
+        return _Found(best, is_spare, lacks_budget)
 
     def _waits_for_better(self, best: Choice, now: float) -> bool:
         """Hold a hedge that costs too much, and for a moment unsafe work at risk."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -106,18 +106,21 @@
     return best is None or best.cost > least
 
 
-def select_for_repeat(
-    candidates: tuple[Candidate, ...], running: Iterable[Candidate]
-) -> tuple[Candidate, ...]:
-    """Return the servers that may take one more attempt of a request.
-
-    While its server seems to work, one in a queue would only lengthen it.
-    """
-    affordable = tuple(each for each in candidates if each.bid.takes_repeats)
+def seems_to_fail(
+    running: Iterable[Candidate], candidates: tuple[Candidate, ...]
+) -> bool:
+    """Say whether a server that runs a request more likely fails, by newer bids."""
     bids = {each.server_id: each.bid for each in running}
-    if not bids:
-        return affordable
     bids.update((c.server_id, c.bid) for c in candidates if c.server_id in bids)
-    if any(bid.risk >= RISK_LIMIT for bid in bids.values()):
-        return affordable
-    return tuple(each for each in affordable if each.bid.free_slots)
+    return any(bid.risk >= RISK_LIMIT for bid in bids.values())
+
+
+def select_for_repeat(
+    candidates: tuple[Candidate, ...], *, may_queue: bool
+) -> tuple[Candidate, ...]:
+    """Return the servers that may take one more attempt of a request."""
+    return tuple(
+        each
+        for each in candidates
+        if each.bid.takes_repeats and (may_queue or each.bid.free_slots)
+    )
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -189,3 +189,17 @@
         asked += AskServers(Distance.DATA_CENTRE) in driver.wait()
         driver.offer(candidate("a", free_slots=0))
     assert 5 < asked <= DEADLINE / ASK_AGAIN_MAX_S + 4
+
+
+@pytest.mark.parametrize(
+    ("risk_now", "furthest"), [(0.0, Distance.DATA_CENTRE), (0.9, Distance.FAR)]
+)
+def test_how_far_a_hedge_is_offered(risk_now: float, furthest: Distance) -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.outputs.clear()
+    driver.wait()
+    busy = candidate("b", free_slots=0, takes_repeats=False)
+    driver.offer(candidate("a", risk_now), busy)
+    asked = [each for each in driver.outputs if isinstance(each, AskServers)]
+    assert asked[-1].distance is furthest
