Say why the next attempt of a request waits

Ruled out: a line for each question; there may be sixteen in a request.

Change: a delivery gives out Held with its reason, when the reason changes; the origin logs delivery-held and counts held_total. Lines of hedges are ordinary and left out first. The choice of the next server moves to selection.py.

Before and after: no line, now one for each reason in turn (five cases in a table).

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -24,6 +24,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
@@ -33,6 +34,7 @@
 from pimentobend_core._internal.forwarding.events import AttemptJudged
 from pimentobend_core._internal.forwarding.events import AttemptSent
 from pimentobend_core._internal.forwarding.events import DeliveryEnded
+from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -151,6 +153,10 @@
                 self._send(output)
             case CancelAttempt():
                 self._cancel(output.number)
+            case Held():
+                request_id = self._value.head.request_id
+                event = DeliveryHeld(request_id, self._value.pool, output)
+                self._ports.events.put(event)
             case Deliver():
                 attempted = self._results.pop(output.number)
                 self._close_others()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -3,7 +3,6 @@
 import enum
 import zlib
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
@@ -12,6 +11,8 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import Held
+from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
@@ -21,13 +22,11 @@
 from pimentobend_core._internal.forwarding.selection import HEDGE_COST_LIMIT
 from pimentobend_core._internal.forwarding.selection import RISK_LIMIT
 from pimentobend_core._internal.forwarding.selection import Candidate
-from pimentobend_core._internal.forwarding.selection import Choice
 from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.forwarding.selection import Found
 from pimentobend_core._internal.forwarding.selection import Need
-from pimentobend_core._internal.forwarding.selection import choose
+from pimentobend_core._internal.forwarding.selection import find_next
 from pimentobend_core._internal.forwarding.selection import is_worth_asking
-from pimentobend_core._internal.forwarding.selection import seems_to_fail
-from pimentobend_core._internal.forwarding.selection import select_for_repeat
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
@@ -56,14 +55,6 @@
     ENDED = "ended"
 
 
-class _Found(NamedTuple):
-    """Hold the best server of those that were asked."""
-
-    best: Choice | None
-    is_spare_hedge: bool  # the server that runs the request seems to work
-    lacks_budget: bool  # servers were found, and none takes repeats
-
-
 class Delivery(StatefulFilter[DeliveryInput, DeliveryOutput]):
     """Own the attempts of one request."""
 
@@ -97,6 +88,7 @@
         self._hedge_at: float | None = None
         self._ask_at: float | None = None
         self._ask_again_s = ASK_AGAIN_S
+        self._held_for: HoldReason | None = None
         self._failed: AttemptDone | None = None  # an answer to give if no better comes
 
     def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
@@ -154,9 +146,15 @@
     def _take_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
         if self._phase is not _Phase.ASKING:
             return ()
-        found = self._choose(offers.candidates)
+        found = find_next(
+            offers.candidates,
+            self._need(),
+            frozenset(self._tried | self._turned_away),
+            tuple(self._running.values()),
+            is_repeat=self._is_repeat(),
+        )
         if found.best is None and found.is_spare_hedge and offers.candidates:
-            return self._hold(now)
+            return self._hold(HoldReason.BUSY, now)
         if offers.distance < Distance.FAR:
             further = Distance(offers.distance + 1)
             if is_worth_asking(further, found.best, self._need()):
@@ -164,38 +162,33 @@
         if found.best is None and found.lacks_budget:
             # an answer that failed is given at once
             can_wait = self._running or self._failed is None
-            return self._hold(now) if can_wait else self._give_failed()
-        if found.best is None or self._waits_for_better(found.best, now):
-            return self._hold(now)
+            if not can_wait:
+                return self._give_failed()
+        reason = self._find_hold(found, now)
+        if found.best is None or reason is not None:
+            return self._hold(reason or HoldReason.NO_SERVER, now)
         return self._send(found.best.candidate, now)
 
-    def _choose(self, candidates: tuple[Candidate, ...]) -> _Found:
-        """Return the best server that may take the next attempt."""
-        excluded = frozenset(self._tried | self._turned_away)
-        need = self._need()
-        if not self._is_repeat():
-            return _Found(choose(candidates, need, excluded), False, False)
-        running = self._running.values()
-        # while its server seems to work, a hedge in a queue would only lengthen it
-        is_spare = bool(running) and not seems_to_fail(running, candidates)
-        affordable = select_for_repeat(candidates, may_queue=not is_spare)
-        best = choose(affordable, need, excluded)
-        lacks_budget = best is None and choose(candidates, need, excluded) is not None
-        return _Found(best, is_spare, lacks_budget)
-
-    def _waits_for_better(self, best: Choice, now: float) -> bool:
-        """Hold a hedge that costs too much, and for a moment unsafe work at risk."""
+    def _find_hold(self, found: Found, now: float) -> HoldReason | None:
+        """Return why the best server is not used now, if it is not."""
+        if found.best is None:
+            return HoldReason.BUDGET if found.lacks_budget else HoldReason.NO_SERVER
         if self._running:
-            return best.cost > HEDGE_COST_LIMIT
-        if self._is_repeatable or best.candidate.bid.risk < RISK_LIMIT:
-            return False
-        return now - self._begun_at < RISK_HOLD_SHARE * self._target_s
+            is_dear = found.best.cost > HEDGE_COST_LIMIT
+            return HoldReason.COST if is_dear else None
+        if self._is_repeatable or found.best.candidate.bid.risk < RISK_LIMIT:
+            return None
+        is_early = now - self._begun_at < RISK_HOLD_SHARE * self._target_s
+        return HoldReason.RISK if is_early else None
 
-    def _hold(self, now: float) -> tuple[DeliveryOutput, ...]:
+    def _hold(self, reason: HoldReason, now: float) -> tuple[DeliveryOutput, ...]:
+        """Wait before the next question; say why, once for each reason in turn."""
         self._phase = _Phase.WAITING
+        held = () if reason is self._held_for else (Held(reason, bool(self._running)),)
+        self._held_for = reason
         if self._running:
             self._hedge_at = self._next_ask(now)
-            return ()
+            return held
         hold_s = HOLD_SHARE * (self._deadline - self._begun_at)
         if self._has_arrived and self._target_s:
             hold_s = min(hold_s, self._target_s)
@@ -203,7 +196,7 @@
             return self._give_failed()
         self._ask_at = self._next_ask(now)
         self._turned_away.clear()
-        return ()
+        return held
 
     def _next_ask(self, now: float) -> float:
         pause_s = self._ask_again_s
@@ -215,7 +208,9 @@
         is_hedge = bool(self._running)
         is_repeat = self._is_repeat()
         if is_repeat and not self._repeats.may_retry(self._pool, now):
-            return self._hold(now) if is_hedge else self._give_failed()
+            if is_hedge:
+                return self._hold(HoldReason.BUDGET, now)
+            return self._give_failed()
         self._numbers += 1
         self._running[self._numbers] = candidate
         self._tried.add(candidate.server_id)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -1,5 +1,6 @@
 """Define what a delivery takes and asks for."""
 
+import enum
 from typing import NamedTuple
 
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -56,6 +57,23 @@
     number: int
 
 
+class HoldReason(enum.Enum):
+    """Name why a request or a hedge waits before it is sent."""
+
+    NO_SERVER = "no-server"
+    BUDGET = "budget"  # no server takes repeats
+    BUSY = "busy"  # no server has a free slot for a hedge
+    COST = "cost"  # the best server costs more than a hedge is worth
+    RISK = "risk"  # unsafe work, and every server more likely fails
+
+
+class Held(NamedTuple):
+    """Report that the next attempt waits."""
+
+    reason: HoldReason
+    is_hedge: bool
+
+
 class Deliver(NamedTuple):
     """Give the caller the answer of an attempt."""
 
@@ -79,5 +97,5 @@
 
 
 DeliveryOutput = (
-    AskServers | SendAttempt | CancelAttempt | Deliver | Refuse | Stop | WakeAt
+    AskServers | SendAttempt | CancelAttempt | Held | Deliver | Refuse | Stop | WakeAt
 )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -35,6 +36,14 @@
     attempted: Attempted
 
 
+class DeliveryHeld(NamedTuple):
+    """Report that the next attempt of a request waits."""
+
+    request_id: str
+    pool: str
+    held: Held
+
+
 class DeliveryEnded(NamedTuple):
     """Sum up the attempts of a request that did not end well."""
 
@@ -45,4 +54,6 @@
     attempts: tuple[str, ...]  # attempt id, server and how it ended
 
 
-ForwardingEvent = HostDecided | AttemptSent | AttemptJudged | DeliveryEnded
+ForwardingEvent = (
+    HostDecided | AttemptSent | AttemptJudged | DeliveryHeld | DeliveryEnded
+)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -106,6 +106,33 @@
     return best is None or best.cost > least
 
 
+class Found(NamedTuple):
+    """Hold the best server of those that were asked."""
+
+    best: Choice | None
+    is_spare_hedge: bool  # the server that runs the request seems to work
+    lacks_budget: bool  # servers were found, and none takes repeats
+
+
+def find_next(
+    candidates: tuple[Candidate, ...],
+    need: Need,
+    excluded: frozenset[str],
+    running: tuple[Candidate, ...],
+    *,
+    is_repeat: bool,
+) -> Found:
+    """Return the best server that may take the next attempt of a request."""
+    if not is_repeat:
+        return Found(choose(candidates, need, excluded), False, False)
+    # while its server seems to work, a hedge in a queue would only lengthen it
+    is_spare = bool(running) and not seems_to_fail(running, candidates)
+    affordable = select_for_repeat(candidates, may_queue=not is_spare)
+    best = choose(affordable, need, excluded)
+    lacks_budget = best is None and choose(candidates, need, excluded) is not None
+    return Found(best, is_spare, lacks_budget)
+
+
 def seems_to_fail(
     running: Iterable[Candidate], candidates: tuple[Candidate, ...]
 ) -> bool:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -9,6 +9,7 @@
 from pimentobend_core._internal.forwarding.events import AttemptJudged
 from pimentobend_core._internal.forwarding.events import AttemptSent
 from pimentobend_core._internal.forwarding.events import DeliveryEnded
+from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import Joined
@@ -43,6 +44,17 @@
                     attempt_id=message.attempt_id,
                     **_describe(attempted),
                 )
+            case DeliveryHeld():
+                reason = message.held.reason.value
+                self._counters.count("held", reason)
+                self._log.info(
+                    "delivery-held",
+                    request_id=message.request_id,
+                    pool=message.pool,
+                    reason=reason,
+                    is_hedge=message.held.is_hedge,
+                    **{ORDINARY: message.held.is_hedge},
+                )
             case DeliveryEnded():
                 self._log.info(
                     "delivery-failed",
--- a/tests/lib/delivery_driver.py
+++ b/tests/lib/delivery_driver.py
@@ -7,6 +7,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
 from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
@@ -82,6 +83,7 @@
             "id", route, "p", DEADLINE, case.can_replay, Budget(case.repeats)
         )
         self.outputs: list[DeliveryOutput] = []
+        self.held: list[Held] = []
         self._keep(self.delivery.begin(0.0))
 
     def give(self, message: DeliveryInput) -> list[DeliveryOutput]:
@@ -109,6 +111,8 @@
         for output in outputs:
             if isinstance(output, WakeAt):
                 self.wake_at = output.due
+            elif isinstance(output, Held):
+                self.held.append(output)
             else:
                 self.outputs.append(output)
 
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -13,6 +13,8 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import Held
+from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -203,3 +205,41 @@
     driver.offer(candidate("a", risk_now), busy)
     asked = [each for each in driver.outputs if isinstance(each, AskServers)]
     assert asked[-1].distance is furthest
+
+
+HOLDS = [
+    ("no server", UNSAFE, (), HoldReason.NO_SERVER, False),
+    ("at risk", UNSAFE, (candidate("b", risk=0.9),), HoldReason.RISK, False),
+    (
+        "no budget",
+        SAFE,
+        (candidate("a", risk=0.9), candidate("b", takes_repeats=False)),
+        HoldReason.BUDGET,
+        True,
+    ),
+    ("busy", SAFE, (candidate("b", free_slots=0),), HoldReason.BUSY, True),
+    (
+        "too dear",
+        SAFE,
+        (candidate("a", risk=0.9), candidate("b", risk=0.8)),
+        HoldReason.COST,
+        True,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "offered", "reason", "is_hedge"), [h[1:] for h in HOLDS], ids=str
+)
+def test_why_an_attempt_waits_is_said_once(
+    case: Case, offered: tuple[Candidate, ...], reason: HoldReason, is_hedge: bool
+) -> None:
+    driver = Driver(case)
+    if is_hedge:
+        driver.offer(candidate("a"))
+        driver.wait()
+    for _ in range(3):
+        driver.offer(*offered)
+        driver.wait()
+    assert driver.held[0] == Held(reason, is_hedge)
+    assert driver.held.count(Held(reason, is_hedge)) == 1
