--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -20,7 +20,7 @@
 DISTANCE_COSTS = {
     Distance.DATA_CENTRE: 0.0,
     Distance.REGION: 0.03,  # bytes between data centres are billed
-    Distance.FAR: 0.35,  # bytes between regions are billed ten times higher
+    Distance.FAR: 0.25,  # bytes between regions are billed ten times higher
 }
 LEAST_RISK = 0.02  # of a server that has answered a moment ago
 REPEATABLE_RISK_COST = 0.2  # a repeatable request has a second chance
@@ -28,9 +28,7 @@
 RISK_LIMIT = 0.5  # above it a server more likely fails than answers
 HEDGE_COST_LIMIT = 0.5  # above it a hedge is not worth its bytes and its slot
 FALLBACK_RISK = 0.1  # of the server that a failed trial is repeated on, at the most
-WAIT_COST = 0.2  # for a wait as long as the route's target
-LATE_COST = 0.4  # for an answer that comes half a target after its target
-LATE_FROM = 0.5  # of the target, from which an answer may be late
+WAIT_COST = 1.0  # for a wait as long as the route's target
 BUSY_COST = 0.02  # for the last free slot
 DEFAULT_TARGET_S = 1.0
 
@@ -72,19 +70,13 @@
 def cost_of(candidate: Candidate, need: Need) -> float:
     """Return the expected cost of a server, as a share of the request's worth."""
     bid = candidate.bid
+    wait = bid.wait_s / (need.target_s or DEFAULT_TARGET_S)
     busy = BUSY_COST / (1 + bid.free_slots)
     distance = DISTANCE_COSTS[candidate.distance]
     is_trial = bid.wants_trial and need.may_try
     risk = bid.risk * need.risk_cost(is_trial=is_trial)
     trial = TRIAL_WORTH if is_trial else 0.0
-    return risk + _wait_cost(bid, need) + busy + distance - trial
-
-
-def _wait_cost(bid: Bid, need: Need) -> float:
-    """Return what a wait costs; little, until it makes the answer late."""
-    target_s = need.target_s or DEFAULT_TARGET_S
-    late = min(1.0, max(0.0, (bid.wait_s + bid.usual_s) / target_s - LATE_FROM))
-    return WAIT_COST * bid.wait_s / target_s + LATE_COST * late
+    return risk + wait * WAIT_COST + busy + distance - trial
 
 
 class Choice(NamedTuple):
