Name the target that a route's work follows

Cause: a reading of the change: want() took a target and gave a patience, and two fields were called patience.

Change: follow_target() takes the target; patience_s is derived. No behaviour.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -22,8 +22,8 @@
     """Follow the logarithm of the answer times of one route."""
 
     def __init__(self, target_s: float) -> None:
-        self._patience_s = target_s or DEFAULT_TARGET_S
-        first_s = self._patience_s * TARGET_TO_MEDIAN
+        self._wanted_s = target_s or DEFAULT_TARGET_S
+        first_s = self._wanted_s * TARGET_TO_MEDIAN
         self._mean = math.log(first_s)
         self._variance = FIRST_SPREAD**2
         self._answers = FIRST_ANSWERS
@@ -31,7 +31,7 @@
     @property
     def patience_s(self) -> float:
         """Return how long work may wait and still be answered when it is wanted."""
-        return max(0.0, self._patience_s - self.mean_s)
+        return max(0.0, self._wanted_s - self.mean_s)
 
     @property
     def median_s(self) -> float:
@@ -48,11 +48,10 @@
         """Return the time in which nine of ten requests are answered."""
         return math.exp(self._mean + NINE_OF_TEN * math.sqrt(self._variance))
 
-    def want(self, target_s: float, rank: int) -> float:
-        """Take when answers are wanted and return the patience; 0 is the first rank."""
+    def follow_target(self, target_s: float, rank: int) -> None:
+        """Take the route's target and rank, of which 0 is the first."""
         target_s = target_s or DEFAULT_TARGET_S
-        self._patience_s = target_s * (1.0 + RANK_SHARE * rank)
-        return self.patience_s
+        self._wanted_s = target_s * (1.0 + RANK_SHARE * rank)
 
     def note(self, seconds: float) -> None:
         """Take the time of one answered request."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -201,9 +201,8 @@
         self._number += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
-        due = min(
-            now + durations.want(submit.target_s, submit.priority), submit.deadline
-        )
+        durations.follow_target(submit.target_s, submit.priority)
+        due = min(now + durations.patience_s, submit.deadline)
         attempt_id = submit.attempt_id
         place = Place(due, self._number, attempt_id, durations.mean_s)
         hosted.backlog.add(place)
