Refuse what has not reached a server before a process ends

A booking was taken 0.1 s before SIGTERM, had not been passed on to a server, and its connection was closed without an answer 5.3 s later, as the process ended with it in flight.

Ruled out: a server at work on it (the report shows no arrival), the caller's end of the connection.

Change: 0.4 s before the end, deliveries without a running attempt end with what is true of them, 503 not-run where nothing ran; attempts that wait for a slot are recalled, and end so too. What a server may be running is left alone.

Before and after: connection closed; refused (tables of the delivery's and the host's tests).

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -24,8 +24,10 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
+from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
@@ -75,10 +77,21 @@
 
     def __init__(self, ports: DeliveryPorts) -> None:
         self._ports = ports
+        self._tasks: set[_DeliveryTask] = set()
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
         """Return the answer, or a refusal that is true of all attempts."""
-        return _DeliveryTask(self._ports, value).run()
+        task = _DeliveryTask(self._ports, value)
+        self._tasks.add(task)
+        try:
+            return task.run()
+        finally:
+            self._tasks.discard(task)
+
+    def end_waiting(self) -> None:
+        """End all requests that have not reached a server."""
+        for task in tuple(self._tasks):
+            task.put(EndWaiting())
 
 
 class _DeliveryTask:
@@ -102,6 +115,10 @@
             ports.repeats,
         )
 
+    def put(self, message: DeliveryInput) -> None:
+        """Put a message into the inbox."""
+        self._inbox.put(message)
+
     def run(self) -> Result[Finished, Refusal]:
         """Run until the delivery ends."""
         if self._value.on_caller_left is not None:
@@ -153,6 +170,8 @@
                 self._send(output)
             case CancelAttempt():
                 self._cancel(output.number)
+            case RecallAttempt():
+                self._recall(output.number)
             case Held():
                 request_id = self._value.head.request_id
                 event = DeliveryHeld(request_id, self._value.pool, output)
@@ -237,6 +256,13 @@
         else:
             self._ports.peers.withdraw(candidate.peer, attempt_id)
 
+    def _recall(self, number: int) -> None:
+        attempt_id, candidate = self._attempt_ids[number]
+        if candidate.peer.process_id == self._ports.process_id:
+            self._ports.host.withdraw(attempt_id, only_queued=True)
+        else:
+            self._ports.peers.withdraw(candidate.peer, attempt_id, only_queued=True)
+
     def _close_others(self) -> None:
         """Close the answers that are not given to the caller."""
         for attempted in self._results.values():
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -158,9 +158,9 @@
         """Take another daemon's withdrawal; raise ``CodecError``."""
         self._task.put(decode(frame.payload, Withdraw))
 
-    def withdraw(self, attempt_id: str) -> None:
+    def withdraw(self, attempt_id: str, *, only_queued: bool = False) -> None:
         """Take back an attempt that its origin no longer waits for."""
-        self._task.put(Withdraw(attempt_id))
+        self._task.put(Withdraw(attempt_id, only_queued))
 
     def _release(self, output: HostOutput) -> None:
         match output:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -74,12 +74,14 @@
             wait_s = min(RESEND_MAX_S, wait_s * 2)
         return self._failed(AttemptKind.NO_ANSWER, started)
 
-    def withdraw(self, peer: PeerRow, attempt_id: str) -> None:
+    def withdraw(
+        self, peer: PeerRow, attempt_id: str, *, only_queued: bool = False
+    ) -> None:
         """Tell a daemon that nobody waits for an attempt.
 
         The frame may be lost; the daemon then notices the closed connection.
         """
-        payload = encode(Withdraw(attempt_id))
+        payload = encode(Withdraw(attempt_id, only_queued))
         self._link.send(peer.address, KIND_WITHDRAW, payload)
 
     def _try(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> _Sent:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -11,9 +11,11 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
+from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
+from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
@@ -89,6 +91,7 @@
         self._ask_at: float | None = None
         self._ask_again_s = ASK_AGAIN_S
         self._held_for: HoldReason | None = None
+        self._is_ending = False
         self._failed: AttemptDone | None = None  # an answer to give if no better comes
 
     def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
@@ -109,6 +112,8 @@
                 outputs = self._time(now)
             case CallerLeft():
                 outputs = (*self._cancel_all(), self._finish(Stop()))
+            case EndWaiting():
+                outputs = self._end_waiting()
         return outputs if self._is_ended() else (*outputs, self._wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -144,7 +149,7 @@
         return WakeAt(min(each for each in times if each is not None))
 
     def _take_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
-        if self._phase is not _Phase.ASKING:
+        if self._phase is not _Phase.ASKING or self._is_ending:
             return ()
         found = find_next(
             offers.candidates,
@@ -272,6 +277,8 @@
     def _offer_again(self, now: float, *, is_free: bool) -> tuple[DeliveryOutput, ...]:
         """Offer work elsewhere that has not run."""
         self._offers += 1
+        if self._is_ending and not self._running:
+            return self._give_failed()
         if self._running:
             if self._may_hedge():
                 self._hedge_at = self._next_ask(now)
@@ -288,7 +295,8 @@
         if self._running:
             return ()
         may_repeat = self._is_repeatable and self._can_replay
-        if not may_repeat or self._reached >= self._max_attempts:
+        is_spent = self._reached >= self._max_attempts or self._is_ending
+        if not may_repeat or is_spent:
             return self._give_failed()
         return self._ask(Distance.DATA_CENTRE)
 
@@ -300,12 +308,20 @@
             return self._give_up(RefusalReason.NO_SERVER, "no server takes the work")
         return self._give_up(RefusalReason.BACKEND, "the server gave no answer")
 
+    def _end_waiting(self) -> tuple[DeliveryOutput, ...]:
+        """End now, but for attempts that a server may be running."""
+        self._is_ending = True
+        if not self._running:
+            return self._give_failed()
+        return tuple(RecallAttempt(number) for number in self._running)
+
     def _time(self, now: float) -> tuple[DeliveryOutput, ...]:
         if now >= self._deadline:
             return self._expire()
         if self._hedge_at is not None and now >= self._hedge_at:
             self._hedge_at = None
-            if self._phase is _Phase.WAITING and self._running:
+            is_idle = self._phase is _Phase.WAITING and not self._is_ending
+            if is_idle and self._running:
                 return self._ask(Distance.DATA_CENTRE)
         if self._ask_at is not None and now >= self._ask_at:
             return self._ask(Distance.DATA_CENTRE)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -33,7 +33,11 @@
     """Report that nobody waits for the answer."""
 
 
-DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft
+class EndWaiting(NamedTuple):
+    """End what has not reached a server, as the process is about to stop."""
+
+
+DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | EndWaiting
 
 
 class AskServers(NamedTuple):
@@ -57,6 +61,12 @@
     number: int
 
 
+class RecallAttempt(NamedTuple):
+    """Take back an attempt if it still waits for a slot."""
+
+    number: int
+
+
 class HoldReason(enum.Enum):
     """Name why a request or a hedge waits before it is sent."""
 
@@ -97,5 +107,13 @@
 
 
 DeliveryOutput = (
-    AskServers | SendAttempt | CancelAttempt | Held | Deliver | Refuse | Stop | WakeAt
+    AskServers
+    | SendAttempt
+    | CancelAttempt
+    | RecallAttempt
+    | Held
+    | Deliver
+    | Refuse
+    | Stop
+    | WakeAt
 )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -120,7 +120,7 @@
             case CallEnded():
                 return self._end(message, now)
             case Withdraw():
-                return self._withdraw(message.attempt_id, now)
+                return self._withdraw(message)
             case ServerListed():
                 return self._list(message.server, now)
             case ServerUnlisted():
@@ -274,8 +274,9 @@
         if kind is EndKind.UNREACHABLE:
             hosted.unreachable_until = now + UNREACHABLE_S
 
-    def _withdraw(self, attempt_id: str, now: float) -> tuple[HostOutput, ...]:
+    def _withdraw(self, message: Withdraw) -> tuple[HostOutput, ...]:
         """Drop a queued attempt; break off one that may be repeated."""
+        attempt_id = message.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
             return ()
@@ -284,7 +285,8 @@
             if hosted is not None:
                 hosted.backlog.remove(attempt_id)
             return (self._decline(record, DeclineReason.WITHDRAWN),)
-        if record.phase is _Phase.RUNNING and record.submit.is_repeatable:
+        is_running = record.phase is _Phase.RUNNING and not message.only_queued
+        if is_running and record.submit.is_repeatable:
             return (CancelCall(attempt_id),)
         return ()
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -49,9 +49,10 @@
 
 
 class Withdraw(NamedTuple):
-    """Take back an attempt that nobody waits for."""
+    """Take back an attempt that nobody waits for, or that still waits itself."""
 
     attempt_id: str
+    only_queued: bool = False  # what runs goes on
 
 
 class EndKind(enum.Enum):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -63,6 +63,7 @@
 DRAIN_POLL_S = 0.05
 UNREADY_S = 2.6  # until those who ask whether callers may be sent here know
 END_MARGIN_S = 0.8  # before the time at which the process is killed
+REFUSE_MARGIN_S = 0.4  # before that, in which refusals reach their callers
 
 
 class FleetDaemon:
@@ -335,8 +336,12 @@
         """Serve until callers know better and nothing is in flight."""
         least_s = min(UNREADY_S, self._settings.grace_s / 2)
         most_s = max(0.0, self._settings.grace_s - END_MARGIN_S)
+        is_refusing = False
         while True:
             waited_s = self._clock.now() - began
+            if not is_refusing and waited_s >= most_s - REFUSE_MARGIN_S:
+                is_refusing = True
+                instance.end_waiting()
             is_idle = not instance.in_flight
             if waited_s >= most_s or (is_idle and waited_s >= least_s):
                 break
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -153,11 +153,8 @@
             lambda: str(Version(*tables.current()[:2])),
             itertools.count(1),
         )
-        pipe = (
-            DeadlineFilter(clock)
-            .then(RouteFilter(tables))
-            .then(DeliveryFilter(delivery))
-        )
+        self._deliveries = DeliveryFilter(delivery)
+        pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
         terms = FrontTerms(
             names,
             settings.beside.service if settings.beside else "",
@@ -199,6 +196,10 @@
         self.host.stop_taking()
         self.front.stop()
 
+    def end_waiting(self) -> None:
+        """Refuse the requests that have not reached a server."""
+        self._deliveries.end_waiting()
+
     def close(self) -> None:
         """Take no new connections."""
         for listener in self._listeners:
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -12,7 +12,9 @@
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
+from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
@@ -145,3 +147,31 @@
     driver.offer(candidate("a", risk))
     asked = [each for each in driver.outputs if isinstance(each, AskServers)]
     assert asked[-1].distance is furthest
+
+
+ENDS = [  # what became of the recalled attempt, and the end of the request
+    ("nothing was sent", UNSAFE, None, 503),
+    ("it waited for a slot", UNSAFE, AttemptKind.DECLINED, 503),
+    ("it waited, and may be repeated", SAFE, AttemptKind.DECLINED, 503),
+    ("it ran and gave no answer", SAFE, AttemptKind.NO_ANSWER, 502),
+    ("it ran and was answered", UNSAFE, AttemptKind.ANSWERED, 200),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "kind", "status"), [e[1:] for e in ENDS], ids=[e[0] for e in ENDS]
+)
+def test_the_end_of_the_process_ends_what_waits(
+    case: Case, kind: AttemptKind | None, status: int
+) -> None:
+    driver = Driver(case)
+    driver.offer(*[candidate("a")][: kind is not None])
+    outputs = driver.give(EndWaiting())
+    if kind is not None:
+        assert outputs == [RecallAttempt(1)]
+        outputs = driver.end(1, kind, 200)
+    (last,) = outputs
+    if isinstance(last, Refuse):
+        assert last.refusal.status == status
+    else:
+        assert (last, status) == (Deliver(1), 200)
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -162,6 +162,16 @@
         ],
         [*declined("r", DeclineReason.BUDGET), *started("first")],
     ),
+    (
+        "a recall leaves what runs",
+        [submit("1", safe=True), Withdraw("1", only_queued=True)],
+        started("1"),
+    ),
+    (
+        "a recall takes what waits",
+        [submit("1"), submit("2"), submit("3"), Withdraw("3", only_queued=True)],
+        [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN)],
+    ),
     ("nothing to withdraw", [Withdraw("1")], []),
     ("an end of nothing", [ended("1")], []),
     (
