--- a/packages/core/src/pimentobend_core/_internal/traffic/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that the owner of a pool's traffic takes and gives."""
+"""Messages to and from the task that owns a pool's traffic."""
 
 from typing import NamedTuple
 
@@ -9,7 +9,7 @@
 
 
 class Acquire(NamedTuple):
-    """Ask for a backend server; ``deadline`` is in seconds of the clock."""
+    """Ask for a slot on a backend server; ``deadline`` is in seconds of the clock."""
 
     ticket: int
     route: str
@@ -18,53 +18,53 @@
     repeatable: bool
     excluded: frozenset[str]  # servers that earlier attempts used
     is_retry: bool
-    is_hedge: bool = False  # refused at once unless slots are to spare
+    is_hedge: bool = False  # refused at once unless there are spare slots
 
 
 class Granted(NamedTuple):
-    """Give a backend server's slot to a ticket."""
+    """Grant a slot on a backend server to a ticket."""
 
     ticket: int
     server: Server
 
 
 class Rejected(NamedTuple):
-    """Refuse a ticket; nothing was sent."""
+    """Refuse a ticket; nothing was sent to a server."""
 
     ticket: int
     refusal: Refusal
 
 
 class Abandon(NamedTuple):
-    """Take back a ticket that its caller no longer waits for."""
+    """Withdraw a ticket, whether it is queued or in flight."""
 
     ticket: int
 
 
 class ConfigurePool(NamedTuple):
-    """Put a version of the pool's row in force."""
+    """Apply a new version of the pool's configuration."""
 
     pool: Pool
 
 
 class ServersChanged(NamedTuple):
-    """Give the pool's whole list of live backend servers."""
+    """Replace the pool's list of live backend servers."""
 
     servers: tuple[Server, ...]
 
 
 class HealthChanged(NamedTuple):
-    """Give the weights of servers that are not wholly healthy.
+    """Replace the weights of the servers that are not fully healthy.
 
-    A weight is a share of the normal traffic: 0 for an ejected server, up
-    to 1 along the ramp of a returning one. A server not named has 1.
+    A weight is a share of the normal traffic: 0 for an ejected server, rising
+    to 1 for a returning one. A server that is not listed has weight 1.
     """
 
     weights: tuple[tuple[str, float], ...]
 
 
 class TrafficTick(NamedTuple):
-    """Let queued requests expire."""
+    """Refuse queued requests that would miss their deadline, then grant free slots."""
 
 
 TrafficInput = (
--- a/packages/core/src/pimentobend_core/_internal/traffic/policy.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/policy.py
@@ -1,35 +1,35 @@
-"""Give each pool a retry budget of its own."""
+"""Retry policy with a separate budget for each pool."""
 
 from pimentobend_core._internal.request.dispatch import RetryPolicy
-from pimentobend_core._internal.traffic.retries import OFFER_COST
+from pimentobend_core._internal.traffic.retries import REFUSED_RETRY_COST
 from pimentobend_core._internal.traffic.retries import RETRY_FLOOR_PER_S
 from pimentobend_core._internal.traffic.retries import RETRY_SHARE
-from pimentobend_core._internal.traffic.retries import TokenBudget
+from pimentobend_core._internal.traffic.retries import TokenBucket
 
 
 class BudgetedRetries(RetryPolicy):
-    """Take retries from the budget of the request's pool."""
+    """Allow a retry while the budget of the request's pool has tokens."""
 
     def __init__(
         self, share: float = RETRY_SHARE, floor_per_s: float = RETRY_FLOOR_PER_S
     ) -> None:
         self._share = share
         self._floor_per_s = floor_per_s
-        self._budgets: dict[str, TokenBudget] = {}
+        self._budgets: dict[str, TokenBucket] = {}
 
     def may_retry(self, pool: str, now: float) -> bool:
-        """Take one retry from the pool's budget at ``now`` (seconds)."""
+        """Return whether a retry is allowed at ``now``, and spend a token if so."""
         return self._budget(pool).spend(now)
 
     def may_offer_again(self, pool: str, now: float) -> bool:
-        """Take one retry of work that a server refused unrun."""
-        return self._budget(pool).spend(now, OFFER_COST)
+        """Like ``may_retry``, at a lower cost, for a request that a server refused."""
+        return self._budget(pool).spend(now, REFUSED_RETRY_COST)
 
     def succeeded(self, pool: str, now: float) -> None:
-        """Credit the pool's budget with a success at ``now`` (seconds)."""
-        self._budget(pool).earn()
+        """Add the tokens for one success to the pool's budget."""
+        self._budget(pool).credit()
 
-    def _budget(self, pool: str) -> TokenBudget:
+    def _budget(self, pool: str) -> TokenBucket:
         if pool not in self._budgets:
-            self._budgets[pool] = TokenBudget(self._share, self._floor_per_s)
+            self._budgets[pool] = TokenBucket(self._share, self._floor_per_s)
         return self._budgets[pool]
--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -1,4 +1,4 @@
-"""Own one pool's traffic: admission, order, selection and slots."""
+"""Admit, queue and assign the requests of one pool to its backend servers."""
 
 import random
 from collections.abc import Mapping
@@ -21,28 +21,28 @@
 from pimentobend_core._internal.traffic.messages import TrafficOutput
 from pimentobend_core._internal.traffic.messages import TrafficTick
 from pimentobend_core._internal.traffic.refusals import Refusals
-from pimentobend_core._internal.traffic.retries import TokenBudget
+from pimentobend_core._internal.traffic.retries import TokenBucket
 from pimentobend_core._internal.traffic.roster import Roster
 from pimentobend_core._internal.traffic.selection import Candidate
-from pimentobend_core._internal.traffic.selection import LeastLoadedOfFew
+from pimentobend_core._internal.traffic.selection import LeastLoadedOfSample
 from pimentobend_core._internal.traffic.selection import Selector
 from pimentobend_core._internal.traffic.times import RouteTimes
 from pimentobend_core._internal.traffic.times import SizeClass
 from pimentobend_core._internal.traffic.waiting import EarliestDeadlineFirst
+from pimentobend_core._internal.traffic.waiting import QueuedRequest
 from pimentobend_core._internal.traffic.waiting import QueueOrder
-from pimentobend_core._internal.traffic.waiting import Waiting
 from pimentobend_core._internal.traffic.waiting import WaitingQueue
 
-WAIT_SHARE = 0.5  # of the time left when a request arrives
+MAX_WAIT_SHARE = 0.5  # of the time left when a request arrives
 FAR_ROUND_TRIP_S = 0.06
-PROBE_SHARE = 0.1  # of answers
+PROBE_SHARE = 0.1  # probes earned per answer
 PROBE_FLOOR_PER_S = 5.0
-SCAN_DEPTH = 4  # entries a lane
-SHORT_SLOTS_KEPT = 1.0  # a server
+SCAN_DEPTH = 4  # queued requests examined per size class
+SHORT_RESERVE_SLOTS = 1.0  # slots per server that long requests leave free
 
 
-class InFlight(NamedTuple):
-    """Remember a granted ticket."""
+class InFlightAttempt(NamedTuple):
+    """An attempt that was granted a slot and has not ended."""
 
     server_id: str
     route: str
@@ -51,7 +51,11 @@
 
 
 class PoolTraffic(StatefulFilter[TrafficInput, TrafficOutput]):
-    """Give the slots of one pool's servers to the requests that ask."""
+    """Assign the slots of one pool's servers to requests.
+
+    A request is granted a slot, queued until one is free, or refused when it
+    could not be answered before its deadline.
+    """
 
     def __init__(
         self,
@@ -65,17 +69,17 @@
         rng = random.Random(seed)
         self._pool = pool
         self._roster = Roster(local_data_centre, local_region)
-        self._selector = selector or LeastLoadedOfFew(rng)
+        self._selector = selector or LeastLoadedOfSample(rng)
         self._queue = WaitingQueue(order or EarliestDeadlineFirst())
         self._times = RouteTimes()
         self._shares = FairShares(seed)
         self._refusals = Refusals(rng)
-        self._probes = TokenBudget(PROBE_SHARE, PROBE_FLOOR_PER_S)
-        self._in_flight: dict[int, InFlight] = {}
+        self._probes = TokenBucket(PROBE_SHARE, PROBE_FLOOR_PER_S)
+        self._in_flight: dict[int, InFlightAttempt] = {}
         self._now = 0.0
 
     def handle(self, message: TrafficInput, now: float) -> tuple[TrafficOutput, ...]:
-        """Take one message at ``now`` (seconds) and return those that follow."""
+        """Process one message at ``now`` (seconds) and return grants and refusals."""
         self._now = now
         match message:
             case Acquire():
@@ -90,9 +94,9 @@
                 self._roster.change_health(dict(message.weights))
             case ConfigurePool():
                 self._pool = message.pool
-                return (*self._trim(now), *self._dispatch(now))
+                return (*self._enforce_queue_limit(now), *self._dispatch(now))
             case TrafficTick():
-                return (*self._expire(now), *self._dispatch(now))
+                return (*self._reject_expired(now), *self._dispatch(now))
         return self._dispatch(now)
 
     def dump(self) -> Mapping[str, object]:
@@ -106,54 +110,61 @@
             "organisations": self._shares.active,
             "long_routes": sorted(self._times.long_routes),
             "mean_hold_s": round(self._times.pool.mean_s, 4),
-            "servers": self._roster.dump(self._now, self._times.pool.usual_s),
+            "servers": self._roster.dump(self._now, self._times.pool.typical_s),
         }
 
     def _acquire(self, message: Acquire, now: float) -> tuple[TrafficOutput, ...]:
         if message.ticket in self._queue or message.ticket in self._in_flight:
             return ()
-        if self._is_hopeless(message, now):
+        if self._would_miss_deadline(message, now):
             return (self._reject(message, RefusalReason.DEADLINE, 0.0),)
         if not self._roster.has_usable():
             return (self._reject(message, RefusalReason.NO_SERVER, 0.0),)
         size = self._times.size(message.route)
         if message.is_hedge:
             return (self._hedge(message, size, now),)
-        is_over = self._shares.is_over(message.organisation, now)
-        entry = self._queue.place(message, size, is_over, now)
-        refused = self._admit(entry, now)
-        return (*refused, *self._dispatch(now))
+        is_over_share = self._shares.is_over_share(message.organisation, now)
+        entry = self._queue.create_entry(message, size, is_over_share, now)
+        outputs = self._admit(entry, now)
+        return (*outputs, *self._dispatch(now))
 
-    def _admit(self, entry: Waiting, now: float) -> tuple[TrafficOutput, ...]:
-        """Queue a request, or serve it far away, or refuse it."""
+    def _admit(self, entry: QueuedRequest, now: float) -> tuple[TrafficOutput, ...]:
+        """Queue a request, grant it a server in another region, or refuse it."""
         message = entry.message
-        ahead = self._queue.ahead(entry)
-        wait_s = self._wait_s(ahead, now)
-        if ahead and wait_s > WAIT_SHARE * (message.deadline - now):
-            return (self._turn_away(entry, RefusalReason.DEADLINE, wait_s, now),)
+        ahead = self._queue.count_ahead(entry)
+        wait_s = self._estimate_wait_s(ahead, now)
+        if ahead and wait_s > MAX_WAIT_SHARE * (message.deadline - now):
+            return (
+                self._grant_far_or_reject(entry, RefusalReason.DEADLINE, wait_s, now),
+            )
         if len(self._queue) < max(1, self._pool.queue_limit):
             self._enqueue(entry, now)
             return ()
-        last = self._queue.last()
-        if last is None or entry.band >= last.band:
-            return (self._turn_away(entry, RefusalReason.QUEUE_FULL, wait_s, now),)
-        self._queue.remove(last.message.ticket)
+        last_entry = self._queue.last_entry()
+        if last_entry is None or entry.priority_band >= last_entry.priority_band:
+            return (
+                self._grant_far_or_reject(entry, RefusalReason.QUEUE_FULL, wait_s, now),
+            )
+        self._queue.remove(last_entry.message.ticket)
         self._enqueue(entry, now)
-        return (self._reject(last.message, RefusalReason.FAIR_SHARE, wait_s),)
+        return (self._reject(last_entry.message, RefusalReason.FAIR_SHARE, wait_s),)
 
-    def _enqueue(self, entry: Waiting, now: float) -> None:
+    def _enqueue(self, entry: QueuedRequest, now: float) -> None:
         if not entry.message.is_retry:
             self._shares.charge(entry.message.organisation, now)
         self._queue.add(entry)
 
-    def _turn_away(
-        self, entry: Waiting, reason: RefusalReason, wait_s: float, now: float
+    def _grant_far_or_reject(
+        self, entry: QueuedRequest, reason: RefusalReason, wait_s: float, now: float
     ) -> TrafficOutput:
-        """Serve a request in another region, or refuse it."""
+        """Grant a request a server in another region, or refuse it.
+
+        Requests of an organisation over its fair share are always refused.
+        """
         message = entry.message
-        if entry.band:
+        if entry.priority_band:
             return self._reject(message, RefusalReason.FAIR_SHARE, wait_s)
-        needed_s = FAR_ROUND_TRIP_S + self._times.of(message.route).expected_s(now)
+        needed_s = FAR_ROUND_TRIP_S + self._times.get(message.route).expected_s(now)
         if now + needed_s < message.deadline:
             candidates = self._candidates(entry.size, now, allow_far=True)
             chosen = self._choose(message, candidates, now)
@@ -162,50 +173,54 @@
         return self._reject(message, reason, wait_s)
 
     def _hedge(self, message: Acquire, size: SizeClass, now: float) -> TrafficOutput:
-        """Grant a hedge only a slot that nobody waits for."""
+        """Grant a hedge a slot if no request is queued, or else refuse it.
+
+        A hedge leaves the slots that are reserved for short requests, and does
+        not go to a server that the request has already tried.
+        """
         if not len(self._queue):
             spare = self._candidates(SizeClass.LONG, now, allow_far=False)
-            fresh = [one for one in spare if one.server_id not in message.excluded]
-            if fresh:
-                return self._grant(message, self._selector.select(fresh), now)
+            untried = [one for one in spare if one.server_id not in message.excluded]
+            if untried:
+                return self._grant(message, self._selector.select(untried), now)
         return self._reject(message, RefusalReason.QUEUE_FULL, 0.0)
 
     def _end(self, message: AttemptEnded, now: float) -> None:
-        held = self._in_flight.pop(message.ticket, None)
-        if held is None:
+        attempt = self._in_flight.pop(message.ticket, None)
+        if attempt is None:
             return
         if message.kind is AttemptKind.ANSWERED:
-            self._probes.earn(1.0 if held.is_probe else PROBE_SHARE)
-        is_whole = message.kind is AttemptKind.ANSWERED and message.status < 500
-        if is_whole:
-            self._times.note(held.route, now - held.granted_at, now)
-        self._roster.note_end(held.server_id, message, held.is_probe, now)
-        self._roster.release(held.server_id)
+            self._probes.credit(1.0 if attempt.is_probe else PROBE_SHARE)
+        is_success = message.kind is AttemptKind.ANSWERED and message.status < 500
+        if is_success:
+            self._times.record(attempt.route, now - attempt.granted_at, now)
+        self._roster.record_end(attempt.server_id, message, attempt.is_probe, now)
+        self._roster.release(attempt.server_id)
 
     def _abandon(self, ticket: int) -> None:
         self._queue.remove(ticket)
-        held = self._in_flight.pop(ticket, None)
-        if held is not None:
-            self._roster.release(held.server_id)
+        attempt = self._in_flight.pop(ticket, None)
+        if attempt is not None:
+            self._roster.release(attempt.server_id)
 
     def _dispatch(self, now: float) -> tuple[TrafficOutput, ...]:
-        """Grant free slots in order, and shed what can no longer be served."""
+        """Grant free slots in queue order and refuse requests that are too late."""
         if not len(self._queue):
             return ()
         if not self._roster.has_usable():
-            return self._clear()
-        given: list[TrafficOutput] = []
-        while (output := self._serve_next(now)) is not None:
-            given.append(output)
-        return tuple(given)
-
-    def _serve_next(self, now: float) -> TrafficOutput | None:
-        waiting = self._queue.sizes()
+            return self._reject_all()
+        outputs: list[TrafficOutput] = []
+        while (output := self._grant_or_reject_next(now)) is not None:
+            outputs.append(output)
+        return tuple(outputs)
+
+    def _grant_or_reject_next(self, now: float) -> TrafficOutput | None:
+        waiting = self._queue.waiting_sizes()
         for_size = {size: self._candidates(size, now, False) for size in waiting}
-        sizes = tuple(size for size in waiting if for_size[size])
-        for entry in self._queue.first(sizes, SCAN_DEPTH):
+        servable = tuple(size for size in waiting if for_size[size])
+        for entry in self._queue.heads(servable, SCAN_DEPTH):
             message = entry.message
-            if self._is_hopeless(message, now):
+            if self._would_miss_deadline(message, now):
                 self._queue.remove(message.ticket)
                 return self._reject(message, RefusalReason.DEADLINE, 0.0)
             chosen = self._choose(message, for_size[entry.size], now)
@@ -217,9 +232,9 @@
     def _candidates(
         self, size: SizeClass, now: float, allow_far: bool
     ) -> list[Candidate]:
-        spare = SHORT_SLOTS_KEPT if size is SizeClass.LONG else 0.0
-        hold_s = self._times.pool.usual_s
-        found = self._roster.free(now, hold_s, spare, allow_far)
+        reserved_slots = SHORT_RESERVE_SLOTS if size is SizeClass.LONG else 0.0
+        hold_s = self._times.pool.typical_s
+        found = self._roster.candidates(now, hold_s, reserved_slots, allow_far)
         if self._probes.can_spend(now):
             return found
         return [candidate for candidate in found if not candidate.is_probe]
@@ -227,17 +242,19 @@
     def _choose(
         self, message: Acquire, candidates: list[Candidate], now: float
     ) -> Candidate | None:
-        """Choose a server, one that failed this request only at the last."""
+        """Select a server, avoiding those that failed this request if others remain."""
         if message.excluded:
-            barred = self._roster.barred(message.excluded, now)
-            candidates = [one for one in candidates if one.server_id not in barred]
+            still_excluded = self._roster.still_excluded(message.excluded, now)
+            candidates = [
+                one for one in candidates if one.server_id not in still_excluded
+            ]
         return self._selector.select(candidates) if candidates else None
 
     def _grant(self, message: Acquire, chosen: Candidate, now: float) -> Granted:
-        self._roster.take(chosen.server_id)
+        self._roster.acquire(chosen.server_id)
         if chosen.is_probe:
             self._probes.spend(now)
-        self._in_flight[message.ticket] = InFlight(
+        self._in_flight[message.ticket] = InFlightAttempt(
             chosen.server_id, message.route, now, chosen.is_probe
         )
         return Granted(message.ticket, self._roster.server(chosen.server_id))
@@ -247,38 +264,48 @@
     ) -> Rejected:
         return Rejected(message.ticket, self._refusals.build(reason, wait_s))
 
-    def _is_hopeless(self, message: Acquire, now: float) -> bool:
-        needed_s = self._times.of(message.route).expected_s(now)
+    def _would_miss_deadline(self, message: Acquire, now: float) -> bool:
+        needed_s = self._times.get(message.route).expected_s(now)
         return now + needed_s >= message.deadline
 
-    def _wait_s(self, ahead: int, now: float) -> float:
-        """Estimate the wait behind ``ahead`` requests, in seconds."""
+    def _estimate_wait_s(self, ahead: int, now: float) -> float:
+        """Estimate the queueing time behind ``ahead`` requests, in seconds.
+
+        Slots held by stragglers are not expected to become free.
+        """
         working = sum(
             1
-            for held in self._in_flight.values()
-            if not self._times.of(held.route).is_straggler(now - held.granted_at)
+            for attempt in self._in_flight.values()
+            if not self._times.get(attempt.route).is_straggler(now - attempt.granted_at)
         )
         return (ahead + 1) * self._times.pool.mean_s / max(1, working)
 
-    def _expire(self, now: float) -> tuple[TrafficOutput, ...]:
-        late = [entry for entry in self._queue if self._is_hopeless(entry.message, now)]
-        for entry in late:
+    def _reject_expired(self, now: float) -> tuple[TrafficOutput, ...]:
+        expired = [
+            entry
+            for entry in self._queue
+            if self._would_miss_deadline(entry.message, now)
+        ]
+        for entry in expired:
             self._queue.remove(entry.message.ticket)
         return tuple(
-            self._reject(entry.message, RefusalReason.DEADLINE, 0.0) for entry in late
+            self._reject(entry.message, RefusalReason.DEADLINE, 0.0)
+            for entry in expired
         )
 
-    def _trim(self, now: float) -> tuple[TrafficOutput, ...]:
-        refused: list[TrafficOutput] = []
+    def _enforce_queue_limit(self, now: float) -> tuple[TrafficOutput, ...]:
+        outputs: list[TrafficOutput] = []
         while len(self._queue) > max(1, self._pool.queue_limit):
-            last = self._queue.last()
-            assert last is not None
-            self._queue.remove(last.message.ticket)
-            wait_s = self._wait_s(len(self._queue), now)
-            refused.append(self._reject(last.message, RefusalReason.QUEUE_FULL, wait_s))
-        return tuple(refused)
-
-    def _clear(self) -> tuple[TrafficOutput, ...]:
+            last_entry = self._queue.last_entry()
+            assert last_entry is not None
+            self._queue.remove(last_entry.message.ticket)
+            wait_s = self._estimate_wait_s(len(self._queue), now)
+            outputs.append(
+                self._reject(last_entry.message, RefusalReason.QUEUE_FULL, wait_s)
+            )
+        return tuple(outputs)
+
+    def _reject_all(self) -> tuple[TrafficOutput, ...]:
         entries = sorted(self._queue)
         for entry in entries:
             self._queue.remove(entry.message.ticket)
--- a/packages/core/src/pimentobend_core/_internal/traffic/refusals.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/refusals.py
@@ -1,4 +1,4 @@
-"""Build the refusals of a pool; each is given before any work starts."""
+"""Refusals of requests that were not sent to any server of a pool."""
 
 import math
 import random
@@ -20,17 +20,20 @@
 
 
 class Refusals:
-    """Build refusals whose Retry-After spreads the callers' return."""
+    """Build refusals with a random Retry-After, so callers do not retry together."""
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
     def build(self, reason: RefusalReason, wait_s: float) -> Refusal:
-        """Refuse for a reason, with the wait expected in seconds."""
+        """Return a refusal; ``wait_s`` is the expected wait in seconds.
+
+        Retry-After is random, from 1 s to 1 s more than the wait, at most 30 s.
+        """
         spread_s = min(RETRY_AFTER_LIMIT_S, 1 + math.ceil(max(0.0, wait_s)))
-        is_over = reason is RefusalReason.FAIR_SHARE
+        is_over_share = reason is RefusalReason.FAIR_SHARE
         return Refusal(
-            status=STATUS_OVER_SHARE if is_over else STATUS_UNAVAILABLE,
+            status=STATUS_OVER_SHARE if is_over_share else STATUS_UNAVAILABLE,
             ran=Ran.NOT_RUN,
             reason=reason,
             detail=DETAILS[reason],
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -1,20 +1,24 @@
-"""Bound retries and hedges by what succeeded lately."""
+"""Limit retries and hedges to a share of recent successes."""
 
 from pimentobend_core._internal.models.request import AttemptKind
 
-RETRY_SHARE = 0.2  # of recent successes
+RETRY_SHARE = 0.2  # tokens per success
 RETRY_FLOOR_PER_S = 2.0
-OFFER_COST = 0.25  # tokens; a refusal before the work costs a server little
-HEDGE_SHARE = 0.02  # of recent successes
+REFUSED_RETRY_COST = 0.25  # tokens; refusing a request costs a server little work
+HEDGE_SHARE = 0.02  # tokens per success
 HEDGE_FLOOR_PER_S = 0.0
-CAPACITY_S = 5.0  # seconds' worth of floor that may be saved up
+FLOOR_CAPACITY_S = 5.0  # the floor may accumulate over this time
 CAPACITY_TOKENS = 20.0
 
 NOT_RUN_KINDS = (AttemptKind.REFUSED, AttemptKind.NOT_CONNECTED)
 
 
-class TokenBudget:
-    """Earn a share of a token for each success, and a floor with time."""
+class TokenBucket:
+    """Token bucket that is refilled by successes and at a minimum rate.
+
+    Each success adds ``share`` tokens, and each second ``floor_per_s``, up to
+    ``capacity``.
+    """
 
     def __init__(
         self, share: float, floor_per_s: float, capacity: float | None = None
@@ -22,97 +26,97 @@
         self._share = share
         self._floor_per_s = floor_per_s
         if capacity is None:
-            capacity = CAPACITY_TOKENS + CAPACITY_S * floor_per_s
+            capacity = CAPACITY_TOKENS + FLOOR_CAPACITY_S * floor_per_s
         self._capacity = capacity
-        self._tokens = min(capacity, CAPACITY_S * floor_per_s)
-        self._earned_at: float | None = None
+        self._tokens = min(capacity, FLOOR_CAPACITY_S * floor_per_s)
+        self._refilled_at: float | None = None
 
     @property
     def tokens(self) -> float:
-        """Return the tokens at hand."""
+        """Return the available tokens."""
         return self._tokens
 
-    def earn(self, tokens: float | None = None) -> None:
-        """Count one success, worth the budget's share or some other tokens."""
+    def credit(self, tokens: float | None = None) -> None:
+        """Add ``tokens``, or the share that one success is worth."""
         earned = self._share if tokens is None else tokens
         self._tokens = min(self._capacity, self._tokens + earned)
 
     def can_spend(self, now: float) -> bool:
-        """Say whether a token is at hand at ``now`` (seconds)."""
-        self._earn_floor(now)
+        """Return whether a token is available at ``now`` (seconds)."""
+        self._refill(now)
         return self._tokens >= 1.0
 
     def spend(self, now: float, cost: float = 1.0) -> bool:
-        """Take ``cost`` tokens at ``now`` (seconds); False when they are spent."""
-        self._earn_floor(now)
+        """Spend ``cost`` tokens at ``now`` (seconds); False if too few remain."""
+        self._refill(now)
         if self._tokens < cost:
             return False
         self._tokens -= cost
         return True
 
-    def _earn_floor(self, now: float) -> None:
-        if self._earned_at is not None:
-            earned = max(0.0, now - self._earned_at) * self._floor_per_s
+    def _refill(self, now: float) -> None:
+        if self._refilled_at is not None:
+            earned = max(0.0, now - self._refilled_at) * self._floor_per_s
             self._tokens = min(self._capacity, self._tokens + earned)
-        self._earned_at = now
+        self._refilled_at = now
 
 
 def is_safe_to_repeat(kind: AttemptKind, repeatable: bool) -> bool:
-    """Say whether the work of an ended attempt may be sent once more."""
+    """Return whether a request may be sent again after an attempt ended."""
     if kind in (AttemptKind.ANSWERED, AttemptKind.CANCELLED):
         return False
     return repeatable or kind in NOT_RUN_KINDS
 
 
 class RetryBudget:
-    """Allow retries out of a share of recent successes and a small floor."""
+    """Allow retries for a share of recent successes, and a small minimum rate."""
 
     def __init__(
         self, share: float = RETRY_SHARE, floor_per_s: float = RETRY_FLOOR_PER_S
     ) -> None:
-        self._budget = TokenBudget(share, floor_per_s)
+        self._budget = TokenBucket(share, floor_per_s)
 
     @property
     def tokens(self) -> float:
-        """Return the retries at hand."""
+        """Return the available retries."""
         return self._budget.tokens
 
     def note_success(self) -> None:
         """Count one request that was answered."""
-        self._budget.earn()
+        self._budget.credit()
 
     def may_retry(
         self, kind: AttemptKind, repeatable: bool, deadline: float, now: float
     ) -> bool:
-        """Say whether an ended attempt may be retried, and spend a token if so.
+        """Return whether an ended attempt may be retried, and spend tokens if so.
 
         ``deadline`` and ``now`` are in seconds of the clock.
         """
         if now >= deadline or not is_safe_to_repeat(kind, repeatable):
             return False
-        cost = OFFER_COST if kind is AttemptKind.REFUSED else 1.0
+        cost = REFUSED_RETRY_COST if kind is AttemptKind.REFUSED else 1.0
         return self._budget.spend(now, cost)
 
 
 class HedgeBudget:
-    """Allow a second attempt on slow repeatable work out of spare budget."""
+    """Allow a second attempt of slow repeatable requests while tokens last."""
 
     def __init__(
         self, share: float = HEDGE_SHARE, floor_per_s: float = HEDGE_FLOOR_PER_S
     ) -> None:
-        self._budget = TokenBudget(share, floor_per_s)
+        self._budget = TokenBucket(share, floor_per_s)
 
     @property
     def tokens(self) -> float:
-        """Return the hedges at hand."""
+        """Return the available hedges."""
         return self._budget.tokens
 
     def note_success(self) -> None:
         """Count one request that was answered."""
-        self._budget.earn()
+        self._budget.credit()
 
     def may_hedge(self, repeatable: bool, deadline: float, now: float) -> bool:
-        """Say whether a hedge may be sent, and spend a token if so."""
+        """Return whether a hedge may be sent, and spend a token if so."""
         if not repeatable or now >= deadline:
             return False
         return self._budget.spend(now)
--- a/packages/core/src/pimentobend_core/_internal/traffic/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/roster.py
@@ -1,4 +1,4 @@
-"""Know the servers of a pool and the slots that are free on them."""
+"""Track the servers of a pool and their free slots."""
 
 from collections.abc import Mapping
 
@@ -8,33 +8,36 @@
 from pimentobend_core._internal.traffic.selection import Candidate
 from pimentobend_core._internal.traffic.selection import Proximity
 from pimentobend_core._internal.traffic.slots import ServerSlots
-from pimentobend_core._internal.traffic.slots import SlotsView
+from pimentobend_core._internal.traffic.slots import SlotsEstimate
 
-FAR_SLOTS_KEPT = 1.0  # a server
-USUAL_GAIN = 0.05
+FAR_RESERVE_SLOTS = 1.0  # slots per server that other regions' requests leave free
+OTHER_SHARE_GAIN = 0.05
 
 
 class Roster:
-    """Own the slots of one pool's servers."""
+    """The servers of one pool, with the slots in use on each."""
 
     def __init__(self, local_data_centre: str, local_region: str) -> None:
         self._local_data_centre = local_data_centre
         self._local_region = local_region
         self._slots: dict[str, ServerSlots] = {}
         self._health: dict[str, float] = {}
-        self._usual_share = 0.0
+        self._average_other_share = 0.0
 
     @property
     def in_flight(self) -> int:
-        """Return the requests that this daemon has on all servers."""
+        """Return the number of this daemon's requests on all servers."""
         return sum(slots.in_flight for slots in self._slots.values())
 
     def has_usable(self) -> bool:
-        """Say whether any server may take new work."""
+        """Return whether any server may take new requests."""
         return any(slots.is_usable for slots in self._slots.values())
 
     def change_servers(self, servers: tuple[Server, ...], now: float) -> None:
-        """Take the pool's whole list of live servers."""
+        """Replace the list of live servers.
+
+        A removed server is kept until its last request ends.
+        """
         is_first = not self._slots
         named = {server.server_id for server in servers}
         for server in servers:
@@ -42,75 +45,78 @@
             if known is not None:
                 known.announce(server, now)
                 continue
-            # What a fresh daemon finds ready has been serving all along.
+            # A server that is ready in the first list was running before this
+            # daemon started, so it needs no cold start.
             is_warm = is_first and server.state is ServerState.READY
             slots = ServerSlots(server, None if is_warm else now)
             slots.set_health(self._health.get(server.server_id, 1.0))
             self._slots[server.server_id] = slots
         for server_id in self._slots.keys() - named:
             self._slots[server_id].withdraw()
-            self._forget(server_id)
+            self._remove_if_unused(server_id)
 
     def change_health(self, weights: Mapping[str, float]) -> None:
-        """Take the weights of the servers that are not wholly healthy."""
+        """Replace the weights of the servers that are not fully healthy."""
         self._health = dict(weights)
         for server_id, slots in self._slots.items():
             slots.set_health(self._health.get(server_id, 1.0))
 
     def server(self, server_id: str) -> Server:
-        """Return a server as it last announced itself."""
+        """Return a server as last announced."""
         return self._slots[server_id].server
 
-    def take(self, server_id: str) -> bool:
-        """Count a granted request, and say whether it is a probe."""
-        return self._slots[server_id].take()
+    def acquire(self, server_id: str) -> bool:
+        """Count a granted request and return whether it is a probe."""
+        return self._slots[server_id].acquire()
 
     def release(self, server_id: str) -> None:
         """Count an ended request."""
         self._slots[server_id].release()
-        self._forget(server_id)
+        self._remove_if_unused(server_id)
 
-    def note_end(
+    def record_end(
         self, server_id: str, message: AttemptEnded, was_probe: bool, now: float
     ) -> None:
-        """Learn from an ended attempt, before its release."""
+        """Update the estimates from an ended attempt; call before ``release``."""
         slots = self._slots[server_id]
-        slots.note_end(message, was_probe, now)
+        slots.record_end(message, was_probe, now)
         if message.load is not None:
-            self._usual_share += USUAL_GAIN * (slots.others_share - self._usual_share)
+            self._average_other_share += OTHER_SHARE_GAIN * (
+                slots.other_share - self._average_other_share
+            )
 
-    def free(
-        self, now: float, hold_s: float, spare: float, allow_far: bool
+    def candidates(
+        self, now: float, hold_s: float, reserved_slots: float, allow_far: bool
     ) -> list[Candidate]:
-        """Return the servers with a free slot that leaves ``spare`` behind.
+        """Return the servers that have a free slot besides ``reserved_slots``.
 
-        Servers of another region are given when no near one is usable, or
-        when ``allow_far`` is set and they have slots to spare.
+        Servers of other regions are included when no server of this region is
+        usable, or when ``allow_far`` is set and they keep a slot in reserve.
         """
-        reach = self._in_reach()
-        found = self._with_room(reach, now, hold_s, spare)
-        if allow_far and reach and self._is_near(reach[0]):
+        preferred = self._preferred()
+        found = self._with_free_slots(preferred, now, hold_s, reserved_slots)
+        if allow_far and preferred and self._is_near(preferred[0]):
             far = [
                 slots
                 for slots in self._slots.values()
                 if slots.is_usable and not self._is_near(slots)
             ]
-            found += self._with_room(far, now, hold_s, FAR_SLOTS_KEPT)
+            found += self._with_free_slots(far, now, hold_s, FAR_RESERVE_SLOTS)
         return found
 
-    def barred(self, excluded: frozenset[str], now: float) -> frozenset[str]:
-        """Return those of ``excluded`` that may not take the request again.
+    def still_excluded(self, excluded: frozenset[str], now: float) -> frozenset[str]:
+        """Return the servers of ``excluded`` that may not take the request again.
 
-        A server that only lacked a free slot may. Once every server in reach
-        was tried, all of them may.
+        A server that only lacked a free slot may take it. When every preferred
+        server is excluded, all of them may.
         """
-        reach = self._in_reach()
-        barred = frozenset(
+        preferred = self._preferred()
+        still_excluded = frozenset(
             slots.server.server_id
-            for slots in reach
+            for slots in preferred
             if slots.server.server_id in excluded and slots.is_failing(now)
         )
-        return barred if len(barred) < len(reach) else frozenset()
+        return still_excluded if len(still_excluded) < len(preferred) else frozenset()
 
     def dump(self, now: float, hold_s: float) -> dict[str, object]:
         """Return the state as JSON-compatible values."""
@@ -120,7 +126,7 @@
                 "incarnation": slots.server.incarnation,
                 "slots": slots.server.slots,
                 "in_flight": slots.in_flight,
-                "others": round(slots.others(now, hold_s), 2),
+                "others": round(slots.other_requests(now, hold_s), 2),
                 "weight": round(slots.weight(now), 3),
                 "usable": slots.is_usable,
             }
@@ -130,34 +136,42 @@
     def _is_near(self, slots: ServerSlots) -> bool:
         return slots.server.region == self._local_region
 
-    def _in_reach(self) -> list[ServerSlots]:
-        """Return the usable servers of this region, or else all usable ones."""
+    def _preferred(self) -> list[ServerSlots]:
+        """Return the usable servers of this region, or all usable if it has none."""
         usable = [slots for slots in self._slots.values() if slots.is_usable]
         return [slots for slots in usable if self._is_near(slots)] or usable
 
-    def _with_room(
-        self, some: list[ServerSlots], now: float, hold_s: float, spare: float
+    def _with_free_slots(
+        self,
+        servers: list[ServerSlots],
+        now: float,
+        hold_s: float,
+        reserved_slots: float,
     ) -> list[Candidate]:
         found = []
-        for slots in some:
-            view = slots.view(now, hold_s, self._usual_share)
+        for slots in servers:
+            estimate = slots.estimate(now, hold_s, self._average_other_share)
             # A server with a single slot has none to keep back.
-            kept = spare if slots.server.slots > 1 else 0.0
-            if view.free >= 1.0 + kept:
-                found.append(self._candidate(slots.server, view))
+            kept = reserved_slots if slots.server.slots > 1 else 0.0
+            if estimate.free >= 1.0 + kept:
+                found.append(self._candidate(slots.server, estimate))
         return found
 
-    def _candidate(self, server: Server, view: SlotsView) -> Candidate:
+    def _candidate(self, server: Server, estimate: SlotsEstimate) -> Candidate:
         proximity = Proximity.FAR
         if server.region == self._local_region:
             proximity = Proximity.REGION
         if server.data_centre == self._local_data_centre:
             proximity = Proximity.DATA_CENTRE
         return Candidate(
-            server.server_id, proximity, view.load, view.weight, view.is_probe
+            server.server_id,
+            proximity,
+            estimate.load,
+            estimate.weight,
+            estimate.is_probe,
         )
 
-    def _forget(self, server_id: str) -> None:
+    def _remove_if_unused(self, server_id: str) -> None:
         slots = self._slots[server_id]
         if not slots.is_listed and slots.in_flight <= 0:
             del self._slots[server_id]
--- a/packages/core/src/pimentobend_core/_internal/traffic/round_robin.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/round_robin.py
@@ -1,4 +1,4 @@
-"""Give out servers in turn; the baseline of every comparison."""
+"""Round-robin load balancing, the baseline of the benchmarks."""
 
 from collections.abc import Mapping
 
@@ -26,7 +26,7 @@
         self._next = 0
 
     def handle(self, message: TrafficInput, now: float) -> tuple[TrafficOutput, ...]:
-        """Take one message and return the grant or refusal that follows."""
+        """Process one message and return the grant or refusal, if any."""
         if isinstance(message, ServersChanged):
             self._servers = message.servers
         if isinstance(message, Acquire):
@@ -34,16 +34,16 @@
         return ()
 
     def dump(self) -> Mapping[str, object]:
-        """Return the servers' ids."""
+        """Return the ids of the servers."""
         return {"servers": [server.server_id for server in self._servers]}
 
     def _grant(self, message: Acquire) -> TrafficOutput:
         ready = [s for s in self._servers if s.state is ServerState.READY]
-        fresh = [s for s in ready if s.server_id not in message.excluded] or ready
-        if not fresh:
+        untried = [s for s in ready if s.server_id not in message.excluded] or ready
+        if not untried:
             return Rejected(message.ticket, _no_server())
         self._next += 1
-        return Granted(message.ticket, fresh[self._next % len(fresh)])
+        return Granted(message.ticket, untried[self._next % len(untried)])
 
 
 def _no_server() -> Refusal:
--- a/packages/core/src/pimentobend_core/_internal/traffic/routing.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/routing.py
@@ -7,11 +7,11 @@
 
 
 class RouteMatcher:
-    """Compile the routes of one version of the tables.
+    """Find the route of a request in one version of the tables.
 
-    A route of the request's host goes before one of any host, then the
-    longest path, then a route that names the method. A lookup costs one
-    dictionary access for each segment of the path.
+    A route for the request's host takes precedence over one for any host, then
+    the longest path wins, then a route that lists the method. A lookup takes one
+    dictionary access per path segment, first for the host, then for any host.
     """
 
     def __init__(self, tables: Tables) -> None:
@@ -30,20 +30,20 @@
             paths = self._hosts.get(name)
             if paths is None:
                 continue
-            route = _longest(paths, method, path)
+            route = _match_longest_prefix(paths, method, path)
             if route is not None:
                 return route
         return None
 
 
-def _longest(
+def _match_longest_prefix(
     paths: dict[str, tuple[Route, ...]], method: str, path: str
 ) -> Route | None:
     prefix = _without_slash(path)
     while True:
         for route in paths.get(prefix, ()):
-            is_folder = len(route.path) > 1 and route.path.endswith("/")
-            if is_folder and not path.startswith(route.path):
+            ends_with_slash = len(route.path) > 1 and route.path.endswith("/")
+            if ends_with_slash and not path.startswith(route.path):
                 continue
             if not route.methods or method in route.methods:
                 return route
--- a/packages/core/src/pimentobend_core/_internal/traffic/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/selection.py
@@ -6,12 +6,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-CHOICES = 2
-SPILL_LOAD = 0.7  # share of a near server's slots
+SAMPLE_SIZE = 2
+SPILL_LOAD = 0.7  # load from which other data centres of the region are used too
 
 
 class Proximity(enum.IntEnum):
-    """Name how far a server is from this daemon."""
+    """The distance of a server from this daemon, nearest first."""
 
     DATA_CENTRE = 0
     REGION = 1
@@ -19,47 +19,47 @@
 
 
 class Candidate(NamedTuple):
-    """Describe a server that can take one more request."""
+    """A server that can take one more request."""
 
     server_id: str
     proximity: Proximity
-    load: float  # share of its slots in use, failures added
+    load: float  # share of its slots in use, plus the decayed failure count
     weight: float  # share of its normal traffic, above 0 and up to 1
     is_probe: bool  # the last report showed no free slot
 
 
 class Selector(abc.ABC):
-    """Choose a server."""
+    """Strategy for choosing among servers with a free slot."""
 
     @abc.abstractmethod
     def select(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return one of the candidates, of which there is at least one."""
 
 
-class LeastLoadedOfFew(Selector):
-    """Take the least loaded of a few drawn at random, near ones first.
+class LeastLoadedOfSample(Selector):
+    """Choose the least loaded of a few random servers, preferring near ones.
 
-    Loads are seen late, so that many daemons that all took the least loaded
-    server would rush to the same one.
+    Load information is delayed: if every daemon chose the least loaded of all
+    servers, they would all send to the same one.
     """
 
-    def __init__(self, rng: random.Random, choices: int = CHOICES) -> None:
+    def __init__(self, rng: random.Random, sample_size: int = SAMPLE_SIZE) -> None:
         self._rng = rng
-        self._choices = choices
+        self._sample_size = sample_size
 
     def select(self, candidates: Sequence[Candidate]) -> Candidate:
         """Return one of the candidates."""
-        nearest = self._nearest(self._pass_by_weight(candidates))
-        drawn = self._rng.sample(nearest, min(self._choices, len(nearest)))
-        return min(drawn, key=lambda candidate: candidate.load)
+        nearest = self._nearest(self._filter_by_weight(candidates))
+        sample = self._rng.sample(nearest, min(self._sample_size, len(nearest)))
+        return min(sample, key=lambda candidate: candidate.load)
 
-    def _pass_by_weight(self, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
-        passed = [
+    def _filter_by_weight(self, candidates: Sequence[Candidate]) -> Sequence[Candidate]:
+        kept = [
             candidate
             for candidate in candidates
             if candidate.weight >= 1.0 or self._rng.random() < candidate.weight
         ]
-        return passed or candidates
+        return kept or candidates
 
     @staticmethod
     def _nearest(candidates: Sequence[Candidate]) -> Sequence[Candidate]:
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -1,49 +1,56 @@
-"""Share one retry budget between the daemons of a fleet."""
+"""Limit the repeated requests of a whole fleet without coordination."""
 
 from collections import deque
 from typing import NamedTuple
 
 from pimentobend_core._internal.request.dispatch import RetryPolicy
-from pimentobend_core._internal.traffic.retries import TokenBudget
+from pimentobend_core._internal.traffic.retries import TokenBucket
 
-SHARE_IN_USE = 0.5  # of the budget; a repeated request makes up to two calls again
-ORIGIN_SHARE = 0.3  # of successes: what one origin repeats at the most
+USED_SHARE = 0.5  # of the limit; a repeated request can cause up to two calls
+ORIGIN_SHARE = 0.3  # tokens per success
 ORIGIN_FLOOR_PER_S = 0.5
 ORIGIN_TOKENS = 10.0
 
 
 class BudgetTerms(NamedTuple):
-    """Bound the repeats for a service, summed over all daemons."""
+    """The limit on repeated requests to a service, summed over all daemons."""
 
-    ratio: float  # repeats for each request
+    ratio: float  # repeats per first attempt
     window_s: float
-    allowance: float  # repeats in each window besides
+    allowance: float  # additional repeats per window
 
 
 class OriginBudget(RetryPolicy):
-    """Bound the repeats of one origin; the daemons beside the servers bound all."""
+    """Limit the requests that one daemon repeats, for each pool.
+
+    The limit on all daemons together is enforced by the daemons beside the
+    servers, see ``ServerBudget``.
+    """
 
     def __init__(self) -> None:
-        self._budgets: dict[str, TokenBudget] = {}
+        self._budgets: dict[str, TokenBucket] = {}
 
     def may_retry(self, pool: str, now: float) -> bool:
-        """Take one repeat from the pool's budget at ``now`` (seconds)."""
+        """Return whether a repeat is allowed at ``now``, and spend a token if so."""
         return self._budget(pool).spend(now)
 
     def succeeded(self, pool: str, now: float) -> None:
-        """Credit the pool's budget with a success at ``now`` (seconds)."""
-        self._budget(pool).earn()
+        """Add the tokens for one success to the pool's budget."""
+        self._budget(pool).credit()
 
-    def _budget(self, pool: str) -> TokenBudget:
+    def _budget(self, pool: str) -> TokenBucket:
         if pool not in self._budgets:
-            budget = TokenBudget(ORIGIN_SHARE, ORIGIN_FLOOR_PER_S, ORIGIN_TOKENS)
-            budget.earn(ORIGIN_TOKENS)
+            budget = TokenBucket(ORIGIN_SHARE, ORIGIN_FLOOR_PER_S, ORIGIN_TOKENS)
+            budget.credit(ORIGIN_TOKENS)
             self._budgets[pool] = budget
         return self._budgets[pool]
 
 
 class ServerBudget:
-    """Bound the repeats that reach one server to its part of the service's."""
+    """Limit the repeats that arrive at one server to its part of the service's limit.
+
+    Counts the first attempts and repeats that arrived within the last window.
+    """
 
     def __init__(self, terms: BudgetTerms) -> None:
         self._terms = terms
@@ -51,18 +58,20 @@
         self._repeats = 0
 
     def note(self, now: float, *, is_repeat: bool) -> None:
-        """Take an arrival at ``now`` (seconds)."""
+        """Record an arrival at ``now`` (seconds)."""
         self._arrivals.append((now, is_repeat))
         self._repeats += is_repeat
 
     def allows(self, servers: int, now: float) -> bool:
-        """Say whether one more repeat may arrive at one of so many servers."""
-        self._forget(now)
-        firsts = len(self._arrivals) - self._repeats
-        limit = self._terms.ratio * firsts + self._terms.allowance / max(1, servers)
-        return self._repeats + 1 <= SHARE_IN_USE * limit
-
-    def _forget(self, now: float) -> None:
+        """Return whether this server, one of ``servers``, may take one more repeat."""
+        self._drop_expired(now)
+        first_attempts = len(self._arrivals) - self._repeats
+        limit = self._terms.ratio * first_attempts + self._terms.allowance / max(
+            1, servers
+        )
+        return self._repeats + 1 <= USED_SHARE * limit
+
+    def _drop_expired(self, now: float) -> None:
         while self._arrivals and now - self._arrivals[0][0] > self._terms.window_s:
             _, is_repeat = self._arrivals.popleft()
             self._repeats -= is_repeat
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -1,4 +1,4 @@
-"""Estimate the free slots of backend servers that several daemons share."""
+"""Estimate the free slots of backend servers that are shared by several daemons."""
 
 import math
 from typing import NamedTuple
@@ -10,11 +10,11 @@
 
 COLD_RAMP_S = 10.0
 COLD_WEIGHT = 0.2
-FAILURE_HALF_LIFE_S = 0.5  # health weighs servers; this only turns retries away
-BACKOFF_LIMIT = 3.0  # doublings
+FAILURE_HALF_LIFE_S = 0.5  # only steers retries; health decides the server's weight
+BACKOFF_LIMIT = 3.0  # doublings of the decay time
 BACKOFF_HALF_LIFE_S = 2.0
-FAILURE_TRACE = 0.1  # failures, below which a server counts as sound
-OTHERS_LIMIT = 2  # times the slots
+MIN_FAILURES = 0.1  # a lower decayed failure count is treated as 0
+OTHER_REQUESTS_LIMIT = 2  # multiple of the server's slots
 FAILED_KINDS = (
     AttemptKind.NOT_CONNECTED,
     AttemptKind.NO_ANSWER,
@@ -22,21 +22,22 @@
 )
 
 
-class SlotsView(NamedTuple):
-    """Describe a server at one moment."""
+class SlotsEstimate(NamedTuple):
+    """The estimated capacity of a server at one moment."""
 
     free: float  # slots
-    load: float  # share of the slots in use, failures added
+    load: float  # share of the slots in use, plus the decayed failure count
     weight: float  # share of its normal traffic
     is_probe: bool  # the last report showed no free slot
 
 
 class ServerSlots:
-    """Follow one server: own requests, the others' and its weight.
+    """Track the slots of one server that are used by this and by other daemons.
 
-    The others' requests are known from reports on answers. They are taken to
-    end at the pool's pace, so that a stale or false report costs a refused
-    attempt or a short wait, and never a server.
+    The requests of other daemons are known only from the load reports on
+    answers. Their number is assumed to decay at the rate at which the pool's
+    requests end, so a stale or wrong report can cause a refused attempt or a
+    short wait, but can't take a server out of use for good.
     """
 
     def __init__(self, server: Server, cold_since: float | None) -> None:
@@ -45,8 +46,8 @@
         self._is_listed = True
         self._health_weight = 1.0
         self._in_flight = 0
-        self._others = 0.0
-        self._others_at = float("-inf")
+        self._other_requests = 0.0
+        self._reported_at = float("-inf")
         self._backoff = 0.0
         self._backoff_at = 0.0
         self._failures = 0.0
@@ -54,27 +55,27 @@
 
     @property
     def server(self) -> Server:
-        """Return the server as it last announced itself."""
+        """Return the server as last announced."""
         return self._server
 
     @property
-    def others_share(self) -> float:
-        """Return the share of slots that the others had at the last report."""
-        return min(1.0, self._others / max(1, self._server.slots))
+    def other_share(self) -> float:
+        """Return the share of slots used by other daemons at the last report."""
+        return min(1.0, self._other_requests / max(1, self._server.slots))
 
     @property
     def in_flight(self) -> int:
-        """Return the requests that this daemon has on the server."""
+        """Return the number of this daemon's requests on the server."""
         return self._in_flight
 
     @property
     def is_listed(self) -> bool:
-        """Say whether the server is in the pool's current list."""
+        """Return whether the server is in the pool's current list."""
         return self._is_listed
 
     @property
     def is_usable(self) -> bool:
-        """Say whether the server may take new work at all."""
+        """Return whether the server may take new requests."""
         return (
             self._is_listed
             and self._health_weight > 0.0
@@ -82,81 +83,86 @@
         )
 
     def announce(self, server: Server, now: float) -> None:
-        """Take the server's newest announcement."""
+        """Update the server; a restart or return to service begins a cold start."""
         was_down = not self._is_listed or self._server.state is ServerState.STARTING
         is_reborn = server.incarnation > self._server.incarnation
         if is_reborn or (was_down and server.state is ServerState.READY):
             self._cold_since = now
-            self._others = 0.0
+            self._other_requests = 0.0
             self._backoff = 0.0
             self._failures = 0.0
         self._server = server
         self._is_listed = True
 
     def withdraw(self) -> None:
-        """Note that the server left the pool's list."""
+        """Mark the server as no longer in the pool's list."""
         self._is_listed = False
 
     def set_health(self, weight: float) -> None:
-        """Set the share of normal traffic, 0 to 1."""
+        """Set the share of normal traffic that its health allows, 0 to 1."""
         self._health_weight = weight
 
     def weight(self, now: float) -> float:
-        """Return the share of normal traffic, cold start included."""
+        """Return the share of normal traffic allowed by health and cold start."""
         if self._cold_since is None:
             return self._health_weight
-        done = (now - self._cold_since) / COLD_RAMP_S
-        if done >= 1.0:
+        progress = (now - self._cold_since) / COLD_RAMP_S
+        if progress >= 1.0:
             self._cold_since = None
             return self._health_weight
-        ramp = COLD_WEIGHT + (1 - COLD_WEIGHT) * max(0.0, done)
+        ramp = COLD_WEIGHT + (1 - COLD_WEIGHT) * max(0.0, progress)
         return self._health_weight * ramp
 
-    def others(self, now: float, hold_s: float) -> float:
-        """Estimate the requests that other daemons have on the server."""
-        return self._others * self._freshness(now, hold_s)
+    def other_requests(self, now: float, hold_s: float) -> float:
+        """Estimate the number of other daemons' requests on the server."""
+        return self._other_requests * self._freshness(now, hold_s)
 
-    def view(self, now: float, hold_s: float, usual_share: float) -> SlotsView:
-        """Estimate what the server can take, failures added to its load.
+    def estimate(
+        self, now: float, hold_s: float, average_other_share: float
+    ) -> SlotsEstimate:
+        """Estimate the server's free slots and load.
 
-        As a report ages, the load tends to ``usual_share``, the share of
-        slots that other daemons use in the pool, and the free slots to what
-        a probe may try.
+        As a report ages, its count of other daemons' requests is discounted. The
+        load estimate then tends to ``average_other_share``, the share of slots
+        that other daemons use across the pool. The free slots grow, and a grant
+        beyond the last report is a probe.
         """
         weight = self.weight(now)
         slots = max(1, self._server.slots)
         freshness = self._freshness(now, hold_s)
-        others = self._others * freshness
-        usual = usual_share * slots * (1.0 - freshness)
-        load = (self._in_flight + others + usual) / slots
-        return SlotsView(
-            free=math.ceil(self._server.slots * weight) - self._in_flight - others,
+        other_requests = self._other_requests * freshness
+        average = average_other_share * slots * (1.0 - freshness)
+        load = (self._in_flight + other_requests + average) / slots
+        return SlotsEstimate(
+            free=math.ceil(self._server.slots * weight)
+            - self._in_flight
+            - other_requests,
             load=load + self._failures_now(now),
             weight=weight,
-            is_probe=self._in_flight + 1 + self._others > self._server.slots,
+            is_probe=self._in_flight + 1 + self._other_requests > self._server.slots,
         )
 
     def is_failing(self, now: float) -> bool:
-        """Say whether attempts on the server failed lately."""
-        return self._failures_now(now) > FAILURE_TRACE
+        """Return whether attempts on the server failed recently."""
+        return self._failures_now(now) > MIN_FAILURES
 
-    def take(self) -> bool:
-        """Count one granted request, and say whether it is a probe.
+    def acquire(self) -> bool:
+        """Count one granted request and return whether it is a probe.
 
-        A probe goes beyond what the last evidence showed to be free.
+        A probe exceeds the slots that were free according to the last report.
         """
         self._in_flight += 1
-        return self._in_flight + self._others > self._server.slots
+        return self._in_flight + self._other_requests > self._server.slots
 
     def release(self) -> None:
         """Count one ended request."""
         self._in_flight -= 1
 
-    def note_end(self, end: AttemptEnded, was_probe: bool, now: float) -> None:
-        """Learn from an ended attempt, before its release."""
+    def record_end(self, end: AttemptEnded, was_probe: bool, now: float) -> None:
+        """Update the estimates from an ended attempt; call before ``release``."""
         if end.kind is AttemptKind.REFUSED:
             self._change_backoff(0.5, now)
-            self._set_others(self._server.slots - self._in_flight + 1, now)
+            self._set_other_requests(self._server.slots - self._in_flight + 1, now)
             return
         if end.kind in FAILED_KINDS or end.status >= 500:
             self._failures = min(8.0, self._failures_now(now) + 1.0)
@@ -164,17 +170,19 @@
         if end.kind is AttemptKind.ANSWERED and was_probe:
             self._change_backoff(-1.0, now)
         if end.load is not None:
-            # The report counts the request that it came with.
-            self._set_others(end.load.in_use - self._in_flight, now)
+            # The report includes the request that it answers.
+            self._set_other_requests(end.load.in_use - self._in_flight, now)
 
     def _freshness(self, now: float, hold_s: float) -> float:
-        """Return the share of the reported requests that still run."""
-        pace_s = hold_s * 2 ** self._backoff_now(now)
-        return math.exp(-max(0.0, now - self._others_at) / pace_s)
+        """Return the share of the reported requests that are assumed to still run."""
+        time_constant_s = hold_s * 2 ** self._backoff_now(now)
+        return math.exp(-max(0.0, now - self._reported_at) / time_constant_s)
 
-    def _set_others(self, others: int, now: float) -> None:
-        self._others = float(min(max(0, others), OTHERS_LIMIT * self._server.slots))
-        self._others_at = now
+    def _set_other_requests(self, other_requests: int, now: float) -> None:
+        self._other_requests = float(
+            min(max(0, other_requests), OTHER_REQUESTS_LIMIT * self._server.slots)
+        )
+        self._reported_at = now
 
     def _change_backoff(self, doublings: float, now: float) -> None:
         changed = self._backoff_now(now) + doublings
@@ -187,8 +195,9 @@
     def _failures_now(self, now: float) -> float:
         age_s = now - self._failed_at
         failures = _decayed(self._failures, age_s, FAILURE_HALF_LIFE_S)
-        # A trace would lose every draw against an idle server, for good.
-        return failures if failures >= FAILURE_TRACE else 0.0
+        # Without this cutoff, a tiny remainder would make the server lose every
+        # load comparison with an idle one, indefinitely.
+        return failures if failures >= MIN_FAILURES else 0.0
 
 
 def _decayed(value: float, age_s: float, half_life_s: float) -> float:
--- a/packages/core/src/pimentobend_core/_internal/traffic/times.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/times.py
@@ -1,15 +1,15 @@
-"""Learn how long the requests of each route hold a slot."""
+"""Measure how long the requests of each route occupy a slot."""
 
 import enum
 
 ROUTES_LIMIT = 2048
 DEFAULT_HOLD_S = 0.05
-LEAST_HOLD_S = 0.001
-AGE_HALF_LIFE_S = 30.0
-ACTIVE_ROUTE_S = 60.0
-CLASSIFY_EVERY_S = 1.0
-LEARNT_SAMPLES = 8
-LONG_MULTIPLE = 4.0
+MIN_HOLD_S = 0.001
+ESTIMATE_HALF_LIFE_S = 30.0
+ACTIVE_WINDOW_S = 60.0
+CLASSIFY_INTERVAL_S = 1.0
+MIN_SAMPLES = 8
+LONG_ROUTE_MULTIPLE = 4.0
 STRAGGLER_MULTIPLE = 4.0
 MEAN_GAIN = 0.02
 QUANTILE_GAIN = 0.05
@@ -17,139 +17,151 @@
 
 
 class SizeClass(enum.Enum):
-    """Name how long a route's requests hold a slot, beside its pool's."""
+    """Whether a route's requests hold a slot much longer than its pool's fastest."""
 
     SHORT = "short"
     LONG = "long"
 
 
-class Quantile:
-    """Follow one quantile of a stream in constant memory."""
+class QuantileEstimator:
+    """Estimate one quantile of a stream of samples in constant memory.
+
+    Each sample moves the estimate up or down by a step that is proportional
+    to the mean deviation of the samples.
+    """
 
     def __init__(self, share: float) -> None:
         self._share = share
         self._value = 0.0
-        self._spread = 0.0
+        self._mean_deviation = 0.0
         self._samples = 0
 
     @property
     def value(self) -> float:
-        """Return the estimate, in the samples' unit."""
+        """Return the estimate, in the unit of the samples."""
         return self._value
 
-    def note(self, sample: float) -> None:
-        """Take one sample."""
+    def record(self, sample: float) -> None:
+        """Update the estimate with one sample."""
         self._samples += 1
         if self._samples == 1:
             self._value = sample
-            self._spread = sample / 2
+            self._mean_deviation = sample / 2
             return
         gain = max(QUANTILE_GAIN, 1 / self._samples)
-        # A straggler must not widen the step for those that follow.
+        # Cap the deviation, so that one straggler does not enlarge later steps.
         distance = min(abs(sample - self._value), 2 * self._value)
-        self._spread += gain * (distance - self._spread)
+        self._mean_deviation += gain * (distance - self._mean_deviation)
         below = 1.0 if sample < self._value else 0.0
         self._value = max(
-            0.0, self._value + 2 * gain * self._spread * (self._share - below)
+            0.0, self._value + 2 * gain * self._mean_deviation * (self._share - below)
         )
 
 
 class HoldTimes:
-    """Learn the hold times of one route; all times are in seconds."""
+    """Hold time statistics of one route or pool, in seconds."""
 
     def __init__(self) -> None:
-        self._median = Quantile(0.5)
-        self._high = Quantile(HIGH_QUANTILE)
+        self._median = QuantileEstimator(0.5)
+        self._high = QuantileEstimator(HIGH_QUANTILE)
         self._mean_s = 0.0
         self._samples = 0
-        self._noted_at = 0.0
+        self._last_ended_at = 0.0
 
     @property
-    def is_learnt(self) -> bool:
-        """Say whether enough requests ended to trust the times."""
-        return self._samples >= LEARNT_SAMPLES
+    def has_enough_samples(self) -> bool:
+        """Return whether enough requests ended for the estimates to be used."""
+        return self._samples >= MIN_SAMPLES
 
     @property
     def mean_s(self) -> float:
-        """Return the mean, stragglers included."""
-        return max(LEAST_HOLD_S, self._mean_s) if self._samples else DEFAULT_HOLD_S
+        """Return the mean hold time, including stragglers."""
+        return max(MIN_HOLD_S, self._mean_s) if self._samples else DEFAULT_HOLD_S
 
     @property
     def median_s(self) -> float:
-        """Return the median."""
+        """Return the median hold time; 0 before the first sample."""
         return self._median.value
 
     @property
-    def usual_s(self) -> float:
-        """Return the time after which a report on slots is half forgotten."""
+    def typical_s(self) -> float:
+        """Return the median hold time, with a default and a lower bound.
+
+        It sets the rate at which load reports decay.
+        """
         if not self._samples:
             return DEFAULT_HOLD_S
-        return max(LEAST_HOLD_S, self._median.value)
+        return max(MIN_HOLD_S, self._median.value)
 
     @property
-    def noted_at(self) -> float:
-        """Return when the last request ended."""
-        return self._noted_at
+    def last_ended_at(self) -> float:
+        """Return the time at which the last request ended."""
+        return self._last_ended_at
 
-    def note(self, held_s: float, now: float) -> None:
-        """Take the hold time of one answered request."""
+    def record(self, held_s: float, now: float) -> None:
+        """Record the hold time of one answered request."""
         self._samples += 1
         gain = max(MEAN_GAIN, 1 / self._samples)
         self._mean_s += gain * (held_s - self._mean_s)
-        self._median.note(held_s)
-        self._high.note(held_s)
-        self._noted_at = now
+        self._median.record(held_s)
+        self._high.record(held_s)
+        self._last_ended_at = now
 
     def expected_s(self, now: float) -> float:
-        """Return the time that half of the requests need.
+        """Return the expected hold time: the median, or 0 without enough samples.
 
-        The estimate shrinks while none ends, so that a route that was shed
-        for its slowness is tried again.
+        The estimate decays while no request ends, so that a route whose requests
+        are refused as too slow is eventually tried again.
         """
-        if not self.is_learnt:
+        if not self.has_enough_samples:
             return 0.0
-        idle_s = max(0.0, now - self._noted_at)
-        return self._median.value * float(0.5 ** (idle_s / AGE_HALF_LIFE_S))
+        idle_s = max(0.0, now - self._last_ended_at)
+        return self._median.value * float(0.5 ** (idle_s / ESTIMATE_HALF_LIFE_S))
 
     def is_straggler(self, held_s: float) -> bool:
-        """Say whether a request holds its slot far longer than its route's."""
-        return self.is_learnt and held_s > STRAGGLER_MULTIPLE * self._high.value
+        """Return whether a request holds its slot far longer than usual."""
+        return (
+            self.has_enough_samples and held_s > STRAGGLER_MULTIPLE * self._high.value
+        )
 
 
 class RouteTimes:
-    """Learn the hold times of a pool's routes and class them by size."""
+    """Track hold times for each route of a pool, and classify routes by size.
+
+    Only the ``ROUTES_LIMIT`` most recently used routes are kept.
+    """
 
     def __init__(self) -> None:
         self._pool = HoldTimes()
         self._routes: dict[str, HoldTimes] = {}
         self._long: frozenset[str] = frozenset()
-        self._classified_at = float("-inf")
+        self._last_classified_at = float("-inf")
 
     @property
     def pool(self) -> HoldTimes:
-        """Return the times of all routes together."""
+        """Return the hold times over all routes."""
         return self._pool
 
     @property
     def long_routes(self) -> frozenset[str]:
-        """Return the routes that are classed as long."""
+        """Return the routes that are classified as long."""
         return self._long
 
-    def note(self, route: str, held_s: float, now: float) -> None:
-        """Take the hold time of one answered request."""
-        self._pool.note(held_s, now)
+    def record(self, route: str, held_s: float, now: float) -> None:
+        """Record the hold time of one answered request."""
+        self._pool.record(held_s, now)
         times = self._routes.pop(route, None) or HoldTimes()
-        times.note(held_s, now)
+        times.record(held_s, now)
         self._routes[route] = times
         if len(self._routes) > ROUTES_LIMIT:
             del self._routes[next(iter(self._routes))]
-        if now - self._classified_at >= CLASSIFY_EVERY_S:
+        if now - self._last_classified_at >= CLASSIFY_INTERVAL_S:
             self._classify(now)
 
-    def of(self, route: str) -> HoldTimes:
-        """Return the route's times, or the pool's before they are learnt."""
+    def get(self, route: str) -> HoldTimes:
+        """Return the route's hold times, or the pool's if it has too few samples."""
         times = self._routes.get(route)
-        if times is None or not times.is_learnt:
+        if times is None or not times.has_enough_samples:
             return self._pool
         return times
 
@@ -158,15 +170,15 @@
         return SizeClass.LONG if route in self._long else SizeClass.SHORT
 
     def _classify(self, now: float) -> None:
-        self._classified_at = now
+        self._last_classified_at = now
         medians = {
             route: times.median_s
             for route, times in self._routes.items()
-            if times.is_learnt and now - times.noted_at < ACTIVE_ROUTE_S
+            if times.has_enough_samples and now - times.last_ended_at < ACTIVE_WINDOW_S
         }
         shortest_s = min(medians.values(), default=0.0)
         self._long = frozenset(
             route
             for route, median_s in medians.items()
-            if median_s > LONG_MULTIPLE * shortest_s
+            if median_s > LONG_ROUTE_MULTIPLE * shortest_s
         )
--- a/packages/core/src/pimentobend_core/_internal/traffic/waiting.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/waiting.py
@@ -1,4 +1,4 @@
-"""Hold the requests that wait for a slot, bounded and in order."""
+"""Order the requests that wait for a slot."""
 
 import abc
 import bisect
@@ -9,18 +9,18 @@
 from pimentobend_core._internal.traffic.times import SizeClass
 
 
-class Waiting(NamedTuple):
-    """Place a waiting request; entries compare by band, order and arrival."""
+class QueuedRequest(NamedTuple):
+    """A queued request; entries sort by priority band, rank and arrival."""
 
-    band: int  # 1 for an organisation over its share, else 0
+    priority_band: int  # 1 for an organisation over its share, else 0
     rank: float
-    number: int  # unique, so that comparison ends here
+    arrival_number: int  # unique, so the fields below are never compared
     size: SizeClass
     message: Acquire
 
 
 class QueueOrder(abc.ABC):
-    """Rank waiting requests; the lowest rank is served first."""
+    """Strategy for ranking queued requests; the lowest rank is served first."""
 
     @abc.abstractmethod
     def rank(self, message: Acquire, now: float) -> float:
@@ -28,7 +28,7 @@
 
 
 class EarliestDeadlineFirst(QueueOrder):
-    """Serve the request with the least time left first."""
+    """Serve the request with the earliest deadline first."""
 
     def rank(self, message: Acquire, now: float) -> float:
         """Return the deadline."""
@@ -36,7 +36,7 @@
 
 
 class FirstInFirstOut(QueueOrder):
-    """Serve requests as they came."""
+    """Serve requests in order of arrival."""
 
     def rank(self, message: Acquire, now: float) -> float:
         """Return the time of arrival."""
@@ -44,13 +44,15 @@
 
 
 class WaitingQueue:
-    """Keep one ordered lane for each size class."""
+    """Priority queue of requests, with a sorted list for each size class."""
 
     def __init__(self, order: QueueOrder) -> None:
         self._order = order
-        self._lanes: dict[SizeClass, list[Waiting]] = {size: [] for size in SizeClass}
-        self._by_ticket: dict[int, Waiting] = {}
-        self._count = 0
+        self._entries_by_size: dict[SizeClass, list[QueuedRequest]] = {
+            size: [] for size in SizeClass
+        }
+        self._by_ticket: dict[int, QueuedRequest] = {}
+        self._arrivals = 0
 
     def __len__(self) -> int:
         return len(self._by_ticket)
@@ -58,45 +60,50 @@
     def __contains__(self, ticket: int) -> bool:
         return ticket in self._by_ticket
 
-    def __iter__(self) -> Iterator[Waiting]:
+    def __iter__(self) -> Iterator[QueuedRequest]:
         return iter(list(self._by_ticket.values()))
 
-    def place(
+    def create_entry(
         self, message: Acquire, size: SizeClass, is_over_share: bool, now: float
-    ) -> Waiting:
+    ) -> QueuedRequest:
         """Return the entry that a request would have, without adding it."""
-        self._count += 1
+        self._arrivals += 1
         rank = self._order.rank(message, now)
-        return Waiting(int(is_over_share), rank, self._count, size, message)
+        return QueuedRequest(int(is_over_share), rank, self._arrivals, size, message)
 
-    def add(self, entry: Waiting) -> None:
+    def add(self, entry: QueuedRequest) -> None:
         """Add an entry."""
-        bisect.insort(self._lanes[entry.size], entry)
+        bisect.insort(self._entries_by_size[entry.size], entry)
         self._by_ticket[entry.message.ticket] = entry
 
-    def remove(self, ticket: int) -> Waiting | None:
-        """Take a ticket out, or return None when it does not wait."""
+    def remove(self, ticket: int) -> QueuedRequest | None:
+        """Remove and return a ticket's entry, or return None if it is not queued."""
         entry = self._by_ticket.pop(ticket, None)
         if entry is None:
             return None
-        lane = self._lanes[entry.size]
-        del lane[bisect.bisect_left(lane, entry)]
+        entries = self._entries_by_size[entry.size]
+        del entries[bisect.bisect_left(entries, entry)]
         return entry
 
-    def ahead(self, entry: Waiting) -> int:
-        """Return how many waiting requests are served before this one."""
-        return sum(bisect.bisect_left(lane, entry) for lane in self._lanes.values())
-
-    def sizes(self) -> tuple[SizeClass, ...]:
-        """Return the size classes of which any request waits."""
-        return tuple(size for size, lane in self._lanes.items() if lane)
-
-    def first(self, sizes: tuple[SizeClass, ...], depth: int) -> list[Waiting]:
-        """Return up to ``depth`` entries a lane, the first to be served first."""
-        heads = [entry for size in sizes for entry in self._lanes[size][:depth]]
-        return sorted(heads)
-
-    def last(self) -> Waiting | None:
-        """Return the entry that is served last."""
-        tails = [lane[-1] for lane in self._lanes.values() if lane]
+    def count_ahead(self, entry: QueuedRequest) -> int:
+        """Return the number of queued requests that are served before this one."""
+        return sum(
+            bisect.bisect_left(entries, entry)
+            for entries in self._entries_by_size.values()
+        )
+
+    def waiting_sizes(self) -> tuple[SizeClass, ...]:
+        """Return the size classes that have queued requests."""
+        return tuple(size for size, entries in self._entries_by_size.items() if entries)
+
+    def heads(self, sizes: tuple[SizeClass, ...], depth: int) -> list[QueuedRequest]:
+        """Return up to ``depth`` entries of each size class, in serving order."""
+        entries = [
+            entry for size in sizes for entry in self._entries_by_size[size][:depth]
+        ]
+        return sorted(entries)
+
+    def last_entry(self) -> QueuedRequest | None:
+        """Return the entry that is last in serving order, or None."""
+        tails = [entries[-1] for entries in self._entries_by_size.values() if entries]
         return max(tails, default=None)
--- a/tests/unit/traffic/test_fairness.py
+++ b/tests/unit/traffic/test_fairness.py
@@ -15,7 +15,7 @@
         shares.charge("heavy", 0.0)
     for number in range(others):
         shares.charge(f"o{number}", 0.0)
-    assert shares.is_over("heavy", 0.0) is is_over
+    assert shares.is_over_share("heavy", 0.0) is is_over
 
 
 @pytest.mark.parametrize("others", [50, 500])
@@ -25,7 +25,7 @@
         shares.charge("heavy", 0.0)
     for number in range(others):
         shares.charge(f"o{number}", 0.0)
-    over = [one for one in range(others) if shares.is_over(f"o{one}", 0.0)]
+    over = [one for one in range(others) if shares.is_over_share(f"o{one}", 0.0)]
     assert len(over) <= 0.01 * others
 
 
@@ -35,5 +35,5 @@
         shares.charge("heavy", 0.0)
     for number in range(100):
         shares.charge(f"o{number}", 0.0)
-    assert shares.is_over("heavy", 0.0)
-    assert not shares.is_over("heavy", 10.0)
+    assert shares.is_over_share("heavy", 0.0)
+    assert not shares.is_over_share("heavy", 10.0)
