Reword the compact folder

A reader stumbled over docstrings that only say "Hold rows", "give up uses" or "no stated order", over marks and slack, and over the missing account of how the record heap works.

The docstrings name the usual terms (hash table, tombstone, linear probing, reference counting), and RecordHeap says when it is rewritten. The renamed names are private to their modules.

--- a/packages/core/src/pimentobend_core/_internal/compact/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/__init__.py
@@ -1,1 +1,1 @@
-"""Store large tables in packed bytes behind typed rows."""
+"""Memory-efficient tables that store rows as packed bytes."""
--- a/packages/core/src/pimentobend_core/_internal/compact/heap.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/heap.py
@@ -1,4 +1,4 @@
-"""Keep records in one byte array, found through an open-addressing index."""
+"""Hash table that stores its records in one byte array."""
 
 import sys
 import zlib
@@ -7,42 +7,47 @@
 from struct import Struct
 
 MAX_KEY_BYTES = 0xFFFF
-_HEADER = Struct("<HI")  # bytes of the key, bytes of the record
+_HEADER = Struct("<HI")  # length of the key, length of the record
 _EMPTY = 0
-_REMOVED = 1
-_FIRST_OFFSET = 2  # offsets below stand for the two marks above
+_TOMBSTONE = 1
+_FIRST_OFFSET = 2  # lower index values are the two marks above
 _MIN_SLOTS = 8
 _MAX_HEAP_BYTES = 0xFFFF_FFFF
-_SLACK_BYTES = 4096
+_MIN_DEAD_BYTES = 4096
 
 
 class RecordHeap:
-    """Map keys to records, both bytes, without an object for either."""
+    """Map byte keys to byte records without a Python object for each.
+
+    Records are appended to one byte array. An open-addressing index with linear
+    probing holds their offsets. Replaced and removed records stay in the array
+    until enough of it is dead to rewrite it.
+    """
 
     def __init__(self) -> None:
         self._heap = bytearray(_FIRST_OFFSET)
         self._dead_bytes = 0
         self._index = array("I", [_EMPTY]) * _MIN_SLOTS
-        self._used_slots = 0  # rows and removal marks
+        self._used_slots = 0  # slots with an offset or a tombstone
         self._count = 0
 
     @property
     def footprint_bytes(self) -> int:
-        """Return the bytes of the record array and of the index."""
+        """Return the size of the byte array and the index, in bytes."""
         return sys.getsizeof(self._heap) + sys.getsizeof(self._index)
 
     def __len__(self) -> int:
         return self._count
 
     def get(self, key: bytes) -> bytes | None:
-        """Return a key's record."""
+        """Return the record of a key, or None."""
         slot = self._find(key)
         return None if slot is None else self._record(self._index[slot])
 
     def put(self, key: bytes, record: bytes) -> bytes | None:
-        """Store a key's record and return the one that it replaces.
+        """Store the record of a key and return the one that it replaces.
 
-        Raises OverflowError when the record can't fit.
+        Raises OverflowError if the key is too long or the byte array is full.
         """
         size = _HEADER.size + len(key) + len(record)
         if len(key) > MAX_KEY_BYTES or len(self._heap) + size > _MAX_HEAP_BYTES:
@@ -56,23 +61,23 @@
             replaced = self._record(self._index[slot])
             self._dead_bytes += _HEADER.size + len(key) + len(replaced)
             self._index[slot] = self._append(key, record)
-        self._tidy()
+        self._reclaim()
         return replaced
 
     def remove(self, key: bytes) -> bytes | None:
-        """Remove a key's record and return it."""
+        """Remove and return the record of a key, or return None."""
         slot = self._find(key)
         if slot is None:
             return None
         removed = self._record(self._index[slot])
         self._dead_bytes += _HEADER.size + len(key) + len(removed)
-        self._index[slot] = _REMOVED
+        self._index[slot] = _TOMBSTONE
         self._count -= 1
-        self._tidy()
+        self._reclaim()
         return removed
 
     def items(self) -> Iterator[tuple[bytes, bytes]]:
-        """Yield every key with its record, in the order they were stored."""
+        """Yield every key and record, in the order in which they were stored."""
         heap = self._heap
         for offset in sorted(self._index):
             if offset < _FIRST_OFFSET:
@@ -114,7 +119,7 @@
         mask = len(self._index) - 1
         slot = zlib.crc32(key) & mask
         while (offset := self._index[slot]) != _EMPTY:
-            if offset != _REMOVED and self._has_key(offset, key):
+            if offset != _TOMBSTONE and self._has_key(offset, key):
                 return slot
             slot = (slot + 1) & mask
         return None
@@ -127,28 +132,28 @@
         self._index[slot] = offset
         self._used_slots += 1
 
-    def _tidy(self) -> None:
-        if self._dead_bytes > len(self._heap) // 4 + _SLACK_BYTES:
-            self._rewrite()
+    def _reclaim(self) -> None:
+        if self._dead_bytes > len(self._heap) // 4 + _MIN_DEAD_BYTES:
+            self._compact_heap()
         elif self._used_slots * 4 > len(self._index) * 3:
-            self._reindex()
+            self._rebuild_live_index()
 
-    def _rewrite(self) -> None:
+    def _compact_heap(self) -> None:
         live = [offset for offset in self._index if offset >= _FIRST_OFFSET]
         heap = bytearray(_FIRST_OFFSET)
         for offset in sorted(live):
             heap += self._heap[offset : offset + self._size(offset)]
         self._heap = heap
         self._dead_bytes = 0
-        self._rebuild_index(self._scan())
+        self._rebuild_index(self._scan_offsets())
 
-    def _scan(self) -> Iterator[int]:
+    def _scan_offsets(self) -> Iterator[int]:
         offset = _FIRST_OFFSET
         while offset < len(self._heap):
             yield offset
             offset += self._size(offset)
 
-    def _reindex(self) -> None:
+    def _rebuild_live_index(self) -> None:
         self._rebuild_index(o for o in self._index if o >= _FIRST_OFFSET)
 
     def _rebuild_index(self, offsets: Iterator[int]) -> None:
--- a/packages/core/src/pimentobend_core/_internal/compact/interner.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/interner.py
@@ -1,4 +1,4 @@
-"""Share equal values between rows under small numbers."""
+"""Store equal values once and refer to them by small numbers."""
 
 import sys
 from collections.abc import Hashable
@@ -9,7 +9,7 @@
 
 
 class Interner(Generic[Value]):
-    """Number distinct values and forget those that no row uses."""
+    """Assign numbers to distinct values, with reference counting."""
 
     def __init__(self) -> None:
         self._values: list[Value | None] = []
@@ -19,7 +19,7 @@
 
     @property
     def footprint_bytes(self) -> int:
-        """Return the bytes of the containers and of the distinct values."""
+        """Return the size of the containers and distinct values, in bytes."""
         containers = (self._values, self._uses, self._numbers, self._free)
         values = sum(sys.getsizeof(value) for value in self._numbers)
         return sum(sys.getsizeof(container) for container in containers) + values
@@ -28,7 +28,7 @@
         return len(self._numbers)
 
     def acquire(self, value: Value) -> int:
-        """Return the value's number and count one more use of it."""
+        """Return the number of a value and add a reference to it."""
         number = self._numbers.get(value)
         if number is None:
             number = self._add(value)
@@ -36,7 +36,7 @@
         return number
 
     def release(self, number: int) -> None:
-        """Count one use less, and free the number after the last."""
+        """Drop a reference, and free the number if it was the last one."""
         self._uses[number] -= 1
         if self._uses[number]:
             return
--- a/packages/core/src/pimentobend_core/_internal/compact/packed.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/packed.py
@@ -1,4 +1,4 @@
-"""Hold rows as packed records."""
+"""Base class of the tables that store rows as packed records."""
 
 import abc
 import struct
@@ -12,14 +12,14 @@
 
 
 class PackedRows(Rows[Row]):
-    """Hold each row as bytes, and build its object when it is asked for."""
+    """Store each row as bytes, and create the row object when it is read."""
 
     def __init__(self) -> None:
         self._heap = RecordHeap()
 
     @property
     def footprint_bytes(self) -> int:
-        """Return the bytes of the records, of the index and of shared values."""
+        """Return the size of the records, index and shared values, in bytes."""
         return self._heap.footprint_bytes + self._shared_bytes()
 
     def __len__(self) -> int:
@@ -29,15 +29,15 @@
         return self._heap.get(encode_text(key)) is not None
 
     def get(self, key: str) -> Row | None:
-        """Return the row of a key."""
+        """Return the row of a key, or None."""
         record = self._heap.get(encode_text(key))
         return None if record is None else self._unpack(key, record)
 
     def put(self, row: Row) -> None:
-        """Add a row, or replace that of its key; raise RowError if it can't fit."""
+        """Add a row, or replace the one with its key; RowError if it can't fit."""
         text = self._key_of(row)
         key = encode_text(text)
-        self._check_fit(row, text, key)
+        self._validate(row, text, key)
         record = self._pack(row)
         try:
             replaced = self._heap.put(key, record)
@@ -48,7 +48,7 @@
             self._release(replaced)
 
     def remove(self, key: str) -> bool:
-        """Remove a key's row and say whether there was one."""
+        """Remove the row of a key and return whether there was one."""
         record = self._heap.remove(encode_text(key))
         if record is None:
             return False
@@ -56,7 +56,7 @@
         return True
 
     def rows(self) -> Iterator[Row]:
-        """Yield every row, in no stated order."""
+        """Yield every row, in no particular order."""
         for key, record in self._heap.items():
             yield self._unpack(decode_text(key), record)
 
@@ -70,21 +70,21 @@
 
     @abc.abstractmethod
     def _pack(self, row: Row) -> bytes:
-        """Return a row without its key, and count its uses of shared values."""
+        """Return the record of a row without its key, and acquire its shared values."""
 
     @abc.abstractmethod
     def _unpack(self, key: str, record: bytes) -> Row:
-        """Return the row of a record."""
+        """Return the row of a key and its record."""
 
     @abc.abstractmethod
     def _release(self, record: bytes) -> None:
-        """Give up a record's uses of shared values."""
+        """Release the shared values of a record."""
 
     @abc.abstractmethod
     def _shared_bytes(self) -> int:
-        """Return the bytes of the shared values."""
+        """Return the size of the shared values, in bytes."""
 
-    def _check_fit(self, row: Row, text: str, key: bytes) -> None:
+    def _validate(self, row: Row, text: str, key: bytes) -> None:
         if len(key) > MAX_KEY_BYTES:
             raise RowError("key is too long", context=f"{len(key)} bytes")
         try:
@@ -96,10 +96,10 @@
 
 
 def encode_text(text: str) -> bytes:
-    """Return the UTF-8 bytes of any string."""
+    """Encode any string as UTF-8, including lone surrogates."""
     return text.encode("utf-8", "surrogatepass")
 
 
 def decode_text(encoded: bytes) -> str:
-    """Return the string of bytes that ``encode_text`` gave."""
+    """Decode the bytes that ``encode_text`` returned."""
     return encoded.decode("utf-8", "surrogatepass")
--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -1,4 +1,4 @@
-"""Store routes in packed bytes."""
+"""Table that stores routes as packed bytes."""
 
 from struct import Struct
 from typing import NamedTuple
@@ -11,12 +11,12 @@
 from pimentobend_core._internal.models.tables import Split
 
 _NUMBERS = Struct("<I?")  # timeout in ms, repeatable
-_SHARED = Struct("<IIII")  # numbers of host, methods, pool and rules
-_FIXED = Struct("<IIIII?")  # both of the above
+_SHARED = Struct("<IIII")  # interned numbers of host, methods, pool and rules
+_FIXED = Struct("<IIIII?")  # _SHARED followed by _NUMBERS
 
 
 class _Rules(NamedTuple):
-    """Hold the columns in which many routes are alike."""
+    """The columns whose values many routes have in common."""
 
     splits: tuple[Split, ...]
     max_attempts: int
@@ -25,7 +25,7 @@
 
 
 class CompactRoutes(PackedRows[Route]):
-    """Hold routes by name; hosts, methods and pools are shared between rows."""
+    """Routes by name; hosts, methods, pools and rules are stored once each."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/packages/core/src/pimentobend_core/_internal/compact/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/rows.py
@@ -1,4 +1,4 @@
-"""Define a table of rows that are found by their key."""
+"""Interface of the tables that find a row by its key."""
 
 import abc
 import sys
@@ -14,16 +14,16 @@
 
 
 class RowError(CoreError):
-    """Report a row whose values do not fit the table's columns."""
+    """A row does not fit the table or the columns that it stores."""
 
 
 class Rows(abc.ABC, Generic[Row]):
-    """Hold rows, at most one a key."""
+    """A table with at most one row per key."""
 
     @property
     @abc.abstractmethod
     def footprint_bytes(self) -> int:
-        """Return the bytes that the table's containers and rows take."""
+        """Return the size of the table's containers and rows, in bytes."""
 
     @abc.abstractmethod
     def __len__(self) -> int:
@@ -31,26 +31,26 @@
 
     @abc.abstractmethod
     def get(self, key: str) -> Row | None:
-        """Return the row of a key."""
+        """Return the row of a key, or None."""
 
     @abc.abstractmethod
     def put(self, row: Row) -> None:
-        """Add a row, or replace that of its key; raise RowError if it can't fit."""
+        """Add a row, or replace the one with its key; RowError if it can't fit."""
 
     @abc.abstractmethod
     def remove(self, key: str) -> bool:
-        """Remove a key's row and say whether there was one."""
+        """Remove the row of a key and return whether there was one."""
 
     @abc.abstractmethod
     def rows(self) -> Iterator[Row]:
-        """Yield every row, in no stated order; the table must not change meanwhile."""
+        """Yield every row in no particular order; don't modify the table meanwhile."""
 
     def __contains__(self, key: str) -> bool:
         return self.get(key) is not None
 
 
 class DictRows(Rows[Row]):
-    """Hold the rows as objects in a dictionary."""
+    """A table that stores row objects in a dictionary."""
 
     def __init__(self, key_of: Callable[[Row], str]) -> None:
         self._key_of = key_of
@@ -58,7 +58,7 @@
 
     @property
     def footprint_bytes(self) -> int:
-        """Return the bytes of the dictionary, its rows and the rows' values."""
+        """Return the size of the dictionary, rows and values, in bytes."""
         seen: dict[int, int] = {}
         for row in self._rows.values():
             seen[id(row)] = sys.getsizeof(row)
@@ -70,17 +70,17 @@
         return len(self._rows)
 
     def get(self, key: str) -> Row | None:
-        """Return the row of a key."""
+        """Return the row of a key, or None."""
         return self._rows.get(key)
 
     def put(self, row: Row) -> None:
-        """Add a row, or replace that of its key."""
+        """Add a row, or replace the one with its key."""
         self._rows[self._key_of(row)] = row
 
     def remove(self, key: str) -> bool:
-        """Remove a key's row and say whether there was one."""
+        """Remove the row of a key and return whether there was one."""
         return self._rows.pop(key, None) is not None
 
     def rows(self) -> Iterator[Row]:
-        """Yield every row, in no stated order."""
+        """Yield every row, in no particular order."""
         yield from self._rows.values()
--- a/packages/core/src/pimentobend_core/_internal/compact/servers.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/servers.py
@@ -1,4 +1,4 @@
-"""Store backend servers in packed bytes."""
+"""Table that stores backend servers as packed bytes."""
 
 from struct import Struct
 
@@ -10,13 +10,13 @@
 from pimentobend_core._internal.models.server import ServerState
 
 _NUMBERS = Struct("<HIQ")  # port, slots, incarnation
-_SHARED = Struct("<IIIB?")  # numbers of service, data centre, region, state; cold
-_FIXED = Struct("<IIIB?HIQ")  # both of the above
+_SHARED = Struct("<IIIB?")  # numbers of service, data centre, region, state; is_cold
+_FIXED = Struct("<IIIB?HIQ")  # _SHARED followed by _NUMBERS
 _STATES = tuple(ServerState)
 
 
 class CompactServers(PackedRows[Server]):
-    """Hold servers by id; services, data centres and regions are shared."""
+    """Servers by id; services, data centres and regions are stored once each."""
 
     def __init__(self) -> None:
         super().__init__()
