Reword the JSON document checks

A reader stumbled over "name every fault" and "whole number" and over docstrings that don't say what a check accepts.

The docstrings say what each check accepts; the messages stay.

--- a/packages/core/src/pimentobend_core/_internal/utils/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/__init__.py
@@ -1,1 +1,1 @@
-"""Hold small helpers without decisions."""
+"""General-purpose helpers."""
--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -1,4 +1,4 @@
-"""Check JSON documents and name every fault at once."""
+"""Validate JSON documents and report all faults at once."""
 
 import abc
 import json
@@ -11,9 +11,9 @@
 
 
 class Fault(NamedTuple):
-    """Name one fault of a document."""
+    """One fault of a document."""
 
-    place: str  # a key such as routes[3].pool, or a line
+    place: str  # a path such as routes[3].pool, or a line
     value: str
     expected: str
 
@@ -22,7 +22,7 @@
 
 
 def make_fault(place: str, value: object, expected: str) -> Fault:
-    """Return a fault with its value cut to a readable length."""
+    """Return a fault, with its value truncated to ``SHOWN_CHARACTERS``."""
     shown = json.dumps(value, ensure_ascii=False, default=str)
     if len(shown) > SHOWN_CHARACTERS:
         shown = shown[:SHOWN_CHARACTERS] + "..."
@@ -30,15 +30,15 @@
 
 
 class Check(abc.ABC):
-    """Find the faults of one value."""
+    """Validator of a value of a document."""
 
     @abc.abstractmethod
     def find(self, place: str, value: object) -> Iterator[Fault]:
-        """Yield the faults of the value at a place."""
+        """Yield the faults of a value; ``place`` is its path in the document."""
 
 
 class TextCheck(Check):
-    """Expect a string that matches a pattern."""
+    """Accepts strings that fully match a regular expression."""
 
     def __init__(self, pattern: str, expected: str) -> None:
         self._pattern = re.compile(pattern)
@@ -51,14 +51,14 @@
 
 
 class WholeCheck(Check):
-    """Expect a whole number within bounds."""
+    """Accepts integers within inclusive bounds."""
 
     def __init__(self, least: int, most: int) -> None:
         self._least = least
         self._most = most
 
     def find(self, place: str, value: object) -> Iterator[Fault]:
-        """Yield a fault unless the value is a whole number within bounds."""
+        """Yield a fault unless the value is an integer within the bounds."""
         is_whole = isinstance(value, int) and not isinstance(value, bool)
         if not (is_whole and self._least <= value <= self._most):  # type: ignore[operator]
             expected = f"a whole number from {self._least} to {self._most}"
@@ -66,14 +66,14 @@
 
 
 class NumberCheck(Check):
-    """Expect a number within bounds."""
+    """Accepts numbers within inclusive bounds."""
 
     def __init__(self, least: float, most: float) -> None:
         self._least = least
         self._most = most
 
     def find(self, place: str, value: object) -> Iterator[Fault]:
-        """Yield a fault unless the value is a number within bounds."""
+        """Yield a fault unless the value is a number within the bounds."""
         is_number = isinstance(value, int | float) and not isinstance(value, bool)
         if not (is_number and self._least <= value <= self._most):  # type: ignore[operator]
             expected = f"a number from {self._least:g} to {self._most:g}"
@@ -81,7 +81,7 @@
 
 
 class FlagCheck(Check):
-    """Expect true or false."""
+    """Accepts true and false."""
 
     def find(self, place: str, value: object) -> Iterator[Fault]:
         """Yield a fault unless the value is a boolean."""
@@ -90,7 +90,7 @@
 
 
 class ListCheck(Check):
-    """Expect a list whose items pass a check."""
+    """Accepts lists of at most ``most`` items that pass a check."""
 
     def __init__(self, item: Check, most: int) -> None:
         self._item = item
@@ -109,7 +109,7 @@
 
 
 class ObjectCheck(Check):
-    """Expect an object with known keys."""
+    """Accepts objects with all required and no unknown keys."""
 
     def __init__(
         self,
@@ -137,7 +137,10 @@
 
 
 def parse_document(text: str) -> tuple[object, tuple[Fault, ...]]:
-    """Parse JSON text; the faults name bad syntax and repeated keys."""
+    """Parse JSON text and return the value, with any syntax error or repeated keys.
+
+    The value is None after a syntax error.
+    """
     repeated: list[Fault] = []
 
     def build(pairs: list[tuple[str, object]]) -> dict[str, object]:
