Reword the models

A reader stumbled over docstrings such as "Spell a route in JSON", "Carry a server's last word" and "Name what a server says of itself".

The docstrings say what each value is, in the usual terms. No name changes.

Run: ruff, mypy of core (clean); pytest of tests/unit/request, configuration, compact, traffic/test_pool.py and test_layers.py passed.

--- a/packages/core/src/pimentobend_core/_internal/models/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/models/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the values that pass between filters."""
+"""Value types that are passed between filters."""
--- a/packages/core/src/pimentobend_core/_internal/models/events.py
+++ b/packages/core/src/pimentobend_core/_internal/models/events.py
@@ -1,4 +1,4 @@
-"""Define the events that go to logs and metrics."""
+"""Events that are reported to logs and metrics."""
 
 from typing import NamedTuple
 
@@ -7,7 +7,7 @@
 
 
 class RequestEnded(NamedTuple):
-    """Describe a request that was answered or refused."""
+    """A request that was answered or refused."""
 
     request_id: str
     organisation: str
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -1,11 +1,11 @@
-"""Define the values that pass through the request pipe."""
+"""Values that pass through the request pipeline."""
 
 import enum
 from typing import NamedTuple
 
 
 class Ran(enum.Enum):
-    """Say whether the work of a request ran."""
+    """Whether a backend server ran a request."""
 
     NOT_RUN = "not-run"
     RAN = "ran"
@@ -13,7 +13,7 @@
 
 
 class RefusalReason(enum.Enum):
-    """Name why a request was refused; the values are part of the interface."""
+    """Why a request was refused; the values are part of the public interface."""
 
     MALFORMED = "malformed"
     NO_ROUTE = "no-route"
@@ -33,7 +33,7 @@
 
 
 class Refusal(NamedTuple):
-    """Refuse a request; ``retry_after_s`` is in seconds."""
+    """The refusal of a request; ``retry_after_s`` is in seconds."""
 
     status: int
     ran: Ran
@@ -46,7 +46,7 @@
 
 
 class RequestHead(NamedTuple):
-    """Describe a caller's request; times are seconds of the runtime's clock."""
+    """A caller's request without its body; times are in seconds of the clock."""
 
     request_id: str
     method: str
@@ -61,33 +61,33 @@
 
 
 class AttemptKind(enum.Enum):
-    """Name how one attempt on a backend server ended."""
+    """How an attempt on a backend server ended."""
 
     ANSWERED = "answered"
-    REFUSED = "refused"  # the server states that it did not run the work
+    REFUSED = "refused"  # the server states that it did not run the request
     NOT_CONNECTED = "not-connected"  # no byte of the request was sent
     NO_ANSWER = "no-answer"  # bytes were sent, and no answer came
-    TRUNCATED = "truncated"  # the answer ended before its stated length
-    CANCELLED = "cancelled"  # the caller went away
-    DECLINED = "declined"  # the daemon beside the server took no work
+    TRUNCATED = "truncated"  # the answer ended before its declared length
+    CANCELLED = "cancelled"  # the caller disconnected
+    DECLINED = "declined"  # the daemon beside the server did not accept the request
 
 
 class LoadReport(NamedTuple):
-    """Carry the load that a backend server states on an answer, in requests."""
+    """The load that a backend server reports on an answer, in requests."""
 
     in_use: int
     slots: int
 
 
 class AttemptEnded(NamedTuple):
-    """Report one ended attempt to the owners of traffic and health."""
+    """The end of an attempt, as reported to the traffic and health tasks."""
 
     ticket: int
     pool: str
     route: str
     server_id: str
     kind: AttemptKind
-    status: int  # 0 without an answer
-    latency_s: float  # until the answer's head
-    was_reused: bool  # the connection had served before
+    status: int  # 0 if there was no answer
+    latency_s: float  # time to the answer's head
+    was_reused: bool  # the connection had carried an earlier request
     load: LoadReport | None
--- a/packages/core/src/pimentobend_core/_internal/models/server.py
+++ b/packages/core/src/pimentobend_core/_internal/models/server.py
@@ -1,11 +1,11 @@
-"""Define the values that describe backend servers."""
+"""Values that describe backend servers."""
 
 import enum
 from typing import NamedTuple
 
 
 class ServerState(enum.Enum):
-    """Name what a backend server says of itself."""
+    """The state that a backend server announces."""
 
     STARTING = "starting"
     READY = "ready"
@@ -13,7 +13,7 @@
 
 
 class Server(NamedTuple):
-    """Describe a backend server, as it announced itself."""
+    """A backend server as announced by itself."""
 
     server_id: str
     service: str
@@ -24,11 +24,11 @@
     region: str
     state: ServerState
     incarnation: int  # grows at each start of the server
-    is_cold: bool = False  # answers slowly for some seconds after its start
+    is_cold: bool = False  # slow for some seconds after its start
 
 
 class Announcement(NamedTuple):
-    """Carry a backend server's announcement; the lease is in seconds."""
+    """A backend server's announcement of itself for ``lease_s`` seconds."""
 
     server: Server
     lease_s: float
@@ -36,7 +36,7 @@
 
 
 class Withdrawal(NamedTuple):
-    """Carry a backend server's last word."""
+    """A backend server's announcement that it is leaving."""
 
     server_id: str
     incarnation: int
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -1,4 +1,4 @@
-"""Define the tables of routes and pools, joined by names."""
+"""The routing tables: routes and the pools that they refer to by name."""
 
 from typing import NamedTuple
 from typing import TypedDict
@@ -7,34 +7,35 @@
 
 
 class Split(NamedTuple):
-    """Give a pool its share of a route's requests."""
+    """A pool's weight in the distribution of a route's requests."""
 
     pool: str
     weight: float
 
 
 class Route(NamedTuple):
-    """Map requests to a pool by host, path prefix and method.
+    """Maps requests to a pool by host, path prefix and method.
 
-    A path that ends with a slash matches only paths that go on after it. With
-    splits, the pools share the requests by weight and ``pool`` is empty.
+    A path that ends with a slash matches only paths that start with it. If there
+    are splits, requests are distributed over their pools by weight and ``pool``
+    is empty.
     """
 
     name: str
     host: str  # "*" matches every host
-    path: str  # a prefix that ends at a segment
+    path: str  # a prefix of whole segments
     methods: tuple[str, ...]  # empty matches every method
     pool: str
-    repeatable: bool  # may the work be run more than once
+    repeatable: bool  # whether a request may be run more than once
     timeout_ms: int
     splits: tuple[Split, ...] = ()
-    max_attempts: int = 0  # servers that one request may reach; 0 for the default
+    max_attempts: int = 0  # servers tried per request; 0 for the default
     priority: int = 0  # 0 is the most urgent
-    target_latency_ms: int = 0  # 0 where none is stated
+    target_latency_ms: int = 0  # 0 if there is no target
 
 
 class Pool(NamedTuple):
-    """Describe how a service's backend servers are used."""
+    """Settings for the use of a service's backend servers."""
 
     name: str
     service: str
@@ -42,13 +43,13 @@
     queue_limit: int  # requests
     hedge: bool
     health_path: str = ""
-    max_connections: int = 0  # of a server, from all callers; 0 where none is stated
+    max_connections: int = 0  # per server, from all callers; 0 if not limited
     protocol: str = ""
     tls: bool = False
 
 
 class ClientLimits(NamedTuple):
-    """Bound what a caller may send, and how long it may take."""
+    """Limits on the size of a caller's requests, and timeouts of its connection."""
 
     max_header_bytes: int
     max_body_bytes: int
@@ -57,10 +58,10 @@
 
 
 class Tables(NamedTuple):
-    """Hold one accepted version of both tables.
+    """One accepted version of the routes and pools.
 
-    ``term`` and ``log_index`` place it in the replicated log; a daemon never
-    goes back in them.
+    ``term`` and ``log_index`` are its position in the replicated log; a daemon
+    never returns to an earlier position.
     """
 
     term: int
@@ -68,11 +69,11 @@
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
-    label: int = 0  # the operators' own number of the version
+    label: int = 0  # version number given by the operators
 
 
 class RouteRow(TypedDict):
-    """Spell a route in JSON."""
+    """A route in JSON."""
 
     name: str
     host: str
@@ -84,7 +85,7 @@
 
 
 class PoolRow(TypedDict):
-    """Spell a pool in JSON."""
+    """A pool in JSON."""
 
     name: str
     service: str
@@ -94,7 +95,7 @@
 
 
 class TablesDocument(TypedDict):
-    """Spell both tables in JSON."""
+    """The routes and pools in JSON."""
 
     routes: list[RouteRow]
     pools: list[PoolRow]
