Reword the ports, pipes and public modules of core

A reader stumbled over docstrings that say "Give", "Ask the owner" or "Own one state", and could not tell what a port is for.

The docstrings say what each interface gives access to, and what a filter and a stateful filter are. No name changes.

--- a/packages/core/src/pimentobend_core/__init__.py
+++ b/packages/core/src/pimentobend_core/__init__.py
@@ -1,1 +1,1 @@
-"""Decide routing, limits, health, agreement and membership."""
+"""Decision code for routing, limits, health, consensus and membership, without I/O."""
--- a/packages/core/src/pimentobend_core/_internal/exceptions.py
+++ b/packages/core/src/pimentobend_core/_internal/exceptions.py
@@ -1,8 +1,8 @@
-"""Define the one exception family of the project."""
+"""Base exceptions of the project."""
 
 
 class PimentobendError(Exception):
-    """Report what happened, in which context, and what to do about it."""
+    """Base of all errors: what happened, in which context, and what to do about it."""
 
     def __init__(self, message: str, *, context: str = "", hint: str = "") -> None:
         super().__init__(message)
@@ -20,8 +20,8 @@
 
 
 class CoreError(PimentobendError):
-    """Report a fault found by the decision code."""
+    """Base of the errors raised by the decision code."""
 
 
 class CodecError(CoreError):
-    """Report bytes that do not decode to a message of this version."""
+    """The bytes do not decode to a message of this version."""
--- a/packages/core/src/pimentobend_core/_internal/pipes.py
+++ b/packages/core/src/pimentobend_core/_internal/pipes.py
@@ -1,4 +1,4 @@
-"""Define the filters of which every flow is built."""
+"""Base classes of the filters that make up each processing pipeline."""
 
 import abc
 from collections.abc import Mapping
@@ -15,39 +15,39 @@
 
 
 class Filter(abc.ABC, Generic[In, Out]):
-    """Turn one value into the next, or refuse it."""
+    """A pipeline stage that transforms a value or refuses it."""
 
     @abc.abstractmethod
     def apply(self, value: In) -> Result[Out, Refusal]:
-        """Return the next value, or the refusal that ends the pipe."""
+        """Return the transformed value, or the refusal that ends the pipeline."""
 
     def then(self, following: "Filter[Out, Next]") -> "Filter[In, Next]":
-        """Join another filter behind this one."""
+        """Return a filter that passes the output of this one to ``following``."""
         return _Joined(self, following)
 
 
 class _Joined(Filter[In, Next], Generic[In, Out, Next]):
-    """Run two filters one after the other."""
+    """Two filters applied one after the other."""
 
     def __init__(self, first: Filter[In, Out], second: Filter[Out, Next]) -> None:
         self._first = first
         self._second = second
 
     def apply(self, value: In) -> Result[Next, Refusal]:
-        """Return the second filter's result on the first one's value."""
+        """Apply the first filter, then the second unless the first refused."""
         return self._first.apply(value).bind(self._second.apply)
 
 
 class StatefulFilter(abc.ABC, Generic[In, Out]):
-    """Own one state, take messages in and give messages out.
+    """A state machine that is driven by messages.
 
-    Implementations are pure: time comes in as ``now`` (seconds of the
-    runtime's clock), and nothing is sent but what ``handle`` returns.
+    Implementations do no I/O: the time is passed in as ``now`` (seconds of the
+    runtime's clock), and messages are sent only by returning them.
     """
 
     @abc.abstractmethod
     def handle(self, message: In, now: float) -> tuple[Out, ...]:
-        """Take one message at ``now`` (seconds) and return those that follow."""
+        """Process one message at ``now`` (seconds) and return the messages to send."""
 
     @abc.abstractmethod
     def dump(self) -> Mapping[str, object]:
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -1,4 +1,4 @@
-"""Define what the request pipe asks of the tasks and sockets around it."""
+"""Interfaces between the request pipeline and the tasks and sockets that it uses."""
 
 import abc
 from collections.abc import Iterator
@@ -22,37 +22,37 @@
 
 
 class Body(abc.ABC):
-    """Give a request's body in bounded pieces."""
+    """A request body that is read in chunks of bounded size."""
 
     @property
     @abc.abstractmethod
     def length(self) -> int | None:
-        """Return the stated length in bytes, or None when it is chunked."""
+        """Return the declared length in bytes, or None if the body is chunked."""
 
     @property
     @abc.abstractmethod
     def can_replay(self) -> bool:
-        """Say whether ``chunks`` may be called once more."""
+        """Return whether ``chunks`` may be called again."""
 
     @abc.abstractmethod
     def chunks(self) -> Iterator[bytes]:
-        """Yield the body's pieces."""
+        """Yield the chunks of the body."""
 
 
 class AnswerBody(abc.ABC):
-    """Give an answer's body in bounded pieces."""
+    """An answer's body that is read in chunks of bounded size."""
 
     @abc.abstractmethod
     def chunks(self) -> Iterator[bytes]:
-        """Yield the pieces; raise when the answer ends early."""
+        """Yield the chunks; raise if the answer ends early."""
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Free the connection; one that was not read to its end is closed."""
+        """Release the connection, or close it if the answer was not read to its end."""
 
 
 class Attempted(NamedTuple):
-    """Describe how an attempt ended; ``latency_s`` runs to the answer's head."""
+    """The result of an attempt; ``latency_s`` is the time to the answer's head."""
 
     kind: AttemptKind
     status: int
@@ -64,58 +64,58 @@
 
 
 class Claim(NamedTuple):
-    """Name a durable claim in the ledger."""
+    """A durable claim in the ledger on the right to run a request."""
 
     key: str
     claim_id: str
 
 
 class ClockPort(abc.ABC):
-    """Read the runtime's clock."""
+    """Access to the runtime's clock."""
 
     @abc.abstractmethod
     def now(self) -> float:
-        """Return seconds of the runtime's clock."""
+        """Return the current time in seconds."""
 
 
 class TablesPort(abc.ABC):
-    """Read the tables in force."""
+    """Access to the routing tables in force."""
 
     @abc.abstractmethod
     def match(self, head: RequestHead) -> Route | None:
-        """Return the route for a request."""
+        """Return the route for a request, or None."""
 
     @abc.abstractmethod
     def current(self) -> Tables:
-        """Return the version in force."""
+        """Return the tables in force."""
 
     def await_first(self, timeout_s: float) -> bool:
-        """Wait until any tables are in force; say whether they are."""
+        """Wait until tables are in force, and return whether they are."""
         return self.current().log_index > 0
 
 
 class TrafficPort(abc.ABC):
-    """Ask the owner of a pool's traffic."""
+    """Access to the tasks that assign each pool's servers to requests."""
 
     @abc.abstractmethod
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
-        """Wait for a backend server until the deadline."""
+        """Wait for a slot on a backend server, at most until the deadline."""
 
     @abc.abstractmethod
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Report an attempt that begins."""
+        """Report that an attempt begins."""
 
     @abc.abstractmethod
     def ended(self, message: AttemptEnded) -> None:
-        """Report an ended attempt; its slot is free again."""
+        """Report that an attempt ended, which frees its slot."""
 
 
 class LedgerPort(abc.ABC):
-    """Claim work that may not be repeated."""
+    """Access to the ledger of requests that may not be repeated."""
 
     @abc.abstractmethod
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
-        """Make a claim durable, or refuse truthfully."""
+        """Record a claim durably, or refuse the request, stating whether it ran."""
 
     @abc.abstractmethod
     def settle(self, claim: Claim, ran: Ran, status: int) -> None:
@@ -123,18 +123,18 @@
 
 
 class BackendPort(abc.ABC):
-    """Send requests to backend servers."""
+    """Sends requests to backend servers."""
 
     @abc.abstractmethod
     def will_reuse(self, server: Server) -> bool:
-        """Say whether repeatable work would go over a kept connection now."""
+        """Return whether a repeatable request would now reuse a connection."""
 
     @abc.abstractmethod
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> Attempted:
-        """Run one attempt until the head's deadline.
+        """Make one attempt, at most until the deadline in ``head``.
 
-        Work that may not be repeated goes over a new connection: one that
-        was kept may have gone silent, and would leave the outcome unknown.
+        A request that may not be repeated is sent over a new connection. A kept
+        connection may be dead, and a failure would leave the outcome unknown.
         """
--- a/packages/core/src/pimentobend_core/servers.py
+++ b/packages/core/src/pimentobend_core/servers.py
@@ -1,4 +1,4 @@
-"""Give other packages the types that describe backend servers."""
+"""Public types that describe backend servers."""
 
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
--- a/packages/core/src/pimentobend_core/tables.py
+++ b/packages/core/src/pimentobend_core/tables.py
@@ -1,4 +1,4 @@
-"""Give other packages the types of the configuration."""
+"""Public types of the configuration."""
 
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import WholeTables
