Reword the traffic tests

A reader stumbled over names such as "patience", "give" and "held" and over module docstrings that speak of a contract or of benches.

Names and docstrings say what a test sends and expects; what is checked stays. The derandomised examples of test_pool_machine.py derive from the source of the class, so they differ from before; their number stays.

--- a/tests/unit/traffic/test_fairness.py
+++ b/tests/unit/traffic/test_fairness.py
@@ -1,4 +1,4 @@
-"""Check the shares of organisations."""
+"""Test the detection of organisations that exceed their share of a pool."""
 
 import pytest
 
@@ -9,7 +9,9 @@
     ("heavy", "others", "is_over"),
     [(200, 100, True), (3, 100, False), (60, 1, True), (5, 85_000, False)],
 )
-def test_only_heavy_use_is_over(heavy: int, others: int, is_over: bool) -> None:
+def test_only_heavy_use_exceeds_the_share(
+    heavy: int, others: int, is_over: bool
+) -> None:
     shares = FairShares(1)
     for _ in range(heavy):
         shares.charge("heavy", 0.0)
@@ -29,7 +31,7 @@
     assert len(over) <= 0.01 * others
 
 
-def test_use_is_forgotten() -> None:
+def test_use_decays() -> None:
     shares = FairShares(1)
     for _ in range(100):
         shares.charge("heavy", 0.0)
--- a/tests/unit/traffic/test_pool.py
+++ b/tests/unit/traffic/test_pool.py
@@ -1,4 +1,4 @@
-"""Check the contract of a pool's traffic, message by message."""
+"""Test the replies of a pool's traffic to single messages."""
 
 import pytest
 import traffic_values as values
@@ -21,8 +21,10 @@
 NEAR = "lahore-b/punjab"
 
 
-def _learn(traffic: PoolTraffic, route: str, held_s: float, now: float) -> float:
-    """Let 30 requests of a route end, one after the other."""
+def _complete_requests(
+    traffic: PoolTraffic, route: str, held_s: float, now: float
+) -> float:
+    """Complete 30 requests of a route in sequence; return a time 2 s after the last."""
     for ticket in range(10_000, 10_030):
         (granted,) = traffic.handle(
             values.create_acquire(ticket, now + 60, route=route), now
@@ -115,7 +117,7 @@
     ],
     ids=lambda value: type(value).__name__,
 )
-def test_slot_is_freed_once(message: Abandon, freed: bool) -> None:
+def test_slot_freed_once(message: Abandon, freed: bool) -> None:
     traffic = values.create_traffic(values.create_server(1, 1))
     traffic.handle(values.create_acquire(1), 0.0)
     traffic.handle(values.create_acquire(2), 0.0)
@@ -129,7 +131,7 @@
     [(3, 1), (4, 1), (5, 0), (8, 0), (None, 1)],
 )
 def test_load_of_other_daemons_is_respected(in_use: int | None, granted: int) -> None:
-    # The report counts the four own requests, the one that ended included.
+    # The report includes this daemon's four requests, also the one that ended.
     traffic = values.create_traffic(values.create_server(1, 4))
     for ticket in range(6):
         traffic.handle(values.create_acquire(ticket), 0.0)
@@ -170,8 +172,8 @@
     [
         pytest.param(("lahore-a/punjab", NEAR, FAR), 2, {"s0"}, id="near first"),
         pytest.param(("lahore-a/punjab", NEAR, FAR), 6, {"s0", "s1"}, id="spill over"),
-        pytest.param(("lahore-a/punjab", FAR), 5, {"s0"}, id="not to the far side"),
-        pytest.param((FAR,), 2, {"s0"}, id="only the far side"),
+        pytest.param(("lahore-a/punjab", FAR), 5, {"s0"}, id="not to the far region"),
+        pytest.param((FAR,), 2, {"s0"}, id="only the far region"),
     ],
 )
 def test_near_servers_go_first(
@@ -191,7 +193,7 @@
     } == expected
 
 
-def test_far_side_serves_what_the_near_side_cannot() -> None:
+def test_far_region_serves_the_overflow() -> None:
     servers = (values.create_server(1, 1), values.create_server(2, place=FAR))
     traffic = values.create_traffic(*servers, queue_limit=1)
     outputs = [traffic.handle(values.create_acquire(one), 0.0) for one in range(3)]
@@ -220,7 +222,7 @@
     assert second.server.server_id == expected
 
 
-def test_retry_returns_when_every_server_was_tried() -> None:
+def test_retry_reuses_a_server_when_all_were_tried() -> None:
     traffic = values.create_traffic(values.create_server(1))
     traffic.handle(values.create_acquire(1), 0.0)
     traffic.handle(values.create_ended(1, "s1", AttemptKind.NO_ANSWER), 0.1)
@@ -248,9 +250,9 @@
 @pytest.mark.parametrize(("route", "granted"), [("report", 2), ("lookup", 3)])
 def test_long_work_leaves_a_slot_for_short(route: str, granted: int) -> None:
     traffic = values.create_traffic(values.create_server(1, 3), queue_limit=50)
-    now = _learn(traffic, "lookup", 0.02, 0.0)
-    now = _learn(traffic, "report", 1.0, now)
-    now = _learn(traffic, "lookup", 0.02, now)
+    now = _complete_requests(traffic, "lookup", 0.02, 0.0)
+    now = _complete_requests(traffic, "report", 1.0, now)
+    now = _complete_requests(traffic, "lookup", 0.02, now)
     outputs = [
         output
         for ticket in range(3)
@@ -261,15 +263,15 @@
     assert len(outputs) == granted
 
 
-def test_work_that_cannot_be_answered_in_time_is_shed() -> None:
+def test_request_that_would_miss_its_deadline_is_refused() -> None:
     traffic = values.create_traffic(values.create_server(1))
-    now = _learn(traffic, "book", 1.0, 0.0)
+    now = _complete_requests(traffic, "book", 1.0, 0.0)
     (output,) = traffic.handle(values.create_acquire(1, now + 0.5), now)
     assert isinstance(output, Rejected)
     assert output.refusal.reason is RefusalReason.DEADLINE
 
 
-def test_organisation_over_its_share_gives_way() -> None:
+def test_organisation_over_its_share_is_displaced() -> None:
     traffic = values.create_traffic(values.create_server(1, 1), queue_limit=20)
     for number in range(20):
         message = values.create_acquire(number, 99.0, organisation=f"small{number}")
--- a/tests/unit/traffic/test_pool_machine.py
+++ b/tests/unit/traffic/test_pool_machine.py
@@ -1,4 +1,4 @@
-"""Check a pool's traffic against its invariants under any sequence."""
+"""Check the invariants of a pool's traffic under random message sequences."""
 
 import hypothesis
 import hypothesis.strategies as st
@@ -38,18 +38,18 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.limit = 5
-        self.traffic = values.create_traffic(queue_limit=self.limit)
+        self.queue_limit = 5
+        self.traffic = values.create_traffic(queue_limit=self.queue_limit)
         self.servers: dict[str, Server] = {}
         self.weights: dict[str, float] = {}
         self.deadlines: dict[int, float] = {}
         self.waiting: set[int] = set()
-        self.held: dict[int, str] = {}
+        self.in_flight: dict[int, str] = {}
         self.tickets = 0
-        self.give(ServersChanged((values.create_server(0),)))
+        self.send(ServersChanged((values.create_server(0),)))
         self.servers = {"s0": values.create_server(0)}
 
-    def give(self, message: TrafficInput) -> None:
+    def send(self, message: TrafficInput) -> None:
         for output in self.traffic.handle(message, self.now):
             assert output.ticket in self.waiting
             self.waiting.discard(output.ticket)
@@ -65,12 +65,12 @@
         assert server.state is ServerState.READY
         assert self.weights.get(server.server_id, 1.0) > 0.0
         assert self.now < self.deadlines[output.ticket]
-        self.held[output.ticket] = server.server_id
-        in_use = list(self.held.values()).count(server.server_id)
+        self.in_flight[output.ticket] = server.server_id
+        in_use = list(self.in_flight.values()).count(server.server_id)
         assert in_use <= server.slots
 
     @rule(
-        patience_s=st.floats(-0.1, 3.0),
+        time_left_s=st.floats(-0.1, 3.0),
         route=st.sampled_from(("book", "report")),
         organisation=st.sampled_from(("museum", "archive")),
         excluded=st.frozensets(st.sampled_from(("s0", "s1")), max_size=2),
@@ -78,7 +78,7 @@
     )
     def acquire(
         self,
-        patience_s: float,
+        time_left_s: float,
         route: str,
         organisation: str,
         excluded: frozenset[str],
@@ -86,11 +86,11 @@
     ) -> None:
         self.tickets += 1
         self.waiting.add(self.tickets)
-        self.deadlines[self.tickets] = self.now + patience_s
-        self.give(
+        self.deadlines[self.tickets] = self.now + time_left_s
+        self.send(
             values.create_acquire(
                 self.tickets,
-                self.now + patience_s,
+                self.now + time_left_s,
                 route,
                 organisation,
                 excluded,
@@ -104,22 +104,22 @@
         in_use=st.one_of(st.none(), st.integers(0, 9)),
     )
     def end(self, choice: int, kind: AttemptKind, in_use: int | None) -> None:
-        if not self.held:
+        if not self.in_flight:
             return
-        ticket = sorted(self.held)[choice % len(self.held)]
-        server_id = self.held.pop(ticket)
-        self.give(values.create_ended(ticket, server_id, kind, in_use))
+        ticket = sorted(self.in_flight)[choice % len(self.in_flight)]
+        server_id = self.in_flight.pop(ticket)
+        self.send(values.create_ended(ticket, server_id, kind, in_use))
 
     @rule(ticket=st.integers(0, 60))
     def abandon(self, ticket: int) -> None:
         self.waiting.discard(ticket)
-        self.held.pop(ticket, None)
-        self.give(Abandon(ticket))
+        self.in_flight.pop(ticket, None)
+        self.send(Abandon(ticket))
 
     @rule(servers=SERVERS)
     def change_servers(self, servers: list[Server]) -> None:
         self.servers = {server.server_id: server for server in servers}
-        self.give(ServersChanged(tuple(servers)))
+        self.send(ServersChanged(tuple(servers)))
 
     @rule(
         weights=st.dictionaries(
@@ -128,26 +128,26 @@
     )
     def change_health(self, weights: dict[str, float]) -> None:
         self.weights = weights
-        self.give(HealthChanged(tuple(weights.items())))
+        self.send(HealthChanged(tuple(weights.items())))
 
-    @rule(limit=st.integers(1, 6))
-    def configure(self, limit: int) -> None:
-        self.limit = limit
-        self.give(ConfigurePool(values.create_pool(limit)))
+    @rule(queue_limit=st.integers(1, 6))
+    def configure(self, queue_limit: int) -> None:
+        self.queue_limit = queue_limit
+        self.send(ConfigurePool(values.create_pool(queue_limit)))
 
     @rule(step_s=st.floats(0.0, 2.0))
     def advance(self, step_s: float) -> None:
         self.now += step_s
-        self.give(TrafficTick())
-        late = [one for one in self.waiting if self.deadlines[one] <= self.now]
-        assert not late
+        self.send(TrafficTick())
+        expired = [one for one in self.waiting if self.deadlines[one] <= self.now]
+        assert not expired
 
     @invariant()
     def queue_is_bounded(self) -> None:
         state = self.traffic.dump()
         assert state["queued"] == len(self.waiting)
-        assert len(self.waiting) <= self.limit
-        assert state["in_flight"] == len(self.held)
+        assert len(self.waiting) <= self.queue_limit
+        assert state["in_flight"] == len(self.in_flight)
 
 
 TestPoolMachine = PoolMachine.TestCase
--- a/tests/unit/traffic/test_retries.py
+++ b/tests/unit/traffic/test_retries.py
@@ -1,4 +1,4 @@
-"""Check which attempts may be repeated, and how often."""
+"""Test which attempts may be retried or hedged, and how often."""
 
 import pytest
 
--- a/tests/unit/traffic/test_routing.py
+++ b/tests/unit/traffic/test_routing.py
@@ -1,4 +1,4 @@
-"""Check which route a request matches."""
+"""Test which route a request matches."""
 
 import pytest
 import traffic_values as values
@@ -45,11 +45,11 @@
 
 
 @pytest.mark.parametrize("routes", [(), ROUTES[3:4]], ids=["none", "other path"])
-def test_no_match_gives_none(routes: tuple[Route, ...]) -> None:
+def test_no_match_returns_none(routes: tuple[Route, ...]) -> None:
     assert RouteMatcher(Tables(1, 1, routes, ())).match("GET", "a", "/x") is None
 
 
-def test_many_routes_are_told_apart() -> None:
+def test_many_routes_are_distinguished() -> None:
     routes = tuple(
         values.create_route(f"r{number}", f"h{number % 90}", f"/p{number}/x")
         for number in range(9000)
--- a/tests/unit/traffic/test_targets.py
+++ b/tests/unit/traffic/test_targets.py
@@ -1,4 +1,4 @@
-"""Check the targets of the benches on seeded runs in simulated time."""
+"""Check the benchmark targets on seeded runs in simulated time."""
 
 import math
 
--- a/tests/unit/traffic/test_traffic_ticks.py
+++ b/tests/unit/traffic/test_traffic_ticks.py
@@ -1,4 +1,4 @@
-"""Check that only pools with waiting requests take ticks."""
+"""Test that only pools with waiting requests receive ticks."""
 
 from collections.abc import Mapping
 
@@ -22,18 +22,18 @@
 TICKS_WAITED = 4
 
 
-class _Ignored(AttemptObserver):
-    """Drop what is observed."""
+class _NullObserver(AttemptObserver):
+    """Ignores all attempts."""
 
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Drop it."""
+        """Ignore the attempt."""
 
     def ended(self, message: AttemptEnded) -> None:
-        """Drop it."""
+        """Ignore the attempt."""
 
 
 class _CountingOwner(StatefulFilter[TrafficInput, TrafficOutput]):
-    """Grant nothing and count ticks."""
+    """Counts ticks and never grants a server."""
 
     def __init__(self) -> None:
         self.ticks = 0
@@ -56,7 +56,7 @@
         return owners.setdefault(pool.name, _CountingOwner())
 
     clock = HubClock()
-    tasks = TrafficTasks(create, clock, _Ignored())
+    tasks = TrafficTasks(create, clock, _NullObserver())
     tasks.configure(POOLS)
     deadline = clock.now() + 60.0
     waiters = [
