Reword the tests of the compact tables

A reader stumbled over "gives back", "no growth" and "one contract".

Three test names and the docstrings say what is tested. No check changes. The source of a class of the derandomised test changes, so its examples may differ; their number stays.

--- a/tests/unit/compact/test_rows.py
+++ b/tests/unit/compact/test_rows.py
@@ -1,4 +1,4 @@
-"""Check every table of rows against one contract."""
+"""Test that all table implementations behave alike."""
 
 from collections.abc import Callable
 from typing import Any
@@ -22,7 +22,7 @@
 class Case(NamedTuple):
     create: Callable[[], Rows[Any]]
     make: Callable[[int], Any]
-    key: str  # the field that is the key
+    key: str  # name of the key field
 
 
 CASES = {
@@ -42,7 +42,7 @@
 
 @every_table
 @pytest.mark.parametrize("count", [0, 1, 6, 7, 100, 3000])
-def test_gives_back_what_was_put(case: Case, count: int) -> None:
+def test_returns_the_rows_that_were_put(case: Case, count: int) -> None:
     table = case.create()
     rows = [case.make(number) for number in range(count)]
     for row in rows:
@@ -64,7 +64,7 @@
 
 
 @every_table
-def test_remove_says_whether_there_was_a_row(case: Case) -> None:
+def test_remove_returns_whether_there_was_a_row(case: Case) -> None:
     table = case.create()
     table.put(case.make(1))
     key = _key(case, case.make(1))
@@ -72,7 +72,7 @@
 
 
 @every_table
-def test_churn_leaves_no_growth(case: Case) -> None:
+def test_churn_does_not_grow_the_table(case: Case) -> None:
     table = case.create()
     for number in range(20_000):
         table.put(case.make(number))
--- a/tests/unit/compact/test_rows_machine.py
+++ b/tests/unit/compact/test_rows_machine.py
@@ -1,4 +1,4 @@
-"""Compare the compact tables with a dictionary under any order of calls."""
+"""Compare the compact tables with a dictionary under random sequences of calls."""
 
 from typing import Any
 
@@ -44,7 +44,7 @@
 
 
 class _RowsMachine(RuleBasedStateMachine):
-    """Send the same calls to a compact table and to the dictionary."""
+    """Make the same calls on a compact table and on the dictionary."""
 
     compact: Rows[Any]
     model: DictRows[Any]
