Reword the test fakes of the ports and the layer test

A reader stumbled over fakes that "stand still", "earn nothing" or "hold no bytes".

The docstrings say what each fake returns or records. No check changes.

--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -1,4 +1,4 @@
-"""Stand in for the ports of the request pipe."""
+"""Fakes of the ports that the request pipeline uses."""
 
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -32,7 +32,7 @@
 
 
 class FakeClock(ClockPort):
-    """Stand still until a test moves it; in seconds."""
+    """A clock that moves only when a test sets ``time`` (seconds)."""
 
     def __init__(self) -> None:
         self.time = 100.0
@@ -43,13 +43,13 @@
 
 
 class FakeTables(TablesPort):
-    """Hold one route."""
+    """Tables that match every request with one route, or none."""
 
     def __init__(self, route: Route | None) -> None:
         self._route = route
 
     def match(self, head: RequestHead) -> Route | None:
-        """Return the route."""
+        """Return the configured route."""
         return self._route
 
     def current(self) -> Tables:
@@ -58,7 +58,7 @@
 
 
 class FakeTraffic(TrafficPort):
-    """Grant servers in turn, up to a number of grants."""
+    """Grants a new server each time, for a limited number of times."""
 
     def __init__(self, grants: int = 10) -> None:
         self._grants = grants
@@ -67,7 +67,7 @@
         self.asked: list[Acquire] = []
 
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
-        """Grant a server that was not tried, or refuse."""
+        """Grant a new server, or refuse when the grants are used up."""
         self.asked.append(message)
         if len(self.asked) > self._grants:
             refusal = Refusal(503, Ran.NOT_RUN, RefusalReason.QUEUE_FULL, "full", 1)
@@ -75,16 +75,16 @@
         return Success(Granted(message.ticket, make_server(f"s{len(self.asked)}")))
 
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Remember the attempt that begins."""
+        """Record the attempt."""
         self.starts.append(message)
 
     def ended(self, message: AttemptEnded) -> None:
-        """Remember the ended attempt."""
+        """Record the ended attempt."""
         self.ends.append(message)
 
 
 class FakeLedger(LedgerPort):
-    """Grant or refuse claims, and remember how they were settled."""
+    """Grants or refuses all claims, and records how they were settled."""
 
     def __init__(self, refusal: Refusal | None = None) -> None:
         self._refusal = refusal
@@ -92,66 +92,66 @@
         self.settled: list[Ran] = []
 
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
-        """Answer as the test chose."""
+        """Return the configured refusal, or grant the claim."""
         self.claims.append(head.idempotency_key)
         if self._refusal is not None:
             return Failure(self._refusal)
         return Success(Claim(head.idempotency_key or "", "claim-1"))
 
     def settle(self, claim: Claim, ran: Ran, status: int) -> None:
-        """Remember the outcome."""
+        """Record the outcome."""
         self.settled.append(ran)
 
 
 class FakeBackend(BackendPort):
-    """Give the attempts a list of endings."""
+    """Ends the attempts with a list of configured results, in order."""
 
-    def __init__(self, endings: Sequence[tuple[AttemptKind, int]]) -> None:
-        self._endings = list(endings)
+    def __init__(self, results: Sequence[tuple[AttemptKind, int]]) -> None:
+        self._results = list(results)
         self.sent: list[str] = []
 
     def will_reuse(self, server: Server) -> bool:
-        """Say that no connection is kept."""
+        """Return that no connection is kept."""
         return False
 
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> Attempted:
-        """End the attempt as the test chose."""
-        kind, status = self._endings[len(self.sent)]
+        """Return the next configured result."""
+        kind, status = self._results[len(self.sent)]
         self.sent.append(server.server_id)
         return Attempted(kind, status, (), None, 0.01, False, None)
 
 
 class FakeRetries(RetryPolicy):
-    """Allow a number of retries."""
+    """Allows a limited number of retries."""
 
     def __init__(self, allowed: int) -> None:
         self._allowed = allowed
 
     def may_retry(self, pool: str, now: float) -> bool:
-        """Take one retry."""
+        """Use up one retry and return whether it was allowed."""
         self._allowed -= 1
         return self._allowed >= 0
 
     def succeeded(self, pool: str, now: float) -> None:
-        """Earn nothing."""
+        """Ignore the success."""
 
 
 class FakeBody(Body):
-    """Hold no bytes."""
+    """An empty body."""
 
     def __init__(self, can_replay: bool = True) -> None:
         self._can_replay = can_replay
 
     @property
     def length(self) -> int | None:
-        """Return no bytes."""
+        """Return 0."""
         return 0
 
     @property
     def can_replay(self) -> bool:
-        """Say what the test chose."""
+        """Return the configured value."""
         return self._can_replay
 
     def chunks(self) -> Iterator[bytes]:
@@ -165,12 +165,12 @@
 
 
 def make_route(repeatable: bool) -> Route:
-    """Return a route of ten seconds."""
+    """Return a route with a timeout of 10 s."""
     return Route("r", "*", "/", (), "p", repeatable, 10_000)
 
 
 def make_head(key: str | None = None, remaining_s: float = 5.0) -> RequestHead:
-    """Return a request received at the fake clock's start."""
+    """Return a request that is received at the fake clock's initial time."""
     return RequestHead(
         "id", "POST", "h", "/x", "", (), "org", key, 100.0, 100.0 + remaining_s
     )
--- a/tests/lib/traffic_values.py
+++ b/tests/lib/traffic_values.py
@@ -1,4 +1,4 @@
-"""Build the values that traffic tests need."""
+"""Factories of the values that the traffic tests use."""
 
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
--- a/tests/unit/test_layers.py
+++ b/tests/unit/test_layers.py
@@ -1,4 +1,4 @@
-"""Check that the decisions stay apart from the runtime."""
+"""Check that the core package does not import networking or concurrency modules."""
 
 import ast
 import pathlib
