--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -14,11 +14,11 @@
 from pimentobend_core._internal.models.tables import TablesDocument
 from pimentobend_core._internal.utils.checks import Fault
 from pimentobend_core._internal.utils.checks import FlagCheck
+from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
 from pimentobend_core._internal.utils.checks import ObjectCheck
 from pimentobend_core._internal.utils.checks import TextCheck
-from pimentobend_core._internal.utils.checks import WholeCheck
 from pimentobend_core._internal.utils.checks import parse_document
 
 MAX_ROUTES = 50_000
@@ -47,14 +47,14 @@
         "methods": ListCheck(
             TextCheck(r"[A-Z]{1,16}", "a method in upper case"), MAX_METHODS
         ),
-        "timeout_ms": WholeCheck(1, MAX_TIMEOUT_MS),
+        "timeout_ms": IntegerCheck(1, MAX_TIMEOUT_MS),
     },
 )
 _POOL = ObjectCheck(
     required={"name": NAME, "service": NAME},
     optional={
         "floor": NumberCheck(0, MAX_FLOOR),
-        "queue_limit": WholeCheck(0, MAX_QUEUE_REQUESTS),
+        "queue_limit": IntegerCheck(0, MAX_QUEUE_REQUESTS),
         "hedge": FlagCheck(),
     },
 )
--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -50,7 +50,7 @@
             yield make_fault(place, value, self._expected)
 
 
-class WholeCheck(Check):
+class IntegerCheck(Check):
     """Accepts integers within inclusive bounds."""
 
     def __init__(self, least: int, most: int) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -12,11 +12,11 @@
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.utils.checks import Fault
 from pimentobend_core._internal.utils.checks import FlagCheck
+from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
 from pimentobend_core._internal.utils.checks import ObjectCheck
 from pimentobend_core._internal.utils.checks import TextCheck
-from pimentobend_core._internal.utils.checks import WholeCheck
 from pimentobend_core._internal.utils.checks import parse_document
 from pimentobendd._internal.exceptions import SettingsError
 
@@ -35,7 +35,7 @@
         "region": NAME,
         "roles": ListCheck(_ROLE, 2),
         "ip": TextCheck(r"[0-9.]{7,15}", "an IPv4 number"),
-        "link_ports": ListCheck(WholeCheck(1, MAX_PORT), 2),
+        "link_ports": ListCheck(IntegerCheck(1, MAX_PORT), 2),
         "seeds": ListCheck(_ADDRESS, MAX_SEEDS),
     },
     optional={
@@ -47,7 +47,7 @@
                 "ready": _ADDRESS,
                 "servers": _ADDRESS,
                 "operators": _ADDRESS,
-                "metrics_port": WholeCheck(1, MAX_PORT),
+                "metrics_port": IntegerCheck(1, MAX_PORT),
             },
         ),
         "beside": ObjectCheck({"service": NAME, "address": _ADDRESS}),
--- a/packages/daemon/src/pimentobendd/_internal/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/settings.py
@@ -9,10 +9,10 @@
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
 from pimentobend_core._internal.utils.checks import Fault
+from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import ObjectCheck
 from pimentobend_core._internal.utils.checks import TextCheck
-from pimentobend_core._internal.utils.checks import WholeCheck
 from pimentobend_core._internal.utils.checks import parse_document
 from pimentobendd._internal.exceptions import SettingsError
 
@@ -46,7 +46,7 @@
         "operator_token_file": _PATH,
         "announce_from": ListCheck(_NETWORK, MAX_NETWORKS),
         "statsd": _ADDRESS,
-        "shutdown_grace_s": WholeCheck(1, MAX_GRACE_S),
+        "shutdown_grace_s": IntegerCheck(1, MAX_GRACE_S),
     },
 )
 
