Rename FlagCheck to BooleanCheck

The check accepts true and false; a flag is a command-line option elsewhere in the code base.

Nothing else changes.

--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -12,8 +12,8 @@
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import RouteRow
 from pimentobend_core._internal.models.tables import TablesDocument
+from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
-from pimentobend_core._internal.utils.checks import FlagCheck
 from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
@@ -40,7 +40,7 @@
         "name": NAME,
         "path": TextCheck(r"/[!-~]{0,1023}", "a path that starts with /"),
         "pool": NAME,
-        "repeatable": FlagCheck(),
+        "repeatable": BooleanCheck(),
     },
     optional={
         "host": TextCheck(r"\*|[a-z0-9.-]{1,253}", "a host in lower case, or *"),
@@ -55,7 +55,7 @@
     optional={
         "floor": NumberCheck(0, MAX_FLOOR),
         "queue_limit": IntegerCheck(0, MAX_QUEUE_REQUESTS),
-        "hedge": FlagCheck(),
+        "hedge": BooleanCheck(),
     },
 )
 _TABLES = ObjectCheck(
--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -80,7 +80,7 @@
             yield make_fault(place, value, expected)
 
 
-class FlagCheck(Check):
+class BooleanCheck(Check):
     """Accepts true and false."""
 
     def find(self, place: str, value: object) -> Iterator[Fault]:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -10,8 +10,8 @@
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
+from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
-from pimentobend_core._internal.utils.checks import FlagCheck
 from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
@@ -51,7 +51,7 @@
             },
         ),
         "beside": ObjectCheck({"service": NAME, "address": _ADDRESS}),
-        "first_start": FlagCheck(),
+        "first_start": BooleanCheck(),
         "data_folder": _PATH,
         "heartbeat_s": NumberCheck(0.1, MAX_SECONDS),
         "grace_s": _SECONDS,
