Rename Attempted to AttemptResult

A participle as a class name did not tell a reader that this is what an attempt returns.

Nothing else changes. Run: ruff, mypy of core, adapters, daemon, bench, client and platform (clean); pytest of tests/unit/forwarding, request, fleet and interfaces: 390 passed.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -11,7 +11,7 @@
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.ports import AnswerBody
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 
 BUFFER_BYTES = 256 * 1024  # larger answers are passed on as they come
 
@@ -84,6 +84,6 @@
     status: int = 0,
     headers: Headers = (),
     body: AnswerBody | None = None,
-) -> Attempted:
+) -> AttemptResult:
     """Return the end of an attempt."""
-    return Attempted(kind, status, headers, body, latency_s, False, None)
+    return AttemptResult(kind, status, headers, body, latency_s, False, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -23,7 +23,7 @@
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
@@ -63,7 +63,7 @@
 
     def call(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
-    ) -> Attempted:
+    ) -> AttemptResult:
         """Run one attempt; a killed caller closes the connection."""
         started = self._clock.now()
         connection = None
@@ -111,7 +111,7 @@
         head: RequestHead,
         body: Body,
         started: float,
-    ) -> tuple[Attempted, _Fate]:
+    ) -> tuple[AttemptResult, _Fate]:
         response = send_request(connection, head, body, self._own(server, head))
         headers = tuple(response.headers.items())
         if not self._is_answer(response.status, headers, head):
@@ -164,7 +164,7 @@
         remaining_s = head.deadline - self._clock.now()
         return max(LEAST_MS, int(remaining_s * MS_PER_S))
 
-    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+    def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
         return make_attempted(kind, self._clock.now() - started)
 
     def _release(self, server: Server, connection: Any, fate: _Fate) -> None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -45,7 +45,7 @@
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.pipes import Filter
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.request.stages import Finished
@@ -104,7 +104,7 @@
         self._wake_at = value.head.deadline
         self._attempts: dict[int, Any] = {}  # greenlets
         self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
-        self._results: dict[int, Attempted] = {}
+        self._results: dict[int, AttemptResult] = {}
         self._ends: dict[int, str] = {}
         self._delivery = Delivery(
             value.head.request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -40,7 +40,7 @@
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
@@ -135,7 +135,7 @@
         """Return what the servers offer; None when the task does not answer."""
         return self._bids.ask(ask.token, lambda: self._task.put(ask), ASK_TIMEOUT_S)
 
-    def run(self, attempt: LocalAttempt) -> Attempted:
+    def run(self, attempt: LocalAttempt) -> AttemptResult:
         """Run an attempt once, however often it is asked for; wait for its end."""
         attempt_id = attempt.submit.attempt_id
         cell = self._cells.get(attempt_id)
@@ -144,7 +144,7 @@
             self._task.put(attempt.submit)
         cell.waiters += 1
         try:
-            result: Attempted = cell.result.wait()
+            result: AttemptResult = cell.result.wait()
             return result
         finally:
             cell.waiters -= 1
@@ -198,7 +198,7 @@
             self._task.put(CallEnded(submit.attempt_id, _end_kind(attempted)))
             self._finish(submit.attempt_id, attempted)
 
-    def _finish(self, attempt_id: str, attempted: Attempted) -> None:
+    def _finish(self, attempt_id: str, attempted: AttemptResult) -> None:
         cell = self._cells.get(attempt_id)
         if cell is None or cell.ended_at is not None:
             return
@@ -232,7 +232,7 @@
         cell.result.send(lost)
 
 
-def _end_kind(attempted: Attempted) -> EndKind:
+def _end_kind(attempted: AttemptResult) -> EndKind:
     if attempted.kind is AttemptKind.ANSWERED:
         is_good = attempted.status < SERVER_ERROR
         return EndKind.GOOD if is_good else EndKind.FAILED
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -31,7 +31,7 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
@@ -80,7 +80,7 @@
             return
         yield from _write_attempted(attempted, start_response)
 
-    def _run(self, connection: Any, attempt: LocalAttempt) -> Attempted | None:
+    def _run(self, connection: Any, attempt: LocalAttempt) -> AttemptResult | None:
         """Return the end of an attempt, or None once its origin's connection broke."""
         handler = eventlet.getcurrent()
         lost = _OriginLostError("the connection to the origin broke")
@@ -144,7 +144,7 @@
 
 
 def _write_attempted(
-    attempted: Attempted, start_response: StartResponse
+    attempted: AttemptResult, start_response: StartResponse
 ) -> Iterator[bytes]:
     body = attempted.body
     if body is None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -27,7 +27,7 @@
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.models.request import AttemptKind
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import ClockPort
 
 KIND_WITHDRAW = "withdraw"
@@ -40,7 +40,7 @@
 class _Sent(NamedTuple):
     """Hold the end of one try to reach the daemon."""
 
-    attempted: Attempted | None  # None where it has to be tried again
+    attempted: AttemptResult | None  # None where it has to be tried again
     may_have_arrived: bool
 
 
@@ -55,7 +55,7 @@
         self._clock = clock
         self._link = link
 
-    def run(self, peer: PeerRow, attempt: LocalAttempt) -> Attempted:
+    def run(self, peer: PeerRow, attempt: LocalAttempt) -> AttemptResult:
         """Return the end of an attempt; a killed caller closes the connection."""
         started = self._clock.now()
         submit = attempt.submit
@@ -109,7 +109,7 @@
             elif not is_passed_on:
                 connection.close()
 
-    def _judge(self, attempted: Attempted, is_resent: bool) -> Attempted | None:
+    def _judge(self, attempted: AttemptResult, is_resent: bool) -> AttemptResult | None:
         """Tell what a result means when an earlier copy may have arrived."""
         if attempted.kind is AttemptKind.CANCELLED:
             reason = find_header(attempted.headers, "reason")
@@ -121,7 +121,7 @@
 
     def _exchange(
         self, connection: Any, attempt: LocalAttempt, hop: HopSubmit
-    ) -> tuple[Attempted, bool]:
+    ) -> tuple[AttemptResult, bool]:
         own = {SUBMIT_HEADER: encode_hop(hop)}
         response = send_request(connection, attempt.head, attempt.body, own)
         headers = tuple(response.headers.items())
@@ -154,5 +154,5 @@
             submit.is_repeat,
         )
 
-    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+    def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
         return make_attempted(kind, self._clock.now() - started)
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -25,7 +25,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.ports import AnswerBody
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import BackendPort
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
@@ -103,7 +103,7 @@
 
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
-    ) -> Attempted:
+    ) -> AttemptResult:
         """Run one attempt until the head's deadline."""
         started = self._clock.now()
         remaining_s = max(MIN_REMAINING_S, head.deadline - started)
@@ -137,18 +137,18 @@
             self._pools[address] = _create_pool(server)
         return self._pools[address]
 
-    def _failed(self, kind: AttemptKind, started: float) -> Attempted:
+    def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
         latency_s = self._clock.now() - started
-        return Attempted(kind, 0, (), None, latency_s, False, None)
+        return AttemptResult(kind, 0, (), None, latency_s, False, None)
 
-    def _answered(self, response: Any, started: float) -> Attempted:
+    def _answered(self, response: Any, started: float) -> AttemptResult:
         headers = tuple(response.headers.items())
         connection = response.connection
         is_refused = find_header(headers, RAN) == Ran.NOT_RUN.value
         body = _StreamedAnswer(response)
         if is_refused:
             body.close()
-        return Attempted(
+        return AttemptResult(
             kind=AttemptKind.REFUSED if is_refused else AttemptKind.ANSWERED,
             status=response.status,
             headers=without_hop_by_hop(headers),
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -7,7 +7,7 @@
 from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 
 
 class HostDecided(NamedTuple):
@@ -15,7 +15,7 @@
 
     action: str  # call-started, call-ended, declined or joined
     attempt_id: str
-    detail: Submit | Declined | Joined | Attempted
+    detail: Submit | Declined | Joined | AttemptResult
 
 
 class AttemptSent(NamedTuple):
@@ -33,7 +33,7 @@
 
     request_id: str
     attempt_id: str
-    attempted: Attempted
+    attempted: AttemptResult
 
 
 class DeliveryHeld(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -51,7 +51,7 @@
         """Release the connection, or close it if the answer was not read to its end."""
 
 
-class Attempted(NamedTuple):
+class AttemptResult(NamedTuple):
     """The result of an attempt; ``latency_s`` is the time to the answer's head."""
 
     kind: AttemptKind
@@ -132,7 +132,7 @@
     @abc.abstractmethod
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
-    ) -> Attempted:
+    ) -> AttemptResult:
         """Make one attempt, at most until the deadline in ``head``.
 
         A request that may not be repeated is sent over a new connection. A kept
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -8,7 +8,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.tables import Route
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import Claim
 
@@ -63,7 +63,7 @@
 
     request: Claimed
     server: Server
-    attempted: Attempted
+    attempted: AttemptResult
 
 
 class Judged(NamedTuple):
@@ -74,7 +74,7 @@
     """
 
     server: Server
-    attempted: Attempted
+    attempted: AttemptResult
     ran: Ran
     refusal: Refusal | None
     may_retry: bool
@@ -83,7 +83,7 @@
 class Finished(NamedTuple):
     """Hold the answer for the caller."""
 
-    attempted: Attempted
+    attempted: AttemptResult
     ran: Ran
     server_id: str
     attempts: int
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -16,7 +16,7 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 
 MS_PER_S = 1000
 SERVER_ERROR = 500
@@ -89,7 +89,7 @@
         self,
         action: str,
         attempt_id: str,
-        detail: Submit | Declined | Joined | Attempted,
+        detail: Submit | Declined | Joined | AttemptResult,
     ) -> None:
         values: dict[str, Any] = {}
         match detail:
@@ -103,7 +103,7 @@
             case Declined():
                 values = {"reason": detail.reason.value}
                 self._counters.count("declined", detail.reason.value)
-            case Attempted():
+            case AttemptResult():
                 values = _describe(detail)
             case _:
                 self._counters.count("joined")
@@ -138,7 +138,7 @@
         )
 
 
-def _describe(attempted: Attempted) -> dict[str, Any]:
+def _describe(attempted: AttemptResult) -> dict[str, Any]:
     is_good = attempted.kind is AttemptKind.ANSWERED
     return {
         "outcome": attempted.kind.value,
--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -18,7 +18,7 @@
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import BackendPort
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import Claim
@@ -116,11 +116,11 @@
 
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
-    ) -> Attempted:
+    ) -> AttemptResult:
         """Return the next configured result."""
         kind, status = self._results[len(self.sent)]
         self.sent.append(server.server_id)
-        return Attempted(kind, status, (), None, 0.01, False, None)
+        return AttemptResult(kind, status, (), None, 0.01, False, None)
 
 
 class FakeRetries(RetryPolicy):
--- a/tests/unit/forwarding/test_calls.py
+++ b/tests/unit/forwarding/test_calls.py
@@ -17,7 +17,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 
 NAMES = HeaderNames(request_id="Id", not_run="Not-Run", stamp="Stamp")
 WAIT_S = 5.0
@@ -79,7 +79,7 @@
 
 def call(
     raw: RawServer, calls: ServerCalls, *, is_repeatable: bool = True
-) -> Attempted:
+) -> AttemptResult:
     head = RequestHead(
         "1", "GET", "h", "/x", "", (), "", None, 0.0, HubClock().now() + WAIT_S
     )
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -29,7 +29,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
-from pimentobend_core._internal.ports import Attempted
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
@@ -51,7 +51,7 @@
 
     def call(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
-    ) -> Attempted:
+    ) -> AttemptResult:
         self.runs.append(head.request_id)
         eventlet.sleep(self.hold_s)
         self.ended.append(head.request_id)
@@ -134,7 +134,7 @@
 
     def run(
         self, name: str, process: int = PROCESS, *, safe: bool = False
-    ) -> Attempted:
+    ) -> AttemptResult:
         peer = PeerRow(
             "127.0.0.1:1",
             Life(1, 0),
