State units and meanings of the constants of traffic

A reader could not tell what a share, multiple or window refers to.

Comments name the unit or the reference value; two local names follow.

--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -35,7 +35,7 @@
 
 MAX_WAIT_SHARE = 0.5  # of the time left when a request arrives
 FAR_ROUND_TRIP_S = 0.06
-PROBE_SHARE = 0.1  # probes earned per answer
+PROBE_SHARE = 0.1  # probes earned by an answer; an answered probe earns 1
 PROBE_FLOOR_PER_S = 5.0
 SCAN_DEPTH = 4  # queued requests examined per size class
 SHORT_RESERVE_SLOTS = 1.0  # slots per server that long requests leave free
--- a/packages/core/src/pimentobend_core/_internal/traffic/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/selection.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 SAMPLE_SIZE = 2
-SPILL_LOAD = 0.7  # load from which other data centres of the region are used too
+SPILL_LOAD = 0.7  # share of slots; above it, the whole region is used
 
 
 class Proximity(enum.IntEnum):
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -7,7 +7,7 @@
 from pimentobend_core._internal.traffic.retries import TokenBucket
 
 USED_SHARE = 0.5  # of the limit; a repeated request can cause up to two calls
-ORIGIN_SHARE = 0.3  # tokens per success
+ORIGIN_SHARE = 0.3  # tokens per success, the most that one daemon repeats
 ORIGIN_FLOOR_PER_S = 0.5
 ORIGIN_TOKENS = 10.0
 
@@ -65,10 +65,8 @@
     def allows(self, servers: int, now: float) -> bool:
         """Return whether this server, one of ``servers``, may take one more repeat."""
         self._drop_expired(now)
-        first_attempts = len(self._arrivals) - self._repeats
-        limit = self._terms.ratio * first_attempts + self._terms.allowance / max(
-            1, servers
-        )
+        initial = len(self._arrivals) - self._repeats
+        limit = self._terms.ratio * initial + self._terms.allowance / max(1, servers)
         return self._repeats + 1 <= USED_SHARE * limit
 
     def _drop_expired(self, now: float) -> None:
--- a/packages/core/src/pimentobend_core/_internal/traffic/times.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/times.py
@@ -5,12 +5,12 @@
 ROUTES_LIMIT = 2048
 DEFAULT_HOLD_S = 0.05
 MIN_HOLD_S = 0.001
-ESTIMATE_HALF_LIFE_S = 30.0
-ACTIVE_WINDOW_S = 60.0
+ESTIMATE_HALF_LIFE_S = 30.0  # while no request of the route ends
+ACTIVE_WINDOW_S = 60.0  # routes idle for longer are not classified
 CLASSIFY_INTERVAL_S = 1.0
 MIN_SAMPLES = 8
-LONG_ROUTE_MULTIPLE = 4.0
-STRAGGLER_MULTIPLE = 4.0
+LONG_ROUTE_MULTIPLE = 4.0  # of the shortest median hold time in the pool
+STRAGGLER_MULTIPLE = 4.0  # of the high quantile
 MEAN_GAIN = 0.02
 QUANTILE_GAIN = 0.05
 HIGH_QUANTILE = 0.9
@@ -30,8 +30,8 @@
     to the mean deviation of the samples.
     """
 
-    def __init__(self, share: float) -> None:
-        self._share = share
+    def __init__(self, quantile: float) -> None:
+        self._quantile = quantile
         self._value = 0.0
         self._mean_deviation = 0.0
         self._samples = 0
@@ -54,7 +54,8 @@
         self._mean_deviation += gain * (distance - self._mean_deviation)
         below = 1.0 if sample < self._value else 0.0
         self._value = max(
-            0.0, self._value + 2 * gain * self._mean_deviation * (self._share - below)
+            0.0,
+            self._value + 2 * gain * self._mean_deviation * (self._quantile - below),
         )
 
 
