--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -12,13 +12,13 @@
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import RouteRow
 from pimentobend_core._internal.models.tables import TablesDocument
+from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
-from pimentobend_core._internal.utils.checks import FlagCheck
+from pimentobend_core._internal.utils.checks import IntegerCheck
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
 from pimentobend_core._internal.utils.checks import ObjectCheck
 from pimentobend_core._internal.utils.checks import TextCheck
-from pimentobend_core._internal.utils.checks import WholeCheck
 from pimentobend_core._internal.utils.checks import parse_document
 
 MAX_ROUTES = 50_000
@@ -40,22 +40,22 @@
         "name": NAME,
         "path": TextCheck(r"/[!-~]{0,1023}", "a path that starts with /"),
         "pool": NAME,
-        "repeatable": FlagCheck(),
+        "repeatable": BooleanCheck(),
     },
     optional={
         "host": TextCheck(r"\*|[a-z0-9.-]{1,253}", "a host in lower case, or *"),
         "methods": ListCheck(
             TextCheck(r"[A-Z]{1,16}", "a method in upper case"), MAX_METHODS
         ),
-        "timeout_ms": WholeCheck(1, MAX_TIMEOUT_MS),
+        "timeout_ms": IntegerCheck(1, MAX_TIMEOUT_MS),
     },
 )
 _POOL = ObjectCheck(
     required={"name": NAME, "service": NAME},
     optional={
         "floor": NumberCheck(0, MAX_FLOOR),
-        "queue_limit": WholeCheck(0, MAX_QUEUE_REQUESTS),
-        "hedge": FlagCheck(),
+        "queue_limit": IntegerCheck(0, MAX_QUEUE_REQUESTS),
+        "hedge": BooleanCheck(),
     },
 )
 _TABLES = ObjectCheck(
