--- a/packages/core/src/pimentobend_core/_internal/consensus/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/codec.py
@@ -26,7 +26,7 @@
 _ADDRESSED = msgspec.msgpack.Decoder(tuple[str, str, bytes])
 _SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
 
-# A type's place is its number on the wire; new ones go to the end.
+# A type's position is its tag on the wire or on disk: append new types.
 _MESSAGES = (
     RequestVote,
     VoteReply,
@@ -37,28 +37,28 @@
 )
 _RECORDS = (BaseRecord, TermRecord, EntryRecord)
 
-_MESSAGE_NUMBERS = {kind: number for number, kind in enumerate(_MESSAGES)}
-_RECORD_NUMBERS = {kind: number for number, kind in enumerate(_RECORDS)}
+_MESSAGE_TAGS = {kind: tag for tag, kind in enumerate(_MESSAGES)}
+_RECORD_TAGS = {kind: tag for tag, kind in enumerate(_RECORDS)}
 _MESSAGE_DECODERS = [msgspec.msgpack.Decoder(cast(Any, kind)) for kind in _MESSAGES]
 _RECORD_DECODERS = [msgspec.msgpack.Decoder(cast(Any, kind)) for kind in _RECORDS]
 
 
 def encode_message(message: PeerMessage) -> bytes:
-    """Return a message between replicas as bytes."""
-    return _ENCODER.encode((_MESSAGE_NUMBERS[type(message)], message))
+    """Encode a message between replicas."""
+    return _ENCODER.encode((_MESSAGE_TAGS[type(message)], message))
 
 
 def decode_message(data: bytes) -> PeerMessage:
-    """Return the message of the bytes; raise ``CodecError``."""
+    """Decode a message; raise ``CodecError`` for invalid bytes."""
     try:
-        number, raw = _ENVELOPE.decode(data)
-        return cast(PeerMessage, _decoder(_MESSAGE_DECODERS, number).decode(raw))
+        tag, raw = _ENVELOPE.decode(data)
+        return cast(PeerMessage, _decoder(_MESSAGE_DECODERS, tag).decode(raw))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("a replica's message does not decode") from error
+        raise CodecError("cannot decode a message from a replica") from error
 
 
 class Envelope(NamedTuple):
-    """Carry a message between two replicas, named by their ids."""
+    """A message with the ids of its sender and recipient."""
 
     sender: str
     recipient: str
@@ -66,52 +66,52 @@
 
 
 def encode_envelope(sender: str, recipient: str, message: PeerMessage) -> bytes:
-    """Return a message with the ids of both replicas as bytes."""
+    """Encode a message with the ids of its sender and recipient."""
     return _ENCODER.encode((sender, recipient, encode_message(message)))
 
 
 def decode_envelope(data: bytes) -> Envelope:
-    """Return the envelope of the bytes; raise ``CodecError``."""
+    """Decode an envelope; raise ``CodecError`` for invalid bytes."""
     try:
         sender, recipient, content = _ADDRESSED.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("a replica's envelope does not decode") from error
+        raise CodecError("cannot decode an envelope from a replica") from error
     return Envelope(sender, recipient, decode_message(content))
 
 
 def encode_records(records: tuple[Record, ...]) -> bytes:
-    """Return records, which are synced together, as bytes."""
-    numbered = [(_RECORD_NUMBERS[type(record)], record) for record in records]
-    return _ENCODER.encode(numbered)
+    """Encode records that are synced together."""
+    tagged = [(_RECORD_TAGS[type(record)], record) for record in records]
+    return _ENCODER.encode(tagged)
 
 
 def decode_records(data: bytes) -> tuple[Record, ...]:
-    """Return the records of the bytes; raise ``CodecError``."""
+    """Decode records; raise ``CodecError`` for invalid bytes."""
     try:
         return tuple(
-            cast(Record, _decoder(_RECORD_DECODERS, number).decode(raw))
-            for number, raw in _ENVELOPES.decode(data)
+            cast(Record, _decoder(_RECORD_DECODERS, tag).decode(raw))
+            for tag, raw in _ENVELOPES.decode(data)
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("a stored record does not decode") from error
+        raise CodecError("cannot decode a stored record") from error
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
-    """Return a snapshot as bytes."""
+    """Encode a snapshot."""
     return _ENCODER.encode(snapshot)
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
-    """Return the snapshot of the bytes; raise ``CodecError``."""
+    """Decode a snapshot; raise ``CodecError`` for invalid bytes."""
     try:
         return _SNAPSHOT.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("a stored snapshot does not decode") from error
+        raise CodecError("cannot decode a stored snapshot") from error
 
 
 def _decoder(
-    decoders: list[msgspec.msgpack.Decoder[Any]], number: int
+    decoders: list[msgspec.msgpack.Decoder[Any]], tag: int
 ) -> msgspec.msgpack.Decoder[Any]:
-    if not 0 <= number < len(decoders):
-        raise CodecError("a message or record of an unknown kind")
-    return decoders[number]
+    if not 0 <= tag < len(decoders):
+        raise CodecError("message or record of an unknown kind")
+    return decoders[tag]
--- a/packages/core/src/pimentobend_core/_internal/consensus/disk.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/disk.py
@@ -1,4 +1,4 @@
-"""Define what a replica asks of its disk."""
+"""Define the interface of a replica's disk."""
 
 import abc
 
@@ -9,24 +9,24 @@
 
 
 class Disk(abc.ABC):
-    """Keep a replica's records; what a call returned for is synced."""
+    """Stores a replica's records; a write is synced when its call returns."""
 
     @abc.abstractmethod
     def load(self, members: Members) -> StoredState:
-        """Return what is stored; an empty disk is set up with ``members``.
+        """Return the stored state; initialise an empty disk with ``members``.
 
-        Undoes a write that failed before. Raises the adapter's error where
-        the stored records are damaged or the disk does not answer.
+        Undoes an earlier failed write. Raises the adapter's error if the stored
+        records are damaged or the disk does not answer.
         """
 
     @abc.abstractmethod
     def append(self, records: tuple[Record, ...]) -> None:
-        """Store records behind the others, all or none after a crash."""
+        """Append records; after a crash, all of them are stored or none."""
 
     @abc.abstractmethod
     def save(self, snapshot: Snapshot, records: tuple[Record, ...]) -> None:
-        """Store a snapshot and records in place of all stored ones."""
+        """Replace all stored data by a snapshot and records."""
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Let go of the disk."""
+        """Release the disk."""
--- a/packages/core/src/pimentobend_core/_internal/consensus/entries.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/entries.py
@@ -1,4 +1,4 @@
-"""Define what the replicated log stores."""
+"""Define the entries, snapshots and records of the replicated log."""
 
 from typing import NamedTuple
 
@@ -6,10 +6,10 @@
 
 
 class Entry(NamedTuple):
-    """Hold one place of the log.
+    """One entry of the replicated log.
 
-    An entry carries a command, or changed members, or neither when a new
-    leader opens its term.
+    An entry carries a command or changed members. A new leader appends one
+    with neither at the start of its term.
     """
 
     term: int
@@ -19,12 +19,12 @@
 
     @property
     def is_command(self) -> bool:
-        """Say whether a state machine has to apply the entry."""
+        """Return whether the entry has a command to apply."""
         return bool(self.command)
 
 
 class Snapshot(NamedTuple):
-    """Stand for all entries up to ``log_index``."""
+    """The applied state after all entries up to ``log_index``."""
 
     term: int
     log_index: int
@@ -33,7 +33,7 @@
 
 
 class BaseRecord(NamedTuple):
-    """Open a log that continues after ``log_index``."""
+    """The first record of a stored log whose entries follow ``log_index``."""
 
     term: int
     log_index: int
@@ -41,14 +41,14 @@
 
 
 class TermRecord(NamedTuple):
-    """Store the term and the vote given in it."""
+    """The current term and the vote given in it."""
 
     term: int
     voted_for: str | None
 
 
 class EntryRecord(NamedTuple):
-    """Store an entry in place of all stored ones from its index on."""
+    """An entry that replaces all stored ones from its index on."""
 
     entry: Entry
 
@@ -57,7 +57,7 @@
 
 
 class StoredState(NamedTuple):
-    """Hold what a replica finds in its data folder at its start."""
+    """What a replica loads from its data folder at start."""
 
     term: int
     voted_for: str | None
--- a/packages/core/src/pimentobend_core/_internal/consensus/exceptions.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/exceptions.py
@@ -4,8 +4,8 @@
 
 
 class ConsensusError(CoreError):
-    """Report a replicated log that cannot be used."""
+    """The replicated log cannot be used."""
 
 
 class CorruptLogError(ConsensusError):
-    """Report stored records that contradict one another."""
+    """Stored records contradict one another."""
--- a/packages/core/src/pimentobend_core/_internal/consensus/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/follower.py
@@ -1,4 +1,4 @@
-"""Follow a leader: take over its entries and its snapshots."""
+"""Follow a leader: append its entries and install its snapshots."""
 
 from pimentobend_core._internal.consensus.entries import Entry
 from pimentobend_core._internal.consensus.entries import Snapshot
@@ -10,19 +10,20 @@
 
 
 class Follower:
-    """Own the snapshot that is being received."""
+    """Handles the entries and snapshot chunks that the leader sends."""
 
     def __init__(self, state: ReplicaState) -> None:
         self._state = state
         self._received = bytearray()
-        self._receiving: tuple[int, int] | None = None  # leader's term, last index
+        # Term of the leader and last index of the snapshot being received.
+        self._transfer: tuple[int, int] | None = None
 
     def append(self, sender: str, message: AppendEntries) -> None:
-        """Store the entries that follow a matching one, or say where to retry."""
+        """Append entries if the one before them matches, else reply where to retry."""
         state = self._state
         if state.log.term_at(message.prev_index) != message.prev_term:
             if message.prev_index <= state.commit_index:
-                # committed here, so the same there: retry after it
+                # The leader has the same committed entries: continue after them.
                 self._reply(sender, message, True, state.commit_index)
                 return
             self._reply(sender, message, False, self._retry_after(message))
@@ -33,28 +34,28 @@
         self._reply(sender, message, True, matching)
 
     def install(self, sender: str, message: InstallSnapshot) -> None:
-        """Store one piece, and the snapshot once it is whole."""
+        """Store one chunk, and install the snapshot once it is complete."""
         state = self._state
         if message.last_index <= state.commit_index:
             self._reply_snapshot(sender, message, message.total_bytes, is_done=True)
             return
         transfer = (message.term, message.last_index)
-        if self._receiving != transfer:
-            self._receiving = transfer
+        if self._transfer != transfer:
+            self._transfer = transfer
             self._received.clear()
         if message.offset_bytes == len(self._received):
             self._received += message.chunk
         is_done = len(self._received) >= message.total_bytes
         if is_done:
-            self._finish(message)
+            self._finish_snapshot(message)
         offset_bytes = message.total_bytes if is_done else len(self._received)
         self._reply_snapshot(sender, message, offset_bytes, is_done=is_done)
 
-    def _finish(self, message: InstallSnapshot) -> None:
+    def _finish_snapshot(self, message: InstallSnapshot) -> None:
         state = self._state
         content = bytes(self._received)
         self._received.clear()
-        self._receiving = None
+        self._transfer = None
         if state.log.term_at(message.last_index) == message.last_term:
             state.commit(message.last_index)
             return
@@ -69,7 +70,7 @@
         return ()
 
     def _retry_after(self, message: AppendEntries) -> int:
-        """Return the last index that may match, skipping a conflicting term."""
+        """Return the last index that may match, skipping the conflicting term."""
         log = self._state.log
         if message.prev_index > log.last_index:
             return log.last_index
--- a/packages/core/src/pimentobend_core/_internal/consensus/formation.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/formation.py
@@ -1,4 +1,4 @@
-"""Give replicas their ids, and a new cluster its first members."""
+"""Create the ids of replicas and the first members of a new cluster."""
 
 from typing import NamedTuple
 
@@ -11,14 +11,14 @@
 
 
 class Identity(NamedTuple):
-    """Name a replica for as long as its data folder lasts.
+    """The identity of a replica, valid as long as its data folder exists.
 
-    A replica that lost its folder comes back under a new id, so that it does
-    not vote for what the old one may have acknowledged.
+    A replica that lost its folder gets a new id: under the old id its vote
+    would count although it lost entries that it had acknowledged.
     """
 
     replica_id: str
-    founders: tuple[str, ...]  # addresses; none for a replica that joins later
+    founders: tuple[str, ...]  # addresses; empty for a replica that joins later
 
 
 def create_identity(
@@ -26,8 +26,8 @@
 ) -> Identity:
     """Return the identity of a replica with an empty data folder.
 
-    ``is_first_start`` says that the whole cluster starts for the first time;
-    ``token`` must differ at each call.
+    ``is_first_start`` means that the whole cluster starts for the first time.
+    ``token`` must be different in each call.
     """
     if is_first_start and address in founders:
         return Identity(_make_id(address, FOUNDER_TOKEN), tuple(sorted(founders)))
@@ -35,7 +35,7 @@
 
 
 def first_members(identity: Identity) -> Members:
-    """Return the members with which an empty log begins."""
+    """Return the members at the start of an empty log."""
     if not identity.founders:
         return NO_MEMBERS
     return Members(
@@ -47,7 +47,7 @@
 
 
 def address_of(replica_id: str) -> str:
-    """Return the address at which a replica is reached."""
+    """Return the address of a replica, which its id contains."""
     return replica_id.partition(_SEPARATOR)[0]
 
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -1,4 +1,4 @@
-"""Lead: replicate, commit by majority, and hold the lease."""
+"""Act as leader: replicate entries, commit them by majority, renew the lease."""
 
 from typing import NamedTuple
 
@@ -21,13 +21,13 @@
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import SnapshotReply
-from pimentobend_core._internal.consensus.progress import Mode
 from pimentobend_core._internal.consensus.progress import Progress
+from pimentobend_core._internal.consensus.progress import ReplicationMode
 from pimentobend_core._internal.consensus.state import ReplicaState
 
 
 class _Read(NamedTuple):
-    """Hold a read that waits for a majority to confirm the leader."""
+    """A read that waits until a majority confirms the leader."""
 
     read_id: int
     asked_at: float
@@ -35,22 +35,22 @@
 
 
 class Leader:
-    """Own the progress of the peers during one term."""
+    """Replicates the log to the peers and answers reads during one term."""
 
     def __init__(self, state: ReplicaState, now: float) -> None:
         self._state = state
         self._peers: dict[str, Progress] = {}
         self._heartbeat_at = now + HEARTBEAT_S
-        self._learners_at = now + LEARNER_HEARTBEAT_S
+        self._learner_heartbeat_at = now + LEARNER_HEARTBEAT_S
         self._elected_at = now
-        self._first_index = state.log.last_index + 1
+        self._term_start_index = state.log.last_index + 1
         self._reads: list[_Read] = []
-        self.append((Entry(state.term, self._first_index, b""),), now)
+        self.append((Entry(state.term, self._term_start_index, b""),), now)
 
     @property
     def has_committed(self) -> bool:
-        """Say whether an entry of this term is committed."""
-        return self._state.commit_index >= self._first_index
+        """Return whether an entry of this term is committed."""
+        return self._state.commit_index >= self._term_start_index
 
     @property
     def next_tick(self) -> float:
@@ -58,27 +58,27 @@
         return self._heartbeat_at
 
     def lease_ends_at(self, now: float) -> float:
-        """Return until when no other replica can be leading."""
+        """Return the time until which no other replica can become leader."""
         acked_at = {peer: each.acked_at for peer, each in self._peers.items()}
         acked_at[self._state.replica_id] = now
         return self._state.members.quorum_value(acked_at) + LEASE_S
 
     def tick(self, now: float) -> None:
-        """Send heartbeats that are due."""
+        """Send the heartbeats that are due."""
         if now < self._heartbeat_at:
             return
         self._heartbeat_at = now + HEARTBEAT_S
-        are_learners_due = now >= self._learners_at
+        are_learners_due = now >= self._learner_heartbeat_at
         if are_learners_due:
-            self._learners_at = now + LEARNER_HEARTBEAT_S
+            self._learner_heartbeat_at = now + LEARNER_HEARTBEAT_S
         for peer_id, progress in self._peers.items():
             if are_learners_due or not self._is_idle_learner(peer_id, progress):
-                self._feed(peer_id, now, is_heartbeat=True)
+                self._send_next(peer_id, now, is_heartbeat=True)
 
     def read(self, read_id: int, now: float) -> None:
-        """Answer a read once a majority has followed this leader since ``now``.
+        """Answer a read once a majority confirms that this replica leads at ``now``.
 
-        The lease alone does not do: the clock may have stood still while
+        The lease alone is not enough: the local clock may have stopped while
         another leader was elected.
         """
         self._reads.append(_Read(read_id, now, self._state.commit_index))
@@ -87,7 +87,7 @@
         self._finish_reads(now)
 
     def refuse_reads(self) -> None:
-        """Refuse the reads that are not confirmed."""
+        """Refuse the reads that no majority has confirmed yet."""
         for read in self._reads:
             self._state.emit(ReadReady(read.read_id, Outcome.NO_MAJORITY))
         self._reads.clear()
@@ -95,14 +95,17 @@
     def append(self, entries: tuple[Entry, ...], now: float) -> None:
         """Append entries of this term and replicate them."""
         self._state.append(entries)
-        self._follow_members(now)
+        self._update_peers(now)
         for peer_id, progress in self._peers.items():
             if progress.snapshot is None:
-                self._feed(peer_id, now)
+                self._send_next(peer_id, now)
         self._advance_commit(now)
 
     def changed_members(self, change: MemberChange) -> Members | None:
-        """Return the members after a change that is allowed now, else None."""
+        """Return the members after a change, or None if it is not allowed now.
+
+        Allowed once an entry of this term and the previous change are committed.
+        """
         if not self.has_committed:
             return None
         if self._state.log.members_index > self._state.commit_index:
@@ -118,7 +121,7 @@
     def on_reply(
         self, sender: str, reply: AppendReply | SnapshotReply, now: float
     ) -> None:
-        """Take in a peer's answer, which also extends the lease."""
+        """Handle a peer's reply, which also extends the lease."""
         progress = self._peers.get(sender)
         if progress is None:
             return
@@ -137,7 +140,7 @@
         )
 
     def quiet_s(self, now: float) -> dict[str, float]:
-        """Return for how many seconds each peer has acknowledged nothing."""
+        """Return the seconds since each peer last acknowledged a message."""
         return {peer: now - each.acked_at for peer, each in self._peers.items()}
 
     def _finish_reads(self, now: float) -> None:
@@ -151,22 +154,22 @@
             self._state.emit(ReadReady(read.read_id, Outcome.COMMITTED, read.log_index))
 
     def has_caught_up(self, peer_id: str) -> bool:
-        """Say whether a peer has copied the log up to a few entries."""
+        """Return whether a peer is at most ``CAUGHT_UP_ENTRIES`` behind the commit."""
         progress = self._peers.get(peer_id)
-        behind_from = self._state.commit_index - CAUGHT_UP_ENTRIES
-        return progress is not None and progress.match_index >= max(1, behind_from)
+        required_index = self._state.commit_index - CAUGHT_UP_ENTRIES
+        return progress is not None and progress.match_index >= max(1, required_index)
 
     def _on_append_reply(
         self, sender: str, progress: Progress, reply: AppendReply, now: float
     ) -> None:
         if not reply.is_accepted:
             if progress.reject(reply.last_index):
-                self._feed(sender, now)
+                self._send_next(sender, now)
             return
         if progress.accept(reply.last_index):
             self._advance_commit(now)
         if progress.next_index <= self._state.log.last_index:
-            self._feed(sender, now)
+            self._send_next(sender, now)
 
     def _on_snapshot_reply(
         self, sender: str, progress: Progress, reply: SnapshotReply, now: float
@@ -177,14 +180,14 @@
         if reply.is_done:
             progress.end_snapshot()
             self._advance_commit(now)
-            self._feed(sender, now)
+            self._send_next(sender, now)
             return
-        is_further = reply.offset_bytes > progress.offset_bytes
+        has_advanced = reply.offset_bytes > progress.offset_bytes
         progress.offset_bytes = reply.offset_bytes
-        if is_further:
-            self._feed(sender, now)
+        if has_advanced:
+            self._send_next(sender, now)
 
-    def _follow_members(self, now: float) -> None:
+    def _update_peers(self, now: float) -> None:
         peer_ids = self._state.peer_ids
         for peer_id in set(self._peers) - set(peer_ids):
             del self._peers[peer_id]
@@ -193,29 +196,31 @@
                 next_index = self._state.log.last_index
                 self._peers[peer_id] = Progress(next_index, self._elected_at)
 
-    def _feed(self, peer_id: str, now: float, *, is_heartbeat: bool = False) -> None:
+    def _send_next(
+        self, peer_id: str, now: float, *, is_heartbeat: bool = False
+    ) -> None:
         progress = self._peers[peer_id]
         is_compacted = progress.next_index <= self._state.log.base.log_index
         if is_compacted and progress.snapshot is None and self._state.snapshot:
             progress.begin_snapshot(self._state.snapshot)
         if progress.snapshot is not None:
-            self._feed_snapshot(peer_id, progress, progress.snapshot, now)
+            self._send_snapshot_chunk(peer_id, progress, progress.snapshot, now)
         else:
-            self._feed_entries(peer_id, progress, now, is_heartbeat)
+            self._send_entries(peer_id, progress, now, is_heartbeat)
 
-    def _feed_entries(
+    def _send_entries(
         self, peer_id: str, progress: Progress, now: float, is_heartbeat: bool
     ) -> None:
         log = self._state.log
         entries: tuple[Entry, ...] = ()
-        if progress.mode is Mode.PROBE:
-            if progress.is_waiting and not is_heartbeat:
+        if progress.mode is ReplicationMode.PROBE:
+            if progress.is_probe_pending and not is_heartbeat:
                 return
-            progress.is_waiting = True
+            progress.is_probe_pending = True
             entries = log.batch(progress.next_index, APPEND_BYTES)
         elif progress.next_index - progress.match_index <= WINDOW_ENTRIES:
             entries = log.batch(progress.next_index, APPEND_BYTES)
-        if not entries and not is_heartbeat and progress.mode is Mode.STREAM:
+        if not entries and not is_heartbeat and progress.mode is ReplicationMode.STREAM:
             return
         prev_index = progress.next_index - 1
         message = AppendEntries(
@@ -227,10 +232,10 @@
             now,
         )
         self._state.send(peer_id, message)
-        if progress.mode is Mode.STREAM:
+        if progress.mode is ReplicationMode.STREAM:
             progress.next_index += len(entries)
 
-    def _feed_snapshot(
+    def _send_snapshot_chunk(
         self, peer_id: str, progress: Progress, snapshot: Snapshot, now: float
     ) -> None:
         first = progress.offset_bytes
@@ -249,8 +254,8 @@
     def _is_idle_learner(self, peer_id: str, progress: Progress) -> bool:
         if peer_id in self._state.members.voter_ids:
             return False
-        has_all = progress.match_index == self._state.log.last_index
-        return progress.mode is Mode.STREAM and has_all
+        has_all_entries = progress.match_index == self._state.log.last_index
+        return progress.mode is ReplicationMode.STREAM and has_all_entries
 
     def _advance_commit(self, now: float) -> None:
         state = self._state
@@ -261,4 +266,5 @@
         if state.log.term_at(log_index) == state.term:
             state.commit(log_index)
         if state.commit_index > committed_before:
-            self._learners_at = now  # the next heartbeat tells them
+            # The next heartbeat tells learners of the new commit index.
+            self._learner_heartbeat_at = now
--- a/packages/core/src/pimentobend_core/_internal/consensus/log.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/log.py
@@ -1,4 +1,4 @@
-"""Hold the entries of the replicated log that are not compacted away."""
+"""Hold the entries of the replicated log that have not been compacted."""
 
 from pimentobend_core._internal.consensus.entries import BaseRecord
 from pimentobend_core._internal.consensus.entries import Entry
@@ -6,7 +6,7 @@
 
 
 class Log:
-    """Own the entries after a base and the members that they name."""
+    """The entries after a base position, and the members that they set."""
 
     def __init__(self, base: BaseRecord, entries: tuple[Entry, ...] = ()) -> None:
         self._base = base
@@ -18,7 +18,7 @@
 
     @property
     def base(self) -> BaseRecord:
-        """Return the place after which the entries begin."""
+        """Return the position after which the entries begin."""
         return self._base
 
     @property
@@ -33,16 +33,16 @@
 
     @property
     def members(self) -> Members:
-        """Return the members in force, committed or not."""
+        """Return the latest members in the log, committed or not."""
         return self._members[-1][1]
 
     @property
     def members_index(self) -> int:
-        """Return the index at which the members in force were appended."""
+        """Return the index of the entry that set the latest members."""
         return self._members[-1][0]
 
     def term_at(self, log_index: int) -> int | None:
-        """Return the term at an index, or None where the log has no entry."""
+        """Return the term at an index, or None if the log has no entry there."""
         if log_index == self._base.log_index:
             return self._base.term
         if not self._base.log_index < log_index <= self.last_index:
@@ -50,7 +50,7 @@
         return self.entry(log_index).term
 
     def entry(self, log_index: int) -> Entry:
-        """Return the entry at an index that the log holds."""
+        """Return the entry at an index, which must be in the log."""
         return self._entries[log_index - self._base.log_index - 1]
 
     def members_at(self, log_index: int) -> Members:
@@ -62,12 +62,15 @@
         return found
 
     def between(self, first: int, last: int) -> tuple[Entry, ...]:
-        """Return the entries from ``first`` up to and with ``last``."""
+        """Return the entries from ``first`` to ``last``, both included."""
         start = first - self._base.log_index - 1
         return tuple(self._entries[start : last - self._base.log_index])
 
     def batch(self, first: int, limit_bytes: int) -> tuple[Entry, ...]:
-        """Return entries from ``first`` on, at least one where there is one."""
+        """Return entries from ``first`` on until they exceed ``limit_bytes``.
+
+        At least one is returned if the log has any.
+        """
         start = first - self._base.log_index - 1
         size_bytes = 0
         end = start
@@ -77,7 +80,7 @@
         return tuple(self._entries[start:end])
 
     def append(self, entry: Entry) -> None:
-        """Add the entry that follows the last one."""
+        """Append the entry that follows the last one."""
         self._entries.append(entry)
         if entry.members is not None:
             self._members.append((entry.log_index, entry.members))
@@ -89,7 +92,7 @@
             self._members.pop()
 
     def compact(self, log_index: int) -> None:
-        """Drop the entries up to and with ``log_index``."""
+        """Drop the entries up to and including ``log_index``."""
         if log_index <= self._base.log_index:
             return
         entries = self.between(log_index + 1, self.last_index)
@@ -99,7 +102,7 @@
             self.append(entry)
 
     def reset(self, base: BaseRecord) -> None:
-        """Drop all entries and begin after ``base``."""
+        """Drop all entries and restart after ``base``."""
         self._base = base
         self._entries = []
         self._members = [(base.log_index, base.members)]
--- a/packages/core/src/pimentobend_core/_internal/consensus/members.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/members.py
@@ -1,4 +1,4 @@
-"""Define who stores the replicated log and who votes on it."""
+"""Define the members of a cluster and how they change."""
 
 import enum
 from collections.abc import Mapping
@@ -6,14 +6,14 @@
 
 
 class Member(NamedTuple):
-    """Name a control replica and the address that its link listens on."""
+    """A control replica and the address that its link listens on."""
 
     replica_id: str
     address: str
 
 
 class Members(NamedTuple):
-    """List the replicas that vote and those that only copy the log."""
+    """The replicas that vote, and the learners, which only copy the log."""
 
     voters: tuple[Member, ...]
     learners: tuple[Member, ...] = ()
@@ -30,11 +30,11 @@
 
     @property
     def quorum(self) -> int:
-        """Return how many voters make a majority."""
+        """Return the number of voters that make a majority."""
         return len(self.voters) // 2 + 1
 
     def has_quorum(self, replica_ids: frozenset[str]) -> bool:
-        """Say whether these replicas hold a majority of the votes."""
+        """Return whether these replicas include a majority of the voters."""
         return len(self.voter_ids & replica_ids) >= self.quorum
 
     def quorum_value(self, values: Mapping[str, float]) -> float:
@@ -47,7 +47,7 @@
 
 
 class MemberAction(enum.IntEnum):
-    """Name the steps of a membership change."""
+    """The kind of a membership change."""
 
     ADD_LEARNER = 0
     PROMOTE = 1
@@ -63,10 +63,10 @@
 
 
 def change_members(members: Members, change: MemberChange) -> Members | None:
-    """Return the changed members, or None when the change does not fit.
+    """Return the changed members, or None if the change is not possible.
 
-    A change that is in force already leaves them as they are, so that it may
-    be sent again.
+    Repeating a change that has already been made returns the same members,
+    so a change can be retried.
     """
     known = {member.replica_id: member for member in members.all}
     if change.action is MemberAction.ADD_LEARNER:
--- a/packages/core/src/pimentobend_core/_internal/consensus/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that a replica takes and gives."""
+"""Define the input and output messages of a replica."""
 
 import enum
 from typing import NamedTuple
@@ -11,7 +11,7 @@
 
 
 class RequestVote(NamedTuple):
-    """Ask for a vote, or with ``is_pre_vote`` whether one would be given."""
+    """Ask for a vote, or with ``is_pre_vote`` whether one would be granted."""
 
     term: int
     last_index: int
@@ -20,7 +20,7 @@
 
 
 class VoteReply(NamedTuple):
-    """Answer ``RequestVote``; a granted pre-vote names the asked term."""
+    """Answer ``RequestVote``; a granted pre-vote repeats the requested term."""
 
     term: int
     is_granted: bool
@@ -44,8 +44,8 @@
 class AppendReply(NamedTuple):
     """Answer ``AppendEntries``.
 
-    ``last_index`` is the last matching entry of an accepted append, or the
-    entry after which the leader should try again.
+    ``last_index`` is the last matching index if the append is accepted, and
+    otherwise the index after which the leader should retry.
     """
 
     term: int
@@ -55,7 +55,7 @@
 
 
 class InstallSnapshot(NamedTuple):
-    """Send a piece of a snapshot's state; ``total_bytes`` is the whole state's."""
+    """Send a chunk of a snapshot's state, which has ``total_bytes`` in all."""
 
     term: int
     last_index: int
@@ -68,7 +68,7 @@
 
 
 class SnapshotReply(NamedTuple):
-    """Ask for the piece at ``offset_bytes``; ``is_done`` when none is missing."""
+    """Ask for the chunk at ``offset_bytes``; ``is_done`` once all have arrived."""
 
     term: int
     last_index: int
@@ -88,25 +88,25 @@
 
 
 class Received(NamedTuple):
-    """Hand over a message of another replica."""
+    """Deliver a message from another replica."""
 
     sender: str
     message: PeerMessage
 
 
 class Tick(NamedTuple):
-    """Let time pass; due at ``Replica.next_tick``."""
+    """Run what is due at this time; the next is due at ``Replica.next_tick``."""
 
 
 class Proposal(NamedTuple):
-    """Ask for a command to be committed; the id comes back in ``Proposed``."""
+    """A command to commit; its id comes back in ``Proposed``."""
 
     proposal_id: int
     command: bytes
 
 
 class Propose(NamedTuple):
-    """Propose commands that are stored with one sync."""
+    """Propose commands, which are stored with one sync."""
 
     proposals: tuple[Proposal, ...]
 
@@ -119,13 +119,13 @@
 
 
 class ReadIndex(NamedTuple):
-    """Ask up to which index the state must be applied to be read."""
+    """Ask up to which index entries must be applied before a read."""
 
     read_id: int
 
 
 class Compact(NamedTuple):
-    """Replace the entries up to ``log_index`` by the state after them."""
+    """Replace the entries up to ``log_index`` by a snapshot of the state."""
 
     log_index: int
     state: bytes
@@ -135,27 +135,27 @@
 
 
 class Outcome(enum.Enum):
-    """Name how a proposal or a read ended."""
+    """The outcome of a proposal or a read."""
 
     COMMITTED = "committed"
     NOT_LEADER = "not-leader"  # not run; another replica leads
     NO_MAJORITY = "no-majority"  # not run; no leader, or its lease has ended
-    OVERLOADED = "overloaded"  # not run; too many proposals wait
-    REJECTED = "rejected"  # not run; the change of members does not fit
-    STORAGE = "storage"  # not run; the disk does not take it
+    OVERLOADED = "overloaded"  # not run; too many proposals are pending
+    REJECTED = "rejected"  # not run; the command or change is not allowed
+    STORAGE = "storage"  # not run; the disk refused the write
     UNKNOWN = "unknown"  # leadership was lost before the outcome was known
 
 
 class Persist(NamedTuple):
-    """Store records; no output behind it may leave before they are synced."""
+    """Store records; the outputs after it must wait until they are synced."""
 
     records: tuple[Record, ...]
 
 
 class PersistSnapshot(NamedTuple):
-    """Store a snapshot and the records that the log then consists of.
+    """Replace the stored data by a snapshot and the records of the log.
 
-    As with ``Persist``, no output behind it may leave before the sync.
+    As with ``Persist``, the outputs after it must wait for the sync.
     """
 
     snapshot: Snapshot
@@ -170,19 +170,19 @@
 
 
 class Committed(NamedTuple):
-    """Give entries to apply, in order and each once in a process' life."""
+    """Deliver entries to apply, in order, each once per run of the process."""
 
     entries: tuple[Entry, ...]
 
 
 class Restored(NamedTuple):
-    """Replace the applied state by a snapshot's."""
+    """Replace the applied state by that of a snapshot."""
 
     snapshot: Snapshot
 
 
 class Proposed(NamedTuple):
-    """End a proposal; term and index are those of its entry, or 0."""
+    """Report the outcome of a proposal, with its entry's term and index or 0."""
 
     proposal_id: int
     outcome: Outcome
@@ -192,7 +192,7 @@
 
 
 class ReadReady(NamedTuple):
-    """End a read request: read once ``log_index`` is applied."""
+    """Answer ``ReadIndex``: the state may be read once ``log_index`` is applied."""
 
     read_id: int
     outcome: Outcome
@@ -201,14 +201,14 @@
 
 
 class LeaderChanged(NamedTuple):
-    """Report the leader that this replica knows, if any."""
+    """Report a change of the leader that this replica knows, if any."""
 
     term: int
     leader_id: str | None
 
 
 class MembersChanged(NamedTuple):
-    """Report the members in force, whose addresses the links need."""
+    """Report changed members, whose addresses the links need."""
 
     members: Members
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/progress.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/progress.py
@@ -5,30 +5,30 @@
 from pimentobend_core._internal.consensus.entries import Snapshot
 
 
-class Mode(enum.Enum):
-    """Name how a peer is fed."""
+class ReplicationMode(enum.Enum):
+    """How the leader sends the log to a peer."""
 
-    PROBE = "probe"  # one message at a time, until a place matches
-    STREAM = "stream"
+    PROBE = "probe"  # one message at a time, until an index matches
+    STREAM = "stream"  # without waiting for replies
     SNAPSHOT = "snapshot"
 
 
 class Progress:
-    """Own what a leader knows of one peer."""
+    """What a leader knows about one peer's log."""
 
     def __init__(self, next_index: int, acked_at: float) -> None:
-        self.mode = Mode.PROBE
+        self.mode = ReplicationMode.PROBE
         self.next_index = next_index
         self.match_index = 0
         self.acked_at = acked_at  # when the last acknowledged message was sent
-        self.is_waiting = False
+        self.is_probe_pending = False  # for the reply to a probe
         self.snapshot: Snapshot | None = None  # the one being sent
         self.offset_bytes = 0
 
     def accept(self, last_index: int) -> bool:
-        """Take in that the log matches up to an index; return whether it is news."""
-        self.is_waiting = False
-        self.mode = Mode.STREAM
+        """Record that the log matches up to an index; return whether that is new."""
+        self.is_probe_pending = False
+        self.mode = ReplicationMode.STREAM
         self.next_index = max(self.next_index, last_index + 1)
         if last_index <= self.match_index:
             return False
@@ -36,23 +36,23 @@
         return True
 
     def reject(self, last_index: int) -> bool:
-        """Go back to an index; return whether the peer has to be asked again."""
+        """Go back to an index; return whether to send from there again."""
         next_index = max(self.match_index, last_index) + 1
         if next_index >= self.next_index:
             return False
-        self.mode = Mode.PROBE
-        self.is_waiting = False
+        self.mode = ReplicationMode.PROBE
+        self.is_probe_pending = False
         self.next_index = next_index
         return True
 
     def begin_snapshot(self, snapshot: Snapshot) -> None:
-        """Feed the peer a snapshot from its first byte."""
-        self.mode = Mode.SNAPSHOT
+        """Start to send a snapshot from its first byte."""
+        self.mode = ReplicationMode.SNAPSHOT
         self.snapshot = snapshot
         self.offset_bytes = 0
 
     def end_snapshot(self) -> None:
-        """Go on with the entries behind the snapshot, which the peer has."""
+        """Continue with the entries after the snapshot, which the peer now has."""
         if self.snapshot is None:
             return
         log_index = self.snapshot.log_index
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -37,7 +37,10 @@
 
 
 class Replica(StatefulFilter[ReplicaInput, ReplicaOutput]):
-    """Own one replica's log and role; see ``Persist`` for the order of outputs."""
+    """One replica of the replicated log, whichever role it has.
+
+    ``Persist`` states which outputs have to wait for a sync.
+    """
 
     def __init__(
         self, replica_id: str, stored: StoredState, seed: int, now: float
@@ -58,17 +61,17 @@
 
     @property
     def commit_index(self) -> int:
-        """Return the index of the last committed entry that is known."""
+        """Return the highest log index that is known to be committed."""
         return self._state.commit_index
 
     @property
     def state(self) -> ReplicaState:
-        """Return the shared state, to be read only."""
+        """Return the replica's state, which callers must not change."""
         return self._state
 
     def handle(self, message: ReplicaInput, now: float) -> tuple[ReplicaOutput, ...]:
         """Take one message at ``now`` (seconds) and return those that follow."""
-        self._expire(now)
+        self._check_lease(now)
         committed_before = self._state.commit_index
         match message:
             case Received():
@@ -86,15 +89,15 @@
             case _:
                 assert_never(message)
         if self._state.commit_index > committed_before:
-            self._finish_committed(now)
+            self._report_committed(now)
         return self._state.take_outputs()
 
     def quiet_s(self, now: float) -> Mapping[str, float]:
-        """Return how long each peer has acknowledged nothing; empty unless leading."""
+        """Return the seconds since each peer's last reply; empty unless leading."""
         return {} if self._leader is None else self._leader.quiet_s(now)
 
     def has_caught_up(self, replica_id: str) -> bool:
-        """Say whether this replica leads and a peer has copied its log."""
+        """Return whether this replica leads and the peer's log is nearly complete."""
         return self._leader is not None and self._leader.has_caught_up(replica_id)
 
     def dump(self) -> Mapping[str, object]:
@@ -118,43 +121,43 @@
     def _peers(self) -> tuple[tuple[str, int, str], ...]:
         return self._leader.peers() if self._leader is not None else ()
 
-    def _expire(self, now: float) -> None:
-        """Stop leading once the lease has ended."""
+    def _check_lease(self, now: float) -> None:
+        """Step down once the lease has expired."""
         if self._leader is not None and now >= self._leader.lease_ends_at(now):
-            self._follow(now)
+            self._step_down(now)
 
     def _tick(self, now: float) -> None:
         if self._leader is not None:
             self._leader.tick(now)
         elif now >= self._state.election_at:
-            if not self._state.may_stand:
+            if not self._state.may_campaign:
                 self._state.restart_election_timer(now)
             elif self._election.start(now):
-                self._lead(now)
+                self._become_leader(now)
 
     def _receive(self, sender: str, message: PeerMessage, now: float) -> None:
-        if self._is_out_of_turn(message, now):
+        if self._ignores_vote_request(message, now):
             return
         if message.term > self._state.term and not _is_pre_vote(message):
             self._state.set_term(message.term, None)
-            self._follow(now)
+            self._step_down(now)
         if isinstance(message, RequestVote):
             self._election.answer(sender, message, now)
         elif isinstance(message, VoteReply):
             if self._election.count(sender, message, now):
-                self._lead(now)
+                self._become_leader(now)
         elif isinstance(message, AppendEntries | InstallSnapshot):
-            self._hear_leader(sender, message, now)
+            self._receive_from_leader(sender, message, now)
         elif self._leader is not None and message.term == self._state.term:
             self._leader.on_reply(sender, message, now)
 
-    def _is_out_of_turn(self, message: PeerMessage, now: float) -> bool:
-        """Say whether a vote is asked for while a leader may hold its lease."""
+    def _ignores_vote_request(self, message: PeerMessage, now: float) -> bool:
+        """Return whether to ignore a vote request because a leader may hold a lease."""
         if not isinstance(message, RequestVote) or message.is_pre_vote:
             return False
-        return self._leader is not None or self._election.hears_leader(now)
+        return self._leader is not None or self._election.may_have_leader(now)
 
-    def _hear_leader(
+    def _receive_from_leader(
         self, sender: str, message: AppendEntries | InstallSnapshot, now: float
     ) -> None:
         state = self._state
@@ -164,20 +167,20 @@
             return
         state.role = Role.FOLLOWER
         state.set_leader(sender)
-        state.heard_at = now
+        state.leader_heard_at = now
         state.restart_election_timer(now)
         if isinstance(message, AppendEntries):
             self._follower.append(sender, message)
         else:
             self._follower.install(sender, message)
 
-    def _lead(self, now: float) -> None:
+    def _become_leader(self, now: float) -> None:
         self._state.role = Role.LEADER
         self._state.set_leader(self._state.replica_id)
         self._leader = Leader(self._state, now)
 
-    def _follow(self, now: float) -> None:
-        """Give up leading or standing; proposals on the way are in doubt."""
+    def _step_down(self, now: float) -> None:
+        """Become a follower; pending proposals end with ``Outcome.UNKNOWN``."""
         self._state.role = Role.FOLLOWER
         self._state.set_leader(None)
         if self._leader is None:
@@ -193,7 +196,7 @@
     def _propose(self, proposals: tuple[Proposal, ...], now: float) -> None:
         if self._leader is None:
             for proposal in proposals:
-                self._refuse(proposal.proposal_id, self._no_leader())
+                self._refuse(proposal.proposal_id, self._not_leading_outcome())
             return
         entries: list[Entry] = []
         for proposal in proposals:
@@ -210,7 +213,7 @@
 
     def _change_members(self, message: ChangeMembers, now: float) -> None:
         if self._leader is None:
-            self._refuse(message.proposal_id, self._no_leader())
+            self._refuse(message.proposal_id, self._not_leading_outcome())
             return
         members = self._leader.changed_members(message.change)
         if members is None:
@@ -224,7 +227,7 @@
     def _read(self, read_id: int, now: float) -> None:
         state = self._state
         if self._leader is None:
-            outcome = self._no_leader()
+            outcome = self._not_leading_outcome()
             state.emit(ReadReady(read_id, outcome, leader_id=state.leader_id))
         elif not self._leader.has_committed:
             state.emit(ReadReady(read_id, Outcome.NO_MAJORITY))
@@ -234,15 +237,15 @@
     def _compact(self, message: Compact) -> None:
         state = self._state
         term = state.log.term_at(message.log_index)
-        is_old = state.snapshot and state.snapshot.log_index >= message.log_index
-        if term is None or is_old or message.log_index > state.commit_index:
+        is_stale = state.snapshot and state.snapshot.log_index >= message.log_index
+        if term is None or is_stale or message.log_index > state.commit_index:
             return
         members = state.log.members_at(message.log_index)
         snapshot = Snapshot(term, message.log_index, members, message.state)
         state.compact(snapshot, RETAINED_ENTRIES)
 
-    def _finish_committed(self, now: float) -> None:
-        """Answer the proposals that are committed now."""
+    def _report_committed(self, now: float) -> None:
+        """Report newly committed proposals; step down if this leader was removed."""
         state = self._state
         while self._pending:
             log_index = next(iter(self._pending))
@@ -253,9 +256,9 @@
             state.emit(Proposed(proposal_id, Outcome.COMMITTED, term, log_index))
         is_removed = self._leader is not None and not state.is_voter
         if is_removed and state.log.members_index <= state.commit_index:
-            self._follow(now)
+            self._step_down(now)
 
-    def _no_leader(self) -> Outcome:
+    def _not_leading_outcome(self) -> Outcome:
         known = self._state.leader_id is not None
         return Outcome.NOT_LEADER if known else Outcome.NO_MAJORITY
 
@@ -265,7 +268,7 @@
 
 
 def _is_pre_vote(message: PeerMessage) -> bool:
-    """Say whether a message speaks of a term that nobody has entered yet."""
+    """Return whether a message names a term that no replica has entered yet."""
     if isinstance(message, RequestVote):
         return message.is_pre_vote
     return isinstance(message, VoteReply) and message.is_pre_vote and message.is_granted
--- a/packages/core/src/pimentobend_core/_internal/consensus/state.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/state.py
@@ -1,4 +1,4 @@
-"""Hold what the parts of a replica share."""
+"""Hold the state that a replica shares with its election, leader and follower."""
 
 import enum
 import random
@@ -31,7 +31,7 @@
 
 
 class Role(enum.Enum):
-    """Name what a replica does at the moment."""
+    """The current role of a replica."""
 
     FOLLOWER = "follower"
     PRE_CANDIDATE = "pre-candidate"
@@ -40,7 +40,7 @@
 
 
 class ReplicaState:
-    """Own term, vote, log and the outputs of the message at hand."""
+    """Term, vote, log and role of a replica, and its outputs for one message."""
 
     def __init__(
         self, replica_id: str, stored: StoredState, rng: random.Random, now: float
@@ -53,7 +53,8 @@
         self.commit_index = stored.snapshot.log_index if stored.snapshot else 0
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
-        self.heard_at = float("-inf")  # when a leader was heard in this life
+        # When a leader was last heard since the start of the process.
+        self.leader_heard_at = float("-inf")
         self.election_at = now
         self._rng = rng
         self._outputs: list[ReplicaOutput] = []
@@ -63,23 +64,26 @@
 
     @property
     def members(self) -> Members:
-        """Return the members in force."""
+        """Return the latest members in the log, committed or not."""
         return self.log.members
 
     @property
     def is_voter(self) -> bool:
-        """Say whether this replica votes."""
+        """Return whether this replica is a voter."""
         return self.replica_id in self.members.voter_ids
 
     @property
-    def may_stand(self) -> bool:
-        """Say whether this replica votes, or would until its removal commits."""
+    def may_campaign(self) -> bool:
+        """Return whether this replica may start an election.
+
+        A removed voter may until its removal is committed.
+        """
         committed = self.log.members_at(self.commit_index)
         return self.is_voter or self.replica_id in committed.voter_ids
 
     @property
     def is_only_voter(self) -> bool:
-        """Say whether this replica's vote is all that is needed."""
+        """Return whether this replica is the only voter."""
         return self.members.voter_ids == {self.replica_id}
 
     @property
@@ -90,42 +94,42 @@
         return tuple(peer for peer in ids if peer != self.replica_id)
 
     def emit(self, output: ReplicaOutput) -> None:
-        """Add an output."""
+        """Queue an output for ``take_outputs``."""
         self._outputs.append(output)
 
     def send(self, recipient: str, message: PeerMessage) -> None:
-        """Add a message to another replica."""
+        """Queue a message to another replica."""
         self.emit(Send(recipient, message))
 
     def take_outputs(self) -> tuple[ReplicaOutput, ...]:
-        """Return the outputs and forget them."""
+        """Return the queued outputs and clear the queue."""
         outputs = tuple(self._outputs)
         self._outputs.clear()
         return outputs
 
     def restart_election_timer(self, now: float) -> None:
-        """Wait for a random time before the next election."""
+        """Set the next election after a random timeout."""
         self.election_at = now + self._rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
 
     def restart_retry_timer(self, now: float) -> None:
-        """Wait for a shorter random time before an election is repeated."""
+        """Set the next election after a shorter random timeout."""
         wait_s = self._rng.uniform(ELECTION_RETRY_MIN_S, ELECTION_RETRY_MAX_S)
         self.election_at = now + wait_s
 
     def set_term(self, term: int, voted_for: str | None) -> None:
-        """Store a term and the vote given in it."""
+        """Set and persist the term and the vote given in it."""
         self.term = term
         self.voted_for = voted_for
         self.emit(Persist((TermRecord(term, voted_for),)))
 
     def set_leader(self, leader_id: str | None) -> None:
-        """Report a leader that this replica did not know."""
+        """Set the known leader, and report it if it changed."""
         if leader_id != self.leader_id:
             self.leader_id = leader_id
             self.emit(LeaderChanged(self.term, leader_id))
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Store entries in place of all from the first one's index on."""
+        """Append entries, replacing all from the first one's index on."""
         if not entries:
             return
         members = self.members
@@ -141,12 +145,12 @@
     def _check_uncommitted(self, entry: Entry) -> None:
         if entry.log_index <= self.commit_index:
             raise ConsensusError(
-                "a leader contradicts a committed entry",
+                "leader sent an entry that conflicts with a committed one",
                 context=f"term {entry.term}, index {entry.log_index}",
             )
 
     def commit(self, log_index: int) -> None:
-        """Give out the entries up to ``log_index`` that are not given out yet."""
+        """Advance the commit index and emit the newly committed entries."""
         if log_index <= self.commit_index:
             return
         entries = self.log.between(self.commit_index + 1, log_index)
@@ -154,13 +158,13 @@
         self.emit(Committed(entries))
 
     def compact(self, snapshot: Snapshot, retained: int) -> None:
-        """Store a snapshot of applied entries, keeping ``retained`` of them."""
+        """Store a snapshot and drop the entries in it except the last ``retained``."""
         self.snapshot = snapshot
         self.log.compact(snapshot.log_index - retained)
         self.emit(PersistSnapshot(snapshot, self.records()))
 
     def install(self, snapshot: Snapshot) -> None:
-        """Take over a snapshot in place of the whole log."""
+        """Replace the whole log by a snapshot."""
         self.snapshot = snapshot
         self.log.reset(BaseRecord(snapshot.term, snapshot.log_index, snapshot.members))
         self.commit_index = snapshot.log_index
@@ -169,7 +173,7 @@
         self.emit(MembersChanged(self.members))
 
     def records(self) -> tuple[Record, ...]:
-        """Return the records of which the stored log has to consist."""
+        """Return the records that make up the stored log."""
         base = self.log.base
         entries = self.log.between(base.log_index + 1, self.log.last_index)
         return (
--- a/packages/core/src/pimentobend_core/_internal/consensus/storage.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/storage.py
@@ -13,13 +13,13 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
 
-RESTART_TERMS = 1_000_000  # more elections than a cluster holds in its life
+RESTART_TERMS = 1_000_000  # more elections than any cluster has in its lifetime
 
 
 def replay(records: Iterable[Record], snapshot: Snapshot | None) -> StoredState:
     """Return the state that the records and the snapshot describe.
 
-    Raises ``CorruptLogError`` where they leave a gap.
+    Raises ``CorruptLogError`` if entries are missing.
     """
     term = TermRecord(0, None)
     base: BaseRecord | None = None
@@ -30,37 +30,37 @@
         elif isinstance(record, TermRecord):
             term = record
         elif base is None:
-            raise CorruptLogError("the log does not begin with its base")
+            raise CorruptLogError("stored log does not begin with a base record")
         else:
-            _place(record.entry, base, entries)
+            _replay_entry(record.entry, base, entries)
     if base is None:
-        raise CorruptLogError("the log has no base")
+        raise CorruptLogError("stored log has no base record")
     state = StoredState(term.term, term.voted_for, base, tuple(entries), snapshot)
-    return _join_snapshot(state)
+    return _reconcile_snapshot(state)
 
 
-def _place(entry: Entry, base: BaseRecord, entries: list[Entry]) -> None:
+def _replay_entry(entry: Entry, base: BaseRecord, entries: list[Entry]) -> None:
     position = entry.log_index - base.log_index - 1
     if not 0 <= position <= len(entries):
         raise CorruptLogError(
-            "an entry does not follow the ones before it",
+            "stored entry does not follow the ones before it",
             context=f"index {entry.log_index}, log from {base.log_index}",
         )
     del entries[position:]
     entries.append(entry)
 
 
-def _join_snapshot(state: StoredState) -> StoredState:
-    """Drop entries that a crash left behind an installed snapshot."""
+def _reconcile_snapshot(state: StoredState) -> StoredState:
+    """Drop old entries if a crash left them beside a newly installed snapshot."""
     snapshot = state.snapshot
     base = state.base
     if snapshot is None:
         if base.log_index:
-            raise CorruptLogError("the snapshot before the log is missing")
+            raise CorruptLogError("snapshot before the stored log is missing")
         return state
     if snapshot.log_index < base.log_index:
         raise CorruptLogError(
-            "the snapshot ends before the log begins",
+            "snapshot ends before the stored log begins",
             context=f"snapshot {snapshot.log_index}, log from {base.log_index}",
         )
     if _term_at(state, snapshot.log_index) == snapshot.term:
@@ -77,7 +77,7 @@
 
 
 def restart_alone(stored: StoredState, member: Member) -> tuple[Record, ...]:
-    """Return records that make a copied state the start of a new cluster.
+    """Return records that start a new cluster from a copied state.
 
     The only voter is ``member``. The term rises by ``RESTART_TERMS``, so that
     daemons that saw later versions of the lost cluster follow the new one.
--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -1,4 +1,4 @@
-"""Keep the cluster at its size: admit candidates and replace lost replicas."""
+"""Keep the cluster at ``VOTERS`` voters: admit candidates, replace lost replicas."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -11,18 +11,19 @@
 from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.pipes import StatefulFilter
 
-FIRST_PROPOSAL_ID = 1 << 49  # above those of the service and of operators
-VOTERS = 5  # a majority outlives two lost disks
-CANDIDATE_S = 2.0  # a candidate repeats itself every 0.5 s
-VOTER_QUIET_S = 3.0  # beyond a restart and a new connection
-LEARNER_QUIET_S = 10.0
-LIVE_S = 1.0  # a voter that acknowledged a heartbeat within it is counted on
-LEARNER_LIVE_S = 2.5  # learners are sent one each second
+FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
+VOTERS = 5  # a majority survives the loss of two disks
+CANDIDATE_TIMEOUT_S = 2.0  # candidates announce themselves every 0.5 s
+# A voter silent for so long is replaced; a restart and a reconnect take less.
+VOTER_QUIET_S = 3.0
+LEARNER_QUIET_S = 10.0  # a learner silent for so long is removed
+VOTER_LIVE_S = 1.0  # a live voter has answered a heartbeat within this time
+LEARNER_LIVE_S = 2.5  # learners get one heartbeat per second
 CHANGE_TIMEOUT_S = 3.0
 
 
 class CandidateHeard(NamedTuple):
-    """Report a replica that asks to be a member."""
+    """Report a replica that asks to join the cluster."""
 
     replica_id: str
 
@@ -32,12 +33,12 @@
 
     replica_id: str
     members: Members
-    quiet_s: Mapping[str, float]  # by id of each other member
-    caught_up: frozenset[str]  # learners
+    quiet_s: Mapping[str, float]  # since the last reply, by id of each other member
+    caught_up: frozenset[str]  # ids of the learners whose log is nearly complete
 
 
 class SupervisorTick(NamedTuple):
-    """Let time pass; ``view`` is None on a replica that does not lead."""
+    """Run the periodic check; ``view`` is None unless this replica leads."""
 
     view: LeaderView | None
 
@@ -49,15 +50,15 @@
     """Propose one change of members at a time while this replica leads."""
 
     def __init__(self) -> None:
-        self._heard_at: dict[str, float] = {}
+        self._candidate_heard_at: dict[str, float] = {}
         self._next_id = FIRST_PROPOSAL_ID
         self._pending: tuple[int, float] | None = None  # proposal id, proposed at
 
     def handle(self, message: SupervisorInput, now: float) -> tuple[ChangeMembers, ...]:
-        """Take a candidate, the end of a change, or a tick."""
+        """Handle a candidate, the outcome of a change, or a tick."""
         match message:
             case CandidateHeard():
-                self._heard_at[message.replica_id] = now
+                self._candidate_heard_at[message.replica_id] = now
                 return ()
             case Proposed():
                 if self._pending and self._pending[0] == message.proposal_id:
@@ -69,21 +70,21 @@
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
         return {
-            "candidates": sorted(self._heard_at),
+            "candidates": sorted(self._candidate_heard_at),
             "pending": self._pending[0] if self._pending else None,
         }
 
     def _tick(self, view: LeaderView | None, now: float) -> tuple[ChangeMembers, ...]:
-        self._heard_at = {
+        self._candidate_heard_at = {
             each: heard_at
-            for each, heard_at in self._heard_at.items()
-            if now - heard_at < CANDIDATE_S
+            for each, heard_at in self._candidate_heard_at.items()
+            if now - heard_at < CANDIDATE_TIMEOUT_S
         }
         if self._pending and now - self._pending[1] >= CHANGE_TIMEOUT_S:
             self._pending = None
         if view is None or self._pending is not None:
             return ()
-        change = choose_change(view, tuple(sorted(self._heard_at)))
+        change = choose_change(view, tuple(sorted(self._candidate_heard_at)))
         if change is None:
             return ()
         proposal_id = self._next_id
@@ -93,9 +94,9 @@
 
 
 def choose_change(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
-    """Return the next step towards a full cluster, or None where there is none."""
+    """Return the next change towards ``VOTERS`` voters, or None if there is none."""
     return (
-        _remove_wiped(view, candidates)
+        _remove_lost_disk(view, candidates)
         or _replace_voter(view)
         or _promote(view)
         or _add_learner(view, candidates)
@@ -103,20 +104,22 @@
     )
 
 
-def _remove_wiped(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
-    """Remove a member whose address came back under a new id."""
+def _remove_lost_disk(
+    view: LeaderView, candidates: tuple[str, ...]
+) -> MemberChange | None:
+    """Remove a member that lost its disk: its address came back under a new id."""
     addresses = {address_of(each): each for each in candidates}
     for member in view.members.all:
         successor = addresses.get(address_of(member.replica_id))
         if successor is None or successor == member.replica_id:
             continue
-        if _survives_without(view, member.replica_id):
+        if _keeps_majority_without(view, member.replica_id):
             return MemberChange(MemberAction.REMOVE, member.replica_id)
     return None
 
 
 def _replace_voter(view: LeaderView) -> MemberChange | None:
-    """Remove a silent voter once a learner can take its place."""
+    """Remove an unresponsive voter once a learner can replace it."""
     if not _ready_learners(view) or len(view.members.voters) < VOTERS:
         return None
     quiet = [
@@ -125,7 +128,7 @@
         if each != view.replica_id
     ]
     quiet_s, voter = max(quiet, default=(0.0, ""))
-    if quiet_s < VOTER_QUIET_S or not _survives_without(view, voter):
+    if quiet_s < VOTER_QUIET_S or not _keeps_majority_without(view, voter):
         return None
     return MemberChange(MemberAction.REMOVE, voter)
 
@@ -162,12 +165,13 @@
     )
 
 
-def _survives_without(view: LeaderView, replica_id: str) -> bool:
-    """Say whether the voters left after a removal have a live majority."""
+def _keeps_majority_without(view: LeaderView, replica_id: str) -> bool:
+    """Return whether a majority of the remaining voters would be live."""
     voters = view.members.voter_ids - {replica_id}
     live = [
         voter
         for voter in voters
-        if voter == view.replica_id or view.quiet_s.get(voter, LIVE_S) < LIVE_S
+        if voter == view.replica_id
+        or view.quiet_s.get(voter, VOTER_LIVE_S) < VOTER_LIVE_S
     ]
     return len(live) > len(voters) // 2
--- a/packages/core/src/pimentobend_core/_internal/consensus/writes.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/writes.py
@@ -1,4 +1,4 @@
-"""Part the outputs of several inputs into writes and what waits for them."""
+"""Separate disk writes from the outputs that must wait for them."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -9,14 +9,14 @@
 
 
 class Batch(NamedTuple):
-    """Hold writes, in order, and the outputs that may leave after them."""
+    """Disk writes, in order, and the outputs to release once they are synced."""
 
     writes: tuple[Persist | PersistSnapshot, ...]
     released: tuple[ReplicaOutput, ...]
 
 
 def batch_outputs(outputs: Iterable[ReplicaOutput]) -> Batch:
-    """Join neighbouring writes, so that many inputs share one sync."""
+    """Separate writes from other outputs, merging writes to share one sync."""
     writes: list[Persist | PersistSnapshot] = []
     released: list[ReplicaOutput] = []
     for output in outputs:
