Reword the ledger's source

A new reader stumbled over docstrings that named no action ("Hold what is known", "Say that", "Give the key"), over comments such as "of no use to a settlement", and over names such as _conclude, _stamped_at, is_open (which reads as an open circuit breaker, and means the opposite) and _remember. They now say what happens, and the order of the lists of kinds in the codec is stated to be the tag.

--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -1,4 +1,4 @@
-"""Claim, settle and look up work from a daemon."""
+"""Claim, settle and look up keys of the ledger for a daemon."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -35,21 +35,21 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.pipes import StatefulFilter
 
-ANSWER_WAIT_S = 1.0  # for a claim or a look-up, all tries together
-RESEND_S = 0.3
+ANSWER_TIMEOUT_S = 1.0  # for a claim or a look-up, with all its retries
+RESEND_S = 0.3  # doubles with each retry of a settlement
 SETTLE_RESEND_MAX_S = 5.0
-SETTLE_KEEP_S = 3600.0
+SETTLE_TIMEOUT_S = 3600.0  # a settlement is retried for so long
 REDIRECTS_MAX = 4
 
-# No copy of a claim that was refused so can be granted later.
+# After these refusals no delayed copy of the claim can be granted.
 _FINAL_REFUSALS = (ClaimRefusal.ALREADY_RAN, ClaimRefusal.CLAIM_ENDED)
 
 
 class _Pending(NamedTuple):
-    """Hold a command without its result; times are seconds of the clock."""
+    """A command that has no result yet; times are in seconds of the clock."""
 
     command: Command
-    ticket: int  # of no use to a settlement
+    ticket: int  # 0 for a settlement, which is not answered
     give_up_at: float
     resend_at: float
     tries: int
@@ -57,10 +57,10 @@
 
 
 class LedgerClient(StatefulFilter[ClientInput, ClientOutput]):
-    """Own the claims of one daemon.
+    """Sends one daemon's commands to the ledger and keeps track of its claims.
 
-    ``groups`` lists the replicas of each replicated log. ``epoch`` must never
-    repeat: it tells the claims of this life of the daemon from earlier ones.
+    ``groups`` lists the replicas of each replicated log. ``epoch`` must be
+    new at each start of the daemon, so that no two of its claims share an id.
     """
 
     def __init__(
@@ -75,12 +75,12 @@
 
     @property
     def unsettled(self) -> int:
-        """Return how many claims are held or wait to be settled."""
+        """Return the number of claims that are held or being settled."""
         settles = sum(_is_settle(pending) for pending in self._pending.values())
         return len(self._held) + settles
 
     def handle(self, message: ClientInput, now: float) -> tuple[ClientOutput, ...]:
-        """Take a request of this daemon, a reply or a tick."""
+        """Handle a request of this daemon, a reply or a tick."""
         match message:
             case AskClaim():
                 return self._ask_claim(message, now)
@@ -89,7 +89,7 @@
             case AskLookUp():
                 return self._ask_look_up(message, now)
             case ReplyArrived():
-                return self._take_reply(message, now)
+                return self._handle_reply(message, now)
             case _:
                 return self._tick(now)
 
@@ -104,12 +104,12 @@
 
     def _ask_claim(self, message: AskClaim, now: float) -> tuple[ClientOutput, ...]:
         digest = digest_key(message.key)
-        if not self._route(digest).is_open(now):
+        if not self._route(digest).allows_claim(now):
             return (ClaimDenied(message.ticket, NO_MAJORITY),)
         busy_s = max(0.0, message.deadline - now)
         claim_id = ClaimId(self._instance_id, self._epoch, self._next_token)
         command = ClaimWork(digest, claim_id, message.fingerprint, busy_s)
-        give_up_at = min(now + ANSWER_WAIT_S, message.deadline)
+        give_up_at = min(now + ANSWER_TIMEOUT_S, message.deadline)
         return self._start(command, message.ticket, give_up_at, now)
 
     def _ask_settle(self, message: AskSettle, now: float) -> tuple[ClientOutput, ...]:
@@ -117,11 +117,11 @@
         if digest is None:
             return ()
         command = SettleWork(digest, message.claim_id, message.ran, message.status)
-        return self._start(command, 0, now + SETTLE_KEEP_S, now)
+        return self._start(command, 0, now + SETTLE_TIMEOUT_S, now)
 
     def _ask_look_up(self, message: AskLookUp, now: float) -> tuple[ClientOutput, ...]:
         command = LookUpWork(digest_key(message.key))
-        return self._start(command, message.ticket, now + ANSWER_WAIT_S, now)
+        return self._start(command, message.ticket, now + ANSWER_TIMEOUT_S, now)
 
     def _start(
         self, command: Command, ticket: int, give_up_at: float, now: float
@@ -143,7 +143,7 @@
         request = LedgerRequest(self._instance_id, token, pending.command)
         return SendRequest(group, self._routes[group].replica_id, request)
 
-    def _take_reply(
+    def _handle_reply(
         self, message: ReplyArrived, now: float
     ) -> tuple[ClientOutput, ...]:
         reply = message.reply
@@ -152,16 +152,16 @@
             return ()
         route = self._route(pending.command.digest)
         if isinstance(reply.result, Unserved):
-            return self._take_unserved(reply.token, reply.result, now)
-        if not _answers(reply.result, pending.command):
+            return self._handle_unserved(reply.token, reply.result, now)
+        if not _is_result_of(reply.result, pending.command):
             return ()
         route.succeed()
         if now >= pending.give_up_at:
             return self._give_up(reply.token, now)
         del self._pending[reply.token]
-        return self._conclude(pending, reply.result, now)
+        return self._finish(pending, reply.result, now)
 
-    def _conclude(
+    def _finish(
         self, pending: _Pending, result: CommandResult, now: float
     ) -> tuple[ClientOutput, ...]:
         match result:
@@ -178,7 +178,7 @@
             case _:
                 return ()
 
-    def _take_unserved(
+    def _handle_unserved(
         self, token: int, unserved: Unserved, now: float
     ) -> tuple[ClientOutput, ...]:
         pending = self._pending[token]
@@ -196,7 +196,7 @@
         return self._give_up(token, now)
 
     def _give_up(self, token: int, now: float) -> tuple[ClientOutput, ...]:
-        """Answer that nothing was sent, and release what may be claimed yet."""
+        """Drop a command without a result; release its claim if one may be granted."""
         pending = self._pending.pop(token)
         command = pending.command
         match command:
@@ -209,11 +209,11 @@
                 return ()
 
     def _release(self, command: Command, now: float) -> tuple[ClientOutput, ...]:
-        """Refuse the copies of a claim that may still be under way."""
+        """Release a claim, so that copies of it that are in transit are refused."""
         if not isinstance(command, ClaimWork):
             return ()
         release = SettleWork(command.digest, command.claim_id, Ran.NOT_RUN, 0)
-        return self._start(release, 0, now + SETTLE_KEEP_S, now)
+        return self._start(release, 0, now + SETTLE_TIMEOUT_S, now)
 
     def _tick(self, now: float) -> tuple[ClientOutput, ...]:
         outputs: list[ClientOutput] = []
@@ -236,12 +236,12 @@
 
 
 def _is_redirect(unserved: Unserved) -> bool:
-    is_led = unserved.leader_id is not None
-    return unserved.reason is UnservedReason.NOT_LEADER and is_led
+    knows_leader = unserved.leader_id is not None
+    return unserved.reason is UnservedReason.NOT_LEADER and knows_leader
 
 
-def _answers(result: CommandResult, command: Command) -> bool:
-    """Say whether a result belongs to a command, whatever its token says."""
+def _is_result_of(result: CommandResult, command: Command) -> bool:
+    """Return whether a result fits a command; an equal token does not prove it."""
     match command:
         case ClaimWork():
             if isinstance(result, Claimed):
--- a/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
@@ -14,7 +14,10 @@
 
 
 class AskClaim(NamedTuple):
-    """Ask for a claim; ``deadline`` is in seconds of the clock."""
+    """Ask for a claim; the answer has the same ``ticket``.
+
+    ``deadline`` is in seconds of the clock.
+    """
 
     ticket: int
     key: LedgerKey
@@ -31,38 +34,38 @@
 
 
 class AskLookUp(NamedTuple):
-    """Ask what is known of a key."""
+    """Ask what the ledger knows about a key."""
 
     ticket: int
     key: LedgerKey
 
 
 class ReplyArrived(NamedTuple):
-    """Hand over a replica's reply."""
+    """Deliver a replica's reply."""
 
     reply: LedgerReply
 
 
 class ClientTick(NamedTuple):
-    """Let waiting claims expire and repeat what was not answered."""
+    """Expire pending commands and resend those without an answer."""
 
 
 class ClaimGranted(NamedTuple):
-    """Allow a ticket to send its work once."""
+    """Grant a claim: the work of the ticket may be sent once."""
 
     ticket: int
     claim_id: ClaimId
 
 
 class ClaimDenied(NamedTuple):
-    """Refuse a ticket; it must not send its work."""
+    """Deny a claim: the work of the ticket must not be sent."""
 
     ticket: int
     refusal: Refusal
 
 
 class LookedUp(NamedTuple):
-    """Answer a look-up; None when no majority answered."""
+    """Answer a look-up; ``found`` is None if no majority answered."""
 
     ticket: int
     found: WorkFound | None
@@ -77,7 +80,7 @@
 
 
 def create_ask(ticket: int, head: RequestHead, key: str) -> AskClaim:
-    """Return the ask for a request under an idempotency key."""
+    """Return the claim to ask for before a request with an idempotency key."""
     ledger_key = LedgerKey(head.organisation, key)
     return AskClaim(ticket, ledger_key, fingerprint_request(head), head.deadline)
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/codec.py
@@ -23,14 +23,14 @@
 
 
 class _Wire(NamedTuple):
-    """Hold a message as its kind and the values of its fields."""
+    """A message as its kind and its encoded fields."""
 
     kind: int
     fields: msgspec.Raw
 
 
 class _WireBatch(NamedTuple):
-    """Hold a batch of commands."""
+    """A batch of commands."""
 
     version: int
     elapsed_s: float
@@ -38,20 +38,21 @@
 
 
 class _WireResults(NamedTuple):
-    """Hold the results of a batch."""
+    """The results of a batch."""
 
     version: int
     results: tuple[_Wire, ...]
 
 
 class _WireSnapshot(NamedTuple):
-    """Hold a whole ledger."""
+    """The whole state of a ledger."""
 
     version: int
     clock_s: float
     generations: tuple[Generation, ...]
 
 
+# A type's position is its kind on the wire and on disk: append new types.
 _COMMANDS = (ClaimWork, SettleWork, LookUpWork)
 _RESULTS = (Claimed, ClaimRefused, Settled, WorkFound)
 _COMMAND_DECODERS: "tuple[msgspec.msgpack.Decoder[Command], ...]" = tuple(
@@ -76,7 +77,7 @@
 
 
 def decode_batch(payload: bytes) -> CommandBatch:
-    """Decode the payload of one log entry; raise CodecError for other bytes."""
+    """Decode the payload of one log entry; raise CodecError for invalid bytes."""
     wire = _decode(_BATCH_DECODER, payload)
     _check_version(wire.version)
     commands = tuple(_unwrap(command, _COMMAND_DECODERS) for command in wire.commands)
@@ -89,7 +90,7 @@
 
 
 def decode_command(payload: bytes) -> Command:
-    """Decode one command; raise CodecError for other bytes."""
+    """Decode one command; raise CodecError for invalid bytes."""
     return _unwrap(_decode(_WIRE_DECODER, payload), _COMMAND_DECODERS)
 
 
@@ -99,7 +100,7 @@
 
 
 def decode_result(payload: bytes) -> CommandResult:
-    """Decode one result; raise CodecError for other bytes."""
+    """Decode one result; raise CodecError for invalid bytes."""
     return _unwrap(_decode(_WIRE_DECODER, payload), _RESULT_DECODERS)
 
 
@@ -110,20 +111,20 @@
 
 
 def decode_results(payload: bytes) -> tuple[CommandResult, ...]:
-    """Decode the results of one log entry; raise CodecError for other bytes."""
+    """Decode the results of one log entry; raise CodecError for invalid bytes."""
     wire = _decode(_RESULTS_DECODER, payload)
     _check_version(wire.version)
     return tuple(_unwrap(result, _RESULT_DECODERS) for result in wire.results)
 
 
 def encode_snapshot(state: LedgerState) -> bytes:
-    """Encode a whole ledger."""
+    """Encode the whole state of a ledger."""
     wire = _WireSnapshot(VERSION, state.clock_s, state.export())
     return _ENCODER.encode(wire)
 
 
 def decode_snapshot(payload: bytes) -> LedgerState:
-    """Decode a whole ledger; raise CodecError for other bytes."""
+    """Decode the whole state of a ledger; raise CodecError for invalid bytes."""
     wire = _decode(_SNAPSHOT_DECODER, payload)
     _check_version(wire.version)
     return LedgerState.restore(wire.clock_s, wire.generations)
@@ -145,13 +146,13 @@
     try:
         return decoder.decode(payload)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("ledger bytes do not decode", context=str(error)) from error
+        raise CodecError("cannot decode ledger message", context=str(error)) from error
 
 
 def _check_version(version: int) -> None:
     if version != VERSION:
         raise CodecError(
-            "ledger message of another version",
+            "ledger message has an unsupported version",
             context=f"version {version}, expected {VERSION}",
             hint="run the same release on every replica",
         )
--- a/packages/core/src/pimentobend_core/_internal/ledger/keys.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/keys.py
@@ -1,4 +1,4 @@
-"""Turn keys and requests into the fixed-size names that the ledger holds."""
+"""Compute the fixed-size digests under which the ledger stores keys and requests."""
 
 import hashlib
 
@@ -12,19 +12,20 @@
 
 
 def digest_key(key: LedgerKey) -> bytes:
-    """Return the name under which the ledger holds a key."""
+    """Return the digest under which the ledger stores a key."""
     return _digest(DIGEST_BYTES, key)
 
 
 def find_group(digest: bytes, groups: int) -> int:
-    """Return which of ``groups`` replicated logs owns a key."""
+    """Return the position of the replicated log, of ``groups``, that owns a key."""
     return int.from_bytes(digest[:4], "big") % groups
 
 
 def fingerprint_request(head: RequestHead) -> bytes:
-    """Return a digest that tells requests under one key apart.
+    """Return a digest that distinguishes requests with the same key.
 
-    The body streams and is not part of it, only its stated length and type.
+    It covers the declared length and type of the body, which is streamed, but
+    not its content.
     """
     described = [head.method, head.host, head.path, head.query]
     for wanted in _FINGERPRINT_HEADERS:
--- a/packages/core/src/pimentobend_core/_internal/ledger/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/messages.py
@@ -8,21 +8,21 @@
 
 
 class LedgerError(CoreError):
-    """Report a fault of the ledger."""
+    """The ledger failed."""
 
 
 class LedgerKey(NamedTuple):
-    """Name work that may not be repeated; a key belongs to an organisation."""
+    """An idempotency key of an organisation; its work must not run twice."""
 
     organisation: str
     key: str
 
 
 class ClaimId(NamedTuple):
-    """Name one claim; no two claims of the fleet have the same."""
+    """The id of one claim, unique in the whole fleet."""
 
     instance_id: str
-    epoch: int  # grows at each start of the instance
+    epoch: int  # increases at each start of the instance
     sequence: int
 
 
@@ -31,8 +31,8 @@
 
     digest: bytes
     claim_id: ClaimId
-    fingerprint: bytes  # of the request, so that a key names one request only
-    busy_s: float  # seconds within which an outcome is to be expected
+    fingerprint: bytes  # of the request, to detect a key reused for another one
+    busy_s: float  # seconds within which an outcome is expected
 
 
 class SettleWork(NamedTuple):
@@ -41,60 +41,60 @@
     digest: bytes
     claim_id: ClaimId
     ran: Ran
-    status: int  # 0 without an answer
+    status: int  # 0 if there was no answer
 
 
 class LookUpWork(NamedTuple):
-    """Ask what is known of a key."""
+    """Ask what the ledger knows about a key."""
 
     digest: bytes
 
 
 class WorkState(enum.Enum):
-    """Name what the ledger knows of a key."""
+    """What the ledger knows about a key."""
 
     FREE = "free"  # never claimed, or expired
-    RELEASED = "released"  # claimed, and truly not run
-    CLAIMED = "claimed"  # an outcome is to be expected
+    RELEASED = "released"  # claimed, and certainly not run
+    CLAIMED = "claimed"  # an outcome is expected
     RAN = "ran"
     UNKNOWN = "unknown"
 
 
 class ClaimRefusal(enum.Enum):
-    """Name why a claim was refused."""
+    """Why a claim was refused."""
 
     IN_PROGRESS = "in-progress"
     ALREADY_RAN = "already-ran"
     UNKNOWN = "unknown"
-    KEY_REUSED = "key-reused"  # the key names another request
-    CLAIM_ENDED = "claim-ended"  # this very claim was settled before
+    KEY_REUSED = "key-reused"  # the key was used for another request
+    CLAIM_ENDED = "claim-ended"  # this same claim was settled before
 
 
 class Claimed(NamedTuple):
-    """Give the key to a claim."""
+    """A claim was granted."""
 
     claim_id: ClaimId
 
 
 class ClaimRefused(NamedTuple):
-    """Refuse a claim; ``status`` is that of the work that ran, or 0."""
+    """A claim was refused; ``status`` is that of the work that ran, or 0."""
 
     reason: ClaimRefusal
     status: int
 
 
 class Settled(NamedTuple):
-    """Say that an outcome is recorded, or was before."""
+    """An outcome is recorded, now or by an earlier command."""
 
     claim_id: ClaimId
 
 
 class WorkFound(NamedTuple):
-    """Tell what is known of a key; the age is in seconds of log time."""
+    """What the ledger knows about a key; the age is in seconds of log time."""
 
     state: WorkState
     status: int
-    instance_id: str  # through which the key was claimed
+    instance_id: str  # the instance that claimed the key
     age_s: float
 
 
@@ -103,10 +103,10 @@
 
 
 class CommandBatch(NamedTuple):
-    """Hold the commands of one log entry.
+    """The commands of one log entry.
 
-    ``elapsed_s`` is the time that passed on the leader's clock since its
-    last entry. Log time is the sum of it, so a wrong wall clock ages nothing.
+    ``elapsed_s`` is the time on the leader's clock since its last entry. Log
+    time is the sum of these, so a wrong wall clock cannot expire entries.
     """
 
     elapsed_s: float
--- a/packages/core/src/pimentobend_core/_internal/ledger/packing.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/packing.py
@@ -1,4 +1,4 @@
-"""Hold what the ledger knows of a key in few bytes."""
+"""Pack what the ledger knows about a key into few bytes."""
 
 from typing import NamedTuple
 
@@ -9,14 +9,14 @@
 
 
 class Entry(NamedTuple):
-    """Hold what is known of one key; times are seconds of log time."""
+    """What the ledger knows about one key; times are in seconds of log time."""
 
     state: WorkState
     claim_id: ClaimId
     fingerprint: bytes
     status: int
     changed_at: float
-    busy_until: float
+    outcome_due_at: float
     released: tuple[ClaimId, ...]
 
 
@@ -25,10 +25,10 @@
 
 
 def pack_entry(entry: Entry) -> bytes:
-    """Pack an entry for the store."""
+    """Encode an entry for the store."""
     return _ENCODER.encode(entry)
 
 
 def unpack_entry(packed: bytes) -> Entry:
-    """Unpack an entry of the store."""
+    """Decode an entry of the store."""
     return _DECODER.decode(packed)
--- a/packages/core/src/pimentobend_core/_internal/ledger/refusals.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/refusals.py
@@ -1,4 +1,4 @@
-"""Turn what the ledger says into refusals of requests."""
+"""Map refused claims to refusals of requests."""
 
 from pimentobend_core._internal.ledger.messages import ClaimRefusal
 from pimentobend_core._internal.ledger.messages import ClaimRefused
--- a/packages/core/src/pimentobend_core/_internal/ledger/routing.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/routing.py
@@ -1,12 +1,15 @@
-"""Choose the replica of a group that a daemon asks."""
+"""Choose the replica of a group to which a daemon sends its commands."""
 
 from collections.abc import Mapping
 
-CLOSED_S = 0.5  # after a failure claims are refused at once for so long
+CLOSED_S = 0.5  # after a failure, claims are refused at once for so long
 
 
 class GroupRoute:
-    """Hold which replica of a group is asked next, and whether it is worth it."""
+    """Chooses a replica of a group, and refuses claims while none has a majority.
+
+    After a failure the route is closed for ``CLOSED_S``.
+    """
 
     def __init__(self, replicas: tuple[str, ...]) -> None:
         self._replicas = replicas
@@ -18,8 +21,12 @@
         """Return the replica to ask."""
         return self._replicas[self._position]
 
-    def is_open(self, now: float) -> bool:
-        """Say whether claims may be tried; past a closed span one probes."""
+    def allows_claim(self, now: float) -> bool:
+        """Return whether a claim may be sent.
+
+        When the closed time ends, one claim is let through as a probe and the
+        route closes again until a majority answers.
+        """
         if self._closed_until is None:
             return True
         if now < self._closed_until:
@@ -28,7 +35,7 @@
         return True
 
     def follow(self, leader_id: str | None) -> None:
-        """Ask the named leader next, if it is of this group."""
+        """Ask the given leader next, or another replica if it is not in this group."""
         if leader_id in self._replicas:
             self._position = self._replicas.index(leader_id)
         else:
@@ -39,11 +46,11 @@
         self._position = (self._position + 1) % len(self._replicas)
 
     def succeed(self) -> None:
-        """Note that a majority answered."""
+        """Open the route: a majority answered."""
         self._closed_until = None
 
     def fail(self, now: float) -> None:
-        """Note that no majority answered."""
+        """Close the route and ask another replica next: no majority answered."""
         self._closed_until = now + CLOSED_S
         self.skip()
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/service.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service.py
@@ -1,4 +1,4 @@
-"""Serve the ledger on a control replica, in front of one replicated log."""
+"""Serve the ledger on a control replica, on top of one replicated log."""
 
 from collections.abc import Mapping
 
@@ -23,17 +23,17 @@
 from pimentobend_core._internal.ledger.state import LedgerState
 from pimentobend_core._internal.pipes import StatefulFilter
 
-BATCH_COMMANDS = 256
-PIPELINE_ENTRIES = 2  # one on the disk and one on its way
+BATCH_COMMANDS = 256  # in one log entry
+PIPELINE_ENTRIES = 2  # one being synced and one in transit
 WAITING_COMMANDS = 8192
 COMPACT_ENTRIES = 10_000
-RESULTS_KEPT = 1024  # of entries whose proposal has not ended yet
+RESULTS_KEPT = 1024  # of entries whose proposal has no outcome yet
 
 
 class LedgerService(StatefulFilter[ServiceInput, ServiceOutput]):
-    """Gather commands into entries, apply what is committed, and reply.
+    """Batches commands into log entries, applies committed entries, and replies.
 
-    While fewer than ``pipeline_entries`` are in flight a command is proposed
+    While fewer than ``pipeline_entries`` are in flight, a command is proposed
     at once; under load it waits and shares its entry with others.
     """
 
@@ -49,18 +49,18 @@
         self._compacted_index = 0
         self._waiting: list[LedgerRequest] = []
         self._in_flight: dict[int, tuple[LedgerRequest, ...]] = {}
-        self._accepted: dict[int, int] = {}  # proposals by log index
+        self._accepted: dict[int, int] = {}  # proposal ids by log index
         self._results: dict[int, tuple[CommandResult, ...]] = {}
         self._next_id = 1
-        self._stamped_at: float | None = None
+        self._proposed_at: float | None = None
 
     @property
     def applied_index(self) -> int:
-        """Return the last index that the state contains."""
+        """Return the index of the last entry that was applied."""
         return self._applied_index
 
     def handle(self, message: ServiceInput, now: float) -> tuple[ServiceOutput, ...]:
-        """Take a daemon's command or what became of an entry."""
+        """Handle a daemon's command or the outcome of an entry."""
         match message:
             case LedgerRequest():
                 if len(self._waiting) >= WAITING_COMMANDS:
@@ -95,8 +95,8 @@
             return ()
         requests = tuple(self._waiting[: self._batch_commands])
         del self._waiting[: self._batch_commands]
-        elapsed_s = 0.0 if self._stamped_at is None else now - self._stamped_at
-        self._stamped_at = now
+        elapsed_s = 0.0 if self._proposed_at is None else now - self._proposed_at
+        self._proposed_at = now
         batch = CommandBatch(elapsed_s, tuple(request.command for request in requests))
         proposal_id = self._next_id
         self._next_id += 1
@@ -123,10 +123,11 @@
         return tuple(map(_reply, requests, results))
 
     def _fail(self, message: EntryUnserved) -> tuple[ServiceOutput, ...]:
-        """Pass the reason on, and to those that wait: their entry would fail too."""
+        """Fail an entry's commands and the waiting ones: their entry would fail too."""
         requests = self._in_flight.pop(message.proposal_id, ())
         failed = tuple(_reply(request, message.unserved) for request in requests)
-        self._stamped_at = None
+        self._proposed_at = None
+        # Waiting commands were not proposed, so they cannot be committed later.
         reason = message.unserved.reason
         if reason is UnservedReason.LOST:
             reason = UnservedReason.NO_MAJORITY
--- a/packages/core/src/pimentobend_core/_internal/ledger/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service_messages.py
@@ -8,7 +8,7 @@
 
 
 class UnservedReason(enum.Enum):
-    """Name why a replica gives no result."""
+    """Why a replica gives no result."""
 
     NOT_LEADER = "not-leader"
     NO_MAJORITY = "no-majority"
@@ -17,14 +17,14 @@
 
 
 class Unserved(NamedTuple):
-    """Say that a replica gives no result, and who may lead."""
+    """A replica gives no result; ``leader_id`` is the leader that it knows, if any."""
 
     reason: UnservedReason
     leader_id: str | None
 
 
 class LedgerRequest(NamedTuple):
-    """Carry a daemon's command; the token comes back in the reply."""
+    """A daemon's command; the token comes back in the reply."""
 
     sender: str
     token: int
@@ -32,7 +32,7 @@
 
 
 class LedgerReply(NamedTuple):
-    """Answer a daemon's command."""
+    """The reply to a daemon's command."""
 
     recipient: str
     token: int
@@ -40,21 +40,21 @@
 
 
 class EntryCommitted(NamedTuple):
-    """Hand over a committed entry of the log, in order."""
+    """Deliver a committed entry of the log, in order."""
 
     log_index: int
     payload: bytes
 
 
 class EntryAccepted(NamedTuple):
-    """Say at which index a proposal was committed."""
+    """Report the index at which a proposal was committed."""
 
     proposal_id: int
     log_index: int
 
 
 class EntryUnserved(NamedTuple):
-    """Say that a proposal was not, or perhaps not, committed."""
+    """Report that a proposal was not committed, or perhaps not."""
 
     proposal_id: int
     unserved: Unserved
@@ -75,7 +75,7 @@
 
 
 class CompactLog(NamedTuple):
-    """Replace the log up to an index by the state after it."""
+    """Replace the log up to an index by a snapshot of the state."""
 
     log_index: int
     state: bytes
--- a/packages/core/src/pimentobend_core/_internal/ledger/state.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/state.py
@@ -1,4 +1,4 @@
-"""Apply committed ledger commands, the same way on every replica."""
+"""Apply committed ledger commands, with the same result on every replica."""
 
 from collections.abc import Mapping
 
@@ -22,8 +22,8 @@
 from pimentobend_core._internal.ledger.store import Generation
 from pimentobend_core._internal.models.request import Ran
 
-BUSY_MAX_S = 3600.0
-RELEASED_MAX = 8  # claims remembered a key, so that late copies are refused
+OUTCOME_TIMEOUT_MAX_S = 3600.0
+RELEASED_MAX = 8  # claims remembered per key to refuse delayed copies
 
 _STATES = {
     Ran.RAN: WorkState.RAN,
@@ -33,7 +33,7 @@
 
 
 class LedgerState:
-    """Hold the ledger of one replicated log.
+    """The state machine of a ledger, driven by one replicated log.
 
     It reads no clock: the same batches give the same state and results.
     """
@@ -44,7 +44,7 @@
 
     @property
     def clock_s(self) -> float:
-        """Return log time in seconds."""
+        """Return the log time in seconds."""
         return self._clock_s
 
     def apply(self, batch: CommandBatch) -> tuple[CommandResult, ...]:
@@ -61,7 +61,7 @@
     def restore(
         cls, clock_s: float, generations: tuple[Generation, ...]
     ) -> "LedgerState":
-        """Create the state that ``clock_s`` and ``export`` described."""
+        """Create a state from the values of ``clock_s`` and ``export``."""
         state = cls()
         state._clock_s = clock_s
         state._entries = EntryStore.restore(generations)
@@ -91,10 +91,10 @@
         entry = self._get(command.digest)
         if entry is None:
             return self._grant(command, ())
-        holds = entry.claim_id == command.claim_id
-        if holds and entry.state is WorkState.CLAIMED:
+        is_holder = entry.claim_id == command.claim_id
+        if is_holder and entry.state is WorkState.CLAIMED:
             return Claimed(command.claim_id)
-        if holds or _has_ended(entry, command.claim_id):
+        if is_holder or _was_released(entry, command.claim_id):
             return ClaimRefused(ClaimRefusal.CLAIM_ENDED, 0)
         if entry.state is WorkState.RELEASED:
             return self._grant(command, entry.released)
@@ -102,10 +102,10 @@
             return ClaimRefused(ClaimRefusal.KEY_REUSED, 0)
         if entry.state is WorkState.RAN:
             return ClaimRefused(ClaimRefusal.ALREADY_RAN, entry.status)
-        return ClaimRefused(self._unsettled(entry), 0)
+        return ClaimRefused(self._unsettled_refusal(entry), 0)
 
     def _grant(self, command: ClaimWork, released: tuple[ClaimId, ...]) -> Claimed:
-        busy_s = min(max(0.0, command.busy_s), BUSY_MAX_S)
+        busy_s = min(max(0.0, command.busy_s), OUTCOME_TIMEOUT_MAX_S)
         entry = Entry(
             WorkState.CLAIMED,
             command.claim_id,
@@ -125,33 +125,33 @@
         elif entry.claim_id == command.claim_id:
             self._settle_held(command, entry)
         elif command.ran is Ran.NOT_RUN and entry.state is WorkState.CLAIMED:
-            released = _remember(entry.released, command.claim_id)
+            released = _add_released(entry.released, command.claim_id)
             self._put(command.digest, entry._replace(released=released))
         return Settled(command.claim_id)
 
     def _settle_held(self, command: SettleWork, entry: Entry) -> None:
-        """Record the first outcome; a late answer may still turn UNKNOWN to RAN."""
-        late = entry.state is WorkState.UNKNOWN and command.ran is Ran.RAN
-        if late or entry.state is WorkState.CLAIMED:
+        """Record the first outcome; a late answer may still turn UNKNOWN into RAN."""
+        is_late_answer = entry.state is WorkState.UNKNOWN and command.ran is Ran.RAN
+        if is_late_answer or entry.state is WorkState.CLAIMED:
             self._put_outcome(command, entry)
 
     def _settle_unheld(self, command: SettleWork, entry: Entry | None) -> None:
-        """Record an outcome while nobody holds the key.
+        """Record an outcome while no claim holds the key.
 
-        A release that overtook its claim leaves a mark that refuses the
-        claim. Any other outcome without its claim is kept, as the safe side.
+        A release that arrives before its claim is remembered, so that the
+        claim is refused. To be safe, any other outcome is kept without a claim.
         """
         unheld = entry or Entry(
             WorkState.RELEASED, command.claim_id, b"", 0, self._clock_s, 0.0, ()
         )
         is_release = command.ran is Ran.NOT_RUN
-        if is_release or not _has_ended(unheld, command.claim_id):
+        if is_release or not _was_released(unheld, command.claim_id):
             self._put_outcome(command, unheld._replace(claim_id=command.claim_id))
 
     def _put_outcome(self, command: SettleWork, entry: Entry) -> None:
         released = entry.released
         if command.ran is Ran.NOT_RUN:
-            released = _remember(released, command.claim_id)
+            released = _add_released(released, command.claim_id)
         settled = entry._replace(
             state=_STATES[command.ran],
             status=command.status,
@@ -166,27 +166,29 @@
             return WorkFound(WorkState.FREE, 0, "", 0.0)
         state = entry.state
         is_claimed = state is WorkState.CLAIMED
-        if is_claimed and self._unsettled(entry) is ClaimRefusal.UNKNOWN:
+        if is_claimed and self._unsettled_refusal(entry) is ClaimRefusal.UNKNOWN:
             state = WorkState.UNKNOWN
         age_s = self._clock_s - entry.changed_at
         return WorkFound(state, entry.status, entry.claim_id.instance_id, age_s)
 
-    def _unsettled(self, entry: Entry) -> ClaimRefusal:
-        is_busy = entry.state is WorkState.CLAIMED and (
-            self._clock_s < entry.busy_until
+    def _unsettled_refusal(self, entry: Entry) -> ClaimRefusal:
+        is_in_progress = entry.state is WorkState.CLAIMED and (
+            self._clock_s < entry.outcome_due_at
         )
-        return ClaimRefusal.IN_PROGRESS if is_busy else ClaimRefusal.UNKNOWN
+        return ClaimRefusal.IN_PROGRESS if is_in_progress else ClaimRefusal.UNKNOWN
 
 
-def _has_ended(entry: Entry, claim_id: ClaimId) -> bool:
-    """Say whether a claim of the same life, this or a later one, was released."""
+def _was_released(entry: Entry, claim_id: ClaimId) -> bool:
+    """Return whether this claim or a later one of the same daemon run was released."""
     return any(
         claim_id[:2] == ended[:2] and claim_id.sequence <= ended.sequence
         for ended in entry.released
     )
 
 
-def _remember(released: tuple[ClaimId, ...], claim_id: ClaimId) -> tuple[ClaimId, ...]:
+def _add_released(
+    released: tuple[ClaimId, ...], claim_id: ClaimId
+) -> tuple[ClaimId, ...]:
     same = [ended for ended in released if ended[:2] == claim_id[:2]]
     others = tuple(ended for ended in released if ended[:2] != claim_id[:2])
     latest = max([claim_id, *same])
--- a/packages/core/src/pimentobend_core/_internal/ledger/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/wire.py
@@ -16,7 +16,7 @@
 
 
 class GroupRequest(NamedTuple):
-    """Name the group whose replica a request is for."""
+    """A request and the group whose replica it is for."""
 
     group: int
     request: LedgerRequest
@@ -30,7 +30,7 @@
 
 class _WireReply(NamedTuple):
     token: int
-    result: bytes | None  # None when the replica gave none
+    result: bytes | None  # None if the replica gave no result
     reason: str
     leader_id: str | None
 
@@ -41,17 +41,17 @@
 
 
 def encode_request(group: int, request: LedgerRequest) -> bytes:
-    """Encode a request; its sender travels with the frame."""
+    """Encode a request; the frame around it names its sender."""
     command = encode_command(request.command)
     return _ENCODER.encode(_WireRequest(group, request.token, command))
 
 
 def decode_request(payload: bytes, sender: str) -> GroupRequest:
-    """Decode a request of a sender; raise CodecError for other bytes."""
+    """Decode a request of a sender; raise CodecError for invalid bytes."""
     try:
         wire = _REQUEST_DECODER.decode(payload)
     except msgspec.DecodeError as error:
-        raise CodecError("a ledger request does not decode") from error
+        raise CodecError("cannot decode a ledger request") from error
     request = LedgerRequest(sender, wire.token, decode_command(wire.command))
     return GroupRequest(wire.group, request)
 
@@ -67,12 +67,12 @@
 
 
 def decode_reply(payload: bytes, recipient: str) -> LedgerReply:
-    """Decode a reply to a recipient; raise CodecError for other bytes."""
+    """Decode a reply to a recipient; raise CodecError for invalid bytes."""
     try:
         wire = _REPLY_DECODER.decode(payload)
         if wire.result is not None:
             return LedgerReply(recipient, wire.token, decode_result(wire.result))
         unserved = Unserved(UnservedReason(wire.reason), wire.leader_id)
     except (msgspec.DecodeError, ValueError) as error:
-        raise CodecError("a ledger reply does not decode") from error
+        raise CodecError("cannot decode a ledger reply") from error
     return LedgerReply(recipient, wire.token, unserved)
