Rename ClaimWork.busy_s to outcome_timeout_s

busy_s did not say who is busy; the field is the time within which an outcome of the claim is expected. It is sent by position, so no encoding changes.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
@@ -34,7 +34,7 @@
         digest=_digest("key", number, 16),
         claim_id=ClaimId(f"instance-{number % 1_800:04d}", _EPOCH, number),
         fingerprint=_digest("request", number, 8),
-        busy_s=_BUSY_S,
+        outcome_timeout_s=_BUSY_S,
     )
 
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -106,9 +106,9 @@
         digest = digest_key(message.key)
         if not self._route(digest).allows_claim(now):
             return (ClaimDenied(message.ticket, NO_MAJORITY),)
-        busy_s = max(0.0, message.deadline - now)
+        outcome_timeout_s = max(0.0, message.deadline - now)
         claim_id = ClaimId(self._instance_id, self._epoch, self._next_token)
-        command = ClaimWork(digest, claim_id, message.fingerprint, busy_s)
+        command = ClaimWork(digest, claim_id, message.fingerprint, outcome_timeout_s)
         give_up_at = min(now + ANSWER_TIMEOUT_S, message.deadline)
         return self._start(command, message.ticket, give_up_at, now)
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/messages.py
@@ -32,7 +32,7 @@
     digest: bytes
     claim_id: ClaimId
     fingerprint: bytes  # of the request, to detect a key reused for another one
-    busy_s: float  # seconds within which an outcome is expected
+    outcome_timeout_s: float  # seconds within which an outcome is expected
 
 
 class SettleWork(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ledger/state.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/state.py
@@ -105,14 +105,16 @@
         return ClaimRefused(self._unsettled_refusal(entry), 0)
 
     def _grant(self, command: ClaimWork, released: tuple[ClaimId, ...]) -> Claimed:
-        busy_s = min(max(0.0, command.busy_s), OUTCOME_TIMEOUT_MAX_S)
+        outcome_timeout_s = min(
+            max(0.0, command.outcome_timeout_s), OUTCOME_TIMEOUT_MAX_S
+        )
         entry = Entry(
             WorkState.CLAIMED,
             command.claim_id,
             command.fingerprint,
             0,
             self._clock_s,
-            self._clock_s + busy_s,
+            self._clock_s + outcome_timeout_s,
             released,
         )
         self._put(command.digest, entry)
