Rename the message Proposed to ProposalResult

Proposed reads as if a proposal had just been made, beside Propose and Proposal; it reports how a proposal ended. It never leaves the process.

--- a/packages/bench/src/pimentobend_bench/_internal/consensus/apply.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/apply.py
@@ -19,8 +19,8 @@
 from pimentobend_core._internal.consensus.messages import Persist
 from pimentobend_core._internal.consensus.messages import PersistSnapshot
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import Received
 from pimentobend_core._internal.consensus.messages import ReplicaInput
 from pimentobend_core._internal.consensus.messages import Send
@@ -111,7 +111,7 @@
                 if isinstance(output, Send):
                     sent = decode_message(encode_message(output.message))
                     waiting.append((output.recipient, Received(replica_id, sent)))
-                elif isinstance(output, Proposed):
+                elif isinstance(output, ProposalResult):
                     self._committed += output.outcome is Outcome.COMMITTED
 
     def _write(self, replica_id: str, write: Persist | PersistSnapshot) -> None:
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
@@ -10,8 +10,8 @@
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import Received
 from pimentobend_core._internal.consensus.messages import ReplicaInput
 from pimentobend_core._internal.consensus.messages import Send
@@ -110,7 +110,10 @@
         for output in batch.released:
             if isinstance(output, Send):
                 self._send(replica_id, output, delay_s)
-            if isinstance(output, Proposed) and output.outcome is Outcome.COMMITTED:
+            if (
+                isinstance(output, ProposalResult)
+                and output.outcome is Outcome.COMMITTED
+            ):
                 self._committed.add(output.proposal_id)
 
     def _send(self, sender: str, output: Send, delay_s: float) -> None:
--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -28,8 +28,8 @@
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
@@ -76,7 +76,7 @@
                 return self._take_read(message)
             case Committed():
                 return (*self._apply(message.entries), *self._finish_reads())
-            case Proposed():
+            case ProposalResult():
                 return self._finish(message)
             case Restored():
                 return self._restore(message)
@@ -167,7 +167,7 @@
         accepted = (TablesAccepted(tuple(deltas)),) if deltas else ()
         return (*accepted, *self._compact())
 
-    def _finish(self, proposed: Proposed) -> tuple[ServiceOutput, ...]:
+    def _finish(self, proposed: ProposalResult) -> tuple[ServiceOutput, ...]:
         asked = self._asked.pop(proposed.proposal_id, None)
         if asked is None:
             return ()
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -9,8 +9,8 @@
 from pimentobend_core._internal.consensus.messages import Committed
 from pimentobend_core._internal.consensus.messages import Compact
 from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
@@ -91,7 +91,7 @@
     | ReadAsked
     | Committed
     | Restored
-    | Proposed
+    | ProposalResult
     | LeaderChanged
     | ReadReady
 )
--- a/packages/core/src/pimentobend_core/_internal/consensus/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/messages.py
@@ -99,7 +99,7 @@
 
 
 class Proposal(NamedTuple):
-    """A command to commit; its id comes back in ``Proposed``."""
+    """A command to commit; its id comes back in ``ProposalResult``."""
 
     proposal_id: int
     command: bytes
@@ -181,7 +181,7 @@
     snapshot: Snapshot
 
 
-class Proposed(NamedTuple):
+class ProposalResult(NamedTuple):
     """Report the outcome of a proposal, with its entry's term and index or 0."""
 
     proposal_id: int
@@ -219,7 +219,7 @@
     | Send
     | Committed
     | Restored
-    | Proposed
+    | ProposalResult
     | ReadReady
     | LeaderChanged
     | MembersChanged
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -21,8 +21,8 @@
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import PeerMessage
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Received
@@ -190,7 +190,9 @@
         self._state.restart_election_timer(now)
         for log_index, proposal_id in sorted(self._pending.items()):
             term = self._state.log.term_at(log_index) or 0
-            self._state.emit(Proposed(proposal_id, Outcome.UNKNOWN, term, log_index))
+            self._state.emit(
+                ProposalResult(proposal_id, Outcome.UNKNOWN, term, log_index)
+            )
         self._pending.clear()
 
     def _propose(self, proposals: tuple[Proposal, ...], now: float) -> None:
@@ -253,7 +255,7 @@
                 break
             proposal_id = self._pending.pop(log_index)
             term = state.log.term_at(log_index) or 0
-            state.emit(Proposed(proposal_id, Outcome.COMMITTED, term, log_index))
+            state.emit(ProposalResult(proposal_id, Outcome.COMMITTED, term, log_index))
         is_removed = self._leader is not None and not state.is_voter
         if is_removed and state.log.members_index <= state.commit_index:
             self._step_down(now)
@@ -264,7 +266,7 @@
 
     def _refuse(self, proposal_id: int, outcome: Outcome) -> None:
         leader_id = self._state.leader_id
-        self._state.emit(Proposed(proposal_id, outcome, leader_id=leader_id))
+        self._state.emit(ProposalResult(proposal_id, outcome, leader_id=leader_id))
 
 
 def _is_pre_vote(message: PeerMessage) -> bool:
--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -8,7 +8,7 @@
 from pimentobend_core._internal.consensus.members import MemberChange
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.pipes import StatefulFilter
 
 FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
@@ -43,7 +43,7 @@
     view: LeaderView | None
 
 
-SupervisorInput = CandidateHeard | SupervisorTick | Proposed
+SupervisorInput = CandidateHeard | SupervisorTick | ProposalResult
 
 
 class Supervisor(StatefulFilter[SupervisorInput, ChangeMembers]):
@@ -60,7 +60,7 @@
             case CandidateHeard():
                 self._candidate_heard_at[message.replica_id] = now
                 return ()
-            case Proposed():
+            case ProposalResult():
                 if self._pending and self._pending[0] == message.proposal_id:
                     self._pending = None
                 return ()
--- a/packages/daemon/src/pimentobendd/_internal/control/members.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/members.py
@@ -8,7 +8,7 @@
 from pimentobend_core._internal.consensus.members import MemberChange
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import Outcome
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobendd._internal.interfaces.operators import Query
 from pimentobendd._internal.interfaces.operators import Section
 from pimentobendd._internal.interfaces.replies import Reply
@@ -37,7 +37,9 @@
 
     def __init__(self, put: Callable[[ChangeMembers], None]) -> None:
         self._put = put
-        self._replies: Replies[Proposed] = Replies(lambda reply: reply.proposal_id)
+        self._replies: Replies[ProposalResult] = Replies(
+            lambda reply: reply.proposal_id
+        )
         self._ids = itertools.count(FIRST_MEMBER_ID)
 
     @property
@@ -45,7 +47,7 @@
         """Return the operators' actions by path; each takes an ``address``."""
         return {path: self._action(action) for path, action in _PATHS.items()}
 
-    def take(self, proposed: Proposed) -> bool:
+    def take(self, proposed: ProposalResult) -> bool:
         """Take the end of a proposal; say whether it was a change of members."""
         self._replies.put(proposed)
         return proposed.proposal_id >= FIRST_MEMBER_ID
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -22,8 +22,8 @@
 from pimentobend_core._internal.consensus.messages import Committed
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Received
@@ -41,7 +41,7 @@
 REOPEN_S = 1.0
 BATCH_INPUTS = 256
 
-LogOutput = Committed | Restored | Proposed | ReadReady | LeaderChanged
+LogOutput = Committed | Restored | ProposalResult | ReadReady | LeaderChanged
 
 
 class ReplicaSettings(NamedTuple):
@@ -203,7 +203,7 @@
                 self._release_entries(output)
             case Restored():
                 self._release_snapshot(output)
-            case Proposed():
+            case ProposalResult():
                 self._in_flight.discard(output.proposal_id)
                 self._outlet.put(output)
             case ReadReady() | LeaderChanged():
@@ -252,7 +252,7 @@
         for proposal_id in sorted(self._in_flight):
             is_refused = proposal_id in refused
             outcome = Outcome.STORAGE if is_refused else Outcome.UNKNOWN
-            self._outlet.put(Proposed(proposal_id, outcome))
+            self._outlet.put(ProposalResult(proposal_id, outcome))
         self._in_flight.clear()
         self._outlet.put(LeaderChanged(0, None))
 
@@ -270,7 +270,7 @@
         if isinstance(message, ReadIndex):
             self._outlet.put(ReadReady(message.read_id, Outcome.STORAGE))
         for proposal_id in _proposal_ids(message):
-            self._outlet.put(Proposed(proposal_id, Outcome.STORAGE))
+            self._outlet.put(ProposalResult(proposal_id, Outcome.STORAGE))
 
 
 def _proposal_ids(message: ReplicaInput) -> tuple[int, ...]:
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -26,7 +26,7 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import LeaderChanged
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.changes import KIND_ASK
@@ -124,7 +124,7 @@
         }
 
     def _take_log(self, output: LogOutput) -> None:
-        if isinstance(output, Proposed) and self.members.take(output):
+        if isinstance(output, ProposalResult) and self.members.take(output):
             return
         if isinstance(output, LeaderChanged):
             self.floor.follow_leader(output)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -31,7 +31,7 @@
 from pimentobend_core._internal.consensus.formation import first_members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import LeaderChanged
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.supervisor import FIRST_PROPOSAL_ID
 from pimentobend_core._internal.consensus.supervisor import CandidateHeard
 from pimentobend_core._internal.consensus.supervisor import Supervisor
@@ -174,7 +174,10 @@
         self._replica.put(output)
 
     def _take_log(self, output: LogOutput) -> None:
-        if isinstance(output, Proposed) and output.proposal_id >= FIRST_PROPOSAL_ID:
+        if (
+            isinstance(output, ProposalResult)
+            and output.proposal_id >= FIRST_PROPOSAL_ID
+        ):
             self._supervisor.put(output)
             return
         if isinstance(output, LeaderChanged):
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -16,8 +16,8 @@
 from pimentobend_core._internal.consensus.messages import Compact
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.ledger.service import LedgerService
 from pimentobend_core._internal.ledger.service_messages import CompactLog
@@ -102,7 +102,7 @@
             case Restored():
                 snapshot = output.snapshot
                 self._service.put(StateRestored(snapshot.log_index, snapshot.state))
-            case Proposed():
+            case ProposalResult():
                 self._service.put(_conclude(output))
             case _:
                 pass
@@ -175,7 +175,7 @@
         return state
 
 
-def _conclude(proposed: Proposed) -> EntryAccepted | EntryUnserved:
+def _conclude(proposed: ProposalResult) -> EntryAccepted | EntryUnserved:
     if proposed.outcome is Outcome.COMMITTED:
         return EntryAccepted(proposed.proposal_id, proposed.log_index)
     unserved = Unserved(_REASONS[proposed.outcome], proposed.leader_id)
--- a/tests/lib/replica_cluster.py
+++ b/tests/lib/replica_cluster.py
@@ -18,8 +18,8 @@
 from pimentobend_core._internal.consensus.messages import PeerMessage
 from pimentobend_core._internal.consensus.messages import Persist
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import ReadIndex
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Received
@@ -63,7 +63,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.nodes = {each: Node(each, Members(voters)) for each in voter_ids}
         self.nodes.update({each: Node(each, NO_MEMBERS) for each in other_ids})
-        self.outcomes: dict[int, Proposed] = {}
+        self.outcomes: dict[int, ProposalResult] = {}
         self.reads: dict[int, ReadReady] = {}
         self.promised: dict[int, int] = {}  # the last index when a read was asked
         self.commands: dict[int, bytes] = {}
@@ -265,7 +265,7 @@
                     node.applied.append(entry.command)
         elif isinstance(output, Restored):
             node.applied = _decode(output.snapshot.state)
-        elif isinstance(output, Proposed):
+        elif isinstance(output, ProposalResult):
             assert output.proposal_id not in self.outcomes, "two answers"
             self.outcomes[output.proposal_id] = output
         elif isinstance(output, ReadReady):
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -27,8 +27,8 @@
 from pimentobend_core._internal.consensus.messages import Committed
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Outcome
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.exceptions import CodecError
 
@@ -67,7 +67,7 @@
             for proposal_id, command in propose.proposals:
                 entry = self.append(command)
                 outcome = Outcome.COMMITTED
-                self.send(Proposed(proposal_id, outcome, 3, entry.log_index))
+                self.send(ProposalResult(proposal_id, outcome, 3, entry.log_index))
 
     def ask(
         self, change_id: str, *numbers: int, expected: Version | None = None
@@ -146,7 +146,7 @@
     log = Log()
     log.ask("change-1", 1)
     (proposal,) = log.waiting.pop().proposals
-    log.send(Proposed(proposal.proposal_id, outcome))
+    log.send(ProposalResult(proposal.proposal_id, outcome))
     assert log.replies[-1].outcome is expected
     assert log.service.state.tables.routes() == ()
 
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -20,8 +20,8 @@
 from pimentobend_core._internal.consensus.messages import Committed
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import Proposal
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
-from pimentobend_core._internal.consensus.messages import Proposed
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
@@ -70,7 +70,9 @@
         self.task.put(Propose((Proposal(proposal_id, command),)))
         with eventlet.Timeout(WAIT_S):
             while True:
-                ended = [each for each in self.outputs if isinstance(each, Proposed)]
+                ended = [
+                    each for each in self.outputs if isinstance(each, ProposalResult)
+                ]
                 for output in ended:
                     if output.proposal_id == proposal_id:
                         return output.outcome
--- a/tests/unit/consensus/test_supervisor.py
+++ b/tests/unit/consensus/test_supervisor.py
@@ -11,7 +11,7 @@
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import Outcome
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.supervisor import CandidateHeard
 from pimentobend_core._internal.consensus.supervisor import LeaderView
 from pimentobend_core._internal.consensus.supervisor import Supervisor
@@ -95,7 +95,7 @@
     (change,) = supervisor.handle(SupervisorTick(view("abc")), 0.2)
     assert isinstance(change, ChangeMembers)
     assert supervisor.handle(SupervisorTick(view("abc")), 0.3) == ()
-    ended = Proposed(change.proposal_id, Outcome.REJECTED)
+    ended = ProposalResult(change.proposal_id, Outcome.REJECTED)
     supervisor.handle(ended, 0.4)
     assert len(supervisor.handle(SupervisorTick(view("abc")), 0.5)) == 1
 
