Rename quiet_s of the replicated log to ack_age_s

quiet_s did not say what is quiet; it is the time since a peer last acknowledged a message.

Run: ruff, mypy of core and daemon: clean; pytest tests/unit/consensus: 117 passed.

--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -139,7 +139,7 @@
             for peer_id, each in self._peers.items()
         )
 
-    def quiet_s(self, now: float) -> dict[str, float]:
+    def ack_age_s(self, now: float) -> dict[str, float]:
         """Return the seconds since each peer last acknowledged a message."""
         return {peer: now - each.acked_at for peer, each in self._peers.items()}
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -92,9 +92,9 @@
             self._report_committed(now)
         return self._state.take_outputs()
 
-    def quiet_s(self, now: float) -> Mapping[str, float]:
+    def ack_age_s(self, now: float) -> Mapping[str, float]:
         """Return the seconds since each peer's last reply; empty unless leading."""
-        return {} if self._leader is None else self._leader.quiet_s(now)
+        return {} if self._leader is None else self._leader.ack_age_s(now)
 
     def has_caught_up(self, replica_id: str) -> bool:
         """Return whether this replica leads and the peer's log is nearly complete."""
--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -33,7 +33,7 @@
 
     replica_id: str
     members: Members
-    quiet_s: Mapping[str, float]  # since the last reply, by id of each other member
+    ack_age_s: Mapping[str, float]  # since the last reply, by id of each other member
     caught_up: frozenset[str]  # ids of the learners whose log is nearly complete
 
 
@@ -123,12 +123,12 @@
     if not _ready_learners(view) or len(view.members.voters) < VOTERS:
         return None
     quiet = [
-        (view.quiet_s.get(each, 0.0), each)
+        (view.ack_age_s.get(each, 0.0), each)
         for each in view.members.voter_ids
         if each != view.replica_id
     ]
-    quiet_s, voter = max(quiet, default=(0.0, ""))
-    if quiet_s < VOTER_QUIET_S or not _keeps_majority_without(view, voter):
+    ack_age_s, voter = max(quiet, default=(0.0, ""))
+    if ack_age_s < VOTER_QUIET_S or not _keeps_majority_without(view, voter):
         return None
     return MemberChange(MemberAction.REMOVE, voter)
 
@@ -151,7 +151,7 @@
 
 def _remove_learner(view: LeaderView) -> MemberChange | None:
     for member in view.members.learners:
-        if view.quiet_s.get(member.replica_id, 0.0) >= LEARNER_QUIET_S:
+        if view.ack_age_s.get(member.replica_id, 0.0) >= LEARNER_QUIET_S:
             return MemberChange(MemberAction.REMOVE, member.replica_id)
     return None
 
@@ -161,7 +161,7 @@
         member.replica_id
         for member in view.members.learners
         if member.replica_id in view.caught_up
-        and view.quiet_s.get(member.replica_id, LEARNER_LIVE_S) < LEARNER_LIVE_S
+        and view.ack_age_s.get(member.replica_id, LEARNER_LIVE_S) < LEARNER_LIVE_S
     )
 
 
@@ -172,6 +172,6 @@
         voter
         for voter in voters
         if voter == view.replica_id
-        or view.quiet_s.get(voter, VOTER_LIVE_S) < VOTER_LIVE_S
+        or view.ack_age_s.get(voter, VOTER_LIVE_S) < VOTER_LIVE_S
     ]
     return len(live) > len(voters) // 2
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -141,7 +141,7 @@
         return LeaderView(
             replica.state.replica_id,
             members,
-            replica.quiet_s(self._clock.now()),
+            replica.ack_age_s(self._clock.now()),
             frozenset(each for each in learners if replica.has_caught_up(each)),
         )
 
--- a/tests/unit/consensus/test_rejoin_machine.py
+++ b/tests/unit/consensus/test_rejoin_machine.py
@@ -82,7 +82,7 @@
         view = LeaderView(
             leader_id,
             members,
-            replica.quiet_s(self.now),
+            replica.ack_age_s(self.now),
             frozenset(each for each in learners if replica.has_caught_up(each)),
         )
         for change in supervisor.handle(SupervisorTick(view), self.now):
