--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -14,9 +14,10 @@
 FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
 VOTERS = 5  # a majority survives the loss of two disks
 CANDIDATE_TIMEOUT_S = 2.0  # candidates announce themselves every 0.5 s
-# A voter silent for so long is replaced; a restart and a reconnect take less.
-VOTER_QUIET_S = 3.0
-LEARNER_QUIET_S = 10.0  # a learner silent for so long is removed
+# A voter without replies for so long is replaced; a restart and a reconnect
+# take less.
+VOTER_ACK_TIMEOUT_S = 3.0
+LEARNER_ACK_TIMEOUT_S = 10.0  # a learner without replies is then removed
 VOTER_LIVE_S = 1.0  # a live voter has answered a heartbeat within this time
 LEARNER_LIVE_S = 2.5  # learners get one heartbeat per second
 CHANGE_TIMEOUT_S = 3.0
@@ -122,13 +123,13 @@
     """Remove an unresponsive voter once a learner can replace it."""
     if not _ready_learners(view) or len(view.members.voters) < VOTERS:
         return None
-    quiet = [
+    ages = [
         (view.ack_age_s.get(each, 0.0), each)
         for each in view.members.voter_ids
         if each != view.replica_id
     ]
-    ack_age_s, voter = max(quiet, default=(0.0, ""))
-    if ack_age_s < VOTER_QUIET_S or not _keeps_majority_without(view, voter):
+    ack_age_s, voter = max(ages, default=(0.0, ""))
+    if ack_age_s < VOTER_ACK_TIMEOUT_S or not _keeps_majority_without(view, voter):
         return None
     return MemberChange(MemberAction.REMOVE, voter)
 
@@ -151,7 +152,7 @@
 
 def _remove_learner(view: LeaderView) -> MemberChange | None:
     for member in view.members.learners:
-        if view.ack_age_s.get(member.replica_id, 0.0) >= LEARNER_QUIET_S:
+        if view.ack_age_s.get(member.replica_id, 0.0) >= LEARNER_ACK_TIMEOUT_S:
             return MemberChange(MemberAction.REMOVE, member.replica_id)
     return None
 
