Reword the tests of the replicated log

A new reader stumbled over private words: flights, cut, mend, walk, site, promised, place, whole, stand-in, noise. Every assertion stays.

--- a/tests/lib/replica_cluster.py
+++ b/tests/lib/replica_cluster.py
@@ -1,4 +1,4 @@
-"""Drive replicas over a fake network and fake disks, and watch their promises."""
+"""Run replicas over a fake network and fake disks, and check their guarantees."""
 
 from typing import NamedTuple
 
@@ -33,8 +33,8 @@
 from pimentobend_core._internal.consensus.writes import batch_outputs
 
 
-class Flight(NamedTuple):
-    """Hold a message on its way."""
+class QueuedMessage(NamedTuple):
+    """A message in transit."""
 
     sender: str
     recipient: str
@@ -42,7 +42,7 @@
 
 
 class Node:
-    """Hold one replica, its disk, and the commands that it has applied."""
+    """One replica, its disk, and the commands that it has applied."""
 
     def __init__(self, replica_id: str, members: Members) -> None:
         self.replica_id = replica_id
@@ -50,22 +50,23 @@
         self.disk = MemoryDisk()
         self.replica: Replica | None = None
         self.applied: list[bytes] = []
-        self.crash_after: int | None = None  # outputs that still leave
+        self.crash_after: int | None = None  # outputs that are released before a crash
 
 
 class Cluster:
-    """Own the nodes, the messages on their way and what was promised."""
+    """Replicas, the messages in transit and the outcomes that were reported."""
 
     def __init__(self, voter_ids: str, other_ids: str = "", seed: int = 0) -> None:
         voters = tuple(Member(each, f"address-{each}") for each in voter_ids)
         self.now = 0.0
-        self.flights: list[Flight] = []
-        self.cut: set[tuple[str, str]] = set()
+        self.in_transit: list[QueuedMessage] = []
+        self.blocked_links: set[tuple[str, str]] = set()
         self.nodes = {each: Node(each, Members(voters)) for each in voter_ids}
         self.nodes.update({each: Node(each, NO_MEMBERS) for each in other_ids})
         self.outcomes: dict[int, ProposalResult] = {}
         self.reads: dict[int, ReadReady] = {}
-        self.promised: dict[int, int] = {}  # the last index when a read was asked
+        # The last committed index when each read started, by read id.
+        self.read_floors: dict[int, int] = {}
         self.commands: dict[int, bytes] = {}
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, Entry] = {}
@@ -85,18 +86,18 @@
         node.crash_after = None
 
     def crash(self, replica_id: str) -> None:
-        """End a node; what it did not sync is lost."""
+        """Stop a node; what it did not sync is lost."""
         self.nodes[replica_id].replica = None
 
     def handle(self, replica_id: str, *messages: ReplicaInput) -> None:
-        """Let a node take messages that share one sync."""
+        """Let a node handle messages that share one sync."""
         node = self.nodes[replica_id]
         if node.replica is None:
             return
         outputs: list[ReplicaOutput] = []
         for message in messages:
             outputs.extend(node.replica.handle(message, self.now))
-            self._watch_leader(node)
+            self._check_leader(node)
         batch = batch_outputs(outputs)
         try:
             for write in batch.writes:
@@ -127,18 +128,18 @@
         return proposal_id
 
     def read(self, replica_id: str) -> ReadReady | None:
-        """Ask for a read and check that it would see all that was promised."""
-        read_id = len(self.promised) + 1
-        self.promised[read_id] = max(self.committed, default=0)
+        """Start a read; its answer is checked to see all earlier committed entries."""
+        read_id = len(self.read_floors) + 1
+        self.read_floors[read_id] = max(self.committed, default=0)
         self.handle(replica_id, ReadIndex(read_id))
         return self.reads.get(read_id)
 
-    def _take_read(self, ready: ReadReady) -> None:
-        """Check that a read sees all that was promised before it was asked."""
+    def _check_read(self, ready: ReadReady) -> None:
+        """Check that a read sees all entries committed before it started."""
         self.reads[ready.read_id] = ready
         if ready.outcome is Outcome.COMMITTED:
-            promised = self.promised[ready.read_id]
-            assert ready.log_index >= promised, "a read missed committed entries"
+            floor = self.read_floors[ready.read_id]
+            assert ready.log_index >= floor, "a read missed committed entries"
 
     def compact(self, replica_id: str) -> None:
         """Let a node replace its applied entries by a snapshot."""
@@ -148,36 +149,36 @@
             self.handle(replica_id, Compact(node.replica.commit_index, state))
 
     def deliver(self, position: int, *, keep: bool = False) -> None:
-        """Deliver a message on its way; with ``keep`` it will come once more."""
-        flight = self.flights[position]
+        """Deliver a message in transit; with ``keep`` it will be delivered again."""
+        queued = self.in_transit[position]
         if not keep:
-            del self.flights[position]
-        if (flight.sender, flight.recipient) not in self.cut:
-            self.handle(flight.recipient, Received(flight.sender, flight.message))
+            del self.in_transit[position]
+        if (queued.sender, queued.recipient) not in self.blocked_links:
+            self.handle(queued.recipient, Received(queued.sender, queued.message))
 
     def run(self, seconds: float, step_s: float = 0.05) -> None:
-        """Let time pass with a network that delivers all that is not cut."""
+        """Let time pass and deliver all messages on links that are not blocked."""
         for _ in range(round(seconds / step_s)):
             self.now += step_s
             self.tick()
-            for _ in range(len(self.flights)):
+            for _ in range(len(self.in_transit)):
                 self.deliver(0)
 
     def tick(self) -> None:
-        """Let each node see the time."""
+        """Run the ticks that are due."""
         for replica_id, node in self.nodes.items():
             if node.replica is not None and node.replica.next_tick <= self.now:
                 self.handle(replica_id, Tick())
 
     def isolate(self, replica_id: str) -> None:
-        """Cut a node off from all others, both ways."""
+        """Block the links between a node and all others, both ways."""
         for other in self.nodes:
-            self.cut.update({(replica_id, other), (other, replica_id)})
+            self.blocked_links.update({(replica_id, other), (other, replica_id)})
 
     def heal(self) -> None:
-        """Mend all cuts, restart what is down and forget what is on its way."""
-        self.cut.clear()
-        self.flights.clear()
+        """Unblock all links, restart stopped nodes and drop the messages in transit."""
+        self.blocked_links.clear()
+        self.in_transit.clear()
         for replica_id, node in self.nodes.items():
             node.disk.fault = None
             node.crash_after = None
@@ -201,7 +202,7 @@
         return max(leading, key=lambda each: each.state.term).state.replica_id
 
     def check(self) -> None:
-        """Assert what has to hold at any moment."""
+        """Assert the invariants that hold at all times."""
         running = [each for each in self.nodes.values() if each.replica is not None]
         longest = max((node.applied for node in running), key=len, default=[])
         for node in running:
@@ -229,11 +230,11 @@
             command = self.commands[proposal_id]
             if proposed.outcome is Outcome.COMMITTED:
                 entry = self.committed[proposed.log_index]
-                assert entry.command == command, "an answer names another entry"
+                assert entry.command == command, "a result names another entry"
             elif proposed.outcome is not Outcome.UNKNOWN and command:
                 assert command not in ran, "a refused command ran"
 
-    def _watch_leader(self, node: Node) -> None:
+    def _check_leader(self, node: Node) -> None:
         if node.replica is None or node.replica.state.role is not Role.LEADER:
             return
         state = node.replica.state
@@ -251,12 +252,12 @@
                 if node.crash_after < 0:
                     self.crash(node.replica_id)
                     return
-            self._take(node, output)
+            self._handle_output(node, output)
 
-    def _take(self, node: Node, output: ReplicaOutput) -> None:
+    def _handle_output(self, node: Node, output: ReplicaOutput) -> None:
         if isinstance(output, Send):
-            flight = Flight(node.replica_id, output.recipient, output.message)
-            self.flights.append(flight)
+            queued = QueuedMessage(node.replica_id, output.recipient, output.message)
+            self.in_transit.append(queued)
         elif isinstance(output, Committed):
             for entry in output.entries:
                 known = self.committed.setdefault(entry.log_index, entry)
@@ -266,10 +267,10 @@
         elif isinstance(output, Restored):
             node.applied = _decode(output.snapshot.state)
         elif isinstance(output, ProposalResult):
-            assert output.proposal_id not in self.outcomes, "two answers"
+            assert output.proposal_id not in self.outcomes, "a proposal has two results"
             self.outcomes[output.proposal_id] = output
         elif isinstance(output, ReadReady):
-            self._take_read(output)
+            self._check_read(output)
 
 
 def _encode(applied: list[bytes]) -> bytes:
--- a/tests/unit/consensus/test_codec.py
+++ b/tests/unit/consensus/test_codec.py
@@ -1,4 +1,4 @@
-"""Check that messages and records survive encoding and that noise does not."""
+"""Check that messages and records round-trip and invalid bytes are rejected."""
 
 import pytest
 from hypothesis import given
@@ -46,11 +46,11 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda each: type(each).__name__)
-def test_messages_survive(message: PeerMessage) -> None:
+def test_messages_round_trip(message: PeerMessage) -> None:
     assert decode_message(encode_message(message)) == message
 
 
-def test_records_survive() -> None:
+def test_records_round_trip() -> None:
     assert decode_records(encode_records(RECORDS)) == RECORDS
 
 
@@ -59,14 +59,18 @@
     message=st.sampled_from(MESSAGES),
     position=st.integers(0, 10_000),
     byte=st.integers(0, 255),
-    noise=st.binary(max_size=60),
+    random_bytes=st.binary(max_size=60),
 )
-def test_noise_decodes_or_is_a_codec_error(
-    message: PeerMessage, position: int, byte: int, noise: bytes
+def test_invalid_bytes_decode_or_raise_codec_error(
+    message: PeerMessage, position: int, byte: int, random_bytes: bytes
 ) -> None:
     changed = bytearray(encode_message(message))
     changed[position % len(changed)] = byte
-    for data in (bytes(changed), noise, bytes(changed[: position % len(changed)])):
+    for data in (
+        bytes(changed),
+        random_bytes,
+        bytes(changed[: position % len(changed)]),
+    ):
         for decode in (decode_message, decode_records, decode_snapshot):
             try:
                 value = decode(data)
--- a/tests/unit/consensus/test_replica.py
+++ b/tests/unit/consensus/test_replica.py
@@ -1,4 +1,4 @@
-"""Check single decisions of a replica and of small clusters."""
+"""Check decisions of single replicas and of small clusters."""
 
 import pytest
 from memory_disk import DiskFault
@@ -61,14 +61,14 @@
 
 
 @pytest.mark.parametrize(("matched", "committed"), [(0, 0), (1, 0), (2, 0), (3, 3)])
-def test_only_entries_of_the_own_term_commit(matched: int, committed: int) -> None:
+def test_only_entries_of_the_current_term_commit(matched: int, committed: int) -> None:
     replica = _replica_leading_term_3()
     reply = AppendReply(3, True, matched, 2.0)
     replica.handle(Received("b", reply), 2.1)
     assert replica.commit_index == committed
 
 
-QUIET_S = 5.0
+OBSERVED_S = 5.0
 
 
 @pytest.mark.parametrize(
@@ -76,12 +76,10 @@
     [
         ("b", 3, 18, 21),
         ("d", 3, 4, 7),  # a learner that has all entries
-        ("d", 2, 18, 21),  # one that has not
+        ("d", 2, 18, 21),  # a learner that lacks one
     ],
 )
-def test_who_is_sent_a_heartbeat_how_often(
-    peer: str, matched: int, least: int, most: int
-) -> None:
+def test_heartbeat_rate(peer: str, matched: int, least: int, most: int) -> None:
     members = MEMBERS._replace(learners=(Member("d", "address-d"),))
     stored = STORED._replace(base=BaseRecord(0, 0, members))
     replica = Replica("a", stored, seed=1, now=0.0)
@@ -92,7 +90,7 @@
     replica.handle(Received("d", AppendReply(3, True, matched, 2.0)), 2.0)
     now = 2.0
     sent = 0
-    while now < 2.0 + QUIET_S:
+    while now < 2.0 + OBSERVED_S:
         now = replica.next_tick
         for output in replica.handle(Tick(), now):
             sent += isinstance(output, Send) and output.recipient == peer
@@ -101,7 +99,7 @@
 
 
 @pytest.mark.parametrize(
-    ("since_heard_s", "message", "answers"),
+    ("since_heard_s", "message", "expected"),
     [
         (ELECTION_MIN_S * 0.9, RequestVote(9, 2, 2, False), False),
         (ELECTION_MIN_S * 1.01, RequestVote(9, 2, 2, False), True),
@@ -113,7 +111,7 @@
         (ELECTION_MIN_S * 1.01, RequestVote(2, 9, 9, True), False),
     ],
 )
-def test_votes(since_heard_s: float, message: PeerMessage, answers: bool) -> None:
+def test_votes(since_heard_s: float, message: PeerMessage, expected: bool) -> None:
     replica = Replica("b", STORED, seed=1, now=0.0)
     heartbeat = AppendEntries(2, 2, 2, (), 0, 1.0)
     replica.handle(Received("a", heartbeat), 5.0)
@@ -123,11 +121,11 @@
         for output in outputs
         if hasattr(output, "message") and isinstance(output.message, VoteReply)
     ]
-    assert any(granted) == answers
+    assert any(granted) == expected
 
 
 @pytest.mark.parametrize("is_pre_vote", [True, False])
-def test_a_vote_is_given_once_a_term(is_pre_vote: bool) -> None:
+def test_one_vote_per_term(is_pre_vote: bool) -> None:
     replica = Replica("b", STORED, seed=1, now=0.0)
     request = RequestVote(9, 2, 2, is_pre_vote)
     replies = [
@@ -161,14 +159,14 @@
 
 
 @pytest.mark.parametrize("blocked", ["both ways", "cannot be heard", "cannot hear"])
-def test_a_cut_off_leader_stops_within_its_lease(blocked: str) -> None:
+def test_isolated_leader_steps_down_within_its_lease(blocked: str) -> None:
     cluster = _elected()
     leader = _leader(cluster)
     for other in cluster.nodes:
         if blocked != "cannot hear":
-            cluster.cut.add((leader, other))
+            cluster.blocked_links.add((leader, other))
         if blocked != "cannot be heard":
-            cluster.cut.add((other, leader))
+            cluster.blocked_links.add((other, leader))
     (in_flight,) = cluster.propose(leader, b"in flight")
     cluster.now += LEASE_S
     (late,) = cluster.propose(leader, b"late")
@@ -198,7 +196,7 @@
 
 
 @pytest.mark.parametrize("compacts", [True, False])
-def test_a_lost_replica_is_replaced_and_a_second_one_lost(compacts: bool) -> None:
+def test_after_a_replacement_a_second_replica_may_be_lost(compacts: bool) -> None:
     cluster = _elected()
     leader = _leader(cluster)
     lost, second = (each for each in "abc" if each != leader)
@@ -232,7 +230,7 @@
     cluster.run(0.2)
     promoted = MemberChange(MemberAction.PROMOTE, "d")
     refused = cluster.change_members(leader, promoted)
-    cluster.cut.clear()
+    cluster.blocked_links.clear()
     cluster.run(0.5)
     taken = cluster.change_members(leader, promoted)
     cluster.run(0.2)
@@ -246,7 +244,7 @@
     leader = _leader(cluster)
     cluster.nodes[leader].disk.fault = fault
     (proposal_id,) = cluster.propose(leader, b"x")
-    assert not cluster.flights
+    assert not cluster.in_transit
     assert proposal_id not in cluster.outcomes
     cluster.run(3.0)
     assert _outcome(cluster, _leader(cluster), b"y") is Outcome.COMMITTED
@@ -255,7 +253,7 @@
     cluster.check()
 
 
-def test_a_new_leader_comes_within_3_s() -> None:
+def test_new_leader_is_elected_within_3_s() -> None:
     for seed in range(20):
         cluster = Cluster("abcde", seed=seed)
         cluster.run(3.0)
@@ -274,7 +272,7 @@
 
 
 @pytest.mark.parametrize(("action", "node", "voters", "learners"), CHANGES)
-def test_a_change_of_members_may_be_sent_again(
+def test_membership_change_may_be_repeated(
     action: MemberAction, node: str, voters: str, learners: str
 ) -> None:
     change = MemberChange(action, node, f"address-{node}")
@@ -289,6 +287,6 @@
     "change",
     [MemberChange(MemberAction.PROMOTE, "x"), MemberChange(MemberAction.REMOVE, "a")],
 )
-def test_a_change_that_does_not_fit_is_refused(change: MemberChange) -> None:
+def test_impossible_membership_change_is_refused(change: MemberChange) -> None:
     alone = Members((Member("a", "address-a"),))
     assert change_members(alone, change) is None
--- a/tests/unit/consensus/test_replica_machine.py
+++ b/tests/unit/consensus/test_replica_machine.py
@@ -1,4 +1,4 @@
-"""Search for a broken promise of the replicated log under faults."""
+"""Search for violated guarantees of the replicated log under faults."""
 
 from hypothesis import HealthCheck
 from hypothesis import settings
@@ -24,7 +24,7 @@
 
 
 class ReplicaMachine(RuleBasedStateMachine):
-    """Let a hostile network, hostile disks and crashes meet the replicas."""
+    """Runs replicas under network faults, disk faults and crashes."""
 
     @initialize(elect=st.booleans())
     def start(self, elect: bool) -> None:
@@ -41,17 +41,17 @@
     def run(self, seconds: float) -> None:
         self.cluster.run(seconds)
 
-    @precondition(lambda self: self.cluster.flights)
+    @precondition(lambda self: self.cluster.in_transit)
     @rule(data=st.data(), keep=st.booleans())
     def deliver(self, data: st.DataObject, keep: bool) -> None:
-        last = len(self.cluster.flights) - 1
+        last = len(self.cluster.in_transit) - 1
         self.cluster.deliver(data.draw(st.integers(0, last)), keep=keep)
 
-    @precondition(lambda self: self.cluster.flights)
+    @precondition(lambda self: self.cluster.in_transit)
     @rule(data=st.data())
     def drop(self, data: st.DataObject) -> None:
-        last = len(self.cluster.flights) - 1
-        del self.cluster.flights[data.draw(st.integers(0, last))]
+        last = len(self.cluster.in_transit) - 1
+        del self.cluster.in_transit[data.draw(st.integers(0, last))]
 
     @rule(node=NODES, count=st.integers(1, 3))
     def propose(self, node: str, count: int) -> None:
@@ -95,20 +95,20 @@
         self.cluster.restart(node)
 
     @rule(sender=NODES, recipient=NODES)
-    def cut_one_way(self, sender: str, recipient: str) -> None:
-        self.cluster.cut.add((sender, recipient))
+    def block_one_way(self, sender: str, recipient: str) -> None:
+        self.cluster.blocked_links.add((sender, recipient))
 
     @rule()
-    def mend_cuts(self) -> None:
-        self.cluster.cut.clear()
+    def unblock_links(self) -> None:
+        self.cluster.blocked_links.clear()
 
     @invariant()
-    def holds(self) -> None:
+    def guarantees_hold(self) -> None:
         if hasattr(self, "cluster"):
             self.cluster.check()
 
     def teardown(self) -> None:
-        """Let all faults end: the replicas agree again and nothing is lost."""
+        """End all faults: the replicas must agree again and nothing may be lost."""
         if not hasattr(self, "cluster"):
             return
         self.cluster.heal()
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -1,4 +1,4 @@
-"""Check the task around a replica: whom it hears, and what a bad disk does."""
+"""Check whose messages a replica's task accepts, and how it handles a bad disk."""
 
 from typing import NamedTuple
 
@@ -36,7 +36,7 @@
 
 
 class FakeLink:
-    """Keep what was sent."""
+    """Records the frames that are sent."""
 
     def __init__(self) -> None:
         self.sent: list[Sent] = []
@@ -45,8 +45,8 @@
         self.sent.append(Sent(peer, kind, payload))
 
 
-class Site:
-    """Own one running replica task with a fake disk and a fake link."""
+class RunningTask:
+    """A running replica task with a fake disk and a fake link."""
 
     def __init__(self, voters: str, listed: str | None = "") -> None:
         members = Members(tuple(Member(each, each) for each in voters))
@@ -79,7 +79,7 @@
                 eventlet.sleep(0.01)
 
     def commands(self) -> list[bytes]:
-        """Return the commands given out to be applied."""
+        """Return the commands that were delivered to be applied."""
         entries: list[Entry] = []
         for output in self.outputs:
             if isinstance(output, Committed):
@@ -88,33 +88,33 @@
 
 
 @pytest.mark.parametrize(
-    ("voters", "listed", "sender", "is_heard"),
+    ("voters", "listed", "sender", "is_accepted"),
     [
         ("abc", "", "b", True),
         ("abc", "", "x", False),
-        ("abc", "bcx", "x", True),  # added while this replica was away
-        ("", "x", "x", True),  # joins at the cluster that the settings list
-        ("", "bc", "x", False),  # another cluster knew a replica at this address
-        ("abc", None, "x", True),  # no other replica was ever called "a"
+        ("abc", "bcx", "x", True),  # added while this replica was down
+        ("", "x", "x", True),  # joins the cluster that the settings list
+        ("", "bc", "x", False),  # another cluster had a replica at this address
+        ("abc", None, "x", True),  # no other replica ever had the id "a"
         ("", None, "x", True),
     ],
 )
-def test_only_members_and_listed_replicas_are_heard(
-    voters: str, listed: str | None, sender: str, is_heard: bool
+def test_only_members_and_listed_replicas_are_accepted(
+    voters: str, listed: str | None, sender: str, is_accepted: bool
 ) -> None:
-    site = Site(voters, listed)
+    running = RunningTask(voters, listed)
     message = encode_envelope(sender, "a", AppendEntries(5, 0, 0, (), 0, 1.0))
-    frame = Frame(sender, site.task.kind, message)
-    if is_heard:
-        site.task.take(frame)
+    frame = Frame(sender, running.task.kind, message)
+    if is_accepted:
+        running.task.take(frame)
     else:
         with pytest.raises(FrameError, match="no member"):
-            site.task.take(frame)
+            running.task.take(frame)
     with eventlet.Timeout(WAIT_S, False):
-        while is_heard and not site.link.sent:
+        while is_accepted and not running.link.sent:
             eventlet.sleep(0.01)
-    assert (sender in {sent.peer for sent in site.link.sent}) == is_heard
-    site.task.stop()
+    assert (sender in {sent.peer for sent in running.link.sent}) == is_accepted
+    running.task.stop()
 
 
 @pytest.mark.parametrize(
@@ -124,16 +124,18 @@
         (None, Outcome.COMMITTED),
     ],
 )
-def test_a_bad_disk_refuses(fault: DiskFault | None, outcome: Outcome) -> None:
-    site = Site("a")
+def test_failed_write_refuses_the_proposal(
+    fault: DiskFault | None, outcome: Outcome
+) -> None:
+    running = RunningTask("a")
     eventlet.sleep(0.05)
-    assert site.propose(1) is Outcome.COMMITTED
-    site.disk.fault = fault
-    assert site.propose(2) is outcome
+    assert running.propose(1) is Outcome.COMMITTED
+    running.disk.fault = fault
+    assert running.propose(2) is outcome
     eventlet.sleep(0.05)
-    assert site.propose(3) is Outcome.COMMITTED
+    assert running.propose(3) is Outcome.COMMITTED
     expected = [b"command 1", b"command 2", b"command 3"]
     if outcome is not Outcome.COMMITTED:
         del expected[1]
-    assert site.commands() == expected
-    site.task.stop()
+    assert running.commands() == expected
+    running.task.stop()
--- a/tests/unit/consensus/test_replica_walks.py
+++ b/tests/unit/consensus/test_replica_walks.py
@@ -1,4 +1,4 @@
-"""Walk the replicas at random through partitions, crashes and elections."""
+"""Run replicas through random partitions, crashes and elections."""
 
 import random
 
@@ -13,8 +13,8 @@
 STEPS = 250
 
 
-class Walk:
-    """Own a cluster and the random choices of one seed."""
+class RandomRun:
+    """A cluster and the random actions of one seed."""
 
     def __init__(self, seed: int, voters: str, others: str) -> None:
         self._rng = random.Random(seed)
@@ -25,13 +25,19 @@
             + [self._propose] * 6
             + [self._deliver] * 8
             + [self._read] * 3
-            + [self._isolate, self._cut, self._mend, self._mend, self._lose]
+            + [
+                self._isolate,
+                self._block_link,
+                self._unblock_links,
+                self._unblock_links,
+                self._drop_messages,
+            ]
             + [self._crash, self._restart, self._restart, self._fail_write]
             + [self._compact, self._change_members, self._change_members]
         )
 
     def run(self) -> Cluster:
-        """Take all steps, then let the faults end."""
+        """Run all steps, then end the faults and let the cluster recover."""
         cluster = self._cluster
         for _ in range(STEPS):
             self._rng.choice(self._actions)()
@@ -55,12 +61,12 @@
         cluster.now += self._rng.choice((0.0, 0.01, 0.1))
         cluster.tick()
         for _ in range(self._rng.randint(1, 6)):
-            if cluster.flights:
-                position = self._rng.randrange(len(cluster.flights))
+            if cluster.in_transit:
+                position = self._rng.randrange(len(cluster.in_transit))
                 cluster.deliver(position, keep=self._rng.random() < 0.1)
 
-    def _lose(self) -> None:
-        self._cluster.flights.clear()
+    def _drop_messages(self) -> None:
+        self._cluster.in_transit.clear()
 
     def _propose(self) -> None:
         first = len(self._cluster.commands)
@@ -75,11 +81,11 @@
     def _isolate(self) -> None:
         self._cluster.isolate(self._node())
 
-    def _cut(self) -> None:
-        self._cluster.cut.add((self._node(), self._rng.choice(self._nodes)))
+    def _block_link(self) -> None:
+        self._cluster.blocked_links.add((self._node(), self._rng.choice(self._nodes)))
 
-    def _mend(self) -> None:
-        self._cluster.cut.clear()
+    def _unblock_links(self) -> None:
+        self._cluster.blocked_links.clear()
 
     def _crash(self) -> None:
         self._cluster.nodes[self._node()].crash_after = self._rng.randint(0, 3)
@@ -110,8 +116,8 @@
     ("voters", "others"), [("abc", ""), ("abc", "de"), ("abcde", "f")]
 )
 @pytest.mark.parametrize("seed", range(12))
-def test_promises_hold(seed: int, voters: str, others: str) -> None:
-    cluster = Walk(seed, voters, others).run()
+def test_guarantees_hold(seed: int, voters: str, others: str) -> None:
+    cluster = RandomRun(seed, voters, others).run()
     leader = cluster.leader
     assert leader is not None
     (proposal_id,) = cluster.propose(leader, b"last")
--- a/tests/unit/consensus/test_supervisor.py
+++ b/tests/unit/consensus/test_supervisor.py
@@ -28,7 +28,7 @@
 def view(
     voters: str, learners: str = "", quiet: str = "", caught_up: str = ""
 ) -> LeaderView:
-    """Describe a cluster led by its first voter; quiet members are long silent."""
+    """Return a view of a cluster led by its first voter; quiet members are silent."""
     names = voters + learners
     return LeaderView(
         f"{voters[0]}/0",
@@ -39,22 +39,22 @@
 
 
 CASES = [
-    ("nothing to do", view("abcde"), "", None),
+    ("no change needed", view("abcde"), "", None),
     ("a candidate", view("abc"), "d/0", MemberChange(ADD, "d/0", "d")),
     ("a candidate that is a member", view("abc"), "c/0", None),
     ("a learner behind", view("abc", "d"), "", None),
-    ("a learner", view("abc", "d", "", "d"), "", MemberChange(PROMOTE, "d/0")),
+    ("a ready learner", view("abc", "d", "", "d"), "", MemberChange(PROMOTE, "d/0")),
     ("a full cluster", view("abcde", "f", "", "f"), "", None),
     (
-        "a silent voter with a stand-in",
+        "a silent voter and a ready learner",
         view("abcde", "f", "c", "f"),
         "",
         MemberChange(REMOVE, "c/0"),
     ),
-    ("a silent voter without one", view("abcde", "", "c"), "", None),
-    ("a stand-in behind", view("abcde", "f", "c"), "", None),
+    ("a silent voter and no learner", view("abcde", "", "c"), "", None),
+    ("a silent voter and a learner behind", view("abcde", "f", "c"), "", None),
     (
-        "a silent stand-in",
+        "a silent voter and a silent learner",
         view("abcde", "f", "cf", "f"),
         "",
         MemberChange(REMOVE, "f/0"),
@@ -81,7 +81,7 @@
     [c[1:] for c in CASES],
     ids=[c[0] for c in CASES],
 )
-def test_next_step(
+def test_choose_change(
     cluster: LeaderView, candidate: str, change: MemberChange | None
 ) -> None:
     candidates = (candidate,) if candidate else ()
@@ -100,7 +100,7 @@
     assert len(supervisor.handle(SupervisorTick(view("abc")), 0.5)) == 1
 
 
-def test_a_candidate_that_falls_silent_is_forgotten() -> None:
+def test_silent_candidate_expires() -> None:
     supervisor = Supervisor()
     supervisor.handle(CandidateHeard("d/0"), 0.0)
     assert supervisor.handle(SupervisorTick(view("abc")), 5.0) == ()
