Reword the fakes of disks, files and control replicas

Docstrings such as "Forget what was not synced, but for some bytes of an appended end" had to be read twice.

--- a/tests/lib/memory_disk.py
+++ b/tests/lib/memory_disk.py
@@ -1,4 +1,4 @@
-"""Fake the data folder of a replica in memory, with faults."""
+"""A replica's disk in memory, with faults."""
 
 import enum
 
@@ -14,15 +14,15 @@
 
 
 class DiskFault(enum.Enum):
-    """Name what happens to the next write."""
+    """What happens to the next write."""
 
-    LOST = "lost"  # refused, and nothing of it is stored
-    REFUSED_BUT_STORED = "refused-but-stored"  # a crash came behind the sync
-    SNAPSHOT_ONLY = "snapshot-only"  # a crash came between snapshot and log
+    LOST = "lost"  # fails and stores nothing
+    REFUSED_BUT_STORED = "refused-but-stored"  # fails after the sync
+    SNAPSHOT_ONLY = "snapshot-only"  # fails between snapshot and log
 
 
 class MemoryDisk(Disk):
-    """Keep synced records; ``fault`` meets the next write."""
+    """Keeps synced records in memory; ``fault`` applies to the next write."""
 
     def __init__(self) -> None:
         self.fault: DiskFault | None = None
--- a/tests/lib/memory_files.py
+++ b/tests/lib/memory_files.py
@@ -1,4 +1,4 @@
-"""Fake the files of a data folder, with lost writes and a full disk."""
+"""The files of a data folder in memory, with lost writes and a full disk."""
 
 import errno
 
@@ -6,13 +6,13 @@
 
 
 class CrashError(Exception):
-    """End the process at a file operation."""
+    """A simulated crash at a file operation."""
 
 
 class MemoryFiles(Files):
-    """Keep synced and unsynced contents; faults meet the n-th operation.
+    """Keeps synced and unsynced contents, with a fault at the n-th operation.
 
-    ``crash_at`` ends the process before an operation, ``fail_at`` refuses one
+    ``crash_at`` raises ``CrashError`` before that operation. ``fail_at`` fails it
     as a full disk does, with half of the bytes written.
     """
 
@@ -63,7 +63,7 @@
         self.crash_at = self.fail_at = None
 
     def power_off(self, kept_bytes: int) -> None:
-        """Forget what was not synced, but for some bytes of an appended end."""
+        """Drop unsynced data except the first ``kept_bytes`` of an append."""
         after = dict(self._names)
         for name, synced in after.items():
             written = self._files.get(name, b"")
@@ -76,7 +76,7 @@
         self.operations = 0
 
     def damage(self, name: str, offset: int) -> None:
-        """Flip a stored byte."""
+        """Invert a stored byte."""
         data = bytearray(self._files[name])
         data[offset] ^= 0xFF
         self._files[name] = self._synced[name] = self._names[name] = bytes(data)
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -20,14 +20,14 @@
 
 
 class Accepted(NamedTuple):
-    """Hold a change that was acknowledged."""
+    """A change that was acknowledged."""
 
     number: int
     version: tuple[int, int]
 
 
 class Replicas:
-    """Own control processes on loopback and the version that was seen last."""
+    """Control replicas on loopback, and the last version that was accepted."""
 
     def __init__(self, fleet: Fleet, count: int) -> None:
         self._fleet = fleet
@@ -48,7 +48,7 @@
         self._processes[name] = self._fleet.start_daemon(self.settings[name])
 
     def join(self, name: str, link: str | None = None) -> None:
-        """Start a replica that is no member yet, by default at a new address."""
+        """Start a replica that is not a member yet, by default at a new address."""
         settings = control_settings(name, str(self._fleet.folder), link)
         links = self.settings[self.names[0]]["control"]
         self.settings[name] = settings | {"control": links}
@@ -56,13 +56,13 @@
         self.start(name)
 
     def kill(self, name: str) -> None:
-        """End a replica's process with SIGKILL."""
+        """Kill a replica's process with SIGKILL."""
         self._processes[name].signal(signal.SIGKILL)
         self._processes[name].wait()
         del self._processes[name]
 
     def leader(self) -> str | None:
-        """Return the replica that says it leads, of the highest term."""
+        """Return the replica that reports itself as leader in the highest term."""
         terms = {}
         for name in self._processes:
             control = self.status(name)["control"]
@@ -81,7 +81,7 @@
         return {route["name"] for route in tables["routes"]}
 
     def apply(self, name: str, number: int) -> Accepted:
-        """Apply routes 0 to ``number``, at other replicas where need be."""
+        """Apply routes 0 to ``number``, trying other replicas until one accepts."""
         rows = [
             {"name": f"r{n}", "path": f"/{n}", "pool": "p", "repeatable": True}
             for n in range(number + 1)
@@ -107,7 +107,7 @@
         raise TimeoutError(f"change {number} was not accepted")
 
     def member_action(self, action: str, address: str) -> bool:
-        """Ask the leader to change one member; say whether it did."""
+        """Ask the leader to change one member; return whether it did."""
         leader = self.leader()
         if leader is None:
             return False
