Reword the tests of the ledger

A new reader stumbled over the private words world, letter, settle down, flow, here and there. The module and its class are now a simulation, with messages, run_until_idle and deliver_all; the fates of work are WorkOutcome. Every assertion stays.

--- a/tests/lib/ledger_world.py
+++ b/tests/lib/ledger_simulation.py
@@ -32,12 +32,12 @@
 from pimentobend_core._internal.models.request import Ran
 
 REPLICAS = ("replica-1", "replica-2", "replica-3")
-PRINT = b"p" * 8
-SETTLING_TICKS = 14  # longer than two waits between settlements
+FINGERPRINT = b"p" * 8
+IDLE_TICKS = 14  # seconds; over two waits between retries of a settlement
 
 
-class Work(enum.Enum):
-    """Name what becomes of work that was allowed to be sent."""
+class WorkOutcome(enum.Enum):
+    """What happens to work that may be sent."""
 
     RAN = "ran"
     REFUSED = "refused"  # the server states that it did not run
@@ -47,16 +47,16 @@
     CRASH_AFTER_SEND = "crash-after-send"
 
 
-REPORTED = {
-    Work.RAN: Ran.RAN,
-    Work.REFUSED: Ran.NOT_RUN,
-    Work.LOST_RAN: Ran.UNKNOWN,
-    Work.LOST_NOT_RUN: Ran.UNKNOWN,
+REPORTED_OUTCOMES = {
+    WorkOutcome.RAN: Ran.RAN,
+    WorkOutcome.REFUSED: Ran.NOT_RUN,
+    WorkOutcome.LOST_RAN: Ran.UNKNOWN,
+    WorkOutcome.LOST_NOT_RUN: Ran.UNKNOWN,
 }
 
 
 class Granted(NamedTuple):
-    """Hold work that a daemon may send once."""
+    """Work that a daemon may send once."""
 
     daemon: str
     claim_id: ClaimId
@@ -64,17 +64,17 @@
 
 
 class Pending(NamedTuple):
-    """Hold an entry that the leader proposed."""
+    """An entry that the leader proposed."""
 
     proposal_id: int
     payload: bytes
 
 
-Letter = SendRequest | LedgerReply
+Message = SendRequest | LedgerReply
 
 
-class LedgerWorld:
-    """Own the daemons, the replicas and what lies between them."""
+class LedgerSimulation:
+    """Daemons and ledger replicas, with the log and the network between them."""
 
     def __init__(self, daemons: Iterable[str]) -> None:
         self.now = 0.0
@@ -82,7 +82,7 @@
         self.answers: dict[int, list[ClaimGranted | ClaimDenied]] = {}
         self.keys: dict[int, str] = {}
         self.found: dict[int, LookedUp] = {}
-        self.network: list[Letter] = []
+        self.network: list[Message] = []
         self.granted: list[Granted] = []
         self.has_majority = True
         self.leader = REPLICAS[0]
@@ -94,33 +94,37 @@
         self._tickets = 0
 
     def ask(self, daemon: str, key: str, wait_s: float = 5.0) -> int:
-        """Let a caller ask for work; return the ticket."""
+        """Ask a daemon to claim a key for a caller; return the ticket."""
         self._tickets += 1
         ticket = self._tickets
         self.keys[ticket] = key
         self.answers[ticket] = []
-        ask = AskClaim(ticket, LedgerKey("org", key), PRINT, self.now + wait_s)
-        self._take(daemon, self.daemons[daemon].handle(ask, self.now))
+        ask = AskClaim(ticket, LedgerKey("org", key), FINGERPRINT, self.now + wait_s)
+        self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return ticket
 
     def look_up(self, daemon: str, key: str) -> int:
-        """Let an operator ask what is known of a key; return the ticket."""
+        """Ask a daemon to look up a key; return the ticket."""
         self._tickets += 1
         ask = AskLookUp(self._tickets, LedgerKey("org", key))
-        self._take(daemon, self.daemons[daemon].handle(ask, self.now))
+        self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return self._tickets
 
-    def work(self, granted: Granted, work: Work) -> None:
-        """Let work that was allowed end in one way."""
+    def finish_work(self, granted: Granted, outcome: WorkOutcome) -> None:
+        """End work that was granted with the given outcome."""
         self.granted.remove(granted)
-        if work in (Work.RAN, Work.LOST_RAN, Work.CRASH_AFTER_SEND):
+        if outcome in (
+            WorkOutcome.RAN,
+            WorkOutcome.LOST_RAN,
+            WorkOutcome.CRASH_AFTER_SEND,
+        ):
             self.runs[self.keys[granted.ticket]] += 1
-        if work not in REPORTED:
+        if outcome not in REPORTED_OUTCOMES:
             self.crash(granted.daemon)
             return
-        settle = AskSettle(granted.claim_id, REPORTED[work], 200)
+        settle = AskSettle(granted.claim_id, REPORTED_OUTCOMES[outcome], 200)
         outputs = self.daemons[granted.daemon].handle(settle, self.now)
-        self._take(granted.daemon, outputs)
+        self._handle_client_outputs(granted.daemon, outputs)
 
     def crash(self, daemon: str) -> None:
         """Restart a daemon without its memory; work not yet sent is lost."""
@@ -129,36 +133,38 @@
         self.granted = [one for one in self.granted if one.daemon != daemon]
 
     def deliver(self, position: int, keep: bool = False) -> None:
-        """Deliver a letter, and with ``keep`` leave a copy under way."""
-        letter = self.network[position] if keep else self.network.pop(position)
-        if isinstance(letter, LedgerReply):
-            daemon = letter.recipient
-            arrived = ReplyArrived(letter)
-            self._take(daemon, self.daemons[daemon].handle(arrived, self.now))
+        """Deliver a message; with ``keep`` a copy stays in transit."""
+        message = self.network[position] if keep else self.network.pop(position)
+        if isinstance(message, LedgerReply):
+            daemon = message.recipient
+            arrived = ReplyArrived(message)
+            self._handle_client_outputs(
+                daemon, self.daemons[daemon].handle(arrived, self.now)
+            )
             return
-        service = self.services[letter.replica_id]
-        outputs = service.handle(letter.request, self.now)
-        self._serve(letter.replica_id, outputs)
+        service = self.services[message.replica_id]
+        outputs = service.handle(message.request, self.now)
+        self._handle_service_outputs(message.replica_id, outputs)
 
     def commit(self, count: int = 1) -> None:
-        """Commit the next proposed entries and tell the leader."""
+        """Commit the next proposed entries and notify the leader."""
         for proposal_id, payload in self.pending[:count]:
             self.log.append(payload)
             self.pending.pop(0)
             accepted = EntryAccepted(proposal_id, len(self.log))
             leader = self.services[self.leader]
-            self._serve(self.leader, leader.handle(accepted, self.now))
+            self._handle_service_outputs(self.leader, leader.handle(accepted, self.now))
         self.catch_up(self.leader)
 
     def catch_up(self, replica: str) -> None:
-        """Hand a replica the committed entries that it has not applied."""
+        """Deliver to a replica the committed entries that it has not applied."""
         service = self.services[replica]
         for index in range(service.applied_index, len(self.log)):
             entry = EntryCommitted(index + 1, self.log[index])
-            self._serve(replica, service.handle(entry, self.now))
+            self._handle_service_outputs(replica, service.handle(entry, self.now))
 
     def change_leader(self, replica: str, committed: int) -> None:
-        """Let another replica lead; the first pending entries may survive."""
+        """Make another replica the leader; it commits the first pending entries."""
         left, self.pending = self.pending, []
         self.log.extend(payload for _, payload in left[:committed])
         former, self.leader = self.leader, replica
@@ -167,30 +173,30 @@
         for proposal_id, _ in left:
             unserved = EntryUnserved(proposal_id, lost)
             outputs = self.services[former].handle(unserved, self.now)
-            self._serve(former, outputs)
+            self._handle_service_outputs(former, outputs)
 
     def restart_replica(self, replica: str) -> None:
-        """Let a replica lose its memory and apply the log from its start."""
+        """Restart a replica with an empty state; it applies the log from its start."""
         if replica == self.leader:
             others = [name for name in REPLICAS if name != replica]
             self.change_leader(others[0], committed=len(self.pending))
         self.services[replica] = LedgerService()
 
     def tick(self, seconds: float) -> None:
-        """Let time pass for the daemons."""
+        """Let time pass and tick the daemons."""
         self.now += seconds
         for name, client in self.daemons.items():
-            self._take(name, client.handle(ClientTick(), self.now))
+            self._handle_client_outputs(name, client.handle(ClientTick(), self.now))
 
-    def settle_down(self) -> None:
-        """Deliver everything in order until nothing is under way."""
+    def run_until_idle(self) -> None:
+        """Restore the majority, then deliver and tick until all commands have ended."""
         self.has_majority = True
-        for _ in range(SETTLING_TICKS):
-            self.flow()
+        for _ in range(IDLE_TICKS):
+            self.deliver_all()
             self.tick(1.0)
 
-    def flow(self) -> None:
-        """Deliver and commit in order, without time passing."""
+    def deliver_all(self) -> None:
+        """Deliver and commit everything in order, without time passing."""
         while self.network or self.pending:
             self.commit(len(self.pending))
             if self.network:
@@ -199,7 +205,9 @@
     def _start(self, name: str) -> LedgerClient:
         return LedgerClient(name, self._epochs[name], (REPLICAS,))
 
-    def _take(self, daemon: str, outputs: tuple[ClientOutput, ...]) -> None:
+    def _handle_client_outputs(
+        self, daemon: str, outputs: tuple[ClientOutput, ...]
+    ) -> None:
         for output in outputs:
             if isinstance(output, SendRequest):
                 self.network.append(output)
@@ -210,7 +218,9 @@
             if isinstance(output, ClaimGranted):
                 self.granted.append(Granted(daemon, output.claim_id, output.ticket))
 
-    def _serve(self, replica: str, outputs: tuple[ServiceOutput, ...]) -> None:
+    def _handle_service_outputs(
+        self, replica: str, outputs: tuple[ServiceOutput, ...]
+    ) -> None:
         for output in outputs:
             if isinstance(output, LedgerReply):
                 self.network.append(output)
@@ -229,12 +239,12 @@
         refused = Unserved(reason, leader or None)
         unserved = EntryUnserved(entry.proposal_id, refused)
         outputs = self.services[replica].handle(unserved, self.now)
-        self._serve(replica, outputs)
+        self._handle_service_outputs(replica, outputs)
 
 
-def is_request(letter: Letter, kind: type) -> bool:
-    """Say whether a letter carries a command of a kind."""
-    if not isinstance(letter, SendRequest):
+def is_request(message: Message, kind: type) -> bool:
+    """Return whether a message carries a command of a kind."""
+    if not isinstance(message, SendRequest):
         return False
-    request: LedgerRequest = letter.request
+    request: LedgerRequest = message.request
     return isinstance(request.command, kind)
--- a/tests/unit/ledger/test_codec.py
+++ b/tests/unit/ledger/test_codec.py
@@ -1,4 +1,4 @@
-"""Check that other bytes than our own are refused."""
+"""Check that invalid bytes are rejected."""
 
 import msgspec
 import pytest
@@ -36,7 +36,7 @@
         msgspec.msgpack.encode((1, "x", ())),
     ],
 )
-def test_foreign_batch_is_refused(payload: bytes) -> None:
+def test_invalid_batch_is_rejected(payload: bytes) -> None:
     with pytest.raises(CodecError):
         codec.decode_batch(payload)
 
@@ -44,7 +44,7 @@
 @pytest.mark.parametrize("decode", DECODERS, ids=lambda decode: decode.__name__)
 @given(payload=strategies.binary(max_size=64))
 @settings(derandomize=True)
-def test_any_bytes_decode_or_are_refused(decode: object, payload: bytes) -> None:
+def test_any_bytes_decode_or_are_rejected(decode: object, payload: bytes) -> None:
     assert callable(decode)
     try:
         decode(payload)
@@ -54,7 +54,7 @@
 
 @given(position=strategies.integers(0, len(BATCH) - 1), bit=strategies.integers(0, 7))
 @settings(derandomize=True)
-def test_flipped_bits_decode_or_are_refused(position: int, bit: int) -> None:
+def test_flipped_bits_decode_or_are_rejected(position: int, bit: int) -> None:
     flipped = bytearray(BATCH)
     flipped[position] ^= 1 << bit
     try:
--- a/tests/unit/ledger/test_crash_points.py
+++ b/tests/unit/ledger/test_crash_points.py
@@ -1,11 +1,11 @@
-"""Check each crash between two steps of work that may not be repeated."""
+"""Check a crash between any two steps of work that must not be repeated."""
 
 import pytest
-from ledger_world import REPLICAS
-from ledger_world import Granted
-from ledger_world import LedgerWorld
-from ledger_world import Work
-from ledger_world import is_request
+from ledger_simulation import REPLICAS
+from ledger_simulation import Granted
+from ledger_simulation import LedgerSimulation
+from ledger_simulation import WorkOutcome
+from ledger_simulation import is_request
 
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
@@ -14,7 +14,7 @@
 from pimentobend_core._internal.ledger.messages import WorkState
 from pimentobend_core._internal.models.request import Ran
 
-HERE, THERE = "lahore-1", "karachi-1"
+LOCAL, REMOTE = "lahore-1", "karachi-1"
 KEY = "booking-1"
 STEPS = (
     "asked",
@@ -29,27 +29,27 @@
 )
 
 
-def _advance(world: LedgerWorld, last: str) -> None:
-    """Take one request through its steps up to the last one."""
-    world.ask(HERE, KEY)
+def _advance(simulation: LedgerSimulation, last: str) -> None:
+    """Run one request up to and including the step ``last``."""
+    simulation.ask(LOCAL, KEY)
     for step in STEPS[1 : STEPS.index(last) + 1]:
         if step.endswith("committed"):
-            world.commit(len(world.pending))
+            simulation.commit(len(simulation.pending))
         elif step == "work-sent":
-            world.runs[KEY] += 1
+            simulation.runs[KEY] += 1
         elif step == "work-answered":
-            world.runs[KEY] -= 1
-            world.work(world.granted[0], Work.RAN)
+            simulation.runs[KEY] -= 1
+            simulation.finish_work(simulation.granted[0], WorkOutcome.RAN)
         else:
-            world.deliver(0)
+            simulation.deliver(0)
 
 
-def _retry(world: LedgerWorld) -> ClaimGranted | ClaimDenied:
-    """Let the caller try again through the other region."""
-    world.settle_down()
-    ticket = world.ask(THERE, KEY)
-    world.settle_down()
-    (answer,) = world.answers[ticket]
+def _retry(simulation: LedgerSimulation) -> ClaimGranted | ClaimDenied:
+    """Let the caller retry through the other region."""
+    simulation.run_until_idle()
+    ticket = simulation.ask(REMOTE, KEY)
+    simulation.run_until_idle()
+    (answer,) = simulation.answers[ticket]
     return answer
 
 
@@ -68,18 +68,20 @@
 
 @pytest.mark.parametrize(("step", "ran", "state"), DAEMON_LOST)
 def test_daemon_lost(step: str, ran: Ran | None, state: WorkState) -> None:
-    world = LedgerWorld((HERE, THERE))
-    _advance(world, step)
-    world.network = [one for one in world.network if not is_request(one, object)]
-    world.crash(HERE)
-    answer = _retry(world)
+    simulation = LedgerSimulation((LOCAL, REMOTE))
+    _advance(simulation, step)
+    simulation.network = [
+        one for one in simulation.network if not is_request(one, object)
+    ]
+    simulation.crash(LOCAL)
+    answer = _retry(simulation)
     refused = answer.refusal.ran if isinstance(answer, ClaimDenied) else None
     assert refused is ran
-    look_up = world.look_up(THERE, KEY)
-    world.settle_down()
-    found = world.found[look_up].found
+    look_up = simulation.look_up(REMOTE, KEY)
+    simulation.run_until_idle()
+    found = simulation.found[look_up].found
     assert found is not None
-    # A claim that the retry was just granted is busy until its deadline.
+    # The retry was granted: its claim is in progress until its deadline.
     expected = WorkState.UNKNOWN if state is WorkState.CLAIMED else state
     assert found.state is expected
 
@@ -92,56 +94,56 @@
 
 @pytest.mark.parametrize(("step", "kept", "ran"), REPLICA_LOST)
 def test_two_leaders_lost(step: str, kept: int, ran: Ran) -> None:
-    """A leader is lost, then its follower; the pending entry may survive."""
-    world = LedgerWorld((HERE, THERE))
-    _advance(world, step)
+    """Two leaders are lost in turn; ``kept`` pending entries are committed."""
+    simulation = LedgerSimulation((LOCAL, REMOTE))
+    _advance(simulation, step)
     for replica in REPLICAS[1:]:
-        world.change_leader(replica, committed=kept)
-    world.settle_down()
-    if world.granted:
-        world.work(world.granted[0], Work.RAN)
-    answer = _retry(world)
+        simulation.change_leader(replica, committed=kept)
+    simulation.run_until_idle()
+    if simulation.granted:
+        simulation.finish_work(simulation.granted[0], WorkOutcome.RAN)
+    answer = _retry(simulation)
     if ran is Ran.RAN:
         assert isinstance(answer, ClaimDenied)
         assert answer.refusal.ran is Ran.RAN
     else:
-        assert world.runs[KEY] + isinstance(answer, ClaimGranted) == 1
+        assert simulation.runs[KEY] + isinstance(answer, ClaimGranted) == 1
 
 
-def _ask_without_majority(world: LedgerWorld) -> None:
-    world.has_majority = False
-    world.ask(HERE, KEY)
-    world.deliver(0)
-    world.deliver(0)
+def _ask_without_majority(simulation: LedgerSimulation) -> None:
+    simulation.has_majority = False
+    simulation.ask(LOCAL, KEY)
+    simulation.deliver(0)
+    simulation.deliver(0)
 
 
-def _ask_of_a_silent_leader(world: LedgerWorld) -> None:
-    world.ask(HERE, KEY)
-    world.network.clear()
-    world.tick(1.0)
-    world.tick(0.3)
+def _ask_unresponsive_leader(simulation: LedgerSimulation) -> None:
+    simulation.ask(LOCAL, KEY)
+    simulation.network.clear()
+    simulation.tick(1.0)
+    simulation.tick(0.3)
 
 
-def _ask_and_lose_the_answer(world: LedgerWorld) -> None:
-    world.ask(HERE, KEY)
-    world.deliver(0)
-    world.commit()
-    world.network.clear()
-    world.tick(1.0)
+def _ask_and_lose_the_answer(simulation: LedgerSimulation) -> None:
+    simulation.ask(LOCAL, KEY)
+    simulation.deliver(0)
+    simulation.commit()
+    simulation.network.clear()
+    simulation.tick(1.0)
 
 
-def _ask_and_delay_the_claim(world: LedgerWorld) -> None:
-    world.ask(HERE, KEY)
-    world.tick(1.0)
-    world.network.reverse()
+def _ask_and_delay_the_claim(simulation: LedgerSimulation) -> None:
+    simulation.ask(LOCAL, KEY)
+    simulation.tick(1.0)
+    simulation.network.reverse()
 
 
-def _ask_and_answer_past_the_deadline(world: LedgerWorld) -> None:
-    world.ask(HERE, KEY, wait_s=0.2)
-    world.deliver(0)
-    world.commit()
-    world.now += 0.2
-    world.deliver(0)
+def _ask_and_answer_past_the_deadline(simulation: LedgerSimulation) -> None:
+    simulation.ask(LOCAL, KEY, wait_s=0.2)
+    simulation.deliver(0)
+    simulation.commit()
+    simulation.now += 0.2
+    simulation.deliver(0)
 
 
 @pytest.mark.parametrize(
@@ -149,59 +151,61 @@
     [
         _ask_and_answer_past_the_deadline,
         _ask_without_majority,
-        _ask_of_a_silent_leader,
+        _ask_unresponsive_leader,
         _ask_and_lose_the_answer,
         _ask_and_delay_the_claim,
     ],
 )
-def test_not_run_is_true_and_the_key_is_free_again(fault: object) -> None:
-    world = LedgerWorld((HERE, THERE))
+def test_denied_claim_did_not_run_and_frees_its_key(fault: object) -> None:
+    simulation = LedgerSimulation((LOCAL, REMOTE))
     assert callable(fault)
-    fault(world)
-    (answer,) = world.answers[1]
+    fault(simulation)
+    (answer,) = simulation.answers[1]
     assert isinstance(answer, ClaimDenied)
     assert answer.refusal.ran is Ran.NOT_RUN
-    assert isinstance(_retry(world), ClaimGranted)
-    assert [one.daemon for one in world.granted] == [THERE]
+    assert isinstance(_retry(simulation), ClaimGranted)
+    assert [one.daemon for one in simulation.granted] == [REMOTE]
 
 
 def test_without_majority_the_next_claims_are_refused_at_once() -> None:
-    world = LedgerWorld((HERE, THERE))
-    _ask_without_majority(world)
-    world.network.clear()
-    ticket = world.ask(HERE, "booking-2")
-    assert isinstance(world.answers[ticket][0], ClaimDenied)
-    assert not any(is_request(letter, ClaimWork) for letter in world.network)
+    simulation = LedgerSimulation((LOCAL, REMOTE))
+    _ask_without_majority(simulation)
+    simulation.network.clear()
+    ticket = simulation.ask(LOCAL, "booking-2")
+    assert isinstance(simulation.answers[ticket][0], ClaimDenied)
+    assert not any(is_request(message, ClaimWork) for message in simulation.network)
 
 
 def test_settlements_wait_for_a_majority() -> None:
-    world = LedgerWorld((HERE, THERE))
-    _advance(world, "claim-answered")
-    world.has_majority = False
-    granted: Granted = world.granted[0]
-    world.work(granted, Work.RAN)
+    simulation = LedgerSimulation((LOCAL, REMOTE))
+    _advance(simulation, "claim-answered")
+    simulation.has_majority = False
+    granted: Granted = simulation.granted[0]
+    simulation.finish_work(granted, WorkOutcome.RAN)
     for _ in range(20):
-        while world.network:
-            world.deliver(0)
-        world.tick(5.0)
-    assert world.daemons[HERE].unsettled == 1
-    assert any(is_request(letter, SettleWork) for letter in world.network)
-    answer = _retry(world)
+        while simulation.network:
+            simulation.deliver(0)
+        simulation.tick(5.0)
+    assert simulation.daemons[LOCAL].unsettled == 1
+    assert any(is_request(message, SettleWork) for message in simulation.network)
+    answer = _retry(simulation)
     assert isinstance(answer, ClaimDenied)
     assert answer.refusal.ran is Ran.RAN
 
 
 def test_one_way_partition() -> None:
-    """Replies are lost: the claim stands, and nobody may run the work."""
-    world = LedgerWorld((HERE, THERE))
-    world.ask(HERE, KEY)
+    """Replies are lost: the claim is denied, and a retry is granted."""
+    simulation = LedgerSimulation((LOCAL, REMOTE))
+    simulation.ask(LOCAL, KEY)
     for _ in range(5):
-        while world.network:
-            world.deliver(0)
-            world.commit(len(world.pending))
-            world.network = [one for one in world.network if is_request(one, object)]
-        world.tick(0.3)
-    (answer,) = world.answers[1]
+        while simulation.network:
+            simulation.deliver(0)
+            simulation.commit(len(simulation.pending))
+            simulation.network = [
+                one for one in simulation.network if is_request(one, object)
+            ]
+        simulation.tick(0.3)
+    (answer,) = simulation.answers[1]
     assert isinstance(answer, ClaimDenied)
     assert answer.refusal.ran is Ran.NOT_RUN
-    assert isinstance(_retry(world), ClaimGranted)
+    assert isinstance(_retry(simulation), ClaimGranted)
--- a/tests/unit/ledger/test_state.py
+++ b/tests/unit/ledger/test_state.py
@@ -1,4 +1,4 @@
-"""Check what each order of ledger commands gives."""
+"""Check the result of each order of ledger commands."""
 
 import pytest
 
@@ -28,15 +28,15 @@
 from pimentobend_core._internal.models.request import Ran
 
 KEY = b"k" * 16
-PRINT, OTHER_PRINT = b"p" * 8, b"q" * 8
+FINGERPRINT, OTHER_FINGERPRINT = b"p" * 8, b"q" * 8
 A = ClaimId("daemon-a", 1, 5)
 B = ClaimId("daemon-b", 1, 1)
 BUSY_S = 10.0
 RAN, NOT_RUN, UNKNOWN = Ran.RAN, Ran.NOT_RUN, Ran.UNKNOWN
-LOOK = LookUpWork(KEY)
+LOOK_UP = LookUpWork(KEY)
 
 
-def _claim(claim_id: ClaimId, fingerprint: bytes = PRINT) -> ClaimWork:
+def _claim(claim_id: ClaimId, fingerprint: bytes = FINGERPRINT) -> ClaimWork:
     return ClaimWork(KEY, claim_id, fingerprint, BUSY_S)
 
 
@@ -83,7 +83,7 @@
         ),
         pytest.param(
             [_claim(A)],
-            _claim(B, OTHER_PRINT),
+            _claim(B, OTHER_FINGERPRINT),
             _refused(ClaimRefusal.KEY_REUSED),
             id="other-request",
         ),
@@ -125,41 +125,43 @@
         ),
         pytest.param(
             [_claim(A), _settle(A, RAN, 201), _settle(A, NOT_RUN)],
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.RAN, 201, "daemon-a", 0.0),
             id="release-after-ran",
         ),
         pytest.param(
             [_claim(A), _settle(A, UNKNOWN), _settle(A, NOT_RUN)],
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.UNKNOWN, 0, "daemon-a", 0.0),
             id="release-after-unknown",
         ),
         pytest.param(
             [_claim(A), _settle(A, UNKNOWN), _settle(A, RAN, 200)],
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.RAN, 200, "daemon-a", 0.0),
             id="ran-after-unknown",
         ),
         pytest.param(
             [_settle(A, RAN, 200)],
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.RAN, 200, "daemon-a", 0.0),
             id="outcome-without-claim",
         ),
         pytest.param([_claim(A)], _settle(B, RAN), Settled(B), id="not-the-holder"),
         pytest.param(
             [_claim(A), _settle(B, RAN)],
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.CLAIMED, 0, "daemon-a", 0.0),
             id="outcome-of-another-claim",
         ),
         pytest.param(
-            [], LOOK, WorkFound(WorkState.FREE, 0, "", 0.0), id="look-up-of-nothing"
+            [], LOOK_UP, WorkFound(WorkState.FREE, 0, "", 0.0), id="look-up-of-nothing"
         ),
     ],
 )
-def test_order(before: list[Command], last: Command, expected: CommandResult) -> None:
+def test_results_by_order(
+    before: list[Command], last: Command, expected: CommandResult
+) -> None:
     results = _apply([(0.0, command) for command in [*before, last]])
     assert results[-1] == expected
 
@@ -177,7 +179,7 @@
         (
             [_claim(A)],
             BUSY_S,
-            LOOK,
+            LOOK_UP,
             WorkFound(WorkState.UNKNOWN, 0, "daemon-a", BUSY_S),
         ),
         (
@@ -200,21 +202,21 @@
         ),
     ],
 )
-def test_age(
+def test_results_by_age(
     before: list[Command], elapsed_s: float, last: Command, expected: CommandResult
 ) -> None:
     steps = [(0.0, command) for command in before]
     assert _apply([*steps, (elapsed_s, last)])[-1] == expected
 
 
-def test_entries_expire_after_the_stated_age() -> None:
+def test_entries_expire() -> None:
     steps: list[tuple[float, Command]] = [(0.0, _claim(A)), (0.0, _settle(A, RAN))]
     steps += [(GENERATION_S, LookUpWork(b"x" * 16))] * 13
     assert _apply([*steps, (0.0, _claim(B))])[-1] == Claimed(B)
 
 
 @pytest.mark.parametrize("releases", [1, 8, 20])
-def test_released_claims_take_bounded_room(releases: int) -> None:
+def test_number_of_released_claims_is_bounded(releases: int) -> None:
     state = LedgerState()
     for number in range(releases):
         claim_id = ClaimId(f"daemon-{number}", 1, 1)
