Complete short notes of the replicated log and the ledger

Run: ruff format and check, mypy of core: clean; pytest tests/unit/ledger tests/unit/consensus: 196 passed.

--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -48,7 +48,7 @@
         self.append((Entry(state.term, self._term_start_index, b""),), now)
 
     @property
-    def has_committed(self) -> bool:
+    def has_committed_in_term(self) -> bool:
         """Return whether an entry of this term is committed."""
         return self._state.commit_index >= self._term_start_index
 
@@ -104,9 +104,10 @@
     def changed_members(self, change: MemberChange) -> Members | None:
         """Return the members after a change, or None if it is not allowed now.
 
-        Allowed once an entry of this term and the previous change are committed.
+        An entry of this term and the previous change must be committed, and a
+        learner must have caught up before it is promoted.
         """
-        if not self.has_committed:
+        if not self.has_committed_in_term:
             return None
         if self._state.log.members_index > self._state.commit_index:
             return None
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -70,7 +70,7 @@
         return self._state
 
     def handle(self, message: ReplicaInput, now: float) -> tuple[ReplicaOutput, ...]:
-        """Take one message at ``now`` (seconds) and return those that follow."""
+        """Handle one message at ``now`` (seconds) and return the outputs."""
         self._check_lease(now)
         committed_before = self._state.commit_index
         match message:
@@ -231,7 +231,7 @@
         if self._leader is None:
             outcome = self._not_leading_outcome()
             state.emit(ReadReady(read_id, outcome, leader_id=state.leader_id))
-        elif not self._leader.has_committed:
+        elif not self._leader.has_committed_in_term:
             state.emit(ReadReady(read_id, Outcome.NO_MAJORITY))
         else:
             self._leader.read(read_id, now)
--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -14,7 +14,7 @@
 FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
 VOTERS = 5  # a majority survives the loss of two disks
 CANDIDATE_TIMEOUT_S = 2.0  # candidates announce themselves every 0.5 s
-# A voter without replies for so long is replaced; a restart and a reconnect
+# A voter without replies for this long is replaced; a restart and a reconnect
 # take less.
 VOTER_ACK_TIMEOUT_S = 3.0
 LEARNER_ACK_TIMEOUT_S = 10.0  # a learner without replies is then removed
--- a/packages/core/src/pimentobend_core/_internal/ledger/routing.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/routing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-CLOSED_S = 0.5  # after a failure, claims are refused at once for so long
+CLOSED_S = 0.5  # after a failure, claims are refused at once for this long
 
 
 class GroupRoute:
--- a/packages/core/src/pimentobend_core/_internal/ledger/store.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/store.py
@@ -3,7 +3,7 @@
 import collections
 from typing import NamedTuple
 
-KEEP_S = 86_400.0  # an entry is kept at least so long after its last change
+KEEP_S = 86_400.0  # an entry is kept at least this long after its last change
 GENERATION_S = 7_200.0  # entries of this span expire together
 
 
