--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -39,7 +39,7 @@
 RESEND_S = 0.3  # until an unanswered command is sent again
 SETTLE_RESEND_MAX_S = 5.0  # settlements double RESEND_S up to this
 SETTLE_TIMEOUT_S = 3600.0  # a settlement is retried for this long
-REDIRECTS_MAX = 4  # to another leader, before the command fails
+REDIRECTS_MAX = 4  # to a named leader in a row, for one command
 
 # After these refusals no delayed copy of the claim can be granted.
 _FINAL_REFUSALS = (ClaimRefusal.ALREADY_RAN, ClaimRefusal.CLAIM_ENDED)
