Reword the health flow in the terms of the field

A new reader stumbled over figurative names and docstrings (an account of ejections, opinions, a roster, flights, evidence that fades, time outs that are no time limits) and over comments that were sentence fragments.

Docstrings say what happens, constants carry a unit or reason. Messages, field orders, enum values and the keys of the dumps are the same. Two CodecError texts are reworded; no test or tool matches them.

--- a/packages/core/src/pimentobend_core/_internal/health/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/health/__init__.py
@@ -1,1 +1,1 @@
-"""Detect failing backend servers and eject them above the floor."""
+"""Detect failing backend servers and eject as many as the floor allows."""
--- a/packages/core/src/pimentobend_core/_internal/health/detectors.py
+++ b/packages/core/src/pimentobend_core/_internal/health/detectors.py
@@ -1,4 +1,4 @@
-"""Turn the attempts on one backend server into scores."""
+"""Detectors that turn the attempts on one backend server into scores."""
 
 import abc
 from typing import NamedTuple
@@ -8,9 +8,10 @@
 
 
 class Sample(NamedTuple):
-    """Describe one ended attempt, freed of what is no evidence.
+    """One ended attempt that counts as evidence.
 
-    ``excess`` is the log ratio to the peers' usual latency, None if unknown.
+    ``excess`` is the log ratio of its latency to the peers' median, or None
+    if that is unknown.
     """
 
     failed: bool
@@ -18,61 +19,64 @@
 
 
 class Detector(abc.ABC):
-    """Accumulate one kind of evidence; 1 is enough to avoid the server."""
+    """Accumulate one kind of evidence against a server.
+
+    At a score of 1 (``SUSPECT_SCORE``) an observer avoids the server.
+    """
 
     reason: Reason
-    FADE_PER_S = 0.03
+    DECAY_PER_S = 0.03
 
     def __init__(self) -> None:
         self._score = 0.0
 
     @property
     def score(self) -> float:
-        """Return the evidence so far."""
+        """Return the current score, between 0 and ``SCORE_LIMIT``."""
         return self._score
 
     def add(self, sample: Sample) -> None:
-        """Take one attempt."""
+        """Update the score with one attempt."""
         score = self._score + self.step(sample)
         self._score = max(0.0, min(SCORE_LIMIT, score))
 
-    def fade(self, seconds: float) -> None:
-        """Let evidence grow old."""
-        self._score = max(0.0, self._score - self.FADE_PER_S * seconds)
+    def decay(self, seconds: float) -> None:
+        """Reduce the score for ``seconds`` of elapsed time."""
+        self._score = max(0.0, self._score - self.DECAY_PER_S * seconds)
 
     def reset(self) -> None:
-        """Forget all evidence."""
+        """Set the score to 0."""
         self._score = 0.0
 
     @abc.abstractmethod
     def step(self, sample: Sample) -> float:
-        """Return how one attempt moves the score."""
+        """Return the change of the score for one attempt."""
 
 
 class LatencyDetector(Detector):
-    """Sum how far answers lie above the peers' latency (a bounded CUSUM)."""
+    """Bounded CUSUM of the log ratios between a server's and its peers' latencies."""
 
     reason = Reason.SLOW
     ALLOWED_EXCESS = 0.9  # log ratio: 2.5 times the peers' latency
     GAIN = 0.3
-    LARGEST_STEP = 0.2  # one straggler says no more than a slow answer
-    SMALLEST_STEP = -0.3
+    MAX_STEP = 0.2  # a very slow answer counts no more than a slow one
+    MIN_STEP = -0.3
 
     def step(self, sample: Sample) -> float:
-        """Return the bounded excess over what is allowed."""
+        """Return the excess over the allowed one, scaled and bounded."""
         if sample.failed or sample.excess is None:
             return 0.0
-        beyond = sample.excess - self.ALLOWED_EXCESS
-        return max(self.SMALLEST_STEP, min(self.LARGEST_STEP, self.GAIN * beyond))
+        over_limit = sample.excess - self.ALLOWED_EXCESS
+        return max(self.MIN_STEP, min(self.MAX_STEP, self.GAIN * over_limit))
 
 
 class FailureDetector(Detector):
-    """Sum failures against successes."""
+    """Raise the score for each failure and lower it for each success."""
 
     reason = Reason.FAILING
     FAILURE_STEP = 0.3
     SUCCESS_STEP = -0.05
 
     def step(self, sample: Sample) -> float:
-        """Return the step of a failure or a success."""
+        """Return the step for a failure or a success."""
         return self.FAILURE_STEP if sample.failed else self.SUCCESS_STEP
--- a/packages/core/src/pimentobend_core/_internal/health/flights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/flights.py
@@ -1,4 +1,4 @@
-"""Follow attempts in flight, to see silence before its timeout."""
+"""Attempts in flight, tracked to detect a silent server before a timeout."""
 
 import math
 from collections.abc import Mapping
@@ -7,86 +7,89 @@
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.health.record import Overdue
 
-OVERDUE_RATIO = 8.0  # times the peers' usual latency
+OVERDUE_RATIO = 8.0  # times the peers' median latency
 OVERDUE_LEAST_S = 0.5
-STUCK_S = 1.5  # with nothing served meanwhile, not the connection's own silence
-_FORGET_S = 120.0
+# After this time without any answer from the server, an overdue attempt on a
+# reused connection counts against the server and not only the connection.
+SILENT_CONNECTION_S = 1.5
+_EXPIRY_S = 120.0
 
 
-class _Flight(NamedTuple):
+class _InFlight(NamedTuple):
     started: AttemptStarted
-    at: float
+    started_at: float
 
 
-class Flights:
-    """Own the attempts that have begun and not ended."""
+class InFlightAttempts:
+    """Track the attempts that have started and not ended."""
 
     def __init__(self) -> None:
-        self._flights: dict[int, _Flight] = {}
+        self._attempts: dict[int, _InFlight] = {}
         self._served_at: dict[str, float] = {}
 
     def start(self, started: AttemptStarted, now: float) -> None:
-        """Take an attempt that begins at ``now`` (seconds)."""
-        self._flights[started.ticket] = _Flight(started, now)
+        """Track an attempt that starts at ``now`` (seconds)."""
+        self._attempts[started.ticket] = _InFlight(started, now)
 
     def end(self, ticket: int) -> None:
-        """Forget an ended attempt."""
-        self._flights.pop(ticket, None)
+        """Stop tracking an ended attempt."""
+        self._attempts.pop(ticket, None)
 
-    def note_served(self, server_id: str, now: float) -> None:
-        """Note that a server answers on some connection."""
+    def record_served(self, server_id: str, now: float) -> None:
+        """Record that a server answered on some connection."""
         self._served_at[server_id] = now
 
-    def forget(self, server_id: str) -> None:
-        """Forget the attempts on a server that is ejected."""
-        self._flights = {
-            ticket: flight
-            for ticket, flight in self._flights.items()
-            if flight.started.server_id != server_id
+    def remove_server(self, server_id: str) -> None:
+        """Drop the attempts on a server when its evidence is discarded."""
+        self._attempts = {
+            ticket: attempt
+            for ticket, attempt in self._attempts.items()
+            if attempt.started.server_id != server_id
         }
 
     def overdue(
-        self, usual: Mapping[tuple[str, str], float | None], now: float
+        self, expected_latencies: Mapping[tuple[str, str], float | None], now: float
     ) -> Mapping[str, Overdue]:
-        """Count overdue attempts a server.
+        """Return the number of overdue attempts by server.
 
-        ``usual`` holds the log latency to expect by route and server.
+        ``expected_latencies`` maps a route and a server to the peers' median
+        log latency.
         """
-        self._expire(now)
+        self._remove_expired(now)
         counts: dict[str, Overdue] = {}
-        for started, at in self._flights.values():
-            expected = usual.get((started.route, started.server_id))
+        for started, started_at in self._attempts.values():
+            expected = expected_latencies.get((started.route, started.server_id))
             if expected is None:
                 continue
             limit_s = max(OVERDUE_LEAST_S, OVERDUE_RATIO * math.exp(expected))
-            if now - at < limit_s:
+            if now - started_at < limit_s:
                 continue
-            is_weak = started.was_reused and now - at < STUCK_S
-            if started.was_reused and self._served_since(started.server_id, at):
+            is_weak = started.was_reused and now - started_at < SILENT_CONNECTION_S
+            if started.was_reused and self._served_since(started.server_id, started_at):
                 continue
             seen = counts.get(started.server_id, Overdue(0, 0))
             counts[started.server_id] = _count(seen, is_weak)
         return counts
 
-    def pairs(self) -> frozenset[tuple[str, str]]:
+    def routes_and_servers(self) -> frozenset[tuple[str, str]]:
         """Return the routes and servers of the attempts in flight."""
         return frozenset(
-            (flight.started.route, flight.started.server_id)
-            for flight in self._flights.values()
+            (attempt.started.route, attempt.started.server_id)
+            for attempt in self._attempts.values()
         )
 
-    def _served_since(self, server_id: str, at: float) -> bool:
-        return self._served_at.get(server_id, -math.inf) > at
+    def _served_since(self, server_id: str, started_at: float) -> bool:
+        return self._served_at.get(server_id, -math.inf) > started_at
 
-    def _expire(self, now: float) -> None:
-        # An attempt whose end was never reported must not stay for good.
-        old = [
+    def _remove_expired(self, now: float) -> None:
+        # Attempts whose end was never reported must not accumulate.
+        expired = [
             ticket
-            for ticket, flight in self._flights.items()
-            if now - flight.at > _FORGET_S
+            for ticket, attempt in self._attempts.items()
+            if now - attempt.started_at > _EXPIRY_S
         ]
-        for ticket in old:
-            del self._flights[ticket]
+        for ticket in expired:
+            del self._attempts[ticket]
 
 
 def _count(seen: Overdue, is_weak: bool) -> Overdue:
--- a/packages/core/src/pimentobend_core/_internal/health/floor.py
+++ b/packages/core/src/pimentobend_core/_internal/health/floor.py
@@ -1,9 +1,8 @@
-"""Grant ejections for the whole fleet and keep every service's floor."""
+"""Floor owner: grants ejections to all observers within each service's floor."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from pimentobend_core._internal.health.account import ServiceAccount
 from pimentobend_core._internal.health.limits import LEASE_S
 from pimentobend_core._internal.health.limits import OWNER_LEASE_S
 from pimentobend_core._internal.health.limits import TAKEOVER_S
@@ -18,25 +17,27 @@
 from pimentobend_core._internal.health.messages import OwnershipLost
 from pimentobend_core._internal.health.messages import OwnershipTaken
 from pimentobend_core._internal.health.messages import ServiceServersChanged
+from pimentobend_core._internal.health.service_ejections import ServiceEjections
 from pimentobend_core._internal.pipes import StatefulFilter
 
 
 class FloorOwner(StatefulFilter[FloorInput, FloorOutput]):
-    """Own the ejections of all services during a term.
+    """Decide the ejections of all services during a term.
 
-    Grants only while a majority has lately confirmed the term, and not before
-    every lease of an earlier owner has expired.
+    Grants are sent only while a majority has confirmed the term recently
+    (``OWNER_LEASE_S``), and not before every lease of an earlier owner has
+    expired (``TAKEOVER_S``).
     """
 
     def __init__(self) -> None:
-        self._accounts: dict[str, ServiceAccount] = {}
+        self._services: dict[str, ServiceEjections] = {}
         self._floors: Mapping[str, float] = {}
         self._term: int | None = None
         self._grants_from = 0.0
         self._confirmed_at = 0.0
 
     def handle(self, message: FloorInput, now: float) -> tuple[FloorOutput, ...]:
-        """Take one message; return grants and records of ejections."""
+        """Process one message; return grants and ejection events."""
         match message:
             case OwnershipTaken():
                 self._take_over(message.term, now)
@@ -47,24 +48,24 @@
             case ConfigurePools():
                 return self._configure(message, now)
             case ServiceServersChanged():
-                return self._change_servers(message, now)
+                return self._update_servers(message, now)
             case ObserverLeft():
-                for account in self._accounts.values():
-                    account.forget_observer(message.observer)
+                for service in self._services.values():
+                    service.remove_observer(message.observer)
             case EvidenceReported():
-                return self._take_evidence(message, now)
+                return self._handle_report(message, now)
             case FloorTick():
-                return self._settle(self._accounts.values(), now)
+                return self._update(self._services.values(), now)
         return ()
 
     def dump(self) -> Mapping[str, object]:
-        """Return the term and every service's ejections."""
+        """Return the term and all services' ejections as JSON-compatible values."""
         return {
             "term": self._term,
             "grants_from": self._grants_from,
             "confirmed_at": self._confirmed_at,
             "services": {
-                service: account.dump() for service, account in self._accounts.items()
+                name: service.dump() for name, service in self._services.items()
             },
         }
 
@@ -72,8 +73,8 @@
         self._term = term
         self._grants_from = now + TAKEOVER_S
         self._confirmed_at = now
-        for account in self._accounts.values():
-            account.restart()
+        for service in self._services.values():
+            service.restart()
 
     def _confirm(self, message: OwnershipConfirmed) -> None:
         if message.term == self._term:
@@ -84,11 +85,11 @@
             return False
         return now < self._confirmed_at + OWNER_LEASE_S
 
-    def _account(self, service: str) -> ServiceAccount:
-        if service not in self._accounts:
-            floor = self._floors.get(service, 1.0)
-            self._accounts[service] = ServiceAccount(service, floor)
-        return self._accounts[service]
+    def _service(self, name: str) -> ServiceEjections:
+        if name not in self._services:
+            floor = self._floors.get(name, 1.0)
+            self._services[name] = ServiceEjections(name, floor)
+        return self._services[name]
 
     def _configure(
         self, message: ConfigurePools, now: float
@@ -97,61 +98,61 @@
         for pool in message.pools:
             floors[pool.service] = max(pool.floor, floors.get(pool.service, 0.0))
         self._floors = floors
-        for service, account in self._accounts.items():
-            account.change_floor(floors.get(service, 1.0))
-        return self._settle(self._accounts.values(), now)
+        for name, service in self._services.items():
+            service.update_floor(floors.get(name, 1.0))
+        return self._update(self._services.values(), now)
 
-    def _change_servers(
+    def _update_servers(
         self, message: ServiceServersChanged, now: float
     ) -> tuple[FloorOutput, ...]:
-        account = self._account(message.service)
-        account.change_servers(message.servers, now)
-        return self._settle([account], now)
+        service = self._service(message.service)
+        service.update_servers(message.servers, now)
+        return self._update([service], now)
 
-    def _take_evidence(
+    def _handle_report(
         self, report: EvidenceReported, now: float
     ) -> tuple[FloorOutput, ...]:
         if self._term is None:
             return ()
-        account = self._account(report.service)
-        account.take_report(report, self._term, now)
-        records = self._settle([account], now)
-        if any(isinstance(record, EjectionsGranted) for record in records):
-            return records
-        return (*records, *self._grants(account, [report], now))
-
-    def _settle(
-        self, accounts: Iterable[ServiceAccount], now: float
+        service = self._service(report.service)
+        service.add_report(report, self._term, now)
+        outputs = self._update([service], now)
+        if any(isinstance(output, EjectionsGranted) for output in outputs):
+            return outputs
+        return (*outputs, *self._grants(service, [report], now))
+
+    def _update(
+        self, services: Iterable[ServiceEjections], now: float
     ) -> tuple[FloorOutput, ...]:
         if not self._may_grant(now):
             return ()
         outputs: list[FloorOutput] = []
-        for account in accounts:
-            before = account.sequence
-            outputs.extend(account.settle(now))
-            should_solicit = account.should_solicit(now)
-            if account.sequence != before or should_solicit:
-                reports = account.reports(now)
-                outputs.extend(self._grants(account, reports, now, should_solicit))
+        for service in services:
+            before = service.sequence
+            outputs.extend(service.update(now))
+            should_solicit = service.should_solicit(now)
+            if service.sequence != before or should_solicit:
+                reports = service.reports(now)
+                outputs.extend(self._grants(service, reports, now, should_solicit))
         return tuple(outputs)
 
     def _grants(
         self,
-        account: ServiceAccount,
+        service: ServiceEjections,
         reports: Iterable[EvidenceReported],
         now: float,
         should_solicit: bool = False,
     ) -> tuple[FloorOutput, ...]:
         if self._term is None or not self._may_grant(now):
             return ()
-        ejections = account.lease(now)
+        ejections = service.lease(now)
         return tuple(
             EjectionsGranted(
                 report.pool,
                 report.service,
                 report.observer,
                 self._term,
-                account.sequence,
+                service.sequence,
                 report.asked_at,
                 LEASE_S,
                 ejections,
--- a/packages/core/src/pimentobend_core/_internal/health/latency.py
+++ b/packages/core/src/pimentobend_core/_internal/health/latency.py
@@ -1,4 +1,4 @@
-"""Follow the usual latency of each route on each backend server."""
+"""Typical latencies of each route on each backend server."""
 
 import math
 import statistics
@@ -8,10 +8,12 @@
 from pimentobend_core._internal.models.request import LoadReport
 from pimentobend_core._internal.models.server import Server
 
-_SMALLEST_S = 0.0005
-_FIRST_STEP = 0.5  # in the logarithm of seconds
-_LAST_STEP = 0.08
-_LARGEST_QUEUE = 3.0  # requests a slot; a server that lies excuses no more
+_MIN_LATENCY_S = 0.0005
+# Bounds of the estimate's change per sample, in the logarithm of seconds.
+_INITIAL_STEP = 0.5  # divided by the number of samples so far
+_MIN_STEP = 0.08
+# Requests per slot. Bounds the latency that a wrong load report can excuse.
+_MAX_QUEUE_RATIO = 3.0
 
 
 class MedianTracker:
@@ -27,43 +29,51 @@
         return self._value
 
     def add(self, sample: float) -> None:
-        """Move towards one sample."""
+        """Move the estimate towards ``sample`` by a bounded step."""
         self._count += 1
         if self._count == 1:
             self._value = sample
             return
-        step = max(_FIRST_STEP / self._count, _LAST_STEP)
+        step = max(_INITIAL_STEP / self._count, _MIN_STEP)
         self._value += max(-step, min(step, sample - self._value))
 
 
 class RouteLatency:
-    """Compare one route's latencies between servers."""
+    """Compare the latencies of one route between servers.
 
-    MINIMUM_MEMORY_S = 30.0
+    The extra network latency to farther regions is subtracted. It is estimated
+    from the smallest latency seen recently in each region.
+    """
+
+    MINIMUM_WINDOW_S = 30.0  # a minimum is kept for one to two windows
 
     def __init__(self) -> None:
         self._medians: dict[str, MedianTracker] = {}
         self._minima: dict[str, tuple[float, float, float]] = {}
 
     def add(self, server: Server, latency_s: float, now: float) -> None:
-        """Take one answer's latency in seconds."""
-        self._add_minimum(server.region, latency_s, now)
+        """Record the latency of one answer in seconds."""
+        self._update_minimum(server.region, latency_s, now)
         tracker = self._medians.setdefault(server.server_id, MedianTracker())
-        tracker.add(self._log(server.region, latency_s))
+        tracker.add(self._log_latency(server.region, latency_s))
 
     def excess(self, server: Server, ended: AttemptEnded) -> float | None:
-        """Return the log ratio to the median of the peers, if there are any.
+        """Return the log ratio of a latency to the peers' median, None without peers.
 
-        A server that states a queue is allowed the time to work it off.
+        If the server's load report shows a queue, the expected latency is
+        raised accordingly.
         """
-        usual = self.usual(server.server_id)
-        if usual is None:
+        peer_median = self.peer_median(server.server_id)
+        if peer_median is None:
             return None
-        expected = usual + _queue_allowance(ended.load)
-        return self._log(server.region, ended.latency_s) - expected
+        expected = peer_median + _queue_allowance(ended.load)
+        return self._log_latency(server.region, ended.latency_s) - expected
+
+    def peer_median(self, server_id: str) -> float | None:
+        """Return the median of the peers' medians as the logarithm of seconds.
 
-    def usual(self, server_id: str) -> float | None:
-        """Return the median of the peers' medians as the logarithm of seconds."""
+        None if no peer has answered on this route.
+        """
         peers = [
             tracker.value
             for peer_id, tracker in self._medians.items()
@@ -71,34 +81,34 @@
         ]
         return statistics.median(peers) if peers else None
 
-    def path_s(self, region: str) -> float:
-        """Return the seconds that the path to a region adds to the nearest one's."""
+    def extra_path_s(self, region: str) -> float:
+        """Return the extra seconds to a region compared with the nearest one."""
         if region not in self._minima:
             return 0.0
         nearest = min(min(entry[:2]) for entry in self._minima.values())
         return min(self._minima[region][:2]) - nearest
 
-    def keep(self, servers: Mapping[str, Server]) -> None:
-        """Forget servers that are gone."""
+    def retain(self, servers: Mapping[str, Server]) -> None:
+        """Drop the medians of servers that are not in ``servers``."""
         for server_id in [each for each in self._medians if each not in servers]:
             del self._medians[server_id]
 
-    def forget(self, server_id: str) -> None:
-        """Forget what an earlier start of a server showed."""
+    def remove(self, server_id: str) -> None:
+        """Drop the median of a server, as it restarted."""
         self._medians.pop(server_id, None)
 
-    def _log(self, region: str, latency_s: float) -> float:
-        return math.log(max(latency_s - self.path_s(region), _SMALLEST_S))
+    def _log_latency(self, region: str, latency_s: float) -> float:
+        return math.log(max(latency_s - self.extra_path_s(region), _MIN_LATENCY_S))
 
-    def _add_minimum(self, region: str, latency_s: float, now: float) -> None:
-        older, newer, began = self._minima.get(region, (latency_s, latency_s, now))
-        if now - began > self.MINIMUM_MEMORY_S:
-            older, newer, began = newer, latency_s, now
-        self._minima[region] = (older, min(newer, latency_s), began)
+    def _update_minimum(self, region: str, latency_s: float, now: float) -> None:
+        older, newer, started_at = self._minima.get(region, (latency_s, latency_s, now))
+        if now - started_at > self.MINIMUM_WINDOW_S:
+            older, newer, started_at = newer, latency_s, now
+        self._minima[region] = (older, min(newer, latency_s), started_at)
 
 
 def _queue_allowance(load: LoadReport | None) -> float:
     if load is None or load.slots <= 0:
         return 0.0
     ratio = load.in_use / load.slots
-    return math.log(max(1.0, min(_LARGEST_QUEUE, ratio)))
+    return math.log(max(1.0, min(_MAX_QUEUE_RATIO, ratio)))
--- a/packages/core/src/pimentobend_core/_internal/health/leases.py
+++ b/packages/core/src/pimentobend_core/_internal/health/leases.py
@@ -1,4 +1,4 @@
-"""Hold the ejections leased to one observer."""
+"""Ejections leased to one observer."""
 
 from collections import deque
 
@@ -8,15 +8,15 @@
 
 
 class LeasedEjections:
-    """Own the newest grant and its lease.
+    """Apply grants from the floor owner until their leases expire.
 
-    A lease runs from the moment of the report that it answers, so a delayed
-    grant is shorter and never longer. Only reports of this process count: a
-    restart resets its clock.
+    A lease starts at the time of the report that the grant answers, so a
+    delayed grant only shortens it. A grant that answers no report of this
+    process is rejected, since a restart resets the clock.
     """
 
     def __init__(self) -> None:
-        self._asked: deque[float] = deque()
+        self._report_times: deque[float] = deque()
         self._grant: EjectionsGranted | None = None
         self._expires_at = 0.0
 
@@ -35,23 +35,23 @@
         """Return the end of the lease in seconds of the observer's clock."""
         return self._expires_at
 
-    def ask(self, now: float) -> None:
-        """Remember a report that a grant may answer."""
-        self._asked.append(now)
-        while now - self._asked[0] > LEASE_S:
-            self._asked.popleft()
+    def record_report(self, now: float) -> None:
+        """Record the time of a report that a grant may answer."""
+        self._report_times.append(now)
+        while now - self._report_times[0] > LEASE_S:
+            self._report_times.popleft()
 
     def accept(self, grant: EjectionsGranted, now: float) -> bool:
         """Apply a grant unless it is older than the one in force."""
-        if grant.asked_at not in self._asked:
+        if grant.asked_at not in self._report_times:
             return False
         expires_at = grant.asked_at + min(grant.lease_s, LEASE_S)
         if now >= expires_at:
             return False
-        number = (grant.term, grant.sequence)
-        if number < (self.term, self.sequence):
+        version = (grant.term, grant.sequence)
+        if version < (self.term, self.sequence):
             return False
-        if number == (self.term, self.sequence):
+        if version == (self.term, self.sequence):
             expires_at = max(expires_at, self._expires_at)
         self._grant = grant
         self._expires_at = expires_at
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages of the health flow."""
+"""Messages between observers, the floor owner and the processes around them."""
 
 import enum
 from typing import NamedTuple
@@ -12,7 +12,7 @@
 
 
 class Reason(enum.Enum):
-    """Name what the evidence against a backend server consists of."""
+    """The main kind of evidence against a backend server."""
 
     SLOW = "slow"
     FAILING = "failing"
@@ -20,33 +20,33 @@
 
 
 class HealthTick(NamedTuple):
-    """Let scores fade, ramps rise and leases expire."""
+    """Make an observer decay scores, raise returning weights and expire leases."""
 
 
 class AttemptStarted(NamedTuple):
-    """Report an attempt in flight, so that silence shows before its timeout."""
+    """An attempt started; lets an observer detect silence before the timeout."""
 
     ticket: int
     route: str
     server_id: str
-    was_reused: bool  # the connection had served before
+    was_reused: bool  # the connection had already served a request
 
 
 class ServerEvidence(NamedTuple):
-    """Carry one observer's score of a server; 1 is enough to avoid it locally."""
+    """One observer's score of a server; from 1 on the observer avoids it."""
 
     server_id: str
     incarnation: int
     score: float  # relative to the server's peers, 0 to SCORE_LIMIT
-    age_s: float  # since an attempt last showed anything
+    age_s: float  # since the last attempt that gave evidence
     reason: Reason
 
 
 class EvidenceReported(NamedTuple):
-    """Report what an observer saw lately; renew its ejections.
+    """An observer's recent evidence and its request to renew its ejections.
 
-    ``asked_at`` is in seconds of the observer's clock and comes back in the
-    grant, ``term`` and ``sequence`` name the last grant that it applied.
+    ``asked_at`` is in seconds of the observer's clock and is returned in the
+    grant. ``term`` and ``sequence`` identify the last grant that it applied.
     """
 
     pool: str
@@ -59,7 +59,7 @@
 
 
 class Ejection(NamedTuple):
-    """Take one start of a server out of use."""
+    """Take one incarnation of a server out of use."""
 
     server_id: str
     incarnation: int
@@ -67,7 +67,7 @@
 
 
 class EjectionsGranted(NamedTuple):
-    """Lease a service's whole list of ejections to one observer.
+    """Lease the complete list of a service's ejections to one observer.
 
     The lease runs ``lease_s`` seconds from ``asked_at`` on the observer's
     clock. The oldest ejection comes first.
@@ -81,51 +81,51 @@
     asked_at: float
     lease_s: float
     ejections: tuple[Ejection, ...]
-    report_now: bool  # the owner weighs a suspicion
+    report_now: bool  # the owner needs current evidence on a suspect server
 
 
 class OwnershipTaken(NamedTuple):
-    """Make this process the owner of the floor in a new term."""
+    """This process became the floor owner in a new term."""
 
     term: int
 
 
 class OwnershipConfirmed(NamedTuple):
-    """Confirm the term by a majority round that began at ``confirmed_at`` (s)."""
+    """A majority confirmed the term in a round that began at ``confirmed_at`` (s)."""
 
     term: int
     confirmed_at: float
 
 
 class OwnershipLost(NamedTuple):
-    """Stop granting."""
+    """This process is no longer the floor owner and must stop granting."""
 
 
 class ConfigurePools(NamedTuple):
-    """Put a version of all pools in force."""
+    """Replace the configuration of all pools."""
 
     pools: tuple[Pool, ...]
 
 
 class ServiceServersChanged(NamedTuple):
-    """Give a service's whole list of live backend servers."""
+    """Replace a service's list of live backend servers."""
 
     service: str
     servers: tuple[Server, ...]
 
 
 class ObserverLeft(NamedTuple):
-    """Forget a daemon that withdrew."""
+    """A daemon left on purpose; it must not count as cut off."""
 
     observer: str
 
 
 class FloorTick(NamedTuple):
-    """Let ejections end and evidence settle."""
+    """Make the floor owner end ejections that are over and start agreed ones."""
 
 
 class EjectionStarted(NamedTuple):
-    """Record an ejection for logs and metrics; the time out is in seconds."""
+    """An ejection started (for logs and metrics); it lasts ``timeout_s`` seconds."""
 
     service: str
     ejection: Ejection
@@ -134,14 +134,18 @@
 
 
 class EjectionEnded(NamedTuple):
-    """Record the end of an ejection for logs and metrics."""
+    """An ejection ended (for logs and metrics)."""
 
     service: str
     server_id: str
 
 
 class EjectionWithheld(NamedTuple):
-    """Record that the floor or a common cause forbids an ejection."""
+    """An agreed ejection was withheld (for logs and metrics).
+
+    Either the floor does not allow it, or so many servers are suspect that
+    the cause is probably common to all.
+    """
 
     service: str
     server_id: str
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -1,4 +1,4 @@
-"""Keep one observer's evidence on one backend server."""
+"""One observer's evidence against one backend server."""
 
 import enum
 from typing import NamedTuple
@@ -17,130 +17,134 @@
 
 
 class Verdict(enum.Enum):
-    """Name what an ended attempt says about its server."""
+    """What an ended attempt shows about its server."""
 
     SERVED = "served"
     FAILED = "failed"
-    NOTHING = "nothing"
+    NO_EVIDENCE = "nothing"
 
 
 class Overdue(NamedTuple):
-    """Count the attempts in flight that should have been answered."""
+    """The numbers of overdue attempts in flight on one server."""
 
-    weak: int  # it may be the connection that is silent
-    strong: int
+    weak: int  # on a reused connection, which may itself be dead
+    strong: int  # on a new connection, or overdue for longer
 
 
 class ServerRecord:
-    """Own the evidence on one start of a server."""
-
-    COLD_S = 20.0
-    RECENT_S = 5.0
-    FRESH_FAILURE_S = 5.0
-    WEAK_SCORE = 0.14  # below a vote
-    STRONG_STEP = 0.25
-    STUCK_STEP = 0.15  # a refusal while attempts hang and none is served
-    STUCK_S = 1.0
-    SILENCE_LIMIT = 1.5
-
-    def __init__(self, server: Server, cold_until: float, now: float) -> None:
+    """Collect the evidence against one incarnation of a server."""
+
+    WARM_UP_S = 20.0  # after a start; latency is no evidence meanwhile
+    RECENT_EVIDENCE_S = 5.0
+    # How long a failure on a new connection makes failures on reused ones count.
+    NEW_CONNECTION_FAILURE_S = 5.0
+    WEAK_OVERDUE_SCORE = 0.14  # just below BAD_SCORE, so that it is no vote
+    STRONG_OVERDUE_STEP = 0.25  # for each strong overdue attempt
+    HANGING_REFUSAL_STEP = 0.15  # a refusal while attempts hang and none is served
+    HANGING_AFTER_S = 1.0  # since the last served attempt
+    MAX_OVERDUE_SCORE = 1.5
+
+    def __init__(self, server: Server, warm_up_until: float, now: float) -> None:
         self.server = server
-        self._cold_until = cold_until
+        self._warm_up_until = warm_up_until
         self._detectors: tuple[Detector, ...] = (LatencyDetector(), FailureDetector())
-        self._silence = 0.0
-        self._stuck = 0
+        self._overdue_score = 0.0
+        self._refusals_while_hanging = 0
         self._served_at = now
-        self._sampled_at = -self.RECENT_S
-        self._fresh_failed_at: float | None = None
-        self._faded_at = now
+        self._sampled_at = -self.RECENT_EVIDENCE_S
+        self._new_connection_failed_at: float | None = None
+        self._decayed_at = now
 
     @property
     def score(self) -> float:
-        """Return the evidence, not yet compared with the peers'."""
+        """Return the absolute score, not yet relative to the peers' scores."""
         counted = max(detector.score for detector in self._detectors)
-        return min(SCORE_LIMIT, counted + self._silence)
+        return min(SCORE_LIMIT, counted + self._overdue_score)
 
     @property
     def reason(self) -> Reason:
-        """Return what most of the evidence consists of."""
+        """Return the kind of evidence with the highest score."""
         strongest = max(self._detectors, key=lambda detector: detector.score)
-        if self._silence > strongest.score:
+        if self._overdue_score > strongest.score:
             return Reason.SILENT
         return strongest.reason
 
-    def is_cold(self, now: float) -> bool:
-        """Say whether the server started lately; it may be slow."""
-        return now < self._cold_until
+    def is_warming_up(self, now: float) -> bool:
+        """Return whether the server started recently and may still be slow."""
+        return now < self._warm_up_until
 
-    def is_recent(self, now: float) -> bool:
-        """Say whether attempts showed anything of late."""
-        return self.age_s(now) < self.RECENT_S
+    def has_recent_evidence(self, now: float) -> bool:
+        """Return whether attempts gave evidence within ``RECENT_EVIDENCE_S``."""
+        return self.evidence_age_s(now) < self.RECENT_EVIDENCE_S
 
-    def age_s(self, now: float) -> float:
-        """Return the seconds since attempts last showed anything."""
-        return 0.0 if self._silence > 0 else now - self._sampled_at
+    def evidence_age_s(self, now: float) -> float:
+        """Return the seconds since the last evidence, 0 while attempts are overdue."""
+        return 0.0 if self._overdue_score > 0 else now - self._sampled_at
 
-    def judge(self, ended: AttemptEnded, now: float) -> Verdict:
-        """Say what an ended attempt shows."""
+    def classify(self, ended: AttemptEnded, now: float) -> Verdict:
+        """Classify an ended attempt as served, failed or no evidence."""
         match ended.kind:
             case AttemptKind.ANSWERED:
                 failed = ended.status in _FAILURE_STATUSES
                 return Verdict.FAILED if failed else Verdict.SERVED
             case AttemptKind.REFUSED | AttemptKind.CANCELLED:
-                return Verdict.NOTHING
+                return Verdict.NO_EVIDENCE
             case AttemptKind.NO_ANSWER if ended.was_reused:
-                return self._judge_reused(now)
+                return self._classify_reused(now)
         return Verdict.FAILED
 
     def add(self, ended: AttemptEnded, excess: float | None, now: float) -> None:
-        """Take an ended attempt and its log ratio to the peers' latency."""
-        verdict = self.judge(ended, now)
+        """Add an ended attempt; ``excess`` is its log ratio to the peers' latency."""
+        verdict = self.classify(ended, now)
         if ended.kind is AttemptKind.REFUSED:
-            self._note_refusal(now)
-        if verdict is Verdict.NOTHING:
+            self._count_refusal(now)
+        if verdict is Verdict.NO_EVIDENCE:
             return
         failed = verdict is Verdict.FAILED
         if not ended.was_reused:
-            self._fresh_failed_at = now if failed else None
+            self._new_connection_failed_at = now if failed else None
         self._sampled_at = now
         if not failed:
             self._served_at = now
-            self._stuck = 0
-        sample = Sample(failed, None if self.is_cold(now) else excess)
+            self._refusals_while_hanging = 0
+        sample = Sample(failed, None if self.is_warming_up(now) else excess)
         for detector in self._detectors:
             detector.add(sample)
 
-    def note_silence(self, overdue: Overdue) -> None:
-        """Take the attempts in flight that should have been answered."""
-        silence = self.STRONG_STEP * overdue.strong
+    def update_overdue(self, overdue: Overdue) -> None:
+        """Set the score of the attempts that are overdue now."""
+        score = self.STRONG_OVERDUE_STEP * overdue.strong
         if overdue.weak:
-            silence += self.WEAK_SCORE
-        if not silence:
-            self._stuck = 0
-        silence += self.STUCK_STEP * self._stuck
-        self._silence = min(self.SILENCE_LIMIT, silence)
-
-    def fade(self, now: float) -> None:
-        """Let evidence grow old."""
+            score += self.WEAK_OVERDUE_SCORE
+        if not score:
+            self._refusals_while_hanging = 0
+        score += self.HANGING_REFUSAL_STEP * self._refusals_while_hanging
+        self._overdue_score = min(self.MAX_OVERDUE_SCORE, score)
+
+    def decay(self, now: float) -> None:
+        """Reduce the detectors' scores by the time since the last call."""
         for detector in self._detectors:
-            detector.fade(now - self._faded_at)
-        self._faded_at = now
+            detector.decay(now - self._decayed_at)
+        self._decayed_at = now
 
     def reset(self) -> None:
-        """Forget the evidence, as a returning server starts anew."""
+        """Discard the evidence when the server is ejected or returns."""
         for detector in self._detectors:
             detector.reset()
-        self._silence = 0.0
-        self._stuck = 0
-
-    def _note_refusal(self, now: float) -> None:
-        # A server that sheds load goes on serving what it took before.
-        if self._silence > 0 and now - self._served_at > self.STUCK_S:
-            self._stuck += 1
-
-    def _judge_reused(self, now: float) -> Verdict:
-        if self._fresh_failed_at is None:
-            return Verdict.NOTHING
-        if now - self._fresh_failed_at > self.FRESH_FAILURE_S:
-            return Verdict.NOTHING
+        self._overdue_score = 0.0
+        self._refusals_while_hanging = 0
+
+    def _count_refusal(self, now: float) -> None:
+        # A server that merely sheds load still completes the requests that it
+        # accepted; one that completes none is hanging.
+        if self._overdue_score > 0 and now - self._served_at > self.HANGING_AFTER_S:
+            self._refusals_while_hanging += 1
+
+    def _classify_reused(self, now: float) -> Verdict:
+        # A silent reused connection may be dead while the server is healthy. It
+        # counts only if a new connection failed recently as well.
+        if self._new_connection_failed_at is None:
+            return Verdict.NO_EVIDENCE
+        if now - self._new_connection_failed_at > self.NEW_CONNECTION_FAILURE_S:
+            return Verdict.NO_EVIDENCE
         return Verdict.FAILED
--- a/packages/core/src/pimentobend_core/_internal/health/ticks.py
+++ b/packages/core/src/pimentobend_core/_internal/health/ticks.py
@@ -1,4 +1,4 @@
-"""Share a bounded number of ticks between the health tasks of many pools."""
+"""Distribution of a bounded number of ticks to the health tasks of many pools."""
 
 from collections.abc import Collection
 from collections.abc import Sequence
@@ -7,20 +7,20 @@
 
 
 class TickRounds:
-    """Give urgent pools a tick in each round, and the others one in turn."""
+    """Tick urgent pools in every round and the others in turn (round-robin)."""
 
     def __init__(self, ticks_a_round: int = TICKS_A_ROUND) -> None:
         self._ticks_a_round = ticks_a_round
-        self._turn = 0
+        self._position = 0
 
     def next_round(
         self, pools: Sequence[str], urgent: Collection[str]
     ) -> tuple[str, ...]:
-        """Return the pools that are due; urgent ones whatever their number."""
-        calm = [pool for pool in pools if pool not in urgent]
+        """Return the pools to tick; all urgent ones, even beyond the limit."""
+        other = [pool for pool in pools if pool not in urgent]
         chosen = [pool for pool in pools if pool in urgent]
-        spare = min(len(calm), max(1, self._ticks_a_round - len(chosen)))
+        spare = min(len(other), max(1, self._ticks_a_round - len(chosen)))
         for _ in range(spare):
-            self._turn = (self._turn + 1) % len(calm)
-            chosen.append(calm[self._turn])
+            self._position = (self._position + 1) % len(other)
+            chosen.append(other[self._position])
         return tuple(chosen)
--- a/packages/core/src/pimentobend_core/_internal/health/weights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/weights.py
@@ -1,4 +1,4 @@
-"""Work out the weights of servers that are not wholly healthy."""
+"""Weights of servers that are not fully healthy."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -6,31 +6,36 @@
 
 AVOIDED_WEIGHT = 0.1
 RAMP_FIRST_WEIGHT = 0.1
-RAMP_S = 15.0
-_STEPS = 20  # weights change in steps of 1/20
+RAMP_S = 15.0  # from RAMP_FIRST_WEIGHT to the full weight
+_STEPS_PER_UNIT = 20  # weights on the ramp change in steps of 1/20
 
 
-class Loss(NamedTuple):
-    """Take a share of a server's traffic away, the weightiest cause first."""
+class WeightReduction(NamedTuple):
+    """A requested reduction of a server's weight to ``weight``."""
 
     server_id: str
     weight: float
 
 
 def ramp_weight(since_s: float) -> float:
-    """Return the weight ``since_s`` seconds after a server's return."""
+    """Return a server's weight ``since_s`` seconds after its return."""
     share = RAMP_FIRST_WEIGHT + (1 - RAMP_FIRST_WEIGHT) * since_s / RAMP_S
-    return min(1.0, int(share * _STEPS) / _STEPS)
+    return min(1.0, int(share * _STEPS_PER_UNIT) / _STEPS_PER_UNIT)
 
 
-def bounded_weights(losses: Iterable[Loss], allowance: float) -> Mapping[str, float]:
-    """Grant losses in their order until ``allowance`` (servers) is used up."""
+def bounded_weights(
+    reductions: Iterable[WeightReduction], spare_servers: float
+) -> Mapping[str, float]:
+    """Apply reductions in order until they add up to ``spare_servers``.
+
+    The last one may be applied in part. Only the first one of each server counts.
+    """
     weights: dict[str, float] = {}
-    for loss in losses:
-        if loss.server_id in weights:
+    for reduction in reductions:
+        if reduction.server_id in weights:
             continue
-        taken = min(1 - loss.weight, max(0.0, allowance))
-        allowance -= taken
-        if taken > 0:
-            weights[loss.server_id] = 1 - taken
+        reduced = min(1 - reduction.weight, max(0.0, spare_servers))
+        spare_servers -= reduced
+        if reduced > 0:
+            weights[reduction.server_id] = 1 - reduced
     return weights
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -1,4 +1,4 @@
-"""Encode the messages between observers and the floor's owner."""
+"""Encoding of the messages between observers and the floor owner."""
 
 import zlib
 from typing import TypeVar
@@ -19,22 +19,22 @@
 
 
 def encode_reports(reports: tuple[EvidenceReported, ...]) -> bytes:
-    """Encode reports of one observer."""
+    """Encode the reports of one observer as compressed MessagePack."""
     return zlib.compress(_ENCODER.encode(reports), 1)
 
 
 def encode_grants(grants: tuple[EjectionsGranted, ...]) -> bytes:
-    """Encode grants to one observer."""
+    """Encode the grants to one observer as compressed MessagePack."""
     return zlib.compress(_ENCODER.encode(grants), 1)
 
 
 def decode_reports(payload: bytes) -> tuple[EvidenceReported, ...]:
-    """Decode reports; raise CodecError for other bytes."""
+    """Decode reports; raise CodecError if ``payload`` is invalid."""
     return _decode(_REPORTS_DECODER, payload)
 
 
 def decode_grants(payload: bytes) -> tuple[EjectionsGranted, ...]:
-    """Decode grants; raise CodecError for other bytes."""
+    """Decode grants; raise CodecError if ``payload`` is invalid."""
     return _decode(_GRANTS_DECODER, payload)
 
 
@@ -43,7 +43,7 @@
     try:
         body = inflater.decompress(payload, BATCH_BYTES_MAX)
         if not inflater.eof:
-            raise CodecError("health messages are too large or cut")
+            raise CodecError("health messages are too large or truncated")
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
-        raise CodecError("health messages do not decode") from error
+        raise CodecError("health messages cannot be decoded") from error
--- a/tests/unit/health/test_capacity.py
+++ b/tests/unit/health/test_capacity.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from pimentobend_core._internal.health.capacity import ServiceSize
+from pimentobend_core._internal.health.capacity import PeakServerCount
 from pimentobend_core._internal.health.capacity import required_servers
-from pimentobend_core._internal.health.weights import Loss
+from pimentobend_core._internal.health.weights import WeightReduction
 from pimentobend_core._internal.health.weights import bounded_weights
 from pimentobend_core._internal.health.weights import ramp_weight
 
@@ -27,7 +27,7 @@
 
 
 @pytest.mark.parametrize(
-    ("observed", "now", "largest"),
+    ("observed", "now", "peak"),
     [
         ([], 0.0, 0),
         ([(8, 0.0)], 10_000.0, 8),
@@ -38,31 +38,33 @@
         ([(8, 0.0), (5, 100.0), (8, 200.0)], 5000.0, 8),
     ],
 )
-def test_service_size(
-    observed: list[tuple[int, float]], now: float, largest: int
-) -> None:
-    size = ServiceSize()
+def test_service_size(observed: list[tuple[int, float]], now: float, peak: int) -> None:
+    size = PeakServerCount()
     for count, at in observed:
         size.observe(count, at)
-    assert size.largest(now) == largest
+    assert size.peak(now) == peak
 
 
 @pytest.mark.parametrize(
-    ("losses", "allowance", "weights"),
+    ("reductions", "spare_servers", "weights"),
     [
         ([], 4.0, {}),
-        ([Loss("1", 0.0)], 4.0, {"1": 0.0}),
-        ([Loss("1", 0.0), Loss("2", 0.0)], 1.0, {"1": 0.0}),
-        ([Loss("1", 0.0), Loss("2", 0.0)], 1.5, {"1": 0.0, "2": 0.5}),
-        ([Loss("1", 0.0), Loss("1", 0.5)], 2.0, {"1": 0.0}),
-        ([Loss("1", 0.0)], 0.0, {}),
-        ([Loss("1", 0.0)], -2.0, {}),
+        ([WeightReduction("1", 0.0)], 4.0, {"1": 0.0}),
+        ([WeightReduction("1", 0.0), WeightReduction("2", 0.0)], 1.0, {"1": 0.0}),
+        (
+            [WeightReduction("1", 0.0), WeightReduction("2", 0.0)],
+            1.5,
+            {"1": 0.0, "2": 0.5},
+        ),
+        ([WeightReduction("1", 0.0), WeightReduction("1", 0.5)], 2.0, {"1": 0.0}),
+        ([WeightReduction("1", 0.0)], 0.0, {}),
+        ([WeightReduction("1", 0.0)], -2.0, {}),
     ],
 )
 def test_bounded_weights(
-    losses: list[Loss], allowance: float, weights: dict[str, float]
+    reductions: list[WeightReduction], spare_servers: float, weights: dict[str, float]
 ) -> None:
-    assert bounded_weights(losses, allowance) == weights
+    assert bounded_weights(reductions, spare_servers) == weights
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/health/test_detectors.py
+++ b/tests/unit/health/test_detectors.py
@@ -58,5 +58,5 @@
     for sample in [STRAGGLER, FAILED] * 100:
         detector.add(sample)
     assert detector.score == SCORE_LIMIT
-    detector.fade(1000.0)
+    detector.decay(1000.0)
     assert detector.score == 0.0
--- a/tests/unit/health/test_floor.py
+++ b/tests/unit/health/test_floor.py
@@ -6,6 +6,7 @@
 from health_samples import make_server
 from health_samples import make_servers
 
+from pimentobend_core._internal.health.backoff import EjectionBackoff
 from pimentobend_core._internal.health.floor import FloorOwner
 from pimentobend_core._internal.health.limits import HOLD_S
 from pimentobend_core._internal.health.limits import LEASE_S
@@ -22,7 +23,6 @@
 from pimentobend_core._internal.health.messages import OwnershipLost
 from pimentobend_core._internal.health.messages import OwnershipTaken
 from pimentobend_core._internal.health.messages import ServiceServersChanged
-from pimentobend_core._internal.health.timeouts import Timeouts
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
@@ -151,7 +151,7 @@
     owner.tell(ConfigurePools((POOL._replace(floor=0.875),)))
     owner.report(_views(2, 0, (3,)))
     assert owner.ejected == {"3"}
-    owner.report({"bad0": {}, "bad1": {}}, Timeouts.FIRST_S)
+    owner.report({"bad0": {}, "bad1": {}}, EjectionBackoff.BASE_S)
     assert owner.ejected == set()
     ended_at = owner.now
     while owner.now < ended_at + waited_s:
@@ -249,8 +249,8 @@
     ("calm_s", "timeout_s"), [(10.0, 40.0), (300.0, 20.0), (700.0, 10.0)]
 )
 def test_calm_forgives(calm_s: float, timeout_s: float) -> None:
-    timeouts = Timeouts()
-    timeouts.begin("3", 0.0)
-    timeouts.begin("3", 20.0)
-    timeouts.note_return("3", 40.0)
-    assert timeouts.begin("3", 40.0 + calm_s) == timeout_s
+    backoff = EjectionBackoff()
+    backoff.start_ejection("3", 0.0)
+    backoff.start_ejection("3", 20.0)
+    backoff.record_return("3", 40.0)
+    assert backoff.start_ejection("3", 40.0 + calm_s) == timeout_s
