--- a/tests/scenarios/test_scenarios.py
+++ b/tests/scenarios/test_scenarios.py
@@ -1,4 +1,4 @@
-"""Run every scenario beside this file."""
+"""Run every scenario file of this folder on simulated time."""
 
 import pathlib
 
