Reword the scenario runner in plain terms

Docstrings such as "Look at the world" and "Hold at no moment" did not say what is checked. Expectations are now checked, violated or unmet. The texts of the runner's own messages change with it: "never met" for an expectation that did not occur, "unknown server action", and the usage words of server and disturb. The language and the texts that tests match are the same.

--- a/tests/lib/scenario/actions.py
+++ b/tests/lib/scenario/actions.py
@@ -1,4 +1,4 @@
-"""Define what may happen in a scenario."""
+"""Actions of the scenario language (``at <time> <action>``)."""
 
 import abc
 from collections.abc import Callable
@@ -22,13 +22,13 @@
 
 
 class Action(abc.ABC):
-    """Change the world at one moment."""
+    """An action that a scenario executes at a given time."""
 
     usage: str
 
     @abc.abstractmethod
     def apply(self, world: World, words: Words) -> None:
-        """Act on the words behind the verb."""
+        """Execute the action; ``words`` are its arguments."""
 
 
 FAULTS: Mapping[str, Callable[[World, Words], Fault]] = {
@@ -43,15 +43,16 @@
 
 
 class ServerAction(Action):
-    """Make backend servers sick or well, restart, drain or leave."""
+    """Inject or clear a fault of backend servers, or restart, drain or remove them."""
 
     usage = (
         "server <n|n-m|all> slow 5x | fails 50% | hangs 50% | sheds 50% | "
-        "flaps <sick> <well> | recovers | restarts <cold> <ratio> | drains | leaves"
+        "flaps <faulty> <healthy> | recovers | restarts <warm-up> <ratio> | "
+        "drains | leaves"
     )
 
     def apply(self, world: World, words: Words) -> None:
-        """Act on each named server."""
+        """Execute the action on each named server."""
         for server_id in world.server_ids(words[0]):
             self._apply(world, server_id, words[1], words[2:])
 
@@ -71,17 +72,19 @@
                 server.fault = FAULTS[verb](world, words)
                 return
             case _:
-                raise ScenarioError(f"a server cannot {verb!r}; usage: {self.usage}")
+                raise ScenarioError(
+                    f"unknown server action {verb!r}; usage: {self.usage}"
+                )
         world.fleet.announce()
 
 
 class CutAction(Action):
-    """Cut a path in both directions or in one."""
+    """Block messages on a path in one direction."""
 
     usage = "cut <daemons> from server <n> | cut <daemons> to|from owner <o|all>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Cut the named paths."""
+        """Block the named paths."""
         for daemon in world.daemons(words[0]):
             if words[2] == "server":
                 for server_id in world.server_ids(words[3]):
@@ -98,44 +101,44 @@
 
 
 class HealAction(Action):
-    """Heal all paths."""
+    """Unblock all paths."""
 
     usage = "heal"
 
     def apply(self, world: World, words: Words) -> None:
-        """Carry all messages again."""
+        """Deliver all messages again."""
         world.fleet.paths.heal_all()
 
 
 class DisturbAction(Action):
-    """Lose, repeat and delay messages between processes."""
+    """Lose, duplicate and delay messages between processes."""
 
-    usage = "disturb <loss> <repeats> <delay>"
+    usage = "disturb <loss> <duplication> <delay>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Set all three."""
+        """Set the shares of loss and duplication and the extra delay."""
         world.fleet.paths.loss = share(words[0])
         world.fleet.paths.duplication = share(words[1])
         world.fleet.paths.extra_delay_s = seconds(words[2])
 
 
 class DemandAction(Action):
-    """Multiply the demand."""
+    """Change the request rate."""
 
     usage = "demand <ratio>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Set the rate against the pool's own."""
+        """Set the request rate to a multiple of the pool's configured rate."""
         world.fleet.rate = world.shape.rate * ratio(words[0])
 
 
 class SilenceAction(Action):
-    """Let open connections go silent while new ones work."""
+    """Make open connections to servers dead while new ones work."""
 
     usage = "silence <daemons> server <n>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Lose track of the connections."""
+        """Drop the open connections without a notice to the daemons."""
         for daemon in world.daemons(words[0]):
             for server_id in world.server_ids(words[2]):
                 world.fleet.lose_connections(daemon, server_id)
@@ -147,7 +150,7 @@
     usage = "restart <daemons> | restart owner <o>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Lose the memory of the named processes."""
+        """Restart the named processes, which lose their state."""
         if words[0] == "owner":
             world.policy.restart_owner(words[1])
             return
@@ -161,7 +164,7 @@
     usage = "elect <o>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Begin a term."""
+        """Begin a term with the named replica as the owner."""
         world.policy.elect(words[0])
 
 
--- a/tests/lib/scenario/conditions.py
+++ b/tests/lib/scenario/conditions.py
@@ -1,4 +1,4 @@
-"""Define what a scenario may expect."""
+"""Conditions and expectations of the scenario language (``expect ...``)."""
 
 import abc
 
@@ -12,22 +12,22 @@
 
 
 class Condition(abc.ABC):
-    """Say whether something holds now."""
+    """A condition on the state of the simulated fleet."""
 
     usage: str
 
     @abc.abstractmethod
     def holds(self, world: World, words: Words) -> bool:
-        """Look at the world."""
+        """Return whether the condition holds now; ``words`` are its arguments."""
 
 
 class Ejected(Condition):
-    """Some daemon gives each of the servers, or any of them, no work at all."""
+    """Each of the servers, or any of them, has the weight 0 in some daemon."""
 
     usage = "ejected [any] <n|n-m|all>"
 
     def holds(self, world: World, words: Words) -> bool:
-        """Look at the weights in all daemons."""
+        """Return whether the weights in all daemons meet the condition."""
         is_any = words[0] == "any"
         states = [
             self._is_ejected(world, server_id)
@@ -42,12 +42,12 @@
 
 
 class Avoided(Condition):
-    """The daemons keep most work away from the server."""
+    """The servers have at most the avoided weight in all named daemons."""
 
     usage = "avoided <daemons> <n>"
 
     def holds(self, world: World, words: Words) -> bool:
-        """Look at the weights in the named daemons."""
+        """Return whether the weights in the named daemons meet the condition."""
         return all(
             world.fleet.weight(daemon, server_id) <= AVOIDED_WEIGHT + 1e-9
             for daemon in world.daemons(words[0])
@@ -56,12 +56,12 @@
 
 
 class InUse(Condition):
-    """All daemons give the server its whole share."""
+    """The servers have the weight 1 in all daemons."""
 
     usage = "in-use <n|n-m|all>"
 
     def holds(self, world: World, words: Words) -> bool:
-        """Look at the weights in all daemons."""
+        """Return whether the weights in all daemons meet the condition."""
         return all(
             world.fleet.weight(daemon, server_id) == 1
             for daemon in world.fleet.daemons
@@ -70,12 +70,12 @@
 
 
 class Floor(Condition):
-    """Ejection never took more than the floor lets go."""
+    """Ejections have never taken more servers than the floor allows."""
 
     usage = "floor"
 
     def holds(self, world: World, words: Words) -> bool:
-        """Look at what was noted so far."""
+        """Return whether no violation was recorded so far."""
         return not world.floor.violations
 
 
@@ -88,18 +88,18 @@
 
 
 class Expectation(abc.ABC):
-    """Watch one condition through a scenario."""
+    """Check one condition throughout a scenario."""
 
     def __init__(self, condition: Condition, words: Words) -> None:
         self._condition = condition
         self._words = words
 
     @abc.abstractmethod
-    def watch(self, world: World) -> bool:
-        """Return whether the expectation is broken at this moment."""
+    def check(self, world: World) -> bool:
+        """Check the condition now; return whether the expectation is violated."""
 
-    def is_open(self) -> bool:
-        """Say at the end whether something expected has not come."""
+    def is_unmet(self) -> bool:
+        """Return at the end whether the expectation has not been met."""
         return False
 
     def _holds(self, world: World) -> bool:
@@ -107,65 +107,65 @@
 
 
 class Always(Expectation):
-    """Hold at every moment."""
+    """The condition holds at all times."""
 
-    def watch(self, world: World) -> bool:
-        """Return whether it does not hold."""
+    def check(self, world: World) -> bool:
+        """Return whether the condition does not hold now."""
         return not self._holds(world)
 
 
 class Never(Expectation):
-    """Hold at no moment."""
+    """The condition holds at no time."""
 
-    def watch(self, world: World) -> bool:
-        """Return whether it holds."""
+    def check(self, world: World) -> bool:
+        """Return whether the condition holds now."""
         return self._holds(world)
 
 
 class By(Expectation):
-    """Hold at some moment up to a time."""
+    """The condition holds at some time up to ``time_s``."""
 
     def __init__(self, condition: Condition, words: Words, time_s: float) -> None:
         super().__init__(condition, words)
         self._time_s = time_s
-        self._is_seen = False
+        self._is_done = False
 
-    def watch(self, world: World) -> bool:
-        """Note the condition; never broken before the end."""
-        if not self._is_seen and world.now <= self._time_s + 1e-9:
-            self._is_seen = self._holds(world)
+    def check(self, world: World) -> bool:
+        """Record whether the condition holds; a miss is reported only at the end."""
+        if not self._is_done and world.now <= self._time_s + 1e-9:
+            self._is_done = self._holds(world)
         return False
 
-    def is_open(self) -> bool:
-        """Say whether the condition was not seen."""
-        return not self._is_seen
+    def is_unmet(self) -> bool:
+        """Return whether the condition has never held in time."""
+        return not self._is_done
 
 
 class At(By):
-    """Hold at a time."""
+    """The condition holds at ``time_s``."""
 
-    def watch(self, world: World) -> bool:
-        """Look once, at the first moment from the time on."""
-        if self._is_seen or world.now + 1e-9 < self._time_s:
+    def check(self, world: World) -> bool:
+        """Check the condition once, at the first step from ``time_s`` on."""
+        if self._is_done or world.now + 1e-9 < self._time_s:
             return False
-        self._is_seen = True
+        self._is_done = True
         return not self._holds(world)
 
 
 def make_expectation(words: Words) -> Expectation:
-    """Return the expectation that the words behind ``expect`` spell."""
+    """Parse the words after ``expect`` into an expectation."""
     is_timed = words[0] in ("by", "at")
-    subject = words[2:] if is_timed else words[1:]
-    if not subject or subject[0] not in CONDITIONS:
-        raise ScenarioError(f"unknown condition {' '.join(subject)!r}")
-    condition = CONDITIONS[subject[0]]
+    condition_words = words[2:] if is_timed else words[1:]
+    if not condition_words or condition_words[0] not in CONDITIONS:
+        raise ScenarioError(f"unknown condition {' '.join(condition_words)!r}")
+    condition = CONDITIONS[condition_words[0]]
     match words[0]:
         case "by":
-            return By(condition, subject[1:], seconds(words[1]))
+            return By(condition, condition_words[1:], seconds(words[1]))
         case "at":
-            return At(condition, subject[1:], seconds(words[1]))
+            return At(condition, condition_words[1:], seconds(words[1]))
         case "always":
-            return Always(condition, subject[1:])
+            return Always(condition, condition_words[1:])
         case "never":
-            return Never(condition, subject[1:])
-    raise ScenarioError(f"expect by, at, always or never, not {words[0]!r}")
+            return Never(condition, condition_words[1:])
+    raise ScenarioError(f"expected by, at, always or never, not {words[0]!r}")
--- a/tests/lib/scenario/language.py
+++ b/tests/lib/scenario/language.py
@@ -1,6 +1,6 @@
 """Parse the lines of a scenario.
 
-A scenario is a text file; each line is one statement, ``#`` starts a comment:
+A scenario is a text file with one statement per line; ``#`` starts a comment:
 
     pool <name> servers <n> slots <n> floor <share> [daemons <n>] [rate <n>]
     at <time> <action> ...
@@ -15,11 +15,11 @@
 
 
 class ScenarioError(Exception):
-    """Report a line that cannot be understood."""
+    """A scenario that is syntactically wrong."""
 
 
 class Statement(NamedTuple):
-    """Hold the words of one line."""
+    """The words of one line and its number."""
 
     line: int
     words: tuple[str, ...]
@@ -36,7 +36,7 @@
 
 
 def seconds(word: str) -> float:
-    """Return a time in seconds."""
+    """Return a time such as ``13s`` or ``250ms`` in seconds."""
     if word.endswith("ms"):
         return _number(word, "ms") / 1000
     return _number(word, "s")
@@ -53,7 +53,7 @@
 
 
 def options(words: tuple[str, ...]) -> dict[str, str]:
-    """Return pairs of words as names and values."""
+    """Return alternating names and values as a dictionary."""
     if len(words) % 2:
         raise ScenarioError(f"expected names with values, not {' '.join(words)!r}")
     return dict(zip(words[::2], words[1::2], strict=True))
--- a/tests/lib/scenario/runner.py
+++ b/tests/lib/scenario/runner.py
@@ -1,4 +1,4 @@
-"""Run a scenario and collect what was not as expected."""
+"""Run a scenario and collect the expectations that failed."""
 
 from typing import NamedTuple
 
@@ -14,7 +14,7 @@
 
 
 class Scenario(NamedTuple):
-    """Hold the parsed statements by kind."""
+    """The statements of a scenario by kind."""
 
     pool: Statement
     events: tuple[Statement, ...]
@@ -22,13 +22,13 @@
     end_s: float
 
 
-class _Watched(NamedTuple):
+class _OpenExpectation(NamedTuple):
     statement: Statement
     expectation: Expectation
 
 
 def load(text: str) -> Scenario:
-    """Sort a scenario's statements; raise ScenarioError for a faulty one."""
+    """Parse a scenario; raise ScenarioError if it is invalid."""
     statements = parse(text)
     kinds = {statement.words[0] for statement in statements}
     if unknown := kinds - {"pool", "at", "expect", "end"}:
@@ -42,17 +42,17 @@
         if event.words[2] not in ACTIONS:
             raise ScenarioError(f"line {event.line}: unknown action {event.words[2]!r}")
     events.sort(key=lambda each: seconds(each.words[1]))
-    expected = tuple(each for each in statements if each.words[0] == "expect")
-    return Scenario(pools[0], tuple(events), expected, seconds(ends[0].words[1]))
+    expectations = tuple(each for each in statements if each.words[0] == "expect")
+    return Scenario(pools[0], tuple(events), expectations, seconds(ends[0].words[1]))
 
 
 def run(text: str) -> tuple[str, ...]:
-    """Run a scenario; return one line for each broken expectation."""
+    """Run a scenario; return one line for each expectation that failed."""
     scenario = load(text)
     _, name, *words = scenario.pool.words
     world = World(name, tuple(words))
-    watched = [
-        _Watched(each, make_expectation(each.words[1:]))
+    open_expectations = [
+        _OpenExpectation(each, make_expectation(each.words[1:]))
         for each in scenario.expectations
     ]
     events = list(scenario.events)
@@ -62,20 +62,22 @@
         while events and seconds(events[0].words[1]) <= world.now + 1e-9:
             action = events.pop(0).words[2:]
             ACTIONS[action[0]].apply(world, action[1:])
-        failures.extend(_broken(world, watched))
+        failures.extend(_close_violated(world, open_expectations))
     failures.extend(
-        _describe(each.statement, "not seen")
-        for each in watched
-        if each.expectation.is_open()
+        _describe(each.statement, "never met")
+        for each in open_expectations
+        if each.expectation.is_unmet()
     )
     return tuple(failures)
 
 
-def _broken(world: World, watched: list[_Watched]) -> list[str]:
-    broken = [each for each in watched if each.expectation.watch(world)]
-    for each in broken:
-        watched.remove(each)
-    return [_describe(each.statement, f"at {world.now:.2f}s") for each in broken]
+def _close_violated(
+    world: World, open_expectations: list[_OpenExpectation]
+) -> list[str]:
+    violated = [each for each in open_expectations if each.expectation.check(world)]
+    for each in violated:
+        open_expectations.remove(each)
+    return [_describe(each.statement, f"at {world.now:.2f}s") for each in violated]
 
 
 def _describe(statement: Statement, what: str) -> str:
--- a/tests/lib/scenario/world.py
+++ b/tests/lib/scenario/world.py
@@ -1,4 +1,4 @@
-"""Hold what a scenario runs on."""
+"""The simulated fleet that a scenario runs on."""
 
 from pimentobend_bench._internal.health.fleet import Fleet
 from pimentobend_bench._internal.health.floorwatch import FloorWatch
@@ -10,18 +10,18 @@
 
 
 class World:
-    """Own the simulated fleet of one pool."""
+    """Simulate the servers, daemons and control replicas of one pool."""
 
     def __init__(self, name: str, words: tuple[str, ...], seed: int = 1) -> None:
-        given = options(words)
+        settings = options(words)
         self.shape = QALAMKAR._replace(
             name=name,
             service=name,
-            servers=int(given.get("servers", "8")),
-            slots=int(given.get("slots", "6")),
-            floor=float(given.get("floor", "0.5")),
-            daemons=int(given.get("daemons", "8")),
-            rate=float(given.get("rate", "240")),
+            servers=int(settings.get("servers", "8")),
+            slots=int(settings.get("slots", "6")),
+            floor=float(settings.get("floor", "0.5")),
+            daemons=int(settings.get("daemons", "8")),
+            rate=float(settings.get("rate", "240")),
         )
         self.policy = LeasedEjection()
         self.fleet = Fleet(self.shape, self.policy, seed)
@@ -34,19 +34,19 @@
         return self.fleet.scheduler.now
 
     def run_to(self, time_s: float) -> None:
-        """Let time pass and check the floor."""
+        """Advance the simulated time to ``time_s`` and check the floor."""
         self.fleet.scheduler.run_until(time_s)
         self.floor.check()
 
     def server_ids(self, word: str) -> tuple[str, ...]:
-        """Return the servers that a word such as ``3``, ``1-4`` or ``all`` names."""
+        """Return the server ids for a word such as ``3``, ``1-4`` or ``all``."""
         if word == "all":
             return tuple(self.fleet.servers)
         first, _, last = word.partition("-")
         return tuple(str(n) for n in range(int(first), int(last or first) + 1))
 
     def daemons(self, word: str) -> tuple[str, ...]:
-        """Return the daemons that a word such as ``d1``, ``d1-d4`` or ``all`` names."""
+        """Return the daemon ids for a word such as ``d1``, ``d1-d4`` or ``all``."""
         if word == "all":
             return self.fleet.daemons
         first, _, last = word.partition("-")
