Reword the tests of the health flow

"Sick" servers, observers that are "told" things and time that is "waited" read oddly: servers are unhealthy, drivers send messages and advance the time. Test names say what is checked. Assertions, cases and bounds are the same.

Hypothesis derives the examples of derandomised tests from their source, so the state machines and the properties of ticks and encoding run other examples of the same strategies than before.

--- a/tests/lib/health_network.py
+++ b/tests/lib/health_network.py
@@ -1,4 +1,4 @@
-"""Run observers and floor owners on a small faulty network."""
+"""Observers and floor owners on a simulated unreliable network."""
 
 import heapq
 import itertools
@@ -33,20 +33,23 @@
 
 
 class _Delivery(NamedTuple):
-    at: float
+    deliver_at: float
     number: int
     action: Callable[[], None]
 
 
 class HealthNetwork:
-    """Own the processes; a daemon's clock begins at its start."""
+    """Simulate daemons and floor owners that exchange messages over faulty paths.
+
+    Each daemon's clock starts at 0 when the daemon starts.
+    """
 
     def __init__(
         self, daemons: tuple[str, ...], servers: int, floor: float, seed: int
     ) -> None:
         self.now = 0.0
-        self.sick: set[str] = set()
-        self.cut: set[tuple[str, str]] = set()
+        self.unhealthy: set[str] = set()
+        self.cut_paths: set[tuple[str, str]] = set()
         self.loss = 0.0
         self.delay_s = 0.0
         self.confirmed: str | None = None
@@ -57,7 +60,7 @@
         self._pool = POOL._replace(floor=floor)
         self._servers = make_servers(servers)
         self._term = 0
-        self._offsets: dict[str, float] = {}
+        self._clock_offsets: dict[str, float] = {}
         self._observers: dict[str, PoolHealth] = {}
         self._owners: dict[str, FloorOwner] = {}
         self._weights: dict[str, dict[str, float]] = {}
@@ -68,43 +71,43 @@
         self.elect(OWNERS[0])
 
     def restart_daemon(self, daemon: str) -> None:
-        """Lose a daemon's memory; its clock begins anew."""
-        self._offsets[daemon] = -self.now
+        """Restart a daemon, which loses its state and resets its clock."""
+        self._clock_offsets[daemon] = -self.now
         self._observers[daemon] = PoolHealth(self._pool, daemon)
         self._weights[daemon] = {}
-        self._tell(daemon, ServersChanged(self._servers))
+        self._send_to_daemon(daemon, ServersChanged(self._servers))
 
     def restart_owner(self, owner: str) -> None:
-        """Lose a replica's memory."""
+        """Restart a replica, which loses its state and its ownership."""
         self._owners[owner] = FloorOwner()
         if self.confirmed == owner:
             self.confirmed = None
-        self._tell_owner(owner, ConfigurePools((self._pool,)))
-        self._tell_owner(owner, ServiceServersChanged("bookings", self._servers))
+        self._send_to_owner(owner, ConfigurePools((self._pool,)))
+        self._send_to_owner(owner, ServiceServersChanged("bookings", self._servers))
 
     def elect(self, owner: str) -> None:
-        """Begin a term; the earlier owner hears nothing of it."""
+        """Begin a new term; the previous owner is not told."""
         self._term += 1
         self.confirmed = owner
-        self._tell_owner(owner, OwnershipTaken(self._term))
+        self._send_to_owner(owner, OwnershipTaken(self._term))
 
     def run(self, seconds: float) -> None:
-        """Pass time in ticks, with one attempt a server, daemon and tick."""
+        """Advance time in ticks; each daemon sends each server one attempt per tick."""
         for _ in range(round(seconds / TICK_S)):
             self.now += TICK_S
             self._deliver()
             for daemon in self._observers:
-                self._serve(daemon)
-                self._tell(daemon, HealthTick())
+                self._send_attempts(daemon)
+                self._send_to_daemon(daemon, HealthTick())
             if self.confirmed:
                 confirmation = OwnershipConfirmed(self._term, self.now)
-                self._tell_owner(self.confirmed, confirmation)
+                self._send_to_owner(self.confirmed, confirmation)
             for owner in OWNERS:
-                self._tell_owner(owner, FloorTick())
-            self._check()
+                self._send_to_owner(owner, FloorTick())
+            self._check_floor()
 
     def ejected(self) -> set[str]:
-        """Return the servers that some daemon gives nothing."""
+        """Return the servers that have the weight 0 in some daemon."""
         return {
             server_id
             for weights in self._weights.values()
@@ -112,21 +115,21 @@
             if weight == 0
         }
 
-    def _serve(self, daemon: str) -> None:
+    def _send_attempts(self, daemon: str) -> None:
         for number in range(1, len(self._servers) + 1):
-            if (daemon, str(number)) in self.cut:
+            if (daemon, str(number)) in self.cut_paths:
                 ended = make_ended(
                     number, AttemptKind.NOT_CONNECTED, 0, was_reused=False
                 )
-            elif str(number) in self.sick:
+            elif str(number) in self.unhealthy:
                 ended = make_ended(number, status=500)
             else:
                 ended = make_ended(number)
-            self._tell(daemon, ended)
+            self._send_to_daemon(daemon, ended)
 
-    def _tell(self, daemon: str, message: HealthInput) -> None:
-        local = self.now + self._offsets[daemon]
-        for output in self._observers[daemon].handle(message, local):
+    def _send_to_daemon(self, daemon: str, message: HealthInput) -> None:
+        local_time = self.now + self._clock_offsets[daemon]
+        for output in self._observers[daemon].handle(message, local_time):
             if isinstance(output, HealthChanged):
                 self._weights[daemon] = dict(output.weights)
             else:
@@ -134,35 +137,39 @@
 
     def _send_report(self, daemon: str, report: EvidenceReported) -> None:
         for owner in OWNERS:
-            self._send(daemon, owner, lambda to=owner: self._tell_owner(to, report))
+            self._enqueue(
+                daemon, owner, lambda to=owner: self._send_to_owner(to, report)
+            )
 
-    def _tell_owner(self, owner: str, message: FloorInput) -> None:
+    def _send_to_owner(self, owner: str, message: FloorInput) -> None:
         for output in self._owners[owner].handle(message, self.now):
             if isinstance(output, EjectionsGranted):
                 grant = output
-                self._send(
+                self._enqueue(
                     owner,
                     grant.observer,
-                    lambda grant=grant: self._tell(grant.observer, grant),
+                    lambda grant=grant: self._send_to_daemon(grant.observer, grant),
                 )
 
-    def _send(self, sender: str, receiver: str, action: Callable[[], None]) -> None:
-        if (sender, receiver) in self.cut or self._rng.random() < self.loss:
+    def _enqueue(self, sender: str, receiver: str, action: Callable[[], None]) -> None:
+        if (sender, receiver) in self.cut_paths or self._rng.random() < self.loss:
             return
         for _ in range(1 + (self._rng.random() < self.loss)):
-            at = self.now + self._rng.random() * self.delay_s
-            heapq.heappush(self._deliveries, _Delivery(at, next(self._numbers), action))
+            deliver_at = self.now + self._rng.random() * self.delay_s
+            heapq.heappush(
+                self._deliveries, _Delivery(deliver_at, next(self._numbers), action)
+            )
 
     def _deliver(self) -> None:
-        while self._deliveries and self._deliveries[0].at <= self.now:
+        while self._deliveries and self._deliveries[0].deliver_at <= self.now:
             heapq.heappop(self._deliveries).action()
 
-    def _check(self) -> None:
+    def _check_floor(self) -> None:
         count = len(self._servers)
-        kept = required_servers(self._pool.floor, count)
-        if count - len(self.ejected()) < kept:
+        required = required_servers(self._pool.floor, count)
+        if count - len(self.ejected()) < required:
             self.violations.append(f"{self.now}: {sorted(self.ejected())} ejected")
         for daemon, weights in self._weights.items():
             capacity = count - sum(1 - weight for weight in weights.values())
-            if capacity < kept - _ROUNDING:
+            if capacity < required - _ROUNDING:
                 self.violations.append(f"{self.now}: {daemon} keeps {capacity}")
--- a/tests/lib/health_samples.py
+++ b/tests/lib/health_samples.py
@@ -1,4 +1,4 @@
-"""Build messages for the tests of the health flow."""
+"""Sample messages for the tests of the health flow."""
 
 from pimentobend_core._internal.health.messages import EvidenceReported
 from pimentobend_core._internal.health.messages import Reason
@@ -31,7 +31,7 @@
 
 
 def make_servers(count: int = 8) -> tuple[Server, ...]:
-    """Return servers numbered from 1."""
+    """Return ``count`` ready servers, numbered from 1."""
     return tuple(make_server(number) for number in range(1, count + 1))
 
 
@@ -43,7 +43,7 @@
     was_reused: bool = True,
     in_use: int = 1,
 ) -> AttemptEnded:
-    """Return one ended attempt."""
+    """Return one ended attempt, by default a successful one."""
     return AttemptEnded(
         0,
         "bookings",
@@ -66,7 +66,7 @@
     sequence: int = 0,
     incarnation: int = 1,
 ) -> EvidenceReported:
-    """Return a report of scores by the servers' numbers."""
+    """Return a report with scores by server number."""
     evidence = tuple(
         ServerEvidence(str(server), incarnation, score, 0.0, Reason.SLOW)
         for server, score in scores.items()
--- a/tests/unit/health/test_capacity.py
+++ b/tests/unit/health/test_capacity.py
@@ -1,4 +1,4 @@
-"""Check what the floor lets go."""
+"""Check the number of servers that the floor requires and the bounded weights."""
 
 import pytest
 
@@ -38,11 +38,13 @@
         ([(8, 0.0), (5, 100.0), (8, 200.0)], 5000.0, 8),
     ],
 )
-def test_service_size(observed: list[tuple[int, float]], now: float, peak: int) -> None:
-    size = PeakServerCount()
+def test_peak_server_count(
+    observed: list[tuple[int, float]], now: float, peak: int
+) -> None:
+    peaks = PeakServerCount()
     for count, at in observed:
-        size.observe(count, at)
-    assert size.peak(now) == peak
+        peaks.observe(count, at)
+    assert peaks.peak(now) == peak
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/health/test_detectors.py
+++ b/tests/unit/health/test_detectors.py
@@ -1,4 +1,4 @@
-"""Check how attempts move the scores."""
+"""Check how attempts change the detectors' scores."""
 
 import math
 
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize(
     "detector", [LatencyDetector(), FailureDetector()], ids=["slow", "failing"]
 )
-def test_a_score_is_bounded_and_fades(detector: Detector) -> None:
+def test_a_score_is_bounded_and_decays(detector: Detector) -> None:
     for sample in [STRAGGLER, FAILED] * 100:
         detector.add(sample)
     assert detector.score == SCORE_LIMIT
--- a/tests/unit/health/test_floor.py
+++ b/tests/unit/health/test_floor.py
@@ -1,4 +1,4 @@
-"""Check what the owner of the floor grants."""
+"""Check which ejections the floor owner grants."""
 
 import pytest
 from health_samples import POOL
@@ -29,8 +29,8 @@
 STEP_S = 0.25
 
 
-class Owner:
-    """Drive one floor owner and keep its outputs."""
+class OwnerDriver:
+    """Drive one floor owner through simulated time and record its outputs."""
 
     def __init__(self, servers: int = 8) -> None:
         self.owner = FloorOwner()
@@ -38,34 +38,36 @@
         self.is_confirmed = True
         self.outputs: list[FloorOutput] = []
         self.sequence = 0
-        self.tell(ConfigurePools((POOL,)))
-        self.tell(ServiceServersChanged("bookings", make_servers(servers)))
-        self.tell(OwnershipTaken(1))
-        self.wait(TAKEOVER_S + STEP_S)
+        self.send(ConfigurePools((POOL,)))
+        self.send(ServiceServersChanged("bookings", make_servers(servers)))
+        self.send(OwnershipTaken(1))
+        self.advance(TAKEOVER_S + STEP_S)
 
-    def tell(self, message: FloorInput) -> None:
+    def send(self, message: FloorInput) -> None:
         outputs = self.owner.handle(message, self.now)
         self.outputs.extend(outputs)
         for output in outputs:
             if isinstance(output, EjectionsGranted):
                 self.sequence = output.sequence
 
-    def wait(self, seconds: float) -> None:
+    def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / STEP_S)):
             self.now += STEP_S
             if self.is_confirmed:
-                self.tell(OwnershipConfirmed(1, self.now))
-            self.tell(FloorTick())
+                self.send(OwnershipConfirmed(1, self.now))
+            self.send(FloorTick())
 
-    def report(self, views: dict[str, dict[int, float]], seconds: float = 1.0) -> None:
-        """Let each observer report its scores every step."""
+    def report(
+        self, scores_by_observer: dict[str, dict[int, float]], seconds: float = 1.0
+    ) -> None:
+        """Send a report of each observer at every step for ``seconds``."""
         for _ in range(round(seconds / STEP_S)):
-            for observer, scores in views.items():
+            for observer, scores in scores_by_observer.items():
                 report = make_report(
                     observer, self.now, scores, term=1, sequence=self.sequence
                 )
-                self.tell(report)
-            self.wait(STEP_S)
+                self.send(report)
+            self.advance(STEP_S)
 
     @property
     def grants(self) -> list[EjectionsGranted]:
@@ -78,27 +80,27 @@
         return {ejection.server_id for ejection in self.grants[-1].ejections}
 
 
-def _views(
+def _make_scores(
     bad: int, good: int, servers: tuple[int, ...] = (3,)
 ) -> dict[str, dict[int, float]]:
     score = 1.2
-    views = {f"bad{n}": dict.fromkeys(servers, score) for n in range(bad)}
-    return views | {f"good{n}": dict.fromkeys(servers, 0.0) for n in range(good)}
+    scores = {f"bad{n}": dict.fromkeys(servers, score) for n in range(bad)}
+    return scores | {f"good{n}": dict.fromkeys(servers, 0.0) for n in range(good)}
 
 
 @pytest.mark.parametrize(
-    ("views", "ejected"),
+    ("scores", "ejected"),
     [
-        (_views(2, 0), {"3"}),
-        (_views(1, 0), {"3"}),
-        (_views(3, 2), {"3"}),
-        (_views(2, 2), set()),
-        (_views(1, 1), set()),
-        (_views(6, 18), set()),
-        (_views(8, 0, (1, 2, 3)), {"1", "2", "3"}),
-        (_views(8, 0, (1, 2, 3, 4)), set()),
-        (_views(8, 0, (1, 2, 3, 4, 5)), set()),
-        (_views(8, 0, tuple(range(1, 9))), set()),
+        (_make_scores(2, 0), {"3"}),
+        (_make_scores(1, 0), {"3"}),
+        (_make_scores(3, 2), {"3"}),
+        (_make_scores(2, 2), set()),
+        (_make_scores(1, 1), set()),
+        (_make_scores(6, 18), set()),
+        (_make_scores(8, 0, (1, 2, 3)), {"1", "2", "3"}),
+        (_make_scores(8, 0, (1, 2, 3, 4)), set()),
+        (_make_scores(8, 0, (1, 2, 3, 4, 5)), set()),
+        (_make_scores(8, 0, tuple(range(1, 9))), set()),
         ({f"d{n}": {3: 0.3} for n in range(8)}, {"3"}),
         ({f"d{n}": {3: 0.3} for n in range(4)}, set()),
         ({"d1": {3: 1.2}, "d2": {4: 1.2}}, set()),
@@ -123,22 +125,24 @@
         "unknown-server",
     ],
 )
-def test_agreement(views: dict[str, dict[int, float]], ejected: set[str]) -> None:
-    owner = Owner()
-    owner.report(views)
+def test_agreement(scores: dict[str, dict[int, float]], ejected: set[str]) -> None:
+    owner = OwnerDriver()
+    owner.report(scores)
     assert owner.ejected == ejected
 
 
 @pytest.mark.parametrize(
-    ("floor", "servers", "most"),
+    ("floor", "servers", "max_ejected"),
     [(0.5, 8, 3), (0.75, 8, 2), (1.0, 8, 0), (0.5, 14, 6), (0.8, 14, 2), (0.0, 8, 3)],
 )
-def test_the_floor_bounds_ejections(floor: float, servers: int, most: int) -> None:
-    owner = Owner(servers)
-    owner.tell(ConfigurePools((POOL._replace(floor=floor),)))
+def test_the_floor_bounds_ejections(
+    floor: float, servers: int, max_ejected: int
+) -> None:
+    owner = OwnerDriver(servers)
+    owner.send(ConfigurePools((POOL._replace(floor=floor),)))
     for worst in range(1, servers // 2 + 1):
-        owner.report(_views(4, 0, tuple(range(1, worst + 1))))
-    assert len(owner.ejected) == most
+        owner.report(_make_scores(4, 0, tuple(range(1, worst + 1))))
+    assert len(owner.ejected) == max_ejected
 
 
 @pytest.mark.parametrize(
@@ -147,15 +151,15 @@
 def test_an_ended_ejection_counts_until_its_leases_expire(
     waited_s: float, is_ejected: bool
 ) -> None:
-    owner = Owner()
-    owner.tell(ConfigurePools((POOL._replace(floor=0.875),)))
-    owner.report(_views(2, 0, (3,)))
+    owner = OwnerDriver()
+    owner.send(ConfigurePools((POOL._replace(floor=0.875),)))
+    owner.report(_make_scores(2, 0, (3,)))
     assert owner.ejected == {"3"}
     owner.report({"bad0": {}, "bad1": {}}, EjectionBackoff.BASE_S)
     assert owner.ejected == set()
     ended_at = owner.now
     while owner.now < ended_at + waited_s:
-        owner.report(_views(2, 0, (4,)), STEP_S)
+        owner.report(_make_scores(2, 0, (4,)), STEP_S)
     assert (owner.ejected == {"4"}) is is_ejected
     assert any(isinstance(each, EjectionWithheld) for each in owner.outputs)
 
@@ -179,25 +183,25 @@
     ids=["same", "two-left", "ejected-left", "drains", "ejected-drains", "restarted"],
 )
 def test_changed_servers(servers: tuple[Server, ...], ejected: set[str]) -> None:
-    owner = Owner()
-    owner.tell(ConfigurePools((POOL._replace(floor=0.625),)))
-    views = {"d1": {1: 1.5, 2: 1.4, 3: 1.3}}
-    owner.report(views | {"d2": views["d1"]})
-    owner.tell(ServiceServersChanged("bookings", servers))
+    owner = OwnerDriver()
+    owner.send(ConfigurePools((POOL._replace(floor=0.625),)))
+    scores = {"d1": {1: 1.5, 2: 1.4, 3: 1.3}}
+    owner.report(scores | {"d2": scores["d1"]})
+    owner.send(ServiceServersChanged("bookings", servers))
     owner.report({"d1": {}, "d2": {}}, STEP_S)
     assert owner.ejected == ejected
 
 
 def test_a_new_owner_waits_out_the_earlier_leases() -> None:
-    owner = Owner()
-    owner.report(_views(2, 0))
-    owner.tell(OwnershipTaken(2))
+    owner = OwnerDriver()
+    owner.report(_make_scores(2, 0))
+    owner.send(OwnershipTaken(2))
     before = len(owner.grants)
     began = owner.now
     while owner.now < began + TAKEOVER_S - STEP_S:
-        owner.tell(OwnershipConfirmed(2, owner.now))
-        owner.report(_views(2, 0), STEP_S)
-        owner.tell(OwnershipConfirmed(2, owner.now))
+        owner.send(OwnershipConfirmed(2, owner.now))
+        owner.report(_make_scores(2, 0), STEP_S)
+        owner.send(OwnershipConfirmed(2, owner.now))
     assert len(owner.grants) == before
     assert TAKEOVER_S > LEASE_S
 
@@ -210,12 +214,12 @@
 def test_an_owner_without_a_majority_grants_nothing(
     is_lost: bool, waited_s: float, grants: bool
 ) -> None:
-    owner = Owner()
+    owner = OwnerDriver()
     owner.is_confirmed = False
     if is_lost:
-        owner.tell(OwnershipLost())
-    owner.wait(waited_s)
-    owner.report(_views(2, 0), 1.75)
+        owner.send(OwnershipLost())
+    owner.advance(waited_s)
+    owner.report(_make_scores(2, 0), 1.75)
     assert (owner.ejected == {"3"}) is grants
 
 
@@ -225,20 +229,20 @@
 def test_an_observer_that_left_is_not_waited_for(
     leaves: bool, ejected: set[str]
 ) -> None:
-    owner = Owner()
-    owner.report(_views(0, 1))
-    owner.wait(6.0)
+    owner = OwnerDriver()
+    owner.report(_make_scores(0, 1))
+    owner.advance(6.0)
     if leaves:
-        owner.tell(ObserverLeft("good0"))
-    owner.report(_views(1, 0))
+        owner.send(ObserverLeft("good0"))
+    owner.report(_make_scores(1, 0))
     assert owner.ejected == ejected
 
 
-def test_flapping_raises_the_time_out() -> None:
-    owner = Owner()
+def test_flapping_prolongs_ejections() -> None:
+    owner = OwnerDriver()
     for _ in range(4):
         while not owner.ejected:
-            owner.report(_views(2, 0), STEP_S)
+            owner.report(_make_scores(2, 0), STEP_S)
         while owner.ejected:
             owner.report({"bad0": {}, "bad1": {}}, STEP_S)
     started = [each for each in owner.outputs if isinstance(each, EjectionStarted)]
@@ -246,11 +250,11 @@
 
 
 @pytest.mark.parametrize(
-    ("calm_s", "timeout_s"), [(10.0, 40.0), (300.0, 20.0), (700.0, 10.0)]
+    ("in_use_s", "timeout_s"), [(10.0, 40.0), (300.0, 20.0), (700.0, 10.0)]
 )
-def test_calm_forgives(calm_s: float, timeout_s: float) -> None:
+def test_time_in_use_forgives_ejections(in_use_s: float, timeout_s: float) -> None:
     backoff = EjectionBackoff()
     backoff.start_ejection("3", 0.0)
     backoff.start_ejection("3", 20.0)
     backoff.record_return("3", 40.0)
-    assert backoff.start_ejection("3", 40.0 + calm_s) == timeout_s
+    assert backoff.start_ejection("3", 40.0 + in_use_s) == timeout_s
--- a/tests/unit/health/test_floor_machine.py
+++ b/tests/unit/health/test_floor_machine.py
@@ -1,4 +1,4 @@
-"""Check the floor over paths that lose, delay, repeat and cut."""
+"""Check that the floor holds while messages are lost, delayed, duplicated or cut."""
 
 import hypothesis.strategies as st
 from health_network import OWNERS
@@ -22,7 +22,7 @@
 
 
 class FloorMachine(RuleBasedStateMachine):
-    """Let several observers and replicas decide at once."""
+    """Several observers and replicas with partitions, restarts and elections."""
 
     @initialize(floor=st.sampled_from(FLOORS), seed=st.integers(0, 99))
     def begin(self, floor: float, seed: int) -> None:
@@ -30,32 +30,32 @@
         self.network.run(12.0)
 
     @rule(server=servers)
-    def sicken(self, server: int) -> None:
-        self.network.sick.add(str(server))
+    def make_unhealthy(self, server: int) -> None:
+        self.network.unhealthy.add(str(server))
 
     @rule(server=servers)
     def recover(self, server: int) -> None:
-        self.network.sick.discard(str(server))
+        self.network.unhealthy.discard(str(server))
 
     @rule(count=steps)
-    def pass_time(self, count: int) -> None:
+    def advance(self, count: int) -> None:
         self.network.run(count * 0.5)
 
     @rule(daemon=daemons, owner=owners)
     def cut_reports(self, daemon: str, owner: str) -> None:
-        self.network.cut.add((daemon, owner))
+        self.network.cut_paths.add((daemon, owner))
 
     @rule(daemon=daemons, owner=owners)
     def cut_grants(self, daemon: str, owner: str) -> None:
-        self.network.cut.add((owner, daemon))
+        self.network.cut_paths.add((owner, daemon))
 
     @rule(daemon=daemons, server=servers)
     def cut_server(self, daemon: str, server: int) -> None:
-        self.network.cut.add((daemon, str(server)))
+        self.network.cut_paths.add((daemon, str(server)))
 
     @rule()
     def heal(self) -> None:
-        self.network.cut.clear()
+        self.network.cut_paths.clear()
 
     @rule(loss=st.sampled_from((0.0, 0.3)), delay_s=st.sampled_from((0.0, 2.0, 8.0)))
     def disturb(self, loss: float, delay_s: float) -> None:
@@ -75,7 +75,7 @@
         self.network.elect(owner)
 
     @rule()
-    def lose_the_owner(self) -> None:
+    def depose_owner(self) -> None:
         self.network.confirmed = None
 
     @invariant()
@@ -84,7 +84,7 @@
             assert self.network.violations == []
 
     def teardown(self) -> None:
-        """Let the leases run out with no owner."""
+        """Without an owner all leases expire, so no server may stay ejected."""
         if not hasattr(self, "network"):
             return
         self.network.confirmed = None
@@ -99,21 +99,21 @@
 TestFloor = FloorMachine.TestCase
 
 
-class AlikeMachine(RuleBasedStateMachine):
-    """Let all servers misbehave alike."""
+class CommonCauseMachine(RuleBasedStateMachine):
+    """All servers become unhealthy and recover together; none may be ejected."""
 
     @initialize(seed=st.integers(0, 99))
     def begin(self, seed: int) -> None:
         self.network = HealthNetwork(DAEMONS, SERVERS, 0.5, seed)
         self.network.run(12.0)
 
-    @rule(is_sick=st.booleans())
-    def change(self, is_sick: bool) -> None:
+    @rule(is_unhealthy=st.booleans())
+    def change(self, is_unhealthy: bool) -> None:
         names = {str(number) for number in range(1, SERVERS + 1)}
-        self.network.sick = names if is_sick else set()
+        self.network.unhealthy = names if is_unhealthy else set()
 
     @rule(count=steps)
-    def pass_time(self, count: int) -> None:
+    def advance(self, count: int) -> None:
         self.network.run(count * 0.5)
 
     @rule(loss=st.sampled_from((0.0, 0.3)), delay_s=st.sampled_from((0.0, 2.0)))
@@ -131,18 +131,18 @@
             assert self.network.ejected() == set()
 
 
-AlikeMachine.TestCase.settings = settings(
+CommonCauseMachine.TestCase.settings = settings(
     derandomize=True, max_examples=30, stateful_step_count=20, deadline=None
 )
-TestAlike = AlikeMachine.TestCase
+TestCommonCause = CommonCauseMachine.TestCase
 
 
 def test_the_network_can_eject() -> None:
     network = HealthNetwork(DAEMONS, SERVERS, 0.5, 1)
     network.run(12.0)
-    network.sick = {"2"}
+    network.unhealthy = {"2"}
     network.run(4.0)
     assert network.ejected() == {"2"}
-    network.sick = set()
+    network.unhealthy = set()
     network.run(60.0)
     assert network.ejected() == set()
--- a/tests/unit/health/test_observer.py
+++ b/tests/unit/health/test_observer.py
@@ -1,4 +1,4 @@
-"""Check what one daemon makes of attempts and grants."""
+"""Check how one observer sets weights from attempts and grants."""
 
 from collections.abc import Callable
 
@@ -28,45 +28,45 @@
 STEP_S = 0.1
 
 
-class Daemon:
-    """Drive one observer and keep its outputs."""
+class ObserverDriver:
+    """Drive one observer through simulated time and record its outputs."""
 
     def __init__(self, servers: int = 8) -> None:
         self.health = PoolHealth(POOL, "d1")
         self.now = 0.0
         self.weights: dict[str, float] = {}
         self.reports: list[EvidenceReported] = []
-        self.tell(ServersChanged(make_servers(servers)))
+        self.send(ServersChanged(make_servers(servers)))
 
-    def tell(self, message: HealthInput) -> None:
-        self._keep(self.health.handle(message, self.now))
+    def send(self, message: HealthInput) -> None:
+        self._record(self.health.handle(message, self.now))
 
-    def _keep(self, outputs: tuple[HealthOutput, ...]) -> None:
+    def _record(self, outputs: tuple[HealthOutput, ...]) -> None:
         for output in outputs:
             if isinstance(output, HealthChanged):
                 self.weights = dict(output.weights)
             else:
                 self.reports.append(output)
 
-    def wait(self, seconds: float) -> None:
+    def advance(self, seconds: float) -> None:
         for _ in range(round(seconds / 0.25)):
             self.now += 0.25
-            self.tell(HealthTick())
+            self.send(HealthTick())
 
-    def serve(self, rounds: int, sick: Callable[[int], AttemptEnded | None]) -> None:
-        """Send one attempt a round to each server; ``sick`` may replace it."""
+    def serve(self, rounds: int, fault: Callable[[int], AttemptEnded | None]) -> None:
+        """End one attempt on each server per round; ``fault`` may replace it."""
         for _ in range(rounds):
             self.now += STEP_S
             for server in range(1, 9):
-                self.tell(sick(server) or make_ended(server))
-            self.tell(HealthTick())
+                self.send(fault(server) or make_ended(server))
+            self.send(HealthTick())
 
     def grant(
         self, servers: list[int], term: int = 1, sequence: int = 1, age_s: float = 0.0
     ) -> None:
         ejections = tuple(Ejection(str(server), 1, Reason.SLOW) for server in servers)
         asked_at = self.reports[-1].asked_at - age_s
-        self.tell(
+        self.send(
             EjectionsGranted(
                 "bookings",
                 "bookings",
@@ -81,7 +81,9 @@
         )
 
 
-def _sick(servers: set[int], **changes: object) -> Callable[[int], AttemptEnded | None]:
+def _fault(
+    servers: set[int], **changes: object
+) -> Callable[[int], AttemptEnded | None]:
     def replace(server: int) -> AttemptEnded | None:
         if server not in servers:
             return None
@@ -91,21 +93,21 @@
 
 
 @pytest.mark.parametrize(
-    ("sick", "avoided"),
+    ("fault", "avoided"),
     [
-        (_sick({3}, latency_s=0.15), {"3"}),
-        (_sick({3, 4}, latency_s=0.15), {"3", "4"}),
-        (_sick({3}, status=500), {"3"}),
-        (_sick({3}, kind=AttemptKind.NOT_CONNECTED, was_reused=False), {"3"}),
-        (_sick({3}, kind=AttemptKind.NO_ANSWER, was_reused=False), {"3"}),
-        (_sick({3}, kind=AttemptKind.TRUNCATED), {"3"}),
-        (_sick({3}, kind=AttemptKind.NO_ANSWER, was_reused=True), set()),
-        (_sick({3}, kind=AttemptKind.REFUSED, status=503), set()),
-        (_sick({3}, kind=AttemptKind.CANCELLED), set()),
-        (_sick({3}, status=404), set()),
-        (_sick(set(range(1, 9)), latency_s=0.3), set()),
-        (_sick(set(range(1, 9)), status=500), set()),
-        (_sick({1, 2, 3, 4, 5, 6}, status=500), set()),
+        (_fault({3}, latency_s=0.15), {"3"}),
+        (_fault({3, 4}, latency_s=0.15), {"3", "4"}),
+        (_fault({3}, status=500), {"3"}),
+        (_fault({3}, kind=AttemptKind.NOT_CONNECTED, was_reused=False), {"3"}),
+        (_fault({3}, kind=AttemptKind.NO_ANSWER, was_reused=False), {"3"}),
+        (_fault({3}, kind=AttemptKind.TRUNCATED), {"3"}),
+        (_fault({3}, kind=AttemptKind.NO_ANSWER, was_reused=True), set()),
+        (_fault({3}, kind=AttemptKind.REFUSED, status=503), set()),
+        (_fault({3}, kind=AttemptKind.CANCELLED), set()),
+        (_fault({3}, status=404), set()),
+        (_fault(set(range(1, 9)), latency_s=0.3), set()),
+        (_fault(set(range(1, 9)), status=500), set()),
+        (_fault({1, 2, 3, 4, 5, 6}, status=500), set()),
     ],
     ids=[
         "slow",
@@ -123,31 +125,31 @@
         "most-failing",
     ],
 )
-def test_only_a_sick_server_is_avoided(
-    sick: Callable[[int], AttemptEnded | None], avoided: set[str]
+def test_only_an_unhealthy_server_is_avoided(
+    fault: Callable[[int], AttemptEnded | None], avoided: set[str]
 ) -> None:
-    daemon = Daemon()
-    daemon.serve(30, _sick(set()))
-    daemon.serve(30, sick)
+    daemon = ObserverDriver()
+    daemon.serve(30, _fault(set()))
+    daemon.serve(30, fault)
     assert daemon.weights.keys() == avoided
     assert all(weight > 0 for weight in daemon.weights.values())
 
 
-@pytest.mark.parametrize("sick", [5, 6, 7, 8])
-def test_avoidance_stops_at_the_floor(sick: int) -> None:
-    daemon = Daemon()
-    daemon.serve(30, _sick(set()))
-    for number in range(1, sick + 1):
-        daemon.serve(15, _sick(set(range(1, number + 1)), status=500))
+@pytest.mark.parametrize("unhealthy", [5, 6, 7, 8])
+def test_avoidance_stops_at_the_floor(unhealthy: int) -> None:
+    daemon = ObserverDriver()
+    daemon.serve(30, _fault(set()))
+    for number in range(1, unhealthy + 1):
+        daemon.serve(15, _fault(set(range(1, number + 1)), status=500))
         assert sum(1 - weight for weight in daemon.weights.values()) <= 4
 
 
 @pytest.mark.parametrize(("was_reused", "is_avoided"), [(True, False), (False, True)])
 def test_silence_shows_before_the_timeout(was_reused: bool, is_avoided: bool) -> None:
-    daemon = Daemon()
-    daemon.serve(30, _sick(set()))
+    daemon = ObserverDriver()
+    daemon.serve(30, _fault(set()))
     for ticket in range(4):
-        daemon.tell(AttemptStarted(ticket, "book", "3", was_reused))
+        daemon.send(AttemptStarted(ticket, "book", "3", was_reused))
     daemon.serve(10, lambda server: make_ended(server)._replace(ticket=99))
     assert ("3" in daemon.weights) is is_avoided
 
@@ -155,21 +157,21 @@
 @pytest.mark.parametrize(
     ("incarnation", "is_avoided"), [(1, True), (2, False)], ids=["same", "restarted"]
 )
-def test_a_cold_start_is_not_sickness(incarnation: int, is_avoided: bool) -> None:
-    daemon = Daemon()
-    daemon.serve(30, _sick(set()))
+def test_a_warming_up_server_is_not_avoided(incarnation: int, is_avoided: bool) -> None:
+    daemon = ObserverDriver()
+    daemon.serve(30, _fault(set()))
     restarted = make_server(3, incarnation=incarnation)
     others = tuple(each for each in make_servers() if each.server_id != "3")
-    daemon.tell(ServersChanged((*others, restarted)))
-    daemon.serve(30, _sick({3}, latency_s=0.3))
+    daemon.send(ServersChanged((*others, restarted)))
+    daemon.serve(30, _fault({3}, latency_s=0.3))
     assert ("3" in daemon.weights) is is_avoided
 
 
 def test_evidence_is_reported_soon() -> None:
-    daemon = Daemon()
-    daemon.serve(30, _sick(set()))
+    daemon = ObserverDriver()
+    daemon.serve(30, _fault(set()))
     daemon.reports.clear()
-    daemon.serve(10, _sick({3}, status=500))
+    daemon.serve(10, _fault({3}, status=500))
     scores = {each.server_id: each.score for each in daemon.reports[-1].servers}
     assert scores["3"] >= 1.0
     assert max(score for server, score in scores.items() if server != "3") == 0.0
@@ -187,21 +189,21 @@
     ids=["one", "two", "beyond-the-floor", "unknown", "not-asked-for"],
 )
 def test_grants(servers: list[int], age_s: float, ejected: set[str]) -> None:
-    daemon = Daemon()
-    daemon.wait(1.0)
+    daemon = ObserverDriver()
+    daemon.advance(1.0)
     daemon.grant(servers, age_s=age_s)
     assert {each for each, weight in daemon.weights.items() if weight == 0} == ejected
 
 
 def test_a_lease_expires_and_the_server_returns_by_a_ramp() -> None:
-    daemon = Daemon()
-    daemon.wait(1.0)
+    daemon = ObserverDriver()
+    daemon.advance(1.0)
     daemon.grant([3])
-    daemon.wait(LEASE_S + 0.25)
+    daemon.advance(LEASE_S + 0.25)
     weights = [daemon.weights["3"]]
     assert 0 < weights[0] <= 0.2
     while "3" in daemon.weights:
-        daemon.wait(1.0)
+        daemon.advance(1.0)
         weights.append(daemon.weights.get("3", 1.0))
     assert weights == sorted(weights)
     assert len(weights) >= 10
@@ -214,8 +216,8 @@
 def test_an_older_grant_changes_nothing(
     term: int, sequence: int, is_ejected: bool
 ) -> None:
-    daemon = Daemon()
-    daemon.wait(1.0)
+    daemon = ObserverDriver()
+    daemon.advance(1.0)
     daemon.grant([3], term=1, sequence=2)
     daemon.grant([], term=term, sequence=sequence)
     assert (daemon.weights.get("3") == 0) is is_ejected
@@ -242,8 +244,8 @@
     ids=["floor-1", "floor-0.75", "two-left", "two-drain", "restarted"],
 )
 def test_changes_keep_the_floor_at_once(message: HealthInput, ejected: int) -> None:
-    daemon = Daemon()
-    daemon.wait(1.0)
+    daemon = ObserverDriver()
+    daemon.advance(1.0)
     daemon.grant([1, 2, 3, 4])
-    daemon.tell(message)
+    daemon.send(message)
     assert sum(weight == 0 for weight in daemon.weights.values()) == ejected
--- a/tests/unit/health/test_scenario_language.py
+++ b/tests/unit/health/test_scenario_language.py
@@ -1,4 +1,4 @@
-"""Check that scenarios are understood and can fail."""
+"""Check that invalid scenarios are rejected and failed expectations reported."""
 
 import pytest
 from scenario.language import ScenarioError
@@ -9,7 +9,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "fault"),
+    ("text", "error"),
     [
         ("end 5s", "one pool"),
         (POOL, "one end"),
@@ -18,8 +18,8 @@
         (POOL + "at 5 heal\nend 6s", "expected a number"),
     ],
 )
-def test_a_faulty_scenario_is_refused(text: str, fault: str) -> None:
-    with pytest.raises(ScenarioError, match=fault):
+def test_an_invalid_scenario_is_rejected(text: str, error: str) -> None:
+    with pytest.raises(ScenarioError, match=error):
         load(text)
 
 
@@ -35,5 +35,5 @@
         ("expect at 4s in-use all", 0),
     ],
 )
-def test_a_broken_expectation_is_reported(expectation: str, failures: int) -> None:
+def test_a_failed_expectation_is_reported(expectation: str, failures: int) -> None:
     assert len(run(f"{POOL}{expectation}\nend 5s")) == failures
--- a/tests/unit/health/test_wire.py
+++ b/tests/unit/health/test_wire.py
@@ -1,4 +1,4 @@
-"""Check the encoding between observers and the floor's owner."""
+"""Check the encoding of messages between observers and the floor owner."""
 
 import zlib
 
@@ -27,25 +27,25 @@
 
 
 @pytest.mark.parametrize("count", [0, 1, 60])
-def test_batches_come_back_whole(count: int) -> None:
+def test_encoded_batches_decode_to_the_same(count: int) -> None:
     reports = (REPORT,) * count
     grants = (GRANT,) * count
     assert decode_reports(encode_reports(reports)) == reports
     assert decode_grants(encode_grants(grants)) == grants
 
 
-BAD = [b"", b"x", encode_reports((REPORT,))[:-1], zlib.compress(b"\x00" * 9)]
-BAD.append(zlib.compress(b"\x00" * (BATCH_BYTES_MAX + 1)))
+INVALID = [b"", b"x", encode_reports((REPORT,))[:-1], zlib.compress(b"\x00" * 9)]
+INVALID.append(zlib.compress(b"\x00" * (BATCH_BYTES_MAX + 1)))
 
 
-@pytest.mark.parametrize("payload", BAD, ids=["empty", "x", "cut", "other", "bomb"])
-def test_bad_batches_are_refused(payload: bytes) -> None:
+@pytest.mark.parametrize("payload", INVALID, ids=["empty", "x", "cut", "other", "bomb"])
+def test_invalid_batches_are_rejected(payload: bytes) -> None:
     with pytest.raises(CodecError):
         decode_reports(payload)
 
 
 @given(strategies.binary(max_size=64))
 @settings(derandomize=True)
-def test_any_bytes_are_refused_cleanly(payload: bytes) -> None:
+def test_arbitrary_bytes_raise_codec_error(payload: bytes) -> None:
     with pytest.raises(CodecError):
         decode_grants(payload)
