Complete notes on constants of the health flow

A second reading found a reason that was reworded too loosely (why slowness is observed for longer before an ejection) and a few incomplete notes. Comments and docstrings only.

--- a/packages/core/src/pimentobend_core/_internal/health/detectors.py
+++ b/packages/core/src/pimentobend_core/_internal/health/detectors.py
@@ -63,7 +63,7 @@
     MIN_STEP = -0.3
 
     def step(self, sample: Sample) -> float:
-        """Return the excess over the allowed one, scaled and bounded."""
+        """Return the excess beyond ``ALLOWED_EXCESS``, scaled and bounded."""
         if sample.failed or sample.excess is None:
             return 0.0
         over_limit = sample.excess - self.ALLOWED_EXCESS
--- a/packages/core/src/pimentobend_core/_internal/health/flights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/flights.py
@@ -12,7 +12,7 @@
 # After this time without any answer from the server, an overdue attempt on a
 # reused connection counts against the server and not only the connection.
 SILENT_CONNECTION_S = 1.5
-_EXPIRY_S = 120.0
+_EXPIRY_S = 120.0  # an attempt that old is no longer tracked
 
 
 class _InFlight(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/health/latency.py
+++ b/packages/core/src/pimentobend_core/_internal/health/latency.py
@@ -94,7 +94,7 @@
             del self._medians[server_id]
 
     def remove(self, server_id: str) -> None:
-        """Drop the median of a server, as it restarted."""
+        """Drop the median of a server that restarted."""
         self._medians.pop(server_id, None)
 
     def _log_latency(self, region: str, latency_s: float) -> float:
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -94,7 +94,7 @@
         return Verdict.FAILED
 
     def add(self, ended: AttemptEnded, excess: float | None, now: float) -> None:
-        """Add an ended attempt; ``excess`` is its log ratio to the peers' latency."""
+        """Add an ended attempt; ``excess`` is its log ratio to the peers' median."""
         verdict = self.classify(ended, now)
         if ended.kind is AttemptKind.REFUSED:
             self._count_refusal(now)
--- a/packages/core/src/pimentobend_core/_internal/health/service_ejections.py
+++ b/packages/core/src/pimentobend_core/_internal/health/service_ejections.py
@@ -23,9 +23,9 @@
 
 SOLICIT_FOR_S = 5.0  # after a server becomes suspect
 
-# Time between the agreement on a server and its ejection. A fault that all
-# servers share shows on the others meanwhile. Slowness takes longer to show,
-# since requests in the slots delay the others by about a second.
+# Seconds between the agreement on a server and its ejection. A fault that all
+# servers share shows on the others meanwhile. Slowness takes longer to show:
+# long requests in the slots delay the other requests by about a second.
 EJECTION_DELAY_S = 0.5
 EJECTION_DELAY_SLOW_S = 1.0
 
