Name the remaining cases of the floor's tests plainly

Case ids such as "told" and "three-sick" and two test names did not say what happens. Cases and assertions are the same.

--- a/tests/unit/health/test_floor.py
+++ b/tests/unit/health/test_floor.py
@@ -114,7 +114,7 @@
         "split",
         "one-sided",
         "a-rack-cut-off",
-        "three-sick",
+        "three-unhealthy",
         "half-look-bad",
         "most-look-bad",
         "all-look-bad",
@@ -192,13 +192,13 @@
     assert owner.ejected == ejected
 
 
-def test_a_new_owner_waits_out_the_earlier_leases() -> None:
+def test_a_new_owner_waits_for_earlier_leases_to_expire() -> None:
     owner = OwnerDriver()
     owner.report(_make_scores(2, 0))
     owner.send(OwnershipTaken(2))
     before = len(owner.grants)
-    began = owner.now
-    while owner.now < began + TAKEOVER_S - STEP_S:
+    started_at = owner.now
+    while owner.now < started_at + TAKEOVER_S - STEP_S:
         owner.send(OwnershipConfirmed(2, owner.now))
         owner.report(_make_scores(2, 0), STEP_S)
         owner.send(OwnershipConfirmed(2, owner.now))
@@ -209,7 +209,7 @@
 @pytest.mark.parametrize(
     ("is_lost", "waited_s", "grants"),
     [(False, 1.0, True), (False, 4.0, False), (True, 0.0, False)],
-    ids=["confirmed-lately", "cut-off", "told"],
+    ids=["confirmed-recently", "cut-off", "ownership-lost"],
 )
 def test_an_owner_without_a_majority_grants_nothing(
     is_lost: bool, waited_s: float, grants: bool
@@ -226,7 +226,7 @@
 @pytest.mark.parametrize(
     ("leaves", "ejected"), [(False, set()), (True, {"3"})], ids=["cut-off", "withdrew"]
 )
-def test_an_observer_that_left_is_not_waited_for(
+def test_an_observer_that_left_does_not_count_as_cut_off(
     leaves: bool, ejected: set[str]
 ) -> None:
     owner = OwnerDriver()
