--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -16,7 +16,7 @@
 from pimentobend_bench._internal.health.scheduler import Scheduler
 from pimentobend_bench._internal.health.servers import SimulatedServer
 from pimentobend_bench._internal.health.shapes import Shape
-from pimentobend_core._internal.health.flights import OVERDUE_LEAST_S
+from pimentobend_core._internal.health.flights import OVERDUE_MIN_S
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -148,9 +148,9 @@
             None,
         )
         outcome = Outcome(daemon, self.scheduler.now, ended)
-        if was_reused and latency_s > OVERDUE_LEAST_S:
+        if was_reused and latency_s > OVERDUE_MIN_S:
             # One silent connection is reason to open new ones.
-            self.scheduler.after(OVERDUE_LEAST_S, lambda: self._drop_idle(key))
+            self.scheduler.after(OVERDUE_MIN_S, lambda: self._drop_idle(key))
         self.scheduler.after(latency_s, lambda: self._end(outcome))
 
     def _drop_idle(self, key: tuple[str, str]) -> None:
--- a/packages/core/src/pimentobend_core/_internal/health/flights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/flights.py
@@ -8,7 +8,7 @@
 from pimentobend_core._internal.health.record import Overdue
 
 OVERDUE_RATIO = 8.0  # times the peers' median latency
-OVERDUE_LEAST_S = 0.5
+OVERDUE_MIN_S = 0.5
 # After this time without any answer from the server, an overdue attempt on a
 # reused connection counts against the server and not only the connection.
 SILENT_CONNECTION_S = 1.5
@@ -61,7 +61,7 @@
             expected = expected_latencies.get((started.route, started.server_id))
             if expected is None:
                 continue
-            limit_s = max(OVERDUE_LEAST_S, OVERDUE_RATIO * math.exp(expected))
+            limit_s = max(OVERDUE_MIN_S, OVERDUE_RATIO * math.exp(expected))
             if now - started_at < limit_s:
                 continue
             is_weak = started.was_reused and now - started_at < SILENT_CONNECTION_S
