--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -15,7 +15,7 @@
 from pimentobend_core._internal.configuration.follower import ASK_INTERVAL_S
 from pimentobend_core._internal.health.limits import REPORT_IDLE_S
 from pimentobend_core._internal.health.limits import TICK_S as HEALTH_TICK_S
-from pimentobend_core._internal.health.ticks import TICKS_A_ROUND
+from pimentobend_core._internal.health.ticks import TICKS_PER_ROUND
 from pimentobend_core._internal.membership.registry import RENEWALS_A_LEASE
 from pimentobend_core._internal.membership.spread.relay import BEACON_S
 from pimentobendd._internal.evidence import WINDOW_S
@@ -133,7 +133,7 @@
 
 def ticks_per_s() -> float:
     """Return the ticks of the observers of all pools of one daemon."""
-    return min(SERVICES, TICKS_A_ROUND) / HEALTH_TICK_S
+    return min(SERVICES, TICKS_PER_ROUND) / HEALTH_TICK_S
 
 
 def health_ticks(costs: Costs) -> Flow:
