--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -16,7 +16,7 @@
 from pimentobend_bench._internal.health.scheduler import Scheduler
 from pimentobend_bench._internal.health.servers import SimulatedServer
 from pimentobend_bench._internal.health.shapes import Shape
-from pimentobend_core._internal.health.flights import OVERDUE_MIN_S
+from pimentobend_core._internal.health.in_flight import OVERDUE_MIN_S
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
--- a/packages/core/src/pimentobend_core/_internal/health/pool_records.py
+++ b/packages/core/src/pimentobend_core/_internal/health/pool_records.py
@@ -3,7 +3,7 @@
 import statistics
 from collections.abc import Mapping
 
-from pimentobend_core._internal.health.flights import InFlightAttempts
+from pimentobend_core._internal.health.in_flight import InFlightAttempts
 from pimentobend_core._internal.health.latency import RouteLatency
 from pimentobend_core._internal.health.limits import GOOD_SCORE
 from pimentobend_core._internal.health.messages import AttemptStarted
