--- a/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
@@ -1,48 +1,54 @@
-"""Order the attempts that wait for a slot of a backend server."""
+"""Queue of the attempts that wait for a slot of a backend server."""
 
 import bisect
 from collections.abc import Iterator
 from typing import NamedTuple
 
 
-class Place(NamedTuple):
-    """Hold a waiting attempt; the one due first is the first to start."""
+class QueuedAttempt(NamedTuple):
+    """A waiting attempt.
 
-    due: float  # of the clock: when its answer is late
-    number: int  # in the order of arrival
+    Attempts sort by ``due`` and then by ``sequence``, so the one that is due
+    first starts first.
+    """
+
+    due: float  # clock time in s by which it must start for its answer to be on time
+    sequence: int  # order of arrival
     attempt_id: str
-    expected_s: float  # that it takes
+    expected_s: float  # mean time that the server takes for it
 
 
 class Backlog:
-    """Own the attempts that wait for one server."""
+    """The attempts that wait for one server, the one due first at the head."""
 
     def __init__(self) -> None:
-        self._places: list[Place] = []
+        self._queue: list[QueuedAttempt] = []
 
     def __len__(self) -> int:
-        return len(self._places)
+        return len(self._queue)
 
-    def __iter__(self) -> Iterator[Place]:
-        return iter(self._places)
+    def __iter__(self) -> Iterator[QueuedAttempt]:
+        return iter(self._queue)
 
-    def add(self, place: Place) -> None:
-        """Add an attempt."""
-        bisect.insort(self._places, place)
+    def add(self, queued: QueuedAttempt) -> None:
+        """Insert an attempt in the order of its due time."""
+        bisect.insort(self._queue, queued)
 
-    def take(self) -> Place:
+    def take(self) -> QueuedAttempt:
         """Remove and return the attempt that is due first."""
-        return self._places.pop(0)
+        return self._queue.pop(0)
 
     def remove(self, attempt_id: str) -> None:
-        """Remove an attempt that no longer waits."""
-        self._places = [each for each in self._places if each.attempt_id != attempt_id]
+        """Remove an attempt; do nothing if it is not queued."""
+        self._queue = [
+            attempt for attempt in self._queue if attempt.attempt_id != attempt_id
+        ]
 
-    def clear(self) -> list[Place]:
+    def clear(self) -> list[QueuedAttempt]:
         """Remove and return all attempts."""
-        places, self._places = self._places, []
-        return places
+        queued, self._queue = self._queue, []
+        return queued
 
     def work_before(self, due: float) -> float:
-        """Return how long the attempts take that start before one due then, in s."""
-        return sum(each.expected_s for each in self._places if each.due <= due)
+        """Return the total expected time of the attempts due by ``due``, in s."""
+        return sum(attempt.expected_s for attempt in self._queue if attempt.due <= due)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -1,4 +1,4 @@
-"""Define what a delivery takes and asks for."""
+"""Input and output messages of a delivery."""
 
 import enum
 from typing import NamedTuple
@@ -10,7 +10,7 @@
 
 
 class Offers(NamedTuple):
-    """Give the servers that take work up to a distance."""
+    """The servers within a distance that made a bid."""
 
     candidates: tuple[Candidate, ...]
     distance: Distance
@@ -26,22 +26,22 @@
 
 
 class TimerDue(NamedTuple):
-    """Report that the time asked for has come."""
+    """Report that the time of the last ``WakeAt`` has come."""
 
 
 class CallerLeft(NamedTuple):
-    """Report that nobody waits for the answer."""
+    """Report that the caller closed its connection."""
 
 
 class EndWaiting(NamedTuple):
-    """End what has not reached a server, as the process is about to stop."""
+    """End the request unless a server runs it, as the process is about to stop."""
 
 
 DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | EndWaiting
 
 
 class AskServers(NamedTuple):
-    """Ask the daemons up to a distance what their servers offer."""
+    """Request bids from the daemons within a distance."""
 
     distance: Distance
 
@@ -56,52 +56,52 @@
 
 
 class CancelAttempt(NamedTuple):
-    """Break off an attempt whose answer is not needed."""
+    """Cancel an attempt whose answer is not needed."""
 
     number: int
 
 
 class RecallAttempt(NamedTuple):
-    """Take back an attempt if it still waits for a slot."""
+    """Withdraw an attempt if it still waits for a slot."""
 
     number: int
 
 
 class HoldReason(enum.Enum):
-    """Name why a request or a hedge waits before it is sent."""
+    """Why a request or a hedge waits before it is sent."""
 
     NO_SERVER = "no-server"
     BUDGET = "budget"  # no server takes repeats
     BUSY = "busy"  # no server has a free slot for a hedge
     COST = "cost"  # the best server costs more than a hedge is worth
-    RISK = "risk"  # unsafe work, and every server more likely fails
+    RISK = "risk"  # not repeatable, and every server is likely to fail
 
 
 class Held(NamedTuple):
-    """Report that the next attempt waits."""
+    """Report that the next attempt waits, and why."""
 
     reason: HoldReason
     is_hedge: bool
 
 
 class Deliver(NamedTuple):
-    """Give the caller the answer of an attempt."""
+    """Deliver the answer of an attempt to the caller."""
 
     number: int
 
 
 class Refuse(NamedTuple):
-    """Give the caller a refusal."""
+    """Refuse the request."""
 
     refusal: Refusal
 
 
 class Stop(NamedTuple):
-    """End without an answer, as nobody waits for one."""
+    """End without an answer, as the caller left."""
 
 
 class WakeAt(NamedTuple):
-    """Ask for ``TimerDue`` at a time of the clock; a later one replaces it."""
+    """Request ``TimerDue`` at a clock time; replaces any earlier ``WakeAt``."""
 
     due: float
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -1,4 +1,4 @@
-"""Define the events of forwarding that go to logs and metrics."""
+"""Forwarding events for logs and metrics."""
 
 from typing import NamedTuple
 
@@ -11,7 +11,7 @@
 
 
 class HostDecided(NamedTuple):
-    """Report a decision at the daemon beside a server."""
+    """A decision or an outcome at the daemon beside a server."""
 
     action: str  # call-started, call-ended, declined or joined
     attempt_id: str
@@ -19,7 +19,7 @@
 
 
 class AttemptSent(NamedTuple):
-    """Report an attempt that the origin of a request sent."""
+    """The origin of a request sent an attempt."""
 
     request_id: str
     attempt_id: str
@@ -29,7 +29,7 @@
 
 
 class AttemptJudged(NamedTuple):
-    """Report how an attempt ended at the origin of its request."""
+    """An attempt ended, as seen by the origin of its request."""
 
     request_id: str
     attempt_id: str
@@ -37,7 +37,7 @@
 
 
 class DeliveryHeld(NamedTuple):
-    """Report that the next attempt of a request waits."""
+    """The next attempt of a request waits before it is sent."""
 
     request_id: str
     pool: str
@@ -45,13 +45,13 @@
 
 
 class DeliveryEnded(NamedTuple):
-    """Sum up the attempts of a request that did not end well."""
+    """Summary of the attempts of a request that did not end well."""
 
     request_id: str
     route: str
     pool: str
-    tables: str  # version of the tables that decided
-    attempts: tuple[str, ...]  # attempt id, server and how it ended
+    tables: str  # version of the tables in use
+    attempts: tuple[str, ...]  # attempt id, server and outcome of each
 
 
 ForwardingEvent = (
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -1,10 +1,10 @@
-"""Decide what the backend servers beside a daemon run, and when."""
+"""Admit, queue and start the attempts at the backend servers beside a daemon."""
 
 import enum
 from collections.abc import Mapping
 
 from pimentobend_core._internal.forwarding.backlog import Backlog
-from pimentobend_core._internal.forwarding.backlog import Place
+from pimentobend_core._internal.forwarding.backlog import QueuedAttempt
 from pimentobend_core._internal.forwarding.durations import RouteDurations
 from pimentobend_core._internal.forwarding.liveness import Liveness
 from pimentobend_core._internal.forwarding.liveness import Survival
@@ -33,14 +33,14 @@
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.traffic.shared_budget import ServerBudget
 
-QUEUE_LIMIT = 128  # attempts a server
-RECORDS_LIMIT = 20_000  # attempts; 42 s at the design's rate need 10,000
-KEEP_S = 30.0  # past the deadline, while a copy may be held up on its way
-TRIAL_INTERVAL_S = 1.5  # at the longest, a doubtful server is tried so often
-TRIAL_RISK = 0.1  # above it a server is doubtful
-COLD_MULTIPLE = 2.0  # of the usual times, while a server warms up
-LEAST_TIME_SHARE = 0.5  # of the median, below which hardly an answer comes
-UNREACHABLE_S = 0.5  # without offers after a connection was refused
+QUEUE_LIMIT = 128  # queued attempts per server
+RECORDS_LIMIT = 20_000  # attempts; 42 s at the design rate need 10,000
+RECORD_RETENTION_S = 30.0  # after the deadline; a delayed copy may still arrive
+TRIAL_INTERVAL_S = 1.5  # a doubtful server that was sent nothing for so long is tried
+TRIAL_RISK = 0.1  # a server with a higher risk is doubtful
+COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
+MIN_TIME_SHARE = 0.5  # of the route's median; hardly any answer takes less
+UNREACHABLE_S = 0.5  # a server that could not be reached makes no bids for so long
 
 
 class _Phase(enum.Enum):
@@ -49,8 +49,8 @@
     ENDED = "ended"
 
 
-class _Record:
-    """Hold one attempt for as long as it may be submitted again."""
+class _AttemptRecord:
+    """State of an attempt, kept while a copy of its submission may still arrive."""
 
     __slots__ = ("phase", "started_at", "submit")
 
@@ -60,8 +60,8 @@
         self.started_at = 0.0
 
 
-class _Hosted:
-    """Hold what is known of one server."""
+class _HostedServer:
+    """A server with its queue, its running attempts and its statistics."""
 
     def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
         self.server = server
@@ -74,19 +74,19 @@
 
     @property
     def is_ready(self) -> bool:
-        """Say whether the server takes new work."""
+        """Return whether the server takes new work."""
         return self.server.state is not ServerState.DRAINING
 
     @property
-    def slowness(self) -> float:
-        """Return how many times as long as usual answers take."""
+    def slowdown(self) -> float:
+        """Return the factor by which answers now take longer than once warmed up."""
         return COLD_MULTIPLE if self.server.is_cold else 1.0
 
     def survival(self, submit: Submit) -> Survival:
-        """Return the share of a route's requests that take longer, by seconds."""
+        """Return the survival function of the durations of the attempt's route."""
         durations = self.durations.of(submit.route, submit.target_s)
-        slowness = self.slowness
-        return lambda seconds: durations.survival(seconds / slowness)
+        slowdown = self.slowdown
+        return lambda seconds: durations.survival(seconds / slowdown)
 
     @property
     def free_slots(self) -> int:
@@ -95,42 +95,43 @@
 
 
 class ServerHost(StatefulFilter[HostInput, HostOutput]):
-    """Own the slots, the queue and the attempts of the servers beside a daemon.
+    """Runs attempts on the slots of the servers beside a daemon and queues the rest.
 
-    Every request for these servers passes here, so what runs is known exactly,
-    and an attempt runs at most once however often it is submitted.
+    Every request for these servers passes through here, so the number of free
+    slots is known exactly, and an attempt runs at most once however often it is
+    submitted.
     """
 
     def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
         self._terms = terms
-        self._sizes: dict[str, int] = {}
-        self._servers: dict[str, _Hosted] = {}
-        self._records: dict[str, _Record] = {}
-        self._number = 0
+        self._service_sizes: dict[str, int] = {}
+        self._servers: dict[str, _HostedServer] = {}
+        self._records: dict[str, _AttemptRecord] = {}
+        self._submissions = 0
         self._is_stopping = False
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
-        """Take a question, an attempt, the end of a call or a tick."""
+        """Process one message and return the replies and calls that follow."""
         match message:
             case Ask():
-                return (self._bid(message, now),)
+                return (self._answer_ask(message, now),)
             case Submit():
                 return self._submit(message, now)
             case CallEnded():
-                return self._end(message, now)
+                return self._handle_call_ended(message, now)
             case Withdraw():
                 return self._withdraw(message)
             case ServerListed():
-                return self._list(message.server, now)
+                return self._update_server(message.server, now)
             case ServerUnlisted():
-                return self._unlist(message.server_id)
+                return self._remove_server(message.server_id)
             case StopTaking():
                 self._is_stopping = True
             case ServiceSizes():
-                self._sizes = dict(message.servers)
+                self._service_sizes = dict(message.servers)
             case HostTick():
-                return self._tick(now)
+                return self._expire(now)
         return ()
 
     def dump(self) -> Mapping[str, object]:
@@ -144,72 +145,72 @@
                     "state": hosted.server.state.value,
                     "slots": hosted.server.slots,
                     "running": sorted(hosted.running),
-                    "queued": [place.attempt_id for place in hosted.backlog],
+                    "queued": [queued.attempt_id for queued in hosted.backlog],
                 }
                 for server_id, hosted in sorted(self._servers.items())
             },
         }
 
-    def _bid(self, ask: Ask, now: float) -> Bids:
+    def _answer_ask(self, ask: Ask, now: float) -> Bids:
         bids = tuple(
-            self._describe(hosted, ask.route, now)
+            self._make_bid(hosted, ask.route, now)
             for hosted in self._servers.values()
             if hosted.server.service == ask.service and self._may_offer(hosted, now)
         )
         return Bids(ask.token, self._process_id, bids)
 
-    def _may_offer(self, hosted: _Hosted, now: float) -> bool:
+    def _may_offer(self, hosted: _HostedServer, now: float) -> bool:
         if self._is_stopping or not hosted.is_ready:
             return False
         return now >= hosted.unreachable_until and len(hosted.backlog) < QUEUE_LIMIT
 
-    def _describe(self, hosted: _Hosted, route: str, now: float) -> Bid:
+    def _make_bid(self, hosted: _HostedServer, route: str, now: float) -> Bid:
         durations = hosted.durations.of(route)
-        slowness = hosted.slowness
+        slowdown = hosted.slowdown
         wait_s = 0.0
         if not hosted.free_slots:
-            ahead_s = hosted.backlog.work_before(now + durations.patience_s)
+            ahead_s = hosted.backlog.work_before(now + durations.slack_s)
             ahead_s += durations.mean_s
-            wait_s = slowness * ahead_s / max(1, hosted.server.slots)
+            wait_s = slowdown * ahead_s / max(1, hosted.server.slots)
         risk = hosted.liveness.risk(now)
-        is_quiet = hosted.liveness.quiet_s(now) >= TRIAL_INTERVAL_S
+        is_idle = hosted.liveness.idle_s(now) >= TRIAL_INTERVAL_S
         return Bid(
             hosted.server.server_id,
             round(risk, 3),
             hosted.free_slots,
             round(wait_s, 3),
-            round(slowness * durations.usual_s, 3),
-            risk > TRIAL_RISK and is_quiet and hosted.free_slots > 0,
+            round(slowdown * durations.p90_s, 3),
+            risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
             self._takes_repeats(hosted, now),
         )
 
-    def _takes_repeats(self, hosted: _Hosted, now: float) -> bool:
-        servers = self._sizes.get(hosted.server.service, 1)
+    def _takes_repeats(self, hosted: _HostedServer, now: float) -> bool:
+        servers = self._service_sizes.get(hosted.server.service, 1)
         return hosted.budget.allows(servers, now)
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (Joined(submit.attempt_id),)
         hosted = self._servers.get(submit.server_id)
-        record = _Record(submit)
-        reason = self._find_reason(hosted, submit, now)
+        record = _AttemptRecord(submit)
+        reason = self._find_decline_reason(hosted, submit, now)
         if hosted is None or reason is not None:
-            # kept, as a delayed copy of the submission must not run later
+            # Keep the record, so that a delayed copy of the submission does not run.
             self._records[submit.attempt_id] = record
             return (self._decline(record, reason or DeclineReason.NO_SERVER),)
         self._records[submit.attempt_id] = record
-        self._number += 1
+        self._submissions += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
         durations.follow_target(submit.target_s, submit.priority)
-        due = min(now + durations.patience_s, submit.deadline)
+        due = min(now + durations.slack_s, submit.deadline)
         attempt_id = submit.attempt_id
-        place = Place(due, self._number, attempt_id, durations.mean_s)
-        hosted.backlog.add(place)
-        return self._start(hosted, now)
+        queued = QueuedAttempt(due, self._submissions, attempt_id, durations.mean_s)
+        hosted.backlog.add(queued)
+        return self._start_queued(hosted, now)
 
-    def _find_reason(
-        self, hosted: _Hosted | None, submit: Submit, now: float
+    def _find_decline_reason(
+        self, hosted: _HostedServer | None, submit: Submit, now: float
     ) -> DeclineReason | None:
         if hosted is None:
             return DeclineReason.NO_SERVER
@@ -224,8 +225,10 @@
             return DeclineReason.BUDGET
         return None
 
-    def _start(self, hosted: _Hosted, now: float) -> tuple[HostOutput, ...]:
-        """Give the free slots to those who wait."""
+    def _start_queued(
+        self, hosted: _HostedServer, now: float
+    ) -> tuple[HostOutput, ...]:
+        """Start queued attempts while slots are free; decline those out of time."""
         outputs: list[HostOutput] = []
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
@@ -237,16 +240,18 @@
             record.started_at = now
             hosted.running.add(submit.attempt_id)
             survival = hosted.survival(submit)
-            hosted.liveness.sent(submit.attempt_id, survival, now)
+            hosted.liveness.record_sent(submit.attempt_id, survival, now)
             outputs.append(StartCall(submit.attempt_id, hosted.server))
         return tuple(outputs)
 
-    def _has_time(self, hosted: _Hosted, submit: Submit, now: float) -> bool:
-        """Say whether an answer may come before the deadline."""
-        least_s = LEAST_TIME_SHARE * hosted.durations.of(submit.route).median_s
-        return now + least_s < submit.deadline
+    def _has_time(self, hosted: _HostedServer, submit: Submit, now: float) -> bool:
+        """Return whether an answer is still likely to come before the deadline."""
+        needed_s = MIN_TIME_SHARE * hosted.durations.of(submit.route).median_s
+        return now + needed_s < submit.deadline
 
-    def _end(self, ended: CallEnded, now: float) -> tuple[HostOutput, ...]:
+    def _handle_call_ended(
+        self, ended: CallEnded, now: float
+    ) -> tuple[HostOutput, ...]:
         record = self._records.get(ended.attempt_id)
         if record is None or record.phase is not _Phase.RUNNING:
             return ()
@@ -255,27 +260,27 @@
         if hosted is None:
             return ()
         hosted.running.discard(ended.attempt_id)
-        self._judge(hosted, record, ended.kind, now)
-        return self._start(hosted, now)
+        self._record_outcome(hosted, record, ended.kind, now)
+        return self._start_queued(hosted, now)
 
-    def _judge(
-        self, hosted: _Hosted, record: _Record, kind: EndKind, now: float
+    def _record_outcome(
+        self, hosted: _HostedServer, record: _AttemptRecord, kind: EndKind, now: float
     ) -> None:
         attempt_id = record.submit.attempt_id
         if kind is EndKind.GOOD:
             route = record.submit.route
-            seconds = (now - record.started_at) / hosted.slowness
-            hosted.durations.of(route).note(seconds)
-            hosted.liveness.ended(attempt_id, now, is_good=True)
+            seconds = (now - record.started_at) / hosted.slowdown
+            hosted.durations.of(route).record(seconds)
+            hosted.liveness.record_end(attempt_id, now, is_good=True)
         elif kind is EndKind.GIVEN_UP:
-            hosted.liveness.ended(attempt_id, now, is_good=None)
+            hosted.liveness.record_end(attempt_id, now, is_good=None)
         else:
-            hosted.liveness.ended(attempt_id, now, is_good=False)
+            hosted.liveness.record_end(attempt_id, now, is_good=False)
         if kind is EndKind.UNREACHABLE:
             hosted.unreachable_until = now + UNREACHABLE_S
 
     def _withdraw(self, message: Withdraw) -> tuple[HostOutput, ...]:
-        """Drop a queued attempt; break off one that may be repeated."""
+        """Decline a queued attempt; cancel a running one if it is repeatable."""
         attempt_id = message.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
@@ -290,47 +295,56 @@
             return (CancelCall(attempt_id),)
         return ()
 
-    def _decline(self, record: _Record, reason: DeclineReason) -> Declined:
+    def _decline(self, record: _AttemptRecord, reason: DeclineReason) -> Declined:
         record.phase = _Phase.ENDED
         return Declined(record.submit.attempt_id, reason)
 
-    def _list(self, server: Server, now: float) -> tuple[HostOutput, ...]:
+    def _update_server(self, server: Server, now: float) -> tuple[HostOutput, ...]:
         hosted = self._servers.get(server.server_id)
         if hosted is None or server.incarnation != hosted.server.incarnation:
-            gone = self._unlist(server.server_id)
-            hosted = self._servers[server.server_id] = _Hosted(server, self._terms, now)
-            return gone
+            declined = self._remove_server(server.server_id)
+            hosted = self._servers[server.server_id] = _HostedServer(
+                server, self._terms, now
+            )
+            return declined
         hosted.server = server
         if hosted.is_ready:
-            return self._start(hosted, now)
-        return self._clear(hosted, DeclineReason.DRAINING)
+            return self._start_queued(hosted, now)
+        return self._decline_queued(hosted, DeclineReason.DRAINING)
 
-    def _unlist(self, server_id: str) -> tuple[HostOutput, ...]:
+    def _remove_server(self, server_id: str) -> tuple[HostOutput, ...]:
         hosted = self._servers.pop(server_id, None)
-        return () if hosted is None else self._clear(hosted, DeclineReason.NO_SERVER)
+        return (
+            ()
+            if hosted is None
+            else self._decline_queued(hosted, DeclineReason.NO_SERVER)
+        )
 
-    def _clear(self, hosted: _Hosted, reason: DeclineReason) -> tuple[HostOutput, ...]:
-        places = hosted.backlog.clear()
-        records = [self._records[place.attempt_id] for place in places]
+    def _decline_queued(
+        self, hosted: _HostedServer, reason: DeclineReason
+    ) -> tuple[HostOutput, ...]:
+        removed = hosted.backlog.clear()
+        records = [self._records[queued.attempt_id] for queued in removed]
         return tuple(self._decline(record, reason) for record in records)
 
-    def _tick(self, now: float) -> tuple[HostOutput, ...]:
+    def _expire(self, now: float) -> tuple[HostOutput, ...]:
         outputs: list[HostOutput] = []
         for hosted in self._servers.values():
             late = [
-                place
-                for place in hosted.backlog
+                queued
+                for queued in hosted.backlog
                 if not self._has_time(
-                    hosted, self._records[place.attempt_id].submit, now
+                    hosted, self._records[queued.attempt_id].submit, now
                 )
             ]
-            for place in late:
-                hosted.backlog.remove(place.attempt_id)
-                record = self._records[place.attempt_id]
+            for queued in late:
+                hosted.backlog.remove(queued.attempt_id)
+                record = self._records[queued.attempt_id]
                 outputs.append(self._decline(record, DeclineReason.DEADLINE))
         self._records = {
             attempt_id: record
             for attempt_id, record in self._records.items()
-            if record.phase is not _Phase.ENDED or now < record.submit.deadline + KEEP_S
+            if record.phase is not _Phase.ENDED
+            or now < record.submit.deadline + RECORD_RETENTION_S
         }
         return tuple(outputs)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages between the origin of a request and its server's daemon."""
+"""Messages between the origin of a request and the daemon beside its server."""
 
 import enum
 from typing import NamedTuple
@@ -7,19 +7,19 @@
 
 
 class Bid(NamedTuple):
-    """Tell what a request may expect of a server; times are in seconds."""
+    """What a server offers to a route: its risk and waiting time, in seconds."""
 
     server_id: str
-    risk: float  # probability that the server does not answer
+    risk: float  # probability that the server is failing
     free_slots: int
-    wait_s: float  # until a slot is free
-    usual_s: float  # in which nine of ten of the route's requests are answered
-    wants_trial: bool = False  # a repeatable request should try whether it answers
-    takes_repeats: bool = True  # its part of the retry budget is not spent
+    wait_s: float  # expected time until a slot is free
+    p90_s: float  # 90th percentile of the route's answer time
+    wants_trial: bool = False  # a repeatable request should test whether it answers
+    takes_repeats: bool = True  # its share of the retry budget is not spent
 
 
 class Ask(NamedTuple):
-    """Ask a daemon what its servers of a service offer to a route."""
+    """Request bids from a daemon's servers of a service, for a route."""
 
     token: int
     service: str
@@ -27,7 +27,7 @@
 
 
 class Bids(NamedTuple):
-    """Answer an ``Ask``."""
+    """The bids of a daemon's servers in answer to an ``Ask``."""
 
     token: int
     process_id: int
@@ -35,67 +35,67 @@
 
 
 class Submit(NamedTuple):
-    """Ask for a server to run an attempt once; times are in seconds."""
+    """Submit an attempt that the server runs at most once; times are in seconds."""
 
     attempt_id: str
     server_id: str
     route: str
     priority: int  # 0 is the most urgent
     is_repeatable: bool
-    target_s: float  # 0 where the route states none
-    deadline: float  # of the clock
+    target_s: float  # 0 if the route has none
+    deadline: float  # clock time
     request_id: str = ""
     is_repeat: bool = False  # an earlier attempt may have reached a server
 
 
 class Withdraw(NamedTuple):
-    """Take back an attempt that nobody waits for, or that still waits itself."""
+    """Withdraw an attempt whose answer is not needed, or one still queued."""
 
     attempt_id: str
-    only_queued: bool = False  # what runs goes on
+    only_queued: bool = False  # a running attempt continues
 
 
 class EndKind(enum.Enum):
-    """Name how the call to a hosted server ended."""
+    """How the call to a hosted server ended."""
 
     GOOD = "good"
-    FAILED = "failed"  # an error of the server, a broken answer or none
-    REFUSED = "refused"  # the server states that it did not run the work
+    FAILED = "failed"  # a server error, a truncated answer or no answer
+    REFUSED = "refused"  # the server states that it did not run the request
     UNREACHABLE = "unreachable"  # no byte was sent
-    GIVEN_UP = "given-up"  # the deadline came or the caller left
+    GIVEN_UP = "given-up"  # the deadline passed or the caller left
 
 
 class CallEnded(NamedTuple):
-    """Report the end of the call of an attempt."""
+    """Report that the call of an attempt ended."""
 
     attempt_id: str
     kind: EndKind
 
 
 class ServerListed(NamedTuple):
-    """Report a server beside this daemon, or a change of its state."""
+    """Report a new server beside this daemon, or a change of its state."""
 
     server: Server
 
 
 class ServerUnlisted(NamedTuple):
-    """Report a server that left or whose lease ran out."""
+    """Report that a server deregistered or that its lease expired."""
 
     server_id: str
 
 
 class StopTaking(NamedTuple):
-    """Decline all further work, as the process is about to stop."""
+    """Decline all further attempts, as the process is about to stop."""
 
 
 class ServiceSizes(NamedTuple):
-    """Give the number of servers of each service in the fleet."""
+    """The number of servers of each service in the fleet."""
 
     servers: tuple[tuple[str, int], ...]
 
 
 class HostTick(NamedTuple):
-    """Let queued attempts expire."""
+    """Periodic tick that expires queued attempts and old records."""
 
 
 HostInput = (
@@ -112,38 +112,38 @@
 
 
 class DeclineReason(enum.Enum):
-    """Name why an attempt was declined; nothing was sent."""
+    """Why an attempt was declined before anything was sent to the server."""
 
     NO_SERVER = "no-server"
     DRAINING = "draining"
     FULL = "full"
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
-    BUDGET = "budget"  # too many repeats reach the service
+    BUDGET = "budget"  # the server's share of the retry budget is spent
 
 
 class StartCall(NamedTuple):
-    """Send an attempt to its server now."""
+    """Start the call of an attempt to its server."""
 
     attempt_id: str
     server: Server
 
 
 class Declined(NamedTuple):
-    """Decline an attempt; it has not run and will not."""
+    """Report that an attempt has not run and will not."""
 
     attempt_id: str
     reason: DeclineReason
 
 
 class Joined(NamedTuple):
-    """Report an attempt that was submitted before; its outcome counts."""
+    """Report a repeated submission, which gets the outcome of the first one."""
 
     attempt_id: str
 
 
 class CancelCall(NamedTuple):
-    """Break off the call of an attempt that may be repeated."""
+    """Cancel the running call of a repeatable attempt."""
 
     attempt_id: str
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -1,4 +1,4 @@
-"""Choose a server from the bids of the daemons beside them."""
+"""Select the server for an attempt from the bids that daemons made."""
 
 import enum
 from collections.abc import Iterable
@@ -9,32 +9,32 @@
 
 
 class Distance(enum.IntEnum):
-    """Name how far a server is; each is asked after the one before it."""
+    """How far away a server is; servers are asked in this order, nearest first."""
 
     DATA_CENTRE = 0
     REGION = 1
     FAR = 2
 
 
-# Costs are shares of the worth of a request.
+# All costs are shares of the value of a request.
 DISTANCE_COSTS = {
     Distance.DATA_CENTRE: 0.0,
-    Distance.REGION: 0.03,  # bytes between data centres are billed
-    Distance.FAR: 0.25,  # bytes between regions are billed ten times higher
+    Distance.REGION: 0.03,  # traffic between data centres is billed
+    Distance.FAR: 0.25,  # traffic between regions costs ten times as much
 }
-LEAST_RISK = 0.02  # of a server that has answered a moment ago
-REPEATABLE_RISK_COST = 0.2  # a repeatable request has a second chance
-TRIAL_WORTH = 0.25  # of learning whether a doubtful server answers again
-RISK_LIMIT = 0.5  # above it a server more likely fails than answers
-HEDGE_COST_LIMIT = 0.5  # above it a hedge is not worth its bytes and its slot
-FALLBACK_RISK = 0.1  # of the server that a failed trial is repeated on, at the most
-WAIT_COST = 1.0  # for a wait as long as the route's target
-BUSY_COST = 0.02  # for the last free slot
+MIN_RISK = 0.02  # risk of a server that answered a moment ago
+REPEATABLE_RISK_COST = 0.2  # cost of a failure that may still be retried
+TRIAL_BENEFIT = 0.25  # value of learning whether a doubtful server answers again
+LIKELY_FAILING_RISK = 0.5  # from here a server is more likely to fail than to answer
+MAX_HEDGE_COST = 0.5  # a hedge that costs more is not worth its traffic and its slot
+MAX_FALLBACK_RISK = 0.1  # a failed trial is retried on a server with a lower risk
+WAIT_COST = 1.0  # cost of a wait as long as the route's target
+BUSY_COST = 0.02  # cost of a server without a free slot; divided by 1 + free slots
 DEFAULT_TARGET_S = 1.0
 
 
 class Candidate(NamedTuple):
-    """Hold a server that a request may be sent to."""
+    """A server that a request may be sent to, with its daemon and its bid."""
 
     peer: PeerRow
     bid: Bid
@@ -46,20 +46,20 @@
         return self.bid.server_id
 
 
-class Need(NamedTuple):
-    """Describe what a request asks of its server."""
+class Requirements(NamedTuple):
+    """What matters to a request in the choice of its server."""
 
-    has_second_chance: bool  # the request may be sent once more
-    target_s: float  # 0 where the route states none
-    may_try: bool = False  # whether a doubtful server answers again
+    has_second_chance: bool  # the request may be retried
+    target_s: float  # 0 if the route has none
+    may_send_trial: bool = False  # the request may test a doubtful server
 
-    def risk_cost(self, *, is_trial: bool = False) -> float:
-        """Return what a failure costs, as a share of the request's worth."""
+    def failure_cost(self, *, is_trial: bool = False) -> float:
+        """Return the cost of a failed attempt, as a share of the request's value."""
         return REPEATABLE_RISK_COST if self.has_second_chance or is_trial else 1.0
 
 
 def find_distance(own: PeerRow, peer: PeerRow) -> Distance:
-    """Return how far a daemon is from this one."""
+    """Return how far the daemon ``peer`` is from the daemon ``own``."""
     if peer.data_centre == own.data_centre:
         return Distance.DATA_CENTRE
     if peer.region == own.region:
@@ -67,85 +67,96 @@
     return Distance.FAR
 
 
-def cost_of(candidate: Candidate, need: Need) -> float:
-    """Return the expected cost of a server, as a share of the request's worth."""
+def cost_of(candidate: Candidate, requirements: Requirements) -> float:
+    """Return the expected cost of a candidate, as a share of the request's value."""
     bid = candidate.bid
-    wait = bid.wait_s / (need.target_s or DEFAULT_TARGET_S)
+    wait = bid.wait_s / (requirements.target_s or DEFAULT_TARGET_S)
     busy = BUSY_COST / (1 + bid.free_slots)
     distance = DISTANCE_COSTS[candidate.distance]
-    is_trial = bid.wants_trial and need.may_try
-    risk = bid.risk * need.risk_cost(is_trial=is_trial)
-    trial = TRIAL_WORTH if is_trial else 0.0
+    is_trial = bid.wants_trial and requirements.may_send_trial
+    risk = bid.risk * requirements.failure_cost(is_trial=is_trial)
+    trial = TRIAL_BENEFIT if is_trial else 0.0
     return risk + wait * WAIT_COST + busy + distance - trial
 
 
-class Choice(NamedTuple):
-    """Hold the cheapest server and what it is expected to cost."""
+class ScoredCandidate(NamedTuple):
+    """A candidate and its expected cost."""
 
     candidate: Candidate
     cost: float
 
 
-def choose(
-    candidates: Iterable[Candidate], need: Need, tried: frozenset[str]
-) -> Choice | None:
-    """Return the cheapest server that was not tried."""
-    fresh = [each for each in candidates if each.server_id not in tried]
-    if need.has_second_chance:
-        sound = [each.bid for each in fresh if each.bid.risk < FALLBACK_RISK]
-        # trials are few, so they go on while the retry budget is spent
-        has_budget = any(bid.takes_repeats for bid in sound)
-        need = need._replace(has_second_chance=has_budget, may_try=bool(sound))
-    choices = (Choice(each, cost_of(each, need)) for each in fresh)
+def select_cheapest(
+    candidates: Iterable[Candidate], requirements: Requirements, tried: frozenset[str]
+) -> ScoredCandidate | None:
+    """Return the cheapest candidate that was not tried, or None."""
+    untried = [each for each in candidates if each.server_id not in tried]
+    if requirements.has_second_chance:
+        reliable = [each.bid for each in untried if each.bid.risk < MAX_FALLBACK_RISK]
+        # Trials are rare, so they are allowed even while the retry budget is spent.
+        has_budget = any(bid.takes_repeats for bid in reliable)
+        requirements = requirements._replace(
+            has_second_chance=has_budget, may_send_trial=bool(reliable)
+        )
+    choices = (ScoredCandidate(each, cost_of(each, requirements)) for each in untried)
     return min(choices, key=lambda each: each.cost, default=None)
 
 
-def is_worth_asking(distance: Distance, best: Choice | None, need: Need) -> bool:
-    """Say whether servers at a distance may cost less than the best one so far."""
-    least = DISTANCE_COSTS[distance] + LEAST_RISK * need.risk_cost()
-    return best is None or best.cost > least
+def is_worth_asking(
+    distance: Distance, best: ScoredCandidate | None, requirements: Requirements
+) -> bool:
+    """Return whether a server at ``distance`` might cost less than the best so far."""
+    min_cost = DISTANCE_COSTS[distance] + MIN_RISK * requirements.failure_cost()
+    return best is None or best.cost > min_cost
 
 
-class Found(NamedTuple):
-    """Hold the best server of those that were asked."""
+class Selection(NamedTuple):
+    """The best of the servers that were asked, and what limits its use."""
 
-    best: Choice | None
-    is_spare_hedge: bool  # the server that runs the request seems to work
-    lacks_budget: bool  # servers were found, and none takes repeats
+    best: ScoredCandidate | None
+    is_hedge_optional: bool  # the server that runs the request seems healthy
+    lacks_budget: bool  # there are servers, but none takes repeats
 
 
-def find_next(
+def select_next(
     candidates: tuple[Candidate, ...],
-    need: Need,
+    requirements: Requirements,
     excluded: frozenset[str],
     running: tuple[Candidate, ...],
     *,
     is_repeat: bool,
-) -> Found:
-    """Return the best server that may take the next attempt of a request."""
+) -> Selection:
+    """Select the best server for the next attempt of a request."""
     if not is_repeat:
-        return Found(choose(candidates, need, excluded), False, False)
-    # while its server seems to work, a hedge in a queue would only lengthen it
-    is_spare = bool(running) and not seems_to_fail(running, candidates)
-    affordable = select_for_repeat(candidates, may_queue=not is_spare)
-    best = choose(affordable, need, excluded)
-    lacks_budget = best is None and choose(candidates, need, excluded) is not None
-    return Found(best, is_spare, lacks_budget)
+        return Selection(
+            select_cheapest(candidates, requirements, excluded), False, False
+        )
+    # While the running server seems healthy, a queued hedge only lengthens a queue.
+    is_optional = bool(running) and not seems_to_fail(running, candidates)
+    affordable = select_for_repeat(candidates, may_queue=not is_optional)
+    best = select_cheapest(affordable, requirements, excluded)
+    lacks_budget = (
+        best is None and select_cheapest(candidates, requirements, excluded) is not None
+    )
+    return Selection(best, is_optional, lacks_budget)
 
 
 def seems_to_fail(
     running: Iterable[Candidate], candidates: tuple[Candidate, ...]
 ) -> bool:
-    """Say whether a server that runs a request more likely fails, by newer bids."""
+    """Return whether a server that runs the request is likely failing.
+
+    A newer bid among ``candidates`` replaces the one the attempt was sent on.
+    """
     bids = {each.server_id: each.bid for each in running}
     bids.update((c.server_id, c.bid) for c in candidates if c.server_id in bids)
-    return any(bid.risk >= RISK_LIMIT for bid in bids.values())
+    return any(bid.risk >= LIKELY_FAILING_RISK for bid in bids.values())
 
 
 def select_for_repeat(
     candidates: tuple[Candidate, ...], *, may_queue: bool
 ) -> tuple[Candidate, ...]:
-    """Return the servers that may take one more attempt of a request."""
+    """Return the candidates that may take a retry or a hedge of a request."""
     return tuple(
         each
         for each in candidates
--- a/packages/core/src/pimentobend_core/_internal/gossip/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/messages.py
@@ -104,7 +104,7 @@
 
 
 class ReachabilityChanged(NamedTuple):
-    """Say whether a daemon answers this one."""
+    """Return whether a daemon answers this one."""
 
     address: str
     is_reachable: bool
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -9,7 +9,7 @@
 from delivery_driver import Driver
 from delivery_driver import candidate
 
-from pimentobend_core._internal.forwarding.delivery import ASK_AGAIN_MAX_S
+from pimentobend_core._internal.forwarding.delivery import MAX_ASK_INTERVAL_S
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
@@ -170,7 +170,7 @@
             driver.wait()
             asked += 1
     assert (driver.now > 0.0) == holds
-    assert driver.now <= TARGET_MS / 1000 + ASK_AGAIN_MAX_S
+    assert driver.now <= TARGET_MS / 1000 + MAX_ASK_INTERVAL_S
     assert asked < 10
 
 
@@ -190,7 +190,7 @@
     while driver.now < DEADLINE and not isinstance(driver.outputs[-1], Refuse):
         asked += AskServers(Distance.DATA_CENTRE) in driver.wait()
         driver.offer(candidate("a", free_slots=0))
-    assert 5 < asked <= DEADLINE / ASK_AGAIN_MAX_S + 4
+    assert 5 < asked <= DEADLINE / MAX_ASK_INTERVAL_S + 4
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from pimentobend_core._internal.forwarding.host import KEEP_S
 from pimentobend_core._internal.forwarding.host import QUEUE_LIMIT
+from pimentobend_core._internal.forwarding.host import RECORD_RETENTION_S
 from pimentobend_core._internal.forwarding.host import TRIAL_INTERVAL_S
 from pimentobend_core._internal.forwarding.host import ServerHost
 from pimentobend_core._internal.forwarding.messages import Ask
@@ -299,10 +299,10 @@
 def test_records_are_kept_past_the_deadline_and_then_forgotten() -> None:
     bench = Bench()
     bench.give(submit("1", deadline=1.0), ended("1"))
-    bench.now = KEEP_S
+    bench.now = RECORD_RETENTION_S
     bench.give(HostTick())
     assert bench.give(submit("1", deadline=90.0)) == [Joined("1")]
-    bench.now = KEEP_S + 2.0
+    bench.now = RECORD_RETENTION_S + 2.0
     bench.give(HostTick())
     assert bench.host.dump()["attempts"] == 0
 
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -5,21 +5,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pimentobend_core._internal.forwarding.durations import Durations
-from pimentobend_core._internal.forwarding.liveness import EVIDENCE_S
-from pimentobend_core._internal.forwarding.liveness import FIRST_RISK
+from pimentobend_core._internal.forwarding.durations import DurationEstimate
+from pimentobend_core._internal.forwarding.liveness import INITIAL_RISK
+from pimentobend_core._internal.forwarding.liveness import WINDOW_S
 from pimentobend_core._internal.forwarding.liveness import Liveness
 
 
-def learnt(seconds: float = 0.1) -> Durations:
-    durations = Durations(1.0)
+def learnt(seconds: float = 0.1) -> DurationEstimate:
+    durations = DurationEstimate(1.0)
     for number in range(100):
-        durations.note(seconds * (0.8 + 0.4 * (number % 10) / 10))
+        durations.record(seconds * (0.8 + 0.4 * (number % 10) / 10))
     return durations
 
 
 CASES = [
-    ("nothing known", [], 0.0, (FIRST_RISK, FIRST_RISK)),
+    ("nothing known", [], 0.0, (INITIAL_RISK, INITIAL_RISK)),
     ("an answer", [True], 0.0, (0.0, 0.05)),
     ("answers", [True] * 5, 0.0, (0.0, 0.01)),
     ("an error among answers", [True, True, False, True, True], 0.0, (0.0, 0.1)),
@@ -27,7 +27,7 @@
     ("errors", [False] * 3, 0.0, (0.98, 1.0)),
     ("errors long ago", [False] * 3, 30.0, (0.2, 0.4)),
     ("an answer long ago", [True] * 5, 30.0, (0.2, 0.4)),
-    ("given up at once", [None], 0.0, (FIRST_RISK, 0.2)),
+    ("given up at once", [None], 0.0, (INITIAL_RISK, 0.2)),
 ]
 
 
@@ -39,17 +39,17 @@
 ) -> None:
     liveness = Liveness(0.0)
     for number, is_good in enumerate(ends):
-        liveness.sent(str(number), learnt().survival, 0.0)
-        liveness.ended(str(number), 0.0, is_good=is_good)
+        liveness.record_sent(str(number), learnt().survival, 0.0)
+        liveness.record_end(str(number), 0.0, is_good=is_good)
     assert bounds[0] <= liveness.risk(later_s) <= bounds[1]
 
 
 def test_risk_grows_with_the_age_of_what_runs() -> None:
     liveness = Liveness(0.0)
     for number in range(5):
-        liveness.sent(str(number), learnt().survival, number * 0.1)
-        liveness.ended(str(number), number * 0.1 + 0.1, is_good=True)
-    liveness.sent("open", learnt().survival, 0.6)
+        liveness.record_sent(str(number), learnt().survival, number * 0.1)
+        liveness.record_end(str(number), number * 0.1 + 0.1, is_good=True)
+    liveness.record_sent("open", learnt().survival, 0.6)
     risks = [liveness.risk(0.6 + age) for age in (0.0, 0.1, 0.2, 0.4, 0.9)]
     assert risks == sorted(risks)
     assert risks[0] < 0.05
@@ -63,9 +63,9 @@
     now = 0.0
     for number, (wait_s, is_good) in enumerate(steps):
         now += wait_s
-        liveness.sent(str(number), learnt().survival, now)
+        liveness.record_sent(str(number), learnt().survival, now)
         if number % 3:
-            liveness.ended(str(number), now, is_good=is_good)
+            liveness.record_end(str(number), now, is_good=is_good)
         assert 0.0 <= liveness.risk(now) < 1.0
 
 
@@ -73,10 +73,10 @@
     liveness = Liveness(0.0)
     for number in range(400):
         now = number * 0.1
-        liveness.sent(str(number), learnt().survival, now)
-        liveness.ended(str(number), now, is_good=True)
+        liveness.record_sent(str(number), learnt().survival, now)
+        liveness.record_end(str(number), now, is_good=True)
     assert liveness.risk(40.0) < 0.01
-    assert liveness.quiet_s(40.0 + EVIDENCE_S) > EVIDENCE_S
+    assert liveness.idle_s(40.0 + WINDOW_S) > WINDOW_S
 
 
 @pytest.mark.parametrize(
@@ -91,6 +91,6 @@
 
 def test_stragglers_do_not_pass_for_the_usual_time() -> None:
     durations = learnt()
-    before = durations.usual_s
-    durations.note(10.0)
-    assert durations.usual_s < 1.5 * before
+    before = durations.p90_s
+    durations.record(10.0)
+    assert durations.p90_s < 1.5 * before
