--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -21,7 +21,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
 from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
 from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
-from pimentobend_core._internal.forwarding.selection import LIKELY_FAILING_RISK
+from pimentobend_core._internal.forwarding.selection import FAILING_RISK
 from pimentobend_core._internal.forwarding.selection import MAX_HEDGE_COST
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
@@ -189,8 +189,7 @@
         if self._running:
             is_too_costly = selection.best.cost > MAX_HEDGE_COST
             return HoldReason.COST if is_too_costly else None
-        risk = selection.best.candidate.bid.risk
-        if self._is_repeatable or risk < LIKELY_FAILING_RISK:
+        if self._is_repeatable or selection.best.candidate.bid.risk < FAILING_RISK:
             return None
         is_early = now - self._started_at < RISK_HOLD_SHARE * self._target_s
         return HoldReason.RISK if is_early else None
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -25,7 +25,7 @@
 MIN_RISK = 0.02  # risk of a server that answered a moment ago
 REPEATABLE_RISK_COST = 0.2  # cost of a failure that may still be retried
 TRIAL_BENEFIT = 0.25  # value of learning whether a doubtful server answers again
-LIKELY_FAILING_RISK = 0.5  # from here a server is more likely to fail than to answer
+FAILING_RISK = 0.5  # from here a server is more likely to fail than to answer
 MAX_HEDGE_COST = 0.5  # a hedge that costs more is not worth its traffic and its slot
 MAX_FALLBACK_RISK = 0.1  # a failed trial is retried on a server with a lower risk
 WAIT_COST = 1.0  # cost of a wait as long as the route's target
@@ -150,7 +150,7 @@
     """
     bids = {each.server_id: each.bid for each in running}
     bids.update((c.server_id, c.bid) for c in candidates if c.server_id in bids)
-    return any(bid.risk >= LIKELY_FAILING_RISK for bid in bids.values())
+    return any(bid.risk >= FAILING_RISK for bid in bids.values())
 
 
 def select_for_repeat(
