Reword the gossip package in the terms of the field

Docstrings named a thing ("Own the list of daemons") without saying how the protocol works.

Wire order, dump() keys and field names that other folders use stay. Two codec errors read as plain messages, one with the unknown type number.

--- a/packages/core/src/pimentobend_core/_internal/gossip/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/__init__.py
@@ -1,1 +1,1 @@
-"""Let the daemons find each other and keep a list of the fleet."""
+"""Gossip between daemons: discovery and the list of the fleet."""
--- a/packages/core/src/pimentobend_core/_internal/gossip/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/codec.py
@@ -1,4 +1,4 @@
-"""Encode the messages between daemons."""
+"""Encode and decode gossip messages."""
 
 from typing import Any
 from typing import cast
@@ -15,23 +15,23 @@
 _ENCODER = msgspec.msgpack.Encoder()
 _ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
 
-# A type's place is its number on the wire; new ones go to the end.
+# The index of a type is its number on the wire: append new types at the end.
 _MESSAGES = (Ping, Ack, Pull, Rows)
 _NUMBERS = {kind: number for number, kind in enumerate(_MESSAGES)}
 _DECODERS = [msgspec.msgpack.Decoder(cast(Any, kind)) for kind in _MESSAGES]
 
 
 def encode_message(message: GossipMessage) -> bytes:
-    """Return a message as bytes."""
+    """Return the message as bytes, with its type number."""
     return _ENCODER.encode((_NUMBERS[type(message)], message))
 
 
 def decode_message(data: bytes) -> GossipMessage:
-    """Return the message of the bytes; raise ``CodecError``."""
+    """Return the message in ``data``; raise ``CodecError`` if it is invalid."""
     try:
         number, raw = _ENVELOPE.decode(data)
         if not 0 <= number < len(_DECODERS):
-            raise CodecError("a gossip message of an unknown kind")
+            raise CodecError(f"gossip message of unknown type {number}")
         return cast(GossipMessage, _DECODERS[number].decode(raw))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("a gossip message does not decode") from error
+        raise CodecError("gossip message cannot be decoded") from error
--- a/packages/core/src/pimentobend_core/_internal/gossip/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages by which daemons spread their rows."""
+"""Messages of the gossip protocol between daemons."""
 
 from typing import NamedTuple
 
@@ -8,10 +8,10 @@
 
 
 class Ping(NamedTuple):
-    """Ask for an ``Ack``, and pass on recent rows.
+    """Request an ``Ack``, and pass on recent rows.
 
     ``digest`` covers all rows that the sender knows; ``tables`` is the version
-    that it has in force.
+    of the tables that is in force there.
     """
 
     number: int
@@ -21,7 +21,7 @@
 
 
 class Ack(NamedTuple):
-    """Answer a ``Ping``."""
+    """Answer to the ``Ping`` of the same number; the other fields are alike."""
 
     number: int
     digest: int
@@ -30,13 +30,13 @@
 
 
 class Pull(NamedTuple):
-    """Ask for the rows that are newer than, or missing from, those listed."""
+    """Request the rows that are newer than those listed, or not listed."""
 
     known: tuple[tuple[str, Life], ...]
 
 
 class Rows(NamedTuple):
-    """Give rows; ``wanted`` names addresses whose rows the sender lacks."""
+    """Rows for the recipient; ``wanted`` lists addresses to send rows of in return."""
 
     rows: tuple[PeerRow, ...]
     wanted: tuple[str, ...]
@@ -46,38 +46,38 @@
 
 
 class GossipReceived(NamedTuple):
-    """Hand over another daemon's message."""
+    """A message from another daemon arrived."""
 
     sender: str
     message: GossipMessage
 
 
 class OwnRowChanged(NamedTuple):
-    """Replace this daemon's own row; its life is counted on by the node."""
+    """This daemon's own row changed; the node sets its ``life``."""
 
     row: PeerRow
 
 
 class TablesChanged(NamedTuple):
-    """Name the version of the tables that is in force here."""
+    """Another version of the tables is in force here."""
 
     version: Version
 
 
 class SeedsChanged(NamedTuple):
-    """Name the daemons that are asked first."""
+    """The seeds changed: the daemons that are contacted to join the fleet."""
 
     addresses: tuple[str, ...]
 
 
 class PeerUnreachable(NamedTuple):
-    """Report a daemon that gave no answer to a request of another kind."""
+    """A daemon did not answer a message other than a ping."""
 
     address: str
 
 
 class GossipTick(NamedTuple):
-    """Let time pass; due every ``TICK_S`` seconds."""
+    """Periodic tick, sent every ``TICK_S`` seconds."""
 
 
 GossipInput = (
@@ -98,7 +98,7 @@
 
 
 class PeersChanged(NamedTuple):
-    """Give all rows but this daemon's own."""
+    """The list of daemons changed; ``peers`` are all rows but the own one."""
 
     peers: tuple[PeerRow, ...]
 
@@ -111,7 +111,7 @@
 
 
 class NewerTablesSeen(NamedTuple):
-    """Name a daemon that has a newer version of the tables in force."""
+    """A daemon has a newer version of the tables in force."""
 
     address: str
     version: Version
--- a/packages/core/src/pimentobend_core/_internal/gossip/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/rows.py
@@ -1,37 +1,37 @@
-"""Define what daemons tell of themselves."""
+"""Rows: what each daemon publishes about itself."""
 
 from typing import NamedTuple
 
 
 class HostedServer(NamedTuple):
-    """Describe a backend server beside a daemon."""
+    """A backend server beside a daemon."""
 
     server_id: str
     service: str
-    is_ready: bool  # takes new work
+    is_ready: bool  # accepts new requests
 
 
 class Life(NamedTuple):
-    """Order the rows of one daemon; a row never goes back in it."""
+    """Version of a daemon's row: rows with a higher value replace lower ones."""
 
-    incarnation: int  # grows at each start of the daemon
-    revision: int
+    incarnation: int  # higher at each start of the daemon
+    revision: int  # incremented with each change of the row
 
 
 class PeerRow(NamedTuple):
-    """Describe a daemon of the fleet."""
+    """A daemon of the fleet."""
 
-    address: str  # of its link
+    address: str  # host:port of its link
     life: Life
-    process_id: int  # drawn at each start
+    process_id: int  # random, new at each start
     data_centre: str
     region: str
     is_control: bool
-    forward_port: int  # takes forwarded requests over HTTP; 0 where none are taken
+    forward_port: int  # HTTP port for forwarded requests; 0 if it accepts none
     is_leaving: bool
     servers: tuple[HostedServer, ...]
 
     @property
     def host(self) -> str:
-        """Return the IP number."""
+        """Return the host part of the address, an IP address."""
         return self.address.rpartition(":")[0]
--- a/packages/core/src/pimentobend_core/_internal/gossip/table.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/table.py
@@ -1,4 +1,4 @@
-"""Hold the newest row of each daemon."""
+"""Table of the newest row of each daemon."""
 
 import hashlib
 from collections.abc import Iterable
@@ -7,12 +7,14 @@
 from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
 
-DIGEST_BYTES = 7  # a linear checksum would cancel out between similar rows
+# The digest of the table is the XOR of the rows' hashes. They are cryptographic, as
+# linear checksums of similar rows would cancel out.
+DIGEST_BYTES = 7
 MAX_ROWS = 4096  # twice the fleet that the system is designed for
 
 
 class PeerTable:
-    """Own the rows by address, and a digest that is kept up row by row."""
+    """Rows by address, with a digest that is updated with each change."""
 
     def __init__(self) -> None:
         self._rows: dict[str, PeerRow] = {}
@@ -20,7 +22,7 @@
 
     @property
     def digest(self) -> int:
-        """Return a digest of all rows' addresses and lives."""
+        """Return the digest of the addresses and lives of all rows."""
         return self._digest
 
     def __len__(self) -> int:
@@ -30,11 +32,14 @@
         return iter(self._rows.values())
 
     def get(self, address: str) -> PeerRow | None:
-        """Return a daemon's row."""
+        """Return the row of a daemon, or None."""
         return self._rows.get(address)
 
     def put(self, row: PeerRow) -> bool:
-        """Take a row unless it is no newer than the one known; say whether."""
+        """Store a row if it is newer than the known one; return whether it was stored.
+
+        A new daemon's row is dropped when the table is full.
+        """
         known = self._rows.get(row.address)
         if known is None and len(self._rows) >= MAX_ROWS:
             return False
@@ -47,19 +52,23 @@
         return True
 
     def remove(self, address: str) -> None:
-        """Forget a daemon."""
+        """Remove the row of a daemon."""
         row = self._rows.pop(address, None)
         if row is not None:
             self._digest ^= _hash(row)
 
     def lives(self) -> tuple[tuple[str, Life], ...]:
-        """Return the life of each row."""
+        """Return the address and the life of each row."""
         return tuple((row.address, row.life) for row in self._rows.values())
 
     def compare(
         self, lives: Iterable[tuple[str, Life]]
     ) -> tuple[tuple[PeerRow, ...], tuple[str, ...]]:
-        """Return the rows that are newer here and the addresses that are older."""
+        """Compare this table with the lives that another daemon listed.
+
+        Returns the rows that are newer here or missing there, and the addresses whose
+        rows are older here or missing.
+        """
         given = dict(lives)
         newer = tuple(
             row
