Reword the request package in the terms of the field

Stage names such as Tried, Attempting and Judged, the constants _STRENGTH, HOLD_S and HOLD_SHARE, and docstrings such as "Return the answer, or a refusal that is true of all attempts" did not tell a new reader what they stand for.

The details of refusals say "request" and "did not answer"; no test or tool matches them.

--- a/packages/core/src/pimentobend_core/_internal/request/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/request/__init__.py
@@ -1,1 +1,1 @@
-"""Pass one request through a visible list of filters."""
+"""The request pipe: the filters that each request passes."""
--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -1,4 +1,4 @@
-"""Get a slot for one attempt and send it."""
+"""Acquire a slot for an attempt and send the request to its server."""
 
 import itertools
 
@@ -12,20 +12,20 @@
 from pimentobend_core._internal.ports import BackendPort
 from pimentobend_core._internal.ports import TrafficPort
 from pimentobend_core._internal.request.stages import Admitted
-from pimentobend_core._internal.request.stages import Attempting
-from pimentobend_core._internal.request.stages import Tried
+from pimentobend_core._internal.request.stages import EndedAttempt
+from pimentobend_core._internal.request.stages import PendingAttempt
 from pimentobend_core._internal.traffic.messages import Acquire
 
 
-class AdmissionFilter(Filter[Attempting, Admitted]):
-    """Wait for a slot of a selected backend server."""
+class AdmissionFilter(Filter[PendingAttempt, Admitted]):
+    """Acquires a slot of a backend server that the pool selects."""
 
     def __init__(self, traffic: TrafficPort) -> None:
         self._traffic = traffic
         self._tickets = itertools.count(1)
 
-    def apply(self, value: Attempting) -> Result[Admitted, Refusal]:
-        """Return the request with its server, or the owner's refusal."""
+    def apply(self, value: PendingAttempt) -> Result[Admitted, Refusal]:
+        """Return the request with its server, or the refusal of the slots' owner."""
         request = value.request
         ticket = next(self._tickets)
         message = Acquire(
@@ -41,15 +41,15 @@
         return granted.map(lambda grant: Admitted(request, ticket, grant.server))
 
 
-class AttemptFilter(Filter[Admitted, Tried]):
-    """Send the request to its server and report how that ended."""
+class AttemptFilter(Filter[Admitted, EndedAttempt]):
+    """Sends the request to its server and reports the start and end of the attempt."""
 
     def __init__(self, backend: BackendPort, traffic: TrafficPort) -> None:
         self._backend = backend
         self._traffic = traffic
 
-    def apply(self, value: Admitted) -> Result[Tried, Refusal]:
-        """Return the ended attempt; it is never a refusal of its own."""
+    def apply(self, value: Admitted) -> Result[EndedAttempt, Refusal]:
+        """Return the ended attempt; this filter never refuses."""
         request = value.request
         is_repeatable = request.route.repeatable
         self._traffic.started(
@@ -77,4 +77,4 @@
                 load=attempted.load,
             )
         )
-        return Success(Tried(request, value.server, attempted))
+        return Success(EndedAttempt(request, value.server, attempted))
--- a/packages/core/src/pimentobend_core/_internal/request/deadline.py
+++ b/packages/core/src/pimentobend_core/_internal/request/deadline.py
@@ -15,24 +15,24 @@
 
 
 class DeadlineFilter(Filter[Received, Received]):
-    """Pass on only requests that can still be answered in time."""
+    """Refuses requests whose deadline has passed and passes on the others."""
 
     def __init__(self, clock: ClockPort) -> None:
         self._clock = clock
 
     def apply(self, value: Received) -> Result[Received, Refusal]:
-        """Return the request, or a refusal once its deadline has passed."""
+        """Return the request, or a refusal if its deadline has passed."""
         if self._clock.now() < value.head.deadline:
             return Success(value)
         return Failure(deadline_refusal())
 
 
 def deadline_refusal() -> Refusal:
-    """Return the refusal of work that did not start before its deadline."""
+    """Return the refusal of a request that was not sent before its deadline."""
     return Refusal(
         status=504,
         ran=Ran.NOT_RUN,
         reason=RefusalReason.DEADLINE,
-        detail="the deadline passed before the work was sent",
+        detail="the deadline passed before the request was sent",
         retry_after_s=RETRY_AFTER_S,
     )
--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -1,4 +1,4 @@
-"""Repeat attempts while that is safe and within the retry budget."""
+"""Retry attempts while that is safe and within the retry budget."""
 
 import abc
 
@@ -11,38 +11,38 @@
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import ClockPort
-from pimentobend_core._internal.request.stages import Attempting
 from pimentobend_core._internal.request.stages import Claimed
 from pimentobend_core._internal.request.stages import Finished
-from pimentobend_core._internal.request.stages import Judged
+from pimentobend_core._internal.request.stages import JudgedAttempt
+from pimentobend_core._internal.request.stages import PendingAttempt
 
 MAX_ATTEMPTS = 3
-MAX_OFFERS = 8  # of work that every server so far refused unrun
-_STRENGTH = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
+MAX_REFUSED_ATTEMPTS = 8  # while every server so far refused without running it
+_BY_CERTAINTY = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)  # that it ran, ascending
 
 
 class RetryPolicy(abc.ABC):
-    """Decide whether the pool can afford one more attempt."""
+    """Retry budget of the pools: decides whether one more attempt is allowed."""
 
     @abc.abstractmethod
     def may_retry(self, pool: str, now: float) -> bool:
-        """Take one retry from the pool's budget at ``now`` (seconds)."""
+        """Spend one retry of the pool's budget at ``now`` (seconds) if any is left."""
 
     def may_offer_again(self, pool: str, now: float) -> bool:
-        """Take one retry of work that a server refused unrun."""
+        """Spend one retry of a request that a server refused without running it."""
         return self.may_retry(pool, now)
 
     @abc.abstractmethod
     def succeeded(self, pool: str, now: float) -> None:
-        """Credit the pool's budget with a success at ``now`` (seconds)."""
+        """Credit the pool's budget for a success at ``now`` (seconds)."""
 
 
 class DispatchFilter(Filter[Claimed, Finished]):
-    """Run the attempt filters until one answer or refusal stands."""
+    """Runs the attempt filters until an answer or a refusal is final."""
 
     def __init__(
         self,
-        attempt: Filter[Attempting, Judged],
+        attempt: Filter[PendingAttempt, JudgedAttempt],
         policy: RetryPolicy,
         clock: ClockPort,
     ) -> None:
@@ -51,20 +51,23 @@
         self._clock = clock
 
     def apply(self, value: Claimed) -> Result[Finished, Refusal]:
-        """Return the answer, or a refusal that is true of all attempts."""
+        """Return the answer, or a refusal whose ``ran`` covers all attempts."""
         tried: tuple[str, ...] = ()
         ran = Ran.NOT_RUN
         while True:
-            result = self._attempt.apply(Attempting(value, tried))
+            result = self._attempt.apply(PendingAttempt(value, tried))
             if isinstance(result, Failure):
-                return Failure(_merge(result.failure(), ran))
+                return Failure(_merge_ran(result.failure(), ran))
             judged = result.unwrap()
             tried = (*tried, judged.server.server_id)
-            if not self._goes_on(value, judged, len(tried)):
-                return _outcome(judged, ran, len(tried))
-            ran = _stronger(ran, judged.ran)
+            if not self._may_try_again(value, judged, len(tried)):
+                return _finish(judged, ran, len(tried))
+            ran = _most_certain(ran, judged.ran)
 
-    def _goes_on(self, value: Claimed, judged: Judged, attempts: int) -> bool:
+    def _may_try_again(
+        self, value: Claimed, judged: JudgedAttempt, attempts: int
+    ) -> bool:
+        """Return whether to retry; credits or charges the retry budget."""
         now = self._clock.now()
         pool = value.route.pool
         if not judged.may_retry:
@@ -84,25 +87,30 @@
     ) -> bool:
         if kind is AttemptKind.REFUSED:
             may_offer = self._policy.may_offer_again
-            return attempts < MAX_OFFERS and may_offer(pool, now)
+            return attempts < MAX_REFUSED_ATTEMPTS and may_offer(pool, now)
         return attempts < MAX_ATTEMPTS and self._policy.may_retry(pool, now)
 
 
-def _outcome(judged: Judged, ran: Ran, attempts: int) -> Result[Finished, Refusal]:
+def _finish(
+    judged: JudgedAttempt, ran: Ran, attempts: int
+) -> Result[Finished, Refusal]:
     if judged.refusal is not None:
-        return Failure(_merge(judged.refusal, ran))
+        return Failure(_merge_ran(judged.refusal, ran))
     return Success(
         Finished(judged.attempted, judged.ran, judged.server.server_id, attempts)
     )
 
 
-def _merge(refusal: Refusal, earlier: Ran) -> Refusal:
-    """Keep a refusal from hiding what an earlier attempt did."""
-    ran = _stronger(refusal.ran, earlier)
+def _merge_ran(refusal: Refusal, earlier: Ran) -> Refusal:
+    """Return the refusal with ``ran`` raised to that of the earlier attempts.
+
+    If the request may have run, the refusal must not suggest a retry.
+    """
+    ran = _most_certain(refusal.ran, earlier)
     if ran is Ran.NOT_RUN:
         return refusal
     return refusal._replace(ran=ran, retry_after_s=None)
 
 
-def _stronger(first: Ran, second: Ran) -> Ran:
-    return max(first, second, key=_STRENGTH.index)
+def _most_certain(first: Ran, second: Ran) -> Ran:
+    return max(first, second, key=_BY_CERTAINTY.index)
--- a/packages/core/src/pimentobend_core/_internal/request/idempotency.py
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -1,4 +1,4 @@
-"""Claim work that may not be repeated before it is sent."""
+"""Claim the idempotency key of a non-repeatable request before it is sent."""
 
 from returns.result import Failure
 from returns.result import Result
@@ -17,14 +17,14 @@
 
 
 class IdempotencyFilter(Filter[Routed, Finished]):
-    """Hold a ledger claim around the filters that send the work."""
+    """Claims the idempotency key, runs the inner filters and settles the claim."""
 
     def __init__(self, ledger: LedgerPort, inner: Filter[Claimed, Finished]) -> None:
         self._ledger = ledger
         self._inner = inner
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
-        """Run the inner filters, under a claim when the work needs one."""
+        """Run the inner filters, under a claim if the request is keyed and unsafe."""
         if value.route.repeatable or value.head.idempotency_key is None:
             return self._inner.apply(_claim(value, None))
         claimed = self._ledger.claim(value.head)
--- a/packages/core/src/pimentobend_core/_internal/request/judgement.py
+++ b/packages/core/src/pimentobend_core/_internal/request/judgement.py
@@ -1,4 +1,4 @@
-"""Judge whether the work of an ended attempt ran."""
+"""Determine whether an ended attempt ran, and whether it may be retried."""
 
 from typing import NamedTuple
 
@@ -11,12 +11,12 @@
 from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.request.stages import Claimed
-from pimentobend_core._internal.request.stages import Judged
-from pimentobend_core._internal.request.stages import Tried
+from pimentobend_core._internal.request.stages import EndedAttempt
+from pimentobend_core._internal.request.stages import JudgedAttempt
 
 RETRY_AFTER_S = 1
 SERVER_ERROR = 500
-NEVER_CURED_BY_RETRY = frozenset({501, 505})  # HTTP statuses
+PERMANENT_ERRORS = frozenset({501, 505})  # HTTP statuses that a retry does not change
 
 
 class _Verdict(NamedTuple):
@@ -27,26 +27,28 @@
 
 _VERDICTS = {
     AttemptKind.REFUSED: _Verdict(
-        503, Ran.NOT_RUN, "the backend server refused the work"
+        503, Ran.NOT_RUN, "the backend server refused the request"
     ),
     AttemptKind.NOT_CONNECTED: _Verdict(
         502, Ran.NOT_RUN, "no connection to the backend server"
     ),
     AttemptKind.NO_ANSWER: _Verdict(
-        504, Ran.UNKNOWN, "the backend server gave no answer"
+        504, Ran.UNKNOWN, "the backend server did not answer"
     ),
     AttemptKind.TRUNCATED: _Verdict(
-        502, Ran.UNKNOWN, "the backend server's answer broke off"
+        502, Ran.UNKNOWN, "the backend server's answer was truncated"
+    ),
+    AttemptKind.CANCELLED: _Verdict(
+        499, Ran.UNKNOWN, "the caller closed its connection"
     ),
-    AttemptKind.CANCELLED: _Verdict(499, Ran.UNKNOWN, "the caller went away"),
 }
 
 
-class JudgementFilter(Filter[Tried, Judged]):
-    """Tell answers from refusals, and repeats that are safe from others."""
+class JudgementFilter(Filter[EndedAttempt, JudgedAttempt]):
+    """Turns attempts without an answer into refusals and marks those safe to retry."""
 
-    def apply(self, value: Tried) -> Result[Judged, Refusal]:
-        """Return the attempt with its verdict; it is never a refusal."""
+    def apply(self, value: EndedAttempt) -> Result[JudgedAttempt, Refusal]:
+        """Return the attempt with its verdict; this filter never refuses."""
         if value.attempted.kind is AttemptKind.ANSWERED:
             return Success(_judge_answer(value))
         verdict = _VERDICTS[value.attempted.kind]
@@ -57,14 +59,14 @@
             detail=f"{verdict.detail} ({value.server.server_id})",
             retry_after_s=RETRY_AFTER_S if verdict.ran is Ran.NOT_RUN else None,
         )
-        is_harmless = verdict.ran is Ran.NOT_RUN or value.request.route.repeatable
+        is_safe = verdict.ran is Ran.NOT_RUN or value.request.route.repeatable
         return Success(
-            Judged(
+            JudgedAttempt(
                 server=value.server,
                 attempted=value.attempted,
                 ran=verdict.ran,
                 refusal=refusal,
-                may_retry=is_harmless and _can_send_again(value),
+                may_retry=is_safe and _can_resend(value),
             )
         )
 
@@ -75,21 +77,19 @@
     return RefusalReason.BACKEND
 
 
-def _judge_answer(value: Tried) -> Judged:
+def _judge_answer(value: EndedAttempt) -> JudgedAttempt:
     status = value.attempted.status
-    is_failure = status >= SERVER_ERROR and status not in NEVER_CURED_BY_RETRY
-    return Judged(
+    is_failure = status >= SERVER_ERROR and status not in PERMANENT_ERRORS
+    return JudgedAttempt(
         server=value.server,
         attempted=value.attempted,
         ran=Ran.RAN,
         refusal=None,
-        may_retry=is_failure
-        and value.request.route.repeatable
-        and _can_send_again(value),
+        may_retry=is_failure and value.request.route.repeatable and _can_resend(value),
     )
 
 
-def _can_send_again(value: Tried) -> bool:
+def _can_resend(value: EndedAttempt) -> bool:
     request: Claimed = value.request
     if value.attempted.kind is AttemptKind.NOT_CONNECTED:
         return True
--- a/packages/core/src/pimentobend_core/_internal/request/pipe.py
+++ b/packages/core/src/pimentobend_core/_internal/request/pipe.py
@@ -1,4 +1,4 @@
-"""Join the filters that a request passes."""
+"""Build the request pipe."""
 
 from typing import NamedTuple
 
@@ -21,7 +21,7 @@
 
 
 class RequestPorts(NamedTuple):
-    """Hold what the request pipe asks of the rest of the process."""
+    """The ports through which the request pipe uses the rest of the process."""
 
     clock: ClockPort
     tables: TablesPort
--- a/packages/core/src/pimentobend_core/_internal/request/route.py
+++ b/packages/core/src/pimentobend_core/_internal/request/route.py
@@ -17,20 +17,24 @@
 from pimentobend_core._internal.request.stages import Routed
 
 MS_PER_S = 1000
-RETRY_AFTER_S = 0.5  # a daemon that starts has its tables within a second
-HOLD_S = 3.0  # for the first tables: an election and a frame to each daemon
-HOLD_SHARE = 0.25  # of the time that the caller waits, at most
+RETRY_AFTER_S = 0.5  # a starting daemon receives its tables within a second
+# The first tables take an election and a frame to each daemon.
+MAX_TABLES_WAIT_S = 3.0
+MAX_TABLES_WAIT_SHARE = 0.25  # of the time until the caller's deadline
 NO_TABLES = Refusal(
     status=503,
     ran=Ran.NOT_RUN,
     reason=RefusalReason.NO_TABLES,
-    detail="no tables are in force here yet",
+    detail="this daemon has no tables yet",
     retry_after_s=RETRY_AFTER_S,
 )
 
 
 class RouteFilter(Filter[Received, Routed]):
-    """Give a request its route, its pool and the earlier of the two deadlines."""
+    """Finds the route and the pool of a request and limits its deadline.
+
+    The deadline becomes the earlier of the caller's and the route's.
+    """
 
     def __init__(
         self, tables: TablesPort, draw: Callable[[], float] = random.random
@@ -39,23 +43,25 @@
         self._draw = draw
 
     def apply(self, value: Received) -> Result[Routed, Refusal]:
-        """Return the routed request, or a refusal when no route matches."""
+        """Return the routed request, or a refusal if no tables or no route apply."""
         if not self._tables.current().log_index:
             left_s = value.head.deadline - value.head.received_at
-            if not self._tables.await_first(min(HOLD_S, HOLD_SHARE * left_s)):
+            if not self._tables.await_first(
+                min(MAX_TABLES_WAIT_S, MAX_TABLES_WAIT_SHARE * left_s)
+            ):
                 return Failure(NO_TABLES)
         route = self._tables.match(value.head)
         if route is None:
             return Failure(_no_route(value))
-        latest = value.head.received_at + route.timeout_ms / MS_PER_S
-        deadline = min(value.head.deadline, latest)
+        latest_deadline = value.head.received_at + route.timeout_ms / MS_PER_S
+        deadline = min(value.head.deadline, latest_deadline)
         head = value.head._replace(deadline=deadline)
         pool = choose_pool(route, self._draw())
         return Success(Routed(head, value.body, route, pool, value.on_caller_left))
 
 
 def choose_pool(route: Route, draw: float) -> str:
-    """Return the pool that a draw from 0 to 1 falls to by the splits' weights."""
+    """Return the pool that a random number in [0, 1) selects by the weights."""
     total = sum(split.weight for split in route.splits)
     if total <= 0:
         return route.pool
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -1,4 +1,4 @@
-"""Define the stages that a request passes on its way through the pipe."""
+"""Values that the filters of the request pipe pass on, in order."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,12 +12,12 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import Claim
 
-# Calls a function once the caller has closed its connection.
+# Registers a function to be called once the caller closes its connection.
 OnCallerLeft = Callable[[Callable[[], None]], None]
 
 
 class Received(NamedTuple):
-    """Hold a request as the front end gave it."""
+    """A request as received from the front end."""
 
     head: RequestHead
     body: Body
@@ -25,17 +25,17 @@
 
 
 class Routed(NamedTuple):
-    """Hold a request whose route is known and whose deadline is final."""
+    """A request with its route and its final deadline."""
 
     head: RequestHead
     body: Body
     route: Route
-    pool: str = ""  # the one chosen among the route's splits
+    pool: str = ""  # selected by the route's traffic splits
     on_caller_left: OnCallerLeft | None = None
 
 
 class Claimed(NamedTuple):
-    """Hold a request that may be sent; ``claim`` is None without a key."""
+    """A request that may be sent; ``claim`` is None if it needs none."""
 
     head: RequestHead
     body: Body
@@ -43,34 +43,34 @@
     claim: Claim | None
 
 
-class Attempting(NamedTuple):
-    """Hold a request before one attempt; ``tried`` names earlier servers."""
+class PendingAttempt(NamedTuple):
+    """A request before an attempt; ``tried`` lists the ids of earlier servers."""
 
     request: Claimed
     tried: tuple[str, ...]
 
 
 class Admitted(NamedTuple):
-    """Hold a request that was given a slot of a backend server."""
+    """A request with its slot of a backend server."""
 
     request: Claimed
     ticket: int
     server: Server
 
 
-class Tried(NamedTuple):
-    """Hold an ended attempt."""
+class EndedAttempt(NamedTuple):
+    """An attempt that ended, with its result in ``attempted``."""
 
     request: Claimed
     server: Server
     attempted: Attempted
 
 
-class Judged(NamedTuple):
-    """Hold an ended attempt with its verdict.
+class JudgedAttempt(NamedTuple):
+    """An attempt that ended, with its verdict.
 
-    ``refusal`` is None when the answer goes to the caller; ``may_retry``
-    says whether another attempt cannot make the work run twice.
+    ``refusal`` is None if the answer goes to the caller. ``may_retry`` is True
+    if another attempt is safe and may have another outcome.
     """
 
     server: Server
@@ -81,7 +81,7 @@
 
 
 class Finished(NamedTuple):
-    """Hold the answer for the caller."""
+    """The answer for the caller."""
 
     attempted: Attempted
     ran: Ran
