Reword the tests of forwarding

Names such as "who bids", "what passes for an answer" or "the mark", and harness classes called Bench, Setting and Pair, did not tell what is tested. The cases and what they check stay; ids and test names say the condition.

--- a/tests/lib/delivery_driver.py
+++ b/tests/lib/delivery_driver.py
@@ -1,4 +1,4 @@
-"""Drive the attempts of one request in tests."""
+"""Test driver for the attempts of one request."""
 
 from typing import NamedTuple
 
@@ -25,8 +25,8 @@
 TARGET_MS = 2000
 
 
-class Budget(RetryPolicy):
-    """Allow a number of repeats."""
+class FakeRetryPolicy(RetryPolicy):
+    """Allows a fixed number of retries and hedges."""
 
     def __init__(self, repeats: int) -> None:
         self.repeats = repeats
@@ -54,7 +54,7 @@
 
 
 class Case(NamedTuple):
-    """Hold the terms of a request."""
+    """Properties of the request that a driver runs."""
 
     is_repeatable: bool = True
     max_attempts: int = 2
@@ -63,7 +63,7 @@
 
 
 class Driver:
-    """Drive a delivery and keep what it asks for."""
+    """Passes messages to a delivery and records its outputs."""
 
     def __init__(self, case: Case) -> None:
         route = Route(
@@ -80,7 +80,7 @@
         self.now = 0.0
         self.wake_at = 0.0
         self.delivery = Delivery(
-            "id", route, "p", DEADLINE, case.can_replay, Budget(case.repeats)
+            "id", route, "p", DEADLINE, case.can_replay, FakeRetryPolicy(case.repeats)
         )
         self.outputs: list[DeliveryOutput] = []
         self.held: list[Held] = []
@@ -92,7 +92,7 @@
         return self.outputs[before:]
 
     def offer(self, *candidates: Candidate) -> list[DeliveryOutput]:
-        """Offer servers at the distance asked for, and none further away."""
+        """Offer the same servers at each distance that the delivery asks for."""
         outputs: list[DeliveryOutput] = [self.outputs[-1]]
         while outputs and isinstance(outputs[-1], AskServers):
             outputs = self.give(Offers(candidates, outputs[-1].distance))
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_board.py
@@ -1,4 +1,4 @@
-"""Check whom a daemon asks for offers, and what it makes of silence."""
+"""Test which daemons are asked for bids, and how unanswered ones are handled."""
 
 from typing import NamedTuple
 
@@ -26,7 +26,7 @@
 
 
 class Place(NamedTuple):
-    """Say where a daemon is, and what stands beside it."""
+    """Location of a daemon, and the server beside it."""
 
     data_centre: str
     region: str
@@ -55,8 +55,8 @@
     )
 
 
-class SteadyClock(ClockPort):
-    """Stand still unless told."""
+class ManualClock(ClockPort):
+    """A clock that a test sets."""
 
     def __init__(self) -> None:
         self.time = 0.0
@@ -66,7 +66,7 @@
 
 
 class FakeLink(Transport):
-    """Answer the asks of daemons that are up at once."""
+    """Answer at once on behalf of the daemons in ``up``; drop the other messages."""
 
     def __init__(self, up: set[str]) -> None:
         self.up = up
@@ -93,8 +93,8 @@
             self.board.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
 
 
-class Setting:
-    """Hold a board among daemons at some places."""
+class BoardHarness:
+    """An offer board with a daemon at each place, the first ``down`` of them down."""
 
     def __init__(
         self, places: list[Place], monkeypatch: pytest.MonkeyPatch, down: int = 0
@@ -103,7 +103,7 @@
         monkeypatch.setattr(module, "TIMEOUTS_S", short)
         rows = tuple(make_row(n + 1, place) for n, place in enumerate(places))
         self.link = FakeLink({row.address for row in rows[down:]})
-        self.clock = SteadyClock()
+        self.clock = ManualClock()
         self.unreachable: list[str] = []
         own = make_row(0, Place("a", "r", service="other"))
         host: HostTasks = None  # type: ignore[assignment]
@@ -125,51 +125,51 @@
     ("few far ones", [FAR] * 9, Distance.FAR, 2),
     ("few of many", [NEAR] * 30, Distance.DATA_CENTRE, 6),
     ("another service", [NEAR._replace(service="x")], Distance.FAR, 0),
-    ("one that is draining", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
-    ("one that leaves", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
-    ("nobody", [], Distance.FAR, 0),
+    ("draining server", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
+    ("leaving daemon", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
+    ("no daemon", [], Distance.FAR, 0),
 ]
 
 
 @pytest.mark.parametrize(
     ("places", "distance", "asked"), [a[1:] for a in ASKED], ids=[a[0] for a in ASKED]
 )
-def test_who_is_asked(
+def test_which_daemons_are_asked(
     places: list[Place],
     distance: Distance,
     asked: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setting = Setting(places, monkeypatch)
-    assert setting.ask(distance) == asked
-    assert len(setting.link.asked) == asked
+    harness = BoardHarness(places, monkeypatch)
+    assert harness.ask(distance) == asked
+    assert len(harness.link.asked) == asked
 
 
 @pytest.mark.parametrize(
-    ("place", "later_s", "asks_again"),
+    ("place", "age_s", "asks_again"),
     [(NEAR, 0.02, False), (NEAR, 0.04, True), (FAR, 0.2, False), (FAR, 0.4, True)],
 )
-def test_how_long_a_bid_holds(
-    place: Place, later_s: float, asks_again: bool, monkeypatch: pytest.MonkeyPatch
+def test_how_long_a_bid_is_used(
+    place: Place, age_s: float, asks_again: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    setting = Setting([place], monkeypatch)
-    setting.ask(Distance.FAR)
-    setting.clock.time += later_s
-    assert setting.ask(Distance.FAR) == 1
-    assert bool(setting.link.asked) == asks_again
+    harness = BoardHarness([place], monkeypatch)
+    harness.ask(Distance.FAR)
+    harness.clock.time += age_s
+    assert harness.ask(Distance.FAR) == 1
+    assert bool(harness.link.asked) == asks_again
 
 
 def test_a_daemon_that_does_not_answer_is_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setting = Setting([NEAR, NEAR], monkeypatch, down=1)
+    harness = BoardHarness([NEAR, NEAR], monkeypatch, down=1)
     for _ in range(3):
-        assert setting.ask(Distance.FAR) == 1
-        setting.clock.time += 1.0
-    assert setting.unreachable[0] == "10.0.0.1:7"
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=False)
-    setting.ask(Distance.FAR)
-    assert setting.link.asked == ["10.0.0.2:7"]
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=True)
-    setting.ask(Distance.FAR)
-    assert "10.0.0.1:7" in setting.link.asked
+        assert harness.ask(Distance.FAR) == 1
+        harness.clock.time += 1.0
+    assert harness.unreachable[0] == "10.0.0.1:7"
+    harness.board.follow_reachability("10.0.0.1:7", is_reachable=False)
+    harness.ask(Distance.FAR)
+    assert harness.link.asked == ["10.0.0.2:7"]
+    harness.board.follow_reachability("10.0.0.1:7", is_reachable=True)
+    harness.ask(Distance.FAR)
+    assert "10.0.0.1:7" in harness.link.asked
--- a/tests/unit/forwarding/test_budget.py
+++ b/tests/unit/forwarding/test_budget.py
@@ -1,4 +1,4 @@
-"""Check that the servers' parts of a budget never exceed the whole."""
+"""Test that the servers' shares of a retry budget never exceed the whole."""
 
 import pytest
 from hypothesis import given
@@ -28,7 +28,7 @@
     for wait_s, server, is_repeat in steps:
         now += wait_s
         if now >= restart_at and not has_restarted:
-            has_restarted = True  # all daemons at once, which forget what they spent
+            has_restarted = True  # all daemons restart at once and lose their counts
             budgets = [ServerBudget(TERMS) for _ in range(SERVERS)]
         budget = budgets[server]
         if is_repeat and not budget.allows(SERVERS, now):
@@ -41,7 +41,7 @@
 
 
 @pytest.mark.parametrize(("firsts", "repeats"), [(0, 3), (50, 8), (500, 53)])
-def test_the_part_of_one_server(firsts: int, repeats: int) -> None:
+def test_the_share_of_one_server(firsts: int, repeats: int) -> None:
     budget = ServerBudget(TERMS)
     for _ in range(firsts):
         budget.note(0.0, is_repeat=False)
--- a/tests/unit/forwarding/test_calls.py
+++ b/tests/unit/forwarding/test_calls.py
@@ -1,4 +1,4 @@
-"""Check the calls to a backend server over real sockets."""
+"""Test calls to a backend server over real sockets."""
 
 from collections.abc import Callable
 from typing import Any
@@ -25,15 +25,15 @@
 
 
 class Step(NamedTuple):
-    """Say what the server does with a request."""
+    """What the server does with one request."""
 
     answer: bytes
-    ends: str = ""  # "close" or "reset" after the answer
-    late: bytes = b""  # sent a little after the answer
+    then: str = ""  # after the answer: "close", "reset" or "" to keep the connection
+    late: bytes = b""  # extra bytes, sent 20 ms after the answer
 
 
 class RawServer:
-    """Answer each request with the bytes of the next step."""
+    """A server that answers each request with the bytes of the next step."""
 
     def __init__(self, steps: list[Step]) -> None:
         self.socket = eventlet.listen(("127.0.0.1", 0))
@@ -67,12 +67,12 @@
             if step.late:
                 eventlet.sleep(0.02)
                 connection.sendall(step.late)
-            if step.ends == "reset":
+            if step.then == "reset":
                 eventlet.sleep(0.05)
                 connection.setsockopt(1, 13, b"\x01\0\0\0\0\0\0\0")  # SO_LINGER
                 connection.close()
                 return
-            if step.ends == "close":
+            if step.then == "close":
                 connection.close()
                 return
 
@@ -92,9 +92,9 @@
 
 
 ANSWERS = [
-    ("whole", Step(GOOD), AttemptKind.ANSWERED),
-    ("short, closed", Step(GOOD[:-1], "close"), AttemptKind.NO_ANSWER),
-    ("short, reset", Step(GOOD[:-1], "reset"), AttemptKind.NO_ANSWER),
+    ("complete", Step(GOOD), AttemptKind.ANSWERED),
+    ("truncated, closed", Step(GOOD[:-1], "close"), AttemptKind.NO_ANSWER),
+    ("truncated, reset", Step(GOOD[:-1], "reset"), AttemptKind.NO_ANSWER),
     (
         "without a length, closed",
         Step(b"HTTP/1.1 200 OK\r\nId: 1\r\nStamp: x\r\n\r\nok", "close"),
@@ -106,17 +106,17 @@
         AttemptKind.NO_ANSWER,
     ),
     (
-        "another request's",
+        "answer of another request",
         Step(GOOD.replace(b"Id: 1", b"Id: 2")),
         AttemptKind.TRUNCATED,
     ),
     (
-        "a success without the mark",
+        "success without a stamp",
         Step(GOOD.replace(b"Stamp: x\r\n", b"")),
         AttemptKind.TRUNCATED,
     ),
     (
-        "a failure without the mark",
+        "failure without a stamp",
         Step(b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"),
         AttemptKind.ANSWERED,
     ),
@@ -138,7 +138,7 @@
 @pytest.mark.parametrize(
     ("step", "kind"), [a[1:] for a in ANSWERS], ids=[a[0] for a in ANSWERS]
 )
-def test_what_passes_for_an_answer(step: Step, kind: AttemptKind) -> None:
+def test_which_answers_are_accepted(step: Step, kind: AttemptKind) -> None:
     attempted = call(RawServer([step]), make_calls())
     assert attempted.kind is kind
     if kind is AttemptKind.ANSWERED and attempted.status == 200:
@@ -149,12 +149,12 @@
 REUSE = [
     ("kept", [Step(GOOD)] * 3, True, 0.0, 1),
     ("unsafe, just used", [Step(GOOD)] * 3, False, 0.0, 1),
-    ("unsafe, idle for long", [Step(GOOD)] * 2, False, UNSAFE_IDLE_S + 0.1, 2),
-    ("ended by the server", [Step(GOOD, "close")] * 2, True, 0.05, 2),
+    ("unsafe, idle for too long", [Step(GOOD)] * 2, False, UNSAFE_IDLE_S + 0.1, 2),
+    ("closed by the server", [Step(GOOD, "close")] * 2, True, 0.05, 2),
     ("more bytes with the answer", [Step(GOOD + GOOD), Step(GOOD)], True, 0.05, 1),
     ("more bytes later", [Step(GOOD, "", GOOD), Step(GOOD)], True, 0.05, 2),
     (
-        "announced to end",
+        "Connection: close",
         [Step(GOOD.replace(b"Id", b"Connection: close\r\nId"))] * 2,
         True,
         0.0,
@@ -168,7 +168,7 @@
     [r[1:] for r in REUSE],
     ids=[r[0] for r in REUSE],
 )
-def test_which_connections_are_used_again(
+def test_which_connections_are_reused(
     steps: list[Step], is_repeatable: bool, idle_s: float, connections: int
 ) -> None:
     raw = RawServer(steps)
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -1,4 +1,4 @@
-"""Check the attempts of one request, from its route to its answer."""
+"""Test the attempts of one request, from its route to its answer."""
 
 import pytest
 from delivery_driver import DEADLINE
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.parametrize(("case", "kind", "status", "sends_again"), FAILURES)
-def test_what_is_sent_again(
+def test_which_attempts_are_retried(
     case: Case, kind: AttemptKind, status: int, sends_again: bool
 ) -> None:
     driver = Driver(case)
@@ -121,7 +121,7 @@
 
 
 @pytest.mark.parametrize("sends", [True, False])
-def test_nothing_goes_on_once_the_caller_left(sends: bool) -> None:
+def test_delivery_ends_when_the_caller_leaves(sends: bool) -> None:
     driver = Driver(SAFE)
     if sends:
         driver.offer(candidate("a"))
@@ -131,9 +131,9 @@
 
 
 DISTANCES = [
-    ("a sound near server", 0.0, Distance.DATA_CENTRE),
-    ("a doubtful near server", 0.1, Distance.REGION),
-    ("a failing near server", 0.9, Distance.FAR),
+    ("reliable near server", 0.0, Distance.DATA_CENTRE),
+    ("doubtful near server", 0.1, Distance.REGION),
+    ("failing near server", 0.9, Distance.FAR),
 ]
 
 
@@ -149,7 +149,7 @@
     assert asked[-1].distance is furthest
 
 
-ENDS = [  # what became of the recalled attempt, and the end of the request
+ENDS = [  # outcome of the recalled attempt, and status of the request
     ("nothing was sent", UNSAFE, None, 503),
     ("it waited for a slot", UNSAFE, AttemptKind.DECLINED, 503),
     ("it waited, and may be repeated", SAFE, AttemptKind.DECLINED, 503),
@@ -161,7 +161,7 @@
 @pytest.mark.parametrize(
     ("case", "kind", "status"), [e[1:] for e in ENDS], ids=[e[0] for e in ENDS]
 )
-def test_the_end_of_the_process_ends_what_waits(
+def test_shutdown_ends_unsent_requests(
     case: Case, kind: AttemptKind | None, status: int
 ) -> None:
     driver = Driver(case)
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -1,4 +1,4 @@
-"""Check repeats, hedges and trials: when they are sent, and where."""
+"""Test when and where retries, hedges and trials are sent."""
 
 import pytest
 from delivery_driver import DEADLINE
@@ -50,8 +50,8 @@
     [
         (0.0, 0.0, 1, True),
         (0.0, 0.0, 0, False),  # the whole service is busy
-        (0.0, 0.9, 0, True),  # the server has stopped answering since
-        (0.9, None, 0, True),  # it was tried, and tells nothing new
+        (0.0, 0.9, 0, True),  # the first server has stopped answering since
+        (0.9, None, 0, True),  # no newer bid of the first server
     ],
 )
 def test_a_hedge_joins_a_queue_only_when_the_first_server_is_doubtful(
@@ -63,7 +63,7 @@
     known = () if risk_now is None else (candidate("a", risk_now),)
     outputs = driver.offer(*known, candidate("b", free_slots=free_slots))
     assert bool(outputs) == is_sent
-    assert is_sent or driver.wake_at < DEADLINE, "asks again"
+    assert is_sent or driver.wake_at < DEADLINE, "must ask again"
 
 
 @pytest.mark.parametrize("repeats", [0, 10])
@@ -98,11 +98,11 @@
     ("case", "takes_repeats", "chosen"),
     [
         (SAFE, True, "free"),
-        (SAFE, False, "busy"),  # a failure would stand
+        (SAFE, False, "busy"),  # a failure could not be retried
         (UNSAFE, True, "busy"),
     ],
 )
-def test_a_doubtful_server_or_a_queue(
+def test_choice_between_a_doubtful_and_a_busy_server(
     case: Case, takes_repeats: bool, chosen: str
 ) -> None:
     driver = Driver(case)
@@ -114,18 +114,18 @@
 
 
 TRIALS = [
-    ("with a sound server to fall back on", SAFE, candidate("b"), "a"),
-    ("only a doubtful one besides", SAFE, candidate("b", risk=0.4), "b"),
-    ("no budget to fall back", SAFE, candidate("b", takes_repeats=False), "a"),
-    ("one attempt only", Case(max_attempts=1), candidate("b"), "b"),
-    ("work that may not be repeated", UNSAFE, candidate("b"), "b"),
+    ("reliable server to fall back on", SAFE, candidate("b"), "a"),
+    ("only a doubtful server to fall back on", SAFE, candidate("b", risk=0.4), "b"),
+    ("no budget for a retry", SAFE, candidate("b", takes_repeats=False), "a"),
+    ("only one attempt allowed", Case(max_attempts=1), candidate("b"), "b"),
+    ("not repeatable", UNSAFE, candidate("b"), "b"),
 ]
 
 
 @pytest.mark.parametrize(
     ("case", "other", "chosen"), [t[1:] for t in TRIALS], ids=[t[0] for t in TRIALS]
 )
-def test_who_tries_a_doubtful_server(case: Case, other: Candidate, chosen: str) -> None:
+def test_which_requests_are_trials(case: Case, other: Candidate, chosen: str) -> None:
     driver = Driver(case)
     (sent,) = driver.offer(candidate("a", risk=0.9, wants_trial=True), other)
     assert isinstance(sent, SendAttempt)
@@ -133,7 +133,7 @@
 
 
 @pytest.mark.parametrize("case", [UNSAFE, Case(max_attempts=1), Case(can_replay=False)])
-def test_what_is_never_hedged(case: Case) -> None:
+def test_which_requests_are_never_hedged(case: Case) -> None:
     driver = Driver(case)
     driver.offer(candidate("a"))
     assert driver.wake_at == DEADLINE
@@ -154,7 +154,7 @@
         (UNSAFE, AttemptKind.REFUSED, True),
         (SAFE, AttemptKind.REFUSED, True),
         (SAFE, AttemptKind.NO_ANSWER, True),
-        (SAFE, AttemptKind.ANSWERED, False),  # a failed answer is at hand
+        (SAFE, AttemptKind.ANSWERED, False),  # the failed answer is delivered
     ],
 )
 def test_a_repeat_waits_for_budget_until_the_target(
@@ -174,7 +174,7 @@
     assert asked < 10
 
 
-def test_a_dear_hedge_is_not_sent() -> None:
+def test_a_hedge_that_costs_too_much_is_not_sent() -> None:
     driver = Driver(SAFE)
     driver.offer(candidate("a", risk=0.9))
     driver.wait()
@@ -183,7 +183,7 @@
     assert driver.wake_at < DEADLINE
 
 
-def test_a_hedge_that_nobody_takes_is_asked_for_ever_more_rarely() -> None:
+def test_asks_for_a_hedge_back_off() -> None:
     driver = Driver(SAFE)
     driver.offer(candidate("a"))
     asked = 0
@@ -219,7 +219,7 @@
     ),
     ("busy", SAFE, (candidate("b", free_slots=0),), HoldReason.BUSY, True),
     (
-        "too dear",
+        "too costly",
         SAFE,
         (candidate("a", risk=0.9), candidate("b", risk=0.8)),
         HoldReason.COST,
@@ -231,7 +231,7 @@
 @pytest.mark.parametrize(
     ("case", "offered", "reason", "is_hedge"), [h[1:] for h in HOLDS], ids=str
 )
-def test_why_an_attempt_waits_is_said_once(
+def test_each_reason_to_wait_is_reported_once(
     case: Case, offered: tuple[Candidate, ...], reason: HoldReason, is_hedge: bool
 ) -> None:
     driver = Driver(case)
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -1,4 +1,4 @@
-"""Check the hop between two daemons, with connections that break."""
+"""Test forwarding between two daemons over connections that break."""
 
 import contextlib
 import socket
@@ -41,7 +41,7 @@
 
 
 class FakeCalls(ServerCalls):
-    """Answer after a while, and count the runs."""
+    """Answers each call after ``hold_s`` and records it."""
 
     def __init__(self, hold_s: float = 0.0) -> None:
         super().__init__(NAMES, HubClock(), lambda: None)
@@ -59,21 +59,21 @@
 
 
 class Proxy:
-    """Pass bytes on between a client and a server, and break connections.
+    """A TCP proxy that breaks connections on demand.
 
-    It runs on threads of its own, as another process would.
+    Uses threads of its own, so that it runs independently as another process would.
     """
 
     def __init__(self, target: Address) -> None:
         self._target = target
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.port: int = self._socket.getsockname()[1]
-        self.breaks_after: list[float] = []  # seconds, one a connection
-        self.loses_answers = 0  # connections
+        self.breaks_after: list[float] = []  # in s, for each of the next connections
+        self.loses_answers = 0  # so many connections pass no answers on
         Thread(target=self._accept, daemon=True).start()
 
     def stop(self) -> None:
-        """Take no new connections."""
+        """Accept no new connections."""
         self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
@@ -107,8 +107,8 @@
                 each.shutdown(socket.SHUT_RDWR)
 
 
-class Pair:
-    """Hold an origin's client and a host behind a proxy."""
+class HopHarness:
+    """A client and a host daemon behind a proxy."""
 
     def __init__(self, hold_s: float = 0.0) -> None:
         clock = HubClock()
@@ -151,10 +151,10 @@
 
 
 BREAKS = [
-    ("none", 0.0, [], 0),
+    ("no break", 0.0, [], 0),
     ("while it runs", 0.4, [0.1], 0),
     ("twice while it runs", 0.6, [0.1, 0.1], 0),
-    ("the answer is lost", 0.1, [0.3], 1),
+    ("answer lost", 0.1, [0.3], 1),
 ]
 
 
@@ -166,18 +166,18 @@
 def test_an_attempt_runs_once_whatever_breaks(
     hold_s: float, breaks_after: list[float], loses: int
 ) -> None:
-    pair = Pair(hold_s)
-    pair.proxy.breaks_after = breaks_after
-    pair.proxy.loses_answers = loses
-    attempted = pair.run("1")
+    harness = HopHarness(hold_s)
+    harness.proxy.breaks_after = breaks_after
+    harness.proxy.loses_answers = loses
+    attempted = harness.run("1")
     assert (attempted.kind, attempted.status) == (AttemptKind.ANSWERED, 200)
-    assert pair.calls.runs == ["1"]
+    assert harness.calls.runs == ["1"]
 
 
 def test_nothing_listens() -> None:
-    pair = Pair()
-    pair.proxy.stop()
-    assert pair.run("1").kind is AttemptKind.NOT_CONNECTED
+    harness = HopHarness()
+    harness.proxy.stop()
+    assert harness.run("1").kind is AttemptKind.NOT_CONNECTED
 
 
 @pytest.mark.parametrize(
@@ -187,29 +187,29 @@
 def test_another_process_has_not_run_what_was_sent_once(
     breaks_after: list[float], kind: AttemptKind
 ) -> None:
-    pair = Pair()
-    pair.proxy.loses_answers = len(breaks_after)
-    pair.proxy.breaks_after = breaks_after
-    assert pair.run("1", process=8).kind is kind
-    assert pair.calls.runs == []
+    harness = HopHarness()
+    harness.proxy.loses_answers = len(breaks_after)
+    harness.proxy.breaks_after = breaks_after
+    assert harness.run("1", process=8).kind is kind
+    assert harness.calls.runs == []
 
 
 @pytest.mark.parametrize(("safe", "ends"), [(True, False), (False, True)])
-def test_an_origin_that_goes_away(safe: bool, ends: bool) -> None:
-    pair = Pair(hold_s=1.0)
-    greenlet = eventlet.spawn(pair.run, "1", safe=safe)
+def test_an_attempt_after_its_origin_left(safe: bool, ends: bool) -> None:
+    harness = HopHarness(hold_s=1.0)
+    greenlet = eventlet.spawn(harness.run, "1", safe=safe)
     eventlet.sleep(0.3)
     greenlet.kill()
     eventlet.sleep(1.2)
-    assert pair.calls.runs == ["1"]
-    assert pair.calls.ended == ["1"] * ends
+    assert harness.calls.runs == ["1"]
+    assert harness.calls.ended == ["1"] * ends
 
 
 def test_a_copy_that_comes_after_the_result_was_forgotten_does_not_run() -> None:
-    pair = Pair()
-    attempt = pair.attempt("1")
-    assert pair.host.run(attempt).kind is AttemptKind.ANSWERED
-    pair.host._cells.clear()
+    harness = HopHarness()
+    attempt = harness.attempt("1")
+    assert harness.host.run(attempt).kind is AttemptKind.ANSWERED
+    harness.host._cells.clear()
     with eventlet.Timeout(WAIT_S):
-        assert pair.host.run(attempt).kind is AttemptKind.NO_ANSWER
-    assert pair.calls.runs == ["1"]
+        assert harness.host.run(attempt).kind is AttemptKind.NO_ANSWER
+    assert harness.calls.runs == ["1"]
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -1,4 +1,4 @@
-"""Check what the daemon beside a server runs, declines and joins."""
+"""Test which attempts the daemon beside a server starts, queues and declines."""
 
 import pytest
 
@@ -40,8 +40,8 @@
     return Submit(name, "s", "r1", priority, safe, 1.0, deadline)
 
 
-class Bench:
-    """Hold a host with one server of two slots."""
+class HostHarness:
+    """A host with one server, which has two slots unless said otherwise."""
 
     def __init__(self, server: Server = SERVER) -> None:
         self.host = ServerHost(7, TERMS)
@@ -74,14 +74,14 @@
 
 STEPS: list[tuple[str, list[HostInput], list[HostOutput]]] = [
     ("free slots", [submit("1"), submit("2")], started("1", "2")),
-    ("no slot left", [submit("1"), submit("2"), submit("3")], started("1", "2")),
+    ("no slot free", [submit("1"), submit("2"), submit("3")], started("1", "2")),
     (
         "a slot is freed",
         [submit("1"), submit("2"), submit("3"), ended("2")],
         started("1", "2", "3"),
     ),
     (
-        "the urgent one goes first",
+        "urgent work first",
         [
             submit("1"),
             submit("2"),
@@ -91,19 +91,19 @@
         ],
         started("1", "2", "4"),
     ),
-    ("sent again", [submit("1"), submit("1")], [*started("1"), Joined("1")]),
+    ("submitted twice", [submit("1"), submit("1")], [*started("1"), Joined("1")]),
     (
-        "sent again after its end",
+        "submitted again after its end",
         [submit("1"), ended("1"), submit("1")],
         [*started("1"), Joined("1")],
     ),
     (
-        "a late copy of what was declined",
+        "late copy of a declined attempt",
         [ServerListed(DRAINING), submit("1"), ServerListed(SERVER), submit("1")],
         [*declined("1", DeclineReason.DRAINING), Joined("1")],
     ),
     (
-        "a late copy of what was withdrawn while it waited",
+        "late copy of an attempt withdrawn while queued",
         [
             submit("1"),
             submit("2"),
@@ -115,12 +115,12 @@
         [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN), Joined("3")],
     ),
     (
-        "draining turns away those that wait",
+        "draining declines queued attempts",
         [submit("1"), submit("2"), submit("3"), ServerListed(DRAINING)],
         [*started("1", "2"), *declined("3", DeclineReason.DRAINING)],
     ),
     (
-        "a server that left turns away those that wait",
+        "a server that left declines queued attempts",
         [submit("1"), submit("2"), submit("3"), ServerUnlisted("s"), submit("4")],
         [
             *started("1", "2"),
@@ -139,12 +139,12 @@
         declined("1", DeclineReason.DEADLINE),
     ),
     (
-        "a running call that may be repeated is broken off",
+        "a running repeatable call is cancelled",
         [submit("1", safe=True), Withdraw("1")],
         [*started("1"), CancelCall("1")],
     ),
     (
-        "a running call that may not be repeated goes on",
+        "a running non-repeatable call continues",
         [submit("1"), Withdraw("1")],
         started("1"),
     ),
@@ -163,19 +163,19 @@
         [*declined("r", DeclineReason.BUDGET), *started("first")],
     ),
     (
-        "a recall leaves what runs",
+        "a recall leaves a running attempt",
         [submit("1", safe=True), Withdraw("1", only_queued=True)],
         started("1"),
     ),
     (
-        "a recall takes what waits",
+        "a recall declines a queued attempt",
         [submit("1"), submit("2"), submit("3"), Withdraw("3", only_queued=True)],
         [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN)],
     ),
-    ("nothing to withdraw", [Withdraw("1")], []),
-    ("an end of nothing", [ended("1")], []),
+    ("withdrawal of an unknown attempt", [Withdraw("1")], []),
+    ("end of an unknown attempt", [ended("1")], []),
     (
-        "a restart of the server takes no end of its earlier life",
+        "end of a call from before the server restarted",
         [submit("1"), ServerListed(RESTARTED), ended("1")],
         started("1"),
     ),
@@ -186,30 +186,30 @@
     ("messages", "outputs"), [step[1:] for step in STEPS], ids=[s[0] for s in STEPS]
 )
 def test_steps(messages: list[HostInput], outputs: list[HostOutput]) -> None:
-    assert Bench().give(*messages) == outputs
+    assert HostHarness().give(*messages) == outputs
 
 
-QUEUES = [  # target in seconds and rank of what waits, in the order of arrival
-    ("as they came", [(1.0, 1), (1.0, 1)], "ab"),
-    ("the urgent one first", [(1.0, 1), (1.0, 0)], "ba"),
-    ("a short call past long work", [(2.0, 0), (0.2, 2)], "ba"),
-    ("urgent work past work due a little sooner", [(1.0, 2), (1.5, 0)], "ba"),
+QUEUES = [  # target in s and rank of the queued attempts, in order of arrival
+    ("in order of arrival", [(1.0, 1), (1.0, 1)], "ab"),
+    ("the more urgent first", [(1.0, 1), (1.0, 0)], "ba"),
+    ("a short call before long ones", [(2.0, 0), (0.2, 2)], "ba"),
+    ("urgent work before work with a shorter target", [(1.0, 2), (1.5, 0)], "ba"),
 ]
 
 
 @pytest.mark.parametrize(
     ("waiting", "order"), [q[1:] for q in QUEUES], ids=[q[0] for q in QUEUES]
 )
-def test_who_gets_the_next_slot(waiting: list[tuple[float, int]], order: str) -> None:
-    bench = Bench(SERVER._replace(slots=1))
-    bench.give(submit("first"))
+def test_order_of_the_queue(waiting: list[tuple[float, int]], order: str) -> None:
+    harness = HostHarness(SERVER._replace(slots=1))
+    harness.give(submit("first"))
     for name, (target_s, rank) in zip("ab", waiting, strict=True):
         attempt = submit(name, priority=rank)
-        bench.give(attempt._replace(target_s=target_s, route=f"r{target_s}"))
+        harness.give(attempt._replace(target_s=target_s, route=f"r{target_s}"))
     got = "".join(
         output.attempt_id
         for name in ("first", order[0])
-        for output in bench.give(ended(name))
+        for output in harness.give(ended(name))
         if isinstance(output, StartCall)
     )
     assert got == order
@@ -219,15 +219,15 @@
 def test_work_that_cannot_end_in_time_is_declined(
     left_s: float, is_started: bool
 ) -> None:
-    bench = Bench(SERVER._replace(slots=1))
-    for number in range(60):  # the route takes a second
-        bench.give(submit(f"{number}", deadline=999.0))
-        bench.now += 1.0
-        bench.give(ended(f"{number}"))
-    bench.give(submit("running", deadline=999.0))
-    bench.give(submit("waiting", deadline=bench.now + 5.0))
-    bench.now += 5.0 - left_s
-    outputs = bench.give(ended("running"))
+    harness = HostHarness(SERVER._replace(slots=1))
+    for number in range(60):  # the route's answers take 1 s
+        harness.give(submit(f"{number}", deadline=999.0))
+        harness.now += 1.0
+        harness.give(ended(f"{number}"))
+    harness.give(submit("running", deadline=999.0))
+    harness.give(submit("waiting", deadline=harness.now + 5.0))
+    harness.now += 5.0 - left_s
+    outputs = harness.give(ended("running"))
     expected = started("waiting")
     if not is_started:
         expected = declined("waiting", DeclineReason.DEADLINE)
@@ -236,75 +236,77 @@
 
 @pytest.mark.parametrize("rank", [0, 1, 2])
 @pytest.mark.parametrize("waiting", [1, 4, 8])
-def test_a_bid_counts_all_that_waits_before(rank: int, waiting: int) -> None:
-    bench = Bench(SERVER._replace(slots=1))
-    bench.give(*(submit(f"{n}", priority=rank) for n in range(waiting + 1)))
-    bench.now = 0.3
-    wait_s = bench.bid().bids[0].wait_s
-    alone = Bench(SERVER._replace(slots=1))
+def test_a_bid_counts_all_work_queued_before(rank: int, waiting: int) -> None:
+    harness = HostHarness(SERVER._replace(slots=1))
+    harness.give(*(submit(f"{n}", priority=rank) for n in range(waiting + 1)))
+    harness.now = 0.3
+    wait_s = harness.bid().bids[0].wait_s
+    alone = HostHarness(SERVER._replace(slots=1))
     alone.give(submit("running", priority=rank))
     assert wait_s == pytest.approx((waiting + 1) * alone.bid().bids[0].wait_s, rel=0.01)
 
 
 @pytest.mark.parametrize(("is_cold", "is_doubtful"), [(True, False), (False, True)])
-def test_a_cold_server_may_be_slow(is_cold: bool, is_doubtful: bool) -> None:
-    bench = Bench(SERVER._replace(is_cold=is_cold, slots=6))
-    bench.give(*(submit(f"{number}") for number in range(6)))
-    bench.now = 0.6  # half of a route's requests take 0.2 s at first
-    assert (bench.bid().bids[0].risk > 0.9) == is_doubtful
+def test_slow_answers_of_a_cold_server_are_expected(
+    is_cold: bool, is_doubtful: bool
+) -> None:
+    harness = HostHarness(SERVER._replace(is_cold=is_cold, slots=6))
+    harness.give(*(submit(f"{number}") for number in range(6)))
+    harness.now = 0.6  # half of a route's requests take 0.2 s at first
+    assert (harness.bid().bids[0].risk > 0.9) == is_doubtful
 
 
-def test_what_a_cold_server_takes_is_not_taken_for_usual() -> None:
+def test_durations_of_a_cold_server_are_scaled_back() -> None:
     waits = []
     for is_cold in (True, False):
         server = SERVER._replace(is_cold=is_cold, slots=1)
-        bench = Bench(server)
+        harness = HostHarness(server)
         for number in range(30):
-            bench.give(submit(f"{number}", deadline=999.0))
-            bench.now += 2.0 if is_cold else 1.0
-            bench.give(ended(f"{number}"))
-        bench.give(ServerListed(server._replace(is_cold=False)), submit("running"))
-        waits.append(bench.bid().bids[0].wait_s)
+            harness.give(submit(f"{number}", deadline=999.0))
+            harness.now += 2.0 if is_cold else 1.0
+            harness.give(ended(f"{number}"))
+        harness.give(ServerListed(server._replace(is_cold=False)), submit("running"))
+        waits.append(harness.bid().bids[0].wait_s)
     assert waits[0] == pytest.approx(waits[1], rel=0.01)
 
 
 def test_a_short_route_is_bid_the_shorter_wait() -> None:
-    bench = Bench(SERVER._replace(slots=1))
-    bench.give(submit("running"))
+    harness = HostHarness(SERVER._replace(slots=1))
+    harness.give(submit("running"))
     short = submit("short")._replace(route="short", target_s=0.2)
-    bench.give(short, *(submit(f"long{n}") for n in range(5)))
+    harness.give(short, *(submit(f"long{n}") for n in range(5)))
     waits = {}
     for route in ("short", "r1"):
-        (bids,) = bench.give(Ask(3, "bookings", route))
+        (bids,) = harness.give(Ask(3, "bookings", route))
         assert isinstance(bids, Bids)
         waits[route] = bids.bids[0].wait_s
     assert waits["short"] < waits["r1"] / 3
 
 
 def test_the_queue_is_bounded() -> None:
-    bench = Bench()
+    harness = HostHarness()
     names = [str(number) for number in range(QUEUE_LIMIT + 3)]
-    outputs = bench.give(*(submit(name) for name in names))
+    outputs = harness.give(*(submit(name) for name in names))
     assert outputs[-1] == Declined(names[-1], DeclineReason.FULL)
-    assert bench.bid().bids == ()
+    assert harness.bid().bids == ()
 
 
 def test_queued_work_expires_with_its_deadline() -> None:
-    bench = Bench()
-    bench.give(submit("1"), submit("2"), submit("3", deadline=1.0))
-    bench.now = 1.0
-    assert bench.give(HostTick()) == declined("3", DeclineReason.DEADLINE)
+    harness = HostHarness()
+    harness.give(submit("1"), submit("2"), submit("3", deadline=1.0))
+    harness.now = 1.0
+    assert harness.give(HostTick()) == declined("3", DeclineReason.DEADLINE)
 
 
 def test_records_are_kept_past_the_deadline_and_then_forgotten() -> None:
-    bench = Bench()
-    bench.give(submit("1", deadline=1.0), ended("1"))
-    bench.now = RECORD_RETENTION_S
-    bench.give(HostTick())
-    assert bench.give(submit("1", deadline=90.0)) == [Joined("1")]
-    bench.now = RECORD_RETENTION_S + 2.0
-    bench.give(HostTick())
-    assert bench.host.dump()["attempts"] == 0
+    harness = HostHarness()
+    harness.give(submit("1", deadline=1.0), ended("1"))
+    harness.now = RECORD_RETENTION_S
+    harness.give(HostTick())
+    assert harness.give(submit("1", deadline=90.0)) == [Joined("1")]
+    harness.now = RECORD_RETENTION_S + 2.0
+    harness.give(HostTick())
+    assert harness.host.dump()["attempts"] == 0
 
 
 @pytest.mark.parametrize(
@@ -318,10 +320,10 @@
         ([submit("1"), ended("1", EndKind.FAILED)], True),
     ],
 )
-def test_who_bids(messages: list[HostInput], offers: bool) -> None:
-    bench = Bench()
-    bench.give(*messages)
-    bids = bench.bid()
+def test_servers_that_make_bids(messages: list[HostInput], offers: bool) -> None:
+    harness = HostHarness()
+    harness.give(*messages)
+    bids = harness.bid()
     assert (bids.token, bids.process_id) == (3, 7)
     assert bool(bids.bids) == offers
 
@@ -333,22 +335,22 @@
 def test_a_doubtful_server_that_is_quiet_wants_a_trial(
     ends: list[EndKind], is_doubtful: bool
 ) -> None:
-    bench = Bench()
+    harness = HostHarness()
     for number, kind in enumerate(ends):
-        bench.give(submit(str(number)), ended(str(number), kind))
-        bench.now += 0.1
-    assert not bench.bid().bids[0].wants_trial
-    bench.now += TRIAL_INTERVAL_S
-    assert bench.bid().bids[0].wants_trial == is_doubtful
+        harness.give(submit(str(number)), ended(str(number), kind))
+        harness.now += 0.1
+    assert not harness.bid().bids[0].wants_trial
+    harness.now += TRIAL_INTERVAL_S
+    assert harness.bid().bids[0].wants_trial == is_doubtful
 
 
-def test_a_server_that_does_not_answer_is_told_by_the_age_of_what_it_runs() -> None:
-    bench = Bench()
+def test_an_overdue_answer_raises_the_risk() -> None:
+    harness = HostHarness()
     for number in range(20):
-        bench.give(submit(str(number)))
-        bench.now += 0.1
-        bench.give(ended(str(number)))
-    before = bench.bid().bids[0].risk
-    bench.give(submit("hung"))
-    bench.now += 1.0
-    assert before < 0.1 < 0.5 < bench.bid().bids[0].risk
+        harness.give(submit(str(number)))
+        harness.now += 0.1
+        harness.give(ended(str(number)))
+    before = harness.bid().bids[0].risk
+    harness.give(submit("hung"))
+    harness.now += 1.0
+    assert before < 0.1 < 0.5 < harness.bid().bids[0].risk
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -1,4 +1,4 @@
-"""Check the estimate of whether a server answers."""
+"""Test the risk estimate of a server and the duration estimate it uses."""
 
 import pytest
 from hypothesis import example
@@ -11,7 +11,7 @@
 from pimentobend_core._internal.forwarding.liveness import Liveness
 
 
-def learnt(seconds: float = 0.1) -> DurationEstimate:
+def make_estimate(seconds: float = 0.1) -> DurationEstimate:
     durations = DurationEstimate(1.0)
     for number in range(100):
         durations.record(seconds * (0.8 + 0.4 * (number % 10) / 10))
@@ -19,7 +19,7 @@
 
 
 CASES = [
-    ("nothing known", [], 0.0, (INITIAL_RISK, INITIAL_RISK)),
+    ("no evidence", [], 0.0, (INITIAL_RISK, INITIAL_RISK)),
     ("an answer", [True], 0.0, (0.0, 0.05)),
     ("answers", [True] * 5, 0.0, (0.0, 0.01)),
     ("an error among answers", [True, True, False, True, True], 0.0, (0.0, 0.1)),
@@ -34,46 +34,46 @@
 @pytest.mark.parametrize(
     ("ends", "later_s", "bounds"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
 )
-def test_risk_follows_the_ends(
+def test_risk_follows_the_outcomes(
     ends: list[bool | None], later_s: float, bounds: tuple[float, float]
 ) -> None:
     liveness = Liveness(0.0)
     for number, is_good in enumerate(ends):
-        liveness.record_sent(str(number), learnt().survival, 0.0)
+        liveness.record_sent(str(number), make_estimate().survival, 0.0)
         liveness.record_end(str(number), 0.0, is_good=is_good)
     assert bounds[0] <= liveness.risk(later_s) <= bounds[1]
 
 
-def test_risk_grows_with_the_age_of_what_runs() -> None:
+def test_risk_grows_with_the_age_of_an_open_request() -> None:
     liveness = Liveness(0.0)
     for number in range(5):
-        liveness.record_sent(str(number), learnt().survival, number * 0.1)
+        liveness.record_sent(str(number), make_estimate().survival, number * 0.1)
         liveness.record_end(str(number), number * 0.1 + 0.1, is_good=True)
-    liveness.record_sent("open", learnt().survival, 0.6)
+    liveness.record_sent("open", make_estimate().survival, 0.6)
     risks = [liveness.risk(0.6 + age) for age in (0.0, 0.1, 0.2, 0.4, 0.9)]
     assert risks == sorted(risks)
     assert risks[0] < 0.05
     assert risks[-1] > 0.5
 
 
-@example([(0.0, True), (5e-324, True)])  # the logarithm of nearly nothing
+@example([(0.0, True), (5e-324, True)])  # the logarithm of a duration near 0
 @given(st.lists(st.tuples(st.floats(0, 1), st.sampled_from([True, False, None]))))
 def test_risk_is_a_probability(steps: list[tuple[float, bool | None]]) -> None:
     liveness = Liveness(0.0)
     now = 0.0
     for number, (wait_s, is_good) in enumerate(steps):
         now += wait_s
-        liveness.record_sent(str(number), learnt().survival, now)
+        liveness.record_sent(str(number), make_estimate().survival, now)
         if number % 3:
             liveness.record_end(str(number), now, is_good=is_good)
         assert 0.0 <= liveness.risk(now) < 1.0
 
 
-def test_old_evidence_counts_on_in_the_first_risk() -> None:
+def test_old_evidence_is_kept_in_the_prior_risk() -> None:
     liveness = Liveness(0.0)
     for number in range(400):
         now = number * 0.1
-        liveness.record_sent(str(number), learnt().survival, now)
+        liveness.record_sent(str(number), make_estimate().survival, now)
         liveness.record_end(str(number), now, is_good=True)
     assert liveness.risk(40.0) < 0.01
     assert liveness.idle_s(40.0 + WINDOW_S) > WINDOW_S
@@ -83,14 +83,14 @@
     ("seconds", "least", "most"),
     [(0.0, 1.0, 1.0), (0.05, 0.95, 1.0), (0.1, 0.3, 0.7), (0.3, 0.0, 0.06)],
 )
-def test_survival_follows_the_durations(
+def test_survival_matches_the_recorded_durations(
     seconds: float, least: float, most: float
 ) -> None:
-    assert least <= learnt().survival(seconds) <= most
+    assert least <= make_estimate().survival(seconds) <= most
 
 
-def test_stragglers_do_not_pass_for_the_usual_time() -> None:
-    durations = learnt()
+def test_a_straggler_hardly_changes_the_90th_percentile() -> None:
+    durations = make_estimate()
     before = durations.p90_s
     durations.record(10.0)
     assert durations.p90_s < 1.5 * before
