Reword the tests of gossip

Fleet.seen, give and cut did not tell what they hold or do, and some test names were figurative ("another kind of silence"). Cases and checks stay.

--- a/tests/unit/gossip/test_node.py
+++ b/tests/unit/gossip/test_node.py
@@ -1,4 +1,4 @@
-"""Check how daemons find each other and keep a list of the fleet."""
+"""Test discovery and the list of the fleet in simulated gossip between nodes."""
 
 import random
 from collections import deque
@@ -50,7 +50,7 @@
 
 
 class Fleet:
-    """Own nodes and deliver their messages, some of which get lost."""
+    """Simulated fleet that delivers messages between nodes and loses some of them."""
 
     def __init__(self, size: int, seeds: int = 3, lost_share: float = 0.0) -> None:
         self.now = 0.0
@@ -59,9 +59,9 @@
         self.seeds = tuple(make_row(number).address for number in range(seeds))
         self.nodes: dict[str, GossipNode] = {}
         self.down: set[str] = set()
-        self.cut: set[frozenset[str]] = set()
+        self.cut_paths: set[frozenset[str]] = set()
         self.peers: dict[str, tuple[PeerRow, ...]] = {}
-        self.seen: list[tuple[str, object]] = []
+        self.other_outputs: list[tuple[str, object]] = []
         self.inbox: deque[tuple[str, GossipInput]] = deque()
         self.sent_bytes = 0
         for number in range(size):
@@ -72,7 +72,7 @@
         self.peers[row.address] = ()
         self.down.discard(row.address)
 
-    def give(self, address: str, message: GossipInput) -> None:
+    def deliver(self, address: str, message: GossipInput) -> None:
         self.inbox.append((address, message))
         while self.inbox:
             self._handle(*self.inbox.popleft())
@@ -86,21 +86,21 @@
             elif isinstance(output, PeersChanged):
                 self.peers[address] = output.peers
             else:
-                self.seen.append((address, output))
+                self.other_outputs.append((address, output))
 
     def run(self, seconds: float) -> None:
         until = self.now + seconds
         while self.now < until:
             self.now += TICK_S
             for address in list(self.nodes):
-                self.give(address, GossipTick())
+                self.deliver(address, GossipTick())
 
     def knows_all(self, address: str) -> bool:
         return len(self.peers[address]) == len(self.nodes) - 1
 
     def _send(self, sender: str, output: SendGossip) -> None:
-        is_cut = frozenset((sender, output.recipient)) in self.cut
-        if is_cut or self.rng.random() < self.lost_share:
+        is_lost = frozenset((sender, output.recipient)) in self.cut_paths
+        if is_lost or self.rng.random() < self.lost_share:
             return
         data = encode_message(output.message)
         self.sent_bytes += len(data)
@@ -112,7 +112,7 @@
     ("size", "lost_share", "within_s"),
     [(2, 0.0, 4.0), (35, 0.0, 4.0), (35, 0.3, 8.0), (120, 0.0, 4.0)],
 )
-def test_all_find_each_other_from_the_seeds(
+def test_all_daemons_are_discovered_from_the_seeds(
     size: int, lost_share: float, within_s: float
 ) -> None:
     fleet = Fleet(size, lost_share=lost_share)
@@ -125,15 +125,15 @@
     fleet = Fleet(size)
     fleet.run(4.0)
     address = make_row(5).address
-    fleet.give(address, OwnRowChanged(make_row(5)._replace(servers=(SERVER,))))
+    fleet.deliver(address, OwnRowChanged(make_row(5)._replace(servers=(SERVER,))))
     fleet.run(4.0)
     for other, peers in fleet.peers.items():
         if other != address:
             assert (SERVER,) in [row.servers for row in peers if row.address == address]
 
 
-PING_AND_ACK_BYTES = 60  # without rows
-START_ROWS = 6  # copies of the whole list that each daemon may be sent
+PING_AND_ACK_BYTES = 60  # of both together, without rows
+START_ROWS = 6  # copies of the whole list that each daemon may be sent at the start
 
 
 @pytest.mark.parametrize("size", [35, 77])
@@ -148,7 +148,7 @@
     assert fleet.sent_bytes <= PING_AND_ACK_BYTES * size * 10.0 / TICK_S
 
 
-def test_a_restarted_daemon_is_found_though_the_seeds_are_down() -> None:
+def test_a_restarted_daemon_is_discovered_while_the_seeds_are_down() -> None:
     fleet = Fleet(12)
     fleet.run(3.0)
     fleet.down.update(fleet.seeds)
@@ -169,38 +169,40 @@
             assert ids == {99}
 
 
-def test_a_cut_path_is_noticed_and_so_is_its_return() -> None:
+def test_a_broken_path_and_its_recovery_are_reported() -> None:
     fleet = Fleet(4)
     fleet.run(2.0)
     pair = (make_row(0).address, make_row(3).address)
-    fleet.cut.add(frozenset(pair))
-    fleet.seen.clear()
+    fleet.cut_paths.add(frozenset(pair))
+    fleet.other_outputs.clear()
     fleet.run(40.0)
-    assert (pair[0], ReachabilityChanged(pair[1], False)) in fleet.seen
-    fleet.cut.clear()
+    assert (pair[0], ReachabilityChanged(pair[1], False)) in fleet.other_outputs
+    fleet.cut_paths.clear()
     fleet.run(20.0)
-    assert (pair[0], ReachabilityChanged(pair[1], True)) in fleet.seen
-    assert not [s for s in fleet.seen if "0.1:7" in str(s[1])]
+    assert (pair[0], ReachabilityChanged(pair[1], True)) in fleet.other_outputs
+    assert not [s for s in fleet.other_outputs if "0.1:7" in str(s[1])]
 
 
-def test_another_kind_of_silence_counts_too() -> None:
+def test_other_unanswered_messages_count_as_misses() -> None:
     fleet = Fleet(4)
     fleet.run(2.0)
-    fleet.seen.clear()
+    fleet.other_outputs.clear()
     other = make_row(1).address
-    fleet.give(make_row(0).address, PeerUnreachable(other))
-    assert fleet.seen == [(make_row(0).address, ReachabilityChanged(other, False))]
-    fleet.give(make_row(0).address, PeerUnreachable("10.9.9.9:1"))
-    assert len(fleet.seen) == 1
+    fleet.deliver(make_row(0).address, PeerUnreachable(other))
+    assert fleet.other_outputs == [
+        (make_row(0).address, ReachabilityChanged(other, False))
+    ]
+    fleet.deliver(make_row(0).address, PeerUnreachable("10.9.9.9:1"))
+    assert len(fleet.other_outputs) == 1
 
 
-def test_a_newer_version_is_seen_from_pings() -> None:
+def test_a_newer_tables_version_is_reported() -> None:
     fleet = Fleet(3)
     fleet.run(2.0)
     newer = Version(3, 9)
-    fleet.give(make_row(1).address, TablesChanged(newer))
+    fleet.deliver(make_row(1).address, TablesChanged(newer))
     fleet.run(6.0)
-    hints = [(a, o) for a, o in fleet.seen if isinstance(o, NewerTablesSeen)]
+    hints = [(a, o) for a, o in fleet.other_outputs if isinstance(o, NewerTablesSeen)]
     assert {address for address, _ in hints} == {
         make_row(0).address,
         make_row(2).address,
@@ -218,13 +220,13 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
-def test_messages_survive_the_wire(message: GossipMessage) -> None:
+def test_messages_round_trip(message: GossipMessage) -> None:
     assert decode_message(encode_message(message)) == message
 
 
 @pytest.mark.parametrize(
     "data", [b"", b"\x93", b"\x92\x09\x90", b"\x92\x00\x91\x01", b"noise" * 9]
 )
-def test_other_bytes_are_a_codec_error(data: bytes) -> None:
+def test_invalid_bytes_raise_codec_error(data: bytes) -> None:
     with pytest.raises(CodecError):
         decode_message(data)
