Reword the tests of the request pipe

The constants SILENT, BROKEN and GONE hid the attempt kinds that they stand for, and "endings" were outcomes elsewhere. Cases and checks stay.

--- a/tests/unit/request/test_pipe.py
+++ b/tests/unit/request/test_pipe.py
@@ -1,4 +1,4 @@
-"""Check what the request pipe makes of every ending of its attempts."""
+"""Test the outcome of the request pipe for each outcome of its attempts."""
 
 from typing import NamedTuple
 
@@ -25,18 +25,18 @@
 ANSWER = (Kind.ANSWERED, 200)
 FAILURE = (Kind.ANSWERED, 500)
 REFUSED = (Kind.REFUSED, 503)
-UNCONNECTED = (Kind.NOT_CONNECTED, 0)
-SILENT = (Kind.NO_ANSWER, 0)
-BROKEN = (Kind.TRUNCATED, 200)
-GONE = (Kind.CANCELLED, 0)
+NOT_CONNECTED = (Kind.NOT_CONNECTED, 0)
+NO_ANSWER = (Kind.NO_ANSWER, 0)
+TRUNCATED = (Kind.TRUNCATED, 200)
+CANCELLED = (Kind.CANCELLED, 0)
 
 
 class Case(NamedTuple):
-    """Describe one request and what the caller must be told."""
+    """One request, the outcomes of its attempts and the expected result."""
 
     name: str
     repeatable: bool
-    endings: tuple[tuple[Kind, int], ...]
+    outcomes: tuple[tuple[Kind, int], ...]
     status: int
     ran: Ran
     attempts: int
@@ -49,31 +49,33 @@
     Case("answer", True, (ANSWER,), 200, Ran.RAN, 1),
     Case("retried failure", True, (FAILURE, ANSWER), 200, Ran.RAN, 2),
     Case("failure, no budget", True, (FAILURE,), 500, Ran.RAN, 1, retries=0),
-    Case("failure not repeated", False, (FAILURE,), 500, Ran.RAN, 1),
+    Case("failure, not repeatable", False, (FAILURE,), 500, Ran.RAN, 1),
     Case("refused, then served", False, (REFUSED, ANSWER), 200, Ran.RAN, 2),
-    Case("unconnected, then served", False, (UNCONNECTED, ANSWER), 200, Ran.RAN, 2),
-    Case("unconnected, no budget", False, (UNCONNECTED,), 502, Ran.NOT_RUN, 1, 0),
+    Case("not connected, then served", False, (NOT_CONNECTED, ANSWER), 200, Ran.RAN, 2),
+    Case("not connected, no budget", False, (NOT_CONNECTED,), 502, Ran.NOT_RUN, 1, 0),
     Case("refused everywhere", False, (REFUSED,) * 8, 503, Ran.NOT_RUN, 8),
     Case("refused, no budget", False, (REFUSED,) * 3, 503, Ran.NOT_RUN, 3, 2),
-    Case("unconnected for long", False, (UNCONNECTED,) * 3, 502, Ran.NOT_RUN, 3),
-    Case("silence not repeated", False, (SILENT,), 504, Ran.UNKNOWN, 1),
-    Case("truncation not repeated", False, (BROKEN,), 502, Ran.UNKNOWN, 1),
-    Case("caller gone", False, (GONE,), 499, Ran.UNKNOWN, 1),
-    Case("silence repeated", True, (SILENT, ANSWER), 200, Ran.RAN, 2),
-    Case("silence, then refused", True, (SILENT, REFUSED), 503, Ran.UNKNOWN, 2, 1),
+    Case("not connected three times", False, (NOT_CONNECTED,) * 3, 502, Ran.NOT_RUN, 3),
+    Case("no answer, not repeatable", False, (NO_ANSWER,), 504, Ran.UNKNOWN, 1),
+    Case("truncated, not repeatable", False, (TRUNCATED,), 502, Ran.UNKNOWN, 1),
+    Case("caller left", False, (CANCELLED,), 499, Ran.UNKNOWN, 1),
+    Case("no answer, retried", True, (NO_ANSWER, ANSWER), 200, Ran.RAN, 2),
+    Case("no answer, then refused", True, (NO_ANSWER, REFUSED), 503, Ran.UNKNOWN, 2, 1),
     Case("failure, then refused", True, (FAILURE, REFUSED), 503, Ran.RAN, 2, 1),
-    Case("silence, then no slot", True, (SILENT,), 503, Ran.UNKNOWN, 1, grants=1),
+    Case("no answer, then no slot", True, (NO_ANSWER,), 503, Ran.UNKNOWN, 1, grants=1),
     Case("refused, then no slot", False, (REFUSED,), 503, Ran.NOT_RUN, 1, grants=1),
     Case("no slot", False, (), 503, Ran.NOT_RUN, 0, grants=0),
-    Case("streamed body", True, (SILENT,), 504, Ran.UNKNOWN, 1, can_replay=False),
-    Case("streamed, unsent", True, (UNCONNECTED, ANSWER), 200, Ran.RAN, 2, 9, False),
+    Case("streamed body", True, (NO_ANSWER,), 504, Ran.UNKNOWN, 1, can_replay=False),
+    Case(
+        "streamed, not sent", True, (NOT_CONNECTED, ANSWER), 200, Ran.RAN, 2, 9, False
+    ),
 ]
 
 
 @pytest.mark.parametrize("has_key", [False, True], ids=["keyless", "keyed"])
 @pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
-def test_outcome_is_truthful(case: Case, has_key: bool) -> None:
-    backend = FakeBackend(case.endings)
+def test_outcome_covers_all_attempts(case: Case, has_key: bool) -> None:
+    backend = FakeBackend(case.outcomes)
     traffic = FakeTraffic(case.grants)
     ledger = FakeLedger()
     pipe = build_request_pipe(
@@ -131,7 +133,7 @@
         (True, -1.0, RefusalReason.DEADLINE),
     ],
 )
-def test_refused_before_a_slot(
+def test_refused_before_a_slot_is_requested(
     has_route: bool, remaining_s: float, reason: RefusalReason
 ) -> None:
     traffic = FakeTraffic()
