Rename Life to RowVersion and PeerRow.life to version

A reader took "life" for a duration; it is the version that orders the rows of a daemon. The key "life" in dump() stays, and rows are arrays on the wire, so no outer name changes.

--- a/packages/core/src/pimentobend_core/_internal/gossip/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/messages.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.configuration.messages import Version
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 
 
 class Ping(NamedTuple):
@@ -32,7 +32,7 @@
 class Pull(NamedTuple):
     """Request the rows that are newer than those listed, or not listed."""
 
-    known: tuple[tuple[str, Life], ...]
+    known: tuple[tuple[str, RowVersion], ...]
 
 
 class Rows(NamedTuple):
@@ -53,7 +53,7 @@
 
 
 class OwnRowChanged(NamedTuple):
-    """This daemon's own row changed; the node sets its ``life``."""
+    """This daemon's own row changed; the node sets its ``version``."""
 
     row: PeerRow
 
--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -22,8 +22,8 @@
 from pimentobend_core._internal.gossip.messages import SeedsChanged
 from pimentobend_core._internal.gossip.messages import SendGossip
 from pimentobend_core._internal.gossip.messages import TablesChanged
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.gossip.table import PeerTable
 from pimentobend_core._internal.pipes import StatefulFilter
 
@@ -96,11 +96,11 @@
         """Return the state as JSON-compatible values."""
         return {
             "address": self._own.address,
-            "life": list(self._own.life),
+            "life": list(self._own.version),
             "digest": self._table.digest,
             "peers": {
                 row.address: {
-                    "life": list(row.life),
+                    "life": list(row.version),
                     "data_centre": row.data_centre,
                     "is_leaving": row.is_leaving,
                     "misses": self._misses.get(row.address, 0),
@@ -156,7 +156,7 @@
         if digest == self._table.digest or now - self._last_pull_at < PULL_INTERVAL_S:
             return []
         self._last_pull_at = now
-        return [SendGossip(sender, Pull(self._table.lives()))]
+        return [SendGossip(sender, Pull(self._table.versions()))]
 
     def _apply_rumours(self, rows: tuple[PeerRow, ...]) -> None:
         for row in rows:
@@ -185,16 +185,18 @@
 
         Such a row would win if the clock was ahead when it was made.
         """
-        if row.life < self._own.life or row == self._own:
+        if row.version < self._own.version or row == self._own:
             return
-        life = Life(row.life.incarnation + 1, 0)
-        self._own = self._own._replace(life=life)
+        version = RowVersion(row.version.incarnation + 1, 0)
+        self._own = self._own._replace(version=version)
         self._table.put(self._own)
         self._start_rumour(self._own.address)
 
     def _change_own(self, row: PeerRow) -> list[GossipOutput]:
-        life = self._own.life
-        self._own = row._replace(life=life._replace(revision=life.revision + 1))
+        version = self._own.version
+        self._own = row._replace(
+            version=version._replace(revision=version.revision + 1)
+        )
         self._table.put(self._own)
         self._start_rumour(self._own.address)
         live = [
--- a/packages/core/src/pimentobend_core/_internal/gossip/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/rows.py
@@ -11,7 +11,7 @@
     is_ready: bool  # accepts new requests
 
 
-class Life(NamedTuple):
+class RowVersion(NamedTuple):
     """Version of a daemon's row: rows with a higher value replace lower ones."""
 
     incarnation: int  # higher at each start of the daemon
@@ -22,7 +22,7 @@
     """A daemon of the fleet."""
 
     address: str  # host:port of its link
-    life: Life
+    version: RowVersion
     process_id: int  # random, new at each start
     data_centre: str
     region: str
--- a/packages/core/src/pimentobend_core/_internal/gossip/table.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/table.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 
 # The digest of the table is the XOR of the rows' hashes. They are cryptographic, as
 # linear checksums of similar rows would cancel out.
@@ -22,7 +22,7 @@
 
     @property
     def digest(self) -> int:
-        """Return the digest of the addresses and lives of all rows."""
+        """Return the digest of the addresses and versions of all rows."""
         return self._digest
 
     def __len__(self) -> int:
@@ -43,7 +43,7 @@
         known = self._rows.get(row.address)
         if known is None and len(self._rows) >= MAX_ROWS:
             return False
-        if known is not None and row.life <= known.life:
+        if known is not None and row.version <= known.version:
             return False
         if known is not None:
             self._digest ^= _hash(known)
@@ -57,33 +57,33 @@
         if row is not None:
             self._digest ^= _hash(row)
 
-    def lives(self) -> tuple[tuple[str, Life], ...]:
-        """Return the address and the life of each row."""
-        return tuple((row.address, row.life) for row in self._rows.values())
+    def versions(self) -> tuple[tuple[str, RowVersion], ...]:
+        """Return the address and the version of each row."""
+        return tuple((row.address, row.version) for row in self._rows.values())
 
     def compare(
-        self, lives: Iterable[tuple[str, Life]]
+        self, versions: Iterable[tuple[str, RowVersion]]
     ) -> tuple[tuple[PeerRow, ...], tuple[str, ...]]:
-        """Compare this table with the lives that another daemon listed.
+        """Compare this table with the versions that another daemon listed.
 
         Returns the rows that are newer here or missing there, and the addresses whose
         rows are older here or missing.
         """
-        given = dict(lives)
+        given = dict(versions)
         newer = tuple(
             row
             for row in self._rows.values()
-            if row.address not in given or row.life > given[row.address]
+            if row.address not in given or row.version > given[row.address]
         )
         older = tuple(
             address
-            for address, life in given.items()
-            if address not in self._rows or self._rows[address].life < life
+            for address, version in given.items()
+            if address not in self._rows or self._rows[address].version < version
         )
         return newer, older
 
 
 def _hash(row: PeerRow) -> int:
-    content = f"{row.address}/{row.life.incarnation}/{row.life.revision}".encode()
+    content = f"{row.address}/{row.version.incarnation}/{row.version.revision}".encode()
     digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, "little")
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -41,8 +41,8 @@
 from pimentobend_core._internal.gossip.node import TICK_S
 from pimentobend_core._internal.gossip.node import GossipNode
 from pimentobend_core._internal.gossip.rows import HostedServer
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.tables import Tables
 from pimentobendd._internal.exceptions import SettingsError
 from pimentobendd._internal.fleet.control import FleetControl
@@ -176,7 +176,7 @@
         settings = self._settings
         return PeerRow(
             address=settings.link,
-            life=Life(time.time_ns() // 1_000_000, 0),
+            version=RowVersion(time.time_ns() // 1_000_000, 0),
             process_id=self._process_id,
             data_centre=settings.data_centre,
             region=settings.region,
--- a/tests/lib/delivery_driver.py
+++ b/tests/lib/delivery_driver.py
@@ -14,13 +14,13 @@
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
-PEER = PeerRow("10.0.0.1:7", Life(1, 0), 1, "a", "r", False, 8, False, ())
+PEER = PeerRow("10.0.0.1:7", RowVersion(1, 0), 1, "a", "r", False, 8, False, ())
 DEADLINE = 10.0
 TARGET_MS = 2000
 
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_board.py
@@ -18,8 +18,8 @@
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.gossip.rows import HostedServer
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.ports import ClockPort
 
 OWN_ADDRESS = "10.0.0.0:7"
@@ -44,7 +44,7 @@
     server = HostedServer(f"s{number}", place.service, place.is_ready)
     return PeerRow(
         f"10.0.0.{number}:7",
-        Life(1, 0),
+        RowVersion(1, 0),
         number,
         place.data_centre,
         place.region,
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -23,8 +23,8 @@
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.tasks import Discard
 from pimentobend_core._internal.forwarding.messages import Submit
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
@@ -137,7 +137,7 @@
     ) -> Attempted:
         peer = PeerRow(
             "127.0.0.1:1",
-            Life(1, 0),
+            RowVersion(1, 0),
             process,
             "a",
             "r",
--- a/tests/unit/gossip/test_node.py
+++ b/tests/unit/gossip/test_node.py
@@ -28,8 +28,8 @@
 from pimentobend_core._internal.gossip.node import TICK_S
 from pimentobend_core._internal.gossip.node import GossipNode
 from pimentobend_core._internal.gossip.rows import HostedServer
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 
 SERVER = HostedServer("s", "bookings", True)
 
@@ -38,7 +38,7 @@
     zone = number % zones
     return PeerRow(
         f"10.0.0.{number}:7",
-        Life(incarnation, 0),
+        RowVersion(incarnation, 0),
         number,
         f"zone-{zone}",
         f"region-{zone % 2}",
@@ -214,7 +214,7 @@
 MESSAGES: list[GossipMessage] = [
     Ping(1, 2, FIRST_VERSION, (ROW,)),
     Ack(1, 2, Version(1, 2), ()),
-    Pull(((ROW.address, ROW.life),)),
+    Pull(((ROW.address, ROW.version),)),
     Rows((ROW,), ("a",)),
 ]
 
