--- a/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
@@ -14,7 +14,7 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.pipes import StatefulFilter
-from pimentobend_core._internal.request.dispatch import MAX_OFFERS
+from pimentobend_core._internal.request.dispatch import MAX_REFUSED_ATTEMPTS
 from pimentobend_core._internal.traffic.messages import Acquire
 from pimentobend_core._internal.traffic.messages import Granted
 from pimentobend_core._internal.traffic.messages import Rejected
@@ -225,7 +225,7 @@
             self._end(request, "late" if is_late else "answered")
             return
         request.excluded |= {message.server_id}
-        if request.attempts < MAX_OFFERS and self._budgets[number].may_retry(
+        if request.attempts < MAX_REFUSED_ATTEMPTS and self._budgets[number].may_retry(
             message.kind, True, request.deadline, self._now
         ):
             self._acquire(request, is_retry=True)
