Correct docstrings of forwarding and gossip, and name more test cases plainly

The rewording had turned the docstring of the message ReachabilityChanged into that of a function; Ack and Bid did not say what their fields are; a few test ids ("few of many") did not say the rule.

ruff format and check: clean. mypy of core, adapters, daemon, client, bench and platform: clean. Unit tests of forwarding, gossip and request: 278 passed.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -38,7 +38,7 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
-MAX_REJECTIONS = 12  # attempts declined or refused unrun before the request is refused
+MAX_REJECTIONS = 12  # attempts turned away unrun, after which the request is refused
 # The servers are asked again at an interval that doubles each time.
 ASK_INTERVAL_S = 0.1
 MAX_ASK_INTERVAL_S = 0.8
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -7,7 +7,7 @@
 
 
 class Bid(NamedTuple):
-    """What a server offers to a route: its risk and waiting time, in seconds."""
+    """Terms on which a server offers to run a route's request; times are in s."""
 
     server_id: str
     risk: float  # probability that the server is failing
--- a/packages/core/src/pimentobend_core/_internal/gossip/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/messages.py
@@ -21,7 +21,7 @@
 
 
 class Ack(NamedTuple):
-    """Answer to the ``Ping`` of the same number; the other fields are alike."""
+    """Answer to the ``Ping`` with the same number; the other fields mean the same."""
 
     number: int
     digest: int
@@ -104,7 +104,7 @@
 
 
 class ReachabilityChanged(NamedTuple):
-    """Return whether a daemon answers this one."""
+    """A daemon started or stopped answering this one."""
 
     address: str
     is_reachable: bool
--- a/packages/core/src/pimentobend_core/_internal/request/route.py
+++ b/packages/core/src/pimentobend_core/_internal/request/route.py
@@ -20,7 +20,7 @@
 RETRY_AFTER_S = 0.5  # a starting daemon receives its tables within a second
 # The first tables take an election and a frame to each daemon.
 MAX_TABLES_WAIT_S = 3.0
-MAX_TABLES_WAIT_SHARE = 0.25  # of the time until the caller's deadline
+MAX_TABLES_WAIT_SHARE = 0.25  # of the time until the caller's deadline, at most
 NO_TABLES = Refusal(
     status=503,
     ran=Ran.NOT_RUN,
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_board.py
@@ -119,11 +119,11 @@
 
 
 ASKED = [
-    ("one near", [NEAR, REGION, FAR], Distance.DATA_CENTRE, 1),
-    ("the region", [NEAR, REGION, FAR], Distance.REGION, 2),
-    ("all", [NEAR, REGION, FAR], Distance.FAR, 3),
-    ("few far ones", [FAR] * 9, Distance.FAR, 2),
-    ("few of many", [NEAR] * 30, Distance.DATA_CENTRE, 6),
+    ("data centre", [NEAR, REGION, FAR], Distance.DATA_CENTRE, 1),
+    ("region", [NEAR, REGION, FAR], Distance.REGION, 2),
+    ("all distances", [NEAR, REGION, FAR], Distance.FAR, 3),
+    ("at most two far daemons", [FAR] * 9, Distance.FAR, 2),
+    ("at most six daemons", [NEAR] * 30, Distance.DATA_CENTRE, 6),
     ("another service", [NEAR._replace(service="x")], Distance.FAR, 0),
     ("draining server", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
     ("leaving daemon", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -174,7 +174,7 @@
     assert harness.calls.runs == ["1"]
 
 
-def test_nothing_listens() -> None:
+def test_a_refused_connection_is_not_connected() -> None:
     harness = HopHarness()
     harness.proxy.stop()
     assert harness.run("1").kind is AttemptKind.NOT_CONNECTED
@@ -184,7 +184,7 @@
     ("breaks_after", "kind"),
     [([], AttemptKind.DECLINED), ([0.1], AttemptKind.NO_ANSWER)],
 )
-def test_another_process_has_not_run_what_was_sent_once(
+def test_another_process_does_not_run_the_attempt(
     breaks_after: list[float], kind: AttemptKind
 ) -> None:
     harness = HopHarness()
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -72,7 +72,7 @@
     return CallEnded(name, kind)
 
 
-STEPS: list[tuple[str, list[HostInput], list[HostOutput]]] = [
+SEQUENCES: list[tuple[str, list[HostInput], list[HostOutput]]] = [
     ("free slots", [submit("1"), submit("2")], started("1", "2")),
     ("no slot free", [submit("1"), submit("2"), submit("3")], started("1", "2")),
     (
@@ -183,9 +183,13 @@
 
 
 @pytest.mark.parametrize(
-    ("messages", "outputs"), [step[1:] for step in STEPS], ids=[s[0] for s in STEPS]
+    ("messages", "outputs"),
+    [sequence[1:] for sequence in SEQUENCES],
+    ids=[s[0] for s in SEQUENCES],
 )
-def test_steps(messages: list[HostInput], outputs: list[HostOutput]) -> None:
+def test_outputs_of_message_sequences(
+    messages: list[HostInput], outputs: list[HostOutput]
+) -> None:
     assert HostHarness().give(*messages) == outputs
 
 
