Reword the configuration folder and rename its vague names

Docstrings said who "owns", "hears" or "takes" tables without telling what happens, and names such as _ask, _unheard or _repeats had to be looked up. Docstrings, comments and messages now use the terms of configuration replication, private names follow, and the tests and table_fakes with them. Error texts for duplicate rows, unknown pools, digest mismatch and a wrong base are reworded; no test or tool matches them.

--- a/packages/core/src/pimentobend_core/_internal/configuration/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Check, version and spread the tables of routes and pools."""
+"""Validate, version and replicate the tables of routes and pools."""
--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -1,4 +1,4 @@
-"""Check the tables of routes and pools, whole and with every fault named."""
+"""Validate the tables of routes and pools and report every fault at once."""
 
 from collections.abc import Iterator
 from typing import cast
@@ -26,7 +26,7 @@
 MAX_METHODS = 16
 MAX_TIMEOUT_MS = 3_600_000
 MAX_QUEUE_REQUESTS = 100_000
-MAX_FLOOR = 1.0  # share of a pool's servers
+MAX_FLOOR = 1.0  # fraction of a pool's servers
 
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_FLOOR = 0.75
@@ -74,8 +74,8 @@
     faults += tuple(_TABLES.find("", document))
     if faults:
         return Failure(faults)
-    tables = _fill(cast(TablesDocument, document))
-    faults = (*_find_repeated(tables), *_find_unjoined(tables))
+    tables = _fill_defaults(cast(TablesDocument, document))
+    faults = (*_find_duplicates(tables), *_find_unknown_pools(tables))
     return Failure(faults) if faults else Success(tables)
 
 
@@ -109,14 +109,14 @@
     )
 
 
-def _fill(document: TablesDocument) -> TablesDocument:
+def _fill_defaults(document: TablesDocument) -> TablesDocument:
     return TablesDocument(
-        routes=[_fill_route(row) for row in document["routes"]],
-        pools=[_fill_pool(row) for row in document["pools"]],
+        routes=[_fill_route_defaults(row) for row in document["routes"]],
+        pools=[_fill_pool_defaults(row) for row in document["pools"]],
     )
 
 
-def _fill_route(row: RouteRow) -> RouteRow:
+def _fill_route_defaults(row: RouteRow) -> RouteRow:
     return RouteRow(
         name=row["name"],
         host=row.get("host", "*"),
@@ -128,7 +128,7 @@
     )
 
 
-def _fill_pool(row: PoolRow) -> PoolRow:
+def _fill_pool_defaults(row: PoolRow) -> PoolRow:
     return PoolRow(
         name=row["name"],
         service=row["service"],
@@ -138,35 +138,33 @@
     )
 
 
-def _find_repeated(tables: TablesDocument) -> Iterator[Fault]:
+def _find_duplicates(tables: TablesDocument) -> Iterator[Fault]:
     names = [
         (f"routes[{i}].name", row["name"]) for i, row in enumerate(tables["routes"])
     ]
-    yield from _repeats(names)
+    yield from _find_duplicate_names(names)
     names = [(f"pools[{i}].name", row["name"]) for i, row in enumerate(tables["pools"])]
-    yield from _repeats(names)
-    matches: dict[tuple[str, str, str], str] = {}
+    yield from _find_duplicate_names(names)
+    owners: dict[tuple[str, str, str], str] = {}
     for i, row in enumerate(tables["routes"]):
         for method in row["methods"] or [""]:
-            match = (row["host"], row["path"], method)
-            if match in matches:
-                expected = f"requests that {matches[match]} does not take"
+            key = (row["host"], row["path"], method)
+            if key in owners:
+                expected = f"a host, path and method that {owners[key]} does not match"
                 yield Fault(f"routes[{i}]", row["name"], expected)
-            matches[match] = row["name"]
+            owners[key] = row["name"]
 
 
-def _repeats(names: list[tuple[str, str]]) -> Iterator[Fault]:
+def _find_duplicate_names(names: list[tuple[str, str]]) -> Iterator[Fault]:
     seen: set[str] = set()
     for place, name in names:
         if name in seen:
-            yield Fault(place, name, "a name that no other row has")
+            yield Fault(place, name, "a name that is unique in its table")
         seen.add(name)
 
 
-def _find_unjoined(tables: TablesDocument) -> Iterator[Fault]:
+def _find_unknown_pools(tables: TablesDocument) -> Iterator[Fault]:
     pools = {row["name"] for row in tables["pools"]}
     for i, row in enumerate(tables["routes"]):
         if row["pool"] not in pools:
-            yield Fault(
-                f"routes[{i}].pool", row["pool"], "a name in the table of pools"
-            )
+            yield Fault(f"routes[{i}].pool", row["pool"], "the name of a pool")
--- a/packages/core/src/pimentobend_core/_internal/configuration/children.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/children.py
@@ -1,4 +1,4 @@
-"""Remember which daemons follow this one."""
+"""Track the daemons that poll this one for new versions."""
 
 from typing import NamedTuple
 
@@ -9,35 +9,35 @@
 
 
 class Child(NamedTuple):
-    """Hold what a following daemon last said."""
+    """The version that a daemon last reported, and when it did."""
 
     version: Version
-    heard_at: float
+    renewed_at: float
 
 
 class Children:
-    """Own the leases of the daemons that ask here."""
+    """Lease table of the daemons that poll this one, by address."""
 
     def __init__(self) -> None:
         self._children: dict[str, Child] = {}
 
-    def hear(self, address: str, version: Version, now: float) -> None:
-        """Renew a daemon's lease; a full table takes no new daemon."""
+    def renew(self, address: str, version: Version, now: float) -> None:
+        """Renew a daemon's lease; ignore a new daemon when the table is full."""
         if address in self._children or len(self._children) < MAX_CHILDREN:
             self._children[address] = Child(version, now)
 
     def expire(self, now: float) -> None:
-        """Forget the daemons that asked too long ago."""
+        """Drop the daemons that have not polled for ``CHILD_LEASE_S``."""
         self._children = {
             address: child
             for address, child in self._children.items()
-            if now - child.heard_at < CHILD_LEASE_S
+            if now - child.renewed_at < CHILD_LEASE_S
         }
 
     def addresses(self) -> tuple[str, ...]:
-        """Return the daemons that follow this one."""
+        """Return the addresses of the daemons whose lease is current."""
         return tuple(self._children)
 
     def versions(self) -> dict[str, str]:
-        """Return the version that each daemon last named."""
+        """Return the version that each daemon last reported, by address."""
         return {address: str(each.version) for address, each in self._children.items()}
--- a/packages/core/src/pimentobend_core/_internal/configuration/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/codec.py
@@ -1,4 +1,4 @@
-"""Encode what the configuration keeps in the log and sends to daemons."""
+"""Encode configuration log commands, snapshots and messages to daemons."""
 
 from typing import TypeVar
 
@@ -14,25 +14,25 @@
 
 
 def encode(value: object) -> bytes:
-    """Return a message of the configuration as bytes."""
+    """Encode a command, snapshot or message as msgpack."""
     return _ENCODER.encode(value)
 
 
 def decode(data: bytes, kind: type[Value]) -> Value:
-    """Return the message of a kind; raise ``CodecError``."""
+    """Decode bytes as ``kind``; raise ``CodecError`` if they do not match it."""
     try:
         return msgspec.msgpack.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise CodecError(
-            "a message of the configuration does not decode", context=kind.__name__
+            "configuration message does not decode", context=kind.__name__
         ) from error
 
 
 def decode_command(data: bytes) -> TablesCommand:
-    """Return the command of the bytes; raise ``CodecError``."""
+    """Decode a log entry's command; raise ``CodecError`` if it is malformed."""
     return decode(data, TablesCommand)
 
 
 def decode_snapshot(data: bytes) -> ConfigurationSnapshot:
-    """Return the snapshot of the bytes; raise ``CodecError``."""
+    """Decode a state snapshot; raise ``CodecError`` if it is malformed."""
     return decode(data, ConfigurationSnapshot)
--- a/packages/core/src/pimentobend_core/_internal/configuration/exceptions.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/exceptions.py
@@ -1,7 +1,7 @@
-"""Define the errors of the configuration."""
+"""Errors of configuration replication."""
 
 from pimentobend_core._internal.exceptions import CoreError
 
 
 class ConfigurationError(CoreError):
-    """Report tables that do not follow from one another."""
+    """A delta or snapshot does not fit: wrong base version or digest."""
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -1,4 +1,4 @@
-"""Follow the tables of other daemons and pass them on."""
+"""Replicate the tables from other daemons and serve them to followers."""
 
 from collections.abc import Mapping
 
@@ -29,12 +29,17 @@
 TICK_S = 0.5
 ASK_INTERVAL_S = 2.0
 ANSWER_TIMEOUT_S = 1.0
-HINT_INTERVAL_S = 0.15  # between questions to daemons that have a newer version
-START_WAIT_S = 1.5  # to hear several sources before the first version is in force
+HINT_INTERVAL_S = 0.15  # between catch-up requests triggered by version hints
+STARTUP_WAIT_S = 1.5  # for replies of all sources before the first version applies
 
 
 class TablesFollower(StatefulFilter[FollowerInput, FollowerOutput]):
-    """Own a daemon's tables, which only step forward, and serve its followers."""
+    """Keep a daemon's tables up to date and serve them to its followers.
+
+    The version in force never decreases. At start every source is asked, later
+    one at a time: the next one when the current one does not answer in time.
+    ``stored`` holds the tables that an earlier run saved.
+    """
 
     def __init__(
         self, sources: tuple[str, ...], now: float, stored: WholeTables | None = None
@@ -47,25 +52,25 @@
         self._asked_at: float | None = None
         self._answered_at = now
         self._started_at = now
-        self._unheard: set[str] | None = set(sources) if sources else None
+        self._pending_sources: set[str] | None = set(sources) if sources else None
         self._in_force = FIRST_VERSION
         self._followers: tuple[str, ...] = ()
-        self._is_damaged = False  # the rows do not have the digest of their version
+        self._is_damaged = False  # the rows do not match the digest of their version
         if stored is not None:
             self._tables.replace(stored)
 
     @property
     def tables(self) -> VersionedTables:
-        """Return the tables, to be read only."""
+        """Return the tables; callers must not modify them."""
         return self._tables
 
     @property
     def in_force(self) -> Version:
-        """Return the version that was put in force."""
+        """Return the latest version that was put in force."""
         return self._in_force
 
     def handle(self, message: FollowerInput, now: float) -> tuple[FollowerOutput, ...]:
-        """Take a message of another daemon, or let time pass."""
+        """Handle a peer's message, a change of peers, a version hint or a tick."""
         match message:
             case SpreadReceived():
                 outputs = self._receive(message.sender, message.message, now)
@@ -105,90 +110,92 @@
         if isinstance(message, CatchUp):
             return self._serve(sender, message, now)
         self._answered_at = now
-        if self._unheard is not None:
-            self._unheard.discard(sender)
+        if self._pending_sources is not None:
+            self._pending_sources.discard(sender)
         match message:
             case Current():
-                return self._compare(sender, message, now)
+                return self._handle_current(sender, message, now)
             case Deltas():
-                return self._take_deltas(sender, message.deltas, now)
+                return self._apply_deltas(sender, message.deltas, now)
             case Whole():
-                return self._take_whole(message.tables)
+                return self._apply_whole(message.tables)
 
     def _tick(self, now: float) -> tuple[FollowerOutput, ...]:
         self._children.expire(now)
         if self._asked_at is None:
-            return tuple(self._ask(source, now) for source in self._sources)
+            return tuple(
+                self._request_catch_up(source, now) for source in self._sources
+            )
         source = self._source
         if source is None:
             return ()
         is_unanswered = self._answered_at < self._asked_at
         if is_unanswered and now - self._asked_at >= ANSWER_TIMEOUT_S:
             self._source_position += 1
-            return (self._ask(self._source or source, now),)
+            return (self._request_catch_up(self._source or source, now),)
         if now - self._asked_at >= ASK_INTERVAL_S:
-            return (self._ask(source, now),)
+            return (self._request_catch_up(source, now),)
         return ()
 
     def _follow_hint(self, hint: NewerSeen, now: float) -> tuple[FollowerOutput, ...]:
-        is_asked = self._asked_at is not None and (
+        is_recently_asked = self._asked_at is not None and (
             now - self._asked_at < HINT_INTERVAL_S
         )
-        if hint.version <= self._tables.version or is_asked:
+        if hint.version <= self._tables.version or is_recently_asked:
             return ()
-        return (self._ask(hint.address, now),)
+        return (self._request_catch_up(hint.address, now),)
 
-    def _ask(self, source: str, now: float) -> SpreadSent:
+    def _request_catch_up(self, source: str, now: float) -> SpreadSent:
         self._asked_at = now
         tables = self._tables
-        asked = CatchUp(tables.version, tables.digest, wants_whole=self._is_damaged)
-        return SpreadSent(source, asked)
+        request = CatchUp(tables.version, tables.digest, wants_whole=self._is_damaged)
+        return SpreadSent(source, request)
 
     def _serve(
-        self, sender: str, asked: CatchUp, now: float
+        self, sender: str, request: CatchUp, now: float
     ) -> tuple[FollowerOutput, ...]:
-        self._children.hear(sender, asked.version, now)
+        self._children.renew(sender, request.version, now)
         tables = self._tables
-        if self._is_damaged or tables.version < asked.version:
+        if self._is_damaged or tables.version < request.version:
             return (SpreadSent(sender, Current(self._in_force, b"")),)
-        if asked.wants_whole:
+        if request.wants_whole:
             return (SpreadSent(sender, Whole(tables.whole())),)
-        if asked.version == tables.version:
+        if request.version == tables.version:
             return (SpreadSent(sender, Current(tables.version, tables.digest)),)
-        deltas = self._history.since(asked.version)
+        deltas = self._history.since(request.version)
         if deltas is None:
             return (SpreadSent(sender, Whole(tables.whole())),)
         return (SpreadSent(sender, Deltas(deltas)),)
 
-    def _compare(
+    def _handle_current(
         self, sender: str, current: Current, now: float
     ) -> tuple[FollowerOutput, ...]:
         if current.version > self._tables.version:
-            return (self._ask(sender, now),)
+            return (self._request_catch_up(sender, now),)
         is_same = current.version == self._tables.version
-        is_other = is_same and current.digest != self._tables.digest
-        if is_other and current.digest and sender in self._sources:
+        is_mismatch = is_same and current.digest != self._tables.digest
+        if is_mismatch and current.digest and sender in self._sources:
             self._is_damaged = True
-            return (self._ask(sender, now),)
+            return (self._request_catch_up(sender, now),)
         return ()
 
-    def _take_deltas(
+    def _apply_deltas(
         self, sender: str, deltas: tuple[VersionedDelta, ...], now: float
     ) -> tuple[FollowerOutput, ...]:
         for versioned in deltas:
             if versioned.version <= self._tables.version:
                 continue
             if self._is_damaged or versioned.delta.base != self._tables.version:
-                return (self._ask(sender, now),)
+                return (self._request_catch_up(sender, now),)
             self._tables.apply(versioned.delta, versioned.version)
             if self._tables.digest != versioned.digest:
                 self._is_damaged = True
                 self._history.clear()
-                return (self._ask(sender, now),)
+                return (self._request_catch_up(sender, now),)
             self._history.append(versioned)
         return ()
 
-    def _take_whole(self, whole: WholeTables) -> tuple[FollowerOutput, ...]:
+    def _apply_whole(self, whole: WholeTables) -> tuple[FollowerOutput, ...]:
         is_repair = self._is_damaged and whole.version == self._tables.version
         if whole.version <= self._tables.version and not is_repair:
             return ()
@@ -212,10 +219,10 @@
         return (VersionInForce(self._tables.whole()), *self._push(before))
 
     def _is_starting(self, now: float) -> bool:
-        """Wait for several sources, as the first to answer may be behind."""
-        if self._unheard and now - self._started_at < START_WAIT_S:
+        """Return whether to wait for more sources; the first reply may be stale."""
+        if self._pending_sources and now - self._started_at < STARTUP_WAIT_S:
             return True
-        self._unheard = None
+        self._pending_sources = None
         return False
 
     def _push(self, before: Version) -> tuple[FollowerOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -1,4 +1,4 @@
-"""Define the messages that spread the tables from daemon to daemon.
+"""Messages that replicate the tables from daemon to daemon.
 
 Senders and recipients are link addresses.
 """
@@ -11,7 +11,7 @@
 
 
 class CatchUp(NamedTuple):
-    """Ask for what follows a version, or for all rows."""
+    """Request the deltas after ``version``, or all rows if ``wants_whole``."""
 
     version: Version
     digest: bytes
@@ -19,19 +19,23 @@
 
 
 class Deltas(NamedTuple):
-    """Give the deltas that follow one another up to the version in force."""
+    """Carry a chain of deltas that ends at the sender's version in force."""
 
     deltas: tuple[VersionedDelta, ...]
 
 
 class Whole(NamedTuple):
-    """Give all rows."""
+    """Carry all rows of the sender's version."""
 
     tables: WholeTables
 
 
 class Current(NamedTuple):
-    """Say which version is in force here."""
+    """Announce the sender's version in force.
+
+    The digest is empty if the sender's rows are damaged or older than those of
+    the daemon that asked.
+    """
 
     version: Version
     digest: bytes
@@ -41,7 +45,7 @@
 
 
 class SpreadReceived(NamedTuple):
-    """Hand over a message of another daemon."""
+    """A message arrived from another daemon."""
 
     sender: str
     message: SpreadMessage
@@ -55,32 +59,32 @@
 
 
 class VersionInForce(NamedTuple):
-    """Put tables in force."""
+    """These tables are in force from now on."""
 
     tables: WholeTables
 
 
 class SourcesChanged(NamedTuple):
-    """Name the daemons to ask, the nearest first."""
+    """Replace the daemons to replicate from, listed nearest first."""
 
     sources: tuple[str, ...]
 
 
 class NewerSeen(NamedTuple):
-    """Name a daemon that has a newer version in force."""
+    """Hint that a daemon was seen with a newer version in force."""
 
     address: str
     version: Version
 
 
 class FollowersChanged(NamedTuple):
-    """Name daemons that are given each new version without asking."""
+    """Replace the daemons that get each new version without polling for it."""
 
     addresses: tuple[str, ...]
 
 
 class FollowerTick(NamedTuple):
-    """Let time pass; due every ``TICK_S`` seconds."""
+    """Run timers; due every ``TICK_S`` seconds."""
 
 
 FollowerInput = (
--- a/packages/core/src/pimentobend_core/_internal/configuration/history.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/history.py
@@ -1,4 +1,4 @@
-"""Keep recent deltas for those that are behind by some versions."""
+"""Keep recent deltas for followers that are a few versions behind."""
 
 from collections import deque
 from collections.abc import Iterable
@@ -6,12 +6,12 @@
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 
-KEPT_DELTAS = 1024
-KEPT_ROWS = 4096  # a longer chain costs more than the whole tables
+MAX_DELTAS = 1024
+MAX_ROWS = 4096  # sending more rows would cost more than the whole tables
 
 
 class DeltaHistory:
-    """Own a bounded chain of deltas, each following the one before it."""
+    """Bounded chain of deltas; each has the previous one's version as its base."""
 
     def __init__(self, deltas: Iterable[VersionedDelta] = ()) -> None:
         self._deltas: deque[VersionedDelta] = deque()
@@ -20,21 +20,21 @@
             self.append(delta)
 
     def append(self, delta: VersionedDelta) -> None:
-        """Add a delta; one that does not follow the last starts a new chain."""
+        """Append a delta; one with another base discards the chain first."""
         if self._deltas and self._deltas[-1].version != delta.delta.base:
             self.clear()
         self._deltas.append(delta)
         self._rows += count_rows(delta)
-        while len(self._deltas) > KEPT_DELTAS or self._rows > KEPT_ROWS:
+        while len(self._deltas) > MAX_DELTAS or self._rows > MAX_ROWS:
             self._rows -= count_rows(self._deltas.popleft())
 
     def clear(self) -> None:
-        """Forget all deltas."""
+        """Discard all deltas."""
         self._deltas.clear()
         self._rows = 0
 
     def since(self, version: Version) -> tuple[VersionedDelta, ...] | None:
-        """Return the deltas that lead on from a version, or None."""
+        """Return the deltas after ``version``, or None if the chain lacks it."""
         chain: list[VersionedDelta] = []
         for delta in reversed(self._deltas):
             if delta.version == version:
@@ -46,7 +46,7 @@
 
 
 def count_rows(versioned: VersionedDelta) -> int:
-    """Return how many rows a delta names."""
+    """Return how many rows a delta adds, changes or removes."""
     delta = versioned.delta
     parts = (delta.routes, delta.removed_routes, delta.pools, delta.removed_pools)
     return sum(len(part) for part in parts)
--- a/packages/core/src/pimentobend_core/_internal/configuration/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/messages.py
@@ -1,4 +1,4 @@
-"""Define versions and changes of the tables."""
+"""Versions of the tables and changes between them."""
 
 import enum
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class Version(NamedTuple):
-    """Name a version of the tables by its place in the replicated log."""
+    """Version of the tables: the log position of the entry that made it."""
 
     term: int
     log_index: int
@@ -22,7 +22,7 @@
 
 
 class TablesDelta(NamedTuple):
-    """Hold the rows added, changed or removed since the version ``base``."""
+    """Rows that were added, changed or removed since the version ``base``."""
 
     base: Version
     routes: tuple[Route, ...]
@@ -34,7 +34,7 @@
 
 
 class VersionedDelta(NamedTuple):
-    """Lead from ``delta.base`` to ``version``, whose digest is given."""
+    """Delta from ``delta.base`` to ``version``; ``digest`` is that of the result."""
 
     version: Version
     digest: bytes
@@ -42,7 +42,7 @@
 
 
 class WholeTables(NamedTuple):
-    """Hold all rows of a version."""
+    """All rows of a version."""
 
     version: Version
     digest: bytes
@@ -53,28 +53,28 @@
 
 
 class TablesCommand(NamedTuple):
-    """Ask the replicated state for a change; a resent id changes nothing."""
+    """Log command that applies a delta; one with a known id has no effect."""
 
     change_id: str
     delta: TablesDelta
 
 
 class ChangeOutcome(enum.Enum):
-    """Name how a change ended; all but ``ACCEPTED`` and ``UNKNOWN`` did not run."""
+    """Result of a change; only ``ACCEPTED`` and ``UNKNOWN`` may have applied."""
 
     ACCEPTED = "accepted"
-    CONFLICT = "conflict"  # another version is in force than the expected one
+    CONFLICT = "conflict"  # the version in force is not the expected one
     NOT_LEADER = "not-leader"
     NO_MAJORITY = "no-majority"
     OVERLOADED = "overloaded"
     TOO_LARGE = "too-large"
-    INVALID = "invalid"  # the tables that would result have faults
+    INVALID = "invalid"  # the resulting tables would have faults
     STORAGE = "storage"
-    UNKNOWN = "unknown"  # resend it with its id to learn the outcome
+    UNKNOWN = "unknown"  # resend with the same id to learn the outcome
 
 
 class ChangeAnswer(NamedTuple):
-    """Answer a change; the version that it made, or the one in force."""
+    """Outcome of a change, and the version it made or that stayed in force."""
 
     outcome: ChangeOutcome
     version: Version
--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -1,4 +1,4 @@
-"""Serve changes of the tables on a control replica, in front of its log."""
+"""Accept table changes on a control replica and propose them to its log."""
 
 from collections.abc import Mapping
 
@@ -46,38 +46,42 @@
 
 
 class ConfigurationService(StatefulFilter[ServiceInput, ServiceOutput]):
-    """Turn tables into deltas, propose them, and answer once they are applied."""
+    """Turn submitted tables into deltas, propose them and answer after commit.
+
+    Reads are linearisable: they wait until the index that the leader confirmed
+    is applied.
+    """
 
     def __init__(self, replica_id: str) -> None:
         self._replica_id = replica_id
         self._state = ConfigurationState()
-        self._asked: dict[int, ChangeAsked] = {}  # by proposal id
+        self._pending: dict[int, ChangeAsked] = {}  # by proposal id
         self._next_id = 1
         self._leader = LeaderChanged(0, None)
         self._applied = Version(0, 0)
         self._compacted_index = 0
-        self._reads: dict[int, int] = {}  # tokens by read id
-        self._unapplied: list[tuple[int, int]] = []  # log index and token of reads
-        self._applied_bytes = 0  # since the last compaction
+        self._reads: dict[int, int] = {}  # token by read id
+        self._confirmed_reads: list[tuple[int, int]] = []  # log index and token
+        self._applied_bytes = 0  # log bytes applied since the last compaction
 
     @property
     def state(self) -> ConfigurationState:
-        """Return the replicated state, to be read only."""
+        """Return the replicated state; callers must not modify it."""
         return self._state
 
     def handle(self, message: ServiceInput, now: float) -> tuple[ServiceOutput, ...]:
-        """Take a change, or news of the log."""
+        """Handle a change, a read or an event of the replicated log."""
         match message:
             case ChangeAsked():
-                return self._ask(message)
+                return self._handle_change(message)
             case ReadAsked():
-                return self._ask_read(message.token)
+                return self._start_read(message.token)
             case ReadReady():
-                return self._take_read(message)
+                return self._handle_read_ready(message)
             case Committed():
                 return (*self._apply(message.entries), *self._finish_reads())
             case Proposed():
-                return self._finish(message)
+                return self._handle_proposed(message)
             case Restored():
                 return self._restore(message)
             case LeaderChanged():
@@ -89,20 +93,22 @@
         return {
             **self._state.dump(),
             "applied_index": self._applied.log_index,
-            "waiting": len(self._asked),
+            "waiting": len(self._pending),
             "leader_id": self._leader.leader_id,
         }
 
-    def _ask(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
+    def _handle_change(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
         first = self._state.answer(asked.change_id)
         if first is not None:
             return (ChangeReplied(asked.token, first.outcome, first.version),)
         if self._leader.leader_id != self._replica_id:
-            known = self._leader.leader_id is not None
-            outcome = ChangeOutcome.NOT_LEADER if known else ChangeOutcome.NO_MAJORITY
+            has_leader = self._leader.leader_id is not None
+            outcome = (
+                ChangeOutcome.NOT_LEADER if has_leader else ChangeOutcome.NO_MAJORITY
+            )
             return (self._reply(asked, outcome),)
         if self._applied.term != self._leader.term:
-            # entries of earlier leaders may not be applied yet
+            # Entries of earlier terms may not be applied yet.
             return (self._reply(asked, ChangeOutcome.NO_MAJORITY),)
         if not self._is_expected(asked):
             return (self._reply(asked, ChangeOutcome.CONFLICT),)
@@ -115,7 +121,7 @@
         return asked.label.base == tables.label
 
     def _propose(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
-        delta = self._state.delta(asked)
+        delta = self._state.build_delta(asked)
         if not self._state.is_valid(delta, asked.label):
             return (self._reply(asked, ChangeOutcome.INVALID),)
         return self._propose_delta(asked, delta)
@@ -128,29 +134,31 @@
             return (self._reply(asked, ChangeOutcome.TOO_LARGE),)
         proposal_id = self._next_id
         self._next_id += 1
-        self._asked[proposal_id] = asked
+        self._pending[proposal_id] = asked
         return (Propose((Proposal(proposal_id, command),)),)
 
-    def _ask_read(self, token: int) -> tuple[ServiceOutput, ...]:
+    def _start_read(self, token: int) -> tuple[ServiceOutput, ...]:
         read_id = self._next_id
         self._next_id += 1
         self._reads[read_id] = token
         return (ReadIndex(read_id),)
 
-    def _take_read(self, ready: ReadReady) -> tuple[ServiceOutput, ...]:
+    def _handle_read_ready(self, ready: ReadReady) -> tuple[ServiceOutput, ...]:
         token = self._reads.pop(ready.read_id, None)
         if token is None:
             return ()
         if ready.outcome is not Outcome.COMMITTED:
             return (TablesRead(token, None, ready.leader_id),)
-        self._unapplied.append((ready.log_index, token))
+        self._confirmed_reads.append((ready.log_index, token))
         return self._finish_reads()
 
     def _finish_reads(self) -> tuple[ServiceOutput, ...]:
-        """Answer the reads whose entries are applied."""
+        """Answer the reads whose log index is applied."""
         applied = self._applied.log_index
-        due = [token for index, token in self._unapplied if index <= applied]
-        self._unapplied = [each for each in self._unapplied if each[0] > applied]
+        due = [token for index, token in self._confirmed_reads if index <= applied]
+        self._confirmed_reads = [
+            each for each in self._confirmed_reads if each[0] > applied
+        ]
         return tuple(TablesRead(token, self._state.tables.whole()) for token in due)
 
     def _apply(self, entries: tuple[Entry, ...]) -> tuple[ServiceOutput, ...]:
@@ -167,8 +175,8 @@
         accepted = (TablesAccepted(tuple(deltas)),) if deltas else ()
         return (*accepted, *self._compact())
 
-    def _finish(self, proposed: Proposed) -> tuple[ServiceOutput, ...]:
-        asked = self._asked.pop(proposed.proposal_id, None)
+    def _handle_proposed(self, proposed: Proposed) -> tuple[ServiceOutput, ...]:
+        asked = self._pending.pop(proposed.proposal_id, None)
         if asked is None:
             return ()
         if proposed.outcome is not Outcome.COMMITTED:
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -1,4 +1,4 @@
-"""Define the messages of the configuration's service on a control replica."""
+"""Messages of the configuration service on a control replica."""
 
 from typing import NamedTuple
 
@@ -20,24 +20,25 @@
 
 
 class NextLabel(NamedTuple):
-    """Number a change by the operators' own count, in place of log versions."""
+    """Operator-assigned version numbers of a change, used instead of log versions."""
 
-    base: int  # the number that the change builds on
+    base: int  # the number that must be in force
     number: int
 
 
 class Removals(NamedTuple):
-    """Make a change a patch: rows not named stay as they are."""
+    """Rows that a patch removes by name; rows it does not mention stay."""
 
     routes: tuple[str, ...]
     pools: tuple[str, ...]
 
 
 class ChangeAsked(NamedTuple):
-    """Ask for checked tables in place of the expected version.
+    """Request to replace the tables of the expected version.
 
-    The token is the asker's; it comes back in the reply. With a label the
-    change builds on the operators' number and ``expected`` counts for nothing.
+    The tables have been validated. The reply repeats ``token``, which the
+    sender chooses. With a label, ``label.base`` must match the operators'
+    number in force and ``expected`` is ignored.
     """
 
     token: int
@@ -47,11 +48,11 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
     label: NextLabel | None = None
-    removals: Removals | None = None  # None where routes and pools are whole
+    removals: Removals | None = None  # None if routes and pools are complete tables
 
 
 class ChangeReplied(NamedTuple):
-    """Answer a change; ``leader_id`` may name the replica to ask instead."""
+    """Answer to a change; ``leader_id`` is the known leader to redirect to."""
 
     token: int
     outcome: ChangeOutcome
@@ -61,13 +62,13 @@
 
 
 class ReadAsked(NamedTuple):
-    """Ask for the newest tables; the token is the asker's."""
+    """Request the newest tables; the reply repeats ``token``."""
 
     token: int
 
 
 class TablesRead(NamedTuple):
-    """Answer a read; ``whole`` is None where nobody can be sure of the newest."""
+    """Answer to a read; ``whole`` is None if the read could not be confirmed."""
 
     token: int
     whole: WholeTables | None
@@ -75,13 +76,13 @@
 
 
 class TablesAccepted(NamedTuple):
-    """Give versions that a majority has stored, in their order."""
+    """Newly committed versions, oldest first."""
 
     deltas: tuple[VersionedDelta, ...]
 
 
 class TablesReplaced(NamedTuple):
-    """Give all tables after a replica skipped versions."""
+    """All tables, after a snapshot made the replica skip versions."""
 
     whole: WholeTables
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -1,4 +1,4 @@
-"""Apply committed changes of the tables, the same way on every replica."""
+"""Replicated state machine of the tables; apply is deterministic."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -15,25 +15,25 @@
 from pimentobend_core._internal.configuration.service_messages import NextLabel
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 
-KEPT_ANSWERS = 4096  # change ids; an older one counts as new and finds a conflict
+MAX_ANSWERS = 4096  # by change id; resending an older change gives a conflict
 
 
-class RememberedAnswer(NamedTuple):
-    """Hold the first answer to a change id."""
+class CachedAnswer(NamedTuple):
+    """First answer to a change id, kept to answer a resent change."""
 
     change_id: str
     answer: ChangeAnswer
 
 
 class ConfigurationSnapshot(NamedTuple):
-    """Hold the replicated state; the deltas do not belong to it."""
+    """Snapshot of the replicated state; the delta history is not part of it."""
 
     tables: WholeTables
-    answers: tuple[RememberedAnswer, ...]
+    answers: tuple[CachedAnswer, ...]
 
 
 class ConfigurationState:
-    """Own the tables in force, recent answers and recent deltas."""
+    """Tables in force, with recent answers and the recent delta history."""
 
     def __init__(self) -> None:
         self._tables = VersionedTables()
@@ -42,20 +42,20 @@
 
     @property
     def tables(self) -> VersionedTables:
-        """Return the tables in force, to be read only."""
+        """Return the tables in force; callers must not modify them."""
         return self._tables
 
     @property
     def history(self) -> DeltaHistory:
-        """Return the recent deltas, to be read only."""
+        """Return the recent deltas; callers must not modify them."""
         return self._history
 
     def answer(self, change_id: str) -> ChangeAnswer | None:
-        """Return the first answer to a change id."""
+        """Return the first answer to a change id, or None if it is not known."""
         return self._answers.get(change_id)
 
-    def delta(self, asked: ChangeAsked) -> TablesDelta:
-        """Return the delta that a change asks for on the tables in force."""
+    def build_delta(self, asked: ChangeAsked) -> TablesDelta:
+        """Return the delta from the tables in force to those that a change requests."""
         tables = self._tables
         if asked.removals is None:
             delta = tables.diff(asked.routes, asked.pools)
@@ -74,7 +74,10 @@
         return delta._replace(limits=limits, label=label)
 
     def is_valid(self, delta: TablesDelta, label: NextLabel | None) -> bool:
-        """Say whether the tables after a delta are joined and numbered rightly."""
+        """Return whether a labelled delta gives valid tables.
+
+        The label must grow, and each pool that a route uses must exist.
+        """
         if label is None:
             return True
         if label.number <= self._tables.label:
@@ -83,13 +86,13 @@
         removed = set(delta.removed_pools)
         unknown = {
             name
-            for name in self._names_after(delta)
+            for name in self._find_used_pools(delta)
             if name not in added and not self._tables.has_pool(name)
         }
-        return not unknown and not removed & (self._names_after(delta) - added)
+        return not unknown and not removed & (self._find_used_pools(delta) - added)
 
-    def _names_after(self, delta: TablesDelta) -> set[str]:
-        """Return the pools that the routes after a delta name."""
+    def _find_used_pools(self, delta: TablesDelta) -> set[str]:
+        """Return the pools that the routes use once a delta is applied."""
         gone = {*delta.removed_routes, *(route.name for route in delta.routes)}
         kept = [each for each in self._tables.routes() if each.name not in gone]
         names: set[str] = set()
@@ -100,27 +103,27 @@
         return names
 
     def apply(self, command: TablesCommand, version: Version) -> VersionedDelta | None:
-        """Apply a command at its place in the log; return what it changed."""
+        """Apply a committed command; return its delta, or None if nothing changed."""
         if command.change_id in self._answers:
             return None
         if command.delta.base != self._tables.version:
             conflict = ChangeAnswer(ChangeOutcome.CONFLICT, self._tables.version)
-            self._remember(command.change_id, conflict)
+            self._cache_answer(command.change_id, conflict)
             return None
         self._tables.apply(command.delta, version)
         accepted = ChangeAnswer(ChangeOutcome.ACCEPTED, version)
-        self._remember(command.change_id, accepted)
+        self._cache_answer(command.change_id, accepted)
         versioned = VersionedDelta(version, self._tables.digest, command.delta)
         self._history.append(versioned)
         return versioned
 
     def snapshot(self) -> ConfigurationSnapshot:
-        """Return the replicated state."""
-        answers = (RememberedAnswer(*item) for item in self._answers.items())
+        """Return a snapshot of the replicated state."""
+        answers = (CachedAnswer(*item) for item in self._answers.items())
         return ConfigurationSnapshot(self._tables.whole(), tuple(answers))
 
     def restore(self, snapshot: ConfigurationSnapshot) -> None:
-        """Replace the replicated state."""
+        """Replace the replicated state and discard the delta history."""
         self._tables.replace(snapshot.tables)
         self._answers = {each.change_id: each.answer for each in snapshot.answers}
         self._history.clear()
@@ -133,7 +136,7 @@
             "answers": len(self._answers),
         }
 
-    def _remember(self, change_id: str, answer: ChangeAnswer) -> None:
+    def _cache_answer(self, change_id: str, answer: ChangeAnswer) -> None:
         self._answers[change_id] = answer
-        if len(self._answers) > KEPT_ANSWERS:
+        if len(self._answers) > MAX_ANSWERS:
             del self._answers[next(iter(self._answers))]
--- a/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -1,4 +1,4 @@
-"""Hold one version of both tables and step to the next."""
+"""One version of the route and pool tables, and the step to the next."""
 
 import hashlib
 from typing import TypeVar
@@ -24,7 +24,11 @@
 
 
 class VersionedTables:
-    """Own the rows of a version, and a digest that is kept up row by row."""
+    """Rows of one version, with a digest that is updated incrementally.
+
+    The digest is the sum of the row hashes, so that it does not depend on the
+    order in which rows were applied.
+    """
 
     def __init__(self) -> None:
         self._version = FIRST_VERSION
@@ -32,16 +36,16 @@
         self._pools: Rows[Pool] = DictRows(lambda pool: pool.name)
         self._limits: ClientLimits | None = None
         self._label = 0
-        self._sum = 0
+        self._digest_sum = 0
 
     @property
     def label(self) -> int:
-        """Return the operators' own number of the version."""
+        """Return the operators' number for the version, 0 without one."""
         return self._label
 
     @property
     def limits(self) -> ClientLimits | None:
-        """Return the limits on callers, where the operators stated them."""
+        """Return the limits on callers, or None if the operators set none."""
         return self._limits
 
     @property
@@ -51,18 +55,20 @@
 
     @property
     def digest(self) -> bytes:
-        """Return a digest of the rows, whatever their order."""
+        """Return a digest of rows, limits and label, independent of row order."""
         if self._limits is None and not self._label:
-            return self._sum.to_bytes(DIGEST_BYTES, "little")
-        total = (self._sum + _hash_values((self._limits, self._label))) % _MODULUS
+            return self._digest_sum.to_bytes(DIGEST_BYTES, "little")
+        total = (
+            self._digest_sum + _hash_values((self._limits, self._label))
+        ) % _MODULUS
         return total.to_bytes(DIGEST_BYTES, "little")
 
     def routes(self) -> tuple[Route, ...]:
-        """Return the routes by name."""
+        """Return the routes, sorted by name."""
         return tuple(sorted(self._routes.rows()))
 
     def pools(self) -> tuple[Pool, ...]:
-        """Return the pools by name."""
+        """Return the pools, sorted by name."""
         return tuple(sorted(self._pools.rows()))
 
     def whole(self) -> WholeTables:
@@ -77,7 +83,7 @@
         )
 
     def diff(self, routes: tuple[Route, ...], pools: tuple[Pool, ...]) -> TablesDelta:
-        """Return the delta that leads to these rows."""
+        """Return the delta from the current rows to these."""
         return TablesDelta(
             self._version,
             *_diff_rows(self._routes, routes),
@@ -87,15 +93,15 @@
         )
 
     def has_pool(self, name: str) -> bool:
-        """Say whether the table of pools has a row of this name."""
+        """Return whether a pool of this name exists."""
         return name in self._pools
 
     def apply(self, delta: TablesDelta, version: Version) -> None:
-        """Step to a version; raise ConfigurationError where the base differs."""
+        """Apply a delta; raise ConfigurationError if its base is another version."""
         if delta.base != self._version:
             raise ConfigurationError(
-                "a delta does not follow the version in force",
-                context=f"{delta.base} after {self._version}",
+                "delta is not based on the version in force",
+                context=f"base {delta.base}, in force {self._version}",
             )
         for route_name in delta.removed_routes:
             self._remove(self._routes, route_name)
@@ -110,10 +116,10 @@
         self._version = version
 
     def replace(self, whole: WholeTables) -> None:
-        """Take over all rows; raise ConfigurationError where the digest differs."""
+        """Replace all rows; raise ConfigurationError if the digest does not match."""
         self._routes = CompactRoutes()
         self._pools = DictRows(lambda pool: pool.name)
-        self._sum = 0
+        self._digest_sum = 0
         for route in whole.routes:
             self._put(self._routes, route)
         for pool in whole.pools:
@@ -123,21 +129,21 @@
         self._version = whole.version
         if self.digest != whole.digest:
             raise ConfigurationError(
-                "tables do not have their digest", context=str(whole.version)
+                "tables do not match their digest", context=str(whole.version)
             )
 
     def _put(self, rows: Rows[_Row], row: _Row) -> None:
         replaced = rows.get(row.name)
         if replaced is not None:
-            self._sum -= _hash(replaced)
+            self._digest_sum -= _hash(replaced)
         rows.put(row)
-        self._sum = (self._sum + _hash(row)) % _MODULUS
+        self._digest_sum = (self._digest_sum + _hash(row)) % _MODULUS
 
     def _remove(self, rows: Rows[_Row], name: str) -> None:
         row = rows.get(name)
         if row is None:
             return
-        self._sum = (self._sum - _hash(row)) % _MODULUS
+        self._digest_sum = (self._digest_sum - _hash(row)) % _MODULUS
         rows.remove(name)
 
 
@@ -151,7 +157,7 @@
 
 
 def _hash(row: Route | Pool) -> int:
-    """Return a row's part of the digest; the kind of row counts too."""
+    """Hash a row with the name of its class, so that routes and pools differ."""
     return _hash_values((type(row).__name__, row))
 
 
--- a/tests/lib/table_fakes.py
+++ b/tests/lib/table_fakes.py
@@ -1,4 +1,4 @@
-"""Make tables and spread them over a fake network of followers."""
+"""Sample tables and a fake network that replicates them to followers."""
 
 from typing import NamedTuple
 
@@ -20,17 +20,17 @@
 
 
 def make_route(number: int, timeout_ms: int = 1000) -> Route:
-    """Return a route that differs from others by its number."""
+    """Return a route whose name and path contain ``number``."""
     return Route(f"r{number}", "*", f"/{number}", (), "p", True, timeout_ms)
 
 
 def make_pool(name: str = "p") -> Pool:
-    """Return a pool."""
+    """Return a pool of the service ``catalogue``."""
     return Pool(name, "catalogue", 0.75, 256, False)
 
 
-class Spread(NamedTuple):
-    """Hold a message on its way."""
+class InFlight(NamedTuple):
+    """A message in flight."""
 
     sender: str
     recipient: str
@@ -38,11 +38,11 @@
 
 
 class Tree:
-    """Own a root that accepts versions and the followers below it."""
+    """Simulated root that accepts versions, and the followers below it."""
 
     def __init__(self, sources: dict[str, tuple[str, ...]]) -> None:
         self.now = 0.0
-        self.flights: list[Spread] = []
+        self.in_flight: list[InFlight] = []
         self.accepted: dict[Version, WholeTables] = {}
         self.deltas: list[VersionedDelta] = []
         self.down: set[str] = set()
@@ -64,36 +64,36 @@
         return version
 
     def handle(self, name: str, message: FollowerInput) -> None:
-        """Let a follower take a message, and check that it does not go back."""
+        """Deliver a message and check that the version does not decrease."""
         if name in self.down:
             return
         follower = self.followers[name]
         before = follower.in_force
         for output in follower.handle(message, self.now):
             if isinstance(output, SpreadSent):
-                self.flights.append(Spread(name, output.recipient, output.message))
-        assert follower.in_force >= before, "a follower went back"
+                self.in_flight.append(InFlight(name, output.recipient, output.message))
+        assert follower.in_force >= before, "a follower's version decreased"
         if follower.in_force == follower.tables.version and follower.in_force[1]:
             assert follower.tables.whole() == self.accepted[follower.in_force]
 
     def deliver(self, position: int, *, keep: bool = False) -> None:
-        """Deliver a message on its way; with ``keep`` it will come once more."""
-        spread = self.flights[position]
+        """Deliver a message in flight; with ``keep`` it is delivered again later."""
+        spread = self.in_flight[position]
         if not keep:
-            del self.flights[position]
+            del self.in_flight[position]
         received = SpreadReceived(spread.sender, spread.message)
         self.handle(spread.recipient, received)
 
     def restart(self, name: str) -> None:
-        """Start a follower without any tables."""
+        """Restart a follower without stored tables."""
         self.down.discard(name)
         self.followers[name] = TablesFollower(self._sources[name], self.now)
 
     def run(self, seconds: float) -> None:
-        """Let time pass with a network that delivers everything."""
+        """Advance the clock by ``seconds`` while every message is delivered."""
         for _ in range(round(seconds / 0.5)):
             self.now += 0.5
             for name in self.followers:
                 self.handle(name, FollowerTick())
-            while self.flights:
+            while self.in_flight:
                 self.deliver(0)
--- a/tests/unit/configuration/test_follower.py
+++ b/tests/unit/configuration/test_follower.py
@@ -1,4 +1,4 @@
-"""Check how versions of the tables reach the daemons."""
+"""Test how table versions replicate to the daemons."""
 
 import pytest
 from hypothesis import HealthCheck
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize("changes", [1, 300, 3000])
-def test_a_follower_that_was_away_catches_up(changes: int) -> None:
+def test_a_disconnected_follower_catches_up(changes: int) -> None:
     tree = _tree()
     tree.down.add("leaf-1")
     for number in range(changes):
@@ -54,7 +54,7 @@
 def test_a_change_is_pushed_without_waiting_for_a_tick() -> None:
     tree = _tree()
     last = tree.accept(make_route(7))
-    while tree.flights:
+    while tree.in_flight:
         tree.deliver(0)
     assert _versions(tree) == {last}
 
@@ -67,7 +67,7 @@
     assert tree.followers["leaf-1"].in_force == last
 
 
-def test_peers_serve_a_restarted_daemon_while_control_is_away() -> None:
+def test_peers_serve_a_restarted_daemon_while_control_is_down() -> None:
     tree = _tree()
     before = tree.followers["leaf-1"].in_force
     tree.down.update({ROOT, "relay-1", "relay-2"})
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize("sent", ["whole", "deltas"])
-def test_an_older_version_is_not_taken(sent: str) -> None:
+def test_an_older_version_is_ignored(sent: str) -> None:
     tree = _tree()
     old = tree.followers["leaf-1"].tables.whole()
     tree.accept(make_route(7))
@@ -102,7 +102,7 @@
     assert tree.followers["leaf-1"].in_force == before
 
 
-def test_a_wrong_digest_asks_for_all_rows() -> None:
+def test_a_digest_mismatch_requests_all_rows() -> None:
     tree = _tree()
     tree.down.add("leaf-1")
     tree.accept(make_route(7))
@@ -117,7 +117,7 @@
 
 
 class SpreadMachine(RuleBasedStateMachine):
-    """Let a hostile network and restarts meet the followers."""
+    """Run followers under message loss, duplication, reordering and restarts."""
 
     @initialize()
     def start(self) -> None:
@@ -131,15 +131,15 @@
     def run(self, seconds: float) -> None:
         self.tree.run(seconds)
 
-    @precondition(lambda self: self.tree.flights)
+    @precondition(lambda self: self.tree.in_flight)
     @rule(data=st.data(), keep=st.booleans())
     def deliver(self, data: st.DataObject, keep: bool) -> None:
-        last = len(self.tree.flights) - 1
+        last = len(self.tree.in_flight) - 1
         self.tree.deliver(data.draw(st.integers(0, last)), keep=keep)
 
     @rule()
     def lose(self) -> None:
-        self.tree.flights.clear()
+        self.tree.in_flight.clear()
 
     @rule(name=NAMES)
     def stop(self, name: str) -> None:
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -1,4 +1,4 @@
-"""Check how a control replica takes changes of the tables."""
+"""Test the configuration service of a control replica."""
 
 import pytest
 from hypothesis import given
@@ -18,7 +18,7 @@
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
-from pimentobend_core._internal.configuration.state import KEPT_ANSWERS
+from pimentobend_core._internal.configuration.state import MAX_ANSWERS
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 from pimentobend_core._internal.consensus.entries import Entry
@@ -35,8 +35,8 @@
 POOLS = (make_pool(),)
 
 
-class Log:
-    """Fake the replicated log of one service; commits when told."""
+class FakeLog:
+    """Fake replicated log of one service; entries commit on ``commit()``."""
 
     def __init__(self) -> None:
         self.service = ConfigurationService("a")
@@ -72,7 +72,7 @@
     def ask(
         self, change_id: str, *numbers: int, expected: Version | None = None
     ) -> int:
-        """Ask for routes of these numbers and return the token."""
+        """Submit a change to routes of these numbers and return its token."""
         token = len(self.replies) + len(self.waiting) + 1
         expected = expected or self.service.state.tables.version
         routes = tuple(make_route(number) for number in numbers)
@@ -80,8 +80,8 @@
         return token
 
 
-def test_equal_versions_race_with_one_winner() -> None:
-    log = Log()
+def test_one_of_two_concurrent_changes_is_accepted() -> None:
+    log = FakeLog()
     log.ask("change-1", 1)
     log.ask("change-2", 2)
     log.commit()
@@ -92,7 +92,7 @@
 
 @pytest.mark.parametrize("others", [0, 1, 500])
 def test_a_resent_change_gets_its_first_answer(others: int) -> None:
-    log = Log()
+    log = FakeLog()
     expected = log.service.state.tables.version
     log.ask("change-1", 1, expected=expected)
     log.commit()
@@ -106,7 +106,7 @@
 
 
 def test_a_change_resent_before_its_answer_runs_once() -> None:
-    log = Log()
+    log = FakeLog()
     log.ask("change-1", 1)
     log.ask("change-1", 1)
     log.commit()
@@ -122,10 +122,10 @@
         (LeaderChanged(4, "a"), ChangeOutcome.NO_MAJORITY),
     ],
 )
-def test_only_a_settled_leader_takes_changes(
+def test_only_an_established_leader_accepts_changes(
     leader: LeaderChanged, expected: ChangeOutcome
 ) -> None:
-    log = Log()
+    log = FakeLog()
     log.send(leader)
     log.ask("change-1", 1)
     assert log.replies[-1].outcome is expected
@@ -140,10 +140,10 @@
         (Outcome.NO_MAJORITY, ChangeOutcome.NO_MAJORITY),
     ],
 )
-def test_refusals_of_the_log_are_passed_on(
+def test_log_failures_are_reported_to_the_sender(
     outcome: Outcome, expected: ChangeOutcome
 ) -> None:
-    log = Log()
+    log = FakeLog()
     log.ask("change-1", 1)
     (proposal,) = log.waiting.pop().proposals
     log.send(Proposed(proposal.proposal_id, outcome))
@@ -154,14 +154,14 @@
 def test_answers_are_kept_for_a_bounded_number_of_changes() -> None:
     state = ConfigurationState()
     delta = state.tables.diff((), ())
-    for number in range(KEPT_ANSWERS + 1):
+    for number in range(MAX_ANSWERS + 1):
         state.apply(TablesCommand(f"change-{number}", delta), Version(1, number + 1))
     assert state.answer("change-0") is None
     assert state.answer("change-1") is not None
 
 
 def test_a_snapshot_carries_tables_and_answers() -> None:
-    log = Log()
+    log = FakeLog()
     log.ask("change-1", 1, 2)
     log.commit()
     content = encode(log.service.state.snapshot())
@@ -193,7 +193,7 @@
 
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(position=st.integers(0, 10_000), byte=st.integers(0, 255))
-def test_noise_decodes_or_is_a_codec_error(position: int, byte: int) -> None:
+def test_corrupt_bytes_decode_or_raise_codec_error(position: int, byte: int) -> None:
     state = ConfigurationState()
     delta = state.tables.diff((make_route(1),), POOLS)
     command = TablesCommand("change-1", delta)
