Reword the membership registry, view, checks, pools and rows

A reader stumbled over "lives", "gone" and "heard" rows, over _give, _take and _find, and over messages such as "has announced itself already". Docstrings now say what each message and method does, private names use the terms of lease registries and membership views, and refusals say what is allowed. The tests of these modules get matching names and ids.

--- a/packages/core/src/pimentobend_core/_internal/membership/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Follow which backend servers and daemons are alive."""
+"""Membership of backend servers and daemons."""
--- a/packages/core/src/pimentobend_core/_internal/membership/announcement.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/announcement.py
@@ -1,4 +1,4 @@
-"""Parse the announcements and withdrawals of backend servers."""
+"""Parse the JSON announcements and withdrawals of backend servers."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -16,13 +16,13 @@
 
 
 class AnnouncementFault(NamedTuple):
-    """Name every fault of a document that a server sent."""
+    """Every fault found in a document that a server sent."""
 
     faults: tuple[str, ...]
 
 
-class _Fields(NamedTuple):
-    """Hold the kinds of an announcement's fields, in their order."""
+class _AnnouncementFields(NamedTuple):
+    """Names and types of an announcement's JSON fields; the first nine fill Server."""
 
     server_id: str
     service: str
@@ -37,7 +37,7 @@
 
 
 class _WithdrawalFields(NamedTuple):
-    """Hold the kinds of a withdrawal's fields, in their order."""
+    """Names and types of a withdrawal's JSON fields, in the order of Withdrawal."""
 
     server_id: str
     incarnation: int
@@ -47,31 +47,33 @@
 
 
 def parse_announcement(document: bytes) -> Result[Announcement, AnnouncementFault]:
-    """Read an announcement in JSON; unknown and missing fields are faults."""
-    return _parse(document, _Fields).map(
+    """Parse a JSON announcement; unknown and missing fields are faults."""
+    return _parse(document, _AnnouncementFields).map(
         lambda fields: Announcement(Server(*fields[:-1]), fields.lease_s)
     )
 
 
 def parse_withdrawal(document: bytes) -> Result[Withdrawal, AnnouncementFault]:
-    """Read a withdrawal in JSON; unknown and missing fields are faults."""
+    """Parse a JSON withdrawal; unknown and missing fields are faults."""
     return _parse(document, _WithdrawalFields).map(lambda f: Withdrawal(*f))
 
 
 def _parse(document: bytes, kind: type[Parsed]) -> Result[Parsed, AnnouncementFault]:
     try:
-        given = msgspec.json.decode(document, type=dict[str, object])
+        fields = msgspec.json.decode(document, type=dict[str, object])
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Failure(AnnouncementFault((f"document: {error}",)))
-    kinds: Mapping[str, type] = kind.__annotations__
-    faults = [f"{name}: unknown field" for name in sorted(given.keys() - kinds.keys())]
+    field_types: Mapping[str, type] = kind.__annotations__
+    faults = [
+        f"{name}: unknown field" for name in sorted(fields.keys() - field_types.keys())
+    ]
     values: list[object] = []
-    for name, field_kind in kinds.items():
-        if name not in given:
+    for name, field_type in field_types.items():
+        if name not in fields:
             faults.append(f"{name}: missing")
             continue
         try:
-            values.append(msgspec.convert(given[name], field_kind))
+            values.append(msgspec.convert(fields[name], field_type))
         except msgspec.ValidationError as error:
             faults.append(f"{name}: {error}")
     if faults:
--- a/packages/core/src/pimentobend_core/_internal/membership/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/checks.py
@@ -1,4 +1,4 @@
-"""Check announcements before they change any state."""
+"""Validate announcements before the registry applies them."""
 
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
@@ -10,7 +10,7 @@
 NAME_CHARACTERS = 128
 PORT_MAX = 65535
 
-_FOLLOWING = {
+_NEXT_STATES = {
     ServerState.STARTING: frozenset(ServerState),
     ServerState.READY: frozenset({ServerState.READY, ServerState.DRAINING}),
     ServerState.DRAINING: frozenset({ServerState.DRAINING}),
@@ -18,7 +18,7 @@
 
 
 def find_faults(announcement: Announcement) -> tuple[str, ...]:
-    """Return every fault of an announcement taken by itself."""
+    """Return every fault of an announcement's own fields."""
     server = announcement.server
     faults = [
         f"{field}: must have 1 to {NAME_CHARACTERS} characters"
@@ -36,18 +36,18 @@
     return tuple(faults)
 
 
-def find_transition_faults(known: Server, following: Server) -> tuple[str, ...]:
-    """Return the faults of an announcement against the one before it."""
-    if following.incarnation > known.incarnation:
+def find_transition_faults(previous: Server, new: Server) -> tuple[str, ...]:
+    """Return the faults of an announcement compared with the previous one."""
+    if new.incarnation > previous.incarnation:
         return ()
-    if following.incarnation < known.incarnation:
-        return (f"incarnation: {known.incarnation} has announced itself already",)
+    if new.incarnation < previous.incarnation:
+        return (f"incarnation: must be at least {previous.incarnation}",)
     faults = []
-    if following.state not in _FOLLOWING[known.state]:
+    if new.state not in _NEXT_STATES[previous.state]:
         faults.append(
-            f"state: {following.state.value} does not follow {known.state.value}"
+            f"state: cannot change from {previous.state.value} to {new.state.value}"
             " within one incarnation"
         )
-    if following.service != known.service:
-        faults.append("service: does not change within one incarnation")
+    if new.service != previous.service:
+        faults.append("service: cannot change within one incarnation")
     return tuple(faults)
--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -1,4 +1,4 @@
-"""Define the messages of the server registry and the fleet's view."""
+"""Messages of the server registry and the membership view."""
 
 import enum
 from typing import NamedTuple
@@ -10,22 +10,22 @@
 
 
 class Presence(enum.Enum):
-    """Name what an instance knows of a server that announced itself to it."""
+    """What an instance knows of a server that announced itself to it."""
 
     LIVE = "live"
-    WITHDRAWN = "withdrawn"  # the server said that it leaves
+    WITHDRAWN = "withdrawn"  # the server withdrew its announcement
     EXPIRED = "expired"  # the lease ran out
 
 
 class Rank(NamedTuple):
-    """Order the changes of one author; a row never goes back in it."""
+    """Order of one author's changes; a change never replaces one of higher rank."""
 
-    epoch: int  # grows at each start of the author
+    epoch: int  # increases at each start of the author
     sequence: int
 
 
 class ServerEvent(NamedTuple):
-    """Carry one change of a server, as the instance before it saw it."""
+    """A change of a server, as seen by the instance it announced itself to."""
 
     instance_id: str
     rank: Rank
@@ -34,24 +34,24 @@
 
 
 class DrainServer(NamedTuple):
-    """Give a server no new work, whatever it announces until it restarts."""
+    """Mark a server as draining until it restarts, whatever it announces."""
 
     server_id: str
 
 
 class DrainReplied(NamedTuple):
-    """Say whether a server that was to drain announces itself here."""
+    """Answer to a drain request; whether the server is live at this instance."""
 
     server_id: str
     is_known: bool
 
 
 class RegistryTick(NamedTuple):
-    """Let leases expire."""
+    """Expire leases that ran out."""
 
 
 class AnnouncementAccepted(NamedTuple):
-    """Accept an announcement; times are in seconds."""
+    """An announcement was accepted; it must be renewed within the lease."""
 
     server_id: str
     lease_s: float
@@ -59,41 +59,41 @@
 
 
 class AnnouncementRefused(NamedTuple):
-    """Refuse an announcement with every fault in it."""
+    """An announcement was refused, with every fault in it."""
 
     server_id: str
     faults: tuple[str, ...]
 
 
 class WithdrawalAccepted(NamedTuple):
-    """Accept a withdrawal, also one that was sent again."""
+    """A withdrawal was accepted; one that is sent again is accepted too."""
 
     server_id: str
 
 
 class ServerEvents(NamedTuple):
-    """Carry changes that came from other instances."""
+    """Changes received from other instances."""
 
     events: tuple[ServerEvent, ...]
 
 
 class ServerForgotten(NamedTuple):
-    """Say that an instance no longer speaks of a server."""
+    """An instance's row for a server was dropped."""
 
     instance_id: str
     server_id: str
 
 
 class InstanceLost(NamedTuple):
-    """Report that an instance gave no answer to round trips."""
+    """An instance no longer answers beacons, or was lost with its relay."""
 
     instance_id: str
 
 
 class InstanceFound(NamedTuple):
-    """Report that an instance answers round trips.
+    """An instance answers its relay's beacons.
 
-    Rows of an ``epoch`` before this one are of an earlier life.
+    Its rows of a lower ``epoch`` date from before its latest restart.
     """
 
     instance_id: str
@@ -101,11 +101,11 @@
 
 
 class ViewTick(NamedTuple):
-    """Let the servers of lost instances leave the view."""
+    """Remove the servers of instances that have been lost for long enough."""
 
 
 class ServiceChanged(NamedTuple):
-    """Give the live servers of one service."""
+    """The list of a service's live servers changed."""
 
     service: str
     change: ServersChanged
--- a/packages/core/src/pimentobend_core/_internal/membership/pools.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/pools.py
@@ -1,4 +1,4 @@
-"""Turn the servers of services into the servers of pools."""
+"""Map the live servers of services to the pools that use them."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -11,7 +11,7 @@
 
 
 class PoolServersChanged(NamedTuple):
-    """Give the live servers of one pool."""
+    """The list of a pool's live servers changed."""
 
     pool: str
     change: ServersChanged
@@ -21,38 +21,43 @@
 
 
 class PoolServers(StatefulFilter[PoolServersInput, PoolServersChanged]):
-    """Join the fleet's view with the table of pools."""
+    """Join the membership view with the table of pools."""
 
     def __init__(self) -> None:
-        self._changes: dict[str, ServersChanged] = {}
-        self._pools: dict[str, str] = {}  # service by pool
+        self._servers_by_service: dict[str, ServersChanged] = {}
+        self._service_by_pool: dict[str, str] = {}
 
     def handle(
         self, message: PoolServersInput, now: float
     ) -> tuple[PoolServersChanged, ...]:
-        """Take a service's servers or new tables; return the pools' servers."""
+        """Handle a service's servers or new tables; return the affected pools."""
         if isinstance(message, Tables):
-            self._pools = {pool.name: pool.service for pool in message.pools}
-            return self._give(list(self._pools))
-        self._changes[message.service] = message.change
-        return self._give(
-            [pool for pool, name in self._pools.items() if name == message.service]
+            self._service_by_pool = {pool.name: pool.service for pool in message.pools}
+            return self._create_changes(list(self._service_by_pool))
+        self._servers_by_service[message.service] = message.change
+        return self._create_changes(
+            [
+                pool
+                for pool, name in self._service_by_pool.items()
+                if name == message.service
+            ]
         )
 
     def dump(self) -> Mapping[str, object]:
         """Return the servers of each pool as JSON-compatible values."""
         return {
-            pool: [_describe(server) for server in self._find(service).servers]
-            for pool, service in sorted(self._pools.items())
+            pool: [_describe(server) for server in self._find_servers(service).servers]
+            for pool, service in sorted(self._service_by_pool.items())
         }
 
-    def _give(self, pools: list[str]) -> tuple[PoolServersChanged, ...]:
+    def _create_changes(self, pools: list[str]) -> tuple[PoolServersChanged, ...]:
         return tuple(
-            PoolServersChanged(pool, self._find(self._pools[pool])) for pool in pools
+            PoolServersChanged(pool, self._find_servers(self._service_by_pool[pool]))
+            for pool in pools
         )
 
-    def _find(self, service: str) -> ServersChanged:
-        return self._changes.get(service, ServersChanged(()))
+    def _find_servers(self, service: str) -> ServersChanged:
+        return self._servers_by_service.get(service, ServersChanged(()))
 
 
 def _describe(server: Server) -> Mapping[str, object]:
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -1,4 +1,4 @@
-"""Keep the leases of the servers that announce themselves to this instance."""
+"""Lease registry of the servers that announce themselves to this instance."""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -23,25 +23,26 @@
 
 SERVERS_MAX = 256
 RENEWALS_A_LEASE = 3
-PAUSE_S = 2.0  # a longer silence of the registry itself counts as a pause
+PAUSE_S = 2.0  # a longer gap between calls means that this process was paused
 FORGET_S = 120.0  # longer than any lease, so that late messages are refused
 
 
 class _Lease(NamedTuple):
-    """Hold one server; times are seconds of the clock."""
+    """Lease of one server; ``until`` is on the clock of ``handle``."""
 
     server: Server
     presence: Presence
-    until: float  # end of the lease, or when the row is forgotten
-    sequence: int = 0  # of the newest announcement
+    until: float  # end of the lease; once it ended, when the row is dropped
+    sequence: int = 0  # of the latest announcement
 
 
 class ServerRegistry(StatefulFilter[RegistryInput, RegistryOutput]):
-    """Turn announcements and the passing of time into events.
+    """Turn announcements, withdrawals and expired leases into events.
 
-    ``epoch`` must grow at each start of the instance, so that its rows
-    replace those of its earlier life. With ``one_an_address`` incarnations are
-    times, and a later server replaces an earlier one at its address.
+    ``epoch`` must increase at each start of the instance, so that its rows
+    replace those from before the restart. With ``one_an_address``,
+    incarnations are start times, and a server that started later replaces an
+    earlier one at the same host and port.
     """
 
     def __init__(
@@ -52,12 +53,12 @@
         self._one_an_address = one_an_address
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
-        self._drained: dict[str, int] = {}  # incarnations
+        self._drained: dict[str, int] = {}  # drained incarnation by server
         self._ran_at: float | None = None
 
     def handle(self, message: RegistryInput, now: float) -> tuple[RegistryOutput, ...]:
-        """Take an announcement, a withdrawal or a tick."""
-        self._excuse_pause(now)
+        """Handle an announcement, a withdrawal, a drain request or a tick."""
+        self._extend_after_pause(now)
         expired = self._expire(now)
         match message:
             case Announcement():
@@ -70,9 +71,9 @@
                 return expired
 
     def events(self) -> tuple[ServerEvent, ...]:
-        """Return every row as an event, for a new parent in the spread tree."""
+        """Return every row as a new event, to publish again to a new parent."""
         return tuple(
-            self._event(lease.presence, lease.server)
+            self._create_event(lease.presence, lease.server)
             for lease in list(self._leases.values())
         )
 
@@ -97,18 +98,18 @@
     def _announce(
         self, message: Announcement, now: float
     ) -> tuple[RegistryOutput, ...]:
-        server = self._as_drained(message.server)
-        if self._is_late(message):
+        server = self._apply_drain(message.server)
+        if self._is_outdated(message):
             return (self._accept(message),)
         faults = find_faults(message)
         if self._one_an_address and not faults:
-            faults = self._find_later(server)
+            faults = self._find_address_faults(server)
         known = self._leases.get(server.server_id)
         if known is not None:
             faults += find_transition_faults(known.server, server)
             faults += _find_withdrawal_faults(known, server)
         elif len(self._leases) >= SERVERS_MAX:
-            faults += (f"server_id: {SERVERS_MAX} servers are announced already",)
+            faults += (f"server_id: limit of {SERVERS_MAX} announced servers reached",)
         if faults:
             return (AnnouncementRefused(server.server_id, faults),)
         replaced = self._replace_at_address(server, now)
@@ -118,7 +119,7 @@
         accepted = self._accept(message)
         if known is not None and known[:2] == (server, Presence.LIVE):
             return (accepted, *replaced)
-        return (accepted, *replaced, self._event(Presence.LIVE, server))
+        return (accepted, *replaced, self._create_event(Presence.LIVE, server))
 
     def _accept(self, message: Announcement) -> AnnouncementAccepted:
         lease_s = message.lease_s
@@ -126,30 +127,30 @@
             message.server.server_id, lease_s, lease_s / RENEWALS_A_LEASE
         )
 
-    def _is_late(self, message: Announcement) -> bool:
-        """Say whether a later announcement of the same incarnation is known."""
+    def _is_outdated(self, message: Announcement) -> bool:
+        """Return whether a later announcement of the same incarnation arrived."""
         known = self._leases.get(message.server.server_id)
         if known is None or known.server.incarnation != message.server.incarnation:
             return False
         return message.sequence < known.sequence
 
-    def _find_later(self, server: Server) -> tuple[str, ...]:
+    def _find_address_faults(self, server: Server) -> tuple[str, ...]:
         later = [
             lease.server.server_id
             for lease in self._leases.values()
-            if _is_at(lease.server, server)
+            if _has_same_address(lease.server, server)
             and lease.server.incarnation > server.incarnation
         ]
-        return tuple(f"address: {each} started there later" for each in later)
+        return tuple(f"address: used by {each}, which started later" for each in later)
 
     def _replace_at_address(self, server: Server, now: float) -> list[RegistryOutput]:
         if not self._one_an_address:
             return []
         return [
-            self._end(lease.server, Presence.WITHDRAWN, now)
+            self._end_lease(lease.server, Presence.WITHDRAWN, now)
             for lease in list(self._leases.values())
             if lease.presence is Presence.LIVE
-            and _is_at(lease.server, server)
+            and _has_same_address(lease.server, server)
             and lease.server.server_id != server.server_id
         ]
 
@@ -159,13 +160,13 @@
             return (DrainReplied(server_id, is_known=False),)
         self._drained[server_id] = known.server.incarnation
         replied = DrainReplied(server_id, is_known=True)
-        server = self._as_drained(known.server)
+        server = self._apply_drain(known.server)
         if server == known.server:
             return (replied,)
         self._leases[server_id] = known._replace(server=server)
-        return (replied, self._event(Presence.LIVE, server))
+        return (replied, self._create_event(Presence.LIVE, server))
 
-    def _as_drained(self, server: Server) -> Server:
+    def _apply_drain(self, server: Server) -> Server:
         if self._drained.get(server.server_id) != server.incarnation:
             return server
         return server._replace(state=ServerState.DRAINING)
@@ -177,7 +178,7 @@
             return (accepted,)
         if known.presence is Presence.WITHDRAWN:
             return (accepted,)
-        return (accepted, self._end(known.server, Presence.WITHDRAWN, now))
+        return (accepted, self._end_lease(known.server, Presence.WITHDRAWN, now))
 
     def _expire(self, now: float) -> tuple[RegistryOutput, ...]:
         events = []
@@ -185,23 +186,23 @@
             if lease.until > now:
                 continue
             if lease.presence is Presence.LIVE:
-                events.append(self._end(lease.server, Presence.EXPIRED, now))
+                events.append(self._end_lease(lease.server, Presence.EXPIRED, now))
             else:
                 del self._leases[server_id]
                 self._drained.pop(server_id, None)
         return tuple(events)
 
-    def _end(self, server: Server, presence: Presence, now: float) -> ServerEvent:
+    def _end_lease(self, server: Server, presence: Presence, now: float) -> ServerEvent:
         self._leases[server.server_id] = _Lease(server, presence, now + FORGET_S)
-        return self._event(presence, server)
+        return self._create_event(presence, server)
 
-    def _event(self, presence: Presence, server: Server) -> ServerEvent:
+    def _create_event(self, presence: Presence, server: Server) -> ServerEvent:
         self._sequence += 1
         rank = Rank(self._epoch, self._sequence)
         return ServerEvent(self._instance_id, rank, presence, server)
 
-    def _excuse_pause(self, now: float) -> None:
-        """Extend the leases by the time in which no renewal could be taken."""
+    def _extend_after_pause(self, now: float) -> None:
+        """Extend the leases by the time in which no renewal could be handled."""
         ran_at, self._ran_at = self._ran_at, now
         if ran_at is None or now - ran_at <= PAUSE_S:
             return
@@ -211,12 +212,12 @@
                 self._leases[server_id] = lease._replace(until=lease.until + pause)
 
 
-def _is_at(known: Server, server: Server) -> bool:
+def _has_same_address(known: Server, server: Server) -> bool:
     return (known.host, known.port) == (server.host, server.port)
 
 
 def _find_withdrawal_faults(known: _Lease, server: Server) -> tuple[str, ...]:
     withdrawn = known.presence is Presence.WITHDRAWN
     if withdrawn and server.incarnation <= known.server.incarnation:
-        return (f"incarnation: {known.server.incarnation} has withdrawn",)
+        return (f"incarnation: {known.server.incarnation} was withdrawn",)
     return ()
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -1,4 +1,4 @@
-"""Turn changes of servers into rows of the tree, and back."""
+"""Convert server events to rows of the spread tree, and back."""
 
 from typing import NamedTuple
 
@@ -19,7 +19,7 @@
 
 
 class _Payload(NamedTuple):
-    """Hold what a row's id and rank do not tell of a server."""
+    """Payload of a server row: what its id and rank do not contain."""
 
     presence: Presence
     service: str
@@ -38,7 +38,7 @@
 
 
 def create_server_row(event: ServerEvent) -> Row:
-    """Describe a change of a server as a row of its instance."""
+    """Encode a server event as a row of its instance."""
     server = event.server
     payload = _Payload(event.presence, *server[1:])
     row_id = RowId(RowKind.SERVERS, event.instance_id, server.server_id)
@@ -47,7 +47,10 @@
 
 
 def read_server_row(row: Row) -> ServerEvent | ServerForgotten:
-    """Return the change that a row describes; raise CodecError for others."""
+    """Decode a server row; raise CodecError if it is malformed.
+
+    An empty payload means that a snapshot lacked the row.
+    """
     _, instance_id, server_id = row.row_id
     if not row.payload:
         return ServerForgotten(instance_id, server_id)
@@ -60,16 +63,16 @@
 
 
 def read_rows(rows: tuple[Row, ...]) -> tuple[ViewInput, ...]:
-    """Return what rows tell the fleet's view; rows of other kinds are left out."""
+    """Return the view's input from rows; rows of other kinds are skipped."""
     events: list[ServerEvent] = []
-    others: list[ViewInput] = []
+    inputs: list[ViewInput] = []
     for row in rows:
         if row.row_id.kind == RowKind.LIVENESS:
-            others.append(read_row(row))
+            inputs.append(read_row(row))
         if row.row_id.kind == RowKind.SERVERS:
             read = read_server_row(row)
             if isinstance(read, ServerEvent):
                 events.append(read)
             else:
-                others.append(read)
-    return (ServerEvents(tuple(events)), *others) if events else tuple(others)
+                inputs.append(read)
+    return (ServerEvents(tuple(events)), *inputs) if events else tuple(inputs)
--- a/packages/core/src/pimentobend_core/_internal/membership/view.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/view.py
@@ -1,4 +1,4 @@
-"""Merge what all instances know of servers into one view."""
+"""Merge the server rows of all instances into one membership view."""
 
 import collections
 import math
@@ -20,30 +20,30 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
-ORPHAN_S = 30.0  # servers of a lost instance stay so long
-FORGET_S = 86_400.0  # rows of a lost instance and of gone servers stay so long
-ORPHAN_DROP_SHARE = 0.5  # of a service's servers that silence alone may remove
+ORPHAN_S = 30.0  # grace period for the servers of a lost or restarted instance
+FORGET_S = 86_400.0  # retention of rows of lost instances and ended servers
+ORPHAN_DROP_SHARE = 0.5  # largest share of a service to drop for lost instances
 
 _STATE_ORDER = (ServerState.STARTING, ServerState.READY, ServerState.DRAINING)
 
 
 class _Row(NamedTuple):
-    """Hold one instance's word on one server."""
+    """Latest row of one instance for one server."""
 
     rank: Rank
     presence: Presence
     server: Server
 
 
-class _Life(NamedTuple):
-    """Hold since when an instance lives its present life."""
+class _EpochStart(NamedTuple):
+    """Current epoch of an instance, and when it was first seen."""
 
     epoch: int
     since: float  # seconds of the clock
 
 
-class _Gone(NamedTuple):
-    """Name a row that ended, in order of time."""
+class _EndedRow(NamedTuple):
+    """A row whose server withdrew or expired, queued to be dropped."""
 
     at: float  # seconds of the clock
     server_id: str
@@ -52,7 +52,7 @@
 
 
 class MembershipView(StatefulFilter[ViewInput, ServiceChanged]):
-    """Turn events of all instances into lists of servers by service."""
+    """Turn the events of all instances into the live servers of each service."""
 
     def __init__(self) -> None:
         self._rows: dict[str, dict[str, _Row]] = {}  # by server, then instance
@@ -60,32 +60,32 @@
         self._by_instance: dict[str, set[str]] = {}
         self._lost: dict[str, float] = {}
         self._orphaned: set[str] = set()
-        self._lives: dict[str, _Life] = {}
-        self._gone: collections.deque[_Gone] = collections.deque()
-        self._given: dict[str, tuple[Server, ...]] = {}
+        self._epoch_starts: dict[str, _EpochStart] = {}
+        self._ended_rows: collections.deque[_EndedRow] = collections.deque()
+        self._published: dict[str, tuple[Server, ...]] = {}
 
     def handle(self, message: ViewInput, now: float) -> tuple[ServiceChanged, ...]:
-        """Take changes of servers and of instances."""
+        """Handle server events, lost and found instances, or a tick."""
         match message:
             case ServerEvent():
-                return self._give(self._take((message,), now))
+                return self._publish_changes(self._apply_events((message,), now))
             case ServerEvents():
-                return self._give(self._take(message.events, now))
+                return self._publish_changes(self._apply_events(message.events, now))
             case ServerForgotten():
-                return self._give(self._forget_server(message))
+                return self._publish_changes(self._forget_server(message))
             case InstanceLost():
                 self._lost.setdefault(message.instance_id, now)
                 return ()
             case InstanceFound():
-                return self._give(self._find(message, now))
+                return self._publish_changes(self._handle_found(message, now))
             case _:
-                touched = self._orphan(now) | self._end_earlier_lives(now)
+                changed = self._mark_orphaned(now) | self._drop_earlier_epochs(now)
                 self._forget(now)
-                return self._give(touched)
+                return self._publish_changes(changed)
 
     def servers(self, service: str) -> tuple[Server, ...]:
-        """Return the service's live servers, those draining included."""
-        return self._given.get(service, ())
+        """Return the service's live servers, including draining ones."""
+        return self._published.get(service, ())
 
     def dump(self) -> Mapping[str, object]:
         """Return the view as JSON-compatible values."""
@@ -94,14 +94,14 @@
                 service: [
                     {"server": s.server_id, "state": s.state.value} for s in servers
                 ]
-                for service, servers in sorted(self._given.items())
+                for service, servers in sorted(self._published.items())
             },
             "lost": dict(sorted(self._lost.items())),
             "orphaned": sorted(self._orphaned),
         }
 
-    def _take(self, events: Iterable[ServerEvent], now: float) -> set[str]:
-        touched: set[str] = set()
+    def _apply_events(self, events: Iterable[ServerEvent], now: float) -> set[str]:
+        changed: set[str] = set()
         for event in events:
             server_id = event.server.server_id
             rows = self._rows.setdefault(server_id, {})
@@ -109,55 +109,55 @@
             if known is not None and event.rank <= known.rank:
                 continue
             if known is not None and known.server.service != event.server.service:
-                touched.add(known.server.service)
+                changed.add(known.server.service)
             rows[event.instance_id] = _Row(event.rank, event.presence, event.server)
             self._by_service.setdefault(event.server.service, set()).add(server_id)
             self._by_instance.setdefault(event.instance_id, set()).add(server_id)
-            touched.add(event.server.service)
+            changed.add(event.server.service)
             if event.presence is not Presence.LIVE:
-                gone = _Gone(now, server_id, event.instance_id, event.rank)
-                self._gone.append(gone)
-        return touched
+                ended = _EndedRow(now, server_id, event.instance_id, event.rank)
+                self._ended_rows.append(ended)
+        return changed
 
-    def _find(self, message: InstanceFound, now: float) -> set[str]:
+    def _handle_found(self, message: InstanceFound, now: float) -> set[str]:
         instance_id = message.instance_id
         self._lost.pop(instance_id, None)
-        life = self._lives.get(instance_id)
-        if life is None or message.epoch > life.epoch:
-            self._lives[instance_id] = _Life(message.epoch, now)
+        started = self._epoch_starts.get(instance_id)
+        if started is None or message.epoch > started.epoch:
+            self._epoch_starts[instance_id] = _EpochStart(message.epoch, now)
         if instance_id not in self._orphaned:
             return set()
         self._orphaned.discard(instance_id)
         return self._services_of(instance_id)
 
-    def _orphan(self, now: float) -> set[str]:
-        touched: set[str] = set()
+    def _mark_orphaned(self, now: float) -> set[str]:
+        changed: set[str] = set()
         for instance_id, lost_at in self._lost.items():
             if instance_id in self._orphaned or now - lost_at < ORPHAN_S:
                 continue
             self._orphaned.add(instance_id)
-            touched |= self._services_of(instance_id)
-        return touched
-
-    def _end_earlier_lives(self, now: float) -> set[str]:
-        """Drop rows that no renewal confirmed since their instance restarted."""
-        touched: set[str] = set()
-        for instance_id, life in self._lives.items():
-            if life.epoch == 0 or now - life.since < ORPHAN_S:
+            changed |= self._services_of(instance_id)
+        return changed
+
+    def _drop_earlier_epochs(self, now: float) -> set[str]:
+        """Drop rows that were not renewed within ORPHAN_S of an instance's restart."""
+        changed: set[str] = set()
+        for instance_id, started in self._epoch_starts.items():
+            if started.epoch == 0 or now - started.since < ORPHAN_S:
                 continue
             for server_id in tuple(self._by_instance.get(instance_id, ())):
                 row = self._rows[server_id][instance_id]
-                if row.rank.epoch < life.epoch:
-                    touched.add(row.server.service)
+                if row.rank.epoch < started.epoch:
+                    changed.add(row.server.service)
                     self._drop(server_id, instance_id)
-        return touched
+        return changed
 
     def _forget(self, now: float) -> None:
-        while self._gone and now - self._gone[0].at >= FORGET_S:
-            gone = self._gone.popleft()
-            row = self._rows.get(gone.server_id, {}).get(gone.instance_id)
-            if row is not None and row.rank == gone.rank:
-                self._drop(gone.server_id, gone.instance_id)
+        while self._ended_rows and now - self._ended_rows[0].at >= FORGET_S:
+            ended = self._ended_rows.popleft()
+            row = self._rows.get(ended.server_id, {}).get(ended.instance_id)
+            if row is not None and row.rank == ended.rank:
+                self._drop(ended.server_id, ended.instance_id)
         for instance_id, lost_at in tuple(self._lost.items()):
             if now - lost_at >= FORGET_S:
                 self._forget_instance(instance_id)
@@ -174,7 +174,7 @@
         for server_id in tuple(self._by_instance.get(instance_id, ())):
             self._drop(server_id, instance_id)
         self._lost.pop(instance_id, None)
-        self._lives.pop(instance_id, None)
+        self._epoch_starts.pop(instance_id, None)
         self._orphaned.discard(instance_id)
 
     def _drop(self, server_id: str, instance_id: str) -> None:
@@ -191,34 +191,38 @@
             for server_id in self._by_instance.get(instance_id, ())
         }
 
-    def _give(self, services: set[str]) -> tuple[ServiceChanged, ...]:
+    def _publish_changes(self, services: set[str]) -> tuple[ServiceChanged, ...]:
         changes = []
         for service in sorted(services):
-            servers = self._list(service)
-            if servers == self._given.get(service, ()):
+            servers = self._list_live(service)
+            if servers == self._published.get(service, ()):
                 continue
-            self._given[service] = servers
+            self._published[service] = servers
             changes.append(ServiceChanged(service, ServersChanged(servers)))
         return tuple(changes)
 
-    def _list(self, service: str) -> tuple[Server, ...]:
-        heard: list[Server] = []
-        silent: list[Server] = []
+    def _list_live(self, service: str) -> tuple[Server, ...]:
+        reachable: list[Server] = []
+        orphaned: list[Server] = []
         for server_id in sorted(self._by_service.get(service, ())):
             rows = self._rows.get(server_id, {})
             server = _merge(rows.values())
             if server is None or server.service != service:
                 continue
-            group = silent if rows.keys() <= self._orphaned else heard
+            group = orphaned if rows.keys() <= self._orphaned else reachable
             group.append(server)
-        droppable = math.floor((len(heard) + len(silent)) * ORPHAN_DROP_SHARE)
-        if len(silent) > droppable:
-            heard += silent[droppable:]
-        return tuple(sorted(heard))
+        droppable = math.floor((len(reachable) + len(orphaned)) * ORPHAN_DROP_SHARE)
+        if len(orphaned) > droppable:
+            reachable += orphaned[droppable:]
+        return tuple(sorted(reachable))
 
 
 def _merge(rows: Iterable[_Row]) -> Server | None:
-    """Return the live server that several instances' rows describe."""
+    """Merge several instances' rows for a server; None if it is not live.
+
+    The highest incarnation counts; of its rows a withdrawal wins, then the
+    most advanced state.
+    """
     rows = tuple(rows)
     if not rows:
         return None
--- a/tests/unit/membership/test_announcement.py
+++ b/tests/unit/membership/test_announcement.py
@@ -1,4 +1,4 @@
-"""Check the documents that backend servers send."""
+"""Test the parsing of announcements and withdrawals."""
 
 import json
 
@@ -31,7 +31,7 @@
 }
 
 
-def test_announcement_is_read() -> None:
+def test_valid_announcement_is_parsed() -> None:
     server = Server(
         "kiln-1",
         "bookings",
@@ -57,14 +57,16 @@
         ({"slots": 1.5, "colour": 1}, ["colour", "slots"]),
     ],
 )
-def test_faults_are_named(changes: dict[str, object], faults: list[str]) -> None:
+def test_faults_name_their_fields(
+    changes: dict[str, object], faults: list[str]
+) -> None:
     parsed = parse_announcement(json.dumps(DOCUMENT | changes).encode())
     names = [text.partition(":")[0] for text in parsed.failure().faults]
     assert names == faults
 
 
 @pytest.mark.parametrize("field", DOCUMENT)
-def test_missing_field_is_named(field: str) -> None:
+def test_missing_field_is_a_fault(field: str) -> None:
     document = {name: value for name, value in DOCUMENT.items() if name != field}
     parsed = parse_announcement(json.dumps(document).encode())
     assert parsed == Failure(AnnouncementFault((f"{field}: missing",)))
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -1,4 +1,4 @@
-"""Check leases, incarnations and withdrawals at one instance."""
+"""Test leases, incarnations and withdrawals in the server registry."""
 
 import pytest
 
@@ -44,7 +44,7 @@
         pytest.param(
             [(0, _announce()), *((t, TICK) for t in range(1, 7))],
             [LIVE, EXPIRED],
-            id="lease-past",
+            id="lease-expired",
         ),
         pytest.param(
             [(0, _announce()), (2, TICK), (3, _announce()), (5, TICK), (7, TICK)],
@@ -77,7 +77,7 @@
         pytest.param(
             [(0, _announce()), (1, Withdrawal("kiln-1", 6))],
             [LIVE],
-            id="late-withdrawal-of-an-earlier-life",
+            id="late-withdrawal-of-an-earlier-incarnation",
         ),
         pytest.param([(0, Withdrawal("kiln-9", 7))], [], id="withdrawal-of-unknown"),
         pytest.param(
@@ -129,19 +129,19 @@
     assert [text.partition(":")[0] for text in last.faults] == [fault]
 
 
-def test_every_fault_is_named() -> None:
+def test_every_fault_is_reported() -> None:
     (refused,) = _run([(0, _announce(lease_s=0.0, port=0, slots=0))])
     assert isinstance(refused, AnnouncementRefused)
     assert len(refused.faults) == 3
 
 
-def test_renewal_is_asked_within_the_lease() -> None:
+def test_renewal_is_due_within_the_lease() -> None:
     accepted = _run([(0, _announce())])[0]
     assert isinstance(accepted, AnnouncementAccepted)
     assert accepted.renew_after_s * 2 < accepted.lease_s
 
 
-def test_gone_server_is_forgotten() -> None:
+def test_withdrawn_server_is_dropped() -> None:
     registry = ServerRegistry("daemon-1")
     registry.handle(_announce(), 0)
     registry.handle(Withdrawal("kiln-1", 7), 1)
--- a/tests/unit/membership/test_view.py
+++ b/tests/unit/membership/test_view.py
@@ -1,4 +1,4 @@
-"""Check how the words of several instances merge."""
+"""Test how the membership view merges the rows of several instances."""
 
 import pytest
 
@@ -60,12 +60,12 @@
         pytest.param(
             [(0, _event("a", 2, WITHDRAWN)), (0, _event("a", 1))],
             [],
-            id="late-event-does-not-go-back",
+            id="late-event-is-ignored",
         ),
         pytest.param(
             [(0, _event("a", 9)), (0, _event("a", 1, EXPIRED, epoch=2))],
             [],
-            id="later-epoch-counts",
+            id="later-epoch-wins",
         ),
         pytest.param(
             [(0, _event("a", 1)), (0, _event("b", 1)), (0, _event("a", 2, EXPIRED))],
@@ -90,7 +90,7 @@
         pytest.param(
             [(0, _event("a", 1)), (0, InstanceLost("a")), (ORPHAN_S - 1, TICK)],
             [("s1", "ready", 1)],
-            id="lost-for-a-moment",
+            id="lost-within-the-grace-period",
         ),
         pytest.param(
             [
@@ -101,7 +101,7 @@
                 (ORPHAN_S, TICK),
             ],
             [("s09", "ready", 1), ("s10", "ready", 1)],
-            id="lost-for-good",
+            id="lost-after-the-grace-period",
         ),
         pytest.param(
             [
@@ -111,7 +111,7 @@
                 (ORPHAN_S, TICK),
             ],
             [(f"s{n:02}", "ready", 1) for n in (5, 6, 7, 8)],
-            id="silence-drops-half-at-most",
+            id="lost-instances-drop-half-at-most",
         ),
         pytest.param(
             [
@@ -140,18 +140,18 @@
         ),
     ],
 )
-def test_list(steps: list[Step], expected: Listed) -> None:
+def test_listed_servers(steps: list[Step], expected: Listed) -> None:
     assert _listed(steps) == expected
 
 
-def test_unchanged_lists_are_not_given_again() -> None:
+def test_unchanged_lists_are_not_published_again() -> None:
     view = MembershipView()
     assert len(view.handle(_event("a", 1), 0)) == 1
     assert view.handle(_event("b", 1), 0) == ()
 
 
 @pytest.mark.parametrize("presence", [WITHDRAWN, EXPIRED])
-def test_gone_rows_are_forgotten(presence: Presence) -> None:
+def test_ended_rows_are_dropped(presence: Presence) -> None:
     view = MembershipView()
     view.handle(_event("a", 1, presence), 0)
     view.handle(TICK, FORGET_S)
