Reword the spread tree and rename its vague names

"Hold", "Own" and "Say" docstrings left open what relay, client, store and publisher do, "life" meant an attachment, "held" a stored row, and constants such as AWAY_S or SILENCE_S did not tell what they time. They now use the usual terms of a replication tree (attachment, time-out, failover, flush, tombstone), the codec says that a kind's index is its tag, and the tests follow. The order of kinds, the dump's keys and all values stay.

--- a/packages/core/src/pimentobend_core/_internal/membership/spread/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/__init__.py
@@ -1,1 +1,1 @@
-"""Spread rows from their authors to every instance, down a tree."""
+"""Replicate rows from their authors to every instance over a relay tree."""
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/children.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/children.py
@@ -1,24 +1,24 @@
-"""Keep what a relay knows of the instances that follow it."""
+"""Track the children that are attached to a relay."""
 
 from collections.abc import Iterator
 from typing import NamedTuple
 
 from pimentobend_core._internal.membership.messages import Rank
 
-ALIVE_S = 5.0  # without an answer to beacons a child is lost
+CHILD_TIMEOUT_S = 5.0  # without an answer to beacons a child is lost
 
 
 class _Child(NamedTuple):
-    """Hold one child; ``heard_at`` is in seconds of the clock."""
+    """State of one child; ``heard_at`` is in seconds of the clock."""
 
-    life: Rank
+    attachment: Rank
     heard_at: float
-    is_synced: bool  # it was given the rows up to the last window
-    is_confirmed: bool  # it answered a beacon, so each side hears the other
+    is_synced: bool  # it got all rows up to the last flush
+    is_confirmed: bool  # it answered a beacon: the link works both ways
 
 
 class Children:
-    """Own the children of one relay."""
+    """Children of one relay, by name."""
 
     def __init__(self) -> None:
         self._children: dict[str, _Child] = {}
@@ -31,39 +31,44 @@
 
     @property
     def synced(self) -> tuple[str, ...]:
-        """Return the children that deltas go to."""
+        """Return the children that have caught up and receive deltas."""
         return tuple(name for name, c in self._children.items() if c.is_synced)
 
-    def attach(self, name: str, life: Rank, now: float) -> bool:
-        """Take a child; False when the message is of an earlier attachment."""
+    def attach(self, name: str, attachment: Rank, now: float) -> bool:
+        """Attach a child; return False if a later attachment is known."""
         known = self._children.get(name)
-        if known is None or life.epoch > known.life.epoch:
-            self._children[name] = _Child(life, now, False, False)
+        if known is None or attachment.epoch > known.attachment.epoch:
+            self._children[name] = _Child(attachment, now, False, False)
             return True
-        if life < known.life:
+        if attachment < known.attachment:
             return False
-        self._children[name] = known._replace(life=life, is_synced=False)
+        self._children[name] = known._replace(attachment=attachment, is_synced=False)
         return True
 
     def sync(self, name: str) -> None:
-        """Note that a child was given all rows."""
+        """Mark a child as caught up."""
         self._children[name] = self._children[name]._replace(is_synced=True)
 
-    def hear(self, name: str, life: Rank, now: float) -> Rank | None:
-        """Take an answer to a beacon; return the life that it belongs to."""
+    def record_answer(self, name: str, attachment: Rank, now: float) -> Rank | None:
+        """Record an answer to a beacon; return the child's current attachment.
+
+        None if the child is unknown or has another epoch.
+        """
         known = self._children.get(name)
-        if known is None or known.life.epoch != life.epoch:
+        if known is None or known.attachment.epoch != attachment.epoch:
             return None
         self._children[name] = known._replace(heard_at=now, is_confirmed=True)
-        return known.life
+        return known.attachment
 
     def remove_lost(self, now: float) -> tuple[tuple[str, Rank], ...]:
-        """Drop the children that fell silent; return those once confirmed."""
+        """Drop children that timed out; return those that had answered a beacon."""
         silent = [
             (name, child)
             for name, child in self._children.items()
-            if now - child.heard_at >= ALIVE_S
+            if now - child.heard_at >= CHILD_TIMEOUT_S
         ]
         for name, _ in silent:
             del self._children[name]
-        return tuple((name, child.life) for name, child in silent if child.is_confirmed)
+        return tuple(
+            (name, child.attachment) for name, child in silent if child.is_confirmed
+        )
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -1,4 +1,4 @@
-"""Follow the tree from below: attach, catch up, publish, change the parent."""
+"""Client side of the tree: attach to a parent, catch up, publish, fail over."""
 
 import random
 from collections.abc import Mapping
@@ -26,22 +26,22 @@
 from pimentobend_core._internal.membership.spread.store import RowStore
 from pimentobend_core._internal.pipes import StatefulFilter
 
-SILENCE_S = 1.5  # without a beacon another parent is asked
-AWAY_S = 5.0  # without a parent an empty store asks a peer
-LIVE_S = 2.5  # without a new pulse the root is not heard
-NOT_LIVE_MIN_S = 3.0  # another parent is asked when the followed one is cut off
-NOT_LIVE_MAX_S = 60.0
-CATCH_UP_WAIT_S = 2.0  # for the answer to an attachment
-MISMATCHES_MAX = 10  # beacons with another digest at the same position
+PARENT_TIMEOUT_S = 1.5  # without a beacon the next parent is tried
+PEER_FALLBACK_S = 5.0  # without a live root an empty store asks a peer
+ROOT_TIMEOUT_S = 2.5  # without a new pulse the root counts as unreachable
+FAILOVER_MIN_S = 3.0  # first wait to leave a parent that is cut off from the root
+FAILOVER_MAX_S = 60.0  # the wait doubles up to this
+CATCH_UP_WAIT_S = 2.0  # for the answer to an attach request
+MISMATCHES_MAX = 10  # digest mismatches at equal positions before a snapshot
 SNAPSHOT_RETRY_MAX_S = 300.0
-PEER_BYTES_A_SECOND = 50_000.0
+PEER_BYTES_PER_SECOND = 50_000.0
 
 
 class SpreadClient(StatefulFilter[ClientInput, SpreadOutput]):
-    """Hold the fleet's rows in a daemon.
+    """Replica of the fleet's rows that follows a parent in the tree.
 
-    ``parents`` are asked in their order, ``peers`` serve a snapshot while no
-    parent does. ``epoch`` must grow at each start of the instance.
+    ``parents`` are tried in order; ``peers`` can serve a snapshot while no
+    parent does. ``epoch`` must increase at each start of the instance.
     """
 
     def __init__(
@@ -55,18 +55,18 @@
         self._instance_id = instance_id
         self._parents = parents
         self._peers = peers
-        self._turn = 0
-        self._life = Rank(epoch, 0)
+        self._parent_index = 0
+        self._attachment = Rank(epoch, 0)
         self._publisher = Publisher(self.store)
         self._echoed: dict[RowId, Row] = {}
-        self._gate = SnapshotGate(PEER_BYTES_A_SECOND)
+        self._gate = SnapshotGate(PEER_BYTES_PER_SECOND)
         self._rng = random.Random(f"{instance_id}/{epoch}")
         self._is_attached = False
         self._is_live = False
         self._heard_at: float | None = None
         self._live_at: float | None = None
-        self._pulse = (0, 0)  # the root's epoch and count
-        self._not_live_wait_s = NOT_LIVE_MIN_S
+        self._pulse = (0, 0)  # the root's epoch and beacon count
+        self._failover_wait_s = FAILOVER_MIN_S
         self._mismatches = 0
         self._catch_up_at = 0.0
         self._snapshot_wait_s = 0.0
@@ -74,47 +74,47 @@
 
     @property
     def is_attached(self) -> bool:
-        """Say whether a parent is heard that hears this instance."""
+        """Return whether a parent has answered this instance within the timeout."""
         return self._is_attached
 
     @property
     def is_live(self) -> bool:
-        """Say whether beacons of the root reach this instance."""
+        """Return whether the root's beacons reach this instance."""
         return self._is_attached and self._is_live
 
     @property
     def pulse(self) -> int:
-        """Return the root's latest count that was heard."""
+        """Return the latest beacon count received from the root."""
         return self._pulse[1]
 
     @property
     def echoed(self) -> tuple[Row, ...]:
-        """Return the rows that came without a number."""
+        """Return the rows that arrived by echo and have no number yet."""
         return tuple(self._echoed.values())
 
     @property
     def parent(self) -> str:
-        """Return the parent that is asked or followed."""
-        return self._parents[self._turn % len(self._parents)]
+        """Return the parent that is followed or being tried."""
+        return self._parents[self._parent_index % len(self._parents)]
 
     @property
     def unconfirmed(self) -> int:
-        """Return how many own rows have not come back down the tree."""
+        """Return how many published rows have not come back down the tree."""
         return self._publisher.waiting
 
     def follow(self, parents: tuple[str, ...]) -> None:
-        """Follow other parents from the next tick on."""
+        """Replace the parents; the next tick attaches to the first."""
         self._parents = parents
-        self._turn = 0
+        self._parent_index = 0
         self._is_attached = False
         self._is_live = False
         self._heard_at = None
 
     def handle(self, message: ClientInput, now: float) -> tuple[SpreadOutput, ...]:
-        """Take a message of a peer, rows of this instance or a tick."""
+        """Handle a peer's message, rows to publish or a tick."""
         match message:
             case FromPeer():
-                return self._take(message, now)
+                return self._handle_peer(message, now)
             case PublishRows():
                 self._publisher.add(message.rows, now)
                 return (*self._echo(message.rows), *self._publish(now))
@@ -122,15 +122,15 @@
                 return self._tick(now)
 
     def arrive(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
-        """Give numbered rows on unless an echo brought them, or later ones."""
-        news = []
+        """Return numbered rows as arrived, except those already seen by echo."""
+        newer = []
         for row in rows:
             echoed = self._echoed.get(row.row_id)
             if echoed is None or echoed.rank < row.rank:
-                news.append(row)
+                newer.append(row)
             if echoed is not None and echoed.rank <= row.rank:
                 del self._echoed[row.row_id]
-        return (RowsArrived(tuple(news)),) if news else ()
+        return (RowsArrived(tuple(newer)),) if newer else ()
 
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
@@ -145,15 +145,15 @@
             "echoed": len(self._echoed),
         }
 
-    def _take(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
+    def _handle_peer(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
         sender, message = received
         match message:
             case Delta():
-                return self._take_delta(sender, message, now)
+                return self._handle_delta(sender, message, now)
             case Beacon() if self._is_parent(sender):
-                return self._take_beacon(message, now)
+                return self._handle_beacon(message, now)
             case Busy() if self._is_parent(sender):
-                return self._take_busy(message, now)
+                return self._handle_busy(message, now)
             case Echo():
                 return self._echo(message.rows)
             case FetchSnapshot():
@@ -164,7 +164,7 @@
     def _is_parent(self, sender: str) -> bool:
         return bool(self._parents) and sender == self.parent
 
-    def _take_delta(
+    def _handle_delta(
         self, sender: str, delta: Delta, now: float
     ) -> tuple[SpreadOutput, ...]:
         if self._is_parent(sender):
@@ -179,7 +179,7 @@
         return self._apply(delta, now)
 
     def _follows(self, delta: Delta) -> bool:
-        """Say whether no row lies between the store and a delta."""
+        """Return whether a delta continues the store without a gap."""
         held = self.store.position
         if delta.position.epoch == held.epoch:
             return delta.after <= held.number
@@ -208,14 +208,15 @@
         self._publisher.repair(tuple(row for row in kept if row is not None))
         if is_new_epoch or delta.is_snapshot:
             self.store.sort()
-            self._publisher.review(delta.base.number)
+            self._publisher.republish_unseen(delta.base.number)
         return self.arrive(tuple(arrived))
 
     def _drop_missing(self, delta: Delta, now: float) -> list[Row]:
-        """Drop old rows that a snapshot lacks, and return final ones instead.
+        """Drop old rows that a snapshot lacks; return empty final rows for them.
 
-        Younger rows would still be in it, also when they became final: a root
-        without them lost them when it took over, so they are published again.
+        The root keeps final rows for ``FINAL_ROW_S``. If it lacks a row younger
+        than that, it lost the row when it took over, so the row is published
+        again instead.
         """
         present = {numbered.row.row_id for numbered in delta.rows}
         missing = [row for row in self.store.rows() if row.row_id not in present]
@@ -229,16 +230,16 @@
         return dropped
 
     def _echo(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
-        """Give rows on that have no number yet."""
-        news = []
+        """Return rows that are newer than known ones, before they are numbered."""
+        newer = []
         for row in rows:
             known = self._echoed.get(row.row_id) or self.store.get(row.row_id)
             if known is None or known.rank < row.rank:
                 self._echoed[row.row_id] = row
-                news.append(row)
-        return (RowsArrived(tuple(news)),) if news else ()
+                newer.append(row)
+        return (RowsArrived(tuple(newer)),) if newer else ()
 
-    def _take_beacon(self, beacon: Beacon, now: float) -> tuple[SpreadOutput, ...]:
+    def _handle_beacon(self, beacon: Beacon, now: float) -> tuple[SpreadOutput, ...]:
         self._is_attached = True
         self._heard_at = now
         pulse = (beacon.position.epoch, beacon.pulse)
@@ -246,8 +247,8 @@
             self._pulse = pulse
             self._live_at = now
             self._is_live = True
-            self._not_live_wait_s = NOT_LIVE_MIN_S
-        alive = ToPeers((self.parent,), Alive(self._life, self.store.position))
+            self._failover_wait_s = FAILOVER_MIN_S
+        alive = ToPeers((self.parent,), Alive(self._attachment, self.store.position))
         if not _names_position(beacon) or beacon.position < self.store.position:
             return (alive,)
         self.store.forget(beacon.floor)
@@ -268,15 +269,15 @@
         return (alive, self._attach(now, wants_snapshot=True))
 
     def _adopt(self, beacon: Beacon) -> None:
-        """Take over a position whose rows are all held already."""
+        """Adopt the parent's position; equal digests mean equal rows."""
         is_new_epoch = beacon.position.epoch != self.store.position.epoch
         self.store.position = beacon.position
         self.store.base = beacon.base
         if is_new_epoch:
-            self._publisher.review(beacon.base.number)
+            self._publisher.republish_unseen(beacon.base.number)
         self._publisher.confirm_held()
 
-    def _take_busy(self, busy: Busy, now: float) -> tuple[SpreadOutput, ...]:
+    def _handle_busy(self, busy: Busy, now: float) -> tuple[SpreadOutput, ...]:
         self._is_attached = True
         self._heard_at = now
         self._catch_up_at = now + busy.retry_after_s
@@ -292,39 +293,39 @@
     def _tick(self, now: float) -> tuple[SpreadOutput, ...]:
         if self._live_at is None:
             self._live_at = now
-        if now - self._live_at >= LIVE_S:
+        if now - self._live_at >= ROOT_TIMEOUT_S:
             self._is_live = False
         outputs = self._publish(now)
         if not self._parents:
             return outputs
-        if self._is_silent(now):
+        if self._has_timed_out(now):
             self._is_attached = False
-            return (*outputs, *self._try_next(now))
-        if not self._is_live and now - self._live_at >= self._not_live_wait_s:
-            self._not_live_wait_s = min(NOT_LIVE_MAX_S, 2 * self._not_live_wait_s)
-            return (*outputs, *self._try_next(now))
+            return (*outputs, *self._try_next_parent(now))
+        if not self._is_live and now - self._live_at >= self._failover_wait_s:
+            self._failover_wait_s = min(FAILOVER_MAX_S, 2 * self._failover_wait_s)
+            return (*outputs, *self._try_next_parent(now))
         return outputs
 
-    def _try_next(self, now: float) -> tuple[SpreadOutput, ...]:
+    def _try_next_parent(self, now: float) -> tuple[SpreadOutput, ...]:
         if self._heard_at is not None:
-            self._turn += 1
-        self._heard_at = now + self._rng.random() * SILENCE_S / 2
+            self._parent_index += 1
+        self._heard_at = now + self._rng.random() * PARENT_TIMEOUT_S / 2
         return (self._attach(now), *self._ask_peer(now))
 
-    def _is_silent(self, now: float) -> bool:
-        return self._heard_at is None or now - self._heard_at >= SILENCE_S
+    def _has_timed_out(self, now: float) -> bool:
+        return self._heard_at is None or now - self._heard_at >= PARENT_TIMEOUT_S
 
     def _ask_peer(self, now: float) -> tuple[SpreadOutput, ...]:
-        away_s = 0.0 if self._live_at is None else now - self._live_at
-        if len(self.store) or not self._peers or away_s < AWAY_S:
+        since_live_s = 0.0 if self._live_at is None else now - self._live_at
+        if len(self.store) or not self._peers or since_live_s < PEER_FALLBACK_S:
             return ()
         return (ToPeers((self._rng.choice(self._peers),), FetchSnapshot()),)
 
     def _attach(self, now: float, wants_snapshot: bool = False) -> SpreadOutput:
         self._catch_up_at = now + CATCH_UP_WAIT_S
-        self._life = Rank(self._life.epoch, self._life.sequence + 1)
+        self._attachment = Rank(self._attachment.epoch, self._attachment.sequence + 1)
         position = START if wants_snapshot else self.store.position
-        attach = Attach(position, self.store.digest, self._life, wants_snapshot)
+        attach = Attach(position, self.store.digest, self._attachment, wants_snapshot)
         return ToPeers((self.parent,), attach)
 
     def _publish(self, now: float) -> tuple[SpreadOutput, ...]:
@@ -335,7 +336,7 @@
 
 
 def _names_position(beacon: Beacon) -> bool:
-    """Say whether a beacon's sender has passed on all rows that it holds."""
+    """Return whether a beacon names a position; see ``_periodic_beacon``."""
     return beacon.position.number > 0 or beacon.base == START
 
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
@@ -1,4 +1,4 @@
-"""Encode the messages of the tree as versioned msgpack, compressed if large."""
+"""Encode the tree's messages as versioned msgpack, compressed if large."""
 
 import zlib
 from typing import NamedTuple
@@ -20,11 +20,12 @@
 COMPRESS_BYTES = 256
 MESSAGE_BYTES_MAX = 16 * 1024 * 1024
 
+# The index of a kind is its tag on the wire.
 _KINDS = (Attach, Alive, Publish, Echo, Delta, Beacon, Busy, FetchSnapshot)
 
 
 class _Envelope(NamedTuple):
-    """Hold a message as version, kind and the values of its fields."""
+    """Wire format: version, tag of the kind, and the encoded message."""
 
     version: int
     kind: int
@@ -50,19 +51,21 @@
 
 
 def decode_message(payload: bytes) -> PeerMessage:
-    """Decode a message; raise CodecError for other bytes."""
+    """Decode a message; raise CodecError if the bytes are malformed."""
     try:
         envelope = _ENVELOPE_DECODER.decode(payload)
         _check(envelope)
         return _DECODERS[envelope.kind].decode(_get_body(envelope))
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
-        raise CodecError("spread bytes do not decode", context=str(error)) from error
+        raise CodecError(
+            "spread message does not decode", context=str(error)
+        ) from error
 
 
 def _check(envelope: _Envelope) -> None:
     if envelope.version != VERSION:
         raise CodecError(
-            "spread message of another version",
+            "unsupported version of a spread message",
             context=f"version {envelope.version}, expected {VERSION}",
         )
     if not 0 <= envelope.kind < len(_KINDS):
@@ -78,6 +81,7 @@
     body = inflater.decompress(envelope.body, MESSAGE_BYTES_MAX)
     if not inflater.eof:
         raise CodecError(
-            "spread message is too large or cut", context=f"{len(body)} bytes read"
+            "spread message is too large or truncated",
+            context=f"{len(body)} bytes read",
         )
     return body
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
@@ -1,4 +1,4 @@
-"""Define the rows that the tree spreads and the messages that carry them."""
+"""Rows that the tree replicates, and the messages that carry them."""
 
 import enum
 from typing import NamedTuple
@@ -7,7 +7,7 @@
 
 
 class RowKind(enum.IntEnum):
-    """Name what a row's payload is; the tree itself reads liveness only."""
+    """Kind of a row's payload; the tree itself reads liveness only."""
 
     LIVENESS = 0
     CONFIGURATION = 1
@@ -16,7 +16,7 @@
 
 
 class RowId(NamedTuple):
-    """Name a row within the fleet."""
+    """Identity of a row within the fleet."""
 
     kind: int
     author: str
@@ -24,23 +24,23 @@
 
 
 class Row(NamedTuple):
-    """Hold the latest word of an author; a later one has a greater rank."""
+    """One state of a row; a later one of the same author has a higher rank."""
 
     row_id: RowId
     rank: Rank
     payload: bytes
-    is_final: bool = False  # the row may be forgotten some time later
+    is_final: bool = False  # a tombstone: the row may be dropped after FINAL_ROW_S
 
 
 class NumberedRow(NamedTuple):
-    """Hold a row with its number in the root's order."""
+    """A row with its sequence number in the root's order."""
 
     number: int
     row: Row
 
 
 class Position(NamedTuple):
-    """Say up to where a root's order is known; epochs are terms of roots."""
+    """Last known number in a root's order; the epoch is the root's term."""
 
     epoch: int
     number: int
@@ -50,7 +50,7 @@
 
 
 class Attach(NamedTuple):
-    """Ask a parent for what follows a position, now and from now on."""
+    """Subscribe to a parent: request the rows after a position and later deltas."""
 
     position: Position
     digest: int
@@ -59,29 +59,29 @@
 
 
 class Alive(NamedTuple):
-    """Answer a beacon, so that the parent knows that it is heard."""
+    """Answer to a beacon, which confirms the link to the parent."""
 
     life: Rank
     position: Position
 
 
 class Publish(NamedTuple):
-    """Carry rows from authors towards the root."""
+    """Rows on their way from authors up to the root."""
 
     rows: tuple[Row, ...]
 
 
 class Echo(NamedTuple):
-    """Carry rows that a relay without a parent can't have numbered."""
+    """Rows sent on without a number, by a relay that the root does not reach."""
 
     rows: tuple[Row, ...]
     is_forwarded: bool
 
 
 class Delta(NamedTuple):
-    """Carry the rows after a number, or all of them in a snapshot.
+    """The rows after the number ``after``, or all rows in a snapshot.
 
-    ``base`` is where the root took over from the one before it.
+    ``base`` is the position at which the root took over from the previous one.
     """
 
     position: Position
@@ -92,58 +92,58 @@
 
 
 class Beacon(NamedTuple):
-    """Tell a child that its parent lives, and the digest at its position.
+    """Heartbeat of a parent, with the digest of its rows at its position.
 
-    The root counts ``pulse`` up at each beacon of its own, and the others pass
-    it on, so that relays cut off from the root don't keep each other alive.
+    The root increments ``pulse`` at each beacon and the others pass it on, so
+    that relays cut off from the root don't keep each other alive.
     """
 
     position: Position
     base: Position
     digest: int
-    floor: int  # final rows up to this number are forgotten
+    floor: int  # final rows up to this number may have been dropped
     pulse: int
 
 
 class Busy(NamedTuple):
-    """Put off a snapshot, and name peers that may have one."""
+    """Refusal of a snapshot for now, with peers that may serve one."""
 
     retry_after_s: float
     peers: tuple[str, ...]
 
 
 class FetchSnapshot(NamedTuple):
-    """Ask a peer for its whole store."""
+    """Request a snapshot of a peer's store."""
 
 
 PeerMessage = Attach | Alive | Publish | Echo | Delta | Beacon | Busy | FetchSnapshot
 
 
 class FromPeer(NamedTuple):
-    """Hand over a message of another instance."""
+    """A message arrived from another instance."""
 
     sender: str
     message: PeerMessage
 
 
 class PublishRows(NamedTuple):
-    """Spread rows of this instance."""
+    """Publish rows of this instance."""
 
     rows: tuple[Row, ...]
 
 
 class SpreadTick(NamedTuple):
-    """Let windows, beacons and waits end; due every 0.1 seconds."""
+    """Run timers of flushes, beacons and retries; due every 0.1 seconds."""
 
 
 class BecomeRoot(NamedTuple):
-    """Make a relay the root, in a term that no other root has."""
+    """Make this relay the root, in a term that no other root has."""
 
     term: int
 
 
 class FollowParents(NamedTuple):
-    """Make a relay, a former root included, follow these parents."""
+    """Make this relay follow these parents, also if it was the root."""
 
     parents: tuple[str, ...]
 
@@ -156,7 +156,7 @@
 
 
 class RowsArrived(NamedTuple):
-    """Give rows that are new to this instance, in the root's order."""
+    """Rows that are new to this instance, in the root's order."""
 
     rows: tuple[Row, ...]
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/orphans.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/orphans.py
@@ -1,4 +1,4 @@
-"""Find instances that fell silent together with their relay."""
+"""Find instances that were lost together with their relay."""
 
 from pimentobend_core._internal.membership.spread.liveness import create_orphan_row
 from pimentobend_core._internal.membership.spread.liveness import find_relay
@@ -6,11 +6,11 @@
 from pimentobend_core._internal.membership.spread.messages import Row
 from pimentobend_core._internal.membership.spread.store import RowStore
 
-REATTACH_S = 10.0  # the children of a lost relay have so long to attach elsewhere
+REATTACH_S = 10.0  # for the children of a lost relay to attach elsewhere
 
 
 class OrphanFinder:
-    """Watch the relays of all instances on the root."""
+    """Check on the root whether the relays of all instances are lost."""
 
     def __init__(self, store: RowStore, instance_id: str) -> None:
         self._store = store
@@ -18,7 +18,7 @@
         self._lost_at: dict[str, float] = {}
 
     def find(self, now: float) -> tuple[Row, ...]:
-        """Return rows for the instances whose relay is lost for long."""
+        """Return rows for instances whose relay was lost for ``REATTACH_S``."""
         children: dict[str, list[Row]] = {}
         for row in self._store.rows():
             relay_id = find_relay(row)
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
@@ -1,4 +1,4 @@
-"""Pass rows down to children and up to the root."""
+"""Relay of the tree: sends rows down to children and up to the root."""
 
 import random
 from collections.abc import Mapping
@@ -34,19 +34,20 @@
 from pimentobend_core._internal.membership.spread.orphans import OrphanFinder
 from pimentobend_core._internal.pipes import StatefulFilter
 
-WINDOW_S = 0.2  # rows of so long share a message
-FLUSH_BYTES = 500_000  # to all children together, a window
+FLUSH_INTERVAL_S = 0.2  # rows that arrive in between share a message
+FLUSH_BYTES = 500_000  # per flush, to all children together
 BEACON_S = 0.5
 FORGET_CHECK_S = 60.0
 ORPHAN_CHECK_S = 2.0
-PEERS_NAMED = 3
+BUSY_PEERS = 3  # peers named in a Busy message
 
 
 class RelayNode(StatefulFilter[RelayInput, SpreadOutput]):
-    """Serve children, and be the root or follow a parent.
+    """Serve children, either as the root or as the follower of a parent.
 
-    ``siblings`` are the relays of the same region: while no parent is heard
-    they carry echoes, so that a region cut off still learns of its changes.
+    ``siblings`` are the region's other control instances. They forward echoes
+    while the root is unreachable, so that a region that is cut off still learns
+    of its own changes.
     """
 
     def __init__(
@@ -64,8 +65,8 @@
         self._gate = SnapshotGate()
         self._rng = random.Random(f"{instance_id}/{epoch}/relay")
         self._is_root = False
-        self._pulse = 0  # counted while this is the root
-        self._upwards: dict[RowId, Row] = {}
+        self._pulse = 0  # beacon count, used while this is the root
+        self._pending_up: dict[RowId, Row] = {}
         self._flushed = self._store.position
         self._flush_at = 0.0
         self._beacon_at = 0.0
@@ -75,7 +76,7 @@
 
     @property
     def position(self) -> Position:
-        """Return up to where the root's order is known."""
+        """Return the position of the store in the root's order."""
         return self._store.position
 
     @property
@@ -84,16 +85,16 @@
         return self._store.digest
 
     def handle(self, message: RelayInput, now: float) -> tuple[SpreadOutput, ...]:
-        """Take a message of a peer, a change of role, own rows or a tick."""
+        """Handle a peer's message, a change of role, rows to publish or a tick."""
         match message:
             case FromPeer():
-                return self._take(message, now)
+                return self._handle_peer(message, now)
             case PublishRows() if self._is_root:
-                return self._number(message.rows, now)
+                return self._assign_numbers(message.rows, now)
             case PublishRows():
                 return self._client.handle(message, now)
             case BecomeRoot():
-                return self._lead(message.term, now)
+                return self._become_root(message.term, now)
             case FollowParents():
                 self._is_root = False
                 self._client.follow(message.parents)
@@ -106,19 +107,19 @@
         return {
             "is_root": self._is_root,
             "children": sorted(self._children),
-            "upwards": len(self._upwards),
+            "upwards": len(self._pending_up),
             **self._client.dump(),
         }
 
-    def _take(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
+    def _handle_peer(self, received: FromPeer, now: float) -> tuple[SpreadOutput, ...]:
         sender, message = received
         match message:
             case Attach():
-                return self._take_attach(sender, message, now)
+                return self._handle_attach(sender, message, now)
             case Alive():
-                return self._take_alive(sender, message, now)
+                return self._handle_alive(sender, message, now)
             case Publish():
-                return self._take_publish(message.rows, now)
+                return self._handle_publish(message.rows, now)
             case Echo():
                 arrived = self._client.handle(received, now)
                 if message.is_forwarded:
@@ -129,7 +130,7 @@
             case _:
                 return ()
 
-    def _take_attach(
+    def _handle_attach(
         self, child: str, attach: Attach, now: float
     ) -> tuple[SpreadOutput, ...]:
         if not self._children.attach(child, attach.life, now):
@@ -139,20 +140,20 @@
             self._children.sync(child)
         return (ToPeers((child,), reply),)
 
-    def _take_alive(
+    def _handle_alive(
         self, child: str, alive: Alive, now: float
     ) -> tuple[SpreadOutput, ...]:
-        """Tell the fleet of a child once it has answered a beacon."""
-        life = self._children.hear(child, alive.life, now)
-        if life is None:
+        """Publish a child as alive once it has answered a beacon."""
+        attachment = self._children.record_answer(child, alive.life, now)
+        if attachment is None:
             return ()
-        if is_attached(self._store, child, life.epoch, self._instance_id):
+        if is_attached(self._store, child, attachment.epoch, self._instance_id):
             return ()
-        row = create_row(child, life, self._instance_id)
-        known = self._upwards.get(row.row_id) or self._store.get(row.row_id)
+        row = create_row(child, attachment, self._instance_id)
+        known = self._pending_up.get(row.row_id) or self._store.get(row.row_id)
         if known is not None and known.rank >= row.rank:
             return ()
-        return self._take_publish((row,), now)
+        return self._handle_publish((row,), now)
 
     def _create_reply(self, attach: Attach, now: float) -> Delta | Beacon | Busy:
         held = self._store.position
@@ -167,11 +168,11 @@
         if self._gate.admit(len(self._store), now):
             return create_snapshot(self._store)
         peers = self._children.synced
-        named = tuple(self._rng.sample(peers, min(PEERS_NAMED, len(peers))))
+        named = tuple(self._rng.sample(peers, min(BUSY_PEERS, len(peers))))
         return Busy(self._gate.retry_after_s(now, self._rng.random()), named)
 
     def _find_common(self, position: Position) -> int | None:
-        """Return the number up to which a child's rows are known to be ours."""
+        """Return the number up to which a child has the same rows, or None."""
         held = self._store.position
         if position.epoch == held.epoch:
             number = min(position.number, held.number)
@@ -181,15 +182,15 @@
             return None
         return number if number >= self._store.floor and number > 0 else None
 
-    def _take_publish(
+    def _handle_publish(
         self, rows: tuple[Row, ...], now: float
     ) -> tuple[SpreadOutput, ...]:
         if self._is_root:
-            return self._number(rows, now)
+            return self._assign_numbers(rows, now)
         for row in rows:
-            known = self._upwards.get(row.row_id)
+            known = self._pending_up.get(row.row_id)
             if known is None or known.rank < row.rank:
-                self._upwards[row.row_id] = row
+                self._pending_up[row.row_id] = row
         if self._client.is_live:
             return ()
         rows = tuple(row for row in rows if row.row_id.kind != RowKind.LIVENESS)
@@ -208,8 +209,10 @@
             outputs.append(ToPeers(siblings, Echo(rows, True)))
         return tuple(outputs)
 
-    def _number(self, rows: tuple[Row, ...], now: float) -> tuple[SpreadOutput, ...]:
-        news = []
+    def _assign_numbers(
+        self, rows: tuple[Row, ...], now: float
+    ) -> tuple[SpreadOutput, ...]:
+        newer = []
         for row in rows:
             known = self._store.get(row.row_id)
             if known is not None and known.rank >= row.rank:
@@ -217,18 +220,18 @@
             epoch, number = self._store.position
             self._store.position = Position(epoch, number + 1)
             self._store.put(NumberedRow(number + 1, row), now)
-            news.append(row)
-        return self._client.arrive(tuple(news))
+            newer.append(row)
+        return self._client.arrive(tuple(newer))
 
-    def _lead(self, term: int, now: float) -> tuple[SpreadOutput, ...]:
+    def _become_root(self, term: int, now: float) -> tuple[SpreadOutput, ...]:
         if term <= self._store.position.epoch:
             return ()
         self._is_root = True
         self._store.base = self._store.position
         self._store.position = Position(term, self._store.position.number)
-        rows = (*self._upwards.values(), *self._client.echoed)
-        self._upwards = {}
-        return self._number(rows, now)
+        rows = (*self._pending_up.values(), *self._client.echoed)
+        self._pending_up = {}
+        return self._assign_numbers(rows, now)
 
     def _tick(self, now: float) -> tuple[SpreadOutput, ...]:
         outputs: tuple[SpreadOutput, ...] = ()
@@ -237,7 +240,7 @@
         outputs += self._report_lost(now)
         is_beacon_due = now >= self._beacon_at
         if is_beacon_due or now >= self._flush_at:
-            self._flush_at = now + WINDOW_S
+            self._flush_at = now + FLUSH_INTERVAL_S
             outputs += (*self._flush_down(), *self._flush_up())
         if is_beacon_due:
             self._beacon_at = now + BEACON_S
@@ -246,7 +249,7 @@
                 outputs += (ToPeers(tuple(self._children), self._periodic_beacon()),)
         if self._is_root and now >= self._orphans_at:
             self._orphans_at = now + ORPHAN_CHECK_S
-            outputs += self._take_publish(self._orphans.find(now), now)
+            outputs += self._handle_publish(self._orphans.find(now), now)
         if self._is_root and now >= self._forget_at:
             self._forget_at = now + FORGET_CHECK_S
             self._store.forget(self._store.find_floor(now))
@@ -254,8 +257,8 @@
 
     def _report_lost(self, now: float) -> tuple[SpreadOutput, ...]:
         lost = self._children.remove_lost(now)
-        rows = tuple(create_lost_row(name, life) for name, life in lost)
-        return self._take_publish(rows, now) if rows else ()
+        rows = tuple(create_lost_row(name, attachment) for name, attachment in lost)
+        return self._handle_publish(rows, now) if rows else ()
 
     def _flush_down(self) -> tuple[SpreadOutput, ...]:
         flushed, held = self._flushed, self._store.position
@@ -269,7 +272,7 @@
         limit = max(1, FLUSH_BYTES // (ROW_BYTES * max(1, len(children))))
         if len(rows) > limit:
             rows = rows[:limit]
-            # An earlier root's rows that this one lacks have numbers ahead of it.
+            # Rows of an earlier root, which this one lacks, may have higher numbers.
             held = min(held, Position(held.epoch, rows[-1].number))
         self._flushed = held
         if not children:
@@ -278,9 +281,9 @@
         return (ToPeers(children, delta),)
 
     def _flush_up(self) -> tuple[SpreadOutput, ...]:
-        if not self._upwards or not self._client.is_attached:
+        if not self._pending_up or not self._client.is_attached:
             return ()
-        rows, self._upwards = tuple(self._upwards.values()), {}
+        rows, self._pending_up = tuple(self._pending_up.values()), {}
         return (ToPeers((self._client.parent,), Publish(rows)),)
 
     def _beacon(self) -> Beacon:
@@ -289,7 +292,7 @@
         return Beacon(held.position, held.base, held.digest, held.floor, pulse)
 
     def _periodic_beacon(self) -> Beacon:
-        """Return a beacon that names no position while rows wait to go down."""
+        """Return a beacon, without a position while rows wait to be flushed."""
         beacon = self._beacon()
         if self._flushed == beacon.position:
             return beacon
--- a/tests/unit/membership/test_spread.py
+++ b/tests/unit/membership/test_spread.py
@@ -1,4 +1,4 @@
-"""Check the tree against the times and bounds that it is built for."""
+"""Test the tree's replication times and traffic bounds under faults."""
 
 import pytest
 
@@ -89,7 +89,7 @@
         (_deafen_relay, IN_FORCE_S),
     ],
 )
-def test_row_is_in_force_everywhere_in_time(fault: object, limit_s: float) -> None:
+def test_row_reaches_all_daemons_in_time(fault: object, limit_s: float) -> None:
     fleet = _start()
     assert callable(fault)
     fault(fleet)
@@ -97,7 +97,7 @@
 
 
 @pytest.mark.parametrize("leader", ["replica-0", "replica-1"])
-def test_both_sides_of_a_cut_learn_of_their_own_changes(leader: str) -> None:
+def test_rows_replicate_within_each_side_of_a_partition(leader: str) -> None:
     fleet = _start()
     fleet.lead(leader)
     fleet.run(5.0)
@@ -114,32 +114,32 @@
 
 
 @pytest.mark.parametrize("hears", [True, False])
-def test_instance_that_one_side_does_not_hear_is_lost(hears: bool) -> None:
+def test_instance_with_a_one_way_link_is_lost(hears: bool) -> None:
     fleet = _start()
     others = [name for name in fleet.nodes if name != AUTHOR]
     fleet.cut_off(*((others, [AUTHOR]) if hears else ([AUTHOR], others)))
     fleet.run(12.0)
-    assert _last_word(fleet) == InstanceLost(AUTHOR)
+    assert _read_liveness(fleet) == InstanceLost(AUTHOR)
     fleet.mend()
     fleet.run(12.0)
-    assert _last_word(fleet) == InstanceFound(AUTHOR, 1)
+    assert _read_liveness(fleet) == InstanceFound(AUTHOR, 1)
 
 
-def _last_word(fleet: Fleet) -> object:
+def _read_liveness(fleet: Fleet) -> object:
     row = fleet.arrived["daemon-0007"][RowId(RowKind.LIVENESS, AUTHOR, "")]
-    (word,) = read_rows((row,))
-    return word
+    (liveness,) = read_rows((row,))
+    return liveness
 
 
-def test_daemon_lost_with_its_relay_is_found_out() -> None:
+def test_daemon_lost_with_its_relay_is_reported() -> None:
     fleet = _start()
     fleet.stop(fleet.nodes[AUTHOR].dump()["parent"])  # type: ignore[arg-type]
     fleet.stop(AUTHOR)
     fleet.run(30.0)
-    assert _last_word(fleet) == InstanceLost(AUTHOR)
+    assert _read_liveness(fleet) == InstanceLost(AUTHOR)
 
 
-def test_peers_serve_rows_while_control_is_away() -> None:
+def test_peers_serve_rows_while_control_is_down() -> None:
     fleet = _start()
     row = _create_row(1, RowKind.CONFIGURATION)
     assert _spread(fleet, row, IN_FORCE_S) is not None
@@ -153,8 +153,8 @@
     assert served_s is not None
 
 
-def test_snapshots_at_once_are_bounded() -> None:
-    gate = SnapshotGate(bytes_a_second=30_000.0)
+def test_concurrent_snapshots_are_bounded() -> None:
+    gate = SnapshotGate(bytes_per_second=30_000.0)
     admitted = sum(gate.admit(rows=1000, now=0.0) for _ in range(100))
     assert admitted == 3
     assert sum(gate.admit(rows=1000, now=10.0) for _ in range(100)) == 3
@@ -181,7 +181,7 @@
 
 
 @pytest.mark.parametrize("flush_bytes", [300, 3000])
-def test_deltas_at_a_restart_of_all_are_paced(
+def test_deltas_after_a_restart_of_the_fleet_are_paced(
     flush_bytes: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr(relay, "FLUSH_BYTES", flush_bytes)
--- a/tests/unit/membership/test_spread_codec.py
+++ b/tests/unit/membership/test_spread_codec.py
@@ -1,4 +1,4 @@
-"""Check that the tree's messages survive encoding and foreign bytes do not."""
+"""Test that the tree's messages round-trip and malformed bytes are refused."""
 
 import msgspec
 import pytest
@@ -43,7 +43,7 @@
         FetchSnapshot(),
     ],
 )
-def test_message_survives(message: PeerMessage) -> None:
+def test_message_round_trips(message: PeerMessage) -> None:
     assert codec.decode_message(codec.encode_message(message)) == message
 
 
@@ -58,7 +58,7 @@
         msgspec.msgpack.encode((1, 4, True, b"not compressed")),
     ],
 )
-def test_foreign_bytes_are_refused(payload: bytes) -> None:
+def test_malformed_bytes_are_refused(payload: bytes) -> None:
     with pytest.raises(CodecError):
         codec.decode_message(payload)
 
--- a/tests/unit/membership/test_spread_machine.py
+++ b/tests/unit/membership/test_spread_machine.py
@@ -1,4 +1,4 @@
-"""Search for faults after which the tree does not converge, or goes back."""
+"""Search for faults after which the tree does not converge or rows regress."""
 
 from hypothesis import settings
 from hypothesis import strategies
@@ -34,7 +34,7 @@
 
 
 class SpreadMachine(RuleBasedStateMachine):
-    """Drive a small fleet through partitions, losses and changes of the root."""
+    """Run a small fleet through partitions, message loss and root changes."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -164,7 +164,7 @@
 
 
 class PacedSpreadMachine(SpreadMachine):
-    """Let a window carry one row or two only."""
+    """Limit each flush to one or two rows."""
 
     def __init__(self) -> None:
         self.flush_bytes = relay.FLUSH_BYTES
