Rename one_an_address to unique_addresses

The parameter read like a slip; it says that at most one server is registered per host and port. Keyword of ServerRegistry only, nothing derives from it.

--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -40,17 +40,17 @@
     """Turn announcements, withdrawals and expired leases into events.
 
     ``epoch`` must increase at each start of the instance, so that its rows
-    replace those from before the restart. With ``one_an_address``,
+    replace those from before the restart. With ``unique_addresses``,
     incarnations are start times, and a server that started later replaces an
     earlier one at the same host and port.
     """
 
     def __init__(
-        self, instance_id: str, epoch: int = 0, *, one_an_address: bool = False
+        self, instance_id: str, epoch: int = 0, *, unique_addresses: bool = False
     ) -> None:
         self._instance_id = instance_id
         self._epoch = epoch
-        self._one_an_address = one_an_address
+        self._unique_addresses = unique_addresses
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
         self._drained: dict[str, int] = {}  # drained incarnation by server
@@ -102,7 +102,7 @@
         if self._is_outdated(message):
             return (self._accept(message),)
         faults = find_faults(message)
-        if self._one_an_address and not faults:
+        if self._unique_addresses and not faults:
             faults = self._find_address_faults(server)
         known = self._leases.get(server.server_id)
         if known is not None:
@@ -144,7 +144,7 @@
         return tuple(f"address: used by {each}, which started later" for each in later)
 
     def _replace_at_address(self, server: Server, now: float) -> list[RegistryOutput]:
-        if not self._one_an_address:
+        if not self._unique_addresses:
             return []
         return [
             self._end_lease(lease.server, Presence.WITHDRAWN, now)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -75,7 +75,7 @@
         self._replies: Replies[RegistryReply] = Replies(lambda reply: reply.server_id)
         self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
-            ServerRegistry(address, epoch, one_an_address=True),
+            ServerRegistry(address, epoch, unique_addresses=True),
             CallOutlet(self._release),
             HubClock(),
             Ticking(REGISTRY_TICK_S, RegistryTick()),
