--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -16,7 +16,7 @@
 from pimentobend_core._internal.health.limits import REPORT_IDLE_S
 from pimentobend_core._internal.health.limits import TICK_S as HEALTH_TICK_S
 from pimentobend_core._internal.health.ticks import TICKS_A_ROUND
-from pimentobend_core._internal.membership.registry import RENEWALS_A_LEASE
+from pimentobend_core._internal.membership.registry import RENEWALS_PER_LEASE
 from pimentobend_core._internal.membership.spread.relay import BEACON_S
 from pimentobendd._internal.evidence import WINDOW_S
 
@@ -49,7 +49,7 @@
     return Flow(
         "lease renewals of its servers",
         "pimentobend_core._internal.membership.registry",
-        SERVERS_PER_DAEMON * RENEWALS_A_LEASE / LEASE_S,
+        SERVERS_PER_DAEMON * RENEWALS_PER_LEASE / LEASE_S,
         costs.each("bytes-lease-renewal"),
         costs.renewal_cpu_s,
     )
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -22,7 +22,7 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 SERVERS_MAX = 256
-RENEWALS_A_LEASE = 3
+RENEWALS_PER_LEASE = 3
 PAUSE_S = 2.0  # a longer gap between calls means that this process was paused
 FORGET_S = 120.0  # longer than any lease, so that late messages are refused
 
@@ -124,7 +124,7 @@
     def _accept(self, message: Announcement) -> AnnouncementAccepted:
         lease_s = message.lease_s
         return AnnouncementAccepted(
-            message.server.server_id, lease_s, lease_s / RENEWALS_A_LEASE
+            message.server.server_id, lease_s, lease_s / RENEWALS_PER_LEASE
         )
 
     def _is_outdated(self, message: Announcement) -> bool:
