--- a/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
@@ -15,7 +15,7 @@
 from pimentobend_core._internal.configuration.follower_messages import Current
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
@@ -46,7 +46,7 @@
 def make_follower(routes: int) -> TablesFollower:
     """Return a follower that has tables in force."""
     follower = TablesFollower((_SOURCE,), 0.0)
-    whole = Whole(make_versioned(routes).whole())
+    whole = TablesSnapshot(make_versioned(routes).whole())
     follower.handle(SpreadReceived(_SOURCE, whole), _LATE_S)
     return follower
 
@@ -154,7 +154,7 @@
 
     def encode(self, size: int) -> bytes:
         """Return the encoded answer."""
-        return encode(Whole(make_versioned(size).whole()))
+        return encode(TablesSnapshot(make_versioned(size).whole()))
 
 
 class CatchUpCpuProbe(CpuProbe):
@@ -185,7 +185,7 @@
 
     def prepare(self, size: int) -> Callable[[], object]:
         """Return an operation that puts the tables in force in a new follower."""
-        received = SpreadReceived(_SOURCE, Whole(make_versioned(size).whole()))
+        received = SpreadReceived(_SOURCE, TablesSnapshot(make_versioned(size).whole()))
         return lambda: TablesFollower((_SOURCE,), 0.0).handle(received, _LATE_S)
 
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -16,8 +16,8 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadMessage
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import SpreadSent
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.follower_messages import VersionInForce
-from pimentobend_core._internal.configuration.follower_messages import Whole
 from pimentobend_core._internal.configuration.history import DeltaHistory
 from pimentobend_core._internal.configuration.messages import FIRST_VERSION
 from pimentobend_core._internal.configuration.messages import Version
@@ -117,7 +117,7 @@
                 return self._handle_current(sender, message, now)
             case Deltas():
                 return self._apply_deltas(sender, message.deltas, now)
-            case Whole():
+            case TablesSnapshot():
                 return self._apply_whole(message.tables)
 
     def _tick(self, now: float) -> tuple[FollowerOutput, ...]:
@@ -159,12 +159,12 @@
         if self._is_damaged or tables.version < request.version:
             return (SpreadSent(sender, Current(self._in_force, b"")),)
         if request.wants_whole:
-            return (SpreadSent(sender, Whole(tables.whole())),)
+            return (SpreadSent(sender, TablesSnapshot(tables.whole())),)
         if request.version == tables.version:
             return (SpreadSent(sender, Current(tables.version, tables.digest)),)
         deltas = self._history.since(request.version)
         if deltas is None:
-            return (SpreadSent(sender, Whole(tables.whole())),)
+            return (SpreadSent(sender, TablesSnapshot(tables.whole())),)
         return (SpreadSent(sender, Deltas(deltas)),)
 
     def _handle_current(
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -24,7 +24,7 @@
     deltas: tuple[VersionedDelta, ...]
 
 
-class Whole(NamedTuple):
+class TablesSnapshot(NamedTuple):
     """Carry all rows of the sender's version."""
 
     tables: WholeTables
@@ -41,7 +41,7 @@
     digest: bytes
 
 
-SpreadMessage = CatchUp | Deltas | Whole | Current
+SpreadMessage = CatchUp | Deltas | TablesSnapshot | Current
 
 
 class SpreadReceived(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -14,7 +14,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
@@ -143,7 +143,9 @@
                 message = Deltas(output.deltas)
                 self._spread(SpreadReceived(self._address, message))
             case TablesReplaced():
-                self._spread(SpreadReceived(self._address, Whole(output.whole)))
+                self._spread(
+                    SpreadReceived(self._address, TablesSnapshot(output.whole))
+                )
             case TablesRead():
                 pass  # the operators' interface here reads the tables in force
             case _:
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -21,7 +21,7 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadMessage
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import SpreadSent
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.messages import WholeTables
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.models.tables import Tables
@@ -30,7 +30,7 @@
 KIND_TYPES: dict[str, type[SpreadMessage]] = {
     "tables.catch-up": CatchUp,
     "tables.deltas": Deltas,
-    "tables.whole": Whole,
+    "tables.whole": TablesSnapshot,
     "tables.current": Current,
 }
 _NAMES = {kind: name for name, kind in KIND_TYPES.items()}
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -20,7 +20,7 @@
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
@@ -192,7 +192,7 @@
                 message = Deltas(output.deltas)
                 self._spread(SpreadReceived(self._link.address, message))
             case TablesReplaced():
-                whole = Whole(output.whole)
+                whole = TablesSnapshot(output.whole)
                 self._spread(SpreadReceived(self._link.address, whole))
             case _:
                 self._replica.put(output)
--- a/tests/unit/configuration/test_follower.py
+++ b/tests/unit/configuration/test_follower.py
@@ -15,7 +15,7 @@
 from pimentobend_core._internal.configuration.follower_messages import Current
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.messages import Version
 
 SOURCES = {
@@ -83,9 +83,9 @@
     tree.accept(make_route(7))
     new = tree.followers[ROOT].tables.whole()
     tree.restart("leaf-1")
-    tree.handle("leaf-1", SpreadReceived("relay-1", Whole(old)))
+    tree.handle("leaf-1", SpreadReceived("relay-1", TablesSnapshot(old)))
     assert tree.followers["leaf-1"].in_force == Version(0, 0)
-    tree.handle("leaf-1", SpreadReceived("relay-2", Whole(new)))
+    tree.handle("leaf-1", SpreadReceived("relay-2", TablesSnapshot(new)))
     tree.handle("leaf-1", SpreadReceived("leaf-2", Current(old.version, old.digest)))
     assert tree.followers["leaf-1"].in_force == new.version
 
@@ -97,7 +97,7 @@
     tree.accept(make_route(7))
     tree.run(5.0)
     before = tree.followers["leaf-1"].in_force
-    message = Whole(old) if sent == "whole" else Deltas(())
+    message = TablesSnapshot(old) if sent == "whole" else Deltas(())
     tree.handle("leaf-1", SpreadReceived("relay-1", message))
     assert tree.followers["leaf-1"].in_force == before
 
