Reword the forwarding adapters in plain terms

A reader stumbled over "fate", "cell", "beside", "asked for" and fragments such as "in which a lost answer is asked for again". Docstrings and comments now say what happens, and local names use the usual terms: AttemptResult values are called result, cached bids cached, a connection's end a disposition.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/__init__.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Carry requests between the daemons at their origin and beside their server."""
+"""Forward requests between the caller's daemon and the server's daemon."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -1,4 +1,4 @@
-"""Hold answers so that they can be given more than once."""
+"""Buffer small answers for repeated delivery and stream large ones."""
 
 from collections.abc import Iterator
 from http.client import HTTPException
@@ -13,11 +13,11 @@
 from pimentobend_core._internal.ports import AnswerBody
 from pimentobend_core._internal.ports import AttemptResult
 
-BUFFER_BYTES = 256 * 1024  # larger answers are passed on as they come
+BUFFER_BYTES = 256 * 1024  # larger answers are streamed
 
 
 class BufferedAnswer(AnswerBody):
-    """Hold a whole answer."""
+    """Answer whose body is in memory and can be read more than once."""
 
     def __init__(self, content: bytes) -> None:
         self._content = content
@@ -33,11 +33,11 @@
             yield self._content
 
     def close(self) -> None:
-        """Do nothing, as the content is held."""
+        """Do nothing; no connection is in use."""
 
 
 class StreamedAnswer(AnswerBody):
-    """Pass a large answer on; ``start`` was read already."""
+    """Stream a large answer; ``start`` holds the bytes already read."""
 
     def __init__(self, start: bytes, response: Any, connection: Any) -> None:
         self._start = start
@@ -45,14 +45,15 @@
         self._connection = connection
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the pieces; raise AnswerTruncatedError on an early end."""
+        """Yield the body in chunks; raise AnswerTruncatedError if it is incomplete."""
         yield self._start
         try:
-            while piece := self._response.read(CHUNK_BYTES):
-                yield piece
+            while chunk := self._response.read(CHUNK_BYTES):
+                yield chunk
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             raise AnswerTruncatedError(
-                "the answer broke off", context=type(error).__name__
+                "the answer was truncated",
+                context=type(error).__name__,
             ) from error
         finally:
             self.close()
@@ -63,19 +64,19 @@
 
 
 def read_answer(response: Any, connection: Any) -> tuple[AnswerBody, bool]:
-    """Return an answer's body and whether it was read to its end.
+    """Return an answer's body and whether it was read completely.
 
-    Raises ``HTTPError`` or ``OSError`` where it breaks off.
+    Raises ``HTTPError`` or ``OSError`` if reading fails.
     """
-    pieces: list[bytes] = []
+    chunks: list[bytes] = []
     size = 0
     while size < BUFFER_BYTES:
-        piece = response.read(CHUNK_BYTES)
-        if not piece:
-            return BufferedAnswer(b"".join(pieces)), True
-        pieces.append(piece)
-        size += len(piece)
-    return StreamedAnswer(b"".join(pieces), response, connection), False
+        chunk = response.read(CHUNK_BYTES)
+        if not chunk:
+            return BufferedAnswer(b"".join(chunks)), True
+        chunks.append(chunk)
+        size += len(chunk)
+    return StreamedAnswer(b"".join(chunks), response, connection), False
 
 
 def make_attempted(
@@ -85,5 +86,5 @@
     headers: Headers = (),
     body: AnswerBody | None = None,
 ) -> AttemptResult:
-    """Return the end of an attempt."""
+    """Return an attempt result without reuse and load information."""
     return AttemptResult(kind, status, headers, body, latency_s, False, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -1,4 +1,4 @@
-"""Ask the daemons beside the servers what they offer."""
+"""Collect bids from the daemons that run next to backend servers."""
 
 import itertools
 import random
@@ -24,45 +24,45 @@
 
 KIND_ASK = "ask"
 KIND_BIDS = "bids"
-FRESH_S = {  # in which a bid is used again by other requests
+FRESH_S = {  # how long a bid is reused for other requests
     Distance.DATA_CENTRE: 0.03,
     Distance.REGION: 0.03,
-    Distance.FAR: 0.3,  # bytes between regions are billed
+    Distance.FAR: 0.3,  # longer, as traffic between regions is billed
 }
-ASK_LIMITS = {  # daemons asked at once
+ASK_LIMITS = {  # maximum number of daemons asked at once
     Distance.DATA_CENTRE: 6,
     Distance.REGION: 4,
     Distance.FAR: 2,
 }
-UNREACHABLE_AFTER = 2  # questions without an answer
+UNREACHABLE_AFTER = 2  # unanswered questions in a row
 TIMEOUTS_S = {
-    Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon longer
+    Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon is slower
     Distance.REGION: 0.08,
     Distance.FAR: 0.2,  # a round trip takes 60 ms
 }
 
 
-class _Known(NamedTuple):
+class _CachedBids(NamedTuple):
     bids: Bids
     received_at: float
 
 
 class _Round:
-    """Hold the questions of one round that have no answer yet."""
+    """Track which daemons have not yet answered one round of questions."""
 
     def __init__(self, addresses: set[str]) -> None:
         self.waiting = addresses
         self.event: Any = eventlet.event.Event()
 
     def answered(self, address: str) -> None:
-        """Take an answer; the last one ends the round."""
+        """Record a daemon's answer; the last one wakes the waiting request."""
         self.waiting.discard(address)
         if not self.waiting and not self.event.ready():
             self.event.send(None)
 
 
 class OfferBoard:
-    """Own the newest bids by daemon, service and route."""
+    """Ask daemons for bids and cache the latest by daemon, service and route."""
 
     def __init__(
         self,
@@ -79,17 +79,17 @@
         self._on_unreachable = on_unreachable
         self._peers: tuple[PeerRow, ...] = ()
         self._unreachable: set[str] = set()
-        self._known: dict[tuple[str, str, str], _Known] = {}
+        self._cached: dict[tuple[str, str, str], _CachedBids] = {}
         self._tokens = itertools.count(1)
         self._rounds: dict[int, tuple[_Round, str, Ask]] = {}
         self._unanswered: dict[str, int] = {}
 
     def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
-        """Take the list of daemons."""
+        """Replace the list of known daemons."""
         self._peers = peers
 
     def follow_reachability(self, address: str, *, is_reachable: bool) -> None:
-        """Take whether a daemon answers."""
+        """Record whether a daemon can be reached."""
         if is_reachable:
             self._unreachable.discard(address)
             self._unanswered.pop(address, None)
@@ -99,7 +99,7 @@
     def ask(
         self, service: str, route: str, distance: Distance
     ) -> tuple[Candidate, ...]:
-        """Return the servers of a service up to a distance, freshly asked."""
+        """Return a service's servers within a distance, asking where bids are stale."""
         own = self._own()
         rows = [
             row
@@ -108,7 +108,7 @@
         ]
         now = self._clock.now()
         stale = [row for row in rows if self._is_stale(own, row, service, route, now)]
-        self._ask_all(_choose(own, stale), service, route, distance)
+        self._ask_all(_sample(own, stale), service, route, distance)
         now = self._clock.now()
         return tuple(
             candidate
@@ -118,34 +118,36 @@
 
     def bid_age_s(self, candidate: Candidate, service: str, route: str) -> float:
         """Return how old a candidate's bid is, in seconds."""
-        known = self._known.get((candidate.peer.address, service, route))
-        return self._clock.now() - known.received_at if known else 0.0
+        cached = self._cached.get((candidate.peer.address, service, route))
+        return self._clock.now() - cached.received_at if cached else 0.0
 
     def take_ask(self, frame: Frame) -> None:
-        """Answer another daemon; raise ``CodecError`` for other bytes."""
+        """Answer another daemon's question; raise ``CodecError`` if it is malformed."""
         ask = decode(frame.payload, Ask)
         eventlet.spawn_n(self._answer, frame.sender, ask)
 
     def take_bids(self, frame: Frame) -> None:
-        """Take another daemon's answer; raise ``CodecError`` for other bytes."""
-        self._take(frame.sender, decode(frame.payload, Bids))
+        """Store another daemon's bids; raise ``CodecError`` if they are malformed."""
+        self._store(frame.sender, decode(frame.payload, Bids))
 
     def _may_serve(self, row: PeerRow, service: str) -> bool:
         if row.is_leaving or row.address in self._unreachable:
             return False
-        return any(each.service == service and each.is_ready for each in row.servers)
+        return any(
+            server.service == service and server.is_ready for server in row.servers
+        )
 
     def _is_stale(
         self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
     ) -> bool:
-        known = self._known.get((row.address, service, route))
+        cached = self._cached.get((row.address, service, route))
         limit_s = FRESH_S[find_distance(own, row)]
-        return known is None or now - known.received_at > limit_s
+        return cached is None or now - cached.received_at > limit_s
 
     def _ask_all(
         self, rows: list[PeerRow], service: str, route: str, distance: Distance
     ) -> None:
-        """Ask daemons at once and wait until all answered or the time is up."""
+        """Ask several daemons at once; wait for all answers or the timeout."""
         if not rows:
             return
         pending = _Round({row.address for row in rows})
@@ -164,9 +166,9 @@
         for token in tokens:
             self._rounds.pop(token, None)
         for address in pending.waiting:
-            self._miss(address)
+            self._count_miss(address)
 
-    def _miss(self, address: str) -> None:
+    def _count_miss(self, address: str) -> None:
         misses = self._unanswered.get(address, 0) + 1
         self._unanswered[address] = misses
         if misses >= UNREACHABLE_AFTER:
@@ -175,16 +177,16 @@
     def _ask_self(self, ask: Ask) -> None:
         bids = self._host.ask(ask)
         if bids is not None:
-            self._take(self._link.address, bids)
+            self._store(self._link.address, bids)
 
     def _answer(self, sender: str, ask: Ask) -> None:
-        # tokens of several daemons may be alike
+        # A new token is needed: daemons choose theirs independently.
         bids = self._host.ask(ask._replace(token=next(self._tokens)))
         if bids is not None:
             reply = bids._replace(token=ask.token)
             self._link.send(sender, KIND_BIDS, encode(reply))
 
-    def _take(self, sender: str, bids: Bids) -> None:
+    def _store(self, sender: str, bids: Bids) -> None:
         self._unanswered.pop(sender, None)
         found = self._rounds.get(bids.token)
         if found is None:
@@ -193,28 +195,28 @@
         if address != sender:
             return
         key = (sender, ask.service, ask.route)
-        self._known[key] = _Known(bids, self._clock.now())
+        self._cached[key] = _CachedBids(bids, self._clock.now())
         pending.answered(sender)
 
     def _candidates(
         self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
     ) -> list[Candidate]:
         key = (row.address, service, route)
-        known = self._known.get(key)
-        if known is None:
+        cached = self._cached.get(key)
+        if cached is None:
             return []
         distance = find_distance(own, row)
-        if now - known.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
-            del self._known[key]
+        if now - cached.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
+            del self._cached[key]
             return []
-        peer = row._replace(process_id=known.bids.process_id)
-        return [Candidate(peer, bid, distance) for bid in known.bids.bids]
+        peer = row._replace(process_id=cached.bids.process_id)
+        return [Candidate(peer, bid, distance) for bid in cached.bids.bids]
 
 
-def _choose(own: PeerRow, rows: list[PeerRow]) -> list[PeerRow]:
-    """Draw the daemons to ask, so many at each distance."""
+def _sample(own: PeerRow, rows: list[PeerRow]) -> list[PeerRow]:
+    """Pick daemons to ask at random, up to the limit for each distance."""
     chosen: list[PeerRow] = []
     for distance, limit in ASK_LIMITS.items():
-        there = [row for row in rows if find_distance(own, row) is distance]
-        chosen.extend(random.sample(there, min(limit, len(there))))
+        candidates = [row for row in rows if find_distance(own, row) is distance]
+        chosen.extend(random.sample(candidates, min(limit, len(candidates))))
     return chosen
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -1,4 +1,4 @@
-"""Call a backend server on this machine."""
+"""Send requests to the backend servers on this machine."""
 
 import enum
 import select
@@ -28,30 +28,32 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
-KEPT_CONNECTIONS = 8  # a server
-IDLE_S = 3.0  # shorter than the idle timeouts of usual servers
-UNSAFE_IDLE_S = 1.0  # a shorter idle time leaves less chance of a silent connection
+KEPT_CONNECTIONS = 8  # maximum number of idle connections per server
+IDLE_S = 3.0  # shorter than common keep-alive timeouts of servers
+# Requests that must not be repeated reuse only recently used connections, which
+# are less likely to be dead without notice.
+UNSAFE_IDLE_S = 1.0
 MS_PER_S = 1000
-LEAST_MS = 1
+MIN_REMAINING_MS = 1
 SUCCESS = range(200, 300)
 MISDIRECTED = 421
 
 
-class _Fate(enum.Enum):
-    """Name what becomes of a connection after a call."""
+class _Disposition(enum.Enum):
+    """What happens to a connection after a call."""
 
     KEPT = "kept"
     CLOSED = "closed"
-    PASSED_ON = "passed-on"  # the answer's reader closes it
+    PASSED_ON = "passed-on"  # whoever reads the answer closes it
 
 
 class _Idle(NamedTuple):
     connection: Any
-    since: float
+    since: float  # seconds of the clock
 
 
 class ServerCalls:
-    """Own the connections to the backend servers beside this daemon."""
+    """Call the backend servers next to this daemon over kept-alive connections."""
 
     def __init__(
         self, names: HeaderNames, clock: ClockPort, on_connect: Callable[[], None]
@@ -64,14 +66,16 @@
     def call(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> AttemptResult:
-        """Run one attempt; a killed caller closes the connection."""
+        """Run one attempt; killing the calling greenlet closes the connection."""
         started = self._clock.now()
         connection = None
-        fate = _Fate.CLOSED
+        disposition = _Disposition.CLOSED
         try:
             connection = self._connect(server, is_repeatable)
-            attempted, fate = self._exchange(connection, server, head, body, started)
-            return attempted
+            result, disposition = self._exchange(
+                connection, server, head, body, started
+            )
+            return result
         except NewConnectionError:
             return self._failed(AttemptKind.NOT_CONNECTED, started)
         except BodyBrokenError:
@@ -80,10 +84,10 @@
             return self._failed(_kind_of(error, connection), started)
         finally:
             if connection is not None:
-                self._release(server, connection, fate)
+                self._release(server, connection, disposition)
 
     def forget(self, server_id: str) -> None:
-        """Close the kept connections of a server that left."""
+        """Close the idle connections of a server that left."""
         for idle in self._idle.pop(server_id, []):
             idle.connection.close()
 
@@ -101,7 +105,8 @@
         )
         self._on_connect()
         connection.connect()
-        connection.timeout = None  # the library sets it again for each request
+        # urllib3 sets this timeout on the socket again before each request.
+        connection.timeout = None
         return connection
 
     def _exchange(
@@ -111,17 +116,19 @@
         head: RequestHead,
         body: Body,
         started: float,
-    ) -> tuple[AttemptResult, _Fate]:
-        response = send_request(connection, head, body, self._own(server, head))
+    ) -> tuple[AttemptResult, _Disposition]:
+        response = send_request(
+            connection, head, body, self._daemon_headers(server, head)
+        )
         headers = tuple(response.headers.items())
         if not self._is_answer(response.status, headers, head):
-            return self._failed(AttemptKind.TRUNCATED, started), _Fate.CLOSED
+            return self._failed(AttemptKind.TRUNCATED, started), _Disposition.CLOSED
         content, is_whole = read_answer(response, connection)
         will_close = _will_close(headers, response)
         kind = AttemptKind.ANSWERED
         if self._is_refusal(response.status, headers):
             kind = AttemptKind.REFUSED
-        attempted = make_attempted(
+        result = make_attempted(
             kind,
             self._clock.now() - started,
             response.status,
@@ -129,11 +136,11 @@
             content,
         )
         if not is_whole:
-            return attempted, _Fate.PASSED_ON
-        return attempted, _Fate.CLOSED if will_close else _Fate.KEPT
+            return result, _Disposition.PASSED_ON
+        return result, _Disposition.CLOSED if will_close else _Disposition.KEPT
 
     def _is_answer(self, status: int, headers: Headers, head: RequestHead) -> bool:
-        """Say whether an answer is the server's own and to this request."""
+        """Check that the expected server sent the answer, and for this request."""
         names = self._names
         echoed = find_header(headers, names.request_id)
         if echoed is not None and echoed != head.request_id:
@@ -149,29 +156,31 @@
             return True
         return bool(names.expected_server) and status == MISDIRECTED
 
-    def _own(self, server: Server, head: RequestHead) -> dict[str, str]:
-        """Return the headers that the server is told by this daemon."""
+    def _daemon_headers(self, server: Server, head: RequestHead) -> dict[str, str]:
+        """Return the request headers that this daemon sets itself."""
         names = self._names
-        own = {
+        headers = {
             names.request_id: head.request_id,
             names.deadline_ms: str(self._remaining_ms(head)),
         }
         if names.expected_server:
-            own[names.expected_server] = server.server_id
-        return own
+            headers[names.expected_server] = server.server_id
+        return headers
 
     def _remaining_ms(self, head: RequestHead) -> int:
         remaining_s = head.deadline - self._clock.now()
-        return max(LEAST_MS, int(remaining_s * MS_PER_S))
+        return max(MIN_REMAINING_MS, int(remaining_s * MS_PER_S))
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
         return make_attempted(kind, self._clock.now() - started)
 
-    def _release(self, server: Server, connection: Any, fate: _Fate) -> None:
-        if fate is _Fate.PASSED_ON:
+    def _release(
+        self, server: Server, connection: Any, disposition: _Disposition
+    ) -> None:
+        if disposition is _Disposition.PASSED_ON:
             return
         kept = self._idle.setdefault(server.server_id, [])
-        if fate is _Fate.KEPT and len(kept) < KEPT_CONNECTIONS:
+        if disposition is _Disposition.KEPT and len(kept) < KEPT_CONNECTIONS:
             kept.append(_Idle(connection, self._clock.now()))
         else:
             connection.close()
@@ -192,7 +201,7 @@
 
 
 def _is_readable(connection: Any) -> bool:
-    """Say whether bytes or an end wait on a connection that should be quiet."""
+    """Return whether an idle connection was closed or has unexpected input."""
     descriptor = connection.sock.fileno()
     if descriptor < 0:
         return True
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -1,4 +1,4 @@
-"""Run the delivery of each request between its caller and the daemons."""
+"""Deliver requests: ask for bids, send attempts and return the answer."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -59,7 +59,7 @@
 
 
 class DeliveryPorts(NamedTuple):
-    """Hold what the deliveries of a process share."""
+    """Collaborators and settings shared by all deliveries of a process."""
 
     process_id: int
     board: OfferBoard
@@ -69,7 +69,7 @@
     clock: ClockPort
     events: Outlet[ForwardingEvent]
     tables_version: Callable[[], str]
-    numbers: Iterator[int]  # of attempts, each once in a process' life
+    numbers: Iterator[int]  # of attempts, unique within the process
 
 
 class DeliveryFilter(Filter[Routed, Finished]):
@@ -80,7 +80,7 @@
         self._tasks: set[_DeliveryTask] = set()
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
-        """Return the answer, or a refusal that is true of all attempts."""
+        """Return the answer, or a refusal that accounts for all attempts."""
         task = _DeliveryTask(self._ports, value)
         self._tasks.add(task)
         try:
@@ -89,23 +89,23 @@
             self._tasks.discard(task)
 
     def end_waiting(self) -> None:
-        """End all requests that have not reached a server."""
+        """Tell every delivery to end if its request has not reached a server."""
         for task in tuple(self._tasks):
             task.put(EndWaiting())
 
 
 class _DeliveryTask:
-    """Own one delivery, its inbox and its attempts."""
+    """Run one delivery with its inbox, timer and attempts."""
 
     def __init__(self, ports: DeliveryPorts, value: Routed) -> None:
         self._ports = ports
         self._value = value
         self._inbox: Any = eventlet.queue.LightQueue()
         self._wake_at = value.head.deadline
-        self._attempts: dict[int, Any] = {}  # greenlets
+        self._attempts: dict[int, Any] = {}  # greenlets by attempt number
         self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
         self._results: dict[int, AttemptResult] = {}
-        self._ends: dict[int, str] = {}
+        self._kinds: dict[int, str] = {}
         self._delivery = Delivery(
             value.head.request_id,
             value.route,
@@ -127,19 +127,19 @@
         outputs = self._delivery.begin(now())
         while True:
             for output in outputs:
-                ended = self._follow(output)
+                ended = self._execute(output)
                 if ended is not None:
-                    self._sum_up(ended)
+                    self._report_failure(ended)
                     return ended
-            outputs = self._delivery.handle(self._next(), now())
+            outputs = self._delivery.handle(self._receive(), now())
 
-    def _sum_up(self, ended: Result[Finished, Refusal]) -> None:
-        """Report the attempts of a request that failed."""
+    def _report_failure(self, ended: Result[Finished, Refusal]) -> None:
+        """Emit an event that lists the attempts if the request failed."""
         if ended.map(lambda each: each.attempted.status < SERVER_ERROR).value_or(False):
             return
         value = self._value
         attempts = tuple(
-            f"{attempt_id}@{candidate.server_id}:{self._ends.get(number, 'running')}"
+            f"{attempt_id}@{candidate.server_id}:{self._kinds.get(number, 'running')}"
             for number, (attempt_id, candidate) in self._attempt_ids.items()
         )
         self._ports.events.put(
@@ -152,7 +152,7 @@
             )
         )
 
-    def _next(self) -> DeliveryInput:
+    def _receive(self) -> DeliveryInput:
         wait_s = max(0.0, self._wake_at - self._ports.clock.now())
         try:
             message: DeliveryInput = self._inbox.get(timeout=wait_s)
@@ -160,7 +160,7 @@
             return TimerDue()
         return message
 
-    def _follow(self, output: DeliveryOutput) -> Result[Finished, Refusal] | None:
+    def _execute(self, output: DeliveryOutput) -> Result[Finished, Refusal] | None:
         match output:
             case WakeAt():
                 self._wake_at = output.due
@@ -177,22 +177,22 @@
                 event = DeliveryHeld(request_id, self._value.pool, output)
                 self._ports.events.put(event)
             case Deliver():
-                attempted = self._results.pop(output.number)
-                self._close_others()
+                result = self._results.pop(output.number)
+                self._close_unused()
                 _, candidate = self._attempt_ids[output.number]
                 return Success(
                     Finished(
-                        attempted,
+                        result,
                         Ran.RAN,
                         candidate.server_id,
                         len(self._attempt_ids),
                     )
                 )
             case Refuse():
-                self._close_others()
+                self._close_unused()
                 return Failure(output.refusal)
             case Stop():
-                self._close_others()
+                self._close_unused()
                 return Failure(CALLER_LEFT)
         return None
 
@@ -235,16 +235,14 @@
     ) -> None:
         ports = self._ports
         if candidate.peer.process_id == ports.process_id:
-            attempted = ports.host.run(attempt)
+            result = ports.host.run(attempt)
         else:
-            attempted = ports.peers.run(candidate.peer, attempt)
-        self._results[number] = attempted
-        self._ends[number] = attempted.kind.value
+            result = ports.peers.run(candidate.peer, attempt)
+        self._results[number] = result
+        self._kinds[number] = result.kind.value
         request_id = attempt.head.request_id
-        ports.events.put(
-            AttemptJudged(request_id, attempt.submit.attempt_id, attempted)
-        )
-        self._inbox.put(AttemptDone(number, attempted.kind, attempted.status))
+        ports.events.put(AttemptJudged(request_id, attempt.submit.attempt_id, result))
+        self._inbox.put(AttemptDone(number, result.kind, result.status))
 
     def _cancel(self, number: int) -> None:
         greenlet = self._attempts.pop(number, None)
@@ -263,9 +261,9 @@
         else:
             self._ports.peers.withdraw(candidate.peer, attempt_id, only_queued=True)
 
-    def _close_others(self) -> None:
-        """Close the answers that are not given to the caller."""
-        for attempted in self._results.values():
-            if attempted.body is not None:
-                attempted.body.close()
+    def _close_unused(self) -> None:
+        """Close the answers that are not returned to the caller."""
+        for result in self._results.values():
+            if result.body is not None:
+                result.body.close()
         self._results.clear()
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -1,4 +1,4 @@
-"""Encode what two daemons tell each other about an attempt."""
+"""Encode the headers in which daemons describe attempts to each other."""
 
 from typing import NamedTuple
 
@@ -14,11 +14,11 @@
 
 
 class HopError(AdapterError):
-    """Report a header between daemons that cannot be read."""
+    """A header from another daemon cannot be decoded."""
 
 
 class HopSubmit(NamedTuple):
-    """Describe an attempt to the daemon beside its server."""
+    """Attempt, as described to the daemon next to its server."""
 
     attempt_id: str
     server_id: str
@@ -27,33 +27,37 @@
     is_repeatable: bool
     target_ms: int
     remaining_ms: int  # until the deadline
-    process_id: int  # of the daemon that is meant
+    process_id: int  # of the daemon that the attempt is meant for
     is_repeat: bool  # an earlier attempt of the request may have reached a server
 
 
 class HopResult(NamedTuple):
-    """Describe the end of an attempt to its origin."""
+    """Outcome of an attempt, as reported to the daemon that sent it."""
 
     kind: AttemptKind
     reason: str
 
 
 def encode_hop(value: HopSubmit | HopResult) -> str:
-    """Return the value of a header."""
+    """Return the header value."""
     return _ENCODER.encode(value).decode()
 
 
 def decode_submit(value: str) -> HopSubmit:
-    """Read a header; raise ``HopError``."""
+    """Decode a header value; raise ``HopError`` if it is malformed."""
     try:
         return msgspec.json.decode(value, type=HopSubmit)
     except msgspec.MsgspecError as error:
-        raise HopError("a hop's request does not decode", context=value[:80]) from error
+        raise HopError(
+            f"malformed {SUBMIT_HEADER} header", context=value[:80]
+        ) from error
 
 
 def decode_result(value: str) -> HopResult:
-    """Read a header; raise ``HopError``."""
+    """Decode a header value; raise ``HopError`` if it is malformed."""
     try:
         return msgspec.json.decode(value, type=HopResult)
     except msgspec.MsgspecError as error:
-        raise HopError("a hop's result does not decode", context=value[:80]) from error
+        raise HopError(
+            f"malformed {RESULT_HEADER} header", context=value[:80]
+        ) from error
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -1,4 +1,4 @@
-"""Run the attempts for the backend servers beside this daemon."""
+"""Run the attempts for the backend servers next to this daemon."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -46,8 +46,8 @@
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 TICK_S = 0.1
-ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process stands still
-ANSWER_KEEP_S = 10.0  # in which a lost answer is asked for again
+ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process is stalled
+ANSWER_KEEP_S = 10.0  # how long a lost answer can be requested again
 SERVER_ERROR = 500
 
 _END_KINDS = {
@@ -58,15 +58,15 @@
 
 
 class LocalAttempt(NamedTuple):
-    """Hold what an attempt needs at its server."""
+    """An attempt with the request head and body to send to its server."""
 
     submit: Submit
     head: RequestHead
     body: Body
 
 
-class _Cell:
-    """Hold an attempt and, once it ended, its result."""
+class _AttemptRecord:
+    """An attempt, the callers that wait for it and, once it ended, its result."""
 
     def __init__(self, attempt: LocalAttempt) -> None:
         self.attempt = attempt
@@ -77,7 +77,7 @@
 
 
 class HostTasks:
-    """Own the host's task, the calls to its servers and their results."""
+    """Run attempts on local servers and keep their results for repeated requests."""
 
     def __init__(
         self,
@@ -90,12 +90,12 @@
         self._calls = calls
         self._clock = clock
         self._events = events
-        self._cells: dict[str, _Cell] = {}
+        self._cells: dict[str, _AttemptRecord] = {}
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
             ServerHost(process_id, terms),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(TICK_S, HostTick()),
         )
@@ -103,7 +103,7 @@
     @property
     def running(self) -> int:
         """Return the number of attempts without a result."""
-        return sum(1 for cell in self._cells.values() if cell.ended_at is None)
+        return sum(1 for record in self._cells.values() if record.ended_at is None)
 
     def start(self) -> None:
         """Start the task."""
@@ -111,11 +111,11 @@
         eventlet.spawn_n(self._expire)
 
     def stop_taking(self) -> None:
-        """Decline all further work."""
+        """Decline all further attempts."""
         self._task.put(StopTaking())
 
     def follow_sizes(self, sizes: ServiceSizes) -> None:
-        """Take the number of servers of each service."""
+        """Update the number of servers of each service."""
         self._task.put(sizes)
 
     def dump(self) -> Mapping[str, object]:
@@ -123,117 +123,117 @@
         return {**self._task.dump(), "cells": len(self._cells)}
 
     def list_server(self, server: Server) -> None:
-        """Take a server, or a change of its state."""
+        """Add a server, or update its state."""
         self._task.put(ServerListed(server))
 
     def unlist_server(self, server_id: str) -> None:
-        """Forget a server that left."""
+        """Remove a server that left and close its connections."""
         self._task.put(ServerUnlisted(server_id))
         self._calls.forget(server_id)
 
     def ask(self, ask: Ask) -> Bids | None:
-        """Return what the servers offer; None when the task does not answer."""
+        """Return the bids of the local servers; None if the task does not answer."""
         return self._bids.ask(ask.token, lambda: self._task.put(ask), ASK_TIMEOUT_S)
 
     def run(self, attempt: LocalAttempt) -> AttemptResult:
-        """Run an attempt once, however often it is asked for; wait for its end."""
+        """Wait for an attempt's result; repeated calls join the first one."""
         attempt_id = attempt.submit.attempt_id
-        cell = self._cells.get(attempt_id)
-        if cell is None:
-            cell = self._cells[attempt_id] = _Cell(attempt)
+        record = self._cells.get(attempt_id)
+        if record is None:
+            record = self._cells[attempt_id] = _AttemptRecord(attempt)
             self._task.put(attempt.submit)
-        cell.waiters += 1
+        record.waiters += 1
         try:
-            result: AttemptResult = cell.result.wait()
+            result: AttemptResult = record.result.wait()
             return result
         finally:
-            cell.waiters -= 1
+            record.waiters -= 1
 
     def has_waiters(self, attempt_id: str) -> bool:
-        """Say whether anyone waits for the end of an attempt."""
-        cell = self._cells.get(attempt_id)
-        return cell is not None and cell.waiters > 0
+        """Return whether any caller waits for the end of an attempt."""
+        record = self._cells.get(attempt_id)
+        return record is not None and record.waiters > 0
 
     def take_withdraw(self, frame: Frame) -> None:
-        """Take another daemon's withdrawal; raise ``CodecError``."""
+        """Handle another daemon's withdrawal; raise ``CodecError`` if malformed."""
         self._task.put(decode(frame.payload, Withdraw))
 
     def withdraw(self, attempt_id: str, *, only_queued: bool = False) -> None:
-        """Take back an attempt that its origin no longer waits for."""
+        """Withdraw an attempt whose origin no longer waits for it."""
         self._task.put(Withdraw(attempt_id, only_queued))
 
-    def _release(self, output: HostOutput) -> None:
+    def _handle_output(self, output: HostOutput) -> None:
         match output:
             case Bids():
                 self._bids.put(output)
             case StartCall():
-                cell = self._cells[output.attempt_id]
-                cell.greenlet = eventlet.spawn(self._call, cell, output.server)
+                record = self._cells[output.attempt_id]
+                record.greenlet = eventlet.spawn(self._call, record, output.server)
             case Declined():
                 self._events.put(HostDecided("declined", output.attempt_id, output))
                 declined = make_attempted(AttemptKind.DECLINED, 0.0)
                 declined = declined._replace(headers=(("reason", output.reason.value),))
                 self._finish(output.attempt_id, declined)
             case CancelCall():
-                cell = self._cells[output.attempt_id]
-                if cell.greenlet is not None:
-                    cell.greenlet.kill()
+                record = self._cells[output.attempt_id]
+                if record.greenlet is not None:
+                    record.greenlet.kill()
             case Joined():
-                # its result was forgotten, so all that is known is that it came
+                # The result was dropped; all that is known is that the attempt came.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempted(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
 
-    def _call(self, cell: _Cell, server: Server) -> None:
-        """Call the server until the deadline; a kill breaks the call off."""
-        submit, head, body = cell.attempt
+    def _call(self, record: _AttemptRecord, server: Server) -> None:
+        """Call the server until the deadline; killing the greenlet cancels the call."""
+        submit, head, body = record.attempt
         started = self._clock.now()
         self._events.put(HostDecided("call-started", submit.attempt_id, submit))
-        attempted = make_attempted(AttemptKind.CANCELLED, 0.0)
+        result = make_attempted(AttemptKind.CANCELLED, 0.0)
         try:
             with eventlet.Timeout(max(0.0, submit.deadline - started), False):
-                attempted = self._calls.call(server, head, body, submit.is_repeatable)
+                result = self._calls.call(server, head, body, submit.is_repeatable)
         finally:
-            attempted = attempted._replace(latency_s=self._clock.now() - started)
-            self._task.put(CallEnded(submit.attempt_id, _end_kind(attempted)))
-            self._finish(submit.attempt_id, attempted)
+            result = result._replace(latency_s=self._clock.now() - started)
+            self._task.put(CallEnded(submit.attempt_id, _end_kind(result)))
+            self._finish(submit.attempt_id, result)
 
-    def _finish(self, attempt_id: str, attempted: AttemptResult) -> None:
-        cell = self._cells.get(attempt_id)
-        if cell is None or cell.ended_at is not None:
+    def _finish(self, attempt_id: str, result: AttemptResult) -> None:
+        record = self._cells.get(attempt_id)
+        if record is None or record.ended_at is not None:
             return
-        cell.ended_at = self._clock.now()
-        cell.result.send(attempted)
-        if attempted.kind is not AttemptKind.DECLINED:
-            self._events.put(HostDecided("call-ended", attempt_id, attempted))
+        record.ended_at = self._clock.now()
+        record.result.send(result)
+        if result.kind is not AttemptKind.DECLINED:
+            self._events.put(HostDecided("call-ended", attempt_id, result))
 
     def _expire(self) -> None:
-        """Forget results that nobody asks for again."""
+        """Delete old results once they can no longer be requested."""
         while True:
             eventlet.sleep(1.0)
             now = self._clock.now()
-            for attempt_id, cell in list(self._cells.items()):
-                is_old = cell.ended_at is not None and now - cell.ended_at > (
+            for attempt_id, record in list(self._cells.items()):
+                is_old = record.ended_at is not None and now - record.ended_at > (
                     ANSWER_KEEP_S
                 )
-                is_late = now > cell.attempt.submit.deadline + ANSWER_KEEP_S
-                if is_late:
+                is_past_deadline = now > record.attempt.submit.deadline + ANSWER_KEEP_S
+                if is_past_deadline:
                     del self._cells[attempt_id]
                 elif is_old:
-                    _drop_body(cell)
+                    _drop_body(record)
 
 
-def _drop_body(cell: _Cell) -> None:
-    """Free the memory of an answer; that the attempt ran stays known."""
-    attempted = cell.result.wait()
-    if isinstance(attempted.body, BufferedAnswer) and attempted.body.length:
-        lost = make_attempted(AttemptKind.NO_ANSWER, attempted.latency_s)
-        cell.result = eventlet.event.Event()
-        cell.result.send(lost)
+def _drop_body(record: _AttemptRecord) -> None:
+    """Free a buffered answer but remember that the attempt ran."""
+    result = record.result.wait()
+    if isinstance(result.body, BufferedAnswer) and result.body.length:
+        lost = make_attempted(AttemptKind.NO_ANSWER, result.latency_s)
+        record.result = eventlet.event.Event()
+        record.result.send(lost)
 
 
-def _end_kind(attempted: AttemptResult) -> EndKind:
-    if attempted.kind is AttemptKind.ANSWERED:
-        is_good = attempted.status < SERVER_ERROR
+def _end_kind(result: AttemptResult) -> EndKind:
+    if result.kind is AttemptKind.ANSWERED:
+        is_good = result.status < SERVER_ERROR
         return EndKind.GOOD if is_good else EndKind.FAILED
-    return _END_KINDS.get(attempted.kind, EndKind.FAILED)
+    return _END_KINDS.get(result.kind, EndKind.FAILED)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -1,4 +1,4 @@
-"""Take the attempts that other daemons send for the servers beside this one."""
+"""Serve the attempts that other daemons send for this daemon's servers."""
 
 import http.client
 from collections.abc import Callable
@@ -35,7 +35,7 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
-RECONNECT_S = 0.25  # in which an origin whose connection broke asks again
+RECONNECT_S = 0.25  # how long an origin has to reconnect before its attempt ends
 MS_PER_S = 1000
 WRONG_PROCESS = "wrong-process"
 BROKEN_REQUEST = "broken-request"
@@ -44,11 +44,11 @@
 
 
 class _OriginLostError(AdapterError):
-    """Report that the connection to the origin of an attempt broke."""
+    """The connection to the daemon that sent an attempt was lost."""
 
 
 class PeerFront:
-    """Serve other daemons as a WSGI application."""
+    """WSGI application that runs attempts for other daemons."""
 
     def __init__(
         self, process_id: int, host: HostTasks, names: HeaderNames, clock: ClockPort
@@ -61,7 +61,7 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Run one attempt, or give the end of one that was sent before."""
+        """Run an attempt, or return the result of one that was sent before."""
         try:
             hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
             body = read_body(environ["wsgi.input"], get_content_length(environ))
@@ -74,16 +74,16 @@
             yield from _write_result(result, start_response)
             return
         attempt = self._read_attempt(environ, hop, body)
-        attempted = self._run(environ["wsgi.input"].get_socket(), attempt)
-        if attempted is None:
+        attempt_result = self._run(environ["wsgi.input"].get_socket(), attempt)
+        if attempt_result is None:
             environ[CONNECTION_KEY].close_connection = True
             return
-        yield from _write_attempted(attempted, start_response)
+        yield from _write_attempt_result(attempt_result, start_response)
 
     def _run(self, connection: Any, attempt: LocalAttempt) -> AttemptResult | None:
-        """Return the end of an attempt, or None once its origin's connection broke."""
+        """Return an attempt's result, or None if its origin's connection is lost."""
         handler = eventlet.getcurrent()
-        lost = _OriginLostError("the connection to the origin broke")
+        lost = _OriginLostError("the connection to the origin was lost")
         watch = ConnectionWatch(
             connection, lambda: eventlet.spawn_n(handler.throw, lost)
         )
@@ -91,7 +91,7 @@
             return self._host.run(attempt)
         except _OriginLostError:
             attempt_id = attempt.submit.attempt_id
-            eventlet.spawn_after(RECONNECT_S, self._withdraw_unless_asked, attempt_id)
+            eventlet.spawn_after(RECONNECT_S, self._withdraw_if_unclaimed, attempt_id)
             return None
         finally:
             watch.stop()
@@ -132,7 +132,7 @@
         )
         return LocalAttempt(submit, head, body)
 
-    def _withdraw_unless_asked(self, attempt_id: str) -> None:
+    def _withdraw_if_unclaimed(self, attempt_id: str) -> None:
         if not self._host.has_waiters(attempt_id):
             self._host.withdraw(attempt_id)
 
@@ -143,24 +143,24 @@
     yield b""
 
 
-def _write_attempted(
-    attempted: AttemptResult, start_response: StartResponse
+def _write_attempt_result(
+    result: AttemptResult, start_response: StartResponse
 ) -> Iterator[bytes]:
-    body = attempted.body
+    body = result.body
     if body is None:
-        reason = find_header(attempted.headers, "reason") or ""
-        yield from _write_result(HopResult(attempted.kind, reason), start_response)
+        reason = find_header(result.headers, "reason") or ""
+        yield from _write_result(HopResult(result.kind, reason), start_response)
         return
     headers = [
         (name, value)
-        for name, value in attempted.headers
+        for name, value in result.headers
         if name.lower() != "content-length"
     ]
-    headers.append((RESULT_HEADER, encode_hop(HopResult(attempted.kind, ""))))
+    headers.append((RESULT_HEADER, encode_hop(HopResult(result.kind, ""))))
     if isinstance(body, BufferedAnswer):
         headers.append(("Content-Length", str(body.length)))
-    reason = http.client.responses.get(attempted.status, "Unknown")
-    start_response(f"{attempted.status} {reason}", headers)
+    reason = http.client.responses.get(result.status, "Unknown")
+    start_response(f"{result.status} {reason}", headers)
     try:
         yield from body.chunks()
     finally:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -1,4 +1,4 @@
-"""Send attempts to the daemons beside their servers."""
+"""Send attempts to the daemons that run next to their servers."""
 
 from http.client import HTTPException
 from typing import Any
@@ -31,24 +31,24 @@
 from pimentobend_core._internal.ports import ClockPort
 
 KIND_WITHDRAW = "withdraw"
-CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, with a lost packet
+CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, one packet lost
 RESEND_MIN_S = 0.05
 RESEND_MAX_S = 1.0
 MS_PER_S = 1000
 
 
 class _Sent(NamedTuple):
-    """Hold the end of one try to reach the daemon."""
+    """Result of sending an attempt to a daemon once."""
 
-    attempted: AttemptResult | None  # None where it has to be tried again
+    result: AttemptResult | None  # None if the attempt has to be sent again
     may_have_arrived: bool
 
 
 class PeerClient:
-    """Send each attempt until its end is known.
+    """Send each attempt until its result is known.
 
-    The daemon beside the server runs an attempt once, so a try whose
-    connection broke is repeated on a new one.
+    The daemon next to the server runs an attempt only once, so the attempt is
+    sent again on a new connection if the connection breaks.
     """
 
     def __init__(self, clock: ClockPort, link: Transport) -> None:
@@ -56,15 +56,15 @@
         self._link = link
 
     def run(self, peer: PeerRow, attempt: LocalAttempt) -> AttemptResult:
-        """Return the end of an attempt; a killed caller closes the connection."""
+        """Return an attempt's result; killing the caller closes the connection."""
         started = self._clock.now()
         submit = attempt.submit
         may_have_arrived = False
         wait_s = RESEND_MIN_S
         while self._clock.now() < submit.deadline:
-            sent = self._try(peer, attempt, may_have_arrived)
-            if sent.attempted is not None:
-                return sent.attempted._replace(latency_s=self._clock.now() - started)
+            sent = self._send_once(peer, attempt, may_have_arrived)
+            if sent.result is not None:
+                return sent.result._replace(latency_s=self._clock.now() - started)
             may_have_arrived = may_have_arrived or sent.may_have_arrived
             if not may_have_arrived:
                 return self._failed(AttemptKind.NOT_CONNECTED, started)
@@ -77,69 +77,72 @@
     def withdraw(
         self, peer: PeerRow, attempt_id: str, *, only_queued: bool = False
     ) -> None:
-        """Tell a daemon that nobody waits for an attempt.
+        """Tell a daemon that nobody waits for an attempt any more.
 
-        The frame may be lost; the daemon then notices the closed connection.
+        If the frame is lost, the daemon notices the closed connection instead.
         """
         payload = encode(Withdraw(attempt_id, only_queued))
         self._link.send(peer.address, KIND_WITHDRAW, payload)
 
-    def _try(self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool) -> _Sent:
+    def _send_once(
+        self, peer: PeerRow, attempt: LocalAttempt, is_resent: bool
+    ) -> _Sent:
         connection = StrictConnection(
             peer.host, peer.forward_port, timeout=CONNECT_TIMEOUT_S
         )
         is_passed_on = False
-        is_done = False
+        is_complete = False
         has_sent = False
         try:
             connection.connect()
-            connection.timeout = None  # the library sets it again for each request
+            # urllib3 sets this timeout on the socket again before each request.
+            connection.timeout = None
             has_sent = True
-            hop = self._hop(peer, attempt)
+            hop = self._make_submit(peer, attempt)
             with eventlet.Timeout(hop.remaining_ms / MS_PER_S, False):
-                attempted, is_passed_on = self._exchange(connection, attempt, hop)
-                is_done = True
-                return _Sent(self._judge(attempted, is_resent), True)
+                result, is_passed_on = self._exchange(connection, attempt, hop)
+                is_complete = True
+                return _Sent(self._judge(result, is_resent), True)
             return _Sent(None, True)
         except (HTTPError, HTTPException, EOFError, OSError, HopError):
             return _Sent(None, has_sent)
         finally:
-            if not is_done:
-                connection.abort()  # a copy held up on its way must not run later
+            if not is_complete:
+                connection.abort()  # a delayed copy must not run later
             elif not is_passed_on:
                 connection.close()
 
-    def _judge(self, attempted: AttemptResult, is_resent: bool) -> AttemptResult | None:
-        """Tell what a result means when an earlier copy may have arrived."""
-        if attempted.kind is AttemptKind.CANCELLED:
-            reason = find_header(attempted.headers, "reason")
-            return None if reason == BROKEN_REQUEST else attempted
-        is_other = find_header(attempted.headers, "reason") == WRONG_PROCESS
-        if is_other and is_resent:
-            return attempted._replace(kind=AttemptKind.NO_ANSWER)
-        return attempted
+    def _judge(self, result: AttemptResult, is_resent: bool) -> AttemptResult | None:
+        """Adjust a result if an earlier copy may have arrived; None to send again."""
+        if result.kind is AttemptKind.CANCELLED:
+            reason = find_header(result.headers, "reason")
+            return None if reason == BROKEN_REQUEST else result
+        is_wrong_process = find_header(result.headers, "reason") == WRONG_PROCESS
+        if is_wrong_process and is_resent:
+            return result._replace(kind=AttemptKind.NO_ANSWER)
+        return result
 
     def _exchange(
         self, connection: Any, attempt: LocalAttempt, hop: HopSubmit
     ) -> tuple[AttemptResult, bool]:
-        own = {SUBMIT_HEADER: encode_hop(hop)}
-        response = send_request(connection, attempt.head, attempt.body, own)
+        own_headers = {SUBMIT_HEADER: encode_hop(hop)}
+        response = send_request(connection, attempt.head, attempt.body, own_headers)
         headers = tuple(response.headers.items())
-        result = decode_result(find_header(headers, RESULT_HEADER) or "")
+        hop_result = decode_result(find_header(headers, RESULT_HEADER) or "")
         headers = tuple(
             (name, value)
             for name, value in without_hop_by_hop(headers)
             if name.lower() != RESULT_HEADER.lower()
         )
-        if result.reason:
-            headers = (("reason", result.reason),)
-        if result.kind not in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
-            return make_attempted(result.kind, 0.0, headers=headers), False
+        if hop_result.reason:
+            headers = (("reason", hop_result.reason),)
+        if hop_result.kind not in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
+            return make_attempted(hop_result.kind, 0.0, headers=headers), False
         content, is_whole = read_answer(response, connection)
-        attempted = make_attempted(result.kind, 0.0, response.status, headers, content)
-        return attempted, not is_whole
+        result = make_attempted(hop_result.kind, 0.0, response.status, headers, content)
+        return result, not is_whole
 
-    def _hop(self, peer: PeerRow, attempt: LocalAttempt) -> HopSubmit:
+    def _make_submit(self, peer: PeerRow, attempt: LocalAttempt) -> HopSubmit:
         submit = attempt.submit
         remaining_s = submit.deadline - self._clock.now()
         return HopSubmit(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/requests.py
@@ -1,4 +1,4 @@
-"""Write a request to a server or to another daemon."""
+"""Send a request to a backend server or to another daemon."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -14,18 +14,19 @@
 
 
 def send_request(
-    connection: Any, head: RequestHead, body: Body, own: Mapping[str, str]
+    connection: Any, head: RequestHead, body: Body, own_headers: Mapping[str, str]
 ) -> Any:
-    """Send a request with the caller's headers and some of our own.
+    """Send a request with the caller's headers and the daemon's own.
 
-    Ours replace the caller's of the same names. Returns the answer's head;
-    raises what urllib3 and http.client raise.
+    The daemon's headers replace the caller's headers of the same name. Returns
+    the response with its body unread; raises the errors of urllib3 and
+    http.client.
     """
     connection.request(
         head.method,
         f"{head.path}?{head.query}" if head.query else head.path,
         body=None if body.length == 0 else body.chunks(),
-        headers=_headers(head, body, own),
+        headers=_headers(head, body, own_headers),
         chunked=body.length is None,
         preload_content=False,
         decode_content=False,
@@ -34,13 +35,15 @@
     return connection.getresponse()
 
 
-def _headers(head: RequestHead, body: Body, own: Mapping[str, str]) -> dict[str, str]:
-    replaced = {name.lower() for name in (*own, _LENGTH)}
+def _headers(
+    head: RequestHead, body: Body, own_headers: Mapping[str, str]
+) -> dict[str, str]:
+    replaced = {name.lower() for name in (*own_headers, _LENGTH)}
     headers: dict[str, str] = {}
     for name, value in without_hop_by_hop(head.headers):
         if name.lower() not in replaced:
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    headers.update(own)
+    headers.update(own_headers)
     if body.length:
         headers[_LENGTH] = str(body.length)
     lowered = {name.lower() for name in headers}
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/watch.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/watch.py
@@ -1,4 +1,4 @@
-"""Notice a peer that closes its connection while it waits for an answer."""
+"""Detect that a client closes its connection while it waits for an answer."""
 
 import socket
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 
 
 class ConnectionWatch:
-    """Own a task that waits for the end of a connection."""
+    """Task that calls a function once the other end closes the connection."""
 
     def __init__(self, connection: Any, on_closed: Callable[[], None]) -> None:
         self._connection = connection
@@ -17,7 +17,7 @@
         self._greenlet = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop watching; the connection may be read again."""
+        """Stop watching, so that the connection can be read again."""
         self._greenlet.kill()
 
     def _run(self) -> None:
@@ -27,10 +27,10 @@
             return
         eventlet.hubs.trampoline(descriptor, read=True)
         try:
-            waiting = self._connection.fd.recv(1, socket.MSG_PEEK)
+            received = self._connection.fd.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return
         except OSError:
-            waiting = b""  # reset by the peer, which has gone all the same
-        if not waiting:
+            received = b""  # a reset also means that the client is gone
+        if not received:
             self._on_closed()
