Rename HostTasks._cells to _records

"Cell" says nothing about an attempt and its result. The key of the state dump stays "cells". test_hops.py clears the dictionary by its name.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -90,7 +90,7 @@
         self._calls = calls
         self._clock = clock
         self._events = events
-        self._cells: dict[str, _AttemptRecord] = {}
+        self._records: dict[str, _AttemptRecord] = {}
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
@@ -103,7 +103,7 @@
     @property
     def running(self) -> int:
         """Return the number of attempts without a result."""
-        return sum(1 for record in self._cells.values() if record.ended_at is None)
+        return sum(1 for record in self._records.values() if record.ended_at is None)
 
     def start(self) -> None:
         """Start the task."""
@@ -120,7 +120,7 @@
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the task."""
-        return {**self._task.dump(), "cells": len(self._cells)}
+        return {**self._task.dump(), "cells": len(self._records)}
 
     def list_server(self, server: Server) -> None:
         """Add a server, or update its state."""
@@ -138,9 +138,9 @@
     def run(self, attempt: LocalAttempt) -> AttemptResult:
         """Wait for an attempt's result; repeated calls join the first one."""
         attempt_id = attempt.submit.attempt_id
-        record = self._cells.get(attempt_id)
+        record = self._records.get(attempt_id)
         if record is None:
-            record = self._cells[attempt_id] = _AttemptRecord(attempt)
+            record = self._records[attempt_id] = _AttemptRecord(attempt)
             self._task.put(attempt.submit)
         record.waiters += 1
         try:
@@ -151,7 +151,7 @@
 
     def has_waiters(self, attempt_id: str) -> bool:
         """Return whether any caller waits for the end of an attempt."""
-        record = self._cells.get(attempt_id)
+        record = self._records.get(attempt_id)
         return record is not None and record.waiters > 0
 
     def take_withdraw(self, frame: Frame) -> None:
@@ -167,7 +167,7 @@
             case Bids():
                 self._bids.put(output)
             case StartCall():
-                record = self._cells[output.attempt_id]
+                record = self._records[output.attempt_id]
                 record.greenlet = eventlet.spawn(self._call, record, output.server)
             case Declined():
                 self._events.put(HostDecided("declined", output.attempt_id, output))
@@ -175,7 +175,7 @@
                 declined = declined._replace(headers=(("reason", output.reason.value),))
                 self._finish(output.attempt_id, declined)
             case CancelCall():
-                record = self._cells[output.attempt_id]
+                record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
             case Joined():
@@ -199,7 +199,7 @@
             self._finish(submit.attempt_id, result)
 
     def _finish(self, attempt_id: str, result: AttemptResult) -> None:
-        record = self._cells.get(attempt_id)
+        record = self._records.get(attempt_id)
         if record is None or record.ended_at is not None:
             return
         record.ended_at = self._clock.now()
@@ -212,13 +212,13 @@
         while True:
             eventlet.sleep(1.0)
             now = self._clock.now()
-            for attempt_id, record in list(self._cells.items()):
+            for attempt_id, record in list(self._records.items()):
                 is_old = record.ended_at is not None and now - record.ended_at > (
                     ANSWER_KEEP_S
                 )
                 is_past_deadline = now > record.attempt.submit.deadline + ANSWER_KEEP_S
                 if is_past_deadline:
-                    del self._cells[attempt_id]
+                    del self._records[attempt_id]
                 elif is_old:
                     _drop_body(record)
 
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -209,7 +209,7 @@
     pair = Pair()
     attempt = pair.attempt("1")
     assert pair.host.run(attempt).kind is AttemptKind.ANSWERED
-    pair.host._cells.clear()
+    pair.host._records.clear()
     with eventlet.Timeout(WAIT_S):
         assert pair.host.run(attempt).kind is AttemptKind.NO_ANSWER
     assert pair.calls.runs == ["1"]
