Reword the HTTP adapters in plain terms

A reader stumbled over "kept", "broke off", "stated", "watches" and docstrings that only said who owns what.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -14,7 +14,7 @@
 from pimentobend_adapters._internal.forwarding.answers import make_attempted
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.requests import send_request
-from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
@@ -78,10 +78,10 @@
             return result
         except NewConnectionError:
             return self._failed(AttemptKind.NOT_CONNECTED, started)
-        except BodyBrokenError:
+        except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, EOFError, OSError) as error:
-            return self._failed(_kind_of(error, connection), started)
+            return self._failed(_classify_error(error, connection), started)
         finally:
             if connection is not None:
                 self._release(server, connection, disposition)
@@ -186,7 +186,7 @@
             connection.close()
 
 
-def _kind_of(error: Exception, connection: Any) -> AttemptKind:
+def _classify_error(error: Exception, connection: Any) -> AttemptKind:
     if connection is None:
         return AttemptKind.NOT_CONNECTED
     if type(error).__name__ == "ConnectTimeoutError":
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -20,7 +20,7 @@
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
-from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import read_body
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
@@ -65,7 +65,7 @@
         try:
             hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
             body = read_body(environ["wsgi.input"], get_content_length(environ))
-        except (HopError, BodyBrokenError):
+        except (HopError, IncompleteBodyError):
             result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
             yield from _write_result(result, start_response)
             return
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -1,4 +1,4 @@
-"""Send requests to backend servers over kept connections."""
+"""Send requests to backend servers over kept-alive connections."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -12,7 +12,7 @@
 
 from pimentobend_adapters._internal.exceptions import AdapterError
 from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
-from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.headers import DEADLINE_MS
 from pimentobend_adapters._internal.http.headers import LOAD
 from pimentobend_adapters._internal.http.headers import RAN
@@ -31,23 +31,23 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
-KEPT_CONNECTIONS = 32
+KEPT_CONNECTIONS = 32  # idle connections per server
 MIN_REMAINING_S = 0.001
 MS_PER_S = 1000
 
 
 class AnswerTruncatedError(AdapterError):
-    """Report an answer that ended before its stated length."""
+    """An answer ended before its stated length."""
 
 
 class _Connection(HTTPConnection):
-    """Remember whether a connection has served a request before."""
+    """Connection that counts the requests sent on it."""
 
     requests_sent = 0
     connected = False
 
     def connect(self) -> None:
-        """Open the connection."""
+        """Open the connection and reset the count."""
         super().connect()
         self.connected = True
         self.requests_sent = 0
@@ -59,44 +59,44 @@
 
 
 class _Pool(urllib3.HTTPConnectionPool):
-    """Keep connections of one server."""
+    """Connection pool of one server."""
 
     ConnectionCls = _Connection
 
 
 class _StreamedAnswer(AnswerBody):
-    """Read an answer in pieces from its connection."""
+    """Stream an answer from its connection."""
 
     def __init__(self, response: Any) -> None:
         self._response = response
-        self._is_finished = False
+        self._is_read = False
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the pieces; raise AnswerTruncatedError on an early end."""
+        """Yield the body in chunks; raise AnswerTruncatedError if it is incomplete."""
         try:
             yield from self._response.stream(CHUNK_BYTES, decode_content=False)
         except (HTTPError, OSError) as error:
             raise AnswerTruncatedError(
-                "the answer broke off", context=type(error).__name__
+                "the answer was truncated", context=type(error).__name__
             ) from error
-        self._is_finished = True
+        self._is_read = True
         self._response.release_conn()
 
     def close(self) -> None:
-        """Close the connection unless the answer was read to its end."""
-        if not self._is_finished:
+        """Close the connection unless the answer was read completely."""
+        if not self._is_read:
             self._response.close()
 
 
 class BackendClient(BackendPort):
-    """Own the connections to backend servers."""
+    """Run attempts on backend servers over one connection pool per server."""
 
     def __init__(self, clock: ClockPort) -> None:
         self._clock = clock
         self._pools: dict[tuple[str, int], _Pool] = {}
 
     def will_reuse(self, server: Server) -> bool:
-        """Say whether a kept connection to the server is at hand."""
+        """Return whether the next request would reuse an idle connection."""
         pool = self._pools.get((server.host, server.port))
         idle: list[Any] = [] if pool is None or pool.pool is None else pool.pool.queue
         return bool(idle) and idle[-1] is not None
@@ -104,21 +104,21 @@
     def send(
         self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
     ) -> AttemptResult:
-        """Run one attempt until the head's deadline."""
+        """Run one attempt, limited by the deadline of the request."""
         started = self._clock.now()
         remaining_s = max(MIN_REMAINING_S, head.deadline - started)
         timeout = eventlet.Timeout(remaining_s)
         pool = self._pool(server) if is_repeatable else _create_pool(server)
         try:
-            response = _open(pool, head, body, remaining_s)
+            response = _send_request(pool, head, body, remaining_s)
         except eventlet.Timeout as expired:
             if expired is not timeout:
                 raise
             return self._failed(AttemptKind.NO_ANSWER, started)
-        except BodyBrokenError:
+        except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, OSError) as error:
-            return self._failed(_kind_of(error), started)
+            return self._failed(_classify_error(error), started)
         finally:
             timeout.cancel()
             if not is_repeatable:
@@ -126,7 +126,7 @@
         return self._answered(response, started)
 
     def forget(self, server: Server) -> None:
-        """Close the kept connections of a server that left."""
+        """Close the idle connections of a server that left."""
         pool = self._pools.pop((server.host, server.port), None)
         if pool is not None:
             pool.close()
@@ -163,11 +163,13 @@
     return _Pool(server.host, server.port, maxsize=KEPT_CONNECTIONS)
 
 
-def _open(pool: _Pool, head: RequestHead, body: Body, remaining_s: float) -> Any:
+def _send_request(
+    pool: _Pool, head: RequestHead, body: Body, remaining_s: float
+) -> Any:
     return pool.urlopen(
         head.method,
         _target(head),
-        body=_payload(body),
+        body=_request_body(body),
         headers=_request_headers(head, body, remaining_s),
         redirect=False,
         retries=False,
@@ -177,18 +179,18 @@
     )
 
 
-def _kind_of(error: Exception) -> AttemptKind:
-    is_unconnected = isinstance(error, NewConnectionError)
+def _classify_error(error: Exception) -> AttemptKind:
+    is_not_connected = isinstance(error, NewConnectionError)
     if isinstance(error, PoolTimeoutError):
-        is_unconnected = type(error).__name__ == "ConnectTimeoutError"
-    return AttemptKind.NOT_CONNECTED if is_unconnected else AttemptKind.NO_ANSWER
+        is_not_connected = type(error).__name__ == "ConnectTimeoutError"
+    return AttemptKind.NOT_CONNECTED if is_not_connected else AttemptKind.NO_ANSWER
 
 
 def _target(head: RequestHead) -> str:
     return f"{head.path}?{head.query}" if head.query else head.path
 
 
-def _payload(body: Body) -> Any:
+def _request_body(body: Body) -> Any:
     if body.length == 0:
         return None
     return body.chunks()
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
@@ -1,4 +1,4 @@
-"""Read callers' request bodies with a bounded buffer."""
+"""Read request bodies with a bounded buffer."""
 
 from collections.abc import Iterator
 from typing import Protocol
@@ -9,19 +9,19 @@
 CHUNK_BYTES = 64 * 1024
 
 
-class BodyBrokenError(AdapterError):
-    """Report a request body that ended before its stated length."""
+class IncompleteBodyError(AdapterError):
+    """A request body ended early or cannot be read."""
 
 
 class Readable(Protocol):
-    """Read bytes, as the WSGI input does."""
+    """Interface of the WSGI input."""
 
     def read(self, size: int) -> bytes:
-        """Return up to ``size`` bytes; empty at the end."""
+        """Return up to ``size`` bytes; empty at the end of the input."""
 
 
 class BufferedBody(Body):
-    """Hold a small body whole, so that it can be sent again."""
+    """Small body that is kept in memory, so that it can be sent again."""
 
     def __init__(self, content: bytes) -> None:
         self._content = content
@@ -33,7 +33,7 @@
 
     @property
     def can_replay(self) -> bool:
-        """Say that the body can be sent again."""
+        """Return True, as the whole body is in memory."""
         return True
 
     def chunks(self) -> Iterator[bytes]:
@@ -42,7 +42,7 @@
 
 
 class StreamedBody(Body):
-    """Pass a large body on in pieces; ``start`` was already read."""
+    """Stream a large body; ``start`` holds the bytes already read."""
 
     def __init__(self, start: bytes, rest: Readable, length: int | None) -> None:
         self._start = start
@@ -51,29 +51,29 @@
 
     @property
     def length(self) -> int | None:
-        """Return the stated length in bytes, or None when it is chunked."""
+        """Return the Content-Length in bytes, or None if the body is chunked."""
         return self._length
 
     @property
     def can_replay(self) -> bool:
-        """Say that the body cannot be sent again."""
+        """Return False, as the caller's body can be read only once."""
         return False
 
     def chunks(self) -> Iterator[bytes]:
-        """Yield the pieces; raise BodyBrokenError on an early end."""
+        """Yield the body in chunks; raise IncompleteBodyError if it ends early."""
         yield self._start
-        seen = len(self._start)
-        while self._length is None or seen < self._length:
-            piece = _read(self._rest, CHUNK_BYTES)
-            if not piece:
+        received = len(self._start)
+        while self._length is None or received < self._length:
+            chunk = _read(self._rest, CHUNK_BYTES)
+            if not chunk:
                 break
-            seen += len(piece)
-            yield piece
-        _check_length(seen, self._length)
+            received += len(chunk)
+            yield chunk
+        _check_length(received, self._length)
 
 
 def read_body(source: Readable, length: int | None) -> Body:
-    """Return a body of ``length`` bytes; raise BodyBrokenError if it is short."""
+    """Return a body of ``length`` bytes; raise IncompleteBodyError if it is shorter."""
     start = _read_up_to(source, CHUNK_BYTES if length is None else length)
     if len(start) < CHUNK_BYTES or len(start) == length:
         _check_length(len(start), length)
@@ -81,30 +81,30 @@
     return StreamedBody(start, source, length)
 
 
-def _read_up_to(source: Readable, wanted: int) -> bytes:
-    wanted = min(wanted, CHUNK_BYTES)
-    pieces: list[bytes] = []
-    while wanted > 0:
-        piece = _read(source, wanted)
-        if not piece:
+def _read_up_to(source: Readable, limit_bytes: int) -> bytes:
+    remaining = min(limit_bytes, CHUNK_BYTES)
+    chunks: list[bytes] = []
+    while remaining > 0:
+        chunk = _read(source, remaining)
+        if not chunk:
             break
-        pieces.append(piece)
-        wanted -= len(piece)
-    return b"".join(pieces)
+        chunks.append(chunk)
+        remaining -= len(chunk)
+    return b"".join(chunks)
 
 
 def _read(source: Readable, size: int) -> bytes:
     try:
         return source.read(size)
     except (OSError, ValueError) as error:
-        raise BodyBrokenError(
-            "the request body broke off", context=type(error).__name__
+        raise IncompleteBodyError(
+            "the request body cannot be read", context=type(error).__name__
         ) from error
 
 
-def _check_length(seen: int, length: int | None) -> None:
-    if length is not None and seen < length:
-        raise BodyBrokenError(
-            "the request body is shorter than stated",
-            context=f"{seen} of {length} bytes",
+def _check_length(received: int, length: int | None) -> None:
+    if length is not None and received < length:
+        raise IncompleteBodyError(
+            "the request body is shorter than its Content-Length",
+            context=f"{received} of {length} bytes",
         )
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -1,4 +1,4 @@
-"""Open connections that tell a reset from an end."""
+"""Open connections that report a reset as an error, not as an end of file."""
 
 import errno
 import socket
@@ -12,18 +12,18 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
-_LINGER_NONE = struct.pack("ii", 1, 0)
+_LINGER_NONE = struct.pack("ii", 1, 0)  # close() sends a reset
 
 
 class ResetError(OSError):
-    """Report a connection that the peer reset."""
+    """The peer reset the connection."""
 
 
 class StrictSocket(GreenSocket):  # type: ignore[misc]
-    """Raise ``ResetError`` where the library would report a clean end.
+    """Raise ``ResetError`` where eventlet would report an end of file.
 
-    An answer without a length ends with its connection, so a reset must not
-    pass for its end.
+    An answer without a length ends when its connection is closed, so a reset
+    must not be taken for the end of the answer.
     """
 
     def _recv_loop(
@@ -42,22 +42,25 @@
     """Speak HTTP over a ``StrictSocket``."""
 
     def abort(self) -> None:
-        """Close with a reset, so that bytes on their way are not delivered."""
+        """Close with a reset, so that data in flight is not delivered."""
         if self.sock is not None:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
         self.close()
 
     def _new_conn(self) -> Any:
-        """Open the connection; raise an error of urllib3's."""
+        """Open the connection; raise urllib3's connection errors."""
         try:
             plain = eventlet.green.socket.create_connection(
                 (self.host, self.port), self.timeout
             )
         except TimeoutError as error:
-            raise ConnectTimeoutError(self, f"no connection to {self.host}") from error
+            raise ConnectTimeoutError(
+                self, f"connecting to {self.host} timed out"
+            ) from error
         except OSError as error:
-            raise NewConnectionError(self, f"no connection: {error}") from error
+            raise NewConnectionError(self, f"cannot connect: {error}") from error
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         strict = StrictSocket(plain.fd, set_nonblocking=False)
-        strict.plain = plain  # it closes the descriptor once nothing refers to it
+        # Keep a reference: the descriptor is closed once ``plain`` is collected.
+        strict.plain = plain
         return strict
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -1,4 +1,4 @@
-"""Take callers' requests over HTTP and give them their answers."""
+"""Serve callers' requests over HTTP."""
 
 import http.client
 from collections.abc import Callable
@@ -19,7 +19,7 @@
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
-from pimentobend_adapters._internal.http.requests import find_excess
+from pimentobend_adapters._internal.http.requests import check_limits
 from pimentobend_adapters._internal.http.requests import parse_request
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.models.events import RequestEnded
@@ -38,16 +38,16 @@
 
 
 class FrontTerms(NamedTuple):
-    """Hold what differs between the interfaces that callers use."""
+    """Settings in which the interfaces for callers differ."""
 
     names: HeaderNames = OWN_NAMES
-    caller_service: str = ""  # beside which the requests begin
+    caller_service: str = ""  # service next to this daemon that sends the requests
     limits: Callable[[], ClientLimits | None] = lambda: None
-    watches_callers: bool = False
+    watches_callers: bool = False  # end a request once its caller disconnects
 
 
 class CallerFront:
-    """Serve callers as a WSGI application in front of the request pipe."""
+    """WSGI application that passes callers' requests through the request pipe."""
 
     def __init__(
         self,
@@ -65,7 +65,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests that have no whole answer yet."""
+        """Return the number of requests that are not fully answered yet."""
         return self._in_flight
 
     def __call__(
@@ -81,7 +81,7 @@
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
-        too_large = find_excess(environ, self._terms.limits())
+        too_large = check_limits(environ, self._terms.limits())
         if too_large is not None:
             environ[CONNECTION_KEY].close_connection = True
             yield from self._refuse(too_large, "", start_response)
@@ -91,20 +91,20 @@
         if isinstance(received, Failure):
             yield from self._refuse(received.failure(), "", start_response)
             return
-        request = self._mark(received.unwrap())
-        watches = _Watches(environ) if self._terms.watches_callers else None
-        if watches is not None:
-            request = request._replace(on_caller_left=watches.start)
+        request = self._set_caller_service(received.unwrap())
+        watch = _CallerWatch(environ) if self._terms.watches_callers else None
+        if watch is not None:
+            request = request._replace(on_caller_left=watch.start)
         try:
             result = self._pipe.apply(request)
         finally:
-            if watches is not None:
-                watches.stop()
+            if watch is not None:
+                watch.stop()
         if self._is_stopping and CONNECTION_KEY in environ:
             environ[CONNECTION_KEY].close_connection = True
-        yield from self._give(request, result, start_response)
+        yield from self._respond(request, result, start_response)
 
-    def _give(
+    def _respond(
         self,
         request: Received,
         result: Result[Finished, Refusal],
@@ -121,21 +121,21 @@
         self._record(request, status, finished.ran, None, finished.server_id)
         yield from self._answer(finished, request.head, start_response)
 
-    def _mark(self, request: Received) -> Received:
-        """Name the service beside which the request began, whatever was sent."""
+    def _set_caller_service(self, request: Received) -> Received:
+        """Set the caller-service header, replacing any value that was sent."""
         name = self._terms.names.caller_service
         if not name:
             return request
         headers = tuple(
-            (each, value)
-            for each, value in request.head.headers
-            if each.lower() != name.lower()
+            (header, value)
+            for header, value in request.head.headers
+            if header.lower() != name.lower()
         )
         headers = (*headers, (name, self._terms.caller_service))
         return request._replace(head=request.head._replace(headers=headers))
 
     def stop(self) -> None:
-        """Let each caller's connection end with its next answer."""
+        """Close each caller's connection after its next answer."""
         self._is_stopping = True
 
     def _record(
@@ -174,19 +174,19 @@
         yield from _write_answer(finished, head, self._terms.names, start_response)
 
 
-class _Watches:
-    """Own the watch on a caller's connection."""
+class _CallerWatch:
+    """Watch on a caller's connection; started on demand."""
 
     def __init__(self, environ: Environ) -> None:
         self._connection = environ["wsgi.input"].get_socket()
         self._watch: ConnectionWatch | None = None
 
-    def start(self, on_left: Callable[[], None]) -> None:
+    def start(self, on_closed: Callable[[], None]) -> None:
         """Call a function once the caller has closed its connection."""
-        self._watch = ConnectionWatch(self._connection, on_left)
+        self._watch = ConnectionWatch(self._connection, on_closed)
 
     def stop(self) -> None:
-        """Stop watching, so that the connection may be read again."""
+        """Stop watching, so that the connection can be read again."""
         if self._watch is not None:
             self._watch.stop()
 
@@ -222,8 +222,8 @@
     body = finished.attempted.body
     assert body is not None
     try:
-        pieces = body.chunks()
-        start = _read_small(pieces, finished.attempted.headers)
+        chunks = body.chunks()
+        buffered = _read_small(chunks, finished.attempted.headers)
     except AnswerTruncatedError as error:
         body.close()
         refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
@@ -238,18 +238,18 @@
         headers.append(("Content-Length", str(body.length)))
     start_response(_status_line(finished.attempted.status), headers)
     try:
-        yield from start
-        yield from pieces
+        yield from buffered
+        yield from chunks
     finally:
         body.close()
 
 
-def _read_small(pieces: Iterator[bytes], headers: Headers) -> list[bytes]:
-    """Read an answer of a known small length whole, before its head is sent."""
+def _read_small(chunks: Iterator[bytes], headers: Headers) -> list[bytes]:
+    """Read a small answer of known length before its head is sent."""
     length = find_header(headers, "Content-Length")
     if length is None or int(length) > CHUNK_BYTES:
         return []
-    return list(pieces)
+    return list(chunks)
 
 
 def _status_line(status: int) -> str:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -1,4 +1,4 @@
-"""Name the headers of the interfaces and drop those of one hop."""
+"""Header names of the interfaces, and functions that read and filter headers."""
 
 from typing import NamedTuple
 
@@ -15,7 +15,7 @@
 
 
 class HeaderNames(NamedTuple):
-    """Name the headers that callers and backend servers use; empty for none."""
+    """Header names that callers and backend servers use; empty if there is none."""
 
     request_id: str = REQUEST_ID
     deadline_ms: str = DEADLINE_MS
@@ -23,10 +23,10 @@
     idempotency_key: str = IDEMPOTENCY_KEY
     ran: str = RAN
     reason: str = REASON
-    not_run: str = ""  # on an answer: the server states that it did not run the work
+    not_run: str = ""  # on an answer: the server did not run the request
     expected_server: str = ""  # on a request: the only server that may run it
-    caller_service: str = ""  # on a request: the service beside which it began
-    stamp: str = ""  # on an answer: the server's own mark, without which it is none
+    caller_service: str = ""  # on a request: the service that sent it
+    stamp: str = ""  # on an answer: set only by the server itself
 
 
 OWN_NAMES = HeaderNames()
@@ -47,7 +47,7 @@
 
 
 def without_hop_by_hop(headers: Headers) -> Headers:
-    """Drop hop-by-hop headers and those that Connection names."""
+    """Drop hop-by-hop headers and those listed in Connection."""
     dropped = set(HOP_BY_HOP)
     for name, value in headers:
         if name.lower() == "connection":
@@ -65,7 +65,7 @@
 
 
 def parse_load(value: str | None) -> LoadReport | None:
-    """Parse ``in_use/slots``; None when it is absent or malformed."""
+    """Parse ``in_use/slots``; None if it is absent or malformed."""
     in_use, _, slots = (value or "").partition("/")
     if in_use.isascii() and in_use.isdigit() and slots.isascii() and slots.isdigit():
         return LoadReport(int(in_use), int(slots))
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -1,4 +1,4 @@
-"""Turn WSGI environments into checked request heads."""
+"""Parse and validate requests from WSGI environments."""
 
 import uuid
 from typing import Any
@@ -7,7 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from pimentobend_adapters._internal.http.bodies import BodyBrokenError
+from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import read_body
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
@@ -33,39 +33,40 @@
     """Return the request received at ``now`` (seconds), or a 400 refusal."""
     fault = _find_fault(environ, names)
     if fault is not None:
-        return Failure(malformed(fault))
+        return Failure(refuse_malformed(fault))
     length = get_content_length(environ)
     try:
         body = read_body(environ["wsgi.input"], length)
-    except BodyBrokenError as error:
-        return Failure(malformed(str(error)))
-    return Success(Received(_head(environ, now, names), body))
+    except IncompleteBodyError as error:
+        return Failure(refuse_malformed(str(error)))
+    return Success(Received(_make_head(environ, now, names), body))
 
 
-def find_excess(environ: Environ, limits: ClientLimits | None) -> Refusal | None:
-    """Return the refusal of a request whose head or body is over its limit."""
+def check_limits(environ: Environ, limits: ClientLimits | None) -> Refusal | None:
+    """Return a refusal if the headers or the body exceed their limits."""
     if limits is None:
         return None
+    # each header line has 4 more bytes: ": " and the line end
     head_bytes = sum(len(name) + len(value) + 4 for name, value in get_headers(environ))
     if head_bytes > limits.max_header_bytes:
-        return _excess(431, "headers", limits.max_header_bytes)
+        return _too_large(431, "headers", limits.max_header_bytes)
     length = environ.get("CONTENT_LENGTH") or "0"
     if length.isascii() and length.isdigit() and int(length) > limits.max_body_bytes:
-        return _excess(413, "body", limits.max_body_bytes)
+        return _too_large(413, "body", limits.max_body_bytes)
     return None
 
 
-def _excess(status: int, part: str, limit_bytes: int) -> Refusal:
-    detail = f"the {part} is larger than {limit_bytes} bytes"
+def _too_large(status: int, part: str, limit_bytes: int) -> Refusal:
+    detail = f"the size of the request {part} exceeds {limit_bytes} bytes"
     return Refusal(status, Ran.NOT_RUN, RefusalReason.TOO_LARGE, detail)
 
 
-def malformed(detail: str) -> Refusal:
-    """Return the refusal of a request that cannot be understood."""
+def refuse_malformed(detail: str) -> Refusal:
+    """Return a 400 refusal with the given reason."""
     return Refusal(400, Ran.NOT_RUN, RefusalReason.MALFORMED, detail)
 
 
-def _value(environ: Environ, name: str) -> str | None:
+def _get_header(environ: Environ, name: str) -> str | None:
     """Return the value of a header, or None."""
     value: str | None = environ.get("HTTP_" + name.replace("-", "_").upper())
     return value
@@ -77,16 +78,18 @@
     }
     length = "".join(lengths) or "0"
     if len(lengths) > 1 or not (length.isascii() and length.isdigit()):
-        return "Content-Length is not one whole number"
+        return "Content-Length is not a single whole number"
     encoding = environ.get("HTTP_TRANSFER_ENCODING")
     if encoding is not None and environ.get("CONTENT_LENGTH"):
-        return "Content-Length and Transfer-Encoding are both given"
+        return "Content-Length and Transfer-Encoding are both set"
     if encoding is not None and encoding.strip().lower() != "chunked":
-        return "Transfer-Encoding is not chunked"
-    key = _value(environ, names.idempotency_key)
+        return "Transfer-Encoding is not 'chunked'"
+    key = _get_header(environ, names.idempotency_key)
     if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
-        return f"Idempotency-Key is not of 1 to {MAX_KEY_CHARACTERS} characters"
-    return _find_deadline_fault(names.deadline_ms, _value(environ, names.deadline_ms))
+        return f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} characters"
+    return _find_deadline_fault(
+        names.deadline_ms, _get_header(environ, names.deadline_ms)
+    )
 
 
 def _find_deadline_fault(name: str, value: str | None) -> str | None:
@@ -95,35 +98,37 @@
     is_number = value.isascii() and value.isdigit()
     if is_number and int(value) <= MAX_DEADLINE_MS:
         return None
-    return f"{name} is not a whole number up to {MAX_DEADLINE_MS}"
+    return f"{name} is not a whole number from 0 to {MAX_DEADLINE_MS}"
 
 
 def get_content_length(environ: Environ) -> int | None:
-    """Return the stated length of a body, or None when it is chunked."""
+    """Return the Content-Length of a body, or None if it is chunked."""
     if environ.get("HTTP_TRANSFER_ENCODING"):
         return None
     return int(environ.get("CONTENT_LENGTH") or 0)
 
 
-def _head(environ: Environ, now: float, names: HeaderNames) -> RequestHead:
-    stated = _value(environ, names.deadline_ms)
-    remaining_s = DEFAULT_DEADLINE_S if stated is None else int(stated) / MS_PER_S
+def _make_head(environ: Environ, now: float, names: HeaderNames) -> RequestHead:
+    deadline_ms = _get_header(environ, names.deadline_ms)
+    remaining_s = (
+        DEFAULT_DEADLINE_S if deadline_ms is None else int(deadline_ms) / MS_PER_S
+    )
     return RequestHead(
-        request_id=_value(environ, names.request_id) or uuid.uuid4().hex,
+        request_id=_get_header(environ, names.request_id) or uuid.uuid4().hex,
         method=environ["REQUEST_METHOD"],
         host=(environ.get("HTTP_HOST") or "").partition(":")[0].lower(),
         path=environ.get("RAW_PATH_INFO") or environ.get("PATH_INFO") or "/",
         query=environ.get("QUERY_STRING") or "",
         headers=get_headers(environ),
-        organisation=_value(environ, names.organisation) or "",
-        idempotency_key=_value(environ, names.idempotency_key),
+        organisation=_get_header(environ, names.organisation) or "",
+        idempotency_key=_get_header(environ, names.idempotency_key),
         received_at=now,
         deadline=now + remaining_s,
     )
 
 
 def get_headers(environ: Environ) -> Headers:
-    """Return the headers as they were sent."""
+    """Return the headers in the order and spelling in which they were sent."""
     raw = environ.get("headers_raw")
     if raw is None:
         return ()
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -1,4 +1,4 @@
-"""Serve WSGI applications on sockets that the task owns."""
+"""Serve WSGI applications over HTTP."""
 
 import io
 from collections.abc import Callable
@@ -15,15 +15,16 @@
 MAX_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 75.0
 BACKLOG = 512
-WRITE_AT_ONCE = 1  # bytes; an answer that breaks off has its head sent
+# Write each chunk at once, so that the head is out if the body ends early.
+MIN_CHUNK_BYTES = 1
 
 
 class ListenError(AdapterError):
-    """Report an address that cannot be listened on."""
+    """The HTTP server cannot listen on its address."""
 
 
 class Address(NamedTuple):
-    """Name a TCP address."""
+    """Host and port of a TCP address."""
 
     host: str
     port: int
@@ -33,7 +34,7 @@
 
 
 class HttpServer:
-    """Own one listening socket and the connections taken from it."""
+    """HTTP server on one listening socket."""
 
     def __init__(
         self,
@@ -47,9 +48,9 @@
             )
         except OSError as error:
             raise ListenError(
-                "cannot listen",
+                "cannot listen for HTTP connections",
                 context=f"{address}: {error.strerror}",
-                hint="is another process on this address?",
+                hint="check whether another process listens on this address",
             ) from error
         self._application = application
         self._idle_s = idle_s
@@ -65,7 +66,7 @@
         self._greenlet = eventlet.spawn(self._serve)
 
     def close(self) -> None:
-        """Take no new connections."""
+        """Stop accepting connections."""
         if self._greenlet is not None:
             self._greenlet.kill()
         self._socket.close()
@@ -74,20 +75,20 @@
         eventlet.wsgi.server(
             self._socket,
             self._application,
-            log=_NoLog(),
+            log=_NullLog(),
             log_output=False,
             max_size=MAX_CONNECTIONS,
             socket_timeout=IDLE_TIMEOUT_S,
             debug=False,
             protocol=RefusingProtocol,
             environ={IDLE_KEY: self._idle_s},
-            minimum_chunk_size=WRITE_AT_ONCE,
+            minimum_chunk_size=MIN_CHUNK_BYTES,
         )
 
 
-class _NoLog(io.StringIO):
-    """Drop the server's own lines; requests are logged as events."""
+class _NullLog(io.StringIO):
+    """Discard eventlet's access log; requests are logged as events."""
 
     def write(self, text: str) -> int:
-        """Drop the text."""
+        """Discard the text."""
         return len(text)
