Reword traffic, health, ledger, tasks and links of the adapters

A reader stumbled over "take", "give", "those who wait" and "owner" where the usual words are handle, send, callers and filter. Replies.give is resolve and takes a key; FrameRouter keeps handlers; frame errors name what was checked.

--- a/packages/adapters/src/pimentobend_adapters/__init__.py
+++ b/packages/adapters/src/pimentobend_adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Connect the decisions to sockets, disks, clocks, metrics and logs."""
+"""Adapters that connect the core to sockets, disks, clocks, metrics and logs."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/asking.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/asking.py
@@ -1,4 +1,4 @@
-"""Ask a task a question and wait for the reply that carries its name."""
+"""Send a question to a task and wait for the reply with the same key."""
 
 from collections.abc import Callable
 from collections.abc import Hashable
@@ -15,41 +15,41 @@
 
 
 class Replies(Outlet[Reply], Generic[Reply]):
-    """Hand each reply to those who wait for its name."""
+    """Pass each reply to the callers that wait for its key."""
 
-    def __init__(self, name_of: Callable[[Reply], Hashable]) -> None:
-        self._name_of = name_of
+    def __init__(self, key_of: Callable[[Reply], Hashable]) -> None:
+        self._key_of = key_of
         self._waiting: dict[Hashable, list[Any]] = {}
 
     def put(self, message: Reply) -> None:
-        """Wake those who wait for the reply's name."""
-        self.give(message)
+        """Wake the callers that wait for the reply's key."""
+        self.resolve(message)
 
-    def give(self, message: Reply) -> bool:
-        """Wake those who wait for the reply's name; say whether anyone did."""
-        events = self._waiting.pop(self._name_of(message), [])
+    def resolve(self, message: Reply) -> bool:
+        """Wake the callers that wait for the reply's key; return whether any did."""
+        events = self._waiting.pop(self._key_of(message), [])
         for event in events:
             event.send(message)
         return bool(events)
 
     def ask(
-        self, name: Hashable, send: Callable[[], None], timeout_s: float
+        self, key: Hashable, send: Callable[[], None], timeout_s: float
     ) -> Reply | None:
-        """Send a question and return the reply, or None after ``timeout_s``."""
+        """Send a question and return its reply, or None after ``timeout_s``."""
         event = eventlet.event.Event()
-        self._waiting.setdefault(name, []).append(event)
+        self._waiting.setdefault(key, []).append(event)
         send()
         reply: Reply | None = None
         try:
             with eventlet.Timeout(timeout_s, False):
                 reply = event.wait()
         finally:
-            self._forget(name, event)
+            self._forget(key, event)
         return reply
 
-    def _forget(self, name: Hashable, event: Any) -> None:
-        waiting = self._waiting.get(name, [])
+    def _forget(self, key: Hashable, event: Any) -> None:
+        waiting = self._waiting.get(key, [])
         if event in waiting:
             waiting.remove(event)
         if not waiting:
-            self._waiting.pop(name, None)
+            self._waiting.pop(key, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/clock.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/clock.py
@@ -1,4 +1,4 @@
-"""Read the clock of the runtime."""
+"""Clock of the eventlet runtime."""
 
 import eventlet.hubs
 
@@ -9,6 +9,6 @@
     """Read the clock of eventlet's hub, which tests pause and advance."""
 
     def now(self) -> float:
-        """Return seconds of the hub's clock."""
+        """Return the time of the hub's clock in seconds."""
         seconds: float = eventlet.hubs.get_hub().clock()
         return seconds
--- a/packages/adapters/src/pimentobend_adapters/_internal/exceptions.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exceptions.py
@@ -1,19 +1,19 @@
-"""Define the errors of the adapters."""
+"""Base errors of the adapters."""
 
 from pimentobend_core._internal.exceptions import PimentobendError
 
 
 class AdapterError(PimentobendError):
-    """Report a fault at the edge of the process."""
+    """Base of the errors raised by the adapters."""
 
 
 class LinkError(AdapterError):
-    """Report a fault of a link between two processes."""
+    """The link to other processes cannot be used."""
 
 
 class FrameError(LinkError):
-    """Report a frame that is not from a member or not of this version."""
+    """A frame is malformed, not authentic or of another version."""
 
 
 class KeyFileError(AdapterError):
-    """Report a key file that cannot be used."""
+    """The key file cannot be used."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/health.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/health.py
@@ -1,4 +1,4 @@
-"""Run one health task a pool between the request tasks and the floor's owner."""
+"""Run a health task per pool that turns attempts into weights and evidence."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -27,26 +27,26 @@
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
 HealthTask = FilterTask[HealthInput, HealthOutput]
-GiveWeights = Callable[[str, HealthChanged], None]
+ApplyWeights = Callable[[str, HealthChanged], None]
 
 
 class HealthTasks:
-    """Own the health tasks and pass their outputs on by kind."""
+    """Run the health tasks; pass on their weights and their evidence reports."""
 
     def __init__(
         self,
         observer: str,
         clock: ClockPort,
-        give_weights: GiveWeights,
+        apply_weights: ApplyWeights,
         reports: Outlet[EvidenceReported],
     ) -> None:
         self._observer = observer
         self._clock = clock
-        self._give_weights = give_weights
+        self._apply_weights = apply_weights
         self._reports = reports
         self._tasks: dict[str, HealthTask] = {}
-        self._in_flight: Counter[str] = Counter()  # attempts by pool
-        self._weighed: set[str] = set()  # pools with servers not wholly healthy
+        self._in_flight: Counter[str] = Counter()  # number of running attempts by pool
+        self._weighted: set[str] = set()  # pools with a server below full weight
         self._rounds = TickRounds()
         self._ticker: Any = None
 
@@ -56,13 +56,13 @@
         return tuple(self._tasks.values())
 
     def configure(self, pools: tuple[Pool, ...]) -> None:
-        """Start, change and stop tasks so that they follow the table of pools."""
+        """Start, update and stop tasks to match the table of pools."""
         if self._ticker is None:
             self._ticker = eventlet.spawn(self._tick)
         names = {pool.name for pool in pools}
         for name in [name for name in self._tasks if name not in names]:
             self._tasks.pop(name).stop()
-            self._weighed.discard(name)
+            self._weighted.discard(name)
             del self._in_flight[name]
         for pool in pools:
             if pool.name not in self._tasks:
@@ -70,11 +70,11 @@
             self._put(pool.name, ConfigurePool(pool))
 
     def servers_changed(self, pool: str, message: ServersChanged) -> None:
-        """Give a pool's task its list of servers."""
+        """Send a pool's task its new list of servers."""
         self._put(pool, message)
 
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Report an attempt that begins."""
+        """Report an attempt that starts."""
         self._in_flight[pool] += 1
         self._put(pool, message)
 
@@ -84,11 +84,11 @@
         self._put(message.pool, message)
 
     def granted(self, message: EjectionsGranted) -> None:
-        """Give a pool's task its leased ejections."""
+        """Send a pool's task the ejections that it holds a lease for."""
         self._put(message.pool, message)
 
     def ejections(self) -> list[Mapping[str, object]]:
-        """Return a row for each server that is ejected or avoided here."""
+        """Return a row for each ejected, avoided or returning server."""
         rows: list[Mapping[str, object]] = []
         for name, task in sorted(self._tasks.items()):
             rows.extend(_describe(name, task.dump()))
@@ -99,33 +99,33 @@
             self._tasks[pool].put(message)
 
     def _start(self, pool: Pool) -> HealthTask:
-        def take(message: HealthOutput) -> None:
+        def handle_output(message: HealthOutput) -> None:
             if isinstance(message, EvidenceReported):
                 self._reports.put(message)
                 return
-            self._weigh(pool.name, message)
+            self._handle_weights(pool.name, message)
 
         task: HealthTask = FilterTask(
             f"health.{pool.name}",
             PoolHealth(pool, self._observer),
-            CallOutlet(take),
+            CallOutlet(handle_output),
             self._clock,
         )
         task.start()
         return task
 
-    def _weigh(self, pool: str, message: HealthChanged) -> None:
+    def _handle_weights(self, pool: str, message: HealthChanged) -> None:
         if message.weights:
-            self._weighed.add(pool)
+            self._weighted.add(pool)
         else:
-            self._weighed.discard(pool)
-        self._give_weights(pool, message)
+            self._weighted.discard(pool)
+        self._apply_weights(pool, message)
 
     def _tick(self) -> None:
         while True:
             eventlet.sleep(TICK_S)
             in_flight = {pool for pool, count in self._in_flight.items() if count > 0}
-            urgent = self._weighed | in_flight
+            urgent = self._weighted | in_flight
             for pool in self._rounds.next_round(tuple(self._tasks), urgent):
                 self._put(pool, HealthTick())
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -1,4 +1,4 @@
-"""Let request tasks claim work through the task that owns the ledger client."""
+"""Claim idempotency keys in the ledger through the ledger client's task."""
 
 import itertools
 
@@ -40,13 +40,13 @@
 KIND_REQUEST = "ledger.request"
 KIND_REPLY = "ledger.reply"
 TICK_S = 0.05
-CLAIM_TIMEOUT_S = 10.0  # the client itself gives up long before
+CLAIM_TIMEOUT_S = 10.0  # the ledger client itself gives up much earlier
 
 TicketReply = ClaimGranted | ClaimDenied | LookedUp
 
 
 class LedgerTasks(LedgerPort):
-    """Run the task of the ledger client and match its replies."""
+    """Run the ledger client as a task and match replies to waiting requests."""
 
     def __init__(self, client: LedgerClient, link: Transport, clock: ClockPort) -> None:
         self._link = link
@@ -56,18 +56,18 @@
         self._task: FilterTask[ClientInput, ClientOutput] = FilterTask(
             "ledger-client",
             client,
-            CallOutlet(self._take),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(TICK_S, ClientTick()),
         )
 
     @property
     def task(self) -> FilterTask[ClientInput, ClientOutput]:
-        """Return the task that owns the client."""
+        """Return the task that runs the ledger client."""
         return self._task
 
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
-        """Make a claim durable, or refuse truthfully."""
+        """Store a claim durably, or return the reason why it was not stored."""
         key = head.idempotency_key or ""
         ask = create_ask(next(self._tickets), head, key)
         reply = self._replies.ask(
@@ -87,7 +87,7 @@
         self._task.put(AskSettle(claim_id, ran, status))
 
     def look_up(self, organisation: str, key: str) -> WorkFound | None:
-        """Return what is known of a key; None when no majority answers."""
+        """Return what is known of a key; None if no majority answers."""
         ask = AskLookUp(next(self._tickets), LedgerKey(organisation, key))
         reply = self._replies.ask(
             ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
@@ -95,15 +95,16 @@
         return reply.found if isinstance(reply, LookedUp) else None
 
     def take_frame(self, frame: Frame) -> None:
-        """Take a replica's reply; raise CodecError for other bytes."""
+        """Handle a replica's reply; raise CodecError if it is malformed."""
         reply = decode_reply(frame.payload, self._link.address)
         self._task.put(ReplyArrived(reply))
 
-    def _take(self, message: ClientOutput) -> None:
+    def _handle_output(self, message: ClientOutput) -> None:
         if isinstance(message, SendRequest):
             payload = encode_request(message.group, message.request)
             self._link.send(message.replica_id, KIND_REQUEST, payload)
             return
-        is_awaited = self._replies.give(message)
+        is_awaited = self._replies.resolve(message)
         if isinstance(message, ClaimGranted) and not is_awaited:
+            # The request has timed out, so its claim will never be used.
             self._task.put(AskSettle(message.claim_id, Ran.NOT_RUN, 0))
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/__init__.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/__init__.py
@@ -1,1 +1,1 @@
-"""Carry frames between the processes of the fleet."""
+"""Exchange frames between the processes of the fleet."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/batches.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/batches.py
@@ -1,4 +1,4 @@
-"""Gather messages to the same recipient into one frame."""
+"""Batch messages to the same recipient."""
 
 from collections.abc import Callable
 from typing import Generic
@@ -10,26 +10,26 @@
 
 
 class Batches(Generic[Message]):
-    """Own the messages that wait for the end of their window."""
+    """Collect messages per recipient and send them together after ``window_s``."""
 
     def __init__(
         self, send: Callable[[str, tuple[Message, ...]], None], window_s: float
     ) -> None:
         self._send = send
         self._window_s = window_s
-        self._waiting: dict[str, list[Message]] = {}
+        self._pending: dict[str, list[Message]] = {}
 
     def put(self, recipient: str, message: Message, is_urgent: bool) -> None:
-        """Take a message; an urgent one leaves at once, with those that wait."""
-        if recipient not in self._waiting:
-            self._waiting[recipient] = []
+        """Queue a message; an urgent one sends the recipient's queue at once."""
+        if recipient not in self._pending:
+            self._pending[recipient] = []
             if not is_urgent:
                 eventlet.spawn_after(self._window_s, self._flush, recipient)
-        self._waiting[recipient].append(message)
+        self._pending[recipient].append(message)
         if is_urgent:
             self._flush(recipient)
 
     def _flush(self, recipient: str) -> None:
-        messages = self._waiting.pop(recipient, None)
+        messages = self._pending.pop(recipient, None)
         if messages:
             self._send(recipient, tuple(messages))
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -1,7 +1,7 @@
-"""Send small frames as datagrams and large ones over a connection each.
+"""Send small frames as UDP datagrams and each large one over its own TCP connection.
 
-A datagram needs no connection that may have gone silent, and what is sent to
-a process that is away is lost instead of held up.
+A datagram needs no connection, which could be dead without notice, and what is
+sent to a process that is down is lost instead of queued.
 """
 
 import socket
@@ -21,18 +21,18 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
 
-MAX_DATAGRAM_BYTES = 1200  # below the usual packet size, with room for headers
+MAX_DATAGRAM_BYTES = 1200  # below the usual MTU, with room for packet headers
 RECEIVE_BYTES = 2048
 CONNECT_TIMEOUT_S = 1.0
 STREAM_TIMEOUT_S = 3.0
-MAX_STREAMS = 32  # large frames on their way, each way
+MAX_STREAMS = 32  # concurrent large frames in each direction
 BACKLOG = 128
 
 _LENGTH = struct.Struct("<I")
 
 
 class DatagramLink(Transport):
-    """Own the datagram socket and the listener for large frames."""
+    """Transport over a UDP socket, and TCP connections for large frames."""
 
     def __init__(
         self,
@@ -44,7 +44,7 @@
     ) -> None:
         super().__init__(address, key, outlet, on_fault)
         self._on_sent = on_sent
-        self._sending = 0
+        self._streams_sending = 0
         self._greenlets: list[Any] = []
         self._datagrams, self._listener = _listen(address)
         self._receiving = eventlet.GreenPool(MAX_STREAMS)
@@ -64,9 +64,9 @@
             self._send_stream(peer, data)
             return
         try:
-            self._datagrams.fd.sendto(data, _split(peer))
+            self._datagrams.fd.sendto(data, _parse_address(peer))
         except OSError:
-            self._dropped_frames += 1  # shown in the state dump
+            self._dropped_frames += 1  # reported in the state dump
 
     def close(self) -> None:
         """Stop receiving and close all sockets."""
@@ -80,21 +80,21 @@
             try:
                 data, _ = self._datagrams.recvfrom(RECEIVE_BYTES)
             except OSError:
-                # an earlier datagram met a closed port; there is nothing to read
+                # An earlier datagram reached a closed port; there is nothing to read.
                 continue
-            self._take(data)
+            self._handle_data(data)
 
     def _send_stream(self, peer: str, data: bytes) -> None:
-        if self._sending >= MAX_STREAMS:
+        if self._streams_sending >= MAX_STREAMS:
             self._dropped_frames += 1
             return
-        self._sending += 1
+        self._streams_sending += 1
         eventlet.spawn_n(self._stream, peer, data)
 
     def _stream(self, peer: str, data: bytes) -> None:
         try:
             stream = eventlet.green.socket.create_connection(
-                _split(peer), timeout=CONNECT_TIMEOUT_S
+                _parse_address(peer), timeout=CONNECT_TIMEOUT_S
             )
             try:
                 stream.settimeout(STREAM_TIMEOUT_S)
@@ -104,7 +104,7 @@
         except (OSError, eventlet.Timeout):
             self._dropped_frames += 1
         finally:
-            self._sending -= 1
+            self._streams_sending -= 1
 
     def _accept(self) -> None:
         while True:
@@ -116,16 +116,20 @@
             stream.settimeout(STREAM_TIMEOUT_S)
             (length,) = _LENGTH.unpack(_read_exactly(stream, _LENGTH.size))
             if length > MAX_FRAME_BYTES:
-                raise FrameError("the frame is too large", context=f"{length} bytes")
+                raise FrameError(
+                    "the frame exceeds the maximum size", context=f"{length} bytes"
+                )
             data = _read_exactly(stream, length)
         except (OSError, FrameError) as error:
-            self._on_fault(FrameError("a large frame broke off", context=str(error)))
+            self._on_fault(
+                FrameError("a large frame was not received", context=str(error))
+            )
             return
         finally:
             stream.close()
-        self._take(data)
+        self._handle_data(data)
 
-    def _take(self, data: bytes) -> None:
+    def _handle_data(self, data: bytes) -> None:
         try:
             frame = open_frame(data, self._key)
         except FrameError as error:
@@ -134,18 +138,18 @@
         self._outlet.put(frame)
 
 
-def _read_exactly(stream: Any, wanted: int) -> bytes:
-    pieces: list[bytes] = []
-    while wanted > 0:
-        piece = stream.recv(min(wanted, 64 * 1024))
-        if not piece:
-            raise FrameError("the connection ended early")
-        pieces.append(piece)
-        wanted -= len(piece)
-    return b"".join(pieces)
+def _read_exactly(stream: Any, remaining: int) -> bytes:
+    chunks: list[bytes] = []
+    while remaining > 0:
+        chunk = stream.recv(min(remaining, 64 * 1024))
+        if not chunk:
+            raise FrameError("the connection closed before the end of the frame")
+        chunks.append(chunk)
+        remaining -= len(chunk)
+    return b"".join(chunks)
 
 
-def _split(address: str) -> tuple[str, int]:
+def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
 
@@ -153,13 +157,15 @@
 def _listen(address: str) -> tuple[Any, Any]:
     datagrams = eventlet.green.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     try:
-        datagrams.bind(_split(address))
-        listener = eventlet.listen(_split(address), backlog=BACKLOG, reuse_port=False)
+        datagrams.bind(_parse_address(address))
+        listener = eventlet.listen(
+            _parse_address(address), backlog=BACKLOG, reuse_port=False
+        )
     except OSError as error:
         datagrams.close()
         raise LinkError(
-            "cannot listen for links",
+            "cannot listen for frames",
             context=f"{address}: {error}",
-            hint="is another process on this address?",
+            hint="check whether another process listens on this address",
         ) from error
     return datagrams, listener
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -1,4 +1,4 @@
-"""Seal and open the frames between the processes of the fleet."""
+"""Encode and authenticate the frames exchanged between processes."""
 
 import hashlib
 import hmac
@@ -10,13 +10,13 @@
 
 MAGIC = b"PMB"
 VERSION = 1
-TAG_BYTES = 16  # of a truncated HMAC-SHA-256
+TAG_BYTES = 16  # length of the truncated HMAC-SHA-256
 HEAD_BYTES = len(MAGIC) + 1 + TAG_BYTES
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 
 class Frame(NamedTuple):
-    """Carry one encoded message; ``sender`` is the address that replies go to."""
+    """One encoded message; ``sender`` is the address for replies."""
 
     sender: str
     kind: str
@@ -34,22 +34,25 @@
 
 
 def open_frame(data: bytes, key: bytes) -> Frame:
-    """Return the frame in ``data``; raise FrameError if it is not a member's."""
+    """Verify and decode a frame; raise FrameError if it is not authentic."""
     if not HEAD_BYTES < len(data) <= MAX_FRAME_BYTES:
-        raise FrameError("the frame's size is wrong", context=f"{len(data)} bytes")
+        raise FrameError(
+            "the frame's size is out of range", context=f"{len(data)} bytes"
+        )
     if data[: len(MAGIC)] != MAGIC:
-        raise FrameError("the bytes are not a frame")
+        raise FrameError("the data is not a frame")
     version = data[len(MAGIC)]
     if version != VERSION:
         raise FrameError(
-            "the frame is of another version",
+            "unsupported frame version",
             context=f"version {version}, expected {VERSION}",
             hint="run the same version in the whole fleet",
         )
     body = data[HEAD_BYTES:]
     if not hmac.compare_digest(data[len(MAGIC) + 1 : HEAD_BYTES], _tag(body, key)):
         raise FrameError(
-            "the frame's key is wrong", hint="give all members the same key file"
+            "the frame was not authenticated with this fleet's key",
+            hint="give all members the same key file",
         )
     return _decode(body)
 
@@ -58,7 +61,7 @@
     try:
         return _DECODER.decode(body)
     except (msgspec.DecodeError, ValueError) as error:
-        raise FrameError("the frame does not decode", context=str(error)) from error
+        raise FrameError("the frame cannot be decoded", context=str(error)) from error
 
 
 def _tag(body: bytes, key: bytes) -> bytes:
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
@@ -1,4 +1,4 @@
-"""Own the sockets that join this process to others."""
+"""Exchange frames with other processes over nng sockets."""
 
 from collections.abc import Callable
 from typing import Any
@@ -23,7 +23,7 @@
 
 
 class Link(Transport):
-    """Receive on one socket and send on one a peer; frames may be lost."""
+    """Transport with one receiving socket and one sending socket per peer."""
 
     def __init__(
         self,
@@ -41,12 +41,12 @@
 
     @property
     def bytes_sent(self) -> int:
-        """Return the bytes given to sockets so far."""
+        """Return the number of bytes passed to sending sockets."""
         return self._bytes_sent
 
     @property
     def bytes_received(self) -> int:
-        """Return the bytes taken from the socket so far."""
+        """Return the number of bytes read from the receiving socket."""
         return self._bytes_received
 
     def start(self) -> None:
@@ -54,7 +54,7 @@
         self._greenlet = eventlet.spawn(self._receive)
 
     def send(self, peer: str, kind: str, payload: bytes) -> None:
-        """Send one message to a peer's address, or drop it when that is full."""
+        """Send one message to a peer's address; drop it if the send buffer is full."""
         data = seal_frame(Frame(self._address, kind, payload), self._key)
         try:
             self._peer(peer).send(data, block=False)
@@ -94,9 +94,9 @@
                 eventlet.hubs.trampoline(self._socket.recv_fd, read=True)
                 continue
             self._bytes_received += len(data)
-            self._take(data)
+            self._handle_data(data)
 
-    def _take(self, data: bytes) -> None:
+    def _handle_data(self, data: bytes) -> None:
         try:
             frame = open_frame(data, self._key)
         except FrameError as error:
@@ -113,8 +113,8 @@
     except pynng.NNGException as error:
         socket.close()
         raise LinkError(
-            "cannot listen for links",
+            "cannot listen for frames",
             context=f"{address}: {error}",
-            hint="is another process on this address?",
+            hint="check whether another process listens on this address",
         ) from error
     return socket
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
@@ -1,4 +1,4 @@
-"""Hand frames to those who take their kind."""
+"""Dispatch received frames by kind."""
 
 from collections.abc import Callable
 
@@ -7,27 +7,27 @@
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.exceptions import PimentobendError
 
-TakeFrame = Callable[[Frame], None]
+FrameHandler = Callable[[Frame], None]
 
 
 class FrameRouter(Outlet[Frame]):
-    """Route each frame by its kind; bad ones are reported, never raised."""
+    """Call the handler of each frame's kind; report errors instead of raising."""
 
     def __init__(self, on_fault: Callable[[PimentobendError], None]) -> None:
-        self._takers: dict[str, TakeFrame] = {}
+        self._handlers: dict[str, FrameHandler] = {}
         self._on_fault = on_fault
 
-    def register(self, kind: str, take: TakeFrame) -> None:
-        """Give all frames of a kind to a function."""
-        self._takers[kind] = take
+    def register(self, kind: str, handler: FrameHandler) -> None:
+        """Call a function for all frames of a kind."""
+        self._handlers[kind] = handler
 
     def put(self, message: Frame) -> None:
-        """Hand a frame to the taker of its kind."""
-        take = self._takers.get(message.kind)
-        if take is None:
-            self._on_fault(FrameError("unknown kind of frame", context=message.kind))
+        """Pass a frame to the handler of its kind."""
+        handler = self._handlers.get(message.kind)
+        if handler is None:
+            self._on_fault(FrameError("unknown frame kind", context=message.kind))
             return
         try:
-            take(message)
+            handler(message)
         except PimentobendError as error:
             self._on_fault(error)
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
@@ -1,4 +1,4 @@
-"""Define what carries frames to other processes."""
+"""Interface of the transports that send frames to other processes."""
 
 import abc
 from collections.abc import Callable
@@ -9,7 +9,7 @@
 
 
 class Transport(abc.ABC):
-    """Send frames, which may be lost, come twice or come late."""
+    """Transport whose frames may be lost, duplicated or delayed."""
 
     def __init__(
         self,
@@ -31,7 +31,7 @@
 
     @property
     def dropped_frames(self) -> int:
-        """Return how many frames could not be sent."""
+        """Return the number of frames that could not be sent."""
         return self._dropped_frames
 
     @abc.abstractmethod
--- a/packages/adapters/src/pimentobend_adapters/_internal/observers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/observers.py
@@ -1,4 +1,4 @@
-"""Tell several observers of each attempt."""
+"""Report attempts to several observers."""
 
 from pimentobend_adapters._internal.health import HealthTasks
 from pimentobend_adapters._internal.metrics import AttemptMetrics
@@ -8,17 +8,17 @@
 
 
 class AttemptObservers(AttemptObserver):
-    """Pass attempts on to the health tasks and the metrics."""
+    """Report attempts to the health tasks and the metrics."""
 
     def __init__(self, health: HealthTasks, metrics: AttemptMetrics) -> None:
         self._health = health
         self._metrics = metrics
 
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Take an attempt that begins."""
+        """Report an attempt that starts; the metrics count only ended ones."""
         self._health.started(pool, message)
 
     def ended(self, message: AttemptEnded) -> None:
-        """Take an attempt that ended."""
+        """Report an attempt that ended."""
         self._health.ended(message)
         self._metrics.put(message)
--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -1,4 +1,4 @@
-"""Run state owners as tasks that take messages from an inbox."""
+"""Run stateful filters as tasks that receive messages through an inbox."""
 
 import abc
 from collections.abc import Callable
@@ -18,28 +18,28 @@
 In = TypeVar("In")
 Out = TypeVar("Out")
 Message = TypeVar("Message")
-Taken = TypeVar("Taken", contravariant=True)
+Accepted = TypeVar("Accepted", contravariant=True)
 
 DUMP_TIMEOUT_S = 2.0
 
 
-class Outlet(abc.ABC, Generic[Taken]):
-    """Take the messages that a task gives out."""
+class Outlet(abc.ABC, Generic[Accepted]):
+    """Destination of the messages that a task emits."""
 
     @abc.abstractmethod
-    def put(self, message: Taken) -> None:
-        """Take one message without waiting."""
+    def put(self, message: Accepted) -> None:
+        """Accept one message without blocking."""
 
 
 class Discard(Outlet[object]):
-    """Drop every message."""
+    """Outlet that drops every message."""
 
     def put(self, message: object) -> None:
         """Drop the message."""
 
 
 class CallOutlet(Outlet[Message]):
-    """Hand each message to a function."""
+    """Outlet that calls a function with each message."""
 
     def __init__(self, function: Callable[[Message], None]) -> None:
         self._function = function
@@ -49,30 +49,30 @@
         self._function(message)
 
 
-class _DumpAsked(NamedTuple):
-    reply: Any  # an eventlet event
+class _DumpRequest(NamedTuple):
+    reply: Any  # eventlet event that the state is sent to
 
 
 class Ticking(NamedTuple, Generic[Message]):
-    """Give a task a message every ``interval_s`` seconds."""
+    """Message that a task receives every ``interval_s`` seconds."""
 
     interval_s: float
     message: Message
 
 
 class FilterTask(Outlet[In], Generic[In, Out]):
-    """Own a stateful filter, its inbox and its ticks."""
+    """Run a stateful filter on messages from an inbox and on periodic ticks."""
 
     def __init__(
         self,
         name: str,
-        owner: StatefulFilter[In, Out],
+        state_filter: StatefulFilter[In, Out],
         outlet: Outlet[Out],
         clock: ClockPort,
         ticking: Ticking[In] | None = None,
     ) -> None:
         self._name = name
-        self._owner = owner
+        self._filter = state_filter
         self._outlet = outlet
         self._clock = clock
         self._ticking = ticking
@@ -81,7 +81,7 @@
 
     @property
     def name(self) -> str:
-        """Return the name of the task in dumps."""
+        """Return the task's name in state dumps."""
         return self._name
 
     def put(self, message: In) -> None:
@@ -89,21 +89,21 @@
         self._inbox.put(message)
 
     def start(self) -> None:
-        """Start taking messages."""
+        """Start processing messages."""
         self._greenlets.append(eventlet.spawn(self._run))
         if self._ticking is not None:
             self._greenlets.append(eventlet.spawn(self._tick, self._ticking))
 
     def stop(self) -> None:
-        """Stop taking messages."""
+        """Stop processing messages."""
         for greenlet in self._greenlets:
             greenlet.kill()
         self._greenlets.clear()
 
     def dump(self) -> Mapping[str, object]:
-        """Ask the task for its state; empty when it does not answer in time."""
+        """Return the filter's state; empty if it does not answer in time."""
         reply = eventlet.event.Event()
-        self._inbox.put(_DumpAsked(reply))
+        self._inbox.put(_DumpRequest(reply))
         with eventlet.Timeout(DUMP_TIMEOUT_S, False):
             state: Mapping[str, object] = reply.wait()
             return state
@@ -112,11 +112,11 @@
     def _run(self) -> None:
         while True:
             message = self._inbox.get()
-            if isinstance(message, _DumpAsked):
-                message.reply.send(self._owner.dump())
+            if isinstance(message, _DumpRequest):
+                message.reply.send(self._filter.dump())
                 continue
-            for following in self._owner.handle(message, self._clock.now()):
-                self._outlet.put(following)
+            for output in self._filter.handle(message, self._clock.now()):
+                self._outlet.put(output)
 
     def _tick(self, ticking: Ticking[In]) -> None:
         while True:
--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -1,4 +1,4 @@
-"""Let request tasks ask the tasks that own the pools' traffic."""
+"""Run a traffic task per pool and pass its replies to waiting requests."""
 
 import abc
 from collections.abc import Callable
@@ -32,41 +32,41 @@
 from pimentobend_core._internal.traffic.messages import TrafficTick
 
 TICK_S = 0.05
-GRACE_S = 1.0  # past the deadline, for the owner's own refusal
+GRACE_S = 1.0  # wait after the deadline, in which the task sends its own refusal
 
 TrafficOwner = StatefulFilter[TrafficInput, TrafficOutput]
 TrafficTask = FilterTask[TrafficInput, TrafficOutput]
 
 
 class AttemptObserver(abc.ABC):
-    """Follow the attempts of all pools."""
+    """Receives the start and the end of each attempt, for all pools."""
 
     @abc.abstractmethod
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Take an attempt that begins."""
+        """Record an attempt that starts."""
 
     @abc.abstractmethod
     def ended(self, message: AttemptEnded) -> None:
-        """Take an attempt that ended."""
+        """Record an attempt that ended."""
 
 
 class _Waiter(NamedTuple):
     pool: str
-    event: Any  # an eventlet event
+    event: Any  # eventlet event that the reply is sent to
 
 
 class TrafficTasks(TrafficPort):
-    """Run one traffic task a pool and match its replies to those who wait."""
+    """Run one traffic task per pool and match replies to waiting requests."""
 
     def __init__(
         self,
         create_owner: Callable[[Pool], TrafficOwner],
         clock: ClockPort,
-        attempts: AttemptObserver,
+        observer: AttemptObserver,
     ) -> None:
         self._create_owner = create_owner
         self._clock = clock
-        self._attempts = attempts
+        self._observer = observer
         self._tasks: dict[str, TrafficTask] = {}
         self._waiting: dict[int, _Waiter] = {}
         self._is_ticking = False
@@ -77,7 +77,7 @@
         return tuple(self._tasks.values())
 
     def configure(self, pools: tuple[Pool, ...]) -> None:
-        """Start, change and stop tasks so that they follow the table of pools."""
+        """Start, update and stop tasks to match the table of pools."""
         names = {pool.name for pool in pools}
         for name in [name for name in self._tasks if name not in names]:
             self._tasks.pop(name).stop()
@@ -87,18 +87,18 @@
             self._tasks[pool.name].put(ConfigurePool(pool))
 
     def put(self, pool: str, message: TrafficInput) -> None:
-        """Send a message to a pool's task, if the pool exists."""
+        """Send a message to a pool's task; drop it if there is no such pool."""
         if pool in self._tasks:
             self._tasks[pool].put(message)
 
     def servers_changed(self, pool: str, message: ServersChanged) -> None:
-        """Give a pool's task its list of servers."""
+        """Send a pool's task its new list of servers."""
         self.put(pool, message)
 
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
-        """Wait for a backend server until the deadline."""
+        """Wait for a slot on a backend server until the deadline."""
         if pool not in self._tasks:
-            return Failure(_no_pool(pool))
+            return Failure(_pool_missing(pool))
         event = eventlet.event.Event()
         self._waiting[message.ticket] = _Waiter(pool, event)
         self._ensure_ticking()
@@ -109,21 +109,21 @@
             self._waiting.pop(message.ticket, None)
 
     def started(self, pool: str, message: AttemptStarted) -> None:
-        """Report an attempt that begins to those who observe."""
-        self._attempts.started(pool, message)
+        """Report an attempt that starts to the observer."""
+        self._observer.started(pool, message)
 
     def ended(self, message: AttemptEnded) -> None:
-        """Report an ended attempt to the pool's traffic task and to observers."""
+        """Report an ended attempt to the pool's traffic task and to the observer."""
         self.put(message.pool, message)
-        self._attempts.ended(message)
+        self._observer.ended(message)
 
     def _wait(
         self, pool: str, message: Acquire, event: Any
     ) -> Result[Granted, Refusal]:
-        limit_s = max(0.0, message.deadline - self._clock.now()) + GRACE_S
+        timeout_s = max(0.0, message.deadline - self._clock.now()) + GRACE_S
         reply: TrafficOutput | None = None
         try:
-            with eventlet.Timeout(limit_s, False):
+            with eventlet.Timeout(timeout_s, False):
                 reply = event.wait()
         finally:
             if reply is None:
@@ -131,7 +131,7 @@
         if isinstance(reply, Granted):
             return Success(reply)
         if reply is None:
-            return Failure(_no_pool(pool))
+            return Failure(_pool_missing(pool))
         return Failure(reply.refusal)
 
     def _start(self, pool: Pool) -> TrafficTask:
@@ -155,7 +155,7 @@
             eventlet.spawn_n(self._tick)
 
     def _tick(self) -> None:
-        """Let queued requests expire; a pool without any takes no ticks."""
+        """Expire queued requests; pools without any receive no ticks."""
         while self._waiting:
             eventlet.sleep(TICK_S)
             for pool in {waiter.pool for waiter in self._waiting.values()}:
@@ -163,11 +163,11 @@
         self._is_ticking = False
 
 
-def _no_pool(pool: str) -> Refusal:
+def _pool_missing(pool: str) -> Refusal:
     return Refusal(
         status=503,
         ran=Ran.NOT_RUN,
         reason=RefusalReason.NO_SERVER,
-        detail=f"the pool {pool!r} is not in force",
+        detail=f"pool {pool!r} is not configured",
         retry_after_s=1,
     )
--- a/packages/adapters/src/pimentobend_adapters/http.py
+++ b/packages/adapters/src/pimentobend_adapters/http.py
@@ -1,4 +1,4 @@
-"""Give other packages the names of headers."""
+"""Public names of the HTTP adapters."""
 
 from pimentobend_adapters._internal.http.headers import HeaderNames
 
