Reword the data folder of the replicas in plain terms

A reader stumbled over "let go", "last", "behind" and "cut"; the text now speaks of durable, synced, append and truncate. Hints name the action for the operator.

--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/__init__.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/__init__.py
@@ -1,1 +1,1 @@
-"""Keep a replica's records in its data folder."""
+"""Store a replica's records in its data folder."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/blocks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/blocks.py
@@ -1,4 +1,7 @@
-"""Frame what is synced together, so that damage can be told from a torn end."""
+"""Encode records that are synced together as one block with checksums.
+
+The checksums tell a torn write at the end of the log from damage before it.
+"""
 
 import struct
 import zlib
@@ -8,13 +11,13 @@
 from pimentobend_adapters._internal.disk.exceptions import CorruptDiskError
 
 _MARKER = b"PBK1"
-_HEADER = struct.Struct("<4sQII")  # marker, sequence, payload's length and checksum
-_CHECKSUM = struct.Struct("<I")  # of the header
+_HEADER = struct.Struct("<4sQII")  # marker, sequence, payload length, payload CRC
+_CHECKSUM = struct.Struct("<I")  # CRC of the header
 HEADER_BYTES = _HEADER.size + _CHECKSUM.size
 
 
 class Block(NamedTuple):
-    """Hold the bytes of one sync and the offset at which they end."""
+    """Data of one sync, and the offset in the file at which its block ends."""
 
     sequence: int
     payload: bytes
@@ -22,7 +25,7 @@
 
 
 class _Header(NamedTuple):
-    """Hold a block's header that passed its checksum."""
+    """Block header whose checksum was correct."""
 
     sequence: int
     length_bytes: int
@@ -30,23 +33,24 @@
 
 
 def encode_block(sequence: int, payload: bytes) -> bytes:
-    """Return a block as it is stored."""
+    """Return the stored form of a block."""
     header = _HEADER.pack(_MARKER, sequence, len(payload), zlib.crc32(payload))
     return header + _CHECKSUM.pack(zlib.crc32(header)) + payload
 
 
 def read_blocks(data: bytes) -> Iterator[Block]:
-    """Yield the blocks up to a torn end.
+    """Yield the blocks up to a torn write at the end.
 
-    Raises ``CorruptDiskError`` where a whole block stands behind a damaged
-    one: a block is written only after the one before it was synced.
+    Raises ``CorruptDiskError`` if an intact block follows a damaged one: a
+    block is written only after the one before it was synced, so this is not
+    a torn write.
     """
     offset = 0
     sequence = 1
     while offset < len(data):
         block = _read_block(data, offset)
         if block is None or block.sequence != sequence:
-            _check_torn(data, offset)
+            _check_torn_end(data, offset)
             return
         yield block
         offset = block.end
@@ -76,17 +80,17 @@
     return Block(header.sequence, payload, end)
 
 
-def _check_torn(data: bytes, damaged_at: int) -> None:
+def _check_torn_end(data: bytes, damaged_at: int) -> None:
     header = _read_header(data, damaged_at)
-    begin = damaged_at + 1
+    search_from = damaged_at + 1
     if header is not None:
-        begin = damaged_at + HEADER_BYTES + header.length_bytes
-    found = data.find(_MARKER, begin)
+        search_from = damaged_at + HEADER_BYTES + header.length_bytes
+    found = data.find(_MARKER, search_from)
     while found >= 0:
         if _read_block(data, found) is not None:
             raise CorruptDiskError(
-                "a stored block is damaged and a whole one follows it",
-                context=f"damaged at byte {damaged_at}, whole at byte {found}",
-                hint="give this replica up and replace it by one with a new id",
+                "a stored block is damaged, but an intact block follows it",
+                context=f"damaged at byte {damaged_at}, intact at byte {found}",
+                hint="remove this replica and add one with a new id",
             )
         found = data.find(_MARKER, found + 1)
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
@@ -1,11 +1,11 @@
-"""Define the errors of the data folder."""
+"""Errors of the data folder."""
 
 from pimentobend_adapters._internal.exceptions import AdapterError
 
 
 class DiskError(AdapterError):
-    """Report that the data folder did not take or give what was asked."""
+    """The data folder cannot be read or written."""
 
 
 class CorruptDiskError(DiskError):
-    """Report stored bytes that were synced and are damaged now."""
+    """Data that was synced is damaged."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
@@ -1,4 +1,4 @@
-"""Define the few file operations that the data folder is built on."""
+"""File operations that the data folder is built on."""
 
 import abc
 import fcntl
@@ -11,44 +11,45 @@
 class Files(abc.ABC):
     """Read and write files by name in one folder; raise ``OSError``.
 
-    A write lasts once the file is synced, a name once the folder is.
+    Data is durable once the file is synced, and a new or changed name once
+    the folder is.
     """
 
     @abc.abstractmethod
     def read(self, name: str) -> bytes | None:
-        """Return a file's bytes, or None where there is no such file."""
+        """Return a file's bytes, or None if it does not exist."""
 
     @abc.abstractmethod
     def create(self, name: str, data: bytes) -> None:
-        """Write a new file, in place of an old one."""
+        """Write a new file, replacing any file of that name."""
 
     @abc.abstractmethod
     def append(self, name: str, data: bytes) -> None:
-        """Write behind the end of a file."""
+        """Append to a file."""
 
     @abc.abstractmethod
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file."""
+        """Truncate a file to ``size_bytes``."""
 
     @abc.abstractmethod
     def sync(self, name: str) -> None:
-        """Make a file's bytes last."""
+        """Sync a file's data to disk."""
 
     @abc.abstractmethod
     def rename(self, name: str, new_name: str) -> None:
-        """Rename a file, in place of one of that name."""
+        """Rename a file, replacing any file of the new name."""
 
     @abc.abstractmethod
     def sync_folder(self) -> None:
-        """Make the names in the folder last."""
+        """Sync the folder, so that its file names are durable."""
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close all files and release the folder."""
 
 
 class FolderFiles(Files):
-    """Own a folder, which no second process may open."""
+    """Files in a folder that is locked against other processes."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
@@ -60,49 +61,49 @@
         except OSError as error:
             os.close(self._lock)
             raise DiskError(
-                "another process uses the data folder",
+                "another process is using the data folder",
                 context=str(folder),
-                hint="end the other process or choose another folder",
+                hint="stop the other process or use another data folder",
             ) from error
 
     def read(self, name: str) -> bytes | None:
-        """Return a file's bytes, or None where there is no such file."""
+        """Return a file's bytes, or None if it does not exist."""
         try:
             return (self._folder / name).read_bytes()
         except FileNotFoundError:
             return None
 
     def create(self, name: str, data: bytes) -> None:
-        """Write a new file, in place of an old one."""
-        self._forget(name)
+        """Write a new file, replacing any file of that name."""
+        self._close_file(name)
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND
         self._descriptors[name] = os.open(self._folder / name, flags, 0o600)
         self.append(name, data)
 
     def append(self, name: str, data: bytes) -> None:
-        """Write behind the end of a file."""
+        """Append to a file."""
         descriptor = self._descriptor(name)
-        rest = memoryview(data)
-        while rest:
-            rest = rest[os.write(descriptor, rest) :]
+        remaining = memoryview(data)
+        while remaining:
+            remaining = remaining[os.write(descriptor, remaining) :]
 
     def truncate(self, name: str, size_bytes: int) -> None:
-        """Cut a file."""
+        """Truncate a file to ``size_bytes``."""
         os.ftruncate(self._descriptor(name), size_bytes)
 
     def sync(self, name: str) -> None:
-        """Make a file's bytes last."""
+        """Sync a file's data to disk."""
         os.fdatasync(self._descriptor(name))
 
     def rename(self, name: str, new_name: str) -> None:
-        """Rename a file, in place of one of that name."""
+        """Rename a file, replacing any file of the new name."""
         os.rename(self._folder / name, self._folder / new_name)
-        self._forget(new_name)
+        self._close_file(new_name)
         if name in self._descriptors:
             self._descriptors[new_name] = self._descriptors.pop(name)
 
     def sync_folder(self) -> None:
-        """Make the names in the folder last."""
+        """Sync the folder, so that its file names are durable."""
         descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
         try:
             os.fsync(descriptor)
@@ -110,9 +111,9 @@
             os.close(descriptor)
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close all files and release the folder."""
         for name in list(self._descriptors):
-            self._forget(name)
+            self._close_file(name)
         os.close(self._lock)
 
     def _descriptor(self, name: str) -> int:
@@ -121,7 +122,7 @@
             self._descriptors[name] = os.open(self._folder / name, flags)
         return self._descriptors[name]
 
-    def _forget(self, name: str) -> None:
+    def _close_file(self, name: str) -> None:
         descriptor = self._descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
@@ -1,4 +1,4 @@
-"""Keep a replica's log and snapshot in files."""
+"""Store a replica's log and snapshot in files."""
 
 from pimentobend_adapters._internal.disk.blocks import encode_block
 from pimentobend_adapters._internal.disk.blocks import read_blocks
@@ -26,19 +26,19 @@
 
 
 class FolderDisk(Disk):
-    """Own the files ``log`` and ``snapshot`` of a data folder."""
+    """Disk that stores the files ``log`` and ``snapshot`` in a data folder."""
 
     def __init__(self, files: Files) -> None:
         self._files = files
-        self._sequence = 0  # of the last synced block
-        self._size_bytes = 0  # of the log up to its last synced block
-        self._has_torn_end = False  # a write failed in this process
+        self._sequence = 0  # number of the last synced block
+        self._size_bytes = 0  # size of the log up to its last synced block
+        self._has_torn_end = False  # an append failed since the log was last loaded
 
     def load(self, members: Members) -> StoredState:
-        """Return what is stored, with a torn end cut off; raise ``DiskError``."""
+        """Return the stored state; truncate a torn end; raise ``DiskError``."""
         try:
             if self._has_torn_end:
-                self._cut(self._size_bytes)
+                self._truncate_log(self._size_bytes)
             return self._load(members)
         except OSError as error:
             raise _disk_error("the data folder cannot be read", error) from error
@@ -46,13 +46,13 @@
             raise CorruptDiskError(
                 "the stored log is damaged",
                 context=str(error),
-                hint="give this replica up and replace it by one with a new id",
+                hint="remove this replica and add one with a new id",
             ) from error
 
     def append(self, records: tuple[Record, ...]) -> None:
-        """Store records as one block and sync it; raise ``DiskError``."""
+        """Append records as one block and sync it; raise ``DiskError``."""
         if self._has_torn_end:
-            raise DiskError("the log has a failed write at its end")
+            raise DiskError("an earlier write to the log failed")
         block = encode_block(self._sequence + 1, encode_records(records))
         try:
             self._files.append(LOG, block)
@@ -64,9 +64,9 @@
         self._size_bytes += len(block)
 
     def save(self, snapshot: Snapshot, records: tuple[Record, ...]) -> None:
-        """Store a snapshot, then a log of these records; raise ``DiskError``."""
+        """Store a snapshot, then replace the log by records; raise ``DiskError``."""
         if self._has_torn_end:
-            raise DiskError("the log has a failed write at its end")
+            raise DiskError("an earlier write to the log failed")
         try:
             self._replace(SNAPSHOT, encode_block(1, encode_snapshot(snapshot)))
             self._replace_log(records)
@@ -74,7 +74,7 @@
             raise _disk_error("the snapshot cannot be written", error) from error
 
     def close(self) -> None:
-        """Let go of the folder."""
+        """Close the files and release the folder."""
         self._files.close()
 
     def _load(self, members: Members) -> StoredState:
@@ -94,7 +94,7 @@
             self._size_bytes = block.end
         state = replay(records, snapshot)
         if self._size_bytes < len(data):
-            self._cut(self._size_bytes)
+            self._truncate_log(self._size_bytes)
         return state
 
     def _load_snapshot(self) -> Snapshot | None:
@@ -105,7 +105,7 @@
         if len(blocks) != 1 or blocks[0].end != len(data):
             raise CorruptDiskError(
                 "the stored snapshot is damaged",
-                hint="give this replica up and replace it by one with a new id",
+                hint="remove this replica and add one with a new id",
             )
         return decode_snapshot(blocks[0].payload)
 
@@ -122,7 +122,7 @@
         self._files.rename(temporary, name)
         self._files.sync_folder()
 
-    def _cut(self, size_bytes: int) -> None:
+    def _truncate_log(self, size_bytes: int) -> None:
         self._files.truncate(LOG, size_bytes)
         self._files.sync(LOG)
         self._has_torn_end = False
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
@@ -1,4 +1,4 @@
-"""Run a replica's disk as a task, so that a sync stops no other task."""
+"""Run a replica's disk as a task, so that a sync does not block other tasks."""
 
 from collections.abc import Callable
 from typing import Any
@@ -19,18 +19,18 @@
 Write = Persist | PersistSnapshot
 
 
-class _Load(NamedTuple):
+class _LoadRequest(NamedTuple):
     members: Members
-    reply: Any  # an eventlet event
+    reply: Any  # eventlet event that the result is sent to
 
 
-class _Store(NamedTuple):
+class _WriteRequest(NamedTuple):
     writes: tuple[Write, ...]
-    reply: Any  # an eventlet event
+    reply: Any  # eventlet event that the result is sent to
 
 
 class DiskTask:
-    """Own a disk; its calls run on the thread pool, one at a time."""
+    """Run a disk's blocking calls on the thread pool, one at a time."""
 
     def __init__(self, disk: Disk) -> None:
         self._disk = disk
@@ -38,35 +38,35 @@
         self._greenlet: Any = None
 
     def start(self) -> None:
-        """Start taking messages."""
+        """Start processing requests."""
         self._greenlet = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop taking messages and close the disk."""
+        """Stop processing requests and close the disk."""
         self._greenlet.kill()
         self._disk.close()
 
     def load(self, members: Members) -> StoredState:
-        """Wait for what is stored; raise ``DiskError``."""
-        asked = _Load(members, eventlet.event.Event())
-        self._inbox.put(asked)
-        stored: StoredState = asked.reply.wait()
-        return stored
+        """Wait for the stored state; raise ``DiskError``."""
+        request = _LoadRequest(members, eventlet.event.Event())
+        self._inbox.put(request)
+        state: StoredState = request.reply.wait()
+        return state
 
     def write(self, writes: tuple[Write, ...]) -> int:
-        """Wait until writes are synced; return how many were before a failure."""
-        asked = _Store(writes, eventlet.event.Event())
-        self._inbox.put(asked)
-        done: int = asked.reply.wait()
-        return done
+        """Wait for the writes; return how many were synced before a failure."""
+        request = _WriteRequest(writes, eventlet.event.Event())
+        self._inbox.put(request)
+        count: int = request.reply.wait()
+        return count
 
     def _run(self) -> None:
         while True:
-            asked = self._inbox.get()
-            if isinstance(asked, _Load):
-                self._reply(asked.reply, self._disk.load, asked.members)
+            request = self._inbox.get()
+            if isinstance(request, _LoadRequest):
+                self._reply(request.reply, self._disk.load, request.members)
             else:
-                self._reply(asked.reply, self._store, asked.writes)
+                self._reply(request.reply, self._write_all, request.writes)
 
     def _reply(self, reply: Any, function: Callable[..., object], value: Any) -> None:
         try:
@@ -74,7 +74,7 @@
         except DiskError as error:
             reply.send_exception(error)
 
-    def _store(self, writes: tuple[Write, ...]) -> int:
+    def _write_all(self, writes: tuple[Write, ...]) -> int:
         for position, write in enumerate(writes):
             try:
                 if isinstance(write, Persist):
