Reword logs and metrics of the adapters in plain terms

A reader stumbled over lines "left out" and a counter that "takes" durations; the docstrings now say drop, buffer, token bucket and histogram. Histogram.note is observe, as prometheus_client calls it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
@@ -1,4 +1,4 @@
-"""Count events and expose them to a collector over HTTP."""
+"""Count events and expose the counters to Prometheus over HTTP."""
 
 import bisect
 from collections import Counter
@@ -8,23 +8,23 @@
 
 PREFIX = "pimentobend"
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-MAX_SERIES = 256  # label values of one counter; further ones count as "other"
+MAX_SERIES = 256  # label values per counter; further ones count as "other"
 
 
 class Histogram:
-    """Count durations by bucket."""
+    """Histogram of durations."""
 
     def __init__(self) -> None:
         self.counts = [0] * (len(BUCKETS_S) + 1)
         self.total_s = 0.0
 
-    def note(self, seconds: float) -> None:
-        """Take one duration."""
+    def observe(self, seconds: float) -> None:
+        """Record one duration."""
         self.counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
         self.total_s += seconds
 
     def buckets(self) -> list[tuple[str, float]]:
-        """Return the counts of durations up to each bound."""
+        """Return the cumulative count for each upper bound."""
         bounds = [*map(str, BUCKETS_S), "+Inf"]
         total = 0
         rows: list[tuple[str, float]] = []
@@ -35,37 +35,37 @@
 
 
 class CounterTable:
-    """Own the counters and histograms of a process."""
+    """Counters and histograms of a process."""
 
     def __init__(self) -> None:
         self._counters: dict[str, Counter[str]] = {}
         self._histograms: dict[str, Histogram] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
-        """Add to a counter, under a label value where it has any."""
+        """Add to a counter; ``label`` is the value of its label, if it has any."""
         counter = self._counters.setdefault(name, Counter())
         if label not in counter and len(counter) >= MAX_SERIES:
             label = "other"
         counter[label] += amount
 
     def time(self, name: str, seconds: float) -> None:
-        """Take one duration in seconds."""
-        self._histograms.setdefault(name, Histogram()).note(seconds)
+        """Record one duration in seconds."""
+        self._histograms.setdefault(name, Histogram()).observe(seconds)
 
     def collect(self) -> Iterator[Any]:
-        """Yield the metrics as the library's families.
+        """Yield the metrics as metric families of prometheus_client.
 
-        The library is imported at the first collection, as many processes
-        are never asked.
+        The library is imported at the first collection, as the metrics of many
+        processes are never collected.
         """
         from prometheus_client.core import CounterMetricFamily
         from prometheus_client.core import HistogramMetricFamily
 
         for name, counter in sorted(self._counters.items()):
-            counted = CounterMetricFamily(f"{PREFIX}_{name}", name, labels=["kind"])
+            family = CounterMetricFamily(f"{PREFIX}_{name}", name, labels=["kind"])
             for label, value in sorted(counter.items()):
-                counted.add_metric([label], value)
-            yield counted
+                family.add_metric([label], value)
+            yield family
         for name, histogram in sorted(self._histograms.items()):
             yield HistogramMetricFamily(
                 f"{PREFIX}_{name}_seconds",
@@ -76,7 +76,7 @@
 
 
 def create_metrics_application(table: CounterTable) -> Callable[..., Any]:
-    """Return a WSGI application that exposes the metrics as text."""
+    """Return a WSGI application that serves the metrics in Prometheus text format."""
 
     def answer(environ: dict[str, Any], start_response: Callable[..., Any]) -> Any:
         from prometheus_client import CollectorRegistry
--- a/packages/adapters/src/pimentobend_adapters/_internal/log_volume.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/log_volume.py
@@ -1,4 +1,4 @@
-"""Bound the volume of the log, and never wait for its reader."""
+"""Limit the rate of log lines, and write them without blocking."""
 
 import os
 from collections import deque
@@ -11,14 +11,14 @@
 
 LINES_PER_S = 100.0
 BURST_LINES = 400.0
-ORDINARY_SHARE = 0.5  # of the burst; below it ordinary lines are left out
-BUFFER_BYTES = 256 * 1024  # of lines that the reader has not taken
-REPORT_S = 5.0
-ORDINARY = "is_ordinary"  # marks lines of what went well; not written
+ORDINARY_SHARE = 0.5  # ordinary lines are dropped below this share of the burst
+BUFFER_BYTES = 256 * 1024  # lines that wait for a slow reader
+REPORT_S = 5.0  # interval of the reports of dropped lines
+ORDINARY = "is_ordinary"  # marks lines about successes; not part of the output
 
 
 class LineBudget:
-    """Decide which lines are written: those of failures before ordinary ones."""
+    """Token bucket for log lines that drops ordinary lines before failures."""
 
     def __init__(self) -> None:
         self._tokens = BURST_LINES
@@ -27,21 +27,21 @@
 
     @property
     def left_out(self) -> int:
-        """Return how many lines were left out since the last call of ``take``."""
+        """Return the number of lines dropped since the last call of ``take``."""
         return self._left_out
 
     def take(self) -> int:
-        """Return how many lines were left out, and begin again."""
+        """Return the number of dropped lines and reset it."""
         left_out, self._left_out = self._left_out, 0
         return left_out
 
     def allows(self, *, is_ordinary: bool, now: float) -> bool:
-        """Say whether a line may be written at ``now`` (seconds)."""
-        filled = self._tokens + (now - self._filled_at) * LINES_PER_S
-        self._tokens = min(BURST_LINES, filled)
+        """Return whether a line may be written at ``now`` (seconds)."""
+        tokens = self._tokens + (now - self._filled_at) * LINES_PER_S
+        self._tokens = min(BURST_LINES, tokens)
         self._filled_at = now
-        least = ORDINARY_SHARE * BURST_LINES if is_ordinary else 1.0
-        if self._tokens < least:
+        required = ORDINARY_SHARE * BURST_LINES if is_ordinary else 1.0
+        if self._tokens < required:
             self._left_out += 1
             return False
         self._tokens -= 1.0
@@ -49,59 +49,59 @@
 
 
 class BoundedWriter:
-    """Write lines to a descriptor without waiting; drop what does not fit."""
+    """Write lines to a descriptor without blocking; drop what exceeds the buffer."""
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
-        self._waiting: deque[bytes] = deque()
-        self._waiting_bytes = 0
+        self._buffer: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._is_flushing = False
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Take one line."""
+        """Write or buffer one line; drop it if the buffer is full."""
         data = text.encode()
-        if self._waiting_bytes + len(data) > BUFFER_BYTES:
+        if self._buffered_bytes + len(data) > BUFFER_BYTES:
             self.dropped += 1
             return len(text)
-        self._waiting.append(data)
-        self._waiting_bytes += len(data)
-        if not self._is_flushing and not self._write_waiting():
+        self._buffer.append(data)
+        self._buffered_bytes += len(data)
+        if not self._is_flushing and not self._write_buffer():
             self._is_flushing = True
             eventlet.spawn_n(self._flush_later)
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing; lines leave as soon as the reader takes them."""
+        """Do nothing; lines are written as soon as the descriptor is writable."""
 
-    def _write_waiting(self) -> bool:
-        """Write until the reader takes no more; say whether all was written."""
-        while self._waiting:
-            data = self._waiting.popleft()
+    def _write_buffer(self) -> bool:
+        """Write until the descriptor would block; return whether all was written."""
+        while self._buffer:
+            data = self._buffer.popleft()
             try:
                 written = os.write(self._descriptor, data)
             except BlockingIOError:
                 written = 0
             except OSError:
-                self.dropped += 1 + len(self._waiting)  # there is no reader
-                self._waiting.clear()
-                self._waiting_bytes = 0
+                self.dropped += 1 + len(self._buffer)  # the reader has closed it
+                self._buffer.clear()
+                self._buffered_bytes = 0
                 return True
-            self._waiting_bytes -= written
+            self._buffered_bytes -= written
             if written < len(data):
-                self._waiting.appendleft(data[written:])
+                self._buffer.appendleft(data[written:])
                 return False
         return True
 
     def _flush_later(self) -> None:
-        while not self._write_waiting():
+        while not self._write_buffer():
             eventlet.hubs.trampoline(self._descriptor, write=True)
         self._is_flushing = False
 
 
 class VolumeLimit:
-    """Leave out lines over the budget, as a processor of structlog."""
+    """Processor of structlog that drops lines over the budget."""
 
     def __init__(self, writer: BoundedWriter) -> None:
         self._budget = LineBudget()
@@ -110,7 +110,7 @@
     def __call__(
         self, logger: Any, method: str, event: MutableMapping[str, Any]
     ) -> MutableMapping[str, Any]:
-        """Return the event, or raise DropEvent."""
+        """Return the event, or raise DropEvent if it is over the budget."""
         is_ordinary = bool(event.pop(ORDINARY, False))
         now: float = eventlet.hubs.get_hub().clock()
         if not self._budget.allows(is_ordinary=is_ordinary, now=now):
@@ -118,7 +118,7 @@
         return event
 
     def report(self) -> None:
-        """Say every ``REPORT_S`` seconds how many lines were left out."""
+        """Log the number of dropped lines every ``REPORT_S`` seconds."""
         while True:
             eventlet.sleep(REPORT_S)
             left_out, dropped = self._budget.take(), self._writer.dropped
--- a/packages/adapters/src/pimentobend_adapters/_internal/logs.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/logs.py
@@ -1,4 +1,4 @@
-"""Write one line of key=value pairs for each event."""
+"""Configure logs with one line of key=value pairs per event."""
 
 import logging
 import sys
@@ -11,8 +11,8 @@
 from pimentobend_adapters._internal.log_volume import VolumeLimit
 
 
-class _Named:
-    """Name the instance on each line, whichever task writes it."""
+class _InstanceAdder:
+    """Processor of structlog that adds the instance's name to each line."""
 
     def __init__(self, instance: str) -> None:
         self._instance = instance
@@ -26,14 +26,14 @@
 
 
 def configure_logs(instance: str, level: int = logging.INFO) -> None:
-    """Set the format of all log lines, which name the instance."""
+    """Write log lines with the instance's name to standard error."""
     _configure(instance, sys.stderr, (), level)
 
 
 def configure_bounded_logs(instance: str) -> VolumeLimit:
-    """Write to standard output, within a budget and without ever waiting.
+    """Write log lines to standard output, within a budget and without blocking.
 
-    The caller runs ``report`` of what is returned as a task.
+    The caller has to run the returned object's ``report`` as a task.
     """
     writer = BoundedWriter(sys.stdout.fileno())
     limit = VolumeLimit(writer)
@@ -47,7 +47,7 @@
     structlog.configure(
         processors=[
             *processors,
-            _Named(instance),
+            _InstanceAdder(instance),
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.KeyValueRenderer(
--- a/packages/adapters/src/pimentobend_adapters/_internal/metrics.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/metrics.py
@@ -14,7 +14,7 @@
 
 
 class Metrics:
-    """Count and time events; without an address, drop them."""
+    """Client for statsd; drops all metrics if there is no address."""
 
     def __init__(self, address: Address | None, instance: str) -> None:
         self._client: Any = None
@@ -28,7 +28,7 @@
             self._client.incr(name, number)
 
     def time(self, name: str, seconds: float) -> None:
-        """Record a duration given in seconds."""
+        """Record a duration in seconds."""
         if self._client is not None:
             self._client.timing(name, seconds * MS_PER_S)
 
@@ -39,13 +39,13 @@
 
 
 class RequestMetrics(Outlet[RequestEnded]):
-    """Count ended requests by outcome."""
+    """Count ended requests, and refusals by reason."""
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
 
     def put(self, message: RequestEnded) -> None:
-        """Count and time one request."""
+        """Count one request and record its duration."""
         self._metrics.count("requests")
         self._metrics.time("request", message.duration_s)
         if message.reason is not None:
@@ -60,6 +60,6 @@
         self._metrics = metrics
 
     def put(self, message: AttemptEnded) -> None:
-        """Count and time one attempt."""
+        """Count one attempt and record its latency."""
         self._metrics.count(f"attempts.{message.kind.value}")
         self._metrics.time(f"attempt.{message.pool}", message.latency_s)
