Reword the tests of disk, platform and interfaces

A reader stumbled over "come back whole", "foreign", "orders" and "beats". Tests and tables are now named after round trips, malformed input, changes and heartbeat calls; what they check is unchanged.

--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -1,4 +1,4 @@
-"""Stand in for a backend server that speaks as the platform's do."""
+"""Fake backend server with the platform's interfaces."""
 
 import json
 import time
@@ -13,7 +13,7 @@
 
 
 class PlatformServer:
-    """Own a server that announces itself and counts what it ran."""
+    """HTTP server that sends heartbeats and records the requests that it ran."""
 
     def __init__(
         self,
@@ -24,14 +24,15 @@
         slots: int = 3,
     ) -> None:
         self.ran: list[str] = []
-        self.arrived_at: list[float] = []  # in seconds of the steady clock
+        self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
         self.hold_s = 0.0
         self.hangs = False
         self._stop = Event()
         self._control = control
         self._sequence = 0
-        self.drained: list[tuple[float, float]] = []  # spans without new work
+        # start and end of each period in which no request may arrive
+        self.drained: list[tuple[float, float]] = []
         outer = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -53,7 +54,7 @@
         self.begin_again()
 
     def begin_again(self) -> None:
-        """Take the place of the server that was here, under another id."""
+        """Become a new server with another id at the same address."""
         born = time.time_ns()
         self.server_id = f"i-{born:x}"
         self.state = "ready"
@@ -64,18 +65,18 @@
         }
 
     def start(self) -> None:
-        """Serve, and send heartbeats."""
+        """Start serving and sending heartbeats."""
         Thread(target=self._http.serve_forever, daemon=True).start()
-        Thread(target=self._beat, daemon=True).start()
+        Thread(target=self._send_heartbeats, daemon=True).start()
 
     def stop(self) -> None:
-        """Stop without a word."""
+        """Stop without sending a withdrawal."""
         self._stop.set()
         self._http.shutdown()
         self._http.server_close()
 
     def serve(self, request: BaseHTTPRequestHandler) -> None:
-        """Run one request."""
+        """Record and answer one request."""
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         request_id = request.headers[f"{PREFIX}Request-Id"]
@@ -94,7 +95,7 @@
         request.wfile.write(content)
 
     def beat(self) -> int:
-        """Send one heartbeat and return the status, 0 without an answer."""
+        """Send one heartbeat; return the status, or 0 if there is no answer."""
         self._sequence += 1
         status = {"state": self.state, "seq": self._sequence, "warmupRemainingS": 0}
         url = f"http://{self._control}/-/instances/{self.server_id}"
@@ -107,6 +108,6 @@
         except OSError:
             return 0
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         while not self._stop.wait(0.3):
             self.beat()
--- a/tests/unit/disk/test_folder.py
+++ b/tests/unit/disk/test_folder.py
@@ -1,4 +1,4 @@
-"""Check that the data folder keeps what it acknowledged, and says when not."""
+"""Check that acknowledged writes survive crashes and that damage is reported."""
 
 import pathlib
 
@@ -45,7 +45,7 @@
 
 
 def _write_all(disk: FolderDisk) -> int:
-    """Write in steps; return the last index that was acknowledged."""
+    """Write in several steps; return the last acknowledged log index."""
     acknowledged = 0
     try:
         disk.load(MEMBERS)
@@ -61,10 +61,10 @@
     return acknowledged
 
 
-OPERATIONS = 18
+OPERATIONS = 18  # file operations of _write_all
 
 
-def test_the_steps_are_all_tried() -> None:
+def test_number_of_file_operations() -> None:
     files = MemoryFiles()
     assert _write_all(FolderDisk(files)) == 8
     assert files.operations == OPERATIONS
@@ -97,7 +97,7 @@
     assert _last_index(after) == _last_index(state) + 1
 
 
-def test_nothing_is_taken_behind_a_failed_write() -> None:
+def test_append_is_refused_after_a_failed_write() -> None:
     files = MemoryFiles()
     disk = FolderDisk(files)
     disk.load(MEMBERS)
--- a/tests/unit/interfaces/test_frames.py
+++ b/tests/unit/interfaces/test_frames.py
@@ -1,4 +1,4 @@
-"""Check that only whole frames of members are opened."""
+"""Check that only intact, authentic frames are accepted."""
 
 import pytest
 from hypothesis import given
@@ -37,7 +37,7 @@
 
 @given(strategies.text(), strategies.text(), strategies.binary())
 @settings(derandomize=True)
-def test_frames_come_back_whole(sender: str, kind: str, payload: bytes) -> None:
+def test_frames_round_trip(sender: str, kind: str, payload: bytes) -> None:
     frame = Frame(sender, kind, payload)
     assert open_frame(seal_frame(frame, KEY), KEY) == frame
 
--- a/tests/unit/interfaces/test_ledger_wire.py
+++ b/tests/unit/interfaces/test_ledger_wire.py
@@ -1,4 +1,4 @@
-"""Check the encoding between daemons and the ledger's replicas."""
+"""Check the encoding of messages between daemons and ledger replicas."""
 
 import pytest
 from hypothesis import given
@@ -45,21 +45,21 @@
 
 
 @pytest.mark.parametrize("command", COMMANDS, ids=lambda c: type(c).__name__)
-def test_requests_come_back_whole(command: Command) -> None:
+def test_requests_round_trip(command: Command) -> None:
     request = LedgerRequest("sender", 3, command)
     decoded = decode_request(encode_request(2, request), "sender")
     assert (decoded.group, decoded.request) == (2, request)
 
 
 @pytest.mark.parametrize("result", RESULTS, ids=lambda r: type(r).__name__)
-def test_replies_come_back_whole(result: CommandResult | Unserved) -> None:
+def test_replies_round_trip(result: CommandResult | Unserved) -> None:
     reply = LedgerReply("recipient", 3, result)
     assert decode_reply(encode_reply(reply), "recipient") == reply
 
 
 @given(strategies.binary(max_size=64))
 @settings(derandomize=True)
-def test_other_bytes_are_refused(payload: bytes) -> None:
+def test_malformed_messages_are_refused(payload: bytes) -> None:
     with pytest.raises(CodecError):
         decode_request(payload, "sender")
     with pytest.raises(CodecError):
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -1,4 +1,4 @@
-"""Check the platform's calls against good and bad input."""
+"""Check the platform's interfaces with valid and invalid input."""
 
 import json
 from collections.abc import Callable
@@ -62,21 +62,21 @@
 
 
 def changed(document: dict[str, Any], path: str, value: object) -> bytes:
-    """Return a document with one value replaced, or removed by ``...``."""
+    """Return a document with one value replaced, or removed if it is ``...``."""
     copy = json.loads(json.dumps(document))
     *parents, last = path.split(".")
-    place = copy
-    for each in parents:
-        place = place[int(each) if each.isdigit() else each]
+    node = copy
+    for part in parents:
+        node = node[int(part) if part.isdigit() else part]
     key: Any = int(last) if last.isdigit() else last
     if value is ...:
-        del place[key]
+        del node[key]
     else:
-        place[key] = value
+        node[key] = value
     return json.dumps(copy).encode()
 
 
-def test_a_configuration_reads_back_as_it_was_put() -> None:
+def test_a_configuration_round_trips() -> None:
     change = documents.read_whole(json.dumps(WHOLE).encode(), "00000005")
     assert change.label == (5, 12)
     tables = WholeTables(
@@ -91,7 +91,7 @@
 
 
 @pytest.mark.parametrize("base", ["00000005", "00000006"])
-def test_equal_orders_have_equal_ids(base: str) -> None:
+def test_equal_changes_have_equal_ids(base: str) -> None:
     data = json.dumps(WHOLE).encode()
     first = documents.read_whole(data, "00000005").change_id
     assert (documents.read_whole(data, base).change_id == first) == (base[-1] == "5")
@@ -103,7 +103,7 @@
     ("empty", b""),
     ("a list", b"[]"),
     ("no version", changed(WHOLE, "version", ...)),
-    ("a version that is no number", changed(WHOLE, "version", "zz")),
+    ("a version that is not a number", changed(WHOLE, "version", "zz")),
     ("an unknown service", changed(WHOLE, "routes.rows.1.9", "c")),
     ("an unknown service in a split", changed(WHOLE, "routes.rows.0.7.1.service", "c")),
     ("a weight below 0", changed(WHOLE, "routes.rows.0.7.1.weight", -1)),
@@ -133,7 +133,7 @@
     assert change.removals == (("r9",), ())
 
 
-FOREIGN = [
+BAD_HEARTBEATS = [
     ("not JSON", b"\x00\x01"),
     ("no address", changed(HEARTBEAT, "address", ...)),
     ("an address of another type", changed(HEARTBEAT, "address", 5)),
@@ -141,13 +141,15 @@
     ("an unknown state", changed(HEARTBEAT, "status.state", "happy")),
     ("no sequence", changed(HEARTBEAT, "status.seq", ...)),
     ("slots of another type", changed(HEARTBEAT, "info.slots", "3")),
-    ("a birth that is no whole number", changed(HEARTBEAT, "born", 1.5)),
+    ("a start time that is not an integer", changed(HEARTBEAT, "born", 1.5)),
     ("no service", changed(HEARTBEAT, "info.service", ...)),
 ]
 
 
-@pytest.mark.parametrize("data", [f[1] for f in FOREIGN], ids=[f[0] for f in FOREIGN])
-def test_foreign_heartbeats_name_no_server(data: bytes) -> None:
+@pytest.mark.parametrize(
+    "data", [f[1] for f in BAD_HEARTBEATS], ids=[f[0] for f in BAD_HEARTBEATS]
+)
+def test_malformed_heartbeats_are_refused(data: bytes) -> None:
     assert read_heartbeat("i-1", data) is None
 
 
@@ -173,7 +175,7 @@
 
 
 class FakeConfiguration(ConfigurationPort):
-    """Give one outcome to every change."""
+    """Configuration that answers every change with the same outcome."""
 
     def __init__(self, outcome: ChangeOutcome, tables: WholeTables | None) -> None:
         self.outcome = outcome
@@ -187,29 +189,29 @@
 
 
 class FakeServers(ServersPort):
-    """Keep what was announced and withdrawn."""
+    """Servers port that records announcements and withdrawals."""
 
     def __init__(self, faults: tuple[str, ...] = ()) -> None:
         self.faults = faults
-        self.taken: list[Announcement | Withdrawal] = []
+        self.received: list[Announcement | Withdrawal] = []
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        self.taken.append(announcement)
+        self.received.append(announcement)
         return Failure(self.faults) if self.faults else Success(None)
 
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        self.taken.append(withdrawal)
+        self.received.append(withdrawal)
 
 
 class Input:
-    """Read bytes as the WSGI input does."""
+    """WSGI input with fixed data."""
 
     def __init__(self, data: bytes) -> None:
         self.data = data
 
     def read(self, size: int) -> bytes:
-        piece, self.data = self.data[:size], self.data[size:]
-        return piece
+        chunk, self.data = self.data[:size], self.data[size:]
+        return chunk
 
 
 def call(
@@ -218,14 +220,14 @@
     path: str,
     data: bytes = b"",
     *,
-    stated: int | None = None,
+    stated_length: int | None = None,
 ) -> str:
     """Call a WSGI application and return its status."""
     statuses: list[str] = []
     environ = {
         "REQUEST_METHOD": method,
         "PATH_INFO": path,
-        "CONTENT_LENGTH": str(len(data) if stated is None else stated),
+        "CONTENT_LENGTH": str(len(data) if stated_length is None else stated_length),
         "HTTP_IF_MATCH": "0000000b",
         "wsgi.input": Input(data),
     }
@@ -235,7 +237,7 @@
 
 GOOD_BODY = json.dumps(WHOLE).encode()
 EMPTY = WholeTables((0, 0), b"", (), ())  # type: ignore[arg-type]
-ORDERS = [
+CHANGES = [
     ("PUT", GOOD_BODY, ChangeOutcome.ACCEPTED, "200"),
     ("PUT", GOOD_BODY, ChangeOutcome.CONFLICT, "412"),
     ("PUT", GOOD_BODY, ChangeOutcome.INVALID, "400"),
@@ -250,8 +252,8 @@
 ]
 
 
-@pytest.mark.parametrize(("method", "data", "outcome", "status"), ORDERS)
-def test_orders(method: str, data: bytes, outcome: ChangeOutcome, status: str) -> None:
+@pytest.mark.parametrize(("method", "data", "outcome", "status"), CHANGES)
+def test_changes(method: str, data: bytes, outcome: ChangeOutcome, status: str) -> None:
     application = PlatformDialect().create_operators(FakeConfiguration(outcome, None))
     assert call(application, method, "/-/config", data) == status
 
@@ -264,7 +266,7 @@
     assert call(application, "GET", "/-/other") == "404"
 
 
-BEATS = [
+HEARTBEAT_CALLS = [
     ("PUT", "/-/instances/i-1", HEARTBEAT, (), "200", 1),
     ("PUT", "/-/instances/i-1", HEARTBEAT, ("late",), "409", 1),
     ("PUT", "/-/instances/", HEARTBEAT, (), "404", 0),
@@ -279,7 +281,7 @@
 
 
 @pytest.mark.parametrize(
-    ("method", "path", "document", "faults", "status", "taken"), BEATS
+    ("method", "path", "document", "faults", "status", "received"), HEARTBEAT_CALLS
 )
 def test_heartbeats(
     method: str,
@@ -287,14 +289,14 @@
     document: dict[str, Any],
     faults: tuple[str, ...],
     status: str,
-    taken: int,
+    received: int,
 ) -> None:
     servers = FakeServers(faults)
     application = PlatformDialect().create_servers(servers, "10.128.0.9:8080")
     data = json.dumps(document).encode()
     assert call(application, method, path, data) == status
-    assert len(servers.taken) == taken
-    assert call(application, method, path, data, stated=len(data) + 9) in (
+    assert len(servers.received) == received
+    assert call(application, method, path, data, stated_length=len(data) + 9) in (
         "400",
         "404",
     )
--- a/tests/unit/platform/test_platform_layer.py
+++ b/tests/unit/platform/test_platform_layer.py
@@ -1,4 +1,4 @@
-"""Check that the platform's names stay in its folder, and what it builds on."""
+"""Check that the platform's names stay in its folder and it imports no internals."""
 
 import ast
 import pathlib
@@ -43,7 +43,7 @@
 
 def test_the_standard_module_platform_is_not_hidden() -> None:
     program = "import platform, pimentobend_platform; print(platform.python_version())"
-    done = subprocess.run(
+    process = subprocess.run(
         [sys.executable, "-c", program],
         capture_output=True,
         text=True,
@@ -51,13 +51,13 @@
         env={"PYTHONPATH": str(ROOT / "platform")},
         check=False,
     )
-    assert done.stdout.startswith("3.")
+    assert process.stdout.startswith("3.")
 
 
 def test_a_reload_is_harmless_from_the_first_import_on(tmp_path: pathlib.Path) -> None:
     program = "import signal; print(signal.getsignal(signal.SIGHUP).name); 1 / 0"
     (tmp_path / "eventlet.py").write_text(program)
-    ended = subprocess.run(
+    process = subprocess.run(
         [sys.executable, "-m", "pimentobend_platform"],
         env={"PYTHONPATH": f"{tmp_path}:{ROOT / 'platform'}"},
         cwd=tmp_path,
@@ -65,4 +65,4 @@
         text=True,
         check=False,
     )
-    assert ended.stdout == "SIG_IGN\n", ended.stderr
+    assert process.stdout == "SIG_IGN\n", process.stderr
