Name the routed request and the own gossip row in forwarding

"value" and "own" did not say what they hold.

Run: ruff, mypy on adapters, platform, daemon: clean; pytest tests/unit/disk platform interfaces forwarding: 790 passed.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -66,13 +66,13 @@
 
     def __init__(
         self,
-        own: Callable[[], PeerRow],
+        own_row: Callable[[], PeerRow],
         link: Transport,
         host: HostTasks,
         clock: ClockPort,
         on_unreachable: Callable[[str], None],
     ) -> None:
-        self._own = own
+        self._own_row = own_row
         self._link = link
         self._host = host
         self._clock = clock
@@ -100,20 +100,22 @@
         self, service: str, route: str, distance: Distance
     ) -> tuple[Candidate, ...]:
         """Return a service's servers within a distance, asking where bids are stale."""
-        own = self._own()
+        own_row = self._own_row()
         rows = [
             row
-            for row in (own, *self._peers)
-            if find_distance(own, row) <= distance and self._may_serve(row, service)
+            for row in (own_row, *self._peers)
+            if find_distance(own_row, row) <= distance and self._may_serve(row, service)
         ]
         now = self._clock.now()
-        stale = [row for row in rows if self._is_stale(own, row, service, route, now)]
-        self._ask_all(_sample(own, stale), service, route, distance)
+        stale = [
+            row for row in rows if self._is_stale(own_row, row, service, route, now)
+        ]
+        self._ask_all(_sample(own_row, stale), service, route, distance)
         now = self._clock.now()
         return tuple(
             candidate
             for row in rows
-            for candidate in self._candidates(own, row, service, route, now)
+            for candidate in self._candidates(own_row, row, service, route, now)
         )
 
     def bid_age_s(self, candidate: Candidate, service: str, route: str) -> float:
@@ -138,10 +140,10 @@
         )
 
     def _is_stale(
-        self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
+        self, own_row: PeerRow, row: PeerRow, service: str, route: str, now: float
     ) -> bool:
         cached = self._cached.get((row.address, service, route))
-        limit_s = FRESH_S[find_distance(own, row)]
+        limit_s = FRESH_S[find_distance(own_row, row)]
         return cached is None or now - cached.received_at > limit_s
 
     def _ask_all(
@@ -199,13 +201,13 @@
         pending.answered(sender)
 
     def _candidates(
-        self, own: PeerRow, row: PeerRow, service: str, route: str, now: float
+        self, own_row: PeerRow, row: PeerRow, service: str, route: str, now: float
     ) -> list[Candidate]:
         key = (row.address, service, route)
         cached = self._cached.get(key)
         if cached is None:
             return []
-        distance = find_distance(own, row)
+        distance = find_distance(own_row, row)
         if now - cached.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
             del self._cached[key]
             return []
@@ -213,10 +215,10 @@
         return [Candidate(peer, bid, distance) for bid in cached.bids.bids]
 
 
-def _sample(own: PeerRow, rows: list[PeerRow]) -> list[PeerRow]:
+def _sample(own_row: PeerRow, rows: list[PeerRow]) -> list[PeerRow]:
     """Pick daemons to ask at random, up to the limit for each distance."""
     chosen: list[PeerRow] = []
     for distance, limit in ASK_LIMITS.items():
-        candidates = [row for row in rows if find_distance(own, row) is distance]
+        candidates = [row for row in rows if find_distance(own_row, row) is distance]
         chosen.extend(random.sample(candidates, min(limit, len(candidates))))
     return chosen
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -97,21 +97,21 @@
 class _DeliveryTask:
     """Run one delivery with its inbox, timer and attempts."""
 
-    def __init__(self, ports: DeliveryPorts, value: Routed) -> None:
+    def __init__(self, ports: DeliveryPorts, routed: Routed) -> None:
         self._ports = ports
-        self._value = value
+        self._routed = routed
         self._inbox: Any = eventlet.queue.LightQueue()
-        self._wake_at = value.head.deadline
+        self._wake_at = routed.head.deadline
         self._attempts: dict[int, Any] = {}  # greenlets by attempt number
         self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
         self._results: dict[int, AttemptResult] = {}
         self._kinds: dict[int, str] = {}
         self._delivery = Delivery(
-            value.head.request_id,
-            value.route,
-            value.pool,
-            value.head.deadline,
-            value.body.can_replay,
+            routed.head.request_id,
+            routed.route,
+            routed.pool,
+            routed.head.deadline,
+            routed.body.can_replay,
             ports.repeats,
         )
 
@@ -121,8 +121,8 @@
 
     def run(self) -> Result[Finished, Refusal]:
         """Run until the delivery ends."""
-        if self._value.on_caller_left is not None:
-            self._value.on_caller_left(lambda: self._inbox.put(CallerLeft()))
+        if self._routed.on_caller_left is not None:
+            self._routed.on_caller_left(lambda: self._inbox.put(CallerLeft()))
         now = self._ports.clock.now
         outputs = self._delivery.begin(now())
         while True:
@@ -137,16 +137,16 @@
         """Emit an event that lists the attempts if the request failed."""
         if ended.map(lambda each: each.attempted.status < SERVER_ERROR).value_or(False):
             return
-        value = self._value
+        routed = self._routed
         attempts = tuple(
             f"{attempt_id}@{candidate.server_id}:{self._kinds.get(number, 'running')}"
             for number, (attempt_id, candidate) in self._attempt_ids.items()
         )
         self._ports.events.put(
             DeliveryEnded(
-                value.head.request_id,
-                value.route.name,
-                value.pool,
+                routed.head.request_id,
+                routed.route.name,
+                routed.pool,
                 self._ports.tables_version(),
                 attempts,
             )
@@ -173,8 +173,8 @@
             case RecallAttempt():
                 self._recall(output.number)
             case Held():
-                request_id = self._value.head.request_id
-                event = DeliveryHeld(request_id, self._value.pool, output)
+                request_id = self._routed.head.request_id
+                event = DeliveryHeld(request_id, self._routed.pool, output)
                 self._ports.events.put(event)
             case Deliver():
                 result = self._results.pop(output.number)
@@ -197,17 +197,17 @@
         return None
 
     def _ask(self, distance: Distance) -> None:
-        value = self._value
-        service = value.pool
-        candidates = self._ports.board.ask(service, value.route.name, distance)
+        routed = self._routed
+        service = routed.pool
+        candidates = self._ports.board.ask(service, routed.route.name, distance)
         self._inbox.put(Offers(candidates, distance))
 
     def _send(self, output: SendAttempt) -> None:
-        ports, value = self._ports, self._value
+        ports, routed = self._ports, self._routed
         candidate = output.candidate
         attempt_id = f"{ports.process_id:x}-{next(ports.numbers):x}"
         self._attempt_ids[output.number] = (attempt_id, candidate)
-        route = value.route
+        route = routed.route
         submit = Submit(
             attempt_id,
             candidate.server_id,
@@ -215,17 +215,17 @@
             route.priority,
             route.repeatable,
             route.target_latency_ms / MS_PER_S,
-            value.head.deadline,
-            value.head.request_id,
+            routed.head.deadline,
+            routed.head.request_id,
             output.is_repeat,
         )
-        age_s = ports.board.bid_age_s(candidate, value.pool, route.name)
+        age_s = ports.board.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
             AttemptSent(
-                value.head.request_id, attempt_id, candidate, age_s, output.is_hedge
+                routed.head.request_id, attempt_id, candidate, age_s, output.is_hedge
             )
         )
-        attempt = LocalAttempt(submit, value.head, value.body)
+        attempt = LocalAttempt(submit, routed.head, routed.body)
         self._attempts[output.number] = eventlet.spawn(
             self._run_attempt, output.number, candidate, attempt
         )
--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -39,7 +39,7 @@
 
 
 class AttemptObserver(abc.ABC):
-    """Receives the start and the end of each attempt, for all pools."""
+    """Observer of the attempts of all pools."""
 
     @abc.abstractmethod
     def started(self, pool: str, message: AttemptStarted) -> None:
