--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -79,7 +79,7 @@
     return StreamedAnswer(b"".join(chunks), response, connection), False
 
 
-def make_attempted(
+def make_attempt_result(
     kind: AttemptKind,
     latency_s: float,
     status: int = 0,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -11,7 +11,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
 
-from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.requests import send_request
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
@@ -128,7 +128,7 @@
         kind = AttemptKind.ANSWERED
         if self._is_refusal(response.status, headers):
             kind = AttemptKind.REFUSED
-        result = make_attempted(
+        result = make_attempt_result(
             kind,
             self._clock.now() - started,
             response.status,
@@ -172,7 +172,7 @@
         return max(MIN_REMAINING_MS, int(remaining_s * MS_PER_S))
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
-        return make_attempted(kind, self._clock.now() - started)
+        return make_attempt_result(kind, self._clock.now() - started)
 
     def _release(
         self, server: Server, connection: Any, disposition: _Disposition
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -9,7 +9,7 @@
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
-from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
@@ -171,7 +171,7 @@
                 record.greenlet = eventlet.spawn(self._call, record, output.server)
             case Declined():
                 self._events.put(HostDecided("declined", output.attempt_id, output))
-                declined = make_attempted(AttemptKind.DECLINED, 0.0)
+                declined = make_attempt_result(AttemptKind.DECLINED, 0.0)
                 declined = declined._replace(headers=(("reason", output.reason.value),))
                 self._finish(output.attempt_id, declined)
             case CancelCall():
@@ -181,7 +181,7 @@
             case Joined():
                 # The result was dropped; all that is known is that the attempt came.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
-                lost = make_attempted(AttemptKind.NO_ANSWER, 0.0)
+                lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
 
     def _call(self, record: _AttemptRecord, server: Server) -> None:
@@ -189,7 +189,7 @@
         submit, head, body = record.attempt
         started = self._clock.now()
         self._events.put(HostDecided("call-started", submit.attempt_id, submit))
-        result = make_attempted(AttemptKind.CANCELLED, 0.0)
+        result = make_attempt_result(AttemptKind.CANCELLED, 0.0)
         try:
             with eventlet.Timeout(max(0.0, submit.deadline - started), False):
                 result = self._calls.call(server, head, body, submit.is_repeatable)
@@ -227,7 +227,7 @@
     """Free a buffered answer but remember that the attempt ran."""
     result = record.result.wait()
     if isinstance(result.body, BufferedAnswer) and result.body.length:
-        lost = make_attempted(AttemptKind.NO_ANSWER, result.latency_s)
+        lost = make_attempt_result(AttemptKind.NO_ANSWER, result.latency_s)
         record.result = eventlet.event.Event()
         record.result.send(lost)
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -7,7 +7,7 @@
 import eventlet
 from urllib3.exceptions import HTTPError
 
-from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
 from pimentobend_adapters._internal.forwarding.hop import SUBMIT_HEADER
@@ -137,9 +137,11 @@
         if hop_result.reason:
             headers = (("reason", hop_result.reason),)
         if hop_result.kind not in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
-            return make_attempted(hop_result.kind, 0.0, headers=headers), False
+            return make_attempt_result(hop_result.kind, 0.0, headers=headers), False
         content, is_whole = read_answer(response, connection)
-        result = make_attempted(hop_result.kind, 0.0, response.status, headers, content)
+        result = make_attempt_result(
+            hop_result.kind, 0.0, response.status, headers, content
+        )
         return result, not is_whole
 
     def _make_submit(self, peer: PeerRow, attempt: LocalAttempt) -> HopSubmit:
@@ -158,4 +160,4 @@
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
-        return make_attempted(kind, self._clock.now() - started)
+        return make_attempt_result(kind, self._clock.now() - started)
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -11,7 +11,7 @@
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
-from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
@@ -55,7 +55,9 @@
         self.runs.append(head.request_id)
         eventlet.sleep(self.hold_s)
         self.ended.append(head.request_id)
-        return make_attempted(AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(b"ok"))
+        return make_attempt_result(
+            AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(b"ok")
+        )
 
 
 class Proxy:
