--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/board.py
@@ -61,7 +61,7 @@
             self.event.send(None)
 
 
-class OfferBoard:
+class BidCollector:
     """Ask daemons for bids and cache the latest by daemon, service and route."""
 
     def __init__(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -11,7 +11,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.board import BidCollector
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
@@ -62,7 +62,7 @@
     """Collaborators and settings shared by all deliveries of a process."""
 
     process_id: int
-    board: OfferBoard
+    board: BidCollector
     host: HostTasks
     peers: PeerClient
     repeats: RetryPolicy
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -14,7 +14,7 @@
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.board import KIND_ASK
 from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.board import BidCollector
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
@@ -138,7 +138,7 @@
             clock,
             ports.forwarding,
         )
-        self.board = OfferBoard(
+        self.board = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = ServersBeside(link.address, process_id, self._take_server)
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_board.py
@@ -7,7 +7,7 @@
 from pimentobend_adapters._internal.forwarding import board as module
 from pimentobend_adapters._internal.forwarding.board import KIND_ASK
 from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.board import BidCollector
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
@@ -71,7 +71,7 @@
     def __init__(self, up: set[str]) -> None:
         self.up = up
         self.asked: list[str] = []
-        self.board: OfferBoard | None = None
+        self.board: BidCollector | None = None
 
     @property
     def address(self) -> str:
@@ -107,7 +107,7 @@
         self.unreachable: list[str] = []
         own = make_row(0, Place("a", "r", service="other"))
         host: HostTasks = None  # type: ignore[assignment]
-        self.board = OfferBoard(
+        self.board = BidCollector(
             lambda: own, self.link, host, self.clock, self.unreachable.append
         )
         self.link.board = self.board
