--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -11,7 +11,7 @@
 from returns.result import Result
 from returns.result import Success
 
-from pimentobend_adapters._internal.forwarding.board import BidCollector
+from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
@@ -62,7 +62,7 @@
     """Collaborators and settings shared by all deliveries of a process."""
 
     process_id: int
-    board: BidCollector
+    bid_collector: BidCollector
     host: HostTasks
     peers: PeerClient
     repeats: RetryPolicy
@@ -199,7 +199,7 @@
     def _ask(self, distance: Distance) -> None:
         routed = self._routed
         service = routed.pool
-        candidates = self._ports.board.ask(service, routed.route.name, distance)
+        candidates = self._ports.bid_collector.ask(service, routed.route.name, distance)
         self._inbox.put(Offers(candidates, distance))
 
     def _send(self, output: SendAttempt) -> None:
@@ -219,7 +219,7 @@
             routed.head.request_id,
             output.is_repeat,
         )
-        age_s = ports.board.bid_age_s(candidate, routed.pool, route.name)
+        age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
             AttemptSent(
                 routed.head.request_id, attempt_id, candidate, age_s, output.is_hedge
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -12,9 +12,9 @@
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.clock import HubClock
-from pimentobend_adapters._internal.forwarding.board import KIND_ASK
-from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import BidCollector
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
@@ -138,13 +138,13 @@
             clock,
             ports.forwarding,
         )
-        self.board = BidCollector(
+        self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = ServersBeside(link.address, process_id, self._take_server)
         delivery = DeliveryPorts(
             process_id,
-            self.board,
+            self.bid_collector,
             self.host,
             PeerClient(clock, link),
             OriginBudget(),
@@ -179,7 +179,7 @@
 
     def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Take the list of daemons and of the servers beside them."""
-        self.board.follow_peers(peers)
+        self.bid_collector.follow_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
         self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
@@ -207,8 +207,8 @@
 
     def register(self, router: FrameRouter) -> None:
         """Take the frames between origins and hosts."""
-        router.register(KIND_ASK, self.board.take_ask)
-        router.register(KIND_BIDS, self.board.take_bids)
+        router.register(KIND_ASK, self.bid_collector.take_ask)
+        router.register(KIND_BIDS, self.bid_collector.take_bids)
         router.register(KIND_WITHDRAW, self.host.take_withdraw)
 
     def dump(self) -> Mapping[str, object]:
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from pimentobend_adapters._internal.forwarding import board as module
-from pimentobend_adapters._internal.forwarding.board import KIND_ASK
-from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import BidCollector
+from pimentobend_adapters._internal.forwarding import bid_collector as module
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
@@ -71,7 +71,7 @@
     def __init__(self, up: set[str]) -> None:
         self.up = up
         self.asked: list[str] = []
-        self.board: BidCollector | None = None
+        self.bid_collector: BidCollector | None = None
 
     @property
     def address(self) -> str:
@@ -89,12 +89,12 @@
         if peer in self.up:
             token = decode(payload, Ask).token
             bids = Bids(token, 5, (Bid(f"s-{peer}", 0.1, 3, 0.0, 0.2),))
-            assert self.board is not None
-            self.board.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
+            assert self.bid_collector is not None
+            self.bid_collector.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
 
 
 class Setting:
-    """Hold a board among daemons at some places."""
+    """Hold a bid collector among daemons at some places."""
 
     def __init__(
         self, places: list[Place], monkeypatch: pytest.MonkeyPatch, down: int = 0
@@ -107,15 +107,15 @@
         self.unreachable: list[str] = []
         own = make_row(0, Place("a", "r", service="other"))
         host: HostTasks = None  # type: ignore[assignment]
-        self.board = BidCollector(
+        self.bid_collector = BidCollector(
             lambda: own, self.link, host, self.clock, self.unreachable.append
         )
-        self.link.board = self.board
-        self.board.follow_peers(rows)
+        self.link.bid_collector = self.bid_collector
+        self.bid_collector.follow_peers(rows)
 
     def ask(self, distance: Distance) -> int:
         self.link.asked.clear()
-        return len(self.board.ask("bookings", "r1", distance))
+        return len(self.bid_collector.ask("bookings", "r1", distance))
 
 
 ASKED = [
@@ -167,9 +167,9 @@
         assert setting.ask(Distance.FAR) == 1
         setting.clock.time += 1.0
     assert setting.unreachable[0] == "10.0.0.1:7"
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=False)
+    setting.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=False)
     setting.ask(Distance.FAR)
     assert setting.link.asked == ["10.0.0.2:7"]
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=True)
+    setting.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=True)
     setting.ask(Distance.FAR)
     assert "10.0.0.1:7" in setting.link.asked
