Rename HostTasks.list_server and unlist_server

list_server reads as if it returned a list; it adds a server or updates its state, so it is update_server, and its opposite remove_server.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -122,11 +122,11 @@
         """Return the state of the task."""
         return {**self._task.dump(), "cells": len(self._records)}
 
-    def list_server(self, server: Server) -> None:
+    def update_server(self, server: Server) -> None:
         """Add a server, or update its state."""
         self._task.put(ServerListed(server))
 
-    def unlist_server(self, server_id: str) -> None:
+    def remove_server(self, server_id: str) -> None:
         """Remove a server that left and close its connections."""
         self._task.put(ServerUnlisted(server_id))
         self._calls.forget(server_id)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -223,10 +223,10 @@
         server = event.server
         if event.presence is Presence.LIVE:
             self._servers[server.server_id] = server
-            self.host.list_server(server)
+            self.host.update_server(server)
         else:
             self._servers.pop(server.server_id, None)
-            self.host.unlist_server(server.server_id)
+            self.host.remove_server(server.server_id)
         self._on_servers(
             tuple(
                 HostedServer(
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -117,7 +117,7 @@
         self.calls = FakeCalls(hold_s)
         self.host = HostTasks(PROCESS, TERMS, self.calls, clock, Discard())
         self.host.start()
-        self.host.list_server(SERVER)
+        self.host.update_server(SERVER)
         front = PeerFront(PROCESS, self.host, NAMES, clock)
         self.server = HttpServer(Address("127.0.0.1", 0), front)
         self.server.start()
