Rename seal_frame and open_frame to encode_frame and decode_frame

Sealing suggests encryption, but frames are only authenticated.

Run: ruff, mypy on all packages: clean; pytest tests/unit/interfaces: passed.

--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -16,8 +16,8 @@
 from pimentobend_adapters._internal.exceptions import LinkError
 from pimentobend_adapters._internal.links.frames import MAX_FRAME_BYTES
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.frames import open_frame
-from pimentobend_adapters._internal.links.frames import seal_frame
+from pimentobend_adapters._internal.links.frames import decode_frame
+from pimentobend_adapters._internal.links.frames import encode_frame
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
 
@@ -58,7 +58,7 @@
 
     def send(self, peer: str, kind: str, payload: bytes) -> None:
         """Send one message to a peer's address without waiting."""
-        data = seal_frame(Frame(self._address, kind, payload), self._key)
+        data = encode_frame(Frame(self._address, kind, payload), self._key)
         self._on_sent(kind, len(data))
         if len(data) > MAX_DATAGRAM_BYTES:
             self._send_stream(peer, data)
@@ -131,7 +131,7 @@
 
     def _handle_data(self, data: bytes) -> None:
         try:
-            frame = open_frame(data, self._key)
+            frame = decode_frame(data, self._key)
         except FrameError as error:
             self._on_fault(error)
             return
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -27,13 +27,13 @@
 _DECODER = msgspec.msgpack.Decoder(Frame)
 
 
-def seal_frame(frame: Frame, key: bytes) -> bytes:
+def encode_frame(frame: Frame, key: bytes) -> bytes:
     """Return the frame's bytes, authenticated with the key."""
     body = _ENCODER.encode(frame)
     return MAGIC + bytes([VERSION]) + _tag(body, key) + body
 
 
-def open_frame(data: bytes, key: bytes) -> Frame:
+def decode_frame(data: bytes, key: bytes) -> Frame:
     """Verify and decode a frame; raise FrameError if it is not authentic."""
     if not HEAD_BYTES < len(data) <= MAX_FRAME_BYTES:
         raise FrameError(
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
@@ -11,8 +11,8 @@
 from pimentobend_adapters._internal.exceptions import LinkError
 from pimentobend_adapters._internal.links.frames import MAX_FRAME_BYTES
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.frames import open_frame
-from pimentobend_adapters._internal.links.frames import seal_frame
+from pimentobend_adapters._internal.links.frames import decode_frame
+from pimentobend_adapters._internal.links.frames import encode_frame
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
 
@@ -55,7 +55,7 @@
 
     def send(self, peer: str, kind: str, payload: bytes) -> None:
         """Send one message to a peer's address; drop it if the send buffer is full."""
-        data = seal_frame(Frame(self._address, kind, payload), self._key)
+        data = encode_frame(Frame(self._address, kind, payload), self._key)
         try:
             self._peer(peer).send(data, block=False)
         except (pynng.TryAgain, pynng.Closed):
@@ -98,7 +98,7 @@
 
     def _handle_data(self, data: bytes) -> None:
         try:
-            frame = open_frame(data, self._key)
+            frame = decode_frame(data, self._key)
         except FrameError as error:
             self._on_fault(error)
             return
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
@@ -80,16 +80,16 @@
 
     def prepare(self, size: int) -> Callable[[], object]:
         """Return an operation that seals and opens a frame."""
-        from pimentobend_adapters._internal.links.frames import open_frame
+        from pimentobend_adapters._internal.links.frames import decode_frame
 
-        return lambda: open_frame(_seal(size), _KEY)
+        return lambda: decode_frame(_seal(size), _KEY)
 
 
 def _seal(size: int) -> bytes:
     from pimentobend_adapters._internal.links.frames import Frame
-    from pimentobend_adapters._internal.links.frames import seal_frame
+    from pimentobend_adapters._internal.links.frames import encode_frame
 
-    return seal_frame(Frame(_SENDER, "spread.delta", _payload(size)), _KEY)
+    return encode_frame(Frame(_SENDER, "spread.delta", _payload(size)), _KEY)
 
 
 @functools.cache
--- a/tests/unit/interfaces/test_frames.py
+++ b/tests/unit/interfaces/test_frames.py
@@ -8,12 +8,12 @@
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import MAX_FRAME_BYTES
 from pimentobend_adapters._internal.links.frames import Frame
-from pimentobend_adapters._internal.links.frames import open_frame
-from pimentobend_adapters._internal.links.frames import seal_frame
+from pimentobend_adapters._internal.links.frames import decode_frame
+from pimentobend_adapters._internal.links.frames import encode_frame
 
 KEY = b"k" * 16
 FRAME = Frame("127.0.0.1:1", "kind", b"payload")
-SEALED = seal_frame(FRAME, KEY)
+SEALED = encode_frame(FRAME, KEY)
 
 BAD_FRAMES = [
     ("empty", b"", "size"),
@@ -23,7 +23,7 @@
     ("next version", SEALED[:3] + b"\x02" + SEALED[4:], "version"),
     ("cut", SEALED[:-1], "key"),
     ("flipped bit", SEALED[:-1] + bytes([SEALED[-1] ^ 1]), "key"),
-    ("another key", seal_frame(FRAME, b"j" * 16), "key"),
+    ("another key", encode_frame(FRAME, b"j" * 16), "key"),
 ]
 
 
@@ -32,18 +32,18 @@
 )
 def test_bad_frames_are_refused(data: bytes, message: str) -> None:
     with pytest.raises(FrameError, match=message):
-        open_frame(data, KEY)
+        decode_frame(data, KEY)
 
 
 @given(strategies.text(), strategies.text(), strategies.binary())
 @settings(derandomize=True)
 def test_frames_round_trip(sender: str, kind: str, payload: bytes) -> None:
     frame = Frame(sender, kind, payload)
-    assert open_frame(seal_frame(frame, KEY), KEY) == frame
+    assert decode_frame(encode_frame(frame, KEY), KEY) == frame
 
 
 @given(strategies.binary(max_size=200))
 @settings(derandomize=True)
 def test_any_bytes_are_refused_cleanly(data: bytes) -> None:
     with pytest.raises(FrameError):
-        open_frame(data, KEY)
+        decode_frame(data, KEY)
