--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -37,7 +37,7 @@
 StartResponse = Callable[..., Any]
 
 
-class FrontTerms(NamedTuple):
+class FrontOptions(NamedTuple):
     """Settings in which the interfaces for callers differ."""
 
     names: HeaderNames = OWN_NAMES
@@ -54,12 +54,12 @@
         pipe: Filter[Received, Finished],
         clock: ClockPort,
         events: Outlet[RequestEnded],
-        terms: FrontTerms | None = None,
+        options: FrontOptions | None = None,
     ) -> None:
         self._pipe = pipe
         self._clock = clock
         self._events = events
-        self._terms = terms or FrontTerms()
+        self._options = options or FrontOptions()
         self._in_flight = 0
         self._is_stopping = False
 
@@ -81,18 +81,18 @@
     def _serve(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterator[bytes]:
-        too_large = check_limits(environ, self._terms.limits())
+        too_large = check_limits(environ, self._options.limits())
         if too_large is not None:
             environ[CONNECTION_KEY].close_connection = True
             yield from self._refuse(too_large, "", start_response)
             return
         started = self._clock.now()
-        received = parse_request(environ, started, self._terms.names)
+        received = parse_request(environ, started, self._options.names)
         if isinstance(received, Failure):
             yield from self._refuse(received.failure(), "", start_response)
             return
         request = self._set_caller_service(received.unwrap())
-        watch = _CallerWatch(environ) if self._terms.watches_callers else None
+        watch = _CallerWatch(environ) if self._options.watches_callers else None
         if watch is not None:
             request = request._replace(on_caller_left=watch.start)
         try:
@@ -123,7 +123,7 @@
 
     def _set_caller_service(self, request: Received) -> Received:
         """Set the caller-service header, replacing any value that was sent."""
-        name = self._terms.names.caller_service
+        name = self._options.names.caller_service
         if not name:
             return request
         headers = tuple(
@@ -131,7 +131,7 @@
             for header, value in request.head.headers
             if header.lower() != name.lower()
         )
-        headers = (*headers, (name, self._terms.caller_service))
+        headers = (*headers, (name, self._options.caller_service))
         return request._replace(head=request.head._replace(headers=headers))
 
     def stop(self) -> None:
@@ -165,13 +165,13 @@
         self, refusal: Refusal, request_id: str, start_response: StartResponse
     ) -> Iterator[bytes]:
         yield from _write_refusal(
-            refusal, request_id, self._terms.names, start_response
+            refusal, request_id, self._options.names, start_response
         )
 
     def _answer(
         self, finished: Finished, head: RequestHead, start_response: StartResponse
     ) -> Iterator[bytes]:
-        yield from _write_answer(finished, head, self._terms.names, start_response)
+        yield from _write_answer(finished, head, self._options.names, start_response)
 
 
 class _CallerWatch:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -23,7 +23,7 @@
 from pimentobend_adapters._internal.forwarding.peers import KIND_WITHDRAW
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.http.front import CallerFront
-from pimentobend_adapters._internal.http.front import FrontTerms
+from pimentobend_adapters._internal.http.front import FrontOptions
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
@@ -155,7 +155,7 @@
         )
         self._deliveries = DeliveryFilter(delivery)
         pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
-        terms = FrontTerms(
+        terms = FrontOptions(
             names,
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
