--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
@@ -54,7 +54,7 @@
         return state
 
     def write(self, writes: tuple[Write, ...]) -> int:
-        """Wait for the writes; return how many were synced before a failure."""
+        """Sync the writes in order; return how many succeeded before a failure."""
         request = _WriteRequest(writes, eventlet.event.Event())
         self._inbox.put(request)
         count: int = request.reply.wait()
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -26,7 +26,7 @@
     not_run: str = ""  # on an answer: the server did not run the request
     expected_server: str = ""  # on a request: the only server that may run it
     caller_service: str = ""  # on a request: the service that sent it
-    stamp: str = ""  # on an answer: set only by the server itself
+    stamp: str = ""  # on an answer: shows that the server itself sent it
 
 
 OWN_NAMES = HeaderNames()
--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -106,5 +106,5 @@
             return
         is_awaited = self._replies.resolve(message)
         if isinstance(message, ClaimGranted) and not is_awaited:
-            # The request has timed out, so its claim will never be used.
+            # Nobody waits for this claim any more, so it will never be used.
             self._task.put(AskSettle(message.claim_id, Ran.NOT_RUN, 0))
