--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -136,7 +136,7 @@
         return self._bids.ask(ask.token, lambda: self._task.put(ask), ASK_TIMEOUT_S)
 
     def run(self, attempt: LocalAttempt) -> AttemptResult:
-        """Run an attempt once and wait for its result; repeated calls join the first."""
+        """Run an attempt once and return its result; repeated calls join the first."""
         attempt_id = attempt.submit.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
