--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -12,9 +12,9 @@
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.clock import HubClock
-from pimentobend_adapters._internal.forwarding.board import KIND_ASK
-from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
@@ -23,7 +23,7 @@
 from pimentobend_adapters._internal.forwarding.peers import KIND_WITHDRAW
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.http.front import CallerFront
-from pimentobend_adapters._internal.http.front import FrontTerms
+from pimentobend_adapters._internal.http.front import FrontOptions
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
@@ -138,13 +138,13 @@
             clock,
             ports.forwarding,
         )
-        self.board = OfferBoard(
+        self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = ServersBeside(link.address, process_id, self._take_server)
         delivery = DeliveryPorts(
             process_id,
-            self.board,
+            self.bid_collector,
             self.host,
             PeerClient(clock, link),
             OriginBudget(),
@@ -155,7 +155,7 @@
         )
         self._deliveries = DeliveryFilter(delivery)
         pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
-        terms = FrontTerms(
+        terms = FrontOptions(
             names,
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
@@ -179,7 +179,7 @@
 
     def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Take the list of daemons and of the servers beside them."""
-        self.board.follow_peers(peers)
+        self.bid_collector.follow_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
         self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
@@ -207,8 +207,8 @@
 
     def register(self, router: FrameRouter) -> None:
         """Take the frames between origins and hosts."""
-        router.register(KIND_ASK, self.board.take_ask)
-        router.register(KIND_BIDS, self.board.take_bids)
+        router.register(KIND_ASK, self.bid_collector.take_ask)
+        router.register(KIND_BIDS, self.bid_collector.take_bids)
         router.register(KIND_WITHDRAW, self.host.take_withdraw)
 
     def dump(self) -> Mapping[str, object]:
@@ -223,10 +223,10 @@
         server = event.server
         if event.presence is Presence.LIVE:
             self._servers[server.server_id] = server
-            self.host.list_server(server)
+            self.host.update_server(server)
         else:
             self._servers.pop(server.server_id, None)
-            self.host.unlist_server(server.server_id)
+            self.host.remove_server(server.server_id)
         self._on_servers(
             tuple(
                 HostedServer(
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -11,7 +11,7 @@
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
-from pimentobend_adapters._internal.forwarding.answers import make_attempted
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
@@ -55,7 +55,9 @@
         self.runs.append(head.request_id)
         eventlet.sleep(self.hold_s)
         self.ended.append(head.request_id)
-        return make_attempted(AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(b"ok"))
+        return make_attempt_result(
+            AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(b"ok")
+        )
 
 
 class Proxy:
@@ -115,7 +117,7 @@
         self.calls = FakeCalls(hold_s)
         self.host = HostTasks(PROCESS, TERMS, self.calls, clock, Discard())
         self.host.start()
-        self.host.list_server(SERVER)
+        self.host.update_server(SERVER)
         front = PeerFront(PROCESS, self.host, NAMES, clock)
         self.server = HttpServer(Address("127.0.0.1", 0), front)
         self.server.start()
@@ -209,7 +211,7 @@
     harness = HopHarness()
     attempt = harness.attempt("1")
     assert harness.host.run(attempt).kind is AttemptKind.ANSWERED
-    harness.host._cells.clear()
+    harness.host._records.clear()
     with eventlet.Timeout(WAIT_S):
         assert harness.host.run(attempt).kind is AttemptKind.NO_ANSWER
     assert harness.calls.runs == ["1"]
