--- a/packages/core/src/pimentobend_core/_internal/gossip/table.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/table.py
@@ -1,18 +1,20 @@
-"""Hold the newest row of each daemon."""
+"""Table of the newest row of each daemon."""
 
 import hashlib
 from collections.abc import Iterable
 from collections.abc import Iterator
 
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 
-DIGEST_BYTES = 7  # a linear checksum would cancel out between similar rows
+# The digest of the table is the XOR of the rows' hashes. They are cryptographic, as
+# linear checksums of similar rows would cancel out.
+DIGEST_BYTES = 7
 MAX_ROWS = 4096  # twice the fleet that the system is designed for
 
 
 class PeerTable:
-    """Own the rows by address, and a digest that is kept up row by row."""
+    """Rows by address, with a digest that is updated with each change."""
 
     def __init__(self) -> None:
         self._rows: dict[str, PeerRow] = {}
@@ -20,7 +22,7 @@
 
     @property
     def digest(self) -> int:
-        """Return a digest of all rows' addresses and lives."""
+        """Return the digest of the addresses and versions of all rows."""
         return self._digest
 
     def __len__(self) -> int:
@@ -30,15 +32,18 @@
         return iter(self._rows.values())
 
     def get(self, address: str) -> PeerRow | None:
-        """Return a daemon's row."""
+        """Return the row of a daemon, or None."""
         return self._rows.get(address)
 
     def put(self, row: PeerRow) -> bool:
-        """Take a row unless it is no newer than the one known; say whether."""
+        """Store a row if it is newer than the known one; return whether it was stored.
+
+        A new daemon's row is dropped when the table is full.
+        """
         known = self._rows.get(row.address)
         if known is None and len(self._rows) >= MAX_ROWS:
             return False
-        if known is not None and row.life <= known.life:
+        if known is not None and row.version <= known.version:
             return False
         if known is not None:
             self._digest ^= _hash(known)
@@ -47,34 +52,38 @@
         return True
 
     def remove(self, address: str) -> None:
-        """Forget a daemon."""
+        """Remove the row of a daemon."""
         row = self._rows.pop(address, None)
         if row is not None:
             self._digest ^= _hash(row)
 
-    def lives(self) -> tuple[tuple[str, Life], ...]:
-        """Return the life of each row."""
-        return tuple((row.address, row.life) for row in self._rows.values())
+    def versions(self) -> tuple[tuple[str, RowVersion], ...]:
+        """Return the address and the version of each row."""
+        return tuple((row.address, row.version) for row in self._rows.values())
 
     def compare(
-        self, lives: Iterable[tuple[str, Life]]
+        self, versions: Iterable[tuple[str, RowVersion]]
     ) -> tuple[tuple[PeerRow, ...], tuple[str, ...]]:
-        """Return the rows that are newer here and the addresses that are older."""
-        given = dict(lives)
+        """Compare this table with the versions that another daemon listed.
+
+        Returns the rows that are newer here or missing there, and the addresses whose
+        rows are older here or missing.
+        """
+        given = dict(versions)
         newer = tuple(
             row
             for row in self._rows.values()
-            if row.address not in given or row.life > given[row.address]
+            if row.address not in given or row.version > given[row.address]
         )
         older = tuple(
             address
-            for address, life in given.items()
-            if address not in self._rows or self._rows[address].life < life
+            for address, version in given.items()
+            if address not in self._rows or self._rows[address].version < version
         )
         return newer, older
 
 
 def _hash(row: PeerRow) -> int:
-    content = f"{row.address}/{row.life.incarnation}/{row.life.revision}".encode()
+    content = f"{row.address}/{row.version.incarnation}/{row.version.revision}".encode()
     digest = hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, "little")
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -14,7 +14,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_core._internal.configuration.follower_messages import Deltas
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
-from pimentobend_core._internal.configuration.follower_messages import Whole
+from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
 from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
@@ -26,7 +26,7 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
 from pimentobend_core._internal.consensus.messages import LeaderChanged
-from pimentobend_core._internal.consensus.messages import Proposed
+from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.changes import KIND_ASK
@@ -124,7 +124,7 @@
         }
 
     def _take_log(self, output: LogOutput) -> None:
-        if isinstance(output, Proposed) and self.members.take(output):
+        if isinstance(output, ProposalResult) and self.members.take(output):
             return
         if isinstance(output, LeaderChanged):
             self.floor.follow_leader(output)
@@ -143,7 +143,9 @@
                 message = Deltas(output.deltas)
                 self._spread(SpreadReceived(self._address, message))
             case TablesReplaced():
-                self._spread(SpreadReceived(self._address, Whole(output.whole)))
+                self._spread(
+                    SpreadReceived(self._address, TablesSnapshot(output.whole))
+                )
             case TablesRead():
                 pass  # the operators' interface here reads the tables in force
             case _:
--- a/tests/unit/forwarding/test_board.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -1,13 +1,13 @@
-"""Check whom a daemon asks for offers, and what it makes of silence."""
+"""Test which daemons are asked for bids, and how unanswered ones are handled."""
 
 from typing import NamedTuple
 
 import pytest
 
-from pimentobend_adapters._internal.forwarding import board as module
-from pimentobend_adapters._internal.forwarding.board import KIND_ASK
-from pimentobend_adapters._internal.forwarding.board import KIND_BIDS
-from pimentobend_adapters._internal.forwarding.board import OfferBoard
+from pimentobend_adapters._internal.forwarding import bid_collector as module
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
+from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
+from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
@@ -18,15 +18,15 @@
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.gossip.rows import HostedServer
-from pimentobend_core._internal.gossip.rows import Life
 from pimentobend_core._internal.gossip.rows import PeerRow
+from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.ports import ClockPort
 
 OWN_ADDRESS = "10.0.0.0:7"
 
 
 class Place(NamedTuple):
-    """Say where a daemon is, and what stands beside it."""
+    """Location of a daemon, and the server beside it."""
 
     data_centre: str
     region: str
@@ -44,7 +44,7 @@
     server = HostedServer(f"s{number}", place.service, place.is_ready)
     return PeerRow(
         f"10.0.0.{number}:7",
-        Life(1, 0),
+        RowVersion(1, 0),
         number,
         place.data_centre,
         place.region,
@@ -55,8 +55,8 @@
     )
 
 
-class SteadyClock(ClockPort):
-    """Stand still unless told."""
+class ManualClock(ClockPort):
+    """A clock that a test sets."""
 
     def __init__(self) -> None:
         self.time = 0.0
@@ -66,12 +66,12 @@
 
 
 class FakeLink(Transport):
-    """Answer the asks of daemons that are up at once."""
+    """Answer at once on behalf of the daemons in ``up``; drop the other messages."""
 
     def __init__(self, up: set[str]) -> None:
         self.up = up
         self.asked: list[str] = []
-        self.board: OfferBoard | None = None
+        self.bid_collector: BidCollector | None = None
 
     @property
     def address(self) -> str:
@@ -89,12 +89,12 @@
         if peer in self.up:
             token = decode(payload, Ask).token
             bids = Bids(token, 5, (Bid(f"s-{peer}", 0.1, 3, 0.0, 0.2),))
-            assert self.board is not None
-            self.board.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
+            assert self.bid_collector is not None
+            self.bid_collector.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
 
 
-class Setting:
-    """Hold a board among daemons at some places."""
+class BidCollectorHarness:
+    """A bid collector with a daemon at each place, the first ``down`` of them down."""
 
     def __init__(
         self, places: list[Place], monkeypatch: pytest.MonkeyPatch, down: int = 0
@@ -103,73 +103,73 @@
         monkeypatch.setattr(module, "TIMEOUTS_S", short)
         rows = tuple(make_row(n + 1, place) for n, place in enumerate(places))
         self.link = FakeLink({row.address for row in rows[down:]})
-        self.clock = SteadyClock()
+        self.clock = ManualClock()
         self.unreachable: list[str] = []
         own = make_row(0, Place("a", "r", service="other"))
         host: HostTasks = None  # type: ignore[assignment]
-        self.board = OfferBoard(
+        self.bid_collector = BidCollector(
             lambda: own, self.link, host, self.clock, self.unreachable.append
         )
-        self.link.board = self.board
-        self.board.follow_peers(rows)
+        self.link.bid_collector = self.bid_collector
+        self.bid_collector.follow_peers(rows)
 
     def ask(self, distance: Distance) -> int:
         self.link.asked.clear()
-        return len(self.board.ask("bookings", "r1", distance))
+        return len(self.bid_collector.ask("bookings", "r1", distance))
 
 
 ASKED = [
-    ("one near", [NEAR, REGION, FAR], Distance.DATA_CENTRE, 1),
-    ("the region", [NEAR, REGION, FAR], Distance.REGION, 2),
-    ("all", [NEAR, REGION, FAR], Distance.FAR, 3),
-    ("few far ones", [FAR] * 9, Distance.FAR, 2),
-    ("few of many", [NEAR] * 30, Distance.DATA_CENTRE, 6),
+    ("data centre", [NEAR, REGION, FAR], Distance.DATA_CENTRE, 1),
+    ("region", [NEAR, REGION, FAR], Distance.REGION, 2),
+    ("all distances", [NEAR, REGION, FAR], Distance.FAR, 3),
+    ("at most two far daemons", [FAR] * 9, Distance.FAR, 2),
+    ("at most six daemons", [NEAR] * 30, Distance.DATA_CENTRE, 6),
     ("another service", [NEAR._replace(service="x")], Distance.FAR, 0),
-    ("one that is draining", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
-    ("one that leaves", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
-    ("nobody", [], Distance.FAR, 0),
+    ("draining server", [NEAR._replace(is_ready=False)], Distance.FAR, 0),
+    ("leaving daemon", [NEAR._replace(is_leaving=True)], Distance.FAR, 0),
+    ("no daemon", [], Distance.FAR, 0),
 ]
 
 
 @pytest.mark.parametrize(
     ("places", "distance", "asked"), [a[1:] for a in ASKED], ids=[a[0] for a in ASKED]
 )
-def test_who_is_asked(
+def test_which_daemons_are_asked(
     places: list[Place],
     distance: Distance,
     asked: int,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setting = Setting(places, monkeypatch)
-    assert setting.ask(distance) == asked
-    assert len(setting.link.asked) == asked
+    harness = BidCollectorHarness(places, monkeypatch)
+    assert harness.ask(distance) == asked
+    assert len(harness.link.asked) == asked
 
 
 @pytest.mark.parametrize(
-    ("place", "later_s", "asks_again"),
+    ("place", "age_s", "asks_again"),
     [(NEAR, 0.02, False), (NEAR, 0.04, True), (FAR, 0.2, False), (FAR, 0.4, True)],
 )
-def test_how_long_a_bid_holds(
-    place: Place, later_s: float, asks_again: bool, monkeypatch: pytest.MonkeyPatch
+def test_how_long_a_bid_is_used(
+    place: Place, age_s: float, asks_again: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    setting = Setting([place], monkeypatch)
-    setting.ask(Distance.FAR)
-    setting.clock.time += later_s
-    assert setting.ask(Distance.FAR) == 1
-    assert bool(setting.link.asked) == asks_again
+    harness = BidCollectorHarness([place], monkeypatch)
+    harness.ask(Distance.FAR)
+    harness.clock.time += age_s
+    assert harness.ask(Distance.FAR) == 1
+    assert bool(harness.link.asked) == asks_again
 
 
 def test_a_daemon_that_does_not_answer_is_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    setting = Setting([NEAR, NEAR], monkeypatch, down=1)
+    harness = BidCollectorHarness([NEAR, NEAR], monkeypatch, down=1)
     for _ in range(3):
-        assert setting.ask(Distance.FAR) == 1
-        setting.clock.time += 1.0
-    assert setting.unreachable[0] == "10.0.0.1:7"
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=False)
-    setting.ask(Distance.FAR)
-    assert setting.link.asked == ["10.0.0.2:7"]
-    setting.board.follow_reachability("10.0.0.1:7", is_reachable=True)
-    setting.ask(Distance.FAR)
-    assert "10.0.0.1:7" in setting.link.asked
+        assert harness.ask(Distance.FAR) == 1
+        harness.clock.time += 1.0
+    assert harness.unreachable[0] == "10.0.0.1:7"
+    harness.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=False)
+    harness.ask(Distance.FAR)
+    assert harness.link.asked == ["10.0.0.2:7"]
+    harness.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=True)
+    harness.ask(Distance.FAR)
+    assert "10.0.0.1:7" in harness.link.asked
