Rename ReplicaTask.take to handle_frame

A reader could not tell from router.register(kind, replica.take) that the function is called with each frame of that kind.

--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -104,7 +104,7 @@
         """Put a message into the inbox."""
         self._inbox.put(message)
 
-    def take(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take another replica's frame; raise ``FrameError``.
 
         Where an id is an address, a dead replica's may be another cluster's by
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -94,7 +94,7 @@
 
     def register(self, router: FrameRouter) -> None:
         """Take the frames that are for control."""
-        router.register(self.replica.kind, self.replica.take)
+        router.register(self.replica.kind, self.replica.handle_frame)
         router.register(KIND_ASK, self.changes.take)
         router.register(KIND_REPLY, self.changes.take)
         router.register(KIND_REPORTS, self.floor.take_reports)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -121,7 +121,7 @@
 
     def register(self, router: FrameRouter) -> None:
         """Take the frames that are for control."""
-        router.register(self._replica.kind, self._replica.take)
+        router.register(self._replica.kind, self._replica.handle_frame)
         router.register(KIND_CANDIDATE, self._take_candidate)
         for kind in KINDS:
             router.register(kind, self.calls.take)
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -158,7 +158,7 @@
 
     def take_replica_frame(self, frame: Frame) -> None:
         """Take another replica's frame; raise ``FrameError``."""
-        self._by_kind[frame.kind].replica.take(frame)
+        self._by_kind[frame.kind].replica.handle_frame(frame)
 
     def take_request(self, frame: Frame) -> None:
         """Take a daemon's command; raise ``CodecError`` or ``FrameError``."""
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -106,10 +106,10 @@
     message = encode_envelope(sender, "a", AppendEntries(5, 0, 0, (), 0, 1.0))
     frame = Frame(sender, running.task.kind, message)
     if is_accepted:
-        running.task.take(frame)
+        running.task.handle_frame(frame)
     else:
         with pytest.raises(FrameError, match="no member"):
-            running.task.take(frame)
+            running.task.handle_frame(frame)
     with eventlet.Timeout(WAIT_S, False):
         while is_accepted and not running.link.sent:
             eventlet.sleep(0.01)
