Name the daemon's handlers and subscriptions

In the daemon's roles 'follow' meant both 'call me with each change' and 'here is a change', as in control.follow_leader(membership.follow_leader), and 'take', 'give' and '_release' did not say what arrives or leaves. Functions that register a listener are now subscribe or subscribe_to_*, those that receive news are update_*, handlers of frames and of a task's outputs are handle_*. No name is used outside packages/daemon.

--- a/packages/daemon/src/pimentobendd/_internal/control/changes.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/changes.py
@@ -100,7 +100,7 @@
         """Take the local service's reply."""
         self._replies.put(reply)
 
-    def take(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take a change or a reply of another control instance."""
         try:
             if frame.kind == KIND_REPLY:
--- a/packages/daemon/src/pimentobendd/_internal/control/members.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/members.py
@@ -47,7 +47,7 @@
         """Return the operators' actions by path; each takes an ``address``."""
         return {path: self._action(action) for path, action in _PATHS.items()}
 
-    def take(self, proposed: ProposalResult) -> bool:
+    def handle_result(self, proposed: ProposalResult) -> bool:
         """Take the end of a proposal; say whether it was a change of members."""
         self._replies.put(proposed)
         return proposed.proposal_id >= FIRST_MEMBER_ID
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -61,20 +61,20 @@
             GROUP, link.address, members, seed, frozenset(control)
         )
         self._address = link.address
-        self._followers: list[Callable[[LeaderChanged], None]] = []
+        self._subscribers: list[Callable[[LeaderChanged], None]] = []
         self._spread = spread
         self.changes = ReplicatedControl(link, lambda asked: self._service.put(asked))
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             "configuration",
             ConfigurationService(link.address),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
         )
         self.replica = ReplicaTask(
             settings,
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
-            CallOutlet(self._take_log),
+            CallOutlet(self._handle_log_output),
             clock,
         )
         self.members = MembersInterface(self.replica.put)
@@ -88,19 +88,19 @@
         self.replica.start()
         self.ledger.start()
 
-    def follow_leader(self, function: Callable[[LeaderChanged], None]) -> None:
+    def subscribe_to_leader(self, function: Callable[[LeaderChanged], None]) -> None:
         """Call a function with each leader of the configuration's log."""
-        self._followers.append(function)
+        self._subscribers.append(function)
 
     def register(self, router: FrameRouter) -> None:
         """Take the frames that are for control."""
         router.register(self.replica.kind, self.replica.handle_frame)
-        router.register(KIND_ASK, self.changes.take)
-        router.register(KIND_REPLY, self.changes.take)
-        router.register(KIND_REPORTS, self.floor.take_reports)
-        router.register(KIND_REQUEST, self.ledger.take_request)
+        router.register(KIND_ASK, self.changes.handle_frame)
+        router.register(KIND_REPLY, self.changes.handle_frame)
+        router.register(KIND_REPORTS, self.floor.handle_reports)
+        router.register(KIND_REQUEST, self.ledger.handle_request)
         for kind in self.ledger.replica_kinds:
-            router.register(kind, self.ledger.take_replica_frame)
+            router.register(kind, self.ledger.handle_replica_frame)
 
     def stop(self) -> None:
         """Stop the replica; what it acknowledged is on its disk."""
@@ -123,19 +123,19 @@
             **self.ledger.dump(),
         }
 
-    def _take_log(self, output: LogOutput) -> None:
-        if isinstance(output, ProposalResult) and self.members.take(output):
+    def _handle_log_output(self, output: LogOutput) -> None:
+        if isinstance(output, ProposalResult) and self.members.handle_result(output):
             return
         if isinstance(output, LeaderChanged):
-            self.floor.follow_leader(output)
-            for function in self._followers:
+            self.floor.update_leader(output)
+            for function in self._subscribers:
                 function(output)
         if isinstance(output, ReadReady):
-            self.floor.take_read(output)
+            self.floor.handle_read_result(output)
             return
         self._service.put(output)
 
-    def _release(self, output: ServiceOutput) -> None:
+    def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case ChangeReplied():
                 self.changes.put(output)
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -58,12 +58,12 @@
         self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
             "tables",
             TablesFollower(sources, clock.now()),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(TICK_S, FollowerTick()),
         )
 
-    def take(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take another daemon's frame; raise ``FrameError``."""
         try:
             message = decode(frame.payload, KIND_TYPES[frame.kind])
@@ -73,7 +73,7 @@
             raise FrameError("tables from an unknown source", context=frame.sender)
         self.task.put(SpreadReceived(frame.sender, message))
 
-    def _release(self, output: FollowerOutput) -> None:
+    def _handle_output(self, output: FollowerOutput) -> None:
         if isinstance(output, SpreadSent):
             kind = name_of(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -75,7 +75,7 @@
             "control" in settings.roles,
             self._clock,
         )
-        self._tables.follow(self._membership.follow_tables)
+        self._tables.subscribe(self._membership.update_tables)
         self._control = self._create_control()
         self._instance = self._create_instance()
         self._sections = Sections(
@@ -89,7 +89,7 @@
         )
         self._register_frames()
         self._operators = HttpServer(settings.operators, self._create_operators())
-        self._tables.follow(
+        self._tables.subscribe(
             lambda tables: self._log.info(
                 "tables-in-force", version=str(Version(*tables[:2]))
             )
@@ -138,13 +138,13 @@
 
     def _register_frames(self) -> None:
         for kind in SPREAD_KINDS:
-            self._router.register(kind, self._spread.take)
-        self._router.register(KIND_SPREAD, self._membership.take_frame)
+            self._router.register(kind, self._spread.handle_frame)
+        self._router.register(KIND_SPREAD, self._membership.handle_frame)
         self._router.register(KIND_REPLY, self._ledger.take_frame)
         if self._control is not None:
             self._control.register(self._router)
         if self._instance is not None:
-            self._router.register(KIND_GRANTS, self._instance.evidence.take_frame)
+            self._router.register(KIND_GRANTS, self._instance.evidence.handle_frame)
 
     def _create_ledger(self) -> LedgerTasks:
         settings = self._settings
@@ -164,9 +164,9 @@
             self._clock,
             seed=time.time_ns(),
         )
-        self._tables.follow(control.floor.follow_tables)
-        self._membership.follow(control.floor.follow_servers)
-        control.follow_leader(self._membership.follow_leader)
+        self._tables.subscribe(control.floor.update_tables)
+        self._membership.subscribe(control.floor.update_servers)
+        control.subscribe_to_leader(self._membership.update_leader)
         return control
 
     def _create_instance(self) -> InstanceRole | None:
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -27,12 +27,12 @@
         link: Transport,
         control: tuple[str, ...],
         clock: ClockPort,
-        give_grant: Callable[[EjectionsGranted], None],
+        on_grant: Callable[[EjectionsGranted], None],
     ) -> None:
         self._link = link
         self._control = control
         self._clock = clock
-        self._give_grant = give_grant
+        self._on_grant = on_grant
         self._owner: str | None = None
         self._heard_at = 0.0
         self._batches: Batches[EvidenceReported] = Batches(self._send, WINDOW_S)
@@ -43,13 +43,13 @@
         for address in self._recipients():
             self._batches.put(address, message, is_urgent)
 
-    def take_frame(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take grants; raise CodecError for other bytes."""
         grants = decode_grants(frame.payload)
         self._owner = frame.sender
         self._heard_at = self._clock.now()
         for grant in grants:
-            self._give_grant(grant)
+            self._on_grant(grant)
 
     def _send(self, address: str, reports: tuple[EvidenceReported, ...]) -> None:
         self._link.send(address, KIND_REPORTS, encode_reports(reports))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
@@ -77,7 +77,7 @@
         """Take the local service's reply."""
         self._replies.put(reply)
 
-    def take(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take a question or a reply of another control instance."""
         try:
             match frame.kind:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -84,7 +84,7 @@
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             "configuration",
             ConfigurationService(identity.replica_id),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
         )
         self._replica = ReplicaTask(
@@ -93,7 +93,7 @@
             ),
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
-            CallOutlet(self._take_log),
+            CallOutlet(self._handle_log_output),
             clock,
         )
         self._supervisor: FilterTask[SupervisorInput, ChangeMembers] = FilterTask(
@@ -122,11 +122,11 @@
     def register(self, router: FrameRouter) -> None:
         """Take the frames that are for control."""
         router.register(self._replica.kind, self._replica.handle_frame)
-        router.register(KIND_CANDIDATE, self._take_candidate)
+        router.register(KIND_CANDIDATE, self._handle_candidate)
         for kind in KINDS:
-            router.register(kind, self.calls.take)
+            router.register(kind, self.calls.handle_frame)
 
-    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Take the list of daemons."""
         self._peers = peers
 
@@ -161,7 +161,7 @@
             return False
         return self._clock.now() - self._lost_leader_at > LEADER_QUIET_S
 
-    def _take_candidate(self, frame: Frame) -> None:
+    def _handle_candidate(self, frame: Frame) -> None:
         self._supervisor.put(decode(frame.payload, CandidateHeard))
 
     def _change_members(self, output: ChangeMembers) -> None:
@@ -173,7 +173,7 @@
         )
         self._replica.put(output)
 
-    def _take_log(self, output: LogOutput) -> None:
+    def _handle_log_output(self, output: LogOutput) -> None:
         if (
             isinstance(output, ProposalResult)
             and output.proposal_id >= FIRST_PROPOSAL_ID
@@ -187,7 +187,7 @@
             self._log.info("leader", term=output.term, leader=output.leader_id)
         self._service.put(output)
 
-    def _release(self, output: ServiceOutput) -> None:
+    def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case ChangeReplied() | TablesRead():
                 self.calls.put(output)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -95,7 +95,7 @@
         self._gossip: FilterTask[GossipInput, GossipOutput] = FilterTask(
             "gossip",
             GossipNode(self._row, settings.seeds, self._process_id),
-            CallOutlet(self._take_gossip),
+            CallOutlet(self._handle_gossip_output),
             self._clock,
             Ticking(TICK_S, GossipTick()),
         )
@@ -103,7 +103,7 @@
         self._control = self._create_control()
         self._instance = self._create_instance()
         self._listeners = self._create_listeners()
-        self._tables.follow(self._follow_tables)
+        self._tables.subscribe(self._update_tables)
         self._register_frames()
 
     def run(self) -> None:
@@ -232,7 +232,7 @@
         return listeners
 
     def _register_frames(self) -> None:
-        self._router.register(KIND_GOSSIP, self._take_gossip_frame)
+        self._router.register(KIND_GOSSIP, self._handle_gossip_frame)
         self._spread.register(self._router)
         if self._control is not None:
             self._control.register(self._router)
@@ -252,23 +252,23 @@
         self._row = row
         self._gossip.put(OwnRowChanged(row))
 
-    def _take_gossip_frame(self, frame: Frame) -> None:
+    def _handle_gossip_frame(self, frame: Frame) -> None:
         message = decode_message(frame.payload)
         self._gossip.put(GossipReceived(frame.sender, message))
 
-    def _take_gossip(self, output: GossipOutput) -> None:
+    def _handle_gossip_output(self, output: GossipOutput) -> None:
         match output:
             case SendGossip():
                 payload = encode_message(output.message)
                 self._link.send(output.recipient, KIND_GOSSIP, payload)
             case PeersChanged():
-                self._follow_peers(output.peers)
+                self._update_peers(output.peers)
             case ReachabilityChanged():
-                self._follow_reachability(output)
+                self._update_reachability(output)
             case NewerTablesSeen():
-                self._spread.see_newer(output.address, output.version)
+                self._spread.handle_newer_version(output.address, output.version)
 
-    def _follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def _update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         processes = {row.address: row.process_id for row in peers}
         for address, process_id in processes.items():
             if self._peer_processes.get(address) != process_id:
@@ -278,12 +278,12 @@
             self._log.info("peer-forgotten", peer=address)
         self._peer_processes = processes
         if self._control is not None:
-            self._control.follow_peers(peers)
-            self._spread.follow_peers(self._row, peers)
+            self._control.update_peers(peers)
+            self._spread.update_peers(self._row, peers)
         if self._instance is not None:
-            self._instance.follow_peers(peers)
+            self._instance.update_peers(peers)
 
-    def _follow_reachability(self, output: ReachabilityChanged) -> None:
+    def _update_reachability(self, output: ReachabilityChanged) -> None:
         event = "peer-found" if output.is_reachable else "peer-lost"
         self._counters.count(event.replace("-", "_"))
         self._log.info(event, peer=output.address)
@@ -292,7 +292,7 @@
                 output.address, is_reachable=output.is_reachable
             )
 
-    def _follow_tables(self, tables: Tables) -> None:
+    def _update_tables(self, tables: Tables) -> None:
         version = Version(*tables[:2])
         self._gossip.put(TablesChanged(version))
         self._log.info("tables-in-force", version=str(version), label=tables.label)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -76,7 +76,7 @@
         self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
             ServerRegistry(address, epoch, one_an_address=True),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_registry_output),
             HubClock(),
             Ticking(REGISTRY_TICK_S, RegistryTick()),
         )
@@ -98,7 +98,7 @@
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
 
-    def _release(self, output: RegistryOutput) -> None:
+    def _handle_registry_output(self, output: RegistryOutput) -> None:
         if isinstance(output, ServerEvent):
             self._on_change(output)
         elif isinstance(output, RegistryReply):
@@ -141,7 +141,9 @@
         self.board = OfferBoard(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
-        self.registry = ServersBeside(link.address, process_id, self._take_server)
+        self.registry = ServersBeside(
+            link.address, process_id, self._handle_server_event
+        )
         delivery = DeliveryPorts(
             process_id,
             self.board,
@@ -177,7 +179,7 @@
         """Return the requests and attempts that have no answer yet."""
         return self.front.in_flight + self.host.running
 
-    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Take the list of daemons and of the servers beside them."""
         self.board.follow_peers(peers)
         services = [each.service for row in peers for each in row.servers]
@@ -219,7 +221,7 @@
             "requests": {"in_flight": self.front.in_flight},
         }
 
-    def _take_server(self, event: ServerEvent) -> None:
+    def _handle_server_event(self, event: ServerEvent) -> None:
         server = event.server
         if event.presence is Presence.LIVE:
             self._servers[server.server_id] = server
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -47,7 +47,7 @@
         self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
             "tables",
             TablesFollower((), clock.now()),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(TICK_S, FollowerTick()),
         )
@@ -55,9 +55,9 @@
     def register(self, router: FrameRouter) -> None:
         """Take the frames that spread the tables."""
         for kind in KIND_TYPES:
-            router.register(kind, self.take)
+            router.register(kind, self.handle_frame)
 
-    def take(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take another daemon's frame; raise ``FrameError``."""
         try:
             message = decode(frame.payload, KIND_TYPES[frame.kind])
@@ -65,11 +65,11 @@
             raise FrameError(error.message, context=frame.kind) from error
         self.task.put(SpreadReceived(frame.sender, message))
 
-    def see_newer(self, address: str, version: Version) -> None:
+    def handle_newer_version(self, address: str, version: Version) -> None:
         """Take that a daemon has a newer version in force."""
         self.task.put(NewerSeen(address, version))
 
-    def follow_peers(self, own: PeerRow, peers: tuple[PeerRow, ...]) -> None:
+    def update_peers(self, own: PeerRow, peers: tuple[PeerRow, ...]) -> None:
         """Give new versions to the daemons that this control instance serves.
 
         These are the ones of its own data centre, and of those that have no
@@ -86,7 +86,7 @@
             self._followers = followers
             self.task.put(FollowersChanged(followers))
 
-    def _release(self, output: FollowerOutput) -> None:
+    def _handle_output(self, output: FollowerOutput) -> None:
         if isinstance(output, SpreadSent):
             kind = name_of(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -65,7 +65,7 @@
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
             "floor",
             FloorOwner(),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(TICK_S, FloorTick()),
         )
@@ -84,22 +84,22 @@
         """Return the state of the owner."""
         return self._task.dump()
 
-    def take_reports(self, frame: Frame) -> None:
+    def handle_reports(self, frame: Frame) -> None:
         """Take a daemon's evidence; raise CodecError for other bytes."""
         for report in decode_reports(frame.payload):
             self._addresses[report.observer] = frame.sender
             self._task.put(report)
 
-    def follow_tables(self, tables: Tables) -> None:
+    def update_tables(self, tables: Tables) -> None:
         """Put the floors of new tables in force."""
         self._task.put(ConfigurePools(tables.pools))
 
-    def follow_servers(self, message: ServiceChanged) -> None:
+    def update_servers(self, message: ServiceChanged) -> None:
         """Take the live servers of a service."""
         servers = message.change.servers
         self._task.put(ServiceServersChanged(message.service, servers))
 
-    def follow_leader(self, message: LeaderChanged) -> None:
+    def update_leader(self, message: LeaderChanged) -> None:
         """Take the ownership while this replica leads."""
         self._reads.clear()
         if message.leader_id == self._link.address:
@@ -109,7 +109,7 @@
         self._term = None
         self._task.put(OwnershipLost())
 
-    def take_read(self, message: ReadReady) -> None:
+    def handle_read_result(self, message: ReadReady) -> None:
         """Confirm the term by a read that a majority answered."""
         began_at = self._reads.pop(message.read_id, None)
         if began_at is None or self._term is None:
@@ -128,7 +128,7 @@
                 self._read(ReadIndex(self._last_read))
             eventlet.sleep(CONFIRM_INTERVAL_S)
 
-    def _release(self, output: FloorOutput) -> None:
+    def _handle_output(self, output: FloorOutput) -> None:
         match output:
             case EjectionsGranted():
                 address = self._addresses.get(output.observer)
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -98,7 +98,7 @@
         self.registry: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
             ServerRegistry(link.address, epoch),
-            CallOutlet(self._take_registry_output),
+            CallOutlet(self._handle_registry_output),
             clock,
             Ticking(REGISTRY_TICK_S, RegistryTick()),
         )
@@ -118,8 +118,8 @@
             settings.servers,
             ServersInterface(self.registry, self._replies, settings.announce_from),
         )
-        membership.follow_pools(self._give_servers)
-        tables.follow(self._follow_tables)
+        membership.subscribe_to_pools(self._update_servers)
+        tables.subscribe(self._update_tables)
 
     def start(self) -> None:
         """Start the tasks, then listen."""
@@ -164,15 +164,15 @@
         seed = zlib.crc32(f"{settings.instance}/{pool.name}".encode())
         return PoolTraffic(pool, settings.data_centre, settings.region, seed)
 
-    def _follow_tables(self, tables: Tables) -> None:
+    def _update_tables(self, tables: Tables) -> None:
         self.traffic.configure(tables.pools)
         self.health.configure(tables.pools)
 
-    def _give_servers(self, message: PoolServersChanged) -> None:
+    def _update_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
         self.health.servers_changed(message.pool, message.change)
 
-    def _take_registry_output(self, message: RegistryOutput) -> None:
+    def _handle_registry_output(self, message: RegistryOutput) -> None:
         if isinstance(message, ServerEvent):
             self._membership.publish(message)
             return
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -63,13 +63,13 @@
         name = settings.group
         self._link = link
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
-            name, LedgerService(), CallOutlet(self._release), clock
+            name, LedgerService(), CallOutlet(self._handle_output), clock
         )
         self.replica = ReplicaTask(
             settings,
             DiskTask(FolderDisk(FolderFiles(data_folder / name))),
             link,
-            CallOutlet(self._take_log),
+            CallOutlet(self._handle_log_output),
             clock,
         )
 
@@ -94,7 +94,7 @@
             self.replica.name: self.replica.dump(),
         }
 
-    def _take_log(self, output: LogOutput) -> None:
+    def _handle_log_output(self, output: LogOutput) -> None:
         match output:
             case Committed():
                 for entry in output.entries:
@@ -107,7 +107,7 @@
             case _:
                 pass
 
-    def _release(self, output: ServiceOutput) -> None:
+    def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case LedgerReply():
                 self._link.send(output.recipient, KIND_REPLY, encode_reply(output))
@@ -156,11 +156,11 @@
         for group in self._groups:
             group.stop()
 
-    def take_replica_frame(self, frame: Frame) -> None:
+    def handle_replica_frame(self, frame: Frame) -> None:
         """Take another replica's frame; raise ``FrameError``."""
         self._by_kind[frame.kind].replica.handle_frame(frame)
 
-    def take_request(self, frame: Frame) -> None:
+    def handle_request(self, frame: Frame) -> None:
         """Take a daemon's command; raise ``CodecError`` or ``FrameError``."""
         asked = decode_request(frame.payload, frame.sender)
         if not 0 <= asked.group < LEDGER_GROUPS:
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -59,27 +59,27 @@
     ) -> None:
         self._link = link
         self._parents = parents
-        self._followers: list[Callable[[ServiceChanged], None]] = []
-        self._pool_followers: list[Callable[[PoolServersChanged], None]] = []
+        self._subscribers: list[Callable[[ServiceChanged], None]] = []
+        self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(SPREAD_TICK_S, SpreadTick()),
         )
         self._view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
             "view",
             MembershipView(),
-            CallOutlet(self._give),
+            CallOutlet(self._notify_subscribers),
             clock,
             Ticking(VIEW_TICK_S, ViewTick()),
         )
 
         self._pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
-            "pools", PoolServers(), CallOutlet(self._give_pool), clock
+            "pools", PoolServers(), CallOutlet(self._notify_pool_subscribers), clock
         )
-        self.follow(self._pools.put)
+        self.subscribe(self._pools.put)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -100,17 +100,19 @@
 
     def servers(self) -> list[object]:
         """Return a row for each live server of each pool."""
-        return [row for rows in self._pools.dump().values() for row in _listed(rows)]
+        return [row for rows in self._pools.dump().values() for row in _as_rows(rows)]
 
-    def follow(self, function: Callable[[ServiceChanged], None]) -> None:
+    def subscribe(self, function: Callable[[ServiceChanged], None]) -> None:
         """Call a function with each change of a service's live servers."""
-        self._followers.append(function)
+        self._subscribers.append(function)
 
-    def follow_pools(self, function: Callable[[PoolServersChanged], None]) -> None:
+    def subscribe_to_pools(
+        self, function: Callable[[PoolServersChanged], None]
+    ) -> None:
         """Call a function with each change of a pool's live servers."""
-        self._pool_followers.append(function)
+        self._pool_subscribers.append(function)
 
-    def follow_tables(self, tables: Tables) -> None:
+    def update_tables(self, tables: Tables) -> None:
         """Take the pools of new tables."""
         self._pools.put(tables)
 
@@ -119,7 +121,7 @@
         self._view.put(event)
         self._node.put(PublishRows((create_server_row(event),)))
 
-    def follow_leader(self, message: LeaderChanged) -> None:
+    def update_leader(self, message: LeaderChanged) -> None:
         """Be the tree's root while this replica leads."""
         if message.leader_id == self._link.address:
             self._node.put(BecomeRoot(message.term))
@@ -128,11 +130,11 @@
         others = tuple(one for one in self._parents if one not in leader)
         self._node.put(FollowParents((*leader, *others)))
 
-    def take_frame(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Take another instance's frame; raise ``CodecError`` for other bytes."""
         self._node.put(FromPeer(frame.sender, decode_message(frame.payload)))
 
-    def _release(self, output: SpreadOutput) -> None:
+    def _handle_output(self, output: SpreadOutput) -> None:
         if isinstance(output, RowsArrived):
             for message in read_rows(output.rows):
                 self._view.put(message)
@@ -141,16 +143,16 @@
         for recipient in output.recipients:
             self._link.send(recipient, KIND_SPREAD, payload)
 
-    def _give(self, message: ServiceChanged) -> None:
-        for function in self._followers:
+    def _notify_subscribers(self, message: ServiceChanged) -> None:
+        for function in self._subscribers:
             function(message)
 
-    def _give_pool(self, message: PoolServersChanged) -> None:
-        for function in self._pool_followers:
+    def _notify_pool_subscribers(self, message: PoolServersChanged) -> None:
+        for function in self._pool_subscribers:
             function(message)
 
 
-def _listed(rows: object) -> list[object]:
+def _as_rows(rows: object) -> list[object]:
     return rows if isinstance(rows, list) else []
 
 
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
         self._matcher = RouteMatcher(EMPTY_TABLES)
-        self._followers: list[Callable[[Tables], None]] = []
+        self._subscribers: list[Callable[[Tables], None]] = []
         self._first: Any = eventlet.event.Event()
 
     def match(self, head: RequestHead) -> Route | None:
@@ -38,9 +38,9 @@
             self._first.wait()
         return bool(self._first.ready())
 
-    def follow(self, function: Callable[[Tables], None]) -> None:
+    def subscribe(self, function: Callable[[Tables], None]) -> None:
         """Call a function with each version that comes into force."""
-        self._followers.append(function)
+        self._subscribers.append(function)
 
     def put(self, tables: Tables) -> bool:
         """Put a version in force unless it is no newer; say whether it was."""
@@ -50,6 +50,6 @@
         self._matcher = RouteMatcher(tables)
         if not self._first.ready():
             self._first.send(None)
-        for function in self._followers:
+        for function in self._subscribers:
             function(tables)
         return True
