Reword the daemon's fleet folder

Docstrings such as 'Own the parts of one process' or 'Take a server's last word', constants such as UNREADY_S and SEARCH_S, and names such as _stand, _ask_here and ServersBeside had to be worked out from the code. They now say what happens and over which time it counts.

--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -37,7 +37,7 @@
 KINDS = frozenset(KIND_TYPES)
 
 
-def name_of(message: SpreadMessage) -> str:
+def frame_kind(message: SpreadMessage) -> str:
     """Return the kind of the frame that carries a message."""
     return _NAMES[type(message)]
 
@@ -75,7 +75,7 @@
 
     def _handle_output(self, output: FollowerOutput) -> None:
         if isinstance(output, SpreadSent):
-            kind = name_of(output.message)
+            kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
             self._put_in_force(join_tables(output.tables))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/__init__.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Join the daemons that forward through the one beside each server."""
+"""Run daemons that forward requests to the daemon on each backend server's machine."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
@@ -1,4 +1,4 @@
-"""Take changes and reads of the configuration to the leader of its log."""
+"""Send changes and reads of the configuration to the leader of its log."""
 
 import itertools
 from collections.abc import Callable
@@ -25,35 +25,38 @@
 from pimentobendd._internal.fleet.dialect import LabelledChange
 
 KIND_CHANGE = "change.ask"
-KIND_CHANGED = "change.reply"
+KIND_CHANGE_REPLY = "change.reply"
 KIND_READ = "read.ask"
-KIND_TABLES = "read.reply"
-KINDS = (KIND_CHANGE, KIND_CHANGED, KIND_READ, KIND_TABLES)
-ANSWER_S = 0.9  # operators turn to another daemon after a second
-RESEND_S = 0.3  # five round trips between regions; a frame may be lost
-SEARCH_S = 0.1  # between looks for a leader
+KIND_READ_REPLY = "read.reply"
+KINDS = (KIND_CHANGE, KIND_CHANGE_REPLY, KIND_READ, KIND_READ_REPLY)
+ANSWER_TIMEOUT_S = 0.9  # operators try another daemon after 1 s
+RESEND_S = 0.3  # five round trips between regions; frames can be lost
+LEADER_POLL_S = 0.1  # between attempts while no leader is known
 
-Asked = ChangeAsked | ReadAsked
-Replied = ChangeReplied | TablesRead
+LeaderRequest = ChangeAsked | ReadAsked
+LeaderReply = ChangeReplied | TablesRead
 
-_UNDECIDED = (ChangeOutcome.NOT_LEADER, ChangeOutcome.NO_MAJORITY)
+_RETRYABLE = (ChangeOutcome.NOT_LEADER, ChangeOutcome.NO_MAJORITY)
 
 
-class LeaderCalls(ConfigurationPort):
-    """Ask the local replica, or through it the leader, and wait for the answer."""
+class LeaderClient(ConfigurationPort):
+    """Asks the local replica, or the leader that it names, and waits for the reply."""
 
     def __init__(
-        self, link: Transport, ask_local: Callable[[Asked], None], clock: ClockPort
+        self,
+        link: Transport,
+        send_local: Callable[[LeaderRequest], None],
+        clock: ClockPort,
     ) -> None:
         self._link = link
-        self._ask_local = ask_local
+        self._send_local = send_local
         self._clock = clock
-        self._replies: Replies[Replied] = Replies(lambda reply: reply.token)
+        self._replies: Replies[LeaderReply] = Replies(lambda reply: reply.token)
         self._tokens = itertools.count(1)
 
     def apply(self, change: LabelledChange) -> ChangeOutcome:
-        """Make a change durable, or say why it was not."""
-        asked = ChangeAsked(
+        """Make a change durable and return the outcome."""
+        request = ChangeAsked(
             0,
             change.change_id,
             FIRST_VERSION,
@@ -63,22 +66,22 @@
             change.label,
             change.removals,
         )
-        reply = self._ask_leader(asked)
+        reply = self._ask_leader(request)
         if isinstance(reply, ChangeReplied):
             return reply.outcome
         return ChangeOutcome.UNKNOWN
 
     def read(self) -> WholeTables | None:
-        """Return the newest tables, or None when it is not sure that they are."""
+        """Return the newest tables, or None if no leader confirms that they are."""
         reply = self._ask_leader(ReadAsked(0))
         return reply.whole if isinstance(reply, TablesRead) else None
 
-    def put(self, reply: Replied) -> None:
-        """Take the local service's reply."""
+    def put(self, reply: LeaderReply) -> None:
+        """Handle a reply of the local service."""
         self._replies.put(reply)
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take a question or a reply of another control instance."""
+        """Handle a request or a reply of another control instance."""
         try:
             match frame.kind:
                 case "change.reply":
@@ -87,49 +90,55 @@
                     self._replies.put(decode(frame.payload, TablesRead))
                 case "change.ask":
                     change = decode(frame.payload, ChangeAsked)
-                    eventlet.spawn_n(self._serve, frame.sender, change)
+                    eventlet.spawn_n(self._answer_peer, frame.sender, change)
                 case _:
                     read = decode(frame.payload, ReadAsked)
-                    eventlet.spawn_n(self._serve, frame.sender, read)
+                    eventlet.spawn_n(self._answer_peer, frame.sender, read)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
 
-    def _serve(self, sender: str, asked: Asked) -> None:
-        reply = self._ask_here(asked, ANSWER_S)
+    def _answer_peer(self, sender: str, request: LeaderRequest) -> None:
+        reply = self._ask_local_replica(request, ANSWER_TIMEOUT_S)
         if reply is None:
             return
-        kind = KIND_CHANGED if isinstance(reply, ChangeReplied) else KIND_TABLES
-        self._link.send(sender, kind, encode(reply._replace(token=asked.token)))
-
-    def _ask_leader(self, asked: Asked) -> Replied | None:
-        """Look for the leader until one answers or the time is up."""
-        until = self._clock.now() + ANSWER_S
-        reply: Replied | None = None
-        while (left_s := until - self._clock.now()) > 0:
-            reply = self._ask_here(asked, left_s)
-            if reply is not None and not _needs_leader(reply):
+        kind = (
+            KIND_CHANGE_REPLY if isinstance(reply, ChangeReplied) else KIND_READ_REPLY
+        )
+        self._link.send(sender, kind, encode(reply._replace(token=request.token)))
+
+    def _ask_leader(self, request: LeaderRequest) -> LeaderReply | None:
+        """Ask until a leader answers or ``ANSWER_TIMEOUT_S`` has passed."""
+        deadline = self._clock.now() + ANSWER_TIMEOUT_S
+        reply: LeaderReply | None = None
+        while (left_s := deadline - self._clock.now()) > 0:
+            reply = self._ask_local_replica(request, left_s)
+            if reply is not None and not _is_retryable(reply):
                 return reply
             leader_id = None if reply is None else reply.leader_id
             if leader_id is None:
-                eventlet.sleep(min(SEARCH_S, left_s))
+                eventlet.sleep(min(LEADER_POLL_S, left_s))
                 continue
-            answer = self._ask_there(address_of(leader_id), asked, until)
-            if answer is not None and not _needs_leader(answer):
+            answer = self._ask_peer(address_of(leader_id), request, deadline)
+            if answer is not None and not _is_retryable(answer):
                 return answer
         return reply
 
-    def _ask_here(self, asked: Asked, timeout_s: float) -> Replied | None:
+    def _ask_local_replica(
+        self, request: LeaderRequest, timeout_s: float
+    ) -> LeaderReply | None:
         token = next(self._tokens)
         return self._replies.ask(
-            token, lambda: self._ask_local(asked._replace(token=token)), timeout_s
+            token, lambda: self._send_local(request._replace(token=token)), timeout_s
         )
 
-    def _ask_there(self, address: str, asked: Asked, until: float) -> Replied | None:
-        """Ask the leader; the same question twice has one effect."""
+    def _ask_peer(
+        self, address: str, request: LeaderRequest, deadline: float
+    ) -> LeaderReply | None:
+        """Ask the leader; a change that arrives twice is applied once."""
         token = next(self._tokens)
-        kind = KIND_CHANGE if isinstance(asked, ChangeAsked) else KIND_READ
-        payload = encode(asked._replace(token=token))
-        left_s = until - self._clock.now()
+        kind = KIND_CHANGE if isinstance(request, ChangeAsked) else KIND_READ
+        payload = encode(request._replace(token=token))
+        left_s = deadline - self._clock.now()
         return self._replies.ask(
             token,
             lambda: self._link.send(address, kind, payload),
@@ -137,7 +146,7 @@
         )
 
 
-def _needs_leader(reply: Replied) -> bool:
+def _is_retryable(reply: LeaderReply) -> bool:
     if isinstance(reply, TablesRead):
         return reply.whole is None
-    return reply.outcome in _UNDECIDED
+    return reply.outcome in _RETRYABLE
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -43,18 +43,18 @@
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
 from pimentobendd._internal.fleet.configuration import KINDS
-from pimentobendd._internal.fleet.configuration import LeaderCalls
+from pimentobendd._internal.fleet.configuration import LeaderClient
 from pimentobendd._internal.fleet.identity import load_identity
 
 GROUP = "configuration"
 KIND_CANDIDATE = "candidate"
-SUPERVISE_S = 0.25
+SUPERVISE_INTERVAL_S = 0.25
 CANDIDATE_INTERVAL_S = 0.5
-LEADER_QUIET_S = 1.0  # then this replica may have been removed
+LEADERLESS_TIMEOUT_S = 1.0  # without a leader, a replica may have been removed
 
 
 class FleetControl:
-    """Own a replica, the service in front of it and the cluster's supervisor."""
+    """Runs a replica, the service in front of it and the supervisor of the cluster."""
 
     def __init__(
         self,
@@ -79,8 +79,10 @@
         self._log = get_log()
         self._peers: tuple[PeerRow, ...] = ()
         self._leader_id: str | None = None
-        self._lost_leader_at = clock.now()
-        self.calls = LeaderCalls(link, lambda asked: self._service.put(asked), clock)
+        self._leader_lost_at = clock.now()
+        self.leader_client = LeaderClient(
+            link, lambda request: self._service.put(request), clock
+        )
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             "configuration",
             ConfigurationService(identity.replica_id),
@@ -102,17 +104,17 @@
         self._greenlets: list[Any] = []
 
     def start(self) -> None:
-        """Load the data folder and start; raise ``DiskError``."""
+        """Load the data folder and start the tasks; raise ``DiskError`` if it fails."""
         self._service.start()
         self._supervisor.start()
         self._replica.start()
         self._greenlets = [
             eventlet.spawn(self._supervise),
-            eventlet.spawn(self._stand),
+            eventlet.spawn(self._send_candidacy),
         ]
 
     def stop(self) -> None:
-        """Stop the replica; what it acknowledged is on its disk."""
+        """Stop the tasks; whatever the replica acknowledged is on its disk."""
         for greenlet in self._greenlets:
             greenlet.kill()
         self._replica.stop()
@@ -120,18 +122,18 @@
         self._service.stop()
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames that are for control."""
+        """Register the handlers of the frames for control instances."""
         router.register(self._replica.kind, self._replica.handle_frame)
-        router.register(KIND_CANDIDATE, self._handle_candidate)
+        router.register(KIND_CANDIDATE, self._handle_candidate_frame)
         for kind in KINDS:
-            router.register(kind, self.calls.handle_frame)
+            router.register(kind, self.leader_client.handle_frame)
 
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
-        """Take the list of daemons."""
+        """Replace the list of known daemons."""
         self._peers = peers
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the tasks, a section each."""
+        """Return the state of the tasks, one section per task."""
         return {
             self._replica.name: self._replica.dump(),
             self._service.name: self._service.dump(),
@@ -140,28 +142,32 @@
 
     def _supervise(self) -> None:
         while True:
-            eventlet.sleep(SUPERVISE_S)
+            eventlet.sleep(SUPERVISE_INTERVAL_S)
             self._supervisor.put(SupervisorTick(self._replica.leader_view()))
 
-    def _stand(self) -> None:
-        """Ask the leader for membership while this replica is none."""
+    def _send_candidacy(self) -> None:
+        """Ask for membership at intervals while this replica may not be a member.
+
+        The request goes to every control instance; only the leader acts on it.
+        """
         payload = encode(CandidateHeard(self.replica_id))
         while True:
             eventlet.sleep(CANDIDATE_INTERVAL_S)
-            if not self._is_outside():
+            if not self._needs_membership():
                 continue
             for peer in self._peers:
                 if peer.is_control:
                     self._link.send(peer.address, KIND_CANDIDATE, payload)
 
-    def _is_outside(self) -> bool:
+    def _needs_membership(self) -> bool:
+        """Return whether this replica is no member or may have been removed."""
         if not self._replica.is_member():
             return True
         if self._leader_id is not None:
             return False
-        return self._clock.now() - self._lost_leader_at > LEADER_QUIET_S
+        return self._clock.now() - self._leader_lost_at > LEADERLESS_TIMEOUT_S
 
-    def _handle_candidate(self, frame: Frame) -> None:
+    def _handle_candidate_frame(self, frame: Frame) -> None:
         self._supervisor.put(decode(frame.payload, CandidateHeard))
 
     def _change_members(self, output: ChangeMembers) -> None:
@@ -182,7 +188,7 @@
             return
         if isinstance(output, LeaderChanged):
             if self._leader_id is not None and output.leader_id is None:
-                self._lost_leader_at = self._clock.now()
+                self._leader_lost_at = self._clock.now()
             self._leader_id = output.leader_id
             self._log.info("leader", term=output.term, leader=output.leader_id)
         self._service.put(output)
@@ -190,7 +196,7 @@
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case ChangeReplied() | TablesRead():
-                self.calls.put(output)
+                self.leader_client.put(output)
             case TablesAccepted():
                 message = Deltas(output.deltas)
                 self._spread(SpreadReceived(self._link.address, message))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -1,4 +1,4 @@
-"""Join the roles of one process that finds its fleet from seeds."""
+"""Run the roles of one process that discovers its fleet from seed addresses."""
 
 import pathlib
 import secrets
@@ -59,15 +59,15 @@
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
-SETTINGS_POLL_S = 1.0  # the file may change without a signal
+SETTINGS_POLL_S = 1.0  # the file is also reloaded without SIGHUP
 DRAIN_POLL_S = 0.05
-UNREADY_S = 2.6  # until those who ask whether callers may be sent here know
-END_MARGIN_S = 0.8  # before the time at which the process is killed
-REFUSE_MARGIN_S = 0.4  # before that, in which refusals reach their callers
+UNREADY_NOTICE_S = 2.6  # until all readiness probes have seen the change
+KILL_MARGIN_S = 0.8  # end this long before the process is killed
+REFUSE_MARGIN_S = 0.4  # before that end, for refusals to reach their callers
 
 
 class FleetDaemon:
-    """Own the parts of one process."""
+    """Creates, starts and stops the parts of one process."""
 
     def __init__(
         self, file: SettingsFile, settings: FleetSettings, dialect: Dialect
@@ -79,7 +79,7 @@
         self._clock = HubClock()
         self._process_id = secrets.randbits(62)
         self._counters = CounterTable()
-        self._peer_processes: dict[str, int] = {}  # by address
+        self._peer_processes: dict[str, int] = {}  # process id by address
         self._stopping: Any = eventlet.event.Event()
         self._is_stopping = False
         self._tables = TablesInForce()
@@ -107,7 +107,7 @@
         self._register_frames()
 
     def run(self) -> None:
-        """Serve until a signal to stop, then finish what is in flight."""
+        """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
         signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
         signal.signal(signal.SIGINT, lambda *_: self._request_stop())
         signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
@@ -117,10 +117,10 @@
         self.stop()
 
     def start(self) -> None:
-        """Start all tasks and listen."""
+        """Start all tasks and listeners."""
         self._link.start()
         self._gossip.start()
-        self._gossip.put(GossipTick())  # the seeds are asked at once
+        self._gossip.put(GossipTick())  # contact the seeds at once
         self._spread.task.start()
         if self._control is not None:
             self._control.start()
@@ -137,14 +137,14 @@
         )
 
     def stop(self) -> None:
-        """Take no new work, wait for what is in flight, then close."""
+        """Decline new work, wait for the requests in flight, then close."""
         began = self._clock.now()
         self._is_stopping = True
         self._log.info("stopping", grace_s=self._settings.grace_s)
         self._change_row(self._row._replace(is_leaving=True, servers=()))
         if self._instance is not None:
-            self._instance.stop_taking()
-            self._finish(self._instance, began)
+            self._instance.stop_accepting()
+            self._drain(self._instance, began)
             self._instance.close()
         if self._control is not None:
             self._control.stop()
@@ -152,7 +152,7 @@
         self._log.info("stopped", took_s=round(self._clock.now() - began, 3))
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the process, a section for each task."""
+        """Return the state of the process, one section per task."""
         tables = self._tables.current()
         state: dict[str, object] = {
             "instance": self._settings.instance,
@@ -224,7 +224,7 @@
             ready = dialect.create_ready(self._is_ready)
             listeners.append(HttpServer(settings.ready, ready))
         if settings.operators is not None and self._control is not None:
-            operators = dialect.create_operators(self._control.calls)
+            operators = dialect.create_operators(self._control.leader_client)
             listeners.append(HttpServer(settings.operators, operators))
         if settings.metrics is not None:
             metrics = create_metrics_application(self._counters)
@@ -306,7 +306,7 @@
         self._log.warning("frame-refused", error=str(error))
 
     def _poll_settings(self) -> None:
-        """Read the settings again once their file has changed."""
+        """Reload the settings whenever their file has changed."""
         while True:
             eventlet.sleep(SETTINGS_POLL_S)
             if self._file.has_changed():
@@ -332,18 +332,18 @@
             lambda: print(dump_text(self.dump()), file=sys.stdout, flush=True)
         )
 
-    def _finish(self, instance: FleetInstance, began: float) -> None:
-        """Serve until callers know better and nothing is in flight."""
-        least_s = min(UNREADY_S, self._settings.grace_s / 2)
-        most_s = max(0.0, self._settings.grace_s - END_MARGIN_S)
+    def _drain(self, instance: FleetInstance, began: float) -> None:
+        """Serve until readiness probes have noticed and nothing is in flight."""
+        min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
+        max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
         is_refusing = False
         while True:
             waited_s = self._clock.now() - began
-            if not is_refusing and waited_s >= most_s - REFUSE_MARGIN_S:
+            if not is_refusing and waited_s >= max_s - REFUSE_MARGIN_S:
                 is_refusing = True
-                instance.end_waiting()
+                instance.refuse_waiting()
             is_idle = not instance.in_flight
-            if waited_s >= most_s or (is_idle and waited_s >= least_s):
+            if waited_s >= max_s or (is_idle and waited_s >= min_s):
                 break
             eventlet.sleep(DRAIN_POLL_S)
         if instance.in_flight:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -1,4 +1,4 @@
-"""Define what the interfaces to callers, servers and operators plug into."""
+"""Define the base classes through which a platform sets its HTTP interfaces."""
 
 import abc
 from collections.abc import Callable
@@ -22,10 +22,10 @@
 
 
 class LabelledChange(NamedTuple):
-    """Hold a change whose version the operators number themselves.
+    """A change of the configuration whose version number the operators choose.
 
-    Equal contents must have equal ids, so that a change that is sent again
-    gets its first answer.
+    Equal contents must have equal ids, so that a resent change gets the reply
+    to the first one.
     """
 
     change_id: str
@@ -33,35 +33,35 @@
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
     limits: ClientLimits | None
-    removals: Removals | None  # None where the tables are given whole
+    removals: Removals | None  # None if the tables are complete
 
 
 class ConfigurationPort(abc.ABC):
-    """Reach the owner of the configuration."""
+    """Access to the replicated configuration."""
 
     @abc.abstractmethod
     def apply(self, change: LabelledChange) -> ChangeOutcome:
-        """Make a change durable, or say why it was not."""
+        """Make a change durable and return the outcome."""
 
     @abc.abstractmethod
     def read(self) -> WholeTables | None:
-        """Return the newest tables, or None when it is not sure that they are."""
+        """Return the newest tables, or None if no leader confirms that they are."""
 
 
 class ServersPort(abc.ABC):
-    """Reach the registry of the servers beside this daemon."""
+    """Access to the registry of the backend servers on this daemon's machine."""
 
     @abc.abstractmethod
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        """Take an announcement, or return its faults."""
+        """Register or renew a server, or return the faults of the announcement."""
 
     @abc.abstractmethod
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Take a server's last word."""
+        """Remove a server that stops."""
 
 
 class Dialect(abc.ABC):
-    """Name the headers and build the interfaces of one way of speaking."""
+    """The headers and HTTP interfaces of one platform."""
 
     @property
     @abc.abstractmethod
@@ -70,12 +70,15 @@
 
     @abc.abstractmethod
     def create_servers(self, servers: ServersPort, beside: str) -> Application:
-        """Return what takes announcements; ``beside`` may name the only address."""
+        """Return the interface for announcements.
+
+        If ``beside`` is not empty, it is the only address that may be announced.
+        """
 
     @abc.abstractmethod
     def create_operators(self, configuration: ConfigurationPort) -> Application:
-        """Return what takes changes and reads of the configuration."""
+        """Return the interface for changes and reads of the configuration."""
 
     @abc.abstractmethod
     def create_ready(self, is_ready: Callable[[], bool]) -> Application:
-        """Return what says whether callers may be sent here."""
+        """Return the readiness probe."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -1,4 +1,4 @@
-"""Write the decisions on requests to the log, and count them."""
+"""Log and count the forwarding decisions and the requests that ended."""
 
 from typing import Any
 
@@ -23,26 +23,26 @@
 
 
 class ForwardingLog(Outlet[ForwardingEvent]):
-    """Write a line for each decision on an attempt."""
+    """Logs one line for each forwarding decision."""
 
     def __init__(self, counters: CounterTable) -> None:
         self._log = get_log()
         self._counters = counters
 
     def put(self, message: ForwardingEvent) -> None:
-        """Write and count one event."""
+        """Log and count one event."""
         match message:
             case AttemptSent():
                 self._write_sent(message)
             case AttemptJudged():
-                attempted = message.attempted
-                self._counters.count("attempts", attempted.kind.value)
-                self._counters.time("attempt", attempted.latency_s)
+                result = message.attempted
+                self._counters.count("attempts", result.kind.value)
+                self._counters.time("attempt", result.latency_s)
                 self._log.info(
                     "attempt-judged",
                     request_id=message.request_id,
                     attempt_id=message.attempt_id,
-                    **_describe(attempted),
+                    **_describe_result(result),
                 )
             case DeliveryHeld():
                 reason = message.held.reason.value
@@ -65,7 +65,9 @@
                     attempts=" ".join(message.attempts),
                 )
             case _:
-                self._write_host(message.action, message.attempt_id, message.detail)
+                self._write_host_event(
+                    message.action, message.attempt_id, message.detail
+                )
 
     def _write_sent(self, message: AttemptSent) -> None:
         bid = message.candidate.bid
@@ -85,7 +87,7 @@
             **{ORDINARY: not message.is_hedge},
         )
 
-    def _write_host(
+    def _write_host_event(
         self,
         action: str,
         attempt_id: str,
@@ -104,21 +106,21 @@
                 values = {"reason": detail.reason.value}
                 self._counters.count("declined", detail.reason.value)
             case AttemptResult():
-                values = _describe(detail)
+                values = _describe_result(detail)
             case _:
                 self._counters.count("joined")
         self._log.info(action, attempt_id=attempt_id, **values)
 
 
 class RequestLog(Outlet[RequestEnded]):
-    """Write a line for each request that ended."""
+    """Logs one line for each request that ended."""
 
     def __init__(self, counters: CounterTable) -> None:
         self._log = get_log()
         self._counters = counters
 
     def put(self, message: RequestEnded) -> None:
-        """Write and count one event."""
+        """Log and count one event."""
         reason = message.reason.value if message.reason else None
         self._counters.count("requests", str(message.status))
         if reason is not None:
@@ -138,13 +140,13 @@
         )
 
 
-def _describe(attempted: AttemptResult) -> dict[str, Any]:
-    is_good = attempted.kind is AttemptKind.ANSWERED
+def _describe_result(result: AttemptResult) -> dict[str, Any]:
+    is_answered = result.kind is AttemptKind.ANSWERED
     return {
-        "outcome": attempted.kind.value,
-        "status": attempted.status,
-        "latency_ms": _ms(attempted.latency_s),
-        ORDINARY: is_good and attempted.status < SERVER_ERROR,
+        "outcome": result.kind.value,
+        "status": result.status,
+        "latency_ms": _ms(result.latency_s),
+        ORDINARY: is_answered and result.status < SERVER_ERROR,
     }
 
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/identity.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/identity.py
@@ -1,4 +1,4 @@
-"""Keep the name of a replica in its data folder."""
+"""Store the identity of a replica in its data folder."""
 
 import secrets
 
@@ -10,17 +10,20 @@
 from pimentobend_core._internal.consensus.formation import Identity
 from pimentobend_core._internal.consensus.formation import create_identity
 
-NAME = "identity"
-_TEMPORARY = "identity.new"
+FILE_NAME = "identity"
+_TEMPORARY_FILE_NAME = "identity.new"
 TOKEN_BYTES = 8
 
 
 def load_identity(
     files: Files, address: str, founders: tuple[str, ...], *, is_first_start: bool
 ) -> Identity:
-    """Return the stored identity, or store a new one; raise ``DiskError``."""
+    """Return the stored identity, or create and store one.
+
+    Raise ``DiskError`` if the folder cannot be read or written.
+    """
     try:
-        data = files.read(NAME)
+        data = files.read(FILE_NAME)
         if data is not None:
             return msgspec.json.decode(data, type=Identity)
         identity = create_identity(
@@ -29,9 +32,9 @@
             is_first_start=is_first_start,
             token=secrets.token_hex(TOKEN_BYTES),
         )
-        files.create(_TEMPORARY, msgspec.json.encode(identity))
-        files.sync(_TEMPORARY)
-        files.rename(_TEMPORARY, NAME)
+        files.create(_TEMPORARY_FILE_NAME, msgspec.json.encode(identity))
+        files.sync(_TEMPORARY_FILE_NAME)
+        files.rename(_TEMPORARY_FILE_NAME, FILE_NAME)
         files.sync_folder()
     except msgspec.MsgspecError as error:
         raise CorruptDiskError(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -1,4 +1,4 @@
-"""Run the role instance: callers, forwarded requests and the servers beside."""
+"""Run the role instance: callers, forwarded requests and the local servers."""
 
 import itertools
 from collections import Counter
@@ -60,13 +60,13 @@
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
-ANSWER_TIMEOUT_S = 0.8  # servers turn elsewhere after a second
+ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
 
-class ServersBeside(ServersPort):
-    """Own the registry of the servers that announce themselves here."""
+class LocalServers(ServersPort):
+    """Registry of the backend servers that announce themselves to this daemon."""
 
     def __init__(
         self, address: str, epoch: int, on_change: Callable[[ServerEvent], None]
@@ -82,7 +82,7 @@
         )
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        """Take an announcement, or return its faults."""
+        """Register or renew a server, or return the faults of the announcement."""
         reply = self._replies.ask(
             announcement.server.server_id,
             lambda: self.task.put(announcement),
@@ -93,7 +93,7 @@
         return Success(None)
 
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Take a server's last word."""
+        """Remove a server that stops."""
         self._replies.ask(
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
@@ -106,7 +106,7 @@
 
 
 class InstancePorts(NamedTuple):
-    """Hold what the role asks of the rest of the process."""
+    """What the role uses of the rest of the process."""
 
     dialect: Dialect
     process_id: int
@@ -121,7 +121,7 @@
 
 
 class FleetInstance:
-    """Own the tasks between callers, other daemons and the servers beside."""
+    """Runs the tasks between callers, other daemons and the local servers."""
 
     def __init__(self, settings: FleetSettings, ports: InstancePorts) -> None:
         assert settings.callers and settings.forward and settings.servers
@@ -141,7 +141,7 @@
         self.board = OfferBoard(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
-        self.registry = ServersBeside(
+        self.registry = LocalServers(
             link.address, process_id, self._handle_server_event
         )
         delivery = DeliveryPorts(
@@ -176,39 +176,39 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the requests and attempts that have no answer yet."""
+        """Return the number of requests and attempts without an answer."""
         return self.front.in_flight + self.host.running
 
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
-        """Take the list of daemons and of the servers beside them."""
+        """Replace the list of known daemons and of their servers."""
         self.board.follow_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
         self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
 
     def start(self) -> None:
-        """Start the tasks, then listen."""
+        """Start the tasks, then the listeners."""
         self.registry.task.start()
         self.host.start()
         for listener in self._listeners:
             listener.start()
 
-    def stop_taking(self) -> None:
-        """Decline work for the servers beside, and let connections end."""
+    def stop_accepting(self) -> None:
+        """Decline work for the local servers; close connections after a response."""
         self.host.stop_taking()
         self.front.stop()
 
-    def end_waiting(self) -> None:
-        """Refuse the requests that have not reached a server."""
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that have not reached a server."""
         self._deliveries.end_waiting()
 
     def close(self) -> None:
-        """Take no new connections."""
+        """Close the listeners."""
         for listener in self._listeners:
             listener.close()
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames between origins and hosts."""
+        """Register the handlers of the frames between origins and hosts."""
         router.register(KIND_ASK, self.board.take_ask)
         router.register(KIND_BIDS, self.board.take_bids)
         router.register(KIND_WITHDRAW, self.host.take_withdraw)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -1,4 +1,4 @@
-"""Read and check the settings of a daemon that finds its fleet from seeds."""
+"""Read and check the settings of a daemon that discovers its fleet from seeds."""
 
 import ipaddress
 import json
@@ -69,15 +69,15 @@
 DEFAULT_BUDGET = BudgetTerms(ratio=0.2, window_s=10.0, allowance=50.0)
 
 
-class Beside(NamedTuple):
-    """Name the backend server on the same machine."""
+class LocalServer(NamedTuple):
+    """The backend server on the same machine."""
 
     service: str
     address: str
 
 
 class FleetSettings(NamedTuple):
-    """Hold the checked settings of one process."""
+    """The checked settings of one process."""
 
     instance: str
     data_centre: str
@@ -85,28 +85,28 @@
     roles: frozenset[str]
     ip: str
     link_port: int  # the same on every daemon of the fleet
-    seeds: tuple[str, ...]  # link addresses of daemons that may know others
+    seeds: tuple[str, ...]  # link addresses of daemons to ask for the others
     callers: Address | None
     forward: Address | None
     ready: Address | None
     servers: Address | None
     operators: Address | None
     metrics: Address | None
-    beside: Beside | None
-    first_start: bool  # the whole fleet starts for the first time
+    beside: LocalServer | None
+    first_start: bool  # true only when the whole fleet starts for the first time
     data_folder: pathlib.Path | None
     heartbeat_s: float
-    grace_s: float  # between the signal to stop and the end
+    grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
 
     @property
     def link(self) -> str:
-        """Return the address of this process's link."""
+        """Return the link address of this process."""
         return f"{self.ip}:{self.link_port}"
 
 
 def load_fleet_settings(path: str) -> FleetSettings:
-    """Read a settings file; raise SettingsError with every fault."""
+    """Read and check a settings file; raise SettingsError with all faults."""
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -116,7 +116,7 @@
 
 
 def parse_fleet_settings(text: str, path: str) -> FleetSettings:
-    """Check settings given as JSON text; raise SettingsError with every fault."""
+    """Check settings given as JSON text; raise SettingsError with all faults."""
     document, faults = parse_document(text)
     if isinstance(document, dict):
         document = {key: value for key, value in document.items() if value is not None}
@@ -125,13 +125,13 @@
     if faults:
         raise SettingsError(path, faults)
     values = cast(dict[str, Any], document)
-    faults = tuple(_find_contradictions(values))
+    faults = tuple(_find_inconsistencies(values))
     if faults:
         raise SettingsError(path, faults)
     return _build(values)
 
 
-def _find_contradictions(values: dict[str, Any]) -> list[Fault]:
+def _find_inconsistencies(values: dict[str, Any]) -> list[Fault]:
     faults: list[Fault] = []
     roles = values["roles"]
     listen = values.get("listen", {})
@@ -166,7 +166,7 @@
     return int(port) <= MAX_PORT
 
 
-def _address(text: str | None) -> Address | None:
+def _parse_address(text: str | None) -> Address | None:
     if text is None:
         return None
     host, _, port = text.rpartition(":")
@@ -189,13 +189,13 @@
         ip=values["ip"],
         link_port=link_port,
         seeds=tuple(f"{host}:{link_port}" for host in seeds),
-        callers=_address(listen.get("callers")),
-        forward=_address(listen.get("forward")),
-        ready=_address(listen.get("ready")),
-        servers=_address(listen.get("servers")),
-        operators=_address(listen.get("operators")),
+        callers=_parse_address(listen.get("callers")),
+        forward=_parse_address(listen.get("forward")),
+        ready=_parse_address(listen.get("ready")),
+        servers=_parse_address(listen.get("servers")),
+        operators=_parse_address(listen.get("operators")),
         metrics=Address(values["ip"], metrics_port) if metrics_port else None,
-        beside=Beside(**beside) if beside else None,
+        beside=LocalServer(**beside) if beside else None,
         first_start=values.get("first_start", False),
         data_folder=pathlib.Path(folder) if folder else None,
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
@@ -1,4 +1,4 @@
-"""Read the settings file again whenever it has changed."""
+"""Load the settings file and detect changes of it."""
 
 import pathlib
 from typing import NamedTuple
@@ -8,26 +8,26 @@
 
 
 class _Stamp(NamedTuple):
-    """Tell two contents of a file apart."""
+    """Modification time and size, to detect that a file has changed."""
 
-    changed_at_ns: int
+    modified_at_ns: int
     size_bytes: int
 
 
 class SettingsFile:
-    """Own the path of the settings and the stamp of what was read last."""
+    """A settings file and the stamp of the contents that were read last."""
 
     def __init__(self, path: str) -> None:
         self._path = path
         self._stamp: _Stamp | None = None
 
     def load(self) -> FleetSettings:
-        """Return the settings; raise ``SettingsError``."""
-        self._stamp = self._read_stamp()  # before, so that no change is missed
+        """Return the checked settings; raise ``SettingsError`` with all faults."""
+        self._stamp = self._read_stamp()  # first, so that no later change is missed
         return load_fleet_settings(self._path)
 
     def has_changed(self) -> bool:
-        """Say whether the file differs from what was read last."""
+        """Return whether the file has changed since it was last read."""
         stamp = self._read_stamp()
         return stamp is not None and stamp != self._stamp
 
@@ -35,5 +35,5 @@
         try:
             status = pathlib.Path(self._path).stat()
         except OSError:
-            return None  # it is being replaced
+            return None  # the file is being replaced
         return _Stamp(status.st_mtime_ns, status.st_size)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -1,4 +1,4 @@
-"""Follow the tables of the fleet's daemons and pass them on."""
+"""Receive the tables from other daemons and pass them on."""
 
 from collections.abc import Callable
 
@@ -26,14 +26,14 @@
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.spread import KIND_TYPES
+from pimentobendd._internal.control.spread import frame_kind
 from pimentobendd._internal.control.spread import join_tables
-from pimentobendd._internal.control.spread import name_of
 
-FOLLOWERS_MAX = 256  # daemons that a control instance gives each version
+FOLLOWERS_MAX = 256  # daemons to which a control instance sends new versions
 
 
 class FleetTables:
-    """Run a follower of the tables on the process's link."""
+    """Connects the follower of the tables with the link and the tables in force."""
 
     def __init__(
         self,
@@ -53,12 +53,12 @@
         )
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames that spread the tables."""
+        """Register the handlers of the frames that spread the tables."""
         for kind in KIND_TYPES:
             router.register(kind, self.handle_frame)
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take another daemon's frame; raise ``FrameError``."""
+        """Handle another daemon's frame; raise ``FrameError`` if it is malformed."""
         try:
             message = decode(frame.payload, KIND_TYPES[frame.kind])
         except CodecError as error:
@@ -66,14 +66,14 @@
         self.task.put(SpreadReceived(frame.sender, message))
 
     def handle_newer_version(self, address: str, version: Version) -> None:
-        """Take that a daemon has a newer version in force."""
+        """Note that a daemon has a newer version in force."""
         self.task.put(NewerSeen(address, version))
 
     def update_peers(self, own: PeerRow, peers: tuple[PeerRow, ...]) -> None:
-        """Give new versions to the daemons that this control instance serves.
+        """Select the daemons to which this control instance sends new versions.
 
-        These are the ones of its own data centre, and of those that have no
-        control instance.
+        These are the daemons without the role control in its own data centre
+        and in data centres without a control instance.
         """
         served = {row.data_centre for row in peers if row.is_control}
         served.discard(own.data_centre)
@@ -88,7 +88,7 @@
 
     def _handle_output(self, output: FollowerOutput) -> None:
         if isinstance(output, SpreadSent):
-            kind = name_of(output.message)
+            kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
             self._put_in_force(join_tables(output.tables))
--- a/packages/daemon/src/pimentobendd/fleet.py
+++ b/packages/daemon/src/pimentobendd/fleet.py
@@ -1,4 +1,4 @@
-"""Run a daemon that finds its fleet from seeds, under a dialect."""
+"""Run a daemon that discovers its fleet from seeds, with a platform's dialect."""
 
 import sys
 
@@ -27,7 +27,7 @@
 
 
 def run_fleet_daemon(path: str, dialect: Dialect) -> int:
-    """Read the settings and serve until a signal to stop; return the exit code."""
+    """Read the settings, serve until a stop signal, and return the exit code."""
     file = SettingsFile(path)
     try:
         settings = file.load()
