Reword the daemon's control folder

Names such as _hears, _fail and listed, and docstrings such as 'Forget what is not stored; only what left no trace is refused', did not tell which senders are accepted or which proposals get which outcome after a fault of the disk. Error texts for operators now say what was refused and why. 'no member' stays in the text that test_replica_task matches.

--- a/packages/daemon/src/pimentobendd/_internal/control/__init__.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/__init__.py
@@ -1,1 +1,1 @@
-"""Run the replicated state on the instances with a disk."""
+"""Run the replicated configuration on control instances."""
--- a/packages/daemon/src/pimentobendd/_internal/control/changes.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/changes.py
@@ -1,4 +1,4 @@
-"""Take the operators' changes to the leader of the configuration's log."""
+"""Send the operators' changes to the leader of the configuration's log."""
 
 import itertools
 from collections.abc import Callable
@@ -32,108 +32,114 @@
 KIND_REPLY = "change.reply"
 ANSWER_TIMEOUT_S = 3.0
 
-_RESEND = "send it again with the same change id to learn the outcome"
+_RESEND_HINT = "resend it with the same change id to learn the outcome"
 
 
-class Refusal(NamedTuple):
-    """Spell a refused change for operators."""
+class RefusalText(NamedTuple):
+    """HTTP status, message and hint of a refused change."""
 
     status: int
     message: str
     hint: str
 
 
-_REFUSALS = {
-    ChangeOutcome.CONFLICT: Refusal(
-        409, "the version in force is {version}", "show, merge and retry"
+_REFUSAL_TEXTS = {
+    ChangeOutcome.CONFLICT: RefusalText(
+        409,
+        "version conflict: the version in force is {version}",
+        "show the tables, merge the change into them and retry",
     ),
-    ChangeOutcome.NOT_LEADER: Refusal(
-        503, "not run: the leader did not take it", "retry"
+    ChangeOutcome.NOT_LEADER: RefusalText(
+        503, "not run: no leader accepted the change", "retry"
     ),
-    ChangeOutcome.NO_MAJORITY: Refusal(
+    ChangeOutcome.NO_MAJORITY: RefusalText(
         503,
         "not run: no majority of the control replicas is reachable",
-        "look at the status of the control instances, then retry",
+        "check the status of the control instances, then retry",
     ),
-    ChangeOutcome.OVERLOADED: Refusal(
-        503, "not run: too many changes wait", "retry later"
+    ChangeOutcome.OVERLOADED: RefusalText(
+        503, "not run: too many changes are pending", "retry later"
     ),
-    ChangeOutcome.TOO_LARGE: Refusal(
-        413, "not run: the change is too large", "apply it in parts"
+    ChangeOutcome.TOO_LARGE: RefusalText(
+        413, "not run: the change is too large", "split it into smaller changes"
     ),
-    ChangeOutcome.STORAGE: Refusal(
+    ChangeOutcome.STORAGE: RefusalText(
         507,
-        "not run: the leader's disk does not take it",
+        "not run: the leader could not write the change to its disk",
         "free space on the leader's disk or replace that replica",
     ),
-    ChangeOutcome.UNKNOWN: Refusal(504, "it is not known whether it ran", _RESEND),
+    ChangeOutcome.UNKNOWN: RefusalText(
+        504, "it is not known whether the change was applied", _RESEND_HINT
+    ),
 }
 
 
-class ReplicatedControl(ControlPort):
-    """Ask the local replica, or through it the leader, and wait for the answer."""
+class ReplicatedConfiguration(ControlPort):
+    """Asks the local replica, or the leader that it names, and waits for the reply."""
 
     def __init__(
-        self, link: Transport, ask_local: Callable[[ChangeAsked], None]
+        self, link: Transport, send_local: Callable[[ChangeAsked], None]
     ) -> None:
         self._link = link
-        self._ask_local = ask_local
+        self._send_local = send_local
         self._replies: Replies[ChangeReplied] = Replies(lambda reply: reply.token)
         self._tokens = itertools.count(1)
 
     def apply(self, request: ChangeRequest) -> Result[Version, ChangeRefused]:
-        """Make a change durable, or refuse it truthfully."""
-        asked = ChangeAsked(
+        """Make a change durable, or return why it was refused."""
+        change = ChangeAsked(
             0,
             request.change_id,
             TablesVersion(*request.expected),
             read_routes(request.document),
             read_pools(request.document),
         )
-        reply = self._ask(asked, self._ask_local)
+        reply = self._ask(change, self._send_local)
         if reply.outcome is ChangeOutcome.NOT_LEADER and reply.leader_id is not None:
             leader_id = reply.leader_id
-            reply = self._ask(asked, lambda each: self._forward(leader_id, each))
-        return _read_reply(reply)
+            reply = self._ask(
+                change, lambda message: self._send_to_leader(leader_id, message)
+            )
+        return _convert_reply(reply)
 
     def put(self, reply: ChangeReplied) -> None:
-        """Take the local service's reply."""
+        """Handle a reply of the local service."""
         self._replies.put(reply)
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take a change or a reply of another control instance."""
+        """Handle a change or a reply of another control instance."""
         try:
             if frame.kind == KIND_REPLY:
                 self._replies.put(decode(frame.payload, ChangeReplied))
                 return
-            asked = decode(frame.payload, ChangeAsked)
+            change = decode(frame.payload, ChangeAsked)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
-        eventlet.spawn_n(self._serve, frame.sender, asked)
+        eventlet.spawn_n(self._answer_peer, frame.sender, change)
 
-    def _serve(self, sender: str, asked: ChangeAsked) -> None:
-        reply = self._ask(asked, self._ask_local)
-        payload = encode(reply._replace(token=asked.token))
+    def _answer_peer(self, sender: str, change: ChangeAsked) -> None:
+        reply = self._ask(change, self._send_local)
+        payload = encode(reply._replace(token=change.token))
         self._link.send(sender, KIND_REPLY, payload)
 
     def _ask(
-        self, asked: ChangeAsked, send: Callable[[ChangeAsked], Any]
+        self, change: ChangeAsked, send: Callable[[ChangeAsked], Any]
     ) -> ChangeReplied:
         token = next(self._tokens)
         reply = self._replies.ask(
-            token, lambda: send(asked._replace(token=token)), ANSWER_TIMEOUT_S
+            token, lambda: send(change._replace(token=token)), ANSWER_TIMEOUT_S
         )
         if reply is None:
-            return ChangeReplied(token, ChangeOutcome.UNKNOWN, asked.expected)
+            return ChangeReplied(token, ChangeOutcome.UNKNOWN, change.expected)
         return reply
 
-    def _forward(self, leader_id: str, asked: ChangeAsked) -> None:
-        self._link.send(leader_id, KIND_ASK, encode(asked))
+    def _send_to_leader(self, leader_id: str, change: ChangeAsked) -> None:
+        self._link.send(leader_id, KIND_ASK, encode(change))
 
 
-def _read_reply(reply: ChangeReplied) -> Result[Version, ChangeRefused]:
+def _convert_reply(reply: ChangeReplied) -> Result[Version, ChangeRefused]:
     if reply.outcome is ChangeOutcome.ACCEPTED:
         return Success(Version(*reply.version))
-    refusal = _REFUSALS[reply.outcome]
+    refusal = _REFUSAL_TEXTS[reply.outcome]
     message = refusal.message.format(version=reply.version)
     return Failure(ChangeRefused(refusal.status, message, refusal.hint))
--- a/packages/daemon/src/pimentobendd/_internal/control/members.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/members.py
@@ -1,4 +1,4 @@
-"""Change the members of the control cluster at the operators' request."""
+"""Change the members of the control cluster on request of operators."""
 
 import itertools
 from collections.abc import Callable
@@ -14,7 +14,7 @@
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import make_error
 
-FIRST_MEMBER_ID = 1 << 48  # above the proposal ids of the service
+FIRST_PROPOSAL_ID = 1 << 48  # above the ids that the service uses
 ANSWER_TIMEOUT_S = 3.0
 
 _PATHS = {
@@ -23,34 +23,35 @@
     "/v1/replicas/remove": MemberAction.REMOVE,
 }
 _HINTS = {
-    Outcome.NOT_LEADER: "send it to the leader that the status names",
-    Outcome.NO_MAJORITY: "bring a majority of the replicas back first",
-    Outcome.REJECTED: "finish the step before; a replica must have caught up",
+    Outcome.NOT_LEADER: "send the request to the leader that the status shows",
+    Outcome.NO_MAJORITY: "restore a majority of the replicas first",
+    Outcome.REJECTED: "finish the previous change first; "
+    "a replica must have caught up before it is promoted",
     Outcome.STORAGE: "free space on the leader's disk",
     Outcome.OVERLOADED: "retry later",
-    Outcome.UNKNOWN: "look at the status for the members in force",
+    Outcome.UNKNOWN: "check the status for the current members",
 }
 
 
 class MembersInterface:
-    """Own the changes of members that operators wait for."""
+    """Handles the operators' requests to add, promote and remove replicas."""
 
     def __init__(self, put: Callable[[ChangeMembers], None]) -> None:
         self._put = put
         self._replies: Replies[ProposalResult] = Replies(
             lambda reply: reply.proposal_id
         )
-        self._ids = itertools.count(FIRST_MEMBER_ID)
+        self._proposal_ids = itertools.count(FIRST_PROPOSAL_ID)
 
     @property
     def actions(self) -> dict[str, Section]:
-        """Return the operators' actions by path; each takes an ``address``."""
+        """Return the actions by path; each has an ``address`` parameter."""
         return {path: self._action(action) for path, action in _PATHS.items()}
 
-    def handle_result(self, proposed: ProposalResult) -> bool:
-        """Take the end of a proposal; say whether it was a change of members."""
-        self._replies.put(proposed)
-        return proposed.proposal_id >= FIRST_MEMBER_ID
+    def handle_result(self, result: ProposalResult) -> bool:
+        """Handle the result of a proposal; return whether this class proposed it."""
+        self._replies.put(result)
+        return result.proposal_id >= FIRST_PROPOSAL_ID
 
     def _action(self, action: MemberAction) -> Section:
         return lambda query: self._change(action, query)
@@ -58,15 +59,19 @@
     def _change(self, action: MemberAction, query: Query) -> Reply:
         address = query.get("address")
         if not address:
-            return make_error(400, "address is missing", hint="give address=<link>")
-        proposal_id = next(self._ids)
+            return make_error(
+                400,
+                "address is missing",
+                hint="set address=<link address of the replica>",
+            )
+        proposal_id = next(self._proposal_ids)
         change = MemberChange(action, address, address)
-        proposed = self._replies.ask(
+        result = self._replies.ask(
             proposal_id,
             lambda: self._put(ChangeMembers(proposal_id, change)),
             ANSWER_TIMEOUT_S,
         )
-        outcome = proposed.outcome if proposed else Outcome.UNKNOWN
+        outcome = result.outcome if result else Outcome.UNKNOWN
         if outcome is Outcome.COMMITTED:
             return Reply(200, {"outcome": outcome.value})
         message = f"the members were not changed: {outcome.value}"
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -1,4 +1,4 @@
-"""Run a replica of the log between its disk, its peers and its state."""
+"""Run a replica of the log with its disk and its peers."""
 
 from collections.abc import Mapping
 from typing import Any
@@ -38,26 +38,26 @@
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.ports import ClockPort
 
-REOPEN_S = 1.0
-BATCH_INPUTS = 256
+REOPEN_INTERVAL_S = 1.0  # between attempts to load from a faulty disk
+MAX_BATCH_INPUTS = 256  # that share one sync of the disk
 
 LogOutput = Committed | Restored | ProposalResult | ReadReady | LeaderChanged
 
 
 class ReplicaSettings(NamedTuple):
-    """Name a replica; its id begins with the address of its link."""
+    """Settings of a replica, whose id begins with its link address."""
 
     group: str
     replica_id: str
-    first_members: Members  # of an empty data folder; none to join later
+    first_members: Members  # for an empty data folder; empty to join later
     seed: int
-    listed: (
-        frozenset[str] | None
-    )  # heard beside the members; None: ids are never reused
+    # Ids whose messages are accepted in addition to those of members; None
+    # accepts all, for ids that are never reused.
+    listed_replicas: frozenset[str] | None
 
 
 class ReplicaTask(Outlet[ReplicaInput]):
-    """Own a replica; inputs that wait during a sync share the next one."""
+    """Runs a replica; inputs that arrive during a sync share the next one."""
 
     def __init__(
         self,
@@ -75,7 +75,7 @@
         self._inbox: Any = eventlet.queue.LightQueue()
         self._replica: Replica | None = None
         self._applied_index = 0
-        self._in_flight: set[int] = set()
+        self._pending_proposals: set[int] = set()
         self._disk_faults = 0
         self._greenlet: Any = None
 
@@ -90,13 +90,13 @@
         return f"replica.{self._settings.group}"
 
     def start(self) -> None:
-        """Load what is stored and start; raise ``DiskError``."""
+        """Load the stored state and start; raise ``DiskError`` if loading fails."""
         self._disk.start()
         self._open(self._disk.load(self._settings.first_members))
         self._greenlet = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop, as a crash would."""
+        """Stop at once, as a crash would, without handling what waits."""
         self._greenlet.kill()
         self._disk.stop()
 
@@ -105,26 +105,31 @@
         self._inbox.put(message)
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take another replica's frame; raise ``FrameError``.
+        """Handle another replica's frame; raise ``FrameError`` if it is refused.
 
-        Where an id is an address, a dead replica's may be another cluster's by
-        now, so only members are heard, and the replicas that the settings list.
+        If ids are addresses, the address of a dead replica may by now belong to
+        another cluster, so only members and the replicas that the settings list
+        are accepted.
         """
         try:
             envelope = decode_envelope(frame.payload)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         if envelope.recipient != self._settings.replica_id:
-            raise FrameError("another replica is meant", context=envelope.recipient)
-        if not self._hears(envelope.sender):
-            raise FrameError("the sender is no member", context=envelope.sender)
+            raise FrameError(
+                "the frame is addressed to another replica", context=envelope.recipient
+            )
+        if not self._is_accepted_sender(envelope.sender):
+            raise FrameError(
+                "the sender is no member of the cluster", context=envelope.sender
+            )
         self.put(Received(envelope.sender, envelope.message))
 
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
         state: dict[str, object] = {
             "applied_index": self._applied_index,
-            "in_flight": len(self._in_flight),
+            "in_flight": len(self._pending_proposals),
             "disk_faults": self._disk_faults,
         }
         if self._replica is not None:
@@ -132,7 +137,7 @@
         return state
 
     def leader_view(self) -> LeaderView | None:
-        """Return the cluster as this replica sees it while it leads."""
+        """Return the leader's view of the cluster; None unless this replica leads."""
         replica = self._replica
         if replica is None or replica.state.leader_id != replica.state.replica_id:
             return None
@@ -146,15 +151,19 @@
         )
 
     def is_member(self) -> bool:
-        """Say whether the log that this replica holds names it as a member."""
-        return self._settings.replica_id in self._known_ids()
-
-    def _hears(self, sender: str) -> bool:
-        listed = self._settings.listed
-        return listed is None or sender in listed or sender in self._known_ids()
+        """Return whether this replica's own log lists it as a member."""
+        return self._settings.replica_id in self._member_ids()
+
+    def _is_accepted_sender(self, sender: str) -> bool:
+        listed_replicas = self._settings.listed_replicas
+        return (
+            listed_replicas is None
+            or sender in listed_replicas
+            or sender in self._member_ids()
+        )
 
-    def _known_ids(self) -> frozenset[str]:
-        """Return the members; none for a replica that waits to be added."""
+    def _member_ids(self) -> frozenset[str]:
+        """Return the members' ids; empty for a replica that waits to be added."""
         members = self._settings.first_members.all
         if self._replica is not None:
             members += self._replica.state.members.all
@@ -168,16 +177,16 @@
                 self._step(self._replica)
 
     def _step(self, replica: Replica) -> None:
-        """Handle what waits, sync once, and let the rest out."""
+        """Handle the waiting inputs, sync once, then release the other outputs."""
         messages = self._next_messages(replica.next_tick)
         outputs: list[ReplicaOutput] = []
         for message in messages:
-            self._in_flight.update(_proposal_ids(message))
+            self._pending_proposals.update(_proposal_ids(message))
             outputs.extend(replica.handle(message, self._clock.now()))
         batch = batch_outputs(outputs)
         synced = self._disk.write(batch.writes) if batch.writes else 0
         if synced < len(batch.writes):
-            self._fail(messages, can_refuse=synced == 0)
+            self._handle_disk_fault(messages, can_refuse=synced == 0)
             return
         for output in batch.released:
             self._release(output)
@@ -188,7 +197,7 @@
             messages = [self._inbox.get(timeout=wait_s)]
         except eventlet.queue.Empty:
             return [Tick()]
-        while len(messages) < BATCH_INPUTS and not self._inbox.empty():
+        while len(messages) < MAX_BATCH_INPUTS and not self._inbox.empty():
             messages.append(self._inbox.get())
         return [*messages, Tick()]
 
@@ -204,13 +213,13 @@
             case Restored():
                 self._release_snapshot(output)
             case ProposalResult():
-                self._in_flight.discard(output.proposal_id)
+                self._pending_proposals.discard(output.proposal_id)
                 self._outlet.put(output)
             case ReadReady() | LeaderChanged():
                 self._outlet.put(output)
 
     def _release_entries(self, committed: Committed) -> None:
-        """Pass on entries, but for those applied before the disk was reopened."""
+        """Pass on the entries that were not applied before the disk was reopened."""
         entries = tuple(
             entry
             for entry in committed.entries
@@ -233,8 +242,13 @@
         if stored.snapshot is not None:
             self._release_snapshot(Restored(stored.snapshot))
 
-    def _fail(self, messages: list[ReplicaInput], *, can_refuse: bool) -> None:
-        """Forget what is not stored; only what left no trace is refused."""
+    def _handle_disk_fault(
+        self, messages: list[ReplicaInput], *, can_refuse: bool
+    ) -> None:
+        """Reload the stored state; refuse only proposals that were surely not written.
+
+        The outcome of all other pending proposals is unknown.
+        """
         self._replica = None
         self._disk_faults += 1
         try:
@@ -249,16 +263,16 @@
         self._open(stored)
 
     def _end_proposals(self, refused: set[int]) -> None:
-        for proposal_id in sorted(self._in_flight):
+        for proposal_id in sorted(self._pending_proposals):
             is_refused = proposal_id in refused
             outcome = Outcome.STORAGE if is_refused else Outcome.UNKNOWN
             self._outlet.put(ProposalResult(proposal_id, outcome))
-        self._in_flight.clear()
+        self._pending_proposals.clear()
         self._outlet.put(LeaderChanged(0, None))
 
     def _reopen(self) -> None:
-        """Refuse what is asked, and try the disk again after a while."""
-        with eventlet.Timeout(REOPEN_S, False):
+        """Refuse requests for ``REOPEN_INTERVAL_S``, then try to load again."""
+        with eventlet.Timeout(REOPEN_INTERVAL_S, False):
             while True:
                 self._refuse(self._inbox.get())
         try:
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -1,4 +1,4 @@
-"""Join the parts of the role control."""
+"""Run the role control: configuration, floor and ledger."""
 
 import pathlib
 from collections.abc import Callable
@@ -31,7 +31,7 @@
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.changes import KIND_ASK
 from pimentobendd._internal.control.changes import KIND_REPLY
-from pimentobendd._internal.control.changes import ReplicatedControl
+from pimentobendd._internal.control.changes import ReplicatedConfiguration
 from pimentobendd._internal.control.members import MembersInterface
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
@@ -45,7 +45,7 @@
 
 
 class ControlRole:
-    """Own a replica of the configuration and the service in front of it."""
+    """Runs the configuration's replica and service, the floor and the ledger."""
 
     def __init__(
         self,
@@ -63,7 +63,9 @@
         self._address = link.address
         self._subscribers: list[Callable[[LeaderChanged], None]] = []
         self._spread = spread
-        self.changes = ReplicatedControl(link, lambda asked: self._service.put(asked))
+        self.changes = ReplicatedConfiguration(
+            link, lambda change: self._service.put(change)
+        )
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             "configuration",
             ConfigurationService(link.address),
@@ -82,18 +84,18 @@
         self.ledger = LedgerRole(link, settings, data_folder, clock)
 
     def start(self) -> None:
-        """Load the data folder and start; raise ``DiskError``."""
+        """Load the data folder and start the tasks; raise ``DiskError`` if it fails."""
         self._service.start()
         self.floor.start()
         self.replica.start()
         self.ledger.start()
 
     def subscribe_to_leader(self, function: Callable[[LeaderChanged], None]) -> None:
-        """Call a function with each leader of the configuration's log."""
+        """Call ``function`` at each change of the leader of the configuration's log."""
         self._subscribers.append(function)
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames that are for control."""
+        """Register the handlers of the frames for control instances."""
         router.register(self.replica.kind, self.replica.handle_frame)
         router.register(KIND_ASK, self.changes.handle_frame)
         router.register(KIND_REPLY, self.changes.handle_frame)
@@ -103,19 +105,19 @@
             router.register(kind, self.ledger.handle_replica_frame)
 
     def stop(self) -> None:
-        """Stop the replica; what it acknowledged is on its disk."""
+        """Stop the tasks; whatever the replica acknowledged is on its disk."""
         self.ledger.stop()
         self.replica.stop()
         self.floor.stop()
         self._service.stop()
 
     def status(self) -> Mapping[str, object]:
-        """Return what operators need to know of the replica."""
+        """Return the part of the replica's state that operators need."""
         state = self.replica.dump()
         return {name: state.get(name) for name in _STATUS}
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the tasks, a section each."""
+        """Return the state of the tasks, one section per task."""
         return {
             self.replica.name: self.replica.dump(),
             self._service.name: self._service.dump(),
@@ -151,7 +153,7 @@
 
 
 def first_members(address: str, control: tuple[str, ...]) -> Members:
-    """Return the members of a new cluster; none for one that joins later."""
+    """Return the members of a new cluster; none if ``address`` joins it later."""
     if address not in control:
         return NO_MEMBERS
-    return Members(tuple(Member(each, each) for each in control))
+    return Members(tuple(Member(replica, replica) for replica in control))
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -1,4 +1,4 @@
-"""Pass the tables on from control through the daemons."""
+"""Spread the tables from the control instances to all daemons."""
 
 from collections.abc import Callable
 
@@ -33,17 +33,17 @@
     "tables.whole": Whole,
     "tables.current": Current,
 }
-_NAMES = {kind: name for name, kind in KIND_TYPES.items()}
+_KINDS_BY_TYPE = {message_type: kind for kind, message_type in KIND_TYPES.items()}
 KINDS = frozenset(KIND_TYPES)
 
 
 def frame_kind(message: SpreadMessage) -> str:
     """Return the kind of the frame that carries a message."""
-    return _NAMES[type(message)]
+    return _KINDS_BY_TYPE[type(message)]
 
 
 class TablesSpread:
-    """Run a follower of the tables on the process's link."""
+    """Connects the follower of the tables with the link and the tables in force."""
 
     def __init__(
         self,
@@ -64,13 +64,15 @@
         )
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take another daemon's frame; raise ``FrameError``."""
+        """Handle another daemon's frame; raise ``FrameError`` if it is refused."""
         try:
             message = decode(frame.payload, KIND_TYPES[frame.kind])
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         if not isinstance(message, CatchUp) and frame.sender not in self._sources:
-            raise FrameError("tables from an unknown source", context=frame.sender)
+            raise FrameError(
+                "the sender is not a source of the tables", context=frame.sender
+            )
         self.task.put(SpreadReceived(frame.sender, message))
 
     def _handle_output(self, output: FollowerOutput) -> None:
@@ -82,5 +84,5 @@
 
 
 def join_tables(whole: WholeTables) -> Tables:
-    """Return tables that were given whole."""
+    """Convert received tables to the form that requests are routed by."""
     return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -91,7 +91,11 @@
         )
         self._replica = ReplicaTask(
             ReplicaSettings(
-                GROUP, identity.replica_id, first_members(identity), seed, listed=None
+                GROUP,
+                identity.replica_id,
+                first_members(identity),
+                seed,
+                listed_replicas=None,
             ),
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
