Reword the daemon's roles

Docstrings of the *_role modules named owners and 'other bytes' in place of what is handled, started or refused. A 404 of /v1/drain now names the server.

--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -1,4 +1,4 @@
-"""Carry evidence to the floor's owner and its grants back."""
+"""Send evidence to the owner of the floor and receive its grants."""
 
 from collections.abc import Callable
 
@@ -15,12 +15,12 @@
 
 KIND_REPORTS = "floor.reports"
 KIND_GRANTS = "floor.grants"
-WINDOW_S = 0.25  # reports that are not urgent share a frame
-OWNER_SILENT_S = 4.0  # then all control instances are asked
+WINDOW_S = 0.25  # non-urgent reports within this time share a frame
+OWNER_TIMEOUT_S = 4.0  # without a grant, reports go to all control instances
 
 
 class EvidenceReports(Outlet[EvidenceReported]):
-    """Send evidence to the owner that granted last, or to all that may be it."""
+    """Sends evidence to the last known owner, or to all control instances."""
 
     def __init__(
         self,
@@ -38,13 +38,13 @@
         self._batches: Batches[EvidenceReported] = Batches(self._send, WINDOW_S)
 
     def put(self, message: EvidenceReported) -> None:
-        """Send one report."""
+        """Queue a report; urgent ones are sent at once."""
         is_urgent = any(one.score >= BAD_SCORE for one in message.servers)
         for address in self._recipients():
             self._batches.put(address, message, is_urgent)
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take grants; raise CodecError for other bytes."""
+        """Handle grants; raise CodecError if the frame is malformed."""
         grants = decode_grants(frame.payload)
         self._owner = frame.sender
         self._heard_at = self._clock.now()
@@ -55,7 +55,7 @@
         self._link.send(address, KIND_REPORTS, encode_reports(reports))
 
     def _recipients(self) -> tuple[str, ...]:
-        is_silent = self._clock.now() - self._heard_at > OWNER_SILENT_S
-        if self._owner is None or is_silent:
+        has_timed_out = self._clock.now() - self._heard_at > OWNER_TIMEOUT_S
+        if self._owner is None or has_timed_out:
             return self._control
         return (self._owner,)
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -1,4 +1,4 @@
-"""Run the owner of the floor beside the configuration's leader."""
+"""Run the owner of the floor on the leader of the configuration's log."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -43,10 +43,10 @@
 
 
 class FloorRole:
-    """Own the floor while this process leads the configuration's log.
+    """Grants ejections within the floor while this process leads the log.
 
-    The term is confirmed by reads of the log, each of which a majority has
-    to answer, so an owner that is cut off stops granting.
+    The term is confirmed by reads of the log, which a majority has to answer,
+    so an owner that is cut off from it stops granting.
     """
 
     def __init__(
@@ -57,10 +57,10 @@
         self._read = read
         self._log = get_log()
         self._term: int | None = None
-        self._reads: dict[int, float] = {}  # when each began, in seconds
-        self._last_read = 0
-        self._addresses: dict[str, str] = {}  # of the observers
-        self._confirmer: Any = None
+        self._pending_reads: dict[int, float] = {}  # start time (s) by read id
+        self._last_read_id = 0
+        self._observer_addresses: dict[str, str] = {}  # by observer
+        self._confirm_greenlet: Any = None
         self._batches: Batches[EjectionsGranted] = Batches(self._send, WINDOW_S)
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
             "floor",
@@ -71,13 +71,13 @@
         )
 
     def start(self) -> None:
-        """Start the task and the confirmations of its term."""
+        """Start the task and the periodic confirmation of its term."""
         self._task.start()
-        self._confirmer = eventlet.spawn(self._confirm)
+        self._confirm_greenlet = eventlet.spawn(self._confirm)
 
     def stop(self) -> None:
-        """Stop granting."""
-        self._confirmer.kill()
+        """Stop the confirmation and the task."""
+        self._confirm_greenlet.kill()
         self._task.stop()
 
     def dump(self) -> Mapping[str, object]:
@@ -85,23 +85,23 @@
         return self._task.dump()
 
     def handle_reports(self, frame: Frame) -> None:
-        """Take a daemon's evidence; raise CodecError for other bytes."""
+        """Handle a daemon's evidence; raise CodecError if it is malformed."""
         for report in decode_reports(frame.payload):
-            self._addresses[report.observer] = frame.sender
+            self._observer_addresses[report.observer] = frame.sender
             self._task.put(report)
 
     def update_tables(self, tables: Tables) -> None:
-        """Put the floors of new tables in force."""
+        """Apply the floors of new tables."""
         self._task.put(ConfigurePools(tables.pools))
 
     def update_servers(self, message: ServiceChanged) -> None:
-        """Take the live servers of a service."""
+        """Update the live servers of a service."""
         servers = message.change.servers
         self._task.put(ServiceServersChanged(message.service, servers))
 
     def update_leader(self, message: LeaderChanged) -> None:
-        """Take the ownership while this replica leads."""
-        self._reads.clear()
+        """Take or give up the ownership after a change of the leader."""
+        self._pending_reads.clear()
         if message.leader_id == self._link.address:
             self._term = message.term
             self._task.put(OwnershipTaken(message.term))
@@ -110,8 +110,8 @@
         self._task.put(OwnershipLost())
 
     def handle_read_result(self, message: ReadReady) -> None:
-        """Confirm the term by a read that a majority answered."""
-        began_at = self._reads.pop(message.read_id, None)
+        """Confirm the term if a majority answered the read."""
+        began_at = self._pending_reads.pop(message.read_id, None)
         if began_at is None or self._term is None:
             return
         if message.outcome is Outcome.COMMITTED:
@@ -123,15 +123,15 @@
     def _confirm(self) -> None:
         while True:
             if self._term is not None:
-                self._last_read += 1
-                self._reads = {self._last_read: self._clock.now()}
-                self._read(ReadIndex(self._last_read))
+                self._last_read_id += 1
+                self._pending_reads = {self._last_read_id: self._clock.now()}
+                self._read(ReadIndex(self._last_read_id))
             eventlet.sleep(CONFIRM_INTERVAL_S)
 
     def _handle_output(self, output: FloorOutput) -> None:
         match output:
             case EjectionsGranted():
-                address = self._addresses.get(output.observer)
+                address = self._observer_addresses.get(output.observer)
                 if address is not None:
                     is_urgent = bool(output.ejections) or output.report_now
                     self._batches.put(address, output, is_urgent)
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -1,4 +1,4 @@
-"""Join the tasks of the role instance."""
+"""Run the role instance: callers' requests and announcements of servers."""
 
 import zlib
 from collections.abc import Mapping
@@ -50,9 +50,9 @@
 
 
 class SharedParts(NamedTuple):
-    """Hold the parts of a process that its roles share.
+    """Parts of a process that its roles share.
 
-    ``epoch`` grows at each start of the process.
+    ``epoch`` must grow at each start of the process.
     """
 
     link: Transport
@@ -62,9 +62,10 @@
 
 
 class InstanceRole:
-    """Take callers' requests and the announcements of backend servers.
+    """Serves callers' requests and the announcements of backend servers.
 
-    The flow of servers is a pipe of tasks: registry, spread, view, pools, traffic.
+    Changes of servers pass through a pipe of tasks: registry, spread, view,
+    pools, traffic.
     """
 
     def __init__(
@@ -122,13 +123,13 @@
         tables.subscribe(self._update_tables)
 
     def start(self) -> None:
-        """Start the tasks, then listen."""
+        """Start the tasks, then the listeners."""
         self.registry.start()
         self._callers.start()
         self._servers.start()
 
     def stop_listening(self) -> None:
-        """Take no new connections."""
+        """Close the listeners."""
         self._callers.close()
         self._servers.close()
 
@@ -143,7 +144,7 @@
         return state
 
     def drain(self, query: Query) -> Reply:
-        """Give no new work to a server that announces itself here."""
+        """Drain a server that announces itself to this instance."""
         server_id = query.get("server", "")
         reply = self._replies.ask(
             server_id,
@@ -152,11 +153,13 @@
         )
         if isinstance(reply, DrainReplied) and reply.is_known:
             return Reply(200, {"server": server_id, "state": "draining"})
-        hint = "ask the instance that the server announces itself to"
-        return make_error(404, "no such server announces itself here", hint=hint)
+        hint = "ask the instance to which the server announces itself"
+        return make_error(
+            404, f"no server {server_id!r} announces itself to this instance", hint=hint
+        )
 
     def ejections(self) -> list[Mapping[str, object]]:
-        """Return a row for each backend server that is ejected here."""
+        """Return a row for each backend server that this instance ejects."""
         return self.health.ejections()
 
     def _create_traffic(self, pool: Pool) -> PoolTraffic:
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -1,4 +1,4 @@
-"""Run this process's replicas of the ledger's groups."""
+"""Run this process's replicas of the ledger groups."""
 
 import pathlib
 from collections.abc import Mapping
@@ -38,9 +38,9 @@
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
 
-LEDGER_GROUPS = 4  # the same in the whole fleet: it says which log owns a key
+LEDGER_GROUPS = 4  # must be equal in the whole fleet: it maps keys to groups
 
-_REASONS = {
+_UNSERVED_REASONS = {
     Outcome.NOT_LEADER: UnservedReason.NOT_LEADER,
     Outcome.NO_MAJORITY: UnservedReason.NO_MAJORITY,
     Outcome.REJECTED: UnservedReason.NO_MAJORITY,
@@ -51,7 +51,7 @@
 
 
 class LedgerGroup:
-    """Join one replicated log with the ledger's service on it."""
+    """One replicated log and the ledger service on top of it."""
 
     def __init__(
         self,
@@ -74,17 +74,17 @@
         )
 
     def start(self) -> None:
-        """Load the data folder and start; raise ``DiskError``."""
+        """Load the data folder and start the tasks; raise ``DiskError`` if it fails."""
         self._service.start()
         self.replica.start()
 
     def stop(self) -> None:
-        """Stop the replica; what it acknowledged is on its disk."""
+        """Stop the tasks; whatever the replica acknowledged is on its disk."""
         self.replica.stop()
         self._service.stop()
 
     def put(self, message: ServiceInput) -> None:
-        """Take a daemon's command."""
+        """Pass a daemon's command to the service."""
         self._service.put(message)
 
     def dump(self) -> Mapping[str, object]:
@@ -103,7 +103,7 @@
                 snapshot = output.snapshot
                 self._service.put(StateRestored(snapshot.log_index, snapshot.state))
             case ProposalResult():
-                self._service.put(_conclude(output))
+                self._service.put(_convert_result(output))
             case _:
                 pass
 
@@ -119,7 +119,7 @@
 
 
 class LedgerRole:
-    """Own the replicas of all groups in this process."""
+    """Runs the replicas of all ledger groups in this process."""
 
     def __init__(
         self,
@@ -147,7 +147,7 @@
         return frozenset(self._by_kind)
 
     def start(self) -> None:
-        """Start all groups; raise ``DiskError``."""
+        """Start all groups; raise ``DiskError`` if one cannot load its folder."""
         for group in self._groups:
             group.start()
 
@@ -157,15 +157,18 @@
             group.stop()
 
     def handle_replica_frame(self, frame: Frame) -> None:
-        """Take another replica's frame; raise ``FrameError``."""
+        """Handle another replica's frame; raise ``FrameError`` if it is refused."""
         self._by_kind[frame.kind].replica.handle_frame(frame)
 
     def handle_request(self, frame: Frame) -> None:
-        """Take a daemon's command; raise ``CodecError`` or ``FrameError``."""
-        asked = decode_request(frame.payload, frame.sender)
-        if not 0 <= asked.group < LEDGER_GROUPS:
-            raise FrameError("no such ledger group", context=str(asked.group))
-        self._groups[asked.group].put(asked.request)
+        """Handle a daemon's command.
+
+        Raise ``CodecError`` if it is malformed, ``FrameError`` for an unknown group.
+        """
+        envelope = decode_request(frame.payload, frame.sender)
+        if not 0 <= envelope.group < LEDGER_GROUPS:
+            raise FrameError("unknown ledger group", context=str(envelope.group))
+        self._groups[envelope.group].put(envelope.request)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of all groups."""
@@ -175,8 +178,8 @@
         return state
 
 
-def _conclude(proposed: ProposalResult) -> EntryAccepted | EntryUnserved:
-    if proposed.outcome is Outcome.COMMITTED:
-        return EntryAccepted(proposed.proposal_id, proposed.log_index)
-    unserved = Unserved(_REASONS[proposed.outcome], proposed.leader_id)
-    return EntryUnserved(proposed.proposal_id, unserved)
+def _convert_result(result: ProposalResult) -> EntryAccepted | EntryUnserved:
+    if result.outcome is Outcome.COMMITTED:
+        return EntryAccepted(result.proposal_id, result.log_index)
+    unserved = Unserved(_UNSERVED_REASONS[result.outcome], result.leader_id)
+    return EntryUnserved(result.proposal_id, unserved)
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -1,4 +1,4 @@
-"""Join the fleet's view of servers with the tree that spreads it."""
+"""Run the spread tree and the view of the fleet's servers that it carries."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -39,14 +39,14 @@
 SPREAD_TICK_S = 0.1
 VIEW_TICK_S = 1.0
 
-Node = StatefulFilter[RelayInput, SpreadOutput]
+SpreadNode = StatefulFilter[RelayInput, SpreadOutput]
 
 
 class MembershipRole:
-    """Own this process's place in the tree and its view of the fleet.
+    """Runs this process's node of the spread tree and its view of the fleet.
 
     A control instance is a relay, and the root while it leads; any other
-    process is a client of the tree. Ids in the tree are addresses of links.
+    process is a client of the tree. Ids in the tree are link addresses.
     """
 
     def __init__(
@@ -103,26 +103,26 @@
         return [row for rows in self._pools.dump().values() for row in _as_rows(rows)]
 
     def subscribe(self, function: Callable[[ServiceChanged], None]) -> None:
-        """Call a function with each change of a service's live servers."""
+        """Call ``function`` at each change of a service's live servers."""
         self._subscribers.append(function)
 
     def subscribe_to_pools(
         self, function: Callable[[PoolServersChanged], None]
     ) -> None:
-        """Call a function with each change of a pool's live servers."""
+        """Call ``function`` at each change of a pool's live servers."""
         self._pool_subscribers.append(function)
 
     def update_tables(self, tables: Tables) -> None:
-        """Take the pools of new tables."""
+        """Apply the pools of new tables."""
         self._pools.put(tables)
 
     def publish(self, event: ServerEvent) -> None:
-        """Take a change of a server that announces itself to this process."""
+        """Publish a change of a server that announces itself to this process."""
         self._view.put(event)
         self._node.put(PublishRows((create_server_row(event),)))
 
     def update_leader(self, message: LeaderChanged) -> None:
-        """Be the tree's root while this replica leads."""
+        """Become the root if this replica leads, else prefer the leader as parent."""
         if message.leader_id == self._link.address:
             self._node.put(BecomeRoot(message.term))
             return
@@ -131,7 +131,7 @@
         self._node.put(FollowParents((*leader, *others)))
 
     def handle_frame(self, frame: Frame) -> None:
-        """Take another instance's frame; raise ``CodecError`` for other bytes."""
+        """Handle another instance's frame; raise ``CodecError`` if it is malformed."""
         self._node.put(FromPeer(frame.sender, decode_message(frame.payload)))
 
     def _handle_output(self, output: SpreadOutput) -> None:
@@ -158,8 +158,8 @@
 
 def _create_node(
     instance_id: str, epoch: int, parents: tuple[str, ...], is_relay: bool
-) -> Node:
+) -> SpreadNode:
     if is_relay:
         return RelayNode(instance_id, epoch, parents)
-    client: Node = SpreadClient(instance_id, epoch, parents)  # type: ignore[assignment]
+    client: SpreadNode = SpreadClient(instance_id, epoch, parents)  # type: ignore[assignment]
     return client
