Reword the operators' and servers' interfaces of the daemon

Errors such as 'the registry gave no answer' or 'this address may not announce' did not say which value was wrong; those that have it at hand now name it (method, path, address). is_token compared a header, so it is is_authorized now; dump_text is format_dump. 'IP number' is now 'IP address'.

--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -1,4 +1,4 @@
-"""Join the roles of one process and run it until it is told to stop."""
+"""Run the roles of one process until a stop signal."""
 
 import signal
 import sys
@@ -32,7 +32,7 @@
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
 from pimentobendd._internal.interfaces.operators import OperatorsPorts
 from pimentobendd._internal.interfaces.operators import Section
-from pimentobendd._internal.interfaces.operators import dump_text
+from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import read_key
 from pimentobendd._internal.keys import read_token
 from pimentobendd._internal.ledger_role import LEDGER_GROUPS
@@ -43,12 +43,12 @@
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
-SETTLE_WAIT_S = 5.0
-SIGNALS_TO_STOP = (signal.SIGTERM, signal.SIGINT)
+CLAIM_TIMEOUT_S = 5.0  # to record the outcomes of claims before the end
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon:
-    """Own the parts of one process."""
+    """Creates, starts and stops the parts of one process."""
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
@@ -57,12 +57,12 @@
         self._stopping: Any = eventlet.event.Event()
         self._metrics = Metrics(settings.statsd, settings.instance)
         self._tables = TablesInForce()
-        self._router = FrameRouter(self._report_frame_fault)
+        self._router = FrameRouter(self._report_frame_error)
         self._link = Link(
             str(settings.link),
             read_key(settings.link_key_file),
             self._router,
-            self._report_frame_fault,
+            self._report_frame_error,
         )
         self._spread = TablesSpread(
             self._link, self._sources(), self._tables.put, self._clock
@@ -96,7 +96,7 @@
         )
 
     def start(self) -> None:
-        """Start all tasks and listen."""
+        """Start all tasks and listeners."""
         self._link.start()
         self._spread.task.start()
         self._ledger.task.start()
@@ -109,8 +109,8 @@
         self._log.info("started", roles=",".join(sorted(self._settings.roles)))
 
     def run(self) -> None:
-        """Serve until a signal to stop, then finish what is in flight."""
-        for number in SIGNALS_TO_STOP:
+        """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
+        for number in STOP_SIGNALS:
             signal.signal(number, lambda *_: self._request_stop())
         signal.signal(signal.SIGUSR1, lambda *_: self._print_dump())
         self.start()
@@ -118,11 +118,11 @@
         self.stop()
 
     def stop(self) -> None:
-        """Take no new work, wait for requests in flight, then close."""
+        """Close the listeners, wait for the requests in flight, then stop the tasks."""
         if self._instance is not None:
             self._instance.stop_listening()
-            self._finish_requests(self._instance)
-            self._settle_claims()
+            self._wait_for_requests(self._instance)
+            self._wait_for_claims()
         self._operators.close()
         if self._control is not None:
             self._control.stop()
@@ -131,10 +131,10 @@
         self._log.info("stopped")
 
     def _sources(self) -> tuple[str, ...]:
-        """Return where the tables come from, relays first."""
+        """Return the daemons that provide the tables, relays first."""
         settings = self._settings
         sources = (*settings.relays, *settings.control)
-        return tuple(each for each in sources if each != self._link.address)
+        return tuple(source for source in sources if source != self._link.address)
 
     def _register_frames(self) -> None:
         for kind in SPREAD_KINDS:
@@ -200,7 +200,7 @@
             actions["/v1/drain"] = self._instance.drain
         return actions
 
-    def _report_frame_fault(self, error: PimentobendError) -> None:
+    def _report_frame_error(self, error: PimentobendError) -> None:
         self._metrics.count("link.refused")
         self._log.warning("frame-refused", error=str(error))
 
@@ -225,22 +225,24 @@
 
     def _print_dump(self) -> None:
         eventlet.spawn_n(
-            lambda: print(dump_text(self._sections.dump()), file=sys.stdout, flush=True)
+            lambda: print(
+                format_dump(self._sections.dump()), file=sys.stdout, flush=True
+            )
         )
 
-    def _settle_claims(self) -> None:
-        """Wait a little for the outcomes of claims to be recorded."""
-        until = self._clock.now() + SETTLE_WAIT_S
+    def _wait_for_claims(self) -> None:
+        """Wait up to ``CLAIM_TIMEOUT_S`` until the outcomes of claims are recorded."""
+        deadline = self._clock.now() + CLAIM_TIMEOUT_S
         while self._ledger.task.dump().get("pending"):
-            if self._clock.now() >= until:
+            if self._clock.now() >= deadline:
                 self._log.error("shutdown-unsettled")
                 return
             eventlet.sleep(DRAIN_POLL_S)
 
-    def _finish_requests(self, instance: InstanceRole) -> None:
+    def _wait_for_requests(self, instance: InstanceRole) -> None:
         grace_s = self._settings.shutdown_grace_s
-        until = self._clock.now() + grace_s
-        while instance.front.in_flight and self._clock.now() < until:
+        deadline = self._clock.now() + grace_s
+        while instance.front.in_flight and self._clock.now() < deadline:
             eventlet.sleep(DRAIN_POLL_S)
         if instance.front.in_flight:
             self._log.error(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -54,7 +54,7 @@
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.tables import FleetTables
-from pimentobendd._internal.interfaces.operators import dump_text
+from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import LOOPBACK_KEY
 from pimentobendd._internal.tables import TablesInForce
 
@@ -83,12 +83,12 @@
         self._stopping: Any = eventlet.event.Event()
         self._is_stopping = False
         self._tables = TablesInForce()
-        self._router = FrameRouter(self._report_frame_fault)
+        self._router = FrameRouter(self._report_frame_error)
         self._link = DatagramLink(
             settings.link,
             LOOPBACK_KEY,
             self._router,
-            self._report_frame_fault,
+            self._report_frame_error,
             self._count_sent,
         )
         self._row = self._create_row()
@@ -301,7 +301,7 @@
         self._counters.count("sent_frames", kind)
         self._counters.count("sent_frame_bytes", kind, size_bytes)
 
-    def _report_frame_fault(self, error: PimentobendError) -> None:
+    def _report_frame_error(self, error: PimentobendError) -> None:
         self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
 
@@ -329,7 +329,7 @@
 
     def _print_dump(self) -> None:
         eventlet.spawn_n(
-            lambda: print(dump_text(self.dump()), file=sys.stdout, flush=True)
+            lambda: print(format_dump(self.dump()), file=sys.stdout, flush=True)
         )
 
     def _drain(self, instance: FleetInstance, began: float) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -24,7 +24,7 @@
 MAX_PORT = 65535
 MAX_SECONDS = 3600.0
 
-_ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 number and a port")
+_ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 address and a port")
 _PATH = TextCheck(r"[^\0]{1,1023}", "a path")
 _ROLE = TextCheck(r"instance|control", "instance or control")
 _SECONDS = NumberCheck(0, MAX_SECONDS)
@@ -34,7 +34,7 @@
         "data_centre": NAME,
         "region": NAME,
         "roles": ListCheck(_ROLE, 2),
-        "ip": TextCheck(r"[0-9.]{7,15}", "an IPv4 number"),
+        "ip": TextCheck(r"[0-9.]{7,15}", "an IPv4 address"),
         "link_ports": ListCheck(IntegerCheck(1, MAX_PORT), 2),
         "seeds": ListCheck(_ADDRESS, MAX_SEEDS),
     },
@@ -153,7 +153,7 @@
         places.append(("beside.address", values["beside"]["address"]))
     for place, text in places:
         if not _is_address(text):
-            faults.append(Fault(place, text, "an IPv4 number and a port up to 65535"))
+            faults.append(Fault(place, text, "an IPv4 address and a port up to 65535"))
     return faults
 
 
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -20,7 +20,7 @@
 from pimentobendd._internal.interfaces.replies import make_error
 from pimentobendd._internal.interfaces.replies import read_document
 from pimentobendd._internal.interfaces.replies import write_reply
-from pimentobendd._internal.keys import is_token
+from pimentobendd._internal.keys import is_authorized
 
 CHANGE_ID = re.compile(r"[!-~]{1,64}")
 VERSION = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
@@ -30,16 +30,16 @@
 
 
 class OperatorsPorts(NamedTuple):
-    """Hold what the interface asks of the rest of the process."""
+    """What the interface uses of the rest of the process."""
 
     control: ControlPort | None
     tables: Callable[[], Tables]
-    sections: Mapping[str, Section]  # by path, read only
-    actions: Mapping[str, Section]  # by path, POST
+    sections: Mapping[str, Section]  # GET handlers by path
+    actions: Mapping[str, Section]  # POST handlers by path
 
 
 class OperatorsInterface:
-    """Serve operators as a WSGI application."""
+    """WSGI application for operators."""
 
     def __init__(self, ports: OperatorsPorts, token: bytes | None) -> None:
         self._ports = ports
@@ -50,8 +50,8 @@
         return write_reply(self._answer(environ), start_response)
 
     def _answer(self, environ: Environ) -> Reply:
-        if not is_token(environ.get("HTTP_AUTHORIZATION"), self._token):
-            hint = "give the operators' token in an Authorization: Bearer header"
+        if not is_authorized(environ.get("HTTP_AUTHORIZATION"), self._token):
+            hint = "send the operators' token in an Authorization: Bearer header"
             return make_error(401, "the token is missing or wrong", hint=hint)
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
@@ -64,19 +64,25 @@
             return self._ports.sections[path](query)
         if path in self._ports.actions and method == "POST":
             return self._ports.actions[path](query)
-        return make_error(404, f"no {method} {path}", hint="see docs/INTERFACES.md")
+        return make_error(
+            404,
+            f"unknown method or path: {method} {path}",
+            hint="see docs/INTERFACES.md",
+        )
 
     def _apply(self, environ: Environ, query: Query) -> Reply:
         if self._ports.control is None:
-            hint = "send it to an instance with the role control"
-            return make_error(421, "this instance takes no changes", hint=hint)
+            hint = "send the change to an instance with the role control"
+            return make_error(421, "this instance does not accept changes", hint=hint)
         document = read_document(environ)
         if document is None:
-            return make_error(400, "the body is shorter than stated or too large")
+            return make_error(
+                400, "the body is incomplete or too large, or its length is malformed"
+            )
         version = VERSION.fullmatch(query.get("version", ""))
         change_id = query.get("change", "")
         if version is None or not CHANGE_ID.fullmatch(change_id):
-            hint = "give version=<term>.<index> and change=<id of 1 to 64 characters>"
+            hint = "set version=<term>.<index> and change=<id of 1 to 64 characters>"
             return make_error(
                 400, "version or change is missing or malformed", (), hint
             )
@@ -101,7 +107,7 @@
 
 
 def describe_tables(tables: Tables) -> Mapping[str, object]:
-    """Return the tables as the operators' document."""
+    """Return the tables as the JSON document for operators."""
     return {
         "version": str(Version(tables.term, tables.log_index)),
         "routes": [route._asdict() for route in tables.routes],
@@ -114,6 +120,6 @@
     return {name: values[0] for name, values in parsed.items()}
 
 
-def dump_text(document: Mapping[str, object]) -> str:
-    """Return a state dump as one line of JSON."""
+def format_dump(document: Mapping[str, object]) -> str:
+    """Format a state dump as one line of JSON."""
     return json.dumps(document, ensure_ascii=False, default=str, sort_keys=True)
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/replies.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/replies.py
@@ -1,4 +1,4 @@
-"""Write the JSON replies of the servers' and the operators' interfaces."""
+"""Read the requests and write the JSON replies of servers and operators."""
 
 import http.client
 import json
@@ -14,7 +14,7 @@
 
 
 class Reply(NamedTuple):
-    """Hold a reply before it is written as JSON."""
+    """A reply whose document is sent as JSON."""
 
     status: int
     document: Mapping[str, object]
@@ -23,7 +23,7 @@
 def make_error(
     status: int, message: str, faults: tuple[str, ...] = (), hint: str = ""
 ) -> Reply:
-    """Return an error reply that names every fault."""
+    """Return an error reply with all faults and a hint, if any."""
     document: dict[str, object] = {"error": message}
     if faults:
         document["faults"] = list(faults)
@@ -33,7 +33,7 @@
 
 
 def write_reply(reply: Reply, start_response: StartResponse) -> list[bytes]:
-    """Start the response and return its body."""
+    """Start the WSGI response and return its body."""
     content = json.dumps(reply.document, ensure_ascii=False).encode() + b"\n"
     reason = http.client.responses.get(reply.status, "Unknown")
     headers = [
@@ -45,7 +45,11 @@
 
 
 def read_document(environ: Environ) -> bytes | None:
-    """Return the request's body; None when it is malformed or too large."""
+    """Return the request body, or None.
+
+    None means an incomplete body, one of more than ``MAX_DOCUMENT_BYTES`` or a
+    malformed length.
+    """
     length = environ.get("CONTENT_LENGTH") or "0"
     if not (length.isascii() and length.isdigit()):
         return None
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
@@ -1,4 +1,4 @@
-"""Take the announcements of backend servers over HTTP."""
+"""Serve the announcements of backend servers over HTTP."""
 
 import ipaddress
 from collections.abc import Callable
@@ -31,7 +31,7 @@
 
 
 class ServersInterface:
-    """Serve ``/announce`` and ``/withdraw`` as a WSGI application."""
+    """WSGI application for ``/announce`` and ``/withdraw``."""
 
     def __init__(
         self,
@@ -48,17 +48,26 @@
         return write_reply(self._answer(environ), start_response)
 
     def _answer(self, environ: Environ) -> Reply:
-        if not self._is_allowed(environ.get("REMOTE_ADDR", "")):
+        remote = environ.get("REMOTE_ADDR", "")
+        if not self._is_allowed(remote):
             hint = "add the server's network to announce_from in the settings"
-            return make_error(403, "this address may not announce", hint=hint)
+            return make_error(
+                403, f"the address {remote!r} may not announce servers", hint=hint
+            )
         handler = _HANDLERS.get(environ["PATH_INFO"])
         if handler is None:
-            return make_error(404, "unknown path", hint="use /announce or /withdraw")
+            return make_error(
+                404,
+                f"unknown path {environ['PATH_INFO']}",
+                hint="use /announce or /withdraw",
+            )
         if environ["REQUEST_METHOD"] != "POST":
-            return make_error(405, "the method is not POST")
+            return make_error(405, f"method {environ['REQUEST_METHOD']} is not allowed")
         document = read_document(environ)
         if document is None:
-            return make_error(400, "the body is shorter than stated or too large")
+            return make_error(
+                400, "the body is incomplete or too large, or its length is malformed"
+            )
         return handler(self, document)
 
     def _announce(self, document: bytes) -> Reply:
@@ -67,7 +76,9 @@
             return _refuse(parsed.failure().faults)
         server = parsed.unwrap().server
         if not self._is_allowed(server.host):
-            return _refuse(("host: not an IP number within announce_from",))
+            return _refuse(
+                (f"host: {server.host!r} is not an IP address within announce_from",)
+            )
         return self._ask(server.server_id, parsed.unwrap())
 
     def _withdraw(self, document: bytes) -> Reply:
@@ -81,7 +92,9 @@
             server_id, lambda: self._registry.put(message), ANSWER_TIMEOUT_S
         )
         if reply is None:
-            return make_error(503, "the registry gave no answer", hint="send it again")
+            return make_error(
+                503, "the registry did not reply in time", hint="send the request again"
+            )
         if isinstance(reply, AnnouncementRefused):
             return _refuse(reply.faults)
         if not isinstance(reply, AnnouncementAccepted):
--- a/packages/daemon/src/pimentobendd/_internal/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/settings.py
@@ -23,7 +23,7 @@
 DEFAULT_GRACE_S = 60
 DEFAULT_ANNOUNCE_FROM = ("127.0.0.0/8", "::1/128")
 
-_ADDRESS = TextCheck(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}", "an IP number and a port")
+_ADDRESS = TextCheck(r"[0-9a-fA-F.:\[\]]+:[0-9]{1,5}", "an IP address and a port")
 _PATH = TextCheck(r"[^\0]{1,1023}", "a path")
 _ROLE = TextCheck(r"instance|control", "instance or control")
 _NETWORK = TextCheck(r"[0-9a-fA-F.:]+(/[0-9]{1,3})?", "an IP network")
@@ -52,7 +52,7 @@
 
 
 class Settings(NamedTuple):
-    """Hold the checked settings of one process."""
+    """The checked settings of one process."""
 
     instance: str
     data_centre: str
@@ -73,7 +73,7 @@
 
 
 def load_settings(path: str) -> Settings:
-    """Read a settings file; raise SettingsError with every fault."""
+    """Read and check a settings file; raise SettingsError with all faults."""
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -83,20 +83,20 @@
 
 
 def parse_settings(text: str, path: str) -> Settings:
-    """Check settings given as JSON text; raise SettingsError with every fault."""
+    """Check settings given as JSON text; raise SettingsError with all faults."""
     document, faults = parse_document(text)
     if document is not None:
         faults += tuple(_SETTINGS.find("", document))
     if faults:
         raise SettingsError(path, faults)
     values = cast(dict[str, Any], document)
-    faults = _find_contradictions(values)
+    faults = _find_inconsistencies(values)
     if faults:
         raise SettingsError(path, faults)
     return _build(values)
 
 
-def _find_contradictions(values: dict[str, Any]) -> tuple[Fault, ...]:
+def _find_inconsistencies(values: dict[str, Any]) -> tuple[Fault, ...]:
     faults: list[Fault] = []
     listen = values["listen"]
     roles = values["roles"]
@@ -113,18 +113,20 @@
     if not values["control"]:
         faults.append(Fault("control", "[]", "the link address of each replica"))
     faults.extend(_find_bad_addresses(values))
-    faults.extend(_find_open_doors(values))
+    faults.extend(_find_missing_secrets(values))
     return tuple(faults)
 
 
 def _find_bad_addresses(values: dict[str, Any]) -> list[Fault]:
     places = [(f"listen.{key}", text) for key, text in values["listen"].items()]
     places += [(f"control[{i}]", text) for i, text in enumerate(values["control"])]
-    places += [(f"relays[{i}]", t) for i, t in enumerate(values.get("relays", []))]
+    places += [
+        (f"relays[{i}]", text) for i, text in enumerate(values.get("relays", []))
+    ]
     if "statsd" in values:
         places.append(("statsd", values["statsd"]))
     faults = [
-        Fault(place, text, "an IP number and a port up to 65535")
+        Fault(place, text, "an IP address and a port up to 65535")
         for place, text in places
         if not _is_address(text)
     ]
@@ -136,8 +138,8 @@
     return faults
 
 
-def _find_open_doors(values: dict[str, Any]) -> list[Fault]:
-    """Refuse to listen beyond loopback without a key."""
+def _find_missing_secrets(values: dict[str, Any]) -> list[Fault]:
+    """Require a key or token for each listener that is not on loopback."""
     faults = []
     for key, secret in (
         ("link", "link_key_file"),
@@ -164,37 +166,37 @@
     return ipaddress.ip_address(host.strip("[]")).is_loopback
 
 
-def _address(text: str | None) -> Address | None:
+def _parse_address(text: str | None) -> Address | None:
     if text is None:
         return None
     host, _, port = text.rpartition(":")
     return Address(host.strip("[]"), int(port))
 
 
-def _path(text: str | None) -> pathlib.Path | None:
+def _parse_path(text: str | None) -> pathlib.Path | None:
     return None if text is None else pathlib.Path(text)
 
 
 def _build(values: dict[str, Any]) -> Settings:
     listen = values["listen"]
-    operators = _address(listen["operators"])
-    link = _address(listen["link"])
+    operators = _parse_address(listen["operators"])
+    link = _parse_address(listen["link"])
     assert operators is not None and link is not None
     return Settings(
         instance=values["instance"],
         data_centre=values["data_centre"],
         region=values["region"],
         roles=frozenset(values["roles"]),
-        callers=_address(listen.get("callers")),
-        servers=_address(listen.get("servers")),
+        callers=_parse_address(listen.get("callers")),
+        servers=_parse_address(listen.get("servers")),
         operators=operators,
         link=link,
         control=tuple(values["control"]),
         relays=tuple(values.get("relays", [])),
-        data_folder=_path(values.get("data_folder")),
-        link_key_file=_path(values.get("link_key_file")),
-        operator_token_file=_path(values.get("operator_token_file")),
+        data_folder=_parse_path(values.get("data_folder")),
+        link_key_file=_parse_path(values.get("link_key_file")),
+        operator_token_file=_parse_path(values.get("operator_token_file")),
         announce_from=tuple(values.get("announce_from", DEFAULT_ANNOUNCE_FROM)),
-        statsd=_address(values.get("statsd")),
+        statsd=_parse_address(values.get("statsd")),
         shutdown_grace_s=values.get("shutdown_grace_s", DEFAULT_GRACE_S),
     )
