Reword the modules at the root of the daemon

Settings, tables in force, sections, exit codes and the restore command had docstrings that named a holder in place of what it does.

--- a/packages/daemon/src/pimentobendd/_internal/__init__.py
+++ b/packages/daemon/src/pimentobendd/_internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the private modules of the package."""
+"""Private modules of the package."""
--- a/packages/daemon/src/pimentobendd/_internal/control_port.py
+++ b/packages/daemon/src/pimentobendd/_internal/control_port.py
@@ -1,4 +1,4 @@
-"""Define what the operators' interface asks of the configuration."""
+"""Define the port through which operators change the configuration."""
 
 import abc
 from typing import NamedTuple
@@ -9,7 +9,7 @@
 
 
 class Version(NamedTuple):
-    """Name a version of the tables by its place in the replicated log."""
+    """A version of the tables: its position in the replicated log."""
 
     term: int
     log_index: int
@@ -19,7 +19,7 @@
 
 
 class ChangeRequest(NamedTuple):
-    """Ask for new tables in place of the version that the operator saw."""
+    """New tables to replace ``expected``, the version that the operator saw."""
 
     document: TablesDocument
     expected: Version
@@ -27,7 +27,7 @@
 
 
 class ChangeRefused(NamedTuple):
-    """Refuse a change; ``status`` is the HTTP status that says why."""
+    """Why a change was refused; ``status`` is the HTTP status of the reply."""
 
     status: int
     message: str
@@ -35,8 +35,8 @@
 
 
 class ControlPort(abc.ABC):
-    """Reach the owner of the configuration."""
+    """Access to the replicated configuration."""
 
     @abc.abstractmethod
     def apply(self, request: ChangeRequest) -> Result[Version, ChangeRefused]:
-        """Make a change durable, or refuse it before it is accepted."""
+        """Make a change durable, or return why it was refused."""
--- a/packages/daemon/src/pimentobendd/_internal/exceptions.py
+++ b/packages/daemon/src/pimentobendd/_internal/exceptions.py
@@ -1,4 +1,4 @@
-"""Define the errors of the daemon."""
+"""Errors of the daemon."""
 
 from collections.abc import Iterable
 
@@ -7,11 +7,11 @@
 
 
 class DaemonError(PimentobendError):
-    """Report why the daemon cannot run."""
+    """Base of the errors that keep the daemon from running."""
 
 
 class SettingsError(DaemonError):
-    """Report every fault of a settings file."""
+    """A settings file has faults, all of which are listed."""
 
     def __init__(self, path: str, faults: Iterable[Fault]) -> None:
         self.faults = tuple(faults)
--- a/packages/daemon/src/pimentobendd/_internal/main.py
+++ b/packages/daemon/src/pimentobendd/_internal/main.py
@@ -1,4 +1,4 @@
-"""Parse the daemon's command line."""
+"""Parse the daemon's command line and run it."""
 
 import sys
 from typing import Any
@@ -14,7 +14,7 @@
 
 
 def run(argv: list[str]) -> Status:
-    """Read the settings and serve until a signal to stop."""
+    """Read the settings, serve until a stop signal, and return the exit code."""
     values: Any = flags.FlagValues()  # type: ignore[no-untyped-call]
     flags.DEFINE_string(
         "settings", None, "path of the settings file", flag_values=values
@@ -33,14 +33,14 @@
     return _serve(values.settings, values.check)
 
 
-def _serve(path: str, is_check: bool) -> Status:
+def _serve(path: str, check_only: bool) -> Status:
     try:
         settings = load_settings(path)
     except SettingsError as error:
         for fault in error.faults:
             print(f"pimentobendd: {path}: {fault}", file=sys.stderr)
         return Status.USAGE
-    if is_check:
+    if check_only:
         print(f"{path}: no faults")
         return Status.SUCCESS
     configure_logs(settings.instance)
--- a/packages/daemon/src/pimentobendd/_internal/sections.py
+++ b/packages/daemon/src/pimentobendd/_internal/sections.py
@@ -1,4 +1,4 @@
-"""Answer what operators read of one process."""
+"""Answer the operators' read requests about one process."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -19,7 +19,7 @@
 
 
 class Sections:
-    """Read the state of the parts that this process has."""
+    """Reads the state of the parts that run in this process."""
 
     def __init__(
         self,
@@ -41,7 +41,7 @@
 
     @property
     def by_path(self) -> Mapping[str, Section]:
-        """Return the sections by their paths."""
+        """Return the handlers of the sections by path."""
         return {
             "/v1/status": self._status,
             "/v1/dump": lambda query: Reply(200, self.dump()),
@@ -52,7 +52,7 @@
         }
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the process, a section for each task."""
+        """Return the state of the process, one section per task."""
         tables = self._tables()
         state: dict[str, object] = {
             "instance": self._settings.instance,
@@ -109,7 +109,9 @@
         organisation = query.get("organisation", "")
         key = query.get("key")
         if not key:
-            return make_error(400, "key is missing", hint="give organisation and key")
+            return make_error(
+                400, "key is missing", hint="set organisation=<name> and key=<key>"
+            )
         found = self._ledger.look_up(organisation, key)
         if found is None:
             return make_error(503, "no majority of the ledger's replicas answers")
--- a/packages/daemon/src/pimentobendd/_internal/status.py
+++ b/packages/daemon/src/pimentobendd/_internal/status.py
@@ -1,10 +1,10 @@
-"""Name the daemon's exit codes."""
+"""Define the daemon's exit codes."""
 
 import enum
 
 
 class Status(enum.IntEnum):
-    """Name the daemon's exit codes."""
+    """Exit codes of the daemon."""
 
     SUCCESS = 0
     ERROR = 1
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -1,4 +1,4 @@
-"""Hold the tables in force and tell the tasks that depend on them."""
+"""Keep the tables in force and notify the tasks that depend on them."""
 
 from collections.abc import Callable
 from typing import Any
@@ -16,16 +16,16 @@
 
 
 class TablesInForce(TablesPort):
-    """Own the version in force; it never goes back."""
+    """The version of the tables in force, which never goes back to an older one."""
 
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
         self._matcher = RouteMatcher(EMPTY_TABLES)
         self._subscribers: list[Callable[[Tables], None]] = []
-        self._first: Any = eventlet.event.Event()
+        self._first_tables: Any = eventlet.event.Event()
 
     def match(self, head: RequestHead) -> Route | None:
-        """Return the route for a request."""
+        """Return the route of a request, or None."""
         return self._matcher.match(head.method, head.host, head.path)
 
     def current(self) -> Tables:
@@ -33,23 +33,23 @@
         return self._tables
 
     def await_first(self, timeout_s: float) -> bool:
-        """Wait until any tables are in force; say whether they are."""
+        """Wait until any tables are in force; return whether they are."""
         with eventlet.Timeout(timeout_s, False):
-            self._first.wait()
-        return bool(self._first.ready())
+            self._first_tables.wait()
+        return bool(self._first_tables.ready())
 
     def subscribe(self, function: Callable[[Tables], None]) -> None:
-        """Call a function with each version that comes into force."""
+        """Call ``function`` with each version that comes into force."""
         self._subscribers.append(function)
 
     def put(self, tables: Tables) -> bool:
-        """Put a version in force unless it is no newer; say whether it was."""
+        """Put tables in force if their version is newer; return whether it was."""
         if tables[:2] <= self._tables[:2]:
             return False
         self._tables = tables
         self._matcher = RouteMatcher(tables)
-        if not self._first.ready():
-            self._first.send(None)
+        if not self._first_tables.ready():
+            self._first_tables.send(None)
         for function in self._subscribers:
             function(tables)
         return True
--- a/packages/daemon/src/pimentobendd/restore.py
+++ b/packages/daemon/src/pimentobendd/restore.py
@@ -1,4 +1,4 @@
-"""Make a copied data folder the start of a new control cluster."""
+"""Start a new control cluster from a copy of a replica's data folder."""
 
 import pathlib
 import sys
@@ -18,10 +18,20 @@
 
 
 def main(argv: list[str]) -> Status:
-    """Rewrite the log in a folder; the process that owned it must be down."""
+    """Rewrite the log in the folder; its process must not be running."""
     values: Any = flags.FlagValues()  # type: ignore[no-untyped-call]
-    flags.DEFINE_string("folder", None, "the copied folder", flag_values=values)
-    flags.DEFINE_string("address", None, "the replica's link", flag_values=values)
+    flags.DEFINE_string(
+        "folder",
+        None,
+        "the copied data folder of one replicated log",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "address",
+        None,
+        "link address of the new cluster's only replica",
+        flag_values=values,
+    )
     try:
         values(argv)
     except flags.Error as error:
@@ -32,7 +42,7 @@
         return Status.USAGE
     folder = pathlib.Path(values.folder)
     if not (folder / "log").is_file():
-        print(f"restore: {folder} holds no log", file=sys.stderr)
+        print(f"restore: {folder} contains no file named log", file=sys.stderr)
         return Status.USAGE
     try:
         _restore(folder, values.address)
