Name the operators' handlers and the daemon's own row

Section was also the type of the POST actions, so it is QueryHandler now; _read, _row and _change named neither what is read nor what changes.

--- a/packages/daemon/src/pimentobendd/_internal/control/members.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/members.py
@@ -10,7 +10,7 @@
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobendd._internal.interfaces.operators import Query
-from pimentobendd._internal.interfaces.operators import Section
+from pimentobendd._internal.interfaces.operators import QueryHandler
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import make_error
 
@@ -44,19 +44,19 @@
         self._proposal_ids = itertools.count(FIRST_PROPOSAL_ID)
 
     @property
-    def actions(self) -> dict[str, Section]:
-        """Return the actions by path; each has an ``address`` parameter."""
-        return {path: self._action(action) for path, action in _PATHS.items()}
+    def handlers(self) -> dict[str, QueryHandler]:
+        """Return the POST handlers by path; each has an ``address`` parameter."""
+        return {path: self._make_handler(action) for path, action in _PATHS.items()}
 
     def handle_result(self, result: ProposalResult) -> bool:
         """Handle the result of a proposal; return whether this class proposed it."""
         self._replies.put(result)
         return result.proposal_id >= FIRST_PROPOSAL_ID
 
-    def _action(self, action: MemberAction) -> Section:
-        return lambda query: self._change(action, query)
+    def _make_handler(self, action: MemberAction) -> QueryHandler:
+        return lambda query: self._propose_change(action, query)
 
-    def _change(self, action: MemberAction, query: Query) -> Reply:
+    def _propose_change(self, action: MemberAction, query: Query) -> Reply:
         address = query.get("address")
         if not address:
             return make_error(
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -147,7 +147,7 @@
             case TablesReplaced():
                 self._spread(SpreadReceived(self._address, Whole(output.whole)))
             case TablesRead():
-                pass  # the operators' interface here reads the tables in force
+                pass  # this role's operators' interface reads the tables in force
             case _:
                 self.replica.put(output)
 
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -31,7 +31,7 @@
 from pimentobendd._internal.instance_role import SharedParts
 from pimentobendd._internal.interfaces.operators import OperatorsInterface
 from pimentobendd._internal.interfaces.operators import OperatorsPorts
-from pimentobendd._internal.interfaces.operators import Section
+from pimentobendd._internal.interfaces.operators import QueryHandler
 from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import read_key
 from pimentobendd._internal.keys import read_token
@@ -187,18 +187,18 @@
         ports = OperatorsPorts(
             control=control.changes if control else None,
             tables=self._tables.current,
-            sections=self._sections.by_path,
-            actions=self._actions(),
+            get_handlers=self._sections.by_path,
+            post_handlers=self._post_handlers(),
         )
         return OperatorsInterface(ports, read_token(self._settings.operator_token_file))
 
-    def _actions(self) -> Mapping[str, Section]:
-        actions: dict[str, Section] = {}
+    def _post_handlers(self) -> Mapping[str, QueryHandler]:
+        handlers: dict[str, QueryHandler] = {}
         if self._control is not None:
-            actions.update(self._control.members.actions)
+            handlers.update(self._control.members.handlers)
         if self._instance is not None:
-            actions["/v1/drain"] = self._instance.drain
-        return actions
+            handlers["/v1/drain"] = self._instance.drain
+        return handlers
 
     def _report_frame_error(self, error: PimentobendError) -> None:
         self._metrics.count("link.refused")
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -34,12 +34,12 @@
         self._clock = clock
         self._on_grant = on_grant
         self._owner: str | None = None
-        self._heard_at = 0.0
+        self._granted_at = 0.0
         self._batches: Batches[EvidenceReported] = Batches(self._send, WINDOW_S)
 
     def put(self, message: EvidenceReported) -> None:
         """Queue a report; urgent ones are sent at once."""
-        is_urgent = any(one.score >= BAD_SCORE for one in message.servers)
+        is_urgent = any(server.score >= BAD_SCORE for server in message.servers)
         for address in self._recipients():
             self._batches.put(address, message, is_urgent)
 
@@ -47,7 +47,7 @@
         """Handle grants; raise CodecError if the frame is malformed."""
         grants = decode_grants(frame.payload)
         self._owner = frame.sender
-        self._heard_at = self._clock.now()
+        self._granted_at = self._clock.now()
         for grant in grants:
             self._on_grant(grant)
 
@@ -55,7 +55,7 @@
         self._link.send(address, KIND_REPORTS, encode_reports(reports))
 
     def _recipients(self) -> tuple[str, ...]:
-        has_timed_out = self._clock.now() - self._heard_at > OWNER_TIMEOUT_S
+        has_timed_out = self._clock.now() - self._granted_at > OWNER_TIMEOUT_S
         if self._owner is None or has_timed_out:
             return self._control
         return (self._owner,)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -91,10 +91,10 @@
             self._report_frame_error,
             self._count_sent,
         )
-        self._row = self._create_row()
+        self._own_row = self._create_own_row()
         self._gossip: FilterTask[GossipInput, GossipOutput] = FilterTask(
             "gossip",
-            GossipNode(self._row, settings.seeds, self._process_id),
+            GossipNode(self._own_row, settings.seeds, self._process_id),
             CallOutlet(self._handle_gossip_output),
             self._clock,
             Ticking(TICK_S, GossipTick()),
@@ -138,18 +138,18 @@
 
     def stop(self) -> None:
         """Decline new work, wait for the requests in flight, then close."""
-        began = self._clock.now()
+        stop_began_at = self._clock.now()
         self._is_stopping = True
         self._log.info("stopping", grace_s=self._settings.grace_s)
-        self._change_row(self._row._replace(is_leaving=True, servers=()))
+        self._update_own_row(self._own_row._replace(is_leaving=True, servers=()))
         if self._instance is not None:
             self._instance.stop_accepting()
-            self._drain(self._instance, began)
+            self._drain(self._instance, stop_began_at)
             self._instance.close()
         if self._control is not None:
             self._control.stop()
         self._link.close()
-        self._log.info("stopped", took_s=round(self._clock.now() - began, 3))
+        self._log.info("stopped", took_s=round(self._clock.now() - stop_began_at, 3))
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the process, one section per task."""
@@ -172,7 +172,7 @@
             state.update(self._instance.dump())
         return state
 
-    def _create_row(self) -> PeerRow:
+    def _create_own_row(self) -> PeerRow:
         settings = self._settings
         return PeerRow(
             address=settings.link,
@@ -208,8 +208,8 @@
             process_id=self._process_id,
             link=self._link,
             tables=self._tables,
-            own_row=lambda: self._row,
-            on_servers=self._change_servers,
+            own_row=lambda: self._own_row,
+            on_servers_changed=self._update_servers,
             on_unreachable=lambda each: self._gossip.put(PeerUnreachable(each)),
             forwarding=ForwardingLog(self._counters),
             requests=RequestLog(self._counters),
@@ -242,14 +242,14 @@
     def _is_ready(self) -> bool:
         return not self._is_stopping and self._tables.current().log_index > 0
 
-    def _change_servers(self, servers: tuple[HostedServer, ...]) -> None:
+    def _update_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
             self._log.info("server-listed", **server._asdict())
-        if not self._is_stopping and servers != self._row.servers:
-            self._change_row(self._row._replace(servers=servers))
+        if not self._is_stopping and servers != self._own_row.servers:
+            self._update_own_row(self._own_row._replace(servers=servers))
 
-    def _change_row(self, row: PeerRow) -> None:
-        self._row = row
+    def _update_own_row(self, row: PeerRow) -> None:
+        self._own_row = row
         self._gossip.put(OwnRowChanged(row))
 
     def _handle_gossip_frame(self, frame: Frame) -> None:
@@ -279,7 +279,7 @@
         self._peer_processes = processes
         if self._control is not None:
             self._control.update_peers(peers)
-            self._spread.update_peers(self._row, peers)
+            self._spread.update_peers(self._own_row, peers)
         if self._instance is not None:
             self._instance.update_peers(peers)
 
@@ -332,13 +332,13 @@
             lambda: print(format_dump(self.dump()), file=sys.stdout, flush=True)
         )
 
-    def _drain(self, instance: FleetInstance, began: float) -> None:
+    def _drain(self, instance: FleetInstance, stop_began_at: float) -> None:
         """Serve until readiness probes have noticed and nothing is in flight."""
         min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
         max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
         is_refusing = False
         while True:
-            waited_s = self._clock.now() - began
+            waited_s = self._clock.now() - stop_began_at
             if not is_refusing and waited_s >= max_s - REFUSE_MARGIN_S:
                 is_refusing = True
                 instance.refuse_waiting()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -113,7 +113,7 @@
     link: Transport
     tables: TablesInForce
     own_row: Callable[[], PeerRow]
-    on_servers: Callable[[tuple[HostedServer, ...]], None]
+    on_servers_changed: Callable[[tuple[HostedServer, ...]], None]
     on_unreachable: Callable[[str], None]
     forwarding: Outlet[ForwardingEvent]
     requests: Outlet[RequestEnded]
@@ -129,7 +129,7 @@
         dialect, process_id = ports.dialect, ports.process_id
         link, tables = ports.link, ports.tables
         names = dialect.names
-        self._on_servers = ports.on_servers
+        self._on_servers_changed = ports.on_servers_changed
         self._servers: dict[str, Server] = {}
         self.host = HostTasks(
             process_id,
@@ -164,10 +164,10 @@
             watches_callers=True,
         )
         self.front = CallerFront(pipe, clock, ports.requests, terms)
-        idle_s = lambda: _idle_s(tables.current().limits)  # noqa: E731
+        idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
-            HttpServer(settings.callers, self.front, idle_s),
+            HttpServer(settings.callers, self.front, idle_timeout_s),
             HttpServer(
                 settings.forward, PeerFront(process_id, self.host, names, clock)
             ),
@@ -229,7 +229,7 @@
         else:
             self._servers.pop(server.server_id, None)
             self.host.unlist_server(server.server_id)
-        self._on_servers(
+        self._on_servers_changed(
             tuple(
                 HostedServer(
                     each.server_id,
@@ -241,5 +241,5 @@
         )
 
 
-def _idle_s(limits: ClientLimits | None) -> float | None:
+def _idle_timeout_s(limits: ClientLimits | None) -> float | None:
     return None if limits is None else limits.idle_timeout_ms / 1000
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -50,11 +50,14 @@
     """
 
     def __init__(
-        self, link: Transport, clock: ClockPort, read: Callable[[ReadIndex], None]
+        self,
+        link: Transport,
+        clock: ClockPort,
+        request_read: Callable[[ReadIndex], None],
     ) -> None:
         self._link = link
         self._clock = clock
-        self._read = read
+        self._request_read = request_read
         self._log = get_log()
         self._term: int | None = None
         self._pending_reads: dict[int, float] = {}  # start time (s) by read id
@@ -125,7 +128,7 @@
             if self._term is not None:
                 self._last_read_id += 1
                 self._pending_reads = {self._last_read_id: self._clock.now()}
-                self._read(ReadIndex(self._last_read_id))
+                self._request_read(ReadIndex(self._last_read_id))
             eventlet.sleep(CONFIRM_INTERVAL_S)
 
     def _handle_output(self, output: FloorOutput) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -26,7 +26,7 @@
 VERSION = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
 
 Query = Mapping[str, str]
-Section = Callable[[Query], Reply]
+QueryHandler = Callable[[Query], Reply]
 
 
 class OperatorsPorts(NamedTuple):
@@ -34,8 +34,8 @@
 
     control: ControlPort | None
     tables: Callable[[], Tables]
-    sections: Mapping[str, Section]  # GET handlers by path
-    actions: Mapping[str, Section]  # POST handlers by path
+    get_handlers: Mapping[str, QueryHandler]  # by path
+    post_handlers: Mapping[str, QueryHandler]  # by path
 
 
 class OperatorsInterface:
@@ -60,10 +60,10 @@
             return self._apply(environ, query)
         if path == "/v1/tables" and method == "GET":
             return Reply(200, describe_tables(self._ports.tables()))
-        if path in self._ports.sections and method == "GET":
-            return self._ports.sections[path](query)
-        if path in self._ports.actions and method == "POST":
-            return self._ports.actions[path](query)
+        if path in self._ports.get_handlers and method == "GET":
+            return self._ports.get_handlers[path](query)
+        if path in self._ports.post_handlers and method == "POST":
+            return self._ports.post_handlers[path](query)
         return make_error(
             404,
             f"unknown method or path: {method} {path}",
--- a/packages/daemon/src/pimentobendd/_internal/sections.py
+++ b/packages/daemon/src/pimentobendd/_internal/sections.py
@@ -11,7 +11,7 @@
 from pimentobendd._internal.control_port import Version
 from pimentobendd._internal.instance_role import InstanceRole
 from pimentobendd._internal.interfaces.operators import Query
-from pimentobendd._internal.interfaces.operators import Section
+from pimentobendd._internal.interfaces.operators import QueryHandler
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import make_error
 from pimentobendd._internal.membership_role import MembershipRole
@@ -40,7 +40,7 @@
         self._instance = instance
 
     @property
-    def by_path(self) -> Mapping[str, Section]:
+    def by_path(self) -> Mapping[str, QueryHandler]:
         """Return the handlers of the sections by path."""
         return {
             "/v1/status": self._status,
