--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -1,4 +1,4 @@
-"""Start a fleet of the platform's processes on loopback addresses."""
+"""Start and stop a fleet of platform daemons on loopback addresses."""
 
 import http.client
 import itertools
@@ -21,7 +21,7 @@
 from platform_server import PlatformServer
 
 ROOT = pathlib.Path(__file__).parents[2]
-WAIT_S = 40.0  # until something comes true; nothing below is timed
+WAIT_S = 40.0  # for each condition; no test depends on how long it takes
 GRACE_S = 5.0
 ROUTES = {
     "columns": ["name", "host", "pathPrefix", "type", "timeoutS", "service"],
@@ -31,12 +31,12 @@
     ],
 }
 SERVICES = {"columns": ["name", "healthCheckPath"], "rows": [["shop", "/healthz"]]}
-PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # that a process listens at
+PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # on which a daemon listens
 _BLOCKS = itertools.count(os.getpid() % 200)
 
 
 class Answer(NamedTuple):
-    """Hold an answer."""
+    """An HTTP response; the status is 0 if there was none."""
 
     status: int
     headers: dict[str, str]
@@ -51,7 +51,7 @@
     headers: dict[str, str] | None = None,
     timeout_s: float = 12.0,
 ) -> Answer:
-    """Send one request; the status is 0 without an answer."""
+    """Send a request; the status is 0 if no response arrives."""
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     try:
         connection.request(method, path, body, headers or {})
@@ -65,7 +65,7 @@
 
 
 def until(condition: Callable[[], Any], what: str) -> None:
-    """Wait until a condition is true."""
+    """Wait until a condition holds; fail with ``what`` after ``WAIT_S``."""
     deadline = time.monotonic() + WAIT_S
     while not condition():
         assert time.monotonic() < deadline, what
@@ -73,7 +73,7 @@
 
 
 def is_free(ip: str) -> bool:
-    """Say whether nothing listens at the ports of a process."""
+    """Return whether all ports of a daemon are free on an address."""
     for port in PORTS:
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -94,9 +94,9 @@
 
 
 class Process:
-    """Own one daemon on a loopback address of its own.
+    """A daemon on a loopback address of its own.
 
-    Hold ``lock`` from ending the daemon until it is started again, so that a
+    Hold ``lock`` from stopping the daemon until it is started again, so that a
     second fault never starts a second daemon at the same address.
     """
 
@@ -121,7 +121,7 @@
         return f"{self.ip}:{port}"
 
     def start(self, *, first: bool = False) -> None:
-        """Start the process, which has to have ended before."""
+        """Start the daemon, which must not be running."""
         assert self.has_ended()
         settings: dict[str, Any] = {
             "instance": f"n-{self.ip}",
@@ -163,12 +163,12 @@
             )
 
     def signal(self, number: signal.Signals) -> None:
-        """Send a signal."""
+        """Send a signal to the daemon."""
         assert self._popen is not None
         self._popen.send_signal(number)
 
     def limit_files(self, size_bytes: int | None) -> None:
-        """Let files grow no further than a size, as on a full disk; None ends it."""
+        """Limit the size of files to simulate a full disk; None removes the limit."""
         assert self._popen is not None
         size = resource.RLIM_INFINITY if size_bytes is None else size_bytes
         resource.prlimit(
@@ -176,16 +176,16 @@
         )
 
     def wait(self) -> int:
-        """Wait for the end and return the exit code."""
+        """Wait until the daemon ends and return its exit code."""
         assert self._popen is not None
         return self._popen.wait(WAIT_S)
 
     def has_ended(self) -> bool:
-        """Say whether the process has ended."""
+        """Return whether the daemon is not running."""
         return self._popen is None or self._popen.poll() is not None
 
     def kill(self) -> None:
-        """End the process at once."""
+        """Kill the daemon and wait until it has ended."""
         if self._popen is not None and self._popen.poll() is None:
             self._popen.kill()
             self._popen.wait()
@@ -193,7 +193,7 @@
     def request(
         self, path: str = "/look/1", method: str = "GET", request_id: str = "1"
     ) -> Answer:
-        """Send a caller's request."""
+        """Send a request as a caller."""
         headers = {
             "Host": "a.example",
             f"{PREFIX}Request-Id": request_id,
@@ -202,16 +202,16 @@
         return ask(self.address(8400), method, path, b"", headers)
 
     def is_ready(self) -> bool:
-        """Say whether callers may be sent here."""
+        """Return whether the readiness probe answers 200."""
         return ask(self.address(8402), "GET", "/-/readyz").status == 200
 
     def log(self) -> str:
-        """Return what the process wrote."""
+        """Return the daemon's output."""
         return (self.folder / "log").read_text()
 
 
 class Fleet:
-    """Own three control instances and two with a server beside them."""
+    """Three control instances and two instances with a backend server each."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
@@ -227,7 +227,7 @@
         return [*self.control, *self.instances]
 
     def start(self) -> None:
-        """Start everything and put the first configuration in force."""
+        """Start all processes and apply the first configuration."""
         for process in self.processes:
             process.start(first=True)
             if process.server is not None:
@@ -241,11 +241,11 @@
 
     @property
     def label(self) -> int:
-        """Return the operators' number of the last order."""
+        """Return the version number of the last configuration that was put."""
         return self._label
 
     def put(self, routes: dict[str, Any]) -> int:
-        """Put a configuration at any control instance until it is acknowledged."""
+        """Put a configuration until a control instance acknowledges it."""
         base, self._label = self._label, self._label + 1
         body = {
             "version": f"{self._label:08x}",
@@ -268,19 +268,19 @@
         return statuses[-1]
 
     def read(self) -> list[int]:
-        """Return the labels that the control instances read back."""
+        """Return the version numbers that the control instances read."""
         labels = (self.read_at(process) for process in self.control)
         return [label for label in labels if label is not None]
 
     def read_at(self, process: Process) -> int | None:
-        """Return the label that a control instance reads back, if it is sure."""
+        """Return the version number that a control instance reads, None if it fails."""
         answer = ask(process.address(8403), "GET", "/-/config", timeout_s=3.0)
         if answer.status != 200:
             return None
         return int(json.loads(answer.body)["version"], 16)
 
     def stop(self) -> None:
-        """End everything that this fleet started."""
+        """Stop all processes, proxies and servers."""
         for process in self.processes:
             process.kill()
             process.to_server.stop()
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -1,4 +1,4 @@
-"""Start the project's programs as processes of a test, and end them."""
+"""Start and stop the project's programs as processes of a test."""
 
 import contextlib
 import itertools
@@ -24,7 +24,7 @@
 
 
 class Answer(NamedTuple):
-    """Hold an HTTP answer."""
+    """An HTTP response."""
 
     status: int
     headers: Mapping[str, str]
@@ -32,13 +32,14 @@
 
 
 _PORTS = itertools.cycle(range(FIRST_PORT, END_PORT))
-# Processes start far apart, and below the ports of outgoing connections.
+# Test processes start at ports that are far apart, so that they do not collide.
+# All ports are below the range of outgoing connections.
 for _ in range(os.getpid() * 97 % (END_PORT - FIRST_PORT)):
     next(_PORTS)
 
 
 def free_address() -> str:
-    """Return a loopback address that nobody listens on."""
+    """Return a loopback address on which no process listens."""
     for port in _PORTS:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
@@ -49,11 +50,11 @@
 def wait_until(
     condition: Callable[[], object], timeout_s: float = START_TIMEOUT_S
 ) -> None:
-    """Wait for a condition; raise TimeoutError when it never holds."""
-    until = time.monotonic() + timeout_s
+    """Wait until a condition holds; raise TimeoutError after ``timeout_s``."""
+    deadline = time.monotonic() + timeout_s
     while not condition():
-        if time.monotonic() > until:
-            raise TimeoutError(f"not within {timeout_s} s: {condition}")
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{condition} is not true after {timeout_s} s")
         time.sleep(POLL_S)
 
 
@@ -63,7 +64,7 @@
     content: bytes | None = None,
     headers: Mapping[str, str] | None = None,
 ) -> Answer:
-    """Send one HTTP request; an answer of any status is returned."""
+    """Send an HTTP request and return the response, whatever its status."""
     request = urllib.request.Request(
         url, data=content, method=method, headers=dict(headers or {})
     )
@@ -75,7 +76,7 @@
 
 
 class Process:
-    """Own one process that a test started."""
+    """A process that a test started."""
 
     def __init__(self, module: str, arguments: list[str], log: pathlib.Path) -> None:
         self.log = log
@@ -97,11 +98,11 @@
         self._process.send_signal(number)
 
     def wait(self) -> int:
-        """Wait for the end and return the exit code."""
+        """Wait until the process ends and return its exit code."""
         return self._process.wait(STOP_TIMEOUT_S)
 
     def stop(self) -> int:
-        """Ask the process to end, or kill it, and return its exit code."""
+        """Send SIGTERM, after ``STOP_TIMEOUT_S`` SIGKILL; return the exit code."""
         if self._process.poll() is None:
             self._process.send_signal(signal.SIGTERM)
         try:
@@ -112,7 +113,7 @@
 
 
 class Fleet:
-    """Start processes in a folder and end all of them."""
+    """Processes whose settings and logs are in one folder."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
@@ -134,7 +135,7 @@
         return self._start("pimentobend", ["stand-in", *options, server_id], server_id)
 
     def run_client(self, *arguments: str) -> subprocess.CompletedProcess[str]:
-        """Run one command of the client to its end."""
+        """Run a command of the client and return its result."""
         return subprocess.run(
             [sys.executable, "-m", "pimentobend", *arguments],
             capture_output=True,
@@ -144,7 +145,7 @@
         )
 
     def stop(self) -> None:
-        """End all processes."""
+        """Stop all processes, the last started first."""
         for process in reversed(self._processes):
             process.stop()
 
@@ -155,7 +156,7 @@
 
 
 def is_reachable(address: str) -> bool:
-    """Say whether somebody listens on an address."""
+    """Return whether a process listens on an address."""
     host, _, port = address.rpartition(":")
     try:
         socket.create_connection((host, int(port)), timeout=1).close()
--- a/tests/lib/settings_of.py
+++ b/tests/lib/settings_of.py
@@ -1,4 +1,4 @@
-"""Make settings of processes on free loopback addresses."""
+"""Settings of daemons that listen on free loopback addresses."""
 
 from typing import Any
 
@@ -6,7 +6,7 @@
 
 
 def control_settings(name: str, folder: str, link: str | None = None) -> dict[str, Any]:
-    """Return settings of a control process; it is its own only replica."""
+    """Return settings of a control process that is the only replica."""
     link = link or free_address()
     return {
         "instance": name,
@@ -20,7 +20,7 @@
 
 
 def instance_settings(name: str, control: list[str]) -> dict[str, Any]:
-    """Return settings of an instance that follows control."""
+    """Return settings of an instance; ``control`` are the replicas' links."""
     return {
         "instance": name,
         "data_centre": "nord-a",
