Reword the functional tests and the tests of settings

Names such as 'the life of a fleet', 'told truthfully' or 'refuses unrun' did not say which behaviour is checked. No check changed.

--- a/tests/functional/conftest.py
+++ b/tests/functional/conftest.py
@@ -1,4 +1,4 @@
-"""Give functional tests their fleets of processes."""
+"""Fixtures of the functional tests."""
 
 import pathlib
 from collections.abc import Iterator
@@ -9,7 +9,7 @@
 
 @pytest.fixture
 def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    """Give a fleet whose processes end with the test."""
+    """Yield an empty fleet whose processes are stopped after the test."""
     started = Fleet(tmp_path)
     yield started
     started.stop()
--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -25,11 +25,11 @@
     "pools": [{"name": "look", "service": "look", "floor": 0.5}],
 }
 SERVERS = 4
-DRAINED_WITHIN_S = 3.0
+DRAIN_TIMEOUT_S = 3.0
 
 
 class Site(NamedTuple):
-    """Hold the processes of the fleet and their addresses."""
+    """The running fleet and its addresses."""
 
     fleet: Fleet
     replicas: list[Process]
@@ -62,13 +62,15 @@
     wait_until(
         lambda: fleet.run_client("apply", operators, str(tables)).returncode == 0
     )
-    callers = [f"http://{one['listen']['callers']}" for one in instances]
+    callers = [f"http://{settings['listen']['callers']}" for settings in instances]
     for url in callers:
         wait_until(lambda url=url: call("GET", f"{url}/look/1").status == 200)  # type: ignore[misc]
-    seen = [f"http://{one['listen']['operators']}" for one in instances]
-    for url in seen:
+    operators_urls = [
+        f"http://{settings['listen']['operators']}" for settings in instances
+    ]
+    for url in operators_urls:
         wait_until(lambda url=url: len(_servers(url)) == SERVERS)  # type: ignore[misc]
-    yield Site(fleet, replicas, control, callers, seen)
+    yield Site(fleet, replicas, control, callers, operators_urls)
 
 
 def _servers(url: str) -> dict[str, str]:
@@ -81,15 +83,15 @@
     return call("POST", f"{url}/book/1", b"", headers)
 
 
-def _is_known(answer: Answer) -> bool:
-    """Check that work that ran is not run again, and say whether that is known.
+def _is_recorded(answer: Answer) -> bool:
+    """Check that work that ran is not repeated; return whether its end is recorded.
 
-    Until its outcome is recorded the work is in progress, and while its group
-    elects a leader nothing is sent.
+    Until the outcome is recorded the reply is 409 with ran unknown, and while
+    the ledger group elects a leader it is 503.
     """
-    told = (answer.status, answer.headers["Pimentobend-Ran"])
-    assert told in {(409, "ran"), (409, "unknown"), (503, "not-run")}
-    return told == (409, "ran")
+    reported = (answer.status, answer.headers["Pimentobend-Ran"])
+    assert reported in {(409, "ran"), (409, "unknown"), (503, "not-run")}
+    return reported == (409, "ran")
 
 
 def _ejected(url: str) -> set[str]:
@@ -97,13 +99,13 @@
     return {row["server"] for row in rows if row["state"] == "ejected"}
 
 
-def test_a_key_runs_once_through_both_instances(site: Site) -> None:
+def test_key_runs_once_through_both_instances(site: Site) -> None:
     first, second = site.callers
     answer = _book(first, "a")
     assert (answer.status, answer.headers["Pimentobend-Ran"]) == (200, "ran")
-    wait_until(lambda: _is_known(_book(second, "a")))
+    wait_until(lambda: _is_recorded(_book(second, "a")))
     site.replicas[0].signal(signal.SIGKILL)
-    wait_until(lambda: _is_known(_book(second, "a")))
+    wait_until(lambda: _is_recorded(_book(second, "a")))
     site.replicas[1].signal(signal.SIGKILL)
     refused = _book(first, "c")
     assert refused.status == 503
@@ -118,15 +120,15 @@
     for url in site.operators:
         wait_until(
             lambda url=url: _servers(url)["look-3"] == "draining",  # type: ignore[misc]
-            DRAINED_WITHIN_S,
+            DRAIN_TIMEOUT_S,
         )
 
 
-def test_a_half_alive_server_is_ejected_by_both(site: Site) -> None:
-    def try_all() -> bool:
+def test_half_alive_server_is_ejected_by_both_instances(site: Site) -> None:
+    def are_all_ejected() -> bool:
         for url in site.callers:
             for number in range(10):
                 assert call("GET", f"{url}/look/{number}").status in (200, 500)
         return all(_ejected(url) == {"look-0"} for url in site.operators)
 
-    wait_until(try_all, 40.0)
+    wait_until(are_all_ejected, 40.0)
--- a/tests/functional/test_interfaces.py
+++ b/tests/functional/test_interfaces.py
@@ -1,4 +1,4 @@
-"""Check each interface of a daemon against tables of bad input."""
+"""Check the interfaces of a daemon with malformed and refused requests."""
 
 import json
 import pathlib
@@ -38,7 +38,7 @@
 
 
 class Site(NamedTuple):
-    """Hold one daemon with all roles before one raw backend server."""
+    """One daemon with all roles in front of one raw backend server."""
 
     listen: dict[str, str]
     backend: RawBackend
@@ -148,7 +148,7 @@
 
 
 @pytest.mark.parametrize(("name", "status", "ran"), BACKEND_ANSWERS)
-def test_backend_answers_are_told_truthfully(
+def test_backend_answers_give_the_right_status_and_ran(
     site: Site, name: str, status: int, ran: str
 ) -> None:
     answer = call("GET", f"http://{site.listen['callers']}/raw/{name}")
@@ -156,7 +156,7 @@
 
 
 @pytest.mark.parametrize("name", ["short-large", "short-chunked"])
-def test_streamed_truncation_is_never_whole(site: Site, name: str) -> None:
+def test_truncated_stream_does_not_look_complete(site: Site, name: str) -> None:
     request = b"GET /raw/%s HTTP/1.1\r\nHost: h\r\n\r\n" % name.encode()
     answer = exchange(site.listen["callers"], request)
     head, _, body = answer.partition(b"\r\n\r\n")
@@ -167,7 +167,7 @@
         assert len(body) < LARGE
 
 
-def test_hop_by_hop_headers_stay(site: Site) -> None:
+def test_hop_by_hop_headers_are_not_forwarded(site: Site) -> None:
     hop = b"Connection: close, X-Mine\r\nX-Mine: 1\r\nTE: trailers\r\nX-Far: 1\r\n\r\n"
     request = b"GET /raw/fine HTTP/1.1\r\nHost: h\r\n" + hop
     answer = exchange(site.listen["callers"], request).lower()
@@ -240,7 +240,7 @@
     assert TOKEN not in answer.content.decode()
 
 
-def test_no_secret_is_shown(site: Site) -> None:
+def test_token_is_in_neither_dump_nor_log(site: Site) -> None:
     dump = call("GET", f"http://{site.listen['operators']}/v1/dump", None, BEARER)
     assert dump.status == 200
     assert TOKEN not in dump.content.decode()
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -1,4 +1,4 @@
-"""Run the platform's processes: form a cluster, serve, lose and regain parts."""
+"""Run a fleet of platform daemons: forming a cluster, serving, and restarts."""
 
 import contextlib
 import http.client
@@ -28,12 +28,12 @@
 
 
 def more_routes() -> dict[str, Any]:
-    """Return the routes with one more."""
+    """Return ``ROUTES`` with one route added."""
     added = ["new", "b.example", "/new/", "safe", 10, "shop"]
     return {**ROUTES, "rows": [*ROUTES["rows"], added]}
 
 
-def test_the_life_of_a_fleet(fleet: Fleet) -> None:
+def test_fleet_serves_and_replaces_lost_replicas(fleet: Fleet) -> None:
     first, second = fleet.instances
     assert first.request("/none/1").status == 404
     ids = [f"book-{number}" for number in range(20)]
@@ -45,35 +45,37 @@
     assert all(ran.count(request_id) == 1 for request_id in ids)
     assert set(first.server.callers + second.server.callers) == {"shop"}
 
-    # A replica that lost its disk comes back under a new name and is admitted.
-    lost = fleet.control[0]
-    lost.kill()
-    shutil.rmtree(lost.folder / "data")
-    lost.start()
+    # A replica that lost its disk gets a new id and is admitted as a new member.
+    emptied = fleet.control[0]
+    emptied.kill()
+    shutil.rmtree(emptied.folder / "data")
+    emptied.start()
     assert fleet.put(more_routes()) == 200
-    until(lambda: "'promote' replica='" + lost.ip in logs(fleet), "readmitted")
+    until(
+        lambda: "'promote' replica='" + emptied.ip in control_logs(fleet), "readmitted"
+    )
     until(lambda: fleet.read() == [2, 2, 2], "the newest version is read everywhere")
 
-    # Another one is lost right after: nothing acknowledged goes.
+    # After that a second replica is lost: no acknowledged version may be missing.
     fleet.control[1].kill()
     assert fleet.put(ROUTES) == 200
     until(lambda: fleet.read() == [3, 3], "the newest version is read")
 
 
-def joined(process: Process, other: Process) -> bool:
-    """Say whether a process has heard of another."""
+def has_seen_peer(process: Process, other: Process) -> bool:
+    """Return whether the log of a process reports that another one joined."""
     lines = process.log().splitlines()
     peer = f"peer='{other.address(8410)}'"
     return any("'peer-joined'" in line and peer in line for line in lines)
 
 
-def logs(fleet: Fleet) -> str:
+def control_logs(fleet: Fleet) -> str:
     return "".join(process.log() for process in fleet.control)
 
 
-def test_a_restarted_daemon_takes_the_tables_from_its_neighbour(fleet: Fleet) -> None:
+def test_restarted_daemon_gets_the_tables_from_another_instance(fleet: Fleet) -> None:
     first, second = fleet.instances
-    until(lambda: joined(second, first), "the neighbour knows the daemon")
+    until(lambda: has_seen_peer(second, first), "the other instance knows the daemon")
     for process in fleet.control:
         process.kill()
     first.kill()
@@ -84,7 +86,7 @@
     assert fleet.read() == []
 
 
-def test_a_daemon_without_tables_is_not_ready_and_refuses_unrun(
+def test_daemon_without_tables_is_not_ready_and_refuses_requests(
     fleet: Fleet,
 ) -> None:
     first, second = fleet.instances
@@ -99,7 +101,7 @@
     assert not first.is_ready()
 
 
-def test_a_stopped_daemon_finishes_what_it_runs(fleet: Fleet) -> None:
+def test_stopped_daemon_finishes_requests_in_flight(fleet: Fleet) -> None:
     first = fleet.instances[0]
     servers = [each.server for each in fleet.instances if each.server is not None]
     for server in servers:
@@ -116,7 +118,7 @@
     assert first.wait() == 0
 
 
-def test_a_server_that_hangs_ends_with_the_time_limit(fleet: Fleet) -> None:
+def test_request_to_hanging_server_ends_at_its_deadline(fleet: Fleet) -> None:
     first, second = fleet.instances
     for process in fleet.instances:
         assert process.server is not None
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -1,4 +1,4 @@
-"""Run control replicas as processes, end them, and count what was accepted."""
+"""Kill, restart and replace control replicas and check the accepted changes."""
 
 import pathlib
 import threading
@@ -14,8 +14,8 @@
 from pimentobendd.restore import main
 
 CHANGES = 24
-KILLED_AT = 8
-ELECTED_AGAIN_S = 5.0  # several election timeouts
+KILL_BEFORE_CHANGE = 8
+ELECTION_WAIT_S = 5.0  # several election timeouts
 
 
 def _link(replicas: Replicas, name: str) -> str:
@@ -34,7 +34,7 @@
     killing = threading.Thread(target=replicas.kill, args=[killed])
     accepted: list[Accepted] = []
     for number in range(CHANGES):
-        if number == KILLED_AT:
+        if number == KILL_BEFORE_CHANGE:
             killing.start()
         accepted.append(replicas.apply(others[number % 2], number))
     killing.join()
@@ -47,7 +47,7 @@
         assert replicas.status(name)["version"] == replicas.version
 
 
-def test_all_replicas_end_and_start_again(fleet: Fleet) -> None:
+def test_all_replicas_are_killed_and_restarted(fleet: Fleet) -> None:
     replicas = Replicas(fleet, 3)
     for number in range(5):
         replicas.apply(replicas.names[number % 3], number)
@@ -87,7 +87,7 @@
     assert replicas.status("control-new")["version"] == replicas.version
 
 
-def test_a_replica_at_a_reused_address_counts_for_no_other_cluster(
+def test_replica_at_a_reused_address_is_ignored_by_its_former_cluster(
     tmp_path: pathlib.Path,
 ) -> None:
     fleets = [Fleet(tmp_path / name) for name in ("first", "second")]
@@ -106,10 +106,12 @@
         first.kill(leader)
         target = f"tables?version={first.version}&change=alone"
         body = b'{"routes": [], "pools": []}'
-        until = time.monotonic() + ELECTED_AGAIN_S
-        while time.monotonic() < until:
+        deadline = time.monotonic() + ELECTION_WAIT_S
+        while time.monotonic() < deadline:
             answer = first.request("PUT", survivor, target, body)
-            assert answer.status in (503, 504), "not accepted by one replica alone"
+            assert answer.status in (503, 504), (
+                "one replica alone must not accept a change"
+            )
         assert first.route_names(survivor) == {"r0"}
         assert second.route_names("control-new") <= {"r0"}
     finally:
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -1,4 +1,4 @@
-"""Send requests end to end through separate processes."""
+"""Send requests through separate control, instance and server processes."""
 
 import json
 import pathlib
@@ -29,8 +29,8 @@
 }
 
 
-class Path(NamedTuple):
-    """Hold the processes of one whole path."""
+class Site(NamedTuple):
+    """The running processes and their addresses."""
 
     fleet: Fleet
     callers: str
@@ -39,7 +39,7 @@
 
 
 @pytest.fixture
-def path(fleet: Fleet, tmp_path: pathlib.Path) -> Path:
+def site(fleet: Fleet, tmp_path: pathlib.Path) -> Site:
     """Start control, an instance and two stand-in servers, and apply tables."""
     control = control_settings("control-1", str(tmp_path))
     instance = instance_settings("instance-1", control["control"])
@@ -57,7 +57,7 @@
     callers = f"http://{listen['callers']}"
     wait_until(lambda: call("GET", f"{callers}/look/1").status == 200)
     wait_until(lambda: call("GET", f"{callers}/slow/1").status == 200)
-    return Path(fleet, callers, f"http://{listen['operators']}", process)
+    return Site(fleet, callers, f"http://{listen['operators']}", process)
 
 
 CALLS = [
@@ -72,43 +72,43 @@
 ]
 
 
-def test_requests_are_answered_truthfully(path: Path) -> None:
-    got = []
+def test_requests_get_the_right_status_and_ran(site: Site) -> None:
+    received = []
     for method, target, content, headers, _, _ in CALLS:
-        answer = call(method, path.callers + target, content, headers)
-        got.append((answer.status, answer.headers["Pimentobend-Ran"]))
-    assert got == [(status, ran) for *_, status, ran in CALLS]
+        answer = call(method, site.callers + target, content, headers)
+        received.append((answer.status, answer.headers["Pimentobend-Ran"]))
+    assert received == [(status, ran) for *_, status, ran in CALLS]
 
 
-def test_a_key_runs_once(path: Path) -> None:
+def test_a_key_runs_once(site: Site) -> None:
     headers = {"Idempotency-Key": "sign-7", "Pimentobend-Organisation": "museum"}
-    answers = [call("POST", f"{path.callers}/book/1", b"", headers) for _ in range(3)]
+    answers = [call("POST", f"{site.callers}/book/1", b"", headers) for _ in range(3)]
     assert [a.status for a in answers] == [200, 409, 409]
     assert {a.headers["Pimentobend-Ran"] for a in answers} == {"ran"}
 
 
-def test_shutdown_cuts_no_request(path: Path) -> None:
+def test_shutdown_completes_requests_in_flight(site: Site) -> None:
     answers: list[Answer] = []
     caller = threading.Thread(
-        target=lambda: answers.append(call("GET", f"{path.callers}/slow/2"))
+        target=lambda: answers.append(call("GET", f"{site.callers}/slow/2"))
     )
     caller.start()
-    wait_until(lambda: _in_flight(path) == 1)
-    path.instance.signal(signal.SIGTERM)
+    wait_until(lambda: _in_flight(site) == 1)
+    site.instance.signal(signal.SIGTERM)
     caller.join()
-    assert path.instance.wait() == 0
+    assert site.instance.wait() == 0
     assert [answer.status for answer in answers] == [200]
 
 
-def test_dump_names_every_task(path: Path) -> None:
-    state = json.loads(call("GET", f"{path.operators}/v1/dump").content)
+def test_dump_has_a_section_for_each_task(site: Site) -> None:
+    state = json.loads(call("GET", f"{site.operators}/v1/dump").content)
     assert {"registry", "view", "pools", "traffic.look", "requests"} <= state.keys()
-    path.instance.signal(signal.SIGUSR1)
+    site.instance.signal(signal.SIGUSR1)
     time.sleep(0.1)
-    wait_until(lambda: '"traffic.look"' in path.instance.log.read_text())
+    wait_until(lambda: '"traffic.look"' in site.instance.log.read_text())
 
 
-def _in_flight(path: Path) -> int:
-    state = json.loads(call("GET", f"{path.operators}/v1/dump").content)
+def _in_flight(site: Site) -> int:
+    state = json.loads(call("GET", f"{site.operators}/v1/dump").content)
     count: int = state["requests"]["in_flight"]
     return count
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -1,4 +1,4 @@
-"""Check that every fault of a fleet's settings is named."""
+"""Check that each fault of the fleet settings is reported with its place."""
 
 import json
 from typing import Any
@@ -41,17 +41,21 @@
     ("no port", changed(link_ports=[]), ["link_ports"]),
     ("a port too high", changed(link_ports=[70000]), ["link_ports[0]"]),
     ("a seed without a port", changed(seeds=["10.0.0.1"]), ["seeds[0]"]),
-    ("a seed that is no number", changed(seeds=["1.2.3.400:1"]), ["seeds[0]"]),
+    ("a seed with an invalid address", changed(seeds=["1.2.3.400:1"]), ["seeds[0]"]),
     ("no addresses", changed(listen={}), ["callers", "forward", "servers"]),
     ("control without a folder", changed(roles=["control"]), ["data_folder"]),
-    ("a budget of words", changed(retry_budget={"ratio": "x"}), ["retry_budget.ratio"]),
+    (
+        "a budget that is not a number",
+        changed(retry_budget={"ratio": "x"}),
+        ["retry_budget.ratio"],
+    ),
 ]
 
 
 @pytest.mark.parametrize(
     ("text", "places"), [f[1:] for f in FAULTS], ids=[f[0] for f in FAULTS]
 )
-def test_faults_are_named(text: str, places: list[str]) -> None:
+def test_each_fault_is_reported(text: str, places: list[str]) -> None:
     with pytest.raises(SettingsError) as caught:
         parse_fleet_settings(text, "file")
     message = str(caught.value)
--- a/tests/unit/interfaces/test_listen.py
+++ b/tests/unit/interfaces/test_listen.py
@@ -1,4 +1,4 @@
-"""Check that an address serves one process."""
+"""Check that only one server can listen on an address."""
 
 import pytest
 from processes import free_address
--- a/tests/unit/interfaces/test_settings.py
+++ b/tests/unit/interfaces/test_settings.py
@@ -1,4 +1,4 @@
-"""Check that every fault of the settings is named."""
+"""Check that each fault of the settings is reported with its place."""
 
 import json
 from typing import Any
@@ -52,7 +52,7 @@
 
 
 @pytest.mark.parametrize(("text", "places"), FAULTS, ids=lambda value: str(value)[:50])
-def test_every_fault_is_named(text: str, places: list[str]) -> None:
+def test_each_fault_is_reported(text: str, places: list[str]) -> None:
     with pytest.raises(SettingsError) as caught:
         parse_settings(text, "file")
     found = [fault.place for fault in caught.value.faults]
--- a/tests/unit/interfaces/test_tables_check.py
+++ b/tests/unit/interfaces/test_tables_check.py
@@ -1,4 +1,4 @@
-"""Check that every fault of the tables is named."""
+"""Check that each fault of the tables is reported with its place."""
 
 import json
 from typing import Any
@@ -53,7 +53,7 @@
 
 
 @pytest.mark.parametrize(("text", "places"), FAULTS, ids=lambda value: str(value)[:40])
-def test_every_fault_is_named(text: str, places: list[str]) -> None:
+def test_each_fault_is_reported(text: str, places: list[str]) -> None:
     faults = check_tables(text).failure()
     found = [fault.place for fault in faults]
     assert [place for place in places if place not in found] == []
