--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -12,7 +12,7 @@
 from platform_fleet import ROUTES
 from platform_fleet import Fleet
 from platform_fleet import Process
-from platform_fleet import until
+from platform_fleet import wait_until
 from platform_server import PREFIX
 
 
@@ -51,15 +51,17 @@
     shutil.rmtree(emptied.folder / "data")
     emptied.start()
     assert fleet.put(more_routes()) == 200
-    until(
+    wait_until(
         lambda: "'promote' replica='" + emptied.ip in control_logs(fleet), "readmitted"
     )
-    until(lambda: fleet.read() == [2, 2, 2], "the newest version is read everywhere")
+    wait_until(
+        lambda: fleet.read() == [2, 2, 2], "the newest version is read everywhere"
+    )
 
     # After that a second replica is lost: no acknowledged version may be missing.
     fleet.control[1].kill()
     assert fleet.put(ROUTES) == 200
-    until(lambda: fleet.read() == [3, 3], "the newest version is read")
+    wait_until(lambda: fleet.read() == [3, 3], "the newest version is read")
 
 
 def has_seen_peer(process: Process, other: Process) -> bool:
@@ -75,14 +77,16 @@
 
 def test_restarted_daemon_gets_the_tables_from_another_instance(fleet: Fleet) -> None:
     first, second = fleet.instances
-    until(lambda: has_seen_peer(second, first), "the other instance knows the daemon")
+    wait_until(
+        lambda: has_seen_peer(second, first), "the other instance knows the daemon"
+    )
     for process in fleet.control:
         process.kill()
     first.kill()
     first.start()
-    until(first.is_ready, "the daemon has its tables")
+    wait_until(first.is_ready, "the daemon has its tables")
     assert first.request("/none/1").status == 404
-    until(lambda: first.request().status == 200, "it serves")
+    wait_until(lambda: first.request().status == 200, "it serves")
     assert fleet.read() == []
 
 
@@ -93,7 +97,7 @@
     for process in [*fleet.control, first, second]:
         process.kill()
     first.start()
-    until(lambda: first.request("/none/1").status == 503, "it refuses")
+    wait_until(lambda: first.request("/none/1").status == 503, "it refuses")
     answer = first.request()
     assert answer.status == 503
     assert answer.headers["pimentobend-ran"] == "not-run"
@@ -109,7 +113,7 @@
     connection = http.client.HTTPConnection(first.address(8400), timeout=12)
     headers = {"Host": "a.example", f"{PREFIX}Request-Id": "long"}
     connection.request("POST", "/book/1", b"", headers)
-    until(lambda: any("long" in each.ran for each in servers), "the request runs")
+    wait_until(lambda: any("long" in each.ran for each in servers), "the request runs")
     first.signal(signal.SIGTERM)
     response = connection.getresponse()
     assert response.status == 200
--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -15,7 +15,7 @@
 from collections import Counter
 
 from platform_fleet import Fleet
-from platform_fleet import until
+from platform_fleet import wait_until
 from platform_server import PREFIX
 from soak_faults import Span
 from soak_faults import Step
@@ -86,9 +86,9 @@
 
     def _check(self) -> list[str]:
         for process in self.fleet.instances:
-            until(process.is_ready, "every instance is ready again")
-            until(lambda p=process: p.request().status == 200, "and serves")  # type: ignore[misc]
-        until(self.fleet.read, "the configuration is read")
+            wait_until(process.is_ready, "every instance is ready again")
+            wait_until(lambda p=process: p.request().status == 200, "and serves")  # type: ignore[misc]
+        wait_until(self.fleet.read, "the configuration is read")
         runs = Counter(
             request_id
             for process in self.fleet.instances
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -64,7 +64,7 @@
         connection.close()
 
 
-def until(condition: Callable[[], Any], what: str) -> None:
+def wait_until(condition: Callable[[], Any], what: str) -> None:
     """Wait until a condition holds; fail with ``what`` after ``WAIT_S``."""
     deadline = time.monotonic() + WAIT_S
     while not condition():
@@ -236,8 +236,10 @@
                 process.server.start()
         self.put(ROUTES)
         for process in self.instances:
-            until(process.is_ready, "an instance is ready")
-            until(lambda p=process: p.request().status == 200, "a request is served")
+            wait_until(process.is_ready, "an instance is ready")
+            wait_until(
+                lambda p=process: p.request().status == 200, "a request is served"
+            )
 
     @property
     def label(self) -> int:
@@ -264,7 +266,7 @@
                     return True
             return False
 
-        until(put, "a configuration is acknowledged")
+        wait_until(put, "a configuration is acknowledged")
         return statuses[-1]
 
     def read(self) -> list[int]:
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -10,7 +10,7 @@
 from fault_proxy import FaultProxy
 from fault_proxy import Harm
 from platform_fleet import Process
-from platform_fleet import until
+from platform_fleet import wait_until
 
 PAUSES_S = (0.3, 0.8, 2.0)  # between faults; several may be on at once
 DOWN_S = (0.2, 1.0, 3.0)
@@ -146,7 +146,7 @@
         server = process.server
         assert server is not None
         server.state = "draining"
-        until(lambda: server.beat() == 200, "the daemon takes a last heartbeat")
+        wait_until(lambda: server.beat() == 200, "the daemon takes a last heartbeat")
         acknowledged = time.monotonic()
         time.sleep(DRAIN_S + down_s)
         server.drained.append((acknowledged + DRAIN_S, time.monotonic()))
