--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -1,4 +1,4 @@
-"""Join the parts of the role control."""
+"""Run the role control: configuration, floor and ledger."""
 
 import pathlib
 from collections.abc import Callable
@@ -31,7 +31,7 @@
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.changes import KIND_ASK
 from pimentobendd._internal.control.changes import KIND_REPLY
-from pimentobendd._internal.control.changes import ReplicatedControl
+from pimentobendd._internal.control.changes import ReplicatedConfiguration
 from pimentobendd._internal.control.members import MembersInterface
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
@@ -45,7 +45,7 @@
 
 
 class ControlRole:
-    """Own a replica of the configuration and the service in front of it."""
+    """Runs the configuration's replica and service, the floor and the ledger."""
 
     def __init__(
         self,
@@ -61,20 +61,22 @@
             GROUP, link.address, members, seed, frozenset(control)
         )
         self._address = link.address
-        self._followers: list[Callable[[LeaderChanged], None]] = []
+        self._subscribers: list[Callable[[LeaderChanged], None]] = []
         self._spread = spread
-        self.changes = ReplicatedControl(link, lambda asked: self._service.put(asked))
+        self.changes = ReplicatedConfiguration(
+            link, lambda change: self._service.put(change)
+        )
         self._service: FilterTask[ServiceInput, ServiceOutput] = FilterTask(
             "configuration",
             ConfigurationService(link.address),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
         )
         self.replica = ReplicaTask(
             settings,
             DiskTask(FolderDisk(FolderFiles(data_folder / GROUP))),
             link,
-            CallOutlet(self._take_log),
+            CallOutlet(self._handle_log_output),
             clock,
         )
         self.members = MembersInterface(self.replica.put)
@@ -82,40 +84,40 @@
         self.ledger = LedgerRole(link, settings, data_folder, clock)
 
     def start(self) -> None:
-        """Load the data folder and start; raise ``DiskError``."""
+        """Load the data folder and start the tasks; raise ``DiskError`` if it fails."""
         self._service.start()
         self.floor.start()
         self.replica.start()
         self.ledger.start()
 
-    def follow_leader(self, function: Callable[[LeaderChanged], None]) -> None:
-        """Call a function with each leader of the configuration's log."""
-        self._followers.append(function)
+    def subscribe_to_leader(self, function: Callable[[LeaderChanged], None]) -> None:
+        """Call ``function`` at each change of the leader of the configuration's log."""
+        self._subscribers.append(function)
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames that are for control."""
-        router.register(self.replica.kind, self.replica.take)
-        router.register(KIND_ASK, self.changes.take)
-        router.register(KIND_REPLY, self.changes.take)
-        router.register(KIND_REPORTS, self.floor.take_reports)
-        router.register(KIND_REQUEST, self.ledger.take_request)
+        """Register the handlers of the frames for control instances."""
+        router.register(self.replica.kind, self.replica.handle_frame)
+        router.register(KIND_ASK, self.changes.handle_frame)
+        router.register(KIND_REPLY, self.changes.handle_frame)
+        router.register(KIND_REPORTS, self.floor.handle_reports)
+        router.register(KIND_REQUEST, self.ledger.handle_request)
         for kind in self.ledger.replica_kinds:
-            router.register(kind, self.ledger.take_replica_frame)
+            router.register(kind, self.ledger.handle_replica_frame)
 
     def stop(self) -> None:
-        """Stop the replica; what it acknowledged is on its disk."""
+        """Stop the tasks; whatever the replica acknowledged is on its disk."""
         self.ledger.stop()
         self.replica.stop()
         self.floor.stop()
         self._service.stop()
 
     def status(self) -> Mapping[str, object]:
-        """Return what operators need to know of the replica."""
+        """Return the part of the replica's state that operators need."""
         state = self.replica.dump()
         return {name: state.get(name) for name in _STATUS}
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the tasks, a section each."""
+        """Return the state of the tasks, one section per task."""
         return {
             self.replica.name: self.replica.dump(),
             self._service.name: self._service.dump(),
@@ -123,19 +125,19 @@
             **self.ledger.dump(),
         }
 
-    def _take_log(self, output: LogOutput) -> None:
-        if isinstance(output, ProposalResult) and self.members.take(output):
+    def _handle_log_output(self, output: LogOutput) -> None:
+        if isinstance(output, ProposalResult) and self.members.handle_result(output):
             return
         if isinstance(output, LeaderChanged):
-            self.floor.follow_leader(output)
-            for function in self._followers:
+            self.floor.update_leader(output)
+            for function in self._subscribers:
                 function(output)
         if isinstance(output, ReadReady):
-            self.floor.take_read(output)
+            self.floor.handle_read_result(output)
             return
         self._service.put(output)
 
-    def _release(self, output: ServiceOutput) -> None:
+    def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case ChangeReplied():
                 self.changes.put(output)
@@ -147,13 +149,13 @@
                     SpreadReceived(self._address, TablesSnapshot(output.whole))
                 )
             case TablesRead():
-                pass  # the operators' interface here reads the tables in force
+                pass  # this role's operators' interface reads the tables in force
             case _:
                 self.replica.put(output)
 
 
 def first_members(address: str, control: tuple[str, ...]) -> Members:
-    """Return the members of a new cluster; none for one that joins later."""
+    """Return the members of a new cluster; none if ``address`` joins it later."""
     if address not in control:
         return NO_MEMBERS
-    return Members(tuple(Member(each, each) for each in control))
+    return Members(tuple(Member(replica, replica) for replica in control))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -1,4 +1,4 @@
-"""Join the roles of one process that finds its fleet from seeds."""
+"""Run the roles of one process that discovers its fleet from seed addresses."""
 
 import pathlib
 import secrets
@@ -54,20 +54,20 @@
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.tables import FleetTables
-from pimentobendd._internal.interfaces.operators import dump_text
+from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import LOOPBACK_KEY
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
-SETTINGS_POLL_S = 1.0  # the file may change without a signal
+SETTINGS_POLL_S = 1.0  # the file is also reloaded without SIGHUP
 DRAIN_POLL_S = 0.05
-UNREADY_S = 2.6  # until those who ask whether callers may be sent here know
-END_MARGIN_S = 0.8  # before the time at which the process is killed
-REFUSE_MARGIN_S = 0.4  # before that, in which refusals reach their callers
+UNREADY_NOTICE_S = 2.6  # until all readiness probes have seen the change
+KILL_MARGIN_S = 0.8  # end this long before the process is killed
+REFUSE_MARGIN_S = 0.4  # before that end, for refusals to reach their callers
 
 
 class FleetDaemon:
-    """Own the parts of one process."""
+    """Creates, starts and stops the parts of one process."""
 
     def __init__(
         self, file: SettingsFile, settings: FleetSettings, dialect: Dialect
@@ -79,23 +79,23 @@
         self._clock = HubClock()
         self._process_id = secrets.randbits(62)
         self._counters = CounterTable()
-        self._peer_processes: dict[str, int] = {}  # by address
+        self._peer_processes: dict[str, int] = {}  # process id by address
         self._stopping: Any = eventlet.event.Event()
         self._is_stopping = False
         self._tables = TablesInForce()
-        self._router = FrameRouter(self._report_frame_fault)
+        self._router = FrameRouter(self._report_frame_error)
         self._link = DatagramLink(
             settings.link,
             LOOPBACK_KEY,
             self._router,
-            self._report_frame_fault,
+            self._report_frame_error,
             self._count_sent,
         )
-        self._row = self._create_row()
+        self._own_row = self._create_own_row()
         self._gossip: FilterTask[GossipInput, GossipOutput] = FilterTask(
             "gossip",
-            GossipNode(self._row, settings.seeds, self._process_id),
-            CallOutlet(self._take_gossip),
+            GossipNode(self._own_row, settings.seeds, self._process_id),
+            CallOutlet(self._handle_gossip_output),
             self._clock,
             Ticking(TICK_S, GossipTick()),
         )
@@ -103,11 +103,11 @@
         self._control = self._create_control()
         self._instance = self._create_instance()
         self._listeners = self._create_listeners()
-        self._tables.follow(self._follow_tables)
+        self._tables.subscribe(self._update_tables)
         self._register_frames()
 
     def run(self) -> None:
-        """Serve until a signal to stop, then finish what is in flight."""
+        """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
         signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
         signal.signal(signal.SIGINT, lambda *_: self._request_stop())
         signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
@@ -117,10 +117,10 @@
         self.stop()
 
     def start(self) -> None:
-        """Start all tasks and listen."""
+        """Start all tasks and listeners."""
         self._link.start()
         self._gossip.start()
-        self._gossip.put(GossipTick())  # the seeds are asked at once
+        self._gossip.put(GossipTick())  # contact the seeds at once
         self._spread.task.start()
         if self._control is not None:
             self._control.start()
@@ -137,22 +137,22 @@
         )
 
     def stop(self) -> None:
-        """Take no new work, wait for what is in flight, then close."""
-        began = self._clock.now()
+        """Decline new work, wait for the requests in flight, then close."""
+        stop_began_at = self._clock.now()
         self._is_stopping = True
         self._log.info("stopping", grace_s=self._settings.grace_s)
-        self._change_row(self._row._replace(is_leaving=True, servers=()))
+        self._update_own_row(self._own_row._replace(is_leaving=True, servers=()))
         if self._instance is not None:
-            self._instance.stop_taking()
-            self._finish(self._instance, began)
+            self._instance.stop_accepting()
+            self._drain(self._instance, stop_began_at)
             self._instance.close()
         if self._control is not None:
             self._control.stop()
         self._link.close()
-        self._log.info("stopped", took_s=round(self._clock.now() - began, 3))
+        self._log.info("stopped", took_s=round(self._clock.now() - stop_began_at, 3))
 
     def dump(self) -> Mapping[str, object]:
-        """Return the state of the process, a section for each task."""
+        """Return the state of the process, one section per task."""
         tables = self._tables.current()
         state: dict[str, object] = {
             "instance": self._settings.instance,
@@ -172,7 +172,7 @@
             state.update(self._instance.dump())
         return state
 
-    def _create_row(self) -> PeerRow:
+    def _create_own_row(self) -> PeerRow:
         settings = self._settings
         return PeerRow(
             address=settings.link,
@@ -208,8 +208,8 @@
             process_id=self._process_id,
             link=self._link,
             tables=self._tables,
-            own_row=lambda: self._row,
-            on_servers=self._change_servers,
+            own_row=lambda: self._own_row,
+            on_servers_changed=self._update_servers,
             on_unreachable=lambda each: self._gossip.put(PeerUnreachable(each)),
             forwarding=ForwardingLog(self._counters),
             requests=RequestLog(self._counters),
@@ -224,7 +224,7 @@
             ready = dialect.create_ready(self._is_ready)
             listeners.append(HttpServer(settings.ready, ready))
         if settings.operators is not None and self._control is not None:
-            operators = dialect.create_operators(self._control.calls)
+            operators = dialect.create_operators(self._control.leader_client)
             listeners.append(HttpServer(settings.operators, operators))
         if settings.metrics is not None:
             metrics = create_metrics_application(self._counters)
@@ -232,7 +232,7 @@
         return listeners
 
     def _register_frames(self) -> None:
-        self._router.register(KIND_GOSSIP, self._take_gossip_frame)
+        self._router.register(KIND_GOSSIP, self._handle_gossip_frame)
         self._spread.register(self._router)
         if self._control is not None:
             self._control.register(self._router)
@@ -242,33 +242,33 @@
     def _is_ready(self) -> bool:
         return not self._is_stopping and self._tables.current().log_index > 0
 
-    def _change_servers(self, servers: tuple[HostedServer, ...]) -> None:
+    def _update_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
             self._log.info("server-listed", **server._asdict())
-        if not self._is_stopping and servers != self._row.servers:
-            self._change_row(self._row._replace(servers=servers))
+        if not self._is_stopping and servers != self._own_row.servers:
+            self._update_own_row(self._own_row._replace(servers=servers))
 
-    def _change_row(self, row: PeerRow) -> None:
-        self._row = row
+    def _update_own_row(self, row: PeerRow) -> None:
+        self._own_row = row
         self._gossip.put(OwnRowChanged(row))
 
-    def _take_gossip_frame(self, frame: Frame) -> None:
+    def _handle_gossip_frame(self, frame: Frame) -> None:
         message = decode_message(frame.payload)
         self._gossip.put(GossipReceived(frame.sender, message))
 
-    def _take_gossip(self, output: GossipOutput) -> None:
+    def _handle_gossip_output(self, output: GossipOutput) -> None:
         match output:
             case SendGossip():
                 payload = encode_message(output.message)
                 self._link.send(output.recipient, KIND_GOSSIP, payload)
             case PeersChanged():
-                self._follow_peers(output.peers)
+                self._update_peers(output.peers)
             case ReachabilityChanged():
-                self._follow_reachability(output)
+                self._update_reachability(output)
             case NewerTablesSeen():
-                self._spread.see_newer(output.address, output.version)
+                self._spread.handle_newer_version(output.address, output.version)
 
-    def _follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def _update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         processes = {row.address: row.process_id for row in peers}
         for address, process_id in processes.items():
             if self._peer_processes.get(address) != process_id:
@@ -278,12 +278,12 @@
             self._log.info("peer-forgotten", peer=address)
         self._peer_processes = processes
         if self._control is not None:
-            self._control.follow_peers(peers)
-            self._spread.follow_peers(self._row, peers)
+            self._control.update_peers(peers)
+            self._spread.update_peers(self._own_row, peers)
         if self._instance is not None:
-            self._instance.follow_peers(peers)
+            self._instance.update_peers(peers)
 
-    def _follow_reachability(self, output: ReachabilityChanged) -> None:
+    def _update_reachability(self, output: ReachabilityChanged) -> None:
         event = "peer-found" if output.is_reachable else "peer-lost"
         self._counters.count(event.replace("-", "_"))
         self._log.info(event, peer=output.address)
@@ -292,7 +292,7 @@
                 output.address, is_reachable=output.is_reachable
             )
 
-    def _follow_tables(self, tables: Tables) -> None:
+    def _update_tables(self, tables: Tables) -> None:
         version = Version(*tables[:2])
         self._gossip.put(TablesChanged(version))
         self._log.info("tables-in-force", version=str(version), label=tables.label)
@@ -301,12 +301,12 @@
         self._counters.count("sent_frames", kind)
         self._counters.count("sent_frame_bytes", kind, size_bytes)
 
-    def _report_frame_fault(self, error: PimentobendError) -> None:
+    def _report_frame_error(self, error: PimentobendError) -> None:
         self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
 
     def _poll_settings(self) -> None:
-        """Read the settings again once their file has changed."""
+        """Reload the settings whenever their file has changed."""
         while True:
             eventlet.sleep(SETTINGS_POLL_S)
             if self._file.has_changed():
@@ -329,21 +329,21 @@
 
     def _print_dump(self) -> None:
         eventlet.spawn_n(
-            lambda: print(dump_text(self.dump()), file=sys.stdout, flush=True)
+            lambda: print(format_dump(self.dump()), file=sys.stdout, flush=True)
         )
 
-    def _finish(self, instance: FleetInstance, began: float) -> None:
-        """Serve until callers know better and nothing is in flight."""
-        least_s = min(UNREADY_S, self._settings.grace_s / 2)
-        most_s = max(0.0, self._settings.grace_s - END_MARGIN_S)
+    def _drain(self, instance: FleetInstance, stop_began_at: float) -> None:
+        """Serve until readiness probes have noticed and nothing is in flight."""
+        min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
+        max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
         is_refusing = False
         while True:
-            waited_s = self._clock.now() - began
-            if not is_refusing and waited_s >= most_s - REFUSE_MARGIN_S:
+            waited_s = self._clock.now() - stop_began_at
+            if not is_refusing and waited_s >= max_s - REFUSE_MARGIN_S:
                 is_refusing = True
-                instance.end_waiting()
+                instance.refuse_waiting()
             is_idle = not instance.in_flight
-            if waited_s >= most_s or (is_idle and waited_s >= least_s):
+            if waited_s >= max_s or (is_idle and waited_s >= min_s):
                 break
             eventlet.sleep(DRAIN_POLL_S)
         if instance.in_flight:
