Reword the client in the usual terms of a command-line tool

Docstrings that only said "Hold ..." or "Say ...", help texts that were fragments ("requests at once"), and names such as Fine, SICK, is_patched and arguments_least made a new reader guess.

Docstrings, help texts, summaries and error texts now say what happens; two errors also name the value (the number of arguments, the token file's path). Fine is Healthy, SICK is FAULTY_SERVERS, Line is LogLine, Entry is CommandEntry, arguments_least/most are min/max_arguments. Flags, exit codes, JSON keys and the output that tests read stay.

--- a/packages/client/src/pimentobend/__init__.py
+++ b/packages/client/src/pimentobend/__init__.py
@@ -1,1 +1,1 @@
-"""Drive a proxy fleet from the command line."""
+"""Command-line client for operating a fleet of proxy daemons."""
--- a/packages/client/src/pimentobend/__main__.py
+++ b/packages/client/src/pimentobend/__main__.py
@@ -1,4 +1,4 @@
-"""Start the operators' client."""
+"""Entry point of the ``pimentobend`` command."""
 
 import sys
 import warnings
@@ -9,7 +9,7 @@
 
 
 def main() -> int:
-    """Run the client and return its exit code."""
+    """Run the command line of this process and return its exit code."""
     return run(sys.argv[1:])
 
 
--- a/packages/client/src/pimentobend/_internal/__init__.py
+++ b/packages/client/src/pimentobend/_internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the private modules of the package."""
+"""Implementation of the client; not a public interface."""
--- a/packages/client/src/pimentobend/_internal/command.py
+++ b/packages/client/src/pimentobend/_internal/command.py
@@ -1,4 +1,4 @@
-"""Define what every command of the client offers."""
+"""Base class of the client's commands: flags, arguments and output."""
 
 import abc
 import json
@@ -17,7 +17,7 @@
 
 
 class Context(NamedTuple):
-    """Hold the parsed command line of one command."""
+    """The parsed command line of one command."""
 
     client: OperatorsClient
     arguments: tuple[str, ...]
@@ -26,49 +26,56 @@
 
 
 class Command(abc.ABC):
-    """Run one command of the client."""
+    """A command of the client."""
 
     usage: str
     summary: str
-    arguments_least = 0
-    arguments_most = 0
+    min_arguments = 0  # positional
+    max_arguments = 0
 
     def run(self, argv: Sequence[str]) -> Status:
-        """Parse the command line and return a named exit code."""
+        """Parse the command line, execute the command and return its exit code."""
         return self.execute(self._parse(argv))
 
     def define_options(self, values: Any) -> None:  # noqa: B027
-        """Define the command's own flags; none by default."""
+        """Define the command's own flags on ``values``; none by default."""
 
     @abc.abstractmethod
     def execute(self, context: Context) -> Status:
-        """Do the work and return a named exit code."""
+        """Execute the command and return its exit code."""
 
     def _parse(self, argv: Sequence[str]) -> Context:
         values: Any = flags.FlagValues()  # type: ignore[no-untyped-call]
         flags.DEFINE_string(
             "operators",
             DEFAULT_OPERATORS,
-            "address of a daemon's operators' interface",
+            "HOST:PORT of a daemon's operators' interface",
             flag_values=values,
         )
         flags.DEFINE_string(
-            "token_file", None, "file with the operators' token", flag_values=values
+            "token_file",
+            None,
+            "file that holds the operators' token",
+            flag_values=values,
+        )
+        flags.DEFINE_boolean(
+            "json", False, "print the result as JSON", flag_values=values
         )
-        flags.DEFINE_boolean("json", False, "print JSON", flag_values=values)
         self.define_options(values)
         try:
             rest = values(["pimentobend", *argv])[1:]
         except flags.Error as error:
             raise UsageError(str(error), hint=f"usage: {self.usage}") from error
-        if not self.arguments_least <= len(rest) <= self.arguments_most:
-            raise UsageError("wrong number of arguments", hint=f"usage: {self.usage}")
+        if not self.min_arguments <= len(rest) <= self.max_arguments:
+            raise UsageError(
+                f"wrong number of arguments: {len(rest)}", hint=f"usage: {self.usage}"
+            )
         client = OperatorsClient(values.operators, values.token_file)
         return Context(client, tuple(rest), values.json, values)
 
 
 def print_result(context: Context, document: object, lines: Sequence[str]) -> None:
-    """Print the document as JSON, or the lines for a reader."""
+    """Print the document as JSON if ``--json`` was given, else the text lines."""
     if context.is_json:
         print(json.dumps(document, ensure_ascii=False, sort_keys=True, default=str))
         return
--- a/packages/client/src/pimentobend/_internal/commands/__init__.py
+++ b/packages/client/src/pimentobend/_internal/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Hold one module for each command."""
+"""The client's commands, one module each."""
--- a/packages/client/src/pimentobend/_internal/commands/apply.py
+++ b/packages/client/src/pimentobend/_internal/commands/apply.py
@@ -1,4 +1,4 @@
-"""Put tables in force."""
+"""The command ``apply``: replace the tables in force."""
 
 import uuid
 from typing import Any
@@ -13,28 +13,34 @@
 from pimentobend._internal.files import read_text
 from pimentobend._internal.status import Status
 
-SENDS = 3
+MAX_SENDS = 3  # tries to send one change
 
 
 class ApplyCommand(Command):
-    """Replace both tables if nobody changed them in between."""
+    """Replaces both tables if the expected version is still in force."""
 
     usage = "pimentobend apply [--version=TERM.INDEX] [--change=ID] FILE"
-    summary = "put tables in force"
-    arguments_least = 1
-    arguments_most = 1
+    summary = "replace the tables in force"
+    min_arguments = 1
+    max_arguments = 1
 
     def define_options(self, values: Any) -> None:
-        """Define the version that the operator saw and the id of the change."""
+        """Define flags for the version to replace and the id of the change."""
         flags.DEFINE_string(
-            "version", None, "the version that FILE replaces", flag_values=values
+            "version",
+            None,
+            "version that FILE replaces; default: the one in force",
+            flag_values=values,
         )
         flags.DEFINE_string(
-            "change", None, "the id to send a change again with", flag_values=values
+            "change",
+            None,
+            "id of an earlier change, to send it again",
+            flag_values=values,
         )
 
     def execute(self, context: Context) -> Status:
-        """Check, send, and send again with the same id when no answer comes."""
+        """Check the file and send it; resend with the same id if no response comes."""
         path = context.arguments[0]
         read_tables(path)
         version = context.options.version
@@ -51,7 +57,7 @@
     context: Context, content: bytes, version: str, change: str
 ) -> dict[str, Any]:
     last: UnreachableError | None = None
-    for _ in range(SENDS):
+    for _ in range(MAX_SENDS):
         try:
             return context.client.put(
                 "/v1/tables", content, version=version, change=change
@@ -59,7 +65,7 @@
         except UnreachableError as error:
             last = error
     raise UnreachableError(
-        "no answer to the change; it may be in force",
+        "no response to the change; it may be in force",
         context=last.context if last else "",
         hint=f"send it again with --version={version} --change={change}",
     )
--- a/packages/client/src/pimentobend/_internal/commands/demo.py
+++ b/packages/client/src/pimentobend/_internal/commands/demo.py
@@ -1,4 +1,4 @@
-"""Try the whole system in one process."""
+"""The command ``demo``: run and check the whole system in one process."""
 
 import logging
 import pathlib
@@ -17,13 +17,13 @@
 
 
 class DemoCommand(Command):
-    """Run control, an instance and stand-in servers, and check the outcome."""
+    """Runs a daemon with all roles and stand-in servers, and checks the outcome."""
 
     usage = "pimentobend demo [--json]"
-    summary = "try the whole system in one process"
+    summary = "run and check the whole system in one process"
 
     def execute(self, context: Context) -> Status:
-        """Print a line for each step; the code is ERROR when one failed."""
+        """Print a line for each step; return ERROR if a step failed."""
         with tempfile.TemporaryDirectory(prefix="pimentobend-demo-") as folder:
             steps = _run(pathlib.Path(folder))
         lines = [
--- a/packages/client/src/pimentobend/_internal/commands/diff.py
+++ b/packages/client/src/pimentobend/_internal/commands/diff.py
@@ -1,4 +1,4 @@
-"""Compare tables with those in force."""
+"""The command ``diff``: compare a tables file with the tables in force."""
 
 from collections.abc import Iterator
 from collections.abc import Sequence
@@ -13,7 +13,7 @@
 
 
 class Difference(NamedTuple):
-    """Name one row that differs; ``kind`` is added, removed or changed."""
+    """One row that differs; ``kind`` is "added", "removed" or "changed"."""
 
     kind: str
     table: str
@@ -22,15 +22,15 @@
 
 
 class DiffCommand(Command):
-    """List the rows that an apply would add, remove and change."""
+    """Lists the rows that ``apply`` would add, remove and change."""
 
     usage = "pimentobend diff [--json] FILE"
-    summary = "compare tables with those in force"
-    arguments_least = 1
-    arguments_most = 1
+    summary = "compare a tables file with the tables in force"
+    min_arguments = 1
+    max_arguments = 1
 
     def execute(self, context: Context) -> Status:
-        """Print the differences; the code is DIFFERENT when there are any."""
+        """Print the differences; return DIFFERENT if there are any."""
         wanted = read_tables(context.arguments[0])
         current = context.client.get("/v1/tables")
         found = [
@@ -42,14 +42,14 @@
             "version": current["version"],
             "differences": [difference._asdict() for difference in found],
         }
-        print_result(context, document, lines or ["no difference"])
+        print_result(context, document, lines or ["no differences"])
         return Status.DIFFERENT if found else Status.SUCCESS
 
 
 def compare_rows(
     table: str, current: Sequence[Any], wanted: Sequence[Any]
 ) -> Iterator[Difference]:
-    """Yield the differences between two lists of rows, by name."""
+    """Match two lists of rows by name and yield the differences."""
     before = {row["name"]: row for row in current}
     after = {row["name"]: row for row in wanted}
     for name in sorted(before.keys() | after.keys()):
--- a/packages/client/src/pimentobend/_internal/commands/drain.py
+++ b/packages/client/src/pimentobend/_internal/commands/drain.py
@@ -1,4 +1,4 @@
-"""Take a backend server out of work."""
+"""The command ``drain``: stop sending new requests to a backend server."""
 
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
@@ -7,15 +7,15 @@
 
 
 class DrainCommand(Command):
-    """Give a backend server no new work; what is in flight ends normally."""
+    """Drains a backend server; requests in flight end normally."""
 
     usage = "pimentobend drain [--operators=HOST:PORT of its daemon] SERVER"
-    summary = "take a backend server out of work"
-    arguments_least = 1
-    arguments_most = 1
+    summary = "stop sending new requests to a backend server"
+    min_arguments = 1
+    max_arguments = 1
 
     def execute(self, context: Context) -> Status:
-        """Ask the daemon that the server announces to."""
+        """Send the request to the daemon that the server announces itself to."""
         server = context.arguments[0]
         answer = context.client.post("/v1/drain", server=server)
         print_result(context, answer, [f"{server} is draining"])
--- a/packages/client/src/pimentobend/_internal/commands/dump.py
+++ b/packages/client/src/pimentobend/_internal/commands/dump.py
@@ -1,4 +1,4 @@
-"""Print a process's state."""
+"""The command ``dump``: print the internal state of a daemon process."""
 
 import json
 
@@ -9,13 +9,13 @@
 
 
 class DumpCommand(Command):
-    """Print the state of every task of one process."""
+    """Prints the state of every task of one daemon process."""
 
     usage = "pimentobend dump [--operators=HOST:PORT]"
-    summary = "print a process's state"
+    summary = "print the internal state of a daemon process"
 
     def execute(self, context: Context) -> Status:
-        """Print one JSON document."""
+        """Print the state as one JSON document, indented unless ``--json`` is given."""
         state = context.client.get("/v1/dump")
         lines = [json.dumps(state, ensure_ascii=False, indent=2, sort_keys=True)]
         print_result(context, state, lines)
--- a/packages/client/src/pimentobend/_internal/commands/lookup.py
+++ b/packages/client/src/pimentobend/_internal/commands/lookup.py
@@ -1,4 +1,4 @@
-"""Find what became of a key."""
+"""The command ``lookup``: show the ledger entry of an idempotency key."""
 
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
@@ -7,15 +7,15 @@
 
 
 class LookupCommand(Command):
-    """Look an Idempotency-Key up in the ledger."""
+    """Looks up an organisation's Idempotency-Key in the ledger."""
 
     usage = "pimentobend lookup [--json] ORGANISATION KEY"
-    summary = "find what became of a key"
-    arguments_least = 2
-    arguments_most = 2
+    summary = "show the ledger entry of an idempotency key"
+    min_arguments = 2
+    max_arguments = 2
 
     def execute(self, context: Context) -> Status:
-        """Print the claim of an organisation's key."""
+        """Print the fields of the key's ledger entry."""
         organisation, key = context.arguments
         entry = context.client.get("/v1/ledger", organisation=organisation, key=key)
         lines = [f"{name}: {entry[name]}" for name in sorted(entry)]
--- a/packages/client/src/pimentobend/_internal/commands/show.py
+++ b/packages/client/src/pimentobend/_internal/commands/show.py
@@ -1,4 +1,4 @@
-"""List rows of the fleet's state."""
+"""The command ``show``: list routes, pools, servers, ejections or members."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -13,18 +13,20 @@
 
 
 class ShowCommand(Command):
-    """List routes, pools, servers, ejections or members."""
+    """Prints one kind of rows of the fleet's state."""
 
     usage = f"pimentobend show [--json] {'|'.join(KINDS)}"
-    summary = "list rows of the fleet's state"
-    arguments_least = 1
-    arguments_most = 1
+    summary = "list routes, pools, servers, ejections or members"
+    min_arguments = 1
+    max_arguments = 1
 
     def execute(self, context: Context) -> Status:
-        """Print one kind of rows as a table."""
+        """Print the rows as a table with aligned columns."""
         kind = context.arguments[0]
         if kind not in KINDS:
-            raise UsageError(f"cannot show {kind!r}", hint=f"usage: {self.usage}")
+            raise UsageError(
+                f"unknown kind of rows {kind!r}", hint=f"usage: {self.usage}"
+            )
         path = "/v1/tables" if kind in ("routes", "pools") else f"/v1/{kind}"
         rows = context.client.get(path)[kind]
         print_result(context, rows, format_rows(rows))
@@ -32,11 +34,11 @@
 
 
 def format_rows(rows: Sequence[Mapping[str, object]]) -> list[str]:
-    """Return lines with aligned columns and a line of names first."""
+    """Return the lines of a table with aligned columns and a header."""
     if not rows:
         return ["none"]
     names = list(rows[0])
-    cells = [names, *([_show(row.get(name)) for name in names] for row in rows)]
+    cells = [names, *([_format_cell(row.get(name)) for name in names] for row in rows)]
     widths = [max(len(line[i]) for line in cells) for i in range(len(names))]
     return [
         "  ".join(cell.ljust(width) for cell, width in zip(line, widths, strict=True))
@@ -44,7 +46,7 @@
     ]
 
 
-def _show(value: object) -> str:
+def _format_cell(value: object) -> str:
     if isinstance(value, list | tuple):
         return ",".join(str(item) for item in value) or "-"
     return "-" if value in (None, "") else str(value)
--- a/packages/client/src/pimentobend/_internal/commands/stand_in.py
+++ b/packages/client/src/pimentobend/_internal/commands/stand_in.py
@@ -1,4 +1,4 @@
-"""Run a stand-in backend server by hand."""
+"""The command ``stand-in``: run a stand-in backend server."""
 
 from typing import Any
 
@@ -9,8 +9,8 @@
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
 from pimentobend._internal.demo.stand_in import Behaviour
-from pimentobend._internal.demo.stand_in import Fine
 from pimentobend._internal.demo.stand_in import HalfAlive
+from pimentobend._internal.demo.stand_in import Healthy
 from pimentobend._internal.demo.stand_in import StandInOptions
 from pimentobend._internal.demo.stand_in import StandInServer
 from pimentobend._internal.status import Status
@@ -23,28 +23,39 @@
 
 
 class StandInCommand(Command):
-    """Serve one service with a chosen behaviour until interrupted."""
+    """Runs a stand-in server of one service until interrupted."""
 
     usage = "pimentobend stand-in --service=NAME [options] SERVER"
     summary = "run a stand-in backend server"
-    arguments_least = 1
-    arguments_most = 1
+    min_arguments = 1
+    max_arguments = 1
 
     def define_options(self, values: Any) -> None:
-        """Define the server's place, size and behaviour."""
-        text = flags.DEFINE_string
-        whole = flags.DEFINE_integer
-        text("service", "schedule", "service to announce", flag_values=values)
-        text("daemon", DEFAULT_DAEMON, "the daemon to announce to", flag_values=values)
-        text("data_centre", "nord-a", "data centre of the server", flag_values=values)
-        text("region", "nord", "region of the server", flag_values=values)
-        whole("port", 0, "port to serve on; 0 takes a free one", flag_values=values)
-        whole("slots", DEFAULT_SLOTS, "requests at once", flag_values=values)
-        whole(
-            "service_ms", DEFAULT_SERVICE_MS, "time a request takes", flag_values=values
+        """Define flags for the server's service, location, slots and behaviour."""
+        string = flags.DEFINE_string
+        integer = flags.DEFINE_integer
+        string("service", "schedule", "service to announce", flag_values=values)
+        string(
+            "daemon",
+            DEFAULT_DAEMON,
+            "HOST:PORT of the daemon's interface for servers",
+            flag_values=values,
+        )
+        string("data_centre", "nord-a", "data centre of the server", flag_values=values)
+        string("region", "nord", "region of the server", flag_values=values)
+        integer("port", 0, "port to listen on; 0 picks a free one", flag_values=values)
+        integer("slots", DEFAULT_SLOTS, "requests served at a time", flag_values=values)
+        integer(
+            "service_ms",
+            DEFAULT_SERVICE_MS,
+            "service time of a request",
+            flag_values=values,
         )
         flags.DEFINE_boolean(
-            "half_alive", False, "fail real work, answer probes", flag_values=values
+            "half_alive",
+            False,
+            "fail all requests but answer probes",
+            flag_values=values,
         )
 
     def execute(self, context: Context) -> Status:
@@ -75,4 +86,4 @@
 def _make_behaviour(options: Any) -> Behaviour:
     if options.half_alive:
         return HalfAlive()
-    return Fine(options.service_ms / MS_PER_S)
+    return Healthy(options.service_ms / MS_PER_S)
--- a/packages/client/src/pimentobend/_internal/commands/status.py
+++ b/packages/client/src/pimentobend/_internal/commands/status.py
@@ -1,4 +1,4 @@
-"""Tell which processes are behind."""
+"""The command ``status``: show the version in force and members behind it."""
 
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
@@ -7,13 +7,13 @@
 
 
 class StatusCommand(Command):
-    """Tell the version in force and which members are behind it."""
+    """Prints the version in force and which members are behind it."""
 
     usage = "pimentobend status [--json]"
-    summary = "tell which processes are behind"
+    summary = "show the version in force and members behind it"
 
     def execute(self, context: Context) -> Status:
-        """Print the daemon's view of the fleet."""
+        """Print the fleet's status as this daemon sees it."""
         status = context.client.get("/v1/status")
         lines = [f"{name}: {status[name]}" for name in sorted(status)]
         print_result(context, status, lines)
--- a/packages/client/src/pimentobend/_internal/commands/story.py
+++ b/packages/client/src/pimentobend/_internal/commands/story.py
@@ -1,4 +1,4 @@
-"""Tell the story of one request from log files."""
+"""The command ``story``: show what log files record of a request."""
 
 from collections.abc import Iterator
 
@@ -7,29 +7,29 @@
 from pimentobend._internal.command import print_result
 from pimentobend._internal.exceptions import ClientError
 from pimentobend._internal.status import Status
-from pimentobend._internal.stories import describe
 from pimentobend._internal.stories import find_story
+from pimentobend._internal.stories import format_line
 
 MAX_FILES = 10_000
 
 
 class StoryCommand(Command):
-    """Print what the logs of several daemons say of a request, in order."""
+    """Merges the log lines of a request from several daemons, sorted by time."""
 
     usage = "pimentobend story [--json] REQUEST_ID FILE..."
-    summary = "tell the story of a request from log files"
-    arguments_least = 2
-    arguments_most = MAX_FILES
+    summary = "show what the logs record of a request"
+    min_arguments = 2
+    max_arguments = MAX_FILES
 
     def execute(self, context: Context) -> Status:
-        """Read the files; a request that none names ends with the code ERROR."""
+        """Print the lines of the request; return ERROR if there are none."""
         request_id, *paths = context.arguments
         story = find_story(_read(paths), request_id)
-        lines = [describe(line) for line in story.lines]
+        lines = [format_line(line) for line in story.lines]
         if story.bad_lines:
             lines.append(f"{story.bad_lines} lines could not be read")
         if not story.lines:
-            lines.append(f"no line names {request_id}")
+            lines.append(f"no log line of request {request_id!r}")
         document = {
             "request_id": request_id,
             "bad_lines": story.bad_lines,
@@ -40,12 +40,12 @@
 
 
 def _read(paths: list[str]) -> Iterator[str]:
-    """Yield the lines of files; bytes that are no text are replaced."""
+    """Yield the lines of all files; bytes that are not UTF-8 are replaced."""
     for path in paths:
         try:
             with open(path, encoding="utf-8", errors="replace") as file:
                 yield from file
         except OSError as error:
             raise ClientError(
-                "cannot read a log", context=f"{path}: {error.strerror}"
+                "cannot read the log file", context=f"{path}: {error.strerror}"
             ) from error
--- a/packages/client/src/pimentobend/_internal/commands/validate.py
+++ b/packages/client/src/pimentobend/_internal/commands/validate.py
@@ -1,4 +1,4 @@
-"""Check tables in a file."""
+"""The command ``validate``: check a tables file."""
 
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
@@ -8,15 +8,15 @@
 
 
 class ValidateCommand(Command):
-    """Check both tables and name every fault."""
+    """Checks both tables in a file and reports every fault."""
 
     usage = "pimentobend validate [--json] FILE"
-    summary = "check tables in a file"
-    arguments_least = 1
-    arguments_most = 1
+    summary = "check a tables file"
+    min_arguments = 1
+    max_arguments = 1
 
     def execute(self, context: Context) -> Status:
-        """Check the file; faults end the command with the code FAULTS."""
+        """Check the file; faults raise RefusedError, which exits with FAULTS."""
         tables = read_tables(context.arguments[0])
         routes = len(tables["routes"])
         pools = len(tables["pools"])
--- a/packages/client/src/pimentobend/_internal/demo/fleet.py
+++ b/packages/client/src/pimentobend/_internal/demo/fleet.py
@@ -1,11 +1,11 @@
-"""Build the demo's settings, tables and servers."""
+"""Settings, tables and stand-in servers of the demo."""
 
 import json
 import pathlib
 import socket
 
-from pimentobend._internal.demo.stand_in import Fine
 from pimentobend._internal.demo.stand_in import HalfAlive
+from pimentobend._internal.demo.stand_in import Healthy
 from pimentobend._internal.demo.stand_in import StandInOptions
 from pimentobend._internal.demo.stand_in import StandInServer
 from pimentobend_adapters._internal.http.server import Address
@@ -14,17 +14,17 @@
 
 LOOPBACK = "127.0.0.1"
 ANY_PORT = Address(LOOPBACK, 0)
-FINE_S = 0.01
-SLOW_S = 0.25
-SLOTS = 6
+HEALTHY_S = 0.01  # service time
+SLOW_S = 0.25  # service time
+SLOTS = 6  # per server
 FLOOR = 0.5
 
-CATALOGUE_FINE = 6
+HEALTHY_CATALOGUE_SERVERS = 6
 BOOKING_SERVERS = 3
 
 
 def make_settings(data_folder: pathlib.Path) -> Settings:
-    """Return settings of one process with all roles on free ports."""
+    """Return the settings of one process that has all roles, on free ports."""
     callers, servers, operators, link = (str(find_free_address()) for _ in range(4))
     document = {
         "instance": "demo-1",
@@ -73,26 +73,30 @@
 
 
 def make_servers(daemon: Address) -> list[StandInServer]:
-    """Return the demo's servers: fine ones, a slow one and a half-alive one."""
-    names = [f"catalogue-{number}" for number in range(1, CATALOGUE_FINE + 1)]
-    servers = [_make_server("catalogue", name, daemon, Fine(FINE_S)) for name in names]
-    servers.append(_make_server("catalogue", "catalogue-slow", daemon, Fine(SLOW_S)))
+    """Return the stand-in servers: healthy, slow and half-alive ones."""
+    names = [
+        f"catalogue-{number}" for number in range(1, HEALTHY_CATALOGUE_SERVERS + 1)
+    ]
+    servers = [
+        _make_server("catalogue", name, daemon, Healthy(HEALTHY_S)) for name in names
+    ]
+    servers.append(_make_server("catalogue", "catalogue-slow", daemon, Healthy(SLOW_S)))
     servers.append(_make_server("catalogue", "catalogue-half", daemon, HalfAlive()))
     for number in range(1, BOOKING_SERVERS + 1):
         name = f"bookings-{number}"
-        servers.append(_make_server("bookings", name, daemon, Fine(FINE_S)))
+        servers.append(_make_server("bookings", name, daemon, Healthy(HEALTHY_S)))
     return servers
 
 
 def find_free_address() -> Address:
-    """Return a loopback address that nobody listens on."""
+    """Return a loopback address with a port that is free at the moment."""
     with socket.socket() as probe:
         probe.bind(tuple(ANY_PORT))
         return Address(*probe.getsockname()[:2])
 
 
 def _make_server(
-    service: str, server_id: str, daemon: Address, behaviour: Fine | HalfAlive
+    service: str, server_id: str, daemon: Address, behaviour: Healthy | HalfAlive
 ) -> StandInServer:
     options = StandInOptions(server_id, service, SLOTS, "demo-a", "demo", daemon)
     return StandInServer(options, ANY_PORT, behaviour)
--- a/packages/client/src/pimentobend/_internal/demo/script.py
+++ b/packages/client/src/pimentobend/_internal/demo/script.py
@@ -1,4 +1,4 @@
-"""Drive the demo's fleet and check what it must do."""
+"""Run the demo's steps against a daemon and check each result."""
 
 import time
 import uuid
@@ -18,16 +18,16 @@
 from pimentobend_adapters._internal.http.server import Address
 
 START_TIMEOUT_S = 10.0
-POLL_S = 0.1
+POLL_INTERVAL_S = 0.1
 CALLERS = 8
-REQUESTS_A_CALLER = 60
-PAUSE_S = 0.02
+REQUESTS_PER_CALLER = 60
+PAUSE_S = 0.02  # between two requests of a caller
 EJECTION_TIMEOUT_S = 15.0
-SICK = frozenset({"catalogue-half", "catalogue-slow"})
+FAULTY_SERVERS = frozenset({"catalogue-half", "catalogue-slow"})
 
 
 class Step(NamedTuple):
-    """Report one step of the demo."""
+    """Result of one step of the demo."""
 
     name: str
     passed: bool
@@ -35,7 +35,7 @@
 
 
 class DemoScript:
-    """Run the steps in order; each is a check with a readable line."""
+    """The demo's steps, run in order; each checks one property of the system."""
 
     def __init__(
         self, callers: Address, operators: Address, servers: list[StandInServer]
@@ -46,14 +46,14 @@
         self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=CALLERS)
 
     def run(self) -> list[Step]:
-        """Return one line for each step."""
+        """Run all steps and return their results."""
         return [
             self._apply_tables(),
             self._wait_for_servers(),
             self._send_requests(),
             self._book_twice(),
-            self._watch_ejection(),
-            self._keep_floor(),
+            self._wait_for_ejection(),
+            self._check_floor(),
         ]
 
     def _apply_tables(self) -> Step:
@@ -83,13 +83,13 @@
         total = sum(statuses.values())
         served = statuses[200]
         return Step(
-            "requests served around sick servers",
+            "all requests succeed despite faulty servers",
             served == total,
             f"{served} of {total} answered 200",
         )
 
     def _call_catalogue(self, organisation: str, statuses: Counter[int]) -> None:
-        for number in range(REQUESTS_A_CALLER):
+        for number in range(REQUESTS_PER_CALLER):
             response = self._http.request(
                 "GET",
                 f"http://{self._callers}/catalogue/{number}",
@@ -103,8 +103,8 @@
         first = self._book(key)
         second = self._book(key)
         runs = sum(server.runs.count(key) for server in self._servers)
-        detail = f"first {first}, second {second}, ran {runs} time(s)"
-        return Step("a booking sent twice ran once", runs == 1, detail)
+        detail = f"first {first}, second {second}, executed {runs} time(s)"
+        return Step("a booking sent twice is executed once", runs == 1, detail)
 
     def _book(self, key: str) -> str:
         response = self._http.request(
@@ -115,7 +115,7 @@
         )
         return f"{response.status} {response.headers.get(RAN)}"
 
-    def _watch_ejection(self) -> Step:
+    def _wait_for_ejection(self) -> Step:
         ejected = _wait_until(lambda: "catalogue-half" in self._ejected(), 0.0)
         until = time.monotonic() + EJECTION_TIMEOUT_S
         while not ejected and time.monotonic() < until:
@@ -124,11 +124,11 @@
         names = ", ".join(sorted(self._ejected())) or "none"
         return Step("the half-alive server is ejected", ejected, f"ejected: {names}")
 
-    def _keep_floor(self) -> Step:
-        pool = fleet.CATALOGUE_FINE + len(SICK)
+    def _check_floor(self) -> Step:
+        pool = fleet.HEALTHY_CATALOGUE_SERVERS + len(FAULTY_SERVERS)
         ejected = self._ejected()
         in_use = pool - len(ejected)
-        healthy_ejected = ejected - SICK
+        healthy_ejected = ejected - FAULTY_SERVERS
         return Step(
             "the pool stays above its floor",
             in_use >= fleet.FLOOR * pool and not healthy_ejected,
@@ -145,5 +145,5 @@
     while not condition():
         if time.monotonic() >= until:
             return False
-        eventlet.sleep(POLL_S)
+        eventlet.sleep(POLL_INTERVAL_S)
     return True
--- a/packages/client/src/pimentobend/_internal/demo/stand_in.py
+++ b/packages/client/src/pimentobend/_internal/demo/stand_in.py
@@ -1,4 +1,4 @@
-"""Stand in for a backend server, healthy or failing gray."""
+"""Stand-in backend servers, healthy or with a gray failure."""
 
 import abc
 import json
@@ -15,8 +15,8 @@
 from pimentobend_adapters._internal.http.server import HttpServer
 
 LEASE_S = 6.0
-RENEW_S = 2.0
-ANNOUNCE_RETRY_S = 0.2
+RENEW_S = 2.0  # interval of the announcements that renew the lease
+ANNOUNCE_RETRY_S = 0.2  # after a failed announcement
 ANNOUNCE_TIMEOUT_S = 2.0
 PROBE_PATH = "/health"
 
@@ -24,46 +24,46 @@
 
 
 class Behaviour(abc.ABC):
-    """Decide how a stand-in server treats one piece of work."""
+    """How a stand-in server handles a request other than a probe."""
 
     @abc.abstractmethod
     def serve(self) -> int:
-        """Do the work and return the HTTP status."""
+        """Handle one request and return the HTTP status."""
 
 
-class Fine(Behaviour):
-    """Answer after the usual time."""
+class Healthy(Behaviour):
+    """Answers with status 200 after a fixed service time."""
 
     def __init__(self, service_time_s: float) -> None:
         self._service_time_s = service_time_s
 
     def serve(self) -> int:
-        """Wait for the service time and succeed."""
+        """Sleep for the service time and return 200."""
         eventlet.sleep(self._service_time_s)
         return 200
 
 
 class HalfAlive(Behaviour):
-    """Fail real work at once; probes are answered elsewhere."""
+    """Fails every request at once, while the server still answers probes."""
 
     def serve(self) -> int:
-        """Fail."""
+        """Return 500."""
         return 500
 
 
 class StandInOptions(NamedTuple):
-    """Describe one stand-in server."""
+    """What a stand-in server announces about itself, and to which daemon."""
 
     server_id: str
     service: str
     slots: int
     data_centre: str
     region: str
-    daemon: Address  # its servers' interface
+    daemon: Address  # of the daemon's interface for servers
 
 
 class StandInServer:
-    """Serve requests, count runs, and announce itself to a daemon."""
+    """Serves requests, records executed requests and announces itself to a daemon."""
 
     def __init__(
         self, options: StandInOptions, address: Address, behaviour: Behaviour
@@ -76,15 +76,15 @@
         self._state = "ready"
         self._incarnation = time.time_ns()
         self._announcer: Any = None
-        self.runs: list[str] = []  # the key of each piece of work that ran
+        self.runs: list[str] = []  # idempotency key of each executed request, or ""
 
     @property
     def address(self) -> Address:
-        """Return the address that it serves on."""
+        """Return the address that the server listens on."""
         return self._http.address
 
     def start(self) -> None:
-        """Serve, and announce until stopped."""
+        """Start serving, and announce the server until it is stopped."""
         self._http.start()
         self._announcer = eventlet.spawn(self._announce)
 
@@ -95,14 +95,14 @@
         self._http.close()
 
     def drain(self) -> None:
-        """Announce that it takes no more work."""
+        """Announce that the server takes no new requests."""
         self._state = "draining"
         self._send_announcement()
 
     def __call__(
         self, environ: Environ, start_response: Callable[..., Any]
     ) -> list[bytes]:
-        """Answer one request."""
+        """Handle one request or probe as a WSGI application."""
         if environ["PATH_INFO"] == PROBE_PATH:
             return self._reply(start_response, 200, "probe answered")
         environ["wsgi.input"].read()
--- a/packages/client/src/pimentobend/_internal/exceptions.py
+++ b/packages/client/src/pimentobend/_internal/exceptions.py
@@ -1,22 +1,22 @@
-"""Define the errors of the operators' client."""
+"""Errors of the operators' client."""
 
 from pimentobend_core._internal.exceptions import PimentobendError
 
 
 class ClientError(PimentobendError):
-    """Report why a command cannot go on."""
+    """A command failed; base class of the client's errors."""
 
 
 class UsageError(ClientError):
-    """Report a command line that cannot be understood."""
+    """The command line is invalid."""
 
 
 class UnreachableError(ClientError):
-    """Report that no daemon answered at an address."""
+    """No HTTP response came from the daemon's address."""
 
 
 class RefusedError(ClientError):
-    """Report that a daemon refused a request."""
+    """The daemon, or the local check before it, refused the request."""
 
     def __init__(
         self, status: int, message: str, faults: tuple[str, ...], hint: str
--- a/packages/client/src/pimentobend/_internal/main.py
+++ b/packages/client/src/pimentobend/_internal/main.py
@@ -1,4 +1,4 @@
-"""Run one command of the client."""
+"""Parse the command name, run the command and map errors to exit codes."""
 
 import sys
 from collections.abc import Sequence
@@ -12,7 +12,7 @@
 from pimentobend_core._internal.exceptions import PimentobendError
 
 HTTP_CONFLICT = 409
-HTTP_FAULTS = 422
+HTTP_UNPROCESSABLE = 422
 
 
 def run(argv: Sequence[str]) -> Status:
@@ -33,7 +33,7 @@
 
 
 def print_usage() -> None:
-    """Print the commands with their summaries."""
+    """Print the usage line and the summary of each command."""
     print("usage: pimentobend <command> [options] [arguments]")
     for name, entry in sorted(COMMANDS.items()):
         print(f"  {name:10} {entry.summary}")
@@ -49,4 +49,4 @@
     return Status.ERROR
 
 
-_REFUSALS = {HTTP_CONFLICT: Status.CONFLICT, HTTP_FAULTS: Status.FAULTS}
+_REFUSALS = {HTTP_CONFLICT: Status.CONFLICT, HTTP_UNPROCESSABLE: Status.FAULTS}
--- a/packages/client/src/pimentobend/_internal/operators.py
+++ b/packages/client/src/pimentobend/_internal/operators.py
@@ -1,4 +1,4 @@
-"""Speak with the operators' interface of a daemon."""
+"""HTTP client for the operators' interface of a daemon."""
 
 import json
 import pathlib
@@ -19,7 +19,7 @@
 
 
 class OperatorsClient:
-    """Send requests to one daemon."""
+    """Sends requests to the operators' interface of one daemon."""
 
     def __init__(self, address: str, token_file: str | None) -> None:
         self._address = address
@@ -29,15 +29,15 @@
         )
 
     def get(self, path: str, **query: str) -> Document:
-        """Read a document; raise UnreachableError or RefusedError."""
+        """Send a GET request; raise UnreachableError or RefusedError."""
         return self._send("GET", path, None, query)
 
     def put(self, path: str, content: bytes, **query: str) -> Document:
-        """Replace a document; raise UnreachableError or RefusedError."""
+        """Send a PUT request; raise UnreachableError or RefusedError."""
         return self._send("PUT", path, content, query)
 
     def post(self, path: str, **query: str) -> Document:
-        """Ask for an action; raise UnreachableError or RefusedError."""
+        """Send a POST request; raise UnreachableError or RefusedError."""
         return self._send("POST", path, b"", query)
 
     def _send(
@@ -50,11 +50,11 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise UnreachableError(
-                "no daemon answers",
+                "no response from the daemon",
                 context=f"{self._address}: {type(error).__name__}",
                 hint="is the daemon running? set --operators=HOST:PORT",
             ) from error
-        return _read(response.status, response.data)
+        return _parse_response(response.status, response.data)
 
     def _headers(self) -> dict[str, str]:
         if self._token_file is None:
@@ -63,17 +63,18 @@
             token = pathlib.Path(self._token_file).read_text(encoding="utf-8").strip()
         except OSError as error:
             raise ClientError(
-                "cannot read the token file", context=str(error.strerror)
+                "cannot read the token file",
+                context=f"{self._token_file}: {error.strerror}",
             ) from error
         return {"Authorization": f"Bearer {token}"}
 
 
-def _read(status: int, content: bytes) -> Document:
+def _parse_response(status: int, content: bytes) -> Document:
     try:
         document = json.loads(content)
     except ValueError as error:
         raise ClientError(
-            "the answer is not JSON",
+            "the response is not JSON",
             context=f"status {status}",
             hint="is this the operators' address of a daemon?",
         ) from error
--- a/packages/client/src/pimentobend/_internal/registry.py
+++ b/packages/client/src/pimentobend/_internal/registry.py
@@ -1,4 +1,4 @@
-"""Find the client's commands without importing them all."""
+"""Registry of the client's commands; each is imported only when it runs."""
 
 import importlib
 from typing import NamedTuple
@@ -6,36 +6,52 @@
 from pimentobend._internal.command import Command
 
 
-class Entry(NamedTuple):
-    """Say where a command lives."""
+class CommandEntry(NamedTuple):
+    """Location and summary of a command."""
 
-    module: str  # below pimentobend._internal.commands
+    module: str  # relative to pimentobend._internal.commands
     class_name: str
     summary: str
-    is_patched: bool = False  # runs tasks, so the runtime goes in first
-
-
-COMMANDS: dict[str, Entry] = {
-    "apply": Entry("apply", "ApplyCommand", "put tables in force"),
-    "demo": Entry("demo", "DemoCommand", "try the whole system in one process", True),
-    "diff": Entry("diff", "DiffCommand", "compare tables with those in force"),
-    "drain": Entry("drain", "DrainCommand", "take a backend server out of work"),
-    "dump": Entry("dump", "DumpCommand", "print a process's state"),
-    "lookup": Entry("lookup", "LookupCommand", "find what became of a key"),
-    "show": Entry("show", "ShowCommand", "list rows of the fleet's state"),
-    "stand-in": Entry(
+    needs_monkey_patch: bool = False  # uses green threads, so eventlet patches first
+
+
+COMMANDS: dict[str, CommandEntry] = {
+    "apply": CommandEntry("apply", "ApplyCommand", "replace the tables in force"),
+    "demo": CommandEntry(
+        "demo", "DemoCommand", "run and check the whole system in one process", True
+    ),
+    "diff": CommandEntry(
+        "diff", "DiffCommand", "compare a tables file with the tables in force"
+    ),
+    "drain": CommandEntry(
+        "drain", "DrainCommand", "stop sending new requests to a backend server"
+    ),
+    "dump": CommandEntry(
+        "dump", "DumpCommand", "print the internal state of a daemon process"
+    ),
+    "lookup": CommandEntry(
+        "lookup", "LookupCommand", "show the ledger entry of an idempotency key"
+    ),
+    "show": CommandEntry(
+        "show", "ShowCommand", "list routes, pools, servers, ejections or members"
+    ),
+    "stand-in": CommandEntry(
         "stand_in", "StandInCommand", "run a stand-in backend server", True
     ),
-    "status": Entry("status", "StatusCommand", "tell which processes are behind"),
-    "story": Entry("story", "StoryCommand", "tell what became of a request"),
-    "validate": Entry("validate", "ValidateCommand", "check tables in a file"),
+    "status": CommandEntry(
+        "status", "StatusCommand", "show the version in force and members behind it"
+    ),
+    "story": CommandEntry(
+        "story", "StoryCommand", "show what the logs record of a request"
+    ),
+    "validate": CommandEntry("validate", "ValidateCommand", "check a tables file"),
 }
 
 
 def create_command(name: str) -> Command:
-    """Import and create a command; raise KeyError for an unknown name."""
+    """Import the command's module and create it; KeyError if the name is unknown."""
     entry = COMMANDS[name]
-    if entry.is_patched:
+    if entry.needs_monkey_patch:
         eventlet = importlib.import_module("eventlet")
         eventlet.monkey_patch()
     module = importlib.import_module(f"pimentobend._internal.commands.{entry.module}")
--- a/packages/client/src/pimentobend/_internal/stories.py
+++ b/packages/client/src/pimentobend/_internal/stories.py
@@ -1,16 +1,16 @@
-"""Put together what the logs of a fleet say of one request."""
+"""Collect the log lines of one request from the logs of several daemons."""
 
 import re
 from collections.abc import Iterable
 from typing import NamedTuple
 
 _PAIR = re.compile(r"(\w+)=('(?:[^'\\]|\\.)*'|\"(?:[^\"\\]|\\.)*\"|[^\s]+)")
-_NEEDED = ("timestamp", "event")
+_REQUIRED = ("timestamp", "event")
 _HIDDEN = frozenset({"timestamp", "level", "event", "instance", "request_id"})
 
 
-class Line(NamedTuple):
-    """Hold one line of a log."""
+class LogLine(NamedTuple):
+    """One parsed log line; ``values`` holds its other key-value pairs."""
 
     timestamp: str
     instance: str
@@ -19,27 +19,33 @@
 
 
 class Story(NamedTuple):
-    """Hold the lines on a request in their order."""
+    """The log lines of a request, sorted by timestamp."""
 
-    lines: tuple[Line, ...]
-    bad_lines: int  # that could not be read, in all logs
+    lines: tuple[LogLine, ...]
+    bad_lines: int  # lines of all logs that could not be parsed
 
 
-def parse_line(text: str) -> Line | None:
-    """Return a line of a log, or None where it is cut or none."""
+def parse_line(text: str) -> LogLine | None:
+    """Parse a log line; return None if it is truncated or not a log line."""
     values = {name: value.strip("'\"") for name, value in _PAIR.findall(text)}
-    if any(name not in values for name in _NEEDED):
+    if any(name not in values for name in _REQUIRED):
         return None
     shown = {name: value for name, value in values.items() if name not in _HIDDEN}
-    line = Line(values["timestamp"], values.get("instance", ""), values["event"], shown)
+    line = LogLine(
+        values["timestamp"], values.get("instance", ""), values["event"], shown
+    )
     if "request_id" in values:
         line.values["request_id"] = values["request_id"]
     return line
 
 
 def find_story(texts: Iterable[str], request_id: str) -> Story:
-    """Return the lines that name a request or one of its attempts."""
-    lines: list[Line] = []
+    """Return the lines with the request's id or the id of one of its attempts.
+
+    Lines of the daemon that passes an attempt to a backend server can carry the
+    attempt's id without the request's.
+    """
+    lines: list[LogLine] = []
     bad_lines = 0
     for text in texts:
         line = parse_line(text)
@@ -60,8 +66,8 @@
     return Story(tuple(sorted(found, key=lambda line: line.timestamp)), bad_lines)
 
 
-def describe(line: Line) -> str:
-    """Return a line for a reader."""
+def format_line(line: LogLine) -> str:
+    """Format a log line as text in aligned columns."""
     values = " ".join(
         f"{name}={value}" for name, value in line.values.items() if name != "request_id"
     )
