Reword the traffic benchmarks

"Crest of demand", "short work", `came`, `possible`, `_give`, `_later` and `named` made a reader guess; Crest and HeadOfLine were the only commands whose classes didn't end in Command.

The texts now speak of a peak of demand, short requests and achievable goodput; the simulation has call_later/call_at and deliver. Command names, flags, table columns and the values in them stay.

--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -30,9 +30,11 @@
     "false-ejections": Entry(
         "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
     ),
-    "crest": Entry("traffic.crest", "Crest", "goodput and latency at a crest"),
+    "crest": Entry(
+        "traffic.crest", "CrestCommand", "goodput and latency during a peak of demand"
+    ),
     "head-of-line": Entry(
-        "traffic.head_of_line", "HeadOfLine", "short work behind stragglers"
+        "traffic.head_of_line", "HeadOfLineCommand", "short requests behind long ones"
     ),
     "slopes": Entry(
         "capacity.slopes",
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the decisions of a request on simulated servers."""
+"""Benchmarks of load balancing and queueing, on simulated servers."""
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/baselines.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/baselines.py
@@ -1,4 +1,4 @@
-"""Decide traffic as a plain proxy does, to compare with."""
+"""Baseline policies that balance load and queue as a plain proxy does."""
 
 from collections.abc import Mapping
 
@@ -18,14 +18,14 @@
 
 
 class RoundRobinTraffic(StatefulFilter[TrafficInput, TrafficOutput]):
-    """Send each request on at once, to the next server in turn."""
+    """Sends each request at once to the next server in turn, without queueing."""
 
     def __init__(self, seed: int) -> None:
         self._servers: tuple[Server, ...] = ()
         self._turn = seed
 
     def handle(self, message: TrafficInput, now: float) -> tuple[TrafficOutput, ...]:
-        """Take one message at ``now`` (seconds) and return those that follow."""
+        """Handle one message at ``now`` (seconds) and return the messages it causes."""
         match message:
             case ServersChanged():
                 self._servers = message.servers
@@ -41,7 +41,10 @@
 
 
 class FifoQueueTraffic(StatefulFilter[TrafficInput, TrafficOutput]):
-    """Queue in order of arrival, with an equal part of each server's slots."""
+    """Queues requests first-in, first-out.
+
+    Each daemon uses an equal share of all slots and knows nothing of the others.
+    """
 
     def __init__(self, seed: int, daemons: int, queue_limit: int) -> None:
         self._turn = seed
@@ -52,7 +55,7 @@
         self._queue: list[Acquire] = []
 
     def handle(self, message: TrafficInput, now: float) -> tuple[TrafficOutput, ...]:
-        """Take one message at ``now`` (seconds) and return those that follow."""
+        """Handle one message at ``now`` (seconds) and return the messages it causes."""
         match message:
             case ServersChanged():
                 self._servers = message.servers
@@ -65,7 +68,7 @@
             case Abandon():
                 self._in_use.pop(message.ticket, None)
                 self._queue = [
-                    one for one in self._queue if one.ticket != message.ticket
+                    queued for queued in self._queue if queued.ticket != message.ticket
                 ]
         return self._dispatch()
 
@@ -74,16 +77,16 @@
         return {"queued": len(self._queue), "in_flight": len(self._in_use)}
 
     def _dispatch(self) -> tuple[TrafficOutput, ...]:
-        given = []
+        granted = []
         total = sum(server.slots for server in self._servers)
-        part = max(1, round(total / self._daemons))
-        while self._queue and len(self._in_use) < part:
+        share = max(1, round(total / self._daemons))
+        while self._queue and len(self._in_use) < share:
             message = self._queue.pop(0)
             self._turn += 1
             server = self._servers[self._turn % len(self._servers)]
             self._in_use[message.ticket] = server.server_id
-            given.append(Granted(message.ticket, server))
-        return tuple(given)
+            granted.append(Granted(message.ticket, server))
+        return tuple(granted)
 
 
 def _queue_full() -> Refusal:
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
@@ -1,4 +1,4 @@
-"""Measure service at a crest of demand."""
+"""Benchmark of goodput and latency during a peak of demand."""
 
 import argparse
 import collections
@@ -12,51 +12,51 @@
 from pimentobend_bench._internal.traffic.shapes import PIMENTOBEND
 from pimentobend_bench._internal.traffic.shapes import SHAPES
 from pimentobend_bench._internal.traffic.shapes import Policy
-from pimentobend_bench._internal.traffic.shapes import named
+from pimentobend_bench._internal.traffic.shapes import find_policies
 from pimentobend_bench._internal.traffic.shapes import quantile
 from pimentobend_bench._internal.traffic.simulation import Arrival
 from pimentobend_bench._internal.traffic.simulation import Outcome
 from pimentobend_bench._internal.traffic.simulation import Place
 from pimentobend_bench._internal.traffic.simulation import Shape
 from pimentobend_bench._internal.traffic.simulation import Simulation
-from pimentobend_bench._internal.traffic.simulation import Traffic
+from pimentobend_bench._internal.traffic.simulation import TrafficFilter
 from pimentobend_bench._internal.traffic.simulation import create_arrivals
 
 MEAN_LOAD = 0.4  # of capacity
 RISE_AT_S = 10.0
-RISE_S = 1.0
-CREST_S = 10.0
-END_S = 26.0
+RISE_S = 1.0  # the fall after the peak takes as long
+PEAK_S = 10.0
+END_S = 26.0  # of the arrivals
 TIMEOUT_S = 2.0
 ORGANISATIONS = 85_000
-HEAVY_SHARE = 0.2  # of all requests, from one organisation
-TARGET_GOODPUT = 0.95
-SERVICE_SHAPE = 4.0  # of the gamma distribution
+HEAVY_SHARE = 0.2  # of all requests come from one organisation, "o0"
+TARGET_GOODPUT = 0.95  # of what the slots can serve
+SERVICE_SHAPE = 4.0  # shape parameter of the gamma distribution of service times
 
 
 class CrestResult(NamedTuple):
-    """Hold the figures of one run; times are in milliseconds."""
+    """Measurements of one run, for the requests of the peak."""
 
-    goodput: float  # of what the slots can give
+    goodput: float  # share of what the slots can serve
     p50_ms: float
     p99_ms: float
     refused: int
     late: int
-    gave_up: int
-    sheds: int
-    light_p99_ms: float  # of the small organisations' requests
-    light_answered: float  # share of the small organisations' requests
+    gave_up: int  # no retry was left after a server shed the request
+    sheds: int  # attempts that servers refused, over the whole run
+    light_p99_ms: float  # of all organisations but the heavy one
+    light_answered: float  # share of their requests that were answered in time
 
 
-class Crest(Command):
-    """Raise demand to several times its mean within a second."""
+class CrestCommand(Command):
+    """Raises demand to a multiple of its mean within a second and holds it there."""
 
     name = "crest"
     usage = "crest [--seed N] [--multiple X ...] [--mode shed|backlog] [--shape T]"
-    summary = "goodput and latency at a crest of demand"
+    summary = "goodput and latency during a peak of demand"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Run every shape and policy, and return whether the target is met."""
+        """Run all combinations; TARGET_MISSED if a row of pimentobend is below it."""
         options = _parse(self.usage, args)
         print(f"crest, seed {options.seed}, servers that {options.mode}")
         print(
@@ -70,7 +70,7 @@
             if options.shape not in shape.name:
                 continue
             for multiple in options.multiple:
-                for policy in named(options.policy):
+                for policy in find_policies(options.policy):
                     result = measure(
                         shape._replace(mode=mode), policy, multiple, options.seed
                     )
@@ -82,11 +82,11 @@
 
 
 def measure(shape: Shape, policy: Policy, multiple: float, seed: int) -> CrestResult:
-    """Run one shape and policy through the crest."""
+    """Simulate one shape and policy with the peak and return the measurements."""
 
     def load(at: float) -> float:
         rise = min(1.0, max(0.0, (at - RISE_AT_S) / RISE_S))
-        fall = min(1.0, max(0.0, (at - RISE_AT_S - RISE_S - CREST_S) / RISE_S))
+        fall = min(1.0, max(0.0, (at - RISE_AT_S - RISE_S - PEAK_S) / RISE_S))
         return MEAN_LOAD * (1 + (multiple - 1) * (rise - fall))
 
     def draw(rng: random.Random, at: float, daemon: int) -> Arrival:
@@ -97,7 +97,7 @@
         )
         return Arrival(at, daemon, "route", f"o{number}", service_s, TIMEOUT_S, False)
 
-    def create(number: int, place: Place) -> Traffic:
+    def create(number: int, place: Place) -> TrafficFilter:
         return policy.create(shape, number, place, seed)
 
     arrivals = create_arrivals(shape, seed, END_S, load, draw)
@@ -109,23 +109,30 @@
     shape: Shape, multiple: float, simulation: Simulation, outcomes: list[Outcome]
 ) -> CrestResult:
     begin = RISE_AT_S + RISE_S
-    end = begin + CREST_S
-    good = [one for one in outcomes if one.is_good and begin <= one.ended_at < end]
-    possible = min(1.0, MEAN_LOAD * multiple) * shape.capacity_per_s * CREST_S
-    came = [one for one in outcomes if begin <= one.arrival.at < end]
-    reasons = collections.Counter(one.reason for one in came)
-    light = [one for one in came if one.arrival.organisation != "o0"]
-    latencies = [one.latency_s for one in came if one.is_good]
+    end = begin + PEAK_S
+    good = [
+        outcome
+        for outcome in outcomes
+        if outcome.is_good and begin <= outcome.ended_at < end
+    ]
+    achievable = min(1.0, MEAN_LOAD * multiple) * shape.capacity_per_s * PEAK_S
+    arrived = [outcome for outcome in outcomes if begin <= outcome.arrival.at < end]
+    reasons = collections.Counter(outcome.reason for outcome in arrived)
+    light = [outcome for outcome in arrived if outcome.arrival.organisation != "o0"]
+    latencies = [outcome.latency_s for outcome in arrived if outcome.is_good]
     return CrestResult(
-        goodput=len(good) / possible,
+        goodput=len(good) / achievable,
         p50_ms=1000 * quantile(latencies, 0.5),
         p99_ms=1000 * quantile(latencies, 0.99),
-        refused=len(came) - reasons["answered"] - reasons["late"] - reasons["backend"],
+        refused=len(arrived)
+        - reasons["answered"]
+        - reasons["late"]
+        - reasons["backend"],
         late=reasons["late"],
         gave_up=reasons["backend"],
         sheds=simulation.sheds,
         light_p99_ms=1000 * quantile([o.latency_s for o in light if o.is_good], 0.99),
-        light_answered=sum(one.is_good for one in light) / max(1, len(light)),
+        light_answered=sum(outcome.is_good for outcome in light) / max(1, len(light)),
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
@@ -1,4 +1,4 @@
-"""Measure short work behind stragglers."""
+"""Benchmark of head-of-line blocking: short requests behind long ones."""
 
 import argparse
 import random
@@ -11,52 +11,52 @@
 from pimentobend_bench._internal.traffic.shapes import PIMENTOBEND
 from pimentobend_bench._internal.traffic.shapes import SHAPES
 from pimentobend_bench._internal.traffic.shapes import Policy
-from pimentobend_bench._internal.traffic.shapes import named
+from pimentobend_bench._internal.traffic.shapes import find_policies
 from pimentobend_bench._internal.traffic.shapes import quantile
 from pimentobend_bench._internal.traffic.simulation import Arrival
 from pimentobend_bench._internal.traffic.simulation import Outcome
 from pimentobend_bench._internal.traffic.simulation import Place
 from pimentobend_bench._internal.traffic.simulation import Shape
 from pimentobend_bench._internal.traffic.simulation import Simulation
-from pimentobend_bench._internal.traffic.simulation import Traffic
+from pimentobend_bench._internal.traffic.simulation import TrafficFilter
 from pimentobend_bench._internal.traffic.simulation import create_arrivals
 
-STRAGGLER_SHARE = 0.01
-STRAGGLER_MULTIPLE = 30.0
-BEGIN_S = 10.0  # the first seconds warm up
-END_S = 40.0
+STRAGGLER_SHARE = 0.01  # of all requests
+STRAGGLER_MULTIPLE = 30.0  # of the usual service time
+BEGIN_S = 10.0  # earlier requests are warm-up and not counted
+END_S = 40.0  # of the arrivals
 TIMEOUT_S = 10.0
 ORGANISATIONS = 85_000
-SERVICE_SHAPE = 4.0  # of the gamma distribution
-TARGET_RATIO = 1.5
+SERVICE_SHAPE = 4.0  # shape parameter of the gamma distribution of service times
+TARGET_RATIO = 1.5  # highest p99 with stragglers over p99 without
 
 
 class Run(NamedTuple):
-    """Choose what one run does."""
+    """Parameters of one run."""
 
     shape: Shape
     load: float  # of capacity, without stragglers
-    own_route: bool  # do the stragglers have a route of their own
+    own_route: bool  # the stragglers have a route of their own
     seed: int
 
 
 class HeadOfLineResult(NamedTuple):
-    """Hold the short requests' figures; times are in milliseconds."""
+    """Measurements of the short requests of one run."""
 
     p50_ms: float
     p99_ms: float
     lost: int  # refused or late
 
 
-class HeadOfLine(Command):
-    """Compare short work's p99 with and without stragglers."""
+class HeadOfLineCommand(Command):
+    """Compares the p99 of short requests with and without stragglers."""
 
     name = "head-of-line"
     usage = "head-of-line [--seed N] [--load X ...] [--mode shed|backlog] [--shape T]"
-    summary = "short work's p99 behind requests that run 30 times longer"
+    summary = "p99 of short requests behind requests that take 30 times as long"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Run every shape and policy, and return whether the target is met."""
+        """Run all combinations; TARGET_MISSED if a row of pimentobend is above it."""
         options = _parse(self.usage, args)
         print(f"head-of-line, seed {options.seed}, servers that {options.mode}")
         print(
@@ -71,13 +71,13 @@
             for load in options.load:
                 for own_route in (False, True):
                     run = Run(shape._replace(mode=mode), load, own_route, options.seed)
-                    missed += _compare(run, named(options.policy))
+                    missed += _compare(run, find_policies(options.policy))
         print(f"{missed} rows of pimentobend above the target of {TARGET_RATIO}")
         return Status.TARGET_MISSED if missed else Status.SUCCESS
 
 
 def measure(run: Run, policy: Policy, share: float) -> HeadOfLineResult:
-    """Run one policy with a share of stragglers."""
+    """Simulate one policy with a share of stragglers and return the measurements."""
     shape = run.shape
 
     def draw(rng: random.Random, at: float, daemon: int) -> Arrival:
@@ -93,7 +93,7 @@
             at, daemon, route, organisation, service_s, TIMEOUT_S, is_straggler
         )
 
-    def create(number: int, place: Place) -> Traffic:
+    def create(number: int, place: Place) -> TrafficFilter:
         return policy.create(shape, number, place, run.seed)
 
     arrivals = create_arrivals(shape, run.seed, END_S, lambda _: run.load, draw)
@@ -102,11 +102,11 @@
 
 def _summarise(outcomes: list[Outcome]) -> HeadOfLineResult:
     short = [
-        one
-        for one in outcomes
-        if one.arrival.at >= BEGIN_S and not one.arrival.is_straggler
+        outcome
+        for outcome in outcomes
+        if outcome.arrival.at >= BEGIN_S and not outcome.arrival.is_straggler
     ]
-    latencies = [one.latency_s for one in short if one.is_good]
+    latencies = [outcome.latency_s for outcome in short if outcome.is_good]
     return HeadOfLineResult(
         1000 * quantile(latencies, 0.5),
         1000 * quantile(latencies, 0.99),
@@ -115,7 +115,7 @@
 
 
 def _compare(run: Run, policies: Sequence[Policy]) -> int:
-    """Print the rows of one run and return how many miss the target."""
+    """Print a row for each policy and return how many rows miss the target."""
     missed = 0
     for policy in policies:
         without = measure(run, policy, 0.0)
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/servers.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/servers.py
@@ -1,4 +1,4 @@
-"""Fake backend servers with true slots."""
+"""Simulated backend servers with a fixed number of slots."""
 
 import collections
 import enum
@@ -7,33 +7,33 @@
 
 from pimentobend_core._internal.models.request import LoadReport
 
-BACKLOG = 64  # requests
+MAX_BACKLOG = 64  # requests that wait on one server
 
 
 class OverflowMode(enum.Enum):
-    """Name what a server does with work beyond its slots."""
+    """What a server does with a request when all of its slots are in use."""
 
     SHED = "shed"
     BACKLOG = "backlog"
 
 
 class Work(NamedTuple):
-    """Carry one request on a server; ``service_s`` is its true size."""
+    """One request on a server; ``done`` is called when it ends."""
 
-    service_s: float
+    service_s: float  # actual service time
     deadline: float
     done: Callable[[], None]
 
 
 class FakeServer:
-    """Run work on a fixed number of slots, and shed or queue the rest."""
+    """Serves requests on a fixed number of slots, and sheds or queues the rest."""
 
     def __init__(
-        self, slots: int, mode: OverflowMode, later: Callable[..., None]
+        self, slots: int, mode: OverflowMode, call_later: Callable[..., None]
     ) -> None:
         self._slots = slots
         self._mode = mode
-        self._later = later
+        self._call_later = call_later
         self._running = 0
         self._backlog: collections.deque[Work] = collections.deque()
         self._busy_s = 0.0
@@ -41,24 +41,24 @@
 
     @property
     def busy_s(self) -> float:
-        """Return the seconds that slots have worked or will work."""
+        """Return the slot seconds of all requests started so far."""
         return self._busy_s
 
     @property
     def peak(self) -> int:
-        """Return the most slots in use at one time."""
+        """Return the highest number of slots in use at one time."""
         return self._peak
 
     def report(self) -> LoadReport:
-        """Return the load that the server states on an answer."""
+        """Return the load that the server reports on a response."""
         return LoadReport(self._running + len(self._backlog), self._slots)
 
     def offer(self, work: Work) -> bool:
-        """Take work, or return False when the server sheds it."""
+        """Accept a request, or return False if the server sheds it."""
         if self._running < self._slots:
             self._start(work)
             return True
-        if self._mode is OverflowMode.BACKLOG and len(self._backlog) < BACKLOG:
+        if self._mode is OverflowMode.BACKLOG and len(self._backlog) < MAX_BACKLOG:
             self._backlog.append(work)
             return True
         return False
@@ -67,10 +67,10 @@
         self._running += 1
         self._peak = max(self._peak, self._running)
         self._busy_s += work.service_s
-        self._later(work.service_s, self._finish, work)
+        self._call_later(work.service_s, self._finish, work)
 
     def _finish(self, work: Work) -> None:
-        work.done()  # the report on the answer counts this request
+        work.done()  # before the decrement: the reported load includes this request
         self._running -= 1
         if self._backlog:
             self._start(self._backlog.popleft())
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/shapes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/shapes.py
@@ -1,4 +1,4 @@
-"""Define the services, the policies compared and the table's rows."""
+"""Simulated services, compared policies and a quantile function."""
 
 import math
 from collections.abc import Callable
@@ -9,11 +9,11 @@
 from pimentobend_bench._internal.traffic.baselines import RoundRobinTraffic
 from pimentobend_bench._internal.traffic.simulation import Place
 from pimentobend_bench._internal.traffic.simulation import Shape
-from pimentobend_bench._internal.traffic.simulation import Traffic
+from pimentobend_bench._internal.traffic.simulation import TrafficFilter
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.traffic.pool import PoolTraffic
 
-QUEUE_LIMIT = 256
+QUEUE_LIMIT = 256  # requests per daemon
 
 QALAMKAR_PLACES = (
     Place("lahore-a", "punjab"),
@@ -39,22 +39,22 @@
 
 
 class Policy(NamedTuple):
-    """Name a policy and how a daemon's part of it is created."""
+    """A policy; ``create`` returns its traffic filter for one daemon."""
 
     name: str
-    create: Callable[[Shape, int, Place, int], Traffic]
+    create: Callable[[Shape, int, Place, int], TrafficFilter]
 
 
-def _pool_traffic(shape: Shape, number: int, place: Place, seed: int) -> Traffic:
+def _pool_traffic(shape: Shape, number: int, place: Place, seed: int) -> TrafficFilter:
     pool = Pool("pool", shape.name, 0.5, QUEUE_LIMIT, False)
     return PoolTraffic(pool, place.data_centre, place.region, 1000 * seed + number)
 
 
-def _round_robin(shape: Shape, number: int, place: Place, seed: int) -> Traffic:
+def _round_robin(shape: Shape, number: int, place: Place, seed: int) -> TrafficFilter:
     return RoundRobinTraffic(seed + number)
 
 
-def _fifo_queue(shape: Shape, number: int, place: Place, seed: int) -> Traffic:
+def _fifo_queue(shape: Shape, number: int, place: Place, seed: int) -> TrafficFilter:
     return FifoQueueTraffic(seed + number, shape.daemons, QUEUE_LIMIT)
 
 
@@ -64,13 +64,13 @@
 POLICIES = (PIMENTOBEND, ROUND_ROBIN, FIFO_QUEUE)
 
 
-def named(text: str) -> list[Policy]:
-    """Return the policies whose name holds ``text``."""
+def find_policies(text: str) -> list[Policy]:
+    """Return the policies whose name contains ``text``."""
     return [policy for policy in POLICIES if text in policy.name]
 
 
 def quantile(values: Sequence[float], share: float) -> float:
-    """Return a quantile by nearest rank, or NaN of nothing."""
+    """Return a quantile by nearest rank, or NaN if there are no values."""
     if not values:
         return math.nan
     ordered = sorted(values)
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
@@ -1,4 +1,4 @@
-"""Run several daemons' traffic before shared fake servers, in simulated time."""
+"""Discrete-event simulation of several daemons that share backend servers."""
 
 import heapq
 import random
@@ -25,42 +25,42 @@
 from pimentobend_core._internal.traffic.retries import RetryBudget
 
 TICK_S = 0.05
-REGION_LATENCY_S = 0.0005  # one way
-FAR_LATENCY_S = 0.03  # one way
-CLIENT_LATENCY_S = 0.001  # one way
+REGION_LATENCY_S = 0.0005  # one way, within a region
+FAR_LATENCY_S = 0.03  # one way, to another region
+CLIENT_LATENCY_S = 0.001  # one way, between caller and daemon
 
-Traffic = StatefulFilter[TrafficInput, TrafficOutput]
+TrafficFilter = StatefulFilter[TrafficInput, TrafficOutput]
 
 
 class Place(NamedTuple):
-    """Name a data centre and its region."""
+    """A data centre and its region."""
 
     data_centre: str
     region: str
 
 
 class Shape(NamedTuple):
-    """Describe one service's servers and the daemons before them."""
+    """Size of one simulated service: its servers and the daemons that call them."""
 
     name: str
     servers: int
-    slots: int
+    slots: int  # per server
     daemons: int
-    places: tuple[Place, ...]
+    places: tuple[Place, ...]  # daemons and servers take these in turn
     mean_service_s: float
     mode: OverflowMode = OverflowMode.SHED
 
     @property
     def capacity_per_s(self) -> float:
-        """Return the requests of mean size that the slots can serve."""
+        """Return how many requests of mean service time the slots serve per second."""
         return self.servers * self.slots / self.mean_service_s
 
 
 class Arrival(NamedTuple):
-    """Describe one request of a caller."""
+    """A request as the caller sends it."""
 
-    at: float
-    daemon: int
+    at: float  # simulated seconds
+    daemon: int  # index of the daemon
     route: str
     organisation: str
     service_s: float
@@ -69,26 +69,26 @@
 
 
 class Outcome(NamedTuple):
-    """Tell how a request ended; a refusal has a reason."""
+    """How a request ended."""
 
     arrival: Arrival
     ended_at: float
-    reason: str  # "answered", "late" or why it was refused
+    reason: str  # "answered", "late", "backend" (no retry left) or a refusal's
     attempts: int
 
     @property
     def latency_s(self) -> float:
-        """Return the time since the request was due."""
+        """Return the seconds from the request's arrival to its end."""
         return self.ended_at - self.arrival.at
 
     @property
     def is_good(self) -> bool:
-        """Say whether the answer came in time."""
+        """Return whether the response came before the deadline."""
         return self.reason == "answered"
 
 
 class Request:
-    """Follow one request through its attempts."""
+    """State of one request across its attempts."""
 
     def __init__(self, arrival: Arrival) -> None:
         self.arrival = arrival
@@ -98,17 +98,19 @@
 
 
 class Simulation:
-    """Own the simulated clock, the servers and the daemons."""
+    """The simulated clock with its event queue, the servers and the daemons."""
 
-    def __init__(self, shape: Shape, create: Callable[[int, Place], Traffic]) -> None:
+    def __init__(
+        self, shape: Shape, create: Callable[[int, Place], TrafficFilter]
+    ) -> None:
         self._shape = shape
         self._now = 0.0
         self._count = 0
         self._events: list[tuple[float, int, Callable[..., None], tuple[object, ...]]]
         self._events = []
-        self._servers = _servers(shape)
+        self._servers = _create_servers(shape)
         self._fakes = {
-            server.server_id: FakeServer(server.slots, shape.mode, self._later)
+            server.server_id: FakeServer(server.slots, shape.mode, self._call_later)
             for server in self._servers
         }
         self._places = [
@@ -124,42 +126,44 @@
 
     @property
     def outcomes(self) -> list[Outcome]:
-        """Return how every request ended."""
+        """Return the outcomes of the requests that have ended."""
         return self._outcomes
 
     @property
     def sheds(self) -> int:
-        """Return the attempts that servers shed."""
+        """Return how many attempts the servers shed."""
         return self._sheds
 
     @property
     def busy_s(self) -> float:
-        """Return the slot seconds worked."""
+        """Return the slot seconds of all servers."""
         return sum(fake.busy_s for fake in self._fakes.values())
 
     def run(self, arrivals: list[Arrival]) -> list[Outcome]:
-        """Run all arrivals to their ends and return the outcomes."""
+        """Simulate until every arrival has ended and return the outcomes."""
         for number in range(len(self._daemons)):
-            self._give(number, ServersChanged(self._servers))
-            self._later(TICK_S * number / len(self._daemons), self._tick, number)
+            self._deliver(number, ServersChanged(self._servers))
+            self._call_later(TICK_S * number / len(self._daemons), self._tick, number)
         for arrival in arrivals:
-            self._at(arrival.at + CLIENT_LATENCY_S, self._arrive, Request(arrival))
+            self._call_at(arrival.at + CLIENT_LATENCY_S, self._arrive, Request(arrival))
         expected = len(arrivals)
         while self._events and len(self._outcomes) < expected:
             self._now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
         return self._outcomes
 
-    def _at(self, when: float, action: Callable[..., None], *args: object) -> None:
+    def _call_at(self, when: float, action: Callable[..., None], *args: object) -> None:
         self._count += 1
         heapq.heappush(self._events, (when, self._count, action, args))
 
-    def _later(self, delay: float, action: Callable[..., None], *args: object) -> None:
-        self._at(self._now + delay, action, *args)
+    def _call_later(
+        self, delay: float, action: Callable[..., None], *args: object
+    ) -> None:
+        self._call_at(self._now + delay, action, *args)
 
     def _tick(self, number: int) -> None:
-        self._give(number, TrafficTick())
-        self._later(TICK_S, self._tick, number)
+        self._deliver(number, TrafficTick())
+        self._call_later(TICK_S, self._tick, number)
 
     def _arrive(self, request: Request) -> None:
         self._acquire(request, is_retry=False)
@@ -178,9 +182,9 @@
             excluded=request.excluded,
             is_retry=is_retry,
         )
-        self._give(arrival.daemon, message)
+        self._deliver(arrival.daemon, message)
 
-    def _give(self, number: int, message: TrafficInput) -> None:
+    def _deliver(self, number: int, message: TrafficInput) -> None:
         for output in self._daemons[number].handle(message, self._now):
             request = self._waiting.pop(output.ticket)
             if isinstance(output, Rejected):
@@ -192,7 +196,7 @@
         request.attempts += 1
         is_far = granted.server.region != self._places[number].region
         latency_s = FAR_LATENCY_S if is_far else REGION_LATENCY_S
-        self._later(latency_s, self._serve, number, request, granted, latency_s)
+        self._call_later(latency_s, self._serve, number, request, granted, latency_s)
 
     def _serve(
         self, number: int, request: Request, granted: Granted, latency_s: float
@@ -200,12 +204,12 @@
         fake = self._fakes[granted.server.server_id]
 
         def answer(kind: AttemptKind) -> None:
-            self._later(
+            self._call_later(
                 latency_s,
-                self._answered,
+                self._handle_response,
                 number,
                 request,
-                _ended(request, granted, kind, fake.report()),
+                _create_attempt_ended(request, granted, kind, fake.report()),
             )
 
         work = Work(
@@ -217,8 +221,10 @@
             self._sheds += 1
             answer(AttemptKind.REFUSED)
 
-    def _answered(self, number: int, request: Request, message: AttemptEnded) -> None:
-        self._give(number, message)
+    def _handle_response(
+        self, number: int, request: Request, message: AttemptEnded
+    ) -> None:
+        self._deliver(number, message)
         if message.kind is AttemptKind.ANSWERED:
             self._budgets[number].note_success()
             is_late = self._now + CLIENT_LATENCY_S > request.deadline
@@ -239,7 +245,7 @@
         )
 
 
-def _servers(shape: Shape) -> tuple[Server, ...]:
+def _create_servers(shape: Shape) -> tuple[Server, ...]:
     return tuple(
         Server(
             server_id=f"s{number:03}",
@@ -256,7 +262,7 @@
     )
 
 
-def _ended(
+def _create_attempt_ended(
     request: Request, granted: Granted, kind: AttemptKind, load: LoadReport
 ) -> AttemptEnded:
     return AttemptEnded(
@@ -279,7 +285,10 @@
     load: Callable[[float], float],
     draw: Callable[[random.Random, float, int], Arrival],
 ) -> list[Arrival]:
-    """Draw Poisson arrivals; ``load`` is a share of the capacity at a time."""
+    """Draw arrivals of a Poisson process with a varying rate, by thinning.
+
+    ``load`` returns the rate at a time, as a share of the capacity.
+    """
     rng = random.Random(seed)
     arrivals: list[Arrival] = []
     peak = max(load(step * until_s / 1000) for step in range(1000))
