Reword the health benchmarks

"Sick" servers, `_Watch`, `shown_at`, `Setting`, `_tell`, `_take`, `kept` and docstrings such as "Leave log-normal latencies" or "Lose a daemon's memory" had to be read twice.

Servers are faulty or healthy, the policy's Setting is PolicyContext, the condition class Crest is Peak (its outer name "crest" stays), Paths.is_whole is is_connected, and constants have units and meanings. Table columns and their values stay.

--- a/packages/bench/src/pimentobend_bench/_internal/health/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/__init__.py
@@ -1,1 +1,1 @@
-"""Measure detection and false ejections on a simulated fleet."""
+"""Benchmarks of fault detection and false ejections, on a simulated fleet."""
--- a/packages/bench/src/pimentobend_bench/_internal/health/detection.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/detection.py
@@ -1,4 +1,4 @@
-"""Measure how long failing servers stay in use."""
+"""Benchmark of the time from a server's fault to its ejection."""
 
 import statistics
 from collections.abc import Callable
@@ -22,12 +22,12 @@
 from pimentobend_bench._internal.health.shapes import SHAPES
 from pimentobend_bench._internal.health.shapes import Shape
 
-WARM_UP_S = 20.0
-LIMIT_S = 30.0
+WARM_UP_S = 20.0  # without a fault
+LIMIT_S = 30.0  # simulated time after the fault begins
 TARGET_S = 3.0
-POLL_S = 0.05
-OUT_WEIGHT = 0.1
-SICK = "3"
+POLL_INTERVAL_S = 0.05
+OUT_WEIGHT = 0.1  # a server counts as out of use at or below this weight
+FAULTY_SERVER = "3"
 ONE_SIDED = "one-sided"
 
 FAULTS: Mapping[str, Callable[[], Fault]] = {
@@ -45,72 +45,83 @@
 )
 
 
-class Run(NamedTuple):
-    """Give one run's measures; ``detected_s`` is None if it never was."""
+class RunResult(NamedTuple):
+    """Measurements of one run."""
 
-    detected_s: float | None
+    detected_s: float | None  # None if the fault was not detected
     false_ejections: int
     floor_violations: int
 
 
-class _Watch:
-    """Note the first attempt on the sick server after its fault began."""
+class _FirstAttempt:
+    """Records the first attempt on the faulty server after its fault began."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self.shown_at: float | None = None
+        self.at: float | None = None
 
     def poll(self) -> None:
-        if self.shown_at is None and self._fleet.started[SICK] > WARM_UP_S:
-            self.shown_at = self._fleet.started[SICK]
+        if self.at is None and self._fleet.started[FAULTY_SERVER] > WARM_UP_S:
+            self.at = self._fleet.started[FAULTY_SERVER]
 
 
-def measure(kind: str, shape: Shape, policy: EjectionPolicy, seed: int) -> Run:
-    """Run one fault and return when its server was out of use."""
+def measure(kind: str, shape: Shape, policy: EjectionPolicy, seed: int) -> RunResult:
+    """Simulate one kind of fault under one policy and return the measurements."""
     fleet = Fleet(shape, policy, seed)
     floor = FloorWatch(fleet)
     fleet.scheduler.run_until(WARM_UP_S)
     is_one_sided = kind == ONE_SIDED
-    watchers = fleet.daemons[:1] if is_one_sided else fleet.daemons
+    affected = fleet.daemons[:1] if is_one_sided else fleet.daemons
     if is_one_sided:
-        fleet.paths.cut(SICK, watchers[0])
+        fleet.paths.cut(FAULTY_SERVER, affected[0])
     else:
-        fleet.servers[SICK].fault = FAULTS[kind]()
-    detected_s = _wait(fleet, floor, watchers)
-    return Run(detected_s, _false_ejections(fleet, is_one_sided), len(floor.violations))
+        fleet.servers[FAULTY_SERVER].fault = FAULTS[kind]()
+    detected_s = _run_until_limit(fleet, floor, affected)
+    return RunResult(
+        detected_s, _false_ejections(fleet, is_one_sided), len(floor.violations)
+    )
+
 
+def _run_until_limit(
+    fleet: Fleet, floor: FloorWatch, daemons: Sequence[str]
+) -> float | None:
+    """Simulate up to the limit; return the seconds from first attempt to detection.
 
-def _wait(fleet: Fleet, floor: FloorWatch, watchers: Sequence[str]) -> float | None:
+    The fault counts as detected when the mean weight is down to OUT_WEIGHT.
+    """
     detected_s = None
-    watch = _Watch(fleet)
+    first_attempt = _FirstAttempt(fleet)
     while fleet.scheduler.now < WARM_UP_S + LIMIT_S:
-        fleet.scheduler.run_until(fleet.scheduler.now + POLL_S)
-        watch.poll()
+        fleet.scheduler.run_until(fleet.scheduler.now + POLL_INTERVAL_S)
+        first_attempt.poll()
         floor.check()
-        weight = statistics.mean(fleet.weight(daemon, SICK) for daemon in watchers)
-        if detected_s is None and weight <= OUT_WEIGHT and watch.shown_at is not None:
-            detected_s = fleet.scheduler.now - watch.shown_at
+        weight = statistics.mean(
+            fleet.weight(daemon, FAULTY_SERVER) for daemon in daemons
+        )
+        if detected_s is None and weight <= OUT_WEIGHT and first_attempt.at is not None:
+            detected_s = fleet.scheduler.now - first_attempt.at
     return detected_s
 
 
 def _false_ejections(fleet: Fleet, is_one_sided: bool) -> int:
     return sum(
-        is_one_sided or server_id != SICK for _, server_id in fleet.policy.ejections()
+        is_one_sided or server_id != FAULTY_SERVER
+        for _, server_id in fleet.policy.ejections()
     )
 
 
 class DetectionCommand(Command):
-    """Print the time to take each kind of failing server out of use."""
+    """Prints the detection time of each kind of fault, for each policy."""
 
     name = "detection"
-    usage = "detection [runs a row]"
-    summary = "time until a failing server is out of use, beside two baselines"
+    usage = "detection [runs per row]"
+    summary = "time until a faulty server is out of use, compared with two baselines"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Run every kind of fault, seeded from 1 upwards."""
+        """Run every kind of fault with seeds from 1 upwards."""
         seeds = range(1, 1 + (int(args[0]) if args else 5))
         is_missed = False
-        print("seconds from the first attempt on the sick server; seeds", list(seeds))
+        print("seconds from the first attempt on the faulty server; seeds", list(seeds))
         print(f"{'service':13} {'fault':23} {'policy':12} {'found':>6} ", end="")
         print(f"{'median':>7} {'worst':>7} {'false':>6} {'floor':>6}")
         for shape in SHAPES:
@@ -123,7 +134,7 @@
         return Status.TARGET_MISSED if is_missed else Status.SUCCESS
 
 
-def _misses(kind: str, runs: Sequence[Run]) -> bool:
+def _misses(kind: str, runs: Sequence[RunResult]) -> bool:
     if any(run.floor_violations for run in runs):
         return True
     if not kind.startswith(("slow", "half-alive")):
@@ -131,7 +142,7 @@
     return any(run.detected_s is None or run.detected_s > TARGET_S for run in runs)
 
 
-def _print_row(shape: Shape, kind: str, policy: str, runs: Sequence[Run]) -> None:
+def _print_row(shape: Shape, kind: str, policy: str, runs: Sequence[RunResult]) -> None:
     found = sorted(run.detected_s for run in runs if run.detected_s is not None)
     median = f"{statistics.median(found):.2f}" if found else "-"
     worst = f"{found[-1]:.2f}" if len(found) == len(runs) else "never"
--- a/packages/bench/src/pimentobend_bench/_internal/health/false_ejections.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/false_ejections.py
@@ -1,4 +1,4 @@
-"""Count healthy servers that are ejected by mistake."""
+"""Benchmark of false ejections: how often a healthy server is ejected."""
 
 import abc
 from collections.abc import Mapping
@@ -14,70 +14,70 @@
 from pimentobend_bench._internal.health.shapes import SHAPES
 from pimentobend_bench._internal.health.shapes import Shape
 
-POLL_S = 1.0
-OUT_WEIGHT = 0.1
+POLL_INTERVAL_S = 1.0
+OUT_WEIGHT = 0.1  # a server counts as out of use at or below this weight
 HOUR_S = 3600.0
 
 
 class Condition(abc.ABC):
-    """Put healthy servers under some strain."""
+    """A condition of the load or the network under which all servers are healthy."""
 
     name: str
 
     def shape(self, shape: Shape) -> Shape:
-        """Return the fleet to strain."""
+        """Return the shape of the fleet to simulate."""
         return shape
 
     @abc.abstractmethod
     def apply(self, fleet: Fleet, now: float) -> None:
-        """Change the strain at ``now`` (seconds)."""
+        """Adjust the load and the paths at ``now`` (seconds)."""
 
 
 class Noise(Condition):
-    """Leave log-normal latencies and 1 % of stragglers 30 times as long."""
+    """Only log-normal service times; 1 % of stragglers take 30 times as long."""
 
     name = "noise"
 
     def apply(self, fleet: Fleet, now: float) -> None:
-        """Change nothing."""
+        """Do nothing."""
         return
 
 
 class Day(Noise):
-    """Run fewer daemons at a lower rate, so that a day is soon over."""
+    """Noise with fewer daemons and a lower rate, so that a day simulates quickly."""
 
     name = "day"
     DAEMONS = 8
     RATE = 80.0
 
     def shape(self, shape: Shape) -> Shape:
-        """Return a smaller fleet."""
+        """Return the shape with fewer daemons and a lower rate."""
         return shape._replace(daemons=self.DAEMONS, rate=self.RATE)
 
 
-class Crest(Condition):
-    """Multiply the demand for some seconds of each minute."""
+class Peak(Condition):
+    """A peak of 4 times the mean demand in the first 15 s of each minute."""
 
     name = "crest"
     PERIOD_S = 60.0
-    CREST_S = 15.0
+    PEAK_S = 15.0
     RATIO = 4.0
 
     def apply(self, fleet: Fleet, now: float) -> None:
-        """Switch between the mean demand and the crest."""
-        is_crest = now % self.PERIOD_S < self.CREST_S
-        fleet.rate = fleet.shape.rate * (self.RATIO if is_crest else 1.0)
+        """Set the rate to the mean or to the peak."""
+        is_peak = now % self.PERIOD_S < self.PEAK_S
+        fleet.rate = fleet.shape.rate * (self.RATIO if is_peak else 1.0)
 
 
 class Partition(Condition):
-    """Let the far region's daemons lose the near servers' answers at times."""
+    """Every 3 minutes, far daemons get no responses of near servers for a minute."""
 
     name = "partition"
     PERIOD_S = 180.0
     PARTITION_S = 60.0
 
     def apply(self, fleet: Fleet, now: float) -> None:
-        """Cut one way between the regions, or heal it."""
+        """Cut or heal the paths from the near servers to the far daemons."""
         if now % self.PERIOD_S >= self.PARTITION_S:
             fleet.paths.heal_all()
             return
@@ -87,14 +87,14 @@
 
 
 class Rack(Condition):
-    """Cut a quarter of the daemons off from one server at times."""
+    """Every 3 minutes, a quarter of the daemons can't reach one server for a minute."""
 
     name = "rack"
     PERIOD_S = 180.0
     PARTITION_S = 60.0
 
     def apply(self, fleet: Fleet, now: float) -> None:
-        """Cut or heal the paths."""
+        """Cut or heal the paths from these daemons to the server."""
         if now % self.PERIOD_S >= self.PARTITION_S:
             fleet.paths.heal_all()
             return
@@ -104,17 +104,17 @@
 
 CONDITIONS: Mapping[str, Condition] = {
     condition.name: condition
-    for condition in (Noise(), Crest(), Partition(), Rack(), Day())
+    for condition in (Noise(), Peak(), Partition(), Rack(), Day())
 }
 
 
-class _Counts:
-    """Count how often a daemon takes a healthy server out of use."""
+class _LocalEjections:
+    """Counts how often a single daemon takes a server out of use."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self._out: set[tuple[str, str]] = set()
-        self.local = 0
+        self.count = 0
 
     def poll(self) -> None:
         out = {
@@ -123,50 +123,51 @@
             for server_id, weight in self._fleet.policy.weights(daemon).items()
             if weight <= OUT_WEIGHT
         }
-        self.local += len(out - self._out)
+        self.count += len(out - self._out)
         self._out = out
 
 
 class FalseEjectionsCommand(Command):
-    """Print ejections of healthy servers per hour."""
+    """Prints ejections of healthy servers per simulated hour."""
 
     name = "false-ejections"
     usage = "false-ejections [condition] [service] [hours] [seed]"
-    summary = "healthy servers ejected under noise, crest and partition"
+    summary = "healthy servers ejected under noise, demand peaks and partitions"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Run one or all conditions on one or all services."""
+        """Run one or all conditions but ``day`` on one or all services."""
         names = [args[0]] if args else [name for name in CONDITIONS if name != "day"]
-        shapes = [each for each in SHAPES if len(args) < 2 or each.name == args[1]]
+        shapes = [shape for shape in SHAPES if len(args) < 2 or shape.name == args[1]]
         hours = float(args[2]) if len(args) > 2 else 0.5
         seed = int(args[3]) if len(args) > 3 else 1
-        print(f"{hours} simulated hours, seed {seed}; no server is sick")
+        print(f"{hours} simulated hours, seed {seed}; all servers are healthy")
         print(f"{'service':13} {'condition':10} {'policy':12} {'attempts':>9} ", end="")
         print(f"{'fleet/h':>8} {'local/h':>8} {'floor':>6}")
         is_missed = False
         for shape in shapes:
             for name in names:
                 for policy in (LeasedEjection(), ConsecutiveFailures()):
-                    count = _run(CONDITIONS[name], shape, policy, hours, seed)
-                    is_missed |= count > 0 and isinstance(policy, LeasedEjection)
+                    errors = _run(CONDITIONS[name], shape, policy, hours, seed)
+                    is_missed |= errors > 0 and isinstance(policy, LeasedEjection)
         return Status.TARGET_MISSED if is_missed else Status.SUCCESS
 
 
 def _run(
     condition: Condition, shape: Shape, policy: EjectionPolicy, hours: float, seed: int
 ) -> int:
+    """Print a row; return the number of fleet ejections and floor violations."""
     fleet = Fleet(condition.shape(shape), policy, seed)
     floor = FloorWatch(fleet)
-    counts = _Counts(fleet)
+    local = _LocalEjections(fleet)
     if isinstance(policy, LeasedEjection):
         policy.on_change = floor.check
     while fleet.scheduler.now < hours * HOUR_S:
         condition.apply(fleet, fleet.scheduler.now)
-        fleet.scheduler.run_until(fleet.scheduler.now + POLL_S)
-        counts.poll()
+        fleet.scheduler.run_until(fleet.scheduler.now + POLL_INTERVAL_S)
+        local.poll()
         floor.check()
     ejections = len(policy.ejections())
     print(f"{shape.name:13} {condition.name:10} {policy.name:12} ", end="")
     print(f"{sum(fleet.attempts.values()):>9} {ejections / hours:>8.2f} ", end="")
-    print(f"{counts.local / hours:>8.2f} {len(floor.violations):>6}", flush=True)
+    print(f"{local.count / hours:>8.2f} {len(floor.violations):>6}", flush=True)
     return ejections + len(floor.violations)
--- a/packages/bench/src/pimentobend_bench/_internal/health/faults.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/faults.py
@@ -1,4 +1,4 @@
-"""Define how a simulated backend server misbehaves."""
+"""Faults of simulated backend servers."""
 
 import abc
 import math
@@ -9,7 +9,7 @@
 
 
 class Work(NamedTuple):
-    """Say what a server makes of a request; ``service_s`` is in seconds."""
+    """How a server responds to a request, and after how many seconds."""
 
     kind: AttemptKind
     status: int
@@ -17,28 +17,28 @@
 
 
 class Fault(abc.ABC):
-    """Change what a healthy server would have done."""
+    """Changes the response of a healthy server."""
 
     @abc.abstractmethod
     def apply(self, work: Work, rng: random.Random, now: float) -> Work:
-        """Return the work as the sick server does it at ``now`` (seconds)."""
+        """Return the response of the faulty server at ``now`` (seconds)."""
 
 
 class Slow(Fault):
-    """Take a multiple of the usual time."""
+    """Takes a multiple of the usual service time."""
 
     def __init__(self, ratio: float) -> None:
         self._ratio = ratio
 
     def apply(self, work: Work, rng: random.Random, now: float) -> Work:
-        """Stretch the service time."""
+        """Multiply the service time."""
         return work._replace(service_s=work.service_s * self._ratio)
 
 
 class Failing(Fault):
-    """Answer a share of the requests with status 500, quickly."""
+    """Answers a share of the requests at once with status 500."""
 
-    FAST_S = 0.002
+    SERVICE_S = 0.002
 
     def __init__(self, share: float) -> None:
         self._share = share
@@ -47,11 +47,11 @@
         """Fail at random."""
         if rng.random() >= self._share:
             return work
-        return Work(AttemptKind.ANSWERED, 500, self.FAST_S)
+        return Work(AttemptKind.ANSWERED, 500, self.SERVICE_S)
 
 
 class Hanging(Fault):
-    """Never answer a share of the requests."""
+    """Never answers a share of the requests."""
 
     def __init__(self, share: float) -> None:
         self._share = share
@@ -64,7 +64,7 @@
 
 
 class Shedding(Fault):
-    """Refuse a share of the requests before the work starts."""
+    """Refuses a share of the requests before it starts to process them."""
 
     def __init__(self, share: float) -> None:
         self._share = share
@@ -77,18 +77,18 @@
 
 
 class Flapping(Fault):
-    """Switch another fault on and off."""
+    """Switches another fault on and off periodically."""
 
     def __init__(
-        self, fault: Fault, sick_s: float, well_s: float, began: float
+        self, fault: Fault, faulty_s: float, healthy_s: float, starts_at: float
     ) -> None:
         self._fault = fault
-        self._sick_s = sick_s
-        self._period_s = sick_s + well_s
-        self._began = began
+        self._faulty_s = faulty_s
+        self._period_s = faulty_s + healthy_s
+        self._starts_at = starts_at
 
     def apply(self, work: Work, rng: random.Random, now: float) -> Work:
-        """Apply the fault in the sick part of each period."""
-        if (now - self._began) % self._period_s < self._sick_s:
+        """Apply the fault in the faulty part of each period."""
+        if (now - self._starts_at) % self._period_s < self._faulty_s:
             return self._fault.apply(work, rng, now)
         return work
--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -1,4 +1,4 @@
-"""Simulate a service: callers, daemons, backend servers and a policy."""
+"""Discrete-event simulation of one service: callers, daemons and servers."""
 
 import bisect
 import itertools
@@ -12,7 +12,7 @@
 from pimentobend_bench._internal.health.faults import Work
 from pimentobend_bench._internal.health.paths import Paths
 from pimentobend_bench._internal.health.policies import EjectionPolicy
-from pimentobend_bench._internal.health.policies import Setting
+from pimentobend_bench._internal.health.policies import PolicyContext
 from pimentobend_bench._internal.health.scheduler import Scheduler
 from pimentobend_bench._internal.health.servers import SimulatedServer
 from pimentobend_bench._internal.health.shapes import Shape
@@ -27,15 +27,15 @@
 
 
 class Outcome(NamedTuple):
-    """Record one ended attempt for the measures."""
+    """An attempt that ended."""
 
     daemon: str
-    began: float
+    started_at: float
     ended: AttemptEnded
 
 
 class Fleet:
-    """Own the simulated processes of one service."""
+    """The simulated processes of one service under an ejection policy."""
 
     def __init__(self, shape: Shape, policy: EjectionPolicy, seed: int) -> None:
         self.shape = shape
@@ -49,31 +49,33 @@
         }
         self.daemons = tuple(f"d{number}" for number in range(1, shape.daemons + 1))
         self.on_outcome: Callable[[Outcome], None] = lambda outcome: None
+        # Time of the latest attempt on each server, and number of attempts.
         self.started: dict[str, float] = dict.fromkeys(self.servers, 0.0)
         self.attempts: Counter[str] = Counter()
         self._rng = random.Random(seed)
         self._tickets = itertools.count()
         self._in_flight: Counter[tuple[str, str]] = Counter()
+        # Idle connections by daemon and server; the dead ones never answer.
         self._idle: Counter[tuple[str, str]] = Counter()
         self._dead: Counter[tuple[str, str]] = Counter()
         self._loads: dict[tuple[str, str], float] = {}
         pool = Pool(shape.service, shape.service, shape.floor, 100, hedge=False)
-        policy.start(Setting(self.scheduler, self.paths, pool, self.daemons))
+        policy.start(PolicyContext(self.scheduler, self.paths, pool, self.daemons))
         self.announce()
         self.scheduler.after(0.0, self._arrive)
 
     def announce(self) -> None:
-        """Give the policy the list of servers."""
-        servers = tuple(each.server for each in self.servers.values())
+        """Pass the current list of servers to the policy."""
+        servers = tuple(simulated.server for simulated in self.servers.values())
         self.policy.change_servers(servers)
 
     def lose_connections(self, daemon: str, server_id: str) -> None:
-        """Let the open connections between two processes go silent."""
+        """Let the idle connections from a daemon to a server fail without notice."""
         key = (daemon, server_id)
         self._dead[key] = self._idle[key]
 
     def weight(self, daemon: str, server_id: str) -> float:
-        """Return the share of its traffic that a server gets from a daemon."""
+        """Return the weight from 0 to 1 that a daemon gives a server."""
         return self.policy.weights(daemon).get(server_id, 1.0)
 
     def _arrive(self) -> None:
@@ -84,20 +86,21 @@
             self._attempt(daemon, server_id)
 
     def _select(self, daemon: str) -> str | None:
+        """Return the less loaded of two servers drawn at random by weight."""
         weights = self.policy.weights(daemon)
         ids = []
-        sums = []
+        cumulative = []
         total = 0.0
         for server_id, server in self.servers.items():
-            weight = self._preference(daemon, server, weights)
+            weight = self._selection_weight(daemon, server, weights)
             if weight > 0:
                 total += weight
                 ids.append(server_id)
-                sums.append(total)
+                cumulative.append(total)
         if not ids:
             return None
         first, second = (
-            ids[bisect.bisect(sums, self._rng.random() * total, hi=len(ids) - 1)]
+            ids[bisect.bisect(cumulative, self._rng.random() * total, hi=len(ids) - 1)]
             for _ in range(2)
         )
         is_busier = self._load(daemon, first) > self._load(daemon, second)
@@ -107,7 +110,7 @@
         key = (daemon, server_id)
         return self._loads.get(key, 0.0) + self._in_flight[key] / self.shape.slots
 
-    def _preference(
+    def _selection_weight(
         self, daemon: str, server: SimulatedServer, weights: Mapping[str, float]
     ) -> float:
         if server.server.state is not ServerState.READY:
@@ -149,7 +152,7 @@
         )
         outcome = Outcome(daemon, self.scheduler.now, ended)
         if was_reused and latency_s > OVERDUE_MIN_S:
-            # One silent connection is reason to open new ones.
+            # After one connection stays silent, a daemon opens new ones.
             self.scheduler.after(OVERDUE_MIN_S, lambda: self._drop_idle(key))
         self.scheduler.after(latency_s, lambda: self._end(outcome))
 
@@ -159,7 +162,7 @@
 
     def _work(self, daemon: str, server_id: str, was_reused: bool) -> Work:
         server = self.servers[server_id]
-        if not self.paths.is_whole(daemon, server_id):
+        if not self.paths.is_connected(daemon, server_id):
             if was_reused:
                 return Work(AttemptKind.NO_ANSWER, 0, math.inf)
             return Work(AttemptKind.NOT_CONNECTED, 0, _CONNECT_TIMEOUT_S)
--- a/packages/bench/src/pimentobend_bench/_internal/health/leased.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/leased.py
@@ -1,10 +1,10 @@
-"""Run the real observers and floor owners over simulated paths."""
+"""The production observers and floor owners, joined by simulated paths."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
 
 from pimentobend_bench._internal.health.policies import EjectionPolicy
-from pimentobend_bench._internal.health.policies import Setting
+from pimentobend_bench._internal.health.policies import PolicyContext
 from pimentobend_core._internal.health.floor import FloorOwner
 from pimentobend_core._internal.health.limits import TICK_S
 from pimentobend_core._internal.health.messages import AttemptStarted
@@ -31,9 +31,9 @@
 
 
 class LeasedEjection(EjectionPolicy):
-    """Eject by the project's own decisions.
+    """Ejects with the production code of daemons and floor owners.
 
-    Three control replicas stand by; exactly one of them is confirmed as the
+    There are three control replicas; at most one of them is confirmed as the
     owner, as an elected leader would be.
     """
 
@@ -45,89 +45,92 @@
 
     @property
     def owner(self) -> str | None:
-        """Return the replica that a majority confirms."""
+        """Return the replica that is confirmed as the owner."""
         return self._owner
 
-    def start(self, setting: Setting) -> None:
-        """Begin with no servers, and the first replica as the owner."""
-        self._setting = setting
+    def start(self, context: PolicyContext) -> None:
+        """Start without servers and with the first replica as the owner."""
+        self._context = context
         self._servers: tuple[Server, ...] = ()
         self._weights: dict[str, Mapping[str, float]] = {}
         self._observers: dict[str, PoolHealth] = {}
         self._owners: dict[str, FloorOwner] = {}
         self._owner: str | None = None
         self._term = 0
-        for daemon in setting.daemons:
+        for daemon in context.daemons:
             self.restart_daemon(daemon)
         for owner in OWNERS:
             self.restart_owner(owner)
         self.elect(OWNERS[0])
-        setting.scheduler.after(TICK_S, self._tick)
+        context.scheduler.after(TICK_S, self._tick)
 
     def weights(self, daemon: str) -> Mapping[str, float]:
-        """Return the weights that the daemon's observer gave."""
+        """Return the weights that the daemon's observer last reported."""
         return self._weights[daemon]
 
     def change_servers(self, servers: tuple[Server, ...]) -> None:
-        """Give all processes the list of servers."""
+        """Pass the list of servers to all daemons and replicas."""
         self._servers = servers
+        # Report the change once, when all daemons have the new list.
         on_change, self.on_change = self.on_change, lambda: None
         for daemon in self._observers:
-            self._tell(daemon, ServersChanged(servers))
+            self._deliver(daemon, ServersChanged(servers))
         self.on_change = on_change
         self.on_change()
         for owner in self._owners:
-            self._tell_owner(owner, self._listed())
+            self._deliver_to_owner(owner, self._server_list())
 
     def attempt_started(self, daemon: str, started: AttemptStarted) -> None:
         """Pass the start of an attempt to the daemon's observer."""
-        self._tell(daemon, started)
+        self._deliver(daemon, started)
 
     def attempt_ended(self, daemon: str, ended: AttemptEnded) -> None:
         """Pass the end of an attempt to the daemon's observer."""
-        self._tell(daemon, ended)
+        self._deliver(daemon, ended)
 
     def restart_daemon(self, daemon: str) -> None:
-        """Lose a daemon's memory."""
-        self._observers[daemon] = PoolHealth(self._setting.pool, daemon)
+        """Restart a daemon without its state."""
+        self._observers[daemon] = PoolHealth(self._context.pool, daemon)
         self._weights[daemon] = {}
         if self._servers:
-            self._tell(daemon, ServersChanged(self._servers))
+            self._deliver(daemon, ServersChanged(self._servers))
 
     def restart_owner(self, owner: str) -> None:
-        """Lose a replica's memory; it is no longer the owner."""
+        """Restart a replica without its state; it is no longer the owner."""
         self._owners[owner] = FloorOwner()
         if self._owner == owner:
             self._owner = None
-        self._tell_owner(owner, ConfigurePools((self._setting.pool,)))
+        self._deliver_to_owner(owner, ConfigurePools((self._context.pool,)))
         if self._servers:
-            self._tell_owner(owner, self._listed())
+            self._deliver_to_owner(owner, self._server_list())
 
     def elect(self, owner: str) -> None:
-        """Confirm another replica from now on; the old one is not told."""
+        """Make a replica the owner; the previous owner is not notified."""
         self._term += 1
         self._owner = owner
-        self._tell_owner(owner, OwnershipTaken(self._term))
+        self._deliver_to_owner(owner, OwnershipTaken(self._term))
 
-    def _listed(self) -> ServiceServersChanged:
-        return ServiceServersChanged(self._setting.pool.service, self._servers)
+    def _server_list(self) -> ServiceServersChanged:
+        return ServiceServersChanged(self._context.pool.service, self._servers)
 
     def _tick(self) -> None:
         for daemon in self._observers:
-            self._tell(daemon, HealthTick())
+            self._deliver(daemon, HealthTick())
         if self._owner is not None:
-            confirmed_at = self._setting.scheduler.now
-            self._tell_owner(self._owner, OwnershipConfirmed(self._term, confirmed_at))
+            confirmed_at = self._context.scheduler.now
+            self._deliver_to_owner(
+                self._owner, OwnershipConfirmed(self._term, confirmed_at)
+            )
         for owner in self._owners:
-            self._tell_owner(owner, FloorTick())
-        self._setting.scheduler.after(TICK_S, self._tick)
+            self._deliver_to_owner(owner, FloorTick())
+        self._context.scheduler.after(TICK_S, self._tick)
 
-    def _tell(self, daemon: str, message: HealthInput) -> None:
-        outputs = self._observers[daemon].handle(message, self._setting.scheduler.now)
+    def _deliver(self, daemon: str, message: HealthInput) -> None:
+        outputs = self._observers[daemon].handle(message, self._context.scheduler.now)
         for output in outputs:
-            self._take(daemon, output)
+            self._handle_output(daemon, output)
 
-    def _take(self, daemon: str, output: HealthOutput) -> None:
+    def _handle_output(self, daemon: str, output: HealthOutput) -> None:
         match output:
             case HealthChanged():
                 self._weights[daemon] = dict(output.weights)
@@ -137,27 +140,27 @@
                     self._send_report(daemon, owner, output)
 
     def _send_report(self, daemon: str, owner: str, report: EvidenceReported) -> None:
-        for delay_s in self._setting.paths.delays(daemon, owner):
-            self._setting.scheduler.after(
-                delay_s, lambda: self._tell_owner(owner, report)
+        for delay_s in self._context.paths.delays(daemon, owner):
+            self._context.scheduler.after(
+                delay_s, lambda: self._deliver_to_owner(owner, report)
             )
 
-    def _tell_owner(self, owner: str, message: FloorInput) -> None:
-        outputs = self._owners[owner].handle(message, self._setting.scheduler.now)
+    def _deliver_to_owner(self, owner: str, message: FloorInput) -> None:
+        outputs = self._owners[owner].handle(message, self._context.scheduler.now)
         for output in outputs:
-            self._take_from_owner(owner, output)
+            self._handle_owner_output(owner, output)
 
-    def _take_from_owner(self, owner: str, output: FloorOutput) -> None:
+    def _handle_owner_output(self, owner: str, output: FloorOutput) -> None:
         if not isinstance(output, EjectionsGranted):
-            self.records.append((self._setting.scheduler.now, output))
+            self.records.append((self._context.scheduler.now, output))
             return
-        for delay_s in self._setting.paths.delays(owner, output.observer):
-            self._setting.scheduler.after(
-                delay_s, lambda: self._tell(output.observer, output)
+        for delay_s in self._context.paths.delays(owner, output.observer):
+            self._context.scheduler.after(
+                delay_s, lambda: self._deliver(output.observer, output)
             )
 
     def ejections(self) -> tuple[tuple[float, str], ...]:
-        """Return when which server was ejected from the whole fleet."""
+        """Return time and server of each ejection from the whole fleet."""
         return tuple(
             (at, record.ejection.server_id)
             for at, record in self.records
--- a/packages/bench/src/pimentobend_bench/_internal/health/paths.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/paths.py
@@ -1,41 +1,41 @@
-"""Simulate the paths between processes: delay, loss and cuts."""
+"""Simulated network paths between processes: delay, loss and partitions."""
 
 import random
 
 
 class Paths:
-    """Own which process hears which, one way at a time."""
+    """Network paths between processes; each direction can be cut on its own."""
 
     def __init__(self, seed: int, delay_s: float = 0.002) -> None:
         self._rng = random.Random(seed)
         self._delay_s = delay_s
         self._cut: set[tuple[str, str]] = set()
-        self.loss = 0.0
-        self.duplication = 0.0
-        self.extra_delay_s = 0.0
+        self.loss = 0.0  # share of the messages
+        self.duplication = 0.0  # share of the messages
+        self.extra_delay_s = 0.0  # upper bound of a random delay
 
     def cut(self, sender: str, receiver: str) -> None:
-        """Lose all messages from one process to another."""
+        """Lose all messages from the sender to the receiver."""
         self._cut.add((sender, receiver))
 
     def heal(self, sender: str, receiver: str) -> None:
-        """Carry messages again."""
+        """Carry messages from the sender to the receiver again."""
         self._cut.discard((sender, receiver))
 
     def heal_all(self) -> None:
-        """Carry all messages again."""
+        """Carry messages on all paths again."""
         self._cut.clear()
 
     def carries(self, sender: str, receiver: str) -> bool:
-        """Say whether a path is whole in one direction."""
+        """Return whether messages pass from the sender to the receiver."""
         return (sender, receiver) not in self._cut
 
-    def is_whole(self, one: str, other: str) -> bool:
-        """Say whether a connection between two processes can work."""
-        return self.carries(one, other) and self.carries(other, one)
+    def is_connected(self, first: str, second: str) -> bool:
+        """Return whether messages pass in both directions, as a connection needs."""
+        return self.carries(first, second) and self.carries(second, first)
 
     def delays(self, sender: str, receiver: str) -> tuple[float, ...]:
-        """Return the delay in seconds of each copy that arrives."""
+        """Return the delay in seconds of each copy of a message; none if it is lost."""
         if not self.carries(sender, receiver) or self._rng.random() < self.loss:
             return ()
         copies = 2 if self._rng.random() < self.duplication else 1
--- a/packages/bench/src/pimentobend_bench/_internal/health/policies.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/policies.py
@@ -1,4 +1,4 @@
-"""Define the ejection policies to compare."""
+"""Interface of the compared ejection policies, and two baselines."""
 
 import abc
 from collections.abc import Mapping
@@ -13,8 +13,8 @@
 from pimentobend_core._internal.models.tables import Pool
 
 
-class Setting(NamedTuple):
-    """Give a policy what it runs on."""
+class PolicyContext(NamedTuple):
+    """What a policy runs on."""
 
     scheduler: Scheduler
     paths: Paths
@@ -23,62 +23,62 @@
 
 
 class EjectionPolicy(abc.ABC):
-    """Decide the weights of a pool's servers in every daemon."""
+    """Decides the weights of a pool's servers in every daemon."""
 
     name: str
 
     @abc.abstractmethod
-    def start(self, setting: Setting) -> None:
-        """Begin with no servers."""
+    def start(self, context: PolicyContext) -> None:
+        """Start without servers."""
 
     @abc.abstractmethod
     def weights(self, daemon: str) -> Mapping[str, float]:
-        """Return the weights below 1 of one daemon."""
+        """Return a daemon's weights by server id; a missing server has weight 1."""
 
     def ejections(self) -> tuple[tuple[float, str], ...]:
-        """Return when which server was ejected from the whole fleet."""
+        """Return time and server of each ejection from the whole fleet."""
         return ()
 
     def change_servers(self, servers: tuple[Server, ...]) -> None:
-        """Take the pool's whole list of servers."""
+        """Replace the list of the pool's servers."""
         return
 
     def attempt_started(self, daemon: str, started: AttemptStarted) -> None:
-        """Take the start of an attempt."""
+        """Handle the start of an attempt."""
         return
 
     def attempt_ended(self, daemon: str, ended: AttemptEnded) -> None:
-        """Take the end of an attempt."""
+        """Handle the end of an attempt."""
         return
 
 
 class RoundRobin(EjectionPolicy):
-    """Eject nothing."""
+    """Never ejects a server."""
 
     name = "round-robin"
 
-    def start(self, setting: Setting) -> None:
-        """Begin with no servers."""
+    def start(self, context: PolicyContext) -> None:
+        """Start without servers."""
 
     def weights(self, daemon: str) -> Mapping[str, float]:
-        """Return no weights below 1."""
+        """Return no weights: all servers have weight 1."""
         return {}
 
 
 class ConsecutiveFailures(EjectionPolicy):
-    """Eject in each daemon alone after failures in a row."""
+    """Ejects a server for 30 s in one daemon after 5 consecutive failures there."""
 
     name = "5-in-a-row"
     FAILURES = 5
-    TIMEOUT_S = 30.0
-    LARGEST_SHARE = 0.5  # of the servers, in each daemon
+    EJECTION_S = 30.0
+    MAX_EJECTED_SHARE = 0.5  # of the servers, in each daemon
 
-    def start(self, setting: Setting) -> None:
-        """Begin with no servers."""
-        self._scheduler = setting.scheduler
+    def start(self, context: PolicyContext) -> None:
+        """Start without servers."""
+        self._scheduler = context.scheduler
         self._failures: dict[tuple[str, str], int] = {}
         self._ejected: dict[str, dict[str, float]] = {
-            daemon: {} for daemon in setting.daemons
+            daemon: {} for daemon in context.daemons
         }
         self._servers: tuple[Server, ...] = ()
 
@@ -87,23 +87,23 @@
         return self._ejected[daemon]
 
     def change_servers(self, servers: tuple[Server, ...]) -> None:
-        """Take the pool's whole list of servers."""
+        """Replace the list of the pool's servers."""
         self._servers = servers
 
     def attempt_ended(self, daemon: str, ended: AttemptEnded) -> None:
-        """Count failures in a row."""
+        """Count consecutive failures and eject the server at the limit."""
         key = (daemon, ended.server_id)
         is_answer = ended.kind is AttemptKind.ANSWERED and ended.status < 500
         self._failures[key] = 0 if is_answer else self._failures.get(key, 0) + 1
         ejected = self._ejected[daemon]
-        is_allowed = len(ejected) + 1 <= self.LARGEST_SHARE * len(self._servers)
+        is_allowed = len(ejected) + 1 <= self.MAX_EJECTED_SHARE * len(self._servers)
         if self._failures[key] < self.FAILURES or not is_allowed:
             return
         self._failures[key] = 0
         if ended.server_id not in ejected:
             ejected[ended.server_id] = 0.0
             self._scheduler.after(
-                self.TIMEOUT_S, lambda: self._return(daemon, ended.server_id)
+                self.EJECTION_S, lambda: self._return(daemon, ended.server_id)
             )
 
     def _return(self, daemon: str, server_id: str) -> None:
--- a/packages/bench/src/pimentobend_bench/_internal/health/servers.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/servers.py
@@ -1,4 +1,4 @@
-"""Simulate backend servers with slots and a short queue."""
+"""Simulated backend servers with slots and a short queue."""
 
 import heapq
 import random
@@ -11,17 +11,17 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
-_SHED_S = 0.001
-_QUEUE_RATIO = 2  # waiting requests a slot before the server sheds load
+_SHED_S = 0.001  # time to refuse a request
+_MAX_WAITING_PER_SLOT = 2  # requests; a full queue sheds load
 
 
 class SimulatedServer:
-    """Own one server's slots, state and fault."""
+    """A backend server with slots, an announced state and perhaps a fault."""
 
     def __init__(self, number: int, shape: Shape) -> None:
         self._shape = shape
-        self._free_at = [0.0] * shape.slots
-        self._waiting: list[float] = []
+        self._free_at = [0.0] * shape.slots  # a heap
+        self._waiting: list[float] = []  # start times of queued requests
         self._slow_until = 0.0
         self._cold_ratio = 1.0
         self.fault: Fault | None = None
@@ -38,11 +38,11 @@
         )
 
     def change_state(self, state: ServerState) -> None:
-        """Announce another state."""
+        """Change the state that the server announces."""
         self.server = self.server._replace(state=state)
 
     def restart(self, now: float, cold_s: float, ratio: float) -> None:
-        """Start anew, slower by ``ratio`` for ``cold_s`` seconds."""
+        """Restart; for ``cold_s`` seconds, requests take ``ratio`` times as long."""
         incarnation = self.server.incarnation + 1
         self.server = self.server._replace(
             incarnation=incarnation, state=ServerState.READY
@@ -52,17 +52,17 @@
         self._cold_ratio = ratio
 
     def load(self, now: float) -> LoadReport:
-        """Return the requests in work and waiting."""
+        """Return the number of requests that are running or waiting."""
         busy = sum(free_at > now for free_at in self._free_at)
         waiting = sum(start > now for start in self._waiting)
         return LoadReport(busy + waiting, self._shape.slots)
 
     def serve(self, rng: random.Random, now: float) -> Work:
-        """Take a request; ``service_s`` of the result includes the queue."""
+        """Handle a request; ``service_s`` of the result includes queueing time."""
         self._waiting = [start for start in self._waiting if start > now]
-        if len(self._waiting) >= _QUEUE_RATIO * self._shape.slots:
+        if len(self._waiting) >= _MAX_WAITING_PER_SLOT * self._shape.slots:
             return Work(AttemptKind.REFUSED, 503, _SHED_S)
-        work = self._work(rng, now)
+        work = self._draw_work(rng, now)
         if work.kind is AttemptKind.REFUSED:
             return work
         start = max(now, self._free_at[0])
@@ -72,7 +72,7 @@
         heapq.heapreplace(self._free_at, start + busy_s)
         return work._replace(service_s=start - now + work.service_s)
 
-    def _work(self, rng: random.Random, now: float) -> Work:
+    def _draw_work(self, rng: random.Random, now: float) -> Work:
         shape = self._shape
         service_s = shape.service_s * rng.lognormvariate(0.0, shape.sigma)
         if rng.random() < shape.straggler_share:
--- a/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
@@ -1,26 +1,26 @@
-"""Name the fleets to simulate."""
+"""Sizes of the simulated fleets."""
 
 from typing import NamedTuple
 
 
 class Shape(NamedTuple):
-    """Describe one service, its callers and its daemons."""
+    """Size and load of one service, its daemons and the network between them."""
 
     name: str
     service: str
     servers: int
-    slots: int  # a server
+    slots: int  # per server
     daemons: int
-    rate: float  # requests a second, all daemons together
+    rate: float  # requests per second, all daemons together
     service_s: float  # median
     sigma: float  # of the logarithm of the service time
-    straggler_share: float
-    straggler_ratio: float
-    floor: float
+    straggler_share: float  # of the requests
+    straggler_ratio: float  # to the usual service time
+    floor: float  # share of the servers that must stay in use
     timeout_s: float
     path_s: float  # round trip within a region
     far_path_s: float  # round trip between the regions
-    far_share: float  # traffic to a far server against a near one
+    far_share: float  # weight of a far server relative to a near one
 
 
 QALAMKAR = Shape(
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -25,10 +25,14 @@
         "consensus.recovery", "RecoveryCommand", "time to recover against log length"
     ),
     "detection": Entry(
-        "health.detection", "DetectionCommand", "time until a failing server is out"
+        "health.detection",
+        "DetectionCommand",
+        "time until a faulty server is out of use",
     ),
     "false-ejections": Entry(
-        "health.false_ejections", "FalseEjectionsCommand", "healthy servers ejected"
+        "health.false_ejections",
+        "FalseEjectionsCommand",
+        "healthy servers ejected per hour",
     ),
     "crest": Entry(
         "traffic.crest", "CrestCommand", "goodput and latency during a peak of demand"
