Reword the membership benchmarks

A message in transit is a _Delivery, a fault is injected, bytes are sent and received, and rates are per second, per day and per daemon. Constants have their units and meaning. Table columns and the names of faults stay.

--- a/packages/bench/src/pimentobend_bench/_internal/membership/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the spread of rows over a small fake network."""
+"""Benchmarks of how rows spread through the fleet, on a simulated network."""
--- a/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
@@ -1,4 +1,4 @@
-"""Join relays and daemons by a fake network in simulated time."""
+"""Simulated network of control replicas, relays and daemons."""
 
 import collections
 import heapq
@@ -26,15 +26,15 @@
 from pimentobend_core._internal.membership.spread.relay import RelayNode
 
 TICK_S = 0.1
-NEAR_S = 0.001
-FAR_S = 0.030
+NEAR_S = 0.001  # one way, within a region
+FAR_S = 0.030  # one way, between regions
 
 Node = RelayNode | SpreadClient
 Observer = Callable[[str, tuple[str, ...], PeerMessage], None]
 
 
 class FleetShape(NamedTuple):
-    """Size a fleet; data centres are shared out among the regions."""
+    """Size of a fleet; data centres are assigned to the regions in turn."""
 
     regions: int
     data_centres: int
@@ -43,8 +43,8 @@
     daemons: int
 
 
-class _Letter(NamedTuple):
-    """Hold a message under way; ordered by time, then by number."""
+class _Delivery(NamedTuple):
+    """A message in transit; ordered by time of delivery, then by number."""
 
     due: float
     number: int
@@ -54,22 +54,26 @@
 
 
 def create_places(shape: FleetShape) -> tuple[Place, ...]:
-    """Name the instances of a fleet, replicas first."""
-    centres = [(f"r{n % shape.regions}", f"dc{n}") for n in range(shape.data_centres)]
+    """Return the instances of a fleet: replicas, then relays, then daemons."""
+    data_centres = [
+        (f"r{n % shape.regions}", f"dc{n}") for n in range(shape.data_centres)
+    ]
     places = []
-    for number, centre in zip(range(shape.replicas), itertools.cycle(centres)):
-        places.append(Place(f"replica-{number}", *centre, TreeRole.REPLICA))
-    for region, centre_name in centres:
+    for number, data_centre in zip(
+        range(shape.replicas), itertools.cycle(data_centres)
+    ):
+        places.append(Place(f"replica-{number}", *data_centre, TreeRole.REPLICA))
+    for region, data_centre_name in data_centres:
         for number in range(shape.relays_a_data_centre):
-            name = f"relay-{centre_name}-{number}"
-            places.append(Place(name, region, centre_name, TreeRole.RELAY))
-    for number, centre in zip(range(shape.daemons), itertools.cycle(centres)):
-        places.append(Place(f"daemon-{number:04}", *centre, TreeRole.DAEMON))
+            name = f"relay-{data_centre_name}-{number}"
+            places.append(Place(name, region, data_centre_name, TreeRole.RELAY))
+    for number, data_centre in zip(range(shape.daemons), itertools.cycle(data_centres)):
+        places.append(Place(f"daemon-{number:04}", *data_centre, TreeRole.DAEMON))
     return tuple(places)
 
 
 class Fleet:
-    """Own the nodes, the letters between them and simulated time."""
+    """The simulated clock, the running nodes and the messages between them."""
 
     def __init__(self, shape: FleetShape, seed: int) -> None:
         self.now = 0.0
@@ -79,16 +83,17 @@
         )
         self.nodes: dict[str, Node] = {}
         self.arrived: dict[str, dict[RowId, Row]] = collections.defaultdict(dict)
-        self.cut: set[tuple[str, str]] = set()  # directions that lose everything
+        self.cut: set[tuple[str, str]] = set()  # (sender, recipient); all is lost
         self.drop_share = 0.0
         self.duplicate_share = 0.0
         self.jitter_s = 0.0
+        # Rows that a node replaced by a lower rank; must stay empty.
         self.went_back: list[tuple[str, RowId]] = []
         self.observers: list[Observer] = []
         self.leader: str | None = None
         self._term = 0
         self._epochs: collections.Counter[str] = collections.Counter()
-        self._letters: list[_Letter] = []
+        self._in_transit: list[_Delivery] = []
         self._numbers = itertools.count()
         self._rng = random.Random(seed)
         self._offsets = {name: self._rng.random() * TICK_S for name in self.places}
@@ -96,7 +101,7 @@
             self.start(name)
 
     def start(self, name: str) -> None:
-        """Start an instance, again or for the first time, without any state."""
+        """Start or restart an instance without any state."""
         self._epochs[name] += 1
         self.arrived.pop(name, None)
         place = self.places[name]
@@ -110,17 +115,17 @@
         self.nodes[name] = RelayNode(name, epoch, parents, siblings)
 
     def stop(self, name: str) -> None:
-        """Let an instance vanish."""
+        """Stop an instance without notice to the others."""
         self.nodes.pop(name, None)
 
     def epoch(self, name: str) -> int:
-        """Return which life of an instance this is."""
+        """Return how often an instance has been started."""
         return self._epochs[name]
 
     def lead(self, name: str | None, unaware: str | None = None) -> None:
-        """Let a replica become the root, or leave the fleet without one.
+        """Make a replica the root, or leave the fleet without a root.
 
-        A replica that is ``unaware`` isn't told, as behind a partition.
+        The replica ``unaware`` is not notified, as if it were behind a partition.
         """
         self.leader = name
         self._term += 1
@@ -134,7 +139,7 @@
                 self.give(place.instance_id, FollowParents(parents))
 
     def publish(self, name: str, rows: Iterable[Row]) -> None:
-        """Let an instance spread rows of its own."""
+        """Let an instance publish rows of its own."""
         self.give(name, PublishRows(tuple(rows)))
 
     def give(
@@ -142,7 +147,7 @@
         name: str,
         message: FromPeer | PublishRows | SpreadTick | BecomeRoot | FollowParents,
     ) -> None:
-        """Hand one message to an instance and send what follows."""
+        """Deliver a message to an instance and send the messages it returns."""
         node = self.nodes.get(name)
         if node is None:
             return
@@ -153,83 +158,83 @@
                 self._send(name, node.handle(message, self.now))
 
     def run(self, seconds: float) -> None:
-        """Let simulated time pass, a tick at a time."""
+        """Advance the simulated time by ``seconds``, in steps of one tick."""
         end = self.now + seconds
         while self.now < end - TICK_S / 2:
             self._tick()
 
     def run_until(self, is_done: Callable[[], bool], limit_s: float) -> float | None:
-        """Return the seconds until something holds, or None past the limit."""
-        began = self.now
+        """Run until ``is_done``; return the seconds it took, or None at the limit."""
+        started_at = self.now
         while not is_done():
-            if self.now - began >= limit_s:
+            if self.now - started_at >= limit_s:
                 return None
             self._tick()
-        return self.now - began
+        return self.now - started_at
 
     def cut_off(self, left: Iterable[str], right: Iterable[str]) -> None:
-        """Lose everything that one group sends to the other."""
+        """Lose all messages from the left group to the right one."""
         self.cut |= set(itertools.product(left, right))
 
     def mend(self) -> None:
-        """End all faults of the network."""
+        """Clear all faults of the network."""
         self.cut.clear()
         self.drop_share = 0.0
         self.duplicate_share = 0.0
         self.jitter_s = 0.0
 
     def names(self, role: TreeRole) -> list[str]:
-        """Return the instances of a role that run."""
+        """Return the running instances of a role."""
         return [name for name in self.nodes if self.places[name].role is role]
 
     def _tick(self) -> None:
         end = self.now + TICK_S
         ticks = sorted((self.now + self._offsets[name], name) for name in self.nodes)
         for due, name in ticks:
-            self._deliver(due)
+            self._deliver_until(due)
             self.now = due
             self.give(name, SpreadTick())
-        self._deliver(end)
+        self._deliver_until(end)
         self.now = end
 
-    def _deliver(self, until: float) -> None:
-        while self._letters and self._letters[0].due <= until:
-            letter = heapq.heappop(self._letters)
-            self.now = max(self.now, letter.due)
-            self.give(letter.recipient, FromPeer(letter.sender, letter.message))
+    def _deliver_until(self, until: float) -> None:
+        while self._in_transit and self._in_transit[0].due <= until:
+            delivery = heapq.heappop(self._in_transit)
+            self.now = max(self.now, delivery.due)
+            self.give(delivery.recipient, FromPeer(delivery.sender, delivery.message))
 
     def _send(self, sender: str, outputs: tuple[SpreadOutput, ...]) -> None:
         for output in outputs:
             if isinstance(output, RowsArrived):
-                self._arrive(sender, output.rows)
+                self._record_rows(sender, output.rows)
                 continue
             for observer in self.observers:
                 observer(sender, output.recipients, output.message)
             for recipient in output.recipients:
                 self._post(sender, recipient, output.message)
 
-    def _arrive(self, name: str, rows: tuple[Row, ...]) -> None:
-        held = self.arrived[name]
+    def _record_rows(self, name: str, rows: tuple[Row, ...]) -> None:
+        rows_by_id = self.arrived[name]
         for row in rows:
-            known = held.get(row.row_id)
+            known = rows_by_id.get(row.row_id)
             if known is not None and row.rank < known.rank:
                 self.went_back.append((name, row.row_id))
-            held[row.row_id] = row
+            rows_by_id[row.row_id] = row
 
     def _post(self, sender: str, recipient: str, message: PeerMessage) -> None:
-        if (sender, recipient) in self.cut or self._chance(self.drop_share):
+        if (sender, recipient) in self.cut or self._draw(self.drop_share):
             return
-        copies = 2 if self._chance(self.duplicate_share) else 1
-        near = self.places[sender].region == self.places[recipient].region
+        copies = 2 if self._draw(self.duplicate_share) else 1
+        is_near = self.places[sender].region == self.places[recipient].region
         for _ in range(copies):
-            delay_s = NEAR_S if near else FAR_S
+            delay_s = NEAR_S if is_near else FAR_S
             if self.jitter_s:
                 delay_s += self._rng.random() * self.jitter_s
             number = next(self._numbers)
-            letter = _Letter(self.now + delay_s, number, sender, recipient, message)
-            heapq.heappush(self._letters, letter)
+            delivery = _Delivery(self.now + delay_s, number, sender, recipient, message)
+            heapq.heappush(self._in_transit, delivery)
 
-    def _chance(self, share: float) -> bool:
+    def _draw(self, share: float) -> bool:
         return share > 0 and self._rng.random() < share
 
     def _peers(self, place: Place) -> tuple[str, ...]:
--- a/packages/bench/src/pimentobend_bench/_internal/membership/meter.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/meter.py
@@ -1,4 +1,4 @@
-"""Count the bytes that instances send and take, with the real encoder."""
+"""Counter of the bytes that instances send and receive, as encoded."""
 
 import collections
 
@@ -7,44 +7,44 @@
 from pimentobend_core._internal.membership.spread.messages import PeerMessage
 from pimentobend_core._internal.membership.spread.plan import TreeRole
 
-FRAME_BYTES = 66 + 8  # TCP over IPv4 on Ethernet, and the length of a message
+FRAME_BYTES = 66 + 8  # headers of TCP, IPv4 and Ethernet, and the length prefix
 
 
 class Meter:
-    """Observe a fleet's messages."""
+    """Counts the bytes of a fleet's messages by instance."""
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self.taken: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
         self.sent: collections.Counter[str] = collections.Counter()
-        self.across = 0
+        self.across = 0  # bytes between regions
         fleet.observers.append(self.observe)
 
     def observe(
         self, sender: str, recipients: tuple[str, ...], message: PeerMessage
     ) -> None:
-        """Count one message for its sender and each recipient."""
+        """Add the size of one message to its sender and to each recipient."""
         size = len(encode_message(message)) + FRAME_BYTES
         region = self._fleet.places[sender].region
         for recipient in recipients:
             self.sent[sender] += size
-            self.taken[recipient] += size
+            self.received[recipient] += size
             if self._fleet.places[recipient].region != region:
                 self.across += size
 
     def reset(self) -> None:
-        """Begin again at nothing."""
-        self.taken.clear()
+        """Set all counters to zero."""
+        self.received.clear()
         self.sent.clear()
         self.across = 0
 
     def mean(self, role: TreeRole) -> float:
-        """Return the bytes that an instance of a role sent and took."""
+        """Return the mean bytes that an instance of a role sent and received."""
         names = self._fleet.names(role)
-        total = sum(self.taken[name] + self.sent[name] for name in names)
+        total = sum(self.received[name] + self.sent[name] for name in names)
         return total / max(1, len(names))
 
-    def most(self, *roles: TreeRole) -> int:
-        """Return the bytes of the busiest instance of some roles."""
+    def maximum(self, *roles: TreeRole) -> int:
+        """Return the bytes of the instance with the most traffic among the roles."""
         names = [name for role in roles for name in self._fleet.names(role)]
-        return max((self.taken[name] + self.sent[name] for name in names), default=0)
+        return max((self.received[name] + self.sent[name] for name in names), default=0)
--- a/packages/bench/src/pimentobend_bench/_internal/membership/servers.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/servers.py
@@ -1,4 +1,4 @@
-"""Create the servers of a fleet and their rows."""
+"""Generated backend servers of a fleet and the rows that describe them."""
 
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
@@ -10,23 +10,23 @@
 from pimentobend_core._internal.models.server import ServerState
 
 SERVICES = 580
-SERVERS_A_DAEMON = 11
+SERVERS_PER_DAEMON = 11
 
 
 def create_rows(
     place: Place, number: int, epoch: int, change: int = 0
 ) -> tuple[Row, ...]:
-    """Return the rows of the servers before one daemon."""
-    first = number * SERVERS_A_DAEMON
+    """Return the rows of the servers that announce themselves to one daemon."""
+    first = number * SERVERS_PER_DAEMON
     return tuple(
-        _create_row(place, first + offset, epoch, change * SERVERS_A_DAEMON + offset)
-        for offset in range(SERVERS_A_DAEMON)
+        _create_row(place, first + offset, epoch, change * SERVERS_PER_DAEMON + offset)
+        for offset in range(SERVERS_PER_DAEMON)
     )
 
 
 def _create_row(place: Place, server: int, epoch: int, sequence: int) -> Row:
     state = ServerState.DRAINING if sequence % 2 else ServerState.READY
-    described = Server(
+    announced = Server(
         f"{place.data_centre}-server-{server:05}",
         f"service-{server * 7919 % SERVICES:03}",
         f"10.{server >> 16 & 255}.{server >> 8 & 255}.{server & 255}",
@@ -38,5 +38,5 @@
         1_700_000_000 + server * 37 % 86_400 + epoch,
     )
     rank = Rank(epoch, sequence + 1)
-    event = ServerEvent(place.instance_id, rank, Presence.LIVE, described)
+    event = ServerEvent(place.instance_id, rank, Presence.LIVE, announced)
     return create_server_row(event)
--- a/packages/bench/src/pimentobend_bench/_internal/membership/spread_bytes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/spread_bytes.py
@@ -1,4 +1,4 @@
-"""Measure bytes and processor time that the spread costs a daemon."""
+"""Benchmark of the bytes and CPU time that spreading rows costs a daemon."""
 
 import time
 from collections.abc import Sequence
@@ -29,38 +29,38 @@
 SEED = 5
 DAEMONS = (50, 100, 200, 400)
 TARGET_DAEMONS = 1800
-IDLE_S = 20.0
-SETTLE_S = 12.0
+IDLE_S = 20.0  # length of an idle measurement
+SETTLE_S = 12.0  # time for a change to reach all daemons
 DAY_S = 86_400
-CHANGES_A_DAY = 5_700
+CHANGES_PER_DAY = 5_700
 CHANGE_BYTES = 300
-RESTARTS_A_DAY = 1_500
-LIMIT_BYTES_A_SECOND = 6_000
+RESTARTS_PER_DAY = 1_500  # of daemons
+LIMIT_BYTES_PER_S = 6_000  # per daemon
 
 
 class _Sample(NamedTuple):
-    """Hold what one size of fleet gave, in bytes a daemon."""
+    """Measurements at one size of the fleet, in bytes per daemon."""
 
     daemons: int
-    idle_a_second: float
-    a_change: float
-    a_restart: float  # at all others
-    a_start: float  # at the restarted one
-    relay_idle_a_second: float
-    across_idle_a_second: float
+    idle_per_s: float
+    per_change: float
+    per_restart: float  # at each other daemon
+    per_start: float  # at the restarted daemon
+    relay_idle_per_s: float  # per relay
+    across_idle_per_s: float  # between regions, whole fleet
 
 
 class SpreadBytesCommand(Command):
-    """Print bytes by size of fleet, and what they come to a day."""
+    """Prints bytes by fleet size, and the mean rate over an ordinary day."""
 
     name = "spread-bytes"
     usage = "spread-bytes [seed]"
-    summary = "bytes and processor time of the spread a second a daemon"
+    summary = "bytes and CPU time per second and daemon to spread rows"
 
     def run(self, args: Sequence[str]) -> Status:
         """Run with an optional seed."""
         seed = int(args[0]) if args else SEED
-        print(f"spread-bytes: seed {seed}, 74 B a frame included, sent and taken")
+        print(f"spread-bytes: seed {seed}, 74 B per frame included, sent and received")
         print(
             f"{'daemons':>8} {'servers':>8} {'idle B/s':>9} {'B/change':>9}"
             f" {'B/restart':>10} {'B/start':>9} {'relay B/s':>10} {'across B/s':>11}"
@@ -69,21 +69,21 @@
         worst = 0.0
         for daemons in DAEMONS:
             sample = _measure(daemons, seed)
-            total = _total(sample)
+            total = _mean_rate(sample)
             worst = max(worst, total)
             print(
-                f"{daemons:8} {daemons * 11:8} {sample.idle_a_second:9.1f}"
-                f" {sample.a_change:9.0f} {sample.a_restart:10.0f}"
-                f" {sample.a_start:9.0f} {sample.relay_idle_a_second:10.0f}"
-                f" {sample.across_idle_a_second:11.0f} {total:10.1f}"
+                f"{daemons:8} {daemons * 11:8} {sample.idle_per_s:9.1f}"
+                f" {sample.per_change:9.0f} {sample.per_restart:10.0f}"
+                f" {sample.per_start:9.0f} {sample.relay_idle_per_s:10.0f}"
+                f" {sample.across_idle_per_s:11.0f} {total:10.1f}"
             )
         self._print_target(seed)
-        return Status.SUCCESS if worst <= LIMIT_BYTES_A_SECOND else Status.TARGET_MISSED
+        return Status.SUCCESS if worst <= LIMIT_BYTES_PER_S else Status.TARGET_MISSED
 
     def _print_target(self, seed: int) -> None:
-        """Print the snapshot and the processor time at the target's size."""
+        """Print size and CPU time of the target fleet's snapshot, and idle CPU time."""
         rows = _create_store(TARGET_DAEMONS)
-        began = time.process_time()
+        started = time.process_time()
         payload = encode_message(create_snapshot(rows))
         encoded = time.process_time()
         snapshot = decode_message(payload)
@@ -93,19 +93,19 @@
         applied = time.process_time()
         print(
             f"snapshot of {len(rows)} rows: {len(payload)} B,"
-            f" encode {(encoded - began) * 1e3:.0f} ms,"
+            f" encode {(encoded - started) * 1e3:.0f} ms,"
             f" decode {(decoded - encoded) * 1e3:.0f} ms,"
             f" apply {(applied - decoded) * 1e3:.0f} ms"
         )
-        print(f"idle processor time: {_time_idle(seed):.3f} % of a core a daemon")
+        print(f"idle CPU time: {_time_idle(seed):.3f} % of a core per daemon")
 
 
-def _total(sample: _Sample) -> float:
-    """Return bytes a second a daemon on an ordinary day, starts included."""
-    changes = CHANGES_A_DAY * sample.a_change
-    restarts = RESTARTS_A_DAY * sample.a_restart
-    starts = RESTARTS_A_DAY * sample.a_start / sample.daemons
-    return sample.idle_a_second + (changes + restarts + starts) / DAY_S
+def _mean_rate(sample: _Sample) -> float:
+    """Return the bytes per second and daemon on an ordinary day, with starts."""
+    changes = CHANGES_PER_DAY * sample.per_change
+    restarts = RESTARTS_PER_DAY * sample.per_restart
+    starts = RESTARTS_PER_DAY * sample.per_start / sample.daemons
+    return sample.idle_per_s + (changes + restarts + starts) / DAY_S
 
 
 def _measure(daemons: int, seed: int) -> _Sample:
@@ -135,7 +135,7 @@
 
 
 def _measure_change(fleet: Fleet, meter: Meter) -> float:
-    payload = bytes(fleet_byte % 251 for fleet_byte in range(CHANGE_BYTES))
+    payload = bytes(number % 251 for number in range(CHANGE_BYTES))
     row_id = RowId(RowKind.CONFIGURATION, "replica-0", "change-1")
     meter.reset()
     fleet.publish("replica-0", [Row(row_id, Rank(1, 1), payload)])
@@ -154,8 +154,8 @@
     fleet.publish(name, create_rows(place, number, 2))
     fleet.run(SETTLE_S - 0.5)
     others = [other for other in fleet.names(TreeRole.DAEMON) if other != name]
-    total = sum(meter.taken[other] + meter.sent[other] for other in others)
-    return total / len(others), float(meter.taken[name] + meter.sent[name])
+    total = sum(meter.received[other] + meter.sent[other] for other in others)
+    return total / len(others), float(meter.received[name] + meter.sent[name])
 
 
 def _create_store(daemons: int) -> RowStore:
@@ -173,24 +173,24 @@
 
 
 def _time_idle(seed: int) -> float:
-    """Return the share of a core for a daemon's beacons, in per cent."""
+    """Return the CPU time for an idle daemon's messages, in per cent of a core."""
     fleet = Fleet(FleetShape(2, 7, 5, 2, DAEMONS[0]), seed)
     fleet.lead("replica-0")
     fleet.run(SETTLE_S)
     name = fleet.names(TreeRole.DAEMON)[0]
-    heard: list[tuple[str, bytes]] = []
+    received: list[tuple[str, bytes]] = []
 
     def observe(sender: str, recipients: tuple[str, ...], message: PeerMessage) -> None:
         if name in recipients:
-            heard.append((sender, encode_message(message)))
+            received.append((sender, encode_message(message)))
 
     fleet.observers.append(observe)
     fleet.run(IDLE_S)
     node = fleet.nodes[name]
-    began = time.process_time()
-    for sender, payload in heard * 100:
+    started = time.process_time()
+    for sender, payload in received * 100:
         for output in node.handle(FromPeer(sender, decode_message(payload)), fleet.now):
             if isinstance(output, ToPeers):
                 encode_message(output.message)
-    spent_s = (time.process_time() - began) / 100
+    spent_s = (time.process_time() - started) / 100
     return spent_s / IDLE_S * 100
--- a/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
@@ -1,4 +1,4 @@
-"""Measure how long a change takes to be in force at all daemons."""
+"""Benchmark of the time until a change is in force at all daemons."""
 
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -18,24 +18,24 @@
 
 SEED = 5
 DAEMONS = (50, 200, 600, 1800)
-STARTED_S = 6.0
-FAILOVER_S = 3.0
-IN_FORCE_S = 9.0
-DRAIN_S = 3.0
+START_S = 6.0  # simulated before the fault
+FAILOVER_S = 3.0  # without a root
+IN_FORCE_LIMIT_S = 9.0  # target under a fault
+DRAIN_LIMIT_S = 3.0  # target without a fault
 RUN_LIMIT_S = 60.0
 RESTART_LIMIT_S = 300.0
 RESTART_DAEMONS = (50, 100, 200)
 
 
 class _Fault(NamedTuple):
-    """Hold a fault that strikes just before a change."""
+    """A fault that occurs just before the change."""
 
     name: str
     limit_s: float
-    strike: Callable[[Fleet], None]
+    inject: Callable[[Fleet], None]
 
 
-def _nothing(fleet: Fleet) -> None:
+def _no_fault(fleet: Fleet) -> None:
     fleet.run(0.0)
 
 
@@ -59,16 +59,16 @@
 
 
 FAULTS = (
-    _Fault("none", DRAIN_S, _nothing),
-    _Fault("one relay", IN_FORCE_S, _lose_relay),
-    _Fault("head of a region", IN_FORCE_S, _lose_region_head),
-    _Fault("both relays of a centre", IN_FORCE_S, _lose_relays_of_a_data_centre),
-    _Fault("root, 3 s before", IN_FORCE_S, _lose_root),
+    _Fault("none", DRAIN_LIMIT_S, _no_fault),
+    _Fault("one relay", IN_FORCE_LIMIT_S, _lose_relay),
+    _Fault("head of a region", IN_FORCE_LIMIT_S, _lose_region_head),
+    _Fault("both relays of a centre", IN_FORCE_LIMIT_S, _lose_relays_of_a_data_centre),
+    _Fault("root, 3 s before", IN_FORCE_LIMIT_S, _lose_root),
 )
 
 
 class SpreadTimeCommand(Command):
-    """Print the time until in force by size of fleet and fault."""
+    """Prints the time until a change is in force, by fault and fleet size."""
 
     name = "spread-time"
     usage = "spread-time [seed]"
@@ -77,7 +77,9 @@
     def run(self, args: Sequence[str]) -> Status:
         """Run with an optional seed."""
         seed = int(args[0]) if args else SEED
-        print(f"spread-time: seed {seed}; a daemon's row, seconds to all daemons")
+        print(
+            f"spread-time: seed {seed}; seconds until a daemon's row is at all daemons"
+        )
         print(f"{'fault':26} {'limit':>6} " + " ".join(f"{n:>7}" for n in DAEMONS))
         status = Status.SUCCESS
         for fault in FAULTS:
@@ -93,13 +95,13 @@
 def _start(daemons: int, seed: int) -> Fleet:
     fleet = Fleet(FleetShape(2, 7, 5, 2, daemons), seed)
     fleet.lead("replica-0")
-    fleet.run(STARTED_S)
+    fleet.run(START_S)
     return fleet
 
 
 def _measure(fault: _Fault, daemons: int, seed: int) -> float | None:
     fleet = _start(daemons, seed)
-    fault.strike(fleet)
+    fault.inject(fleet)
     author = fleet.names(TreeRole.DAEMON)[0]
     row = Row(RowId(RowKind.SERVERS, author, "row"), Rank(1, 1), b"row")
     names = fleet.names(TreeRole.DAEMON)
@@ -111,7 +113,7 @@
 
 
 def _print_restarts(seed: int) -> None:
-    print("restart of everything, then of all daemons with control in place")
+    print("restart of all instances, then of all daemons while control keeps running")
     print(
         f"{'daemons':>8} {'all s':>7} {'B/s busiest control':>20} {'B a daemon':>11}"
         f" | {'daemons s':>9} {'B/s busiest control':>20} {'B a daemon':>11}"
@@ -120,16 +122,16 @@
         fleet = Fleet(FleetShape(2, 7, 5, 2, daemons), seed)
         meter = Meter(fleet)
         fleet.lead("replica-0")
-        cold = _restart_daemons(fleet, meter, 1)
+        all_instances = _restart_daemons(fleet, meter, 1)
         for name in fleet.names(TreeRole.DAEMON):
             fleet.start(name)
         meter.reset()
-        warm = _restart_daemons(fleet, meter, 2)
-        print(f"{daemons:8} {cold} | {warm}")
+        only_daemons = _restart_daemons(fleet, meter, 2)
+        print(f"{daemons:8} {all_instances} | {only_daemons}")
 
 
 def _restart_daemons(fleet: Fleet, meter: Meter, epoch: int) -> str:
-    """Let all daemons announce their servers; describe time and load."""
+    """Let all daemons publish their servers; return the columns of time and load."""
     names = fleet.names(TreeRole.DAEMON)
     rows = [
         row
@@ -141,8 +143,8 @@
     took_s = fleet.run_until(lambda: _have_all(fleet, names, rows), RESTART_LIMIT_S)
     if took_s is None:
         return f"{'none':>7}"
-    control = meter.most(TreeRole.REPLICA, TreeRole.RELAY) / took_s
-    return f"{took_s:7.1f} {control:20.0f} {meter.mean(TreeRole.DAEMON):11.0f}"
+    control_rate = meter.maximum(TreeRole.REPLICA, TreeRole.RELAY) / took_s
+    return f"{took_s:7.1f} {control_rate:20.0f} {meter.mean(TreeRole.DAEMON):11.0f}"
 
 
 def _have_all(fleet: Fleet, names: list[str], rows: list[Row]) -> bool:
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -69,10 +69,14 @@
         "ledger.claims", "ClaimsCommand", "claims a second and their added latency"
     ),
     "spread-bytes": Entry(
-        "membership.spread_bytes", "SpreadBytesCommand", "bytes a second a daemon"
+        "membership.spread_bytes",
+        "SpreadBytesCommand",
+        "bytes and CPU time per second and daemon to spread rows",
     ),
     "spread-time": Entry(
-        "membership.spread_time", "SpreadTimeCommand", "time until in force everywhere"
+        "membership.spread_time",
+        "SpreadTimeCommand",
+        "time until a change is in force at all daemons",
     ),
 }
 
