--- a/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
@@ -39,7 +39,7 @@
     regions: int
     data_centres: int
     replicas: int
-    relays_a_data_centre: int
+    relays_per_data_centre: int
     daemons: int
 
 
@@ -64,7 +64,7 @@
     ):
         places.append(Place(f"replica-{number}", *data_centre, TreeRole.REPLICA))
     for region, data_centre_name in data_centres:
-        for number in range(shape.relays_a_data_centre):
+        for number in range(shape.relays_per_data_centre):
             name = f"relay-{data_centre_name}-{number}"
             places.append(Place(name, region, data_centre_name, TreeRole.RELAY))
     for number, data_centre in zip(range(shape.daemons), itertools.cycle(data_centres)):
--- a/tests/unit/membership/test_spread.py
+++ b/tests/unit/membership/test_spread.py
@@ -18,7 +18,7 @@
 from pimentobend_core._internal.membership.spread.plan import TreeRole
 
 SHAPE = FleetShape(
-    regions=2, data_centres=4, replicas=5, relays_a_data_centre=2, daemons=24
+    regions=2, data_centres=4, replicas=5, relays_per_data_centre=2, daemons=24
 )
 DRAIN_S = 3.0
 IN_FORCE_S = 9.0
--- a/tests/unit/membership/test_spread_machine.py
+++ b/tests/unit/membership/test_spread_machine.py
@@ -23,7 +23,7 @@
 from pimentobend_core._internal.models.server import ServerState
 
 SHAPE = FleetShape(
-    regions=2, data_centres=2, replicas=3, relays_a_data_centre=2, daemons=4
+    regions=2, data_centres=2, replicas=3, relays_per_data_centre=2, daemons=4
 )
 CONVERGE_S = 180.0
 DAEMONS = strategies.sampled_from([f"daemon-{n:04}" for n in range(SHAPE.daemons)])
