Reword the consensus benchmarks

`each` stood for a replica, a message, an offset and a proposal in one file; `mine`, `_Trio`, `waiting` and "End a replica for good" had to be guessed.

Loop variables name what they hold, delays carry their unit and direction, and a lost proposal is reported with the numbers acknowledged and expected.

--- a/packages/bench/src/pimentobend_bench/_internal/consensus/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the replicated log and its data folder."""
+"""Benchmarks of the replicated log and its data folder."""
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/apply.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/apply.py
@@ -1,4 +1,4 @@
-"""Measure how long a change takes until it is acknowledged."""
+"""Benchmark of the time until a change is acknowledged."""
 
 import collections
 import os
@@ -31,86 +31,94 @@
 
 ROUNDS = 500
 COMMAND_BYTES = 300
-BATCHES = (1, 8, 64)
+BATCHES = (1, 8, 64)  # proposals per round
 REPLICAS = ("a", "b", "c")
 
 
 class ApplyCommand(Command):
-    """Run three replicas in one process, each with a real data folder."""
+    """Runs three replicas in one process, each with a real data folder."""
 
     name = "apply"
     usage = "apply [rounds]"
-    summary = "time until acknowledged, with real syncs and without a network"
+    summary = "time until a change is acknowledged, with real syncs but no network"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Print quantiles a batch size, beside a bare sync of the same bytes."""
+        """Print quantiles by batch size, also for a bare sync of the same bytes."""
         rounds = int(args[0]) if args else ROUNDS
         print(f"ms until acknowledged, 3 replicas, {rounds} rounds, {COMMAND_BYTES} B")
         print(f"{'batch':>6} {'p50':>8} {'p99':>8}   bare sync: {'p50':>8} {'p99':>8}")
         for batch in BATCHES:
             with tempfile.TemporaryDirectory() as folder:
                 path = pathlib.Path(folder)
-                mine = _Trio(path).measure(batch, rounds)
-                bare = _sync_only(path, batch, rounds)
-            print(f"{batch:6} {_quantiles(mine)}              {_quantiles(bare)}")
+                replicated = _Replicas(path).measure(batch, rounds)
+                bare = _time_syncs(path, batch, rounds)
+            print(f"{batch:6} {_quantiles(replicated)}              {_quantiles(bare)}")
         return Status.SUCCESS
 
 
-class _Trio:
-    """Own three replicas and pass their encoded messages on at once."""
+class _Replicas:
+    """Three replicas; messages between them are encoded and delivered at once."""
 
     def __init__(self, folder: pathlib.Path) -> None:
-        members = Members(tuple(Member(each, each) for each in REPLICAS))
+        members = Members(
+            tuple(Member(replica_id, replica_id) for replica_id in REPLICAS)
+        )
         self._disks = {
-            each: FolderDisk(FolderFiles(folder / each)) for each in REPLICAS
+            replica_id: FolderDisk(FolderFiles(folder / replica_id))
+            for replica_id in REPLICAS
         }
         self._replicas = {
-            each: Replica(each, disk.load(members), 1, 0.0)
-            for each, disk in self._disks.items()
+            replica_id: Replica(replica_id, disk.load(members), 1, 0.0)
+            for replica_id, disk in self._disks.items()
         }
         self._now = 0.0
         self._committed = 0
 
     def measure(self, batch: int, rounds: int) -> list[float]:
-        """Return the seconds of each round."""
+        """Return the seconds from each batch of proposals to its acknowledgement."""
         leader = self._elect()
         times = []
         for number in range(rounds):
             proposals = tuple(
-                Proposal(number * batch + each, b"x" * COMMAND_BYTES)
-                for each in range(batch)
+                Proposal(number * batch + offset, b"x" * COMMAND_BYTES)
+                for offset in range(batch)
             )
             before = self._committed
-            began = time.perf_counter()
+            started = time.perf_counter()
             self._handle(leader, Propose(proposals))
-            times.append(time.perf_counter() - began)
-            if self._committed - before != batch:
-                raise RuntimeError("a proposal was not acknowledged")
+            times.append(time.perf_counter() - started)
+            committed = self._committed - before
+            if committed != batch:
+                raise RuntimeError(f"{committed} of {batch} proposals acknowledged")
         for disk in self._disks.values():
             disk.close()
         return times
 
     def _elect(self) -> str:
+        """Advance the time until a replica leads, and return its id."""
         self._now = 1.0
         while True:
             self._now += 0.05
-            for each in REPLICAS:
-                if self._replicas[each].next_tick <= self._now:
-                    self._handle(each, Tick())
-                if self._replicas[each].state.role is Role.LEADER:
-                    return each
-
-    def _handle(self, first: str, message: ReplicaInput) -> None:
-        waiting = collections.deque([(first, message)])
-        while waiting:
-            replica_id, each = waiting.popleft()
-            outputs = batch_outputs(self._replicas[replica_id].handle(each, self._now))
+            for replica_id in REPLICAS:
+                if self._replicas[replica_id].next_tick <= self._now:
+                    self._handle(replica_id, Tick())
+                if self._replicas[replica_id].state.role is Role.LEADER:
+                    return replica_id
+
+    def _handle(self, recipient: str, message: ReplicaInput) -> None:
+        """Deliver a message and all messages that follow from it."""
+        pending = collections.deque([(recipient, message)])
+        while pending:
+            replica_id, current = pending.popleft()
+            outputs = batch_outputs(
+                self._replicas[replica_id].handle(current, self._now)
+            )
             for write in outputs.writes:
                 self._write(replica_id, write)
             for output in outputs.released:
                 if isinstance(output, Send):
                     sent = decode_message(encode_message(output.message))
-                    waiting.append((output.recipient, Received(replica_id, sent)))
+                    pending.append((output.recipient, Received(replica_id, sent)))
                 elif isinstance(output, ProposalResult):
                     self._committed += output.outcome is Outcome.COMMITTED
 
@@ -121,14 +129,15 @@
             self._disks[replica_id].save(write.snapshot, write.records)
 
 
-def _sync_only(folder: pathlib.Path, batch: int, rounds: int) -> list[float]:
+def _time_syncs(folder: pathlib.Path, batch: int, rounds: int) -> list[float]:
+    """Return the seconds to append the bytes of each batch to one file and sync it."""
     times = []
     with (folder / "bare").open("ab", buffering=0) as file:
         for _ in range(rounds):
-            began = time.perf_counter()
+            started = time.perf_counter()
             file.write(b"x" * COMMAND_BYTES * batch)
             os.fdatasync(file.fileno())
-            times.append(time.perf_counter() - began)
+            times.append(time.perf_counter() - started)
     return times
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/failover.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/failover.py
@@ -1,4 +1,4 @@
-"""Measure the time without a leader after its crash."""
+"""Benchmark of the time without a leader after the leader crashes."""
 
 from collections.abc import Sequence
 
@@ -8,9 +8,9 @@
 from pimentobend_bench._internal.consensus.timed_cluster import TimedCluster
 
 TARGET_S = 3.0
-SEEDS = 300
-STEP_S = 0.01
-LIMIT_S = 30.0
+SEEDS = 300  # runs per cluster
+STEP_S = 0.01  # between two proposals
+LIMIT_S = 30.0  # reported if nothing is committed
 SHAPES = {
     "3 in one data centre": Shape("aaa", 0.0005, 0.030, 0.005, 0.0),
     "3 in two regions": Shape("aab", 0.0014, 0.030, 0.005, 0.0),
@@ -21,14 +21,14 @@
 
 
 class FailoverCommand(Command):
-    """Crash leaders and time the next acknowledged proposal."""
+    """Crashes the leader and measures the time to the next acknowledged proposal."""
 
     name = "failover"
     usage = "failover [seeds]"
     summary = "time from a leader's crash to the next acknowledged proposal"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Print quantiles for each shape; fail where one misses the target."""
+        """Print quantiles by cluster; TARGET_MISSED if a maximum exceeds the target."""
         seeds = int(args[0]) if args else SEEDS
         worst = 0.0
         print(f"seconds from crash to next commit, seeds 0 to {seeds - 1}")
@@ -49,12 +49,12 @@
         return LIMIT_S
     cluster.crash(leader)
     crashed_at = cluster.now
-    waiting: list[int] = []
+    proposal_ids: list[int] = []
     while cluster.now - crashed_at < LIMIT_S:
         proposal_id = cluster.propose()
         if proposal_id is not None:
-            waiting.append(proposal_id)
+            proposal_ids.append(proposal_id)
         cluster.advance(STEP_S)
-        if any(cluster.is_committed(each) for each in waiting):
+        if any(cluster.is_committed(proposed) for proposed in proposal_ids):
             return cluster.now - crashed_at
     return LIMIT_S
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/recovery.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/recovery.py
@@ -1,4 +1,4 @@
-"""Measure how long a replica takes to read its data folder."""
+"""Benchmark of the time a replica takes to recover from its data folder."""
 
 import pathlib
 import tempfile
@@ -36,21 +36,21 @@
 TARGET_CHANGES = 10_000
 CHANGES = (1_000, 3_000, 10_000, 30_000)
 ROUTES = 9_000
-REPEATS = 3
-BLOCK_ENTRIES = 8  # entries a sync
+REPEATS = 3  # the fastest counts
+ENTRIES_PER_SYNC = 8
 MEMBERS = Members((Member("a", "127.0.0.1:1"),))
 
 
 class RecoveryCommand(Command):
-    """Store changes of one route each on tables of the target size, and reload."""
+    """Stores changes of one route each to tables of the target size, then recovers."""
 
     name = "recovery"
     usage = "recovery"
-    summary = "time to recover against log length, with and without a snapshot"
+    summary = "time to recover by log length, with and without a snapshot"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Print a row for each log length; fail where the target is missed."""
-        missed = False
+        """Print a row for each log length; TARGET_MISSED if recovery is too slow."""
+        is_missed = False
         print(f"seconds until recovered, {ROUTES} routes, best of {REPEATS}")
         print(f"{'changes':>8} {'no snapshot':>12} {'snapshot':>9}  target {TARGET_S}")
         for changes in CHANGES:
@@ -58,8 +58,8 @@
             compacted = _measure(changes, compacts=True)
             print(f"{changes:8} {plain:12.3f} {compacted:9.3f}")
             if changes == TARGET_CHANGES:
-                missed = compacted > TARGET_S
-        return Status.TARGET_MISSED if missed else Status.SUCCESS
+                is_missed = compacted > TARGET_S
+        return Status.TARGET_MISSED if is_missed else Status.SUCCESS
 
 
 def _measure(changes: int, *, compacts: bool) -> float:
@@ -70,6 +70,7 @@
 
 
 def _store(path: pathlib.Path, changes: int, *, compacts: bool) -> None:
+    """Write the log of a replica; with ``compacts``, save each snapshot it asks for."""
     disk = FolderDisk(FolderFiles(path))
     disk.load(MEMBERS)
     disk.append((TermRecord(1, "a"),))
@@ -80,11 +81,13 @@
         entries.append(entry)
         recent.append(entry)
         outputs = service.handle(Committed((entry,)), 0.0)
-        compact = next((each for each in outputs if isinstance(each, Compact)), None)
+        compact = next(
+            (output for output in outputs if isinstance(output, Compact)), None
+        )
         if compacts and compact is not None:
             _save(disk, compact, tuple(recent))
             entries = []
-        elif len(entries) == BLOCK_ENTRIES:
+        elif len(entries) == ENTRIES_PER_SYNC:
             disk.append(tuple(map(EntryRecord, entries)))
             entries = []
     if entries:
@@ -93,7 +96,7 @@
 
 
 def _entries(service: ConfigurationService, changes: int) -> Iterator[Entry]:
-    """Yield an entry with all tables, then one for each changed route."""
+    """Yield an entry that holds all tables, then one for each change of a route."""
     routes = tuple(make_routes(ROUTES))
     tables = service.state.tables
     delta = tables.diff(routes, tuple(make_pools()))
@@ -114,7 +117,8 @@
 
 
 def _recover(path: pathlib.Path, last_index: int) -> float:
-    began = time.perf_counter()
+    """Load the data folder and apply its entries; return the seconds it took."""
+    started = time.perf_counter()
     disk = FolderDisk(FolderFiles(path))
     stored = disk.load(MEMBERS)
     service = ConfigurationService("a")
@@ -124,8 +128,8 @@
     for output in replica.handle(Tick(), 1.0):
         if isinstance(output, Committed):
             service.handle(output, 1.0)
-    taken_s = time.perf_counter() - began
+    elapsed_s = time.perf_counter() - started
     disk.close()
     if replica.commit_index < last_index:
-        raise RuntimeError(f"recovered {replica.commit_index} of {last_index}")
-    return taken_s
+        raise RuntimeError(f"recovered {replica.commit_index} of {last_index} entries")
+    return elapsed_s
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
@@ -1,4 +1,4 @@
-"""Run replicas in simulated time with a delay between each two."""
+"""Simulated cluster of replicas with delays between them and at their disks."""
 
 import heapq
 import itertools
@@ -22,33 +22,36 @@
 
 
 class Shape(NamedTuple):
-    """Place replicas in regions; delays and syncs are in seconds, one way."""
+    """Layout of a cluster and its delays."""
 
-    regions: str  # a letter a replica
-    within_s: float
-    between_s: float
-    sync_s: float
+    regions: str  # one letter per replica names its region
+    within_s: float  # one way, within a region
+    between_s: float  # one way, between regions
+    sync_s: float  # of one write to disk
     loss: float  # share of the messages
 
 
 class _Event(NamedTuple):
     due: float
-    order: int
+    order: int  # keeps events of the same time in the order of sending
     recipient: str
     message: ReplicaInput
 
 
 class TimedCluster:
-    """Own the replicas and the messages on their way."""
+    """The simulated clock, the replicas and the messages in transit."""
 
     def __init__(self, shape: Shape, seed: int) -> None:
         self._shape = shape
         self._rng = random.Random(seed)
         self._ids = [f"{region}{n}" for n, region in enumerate(shape.regions)]
-        members = Members(tuple(Member(each, each) for each in self._ids))
+        members = Members(
+            tuple(Member(replica_id, replica_id) for replica_id in self._ids)
+        )
         self.now = 0.0
         self.replicas = {
-            each: Replica(each, fresh_state(members), seed, 0.0) for each in self._ids
+            replica_id: Replica(replica_id, fresh_state(members), seed, 0.0)
+            for replica_id in self._ids
         }
         self._events: list[_Event] = []
         self._order = itertools.count()
@@ -57,21 +60,21 @@
 
     @property
     def leader(self) -> str | None:
-        """Return the replica that leads in the highest term."""
-        leading = [
+        """Return the leader of the highest term, or None."""
+        leaders = [
             replica.state
             for replica in self.replicas.values()
             if replica.state.role is Role.LEADER
         ]
-        best = max(leading, key=lambda state: state.term, default=None)
-        return None if best is None else best.replica_id
+        newest = max(leaders, key=lambda state: state.term, default=None)
+        return None if newest is None else newest.replica_id
 
     def crash(self, replica_id: str) -> None:
-        """End a replica for good."""
+        """Remove a replica for good."""
         del self.replicas[replica_id]
 
     def advance(self, seconds: float) -> None:
-        """Run what is due in the next seconds."""
+        """Advance the simulated time and run the ticks and messages that are due."""
         until = self.now + seconds
         while True:
             ticks = (replica.next_tick for replica in self.replicas.values())
@@ -89,7 +92,7 @@
         self.now = until
 
     def propose(self) -> int | None:
-        """Propose at the leader and return the proposal's id."""
+        """Propose a command to the leader; return its id, or None without a leader."""
         leader = self.leader
         if leader is None:
             return None
@@ -98,7 +101,7 @@
         return proposal_id
 
     def is_committed(self, proposal_id: int) -> bool:
-        """Say whether a proposal was acknowledged."""
+        """Return whether a proposal was acknowledged."""
         return proposal_id in self._committed
 
     def _handle(self, replica_id: str, message: ReplicaInput) -> None:
@@ -119,9 +122,9 @@
     def _send(self, sender: str, output: Send, delay_s: float) -> None:
         if self._rng.random() < self._shape.loss:
             return
-        is_within = sender[0] == output.recipient[0]
+        is_same_region = sender[0] == output.recipient[0]
         shape = self._shape
-        link_s = shape.within_s if is_within else shape.between_s
+        link_s = shape.within_s if is_same_region else shape.between_s
         due = self.now + delay_s + link_s * self._rng.uniform(1.0, 1.2)
         received = Received(sender, output.message)
         event = _Event(due, next(self._order), output.recipient, received)
