Reword the ledger benchmark

"One entry a command beside it", PRINT, `_take` and `_serve` were unclear. Headings say per entry, per core and per claim; PRINT is FINGERPRINT.

--- a/packages/bench/src/pimentobend_bench/_internal/ledger/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the ledger on fakes with stated round trips."""
+"""Benchmarks of the ledger over simulated links and disks with fixed delays."""
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/claims.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/claims.py
@@ -1,4 +1,4 @@
-"""Measure how many claims a ledger takes and what they add to a request."""
+"""Benchmark of the ledger's throughput and the latency it adds to a request."""
 
 import time
 import tracemalloc
@@ -25,37 +25,37 @@
 
 SEED = 5
 SYNC_S = 0.002
-RUN_S = 5.0
-RATES = (10, 100, 1000, 4000)
+RUN_S = 5.0  # simulated time per row
+RATES = (10, 100, 1000, 4000)  # claims per second
 ADDED_P99_LIMIT_S = 0.0077
 PATHS = (
     ("leader and majority near", PathDelays(0.0005, 0.001, SYNC_S)),
     ("caller's daemon in the other region", PathDelays(0.030, 0.001, SYNC_S)),
     ("majority across regions", PathDelays(0.0005, 0.060, SYNC_S)),
 )
-BATCHES = (1, 16, 256)
-STATE_CLAIMS = 20_000
+BATCHES = (1, 16, 256)  # commands per entry
+TIMED_CLAIMS = 20_000
 STATE_ENTRIES = (10_000, 50_000, 100_000)
 
 
 class ClaimsCommand(Command):
-    """Print latency by path and rate, then processor time and memory."""
+    """Prints latency by path and rate, CPU time by batch, and memory of the state."""
 
     name = "claims"
     usage = "claims [seed]"
-    summary = "claims a second, their added latency, time and memory of the state"
+    summary = "added latency by claims per second, CPU time and memory of the state"
 
     def run(self, args: Sequence[str]) -> Status:
         """Run with an optional seed."""
         seed = int(args[0]) if args else SEED
-        print(f"claims: seed {seed}, sync {SYNC_S * 1000:g} ms, {RUN_S:g} s a row")
+        print(f"claims: seed {seed}, sync {SYNC_S * 1000:g} ms, {RUN_S:g} s per row")
         status = self._print_paths(seed)
         self._print_batches()
         self._print_sizes()
         return status
 
     def _print_paths(self, seed: int) -> Status:
-        print("each rate: entries shared by commands; one entry a command beside it")
+        print("each rate: entries shared by commands | one entry per command")
         print(
             f"{'path':36} {'claims/s':>8} {'p50 ms':>8} {'p99 ms':>8} {'denied':>7}"
             f" {'entries':>8} | {'p50 ms':>8} {'p99 ms':>8} {'denied':>7}"
@@ -77,15 +77,15 @@
         return status
 
     def _print_batches(self) -> None:
-        print(f"{'commands an entry':>18} {'us a claim':>11} {'claims/s a core':>16}")
+        print(f"{'commands per entry':>18} {'us/claim':>11} {'claims/s per core':>17}")
         for batch in BATCHES:
-            spent_s = _time_claims(batch)
-            each_s = spent_s / STATE_CLAIMS
-            print(f"{batch:18} {each_s * 1e6:11.1f} {1 / each_s:16.0f}")
+            cpu_s = _time_claims(batch)
+            each_s = cpu_s / TIMED_CLAIMS
+            print(f"{batch:18} {each_s * 1e6:11.1f} {1 / each_s:17.0f}")
 
     def _print_sizes(self) -> None:
         print(
-            f"{'entries':>18} {'B an entry':>11} {'snapshot MB':>12}"
+            f"{'entries':>18} {'B per entry':>11} {'snapshot MB':>12}"
             f" {'encode ms':>10} {'restore ms':>11}"
         )
         for entries in STATE_ENTRIES:
@@ -93,14 +93,14 @@
             state = _create_state(entries)
             held_bytes = tracemalloc.get_traced_memory()[0]
             tracemalloc.stop()
-            began = time.perf_counter()
+            started = time.perf_counter()
             snapshot = encode_snapshot(state)
             encoded = time.perf_counter()
             decode_snapshot(snapshot)
             restored = time.perf_counter()
             print(
                 f"{entries:18} {held_bytes / entries:11.0f}"
-                f" {len(snapshot) / 1e6:12.2f} {(encoded - began) * 1e3:10.1f}"
+                f" {len(snapshot) / 1e6:12.2f} {(encoded - started) * 1e3:10.1f}"
                 f" {(restored - encoded) * 1e3:11.1f}"
             )
 
@@ -121,15 +121,15 @@
 
 
 def _time_claims(batch: int) -> float:
-    """Return processor seconds of claims and settlements, encoding included."""
-    commands = [_create_commands(number) for number in range(STATE_CLAIMS)]
+    """Return the CPU seconds of claims and settlements, encoding included."""
+    commands = [_create_commands(number) for number in range(TIMED_CLAIMS)]
     state = LedgerState()
-    began = time.process_time()
+    started = time.process_time()
     for step in (0, 1):
-        for first in range(0, STATE_CLAIMS, batch):
+        for first in range(0, TIMED_CLAIMS, batch):
             part = tuple(pair[step] for pair in commands[first : first + batch])
             state.apply(decode_batch(encode_batch(CommandBatch(0.001, part))))
-    return time.process_time() - began
+    return time.process_time() - started
 
 
 def _quantile(values: list[float], share: float) -> float:
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
@@ -1,4 +1,4 @@
-"""Drive the ledger's client and service over a path with stated delays."""
+"""Simulated path between the ledger's client and service, with fixed delays."""
 
 import heapq
 import itertools
@@ -23,30 +23,30 @@
 from pimentobend_core._internal.ledger.service_messages import ServiceOutput
 from pimentobend_core._internal.models.request import Ran
 
-DEADLINE_S = 5.0
-WORK_S = 0.02
-PRINT = b"p" * 8
+DEADLINE_S = 5.0  # from the claim
+WORK_S = 0.02  # from the grant to the settlement
+FINGERPRINT = b"p" * 8
 
 
 class PathDelays(NamedTuple):
-    """State the delays of a claim, in seconds."""
+    """Delays that a claim meets, in seconds."""
 
     to_leader_s: float  # one way
     to_majority_s: float  # round trip
-    sync_s: float  # of one entry on a disk; entries sync one after another
+    sync_s: float  # of one entry; the disk syncs entries one after another
 
 
 class PathReport(NamedTuple):
-    """Tell what became of the claims."""
+    """Outcome of all claims of one run."""
 
     granted: int
     denied: int
-    entries: int
-    latencies_s: list[float]
+    entries: int  # in the log
+    latencies_s: list[float]  # of the granted claims
 
 
 class ClaimPath:
-    """Own one daemon, one leading service and simulated time."""
+    """The simulated clock, one daemon's ledger client and the leader's service."""
 
     def __init__(self, delays: PathDelays, service: LedgerService, seed: int) -> None:
         self._delays = delays
@@ -63,32 +63,32 @@
         self._latencies_s: list[float] = []
 
     def run(self, claims_a_second: float, seconds: float) -> PathReport:
-        """Offer claims at random times and return what became of them."""
+        """Send claims as a Poisson process and return their outcome."""
         due = 0.0
         for ticket in itertools.count(1):
             due += self._rng.expovariate(claims_a_second)
             if due >= seconds:
                 break
             self._asked_at[ticket] = due
-            self._at(due, self._create_ask(ticket, due))
+            self._call_at(due, self._create_ask(ticket, due))
         while self._events:
             self._now, _, action = heapq.heappop(self._events)
             action()
         granted = len(self._latencies_s)
         return PathReport(granted, self._denied, self._index, self._latencies_s)
 
-    def _at(self, due: float, action: Callable[[], None]) -> None:
+    def _call_at(self, due: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (due, next(self._numbers), action))
 
     def _create_ask(self, ticket: int, due: float) -> Callable[[], None]:
         key = LedgerKey("organisation", f"key-{ticket}")
-        ask = AskClaim(ticket, key, PRINT, due + DEADLINE_S)
-        return lambda: self._take(self._client.handle(ask, self._now))
+        ask = AskClaim(ticket, key, FINGERPRINT, due + DEADLINE_S)
+        return lambda: self._handle_client(self._client.handle(ask, self._now))
 
-    def _take(self, outputs: tuple[ClientOutput, ...]) -> None:
+    def _handle_client(self, outputs: tuple[ClientOutput, ...]) -> None:
         for output in outputs:
             if isinstance(output, SendRequest):
-                self._request(output)
+                self._send_request(output)
             elif isinstance(output, ClaimDenied):
                 self._denied += 1
             elif isinstance(output, ClaimGranted):
@@ -97,42 +97,44 @@
 
     def _settle_later(self, granted: ClaimGranted) -> None:
         settle = AskSettle(granted.claim_id, Ran.RAN, 200)
-        self._at(
+        self._call_at(
             self._now + WORK_S,
-            lambda: self._take(self._client.handle(settle, self._now)),
+            lambda: self._handle_client(self._client.handle(settle, self._now)),
         )
 
-    def _request(self, output: SendRequest) -> None:
-        self._at(
+    def _send_request(self, output: SendRequest) -> None:
+        self._call_at(
             self._now + self._delays.to_leader_s,
-            lambda: self._serve(self._service.handle(output.request, self._now)),
+            lambda: self._handle_service(
+                self._service.handle(output.request, self._now)
+            ),
         )
 
-    def _serve(self, outputs: tuple[ServiceOutput, ...]) -> None:
+    def _handle_service(self, outputs: tuple[ServiceOutput, ...]) -> None:
         for output in outputs:
             if isinstance(output, ProposeEntry):
                 self._propose(output)
             elif isinstance(output, LedgerReply):
-                self._reply(output)
+                self._send_reply(output)
 
     def _propose(self, entry: ProposeEntry) -> None:
         synced_at = max(self._now, self._disk_free_at) + self._delays.sync_s
         self._disk_free_at = synced_at
         self._index += 1
         index = self._index
-        self._at(
+        self._call_at(
             synced_at + self._delays.to_majority_s, lambda: self._commit(entry, index)
         )
 
     def _commit(self, entry: ProposeEntry, index: int) -> None:
         accepted = EntryAccepted(entry.proposal_id, index)
         committed = EntryCommitted(index, entry.payload)
-        self._serve(self._service.handle(accepted, self._now))
-        self._serve(self._service.handle(committed, self._now))
+        self._handle_service(self._service.handle(accepted, self._now))
+        self._handle_service(self._service.handle(committed, self._now))
 
-    def _reply(self, reply: LedgerReply) -> None:
+    def _send_reply(self, reply: LedgerReply) -> None:
         arrived = ReplyArrived(reply)
-        self._at(
+        self._call_at(
             self._now + self._delays.to_leader_s,
-            lambda: self._take(self._client.handle(arrived, self._now)),
+            lambda: self._handle_client(self._client.handle(arrived, self._now)),
         )
