--- a/packages/bench/src/pimentobend_bench/__init__.py
+++ b/packages/bench/src/pimentobend_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measure the fleet with small fakes."""
+"""Benchmarks of the fleet, most of them on simulated parts."""
--- a/packages/bench/src/pimentobend_bench/__main__.py
+++ b/packages/bench/src/pimentobend_bench/__main__.py
@@ -1,4 +1,4 @@
-"""Run a bench command by its name."""
+"""Entry point of ``python -m pimentobend_bench``."""
 
 import sys
 
@@ -8,7 +8,7 @@
 
 
 def main() -> int:
-    """Run the named command and return its exit code."""
+    """Run the command that the command line names and return its exit code."""
     if len(sys.argv) < 2 or sys.argv[1] not in COMMANDS:
         print("usage: python -m pimentobend_bench <command> [arguments]")
         for name, entry in sorted(COMMANDS.items()):
--- a/packages/bench/src/pimentobend_bench/_internal/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/__init__.py
@@ -1,1 +1,1 @@
-"""Hold the private modules of the package."""
+"""Implementation of the bench; not a public interface."""
--- a/packages/bench/src/pimentobend_bench/_internal/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/command.py
@@ -1,4 +1,4 @@
-"""Define what every bench command offers."""
+"""Base class and exit codes of the bench commands."""
 
 import abc
 import enum
@@ -6,7 +6,7 @@
 
 
 class Status(enum.IntEnum):
-    """Name the exit codes of the bench."""
+    """Exit code of a bench command."""
 
     SUCCESS = 0
     TARGET_MISSED = 1
@@ -14,7 +14,7 @@
 
 
 class Command(abc.ABC):
-    """Run one experiment and print its table."""
+    """A benchmark that prints its results as a table."""
 
     name: str
     usage: str
@@ -22,4 +22,4 @@
 
     @abc.abstractmethod
     def run(self, args: Sequence[str]) -> Status:
-        """Run with command-line arguments and return an exit code."""
+        """Run the benchmark with command-line arguments and return its exit code."""
--- a/packages/bench/src/pimentobend_bench/_internal/registry.py
+++ b/packages/bench/src/pimentobend_bench/_internal/registry.py
@@ -1,4 +1,4 @@
-"""Find the bench commands without importing them all."""
+"""Registry of the bench commands; each is imported only when it runs."""
 
 import importlib
 from typing import NamedTuple
@@ -6,74 +6,74 @@
 from pimentobend_bench._internal.command import Command
 
 
-class Entry(NamedTuple):
-    """Say where a command lives."""
+class CommandEntry(NamedTuple):
+    """Location and summary of a command."""
 
-    module: str  # below pimentobend_bench._internal
+    module: str  # relative to pimentobend_bench._internal
     class_name: str
     summary: str
 
 
-COMMANDS: dict[str, Entry] = {
-    "apply": Entry(
+COMMANDS: dict[str, CommandEntry] = {
+    "apply": CommandEntry(
         "consensus.apply", "ApplyCommand", "time until a change is acknowledged"
     ),
-    "failover": Entry(
+    "failover": CommandEntry(
         "consensus.failover", "FailoverCommand", "time without a leader after a crash"
     ),
-    "recovery": Entry(
-        "consensus.recovery", "RecoveryCommand", "time to recover against log length"
+    "recovery": CommandEntry(
+        "consensus.recovery", "RecoveryCommand", "time to recover by log length"
     ),
-    "detection": Entry(
+    "detection": CommandEntry(
         "health.detection",
         "DetectionCommand",
         "time until a faulty server is out of use",
     ),
-    "false-ejections": Entry(
+    "false-ejections": CommandEntry(
         "health.false_ejections",
         "FalseEjectionsCommand",
         "healthy servers ejected per hour",
     ),
-    "crest": Entry(
+    "crest": CommandEntry(
         "traffic.crest", "CrestCommand", "goodput and latency during a peak of demand"
     ),
-    "head-of-line": Entry(
+    "head-of-line": CommandEntry(
         "traffic.head_of_line", "HeadOfLineCommand", "short requests behind long ones"
     ),
-    "slopes": Entry(
+    "slopes": CommandEntry(
         "capacity.slopes",
         "SlopesCommand",
-        "memory, bytes and CPU against sizes, with a line fitted",
+        "memory, bytes and CPU time by size, with a fitted line",
     ),
-    "hop": Entry(
+    "hop": CommandEntry(
         "capacity.hop.command",
         "HopCommand",
-        "CPU a request and added latency of one hop, real processes",
+        "CPU time per request and added latency of one hop, with real processes",
     ),
-    "whole-table": Entry(
+    "whole-table": CommandEntry(
         "capacity.whole.command",
         "WholeTableCommand",
-        "9,000 routes, 580 pools, servers, organisations in one process",
+        "memory and CPU time with 9,000 routes, 580 pools, servers, organisations",
     ),
-    "capacity": Entry(
+    "capacity": CommandEntry(
         "capacity.command",
         "CapacityCommand",
-        "remake docs/CAPACITY.md, its figures and plots",
+        "regenerate docs/CAPACITY.md with its figures and plots",
     ),
-    "slope-point": Entry(
+    "slope-point": CommandEntry(
         "capacity.point",
         "PointCommand",
-        "take one reading of one probe in a fresh process",
+        "measure one point of one probe in a new process",
     ),
-    "claims": Entry(
-        "ledger.claims", "ClaimsCommand", "claims a second and their added latency"
+    "claims": CommandEntry(
+        "ledger.claims", "ClaimsCommand", "added latency by claims per second"
     ),
-    "spread-bytes": Entry(
+    "spread-bytes": CommandEntry(
         "membership.spread_bytes",
         "SpreadBytesCommand",
         "bytes and CPU time per second and daemon to spread rows",
     ),
-    "spread-time": Entry(
+    "spread-time": CommandEntry(
         "membership.spread_time",
         "SpreadTimeCommand",
         "time until a change is in force at all daemons",
@@ -82,7 +82,7 @@
 
 
 def create_command(name: str) -> Command:
-    """Import and create the command; raise KeyError for an unknown name."""
+    """Import the command's module and create it; KeyError if the name is unknown."""
     entry = COMMANDS[name]
     module = importlib.import_module(f"pimentobend_bench._internal.{entry.module}")
     command: Command = getattr(module, entry.class_name)()
