Rename the simulated fleet's give to deliver

A second reading found the last "give"; it delivers a message to an instance. No other folder uses the method.

--- a/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
@@ -133,16 +133,16 @@
             if place.instance_id == unaware:
                 continue
             if place.instance_id == name:
-                self.give(name, BecomeRoot(self._term))
+                self.deliver(name, BecomeRoot(self._term))
             elif place.role is TreeRole.REPLICA:
                 parents = plan_parents(place, self.control, name)
-                self.give(place.instance_id, FollowParents(parents))
+                self.deliver(place.instance_id, FollowParents(parents))
 
     def publish(self, name: str, rows: Iterable[Row]) -> None:
         """Let an instance publish rows of its own."""
-        self.give(name, PublishRows(tuple(rows)))
+        self.deliver(name, PublishRows(tuple(rows)))
 
-    def give(
+    def deliver(
         self,
         name: str,
         message: FromPeer | PublishRows | SpreadTick | BecomeRoot | FollowParents,
@@ -193,7 +193,7 @@
         for due, name in ticks:
             self._deliver_until(due)
             self.now = due
-            self.give(name, SpreadTick())
+            self.deliver(name, SpreadTick())
         self._deliver_until(end)
         self.now = end
 
@@ -201,7 +201,9 @@
         while self._in_transit and self._in_transit[0].due <= until:
             delivery = heapq.heappop(self._in_transit)
             self.now = max(self.now, delivery.due)
-            self.give(delivery.recipient, FromPeer(delivery.sender, delivery.message))
+            self.deliver(
+                delivery.recipient, FromPeer(delivery.sender, delivery.message)
+            )
 
     def _send(self, sender: str, outputs: tuple[SpreadOutput, ...]) -> None:
         for output in outputs:
