--- a/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
@@ -161,9 +161,9 @@
     ) -> None:
         self._call_at(self._now + delay, action, *args)
 
-    def _tick(self, number: int) -> None:
-        self._deliver(number, TrafficTick())
-        self._call_later(TICK_S, self._tick, number)
+    def _tick(self, daemon: int) -> None:
+        self._deliver(daemon, TrafficTick())
+        self._call_later(TICK_S, self._tick, daemon)
 
     def _arrive(self, request: Request) -> None:
         self._acquire(request, is_retry=False)
@@ -184,22 +184,22 @@
         )
         self._deliver(arrival.daemon, message)
 
-    def _deliver(self, number: int, message: TrafficInput) -> None:
-        for output in self._daemons[number].handle(message, self._now):
+    def _deliver(self, daemon: int, message: TrafficInput) -> None:
+        for output in self._daemons[daemon].handle(message, self._now):
             request = self._waiting.pop(output.ticket)
             if isinstance(output, Rejected):
                 self._end(request, output.refusal.reason.value)
             else:
-                self._send(number, request, output)
+                self._send(daemon, request, output)
 
-    def _send(self, number: int, request: Request, granted: Granted) -> None:
+    def _send(self, daemon: int, request: Request, granted: Granted) -> None:
         request.attempts += 1
-        is_far = granted.server.region != self._places[number].region
+        is_far = granted.server.region != self._places[daemon].region
         latency_s = FAR_LATENCY_S if is_far else REGION_LATENCY_S
-        self._call_later(latency_s, self._serve, number, request, granted, latency_s)
+        self._call_later(latency_s, self._serve, daemon, request, granted, latency_s)
 
     def _serve(
-        self, number: int, request: Request, granted: Granted, latency_s: float
+        self, daemon: int, request: Request, granted: Granted, latency_s: float
     ) -> None:
         fake = self._fakes[granted.server.server_id]
 
@@ -207,7 +207,7 @@
             self._call_later(
                 latency_s,
                 self._handle_response,
-                number,
+                daemon,
                 request,
                 _create_attempt_ended(request, granted, kind, fake.report()),
             )
@@ -222,16 +222,16 @@
             answer(AttemptKind.REFUSED)
 
     def _handle_response(
-        self, number: int, request: Request, message: AttemptEnded
+        self, daemon: int, request: Request, message: AttemptEnded
     ) -> None:
-        self._deliver(number, message)
+        self._deliver(daemon, message)
         if message.kind is AttemptKind.ANSWERED:
-            self._budgets[number].note_success()
+            self._budgets[daemon].note_success()
             is_late = self._now + CLIENT_LATENCY_S > request.deadline
             self._end(request, "late" if is_late else "answered")
             return
         request.excluded |= {message.server_id}
-        if request.attempts < MAX_OFFERS and self._budgets[number].may_retry(
+        if request.attempts < MAX_OFFERS and self._budgets[daemon].may_retry(
             message.kind, True, request.deadline, self._now
         ):
             self._acquire(request, is_retry=True)
