--- a/packages/client/src/pimentobend/_internal/main.py
+++ b/packages/client/src/pimentobend/_internal/main.py
@@ -45,8 +45,8 @@
     if isinstance(error, UnreachableError):
         return Status.UNREACHABLE
     if isinstance(error, RefusedError):
-        return _REFUSALS.get(error.status, Status.ERROR)
+        return _STATUS_OF_REFUSAL.get(error.status, Status.ERROR)
     return Status.ERROR
 
 
-_REFUSALS = {HTTP_CONFLICT: Status.CONFLICT, HTTP_UNPROCESSABLE: Status.FAULTS}
+_STATUS_OF_REFUSAL = {HTTP_CONFLICT: Status.CONFLICT, HTTP_UNPROCESSABLE: Status.FAULTS}
