Reword the raw backend

Its docstrings told what it remembers, not what it sends: the canned bytes stored under the last segment of the path. The mapping is now called responses, what is read from a socket a chunk.

--- a/tests/lib/raw_backend.py
+++ b/tests/lib/raw_backend.py
@@ -1,4 +1,4 @@
-"""Serve prepared bytes as a backend server, and remember what came."""
+"""Backend server that sends canned raw bytes and records what it received."""
 
 import contextlib
 import socket
@@ -9,22 +9,22 @@
 
 
 class RawBackend:
-    """Answer each request by the last segment of its path."""
+    """Answer each request with the bytes stored under its last path segment."""
 
-    def __init__(self, answers: dict[str, bytes]) -> None:
-        self._answers = answers
+    def __init__(self, responses: dict[str, bytes]) -> None:
+        self._responses = responses
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.requests: list[bytes] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     @property
     def port(self) -> int:
-        """Return the port that it serves on."""
+        """Return the port that the backend listens on."""
         port: int = self._listener.getsockname()[1]
         return port
 
     def close(self) -> None:
-        """Take no more connections."""
+        """Stop accepting connections."""
         self._listener.close()
 
     def _accept(self) -> None:
@@ -38,27 +38,27 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            head = b""
-            while b"\r\n\r\n" not in head:
-                piece = connection.recv(RECEIVE_BYTES)
-                if not piece:
+            received = b""
+            while b"\r\n\r\n" not in received:
+                chunk = connection.recv(RECEIVE_BYTES)
+                if not chunk:
                     return
-                head += piece
-            self.requests.append(head)
-            name = head.split(b" ")[1].rpartition(b"/")[2].decode()
-            connection.sendall(self._answers[name])
+                received += chunk
+            self.requests.append(received)
+            name = received.split(b" ")[1].rpartition(b"/")[2].decode()
+            connection.sendall(self._responses[name])
 
 
 def exchange(address: str, request: bytes, timeout_s: float = 5.0) -> bytes:
-    """Send raw bytes and return all that comes back until the end."""
+    """Send raw bytes and return all bytes received until the peer closes."""
     host, _, port = address.rpartition(":")
     with socket.create_connection((host, int(port)), timeout=timeout_s) as connection:
-        answer = b""
-        # A server that refuses early may reset the connection.
+        response = b""
+        # A server that rejects a request early may reset the connection.
         with contextlib.suppress(OSError):
             connection.sendall(request)
             connection.shutdown(socket.SHUT_WR)
         with contextlib.suppress(ConnectionError):
-            while piece := connection.recv(RECEIVE_BYTES):
-                answer += piece
-        return answer
+            while chunk := connection.recv(RECEIVE_BYTES):
+                response += chunk
+        return response
