Reword the soak test and its fault proxy

A reader stumbled over harms, promises, orders, spans and steps, over pairs of a near and a far end, and over docstrings that only say "Own" or "Hold".

Docstrings of overriding methods that all said the same are gone; the base class has it. The names of the faults, their order and the draws from a seed stay.

Local renames: Harm ConnectionFault, set_harm set_fault, Step ScheduledFault, Span FaultInterval, Sent RequestRecord, Read ConfigurationRead, Wipe LoseDisk, Hang HangServer, Drain DrainServer, HarmedPath DisruptConnections, play run_soak, Operator.order Operator.update.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -1,19 +1,19 @@
-"""Play short seeds of the soak, and those that ever broke a promise."""
+"""Run the soak with short seeds, and with seeds that once found a fault."""
 
 import pathlib
 
 import pytest
-from fleet_soak import play
+from fleet_soak import run_soak
 
-SEEDS = [  # seed, seconds, and for one that ever failed the cause
+SEEDS = [  # seed, seconds, and what went wrong where the seed once failed
     (1, 6.0, ""),
     (2, 6.0, ""),
-    (114, 12.0, "a reload during the start ended the process"),
+    (114, 12.0, "SIGHUP during startup ended the daemon"),
 ]
 
 
 @pytest.mark.parametrize(("seed", "seconds", "cause"), SEEDS)
-def test_a_soak_keeps_the_promises(
+def test_soak_finds_no_violations(
     seed: int, seconds: float, cause: str, tmp_path: pathlib.Path
 ) -> None:
-    assert play(seed, seconds, tmp_path) == [], cause
+    assert run_soak(seed, seconds, tmp_path) == [], cause
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -1,4 +1,4 @@
-"""Define the faults that the soak lets a fleet of real processes meet."""
+"""Faults that the soak test injects into a fleet of real processes."""
 
 import abc
 import random
@@ -7,209 +7,219 @@
 import time
 from typing import NamedTuple
 
+from fault_proxy import ConnectionFault
 from fault_proxy import FaultProxy
-from fault_proxy import Harm
 from platform_fleet import Process
 from platform_fleet import until
 
-PAUSES_S = (0.3, 0.8, 2.0)  # between faults; several may be on at once
-DOWN_S = (0.2, 1.0, 3.0)
-SETTLE_S = 2.0  # between two faults of one process
-DRAIN_S = 2.5  # then a draining server gets no new work
+FAULT_INTERVALS_S = (0.3, 0.8, 2.0)  # shorter than some faults: several may overlap
+FAULT_DURATIONS_S = (0.2, 1.0, 3.0)
+RECOVERY_S = 2.0  # between the end of a fault and the next one of the same process
+DRAIN_GRACE_S = 2.5  # after which a draining server must get no new requests
 
 
-class Step(NamedTuple):
-    """Hold one fault: what, to which process, when, and for how long."""
+class ScheduledFault(NamedTuple):
+    """Fault to inject into one process, with its start and duration."""
 
-    at_s: float
-    fault: str
-    process: int  # its place in the fleet's list
-    down_s: float
+    start_s: float  # since the start of the schedule
+    fault: str  # key of make_faults()
+    process_index: int  # in Fleet.processes
+    duration_s: float
 
 
-class Span(NamedTuple):
-    """Hold when a fault was on, in seconds of the steady clock."""
+class FaultInterval(NamedTuple):
+    """Time during which a fault was active, in seconds of the monotonic clock."""
 
     fault: str
     process: Process
-    began: float
-    ended: float
+    started_at: float
+    ended_at: float
 
 
 class Fault(abc.ABC):
-    """Harm a process from outside and make it good again."""
+    """Fault that can be injected into a process from outside and undone."""
 
-    on_control = True
-    on_instance = True
+    applies_to_control = True
+    applies_to_instance = True
 
     @abc.abstractmethod
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
+        """Inject the fault, keep it up for ``duration_s`` and undo it."""
 
-    def fits(self, is_control: bool) -> bool:
-        """Say whether a process of a role can meet the fault."""
-        return self.on_control if is_control else self.on_instance
+    def applies_to(self, is_control: bool) -> bool:
+        """Return whether a process with or without the control role can get it."""
+        return self.applies_to_control if is_control else self.applies_to_instance
 
 
 class Kill(Fault):
-    """End a process at once and start it again."""
+    """Kill a process (SIGKILL) and restart it."""
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         process.kill()
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.start()
 
 
 class Stop(Fault):
-    """Ask a process to stop and start it again once it has."""
+    """Shut a process down (SIGTERM), wait until it has ended and restart it."""
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         process.signal(signal.SIGTERM)
         process.wait()
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.start()
 
 
 class Pause(Fault):
-    """Let a process stand still."""
+    """Suspend a process (SIGSTOP) and resume it (SIGCONT)."""
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         process.signal(signal.SIGSTOP)
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.signal(signal.SIGCONT)
 
 
-class Wipe(Fault):
-    """Lose a disk, once in a run: more than one is not to be borne."""
+class LoseDisk(Fault):
+    """Kill a process and restart it, a control instance without its data.
+
+    Only the first control instance of a run loses its data, as the fleet
+    doesn't tolerate the loss of more than one disk.
+    """
 
     def __init__(self) -> None:
-        self._is_spent = False
+        self._has_lost_disk = False
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         process.kill()
-        if process.is_control and not self._is_spent:
-            self._is_spent = True
+        if process.is_control and not self._has_lost_disk:
+            self._has_lost_disk = True
             shutil.rmtree(process.folder / "data", ignore_errors=True)
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.start()
 
 
 class FullDisk(Fault):
-    """Refuse writes beyond the size that the largest file has."""
+    """Make writes fail that grow a file beyond the size of the largest data file."""
 
-    on_instance = False
+    applies_to_instance = False
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         files = (process.folder / "data").rglob("*")
-        sizes = [each.stat().st_size for each in files if each.is_file()]
+        sizes = [path.stat().st_size for path in files if path.is_file()]
         process.limit_files(max(sizes, default=0))
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.limit_files(None)
 
 
 class Reload(Fault):
-    """Tell a process that its settings have changed."""
+    """Make a process reload its settings (SIGHUP)."""
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         process.signal(signal.SIGHUP)
-        time.sleep(down_s)
-        if process.has_ended():  # it came before the program could take it
+        time.sleep(duration_s)
+        # A SIGHUP before the daemon has installed its handler ends the daemon.
+        if process.has_ended():
             process.start()
 
 
-class Hang(Fault):
-    """Let the server beside a process answer nothing."""
+class HangServer(Fault):
+    """Make the backend server beside a process stop answering requests."""
 
-    on_control = False
+    applies_to_control = False
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         assert process.server is not None
         process.server.hangs = True
-        time.sleep(down_s)
+        time.sleep(duration_s)
         process.server.hangs = False
 
 
-class Drain(Fault):
-    """Let the server beside a process leave, and another one take its place."""
+class DrainServer(Fault):
+    """Drain the backend server beside a process and replace it by a new one."""
 
-    on_control = False
+    applies_to_control = False
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         server = process.server
         assert server is not None
         server.state = "draining"
-        until(lambda: server.beat() == 200, "the daemon takes a last heartbeat")
-        acknowledged = time.monotonic()
-        time.sleep(DRAIN_S + down_s)
-        server.drained.append((acknowledged + DRAIN_S, time.monotonic()))
+        until(lambda: server.beat() == 200, "the daemon accepts a draining heartbeat")
+        acknowledged_at = time.monotonic()
+        time.sleep(DRAIN_GRACE_S + duration_s)
+        server.drained.append((acknowledged_at + DRAIN_GRACE_S, time.monotonic()))
         server.begin_again()
 
 
-class HarmedPath(Fault):
-    """Harm the connections to a process' server or from its callers."""
+class DisruptConnections(Fault):
+    """Disrupt the connections to a process's server or from its callers."""
 
-    on_control = False
+    applies_to_control = False
 
-    def __init__(self, harm: Harm, *, of_callers: bool) -> None:
-        self._harm = harm
-        self._of_callers = of_callers
+    def __init__(self, fault: ConnectionFault, *, from_callers: bool) -> None:
+        self._fault = fault
+        self._from_callers = from_callers
 
-    def apply(self, process: Process, down_s: float) -> None:
-        """Harm a process for a time."""
+    def apply(self, process: Process, duration_s: float) -> None:
         proxy: FaultProxy = process.to_server
-        if self._of_callers:
+        if self._from_callers:
             proxy = process.to_callers
-        proxy.set_harm(self._harm)
-        time.sleep(down_s)
-        proxy.set_harm(Harm.NONE)
+        proxy.set_fault(self._fault)
+        time.sleep(duration_s)
+        proxy.set_fault(ConnectionFault.NONE)
 
 
 def make_faults() -> dict[str, Fault]:
-    """Return the faults of one run by name."""
+    """Return new faults for one run, by name.
+
+    Their order is part of the schedule that a seed gives.
+    """
     faults: dict[str, Fault] = {
         "kill": Kill(),
         "stop": Stop(),
         "pause": Pause(),
-        "wipe": Wipe(),
+        "wipe": LoseDisk(),
         "full-disk": FullDisk(),
         "reload": Reload(),
-        "hang": Hang(),
-        "drain": Drain(),
+        "hang": HangServer(),
+        "drain": DrainServer(),
     }
-    for harm in Harm:
-        if harm is not Harm.NONE:
-            faults[f"callers-{harm.value}"] = HarmedPath(harm, of_callers=True)
-            faults[f"server-{harm.value}"] = HarmedPath(harm, of_callers=False)
+    for fault in ConnectionFault:
+        if fault is not ConnectionFault.NONE:
+            faults[f"callers-{fault.value}"] = DisruptConnections(
+                fault, from_callers=True
+            )
+            faults[f"server-{fault.value}"] = DisruptConnections(
+                fault, from_callers=False
+            )
     return faults
 
 
 def make_schedule(
     seed: int, seconds: float, are_control: tuple[bool, ...]
-) -> tuple[Step, ...]:
-    """Return the faults of a seed, with time between those of one process.
+) -> tuple[ScheduledFault, ...]:
+    """Return the faults to inject for a seed, in order of their start.
 
-    ``are_control`` says for each process whether its role is control.
+    Faults of the same process don't overlap. ``are_control`` tells for each
+    process whether it has the control role.
     """
     rng = random.Random(seed)
     faults = make_faults()
-    steps: list[Step] = []
+    schedule: list[ScheduledFault] = []
     free_at = [0.0] * len(are_control)
     now = 0.0
     while True:
-        now += rng.choice(PAUSES_S)
+        now += rng.choice(FAULT_INTERVALS_S)
         if now >= seconds:
-            return tuple(steps)
-        process = rng.randrange(len(are_control))
-        fitting = [name for name, f in faults.items() if f.fits(are_control[process])]
-        step = Step(now, rng.choice(fitting), process, rng.choice(DOWN_S))
-        if now >= free_at[process]:
-            free_at[process] = now + step.down_s + SETTLE_S
-            steps.append(step)
+            return tuple(schedule)
+        process_index = rng.randrange(len(are_control))
+        candidates = [
+            name
+            for name, fault in faults.items()
+            if fault.applies_to(are_control[process_index])
+        ]
+        scheduled = ScheduledFault(
+            now, rng.choice(candidates), process_index, rng.choice(FAULT_DURATIONS_S)
+        )
+        if now >= free_at[process_index]:
+            free_at[process_index] = now + scheduled.duration_s + RECOVERY_S
+            schedule.append(scheduled)
--- a/tests/lib/soak_traffic.py
+++ b/tests/lib/soak_traffic.py
@@ -1,4 +1,4 @@
-"""Send requests and orders while the soak runs, and keep what came back."""
+"""Traffic of the soak test: callers and an operator that record what they saw."""
 
 import http.client
 import random
@@ -12,34 +12,38 @@
 from platform_fleet import Process
 from platform_server import PREFIX
 
-TIMEOUT_S = 12.0  # two more than a route allows
+TIMEOUT_S = 12.0  # 2 s more than the timeout of the routes
 SAFE_SHARE = 0.3
 BODY_BYTES = (0, 300, 20_000)
-RETRY_S = 0.1  # after no answer
-ORDER_INTERVAL_S = 0.5
+RETRY_INTERVAL_S = 0.1  # after a request without a response, and between reads
+UPDATE_INTERVAL_S = 0.5
 
 
-class Sent(NamedTuple):
-    """Hold what a caller saw of one request; times are of the steady clock."""
+class RequestRecord(NamedTuple):
+    """Request of a caller and its answer; times are of the monotonic clock."""
 
     request_id: str
     process: Process
     is_safe: bool
-    is_direct: bool  # not through the proxy
-    began: float
-    ended: float
+    is_direct: bool  # sent to the daemon without the fault proxy in between
+    started_at: float
+    ended_at: float
     answer: Answer
 
 
-class Read(NamedTuple):
-    """Hold a label that was read, and the one acknowledged before it was asked."""
+class ConfigurationRead(NamedTuple):
+    """Version that was read, and the last one acknowledged before the read began."""
 
-    label: int
+    version: int
     acknowledged: int
 
 
 class Caller:
-    """Own one caller, which keeps its connection as long as it can."""
+    """Send requests to one process, on one connection for as long as it lasts.
+
+    The first caller of a process connects to the daemon directly, the others
+    through the fault proxy.
+    """
 
     def __init__(self, process: Process, number: int, seed: int) -> None:
         self._process = process
@@ -47,32 +51,33 @@
         self._is_direct = number == 0
         self._rng = random.Random(f"{seed}/{process.ip}/{number}")
         self._connection: http.client.HTTPConnection | None = None
-        self.sent: list[Sent] = []
+        self.records: list[RequestRecord] = []
 
     def run(self, stopping: threading.Event) -> None:
-        """Send one request after another."""
+        """Send one request after another until ``stopping`` is set."""
         while not stopping.is_set():
-            request_id = f"{self._process.ip}-{self._number}-{len(self.sent)}"
+            request_id = f"{self._process.ip}-{self._number}-{len(self.records)}"
             is_safe = self._rng.random() < SAFE_SHARE
-            began = time.monotonic()
+            started_at = time.monotonic()
             answer = self._send(request_id, is_safe)
-            ended = time.monotonic()
-            self.sent.append(
-                Sent(
+            ended_at = time.monotonic()
+            self.records.append(
+                RequestRecord(
                     request_id,
                     self._process,
                     is_safe,
                     self._is_direct,
-                    began,
-                    ended,
+                    started_at,
+                    ended_at,
                     answer,
                 )
             )
             if answer.status == 0:
-                time.sleep(RETRY_S)
-        self._drop()
+                time.sleep(RETRY_INTERVAL_S)
+        self._disconnect()
 
     def _send(self, request_id: str, is_safe: bool) -> Answer:
+        """Send one request; the status is 0 if no complete response arrived."""
         body = self._rng.randbytes(0 if is_safe else self._rng.choice(BODY_BYTES))
         headers = {
             "Host": "a.example",
@@ -87,12 +92,14 @@
             response = self._connection.getresponse()
             content = response.read()
         except (OSError, http.client.HTTPException):
-            self._drop()
+            self._disconnect()
             return Answer(0, {}, b"")
         if response.will_close:
-            self._drop()
-        found = {name.lower(): value for name, value in response.getheaders()}
-        return Answer(response.status, found, content)
+            self._disconnect()
+        response_headers = {
+            name.lower(): value for name, value in response.getheaders()
+        }
+        return Answer(response.status, response_headers, content)
 
     def _connect(self) -> http.client.HTTPConnection:
         address = self._process.to_callers.address
@@ -100,31 +107,31 @@
             address = self._process.address(8400)
         return http.client.HTTPConnection(address, timeout=TIMEOUT_S)
 
-    def _drop(self) -> None:
+    def _disconnect(self) -> None:
         if self._connection is not None:
             self._connection.close()
             self._connection = None
 
 
 class Operator:
-    """Own the orders and the reads of the configuration."""
+    """Update the configuration of a fleet, and read it back."""
 
     def __init__(self, fleet: Fleet, seed: int) -> None:
         self._fleet = fleet
         self._rng = random.Random(seed)
-        self.acknowledged = 0
-        self.reads: list[Read] = []
+        self.acknowledged = 0  # the last version that was acknowledged
+        self.reads: list[ConfigurationRead] = []
 
-    def order(self, stopping: threading.Event) -> None:
-        """Send one order after another, each until it is acknowledged."""
-        while not stopping.wait(ORDER_INTERVAL_S):
+    def update(self, stopping: threading.Event) -> None:
+        """Put one version after another, each until it is acknowledged."""
+        while not stopping.wait(UPDATE_INTERVAL_S):
             if self._fleet.put(ROUTES) == 200:
                 self.acknowledged = self._fleet.label
 
     def read(self, stopping: threading.Event) -> None:
-        """Read at any control instance."""
-        while not stopping.wait(RETRY_S):
+        """Read the configuration from randomly chosen control instances."""
+        while not stopping.wait(RETRY_INTERVAL_S):
             acknowledged = self.acknowledged
-            label = self._fleet.read_at(self._rng.choice(self._fleet.control))
-            if label is not None:
-                self.reads.append(Read(label, acknowledged))
+            version = self._fleet.read_at(self._rng.choice(self._fleet.control))
+            if version is not None:
+                self.reads.append(ConfigurationRead(version, acknowledged))
--- a/tests/unit/fleet/test_fault_proxy.py
+++ b/tests/unit/fleet/test_fault_proxy.py
@@ -1,20 +1,20 @@
-"""Check what each harm does to open and to new connections."""
+"""Check what each connection fault does to open and to new connections."""
 
 import socket
 import threading
 from collections.abc import Iterator
 
 import pytest
+from fault_proxy import ConnectionFault
 from fault_proxy import FaultProxy
-from fault_proxy import Harm
 
-LIMIT_S = 5.0  # for what arrives
-SILENCE_S = 0.5  # in which what is lost would have arrived
+RESPONSE_TIMEOUT_S = 5.0  # where a response or a reset is expected
+SILENCE_S = 0.5  # without a response, after which its bytes count as discarded
 
 
 @pytest.fixture
 def echo() -> Iterator[str]:
-    """Give the address of a server that sends back what it reads."""
+    """Yield the address of a server that echoes what it reads."""
     listener = socket.create_server(("127.0.0.1", 0))
 
     def serve() -> None:
@@ -27,8 +27,8 @@
 
     def answer(connection: socket.socket) -> None:
         with connection:
-            while piece := connection.recv(100):
-                connection.sendall(piece)
+            while chunk := connection.recv(100):
+                connection.sendall(chunk)
 
     threading.Thread(target=serve, daemon=True).start()
     yield f"127.0.0.1:{listener.getsockname()[1]}"
@@ -37,12 +37,12 @@
 
 def _connect(proxy: FaultProxy) -> socket.socket:
     host, _, port = proxy.address.rpartition(":")
-    return socket.create_connection((host, int(port)), LIMIT_S)
+    return socket.create_connection((host, int(port)), RESPONSE_TIMEOUT_S)
 
 
-def _ask(connection: socket.socket, limit_s: float) -> str:
-    """Return what became of a request."""
-    connection.settimeout(limit_s)
+def _request(connection: socket.socket, timeout_s: float) -> str:
+    """Send one byte to the echo server and return the outcome."""
+    connection.settimeout(timeout_s)
     try:
         connection.sendall(b"x")
         return "answered" if connection.recv(1) else "closed"
@@ -52,25 +52,25 @@
         return "reset"
 
 
-HARMS = [
-    (Harm.NONE, "answered", "answered"),
-    (Harm.DELAYED, "answered", "answered"),
-    (Harm.RESET, "reset", "answered"),
-    (Harm.ONE_WAY, "silent", "silent"),
-    (Harm.SILENT, "silent", "answered"),
+FAULTS = [
+    (ConnectionFault.NONE, "answered", "answered"),
+    (ConnectionFault.DELAYED, "answered", "answered"),
+    (ConnectionFault.RESET, "reset", "answered"),
+    (ConnectionFault.ONE_WAY, "silent", "silent"),
+    (ConnectionFault.SILENT, "silent", "answered"),
 ]
 
 
-@pytest.mark.parametrize(("harm", "open_one", "new_one"), HARMS)
-def test_harm(echo: str, harm: Harm, open_one: str, new_one: str) -> None:
+@pytest.mark.parametrize(("fault", "on_open", "on_new"), FAULTS)
+def test_fault(echo: str, fault: ConnectionFault, on_open: str, on_new: str) -> None:
     proxy = FaultProxy("127.0.0.1")
     proxy.start(echo)
     connection = _connect(proxy)
-    assert _ask(connection, LIMIT_S) == "answered"
-    proxy.set_harm(harm)
-    limits = {"silent": SILENCE_S}
-    assert _ask(connection, limits.get(open_one, LIMIT_S)) == open_one
-    assert _ask(_connect(proxy), limits.get(new_one, LIMIT_S)) == new_one
-    proxy.set_harm(Harm.NONE)
-    assert _ask(_connect(proxy), LIMIT_S) == "answered"
+    assert _request(connection, RESPONSE_TIMEOUT_S) == "answered"
+    proxy.set_fault(fault)
+    timeouts = {"silent": SILENCE_S}
+    assert _request(connection, timeouts.get(on_open, RESPONSE_TIMEOUT_S)) == on_open
+    assert _request(_connect(proxy), timeouts.get(on_new, RESPONSE_TIMEOUT_S)) == on_new
+    proxy.set_fault(ConnectionFault.NONE)
+    assert _request(_connect(proxy), RESPONSE_TIMEOUT_S) == "answered"
     proxy.stop()
--- a/tests/unit/fleet/test_soak_faults.py
+++ b/tests/unit/fleet/test_soak_faults.py
@@ -1,4 +1,4 @@
-"""Check that the faults of one process never meet, and that addresses are free."""
+"""Check that faults of one process do not overlap, and the check for free addresses."""
 
 import pathlib
 import signal
@@ -10,14 +10,14 @@
 import platform_fleet
 import pytest
 from fleet_soak import Soak
-from soak_faults import Step
+from soak_faults import ScheduledFault
 
-STOP_TAKES_S = 0.3
-FAULTS = ("kill", "stop", "pause", "wipe")  # those that end or hold a process
+SHUTDOWN_S = 0.3  # longer than the time between the two faults of the test
+FAULTS = ("kill", "stop", "pause", "wipe")  # those that end or suspend a process
 
 
 class SlowProcess:
-    """Record whether it was started while it ran; a stop takes its time."""
+    """Process with a slow shutdown that records wrong starts and signals."""
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.ip = "127.0.0.1"
@@ -25,14 +25,14 @@
         self.folder = folder
         self.lock = threading.Lock()
         self.is_running = True
-        self.wrong: list[str] = []
+        self.errors: list[str] = []
 
     def signal(self, number: signal.Signals) -> None:
         if not self.is_running:
-            self.wrong.append(f"{number.name} without a process")
+            self.errors.append(f"{number.name} sent while the process was not running")
 
     def wait(self) -> int:
-        time.sleep(STOP_TAKES_S)
+        time.sleep(SHUTDOWN_S)
         self.is_running = False
         return 0
 
@@ -41,12 +41,12 @@
 
     def start(self) -> None:
         if self.is_running:
-            self.wrong.append("started twice")
+            self.errors.append("started while the process was running")
         self.is_running = True
 
 
-class OneProcess:
-    """Stand in for a fleet."""
+class SingleProcessFleet:
+    """Fleet that consists of one fake process."""
 
     def __init__(self, process: SlowProcess) -> None:
         self.processes = [process]
@@ -54,32 +54,35 @@
 
 @pytest.mark.parametrize("second", FAULTS)
 @pytest.mark.parametrize("first", FAULTS)
-def test_a_fault_waits_for_the_one_before(
+def test_fault_waits_for_the_previous_one(
     first: str, second: str, tmp_path: pathlib.Path
 ) -> None:
     process = SlowProcess(tmp_path)
     soak = Soak(tmp_path)
-    fleet: Any = OneProcess(process)
+    fleet: Any = SingleProcessFleet(process)
     soak.fleet = fleet
-    began = time.monotonic()
+    started_at = time.monotonic()
     threads = [
-        threading.Thread(target=soak._play, args=(Step(at_s, fault, 0, 0.1), began))
-        for at_s, fault in ((0.0, first), (0.05, second))
+        threading.Thread(
+            target=soak._inject,
+            args=(ScheduledFault(start_s, fault, 0, 0.1), started_at),
+        )
+        for start_s, fault in ((0.0, first), (0.05, second))
     ]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    assert process.wrong == []
+    assert process.errors == []
     assert process.is_running
 
 
 @pytest.mark.parametrize("port", platform_fleet.PORTS)
-def test_an_address_in_use_is_not_free(port: int) -> None:
+def test_address_in_use_is_not_free(port: int) -> None:
     block = platform_fleet.free_block()
     ip = f"127.{block}.0.4"
     assert platform_fleet.is_free(ip)
-    with socket.socket() as taken:
-        taken.bind((ip, port))
-        taken.listen()
+    with socket.socket() as listener:
+        listener.bind((ip, port))
+        listener.listen()
         assert not platform_fleet.is_free(ip)
--- a/tests/unit/fleet/test_soak_schedule.py
+++ b/tests/unit/fleet/test_soak_schedule.py
@@ -1,4 +1,4 @@
-"""Check that a seed of the soak always gives the same schedule."""
+"""Check the schedule of the soak: reproducible from its seed, without overlaps."""
 
 import pytest
 from soak_faults import make_faults
@@ -8,18 +8,18 @@
 
 
 @pytest.mark.parametrize("seed", range(5))
-def test_a_seed_gives_one_schedule(seed: int) -> None:
+def test_seed_determines_the_schedule(seed: int) -> None:
     schedule = make_schedule(seed, 30.0, ARE_CONTROL)
     assert schedule == make_schedule(seed, 30.0, ARE_CONTROL)
     assert schedule != make_schedule(seed + 1, 30.0, ARE_CONTROL)
     faults = make_faults()
-    for step in schedule:
-        assert faults[step.fault].fits(ARE_CONTROL[step.process])
+    for scheduled in schedule:
+        assert faults[scheduled.fault].applies_to(ARE_CONTROL[scheduled.process_index])
 
 
 @pytest.mark.parametrize("seed", range(5))
 def test_faults_of_one_process_do_not_overlap(seed: int) -> None:
-    until = dict.fromkeys(range(5), 0.0)
-    for step in make_schedule(seed, 60.0, ARE_CONTROL):
-        assert step.at_s >= until[step.process]
-        until[step.process] = step.at_s + step.down_s
+    ends = dict.fromkeys(range(5), 0.0)
+    for scheduled in make_schedule(seed, 60.0, ARE_CONTROL):
+        assert scheduled.start_s >= ends[scheduled.process_index]
+        ends[scheduled.process_index] = scheduled.start_s + scheduled.duration_s
