Reword the tests of frames and logs

Names such as test_a_reader_that_left_stops_nothing and test_other_lines_are_none did not tell what is checked. Test names and local names now say it.

--- a/tests/unit/fleet/test_frames_sent.py
+++ b/tests/unit/fleet/test_frames_sent.py
@@ -1,4 +1,4 @@
-"""Check that what a process sends to others is counted by kind."""
+"""Check that sent frames are reported with their kind and size, for the metrics."""
 
 import eventlet
 import pytest
@@ -12,20 +12,20 @@
 KEY = b"key"
 
 
-@pytest.mark.parametrize("size_bytes", [0, 100, MAX_DATAGRAM_BYTES * 3])
-def test_a_frame_is_counted_with_its_size(size_bytes: int) -> None:
+@pytest.mark.parametrize("payload_bytes", [0, 100, MAX_DATAGRAM_BYTES * 3])
+def test_frame_is_reported_with_kind_and_size(payload_bytes: int) -> None:
     sent: list[tuple[str, int]] = []
-    faults: list[FrameError] = []
+    errors: list[FrameError] = []
     link = DatagramLink(
         "127.0.0.1:0",
         KEY,
         CallOutlet[Frame](lambda frame: None),
-        faults.append,
-        lambda kind, counted: sent.append((kind, counted)),
+        errors.append,
+        lambda kind, frame_bytes: sent.append((kind, frame_bytes)),
     )
-    link.send("127.0.0.1:9", "gossip", bytes(size_bytes))
+    link.send("127.0.0.1:9", "gossip", bytes(payload_bytes))
     eventlet.sleep(0)
     link.close()
-    ((kind, counted),) = sent
+    ((kind, frame_bytes),) = sent
     assert kind == "gossip"
-    assert size_bytes < counted < size_bytes + 100
+    assert payload_bytes < frame_bytes < payload_bytes + 100
--- a/tests/unit/fleet/test_logs.py
+++ b/tests/unit/fleet/test_logs.py
@@ -1,4 +1,4 @@
-"""Check what is logged of requests, how much, and the command that reads it."""
+"""Check the log lines of requests, limits on log volume, and exposed metrics."""
 
 import os
 import pathlib
@@ -28,7 +28,7 @@
 request_id='r2' attempt_id='x-2' server='s1'
 cut off in the midd
 """
-OTHER = """\
+OTHER_LOG = """\
 timestamp='2026-01-01T00:00:02Z' level='info' event='call-started' instance='b' \
 attempt_id='x-1' server='s1'
 \x00\x01
@@ -43,8 +43,10 @@
         ("r3", []),
     ],
 )
-def test_a_story_joins_the_daemons(request_id: str, events: list[str]) -> None:
-    story = find_story([*LOG.splitlines(), *OTHER.splitlines()], request_id)
+def test_story_merges_the_logs_of_several_daemons(
+    request_id: str, events: list[str]
+) -> None:
+    story = find_story([*LOG.splitlines(), *OTHER_LOG.splitlines()], request_id)
     assert [line.event for line in story.lines] == events
     assert story.bad_lines == 2
 
@@ -52,26 +54,26 @@
 @pytest.mark.parametrize(
     "text", ["", "noise", "event='x'", "timestamp='t'", "\x00", "a=b c=d"]
 )
-def test_other_lines_are_none(text: str) -> None:
+def test_lines_without_timestamp_or_event_are_not_parsed(text: str) -> None:
     assert parse_line(text) is None
 
 
-def test_the_command_prints_the_story(tmp_path: pathlib.Path) -> None:
+def test_story_command_prints_the_merged_lines(tmp_path: pathlib.Path) -> None:
     paths = [tmp_path / "a", tmp_path / "b"]
-    for path, text in zip(paths, (LOG, OTHER), strict=True):
+    for path, text in zip(paths, (LOG, OTHER_LOG), strict=True):
         path.write_text(text)
     command = [sys.executable, "-m", "pimentobend", "story", "r1", *map(str, paths)]
-    done = subprocess.run(command, capture_output=True, text=True, check=False)
-    assert done.returncode == 0
-    assert "bid_age_ms=0.4" in done.stdout.splitlines()[0]
-    assert done.stdout.splitlines()[-1] == "2 lines could not be read"
+    result = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert result.returncode == 0
+    assert "bid_age_ms=0.4" in result.stdout.splitlines()[0]
+    assert result.stdout.splitlines()[-1] == "2 lines could not be read"
 
 
 @pytest.mark.parametrize(
     ("is_ordinary", "written"),
     [(True, int((1 - ORDINARY_SHARE) * BURST_LINES) + 1), (False, int(BURST_LINES))],
 )
-def test_a_burst_is_bounded_and_ordinary_lines_go_first(
+def test_burst_is_limited_and_ordinary_lines_are_dropped_first(
     is_ordinary: bool, written: int
 ) -> None:
     budget = LineBudget()
@@ -81,14 +83,14 @@
     assert budget.take() == 0
 
 
-def test_failures_are_written_when_ordinary_lines_no_longer_are() -> None:
+def test_failures_are_logged_while_ordinary_lines_are_dropped() -> None:
     budget = LineBudget()
     while budget.allows(is_ordinary=True, now=0.0):
         pass
     assert budget.allows(is_ordinary=False, now=0.0)
 
 
-def test_the_budget_fills_again() -> None:
+def test_budget_refills() -> None:
     budget = LineBudget()
     for _ in range(2000):
         budget.allows(is_ordinary=False, now=0.0)
@@ -96,30 +98,30 @@
     assert budget.allows(is_ordinary=False, now=2.0 / LINES_PER_S)
 
 
-def test_a_reader_that_stands_still_stops_nothing() -> None:
-    reader, descriptor = os.pipe()
-    writer = BoundedWriter(descriptor)
+def test_stalled_reader_does_not_block_the_writer() -> None:
+    reader, write_end = os.pipe()
+    writer = BoundedWriter(write_end)
     line = "x" * 999 + "\n"
     for _ in range(2 * BUFFER_BYTES // 1000):
         writer.write(line)
     assert writer.dropped > 0
-    taken = 0
+    read_bytes = 0
     with eventlet.Timeout(5):
-        while taken < BUFFER_BYTES // 2:
+        while read_bytes < BUFFER_BYTES // 2:
             eventlet.sleep(0)
-            taken += len(os.read(reader, 65536))
+            read_bytes += len(os.read(reader, 65536))
     os.close(reader)
 
 
-def test_a_reader_that_left_stops_nothing() -> None:
-    reader, descriptor = os.pipe()
+def test_closed_reader_does_not_fail_the_writer() -> None:
+    reader, write_end = os.pipe()
     os.close(reader)
-    writer = BoundedWriter(descriptor)
+    writer = BoundedWriter(write_end)
     writer.write("line\n")
     assert writer.dropped == 1
 
 
-def test_metrics_are_exposed_as_text() -> None:
+def test_metrics_are_exposed_in_text_format() -> None:
     table = CounterTable()
     table.count("requests", "200")
     table.count("requests", "200")
@@ -134,7 +136,7 @@
     assert 'pimentobend_request_seconds_bucket{le="0.25"} 0.0' in text
 
 
-def test_label_values_are_bounded() -> None:
+def test_number_of_label_values_is_limited() -> None:
     table = CounterTable()
     for number in range(1000):
         table.count("requests", str(number))
