--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -1,19 +1,19 @@
-"""Run the soak test with short seeds and with seeds that failed before."""
+"""Run the soak with short seeds, and with seeds that once found a fault."""
 
 import pathlib
 
 import pytest
-from fleet_soak import play
+from fleet_soak import run_soak
 
-SEEDS = [  # seed, duration (s), cause of an earlier failure
+SEEDS = [  # seed, seconds, and what went wrong where the seed once failed
     (1, 6.0, ""),
     (2, 6.0, ""),
-    (114, 12.0, "a reload during the start ended the process"),
+    (114, 12.0, "SIGHUP during startup ended the daemon"),
 ]
 
 
 @pytest.mark.parametrize(("seed", "seconds", "cause"), SEEDS)
-def test_soak_finds_no_violation(
+def test_soak_finds_no_violations(
     seed: int, seconds: float, cause: str, tmp_path: pathlib.Path
 ) -> None:
-    assert play(seed, seconds, tmp_path) == [], cause
+    assert run_soak(seed, seconds, tmp_path) == [], cause
