--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -1,4 +1,4 @@
-"""Run the role instance: callers, forwarded requests and the servers beside."""
+"""Run the role instance: callers, forwarded requests and the local servers."""
 
 import itertools
 from collections import Counter
@@ -60,13 +60,13 @@
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
-ANSWER_TIMEOUT_S = 0.8  # servers turn elsewhere after a second
+ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
 
-class ServersBeside(ServersPort):
-    """Own the registry of the servers that announce themselves here."""
+class LocalServers(ServersPort):
+    """Registry of the backend servers that announce themselves to this daemon."""
 
     def __init__(
         self, address: str, epoch: int, on_change: Callable[[ServerEvent], None]
@@ -76,13 +76,13 @@
         self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
             ServerRegistry(address, epoch, unique_addresses=True),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_registry_output),
             HubClock(),
             Ticking(REGISTRY_TICK_S, RegistryTick()),
         )
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        """Take an announcement, or return its faults."""
+        """Register or renew a server, or return the faults of the announcement."""
         reply = self._replies.ask(
             announcement.server.server_id,
             lambda: self.task.put(announcement),
@@ -93,12 +93,12 @@
         return Success(None)
 
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Take a server's last word."""
+        """Remove a server that stops."""
         self._replies.ask(
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
 
-    def _release(self, output: RegistryOutput) -> None:
+    def _handle_registry_output(self, output: RegistryOutput) -> None:
         if isinstance(output, ServerEvent):
             self._on_change(output)
         elif isinstance(output, RegistryReply):
@@ -106,14 +106,14 @@
 
 
 class InstancePorts(NamedTuple):
-    """Hold what the role asks of the rest of the process."""
+    """What the role uses of the rest of the process."""
 
     dialect: Dialect
     process_id: int
     link: Transport
     tables: TablesInForce
     own_row: Callable[[], PeerRow]
-    on_servers: Callable[[tuple[HostedServer, ...]], None]
+    on_servers_changed: Callable[[tuple[HostedServer, ...]], None]
     on_unreachable: Callable[[str], None]
     forwarding: Outlet[ForwardingEvent]
     requests: Outlet[RequestEnded]
@@ -121,7 +121,7 @@
 
 
 class FleetInstance:
-    """Own the tasks between callers, other daemons and the servers beside."""
+    """Runs the tasks between callers, other daemons and the local servers."""
 
     def __init__(self, settings: FleetSettings, ports: InstancePorts) -> None:
         assert settings.callers and settings.forward and settings.servers
@@ -129,7 +129,7 @@
         dialect, process_id = ports.dialect, ports.process_id
         link, tables = ports.link, ports.tables
         names = dialect.names
-        self._on_servers = ports.on_servers
+        self._on_servers_changed = ports.on_servers_changed
         self._servers: dict[str, Server] = {}
         self.host = HostTasks(
             process_id,
@@ -141,7 +141,9 @@
         self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
-        self.registry = ServersBeside(link.address, process_id, self._take_server)
+        self.registry = LocalServers(
+            link.address, process_id, self._handle_server_event
+        )
         delivery = DeliveryPorts(
             process_id,
             self.bid_collector,
@@ -162,10 +164,10 @@
             watches_callers=True,
         )
         self.front = CallerFront(pipe, clock, ports.requests, terms)
-        idle_s = lambda: _idle_s(tables.current().limits)  # noqa: E731
+        idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
-            HttpServer(settings.callers, self.front, idle_s),
+            HttpServer(settings.callers, self.front, idle_timeout_s),
             HttpServer(
                 settings.forward, PeerFront(process_id, self.host, names, clock)
             ),
@@ -174,39 +176,39 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the requests and attempts that have no answer yet."""
+        """Return the number of requests and attempts without an answer."""
         return self.front.in_flight + self.host.running
 
-    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
-        """Take the list of daemons and of the servers beside them."""
+    def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
+        """Replace the list of known daemons and of their servers."""
         self.bid_collector.follow_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
         self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
 
     def start(self) -> None:
-        """Start the tasks, then listen."""
+        """Start the tasks, then the listeners."""
         self.registry.task.start()
         self.host.start()
         for listener in self._listeners:
             listener.start()
 
-    def stop_taking(self) -> None:
-        """Decline work for the servers beside, and let connections end."""
+    def stop_accepting(self) -> None:
+        """Decline work for the local servers; close connections after a response."""
         self.host.stop_taking()
         self.front.stop()
 
-    def end_waiting(self) -> None:
-        """Refuse the requests that have not reached a server."""
+    def refuse_waiting(self) -> None:
+        """Refuse all requests that have not reached a server."""
         self._deliveries.end_waiting()
 
     def close(self) -> None:
-        """Take no new connections."""
+        """Close the listeners."""
         for listener in self._listeners:
             listener.close()
 
     def register(self, router: FrameRouter) -> None:
-        """Take the frames between origins and hosts."""
+        """Register the handlers of the frames between origins and hosts."""
         router.register(KIND_ASK, self.bid_collector.take_ask)
         router.register(KIND_BIDS, self.bid_collector.take_bids)
         router.register(KIND_WITHDRAW, self.host.take_withdraw)
@@ -219,7 +221,7 @@
             "requests": {"in_flight": self.front.in_flight},
         }
 
-    def _take_server(self, event: ServerEvent) -> None:
+    def _handle_server_event(self, event: ServerEvent) -> None:
         server = event.server
         if event.presence is Presence.LIVE:
             self._servers[server.server_id] = server
@@ -227,7 +229,7 @@
         else:
             self._servers.pop(server.server_id, None)
             self.host.remove_server(server.server_id)
-        self._on_servers(
+        self._on_servers_changed(
             tuple(
                 HostedServer(
                     each.server_id,
@@ -239,5 +241,5 @@
         )
 
 
-def _idle_s(limits: ClientLimits | None) -> float | None:
+def _idle_timeout_s(limits: ClientLimits | None) -> float | None:
     return None if limits is None else limits.idle_timeout_ms / 1000
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -1,4 +1,4 @@
-"""Join the fleet's view of servers with the tree that spreads it."""
+"""Run the spread tree and the view of the fleet's servers that it carries."""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -39,14 +39,14 @@
 SPREAD_TICK_S = 0.1
 VIEW_TICK_S = 1.0
 
-Node = StatefulFilter[RelayInput, SpreadOutput]
+SpreadNode = StatefulFilter[RelayInput, SpreadOutput]
 
 
 class MembershipRole:
-    """Own this process's place in the tree and its view of the fleet.
+    """Runs this process's node of the spread tree and its view of the fleet.
 
     A control instance is a relay, and the root while it leads; any other
-    process is a client of the tree. Ids in the tree are addresses of links.
+    process is a client of the tree. Ids in the tree are link addresses.
     """
 
     def __init__(
@@ -59,27 +59,27 @@
     ) -> None:
         self._link = link
         self._parents = parents
-        self._followers: list[Callable[[ServiceChanged], None]] = []
-        self._pool_followers: list[Callable[[PoolServersChanged], None]] = []
+        self._subscribers: list[Callable[[ServiceChanged], None]] = []
+        self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
-            CallOutlet(self._release),
+            CallOutlet(self._handle_output),
             clock,
             Ticking(SPREAD_TICK_S, SpreadTick()),
         )
         self._view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
             "view",
             MembershipView(),
-            CallOutlet(self._give),
+            CallOutlet(self._notify_subscribers),
             clock,
             Ticking(VIEW_TICK_S, ViewTick()),
         )
 
         self._pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
-            "pools", PoolServers(), CallOutlet(self._give_pool), clock
+            "pools", PoolServers(), CallOutlet(self._notify_pool_subscribers), clock
         )
-        self.follow(self._pools.put)
+        self.subscribe(self._pools.put)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -100,27 +100,29 @@
 
     def servers(self) -> list[object]:
         """Return a row for each live server of each pool."""
-        return [row for rows in self._pools.dump().values() for row in _listed(rows)]
+        return [row for rows in self._pools.dump().values() for row in _as_rows(rows)]
 
-    def follow(self, function: Callable[[ServiceChanged], None]) -> None:
-        """Call a function with each change of a service's live servers."""
-        self._followers.append(function)
+    def subscribe(self, function: Callable[[ServiceChanged], None]) -> None:
+        """Call ``function`` at each change of a service's live servers."""
+        self._subscribers.append(function)
 
-    def follow_pools(self, function: Callable[[PoolServersChanged], None]) -> None:
-        """Call a function with each change of a pool's live servers."""
-        self._pool_followers.append(function)
+    def subscribe_to_pools(
+        self, function: Callable[[PoolServersChanged], None]
+    ) -> None:
+        """Call ``function`` at each change of a pool's live servers."""
+        self._pool_subscribers.append(function)
 
-    def follow_tables(self, tables: Tables) -> None:
-        """Take the pools of new tables."""
+    def update_tables(self, tables: Tables) -> None:
+        """Apply the pools of new tables."""
         self._pools.put(tables)
 
     def publish(self, event: ServerEvent) -> None:
-        """Take a change of a server that announces itself to this process."""
+        """Publish a change of a server that announces itself to this process."""
         self._view.put(event)
         self._node.put(PublishRows((create_server_row(event),)))
 
-    def follow_leader(self, message: LeaderChanged) -> None:
-        """Be the tree's root while this replica leads."""
+    def update_leader(self, message: LeaderChanged) -> None:
+        """Become the root if this replica leads, else prefer the leader as parent."""
         if message.leader_id == self._link.address:
             self._node.put(BecomeRoot(message.term))
             return
@@ -128,11 +130,11 @@
         others = tuple(one for one in self._parents if one not in leader)
         self._node.put(FollowParents((*leader, *others)))
 
-    def take_frame(self, frame: Frame) -> None:
-        """Take another instance's frame; raise ``CodecError`` for other bytes."""
+    def handle_frame(self, frame: Frame) -> None:
+        """Handle another instance's frame; raise ``CodecError`` if it is malformed."""
         self._node.put(FromPeer(frame.sender, decode_message(frame.payload)))
 
-    def _release(self, output: SpreadOutput) -> None:
+    def _handle_output(self, output: SpreadOutput) -> None:
         if isinstance(output, RowsArrived):
             for message in read_rows(output.rows):
                 self._view.put(message)
@@ -141,23 +143,23 @@
         for recipient in output.recipients:
             self._link.send(recipient, KIND_SPREAD, payload)
 
-    def _give(self, message: ServiceChanged) -> None:
-        for function in self._followers:
+    def _notify_subscribers(self, message: ServiceChanged) -> None:
+        for function in self._subscribers:
             function(message)
 
-    def _give_pool(self, message: PoolServersChanged) -> None:
-        for function in self._pool_followers:
+    def _notify_pool_subscribers(self, message: PoolServersChanged) -> None:
+        for function in self._pool_subscribers:
             function(message)
 
 
-def _listed(rows: object) -> list[object]:
+def _as_rows(rows: object) -> list[object]:
     return rows if isinstance(rows, list) else []
 
 
 def _create_node(
     instance_id: str, epoch: int, parents: tuple[str, ...], is_relay: bool
-) -> Node:
+) -> SpreadNode:
     if is_relay:
         return RelayNode(instance_id, epoch, parents)
-    client: Node = SpreadClient(instance_id, epoch, parents)  # type: ignore[assignment]
+    client: SpreadNode = SpreadClient(instance_id, epoch, parents)  # type: ignore[assignment]
     return client
