--- a/packages/bench/src/pimentobend_bench/_internal/capacity/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Measure slopes and work out the target size from them."""
+"""Measurements of cost against size, and capacity planning for the target fleet."""
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/catalogue.py
@@ -1,4 +1,4 @@
-"""List every probe by its name."""
+"""All probes by name."""
 
 from pimentobend_bench._internal.capacity import configuration_probes
 from pimentobend_bench._internal.capacity import health_probes
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
@@ -1,12 +1,12 @@
-"""Remake every figure, plot and table of the capacity page."""
+"""Command that measures all figures again and renders the capacity page."""
 
 from collections.abc import Sequence
 
 from pimentobend_bench._internal.capacity.catalogue import PROBES
 from pimentobend_bench._internal.capacity.figures import Figures
 from pimentobend_bench._internal.capacity.figures import load_figures
+from pimentobend_bench._internal.capacity.figures import record_run
 from pimentobend_bench._internal.capacity.figures import save_figures
-from pimentobend_bench._internal.capacity.figures import stamp
 from pimentobend_bench._internal.capacity.hop.command import RUNS
 from pimentobend_bench._internal.capacity.hop.command import measure_hops
 from pimentobend_bench._internal.capacity.hop.proxies import STARTERS
@@ -20,14 +20,14 @@
 
 
 class CapacityCommand(Command):
-    """Measure everything, store the figures and write docs/CAPACITY.md."""
+    """Measure everything, store the figures and render docs/CAPACITY.md."""
 
     name = "capacity"
     usage = f"capacity [{_PAGE_ONLY}]"
-    summary = "remake docs/CAPACITY.md, its figures and plots"
+    summary = "measure all figures and plots, and render docs/CAPACITY.md"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Measure, unless only the page is asked for, and write the page."""
+        """Measure, unless ``--page-only`` is given, and render the page."""
         if list(args) not in ([], [_PAGE_ONLY]):
             print(f"usage: {self.usage}")
             return Status.USAGE
@@ -40,7 +40,7 @@
 def _measure() -> Figures:
     figures = Figures()
     for section in ("whole-table", "hop", "slopes"):
-        stamp(figures, section)
+        record_run(figures, section)
     figures["whole"] = measure_whole()
     figures["hops"] = measure_hops(RUNS, STARTERS)
     figures["slopes"] = measure_slopes(PROBES)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
@@ -1,4 +1,4 @@
-"""Measure whole tables, compressed."""
+"""Probes of the complete tables (routes and pools), compressed."""
 
 import zlib
 from collections.abc import Callable
@@ -16,7 +16,7 @@
 
 
 def make_tables(routes: int) -> Tables:
-    """Return tables of a number of routes and all pools."""
+    """Return tables with ``routes`` routes and all pools."""
     return Tables(
         term=3,
         log_index=200_000,
@@ -26,7 +26,7 @@
 
 
 class WholeTablesBytesProbe(BytesProbe):
-    """Encode and compress whole tables, as a catch-up from nothing."""
+    """Encode and compress the complete tables, as sent to a daemon that has none."""
 
     name = "bytes-catch-up-compressed"
     sized_by = "routes"
@@ -39,7 +39,7 @@
 
 
 class WholeTablesCpuProbe(CpuProbe):
-    """Decompress and decode whole tables."""
+    """Decompress and decode the complete tables."""
 
     name = "cpu-catch-up-decode"
     sized_by = "routes"
@@ -47,7 +47,7 @@
     mechanism = "core models.tables, msgpack, zlib"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that reads the tables."""
+        """Return an operation that decompresses and decodes the tables."""
         encoded = zlib.compress(msgspec.msgpack.encode(make_tables(size)))
         return lambda: _TABLES_DECODER.decode(zlib.decompress(encoded))
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/daemons.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/daemons.py
@@ -1,4 +1,4 @@
-"""Start real daemons on loopback and talk to their interfaces."""
+"""Start real daemons on loopback and call their HTTP interfaces."""
 
 import json
 import pathlib
@@ -23,11 +23,11 @@
 _TABLES_TIMEOUT_S = 60.0
 _POLL_S = 0.05
 _NO_LEADER_STATUS = 503
-_CALL_TIMEOUT_S = 30.0
+_REQUEST_TIMEOUT_S = 30.0
 
 
-class Listen(TypedDict, total=False):
-    """Spell the addresses that a daemon listens on."""
+class ListenAddresses(TypedDict, total=False):
+    """``listen`` section of a daemon's settings, as ``host:port``."""
 
     callers: str
     servers: str
@@ -36,7 +36,7 @@
 
 
 class BenchDaemon:
-    """Own one daemon's process, its settings file and its data folder."""
+    """Run a daemon with a settings file and a data folder of its own."""
 
     def __init__(self, name: str, roles: list[str], control_link: str = "") -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="pimentobend-bench-")
@@ -44,7 +44,7 @@
         if "instance" in roles:
             keys += ["callers", "servers"]
         addresses = dict(zip(keys, free_addresses(len(keys)), strict=True))
-        self.listen = Listen(**addresses)  # type: ignore[typeddict-item]
+        self.listen = ListenAddresses(**addresses)  # type: ignore[typeddict-item]
         settings = {
             "instance": name,
             "data_centre": "dc-0",
@@ -58,9 +58,12 @@
         path.write_text(json.dumps(settings))
         self.process = BenchProcess(["pimentobendd", f"--settings={path}"])
         try:
-            self._wait()
+            self._wait_until_listening()
         except TimeoutError as error:
-            raise RuntimeError(f"no start: {self.process.errors()}") from error
+            raise RuntimeError(
+                f"daemon {name} did not start within {_START_TIMEOUT_S:g} s:"
+                f" {self.process.errors()}"
+            ) from error
 
     def __enter__(self) -> "BenchDaemon":
         return self
@@ -74,75 +77,82 @@
         self.stop()
 
     def stop(self) -> None:
-        """End the process and remove its files."""
+        """Stop the process and remove its files."""
         self.process.stop()
         self._folder.cleanup()
 
-    def apply(self, routes: Iterable[Route], pools: Iterable[Pool]) -> str:
-        """Apply the first tables and return their version."""
+    def apply_tables(self, routes: Iterable[Route], pools: Iterable[Pool]) -> str:
+        """Replace the tables and return their version; wait for a leader if needed."""
         document = {
             "routes": [route._asdict() for route in routes],
             "pools": [pool._asdict() for pool in pools],
         }
         url = f"http://{self.listen['operators']}/v1/tables"
-        until = time.monotonic() + _START_TIMEOUT_S
+        give_up_at = time.monotonic() + _START_TIMEOUT_S
         while True:
             expected = self.get("/v1/status")["version"]
             try:
-                answer = call("PUT", f"{url}?version={expected}&change=bench", document)
+                answer = call_json(
+                    "PUT", f"{url}?version={expected}&change=bench", document
+                )
                 return str(answer["version"])
             except urllib.error.HTTPError as error:
-                if error.code != _NO_LEADER_STATUS or time.monotonic() > until:
+                if error.code != _NO_LEADER_STATUS or time.monotonic() > give_up_at:
                     raise
             time.sleep(_POLL_S)
 
     def wait_for_version(self, version: str) -> None:
-        """Wait until the daemon has the tables of a version in force."""
-        until = time.monotonic() + _TABLES_TIMEOUT_S
+        """Wait until the daemon uses the tables of this version."""
+        give_up_at = time.monotonic() + _TABLES_TIMEOUT_S
         while self.get("/v1/status")["version"] != version:
-            if time.monotonic() > until:
-                raise TimeoutError(f"version {version} is not in force")
+            if time.monotonic() > give_up_at:
+                raise TimeoutError(
+                    f"daemon does not use tables of version {version}"
+                    f" after {_TABLES_TIMEOUT_S:g} s"
+                )
             time.sleep(_POLL_S)
 
     def announce(self, server: Server) -> None:
         """Announce a server to the daemon, or renew its lease."""
         document = {**server._asdict(), "state": server.state.value, "lease_s": LEASE_S}
-        call("POST", f"http://{self.listen['servers']}/announce", document)
+        call_json("POST", f"http://{self.listen['servers']}/announce", document)
 
     def get(self, path: str) -> dict[str, Any]:
-        """Return a document of the operators' interface."""
-        return call("GET", f"http://{self.listen['operators']}{path}")
+        """Return a JSON document from the operators' interface."""
+        return call_json("GET", f"http://{self.listen['operators']}{path}")
 
-    def _wait(self) -> None:
-        until = time.monotonic() + _START_TIMEOUT_S
+    def _wait_until_listening(self) -> None:
+        give_up_at = time.monotonic() + _START_TIMEOUT_S
         host, _, port = self.listen["operators"].rpartition(":")
         while True:
             try:
                 socket.create_connection((host, int(port)), timeout=1).close()
                 return
             except OSError:
-                if time.monotonic() > until:
-                    raise TimeoutError(self.listen["operators"]) from None
+                if time.monotonic() > give_up_at:
+                    raise TimeoutError(f"nothing listens on {host}:{port}") from None
                 time.sleep(_POLL_S)
 
 
-def call(
+def call_json(
     method: str, url: str, document: Mapping[str, object] | None = None
 ) -> dict[str, Any]:
-    """Send a JSON document and return the one that answers it."""
+    """Send an HTTP request with a JSON body and return the JSON response."""
     content = None if document is None else json.dumps(document).encode()
     request = urllib.request.Request(url, data=content, method=method)
-    with urllib.request.urlopen(request, timeout=_CALL_TIMEOUT_S) as answer:
+    with urllib.request.urlopen(request, timeout=_REQUEST_TIMEOUT_S) as answer:
         return dict(json.load(answer))
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return distinct loopback addresses that nobody listens on."""
-    probes = [socket.socket() for _ in range(count)]
+    """Return distinct loopback addresses with free ports."""
+    sockets = [socket.socket() for _ in range(count)]
     try:
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{probe.getsockname()[1]}" for probe in probes]
+        for bound_socket in sockets:
+            bound_socket.bind(("127.0.0.1", 0))
+        return [
+            f"127.0.0.1:{bound_socket.getsockname()[1]}" for bound_socket in sockets
+        ]
     finally:
-        for probe in probes:
-            probe.close()
+        for bound_socket in sockets:
+            bound_socket.close()
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -1,4 +1,4 @@
-"""Keep the figures of the last run in a file."""
+"""Measured figures, stored in docs/capacity/figures.json."""
 
 import json
 import pathlib
@@ -16,7 +16,7 @@
 
 
 class SlopeFigure(TypedDict):
-    """Spell one probe's readings and the line through them."""
+    """Readings of one probe, and the line fitted to them."""
 
     sized_by: str
     reads: str
@@ -29,7 +29,7 @@
 
 
 class HopFigure(TypedDict):
-    """Spell one rate's latencies (seconds) through a hop and without it."""
+    """Latencies at one request rate, through a proxy and directly, in seconds."""
 
     proxy: str
     rate_per_s: int
@@ -47,7 +47,7 @@
 
 
 class Stage(TypedDict):
-    """Spell what a process uses after a step; the processor time is the step's."""
+    """Resource usage of a process after a step; ``cpu_s`` is that of the step."""
 
     after: str
     private_bytes: int
@@ -56,14 +56,14 @@
 
 
 class WholeFigure(TypedDict):
-    """Spell the steps of a real daemon, and of its parts in one process."""
+    """Steps of a real daemon, and of its parts loaded into one process."""
 
     daemon: list[Stage]
     parts: list[Stage]
 
 
 class Run(TypedDict):
-    """Spell where a section's figures come from."""
+    """Command, commit and time that a section's figures come from."""
 
     command: str
     commit: str
@@ -71,7 +71,7 @@
 
 
 class Figures(TypedDict, total=False):
-    """Spell all figures of the page."""
+    """All figures of the page."""
 
     runs: dict[str, Run]
     slopes: dict[str, SlopeFigure]
@@ -80,7 +80,7 @@
 
 
 def load_figures(path: pathlib.Path = FIGURES) -> Figures:
-    """Return the stored figures, or none."""
+    """Return the stored figures; empty if the file does not exist."""
     if not path.exists():
         return Figures()
     return cast(Figures, json.loads(path.read_text()))
@@ -92,13 +92,13 @@
     path.write_text(json.dumps(figures, indent=1, sort_keys=True) + "\n")
 
 
-def line_of(figure: SlopeFigure) -> Line:
-    """Return the fitted line of a stored probe."""
+def fit_figure(figure: SlopeFigure) -> Line:
+    """Fit a line to the stored readings of a probe."""
     return fit_line([Point(int(size), value) for size, value in figure["points"]])
 
 
-def stamp(figures: Figures, section: str) -> None:
-    """Note the command, the commit and the date of a section's run."""
+def record_run(figures: Figures, section: str) -> None:
+    """Record the command, the commit and the time of a section's run."""
     commit = _git("rev-parse", "--short=12", "HEAD")
     if _git("status", "--porcelain", "--", "packages"):
         commit += " with uncommitted changes"
@@ -110,7 +110,7 @@
 
 
 def _git(*arguments: str) -> str:
-    done = subprocess.run(
+    completed = subprocess.run(
         ["git", "-C", str(ROOT), *arguments], capture_output=True, text=True, check=True
     )
-    return done.stdout.strip()
+    return completed.stdout.strip()
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
@@ -1,4 +1,4 @@
-"""Measure what a pool's observer takes and reports."""
+"""Probes of the health checks of a pool's servers and of their reports."""
 
 import itertools
 from collections.abc import Callable
@@ -23,15 +23,15 @@
 _OBSERVER = "instance-0001"
 
 
-def _create_health(servers: int) -> PoolHealth:
-    health = PoolHealth(next(make_pools(1)), _OBSERVER)
+def _create_observer(servers: int) -> PoolHealth:
+    observer = PoolHealth(next(make_pools(1)), _OBSERVER)
     rows = tuple(make_server(number) for number in range(servers))
-    health.handle(ServersChanged(rows), 0.0)
-    return health
+    observer.handle(ServersChanged(rows), 0.0)
+    return observer
 
 
 class HealthMemoryProbe(MemoryProbe):
-    """Hold the observers of pools with their servers."""
+    """Create the observers of pools, each with its servers."""
 
     name = "memory-pool-health"
     sized_by = "pools"
@@ -39,16 +39,16 @@
     mechanism = "core health.observer"
 
     def warm_up(self) -> None:
-        """Create one."""
+        """Create one observer."""
         self.build(1)
 
     def build(self, size: int) -> object:
-        """Return the observers."""
-        return [_create_health(_SERVERS_PER_POOL) for _ in range(size)]
+        """Return the observers of ``size`` pools."""
+        return [_create_observer(_SERVERS_PER_POOL) for _ in range(size)]
 
 
 class HealthTickCpuProbe(CpuProbe):
-    """Let one tick of a healthy pool pass."""
+    """Run one periodic check (tick) of a pool whose servers are healthy."""
 
     name = "cpu-health-tick"
     sized_by = "servers of the pool"
@@ -56,14 +56,14 @@
     mechanism = "core health.observer"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that takes the next tick."""
-        health = _create_health(size)
+        """Return an operation that handles the next tick."""
+        observer = _create_observer(size)
         ticks = itertools.count(1)
-        return lambda: health.handle(HealthTick(), next(ticks) * TICK_S)
+        return lambda: observer.handle(HealthTick(), next(ticks) * TICK_S)
 
 
 class EvidenceBytesProbe(BytesProbe):
-    """Encode a report of servers with evidence."""
+    """Encode a report that carries evidence against servers."""
 
     name = "bytes-evidence-report"
     sized_by = "servers with evidence"
@@ -71,13 +71,13 @@
     mechanism = "core health.wire"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded report."""
+        """Return the report with evidence against ``size`` servers."""
         servers = tuple(_make_evidence(number) for number in range(size))
         return encode_reports((_make_report(0, servers),))
 
 
 class EvidenceBatchProbe(BytesProbe):
-    """Encode the reports of several healthy pools for one frame."""
+    """Encode the reports of several healthy pools, sent in one frame."""
 
     name = "bytes-evidence-batch"
     sized_by = "reports"
@@ -85,7 +85,7 @@
     mechanism = "core health.wire"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded reports."""
+        """Return the reports of ``size`` pools."""
         return encode_reports(tuple(_make_report(n, ()) for n in range(size)))
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
@@ -9,8 +9,8 @@
 
 from pimentobend_bench._internal.capacity.figures import HopFigure
 from pimentobend_bench._internal.capacity.figures import load_figures
+from pimentobend_bench._internal.capacity.figures import record_run
 from pimentobend_bench._internal.capacity.figures import save_figures
-from pimentobend_bench._internal.capacity.figures import stamp
 from pimentobend_bench._internal.capacity.hop.proxies import STARTERS
 from pimentobend_bench._internal.capacity.hop.proxies import ProxyStarter
 from pimentobend_bench._internal.capacity.process import BenchProcess
@@ -55,7 +55,7 @@
         figures = load_figures()
         kept = [hop for hop in figures.get("hops", []) if hop["proxy"] not in names]
         figures["hops"] = kept + hops
-        stamp(figures, "hop")
+        record_run(figures, "hop")
         save_figures(figures)
         return Status.SUCCESS
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/proxies.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/proxies.py
@@ -136,7 +136,7 @@
     def start(self, backend_port: int) -> Iterator[RunningProxy]:
         """Start the proxy; the end of the context ends it."""
         with BenchDaemon("hop", ["instance", "control"]) as daemon:
-            daemon.apply(
+            daemon.apply_tables(
                 (_HOP_ROUTE, *make_routes(self._routes - 1)), (_HOP_POOL, *make_pools())
             )
             proxy = _Daemon(daemon, backend_port)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
@@ -1,4 +1,4 @@
-"""Measure the ledger's state, its commands and their replication."""
+"""Probes of the ledger's state, its commands and their replication."""
 
 import hashlib
 from collections.abc import Callable
@@ -24,28 +24,28 @@
 _KEY_SIZES = (5_000, 10_000, 20_000, 40_000)
 _BATCH_SIZES = (1, 4, 16, 64)
 _EPOCH = 1_700_000_000_000_000_000
-_BUSY_S = 10.0
+_OUTCOME_TIMEOUT_S = 10.0
 _COMMANDS_PER_BATCH = 64
 
 
 def make_claim(number: int) -> ClaimWork:
-    """Return the claim of a number."""
+    """Return the claim of key ``number``."""
     return ClaimWork(
         digest=_digest("key", number, 16),
         claim_id=ClaimId(f"instance-{number % 1_800:04d}", _EPOCH, number),
         fingerprint=_digest("request", number, 8),
-        outcome_timeout_s=_BUSY_S,
+        outcome_timeout_s=_OUTCOME_TIMEOUT_S,
     )
 
 
 def make_settlement(number: int) -> SettleWork:
-    """Return the settlement of the claim of a number."""
+    """Return the command that settles claim ``number`` as run."""
     claim = make_claim(number)
     return SettleWork(claim.digest, claim.claim_id, Ran.RAN, 200)
 
 
 def fill_ledger(keys: int) -> LedgerState:
-    """Return a ledger in which so many keys ran."""
+    """Return a ledger with ``keys`` keys whose work has run."""
     state = LedgerState()
     for first in range(0, keys, _COMMANDS_PER_BATCH):
         numbers = range(first, min(first + _COMMANDS_PER_BATCH, keys))
@@ -65,7 +65,7 @@
 
 
 class LedgerMemoryProbe(MemoryProbe):
-    """Keep keys whose work ran."""
+    """Store keys whose work has run."""
 
     name = "memory-ledger-key"
     sized_by = "keys"
@@ -77,12 +77,12 @@
         fill_ledger(4)
 
     def build(self, size: int) -> object:
-        """Return a filled ledger."""
+        """Return a ledger of ``size`` keys."""
         return fill_ledger(size)
 
 
 class LedgerSnapshotProbe(BytesProbe):
-    """Encode a whole ledger, as a replica's catch-up from nothing."""
+    """Encode the complete ledger, as sent to a replica that has none of it."""
 
     name = "bytes-ledger-snapshot"
     sized_by = "keys"
@@ -90,12 +90,12 @@
     mechanism = "core ledger.codec"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded ledger."""
+        """Return the encoded snapshot."""
         return encode_snapshot(fill_ledger(size))
 
 
 class ClaimCpuProbe(CpuProbe):
-    """Decode and apply one log entry of claims."""
+    """Decode one log entry of claims and apply it."""
 
     name = "cpu-ledger-claim"
     sized_by = "claims in one log entry"
@@ -103,7 +103,7 @@
     mechanism = "core ledger.state, ledger.codec"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that applies the entry to a new ledger."""
+        """Return an operation that applies the entry to an empty ledger."""
         payload = _encode_claims(size)
         return lambda: LedgerState().apply(decode_batch(payload))
 
@@ -130,7 +130,7 @@
     mechanism = "core consensus.codec"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that carries the message."""
+        """Return an operation that encodes and decodes the message."""
         message = decode_message(_encode_append(size))
         return lambda: decode_message(encode_message(message))
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
@@ -1,4 +1,4 @@
-"""Measure connections and the frames between processes."""
+"""Probes of callers' connections and of the frames between processes."""
 
 import functools
 import socket
@@ -14,17 +14,17 @@
 _PAYLOAD_SIZES = (64, 1_024, 8_192, 65_536)
 _KEY = b"k" * 32
 _SENDER = "10.0.0.1:9000"
-_SETTLE_S = 0.02
+_SERVE_WAIT_S = 0.02  # for the server to answer the last requests
 _REQUEST = b"GET / HTTP/1.1\r\nHost: idle.example\r\n\r\n"
 
 
-def _answer(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+def _application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     start_response("200 OK", [("Content-Length", "2")])
     return [b"ok"]
 
 
 class ConnectionMemoryProbe(MemoryProbe):
-    """Hold callers' connections open after one request on each."""
+    """Keep callers' connections open after one request on each."""
 
     name = "memory-connection"
     sized_by = "idle callers' connections"
@@ -32,20 +32,20 @@
     mechanism = "adapters http.server"
 
     def warm_up(self) -> None:
-        """Serve a few connections."""
-        self._hold(4)
+        """Open a few connections."""
+        self._open_connections(4)
 
     def build(self, size: int) -> object:
-        """Return the server and the callers' ends of its connections."""
-        return self._hold(size)
+        """Return the server and the callers' ends of ``size`` connections."""
+        return self._open_connections(size)
 
-    def _hold(self, size: int) -> object:
+    def _open_connections(self, size: int) -> object:
         import eventlet
 
         from pimentobend_adapters._internal.http.server import Address
         from pimentobend_adapters._internal.http.server import HttpServer
 
-        server = HttpServer(Address("127.0.0.1", 0), _answer)
+        server = HttpServer(Address("127.0.0.1", 0), _application)
         server.start()
         callers = []
         for _ in range(size):
@@ -53,12 +53,12 @@
             caller.sendall(_REQUEST)
             callers.append(caller.detach())
             eventlet.sleep(0)
-        eventlet.sleep(_SETTLE_S)
+        eventlet.sleep(_SERVE_WAIT_S)
         return server, callers
 
 
 class FrameBytesProbe(BytesProbe):
-    """Seal a payload."""
+    """Seal a payload into an authenticated frame."""
 
     name = "bytes-frame"
     sized_by = "payload bytes"
@@ -66,12 +66,12 @@
     mechanism = "adapters links.frames"
 
     def encode(self, size: int) -> bytes:
-        """Return the sealed frame."""
+        """Return the frame of a payload of ``size`` bytes."""
         return _seal(size)
 
 
 class FrameCpuProbe(CpuProbe):
-    """Seal and open a frame."""
+    """Seal a frame, then verify and open it."""
 
     name = "cpu-frame"
     sized_by = "payload bytes"
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
@@ -1,4 +1,4 @@
-"""Measure the server registry and the fleet's view."""
+"""Probes of the server registry and of the view of the fleet's servers."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -24,7 +24,7 @@
 
 
 def make_event(number: int, sequence: int, presence: Presence) -> ServerEvent:
-    """Return one instance's word on the server of a number."""
+    """Return the event of server ``number``, as its instance sends it."""
     return ServerEvent(
         instance_id=f"instance-{number % DAEMONS:04d}",
         rank=Rank(_FIRST_EPOCH + number % DAEMONS, sequence),
@@ -34,16 +34,16 @@
 
 
 def fill_view(size: int) -> MembershipView:
-    """Return a view of ``size`` servers, fed through the wire format."""
+    """Return a view of ``size`` servers, which holds decoded events as in a daemon."""
     view = MembershipView()
     for event in _events(size):
-        wire = msgspec.msgpack.encode(event)
-        view.handle(msgspec.msgpack.decode(wire, type=ServerEvent), 0.0)
+        encoded = msgspec.msgpack.encode(event)
+        view.handle(msgspec.msgpack.decode(encoded, type=ServerEvent), 0.0)
     return view
 
 
 class ViewMemoryProbe(MemoryProbe):
-    """Fill the fleet's view with servers."""
+    """Fill the view with servers."""
 
     name = "memory-view-server"
     sized_by = "servers"
@@ -55,12 +55,12 @@
         fill_view(4)
 
     def build(self, size: int) -> object:
-        """Return a filled view."""
+        """Return a view of ``size`` servers."""
         return fill_view(size)
 
 
 class ViewEventCpuProbe(CpuProbe):
-    """Take one server's withdrawal or return into a view."""
+    """Apply the withdrawal or the return of one server to a view."""
 
     name = "cpu-membership-event"
     sized_by = "servers"
@@ -68,10 +68,10 @@
     mechanism = "core membership.view"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that takes the next event of one server."""
+        """Return an operation that applies the next event of a flapping server."""
         view = fill_view(size)
-        flapping = _flap()
-        return lambda: view.handle(next(flapping), 1.0)
+        events = _flapping_events()
+        return lambda: view.handle(next(events), 1.0)
 
 
 class LeaseRenewalCpuProbe(CpuProbe):
@@ -98,7 +98,7 @@
 
 
 class LeaseRenewalBytesProbe(BytesProbe):
-    """Write the requests and answers that renew leases over HTTP."""
+    """Encode the HTTP requests and responses that renew leases."""
 
     name = "bytes-lease-renewal"
     sized_by = "servers of one instance"
@@ -107,33 +107,33 @@
     mechanism = "daemon interfaces.servers"
 
     def encode(self, size: int) -> bytes:
-        """Return all bytes of both directions."""
-        return b"".join(_exchange(number) for number in range(size))
+        """Return the bytes of both directions for ``size`` servers."""
+        return b"".join(_encode_renewal(number) for number in range(size))
 
 
-def _exchange(number: int) -> bytes:
+def _encode_renewal(number: int) -> bytes:
     server = make_server(number)
-    asked = msgspec.json.encode({**server._asdict(), "lease_s": _LEASE_S})
-    answer = msgspec.json.encode(
+    request = msgspec.json.encode({**server._asdict(), "lease_s": _LEASE_S})
+    response = msgspec.json.encode(
         {"server_id": server.server_id, "lease_s": _LEASE_S, "renew_after_s": 3.33}
     )
-    request = (
+    request_head = (
         f"POST /announce HTTP/1.1\r\nHost: {server.host}:{server.port}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(asked)}\r\n\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(request)}\r\n\r\n"
     )
-    head = (
+    response_head = (
         "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(answer)}\r\n"
+        f"Content-Length: {len(response)}\r\n"
         "Date: Fri, 04 Dec 2026 11:00:00 GMT\r\n\r\n"
     )
-    return request.encode() + asked + head.encode() + answer
+    return request_head.encode() + request + response_head.encode() + response
 
 
 def _events(size: int) -> Iterator[ServerEvent]:
     return (make_event(number, number, Presence.LIVE) for number in range(size))
 
 
-def _flap() -> Iterator[ServerEvent]:
+def _flapping_events() -> Iterator[ServerEvent]:
     sequence = _FIRST_EPOCH
     while True:
         sequence += 1
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -12,7 +12,7 @@
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.page.flows import total_cpu_share
 from pimentobend_bench._internal.capacity.target import ADDED_LATENCY_S
-from pimentobend_bench._internal.capacity.target import CHANGE_IN_FORCE_S
+from pimentobend_bench._internal.capacity.target import CHANGE_PROPAGATION_S
 from pimentobend_bench._internal.capacity.target import CONTROL_BYTES_PER_S
 from pimentobend_bench._internal.capacity.target import CONTROL_CPU_SHARE
 from pimentobend_bench._internal.capacity.target import CONTROL_INSTANCES
@@ -91,7 +91,7 @@
 
 def ledger_keys_per_s(costs: Costs) -> float:
     """Return the claims a second whose kept keys fit a replica."""
-    return LEDGER_MEMORY_BYTES / costs.each("memory-ledger-key") / KEEP_S
+    return LEDGER_MEMORY_BYTES / costs.per_unit("memory-ledger-key") / KEEP_S
 
 
 def spread_time_s() -> float:
@@ -105,7 +105,7 @@
 
 def catch_up_bytes(costs: Costs) -> float:
     """Return the bytes of the whole tables."""
-    return costs.at("bytes-catch-up", ROUTES)
+    return costs.at_size("bytes-catch-up", ROUTES)
 
 
 def _latency(costs: Costs) -> Budget:
@@ -123,11 +123,11 @@
 
 
 def _spread_time(costs: Costs) -> Budget:
-    stall_s = TREE_LEVELS * costs.at("cpu-change-follower", ROUTES)
+    stall_s = TREE_LEVELS * costs.at_size("cpu-change-follower", ROUTES)
     return Budget(
         "change in force everywhere, one relay lost",
         spread_time_s() + stall_s,
-        CHANGE_IN_FORCE_S,
+        CHANGE_PROPAGATION_S,
         "s",
         "worked out from the follower's intervals and `cpu-change-follower`;"
         " no fleet of this size was run",
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/costs.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/costs.py
@@ -5,7 +5,7 @@
 from pimentobend_bench._internal.capacity.figures import Figures
 from pimentobend_bench._internal.capacity.figures import HopFigure
 from pimentobend_bench._internal.capacity.figures import Stage
-from pimentobend_bench._internal.capacity.figures import line_of
+from pimentobend_bench._internal.capacity.figures import fit_figure
 
 PEAK_RATE_PER_S = 250
 
@@ -16,23 +16,23 @@
     def __init__(self, figures: Figures) -> None:
         self._figures = figures
 
-    def at(self, probe: str, size: float) -> float:
+    def at_size(self, probe: str, size: float) -> float:
         """Return the line's value of a probe at a size."""
-        return line_of(self._figures["slopes"][probe]).at(size)
+        return fit_figure(self._figures["slopes"][probe]).value_at(size)
 
-    def each(self, probe: str) -> float:
+    def per_unit(self, probe: str) -> float:
         """Return the slope of a probe."""
-        return line_of(self._figures["slopes"][probe]).slope
+        return fit_figure(self._figures["slopes"][probe]).slope
 
     @property
     def frame_bytes(self) -> float:
         """Return the bytes that a frame adds to its payload."""
-        return self.at("bytes-frame", 0)
+        return self.at_size("bytes-frame", 0)
 
     @property
     def frame_cpu_s(self) -> float:
         """Return the seconds to seal and to open a small frame."""
-        return self.at("cpu-frame", 0)
+        return self.at_size("cpu-frame", 0)
 
     @property
     def renewal_cpu_s(self) -> float:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
@@ -44,7 +44,7 @@
 
 def _lost(costs: Costs, name: str, instances: int) -> FailureDay:
     events = instances * SERVERS_PER_DAEMON * EVENTS_PER_LIFE
-    load_bytes = events * costs.each("bytes-spread-row")
+    load_bytes = events * costs.per_unit("bytes-spread-row")
     return FailureDay(
         name,
         f"{instances} daemons, {instances * SERVERS_PER_DAEMON:.0f} servers,"
@@ -62,7 +62,7 @@
 
 def _split(costs: Costs) -> FailureDay:
     missed_changes = 20.0  # five minutes at the day's mean rate
-    deltas_bytes = missed_changes * costs.each("bytes-change-spread")
+    deltas_bytes = missed_changes * costs.per_unit("bytes-change-spread")
     return FailureDay(
         "regions lose each other for minutes",
         f"{DAEMONS // 2} daemons each side hear nothing of the other",
@@ -82,10 +82,10 @@
 
 def _restart(costs: Costs) -> FailureDay:
     whole = catch_up_bytes(costs)
-    compressed = costs.at("bytes-catch-up-compressed", ROUTES)
-    serve_s = costs.at("cpu-catch-up-serve", ROUTES)
-    take_s = costs.at("cpu-catch-up-take", ROUTES)
-    rows = costs.at("bytes-spread-snapshot", SERVERS)
+    compressed = costs.at_size("bytes-catch-up-compressed", ROUTES)
+    serve_s = costs.at_size("cpu-catch-up-serve", ROUTES)
+    take_s = costs.at_size("cpu-catch-up-take", ROUTES)
+    rows = costs.at_size("bytes-spread-snapshot", SERVERS)
     rows_s = SERVERS * event_cpu_s(costs)
     link_s = DAEMONS / 2 * whole * 8 / REGION_LINK_BITS_PER_S
     return FailureDay(
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -50,7 +50,7 @@
         "lease renewals of its servers",
         "pimentobend_core._internal.membership.registry",
         SERVERS_PER_DAEMON * RENEWALS_A_LEASE / LEASE_S,
-        costs.each("bytes-lease-renewal"),
+        costs.per_unit("bytes-lease-renewal"),
         costs.renewal_cpu_s,
     )
 
@@ -61,8 +61,8 @@
         "digest exchange of the tables",
         "pimentobend_core._internal.configuration.follower",
         peers / ASK_INTERVAL_S,
-        costs.at("bytes-digest-exchange", ROUTES) + 2 * costs.frame_bytes,
-        costs.at("cpu-digest-exchange", ROUTES) + costs.frame_cpu_s,
+        costs.at_size("bytes-digest-exchange", ROUTES) + 2 * costs.frame_bytes,
+        costs.at_size("cpu-digest-exchange", ROUTES) + costs.frame_cpu_s,
     )
 
 
@@ -72,7 +72,7 @@
         "configuration changes",
         "pimentobend_core._internal.configuration.follower",
         CHANGES_PER_DAY / DAY_S,
-        costs.each("bytes-change-spread") + costs.frame_bytes,
+        costs.per_unit("bytes-change-spread") + costs.frame_bytes,
         change_cpu_s(costs),
     )
 
@@ -80,8 +80,8 @@
 def change_cpu_s(costs: Costs) -> float:
     """Return the seconds in which one change holds up a daemon."""
     return (
-        costs.at("cpu-change-follower", ROUTES)
-        + costs.at("cpu-route-compile", ROUTES)
+        costs.at_size("cpu-change-follower", ROUTES)
+        + costs.at_size("cpu-route-compile", ROUTES)
         + costs.frame_cpu_s
     )
 
@@ -93,14 +93,16 @@
         "membership events",
         "pimentobend_core._internal.membership.spread",
         lives * EVENTS_PER_LIFE / DAY_S,
-        costs.at("bytes-spread-row", 1) + costs.frame_bytes,
+        costs.at_size("bytes-spread-row", 1) + costs.frame_bytes,
         event_cpu_s(costs) + costs.frame_cpu_s,
     )
 
 
 def event_cpu_s(costs: Costs) -> float:
     """Return the seconds that one row of a delta takes, view included."""
-    return costs.each("cpu-spread-row") + costs.at("cpu-membership-event", SERVERS)
+    return costs.per_unit("cpu-spread-row") + costs.at_size(
+        "cpu-membership-event", SERVERS
+    )
 
 
 def beacons(costs: Costs, children: float = 1.0) -> Flow:
@@ -109,7 +111,7 @@
         "beacons of the tree",
         "pimentobend_core._internal.membership.spread",
         children / BEACON_S,
-        costs.at("bytes-beacon", SERVERS) + 2 * costs.frame_bytes,
+        costs.at_size("bytes-beacon", SERVERS) + 2 * costs.frame_bytes,
         costs.frame_cpu_s,
     )
 
@@ -121,7 +123,7 @@
         "evidence of servers' health, every pool",
         "pimentobendd._internal.evidence",
         1 / WINDOW_S,
-        costs.at("bytes-evidence-batch", batch) + costs.frame_bytes,
+        costs.at_size("bytes-evidence-batch", batch) + costs.frame_bytes,
         costs.frame_cpu_s,
     )
 
@@ -147,7 +149,7 @@
         "pimentobend_core._internal.health.observer",
         ticks_per_s(),
         0.0,
-        costs.each("cpu-health-tick") * servers,
+        costs.per_unit("cpu-health-tick") * servers,
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -105,9 +105,9 @@
             f"{asked.per_s:.0f} digest questions and {heard.per_s:.0f} beacons a"
             f" second, {sent_bytes / 1e3:.1f} KB/s both ways with changes and rows",
         ),
-        f"{costs.at('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables and"
-        f" {costs.at('memory-spread-row', SERVERS) / 1e6:.1f} MB of rows above a bare"
-        " daemon",
+        f"{costs.at_size('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables and"
+        f" {costs.at_size('memory-spread-row', SERVERS) / 1e6:.1f} MB of rows above a"
+        " bare daemon",
         f"{cpu:.2%} of a core",
         "as in normal hours: requests do not pass a relay",
     )
@@ -135,8 +135,8 @@
             f"with relays {asked.per_s:.1f} digest questions a second; without,"
             f" {direct.per_s:.0f} and {direct.bytes_per_s / 1e3:.1f} KB/s",
         ),
-        f"{costs.at('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables above a"
-        " bare daemon; the log is bounded by compaction",
+        f"{costs.at_size('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables above"
+        " a bare daemon; the log is bounded by compaction",
         f"{pushed.cpu_share + asked.cpu_share:.2%} of a core with relays,"
         f" {pushed.cpu_share + direct.cpu_share:.2%} without; the owner of the floor"
         f" {reports_cpu:.1f} cores for the reports' frames alone",
@@ -145,9 +145,9 @@
 
 
 def _ledger(costs: Costs) -> Role:
-    each_bytes = costs.each("memory-ledger-key")
+    each_bytes = costs.per_unit("memory-ledger-key")
     claims_per_s = ledger_keys_per_s(costs)
-    apply_cpu_s = costs.each("cpu-ledger-claim")
+    apply_cpu_s = costs.per_unit("cpu-ledger-claim")
     return Role(
         "ledger replica (groups of 3)",
         (
@@ -156,8 +156,8 @@
         ),
         (
             "two log entries a keyed request, each"
-            f" {costs.each('bytes-ledger-replication'):.0f} B or less a replica"
-            f" beside {costs.at('bytes-ledger-replication', 0):.0f} B an entry",
+            f" {costs.per_unit('bytes-ledger-replication'):.0f} B or less a replica"
+            f" beside {costs.at_size('bytes-ledger-replication', 0):.0f} B an entry",
         ),
         f"1 GB holds {LEDGER_MEMORY_BYTES / each_bytes / 1e6:.1f} million keys:"
         f" {claims_per_s:.0f} claims a second all day long, a group",
@@ -174,7 +174,7 @@
         ("none between commands",),
         (
             "an apply carries both tables as JSON; the replicated change is"
-            f" {costs.each('bytes-change-spread'):.0f} B a row",
+            f" {costs.per_unit('bytes-change-spread'):.0f} B a row",
         ),
         "not measured",
         f"server side of {SERVERS:,} servers: not measured",
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/point.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/point.py
@@ -1,4 +1,4 @@
-"""Take one reading of one probe in this process."""
+"""Command that takes one reading of one probe in this process."""
 
 from collections.abc import Sequence
 
@@ -8,14 +8,14 @@
 
 
 class PointCommand(Command):
-    """Print the reading of a probe at one size."""
+    """Print one probe's reading at one size."""
 
     name = "slope-point"
     usage = "slope-point <probe> <size>"
     summary = "take one reading of one probe in a fresh process"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Print the reading."""
+        """Measure and print the reading."""
         if len(args) != 2 or args[0] not in PROBES or not args[1].isdigit():
             print(f"usage: {self.usage}")
             print("probes: " + " ".join(PROBES))
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/probe.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/probe.py
@@ -1,4 +1,4 @@
-"""Define what is measured against several sizes."""
+"""Probes: measurements of one part of the code at several sizes."""
 
 import abc
 import enum
@@ -8,26 +8,26 @@
 
 from pimentobend_bench._internal.capacity.process import private_bytes
 
-_REPEATS = 5
+_ROUNDS = 5
 _MIN_ROUND_S = 0.02
 
 
 class Unit(enum.Enum):
-    """Name what a reading counts."""
+    """Unit of a reading."""
 
     BYTES = "bytes"
     SECONDS = "seconds"
 
 
 class Probe(abc.ABC):
-    """Take one reading of the code at a given size."""
+    """Measure one part of the code at a given size."""
 
     name: str
-    sized_by: str  # what the size counts, in the plural
-    reads: str  # what the value counts
+    sized_by: str  # what the size counts, in the plural, such as "routes"
+    reads: str  # what the reading is, such as "processor time"
     unit: Unit
     sizes: tuple[int, ...]
-    mechanism: str  # the module that is measured
+    mechanism: str  # the modules that are measured
 
     @abc.abstractmethod
     def measure(self, size: int) -> float:
@@ -35,21 +35,21 @@
 
 
 class MemoryProbe(Probe):
-    """Read how many private bytes a structure adds to a fresh process."""
+    """Measure how many private bytes a data structure adds to a fresh process."""
 
     reads = "private memory of the process"
     unit = Unit.BYTES
 
     @abc.abstractmethod
     def warm_up(self) -> None:
-        """Load the code, so that the reading holds the data alone."""
+        """Import and run the code once, so that the reading counts only the data."""
 
     @abc.abstractmethod
     def build(self, size: int) -> object:
-        """Return the structure at a size."""
+        """Return the data structure at a size."""
 
     def measure(self, size: int) -> float:
-        """Return the private bytes that the structure adds."""
+        """Return the private bytes that the data structure adds."""
         self.warm_up()
         gc.collect()
         before = private_bytes()
@@ -71,31 +71,31 @@
         """Return the message at a size."""
 
     def measure(self, size: int) -> float:
-        """Return the message's length."""
+        """Return the length of the message."""
         return float(len(self.encode(size)))
 
 
 class CpuProbe(Probe):
-    """Read the processor time of one operation, the least of several rounds."""
+    """Measure the CPU time of one operation, as the minimum over several rounds."""
 
     reads = "processor time"
     unit = Unit.SECONDS
 
     @abc.abstractmethod
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return the operation, ready to be repeated."""
+        """Return the operation to be timed, which can be repeated."""
 
     def measure(self, size: int) -> float:
-        """Return the processor seconds of one operation."""
+        """Return the CPU seconds of one operation."""
         operation = self.prepare(size)
         operation()
-        return min(_time_round(operation) for _ in range(_REPEATS))
+        return min(_time_round(operation) for _ in range(_ROUNDS))
 
 
 def _time_round(operation: Callable[[], object]) -> float:
     runs = 0
-    started = time.process_time()
-    while (taken := time.process_time() - started) < _MIN_ROUND_S:
+    started_at = time.process_time()
+    while (elapsed := time.process_time() - started_at) < _MIN_ROUND_S:
         operation()
         runs += 1
-    return taken / runs
+    return elapsed / runs
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/process.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/process.py
@@ -1,4 +1,4 @@
-"""Read what a process uses, and own the processes that a bench starts."""
+"""Child processes of the bench, and the memory and CPU time that they use."""
 
 import os
 import pathlib
@@ -12,21 +12,22 @@
 
 _KIB = 1024
 _CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-_USER_TIME_FIELD = 11  # counted from behind the command's closing bracket
+# Positions in /proc/<pid>/stat, counted from after the command's closing bracket.
+_USER_TIME_FIELD = 11
 _SYSTEM_TIME_FIELD = 12
 _STOP_TIMEOUT_S = 10.0
 _ERROR_CHARACTERS = 2_000
 
 
 class Usage(NamedTuple):
-    """Give a process's private memory and its processor time so far."""
+    """Private memory of a process, and its CPU time since its start."""
 
     private_bytes: int
     cpu_s: float
 
 
 def private_bytes(pid: int | None = None) -> int:
-    """Return the private bytes of a process, or of this one."""
+    """Return the private memory of a process (by default this one) in bytes."""
     path = pathlib.Path("/proc", str(pid or "self"), "smaps_rollup")
     total_kib = 0
     for line in path.read_text().splitlines():
@@ -36,7 +37,7 @@
 
 
 def cpu_seconds(pid: int) -> float:
-    """Return the user and system time of a process in seconds."""
+    """Return the user and system CPU time of a process in seconds."""
     stat = pathlib.Path("/proc", str(pid), "stat").read_text()
     fields = stat.rpartition(")")[2].split()
     ticks = int(fields[_USER_TIME_FIELD]) + int(fields[_SYSTEM_TIME_FIELD])
@@ -44,12 +45,12 @@
 
 
 def read_usage(pid: int) -> Usage:
-    """Return what a process uses now."""
+    """Return the current resource usage of a process."""
     return Usage(private_bytes(pid), cpu_seconds(pid))
 
 
 class BenchProcess:
-    """Run a Python module in a process, and end it by its id."""
+    """Run a Python module in a child process, and stop it at the end."""
 
     def __init__(
         self, arguments: Sequence[str], environment: Mapping[str, str] | None = None
@@ -80,24 +81,27 @@
         self.stop()
 
     def read_line(self) -> str:
-        """Return the next line that the process prints, or "" at its end."""
+        """Return the next line of standard output, or "" at its end."""
         assert self._process.stdout is not None
         return self._process.stdout.readline().strip()
 
     def output(self, timeout_s: float) -> str:
-        """Wait for the process's end and return what it printed."""
+        """Wait for the process to exit and return its standard output."""
         output, _ = self._process.communicate(timeout=timeout_s)
         if self._process.returncode:
-            raise RuntimeError(f"bench process failed: {self.errors()}")
+            raise RuntimeError(
+                f"bench process exited with status {self._process.returncode}:"
+                f" {self.errors()}"
+            )
         return output
 
     def errors(self) -> str:
-        """Return the last of what the process wrote to its error output."""
+        """Return the last 2,000 characters of standard error."""
         self._errors.seek(0)
         return self._errors.read()[-_ERROR_CHARACTERS:]
 
     def stop(self) -> None:
-        """End the process if it still runs."""
+        """Terminate the process if it still runs; kill it after 10 s."""
         if self._process.poll() is None:
             self._process.terminate()
             try:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
@@ -1,4 +1,4 @@
-"""Measure the rows of servers that the tree of relays spreads."""
+"""Probes of the server rows that the tree of relays distributes."""
 
 import itertools
 from collections.abc import Callable
@@ -24,35 +24,35 @@
 _DELTA_SIZES = (1, 4, 16, 64, 256)
 _EPOCH = 7
 _FIRST_NUMBER = 1_000_000
-_LIFE = Rank(1_700_000_000_000_000_000, 3)
+_CHILD_LIFE = Rank(1_700_000_000_000_000_000, 3)
 
 
 def make_delta(rows: int) -> Delta:
-    """Return a delta that carries so many changes of servers."""
+    """Return a delta that carries the rows of ``rows`` servers."""
     numbered = tuple(make_row(number) for number in range(rows))
     end = Position(_EPOCH, _FIRST_NUMBER + rows)
     return Delta(end, Position(_EPOCH, 0), _FIRST_NUMBER, False, numbered)
 
 
 def make_row(number: int, sequence: int = 0) -> NumberedRow:
-    """Return the row of a server."""
+    """Return the row of server ``number``."""
     event = make_event(number, sequence, Presence.LIVE)
     return NumberedRow(_FIRST_NUMBER + number + 1, create_server_row(event))
 
 
 def fill_store(rows: int) -> RowStore:
-    """Return a store of rows that went over the wire."""
+    """Return a store of ``rows`` rows, which holds decoded rows as in a daemon."""
     store = RowStore()
     for number in range(rows):
         delta = make_delta(0)._replace(rows=(make_row(number),))
-        arrived = decode_message(encode_message(delta))
-        assert isinstance(arrived, Delta)
-        store.put(arrived.rows[0], 0.0)
+        received = decode_message(encode_message(delta))
+        assert isinstance(received, Delta)
+        store.put(received.rows[0], 0.0)
     return store
 
 
 class StoreMemoryProbe(MemoryProbe):
-    """Keep the rows of servers for those that follow the tree."""
+    """Store the rows of servers."""
 
     name = "memory-spread-row"
     sized_by = "rows"
@@ -64,12 +64,12 @@
         fill_store(4)
 
     def build(self, size: int) -> object:
-        """Return a filled store."""
+        """Return a store of ``size`` rows."""
         return fill_store(size)
 
 
 class DeltaBytesProbe(BytesProbe):
-    """Encode the delta of one window."""
+    """Encode a delta, which carries the rows of one batching window."""
 
     name = "bytes-spread-row"
     sized_by = "rows of one delta"
@@ -77,12 +77,12 @@
     mechanism = "core membership.spread.codec"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded delta."""
+        """Return a delta of ``size`` rows."""
         return encode_message(make_delta(size))
 
 
 class SnapshotBytesProbe(BytesProbe):
-    """Encode all rows for an instance that has none."""
+    """Encode all rows, as sent to an instance that has none."""
 
     name = "bytes-spread-snapshot"
     sized_by = "rows"
@@ -90,12 +90,12 @@
     mechanism = "core membership.spread.codec"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded snapshot."""
+        """Return a snapshot of ``size`` rows."""
         return encode_message(make_delta(size)._replace(is_snapshot=True))
 
 
 class BeaconBytesProbe(BytesProbe):
-    """Encode a beacon and its answer."""
+    """Encode a beacon (a parent's heartbeat) and its answer."""
 
     name = "bytes-beacon"
     sized_by = "rows"
@@ -106,11 +106,11 @@
         """Return both messages."""
         position = Position(_EPOCH, _FIRST_NUMBER + size)
         beacon = Beacon(position, position, (1 << 63) + size, _FIRST_NUMBER, 100_000)
-        return encode_message(beacon) + encode_message(Alive(_LIFE, position))
+        return encode_message(beacon) + encode_message(Alive(_CHILD_LIFE, position))
 
 
 class RowCpuProbe(CpuProbe):
-    """Decode deltas, store their rows and read the changes from them."""
+    """Decode a delta, store its rows and decode the server changes in them."""
 
     name = "cpu-spread-row"
     sized_by = "rows of one delta"
@@ -118,12 +118,12 @@
     mechanism = "core membership.spread, membership.rows"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that takes the delta into a store."""
+        """Return an operation that applies the delta to a store."""
         payload = encode_message(make_delta(size))
         store = RowStore()
         clock = itertools.count()
 
-        def take() -> object:
+        def apply() -> object:
             delta = decode_message(payload)
             assert isinstance(delta, Delta)
             now = float(next(clock))
@@ -131,7 +131,7 @@
                 store.put(numbered, now)
             return read_rows(tuple(numbered.row for numbered in delta.rows))
 
-        return take
+        return apply
 
 
 PROBES = (
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/rows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/rows.py
@@ -1,4 +1,4 @@
-"""Make rows of the size that the fleet is designed for."""
+"""Generated routes, pools, servers and organisations of realistic size."""
 
 import hashlib
 from collections.abc import Iterator
@@ -16,11 +16,11 @@
 
 
 def make_route(number: int) -> Route:
-    """Return the route of a number."""
+    """Return route ``number``."""
     return Route(
         name=f"route-{number:05d}",
         host=f"service-{number % _POOLS}.example",
-        path=f"/v1/{_word('path', number)}",
+        path=f"/v1/{_make_name('path', number)}",
         methods=("GET", "HEAD") if number % 3 else ("POST",),
         pool=f"pool-{number % _POOLS}",
         repeatable=bool(number % 3),
@@ -29,7 +29,7 @@
 
 
 def make_pool(number: int) -> Pool:
-    """Return the pool of a number."""
+    """Return pool ``number``."""
     return Pool(
         name=f"pool-{number}",
         service=f"service-{number}",
@@ -40,7 +40,7 @@
 
 
 def make_server(number: int) -> Server:
-    """Return the server of a number."""
+    """Return server ``number``."""
     data_centre = number % _DATA_CENTRES
     return Server(
         server_id=f"server-{number:05d}",
@@ -56,25 +56,25 @@
 
 
 def make_routes(count: int) -> Iterator[Route]:
-    """Yield the first routes."""
+    """Yield the first ``count`` routes."""
     return (make_route(number) for number in range(count))
 
 
 def make_pools(count: int = _POOLS) -> Iterator[Pool]:
-    """Yield the first pools."""
+    """Yield the first ``count`` pools."""
     return (make_pool(number) for number in range(count))
 
 
 def make_servers(count: int) -> Iterator[Server]:
-    """Yield the first servers."""
+    """Yield the first ``count`` servers."""
     return (make_server(number) for number in range(count))
 
 
 def make_organisation(number: int) -> str:
-    """Return the name of an organisation."""
-    return f"organisation-{_word('organisation', number)}"
+    """Return the name of organisation ``number``."""
+    return f"organisation-{_make_name('organisation', number)}"
 
 
-def _word(kind: str, number: int) -> str:
-    """Return letters that compress no better than real names do."""
+def _make_name(kind: str, number: int) -> str:
+    """Return hexadecimal digits that compress no better than real names do."""
     return hashlib.blake2b(f"{kind}/{number}".encode(), digest_size=6).hexdigest()
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/slopes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/slopes.py
@@ -1,4 +1,4 @@
-"""Measure every probe at all its sizes and fit a line."""
+"""Command that measures probes at all their sizes and fits a line to each."""
 
 import pathlib
 import statistics
@@ -9,8 +9,8 @@
 from pimentobend_bench._internal.capacity.figures import FIGURES
 from pimentobend_bench._internal.capacity.figures import SlopeFigure
 from pimentobend_bench._internal.capacity.figures import load_figures
+from pimentobend_bench._internal.capacity.figures import record_run
 from pimentobend_bench._internal.capacity.figures import save_figures
-from pimentobend_bench._internal.capacity.figures import stamp
 from pimentobend_bench._internal.capacity.fit import Point
 from pimentobend_bench._internal.capacity.fit import fit_line
 from pimentobend_bench._internal.capacity.probe import BytesProbe
@@ -19,20 +19,20 @@
 from pimentobend_bench._internal.command import Command
 from pimentobend_bench._internal.command import Status
 
-_PROCESSES_PER_POINT = 3  # a message has the same bytes in every process
+_PROCESSES_PER_POINT = 3  # 1 for bytes: a message is the same in every process
 _POINT_TIMEOUT_S = 120.0
 _PLOTS = FIGURES.parent
 
 
 class SlopesCommand(Command):
-    """Print the slope of each probe, store it and plot it."""
+    """Print, store and plot the fitted line of each probe."""
 
     name = "slopes"
     usage = "slopes [probe ...]"
-    summary = "memory, bytes and CPU against sizes, with a line fitted"
+    summary = "memory, bytes and CPU time against size, with a fitted line"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Measure the named probes, or all."""
+        """Measure the named probes (by default all) and store the figures."""
         if unknown := sorted(set(args) - PROBES.keys()):
             print(f"unknown probes: {' '.join(unknown)}")
             return Status.USAGE
@@ -40,7 +40,7 @@
         figures = load_figures()
         slopes = {**figures.get("slopes", {}), **measured}
         figures["slopes"] = {name: slopes[name] for name in slopes if name in PROBES}
-        stamp(figures, "slopes")
+        record_run(figures, "slopes")
         save_figures(figures)
         return Status.SUCCESS
 
@@ -53,13 +53,13 @@
     slopes = {}
     for name in names:
         slopes[name] = figure = _measure(PROBES[name])
-        _print(name, figure)
+        _print_row(name, figure)
         plot_slope(name, figure, pathlib.Path(_PLOTS, f"{name}.png"))
     return slopes
 
 
 def _measure(probe: Probe) -> SlopeFigure:
-    points = [Point(size, _median(probe, size)) for size in probe.sizes]
+    points = [Point(size, _median_reading(probe, size)) for size in probe.sizes]
     line = fit_line(points)
     return SlopeFigure(
         sized_by=probe.sized_by,
@@ -73,18 +73,20 @@
     )
 
 
-def _median(probe: Probe, size: int) -> float:
+def _median_reading(probe: Probe, size: int) -> float:
     processes = 1 if isinstance(probe, BytesProbe) else _PROCESSES_PER_POINT
-    return statistics.median(_read_point(probe.name, size) for _ in range(processes))
+    return statistics.median(
+        _read_in_fresh_process(probe.name, size) for _ in range(processes)
+    )
 
 
-def _read_point(name: str, size: int) -> float:
+def _read_in_fresh_process(name: str, size: int) -> float:
     arguments = ["pimentobend_bench", "slope-point", name, str(size)]
     with BenchProcess(arguments) as process:
         return float(process.output(_POINT_TIMEOUT_S))
 
 
-def _print(name: str, figure: SlopeFigure) -> None:
+def _print_row(name: str, figure: SlopeFigure) -> None:
     readings = "  ".join(
         f"{int(size)}: {value:.4g}" for size, value in figure["points"]
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
@@ -1,4 +1,4 @@
-"""Measure the exchanges by which daemons follow the tables."""
+"""Probes of the messages by which daemons replicate the tables."""
 
 import itertools
 from collections.abc import Callable
@@ -24,13 +24,13 @@
 _ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
 _CHANGE_SIZES = (1, 4, 16, 64, 256)
 _SOURCE = "10.0.0.1:9000"
-_CHILD = "10.0.0.2:9000"
-_FIRST = Version(3, 200_000)
-_LATE_S = 1_000.0
+_POLLING_DAEMON = "10.0.0.2:9000"
+_FIRST_VERSION = Version(3, 200_000)
+_NOW = 1_000.0  # long after the follower started, so that it no longer waits
 
 
-def make_versioned(routes: int) -> VersionedTables:
-    """Return tables of a version with a number of routes and all pools."""
+def make_versioned_tables(routes: int) -> VersionedTables:
+    """Return versioned tables with ``routes`` routes and all pools."""
     tables = VersionedTables()
     delta = TablesDelta(
         base=tables.version,
@@ -39,29 +39,29 @@
         pools=tuple(make_pools()),
         removed_pools=(),
     )
-    tables.apply(delta, _FIRST)
+    tables.apply(delta, _FIRST_VERSION)
     return tables
 
 
 def make_follower(routes: int) -> TablesFollower:
-    """Return a follower that has tables in force."""
+    """Return a follower whose tables are in force."""
     follower = TablesFollower((_SOURCE,), 0.0)
-    whole = Whole(make_versioned(routes).whole())
-    follower.handle(SpreadReceived(_SOURCE, whole), _LATE_S)
+    whole = Whole(make_versioned_tables(routes).whole())
+    follower.handle(SpreadReceived(_SOURCE, whole), _NOW)
     return follower
 
 
 def change_one_route(tables: VersionedTables, number: int) -> VersionedDelta:
-    """Step tables by one changed route and return the delta."""
+    """Apply a change of one route to the tables and return the delta."""
     route = make_route(number % 1_000)._replace(timeout_ms=5_000 + number)
     delta = TablesDelta(tables.version, (route,), (), (), ())
-    version = Version(_FIRST.term, tables.version.log_index + 1)
+    version = Version(_FIRST_VERSION.term, tables.version.log_index + 1)
     tables.apply(delta, version)
     return VersionedDelta(version, tables.digest, delta)
 
 
 class FollowerMemoryProbe(MemoryProbe):
-    """Follow tables, and let go of the message that brought them."""
+    """Follow the tables, without the message that delivered them."""
 
     name = "memory-route-follower"
     sized_by = "routes"
@@ -69,16 +69,16 @@
     mechanism = "core configuration.follower"
 
     def warm_up(self) -> None:
-        """Follow a few routes."""
+        """Follow tables of a few routes."""
         make_follower(4)
 
     def build(self, size: int) -> object:
-        """Return a follower with tables in force."""
+        """Return a follower of tables with ``size`` routes."""
         return make_follower(size)
 
 
 class ChangeBytesProbe(BytesProbe):
-    """Encode single-row changes that follow one another."""
+    """Encode successive changes of one row each."""
 
     name = "bytes-change-spread"
     sized_by = "changes"
@@ -86,14 +86,14 @@
     mechanism = "core configuration.codec"
 
     def encode(self, size: int) -> bytes:
-        """Return the message that carries the changes."""
-        tables = make_versioned(_ROUTE_SIZES[0])
+        """Return the message that carries ``size`` changes."""
+        tables = make_versioned_tables(_ROUTE_SIZES[0])
         deltas = tuple(change_one_route(tables, number) for number in range(size))
         return encode(Deltas(deltas))
 
 
 class ChangeCpuProbe(CpuProbe):
-    """Take one change of one route into the tables in force."""
+    """Apply a change of one route to a follower's tables."""
 
     name = "cpu-change-follower"
     sized_by = "routes"
@@ -101,20 +101,20 @@
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that takes the next change."""
+        """Return an operation that applies the next change."""
         follower = make_follower(size)
-        source = make_versioned(size)
+        source = make_versioned_tables(size)
         numbers = itertools.count()
 
-        def take() -> None:
+        def apply() -> None:
             delta = change_one_route(source, next(numbers))
-            follower.handle(SpreadReceived(_SOURCE, Deltas((delta,))), _LATE_S)
+            follower.handle(SpreadReceived(_SOURCE, Deltas((delta,))), _NOW)
 
-        return take
+        return apply
 
 
 class DigestBytesProbe(BytesProbe):
-    """Encode a question for changes and the answer that there are none."""
+    """Encode a poll for changes and the answer that there are none."""
 
     name = "bytes-digest-exchange"
     sized_by = "routes"
@@ -123,13 +123,13 @@
 
     def encode(self, size: int) -> bytes:
         """Return both messages."""
-        tables = make_versioned(size)
-        asked = CatchUp(tables.version, tables.digest, False)
-        return encode(asked) + encode(Current(tables.version, tables.digest))
+        tables = make_versioned_tables(size)
+        poll = CatchUp(tables.version, tables.digest, False)
+        return encode(poll) + encode(Current(tables.version, tables.digest))
 
 
 class DigestCpuProbe(CpuProbe):
-    """Answer a question for changes that finds none."""
+    """Answer a poll for changes when there are none."""
 
     name = "cpu-digest-exchange"
     sized_by = "routes"
@@ -137,15 +137,17 @@
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that answers the question."""
+        """Return an operation that answers the poll."""
         follower = make_follower(size)
         tables = follower.tables
-        asked = SpreadReceived(_CHILD, CatchUp(tables.version, tables.digest, False))
-        return lambda: follower.handle(asked, _LATE_S)
+        poll = SpreadReceived(
+            _POLLING_DAEMON, CatchUp(tables.version, tables.digest, False)
+        )
+        return lambda: follower.handle(poll, _NOW)
 
 
 class CatchUpBytesProbe(BytesProbe):
-    """Encode the answer to a daemon that has no tables."""
+    """Encode the complete tables, as sent to a daemon that has none."""
 
     name = "bytes-catch-up"
     sized_by = "routes"
@@ -153,12 +155,12 @@
     mechanism = "core configuration.codec"
 
     def encode(self, size: int) -> bytes:
-        """Return the encoded answer."""
-        return encode(Whole(make_versioned(size).whole()))
+        """Return the message with ``size`` routes."""
+        return encode(Whole(make_versioned_tables(size).whole()))
 
 
-class CatchUpCpuProbe(CpuProbe):
-    """Serve a daemon that has no tables."""
+class CatchUpServeCpuProbe(CpuProbe):
+    """Answer a daemon that has no tables."""
 
     name = "cpu-catch-up-serve"
     sized_by = "routes"
@@ -166,17 +168,17 @@
     mechanism = "core configuration.follower, configuration.codec"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that makes and encodes the answer."""
+        """Return an operation that creates and encodes the answer."""
         follower = make_follower(size)
-        asked = SpreadReceived(_CHILD, CatchUp(Version(0, 0), b"", True))
+        poll = SpreadReceived(_POLLING_DAEMON, CatchUp(Version(0, 0), b"", True))
         return lambda: [
-            encode(sent.message)  # type: ignore[union-attr]
-            for sent in follower.handle(asked, _LATE_S)
+            encode(output.message)  # type: ignore[union-attr]
+            for output in follower.handle(poll, _NOW)
         ]
 
 
-class CatchUpTakeCpuProbe(CpuProbe):
-    """Take the whole tables at a start."""
+class CatchUpApplyCpuProbe(CpuProbe):
+    """Put complete tables in force in a daemon that has just started."""
 
     name = "cpu-catch-up-take"
     sized_by = "routes"
@@ -184,9 +186,9 @@
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that puts the tables in force in a new follower."""
-        received = SpreadReceived(_SOURCE, Whole(make_versioned(size).whole()))
-        return lambda: TablesFollower((_SOURCE,), 0.0).handle(received, _LATE_S)
+        """Return an operation that creates a follower and gives it the tables."""
+        received = SpreadReceived(_SOURCE, Whole(make_versioned_tables(size).whole()))
+        return lambda: TablesFollower((_SOURCE,), 0.0).handle(received, _NOW)
 
 
 PROBES = (
@@ -196,6 +198,6 @@
     DigestBytesProbe(),
     DigestCpuProbe(),
     CatchUpBytesProbe(),
-    CatchUpCpuProbe(),
-    CatchUpTakeCpuProbe(),
+    CatchUpServeCpuProbe(),
+    CatchUpApplyCpuProbe(),
 )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/storage_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/storage_probes.py
@@ -1,4 +1,4 @@
-"""Measure the memory of routes, servers and organisations."""
+"""Probes of the memory of routes, servers and organisations."""
 
 import random
 from collections.abc import Callable
@@ -19,23 +19,23 @@
 _WARM_UP_ROWS = 4
 
 
-class RowsProbe(MemoryProbe):
+class TableMemoryProbe(MemoryProbe):
     """Fill a table of rows."""
 
     def __init__(
         self,
         name: str,
         sized_by: str,
-        create: Callable[[], Rows[Any]],
-        make: Callable[[int], Iterable[Any]],
+        create_table: Callable[[], Rows[Any]],
+        make_rows: Callable[[int], Iterable[Any]],
         sizes: tuple[int, ...],
     ) -> None:
         self.name = name
         self.sized_by = sized_by
         self.sizes = sizes
-        self.mechanism = f"core {create().__module__.rpartition('_internal.')[2]}"
-        self._create = create
-        self._make = make
+        self.mechanism = f"core {create_table().__module__.rpartition('_internal.')[2]}"
+        self._create_table = create_table
+        self._make_rows = make_rows
 
     def warm_up(self) -> None:
         """Fill a small table."""
@@ -46,14 +46,14 @@
         return self._fill(size)
 
     def _fill(self, size: int) -> Rows[Any]:
-        table = self._create()
-        for row in self._make(size):
+        table = self._create_table()
+        for row in self._make_rows(size):
             table.put(row)
         return table
 
 
-class OrganisationDictProbe(MemoryProbe):
-    """Keep two counters for each organisation by its name."""
+class OrganisationDictMemoryProbe(MemoryProbe):
+    """Keep two counters for each organisation in a dict, as a baseline."""
 
     name = "memory-organisation-dict"
     sized_by = "organisations"
@@ -61,37 +61,37 @@
     mechanism = "baseline"
 
     def warm_up(self) -> None:
-        """Need no code but the interpreter's."""
+        """Do nothing: the counters need no code but the interpreter's."""
 
     def build(self, size: int) -> object:
         """Return the counters of ``size`` organisations."""
-        source = random.Random(size)
+        generator = random.Random(size)
         return {
-            f"organisation-{number}": [source.random(), source.random()]
+            f"organisation-{number}": [generator.random(), generator.random()]
             for number in range(size)
         }
 
 
 PROBES = (
-    RowsProbe(
+    TableMemoryProbe(
         "memory-route-dict",
         "routes",
         lambda: DictRows(lambda route: str(route.name)),
         make_routes,
         _ROUTE_SIZES,
     ),
-    RowsProbe(
+    TableMemoryProbe(
         "memory-route-compact", "routes", CompactRoutes, make_routes, _ROUTE_SIZES
     ),
-    RowsProbe(
+    TableMemoryProbe(
         "memory-server-dict",
         "servers",
         lambda: DictRows(lambda server: str(server.server_id)),
         make_servers,
         _SERVER_SIZES,
     ),
-    RowsProbe(
+    TableMemoryProbe(
         "memory-server-compact", "servers", CompactServers, make_servers, _SERVER_SIZES
     ),
-    OrganisationDictProbe(),
+    OrganisationDictMemoryProbe(),
 )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/target.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/target.py
@@ -1,4 +1,4 @@
-"""State the size and the budgets that the fleet is designed for."""
+"""Target size of the fleet, and the budgets at that size."""
 
 DAEMONS = 1_800
 SERVERS = 20_000
@@ -13,11 +13,11 @@
 RESTARTS_PER_DAY = 1_500
 DAY_S = 86_400
 
-ADDED_LATENCY_S = 0.0077  # for 99 requests in 100
-CHANGE_IN_FORCE_S = 9.0
-CONTROL_CPU_SHARE = 0.048  # of one core
-CONTROL_MEMORY_BYTES = 32_000_000
-CONTROL_BYTES_PER_S = 6_000
+ADDED_LATENCY_S = 0.0077  # by one hop, for 99 of 100 requests
+CHANGE_PROPAGATION_S = 9.0
+CONTROL_CPU_SHARE = 0.048  # of one core, for each daemon
+CONTROL_MEMORY_BYTES = 32_000_000  # for each daemon
+CONTROL_BYTES_PER_S = 6_000  # for each daemon, both ways
 CONTROL_INSTANCES = 22
 REGION_LINK_BITS_PER_S = 30_000_000
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
@@ -1,4 +1,4 @@
-"""Measure pools' traffic, organisations' shares and the match of routes."""
+"""Probes of pool traffic, fair shares of organisations and route matching."""
 
 import itertools
 from collections.abc import Callable
@@ -37,7 +37,7 @@
 
 
 class OrganisationMemoryProbe(MemoryProbe):
-    """Charge requests of organisations to one pool."""
+    """Charge requests of many organisations to the fair shares of one pool."""
 
     name = "memory-organisation-shares"
     sized_by = "organisations"
@@ -45,11 +45,11 @@
     mechanism = "core traffic.fairness"
 
     def warm_up(self) -> None:
-        """Charge a few."""
+        """Charge requests of a few organisations."""
         self.build(4)
 
     def build(self, size: int) -> object:
-        """Return the shares after one request of each organisation."""
+        """Return the shares after one request from each of ``size`` organisations."""
         shares = FairShares(_SEED)
         for number in range(size):
             shares.charge(make_organisation(number), 0.0)
@@ -57,7 +57,7 @@
 
 
 class PoolMemoryProbe(MemoryProbe):
-    """Hold the traffic of pools with their servers."""
+    """Create the traffic state of pools, each with its servers."""
 
     name = "memory-pool-traffic"
     sized_by = "pools"
@@ -65,16 +65,16 @@
     mechanism = "core traffic.pool"
 
     def warm_up(self) -> None:
-        """Create one."""
+        """Create the state of one pool."""
         self.build(1)
 
     def build(self, size: int) -> object:
-        """Return the pools' traffic."""
+        """Return the traffic state of ``size`` pools."""
         return [_create_traffic(pool, _SERVERS_PER_POOL) for pool in make_pools(size)]
 
 
 class MatcherMemoryProbe(MemoryProbe):
-    """Compile routes for the request path."""
+    """Compile routes into the matcher of the request path."""
 
     name = "memory-route-matcher"
     sized_by = "routes"
@@ -82,17 +82,17 @@
     mechanism = "core traffic.routing"
 
     def warm_up(self) -> None:
-        """Compile a few."""
+        """Compile a few routes."""
         self.build(4)
 
     def build(self, size: int) -> object:
-        """Return the tables and the matcher of them."""
+        """Return the tables and their matcher."""
         tables = make_tables(size)
         return tables, RouteMatcher(tables)
 
 
 class MatcherCpuProbe(CpuProbe):
-    """Compile routes, as after each change."""
+    """Compile all routes, which happens after each change."""
 
     name = "cpu-route-compile"
     sized_by = "routes"
@@ -106,7 +106,7 @@
 
 
 class MatchCpuProbe(CpuProbe):
-    """Match one request."""
+    """Find the route of one request."""
 
     name = "cpu-route-match"
     sized_by = "routes"
@@ -114,7 +114,7 @@
     mechanism = "core traffic.routing"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that matches a request."""
+        """Return an operation that finds the route of a request."""
         tables = make_tables(size)
         matcher = RouteMatcher(tables)
         route = tables.routes[size // 2]
@@ -123,7 +123,7 @@
 
 
 class GrantCpuProbe(CpuProbe):
-    """Grant a server to a request and take its end."""
+    """Grant a server to a request, and handle the end of the attempt."""
 
     name = "cpu-grant"
     sized_by = "servers of the pool"
@@ -131,7 +131,7 @@
     mechanism = "core traffic.pool"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that passes one request through a pool."""
+        """Return an operation that runs one request through a pool."""
         pool = next(make_pools(1))
         traffic = _create_traffic(pool, size)
         tickets = itertools.count(1)
@@ -139,15 +139,17 @@
         def serve() -> None:
             ticket = next(tickets)
             now = 100.0 + ticket / 1_000
-            granted = traffic.handle(_ask(ticket, now), now)
-            for output in granted:
+            outputs = traffic.handle(_make_acquire(ticket, now), now)
+            for output in outputs:
                 assert isinstance(output, Granted)
-                traffic.handle(_end(ticket, output.server.server_id), now + 0.005)
+                traffic.handle(
+                    _make_attempt_ended(ticket, output.server.server_id), now + 0.005
+                )
 
         return serve
 
 
-def _ask(ticket: int, now: float) -> Acquire:
+def _make_acquire(ticket: int, now: float) -> Acquire:
     return Acquire(
         ticket=ticket,
         route="route-00001",
@@ -159,7 +161,7 @@
     )
 
 
-def _end(ticket: int, server_id: str) -> AttemptEnded:
+def _make_attempt_ended(ticket: int, server_id: str) -> AttemptEnded:
     return AttemptEnded(
         ticket=ticket,
         pool="pool-0",
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
@@ -8,8 +8,8 @@
 from pimentobend_bench._internal.capacity.figures import Stage
 from pimentobend_bench._internal.capacity.figures import WholeFigure
 from pimentobend_bench._internal.capacity.figures import load_figures
+from pimentobend_bench._internal.capacity.figures import record_run
 from pimentobend_bench._internal.capacity.figures import save_figures
-from pimentobend_bench._internal.capacity.figures import stamp
 from pimentobend_bench._internal.capacity.process import BenchProcess
 from pimentobend_bench._internal.capacity.process import Usage
 from pimentobend_bench._internal.capacity.process import read_usage
@@ -40,7 +40,7 @@
         whole = measure_whole()
         figures = load_figures()
         figures["whole"] = whole
-        stamp(figures, "whole-table")
+        record_run(figures, "whole-table")
         save_figures(figures)
         return Status.SUCCESS
 
@@ -66,7 +66,7 @@
             pid = instance.process.pid
             yield _rest("start", pid, 0.0)
             before = read_usage(pid)
-            version = control.apply(make_routes(ROUTES), make_pools())
+            version = control.apply_tables(make_routes(ROUTES), make_pools())
             instance.wait_for_version(version)
             time.sleep(_SETTLE_S)
             yield _rest("9,000 routes and 580 pools", pid, before.cpu_s)
