Reword the measurements of a hop in the bench

A new reader stumbled over "Stand before one backend server", "Keep the backend server known", "Know the backend server by its port alone", "the least proxy that the libraries allow" and the name through for a window. They now speak of a proxy in front of a backend server, its lease, a minimal proxy and proxied windows. Errors name the time-out, the port and the number of failed requests.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/__init__.py
@@ -1,1 +1,1 @@
-"""Measure what one hop adds to a request."""
+"""Latency and CPU time that one hop through a proxy adds to a request."""
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/command.py
@@ -1,4 +1,4 @@
-"""Compare requests through one hop with direct ones."""
+"""Command that compares requests through a proxy with direct ones."""
 
 import json
 import math
@@ -29,7 +29,10 @@
 
 
 class Window(NamedTuple):
-    """Hold one window's percentiles and the proxy's processor time."""
+    """Results of one measurement window.
+
+    ``cpu_per_request_s`` is CPU time of the process that the requests were sent to.
+    """
 
     p50_s: float
     p99_s: float
@@ -39,14 +42,14 @@
 
 
 class HopCommand(Command):
-    """Print added latency and CPU a request for each proxy and rate."""
+    """Print added latency and CPU time per request for each proxy and rate."""
 
     name = "hop"
     usage = "hop [runs [proxy ...]]"
-    summary = "CPU a request and added latency of one hop, real processes"
+    summary = "added latency and CPU time per request of one hop, real processes"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Measure every proxy and store the figures."""
+        """Measure the named proxies (by default all) and store the figures."""
         if args and not (args[0].isdigit() and STARTERS.keys() >= set(args[1:])):
             print(f"usage: {self.usage}; proxies: {', '.join(map(repr, STARTERS))}")
             return Status.USAGE
@@ -61,7 +64,7 @@
 
 
 def measure_hops(runs: int, names: Iterable[str]) -> list[HopFigure]:
-    """Measure and print the named proxies at each rate."""
+    """Measure the named proxies at each rate, and print a row for each."""
     print(
         f"{'proxy':26} {'rate/s':>6} {'direct p50':>11} {'p99 ms':>7}"
         f" {'added p50':>10} {'p99 ms':>7} {'worst':>7} {'ratio p50':>10} {'p99':>5}"
@@ -71,7 +74,7 @@
     for starter in (STARTERS[name] for name in names):
         for rate_per_s in RATES_PER_S:
             hops.append(_measure(starter, rate_per_s, runs))
-            _print(hops[-1])
+            _print_row(hops[-1])
     return hops
 
 
@@ -81,10 +84,10 @@
         with starter.start(backend_port) as proxy:
             pairs = []
             for seed in range(1, runs + 1):
-                proxy.renew()
+                proxy.renew_lease()
                 direct = _run_window(backend_port, backend.pid, rate_per_s, seed)
-                through = _run_window(proxy.port, proxy.pid, rate_per_s, seed)
-                pairs.append((direct, through))
+                proxied = _run_window(proxy.port, proxy.pid, rate_per_s, seed)
+                pairs.append((direct, proxied))
     return _summarise(starter.name, rate_per_s, pairs)
 
 
@@ -97,8 +100,8 @@
     cpu_s = cpu_seconds(pid) - cpu_before_s
     latencies = sorted(report["latencies_s"])
     if not latencies:
-        raise RuntimeError("no request was answered")
-    share_counted = seconds / (seconds + _WARM_UP_S)
+        raise RuntimeError(f"all {report['failed']} requests to port {port} failed")
+    share_counted = seconds / (seconds + _WARM_UP_S)  # CPU time includes the warm-up
     requests = len(latencies) + report["failed"]
     return Window(
         p50_s=percentile(latencies, 0.50),
@@ -110,21 +113,21 @@
 
 
 def percentile(ordered: Sequence[float], share: float) -> float:
-    """Return the least value that ``share`` of the ordered values don't exceed."""
+    """Return the smallest of the ordered values that ``share`` of them don't exceed."""
     return ordered[max(0, math.ceil(len(ordered) * share) - 1)]
 
 
 def _summarise(
     name: str, rate_per_s: int, pairs: Sequence[tuple[Window, Window]]
 ) -> HopFigure:
-    added_p50 = [through.p50_s - direct.p50_s for direct, through in pairs]
-    added_p99 = [through.p99_s - direct.p99_s for direct, through in pairs]
+    added_p50 = [proxied.p50_s - direct.p50_s for direct, proxied in pairs]
+    added_p99 = [proxied.p99_s - direct.p99_s for direct, proxied in pairs]
     return HopFigure(
         proxy=name,
         rate_per_s=rate_per_s,
         runs=len(pairs),
-        requests=sum(through.requests for _, through in pairs),
-        failed=sum(direct.failed + through.failed for direct, through in pairs),
+        requests=sum(proxied.requests for _, proxied in pairs),
+        failed=sum(direct.failed + proxied.failed for direct, proxied in pairs),
         direct_p50_s=statistics.median(direct.p50_s for direct, _ in pairs),
         direct_p99_s=statistics.median(direct.p99_s for direct, _ in pairs),
         added_p50_s=statistics.median(added_p50),
@@ -136,7 +139,7 @@
     )
 
 
-def _print(hop: HopFigure) -> None:
+def _print_row(hop: HopFigure) -> None:
     print(
         f"{hop['proxy']:26} {hop['rate_per_s']:6} {hop['direct_p50_s'] * 1e3:11.2f}"
         f" {hop['direct_p99_s'] * 1e3:7.2f} {hop['added_p50_s'] * 1e3:10.2f}"
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/library_proxy.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/library_proxy.py
@@ -1,4 +1,4 @@
-"""Serve as the least proxy that the libraries allow, for comparison."""
+"""Minimal proxy of the WSGI server and an urllib3 pool, for comparison."""
 
 import sys
 from collections.abc import Callable
@@ -15,15 +15,15 @@
 _CONNECTIONS = 64
 
 
-class _Silent:
-    """Drop the server's own log lines."""
+class _NullLog:
+    """Log file that discards what the WSGI server writes."""
 
     def write(self, text: str) -> None:
-        """Drop the text."""
+        """Discard the text."""
 
 
 def main() -> None:
-    """Pass requests on to the given port, and print the port in use."""
+    """Listen on a free port, print it, and forward requests to the given port."""
     backend = urllib3.HTTPConnectionPool(
         "127.0.0.1", int(sys.argv[1]), maxsize=_CONNECTIONS
     )
@@ -31,13 +31,13 @@
     def application(
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        answer = backend.request(environ["REQUEST_METHOD"], environ["PATH_INFO"])
-        start_response(f"{answer.status} OK", list(answer.headers.items()))
-        return [answer.data]
+        response = backend.request(environ["REQUEST_METHOD"], environ["PATH_INFO"])
+        start_response(f"{response.status} OK", list(response.headers.items()))
+        return [response.data]
 
     listener = eventlet.listen(("127.0.0.1", 0))
     print(listener.getsockname()[1], flush=True)
-    eventlet.wsgi.server(listener, application, log=_Silent(), log_output=False)
+    eventlet.wsgi.server(listener, application, log=_NullLog(), log_output=False)
 
 
 if __name__ == "__main__":
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/load.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/load.py
@@ -1,4 +1,4 @@
-"""Send requests at the moments they are due, whatever the answers do."""
+"""Open-loop load generator: sends requests when due, however slow the responses."""
 
 import json
 import random
@@ -16,19 +16,19 @@
 )
 _HEAD_END = b"\r\n\r\n"
 _LENGTH = b"content-length:"
-_ANSWER_TIMEOUT_S = 5.0
+_RESPONSE_TIMEOUT_S = 5.0
 _MAX_IN_FLIGHT = 500
 
 
 class LoadReport(TypedDict):
-    """Spell the latencies of one window in seconds, and the failures."""
+    """Latencies of one window in seconds, and the number of failed requests."""
 
     latencies_s: list[float]
     failed: int
 
 
 class LoadGenerator:
-    """Own the connections to one port and send an open loop of requests."""
+    """Send an open-loop Poisson stream of requests to one port."""
 
     def __init__(self, port: int, seed: int) -> None:
         self._port = port
@@ -38,28 +38,35 @@
         self._failed = 0
 
     def run(self, rate_per_s: float, seconds: float, warm_up_s: float) -> LoadReport:
-        """Return the latencies of the requests due after the warm-up."""
+        """Send requests and return the latencies of those due after the warm-up.
+
+        A latency is counted from when the request was due, so that it includes any
+        delay before it was sent.
+        """
         pool = eventlet.greenpool.GreenPool(_MAX_IN_FLIGHT)
-        started = time.monotonic()
-        due = started
-        while due < started + warm_up_s + seconds:
-            eventlet.sleep(max(0.0, due - time.monotonic()))
-            pool.spawn_n(self._send, due, due >= started + warm_up_s)
-            due += self._random.expovariate(rate_per_s)
+        started_at = time.monotonic()
+        due_at = started_at
+        while due_at < started_at + warm_up_s + seconds:
+            eventlet.sleep(max(0.0, due_at - time.monotonic()))
+            pool.spawn_n(self._send, due_at, due_at >= started_at + warm_up_s)
+            due_at += self._random.expovariate(rate_per_s)
         pool.waitall()
         return LoadReport(latencies_s=self._latencies_s, failed=self._failed)
 
-    def _send(self, due: float, is_counted: bool) -> None:
+    def _send(self, due_at: float, is_counted: bool) -> None:
         try:
-            with eventlet.Timeout(_ANSWER_TIMEOUT_S, OSError("no answer in time")):
-                self._exchange()
+            with eventlet.Timeout(
+                _RESPONSE_TIMEOUT_S,
+                OSError(f"no response within {_RESPONSE_TIMEOUT_S:g} s"),
+            ):
+                self._send_and_receive()
         except OSError:
             self._failed += is_counted
             return
         if is_counted:
-            self._latencies_s.append(time.monotonic() - due)
+            self._latencies_s.append(time.monotonic() - due_at)
 
-    def _exchange(self) -> None:
+    def _send_and_receive(self) -> None:
         if self._idle:
             connection = self._idle.pop()
         else:
@@ -67,20 +74,20 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             connection.sendall(_REQUEST)
-            _read_answer(connection)
+            _read_response(connection)
         except BaseException:
             connection.close()
             raise
         self._idle.append(connection)
 
 
-def _read_answer(connection: socket.socket) -> None:
-    answer = b""
-    while _HEAD_END not in answer:
-        answer += _receive(connection)
-    head, _, body = answer.partition(_HEAD_END)
+def _read_response(connection: socket.socket) -> None:
+    response = b""
+    while _HEAD_END not in response:
+        response += _receive(connection)
+    head, _, body = response.partition(_HEAD_END)
     if b" 200 " not in head.partition(b"\r\n")[0]:
-        raise OSError("the answer is not 200")
+        raise OSError("response status is not 200")
     length = next(
         int(line.partition(b":")[2])
         for line in head.split(b"\r\n")
@@ -93,12 +100,12 @@
 def _receive(connection: socket.socket) -> bytes:
     chunk: bytes = connection.recv(65_536)
     if not chunk:
-        raise OSError("the connection was closed")
+        raise OSError("connection closed before the end of the response")
     return chunk
 
 
 def main() -> None:
-    """Take port, rate, seconds, warm-up and seed, and print the report."""
+    """Read port, rate, seconds, warm-up and seed, and print the report as JSON."""
     port, rate_per_s, seconds, warm_up_s, seed = sys.argv[1:6]
     generator = LoadGenerator(int(port), int(seed))
     print(
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/hop/proxies.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/hop/proxies.py
@@ -1,4 +1,4 @@
-"""Start the proxies that the hop is measured through."""
+"""Proxies through which a hop is measured."""
 
 import abc
 import contextlib
@@ -34,7 +34,7 @@
 
 
 class RunningProxy(abc.ABC):
-    """Stand before one backend server."""
+    """A running proxy in front of one backend server."""
 
     @property
     @abc.abstractmethod
@@ -47,12 +47,12 @@
         """Return the port for callers."""
 
     @abc.abstractmethod
-    def renew(self) -> None:
-        """Keep the backend server known for another window."""
+    def renew_lease(self) -> None:
+        """Renew the backend server's lease for another window, if it needs one."""
 
 
 class ProxyStarter(abc.ABC):
-    """Start one kind of proxy before a backend server's port."""
+    """Start one kind of proxy in front of a backend server."""
 
     name: str
 
@@ -60,11 +60,11 @@
     def start(
         self, backend_port: int
     ) -> contextlib.AbstractContextManager[RunningProxy]:
-        """Start the proxy; the end of the context ends it."""
+        """Start the proxy, and stop it at the end of the context."""
 
 
-class _Library(RunningProxy):
-    """Hold the least proxy that the libraries allow."""
+class _LibraryProxy(RunningProxy):
+    """The minimal proxy of the libraries."""
 
     def __init__(self, process: BenchProcess) -> None:
         self._process = process
@@ -78,25 +78,25 @@
     def port(self) -> int:
         return self._port
 
-    def renew(self) -> None:
-        """Know the backend server by its port alone."""
+    def renew_lease(self) -> None:
+        """Do nothing: the backend server is fixed at the start."""
 
 
 class LibraryStarter(ProxyStarter):
-    """Start the least proxy of the WSGI server and an urllib3 pool."""
+    """Start the minimal proxy of the WSGI server and an urllib3 pool."""
 
     name = "libraries alone"
 
     @contextlib.contextmanager
     def start(self, backend_port: int) -> Iterator[RunningProxy]:
-        """Start the proxy; the end of the context ends it."""
+        """Start the proxy, and stop it at the end of the context."""
         module = "pimentobend_bench._internal.capacity.hop.library_proxy"
         with BenchProcess([module, str(backend_port)]) as process:
-            yield _Library(process)
+            yield _LibraryProxy(process)
 
 
-class _Daemon(RunningProxy):
-    """Hold a real daemon that knows one backend server."""
+class _DaemonProxy(RunningProxy):
+    """A real daemon with one backend server."""
 
     def __init__(self, daemon: BenchDaemon, backend_port: int) -> None:
         self._daemon = daemon
@@ -120,13 +120,16 @@
     def port(self) -> int:
         return int(self._daemon.listen["callers"].rpartition(":")[2])
 
-    def renew(self) -> None:
+    def renew_lease(self) -> None:
         """Announce the backend server."""
         self._daemon.announce(self._server)
 
 
 class DaemonStarter(ProxyStarter):
-    """Start a daemon of all roles with the hop's route among others."""
+    """Start a daemon of all roles whose tables hold ``routes`` routes.
+
+    The route of the measured requests is one of them.
+    """
 
     def __init__(self, name: str, routes: int) -> None:
         self.name = name
@@ -134,13 +137,13 @@
 
     @contextlib.contextmanager
     def start(self, backend_port: int) -> Iterator[RunningProxy]:
-        """Start the proxy; the end of the context ends it."""
+        """Start the proxy, and stop it at the end of the context."""
         with BenchDaemon("hop", ["instance", "control"]) as daemon:
             daemon.apply_tables(
                 (_HOP_ROUTE, *make_routes(self._routes - 1)), (_HOP_POOL, *make_pools())
             )
-            proxy = _Daemon(daemon, backend_port)
-            proxy.renew()
+            proxy = _DaemonProxy(daemon, backend_port)
+            proxy.renew_lease()
             yield proxy
 
 
