--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/__init__.py
@@ -1,1 +1,1 @@
-"""Load the whole table into one process."""
+"""Memory and CPU time of a process that holds the complete tables."""
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
@@ -1,4 +1,4 @@
-"""Read what the whole table takes in real processes."""
+"""Command that measures real processes with the complete tables."""
 
 import time
 from collections.abc import Iterator
@@ -20,23 +20,23 @@
 from pimentobend_bench._internal.command import Command
 from pimentobend_bench._internal.command import Status
 
-_SERVERS_ANNOUNCED = 11  # the share of one daemon
-_RENEWALS = 20  # of each server
+_SERVERS_ANNOUNCED = 11  # servers per daemon at the target size
+_RENEWALS = 20  # of each server's lease
 _IDLE_S = 10.0
-_SETTLE_S = 2.0
+_APPLY_WAIT_S = 2.0  # for the daemon to finish work after a change of tables
 _PARTS_TIMEOUT_S = 120.0
 _PARTS = "pimentobend_bench._internal.capacity.whole.parts"
 
 
 class WholeTableCommand(Command):
-    """Print memory and CPU of a daemon with the whole table."""
+    """Print memory and CPU time of a daemon with the complete tables."""
 
     name = "whole-table"
     usage = "whole-table"
     summary = "9,000 routes, 580 pools, servers, organisations in one process"
 
     def run(self, args: Sequence[str]) -> Status:
-        """Load the real daemon, then its parts one by one."""
+        """Measure a real daemon, then its parts one by one, and store the figures."""
         whole = measure_whole()
         figures = load_figures()
         figures["whole"] = whole
@@ -46,9 +46,9 @@
 
 
 def measure_whole() -> WholeFigure:
-    """Measure the daemon and its parts."""
-    daemon = list(_load_daemon())
-    parts = _load_parts()
+    """Measure the daemon and its parts, and print a row for each step."""
+    daemon = list(_measure_daemon())
+    parts = _measure_parts()
     print(f"{'process':10} {'private MB':>10} {'CPU s':>7} {'idle':>7}  after")
     for name, stages in (("daemon", daemon), ("parts", parts)):
         for stage in stages:
@@ -59,21 +59,21 @@
     return WholeFigure(daemon=daemon, parts=parts)
 
 
-def _load_daemon() -> Iterator[Stage]:
+def _measure_daemon() -> Iterator[Stage]:
     with BenchDaemon("control", ["control"]) as control:
         link = control.listen["link"]
         with BenchDaemon("instance", ["instance"], link) as instance:
             pid = instance.process.pid
-            yield _rest("start", pid, 0.0)
+            yield _measure_stage("start", pid, 0.0)
             before = read_usage(pid)
             version = control.apply_tables(make_routes(ROUTES), make_pools())
             instance.wait_for_version(version)
-            time.sleep(_SETTLE_S)
-            yield _rest("9,000 routes and 580 pools", pid, before.cpu_s)
-            yield _announce(instance)
+            time.sleep(_APPLY_WAIT_S)
+            yield _measure_stage("9,000 routes and 580 pools", pid, before.cpu_s)
+            yield _measure_renewals(instance)
 
 
-def _announce(instance: BenchDaemon) -> Stage:
+def _measure_renewals(instance: BenchDaemon) -> Stage:
     pid = instance.process.pid
     servers = tuple(
         server._replace(host="127.0.0.1") for server in make_servers(_SERVERS_ANNOUNCED)
@@ -86,23 +86,23 @@
             instance.announce(server)
     renewals = _RENEWALS * len(servers)
     after = f"{len(servers)} servers announced, then {renewals} renewals"
-    return _rest(after, pid, before.cpu_s)
+    return _measure_stage(after, pid, before.cpu_s)
 
 
-def _rest(after: str, pid: int, cpu_before_s: float) -> Stage:
-    """Return the CPU since ``cpu_before_s``, then watch the process at rest."""
+def _measure_stage(after: str, pid: int, cpu_before_s: float) -> Stage:
+    """Return the CPU time since ``cpu_before_s``, then measure the process at rest."""
     loaded = read_usage(pid)
     time.sleep(_IDLE_S)
-    rested: Usage = read_usage(pid)
+    idle: Usage = read_usage(pid)
     return Stage(
         after=after,
-        private_bytes=rested.private_bytes,
+        private_bytes=idle.private_bytes,
         cpu_s=loaded.cpu_s - cpu_before_s,
-        idle_cpu_share=(rested.cpu_s - loaded.cpu_s) / _IDLE_S,
+        idle_cpu_share=(idle.cpu_s - loaded.cpu_s) / _IDLE_S,
     )
 
 
-def _load_parts() -> list[Stage]:
+def _measure_parts() -> list[Stage]:
     with BenchProcess([_PARTS]) as process:
         lines = process.output(_PARTS_TIMEOUT_S).splitlines()
     return [
