--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/__init__.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/__init__.py
@@ -1,1 +1,1 @@
-"""Work out the target size and write the capacity page."""
+"""Estimates for the target fleet, and the capacity page that shows them."""
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -1,14 +1,14 @@
-"""Compare what was worked out with the budgets."""
+"""Comparison of the estimates with the budgets."""
 
 from typing import NamedTuple
 
 from pimentobend_bench._internal.capacity.page.costs import Costs
 from pimentobend_bench._internal.capacity.page.flows import LEASE_S
-from pimentobend_bench._internal.capacity.page.flows import beacons
+from pimentobend_bench._internal.capacity.page.flows import beacon_exchanges
 from pimentobend_bench._internal.capacity.page.flows import daemon_flows
-from pimentobend_bench._internal.capacity.page.flows import digest_exchange
-from pimentobend_bench._internal.capacity.page.flows import evidence
-from pimentobend_bench._internal.capacity.page.flows import membership
+from pimentobend_bench._internal.capacity.page.flows import health_reports
+from pimentobend_bench._internal.capacity.page.flows import membership_events
+from pimentobend_bench._internal.capacity.page.flows import table_polls
 from pimentobend_bench._internal.capacity.page.flows import total_bytes_per_s
 from pimentobend_bench._internal.capacity.page.flows import total_cpu_share
 from pimentobend_bench._internal.capacity.target import ADDED_LATENCY_S
@@ -31,14 +31,17 @@
 TREE_LEVELS = 3  # control replica, relay of the region or data centre, daemon
 CONTROL_REPLICAS = 5
 LEDGER_REPLICAS_PER_GROUP = 3
-RELAYS = 7  # one a data centre
+RELAYS = 7  # one per data centre
 REGION_RELAYS = 4  # in the region without the leader
 MINUTE_S = 60.0
-LEDGER_MEMORY_BYTES = 1e9  # of one replica, for keys
+LEDGER_MEMORY_BYTES = 1e9  # for the keys in one replica
 
 
 class Budget(NamedTuple):
-    """Put a figure beside its limit, both in ``unit``."""
+    """A figure and its limit, both in ``unit``.
+
+    ``basis`` tells where the figure comes from, ``remedy`` what would reduce it.
+    """
 
     name: str
     figure: float
@@ -49,20 +52,20 @@
 
     @property
     def is_met(self) -> bool:
-        """Say whether the figure is within the limit."""
+        """Return whether the figure is within the limit."""
         return self.figure <= self.limit
 
     @property
     def margin(self) -> float:
-        """Return the part of the limit that is left; negative for a shortfall."""
+        """Return the limit less the figure; negative if the budget is missed."""
         return self.limit - self.figure
 
 
 def list_budgets(costs: Costs) -> tuple[Budget, ...]:
-    """Return every budget of the target."""
+    """Return all budgets of the target."""
     return (
         _latency(costs),
-        _spread_time(costs),
+        _propagation_time(costs),
         _cpu(costs),
         _whole_memory(costs),
         _added_memory(costs),
@@ -74,77 +77,83 @@
 
 
 def peak_cpu_share(costs: Costs) -> float:
-    """Return the share of a core that one daemon's requests take at the peak."""
+    """Return the share of a core that one daemon needs for requests at the peak."""
     return PEAK_PER_DAEMON_PER_S * costs.hop(WHOLE_TABLE_PROXY)["cpu_per_request_s"]
 
 
 def control_cpu_share(costs: Costs) -> float:
-    """Return the share of a core for control: at rest, and for its exchanges."""
+    """Return the share of a core that one daemon needs for control.
+
+    It is the share at rest plus that of its exchanges.
+    """
     at_rest = costs.daemon[-1]["idle_cpu_share"]
     return at_rest + total_cpu_share(daemon_flows(costs))
 
 
 def added_memory_bytes(costs: Costs) -> int:
-    """Return the private bytes that data for control adds to the process."""
+    """Return the private bytes that data for control adds to a daemon."""
     return costs.parts[-1]["private_bytes"] - costs.part_bytes(CODE_PART)
 
 
-def ledger_keys_per_s(costs: Costs) -> float:
-    """Return the claims a second whose kept keys fit a replica."""
+def ledger_claims_per_s(costs: Costs) -> float:
+    """Return the claims per second whose keys fit into the memory of one replica.
+
+    The replica keeps each key for ``KEEP_S``.
+    """
     return LEDGER_MEMORY_BYTES / costs.per_unit("memory-ledger-key") / KEEP_S
 
 
-def spread_time_s() -> float:
-    """Return how long a change takes to every daemon with one relay lost.
+def propagation_time_s() -> float:
+    """Return how long a change takes to reach every daemon while one relay is down.
 
-    The daemons below the relay notice at their next question, wait for the
-    answer in vain and ask the next source.
+    The followers of that relay poll it, wait until the answer times out and poll
+    the next source.
     """
     return ASK_INTERVAL_S + ANSWER_TIMEOUT_S + 2 * TICK_S
 
 
 def catch_up_bytes(costs: Costs) -> float:
-    """Return the bytes of the whole tables."""
+    """Return the bytes of the complete tables."""
     return costs.at_size("bytes-catch-up", ROUTES)
 
 
 def _latency(costs: Costs) -> Budget:
     hop = costs.hop(WHOLE_TABLE_PROXY)
     return Budget(
-        "added to a request, p99",
+        "latency added to a request, p99",
         hop["added_p99_s"] * 1e3,
         ADDED_LATENCY_S * 1e3,
         "ms",
-        f"`hop`, one hop at {hop['rate_per_s']} requests a second, loopback,"
+        f"`hop`, one hop at {hop['rate_per_s']} requests a second on loopback,"
         f" median of {hop['runs']} runs on a shared machine",
-        "less CPU a request (the grant, the log line) and shorter stalls at a"
-        " change of the tables",
+        "less CPU time per request (choosing a server, writing the log line) and"
+        " shorter pauses when the tables change",
     )
 
 
-def _spread_time(costs: Costs) -> Budget:
-    stall_s = TREE_LEVELS * costs.at_size("cpu-change-follower", ROUTES)
+def _propagation_time(costs: Costs) -> Budget:
+    apply_s = TREE_LEVELS * costs.at_size("cpu-change-follower", ROUTES)
     return Budget(
-        "change in force everywhere, one relay lost",
-        spread_time_s() + stall_s,
+        "time until a change is in force on every daemon, one relay down",
+        propagation_time_s() + apply_s,
         CHANGE_PROPAGATION_S,
         "s",
-        "worked out from the follower's intervals and `cpu-change-follower`;"
+        "calculated from the polling intervals and `cpu-change-follower`;"
         " no fleet of this size was run",
-        "shorter question interval",
+        "shorter polling interval",
     )
 
 
 def _cpu(costs: Costs) -> Budget:
     return Budget(
-        "CPU for control, a daemon",
+        "CPU for control, per daemon",
         control_cpu_share(costs) * 100,
         CONTROL_CPU_SHARE * 100,
         "% of a core",
-        f"the real daemon of {ROUTES:,} routes at rest, and the flows below with"
+        f"a real daemon with {ROUTES:,} routes at rest, plus the exchanges below with"
         f" leases of {LEASE_S:g} s",
-        "ticks only for pools in use; longer leases; deltas into the matcher instead"
-        " of whole tables",
+        "health check ticks only for pools in use; longer leases; deltas applied to"
+        " the compiled routes instead of compiling all routes again",
     )
 
 
@@ -155,7 +164,7 @@
         CONTROL_MEMORY_BYTES / 1e6,
         "MB",
         "`whole-table`, the daemon's parts in one process",
-        "libraries and code alone take most of it; see below",
+        "libraries and code alone use most of the limit; see below",
     )
 
 
@@ -165,67 +174,70 @@
         added_memory_bytes(costs) / 1e6,
         CONTROL_MEMORY_BYTES / 1e6,
         "MB",
-        "`whole-table`, after less before the tables",
-        "one copy of the servers' rows, packed, for view and tree; traffic and health"
-        " of a pool created at its first request",
+        "`whole-table`, memory with the tables less memory without them",
+        "one packed copy of the server rows, shared by the view and the relay tree;"
+        " traffic and health state of a pool created at its first request",
     )
 
 
 def _bytes(costs: Costs) -> Budget:
     return Budget(
-        "bytes for control, a daemon",
+        "bytes for control, per daemon",
         total_bytes_per_s(daemon_flows(costs)) / 1e3,
         CONTROL_BYTES_PER_S / 1e3,
         "KB/s",
-        f"flows below, both ways, leases of {LEASE_S:g} s",
-        "reports of evidence for pools with news only, joined by a relay; longer"
-        " leases",
+        f"the exchanges below, in both directions, leases of {LEASE_S:g} s",
+        "health reports only for pools whose evidence changed, combined by a relay;"
+        " longer leases",
     )
 
 
 def _instances(costs: Costs) -> Budget:
-    left = CONTROL_INSTANCES - CONTROL_REPLICAS - RELAYS
-    groups = left // LEDGER_REPLICAS_PER_GROUP
-    claims_per_s = groups * ledger_keys_per_s(costs)
+    remaining = CONTROL_INSTANCES - CONTROL_REPLICAS - RELAYS
+    groups = remaining // LEDGER_REPLICAS_PER_GROUP
+    claims_per_s = groups * ledger_claims_per_s(costs)
     return Budget(
-        "instances set aside",
+        "instances reserved for control",
         CONTROL_REPLICAS + RELAYS + groups * LEDGER_REPLICAS_PER_GROUP,
         CONTROL_INSTANCES,
         "instances",
         f"{CONTROL_REPLICAS} control replicas, a relay in each data centre,"
-        f" {groups} groups of {LEDGER_REPLICAS_PER_GROUP} ledger replicas; these hold"
-        f" {claims_per_s:.0f} claims a second all day long in 1 GB each, and the"
-        " letter does not say how many are asked",
-        "ledger entries in packed bytes",
+        f" {groups} groups of {LEDGER_REPLICAS_PER_GROUP} ledger replicas; with 1 GB in"
+        f" each replica the groups hold {claims_per_s:.0f} claims a second, sustained"
+        " all day; the requirements do not say how many are needed",
+        "ledger entries stored as packed bytes",
     )
 
 
 def _region_link(costs: Costs) -> Budget:
     other_region = DAEMONS / 2
-    reports = other_region * evidence(costs).bytes_per_s
-    questions = other_region * digest_exchange(costs).bytes_per_s
-    rows = REGION_RELAYS * (beacons(costs).bytes_per_s + membership(costs).bytes_per_s)
+    reports = other_region * health_reports(costs).bytes_per_s
+    polls = other_region * table_polls(costs).bytes_per_s
+    rows = REGION_RELAYS * (
+        beacon_exchanges(costs).bytes_per_s + membership_events(costs).bytes_per_s
+    )
     return Budget(
-        "link between regions, normal hours, control alone",
-        (reports + questions + rows) * 8 / 1e6,
+        "link between regions, normal hours, control traffic only",
+        (reports + polls + rows) * 8 / 1e6,
         REGION_LINK_BITS_PER_S / 1e6,
         "Mbit/s",
-        "both ways together: evidence to the floor's owner"
-        f" {reports * 8 / 1e6:.1f}, questions to control without relays"
-        f" {questions * 8 / 1e6:.1f}, the tree {rows * 8 / 1e6:.2f}",
-        "evidence for pools with news only, joined by the region's relays",
+        "sum of both directions: health reports to the floor owner"
+        f" {reports * 8 / 1e6:.1f}, polls of the control replicas without relays"
+        f" {polls * 8 / 1e6:.1f}, the relay tree {rows * 8 / 1e6:.2f}",
+        "health reports only for pools whose evidence changed, combined by the"
+        " region's relays",
     )
 
 
 def _region_restart(costs: Costs) -> Budget:
     restart_bytes = DAEMONS / 2 * catch_up_bytes(costs)
     return Budget(
-        "link between regions, restart of everything within a minute",
+        "link between regions, all daemons restarted within a minute",
         restart_bytes * 8 / MINUTE_S / 1e6,
         REGION_LINK_BITS_PER_S / 1e6,
         "Mbit/s",
-        "whole tables to each daemon of the other region, as when `control` alone"
-        " is in the settings' sources",
-        f"relays in the region as first source: {REGION_RELAYS} catch-ups cross"
+        "the complete tables sent to each daemon of the other region, which happens"
+        " if the settings name only `control` as a source",
+        f"relays in the region as first source: only {REGION_RELAYS} catch-ups cross"
         f" the link, {REGION_RELAYS * catch_up_bytes(costs) / 1e6:.1f} MB",
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/costs.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/costs.py
@@ -1,4 +1,4 @@
-"""Look up measured costs by name."""
+"""Measured costs, looked up by name."""
 
 import importlib.util
 
@@ -11,17 +11,17 @@
 
 
 class Costs:
-    """Read readings of the last run."""
+    """Look up costs in the figures of the last run."""
 
     def __init__(self, figures: Figures) -> None:
         self._figures = figures
 
     def at_size(self, probe: str, size: float) -> float:
-        """Return the line's value of a probe at a size."""
+        """Return the value of a probe's fitted line at a size."""
         return fit_figure(self._figures["slopes"][probe]).value_at(size)
 
     def per_unit(self, probe: str) -> float:
-        """Return the slope of a probe."""
+        """Return the slope of a probe's fitted line: its cost per unit of size."""
         return fit_figure(self._figures["slopes"][probe]).slope
 
     @property
@@ -31,12 +31,12 @@
 
     @property
     def frame_cpu_s(self) -> float:
-        """Return the seconds to seal and to open a small frame."""
+        """Return the CPU seconds to seal and open a small frame."""
         return self.at_size("cpu-frame", 0)
 
     @property
     def renewal_cpu_s(self) -> float:
-        """Return a daemon's seconds for one lease renewal over HTTP."""
+        """Return a daemon's CPU seconds for one lease renewal over HTTP."""
         stage = self.daemon[-1]
         renewals = int(stage["after"].split()[-2])
         return stage["cpu_s"] / renewals
@@ -52,11 +52,11 @@
         return self._figures["whole"]["parts"]
 
     def part_bytes(self, after: str) -> int:
-        """Return the private bytes after a part."""
+        """Return the private bytes of the process after a part was loaded."""
         return next(p["private_bytes"] for p in self.parts if p["after"] == after)
 
     def hop(self, proxy: str, rate_per_s: int = PEAK_RATE_PER_S) -> HopFigure:
-        """Return what one hop costs through a proxy."""
+        """Return the figures of one hop through a proxy."""
         return next(
             hop
             for hop in self._figures["hops"]
@@ -65,7 +65,7 @@
 
 
 def is_built(module: str) -> bool:
-    """Say whether a module of a package exists."""
+    """Return whether a module exists."""
     try:
         return importlib.util.find_spec(module) is not None
     except ModuleNotFoundError:
@@ -73,6 +73,6 @@
 
 
 def describe_module(module: str) -> str:
-    """Return a module's short name, or say that it is not built."""
-    short = module.replace("._internal", "").removeprefix("pimentobend_")
-    return f"`{short}`" if is_built(module) else f"not built (`{short}`)"
+    """Return a module's short name, marked "not built" if it does not exist."""
+    short_name = module.replace("._internal", "").removeprefix("pimentobend_")
+    return f"`{short_name}`" if is_built(module) else f"not built (`{short_name}`)"
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/flows.py
@@ -1,4 +1,4 @@
-"""List what a daemon exchanges for control, and what each exchange costs."""
+"""Message exchanges of a daemon for control, and the cost of each."""
 
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -21,11 +21,11 @@
 from pimentobendd._internal.evidence import WINDOW_S
 
 LEASE_S = 10.0
-EVENTS_PER_LIFE = 2  # a server's end and its return
+EVENTS_PER_RESTART = 2  # a server leaves and returns
 
 
 class Flow(NamedTuple):
-    """Describe one exchange of a daemon; CPU is in seconds each."""
+    """One kind of exchange of a daemon, with the bytes and CPU seconds of each."""
 
     name: str
     module: str
@@ -35,17 +35,17 @@
 
     @property
     def bytes_per_s(self) -> float:
-        """Return bytes a second, both ways."""
+        """Return the bytes per second, in both directions."""
         return self.per_s * self.bytes_each
 
     @property
     def cpu_share(self) -> float:
-        """Return the share of one core."""
+        """Return the CPU time as a share of one core."""
         return self.per_s * self.cpu_s_each
 
 
-def renewals(costs: Costs) -> Flow:
-    """Return the leases of the servers beside one daemon."""
+def lease_renewals(costs: Costs) -> Flow:
+    """Return the lease renewals of the servers of one daemon."""
     return Flow(
         "lease renewals of its servers",
         "pimentobend_core._internal.membership.registry",
@@ -55,10 +55,10 @@
     )
 
 
-def digest_exchange(costs: Costs, peers: float = 1.0) -> Flow:
-    """Return the questions for changes, asked of or by so many peers."""
+def table_polls(costs: Costs, peers: float = 1.0) -> Flow:
+    """Return the polls for changes of the tables, to or from ``peers`` peers."""
     return Flow(
-        "digest exchange of the tables",
+        "polls for changes of the tables",
         "pimentobend_core._internal.configuration.follower",
         peers / ASK_INTERVAL_S,
         costs.at_size("bytes-digest-exchange", ROUTES) + 2 * costs.frame_bytes,
@@ -66,8 +66,8 @@
     )
 
 
-def changes(costs: Costs) -> Flow:
-    """Return the changes of the tables, taken into the tables in force."""
+def table_changes(costs: Costs) -> Flow:
+    """Return the changes of the tables, applied and put in force."""
     return Flow(
         "configuration changes",
         "pimentobend_core._internal.configuration.follower",
@@ -78,7 +78,7 @@
 
 
 def change_cpu_s(costs: Costs) -> float:
-    """Return the seconds in which one change holds up a daemon."""
+    """Return the CPU seconds for which one change blocks a daemon."""
     return (
         costs.at_size("cpu-change-follower", ROUTES)
         + costs.at_size("cpu-route-compile", ROUTES)
@@ -86,29 +86,29 @@
     )
 
 
-def membership(costs: Costs) -> Flow:
-    """Return the ends and returns of servers on an ordinary day."""
-    lives = (RESTARTS_PER_DAY + FAILURES_PER_DAY) * SERVERS_PER_DAEMON
+def membership_events(costs: Costs) -> Flow:
+    """Return the events of servers that leave and return on an ordinary day."""
+    restarts = (RESTARTS_PER_DAY + FAILURES_PER_DAY) * SERVERS_PER_DAEMON
     return Flow(
         "membership events",
         "pimentobend_core._internal.membership.spread",
-        lives * EVENTS_PER_LIFE / DAY_S,
+        restarts * EVENTS_PER_RESTART / DAY_S,
         costs.at_size("bytes-spread-row", 1) + costs.frame_bytes,
         event_cpu_s(costs) + costs.frame_cpu_s,
     )
 
 
 def event_cpu_s(costs: Costs) -> float:
-    """Return the seconds that one row of a delta takes, view included."""
+    """Return the CPU seconds to apply one row of a delta, including to the view."""
     return costs.per_unit("cpu-spread-row") + costs.at_size(
         "cpu-membership-event", SERVERS
     )
 
 
-def beacons(costs: Costs, children: float = 1.0) -> Flow:
-    """Return the beacons of the tree and the answers to them."""
+def beacon_exchanges(costs: Costs, children: float = 1.0) -> Flow:
+    """Return the beacons (heartbeats) of the relay tree and their answers."""
     return Flow(
-        "beacons of the tree",
+        "beacons of the relay tree",
         "pimentobend_core._internal.membership.spread",
         children / BEACON_S,
         costs.at_size("bytes-beacon", SERVERS) + 2 * costs.frame_bytes,
@@ -116,11 +116,11 @@
     )
 
 
-def evidence(costs: Costs) -> Flow:
-    """Return the frames of reports on healthy pools to the floor's owner."""
+def health_reports(costs: Costs) -> Flow:
+    """Return the frames that carry reports on healthy pools to the floor owner."""
     batch = reports_per_s() * WINDOW_S
     return Flow(
-        "evidence of servers' health, every pool",
+        "health reports, all pools",
         "pimentobendd._internal.evidence",
         1 / WINDOW_S,
         costs.at_size("bytes-evidence-batch", batch) + costs.frame_bytes,
@@ -129,23 +129,24 @@
 
 
 def reports_per_s() -> float:
-    """Return how many pools one daemon reports on in a second."""
+    """Return how many health reports one daemon sends per second."""
     return min(SERVICES / REPORT_IDLE_S, ticks_per_s())
 
 
 def ticks_per_s() -> float:
-    """Return the ticks of the observers of all pools of one daemon."""
+    """Return the health check ticks per second of one daemon, over all pools."""
     return min(SERVICES, TICKS_PER_ROUND) / HEALTH_TICK_S
 
 
 def health_ticks(costs: Costs) -> Flow:
-    """Return the ticks of all pools' observers, for their servers alone.
+    """Return the health check ticks of all pools.
 
-    A tick of a pool without servers is part of the reading at rest.
+    Only the cost per server counts: the ticks of a pool without servers are part of
+    the measurement at rest.
     """
     servers = SERVERS / SERVICES
     return Flow(
-        "ticks of servers' health, every pool",
+        "health check ticks, all pools",
         "pimentobend_core._internal.health.observer",
         ticks_per_s(),
         0.0,
@@ -154,23 +155,23 @@
 
 
 def daemon_flows(costs: Costs) -> tuple[Flow, ...]:
-    """Return what a daemon without followers exchanges in normal hours."""
+    """Return the exchanges of a daemon without followers in normal hours."""
     return (
-        renewals(costs),
-        digest_exchange(costs),
-        changes(costs),
-        membership(costs),
-        beacons(costs),
-        evidence(costs),
+        lease_renewals(costs),
+        table_polls(costs),
+        table_changes(costs),
+        membership_events(costs),
+        beacon_exchanges(costs),
+        health_reports(costs),
         health_ticks(costs),
     )
 
 
 def total_bytes_per_s(flows: Sequence[Flow]) -> float:
-    """Return the bytes a second of all flows."""
+    """Return the bytes per second of all flows."""
     return sum(flow.bytes_per_s for flow in flows)
 
 
 def total_cpu_share(flows: Sequence[Flow]) -> float:
-    """Return the share of one core of all flows."""
+    """Return the CPU time of all flows as a share of one core."""
     return sum(flow.cpu_share for flow in flows)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/render.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/render.py
@@ -1,4 +1,4 @@
-"""Fill the tables of the capacity page into its template."""
+"""Render the capacity page from its template and the figures."""
 
 import pathlib
 import re
@@ -14,18 +14,21 @@
 TEMPLATE = FIGURES.parent / "template.md"
 _BLOCK = re.compile(r"^\{\{ *([a-z-]+) *\}\}$", re.MULTILINE)
 
-Block = Callable[[Figures], str]
+BlockFormatter = Callable[[Figures], str]
 
 
 def write_page(
     figures: Figures, template: pathlib.Path = TEMPLATE, page: pathlib.Path = PAGE
 ) -> None:
-    """Remake the page from figures."""
+    """Render the page and write it."""
     page.write_text(fill_template(template.read_text(), figures))
 
 
 def fill_template(
-    template: str, figures: Figures, blocks: Mapping[str, Block] = BLOCKS
+    template: str, figures: Figures, blocks: Mapping[str, BlockFormatter] = BLOCKS
 ) -> str:
-    """Replace each ``{{ name }}`` on a line of its own; raise KeyError if unknown."""
+    """Replace each ``{{ name }}`` on a line of its own by the block of that name.
+
+    Raise KeyError if there is no such block.
+    """
     return _BLOCK.sub(lambda found: blocks[found[1]](figures), template)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/tables.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/tables.py
@@ -1,4 +1,4 @@
-"""Write the tables of the capacity page."""
+"""Blocks of the capacity page, as Markdown."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -16,28 +16,36 @@
 from pimentobend_bench._internal.capacity.page.roles import list_roles
 
 
-def write_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+def format_table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
     """Return a Markdown table."""
     lines = [head, ["---"] * len(head), *rows]
     return "\n".join("| " + " | ".join(line) + " |" for line in lines)
 
 
-def write_missed(figures: Figures) -> str:
-    """Return the list of budgets that are missed."""
+def format_missed_budgets(figures: Figures) -> str:
+    """Return a list of the budgets that are missed."""
     missed = [b for b in list_budgets(Costs(figures)) if not b.is_met]
     if not missed:
-        return "Every budget is met by these figures."
+        return "These figures meet every budget."
     return "\n".join(
-        f"- **Missed: {budget.name}**: {budget.figure:.2f} {budget.unit} against"
-        f" {budget.limit:g} {budget.unit}. What would close it: {budget.remedy}."
+        f"- **Missed: {budget.name}**: {budget.figure:.2f} {budget.unit}, limit"
+        f" {budget.limit:g} {budget.unit}. What would close the gap: {budget.remedy}."
         for budget in missed
     )
 
 
-def write_budgets(figures: Figures) -> str:
+def format_budgets(figures: Figures) -> str:
     """Return the table of all budgets."""
-    return write_table(
-        ["budget", "figure", "limit", "margin", "met", "from", "what would close it"],
+    return format_table(
+        [
+            "budget",
+            "figure",
+            "limit",
+            "margin",
+            "met",
+            "from",
+            "what would close the gap",
+        ],
         [
             [
                 budget.name,
@@ -53,8 +61,8 @@
     )
 
 
-def write_flows(figures: Figures) -> str:
-    """Return what an instance daemon exchanges for control."""
+def format_flows(figures: Figures) -> str:
+    """Return the table of an instance daemon's exchanges for control."""
     flows = daemon_flows(Costs(figures))
     rows = [
         [
@@ -70,20 +78,21 @@
     ]
     total = ["total", "", "", "", f"{total_bytes_per_s(flows):.0f}", ""]
     rows.append([*total, f"{total_cpu_share(flows):.3%}"])
-    return write_table(
-        ["exchange", "mechanism", "a second", "bytes", "bytes/s", "CPU ms", "CPU"], rows
+    return format_table(
+        ["exchange", "mechanism", "per second", "bytes", "bytes/s", "CPU ms", "CPU"],
+        rows,
     )
 
 
-def write_roles(figures: Figures) -> str:
-    """Return what each role holds and uses."""
-    return write_table(
+def format_roles(figures: Figures) -> str:
+    """Return the table of roles."""
+    return format_table(
         ["role", "state held", "messages", "memory", "CPU, normal", "CPU, peak"],
         [
             [
                 role.name,
-                _join(role.state),
-                _join(role.messages),
+                _join_lines(role.state),
+                _join_lines(role.messages),
                 role.memory,
                 role.cpu_normal,
                 role.cpu_peak,
@@ -93,29 +102,35 @@
     )
 
 
-def write_failures(figures: Figures) -> str:
-    """Return what the failure days ask of each role."""
-    return write_table(
-        ["day", "load", "each daemon", "control", "carried by"],
+def format_failures(figures: Figures) -> str:
+    """Return the table of failures and the load that they cause."""
+    return format_table(
+        ["day", "load", "each daemon", "control", "handled by"],
         [
-            [day.name, day.load, day.daemon, day.control, _join(day.mechanisms)]
-            for day in list_failures(Costs(figures))
+            [
+                failure.name,
+                failure.load,
+                failure.daemon,
+                failure.control,
+                _join_lines(failure.mechanisms),
+            ]
+            for failure in list_failures(Costs(figures))
         ],
     )
 
 
-def write_hops(figures: Figures) -> str:
-    """Return what one hop adds."""
-    return write_table(
+def format_hops(figures: Figures) -> str:
+    """Return the table of the latency and CPU time that one hop adds."""
+    return format_table(
         [
             "through",
-            "a second",
+            "requests per second",
             "runs",
             "direct p50 / p99 ms",
             "added p50 / p99 ms",
             "worst added p99 ms",
             "ratio p50 / p99",
-            "CPU ms a request",
+            "CPU ms per request",
             "failed",
         ],
         [
@@ -135,8 +150,8 @@
     )
 
 
-def write_whole(figures: Figures) -> str:
-    """Return the memory of a real daemon and of its parts."""
+def format_whole_table(figures: Figures) -> str:
+    """Return the table of the memory of a real daemon and of its parts."""
     costs = Costs(figures)
     rows = [
         [
@@ -156,19 +171,21 @@
             [f"parts, {stage['after']}", f"{before / 1e6:.1f}", f"{added / 1e6:+.1f}"]
             + ["", ""]
         )
-    return write_table(["process and step", "MB", "adds", "CPU s", "CPU at rest"], rows)
+    return format_table(
+        ["process and step", "MB", "adds", "CPU s", "CPU at rest"], rows
+    )
 
 
-def write_slopes(figures: Figures) -> str:
-    """Return every slope with its residual."""
-    return write_table(
+def format_slopes(figures: Figures) -> str:
+    """Return the table of all fitted lines."""
+    return format_table(
         ["probe", "each of", "slope", "fixed", "residual", "sizes", "module", "plot"],
         [
             [
                 f"`{name}`",
                 slope["sized_by"],
-                _scale(slope, slope["slope"]),
-                _scale(slope, slope["intercept"]),
+                _format_cost(slope, slope["slope"]),
+                _format_cost(slope, slope["intercept"]),
                 f"{slope['residual']:.1%}",
                 ", ".join(f"{int(size):,}" for size, _ in slope["points"]),
                 slope["mechanism"],
@@ -179,9 +196,9 @@
     )
 
 
-def write_stamp(figures: Figures) -> str:
-    """Return where the figures of each section come from."""
-    return write_table(
+def format_runs(figures: Figures) -> str:
+    """Return the table of the runs that the figures come from."""
+    return format_table(
         ["command", "commit", "date"],
         [
             [f"`{run['command']}`", run["commit"], run["measured_at"]]
@@ -191,23 +208,23 @@
 
 
 BLOCKS: dict[str, Callable[[Figures], str]] = {
-    "stamp": write_stamp,
-    "missed": write_missed,
-    "budgets": write_budgets,
-    "flows": write_flows,
-    "roles": write_roles,
-    "failures": write_failures,
-    "hops": write_hops,
-    "whole": write_whole,
-    "slopes": write_slopes,
+    "stamp": format_runs,
+    "missed": format_missed_budgets,
+    "budgets": format_budgets,
+    "flows": format_flows,
+    "roles": format_roles,
+    "failures": format_failures,
+    "hops": format_hops,
+    "whole": format_whole_table,
+    "slopes": format_slopes,
 }
 
 
-def _scale(slope: SlopeFigure, value: float) -> str:
+def _format_cost(slope: SlopeFigure, value: float) -> str:
     if slope["unit"] == "seconds":
         return f"{value * 1e6:.3g} us"
     return f"{value:,.4g} B" if abs(value) < 1e4 else f"{value / 1e3:,.0f} KB"
 
 
-def _join(lines: Iterable[str]) -> str:
+def _join_lines(lines: Iterable[str]) -> str:
     return "<br>".join(lines)
--- a/tests/unit/capacity/test_page.py
+++ b/tests/unit/capacity/test_page.py
@@ -11,7 +11,7 @@
 from pimentobend_bench._internal.capacity.page.render import TEMPLATE
 from pimentobend_bench._internal.capacity.page.render import fill_template
 from pimentobend_bench._internal.capacity.page.tables import BLOCKS
-from pimentobend_bench._internal.capacity.page.tables import write_table
+from pimentobend_bench._internal.capacity.page.tables import format_table
 
 FLOWS = (Flow("a", "m", 2.0, 100.0, 0.001), Flow("b", "m", 0.5, 10.0, 0.02))
 
@@ -73,7 +73,7 @@
 
 
 def test_table_is_markdown() -> None:
-    table = write_table(["a", "b"], [["1", "2"]])
+    table = format_table(["a", "b"], [["1", "2"]])
     assert table == "| a | b |\n| --- | --- |\n| 1 | 2 |"
 
 
