Reword the tests of the capacity page and its probes

A new reader stumbled over tables that are blocks, a spy that notes and a least size. Every assertion stays.

--- a/tests/unit/capacity/test_fit.py
+++ b/tests/unit/capacity/test_fit.py
@@ -1,4 +1,4 @@
-"""Check the line that is fitted to readings."""
+"""Check the fitted line and the percentile of readings."""
 
 import pytest
 
--- a/tests/unit/capacity/test_page.py
+++ b/tests/unit/capacity/test_page.py
@@ -1,4 +1,4 @@
-"""Check how the capacity page is worked out and written."""
+"""Check the estimates on the capacity page and how the page is rendered."""
 
 import pytest
 
@@ -44,7 +44,7 @@
         ("pimentobend_core._internal.absent.part", "not built (`core.absent.part`)"),
     ],
 )
-def test_mechanism_says_whether_it_is_built(module: str, described: str) -> None:
+def test_module_is_marked_if_not_built(module: str, described: str) -> None:
     assert describe_module(module) == described
 
 
@@ -60,15 +60,15 @@
     assert fill_template(template, Figures(), {"one": lambda _: "1"}) == expected
 
 
-def test_template_refuses_an_unknown_table() -> None:
+def test_template_rejects_an_unknown_block() -> None:
     with pytest.raises(KeyError):
         fill_template("{{ other }}\n", Figures(), {})
 
 
-def test_page_uses_every_table_once() -> None:
+def test_page_uses_every_block_once() -> None:
     used: list[str] = []
-    spies = {name: _Spy(name, used) for name in BLOCKS}
-    fill_template(TEMPLATE.read_text(), Figures(), spies)
+    blocks = {name: _RecordingBlock(name, used) for name in BLOCKS}
+    fill_template(TEMPLATE.read_text(), Figures(), blocks)
     assert sorted(used) == sorted(BLOCKS)
 
 
@@ -77,8 +77,8 @@
     assert table == "| a | b |\n| --- | --- |\n| 1 | 2 |"
 
 
-class _Spy:
-    """Note that a table was asked for."""
+class _RecordingBlock:
+    """Block that records its name when it is rendered."""
 
     def __init__(self, name: str, used: list[str]) -> None:
         self._name = name
--- a/tests/unit/capacity/test_probes.py
+++ b/tests/unit/capacity/test_probes.py
@@ -1,4 +1,4 @@
-"""Check that every probe can be fitted and shown."""
+"""Check that every probe can be measured at enough sizes and shown."""
 
 import pytest
 
@@ -16,7 +16,7 @@
 
 
 @pytest.mark.parametrize("probe", PROBES.values(), ids=PROBES.keys())
-def test_probe_reads_its_least_size_in_a_fresh_process(probe: Probe) -> None:
+def test_probe_measures_its_smallest_size_in_a_fresh_process(probe: Probe) -> None:
     arguments = ["pimentobend_bench", "slope-point", probe.name, str(min(probe.sizes))]
     with BenchProcess(arguments) as process:
         reading = float(process.output(timeout_s=60.0))
