Name the budgets and the stages of the capacity page

A new reader stumbled over _cpu, _bytes, _instances, measure_whole and cpu for a share of a core. They are _control_cpu, _control_bytes, _control_instances, measure_whole_table and cpu_share.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/command.py
@@ -12,7 +12,7 @@
 from pimentobend_bench._internal.capacity.hop.proxies import STARTERS
 from pimentobend_bench._internal.capacity.page.render import write_page
 from pimentobend_bench._internal.capacity.slopes import measure_slopes
-from pimentobend_bench._internal.capacity.whole.command import measure_whole
+from pimentobend_bench._internal.capacity.whole.command import measure_whole_table
 from pimentobend_bench._internal.command import Command
 from pimentobend_bench._internal.command import Status
 
@@ -41,7 +41,7 @@
     figures = Figures()
     for section in ("whole-table", "hop", "slopes"):
         record_run(figures, section)
-    figures["whole"] = measure_whole()
+    figures["whole"] = measure_whole_table()
     figures["hops"] = measure_hops(RUNS, STARTERS)
     figures["slopes"] = measure_slopes(PROBES)
     return figures
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -64,13 +64,13 @@
 def list_budgets(costs: Costs) -> tuple[Budget, ...]:
     """Return all budgets of the target."""
     return (
-        _latency(costs),
-        _propagation_time(costs),
-        _cpu(costs),
+        _added_latency(costs),
+        _change_propagation(costs),
+        _control_cpu(costs),
         _whole_memory(costs),
         _added_memory(costs),
-        _bytes(costs),
-        _instances(costs),
+        _control_bytes(costs),
+        _control_instances(costs),
         _region_link(costs),
         _region_restart(costs),
     )
@@ -117,7 +117,7 @@
     return costs.at_size("bytes-catch-up", ROUTES)
 
 
-def _latency(costs: Costs) -> Budget:
+def _added_latency(costs: Costs) -> Budget:
     hop = costs.hop(WHOLE_TABLE_PROXY)
     return Budget(
         "latency added to a request, p99",
@@ -131,7 +131,7 @@
     )
 
 
-def _propagation_time(costs: Costs) -> Budget:
+def _change_propagation(costs: Costs) -> Budget:
     apply_s = TREE_LEVELS * costs.at_size("cpu-change-follower", ROUTES)
     return Budget(
         "time until a change is in force on every daemon, one relay down",
@@ -144,7 +144,7 @@
     )
 
 
-def _cpu(costs: Costs) -> Budget:
+def _control_cpu(costs: Costs) -> Budget:
     return Budget(
         "CPU for control, per daemon",
         control_cpu_share(costs) * 100,
@@ -180,7 +180,7 @@
     )
 
 
-def _bytes(costs: Costs) -> Budget:
+def _control_bytes(costs: Costs) -> Budget:
     return Budget(
         "bytes for control, per daemon",
         total_bytes_per_s(daemon_flows(costs)) / 1e3,
@@ -192,7 +192,7 @@
     )
 
 
-def _instances(costs: Costs) -> Budget:
+def _control_instances(costs: Costs) -> Budget:
     remaining = CONTROL_INSTANCES - CONTROL_REPLICAS - RELAYS
     groups = remaining // LEDGER_REPLICAS_PER_GROUP
     claims_per_s = groups * ledger_claims_per_s(costs)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/roles.py
@@ -92,9 +92,9 @@
         + changes.per_s * DAEMONS_PER_RELAY * (changes.bytes_each)
     )
     bytes_per_s += rows.bytes_per_s * DAEMONS_PER_RELAY
-    cpu = polls.cpu_share + changes.cpu_share + beacons.cpu_share + rows.cpu_share
-    cpu += rows.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
-    cpu += changes.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
+    cpu_share = polls.cpu_share + changes.cpu_share + beacons.cpu_share + rows.cpu_share
+    cpu_share += rows.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
+    cpu_share += changes.per_s * DAEMONS_PER_RELAY * costs.frame_cpu_s
     return Role(
         f"relay (one in each of {RELAYS} data centres,"
         f" for {DAEMONS_PER_RELAY:.0f} daemons each)",
@@ -114,7 +114,7 @@
         f"{costs.at_size('memory-route-follower', ROUTES) / 1e6:.1f} MB of tables and"
         f" {costs.at_size('memory-spread-row', SERVERS) / 1e6:.1f} MB of rows on top"
         " of a daemon without data",
-        f"{cpu:.2%} of a core",
+        f"{cpu_share:.2%} of a core",
         "as in normal hours: requests do not pass through relays",
     )
 
@@ -124,7 +124,7 @@
     daemon_polls = table_polls(costs, DAEMONS / CONTROL_REPLICAS)
     changes = table_changes(costs)
     reports = health_reports(costs)
-    reports_cpu = reports.per_s * DAEMONS * costs.frame_cpu_s
+    report_cores = reports.per_s * DAEMONS * costs.frame_cpu_s
     return Role(
         f"control replica ({CONTROL_REPLICAS})",
         (
@@ -146,7 +146,7 @@
         " top of a daemon without data; compaction bounds the log",
         f"{changes.cpu_share + relay_polls.cpu_share:.2%} of a core with relays,"
         f" {changes.cpu_share + daemon_polls.cpu_share:.2%} without; the floor owner"
-        f" needs {reports_cpu:.1f} cores for the frames of the health reports alone",
+        f" needs {report_cores:.1f} cores for the frames of the health reports alone",
         "as in normal hours: requests need no control replica",
     )
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
@@ -37,7 +37,7 @@
 
     def run(self, args: Sequence[str]) -> Status:
         """Measure a real daemon, then its parts one by one, and store the figures."""
-        whole = measure_whole()
+        whole = measure_whole_table()
         figures = load_figures()
         figures["whole"] = whole
         record_run(figures, "whole-table")
@@ -45,7 +45,7 @@
         return Status.SUCCESS
 
 
-def measure_whole() -> WholeFigure:
+def measure_whole_table() -> WholeFigure:
     """Measure the daemon and its parts, and print a row for each step."""
     daemon = list(_measure_daemon())
     parts = _measure_parts()
@@ -90,7 +90,10 @@
 
 
 def _measure_stage(after: str, pid: int, cpu_before_s: float) -> Stage:
-    """Return the CPU time since ``cpu_before_s``, then measure the process at rest."""
+    """Measure a process after a step, then while it is idle for ``_IDLE_S``.
+
+    The stage's CPU time is counted from ``cpu_before_s``.
+    """
     loaded = read_usage(pid)
     time.sleep(_IDLE_S)
     idle: Usage = read_usage(pid)
