Explain rows, parents and the root where membership uses them

A reader stopped at "row", "the tree", "echo", "parent" and "the root's order", which nothing explained where they were read, at comments to be completed in one's head (FORGET_S, _Lease.until, PARENT_TIMEOUT_S and their neighbours), at private names (_ran_at, _flushed, held, _StoredRow.at, confirm_held, NAME_CHARACTERS, FORGET_CHECK_S), and at error texts without the server, the instance or the limit.

The heads of spread/messages.py, relay.py, client.py, plan.py, store.py, rows.py, view.py and registry.py now say what these words mean. Fragments became sentences. The fault of a withdrawn incarnation names both incarnations; the codec errors of server rows and of oversized messages name the row and the limit.

--- a/packages/core/src/pimentobend_core/_internal/membership/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/checks.py
@@ -7,7 +7,7 @@
 LEASE_MIN_S = 1.0
 LEASE_MAX_S = 60.0
 SLOTS_MAX = 4096
-NAME_CHARACTERS = 128
+NAME_CHARACTERS_MAX = 128
 PORT_MAX = 65535
 
 _NEXT_STATES = {
@@ -21,9 +21,9 @@
     """Return every fault of an announcement's own fields."""
     server = announcement.server
     faults = [
-        f"{field}: must have 1 to {NAME_CHARACTERS} characters"
+        f"{field}: must have 1 to {NAME_CHARACTERS_MAX} characters"
         for field in ("server_id", "service", "host", "data_centre", "region")
-        if not 1 <= len(getattr(server, field)) <= NAME_CHARACTERS
+        if not 1 <= len(getattr(server, field)) <= NAME_CHARACTERS_MAX
     ]
     if not 1 <= server.port <= PORT_MAX:
         faults.append(f"port: must be 1 to {PORT_MAX}")
--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -78,22 +78,22 @@
 
 
 class ServerForgotten(NamedTuple):
-    """An instance's row for a server was dropped."""
+    """What an instance had published about a server was dropped."""
 
     instance_id: str
     server_id: str
 
 
 class InstanceLost(NamedTuple):
-    """An instance no longer answers beacons, or was lost with its relay."""
+    """An instance stopped answering heartbeats (beacons), or its relay was lost."""
 
     instance_id: str
 
 
 class InstanceFound(NamedTuple):
-    """An instance answers its relay's beacons.
+    """An instance answers the heartbeats (beacons) of its relay.
 
-    Its rows of a lower ``epoch`` date from before its latest restart.
+    Its server events of a lower ``epoch`` date from before its latest restart.
     """
 
     instance_id: str
--- a/packages/core/src/pimentobend_core/_internal/membership/pools.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/pools.py
@@ -21,7 +21,7 @@
 
 
 class PoolServers(StatefulFilter[PoolServersInput, PoolServersChanged]):
-    """Join the membership view with the table of pools."""
+    """List the live servers of each pool from the servers of its service."""
 
     def __init__(self) -> None:
         self._servers_by_service: dict[str, ServersChanged] = {}
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -1,4 +1,9 @@
-"""Lease registry of the servers that announce themselves to this instance."""
+"""Lease registry of the servers that announce themselves to this instance.
+
+A server keeps its lease by renewing its announcement. The registry emits a
+``ServerEvent`` for each change, and other instances keep the latest event of
+each server.
+"""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -23,23 +28,30 @@
 
 SERVERS_MAX = 256
 RENEWALS_PER_LEASE = 3
-PAUSE_S = 2.0  # a longer gap between calls means that this process was paused
-FORGET_S = 120.0  # longer than any lease, so that late messages are refused
+PAUSE_S = 2.0  # a longer gap between calls of handle means that this process was paused
+# How long the lease of a withdrawn or expired server is kept. This is longer than
+# any lease, so that a late announcement of a withdrawn server is refused.
+FORGET_S = 120.0
 
 
 class _Lease(NamedTuple):
-    """Lease of one server; ``until`` is on the clock of ``handle``."""
+    """Lease of one server.
+
+    ``until`` is when a live server's lease expires, or when the record of a
+    withdrawn or expired server is deleted, in seconds of the ``now`` that is
+    passed to ``handle``.
+    """
 
     server: Server
     presence: Presence
-    until: float  # end of the lease; once it ended, when the row is dropped
-    sequence: int = 0  # of the latest announcement
+    until: float
+    sequence: int = 0  # sequence number of the latest announcement
 
 
 class ServerRegistry(StatefulFilter[RegistryInput, RegistryOutput]):
     """Turn announcements, withdrawals and expired leases into events.
 
-    ``epoch`` must increase at each start of the instance, so that its rows
+    ``epoch`` must increase at each start of the instance, so that its events
     replace those from before the restart. With ``unique_addresses``,
     incarnations are start times, and a server that started later replaces an
     earlier one at the same host and port.
@@ -54,7 +66,7 @@
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
         self._drained: dict[str, int] = {}  # drained incarnation by server
-        self._ran_at: float | None = None
+        self._last_handled_at: float | None = None
 
     def handle(self, message: RegistryInput, now: float) -> tuple[RegistryOutput, ...]:
         """Handle an announcement, a withdrawal, a drain request or a tick."""
@@ -71,7 +83,7 @@
                 return expired
 
     def events(self) -> tuple[ServerEvent, ...]:
-        """Return every row as a new event, to publish again to a new parent."""
+        """Return a new event for every server, ended ones too, to publish all again."""
         return tuple(
             self._create_event(lease.presence, lease.server)
             for lease in list(self._leases.values())
@@ -203,10 +215,10 @@
 
     def _extend_after_pause(self, now: float) -> None:
         """Extend the leases by the time in which no renewal could be handled."""
-        ran_at, self._ran_at = self._ran_at, now
-        if ran_at is None or now - ran_at <= PAUSE_S:
+        last_handled_at, self._last_handled_at = self._last_handled_at, now
+        if last_handled_at is None or now - last_handled_at <= PAUSE_S:
             return
-        pause = now - ran_at
+        pause = now - last_handled_at
         for server_id, lease in self._leases.items():
             if lease.presence is Presence.LIVE:
                 self._leases[server_id] = lease._replace(until=lease.until + pause)
@@ -219,5 +231,8 @@
 def _find_withdrawal_faults(known: _Lease, server: Server) -> tuple[str, ...]:
     withdrawn = known.presence is Presence.WITHDRAWN
     if withdrawn and server.incarnation <= known.server.incarnation:
-        return (f"incarnation: {known.server.incarnation} was withdrawn",)
+        return (
+            f"incarnation: must be above {known.server.incarnation}, which was"
+            f" withdrawn, not {server.incarnation}",
+        )
     return ()
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -1,4 +1,8 @@
-"""Convert server events to rows of the spread tree, and back."""
+"""Convert server events to rows, and back.
+
+A row is one entry of the data that is replicated to all instances; see
+``spread.messages``.
+"""
 
 from typing import NamedTuple
 
@@ -57,7 +61,10 @@
     try:
         payload = _DECODER.decode(row.payload)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("server row does not decode", context=str(error)) from error
+        raise CodecError(
+            "server row does not decode",
+            context=f"server {server_id} of instance {instance_id}: {error}",
+        ) from error
     server = Server(server_id, *payload[1:])
     return ServerEvent(instance_id, row.rank, payload.presence, server)
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/children.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/children.py
@@ -5,20 +5,20 @@
 
 from pimentobend_core._internal.membership.messages import Rank
 
-CHILD_TIMEOUT_S = 5.0  # without an answer to beacons a child is lost
+CHILD_TIMEOUT_S = 5.0  # a child that has not answered a beacon for so long is lost
 
 
 class _Child(NamedTuple):
-    """State of one child; ``heard_at`` is in seconds of the clock."""
+    """State of one child; ``heard_at`` is when it last answered a beacon."""
 
     attachment: Rank
     heard_at: float
-    is_synced: bool  # it got all rows up to the last flush
-    is_confirmed: bool  # it answered a beacon: the link works both ways
+    is_synced: bool  # it was sent all rows up to the latest flush
+    is_confirmed: bool  # it has answered a beacon, so the link works both ways
 
 
 class Children:
-    """Children of one relay, by name."""
+    """Children of one relay by instance id: their attachments and last answers."""
 
     def __init__(self) -> None:
         self._children: dict[str, _Child] = {}
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -1,4 +1,7 @@
-"""Client side of the tree: attach to a parent, catch up, publish, fail over."""
+"""Client side of the replication: attach to a parent, catch up, publish, fail over.
+
+``spread.messages`` explains rows, parents, the root and echoes.
+"""
 
 import random
 from collections.abc import Mapping
@@ -26,19 +29,20 @@
 from pimentobend_core._internal.membership.spread.store import RowStore
 from pimentobend_core._internal.pipes import StatefulFilter
 
-PARENT_TIMEOUT_S = 1.5  # without a beacon the next parent is tried
-PEER_FALLBACK_S = 5.0  # without a live root an empty store asks a peer
-ROOT_TIMEOUT_S = 2.5  # without a new pulse the root counts as unreachable
+PARENT_TIMEOUT_S = 1.5  # after so long without a beacon the next parent is tried
+PEER_FALLBACK_S = 5.0  # after so long without a root, an empty store asks a peer
+ROOT_TIMEOUT_S = 2.5  # after so long without a new pulse the root is unreachable
 FAILOVER_MIN_S = 3.0  # first wait to leave a parent that is cut off from the root
 FAILOVER_MAX_S = 60.0  # the wait doubles up to this
-CATCH_UP_WAIT_S = 2.0  # for the answer to an attach request
-MISMATCHES_MAX = 10  # digest mismatches at equal positions before a snapshot
+CATCH_UP_WAIT_S = 2.0  # how long to wait for the answer to an attach request
+# After so many beacons with another digest at the same position, request a snapshot.
+MISMATCHES_MAX = 10
 SNAPSHOT_RETRY_MAX_S = 300.0
-PEER_BYTES_PER_SECOND = 50_000.0
+PEER_BYTES_PER_SECOND = 50_000.0  # limit on the snapshots that this sends to peers
 
 
 class SpreadClient(StatefulFilter[ClientInput, SpreadOutput]):
-    """Replica of the fleet's rows that follows a parent in the tree.
+    """Replica of all instances' rows that is kept up to date by a parent.
 
     ``parents`` are tried in order; ``peers`` can serve a snapshot while no
     parent does. ``epoch`` must increase at each start of the instance.
@@ -99,7 +103,7 @@
 
     @property
     def unconfirmed(self) -> int:
-        """Return how many published rows have not come back down the tree."""
+        """Return how many published rows have not come back from the root."""
         return self._publisher.waiting
 
     def follow(self, parents: tuple[str, ...]) -> None:
@@ -180,12 +184,12 @@
 
     def _follows(self, delta: Delta) -> bool:
         """Return whether a delta continues the store without a gap."""
-        held = self.store.position
-        if delta.position.epoch == held.epoch:
-            return delta.after <= held.number
-        if held.epoch != delta.base.epoch:
+        position = self.store.position
+        if delta.position.epoch == position.epoch:
+            return delta.after <= position.number
+        if position.epoch != delta.base.epoch:
             return False
-        return delta.after <= min(held.number, delta.base.number)
+        return delta.after <= min(position.number, delta.base.number)
 
     def _apply(self, delta: Delta, now: float) -> tuple[SpreadOutput, ...]:
         self._catch_up_at = now
@@ -230,7 +234,7 @@
         return dropped
 
     def _echo(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
-        """Return rows that are newer than known ones, before they are numbered."""
+        """Return those of the rows without a number that are newer than known ones."""
         newer = []
         for row in rows:
             known = self._echoed.get(row.row_id) or self.store.get(row.row_id)
@@ -275,7 +279,7 @@
         self.store.base = beacon.base
         if is_new_epoch:
             self._publisher.republish_unseen(beacon.base.number)
-        self._publisher.confirm_held()
+        self._publisher.confirm_stored()
 
     def _handle_busy(self, busy: Busy, now: float) -> tuple[SpreadOutput, ...]:
         self._is_attached = True
@@ -336,7 +340,7 @@
 
 
 def _names_position(beacon: Beacon) -> bool:
-    """Return whether a beacon names a position; see ``_periodic_beacon``."""
+    """Return whether a beacon names a position; ``RelayNode`` may leave it out."""
     return beacon.position.number > 0 or beacon.base == START
 
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
@@ -1,4 +1,4 @@
-"""Encode the tree's messages as versioned msgpack, compressed if large."""
+"""Encode the messages between instances as versioned msgpack, compressed if large."""
 
 import zlib
 from typing import NamedTuple
@@ -82,6 +82,6 @@
     if not inflater.eof:
         raise CodecError(
             "spread message is too large or truncated",
-            context=f"{len(body)} bytes read",
+            context=f"{len(body)} bytes read, limit {MESSAGE_BYTES_MAX}",
         )
     return body
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/gate.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/gate.py
@@ -1,10 +1,10 @@
-"""Rate limit for snapshots."""
+"""Limit the bytes per second of the snapshots that an instance sends."""
 
 import math
 
 SNAPSHOT_BYTES_PER_SECOND = 500_000.0
-BURST_S = 2.0
-ROW_BYTES = 30  # per row of a compressed snapshot, to estimate its size before encoding
+BURST_S = 2.0  # snapshots may be admitted so many seconds ahead of the limit
+ROW_BYTES = 30  # bytes per row of a compressed snapshot, to estimate its size
 RETRY_MIN_S = 1.0
 RETRY_MAX_S = 60.0
 
@@ -14,7 +14,7 @@
 
     def __init__(self, bytes_per_second: float = SNAPSHOT_BYTES_PER_SECOND) -> None:
         self._bytes_per_second = bytes_per_second
-        self._free_at = -math.inf
+        self._free_at = -math.inf  # when the admitted snapshots are sent, at this rate
 
     def admit(self, rows: int, now: float) -> bool:
         """Return whether a snapshot of ``rows`` rows may be sent; count it if so."""
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
@@ -1,4 +1,12 @@
-"""Rows that the tree replicates, and the messages that carry them."""
+"""Rows that are replicated to all instances, and the messages that carry them.
+
+A row is one entry of the replicated data, such as the state of one server. The
+instances form a tree: an instance (the child) follows another one (its parent),
+up to the root. Rows go up to the root, which numbers them in the order of their
+arrival (the root's order), and come down from parent to child. While an
+instance can't reach the root, it sends rows to nearby instances without a
+number; this is an echo.
+"""
 
 import enum
 from typing import NamedTuple
@@ -7,7 +15,7 @@
 
 
 class RowKind(enum.IntEnum):
-    """Kind of a row's payload; the tree itself reads liveness only."""
+    """Kind of a row's payload; the relays themselves read LIVENESS rows only."""
 
     LIVENESS = 0
     CONFIGURATION = 1
@@ -54,7 +62,7 @@
 
     position: Position
     digest: int
-    life: Rank  # epoch of the child and count of its attachments
+    life: Rank  # the child's epoch, and how often it has attached since its start
     wants_snapshot: bool
 
 
@@ -72,7 +80,10 @@
 
 
 class Echo(NamedTuple):
-    """Rows sent on without a number, by a relay that the root does not reach."""
+    """Rows without a number, from an instance that cannot reach the root.
+
+    With ``is_forwarded``, the recipient also sends the rows to its children.
+    """
 
     rows: tuple[Row, ...]
     is_forwarded: bool
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/orphans.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/orphans.py
@@ -6,11 +6,11 @@
 from pimentobend_core._internal.membership.spread.messages import Row
 from pimentobend_core._internal.membership.spread.store import RowStore
 
-REATTACH_S = 10.0  # for the children of a lost relay to attach elsewhere
+REATTACH_S = 10.0  # how long the children of a lost relay have to attach elsewhere
 
 
 class OrphanFinder:
-    """Check on the root whether the relays of all instances are lost."""
+    """Find, on the root, the instances whose relay is lost and that have no other."""
 
     def __init__(self, store: RowStore, instance_id: str) -> None:
         self._store = store
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/plan.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/plan.py
@@ -1,4 +1,8 @@
-"""Choose the parents of control instances and daemons in the tree."""
+"""Choose the parents of control instances and daemons.
+
+Every instance receives the replicated rows from a parent, so that the
+instances form a tree; see ``spread.messages``.
+"""
 
 import enum
 from typing import NamedTuple
@@ -49,7 +53,10 @@
 
 
 def plan_siblings(place: Place, control: tuple[Place, ...]) -> tuple[str, ...]:
-    """Return the region's other control instances, which forward echoes."""
+    """Return the region's other control instances.
+
+    They pass on rows to their children while the root is unreachable.
+    """
     return tuple(
         each.instance_id
         for each in control
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/publisher.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/publisher.py
@@ -1,4 +1,4 @@
-"""Publish rows to the root and resend them until they come back."""
+"""Publish rows to the root and resend them until the root sends them back."""
 
 from pimentobend_core._internal.membership.spread.messages import Publish
 from pimentobend_core._internal.membership.spread.messages import Row
@@ -11,18 +11,18 @@
 
 
 class Publisher:
-    """Rows that this instance published, and those not confirmed by the root."""
+    """Store the rows that this instance publishes until the root confirms them."""
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
         self._published: dict[RowId, Row] = {}
         self._unconfirmed: dict[RowId, Row] = {}
-        self._final_at: dict[RowId, float] = {}  # seconds of the clock
+        self._final_at: dict[RowId, float] = {}  # when a final row was published
         self._resend_at = 0.0
 
     @property
     def waiting(self) -> int:
-        """Return how many rows have not come back down the tree."""
+        """Return how many rows have not come back from the root."""
         return len(self._unconfirmed)
 
     def add(self, rows: tuple[Row, ...], now: float) -> None:
@@ -36,14 +36,14 @@
         self._resend_at = 0.0
 
     def republish_unseen(self, base_number: int) -> None:
-        """Publish again what a root that took over at ``base_number`` may lack."""
+        """Publish again what a root may lack that took over at ``base_number``."""
         for row_id, row in self._published.items():
             known = self._store.get(row_id)
             is_behind = known is None or known.rank < row.rank
             if is_behind or self._store.number(row_id) > base_number:
                 self._unconfirmed[row_id] = row
 
-    def confirm_held(self) -> None:
+    def confirm_stored(self) -> None:
         """Confirm the rows in the store, once its digest matched the parent's."""
         for row in tuple(self._unconfirmed.values()):
             if self._store.get(row.row_id) == row:
@@ -54,7 +54,7 @@
         self._unconfirmed.update({row.row_id: row for row in rows})
 
     def confirm(self, row: Row) -> None:
-        """Record that a row came back down the tree."""
+        """Record that a row came back from the root."""
         waiting = self._unconfirmed.get(row.row_id)
         if waiting is None or row.rank < waiting.rank:
             return
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
@@ -1,4 +1,8 @@
-"""Relay of the tree: sends rows down to children and up to the root."""
+"""Relay: sends rows down to its children and up to the root.
+
+The instances form a tree, in which a relay follows a parent and serves
+children. ``spread.messages`` explains rows, the root's order and echoes.
+"""
 
 import random
 from collections.abc import Mapping
@@ -34,20 +38,20 @@
 from pimentobend_core._internal.membership.spread.orphans import OrphanFinder
 from pimentobend_core._internal.pipes import StatefulFilter
 
-FLUSH_INTERVAL_S = 0.2  # rows that arrive in between share a message
-FLUSH_BYTES = 500_000  # per flush, to all children together
-BEACON_S = 0.5
-FORGET_CHECK_S = 60.0
-ORPHAN_CHECK_S = 2.0
-BUSY_PEERS = 3  # peers named in a Busy message
+FLUSH_INTERVAL_S = 0.2  # rows that arrive within this time share a message
+FLUSH_BYTES = 500_000  # limit for one flush to all children together
+BEACON_S = 0.5  # interval of beacons to children
+FINAL_ROWS_CHECK_S = 60.0  # interval at which the root drops old final rows
+ORPHAN_CHECK_S = 2.0  # interval at which the root looks for children of lost relays
+BUSY_PEERS = 3  # number of peers named in a Busy message
 
 
 class RelayNode(StatefulFilter[RelayInput, SpreadOutput]):
     """Serve children, either as the root or as the follower of a parent.
 
-    ``siblings`` are the region's other control instances. They forward echoes
-    while the root is unreachable, so that a region that is cut off still learns
-    of its own changes.
+    ``siblings`` are the region's other control instances. While the root is
+    unreachable, new rows also go to them and to their children without a number
+    (an echo), so that a region that is cut off still learns of its own changes.
     """
 
     def __init__(
@@ -66,8 +70,8 @@
         self._rng = random.Random(f"{instance_id}/{epoch}/relay")
         self._is_root = False
         self._pulse = 0  # beacon count, used while this is the root
-        self._pending_up: dict[RowId, Row] = {}
-        self._flushed = self._store.position
+        self._pending_up: dict[RowId, Row] = {}  # not yet sent to the parent
+        self._flushed_position = self._store.position  # sent to children up to here
         self._flush_at = 0.0
         self._beacon_at = 0.0
         self._forget_at = 0.0
@@ -76,7 +80,7 @@
 
     @property
     def position(self) -> Position:
-        """Return the position of the store in the root's order."""
+        """Return the number of the latest known row, with the term of its root."""
         return self._store.position
 
     @property
@@ -156,15 +160,15 @@
         return self._handle_publish((row,), now)
 
     def _create_reply(self, attach: Attach, now: float) -> Delta | Beacon | Busy:
-        held = self._store.position
-        if held.epoch == 0:
+        position = self._store.position
+        if position.epoch == 0:
             return self._beacon()
         if attach.digest == self._store.digest and not attach.wants_snapshot:
             return self._beacon()
         after = self._find_common(attach.position)
         if after is not None and not attach.wants_snapshot:
             rows = self._store.since(after)
-            return Delta(held, self._store.base, after, False, rows)
+            return Delta(position, self._store.base, after, False, rows)
         if self._gate.admit(len(self._store), now):
             return create_snapshot(self._store)
         peers = self._children.synced
@@ -173,9 +177,9 @@
 
     def _find_common(self, position: Position) -> int | None:
         """Return the number up to which a child has the same rows, or None."""
-        held = self._store.position
-        if position.epoch == held.epoch:
-            number = min(position.number, held.number)
+        own_position = self._store.position
+        if position.epoch == own_position.epoch:
+            number = min(position.number, own_position.number)
         elif position.epoch == self._store.base.epoch:
             number = min(position.number, self._store.base.number)
         else:
@@ -251,7 +255,7 @@
             self._orphans_at = now + ORPHAN_CHECK_S
             outputs += self._handle_publish(self._orphans.find(now), now)
         if self._is_root and now >= self._forget_at:
-            self._forget_at = now + FORGET_CHECK_S
+            self._forget_at = now + FINAL_ROWS_CHECK_S
             self._store.forget(self._store.find_floor(now))
         return outputs
 
@@ -261,23 +265,24 @@
         return self._handle_publish(rows, now) if rows else ()
 
     def _flush_down(self) -> tuple[SpreadOutput, ...]:
-        flushed, held = self._flushed, self._store.position
-        if held == flushed:
+        flushed, position = self._flushed_position, self._store.position
+        if position == flushed:
             return ()
         after = flushed.number
-        if flushed.epoch != held.epoch:
+        if flushed.epoch != position.epoch:
             after = min(after, self._store.base.number)
         children = self._children.synced
         rows = self._store.since(after)
         limit = max(1, FLUSH_BYTES // (ROW_BYTES * max(1, len(children))))
         if len(rows) > limit:
             rows = rows[:limit]
-            # Rows of an earlier root, which this one lacks, may have higher numbers.
-            held = min(held, Position(held.epoch, rows[-1].number))
-        self._flushed = held
+            # The store may have rows that an earlier root numbered and the current
+            # root never got. Their numbers can exceed the current position.
+            position = min(position, Position(position.epoch, rows[-1].number))
+        self._flushed_position = position
         if not children:
             return ()
-        delta = Delta(held, self._store.base, after, False, rows)
+        delta = Delta(position, self._store.base, after, False, rows)
         return (ToPeers(children, delta),)
 
     def _flush_up(self) -> tuple[SpreadOutput, ...]:
@@ -287,13 +292,13 @@
         return (ToPeers((self._client.parent,), Publish(rows)),)
 
     def _beacon(self) -> Beacon:
-        held = self._store
+        store = self._store
         pulse = self._pulse if self._is_root else self._client.pulse
-        return Beacon(held.position, held.base, held.digest, held.floor, pulse)
+        return Beacon(store.position, store.base, store.digest, store.floor, pulse)
 
     def _periodic_beacon(self) -> Beacon:
         """Return a beacon, without a position while rows wait to be flushed."""
         beacon = self._beacon()
-        if self._flushed == beacon.position:
+        if self._flushed_position == beacon.position:
             return beacon
         return beacon._replace(position=Position(beacon.position.epoch, 0))
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/store.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/store.py
@@ -1,4 +1,7 @@
-"""Store of the fleet's rows in the root's order, with a digest."""
+"""Store of the replicated rows in the order in which the root numbered them.
+
+A digest of all rows shows whether two stores are equal.
+"""
 
 import hashlib
 from collections.abc import Iterator
@@ -9,15 +12,15 @@
 from pimentobend_core._internal.membership.spread.messages import Row
 from pimentobend_core._internal.membership.spread.messages import RowId
 
-FINAL_ROW_S = 3600.0  # retention of final rows, for instances that missed them
+FINAL_ROW_S = 3600.0  # how long final rows are kept for instances that missed them
 DIGEST_BYTES = 8
 
 
 class _StoredRow(NamedTuple):
-    """A stored row; ``at`` is when it was stored, in seconds of the clock."""
+    """A stored row; ``stored_at`` is in seconds of the clock."""
 
     number: int
-    at: float
+    stored_at: float
     row: Row
 
 
@@ -56,7 +59,7 @@
 
     def age_s(self, row_id: RowId, now: float) -> float:
         """Return how many seconds ago a row was stored here."""
-        return now - self._rows[row_id].at
+        return now - self._rows[row_id].stored_at
 
     def rows(self) -> Iterator[Row]:
         """Yield every row in the order of numbers."""
@@ -96,7 +99,7 @@
         expired = (
             stored.number
             for stored in self._rows.values()
-            if stored.row.is_final and now - stored.at >= FINAL_ROW_S
+            if stored.row.is_final and now - stored.stored_at >= FINAL_ROW_S
         )
         return max(expired, default=self._floor)
 
--- a/packages/core/src/pimentobend_core/_internal/membership/view.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/view.py
@@ -1,4 +1,8 @@
-"""Merge the server rows of all instances into one membership view."""
+"""Merge the server events of all instances into one membership view.
+
+A server may announce itself to several instances. The view stores the latest
+event of each instance for a server as a row, and merges the rows of a server.
+"""
 
 import collections
 import math
@@ -21,7 +25,7 @@
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
 ORPHAN_S = 30.0  # grace period for the servers of a lost or restarted instance
-FORGET_S = 86_400.0  # retention of rows of lost instances and ended servers
+FORGET_S = 86_400.0  # how long rows of lost instances and ended servers are kept
 ORPHAN_DROP_SHARE = 0.5  # largest share of a service to drop for lost instances
 
 _STATE_ORDER = (ServerState.STARTING, ServerState.READY, ServerState.DRAINING)
