Say what sources, children, rows and waits are in configuration

A reader meets "source", "child", "follower" and "row" in the follower without a word on the difference, time limits whose comments are fragments ("for replies of all sources before the first version applies"), local names that mislead (owners for route names, before, gone), and two errors without the values that differ.

The heads of the modules now explain the words, each wait has a sentence, the local names say what they hold, the digest error names the version and both digests, and the codec error says what was wrong.

--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -1,4 +1,7 @@
-"""Validate the tables of routes and pools and report every fault at once."""
+"""Validate the tables of routes and pools and report every fault at once.
+
+A row is one route or one pool of a document.
+"""
 
 from collections.abc import Iterator
 from typing import cast
@@ -26,7 +29,7 @@
 MAX_METHODS = 16
 MAX_TIMEOUT_MS = 3_600_000
 MAX_QUEUE_REQUESTS = 100_000
-MAX_FLOOR = 1.0  # fraction of a pool's servers
+MAX_FLOOR = 1.0  # the floor is the share of a pool's servers that must stay in use
 
 DEFAULT_TIMEOUT_MS = 30_000
 DEFAULT_FLOOR = 0.75
@@ -145,14 +148,16 @@
     yield from _find_duplicate_names(names)
     names = [(f"pools[{i}].name", row["name"]) for i, row in enumerate(tables["pools"])]
     yield from _find_duplicate_names(names)
-    owners: dict[tuple[str, str, str], str] = {}
+    route_names: dict[tuple[str, str, str], str] = {}
     for i, row in enumerate(tables["routes"]):
         for method in row["methods"] or [""]:
             key = (row["host"], row["path"], method)
-            if key in owners:
-                expected = f"a host, path and method that {owners[key]} does not match"
+            if key in route_names:
+                expected = (
+                    f"a host, path and method that {route_names[key]} does not match"
+                )
                 yield Fault(f"routes[{i}]", row["name"], expected)
-            owners[key] = row["name"]
+            route_names[key] = row["name"]
 
 
 def _find_duplicate_names(names: list[tuple[str, str]]) -> Iterator[Fault]:
--- a/packages/core/src/pimentobend_core/_internal/configuration/children.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/children.py
@@ -1,10 +1,10 @@
-"""Track the daemons that poll this one for new versions."""
+"""Track the daemons that poll this one for new versions of the tables."""
 
 from typing import NamedTuple
 
 from pimentobend_core._internal.configuration.messages import Version
 
-CHILD_LEASE_S = 10.0
+CHILD_LEASE_S = 10.0  # a daemon that has not polled for so long is dropped
 MAX_CHILDREN = 256
 
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/codec.py
@@ -24,7 +24,8 @@
         return msgspec.msgpack.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise CodecError(
-            "configuration message does not decode", context=kind.__name__
+            "configuration message does not decode",
+            context=f"{kind.__name__}: {error}",
         ) from error
 
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -1,4 +1,8 @@
-"""Replicate the tables from other daemons and serve them to followers."""
+"""Replicate the tables of routes and pools from daemon to daemon.
+
+A daemon polls its sources for newer versions. The daemons that poll it are its
+children; its followers get each new version without polling for it.
+"""
 
 from collections.abc import Mapping
 
@@ -27,14 +31,14 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 TICK_S = 0.5
-ASK_INTERVAL_S = 2.0
-ANSWER_TIMEOUT_S = 1.0
-HINT_INTERVAL_S = 0.15  # between catch-up requests triggered by version hints
-STARTUP_WAIT_S = 1.5  # for replies of all sources before the first version applies
+ASK_INTERVAL_S = 2.0  # time between two polls of a source that answers
+ANSWER_TIMEOUT_S = 1.0  # after so long without an answer the next source is asked
+HINT_INTERVAL_S = 0.15  # smallest time from a request to one caused by a hint
+STARTUP_WAIT_S = 1.5  # how long a start waits for the replies of all sources
 
 
 class TablesFollower(StatefulFilter[FollowerInput, FollowerOutput]):
-    """Keep a daemon's tables up to date and serve them to its followers.
+    """Keep a daemon's tables up to date and send them to children and followers.
 
     The version in force never decreases. At start every source is asked, later
     one at a time: the next one when the current one does not answer in time.
@@ -214,9 +218,9 @@
         version = self._tables.version
         if self._is_damaged or version <= self._in_force or self._is_starting(now):
             return ()
-        before = self._in_force
+        previous = self._in_force
         self._in_force = version
-        return (VersionInForce(self._tables.whole()), *self._push(before))
+        return (VersionInForce(self._tables.whole()), *self._push(previous))
 
     def _is_starting(self, now: float) -> bool:
         """Return whether to wait for more sources; the first reply may be stale."""
@@ -225,8 +229,8 @@
         self._pending_sources = None
         return False
 
-    def _push(self, before: Version) -> tuple[FollowerOutput, ...]:
-        deltas = self._history.since(before)
+    def _push(self, previous: Version) -> tuple[FollowerOutput, ...]:
+        deltas = self._history.since(previous)
         message: SpreadMessage = Current(self._tables.version, self._tables.digest)
         if deltas:
             message = Deltas(deltas)
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -1,6 +1,7 @@
 """Messages that replicate the tables from daemon to daemon.
 
-Senders and recipients are link addresses.
+Senders and recipients are the addresses at which daemons reach each other. A row
+is one route or one pool.
 """
 
 from typing import NamedTuple
@@ -19,13 +20,13 @@
 
 
 class Deltas(NamedTuple):
-    """Carry a chain of deltas that ends at the sender's version in force."""
+    """Send successive deltas, the last of which makes the sender's version in force."""
 
     deltas: tuple[VersionedDelta, ...]
 
 
 class TablesSnapshot(NamedTuple):
-    """Carry all rows of the sender's version."""
+    """Send all rows of the sender's version."""
 
     tables: WholeTables
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/history.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/history.py
@@ -7,11 +7,11 @@
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 
 MAX_DELTAS = 1024
-MAX_ROWS = 4096  # sending more rows would cost more than the whole tables
+MAX_ROWS = 4096  # sending more changed rows would cost more than the whole tables
 
 
 class DeltaHistory:
-    """Bounded chain of deltas; each has the previous one's version as its base."""
+    """The latest deltas; each one has the version of the previous one as its base."""
 
     def __init__(self, deltas: Iterable[VersionedDelta] = ()) -> None:
         self._deltas: deque[VersionedDelta] = deque()
@@ -20,7 +20,7 @@
             self.append(delta)
 
     def append(self, delta: VersionedDelta) -> None:
-        """Append a delta; one with another base discards the chain first."""
+        """Append a delta; one with another base discards the earlier deltas first."""
         if self._deltas and self._deltas[-1].version != delta.delta.base:
             self.clear()
         self._deltas.append(delta)
@@ -34,7 +34,7 @@
         self._rows = 0
 
     def since(self, version: Version) -> tuple[VersionedDelta, ...] | None:
-        """Return the deltas after ``version``, or None if the chain lacks it."""
+        """Return the deltas after ``version``, or None if they are not all kept."""
         chain: list[VersionedDelta] = []
         for delta in reversed(self._deltas):
             if delta.version == version:
--- a/packages/core/src/pimentobend_core/_internal/configuration/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/messages.py
@@ -1,4 +1,7 @@
-"""Versions of the tables and changes between them."""
+"""Versions of the tables of routes and pools, and changes between them.
+
+A row is one route or one pool.
+"""
 
 import enum
 from typing import NamedTuple
@@ -30,7 +33,7 @@
     pools: tuple[Pool, ...]
     removed_pools: tuple[str, ...]
     limits: ClientLimits | None = None
-    label: int = 0
+    label: int = 0  # the operators' number of the version, 0 without one
 
 
 class VersionedDelta(NamedTuple):
@@ -49,11 +52,11 @@
     routes: tuple[Route, ...]
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
-    label: int = 0
+    label: int = 0  # the operators' number of the version, 0 without one
 
 
 class TablesCommand(NamedTuple):
-    """Log command that applies a delta; one with a known id has no effect."""
+    """Log command that applies a delta, unless its change id was applied before."""
 
     change_id: str
     delta: TablesDelta
--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -55,10 +55,10 @@
     def __init__(self, replica_id: str) -> None:
         self._replica_id = replica_id
         self._state = ConfigurationState()
-        self._pending: dict[int, ChangeAsked] = {}  # by proposal id
-        self._next_id = 1
+        self._pending: dict[int, ChangeAsked] = {}  # proposed changes by proposal id
+        self._next_id = 1  # id of the next proposal or read
         self._leader = LeaderChanged(0, None)
-        self._applied = Version(0, 0)
+        self._applied = Version(0, 0)  # position of the last applied log entry
         self._compacted_index = 0
         self._reads: dict[int, int] = {}  # token by read id
         self._confirmed_reads: list[tuple[int, int]] = []  # log index and token
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -1,4 +1,7 @@
-"""Replicated state machine of the tables; apply is deterministic."""
+"""Replicated state machine of the tables.
+
+Every replica applies the same commands with the same result.
+"""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -15,7 +18,9 @@
 from pimentobend_core._internal.configuration.service_messages import NextLabel
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 
-MAX_ANSWERS = 4096  # by change id; resending an older change gives a conflict
+# Number of change ids whose answer is kept. A resent change that is older gets a
+# conflict.
+MAX_ANSWERS = 4096
 
 
 class CachedAnswer(NamedTuple):
@@ -93,8 +98,15 @@
 
     def _find_used_pools(self, delta: TablesDelta) -> set[str]:
         """Return the pools that the routes use once a delta is applied."""
-        gone = {*delta.removed_routes, *(route.name for route in delta.routes)}
-        kept = [each for each in self._tables.routes() if each.name not in gone]
+        replaced_or_removed = {
+            *delta.removed_routes,
+            *(route.name for route in delta.routes),
+        }
+        kept = [
+            each
+            for each in self._tables.routes()
+            if each.name not in replaced_or_removed
+        ]
         names: set[str] = set()
         for route in (*kept, *delta.routes):
             names.update(split.pool for split in route.splits)
--- a/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -1,4 +1,7 @@
-"""One version of the route and pool tables, and the step to the next."""
+"""The tables of one version, and the delta from it to the next one.
+
+A row is one route or one pool.
+"""
 
 import hashlib
 from typing import TypeVar
@@ -72,7 +75,7 @@
         return tuple(sorted(self._pools.rows()))
 
     def whole(self) -> WholeTables:
-        """Return all rows."""
+        """Return the complete tables."""
         return WholeTables(
             self._version,
             self.digest,
@@ -129,7 +132,9 @@
         self._version = whole.version
         if self.digest != whole.digest:
             raise ConfigurationError(
-                "tables do not match their digest", context=str(whole.version)
+                "tables do not match their digest",
+                context=f"version {whole.version}, digest {self.digest.hex()},"
+                f" expected {whole.digest.hex()}",
             )
 
     def _put(self, rows: Rows[_Row], row: _Row) -> None:
