Explain observers, the floor and grants where health uses them

A reader stopped in reports.py at "held ejections", and the same kinds of places are in the other files: times with half a comment ("of a grant, from the observer's report", "without reports; then ..."), step sizes and ratios without what they multiply, "log ratio", "peers", "missing" for observers that are cut off, and decoding errors without a cause.

The head of messages.py says what an observer, the floor, the floor owner and a grant are; each time and step has a sentence; the decoding errors carry the cause or the number of bytes and the limit.

--- a/packages/core/src/pimentobend_core/_internal/health/backoff.py
+++ b/packages/core/src/pimentobend_core/_internal/health/backoff.py
@@ -4,7 +4,7 @@
 
 
 class _History(NamedTuple):
-    ejections: int  # without those already forgiven
+    ejections: int  # recent ones; those forgiven by now are not counted
     returned_at: float
 
 
@@ -13,7 +13,7 @@
 
     BASE_S = 10.0
     MAX_DOUBLINGS = 6
-    FORGIVENESS_S = 300.0  # time in use after which one ejection is forgiven
+    FORGIVENESS_S = 300.0  # after so long in use, one ejection no longer counts
 
     def __init__(self) -> None:
         self._histories: dict[str, _History] = {}
@@ -25,7 +25,7 @@
         return self.BASE_S * 2.0 ** min(count, self.MAX_DOUBLINGS)
 
     def record_return(self, server_id: str, now: float) -> None:
-        """Record a return to use; ejections are forgiven by the time from here on."""
+        """Record a return to use, from which the time to forgive ejections counts."""
         if server_id in self._histories:
             history = self._histories[server_id]
             self._histories[server_id] = history._replace(returned_at=now)
--- a/packages/core/src/pimentobend_core/_internal/health/capacity.py
+++ b/packages/core/src/pimentobend_core/_internal/health/capacity.py
@@ -15,11 +15,11 @@
     WINDOW_S = 600.0
 
     def __init__(self) -> None:
-        self._peaks: list[tuple[int, float]] = []
+        self._peaks: list[tuple[int, float]] = []  # count and time, largest first
 
     def observe(self, count: int, now: float) -> None:
         """Record the number of servers at ``now`` (seconds)."""
-        larger = [(size, at) for size, at in self._peaks if size > count]
+        larger = [(size, seen_at) for size, seen_at in self._peaks if size > count]
         self._peaks = [*larger, (count, now)]
 
     def peak(self, now: float) -> int:
--- a/packages/core/src/pimentobend_core/_internal/health/detectors.py
+++ b/packages/core/src/pimentobend_core/_internal/health/detectors.py
@@ -10,8 +10,8 @@
 class Sample(NamedTuple):
     """One ended attempt that counts as evidence.
 
-    ``excess`` is the log ratio of its latency to the peers' median, or None
-    if that is unknown.
+    ``excess`` is the natural logarithm of the ratio of its latency to the
+    median of the other servers (the peers), or None if that is unknown.
     """
 
     failed: bool
@@ -25,7 +25,7 @@
     """
 
     reason: Reason
-    DECAY_PER_S = 0.03
+    DECAY_PER_S = 0.03  # how much the score falls in each second
 
     def __init__(self) -> None:
         self._score = 0.0
@@ -57,8 +57,8 @@
     """Bounded CUSUM of the log ratios between a server's and its peers' latencies."""
 
     reason = Reason.SLOW
-    ALLOWED_EXCESS = 0.9  # log ratio: 2.5 times the peers' latency
-    GAIN = 0.3
+    ALLOWED_EXCESS = 0.9  # logarithm of the ratio; 2.5 times the peers' latency
+    GAIN = 0.3  # change of the score for each unit beyond ALLOWED_EXCESS
     MAX_STEP = 0.2  # a very slow answer counts no more than a slow one
     MIN_STEP = -0.3
 
--- a/packages/core/src/pimentobend_core/_internal/health/in_flight.py
+++ b/packages/core/src/pimentobend_core/_internal/health/in_flight.py
@@ -1,4 +1,4 @@
-"""Attempts in flight, tracked to detect a silent server before a timeout."""
+"""Track the attempts in flight, to detect a silent server before they time out."""
 
 import math
 from collections.abc import Mapping
@@ -7,12 +7,14 @@
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.health.record import Overdue
 
-OVERDUE_RATIO = 8.0  # times the peers' median latency
+# An attempt is overdue after this multiple of the other servers' median latency,
+# but not before ``OVERDUE_MIN_S``.
+OVERDUE_RATIO = 8.0
 OVERDUE_MIN_S = 0.5
 # After this time without any answer from the server, an overdue attempt on a
 # reused connection counts against the server and not only the connection.
 SILENT_CONNECTION_S = 1.5
-_EXPIRY_S = 120.0  # an attempt that old is no longer tracked
+_EXPIRY_S = 120.0  # an attempt that is older is no longer tracked
 
 
 class _InFlight(NamedTuple):
@@ -25,7 +27,7 @@
 
     def __init__(self) -> None:
         self._attempts: dict[int, _InFlight] = {}
-        self._served_at: dict[str, float] = {}
+        self._served_at: dict[str, float] = {}  # time of the last answer by server
 
     def start(self, started: AttemptStarted, now: float) -> None:
         """Track an attempt that starts at ``now`` (seconds)."""
--- a/packages/core/src/pimentobend_core/_internal/health/latency.py
+++ b/packages/core/src/pimentobend_core/_internal/health/latency.py
@@ -10,9 +10,10 @@
 
 _MIN_LATENCY_S = 0.0005
 # Bounds of the estimate's change per sample, in the logarithm of seconds.
-_INITIAL_STEP = 0.5  # divided by the number of samples so far
+_INITIAL_STEP = 0.5  # is divided by the number of samples so far
 _MIN_STEP = 0.08
-# Requests per slot. Bounds the latency that a wrong load report can excuse.
+# Largest number of requests per slot that raises the expected latency. It bounds the
+# latency that a wrong load report can excuse.
 _MAX_QUEUE_RATIO = 3.0
 
 
@@ -45,10 +46,12 @@
     from the smallest latency seen recently in each region.
     """
 
-    MINIMUM_WINDOW_S = 30.0  # a minimum is kept for one to two windows
+    MINIMUM_WINDOW_S = 30.0  # a smallest latency is kept for one to two windows
 
     def __init__(self) -> None:
         self._medians: dict[str, MedianTracker] = {}
+        # By region: the smallest latencies in the previous and the current window,
+        # and the start of the current window.
         self._minima: dict[str, tuple[float, float, float]] = {}
 
     def add(self, server: Server, latency_s: float, now: float) -> None:
@@ -58,7 +61,9 @@
         tracker.add(self._log_latency(server.region, latency_s))
 
     def excess(self, server: Server, ended: AttemptEnded) -> float | None:
-        """Return the log ratio of a latency to the peers' median, None without peers.
+        """Return the logarithm of a latency's ratio to the peers' median, or None.
+
+        None means that no other server (peer) has answered on this route.
 
         If the server's load report shows a queue, the expected latency is
         raised accordingly.
--- a/packages/core/src/pimentobend_core/_internal/health/leases.py
+++ b/packages/core/src/pimentobend_core/_internal/health/leases.py
@@ -1,4 +1,4 @@
-"""Ejections leased to one observer."""
+"""Ejections that the floor owner leased to one observer."""
 
 from collections import deque
 
--- a/packages/core/src/pimentobend_core/_internal/health/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/health/messages.py
@@ -1,4 +1,10 @@
-"""Messages between observers, the floor owner and the processes around them."""
+"""Messages between observers, the floor owner and other parts of their processes.
+
+An observer is a daemon that scores a pool's servers from its own attempts on
+them. The floor is the share of a service's servers that ejections must leave in
+use. The floor owner is the control replica that decides the ejections, and it
+leases them to the observers by grants that expire.
+"""
 
 import enum
 from typing import NamedTuple
@@ -37,8 +43,8 @@
 
     server_id: str
     incarnation: int
-    score: float  # relative to the server's peers, 0 to SCORE_LIMIT
-    age_s: float  # since the last attempt that gave evidence
+    score: float  # compared with the other servers', from 0 to SCORE_LIMIT
+    age_s: float  # seconds since the last attempt that gave evidence
     reason: Reason
 
 
@@ -121,7 +127,7 @@
 
 
 class FloorTick(NamedTuple):
-    """Make the floor owner end ejections that are over and start agreed ones."""
+    """Make the floor owner end expired ejections and start those agreed on."""
 
 
 class EjectionStarted(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/health/observer_reports.py
+++ b/packages/core/src/pimentobend_core/_internal/health/observer_reports.py
@@ -14,9 +14,9 @@
 # How long a vote counts after the last attempt that it is based on.
 BAD_VOTE_TTL_S = 2.5
 GOOD_VOTE_TTL_S = 1.2
-OBSERVER_TIMEOUT_S = 4.5  # without reports; then the observer counts as cut off
+OBSERVER_TIMEOUT_S = 4.5  # an observer silent for so long counts as cut off
 OBSERVER_RETENTION_S = 600.0  # how long an observer without reports is remembered
-OBSERVER_QUORUM = 2
+OBSERVER_QUORUM = 2  # observers that must agree; fewer only if fewer are known
 
 
 class _ReceivedReport(NamedTuple):
@@ -98,13 +98,14 @@
         """Return the servers that the observers agree are bad, the worst first.
 
         ``end_versions`` maps a server to the term and sequence at which its last
-        ejection ended; reports from observers with an older list are ignored.
+        ejection ended. Evidence of an observer whose list of ejections is older
+        than that is ignored.
         """
         known = self.known_observers(now)
         quorum = min(OBSERVER_QUORUM, known)
-        missing = known - len(self._connected_observers(now))
+        cut_off = known - len(self._connected_observers(now))
         found = [
-            _make_candidate(server_id, votes, quorum, missing)
+            _make_candidate(server_id, votes, quorum, cut_off)
             for server_id, votes in self._votes(end_versions, now).items()
         ]
         agreed = [candidate for candidate in found if candidate is not None]
@@ -149,14 +150,14 @@
 
 
 def _make_candidate(
-    server_id: str, votes: Mapping[str, ServerEvidence], quorum: int, missing: int
+    server_id: str, votes: Mapping[str, ServerEvidence], quorum: int, cut_off: int
 ) -> Candidate | None:
     bad = [vote for vote in votes.values() if vote.score >= BAD_SCORE]
     good = [vote for vote in votes.values() if vote.score < GOOD_SCORE]
     total = _total_bad_score(votes)
     if len(bad) < quorum or total < quorum * SUSPECT_SCORE:
         return None
-    if len(bad) <= len(good) + missing:
+    if len(bad) <= len(good) + cut_off:
         return None
     worst = max(bad, key=lambda vote: vote.score)
     return Candidate(server_id, worst.incarnation, total, len(bad), worst.reason)
--- a/packages/core/src/pimentobend_core/_internal/health/pool_records.py
+++ b/packages/core/src/pimentobend_core/_internal/health/pool_records.py
@@ -16,7 +16,9 @@
 from pimentobend_core._internal.models.server import ServerState
 
 _MAX_ROUTES = 256
-_PEER_SCORE_RATIO = 2.0  # scores spread further apart when all are high
+# Only the part of a score beyond this multiple of the peers' median counts, since
+# scores differ more when all are high.
+_PEER_SCORE_RATIO = 2.0
 _NO_OVERDUE = Overdue(0, 0)
 
 
@@ -95,7 +97,7 @@
             self._records[server_id].reset()
 
     def scores(self, now: float) -> Mapping[str, float]:
-        """Return each server's score relative to its peers.
+        """Return each server's score compared with the other servers (its peers).
 
         Only servers with recent evidence are included. A server without such
         peers cannot be compared and scores 0.
--- a/packages/core/src/pimentobend_core/_internal/health/record.py
+++ b/packages/core/src/pimentobend_core/_internal/health/record.py
@@ -28,20 +28,21 @@
     """The numbers of overdue attempts in flight on one server."""
 
     weak: int  # on a reused connection, which may itself be dead
-    strong: int  # on a new connection, or overdue for longer
+    strong: int  # on a new connection, or after ``SILENT_CONNECTION_S``
 
 
 class ServerRecord:
     """Collect the evidence against one incarnation of a server."""
 
-    WARM_UP_S = 20.0  # after a start; latency is no evidence meanwhile
-    RECENT_EVIDENCE_S = 5.0
+    WARM_UP_S = 20.0  # for so long after a start, latency is no evidence
+    RECENT_EVIDENCE_S = 5.0  # evidence counts as recent for so long
     # How long a failure on a new connection makes failures on reused ones count.
     NEW_CONNECTION_FAILURE_S = 5.0
-    WEAK_OVERDUE_SCORE = 0.14  # just below BAD_SCORE, so that it is no vote
+    WEAK_OVERDUE_SCORE = 0.14  # below BAD_SCORE: alone no vote for an ejection
     STRONG_OVERDUE_STEP = 0.25  # for each strong overdue attempt
-    HANGING_REFUSAL_STEP = 0.15  # a refusal while attempts hang and none is served
-    HANGING_AFTER_S = 1.0  # since the last served attempt
+    HANGING_REFUSAL_STEP = 0.15  # for each refusal while the server seems to hang
+    # A server with overdue attempts seems to hang if it served none for so long.
+    HANGING_AFTER_S = 1.0
     MAX_OVERDUE_SCORE = 1.5
 
     def __init__(self, server: Server, warm_up_until: float, now: float) -> None:
--- a/packages/core/src/pimentobend_core/_internal/health/reports.py
+++ b/packages/core/src/pimentobend_core/_internal/health/reports.py
@@ -1,4 +1,4 @@
-"""Schedule of an observer's reports."""
+"""Decide when an observer reports its evidence to the floor owner."""
 
 from collections.abc import Mapping
 
@@ -13,8 +13,8 @@
 class ReportSchedule:
     """Choose the interval to the next report by its urgency.
 
-    Rising scores are reported soonest, held ejections and suspicious servers
-    more often than healthy ones.
+    Rising scores are reported soonest. Ejected or suspicious servers are
+    reported more often than a pool in which every server is healthy.
     """
 
     def __init__(self) -> None:
--- a/packages/core/src/pimentobend_core/_internal/health/service_ejections.py
+++ b/packages/core/src/pimentobend_core/_internal/health/service_ejections.py
@@ -21,10 +21,10 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
-SOLICIT_FOR_S = 5.0  # after a server becomes suspect
+SOLICIT_FOR_S = 5.0  # reports are requested for so long after a suspicion begins
 
-# Seconds between the agreement on a server and its ejection. A fault that all
-# servers share shows on the others meanwhile. Slowness takes longer to show:
+# Seconds from the observers' agreement on a server to its ejection. A fault that
+# all servers share shows on the others in this time. Slowness takes longer to show:
 # long requests in the slots delay the other requests by about a second.
 EJECTION_DELAY_S = 0.5
 EJECTION_DELAY_SLOW_S = 1.0
@@ -32,7 +32,7 @@
 
 class _ActiveEjection(NamedTuple):
     ejection: Ejection
-    until: float
+    until: float  # when the ejection ends, in seconds of the clock
 
 
 class ServiceEjections:
@@ -51,9 +51,9 @@
         self._backoff = EjectionBackoff()
         self._active: dict[str, _ActiveEjection] = {}
         self._leased_until: dict[str, float] = {}
-        self._end_versions: dict[str, tuple[int, int]] = {}
+        self._end_versions: dict[str, tuple[int, int]] = {}  # term and sequence
         self._agreed_since: dict[str, float] = {}
-        self._withheld: dict[str, str] = {}
+        self._withheld: dict[str, str] = {}  # cause by server
         self._suspected_since: dict[str, float] = {}
         self._solicited_at = -SOLICIT_S
         self._term = 0
@@ -125,7 +125,7 @@
         return True
 
     def update(self, now: float) -> tuple[FloorOutput, ...]:
-        """End ejections that are over and start those that observers agree on."""
+        """End expired ejections and start those that the observers agree on."""
         return (
             *self._end_stale(),
             *self._end_expired(now),
--- a/packages/core/src/pimentobend_core/_internal/health/weights.py
+++ b/packages/core/src/pimentobend_core/_internal/health/weights.py
@@ -1,12 +1,12 @@
-"""Weights of servers that are not fully healthy."""
+"""Reduced weights of ejected, avoided and returning servers."""
 
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
 
-AVOIDED_WEIGHT = 0.1
-RAMP_FIRST_WEIGHT = 0.1
-RAMP_S = 15.0  # from RAMP_FIRST_WEIGHT to the full weight
+AVOIDED_WEIGHT = 0.1  # of a server that one observer avoids on its own evidence
+RAMP_FIRST_WEIGHT = 0.1  # of a server that has just returned to use
+RAMP_S = 15.0  # how long a returning server's weight takes to grow to 1
 _STEPS_PER_UNIT = 20  # weights on the ramp change in steps of 1/20
 
 
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -43,7 +43,12 @@
     try:
         body = inflater.decompress(payload, BATCH_BYTES_MAX)
         if not inflater.eof:
-            raise CodecError("health messages are too large or truncated")
+            raise CodecError(
+                "health messages are too large or truncated",
+                context=f"{len(body)} bytes read, limit {BATCH_BYTES_MAX}",
+            )
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
-        raise CodecError("health messages cannot be decoded") from error
+        raise CodecError(
+            "health messages cannot be decoded", context=str(error)
+        ) from error
