--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -36,7 +36,7 @@
 
 
 class FakeLog:
-    """Fake replicated log of one service; entries commit on ``commit()``."""
+    """Fake replicated log of one service; proposals wait until ``commit()``."""
 
     def __init__(self) -> None:
         self.service = ConfigurationService("a")
--- a/tests/unit/membership/test_spread.py
+++ b/tests/unit/membership/test_spread.py
@@ -1,4 +1,4 @@
-"""Test the tree's replication times and traffic bounds under faults."""
+"""Test how fast rows reach all instances under faults, and with how much traffic."""
 
 import pytest
 
@@ -20,9 +20,9 @@
 SHAPE = FleetShape(
     regions=2, data_centres=4, replicas=5, relays_per_data_centre=2, daemons=24
 )
-DRAIN_S = 3.0
-IN_FORCE_S = 9.0
-FAILOVER_S = 3.0  # of the root; consensus gives the next one
+NO_FAULT_LIMIT_S = 3.0
+FAULT_LIMIT_S = 9.0
+FAILOVER_S = 3.0  # time without a root until consensus has elected the next one
 AUTHOR = "daemon-0000"  # in region r0
 
 
@@ -37,7 +37,10 @@
     return fleet
 
 
-def _spread(fleet: Fleet, row: Row, limit_s: float, region: str = "") -> float | None:
+def _time_replication(
+    fleet: Fleet, row: Row, limit_s: float, region: str = ""
+) -> float | None:
+    """Publish a row; return the seconds until all daemons have it, or None."""
     names = [
         name
         for name in fleet.names(TreeRole.DAEMON)
@@ -81,19 +84,19 @@
 @pytest.mark.parametrize(
     ("fault", "limit_s"),
     [
-        (_no_fault, DRAIN_S),
-        (_lose_relay, IN_FORCE_S),
-        (_lose_relay_of_author, IN_FORCE_S),
-        (_lose_first_replica_of_region, IN_FORCE_S),
-        (_lose_rack, IN_FORCE_S),
-        (_deafen_relay, IN_FORCE_S),
+        (_no_fault, NO_FAULT_LIMIT_S),
+        (_lose_relay, FAULT_LIMIT_S),
+        (_lose_relay_of_author, FAULT_LIMIT_S),
+        (_lose_first_replica_of_region, FAULT_LIMIT_S),
+        (_lose_rack, FAULT_LIMIT_S),
+        (_deafen_relay, FAULT_LIMIT_S),
     ],
 )
 def test_row_reaches_all_daemons_in_time(fault: object, limit_s: float) -> None:
     fleet = _start()
     assert callable(fault)
     fault(fleet)
-    assert _spread(fleet, _create_row(1), limit_s) is not None
+    assert _time_replication(fleet, _create_row(1), limit_s) is not None
 
 
 @pytest.mark.parametrize("leader", ["replica-0", "replica-1"])
@@ -108,9 +111,12 @@
     fleet.cut_off(*sides)
     fleet.cut_off(*reversed(sides))
     fleet.run(20.0)
-    assert _spread(fleet, _create_row(1), DRAIN_S, region="r0") is not None
+    assert (
+        _time_replication(fleet, _create_row(1), NO_FAULT_LIMIT_S, region="r0")
+        is not None
+    )
     fleet.mend()
-    assert _spread(fleet, _create_row(2), 90.0) is not None
+    assert _time_replication(fleet, _create_row(2), 90.0) is not None
 
 
 @pytest.mark.parametrize("hears", [True, False])
@@ -142,7 +148,7 @@
 def test_peers_serve_rows_while_control_is_down() -> None:
     fleet = _start()
     row = _create_row(1, RowKind.CONFIGURATION)
-    assert _spread(fleet, row, IN_FORCE_S) is not None
+    assert _time_replication(fleet, row, FAULT_LIMIT_S) is not None
     for name in (*fleet.names(TreeRole.REPLICA), *fleet.names(TreeRole.RELAY)):
         fleet.stop(name)
     fleet.run(3600.0)
@@ -172,7 +178,7 @@
             )
 
     fleet.observers.append(observe)
-    assert _spread(fleet, _create_row(1), DRAIN_S) is not None
+    assert _time_replication(fleet, _create_row(1), NO_FAULT_LIMIT_S) is not None
     assert crossings == ["replica-1"]
 
 
--- a/tests/unit/membership/test_spread_codec.py
+++ b/tests/unit/membership/test_spread_codec.py
@@ -1,4 +1,4 @@
-"""Test that the tree's messages round-trip and malformed bytes are refused."""
+"""Test that replication messages round-trip and malformed bytes are refused."""
 
 import msgspec
 import pytest
--- a/tests/unit/membership/test_view.py
+++ b/tests/unit/membership/test_view.py
@@ -30,8 +30,8 @@
     epoch: int = 1,
     server: str = "s1",
 ) -> ServerEvent:
-    row = Server(server, "rota", "127.0.0.1", 1, 3, "a", "x", state, incarnation)
-    return ServerEvent(instance, Rank(epoch, sequence), presence, row)
+    announced = Server(server, "rota", "127.0.0.1", 1, 3, "a", "x", state, incarnation)
+    return ServerEvent(instance, Rank(epoch, sequence), presence, announced)
 
 
 Step = tuple[float, ViewInput]
