Say what the fakes and scenario actions of the tests do

Readers stopped at one-letter usages (<o>), "the owner of the floor", "Deliver all messages again", the classes By, At and SilenceAction, the local name spread for a message in flight, the field number, and failure texts without the follower, its versions or the required capacity.

The usages name a replica, the classes say what they check or do, and the texts carry the values. The scenario language itself is unchanged, and HealthNetwork.loss and confirmed keep their names, since the hypothesis state machine of test_floor_machine.py uses them; a comment explains them.

--- a/tests/lib/health_network.py
+++ b/tests/lib/health_network.py
@@ -1,4 +1,8 @@
-"""Observers and floor owners on a simulated unreliable network."""
+"""Observers and floor owners on a simulated unreliable network.
+
+An observer is a daemon that reports on the servers; a floor owner is a control
+replica that grants ejections.
+"""
 
 import heapq
 import itertools
@@ -34,7 +38,7 @@
 
 class _Delivery(NamedTuple):
     deliver_at: float
-    number: int
+    order: int  # unique, so that deliveries at one time keep the order of sending
     action: Callable[[], None]
 
 
@@ -50,12 +54,12 @@
         self.now = 0.0
         self.unhealthy: set[str] = set()
         self.cut_paths: set[tuple[str, str]] = set()
-        self.loss = 0.0
+        self.loss = 0.0  # share of messages lost, and of the others delivered twice
         self.delay_s = 0.0
-        self.confirmed: str | None = None
+        self.confirmed: str | None = None  # the owner that a majority confirms
         self.violations: list[str] = []
         self._rng = random.Random(seed)
-        self._numbers = itertools.count()
+        self._delivery_orders = itertools.count()
         self._deliveries: list[_Delivery] = []
         self._pool = POOL._replace(floor=floor)
         self._servers = make_servers(servers)
@@ -157,7 +161,8 @@
         for _ in range(1 + (self._rng.random() < self.loss)):
             deliver_at = self.now + self._rng.random() * self.delay_s
             heapq.heappush(
-                self._deliveries, _Delivery(deliver_at, next(self._numbers), action)
+                self._deliveries,
+                _Delivery(deliver_at, next(self._delivery_orders), action),
             )
 
     def _deliver(self) -> None:
@@ -168,8 +173,14 @@
         count = len(self._servers)
         required = required_servers(self._pool.floor, count)
         if count - len(self.ejected()) < required:
-            self.violations.append(f"{self.now}: {sorted(self.ejected())} ejected")
+            self.violations.append(
+                f"{self.now} s: {sorted(self.ejected())} of {count} servers ejected,"
+                f" but {required} must stay in use"
+            )
         for daemon, weights in self._weights.items():
             capacity = count - sum(1 - weight for weight in weights.values())
             if capacity < required - _ROUNDING:
-                self.violations.append(f"{self.now}: {daemon} keeps {capacity}")
+                self.violations.append(
+                    f"{self.now} s: the weights in {daemon} add up to {capacity},"
+                    f" below the required {required}"
+                )
--- a/tests/lib/health_samples.py
+++ b/tests/lib/health_samples.py
@@ -1,4 +1,4 @@
-"""Sample messages for the tests of the health flow."""
+"""Sample messages for the tests of health checking."""
 
 from pimentobend_core._internal.health.messages import EvidenceReported
 from pimentobend_core._internal.health.messages import Reason
--- a/tests/lib/scenario/actions.py
+++ b/tests/lib/scenario/actions.py
@@ -47,8 +47,8 @@
 
     usage = (
         "server <n|n-m|all> slow 5x | fails 50% | hangs 50% | sheds 50% | "
-        "flaps <faulty> <healthy> | recovers | restarts <warm-up> <ratio> | "
-        "drains | leaves"
+        "flaps <faulty time> <healthy time> | recovers | "
+        "restarts <warm-up time> <warm-up latency, such as 5x> | drains | leaves"
     )
 
     def apply(self, world: World, words: Words) -> None:
@@ -81,7 +81,7 @@
 class CutAction(Action):
     """Block messages on a path in one direction."""
 
-    usage = "cut <daemons> from server <n> | cut <daemons> to|from owner <o|all>"
+    usage = "cut <daemons> from server <n> | cut <daemons> to|from owner <replica|all>"
 
     def apply(self, world: World, words: Words) -> None:
         """Block the named paths."""
@@ -101,12 +101,12 @@
 
 
 class HealAction(Action):
-    """Unblock all paths."""
+    """Unblock the paths that were cut."""
 
     usage = "heal"
 
     def apply(self, world: World, words: Words) -> None:
-        """Deliver all messages again."""
+        """Let messages pass on every path from now on."""
         world.fleet.paths.heal_all()
 
 
@@ -132,13 +132,13 @@
         world.fleet.rate = world.shape.rate * ratio(words[0])
 
 
-class SilenceAction(Action):
-    """Make open connections to servers dead while new ones work."""
+class LoseConnectionsAction(Action):
+    """Lose the open connections to servers; new connections work."""
 
     usage = "silence <daemons> server <n>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Drop the open connections without a notice to the daemons."""
+        """Lose the open connections, of which the daemons are not notified."""
         for daemon in world.daemons(words[0]):
             for server_id in world.server_ids(words[2]):
                 world.fleet.lose_connections(daemon, server_id)
@@ -147,7 +147,7 @@
 class RestartAction(Action):
     """Restart a daemon or a control replica."""
 
-    usage = "restart <daemons> | restart owner <o>"
+    usage = "restart <daemons> | restart owner <replica>"
 
     def apply(self, world: World, words: Words) -> None:
         """Restart the named processes, which lose their state."""
@@ -159,12 +159,12 @@
 
 
 class ElectAction(Action):
-    """Make another control replica the owner of the floor."""
+    """Make a control replica the floor owner, which grants ejections."""
 
-    usage = "elect <o>"
+    usage = "elect <replica>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Begin a term with the named replica as the owner."""
+        """Begin a term with the named replica as the floor owner."""
         world.policy.elect(words[0])
 
 
@@ -174,7 +174,7 @@
     "heal": HealAction(),
     "disturb": DisturbAction(),
     "demand": DemandAction(),
-    "silence": SilenceAction(),
+    "silence": LoseConnectionsAction(),
     "restart": RestartAction(),
     "elect": ElectAction(),
 }
--- a/tests/lib/scenario/conditions.py
+++ b/tests/lib/scenario/conditions.py
@@ -8,7 +8,7 @@
 
 Words = tuple[str, ...]
 
-AVOIDED_WEIGHT = 0.1
+AVOIDED_WEIGHT = 0.1  # a daemon that avoids a server gives it this weight at most
 
 
 class Condition(abc.ABC):
@@ -42,7 +42,7 @@
 
 
 class Avoided(Condition):
-    """The servers have at most the avoided weight in all named daemons."""
+    """All named daemons avoid the servers: the weights are at most AVOIDED_WEIGHT."""
 
     usage = "avoided <daemons> <n>"
 
@@ -70,7 +70,7 @@
 
 
 class Floor(Condition):
-    """Ejections have never taken more servers than the floor allows."""
+    """Ejections have always left as many servers in use as the floor requires."""
 
     usage = "floor"
 
@@ -99,7 +99,7 @@
         """Check the condition now; return whether the expectation is violated."""
 
     def is_unmet(self) -> bool:
-        """Return at the end whether the expectation has not been met."""
+        """Return whether the expectation is still not met at the scenario's end."""
         return False
 
     def _holds(self, world: World) -> bool:
@@ -122,7 +122,7 @@
         return self._holds(world)
 
 
-class By(Expectation):
+class HoldsBy(Expectation):
     """The condition holds at some time up to ``time_s``."""
 
     def __init__(self, condition: Condition, words: Words, time_s: float) -> None:
@@ -141,7 +141,7 @@
         return not self._is_done
 
 
-class At(By):
+class HoldsAt(HoldsBy):
     """The condition holds at ``time_s``."""
 
     def check(self, world: World) -> bool:
@@ -161,9 +161,9 @@
     condition = CONDITIONS[condition_words[0]]
     match words[0]:
         case "by":
-            return By(condition, condition_words[1:], seconds(words[1]))
+            return HoldsBy(condition, condition_words[1:], seconds(words[1]))
         case "at":
-            return At(condition, condition_words[1:], seconds(words[1]))
+            return HoldsAt(condition, condition_words[1:], seconds(words[1]))
         case "always":
             return Always(condition, condition_words[1:])
         case "never":
--- a/tests/lib/scenario/language.py
+++ b/tests/lib/scenario/language.py
@@ -15,7 +15,7 @@
 
 
 class ScenarioError(Exception):
-    """A scenario that is syntactically wrong."""
+    """A scenario has a line that is not valid."""
 
 
 class Statement(NamedTuple):
--- a/tests/lib/scenario/runner.py
+++ b/tests/lib/scenario/runner.py
@@ -14,7 +14,7 @@
 
 
 class Scenario(NamedTuple):
-    """The statements of a scenario by kind."""
+    """The statements of a scenario by kind; ``events`` are the ``at`` statements."""
 
     pool: Statement
     events: tuple[Statement, ...]
@@ -36,7 +36,10 @@
     pools = [each for each in statements if each.words[0] == "pool"]
     ends = [each for each in statements if each.words[0] == "end"]
     if len(pools) != 1 or len(ends) != 1:
-        raise ScenarioError("a scenario has one pool and one end")
+        raise ScenarioError(
+            "a scenario has one pool and one end statement,"
+            f" not {len(pools)} and {len(ends)}"
+        )
     events = [each for each in statements if each.words[0] == "at"]
     for event in events:
         if event.words[2] not in ACTIONS:
@@ -80,5 +83,5 @@
     return [_describe(each.statement, f"at {world.now:.2f}s") for each in violated]
 
 
-def _describe(statement: Statement, what: str) -> str:
-    return f"line {statement.line}: {' '.join(statement.words)} ({what})"
+def _describe(statement: Statement, failure: str) -> str:
+    return f"line {statement.line}: {' '.join(statement.words)} ({failure})"
--- a/tests/lib/scenario/world.py
+++ b/tests/lib/scenario/world.py
@@ -6,7 +6,7 @@
 from pimentobend_bench._internal.health.shapes import QALAMKAR
 from scenario.language import options
 
-POLL_S = 0.05
+POLL_S = 0.05  # simulated time between two checks of the expectations
 
 
 class World:
--- a/tests/lib/table_fakes.py
+++ b/tests/lib/table_fakes.py
@@ -1,4 +1,4 @@
-"""Sample tables and a fake network that replicates them to followers."""
+"""Sample tables and a fake network that replicates them to daemons."""
 
 from typing import NamedTuple
 
@@ -30,7 +30,7 @@
 
 
 class InFlight(NamedTuple):
-    """A message in flight."""
+    """A message that was sent and not yet delivered."""
 
     sender: str
     recipient: str
@@ -38,7 +38,10 @@
 
 
 class Tree:
-    """Simulated root that accepts versions, and the followers below it."""
+    """Simulate a root that accepts versions, and daemons that replicate them.
+
+    ``sources`` names, for each daemon, the ones that it polls for new versions.
+    """
 
     def __init__(self, sources: dict[str, tuple[str, ...]]) -> None:
         self.now = 0.0
@@ -49,7 +52,7 @@
         self._sources = {ROOT: (), **sources}
         self._tables = VersionedTables()
         self.followers = {
-            name: TablesFollower(above, 0.0) for name, above in self._sources.items()
+            name: TablesFollower(polled, 0.0) for name, polled in self._sources.items()
         }
 
     def accept(self, *routes: Route) -> Version:
@@ -72,17 +75,19 @@
         for output in follower.handle(message, self.now):
             if isinstance(output, SpreadSent):
                 self.in_flight.append(InFlight(name, output.recipient, output.message))
-        assert follower.in_force >= before, "a follower's version decreased"
+        assert follower.in_force >= before, (
+            f"{name}: the version decreased from {before} to {follower.in_force}"
+        )
         if follower.in_force == follower.tables.version and follower.in_force[1]:
             assert follower.tables.whole() == self.accepted[follower.in_force]
 
     def deliver(self, position: int, *, keep: bool = False) -> None:
         """Deliver a message in flight; with ``keep`` it is delivered again later."""
-        spread = self.in_flight[position]
+        in_flight = self.in_flight[position]
         if not keep:
             del self.in_flight[position]
-        received = SpreadReceived(spread.sender, spread.message)
-        self.handle(spread.recipient, received)
+        received = SpreadReceived(in_flight.sender, in_flight.message)
+        self.handle(in_flight.recipient, received)
 
     def restart(self, name: str) -> None:
         """Restart a follower without stored tables."""
