--- a/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -67,14 +67,16 @@
         self._rng = random.Random(f"{instance_id}/{epoch}")
         self._is_attached = False
         self._is_live = False
+        # Time of the latest message from the parent, or of the attempt to attach to it.
         self._heard_at: float | None = None
+        # Time of the latest new pulse of the root, or of the first tick.
         self._live_at: float | None = None
         self._pulse = (0, 0)  # the root's epoch and beacon count
         self._failover_wait_s = FAILOVER_MIN_S
         self._mismatches = 0
-        self._catch_up_at = 0.0
+        self._catch_up_at = 0.0  # earliest time to catch up again by attaching
         self._snapshot_wait_s = 0.0
-        self._snapshot_after = 0.0
+        self._snapshot_after = 0.0  # earliest time of the next snapshot request
 
     @property
     def is_attached(self) -> bool:
--- a/packages/core/src/pimentobend_core/_internal/membership/view.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/view.py
@@ -43,13 +43,13 @@
     """Current epoch of an instance, and when it was first seen."""
 
     epoch: int
-    since: float  # seconds of the clock
+    seen_at: float  # seconds of the clock
 
 
 class _EndedRow(NamedTuple):
     """A row whose server withdrew or expired, queued to be dropped."""
 
-    at: float  # seconds of the clock
+    ended_at: float  # seconds of the clock
     server_id: str
     instance_id: str
     rank: Rank
@@ -62,8 +62,8 @@
         self._rows: dict[str, dict[str, _Row]] = {}  # by server, then instance
         self._by_service: dict[str, set[str]] = {}
         self._by_instance: dict[str, set[str]] = {}
-        self._lost: dict[str, float] = {}
-        self._orphaned: set[str] = set()
+        self._lost: dict[str, float] = {}  # time of the loss by instance
+        self._orphaned: set[str] = set()  # instances lost for ORPHAN_S or longer
         self._epoch_starts: dict[str, _EpochStart] = {}
         self._ended_rows: collections.deque[_EndedRow] = collections.deque()
         self._published: dict[str, tuple[Server, ...]] = {}
@@ -147,7 +147,7 @@
         """Drop rows that were not renewed within ORPHAN_S of an instance's restart."""
         changed: set[str] = set()
         for instance_id, started in self._epoch_starts.items():
-            if started.epoch == 0 or now - started.since < ORPHAN_S:
+            if started.epoch == 0 or now - started.seen_at < ORPHAN_S:
                 continue
             for server_id in tuple(self._by_instance.get(instance_id, ())):
                 row = self._rows[server_id][instance_id]
@@ -157,7 +157,7 @@
         return changed
 
     def _forget(self, now: float) -> None:
-        while self._ended_rows and now - self._ended_rows[0].at >= FORGET_S:
+        while self._ended_rows and now - self._ended_rows[0].ended_at >= FORGET_S:
             ended = self._ended_rows.popleft()
             row = self._rows.get(ended.server_id, {}).get(ended.instance_id)
             if row is not None and row.rank == ended.rank:
--- a/tests/unit/membership/test_spread_machine.py
+++ b/tests/unit/membership/test_spread_machine.py
@@ -1,4 +1,4 @@
-"""Search for faults after which the tree does not converge or rows regress."""
+"""Search for faults after which instances keep different rows or rows regress."""
 
 from hypothesis import settings
 from hypothesis import strategies
