Say what the forwarding constants and classes mean

Cause: a reader stopped at comments that are fragments ("attempts; 42 s at the design rate need 10,000", "of the route's median"), at "beside" and "host", which nothing explained, and at "held the reason" in a docstring. Change: plain sentences; origin, host, repeat and rejected attempt are explained at the head of their modules; private names say what they hold (_has_repeat_budget, _merge_old, risk_at, INITIAL_DEVIATION).

--- a/packages/core/src/pimentobend_core/_internal/forwarding/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/__init__.py
@@ -1,1 +1,1 @@
-"""Forward requests through the daemon beside a backend server."""
+"""Forward requests through the daemon that a backend server is registered with."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
@@ -12,7 +12,7 @@
     first starts first.
     """
 
-    due: float  # clock time in s by which it must start for its answer to be on time
+    due: float  # clock time in s; if it starts later, its answer is probably late
     sequence: int  # order of arrival
     attempt_id: str
     expected_s: float  # mean time that the server takes for it
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -1,4 +1,8 @@
-"""Decide when and where to send the attempts of one request."""
+"""Decide when and where to send the attempts of one request.
+
+A repeat is a retry or a hedge. An attempt is rejected if its server is known not
+to have run it: the daemon or the server declined it, or no connection was made.
+"""
 
 import enum
 import zlib
@@ -38,18 +42,20 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
-MAX_REJECTIONS = 12  # attempts turned away unrun, after which the request is refused
-# The servers are asked again at an interval that doubles each time.
+MAX_REJECTIONS = 12  # rejected attempts after which the request is refused
+# Servers are asked for bids again at an interval that doubles each time.
 ASK_INTERVAL_S = 0.1
 MAX_ASK_INTERVAL_S = 0.8
-HOLD_SHARE = 0.6  # share of the time to the deadline that unsent work may wait
-# Work that may not be repeated waits this share of the target for a reliable server.
+HOLD_SHARE = 0.6  # share of the time to the deadline that an unsent request may wait
+# A request that may not be repeated waits this share of its target latency for a
+# reliable server.
 RISK_HOLD_SHARE = 0.2
-# A hedge is due after this multiple of the 90th percentile that the server bid.
+# A hedge is due after this multiple of the 90th percentile in the server's bid.
 HEDGE_P90_MULTIPLE = 1.2
 MIN_HEDGE_DELAY_S = 0.05
-MAX_HEDGE_TARGET_SHARE = 0.5  # a hedge is due at this share of the target at the latest
-RETRY_AFTER_S = 1.0  # mean of the Retry-After of refusals
+# A hedge is due at the latest after this share of the route's target latency.
+MAX_HEDGE_TARGET_SHARE = 0.5
+RETRY_AFTER_S = 1.0  # mean value of the Retry-After header of refusals
 SERVER_ERROR = 500
 MS_PER_S = 1000
 
@@ -64,7 +70,7 @@
     """State machine of one request, from its route to its answer.
 
     Asks daemons for bids, sends attempts to the best server, retries and hedges
-    those that may be repeated, and ends with an answer or a refusal.
+    requests that may be repeated, and ends with an answer or a refusal.
     """
 
     def __init__(
@@ -89,9 +95,9 @@
         self._last_number = 0
         self._running: dict[int, Candidate] = {}
         self._tried: set[str] = set()  # servers that the request may have run on
-        self._rejected_by: set[str] = set()  # servers that turned it away recently
-        self._attempts_made = 0  # attempts that were not turned away
-        self._rejections = 0  # attempts that were turned away
+        self._rejected_by: set[str] = set()  # servers that rejected it recently
+        self._attempts_made = 0  # attempts that were not rejected
+        self._rejections = 0  # attempts that were rejected
         self._has_arrived = False  # an attempt has reached a server
         self._ran = Ran.NOT_RUN
         self._hedge_at: float | None = None
@@ -195,15 +201,15 @@
         return HoldReason.RISK if is_early else None
 
     def _hold(self, reason: HoldReason, now: float) -> tuple[DeliveryOutput, ...]:
-        """Wait before asking again, and held the reason if it has changed."""
+        """Wait before asking again, and report the reason if it has changed."""
         self._phase = _Phase.WAITING
-        held = (
+        reports = (
             () if reason is self._hold_reason else (Held(reason, bool(self._running)),)
         )
         self._hold_reason = reason
         if self._running:
             self._hedge_at = self._schedule_ask(now)
-            return held
+            return reports
         hold_s = HOLD_SHARE * (self._deadline - self._started_at)
         if self._has_arrived and self._target_s:
             hold_s = min(hold_s, self._target_s)
@@ -211,7 +217,7 @@
             return self._end_with_failure()
         self._next_ask_at = self._schedule_ask(now)
         self._rejected_by.clear()
-        return held
+        return reports
 
     def _schedule_ask(self, now: float) -> float:
         pause_s = self._ask_interval_s
@@ -230,14 +236,14 @@
         self._running[self._last_number] = candidate
         self._tried.add(candidate.server_id)
         self._attempts_made += 1
-        self._hedge_at = self._find_hedge_due(candidate, now)
+        self._hedge_at = self._find_hedge_time(candidate, now)
         return (SendAttempt(self._last_number, candidate, is_hedge, is_repeat),)
 
     def _is_repeat(self) -> bool:
         """Return whether one more attempt would draw on the retry budget."""
         return bool(self._running) or self._has_arrived
 
-    def _find_hedge_due(self, candidate: Candidate, now: float) -> float | None:
+    def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
         if not self._may_hedge():
             return None
         bid = candidate.bid
@@ -266,11 +272,11 @@
                 return self._handle_answer(done, now)
             case AttemptKind.DECLINED | AttemptKind.NOT_CONNECTED:
                 self._record_rejection(candidate)
-                return self._try_elsewhere(now, is_body_unsent=True)
+                return self._try_another_server(now, is_body_unsent=True)
             case AttemptKind.REFUSED:
                 self._has_arrived = True
                 self._record_rejection(candidate)
-                return self._try_elsewhere(now, is_body_unsent=False)
+                return self._try_another_server(now, is_body_unsent=False)
             case _:
                 self._has_arrived = True
                 self._ran = Ran.UNKNOWN
@@ -291,10 +297,10 @@
         self._failed_answer = done
         return self._retry(now)
 
-    def _try_elsewhere(
+    def _try_another_server(
         self, now: float, *, is_body_unsent: bool
     ) -> tuple[DeliveryOutput, ...]:
-        """Try another server after one turned the work away without running it."""
+        """Try another server after one rejected the attempt without running it."""
         self._rejections += 1
         if self._is_stopping and not self._running:
             return self._end_with_failure()
@@ -314,7 +320,7 @@
         return self._ask(Distance.DATA_CENTRE)
 
     def _retry(self, now: float) -> tuple[DeliveryOutput, ...]:
-        """Retry a failed attempt if the work may run more than once."""
+        """Retry a failed attempt if the request may run more than once."""
         self._hedge_at = None
         if self._running:
             return ()
@@ -376,7 +382,7 @@
         return (self._finish(Refuse(refusal)),)
 
     def _retry_after_s(self) -> float:
-        """Return a delay jittered by request id, so that retries spread out."""
+        """Return a delay that depends on the request id, so that retries spread out."""
         share = zlib.crc32(self._request_id.encode()) / 0xFFFFFFFF
         return round(RETRY_AFTER_S * (0.5 + share), 2)
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -10,7 +10,7 @@
 
 
 class Offers(NamedTuple):
-    """The servers within a distance that made a bid."""
+    """Deliver the bids of the servers within a distance."""
 
     candidates: tuple[Candidate, ...]
     distance: Distance
@@ -34,7 +34,7 @@
 
 
 class EndWaiting(NamedTuple):
-    """End the request unless a server runs it, as the process is about to stop."""
+    """End the request unless a server is running it: this process is about to stop."""
 
 
 DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | EndWaiting
@@ -71,10 +71,10 @@
     """Why a request or a hedge waits before it is sent."""
 
     NO_SERVER = "no-server"
-    BUDGET = "budget"  # no server takes repeats
+    BUDGET = "budget"  # no server has retry budget left
     BUSY = "busy"  # no server has a free slot for a hedge
     COST = "cost"  # the best server costs more than a hedge is worth
-    RISK = "risk"  # not repeatable, and every server is likely to fail
+    RISK = "risk"  # it is not repeatable, and the best server is likely failing
 
 
 class Held(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -3,16 +3,18 @@
 import math
 
 ROUTES_LIMIT = 512
-MIN_GAIN = 0.05  # weight of a new answer once there are 20 or more
+MIN_GAIN = 0.05  # weight of a new answer in the averages after the first 20 answers
 STRAGGLER_SHARE = 0.03  # share of requests that take far longer than the rest
-STRAGGLER_MULTIPLE = 6.0  # how many times as long a straggler takes
+STRAGGLER_MULTIPLE = 6.0  # duration of such a straggler, as a multiple of the usual
 DEFAULT_TARGET_S = 1.0
 TARGET_TO_MEDIAN = 0.2  # assumed median before any answer, as a share of the target
 PRIOR_ANSWERS = 2  # the initial guess weighs as much as this many answers
-CONFIDENT_ANSWERS = 8  # with fewer answers, a long wait is weaker evidence
-INITIAL_SPREAD = 0.8  # standard deviation of the logarithm of the duration
-MIN_SPREAD = 0.2
-RANK_SHARE = 0.5  # each lower rank may be answered later by this share of the target
+# With fewer answers, a long wait is treated as weaker evidence that a server fails.
+CONFIDENT_ANSWERS = 8
+# Standard deviations of the logarithm of the duration.
+INITIAL_DEVIATION = 0.8
+MIN_DEVIATION = 0.2
+RANK_SHARE = 0.5  # share of the target that each less urgent rank may take longer
 MIN_DURATION_S = 1e-4  # shorter durations carry no information about a server
 P90_DEVIATIONS = 1.2816  # standard deviations from the mean to the 90th percentile
 STRAGGLER_MEAN_FACTOR = 1.0 + STRAGGLER_SHARE * (STRAGGLER_MULTIPLE - 1.0)
@@ -29,7 +31,7 @@
         self._effective_target_s = target_s or DEFAULT_TARGET_S
         initial_s = self._effective_target_s * TARGET_TO_MEDIAN
         self._mean = math.log(initial_s)
-        self._variance = INITIAL_SPREAD**2
+        self._variance = INITIAL_DEVIATION**2
         self._answers = PRIOR_ANSWERS
 
     @property
@@ -67,7 +69,7 @@
         distance = sample - self._mean
         self._mean += gain * distance
         self._variance += gain * (distance**2 - self._variance)
-        self._variance = max(MIN_SPREAD**2, self._variance)
+        self._variance = max(MIN_DEVIATION**2, self._variance)
 
     def survival(self, seconds: float) -> float:
         """Return the share of requests that take longer than ``seconds``."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -11,7 +11,7 @@
 
 
 class HostDecided(NamedTuple):
-    """A decision or an outcome at the daemon beside a server."""
+    """A decision or an outcome at the daemon that a server is registered with."""
 
     action: str  # call-started, call-ended, declined or joined
     attempt_id: str
@@ -19,7 +19,7 @@
 
 
 class AttemptSent(NamedTuple):
-    """The origin of a request sent an attempt."""
+    """The origin, the daemon that received a request, sent an attempt of it."""
 
     request_id: str
     attempt_id: str
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -1,4 +1,11 @@
-"""Admit, queue and start the attempts at the backend servers beside a daemon."""
+"""Admit, queue and start attempts on the backend servers registered with a daemon.
+
+An attempt is one try to run a request on a server. The daemon that a server is
+registered with is its host; the daemon that received the request is the origin,
+which submits attempts to the host and may submit the same one more than once.
+A repeat is a retry or a hedge: an attempt of a request that may already have
+reached a server.
+"""
 
 import enum
 from collections.abc import Mapping
@@ -34,13 +41,20 @@
 from pimentobend_core._internal.traffic.shared_budget import ServerBudget
 
 QUEUE_LIMIT = 128  # queued attempts per server
-RECORDS_LIMIT = 20_000  # attempts; 42 s at the design rate need 10,000
-RECORD_RETENTION_S = 30.0  # after the deadline; a delayed copy may still arrive
-TRIAL_INTERVAL_S = 1.5  # a doubtful server that was sent nothing for so long is tried
-TRIAL_RISK = 0.1  # a server with a higher risk is doubtful
+# At the rate that a daemon is designed for, 10,000 attempts arrive within 42 s.
+RECORDS_LIMIT = 20_000  # attempts
+# How long a record is kept after its attempt's deadline, because a delayed copy of
+# the submission may still arrive and must not run.
+RECORD_RETENTION_S = 30.0
+# A doubtful server, one with a higher risk of failing than TRIAL_RISK, asks for a
+# trial request after this time without any request.
+TRIAL_INTERVAL_S = 1.5
+TRIAL_RISK = 0.1
 COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
-MIN_TIME_SHARE = 0.5  # of the route's median; hardly any answer takes less
-UNREACHABLE_S = 0.5  # a server that could not be reached makes no bids for so long
+# An attempt is declined if less than this share of its route's median answer time is
+# left before the deadline, as hardly any answer takes less.
+MIN_TIME_SHARE = 0.5
+UNREACHABLE_S = 0.5  # how long no bids are made for a server that was unreachable
 
 
 class _Phase(enum.Enum):
@@ -79,7 +93,7 @@
 
     @property
     def slowdown(self) -> float:
-        """Return the factor by which answers now take longer than once warmed up."""
+        """Return the answer time now as a multiple of that of the warmed-up server."""
         return COLD_MULTIPLE if self.server.is_cold else 1.0
 
     def survival(self, submit: Submit) -> Survival:
@@ -95,7 +109,7 @@
 
 
 class ServerHost(StatefulFilter[HostInput, HostOutput]):
-    """Runs attempts on the slots of the servers beside a daemon and queues the rest.
+    """Runs attempts on the free slots of this daemon's servers and queues the rest.
 
     Every request for these servers passes through here, so the number of free
     slots is known exactly, and an attempt runs at most once however often it is
@@ -181,10 +195,10 @@
             round(wait_s, 3),
             round(slowdown * durations.p90_s, 3),
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._takes_repeats(hosted, now),
+            self._has_repeat_budget(hosted, now),
         )
 
-    def _takes_repeats(self, hosted: _HostedServer, now: float) -> bool:
+    def _has_repeat_budget(self, hosted: _HostedServer, now: float) -> bool:
         servers = self._service_sizes.get(hosted.server.service, 1)
         return hosted.budget.allows(servers, now)
 
@@ -221,14 +235,14 @@
         is_full = len(hosted.backlog) >= QUEUE_LIMIT
         if is_full or len(self._records) >= RECORDS_LIMIT:
             return DeclineReason.FULL
-        if submit.is_repeat and not self._takes_repeats(hosted, now):
+        if submit.is_repeat and not self._has_repeat_budget(hosted, now):
             return DeclineReason.BUDGET
         return None
 
     def _start_queued(
         self, hosted: _HostedServer, now: float
     ) -> tuple[HostOutput, ...]:
-        """Start queued attempts while slots are free; decline those out of time."""
+        """Start queued attempts while slots are free; decline those too late."""
         outputs: list[HostOutput] = []
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
@@ -330,14 +344,14 @@
     def _expire(self, now: float) -> tuple[HostOutput, ...]:
         outputs: list[HostOutput] = []
         for hosted in self._servers.values():
-            late = [
+            too_late = [
                 queued
                 for queued in hosted.backlog
                 if not self._has_time(
                     hosted, self._records[queued.attempt_id].submit, now
                 )
             ]
-            for queued in late:
+            for queued in too_late:
                 hosted.backlog.remove(queued.attempt_id)
                 record = self._records[queued.attempt_id]
                 outputs.append(self._decline(record, DeclineReason.DEADLINE))
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -17,10 +17,12 @@
 HEALTHY_ERROR_SHARE = 0.02  # share of requests that fail at a healthy server
 INITIAL_RISK = 0.1  # risk of a server that has answered nothing yet
 MIN_SURVIVAL = 0.002  # floor that bounds the evidence of one unanswered request
-WINDOW_S = 15.0  # older requests are folded into the prior
-MAX_OBSERVATIONS = 128  # requests
-_RATE = FAILURES_PER_S + RECOVERIES_PER_S  # at which old evidence decays
-_STEADY_RISK = FAILURES_PER_S / _RATE  # without any evidence
+# Requests older than the window, and the oldest beyond this number, are merged into
+# the prior risk.
+WINDOW_S = 15.0
+MAX_OBSERVATIONS = 128
+_DECAY_RATE_PER_S = FAILURES_PER_S + RECOVERIES_PER_S  # of old evidence
+_STEADY_RISK = FAILURES_PER_S / _DECAY_RATE_PER_S  # risk without any evidence
 
 # Maps a duration in s to the share of requests that take longer.
 Survival = Callable[[float], float]
@@ -62,7 +64,7 @@
         observation = _Observation(now, survival)
         self._open[request_id] = observation
         self._observations.append(observation)
-        self._fold_old(now)
+        self._merge_old(now)
 
     def record_end(self, request_id: str, now: float, *, is_good: bool | None) -> None:
         """Record the end of a request; ``is_good`` is None if it was given up."""
@@ -74,13 +76,13 @@
     def risk(self, now: float) -> float:
         """Return the probability that the server is in its failing state now."""
         risk = self._prior_risk
-        at = self._prior_at
+        risk_at = self._prior_at  # time that ``risk`` applies to
         for observation in self._observations:
-            risk = _relax(risk, observation.sent_at - at)
-            at = observation.sent_at
+            risk = _relax(risk, observation.sent_at - risk_at)
+            risk_at = observation.sent_at
             odds = observation.likelihood_ratio(now) * risk / (1.0 - risk)
             risk = min(0.999, odds / (1.0 + odds))
-        return _relax(risk, now - at)
+        return _relax(risk, now - risk_at)
 
     def idle_s(self, now: float) -> float:
         """Return how long ago the newest request was sent, in seconds."""
@@ -89,8 +91,8 @@
         )
         return now - newest
 
-    def _fold_old(self, now: float) -> None:
-        """Fold observations that are too old or too many into the prior risk."""
+    def _merge_old(self, now: float) -> None:
+        """Merge observations that are too old or too many into the prior risk."""
         while len(self._observations) > MAX_OBSERVATIONS or (
             self._observations and now - self._observations[0].sent_at > WINDOW_S
         ):
@@ -102,5 +104,7 @@
 
 
 def _relax(risk: float, seconds: float) -> float:
-    """Return a risk after ``seconds`` without evidence; it tends to the steady one."""
-    return _STEADY_RISK + (risk - _STEADY_RISK) * math.exp(-_RATE * max(0.0, seconds))
+    """Return a risk after ``seconds`` without evidence; it tends to _STEADY_RISK."""
+    return _STEADY_RISK + (risk - _STEADY_RISK) * math.exp(
+        -_DECAY_RATE_PER_S * max(0.0, seconds)
+    )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -1,4 +1,8 @@
-"""Messages between the origin of a request and the daemon beside its server."""
+"""Messages between the origin of a request and the host of a server.
+
+The origin is the daemon that received the request; the host is the daemon that
+the server is registered with. A repeat is a retry or a hedge.
+"""
 
 import enum
 from typing import NamedTuple
@@ -7,15 +11,16 @@
 
 
 class Bid(NamedTuple):
-    """Terms on which a server offers to run a route's request; times are in s."""
+    """How soon and how safely a server could run a route's request; times are in s."""
 
     server_id: str
     risk: float  # probability that the server is failing
     free_slots: int
     wait_s: float  # expected time until a slot is free
     p90_s: float  # 90th percentile of the route's answer time
-    wants_trial: bool = False  # a repeatable request should test whether it answers
-    takes_repeats: bool = True  # its share of the retry budget is not spent
+    # A repeatable request should be sent to test whether the server answers again.
+    wants_trial: bool = False
+    takes_repeats: bool = True  # the server's share of the retry budget is not spent
 
 
 class Ask(NamedTuple):
@@ -42,17 +47,17 @@
     route: str
     priority: int  # 0 is the most urgent
     is_repeatable: bool
-    target_s: float  # 0 if the route has none
+    target_s: float  # target latency; 0 if the route has none
     deadline: float  # clock time
     request_id: str = ""
     is_repeat: bool = False  # an earlier attempt may have reached a server
 
 
 class Withdraw(NamedTuple):
-    """Withdraw an attempt whose answer is not needed, or one still queued."""
+    """Withdraw an attempt whose answer is no longer needed."""
 
     attempt_id: str
-    only_queued: bool = False  # a running attempt continues
+    only_queued: bool = False  # withdraw it only if it has not started
 
 
 class EndKind(enum.Enum):
@@ -73,7 +78,7 @@
 
 
 class ServerListed(NamedTuple):
-    """Report a new server beside this daemon, or a change of its state."""
+    """Report that a server registered with this daemon, or changed its state."""
 
     server: Server
 
@@ -95,7 +100,7 @@
 
 
 class HostTick(NamedTuple):
-    """Periodic tick that expires queued attempts and old records."""
+    """Periodic tick: declines late queued attempts and drops old records."""
 
 
 HostInput = (
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -23,14 +23,17 @@
     Distance.FAR: 0.25,  # traffic between regions costs ten times as much
 }
 MIN_RISK = 0.02  # risk of a server that answered a moment ago
-REPEATABLE_RISK_COST = 0.2  # cost of a failure that may still be retried
+REPEATABLE_RISK_COST = 0.2  # cost of a failure after which a retry is possible
 TRIAL_BENEFIT = 0.25  # value of learning whether a doubtful server answers again
-FAILING_RISK = 0.5  # from here a server is more likely to fail than to answer
-MAX_HEDGE_COST = 0.5  # a hedge that costs more is not worth its traffic and its slot
-MAX_FALLBACK_RISK = 0.1  # a failed trial is retried on a server with a lower risk
-WAIT_COST = 1.0  # cost of a wait as long as the route's target
+FAILING_RISK = 0.5  # from this risk on, a server probably fails a request
+# A hedge that costs more is not sent, as it is not worth its traffic and its slot.
+MAX_HEDGE_COST = 0.5
+# A doubtful server is sent a trial only if the request can be retried on another
+# server, whose risk is below this.
+MAX_FALLBACK_RISK = 0.1
+WAIT_COST = 1.0  # cost of a wait that is as long as the route's target latency
 BUSY_COST = 0.02  # cost of a server without a free slot; divided by 1 + free slots
-DEFAULT_TARGET_S = 1.0
+DEFAULT_TARGET_S = 1.0  # assumed for routes without a target latency
 
 
 class Candidate(NamedTuple):
@@ -50,8 +53,8 @@
     """What matters to a request in the choice of its server."""
 
     has_second_chance: bool  # the request may be retried
-    target_s: float  # 0 if the route has none
-    may_send_trial: bool = False  # the request may test a doubtful server
+    target_s: float  # target latency; 0 if the route has none
+    may_send_trial: bool = False  # it may be sent to test a server that asks for it
 
     def failure_cost(self, *, is_trial: bool = False) -> float:
         """Return the cost of a failed attempt, as a share of the request's value."""
@@ -115,7 +118,7 @@
 
     best: ScoredCandidate | None
     is_hedge_optional: bool  # the server that runs the request seems healthy
-    lacks_budget: bool  # there are servers, but none takes repeats
+    lacks_budget: bool  # there are servers, but none has retry budget left
 
 
 def select_next(
--- a/tests/lib/delivery_driver.py
+++ b/tests/lib/delivery_driver.py
@@ -26,7 +26,7 @@
 
 
 class FakeRetryPolicy(RetryPolicy):
-    """Allows a fixed number of retries and hedges."""
+    """Allows the given number of retries and hedges."""
 
     def __init__(self, repeats: int) -> None:
         self.repeats = repeats
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -26,7 +26,7 @@
 
 
 class Place(NamedTuple):
-    """Location of a daemon, and the server beside it."""
+    """Location of a daemon, and the server that is registered with it."""
 
     data_centre: str
     region: str
--- a/tests/unit/forwarding/test_budget.py
+++ b/tests/unit/forwarding/test_budget.py
@@ -1,4 +1,4 @@
-"""Test that the servers' shares of a retry budget never exceed the whole."""
+"""Test that all servers together take no more repeats than the retry budget."""
 
 import pytest
 from hypothesis import given
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -70,8 +70,9 @@
         self._target = target
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.port: int = self._socket.getsockname()[1]
-        self.breaks_after: list[float] = []  # in s, for each of the next connections
-        self.loses_answers = 0  # so many connections pass no answers on
+        # Seconds after which each of the next connections is broken.
+        self.breaks_after: list[float] = []
+        self.loses_answers = 0  # number of next connections whose answers are dropped
         Thread(target=self._accept, daemon=True).start()
 
     def stop(self) -> None:
@@ -152,6 +153,8 @@
             return self.client.run(peer, self.attempt(name, safe=safe))
 
 
+# Name, duration of the call, times after which connections break, and
+# how many connections lose their answers.
 BREAKS = [
     ("no break", 0.0, [], 0),
     ("while it runs", 0.4, [0.1], 0),
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -1,4 +1,4 @@
-"""Test which attempts the daemon beside a server starts, queues and declines."""
+"""Test which attempts the daemon of a server starts, queues and declines."""
 
 import pytest
 
@@ -41,7 +41,7 @@
 
 
 class HostHarness:
-    """A host with one server, which has two slots unless said otherwise."""
+    """A host with one registered server, by default ``SERVER`` with two slots."""
 
     def __init__(self, server: Server = SERVER) -> None:
         self.host = ServerHost(7, TERMS)
@@ -224,7 +224,7 @@
     left_s: float, is_started: bool
 ) -> None:
     harness = HostHarness(SERVER._replace(slots=1))
-    for number in range(60):  # the route's answers take 1 s
+    for number in range(60):  # teach the host that the route's answers take 1 s
         harness.give(submit(f"{number}", deadline=999.0))
         harness.now += 1.0
         harness.give(ended(f"{number}"))
@@ -256,7 +256,7 @@
 ) -> None:
     harness = HostHarness(SERVER._replace(is_cold=is_cold, slots=6))
     harness.give(*(submit(f"{number}") for number in range(6)))
-    harness.now = 0.6  # half of a route's requests take 0.2 s at first
+    harness.now = 0.6  # three times the median that is assumed before any answer
     assert (harness.bid().bids[0].risk > 0.9) == is_doubtful
 
 
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -18,6 +18,8 @@
     return durations
 
 
+# Name, outcomes of the requests at 0 s (True if answered, False if failed, None if
+# given up), time at which the risk is read in s, and the bounds that it must keep.
 CASES = [
     ("no evidence", [], 0.0, (INITIAL_RISK, INITIAL_RISK)),
     ("an answer", [True], 0.0, (0.0, 0.05)),
@@ -32,13 +34,13 @@
 
 
 @pytest.mark.parametrize(
-    ("ends", "later_s", "bounds"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
+    ("outcomes", "later_s", "bounds"), [c[1:] for c in CASES], ids=[c[0] for c in CASES]
 )
 def test_risk_follows_the_outcomes(
-    ends: list[bool | None], later_s: float, bounds: tuple[float, float]
+    outcomes: list[bool | None], later_s: float, bounds: tuple[float, float]
 ) -> None:
     liveness = Liveness(0.0)
-    for number, is_good in enumerate(ends):
+    for number, is_good in enumerate(outcomes):
         liveness.record_sent(str(number), make_estimate().survival, 0.0)
         liveness.record_end(str(number), 0.0, is_good=is_good)
     assert bounds[0] <= liveness.risk(later_s) <= bounds[1]
@@ -56,7 +58,8 @@
     assert risks[-1] > 0.5
 
 
-@example([(0.0, True), (5e-324, True)])  # the logarithm of a duration near 0
+# A duration of 5e-324 s once raised an error when its logarithm was taken.
+@example([(0.0, True), (5e-324, True)])
 @given(st.lists(st.tuples(st.floats(0, 1), st.sampled_from([True, False, None]))))
 def test_risk_is_a_probability(steps: list[tuple[float, bool | None]]) -> None:
     liveness = Liveness(0.0)
