Say what the traffic constants limit

Cause: a reader stopped at "_CountingOwner" (owner of what) and "_ask" (asks nothing) in the test of ticks. The constants had fragments of the same kind ("of the time left when a request arrives", "of the high quantile"), and slot, ticket, probe, origin and hold time were used without being explained. Change: plain sentences, and the words at the head of their modules; _TickCounter and _make_acquire in the test; private names spread_s, named, kept, is_reborn say what they hold.

--- a/packages/core/src/pimentobend_core/_internal/traffic/fairness.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/fairness.py
@@ -3,12 +3,13 @@
 import array
 import zlib
 
-ROWS = 2
-BUCKETS = 1024
-HALF_LIFE_S = 2.0
-SHARE_MULTIPLE = 1.5  # of the mean use of the active organisations
-USAGE_FLOOR = 8.0  # requests, up to which no organisation is over its share
-EMPTY_BELOW = 0.1  # requests, up to which a counter is set to 0
+ROWS = 2  # rows of counters in the sketch, each with its own hash function
+BUCKETS = 1024  # counters per row
+HALF_LIFE_S = 2.0  # of the counters
+# An organisation's share is this multiple of the mean use of the active ones.
+SHARE_MULTIPLE = 1.5
+USAGE_FLOOR = 8.0  # an organisation with at most this use is never over its share
+EMPTY_BELOW = 0.1  # a counter that decays to this or less is reset to 0
 
 
 class FairShares:
--- a/packages/core/src/pimentobend_core/_internal/traffic/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/messages.py
@@ -1,4 +1,8 @@
-"""Messages to and from the task that owns a pool's traffic."""
+"""Messages to and from the task that assigns the slots of a pool's servers.
+
+A slot is a server's capacity to run one request at a time. A ticket is the number
+of one attempt to get a slot for a request.
+"""
 
 from typing import NamedTuple
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -33,11 +33,15 @@
 from pimentobend_core._internal.traffic.waiting import QueueOrder
 from pimentobend_core._internal.traffic.waiting import WaitingQueue
 
-MAX_WAIT_SHARE = 0.5  # of the time left when a request arrives
-FAR_ROUND_TRIP_S = 0.06
-PROBE_SHARE = 0.1  # probes earned by an answer; an answered probe earns 1
-PROBE_FLOOR_PER_S = 5.0
-SCAN_DEPTH = 4  # queued requests examined per size class
+# A request is not queued if its expected wait exceeds this share of the time that is
+# left until its deadline.
+MAX_WAIT_SHARE = 0.5
+FAR_ROUND_TRIP_S = 0.06  # to a server in another region
+# A probe is a request that is sent to a server whose last load report showed no free
+# slot. Each answer allows this many more probes; the answer to a probe allows one.
+PROBE_SHARE = 0.1
+PROBE_FLOOR_PER_S = 5.0  # probes per second that are allowed without any answers
+SCAN_DEPTH = 4  # queued requests of each size class that are examined for a grant
 SHORT_RESERVE_SLOTS = 1.0  # slots per server that long requests leave free
 
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/refusals.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/refusals.py
@@ -30,12 +30,12 @@
 
         Retry-After is random, from 1 s to 1 s more than the wait, at most 30 s.
         """
-        spread_s = min(RETRY_AFTER_LIMIT_S, 1 + math.ceil(max(0.0, wait_s)))
+        range_s = min(RETRY_AFTER_LIMIT_S, 1 + math.ceil(max(0.0, wait_s)))
         is_over_share = reason is RefusalReason.FAIR_SHARE
         return Refusal(
             status=STATUS_OVER_SHARE if is_over_share else STATUS_UNAVAILABLE,
             ran=Ran.NOT_RUN,
             reason=reason,
             detail=DETAILS[reason],
-            retry_after_s=1 + self._rng.randrange(spread_s),
+            retry_after_s=1 + self._rng.randrange(range_s),
         )
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -3,11 +3,13 @@
 from pimentobend_core._internal.models.request import AttemptKind
 
 RETRY_SHARE = 0.2  # tokens per success
-RETRY_FLOOR_PER_S = 2.0
-REFUSED_RETRY_COST = 0.25  # tokens; refusing a request costs a server little work
+RETRY_FLOOR_PER_S = 2.0  # tokens per second, added without any success
+# Tokens for the retry of a refused request: a refusal costs a server little work.
+REFUSED_RETRY_COST = 0.25
 HEDGE_SHARE = 0.02  # tokens per success
-HEDGE_FLOOR_PER_S = 0.0
-FLOOR_CAPACITY_S = 5.0  # the floor may accumulate over this time
+HEDGE_FLOOR_PER_S = 0.0  # tokens per second, added without any success
+# A bucket holds CAPACITY_TOKENS and what the minimum rate adds within this time.
+FLOOR_CAPACITY_S = 5.0
 CAPACITY_TOKENS = 20.0
 
 NOT_RUN_KINDS = (AttemptKind.REFUSED, AttemptKind.NOT_CONNECTED)
--- a/packages/core/src/pimentobend_core/_internal/traffic/roster.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/roster.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.traffic.slots import SlotsEstimate
 
 FAR_RESERVE_SLOTS = 1.0  # slots per server that other regions' requests leave free
+# Weight of a new load report in the average share of slots that other daemons use.
 OTHER_SHARE_GAIN = 0.05
 
 
@@ -39,7 +40,7 @@
         A removed server is kept until its last request ends.
         """
         is_first = not self._slots
-        named = {server.server_id for server in servers}
+        listed_ids = {server.server_id for server in servers}
         for server in servers:
             known = self._slots.get(server.server_id)
             if known is not None:
@@ -51,7 +52,7 @@
             slots = ServerSlots(server, None if is_warm else now)
             slots.set_health(self._health.get(server.server_id, 1.0))
             self._slots[server.server_id] = slots
-        for server_id in self._slots.keys() - named:
+        for server_id in self._slots.keys() - listed_ids:
             self._slots[server_id].withdraw()
             self._remove_if_unused(server_id)
 
@@ -88,7 +89,7 @@
     def candidates(
         self, now: float, hold_s: float, reserved_slots: float, allow_far: bool
     ) -> list[Candidate]:
-        """Return the servers that have a free slot besides ``reserved_slots``.
+        """Return the servers with a free slot in addition to ``reserved_slots``.
 
         Servers of other regions are included when no server of this region is
         usable, or when ``allow_far`` is set and they keep a slot in reserve.
@@ -151,9 +152,9 @@
         found = []
         for slots in servers:
             estimate = slots.estimate(now, hold_s, self._average_other_share)
-            # A server with a single slot has none to keep back.
-            kept = reserved_slots if slots.server.slots > 1 else 0.0
-            if estimate.free >= 1.0 + kept:
+            # No slot is reserved on a server that has a single one.
+            reserved = reserved_slots if slots.server.slots > 1 else 0.0
+            if estimate.free >= 1.0 + reserved:
                 found.append(self._candidate(slots.server, estimate))
         return found
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/round_robin.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/round_robin.py
@@ -41,12 +41,12 @@
         ready = [s for s in self._servers if s.state is ServerState.READY]
         untried = [s for s in ready if s.server_id not in message.excluded] or ready
         if not untried:
-            return Rejected(message.ticket, _no_server())
+            return Rejected(message.ticket, _no_server_refusal())
         self._next += 1
         return Granted(message.ticket, untried[self._next % len(untried)])
 
 
-def _no_server() -> Refusal:
+def _no_server_refusal() -> Refusal:
     return Refusal(
         status=503,
         ran=Ran.NOT_RUN,
--- a/packages/core/src/pimentobend_core/_internal/traffic/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/selection.py
@@ -6,8 +6,10 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-SAMPLE_SIZE = 2
-SPILL_LOAD = 0.7  # share of slots; above it, the whole region is used
+SAMPLE_SIZE = 2  # servers whose load is compared for each request
+# Servers of this data centre are preferred while their load is below this share of
+# their slots; after that, servers of the whole region are chosen from.
+SPILL_LOAD = 0.7
 
 
 class Proximity(enum.IntEnum):
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -1,4 +1,8 @@
-"""Limit the repeated requests of a whole fleet without coordination."""
+"""Limit the repeated requests of a whole fleet without coordination.
+
+A repeat is a retry or a hedge. The origin of a request is the daemon that received
+it from its caller.
+"""
 
 from collections import deque
 from typing import NamedTuple
@@ -6,10 +10,12 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.traffic.retries import TokenBucket
 
-USED_SHARE = 0.5  # of the limit; a repeated request can cause up to two calls
-ORIGIN_SHARE = 0.3  # tokens per success, the most that one daemon repeats
-ORIGIN_FLOOR_PER_S = 0.5
-ORIGIN_TOKENS = 10.0
+# Servers take repeats up to this share of the limit, as a repeat can cause up to two
+# calls.
+USED_SHARE = 0.5
+ORIGIN_SHARE = 0.3  # repeats that one success allows its origin
+ORIGIN_FLOOR_PER_S = 0.5  # repeats per second that are allowed without any success
+ORIGIN_TOKENS = 10.0  # repeats allowed at the start, and the most that accumulate
 
 
 class BudgetTerms(NamedTuple):
@@ -17,14 +23,14 @@
 
     ratio: float  # repeats per first attempt
     window_s: float
-    allowance: float  # additional repeats per window
+    allowance: float  # repeats per window in addition to the ratio
 
 
 class OriginBudget(RetryPolicy):
     """Limit the requests that one daemon repeats, for each pool.
 
-    The limit on all daemons together is enforced by the daemons beside the
-    servers, see ``ServerBudget``.
+    The limit on all daemons together is enforced by the daemons that the servers
+    are registered with, see ``ServerBudget``.
     """
 
     def __init__(self) -> None:
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -8,13 +8,17 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
-COLD_RAMP_S = 10.0
-COLD_WEIGHT = 0.2
-FAILURE_HALF_LIFE_S = 0.5  # only steers retries; health decides the server's weight
-BACKOFF_LIMIT = 3.0  # doublings of the decay time
-BACKOFF_HALF_LIFE_S = 2.0
+COLD_RAMP_S = 10.0  # a new server's share of traffic rises to the normal in this time
+COLD_WEIGHT = 0.2  # share of its normal traffic at its start
+# The failure count of a server only steers retries away from it; its share of traffic
+# depends on its health.
+FAILURE_HALF_LIFE_S = 0.5
+# The reported requests of other daemons are assumed to end at a rate that is halved by
+# each doubling of the decay time; refusals add doublings, up to this limit.
+BACKOFF_LIMIT = 3.0
+BACKOFF_HALF_LIFE_S = 2.0  # of the number of doublings
 MIN_FAILURES = 0.1  # a lower decayed failure count is treated as 0
-OTHER_REQUESTS_LIMIT = 2  # multiple of the server's slots
+OTHER_REQUESTS_LIMIT = 2  # most requests of other daemons, per slot of the server
 FAILED_KINDS = (
     AttemptKind.NOT_CONNECTED,
     AttemptKind.NO_ANSWER,
@@ -85,8 +89,8 @@
     def announce(self, server: Server, now: float) -> None:
         """Update the server; a restart or return to service begins a cold start."""
         was_down = not self._is_listed or self._server.state is ServerState.STARTING
-        is_reborn = server.incarnation > self._server.incarnation
-        if is_reborn or (was_down and server.state is ServerState.READY):
+        has_restarted = server.incarnation > self._server.incarnation
+        if has_restarted or (was_down and server.state is ServerState.READY):
             self._cold_since = now
             self._other_requests = 0.0
             self._backoff = 0.0
--- a/packages/core/src/pimentobend_core/_internal/traffic/times.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/times.py
@@ -1,18 +1,21 @@
-"""Measure how long the requests of each route occupy a slot."""
+"""Measure hold times: how long the requests of each route occupy a slot."""
 
 import enum
 
 ROUTES_LIMIT = 2048
-DEFAULT_HOLD_S = 0.05
+DEFAULT_HOLD_S = 0.05  # assumed until the first request ends
 MIN_HOLD_S = 0.001
-ESTIMATE_HALF_LIFE_S = 30.0  # while no request of the route ends
+ESTIMATE_HALF_LIFE_S = 30.0  # of a route's estimate while none of its requests ends
 ACTIVE_WINDOW_S = 60.0  # routes idle for longer are not classified
 CLASSIFY_INTERVAL_S = 1.0
-MIN_SAMPLES = 8
-LONG_ROUTE_MULTIPLE = 4.0  # of the shortest median hold time in the pool
-STRAGGLER_MULTIPLE = 4.0  # of the high quantile
-MEAN_GAIN = 0.02
-QUANTILE_GAIN = 0.05
+MIN_SAMPLES = 8  # ended requests that are needed before an estimate is used
+# A route is long if its median exceeds this multiple of the pool's shortest median.
+LONG_ROUTE_MULTIPLE = 4.0
+# A request is a straggler once it has held its slot for this multiple of the
+# HIGH_QUANTILE of its route.
+STRAGGLER_MULTIPLE = 4.0
+MEAN_GAIN = 0.02  # smallest weight of a new sample in the mean
+QUANTILE_GAIN = 0.05  # smallest weight of a new sample in a quantile
 HIGH_QUANTILE = 0.9
 
 
--- a/tests/unit/traffic/test_pool.py
+++ b/tests/unit/traffic/test_pool.py
@@ -235,8 +235,8 @@
 def test_cold_server_ramps_up(state: str, limit: int) -> None:
     traffic = values.create_traffic(values.create_server(1, 4))
     incarnation = 2 if state == "new" else 1
-    reborn = values.create_server(1, 4, incarnation=incarnation)
-    traffic.handle(ServersChanged((reborn,)), 5.0)
+    announced = values.create_server(1, 4, incarnation=incarnation)
+    traffic.handle(ServersChanged((announced,)), 5.0)
     outputs = [
         output
         for ticket in range(4)
--- a/tests/unit/traffic/test_traffic_ticks.py
+++ b/tests/unit/traffic/test_traffic_ticks.py
@@ -32,7 +32,7 @@
         """Ignore the attempt."""
 
 
-class _CountingOwner(StatefulFilter[TrafficInput, TrafficOutput]):
+class _TickCounter(StatefulFilter[TrafficInput, TrafficOutput]):
     """Counts ticks and never grants a server."""
 
     def __init__(self) -> None:
@@ -50,27 +50,27 @@
     "waiting", [(), ("a",), ("a", "c")], ids=["none", "one", "two"]
 )
 def test_ticks_follow_waiting_requests(waiting: tuple[str, ...]) -> None:
-    owners: dict[str, _CountingOwner] = {}
+    counters: dict[str, _TickCounter] = {}
 
-    def create(pool: Pool) -> _CountingOwner:
-        return owners.setdefault(pool.name, _CountingOwner())
+    def create(pool: Pool) -> _TickCounter:
+        return counters.setdefault(pool.name, _TickCounter())
 
     clock = HubClock()
     tasks = TrafficTasks(create, clock, _NullObserver())
     tasks.configure(POOLS)
     deadline = clock.now() + 60.0
     waiters = [
-        eventlet.spawn(tasks.acquire, name, _ask(ticket, deadline))
+        eventlet.spawn(tasks.acquire, name, _make_acquire(ticket, deadline))
         for ticket, name in enumerate(waiting)
     ]
-    while waiting and min(owners[name].ticks for name in waiting) < TICKS_WAITED:
+    while waiting and min(counters[name].ticks for name in waiting) < TICKS_WAITED:
         eventlet.sleep(TICK_S)
     eventlet.sleep(TICKS_WAITED * TICK_S)
-    ticked = {name for name, owner in owners.items() if owner.ticks}
+    ticked = {name for name, counter in counters.items() if counter.ticks}
     for waiter in waiters:
         waiter.kill()
     assert ticked == set(waiting)
 
 
-def _ask(ticket: int, deadline: float) -> Acquire:
+def _make_acquire(ticket: int, deadline: float) -> Acquire:
     return Acquire(ticket, "route", "organisation", deadline, True, frozenset(), False)
