Say which retries and waits the request filters limit

Cause: comments had to be completed ("while every server so far refused", "of the time until the caller's deadline, at most", "tables take an election and a frame"), "the slots' owner" and "keyed and unsafe" were not explained, and _claim claims nothing. Change: plain sentences; _make_claimed and _has_retry_left.

--- a/packages/core/src/pimentobend_core/_internal/request/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/request/__init__.py
@@ -1,1 +1,1 @@
-"""The request pipe: the filters that each request passes."""
+"""The request pipe: the filters from the receipt of a request to its answer."""
--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -25,7 +25,7 @@
         self._tickets = itertools.count(1)
 
     def apply(self, value: PendingAttempt) -> Result[Admitted, Refusal]:
-        """Return the request with its server, or the refusal of the slots' owner."""
+        """Return the request with its server, or the refusal if no slot was granted."""
         request = value.request
         ticket = next(self._tickets)
         message = Acquire(
--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -17,8 +17,9 @@
 from pimentobend_core._internal.request.stages import PendingAttempt
 
 MAX_ATTEMPTS = 3
-MAX_REFUSED_ATTEMPTS = 8  # while every server so far refused without running it
-_BY_CERTAINTY = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)  # that it ran, ascending
+MAX_REFUSED_ATTEMPTS = 8  # the limit after a server refused without running it
+# In ascending certainty that a server ran the request.
+_BY_CERTAINTY = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
 
 
 class RetryPolicy(abc.ABC):
@@ -29,7 +30,7 @@
         """Spend one retry of the pool's budget at ``now`` (seconds) if any is left."""
 
     def may_offer_again(self, pool: str, now: float) -> bool:
-        """Spend one retry of a request that a server refused without running it."""
+        """Like ``may_retry``, for a request that a server refused to run."""
         return self.may_retry(pool, now)
 
     @abc.abstractmethod
@@ -51,7 +52,7 @@
         self._clock = clock
 
     def apply(self, value: Claimed) -> Result[Finished, Refusal]:
-        """Return the answer, or a refusal whose ``ran`` covers all attempts."""
+        """Return the answer, or a refusal that says whether any attempt ran."""
         tried: tuple[str, ...] = ()
         ran = Ran.NOT_RUN
         while True:
@@ -76,13 +77,13 @@
             return False
         if now >= value.head.deadline:
             return False
-        if not self._may_afford(judged.attempted.kind, pool, attempts, now):
+        if not self._has_retry_left(judged.attempted.kind, pool, attempts, now):
             return False
         if judged.attempted.body is not None:
             judged.attempted.body.close()
         return True
 
-    def _may_afford(
+    def _has_retry_left(
         self, kind: AttemptKind, pool: str, attempts: int, now: float
     ) -> bool:
         if kind is AttemptKind.REFUSED:
--- a/packages/core/src/pimentobend_core/_internal/request/idempotency.py
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -12,7 +12,7 @@
 from pimentobend_core._internal.request.stages import Routed
 
 
-def _claim(value: Routed, claim: Claim | None) -> Claimed:
+def _make_claimed(value: Routed, claim: Claim | None) -> Claimed:
     return Claimed(value.head, value.body, value.route, claim)
 
 
@@ -24,16 +24,16 @@
         self._inner = inner
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
-        """Run the inner filters, under a claim if the request is keyed and unsafe."""
+        """Run the inner filters; claim the key of a request that is not repeatable."""
         if value.route.repeatable or value.head.idempotency_key is None:
-            return self._inner.apply(_claim(value, None))
+            return self._inner.apply(_make_claimed(value, None))
         claimed = self._ledger.claim(value.head)
         if not isinstance(claimed, Failure):
             return self._run(value, claimed.unwrap())
         return Failure(claimed.failure())
 
     def _run(self, value: Routed, claim: Claim) -> Result[Finished, Refusal]:
-        result = self._inner.apply(_claim(value, claim))
+        result = self._inner.apply(_make_claimed(value, claim))
         self._settle(claim, result)
         return result
 
--- a/packages/core/src/pimentobend_core/_internal/request/judgement.py
+++ b/packages/core/src/pimentobend_core/_internal/request/judgement.py
@@ -20,6 +20,8 @@
 
 
 class _Verdict(NamedTuple):
+    """The refusal that the caller gets for an attempt without an answer."""
+
     status: int
     ran: Ran
     detail: str
@@ -92,5 +94,5 @@
 def _can_resend(value: EndedAttempt) -> bool:
     request: Claimed = value.request
     if value.attempted.kind is AttemptKind.NOT_CONNECTED:
-        return True
+        return True  # no byte of the request was sent
     return request.body.can_replay
--- a/packages/core/src/pimentobend_core/_internal/request/route.py
+++ b/packages/core/src/pimentobend_core/_internal/request/route.py
@@ -18,9 +18,10 @@
 
 MS_PER_S = 1000
 RETRY_AFTER_S = 0.5  # a starting daemon receives its tables within a second
-# The first tables take an election and a frame to each daemon.
+# How long a request waits for the first tables of a daemon. In a new fleet, a leader is
+# elected first and then sends the tables to each daemon.
 MAX_TABLES_WAIT_S = 3.0
-MAX_TABLES_WAIT_SHARE = 0.25  # of the time until the caller's deadline, at most
+MAX_TABLES_WAIT_SHARE = 0.25  # and at most this share of the time to its deadline
 NO_TABLES = Refusal(
     status=503,
     ran=Ran.NOT_RUN,
