Explain rows, rumours, digests and misses in the gossip code

Cause: row, rumour and miss were used without being explained; several constants had fragments ("at least, between exchanges of the whole list", "times the binary logarithm of the fleet's size, per new row"); _own and _tables named a row and a version; "cannot be decoded" did not say what. Change: the words at the head of the module, plain sentences, _own_row and _tables_version; the error of an undecodable message has its size and the fault.

--- a/packages/core/src/pimentobend_core/_internal/gossip/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/__init__.py
@@ -1,1 +1,1 @@
-"""Gossip between daemons: discovery and the list of the fleet."""
+"""Gossip between daemons: how each one discovers all others."""
--- a/packages/core/src/pimentobend_core/_internal/gossip/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/codec.py
@@ -34,4 +34,6 @@
             raise CodecError(f"gossip message of unknown type {number}")
         return cast(GossipMessage, _DECODERS[number].decode(raw))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("gossip message cannot be decoded") from error
+        raise CodecError(
+            f"gossip message of {len(data)} bytes cannot be decoded: {error}"
+        ) from error
--- a/packages/core/src/pimentobend_core/_internal/gossip/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/messages.py
@@ -10,8 +10,8 @@
 class Ping(NamedTuple):
     """Request an ``Ack``, and pass on recent rows.
 
-    ``digest`` covers all rows that the sender knows; ``tables`` is the version
-    of the tables that is in force there.
+    ``digest`` is a hash over all rows that the sender knows; ``tables`` is the
+    version of the routing tables that the sender uses.
     """
 
     number: int
@@ -36,7 +36,7 @@
 
 
 class Rows(NamedTuple):
-    """Rows for the recipient; ``wanted`` lists addresses to send rows of in return."""
+    """Deliver rows; ``wanted`` lists the addresses whose rows the sender requests."""
 
     rows: tuple[PeerRow, ...]
     wanted: tuple[str, ...]
@@ -59,7 +59,7 @@
 
 
 class TablesChanged(NamedTuple):
-    """Another version of the tables is in force here."""
+    """This daemon now uses another version of the routing tables."""
 
     version: Version
 
@@ -98,7 +98,7 @@
 
 
 class PeersChanged(NamedTuple):
-    """The list of daemons changed; ``peers`` are all rows but the own one."""
+    """The list of daemons changed; ``peers`` has the rows of all other daemons."""
 
     peers: tuple[PeerRow, ...]
 
@@ -111,7 +111,7 @@
 
 
 class NewerTablesSeen(NamedTuple):
-    """A daemon has a newer version of the tables in force."""
+    """Another daemon uses a newer version of the routing tables than this one."""
 
     address: str
     version: Version
--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -1,4 +1,9 @@
-"""Gossip protocol: spreads rows between daemons and detects who answers."""
+"""Gossip protocol: pass each daemon's row to all others and detect who answers.
+
+A row is the record that a daemon publishes about itself. A digest is a hash over
+all rows that a daemon knows. A rumour is a new row that is passed on with pings
+and acks. A miss is a message to which a daemon sent no answer.
+"""
 
 import random
 from collections.abc import Mapping
@@ -27,20 +32,22 @@
 from pimentobend_core._internal.gossip.table import PeerTable
 from pimentobend_core._internal.pipes import StatefulFilter
 
-TICK_S = 0.5
+TICK_S = 0.5  # between ticks
 ACK_TIMEOUT_S = 0.3  # four round trips between regions
 JOIN_INTERVAL_S = 0.25  # between pings to the seeds while no other daemon is known
 SEED_INTERVAL_S = 3.0  # between pings to seeds whose rows are still missing
-PULL_INTERVAL_S = 1.0  # at least, between exchanges of the whole list
+PULL_INTERVAL_S = 1.0  # shortest time between requests to compare whole lists
 MAX_ROWS_PER_MESSAGE = 6  # so that a message fits a datagram
-RUMOUR_REPEATS = 2  # times the binary logarithm of the fleet's size, per new row
-REPING_INTERVAL_S = 1.0  # to a daemon that does not answer; doubles with each miss
+# A new row is sent this many times the binary logarithm of the fleet's size.
+RUMOUR_REPEATS = 2
+# Between pings to a daemon that does not answer; doubles with each miss.
+REPING_INTERVAL_S = 1.0
 REPING_MAX_S = 8.0
-FORGET_S = 120.0  # a daemon that is silent for so long is removed unless it is a seed
+FORGET_S = 120.0  # silence after which a daemon is removed, unless it is a seed
 # Cumulative shares of pings that stay in the data centre and in the region.
 PING_DISTANCE_SHARES = (0.75, 0.96)
-# Daemons that are pinged at once with a change of the own row: in the region, and in
-# other regions, where it is two because one message may be lost.
+# When its own row changes, a daemon pings this many others at once: in its region, and
+# in other regions, where there are two because one message may be lost.
 REGION_FAN_OUT = 3
 FAR_FAN_OUT = 2
 
@@ -53,12 +60,12 @@
     """
 
     def __init__(self, row: PeerRow, seeds: tuple[str, ...], seed: int) -> None:
-        self._own = row
+        self._own_row = row
         self._seeds = seeds
         self._rng = random.Random(seed)
         self._table = PeerTable()
         self._table.put(row)
-        self._tables = FIRST_VERSION
+        self._tables_version = FIRST_VERSION
         # By address, how many more messages carry the row.
         self._rumour_budgets: dict[str, int] = {}
         self._ping_number = 0
@@ -79,9 +86,9 @@
             case GossipReceived():
                 outputs.extend(self._receive(message.sender, message.message, now))
             case OwnRowChanged():
-                outputs.extend(self._change_own(message.row))
+                outputs.extend(self._change_own_row(message.row))
             case TablesChanged():
-                self._tables = message.version
+                self._tables_version = message.version
             case SeedsChanged():
                 self._seeds = message.addresses
                 self._last_seed_ping_at = float("-inf")
@@ -95,8 +102,8 @@
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
         return {
-            "address": self._own.address,
-            "life": list(self._own.version),
+            "address": self._own_row.address,
+            "life": list(self._own_row.version),
             "digest": self._table.digest,
             "peers": {
                 row.address: {
@@ -107,7 +114,7 @@
                     "servers": [list(server) for server in row.servers],
                 }
                 for row in self._table
-                if row.address != self._own.address
+                if row.address != self._own_row.address
             },
         }
 
@@ -149,7 +156,9 @@
     def _check_tables_version(
         self, sender: str, version: Version
     ) -> list[GossipOutput]:
-        return [NewerTablesSeen(sender, version)] if version > self._tables else []
+        return (
+            [NewerTablesSeen(sender, version)] if version > self._tables_version else []
+        )
 
     def _pull(self, sender: str, digest: int, now: float) -> list[GossipOutput]:
         """Request a comparison of all rows from a daemon whose list differs."""
@@ -164,7 +173,7 @@
                 self._start_rumour(row.address)
 
     def _apply_pulled(self, rows: tuple[PeerRow, ...]) -> None:
-        """Apply rows, and spread them only if they are few.
+        """Apply rows, and pass them on as rumours only if they are few.
 
         The many rows that a joining daemon pulls are known to the others already.
         """
@@ -175,30 +184,31 @@
 
     def _apply_row(self, row: PeerRow) -> bool:
         """Apply a row; return whether it is newer than the one known."""
-        if row.address == self._own.address:
+        if row.address == self._own_row.address:
             self._refute(row)
             return False
         return self._table.put(row)
 
     def _refute(self, row: PeerRow) -> None:
-        """Raise the own incarnation above a row left over from an earlier start.
+        """Raise this daemon's incarnation above that of a row from an earlier start.
 
-        Such a row would win if the clock was ahead when it was made.
+        If the clock was ahead at that start, the old row has the higher version and
+        would replace the current one.
         """
-        if row.version < self._own.version or row == self._own:
+        if row.version < self._own_row.version or row == self._own_row:
             return
         version = RowVersion(row.version.incarnation + 1, 0)
-        self._own = self._own._replace(version=version)
-        self._table.put(self._own)
-        self._start_rumour(self._own.address)
+        self._own_row = self._own_row._replace(version=version)
+        self._table.put(self._own_row)
+        self._start_rumour(self._own_row.address)
 
-    def _change_own(self, row: PeerRow) -> list[GossipOutput]:
-        version = self._own.version
-        self._own = row._replace(
+    def _change_own_row(self, row: PeerRow) -> list[GossipOutput]:
+        version = self._own_row.version
+        self._own_row = row._replace(
             version=version._replace(revision=version.revision + 1)
         )
-        self._table.put(self._own)
-        self._start_rumour(self._own.address)
+        self._table.put(self._own_row)
+        self._start_rumour(self._own_row.address)
         live = [
             each
             for each in self._table
@@ -273,14 +283,14 @@
         unknown = [
             address
             for address in self._seeds
-            if address != self._own.address and self._table.get(address) is None
+            if address != self._own_row.address and self._table.get(address) is None
         ]
         is_alone = len(self._table) == 1
         interval_s = JOIN_INTERVAL_S if is_alone else SEED_INTERVAL_S
         if not unknown or now - self._last_seed_ping_at < interval_s:
             return []
         self._last_seed_ping_at = now
-        self._start_rumour(self._own.address)
+        self._start_rumour(self._own_row.address)
         return [self._ping(address, None) for address in unknown]
 
     def _forget_silent(self, now: float) -> None:
@@ -296,20 +306,20 @@
     def _choose_target(self) -> str | None:
         """Choose a random daemon to ping among those that answer, mostly a near one."""
         draw = self._rng.random()
-        own = self._own
+        own = self._own_row
         live = [
             row
             for row in self._table
             if row.address != own.address and not self._misses.get(row.address)
         ]
         if draw < PING_DISTANCE_SHARES[0]:
-            near = [row for row in live if row.data_centre == own.data_centre]
+            preferred = [row for row in live if row.data_centre == own.data_centre]
         elif draw < PING_DISTANCE_SHARES[1]:
-            near = [row for row in live if row.region == own.region]
+            preferred = [row for row in live if row.region == own.region]
         else:
-            near = live
-        chosen = near or live
-        return self._rng.choice(chosen).address if chosen else None
+            preferred = live
+        candidates = preferred or live
+        return self._rng.choice(candidates).address if candidates else None
 
     def _ping(self, address: str, now: float | None) -> SendGossip:
         """Return a ping; without ``now``, a missing ack does not count as a miss."""
@@ -317,15 +327,17 @@
         if now is not None:
             self._unacked[self._ping_number] = (address, now)
         rows = self._take_rumour_rows(address)
-        ping = Ping(self._ping_number, self._table.digest, self._tables, rows)
+        ping = Ping(self._ping_number, self._table.digest, self._tables_version, rows)
         return SendGossip(address, ping)
 
     def _ack(self, address: str, number: int) -> Ack:
         rows = self._take_rumour_rows(address)
-        return Ack(number, self._table.digest, self._tables, rows)
+        return Ack(number, self._table.digest, self._tables_version, rows)
 
     def _report_peers(self) -> list[GossipOutput]:
-        peers = tuple(row for row in self._table if row.address != self._own.address)
+        peers = tuple(
+            row for row in self._table if row.address != self._own_row.address
+        )
         if peers == self._announced_peers:
             return []
         self._announced_peers = peers
--- a/packages/core/src/pimentobend_core/_internal/gossip/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/rows.py
@@ -1,10 +1,10 @@
-"""Rows: what each daemon publishes about itself."""
+"""Rows: the records that daemons publish about themselves."""
 
 from typing import NamedTuple
 
 
 class HostedServer(NamedTuple):
-    """A backend server beside a daemon."""
+    """A backend server that is registered with a daemon."""
 
     server_id: str
     service: str
@@ -19,9 +19,9 @@
 
 
 class PeerRow(NamedTuple):
-    """A daemon of the fleet."""
+    """The row of one daemon of the fleet."""
 
-    address: str  # host:port of its link
+    address: str  # host:port for messages between daemons
     version: RowVersion
     process_id: int  # random, new at each start
     data_centre: str
--- a/tests/unit/gossip/test_node.py
+++ b/tests/unit/gossip/test_node.py
@@ -132,8 +132,8 @@
             assert (SERVER,) in [row.servers for row in peers if row.address == address]
 
 
-PING_AND_ACK_BYTES = 60  # of both together, without rows
-START_ROWS = 6  # copies of the whole list that each daemon may be sent at the start
+PING_AND_ACK_BYTES = 60  # size of a ping and its ack together, without rows
+START_LISTS = 6  # whole lists that may be sent to each daemon at the start
 
 
 @pytest.mark.parametrize("size", [35, 77])
@@ -141,7 +141,7 @@
     fleet = Fleet(size)
     fleet.run(10.0)
     row_bytes = len(encode_message(Rows(tuple(fleet.peers[make_row(0).address]), ())))
-    assert fleet.sent_bytes < START_ROWS * size * row_bytes
+    assert fleet.sent_bytes < START_LISTS * size * row_bytes
     fleet.run(10.0)
     fleet.sent_bytes = 0
     fleet.run(10.0)
@@ -202,12 +202,12 @@
     newer = Version(3, 9)
     fleet.deliver(make_row(1).address, TablesChanged(newer))
     fleet.run(6.0)
-    hints = [(a, o) for a, o in fleet.other_outputs if isinstance(o, NewerTablesSeen)]
-    assert {address for address, _ in hints} == {
+    seen = [(a, o) for a, o in fleet.other_outputs if isinstance(o, NewerTablesSeen)]
+    assert {address for address, _ in seen} == {
         make_row(0).address,
         make_row(2).address,
     }
-    assert {hint.version for _, hint in hints} == {newer}
+    assert {output.version for _, output in seen} == {newer}
 
 
 ROW = make_row(1)._replace(servers=(SERVER,))
