Say what the pool settings and DECLINED mean

Cause: "beside the server" was not explained, and floor, hedge, priority and health_path had half a description or none. Change: comments only.

--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -69,7 +69,8 @@
     NO_ANSWER = "no-answer"  # bytes were sent, and no answer came
     TRUNCATED = "truncated"  # the answer ended before its declared length
     CANCELLED = "cancelled"  # the caller disconnected
-    DECLINED = "declined"  # the daemon beside the server did not accept the request
+    # The daemon that the server is registered with did not accept the request.
+    DECLINED = "declined"
 
 
 class LoadReport(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -30,7 +30,7 @@
     timeout_ms: int
     splits: tuple[Split, ...] = ()
     max_attempts: int = 0  # servers tried per request; 0 for the default
-    priority: int = 0  # 0 is the most urgent
+    priority: int = 0  # rank in a server's queue; 0 is the most urgent
     target_latency_ms: int = 0  # 0 if there is no target
 
 
@@ -39,10 +39,11 @@
 
     name: str
     service: str
-    floor: float  # share of the service's servers that stays in use, 0 to 1
+    # Least share of the service's servers that ejections leave in use, 0 to 1.
+    floor: float
     queue_limit: int  # requests
-    hedge: bool
-    health_path: str = ""
+    hedge: bool  # whether slow repeatable requests may go to a second server
+    health_path: str = ""  # path of health checks
     max_connections: int = 0  # per server, from all callers; 0 if not limited
     protocol: str = ""
     tls: bool = False
