--- a/packages/core/src/pimentobend_core/_internal/compact/__init__.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/__init__.py
@@ -1,1 +1,1 @@
-"""Memory-efficient tables that store rows as packed bytes."""
+"""Memory-efficient tables of routes or servers, each of which is stored as bytes."""
--- a/packages/core/src/pimentobend_core/_internal/compact/heap.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/heap.py
@@ -10,10 +10,10 @@
 _HEADER = Struct("<HI")  # length of the key, length of the record
 _EMPTY = 0
 _TOMBSTONE = 1
-_FIRST_OFFSET = 2  # lower index values are the two marks above
+_FIRST_OFFSET = 2  # lower values in the index are the two markers above
 _MIN_SLOTS = 8
 _MAX_HEAP_BYTES = 0xFFFF_FFFF
-_MIN_DEAD_BYTES = 4096
+_MIN_DEAD_BYTES = 4096  # the array is not rewritten for fewer dead bytes
 
 
 class RecordHeap:
@@ -21,12 +21,12 @@
 
     Records are appended to one byte array. An open-addressing index with linear
     probing holds their offsets. Replaced and removed records stay in the array
-    until enough of it is dead to rewrite it.
+    as dead bytes until there are enough of them to rewrite it.
     """
 
     def __init__(self) -> None:
         self._heap = bytearray(_FIRST_OFFSET)
-        self._dead_bytes = 0
+        self._dead_bytes = 0  # of replaced and removed records
         self._index = array("I", [_EMPTY]) * _MIN_SLOTS
         self._used_slots = 0  # slots with an offset or a tombstone
         self._count = 0
@@ -51,7 +51,9 @@
         """
         size = _HEADER.size + len(key) + len(record)
         if len(key) > MAX_KEY_BYTES or len(self._heap) + size > _MAX_HEAP_BYTES:
-            raise OverflowError(f"no room for a record of {size} bytes")
+            raise OverflowError(
+                f"no room for a record of {size} bytes with a key of {len(key)} bytes"
+            )
         slot = self._find(key)
         replaced = None
         if slot is None:
@@ -83,10 +85,13 @@
             if offset < _FIRST_OFFSET:
                 continue
             key_bytes, record_bytes = _HEADER.unpack_from(heap, offset)
-            key_at = offset + _HEADER.size
-            record_at = key_at + key_bytes
-            record_end = record_at + record_bytes
-            yield bytes(heap[key_at:record_at]), bytes(heap[record_at:record_end])
+            key_start = offset + _HEADER.size
+            record_start = key_start + key_bytes
+            record_end = record_start + record_bytes
+            yield (
+                bytes(heap[key_start:record_start]),
+                bytes(heap[record_start:record_end]),
+            )
 
     def _append(self, key: bytes, record: bytes) -> int:
         offset = len(self._heap)
@@ -95,7 +100,7 @@
         self._heap += record
         return offset
 
-    def _size(self, offset: int) -> int:
+    def _entry_bytes(self, offset: int) -> int:
         key_bytes, record_bytes = _HEADER.unpack_from(self._heap, offset)
         return _HEADER.size + int(key_bytes) + int(record_bytes)
 
@@ -142,7 +147,7 @@
         live = [offset for offset in self._index if offset >= _FIRST_OFFSET]
         heap = bytearray(_FIRST_OFFSET)
         for offset in sorted(live):
-            heap += self._heap[offset : offset + self._size(offset)]
+            heap += self._heap[offset : offset + self._entry_bytes(offset)]
         self._heap = heap
         self._dead_bytes = 0
         self._rebuild_index(self._scan_offsets())
@@ -151,7 +156,7 @@
         offset = _FIRST_OFFSET
         while offset < len(self._heap):
             yield offset
-            offset += self._size(offset)
+            offset += self._entry_bytes(offset)
 
     def _rebuild_live_index(self) -> None:
         self._rebuild_index(o for o in self._index if o >= _FIRST_OFFSET)
--- a/packages/core/src/pimentobend_core/_internal/compact/packed.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/packed.py
@@ -1,4 +1,4 @@
-"""Base class of the tables that store rows as packed records."""
+"""Base class of the tables that store each row as a record of bytes."""
 
 import abc
 import struct
@@ -86,7 +86,9 @@
 
     def _validate(self, row: Row, text: str, key: bytes) -> None:
         if len(key) > MAX_KEY_BYTES:
-            raise RowError("key is too long", context=f"{len(key)} bytes")
+            raise RowError(
+                f"key is longer than {MAX_KEY_BYTES} bytes", context=f"{len(key)} bytes"
+            )
         try:
             self._check(row)
         except struct.error as error:
--- a/packages/core/src/pimentobend_core/_internal/compact/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/rows.py
@@ -1,4 +1,4 @@
-"""Interface of the tables that find a row by its key."""
+"""Tables that find a row by its key; a row is a named tuple, such as a route."""
 
 import abc
 import sys
