Say what the ports of the request pipe give access to

Cause: "in force" and "the configuration" had to be guessed, and _Joined had the name of a message of forwarding. Change: plain sentences; _FilterChain; comments on the parts of a fault.

--- a/packages/core/src/pimentobend_core/_internal/pipes.py
+++ b/packages/core/src/pimentobend_core/_internal/pipes.py
@@ -23,10 +23,10 @@
 
     def then(self, following: "Filter[Out, Next]") -> "Filter[In, Next]":
         """Return a filter that passes the output of this one to ``following``."""
-        return _Joined(self, following)
+        return _FilterChain(self, following)
 
 
-class _Joined(Filter[In, Next], Generic[In, Out, Next]):
+class _FilterChain(Filter[In, Next], Generic[In, Out, Next]):
     """Two filters applied one after the other."""
 
     def __init__(self, first: Filter[In, Out], second: Filter[Out, Next]) -> None:
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -79,7 +79,7 @@
 
 
 class TablesPort(abc.ABC):
-    """Access to the routing tables in force."""
+    """Access to the version of the routing tables that this daemon uses."""
 
     @abc.abstractmethod
     def match(self, head: RequestHead) -> Route | None:
@@ -87,10 +87,10 @@
 
     @abc.abstractmethod
     def current(self) -> Tables:
-        """Return the tables in force."""
+        """Return the tables that this daemon uses."""
 
     def await_first(self, timeout_s: float) -> bool:
-        """Wait until tables are in force, and return whether they are."""
+        """Wait until this daemon has tables, and return whether it has."""
         return self.current().log_index > 0
 
 
@@ -111,7 +111,7 @@
 
 
 class LedgerPort(abc.ABC):
-    """Access to the ledger of requests that may not be repeated."""
+    """Access to the ledger, which records the requests that may run only once."""
 
     @abc.abstractmethod
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -7,14 +7,14 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-SHOWN_CHARACTERS = 60
+SHOWN_CHARACTERS = 60  # of a faulty value in a message
 
 
 class Fault(NamedTuple):
     """One fault of a document."""
 
     place: str  # a path such as routes[3].pool, or a line
-    value: str
+    value: str  # the faulty value as JSON, or what is wrong
     expected: str
 
     def __str__(self) -> str:
--- a/packages/core/src/pimentobend_core/tables.py
+++ b/packages/core/src/pimentobend_core/tables.py
@@ -1,4 +1,4 @@
-"""Public types of the configuration."""
+"""Public types of the routing tables and of changes to them."""
 
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import WholeTables
