Name the risk, quantile and request state of forwarding

Cause: a second look found more one-word private names (_open, _relax, _tail) and state whose meaning had to be guessed (prior risk, running, ran). Change: _unanswered, _approach_steady_risk, _share_above; a comment on each state; "work" is now request or attempt where it means one.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -93,13 +93,13 @@
         self._phase = _Phase.WAITING
         self._started_at = 0.0
         self._last_number = 0
-        self._running: dict[int, Candidate] = {}
+        self._running: dict[int, Candidate] = {}  # by the number of the attempt
         self._tried: set[str] = set()  # servers that the request may have run on
         self._rejected_by: set[str] = set()  # servers that rejected it recently
         self._attempts_made = 0  # attempts that were not rejected
         self._rejections = 0  # attempts that were rejected
         self._has_arrived = False  # an attempt has reached a server
-        self._ran = Ran.NOT_RUN
+        self._ran = Ran.NOT_RUN  # as far as known from all attempts
         self._hedge_at: float | None = None
         self._next_ask_at: float | None = None
         self._ask_interval_s = ASK_INTERVAL_S
--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -8,7 +8,7 @@
 STRAGGLER_MULTIPLE = 6.0  # duration of such a straggler, as a multiple of the usual
 DEFAULT_TARGET_S = 1.0
 TARGET_TO_MEDIAN = 0.2  # assumed median before any answer, as a share of the target
-PRIOR_ANSWERS = 2  # the initial guess weighs as much as this many answers
+PRIOR_ANSWERS = 2  # weight of the initial guess, in answers
 # With fewer answers, a long wait is treated as weaker evidence that a server fails.
 CONFIDENT_ANSWERS = 8
 # Standard deviations of the logarithm of the duration.
@@ -36,7 +36,7 @@
 
     @property
     def slack_s(self) -> float:
-        """Return how long work may wait and still be answered on time, in s."""
+        """Return how long a request may wait and still be answered on time, in s."""
         return max(0.0, self._effective_target_s - self.mean_s)
 
     @property
@@ -55,7 +55,7 @@
         return math.exp(self._mean + P90_DEVIATIONS * math.sqrt(self._variance))
 
     def follow_target(self, target_s: float, rank: int) -> None:
-        """Set the target, relaxed for less urgent work; rank 0 is the most urgent."""
+        """Set the target, relaxed for less urgent ranks; rank 0 is the most urgent."""
         target_s = target_s or DEFAULT_TARGET_S
         self._effective_target_s = target_s * (1.0 + RANK_SHARE * rank)
 
@@ -75,14 +75,14 @@
         """Return the share of requests that take longer than ``seconds``."""
         if seconds < MIN_DURATION_S:
             return 1.0
-        regular = self._tail(math.log(seconds))
-        straggler = self._tail(math.log(seconds / STRAGGLER_MULTIPLE))
+        regular = self._share_above(math.log(seconds))
+        straggler = self._share_above(math.log(seconds / STRAGGLER_MULTIPLE))
         share = (1.0 - STRAGGLER_SHARE) * regular + STRAGGLER_SHARE * straggler
         return float(
             share ** min(1.0, (self._answers + PRIOR_ANSWERS) / CONFIDENT_ANSWERS)
         )
 
-    def _tail(self, logarithm: float) -> float:
+    def _share_above(self, logarithm: float) -> float:
         deviations = (logarithm - self._mean) / math.sqrt(2 * self._variance)
         return 0.5 * math.erfc(deviations)
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -88,7 +88,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether the server takes new work."""
+        """Return whether the server takes new attempts."""
         return self.server.state is not ServerState.DRAINING
 
     @property
@@ -122,7 +122,7 @@
         self._service_sizes: dict[str, int] = {}
         self._servers: dict[str, _HostedServer] = {}
         self._records: dict[str, _AttemptRecord] = {}
-        self._submissions = 0
+        self._submissions = 0  # attempts that were queued so far
         self._is_stopping = False
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -54,21 +54,22 @@
     """The evidence on one server, and the risk that follows from it."""
 
     def __init__(self, now: float) -> None:
+        # The risk before the oldest observation, and the time that it applies to.
         self._prior_at = now
         self._prior_risk = INITIAL_RISK
         self._observations: deque[_Observation] = deque()
-        self._open: dict[str, _Observation] = {}
+        self._unanswered: dict[str, _Observation] = {}
 
     def record_sent(self, request_id: str, survival: Survival, now: float) -> None:
         """Record a request that is sent now."""
         observation = _Observation(now, survival)
-        self._open[request_id] = observation
+        self._unanswered[request_id] = observation
         self._observations.append(observation)
         self._merge_old(now)
 
     def record_end(self, request_id: str, now: float, *, is_good: bool | None) -> None:
         """Record the end of a request; ``is_good`` is None if it was given up."""
-        observation = self._open.pop(request_id, None)
+        observation = self._unanswered.pop(request_id, None)
         if observation is not None:
             observation.ended_at = now
             observation.is_good = is_good
@@ -78,11 +79,11 @@
         risk = self._prior_risk
         risk_at = self._prior_at  # time that ``risk`` applies to
         for observation in self._observations:
-            risk = _relax(risk, observation.sent_at - risk_at)
+            risk = _approach_steady_risk(risk, observation.sent_at - risk_at)
             risk_at = observation.sent_at
             odds = observation.likelihood_ratio(now) * risk / (1.0 - risk)
             risk = min(0.999, odds / (1.0 + odds))
-        return _relax(risk, now - risk_at)
+        return _approach_steady_risk(risk, now - risk_at)
 
     def idle_s(self, now: float) -> float:
         """Return how long ago the newest request was sent, in seconds."""
@@ -97,13 +98,13 @@
             self._observations and now - self._observations[0].sent_at > WINDOW_S
         ):
             old = self._observations.popleft()
-            risk = _relax(self._prior_risk, old.sent_at - self._prior_at)
+            risk = _approach_steady_risk(self._prior_risk, old.sent_at - self._prior_at)
             odds = old.likelihood_ratio(now) * risk / (1.0 - risk)
             self._prior_risk = min(0.999, odds / (1.0 + odds))
             self._prior_at = old.sent_at
 
 
-def _relax(risk: float, seconds: float) -> float:
+def _approach_steady_risk(risk: float, seconds: float) -> float:
     """Return a risk after ``seconds`` without evidence; it tends to _STEADY_RISK."""
     return _STEADY_RISK + (risk - _STEADY_RISK) * math.exp(
         -_DECAY_RATE_PER_S * max(0.0, seconds)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -108,7 +108,7 @@
 def is_worth_asking(
     distance: Distance, best: ScoredCandidate | None, requirements: Requirements
 ) -> bool:
-    """Return whether a server at ``distance`` might cost less than the best so far."""
+    """Return whether a server at ``distance`` might cost less than ``best``."""
     min_cost = DISTANCE_COSTS[distance] + MIN_RISK * requirements.failure_cost()
     return best is None or best.cost > min_cost
 
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -193,7 +193,8 @@
     assert HostHarness().give(*messages) == outputs
 
 
-QUEUES = [  # target in s and rank of the queued attempts, in order of arrival
+# Name, (target in s, rank) of attempts "a" and "b", and the order in which they start.
+QUEUES = [
     ("in order of arrival", [(1.0, 1), (1.0, 1)], "ab"),
     ("the more urgent first", [(1.0, 1), (1.0, 0)], "ba"),
     ("a short call before long ones", [(2.0, 0), (0.2, 2)], "ba"),
