Name what the pool's traffic does with ended attempts and hedges

Cause: a second look found vague private names (_end, _hedge, for_size, _high) and state of a server's slots without a description. Change: _handle_end, _grant_or_reject_hedge, candidates_by_size, _high_quantile; comments on the backoff and the failure count.

--- a/packages/core/src/pimentobend_core/_internal/traffic/pool.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/pool.py
@@ -89,7 +89,7 @@
             case Acquire():
                 return self._acquire(message, now)
             case AttemptEnded():
-                self._end(message, now)
+                self._handle_end(message, now)
             case Abandon():
                 self._abandon(message.ticket)
             case ServersChanged():
@@ -126,7 +126,7 @@
             return (self._reject(message, RefusalReason.NO_SERVER, 0.0),)
         size = self._times.size(message.route)
         if message.is_hedge:
-            return (self._hedge(message, size, now),)
+            return (self._grant_or_reject_hedge(message, size, now),)
         is_over_share = self._shares.is_over_share(message.organisation, now)
         entry = self._queue.create_entry(message, size, is_over_share, now)
         outputs = self._admit(entry, now)
@@ -176,7 +176,9 @@
                 return self._grant(message, chosen, now)
         return self._reject(message, reason, wait_s)
 
-    def _hedge(self, message: Acquire, size: SizeClass, now: float) -> TrafficOutput:
+    def _grant_or_reject_hedge(
+        self, message: Acquire, size: SizeClass, now: float
+    ) -> TrafficOutput:
         """Grant a hedge a slot if no request is queued, or else refuse it.
 
         A hedge leaves the slots that are reserved for short requests, and does
@@ -189,7 +191,7 @@
                 return self._grant(message, self._selector.select(untried), now)
         return self._reject(message, RefusalReason.QUEUE_FULL, 0.0)
 
-    def _end(self, message: AttemptEnded, now: float) -> None:
+    def _handle_end(self, message: AttemptEnded, now: float) -> None:
         attempt = self._in_flight.pop(message.ticket, None)
         if attempt is None:
             return
@@ -220,14 +222,16 @@
 
     def _grant_or_reject_next(self, now: float) -> TrafficOutput | None:
         waiting = self._queue.waiting_sizes()
-        for_size = {size: self._candidates(size, now, False) for size in waiting}
-        servable = tuple(size for size in waiting if for_size[size])
+        candidates_by_size = {
+            size: self._candidates(size, now, False) for size in waiting
+        }
+        servable = tuple(size for size in waiting if candidates_by_size[size])
         for entry in self._queue.heads(servable, SCAN_DEPTH):
             message = entry.message
             if self._would_miss_deadline(message, now):
                 self._queue.remove(message.ticket)
                 return self._reject(message, RefusalReason.DEADLINE, 0.0)
-            chosen = self._choose(message, for_size[entry.size], now)
+            chosen = self._choose(message, candidates_by_size[entry.size], now)
             if chosen is not None:
                 self._queue.remove(message.ticket)
                 return self._grant(message, chosen, now)
@@ -275,7 +279,7 @@
     def _estimate_wait_s(self, ahead: int, now: float) -> float:
         """Estimate the queueing time behind ``ahead`` requests, in seconds.
 
-        Slots held by stragglers are not expected to become free.
+        Slots that stragglers occupy are not expected to become free.
         """
         working = sum(
             1
--- a/packages/core/src/pimentobend_core/_internal/traffic/slots.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/slots.py
@@ -41,7 +41,7 @@
     The requests of other daemons are known only from the load reports on
     answers. Their number is assumed to decay at the rate at which the pool's
     requests end, so a stale or wrong report can cause a refused attempt or a
-    short wait, but can't take a server out of use for good.
+    short wait, but can't take a server out of use permanently.
     """
 
     def __init__(self, server: Server, cold_since: float | None) -> None:
@@ -52,9 +52,9 @@
         self._in_flight = 0
         self._other_requests = 0.0
         self._reported_at = float("-inf")
-        self._backoff = 0.0
+        self._backoff = 0.0  # doublings of the decay time, at ``_backoff_at``
         self._backoff_at = 0.0
-        self._failures = 0.0
+        self._failures = 0.0  # decayed failure count, at ``_failed_at``
         self._failed_at = 0.0
 
     @property
--- a/packages/core/src/pimentobend_core/_internal/traffic/times.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/times.py
@@ -67,7 +67,7 @@
 
     def __init__(self) -> None:
         self._median = QuantileEstimator(0.5)
-        self._high = QuantileEstimator(HIGH_QUANTILE)
+        self._high_quantile = QuantileEstimator(HIGH_QUANTILE)
         self._mean_s = 0.0
         self._samples = 0
         self._last_ended_at = 0.0
@@ -108,7 +108,7 @@
         gain = max(MEAN_GAIN, 1 / self._samples)
         self._mean_s += gain * (held_s - self._mean_s)
         self._median.record(held_s)
-        self._high.record(held_s)
+        self._high_quantile.record(held_s)
         self._last_ended_at = now
 
     def expected_s(self, now: float) -> float:
@@ -125,7 +125,8 @@
     def is_straggler(self, held_s: float) -> bool:
         """Return whether a request holds its slot far longer than usual."""
         return (
-            self.has_enough_samples and held_s > STRAGGLER_MULTIPLE * self._high.value
+            self.has_enough_samples
+            and held_s > STRAGGLER_MULTIPLE * self._high_quantile.value
         )
 
 
