--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -3,16 +3,18 @@
 import math
 
 ROUTES_LIMIT = 512
-MIN_GAIN = 0.05  # weight of a new answer once there are 20 or more
+MIN_GAIN = 0.05  # weight of a new answer in the averages after the first 20 answers
 STRAGGLER_SHARE = 0.03  # share of requests that take far longer than the rest
-STRAGGLER_MULTIPLE = 6.0  # how many times as long a straggler takes
+STRAGGLER_MULTIPLE = 6.0  # duration of such a straggler, as a multiple of the usual
 DEFAULT_TARGET_S = 1.0
 TARGET_TO_MEDIAN = 0.2  # assumed median before any answer, as a share of the target
-PRIOR_ANSWERS = 2  # the initial guess weighs as much as this many answers
-CONFIDENT_ANSWERS = 8  # with fewer answers, a long wait is weaker evidence
-INITIAL_SPREAD = 0.8  # standard deviation of the logarithm of the duration
-MIN_SPREAD = 0.2
-RANK_SHARE = 0.5  # each lower rank may be answered later by this share of the target
+PRIOR_ANSWERS = 2  # weight of the initial guess, in answers
+# With fewer answers, a long wait is treated as weaker evidence that a server fails.
+CONFIDENT_ANSWERS = 8
+# Standard deviations of the logarithm of the duration.
+INITIAL_DEVIATION = 0.8
+MIN_DEVIATION = 0.2
+RANK_SHARE = 0.5  # share of the target that each less urgent rank may take longer
 MIN_DURATION_S = 1e-4  # shorter durations carry no information about a server
 P90_DEVIATIONS = 1.2816  # standard deviations from the mean to the 90th percentile
 STRAGGLER_MEAN_FACTOR = 1.0 + STRAGGLER_SHARE * (STRAGGLER_MULTIPLE - 1.0)
@@ -29,12 +31,12 @@
         self._effective_target_s = target_s or DEFAULT_TARGET_S
         initial_s = self._effective_target_s * TARGET_TO_MEDIAN
         self._mean = math.log(initial_s)
-        self._variance = INITIAL_SPREAD**2
+        self._variance = INITIAL_DEVIATION**2
         self._answers = PRIOR_ANSWERS
 
     @property
     def slack_s(self) -> float:
-        """Return how long work may wait and still be answered on time, in s."""
+        """Return how long a request may wait and still be answered on time, in s."""
         return max(0.0, self._effective_target_s - self.mean_s)
 
     @property
@@ -53,7 +55,7 @@
         return math.exp(self._mean + P90_DEVIATIONS * math.sqrt(self._variance))
 
     def follow_target(self, target_s: float, rank: int) -> None:
-        """Set the target, relaxed for less urgent work; rank 0 is the most urgent."""
+        """Set the target, relaxed for less urgent ranks; rank 0 is the most urgent."""
         target_s = target_s or DEFAULT_TARGET_S
         self._effective_target_s = target_s * (1.0 + RANK_SHARE * rank)
 
@@ -67,20 +69,20 @@
         distance = sample - self._mean
         self._mean += gain * distance
         self._variance += gain * (distance**2 - self._variance)
-        self._variance = max(MIN_SPREAD**2, self._variance)
+        self._variance = max(MIN_DEVIATION**2, self._variance)
 
     def survival(self, seconds: float) -> float:
         """Return the share of requests that take longer than ``seconds``."""
         if seconds < MIN_DURATION_S:
             return 1.0
-        regular = self._tail(math.log(seconds))
-        straggler = self._tail(math.log(seconds / STRAGGLER_MULTIPLE))
+        regular = self._share_above(math.log(seconds))
+        straggler = self._share_above(math.log(seconds / STRAGGLER_MULTIPLE))
         share = (1.0 - STRAGGLER_SHARE) * regular + STRAGGLER_SHARE * straggler
         return float(
             share ** min(1.0, (self._answers + PRIOR_ANSWERS) / CONFIDENT_ANSWERS)
         )
 
-    def _tail(self, logarithm: float) -> float:
+    def _share_above(self, logarithm: float) -> float:
         deviations = (logarithm - self._mean) / math.sqrt(2 * self._variance)
         return 0.5 * math.erfc(deviations)
 
