Name the ledger client's inputs as requests

AskClaim, AskSettle and AskLookUp were verb phrases used as class names, so a reader could not tell them from methods. They are now ClaimRequest, SettleRequest and LookUpRequest. They stay inside the daemon.

--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -13,16 +13,16 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Ticking
 from pimentobend_core._internal.ledger.client import LedgerClient
-from pimentobend_core._internal.ledger.client_messages import AskLookUp
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
 from pimentobend_core._internal.ledger.client_messages import ClientInput
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import ClientTick
 from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import LookUpRequest
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.client_messages import create_ask
 from pimentobend_core._internal.ledger.messages import ClaimId
 from pimentobend_core._internal.ledger.messages import LedgerKey
@@ -84,11 +84,11 @@
     def settle(self, claim: Claim, ran: Ran, status: int) -> None:
         """Record the outcome of a claim."""
         claim_id = self._claims.pop(claim.claim_id)
-        self._task.put(AskSettle(claim_id, ran, status))
+        self._task.put(SettleRequest(claim_id, ran, status))
 
     def look_up(self, organisation: str, key: str) -> WorkFound | None:
         """Return what is known of a key; None if no majority answers."""
-        ask = AskLookUp(next(self._tickets), LedgerKey(organisation, key))
+        ask = LookUpRequest(next(self._tickets), LedgerKey(organisation, key))
         reply = self._replies.ask(
             ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
         )
@@ -107,4 +107,4 @@
         is_awaited = self._replies.resolve(message)
         if isinstance(message, ClaimGranted) and not is_awaited:
             # Nobody waits for this claim any more, so it will never be used.
-            self._task.put(AskSettle(message.claim_id, Ran.NOT_RUN, 0))
+            self._task.put(SettleRequest(message.claim_id, Ran.NOT_RUN, 0))
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
@@ -7,13 +7,13 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.ledger.client import LedgerClient
-from pimentobend_core._internal.ledger.client_messages import AskClaim
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClaimRequest
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.messages import LedgerKey
 from pimentobend_core._internal.ledger.service import LedgerService
 from pimentobend_core._internal.ledger.service_messages import EntryAccepted
@@ -82,7 +82,7 @@
 
     def _create_ask(self, ticket: int, due: float) -> Callable[[], None]:
         key = LedgerKey("organisation", f"key-{ticket}")
-        ask = AskClaim(ticket, key, FINGERPRINT, due + DEADLINE_S)
+        ask = ClaimRequest(ticket, key, FINGERPRINT, due + DEADLINE_S)
         return lambda: self._handle_client(self._client.handle(ask, self._now))
 
     def _handle_client(self, outputs: tuple[ClientOutput, ...]) -> None:
@@ -96,7 +96,7 @@
                 self._settle_later(output)
 
     def _settle_later(self, granted: ClaimGranted) -> None:
-        settle = AskSettle(granted.claim_id, Ran.RAN, 200)
+        settle = SettleRequest(granted.claim_id, Ran.RAN, 200)
         self._call_at(
             self._now + WORK_S,
             lambda: self._handle_client(self._client.handle(settle, self._now)),
--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -3,16 +3,16 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from pimentobend_core._internal.ledger.client_messages import AskClaim
-from pimentobend_core._internal.ledger.client_messages import AskLookUp
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClaimRequest
 from pimentobend_core._internal.ledger.client_messages import ClientInput
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import LookUpRequest
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.keys import digest_key
 from pimentobend_core._internal.ledger.keys import find_group
 from pimentobend_core._internal.ledger.messages import Claimed
@@ -82,11 +82,11 @@
     def handle(self, message: ClientInput, now: float) -> tuple[ClientOutput, ...]:
         """Handle a request of this daemon, a reply or a tick."""
         match message:
-            case AskClaim():
+            case ClaimRequest():
                 return self._ask_claim(message, now)
-            case AskSettle():
+            case SettleRequest():
                 return self._ask_settle(message, now)
-            case AskLookUp():
+            case LookUpRequest():
                 return self._ask_look_up(message, now)
             case ReplyArrived():
                 return self._handle_reply(message, now)
@@ -102,7 +102,7 @@
             "groups": [route.dump() for route in self._routes],
         }
 
-    def _ask_claim(self, message: AskClaim, now: float) -> tuple[ClientOutput, ...]:
+    def _ask_claim(self, message: ClaimRequest, now: float) -> tuple[ClientOutput, ...]:
         digest = digest_key(message.key)
         if not self._route(digest).allows_claim(now):
             return (ClaimDenied(message.ticket, NO_MAJORITY),)
@@ -112,14 +112,18 @@
         give_up_at = min(now + ANSWER_TIMEOUT_S, message.deadline)
         return self._start(command, message.ticket, give_up_at, now)
 
-    def _ask_settle(self, message: AskSettle, now: float) -> tuple[ClientOutput, ...]:
+    def _ask_settle(
+        self, message: SettleRequest, now: float
+    ) -> tuple[ClientOutput, ...]:
         digest = self._held.pop(message.claim_id, None)
         if digest is None:
             return ()
         command = SettleWork(digest, message.claim_id, message.ran, message.status)
         return self._start(command, 0, now + SETTLE_TIMEOUT_S, now)
 
-    def _ask_look_up(self, message: AskLookUp, now: float) -> tuple[ClientOutput, ...]:
+    def _ask_look_up(
+        self, message: LookUpRequest, now: float
+    ) -> tuple[ClientOutput, ...]:
         command = LookUpWork(digest_key(message.key))
         return self._start(command, message.ticket, now + ANSWER_TIMEOUT_S, now)
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
@@ -13,7 +13,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 
 
-class AskClaim(NamedTuple):
+class ClaimRequest(NamedTuple):
     """Ask for a claim; the answer has the same ``ticket``.
 
     ``deadline`` is in seconds of the clock.
@@ -25,7 +25,7 @@
     deadline: float
 
 
-class AskSettle(NamedTuple):
+class SettleRequest(NamedTuple):
     """Ask to record the outcome of a granted claim."""
 
     claim_id: ClaimId
@@ -33,7 +33,7 @@
     status: int
 
 
-class AskLookUp(NamedTuple):
+class LookUpRequest(NamedTuple):
     """Ask what the ledger knows about a key."""
 
     ticket: int
@@ -79,11 +79,11 @@
     request: LedgerRequest
 
 
-def create_ask(ticket: int, head: RequestHead, key: str) -> AskClaim:
+def create_ask(ticket: int, head: RequestHead, key: str) -> ClaimRequest:
     """Return the claim to ask for before a request with an idempotency key."""
     ledger_key = LedgerKey(head.organisation, key)
-    return AskClaim(ticket, ledger_key, fingerprint_request(head), head.deadline)
+    return ClaimRequest(ticket, ledger_key, fingerprint_request(head), head.deadline)
 
 
-ClientInput = AskClaim | AskSettle | AskLookUp | ReplyArrived | ClientTick
+ClientInput = ClaimRequest | SettleRequest | LookUpRequest | ReplyArrived | ClientTick
 ClientOutput = ClaimGranted | ClaimDenied | LookedUp | SendRequest
--- a/tests/lib/ledger_simulation.py
+++ b/tests/lib/ledger_simulation.py
@@ -6,16 +6,16 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.ledger.client import LedgerClient
-from pimentobend_core._internal.ledger.client_messages import AskClaim
-from pimentobend_core._internal.ledger.client_messages import AskLookUp
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClaimRequest
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import ClientTick
 from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import LookUpRequest
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.messages import ClaimId
 from pimentobend_core._internal.ledger.messages import LedgerKey
 from pimentobend_core._internal.ledger.service import LedgerService
@@ -99,14 +99,16 @@
         ticket = self._tickets
         self.keys[ticket] = key
         self.answers[ticket] = []
-        ask = AskClaim(ticket, LedgerKey("org", key), FINGERPRINT, self.now + wait_s)
+        ask = ClaimRequest(
+            ticket, LedgerKey("org", key), FINGERPRINT, self.now + wait_s
+        )
         self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return ticket
 
     def look_up(self, daemon: str, key: str) -> int:
         """Ask a daemon to look up a key; return the ticket."""
         self._tickets += 1
-        ask = AskLookUp(self._tickets, LedgerKey("org", key))
+        ask = LookUpRequest(self._tickets, LedgerKey("org", key))
         self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return self._tickets
 
@@ -122,7 +124,7 @@
         if outcome not in REPORTED_OUTCOMES:
             self.crash(granted.daemon)
             return
-        settle = AskSettle(granted.claim_id, REPORTED_OUTCOMES[outcome], 200)
+        settle = SettleRequest(granted.claim_id, REPORTED_OUTCOMES[outcome], 200)
         outputs = self.daemons[granted.daemon].handle(settle, self.now)
         self._handle_client_outputs(granted.daemon, outputs)
 
