Rename the ledger's functions that build and handle requests

create_ask named a verb as a thing; it builds a ClaimRequest and is now create_claim_request. The client's private handlers of the three requests lose "ask" too.

--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -23,7 +23,7 @@
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
 from pimentobend_core._internal.ledger.client_messages import SettleRequest
-from pimentobend_core._internal.ledger.client_messages import create_ask
+from pimentobend_core._internal.ledger.client_messages import create_claim_request
 from pimentobend_core._internal.ledger.messages import ClaimId
 from pimentobend_core._internal.ledger.messages import LedgerKey
 from pimentobend_core._internal.ledger.messages import WorkFound
@@ -69,7 +69,7 @@
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
         """Store a claim durably, or return the reason why it was not stored."""
         key = head.idempotency_key or ""
-        ask = create_ask(next(self._tickets), head, key)
+        ask = create_claim_request(next(self._tickets), head, key)
         reply = self._replies.ask(
             ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
         )
--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -83,11 +83,11 @@
         """Handle a request of this daemon, a reply or a tick."""
         match message:
             case ClaimRequest():
-                return self._ask_claim(message, now)
+                return self._claim(message, now)
             case SettleRequest():
-                return self._ask_settle(message, now)
+                return self._settle(message, now)
             case LookUpRequest():
-                return self._ask_look_up(message, now)
+                return self._look_up(message, now)
             case ReplyArrived():
                 return self._handle_reply(message, now)
             case _:
@@ -102,7 +102,7 @@
             "groups": [route.dump() for route in self._routes],
         }
 
-    def _ask_claim(self, message: ClaimRequest, now: float) -> tuple[ClientOutput, ...]:
+    def _claim(self, message: ClaimRequest, now: float) -> tuple[ClientOutput, ...]:
         digest = digest_key(message.key)
         if not self._route(digest).allows_claim(now):
             return (ClaimDenied(message.ticket, NO_MAJORITY),)
@@ -112,18 +112,14 @@
         give_up_at = min(now + ANSWER_TIMEOUT_S, message.deadline)
         return self._start(command, message.ticket, give_up_at, now)
 
-    def _ask_settle(
-        self, message: SettleRequest, now: float
-    ) -> tuple[ClientOutput, ...]:
+    def _settle(self, message: SettleRequest, now: float) -> tuple[ClientOutput, ...]:
         digest = self._held.pop(message.claim_id, None)
         if digest is None:
             return ()
         command = SettleWork(digest, message.claim_id, message.ran, message.status)
         return self._start(command, 0, now + SETTLE_TIMEOUT_S, now)
 
-    def _ask_look_up(
-        self, message: LookUpRequest, now: float
-    ) -> tuple[ClientOutput, ...]:
+    def _look_up(self, message: LookUpRequest, now: float) -> tuple[ClientOutput, ...]:
         command = LookUpWork(digest_key(message.key))
         return self._start(command, message.ticket, now + ANSWER_TIMEOUT_S, now)
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
@@ -79,7 +79,7 @@
     request: LedgerRequest
 
 
-def create_ask(ticket: int, head: RequestHead, key: str) -> ClaimRequest:
+def create_claim_request(ticket: int, head: RequestHead, key: str) -> ClaimRequest:
     """Return the claim to ask for before a request with an idempotency key."""
     ledger_key = LedgerKey(head.organisation, key)
     return ClaimRequest(ticket, ledger_key, fingerprint_request(head), head.deadline)
