Rename Joined to DuplicateSubmission

A participle as a class name did not say what was reported: an attempt was submitted again and gets the outcome of the first submission. The event "joined" in logs and counters is a text of its own and stays.

Run: ruff and mypy without findings; pytest -n 2 tests/unit/forwarding tests/unit/fleet: 278 passed, 3 warnings in 10.60s

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -25,11 +25,11 @@
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
@@ -178,7 +178,7 @@
                 record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
-            case Joined():
+            case DuplicateSubmission():
                 # The result was dropped; all that is known is that the attempt came.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -4,7 +4,7 @@
 
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.messages import Declined
-from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.ports import AttemptResult
@@ -15,7 +15,7 @@
 
     action: str  # call-started, call-ended, declined or joined
     attempt_id: str
-    detail: Submit | Declined | Joined | AttemptResult
+    detail: Submit | Declined | DuplicateSubmission | AttemptResult
 
 
 class AttemptSent(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -15,11 +15,11 @@
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
@@ -190,7 +190,7 @@
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
-            return (Joined(submit.attempt_id),)
+            return (DuplicateSubmission(submit.attempt_id),)
         hosted = self._servers.get(submit.server_id)
         record = _AttemptRecord(submit)
         reason = self._find_decline_reason(hosted, submit, now)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -136,7 +136,7 @@
     reason: DeclineReason
 
 
-class Joined(NamedTuple):
+class DuplicateSubmission(NamedTuple):
     """Report a repeated submission, which gets the outcome of the first one."""
 
     attempt_id: str
@@ -148,4 +148,4 @@
     attempt_id: str
 
 
-HostOutput = Bids | StartCall | Declined | Joined | CancelCall
+HostOutput = Bids | StartCall | Declined | DuplicateSubmission | CancelCall
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -12,7 +12,7 @@
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Declined
-from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -91,7 +91,7 @@
         self,
         action: str,
         attempt_id: str,
-        detail: Submit | Declined | Joined | AttemptResult,
+        detail: Submit | Declined | DuplicateSubmission | AttemptResult,
     ) -> None:
         values: dict[str, Any] = {}
         match detail:
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -12,11 +12,11 @@
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
@@ -91,16 +91,20 @@
         ],
         started("1", "2", "4"),
     ),
-    ("submitted twice", [submit("1"), submit("1")], [*started("1"), Joined("1")]),
+    (
+        "submitted twice",
+        [submit("1"), submit("1")],
+        [*started("1"), DuplicateSubmission("1")],
+    ),
     (
         "submitted again after its end",
         [submit("1"), ended("1"), submit("1")],
-        [*started("1"), Joined("1")],
+        [*started("1"), DuplicateSubmission("1")],
     ),
     (
         "late copy of a declined attempt",
         [ServerListed(DRAINING), submit("1"), ServerListed(SERVER), submit("1")],
-        [*declined("1", DeclineReason.DRAINING), Joined("1")],
+        [*declined("1", DeclineReason.DRAINING), DuplicateSubmission("1")],
     ),
     (
         "late copy of an attempt withdrawn while queued",
@@ -112,7 +116,11 @@
             ended("1"),
             submit("3"),
         ],
-        [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN), Joined("3")],
+        [
+            *started("1", "2"),
+            *declined("3", DeclineReason.WITHDRAWN),
+            DuplicateSubmission("3"),
+        ],
     ),
     (
         "draining declines queued attempts",
@@ -307,7 +315,7 @@
     harness.give(submit("1", deadline=1.0), ended("1"))
     harness.now = RECORD_RETENTION_S
     harness.give(HostTick())
-    assert harness.give(submit("1", deadline=90.0)) == [Joined("1")]
+    assert harness.give(submit("1", deadline=90.0)) == [DuplicateSubmission("1")]
     harness.now = RECORD_RETENTION_S + 2.0
     harness.give(HostTick())
     assert harness.host.dump()["attempts"] == 0
