Rename StopTaking to StartDraining, stop_taking to start_draining

"Taking" did not say what. The host declines every further attempt while the ones that run go on, which is draining; the decline reason that it then gives is DRAINING already.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -34,7 +34,7 @@
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.request import AttemptKind
@@ -110,9 +110,9 @@
         self._task.start()
         eventlet.spawn_n(self._expire)
 
-    def stop_taking(self) -> None:
+    def start_draining(self) -> None:
         """Decline all further attempts."""
-        self._task.put(StopTaking())
+        self._task.put(StartDraining())
 
     def follow_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -24,7 +24,7 @@
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
@@ -126,7 +126,7 @@
                 return self._update_server(message.server, now)
             case ServerUnlisted():
                 return self._remove_server(message.server_id)
-            case StopTaking():
+            case StartDraining():
                 self._is_stopping = True
             case ServiceSizes():
                 self._service_sizes = dict(message.servers)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -84,7 +84,7 @@
     server_id: str
 
 
-class StopTaking(NamedTuple):
+class StartDraining(NamedTuple):
     """Decline all further attempts, as the process is about to stop."""
 
 
@@ -105,7 +105,7 @@
     | CallEnded
     | ServerListed
     | ServerUnlisted
-    | StopTaking
+    | StartDraining
     | ServiceSizes
     | HostTick
 )
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -195,7 +195,7 @@
 
     def stop_accepting(self) -> None:
         """Decline work for the local servers; close connections after a response."""
-        self.host.stop_taking()
+        self.host.start_draining()
         self.front.stop()
 
     def refuse_waiting(self) -> None:
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -21,7 +21,7 @@
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
@@ -138,7 +138,7 @@
     ),
     (
         "stopping",
-        [StopTaking(), submit("1")],
+        [StartDraining(), submit("1")],
         declined("1", DeclineReason.DRAINING),
     ),
     (
@@ -327,7 +327,7 @@
         ([], True),
         ([ServerListed(DRAINING)], False),
         ([ServerUnlisted("s")], False),
-        ([StopTaking()], False),
+        ([StartDraining()], False),
         ([submit("1"), ended("1", EndKind.UNREACHABLE)], False),
         ([submit("1"), ended("1", EndKind.FAILED)], True),
     ],
