Rename EndWaiting to CancelUnsent, end_waiting to cancel_unsent

A reader could not see what waits or ends. On shutdown it cancels the deliveries whose request was not sent to a server.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -21,10 +21,10 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
-from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
@@ -88,10 +88,10 @@
         finally:
             self._tasks.discard(task)
 
-    def end_waiting(self) -> None:
+    def cancel_unsent(self) -> None:
         """Tell every delivery to end if its request has not reached a server."""
         for task in tuple(self._tasks):
-            task.put(EndWaiting())
+            task.put(CancelUnsent())
 
 
 class _DeliveryTask:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -8,10 +8,10 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
-from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
@@ -120,7 +120,7 @@
                 outputs = self._handle_timer(now)
             case CallerLeft():
                 outputs = (*self._cancel_all(), self._finish(Stop()))
-            case EndWaiting():
+            case CancelUnsent():
                 outputs = self._end_waiting()
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -33,11 +33,11 @@
     """Report that the caller closed its connection."""
 
 
-class EndWaiting(NamedTuple):
+class CancelUnsent(NamedTuple):
     """End the request unless a server runs it, as the process is about to stop."""
 
 
-DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | EndWaiting
+DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | CancelUnsent
 
 
 class AskServers(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -200,7 +200,7 @@
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that have not reached a server."""
-        self._deliveries.end_waiting()
+        self._deliveries.cancel_unsent()
 
     def close(self) -> None:
         """Close the listeners."""
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -11,8 +11,8 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
-from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
@@ -166,7 +166,7 @@
 ) -> None:
     driver = Driver(case)
     driver.offer(*[candidate("a")][: kind is not None])
-    outputs = driver.give(EndWaiting())
+    outputs = driver.give(CancelUnsent())
     if kind is not None:
         assert outputs == [RecallAttempt(1)]
         outputs = driver.end(1, kind, 200)
