Rename take_ask, take_bids, take_withdraw and take_frame to handle_*

These are the handlers that the frame router calls; "take" hid that. The other handlers are named handle_frame already. The delivery filter's private _end_waiting follows the input it handles, CancelUnsent.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -123,12 +123,12 @@
         cached = self._cached.get((candidate.peer.address, service, route))
         return self._clock.now() - cached.received_at if cached else 0.0
 
-    def take_ask(self, frame: Frame) -> None:
+    def handle_ask(self, frame: Frame) -> None:
         """Answer another daemon's question; raise ``CodecError`` if it is malformed."""
         ask = decode(frame.payload, Ask)
         eventlet.spawn_n(self._answer, frame.sender, ask)
 
-    def take_bids(self, frame: Frame) -> None:
+    def handle_bids(self, frame: Frame) -> None:
         """Store another daemon's bids; raise ``CodecError`` if they are malformed."""
         self._store(frame.sender, decode(frame.payload, Bids))
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -154,7 +154,7 @@
         record = self._records.get(attempt_id)
         return record is not None and record.waiters > 0
 
-    def take_withdraw(self, frame: Frame) -> None:
+    def handle_withdraw(self, frame: Frame) -> None:
         """Handle another daemon's withdrawal; raise ``CodecError`` if malformed."""
         self._task.put(decode(frame.payload, Withdraw))
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -94,7 +94,7 @@
         )
         return reply.found if isinstance(reply, LookedUp) else None
 
-    def take_frame(self, frame: Frame) -> None:
+    def handle_frame(self, frame: Frame) -> None:
         """Handle a replica's reply; raise CodecError if it is malformed."""
         reply = decode_reply(frame.payload, self._link.address)
         self._task.put(ReplyArrived(reply))
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -121,7 +121,7 @@
             case CallerLeft():
                 outputs = (*self._cancel_all(), self._finish(Stop()))
             case CancelUnsent():
-                outputs = self._end_waiting()
+                outputs = self._cancel_unsent()
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -334,7 +334,7 @@
             )
         return self._refuse(RefusalReason.BACKEND, "the server did not answer")
 
-    def _end_waiting(self) -> tuple[DeliveryOutput, ...]:
+    def _cancel_unsent(self) -> tuple[DeliveryOutput, ...]:
         """End the request now, or once the attempts that are running have ended."""
         self._is_stopping = True
         if not self._running:
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -140,7 +140,7 @@
         for kind in SPREAD_KINDS:
             self._router.register(kind, self._spread.handle_frame)
         self._router.register(KIND_SPREAD, self._membership.handle_frame)
-        self._router.register(KIND_REPLY, self._ledger.take_frame)
+        self._router.register(KIND_REPLY, self._ledger.handle_frame)
         if self._control is not None:
             self._control.register(self._router)
         if self._instance is not None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -209,9 +209,9 @@
 
     def register(self, router: FrameRouter) -> None:
         """Register the handlers of the frames between origins and hosts."""
-        router.register(KIND_ASK, self.bid_collector.take_ask)
-        router.register(KIND_BIDS, self.bid_collector.take_bids)
-        router.register(KIND_WITHDRAW, self.host.take_withdraw)
+        router.register(KIND_ASK, self.bid_collector.handle_ask)
+        router.register(KIND_BIDS, self.bid_collector.handle_bids)
+        router.register(KIND_WITHDRAW, self.host.handle_withdraw)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -90,7 +90,7 @@
             token = decode(payload, Ask).token
             bids = Bids(token, 5, (Bid(f"s-{peer}", 0.1, 3, 0.0, 0.2),))
             assert self.bid_collector is not None
-            self.bid_collector.take_bids(Frame(peer, KIND_BIDS, encode(bids)))
+            self.bid_collector.handle_bids(Frame(peer, KIND_BIDS, encode(bids)))
 
 
 class BidCollectorHarness:
