Rename follow_peers, follow_sizes and follow_reachability to update_*

"Follow" suggested a subscription; each call passes in the current value. The callers one level up are named update_peers already. sizes becomes service_sizes, as it is the number of servers of each service.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -84,11 +84,11 @@
         self._rounds: dict[int, tuple[_Round, str, Ask]] = {}
         self._unanswered: dict[str, int] = {}
 
-    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons."""
         self._peers = peers
 
-    def follow_reachability(self, address: str, *, is_reachable: bool) -> None:
+    def update_reachability(self, address: str, *, is_reachable: bool) -> None:
         """Record whether a daemon can be reached."""
         if is_reachable:
             self._unreachable.discard(address)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -114,7 +114,7 @@
         """Decline all further attempts."""
         self._task.put(StartDraining())
 
-    def follow_sizes(self, sizes: ServiceSizes) -> None:
+    def update_service_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
         self._task.put(sizes)
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -288,7 +288,7 @@
         self._counters.count(event.replace("-", "_"))
         self._log.info(event, peer=output.address)
         if self._instance is not None:
-            self._instance.bid_collector.follow_reachability(
+            self._instance.bid_collector.update_reachability(
                 output.address, is_reachable=output.is_reachable
             )
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -181,10 +181,10 @@
 
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
-        self.bid_collector.follow_peers(peers)
+        self.bid_collector.update_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
-        self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
+        self.host.update_service_sizes(ServiceSizes(tuple(Counter(services).items())))
 
     def start(self) -> None:
         """Start the tasks, then the listeners."""
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -111,7 +111,7 @@
             lambda: own, self.link, host, self.clock, self.unreachable.append
         )
         self.link.bid_collector = self.bid_collector
-        self.bid_collector.follow_peers(rows)
+        self.bid_collector.update_peers(rows)
 
     def ask(self, distance: Distance) -> int:
         self.link.asked.clear()
@@ -167,9 +167,9 @@
         assert harness.ask(Distance.FAR) == 1
         harness.clock.time += 1.0
     assert harness.unreachable[0] == "10.0.0.1:7"
-    harness.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=False)
+    harness.bid_collector.update_reachability("10.0.0.1:7", is_reachable=False)
     harness.ask(Distance.FAR)
     assert harness.link.asked == ["10.0.0.2:7"]
-    harness.bid_collector.follow_reachability("10.0.0.1:7", is_reachable=True)
+    harness.bid_collector.update_reachability("10.0.0.1:7", is_reachable=True)
     harness.ask(Distance.FAR)
     assert "10.0.0.1:7" in harness.link.asked
