--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -15,7 +15,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
@@ -97,7 +97,7 @@
             ServerHost(process_id, terms),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, HostTick()),
+            PeriodicMessage(TICK_S, HostTick()),
         )
 
     @property
--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -11,7 +11,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.ledger.client import LedgerClient
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
@@ -58,7 +58,7 @@
             client,
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, ClientTick()),
+            PeriodicMessage(TICK_S, ClientTick()),
         )
 
     @property
--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -53,7 +53,7 @@
     reply: Any  # eventlet event that the state is sent to
 
 
-class Ticking(NamedTuple, Generic[Message]):
+class PeriodicMessage(NamedTuple, Generic[Message]):
     """Message that a task receives every ``interval_s`` seconds."""
 
     interval_s: float
@@ -69,7 +69,7 @@
         state_filter: StatefulFilter[In, Out],
         outlet: Outlet[Out],
         clock: ClockPort,
-        ticking: Ticking[In] | None = None,
+        ticking: PeriodicMessage[In] | None = None,
     ) -> None:
         self._name = name
         self._filter = state_filter
@@ -118,7 +118,7 @@
             for output in self._filter.handle(message, self._clock.now()):
                 self._outlet.put(output)
 
-    def _tick(self, ticking: Ticking[In]) -> None:
+    def _tick(self, ticking: PeriodicMessage[In]) -> None:
         while True:
             eventlet.sleep(ticking.interval_s)
             self._inbox.put(ticking.message)
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -7,7 +7,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.follower import TICK_S
@@ -60,7 +60,7 @@
             TablesFollower(sources, clock.now()),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, FollowerTick()),
+            PeriodicMessage(TICK_S, FollowerTick()),
         )
 
     def handle_frame(self, frame: Frame) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -21,7 +21,7 @@
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobend_core._internal.gossip.codec import decode_message
@@ -97,7 +97,7 @@
             GossipNode(self._own_row, settings.seeds, self._process_id),
             CallOutlet(self._handle_gossip_output),
             self._clock,
-            Ticking(TICK_S, GossipTick()),
+            PeriodicMessage(TICK_S, GossipTick()),
         )
         self._spread = FleetTables(self._link, self._tables.put, self._clock)
         self._control = self._create_control()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -30,7 +30,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
@@ -78,7 +78,7 @@
             ServerRegistry(address, epoch, unique_addresses=True),
             CallOutlet(self._handle_registry_output),
             HubClock(),
-            Ticking(REGISTRY_TICK_S, RegistryTick()),
+            PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -8,7 +8,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.follower import TICK_S
@@ -49,7 +49,7 @@
             TablesFollower((), clock.now()),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, FollowerTick()),
+            PeriodicMessage(TICK_S, FollowerTick()),
         )
 
     def register(self, router: FrameRouter) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -12,7 +12,7 @@
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import ReadIndex
@@ -70,7 +70,7 @@
             FloorOwner(),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, FloorTick()),
+            PeriodicMessage(TICK_S, FloorTick()),
         )
 
     def start(self) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -17,7 +17,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_adapters._internal.traffic import TrafficTasks
 from pimentobend_core._internal.membership.messages import DrainReplied
 from pimentobend_core._internal.membership.messages import DrainServer
@@ -101,7 +101,7 @@
             ServerRegistry(link.address, epoch),
             CallOutlet(self._handle_registry_output),
             clock,
-            Ticking(REGISTRY_TICK_S, RegistryTick()),
+            PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
         pipe = build_request_pipe(
             RequestPorts(
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -7,7 +7,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServiceChanged
@@ -66,14 +66,14 @@
             _create_node(link.address, epoch, parents, is_relay),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(SPREAD_TICK_S, SpreadTick()),
+            PeriodicMessage(SPREAD_TICK_S, SpreadTick()),
         )
         self._view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
             "view",
             MembershipView(),
             CallOutlet(self._notify_subscribers),
             clock,
-            Ticking(VIEW_TICK_S, ViewTick()),
+            PeriodicMessage(VIEW_TICK_S, ViewTick()),
         )
 
         self._pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
