Rename the field attempted to result

attempted, of type AttemptResult, read like a flag. The records of an attempt that ended (EndedAttempt, JudgedAttempt, Finished, AttemptJudged) hold its result; the log's keys come from values that are written out one by one and stay. Local variables of the same name follow.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -135,7 +135,7 @@
 
     def _report_failure(self, ended: Result[Finished, Refusal]) -> None:
         """Emit an event that lists the attempts if the request failed."""
-        if ended.map(lambda each: each.attempted.status < SERVER_ERROR).value_or(False):
+        if ended.map(lambda each: each.result.status < SERVER_ERROR).value_or(False):
             return
         routed = self._routed
         attempts = tuple(
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -117,7 +117,7 @@
             yield from self._refuse(refusal, request_id, start_response)
             return
         finished = result.unwrap()
-        status = finished.attempted.status
+        status = finished.result.status
         self._record(request, status, finished.ran, None, finished.server_id)
         yield from self._answer(finished, request.head, start_response)
 
@@ -219,24 +219,24 @@
     start_response: StartResponse,
 ) -> Iterator[bytes]:
     request_id = head.request_id
-    body = finished.attempted.body
+    body = finished.result.body
     assert body is not None
     try:
         chunks = body.chunks()
-        buffered = _read_small(chunks, finished.attempted.headers)
+        buffered = _read_small(chunks, finished.result.headers)
     except AnswerTruncatedError as error:
         body.close()
         refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
         yield from _write_refusal(refusal, request_id, names, start_response)
         return
-    headers = list(finished.attempted.headers)
-    if find_header(finished.attempted.headers, names.request_id) is None:
+    headers = list(finished.result.headers)
+    if find_header(finished.result.headers, names.request_id) is None:
         headers.append((names.request_id, request_id))
     headers.append((names.ran, finished.ran.value))
     if isinstance(body, BufferedAnswer) and head.method != "HEAD":
         headers = [each for each in headers if each[0].lower() != "content-length"]
         headers.append(("Content-Length", str(body.length)))
-    start_response(_status_line(finished.attempted.status), headers)
+    start_response(_status_line(finished.result.status), headers)
     try:
         yield from buffered
         yield from chunks
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -33,7 +33,7 @@
 
     request_id: str
     attempt_id: str
-    attempted: AttemptResult
+    result: AttemptResult
 
 
 class DeliveryHeld(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -61,7 +61,7 @@
                 was_reused=is_repeatable and self._backend.will_reuse(value.server),
             ),
         )
-        attempted = self._backend.send(
+        result = self._backend.send(
             value.server, request.head, request.body, is_repeatable
         )
         self._traffic.ended(
@@ -70,11 +70,11 @@
                 pool=request.route.pool,
                 route=request.route.name,
                 server_id=value.server.server_id,
-                kind=attempted.kind,
-                status=attempted.status,
-                latency_s=attempted.latency_s,
-                was_reused=attempted.was_reused,
-                load=attempted.load,
+                kind=result.kind,
+                status=result.status,
+                latency_s=result.latency_s,
+                was_reused=result.was_reused,
+                load=result.load,
             )
         )
-        return Success(EndedAttempt(request, value.server, attempted))
+        return Success(EndedAttempt(request, value.server, result))
--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -76,10 +76,10 @@
             return False
         if now >= value.head.deadline:
             return False
-        if not self._may_afford(judged.attempted.kind, pool, attempts, now):
+        if not self._may_afford(judged.result.kind, pool, attempts, now):
             return False
-        if judged.attempted.body is not None:
-            judged.attempted.body.close()
+        if judged.result.body is not None:
+            judged.result.body.close()
         return True
 
     def _may_afford(
@@ -97,7 +97,7 @@
     if judged.refusal is not None:
         return Failure(_merge_ran(judged.refusal, ran))
     return Success(
-        Finished(judged.attempted, judged.ran, judged.server.server_id, attempts)
+        Finished(judged.result, judged.ran, judged.server.server_id, attempts)
     )
 
 
--- a/packages/core/src/pimentobend_core/_internal/request/idempotency.py
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -43,4 +43,4 @@
             self._ledger.settle(claim, refusal.ran, refusal.status)
             return
         finished = result.unwrap()
-        self._ledger.settle(claim, finished.ran, finished.attempted.status)
+        self._ledger.settle(claim, finished.ran, finished.result.status)
--- a/packages/core/src/pimentobend_core/_internal/request/judgement.py
+++ b/packages/core/src/pimentobend_core/_internal/request/judgement.py
@@ -49,13 +49,13 @@
 
     def apply(self, value: EndedAttempt) -> Result[JudgedAttempt, Refusal]:
         """Return the attempt with its verdict; this filter never refuses."""
-        if value.attempted.kind is AttemptKind.ANSWERED:
+        if value.result.kind is AttemptKind.ANSWERED:
             return Success(_judge_answer(value))
-        verdict = _VERDICTS[value.attempted.kind]
+        verdict = _VERDICTS[value.result.kind]
         refusal = Refusal(
             status=verdict.status,
             ran=verdict.ran,
-            reason=_reason(value.attempted.kind),
+            reason=_reason(value.result.kind),
             detail=f"{verdict.detail} ({value.server.server_id})",
             retry_after_s=RETRY_AFTER_S if verdict.ran is Ran.NOT_RUN else None,
         )
@@ -63,7 +63,7 @@
         return Success(
             JudgedAttempt(
                 server=value.server,
-                attempted=value.attempted,
+                result=value.result,
                 ran=verdict.ran,
                 refusal=refusal,
                 may_retry=is_safe and _can_resend(value),
@@ -78,11 +78,11 @@
 
 
 def _judge_answer(value: EndedAttempt) -> JudgedAttempt:
-    status = value.attempted.status
+    status = value.result.status
     is_failure = status >= SERVER_ERROR and status not in PERMANENT_ERRORS
     return JudgedAttempt(
         server=value.server,
-        attempted=value.attempted,
+        result=value.result,
         ran=Ran.RAN,
         refusal=None,
         may_retry=is_failure and value.request.route.repeatable and _can_resend(value),
@@ -91,6 +91,6 @@
 
 def _can_resend(value: EndedAttempt) -> bool:
     request: Claimed = value.request
-    if value.attempted.kind is AttemptKind.NOT_CONNECTED:
+    if value.result.kind is AttemptKind.NOT_CONNECTED:
         return True
     return request.body.can_replay
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -59,11 +59,11 @@
 
 
 class EndedAttempt(NamedTuple):
-    """An attempt that ended, with its result in ``attempted``."""
+    """An attempt that ended, with its ``result``."""
 
     request: Claimed
     server: Server
-    attempted: AttemptResult
+    result: AttemptResult
 
 
 class JudgedAttempt(NamedTuple):
@@ -74,7 +74,7 @@
     """
 
     server: Server
-    attempted: AttemptResult
+    result: AttemptResult
     ran: Ran
     refusal: Refusal | None
     may_retry: bool
@@ -83,7 +83,7 @@
 class Finished(NamedTuple):
     """The answer for the caller."""
 
-    attempted: AttemptResult
+    result: AttemptResult
     ran: Ran
     server_id: str
     attempts: int
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -35,7 +35,7 @@
             case AttemptSent():
                 self._write_sent(message)
             case AttemptJudged():
-                result = message.attempted
+                result = message.result
                 self._counters.count("attempts", result.kind.value)
                 self._counters.time("attempt", result.latency_s)
                 self._log.info(
--- a/tests/unit/forwarding/test_calls.py
+++ b/tests/unit/forwarding/test_calls.py
@@ -139,11 +139,11 @@
     ("step", "kind"), [a[1:] for a in ANSWERS], ids=[a[0] for a in ANSWERS]
 )
 def test_which_answers_are_accepted(step: Step, kind: AttemptKind) -> None:
-    attempted = call(RawServer([step]), make_calls())
-    assert attempted.kind is kind
-    if kind is AttemptKind.ANSWERED and attempted.status == 200:
-        assert isinstance(attempted.body, BufferedAnswer)
-        assert b"".join(attempted.body.chunks()) == b"ok"
+    result = call(RawServer([step]), make_calls())
+    assert result.kind is kind
+    if kind is AttemptKind.ANSWERED and result.status == 200:
+        assert isinstance(result.body, BufferedAnswer)
+        assert b"".join(result.body.chunks()) == b"ok"
 
 
 REUSE = [
@@ -174,8 +174,8 @@
     raw = RawServer(steps)
     calls = make_calls()
     for _ in steps:
-        attempted = call(raw, calls, is_repeatable=is_repeatable)
-        assert attempted.kind is AttemptKind.ANSWERED
+        result = call(raw, calls, is_repeatable=is_repeatable)
+        assert result.kind is AttemptKind.ANSWERED
         eventlet.sleep(idle_s)
     assert raw.connections == connections
 
@@ -185,5 +185,5 @@
     server = raw.server
     raw.socket.close()
     head = RequestHead("1", "GET", "h", "/", "", (), "", None, 0.0, 1e9)
-    attempted = make_calls().call(server, head, BufferedBody(b""), True)
-    assert attempted.kind is AttemptKind.NOT_CONNECTED
+    result = make_calls().call(server, head, BufferedBody(b""), True)
+    assert result.kind is AttemptKind.NOT_CONNECTED
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -171,8 +171,8 @@
     harness = HopHarness(hold_s)
     harness.proxy.breaks_after = breaks_after
     harness.proxy.loses_answers = loses
-    attempted = harness.run("1")
-    assert (attempted.kind, attempted.status) == (AttemptKind.ANSWERED, 200)
+    result = harness.run("1")
+    assert (result.kind, result.status) == (AttemptKind.ANSWERED, 200)
     assert harness.calls.runs == ["1"]
 
 
--- a/tests/unit/request/test_pipe.py
+++ b/tests/unit/request/test_pipe.py
@@ -94,7 +94,7 @@
         status, ran = result.failure().status, result.failure().ran
     else:
         finished = result.unwrap()
-        status, ran = finished.attempted.status, finished.ran
+        status, ran = finished.result.status, finished.ran
     assert (status, ran, len(backend.sent)) == (case.status, case.ran, case.attempts)
     assert len(traffic.ends) == case.attempts
     assert len(set(backend.sent)) == case.attempts
