Rename ChangeAsked, ChangeReplied and ReadAsked to requests and a reply

Participles named what happened to a message, not what it is. They are TablesChangeRequest, TablesChangeReply and TablesReadRequest, beside the TablesRead that answers the last; ChangeRequest alone is the operators' request in the daemon. On the wire they are arrays without a name. The codec's error carries the class name as its context, but each place that decodes one of the three passes on only the message and the frame's kind.

--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -10,13 +10,15 @@
 from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
-from pimentobend_core._internal.configuration.service_messages import ReadAsked
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.configuration.service_messages import TablesRead
+from pimentobend_core._internal.configuration.service_messages import TablesReadRequest
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
@@ -55,7 +57,7 @@
     def __init__(self, replica_id: str) -> None:
         self._replica_id = replica_id
         self._state = ConfigurationState()
-        self._pending: dict[int, ChangeAsked] = {}  # by proposal id
+        self._pending: dict[int, TablesChangeRequest] = {}  # by proposal id
         self._next_id = 1
         self._leader = LeaderChanged(0, None)
         self._applied = Version(0, 0)
@@ -72,9 +74,9 @@
     def handle(self, message: ServiceInput, now: float) -> tuple[ServiceOutput, ...]:
         """Handle a change, a read or an event of the replicated log."""
         match message:
-            case ChangeAsked():
+            case TablesChangeRequest():
                 return self._handle_change(message)
-            case ReadAsked():
+            case TablesReadRequest():
                 return self._start_read(message.token)
             case ReadReady():
                 return self._handle_read_ready(message)
@@ -97,10 +99,10 @@
             "leader_id": self._leader.leader_id,
         }
 
-    def _handle_change(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
+    def _handle_change(self, asked: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
         first = self._state.answer(asked.change_id)
         if first is not None:
-            return (ChangeReplied(asked.token, first.outcome, first.version),)
+            return (TablesChangeReply(asked.token, first.outcome, first.version),)
         if self._leader.leader_id != self._replica_id:
             has_leader = self._leader.leader_id is not None
             outcome = (
@@ -114,20 +116,20 @@
             return (self._reply(asked, ChangeOutcome.CONFLICT),)
         return self._propose(asked)
 
-    def _is_expected(self, asked: ChangeAsked) -> bool:
+    def _is_expected(self, asked: TablesChangeRequest) -> bool:
         tables = self._state.tables
         if asked.label is None:
             return asked.expected == tables.version
         return asked.label.base == tables.label
 
-    def _propose(self, asked: ChangeAsked) -> tuple[ServiceOutput, ...]:
+    def _propose(self, asked: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
         delta = self._state.build_delta(asked)
         if not self._state.is_valid(delta, asked.label):
             return (self._reply(asked, ChangeOutcome.INVALID),)
         return self._propose_delta(asked, delta)
 
     def _propose_delta(
-        self, asked: ChangeAsked, delta: TablesDelta
+        self, asked: TablesChangeRequest, delta: TablesDelta
     ) -> tuple[ServiceOutput, ...]:
         command = encode(TablesCommand(asked.change_id, delta))
         if len(command) > COMMAND_BYTES:
@@ -186,7 +188,7 @@
             return (self._reply(asked, ChangeOutcome.UNKNOWN),)
         label = self._state.tables.label
         return (
-            ChangeReplied(asked.token, answer.outcome, answer.version, label=label),
+            TablesChangeReply(asked.token, answer.outcome, answer.version, label=label),
         )
 
     def _restore(self, message: Restored) -> tuple[ServiceOutput, ...]:
@@ -206,9 +208,11 @@
         self._applied_bytes = 0
         return (Compact(log_index, encode(self._state.snapshot())),)
 
-    def _reply(self, asked: ChangeAsked, outcome: ChangeOutcome) -> ChangeReplied:
+    def _reply(
+        self, asked: TablesChangeRequest, outcome: ChangeOutcome
+    ) -> TablesChangeReply:
         tables = self._state.tables
-        return ChangeReplied(
+        return TablesChangeReply(
             asked.token,
             outcome,
             tables.version,
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -33,7 +33,7 @@
     pools: tuple[str, ...]
 
 
-class ChangeAsked(NamedTuple):
+class TablesChangeRequest(NamedTuple):
     """Request to replace the tables of the expected version.
 
     The tables have been validated. The reply repeats ``token``, which the
@@ -51,7 +51,7 @@
     removals: Removals | None = None  # None if routes and pools are complete tables
 
 
-class ChangeReplied(NamedTuple):
+class TablesChangeReply(NamedTuple):
     """Answer to a change; ``leader_id`` is the known leader to redirect to."""
 
     token: int
@@ -61,7 +61,7 @@
     label: int = 0
 
 
-class ReadAsked(NamedTuple):
+class TablesReadRequest(NamedTuple):
     """Request the newest tables; the reply repeats ``token``."""
 
     token: int
@@ -88,8 +88,8 @@
 
 
 ServiceInput = (
-    ChangeAsked
-    | ReadAsked
+    TablesChangeRequest
+    | TablesReadRequest
     | Committed
     | Restored
     | ProposalResult
@@ -100,7 +100,7 @@
     Propose
     | Compact
     | ReadIndex
-    | ChangeReplied
+    | TablesChangeReply
     | TablesRead
     | TablesAccepted
     | TablesReplaced
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -11,8 +11,10 @@
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 from pimentobend_core._internal.configuration.messages import WholeTables
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
 from pimentobend_core._internal.configuration.service_messages import NextLabel
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 
 MAX_ANSWERS = 4096  # by change id; resending an older change gives a conflict
@@ -54,7 +56,7 @@
         """Return the first answer to a change id, or None if it is not known."""
         return self._answers.get(change_id)
 
-    def build_delta(self, asked: ChangeAsked) -> TablesDelta:
+    def build_delta(self, asked: TablesChangeRequest) -> TablesDelta:
         """Return the delta from the tables in force to those that a change requests."""
         tables = self._tables
         if asked.removals is None:
--- a/packages/daemon/src/pimentobendd/_internal/control/changes.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/changes.py
@@ -20,8 +20,10 @@
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import Version as TablesVersion
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobendd._internal.control_port import ChangeRefused
 from pimentobendd._internal.control_port import ChangeRequest
@@ -78,16 +80,16 @@
     """Asks the local replica, or the leader that it names, and waits for the reply."""
 
     def __init__(
-        self, link: Transport, send_local: Callable[[ChangeAsked], None]
+        self, link: Transport, send_local: Callable[[TablesChangeRequest], None]
     ) -> None:
         self._link = link
         self._send_local = send_local
-        self._replies: Replies[ChangeReplied] = Replies(lambda reply: reply.token)
+        self._replies: Replies[TablesChangeReply] = Replies(lambda reply: reply.token)
         self._tokens = itertools.count(1)
 
     def apply(self, request: ChangeRequest) -> Result[Version, ChangeRefused]:
         """Make a change durable, or return why it was refused."""
-        change = ChangeAsked(
+        change = TablesChangeRequest(
             0,
             request.change_id,
             TablesVersion(*request.expected),
@@ -102,7 +104,7 @@
             )
         return _convert_reply(reply)
 
-    def put(self, reply: ChangeReplied) -> None:
+    def put(self, reply: TablesChangeReply) -> None:
         """Handle a reply of the local service."""
         self._replies.put(reply)
 
@@ -110,34 +112,34 @@
         """Handle a change or a reply of another control instance."""
         try:
             if frame.kind == KIND_REPLY:
-                self._replies.put(decode(frame.payload, ChangeReplied))
+                self._replies.put(decode(frame.payload, TablesChangeReply))
                 return
-            change = decode(frame.payload, ChangeAsked)
+            change = decode(frame.payload, TablesChangeRequest)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         eventlet.spawn_n(self._answer_peer, frame.sender, change)
 
-    def _answer_peer(self, sender: str, change: ChangeAsked) -> None:
+    def _answer_peer(self, sender: str, change: TablesChangeRequest) -> None:
         reply = self._ask(change, self._send_local)
         payload = encode(reply._replace(token=change.token))
         self._link.send(sender, KIND_REPLY, payload)
 
     def _ask(
-        self, change: ChangeAsked, send: Callable[[ChangeAsked], Any]
-    ) -> ChangeReplied:
+        self, change: TablesChangeRequest, send: Callable[[TablesChangeRequest], Any]
+    ) -> TablesChangeReply:
         token = next(self._tokens)
         reply = self._replies.ask(
             token, lambda: send(change._replace(token=token)), ANSWER_TIMEOUT_S
         )
         if reply is None:
-            return ChangeReplied(token, ChangeOutcome.UNKNOWN, change.expected)
+            return TablesChangeReply(token, ChangeOutcome.UNKNOWN, change.expected)
         return reply
 
-    def _send_to_leader(self, leader_id: str, change: ChangeAsked) -> None:
+    def _send_to_leader(self, leader_id: str, change: TablesChangeRequest) -> None:
         self._link.send(leader_id, KIND_ASK, encode(change))
 
 
-def _convert_reply(reply: ChangeReplied) -> Result[Version, ChangeRefused]:
+def _convert_reply(reply: TablesChangeReply) -> Result[Version, ChangeRefused]:
     if reply.outcome is ChangeOutcome.ACCEPTED:
         return Success(Version(*reply.version))
     refusal = _REFUSAL_TEXTS[reply.outcome]
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -16,10 +16,10 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.consensus.members import NO_MEMBERS
@@ -139,7 +139,7 @@
 
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
-            case ChangeReplied():
+            case TablesChangeReply():
                 self.changes.put(output)
             case TablesAccepted():
                 message = Deltas(output.deltas)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
@@ -14,10 +14,12 @@
 from pimentobend_core._internal.configuration.messages import FIRST_VERSION
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import WholeTables
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
-from pimentobend_core._internal.configuration.service_messages import ReadAsked
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.configuration.service_messages import TablesRead
+from pimentobend_core._internal.configuration.service_messages import TablesReadRequest
 from pimentobend_core._internal.consensus.formation import address_of
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.ports import ClockPort
@@ -33,8 +35,8 @@
 RESEND_S = 0.3  # five round trips between regions; frames can be lost
 LEADER_POLL_S = 0.1  # between attempts while no leader is known
 
-LeaderRequest = ChangeAsked | ReadAsked
-LeaderReply = ChangeReplied | TablesRead
+LeaderRequest = TablesChangeRequest | TablesReadRequest
+LeaderReply = TablesChangeReply | TablesRead
 
 _RETRYABLE = (ChangeOutcome.NOT_LEADER, ChangeOutcome.NO_MAJORITY)
 
@@ -56,7 +58,7 @@
 
     def apply(self, change: LabelledChange) -> ChangeOutcome:
         """Make a change durable and return the outcome."""
-        request = ChangeAsked(
+        request = TablesChangeRequest(
             0,
             change.change_id,
             FIRST_VERSION,
@@ -67,13 +69,13 @@
             change.removals,
         )
         reply = self._ask_leader(request)
-        if isinstance(reply, ChangeReplied):
+        if isinstance(reply, TablesChangeReply):
             return reply.outcome
         return ChangeOutcome.UNKNOWN
 
     def read(self) -> WholeTables | None:
         """Return the newest tables, or None if no leader confirms that they are."""
-        reply = self._ask_leader(ReadAsked(0))
+        reply = self._ask_leader(TablesReadRequest(0))
         return reply.whole if isinstance(reply, TablesRead) else None
 
     def put(self, reply: LeaderReply) -> None:
@@ -85,14 +87,14 @@
         try:
             match frame.kind:
                 case "change.reply":
-                    self._replies.put(decode(frame.payload, ChangeReplied))
+                    self._replies.put(decode(frame.payload, TablesChangeReply))
                 case "read.reply":
                     self._replies.put(decode(frame.payload, TablesRead))
                 case "change.ask":
-                    change = decode(frame.payload, ChangeAsked)
+                    change = decode(frame.payload, TablesChangeRequest)
                     eventlet.spawn_n(self._answer_peer, frame.sender, change)
                 case _:
-                    read = decode(frame.payload, ReadAsked)
+                    read = decode(frame.payload, TablesReadRequest)
                     eventlet.spawn_n(self._answer_peer, frame.sender, read)
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
@@ -102,7 +104,9 @@
         if reply is None:
             return
         kind = (
-            KIND_CHANGE_REPLY if isinstance(reply, ChangeReplied) else KIND_READ_REPLY
+            KIND_CHANGE_REPLY
+            if isinstance(reply, TablesChangeReply)
+            else KIND_READ_REPLY
         )
         self._link.send(sender, kind, encode(reply._replace(token=request.token)))
 
@@ -136,7 +140,7 @@
     ) -> LeaderReply | None:
         """Ask the leader; a change that arrives twice is applied once."""
         token = next(self._tokens)
-        kind = KIND_CHANGE if isinstance(request, ChangeAsked) else KIND_READ
+        kind = KIND_CHANGE if isinstance(request, TablesChangeRequest) else KIND_READ
         payload = encode(request._replace(token=token))
         left_s = deadline - self._clock.now()
         return self._replies.ask(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -22,10 +22,10 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.consensus.formation import first_members
@@ -199,7 +199,7 @@
 
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
-            case ChangeReplied() | TablesRead():
+            case TablesChangeReply() | TablesRead():
                 self.leader_client.put(output)
             case TablesAccepted():
                 message = Deltas(output.deltas)
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -14,10 +14,12 @@
 from pimentobend_core._internal.configuration.messages import TablesCommand
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.service import ConfigurationService
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.configuration.state import MAX_ANSWERS
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.configuration.versioned import VersionedTables
@@ -42,7 +44,7 @@
         self.service = ConfigurationService("a")
         self.entries: list[Entry] = []
         self.waiting: list[Propose] = []
-        self.replies: list[ChangeReplied] = []
+        self.replies: list[TablesChangeReply] = []
         self.send(LeaderChanged(3, "a"))
         self.append(b"")
 
@@ -51,7 +53,7 @@
         for output in outputs:
             if isinstance(output, Propose):
                 self.waiting.append(output)
-            if isinstance(output, ChangeReplied):
+            if isinstance(output, TablesChangeReply):
                 self.replies.append(output)
         return outputs
 
@@ -76,7 +78,7 @@
         token = len(self.replies) + len(self.waiting) + 1
         expected = expected or self.service.state.tables.version
         routes = tuple(make_route(number) for number in numbers)
-        self.send(ChangeAsked(token, change_id, expected, routes, POOLS))
+        self.send(TablesChangeRequest(token, change_id, expected, routes, POOLS))
         return token
 
 
