--- a/packages/adapters/src/pimentobend_adapters/_internal/links/batches.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/batches.py
@@ -9,7 +9,7 @@
 Message = TypeVar("Message")
 
 
-class Batches(Generic[Message]):
+class Batcher(Generic[Message]):
     """Collect messages per recipient and send them together after ``window_s``."""
 
     def __init__(
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from pimentobend_adapters._internal.links.batches import Batches
+from pimentobend_adapters._internal.links.batches import Batcher
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import Outlet
@@ -35,7 +35,7 @@
         self._on_grant = on_grant
         self._owner: str | None = None
         self._granted_at = 0.0
-        self._batches: Batches[EvidenceReported] = Batches(self._send, WINDOW_S)
+        self._batches: Batcher[EvidenceReported] = Batcher(self._send, WINDOW_S)
 
     def put(self, message: EvidenceReported) -> None:
         """Queue a report; urgent ones are sent at once."""
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from pimentobend_adapters._internal.links.batches import Batches
+from pimentobend_adapters._internal.links.batches import Batcher
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.logs import get_log
@@ -64,7 +64,7 @@
         self._last_read_id = 0
         self._observer_addresses: dict[str, str] = {}  # by observer
         self._confirm_greenlet: Any = None
-        self._batches: Batches[EjectionsGranted] = Batches(self._send, WINDOW_S)
+        self._batches: Batcher[EjectionsGranted] = Batcher(self._send, WINDOW_S)
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
             "floor",
             FloorOwner(),
