--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -51,9 +51,9 @@
         self.address = f"{host}:{self._http.server_port}"
         self.announced = announced or self.address
         self._info = {"service": service, "version": "v1", "zone": "a", "slots": slots}
-        self.begin_again()
+        self.restart()
 
-    def begin_again(self) -> None:
+    def restart(self) -> None:
         """Become a new server with another id at the same address."""
         born = time.time_ns()
         self.server_id = f"i-{born:x}"
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -149,7 +149,7 @@
         acknowledged_at = time.monotonic()
         time.sleep(DRAIN_GRACE_S + duration_s)
         server.drained.append((acknowledged_at + DRAIN_GRACE_S, time.monotonic()))
-        server.begin_again()
+        server.restart()
 
 
 class DisruptConnections(Fault):
