Use one wording for errors of decoding, unknown kinds and versions

The same fault was worded as "does not decode", "cannot be decoded" and "cannot decode", so a reader of the log had to search for three texts. All say "cannot decode <what>", "unknown kind of <what>" and "unsupported version of <what>" now. A test in test_service.py matched one of the texts; it checks the new one, with the kind of message in it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -44,7 +44,7 @@
     version = data[len(MAGIC)]
     if version != VERSION:
         raise FrameError(
-            "unsupported frame version",
+            "unsupported version of a frame",
             context=f"version {version}, expected {VERSION}",
             hint="run the same version in the whole fleet",
         )
@@ -61,7 +61,7 @@
     try:
         return _DECODER.decode(body)
     except (msgspec.DecodeError, ValueError) as error:
-        raise FrameError("the frame cannot be decoded", context=str(error)) from error
+        raise FrameError("cannot decode a frame", context=str(error)) from error
 
 
 def _tag(body: bytes, key: bytes) -> bytes:
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
@@ -25,7 +25,7 @@
         """Pass a frame to the handler of its kind."""
         handler = self._handlers.get(message.kind)
         if handler is None:
-            self._on_fault(FrameError("unknown frame kind", context=message.kind))
+            self._on_fault(FrameError("unknown kind of frame", context=message.kind))
             return
         try:
             handler(message)
--- a/packages/core/src/pimentobend_core/_internal/configuration/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/codec.py
@@ -24,7 +24,7 @@
         return msgspec.msgpack.decode(data, type=kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise CodecError(
-            "configuration message does not decode", context=kind.__name__
+            "cannot decode a configuration message", context=kind.__name__
         ) from error
 
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/codec.py
@@ -113,5 +113,5 @@
     decoders: list[msgspec.msgpack.Decoder[Any]], tag: int
 ) -> msgspec.msgpack.Decoder[Any]:
     if not 0 <= tag < len(decoders):
-        raise CodecError("message or record of an unknown kind")
+        raise CodecError("unknown kind of message or record")
     return decoders[tag]
--- a/packages/core/src/pimentobend_core/_internal/exceptions.py
+++ b/packages/core/src/pimentobend_core/_internal/exceptions.py
@@ -24,4 +24,4 @@
 
 
 class CodecError(CoreError):
-    """The bytes do not decode to a message of this version."""
+    """Bytes cannot be decoded as a message of this version."""
--- a/packages/core/src/pimentobend_core/_internal/gossip/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/codec.py
@@ -31,7 +31,7 @@
     try:
         number, raw = _ENVELOPE.decode(data)
         if not 0 <= number < len(_DECODERS):
-            raise CodecError(f"gossip message of unknown type {number}")
+            raise CodecError(f"unknown kind of gossip message {number}")
         return cast(GossipMessage, _DECODERS[number].decode(raw))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("gossip message cannot be decoded") from error
+        raise CodecError("cannot decode a gossip message") from error
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -46,4 +46,4 @@
             raise CodecError("health messages are too large or truncated")
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
-        raise CodecError("health messages cannot be decoded") from error
+        raise CodecError("cannot decode health messages") from error
--- a/packages/core/src/pimentobend_core/_internal/ledger/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/codec.py
@@ -146,13 +146,15 @@
     try:
         return decoder.decode(payload)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("cannot decode ledger message", context=str(error)) from error
+        raise CodecError(
+            "cannot decode a ledger message", context=str(error)
+        ) from error
 
 
 def _check_version(version: int) -> None:
     if version != VERSION:
         raise CodecError(
-            "ledger message has an unsupported version",
+            "unsupported version of a ledger message",
             context=f"version {version}, expected {VERSION}",
             hint="run the same release on every replica",
         )
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -57,7 +57,7 @@
     try:
         payload = _DECODER.decode(row.payload)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise CodecError("server row does not decode", context=str(error)) from error
+        raise CodecError("cannot decode a server row", context=str(error)) from error
     server = Server(server_id, *payload[1:])
     return ServerEvent(instance_id, row.rank, payload.presence, server)
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
@@ -58,7 +58,7 @@
         return _DECODERS[envelope.kind].decode(_get_body(envelope))
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
         raise CodecError(
-            "spread message does not decode", context=str(error)
+            "cannot decode a spread message", context=str(error)
         ) from error
 
 
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -209,4 +209,4 @@
         try:
             assert isinstance(decode(bytes(changed)), tuple)
         except CodecError as error:
-            assert "does not decode" in str(error)
+            assert "cannot decode a configuration message" in str(error)
