--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -28,7 +28,7 @@
     def may_retry(self, pool: str, now: float) -> bool:
         """Spend one retry of the pool's budget at ``now`` (seconds) if any is left."""
 
-    def may_offer_again(self, pool: str, now: float) -> bool:
+    def may_retry_refused(self, pool: str, now: float) -> bool:
         """Spend one retry of a request that a server refused without running it."""
         return self.may_retry(pool, now)
 
@@ -86,7 +86,7 @@
         self, kind: AttemptKind, pool: str, attempts: int, now: float
     ) -> bool:
         if kind is AttemptKind.REFUSED:
-            may_offer = self._policy.may_offer_again
+            may_offer = self._policy.may_retry_refused
             return attempts < MAX_REFUSED_ATTEMPTS and may_offer(pool, now)
         return attempts < MAX_ATTEMPTS and self._policy.may_retry(pool, now)
 
--- a/packages/core/src/pimentobend_core/_internal/traffic/policy.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/policy.py
@@ -21,7 +21,7 @@
         """Return whether a retry is allowed at ``now``, and spend a token if so."""
         return self._budget(pool).spend(now)
 
-    def may_offer_again(self, pool: str, now: float) -> bool:
+    def may_retry_refused(self, pool: str, now: float) -> bool:
         """Like ``may_retry``, at a lower cost, for a request that a server refused."""
         return self._budget(pool).spend(now, REFUSED_RETRY_COST)
 
