--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -52,7 +52,7 @@
         """Return the 90th percentile of the answer time in s, stragglers excluded."""
         return math.exp(self._mean + P90_DEVIATIONS * math.sqrt(self._variance))
 
-    def follow_target(self, target_s: float, rank: int) -> None:
+    def set_target(self, target_s: float, rank: int) -> None:
         """Set the target, relaxed for less urgent work; rank 0 is the most urgent."""
         target_s = target_s or DEFAULT_TARGET_S
         self._effective_target_s = target_s * (1.0 + RANK_SHARE * rank)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -202,7 +202,7 @@
         self._submissions += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
-        durations.follow_target(submit.target_s, submit.priority)
+        durations.set_target(submit.target_s, submit.priority)
         due = min(now + durations.slack_s, submit.deadline)
         attempt_id = submit.attempt_id
         queued = QueuedAttempt(due, self._submissions, attempt_id, durations.mean_s)
