--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -99,44 +99,44 @@
             "leader_id": self._leader.leader_id,
         }
 
-    def _handle_change(self, asked: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
-        first = self._state.answer(asked.change_id)
+    def _handle_change(self, request: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
+        first = self._state.answer(request.change_id)
         if first is not None:
-            return (TablesChangeReply(asked.token, first.outcome, first.version),)
+            return (TablesChangeReply(request.token, first.outcome, first.version),)
         if self._leader.leader_id != self._replica_id:
             has_leader = self._leader.leader_id is not None
             outcome = (
                 ChangeOutcome.NOT_LEADER if has_leader else ChangeOutcome.NO_MAJORITY
             )
-            return (self._reply(asked, outcome),)
+            return (self._reply(request, outcome),)
         if self._applied.term != self._leader.term:
             # Entries of earlier terms may not be applied yet.
-            return (self._reply(asked, ChangeOutcome.NO_MAJORITY),)
-        if not self._is_expected(asked):
-            return (self._reply(asked, ChangeOutcome.CONFLICT),)
-        return self._propose(asked)
+            return (self._reply(request, ChangeOutcome.NO_MAJORITY),)
+        if not self._is_expected(request):
+            return (self._reply(request, ChangeOutcome.CONFLICT),)
+        return self._propose(request)
 
-    def _is_expected(self, asked: TablesChangeRequest) -> bool:
+    def _is_expected(self, request: TablesChangeRequest) -> bool:
         tables = self._state.tables
-        if asked.label is None:
-            return asked.expected == tables.version
-        return asked.label.base == tables.label
+        if request.label is None:
+            return request.expected == tables.version
+        return request.label.base == tables.label
 
-    def _propose(self, asked: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
-        delta = self._state.build_delta(asked)
-        if not self._state.is_valid(delta, asked.label):
-            return (self._reply(asked, ChangeOutcome.INVALID),)
-        return self._propose_delta(asked, delta)
+    def _propose(self, request: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
+        delta = self._state.build_delta(request)
+        if not self._state.is_valid(delta, request.label):
+            return (self._reply(request, ChangeOutcome.INVALID),)
+        return self._propose_delta(request, delta)
 
     def _propose_delta(
-        self, asked: TablesChangeRequest, delta: TablesDelta
+        self, request: TablesChangeRequest, delta: TablesDelta
     ) -> tuple[ServiceOutput, ...]:
-        command = encode(TablesCommand(asked.change_id, delta))
+        command = encode(TablesCommand(request.change_id, delta))
         if len(command) > COMMAND_BYTES:
-            return (self._reply(asked, ChangeOutcome.TOO_LARGE),)
+            return (self._reply(request, ChangeOutcome.TOO_LARGE),)
         proposal_id = self._next_id
         self._next_id += 1
-        self._pending[proposal_id] = asked
+        self._pending[proposal_id] = request
         return (Propose((Proposal(proposal_id, command),)),)
 
     def _start_read(self, token: int) -> tuple[ServiceOutput, ...]:
@@ -178,17 +178,19 @@
         return (*accepted, *self._compact())
 
     def _handle_proposed(self, proposed: ProposalResult) -> tuple[ServiceOutput, ...]:
-        asked = self._pending.pop(proposed.proposal_id, None)
-        if asked is None:
+        request = self._pending.pop(proposed.proposal_id, None)
+        if request is None:
             return ()
         if proposed.outcome is not Outcome.COMMITTED:
-            return (self._reply(asked, _REFUSALS[proposed.outcome]),)
-        answer = self._state.answer(asked.change_id)
+            return (self._reply(request, _REFUSALS[proposed.outcome]),)
+        answer = self._state.answer(request.change_id)
         if answer is None:
-            return (self._reply(asked, ChangeOutcome.UNKNOWN),)
+            return (self._reply(request, ChangeOutcome.UNKNOWN),)
         label = self._state.tables.label
         return (
-            TablesChangeReply(asked.token, answer.outcome, answer.version, label=label),
+            TablesChangeReply(
+                request.token, answer.outcome, answer.version, label=label
+            ),
         )
 
     def _restore(self, message: Restored) -> tuple[ServiceOutput, ...]:
@@ -209,11 +211,11 @@
         return (Compact(log_index, encode(self._state.snapshot())),)
 
     def _reply(
-        self, asked: TablesChangeRequest, outcome: ChangeOutcome
+        self, request: TablesChangeRequest, outcome: ChangeOutcome
     ) -> TablesChangeReply:
         tables = self._state.tables
         return TablesChangeReply(
-            asked.token,
+            request.token,
             outcome,
             tables.version,
             self._leader.leader_id,
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -56,23 +56,23 @@
         """Return the first answer to a change id, or None if it is not known."""
         return self._answers.get(change_id)
 
-    def build_delta(self, asked: TablesChangeRequest) -> TablesDelta:
+    def build_delta(self, request: TablesChangeRequest) -> TablesDelta:
         """Return the delta from the tables in force to those that a change requests."""
         tables = self._tables
-        if asked.removals is None:
-            delta = tables.diff(asked.routes, asked.pools)
-            limits = asked.limits
+        if request.removals is None:
+            delta = tables.diff(request.routes, request.pools)
+            limits = request.limits
         else:
-            removals = asked.removals
+            removals = request.removals
             delta = TablesDelta(
                 tables.version,
-                asked.routes,
+                request.routes,
                 removals.routes,
-                asked.pools,
+                request.pools,
                 removals.pools,
             )
-            limits = asked.limits or tables.limits
-        label = 0 if asked.label is None else asked.label.number
+            limits = request.limits or tables.limits
+        label = 0 if request.label is None else request.label.number
         return delta._replace(limits=limits, label=label)
 
     def is_valid(self, delta: TablesDelta, label: NextLabel | None) -> bool:
