Reword docstrings of the core and the daemon that read as riddles

Some used "hold", "take", "tell" or "what waits" where the code stores, runs, sends or queues something, two described an argument by a fragment, and one had a broken verb ("held the reason"). Only docstrings and comments change.

--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -267,5 +267,5 @@
         if state.log.term_at(log_index) == state.term:
             state.commit(log_index)
         if state.commit_index > committed_before:
-            # The next heartbeat tells learners of the new commit index.
+            # The next heartbeat sends the new commit index to learners.
             self._learner_heartbeat_at = now
--- a/packages/core/src/pimentobend_core/_internal/consensus/log.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/log.py
@@ -1,4 +1,4 @@
-"""Hold the entries of the replicated log that have not been compacted."""
+"""Store the entries of the replicated log that have not been compacted."""
 
 from pimentobend_core._internal.consensus.entries import BaseRecord
 from pimentobend_core._internal.consensus.entries import Entry
--- a/packages/core/src/pimentobend_core/_internal/consensus/state.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/state.py
@@ -1,4 +1,4 @@
-"""Hold the state that a replica shares with its election, leader and follower."""
+"""State that a replica shares with its election, leader and follower."""
 
 import enum
 import random
@@ -53,7 +53,7 @@
         self.commit_index = stored.snapshot.log_index if stored.snapshot else 0
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
-        # When a leader was last heard since the start of the process.
+        # Time of the last message from a leader in this run of the process.
         self.leader_heard_at = float("-inf")
         self.election_at = now
         self._rng = rng
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -195,7 +195,7 @@
         return HoldReason.RISK if is_early else None
 
     def _hold(self, reason: HoldReason, now: float) -> tuple[DeliveryOutput, ...]:
-        """Wait before asking again, and held the reason if it has changed."""
+        """Wait before asking again, and report the reason if it has changed."""
         self._phase = _Phase.WAITING
         held = (
             () if reason is self._hold_reason else (Held(reason, bool(self._running)),)
@@ -294,7 +294,7 @@
     def _try_elsewhere(
         self, now: float, *, is_body_unsent: bool
     ) -> tuple[DeliveryOutput, ...]:
-        """Try another server after one turned the work away without running it."""
+        """Try another server after one declined the work without running it."""
         self._rejections += 1
         if self._is_stopping and not self._running:
             return self._end_with_failure()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -74,7 +74,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether the server takes new work."""
+        """Return whether the server accepts new work."""
         return self.server.state is not ServerState.DRAINING
 
     @property
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -156,7 +156,7 @@
 def select_for_repeat(
     candidates: tuple[Candidate, ...], *, may_queue: bool
 ) -> tuple[Candidate, ...]:
-    """Return the candidates that may take a retry or a hedge of a request."""
+    """Return the candidates that may run a retry or a hedge of a request."""
     return tuple(
         each
         for each in candidates
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/client.py
@@ -122,7 +122,7 @@
                 return self._tick(now)
 
     def arrive(self, rows: tuple[Row, ...]) -> tuple[SpreadOutput, ...]:
-        """Return numbered rows as arrived, except those already seen by echo."""
+        """Return ``RowsArrived`` for numbered rows, without those seen by echo."""
         newer = []
         for row in rows:
             echoed = self._echoed.get(row.row_id)
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/liveness.py
@@ -21,8 +21,8 @@
 def create_lost_row(instance_id: str, attachment: Rank) -> Row:
     """Return the row for an instance that timed out in one attachment.
 
-    It ranks after the start of that attachment and before the next one, so
-    that relays that disagree are settled by the instance's own count.
+    It ranks after the start of that attachment and before the next one. If
+    relays disagree, the instance's own count of attachments decides.
     """
     rank = Rank(attachment.epoch, 2 * attachment.sequence + 1)
     return Row(_create_row_id(instance_id), rank, _LOST)
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
@@ -66,7 +66,7 @@
 
 
 class Publish(NamedTuple):
-    """Rows on their way from authors up to the root."""
+    """Rows sent from their authors up to the root, relay by relay."""
 
     rows: tuple[Row, ...]
 
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/publisher.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/publisher.py
@@ -36,7 +36,7 @@
         self._resend_at = 0.0
 
     def republish_unseen(self, base_number: int) -> None:
-        """Publish again what a root that took over at ``base_number`` may lack."""
+        """Publish again rows that a root elected at ``base_number`` may lack."""
         for row_id, row in self._published.items():
             known = self._store.get(row_id)
             is_behind = known is None or known.rank < row.rank
@@ -44,7 +44,7 @@
                 self._unconfirmed[row_id] = row
 
     def confirm_held(self) -> None:
-        """Confirm the rows in the store, once its digest matched the parent's."""
+        """Confirm the rows in the store; call it once the parent's digest is equal."""
         for row in tuple(self._unconfirmed.values()):
             if self._store.get(row.row_id) == row:
                 self.confirm(row)
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -57,7 +57,7 @@
 
 
 class ReplicaTask(Outlet[ReplicaInput]):
-    """Runs a replica; inputs that arrive during a sync share the next one."""
+    """Runs a replica; inputs that arrive during a sync share the next sync."""
 
     def __init__(
         self,
@@ -96,7 +96,7 @@
         self._greenlet = eventlet.spawn(self._run)
 
     def stop(self) -> None:
-        """Stop at once, as a crash would, without handling what waits."""
+        """Stop at once, as a crash would, without handling queued inputs."""
         self._greenlet.kill()
         self._disk.stop()
 
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -105,7 +105,7 @@
             router.register(kind, self.ledger.handle_replica_frame)
 
     def stop(self) -> None:
-        """Stop the tasks; whatever the replica acknowledged is on its disk."""
+        """Stop the tasks; all that the replica acknowledged is on disk already."""
         self.ledger.stop()
         self.replica.stop()
         self.floor.stop()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -118,7 +118,7 @@
         ]
 
     def stop(self) -> None:
-        """Stop the tasks; whatever the replica acknowledged is on its disk."""
+        """Stop the tasks; all that the replica acknowledged is on disk already."""
         for greenlet in self._greenlets:
             greenlet.kill()
         self._replica.stop()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -57,7 +57,7 @@
 
     @abc.abstractmethod
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that stops."""
+        """Remove a server that is shutting down."""
 
 
 class Dialect(abc.ABC):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -93,7 +93,7 @@
         return Success(None)
 
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that stops."""
+        """Remove a server that is shutting down."""
         self._replies.ask(
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
@@ -106,7 +106,7 @@
 
 
 class InstancePorts(NamedTuple):
-    """What the role uses of the rest of the process."""
+    """Parts of the process that the role uses."""
 
     dialect: Dialect
     process_id: int
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -30,7 +30,7 @@
 
 
 class OperatorsPorts(NamedTuple):
-    """What the interface uses of the rest of the process."""
+    """Parts of the process that the interface uses."""
 
     control: ControlPort | None
     tables: Callable[[], Tables]
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -79,7 +79,7 @@
         self.replica.start()
 
     def stop(self) -> None:
-        """Stop the tasks; whatever the replica acknowledged is on its disk."""
+        """Stop the tasks; all that the replica acknowledged is on disk already."""
         self.replica.stop()
         self._service.stop()
 
