--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -15,7 +15,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
@@ -25,16 +25,16 @@
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.request import AttemptKind
@@ -97,7 +97,7 @@
             ServerHost(process_id, terms),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, HostTick()),
+            PeriodicMessage(TICK_S, HostTick()),
         )
 
     @property
@@ -110,11 +110,11 @@
         self._task.start()
         eventlet.spawn_n(self._expire)
 
-    def stop_taking(self) -> None:
+    def start_draining(self) -> None:
         """Decline all further attempts."""
-        self._task.put(StopTaking())
+        self._task.put(StartDraining())
 
-    def follow_sizes(self, sizes: ServiceSizes) -> None:
+    def update_service_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
         self._task.put(sizes)
 
@@ -154,7 +154,7 @@
         record = self._records.get(attempt_id)
         return record is not None and record.waiters > 0
 
-    def take_withdraw(self, frame: Frame) -> None:
+    def handle_withdraw(self, frame: Frame) -> None:
         """Handle another daemon's withdrawal; raise ``CodecError`` if malformed."""
         self._task.put(decode(frame.payload, Withdraw))
 
@@ -178,7 +178,7 @@
                 record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
-            case Joined():
+            case DuplicateSubmission():
                 # The result was dropped; all that is known is that the attempt came.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -12,10 +12,10 @@
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
+from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
-from pimentobend_core._internal.forwarding.delivery_messages import EndWaiting
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
@@ -126,8 +126,8 @@
                 outputs = self._handle_timer(now)
             case CallerLeft():
                 outputs = (*self._cancel_all(), self._finish(Stop()))
-            case EndWaiting():
-                outputs = self._end_waiting()
+            case CancelUnsent():
+                outputs = self._cancel_unsent()
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -340,7 +340,7 @@
             )
         return self._refuse(RefusalReason.BACKEND, "the server did not answer")
 
-    def _end_waiting(self) -> tuple[DeliveryOutput, ...]:
+    def _cancel_unsent(self) -> tuple[DeliveryOutput, ...]:
         """End the request now, or once the attempts that are running have ended."""
         self._is_stopping = True
         if not self._running:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -22,16 +22,16 @@
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
@@ -140,7 +140,7 @@
                 return self._update_server(message.server, now)
             case ServerUnlisted():
                 return self._remove_server(message.server_id)
-            case StopTaking():
+            case StartDraining():
                 self._is_stopping = True
             case ServiceSizes():
                 self._service_sizes = dict(message.servers)
@@ -204,7 +204,7 @@
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
-            return (Joined(submit.attempt_id),)
+            return (DuplicateSubmission(submit.attempt_id),)
         hosted = self._servers.get(submit.server_id)
         record = _AttemptRecord(submit)
         reason = self._find_decline_reason(hosted, submit, now)
@@ -216,7 +216,7 @@
         self._submissions += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
-        durations.follow_target(submit.target_s, submit.priority)
+        durations.set_target(submit.target_s, submit.priority)
         due = min(now + durations.slack_s, submit.deadline)
         attempt_id = submit.attempt_id
         queued = QueuedAttempt(due, self._submissions, attempt_id, durations.mean_s)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -89,7 +89,7 @@
     server_id: str
 
 
-class StopTaking(NamedTuple):
+class StartDraining(NamedTuple):
     """Decline all further attempts, as the process is about to stop."""
 
 
@@ -110,7 +110,7 @@
     | CallEnded
     | ServerListed
     | ServerUnlisted
-    | StopTaking
+    | StartDraining
     | ServiceSizes
     | HostTick
 )
@@ -141,7 +141,7 @@
     reason: DeclineReason
 
 
-class Joined(NamedTuple):
+class DuplicateSubmission(NamedTuple):
     """Report a repeated submission, which gets the outcome of the first one."""
 
     attempt_id: str
@@ -153,4 +153,4 @@
     attempt_id: str
 
 
-HostOutput = Bids | StartCall | Declined | Joined | CancelCall
+HostOutput = Bids | StartCall | Declined | DuplicateSubmission | CancelCall
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -49,6 +49,4 @@
             )
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
-        raise CodecError(
-            "health messages cannot be decoded", context=str(error)
-        ) from error
+        raise CodecError("cannot decode health messages", context=str(error)) from error
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -62,7 +62,7 @@
         payload = _DECODER.decode(row.payload)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise CodecError(
-            "server row does not decode",
+            "cannot decode a server row",
             context=f"server {server_id} of instance {instance_id}: {error}",
         ) from error
     server = Server(server_id, *payload[1:])
--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -29,7 +29,7 @@
     def may_retry(self, pool: str, now: float) -> bool:
         """Spend one retry of the pool's budget at ``now`` (seconds) if any is left."""
 
-    def may_offer_again(self, pool: str, now: float) -> bool:
+    def may_retry_refused(self, pool: str, now: float) -> bool:
         """Like ``may_retry``, for a request that a server refused to run."""
         return self.may_retry(pool, now)
 
@@ -77,17 +77,17 @@
             return False
         if now >= value.head.deadline:
             return False
-        if not self._has_retry_left(judged.attempted.kind, pool, attempts, now):
+        if not self._has_retry_left(judged.result.kind, pool, attempts, now):
             return False
-        if judged.attempted.body is not None:
-            judged.attempted.body.close()
+        if judged.result.body is not None:
+            judged.result.body.close()
         return True
 
     def _has_retry_left(
         self, kind: AttemptKind, pool: str, attempts: int, now: float
     ) -> bool:
         if kind is AttemptKind.REFUSED:
-            may_offer = self._policy.may_offer_again
+            may_offer = self._policy.may_retry_refused
             return attempts < MAX_REFUSED_ATTEMPTS and may_offer(pool, now)
         return attempts < MAX_ATTEMPTS and self._policy.may_retry(pool, now)
 
@@ -98,7 +98,7 @@
     if judged.refusal is not None:
         return Failure(_merge_ran(judged.refusal, ran))
     return Success(
-        Finished(judged.attempted, judged.ran, judged.server.server_id, attempts)
+        Finished(judged.result, judged.ran, judged.server.server_id, attempts)
     )
 
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -12,7 +12,7 @@
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Declined
-from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -35,7 +35,7 @@
             case AttemptSent():
                 self._write_sent(message)
             case AttemptJudged():
-                result = message.attempted
+                result = message.result
                 self._counters.count("attempts", result.kind.value)
                 self._counters.time("attempt", result.latency_s)
                 self._log.info(
@@ -91,7 +91,7 @@
         self,
         action: str,
         attempt_id: str,
-        detail: Submit | Declined | Joined | AttemptResult,
+        detail: Submit | Declined | DuplicateSubmission | AttemptResult,
     ) -> None:
         values: dict[str, Any] = {}
         match detail:
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -6,13 +6,13 @@
 
 import eventlet
 
-from pimentobend_adapters._internal.links.batches import Batches
+from pimentobend_adapters._internal.links.batches import Batcher
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import ReadIndex
@@ -64,13 +64,13 @@
         self._last_read_id = 0
         self._observer_addresses: dict[str, str] = {}  # by observer
         self._confirm_greenlet: Any = None
-        self._batches: Batches[EjectionsGranted] = Batches(self._send, WINDOW_S)
+        self._batches: Batcher[EjectionsGranted] = Batcher(self._send, WINDOW_S)
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
             "floor",
             FloorOwner(),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, FloorTick()),
+            PeriodicMessage(TICK_S, FloorTick()),
         )
 
     def start(self) -> None:
