Say in the log's code what each limit and message means

Readers stopped at _retry_after, which returns a log index, and at comments of constants that leave out what is limited or why.

--- a/packages/core/src/pimentobend_core/_internal/consensus/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/codec.py
@@ -21,10 +21,10 @@
 from pimentobend_core._internal.exceptions import CodecError
 
 _ENCODER = msgspec.msgpack.Encoder()
-_ENVELOPE = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
-_ENVELOPES = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
-_ADDRESSED = msgspec.msgpack.Decoder(tuple[str, str, bytes])
-_SNAPSHOT = msgspec.msgpack.Decoder(Snapshot)
+_TAGGED_DECODER = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+_TAGGED_LIST_DECODER = msgspec.msgpack.Decoder(list[tuple[int, msgspec.Raw]])
+_ENVELOPE_DECODER = msgspec.msgpack.Decoder(tuple[str, str, bytes])
+_SNAPSHOT_DECODER = msgspec.msgpack.Decoder(Snapshot)
 
 # A type's position is its tag on the wire or on disk: append new types.
 _MESSAGES = (
@@ -51,10 +51,12 @@
 def decode_message(data: bytes) -> PeerMessage:
     """Decode a message; raise ``CodecError`` for invalid bytes."""
     try:
-        tag, raw = _ENVELOPE.decode(data)
+        tag, raw = _TAGGED_DECODER.decode(data)
         return cast(PeerMessage, _decoder(_MESSAGE_DECODERS, tag).decode(raw))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("cannot decode a message from a replica") from error
+        raise CodecError(
+            "cannot decode a message from a replica", context=str(error)
+        ) from error
 
 
 class Envelope(NamedTuple):
@@ -73,14 +75,16 @@
 def decode_envelope(data: bytes) -> Envelope:
     """Decode an envelope; raise ``CodecError`` for invalid bytes."""
     try:
-        sender, recipient, content = _ADDRESSED.decode(data)
+        sender, recipient, content = _ENVELOPE_DECODER.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("cannot decode an envelope from a replica") from error
+        raise CodecError(
+            "cannot decode an envelope from a replica", context=str(error)
+        ) from error
     return Envelope(sender, recipient, decode_message(content))
 
 
 def encode_records(records: tuple[Record, ...]) -> bytes:
-    """Encode records that are synced together."""
+    """Encode records that are written to the disk with one sync."""
     tagged = [(_RECORD_TAGS[type(record)], record) for record in records]
     return _ENCODER.encode(tagged)
 
@@ -90,10 +94,10 @@
     try:
         return tuple(
             cast(Record, _decoder(_RECORD_DECODERS, tag).decode(raw))
-            for tag, raw in _ENVELOPES.decode(data)
+            for tag, raw in _TAGGED_LIST_DECODER.decode(data)
         )
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("cannot decode a stored record") from error
+        raise CodecError("cannot decode a stored record", context=str(error)) from error
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
@@ -104,14 +108,16 @@
 def decode_snapshot(data: bytes) -> Snapshot:
     """Decode a snapshot; raise ``CodecError`` for invalid bytes."""
     try:
-        return _SNAPSHOT.decode(data)
+        return _SNAPSHOT_DECODER.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise CodecError("cannot decode a stored snapshot") from error
+        raise CodecError(
+            "cannot decode a stored snapshot", context=str(error)
+        ) from error
 
 
 def _decoder(
     decoders: list[msgspec.msgpack.Decoder[Any]], tag: int
 ) -> msgspec.msgpack.Decoder[Any]:
     if not 0 <= tag < len(decoders):
-        raise CodecError("message or record of an unknown kind")
+        raise CodecError("message or record of an unknown kind", context=f"tag {tag}")
     return decoders[tag]
--- a/packages/core/src/pimentobend_core/_internal/consensus/constants.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/constants.py
@@ -1,20 +1,32 @@
 """Timeouts and size limits of the replicated log."""
 
-HEARTBEAT_S = 0.25  # three can be lost without an election
-LEARNER_HEARTBEAT_S = 1.0  # for learners with all entries, which start no election
+# The leader sends a heartbeat at this interval. Followers start an election only
+# if more than three in a row are lost.
+HEARTBEAT_S = 0.25
+# Learners never start an election, so those that have all entries need fewer.
+LEARNER_HEARTBEAT_S = 1.0
+# A follower starts an election after a random time without a leader.
 ELECTION_MIN_S = 0.9
 ELECTION_MAX_S = 1.5
-FIRST_ELECTION_MIN_S = 0.3  # after a start; a leader's heartbeat arrives earlier
+# The first timeout after a start may be shorter: if there is a leader, one of its
+# heartbeats arrives before it ends.
+FIRST_ELECTION_MIN_S = 0.3
 FIRST_ELECTION_MAX_S = 0.7
+# A replica that did not win an election starts the next one after this time.
 ELECTION_RETRY_MIN_S = 0.2
 ELECTION_RETRY_MAX_S = 0.5
-LEASE_S = 0.75  # below ELECTION_MIN_S: no other leader until it expires
-APPEND_BYTES = 256 * 1024
-WINDOW_ENTRIES = 4096  # sent to a peer and not acknowledged yet
-PENDING_PROPOSALS = 4096
+# A leader may act for this long after it sent a message that a majority then
+# acknowledged. Below ELECTION_MIN_S, so no other leader is elected before it ends.
+LEASE_S = 0.75
+APPEND_BYTES = 256 * 1024  # commands in one AppendEntries message
+WINDOW_ENTRIES = 4096  # entries sent to a peer that it has not acknowledged yet
+PENDING_PROPOSALS = 4096  # further proposals are refused as OVERLOADED
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
+# The configuration's log is compacted after this many entries or bytes. A log of
+# twice this size still fits on a small disk.
 COMPACT_ENTRIES = 4096
-COMPACT_BYTES = 16 * 1024 * 1024  # a log of twice this size fits a small disk
-RETAINED_ENTRIES = 1024  # kept after compaction for peers slightly behind
-CAUGHT_UP_ENTRIES = 64
-COMMAND_BYTES = 4 * 1024 * 1024
+COMPACT_BYTES = 16 * 1024 * 1024
+# Compaction leaves this many entries, so that peers slightly behind need no snapshot.
+RETAINED_ENTRIES = 1024
+CAUGHT_UP_ENTRIES = 64  # a learner this close to the commit index can be promoted
+COMMAND_BYTES = 4 * 1024 * 1024  # largest command that is accepted
--- a/packages/core/src/pimentobend_core/_internal/consensus/disk.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/disk.py
@@ -1,4 +1,4 @@
-"""Define the interface of a replica's disk."""
+"""Define the interface through which a replica stores its log."""
 
 import abc
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/election.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/election.py
@@ -84,5 +84,5 @@
 
     def _is_log_up_to_date(self, message: RequestVote) -> bool:
         log = self._state.log
-        asked = (message.last_term, message.last_index)
-        return asked >= (log.last_term, log.last_index)
+        candidate_last = (message.last_term, message.last_index)
+        return candidate_last >= (log.last_term, log.last_index)
--- a/packages/core/src/pimentobend_core/_internal/consensus/entries.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/entries.py
@@ -33,7 +33,10 @@
 
 
 class BaseRecord(NamedTuple):
-    """The first record of a stored log whose entries follow ``log_index``."""
+    """The position of the last compacted entry, and the members at that position.
+
+    It is the first record of a stored log; the entries after ``log_index`` follow.
+    """
 
     term: int
     log_index: int
@@ -48,7 +51,7 @@
 
 
 class EntryRecord(NamedTuple):
-    """An entry that replaces all stored ones from its index on."""
+    """An entry; it replaces all stored entries with the same or a higher index."""
 
     entry: Entry
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/follower.py
@@ -15,18 +15,21 @@
     def __init__(self, state: ReplicaState) -> None:
         self._state = state
         self._received = bytearray()
-        # Term of the leader and last index of the snapshot being received.
-        self._transfer: tuple[int, int] | None = None
+        # Leader's term and last log index of the snapshot that is being received.
+        self._snapshot_id: tuple[int, int] | None = None
 
     def append(self, sender: str, message: AppendEntries) -> None:
-        """Append entries if the one before them matches, else reply where to retry."""
+        """Append entries if this log has the entry before them.
+
+        Otherwise the reply names the index from which the leader should retry.
+        """
         state = self._state
         if state.log.term_at(message.prev_index) != message.prev_term:
             if message.prev_index <= state.commit_index:
                 # The leader has the same committed entries: continue after them.
                 self._reply(sender, message, True, state.commit_index)
                 return
-            self._reply(sender, message, False, self._retry_after(message))
+            self._reply(sender, message, False, self._last_possible_match(message))
             return
         state.append(self._new_entries(message.entries))
         matching = message.prev_index + len(message.entries)
@@ -34,14 +37,14 @@
         self._reply(sender, message, True, matching)
 
     def install(self, sender: str, message: InstallSnapshot) -> None:
-        """Store one chunk, and install the snapshot once it is complete."""
+        """Keep one chunk, and install the snapshot once all chunks have arrived."""
         state = self._state
         if message.last_index <= state.commit_index:
             self._reply_snapshot(sender, message, message.total_bytes, is_done=True)
             return
-        transfer = (message.term, message.last_index)
-        if self._transfer != transfer:
-            self._transfer = transfer
+        snapshot_id = (message.term, message.last_index)
+        if self._snapshot_id != snapshot_id:
+            self._snapshot_id = snapshot_id
             self._received.clear()
         if message.offset_bytes == len(self._received):
             self._received += message.chunk
@@ -55,7 +58,7 @@
         state = self._state
         content = bytes(self._received)
         self._received.clear()
-        self._transfer = None
+        self._snapshot_id = None
         if state.log.term_at(message.last_index) == message.last_term:
             state.commit(message.last_index)
             return
@@ -69,8 +72,11 @@
                 return entries[position:]
         return ()
 
-    def _retry_after(self, message: AppendEntries) -> int:
-        """Return the last index that may match, skipping the conflicting term."""
+    def _last_possible_match(self, message: AppendEntries) -> int:
+        """Return the last log index at which the leader's log may match this one.
+
+        All entries of the term that conflicts at ``prev_index`` are skipped.
+        """
         log = self._state.log
         if message.prev_index > log.last_index:
             return log.last_index
--- a/packages/core/src/pimentobend_core/_internal/consensus/formation.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/formation.py
@@ -6,19 +6,21 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
 
+# An id is the address and a token. Founders, the first replicas of a new cluster,
+# share this token, so that each knows the ids of the others.
 FOUNDER_TOKEN = "0"
 _SEPARATOR = "/"
 
 
 class Identity(NamedTuple):
-    """The identity of a replica, valid as long as its data folder exists.
+    """The id of a replica, valid as long as its data folder exists.
 
     A replica that lost its folder gets a new id: under the old id its vote
     would count although it lost entries that it had acknowledged.
     """
 
     replica_id: str
-    founders: tuple[str, ...]  # addresses; empty for a replica that joins later
+    founders: tuple[str, ...]  # their addresses; empty for a replica that joins later
 
 
 def create_identity(
--- a/packages/core/src/pimentobend_core/_internal/consensus/leader.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/leader.py
@@ -30,8 +30,8 @@
     """A read that waits until a majority confirms the leader."""
 
     read_id: int
-    asked_at: float
-    log_index: int
+    asked_at: float  # seconds of the clock
+    log_index: int  # commit index at that time
 
 
 class Leader:
@@ -155,7 +155,10 @@
             self._state.emit(ReadReady(read.read_id, Outcome.COMMITTED, read.log_index))
 
     def has_caught_up(self, peer_id: str) -> bool:
-        """Return whether a peer is at most ``CAUGHT_UP_ENTRIES`` behind the commit."""
+        """Return whether a peer is at most ``CAUGHT_UP_ENTRIES`` behind the commit.
+
+        A peer without any matching entry has not caught up.
+        """
         progress = self._peers.get(peer_id)
         required_index = self._state.commit_index - CAUGHT_UP_ENTRIES
         return progress is not None and progress.match_index >= max(1, required_index)
@@ -239,15 +242,15 @@
     def _send_snapshot_chunk(
         self, peer_id: str, progress: Progress, snapshot: Snapshot, now: float
     ) -> None:
-        first = progress.offset_bytes
+        offset_bytes = progress.offset_bytes
         message = InstallSnapshot(
             self._state.term,
             snapshot.log_index,
             snapshot.term,
             snapshot.members,
-            first,
+            offset_bytes,
             len(snapshot.state),
-            snapshot.state[first : first + SNAPSHOT_CHUNK_BYTES],
+            snapshot.state[offset_bytes : offset_bytes + SNAPSHOT_CHUNK_BYTES],
             now,
         )
         self._state.send(peer_id, message)
--- a/packages/core/src/pimentobend_core/_internal/consensus/log.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/log.py
@@ -6,11 +6,15 @@
 
 
 class Log:
-    """The entries after a base position, and the members that they set."""
+    """The entries that follow a base position, and the members of the cluster.
+
+    The base is the position of the last compacted entry.
+    """
 
     def __init__(self, base: BaseRecord, entries: tuple[Entry, ...] = ()) -> None:
         self._base = base
         self._entries: list[Entry] = []
+        # Each change of members with the index of its entry, oldest first.
         self._members: list[tuple[int, Members]] = []
         self.reset(base)
         for entry in entries:
@@ -18,7 +22,7 @@
 
     @property
     def base(self) -> BaseRecord:
-        """Return the position after which the entries begin."""
+        """Return the position of the last compacted entry."""
         return self._base
 
     @property
@@ -102,7 +106,7 @@
             self.append(entry)
 
     def reset(self, base: BaseRecord) -> None:
-        """Drop all entries and restart after ``base``."""
+        """Drop all entries; the next one appended must follow ``base``."""
         self._base = base
         self._entries = []
         self._members = [(base.log_index, base.members)]
--- a/packages/core/src/pimentobend_core/_internal/consensus/members.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/members.py
@@ -13,7 +13,7 @@
 
 
 class Members(NamedTuple):
-    """The replicas that vote, and the learners, which only copy the log."""
+    """The replicas of a cluster: voters, and learners, which only copy the log."""
 
     voters: tuple[Member, ...]
     learners: tuple[Member, ...] = ()
@@ -55,7 +55,7 @@
 
 
 class MemberChange(NamedTuple):
-    """Change one member; ``address`` matters only to ``ADD_LEARNER``."""
+    """A change of one member; only ``ADD_LEARNER`` uses ``address``."""
 
     action: MemberAction
     replica_id: str
--- a/packages/core/src/pimentobend_core/_internal/consensus/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/messages.py
@@ -20,7 +20,10 @@
 
 
 class VoteReply(NamedTuple):
-    """Answer ``RequestVote``; a granted pre-vote repeats the requested term."""
+    """Answer ``RequestVote``.
+
+    The term is the sender's own, or the requested one if a pre-vote is granted.
+    """
 
     term: int
     is_granted: bool
@@ -28,8 +31,9 @@
 
 
 class AppendEntries(NamedTuple):
-    """Replicate entries; without entries, a heartbeat.
+    """Replicate entries, or act as a heartbeat if there are none.
 
+    ``prev_index`` and ``prev_term`` are of the entry before the first one.
     ``sent_at`` is in seconds of the leader's clock and comes back in the reply.
     """
 
@@ -55,7 +59,11 @@
 
 
 class InstallSnapshot(NamedTuple):
-    """Send a chunk of a snapshot's state, which has ``total_bytes`` in all."""
+    """Send the chunk at ``offset_bytes`` of a snapshot's state.
+
+    The whole state has ``total_bytes``. ``last_index`` and ``last_term`` are of
+    the last entry that the snapshot covers.
+    """
 
     term: int
     last_index: int
@@ -68,7 +76,7 @@
 
 
 class SnapshotReply(NamedTuple):
-    """Ask for the chunk at ``offset_bytes``; ``is_done`` once all have arrived."""
+    """Ask for the chunk at ``offset_bytes``, or report that all have arrived."""
 
     term: int
     last_index: int
@@ -95,7 +103,10 @@
 
 
 class Tick(NamedTuple):
-    """Run what is due at this time; the next is due at ``Replica.next_tick``."""
+    """Start an election or send heartbeats if they are due.
+
+    The next tick is due at ``Replica.next_tick``.
+    """
 
 
 class Proposal(NamedTuple):
@@ -112,14 +123,14 @@
 
 
 class ChangeMembers(NamedTuple):
-    """Change one member of the cluster through the log."""
+    """Propose an entry that changes one member of the cluster."""
 
     proposal_id: int
     change: MemberChange
 
 
 class ReadIndex(NamedTuple):
-    """Ask up to which index entries must be applied before a read."""
+    """Ask which entries must be applied before the state may be read."""
 
     read_id: int
 
@@ -138,16 +149,16 @@
     """The outcome of a proposal or a read."""
 
     COMMITTED = "committed"
-    NOT_LEADER = "not-leader"  # not run; another replica leads
-    NO_MAJORITY = "no-majority"  # not run; no leader, or its lease has ended
-    OVERLOADED = "overloaded"  # not run; too many proposals are pending
-    REJECTED = "rejected"  # not run; the command or change is not allowed
-    STORAGE = "storage"  # not run; the disk refused the write
+    NOT_LEADER = "not-leader"  # not committed; another replica leads
+    NO_MAJORITY = "no-majority"  # not committed; no leader, or its lease has ended
+    OVERLOADED = "overloaded"  # not committed; too many proposals are pending
+    REJECTED = "rejected"  # not committed; the command or change is not allowed
+    STORAGE = "storage"  # not committed; the disk refused the write
     UNKNOWN = "unknown"  # leadership was lost before the outcome was known
 
 
 class Persist(NamedTuple):
-    """Store records; the outputs after it must wait until they are synced."""
+    """Store records; all later outputs must wait until they are synced."""
 
     records: tuple[Record, ...]
 
@@ -155,7 +166,7 @@
 class PersistSnapshot(NamedTuple):
     """Replace the stored data by a snapshot and the records of the log.
 
-    As with ``Persist``, the outputs after it must wait for the sync.
+    As with ``Persist``, all later outputs must wait for the sync.
     """
 
     snapshot: Snapshot
@@ -170,7 +181,10 @@
 
 
 class Committed(NamedTuple):
-    """Deliver entries to apply, in order, each once per run of the process."""
+    """Deliver committed entries to apply, in order.
+
+    Each entry is delivered once between two starts of the process.
+    """
 
     entries: tuple[Entry, ...]
 
@@ -182,7 +196,10 @@
 
 
 class ProposalResult(NamedTuple):
-    """Report the outcome of a proposal, with its entry's term and index or 0."""
+    """Report the outcome of a proposal.
+
+    ``term`` and ``log_index`` are of its entry, or 0 if it has none.
+    """
 
     proposal_id: int
     outcome: Outcome
@@ -201,14 +218,14 @@
 
 
 class LeaderChanged(NamedTuple):
-    """Report a change of the leader that this replica knows, if any."""
+    """Report the leader that this replica now follows; None if it knows none."""
 
     term: int
     leader_id: str | None
 
 
 class MembersChanged(NamedTuple):
-    """Report changed members, whose addresses the links need."""
+    """Report the new members; the links between replicas need their addresses."""
 
     members: Members
 
--- a/packages/core/src/pimentobend_core/_internal/consensus/progress.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/progress.py
@@ -8,9 +8,9 @@
 class ReplicationMode(enum.Enum):
     """How the leader sends the log to a peer."""
 
-    PROBE = "probe"  # one message at a time, until an index matches
-    STREAM = "stream"  # without waiting for replies
-    SNAPSHOT = "snapshot"
+    PROBE = "probe"  # one message at a time, until its log matches at some index
+    STREAM = "stream"  # further entries without waiting for replies
+    SNAPSHOT = "snapshot"  # chunks of a snapshot, as the next entries are compacted
 
 
 class Progress:
@@ -21,9 +21,9 @@
         self.next_index = next_index
         self.match_index = 0
         self.acked_at = acked_at  # when the last acknowledged message was sent
-        self.is_probe_pending = False  # for the reply to a probe
-        self.snapshot: Snapshot | None = None  # the one being sent
-        self.offset_bytes = 0
+        self.is_probe_pending = False  # a probe has no reply yet
+        self.snapshot: Snapshot | None = None  # the snapshot being sent
+        self.offset_bytes = 0  # start of the next chunk of the snapshot
 
     def accept(self, last_index: int) -> bool:
         """Record that the log matches up to an index; return whether that is new."""
@@ -36,7 +36,7 @@
         return True
 
     def reject(self, last_index: int) -> bool:
-        """Go back to an index; return whether to send from there again."""
+        """Go back to the index that a refusal names; return whether to send again."""
         next_index = max(self.match_index, last_index) + 1
         if next_index >= self.next_index:
             return False
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -37,9 +37,10 @@
 
 
 class Replica(StatefulFilter[ReplicaInput, ReplicaOutput]):
-    """One replica of the replicated log, whichever role it has.
+    """One replica of the replicated log, as follower, candidate or leader.
 
-    ``Persist`` states which outputs have to wait for a sync.
+    It does no I/O. The caller stores what ``Persist`` and ``PersistSnapshot`` hold
+    before it acts on the outputs after them.
     """
 
     def __init__(
@@ -261,8 +262,8 @@
             self._step_down(now)
 
     def _not_leading_outcome(self) -> Outcome:
-        known = self._state.leader_id is not None
-        return Outcome.NOT_LEADER if known else Outcome.NO_MAJORITY
+        is_leader_known = self._state.leader_id is not None
+        return Outcome.NOT_LEADER if is_leader_known else Outcome.NO_MAJORITY
 
     def _refuse(self, proposal_id: int, outcome: Outcome) -> None:
         leader_id = self._state.leader_id
--- a/packages/core/src/pimentobend_core/_internal/consensus/state.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/state.py
@@ -53,7 +53,7 @@
         self.commit_index = stored.snapshot.log_index if stored.snapshot else 0
         self.role = Role.FOLLOWER
         self.leader_id: str | None = None
-        # When a leader was last heard since the start of the process.
+        # When the last message from a leader arrived; never before the process started.
         self.leader_heard_at = float("-inf")
         self.election_at = now
         self._rng = rng
@@ -76,7 +76,7 @@
     def may_campaign(self) -> bool:
         """Return whether this replica may start an election.
 
-        A removed voter may until its removal is committed.
+        A voter that is being removed may until its removal is committed.
         """
         committed = self.log.members_at(self.commit_index)
         return self.is_voter or self.replica_id in committed.voter_ids
@@ -129,7 +129,7 @@
             self.emit(LeaderChanged(self.term, leader_id))
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Append entries, replacing all from the first one's index on."""
+        """Append entries; they replace all from the index of the first one on."""
         if not entries:
             return
         members = self.members
--- a/packages/core/src/pimentobend_core/_internal/consensus/storage.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/storage.py
@@ -13,7 +13,9 @@
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
 
-RESTART_TERMS = 1_000_000  # more elections than any cluster has in its lifetime
+# A restored cluster raises the term by more elections than any cluster has in its
+# lifetime.
+RESTART_TERMS = 1_000_000
 
 
 def replay(records: Iterable[Record], snapshot: Snapshot | None) -> StoredState:
@@ -51,12 +53,15 @@
 
 
 def _reconcile_snapshot(state: StoredState) -> StoredState:
-    """Drop old entries if a crash left them beside a newly installed snapshot."""
+    """Drop the entries that a crash left in place when a snapshot replaced them."""
     snapshot = state.snapshot
     base = state.base
     if snapshot is None:
         if base.log_index:
-            raise CorruptLogError("snapshot before the stored log is missing")
+            raise CorruptLogError(
+                "snapshot before the stored log is missing",
+                context=f"log from {base.log_index}",
+            )
         return state
     if snapshot.log_index < base.log_index:
         raise CorruptLogError(
@@ -65,8 +70,8 @@
         )
     if _term_at(state, snapshot.log_index) == snapshot.term:
         return state
-    after = BaseRecord(snapshot.term, snapshot.log_index, snapshot.members)
-    return state._replace(base=after, entries=())
+    new_base = BaseRecord(snapshot.term, snapshot.log_index, snapshot.members)
+    return state._replace(base=new_base, entries=())
 
 
 def _term_at(state: StoredState, log_index: int) -> int | None:
@@ -77,7 +82,7 @@
 
 
 def restart_alone(stored: StoredState, member: Member) -> tuple[Record, ...]:
-    """Return records that start a new cluster from a copied state.
+    """Return records that start a new cluster from a copy of a stored state.
 
     The only voter is ``member``. The term rises by ``RESTART_TERMS``, so that
     daemons that saw later versions of the lost cluster follow the new one.
--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -12,15 +12,15 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
-VOTERS = 5  # a majority survives the loss of two disks
+VOTERS = 5  # a majority remains after the loss of two disks
 CANDIDATE_TIMEOUT_S = 2.0  # candidates announce themselves every 0.5 s
-# A voter without replies for this long is replaced; a restart and a reconnect
-# take less.
+# A voter that sends no reply for this long is replaced. A restart with its
+# reconnect takes less.
 VOTER_ACK_TIMEOUT_S = 3.0
-LEARNER_ACK_TIMEOUT_S = 10.0  # a learner without replies is then removed
+LEARNER_ACK_TIMEOUT_S = 10.0  # a learner that sends no reply this long is removed
 VOTER_LIVE_S = 1.0  # a live voter has answered a heartbeat within this time
 LEARNER_LIVE_S = 2.5  # learners get one heartbeat per second
-CHANGE_TIMEOUT_S = 3.0
+CHANGE_TIMEOUT_S = 3.0  # a change without an outcome is then given up
 
 
 class CandidateHeard(NamedTuple):
@@ -30,11 +30,12 @@
 
 
 class LeaderView(NamedTuple):
-    """Describe the cluster as its leader sees it."""
+    """Tell which members the cluster has and how well they follow the leader."""
 
     replica_id: str
     members: Members
-    ack_age_s: Mapping[str, float]  # since the last reply, by id of each other member
+    # Seconds since the last reply, by the id of each member except the leader.
+    ack_age_s: Mapping[str, float]
     caught_up: frozenset[str]  # ids of the learners whose log is nearly complete
 
 
@@ -53,7 +54,7 @@
     def __init__(self) -> None:
         self._candidate_heard_at: dict[str, float] = {}
         self._next_id = FIRST_PROPOSAL_ID
-        self._pending: tuple[int, float] | None = None  # proposal id, proposed at
+        self._pending: tuple[int, float] | None = None  # proposal id and time
 
     def handle(self, message: SupervisorInput, now: float) -> tuple[ChangeMembers, ...]:
         """Handle a candidate, the outcome of a change, or a tick."""
@@ -108,7 +109,7 @@
 def _remove_lost_disk(
     view: LeaderView, candidates: tuple[str, ...]
 ) -> MemberChange | None:
-    """Remove a member that lost its disk: its address came back under a new id."""
+    """Remove a member that lost its disk: a candidate has its address but a new id."""
     addresses = {address_of(each): each for each in candidates}
     for member in view.members.all:
         successor = addresses.get(address_of(member.replica_id))
--- a/packages/core/src/pimentobend_core/_internal/consensus/writes.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/writes.py
@@ -1,4 +1,4 @@
-"""Separate disk writes from the outputs that must wait for them."""
+"""Separate disk writes from the outputs that must wait until they are synced."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
