Explain the ledger's states, claims and digests where they are defined

Readers stopped at "work", at a digest of what, at ran that reads as a boolean, at an UNKNOWN that nothing explains and at log time. Explain the words at the head of the messages, give each state a comment, name the granted claims and the settling functions by what they hold and do, and say in the wire codec's errors what the decoder found.

--- a/packages/core/src/pimentobend_core/_internal/ledger/client.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client.py
@@ -1,4 +1,7 @@
-"""Claim, settle and look up keys of the ledger for a daemon."""
+"""Claim, settle and look up idempotency keys for a daemon.
+
+Settling a claim records its outcome in the ledger.
+"""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -36,12 +39,15 @@
 from pimentobend_core._internal.pipes import StatefulFilter
 
 ANSWER_TIMEOUT_S = 1.0  # for a claim or a look-up, with all its retries
-RESEND_S = 0.3  # until an unanswered command is sent again
-SETTLE_RESEND_MAX_S = 5.0  # settlements double RESEND_S up to this
-SETTLE_TIMEOUT_S = 3600.0  # a settlement is retried for this long
-REDIRECTS_MAX = 4  # to a named leader in a row, for one command
-
-# After these refusals no delayed copy of the claim can be granted.
+RESEND_S = 0.3  # an unanswered command is sent again after this time
+# A settlement waits twice as long before each retry, from RESEND_S up to this.
+SETTLE_RESEND_MAX_S = 5.0
+SETTLE_TIMEOUT_S = 3600.0  # a settlement is given up after this time
+# A command follows this many replies in a row that name another leader.
+REDIRECTS_MAX = 4
+
+# After these refusals, a delayed copy of the claim cannot be granted either. After
+# the others it can, so the claim is released.
 _FINAL_REFUSALS = (ClaimRefusal.ALREADY_RAN, ClaimRefusal.CLAIM_ENDED)
 
 
@@ -49,7 +55,7 @@
     """A command that has no result yet; times are in seconds of the clock."""
 
     command: Command
-    ticket: int  # 0 for a settlement, which is not answered
+    ticket: int  # of the request to answer; 0 for a settlement, which has none
     give_up_at: float
     resend_at: float
     tries: int
@@ -70,14 +76,15 @@
         self._epoch = epoch
         self._routes = tuple(GroupRoute(replicas) for replicas in groups)
         self._pending: dict[int, _Pending] = {}
-        self._held: dict[ClaimId, bytes] = {}  # digests of granted claims
+        # Key digest of each granted claim that is not settled yet.
+        self._granted: dict[ClaimId, bytes] = {}
         self._next_token = 1
 
     @property
     def unsettled(self) -> int:
-        """Return the number of claims that are held or being settled."""
+        """Return the number of granted claims without a recorded outcome."""
         settles = sum(_is_settle(pending) for pending in self._pending.values())
-        return len(self._held) + settles
+        return len(self._granted) + settles
 
     def handle(self, message: ClientInput, now: float) -> tuple[ClientOutput, ...]:
         """Handle a request of this daemon, a reply or a tick."""
@@ -97,7 +104,7 @@
         """Return the client's state as JSON-compatible values."""
         return {
             "epoch": self._epoch,
-            "held": len(self._held),
+            "held": len(self._granted),
             "pending": len(self._pending),
             "groups": [route.dump() for route in self._routes],
         }
@@ -113,7 +120,7 @@
         return self._start(command, message.ticket, give_up_at, now)
 
     def _ask_settle(self, message: AskSettle, now: float) -> tuple[ClientOutput, ...]:
-        digest = self._held.pop(message.claim_id, None)
+        digest = self._granted.pop(message.claim_id, None)
         if digest is None:
             return ()
         command = SettleWork(digest, message.claim_id, message.ran, message.status)
@@ -166,7 +173,7 @@
     ) -> tuple[ClientOutput, ...]:
         match result:
             case Claimed():
-                self._held[result.claim_id] = pending.command.digest
+                self._granted[result.claim_id] = pending.command.digest
                 return (ClaimGranted(pending.ticket, result.claim_id),)
             case ClaimRefused():
                 denied = ClaimDenied(pending.ticket, refuse_claim(result))
@@ -196,7 +203,7 @@
         return self._give_up(token, now)
 
     def _give_up(self, token: int, now: float) -> tuple[ClientOutput, ...]:
-        """Drop a command without a result; release its claim if one may be granted."""
+        """Drop a command without a result; release its claim, which may be granted."""
         pending = self._pending.pop(token)
         command = pending.command
         match command:
@@ -241,7 +248,10 @@
 
 
 def _is_result_of(result: CommandResult, command: Command) -> bool:
-    """Return whether a result fits a command; an equal token does not prove it."""
+    """Return whether a result is of the command's kind and for the same claim.
+
+    The token in the reply is not enough to tell.
+    """
     match command:
         case ClaimWork():
             if isinstance(result, Claimed):
--- a/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
@@ -1,4 +1,7 @@
-"""Define the messages of the ledger's client in a daemon."""
+"""Define the messages of the ledger's client in a daemon.
+
+A ticket is the number that a request and its answer share.
+"""
 
 from typing import NamedTuple
 
@@ -21,7 +24,7 @@
 
     ticket: int
     key: LedgerKey
-    fingerprint: bytes
+    fingerprint: bytes  # distinguishes requests with the same key
     deadline: float
 
 
@@ -51,14 +54,14 @@
 
 
 class ClaimGranted(NamedTuple):
-    """Grant a claim: the work of the ticket may be sent once."""
+    """Grant a claim: the request that the ticket is for may be sent once."""
 
     ticket: int
     claim_id: ClaimId
 
 
 class ClaimDenied(NamedTuple):
-    """Deny a claim: the work of the ticket must not be sent."""
+    """Deny a claim: the request that the ticket is for must not be sent."""
 
     ticket: int
     refusal: Refusal
--- a/packages/core/src/pimentobend_core/_internal/ledger/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/codec.py
@@ -23,14 +23,14 @@
 
 
 class _Wire(NamedTuple):
-    """A message as its kind and its encoded fields."""
+    """An encoded command or result with the number of its kind."""
 
     kind: int
     fields: msgspec.Raw
 
 
 class _WireBatch(NamedTuple):
-    """A batch of commands."""
+    """The stored form of a ``CommandBatch``."""
 
     version: int
     elapsed_s: float
@@ -38,14 +38,14 @@
 
 
 class _WireResults(NamedTuple):
-    """The results of a batch."""
+    """The encoded results of one log entry."""
 
     version: int
     results: tuple[_Wire, ...]
 
 
 class _WireSnapshot(NamedTuple):
-    """The whole state of a ledger."""
+    """The stored form of a ``LedgerState``."""
 
     version: int
     clock_s: float
--- a/packages/core/src/pimentobend_core/_internal/ledger/keys.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/keys.py
@@ -17,7 +17,7 @@
 
 
 def find_group(digest: bytes, groups: int) -> int:
-    """Return the position of the replicated log, of ``groups``, that owns a key."""
+    """Return which of ``groups`` replicated logs, counted from 0, stores a key."""
     return int.from_bytes(digest[:4], "big") % groups
 
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/packing.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/packing.py
@@ -1,4 +1,4 @@
-"""Pack what the ledger knows about a key into few bytes."""
+"""Encode what the ledger knows about a key into few bytes."""
 
 from typing import NamedTuple
 
@@ -14,10 +14,10 @@
     state: WorkState
     claim_id: ClaimId
     fingerprint: bytes
-    status: int
+    status: int  # HTTP status of the answer; 0 if there is none
     changed_at: float
-    outcome_due_at: float
-    released: tuple[ClaimId, ...]
+    outcome_due_at: float  # without an outcome by then, it is unknown
+    released: tuple[ClaimId, ...]  # claims of the key that must not be granted again
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/packages/core/src/pimentobend_core/_internal/ledger/routing.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/routing.py
@@ -1,4 +1,7 @@
-"""Choose the replica of a group to which a daemon sends its commands."""
+"""Choose the replica to which a daemon sends a command.
+
+A group is the set of replicas of one replicated log.
+"""
 
 from collections.abc import Mapping
 
@@ -8,7 +11,7 @@
 class GroupRoute:
     """Chooses a replica of a group, and refuses claims while none has a majority.
 
-    After a failure the route is closed for ``CLOSED_S``.
+    After a failure the route is closed for ``CLOSED_S``: it refuses all claims.
     """
 
     def __init__(self, replicas: tuple[str, ...]) -> None:
@@ -18,14 +21,14 @@
 
     @property
     def replica_id(self) -> str:
-        """Return the replica to ask."""
+        """Return the id of the replica to which the next command goes."""
         return self._replicas[self._position]
 
     def allows_claim(self, now: float) -> bool:
         """Return whether a claim may be sent.
 
-        When the closed time ends, one claim is let through as a probe and the
-        route closes again until a majority answers.
+        Once ``CLOSED_S`` is over, one claim may be sent as a probe, and the route
+        closes again until a majority answers.
         """
         if self._closed_until is None:
             return True
@@ -46,11 +49,11 @@
         self._position = (self._position + 1) % len(self._replicas)
 
     def succeed(self) -> None:
-        """Open the route: a majority answered."""
+        """Open the route, because a majority answered."""
         self._closed_until = None
 
     def fail(self, now: float) -> None:
-        """Close the route and ask another replica next: no majority answered."""
+        """Close the route, because no majority answered; ask another replica next."""
         self._closed_until = now + CLOSED_S
         self.skip()
 
--- a/packages/core/src/pimentobend_core/_internal/ledger/service.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service.py
@@ -23,18 +23,18 @@
 from pimentobend_core._internal.ledger.state import LedgerState
 from pimentobend_core._internal.pipes import StatefulFilter
 
-BATCH_COMMANDS = 256  # in one log entry
-PIPELINE_ENTRIES = 2  # one being synced and one in transit
-WAITING_COMMANDS = 8192
-COMPACT_ENTRIES = 10_000
-RESULTS_KEPT = 1024  # of entries whose proposal has no outcome yet
+BATCH_COMMANDS = 256  # at most this many commands share a log entry
+PIPELINE_ENTRIES = 2  # proposed at a time: one being synced and one in transit
+WAITING_COMMANDS = 8192  # further commands are refused as OVERLOADED
+COMPACT_ENTRIES = 10_000  # the log is compacted after this many applied entries
+RESULTS_KEPT = 1024  # applied entries whose results wait for the proposal's outcome
 
 
 class LedgerService(StatefulFilter[ServiceInput, ServiceOutput]):
     """Batches commands into log entries, applies committed entries, and replies.
 
-    While fewer than ``pipeline_entries`` are in flight, a command is proposed
-    at once; under load it waits and shares its entry with others.
+    While fewer than ``pipeline_entries`` proposed entries have no outcome, a
+    command is proposed at once; under load it waits and shares its entry.
     """
 
     def __init__(
@@ -48,9 +48,10 @@
         self._applied_index = 0
         self._compacted_index = 0
         self._waiting: list[LedgerRequest] = []
+        # Requests of each proposed entry without an outcome, by proposal id.
         self._in_flight: dict[int, tuple[LedgerRequest, ...]] = {}
         self._accepted: dict[int, int] = {}  # proposal ids by log index
-        self._results: dict[int, tuple[CommandResult, ...]] = {}
+        self._results: dict[int, tuple[CommandResult, ...]] = {}  # by log index
         self._next_id = 1
         self._proposed_at: float | None = None
 
@@ -123,7 +124,10 @@
         return tuple(map(_reply, requests, results))
 
     def _fail(self, message: EntryUnserved) -> tuple[ServiceOutput, ...]:
-        """Fail an entry's commands and the waiting ones: their entry would fail too."""
+        """Fail an entry's commands and the waiting ones.
+
+        The entry of the waiting commands would fail for the same reason.
+        """
         requests = self._in_flight.pop(message.proposal_id, ())
         failed = tuple(_reply(request, message.unserved) for request in requests)
         self._proposed_at = None
--- a/packages/core/src/pimentobend_core/_internal/ledger/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/service_messages.py
@@ -8,16 +8,19 @@
 
 
 class UnservedReason(enum.Enum):
-    """Why a replica gives no result."""
+    """Why a replica gave a command no result."""
 
     NOT_LEADER = "not-leader"
     NO_MAJORITY = "no-majority"
     OVERLOADED = "overloaded"
-    LOST = "lost"  # the command may still be committed
+    LOST = "lost"  # leadership was lost; the command may still be committed
 
 
 class Unserved(NamedTuple):
-    """A replica gives no result; ``leader_id`` is the leader that it knows, if any."""
+    """A replica gave a command no result.
+
+    ``leader_id`` is the leader that the replica follows, if it knows one.
+    """
 
     reason: UnservedReason
     leader_id: str | None
@@ -54,7 +57,7 @@
 
 
 class EntryUnserved(NamedTuple):
-    """Report that a proposal was not committed, or perhaps not."""
+    """Report that a proposal was not committed, or with ``LOST`` may not have been."""
 
     proposal_id: int
     unserved: Unserved
@@ -75,7 +78,7 @@
 
 
 class CompactLog(NamedTuple):
-    """Replace the log up to an index by a snapshot of the state."""
+    """Replace the log up to and including ``log_index`` by a snapshot of the state."""
 
     log_index: int
     state: bytes
--- a/packages/core/src/pimentobend_core/_internal/ledger/state.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/state.py
@@ -23,9 +23,11 @@
 from pimentobend_core._internal.models.request import Ran
 
 OUTCOME_TIMEOUT_MAX_S = 3600.0
-RELEASED_MAX = 8  # claims remembered per key to refuse delayed copies
+# Released claims that are remembered for each key, so that a delayed copy of their
+# command is refused.
+RELEASED_MAX = 8
 
-_STATES = {
+_STATE_OF_OUTCOME = {
     Ran.RAN: WorkState.RAN,
     Ran.UNKNOWN: WorkState.UNKNOWN,
     Ran.NOT_RUN: WorkState.RELEASED,
@@ -91,10 +93,10 @@
         entry = self._get(command.digest)
         if entry is None:
             return self._grant(command, ())
-        is_holder = entry.claim_id == command.claim_id
-        if is_holder and entry.state is WorkState.CLAIMED:
+        is_same_claim = entry.claim_id == command.claim_id
+        if is_same_claim and entry.state is WorkState.CLAIMED:
             return Claimed(command.claim_id)
-        if is_holder or _was_released(entry, command.claim_id):
+        if is_same_claim or _was_released(entry, command.claim_id):
             return ClaimRefused(ClaimRefusal.CLAIM_ENDED, 0)
         if entry.state is WorkState.RELEASED:
             return self._grant(command, entry.released)
@@ -123,39 +125,40 @@
     def _settle(self, command: SettleWork) -> Settled:
         entry = self._get(command.digest)
         if entry is None or entry.state is WorkState.RELEASED:
-            self._settle_unheld(command, entry)
+            self._settle_unclaimed(command, entry)
         elif entry.claim_id == command.claim_id:
-            self._settle_held(command, entry)
+            self._settle_claimed(command, entry)
         elif command.ran is Ran.NOT_RUN and entry.state is WorkState.CLAIMED:
             released = _add_released(entry.released, command.claim_id)
             self._put(command.digest, entry._replace(released=released))
         return Settled(command.claim_id)
 
-    def _settle_held(self, command: SettleWork, entry: Entry) -> None:
+    def _settle_claimed(self, command: SettleWork, entry: Entry) -> None:
         """Record the first outcome; a late answer may still turn UNKNOWN into RAN."""
         is_late_answer = entry.state is WorkState.UNKNOWN and command.ran is Ran.RAN
         if is_late_answer or entry.state is WorkState.CLAIMED:
             self._put_outcome(command, entry)
 
-    def _settle_unheld(self, command: SettleWork, entry: Entry | None) -> None:
-        """Record an outcome while no claim holds the key.
+    def _settle_unclaimed(self, command: SettleWork, entry: Entry | None) -> None:
+        """Record an outcome for a key that is free or released.
 
         A release that arrives before its claim is remembered, so that the
-        claim is refused. To be safe, any other outcome is kept without a claim.
+        claim is refused. Any other outcome is recorded too unless its claim was
+        released, because the request may have run.
         """
-        unheld = entry or Entry(
+        unclaimed = entry or Entry(
             WorkState.RELEASED, command.claim_id, b"", 0, self._clock_s, 0.0, ()
         )
         is_release = command.ran is Ran.NOT_RUN
-        if is_release or not _was_released(unheld, command.claim_id):
-            self._put_outcome(command, unheld._replace(claim_id=command.claim_id))
+        if is_release or not _was_released(unclaimed, command.claim_id):
+            self._put_outcome(command, unclaimed._replace(claim_id=command.claim_id))
 
     def _put_outcome(self, command: SettleWork, entry: Entry) -> None:
         released = entry.released
         if command.ran is Ran.NOT_RUN:
             released = _add_released(released, command.claim_id)
         settled = entry._replace(
-            state=_STATES[command.ran],
+            state=_STATE_OF_OUTCOME[command.ran],
             status=command.status,
             changed_at=self._clock_s,
             released=released,
@@ -181,7 +184,10 @@
 
 
 def _was_released(entry: Entry, claim_id: ClaimId) -> bool:
-    """Return whether this claim or a later one of the same daemon run was released."""
+    """Return whether this claim, or a later one of the same daemon, was released.
+
+    Only claims since the same start of the daemon are compared.
+    """
     return any(
         claim_id[:2] == ended[:2] and claim_id.sequence <= ended.sequence
         for ended in entry.released
--- a/packages/core/src/pimentobend_core/_internal/ledger/store.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/store.py
@@ -1,10 +1,10 @@
-"""Store packed entries by digest until they expire."""
+"""Store encoded entries by the digest of their key until they expire."""
 
 import collections
 from typing import NamedTuple
 
 KEEP_S = 86_400.0  # an entry is kept at least this long after its last change
-GENERATION_S = 7_200.0  # entries of this span expire together
+GENERATION_S = 7_200.0  # entries that changed within this span expire together
 
 
 class Generation(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ledger/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/wire.py
@@ -16,7 +16,7 @@
 
 
 class GroupRequest(NamedTuple):
-    """A request and the group whose replica it is for."""
+    """A request and the replicated log, counted from 0, that it is for."""
 
     group: int
     request: LedgerRequest
@@ -31,7 +31,7 @@
 class _WireReply(NamedTuple):
     token: int
     result: bytes | None  # None if the replica gave no result
-    reason: str
+    reason: str  # ``UnservedReason`` if there is no result, else empty
     leader_id: str | None
 
 
@@ -51,13 +51,15 @@
     try:
         wire = _REQUEST_DECODER.decode(payload)
     except msgspec.DecodeError as error:
-        raise CodecError("cannot decode a ledger request") from error
+        raise CodecError(
+            "cannot decode a ledger request", context=str(error)
+        ) from error
     request = LedgerRequest(sender, wire.token, decode_command(wire.command))
     return GroupRequest(wire.group, request)
 
 
 def encode_reply(reply: LedgerReply) -> bytes:
-    """Encode a reply; its recipient is the address it is sent to."""
+    """Encode a reply without its recipient, to whose address it is sent."""
     result = reply.result
     if isinstance(result, Unserved):
         wire = _WireReply(reply.token, None, result.reason.value, result.leader_id)
@@ -74,5 +76,5 @@
             return LedgerReply(recipient, wire.token, decode_result(wire.result))
         unserved = Unserved(UnservedReason(wire.reason), wire.leader_id)
     except (msgspec.DecodeError, ValueError) as error:
-        raise CodecError("cannot decode a ledger reply") from error
+        raise CodecError("cannot decode a ledger reply", context=str(error)) from error
     return LedgerReply(recipient, wire.token, unserved)
