Say in the adapters what a hop, a host, a bid and a local server are

Readers stopped at HopSubmit and target_ms, at whose server is next to a daemon, at is_stamped, at a check that a docstring names only in part, and at docstrings that raise an error without saying when. Define the words at the head of their modules, name the request side of a hop HopRequest, state when each error is raised, and add address, size or first bytes to the errors of connections and frames.

--- a/packages/adapters/src/pimentobend_adapters/_internal/asking.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/asking.py
@@ -15,7 +15,10 @@
 
 
 class Replies(Outlet[Reply], Generic[Reply]):
-    """Pass each reply to the callers that wait for its key."""
+    """Passes each reply to the greenlets that wait for its key.
+
+    ``key_of`` returns the key of a reply, which is also the key of its question.
+    """
 
     def __init__(self, key_of: Callable[[Reply], Hashable]) -> None:
         self._key_of = key_of
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/blocks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/blocks.py
@@ -1,6 +1,7 @@
-"""Encode records that are synced together as one block with checksums.
+"""Encode the records that are written with one sync as a block with checksums.
 
-The checksums tell a torn write at the end of the log from damage before it.
+A write is torn if only a part of its bytes reached the disk. The checksums tell a
+torn write at the end of the log from damage before it.
 """
 
 import struct
@@ -17,11 +18,11 @@
 
 
 class Block(NamedTuple):
-    """Data of one sync, and the offset in the file at which its block ends."""
+    """The data of one sync."""
 
     sequence: int
     payload: bytes
-    end: int
+    end: int  # offset in the file after the last byte of the block
 
 
 class _Header(NamedTuple):
@@ -81,6 +82,7 @@
 
 
 def _check_torn_end(data: bytes, damaged_at: int) -> None:
+    """Raise ``CorruptDiskError`` if an intact block follows the damaged one."""
     header = _read_header(data, damaged_at)
     search_from = damaged_at + 1
     if header is not None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/exceptions.py
@@ -8,4 +8,4 @@
 
 
 class CorruptDiskError(DiskError):
-    """Data that was synced is damaged."""
+    """Stored data is damaged, although it had been synced."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
@@ -1,4 +1,4 @@
-"""File operations that the data folder is built on."""
+"""Define and implement the file operations on a replica's data folder."""
 
 import abc
 import fcntl
@@ -9,10 +9,11 @@
 
 
 class Files(abc.ABC):
-    """Read and write files by name in one folder; raise ``OSError``.
+    """Reads and writes files by name in one folder.
 
-    Data is durable once the file is synced, and a new or changed name once
-    the folder is.
+    The methods raise ``OSError`` if the system refuses an operation. Data
+    survives a power loss once the file is synced, and a new or changed name once
+    the folder is synced.
     """
 
     @abc.abstractmethod
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
@@ -22,7 +22,7 @@
 
 LOG = "log"
 SNAPSHOT = "snapshot"
-_TEMPORARY = ".new"
+_TEMPORARY_SUFFIX = ".new"
 
 
 class FolderDisk(Disk):
@@ -32,10 +32,13 @@
         self._files = files
         self._sequence = 0  # number of the last synced block
         self._size_bytes = 0  # size of the log up to its last synced block
-        self._has_torn_end = False  # an append failed since the log was last loaded
+        self._has_torn_end = False  # an append failed; ``load`` truncates the log
 
     def load(self, members: Members) -> StoredState:
-        """Return the stored state; truncate a torn end; raise ``DiskError``."""
+        """Return the stored state; truncate a torn write at the end of the log.
+
+        Raises ``DiskError`` if the folder cannot be read or its data is damaged.
+        """
         try:
             if self._has_torn_end:
                 self._truncate_log(self._size_bytes)
@@ -50,7 +53,10 @@
             ) from error
 
     def append(self, records: tuple[Record, ...]) -> None:
-        """Append records as one block and sync it; raise ``DiskError``."""
+        """Append records as one block and sync it.
+
+        Raises ``DiskError`` if this or an earlier write failed.
+        """
         if self._has_torn_end:
             raise DiskError("an earlier write to the log failed")
         block = encode_block(self._sequence + 1, encode_records(records))
@@ -64,7 +70,10 @@
         self._size_bytes += len(block)
 
     def save(self, snapshot: Snapshot, records: tuple[Record, ...]) -> None:
-        """Store a snapshot, then replace the log by records; raise ``DiskError``."""
+        """Store a snapshot, then replace the log by records.
+
+        Raises ``DiskError`` if one of them cannot be written.
+        """
         if self._has_torn_end:
             raise DiskError("an earlier write to the log failed")
         try:
@@ -116,7 +125,7 @@
         self._size_bytes = len(block)
 
     def _replace(self, name: str, data: bytes) -> None:
-        temporary = name + _TEMPORARY
+        temporary = name + _TEMPORARY_SUFFIX
         self._files.create(temporary, data)
         self._files.sync(temporary)
         self._files.rename(temporary, name)
--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
@@ -1,4 +1,4 @@
-"""Run a replica's disk as a task, so that a sync does not block other tasks."""
+"""Run a disk's blocking calls on a thread, so that other tasks go on meanwhile."""
 
 from collections.abc import Callable
 from typing import Any
@@ -47,7 +47,7 @@
         self._disk.close()
 
     def load(self, members: Members) -> StoredState:
-        """Wait for the stored state; raise ``DiskError``."""
+        """Return the stored state; raise ``DiskError`` if it cannot be read."""
         request = _LoadRequest(members, eventlet.event.Event())
         self._inbox.put(request)
         state: StoredState = request.reply.wait()
--- a/packages/adapters/src/pimentobend_adapters/_internal/exceptions.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exceptions.py
@@ -12,7 +12,7 @@
 
 
 class FrameError(LinkError):
-    """A frame is malformed, not authentic or of another version."""
+    """A frame is malformed, incomplete, not authentic or of another version."""
 
 
 class KeyFileError(AdapterError):
--- a/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
@@ -7,8 +7,9 @@
 from typing import Any
 
 PREFIX = "pimentobend"
+# Upper bounds of the histograms' buckets, in seconds.
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-MAX_SERIES = 256  # label values per counter; further ones count as "other"
+MAX_SERIES = 256  # label values of a counter; further ones are counted as "other"
 
 
 class Histogram:
@@ -27,11 +28,11 @@
         """Return the cumulative count for each upper bound."""
         bounds = [*map(str, BUCKETS_S), "+Inf"]
         total = 0
-        rows: list[tuple[str, float]] = []
+        buckets: list[tuple[str, float]] = []
         for bound, count in zip(bounds, self.counts, strict=True):
             total += count
-            rows.append((bound, float(total)))
-        return rows
+            buckets.append((bound, float(total)))
+        return buckets
 
 
 class CounterTable:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -13,7 +13,7 @@
 from pimentobend_core._internal.ports import AnswerBody
 from pimentobend_core._internal.ports import AttemptResult
 
-BUFFER_BYTES = 256 * 1024  # larger answers are streamed
+BUFFER_BYTES = 256 * 1024  # answers of this size and above are streamed
 
 
 class BufferedAnswer(AnswerBody):
@@ -37,7 +37,7 @@
 
 
 class StreamedAnswer(AnswerBody):
-    """Stream a large answer; ``start`` holds the bytes already read."""
+    """Answer that is too large to keep; ``start`` holds the bytes already read."""
 
     def __init__(self, start: bytes, response: Any, connection: Any) -> None:
         self._start = start
@@ -86,5 +86,8 @@
     headers: Headers = (),
     body: AnswerBody | None = None,
 ) -> AttemptResult:
-    """Return an attempt result without reuse and load information."""
+    """Return an attempt's result.
+
+    It tells neither whether a connection was reused nor the server's load.
+    """
     return AttemptResult(kind, status, headers, body, latency_s, False, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -1,4 +1,8 @@
-"""Collect bids from the daemons that run next to backend servers."""
+"""Collect bids from the daemons of backend servers.
+
+A bid states the terms on which a server offers to run a request. A row is what a
+daemon publishes about itself and the servers on its machine.
+"""
 
 import itertools
 import random
@@ -24,7 +28,7 @@
 
 KIND_ASK = "ask"
 KIND_BIDS = "bids"
-FRESH_S = {  # how long a bid is reused for other requests
+FRESH_S = {  # a bid is reused for other requests for this long
     Distance.DATA_CENTRE: 0.03,
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
@@ -34,7 +38,7 @@
     Distance.REGION: 4,
     Distance.FAR: 2,
 }
-UNREACHABLE_AFTER = 2  # unanswered questions in a row
+UNREACHABLE_AFTER = 2  # unanswered questions in a row that make a daemon unreachable
 TIMEOUTS_S = {
     Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon is slower
     Distance.REGION: 0.08,
@@ -48,7 +52,7 @@
 
 
 class _Round:
-    """Track which daemons have not yet answered one round of questions."""
+    """Questions sent at the same time, and the daemons that have not answered yet."""
 
     def __init__(self, addresses: set[str]) -> None:
         self.waiting = addresses
@@ -62,7 +66,7 @@
 
 
 class BidCollector:
-    """Ask daemons for bids and cache the latest by daemon, service and route."""
+    """Asks daemons for bids and caches the latest by daemon, service and route."""
 
     def __init__(
         self,
@@ -99,7 +103,10 @@
     def ask(
         self, service: str, route: str, distance: Distance
     ) -> tuple[Candidate, ...]:
-        """Return a service's servers within a distance, asking where bids are stale."""
+        """Return the bids for a service's servers within a distance.
+
+        Daemons whose cached bids are too old are asked first.
+        """
         own_row = self._own_row()
         rows = [
             row
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -44,16 +44,16 @@
 
     KEPT = "kept"
     CLOSED = "closed"
-    PASSED_ON = "passed-on"  # whoever reads the answer closes it
+    PASSED_ON = "passed-on"  # closed by the reader of the streamed answer
 
 
 class _Idle(NamedTuple):
     connection: Any
-    since: float  # seconds of the clock
+    idle_since: float  # seconds of the clock
 
 
 class ServerCalls:
-    """Call the backend servers next to this daemon over kept-alive connections."""
+    """Calls the backend servers on this machine over kept-alive connections."""
 
     def __init__(
         self, names: HeaderNames, clock: ClockPort, on_connect: Callable[[], None]
@@ -96,7 +96,7 @@
         kept = self._idle.get(server.server_id, [])
         while kept:
             idle = kept.pop()
-            is_fresh = self._clock.now() - idle.since < limit_s
+            is_fresh = self._clock.now() - idle.idle_since < limit_s
             if is_fresh and not _is_readable(idle.connection):
                 return idle.connection
             idle.connection.close()
@@ -140,15 +140,21 @@
         return result, _Disposition.CLOSED if will_close else _Disposition.KEPT
 
     def _is_answer(self, status: int, headers: Headers, head: RequestHead) -> bool:
-        """Check that the expected server sent the answer, and for this request."""
+        """Return whether the answer is the server's own answer to this request.
+
+        It is not if it names another request, if its content was encoded, or if it
+        reports success without the header (``names.stamp``) that servers add.
+        """
         names = self._names
-        echoed = find_header(headers, names.request_id)
-        if echoed is not None and echoed != head.request_id:
+        answered_id = find_header(headers, names.request_id)
+        if answered_id is not None and answered_id != head.request_id:
             return False
         if find_header(headers, "Content-Encoding") is not None:
             return False
-        is_stamped = not names.stamp or find_header(headers, names.stamp) is not None
-        return is_stamped or status not in SUCCESS
+        is_from_server = (
+            not names.stamp or find_header(headers, names.stamp) is not None
+        )
+        return is_from_server or status not in SUCCESS
 
     def _is_refusal(self, status: int, headers: Headers) -> bool:
         names = self._names
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -59,7 +59,7 @@
 
 
 class DeliveryPorts(NamedTuple):
-    """Collaborators and settings shared by all deliveries of a process."""
+    """The objects and settings that all deliveries of a process share."""
 
     process_id: int
     bid_collector: BidCollector
@@ -69,18 +69,18 @@
     clock: ClockPort
     events: Outlet[ForwardingEvent]
     tables_version: Callable[[], str]
-    numbers: Iterator[int]  # of attempts, unique within the process
+    numbers: Iterator[int]  # for attempt ids; each is used once in the process
 
 
 class DeliveryFilter(Filter[Routed, Finished]):
-    """Turn a routed request into its answer."""
+    """Delivers each routed request to a backend server and returns its answer."""
 
     def __init__(self, ports: DeliveryPorts) -> None:
         self._ports = ports
         self._tasks: set[_DeliveryTask] = set()
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
-        """Return the answer, or a refusal that accounts for all attempts."""
+        """Return the answer, or a refusal that takes all attempts into account."""
         task = _DeliveryTask(self._ports, value)
         self._tasks.add(task)
         try:
@@ -103,8 +103,10 @@
         self._inbox: Any = eventlet.queue.LightQueue()
         self._wake_at = routed.head.deadline
         self._attempts: dict[int, Any] = {}  # greenlets by attempt number
-        self._attempt_ids: dict[int, tuple[str, Candidate]] = {}
+        # Attempt id and chosen server, by attempt number.
+        self._sent_attempts: dict[int, tuple[str, Candidate]] = {}
         self._results: dict[int, AttemptResult] = {}
+        # Kinds of the results so far; kept when ``_results`` is cleared.
         self._kinds: dict[int, str] = {}
         self._delivery = Delivery(
             routed.head.request_id,
@@ -140,7 +142,7 @@
         routed = self._routed
         attempts = tuple(
             f"{attempt_id}@{candidate.server_id}:{self._kinds.get(number, 'running')}"
-            for number, (attempt_id, candidate) in self._attempt_ids.items()
+            for number, (attempt_id, candidate) in self._sent_attempts.items()
         )
         self._ports.events.put(
             DeliveryEnded(
@@ -179,13 +181,13 @@
             case Deliver():
                 result = self._results.pop(output.number)
                 self._close_unused()
-                _, candidate = self._attempt_ids[output.number]
+                _, candidate = self._sent_attempts[output.number]
                 return Success(
                     Finished(
                         result,
                         Ran.RAN,
                         candidate.server_id,
-                        len(self._attempt_ids),
+                        len(self._sent_attempts),
                     )
                 )
             case Refuse():
@@ -206,7 +208,7 @@
         ports, routed = self._ports, self._routed
         candidate = output.candidate
         attempt_id = f"{ports.process_id:x}-{next(ports.numbers):x}"
-        self._attempt_ids[output.number] = (attempt_id, candidate)
+        self._sent_attempts[output.number] = (attempt_id, candidate)
         route = routed.route
         submit = Submit(
             attempt_id,
@@ -248,14 +250,14 @@
         greenlet = self._attempts.pop(number, None)
         if greenlet is not None:
             greenlet.kill()
-        attempt_id, candidate = self._attempt_ids[number]
+        attempt_id, candidate = self._sent_attempts[number]
         if candidate.peer.process_id == self._ports.process_id:
             self._ports.host.withdraw(attempt_id)
         else:
             self._ports.peers.withdraw(candidate.peer, attempt_id)
 
     def _recall(self, number: int) -> None:
-        attempt_id, candidate = self._attempt_ids[number]
+        attempt_id, candidate = self._sent_attempts[number]
         if candidate.peer.process_id == self._ports.process_id:
             self._ports.host.withdraw(attempt_id, only_queued=True)
         else:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -1,4 +1,7 @@
-"""Encode the headers in which daemons describe attempts to each other."""
+"""Encode the headers in which daemons describe attempts to each other.
+
+A hop is an HTTP request from the origin of an attempt to the server's daemon.
+"""
 
 from typing import NamedTuple
 
@@ -17,36 +20,36 @@
     """A header from another daemon cannot be decoded."""
 
 
-class HopSubmit(NamedTuple):
-    """Attempt, as described to the daemon next to its server."""
+class HopRequest(NamedTuple):
+    """Attempt, as its origin describes it to the server's daemon."""
 
     attempt_id: str
     server_id: str
     route: str
     priority: int
     is_repeatable: bool
-    target_ms: int
-    remaining_ms: int  # until the deadline
+    target_latency_ms: int
+    remaining_ms: int  # time until the deadline
     process_id: int  # of the daemon that the attempt is meant for
     is_repeat: bool  # an earlier attempt of the request may have reached a server
 
 
 class HopResult(NamedTuple):
-    """Outcome of an attempt, as reported to the daemon that sent it."""
+    """Outcome of an attempt, as the server's daemon reports it to the origin."""
 
     kind: AttemptKind
     reason: str
 
 
-def encode_hop(value: HopSubmit | HopResult) -> str:
+def encode_hop(value: HopRequest | HopResult) -> str:
     """Return the header value."""
     return _ENCODER.encode(value).decode()
 
 
-def decode_submit(value: str) -> HopSubmit:
+def decode_submit(value: str) -> HopRequest:
     """Decode a header value; raise ``HopError`` if it is malformed."""
     try:
-        return msgspec.json.decode(value, type=HopSubmit)
+        return msgspec.json.decode(value, type=HopRequest)
     except msgspec.MsgspecError as error:
         raise HopError(
             f"malformed {SUBMIT_HEADER} header", context=value[:80]
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -1,4 +1,8 @@
-"""Run the attempts for the backend servers next to this daemon."""
+"""Run the attempts for the backend servers on this machine.
+
+The host is the part of a daemon that queues and runs attempts for local servers,
+which are those on its machine.
+"""
 
 from collections.abc import Mapping
 from typing import Any
@@ -47,7 +51,8 @@
 
 TICK_S = 0.1
 ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process is stalled
-ANSWER_KEEP_S = 10.0  # how long a lost answer can be requested again
+# An origin that lost its connection can request the answer again for this long.
+ANSWER_KEEP_S = 10.0
 SERVER_ERROR = 500
 
 _END_KINDS = {
@@ -66,7 +71,7 @@
 
 
 class _AttemptRecord:
-    """An attempt, the callers that wait for it and, once it ended, its result."""
+    """An attempt, its result, and how many calls of ``run`` wait for the result."""
 
     def __init__(self, attempt: LocalAttempt) -> None:
         self.attempt = attempt
@@ -150,7 +155,7 @@
             record.waiters -= 1
 
     def has_waiters(self, attempt_id: str) -> bool:
-        """Return whether any caller waits for the end of an attempt."""
+        """Return whether a call of ``run`` waits for the end of an attempt."""
         record = self._records.get(attempt_id)
         return record is not None and record.waiters > 0
 
@@ -179,7 +184,8 @@
                 if record.greenlet is not None:
                     record.greenlet.kill()
             case Joined():
-                # The result was dropped; all that is known is that the attempt came.
+                # The attempt came before, but its result was dropped since.
+                # It may have run.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
@@ -213,18 +219,19 @@
             eventlet.sleep(1.0)
             now = self._clock.now()
             for attempt_id, record in list(self._records.items()):
-                is_old = record.ended_at is not None and now - record.ended_at > (
-                    ANSWER_KEEP_S
+                is_answer_expired = (
+                    record.ended_at is not None
+                    and now - record.ended_at > (ANSWER_KEEP_S)
                 )
                 is_past_deadline = now > record.attempt.submit.deadline + ANSWER_KEEP_S
                 if is_past_deadline:
                     del self._records[attempt_id]
-                elif is_old:
+                elif is_answer_expired:
                     _drop_body(record)
 
 
 def _drop_body(record: _AttemptRecord) -> None:
-    """Free a buffered answer but remember that the attempt ran."""
+    """Free a buffered answer; the record stays, so that no copy runs again."""
     result = record.result.wait()
     if isinstance(result.body, BufferedAnswer) and result.body.length:
         lost = make_attempt_result(AttemptKind.NO_ANSWER, result.latency_s)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -13,8 +13,8 @@
 from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
 from pimentobend_adapters._internal.forwarding.hop import SUBMIT_HEADER
 from pimentobend_adapters._internal.forwarding.hop import HopError
+from pimentobend_adapters._internal.forwarding.hop import HopRequest
 from pimentobend_adapters._internal.forwarding.hop import HopResult
-from pimentobend_adapters._internal.forwarding.hop import HopSubmit
 from pimentobend_adapters._internal.forwarding.hop import decode_submit
 from pimentobend_adapters._internal.forwarding.hop import encode_hop
 from pimentobend_adapters._internal.forwarding.host import HostTasks
@@ -35,7 +35,8 @@
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 
-RECONNECT_S = 0.25  # how long an origin has to reconnect before its attempt ends
+# An attempt is withdrawn if its origin does not reconnect within this time.
+RECONNECT_S = 0.25
 MS_PER_S = 1000
 WRONG_PROCESS = "wrong-process"
 BROKEN_REQUEST = "broken-request"
@@ -97,7 +98,7 @@
             watch.stop()
 
     def _read_attempt(
-        self, environ: Environ, hop: HopSubmit, body: Body
+        self, environ: Environ, hop: HopRequest, body: Body
     ) -> LocalAttempt:
         now = self._clock.now()
         deadline = now + hop.remaining_ms / MS_PER_S
@@ -113,7 +114,7 @@
             hop.route,
             hop.priority,
             hop.is_repeatable,
-            hop.target_ms / MS_PER_S,
+            hop.target_latency_ms / MS_PER_S,
             deadline,
             request_id,
             hop.is_repeat,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -1,4 +1,4 @@
-"""Send attempts to the daemons that run next to their servers."""
+"""Send attempts to the daemons on their servers' machines."""
 
 from http.client import HTTPException
 from typing import Any
@@ -12,7 +12,7 @@
 from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
 from pimentobend_adapters._internal.forwarding.hop import SUBMIT_HEADER
 from pimentobend_adapters._internal.forwarding.hop import HopError
-from pimentobend_adapters._internal.forwarding.hop import HopSubmit
+from pimentobend_adapters._internal.forwarding.hop import HopRequest
 from pimentobend_adapters._internal.forwarding.hop import decode_result
 from pimentobend_adapters._internal.forwarding.hop import encode_hop
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
@@ -31,7 +31,7 @@
 from pimentobend_core._internal.ports import ClockPort
 
 KIND_WITHDRAW = "withdraw"
-CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, one packet lost
+CONNECT_TIMEOUT_S = 0.5  # five round trips between regions, with one packet lost
 RESEND_MIN_S = 0.05
 RESEND_MAX_S = 1.0
 MS_PER_S = 1000
@@ -45,9 +45,9 @@
 
 
 class PeerClient:
-    """Send each attempt until its result is known.
+    """Sends each attempt until its result is known.
 
-    The daemon next to the server runs an attempt only once, so the attempt is
+    The server's daemon runs an attempt only once, so the attempt is
     sent again on a new connection if the connection breaks.
     """
 
@@ -108,12 +108,17 @@
             return _Sent(None, has_sent)
         finally:
             if not is_complete:
-                connection.abort()  # a delayed copy must not run later
+                # What is still in transit must not reach the daemon and run later.
+                connection.abort()
             elif not is_passed_on:
                 connection.close()
 
     def _judge(self, result: AttemptResult, is_resent: bool) -> AttemptResult | None:
-        """Adjust a result if an earlier copy may have arrived; None to send again."""
+        """Return the result of sending an attempt; None if it has to be sent again.
+
+        If the daemon restarted after an earlier copy of the attempt may have
+        reached it, that copy may have run.
+        """
         if result.kind is AttemptKind.CANCELLED:
             reason = find_header(result.headers, "reason")
             return None if reason == BROKEN_REQUEST else result
@@ -123,7 +128,7 @@
         return result
 
     def _exchange(
-        self, connection: Any, attempt: LocalAttempt, hop: HopSubmit
+        self, connection: Any, attempt: LocalAttempt, hop: HopRequest
     ) -> tuple[AttemptResult, bool]:
         own_headers = {SUBMIT_HEADER: encode_hop(hop)}
         response = send_request(connection, attempt.head, attempt.body, own_headers)
@@ -144,10 +149,10 @@
         )
         return result, not is_whole
 
-    def _make_submit(self, peer: PeerRow, attempt: LocalAttempt) -> HopSubmit:
+    def _make_submit(self, peer: PeerRow, attempt: LocalAttempt) -> HopRequest:
         submit = attempt.submit
         remaining_s = submit.deadline - self._clock.now()
-        return HopSubmit(
+        return HopRequest(
             submit.attempt_id,
             submit.server_id,
             submit.route,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/watch.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/watch.py
@@ -9,7 +9,7 @@
 
 
 class ConnectionWatch:
-    """Task that calls a function once the other end closes the connection."""
+    """Task that calls ``on_closed`` once the other end closes the connection."""
 
     def __init__(self, connection: Any, on_closed: Callable[[], None]) -> None:
         self._connection = connection
--- a/packages/adapters/src/pimentobend_adapters/_internal/health.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/health.py
@@ -31,7 +31,11 @@
 
 
 class HealthTasks:
-    """Run the health tasks; pass on their weights and their evidence reports."""
+    """Runs the health tasks and passes on their weights and evidence reports.
+
+    A server's weight is the share of its normal traffic that it gets. An evidence
+    report tells the control instances how attempts at a pool's servers ended.
+    """
 
     def __init__(
         self,
@@ -84,11 +88,11 @@
         self._put(message.pool, message)
 
     def granted(self, message: EjectionsGranted) -> None:
-        """Send a pool's task the ejections that it holds a lease for."""
+        """Send a pool's task the ejections for which it now has a lease."""
         self._put(message.pool, message)
 
     def ejections(self) -> list[Mapping[str, object]]:
-        """Return a row for each ejected, avoided or returning server."""
+        """Return id, pool and state of each ejected, avoided or returning server."""
         rows: list[Mapping[str, object]] = []
         for name, task in sorted(self._tasks.items()):
             rows.extend(_describe(name, task.dump()))
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -31,8 +31,8 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
-KEPT_CONNECTIONS = 32  # idle connections per server
-MIN_REMAINING_S = 0.001
+KEPT_CONNECTIONS = 32  # maximum number of idle connections per server
+MIN_REMAINING_S = 0.001  # shortest timeout, also after the deadline
 MS_PER_S = 1000
 
 
@@ -65,7 +65,7 @@
 
 
 class _StreamedAnswer(AnswerBody):
-    """Stream an answer from its connection."""
+    """Answer body that is read from its connection as it is passed on."""
 
     def __init__(self, response: Any) -> None:
         self._response = response
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
@@ -1,4 +1,4 @@
-"""Read request bodies with a bounded buffer."""
+"""Read request bodies: keep small ones in memory and stream large ones."""
 
 from collections.abc import Iterator
 from typing import Protocol
@@ -42,7 +42,7 @@
 
 
 class StreamedBody(Body):
-    """Stream a large body; ``start`` holds the bytes already read."""
+    """Body that is too large to keep; ``start`` holds the bytes already read."""
 
     def __init__(self, start: bytes, rest: Readable, length: int | None) -> None:
         self._start = start
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -12,7 +12,8 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
-_LINGER_NONE = struct.pack("ii", 1, 0)  # close() sends a reset
+# With this SO_LINGER value, close() sends a reset and drops unsent data.
+_LINGER_NONE = struct.pack("ii", 1, 0)
 
 
 class ResetError(OSError):
@@ -20,7 +21,7 @@
 
 
 class StrictSocket(GreenSocket):  # type: ignore[misc]
-    """Raise ``ResetError`` where eventlet would report an end of file.
+    """Socket that raises ``ResetError`` where eventlet reports an end of file.
 
     An answer without a length ends when its connection is closed, so a reset
     must not be taken for the end of the answer.
@@ -39,7 +40,7 @@
 
 
 class StrictConnection(HTTPConnection):
-    """Speak HTTP over a ``StrictSocket``."""
+    """HTTP connection over a ``StrictSocket``."""
 
     def abort(self) -> None:
         """Close with a reset, so that data in flight is not delivered."""
@@ -55,10 +56,12 @@
             )
         except TimeoutError as error:
             raise ConnectTimeoutError(
-                self, f"connecting to {self.host} timed out"
+                self, f"connecting to {self.host}:{self.port} timed out"
             ) from error
         except OSError as error:
-            raise NewConnectionError(self, f"cannot connect: {error}") from error
+            raise NewConnectionError(
+                self, f"cannot connect to {self.host}:{self.port}: {error}"
+            ) from error
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         strict = StrictSocket(plain.fd, set_nonblocking=False)
         # Keep a reference: the descriptor is closed once ``plain`` is collected.
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -38,10 +38,10 @@
 
 
 class FrontOptions(NamedTuple):
-    """Settings in which the interfaces for callers differ."""
+    """Settings of one interface for callers."""
 
     names: HeaderNames = OWN_NAMES
-    caller_service: str = ""  # service next to this daemon that sends the requests
+    caller_service: str = ""  # the service on this machine that sends the requests
     limits: Callable[[], ClientLimits | None] = lambda: None
     watches_callers: bool = False  # end a request once its caller disconnects
 
@@ -175,7 +175,7 @@
 
 
 class _CallerWatch:
-    """Watch on a caller's connection; started on demand."""
+    """Watches a caller's connection after ``start`` until ``stop``."""
 
     def __init__(self, environ: Environ) -> None:
         self._connection = environ["wsgi.input"].get_socket()
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -15,7 +15,10 @@
 
 
 class HeaderNames(NamedTuple):
-    """Header names that callers and backend servers use; empty if there is none."""
+    """Header names that callers and backend servers use.
+
+    An empty name means that the interface has no such header.
+    """
 
     request_id: str = REQUEST_ID
     deadline_ms: str = DEADLINE_MS
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -10,15 +10,17 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
 
-CONNECTION_KEY = "pimentobend.connection"  # environ key of the protocol handler
+# environ key of the handler that serves the connection
+CONNECTION_KEY = "pimentobend.connection"
 # environ key of a function that returns the idle timeout in seconds, or None
 IDLE_KEY = "pimentobend.idle"
+# Error responses that eventlet or ``send_error`` writes begin like this.
 _LIBRARY_ERROR = b"HTTP/1.0 4"
 _LINE_END = b"\r\n"
 
 
 class RefusingProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
-    """HTTP/1.1 handler that refuses malformed requests before the request pipe."""
+    """HTTP/1.1 handler that refuses requests which it cannot parse."""
 
     def setup(self) -> None:
         """Open the connection's files and wrap the one for output."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -46,7 +46,7 @@
     """Return a refusal if the headers or the body exceed their limits."""
     if limits is None:
         return None
-    # each header line has 4 more bytes: ": " and the line end
+    # Each header line has 4 more bytes: ": " and the line end.
     head_bytes = sum(len(name) + len(value) + 4 for name, value in get_headers(environ))
     if head_bytes > limits.max_header_bytes:
         return _too_large(431, "headers", limits.max_header_bytes)
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -15,7 +15,8 @@
 MAX_CONNECTIONS = 1024
 IDLE_TIMEOUT_S = 75.0
 BACKLOG = 512
-# Write each chunk at once, so that the head is out if the body ends early.
+# Write each chunk at once: if the body then ends early, the caller already has the
+# status and the headers.
 MIN_CHUNK_BYTES = 1
 
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/ledger.py
@@ -40,7 +40,7 @@
 KIND_REQUEST = "ledger.request"
 KIND_REPLY = "ledger.reply"
 TICK_S = 0.05
-CLAIM_TIMEOUT_S = 10.0  # the ledger client itself gives up much earlier
+CLAIM_TIMEOUT_S = 10.0  # a safeguard: the ledger client gives up much earlier
 
 TicketReply = ClaimGranted | ClaimDenied | LookedUp
 
@@ -67,7 +67,7 @@
         return self._task
 
     def claim(self, head: RequestHead) -> Result[Claim, Refusal]:
-        """Store a claim durably, or return the reason why it was not stored."""
+        """Claim a request's key in the ledger, or return why it was not granted."""
         key = head.idempotency_key or ""
         ask = create_ask(next(self._tickets), head, key)
         reply = self._replies.ask(
@@ -87,7 +87,7 @@
         self._task.put(AskSettle(claim_id, ran, status))
 
     def look_up(self, organisation: str, key: str) -> WorkFound | None:
-        """Return what is known of a key; None if no majority answers."""
+        """Return what the ledger knows about a key; None if no majority answers."""
         ask = AskLookUp(next(self._tickets), LedgerKey(organisation, key))
         reply = self._replies.ask(
             ask.ticket, lambda: self._task.put(ask), CLAIM_TIMEOUT_S
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -1,7 +1,7 @@
 """Send small frames as UDP datagrams and each large one over its own TCP connection.
 
-A datagram needs no connection, which could be dead without notice, and what is
-sent to a process that is down is lost instead of queued.
+A datagram needs no connection, so there is none that may be broken without notice.
+What is sent to a process that is down is lost instead of queued.
 """
 
 import socket
@@ -25,7 +25,7 @@
 RECEIVE_BYTES = 2048
 CONNECT_TIMEOUT_S = 1.0
 STREAM_TIMEOUT_S = 3.0
-MAX_STREAMS = 32  # concurrent large frames in each direction
+MAX_STREAMS = 32  # large frames sent, and received, at the same time
 BACKLOG = 128
 
 _LENGTH = struct.Struct("<I")
@@ -80,7 +80,7 @@
             try:
                 data, _ = self._datagrams.recvfrom(RECEIVE_BYTES)
             except OSError:
-                # An earlier datagram reached a closed port; there is nothing to read.
+                # The error reports that an earlier datagram reached a closed port.
                 continue
             self._handle_data(data)
 
@@ -117,7 +117,8 @@
             (length,) = _LENGTH.unpack(_read_exactly(stream, _LENGTH.size))
             if length > MAX_FRAME_BYTES:
                 raise FrameError(
-                    "the frame exceeds the maximum size", context=f"{length} bytes"
+                    "the frame exceeds the maximum size",
+                    context=f"{length} bytes, at most {MAX_FRAME_BYTES}",
                 )
             data = _read_exactly(stream, length)
         except (OSError, FrameError) as error:
@@ -143,7 +144,10 @@
     while remaining > 0:
         chunk = stream.recv(min(remaining, 64 * 1024))
         if not chunk:
-            raise FrameError("the connection closed before the end of the frame")
+            raise FrameError(
+                "the connection closed before the end of the frame",
+                context=f"{remaining} bytes missing",
+            )
         chunks.append(chunk)
         remaining -= len(chunk)
     return b"".join(chunks)
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -1,4 +1,8 @@
-"""Encode and authenticate the frames exchanged between processes."""
+"""Encode and authenticate the frames exchanged between processes.
+
+A frame is an encoded message with its sender and kind. A tag, computed with the
+fleet's key, shows that a member of the fleet sent it.
+"""
 
 import hashlib
 import hmac
@@ -37,10 +41,11 @@
     """Verify and decode a frame; raise FrameError if it is not authentic."""
     if not HEAD_BYTES < len(data) <= MAX_FRAME_BYTES:
         raise FrameError(
-            "the frame's size is out of range", context=f"{len(data)} bytes"
+            "the frame's size is out of range",
+            context=f"{len(data)} bytes, at most {MAX_FRAME_BYTES}",
         )
     if data[: len(MAGIC)] != MAGIC:
-        raise FrameError("the data is not a frame")
+        raise FrameError("the data is not a frame", context=f"begins with {data[:3]!r}")
     version = data[len(MAGIC)]
     if version != VERSION:
         raise FrameError(
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
@@ -11,7 +11,7 @@
 
 
 class FrameRouter(Outlet[Frame]):
-    """Call the handler of each frame's kind; report errors instead of raising."""
+    """Calls the handler of each frame's kind; reports errors instead of raising."""
 
     def __init__(self, on_fault: Callable[[PimentobendError], None]) -> None:
         self._handlers: dict[str, FrameHandler] = {}
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/transport.py
@@ -9,7 +9,11 @@
 
 
 class Transport(abc.ABC):
-    """Transport whose frames may be lost, duplicated or delayed."""
+    """Sends frames to other processes and passes received ones to an outlet.
+
+    Frames may be lost, duplicated or delayed. ``key`` authenticates them, and
+    ``on_fault`` is called for each that cannot be received.
+    """
 
     def __init__(
         self,
--- a/packages/adapters/src/pimentobend_adapters/_internal/log_volume.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/log_volume.py
@@ -11,10 +11,13 @@
 
 LINES_PER_S = 100.0
 BURST_LINES = 400.0
-ORDINARY_SHARE = 0.5  # ordinary lines are dropped below this share of the burst
-BUFFER_BYTES = 256 * 1024  # lines that wait for a slow reader
+# Ordinary lines, which report successes, are dropped while less than this share of
+# the burst is left; the rest is kept for failures.
+ORDINARY_SHARE = 0.5
+BUFFER_BYTES = 256 * 1024  # maximum size of the lines that wait for a slow reader
 REPORT_S = 5.0  # interval of the reports of dropped lines
-ORDINARY = "is_ordinary"  # marks lines about successes; not part of the output
+# Key that marks an event as ordinary; removed before the line is written.
+ORDINARY = "is_ordinary"
 
 
 class LineBudget:
@@ -49,7 +52,7 @@
 
 
 class BoundedWriter:
-    """Write lines to a descriptor without blocking; drop what exceeds the buffer."""
+    """Writes lines to a descriptor without blocking; drops what exceeds the buffer."""
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
--- a/packages/adapters/src/pimentobend_adapters/_internal/metrics.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/metrics.py
@@ -14,7 +14,7 @@
 
 
 class Metrics:
-    """Client for statsd; drops all metrics if there is no address."""
+    """Client for statsd; drops all metrics if no address is configured."""
 
     def __init__(self, address: Address | None, instance: str) -> None:
         self._client: Any = None
--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -1,4 +1,7 @@
-"""Run stateful filters as tasks that receive messages through an inbox."""
+"""Run stateful filters as tasks that receive messages through an inbox.
+
+A task passes what its filter returns to an outlet.
+"""
 
 import abc
 from collections.abc import Callable
--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -32,14 +32,15 @@
 from pimentobend_core._internal.traffic.messages import TrafficTick
 
 TICK_S = 0.05
-GRACE_S = 1.0  # wait after the deadline, in which the task sends its own refusal
+# A request waits this long after its deadline for the task's own refusal.
+GRACE_S = 1.0
 
 TrafficOwner = StatefulFilter[TrafficInput, TrafficOutput]
 TrafficTask = FilterTask[TrafficInput, TrafficOutput]
 
 
 class AttemptObserver(abc.ABC):
-    """Observer of the attempts of all pools."""
+    """Observer that is told of each attempt, whichever its pool."""
 
     @abc.abstractmethod
     def started(self, pool: str, message: AttemptStarted) -> None:
@@ -155,7 +156,7 @@
             eventlet.spawn_n(self._tick)
 
     def _tick(self) -> None:
-        """Expire queued requests; pools without any receive no ticks."""
+        """Tick the pools with queued requests, so that expired ones are refused."""
         while self._waiting:
             eventlet.sleep(TICK_S)
             for pool in {waiter.pool for waiter in self._waiting.values()}:
