--- a/tests/lib/ledger_simulation.py
+++ b/tests/lib/ledger_simulation.py
@@ -33,16 +33,17 @@
 
 REPLICAS = ("replica-1", "replica-2", "replica-3")
 FINGERPRINT = b"p" * 8
-IDLE_TICKS = 14  # seconds; over two waits between retries of a settlement
+# Ticks of 1 s, for longer than two waits between the retries of a settlement.
+IDLE_TICKS = 14
 
 
 class WorkOutcome(enum.Enum):
-    """What happens to work that may be sent."""
+    """What happens to a request that a daemon may send to a server."""
 
     RAN = "ran"
-    REFUSED = "refused"  # the server states that it did not run
-    LOST_RAN = "lost-ran"  # no answer, and it ran
-    LOST_NOT_RUN = "lost-not-run"  # no answer, and it did not run
+    REFUSED = "refused"  # the server answers that the request did not run
+    LOST_RAN = "lost-ran"  # it ran, but no answer arrived
+    LOST_NOT_RUN = "lost-not-run"  # it did not run, and no answer arrived
     CRASH_BEFORE_SEND = "crash-before-send"
     CRASH_AFTER_SEND = "crash-after-send"
 
@@ -56,7 +57,7 @@
 
 
 class Granted(NamedTuple):
-    """Work that a daemon may send once."""
+    """A granted claim: the daemon may send its request once."""
 
     daemon: str
     claim_id: ClaimId
@@ -64,7 +65,7 @@
 
 
 class Pending(NamedTuple):
-    """An entry that the leader proposed."""
+    """An entry that the leader proposed and that is not committed yet."""
 
     proposal_id: int
     payload: bytes
@@ -111,7 +112,7 @@
         return self._tickets
 
     def finish_work(self, granted: Granted, outcome: WorkOutcome) -> None:
-        """End work that was granted with the given outcome."""
+        """Let the request of a granted claim end with the given outcome."""
         self.granted.remove(granted)
         if outcome in (
             WorkOutcome.RAN,
@@ -127,7 +128,7 @@
         self._handle_client_outputs(granted.daemon, outputs)
 
     def crash(self, daemon: str) -> None:
-        """Restart a daemon without its memory; work not yet sent is lost."""
+        """Restart a daemon without its memory; requests not yet sent are lost."""
         self._epochs[daemon] += 1
         self.daemons[daemon] = self._start(daemon)
         self.granted = [one for one in self.granted if one.daemon != daemon]
--- a/tests/lib/memory_disk.py
+++ b/tests/lib/memory_disk.py
@@ -1,4 +1,4 @@
-"""A replica's disk in memory, with faults."""
+"""Simulate a replica's disk in memory, with failing writes."""
 
 import enum
 
@@ -14,11 +14,13 @@
 
 
 class DiskFault(enum.Enum):
-    """What happens to the next write."""
+    """How the next write fails."""
 
-    LOST = "lost"  # fails and stores nothing
-    REFUSED_BUT_STORED = "refused-but-stored"  # fails after the sync
-    SNAPSHOT_ONLY = "snapshot-only"  # fails between snapshot and log
+    LOST = "lost"  # the write stores nothing
+    REFUSED_BUT_STORED = (
+        "refused-but-stored"  # the data is stored and synced before the write fails
+    )
+    SNAPSHOT_ONLY = "snapshot-only"  # the snapshot is stored, but not the log
 
 
 class MemoryDisk(Disk):
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -26,12 +26,12 @@
         self.ran: list[str] = []
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
-        self.hold_s = 0.0
-        self.hangs = False
+        self.hold_s = 0.0  # time that each request takes
+        self.hangs = False  # answer requests only after a minute, or once stopped
         self._stop = Event()
         self._control = control
         self._sequence = 0
-        # start and end of each period in which no request may arrive
+        # Start and end of each period in which no request may arrive.
         self.drained: list[tuple[float, float]] = []
         outer = self
 
--- a/tests/lib/replica_cluster.py
+++ b/tests/lib/replica_cluster.py
@@ -50,7 +50,8 @@
         self.disk = MemoryDisk()
         self.replica: Replica | None = None
         self.applied: list[bytes] = []
-        self.crash_after: int | None = None  # outputs that are released before a crash
+        # The node crashes after it has released this many more outputs.
+        self.crash_after: int | None = None
 
 
 class Cluster:
@@ -90,7 +91,7 @@
         self.nodes[replica_id].replica = None
 
     def handle(self, replica_id: str, *messages: ReplicaInput) -> None:
-        """Let a node handle messages that share one sync."""
+        """Let a node handle messages and store their writes with one sync."""
         node = self.nodes[replica_id]
         if node.replica is None:
             return
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -22,7 +22,7 @@
 class Accepted(NamedTuple):
     """A change that was acknowledged."""
 
-    number: int
+    number: int  # of the last route that the change contains
     version: tuple[int, int]
 
 
