Name the unit tests' documents and cases by what they are

Readers stopped at WHOLE, BAD, SEALED and BUSY_S and at two test names that do not tell what is checked. Name the configuration, the invalid ones, the encoded frame and the outcome timeout, and rename the two tests; their cases stay.

--- a/tests/unit/consensus/test_replica.py
+++ b/tests/unit/consensus/test_replica.py
@@ -68,7 +68,7 @@
     assert replica.commit_index == committed
 
 
-OBSERVED_S = 5.0
+OBSERVED_S = 5.0  # period in which heartbeats are counted
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/consensus/test_supervisor.py
+++ b/tests/unit/consensus/test_supervisor.py
@@ -28,7 +28,7 @@
 def view(
     voters: str, learners: str = "", quiet: str = "", caught_up: str = ""
 ) -> LeaderView:
-    """Return a view of a cluster led by its first voter; quiet members are silent."""
+    """Return the view of the first voter, which leads; ``quiet`` ones are silent."""
     names = voters + learners
     return LeaderView(
         f"{voters[0]}/0",
--- a/tests/unit/disk/test_folder.py
+++ b/tests/unit/disk/test_folder.py
@@ -61,7 +61,7 @@
     return acknowledged
 
 
-OPERATIONS = 18  # file operations of _write_all
+OPERATIONS = 18  # number of file operations that _write_all runs
 
 
 def test_number_of_file_operations() -> None:
--- a/tests/unit/interfaces/test_frames.py
+++ b/tests/unit/interfaces/test_frames.py
@@ -13,16 +13,16 @@
 
 KEY = b"k" * 16
 FRAME = Frame("127.0.0.1:1", "kind", b"payload")
-SEALED = encode_frame(FRAME, KEY)
+ENCODED_FRAME = encode_frame(FRAME, KEY)
 
 BAD_FRAMES = [
     ("empty", b"", "size"),
-    ("short", SEALED[:20], "size"),
-    ("too large", SEALED + b"x" * MAX_FRAME_BYTES, "size"),
-    ("not a frame", b"GET / HTTP/1.1\r\n" + SEALED, "not a frame"),
-    ("next version", SEALED[:3] + b"\x02" + SEALED[4:], "version"),
-    ("cut", SEALED[:-1], "key"),
-    ("flipped bit", SEALED[:-1] + bytes([SEALED[-1] ^ 1]), "key"),
+    ("short", ENCODED_FRAME[:20], "size"),
+    ("too large", ENCODED_FRAME + b"x" * MAX_FRAME_BYTES, "size"),
+    ("not a frame", b"GET / HTTP/1.1\r\n" + ENCODED_FRAME, "not a frame"),
+    ("next version", ENCODED_FRAME[:3] + b"\x02" + ENCODED_FRAME[4:], "version"),
+    ("cut", ENCODED_FRAME[:-1], "key"),
+    ("flipped bit", ENCODED_FRAME[:-1] + bytes([ENCODED_FRAME[-1] ^ 1]), "key"),
     ("another key", encode_frame(FRAME, b"j" * 16), "key"),
 ]
 
--- a/tests/unit/ledger/test_crash_points.py
+++ b/tests/unit/ledger/test_crash_points.py
@@ -1,4 +1,4 @@
-"""Check a crash between any two steps of work that must not be repeated."""
+"""Check a crash between any two steps of a request that must not run twice."""
 
 import pytest
 from ledger_simulation import REPLICAS
--- a/tests/unit/ledger/test_machine.py
+++ b/tests/unit/ledger/test_machine.py
@@ -1,4 +1,4 @@
-"""Search for orders of events in which work runs twice or is misreported."""
+"""Search for orders of events in which a request runs twice or is misreported."""
 
 from hypothesis import settings
 from hypothesis import strategies
--- a/tests/unit/ledger/test_state.py
+++ b/tests/unit/ledger/test_state.py
@@ -31,13 +31,13 @@
 FINGERPRINT, OTHER_FINGERPRINT = b"p" * 8, b"q" * 8
 A = ClaimId("daemon-a", 1, 5)
 B = ClaimId("daemon-b", 1, 1)
-BUSY_S = 10.0
+OUTCOME_TIMEOUT_S = 10.0
 RAN, NOT_RUN, UNKNOWN = Ran.RAN, Ran.NOT_RUN, Ran.UNKNOWN
 LOOK_UP = LookUpWork(KEY)
 
 
 def _claim(claim_id: ClaimId, fingerprint: bytes = FINGERPRINT) -> ClaimWork:
-    return ClaimWork(KEY, claim_id, fingerprint, BUSY_S)
+    return ClaimWork(KEY, claim_id, fingerprint, OUTCOME_TIMEOUT_S)
 
 
 def _settle(claim_id: ClaimId, ran: Ran, status: int = 0) -> SettleWork:
@@ -171,16 +171,16 @@
     [
         (
             [_claim(A)],
-            BUSY_S - 1,
+            OUTCOME_TIMEOUT_S - 1,
             _claim(B),
             _refused(ClaimRefusal.IN_PROGRESS),
         ),
-        ([_claim(A)], BUSY_S, _claim(B), _refused(ClaimRefusal.UNKNOWN)),
+        ([_claim(A)], OUTCOME_TIMEOUT_S, _claim(B), _refused(ClaimRefusal.UNKNOWN)),
         (
             [_claim(A)],
-            BUSY_S,
+            OUTCOME_TIMEOUT_S,
             LOOK_UP,
-            WorkFound(WorkState.UNKNOWN, 0, "daemon-a", BUSY_S),
+            WorkFound(WorkState.UNKNOWN, 0, "daemon-a", OUTCOME_TIMEOUT_S),
         ),
         (
             [_claim(A), _settle(A, RAN, 201)],
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -42,7 +42,7 @@
     "columns": ["name", "healthCheckPath", "maxConnections", "protocol", "tls"],
     "rows": [["a", "/healthz", 360, "h1", False], ["b", "/healthz", 360, "h1", False]],
 }
-WHOLE: dict[str, Any] = {
+CONFIGURATION: dict[str, Any] = {
     "version": "0000000c",
     "routes": {"columns": ROUTE_COLUMNS, "rows": ROWS},
     "services": SERVICES,
@@ -77,7 +77,7 @@
 
 
 def test_a_configuration_round_trips() -> None:
-    change = documents.read_whole(json.dumps(WHOLE).encode(), "00000005")
+    change = documents.read_whole(json.dumps(CONFIGURATION).encode(), "00000005")
     assert change.label == (5, 12)
     tables = WholeTables(
         (1, 2),  # type: ignore[arg-type]
@@ -87,42 +87,49 @@
         change.limits,
         change.label.number,
     )
-    assert json.loads(json.dumps(documents.write_tables(tables))) == WHOLE
+    assert json.loads(json.dumps(documents.write_tables(tables))) == CONFIGURATION
 
 
 @pytest.mark.parametrize("base", ["00000005", "00000006"])
 def test_equal_changes_have_equal_ids(base: str) -> None:
-    data = json.dumps(WHOLE).encode()
+    data = json.dumps(CONFIGURATION).encode()
     first = documents.read_whole(data, "00000005").change_id
     assert (documents.read_whole(data, base).change_id == first) == (base[-1] == "5")
 
 
-BAD = [
-    ("cut short", json.dumps(WHOLE).encode()[:-20]),
+INVALID_CONFIGURATIONS = [
+    ("cut short", json.dumps(CONFIGURATION).encode()[:-20]),
     ("not JSON", b"\xff\xfe"),
     ("empty", b""),
     ("a list", b"[]"),
-    ("no version", changed(WHOLE, "version", ...)),
-    ("a version that is not a number", changed(WHOLE, "version", "zz")),
-    ("an unknown service", changed(WHOLE, "routes.rows.1.9", "c")),
-    ("an unknown service in a split", changed(WHOLE, "routes.rows.0.7.1.service", "c")),
-    ("a weight below 0", changed(WHOLE, "routes.rows.0.7.1.weight", -1)),
-    ("a long timeout", changed(WHOLE, "routes.rows.0.4", 601)),
-    ("an empty host", changed(WHOLE, "routes.rows.0.1", "")),
-    ("no host", changed(WHOLE, "routes.rows.0.1", None)),
-    ("a row too short", changed(WHOLE, "routes.rows.0.9", ...)),
-    ("a timeout of another type", changed(WHOLE, "routes.rows.0.4", "3")),
-    ("no service and no split", changed(WHOLE, "routes.rows.0.7", None)),
+    ("no version", changed(CONFIGURATION, "version", ...)),
+    ("a version that is not a number", changed(CONFIGURATION, "version", "zz")),
+    ("an unknown service", changed(CONFIGURATION, "routes.rows.1.9", "c")),
+    (
+        "an unknown service in a split",
+        changed(CONFIGURATION, "routes.rows.0.7.1.service", "c"),
+    ),
+    ("a weight below 0", changed(CONFIGURATION, "routes.rows.0.7.1.weight", -1)),
+    ("a long timeout", changed(CONFIGURATION, "routes.rows.0.4", 601)),
+    ("an empty host", changed(CONFIGURATION, "routes.rows.0.1", "")),
+    ("no host", changed(CONFIGURATION, "routes.rows.0.1", None)),
+    ("a row too short", changed(CONFIGURATION, "routes.rows.0.9", ...)),
+    ("a timeout of another type", changed(CONFIGURATION, "routes.rows.0.4", "3")),
+    ("no service and no split", changed(CONFIGURATION, "routes.rows.0.7", None)),
 ]
 
 
-@pytest.mark.parametrize("data", [b[1] for b in BAD], ids=[b[0] for b in BAD])
+@pytest.mark.parametrize(
+    "data",
+    [case[1] for case in INVALID_CONFIGURATIONS],
+    ids=[case[0] for case in INVALID_CONFIGURATIONS],
+)
 def test_invalid_configurations_are_refused(data: bytes) -> None:
     with pytest.raises(documents.DocumentError):
         documents.read_whole(data, "0")
 
 
-def test_a_patch_names_its_rows() -> None:
+def test_a_patch_lists_the_changed_and_the_removed_routes() -> None:
     patch = {
         "version": "0000000e",
         "upsert": {"routes": {"columns": ROUTE_COLUMNS, "rows": ROWS[:1]}},
@@ -133,7 +140,7 @@
     assert change.removals == (("r9",), ())
 
 
-BAD_HEARTBEATS = [
+MALFORMED_HEARTBEATS = [
     ("not JSON", b"\x00\x01"),
     ("no address", changed(HEARTBEAT, "address", ...)),
     ("an address of another type", changed(HEARTBEAT, "address", 5)),
@@ -147,7 +154,9 @@
 
 
 @pytest.mark.parametrize(
-    "data", [f[1] for f in BAD_HEARTBEATS], ids=[f[0] for f in BAD_HEARTBEATS]
+    "data",
+    [case[1] for case in MALFORMED_HEARTBEATS],
+    ids=[case[0] for case in MALFORMED_HEARTBEATS],
 )
 def test_malformed_heartbeats_are_refused(data: bytes) -> None:
     assert read_heartbeat("i-1", data) is None
@@ -167,7 +176,9 @@
 
 
 @pytest.mark.parametrize(("seconds", "is_cold"), [(0, False), (0.4, True), (3, True)])
-def test_a_server_that_warms_up_is_cold(seconds: float, is_cold: bool) -> None:
+def test_a_server_is_cold_while_warm_up_time_remains(
+    seconds: float, is_cold: bool
+) -> None:
     data = changed(HEARTBEAT, "status.warmupRemainingS", seconds)
     announcement = read_heartbeat("i-1", data)
     assert announcement is not None
@@ -189,7 +200,7 @@
 
 
 class FakeServers(ServersPort):
-    """Servers port that records announcements and withdrawals."""
+    """Fake registry of servers that records announcements and withdrawals."""
 
     def __init__(self, faults: tuple[str, ...] = ()) -> None:
         self.faults = faults
@@ -235,7 +246,7 @@
     return statuses[0][:3]
 
 
-GOOD_BODY = json.dumps(WHOLE).encode()
+GOOD_BODY = json.dumps(CONFIGURATION).encode()
 EMPTY = WholeTables((0, 0), b"", (), ())  # type: ignore[arg-type]
 CHANGES = [
     ("PUT", GOOD_BODY, ChangeOutcome.ACCEPTED, "200"),
