Say in the disk errors which block and how many bytes are concerned

Run: ruff format and check, mypy of packages/adapters/src (no issues), pytest tests/unit/disk and consensus/test_replica_task.py (122 passed).

--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/folder.py
@@ -58,7 +58,10 @@
         Raises ``DiskError`` if this or an earlier write failed.
         """
         if self._has_torn_end:
-            raise DiskError("an earlier write to the log failed")
+            raise DiskError(
+                "an earlier write to the log failed",
+                context=f"block {self._sequence + 1} at byte {self._size_bytes}",
+            )
         block = encode_block(self._sequence + 1, encode_records(records))
         try:
             self._files.append(LOG, block)
@@ -75,7 +78,10 @@
         Raises ``DiskError`` if one of them cannot be written.
         """
         if self._has_torn_end:
-            raise DiskError("an earlier write to the log failed")
+            raise DiskError(
+                "an earlier write to the log failed",
+                context=f"block {self._sequence + 1} at byte {self._size_bytes}",
+            )
         try:
             self._replace(SNAPSHOT, encode_block(1, encode_snapshot(snapshot)))
             self._replace_log(records)
@@ -114,6 +120,7 @@
         if len(blocks) != 1 or blocks[0].end != len(data):
             raise CorruptDiskError(
                 "the stored snapshot is damaged",
+                context=f"{len(blocks)} intact blocks in {len(data)} bytes",
                 hint="remove this replica and add one with a new id",
             )
         return decode_snapshot(blocks[0].payload)
