Say in the daemon what its classes do and what was refused

Readers stopped at class docstrings that named what a class is connected with, at words that nothing explained (floor, row, host, origin, tables in force, beside), at comments that were half a sentence, and at refusals that named three faults without a value.

The heads of the modules now explain these words. KIND_TYPES, join_tables and put_in_force are MESSAGE_TYPES, convert_tables and activate; the stamp of the settings file is its state. Refusals of a body give its Content-Length and the limit, those of a change the version and the id, that of a short key its length, that of a ledger group the known groups.

--- a/packages/daemon/src/pimentobendd/_internal/control/members.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/members.py
@@ -14,7 +14,7 @@
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import make_error
 
-FIRST_PROPOSAL_ID = 1 << 48  # above the ids that the service uses
+FIRST_PROPOSAL_ID = 1 << 48  # the service's own proposals have smaller ids
 ANSWER_TIMEOUT_S = 3.0
 
 _PATHS = {
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -38,8 +38,8 @@
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.ports import ClockPort
 
-REOPEN_INTERVAL_S = 1.0  # between attempts to load from a faulty disk
-MAX_BATCH_INPUTS = 256  # that share one sync of the disk
+REOPEN_INTERVAL_S = 1.0  # pause between two attempts to load from a faulty disk
+MAX_BATCH_INPUTS = 256  # at most so many inputs share one sync of the disk
 
 LogOutput = Committed | Restored | ProposalResult | ReadReady | LeaderChanged
 
@@ -49,7 +49,8 @@
 
     group: str
     replica_id: str
-    first_members: Members  # for an empty data folder; empty to join later
+    # Members if the data folder is empty; none if the replica joins later.
+    first_members: Members
     seed: int
     # Ids whose messages are accepted in addition to those of members; None
     # accepts all, for ids that are never reused.
@@ -177,7 +178,7 @@
                 self._step(self._replica)
 
     def _step(self, replica: Replica) -> None:
-        """Handle the waiting inputs, sync once, then release the other outputs."""
+        """Handle the waiting inputs, sync their writes once, then send the outputs."""
         messages = self._next_messages(replica.next_tick)
         outputs: list[ReplicaOutput] = []
         for message in messages:
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -27,14 +27,14 @@
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
 
-KIND_TYPES: dict[str, type[SpreadMessage]] = {
+MESSAGE_TYPES: dict[str, type[SpreadMessage]] = {
     "tables.catch-up": CatchUp,
     "tables.deltas": Deltas,
     "tables.whole": TablesSnapshot,
     "tables.current": Current,
 }
-_KINDS_BY_TYPE = {message_type: kind for kind, message_type in KIND_TYPES.items()}
-KINDS = frozenset(KIND_TYPES)
+_KINDS_BY_TYPE = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
+KINDS = frozenset(MESSAGE_TYPES)
 
 
 def frame_kind(message: SpreadMessage) -> str:
@@ -43,18 +43,23 @@
 
 
 class TablesSpread:
-    """Connects the follower of the tables with the link and the tables in force."""
+    """Receives the tables from their sources and passes them on to other daemons.
+
+    Frames from other daemons go to the follower task, which requests missing
+    changes. Its messages are sent over the link, and each newer version of the
+    tables is passed to ``activate``, so that requests are routed by it.
+    """
 
     def __init__(
         self,
         link: Transport,
         sources: tuple[str, ...],
-        put_in_force: Callable[[Tables], object],
+        activate: Callable[[Tables], object],
         clock: ClockPort,
     ) -> None:
         self._link = link
         self._sources = frozenset(sources)
-        self._put_in_force = put_in_force
+        self._activate = activate
         self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
             "tables",
             TablesFollower(sources, clock.now()),
@@ -64,9 +69,12 @@
         )
 
     def handle_frame(self, frame: Frame) -> None:
-        """Handle another daemon's frame; raise ``FrameError`` if it is refused."""
+        """Handle another daemon's frame; raise ``FrameError`` if it is refused.
+
+        Refused are malformed frames, and tables from a daemon that is no source.
+        """
         try:
-            message = decode(frame.payload, KIND_TYPES[frame.kind])
+            message = decode(frame.payload, MESSAGE_TYPES[frame.kind])
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         if not isinstance(message, CatchUp) and frame.sender not in self._sources:
@@ -80,9 +88,9 @@
             kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._put_in_force(join_tables(output.tables))
+            self._activate(convert_tables(output.tables))
 
 
-def join_tables(whole: WholeTables) -> Tables:
+def convert_tables(whole: WholeTables) -> Tables:
     """Convert received tables to the form that requests are routed by."""
     return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -43,7 +43,8 @@
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
-CLAIM_TIMEOUT_S = 5.0  # to record the outcomes of claims before the end
+# Longest wait at shutdown until the ledger has recorded the outcomes of claims.
+CLAIM_TIMEOUT_S = 5.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
--- a/packages/daemon/src/pimentobendd/_internal/evidence.py
+++ b/packages/daemon/src/pimentobendd/_internal/evidence.py
@@ -1,4 +1,9 @@
-"""Send evidence to the owner of the floor and receive its grants."""
+"""Send evidence to the owner of the floor and receive its grants.
+
+Evidence is what this daemon observed of the health of backend servers. The floor
+is the share of a pool's servers that must stay in use. Its owner, the leading
+control instance, grants the ejections that the floor allows.
+"""
 
 from collections.abc import Callable
 
@@ -16,11 +21,12 @@
 KIND_REPORTS = "floor.reports"
 KIND_GRANTS = "floor.grants"
 WINDOW_S = 0.25  # non-urgent reports within this time share a frame
-OWNER_TIMEOUT_S = 4.0  # without a grant, reports go to all control instances
+# After this time without a grant, reports go to all control instances.
+OWNER_TIMEOUT_S = 4.0
 
 
 class EvidenceReports(Outlet[EvidenceReported]):
-    """Sends evidence to the last known owner, or to all control instances."""
+    """Sends evidence to the owner, or to all control instances if none is known."""
 
     def __init__(
         self,
--- a/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
@@ -30,8 +30,8 @@
 KIND_READ_REPLY = "read.reply"
 KINDS = (KIND_CHANGE, KIND_CHANGE_REPLY, KIND_READ, KIND_READ_REPLY)
 ANSWER_TIMEOUT_S = 0.9  # operators try another daemon after 1 s
-RESEND_S = 0.3  # five round trips between regions; frames can be lost
-LEADER_POLL_S = 0.1  # between attempts while no leader is known
+RESEND_S = 0.3  # then a frame counts as lost; five round trips between regions
+LEADER_POLL_S = 0.1  # pause between two attempts while no leader is known
 
 LeaderRequest = ChangeAsked | ReadAsked
 LeaderReply = ChangeReplied | TablesRead
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -50,11 +50,15 @@
 KIND_CANDIDATE = "candidate"
 SUPERVISE_INTERVAL_S = 0.25
 CANDIDATE_INTERVAL_S = 0.5
-LEADERLESS_TIMEOUT_S = 1.0  # without a leader, a replica may have been removed
+# A replica that has had no leader for longer may have been removed.
+LEADERLESS_TIMEOUT_S = 1.0
 
 
 class FleetControl:
-    """Runs a replica, the service in front of it and the supervisor of the cluster."""
+    """Runs a replica, the service in front of it and the supervisor of the cluster.
+
+    ``founders`` are the addresses whose replicas form the cluster at its first start.
+    """
 
     def __init__(
         self,
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -59,15 +59,22 @@
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
-SETTINGS_POLL_S = 1.0  # the file is also reloaded without SIGHUP
+SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
-UNREADY_NOTICE_S = 2.6  # until all readiness probes have seen the change
-KILL_MARGIN_S = 0.8  # end this long before the process is killed
-REFUSE_MARGIN_S = 0.4  # before that end, for refusals to reach their callers
+# After this time, every readiness probe has seen that the daemon is stopping.
+UNREADY_NOTICE_S = 2.6
+KILL_MARGIN_S = 0.8  # the daemon ends this long before the platform kills it
+# Requests that still wait this long before that end are refused, so that the
+# refusals reach their callers.
+REFUSE_MARGIN_S = 0.4
 
 
 class FleetDaemon:
-    """Creates, starts and stops the parts of one process."""
+    """Creates, starts and stops the parts of one process.
+
+    Daemons learn of each other by gossip. Each one publishes a row that describes
+    its process and its backend servers.
+    """
 
     def __init__(
         self, file: SettingsFile, settings: FleetSettings, dialect: Dialect
@@ -333,7 +340,10 @@
         )
 
     def _drain(self, instance: FleetInstance, stop_began_at: float) -> None:
-        """Serve until readiness probes have noticed and nothing is in flight."""
+        """Serve until probes have noticed the stop and no request is in flight.
+
+        Requests still in flight shortly before the end of the grace period are cut off.
+        """
         min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
         max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
         is_refusing = False
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -72,7 +72,8 @@
     def create_servers(self, servers: ServersPort, beside: str) -> Application:
         """Return the interface for announcements.
 
-        If ``beside`` is not empty, it is the only address that may be announced.
+        If ``beside`` is not empty, it is the address of the backend server on the
+        daemon's machine, and the only one that may be announced.
         """
 
     @abc.abstractmethod
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -1,4 +1,8 @@
-"""Log and count the forwarding decisions and the requests that ended."""
+"""Log and count the forwarding decisions and the requests that ended.
+
+The daemon that a caller sends a request to is its origin; a daemon that sends an
+attempt of it to a backend server on its own machine is a host.
+"""
 
 from typing import Any
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -106,7 +106,7 @@
 
 
 class InstancePorts(NamedTuple):
-    """What the role uses of the rest of the process."""
+    """Values, tasks and functions of the process that the role instance uses."""
 
     dialect: Dialect
     process_id: int
@@ -121,7 +121,11 @@
 
 
 class FleetInstance:
-    """Runs the tasks between callers, other daemons and the local servers."""
+    """Serves callers, other daemons' attempts and the local servers' announcements.
+
+    As the origin of a caller's request, the daemon asks hosts for bids and sends
+    attempts to them. As a host, it runs attempts on its local backend servers.
+    """
 
     def __init__(self, settings: FleetSettings, ports: InstancePorts) -> None:
         assert settings.callers and settings.forward and settings.servers
@@ -157,13 +161,13 @@
         )
         self._deliveries = DeliveryFilter(delivery)
         pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
-        terms = FrontOptions(
+        options = FrontOptions(
             names,
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
             watches_callers=True,
         )
-        self.front = CallerFront(pipe, clock, ports.requests, terms)
+        self.front = CallerFront(pipe, clock, ports.requests, options)
         idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -106,7 +106,7 @@
 
 
 def load_fleet_settings(path: str) -> FleetSettings:
-    """Read and check a settings file; raise SettingsError with all faults."""
+    """Read and check a settings file; raise SettingsError that lists its faults."""
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -116,7 +116,7 @@
 
 
 def parse_fleet_settings(text: str, path: str) -> FleetSettings:
-    """Check settings given as JSON text; raise SettingsError with all faults."""
+    """Check settings given as JSON text; raise SettingsError that lists its faults."""
     document, faults = parse_document(text)
     if isinstance(document, dict):
         document = {key: value for key, value in document.items() if value is not None}
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
@@ -7,7 +7,7 @@
 from pimentobendd._internal.fleet.settings import load_fleet_settings
 
 
-class _Stamp(NamedTuple):
+class _FileState(NamedTuple):
     """Modification time and size, to detect that a file has changed."""
 
     modified_at_ns: int
@@ -15,25 +15,26 @@
 
 
 class SettingsFile:
-    """A settings file and the stamp of the contents that were read last."""
+    """A settings file, and its modification time and size when it was last read."""
 
     def __init__(self, path: str) -> None:
         self._path = path
-        self._stamp: _Stamp | None = None
+        self._last_state: _FileState | None = None
 
     def load(self) -> FleetSettings:
-        """Return the checked settings; raise ``SettingsError`` with all faults."""
-        self._stamp = self._read_stamp()  # first, so that no later change is missed
+        """Return the settings; raise ``SettingsError`` if they have faults."""
+        # The state is read before the contents, so that no later change is missed.
+        self._last_state = self._read_state()
         return load_fleet_settings(self._path)
 
     def has_changed(self) -> bool:
         """Return whether the file has changed since it was last read."""
-        stamp = self._read_stamp()
-        return stamp is not None and stamp != self._stamp
+        state = self._read_state()
+        return state is not None and state != self._last_state
 
-    def _read_stamp(self) -> _Stamp | None:
+    def _read_state(self) -> _FileState | None:
         try:
             status = pathlib.Path(self._path).stat()
         except OSError:
             return None  # the file is being replaced
-        return _Stamp(status.st_mtime_ns, status.st_size)
+        return _FileState(status.st_mtime_ns, status.st_size)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -25,24 +25,29 @@
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
-from pimentobendd._internal.control.spread import KIND_TYPES
+from pimentobendd._internal.control.spread import MESSAGE_TYPES
+from pimentobendd._internal.control.spread import convert_tables
 from pimentobendd._internal.control.spread import frame_kind
-from pimentobendd._internal.control.spread import join_tables
 
 FOLLOWERS_MAX = 256  # daemons to which a control instance sends new versions
 
 
 class FleetTables:
-    """Connects the follower of the tables with the link and the tables in force."""
+    """Receives the tables from control instances and sends them to followers.
+
+    Frames from other daemons go to the follower task, which requests missing
+    changes. Its messages are sent over the link, and each newer version of the
+    tables is passed to ``activate``, so that requests are routed by it.
+    """
 
     def __init__(
         self,
         link: Transport,
-        put_in_force: Callable[[Tables], object],
+        activate: Callable[[Tables], object],
         clock: ClockPort,
     ) -> None:
         self._link = link
-        self._put_in_force = put_in_force
+        self._activate = activate
         self._followers: tuple[str, ...] = ()
         self.task: FilterTask[FollowerInput, FollowerOutput] = FilterTask(
             "tables",
@@ -54,13 +59,13 @@
 
     def register(self, router: FrameRouter) -> None:
         """Register the handlers of the frames that spread the tables."""
-        for kind in KIND_TYPES:
+        for kind in MESSAGE_TYPES:
             router.register(kind, self.handle_frame)
 
     def handle_frame(self, frame: Frame) -> None:
         """Handle another daemon's frame; raise ``FrameError`` if it is malformed."""
         try:
-            message = decode(frame.payload, KIND_TYPES[frame.kind])
+            message = decode(frame.payload, MESSAGE_TYPES[frame.kind])
         except CodecError as error:
             raise FrameError(error.message, context=frame.kind) from error
         self.task.put(SpreadReceived(frame.sender, message))
@@ -91,4 +96,4 @@
             kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._put_in_force(join_tables(output.tables))
+            self._activate(convert_tables(output.tables))
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -1,4 +1,8 @@
-"""Run the owner of the floor on the leader of the configuration's log."""
+"""Run the owner of the floor on the leader of the configuration's log.
+
+The floor is the share of a pool's servers that must stay in use. Its owner grants
+the ejections that the floor allows.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -46,7 +50,7 @@
     """Grants ejections within the floor while this process leads the log.
 
     The term is confirmed by reads of the log, which a majority has to answer,
-    so an owner that is cut off from it stops granting.
+    so an owner that is cut off from the majority stops granting.
     """
 
     def __init__(
@@ -62,7 +66,7 @@
         self._term: int | None = None
         self._pending_reads: dict[int, float] = {}  # start time (s) by read id
         self._last_read_id = 0
-        self._observer_addresses: dict[str, str] = {}  # by observer
+        self._observer_addresses: dict[str, str] = {}  # link address by observer
         self._confirm_greenlet: Any = None
         self._batches: Batches[EjectionsGranted] = Batches(self._send, WINDOW_S)
         self._task: FilterTask[FloorInput, FloorOutput] = FilterTask(
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -64,8 +64,9 @@
 class InstanceRole:
     """Serves callers' requests and the announcements of backend servers.
 
-    Changes of servers pass through a pipe of tasks: registry, spread, view,
-    pools, traffic.
+    Changes of servers pass through a pipe of tasks: the registry of announcements,
+    the spread tree, the view of the fleet's servers, the pools, and the traffic
+    of each pool.
     """
 
     def __init__(
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -1,4 +1,4 @@
-"""Serve operators over HTTP: tables, state and ledger look-ups."""
+"""Serve operators over HTTP: the tables and the state of this process."""
 
 import json
 import re
@@ -14,6 +14,7 @@
 from pimentobendd._internal.control_port import ChangeRequest
 from pimentobendd._internal.control_port import ControlPort
 from pimentobendd._internal.control_port import Version
+from pimentobendd._internal.interfaces.replies import MAX_DOCUMENT_BYTES
 from pimentobendd._internal.interfaces.replies import Environ
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import StartResponse
@@ -30,10 +31,10 @@
 
 
 class OperatorsPorts(NamedTuple):
-    """What the interface uses of the rest of the process."""
+    """Functions of the process that answer the operators' requests."""
 
-    control: ControlPort | None
-    tables: Callable[[], Tables]
+    control: ControlPort | None  # applies changes; None without the role control
+    tables: Callable[[], Tables]  # returns the tables in force
     get_handlers: Mapping[str, QueryHandler]  # by path
     post_handlers: Mapping[str, QueryHandler]  # by path
 
@@ -77,14 +78,20 @@
         document = read_document(environ)
         if document is None:
             return make_error(
-                400, "the body is incomplete or too large, or its length is malformed"
+                400,
+                f"Content-Length {environ.get('CONTENT_LENGTH')!r} is malformed,"
+                f" above {MAX_DOCUMENT_BYTES} or more than the body has",
             )
         version = VERSION.fullmatch(query.get("version", ""))
         change_id = query.get("change", "")
         if version is None or not CHANGE_ID.fullmatch(change_id):
             hint = "set version=<term>.<index> and change=<id of 1 to 64 characters>"
             return make_error(
-                400, "version or change is missing or malformed", (), hint
+                400,
+                f"version {query.get('version')!r} or change {change_id!r}"
+                " is missing or malformed",
+                (),
+                hint,
             )
         try:
             checked = check_tables(document.decode())
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/replies.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/replies.py
@@ -1,4 +1,4 @@
-"""Read the requests and write the JSON replies of servers and operators."""
+"""Read the requests of servers and operators and write the JSON replies to them."""
 
 import http.client
 import json
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
@@ -16,6 +16,7 @@
 from pimentobend_core._internal.membership.messages import WithdrawalAccepted
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Withdrawal
+from pimentobendd._internal.interfaces.replies import MAX_DOCUMENT_BYTES
 from pimentobendd._internal.interfaces.replies import Environ
 from pimentobendd._internal.interfaces.replies import Reply
 from pimentobendd._internal.interfaces.replies import StartResponse
@@ -66,7 +67,9 @@
         document = read_document(environ)
         if document is None:
             return make_error(
-                400, "the body is incomplete or too large, or its length is malformed"
+                400,
+                f"Content-Length {environ.get('CONTENT_LENGTH')!r} is malformed,"
+                f" above {MAX_DOCUMENT_BYTES} or more than the body has",
             )
         return handler(self, document)
 
--- a/packages/daemon/src/pimentobendd/_internal/keys.py
+++ b/packages/daemon/src/pimentobendd/_internal/keys.py
@@ -6,7 +6,8 @@
 from pimentobend_adapters._internal.exceptions import KeyFileError
 
 MIN_KEY_BYTES = 16
-LOOPBACK_KEY = b"loopback-only"  # without a key file only loopback is allowed
+# Used without a key file, which the settings allow only on loopback.
+LOOPBACK_KEY = b"loopback-only"
 
 
 def read_key(path: pathlib.Path | None) -> bytes:
@@ -39,7 +40,7 @@
         ) from error
     if len(secret) < MIN_KEY_BYTES:
         raise KeyFileError(
-            "the key is too short",
+            f"the key is too short: {len(secret)} bytes",
             context=str(path),
             hint=f"write at least {MIN_KEY_BYTES} random bytes into it",
         )
--- a/packages/daemon/src/pimentobendd/_internal/ledger_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/ledger_role.py
@@ -1,4 +1,8 @@
-"""Run this process's replicas of the ledger groups."""
+"""Run this process's replicas of the ledger groups.
+
+The ledger records the requests that carry an Idempotency-Key. Each group is a
+replicated log that holds the entries of a part of the keys.
+"""
 
 import pathlib
 from collections.abc import Mapping
@@ -167,7 +171,10 @@
         """
         envelope = decode_request(frame.payload, frame.sender)
         if not 0 <= envelope.group < LEDGER_GROUPS:
-            raise FrameError("unknown ledger group", context=str(envelope.group))
+            raise FrameError(
+                f"unknown ledger group, expected 0 to {LEDGER_GROUPS - 1}",
+                context=str(envelope.group),
+            )
         self._groups[envelope.group].put(envelope.request)
 
     def dump(self) -> Mapping[str, object]:
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -1,4 +1,9 @@
-"""Run the spread tree and the view of the fleet's servers that it carries."""
+"""Distribute the changes of backend servers to all processes of the fleet.
+
+Rows, each of which describes one server, travel through the spread tree: clients
+send them to relays, which exchange them with the root. Each process builds its
+view, the list of the fleet's servers, from the rows that it receives.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -46,7 +51,8 @@
     """Runs this process's node of the spread tree and its view of the fleet.
 
     A control instance is a relay, and the root while it leads; any other
-    process is a client of the tree. Ids in the tree are link addresses.
+    process is a client of the tree. Ids in the tree are link addresses. The
+    ``parents`` are the nodes that this one may follow, the preferred one first.
     """
 
     def __init__(
--- a/packages/daemon/src/pimentobendd/_internal/sections.py
+++ b/packages/daemon/src/pimentobendd/_internal/sections.py
@@ -19,7 +19,7 @@
 
 
 class Sections:
-    """Reads the state of the parts that run in this process."""
+    """Answers read requests from the state of the tasks that run in this process."""
 
     def __init__(
         self,
@@ -96,7 +96,9 @@
     def _members(self, query: Query) -> Reply:
         if self._control is None:
             hint = "ask an instance with the role control"
-            return make_error(404, "this instance has no replica", hint=hint)
+            return make_error(
+                404, "this instance has no replica of the configuration", hint=hint
+            )
         state = self._control.status()
         rows = [
             {"replica": replica, "kind": kind, "leads": replica == state["leader_id"]}
--- a/packages/daemon/src/pimentobendd/_internal/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/settings.py
@@ -73,7 +73,7 @@
 
 
 def load_settings(path: str) -> Settings:
-    """Read and check a settings file; raise SettingsError with all faults."""
+    """Read and check a settings file; raise SettingsError that lists its faults."""
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -83,7 +83,7 @@
 
 
 def parse_settings(text: str, path: str) -> Settings:
-    """Check settings given as JSON text; raise SettingsError with all faults."""
+    """Check settings given as JSON text; raise SettingsError that lists its faults."""
     document, faults = parse_document(text)
     if document is not None:
         faults += tuple(_SETTINGS.find("", document))
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -1,4 +1,7 @@
-"""Keep the tables in force and notify the tasks that depend on them."""
+"""Keep the tables in force and notify the tasks that depend on them.
+
+The tables in force are those by which this process routes requests now.
+"""
 
 from collections.abc import Callable
 from typing import Any
@@ -16,7 +19,7 @@
 
 
 class TablesInForce(TablesPort):
-    """The version of the tables in force, which never goes back to an older one."""
+    """Holds the tables in force; replaces them only by a newer version."""
 
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
--- a/packages/daemon/src/pimentobendd/restore.py
+++ b/packages/daemon/src/pimentobendd/restore.py
@@ -18,7 +18,7 @@
 
 
 def main(argv: list[str]) -> Status:
-    """Rewrite the log in the folder; its process must not be running."""
+    """Make the replica in the folder the only voter; its process must not run."""
     values: Any = flags.FlagValues()  # type: ignore[no-untyped-call]
     flags.DEFINE_string(
         "folder",
