Name what the client's commands list and which lines they skip

Readers stopped at "kind of rows", at a story command that did not say what a story is, and at "lines could not be read", which named neither the files nor the reason.

The requests of the operators' client say once, in the class, when they raise which error.

--- a/packages/client/src/pimentobend/_internal/command.py
+++ b/packages/client/src/pimentobend/_internal/command.py
@@ -30,7 +30,7 @@
 
     usage: str
     summary: str
-    min_arguments = 0  # positional
+    min_arguments = 0  # limits of the number of positional arguments
     max_arguments = 0
 
     def run(self, argv: Sequence[str]) -> Status:
--- a/packages/client/src/pimentobend/_internal/commands/diff.py
+++ b/packages/client/src/pimentobend/_internal/commands/diff.py
@@ -13,7 +13,7 @@
 
 
 class Difference(NamedTuple):
-    """One row that differs; ``kind`` is "added", "removed" or "changed"."""
+    """A route or pool that differs: ``kind`` is "added", "removed" or "changed"."""
 
     kind: str
     table: str
@@ -22,7 +22,7 @@
 
 
 class DiffCommand(Command):
-    """Lists the rows that ``apply`` would add, remove and change."""
+    """Lists the routes and pools that ``apply`` would add, remove and change."""
 
     usage = "pimentobend diff [--json] FILE"
     summary = "compare a tables file with the tables in force"
@@ -49,7 +49,7 @@
 def compare_rows(
     table: str, current: Sequence[Any], wanted: Sequence[Any]
 ) -> Iterator[Difference]:
-    """Match two lists of rows by name and yield the differences."""
+    """Match the routes or pools of two tables by name and yield the differences."""
     before = {row["name"]: row for row in current}
     after = {row["name"]: row for row in wanted}
     for name in sorted(before.keys() | after.keys()):
--- a/packages/client/src/pimentobend/_internal/commands/show.py
+++ b/packages/client/src/pimentobend/_internal/commands/show.py
@@ -13,7 +13,7 @@
 
 
 class ShowCommand(Command):
-    """Prints one kind of rows of the fleet's state."""
+    """Lists the routes, pools, servers, ejections or members of the fleet."""
 
     usage = f"pimentobend show [--json] {'|'.join(KINDS)}"
     summary = "list routes, pools, servers, ejections or members"
@@ -24,9 +24,7 @@
         """Print the rows as a table with aligned columns."""
         kind = context.arguments[0]
         if kind not in KINDS:
-            raise UsageError(
-                f"unknown kind of rows {kind!r}", hint=f"usage: {self.usage}"
-            )
+            raise UsageError(f"cannot list {kind!r}", hint=f"usage: {self.usage}")
         path = "/v1/tables" if kind in ("routes", "pools") else f"/v1/{kind}"
         rows = context.client.get(path)[kind]
         print_result(context, rows, format_rows(rows))
--- a/packages/client/src/pimentobend/_internal/commands/status.py
+++ b/packages/client/src/pimentobend/_internal/commands/status.py
@@ -1,4 +1,4 @@
-"""The command ``status``: show the version in force and members behind it."""
+"""The command ``status``: show the version of the tables that a daemon uses."""
 
 from pimentobend._internal.command import Command
 from pimentobend._internal.command import Context
@@ -7,7 +7,7 @@
 
 
 class StatusCommand(Command):
-    """Prints the version in force and which members are behind it."""
+    """Prints the version of the tables in force and the members that are behind it."""
 
     usage = "pimentobend status [--json]"
     summary = "show the version in force and members behind it"
--- a/packages/client/src/pimentobend/_internal/commands/story.py
+++ b/packages/client/src/pimentobend/_internal/commands/story.py
@@ -1,4 +1,7 @@
-"""The command ``story``: show what log files record of a request."""
+"""The command ``story``: show what log files record of a request.
+
+The story of a request is its log lines from several daemons.
+"""
 
 from collections.abc import Iterator
 
@@ -27,7 +30,9 @@
         story = find_story(_read(paths), request_id)
         lines = [format_line(line) for line in story.lines]
         if story.bad_lines:
-            lines.append(f"{story.bad_lines} lines could not be read")
+            lines.append(
+                f"{story.bad_lines} lines of the files are truncated or no log lines"
+            )
         if not story.lines:
             lines.append(f"no log line of request {request_id!r}")
         document = {
--- a/packages/client/src/pimentobend/_internal/operators.py
+++ b/packages/client/src/pimentobend/_internal/operators.py
@@ -19,7 +19,11 @@
 
 
 class OperatorsClient:
-    """Sends requests to the operators' interface of one daemon."""
+    """Sends requests to the operators' interface of one daemon.
+
+    Each request raises ``UnreachableError`` if there is no response, and
+    ``RefusedError`` if its status is not 200.
+    """
 
     def __init__(self, address: str, token_file: str | None) -> None:
         self._address = address
@@ -29,15 +33,15 @@
         )
 
     def get(self, path: str, **query: str) -> Document:
-        """Send a GET request; raise UnreachableError or RefusedError."""
+        """Send a GET request and return the JSON document of the response."""
         return self._send("GET", path, None, query)
 
     def put(self, path: str, content: bytes, **query: str) -> Document:
-        """Send a PUT request; raise UnreachableError or RefusedError."""
+        """Send a PUT request and return the JSON document of the response."""
         return self._send("PUT", path, content, query)
 
     def post(self, path: str, **query: str) -> Document:
-        """Send a POST request; raise UnreachableError or RefusedError."""
+        """Send a POST request and return the JSON document of the response."""
         return self._send("POST", path, b"", query)
 
     def _send(
--- a/packages/client/src/pimentobend/_internal/stories.py
+++ b/packages/client/src/pimentobend/_internal/stories.py
@@ -22,7 +22,7 @@
     """The log lines of a request, sorted by timestamp."""
 
     lines: tuple[LogLine, ...]
-    bad_lines: int  # lines of all logs that could not be parsed
+    bad_lines: int  # lines of all logs that are truncated or no log lines
 
 
 def parse_line(text: str) -> LogLine | None:
