Say in the bench what is measured, sized and waited for

Readers stopped at probes that are no health checks, at SIZES that are counts, at comments such as "without a root", at names such as _lose_region_head, DRAIN_LIMIT_S and far_share, at fields of the figures without a word, and at cells of docs/CAPACITY.md ("what control adds", "polls of the control replicas without relays").

The heads of the modules explain rows, the spread tree, the floor, the ledger's claims and the two platforms.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
@@ -1,4 +1,4 @@
-"""Probes of the complete tables (routes and pools), compressed."""
+"""Probes that measure the compressed tables (routes and pools), and decoding them."""
 
 import zlib
 from collections.abc import Callable
@@ -11,7 +11,7 @@
 from pimentobend_bench._internal.capacity.rows import make_routes
 from pimentobend_core._internal.models.tables import Tables
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
 _TABLES_DECODER = msgspec.msgpack.Decoder(Tables)
 
 
@@ -30,7 +30,7 @@
 
     name = "bytes-catch-up-compressed"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core models.tables, msgpack, zlib"
 
     def encode(self, size: int) -> bytes:
@@ -43,7 +43,7 @@
 
     name = "cpu-catch-up-decode"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core models.tables, msgpack, zlib"
 
     def prepare(self, size: int) -> Callable[[], object]:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -18,11 +18,11 @@
 class SlopeFigure(TypedDict):
     """Readings of one probe, and the line fitted to them."""
 
-    sized_by: str
-    reads: str
+    sized_by: str  # what the size counts, in the plural, such as "routes"
+    reads: str  # what a reading is, such as "processor time"
     unit: str
-    mechanism: str
-    points: list[list[float]]
+    mechanism: str  # the modules that are measured
+    points: list[list[float]]  # size and reading
     slope: float
     intercept: float
     residual: float
@@ -49,14 +49,18 @@
 class Stage(TypedDict):
     """Resource usage of a process after a step; ``cpu_s`` is that of the step."""
 
-    after: str
+    after: str  # name of the step
     private_bytes: int
     cpu_s: float
     idle_cpu_share: float  # of one core
 
 
-class WholeFigure(TypedDict):
-    """Steps of a real daemon, and of its parts loaded into one process."""
+class WholeTableFigure(TypedDict):
+    """Resource usage with the complete tables, step by step.
+
+    It is that of a real daemon, and of a process that loads the modules and the data
+    of a daemon one after the other.
+    """
 
     daemon: list[Stage]
     parts: list[Stage]
@@ -71,12 +75,12 @@
 
 
 class Figures(TypedDict, total=False):
-    """All figures of the page."""
+    """All figures of docs/CAPACITY.md."""
 
     runs: dict[str, Run]
     slopes: dict[str, SlopeFigure]
     hops: list[HopFigure]
-    whole: WholeFigure
+    whole: WholeTableFigure
 
 
 def load_figures(path: pathlib.Path = FIGURES) -> Figures:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
@@ -1,4 +1,7 @@
-"""Probes of the health checks of a pool's servers and of their reports."""
+"""Probes that measure the cost of health checks and of their reports.
+
+A probe is a measurement here, not a health check.
+"""
 
 import itertools
 from collections.abc import Callable
@@ -17,8 +20,8 @@
 from pimentobend_core._internal.health.wire import encode_reports
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
-_SERVER_SIZES = (8, 16, 34, 68, 136)
-_POOL_SIZES = (145, 290, 580, 1_160)
+_SERVER_COUNTS = (8, 16, 34, 68, 136)
+_POOL_COUNTS = (145, 290, 580, 1_160)
 _SERVERS_PER_POOL = 34
 _OBSERVER = "instance-0001"
 
@@ -35,7 +38,7 @@
 
     name = "memory-pool-health"
     sized_by = "pools"
-    sizes = _POOL_SIZES
+    sizes = _POOL_COUNTS
     mechanism = "core health.observer"
 
     def warm_up(self) -> None:
@@ -52,7 +55,7 @@
 
     name = "cpu-health-tick"
     sized_by = "servers of the pool"
-    sizes = _SERVER_SIZES
+    sizes = _SERVER_COUNTS
     mechanism = "core health.observer"
 
     def prepare(self, size: int) -> Callable[[], object]:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/ledger_probes.py
@@ -1,4 +1,4 @@
-"""Probes of the ledger's state, its commands and their replication."""
+"""Probes that measure the ledger's state, its commands and their replication."""
 
 import hashlib
 from collections.abc import Callable
@@ -21,7 +21,7 @@
 from pimentobend_core._internal.ledger.state import LedgerState
 from pimentobend_core._internal.models.request import Ran
 
-_KEY_SIZES = (5_000, 10_000, 20_000, 40_000)
+_KEY_COUNTS = (5_000, 10_000, 20_000, 40_000)
 _BATCH_SIZES = (1, 4, 16, 64)
 _EPOCH = 1_700_000_000_000_000_000
 _OUTCOME_TIMEOUT_S = 10.0
@@ -69,7 +69,7 @@
 
     name = "memory-ledger-key"
     sized_by = "keys"
-    sizes = _KEY_SIZES
+    sizes = _KEY_COUNTS
     mechanism = "core ledger.state"
 
     def warm_up(self) -> None:
@@ -86,7 +86,7 @@
 
     name = "bytes-ledger-snapshot"
     sized_by = "keys"
-    sizes = _KEY_SIZES
+    sizes = _KEY_COUNTS
     mechanism = "core ledger.codec"
 
     def encode(self, size: int) -> bytes:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/link_probes.py
@@ -1,4 +1,4 @@
-"""Probes of callers' connections and of the frames between processes."""
+"""Probes that measure callers' connections and the frames between processes."""
 
 import functools
 import socket
@@ -10,7 +10,7 @@
 from pimentobend_bench._internal.capacity.probe import CpuProbe
 from pimentobend_bench._internal.capacity.probe import MemoryProbe
 
-_CONNECTION_SIZES = (50, 100, 200, 400, 800)
+_CONNECTION_COUNTS = (50, 100, 200, 400, 800)
 _PAYLOAD_SIZES = (64, 1_024, 8_192, 65_536)
 _KEY = b"k" * 32
 _SENDER = "10.0.0.1:9000"
@@ -28,7 +28,7 @@
 
     name = "memory-connection"
     sized_by = "idle callers' connections"
-    sizes = _CONNECTION_SIZES
+    sizes = _CONNECTION_COUNTS
     mechanism = "adapters http.server"
 
     def warm_up(self) -> None:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/membership_probes.py
@@ -1,4 +1,7 @@
-"""Probes of the server registry and of the view of the fleet's servers."""
+"""Probes that measure the server registry and the view.
+
+The view is a daemon's list of the servers of the whole fleet.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterator
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -26,6 +26,7 @@
 from pimentobend_core._internal.configuration.follower import TICK_S
 from pimentobend_core._internal.ledger.store import KEEP_S
 
+# Name in figures.json of a daemon with all routes of the target fleet.
 WHOLE_TABLE_PROXY = "pimentobendd, whole table"
 CODE_PART = "the daemon's code"
 TREE_LEVELS = 3  # control replica, relay of the region or data centre, daemon
@@ -62,7 +63,7 @@
 
 
 def list_budgets(costs: Costs) -> tuple[Budget, ...]:
-    """Return all budgets of the target."""
+    """Return all budgets of the target fleet."""
     return (
         _added_latency(costs),
         _change_propagation(costs),
@@ -84,14 +85,15 @@
 def control_cpu_share(costs: Costs) -> float:
     """Return the share of a core that one daemon needs for control.
 
-    It is the share at rest plus that of its exchanges.
+    Control is all work but callers' requests: the share of an idle daemon plus that
+    of its message exchanges with other processes.
     """
-    at_rest = costs.daemon[-1]["idle_cpu_share"]
-    return at_rest + total_cpu_share(daemon_flows(costs))
+    idle = costs.daemon[-1]["idle_cpu_share"]
+    return idle + total_cpu_share(daemon_flows(costs))
 
 
 def added_memory_bytes(costs: Costs) -> int:
-    """Return the private bytes that data for control adds to a daemon."""
+    """Return the private bytes of a daemon's data: its memory less its code."""
     return costs.parts[-1]["private_bytes"] - costs.part_bytes(CODE_PART)
 
 
@@ -150,8 +152,8 @@
         control_cpu_share(costs) * 100,
         CONTROL_CPU_SHARE * 100,
         "% of a core",
-        f"a real daemon with {ROUTES:,} routes at rest, plus the exchanges below with"
-        f" leases of {LEASE_S:g} s",
+        f"an idle daemon with {ROUTES:,} routes, plus the exchanges below with leases"
+        f" of {LEASE_S:g} s",
         "health check ticks only for pools in use; longer leases; deltas applied to"
         " the compiled routes instead of compiling all routes again",
     )
@@ -163,19 +165,20 @@
         costs.parts[-1]["private_bytes"] / 1e6,
         CONTROL_MEMORY_BYTES / 1e6,
         "MB",
-        "`whole-table`, the daemon's parts in one process",
+        "`whole-table`, all code and data of a daemon loaded into one process",
         "libraries and code alone use most of the limit; see below",
     )
 
 
 def _added_memory(costs: Costs) -> Budget:
     return Budget(
-        "memory, what control adds",
+        "memory, the data for control",
         added_memory_bytes(costs) / 1e6,
         CONTROL_MEMORY_BYTES / 1e6,
         "MB",
         "`whole-table`, memory with the tables less memory without them",
-        "one packed copy of the server rows, shared by the view and the relay tree;"
+        "one packed copy of the server rows, shared by the list of the fleet's servers"
+        " and the relay tree;"
         " traffic and health state of a pool created at its first request",
     )
 
@@ -201,10 +204,10 @@
         CONTROL_REPLICAS + RELAYS + groups * LEDGER_REPLICAS_PER_GROUP,
         CONTROL_INSTANCES,
         "instances",
-        f"{CONTROL_REPLICAS} control replicas, a relay in each data centre,"
-        f" {groups} groups of {LEDGER_REPLICAS_PER_GROUP} ledger replicas; with 1 GB in"
-        f" each replica the groups hold {claims_per_s:.0f} claims a second, sustained"
-        " all day; the requirements do not say how many are needed",
+        f"{CONTROL_REPLICAS} control replicas, a relay in each data centre and"
+        f" {groups} groups of {LEDGER_REPLICAS_PER_GROUP} ledger replicas. With 1 GB of"
+        f" keys in each replica, the groups can take {claims_per_s:.0f} claims a second"
+        " all day. The requirements do not say how many are needed",
         "ledger entries stored as packed bytes",
     )
 
@@ -222,8 +225,8 @@
         REGION_LINK_BITS_PER_S / 1e6,
         "Mbit/s",
         "sum of both directions: health reports to the floor owner"
-        f" {reports * 8 / 1e6:.1f}, polls of the control replicas without relays"
-        f" {polls * 8 / 1e6:.1f}, the relay tree {rows * 8 / 1e6:.2f}",
+        f" {reports * 8 / 1e6:.1f}, polls sent to the control replicas if there are no"
+        f" relays {polls * 8 / 1e6:.1f}, the relay tree {rows * 8 / 1e6:.2f}",
         "health reports only for pools whose evidence changed, combined by the"
         " region's relays",
     )
@@ -238,6 +241,6 @@
         "Mbit/s",
         "the complete tables sent to each daemon of the other region, which happens"
         " if the settings name only `control` as a source",
-        f"relays in the region as first source: only {REGION_RELAYS} catch-ups cross"
-        f" the link, {REGION_RELAYS * catch_up_bytes(costs) / 1e6:.1f} MB",
+        f"relays in the region as first source: only {REGION_RELAYS} copies of the"
+        f" tables cross the link, {REGION_RELAYS * catch_up_bytes(costs) / 1e6:.1f} MB",
     )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/failures.py
@@ -90,14 +90,14 @@
     link_full_s = DAEMONS / 2 * tables_bytes * 8 / REGION_LINK_BITS_PER_S
     return Failure(
         "all daemons restart",
-        f"{DAEMONS:,} catch-ups, each of {tables_bytes / 1e3:.0f} KB of tables"
+        f"{DAEMONS:,} daemons get {tables_bytes / 1e3:.0f} KB of tables each"
         f" ({compressed_bytes / 1e3:.0f} KB if compressed, which is not built) and"
         f" {rows_bytes / 1e3:.0f} KB of server rows",
         f"{apply_tables_s * 1e3:.0f} ms of CPU to apply the tables,"
         f" {apply_rows_s:.1f} s for the server rows;"
         f" {(tables_bytes + rows_bytes) / CONTROL_BYTES_PER_S:.0f} s to receive them at"
         " the budgeted rate",
-        f"{serve_s * 1e3:.0f} ms of CPU per catch-up:"
+        f"{serve_s * 1e3:.0f} ms of CPU per daemon:"
         f" {DAEMONS / CONTROL_REPLICAS * serve_s:.0f} s of a core on each of"
         f" {CONTROL_REPLICAS} replicas without relays, or"
         f" {DAEMONS / RELAYS * serve_s:.0f} s on each of {RELAYS} relays;"
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
@@ -1,4 +1,7 @@
-"""Probes of the server rows that the tree of relays distributes."""
+"""Probes that measure the rows that the tree of relays distributes.
+
+A row describes one backend server.
+"""
 
 import itertools
 from collections.abc import Callable
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/spread_probes.py
@@ -1,4 +1,4 @@
-"""Probes of the messages by which daemons replicate the tables."""
+"""Probes that measure the messages by which daemons replicate the tables."""
 
 import itertools
 from collections.abc import Callable
@@ -21,8 +21,8 @@
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
-_CHANGE_SIZES = (1, 4, 16, 64, 256)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
+_CHANGE_COUNTS = (1, 4, 16, 64, 256)
 _SOURCE = "10.0.0.1:9000"
 _POLLING_DAEMON = "10.0.0.2:9000"
 _FIRST_VERSION = Version(3, 200_000)
@@ -65,7 +65,7 @@
 
     name = "memory-route-follower"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower"
 
     def warm_up(self) -> None:
@@ -82,12 +82,12 @@
 
     name = "bytes-change-spread"
     sized_by = "changes"
-    sizes = _CHANGE_SIZES
+    sizes = _CHANGE_COUNTS
     mechanism = "core configuration.codec"
 
     def encode(self, size: int) -> bytes:
         """Return the message that carries ``size`` changes."""
-        tables = make_versioned_tables(_ROUTE_SIZES[0])
+        tables = make_versioned_tables(_ROUTE_COUNTS[0])
         deltas = tuple(change_one_route(tables, number) for number in range(size))
         return encode(Deltas(deltas))
 
@@ -97,7 +97,7 @@
 
     name = "cpu-change-follower"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -118,7 +118,7 @@
 
     name = "bytes-digest-exchange"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower"
 
     def encode(self, size: int) -> bytes:
@@ -133,7 +133,7 @@
 
     name = "cpu-digest-exchange"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -151,7 +151,7 @@
 
     name = "bytes-catch-up"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.codec"
 
     def encode(self, size: int) -> bytes:
@@ -164,7 +164,7 @@
 
     name = "cpu-catch-up-serve"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower, configuration.codec"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -182,7 +182,7 @@
 
     name = "cpu-catch-up-take"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core configuration.follower"
 
     def prepare(self, size: int) -> Callable[[], object]:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/storage_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/storage_probes.py
@@ -1,4 +1,4 @@
-"""Probes of the memory of routes, servers and organisations."""
+"""Probes that measure the memory of routes, servers and organisations."""
 
 import random
 from collections.abc import Callable
@@ -13,9 +13,9 @@
 from pimentobend_core._internal.compact.rows import Rows
 from pimentobend_core._internal.compact.servers import CompactServers
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
-_SERVER_SIZES = (5_000, 10_000, 20_000, 40_000)
-_ORGANISATION_SIZES = (10_000, 21_250, 42_500, 85_000)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
+_SERVER_COUNTS = (5_000, 10_000, 20_000, 40_000)
+_ORGANISATION_COUNTS = (10_000, 21_250, 42_500, 85_000)
 _WARM_UP_ROWS = 4
 
 
@@ -57,7 +57,7 @@
 
     name = "memory-organisation-dict"
     sized_by = "organisations"
-    sizes = _ORGANISATION_SIZES
+    sizes = _ORGANISATION_COUNTS
     mechanism = "baseline"
 
     def warm_up(self) -> None:
@@ -78,20 +78,20 @@
         "routes",
         lambda: DictRows(lambda route: str(route.name)),
         make_routes,
-        _ROUTE_SIZES,
+        _ROUTE_COUNTS,
     ),
     TableMemoryProbe(
-        "memory-route-compact", "routes", CompactRoutes, make_routes, _ROUTE_SIZES
+        "memory-route-compact", "routes", CompactRoutes, make_routes, _ROUTE_COUNTS
     ),
     TableMemoryProbe(
         "memory-server-dict",
         "servers",
         lambda: DictRows(lambda server: str(server.server_id)),
         make_servers,
-        _SERVER_SIZES,
+        _SERVER_COUNTS,
     ),
     TableMemoryProbe(
-        "memory-server-compact", "servers", CompactServers, make_servers, _SERVER_SIZES
+        "memory-server-compact", "servers", CompactServers, make_servers, _SERVER_COUNTS
     ),
     OrganisationDictMemoryProbe(),
 )
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
@@ -1,4 +1,4 @@
-"""Probes of pool traffic, fair shares of organisations and route matching."""
+"""Probes that measure pool traffic, fair shares and route matching."""
 
 import itertools
 from collections.abc import Callable
@@ -21,10 +21,10 @@
 from pimentobend_core._internal.traffic.pool import PoolTraffic
 from pimentobend_core._internal.traffic.routing import RouteMatcher
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
-_ORGANISATION_SIZES = (10_000, 21_250, 42_500, 85_000)
-_POOL_SIZES = (145, 290, 580, 1_160)
-_SERVER_SIZES = (8, 16, 34, 68, 136)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
+_ORGANISATION_COUNTS = (10_000, 21_250, 42_500, 85_000)
+_POOL_COUNTS = (145, 290, 580, 1_160)
+_SERVER_COUNTS = (8, 16, 34, 68, 136)
 _SERVERS_PER_POOL = SERVERS // SERVICES
 _SEED = 1
 
@@ -41,7 +41,7 @@
 
     name = "memory-organisation-shares"
     sized_by = "organisations"
-    sizes = _ORGANISATION_SIZES
+    sizes = _ORGANISATION_COUNTS
     mechanism = "core traffic.fairness"
 
     def warm_up(self) -> None:
@@ -61,7 +61,7 @@
 
     name = "memory-pool-traffic"
     sized_by = "pools"
-    sizes = _POOL_SIZES
+    sizes = _POOL_COUNTS
     mechanism = "core traffic.pool"
 
     def warm_up(self) -> None:
@@ -78,7 +78,7 @@
 
     name = "memory-route-matcher"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def warm_up(self) -> None:
@@ -96,7 +96,7 @@
 
     name = "cpu-route-compile"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -110,7 +110,7 @@
 
     name = "cpu-route-match"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -127,7 +127,7 @@
 
     name = "cpu-grant"
     sized_by = "servers of the pool"
-    sizes = _SERVER_SIZES
+    sizes = _SERVER_COUNTS
     mechanism = "core traffic.pool"
 
     def prepare(self, size: int) -> Callable[[], object]:
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/whole/command.py
@@ -6,7 +6,7 @@
 
 from pimentobend_bench._internal.capacity.daemons import BenchDaemon
 from pimentobend_bench._internal.capacity.figures import Stage
-from pimentobend_bench._internal.capacity.figures import WholeFigure
+from pimentobend_bench._internal.capacity.figures import WholeTableFigure
 from pimentobend_bench._internal.capacity.figures import load_figures
 from pimentobend_bench._internal.capacity.figures import record_run
 from pimentobend_bench._internal.capacity.figures import save_figures
@@ -45,7 +45,7 @@
         return Status.SUCCESS
 
 
-def measure_whole_table() -> WholeFigure:
+def measure_whole_table() -> WholeTableFigure:
     """Measure the daemon and its parts, and print a row for each step."""
     daemon = list(_measure_daemon())
     parts = _measure_parts()
@@ -56,7 +56,7 @@
                 f"{name:10} {stage['private_bytes'] / 1e6:10.1f} {stage['cpu_s']:7.2f}"
                 f" {stage['idle_cpu_share']:7.2%}  {stage['after']}"
             )
-    return WholeFigure(daemon=daemon, parts=parts)
+    return WholeTableFigure(daemon=daemon, parts=parts)
 
 
 def _measure_daemon() -> Iterator[Stage]:
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/failover.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/failover.py
@@ -9,8 +9,8 @@
 
 TARGET_S = 3.0
 SEEDS = 300  # runs per cluster
-STEP_S = 0.01  # between two proposals
-LIMIT_S = 30.0  # reported if nothing is committed
+STEP_S = 0.01  # time between two proposals
+LIMIT_S = 30.0  # reported if no proposal is committed by then
 SHAPES = {
     "3 in one data centre": Shape("aaa", 0.0005, 0.030, 0.005, 0.0),
     "3 in two regions": Shape("aab", 0.0014, 0.030, 0.005, 0.0),
--- a/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
+++ b/packages/bench/src/pimentobend_bench/_internal/consensus/timed_cluster.py
@@ -25,10 +25,10 @@
     """Layout of a cluster and its delays."""
 
     regions: str  # one letter per replica names its region
-    within_s: float  # one way, within a region
-    between_s: float  # one way, between regions
-    sync_s: float  # of one write to disk
-    loss: float  # share of the messages
+    within_s: float  # one-way delay within a region
+    between_s: float  # one-way delay between regions
+    sync_s: float  # duration of one write to disk
+    loss: float  # share of the messages that are lost
 
 
 class _Event(NamedTuple):
--- a/packages/bench/src/pimentobend_bench/_internal/health/detection.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/detection.py
@@ -22,7 +22,7 @@
 from pimentobend_bench._internal.health.shapes import SHAPES
 from pimentobend_bench._internal.health.shapes import Shape
 
-WARM_UP_S = 20.0  # without a fault
+WARM_UP_S = 20.0  # simulated time before the fault begins
 LIMIT_S = 30.0  # simulated time after the fault begins
 TARGET_S = 3.0
 POLL_INTERVAL_S = 0.05
@@ -58,11 +58,11 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self.at: float | None = None
+        self.time_s: float | None = None
 
     def poll(self) -> None:
-        if self.at is None and self._fleet.started[FAULTY_SERVER] > WARM_UP_S:
-            self.at = self._fleet.started[FAULTY_SERVER]
+        if self.time_s is None and self._fleet.attempted_at[FAULTY_SERVER] > WARM_UP_S:
+            self.time_s = self._fleet.attempted_at[FAULTY_SERVER]
 
 
 def measure(kind: str, shape: Shape, policy: EjectionPolicy, seed: int) -> RunResult:
@@ -98,8 +98,12 @@
         weight = statistics.mean(
             fleet.weight(daemon, FAULTY_SERVER) for daemon in daemons
         )
-        if detected_s is None and weight <= OUT_WEIGHT and first_attempt.at is not None:
-            detected_s = fleet.scheduler.now - first_attempt.at
+        if (
+            detected_s is None
+            and weight <= OUT_WEIGHT
+            and first_attempt.time_s is not None
+        ):
+            detected_s = fleet.scheduler.now - first_attempt.time_s
     return detected_s
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/fleet.py
@@ -50,7 +50,7 @@
         self.daemons = tuple(f"d{number}" for number in range(1, shape.daemons + 1))
         self.on_outcome: Callable[[Outcome], None] = lambda outcome: None
         # Time of the latest attempt on each server, and number of attempts.
-        self.started: dict[str, float] = dict.fromkeys(self.servers, 0.0)
+        self.attempted_at: dict[str, float] = dict.fromkeys(self.servers, 0.0)
         self.attempts: Counter[str] = Counter()
         self._rng = random.Random(seed)
         self._tickets = itertools.count()
@@ -117,7 +117,7 @@
             return 0.0
         weight = weights.get(server.server.server_id, 1.0)
         return (
-            weight if self._is_near(daemon, server) else weight * (self.shape.far_share)
+            weight if self._is_near(daemon, server) else weight * self.shape.far_weight
         )
 
     def _is_near(self, daemon: str, server: SimulatedServer) -> bool:
@@ -131,7 +131,7 @@
         if was_reused:
             self._idle[key] -= 1
         self._in_flight[key] += 1
-        self.started[server_id] = self.scheduler.now
+        self.attempted_at[server_id] = self.scheduler.now
         self.attempts[server_id] += 1
         started = AttemptStarted(ticket, "all", server_id, was_reused)
         self.policy.attempt_started(daemon, started)
@@ -171,8 +171,10 @@
             return Work(AttemptKind.NO_ANSWER, 0, math.inf)
         work = server.serve(self._rng, self.scheduler.now)
         is_near = self._is_near(daemon, server)
-        path_s = self.shape.path_s if is_near else self.shape.far_path_s
-        return work._replace(service_s=work.service_s + path_s)
+        round_trip_s = (
+            self.shape.near_round_trip_s if is_near else self.shape.far_round_trip_s
+        )
+        return work._replace(service_s=work.service_s + round_trip_s)
 
     def _end(self, outcome: Outcome) -> None:
         ended = outcome.ended
--- a/packages/bench/src/pimentobend_bench/_internal/health/floorwatch.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/floorwatch.py
@@ -28,7 +28,7 @@
             weights = self._fleet.policy.weights(daemon)
             capacity = sum(weights.get(server_id, 1.0) for server_id in ready)
             if capacity < minimum - _ROUNDING:
-                self._record(f"{daemon} keeps {capacity:.2f} servers, floor {minimum}")
+                self._record(f"{daemon} uses {capacity:.2f} servers, floor {minimum}")
 
     def _check_fleet(self, ready: list[str], minimum: int) -> None:
         ejected = {
@@ -39,7 +39,7 @@
         }
         left = len(set(ready) - ejected)
         if left < minimum:
-            self._record(f"the fleet keeps {left} servers, floor {minimum}")
+            self._record(f"the fleet uses {left} servers, floor {minimum}")
 
     def _record(self, text: str) -> None:
         self.violations.append(f"{self._fleet.scheduler.now:.2f}s: {text}")
--- a/packages/bench/src/pimentobend_bench/_internal/health/leased.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/leased.py
@@ -1,4 +1,8 @@
-"""The production observers and floor owners, joined by simulated paths."""
+"""The production observers and floor owners, joined by simulated paths.
+
+The floor is the share of a pool's servers that must stay in use. Daemons observe
+the servers; the owner of the floor, one of the control replicas, grants ejections.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
--- a/packages/bench/src/pimentobend_bench/_internal/health/paths.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/paths.py
@@ -10,8 +10,8 @@
         self._rng = random.Random(seed)
         self._delay_s = delay_s
         self._cut: set[tuple[str, str]] = set()
-        self.loss = 0.0  # share of the messages
-        self.duplication = 0.0  # share of the messages
+        self.loss = 0.0  # share of the messages that are lost
+        self.duplication = 0.0  # share of the messages that arrive twice
         self.extra_delay_s = 0.0  # upper bound of a random delay
 
     def cut(self, sender: str, receiver: str) -> None:
--- a/packages/bench/src/pimentobend_bench/_internal/health/policies.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/policies.py
@@ -14,7 +14,7 @@
 
 
 class PolicyContext(NamedTuple):
-    """What a policy runs on."""
+    """The simulated clock, network and pool that a policy works with."""
 
     scheduler: Scheduler
     paths: Paths
--- a/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
@@ -1,4 +1,8 @@
-"""Sizes of the simulated fleets."""
+"""Sizes of the simulated fleets.
+
+Qalamkar and Kattevakt are the two platforms whose fleets are simulated; a number
+in a name is that of the service's servers.
+"""
 
 from typing import NamedTuple
 
@@ -12,15 +16,15 @@
     slots: int  # per server
     daemons: int
     rate: float  # requests per second, all daemons together
-    service_s: float  # median
+    service_s: float  # median service time
     sigma: float  # of the logarithm of the service time
-    straggler_share: float  # of the requests
-    straggler_ratio: float  # to the usual service time
+    straggler_share: float  # share of the requests that take much longer
+    straggler_ratio: float  # their service time relative to the usual one
     floor: float  # share of the servers that must stay in use
     timeout_s: float
-    path_s: float  # round trip within a region
-    far_path_s: float  # round trip between the regions
-    far_share: float  # weight of a far server relative to a near one
+    near_round_trip_s: float  # within a region
+    far_round_trip_s: float  # between the regions
+    far_weight: float  # weight of a far server relative to a near one
 
 
 QALAMKAR = Shape(
@@ -36,12 +40,16 @@
     straggler_ratio=30.0,
     floor=0.5,
     timeout_s=5.0,
-    path_s=0.001,
-    far_path_s=0.061,
-    far_share=0.2,
+    near_round_trip_s=0.001,
+    far_round_trip_s=0.061,
+    far_weight=0.2,
 )
 KATTEVAKT = QALAMKAR._replace(
-    name="kattevakt-8", service="schedule", slots=3, rate=240.0, path_s=0.0028
+    name="kattevakt-8",
+    service="schedule",
+    slots=3,
+    rate=240.0,
+    near_round_trip_s=0.0028,
 )
 KATTEVAKT_BOOKING = KATTEVAKT._replace(
     name="kattevakt-14", service="booking", servers=14, daemons=30, rate=420.0
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/claims.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/claims.py
@@ -1,4 +1,8 @@
-"""Benchmark of the ledger's throughput and the latency it adds to a request."""
+"""Benchmark of the ledger's throughput and the latency it adds to a request.
+
+The ledger records each request with an Idempotency-Key: it grants or denies the
+claim of the key before the request runs, and records the outcome afterwards.
+"""
 
 import time
 import tracemalloc
@@ -91,7 +95,7 @@
         for entries in STATE_ENTRIES:
             tracemalloc.start()
             state = _create_state(entries)
-            held_bytes = tracemalloc.get_traced_memory()[0]
+            state_bytes = tracemalloc.get_traced_memory()[0]
             tracemalloc.stop()
             started = time.perf_counter()
             snapshot = encode_snapshot(state)
@@ -99,7 +103,7 @@
             decode_snapshot(snapshot)
             restored = time.perf_counter()
             print(
-                f"{entries:18} {held_bytes / entries:11.0f}"
+                f"{entries:18} {state_bytes / entries:11.0f}"
                 f" {len(snapshot) / 1e6:12.2f} {(encoded - started) * 1e3:10.1f}"
                 f" {(restored - encoded) * 1e3:11.1f}"
             )
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
@@ -23,17 +23,17 @@
 from pimentobend_core._internal.ledger.service_messages import ServiceOutput
 from pimentobend_core._internal.models.request import Ran
 
-DEADLINE_S = 5.0  # from the claim
-WORK_S = 0.02  # from the grant to the settlement
+DEADLINE_S = 5.0  # time from the claim to the deadline of its request
+WORK_S = 0.02  # time from the grant of a claim to the record of its outcome
 FINGERPRINT = b"p" * 8
 
 
 class PathDelays(NamedTuple):
     """Delays that a claim meets, in seconds."""
 
-    to_leader_s: float  # one way
-    to_majority_s: float  # round trip
-    sync_s: float  # of one entry; the disk syncs entries one after another
+    to_leader_s: float  # one way, from the daemon
+    to_majority_s: float  # round trip, from the leader
+    sync_s: float  # duration for one entry; entries are synced one after another
 
 
 class PathReport(NamedTuple):
@@ -41,7 +41,7 @@
 
     granted: int
     denied: int
-    entries: int  # in the log
+    entries: int  # of the log
     latencies_s: list[float]  # of the granted claims
 
 
@@ -58,7 +58,7 @@
         self._now = 0.0
         self._disk_free_at = 0.0
         self._asked_at: dict[int, float] = {}
-        self._index = 0
+        self._last_index = 0
         self._denied = 0
         self._latencies_s: list[float] = []
 
@@ -75,7 +75,7 @@
             self._now, _, action = heapq.heappop(self._events)
             action()
         granted = len(self._latencies_s)
-        return PathReport(granted, self._denied, self._index, self._latencies_s)
+        return PathReport(granted, self._denied, self._last_index, self._latencies_s)
 
     def _call_at(self, due: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (due, next(self._numbers), action))
@@ -120,8 +120,8 @@
     def _propose(self, entry: ProposeEntry) -> None:
         synced_at = max(self._now, self._disk_free_at) + self._delays.sync_s
         self._disk_free_at = synced_at
-        self._index += 1
-        index = self._index
+        self._last_index += 1
+        index = self._last_index
         self._call_at(
             synced_at + self._delays.to_majority_s, lambda: self._commit(entry, index)
         )
--- a/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/fleet.py
@@ -26,8 +26,8 @@
 from pimentobend_core._internal.membership.spread.relay import RelayNode
 
 TICK_S = 0.1
-NEAR_S = 0.001  # one way, within a region
-FAR_S = 0.030  # one way, between regions
+NEAR_S = 0.001  # one-way delay within a region
+FAR_S = 0.030  # one-way delay between regions
 
 Node = RelayNode | SpreadClient
 Observer = Callable[[str, tuple[str, ...], PeerMessage], None]
@@ -44,10 +44,10 @@
 
 
 class _Delivery(NamedTuple):
-    """A message in transit; ordered by time of delivery, then by number."""
+    """A message in transit."""
 
-    due: float
-    number: int
+    due: float  # time of delivery
+    number: int  # keeps messages of the same time in the order of sending
     sender: str
     recipient: str
     message: PeerMessage
@@ -83,11 +83,13 @@
         )
         self.nodes: dict[str, Node] = {}
         self.arrived: dict[str, dict[RowId, Row]] = collections.defaultdict(dict)
-        self.cut: set[tuple[str, str]] = set()  # (sender, recipient); all is lost
+        self.cut: set[tuple[str, str]] = (
+            set()
+        )  # all messages from sender to recipient are lost
         self.drop_share = 0.0
         self.duplicate_share = 0.0
         self.jitter_s = 0.0
-        # Rows that a node replaced by a lower rank; must stay empty.
+        # Nodes and their rows that were replaced by one of lower rank; must stay empty.
         self.went_back: list[tuple[str, RowId]] = []
         self.observers: list[Observer] = []
         self.leader: str | None = None
--- a/packages/bench/src/pimentobend_bench/_internal/membership/servers.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/servers.py
@@ -14,12 +14,17 @@
 
 
 def create_rows(
-    place: Place, number: int, epoch: int, change: int = 0
+    place: Place, daemon_index: int, epoch: int, change_count: int = 0
 ) -> tuple[Row, ...]:
-    """Return the rows of the servers that announce themselves to one daemon."""
-    first = number * SERVERS_PER_DAEMON
+    """Return the rows of the servers that announce themselves to one daemon.
+
+    Each change raises the ranks of the rows and switches the states of the servers.
+    """
+    first = daemon_index * SERVERS_PER_DAEMON
     return tuple(
-        _create_row(place, first + offset, epoch, change * SERVERS_PER_DAEMON + offset)
+        _create_row(
+            place, first + offset, epoch, change_count * SERVERS_PER_DAEMON + offset
+        )
         for offset in range(SERVERS_PER_DAEMON)
     )
 
--- a/packages/bench/src/pimentobend_bench/_internal/membership/spread_bytes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/spread_bytes.py
@@ -44,10 +44,10 @@
     daemons: int
     idle_per_s: float
     per_change: float
-    per_restart: float  # at each other daemon
+    per_restart: float  # at each other daemon, if one restarts
     per_start: float  # at the restarted daemon
     relay_idle_per_s: float  # per relay
-    across_idle_per_s: float  # between regions, whole fleet
+    across_idle_per_s: float  # of the whole fleet, between regions
 
 
 class SpreadBytesCommand(Command):
@@ -148,7 +148,7 @@
 ) -> tuple[float, float]:
     meter.reset()
     place = fleet.places[name]
-    fleet.publish(name, create_rows(place, number, 1, change=1))
+    fleet.publish(name, create_rows(place, number, 1, change_count=1))
     fleet.start(name)
     fleet.run(0.5)
     fleet.publish(name, create_rows(place, number, 2))
--- a/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
@@ -18,10 +18,10 @@
 
 SEED = 5
 DAEMONS = (50, 200, 600, 1800)
-START_S = 6.0  # simulated before the fault
-FAILOVER_S = 3.0  # without a root
-IN_FORCE_LIMIT_S = 9.0  # target under a fault
-DRAIN_LIMIT_S = 3.0  # target without a fault
+SETTLE_S = 6.0  # simulated time before the fault
+FAILOVER_S = 3.0  # simulated time between the loss of the root and a new one
+FAULT_LIMIT_S = 9.0  # target under a fault
+NO_FAULT_LIMIT_S = 3.0  # target without a fault
 RUN_LIMIT_S = 60.0
 RESTART_LIMIT_S = 300.0
 RESTART_DAEMONS = (50, 100, 200)
@@ -43,7 +43,8 @@
     fleet.stop("relay-dc1-0")
 
 
-def _lose_region_head(fleet: Fleet) -> None:
+def _lose_replica(fleet: Fleet) -> None:
+    """Stop the control replica that brings rows to the region without the root."""
     fleet.stop("replica-1")
 
 
@@ -59,11 +60,11 @@
 
 
 FAULTS = (
-    _Fault("none", DRAIN_LIMIT_S, _no_fault),
-    _Fault("one relay", IN_FORCE_LIMIT_S, _lose_relay),
-    _Fault("head of a region", IN_FORCE_LIMIT_S, _lose_region_head),
-    _Fault("both relays of a centre", IN_FORCE_LIMIT_S, _lose_relays_of_a_data_centre),
-    _Fault("root, 3 s before", IN_FORCE_LIMIT_S, _lose_root),
+    _Fault("none", NO_FAULT_LIMIT_S, _no_fault),
+    _Fault("one relay", FAULT_LIMIT_S, _lose_relay),
+    _Fault("replica of a region", FAULT_LIMIT_S, _lose_replica),
+    _Fault("both relays of a centre", FAULT_LIMIT_S, _lose_relays_of_a_data_centre),
+    _Fault("root, lost 3 s before", FAULT_LIMIT_S, _lose_root),
 )
 
 
@@ -77,9 +78,7 @@
     def run(self, args: Sequence[str]) -> Status:
         """Run with an optional seed."""
         seed = int(args[0]) if args else SEED
-        print(
-            f"spread-time: seed {seed}; seconds until a daemon's row is at all daemons"
-        )
+        print(f"spread-time: seed {seed}; seconds until all daemons have a new row")
         print(f"{'fault':26} {'limit':>6} " + " ".join(f"{n:>7}" for n in DAEMONS))
         status = Status.SUCCESS
         for fault in FAULTS:
@@ -95,7 +94,7 @@
 def _start(daemons: int, seed: int) -> Fleet:
     fleet = Fleet(FleetShape(2, 7, 5, 2, daemons), seed)
     fleet.lead("replica-0")
-    fleet.run(START_S)
+    fleet.run(SETTLE_S)
     return fleet
 
 
@@ -113,7 +112,11 @@
 
 
 def _print_restarts(seed: int) -> None:
-    print("restart of all instances, then of all daemons while control keeps running")
+    print(
+        "restart of all instances | of all daemons, with the control instances running:"
+        " seconds until all rows have arrived, bytes per second of the busiest control"
+        " instance, bytes per daemon"
+    )
     print(
         f"{'daemons':>8} {'all s':>7} {'B/s busiest control':>20} {'B a daemon':>11}"
         f" | {'daemons s':>9} {'B/s busiest control':>20} {'B a daemon':>11}"
@@ -122,16 +125,19 @@
         fleet = Fleet(FleetShape(2, 7, 5, 2, daemons), seed)
         meter = Meter(fleet)
         fleet.lead("replica-0")
-        all_instances = _restart_daemons(fleet, meter, 1)
+        all_instances = _publish_all_rows(fleet, meter, 1)
         for name in fleet.names(TreeRole.DAEMON):
             fleet.start(name)
         meter.reset()
-        only_daemons = _restart_daemons(fleet, meter, 2)
+        only_daemons = _publish_all_rows(fleet, meter, 2)
         print(f"{daemons:8} {all_instances} | {only_daemons}")
 
 
-def _restart_daemons(fleet: Fleet, meter: Meter, epoch: int) -> str:
-    """Let all daemons publish their servers; return the columns of time and load."""
+def _publish_all_rows(fleet: Fleet, meter: Meter, epoch: int) -> str:
+    """Let all daemons publish their servers and wait until all rows have arrived.
+
+    Return the columns of time and load.
+    """
     names = fleet.names(TreeRole.DAEMON)
     rows = [
         row
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/crest.py
@@ -22,15 +22,15 @@
 from pimentobend_bench._internal.traffic.simulation import TrafficFilter
 from pimentobend_bench._internal.traffic.simulation import create_arrivals
 
-MEAN_LOAD = 0.4  # of capacity
+MEAN_LOAD = 0.4  # share of the capacity
 RISE_AT_S = 10.0
 RISE_S = 1.0  # the fall after the peak takes as long
 PEAK_S = 10.0
-END_S = 26.0  # of the arrivals
+END_S = 26.0  # no request arrives later
 TIMEOUT_S = 2.0
 ORGANISATIONS = 85_000
-HEAVY_SHARE = 0.2  # of all requests come from one organisation, "o0"
-TARGET_GOODPUT = 0.95  # of what the slots can serve
+HEAVY_SHARE = 0.2  # share of the requests that one organisation sends, "o0"
+TARGET_GOODPUT = 0.95  # share of the requests that the slots can serve
 SERVICE_SHAPE = 4.0  # shape parameter of the gamma distribution of service times
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/head_of_line.py
@@ -24,7 +24,7 @@
 STRAGGLER_SHARE = 0.01  # of all requests
 STRAGGLER_MULTIPLE = 30.0  # of the usual service time
 BEGIN_S = 10.0  # earlier requests are warm-up and not counted
-END_S = 40.0  # of the arrivals
+END_S = 40.0  # no request arrives later
 TIMEOUT_S = 10.0
 ORGANISATIONS = 85_000
 SERVICE_SHAPE = 4.0  # shape parameter of the gamma distribution of service times
@@ -35,7 +35,7 @@
     """Parameters of one run."""
 
     shape: Shape
-    load: float  # of capacity, without stragglers
+    load: float  # share of the capacity, not counting stragglers
     own_route: bool  # the stragglers have a route of their own
     seed: int
 
