--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -126,9 +126,9 @@
             violations.append(f"request ran but was refused as not run: {record}")
         if not run_count and status == 200:
             violations.append(f"request was answered with 200 but never ran: {record}")
-        echoed = headers.get(f"{PREFIX}Request-Id".lower(), record.request_id)
-        if echoed != record.request_id:
-            violations.append(f"request got the response to {echoed}: {record}")
+        answered_id = headers.get(f"{PREFIX}Request-Id".lower(), record.request_id)
+        if answered_id != record.request_id:
+            violations.append(f"request got the response to {answered_id}: {record}")
         if status == 0 and run_count and self._is_cut_by_stop(record):
             violations.append(f"request ran but a shutdown cut it off: {record}")
         return violations
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -21,7 +21,7 @@
 from platform_server import PlatformServer
 
 ROOT = pathlib.Path(__file__).parents[2]
-WAIT_S = 40.0  # for each condition; no test depends on how long it takes
+WAIT_S = 40.0  # longest wait for a condition; no test depends on its length
 GRACE_S = 5.0
 ROUTES = {
     "columns": ["name", "host", "pathPrefix", "type", "timeoutS", "service"],
@@ -31,7 +31,7 @@
     ],
 }
 SERVICES = {"columns": ["name", "healthCheckPath"], "rows": [["shop", "/healthz"]]}
-PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # on which a daemon listens
+PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # ports on which a daemon listens
 _BLOCKS = itertools.count(os.getpid() % 200)
 
 
@@ -65,10 +65,10 @@
 
 
 def wait_until(condition: Callable[[], Any], what: str) -> None:
-    """Wait until a condition holds; fail with ``what`` after ``WAIT_S``."""
+    """Wait until the condition that ``what`` describes holds; fail after ``WAIT_S``."""
     deadline = time.monotonic() + WAIT_S
     while not condition():
-        assert time.monotonic() < deadline, what
+        assert time.monotonic() < deadline, f"not within {WAIT_S} s: {what}"
         time.sleep(0.1)
 
 
@@ -85,12 +85,12 @@
 
 
 def free_block() -> int:
-    """Return the second byte of loopback addresses that no other fleet uses."""
+    """Return the second byte of a block of loopback addresses that none uses."""
     for _ in range(240):
         block = 10 + next(_BLOCKS) % 240
         if all(is_free(f"127.{block}.0.{number}") for number in range(1, 6)):
             return block
-    raise AssertionError("no loopback addresses are free")
+    raise AssertionError("none of 240 blocks of loopback addresses is free")
 
 
 class Process:
@@ -110,7 +110,7 @@
         self.lock = threading.Lock()
         self.server: PlatformServer | None = None
         self.to_server = FaultProxy(self.ip)  # between the daemon and its server
-        self.to_callers = FaultProxy(self.ip)
+        self.to_callers = FaultProxy(self.ip)  # between callers and the daemon
         if not is_control:
             self.server = PlatformServer(
                 self.ip, "shop", f"{self.ip}:8403", self.to_server.address
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -50,11 +50,11 @@
 def wait_until(
     condition: Callable[[], object], timeout_s: float = START_TIMEOUT_S
 ) -> None:
-    """Wait until a condition holds; raise TimeoutError after ``timeout_s``."""
+    """Wait until a condition holds; raise TimeoutError if it takes too long."""
     deadline = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > deadline:
-            raise TimeoutError(f"{condition} is not true after {timeout_s} s")
+            raise TimeoutError(f"{condition} did not hold within {timeout_s} s")
         time.sleep(POLL_S)
 
 
@@ -102,7 +102,10 @@
         return self._process.wait(STOP_TIMEOUT_S)
 
     def stop(self) -> int:
-        """Send SIGTERM, after ``STOP_TIMEOUT_S`` SIGKILL; return the exit code."""
+        """Send SIGTERM and return the exit code.
+
+        A process that has not ended after ``STOP_TIMEOUT_S`` gets SIGKILL.
+        """
         if self._process.poll() is None:
             self._process.send_signal(signal.SIGTERM)
         try:
--- a/tests/lib/raw_backend.py
+++ b/tests/lib/raw_backend.py
@@ -9,7 +9,7 @@
 
 
 class RawBackend:
-    """Answer each request with the bytes stored under its last path segment."""
+    """Answers each request with the bytes that are given for its last path segment."""
 
     def __init__(self, responses: dict[str, bytes]) -> None:
         self._responses = responses
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -14,8 +14,9 @@
 
 FAULT_INTERVALS_S = (0.3, 0.8, 2.0)  # shorter than some faults: several may overlap
 FAULT_DURATIONS_S = (0.2, 1.0, 3.0)
-RECOVERY_S = 2.0  # between the end of a fault and the next one of the same process
-DRAIN_GRACE_S = 2.5  # after which a draining server must get no new requests
+# Shortest time between the end of a fault and the next one of the same process.
+RECOVERY_S = 2.0
+DRAIN_GRACE_S = 2.5  # a draining server may get new requests for this long
 
 
 class ScheduledFault(NamedTuple):
@@ -123,7 +124,7 @@
 
 
 class HangServer(Fault):
-    """Make the backend server beside a process stop answering requests."""
+    """Make the backend server of a process stop answering requests."""
 
     applies_to_control = False
 
@@ -135,7 +136,7 @@
 
 
 class DrainServer(Fault):
-    """Drain the backend server beside a process and replace it by a new one."""
+    """Drain the backend server of a process and replace it by a new one."""
 
     applies_to_control = False
 
--- a/tests/lib/soak_traffic.py
+++ b/tests/lib/soak_traffic.py
@@ -15,7 +15,7 @@
 TIMEOUT_S = 12.0  # 2 s more than the timeout of the routes
 SAFE_SHARE = 0.3
 BODY_BYTES = (0, 300, 20_000)
-RETRY_INTERVAL_S = 0.1  # after a request without a response, and between reads
+RETRY_INTERVAL_S = 0.1  # pause after a request without a response or a read
 UPDATE_INTERVAL_S = 0.5
 
 
