Say in the soak's tests what they check

Readers stopped at "check ... the check" at the head of test_soak_faults, and at times of test_fault_proxy that had to be completed in one's head.

The heads and comments are sentences now. No test changed.

--- a/tests/unit/fleet/test_fault_proxy.py
+++ b/tests/unit/fleet/test_fault_proxy.py
@@ -8,8 +8,8 @@
 from fault_proxy import ConnectionFault
 from fault_proxy import FaultProxy
 
-RESPONSE_TIMEOUT_S = 5.0  # where a response or a reset is expected
-SILENCE_S = 0.5  # without a response, after which its bytes count as discarded
+RESPONSE_TIMEOUT_S = 5.0  # used if a response or a reset is expected
+SILENCE_S = 0.5  # without a response for so long, the bytes count as discarded
 
 
 @pytest.fixture
--- a/tests/unit/fleet/test_soak_faults.py
+++ b/tests/unit/fleet/test_soak_faults.py
@@ -1,4 +1,7 @@
-"""Check that faults of one process do not overlap, and the check for free addresses."""
+"""Check two helpers of the soak test.
+
+Faults of one process do not overlap, and an address with a port in use is not free.
+"""
 
 import pathlib
 import signal
@@ -13,7 +16,7 @@
 from soak_faults import ScheduledFault
 
 SHUTDOWN_S = 0.3  # longer than the time between the two faults of the test
-FAULTS = ("kill", "stop", "pause", "wipe")  # those that end or suspend a process
+FAULTS = ("kill", "stop", "pause", "wipe")  # the faults that end or suspend a process
 
 
 class SlowProcess:
