Say in the functional tests what is checked

Readers stopped at "Run a fleet ...: forming a cluster, serving, and restarts" and at an "end" that is recorded.

Both docstrings name the property that is checked. No test changed.

--- a/tests/functional/test_fleet.py
+++ b/tests/functional/test_fleet.py
@@ -84,7 +84,7 @@
 
 
 def _is_recorded(answer: Answer) -> bool:
-    """Check that work that ran is not repeated; return whether its end is recorded.
+    """Check that a key that ran is not run again; return if its outcome is recorded.
 
     Until the outcome is recorded the reply is 409 with ran unknown, and while
     the ledger group elects a leader it is 503.
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -1,4 +1,4 @@
-"""Run a fleet of platform daemons: forming a cluster, serving, and restarts."""
+"""Check that a fleet of platform daemons forms, serves and survives restarts."""
 
 import contextlib
 import http.client
