--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -1,4 +1,8 @@
-"""Collect bids from the daemons that run next to backend servers."""
+"""Collect bids from the daemons of backend servers.
+
+A bid states the terms on which a server offers to run a request. A row is what a
+daemon publishes about itself and the servers on its machine.
+"""
 
 import itertools
 import random
@@ -24,7 +28,7 @@
 
 KIND_ASK = "ask"
 KIND_BIDS = "bids"
-FRESH_S = {  # how long a bid is reused for other requests
+FRESH_S = {  # a bid is reused for other requests for this long
     Distance.DATA_CENTRE: 0.03,
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
@@ -34,7 +38,7 @@
     Distance.REGION: 4,
     Distance.FAR: 2,
 }
-UNREACHABLE_AFTER = 2  # unanswered questions in a row
+UNREACHABLE_AFTER = 2  # unanswered questions in a row that make a daemon unreachable
 TIMEOUTS_S = {
     Distance.DATA_CENTRE: 0.06,  # a round trip takes 1 ms; a busy daemon is slower
     Distance.REGION: 0.08,
@@ -48,7 +52,7 @@
 
 
 class _Round:
-    """Track which daemons have not yet answered one round of questions."""
+    """Questions sent at the same time, and the daemons that have not answered yet."""
 
     def __init__(self, addresses: set[str]) -> None:
         self.waiting = addresses
@@ -62,7 +66,7 @@
 
 
 class BidCollector:
-    """Ask daemons for bids and cache the latest by daemon, service and route."""
+    """Asks daemons for bids and caches the latest by daemon, service and route."""
 
     def __init__(
         self,
@@ -84,11 +88,11 @@
         self._rounds: dict[int, tuple[_Round, str, Ask]] = {}
         self._unanswered: dict[str, int] = {}
 
-    def follow_peers(self, peers: tuple[PeerRow, ...]) -> None:
+    def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons."""
         self._peers = peers
 
-    def follow_reachability(self, address: str, *, is_reachable: bool) -> None:
+    def update_reachability(self, address: str, *, is_reachable: bool) -> None:
         """Record whether a daemon can be reached."""
         if is_reachable:
             self._unreachable.discard(address)
@@ -99,7 +103,10 @@
     def ask(
         self, service: str, route: str, distance: Distance
     ) -> tuple[Candidate, ...]:
-        """Return a service's servers within a distance, asking where bids are stale."""
+        """Return the bids for a service's servers within a distance.
+
+        Daemons whose cached bids are too old are asked first.
+        """
         own_row = self._own_row()
         rows = [
             row
@@ -123,12 +130,12 @@
         cached = self._cached.get((candidate.peer.address, service, route))
         return self._clock.now() - cached.received_at if cached else 0.0
 
-    def take_ask(self, frame: Frame) -> None:
+    def handle_ask(self, frame: Frame) -> None:
         """Answer another daemon's question; raise ``CodecError`` if it is malformed."""
         ask = decode(frame.payload, Ask)
         eventlet.spawn_n(self._answer, frame.sender, ask)
 
-    def take_bids(self, frame: Frame) -> None:
+    def handle_bids(self, frame: Frame) -> None:
         """Store another daemon's bids; raise ``CodecError`` if they are malformed."""
         self._store(frame.sender, decode(frame.payload, Bids))
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -1,4 +1,8 @@
-"""Run the attempts for the backend servers next to this daemon."""
+"""Run the attempts for the backend servers on this machine.
+
+The host is the part of a daemon that queues and runs attempts for local servers,
+which are those on its machine.
+"""
 
 from collections.abc import Mapping
 from typing import Any
@@ -15,7 +19,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
@@ -25,16 +29,16 @@
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.request import AttemptKind
@@ -47,7 +51,8 @@
 
 TICK_S = 0.1
 ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process is stalled
-ANSWER_KEEP_S = 10.0  # how long a lost answer can be requested again
+# An origin that lost its connection can request the answer again for this long.
+ANSWER_KEEP_S = 10.0
 SERVER_ERROR = 500
 
 _END_KINDS = {
@@ -66,7 +71,7 @@
 
 
 class _AttemptRecord:
-    """An attempt, the callers that wait for it and, once it ended, its result."""
+    """An attempt, its result, and how many calls of ``run`` wait for the result."""
 
     def __init__(self, attempt: LocalAttempt) -> None:
         self.attempt = attempt
@@ -97,7 +102,7 @@
             ServerHost(process_id, terms),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(TICK_S, HostTick()),
+            PeriodicMessage(TICK_S, HostTick()),
         )
 
     @property
@@ -110,11 +115,11 @@
         self._task.start()
         eventlet.spawn_n(self._expire)
 
-    def stop_taking(self) -> None:
+    def start_draining(self) -> None:
         """Decline all further attempts."""
-        self._task.put(StopTaking())
+        self._task.put(StartDraining())
 
-    def follow_sizes(self, sizes: ServiceSizes) -> None:
+    def update_service_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
         self._task.put(sizes)
 
@@ -150,11 +155,11 @@
             record.waiters -= 1
 
     def has_waiters(self, attempt_id: str) -> bool:
-        """Return whether any caller waits for the end of an attempt."""
+        """Return whether a call of ``run`` waits for the end of an attempt."""
         record = self._records.get(attempt_id)
         return record is not None and record.waiters > 0
 
-    def take_withdraw(self, frame: Frame) -> None:
+    def handle_withdraw(self, frame: Frame) -> None:
         """Handle another daemon's withdrawal; raise ``CodecError`` if malformed."""
         self._task.put(decode(frame.payload, Withdraw))
 
@@ -178,8 +183,9 @@
                 record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
-            case Joined():
-                # The result was dropped; all that is known is that the attempt came.
+            case DuplicateSubmission():
+                # The attempt came before, but its result was dropped since.
+                # It may have run.
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
@@ -213,18 +219,19 @@
             eventlet.sleep(1.0)
             now = self._clock.now()
             for attempt_id, record in list(self._records.items()):
-                is_old = record.ended_at is not None and now - record.ended_at > (
-                    ANSWER_KEEP_S
+                is_answer_expired = (
+                    record.ended_at is not None
+                    and now - record.ended_at > (ANSWER_KEEP_S)
                 )
                 is_past_deadline = now > record.attempt.submit.deadline + ANSWER_KEEP_S
                 if is_past_deadline:
                     del self._records[attempt_id]
-                elif is_old:
+                elif is_answer_expired:
                     _drop_body(record)
 
 
 def _drop_body(record: _AttemptRecord) -> None:
-    """Free a buffered answer but remember that the attempt ran."""
+    """Free a buffered answer; the record stays, so that no copy runs again."""
     result = record.result.wait()
     if isinstance(result.body, BufferedAnswer) and result.body.length:
         lost = make_attempt_result(AttemptKind.NO_ANSWER, result.latency_s)
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/router.py
@@ -11,7 +11,7 @@
 
 
 class FrameRouter(Outlet[Frame]):
-    """Call the handler of each frame's kind; report errors instead of raising."""
+    """Calls the handler of each frame's kind; reports errors instead of raising."""
 
     def __init__(self, on_fault: Callable[[PimentobendError], None]) -> None:
         self._handlers: dict[str, FrameHandler] = {}
@@ -25,7 +25,7 @@
         """Pass a frame to the handler of its kind."""
         handler = self._handlers.get(message.kind)
         if handler is None:
-            self._on_fault(FrameError("unknown frame kind", context=message.kind))
+            self._on_fault(FrameError("unknown kind of frame", context=message.kind))
             return
         try:
             handler(message)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
@@ -1,4 +1,4 @@
-"""Measure whole tables, compressed."""
+"""Probes that measure the compressed tables (routes and pools), and decoding them."""
 
 import zlib
 from collections.abc import Callable
@@ -11,12 +11,12 @@
 from pimentobend_bench._internal.capacity.rows import make_routes
 from pimentobend_core._internal.models.tables import Tables
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
 _TABLES_DECODER = msgspec.msgpack.Decoder(Tables)
 
 
 def make_tables(routes: int) -> Tables:
-    """Return tables of a number of routes and all pools."""
+    """Return tables with ``routes`` routes and all pools."""
     return Tables(
         term=3,
         log_index=200_000,
@@ -26,11 +26,11 @@
 
 
 class WholeTablesBytesProbe(BytesProbe):
-    """Encode and compress whole tables, as a catch-up from nothing."""
+    """Encode and compress the complete tables, as sent to a daemon that has none."""
 
     name = "bytes-catch-up-compressed"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core models.tables, msgpack, zlib"
 
     def encode(self, size: int) -> bytes:
@@ -39,15 +39,15 @@
 
 
 class WholeTablesCpuProbe(CpuProbe):
-    """Decompress and decode whole tables."""
+    """Decompress and decode the complete tables."""
 
     name = "cpu-catch-up-decode"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core models.tables, msgpack, zlib"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that reads the tables."""
+        """Return an operation that decompresses and decodes the tables."""
         encoded = zlib.compress(msgspec.msgpack.encode(make_tables(size)))
         return lambda: _TABLES_DECODER.decode(zlib.decompress(encoded))
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -1,4 +1,4 @@
-"""Keep the figures of the last run in a file."""
+"""Measured figures, stored in docs/capacity/figures.json."""
 
 import json
 import pathlib
@@ -16,20 +16,20 @@
 
 
 class SlopeFigure(TypedDict):
-    """Spell one probe's readings and the line through them."""
+    """Readings of one probe, and the line fitted to them."""
 
-    sized_by: str
-    reads: str
+    sized_by: str  # what the size counts, in the plural, such as "routes"
+    reads: str  # what a reading is, such as "processor time"
     unit: str
-    mechanism: str
-    points: list[list[float]]
+    mechanism: str  # the modules that are measured
+    points: list[list[float]]  # size and reading
     slope: float
     intercept: float
     residual: float
 
 
 class HopFigure(TypedDict):
-    """Spell one rate's latencies (seconds) through a hop and without it."""
+    """Latencies at one request rate, through a proxy and directly, in seconds."""
 
     proxy: str
     rate_per_s: int
@@ -47,23 +47,27 @@
 
 
 class Stage(TypedDict):
-    """Spell what a process uses after a step; the processor time is the step's."""
+    """Resource usage of a process after a step; ``cpu_s`` is that of the step."""
 
-    after: str
+    after: str  # name of the step
     private_bytes: int
     cpu_s: float
     idle_cpu_share: float  # of one core
 
 
-class WholeFigure(TypedDict):
-    """Spell the steps of a real daemon, and of its parts in one process."""
+class WholeTableFigure(TypedDict):
+    """Resource usage with the complete tables, step by step.
+
+    It is that of a real daemon, and of a process that loads the modules and the data
+    of a daemon one after the other.
+    """
 
     daemon: list[Stage]
     parts: list[Stage]
 
 
 class Run(TypedDict):
-    """Spell where a section's figures come from."""
+    """Command, commit and time that a section's figures come from."""
 
     command: str
     commit: str
@@ -71,16 +75,16 @@
 
 
 class Figures(TypedDict, total=False):
-    """Spell all figures of the page."""
+    """All figures of docs/CAPACITY.md."""
 
     runs: dict[str, Run]
     slopes: dict[str, SlopeFigure]
     hops: list[HopFigure]
-    whole: WholeFigure
+    whole: WholeTableFigure
 
 
 def load_figures(path: pathlib.Path = FIGURES) -> Figures:
-    """Return the stored figures, or none."""
+    """Return the stored figures; empty if the file does not exist."""
     if not path.exists():
         return Figures()
     return cast(Figures, json.loads(path.read_text()))
@@ -92,13 +96,13 @@
     path.write_text(json.dumps(figures, indent=1, sort_keys=True) + "\n")
 
 
-def line_of(figure: SlopeFigure) -> Line:
-    """Return the fitted line of a stored probe."""
+def fit_figure(figure: SlopeFigure) -> Line:
+    """Fit a line to the stored readings of a probe."""
     return fit_line([Point(int(size), value) for size, value in figure["points"]])
 
 
-def stamp(figures: Figures, section: str) -> None:
-    """Note the command, the commit and the date of a section's run."""
+def record_run(figures: Figures, section: str) -> None:
+    """Record the command, the commit and the time of a section's run."""
     commit = _git("rev-parse", "--short=12", "HEAD")
     if _git("status", "--porcelain", "--", "packages"):
         commit += " with uncommitted changes"
@@ -110,7 +114,7 @@
 
 
 def _git(*arguments: str) -> str:
-    done = subprocess.run(
+    completed = subprocess.run(
         ["git", "-C", str(ROOT), *arguments], capture_output=True, text=True, check=True
     )
-    return done.stdout.strip()
+    return completed.stdout.strip()
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/traffic_probes.py
@@ -1,4 +1,4 @@
-"""Measure pools' traffic, organisations' shares and the match of routes."""
+"""Probes that measure pool traffic, fair shares and route matching."""
 
 import itertools
 from collections.abc import Callable
@@ -21,10 +21,10 @@
 from pimentobend_core._internal.traffic.pool import PoolTraffic
 from pimentobend_core._internal.traffic.routing import RouteMatcher
 
-_ROUTE_SIZES = (2_250, 4_500, 9_000, 18_000)
-_ORGANISATION_SIZES = (10_000, 21_250, 42_500, 85_000)
-_POOL_SIZES = (145, 290, 580, 1_160)
-_SERVER_SIZES = (8, 16, 34, 68, 136)
+_ROUTE_COUNTS = (2_250, 4_500, 9_000, 18_000)
+_ORGANISATION_COUNTS = (10_000, 21_250, 42_500, 85_000)
+_POOL_COUNTS = (145, 290, 580, 1_160)
+_SERVER_COUNTS = (8, 16, 34, 68, 136)
 _SERVERS_PER_POOL = SERVERS // SERVICES
 _SEED = 1
 
@@ -37,19 +37,19 @@
 
 
 class OrganisationMemoryProbe(MemoryProbe):
-    """Charge requests of organisations to one pool."""
+    """Charge requests of many organisations to the fair shares of one pool."""
 
     name = "memory-organisation-shares"
     sized_by = "organisations"
-    sizes = _ORGANISATION_SIZES
+    sizes = _ORGANISATION_COUNTS
     mechanism = "core traffic.fairness"
 
     def warm_up(self) -> None:
-        """Charge a few."""
+        """Charge requests of a few organisations."""
         self.build(4)
 
     def build(self, size: int) -> object:
-        """Return the shares after one request of each organisation."""
+        """Return the shares after one request from each of ``size`` organisations."""
         shares = FairShares(_SEED)
         for number in range(size):
             shares.charge(make_organisation(number), 0.0)
@@ -57,46 +57,46 @@
 
 
 class PoolMemoryProbe(MemoryProbe):
-    """Hold the traffic of pools with their servers."""
+    """Create the traffic state of pools, each with its servers."""
 
     name = "memory-pool-traffic"
     sized_by = "pools"
-    sizes = _POOL_SIZES
+    sizes = _POOL_COUNTS
     mechanism = "core traffic.pool"
 
     def warm_up(self) -> None:
-        """Create one."""
+        """Create the state of one pool."""
         self.build(1)
 
     def build(self, size: int) -> object:
-        """Return the pools' traffic."""
+        """Return the traffic state of ``size`` pools."""
         return [_create_traffic(pool, _SERVERS_PER_POOL) for pool in make_pools(size)]
 
 
 class MatcherMemoryProbe(MemoryProbe):
-    """Compile routes for the request path."""
+    """Compile routes into the matcher of the request path."""
 
     name = "memory-route-matcher"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def warm_up(self) -> None:
-        """Compile a few."""
+        """Compile a few routes."""
         self.build(4)
 
     def build(self, size: int) -> object:
-        """Return the tables and the matcher of them."""
+        """Return the tables and their matcher."""
         tables = make_tables(size)
         return tables, RouteMatcher(tables)
 
 
 class MatcherCpuProbe(CpuProbe):
-    """Compile routes, as after each change."""
+    """Compile all routes, which happens after each change."""
 
     name = "cpu-route-compile"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def prepare(self, size: int) -> Callable[[], object]:
@@ -106,15 +106,15 @@
 
 
 class MatchCpuProbe(CpuProbe):
-    """Match one request."""
+    """Find the route of one request."""
 
     name = "cpu-route-match"
     sized_by = "routes"
-    sizes = _ROUTE_SIZES
+    sizes = _ROUTE_COUNTS
     mechanism = "core traffic.routing"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that matches a request."""
+        """Return an operation that finds the route of a request."""
         tables = make_tables(size)
         matcher = RouteMatcher(tables)
         route = tables.routes[size // 2]
@@ -123,15 +123,15 @@
 
 
 class GrantCpuProbe(CpuProbe):
-    """Grant a server to a request and take its end."""
+    """Grant a server to a request, and handle the end of the attempt."""
 
     name = "cpu-grant"
     sized_by = "servers of the pool"
-    sizes = _SERVER_SIZES
+    sizes = _SERVER_COUNTS
     mechanism = "core traffic.pool"
 
     def prepare(self, size: int) -> Callable[[], object]:
-        """Return an operation that passes one request through a pool."""
+        """Return an operation that runs one request through a pool."""
         pool = next(make_pools(1))
         traffic = _create_traffic(pool, size)
         tickets = itertools.count(1)
@@ -139,15 +139,17 @@
         def serve() -> None:
             ticket = next(tickets)
             now = 100.0 + ticket / 1_000
-            granted = traffic.handle(_ask(ticket, now), now)
-            for output in granted:
+            outputs = traffic.handle(_make_acquire(ticket, now), now)
+            for output in outputs:
                 assert isinstance(output, Granted)
-                traffic.handle(_end(ticket, output.server.server_id), now + 0.005)
+                traffic.handle(
+                    _make_attempt_ended(ticket, output.server.server_id), now + 0.005
+                )
 
         return serve
 
 
-def _ask(ticket: int, now: float) -> Acquire:
+def _make_acquire(ticket: int, now: float) -> Acquire:
     return Acquire(
         ticket=ticket,
         route="route-00001",
@@ -159,7 +161,7 @@
     )
 
 
-def _end(ticket: int, server_id: str) -> AttemptEnded:
+def _make_attempt_ended(ticket: int, server_id: str) -> AttemptEnded:
     return AttemptEnded(
         ticket=ticket,
         pool="pool-0",
--- a/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
+++ b/packages/bench/src/pimentobend_bench/_internal/ledger/path.py
@@ -7,13 +7,13 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.ledger.client import LedgerClient
-from pimentobend_core._internal.ledger.client_messages import AskClaim
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClaimRequest
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.messages import LedgerKey
 from pimentobend_core._internal.ledger.service import LedgerService
 from pimentobend_core._internal.ledger.service_messages import EntryAccepted
@@ -23,17 +23,17 @@
 from pimentobend_core._internal.ledger.service_messages import ServiceOutput
 from pimentobend_core._internal.models.request import Ran
 
-DEADLINE_S = 5.0  # from the claim
-WORK_S = 0.02  # from the grant to the settlement
+DEADLINE_S = 5.0  # time from the claim to the deadline of its request
+WORK_S = 0.02  # time from the grant of a claim to the record of its outcome
 FINGERPRINT = b"p" * 8
 
 
 class PathDelays(NamedTuple):
     """Delays that a claim meets, in seconds."""
 
-    to_leader_s: float  # one way
-    to_majority_s: float  # round trip
-    sync_s: float  # of one entry; the disk syncs entries one after another
+    to_leader_s: float  # one way, from the daemon
+    to_majority_s: float  # round trip, from the leader
+    sync_s: float  # duration for one entry; entries are synced one after another
 
 
 class PathReport(NamedTuple):
@@ -41,7 +41,7 @@
 
     granted: int
     denied: int
-    entries: int  # in the log
+    entries: int  # of the log
     latencies_s: list[float]  # of the granted claims
 
 
@@ -58,7 +58,7 @@
         self._now = 0.0
         self._disk_free_at = 0.0
         self._asked_at: dict[int, float] = {}
-        self._index = 0
+        self._last_index = 0
         self._denied = 0
         self._latencies_s: list[float] = []
 
@@ -75,14 +75,14 @@
             self._now, _, action = heapq.heappop(self._events)
             action()
         granted = len(self._latencies_s)
-        return PathReport(granted, self._denied, self._index, self._latencies_s)
+        return PathReport(granted, self._denied, self._last_index, self._latencies_s)
 
     def _call_at(self, due: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (due, next(self._numbers), action))
 
     def _create_ask(self, ticket: int, due: float) -> Callable[[], None]:
         key = LedgerKey("organisation", f"key-{ticket}")
-        ask = AskClaim(ticket, key, FINGERPRINT, due + DEADLINE_S)
+        ask = ClaimRequest(ticket, key, FINGERPRINT, due + DEADLINE_S)
         return lambda: self._handle_client(self._client.handle(ask, self._now))
 
     def _handle_client(self, outputs: tuple[ClientOutput, ...]) -> None:
@@ -96,7 +96,7 @@
                 self._settle_later(output)
 
     def _settle_later(self, granted: ClaimGranted) -> None:
-        settle = AskSettle(granted.claim_id, Ran.RAN, 200)
+        settle = SettleRequest(granted.claim_id, Ran.RAN, 200)
         self._call_at(
             self._now + WORK_S,
             lambda: self._handle_client(self._client.handle(settle, self._now)),
@@ -120,8 +120,8 @@
     def _propose(self, entry: ProposeEntry) -> None:
         synced_at = max(self._now, self._disk_free_at) + self._delays.sync_s
         self._disk_free_at = synced_at
-        self._index += 1
-        index = self._index
+        self._last_index += 1
+        index = self._last_index
         self._call_at(
             synced_at + self._delays.to_majority_s, lambda: self._commit(entry, index)
         )
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -1,4 +1,7 @@
-"""Replicated state machine of the tables; apply is deterministic."""
+"""Replicated state machine of the tables.
+
+Every replica applies the same commands with the same result.
+"""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -11,11 +14,15 @@
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 from pimentobend_core._internal.configuration.messages import WholeTables
-from pimentobend_core._internal.configuration.service_messages import ChangeAsked
 from pimentobend_core._internal.configuration.service_messages import NextLabel
+from pimentobend_core._internal.configuration.service_messages import (
+    TablesChangeRequest,
+)
 from pimentobend_core._internal.configuration.versioned import VersionedTables
 
-MAX_ANSWERS = 4096  # by change id; resending an older change gives a conflict
+# Number of change ids whose answer is kept. A resent change that is older gets a
+# conflict.
+MAX_ANSWERS = 4096
 
 
 class CachedAnswer(NamedTuple):
@@ -54,23 +61,23 @@
         """Return the first answer to a change id, or None if it is not known."""
         return self._answers.get(change_id)
 
-    def build_delta(self, asked: ChangeAsked) -> TablesDelta:
+    def build_delta(self, request: TablesChangeRequest) -> TablesDelta:
         """Return the delta from the tables in force to those that a change requests."""
         tables = self._tables
-        if asked.removals is None:
-            delta = tables.diff(asked.routes, asked.pools)
-            limits = asked.limits
+        if request.removals is None:
+            delta = tables.diff(request.routes, request.pools)
+            limits = request.limits
         else:
-            removals = asked.removals
+            removals = request.removals
             delta = TablesDelta(
                 tables.version,
-                asked.routes,
+                request.routes,
                 removals.routes,
-                asked.pools,
+                request.pools,
                 removals.pools,
             )
-            limits = asked.limits or tables.limits
-        label = 0 if asked.label is None else asked.label.number
+            limits = request.limits or tables.limits
+        label = 0 if request.label is None else request.label.number
         return delta._replace(limits=limits, label=label)
 
     def is_valid(self, delta: TablesDelta, label: NextLabel | None) -> bool:
@@ -93,8 +100,15 @@
 
     def _find_used_pools(self, delta: TablesDelta) -> set[str]:
         """Return the pools that the routes use once a delta is applied."""
-        gone = {*delta.removed_routes, *(route.name for route in delta.routes)}
-        kept = [each for each in self._tables.routes() if each.name not in gone]
+        replaced_or_removed = {
+            *delta.removed_routes,
+            *(route.name for route in delta.routes),
+        }
+        kept = [
+            each
+            for each in self._tables.routes()
+            if each.name not in replaced_or_removed
+        ]
         names: set[str] = set()
         for route in (*kept, *delta.routes):
             names.update(split.pool for split in route.splits)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -4,22 +4,22 @@
 
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.messages import Declined
-from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.ports import AttemptResult
 
 
 class HostDecided(NamedTuple):
-    """A decision or an outcome at the daemon beside a server."""
+    """A decision or an outcome at the daemon that a server is registered with."""
 
     action: str  # call-started, call-ended, declined or joined
     attempt_id: str
-    detail: Submit | Declined | Joined | AttemptResult
+    detail: Submit | Declined | DuplicateSubmission | AttemptResult
 
 
 class AttemptSent(NamedTuple):
-    """The origin of a request sent an attempt."""
+    """The origin, the daemon that received a request, sent an attempt of it."""
 
     request_id: str
     attempt_id: str
@@ -33,7 +33,7 @@
 
     request_id: str
     attempt_id: str
-    attempted: AttemptResult
+    result: AttemptResult
 
 
 class DeliveryHeld(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -17,10 +17,12 @@
 HEALTHY_ERROR_SHARE = 0.02  # share of requests that fail at a healthy server
 INITIAL_RISK = 0.1  # risk of a server that has answered nothing yet
 MIN_SURVIVAL = 0.002  # floor that bounds the evidence of one unanswered request
-WINDOW_S = 15.0  # older requests are folded into the prior
-MAX_OBSERVATIONS = 128  # requests
-_RATE = FAILURES_PER_S + RECOVERIES_PER_S  # at which old evidence decays
-_STEADY_RISK = FAILURES_PER_S / _RATE  # without any evidence
+# Requests older than the window, and the oldest beyond this number, are merged into
+# the prior risk.
+WINDOW_S = 15.0
+MAX_OBSERVATIONS = 128
+_DECAY_RATE_PER_S = FAILURES_PER_S + RECOVERIES_PER_S  # of old evidence
+_STEADY_RISK = FAILURES_PER_S / _DECAY_RATE_PER_S  # risk without any evidence
 
 # Maps a duration in s to the share of requests that take longer.
 Survival = Callable[[float], float]
@@ -52,21 +54,22 @@
     """The evidence on one server, and the risk that follows from it."""
 
     def __init__(self, now: float) -> None:
+        # The risk before the oldest observation, and the time that it applies to.
         self._prior_at = now
         self._prior_risk = INITIAL_RISK
         self._observations: deque[_Observation] = deque()
-        self._open: dict[str, _Observation] = {}
+        self._unanswered: dict[str, _Observation] = {}
 
     def record_sent(self, request_id: str, survival: Survival, now: float) -> None:
         """Record a request that is sent now."""
         observation = _Observation(now, survival)
-        self._open[request_id] = observation
+        self._unanswered[request_id] = observation
         self._observations.append(observation)
-        self._fold_old(now)
+        self._merge_old(now)
 
     def record_end(self, request_id: str, now: float, *, is_good: bool | None) -> None:
         """Record the end of a request; ``is_good`` is None if it was given up."""
-        observation = self._open.pop(request_id, None)
+        observation = self._unanswered.pop(request_id, None)
         if observation is not None:
             observation.ended_at = now
             observation.is_good = is_good
@@ -74,13 +77,13 @@
     def risk(self, now: float) -> float:
         """Return the probability that the server is in its failing state now."""
         risk = self._prior_risk
-        at = self._prior_at
+        risk_at = self._prior_at  # time that ``risk`` applies to
         for observation in self._observations:
-            risk = _relax(risk, observation.sent_at - at)
-            at = observation.sent_at
+            risk = _approach_steady_risk(risk, observation.sent_at - risk_at)
+            risk_at = observation.sent_at
             odds = observation.likelihood_ratio(now) * risk / (1.0 - risk)
             risk = min(0.999, odds / (1.0 + odds))
-        return _relax(risk, now - at)
+        return _approach_steady_risk(risk, now - risk_at)
 
     def idle_s(self, now: float) -> float:
         """Return how long ago the newest request was sent, in seconds."""
@@ -89,18 +92,20 @@
         )
         return now - newest
 
-    def _fold_old(self, now: float) -> None:
-        """Fold observations that are too old or too many into the prior risk."""
+    def _merge_old(self, now: float) -> None:
+        """Merge observations that are too old or too many into the prior risk."""
         while len(self._observations) > MAX_OBSERVATIONS or (
             self._observations and now - self._observations[0].sent_at > WINDOW_S
         ):
             old = self._observations.popleft()
-            risk = _relax(self._prior_risk, old.sent_at - self._prior_at)
+            risk = _approach_steady_risk(self._prior_risk, old.sent_at - self._prior_at)
             odds = old.likelihood_ratio(now) * risk / (1.0 - risk)
             self._prior_risk = min(0.999, odds / (1.0 + odds))
             self._prior_at = old.sent_at
 
 
-def _relax(risk: float, seconds: float) -> float:
-    """Return a risk after ``seconds`` without evidence; it tends to the steady one."""
-    return _STEADY_RISK + (risk - _STEADY_RISK) * math.exp(-_RATE * max(0.0, seconds))
+def _approach_steady_risk(risk: float, seconds: float) -> float:
+    """Return a risk after ``seconds`` without evidence; it tends to _STEADY_RISK."""
+    return _STEADY_RISK + (risk - _STEADY_RISK) * math.exp(
+        -_DECAY_RATE_PER_S * max(0.0, seconds)
+    )
--- a/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/client_messages.py
@@ -1,4 +1,7 @@
-"""Define the messages of the ledger's client in a daemon."""
+"""Define the messages of the ledger's client in a daemon.
+
+A ticket is the number that a request and its answer share.
+"""
 
 from typing import NamedTuple
 
@@ -13,7 +16,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 
 
-class AskClaim(NamedTuple):
+class ClaimRequest(NamedTuple):
     """Ask for a claim; the answer has the same ``ticket``.
 
     ``deadline`` is in seconds of the clock.
@@ -21,11 +24,11 @@
 
     ticket: int
     key: LedgerKey
-    fingerprint: bytes
+    fingerprint: bytes  # distinguishes requests with the same key
     deadline: float
 
 
-class AskSettle(NamedTuple):
+class SettleRequest(NamedTuple):
     """Ask to record the outcome of a granted claim."""
 
     claim_id: ClaimId
@@ -33,7 +36,7 @@
     status: int
 
 
-class AskLookUp(NamedTuple):
+class LookUpRequest(NamedTuple):
     """Ask what the ledger knows about a key."""
 
     ticket: int
@@ -51,14 +54,14 @@
 
 
 class ClaimGranted(NamedTuple):
-    """Grant a claim: the work of the ticket may be sent once."""
+    """Grant a claim: the request that the ticket is for may be sent once."""
 
     ticket: int
     claim_id: ClaimId
 
 
 class ClaimDenied(NamedTuple):
-    """Deny a claim: the work of the ticket must not be sent."""
+    """Deny a claim: the request that the ticket is for must not be sent."""
 
     ticket: int
     refusal: Refusal
@@ -79,11 +82,11 @@
     request: LedgerRequest
 
 
-def create_ask(ticket: int, head: RequestHead, key: str) -> AskClaim:
+def create_claim_request(ticket: int, head: RequestHead, key: str) -> ClaimRequest:
     """Return the claim to ask for before a request with an idempotency key."""
     ledger_key = LedgerKey(head.organisation, key)
-    return AskClaim(ticket, ledger_key, fingerprint_request(head), head.deadline)
+    return ClaimRequest(ticket, ledger_key, fingerprint_request(head), head.deadline)
 
 
-ClientInput = AskClaim | AskSettle | AskLookUp | ReplyArrived | ClientTick
+ClientInput = ClaimRequest | SettleRequest | LookUpRequest | ReplyArrived | ClientTick
 ClientOutput = ClaimGranted | ClaimDenied | LookedUp | SendRequest
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -43,7 +43,8 @@
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
-CLAIM_TIMEOUT_S = 5.0  # to record the outcomes of claims before the end
+# Longest wait at shutdown until the ledger has recorded the outcomes of claims.
+CLAIM_TIMEOUT_S = 5.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -140,7 +141,7 @@
         for kind in SPREAD_KINDS:
             self._router.register(kind, self._spread.handle_frame)
         self._router.register(KIND_SPREAD, self._membership.handle_frame)
-        self._router.register(KIND_REPLY, self._ledger.take_frame)
+        self._router.register(KIND_REPLY, self._ledger.handle_frame)
         if self._control is not None:
             self._control.register(self._router)
         if self._instance is not None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -22,10 +22,10 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
 from pimentobend_core._internal.configuration.service import ConfigurationService
-from pimentobend_core._internal.configuration.service_messages import ChangeReplied
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesAccepted
+from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
 from pimentobend_core._internal.consensus.formation import first_members
@@ -50,11 +50,15 @@
 KIND_CANDIDATE = "candidate"
 SUPERVISE_INTERVAL_S = 0.25
 CANDIDATE_INTERVAL_S = 0.5
-LEADERLESS_TIMEOUT_S = 1.0  # without a leader, a replica may have been removed
+# A replica that has had no leader for longer may have been removed.
+LEADERLESS_TIMEOUT_S = 1.0
 
 
 class FleetControl:
-    """Runs a replica, the service in front of it and the supervisor of the cluster."""
+    """Runs a replica, the service in front of it and the supervisor of the cluster.
+
+    ``founders`` are the addresses whose replicas form the cluster at its first start.
+    """
 
     def __init__(
         self,
@@ -118,7 +122,7 @@
         ]
 
     def stop(self) -> None:
-        """Stop the tasks; whatever the replica acknowledged is on its disk."""
+        """Stop the tasks; all that the replica acknowledged is on disk already."""
         for greenlet in self._greenlets:
             greenlet.kill()
         self._replica.stop()
@@ -199,7 +203,7 @@
 
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
-            case ChangeReplied() | TablesRead():
+            case TablesChangeReply() | TablesRead():
                 self.leader_client.put(output)
             case TablesAccepted():
                 message = Deltas(output.deltas)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -21,7 +21,7 @@
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobend_core._internal.gossip.codec import decode_message
@@ -59,15 +59,22 @@
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
-SETTINGS_POLL_S = 1.0  # the file is also reloaded without SIGHUP
+SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
-UNREADY_NOTICE_S = 2.6  # until all readiness probes have seen the change
-KILL_MARGIN_S = 0.8  # end this long before the process is killed
-REFUSE_MARGIN_S = 0.4  # before that end, for refusals to reach their callers
+# After this time, every readiness probe has seen that the daemon is stopping.
+UNREADY_NOTICE_S = 2.6
+KILL_MARGIN_S = 0.8  # the daemon ends this long before the platform kills it
+# Requests that still wait this long before that end are refused, so that the
+# refusals reach their callers.
+REFUSE_MARGIN_S = 0.4
 
 
 class FleetDaemon:
-    """Creates, starts and stops the parts of one process."""
+    """Creates, starts and stops the parts of one process.
+
+    Daemons learn of each other by gossip. Each one publishes a row that describes
+    its process and its backend servers.
+    """
 
     def __init__(
         self, file: SettingsFile, settings: FleetSettings, dialect: Dialect
@@ -97,7 +104,7 @@
             GossipNode(self._own_row, settings.seeds, self._process_id),
             CallOutlet(self._handle_gossip_output),
             self._clock,
-            Ticking(TICK_S, GossipTick()),
+            PeriodicMessage(TICK_S, GossipTick()),
         )
         self._spread = FleetTables(self._link, self._tables.put, self._clock)
         self._control = self._create_control()
@@ -288,7 +295,7 @@
         self._counters.count(event.replace("-", "_"))
         self._log.info(event, peer=output.address)
         if self._instance is not None:
-            self._instance.bid_collector.follow_reachability(
+            self._instance.bid_collector.update_reachability(
                 output.address, is_reachable=output.is_reachable
             )
 
@@ -333,7 +340,10 @@
         )
 
     def _drain(self, instance: FleetInstance, stop_began_at: float) -> None:
-        """Serve until readiness probes have noticed and nothing is in flight."""
+        """Serve until probes have noticed the stop and no request is in flight.
+
+        Requests still in flight shortly before the end of the grace period are cut off.
+        """
         min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
         max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
         is_refusing = False
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -57,7 +57,7 @@
 
     @abc.abstractmethod
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that stops."""
+        """Remove a server that is shutting down."""
 
 
 class Dialect(abc.ABC):
@@ -72,7 +72,8 @@
     def create_servers(self, servers: ServersPort, beside: str) -> Application:
         """Return the interface for announcements.
 
-        If ``beside`` is not empty, it is the only address that may be announced.
+        If ``beside`` is not empty, it is the address of the backend server on the
+        daemon's machine, and the only one that may be announced.
         """
 
     @abc.abstractmethod
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -1,4 +1,8 @@
-"""Log and count the forwarding decisions and the requests that ended."""
+"""Log and count the forwarding decisions and the requests that ended.
+
+The daemon that a caller sends a request to is its origin; a daemon that sends an
+attempt of it to a backend server on its own machine is a host.
+"""
 
 from typing import Any
 
@@ -12,7 +16,7 @@
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import Declined
-from pimentobend_core._internal.forwarding.messages import Joined
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -35,7 +39,7 @@
             case AttemptSent():
                 self._write_sent(message)
             case AttemptJudged():
-                result = message.attempted
+                result = message.result
                 self._counters.count("attempts", result.kind.value)
                 self._counters.time("attempt", result.latency_s)
                 self._log.info(
@@ -91,7 +95,7 @@
         self,
         action: str,
         attempt_id: str,
-        detail: Submit | Declined | Joined | AttemptResult,
+        detail: Submit | Declined | DuplicateSubmission | AttemptResult,
     ) -> None:
         values: dict[str, Any] = {}
         match detail:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -30,7 +30,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
@@ -78,7 +78,7 @@
             ServerRegistry(address, epoch, unique_addresses=True),
             CallOutlet(self._handle_registry_output),
             HubClock(),
-            Ticking(REGISTRY_TICK_S, RegistryTick()),
+            PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
@@ -93,7 +93,7 @@
         return Success(None)
 
     def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that stops."""
+        """Remove a server that is shutting down."""
         self._replies.ask(
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
@@ -106,7 +106,7 @@
 
 
 class InstancePorts(NamedTuple):
-    """What the role uses of the rest of the process."""
+    """Values, tasks and functions of the process that the role instance uses."""
 
     dialect: Dialect
     process_id: int
@@ -121,7 +121,11 @@
 
 
 class FleetInstance:
-    """Runs the tasks between callers, other daemons and the local servers."""
+    """Serves callers, other daemons' attempts and the local servers' announcements.
+
+    As the origin of a caller's request, the daemon asks hosts for bids and sends
+    attempts to them. As a host, it runs attempts on its local backend servers.
+    """
 
     def __init__(self, settings: FleetSettings, ports: InstancePorts) -> None:
         assert settings.callers and settings.forward and settings.servers
@@ -157,13 +161,13 @@
         )
         self._deliveries = DeliveryFilter(delivery)
         pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
-        terms = FrontOptions(
+        options = FrontOptions(
             names,
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
             watches_callers=True,
         )
-        self.front = CallerFront(pipe, clock, ports.requests, terms)
+        self.front = CallerFront(pipe, clock, ports.requests, options)
         idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
@@ -181,10 +185,10 @@
 
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
-        self.bid_collector.follow_peers(peers)
+        self.bid_collector.update_peers(peers)
         services = [each.service for row in peers for each in row.servers]
         services += [server.service for server in self._servers.values()]
-        self.host.follow_sizes(ServiceSizes(tuple(Counter(services).items())))
+        self.host.update_service_sizes(ServiceSizes(tuple(Counter(services).items())))
 
     def start(self) -> None:
         """Start the tasks, then the listeners."""
@@ -195,12 +199,12 @@
 
     def stop_accepting(self) -> None:
         """Decline work for the local servers; close connections after a response."""
-        self.host.stop_taking()
+        self.host.start_draining()
         self.front.stop()
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that have not reached a server."""
-        self._deliveries.end_waiting()
+        self._deliveries.cancel_unsent()
 
     def close(self) -> None:
         """Close the listeners."""
@@ -209,9 +213,9 @@
 
     def register(self, router: FrameRouter) -> None:
         """Register the handlers of the frames between origins and hosts."""
-        router.register(KIND_ASK, self.bid_collector.take_ask)
-        router.register(KIND_BIDS, self.bid_collector.take_bids)
-        router.register(KIND_WITHDRAW, self.host.take_withdraw)
+        router.register(KIND_ASK, self.bid_collector.handle_ask)
+        router.register(KIND_BIDS, self.bid_collector.handle_bids)
+        router.register(KIND_WITHDRAW, self.host.handle_withdraw)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -17,7 +17,7 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_adapters._internal.traffic import TrafficTasks
 from pimentobend_core._internal.membership.messages import DrainReplied
 from pimentobend_core._internal.membership.messages import DrainServer
@@ -64,8 +64,9 @@
 class InstanceRole:
     """Serves callers' requests and the announcements of backend servers.
 
-    Changes of servers pass through a pipe of tasks: registry, spread, view,
-    pools, traffic.
+    Changes of servers pass through a pipe of tasks: the registry of announcements,
+    the spread tree, the view of the fleet's servers, the pools, and the traffic
+    of each pool.
     """
 
     def __init__(
@@ -101,7 +102,7 @@
             ServerRegistry(link.address, epoch),
             CallOutlet(self._handle_registry_output),
             clock,
-            Ticking(REGISTRY_TICK_S, RegistryTick()),
+            PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
         pipe = build_request_pipe(
             RequestPorts(
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -1,4 +1,9 @@
-"""Run the spread tree and the view of the fleet's servers that it carries."""
+"""Distribute the changes of backend servers to all processes of the fleet.
+
+Rows, each of which describes one server, travel through the spread tree: clients
+send them to relays, which exchange them with the root. Each process builds its
+view, the list of the fleet's servers, from the rows that it receives.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -7,7 +12,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import Ticking
+from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServiceChanged
@@ -46,7 +51,8 @@
     """Runs this process's node of the spread tree and its view of the fleet.
 
     A control instance is a relay, and the root while it leads; any other
-    process is a client of the tree. Ids in the tree are link addresses.
+    process is a client of the tree. Ids in the tree are link addresses. The
+    ``parents`` are the nodes that this one may follow, the preferred one first.
     """
 
     def __init__(
@@ -66,14 +72,14 @@
             _create_node(link.address, epoch, parents, is_relay),
             CallOutlet(self._handle_output),
             clock,
-            Ticking(SPREAD_TICK_S, SpreadTick()),
+            PeriodicMessage(SPREAD_TICK_S, SpreadTick()),
         )
         self._view: FilterTask[ViewInput, ServiceChanged] = FilterTask(
             "view",
             MembershipView(),
             CallOutlet(self._notify_subscribers),
             clock,
-            Ticking(VIEW_TICK_S, ViewTick()),
+            PeriodicMessage(VIEW_TICK_S, ViewTick()),
         )
 
         self._pools: FilterTask[PoolServersInput, PoolServersChanged] = FilterTask(
--- a/tests/lib/ledger_simulation.py
+++ b/tests/lib/ledger_simulation.py
@@ -6,16 +6,16 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.ledger.client import LedgerClient
-from pimentobend_core._internal.ledger.client_messages import AskClaim
-from pimentobend_core._internal.ledger.client_messages import AskLookUp
-from pimentobend_core._internal.ledger.client_messages import AskSettle
 from pimentobend_core._internal.ledger.client_messages import ClaimDenied
 from pimentobend_core._internal.ledger.client_messages import ClaimGranted
+from pimentobend_core._internal.ledger.client_messages import ClaimRequest
 from pimentobend_core._internal.ledger.client_messages import ClientOutput
 from pimentobend_core._internal.ledger.client_messages import ClientTick
 from pimentobend_core._internal.ledger.client_messages import LookedUp
+from pimentobend_core._internal.ledger.client_messages import LookUpRequest
 from pimentobend_core._internal.ledger.client_messages import ReplyArrived
 from pimentobend_core._internal.ledger.client_messages import SendRequest
+from pimentobend_core._internal.ledger.client_messages import SettleRequest
 from pimentobend_core._internal.ledger.messages import ClaimId
 from pimentobend_core._internal.ledger.messages import LedgerKey
 from pimentobend_core._internal.ledger.service import LedgerService
@@ -33,16 +33,17 @@
 
 REPLICAS = ("replica-1", "replica-2", "replica-3")
 FINGERPRINT = b"p" * 8
-IDLE_TICKS = 14  # seconds; over two waits between retries of a settlement
+# Ticks of 1 s, for longer than two waits between the retries of a settlement.
+IDLE_TICKS = 14
 
 
 class WorkOutcome(enum.Enum):
-    """What happens to work that may be sent."""
+    """What happens to a request that a daemon may send to a server."""
 
     RAN = "ran"
-    REFUSED = "refused"  # the server states that it did not run
-    LOST_RAN = "lost-ran"  # no answer, and it ran
-    LOST_NOT_RUN = "lost-not-run"  # no answer, and it did not run
+    REFUSED = "refused"  # the server answers that the request did not run
+    LOST_RAN = "lost-ran"  # it ran, but no answer arrived
+    LOST_NOT_RUN = "lost-not-run"  # it did not run, and no answer arrived
     CRASH_BEFORE_SEND = "crash-before-send"
     CRASH_AFTER_SEND = "crash-after-send"
 
@@ -56,7 +57,7 @@
 
 
 class Granted(NamedTuple):
-    """Work that a daemon may send once."""
+    """A granted claim: the daemon may send its request once."""
 
     daemon: str
     claim_id: ClaimId
@@ -64,7 +65,7 @@
 
 
 class Pending(NamedTuple):
-    """An entry that the leader proposed."""
+    """An entry that the leader proposed and that is not committed yet."""
 
     proposal_id: int
     payload: bytes
@@ -99,19 +100,21 @@
         ticket = self._tickets
         self.keys[ticket] = key
         self.answers[ticket] = []
-        ask = AskClaim(ticket, LedgerKey("org", key), FINGERPRINT, self.now + wait_s)
+        ask = ClaimRequest(
+            ticket, LedgerKey("org", key), FINGERPRINT, self.now + wait_s
+        )
         self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return ticket
 
     def look_up(self, daemon: str, key: str) -> int:
         """Ask a daemon to look up a key; return the ticket."""
         self._tickets += 1
-        ask = AskLookUp(self._tickets, LedgerKey("org", key))
+        ask = LookUpRequest(self._tickets, LedgerKey("org", key))
         self._handle_client_outputs(daemon, self.daemons[daemon].handle(ask, self.now))
         return self._tickets
 
     def finish_work(self, granted: Granted, outcome: WorkOutcome) -> None:
-        """End work that was granted with the given outcome."""
+        """Let the request of a granted claim end with the given outcome."""
         self.granted.remove(granted)
         if outcome in (
             WorkOutcome.RAN,
@@ -122,12 +125,12 @@
         if outcome not in REPORTED_OUTCOMES:
             self.crash(granted.daemon)
             return
-        settle = AskSettle(granted.claim_id, REPORTED_OUTCOMES[outcome], 200)
+        settle = SettleRequest(granted.claim_id, REPORTED_OUTCOMES[outcome], 200)
         outputs = self.daemons[granted.daemon].handle(settle, self.now)
         self._handle_client_outputs(granted.daemon, outputs)
 
     def crash(self, daemon: str) -> None:
-        """Restart a daemon without its memory; work not yet sent is lost."""
+        """Restart a daemon without its memory; requests not yet sent are lost."""
         self._epochs[daemon] += 1
         self.daemons[daemon] = self._start(daemon)
         self.granted = [one for one in self.granted if one.daemon != daemon]
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -1,4 +1,4 @@
-"""Test which attempts the daemon beside a server starts, queues and declines."""
+"""Test which attempts the daemon of a server starts, queues and declines."""
 
 import pytest
 
@@ -12,16 +12,16 @@
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
+from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.forwarding.messages import HostInput
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
-from pimentobend_core._internal.forwarding.messages import Joined
 from pimentobend_core._internal.forwarding.messages import ServerListed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
-from pimentobend_core._internal.forwarding.messages import StopTaking
+from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
@@ -41,7 +41,7 @@
 
 
 class HostHarness:
-    """A host with one server, which has two slots unless said otherwise."""
+    """A host with one registered server, by default ``SERVER`` with two slots."""
 
     def __init__(self, server: Server = SERVER) -> None:
         self.host = ServerHost(7, TERMS)
@@ -91,16 +91,20 @@
         ],
         started("1", "2", "4"),
     ),
-    ("submitted twice", [submit("1"), submit("1")], [*started("1"), Joined("1")]),
+    (
+        "submitted twice",
+        [submit("1"), submit("1")],
+        [*started("1"), DuplicateSubmission("1")],
+    ),
     (
         "submitted again after its end",
         [submit("1"), ended("1"), submit("1")],
-        [*started("1"), Joined("1")],
+        [*started("1"), DuplicateSubmission("1")],
     ),
     (
         "late copy of a declined attempt",
         [ServerListed(DRAINING), submit("1"), ServerListed(SERVER), submit("1")],
-        [*declined("1", DeclineReason.DRAINING), Joined("1")],
+        [*declined("1", DeclineReason.DRAINING), DuplicateSubmission("1")],
     ),
     (
         "late copy of an attempt withdrawn while queued",
@@ -112,7 +116,11 @@
             ended("1"),
             submit("3"),
         ],
-        [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN), Joined("3")],
+        [
+            *started("1", "2"),
+            *declined("3", DeclineReason.WITHDRAWN),
+            DuplicateSubmission("3"),
+        ],
     ),
     (
         "draining declines queued attempts",
@@ -130,7 +138,7 @@
     ),
     (
         "stopping",
-        [StopTaking(), submit("1")],
+        [StartDraining(), submit("1")],
         declined("1", DeclineReason.DRAINING),
     ),
     (
@@ -193,7 +201,8 @@
     assert HostHarness().give(*messages) == outputs
 
 
-QUEUES = [  # target in s and rank of the queued attempts, in order of arrival
+# Name, (target in s, rank) of attempts "a" and "b", and the order in which they start.
+QUEUES = [
     ("in order of arrival", [(1.0, 1), (1.0, 1)], "ab"),
     ("the more urgent first", [(1.0, 1), (1.0, 0)], "ba"),
     ("a short call before long ones", [(2.0, 0), (0.2, 2)], "ba"),
@@ -224,7 +233,7 @@
     left_s: float, is_started: bool
 ) -> None:
     harness = HostHarness(SERVER._replace(slots=1))
-    for number in range(60):  # the route's answers take 1 s
+    for number in range(60):  # teach the host that the route's answers take 1 s
         harness.give(submit(f"{number}", deadline=999.0))
         harness.now += 1.0
         harness.give(ended(f"{number}"))
@@ -256,7 +265,7 @@
 ) -> None:
     harness = HostHarness(SERVER._replace(is_cold=is_cold, slots=6))
     harness.give(*(submit(f"{number}") for number in range(6)))
-    harness.now = 0.6  # half of a route's requests take 0.2 s at first
+    harness.now = 0.6  # three times the median that is assumed before any answer
     assert (harness.bid().bids[0].risk > 0.9) == is_doubtful
 
 
@@ -307,7 +316,7 @@
     harness.give(submit("1", deadline=1.0), ended("1"))
     harness.now = RECORD_RETENTION_S
     harness.give(HostTick())
-    assert harness.give(submit("1", deadline=90.0)) == [Joined("1")]
+    assert harness.give(submit("1", deadline=90.0)) == [DuplicateSubmission("1")]
     harness.now = RECORD_RETENTION_S + 2.0
     harness.give(HostTick())
     assert harness.host.dump()["attempts"] == 0
@@ -319,7 +328,7 @@
         ([], True),
         ([ServerListed(DRAINING)], False),
         ([ServerUnlisted("s")], False),
-        ([StopTaking()], False),
+        ([StartDraining()], False),
         ([submit("1"), ended("1", EndKind.UNREACHABLE)], False),
         ([submit("1"), ended("1", EndKind.FAILED)], True),
     ],
