--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/task.py
@@ -64,11 +64,13 @@
         while True:
             request = self._inbox.get()
             if isinstance(request, _LoadRequest):
-                self._reply(request.reply, self._disk.load, request.members)
+                self._execute_and_reply(request.reply, self._disk.load, request.members)
             else:
-                self._reply(request.reply, self._write_all, request.writes)
+                self._execute_and_reply(request.reply, self._write_all, request.writes)
 
-    def _reply(self, reply: Any, function: Callable[..., object], value: Any) -> None:
+    def _execute_and_reply(
+        self, reply: Any, function: Callable[..., object], value: Any
+    ) -> None:
         try:
             reply.send(eventlet.tpool.execute(function, value))
         except DiskError as error:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -1,6 +1,7 @@
 """Encode the headers in which daemons describe attempts to each other.
 
-A hop is an HTTP request from the origin of an attempt to the server's daemon.
+A hop is an HTTP request from the origin of an attempt (the daemon that received the
+caller's request) to the server's daemon.
 """
 
 from typing import NamedTuple
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/configuration_probes.py
@@ -1,4 +1,4 @@
-"""Probes that measure the compressed tables (routes and pools), and decoding them."""
+"""Probes that measure the compressed size and decoding time of routes and pools."""
 
 import zlib
 from collections.abc import Callable
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/health_probes.py
@@ -94,9 +94,9 @@
 
 def _make_report(number: int, servers: tuple[ServerEvidence, ...]) -> EvidenceReported:
     *_, pool = make_pools(number + 1)
-    asked_at = 12_345.678 + number * TICK_S
+    reported_at = 12_345.678 + number * TICK_S
     return EvidenceReported(
-        pool.name, pool.service, _OBSERVER, asked_at, 3, 1_000, servers
+        pool.name, pool.service, _OBSERVER, reported_at, 3, 1_000, servers
     )
 
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/page/budgets.py
@@ -1,4 +1,4 @@
-"""Comparison of the estimates with the budgets."""
+"""Compare the estimated use of each resource with its limit."""
 
 from typing import NamedTuple
 
@@ -214,19 +214,20 @@
 
 def _region_link(costs: Costs) -> Budget:
     other_region = DAEMONS / 2
+    # Bytes per second of each kind of traffic.
     reports = other_region * health_reports(costs).bytes_per_s
     polls = other_region * table_polls(costs).bytes_per_s
-    rows = REGION_RELAYS * (
+    relay_tree = REGION_RELAYS * (
         beacon_exchanges(costs).bytes_per_s + membership_events(costs).bytes_per_s
     )
     return Budget(
         "link between regions, normal hours, control traffic only",
-        (reports + polls + rows) * 8 / 1e6,
+        (reports + polls + relay_tree) * 8 / 1e6,
         REGION_LINK_BITS_PER_S / 1e6,
         "Mbit/s",
         "sum of both directions: health reports to the floor owner"
         f" {reports * 8 / 1e6:.1f}, polls sent to the control replicas if there are no"
-        f" relays {polls * 8 / 1e6:.1f}, the relay tree {rows * 8 / 1e6:.2f}",
+        f" relays {polls * 8 / 1e6:.1f}, the relay tree {relay_tree * 8 / 1e6:.2f}",
         "health reports only for pools whose evidence changed, combined by the"
         " region's relays",
     )
--- a/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
+++ b/packages/bench/src/pimentobend_bench/_internal/membership/spread_time.py
@@ -19,7 +19,7 @@
 SEED = 5
 DAEMONS = (50, 200, 600, 1800)
 SETTLE_S = 6.0  # simulated time before the fault
-FAILOVER_S = 3.0  # simulated time between the loss of the root and a new one
+FAILOVER_S = 3.0  # simulated time until another replica leads
 FAULT_LIMIT_S = 9.0  # target under a fault
 NO_FAULT_LIMIT_S = 3.0  # target without a fault
 RUN_LIMIT_S = 60.0
@@ -44,7 +44,7 @@
 
 
 def _lose_replica(fleet: Fleet) -> None:
-    """Stop the control replica that brings rows to the region without the root."""
+    """Stop the replica that passes changes on to the region without the leader."""
     fleet.stop("replica-1")
 
 
@@ -54,6 +54,7 @@
 
 
 def _lose_root(fleet: Fleet) -> None:
+    """Stop the leading replica, the root of the relay tree; then let another lead."""
     fleet.stop("replica-0")
     fleet.run(FAILOVER_S)
     fleet.lead("replica-2")
@@ -62,9 +63,9 @@
 FAULTS = (
     _Fault("none", NO_FAULT_LIMIT_S, _no_fault),
     _Fault("one relay", FAULT_LIMIT_S, _lose_relay),
-    _Fault("replica of a region", FAULT_LIMIT_S, _lose_replica),
+    _Fault("replica of other region", FAULT_LIMIT_S, _lose_replica),
     _Fault("both relays of a centre", FAULT_LIMIT_S, _lose_relays_of_a_data_centre),
-    _Fault("root, lost 3 s before", FAULT_LIMIT_S, _lose_root),
+    _Fault("root 3 s before the change", FAULT_LIMIT_S, _lose_root),
 )
 
 
@@ -78,12 +79,15 @@
     def run(self, args: Sequence[str]) -> Status:
         """Run with an optional seed."""
         seed = int(args[0]) if args else SEED
-        print(f"spread-time: seed {seed}; seconds until all daemons have a new row")
+        print(
+            f"spread-time: seed {seed};"
+            " seconds until a change is in force at all daemons"
+        )
         print(f"{'fault':26} {'limit':>6} " + " ".join(f"{n:>7}" for n in DAEMONS))
         status = Status.SUCCESS
         for fault in FAULTS:
             times = [_measure(fault, daemons, seed) for daemons in DAEMONS]
-            shown = " ".join("   none" if t is None else f"{t:7.1f}" for t in times)
+            shown = " ".join("timeout" if t is None else f"{t:7.1f}" for t in times)
             print(f"{fault.name:26} {fault.limit_s:6.0f} {shown}")
             if any(t is None or t > fault.limit_s for t in times):
                 status = Status.TARGET_MISSED
@@ -148,7 +152,7 @@
         fleet.publish(name, [row for row in rows if row.row_id.author == name])
     took_s = fleet.run_until(lambda: _have_all(fleet, names, rows), RESTART_LIMIT_S)
     if took_s is None:
-        return f"{'none':>7}"
+        return "timeout"
     control_rate = meter.maximum(TreeRole.REPLICA, TreeRole.RELAY) / took_s
     return f"{took_s:7.1f} {control_rate:20.0f} {meter.mean(TreeRole.DAEMON):11.0f}"
 
--- a/packages/bench/src/pimentobend_bench/_internal/traffic/baselines.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/baselines.py
@@ -1,4 +1,4 @@
-"""Baseline policies that balance load and queue as a plain proxy does."""
+"""Baseline policies for load balancing and queueing, as in a plain proxy."""
 
 from collections.abc import Mapping
 
--- a/packages/client/src/pimentobend/_internal/commands/story.py
+++ b/packages/client/src/pimentobend/_internal/commands/story.py
@@ -31,7 +31,7 @@
         lines = [format_line(line) for line in story.lines]
         if story.bad_lines:
             lines.append(
-                f"{story.bad_lines} lines of the files are truncated or no log lines"
+                f"{story.bad_lines} lines of the files are truncated or not log lines"
             )
         if not story.lines:
             lines.append(f"no log line of request {request_id!r}")
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings_file.py
@@ -36,5 +36,5 @@
         try:
             status = pathlib.Path(self._path).stat()
         except OSError:
-            return None  # the file is being replaced
+            return None  # missing (as while it is being replaced) or unreadable
         return _FileState(status.st_mtime_ns, status.st_size)
--- a/tests/lib/health_network.py
+++ b/tests/lib/health_network.py
@@ -33,7 +33,7 @@
 from pimentobend_core._internal.traffic.messages import ServersChanged
 
 OWNERS = ("o1", "o2")
-_ROUNDING = 1e-6
+_ROUNDING_TOLERANCE = 1e-6
 
 
 class _Delivery(NamedTuple):
@@ -54,7 +54,7 @@
         self.now = 0.0
         self.unhealthy: set[str] = set()
         self.cut_paths: set[tuple[str, str]] = set()
-        self.loss = 0.0  # share of messages lost, and of the others delivered twice
+        self.loss = 0.0  # share lost; the same share of the rest arrives twice
         self.delay_s = 0.0
         self.confirmed: str | None = None  # the owner that a majority confirms
         self.violations: list[str] = []
@@ -179,7 +179,7 @@
             )
         for daemon, weights in self._weights.items():
             capacity = count - sum(1 - weight for weight in weights.values())
-            if capacity < required - _ROUNDING:
+            if capacity < required - _ROUNDING_TOLERANCE:
                 self.violations.append(
                     f"{self.now} s: the weights in {daemon} add up to {capacity},"
                     f" below the required {required}"
--- a/tests/lib/memory_files.py
+++ b/tests/lib/memory_files.py
@@ -83,7 +83,7 @@
         self._files[name] = self._synced[name] = self._durable[name] = bytes(data)
 
     def _begin_operation(self) -> None:
-        """Count an operation; raise the crash or the fault that is set for it."""
+        """Count an operation; raise ``CrashError`` or ``OSError`` if it is to fail."""
         self.operations += 1
         if self.operations == self.crash_at:
             raise CrashError(f"simulated crash at operation {self.operations}")
--- a/tests/unit/fleet/test_logs.py
+++ b/tests/unit/fleet/test_logs.py
@@ -67,7 +67,7 @@
     assert result.returncode == 0
     assert "bid_age_ms=0.4" in result.stdout.splitlines()[0]
     assert result.stdout.splitlines()[-1] == (
-        "2 lines of the files are truncated or no log lines"
+        "2 lines of the files are truncated or not log lines"
     )
 
 
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -19,7 +19,8 @@
 
 
 # Name, outcomes of the requests at 0 s (True if answered, False if failed, None if
-# given up), time at which the risk is read in s, and the bounds that it must keep.
+# given up), time at which the risk is read in s, and the bounds that it must
+# lie within.
 CASES = [
     ("no evidence", [], 0.0, (INITIAL_RISK, INITIAL_RISK)),
     ("an answer", [True], 0.0, (0.0, 0.05)),
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -247,7 +247,7 @@
 
 
 GOOD_BODY = json.dumps(CONFIGURATION).encode()
-EMPTY = WholeTables((0, 0), b"", (), ())  # type: ignore[arg-type]
+EMPTY_TABLES = WholeTables((0, 0), b"", (), ())  # type: ignore[arg-type]
 CHANGES = [
     ("PUT", GOOD_BODY, ChangeOutcome.ACCEPTED, "200"),
     ("PUT", GOOD_BODY, ChangeOutcome.CONFLICT, "412"),
@@ -269,7 +269,7 @@
     assert call(application, method, "/-/config", data) == status
 
 
-@pytest.mark.parametrize(("tables", "status"), [(None, "503"), (EMPTY, "200")])
+@pytest.mark.parametrize(("tables", "status"), [(None, "503"), (EMPTY_TABLES, "200")])
 def test_reads(tables: WholeTables | None, status: str) -> None:
     port = FakeConfiguration(ChangeOutcome.ACCEPTED, tables)
     application = PlatformDialect().create_operators(port)
