Say in the last stops of the reading what is meant

A reader stumbled over phrases that had to be resolved (that of, those too late, of which), over bids, owners and final rows that the file did not explain, and over the names _forget_at, _may_offer, VERSION and Floor. The fault for an address in use named neither the address nor the server that is older.

--- a/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/figures.py
@@ -47,7 +47,7 @@
 
 
 class Stage(TypedDict):
-    """Resource usage of a process after a step; ``cpu_s`` is that of the step."""
+    """Resource usage of a process after a step; ``cpu_s`` was used during the step."""
 
     after: str  # name of the step
     private_bytes: int
@@ -58,8 +58,8 @@
 class WholeTableFigure(TypedDict):
     """Resource usage with the complete tables, step by step.
 
-    It is that of a real daemon, and of a process that loads the modules and the data
-    of a daemon one after the other.
+    ``daemon`` holds the usage of a real daemon, ``parts`` that of a process that loads
+    the modules and the data of a daemon one after the other.
     """
 
     daemon: list[Stage]
--- a/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/health/shapes.py
@@ -1,7 +1,7 @@
 """Sizes of the simulated fleets.
 
 Qalamkar and Kattevakt are the two platforms whose fleets are simulated; a number
-in a name is that of the service's servers.
+in a name is the number of servers of the service.
 """
 
 from typing import NamedTuple
@@ -17,7 +17,7 @@
     daemons: int
     rate: float  # requests per second, all daemons together
     service_s: float  # median service time
-    sigma: float  # of the logarithm of the service time
+    sigma: float  # standard deviation of the logarithm of the service time
     straggler_share: float  # share of the requests that take much longer
     straggler_ratio: float  # their service time relative to the usual one
     floor: float  # share of the servers that must stay in use
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -3,8 +3,9 @@
 An attempt is one try to run a request on a server. The daemon that a server is
 registered with is its host; the daemon that received the request is the origin,
 which submits attempts to the host and may submit the same one more than once.
-A repeat is a retry or a hedge: an attempt of a request that may already have
-reached a server.
+A repeat is a further attempt of a request (a retry or a hedge), made when an earlier
+attempt may already have reached a server. A bid tells the
+origin how soon a server could run an attempt, and with what risk.
 """
 
 import enum
@@ -41,7 +42,7 @@
 from pimentobend_core._internal.traffic.shared_budget import ServerBudget
 
 QUEUE_LIMIT = 128  # queued attempts per server
-# At the rate that a daemon is designed for, 10,000 attempts arrive within 42 s.
+# Twice the 10,000 attempts that arrive within 42 s at a daemon's design rate.
 RECORDS_LIMIT = 20_000  # attempts
 # How long a record is kept after its attempt's deadline, because a delayed copy of
 # the submission may still arrive and must not run.
@@ -54,7 +55,7 @@
 # An attempt is declined if less than this share of its route's median answer time is
 # left before the deadline, as hardly any answer takes less.
 MIN_TIME_SHARE = 0.5
-UNREACHABLE_S = 0.5  # how long no bids are made for a server that was unreachable
+UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
 
 
 class _Phase(enum.Enum):
@@ -93,7 +94,7 @@
 
     @property
     def slowdown(self) -> float:
-        """Return the answer time now as a multiple of that of the warmed-up server."""
+        """Return how many times as long as a warmed-up server this one takes now."""
         return COLD_MULTIPLE if self.server.is_cold else 1.0
 
     def survival(self, submit: Submit) -> Survival:
@@ -169,11 +170,11 @@
         bids = tuple(
             self._make_bid(hosted, ask.route, now)
             for hosted in self._servers.values()
-            if hosted.server.service == ask.service and self._may_offer(hosted, now)
+            if hosted.server.service == ask.service and self._may_bid(hosted, now)
         )
         return Bids(ask.token, self._process_id, bids)
 
-    def _may_offer(self, hosted: _HostedServer, now: float) -> bool:
+    def _may_bid(self, hosted: _HostedServer, now: float) -> bool:
         if self._is_stopping or not hosted.is_ready:
             return False
         return now >= hosted.unreachable_until and len(hosted.backlog) < QUEUE_LIMIT
@@ -242,7 +243,10 @@
     def _start_queued(
         self, hosted: _HostedServer, now: float
     ) -> tuple[HostOutput, ...]:
-        """Start queued attempts while slots are free; decline those too late."""
+        """Start queued attempts while slots are free; decline late ones.
+
+        An attempt is late if hardly any answer would come before its deadline.
+        """
         outputs: list[HostOutput] = []
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -38,8 +38,8 @@
     """Lease of one server.
 
     ``until`` is when a live server's lease expires, or when the record of a
-    withdrawn or expired server is deleted, in seconds of the ``now`` that is
-    passed to ``handle``.
+    withdrawn or expired server is deleted, on the same clock as the ``now`` of
+    ``handle``.
     """
 
     server: Server
@@ -83,7 +83,10 @@
                 return expired
 
     def events(self) -> tuple[ServerEvent, ...]:
-        """Return a new event for every server, ended ones too, to publish all again."""
+        """Return a new event for every server, also the withdrawn and expired ones.
+
+        Publishing them repeats the state of all servers.
+        """
         return tuple(
             self._create_event(lease.presence, lease.server)
             for lease in list(self._leases.values())
@@ -153,7 +156,11 @@
             if _has_same_address(lease.server, server)
             and lease.server.incarnation > server.incarnation
         ]
-        return tuple(f"address: used by {each}, which started later" for each in later)
+        return tuple(
+            f"address: {server.host}:{server.port} is used by {each}, which started"
+            f" later than {server.server_id}"
+            for each in later
+        )
 
     def _replace_at_address(self, server: Server, now: float) -> list[RegistryOutput]:
         if not self._unique_addresses:
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/relay.py
@@ -41,7 +41,7 @@
 FLUSH_INTERVAL_S = 0.2  # rows that arrive within this time share a message
 FLUSH_BYTES = 500_000  # limit for one flush to all children together
 BEACON_S = 0.5  # interval of beacons to children
-FINAL_ROWS_CHECK_S = 60.0  # interval at which the root drops old final rows
+FINAL_ROWS_CHECK_S = 60.0  # interval at which the root drops old tombstones
 ORPHAN_CHECK_S = 2.0  # interval at which the root looks for children of lost relays
 BUSY_PEERS = 3  # number of peers named in a Busy message
 
@@ -74,7 +74,7 @@
         self._flushed_position = self._store.position  # sent to children up to here
         self._flush_at = 0.0
         self._beacon_at = 0.0
-        self._forget_at = 0.0
+        self._final_rows_check_at = 0.0
         self._orphans = OrphanFinder(self._store, instance_id)
         self._orphans_at = 0.0
 
@@ -254,8 +254,8 @@
         if self._is_root and now >= self._orphans_at:
             self._orphans_at = now + ORPHAN_CHECK_S
             outputs += self._handle_publish(self._orphans.find(now), now)
-        if self._is_root and now >= self._forget_at:
-            self._forget_at = now + FINAL_ROWS_CHECK_S
+        if self._is_root and now >= self._final_rows_check_at:
+            self._final_rows_check_at = now + FINAL_ROWS_CHECK_S
             self._store.forget(self._store.find_floor(now))
         return outputs
 
@@ -297,7 +297,7 @@
         return Beacon(store.position, store.base, store.digest, store.floor, pulse)
 
     def _periodic_beacon(self) -> Beacon:
-        """Return a beacon, without a position while rows wait to be flushed."""
+        """Return a beacon; its row number is 0 while rows wait to be flushed."""
         beacon = self._beacon()
         if self._flushed_position == beacon.position:
             return beacon
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -34,7 +34,7 @@
     "tables.current": Current,
 }
 _KINDS_BY_TYPE = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
-KINDS = frozenset(MESSAGE_TYPES)
+KINDS = frozenset(MESSAGE_TYPES)  # of the frames that ``handle_frame`` accepts
 
 
 def frame_kind(message: SpreadMessage) -> str:
@@ -71,7 +71,8 @@
     def handle_frame(self, frame: Frame) -> None:
         """Handle another daemon's frame; raise ``FrameError`` if it is refused.
 
-        Refused are malformed frames, and tables from a daemon that is no source.
+        Malformed frames are refused, and so are tables from a daemon that is not a
+        source.
         """
         try:
             message = decode(frame.payload, MESSAGE_TYPES[frame.kind])
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -23,8 +23,8 @@
 from pimentobendd._internal.interfaces.replies import write_reply
 from pimentobendd._internal.keys import is_authorized
 
-CHANGE_ID = re.compile(r"[!-~]{1,64}")
-VERSION = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
+CHANGE_ID_PATTERN = re.compile(r"[!-~]{1,64}")
+VERSION_PATTERN = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
 
 Query = Mapping[str, str]
 QueryHandler = Callable[[Query], Reply]
@@ -82,9 +82,9 @@
                 f"Content-Length {environ.get('CONTENT_LENGTH')!r} is malformed,"
                 f" above {MAX_DOCUMENT_BYTES} or more than the body has",
             )
-        version = VERSION.fullmatch(query.get("version", ""))
+        version = VERSION_PATTERN.fullmatch(query.get("version", ""))
         change_id = query.get("change", "")
-        if version is None or not CHANGE_ID.fullmatch(change_id):
+        if version is None or not CHANGE_ID_PATTERN.fullmatch(change_id):
             hint = "set version=<term>.<index> and change=<id of 1 to 64 characters>"
             return make_error(
                 400,
--- a/tests/lib/scenario/actions.py
+++ b/tests/lib/scenario/actions.py
@@ -79,7 +79,10 @@
 
 
 class CutAction(Action):
-    """Block messages on a path in one direction."""
+    """Block messages on a path in one direction.
+
+    An owner is a control replica, which may be the floor owner.
+    """
 
     usage = "cut <daemons> from server <n> | cut <daemons> to|from owner <replica|all>"
 
@@ -138,7 +141,7 @@
     usage = "silence <daemons> server <n>"
 
     def apply(self, world: World, words: Words) -> None:
-        """Lose the open connections, of which the daemons are not notified."""
+        """Lose the open connections without notifying the daemons."""
         for daemon in world.daemons(words[0]):
             for server_id in world.server_ids(words[2]):
                 world.fleet.lose_connections(daemon, server_id)
--- a/tests/lib/scenario/conditions.py
+++ b/tests/lib/scenario/conditions.py
@@ -22,12 +22,12 @@
 
 
 class Ejected(Condition):
-    """Each of the servers, or any of them, has the weight 0 in some daemon."""
+    """Each server has the weight 0 in some daemon; with ``any``, at least one has."""
 
     usage = "ejected [any] <n|n-m|all>"
 
     def holds(self, world: World, words: Words) -> bool:
-        """Return whether the weights in all daemons meet the condition."""
+        """Return whether the named servers, or any of them, are ejected."""
         is_any = words[0] == "any"
         states = [
             self._is_ejected(world, server_id)
@@ -69,7 +69,7 @@
         )
 
 
-class Floor(Condition):
+class FloorKept(Condition):
     """Ejections have always left as many servers in use as the floor requires."""
 
     usage = "floor"
@@ -83,7 +83,7 @@
     "ejected": Ejected(),
     "avoided": Avoided(),
     "in-use": InUse(),
-    "floor": Floor(),
+    "floor": FloorKept(),
 }
 
 
