Start no queued work that outlasts a stopping daemon

What callers saw: bookings ended 502, "unknown", up to 8.6 s after they were sent (LOST: given up while their server was at work).

Cause: after SIGTERM the daemon beside a server declined new attempts, but went on starting those in its queue until its end, and then cut them off.

Change: queued attempts start only if they will probably have ended by the time at which readiness probes have noticed the stop; the others are declined at once, as not run, and their origins place them elsewhere. So a queue does not prolong a stop either, and a slow answer has the rest of the grace time.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -116,9 +116,9 @@
         self._task.start()
         eventlet.spawn_n(self._expire)
 
-    def start_draining(self) -> None:
-        """Decline all further attempts."""
-        self._task.put(StartDraining())
+    def start_draining(self, finish_by: float) -> None:
+        """Decline further attempts, and queued ones that would end too late."""
+        self._task.put(StartDraining(finish_by))
 
     def update_service_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -72,6 +72,7 @@
         self._records: dict[str, AttemptRecord] = {}
         self._submissions = 0  # attempts that were queued so far
         self._is_stopping = False
+        self._finish_by = math.inf  # what is still queued then must not start
         self._local_failure_at = -math.inf  # when a local client's request failed
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
@@ -85,6 +86,8 @@
                 return self._handle_call_ended(message, now)
             case Withdraw():
                 return self._withdraw(message)
+            case StartDraining():
+                return self._start_draining(message, now)
             case ServerListed():
                 return self._update_server(message.server, now)
             case ServerUnlisted():
@@ -113,11 +116,9 @@
         }
 
     def _update_state(
-        self, message: StartDraining | ServiceSizes | LocalRequestFailed, now: float
+        self, message: ServiceSizes | LocalRequestFailed, now: float
     ) -> None:
         match message:
-            case StartDraining():
-                self._is_stopping = True
             case ServiceSizes():
                 self._service_sizes = dict(message.servers)
             case LocalRequestFailed():
@@ -205,8 +206,9 @@
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
             submit = record.submit
-            if not self._has_time(hosted, submit, now):
-                outputs.append(self._decline(record, DeclineReason.DEADLINE))
+            reason = self._find_late_reason(hosted, submit, now)
+            if reason is not None:
+                outputs.append(self._decline(record, reason))
                 continue
             record.phase = Phase.RUNNING
             record.started_at = now
@@ -216,6 +218,17 @@
             outputs.append(StartCall(submit.attempt_id, hosted.server))
         return tuple(outputs)
 
+    def _find_late_reason(
+        self, hosted: HostedServer, submit: Submit, start: float
+    ) -> DeclineReason | None:
+        """Return why an attempt should not start at ``start``; None if it may."""
+        if not self._has_time(hosted, submit, start):
+            return DeclineReason.DEADLINE
+        durations = hosted.durations.of(submit.route, submit.target_s)
+        if start + hosted.slowdown * durations.p90_s >= self._finish_by:
+            return DeclineReason.DRAINING
+        return None
+
     def _has_time(self, hosted: HostedServer, submit: Submit, now: float) -> bool:
         """Return whether an answer is still likely to come before the deadline."""
         durations = hosted.durations.of(submit.route, submit.target_s)
@@ -304,28 +317,40 @@
         records = [self._records[queued.attempt_id] for queued in removed]
         return tuple(self._decline(record, reason) for record in records)
 
-    def _expire(self, now: float) -> tuple[HostOutput, ...]:
+    def _start_draining(
+        self, message: StartDraining, now: float
+    ) -> tuple[HostOutput, ...]:
+        self._is_stopping = True
+        self._finish_by = message.finish_by
+        return self._decline_overdue(now)
+
+    def _decline_overdue(self, now: float) -> tuple[HostOutput, ...]:
         outputs: list[HostOutput] = []
         for hosted in self._servers.values():
             for queued, reason in self._find_overdue(hosted, now):
                 hosted.backlog.remove(queued.attempt_id)
                 record = self._records[queued.attempt_id]
                 outputs.append(self._decline(record, reason))
+        return tuple(outputs)
+
+    def _expire(self, now: float) -> tuple[HostOutput, ...]:
+        outputs = self._decline_overdue(now)
         self._records = {
             attempt_id: record
             for attempt_id, record in self._records.items()
             if record.phase is not Phase.ENDED
             or now < record.submit.deadline + RECORD_RETENTION_S
         }
-        return tuple(outputs)
+        return outputs
 
     def _find_overdue(
         self, hosted: HostedServer, now: float
     ) -> list[tuple[QueuedAttempt, DeclineReason]]:
         """Return the queued attempts that should be sent elsewhere while time is left.
 
-        Those are the attempts whose turn would come too late, and, at a server that
-        fails, those that may not be repeated.
+        Those are the attempts whose turn would come too late for their deadlines or
+        for the end of this process, and, at a server that fails, those that may not
+        be repeated.
         """
         is_failing = hosted.liveness.risk(now) >= UNSAFE_RISK_LIMIT
         overdue: list[tuple[QueuedAttempt, DeclineReason]] = []
@@ -334,8 +359,8 @@
             submit = self._records[queued.attempt_id].submit
             if is_failing and not submit.is_repeatable:
                 overdue.append((queued, DeclineReason.FAILING))
-            elif not self._has_time(hosted, submit, now + ahead_s):
-                overdue.append((queued, DeclineReason.DEADLINE))
+            elif reason := self._find_late_reason(hosted, submit, now + ahead_s):
+                overdue.append((queued, reason))
             else:
                 ahead_s += hosted.share_of_slots(queued.expected_s)
         return overdue
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from typing import NamedTuple
 
 from pimentobend_core._internal.models.server import Server
@@ -91,7 +92,13 @@
 
 
 class StartDraining(NamedTuple):
-    """Decline all further attempts, as the process is about to stop."""
+    """Decline all further attempts, as the process is about to stop.
+
+    Queued attempts are declined too unless they will probably end by the clock time
+    ``finish_by``.
+    """
+
+    finish_by: float = -math.inf
 
 
 class ServiceSizes(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -152,9 +152,14 @@
         unready = () if self._instance is None else self._instance.unready_servers()
         self._update_own_row(self._own_row._replace(is_leaving=True, servers=unready))
         if self._instance is not None:
+            min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
             max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
-            self._instance.stop_accepting(stop_began_at + max_s - REFUSE_MARGIN_S)
-            self._drain(self._instance, stop_began_at, max_s)
+            # Queued work does not delay the end, and a slow answer still has the rest
+            # of the grace time.
+            self._instance.stop_accepting(
+                stop_began_at + min_s, stop_began_at + max_s - REFUSE_MARGIN_S
+            )
+            self._drain(self._instance, stop_began_at, min_s, max_s)
             self._instance.close()
         if self._control is not None:
             self._control.stop()
@@ -346,13 +351,16 @@
         )
 
     def _drain(
-        self, instance: FleetInstance, stop_began_at: float, max_s: float
+        self,
+        instance: FleetInstance,
+        stop_began_at: float,
+        min_s: float,
+        max_s: float,
     ) -> None:
-        """Serve until probes have noticed the stop and no request is in flight.
+        """Serve for at least ``min_s``, and until no request is in flight.
 
         Requests still in flight ``max_s`` after the stop began are cut off.
         """
-        min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
         is_refusing = False
         while True:
             waited_s = self._clock.now() - stop_began_at
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -203,12 +203,14 @@
         for listener in self._listeners:
             listener.start()
 
-    def stop_accepting(self, ends_at: float) -> None:
+    def stop_accepting(self, drained_at: float, ends_at: float) -> None:
         """Decline work for the local servers; close connections after a response.
 
-        Requests that would probably still run at ``ends_at`` are refused.
+        Attempts of the local servers' queues start only if they will probably have
+        ended at ``drained_at``. Requests that would probably still run at ``ends_at``
+        are refused.
         """
-        self.host.start_draining()
+        self.host.start_draining(drained_at)
         self.front.stop()
         self._deliveries.finish_by(ends_at)
 
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -5,6 +5,8 @@
 import pathlib
 import shutil
 import signal
+import threading
+import time
 from collections.abc import Iterator
 from typing import Any
 
@@ -122,6 +124,52 @@
     assert first.wait() == 0
 
 
+STOPS = [  # whether the daemon that took the bookings stops as well
+    ("the daemon beside the server", False),
+]
+
+
+@pytest.mark.parametrize(
+    "stops_origin", [s[1] for s in STOPS], ids=[s[0] for s in STOPS]
+)
+def test_a_stop_gives_up_no_booking_in_a_queue(
+    stops_origin: bool, fleet: Fleet
+) -> None:
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    host.server.hold_s = 1.9
+    answers: dict[str, int] = {}
+    bookings = [
+        threading.Thread(target=book, args=(origin, f"b{number}", answers))
+        for number in range(12)
+    ]
+    for booking in bookings:
+        booking.start()
+    wait_until(
+        lambda: origin.log().count("'attempt-sent'") >= len(bookings), "all are sent"
+    )
+    time.sleep(0.5)  # until the last ones are in the queue
+    host.signal(signal.SIGTERM)
+    if stops_origin:
+        time.sleep(1.0)
+        origin.signal(signal.SIGTERM)
+    assert host.wait() == 0
+    host.start()
+    for booking in bookings:
+        booking.join()
+    ran = {name for name in answers if name in host.server.ran}
+    assert {answers[name] for name in ran} == {200}
+    assert {answers[name] for name in answers.keys() - ran} <= {503}
+
+
+def book(process: Process, request_id: str, answers: dict[str, int]) -> None:
+    """Send a booking and store the status of its answer."""
+    answers[request_id] = process.request("/book/1", "POST", request_id).status
+
+
 def test_request_to_hanging_server_ends_at_its_deadline(fleet: Fleet) -> None:
     first, second = fleet.instances
     for process in fleet.instances:
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -142,6 +142,11 @@
         [StartDraining(), submit("1")],
         declined("1", DeclineReason.DRAINING),
     ),
+    (
+        "stopping with a queue",
+        [submit("1"), submit("2"), submit("3"), StartDraining()],
+        [*started("1", "2"), *declined("3", DeclineReason.DRAINING)],
+    ),
     (
         "a passed deadline",
         [submit("1", deadline=0.0)],
@@ -458,3 +463,30 @@
     harness.give(*(submit(f"w{n}", priority=0, deadline=999.0) for n in range(15)))
     outputs = harness.give(submit("last", deadline=harness.now + left_s))
     assert outputs == ([] if is_queued else declined("last", DeclineReason.FULL))
+
+
+STOPS = [  # time until the end, when a slot is freed, and whether the queued one starts
+    ("time for the queue and for it", 2.5, 0.5, True),
+    ("no time for the queue", 0.1, 0.05, False),
+    ("a slot is freed too late", 2.5, 2.45, False),
+]
+
+
+@pytest.mark.parametrize(
+    ("ends_in_s", "freed_in_s", "starts"),
+    [s[1:] for s in STOPS],
+    ids=[s[0] for s in STOPS],
+)
+def test_a_stopping_daemon_starts_nothing_that_would_outlast_it(
+    ends_in_s: float, freed_in_s: float, starts: bool
+) -> None:
+    harness = HostHarness(SERVER._replace(slots=1))
+    teach(harness, EndKind.GOOD, 20)
+    harness.give(submit("running", deadline=99.0), submit("queued", deadline=99.0))
+    outputs = harness.give(StartDraining(harness.now + ends_in_s))
+    harness.now += freed_in_s
+    outputs += harness.give(ended("running"))
+    expected = (
+        started("queued") if starts else declined("queued", DeclineReason.DRAINING)
+    )
+    assert [*map(type, outputs)] == [*map(type, expected)]
