Refuse requests that arrive in the last moments of a stop

What callers saw: a request on a kept connection, sent 5.0 s after SIGTERM, ended with a closed connection and no answer, although nothing had run.

Cause: 0.4 s before its end a stopping daemon refuses what has not reached a server, but told only the deliveries of that moment. A later one was held for want of a server, and cut off.

Change: what a stop tells the deliveries is also told to those that begin later.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -79,14 +79,15 @@
     def __init__(self, ports: DeliveryPorts) -> None:
         self._ports = ports
         self._tasks: set[_DeliveryTask] = set()
-        self._finish_by: FinishBy | None = None  # set once the process is stopping
+        # What each delivery is told at its start while the process is stopping.
+        self._stop_messages: list[DeliveryInput] = []
 
     def apply(self, value: Routed) -> Result[Finished, Refusal]:
         """Return the answer, or a refusal that takes all attempts into account."""
         task = _DeliveryTask(self._ports, value)
         self._tasks.add(task)
-        if self._finish_by is not None:
-            task.put(self._finish_by)
+        for message in self._stop_messages:
+            task.put(message)
         try:
             return task.run()
         finally:
@@ -94,14 +95,17 @@
 
     def finish_by(self, at: float) -> None:
         """Refuse what would probably still run at ``at``, when the process ends."""
-        self._finish_by = FinishBy(at)
-        for task in tuple(self._tasks):
-            task.put(self._finish_by)
+        self._tell_all(FinishBy(at))
 
     def cancel_unsent(self) -> None:
         """Tell every delivery to end if its request has not reached a server."""
+        self._tell_all(CancelUnsent())
+
+    def _tell_all(self, message: DeliveryInput) -> None:
+        """Pass a message to the deliveries of now and of the rest of the stop."""
+        self._stop_messages.append(message)
         for task in tuple(self._tasks):
-            task.put(CancelUnsent())
+            task.put(message)
 
 
 class _DeliveryTask:
