Recall queued requests that cannot end before their daemon does

What callers saw: a booking sent 1.0 s before the SIGTERM of the daemon that took it ended 5.4 s later with a closed connection, while a server was at work on it; others were told only after 4.8 s that they had not run.

Cause: a stopping daemon weighs its own end only where it places a request. What it had already sent to a queue stayed there until 0.4 s before the end, and what started just before that was cut off.

Change: a stopping daemon recalls a queued attempt at once if its turn comes too late, and otherwise at the last moment at which its server could start it and answer in time. A recall never touches what runs. What is recalled is placed elsewhere or rejected as not run.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -5,7 +5,6 @@
 """
 
 import enum
-import math
 from collections.abc import Mapping
 
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
@@ -30,6 +29,8 @@
 from pimentobend_core._internal.forwarding.holding import find_hold_reason
 from pimentobend_core._internal.forwarding.holding import hedge_delay_s
 from pimentobend_core._internal.forwarding.holding import max_hold_s
+from pimentobend_core._internal.forwarding.recalls import Recalls
+from pimentobend_core._internal.forwarding.recalls import SubmittedAttempt
 from pimentobend_core._internal.forwarding.rejection import is_unservable
 from pimentobend_core._internal.forwarding.rejection import make_refusal
 from pimentobend_core._internal.forwarding.rejection import retry_after_s
@@ -91,7 +92,8 @@
         self._phase = _Phase.WAITING
         self._started_at = 0.0
         self._last_number = 0
-        self._running: dict[int, Candidate] = {}  # by the number of the attempt
+        self._running: dict[int, SubmittedAttempt] = {}  # by number
+        self._recalls = Recalls()
         self._tried: set[str] = set()  # servers that the request may have run on
         self._rejected_by: set[str] = set()  # servers that rejected it recently
         self._attempts_made = 0  # attempts that were not rejected
@@ -104,7 +106,6 @@
         self._hold_reason: HoldReason | None = None
         self._wait_s = 0.0  # wait that the best server stated last
         self._is_stopping = False
-        self._finish_by = math.inf  # when this process ends
         # An answer of status 5xx, which is delivered if no better one comes.
         self._failed_answer: AttemptDone | None = None
 
@@ -129,8 +130,7 @@
             case CancelUnsent():
                 outputs = self._cancel_unsent(now)
             case FinishBy():
-                self._finish_by = message.at
-                outputs = ()
+                outputs = self._plan_finish(message.at, now)
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -139,7 +139,7 @@
             "request_id": self._request_id,
             "pool": self._pool,
             "phase": self._phase.value,
-            "running": [each.server_id for each in self._running.values()],
+            "running": [each.candidate.server_id for each in self._running.values()],
             "tried": sorted(self._tried),
             "ran": self._ran.value,
         }
@@ -170,7 +170,12 @@
         )
 
     def _next_wake(self) -> WakeAt:
-        times = (self._deadline, self._hedge_at, self._next_ask_at)
+        times = (
+            self._deadline,
+            self._hedge_at,
+            self._next_ask_at,
+            *self._recalls.times,
+        )
         return WakeAt(min(each for each in times if each is not None))
 
     def _handle_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
@@ -181,7 +186,7 @@
             offers.candidates,
             requirements,
             frozenset(self._tried | self._rejected_by),
-            tuple(self._running.values()),
+            tuple(each.candidate for each in self._running.values()),
             is_repeat=self._is_repeat(),
         )
         if selection.best is None and selection.is_hedge_optional and offers.candidates:
@@ -213,7 +218,7 @@
         self._wait_s = candidate.bid.wait_s
         if self._running:
             return False
-        if would_outlast(candidate.bid, self._finish_by - now):
+        if would_outlast(candidate.bid, self._recalls.finish_by - now):
             return True
         remaining_s = self._deadline - now
         return is_unservable(
@@ -255,7 +260,9 @@
                 return self._hold(HoldReason.BUDGET, now)
             return self._end_with_failure(now)
         self._last_number += 1
-        self._running[self._last_number] = candidate
+        submitted = SubmittedAttempt(self._last_number, candidate, now)
+        self._running[self._last_number] = submitted
+        self._recalls.plan(submitted)
         self._tried.add(candidate.server_id)
         self._attempts_made += 1
         self._hedge_at = self._find_hedge_time(candidate, now)
@@ -281,9 +288,11 @@
     def _handle_attempt_done(
         self, done: AttemptDone, now: float
     ) -> tuple[DeliveryOutput, ...]:
-        candidate = self._running.pop(done.number, None)
-        if candidate is None:
+        submitted = self._running.pop(done.number, None)
+        self._recalls.forget(done.number)
+        if submitted is None:
             return ()
+        candidate = submitted.candidate
         match done.kind:
             case AttemptKind.ANSWERED:
                 self._has_arrived = True
@@ -369,6 +378,17 @@
     def _handle_timer(self, now: float) -> tuple[DeliveryOutput, ...]:
         if now >= self._deadline:
             return self._expire(now)
+        return (*self._recall_due(now), *self._ask_if_due(now))
+
+    def _plan_finish(self, at: float, now: float) -> tuple[DeliveryOutput, ...]:
+        self._recalls.plan_all(at, self._running.values())
+        return self._recall_due(now)
+
+    def _recall_due(self, now: float) -> tuple[DeliveryOutput, ...]:
+        return tuple(RecallAttempt(number) for number in self._recalls.take_due(now))
+
+    def _ask_if_due(self, now: float) -> tuple[DeliveryOutput, ...]:
+        """Ask for bids again where a hedge or the next try is due."""
         if self._hedge_at is not None and now >= self._hedge_at:
             self._hedge_at = None
             is_idle = self._phase is _Phase.WAITING and not self._is_stopping
@@ -389,6 +409,8 @@
 
     def _cancel_all(self) -> tuple[DeliveryOutput, ...]:
         outputs = tuple(CancelAttempt(number) for number in self._running)
+        for number in self._running:
+            self._recalls.forget(number)
         self._running.clear()
         return outputs
 
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -126,6 +126,7 @@
 
 STOPS = [  # whether the daemon that took the bookings stops as well
     ("the daemon beside the server", False),
+    ("the daemons on both sides of the hop", True),
 ]
 
 
--- a/tests/unit/forwarding/test_rejection.py
+++ b/tests/unit/forwarding/test_rejection.py
@@ -9,6 +9,7 @@
 from delivery_driver import candidate
 
 from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
+from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.messages import Bid
@@ -19,6 +20,7 @@
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Requirements
 from pimentobend_core._internal.forwarding.selection import select_cheapest
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 
 
@@ -140,3 +142,41 @@
     assert isinstance(output, SendAttempt if is_sent else Refuse)
     if isinstance(output, Refuse):
         assert output.refusal.ran is Ran.NOT_RUN
+
+
+QUEUES = [  # name, wait at the server, time until the end, when it is recalled
+    ("its turn comes too late", 3.0, 2.0, 0.0),
+    ("its turn should come in time", 1.0, 2.0, 1.8),
+]
+
+
+@pytest.mark.parametrize("case", [SAFE, UNSAFE])
+@pytest.mark.parametrize("is_sent_before", [True, False])
+@pytest.mark.parametrize(
+    ("wait_s", "ends_in_s", "recalled_in_s"),
+    [q[1:] for q in QUEUES],
+    ids=[q[0] for q in QUEUES],
+)
+def test_what_still_waits_for_a_slot_is_recalled_before_its_daemon_ends(
+    wait_s: float,
+    ends_in_s: float,
+    recalled_in_s: float,
+    is_sent_before: bool,
+    case: Case,
+) -> None:
+    driver = Driver(case)
+    offered = with_wait(candidate("a"), wait_s)
+    if is_sent_before:
+        driver.offer(offered)
+    outputs = driver.give(FinishBy(driver.now + ends_in_s))
+    if not is_sent_before:
+        outputs = driver.offer(offered)
+    while not any(isinstance(each, RecallAttempt | Refuse) for each in outputs):
+        outputs = driver.wait()
+    assert driver.now == pytest.approx(recalled_in_s)
+    if isinstance(outputs[0], RecallAttempt):
+        driver.end(1, AttemptKind.DECLINED)
+        outputs = driver.offer(with_wait(candidate("b"), wait_s))
+    refused = outputs[-1]
+    assert isinstance(refused, Refuse)
+    assert refused.refusal.ran is Ran.NOT_RUN
