Take late requests of a stop only with time to spare

What callers saw: requests that were sent on kept connections 3.4 to 3.9 s after SIGTERM were passed on and closed without an answer 1.9 s later, among them orders that may not be repeated.

Cause: a stopping daemon takes a request if nine in ten of its answers come before the process ends; the tenth is cut off, and a server that has just started knows no more than a guess of how long its routes take.

The row "after that, with little time" cannot pass before: the decision did not know when a request came.

Change: a request that comes once probes have noticed the stop needs twice the 90th percentile. Its caller can go elsewhere, and is told at once that nothing has run.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -93,9 +93,12 @@
         finally:
             self._tasks.discard(task)
 
-    def finish_by(self, at: float) -> None:
-        """Refuse what would probably still run at ``at``, when the process ends."""
-        self._tell_all(FinishBy(at))
+    def finish_by(self, at: float, noticed_at: float) -> None:
+        """Refuse what would probably still run at ``at``, when the process ends.
+
+        Requests that come after ``noticed_at`` are refused more readily.
+        """
+        self._tell_all(FinishBy(at, noticed_at))
 
     def cancel_unsent(self) -> None:
         """Tell every delivery to end if its request has not reached a server."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -106,6 +106,7 @@
         self._hold_reason: HoldReason | None = None
         self._wait_s = 0.0  # wait that the best server stated last
         self._is_stopping = False
+        self._is_late = False  # it came when its caller knew of the stop
         # An answer of status 5xx, which is delivered if no better one comes.
         self._failed_answer: AttemptDone | None = None
 
@@ -130,7 +131,7 @@
             case CancelUnsent():
                 outputs = self._cancel_unsent(now)
             case FinishBy():
-                outputs = self._plan_finish(message.at, now)
+                outputs = self._plan_finish(message, now)
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -218,7 +219,8 @@
         self._wait_s = candidate.bid.wait_s
         if self._running:
             return False
-        if would_outlast(candidate.bid, self._recalls.finish_by - now):
+        left_s = self._recalls.finish_by - now
+        if would_outlast(candidate.bid, left_s, is_late=self._is_late):
             return True
         remaining_s = self._deadline - now
         return is_unservable(
@@ -380,8 +382,9 @@
             return self._expire(now)
         return (*self._recall_due(now), *self._ask_if_due(now))
 
-    def _plan_finish(self, at: float, now: float) -> tuple[DeliveryOutput, ...]:
-        self._recalls.plan_all(at, self._running.values())
+    def _plan_finish(self, message: FinishBy, now: float) -> tuple[DeliveryOutput, ...]:
+        self._is_late = self._started_at >= message.noticed_at
+        self._recalls.plan_all(message.at, self._running.values())
         return self._recall_due(now)
 
     def _recall_due(self, now: float) -> tuple[DeliveryOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -1,6 +1,7 @@
 """Input and output messages of a delivery."""
 
 import enum
+import math
 from typing import NamedTuple
 
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -38,9 +39,13 @@
 
 
 class FinishBy(NamedTuple):
-    """Send nothing that would probably run at a clock time: this process ends then."""
+    """Send nothing that would probably run at clock time ``at``: the process ends then.
+
+    Callers know from ``noticed_at`` on that the process is stopping.
+    """
 
     at: float
+    noticed_at: float = math.inf
 
 
 DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | CancelUnsent | FinishBy
--- a/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
@@ -16,6 +16,8 @@
 MIN_TIME_SHARE = 0.5
 # A server with a higher risk probably loses what it is sent.
 UNSAFE_RISK_LIMIT = 0.8
+# Hardly any answer takes longer than this multiple of the 90th percentile.
+LATE_MULTIPLE = 2.0
 # Half of the queue has been served by then, or its deadlines have passed.
 QUEUE_SHARE = 0.5
 MIN_RETRY_AFTER_S = 0.5
@@ -39,9 +41,13 @@
     return is_unsafe or is_hopeless(bid, remaining_s)
 
 
-def would_outlast(bid: Bid, remaining_s: float) -> bool:
-    """Return whether one answer in ten, or more, would come after ``remaining_s``."""
-    return bid.wait_s + bid.p90_s >= remaining_s
+def would_outlast(bid: Bid, remaining_s: float, *, is_late: bool = False) -> bool:
+    """Return whether one answer in ten, or more, would come after ``remaining_s``.
+
+    A request that came late, to a process known to be stopping, needs more time left.
+    """
+    multiple = LATE_MULTIPLE if is_late else 1.0
+    return bid.wait_s + multiple * bid.p90_s >= remaining_s
 
 
 def make_refusal(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -203,16 +203,16 @@
         for listener in self._listeners:
             listener.start()
 
-    def stop_accepting(self, drained_at: float, ends_at: float) -> None:
+    def stop_accepting(self, noticed_at: float, ends_at: float) -> None:
         """Decline work for the local servers; close connections after a response.
 
-        Attempts of the local servers' queues start only if they will probably have
-        ended at ``drained_at``. Requests that would probably still run at ``ends_at``
-        are refused.
+        Probes have noticed the stop at ``noticed_at``. Attempts of the local servers'
+        queues start only if they will probably have ended by then. Requests that would
+        probably still run at ``ends_at`` are refused.
         """
-        self.host.start_draining(drained_at)
+        self.host.start_draining(noticed_at)
         self.front.stop()
-        self._deliveries.finish_by(ends_at)
+        self._deliveries.finish_by(ends_at, noticed_at)
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that have not reached a server."""
--- a/tests/unit/forwarding/test_rejection.py
+++ b/tests/unit/forwarding/test_rejection.py
@@ -180,3 +180,25 @@
     refused = outputs[-1]
     assert isinstance(refused, Refuse)
     assert refused.refusal.ran is Ran.NOT_RUN
+
+
+ARRIVALS = [  # name, time since the notice, time left, is the request sent
+    ("before the stop is noticed", -0.1, 0.3, True),
+    ("after that, with time to spare", 0.0, 0.5, True),
+    ("after that, with little time", 0.0, 0.3, False),
+]
+
+
+@pytest.mark.parametrize("case", [SAFE, UNSAFE])
+@pytest.mark.parametrize(
+    ("noticed_ago_s", "left_s", "is_sent"),
+    [a[1:] for a in ARRIVALS],
+    ids=[a[0] for a in ARRIVALS],
+)
+def test_requests_that_come_late_in_a_stop_need_more_time(
+    noticed_ago_s: float, left_s: float, is_sent: bool, case: Case
+) -> None:
+    driver = Driver(case)
+    driver.give(FinishBy(driver.now + left_s, driver.now - noticed_ago_s))
+    (output,) = driver.offer(candidate("a"))
+    assert isinstance(output, SendAttempt if is_sent else Refuse)
