Tell origins at once what an ending daemon cuts off

What callers saw: bookings that were cut off at the end of a stop got their 502 only 1.6 s later, when the daemon beside the server had started again; one of their own daemons got its SIGTERM in that time.

Cause: the origin saw a broken connection, which says nothing about the attempt, and tried again until another process answered.

The test fails without the change, as the daemon then has nothing to say before it closes its sockets.

Change: before it closes, a stopping daemon ends what still runs as "no answer", and the hop carries that to the origin. Work that may be repeated then goes to another server at once.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -120,6 +120,16 @@
         """Decline further attempts, and queued ones that would end too late."""
         self._task.put(StartDraining(finish_by))
 
+    def give_up(self) -> None:
+        """End the running attempts without an answer, as the process is ending.
+
+        Their origins learn it now, and not once another process has started here.
+        """
+        lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
+        for attempt_id, record in tuple(self._records.items()):
+            if record.greenlet is not None:
+                self._finish(attempt_id, lost)
+
     def update_service_sizes(self, sizes: ServiceSizes) -> None:
         """Update the number of servers of each service."""
         self._task.put(sizes)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -68,6 +68,7 @@
 # Requests that still wait this long before that end are refused, so that the
 # refusals reach their callers.
 REFUSE_MARGIN_S = 0.4
+FAREWELL_S = 0.1  # for the last answers to be written
 
 
 class FleetDaemon:
@@ -373,3 +374,5 @@
             eventlet.sleep(DRAIN_POLL_S)
         if instance.in_flight:
             self._log.error("shutdown-cut", in_flight=instance.in_flight)
+            instance.give_up()
+            eventlet.sleep(FAREWELL_S)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -218,6 +218,10 @@
         """Refuse all requests that have not reached a server."""
         self._deliveries.cancel_unsent()
 
+    def give_up(self) -> None:
+        """End what is still running, as the process is ending."""
+        self.host.give_up()
+
     def close(self) -> None:
         """Close the listeners."""
         for listener in self._listeners:
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -210,6 +210,16 @@
     assert harness.calls.ended == ["1"] * ends
 
 
+def test_a_daemon_that_ends_tells_origins_what_it_cuts_off() -> None:
+    harness = HopHarness(hold_s=WAIT_S)
+    run = eventlet.spawn(harness.run, "1")
+    eventlet.sleep(0.3)
+    harness.host.give_up()
+    with eventlet.Timeout(1.0):
+        assert run.wait().kind is AttemptKind.NO_ANSWER
+    assert harness.calls.runs == ["1"]
+
+
 def test_a_copy_that_comes_after_the_result_was_forgotten_does_not_run() -> None:
     harness = HopHarness()
     attempt = harness.attempt("1")
