Answer every request before its daemon ends

What callers saw: a request at which a server was still at work when the daemon that took it ended was closed without an answer.

Cause: a stopping daemon left its deliveries running to the end, and closed its sockets under them.

The new rows fail before, as nothing ended a delivery whose server is at work.

Change: at the end every delivery is told to end: 502, "unknown", where a server may be at work, and 503, "not run", where nothing was sent.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -26,6 +26,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
 from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
+from pimentobend_core._internal.forwarding.delivery_messages import GiveUp
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
@@ -104,6 +105,10 @@
         """Tell every delivery to end if its request has not reached a server."""
         self._tell_all(CancelUnsent())
 
+    def give_up(self) -> None:
+        """Tell every delivery to end now, as the process is ending."""
+        self._tell_all(GiveUp())
+
     def _tell_all(self, message: DeliveryInput) -> None:
         """Pass a message to the deliveries of now and of the rest of the stop."""
         self._stop_messages.append(message)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -16,6 +16,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryInput
 from pimentobend_core._internal.forwarding.delivery_messages import DeliveryOutput
 from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
+from pimentobend_core._internal.forwarding.delivery_messages import GiveUp
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
@@ -132,6 +133,8 @@
                 outputs = self._cancel_unsent(now)
             case FinishBy():
                 outputs = self._plan_finish(message, now)
+            case GiveUp():
+                outputs = self._give_up(now)
         return outputs if self._is_ended() else (*outputs, self._next_wake())
 
     def dump(self) -> Mapping[str, object]:
@@ -377,6 +380,12 @@
             return self._end_with_failure(now)
         return tuple(RecallAttempt(number) for number in self._running)
 
+    def _give_up(self, now: float) -> tuple[DeliveryOutput, ...]:
+        """End the request at once; what is running may end without a caller."""
+        if self._running:
+            self._ran = Ran.UNKNOWN
+        return (*self._cancel_all(), *self._end_with_failure(now))
+
     def _handle_timer(self, now: float) -> tuple[DeliveryOutput, ...]:
         if now >= self._deadline:
             return self._expire(now)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -48,7 +48,13 @@
     noticed_at: float = math.inf
 
 
-DeliveryInput = Offers | AttemptDone | TimerDue | CallerLeft | CancelUnsent | FinishBy
+class GiveUp(NamedTuple):
+    """End the request whatever is running: this process is ending."""
+
+
+DeliveryInput = (
+    Offers | AttemptDone | TimerDue | CallerLeft | CancelUnsent | FinishBy | GiveUp
+)
 
 
 class AskServers(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -221,6 +221,7 @@
     def give_up(self) -> None:
         """End what is still running, as the process is ending."""
         self.host.give_up()
+        self._deliveries.give_up()
 
     def close(self) -> None:
         """Close the listeners."""
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -13,6 +13,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
+from pimentobend_core._internal.forwarding.delivery_messages import GiveUp
 from pimentobend_core._internal.forwarding.delivery_messages import Offers
 from pimentobend_core._internal.forwarding.delivery_messages import RecallAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
@@ -175,3 +176,37 @@
         assert last.refusal.status == status
     else:
         assert (last, status) == (Deliver(1), 200)
+
+
+LAST_ANSWERS = [  # attempts that failed before, is one running, and what is answered
+    ("nothing was sent", [], False, (503, Ran.NOT_RUN)),
+    ("a server is at work", [], True, (502, Ran.UNKNOWN)),
+    ("it was declined", [AttemptKind.DECLINED], False, (503, Ran.NOT_RUN)),
+    (
+        "a server is at work on a repeat",
+        [AttemptKind.NO_ANSWER],
+        True,
+        (502, Ran.UNKNOWN),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("failed", "is_running", "answer"),
+    [each[1:] for each in LAST_ANSWERS],
+    ids=[each[0] for each in LAST_ANSWERS],
+)
+def test_every_request_is_answered_before_its_daemon_ends(
+    failed: list[AttemptKind], is_running: bool, answer: tuple[int, Ran]
+) -> None:
+    driver = Driver(SAFE)
+    for number, kind in enumerate(failed, 1):
+        driver.offer(candidate(f"s{number}"))
+        driver.end(number, kind)
+    if is_running:
+        driver.offer(candidate("last"))
+    outputs = driver.give(GiveUp())
+    assert [type(each) for each in outputs[:-1]] == [CancelAttempt] * is_running
+    last = outputs[-1]
+    assert isinstance(last, Refuse)
+    assert (last.refusal.status, last.refusal.ran) == answer
--- a/tests/unit/forwarding/test_stops.py
+++ b/tests/unit/forwarding/test_stops.py
@@ -65,6 +65,8 @@
 STEPS: list[tuple[str, Callable[[DeliveryFilter], None], bool]] = [
     ("a request that waited", DeliveryFilter.cancel_unsent, True),
     ("a request that came later", DeliveryFilter.cancel_unsent, False),
+    ("a request that waited at the end", DeliveryFilter.give_up, True),
+    ("a request that came at the end", DeliveryFilter.give_up, False),
 ]
 
 
