Ignore further signals during a stop

What operators saw: a daemon that had finished its stop ended with code -1 (SIGHUP) or -15 (a second SIGTERM) instead of 0; a second SIGTERM at the wrong moment would have ended it with requests in flight.

Cause: the interpreter restores the default actions of handled signals while it shuts down. And a handler that another signal interrupts could request the stop twice, which ends the process by an AssertionError.

Change: handlers only schedule the request to stop, and signals are ignored once the stop is done.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -60,6 +60,7 @@
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
 # After this time, every readiness probe has seen that the daemon is stopping.
@@ -117,13 +118,17 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
-        signal.signal(signal.SIGTERM, lambda *_: self._request_stop())
-        signal.signal(signal.SIGINT, lambda *_: self._request_stop())
+        for number in STOP_SIGNALS:
+            # A handler may interrupt another one, so it only schedules the request.
+            signal.signal(number, lambda *_: eventlet.spawn_n(self._request_stop))
         signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
         signal.signal(signal.SIGUSR1, lambda *_: self._print_dump())
         self.start()
         self._stopping.wait()
         self.stop()
+        # The interpreter restores default actions, but keeps SIG_IGN, as it ends.
+        for number in (*STOP_SIGNALS, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
 
     def start(self) -> None:
         """Start all tasks and listeners."""
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -171,6 +171,18 @@
     answers[request_id] = process.request("/book/1", "POST", request_id).status
 
 
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_during_a_stop_do_not_change_its_outcome(
+    number: signal.Signals, fleet: Fleet
+) -> None:
+    process = fleet.control[0]
+    process.signal(signal.SIGTERM)
+    while not process.has_ended():
+        process.signal(number)
+        time.sleep(0.002)
+    assert process.wait() == 0
+
+
 def test_request_to_hanging_server_ends_at_its_deadline(fleet: Fleet) -> None:
     first, second = fleet.instances
     for process in fleet.instances:
