Tell at the host when a server crashes, and what ran on it

A call that ends without an answer does not say whether its server ended. Suspects run apart from each other, blocked requests are declined as not run, and the result of an attempt says what is held against its request, so that the origin passes it on to the next host before gossip does. A blocked request ends at once: 503 if it ran nowhere, otherwise 502. A suspect is not hedged.

Log lines server-crashed, request-blocked, request-released, request-refused; counters server_crashes, blocks; gauge blocked_fingerprints.

--- a/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/exposition.py
@@ -36,11 +36,12 @@
 
 
 class CounterTable:
-    """Counters and histograms of a process."""
+    """Counters, gauges and histograms of a process."""
 
     def __init__(self) -> None:
         self._counters: dict[str, Counter[str]] = {}
         self._histograms: dict[str, Histogram] = {}
+        self._gauges: dict[str, float] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add to a counter; ``label`` is the value of its label, if it has any."""
@@ -49,6 +50,10 @@
             label = "other"
         counter[label] += amount
 
+    def set(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name] = value
+
     def time(self, name: str, seconds: float) -> None:
         """Record one duration in seconds."""
         self._histograms.setdefault(name, Histogram()).observe(seconds)
@@ -60,8 +65,11 @@
         processes are never collected.
         """
         from prometheus_client.core import CounterMetricFamily
+        from prometheus_client.core import GaugeMetricFamily
         from prometheus_client.core import HistogramMetricFamily
 
+        for name, value in sorted(self._gauges.items()):
+            yield GaugeMetricFamily(f"{PREFIX}_{name}", name, value=value)
         for name, counter in sorted(self._counters.items()):
             family = CounterMetricFamily(f"{PREFIX}_{name}", name, labels=["kind"])
             for label, value in sorted(counter.items()):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -86,11 +86,30 @@
         except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, EOFError, OSError) as error:
-            return self._failed(_classify_error(error, connection), started)
+            failed = self._failed(_classify_error(error, connection), started)
+            is_broken = failed.kind is AttemptKind.NO_ANSWER and not isinstance(
+                error, TimeoutError
+            )
+            return failed._replace(is_broken=is_broken)
         finally:
             if connection is not None:
                 self._release(server, connection, disposition)
 
+    def is_listening(self, server: Server) -> bool:
+        """Return False if a connection to a server is refused."""
+        connection = StrictConnection(
+            server.host, server.port, timeout=CONNECT_TIMEOUT_S
+        )
+        try:
+            connection.connect()
+        except NewConnectionError as error:
+            return not isinstance(error.__cause__, ConnectionRefusedError)
+        except (HTTPError, OSError):
+            return True
+        finally:
+            connection.close()
+        return True
+
     def forget(self, server_id: str) -> None:
         """Close the idle connections of a server that left."""
         for idle in self._idle.pop(server_id, []):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -16,6 +16,7 @@
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.forwarding.delivery import Delivery
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
@@ -118,6 +119,8 @@
         self._results: dict[int, AttemptResult] = {}
         # Kinds of the results so far; kept when ``_results`` is cleared.
         self._kinds: dict[int, str] = {}
+        # What the hosts of earlier attempts hold against the request.
+        self._crash_reports: dict[str, CrashReport] = {}
         self._delivery = Delivery(
             routed.head.request_id,
             routed.route,
@@ -231,11 +234,18 @@
             routed.head.deadline,
             routed.head.request_id,
             output.is_repeat,
+            routed.fingerprint,
+            tuple(self._crash_reports.values()),
         )
         age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
             AttemptSent(
-                routed.head.request_id, attempt_id, candidate, age_s, output.is_hedge
+                routed.head.request_id,
+                attempt_id,
+                candidate,
+                age_s,
+                output.is_hedge,
+                routed.fingerprint,
             )
         )
         attempt = LocalAttempt(submit, routed.head, routed.body)
@@ -255,7 +265,21 @@
         self._kinds[number] = result.kind.value
         request_id = attempt.head.request_id
         ports.events.put(AttemptJudged(request_id, attempt.submit.attempt_id, result))
-        self._inbox.put(AttemptDone(number, result.kind, result.status))
+        if result.crash_reports:
+            self._crash_reports.update(
+                (report.crash_id, report) for report in result.crash_reports
+            )
+            # Gossip brings the same reports later.
+            ports.host.receive_reports(result.crash_reports)
+        self._inbox.put(
+            AttemptDone(
+                number,
+                result.kind,
+                result.status,
+                blocked_s=result.blocked_s,
+                is_suspect=any(report.weight for report in result.crash_reports),
+            )
+        )
 
     def _cancel(self, number: int) -> None:
         greenlet = self._attempts.pop(number, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.models.request import AttemptKind
 
 SUBMIT_HEADER = "Pimentobend-Hop"
@@ -33,6 +34,8 @@
     remaining_ms: int  # time until the deadline
     process_id: int  # of the daemon that the attempt is meant for
     is_repeat: bool  # an earlier attempt of the request may have reached a server
+    fingerprint: str = ""  # empty if the request cannot be recognised
+    crash_reports: tuple[CrashReport, ...] = ()  # that the origin has learnt of
 
 
 class HopResult(NamedTuple):
@@ -40,6 +43,8 @@
 
     kind: AttemptKind
     reason: str
+    crash_reports: tuple[CrashReport, ...] = ()  # what is held against the request
+    blocked_s: float = 0.0  # time until the end of the request's block; 0 without one
 
 
 def encode_hop(value: HopRequest | HopResult) -> str:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -4,6 +4,7 @@
 which are those on its machine.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
+from pimentobend_adapters._internal.forwarding.blocks import BlocksInForce
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
@@ -21,12 +23,21 @@
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.codec import decode
+from pimentobend_core._internal.crashes.messages import CrashOutput
+from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.crashes.messages import EarlierReportsSeen
+from pimentobend_core._internal.crashes.messages import FingerprintBlocked
+from pimentobend_core._internal.crashes.messages import FingerprintReleased
+from pimentobend_core._internal.crashes.messages import ReportsChanged
+from pimentobend_core._internal.crashes.messages import ReportsReceived
+from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.host import ServerHost
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
+from pimentobend_core._internal.forwarding.messages import CallJudged
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -35,7 +46,9 @@
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
 from pimentobend_core._internal.forwarding.messages import LocalRequestFailed
+from pimentobend_core._internal.forwarding.messages import ProbeServer
 from pimentobend_core._internal.forwarding.messages import ServerListed
+from pimentobend_core._internal.forwarding.messages import ServerProbed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
@@ -63,6 +76,9 @@
 }
 
 
+_CrashOutput = ProbeServer | CallJudged | ServerCrashed | CrashOutput
+
+
 class LocalAttempt(NamedTuple):
     """An attempt with the request head and body to send to its server."""
 
@@ -77,11 +93,17 @@
     def __init__(self, attempt: LocalAttempt) -> None:
         self.attempt = attempt
         self.result: Any = eventlet.event.Event()
+        # The result of a broken call, until it is known whether its server crashed.
+        self.unjudged: AttemptResult | None = None
         self.greenlet: Any = None
         self.waiters = 0
         self.ended_at: float | None = None
 
 
+def _ignore(reports: tuple[CrashReport, ...]) -> None:
+    pass
+
+
 class HostTasks:
     """Run attempts on local servers and keep their results for repeated requests."""
 
@@ -92,10 +114,13 @@
         calls: ServerCalls,
         clock: ClockPort,
         events: Outlet[ForwardingEvent],
+        on_reports_changed: Callable[[tuple[CrashReport, ...]], None] = _ignore,
     ) -> None:
         self._calls = calls
         self._clock = clock
         self._events = events
+        self._on_reports_changed = on_reports_changed
+        self.blocks = BlocksInForce(clock, events)
         self._records: dict[str, _AttemptRecord] = {}
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
@@ -128,6 +153,14 @@
         """Record that a request of a client on this machine failed."""
         self._task.put(LocalRequestFailed())
 
+    def receive_reports(self, reports: tuple[CrashReport, ...]) -> None:
+        """Take over what another daemon holds against requests."""
+        self._task.put(ReportsReceived(reports))
+
+    def restore_reports(self, reports: tuple[CrashReport, ...]) -> None:
+        """Take over what this daemon published before it restarted."""
+        self._task.put(EarlierReportsSeen(reports))
+
     def dump(self) -> Mapping[str, object]:
         """Return the state of the task."""
         return {**self._task.dump(), "cells": len(self._records)}
@@ -182,7 +215,11 @@
             case Declined():
                 self._events.put(HostDecided("declined", output.attempt_id, output))
                 declined = make_attempt_result(AttemptKind.DECLINED, 0.0)
-                declined = declined._replace(headers=(("reason", output.reason.value),))
+                declined = declined._replace(
+                    headers=(("reason", output.reason.value),),
+                    crash_reports=output.crash_reports,
+                    blocked_s=output.blocked_s,
+                )
                 self._finish(output.attempt_id, declined)
             case CancelCall():
                 record = self._records[output.attempt_id]
@@ -194,6 +231,38 @@
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
+            case _:
+                self._handle_crash_output(output)
+
+    def _handle_crash_output(self, output: _CrashOutput) -> None:
+        match output:
+            case ProbeServer():
+                eventlet.spawn_n(self._probe, output)
+            case CallJudged():
+                self._finish_judged(output)
+            case ReportsChanged():
+                self._on_reports_changed(output.reports)
+            case FingerprintBlocked() | FingerprintReleased():
+                self.blocks.update(output)
+                self._events.put(output)
+            case ServerCrashed():
+                self._events.put(output)
+
+    def _probe(self, output: ProbeServer) -> None:
+        eventlet.sleep(output.delay_s)
+        server = output.server
+        is_listening = self._calls.is_listening(server)
+        self._task.put(ServerProbed(server.server_id, server.incarnation, is_listening))
+
+    def _finish_judged(self, judged: CallJudged) -> None:
+        record = self._records.get(judged.attempt_id)
+        if record is None or record.unjudged is None:
+            return
+        result = record.unjudged._replace(
+            crash_reports=judged.crash_reports, blocked_s=judged.blocked_s
+        )
+        record.unjudged = None
+        self._finish(judged.attempt_id, result)
 
     def _call(self, record: _AttemptRecord, server: Server) -> None:
         """Call the server until the deadline; killing the greenlet cancels the call."""
@@ -206,8 +275,13 @@
                 result = self._calls.call(server, head, body, submit.is_repeatable)
         finally:
             result = result._replace(latency_s=self._clock.now() - started)
-            self._task.put(CallEnded(submit.attempt_id, _end_kind(result)))
-            self._finish(submit.attempt_id, result)
+            kind = _end_kind(result)
+            has_answered = result.kind is AttemptKind.ANSWERED
+            self._task.put(CallEnded(submit.attempt_id, kind, has_answered))
+            if kind is EndKind.BROKEN:
+                record.unjudged = result
+            else:
+                self._finish(submit.attempt_id, result)
 
     def _finish(self, attempt_id: str, result: AttemptResult) -> None:
         record = self._records.get(attempt_id)
@@ -248,4 +322,6 @@
     if result.kind is AttemptKind.ANSWERED:
         is_good = result.status < SERVER_ERROR
         return EndKind.GOOD if is_good else EndKind.FAILED
+    if result.is_broken:
+        return EndKind.BROKEN
     return _END_KINDS.get(result.kind, EndKind.FAILED)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -118,6 +118,8 @@
             deadline,
             request_id,
             hop.is_repeat,
+            hop.fingerprint,
+            hop.crash_reports,
         )
         head = RequestHead(
             request_id=request_id,
@@ -150,7 +152,10 @@
     body = result.body
     if body is None:
         reason = find_header(result.headers, "reason") or ""
-        yield from _write_result(HopResult(result.kind, reason), start_response)
+        hop_result = HopResult(
+            result.kind, reason, result.crash_reports, result.blocked_s
+        )
+        yield from _write_result(hop_result, start_response)
         return
     headers = [
         (name, value)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -142,7 +142,10 @@
         if hop_result.reason:
             headers = (("reason", hop_result.reason),)
         if hop_result.kind not in (AttemptKind.ANSWERED, AttemptKind.REFUSED):
-            return make_attempt_result(hop_result.kind, 0.0, headers=headers), False
+            result = make_attempt_result(hop_result.kind, 0.0, headers=headers)
+            return result._replace(
+                crash_reports=hop_result.crash_reports, blocked_s=hop_result.blocked_s
+            ), False
         content, is_whole = read_answer(
             response, connection, self._clock, attempt.submit.deadline
         )
@@ -164,6 +167,8 @@
             max(1, int(remaining_s * MS_PER_S)),
             peer.process_id,
             submit.is_repeat,
+            submit.fingerprint,
+            submit.crash_reports,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/core/src/pimentobend_core/_internal/crashes/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/messages.py
@@ -78,6 +78,7 @@
     """Report that a block began, or that one more crash extended it."""
 
     block: Block
+    remaining_s: float = 0.0
 
 
 class ReleaseReason(enum.Enum):
--- a/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
@@ -208,7 +208,7 @@
             if block is not None:
                 self._blocks[fingerprint] = block
                 if known is None or known.crashes != block.crashes:
-                    yield FingerprintBlocked(block)
+                    yield FingerprintBlocked(block, block.until - now)
             elif known is not None:
                 del self._blocks[fingerprint]
                 is_suspect = self.is_suspect(fingerprint)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -107,6 +107,8 @@
         self._finish_by = math.inf  # when this process ends
         # An answer of status 5xx, which is delivered if no better one comes.
         self._failed_answer: AttemptDone | None = None
+        self._is_suspect = False  # it may have crashed servers
+        self._blocked_s = 0.0  # time left of the request's block; 0 without one
 
     def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
         """Start the request at ``now`` (seconds) and return its first outputs."""
@@ -174,7 +176,7 @@
         return WakeAt(min(each for each in times if each is not None))
 
     def _handle_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
-        if self._phase is not _Phase.ASKING or self._is_stopping:
+        if self._phase is not _Phase.ASKING or self._is_stopping or self._blocked_s:
             return ()
         requirements = self._requirements(now)
         selection = select_next(
@@ -273,6 +275,8 @@
     def _may_hedge(self) -> bool:
         if not self._is_repeatable or not self._can_replay:
             return False
+        if self._is_suspect or self._blocked_s:
+            return False
         return (
             self._attempts_made < self._max_attempts
             and self._rejections < MAX_REJECTIONS
@@ -284,6 +288,8 @@
         candidate = self._running.pop(done.number, None)
         if candidate is None:
             return ()
+        self._is_suspect = self._is_suspect or done.is_suspect
+        self._blocked_s = self._blocked_s or done.blocked_s
         match done.kind:
             case AttemptKind.ANSWERED:
                 self._has_arrived = True
@@ -320,7 +326,7 @@
     ) -> tuple[DeliveryOutput, ...]:
         """Try another server after one rejected the attempt without running it."""
         self._rejections += 1
-        if self._is_stopping and not self._running:
+        if (self._is_stopping or self._blocked_s) and not self._running:
             return self._end_with_failure(now)
         if self._running:
             if self._may_hedge():
@@ -345,7 +351,7 @@
             return ()
         may_repeat = self._is_repeatable and self._can_replay
         is_spent = self._attempts_made >= self._max_attempts or self._is_stopping
-        if not may_repeat or is_spent:
+        if not may_repeat or is_spent or self._blocked_s:
             return self._end_with_failure(now)
         return self._ask(Distance.DATA_CENTRE)
 
@@ -353,6 +359,8 @@
         """Deliver the failed answer if there is one; otherwise refuse the request."""
         if self._failed_answer is not None:
             return (self._finish(Deliver(self._failed_answer.number)),)
+        if self._blocked_s:
+            return self._refuse_blocked()
         if self._ran is Ran.NOT_RUN:
             return self._refuse(
                 RefusalReason.NO_SERVER, "no server accepts the request", now
@@ -399,6 +407,13 @@
         refusal = make_refusal(self._ran, reason, detail, pause_s)
         return (self._finish(Refuse(refusal)),)
 
+    def _refuse_blocked(self) -> tuple[DeliveryOutput, ...]:
+        """Refuse a request that crashes servers; it may have run on some of them."""
+        detail = "the request crashed servers"
+        reason = RefusalReason.CRASHES_SERVERS
+        refusal = make_refusal(self._ran, reason, detail, self._blocked_s)
+        return (self._finish(Refuse(refusal)),)
+
     def _finish(self, output: DeliveryOutput) -> DeliveryOutput:
         self._phase = _Phase.ENDED
         return output
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -23,6 +23,8 @@
     kind: AttemptKind
     status: int
     reason: str = ""
+    blocked_s: float = 0.0  # time until the end of the request's block; 0 without one
+    is_suspect: bool = False  # the request may have crashed servers
 
 
 class TimerDue(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -2,6 +2,10 @@
 
 from typing import NamedTuple
 
+from pimentobend_core._internal.crashes.messages import Block
+from pimentobend_core._internal.crashes.messages import FingerprintBlocked
+from pimentobend_core._internal.crashes.messages import FingerprintReleased
+from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.delivery_messages import Held
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -26,6 +30,7 @@
     candidate: Candidate
     bid_age_s: float
     is_hedge: bool
+    fingerprint: str = ""
 
 
 class AttemptJudged(NamedTuple):
@@ -54,6 +59,22 @@
     attempts: tuple[str, ...]  # attempt id, server and outcome of each
 
 
+class RequestBlocked(NamedTuple):
+    """A request was refused because requests like it crash servers."""
+
+    request_id: str
+    block: Block
+    remaining_s: float
+
+
 ForwardingEvent = (
-    HostDecided | AttemptSent | AttemptJudged | DeliveryHeld | DeliveryEnded
+    HostDecided
+    | AttemptSent
+    | AttemptJudged
+    | DeliveryHeld
+    | DeliveryEnded
+    | ServerCrashed
+    | FingerprintBlocked
+    | FingerprintReleased
+    | RequestBlocked
 )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -9,9 +9,16 @@
 """
 
 import math
+from collections.abc import Iterable
 from collections.abc import Mapping
 
+from pimentobend_core._internal.crashes.detection import ProbeWanted
+from pimentobend_core._internal.crashes.detection import Verdict
+from pimentobend_core._internal.crashes.messages import CrashTick
+from pimentobend_core._internal.crashes.messages import EarlierReportsSeen
+from pimentobend_core._internal.crashes.messages import ReportsReceived
 from pimentobend_core._internal.forwarding.backlog import QueuedAttempt
+from pimentobend_core._internal.forwarding.host_crashes import HostCrashes
 from pimentobend_core._internal.forwarding.hosted_server import AttemptRecord
 from pimentobend_core._internal.forwarding.hosted_server import HostedServer
 from pimentobend_core._internal.forwarding.hosted_server import Phase
@@ -28,7 +35,9 @@
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
 from pimentobend_core._internal.forwarding.messages import LocalRequestFailed
+from pimentobend_core._internal.forwarding.messages import ProbeServer
 from pimentobend_core._internal.forwarding.messages import ServerListed
+from pimentobend_core._internal.forwarding.messages import ServerProbed
 from pimentobend_core._internal.forwarding.messages import ServerUnlisted
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
@@ -54,6 +63,7 @@
 # left before the deadline, as hardly any answer takes less.
 MIN_TIME_SHARE = 0.5
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
+CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
 
 class ServerHost(StatefulFilter[HostInput, HostOutput]):
@@ -72,6 +82,7 @@
         self._records: dict[str, AttemptRecord] = {}
         self._submissions = 0  # attempts that were queued so far
         self._is_stopping = False
+        self._crashes = HostCrashes(process_id)
         self._local_failure_at = -math.inf  # when a local client's request failed
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
@@ -83,14 +94,18 @@
                 return self._submit(message, now)
             case CallEnded():
                 return self._handle_call_ended(message, now)
+            case ServerProbed():
+                return self._handle_probe(message, now)
             case Withdraw():
-                return self._withdraw(message)
+                return self._withdraw(message, now)
             case ServerListed():
                 return self._update_server(message.server, now)
             case ServerUnlisted():
-                return self._remove_server(message.server_id)
+                return self._remove_server(message.server_id, now)
+            case ReportsReceived() | EarlierReportsSeen():
+                return self._crashes.handle(message, now)
             case HostTick():
-                return self._expire(now)
+                return (*self._expire(now), *self._crashes.handle(CrashTick(), now))
             case _:
                 self._update_state(message, now)
         return ()
@@ -100,6 +115,7 @@
         return {
             "attempts": len(self._records),
             "is_stopping": self._is_stopping,
+            "crashes": self._crashes.dump(),
             "servers": {
                 server_id: {
                     "service": hosted.server.service,
@@ -159,13 +175,15 @@
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (DuplicateSubmission(submit.attempt_id),)
+        learnt = self._crashes.learn(submit, now)
         hosted = self._servers.get(submit.server_id)
         record = AttemptRecord(submit)
         reason = self._find_decline_reason(hosted, submit, now)
         if hosted is None or reason is not None:
             # Keep the record, so that a delayed copy of the submission does not run.
             self._records[submit.attempt_id] = record
-            return (self._decline(record, reason or DeclineReason.NO_SERVER),)
+            reason = reason or DeclineReason.NO_SERVER
+            return (*learnt, self._decline(record, reason, now))
         self._records[submit.attempt_id] = record
         self._submissions += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
@@ -175,7 +193,7 @@
         attempt_id = submit.attempt_id
         queued = QueuedAttempt(due, self._submissions, attempt_id, durations.mean_s)
         hosted.backlog.add(queued)
-        return self._start_queued(hosted, now)
+        return (*learnt, *self._start_queued(hosted, now))
 
     def _find_decline_reason(
         self, hosted: HostedServer | None, submit: Submit, now: float
@@ -189,6 +207,10 @@
         is_full = len(hosted.backlog) >= QUEUE_LIMIT
         if is_full or len(self._records) >= RECORDS_LIMIT:
             return DeclineReason.FULL
+        queued = [each.attempt_id for each in hosted.backlog]
+        crash_reason = self._find_crash_reason(submit, (*hosted.running, *queued), now)
+        if crash_reason is not None:
+            return crash_reason
         if submit.is_repeat and not self._has_repeat_budget(hosted, now):
             return DeclineReason.BUDGET
         wait_s = hosted.wait_s(submit.route, now)
@@ -196,17 +218,30 @@
             return DeclineReason.FULL
         return None
 
+    def _find_crash_reason(
+        self, submit: Submit, beside: Iterable[str], now: float
+    ) -> DeclineReason | None:
+        others = (self._records[attempt_id].submit for attempt_id in beside)
+        return self._crashes.find_decline_reason(submit, others, now)
+
     def _start_queued(self, hosted: HostedServer, now: float) -> tuple[HostOutput, ...]:
         """Start queued attempts while slots are free; decline late ones.
 
-        An attempt is late if hardly any answer would come before its deadline.
+        An attempt is late if hardly any answer would come before its deadline. Nothing
+        starts while it is checked whether the server has crashed.
         """
         outputs: list[HostOutput] = []
+        if hosted.crashes.is_checking:
+            return ()
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
             submit = record.submit
             if not self._has_time(hosted, submit, now):
-                outputs.append(self._decline(record, DeclineReason.DEADLINE))
+                outputs.append(self._decline(record, DeclineReason.DEADLINE, now))
+                continue
+            reason = self._find_crash_reason(submit, hosted.running, now)
+            if reason is not None:
+                outputs.append(self._decline(record, reason, now))
                 continue
             record.phase = Phase.RUNNING
             record.started_at = now
@@ -230,11 +265,66 @@
             return ()
         record.phase = Phase.ENDED
         hosted = self._servers.get(record.submit.server_id)
-        if hosted is None:
-            return ()
+        is_current = hosted is not None and ended.attempt_id in hosted.running
+        if hosted is None or not is_current:
+            # The server has left, or a new one has taken its place.
+            is_broken = ended.kind is EndKind.BROKEN
+            return (self._crashes.judge(record.submit, now),) if is_broken else ()
         hosted.running.discard(ended.attempt_id)
         self._record_outcome(hosted, record, ended.kind, now)
-        return self._start_queued(hosted, now)
+        if ended.kind is EndKind.BROKEN:
+            return self._handle_break(hosted, record, now)
+        cleared = self._crashes.clear(record.submit, now) if ended.has_answered else ()
+        return (*cleared, *self._start_queued(hosted, now))
+
+    def _handle_break(
+        self, hosted: HostedServer, record: AttemptRecord, now: float
+    ) -> tuple[HostOutput, ...]:
+        """Check whether the server has crashed; one that is stopping has not."""
+        submit = record.submit
+        if not hosted.is_ready:
+            return (self._crashes.judge(submit, now),)
+        step = hosted.crashes.note_broken(submit.attempt_id, record.started_at, now)
+        match step:
+            case ProbeWanted():
+                return (ProbeServer(hosted.server, step.delay_s),)
+            case Verdict.CRASHED:
+                return (self._crashes.judge(submit, now),)
+            case _:
+                return ()
+
+    def _handle_probe(self, probed: ServerProbed, now: float) -> tuple[HostOutput, ...]:
+        hosted = self._servers.get(probed.server_id)
+        if hosted is None or hosted.server.incarnation != probed.incarnation:
+            return ()
+        step = hosted.crashes.note_probe(now, is_listening=probed.is_listening)
+        if isinstance(step, ProbeWanted):
+            return (ProbeServer(hosted.server, step.delay_s),)
+        if step is Verdict.CRASHED:
+            return self._handle_crash(hosted, now)
+        return (*self._release_broken(hosted, now), *self._start_queued(hosted, now))
+
+    def _handle_crash(self, hosted: HostedServer, now: float) -> tuple[HostOutput, ...]:
+        """Blame what ran when the first call broke; decline what waits."""
+        began_by = hosted.crashes.first_broken_at
+        broken = hosted.crashes.release()
+        records = [self._records[each] for each in (*broken, *hosted.running)]
+        ran = [record for record in records if record.started_at <= began_by]
+        blamed = self._crashes.blame(hosted.server.server_id, ran, now)
+        hosted.unreachable_until = now + CRASHED_S
+        judged = (
+            self._crashes.judge(self._records[each].submit, now) for each in broken
+        )
+        declined = self._decline_queued(hosted, DeclineReason.NO_SERVER, now)
+        return (*blamed, *judged, *declined)
+
+    def _release_broken(
+        self, hosted: HostedServer, now: float
+    ) -> tuple[HostOutput, ...]:
+        return tuple(
+            self._crashes.judge(self._records[attempt_id].submit, now)
+            for attempt_id in hosted.crashes.release()
+        )
 
     def _record_outcome(
         self, hosted: HostedServer, record: AttemptRecord, kind: EndKind, now: float
@@ -256,7 +346,7 @@
         if kind is EndKind.UNREACHABLE:
             hosted.unreachable_until = now + UNREACHABLE_S
 
-    def _withdraw(self, message: Withdraw) -> tuple[HostOutput, ...]:
+    def _withdraw(self, message: Withdraw, now: float) -> tuple[HostOutput, ...]:
         """Decline a queued attempt; cancel a running one if it is repeatable."""
         attempt_id = message.attempt_id
         record = self._records.get(attempt_id)
@@ -266,43 +356,48 @@
             hosted = self._servers.get(record.submit.server_id)
             if hosted is not None:
                 hosted.backlog.remove(attempt_id)
-            return (self._decline(record, DeclineReason.WITHDRAWN),)
+            return (self._decline(record, DeclineReason.WITHDRAWN, now),)
         is_running = record.phase is Phase.RUNNING and not message.only_queued
         if is_running and record.submit.is_repeatable:
             return (CancelCall(attempt_id),)
         return ()
 
-    def _decline(self, record: AttemptRecord, reason: DeclineReason) -> Declined:
+    def _decline(
+        self, record: AttemptRecord, reason: DeclineReason, now: float
+    ) -> Declined:
         record.phase = Phase.ENDED
-        return Declined(record.submit.attempt_id, reason)
+        return self._crashes.decline(record.submit, reason, now)
 
     def _update_server(self, server: Server, now: float) -> tuple[HostOutput, ...]:
         hosted = self._servers.get(server.server_id)
         if hosted is None or server.incarnation != hosted.server.incarnation:
-            declined = self._remove_server(server.server_id)
+            crashed: tuple[HostOutput, ...] = ()
+            if hosted is not None and hosted.crashes.is_checking:
+                # Its calls broke, and a new life of it is here.
+                crashed = self._handle_crash(hosted, now)
+            declined = self._remove_server(server.server_id, now)
             hosted = self._servers[server.server_id] = HostedServer(
                 server, self._terms, now
             )
-            return declined
+            return (*crashed, *declined)
         hosted.server = server
         if hosted.is_ready:
             return self._start_queued(hosted, now)
-        return self._decline_queued(hosted, DeclineReason.DRAINING)
+        return self._decline_queued(hosted, DeclineReason.DRAINING, now)
 
-    def _remove_server(self, server_id: str) -> tuple[HostOutput, ...]:
+    def _remove_server(self, server_id: str, now: float) -> tuple[HostOutput, ...]:
         hosted = self._servers.pop(server_id, None)
-        return (
-            ()
-            if hosted is None
-            else self._decline_queued(hosted, DeclineReason.NO_SERVER)
-        )
+        if hosted is None:
+            return ()
+        declined = self._decline_queued(hosted, DeclineReason.NO_SERVER, now)
+        return (*self._release_broken(hosted, now), *declined)
 
     def _decline_queued(
-        self, hosted: HostedServer, reason: DeclineReason
+        self, hosted: HostedServer, reason: DeclineReason, now: float
     ) -> tuple[HostOutput, ...]:
         removed = hosted.backlog.clear()
         records = [self._records[queued.attempt_id] for queued in removed]
-        return tuple(self._decline(record, reason) for record in records)
+        return tuple(self._decline(record, reason, now) for record in records)
 
     def _expire(self, now: float) -> tuple[HostOutput, ...]:
         outputs: list[HostOutput] = []
@@ -310,7 +405,10 @@
             for queued, reason in self._find_overdue(hosted, now):
                 hosted.backlog.remove(queued.attempt_id)
                 record = self._records[queued.attempt_id]
-                outputs.append(self._decline(record, reason))
+                outputs.append(self._decline(record, reason, now))
+            if hosted.crashes.is_overdue(now):
+                outputs.extend(self._release_broken(hosted, now))
+                outputs.extend(self._start_queued(hosted, now))
         self._records = {
             attempt_id: record
             for attempt_id, record in self._records.items()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from pimentobend_core._internal.crashes.detection import CrashDetector
 from pimentobend_core._internal.forwarding.backlog import Backlog
 from pimentobend_core._internal.forwarding.durations import RouteDurations
 from pimentobend_core._internal.forwarding.liveness import Liveness
@@ -47,6 +48,7 @@
         self.refusals = RefusalShare(now)
         self.durations = RouteDurations()
         self.unreachable_until = 0.0
+        self.crashes = CrashDetector()
 
     @property
     def is_ready(self) -> bool:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -7,6 +7,11 @@
 import enum
 from typing import NamedTuple
 
+from pimentobend_core._internal.crashes.messages import CrashOutput
+from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.crashes.messages import EarlierReportsSeen
+from pimentobend_core._internal.crashes.messages import ReportsReceived
+from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.models.server import Server
 
 
@@ -52,6 +57,8 @@
     deadline: float  # clock time
     request_id: str = ""
     is_repeat: bool = False  # an earlier attempt may have reached a server
+    fingerprint: str = ""  # empty if the request cannot be recognised
+    crash_reports: tuple[CrashReport, ...] = ()  # that its origin has learnt of
 
 
 class Withdraw(NamedTuple):
@@ -65,7 +72,8 @@
     """How the call to a hosted server ended."""
 
     GOOD = "good"
-    FAILED = "failed"  # a server error, a truncated answer or no answer
+    FAILED = "failed"  # a server error, or no answer
+    BROKEN = "broken"  # the connection ended before an answer did
     REFUSED = "refused"  # the server states that it did not run the request
     UNREACHABLE = "unreachable"  # no byte was sent
     GIVEN_UP = "given-up"  # the deadline passed or the caller left
@@ -76,6 +84,15 @@
 
     attempt_id: str
     kind: EndKind
+    has_answered: bool = False  # the server answered, maybe with an error
+
+
+class ServerProbed(NamedTuple):
+    """Report whether anything listens at the address of a server."""
+
+    server_id: str
+    incarnation: int
+    is_listening: bool
 
 
 class ServerListed(NamedTuple):
@@ -116,6 +133,9 @@
     | Submit
     | Withdraw
     | CallEnded
+    | ServerProbed
+    | ReportsReceived
+    | EarlierReportsSeen
     | ServerListed
     | ServerUnlisted
     | StartDraining
@@ -135,6 +155,9 @@
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
     BUDGET = "budget"  # the server's share of the retry budget is spent
+    CRASHES_SERVERS = "crashes-servers"  # the request is blocked
+    # It may have crashed a server, and so may another one that runs here.
+    SUSPECT = "suspect"
 
 
 class StartCall(NamedTuple):
@@ -149,6 +172,23 @@
 
     attempt_id: str
     reason: DeclineReason
+    crash_reports: tuple[CrashReport, ...] = ()
+    blocked_s: float = 0.0  # time until the end of the request's block
+
+
+class ProbeServer(NamedTuple):
+    """Find out, after ``delay_s`` seconds, whether anything listens at a server."""
+
+    server: Server
+    delay_s: float
+
+
+class CallJudged(NamedTuple):
+    """Release a broken call, with what is held against its request."""
+
+    attempt_id: str
+    crash_reports: tuple[CrashReport, ...]
+    blocked_s: float  # time until the end of the request's block; 0 without one
 
 
 class DuplicateSubmission(NamedTuple):
@@ -163,4 +203,14 @@
     attempt_id: str
 
 
-HostOutput = Bids | StartCall | Declined | DuplicateSubmission | CancelCall
+HostOutput = (
+    Bids
+    | StartCall
+    | Declined
+    | DuplicateSubmission
+    | CancelCall
+    | ProbeServer
+    | CallJudged
+    | ServerCrashed
+    | CrashOutput
+)
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -30,6 +30,7 @@
     CALLER_LEFT = "caller-left"
     NO_TABLES = "no-tables"
     TOO_LARGE = "too-large"
+    CRASHES_SERVERS = "crashes-servers"
 
 
 class Refusal(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -6,6 +6,8 @@
 
 from returns.result import Result
 
+from pimentobend_core._internal.crashes.messages import Block
+from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -61,6 +63,9 @@
     latency_s: float
     was_reused: bool
     load: LoadReport | None
+    is_broken: bool = False  # the connection ended before an answer did
+    crash_reports: tuple[CrashReport, ...] = ()  # what is held against the request
+    blocked_s: float = 0.0  # time until the end of the request's block; 0 without one
 
 
 class Claim(NamedTuple):
@@ -94,6 +99,18 @@
         return self.current().log_index > 0
 
 
+class BlocksPort(abc.ABC):
+    """Access to the requests that are blocked because they crash servers."""
+
+    @abc.abstractmethod
+    def find_block(self, fingerprint: str) -> Block | None:
+        """Return the block of a request that is in force now, or None."""
+
+    @abc.abstractmethod
+    def note_refused(self, request_id: str, block: Block) -> None:
+        """Report that a request was refused because of its block."""
+
+
 class TrafficPort(abc.ABC):
     """Access to the tasks that assign each pool's servers to requests."""
 
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -32,6 +32,7 @@
     route: Route
     pool: str = ""  # selected by the route's traffic splits
     on_caller_left: OnCallerLeft | None = None
+    fingerprint: str = ""  # empty if the request cannot be recognised
 
 
 class Claimed(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -10,11 +10,16 @@
 from pimentobend_adapters._internal.log_volume import ORDINARY
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import Outlet
+from pimentobend_core._internal.crashes.messages import FingerprintBlocked
+from pimentobend_core._internal.crashes.messages import FingerprintReleased
+from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.events import AttemptJudged
 from pimentobend_core._internal.forwarding.events import AttemptSent
 from pimentobend_core._internal.forwarding.events import DeliveryEnded
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.forwarding.events import HostDecided
+from pimentobend_core._internal.forwarding.events import RequestBlocked
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -32,6 +37,7 @@
     def __init__(self, counters: CounterTable) -> None:
         self._log = get_log()
         self._counters = counters
+        self._blocked: set[str] = set()
 
     def put(self, message: ForwardingEvent) -> None:
         """Log and count one event."""
@@ -68,10 +74,57 @@
                     tables=message.tables,
                     attempts=" ".join(message.attempts),
                 )
-            case _:
+            case HostDecided():
                 self._write_host_event(
                     message.action, message.attempt_id, message.detail
                 )
+            case _:
+                self._write_crash_event(message)
+
+    def _write_crash_event(
+        self,
+        message: ServerCrashed
+        | FingerprintBlocked
+        | FingerprintReleased
+        | RequestBlocked,
+    ) -> None:
+        match message:
+            case ServerCrashed():
+                self._counters.count("server_crashes")
+                self._log.warning(
+                    "server-crashed",
+                    server=message.server_id,
+                    running=",".join(each or "-" for each in message.running),
+                )
+            case FingerprintBlocked():
+                block = message.block
+                self._blocked.add(block.fingerprint)
+                self._counters.count("blocks", "blocked")
+                self._log.warning(
+                    "request-blocked",
+                    fingerprint=block.fingerprint,
+                    weight=block.weight,
+                    crashes=block.crashes,
+                    observers=block.observers,
+                    remaining_s=round(message.remaining_s, 1),
+                )
+            case FingerprintReleased():
+                self._blocked.discard(message.fingerprint)
+                self._counters.count("blocks", message.reason.value)
+                self._log.info(
+                    "request-released",
+                    fingerprint=message.fingerprint,
+                    reason=message.reason.value,
+                )
+            case RequestBlocked():
+                self._log.info(
+                    "request-refused",
+                    request_id=message.request_id,
+                    fingerprint=message.block.fingerprint,
+                    weight=message.block.weight,
+                    remaining_s=round(message.remaining_s, 1),
+                )
+        self._counters.set("blocked_fingerprints", len(self._blocked))
 
     def _write_sent(self, message: AttemptSent) -> None:
         bid = message.candidate.bid
@@ -88,6 +141,7 @@
             wait_ms=_ms(bid.wait_s),
             bid_age_ms=_ms(message.bid_age_s),
             is_hedge=message.is_hedge,
+            fingerprint=message.fingerprint,
             **{ORDINARY: not message.is_hedge},
         )
 
