Refuse requests that crash the servers that run them

Seen: one request came 10 times at 4 machines in 13 s and 16 servers ended. A delivery sent it to a second server at once, and nothing was remembered between attempts or passed on between machines.

A filter between route and delivery finds each request's fingerprint and refuses the blocked ones: 503, not run, crashes-servers, with what is left of the block as Retry-After. Crash reports ride in each daemon's gossip row, and a restarted daemon gets its own back with its earlier row.

--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -155,7 +155,8 @@
         """Return its earlier row to a restarted daemon; report this daemon's own.
 
         The row says which servers had left or were leaving, which the daemon does not
-        know any more and a delayed announcement would contradict.
+        know any more and a delayed announcement would contradict, and which requests
+        it had seen crash its server.
         """
         outputs: list[GossipOutput] = []
         for row in rows:
@@ -164,7 +165,7 @@
                 continue
             if row.address == self._own_row.address:
                 outputs.append(EarlierRowSeen(row))
-            elif row.address == sender and not all(s.is_ready for s in known.servers):
+            elif row.address == sender and _is_worth_returning(known):
                 outputs.append(SendGossip(sender, Rows((known,), ())))
         return outputs
 
@@ -364,3 +365,8 @@
             return []
         self._announced_peers = peers
         return [PeersChanged(peers)]
+
+
+def _is_worth_returning(row: PeerRow) -> bool:
+    """Return whether a restarted daemon lost what its earlier row says."""
+    return bool(row.crash_reports) or not all(each.is_ready for each in row.servers)
--- a/packages/core/src/pimentobend_core/_internal/gossip/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/rows.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from pimentobend_core._internal.crashes.messages import CrashReport
+
 
 class HostedServer(NamedTuple):
     """A backend server that is registered with a daemon."""
@@ -31,6 +33,7 @@
     forward_port: int  # HTTP port for forwarded requests; 0 if it accepts none
     is_leaving: bool
     servers: tuple[HostedServer, ...]
+    crash_reports: tuple[CrashReport, ...] = ()
 
     @property
     def host(self) -> str:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -23,6 +23,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobend_core._internal.gossip.codec import decode_message
 from pimentobend_core._internal.gossip.codec import encode_message
@@ -220,6 +221,7 @@
             tables=self._tables,
             own_row=lambda: self._own_row,
             on_servers_changed=self._update_servers,
+            on_reports_changed=self._update_reports,
             on_unreachable=lambda each: self._gossip.put(PeerUnreachable(each)),
             forwarding=ForwardingLog(self._counters),
             requests=RequestLog(self._counters),
@@ -258,6 +260,9 @@
         if not self._is_stopping and servers != self._own_row.servers:
             self._update_own_row(self._own_row._replace(servers=servers))
 
+    def _update_reports(self, reports: tuple[CrashReport, ...]) -> None:
+        self._update_own_row(self._own_row._replace(crash_reports=reports))
+
     def _update_own_row(self, row: PeerRow) -> None:
         self._own_row = row
         self._gossip.put(OwnRowChanged(row))
@@ -279,7 +284,7 @@
                 self._spread.handle_newer_version(output.address, output.version)
             case EarlierRowSeen():
                 if self._instance is not None:
-                    self._instance.restore_drains(output.row.servers)
+                    self._instance.restore(output.row)
 
     def _update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         processes = {row.address: row.process_id for row in peers}
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -32,6 +32,7 @@
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.gossip.published import PublishedServers
@@ -51,6 +52,7 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import Withdrawal
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
@@ -115,6 +117,7 @@
     tables: TablesInForce
     own_row: Callable[[], PeerRow]
     on_servers_changed: Callable[[tuple[HostedServer, ...]], None]
+    on_reports_changed: Callable[[tuple[CrashReport, ...]], None]
     on_unreachable: Callable[[str], None]
     forwarding: Outlet[ForwardingEvent]
     requests: Outlet[RequestEnded]
@@ -144,7 +147,10 @@
             ServerCalls(names, clock, ports.on_connect),
             clock,
             ports.forwarding,
+            ports.on_reports_changed,
         )
+        # The crash reports in each daemon's row, by its address.
+        self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
         self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
@@ -163,7 +169,12 @@
             itertools.count(1),
         )
         self._deliveries = DeliveryFilter(delivery)
-        pipe = DeadlineFilter(clock).then(RouteFilter(tables)).then(self._deliveries)
+        pipe = (
+            DeadlineFilter(clock)
+            .then(RouteFilter(tables))
+            .then(CrashGuardFilter(self.host.blocks, clock))
+            .then(self._deliveries)
+        )
         options = FrontOptions(
             names,
             settings.beside.service if settings.beside else "",
@@ -195,6 +206,13 @@
         ]
         services += [server.service for server in self._servers.values()]
         self.host.update_service_sizes(ServiceSizes(tuple(Counter(services).items())))
+        for row in peers:
+            # Only changes count: the row of a daemon that is gone grows no younger.
+            if row.crash_reports != self._peer_reports.get(row.address, ()):
+                self.host.receive_reports(row.crash_reports)
+        self._peer_reports = {
+            row.address: row.crash_reports for row in peers if row.crash_reports
+        }
 
     def start(self) -> None:
         """Start the tasks, then the listeners."""
@@ -251,9 +269,14 @@
         self._published.update(event)
         self._on_servers_changed(self._published.all())
 
-    def restore_drains(self, servers: tuple[HostedServer, ...]) -> None:
-        """Drain the servers that were not ready before this daemon restarted."""
-        drains = self._published.restore(servers)
+    def restore(self, row: PeerRow) -> None:
+        """Take over what this daemon's row said before it restarted.
+
+        The servers that were not ready are drained.
+        """
+        if row.crash_reports:
+            self.host.restore_reports(row.crash_reports)
+        drains = self._published.restore(row.servers)
         if drains.servers:
             self.registry.task.put(drains)
             self._on_servers_changed(self._published.all())
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -1,11 +1,14 @@
 """Fake backend server with the platform's interfaces."""
 
+import contextlib
 import json
+import socket
 import time
 import urllib.request
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 from threading import Event
+from threading import Lock
 from threading import Thread
 from typing import Any
 
@@ -31,6 +34,14 @@
         # Every how many answers an earlier one of its connection is sent once more
         # before it, as a refusal and as a success by turns; 0 for never.
         self.repeats_every = 0
+        self.crash_path = ""  # a request of this path crashes the server
+        self.crash_after_s = 0.1  # and so long after it began
+        self.down_s = 2.0  # then the server is back, with another id
+        self.crashed_by: list[str] = []  # request ids
+        self.died: list[str] = []  # ids of the requests that ran when it crashed
+        self._running: dict[str, str] = {}  # paths by request id
+        self._crash_lock = Lock()
+        self._is_down = False
         self._stop = Event()
         self._control = control
         self._sequence = 0
@@ -52,13 +63,69 @@
             def log_message(self, *args: Any) -> None:
                 pass
 
-        self._http = ThreadingHTTPServer((host, 0), Handler)
-        self._http.daemon_threads = True
+        self._handler = Handler
+        self._http = self._listen(host, 0)
         self.address = f"{host}:{self._http.server_port}"
         self.announced = announced or self.address
         self._info = {"service": service, "version": "v1", "zone": "a", "slots": slots}
         self.restart()
 
+    def _listen(self, host: str, port: int) -> ThreadingHTTPServer:
+        outer = self
+        connections: list[socket.socket] = []
+
+        class Listener(ThreadingHTTPServer):
+            daemon_threads = True
+            open_connections = connections
+
+            def process_request(self, request: Any, client_address: Any) -> None:
+                connections.append(request)
+                super().process_request(request, client_address)
+
+            def handle_error(self, request: Any, client_address: Any) -> None:
+                if not outer.crash_path:
+                    super().handle_error(request, client_address)
+
+        return Listener((host, port), self._handler)
+
+    def crash(self) -> None:
+        """Close all connections and the listener; be back after ``down_s``."""
+        http = self._http
+        self._is_down = True
+        with contextlib.suppress(OSError):
+            http.socket.shutdown(socket.SHUT_RDWR)
+        for connection in http.open_connections:  # type: ignore[attr-defined]
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        http.shutdown()
+        http.server_close()
+        Thread(target=self._come_back, daemon=True).start()
+
+    def _come_back(self) -> None:
+        if self._stop.wait(self.down_s):
+            return
+        host, _, port = self.address.rpartition(":")
+        self._http = self._listen(host, int(port))
+        self.restart()
+        self._is_down = False
+        Thread(target=self._http.serve_forever, daemon=True).start()
+
+    def _run(self, request_id: str, path: str) -> None:
+        """Take the time that a request takes, or crash with all that runs."""
+        self._running[request_id] = path
+        try:
+            if not self.crash_path or not path.startswith(self.crash_path):
+                time.sleep(self.hold_s)
+                return
+            time.sleep(self.crash_after_s)
+            with self._crash_lock:
+                if not self._is_down:
+                    self.crashed_by.append(request_id)
+                    self.died.extend(self._running)
+                    self.crash()
+        finally:
+            self._running.pop(request_id, None)
+
     def restart(self) -> None:
         """Become a new server with another id at the same address."""
         born = time.time_ns()
@@ -91,7 +158,7 @@
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
         if self.hangs:
             self._stop.wait(60)
-        time.sleep(self.hold_s)
+        self._run(request_id, request.path)
         earlier_id = request.earlier_id  # type: ignore[attr-defined]
         if self.repeats_every and earlier_id:
             self._answers += 1
@@ -130,4 +197,5 @@
 
     def _send_heartbeats(self) -> None:
         while not self._stop.wait(0.3):
-            self.beat()
+            if not self._is_down:
+                self.beat()
--- a/tests/unit/gossip/test_node.py
+++ b/tests/unit/gossip/test_node.py
@@ -3,10 +3,15 @@
 import random
 from collections import deque
 
+import msgspec
 import pytest
 
+from pimentobend_adapters._internal.links.datagrams import MAX_DATAGRAM_BYTES
 from pimentobend_core._internal.configuration.messages import FIRST_VERSION
 from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.crashes.suspects import MAX_PUBLISHED
+from pimentobend_core._internal.crashes.suspects import REPORT_S
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.gossip.codec import decode_message
 from pimentobend_core._internal.gossip.codec import encode_message
@@ -203,6 +208,49 @@
     assert all(each == servers for each in told)
 
 
+REPORTS = tuple(
+    CrashReport(f"{2**32 - 1:x}-{number}", "f" * 16, 2, REPORT_S)
+    for number in range(MAX_PUBLISHED)
+)
+
+
+@pytest.mark.parametrize("reports", [(), REPORTS], ids=["none", "some"])
+def test_a_restarted_daemon_hears_what_it_had_reported(
+    reports: tuple[CrashReport, ...],
+) -> None:
+    fleet = Fleet(8)
+    row = make_row(5)._replace(servers=(SERVER,), crash_reports=reports)
+    fleet.run(2.0)
+    fleet.deliver(row.address, OwnRowChanged(row))
+    fleet.run(2.0)
+    assert all(
+        row.crash_reports in [each.crash_reports for each in peers]
+        for address, peers in fleet.peers.items()
+        if address != row.address
+    )
+    fleet.other_outputs.clear()
+    fleet.start(make_row(5, incarnation=2)._replace(process_id=99))
+    fleet.run(3.0)
+    told = [
+        output.row.crash_reports
+        for address, output in fleet.other_outputs
+        if address == row.address and isinstance(output, EarlierRowSeen)
+    ]
+    assert bool(told) == bool(reports)
+    assert all(each == reports for each in told)
+
+
+def test_a_row_with_all_reports_fits_a_datagram() -> None:
+    row = make_row(1)._replace(servers=(SERVER,) * 2, crash_reports=REPORTS)
+    ping = encode_message(Ping(1, 2, FIRST_VERSION, (row,)))
+    assert len(ping) < 0.9 * MAX_DATAGRAM_BYTES
+
+
+def test_a_row_of_an_earlier_version_has_no_reports() -> None:
+    earlier = msgspec.msgpack.encode((3, ([ROW[:9]], ())))
+    assert decode_message(earlier) == Rows((ROW,), ())
+
+
 def test_a_broken_path_and_its_recovery_are_reported() -> None:
     fleet = Fleet(4)
     fleet.run(2.0)
@@ -246,6 +294,7 @@
 
 ROW = make_row(1)._replace(servers=(SERVER,))
 MESSAGES: list[GossipMessage] = [
+    Rows((ROW._replace(crash_reports=REPORTS),), ()),
     Ping(1, 2, FIRST_VERSION, (ROW,)),
     Ack(1, 2, Version(1, 2), ()),
     Pull(((ROW.address, ROW.version),)),
