Start what waits at a server that resets a call after the first probe

A server that resets connections but goes on would have held up its queue for 60 ms with each reset, as nothing started before the verdict. Now starts go on once the first probe, after 10 ms, finds a listener.

Fingerprints cover the Authorization header too, so that equal requests of two callers are told apart where callers are known by their credentials.

--- a/packages/core/src/pimentobend_core/_internal/crashes/detection.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/detection.py
@@ -43,6 +43,11 @@
         """Return whether calls wait for the verdict."""
         return bool(self._broken)
 
+    @property
+    def must_not_start(self) -> bool:
+        """Return whether the server may just have ended, and nothing should start."""
+        return self.is_checking and not self._probes
+
     @property
     def first_broken_at(self) -> float:
         """Return when the first of the waiting calls broke, in seconds."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -228,10 +228,10 @@
         """Start queued attempts while slots are free; decline late ones.
 
         An attempt is late if hardly any answer would come before its deadline. Nothing
-        starts while it is checked whether the server has crashed.
+        starts until the first probe of a server that may have crashed.
         """
         outputs: list[HostOutput] = []
-        if hosted.crashes.is_checking:
+        if hosted.crashes.must_not_start:
             return ()
         while hosted.backlog and hosted.free_slots and hosted.is_ready:
             record = self._records[hosted.backlog.take().attempt_id]
@@ -299,7 +299,8 @@
             return ()
         step = hosted.crashes.note_probe(now, is_listening=probed.is_listening)
         if isinstance(step, ProbeWanted):
-            return (ProbeServer(hosted.server, step.delay_s),)
+            probe = ProbeServer(hosted.server, step.delay_s)
+            return (probe, *self._start_queued(hosted, now))
         if step is Verdict.CRASHED:
             return self._handle_crash(hosted, now)
         return (*self._release_broken(hosted, now), *self._start_queued(hosted, now))
--- a/tests/unit/crashes/test_fingerprint.py
+++ b/tests/unit/crashes/test_fingerprint.py
@@ -28,6 +28,7 @@
     [
         ({"request_id": "2", "received_at": 5.0, "deadline": 9.0}, BODY, True),
         ({"headers": (("Caller-Service", "other"),)}, BODY, True),
+        ({"headers": (("Authorization", "Bearer other"),)}, BODY, False),
         ({"method": "PUT"}, BODY, False),
         ({"host": "b.example"}, BODY, False),
         ({"path": "/a/c"}, BODY, False),
--- a/tests/unit/forwarding/test_host_crashes.py
+++ b/tests/unit/forwarding/test_host_crashes.py
@@ -149,6 +149,18 @@
     assert [report.weight for report in judged.crash_reports] == [1]
 
 
+def test_a_server_that_resets_a_call_goes_on_with_its_queue() -> None:
+    harness = Harness()
+    for name in ("1", "2", "3"):
+        harness.submit(name, name)
+    assert of(StartCall, harness.give(broken("1"))) == []
+    outputs = harness.give(ACCEPTED)
+    assert [each[0] for each in of(StartCall, outputs)] == ["3"]
+    # It ends all the same: what started since is not to blame.
+    crashed = of(ServerCrashed, harness.give(REFUSED))
+    assert crashed == [ServerCrashed("s", ("1", "2"))]
+
+
 def test_a_lost_probe_releases_the_call() -> None:
     harness = Harness()
     harness.submit("1", "f")
