--- a/tests/functional/test_crashes.py
+++ b/tests/functional/test_crashes.py
@@ -106,3 +106,32 @@
             lambda p=process: p.request("/look/after").status == 200,
             "an innocent request is served",
         )
+
+
+def test_a_block_survives_the_restart_of_any_daemon(fleet: Fleet) -> None:
+    servers = servers_of(fleet)
+    for server in servers:
+        server.crash_path = CRASH_PATH
+    for number in range(TRIES):
+        fleet.instances[0].request(CRASH_PATH, "GET", f"crash-{number}")
+    crashes = sum(len(server.crashed_by) for server in servers)
+    for process in fleet.instances:
+        other = next(each for each in fleet.instances if each is not process)
+        process.kill()
+        before = len(process.log())
+        process.start()
+        wait_until(process.is_ready, "the restarted instance is ready")
+        wait_until(
+            lambda p=process: p.request("/look/after").status == 200,
+            "an innocent request is served",
+        )
+        # Its own reports come back from the other daemons, and theirs with the rows.
+        wait_until(
+            lambda p=process, at=before: "'request-blocked'" in p.log()[at:],
+            "the restarted instance knows the block",
+        )
+        for refusing in (process, other):
+            answer = refusing.request(CRASH_PATH, "GET", f"again-{process.ip}")
+            assert answer.status == 503
+            assert answer.headers["pimentobend-reason"] == "crashes-servers"
+    assert sum(len(server.crashed_by) for server in servers) == crashes
