Take an answer that ends within its head for none

Seen: a server that stopped in its answer's head and closed gave callers a 200 with an empty or a short body, framed as whole, on both interfaces. A 103 was delivered as the answer. On the own interface, a Content-Length that is no number ended as a 500 without a word on whether the request ran.

Cause: http.client takes the end of the connection for the end of a head, of a line and of a chunk's size, drops the header lines after one that it cannot parse, reads a body of unknown length until the close where it cannot read Content-Length, and skips only interim answers of status 100.

Change: a line of an answer's head or of a chunk's size must have its end, each line must be a header, and the length a single whole number; otherwise the attempt has no answer, may have run, and its connection is closed. All interim answers are skipped, within the earlier bound.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -14,10 +14,14 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
+from pimentobend_adapters._internal.http.heads import LineReader
+from pimentobend_adapters._internal.http.heads import check_head
+
 # With this SO_LINGER value, close() sends a reset and drops unsent data.
 _LINGER_NONE = struct.pack("ii", 1, 0)
 # Receive calls in a row after which the other tasks of the process may run.
 RECEIVES_PER_TURN = 8
+INTERIM_STATUSES = range(100, 200)
 MAX_INTERIM_ANSWERS = 16
 MAX_TRAILER_LINES = 100
 MAX_LINE_BYTES = 65536
@@ -57,23 +61,50 @@
 
 
 class BoundedAnswer(http.client.HTTPResponse):
-    """Answer with a bound on its interim answers and trailers.
+    """Answer with a whole head, and a bound on its interim answers and trailers.
 
     Bytes that came with it, beyond its end, belong to no request: its connection is
     then not used again.
     """
 
+    fp: Any
+
     def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
         super().__init__(sock, *args, **kwargs)
         self._socket = sock
         self._interim_answers = 0
 
+    def begin(self) -> None:
+        """Read the head; raise ``IncompleteHeadError`` if it is not whole."""
+        inner = self.fp
+        self.fp = LineReader(inner)
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = inner
+        check_head(self.headers)
+
     def _read_status(self) -> tuple[str, int, str]:
-        self._interim_answers += 1
-        if self._interim_answers > MAX_INTERIM_ANSWERS:
-            raise http.client.HTTPException("too many interim answers")
-        status: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
-        return status
+        """Read the status line of the answer, after the interim answers."""
+        while True:
+            self._interim_answers += 1
+            if self._interim_answers > MAX_INTERIM_ANSWERS:
+                raise http.client.HTTPException("too many interim answers")
+            line: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
+            if line[1] not in INTERIM_STATUSES:
+                return line
+            http.client.parse_headers(self.fp)
+
+    def _read_next_chunk_size(self) -> int:
+        inner = self.fp
+        self.fp = LineReader(inner)
+        try:
+            size: int = super()._read_next_chunk_size()  # type: ignore[misc]
+        finally:
+            if self.fp is not None:
+                self.fp = inner
+        return size
 
     def _read_and_discard_trailer(self) -> None:
         for _ in range(MAX_TRAILER_LINES):
--- a/tests/lib/kept_connection.py
+++ b/tests/lib/kept_connection.py
@@ -1,7 +1,11 @@
 """Servers that answer kept connections with raw bytes, and calls by both clients."""
 
 import abc
+import enum
+import socket
+import struct
 from collections.abc import Callable
+from collections.abc import Sequence
 from typing import Any
 from typing import NamedTuple
 
@@ -21,6 +25,7 @@
     request_id="Id", not_run="Not-Run", expected_server="Expect", stamp="Stamp"
 )
 RECEIVE_BYTES = 65536
+RESET_AFTER_S = 0.002  # the bytes before a reset have been received by then
 
 
 class Client(abc.ABC):
@@ -89,13 +94,30 @@
         return head.encode() + b"\r\n" + self.body + self.extra
 
 
+class Ending(enum.Enum):
+    """How a server ends a connection after some bytes."""
+
+    CLOSE = "close"
+    RESET = "reset"
+
+
+class Broken(NamedTuple):
+    """Bytes after which the server ends the connection."""
+
+    data: bytes
+    ending: Ending
+
+
+Step = bytes | Broken | Callable[[], bytes]
+
+
 class ScriptedServer:
     """Answers the requests of its connections with the next bytes of a script.
 
     Bytes of a callable are sent again and again until the connection closes.
     """
 
-    def __init__(self, script: list[bytes | Callable[[], bytes]]) -> None:
+    def __init__(self, script: Sequence[Step]) -> None:
         self._script = list(script)
         self._listener = eventlet.listen(("127.0.0.1", 0))
         self.connections = 0
@@ -123,10 +145,23 @@
                     if not piece:
                         return
                     received += piece
-                self._answer(connection, self._script.pop(0))
+                step = self._script.pop(0)
+                if isinstance(step, Broken):
+                    self._break(connection, step)
+                    return
+                self._answer(connection, step)
         except OSError:
             return
 
+    def _break(self, connection: Any, step: Broken) -> None:
+        connection.sendall(step.data)
+        if step.ending is Ending.RESET:
+            eventlet.sleep(RESET_AFTER_S)
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        connection.close()
+
     def _answer(self, connection: Any, step: bytes | Callable[[], bytes]) -> None:
         if isinstance(step, bytes):
             connection.sendall(step)
