Refuse a request that ends within its head

Seen: a caller, or another daemon, that stopped in its request's head and closed its side had a request run that it had not sent: without a body, or with headers missing. A line that is no header hid the lines after it, and the body was read as the next request.

Cause: the same as for answers: the request head, too, is read by http.client, which takes the end of the connection for the end of the head.

Change: the server of all interfaces, also of the hops between daemons, refuses such a request with 400, "not run", and closes the connection. A chunked body must end with a whole line.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -75,7 +75,7 @@
         self._interim_answers = 0
 
     def begin(self) -> None:
-        """Read the head; raise ``IncompleteHeadError`` if it is not whole."""
+        """Read the head; raise ``CutLineError`` if it is not whole."""
         inner = self.fp
         self.fp = LineReader(inner)
         try:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -4,6 +4,7 @@
 in its head would then be a whole message, with headers missing or cut short.
 """
 
+import errno
 import http.client
 from typing import Any
 
@@ -13,12 +14,16 @@
 MAX_LENGTH_DIGITS = 18  # ``int`` rejects numbers of some thousand digits
 
 
-class IncompleteHeadError(http.client.HTTPException):
-    """A message ended within its head, or its head cannot be read."""
+class CutLineError(OSError):
+    """A connection ended within a line, or before one that must follow."""
+
+
+class MalformedHeadError(http.client.HTTPException):
+    """A head has lines, or a length of the body, that cannot be read."""
 
 
 class LineReader:
-    """File whose lines raise ``IncompleteHeadError`` if they have no end."""
+    """File whose lines raise ``CutLineError`` if they have no end."""
 
     def __init__(self, inner: Any) -> None:
         self._inner = inner
@@ -30,18 +35,18 @@
         """Return a line of at most ``limit_bytes`` bytes."""
         line: bytes = self._inner.readline(limit_bytes)
         if not line.endswith(b"\n") and len(line) != limit_bytes:
-            raise IncompleteHeadError("the connection ended within a line")
+            raise CutLineError(errno.EPROTO, "the connection ended within a line")
         return line
 
 
 def check_head(headers: http.client.HTTPMessage) -> None:
-    """Raise ``IncompleteHeadError`` if lines or the body's length cannot be read."""
+    """Raise ``MalformedHeadError`` if lines or the body's length cannot be read."""
     try:
         assert_header_parsing(headers)
     except HeaderParsingError as error:
-        raise IncompleteHeadError("a line of the head is no header") from error
+        raise MalformedHeadError("a line of the head is no header") from error
     lengths = set(headers.get_all("Content-Length", ()))
     length = "".join(lengths) or "0"
     is_number = length.isascii() and length.isdigit()
     if len(lengths) > 1 or not is_number or len(length) > MAX_LENGTH_DIGITS:
-        raise IncompleteHeadError("Content-Length is not a single whole number")
+        raise MalformedHeadError("Content-Length is not a single whole number")
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -1,5 +1,6 @@
 """Mark the error responses of eventlet's HTTP server as not run."""
 
+import errno
 import http.client
 from typing import Any
 
@@ -7,6 +8,10 @@
 
 from pimentobend_adapters._internal.http.headers import RAN
 from pimentobend_adapters._internal.http.headers import REASON
+from pimentobend_adapters._internal.http.heads import CutLineError
+from pimentobend_adapters._internal.http.heads import LineReader
+from pimentobend_adapters._internal.http.heads import MalformedHeadError
+from pimentobend_adapters._internal.http.heads import check_head
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
 
@@ -17,6 +22,7 @@
 # Error responses that eventlet or ``send_error`` writes begin like this.
 _LIBRARY_ERROR = b"HTTP/1.0 4"
 _LINE_END = b"\r\n"
+BAD_REQUEST = 400
 
 
 class RefusingProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
@@ -38,8 +44,24 @@
         """Return the WSGI environment with this handler in it."""
         environ: dict[str, Any] = super().get_environ()
         environ[CONNECTION_KEY] = self
+        body = environ["wsgi.input"]
+        body.rfile = LineReader(body.rfile)
         return environ
 
+    def parse_request(self) -> bool:
+        """Parse the request line and the headers; refuse those that are not whole."""
+        self.rfile: Any = LineReader(self.rfile)
+        try:
+            if not self.raw_requestline.endswith(b"\n"):
+                raise CutLineError(errno.EPROTO, "the request line has no end")
+            if not super().parse_request():
+                return False
+            check_head(self.headers)
+        except (CutLineError, MalformedHeadError) as error:
+            self.send_error(BAD_REQUEST, str(error))
+            return False
+        return True
+
     def send_error(
         self, code: int, message: str | None = None, explain: str | None = None
     ) -> None:
