Refuse announcements that no server would send

Seen: after an announcement whose start or sequence was beyond 64 bits, the task that encodes it for the other instances ended (platform: gossip, own: the registry itself), and with it the list of servers, while the process went on. One that was nested deeply, or had a port of thousands of digits, ended as a 500 without a log line. On the platform, a host name in an address was looked up without yielding, and an id with a line end failed each request to its server with a ValueError.

Cause: msgspec decodes whole numbers of any size, but encodes 64 bits; unknown fields are skipped recursively, with a RecursionError beyond some 1,000 levels. The registry bounded ports and slots only, and compared sequences before any check.

Each refusal is logged with its reason (announcement-refused) and counted (announcements_refused_total; own: announcements.refused).

The tests of read_heartbeat now expect a Failure with the reason where they expected None.

--- a/packages/core/src/pimentobend_core/_internal/membership/announcement.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/announcement.py
@@ -61,7 +61,7 @@
 def _parse(document: bytes, kind: type[Parsed]) -> Result[Parsed, AnnouncementFault]:
     try:
         fields = msgspec.json.decode(document, type=dict[str, object])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Failure(AnnouncementFault((f"document: {error}",)))
     field_types: Mapping[str, type] = kind.__annotations__
     faults = [
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -117,9 +117,9 @@
         self, message: Announcement, now: float
     ) -> tuple[RegistryOutput, ...]:
         server = self._apply_drain(message.server)
-        if self._is_outdated(message):
-            return (self._accept(message),)
         faults = find_faults(message)
+        if not faults and self._is_outdated(message):
+            return (self._accept(message),)
         if self._unique_addresses and not faults:
             faults = self._find_address_faults(server)
         known = self._leases.get(server.server_id)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -62,6 +62,7 @@
 KIND_GOSSIP = "gossip"
 SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
+SHOWN_CHARACTERS = 200  # of each value that another process sent, in a log line
 # After this time, every readiness probe has seen that the daemon is stopping.
 UNREADY_NOTICE_S = 2.6
 KILL_MARGIN_S = 0.8  # the daemon ends this long before the platform kills it
@@ -224,6 +225,7 @@
             forwarding=ForwardingLog(self._counters),
             requests=RequestLog(self._counters),
             on_connect=lambda: self._counters.count("server_connections"),
+            on_refused=self._report_refused,
         )
         return FleetInstance(self._settings, ports)
 
@@ -318,6 +320,14 @@
         self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
 
+    def _report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
+        self._counters.count("announcements_refused")
+        self._log.warning(
+            "announcement-refused",
+            server=server_id[:SHOWN_CHARACTERS],
+            faults="; ".join(faults)[:SHOWN_CHARACTERS],
+        )
+
     def _poll_settings(self) -> None:
         """Reload the settings whenever their file has changed."""
         while True:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -59,6 +59,10 @@
     def withdraw(self, withdrawal: Withdrawal) -> None:
         """Remove a server that is shutting down."""
 
+    @abc.abstractmethod
+    def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
+        """Record that an announcement was refused, and why."""
+
 
 class Dialect(abc.ABC):
     """The headers and HTTP interfaces of one platform."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -70,9 +70,14 @@
     """Registry of the backend servers that announce themselves to this daemon."""
 
     def __init__(
-        self, address: str, epoch: int, on_change: Callable[[ServerEvent], None]
+        self,
+        address: str,
+        epoch: int,
+        on_change: Callable[[ServerEvent], None],
+        on_refused: Callable[[str, tuple[str, ...]], None],
     ) -> None:
         self._on_change = on_change
+        self._on_refused = on_refused
         self._replies: Replies[RegistryReply] = Replies(lambda reply: reply.server_id)
         self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
@@ -90,6 +95,7 @@
             ANSWER_TIMEOUT_S,
         )
         if isinstance(reply, AnnouncementRefused):
+            self.report_refused(reply.server_id, reply.faults)
             return Failure(reply.faults)
         return Success(None)
 
@@ -99,6 +105,10 @@
             withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
 
+    def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
+        """Record that an announcement was refused, and why."""
+        self._on_refused(server_id, faults)
+
     def _handle_registry_output(self, output: RegistryOutput) -> None:
         if isinstance(output, ServerEvent):
             self._on_change(output)
@@ -119,6 +129,7 @@
     forwarding: Outlet[ForwardingEvent]
     requests: Outlet[RequestEnded]
     on_connect: Callable[[], None]
+    on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
 
 
 class FleetInstance:
@@ -149,7 +160,7 @@
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = LocalServers(
-            link.address, process_id, self._handle_server_event
+            link.address, process_id, self._handle_server_event, ports.on_refused
         )
         delivery = DeliveryPorts(
             process_id,
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -11,6 +11,7 @@
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.observers import AttemptObservers
@@ -47,6 +48,7 @@
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
+SHOWN_CHARACTERS = 200  # of each value that a server sent, in a log line
 
 
 class SharedParts(NamedTuple):
@@ -118,7 +120,12 @@
         self._callers = HttpServer(settings.callers, self.front)
         self._servers = HttpServer(
             settings.servers,
-            ServersInterface(self.registry, self._replies, settings.announce_from),
+            ServersInterface(
+                self.registry,
+                self._replies,
+                settings.announce_from,
+                lambda server_id, faults: _report_refused(metrics, server_id, faults),
+            ),
         )
         membership.subscribe_to_pools(self._update_servers)
         tables.subscribe(self._update_tables)
@@ -181,3 +188,12 @@
             self._membership.publish(message)
             return
         self._replies.put(message)
+
+
+def _report_refused(metrics: Metrics, server_id: str, faults: tuple[str, ...]) -> None:
+    metrics.count("announcements.refused")
+    get_log().warning(
+        "announcement-refused",
+        server=server_id[:SHOWN_CHARACTERS],
+        faults="; ".join(faults)[:SHOWN_CHARACTERS],
+    )
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/servers.py
@@ -32,14 +32,20 @@
 
 
 class ServersInterface:
-    """WSGI application for ``/announce`` and ``/withdraw``."""
+    """WSGI application for ``/announce`` and ``/withdraw``.
+
+    ``on_refused`` is called with the id of the server, empty if it cannot be read, and
+    the faults of what it sent.
+    """
 
     def __init__(
         self,
         registry: Outlet[RegistryInput],
         replies: Replies[RegistryReply],
         announce_from: tuple[str, ...],
+        on_refused: Callable[[str, tuple[str, ...]], None],
     ) -> None:
+        self._on_refused = on_refused
         self._registry = registry
         self._replies = replies
         self._networks = tuple(ipaddress.ip_network(text) for text in announce_from)
@@ -76,18 +82,17 @@
     def _announce(self, document: bytes) -> Reply:
         parsed = parse_announcement(document)
         if isinstance(parsed, Failure):
-            return _refuse(parsed.failure().faults)
+            return self._refuse("", parsed.failure().faults)
         server = parsed.unwrap().server
         if not self._is_allowed(server.host):
-            return _refuse(
-                (f"host: {server.host!r} is not an IP address within announce_from",)
-            )
+            fault = f"host: {server.host!r} is not an IP address within announce_from"
+            return self._refuse(server.server_id, (fault,))
         return self._ask(server.server_id, parsed.unwrap())
 
     def _withdraw(self, document: bytes) -> Reply:
         parsed = parse_withdrawal(document)
         if isinstance(parsed, Failure):
-            return _refuse(parsed.failure().faults)
+            return self._refuse("", parsed.failure().faults)
         return self._ask(parsed.unwrap().server_id, parsed.unwrap())
 
     def _ask(self, server_id: str, message: Announcement | Withdrawal) -> Reply:
@@ -99,7 +104,7 @@
                 503, "the registry did not reply in time", hint="send the request again"
             )
         if isinstance(reply, AnnouncementRefused):
-            return _refuse(reply.faults)
+            return self._refuse(server_id, reply.faults)
         if not isinstance(reply, AnnouncementAccepted):
             return Reply(200, {"server_id": server_id})
         return Reply(
@@ -118,9 +123,9 @@
             return False
         return any(address in network for network in self._networks)
 
-
-def _refuse(faults: tuple[str, ...]) -> Reply:
-    return make_error(422, "the announcement has faults", faults)
+    def _refuse(self, server_id: str, faults: tuple[str, ...]) -> Reply:
+        self._on_refused(server_id, faults)
+        return make_error(422, "the announcement has faults", faults)
 
 
 _HANDLERS: dict[str, Callable[[ServersInterface, bytes], Reply]] = {
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -159,7 +159,7 @@
     ids=[case[0] for case in MALFORMED_HEARTBEATS],
 )
 def test_malformed_heartbeats_are_refused(data: bytes) -> None:
-    assert read_heartbeat("i-1", data) is None
+    assert isinstance(read_heartbeat("i-1", data), Failure)
 
 
 @pytest.mark.parametrize(
@@ -167,8 +167,8 @@
     [("ready", ServerState.READY), ("draining", ServerState.DRAINING)],
 )
 def test_a_heartbeat_announces_its_server(state: str, expected: ServerState) -> None:
-    announcement = read_heartbeat("i-1", changed(HEARTBEAT, "status.state", state))
-    assert announcement is not None
+    data = changed(HEARTBEAT, "status.state", state)
+    announcement = read_heartbeat("i-1", data).unwrap()
     assert announcement.sequence == 4
     server = announcement.server
     assert server[:5] == ("i-1", "a", "10.128.0.9", 8080, 3)
@@ -180,8 +180,7 @@
     seconds: float, is_cold: bool
 ) -> None:
     data = changed(HEARTBEAT, "status.warmupRemainingS", seconds)
-    announcement = read_heartbeat("i-1", data)
-    assert announcement is not None
+    announcement = read_heartbeat("i-1", data).unwrap()
     assert announcement.server.is_cold == is_cold
 
 
@@ -205,6 +204,7 @@
     def __init__(self, faults: tuple[str, ...] = ()) -> None:
         self.faults = faults
         self.received: list[Announcement | Withdrawal] = []
+        self.refused: list[tuple[str, ...]] = []
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
         self.received.append(announcement)
@@ -213,6 +213,9 @@
     def withdraw(self, withdrawal: Withdrawal) -> None:
         self.received.append(withdrawal)
 
+    def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
+        self.refused.append(faults)
+
 
 class Input:
     """WSGI input with fixed data."""
@@ -288,6 +291,9 @@
     ("DELETE", "/-/instances/i-1", {"born": 5}, (), "200", 1),
     ("DELETE", "/-/instances/i-1", {}, (), "200", 1),
     ("DELETE", "/-/instances/i-1", {"born": "x"}, (), "400", 0),
+    ("DELETE", "/-/instances/i-1", {"born": 2**70}, (), "400", 0),
+    ("DELETE", "/-/instances/i-1", {"born": -1}, (), "400", 0),
+    ("PUT", "/-/instances/i-1", {**HEARTBEAT, "address": "h:1"}, (), "400", 0),
 ]
 
 
@@ -307,6 +313,7 @@
     data = json.dumps(document).encode()
     assert call(application, method, path, data) == status
     assert len(servers.received) == received
+    assert len(servers.refused) == (status == "400")
     assert call(application, method, path, data, stated_length=len(data) + 9) in (
         "400",
         "404",
