--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -129,6 +129,50 @@
         documents.read_whole(data, "0")
 
 
+def _with_text(path: str, text: str) -> bytes:
+    """Return the configuration with JSON text in place of one value."""
+    return changed(CONFIGURATION, path, "@").replace(b'"@"', text.encode())
+
+
+NESTED = "[" * 50_000 + "]" * 50_000
+HUGE = str(2**64)
+ODD_NUMBERS = [
+    ("a target", "routes.rows.0.5", ["1e300", "1e400", "-1", HUGE, "9" * 9000]),
+    ("a priority", "routes.rows.0.6", [HUGE, "-1", "9" * 9000, NESTED]),
+    ("a weight", "routes.rows.0.7.0.weight", ["1e308", "-1", "9" * 300, NESTED]),
+    ("attempts", "routes.rows.0.8", [HUGE, "-1", "9" * 9000]),
+    ("a time limit", "routes.rows.0.4", ["1e300", "1e400", "0", "NaN", HUGE]),
+    ("connections", "services.rows.0.2", [HUGE, "-1", "9" * 9000]),
+    ("header bytes", "limits.maxHeaderBytes", [HUGE, "-1", "1e400"]),
+    ("body bytes", "limits.maxBodyBytes", [HUGE, "-1", NESTED]),
+    ("a header's time", "limits.headerTimeoutS", ["1e308", "1e30", "-1"]),
+    ("an idle time", "limits.idleTimeoutS", ["1e308", "1e30", "-1"]),
+    ("a name", "routes.rows.0.0", [NESTED, "[" * 800 + "]" * 800, '"\\ud800"']),
+    ("a version", "version", [f'"{"f" * 40}"', f'"{"f" * 9000}"', '"-5"', '"1_0"']),
+    ("an unknown field", "limits.maxBodyBytes", [f'1,"x":{NESTED}']),
+]
+ODD_DOCUMENTS = [
+    (f"{name} {text[:8]}, {len(text)} bytes", _with_text(path, text))
+    for name, path, texts in ODD_NUMBERS
+    for text in texts
+]
+
+
+@pytest.mark.parametrize(
+    "data", [each[1] for each in ODD_DOCUMENTS], ids=[each[0] for each in ODD_DOCUMENTS]
+)
+def test_a_configuration_that_could_not_be_passed_on_is_refused(data: bytes) -> None:
+    configuration = FakeConfiguration(ChangeOutcome.ACCEPTED, None)
+    application = PlatformDialect().create_operators(configuration)
+    assert call(application, "PUT", "/-/config", data) == "400"
+
+
+@pytest.mark.parametrize("base", ["f" * 40, "-5", "zz", "0x5", "1_0", "5 5"])
+def test_a_change_of_no_known_version_is_refused(base: str) -> None:
+    with pytest.raises(documents.DocumentError):
+        documents.read_whole(GOOD_BODY, base)
+
+
 def test_a_patch_lists_the_changed_and_the_removed_routes() -> None:
     patch = {
         "version": "0000000e",
