Report odd frames and rows instead of ending a task

Seen: a gossip or consensus message nested beyond 1,000 levels ended the task that receives all datagrams; a row with an address that is none, or a port of 70000, ended the gossip task at the next ping to it; a malformed row of one server ended the own interface's node of the spread tree. The process went on without its part in the fleet.

Cause: the decoders' RecursionError was not expected, sending raises ValueError, OverflowError or pynng's errors for what is no address, and the error of one row left the loop over all rows, in the task's outlet.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -4,6 +4,7 @@
 caller's request) to the server's daemon.
 """
 
+from typing import Annotated
 from typing import NamedTuple
 
 import msgspec
@@ -14,6 +15,9 @@
 SUBMIT_HEADER = "Pimentobend-Hop"
 RESULT_HEADER = "Pimentobend-Hop-Result"
 
+Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
+Rank = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+
 _ENCODER = msgspec.json.Encoder()
 
 
@@ -27,10 +31,10 @@
     attempt_id: str
     server_id: str
     route: str
-    priority: int
+    priority: Rank
     is_repeatable: bool
-    target_latency_ms: int
-    remaining_ms: int  # time until the deadline
+    target_latency_ms: Milliseconds
+    remaining_ms: Milliseconds  # time until the deadline
     process_id: int  # of the daemon that the attempt is meant for
     is_repeat: bool  # an earlier attempt of the request may have reached a server
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/datagrams.py
@@ -27,6 +27,8 @@
 STREAM_TIMEOUT_S = 3.0
 MAX_STREAMS = 32  # large frames sent, and received, at the same time
 BACKLOG = 128
+# Raised for peers that cannot be reached, and for what is no address or port.
+UNSENDABLE = (OSError, ValueError, OverflowError)
 
 _LENGTH = struct.Struct("<I")
 
@@ -65,7 +67,7 @@
             return
         try:
             self._datagrams.fd.sendto(data, _parse_address(peer))
-        except OSError:
+        except UNSENDABLE:
             self._dropped_frames += 1  # reported in the state dump
 
     def close(self) -> None:
@@ -101,7 +103,7 @@
                 stream.sendall(_LENGTH.pack(len(data)) + data)
             finally:
                 stream.close()
-        except (OSError, eventlet.Timeout):
+        except (*UNSENDABLE, eventlet.Timeout):
             self._dropped_frames += 1
         finally:
             self._streams_sending -= 1
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -65,7 +65,7 @@
 def _decode(body: bytes) -> Frame:
     try:
         return _DECODER.decode(body)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         raise FrameError("cannot decode a frame", context=str(error)) from error
 
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/link.py
@@ -54,11 +54,11 @@
         self._greenlet = eventlet.spawn(self._receive)
 
     def send(self, peer: str, kind: str, payload: bytes) -> None:
-        """Send one message to a peer's address; drop it if the send buffer is full."""
+        """Send one message to a peer's address; drop it if it can't be sent at once."""
         data = encode_frame(Frame(self._address, kind, payload), self._key)
         try:
             self._peer(peer).send(data, block=False)
-        except (pynng.TryAgain, pynng.Closed):
+        except (pynng.NNGException, ValueError):
             self._dropped_frames += 1
             return
         self._bytes_sent += len(data)
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/row_probes.py
@@ -132,7 +132,11 @@
             now = float(next(clock))
             for numbered in delta.rows:
                 store.put(numbered, now)
-            return read_rows(tuple(numbered.row for numbered in delta.rows))
+            rows = tuple(numbered.row for numbered in delta.rows)
+            faults: list[object] = []
+            inputs = read_rows(rows, faults.append)
+            assert not faults
+            return inputs
 
         return apply
 
--- a/packages/core/src/pimentobend_core/_internal/configuration/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/codec.py
@@ -22,7 +22,7 @@
     """Decode bytes as ``kind``; raise ``CodecError`` if they do not match it."""
     try:
         return msgspec.msgpack.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode a configuration message",
             context=f"{kind.__name__}: {error}",
--- a/packages/core/src/pimentobend_core/_internal/consensus/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/codec.py
@@ -53,7 +53,7 @@
     try:
         tag, raw = _TAGGED_DECODER.decode(data)
         return cast(PeerMessage, _decoder(_MESSAGE_DECODERS, tag).decode(raw))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode a message from a replica", context=str(error)
         ) from error
@@ -76,7 +76,7 @@
     """Decode an envelope; raise ``CodecError`` for invalid bytes."""
     try:
         sender, recipient, content = _ENVELOPE_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode an envelope from a replica", context=str(error)
         ) from error
@@ -96,7 +96,7 @@
             cast(Record, _decoder(_RECORD_DECODERS, tag).decode(raw))
             for tag, raw in _TAGGED_LIST_DECODER.decode(data)
         )
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError("cannot decode a stored record", context=str(error)) from error
 
 
@@ -109,7 +109,7 @@
     """Decode a snapshot; raise ``CodecError`` for invalid bytes."""
     try:
         return _SNAPSHOT_DECODER.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode a stored snapshot", context=str(error)
         ) from error
--- a/packages/core/src/pimentobend_core/_internal/gossip/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/codec.py
@@ -33,7 +33,7 @@
         if not 0 <= number < len(_DECODERS):
             raise CodecError(f"unknown kind of gossip message {number}")
         return cast(GossipMessage, _DECODERS[number].decode(raw))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             f"cannot decode a gossip message of {len(data)} bytes: {error}"
         ) from error
--- a/packages/core/src/pimentobend_core/_internal/gossip/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/rows.py
@@ -1,7 +1,14 @@
 """Rows: the records that daemons publish about themselves."""
 
+from typing import Annotated
 from typing import NamedTuple
 
+import msgspec
+
+PORT_MAX = 65535
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9.]{7,15}:[0-9]{1,5}$")]
+Port = Annotated[int, msgspec.Meta(ge=0, le=PORT_MAX)]
+
 
 class HostedServer(NamedTuple):
     """A backend server that is registered with a daemon."""
@@ -22,13 +29,13 @@
 class PeerRow(NamedTuple):
     """The row of one daemon of the fleet."""
 
-    address: str  # host:port for messages between daemons
+    address: Address  # host:port for messages between daemons
     version: RowVersion
     process_id: int  # random, new at each start
     data_centre: str
     region: str
     is_control: bool
-    forward_port: int  # HTTP port for forwarded requests; 0 if it accepts none
+    forward_port: Port  # HTTP port for forwarded requests; 0 if it accepts none
     is_leaving: bool
     servers: tuple[HostedServer, ...]
 
--- a/packages/core/src/pimentobend_core/_internal/health/wire.py
+++ b/packages/core/src/pimentobend_core/_internal/health/wire.py
@@ -48,5 +48,10 @@
                 context=f"{len(body)} bytes read, limit {BATCH_BYTES_MAX}",
             )
         return decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+        zlib.error,
+    ) as error:
         raise CodecError("cannot decode health messages", context=str(error)) from error
--- a/packages/core/src/pimentobend_core/_internal/ledger/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/ledger/codec.py
@@ -145,7 +145,7 @@
 def _decode(decoder: "msgspec.msgpack.Decoder[Decoded]", payload: bytes) -> Decoded:
     try:
         return decoder.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode a ledger message", context=str(error)
         ) from error
--- a/packages/core/src/pimentobend_core/_internal/membership/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/rows.py
@@ -4,11 +4,15 @@
 ``spread.messages``.
 """
 
+from collections.abc import Callable
+from typing import Annotated
 from typing import NamedTuple
 
 import msgspec
 
 from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.membership.checks import PORT_MAX
+from pimentobend_core._internal.membership.checks import SLOTS_MAX
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServerEvents
@@ -28,8 +32,8 @@
     presence: Presence
     service: str
     host: str
-    port: int
-    slots: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=PORT_MAX)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_MAX)]
     data_centre: str
     region: str
     state: ServerState
@@ -60,7 +64,7 @@
         return ServerForgotten(instance_id, server_id)
     try:
         payload = _DECODER.decode(row.payload)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(
             "cannot decode a server row",
             context=f"server {server_id} of instance {instance_id}: {error}",
@@ -69,15 +73,24 @@
     return ServerEvent(instance_id, row.rank, payload.presence, server)
 
 
-def read_rows(rows: tuple[Row, ...]) -> tuple[ViewInput, ...]:
-    """Return the view's input from rows; rows of other kinds are skipped."""
+def read_rows(
+    rows: tuple[Row, ...], on_fault: Callable[[CodecError], None]
+) -> tuple[ViewInput, ...]:
+    """Return the view's input from rows; rows of other kinds are skipped.
+
+    ``on_fault`` is called for each malformed row; the others count.
+    """
     events: list[ServerEvent] = []
     inputs: list[ViewInput] = []
     for row in rows:
         if row.row_id.kind == RowKind.LIVENESS:
             inputs.append(read_row(row))
         if row.row_id.kind == RowKind.SERVERS:
-            read = read_server_row(row)
+            try:
+                read = read_server_row(row)
+            except CodecError as error:
+                on_fault(error)
+                continue
             if isinstance(read, ServerEvent):
                 events.append(read)
             else:
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/codec.py
@@ -56,7 +56,12 @@
         envelope = _ENVELOPE_DECODER.decode(payload)
         _check(envelope)
         return _DECODERS[envelope.kind].decode(_get_body(envelope))
-    except (msgspec.DecodeError, UnicodeDecodeError, zlib.error) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+        zlib.error,
+    ) as error:
         raise CodecError(
             "cannot decode a spread message", context=str(error)
         ) from error
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -75,6 +75,7 @@
             self._sources(),
             "control" in settings.roles,
             self._clock,
+            self._report_frame_error,
         )
         self._tables.subscribe(self._membership.update_tables)
         self._control = self._create_control()
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServiceChanged
 from pimentobend_core._internal.membership.messages import ViewInput
@@ -53,6 +54,7 @@
     A control instance is a relay, and the root while it leads; any other
     process is a client of the tree. Ids in the tree are link addresses. The
     ``parents`` are the nodes that this one may follow, the preferred one first.
+    ``on_fault`` is called for each malformed row.
     """
 
     def __init__(
@@ -62,8 +64,10 @@
         parents: tuple[str, ...],
         is_relay: bool,
         clock: ClockPort,
+        on_fault: Callable[[PimentobendError], None],
     ) -> None:
         self._link = link
+        self._on_fault = on_fault
         self._parents = parents
         self._subscribers: list[Callable[[ServiceChanged], None]] = []
         self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
@@ -142,7 +146,7 @@
 
     def _handle_output(self, output: SpreadOutput) -> None:
         if isinstance(output, RowsArrived):
-            for message in read_rows(output.rows):
+            for message in read_rows(output.rows, self._on_fault):
                 self._view.put(message)
             return
         payload = encode_message(output.message)
--- a/tests/unit/membership/test_spread.py
+++ b/tests/unit/membership/test_spread.py
@@ -4,6 +4,7 @@
 
 from pimentobend_bench._internal.membership.fleet import Fleet
 from pimentobend_bench._internal.membership.fleet import FleetShape
+from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.membership.messages import InstanceFound
 from pimentobend_core._internal.membership.messages import InstanceLost
 from pimentobend_core._internal.membership.messages import Rank
@@ -133,7 +134,9 @@
 
 def _read_liveness(fleet: Fleet) -> object:
     row = fleet.arrived["daemon-0007"][RowId(RowKind.LIVENESS, AUTHOR, "")]
-    (liveness,) = read_rows((row,))
+    faults: list[CodecError] = []
+    (liveness,) = read_rows((row,), faults.append)
+    assert faults == []
     return liveness
 
 
--- a/tests/unit/membership/test_spread_machine.py
+++ b/tests/unit/membership/test_spread_machine.py
@@ -8,6 +8,7 @@
 
 from pimentobend_bench._internal.membership.fleet import Fleet
 from pimentobend_bench._internal.membership.fleet import FleetShape
+from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import ServerEvent
@@ -152,8 +153,11 @@
 
     def _check_view(self, name: str) -> None:
         view = MembershipView()
-        for message in read_rows(tuple(self.fleet.arrived[name].values())):
+        faults: list[CodecError] = []
+        rows = tuple(self.fleet.arrived[name].values())
+        for message in read_rows(rows, faults.append):
             view.handle(message, self.fleet.now)
+        assert faults == []
         view.handle(ViewTick(), self.fleet.now)
         listed = {(s.server_id, s.state) for s in view.servers("rota")}
         assert listed == {
