Let a task go on after a message that it cannot handle

Seen: an error in one message ended the task's loop for good. The process went on, answered its probes and looked healthy, but no longer gossiped, followed the tables or took announcements.

Cause: the loop of FilterTask let each error of its filter or outlet through.

Change: such a message, or a single output of one, is logged with its kind, the error and its place (message-failed), and counted in the state dump; the task goes on with the next. The errors that are known are handled where they arise; this is the last resort for the others.

--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -4,6 +4,8 @@
 """
 
 import abc
+import pathlib
+import traceback
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -15,6 +17,7 @@
 import eventlet.event
 import eventlet.queue
 
+from pimentobend_adapters._internal.logs import get_log
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.ports import ClockPort
 
@@ -24,6 +27,7 @@
 Accepted = TypeVar("Accepted", contravariant=True)
 
 DUMP_TIMEOUT_S = 2.0
+SHOWN_CHARACTERS = 200  # of an error, in a log line
 
 
 class Outlet(abc.ABC, Generic[Accepted]):
@@ -64,7 +68,12 @@
 
 
 class FilterTask(Outlet[In], Generic[In, Out]):
-    """Run a stateful filter on messages from an inbox and on periodic ticks."""
+    """Run a stateful filter on messages from an inbox and on periodic ticks.
+
+    A message that the filter cannot handle, or an output that the outlet cannot take,
+    is logged and counted. The task goes on with the next one, as a process without one
+    of its tasks would look healthy.
+    """
 
     def __init__(
         self,
@@ -81,6 +90,7 @@
         self._ticking = ticking
         self._inbox: Any = eventlet.queue.LightQueue()
         self._greenlets: list[Any] = []
+        self._failed_messages = 0
 
     @property
     def name(self) -> str:
@@ -116,12 +126,45 @@
         while True:
             message = self._inbox.get()
             if isinstance(message, _DumpRequest):
-                message.reply.send(self._filter.dump())
+                message.reply.send(self._dump())
+                continue
+            try:
+                outputs = self._filter.handle(message, self._clock.now())
+            except Exception as error:
+                self._report(message, error)
                 continue
-            for output in self._filter.handle(message, self._clock.now()):
-                self._outlet.put(output)
+            for output in outputs:
+                self._pass_on(output)
+
+    def _pass_on(self, output: Out) -> None:
+        try:
+            self._outlet.put(output)
+        except Exception as error:
+            self._report(output, error)
+
+    def _report(self, message: object, error: Exception) -> None:
+        self._failed_messages += 1
+        get_log().error(
+            "message-failed",
+            task=self._name,
+            message=type(message).__name__,
+            error=repr(error)[:SHOWN_CHARACTERS],
+            place=_find_place(error),
+        )
+
+    def _dump(self) -> Mapping[str, object]:
+        state = self._filter.dump()
+        if not self._failed_messages:
+            return state
+        return {**state, "failed_messages": self._failed_messages}
 
     def _tick(self, ticking: PeriodicMessage[In]) -> None:
         while True:
             eventlet.sleep(ticking.interval_s)
             self._inbox.put(ticking.message)
+
+
+def _find_place(error: Exception) -> str:
+    """Return the file and line that raised an error."""
+    frames = traceback.extract_tb(error.__traceback__)
+    return f"{pathlib.PurePath(frames[-1].filename).name}:{frames[-1].lineno}"
