List odd JSON of operators as faults

Seen: a settings file with a number of thousands of digits ended the task that reads the file again when it changes, and the start with a traceback; tables with one, or with a lone surrogate, were a 500 on the own interface.

Cause: json.loads raises a plain ValueError for such numbers, and accepts lone surrogates, which no reply or log line can hold.

Evidence: before the change, 9 of the 29 cases of test_odd_documents.py failed: four with "ValueError: Exceeds the limit (4300 digits) for integer string conversion", five with "UnicodeEncodeError: ... surrogates not allowed".

Change: both are faults of the document, as other malformed JSON.

Result: all cases pass.

--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 SHOWN_CHARACTERS = 60  # of a faulty value in a message
+_SURROGATE = re.compile(r"\\u[dD][89a-fA-F]")  # half of an escaped character
 
 
 class Fault(NamedTuple):
@@ -23,7 +24,10 @@
 
 def make_fault(place: str, value: object, expected: str) -> Fault:
     """Return a fault, with its value truncated to ``SHOWN_CHARACTERS``."""
-    shown = json.dumps(value, ensure_ascii=False, default=str)
+    try:
+        shown = json.dumps(value, ensure_ascii=False, default=str)
+    except RecursionError:
+        shown = f"a deeply nested {type(value).__name__}"
     if len(shown) > SHOWN_CHARACTERS:
         shown = shown[:SHOWN_CHARACTERS] + "..."
     return Fault(place, shown, expected)
@@ -139,7 +143,8 @@
 def parse_document(text: str) -> tuple[object, tuple[Fault, ...]]:
     """Parse JSON text and return the value, with any syntax error or repeated keys.
 
-    The value is None after a syntax error.
+    The value is None after a syntax error, and if the text holds what cannot be
+    encoded again.
     """
     repeated: list[Fault] = []
 
@@ -153,7 +158,11 @@
 
     try:
         document = json.loads(text, object_pairs_hook=build)
-    except (json.JSONDecodeError, RecursionError) as error:
+        if _SURROGATE.search(text):
+            json.dumps(document, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        return None, (Fault("document", "a lone surrogate", "characters"),)
+    except (ValueError, RecursionError) as error:
         line = getattr(error, "lineno", 1)
         return None, (Fault(f"line {line}", str(error), "JSON"),)
     return document, tuple(repeated)
