Answer what an instance has taken before it stops

Seen, on the own interface: requests that were taken before SIGTERM, and could not end within shutdown_grace_s, were cut with no answer, also those that waited for a slot or whose bodies were not read yet. An answer during the stop did not say that its connection closes.

Cause: at the end of the grace time the process ended whatever was in flight; nothing ended the requests before, and the front was not told of the stop.

Change: 0.4 s before the end, bodies that are not read and requests without a slot are refused (503, not run, Retry-After), and attempts without an answer's head end as at their deadlines (unknown). From the stop on, each answer closes its connection.

An answer that is cut off in its body is still cut, which its framing shows.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -104,6 +104,12 @@
     def __init__(self, clock: ClockPort) -> None:
         self._clock = clock
         self._pools: dict[tuple[str, int], _Pool] = {}
+        self._running: dict[eventlet.Timeout, Any] = {}  # greenlet of each attempt
+
+    def end_attempts(self) -> None:
+        """End the attempts that have no answer's head yet, as at their deadlines."""
+        for timeout in self._running:
+            eventlet.spawn_n(self._end_attempt, timeout)
 
     def will_reuse(self, server: Server) -> bool:
         """Return whether the next request would reuse an idle connection."""
@@ -118,6 +124,7 @@
         started = self._clock.now()
         remaining_s = max(MIN_REMAINING_S, head.deadline - started)
         timeout = eventlet.Timeout(remaining_s)
+        self._running[timeout] = eventlet.getcurrent()
         pool = self._pool(server) if is_repeatable else _create_pool(server)
         try:
             response = _send_request(pool, head, body, remaining_s)
@@ -131,6 +138,7 @@
             return self._failed(_classify_error(error), started)
         finally:
             timeout.cancel()
+            self._running.pop(timeout, None)
             if not is_repeatable:
                 pool.close()
         return self._answered(response, head, started)
@@ -141,6 +149,11 @@
         if pool is not None:
             pool.close()
 
+    def _end_attempt(self, timeout: eventlet.Timeout) -> None:
+        greenlet = self._running.pop(timeout, None)
+        if greenlet is not None:
+            greenlet.throw(timeout)
+
     def _pool(self, server: Server) -> _Pool:
         address = (server.host, server.port)
         if address not in self._pools:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -7,9 +7,11 @@
 from typing import Any
 from typing import NamedTuple
 
+import eventlet
 from returns.result import Failure
 from returns.result import Result
 
+from pimentobend_adapters._internal.exceptions import AdapterError
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
@@ -35,6 +37,7 @@
 from pimentobend_core._internal.request.stages import Received
 
 StartResponse = Callable[..., Any]
+RETRY_AFTER_S = 1
 
 
 class FrontOptions(NamedTuple):
@@ -46,6 +49,10 @@
     watches_callers: bool = False  # end a request once its caller disconnects
 
 
+class ProcessEndingError(AdapterError):
+    """The process ends; raised in the tasks that read a request's body."""
+
+
 class CallerFront:
     """WSGI application that passes callers' requests through the request pipe."""
 
@@ -61,6 +68,7 @@
         self._events = events
         self._options = options or FrontOptions()
         self._in_flight = 0
+        self._reading: set[Any] = set()  # greenlets that read a request's body
         self._is_stopping = False
 
     @property
@@ -87,7 +95,7 @@
             yield from self._refuse(too_large, "", start_response)
             return
         started = self._clock.now()
-        received = parse_request(environ, started, self._options.names)
+        received = self._read(environ, started)
         if isinstance(received, Failure):
             yield from self._refuse(received.failure(), "", start_response)
             return
@@ -104,6 +112,17 @@
             environ[CONNECTION_KEY].close_connection = True
         yield from self._respond(request, result, start_response)
 
+    def _read(self, environ: Environ, started: float) -> Result[Received, Refusal]:
+        greenlet = eventlet.getcurrent()
+        self._reading.add(greenlet)
+        try:
+            return parse_request(environ, started, self._options.names)
+        except ProcessEndingError as error:
+            environ[CONNECTION_KEY].close_connection = True
+            return Failure(_refuse_unread(error))
+        finally:
+            self._reading.discard(greenlet)
+
     def _respond(
         self,
         request: Received,
@@ -138,6 +157,16 @@
         """Close each caller's connection after its next answer."""
         self._is_stopping = True
 
+    def refuse_unread(self) -> None:
+        """Refuse the requests whose bodies are not read yet."""
+        for greenlet in self._reading:
+            eventlet.spawn_n(self._stop_reading, greenlet)
+
+    def _stop_reading(self, greenlet: Any) -> None:
+        if greenlet in self._reading:
+            detail = "the process ends before the request is read"
+            greenlet.throw(ProcessEndingError(detail))
+
     def _record(
         self,
         request: Received,
@@ -191,6 +220,11 @@
             self._watch.stop()
 
 
+def _refuse_unread(error: ProcessEndingError) -> Refusal:
+    reason = RefusalReason.DRAINING
+    return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
+
+
 def _write_refusal(
     refusal: Refusal,
     request_id: str,
--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -26,6 +26,7 @@
 from pimentobend_core._internal.traffic.messages import Acquire
 from pimentobend_core._internal.traffic.messages import ConfigurePool
 from pimentobend_core._internal.traffic.messages import Granted
+from pimentobend_core._internal.traffic.messages import Rejected
 from pimentobend_core._internal.traffic.messages import ServersChanged
 from pimentobend_core._internal.traffic.messages import TrafficInput
 from pimentobend_core._internal.traffic.messages import TrafficOutput
@@ -71,12 +72,20 @@
         self._tasks: dict[str, TrafficTask] = {}
         self._waiting: dict[int, _Waiter] = {}
         self._is_ticking = False
+        self._is_ending = False
 
     @property
     def tasks(self) -> tuple[TrafficTask, ...]:
         """Return the running tasks."""
         return tuple(self._tasks.values())
 
+    def end_requests(self) -> None:
+        """Refuse the requests that wait for a slot, and all further ones."""
+        self._is_ending = True
+        for ticket, waiter in list(self._waiting.items()):
+            self.put(waiter.pool, Abandon(ticket))
+            self._resolve(Rejected(ticket, _ENDING))
+
     def configure(self, pools: tuple[Pool, ...]) -> None:
         """Start, update and stop tasks to match the table of pools."""
         names = {pool.name for pool in pools}
@@ -98,6 +107,8 @@
 
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
         """Wait for a slot on a backend server until the deadline."""
+        if self._is_ending:
+            return Failure(_ENDING)
         if pool not in self._tasks:
             return Failure(_pool_missing(pool))
         event = eventlet.event.Event()
@@ -164,6 +175,15 @@
         self._is_ticking = False
 
 
+_ENDING = Refusal(
+    status=503,
+    ran=Ran.NOT_RUN,
+    reason=RefusalReason.DRAINING,
+    detail="the process is stopping",
+    retry_after_s=1,
+)
+
+
 def _pool_missing(pool: str) -> Refusal:
     return Refusal(
         status=503,
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -43,6 +43,9 @@
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
+# Requests still in flight this long before the end of the grace time are ended, so that
+# their callers get answers.
+END_MARGIN_S = 0.4
 # Longest wait at shutdown until the ledger has recorded the outcomes of claims.
 CLAIM_TIMEOUT_S = 5.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -242,11 +245,19 @@
             eventlet.sleep(DRAIN_POLL_S)
 
     def _wait_for_requests(self, instance: InstanceRole) -> None:
+        """Wait for the requests in flight; end them shortly before the grace does."""
         grace_s = self._settings.shutdown_grace_s
         deadline = self._clock.now() + grace_s
-        while instance.front.in_flight and self._clock.now() < deadline:
-            eventlet.sleep(DRAIN_POLL_S)
+        self._await_idle(instance, deadline - END_MARGIN_S)
+        if instance.front.in_flight:
+            self._log.warning("shutdown-ending", in_flight=instance.front.in_flight)
+            instance.end_requests()
+            self._await_idle(instance, deadline)
         if instance.front.in_flight:
             self._log.error(
                 "shutdown-cut", in_flight=instance.front.in_flight, grace_s=grace_s
             )
+
+    def _await_idle(self, instance: InstanceRole, deadline: float) -> None:
+        while instance.front.in_flight and self._clock.now() < deadline:
+            eventlet.sleep(DRAIN_POLL_S)
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -106,13 +106,14 @@
             clock,
             PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
+        self._backend = BackendClient(clock)
         pipe = build_request_pipe(
             RequestPorts(
                 clock=clock,
                 tables=tables,
                 traffic=self.traffic,
                 ledger=ledger,
-                backend=BackendClient(clock),
+                backend=self._backend,
                 retries=BudgetedRetries(),
             )
         )
@@ -137,10 +138,17 @@
         self._servers.start()
 
     def stop_listening(self) -> None:
-        """Close the listeners."""
+        """Close the listeners, idle connections, and others after their answers."""
+        self.front.stop()
         self._callers.close()
         self._servers.close()
 
+    def end_requests(self) -> None:
+        """Answer the requests in flight: unsent ones as not run, others as unknown."""
+        self.front.refuse_unread()
+        self.traffic.end_requests()
+        self._backend.end_attempts()
+
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
         state: dict[str, object] = {
