Refuse requests that a stopping platform daemon has not read

Seen, on the platform: a request whose body was still being read was cut off with no answer at the end of the grace time, though no server had got it.

Cause: the stop told the deliveries only; a request that is being read has none.

Evidence: test_platform_stop.py before the change: "AssertionError: with a length", an empty answer instead of "HTTP/1.1 503".

Change: when the waiting requests are refused, so are those that are not read yet (503, not run, Retry-After, Connection: close).

Result: the test passes.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -224,7 +224,8 @@
         self._deliveries.finish_by(ends_at)
 
     def refuse_waiting(self) -> None:
-        """Refuse all requests that have not reached a server."""
+        """Refuse all requests that have not reached a server, or are not read yet."""
+        self.front.refuse_unread()
         self._deliveries.cancel_unsent()
 
     def close(self) -> None:
