Refuse requests that come when a process ends its last ones

Seen, on the platform: a request that came on a kept connection in the last 0.4 s of the grace time, while no server had room, was taken, waited, and was cut off with no answer.

Cause: the waiting requests were told to end once; one that came later was not.

Evidence: before the change, 2 of the 6 cases of test_front_stop.py failed: "assert False" for the 503, and "eventlet.timeout.Timeout: 2.0 seconds".

Change: once the front refuses what is not read, it refuses all that follows.

Result: all cases pass.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -38,6 +38,7 @@
 
 StartResponse = Callable[..., Any]
 RETRY_AFTER_S = 1
+_ENDING = "the process ends before the request can be served"
 
 
 class FrontOptions(NamedTuple):
@@ -70,6 +71,7 @@
         self._in_flight = 0
         self._reading: set[Any] = set()  # greenlets that read a request's body
         self._is_stopping = False
+        self._is_ending = False
 
     @property
     def in_flight(self) -> int:
@@ -116,6 +118,8 @@
         greenlet = eventlet.getcurrent()
         self._reading.add(greenlet)
         try:
+            if self._is_ending:
+                raise ProcessEndingError(_ENDING)
             return parse_request(environ, started, self._options.names)
         except ProcessEndingError as error:
             environ[CONNECTION_KEY].close_connection = True
@@ -158,14 +162,14 @@
         self._is_stopping = True
 
     def refuse_unread(self) -> None:
-        """Refuse the requests whose bodies are not read yet."""
+        """Refuse the requests whose bodies are not read yet, and all further ones."""
+        self._is_ending = True
         for greenlet in self._reading:
             eventlet.spawn_n(self._stop_reading, greenlet)
 
     def _stop_reading(self, greenlet: Any) -> None:
         if greenlet in self._reading:
-            detail = "the process ends before the request is read"
-            greenlet.throw(ProcessEndingError(detail))
+            greenlet.throw(ProcessEndingError(_ENDING))
 
     def _record(
         self,
