Send in a planned stop what will end, not what may

Seen, on the platform: of the requests that a stopping daemon sends as late as it may, some 14 in 100 outlast the process, and are cut off with no answer.

Cause: it sent what the 90th percentile of the route let end; one answer in ten takes longer, and stragglers take several times as long.

Change: a request is rejected unless three times the 90th percentile remains.

Result: at most 1 in 100 of the regular answers, and 5 in 100 with stragglers, outlast the process.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
@@ -14,6 +14,9 @@
 
 # Even a short answer of a route takes about this share of the 90th percentile.
 MIN_TIME_SHARE = 0.5
+# Nearly all answers of a route but some of its stragglers take less than this multiple
+# of the 90th percentile.
+OUTLAST_MULTIPLE = 3.0
 # A server with a higher risk probably loses what it is sent.
 UNSAFE_RISK_LIMIT = 0.8
 # Half of the queue has been served by then, or its deadlines have passed.
@@ -40,8 +43,12 @@
 
 
 def would_outlast(bid: Bid, remaining_s: float) -> bool:
-    """Return whether one answer in ten, or more, would come after ``remaining_s``."""
-    return bid.wait_s + bid.p90_s >= remaining_s
+    """Return whether more than a few answers in a hundred would miss ``remaining_s``.
+
+    One answer in ten takes longer than the 90th percentile, and stragglers several
+    times as long.
+    """
+    return bid.wait_s + OUTLAST_MULTIPLE * bid.p90_s >= remaining_s
 
 
 def make_refusal(
--- /dev/null
+++ b/tests/unit/forwarding/test_planned_stop.py
@@ -0,0 +1,83 @@
+"""Test which requests a stopping daemon sends, and which it refuses unsent.
+
+Requests that came late in the grace time were taken and passed on, and cut off with no
+answer at its end, among them requests that may not be repeated.
+"""
+
+import math
+import random
+
+import pytest
+from delivery_driver import SAFE
+from delivery_driver import UNSAFE
+from delivery_driver import Case
+from delivery_driver import Driver
+from delivery_driver import candidate
+
+from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
+from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
+from pimentobend_core._internal.forwarding.delivery_messages import Refuse
+from pimentobend_core._internal.forwarding.durations import STRAGGLER_MULTIPLE
+from pimentobend_core._internal.forwarding.durations import STRAGGLER_SHARE
+from pimentobend_core._internal.forwarding.durations import DurationEstimate
+from pimentobend_core._internal.forwarding.messages import Bid
+from pimentobend_core._internal.forwarding.rejection import would_outlast
+from pimentobend_core._internal.models.request import Ran
+
+MEDIAN_S = 0.3
+ANSWERS = 200
+TRIALS = 20_000
+STEP_S = 0.01
+# Of the requests that are sent as late as possible. Stragglers take several times as
+# long as the others, and cannot all end.
+MAX_REGULAR_SHARE = 0.01
+MAX_SHARE = 0.05
+
+
+def _draw(numbers: random.Random, deviation: float) -> tuple[float, bool]:
+    """Return how long a request takes, in seconds, and whether it is a straggler."""
+    seconds = math.exp(numbers.gauss(math.log(MEDIAN_S), deviation))
+    is_straggler = numbers.random() < STRAGGLER_SHARE
+    return seconds * STRAGGLER_MULTIPLE if is_straggler else seconds, is_straggler
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 0.5])
+@pytest.mark.parametrize("deviation", [0.2, 0.3, 0.5, 0.8])
+def test_hardly_any_request_outlasts_the_process_that_took_it(
+    deviation: float, wait_s: float
+) -> None:
+    numbers = random.Random(1)
+    estimate = DurationEstimate(1.5)
+    for _ in range(ANSWERS):
+        estimate.record(_draw(numbers, deviation)[0])
+    bid = Bid("s", 0.0, 1, wait_s, estimate.p90_s)
+    remaining_s = 0.0
+    while would_outlast(bid, remaining_s):
+        remaining_s += STEP_S
+    drawn = [_draw(numbers, deviation) for _ in range(TRIALS)]
+    cut = [
+        is_straggler
+        for seconds, is_straggler in drawn
+        if wait_s + seconds > remaining_s
+    ]
+    assert cut.count(False) / TRIALS <= MAX_REGULAR_SHARE
+    assert len(cut) / TRIALS <= MAX_SHARE
+
+
+@pytest.mark.parametrize("case", [SAFE, UNSAFE])
+def test_a_request_without_a_server_is_refused_before_the_end(case: Case) -> None:
+    driver = Driver(case)
+    driver.give(FinishBy(driver.now + 0.3))
+    driver.offer()
+    (refused,) = driver.give(CancelUnsent())
+    assert isinstance(refused, Refuse)
+    assert refused.refusal.status == 503
+    assert refused.refusal.ran is Ran.NOT_RUN
+    assert refused.refusal.retry_after_s
+
+
+def test_a_server_that_has_room_takes_what_ends_in_time() -> None:
+    driver = Driver(UNSAFE)
+    driver.give(FinishBy(driver.now + 2.0))
+    (sent,) = driver.offer(candidate("a"))
+    assert not isinstance(sent, Refuse)
