Tell a refused connection from a lost answer

Callers saw: 504 and "unknown" for a request that a server never got, once a server had ended and was still listed; a booking was not sent to the next server.

Cause: urllib3 2 derives NewConnectionError from ConnectTimeoutError, so a refused connection took the branch of time-outs, which compares the name of the class, and counted as no answer.

Evidence: the new test on the code before gives assert <AttemptKind.NO_ANSWER: 'no-answer'> is <AttemptKind.NOT_CONNECTED: ...>

Change: the two classes of a connection that was not made are named.

Result: the test passes.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -6,9 +6,9 @@
 
 import eventlet
 import urllib3
+from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
-from urllib3.exceptions import TimeoutError as PoolTimeoutError
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import read_chunk
@@ -200,9 +200,8 @@
 
 
 def _classify_error(error: Exception) -> AttemptKind:
-    is_not_connected = isinstance(error, NewConnectionError)
-    if isinstance(error, PoolTimeoutError):
-        is_not_connected = type(error).__name__ == "ConnectTimeoutError"
+    # In urllib3 2 a refused connection is a kind of ConnectTimeoutError as well.
+    is_not_connected = isinstance(error, NewConnectionError | ConnectTimeoutError)
     return AttemptKind.NOT_CONNECTED if is_not_connected else AttemptKind.NO_ANSWER
 
 
