Tell on the own interface when a server crashes, and spread it

Cause of the matter: an instance took a connection that broke for a lost answer, sent the request to the next server, and forgot.

Change: an attempt whose connection is closed or reset without an answer asks the server for one more connection; a refusal shows that it has ended. The crash observer (core, without a network) then blames what this instance had there, by CrashSuspects. It can't know what else ran there, so each counts 1. Servers that are drained or have withdrawn, answers that are lost, and hangs are no crashes. The id of a crash names the server's incarnation, so that a common request that ran there through several instances counts once. Reports are one row of the spread tree an instance, on change only, under 2 KB; a restarted instance gets its own earlier row back. A request that is answered is cleared by the instances that blamed it, and by others only when it is close to a block, as otherwise each crash beside a common request would make all of them publish.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import eventlet
+import eventlet.green.socket
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
@@ -13,6 +14,7 @@
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import read_chunk
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
+from pimentobend_adapters._internal.http.connections import ResetError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import DEADLINE_MS
 from pimentobend_adapters._internal.http.headers import LOAD
@@ -34,6 +36,9 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
+# A process that ends may close a connection just before it stops listening.
+CONFIRM_AFTER_S = 0.02
+CONFIRM_TIMEOUT_S = 0.25
 KEPT_CONNECTIONS = 32  # maximum number of idle connections per server
 MIN_REMAINING_S = 0.001  # shortest timeout, also after the deadline
 MS_PER_S = 1000
@@ -128,7 +133,11 @@
         except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, OSError) as error:
-            return self._failed(_classify_error(error), started)
+            timeout.cancel()
+            failed = self._failed(_classify_error(error), started)
+            if not _is_cut_off(error):
+                return failed
+            return failed._replace(is_broken=True, has_server_ended=_has_ended(server))
         finally:
             timeout.cancel()
             if not is_repeatable:
@@ -205,6 +214,29 @@
     return AttemptKind.NOT_CONNECTED if is_not_connected else AttemptKind.NO_ANSWER
 
 
+def _is_cut_off(error: Exception) -> bool:
+    """Return whether the server closed or reset the connection without an answer."""
+    causes = (error, *error.args, error.__cause__)
+    is_connected = _classify_error(error) is not AttemptKind.NOT_CONNECTED
+    return is_connected and any(
+        isinstance(cause, ConnectionError | ResetError) for cause in causes
+    )
+
+
+def _has_ended(server: Server) -> bool:
+    """Return whether a server refuses a connection, as an ended process does."""
+    eventlet.sleep(CONFIRM_AFTER_S)
+    try:
+        eventlet.green.socket.create_connection(
+            (server.host, server.port), CONFIRM_TIMEOUT_S
+        ).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def _target(head: RequestHead) -> str:
     return f"{head.path}?{head.query}" if head.query else head.path
 
--- a/packages/core/src/pimentobend_core/_internal/crashes/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/messages.py
@@ -14,7 +14,7 @@
     A weight of 0 is a clearance: the request ran to its answer after this crash.
     """
 
-    crash_id: str  # the observer and a number of its own
+    crash_id: str  # the observer, or the server's life, and a number
     fingerprint: str
     weight: int
     left_s: int  # time until the report is forgotten
@@ -34,11 +34,13 @@
     """Report that a server crashed, and the fingerprints of what ran on it.
 
     They come in the order in which they started; a request without a fingerprint is
-    listed as an empty text.
+    listed as an empty text. ``crash_id`` is set where several daemons may report the
+    same crash, which then counts once.
     """
 
     server_id: str
     running: tuple[str, ...]
+    crash_id: str = ""
 
 
 class RunSucceeded(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
@@ -119,7 +119,7 @@
         named = [each for each in crashed.running if each != NO_FINGERPRINT]
         blamed = [each for each in named if self.is_suspect(each)] or named
         self._crashes += 1
-        crash_id = f"{self._observer}-{self._crashes}"
+        crash_id = crashed.crash_id or f"{self._observer}-{self._crashes}"
         weight = ALONE_WEIGHT if len(crashed.running) == 1 else SHARED_WEIGHT
         for fingerprint in blamed:
             held = _Held(weight, now + REPORT_S, is_own=True)
--- a/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/spread/messages.py
@@ -21,6 +21,7 @@
     CONFIGURATION = 1
     SERVERS = 2
     EJECTIONS = 3
+    CRASHES = 4
 
 
 class RowId(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -8,6 +8,7 @@
 
 from pimentobend_core._internal.crashes.messages import Block
 from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.crashes.observer_messages import Run
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -66,6 +67,7 @@
     is_broken: bool = False  # the connection ended before an answer did
     crash_reports: tuple[CrashReport, ...] = ()  # what is held against the request
     blocked_s: float = 0.0  # time until the end of the request's block; 0 without one
+    has_server_ended: bool = False  # it broke, and the server accepts no other
 
 
 class Claim(NamedTuple):
@@ -127,6 +129,18 @@
         """Report that an attempt ended, which frees its slot."""
 
 
+class SuspectsPort(BlocksPort):
+    """Access to the task that finds the requests that crash servers."""
+
+    @abc.abstractmethod
+    def started(self, run: Run, head: RequestHead) -> None:
+        """Report that a request is sent to a server."""
+
+    @abc.abstractmethod
+    def ended(self, run: Run, result: AttemptResult) -> None:
+        """Report how the attempt ended; if its server has too, once that is weighed."""
+
+
 class LedgerPort(abc.ABC):
     """Access to the ledger, which records the requests that may run only once."""
 
--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -5,11 +5,13 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.crashes.observer_messages import Run
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import BackendPort
+from pimentobend_core._internal.ports import SuspectsPort
 from pimentobend_core._internal.ports import TrafficPort
 from pimentobend_core._internal.request.stages import Admitted
 from pimentobend_core._internal.request.stages import EndedAttempt
@@ -44,9 +46,12 @@
 class AttemptFilter(Filter[Admitted, EndedAttempt]):
     """Sends the request to its server and reports the start and end of the attempt."""
 
-    def __init__(self, backend: BackendPort, traffic: TrafficPort) -> None:
+    def __init__(
+        self, backend: BackendPort, traffic: TrafficPort, suspects: SuspectsPort
+    ) -> None:
         self._backend = backend
         self._traffic = traffic
+        self._suspects = suspects
 
     def apply(self, value: Admitted) -> Result[EndedAttempt, Refusal]:
         """Return the ended attempt; this filter never refuses."""
@@ -61,6 +66,8 @@
                 was_reused=is_repeatable and self._backend.will_reuse(value.server),
             ),
         )
+        run = Run(value.ticket, request.fingerprint, value.server)
+        self._suspects.started(run, request.head)
         result = self._backend.send(
             value.server, request.head, request.body, is_repeatable
         )
@@ -77,4 +84,5 @@
                 load=result.load,
             )
         )
+        self._suspects.ended(run, result)
         return Success(EndedAttempt(request, value.server, result))
--- a/packages/core/src/pimentobend_core/_internal/request/idempotency.py
+++ b/packages/core/src/pimentobend_core/_internal/request/idempotency.py
@@ -13,7 +13,7 @@
 
 
 def _make_claimed(value: Routed, claim: Claim | None) -> Claimed:
-    return Claimed(value.head, value.body, value.route, claim)
+    return Claimed(value.head, value.body, value.route, claim, value.fingerprint)
 
 
 class IdempotencyFilter(Filter[Routed, Finished]):
--- a/packages/core/src/pimentobend_core/_internal/request/pipe.py
+++ b/packages/core/src/pimentobend_core/_internal/request/pipe.py
@@ -6,6 +6,7 @@
 from pimentobend_core._internal.ports import BackendPort
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.ports import LedgerPort
+from pimentobend_core._internal.ports import SuspectsPort
 from pimentobend_core._internal.ports import TablesPort
 from pimentobend_core._internal.ports import TrafficPort
 from pimentobend_core._internal.request.attempt import AdmissionFilter
@@ -18,6 +19,7 @@
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
+from pimentobend_core._internal.request.suspects import NO_SUSPECTS
 
 
 class RequestPorts(NamedTuple):
@@ -29,13 +31,14 @@
     ledger: LedgerPort
     backend: BackendPort
     retries: RetryPolicy
+    suspects: SuspectsPort = NO_SUSPECTS
 
 
 def build_request_pipe(ports: RequestPorts) -> Filter[Received, Finished]:
     """Return the filters from a received request to its answer."""
     attempt = (
         AdmissionFilter(ports.traffic)
-        .then(AttemptFilter(ports.backend, ports.traffic))
+        .then(AttemptFilter(ports.backend, ports.traffic, ports.suspects))
         .then(JudgementFilter())
     )
     dispatch = DispatchFilter(attempt, ports.retries, ports.clock)
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -42,6 +42,7 @@
     body: Body
     route: Route
     claim: Claim | None
+    fingerprint: str = ""
 
 
 class PendingAttempt(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.observers import AttemptObservers
+from pimentobend_adapters._internal.suspects import SuspectsTask
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -27,6 +28,7 @@
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.pools import PoolServersChanged
 from pimentobend_core._internal.membership.registry import ServerRegistry
+from pimentobend_core._internal.membership.spread.messages import Row
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Tables
@@ -35,6 +37,7 @@
 from pimentobend_core._internal.request.pipe import build_request_pipe
 from pimentobend_core._internal.traffic.policy import BudgetedRetries
 from pimentobend_core._internal.traffic.pool import PoolTraffic
+from pimentobendd._internal.crash_rows import CrashRows
 from pimentobendd._internal.evidence import EvidenceReports
 from pimentobendd._internal.interfaces.operators import Query
 from pimentobendd._internal.interfaces.replies import Reply
@@ -104,6 +107,11 @@
             clock,
             PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
+        self._crash_rows = CrashRows(link.address, epoch, clock, membership.publish_row)
+        self.suspects = SuspectsTask(
+            f"{settings.instance}.{epoch}", clock, metrics, self._crash_rows.publish
+        )
+        membership.subscribe_to_crashes(self._receive_crashes)
         pipe = build_request_pipe(
             RequestPorts(
                 clock=clock,
@@ -112,6 +120,7 @@
                 ledger=ledger,
                 backend=BackendClient(clock),
                 retries=BudgetedRetries(),
+                suspects=self.suspects,
             )
         )
         self.front = CallerFront(pipe, clock, events)
@@ -126,6 +135,7 @@
     def start(self) -> None:
         """Start the tasks, then the listeners."""
         self.registry.start()
+        self.suspects.start()
         self._callers.start()
         self._servers.start()
 
@@ -141,6 +151,7 @@
         }
         state.update({task.name: task.dump() for task in self.traffic.tasks})
         state.update({task.name: task.dump() for task in self.health.tasks})
+        state["suspects"] = self.suspects.dump()
         state["requests"] = {"in_flight": self.front.in_flight}
         return state
 
@@ -175,6 +186,12 @@
     def _update_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
         self.health.servers_changed(message.pool, message.change)
+        self.suspects.update_servers(message)
+
+    def _receive_crashes(self, row: Row) -> None:
+        reports = self._crash_rows.read(row)
+        if reports:
+            self.suspects.receive(reports, is_own=self._crash_rows.is_own(row))
 
     def _handle_registry_output(self, message: RegistryOutput) -> None:
         if isinstance(message, ServerEvent):
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -31,6 +31,8 @@
 from pimentobend_core._internal.membership.spread.messages import FromPeer
 from pimentobend_core._internal.membership.spread.messages import PublishRows
 from pimentobend_core._internal.membership.spread.messages import RelayInput
+from pimentobend_core._internal.membership.spread.messages import Row
+from pimentobend_core._internal.membership.spread.messages import RowKind
 from pimentobend_core._internal.membership.spread.messages import RowsArrived
 from pimentobend_core._internal.membership.spread.messages import SpreadOutput
 from pimentobend_core._internal.membership.spread.messages import SpreadTick
@@ -67,6 +69,7 @@
         self._parents = parents
         self._subscribers: list[Callable[[ServiceChanged], None]] = []
         self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
+        self._crash_subscribers: list[Callable[[Row], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
@@ -118,6 +121,14 @@
         """Call ``function`` at each change of a pool's live servers."""
         self._pool_subscribers.append(function)
 
+    def subscribe_to_crashes(self, function: Callable[[Row], None]) -> None:
+        """Call ``function`` with each row of reports on crashes that arrives."""
+        self._crash_subscribers.append(function)
+
+    def publish_row(self, row: Row) -> None:
+        """Publish a row of this process."""
+        self._node.put(PublishRows((row,)))
+
     def update_tables(self, tables: Tables) -> None:
         """Apply the pools of new tables."""
         self._pools.put(tables)
@@ -144,6 +155,7 @@
         if isinstance(output, RowsArrived):
             for message in read_rows(output.rows):
                 self._view.put(message)
+            self._notify_crash_subscribers(output.rows)
             return
         payload = encode_message(output.message)
         for recipient in output.recipients:
@@ -153,6 +165,12 @@
         for function in self._subscribers:
             function(message)
 
+    def _notify_crash_subscribers(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.row_id.kind == RowKind.CRASHES:
+                for function in self._crash_subscribers:
+                    function(row)
+
     def _notify_pool_subscribers(self, message: PoolServersChanged) -> None:
         for function in self._pool_subscribers:
             function(message)
