Refuse on the own interface what crashes servers

Callers saw: one request, sent each 0.25 s at two instances in turn, crashed servers as fast as they came back, and nearly half of the requests beside it got 504 and unknown.

Cause: nothing stood between such a request and the next server: a delivery sent it on at once, and each copy began anew.

Change: the crash guard stands between route and idempotency, so that a blocked request claims no key. On this interface the host counts only where the route names one, as callers name each instance by its address. A request that becomes blocked is not sent on to another server, nor when it is granted a slot after a wait; its slot is given back.

--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -118,6 +118,10 @@
         self.put(message.pool, message)
         self._observer.ended(message)
 
+    def release(self, pool: str, ticket: int) -> None:
+        """Give back the slot of an attempt that is not made."""
+        self.put(pool, Abandon(ticket))
+
     def _wait(
         self, pool: str, message: Acquire, event: Any
     ) -> Result[Granted, Refusal]:
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -128,6 +128,10 @@
     def ended(self, message: AttemptEnded) -> None:
         """Report that an attempt ended, which frees its slot."""
 
+    @abc.abstractmethod
+    def release(self, pool: str, ticket: int) -> None:
+        """Give back the slot of an attempt that is not made."""
+
 
 class SuspectsPort(BlocksPort):
     """Access to the task that finds the requests that crash servers."""
--- a/packages/core/src/pimentobend_core/_internal/request/crash_guard.py
+++ b/packages/core/src/pimentobend_core/_internal/request/crash_guard.py
@@ -16,15 +16,25 @@
 
 
 class CrashGuardFilter(Filter[Routed, Routed]):
-    """Finds the fingerprint of each request and refuses the blocked ones."""
+    """Finds the fingerprint of each request and refuses the blocked ones.
 
-    def __init__(self, blocks: BlocksPort, clock: ClockPort) -> None:
+    With ``uses_route_host``, the host counts only where the route names one, as callers
+    may name each instance by an address of its own.
+    """
+
+    def __init__(
+        self, blocks: BlocksPort, clock: ClockPort, *, uses_route_host: bool = False
+    ) -> None:
         self._blocks = blocks
         self._clock = clock
+        self._uses_route_host = uses_route_host
 
     def apply(self, value: Routed) -> Result[Routed, Refusal]:
         """Return the request with its fingerprint, or a refusal if it is blocked."""
-        fingerprint = find_fingerprint(value.head, value.body)
+        head = value.head
+        if self._uses_route_host:
+            head = head._replace(host=value.route.host)
+        fingerprint = find_fingerprint(head, value.body)
         block = self._blocks.find_block(fingerprint) if fingerprint else None
         if block is None:
             return Success(value._replace(fingerprint=fingerprint))
--- a/packages/core/src/pimentobend_core/_internal/request/pipe.py
+++ b/packages/core/src/pimentobend_core/_internal/request/pipe.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.ports import TrafficPort
 from pimentobend_core._internal.request.attempt import AdmissionFilter
 from pimentobend_core._internal.request.attempt import AttemptFilter
+from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.dispatch import DispatchFilter
 from pimentobend_core._internal.request.dispatch import RetryPolicy
@@ -20,6 +21,8 @@
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
 from pimentobend_core._internal.request.suspects import NO_SUSPECTS
+from pimentobend_core._internal.request.suspects import BlockedAttemptFilter
+from pimentobend_core._internal.request.suspects import GrantedFilter
 
 
 class RequestPorts(NamedTuple):
@@ -36,14 +39,18 @@
 
 def build_request_pipe(ports: RequestPorts) -> Filter[Received, Finished]:
     """Return the filters from a received request to its answer."""
+    clock, suspects = ports.clock, ports.suspects
     attempt = (
-        AdmissionFilter(ports.traffic)
-        .then(AttemptFilter(ports.backend, ports.traffic, ports.suspects))
+        BlockedAttemptFilter(suspects, clock)
+        .then(AdmissionFilter(ports.traffic))
+        .then(GrantedFilter(suspects, ports.traffic, clock))
+        .then(AttemptFilter(ports.backend, ports.traffic, suspects))
         .then(JudgementFilter())
     )
     dispatch = DispatchFilter(attempt, ports.retries, ports.clock)
     return (
         DeadlineFilter(ports.clock)
         .then(RouteFilter(ports.tables))
+        .then(CrashGuardFilter(suspects, clock, uses_route_host=True))
         .then(IdempotencyFilter(ports.ledger, dispatch))
     )
--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -65,6 +65,7 @@
         self.starts: list[AttemptStarted] = []
         self.ends: list[AttemptEnded] = []
         self.asked: list[Acquire] = []
+        self.released: list[int] = []
 
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
         """Grant a new server, or refuse when the grants are used up."""
@@ -82,6 +83,10 @@
         """Record the ended attempt."""
         self.ends.append(message)
 
+    def release(self, pool: str, ticket: int) -> None:
+        """Record the slot that is given back."""
+        self.released.append(ticket)
+
 
 class FakeLedger(LedgerPort):
     """Grants or refuses all claims, and records how they were settled."""
