--- a/packages/client/src/pimentobend/_internal/commands/show.py
+++ b/packages/client/src/pimentobend/_internal/commands/show.py
@@ -1,4 +1,4 @@
-"""The command ``show``: list routes, pools, servers, ejections or members."""
+"""The command ``show``: list routes, pools, servers and what the fleet knows."""
 
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -9,14 +9,14 @@
 from pimentobend._internal.exceptions import UsageError
 from pimentobend._internal.status import Status
 
-KINDS = ("routes", "pools", "servers", "ejections", "members")
+KINDS = ("routes", "pools", "servers", "ejections", "members", "suspects")
 
 
 class ShowCommand(Command):
-    """Lists the routes, pools, servers, ejections or members of the fleet."""
+    """Lists the routes, pools, servers, ejections, members or suspected requests."""
 
     usage = f"pimentobend show [--json] {'|'.join(KINDS)}"
-    summary = "list routes, pools, servers, ejections or members"
+    summary = "list routes, pools, servers, ejections, members or suspects"
     min_arguments = 1
     max_arguments = 1
 
--- a/packages/client/src/pimentobend/_internal/demo/fleet.py
+++ b/packages/client/src/pimentobend/_internal/demo/fleet.py
@@ -4,6 +4,8 @@
 import pathlib
 import socket
 
+from pimentobend._internal.demo.stand_in import Behaviour
+from pimentobend._internal.demo.stand_in import Crashing
 from pimentobend._internal.demo.stand_in import HalfAlive
 from pimentobend._internal.demo.stand_in import Healthy
 from pimentobend._internal.demo.stand_in import StandInOptions
@@ -16,6 +18,8 @@
 ANY_PORT = Address(LOOPBACK, 0)
 HEALTHY_S = 0.01  # service time
 SLOW_S = 0.25  # service time
+CRASH_PATH = "/catalogue/unreadable"  # healthy catalogue servers crash on it
+DOWN_S = 1.0  # after a crash
 SLOTS = 6  # per server
 FLOOR = 0.5
 
@@ -78,7 +82,13 @@
         f"catalogue-{number}" for number in range(1, HEALTHY_CATALOGUE_SERVERS + 1)
     ]
     servers = [
-        _make_server("catalogue", name, daemon, Healthy(HEALTHY_S)) for name in names
+        _make_server(
+            "catalogue",
+            name,
+            daemon,
+            Crashing(CRASH_PATH, DOWN_S, Healthy(HEALTHY_S)),
+        )
+        for name in names
     ]
     servers.append(_make_server("catalogue", "catalogue-slow", daemon, Healthy(SLOW_S)))
     servers.append(_make_server("catalogue", "catalogue-half", daemon, HalfAlive()))
@@ -96,7 +106,7 @@
 
 
 def _make_server(
-    service: str, server_id: str, daemon: Address, behaviour: Healthy | HalfAlive
+    service: str, server_id: str, daemon: Address, behaviour: Behaviour
 ) -> StandInServer:
     options = StandInOptions(server_id, service, SLOTS, "demo-a", "demo", daemon)
     return StandInServer(options, ANY_PORT, behaviour)
--- a/packages/client/src/pimentobend/_internal/demo/script.py
+++ b/packages/client/src/pimentobend/_internal/demo/script.py
@@ -15,7 +15,9 @@
 from pimentobend_adapters._internal.http.headers import IDEMPOTENCY_KEY
 from pimentobend_adapters._internal.http.headers import ORGANISATION
 from pimentobend_adapters._internal.http.headers import RAN
+from pimentobend_adapters._internal.http.headers import REASON
 from pimentobend_adapters._internal.http.server import Address
+from pimentobend_core._internal.models.request import RefusalReason
 
 START_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.1
@@ -23,6 +25,8 @@
 REQUESTS_PER_CALLER = 60
 PAUSE_S = 0.02  # between two requests of a caller
 EJECTION_TIMEOUT_S = 15.0
+CRASHING_REQUESTS = 12
+MAX_CRASHES = 3
 FAULTY_SERVERS = frozenset({"catalogue-half", "catalogue-slow"})
 
 
@@ -54,6 +58,7 @@
             self._book_twice(),
             self._wait_for_ejection(),
             self._check_floor(),
+            self._send_crashing_request(),
         ]
 
     def _apply_tables(self) -> Step:
@@ -135,6 +140,22 @@
             f"{in_use} of {pool} servers in use, floor {fleet.FLOOR:.0%}",
         )
 
+    def _send_crashing_request(self) -> Step:
+        reason = None
+        for _ in range(CRASHING_REQUESTS):
+            response = self._http.request(
+                "GET",
+                f"http://{self._callers}{fleet.CRASH_PATH}",
+                headers={ORGANISATION: "archive"},
+            )
+            reason = response.headers.get(REASON)
+        crashes = sum(len(server.crashes) for server in self._servers)
+        return Step(
+            "a request that crashes servers is refused",
+            reason == RefusalReason.CRASHES_SERVERS.value and crashes <= MAX_CRASHES,
+            f"{crashes} servers crashed, then {reason}",
+        )
+
     def _ejected(self) -> set[str]:
         rows = self._operators.get("/v1/ejections")["ejections"]
         return {row["server"] for row in rows if row["state"] == "ejected"}
--- a/packages/daemon/src/pimentobendd/_internal/sections.py
+++ b/packages/daemon/src/pimentobendd/_internal/sections.py
@@ -48,6 +48,7 @@
             "/v1/servers": self._servers,
             "/v1/ejections": self._ejections,
             "/v1/members": self._members,
+            "/v1/suspects": self._suspects,
             "/v1/ledger": self._look_up,
         }
 
@@ -93,6 +94,10 @@
         rows = [] if self._instance is None else self._instance.ejections()
         return Reply(200, {"ejections": rows})
 
+    def _suspects(self, query: Query) -> Reply:
+        rows = [] if self._instance is None else self._instance.suspects.rows()
+        return Reply(200, {"suspects": rows})
+
     def _members(self, query: Query) -> Reply:
         if self._control is None:
             hint = "ask an instance with the role control"
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -260,6 +260,28 @@
     assert site.count_crashes() == crashes
 
 
+def test_operators_see_the_blocked_request(site: Site) -> None:
+    _block(site)
+    rows = []
+    for settings in site.instances:
+        operators = f"--operators={settings['listen']['operators']}"
+        shown = site.fleet.run_client("show", operators, "--json", "suspects")
+        assert shown.returncode == 0, shown.stderr
+        rows += [row for row in json.loads(shown.stdout) if row["state"] == "blocked"]
+        table = site.fleet.run_client("show", operators, "suspects").stdout
+        assert "fingerprint" in table
+        assert "blocked" in table
+    assert len({row["fingerprint"] for row in rows}) == 1
+    assert len(rows) == 2
+    assert any(POISON in (row["request"] or "") for row in rows)
+    logs = "".join(each.log.read_text() for each in site.daemons)
+    assert logs.count("event='server-crashed'") >= CRASHES
+    assert logs.count("event='request-blocked'") >= len(site.instances)
+    for settings in site.instances:
+        dump = call("GET", f"http://{settings['listen']['operators']}/v1/dump")
+        assert "suspects" in json.loads(dump.content)
+
+
 def test_planned_end_of_a_server_is_no_crash(site: Site) -> None:
     answers: list[Answer] = []
     for number, server in enumerate(site.stand_ins[:4]):
