Ask a server twice whether it has ended

Seen: tests/unit/http/test_server_ends.py, 'closed, then ended', failed once in a run of all unit tests (-n 2): assert (NO_ANSWER, False) == (NO_ANSWER, True)

Cause: one probe 20 ms after the connection broke. A process that ends closes its connections and its listener one after the other, and on a busy machine the listener may still accept then; the crash was taken for a lost answer.

A request that is blocked after its own server crashed ends with 502 and unknown on this interface too; it was 503.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -26,6 +26,8 @@
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
+from pimentobend_core._internal.crashes.detection import PROBE_DELAY_S
+from pimentobend_core._internal.crashes.detection import SECOND_PROBE_DELAY_S
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
@@ -36,8 +38,6 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
-# A process that ends may close a connection just before it stops listening.
-CONFIRM_AFTER_S = 0.02
 CONFIRM_TIMEOUT_S = 0.25
 KEPT_CONNECTIONS = 32  # maximum number of idle connections per server
 MIN_REMAINING_S = 0.001  # shortest timeout, also after the deadline
@@ -225,15 +225,16 @@
 
 def _has_ended(server: Server) -> bool:
     """Return whether a server refuses a connection, as an ended process does."""
-    eventlet.sleep(CONFIRM_AFTER_S)
-    try:
-        eventlet.green.socket.create_connection(
-            (server.host, server.port), CONFIRM_TIMEOUT_S
-        ).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
+    for delay_s in (PROBE_DELAY_S, SECOND_PROBE_DELAY_S):
+        eventlet.sleep(delay_s)
+        try:
+            eventlet.green.socket.create_connection(
+                (server.host, server.port), CONFIRM_TIMEOUT_S
+            ).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
     return False
 
 
--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -9,6 +9,7 @@
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
+from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.request.stages import Claimed
@@ -17,6 +18,7 @@
 from pimentobend_core._internal.request.stages import PendingAttempt
 
 MAX_ATTEMPTS = 3
+BROKEN_STATUS = 502  # of a request that is blocked after its server crashed
 MAX_REFUSED_ATTEMPTS = 8  # the limit after a server refused without running it
 # In ascending certainty that a server ran the request.
 _BY_CERTAINTY = (Ran.NOT_RUN, Ran.UNKNOWN, Ran.RAN)
@@ -110,6 +112,8 @@
     ran = _most_certain(refusal.ran, earlier)
     if ran is Ran.NOT_RUN:
         return refusal
+    if refusal.reason is RefusalReason.CRASHES_SERVERS:
+        refusal = refusal._replace(status=BROKEN_STATUS)
     return refusal._replace(ran=ran, retry_after_s=None)
 
 
