--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -5,14 +5,16 @@
 from typing import Any
 
 import eventlet
+import eventlet.green.socket
 import urllib3
+from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import NewConnectionError
-from urllib3.exceptions import TimeoutError as PoolTimeoutError
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import read_chunk
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
+from pimentobend_adapters._internal.http.connections import ResetError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import DEADLINE_MS
 from pimentobend_adapters._internal.http.headers import LOAD
@@ -24,6 +26,8 @@
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
+from pimentobend_core._internal.crashes.detection import PROBE_DELAY_S
+from pimentobend_core._internal.crashes.detection import SECOND_PROBE_DELAY_S
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
@@ -34,6 +38,7 @@
 from pimentobend_core._internal.ports import ClockPort
 
 CONNECT_TIMEOUT_S = 1.0
+CONFIRM_TIMEOUT_S = 0.25
 KEPT_CONNECTIONS = 32  # maximum number of idle connections per server
 MIN_REMAINING_S = 0.001  # shortest timeout, also after the deadline
 MS_PER_S = 1000
@@ -135,7 +140,11 @@
         except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, OSError) as error:
-            return self._failed(_classify_error(error), started)
+            timeout.cancel()
+            failed = self._failed(_classify_error(error), started)
+            if not _is_cut_off(error):
+                return failed
+            return failed._replace(is_broken=True, has_server_ended=_has_ended(server))
         finally:
             timeout.cancel()
             self._running.pop(timeout, None)
@@ -213,12 +222,35 @@
 
 
 def _classify_error(error: Exception) -> AttemptKind:
-    is_not_connected = isinstance(error, NewConnectionError)
-    if isinstance(error, PoolTimeoutError):
-        is_not_connected = type(error).__name__ == "ConnectTimeoutError"
+    # In urllib3 2 a refused connection is a kind of ConnectTimeoutError as well.
+    is_not_connected = isinstance(error, NewConnectionError | ConnectTimeoutError)
     return AttemptKind.NOT_CONNECTED if is_not_connected else AttemptKind.NO_ANSWER
 
 
+def _is_cut_off(error: Exception) -> bool:
+    """Return whether the server closed or reset the connection without an answer."""
+    causes = (error, *error.args, error.__cause__)
+    is_connected = _classify_error(error) is not AttemptKind.NOT_CONNECTED
+    return is_connected and any(
+        isinstance(cause, ConnectionError | ResetError) for cause in causes
+    )
+
+
+def _has_ended(server: Server) -> bool:
+    """Return whether a server refuses a connection, as an ended process does."""
+    for delay_s in (PROBE_DELAY_S, SECOND_PROBE_DELAY_S):
+        eventlet.sleep(delay_s)
+        try:
+            eventlet.green.socket.create_connection(
+                (server.host, server.port), CONFIRM_TIMEOUT_S
+            ).close()
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+    return False
+
+
 def _target(head: RequestHead) -> str:
     return f"{head.path}?{head.query}" if head.query else head.path
 
