Leave requests alone on SIGHUP on the own interface

What callers saw: a request that a server was running when its daemon got SIGHUP ended with a closed connection and no answer.

Cause: the daemon of the own interface had no handler for SIGHUP, so that its default action ended the process; it also handled signals during and after its stop as the platform's daemon did.

Evidence: before, test_signals_other_than_a_stop_leave_requests_alone failed for SIGHUP with b'' for an answer, and test_signals_during_a_stop_do_not_change_its_outcome with -15 and -1.

Change: both daemons install their handlers in one place. SIGHUP is logged as "reload-ignored" where settings are read at the start only. The platform's test of signals now waits until the daemon handles them: under load it sent SIGTERM to one that was still starting (seen once, exit code -15).

--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -1,6 +1,5 @@
 """Run the roles of one process until a stop signal."""
 
-import signal
 import sys
 import time
 from collections.abc import Mapping
@@ -40,6 +39,9 @@
 from pimentobendd._internal.membership_role import MembershipRole
 from pimentobendd._internal.sections import Sections
 from pimentobendd._internal.settings import Settings
+from pimentobendd._internal.signals import SignalActions
+from pimentobendd._internal.signals import ignore_signals
+from pimentobendd._internal.signals import install_handlers
 from pimentobendd._internal.tables import TablesInForce
 
 DRAIN_POLL_S = 0.05
@@ -48,7 +50,6 @@
 END_MARGIN_S = 0.4
 # Longest wait at shutdown until the ledger has recorded the outcomes of claims.
 CLAIM_TIMEOUT_S = 5.0
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon:
@@ -115,12 +116,13 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
-        for number in STOP_SIGNALS:
-            signal.signal(number, lambda *_: self._request_stop())
-        signal.signal(signal.SIGUSR1, lambda *_: self._print_dump())
+        install_handlers(
+            SignalActions(self._request_stop, self._report_reload, self._print_dump)
+        )
         self.start()
         self._stopping.wait()
         self.stop()
+        ignore_signals()
 
     def stop(self) -> None:
         """Close the listeners, wait for the requests in flight, then stop the tasks."""
@@ -228,13 +230,14 @@
         if not self._stopping.ready():
             self._stopping.send(None)
 
-    def _print_dump(self) -> None:
-        eventlet.spawn_n(
-            lambda: print(
-                format_dump(self._sections.dump()), file=sys.stdout, flush=True
-            )
+    def _report_reload(self) -> None:
+        self._log.warning(
+            "reload-ignored", hint="restart the daemon to apply changed settings"
         )
 
+    def _print_dump(self) -> None:
+        print(format_dump(self._sections.dump()), file=sys.stdout, flush=True)
+
     def _wait_for_claims(self) -> None:
         """Wait up to ``CLAIM_TIMEOUT_S`` until the outcomes of claims are recorded."""
         deadline = self._clock.now() + CLAIM_TIMEOUT_S
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import secrets
-import signal
 import sys
 import time
 from collections.abc import Mapping
@@ -58,10 +57,12 @@
 from pimentobendd._internal.fleet.tables import FleetTables
 from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import LOOPBACK_KEY
+from pimentobendd._internal.signals import SignalActions
+from pimentobendd._internal.signals import ignore_signals
+from pimentobendd._internal.signals import install_handlers
 from pimentobendd._internal.tables import TablesInForce
 
 KIND_GOSSIP = "gossip"
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
 SHOWN_CHARACTERS = 200  # of each value that another process sent, in a log line
@@ -120,17 +121,13 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then finish the requests in flight."""
-        for number in STOP_SIGNALS:
-            # A handler may interrupt another one, so it only schedules the request.
-            signal.signal(number, lambda *_: eventlet.spawn_n(self._request_stop))
-        signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn_n(self._reload))
-        signal.signal(signal.SIGUSR1, lambda *_: self._print_dump())
+        install_handlers(
+            SignalActions(self._request_stop, self._reload, self._print_dump)
+        )
         self.start()
         self._stopping.wait()
         self.stop()
-        # The interpreter restores default actions, but keeps SIG_IGN, as it ends.
-        for number in (*STOP_SIGNALS, signal.SIGHUP):
-            signal.signal(number, signal.SIG_IGN)
+        ignore_signals()
 
     def start(self) -> None:
         """Start all tasks and listeners."""
@@ -367,9 +364,7 @@
             self._stopping.send(None)
 
     def _print_dump(self) -> None:
-        eventlet.spawn_n(
-            lambda: print(format_dump(self.dump()), file=sys.stdout, flush=True)
-        )
+        print(format_dump(self.dump()), file=sys.stdout, flush=True)
 
     def _drain(
         self,
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -193,3 +193,25 @@
             return True
     except OSError:
         return False
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
+def test_signals_other_than_a_stop_leave_requests_alone(
+    number: signal.Signals, site: Site
+) -> None:
+    with _connect(site) as connection:
+        connection.sendall(f"POST /short/1{HEAD}Connection: close\r\n\r\n".encode())
+        wait_until(lambda: _in_flight(site) == 1)
+        site.instance.signal(number)
+        assert _read_all(connection).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_signals_during_a_stop_do_not_change_its_outcome(
+    number: signal.Signals, site: Site
+) -> None:
+    site.instance.signal(signal.SIGTERM)
+    while not site.instance.has_ended:
+        site.instance.signal(number)
+        time.sleep(0.002)
+    assert site.instance.wait() == 0
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -176,6 +176,7 @@
     number: signal.Signals, fleet: Fleet
 ) -> None:
     process = fleet.control[0]
+    wait_until(lambda: "event='started'" in process.log(), "it handles signals")
     process.signal(signal.SIGTERM)
     while not process.has_ended():
         process.signal(number)
--- a/tests/lib/processes.py
+++ b/tests/lib/processes.py
@@ -93,6 +93,11 @@
         """Return the process id."""
         return self._process.pid
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the process has ended."""
+        return self._process.poll() is not None
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(number)
