Answer what still runs when a platform daemon ends

Seen, on the platform: a request that a server still ran at the end of the grace time was cut off with no answer.

Cause: the daemon closed its listeners and ended, whatever its callers waited for.

Evidence: before the change, test_platform_stop.py: "assert False" for "HTTP/1.1 504 ", an empty answer.

Result: the test passes.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import eventlet
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -62,6 +63,7 @@
 REGISTRY_TICK_S = 0.5
 ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 SERVER_ERROR = 500
+LAST_ANSWERS_S = 0.1  # time to write the answers of the requests that are left
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
@@ -229,7 +231,10 @@
         self._deliveries.cancel_unsent()
 
     def close(self) -> None:
-        """Close the listeners."""
+        """Answer the requests that are left, and close the listeners."""
+        if self.front.in_flight:
+            self.front.end_requests()
+            eventlet.sleep(LAST_ANSWERS_S)
         for listener in self._listeners:
             listener.close()
 
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -1,7 +1,7 @@
-"""Stop a daemon of the platform while a request's body is still being read.
+"""Stop a daemon of the platform with requests that are unread, or run too long.
 
-It was cut off without an answer at the end of the grace time, though no server had
-got it.
+They were cut off without an answer at the end of the grace time, also those that no
+server had got.
 """
 
 import contextlib
@@ -12,10 +12,12 @@
 
 import pytest
 from platform_fleet import Fleet
+from platform_fleet import Process
 from platform_fleet import wait_until
 from platform_server import PREFIX
 
 TIMEOUT_S = 12.0
+HELD_S = 9.0  # longer than the grace time
 HEAD = f"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n{PREFIX}Request-Id: half\r\n"
 UNREAD = [
     ("with a length", f"{HEAD}Content-Length: 10\r\n\r\nhello"),
@@ -58,6 +60,28 @@
         assert "half" not in each.server.ran
 
 
+def test_a_request_that_outlasts_the_grace_time_is_answered(fleet: Fleet) -> None:
+    first, second = fleet.instances
+    for each in (first, second):
+        assert each.server is not None
+        each.server.hold_s = HELD_S
+    host, _, port = first.address(8400).rpartition(":")
+    with socket.create_connection((host, int(port)), TIMEOUT_S) as connection:
+        connection.sendall(f"{HEAD}Content-Length: 0\r\n\r\n".encode())
+        wait_until(lambda: _has_run(first, "half") or _has_run(second, "half"), "runs")
+        first.signal(signal.SIGTERM)
+        answer = _read_all(connection)
+    assert first.wait() == 0
+    head = answer.partition(b"\r\n\r\n")[0].lower().split(b"\r\n")
+    assert head[0].startswith(b"http/1.1 504 ")
+    assert b"pimentobend-ran: unknown" in head
+    assert b"connection: close" in head
+
+
+def _has_run(process: Process, request_id: str) -> bool:
+    return process.server is not None and request_id in process.server.ran
+
+
 def _read_all(connection: socket.socket) -> bytes:
     received = b""
     with contextlib.suppress(ConnectionError):
