--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -1,6 +1,5 @@
 """Serve callers' requests over HTTP."""
 
-import http.client
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -12,20 +11,18 @@
 from returns.result import Result
 
 from pimentobend_adapters._internal.exceptions import AdapterError
-from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
-from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
-from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
 from pimentobend_adapters._internal.http.requests import check_limits
 from pimentobend_adapters._internal.http.requests import parse_request
+from pimentobend_adapters._internal.http.writing import StartResponse
+from pimentobend_adapters._internal.http.writing import write_answer
+from pimentobend_adapters._internal.http.writing import write_refusal
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.models.events import RequestEnded
-from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
@@ -36,7 +33,6 @@
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
 
-StartResponse = Callable[..., Any]
 RETRY_AFTER_S = 1
 _ENDING = "the process ends before the request can be served"
 _ENDED = "the process ended before the answer came"
@@ -211,14 +207,14 @@
     def _refuse(
         self, refusal: Refusal, request_id: str, start_response: StartResponse
     ) -> Iterator[bytes]:
-        yield from _write_refusal(
+        yield from write_refusal(
             refusal, request_id, self._options.names, start_response
         )
 
     def _answer(
         self, finished: Finished, head: RequestHead, start_response: StartResponse
     ) -> Iterator[bytes]:
-        yield from _write_answer(finished, head, self._options.names, start_response)
+        yield from write_answer(finished, head, self._options.names, start_response)
 
 
 class _CallerWatch:
@@ -247,68 +243,3 @@
 def _refuse_unread(error: ProcessEndingError) -> Refusal:
     reason = RefusalReason.DRAINING
     return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
-
-
-def _write_refusal(
-    refusal: Refusal,
-    request_id: str,
-    names: HeaderNames,
-    start_response: StartResponse,
-) -> Iterator[bytes]:
-    content = f"{refusal.detail}\n".encode()
-    headers = [
-        ("Content-Type", "text/plain; charset=utf-8"),
-        ("Content-Length", str(len(content))),
-        (names.ran, refusal.ran.value),
-        (names.reason, refusal.reason.value),
-    ]
-    if request_id:
-        headers.append((names.request_id, request_id))
-    if refusal.retry_after_s is not None:
-        headers.append(("Retry-After", str(refusal.retry_after_s)))
-    start_response(_status_line(refusal.status), headers)
-    yield content
-
-
-def _write_answer(
-    finished: Finished,
-    head: RequestHead,
-    names: HeaderNames,
-    start_response: StartResponse,
-) -> Iterator[bytes]:
-    request_id = head.request_id
-    body = finished.result.body
-    assert body is not None
-    try:
-        chunks = body.chunks()
-        buffered = _read_small(chunks, finished.result.headers)
-    except AnswerTruncatedError as error:
-        body.close()
-        refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
-        yield from _write_refusal(refusal, request_id, names, start_response)
-        return
-    headers = list(finished.result.headers)
-    if find_header(finished.result.headers, names.request_id) is None:
-        headers.append((names.request_id, request_id))
-    headers.append((names.ran, finished.ran.value))
-    if isinstance(body, BufferedAnswer) and head.method != "HEAD":
-        headers = [each for each in headers if each[0].lower() != "content-length"]
-        headers.append(("Content-Length", str(body.length)))
-    start_response(_status_line(finished.result.status), headers)
-    try:
-        yield from buffered
-        yield from chunks
-    finally:
-        body.close()
-
-
-def _read_small(chunks: Iterator[bytes], headers: Headers) -> list[bytes]:
-    """Read a small answer of known length before its head is sent."""
-    length = find_header(headers, "Content-Length")
-    if length is None or int(length) > CHUNK_BYTES:
-        return []
-    return list(chunks)
-
-
-def _status_line(status: int) -> str:
-    return f"{status} {http.client.responses.get(status, 'Unknown')}"
--- a/tests/unit/forwarding/test_planned_stop.py
+++ b/tests/unit/forwarding/test_planned_stop.py
@@ -22,6 +22,7 @@
 from pimentobend_core._internal.forwarding.durations import DurationEstimate
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.rejection import would_outlast
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 
 MEDIAN_S = 0.3
@@ -81,3 +82,14 @@
     driver.give(FinishBy(driver.now + 2.0))
     (sent,) = driver.offer(candidate("a"))
     assert not isinstance(sent, Refuse)
+
+
+def test_a_retry_that_would_be_cut_off_does_not_begin() -> None:
+    driver = Driver(SAFE)
+    driver.give(FinishBy(driver.now + 2.0))
+    driver.offer(candidate("a"), candidate("b"))
+    driver.now += 1.9
+    driver.end(1, AttemptKind.NO_ANSWER)
+    (refused,) = driver.offer(candidate("a"), candidate("b"))
+    assert isinstance(refused, Refuse)
+    assert refused.refusal.ran is Ran.UNKNOWN
