--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -1,6 +1,5 @@
 """Serve callers' requests over HTTP."""
 
-import http.client
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -12,20 +11,18 @@
 from returns.result import Result
 
 from pimentobend_adapters._internal.exceptions import AdapterError
-from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
-from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
-from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
 from pimentobend_adapters._internal.http.requests import check_limits
 from pimentobend_adapters._internal.http.requests import parse_request
+from pimentobend_adapters._internal.http.writing import StartResponse
+from pimentobend_adapters._internal.http.writing import write_answer
+from pimentobend_adapters._internal.http.writing import write_refusal
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.models.events import RequestEnded
-from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
@@ -36,9 +33,9 @@
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
 
-StartResponse = Callable[..., Any]
 RETRY_AFTER_S = 1
 _ENDING = "the process ends before the request can be served"
+_ENDED = "the process ended before the answer came"
 
 
 class FrontOptions(NamedTuple):
@@ -51,7 +48,7 @@
 
 
 class ProcessEndingError(AdapterError):
-    """The process ends; raised in the tasks that read a request's body."""
+    """The process ends; raised in the tasks that serve its last requests."""
 
 
 class CallerFront:
@@ -69,7 +66,9 @@
         self._events = events
         self._options = options or FrontOptions()
         self._in_flight = 0
-        self._reading: set[Any] = set()  # greenlets that read a request's body
+        # Greenlets that read a request's body, and those that wait for its answer.
+        self._reading: set[Any] = set()
+        self._delivering: set[Any] = set()
         self._is_stopping = False
         self._is_ending = False
 
@@ -106,7 +105,7 @@
         if watch is not None:
             request = request._replace(on_caller_left=watch.start)
         try:
-            result = self._pipe.apply(request)
+            result = self._deliver(request)
         finally:
             if watch is not None:
                 watch.stop()
@@ -127,6 +126,16 @@
         finally:
             self._reading.discard(greenlet)
 
+    def _deliver(self, request: Received) -> Result[Finished, Refusal]:
+        greenlet = eventlet.getcurrent()
+        self._delivering.add(greenlet)
+        try:
+            return self._pipe.apply(request)
+        except ProcessEndingError as error:
+            return Failure(Refusal(504, Ran.UNKNOWN, RefusalReason.BACKEND, str(error)))
+        finally:
+            self._delivering.discard(greenlet)
+
     def _respond(
         self,
         request: Received,
@@ -165,11 +174,12 @@
         """Refuse the requests whose bodies are not read yet, and all further ones."""
         self._is_ending = True
         for greenlet in self._reading:
-            eventlet.spawn_n(self._stop_reading, greenlet)
+            eventlet.spawn_n(_end_in, greenlet, self._reading, _ENDING)
 
-    def _stop_reading(self, greenlet: Any) -> None:
-        if greenlet in self._reading:
-            greenlet.throw(ProcessEndingError(_ENDING))
+    def end_requests(self) -> None:
+        """Answer the requests that have no answer's head yet; they may have run."""
+        for greenlet in self._delivering:
+            eventlet.spawn_n(_end_in, greenlet, self._delivering, _ENDED)
 
     def _record(
         self,
@@ -197,14 +207,14 @@
     def _refuse(
         self, refusal: Refusal, request_id: str, start_response: StartResponse
     ) -> Iterator[bytes]:
-        yield from _write_refusal(
+        yield from write_refusal(
             refusal, request_id, self._options.names, start_response
         )
 
     def _answer(
         self, finished: Finished, head: RequestHead, start_response: StartResponse
     ) -> Iterator[bytes]:
-        yield from _write_answer(finished, head, self._options.names, start_response)
+        yield from write_answer(finished, head, self._options.names, start_response)
 
 
 class _CallerWatch:
@@ -224,71 +234,12 @@
             self._watch.stop()
 
 
+def _end_in(greenlet: Any, stage: set[Any], detail: str) -> None:
+    """Raise ``ProcessEndingError`` in a greenlet if it is still in its stage."""
+    if greenlet in stage:
+        greenlet.throw(ProcessEndingError(detail))
+
+
 def _refuse_unread(error: ProcessEndingError) -> Refusal:
     reason = RefusalReason.DRAINING
     return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
-
-
-def _write_refusal(
-    refusal: Refusal,
-    request_id: str,
-    names: HeaderNames,
-    start_response: StartResponse,
-) -> Iterator[bytes]:
-    content = f"{refusal.detail}\n".encode()
-    headers = [
-        ("Content-Type", "text/plain; charset=utf-8"),
-        ("Content-Length", str(len(content))),
-        (names.ran, refusal.ran.value),
-        (names.reason, refusal.reason.value),
-    ]
-    if request_id:
-        headers.append((names.request_id, request_id))
-    if refusal.retry_after_s is not None:
-        headers.append(("Retry-After", str(refusal.retry_after_s)))
-    start_response(_status_line(refusal.status), headers)
-    yield content
-
-
-def _write_answer(
-    finished: Finished,
-    head: RequestHead,
-    names: HeaderNames,
-    start_response: StartResponse,
-) -> Iterator[bytes]:
-    request_id = head.request_id
-    body = finished.result.body
-    assert body is not None
-    try:
-        chunks = body.chunks()
-        buffered = _read_small(chunks, finished.result.headers)
-    except AnswerTruncatedError as error:
-        body.close()
-        refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
-        yield from _write_refusal(refusal, request_id, names, start_response)
-        return
-    headers = list(finished.result.headers)
-    if find_header(finished.result.headers, names.request_id) is None:
-        headers.append((names.request_id, request_id))
-    headers.append((names.ran, finished.ran.value))
-    if isinstance(body, BufferedAnswer) and head.method != "HEAD":
-        headers = [each for each in headers if each[0].lower() != "content-length"]
-        headers.append(("Content-Length", str(body.length)))
-    start_response(_status_line(finished.result.status), headers)
-    try:
-        yield from buffered
-        yield from chunks
-    finally:
-        body.close()
-
-
-def _read_small(chunks: Iterator[bytes], headers: Headers) -> list[bytes]:
-    """Read a small answer of known length before its head is sent."""
-    length = find_header(headers, "Content-Length")
-    if length is None or int(length) > CHUNK_BYTES:
-        return []
-    return list(chunks)
-
-
-def _status_line(status: int) -> str:
-    return f"{status} {http.client.responses.get(status, 'Unknown')}"
