End the requests of a stopping platform daemon in one place

The deliveries' own end stays, as it knows whether a request reached a server (502, "unknown") or not (503, "not run"); the exception that was raised in the waiting tasks, and its 504 for both, goes.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -35,7 +35,6 @@
 
 RETRY_AFTER_S = 1
 _ENDING = "the process ends before the request can be served"
-_ENDED = "the process ended before the answer came"
 
 
 class FrontOptions(NamedTuple):
@@ -48,7 +47,7 @@
 
 
 class ProcessEndingError(AdapterError):
-    """The process ends; raised in the tasks that serve its last requests."""
+    """The process ends; raised in the tasks that read a request's body."""
 
 
 class CallerFront:
@@ -66,9 +65,7 @@
         self._events = events
         self._options = options or FrontOptions()
         self._in_flight = 0
-        # Greenlets that read a request's body, and those that wait for its answer.
-        self._reading: set[Any] = set()
-        self._delivering: set[Any] = set()
+        self._reading: set[Any] = set()  # greenlets that read a request's body
         self._is_stopping = False
         self._is_ending = False
 
@@ -105,7 +102,7 @@
         if watch is not None:
             request = request._replace(on_caller_left=watch.start)
         try:
-            result = self._deliver(request)
+            result = self._pipe.apply(request)
         finally:
             if watch is not None:
                 watch.stop()
@@ -126,16 +123,6 @@
         finally:
             self._reading.discard(greenlet)
 
-    def _deliver(self, request: Received) -> Result[Finished, Refusal]:
-        greenlet = eventlet.getcurrent()
-        self._delivering.add(greenlet)
-        try:
-            return self._pipe.apply(request)
-        except ProcessEndingError as error:
-            return Failure(Refusal(504, Ran.UNKNOWN, RefusalReason.BACKEND, str(error)))
-        finally:
-            self._delivering.discard(greenlet)
-
     def _respond(
         self,
         request: Received,
@@ -174,12 +161,11 @@
         """Refuse the requests whose bodies are not read yet, and all further ones."""
         self._is_ending = True
         for greenlet in self._reading:
-            eventlet.spawn_n(_end_in, greenlet, self._reading, _ENDING)
+            eventlet.spawn_n(self._stop_reading, greenlet)
 
-    def end_requests(self) -> None:
-        """Answer the requests that have no answer's head yet; they may have run."""
-        for greenlet in self._delivering:
-            eventlet.spawn_n(_end_in, greenlet, self._delivering, _ENDED)
+    def _stop_reading(self, greenlet: Any) -> None:
+        if greenlet in self._reading:
+            greenlet.throw(ProcessEndingError(_ENDING))
 
     def _record(
         self,
@@ -234,12 +220,6 @@
             self._watch.stop()
 
 
-def _end_in(greenlet: Any, stage: set[Any], detail: str) -> None:
-    """Raise ``ProcessEndingError`` in a greenlet if it is still in its stage."""
-    if greenlet in stage:
-        greenlet.throw(ProcessEndingError(detail))
-
-
 def _refuse_unread(error: ProcessEndingError) -> Refusal:
     reason = RefusalReason.DRAINING
     return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-import eventlet
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -65,7 +64,6 @@
 REGISTRY_TICK_S = 0.5
 ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 SERVER_ERROR = 500
-LAST_ANSWERS_S = 0.1  # time to write the answers of the requests that are left
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
@@ -256,10 +254,7 @@
         self._deliveries.give_up()
 
     def close(self) -> None:
-        """Answer the requests that are left, and close the listeners."""
-        if self.front.in_flight:
-            self.front.end_requests()
-            eventlet.sleep(LAST_ANSWERS_S)
+        """Close the listeners."""
         for listener in self._listeners:
             listener.close()
 
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -73,7 +73,7 @@
         answer = _read_all(connection)
     assert first.wait() == 0
     head = answer.partition(b"\r\n\r\n")[0].lower().split(b"\r\n")
-    assert head[0].startswith(b"http/1.1 504 ")
+    assert head[0].startswith(b"http/1.1 502 ")
     assert b"pimentobend-ran: unknown" in head
     assert b"connection: close" in head
 
