End a stopping daemon's requests before its servers' attempts

What callers saw: a booking that a server had begun before the SIGTERM of its daemon was cut off at the daemon's end, 5.5 s later, and ended 502 (LOST where the daemon that took it had got SIGTERM as well).

Cause: servers make calls of their own through the daemon beside them. If such a call hangs elsewhere, it ended in the same moment as the booking that waited for it, so the server's answer, a few ms later, reached nobody.

Evidence: in the users' record two bookings began 0.8 s before the SIGTERM and ended when their daemon did. The new test of real daemons, with a server that calls through its own stopping daemon, got 502 before the change ("assert 502 == 500") and the server's own 500 with it.

Change: at the end of the grace time a daemon ends its requests first, calls of its servers among them, and 0.2 s later what its servers still run.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -72,6 +72,7 @@
 # Requests that still wait this long before that end are refused, so that the
 # refusals reach their callers.
 REFUSE_MARGIN_S = 0.4
+LAST_ANSWERS_S = 0.2  # for servers to answer once their calls have ended
 FAREWELL_S = 0.1  # for the last answers to be written
 
 
@@ -389,5 +390,8 @@
             eventlet.sleep(DRAIN_POLL_S)
         if instance.in_flight:
             self._log.error("shutdown-cut", in_flight=instance.in_flight)
-            instance.give_up()
+            instance.give_up_requests()
+            # A server whose own call has ended still answers what it runs.
+            eventlet.sleep(LAST_ANSWERS_S)
+            instance.give_up_attempts()
             eventlet.sleep(FAREWELL_S)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -248,11 +248,14 @@
         self.front.refuse_unread()
         self._deliveries.cancel_unsent()
 
-    def give_up(self) -> None:
-        """End what is still running, as the process is ending."""
-        self.host.give_up()
+    def give_up_requests(self) -> None:
+        """End the requests that are left, those of the local servers among them."""
         self._deliveries.give_up()
 
+    def give_up_attempts(self) -> None:
+        """End the attempts that local servers are still running."""
+        self.host.give_up()
+
     def close(self) -> None:
         """Close the listeners."""
         for listener in self._listeners:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -8,9 +8,12 @@
 import pathlib
 import signal
 import socket
+import threading
+import time
 from collections.abc import Iterator
 
 import pytest
+from platform_fleet import Answer
 from platform_fleet import Fleet
 from platform_fleet import Process
 from platform_fleet import wait_until
@@ -78,6 +81,30 @@
     assert b"connection: close" in head
 
 
+def test_a_booking_whose_call_hangs_ends_with_its_servers_answer(fleet: Fleet) -> None:
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    host.server.hangs_on = "/look"
+    host.server.call = lambda path: (
+        not path.startswith("/book") or host.request("/look/1").status == 200
+    )
+    answers: list[Answer] = []
+    booking = threading.Thread(
+        target=lambda: answers.append(origin.request("/book/1", "POST", "parent"))
+    )
+    booking.start()
+    wait_until(lambda: host.server.ran[-2:] == ["parent", "1"], "its server has called")
+    host.signal(signal.SIGTERM)
+    time.sleep(0.5)
+    origin.signal(signal.SIGTERM)
+    booking.join()
+    assert answers[0].status == 500
+    assert f"{PREFIX}Server-Stamp".lower() in answers[0].headers
+
+
 def _has_run(process: Process, request_id: str) -> bool:
     return process.server is not None and request_id in process.server.ran
 
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -5,6 +5,7 @@
 import socket
 import time
 import urllib.request
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 from threading import Event
@@ -31,6 +32,9 @@
         self.callers: list[str] = []
         self.hold_s = 0.0  # time that each request takes
         self.hangs = False  # answer requests only after a minute, or once stopped
+        self.hangs_on = ""  # prefix of the paths of the requests that hang
+        # Called with the path of each request; if it returns False, the answer is 500.
+        self.call: Callable[[str], bool] = lambda path: True
         # Every how many answers an earlier one of its connection is sent once more
         # before it, as a refusal and as a success by turns; 0 for never.
         self.repeats_every = 0
@@ -156,7 +160,7 @@
         self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
-        if self.hangs:
+        if self.hangs or (self.hangs_on and request.path.startswith(self.hangs_on)):
             self._stop.wait(60)
         self._run(request_id, request.path)
         earlier_id = request.earlier_id  # type: ignore[attr-defined]
@@ -164,16 +168,17 @@
             self._answers += 1
             if self._answers % self.repeats_every == 0:
                 is_refusal = self._answers // self.repeats_every % 2 == 0
-                self._answer(request, earlier_id, is_refusal=is_refusal)
-        self._answer(request, request_id, is_refusal=False)
+                self._answer(request, earlier_id, 503 if is_refusal else 200)
+        status = 200 if self.call(request.path) else 500
+        self._answer(request, request_id, status)
         request.earlier_id = request_id  # type: ignore[attr-defined]
 
     def _answer(
-        self, request: BaseHTTPRequestHandler, request_id: str, *, is_refusal: bool
+        self, request: BaseHTTPRequestHandler, request_id: str, status: int
     ) -> None:
         content = self.server_id.encode()
-        request.send_response(503 if is_refusal else 200)
-        if is_refusal:
+        request.send_response(status)
+        if status == 503:
             request.send_header(f"{PREFIX}Not-Executed", "1")
         request.send_header(f"{PREFIX}Request-Id", request_id)
         request.send_header(f"{PREFIX}Server-Stamp", "stamp")
