Hand queued work that may not be repeated back when a daemon stops

What callers saw: three in a hundred requests take six times as long as the others. A booking that a stopping daemon still started from its queue could be one of them, and was cut off.

Cause: queued work started if nine in ten of its answers would come in time.

The row "a straggler would be lost" fails before (StartCall instead of Declined).

Change: at SIGTERM, queued work that may not be repeated is declined at once as not run, and its origin sends it elsewhere. Look-ups go on as before.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -255,9 +255,10 @@
         if not self._has_time(hosted, submit, start):
             return DeclineReason.DEADLINE
         durations = hosted.durations.of(submit.route, submit.target_s)
-        if start + hosted.slowdown * durations.p90_s >= self._finish_by:
-            return DeclineReason.DRAINING
-        return None
+        is_late = start + hosted.slowdown * durations.p90_s >= self._finish_by
+        # A straggler would be cut off, and what may not be repeated would be lost.
+        is_risky = self._is_stopping and not submit.is_repeatable
+        return DeclineReason.DRAINING if is_late or is_risky else None
 
     def _has_time(self, hosted: HostedServer, submit: Submit, now: float) -> bool:
         """Return whether an answer is still likely to come before the deadline."""
@@ -455,8 +456,8 @@
         """Return the queued attempts that should be sent elsewhere while time is left.
 
         Those are the attempts whose turn would come too late for their deadlines or
-        for the end of this process, and, at a server that fails, those that may not
-        be repeated.
+        for the end of this process, and, at a server that fails or beside a process
+        that is stopping, those that may not be repeated.
         """
         is_failing = hosted.liveness.risk(now) >= UNSAFE_RISK_LIMIT
         overdue: list[tuple[QueuedAttempt, DeclineReason]] = []
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -111,8 +111,8 @@
 class StartDraining(NamedTuple):
     """Decline all further attempts, as the process is about to stop.
 
-    Queued attempts are declined too unless they will probably end by the clock time
-    ``finish_by``.
+    Queued attempts are declined too unless they may be repeated and will probably end
+    by the clock time ``finish_by``.
     """
 
     finish_by: float = -math.inf
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -465,24 +465,26 @@
     assert outputs == ([] if is_queued else declined("last", DeclineReason.FULL))
 
 
-STOPS = [  # time until the end, when a slot is freed, and whether the queued one starts
-    ("time for the queue and for it", 2.5, 0.5, True),
-    ("no time for the queue", 0.1, 0.05, False),
-    ("a slot is freed too late", 2.5, 2.45, False),
+STOPS = [  # time until the end and until a slot is free, is it safe, does it start
+    ("time for the queue and for it", 2.5, 0.5, True, True),
+    ("no time for the queue", 0.1, 0.05, True, False),
+    ("a slot is freed too late", 2.5, 2.45, True, False),
+    ("a straggler would be lost", 2.5, 0.5, False, False),
 ]
 
 
 @pytest.mark.parametrize(
-    ("ends_in_s", "freed_in_s", "starts"),
+    ("ends_in_s", "freed_in_s", "is_safe", "starts"),
     [s[1:] for s in STOPS],
     ids=[s[0] for s in STOPS],
 )
 def test_a_stopping_daemon_starts_nothing_that_would_outlast_it(
-    ends_in_s: float, freed_in_s: float, starts: bool
+    ends_in_s: float, freed_in_s: float, is_safe: bool, starts: bool
 ) -> None:
     harness = HostHarness(SERVER._replace(slots=1))
     teach(harness, EndKind.GOOD, 20)
-    harness.give(submit("running", deadline=99.0), submit("queued", deadline=99.0))
+    harness.give(submit("running", deadline=99.0))
+    harness.give(submit("queued", deadline=99.0, safe=is_safe))
     outputs = harness.give(StartDraining(harness.now + ends_in_s))
     harness.now += freed_in_s
     outputs += harness.give(ended("running"))
