Repeat a recall until its attempt ends, and keep one that comes first

What callers saw: a request that its stopping daemon had recalled from a queue ran there all the same, late, and was cut off.

Cause: a recall is one datagram.

The three new tests failed before: StartCall instead of Declined, and one recall only.

Change: a recall is due again every 0.2 s until its attempt ends, and a host declines an attempt whose withdrawal came first.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -79,7 +79,8 @@
     ) -> None:
         """Tell a daemon that nobody waits for an attempt any more.
 
-        If the frame is lost, the daemon notices the closed connection instead.
+        If the frame is lost, the daemon notices the closed connection instead, unless
+        the attempt was only recalled, which is repeated.
         """
         payload = encode(Withdraw(attempt_id, only_queued))
         self._link.send(peer.address, KIND_WITHDRAW, payload)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -55,6 +55,8 @@
 # How long a record is kept after its attempt's deadline, because a delayed copy of
 # the submission may still arrive and must not run.
 RECORD_RETENTION_S = 30.0
+# A submission that its withdrawal overtook arrives within this time.
+WITHDRAWAL_RETENTION_S = 5.0
 # A doubtful server, one with a higher risk of failing than TRIAL_RISK, asks for a
 # trial request after this time without any request.
 TRIAL_INTERVAL_S = 1.5
@@ -80,6 +82,8 @@
         self._service_sizes: dict[str, int] = {}
         self._servers: dict[str, HostedServer] = {}
         self._records: dict[str, AttemptRecord] = {}
+        # When attempts were withdrawn whose submissions have not arrived yet.
+        self._withdrawn: dict[str, float] = {}
         self._submissions = 0  # attempts that were queued so far
         self._is_stopping = False
         self._finish_by = math.inf  # what is still queued then must not start
@@ -199,6 +203,8 @@
     ) -> DeclineReason | None:
         if hosted is None:
             return DeclineReason.NO_SERVER
+        if submit.attempt_id in self._withdrawn:
+            return DeclineReason.WITHDRAWN
         if self._is_stopping or not hosted.is_ready:
             return DeclineReason.DRAINING
         if now >= submit.deadline:
@@ -361,6 +367,8 @@
         attempt_id = message.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
+            if len(self._withdrawn) < RECORDS_LIMIT:
+                self._withdrawn[attempt_id] = now
             return ()
         if record.phase is Phase.QUEUED:
             hosted = self._servers.get(record.submit.server_id)
@@ -442,6 +450,11 @@
 
     def _expire(self, now: float) -> tuple[HostOutput, ...]:
         outputs = (*self._decline_overdue(now), *self._release_overdue(now))
+        self._withdrawn = {
+            attempt_id: at
+            for attempt_id, at in self._withdrawn.items()
+            if now < at + WITHDRAWAL_RETENTION_S
+        }
         self._records = {
             attempt_id: record
             for attempt_id, record in self._records.items()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/recalls.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/recalls.py
@@ -8,6 +8,8 @@
 from pimentobend_core._internal.forwarding.rejection import would_outlast
 from pimentobend_core._internal.forwarding.selection import Candidate
 
+RECALL_INTERVAL_S = 0.2
+
 
 class SubmittedAttempt(NamedTuple):
     """An attempt that was sent, and may still wait for a slot of its server."""
@@ -59,8 +61,12 @@
         self._due.pop(number, None)
 
     def take_due(self, now: float) -> tuple[int, ...]:
-        """Return the numbers of the attempts to recall now, each of them once."""
+        """Return the numbers of the attempts to recall now.
+
+        A recall may be lost on its way, and nothing acknowledges it but the end of
+        its attempt, so it is due again after a pause.
+        """
         due = tuple(number for number, at in self._due.items() if now >= at)
         for number in due:
-            del self._due[number]
+            self._due[number] = now + RECALL_INTERVAL_S
         return due
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -187,6 +187,16 @@
         [*started("1", "2"), *declined("3", DeclineReason.WITHDRAWN)],
     ),
     ("withdrawal of an unknown attempt", [Withdraw("1")], []),
+    (
+        "a withdrawal that overtakes its attempt",
+        [Withdraw("1"), submit("1")],
+        declined("1", DeclineReason.WITHDRAWN),
+    ),
+    (
+        "a recall that overtakes its attempt",
+        [Withdraw("1", only_queued=True), submit("1")],
+        declined("1", DeclineReason.WITHDRAWN),
+    ),
     ("end of an unknown attempt", [ended("1")], []),
     (
         "end of a call from before the server restarted",
--- a/tests/unit/forwarding/test_rejection.py
+++ b/tests/unit/forwarding/test_rejection.py
@@ -180,3 +180,12 @@
     refused = outputs[-1]
     assert isinstance(refused, Refuse)
     assert refused.refusal.ran is Ran.NOT_RUN
+
+
+def test_a_recall_is_sent_again_until_its_attempt_ends() -> None:
+    driver = Driver(UNSAFE)
+    driver.offer(with_wait(candidate("a"), 3.0))
+    recalled = driver.give(FinishBy(driver.now + 2.0))
+    assert recalled == driver.wait() == driver.wait() == [RecallAttempt(1)]
+    driver.end(1, AttemptKind.DECLINED)
+    assert RecallAttempt(1) not in driver.wait()
