Spare what runs beside a request that cannot be recognised

What callers would see: a request with a body over 64 KB has no fingerprint. If it crashed servers, whatever ran beside it three times was blocked in its place, so that one caller could have another's requests refused.

Cause: of what ran in a crash, all that had fingerprints were blamed.

Change: a crash beside such a request is held against nobody. It also cannot be told from a crash that it caused, so a culprit that only ever runs beside one goes on.

--- a/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
@@ -114,10 +114,13 @@
         """Record a crash against its suspects, or, without any, all that ran.
 
         What ran beside a suspect is spared, so that its neighbours do not come under
-        suspicion with each crash.
+        suspicion with each crash. What ran beside a request without a fingerprint is
+        spared as well: that request may have caused the crash, and cannot be blamed.
         """
-        named = [each for each in crashed.running if each != NO_FINGERPRINT]
-        blamed = [each for each in named if self.is_suspect(each)] or named
+        if NO_FINGERPRINT in crashed.running:
+            return set()
+        ran = crashed.running
+        blamed = [each for each in ran if self.is_suspect(each)] or ran
         self._crashes += 1
         crash_id = crashed.crash_id or f"{self._observer}-{self._crashes}"
         weight = ALONE_WEIGHT if len(crashed.running) == 1 else SHARED_WEIGHT
