Keep published reports of crashes up to date

What callers would see: a request stayed blocked long after its time, and for good where daemons restarted more often than every 30 minutes.

Cause: a report says how many seconds are left of it, and was published once. Whoever learnt of it later took the figure for what was left then.

The row learnt_at=110.0 fails before.

--- a/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
@@ -29,6 +29,7 @@
 MAX_DOUBLINGS = 3
 SUSPECT_S = 300.0  # after this time without a crash, a suspect is forgotten
 REPORT_S = 1800  # longer than the longest block and a time in which to watch a retry
+REFRESH_S = 60  # how often published reports are brought up to date
 MAX_FINGERPRINTS = 256
 MAX_PUBLISHED = 16  # so that a daemon's row still fits a datagram
 MAX_REPORTS = 16  # a fingerprint
@@ -55,7 +56,8 @@
         # By fingerprint, then by crash id.
         self._reports: dict[str, dict[str, _Held]] = {}
         self._blocks: dict[str, Block] = {}
-        self._published: frozenset[tuple[str, str, int]] = frozenset()
+        self._refresh_at = 0.0
+        self._published: frozenset[tuple[str, str, int, int]] = frozenset()
 
     def handle(self, message: CrashInput, now: float) -> tuple[CrashOutput, ...]:
         """Process one message and return what changed."""
@@ -70,7 +72,7 @@
                 touched = self._merge(message.reports, now, is_own=True)
             case CrashTick():
                 touched = self._forget(now)
-        if not touched:
+        if not touched and now < self._refresh_at:
             return ()
         outputs = [*self._evict(), *self._update_blocks(touched, now)]
         outputs.extend(self._publish(now))
@@ -250,7 +252,9 @@
             reverse=True,
         )
         chosen = tuple(own[:MAX_PUBLISHED])
-        published = frozenset(each[:3] for each in chosen)
+        self._refresh_at = now + REFRESH_S
+        # Whoever learns of a report later takes its ``left_s`` for what is left then.
+        published = frozenset((*each[:3], each.left_s // REFRESH_S) for each in chosen)
         if published != self._published:
             self._published = published
             yield ReportsChanged(chosen)
--- a/tests/unit/crashes/test_suspects.py
+++ b/tests/unit/crashes/test_suspects.py
@@ -19,6 +19,7 @@
 from pimentobend_core._internal.crashes.suspects import MAX_FINGERPRINTS
 from pimentobend_core._internal.crashes.suspects import MAX_PUBLISHED
 from pimentobend_core._internal.crashes.suspects import MAX_REPORTS
+from pimentobend_core._internal.crashes.suspects import REFRESH_S
 from pimentobend_core._internal.crashes.suspects import REPORT_S
 from pimentobend_core._internal.crashes.suspects import SUSPECT_S
 from pimentobend_core._internal.crashes.suspects import CrashSuspects
@@ -235,3 +236,20 @@
     later = tuple(CrashReport(f"b-{n}", "later", 2, REPORT_S) for n in (1, 2))
     outputs = suspects.handle(ReportsReceived(later), 50.0)
     assert FingerprintReleased("f0", ReleaseReason.EVICTED) in outputs
+
+
+@pytest.mark.parametrize("learnt_at", [0.0, 59.0, 110.0, 300.0])
+def test_who_learns_of_a_block_later_ends_it_with_the_others(learnt_at: float) -> None:
+    observer = CrashSuspects("a")
+    reports: tuple[CrashReport, ...] = ()
+    for now in range(int(learnt_at) + 1):
+        message = ALONE if now in (0, 1) else TICK
+        reports = reports_in(observer.handle(message, float(now))) or reports
+    late = CrashSuspects("b")
+    late.handle(ReportsReceived(reports), learnt_at)
+    known, learnt = (each.find_block("f", learnt_at) for each in (observer, late))
+    if known is None:
+        assert learnt is None or learnt.until - learnt_at <= REFRESH_S
+    else:
+        assert learnt is not None
+        assert 0 <= learnt.until - known.until <= REFRESH_S
