Refuse what comes between the last look and the end of a stop

What callers would see: a request that comes in the last 0.05 s of a stop that ends early, because nothing is in flight, may be sent and is then cut off.

Cause: only a stop that lasts to the end of the grace time told the deliveries of it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -86,7 +86,7 @@
         handler = eventlet.getcurrent()
         lost = _OriginLostError("the connection to the origin was lost")
         watch = ConnectionWatch(
-            connection, lambda: eventlet.spawn_n(handler.throw, lost)
+            connection, lambda: eventlet.spawn_n(_throw, handler, lost)
         )
         try:
             return self._host.run(attempt)
@@ -140,6 +140,12 @@
             self._host.withdraw(attempt_id)
 
 
+def _throw(handler: Any, error: Exception) -> None:
+    """Raise an error in a handler unless it has ended since."""
+    if not handler.dead:
+        handler.throw(error)
+
+
 def _write_result(result: HopResult, start_response: StartResponse) -> Iterator[bytes]:
     headers = [(RESULT_HEADER, encode_hop(result)), ("Content-Length", "0")]
     start_response("200 OK", headers)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -376,7 +376,8 @@
     ) -> None:
         """Serve for at least ``min_s``, and until no request is in flight.
 
-        Requests still in flight ``max_s`` after the stop began are cut off.
+        Requests still in flight ``max_s`` after the stop began are ended with an
+        answer that says whether they may have run.
         """
         is_refusing = False
         while True:
@@ -388,6 +389,10 @@
             if waited_s >= max_s or (is_idle and waited_s >= min_s):
                 break
             eventlet.sleep(DRAIN_POLL_S)
+        if not is_refusing:
+            # Of the requests that came since the last look, none may start.
+            instance.refuse_waiting()
+            eventlet.sleep(FAREWELL_S)
         if instance.in_flight:
             self._log.error("shutdown-cut", in_flight=instance.in_flight)
             instance.give_up_requests()
