--- a/tests/unit/http/test_cut_heads.py
+++ b/tests/unit/http/test_cut_heads.py
@@ -94,6 +94,37 @@
     ("whole, chunked", CHUNKED + b"c\r\n" + BODY + b"\r\n0\r\n\r\n", True),
     ("whole, after 103", HINTS + LENGTH + BODY, True),
     ("whole, after 100", CONTINUE + LENGTH + BODY, True),
+    (
+        "whole, a type that says more of its parts",
+        LENGTH.replace(b"Stamp", b"Content-Type: multipart/mixed\r\nStamp") + BODY,
+        True,
+    ),
+    (
+        "whole, parts with an encoding",
+        LENGTH.replace(
+            b"Stamp",
+            b"Content-Type: multipart/mixed; boundary=b\r\n"
+            b"Content-Transfer-Encoding: base64\r\nStamp",
+        )
+        + BODY,
+        True,
+    ),
+    (
+        "whole, a message",
+        LENGTH.replace(b"Stamp", b"Content-Type: message/rfc822\r\nStamp") + BODY,
+        True,
+    ),
+    ("whole, spaces", LENGTH.replace(b" 12", b"  12 ") + BODY, True),
+    (
+        "a line without a name",
+        LENGTH.replace(b"Stamp: s", b"Stamp: s\r\n: x") + BODY,
+        False,
+    ),
+    (
+        "a first line that continues another",
+        LENGTH.replace(b"OK\r\nStamp", b"OK\r\n more\r\nStamp") + BODY,
+        False,
+    ),
     ("no last chunk", CHUNKED + b"c\r\n" + BODY + b"\r\n", False),
     ("in a later chunk's size", CHUNKED + b"c\r\n" + BODY + b"\r\n0", False),
     ("in an extension", CHUNKED + b"c\r\n" + BODY + b"\r\n0;x", False),
