--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -15,7 +15,7 @@
 from collections import Counter
 
 from platform_fleet import Fleet
-from platform_fleet import wait_until
+from platform_process import wait_until
 from platform_server import PREFIX
 from soak_faults import FaultInterval
 from soak_faults import ScheduledFault
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -1,75 +1,39 @@
 """Start and stop a fleet of platform daemons on loopback addresses."""
 
-import http.client
 import itertools
 import json
 import os
 import pathlib
-import resource
-import signal
 import socket
-import subprocess
-import sys
-import threading
-import time
-from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
 
-from fault_proxy import FaultProxy
-from platform_server import PREFIX
-from platform_server import PlatformServer
+from platform_process import Process
+from platform_process import ask
+from platform_process import wait_until
 
-ROOT = pathlib.Path(__file__).parents[2]
-WAIT_S = 40.0  # longest wait for a condition; no test depends on its length
+CONTROL_INSTANCES = 3
 GRACE_S = 5.0
+ROUTE_COLUMNS = ["name", "host", "pathPrefix", "type", "timeoutS", "service"]
 ROUTES = {
-    "columns": ["name", "host", "pathPrefix", "type", "timeoutS", "service"],
+    "columns": ROUTE_COLUMNS,
     "rows": [
         ["look", "a.example", "/look/", "safe", 10, "shop"],
         ["book", "a.example", "/book/", "unsafe", 10, "shop"],
     ],
 }
-SERVICES = {"columns": ["name", "healthCheckPath"], "rows": [["shop", "/healthz"]]}
 PORTS = (8400, 8401, 8402, 8403, 8410, 8420)  # ports on which a daemon listens
 _BLOCKS = itertools.count(os.getpid() % 200)
 
 
-class Answer(NamedTuple):
-    """An HTTP response; the status is 0 if there was none."""
+class FleetShape(NamedTuple):
+    """Numbers of instances and servers, and the settings that they share."""
 
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-def ask(
-    address: str,
-    method: str,
-    path: str,
-    body: bytes = b"",
-    headers: dict[str, str] | None = None,
-    timeout_s: float = 12.0,
-) -> Answer:
-    """Send a request; the status is 0 if no response arrives."""
-    connection = http.client.HTTPConnection(address, timeout=timeout_s)
-    try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        found = {name.lower(): value for name, value in response.getheaders()}
-        return Answer(response.status, found, response.read())
-    except (OSError, http.client.HTTPException):
-        return Answer(0, {}, b"")
-    finally:
-        connection.close()
-
-
-def wait_until(condition: Callable[[], Any], what: str) -> None:
-    """Wait until the condition that ``what`` describes holds; fail after ``WAIT_S``."""
-    deadline = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < deadline, f"not within {WAIT_S} s: {what}"
-        time.sleep(0.1)
+    instances: int = 2
+    services: tuple[str, ...] = ("shop",)  # the servers take them by turns
+    grace_s: float = GRACE_S
+    slots: int = 3  # of each server
+    has_server_proxies: bool = True  # between the daemons and their servers
 
 
 def is_free(ip: str) -> bool:
@@ -84,141 +48,31 @@
     return True
 
 
-def free_block() -> int:
+def free_block(processes: int = 5) -> int:
     """Return the second byte of a block of loopback addresses that none uses."""
     for _ in range(240):
         block = 10 + next(_BLOCKS) % 240
-        if all(is_free(f"127.{block}.0.{number}") for number in range(1, 6)):
+        numbers = range(1, processes + 1)
+        if all(is_free(f"127.{block}.0.{number}") for number in numbers):
             return block
     raise AssertionError("none of 240 blocks of loopback addresses is free")
 
 
-class Process:
-    """A daemon on a loopback address of its own.
-
-    Hold ``lock`` from stopping the daemon until it is started again, so that a
-    second fault never starts a second daemon at the same address.
-    """
-
-    def __init__(self, fleet: "Fleet", number: int, is_control: bool) -> None:
-        self.ip = f"127.{fleet.block}.0.{number}"
-        self.is_control = is_control
-        self.folder = fleet.folder / str(number)
-        self.folder.mkdir()
-        self._fleet = fleet
-        self._popen: subprocess.Popen[bytes] | None = None
-        self.lock = threading.Lock()
-        self.server: PlatformServer | None = None
-        self.to_server = FaultProxy(self.ip)  # between the daemon and its server
-        self.to_callers = FaultProxy(self.ip)  # between callers and the daemon
-        if not is_control:
-            self.server = PlatformServer(
-                self.ip, "shop", f"{self.ip}:8403", self.to_server.address
-            )
-
-    def address(self, port: int) -> str:
-        """Return an address of this process."""
-        return f"{self.ip}:{port}"
-
-    def start(self, *, first: bool = False) -> None:
-        """Start the daemon, which must not be running."""
-        assert self.has_ended()
-        settings: dict[str, Any] = {
-            "instance": f"n-{self.ip}",
-            "data_centre": "a",
-            "region": "r",
-            "roles": ["control" if self.is_control else "instance"],
-            "ip": self.ip,
-            "link_ports": [8410, 8420],
-            "seeds": self._fleet.seeds,
-            "first_start": first,
-            "grace_s": GRACE_S,
-            "listen": {"operators": self.address(8403)},
-        }
-        if self.is_control:
-            settings["data_folder"] = str(self.folder / "data")
-        else:
-            assert self.server is not None
-            settings["beside"] = {"service": "shop", "address": self.server.announced}
-            settings["listen"] = {
-                "callers": self.address(8400),
-                "forward": self.address(8401),
-                "ready": self.address(8402),
-                "servers": self.address(8403),
-            }
-        path = self.folder / "settings.json"
-        path.write_text(json.dumps(settings))
-        with (self.folder / "log").open("ab") as log:
-            self._popen = subprocess.Popen(
-                [sys.executable, "-m", "pimentobend_platform"],
-                env={
-                    **os.environ,
-                    "PIMENTOBEND_SETTINGS": str(path),
-                    "PYTHONPATH": str(ROOT / "platform"),
-                    "EVENTLET_NO_GREENDNS": "yes",
-                },
-                stdout=log,
-                stderr=log,
-                cwd=ROOT / "deploy",
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the daemon."""
-        assert self._popen is not None
-        self._popen.send_signal(number)
-
-    def limit_files(self, size_bytes: int | None) -> None:
-        """Limit the size of files to simulate a full disk; None removes the limit."""
-        assert self._popen is not None
-        size = resource.RLIM_INFINITY if size_bytes is None else size_bytes
-        resource.prlimit(
-            self._popen.pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY)
-        )
-
-    def wait(self) -> int:
-        """Wait until the daemon ends and return its exit code."""
-        assert self._popen is not None
-        return self._popen.wait(WAIT_S)
-
-    def has_ended(self) -> bool:
-        """Return whether the daemon is not running."""
-        return self._popen is None or self._popen.poll() is not None
-
-    def kill(self) -> None:
-        """Kill the daemon and wait until it has ended."""
-        if self._popen is not None and self._popen.poll() is None:
-            self._popen.kill()
-            self._popen.wait()
-
-    def request(
-        self, path: str = "/look/1", method: str = "GET", request_id: str = "1"
-    ) -> Answer:
-        """Send a request as a caller."""
-        headers = {
-            "Host": "a.example",
-            f"{PREFIX}Request-Id": request_id,
-            f"{PREFIX}Deadline-Ms": "10000",
-        }
-        return ask(self.address(8400), method, path, b"", headers)
-
-    def is_ready(self) -> bool:
-        """Return whether the readiness probe answers 200."""
-        return ask(self.address(8402), "GET", "/-/readyz").status == 200
-
-    def log(self) -> str:
-        """Return the daemon's output."""
-        return (self.folder / "log").read_text()
-
-
 class Fleet:
-    """Three control instances and two instances with a backend server each."""
+    """Three control instances, and instances with a backend server each."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    def __init__(self, folder: pathlib.Path, shape: FleetShape | None = None) -> None:
         self.folder = folder
-        self.block = free_block()
-        self.seeds = [f"127.{self.block}.0.{number}:8403" for number in (1, 2, 3)]
-        self.control = [Process(self, number, True) for number in (1, 2, 3)]
-        self.instances = [Process(self, number, False) for number in (4, 5)]
+        self.shape = shape or FleetShape()
+        self.block = free_block(CONTROL_INSTANCES + self.shape.instances)
+        numbers = range(1, CONTROL_INSTANCES + 1)
+        self.seeds = [f"127.{self.block}.0.{number}:8403" for number in numbers]
+        self.control = [Process(self, number, "") for number in numbers]
+        services = itertools.cycle(self.shape.services)
+        self.instances = [
+            Process(self, CONTROL_INSTANCES + number, next(services))
+            for number in range(1, self.shape.instances + 1)
+        ]
         self._label = 0
 
     @property
@@ -226,7 +80,7 @@
         """Return all processes."""
         return [*self.control, *self.instances]
 
-    def start(self) -> None:
+    def start(self, routes: dict[str, Any] = ROUTES) -> None:
         """Start all processes and apply the first configuration."""
         for process in self.processes:
             process.start(first=True)
@@ -234,7 +88,7 @@
                 process.to_server.start(process.server.address)
                 process.to_callers.start(process.address(8400))
                 process.server.start()
-        self.put(ROUTES)
+        self.put(routes)
         for process in self.instances:
             wait_until(process.is_ready, "an instance is ready")
             wait_until(
@@ -252,7 +106,10 @@
         body = {
             "version": f"{self._label:08x}",
             "routes": routes,
-            "services": SERVICES,
+            "services": {
+                "columns": ["name", "healthCheckPath"],
+                "rows": [[service, "/healthz"] for service in self.shape.services],
+            },
         }
         data = json.dumps(body).encode()
         headers = {"If-Match": f"{base:08x}"}
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -1,15 +1,51 @@
 """Fake backend server with the platform's interfaces."""
 
+import enum
+import itertools
 import json
+import math
+import select
+import socket
+import sys
 import time
+import urllib.parse
 import urllib.request
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 from threading import Event
 from threading import Thread
 from typing import Any
+from typing import NamedTuple
 
 PREFIX = "X-Pimentobend-"
+HANG_S = 60.0
+STOP_POLL_S = 0.25  # a request at work ends this long after the server's stop at most
+
+
+class RunEnd(enum.Enum):
+    """How the run of a request ended."""
+
+    ANSWERED = "answered"
+    CUT = "cut"  # the daemon closed the connection while the server was at work
+    OPEN = "open"  # it has not ended
+
+
+class Run(NamedTuple):
+    """Run of a request by a server; times are of the monotonic clock."""
+
+    request_id: str
+    server: str  # the server's address
+    began_at: float
+    ended_at: float
+    end: RunEnd
+
+
+class _HttpServer(ThreadingHTTPServer):
+    """HTTP server that accepts that daemons reset connections."""
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        if not isinstance(sys.exception(), ConnectionError):
+            super().handle_error(request, client_address)
 
 
 class PlatformServer:
@@ -27,13 +63,15 @@
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
         self.hold_s = 0.0  # time that each request takes
-        self.hangs = False  # answer requests only after a minute, or once stopped
+        self.hangs = False  # answer requests only after HANG_S, or once stopped
         # Every how many answers an earlier one of its connection is sent once more
         # before it, as a refusal and as a success by turns; 0 for never.
         self.repeats_every = 0
         self._stop = Event()
         self._control = control
         self._sequence = 0
+        self._runs: dict[int, Run] = {}
+        self._run_numbers = itertools.count()
         self._answers = 0  # on connections that had carried an earlier request
         # Start and end of each period in which no request may arrive.
         self.drained: list[tuple[float, float]] = []
@@ -52,7 +90,7 @@
             def log_message(self, *args: Any) -> None:
                 pass
 
-        self._http = ThreadingHTTPServer((host, 0), Handler)
+        self._http = _HttpServer((host, 0), Handler)
         self._http.daemon_threads = True
         self.address = f"{host}:{self._http.server_port}"
         self.announced = announced or self.address
@@ -81,17 +119,57 @@
         self._http.shutdown()
         self._http.server_close()
 
+    @property
+    def runs(self) -> list[Run]:
+        """Return all runs, those at work included."""
+        return list(self._runs.values())
+
     def serve(self, request: BaseHTTPRequestHandler) -> None:
-        """Record and answer one request."""
+        """Record and answer one request.
+
+        It takes the seconds that its query names as ``hold``, and ``hold_s`` more.
+        """
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         request_id = request.headers[f"{PREFIX}Request-Id"]
         self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
-        if self.hangs:
-            self._stop.wait(60)
-        time.sleep(self.hold_s)
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(request.path).query)
+        work_s = self.hold_s + float(query.get("hold", ["0"])[0])
+        number = next(self._run_numbers)
+        run = Run(request_id, self.address, time.monotonic(), math.inf, RunEnd.OPEN)
+        self._runs[number] = run
+        end = RunEnd.CUT
+        if self._work(request.connection, HANG_S if self.hangs else work_s):
+            try:
+                self._answer_after_repeat(request, request_id)
+                end = RunEnd.ANSWERED
+            except OSError:
+                request.close_connection = True
+        else:
+            request.close_connection = True
+        self._runs[number] = run._replace(ended_at=time.monotonic(), end=end)
+
+    def _work(self, connection: socket.socket, seconds: float) -> bool:
+        """Work on a request; return False if its connection was closed meanwhile."""
+        ends_at = time.monotonic() + seconds
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        while not self._stop.is_set() and (left_s := ends_at - time.monotonic()) > 0:
+            if poller.poll(1000 * min(left_s, STOP_POLL_S)):
+                try:
+                    is_open = bool(connection.recv(1, socket.MSG_PEEK))
+                except OSError:
+                    is_open = False
+                if not is_open:
+                    return False
+                self._stop.wait(min(left_s, STOP_POLL_S))  # a pipelined request
+        return True
+
+    def _answer_after_repeat(
+        self, request: BaseHTTPRequestHandler, request_id: str
+    ) -> None:
         earlier_id = request.earlier_id  # type: ignore[attr-defined]
         if self.repeats_every and earlier_id:
             self._answers += 1
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -9,8 +9,8 @@
 
 from fault_proxy import ConnectionFault
 from fault_proxy import FaultProxy
-from platform_fleet import Process
-from platform_fleet import wait_until
+from platform_process import Process
+from platform_process import wait_until
 
 FAULT_INTERVALS_S = (0.3, 0.8, 2.0)  # shorter than some faults: several may overlap
 FAULT_DURATIONS_S = (0.2, 1.0, 3.0)
--- a/tests/lib/soak_traffic.py
+++ b/tests/lib/soak_traffic.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from platform_fleet import ROUTES
-from platform_fleet import Answer
 from platform_fleet import Fleet
-from platform_fleet import Process
+from platform_process import Answer
+from platform_process import Process
 from platform_server import PREFIX
 
 TIMEOUT_S = 12.0  # 2 s more than the timeout of the routes
