Soak a fleet with planned work in series that overlap

The soak injected one fault a process at a time, with a pause to recover, so two daemons of one request never stopped together.

A kind of soak (SoakKind) now says which fleet, callers, faults and checks a run has. SingleFaults is the soak of before, with the same schedules. SeriesOfStops rolls SIGTERM through most instances 0.3 to 0.8 s apart, beside servers that hang, are slow or drain, with SIGHUP, second SIGTERMs, stops of starting processes and changes of the configuration in the same seconds, on 2 to some dozens of instances. Its callers send requests of 0 to 8 s on connections that some of them never close, until the process is gone, and come back as Retry-After says.

check_answer judges each request by what its caller, the servers and the signals showed: read but unanswered, given up while its server was at work around a stop, answered late, denied. check_ends wants code 0 within the grace time.

--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -1,6 +1,7 @@
 """Soak test: inject faults into a fleet of real processes and check its guarantees.
 
-Run it by hand with ``python tests/lib/fleet_soak.py --seed=1 --seconds=20``. The
+Run it by hand with ``python tests/lib/fleet_soak.py --seed=1 --seconds=20``, and
+with ``--kind=series --instances=12`` for planned work that comes in series. The
 same seed gives the same schedule of faults. It exits with code 1 if a guarantee
 was violated, and then keeps the logs in a folder whose path it prints.
 """
@@ -8,48 +9,48 @@
 import argparse
 import pathlib
 import shutil
+import subprocess
 import sys
 import tempfile
 import threading
 import time
 from collections import Counter
+from contextlib import AbstractContextManager
+from contextlib import nullcontext
+from typing import Any
 
 from platform_fleet import Fleet
+from platform_process import Process
 from platform_process import wait_until
 from platform_server import PREFIX
+from platform_server import Run
+from soak_checks import NOT_RUN_STATUSES
+from soak_checks import check_ends
+from soak_faults import Fault
 from soak_faults import FaultInterval
 from soak_faults import ScheduledFault
-from soak_faults import make_faults
-from soak_faults import make_schedule
-from soak_traffic import Caller
+from soak_faults import Scope
+from soak_kinds import KINDS
+from soak_kinds import Evidence
+from soak_kinds import SingleFaults
+from soak_kinds import SoakKind
 from soak_traffic import Operator
 from soak_traffic import RequestRecord
 
-CALLERS_PER_INSTANCE = 3
-# Faults that ended less than this before a request may still have cut it off.
-FAULT_AFTERMATH_S = 2.0
-NOT_RUN_STATUSES = (408, 421, 429, 503)  # guarantee that no server ran the request
-REPEATS_EVERY = 40  # answers of a server after which it repeats an earlier one
-RETRY_BUDGET_RATIO = 0.2  # the default of the daemon's settings
-RETRY_BUDGET_ALLOWANCE = 60  # retries; the daemon's default is 50 in 10 s
-
 
 class Soak:
     """Run a fleet with callers, an operator and faults, and check the guarantees."""
 
-    def __init__(self, folder: pathlib.Path, seed: int = 1) -> None:
-        self.fleet = Fleet(folder)
-        self.operator = Operator(self.fleet, seed)
-        self.callers = [
-            Caller(process, number, seed)
-            for process in self.fleet.instances
-            for number in range(CALLERS_PER_INSTANCE)
-        ]
-        for process in self.fleet.instances:
-            if process.server is not None:
-                process.server.repeats_every = REPEATS_EVERY
+    def __init__(
+        self, folder: pathlib.Path, seed: int = 1, kind: SoakKind | None = None
+    ) -> None:
+        self._kind = kind or SingleFaults()
+        self.fleet = Fleet(folder, self._kind.shape)
+        self.operator = Operator(self.fleet, seed, self._kind.make_routes)
+        self.callers = self._kind.make_callers(self.fleet, seed)
         self.fault_intervals: list[FaultInterval] = []
-        self._faults = make_faults()
+        self._faults = self._kind.make_faults()
+        self._errors: list[str] = []  # faults that could not be injected or undone
         self._stopping = threading.Event()
 
     @property
@@ -59,7 +60,7 @@
 
     def run(self, schedule: tuple[ScheduledFault, ...], seconds: float) -> list[str]:
         """Run a schedule and return the violations of the guarantees."""
-        self.fleet.start()
+        self.fleet.start(self._kind.make_routes(0))
         tasks = [caller.run for caller in self.callers]
         tasks += [self.operator.update, self.operator.read]
         traffic_threads = [
@@ -87,13 +88,20 @@
             max(0.0, scheduled.start_s - (time.monotonic() - schedule_started_at))
         )
         process = self.fleet.processes[scheduled.process_index]
-        # A shutdown may last into the next fault of the same process.
-        with process.lock:
-            started_at = time.monotonic()
-            self._faults[scheduled.fault].apply(process, scheduled.duration_s)
-            self.fault_intervals.append(
-                FaultInterval(scheduled.fault, process, started_at, time.monotonic())
-            )
+        fault = self._faults[scheduled.fault]
+        try:
+            # A shutdown may last into the next fault of the same process.
+            with _lock(process, fault.scope):
+                self._apply(fault, scheduled, process)
+        except (AssertionError, OSError, subprocess.SubprocessError) as error:
+            self._errors.append(f"{process.ip}: {scheduled.fault}: {error!r}")
+
+    def _apply(self, fault: Fault, scheduled: ScheduledFault, process: Process) -> None:
+        started_at = time.monotonic()
+        fault.apply(process, scheduled.duration_s)
+        self.fault_intervals.append(
+            FaultInterval(scheduled.fault, process, started_at, time.monotonic())
+        )
 
     def _check(self) -> list[str]:
         for process in self.fleet.instances:
@@ -102,21 +110,31 @@
                 lambda p=process: p.request().status == 200, "a request is served"
             )  # type: ignore[misc]
         wait_until(self.fleet.read, "a control instance returns the configuration")
-        runs = Counter(
-            request_id
-            for process in self.fleet.instances
-            if process.server is not None
-            for request_id in process.server.ran
-        )
+        runs: dict[str, list[Run]] = {}
+        for process in self.fleet.instances:
+            for run in process.server.runs if process.server else ():
+                runs.setdefault(run.request_id, []).append(run)
+        counts = Counter({request_id: len(each) for request_id, each in runs.items()})
+        evidence = Evidence(self.records, runs, tuple(self.fault_intervals))
+        grace_s = self.fleet.shape.grace_s
         return [
+            *self._errors,
             *(
                 violation
                 for record in self.records
-                for violation in self._check_request(record, runs)
+                for violation in self._check_request(record, counts)
             ),
+            *self._kind.check_answers(evidence),
             *self._check_configuration(),
             *self._check_drains(),
-            *self._check_retry_budget(runs),
+            *self._check_retry_budget(counts),
+            *(
+                violation
+                for process in self.fleet.processes
+                for violation in check_ends(
+                    process.ip, process.signals, process.ends, grace_s
+                )
+            ),
         ]
 
     def _check_request(self, record: RequestRecord, runs: Counter[str]) -> list[str]:
@@ -133,30 +151,8 @@
         answered_id = headers.get(f"{PREFIX}Request-Id".lower(), record.request_id)
         if answered_id != record.request_id:
             violations.append(f"request got the response to {answered_id}: {record}")
-        if status == 0 and run_count and self._is_cut_by_stop(record):
-            violations.append(f"request ran but a shutdown cut it off: {record}")
         return violations
 
-    def _is_cut_by_stop(self, record: RequestRecord) -> bool:
-        """Return whether only a shutdown of its process can have cut a request off.
-
-        This needs a direct connection, and no other fault during the request or
-        shortly before it.
-        """
-        since = record.started_at - FAULT_AFTERMATH_S
-        overlapping = [
-            interval
-            for interval in self.fault_intervals
-            if interval.started_at < record.ended_at and interval.ended_at > since
-        ]
-        return (
-            record.is_direct
-            and len(overlapping) == 1
-            and overlapping[0].fault == "stop"
-            and overlapping[0].process is record.process
-            and record.started_at < overlapping[0].started_at
-        )
-
     def _check_configuration(self) -> list[str]:
         violations = [
             f"read version {read.version} after {read.acknowledged} was acknowledged"
@@ -180,15 +176,27 @@
 
     def _check_retry_budget(self, runs: Counter[str]) -> list[str]:
         retries = sum(count - 1 for count in runs.values())
-        limit = RETRY_BUDGET_ALLOWANCE + RETRY_BUDGET_RATIO * len(self.records)
+        limit = self._kind.retry_limit(self.records)
         return [f"{retries} retries ran, limit {limit}"] if retries > limit else []
 
 
-def run_soak(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+def _lock(process: Process, scope: Scope) -> AbstractContextManager[Any]:
+    match scope:
+        case Scope.PROCESS:
+            return process.lock
+        case Scope.SERVER:
+            return process.server_lock
+        case Scope.NONE:
+            return nullcontext()
+
+
+def run_soak(
+    seed: int, seconds: float, folder: pathlib.Path, kind: SoakKind | None = None
+) -> list[str]:
     """Run one seed, print a summary, and return the violations."""
-    soak = Soak(folder, seed)
-    are_control = tuple(process.is_control for process in soak.fleet.processes)
-    schedule = make_schedule(seed, seconds, are_control)
+    kind = kind or SingleFaults()
+    soak = Soak(folder, seed, kind)
+    schedule = kind.make_schedule(seed, seconds, soak.fleet)
     for scheduled in schedule:
         print(*scheduled)
     try:
@@ -213,9 +221,15 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--kind", choices=sorted(KINDS), default="single")
+    parser.add_argument("--instances", type=int, default=2)
+    parser.add_argument(
+        "--servers", type=int, default=2, help="servers of each service"
+    )
     options = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{options.seed}-"))
-    if run_soak(options.seed, options.seconds, folder):
+    kind = KINDS[options.kind](options.instances, options.servers)
+    if run_soak(options.seed, options.seconds, folder, kind):
         print(f"logs kept in {folder}")
         return 1
     shutil.rmtree(folder)
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak test injects into a fleet of real processes."""
 
 import abc
+import enum
 import random
 import shutil
 import signal
@@ -37,11 +38,20 @@
     ended_at: float
 
 
+class Scope(enum.Enum):
+    """Part of a fleet on which faults must not overlap."""
+
+    PROCESS = "process"
+    SERVER = "server"
+    NONE = "none"  # the fault may overlap with all others
+
+
 class Fault(abc.ABC):
     """Fault that can be injected into a process from outside and undone."""
 
     applies_to_control = True
     applies_to_instance = True
+    scope = Scope.PROCESS
 
     @abc.abstractmethod
     def apply(self, process: Process, duration_s: float) -> None:
--- a/tests/lib/soak_traffic.py
+++ b/tests/lib/soak_traffic.py
@@ -1,21 +1,33 @@
 """Traffic of the soak test: callers and an operator that record what they saw."""
 
+import abc
 import http.client
 import random
 import threading
 import time
+from collections.abc import Callable
+from typing import Any
 from typing import NamedTuple
 
-from platform_fleet import ROUTES
 from platform_fleet import Fleet
 from platform_process import Answer
 from platform_process import Process
 from platform_server import PREFIX
+from soak_client import Exchange
+from soak_client import Failure
+from soak_client import LastingConnection
+from soak_routes import DEADLINE_S
+from soak_routes import ROUTE_KINDS
+from soak_routes import ROUTE_WEIGHTS
+from soak_routes import RouteKind
 
 TIMEOUT_S = 12.0  # 2 s more than the timeout of the routes
 SAFE_SHARE = 0.3
 BODY_BYTES = (0, 300, 20_000)
 RETRY_INTERVAL_S = 0.1  # pause after a request without a response or a read
+RECONNECT_INTERVAL_S = 0.3
+MAX_RETRY_AFTER_S = DEADLINE_S / 3
+MAX_PAUSE_S = 0.4  # between two requests of a caller
 UPDATE_INTERVAL_S = 0.5
 
 
@@ -29,6 +41,8 @@
     started_at: float
     ended_at: float
     answer: Answer
+    failure: Failure = Failure.NONE
+    sent_at: float | None = None  # when its last byte was sent
 
 
 class ConfigurationRead(NamedTuple):
@@ -38,25 +52,39 @@
     acknowledged: int
 
 
-class Caller:
-    """Send requests to one process, on one connection for as long as it lasts.
+class Caller(abc.ABC):
+    """Send one request after another to one process."""
+
+    def __init__(self, process: Process, number: int, seed: int) -> None:
+        self.records: list[RequestRecord] = []
+        self._process = process
+        self._number = number
+        self._rng = random.Random(f"{seed}/{process.ip}/{number}")
+
+    @abc.abstractmethod
+    def run(self, stopping: threading.Event) -> None:
+        """Send requests until ``stopping`` is set."""
+
+    def _next_id(self) -> str:
+        return f"{self._process.ip}-{self._number}-{len(self.records)}"
+
+
+class BusyCaller(Caller):
+    """Send requests without pauses, on one connection for as long as it lasts.
 
     The first caller of a process connects to the daemon directly, the others
     through the fault proxy.
     """
 
     def __init__(self, process: Process, number: int, seed: int) -> None:
-        self._process = process
-        self._number = number
+        super().__init__(process, number, seed)
         self._is_direct = number == 0
-        self._rng = random.Random(f"{seed}/{process.ip}/{number}")
         self._connection: http.client.HTTPConnection | None = None
-        self.records: list[RequestRecord] = []
 
     def run(self, stopping: threading.Event) -> None:
         """Send one request after another until ``stopping`` is set."""
         while not stopping.is_set():
-            request_id = f"{self._process.ip}-{self._number}-{len(self.records)}"
+            request_id = self._next_id()
             is_safe = self._rng.random() < SAFE_SHARE
             started_at = time.monotonic()
             answer = self._send(request_id, is_safe)
@@ -113,11 +141,75 @@
             self._connection = None
 
 
+class LastingCaller(Caller):
+    """Send requests that take from no time to longer than a stop's grace time.
+
+    The first caller of a process never closes its connection; the others close it
+    when the answer says so. Refused callers come back as ``Retry-After`` says.
+    """
+
+    def __init__(
+        self, process: Process, number: int, seed: int, services: tuple[str, ...]
+    ) -> None:
+        super().__init__(process, number, seed)
+        self._services = services
+        self._connection = LastingConnection(process.address(8400), TIMEOUT_S)
+        self._ignores_close = number == 0
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send one request after another until ``stopping`` is set."""
+        while not stopping.is_set():
+            request_id = self._next_id()
+            kind = self._rng.choices(ROUTE_KINDS, ROUTE_WEIGHTS)[0]
+            started_at = time.monotonic()
+            exchange = self._send(request_id, kind)
+            self.records.append(
+                RequestRecord(
+                    request_id,
+                    self._process,
+                    kind.is_safe,
+                    True,
+                    started_at,
+                    time.monotonic(),
+                    *exchange,
+                )
+            )
+            is_closing = exchange.answer.headers.get("connection") == "close"
+            if is_closing and not self._ignores_close:
+                self._connection.close()
+            stopping.wait(self._pause_s(exchange))
+        self._connection.close()
+
+    def _send(self, request_id: str, kind: RouteKind) -> Exchange:
+        service = self._rng.choice(self._services)
+        body = self._rng.randbytes(0 if kind.is_safe else self._rng.choice(BODY_BYTES))
+        headers = {
+            "Host": "a.example",
+            f"{PREFIX}Request-Id": request_id,
+            f"{PREFIX}Deadline-Ms": f"{1000 * DEADLINE_S:.0f}",
+        }
+        path = f"{kind.path(service)}1?hold={self._rng.choice(kind.holds_s)}"
+        return self._connection.send(
+            "GET" if kind.is_safe else "POST", path, body, headers
+        )
+
+    def _pause_s(self, exchange: Exchange) -> float:
+        if exchange.failure is Failure.CONNECT:
+            return RECONNECT_INTERVAL_S
+        retry_after = exchange.answer.headers.get("retry-after")
+        if retry_after is not None:
+            return min(MAX_RETRY_AFTER_S, float(retry_after))
+        return self._rng.uniform(0.0, MAX_PAUSE_S)
+
+
 class Operator:
     """Update the configuration of a fleet, and read it back."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(
+        self, fleet: Fleet, seed: int, routes: Callable[[int], dict[str, Any]]
+    ) -> None:
         self._fleet = fleet
+        self._routes = routes  # by the version
         self._rng = random.Random(seed)
         self.acknowledged = 0  # the last version that was acknowledged
         self.reads: list[ConfigurationRead] = []
@@ -125,7 +217,7 @@
     def update(self, stopping: threading.Event) -> None:
         """Put one version after another, each until it is acknowledged."""
         while not stopping.wait(UPDATE_INTERVAL_S):
-            if self._fleet.put(ROUTES) == 200:
+            if self._fleet.put(self._routes(self._fleet.label)) == 200:
                 self.acknowledged = self._fleet.label
 
     def read(self, stopping: threading.Event) -> None:
