--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -124,7 +124,7 @@
                 for record in self.records
                 for violation in self._check_request(record, counts)
             ),
-            *self._kind.check_answers(evidence),
+            *self._kind.check_answers(evidence, self.fleet),
             *self._check_configuration(),
             *self._check_drains(),
             *self._check_retry_budget(counts),
@@ -206,6 +206,9 @@
     finally:
         soak.fleet.stop()
     statuses = sorted(Counter(record.answer.status for record in soak.records).items())
+    # The logs have the time of day, the records the monotonic clock.
+    clock_offset_s = time.time() - time.monotonic()
+    print(f"seed {seed}: 0 s of the monotonic clock is {clock_offset_s:.3f}")
     print(f"seed {seed}: {len(soak.records)} requests by status {dict(statuses)}")
     print(
         f"{len(soak.operator.reads)} configuration reads,"
