--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,16 +4,26 @@
 
 import pytest
 from fleet_soak import run_soak
+from soak_kinds import KINDS
 
-SEEDS = [  # seed, seconds, and what went wrong where the seed once failed
-    (1, 6.0, ""),
-    (2, 6.0, ""),
-    (114, 12.0, "SIGHUP during startup ended the daemon"),
+SERVERS_PER_SERVICE = 2
+SEEDS = [  # kind, instances, seed, seconds, and what went wrong where it once failed
+    ("single", 2, 1, 6.0, ""),
+    ("single", 2, 2, 6.0, ""),
+    ("single", 2, 114, 12.0, "SIGHUP during startup ended the daemon"),
+    ("series", 2, 1, 6.0, ""),
+    ("series", 6, 2, 6.0, ""),
 ]
 
 
-@pytest.mark.parametrize(("seed", "seconds", "cause"), SEEDS)
+@pytest.mark.parametrize(("kind", "instances", "seed", "seconds", "cause"), SEEDS)
 def test_soak_finds_no_violations(
-    seed: int, seconds: float, cause: str, tmp_path: pathlib.Path
+    kind: str,
+    instances: int,
+    seed: int,
+    seconds: float,
+    cause: str,
+    tmp_path: pathlib.Path,
 ) -> None:
-    assert run_soak(seed, seconds, tmp_path) == [], cause
+    soak_kind = KINDS[kind](instances, SERVERS_PER_SERVICE)
+    assert run_soak(seed, seconds, tmp_path, soak_kind) == [], cause
