--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -37,6 +37,8 @@
 from soak_traffic import Operator
 from soak_traffic import RequestRecord
 
+STALL_POLL_S = 0.05
+
 
 class Soak:
     """Run a fleet with callers, an operator and faults, and check the guarantees."""
@@ -52,6 +54,7 @@
         self._faults = self._kind.make_faults()
         self._errors: list[str] = []  # faults that could not be injected or undone
         self._stopping = threading.Event()
+        self.longest_stall_s = 0.0  # for which the machine did not run this process
 
     @property
     def records(self) -> list[RequestRecord]:
@@ -62,7 +65,7 @@
         """Run a schedule and return the violations of the guarantees."""
         self.fleet.start(self._kind.make_routes(0))
         tasks = [caller.run for caller in self.callers]
-        tasks += [self.operator.update, self.operator.read]
+        tasks += [self.operator.update, self.operator.read, self._measure_stalls]
         traffic_threads = [
             threading.Thread(target=task, args=(self._stopping,)) for task in tasks
         ]
@@ -83,6 +86,13 @@
             thread.join()
         return self._check()
 
+    def _measure_stalls(self, stopping: threading.Event) -> None:
+        while not stopping.is_set():
+            started_at = time.monotonic()
+            stopping.wait(STALL_POLL_S)
+            stall_s = time.monotonic() - started_at - STALL_POLL_S
+            self.longest_stall_s = max(self.longest_stall_s, stall_s)
+
     def _inject(self, scheduled: ScheduledFault, schedule_started_at: float) -> None:
         time.sleep(
             max(0.0, scheduled.start_s - (time.monotonic() - schedule_started_at))
@@ -212,7 +222,8 @@
     print(f"seed {seed}: {len(soak.records)} requests by status {dict(statuses)}")
     print(
         f"{len(soak.operator.reads)} configuration reads,"
-        f" last acknowledged version {soak.operator.acknowledged}"
+        f" last acknowledged version {soak.operator.acknowledged},"
+        f" longest stall of the callers' process {soak.longest_stall_s:.2f} s"
     )
     for violation in violations[:20]:
         print("violation:", violation)
