--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -1,5 +1,6 @@
 """Fake backend server with the platform's interfaces."""
 
+import contextlib
 import enum
 import itertools
 import json
@@ -13,6 +14,7 @@
 from http.server import BaseHTTPRequestHandler
 from http.server import ThreadingHTTPServer
 from threading import Event
+from threading import Lock
 from threading import Thread
 from typing import Any
 from typing import NamedTuple
@@ -27,6 +29,7 @@
 
     ANSWERED = "answered"
     CUT = "cut"  # the daemon closed the connection while the server was at work
+    CRASHED = "crashed"  # the server crashed
     OPEN = "open"  # it has not ended
 
 
@@ -40,14 +43,6 @@
     end: RunEnd
 
 
-class _HttpServer(ThreadingHTTPServer):
-    """HTTP server that accepts that daemons reset connections."""
-
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        if not isinstance(sys.exception(), ConnectionError):
-            super().handle_error(request, client_address)
-
-
 class PlatformServer:
     """HTTP server that sends heartbeats and records the requests that it ran."""
 
@@ -67,6 +62,14 @@
         # Every how many answers an earlier one of its connection is sent once more
         # before it, as a refusal and as a success by turns; 0 for never.
         self.repeats_every = 0
+        self.crash_path = ""  # a request of this path crashes the server
+        self.crash_after_s = 0.1  # and so long after it began
+        self.down_s = 2.0  # then the server is back, with another id
+        self.crashed_by: list[str] = []  # request ids
+        self.died: list[str] = []  # ids of the requests that ran when it crashed
+        self._running: dict[str, str] = {}  # paths by request id
+        self._crash_lock = Lock()
+        self._is_down = False
         self._stop = Event()
         self._control = control
         self._sequence = 0
@@ -90,13 +93,75 @@
             def log_message(self, *args: Any) -> None:
                 pass
 
-        self._http = _HttpServer((host, 0), Handler)
-        self._http.daemon_threads = True
+        self._handler = Handler
+        self._http = self._listen(host, 0)
         self.address = f"{host}:{self._http.server_port}"
         self.announced = announced or self.address
         self._info = {"service": service, "version": "v1", "zone": "a", "slots": slots}
         self.restart()
 
+    def _listen(self, host: str, port: int) -> ThreadingHTTPServer:
+        outer = self
+        connections: list[socket.socket] = []
+
+        class Listener(ThreadingHTTPServer):
+            daemon_threads = True
+            open_connections = connections
+
+            def process_request(self, request: Any, client_address: Any) -> None:
+                connections.append(request)
+                super().process_request(request, client_address)
+
+            def handle_error(self, request: Any, client_address: Any) -> None:
+                is_reset = isinstance(sys.exception(), ConnectionError)
+                if not is_reset and not outer.crash_path:
+                    super().handle_error(request, client_address)
+
+        return Listener((host, port), self._handler)
+
+    def crash(self) -> None:
+        """Close all connections and the listener; be back after ``down_s``."""
+        http = self._http
+        self._is_down = True
+        with contextlib.suppress(OSError):
+            http.socket.shutdown(socket.SHUT_RDWR)
+        for connection in http.open_connections:  # type: ignore[attr-defined]
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+        http.shutdown()
+        http.server_close()
+        Thread(target=self._come_back, daemon=True).start()
+
+    def _come_back(self) -> None:
+        if self._stop.wait(self.down_s):
+            return
+        host, _, port = self.address.rpartition(":")
+        self._http = self._listen(host, int(port))
+        self.restart()
+        self._is_down = False
+        Thread(target=self._http.serve_forever, daemon=True).start()
+
+    def _run(
+        self, request: BaseHTTPRequestHandler, request_id: str, seconds: float
+    ) -> bool:
+        """Work on a request; return False if its connection was closed meanwhile.
+
+        A request of ``crash_path`` crashes the server with all that it runs.
+        """
+        self._running[request_id] = request.path
+        try:
+            if not self.crash_path or not request.path.startswith(self.crash_path):
+                return self._work(request.connection, seconds)
+            time.sleep(self.crash_after_s)
+            with self._crash_lock:
+                if not self._is_down:
+                    self.crashed_by.append(request_id)
+                    self.died.extend(self._running)
+                    self.crash()
+            return False
+        finally:
+            self._running.pop(request_id, None)
+
     def restart(self) -> None:
         """Become a new server with another id at the same address."""
         born = time.time_ns()
@@ -141,7 +206,7 @@
         run = Run(request_id, self.address, time.monotonic(), math.inf, RunEnd.OPEN)
         self._runs[number] = run
         end = RunEnd.CUT
-        if self._work(request.connection, HANG_S if self.hangs else work_s):
+        if self._run(request, request_id, HANG_S if self.hangs else work_s):
             try:
                 self._answer_after_repeat(request, request_id)
                 end = RunEnd.ANSWERED
@@ -149,6 +214,8 @@
                 request.close_connection = True
         else:
             request.close_connection = True
+        if end is RunEnd.CUT and self._is_down:
+            end = RunEnd.CRASHED
         self._runs[number] = run._replace(ended_at=time.monotonic(), end=end)
 
     def _work(self, connection: socket.socket, seconds: float) -> bool:
@@ -208,4 +275,5 @@
 
     def _send_heartbeats(self) -> None:
         while not self._stop.wait(0.3):
-            self.beat()
+            if not self._is_down:
+                self.beat()
