Take a daemon's wait for a processor off the time of its stop

Processes ended 6.15 to 10 s after SIGTERM, 0.2 to 3.9 s of it after they had logged "stopped". Measured with /proc/PID/schedstat on five daemons at a load average of 28: between "stopped" and the exit each ran for 0.12 to 0.14 s and waited for a processor for 0.04 to 1.06 s. The check is of what a daemon does within its grace time, so its wait is taken off and named in the violation.

--- a/tests/unit/fleet/test_soak_checks.py
+++ b/tests/unit/fleet/test_soak_checks.py
@@ -112,6 +112,17 @@
 ]
 
 
+@pytest.mark.parametrize(
+    ("starved_s", "violations"), [((2.0, 2.0), 1), ((2.0, 2.3), 1), ((2.0, 2.6), 0)]
+)
+def test_wait_for_a_processor_is_not_part_of_a_stop(
+    starved_s: tuple[float, float], violations: int
+) -> None:
+    sent = SentSignal(TERM, 1.0, True, starved_s[0])
+    found = check_ends("a", [sent], [ProcessEnd(7.5, 0, starved_s[1])], GRACE_S)
+    assert len(found) == violations
+
+
 @pytest.mark.parametrize(
     ("sent", "ended_at", "exit_code", "violation"),
     [row[1:] for row in ENDS],
