--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -11,9 +11,11 @@
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.observers import AttemptObservers
+from pimentobend_adapters._internal.suspects import SuspectsTask
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -27,6 +29,7 @@
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.pools import PoolServersChanged
 from pimentobend_core._internal.membership.registry import ServerRegistry
+from pimentobend_core._internal.membership.spread.messages import Row
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Tables
@@ -35,6 +38,7 @@
 from pimentobend_core._internal.request.pipe import build_request_pipe
 from pimentobend_core._internal.traffic.policy import BudgetedRetries
 from pimentobend_core._internal.traffic.pool import PoolTraffic
+from pimentobendd._internal.crash_rows import CrashRows
 from pimentobendd._internal.evidence import EvidenceReports
 from pimentobendd._internal.interfaces.operators import Query
 from pimentobendd._internal.interfaces.replies import Reply
@@ -47,6 +51,7 @@
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
+SHOWN_CHARACTERS = 200  # of each value that a server sent, in a log line
 
 
 class SharedParts(NamedTuple):
@@ -104,21 +109,33 @@
             clock,
             PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
         )
+        self._backend = BackendClient(clock)
+        self._crash_rows = CrashRows(link.address, epoch, clock, membership.publish_row)
+        self.suspects = SuspectsTask(
+            f"{settings.instance}.{epoch}", clock, metrics, self._crash_rows.publish
+        )
+        membership.subscribe_to_crashes(self._receive_crashes)
         pipe = build_request_pipe(
             RequestPorts(
                 clock=clock,
                 tables=tables,
                 traffic=self.traffic,
                 ledger=ledger,
-                backend=BackendClient(clock),
+                backend=self._backend,
                 retries=BudgetedRetries(),
+                suspects=self.suspects,
             )
         )
         self.front = CallerFront(pipe, clock, events)
         self._callers = HttpServer(settings.callers, self.front)
         self._servers = HttpServer(
             settings.servers,
-            ServersInterface(self.registry, self._replies, settings.announce_from),
+            ServersInterface(
+                self.registry,
+                self._replies,
+                settings.announce_from,
+                lambda server_id, faults: _report_refused(metrics, server_id, faults),
+            ),
         )
         membership.subscribe_to_pools(self._update_servers)
         tables.subscribe(self._update_tables)
@@ -126,14 +143,22 @@
     def start(self) -> None:
         """Start the tasks, then the listeners."""
         self.registry.start()
+        self.suspects.start()
         self._callers.start()
         self._servers.start()
 
     def stop_listening(self) -> None:
-        """Close the listeners."""
+        """Close the listeners, idle connections, and others after their answers."""
+        self.front.stop()
         self._callers.close()
         self._servers.close()
 
+    def end_requests(self) -> None:
+        """Answer the requests in flight: unsent ones as not run, others as unknown."""
+        self.front.refuse_unread()
+        self.traffic.end_requests()
+        self._backend.end_attempts()
+
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
         state: dict[str, object] = {
@@ -141,6 +166,7 @@
         }
         state.update({task.name: task.dump() for task in self.traffic.tasks})
         state.update({task.name: task.dump() for task in self.health.tasks})
+        state["suspects"] = self.suspects.dump()
         state["requests"] = {"in_flight": self.front.in_flight}
         return state
 
@@ -175,9 +201,24 @@
     def _update_servers(self, message: PoolServersChanged) -> None:
         self.traffic.servers_changed(message.pool, message.change)
         self.health.servers_changed(message.pool, message.change)
+        self.suspects.update_servers(message)
+
+    def _receive_crashes(self, row: Row) -> None:
+        reports = self._crash_rows.read(row)
+        if reports:
+            self.suspects.receive(reports, is_own=self._crash_rows.is_own(row))
 
     def _handle_registry_output(self, message: RegistryOutput) -> None:
         if isinstance(message, ServerEvent):
             self._membership.publish(message)
             return
         self._replies.put(message)
+
+
+def _report_refused(metrics: Metrics, server_id: str, faults: tuple[str, ...]) -> None:
+    metrics.count("announcements.refused")
+    get_log().warning(
+        "announcement-refused",
+        server=server_id[:SHOWN_CHARACTERS],
+        faults="; ".join(faults)[:SHOWN_CHARACTERS],
+    )
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
+from pimentobend_core._internal.exceptions import PimentobendError
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServiceChanged
 from pimentobend_core._internal.membership.messages import ViewInput
@@ -31,6 +32,8 @@
 from pimentobend_core._internal.membership.spread.messages import FromPeer
 from pimentobend_core._internal.membership.spread.messages import PublishRows
 from pimentobend_core._internal.membership.spread.messages import RelayInput
+from pimentobend_core._internal.membership.spread.messages import Row
+from pimentobend_core._internal.membership.spread.messages import RowKind
 from pimentobend_core._internal.membership.spread.messages import RowsArrived
 from pimentobend_core._internal.membership.spread.messages import SpreadOutput
 from pimentobend_core._internal.membership.spread.messages import SpreadTick
@@ -53,6 +56,7 @@
     A control instance is a relay, and the root while it leads; any other
     process is a client of the tree. Ids in the tree are link addresses. The
     ``parents`` are the nodes that this one may follow, the preferred one first.
+    ``on_fault`` is called for each malformed row.
     """
 
     def __init__(
@@ -62,11 +66,14 @@
         parents: tuple[str, ...],
         is_relay: bool,
         clock: ClockPort,
+        on_fault: Callable[[PimentobendError], None],
     ) -> None:
         self._link = link
+        self._on_fault = on_fault
         self._parents = parents
         self._subscribers: list[Callable[[ServiceChanged], None]] = []
         self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
+        self._crash_subscribers: list[Callable[[Row], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
@@ -118,6 +125,14 @@
         """Call ``function`` at each change of a pool's live servers."""
         self._pool_subscribers.append(function)
 
+    def subscribe_to_crashes(self, function: Callable[[Row], None]) -> None:
+        """Call ``function`` with each row of reports on crashes that arrives."""
+        self._crash_subscribers.append(function)
+
+    def publish_row(self, row: Row) -> None:
+        """Publish a row of this process."""
+        self._node.put(PublishRows((row,)))
+
     def update_tables(self, tables: Tables) -> None:
         """Apply the pools of new tables."""
         self._pools.put(tables)
@@ -142,8 +157,9 @@
 
     def _handle_output(self, output: SpreadOutput) -> None:
         if isinstance(output, RowsArrived):
-            for message in read_rows(output.rows):
+            for message in read_rows(output.rows, self._on_fault):
                 self._view.put(message)
+            self._notify_crash_subscribers(output.rows)
             return
         payload = encode_message(output.message)
         for recipient in output.recipients:
@@ -153,6 +169,12 @@
         for function in self._subscribers:
             function(message)
 
+    def _notify_crash_subscribers(self, rows: tuple[Row, ...]) -> None:
+        for row in rows:
+            if row.row_id.kind == RowKind.CRASHES:
+                for function in self._crash_subscribers:
+                    function(row)
+
     def _notify_pool_subscribers(self, message: PoolServersChanged) -> None:
         for function in self._pool_subscribers:
             function(message)
