--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -13,10 +13,10 @@
 from collections.abc import Iterator
 
 import pytest
-from platform_fleet import Answer
 from platform_fleet import Fleet
 from platform_fleet import Process
 from platform_fleet import wait_until
+from platform_process import Answer
 from platform_server import PREFIX
 
 TIMEOUT_S = 12.0
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -1,9 +1,15 @@
 """Fake backend server with the platform's interfaces."""
 
 import contextlib
+import enum
+import itertools
 import json
+import math
+import select
 import socket
+import sys
 import time
+import urllib.parse
 import urllib.request
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
@@ -12,8 +18,30 @@
 from threading import Lock
 from threading import Thread
 from typing import Any
+from typing import NamedTuple
 
 PREFIX = "X-Pimentobend-"
+HANG_S = 60.0
+STOP_POLL_S = 0.25  # a request at work ends this long after the server's stop at most
+
+
+class RunEnd(enum.Enum):
+    """How the run of a request ended."""
+
+    ANSWERED = "answered"
+    CUT = "cut"  # the daemon closed the connection while the server was at work
+    CRASHED = "crashed"  # the server crashed
+    OPEN = "open"  # it has not ended
+
+
+class Run(NamedTuple):
+    """Run of a request by a server; times are of the monotonic clock."""
+
+    request_id: str
+    server: str  # the server's address
+    began_at: float
+    ended_at: float
+    end: RunEnd
 
 
 class PlatformServer:
@@ -31,7 +59,7 @@
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
         self.hold_s = 0.0  # time that each request takes
-        self.hangs = False  # answer requests only after a minute, or once stopped
+        self.hangs = False  # answer requests only after HANG_S, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
         # Called with the path of each request; if it returns False, the answer is 500.
         self.call: Callable[[str], bool] = lambda path: True
@@ -49,6 +77,8 @@
         self._stop = Event()
         self._control = control
         self._sequence = 0
+        self._runs: dict[int, Run] = {}
+        self._run_numbers = itertools.count()
         self._answers = 0  # on connections that had carried an earlier request
         # Start and end of each period in which no request may arrive.
         self.drained: list[tuple[float, float]] = []
@@ -87,7 +117,8 @@
                 super().process_request(request, client_address)
 
             def handle_error(self, request: Any, client_address: Any) -> None:
-                if not outer.crash_path:
+                is_reset = isinstance(sys.exception(), ConnectionError)
+                if not is_reset and not outer.crash_path:
                     super().handle_error(request, client_address)
 
         return Listener((host, port), self._handler)
@@ -114,19 +145,24 @@
         self._is_down = False
         Thread(target=self._http.serve_forever, daemon=True).start()
 
-    def _run(self, request_id: str, path: str) -> None:
-        """Take the time that a request takes, or crash with all that runs."""
-        self._running[request_id] = path
+    def _run(
+        self, request: BaseHTTPRequestHandler, request_id: str, seconds: float
+    ) -> bool:
+        """Work on a request; return False if its connection was closed meanwhile.
+
+        A request of ``crash_path`` crashes the server with all that it runs.
+        """
+        self._running[request_id] = request.path
         try:
-            if not self.crash_path or not path.startswith(self.crash_path):
-                time.sleep(self.hold_s)
-                return
+            if not self.crash_path or not request.path.startswith(self.crash_path):
+                return self._work(request.connection, seconds)
             time.sleep(self.crash_after_s)
             with self._crash_lock:
                 if not self._is_down:
                     self.crashed_by.append(request_id)
                     self.died.extend(self._running)
                     self.crash()
+            return False
         finally:
             self._running.pop(request_id, None)
 
@@ -152,17 +188,62 @@
         self._http.shutdown()
         self._http.server_close()
 
+    @property
+    def runs(self) -> list[Run]:
+        """Return all runs, those at work included."""
+        return list(self._runs.values())
+
     def serve(self, request: BaseHTTPRequestHandler) -> None:
-        """Record and answer one request."""
+        """Record and answer one request.
+
+        It takes the seconds that its query names as ``hold``, and ``hold_s`` more.
+        """
         length = int(request.headers.get("Content-Length") or 0)
         request.rfile.read(length)
         request_id = request.headers[f"{PREFIX}Request-Id"]
         self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
-        if self.hangs or (self.hangs_on and request.path.startswith(self.hangs_on)):
-            self._stop.wait(60)
-        self._run(request_id, request.path)
+        query = urllib.parse.parse_qs(urllib.parse.urlsplit(request.path).query)
+        work_s = self.hold_s + float(query.get("hold", ["0"])[0])
+        number = next(self._run_numbers)
+        run = Run(request_id, self.address, time.monotonic(), math.inf, RunEnd.OPEN)
+        self._runs[number] = run
+        end = RunEnd.CUT
+        hangs_here = bool(self.hangs_on) and request.path.startswith(self.hangs_on)
+        if self._run(
+            request, request_id, HANG_S if self.hangs or hangs_here else work_s
+        ):
+            try:
+                self._answer_after_repeat(request, request_id)
+                end = RunEnd.ANSWERED
+            except OSError:
+                request.close_connection = True
+        else:
+            request.close_connection = True
+        if end is RunEnd.CUT and self._is_down:
+            end = RunEnd.CRASHED
+        self._runs[number] = run._replace(ended_at=time.monotonic(), end=end)
+
+    def _work(self, connection: socket.socket, seconds: float) -> bool:
+        """Work on a request; return False if its connection was closed meanwhile."""
+        ends_at = time.monotonic() + seconds
+        poller = select.poll()
+        poller.register(connection, select.POLLIN)
+        while not self._stop.is_set() and (left_s := ends_at - time.monotonic()) > 0:
+            if poller.poll(1000 * min(left_s, STOP_POLL_S)):
+                try:
+                    is_open = bool(connection.recv(1, socket.MSG_PEEK))
+                except OSError:
+                    is_open = False
+                if not is_open:
+                    return False
+                self._stop.wait(min(left_s, STOP_POLL_S))  # a pipelined request
+        return True
+
+    def _answer_after_repeat(
+        self, request: BaseHTTPRequestHandler, request_id: str
+    ) -> None:
         earlier_id = request.earlier_id  # type: ignore[attr-defined]
         if self.repeats_every and earlier_id:
             self._answers += 1
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that the soak test injects into a fleet of real processes."""
 
 import abc
+import enum
 import random
 import shutil
 import signal
@@ -9,8 +10,8 @@
 
 from fault_proxy import ConnectionFault
 from fault_proxy import FaultProxy
-from platform_fleet import Process
-from platform_fleet import wait_until
+from platform_process import Process
+from platform_process import wait_until
 
 FAULT_INTERVALS_S = (0.3, 0.8, 2.0)  # shorter than some faults: several may overlap
 FAULT_DURATIONS_S = (0.2, 1.0, 3.0)
@@ -37,11 +38,20 @@
     ended_at: float
 
 
+class Scope(enum.Enum):
+    """Part of a fleet on which faults must not overlap."""
+
+    PROCESS = "process"
+    SERVER = "server"
+    NONE = "none"  # the fault may overlap with all others
+
+
 class Fault(abc.ABC):
     """Fault that can be injected into a process from outside and undone."""
 
     applies_to_control = True
     applies_to_instance = True
+    scope = Scope.PROCESS
 
     @abc.abstractmethod
     def apply(self, process: Process, duration_s: float) -> None:
