Take a cut head for a broken attempt on the own interface

What callers saw: a request that crashes servers was not found out on the own interface if the crash closed the connection (FIN) rather than reset it, so it was not blocked and crashed one server after the other.

The platform's calls are not affected: there, any error but a time-out is a broken call.

Change: _is_cut_off knows CutLineError. A row "cut in its head, ended" is new.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -23,6 +23,7 @@
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import parse_load
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_adapters._internal.http.heads import CutLineError
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
@@ -232,7 +233,8 @@
     causes = (error, *error.args, error.__cause__)
     is_connected = _classify_error(error) is not AttemptKind.NOT_CONNECTED
     return is_connected and any(
-        isinstance(cause, ConnectionError | ResetError) for cause in causes
+        isinstance(cause, ConnectionError | ResetError | CutLineError)
+        for cause in causes
     )
 
 
--- a/tests/unit/http/test_server_ends.py
+++ b/tests/unit/http/test_server_ends.py
@@ -52,6 +52,12 @@
     connection.close()
 
 
+def _cut_head(listener: socket.socket, connection: socket.socket) -> None:
+    listener.close()
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Le")
+    connection.close()
+
+
 def _hang(listener: socket.socket, connection: socket.socket) -> None:
     listener.close()
     time.sleep(2 * REMAINING_S)
@@ -70,6 +76,7 @@
     ("closed, ended", _end, AttemptKind.NO_ANSWER, True),
     ("closed, then ended", _end_late, AttemptKind.NO_ANSWER, True),
     ("reset, ended", _end_with_reset, AttemptKind.NO_ANSWER, True),
+    ("cut in its head, ended", _cut_head, AttemptKind.NO_ANSWER, True),
     ("nonsense, ended", _answer_nonsense, AttemptKind.NO_ANSWER, False),
     ("hangs", _hang, AttemptKind.NO_ANSWER, False),
     ("answered, ended", _answer, AttemptKind.ANSWERED, False),
