Always return a result of an attempt on the own interface

What callers saw: a request whose server crashed in the last moments of a planned stop got a bare 500 without Pimentobend-Ran. Its slot, its run and perhaps its claim stayed unsettled in a process that is about to end.

Cause: while a broken attempt's server is probed, the attempt was still listed as running, so end_attempts() threw its timeout into the probe, from where nothing catches it.

Evidence: with a server that resets and end_attempts() 5 or 30 ms later, eventlet.Timeout leaves send(): two new rows of test_server_ends.py fail.

Change: the attempt is taken off the list where its timeout is cancelled. The probes end by themselves.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -141,7 +141,9 @@
         except IncompleteBodyError:
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, OSError) as error:
+            # The probes below end by themselves; nothing is thrown into them.
             timeout.cancel()
+            self._running.pop(timeout, None)
             failed = self._failed(_classify_error(error), started)
             if not _is_cut_off(error):
                 return failed
--- a/tests/unit/http/test_server_ends.py
+++ b/tests/unit/http/test_server_ends.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+import eventlet
 import pytest
 from fake_ports import FakeBody
 from fake_ports import make_head
@@ -120,3 +121,41 @@
     result = BackendClient(clock).send(server, head, FakeBody(), True)
     assert result.kind is AttemptKind.NOT_CONNECTED
     assert not result.has_server_ended
+
+
+@pytest.mark.parametrize(
+    ("is_reset", "ended_after_s"),
+    [(True, 0.005), (True, 0.03), (False, 0.03)],
+    ids=["before the first probe", "before the second probe", "no answer yet"],
+)
+def test_attempt_that_the_process_ends_has_a_result(
+    is_reset: bool, ended_after_s: float
+) -> None:
+    # What leaves send() as an exception settles no slot and no claim, and its caller
+    # gets no answer of the daemon. A server that crashes in the last moments of a stop
+    # is probed (10 and 60 ms after the reset) when end_attempts() comes.
+    listener = eventlet.listen(("127.0.0.1", 0))
+    client = BackendClient(HubClock())
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        connection.recv(65536)
+        if is_reset:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+            connection.close()
+        eventlet.sleep(ended_after_s)
+        client.end_attempts()
+        eventlet.sleep(REMAINING_S)
+        connection.close()
+
+    server_greenlet = eventlet.spawn(serve)
+    clock = HubClock()
+    started = clock.now()
+    head = make_head()._replace(deadline=started + 4 * REMAINING_S)
+    server = make_server("s")._replace(port=listener.getsockname()[1])
+    result = client.send(server, head, FakeBody(), True)
+    server_greenlet.kill()
+    listener.close()
+    assert (result.kind, result.is_broken) == (AttemptKind.NO_ANSWER, is_reset)
+    assert not result.has_server_ended
+    assert clock.now() < started + 2 * REMAINING_S
