Keep a stopping platform daemon up while it writes answers to others

What callers saw: a large answer was cut off (8 of 32 MB arrived), though its server had run the request to its end, if the daemon beside that server was told to stop while the caller read slowly.

Cause: a daemon that stops ends once it is idle, from 2.6 s on. An attempt that another daemon sent no longer counted once its result was known, even while its answer was still being written.

Change: PeerFront counts its attempts until their answers are written, as CallerFront does, and FleetInstance.in_flight includes them. The stop's end still bounds the wait.

The proxy of test_hops.py can now hold answers back.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -58,11 +58,26 @@
         self._host = host
         self._names = names
         self._clock = clock
+        self._in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of attempts whose answers are not fully written yet."""
+        return self._in_flight
 
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Run an attempt, or return the result of one that was sent before."""
+        self._in_flight += 1
+        try:
+            yield from self._serve(environ, start_response)
+        finally:
+            self._in_flight -= 1
+
+    def _serve(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterator[bytes]:
         try:
             hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
             body = read_body(environ["wsgi.input"], get_content_length(environ))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -194,20 +194,23 @@
         )
         requests = CallOutlet(self._handle_request_ended)
         self.front = CallerFront(pipe, clock, requests, options)
+        self._peer_front = PeerFront(process_id, self.host, names, clock)
         idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
             HttpServer(settings.callers, self.front, idle_timeout_s),
-            HttpServer(
-                settings.forward, PeerFront(process_id, self.host, names, clock)
-            ),
+            HttpServer(settings.forward, self._peer_front),
             HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
         )
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests and attempts without an answer."""
-        return self.front.in_flight + self.host.running
+        """Return the number of requests and attempts that are not fully answered yet.
+
+        An attempt for another daemon counts twice until it has a result.
+        """
+        peers = self._peer_front.in_flight
+        return self.front.in_flight + peers + self.host.running
 
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -21,6 +21,8 @@
 
 TIMEOUT_S = 12.0
 HELD_S = 9.0  # longer than the grace time
+LARGE_BYTES = 32 * 1024 * 1024  # more than the connections on its way can buffer
+READ_AFTER_S = 2.9  # later than a daemon without work ends
 HEAD = f"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n{PREFIX}Request-Id: half\r\n"
 UNREAD = [
     ("with a length", f"{HEAD}Content-Length: 10\r\n\r\nhello"),
@@ -105,13 +107,37 @@
     assert f"{PREFIX}Server-Stamp".lower() in answers[0].headers
 
 
+def test_an_answer_that_is_read_slowly_is_not_cut_off(fleet: Fleet) -> None:
+    # The host has the result, but still writes the answer to the origin, when it could
+    # end as idle (after 2.6 s).
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    host.server.content = bytes(LARGE_BYTES)
+    name, _, port = origin.address(8400).rpartition(":")
+    with socket.create_connection((name, int(port)), TIMEOUT_S) as connection:
+        head = f"{HEAD}Connection: close\r\nContent-Length: 0\r\n\r\n"
+        connection.sendall(head.encode())
+        received = connection.recv(65536)
+        assert host.server.ran[-1] == "half"
+        host.signal(signal.SIGTERM)
+        time.sleep(READ_AFTER_S)
+        received += _read_all(connection)
+    answer_head, _, body = received.partition(b"\r\n\r\n")
+    assert answer_head.startswith(b"HTTP/1.1 200 ")
+    assert body.count(0) == LARGE_BYTES
+    assert host.wait() == 0
+
+
 def _has_run(process: Process, request_id: str) -> bool:
     return process.server is not None and request_id in process.server.ran
 
 
 def _read_all(connection: socket.socket) -> bytes:
-    received = b""
+    received = bytearray()
     with contextlib.suppress(ConnectionError):
         while piece := connection.recv(65536):
             received += piece
-    return received
+    return bytes(received)
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -31,6 +31,7 @@
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
         self.hold_s = 0.0  # time that each request takes
+        self.content = b""  # body of the answers, instead of the server's id
         self.hangs = False  # answer requests only after a minute, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
         # Called with the path of each request; if it returns False, the answer is 500.
@@ -176,7 +177,7 @@
     def _answer(
         self, request: BaseHTTPRequestHandler, request_id: str, status: int
     ) -> None:
-        content = self.server_id.encode()
+        content = self.content or self.server_id.encode()
         request.send_response(status)
         if status == 503:
             request.send_header(f"{PREFIX}Not-Executed", "1")
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+from threading import Event
 from threading import Thread
 from threading import Timer
 from typing import Any
@@ -38,6 +39,7 @@
 SERVER = Server("s", "x", "127.0.0.1", 1, 2, "a", "r", ServerState.READY, 1)
 NAMES = HeaderNames(request_id="Id")
 WAIT_S = 5.0
+LARGE_BYTES = 32 * 1024 * 1024  # more than connections can buffer
 
 
 class FakeCalls(ServerCalls):
@@ -46,6 +48,7 @@
     def __init__(self, hold_s: float = 0.0) -> None:
         super().__init__(NAMES, HubClock(), lambda: None)
         self.hold_s = hold_s
+        self.content = b"ok"
         self.runs: list[str] = []
         self.ended: list[str] = []
 
@@ -56,7 +59,7 @@
         eventlet.sleep(self.hold_s)
         self.ended.append(head.request_id)
         return make_attempt_result(
-            AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(b"ok")
+            AttemptKind.ANSWERED, 0.0, 200, (), BufferedAnswer(self.content)
         )
 
 
@@ -72,6 +75,8 @@
         self.port: int = self._socket.getsockname()[1]
         # Seconds after which each of the next connections is broken.
         self.breaks_after: list[float] = []
+        self.reads_answers = Event()  # while it is not set, answers wait
+        self.reads_answers.set()
         self.loses_answers = 0  # number of next connections whose answers are dropped
         Thread(target=self._accept, daemon=True).start()
 
@@ -93,15 +98,19 @@
             else:
                 pairs.append((server, client))
             for pair in pairs:
-                Thread(target=self._copy, args=pair, daemon=True).start()
+                Thread(target=self._copy, args=(*pair, server), daemon=True).start()
             if self.breaks_after:
                 wait_s = self.breaks_after.pop(0)
                 Timer(wait_s, self._break, (client, server)).start()
 
-    def _copy(self, source: socket.socket, target: socket.socket) -> None:
+    def _copy(
+        self, source: socket.socket, target: socket.socket, server: socket.socket
+    ) -> None:
         with contextlib.suppress(OSError):
             while piece := source.recv(4096):
                 target.sendall(piece)
+                if source is server:
+                    self.reads_answers.wait()
         self._break(source, target)
 
     def _break(self, *sockets: socket.socket) -> None:
@@ -119,8 +128,8 @@
         self.host = HostTasks(PROCESS, TERMS, self.calls, clock, Discard())
         self.host.start()
         self.host.update_server(SERVER)
-        front = PeerFront(PROCESS, self.host, NAMES, clock)
-        self.server = HttpServer(Address("127.0.0.1", 0), front)
+        self.front = PeerFront(PROCESS, self.host, NAMES, clock)
+        self.server = HttpServer(Address("127.0.0.1", 0), self.front)
         self.server.start()
         self.proxy = Proxy(self.server.address)
         link: Any = None
@@ -228,3 +237,22 @@
     with eventlet.Timeout(WAIT_S):
         assert harness.host.run(attempt).kind is AttemptKind.NO_ANSWER
     assert harness.calls.runs == ["1"]
+
+
+def test_an_attempt_is_in_flight_until_its_answer_is_written() -> None:
+    harness = HopHarness()
+    harness.calls.content = bytes(LARGE_BYTES)
+    harness.proxy.reads_answers.clear()
+    run = eventlet.spawn(harness.run, "1")
+    with eventlet.Timeout(WAIT_S):
+        while not harness.calls.ended or harness.host.running:
+            eventlet.sleep(0.05)
+    eventlet.sleep(0.2)
+    assert harness.front.in_flight == 1
+    harness.proxy.reads_answers.set()
+    with eventlet.Timeout(2 * WAIT_S):
+        answer = run.wait().body
+        assert answer is not None
+        assert sum(map(len, answer.chunks())) == LARGE_BYTES
+        while harness.front.in_flight:
+            eventlet.sleep(0.05)
