Keep a clearance that comes before the blame on the own interface

What callers saw: a request that had survived elsewhere came nearer to a block, and could be refused, if an instance noticed the crash after it had learned of the clearance.

Cause: the id of a crash names the server's life, so instances that saw the same crash share it. Whoever noticed it later wrote its blame over the clearance that it held under that id.

Evidence: the row "cleared by another daemon before this one noticed" of test_observer.py fails: f has weight 1.

Change: the observer does not blame what it knows to be cleared of this crash. What ran beside it is still blamed.

--- a/packages/core/src/pimentobend_core/_internal/crashes/observer.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/observer.py
@@ -129,8 +129,11 @@
             if each.run.server.server_id == server_id
         ]
         fingerprints = tuple(dict.fromkeys(each.run.fingerprint for each in cut))
+        blamed = [
+            each for each in fingerprints if not self._is_cleared(each, crash_id, now)
+        ]
         # Requests of other daemons may have run beside these.
-        crashed = ServerCrashed(server_id, (*fingerprints, NO_FINGERPRINT), crash_id)
+        crashed = ServerCrashed(server_id, (*blamed, NO_FINGERPRINT), crash_id)
         outputs = self._suspects.handle(crashed, now)
         suspects = tuple(
             each for each in fingerprints if self._suspects.is_suspect(each)
@@ -146,6 +149,11 @@
         )
         return (seen, *outputs)
 
+    def _is_cleared(self, fingerprint: str, crash_id: str, now: float) -> bool:
+        """Return whether another daemon saw a crash earlier and a request survive."""
+        reports = self._suspects.reports_on(fingerprint, now)
+        return any(each.crash_id == crash_id and not each.weight for each in reports)
+
     def _forget(self, now: float) -> None:
         self._running = {
             ticket: running
--- a/tests/unit/crashes/test_observer.py
+++ b/tests/unit/crashes/test_observer.py
@@ -25,6 +25,8 @@
 
 READY = ReadyServers("p", frozenset({"s1", "s2", "s3"}))
 DRAINED = ReadyServers("p", frozenset({"s2", "s3"}))
+# The crash of s1 that other daemons saw, too.
+CLEARED = ReportsReceived((CrashReport("s1.1-1", "f", 0, REPORT_S),))
 OTHER_POOL = ReadyServers("q", frozenset({"s1"}))
 
 
@@ -156,6 +158,25 @@
         ((0, start(1, "f")), (1, crash(1, "f")), (2, end(2, "f", RunOutcome.OTHER))),
         {"f": 1},
     ),
+    Case(
+        "cleared by another daemon before this one noticed",
+        (
+            (0, start(1, "f")),
+            (0, start(2, "g")),
+            (1, CLEARED),
+            (1, crash(1, "f")),
+        ),
+        {"g": 1},
+    ),
+    Case(
+        "cleared of an earlier crash",
+        (
+            (0, start(1, "f")),
+            (1, CLEARED),
+            (1, crash(1, "f", "s1", 2)),
+        ),
+        {"f": 1},
+    ),
     Case("no fingerprint", ((0, start(1, "")), (1, crash(1, ""))), {}),
 ]
 
