--- a/packages/core/src/pimentobend_core/_internal/crashes/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/messages.py
@@ -35,7 +35,7 @@
 
     They come in the order in which they started; a request without a fingerprint is
     listed as an empty text. ``crash_id`` is set where several daemons may report the
-    same crash, which then counts once.
+    same crash, which then counts once; requests of the others may have run as well.
     """
 
     server_id: str
--- a/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
+++ b/packages/core/src/pimentobend_core/_internal/crashes/suspects.py
@@ -125,7 +125,8 @@
         blamed = [each for each in ran if self.is_suspect(each)] or ran
         self._crashes += 1
         crash_id = crashed.crash_id or f"{self._observer}-{self._crashes}"
-        weight = ALONE_WEIGHT if len(crashed.running) == 1 else SHARED_WEIGHT
+        is_alone = len(crashed.running) == 1 and not crashed.crash_id
+        weight = ALONE_WEIGHT if is_alone else SHARED_WEIGHT
         for fingerprint in blamed:
             held = _Held(weight, now + REPORT_S, is_own=True)
             self._put(fingerprint, crash_id, held)
