Clear a request at the end of its answer on the own interface

What callers saw: a request that crashes servers while they send its answer was cleared of all its crashes by the head of that answer, so it was not blocked.

Cause: the end of a run was reported once the head of its answer had arrived.

Change: AttemptFilter reports the end of an answered run when the answer's body has been read to its end, or as cut off when it is closed before. Until then the run counts among those that a crash of the server cuts off.

A server that ends within an answer is still not probed, so that crash is not blamed unless another request notices it. The platform's host still clears on any answer.

--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -1,6 +1,7 @@
 """Acquire a slot for an attempt and send the request to its server."""
 
 import itertools
+from collections.abc import Iterator
 
 from returns.result import Result
 from returns.result import Success
@@ -8,8 +9,11 @@
 from pimentobend_core._internal.crashes.observer_messages import Run
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import AnswerBody
+from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import BackendPort
 from pimentobend_core._internal.ports import SuspectsPort
 from pimentobend_core._internal.ports import TrafficPort
@@ -84,5 +88,45 @@
                 load=result.load,
             )
         )
-        self._suspects.ended(run, result)
+        if result.kind is AttemptKind.ANSWERED and result.body is not None:
+            body = _ObservedAnswer(result.body, self._suspects, run, result)
+            result = result._replace(body=body)
+        else:
+            self._suspects.ended(run, result)
         return Success(EndedAttempt(request, value.server, result))
+
+
+class _ObservedAnswer(AnswerBody):
+    """Answer body that reports the end of its run once it was read, or closed.
+
+    A server may still crash by a request while it sends the answer, so only an answer
+    that was read to its end counts as one.
+    """
+
+    def __init__(
+        self,
+        inner: AnswerBody,
+        suspects: SuspectsPort,
+        run: Run,
+        result: AttemptResult,
+    ) -> None:
+        self._inner = inner
+        self._suspects = suspects
+        self._run = run
+        self._result = result
+        self._has_ended = False
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the chunks; raise if the answer ends early."""
+        yield from self._inner.chunks()
+        self._end(AttemptKind.ANSWERED)
+
+    def close(self) -> None:
+        """Release the connection, or close it if the answer was not read to its end."""
+        self._inner.close()
+        self._end(AttemptKind.TRUNCATED)
+
+    def _end(self, kind: AttemptKind) -> None:
+        if not self._has_ended:
+            self._has_ended = True
+            self._suspects.ended(self._run, self._result._replace(kind=kind))
