Send less on a guess of the answer time during a stop

What callers saw: requests that were sent 3.1 to 3.7 s after SIGTERM on kept connections were passed on and ended 502 at the daemon's end, while their servers were at work (LOST).

Cause: the daemon beside the server had just started itself. Its bid stated a guess of the route's answer time, and the stopping daemon took three times that guess for enough.

Change: a bid says whether its answer time rests on answers (three or more). On a guess, a stopping daemon sends only what leaves six times as much.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/durations.py
@@ -11,6 +11,7 @@
 PRIOR_ANSWERS = 2  # weight of the initial guess, in answers
 # With fewer answers, a long wait is treated as weaker evidence that a server fails.
 CONFIDENT_ANSWERS = 8
+KNOWN_ANSWERS = 3  # fewer say too little of how long a route takes
 # Standard deviations of the logarithm of the duration.
 INITIAL_DEVIATION = 0.8
 MIN_DEVIATION = 0.2
@@ -54,6 +55,11 @@
         """Return the 90th percentile of the answer time in s, stragglers excluded."""
         return math.exp(self._mean + P90_DEVIATIONS * math.sqrt(self._variance))
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the estimate rests on answers rather than on the target."""
+        return self._answers >= PRIOR_ANSWERS + KNOWN_ANSWERS
+
     def set_target(self, target_s: float, rank: int) -> None:
         """Set the target, relaxed for less urgent ranks; rank 0 is the most urgent."""
         target_s = target_s or DEFAULT_TARGET_S
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -169,6 +169,7 @@
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
             self._has_repeat_budget(hosted, now),
             round(hosted.refusals.share(now), 2),
+            durations.is_known,
         )
 
     def _has_repeat_budget(self, hosted: HostedServer, now: float) -> bool:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -28,6 +28,7 @@
     wants_trial: bool = False
     takes_repeats: bool = True  # the server's share of the retry budget is not spent
     refusal_share: float = 0.0  # share of recent attempts that the server refused unrun
+    is_known: bool = True  # False if the answer time is a guess, for want of answers
 
 
 class Ask(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
@@ -17,6 +17,7 @@
 # Nearly all answers of a route but some of its stragglers take less than this multiple
 # of the 90th percentile.
 OUTLAST_MULTIPLE = 3.0
+GUESS_MULTIPLE = 6.0  # in place of it where the percentile is a guess
 # A server with a higher risk probably loses what it is sent.
 UNSAFE_RISK_LIMIT = 0.8
 # Half of the queue has been served by then, or its deadlines have passed.
@@ -46,9 +47,10 @@
     """Return whether more than a few answers in a hundred would miss ``remaining_s``.
 
     One answer in ten takes longer than the 90th percentile, and stragglers several
-    times as long.
+    times as long; so may all answers of a route that the server has not run yet.
     """
-    return bid.wait_s + OUTLAST_MULTIPLE * bid.p90_s >= remaining_s
+    multiple = OUTLAST_MULTIPLE if bid.is_known else GUESS_MULTIPLE
+    return bid.wait_s + multiple * bid.p90_s >= remaining_s
 
 
 def make_refusal(
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -475,6 +475,15 @@
     assert outputs == ([] if is_queued else declined("last", DeclineReason.FULL))
 
 
+@pytest.mark.parametrize(("answers", "is_known"), [(0, False), (2, False), (3, True)])
+def test_a_bid_says_whether_it_knows_how_long_a_route_takes(
+    answers: int, is_known: bool
+) -> None:
+    harness = HostHarness()
+    teach(harness, EndKind.GOOD, answers)
+    assert harness.bid().bids[0].is_known is is_known
+
+
 STOPS = [  # time until the end and until a slot is free, is it safe, does it start
     ("time for the queue and for it", 2.5, 0.5, True, True),
     ("no time for the queue", 0.1, 0.05, True, False),
--- a/tests/unit/forwarding/test_planned_stop.py
+++ b/tests/unit/forwarding/test_planned_stop.py
@@ -65,6 +65,17 @@
     assert len(cut) / TRIALS <= MAX_SHARE
 
 
+@pytest.mark.parametrize(
+    ("is_known", "remaining_s", "is_sent"),
+    [(True, 0.7, True), (False, 0.7, False), (False, 1.3, True)],
+)
+def test_a_guess_of_the_answer_time_needs_more_time_left(
+    is_known: bool, remaining_s: float, is_sent: bool
+) -> None:
+    bid = Bid("s", 0.0, 1, 0.0, 0.2, is_known=is_known)
+    assert would_outlast(bid, remaining_s) is not is_sent
+
+
 @pytest.mark.parametrize("case", [SAFE, UNSAFE])
 def test_a_request_without_a_server_is_refused_before_the_end(case: Case) -> None:
     driver = Driver(case)
