--- a/review/5/case.py
+++ b/review/5/case.py
@@ -79,12 +79,12 @@
     time.sleep(max(0.0, sent_at + SERVES_ON_S - time.monotonic()))
     for each in clients:
         each.stop()
+    leaving.exit()
     late = [
         run
         for run in leaving.runs
         if run.at > acknowledged_at + max(DRAIN_S, STABLE_S)
     ]
-    leaving.exit()
     record.note(
         f"result: {len(late)} requests reached {leaving.server_id} later than"
         f" {max(DRAIN_S, STABLE_S)} s after its DELETE was acknowledged"
--- a/review/server.py
+++ b/review/server.py
@@ -1,6 +1,7 @@
 """A backend server beside a daemon, as PROTOCOL.md describes it."""
 
 import json
+import socket
 import threading
 import time
 from http.server import BaseHTTPRequestHandler
@@ -32,6 +33,7 @@
         self.record = record
         self.work_s = work_s
         self.runs: list[Run] = []
+        self.connections: list[socket.socket] = []
         self.state = "ready"
         self.born = time.time_ns() // 1_000_000
         self.server_id = f"i-{self.born:x}-{daemon.name}"
@@ -56,6 +58,10 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def process_request(self, request: Any, client_address: Any) -> None:
+                outer.connections.append(request)
+                super().process_request(request, client_address)
+
             def handle_error(self, request: Any, client_address: Any) -> None:
                 pass  # a connection that was reset
 
@@ -165,11 +171,16 @@
         self._stopped.set()
 
     def exit(self) -> None:
-        """End: close the listener."""
+        """End: close the listener and all connections."""
         self._stopped.set()
         self.record.note(f"{self.server_id}: exits")
         self._http.shutdown()
         self._http.server_close()
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
     def _send_pings(self) -> None:
         while not self._stopped.is_set():
