--- a/review/harness.py
+++ b/review/harness.py
@@ -363,6 +363,8 @@
 def run_case(main: Callable[[pathlib.Path, bool], int], file: str) -> None:
     """Run a case and exit with its result."""
     folder = pathlib.Path(file).resolve().parent
+    # So that the processes are ended if the script itself is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         result = main(folder, os.environ.get("TROUBLE") != "0")
     except CannotRunError as error:
