Record the withdrawal of a server that the registry does not know

The daemon had just been restarted, and a heartbeat that the server had sent before came late.

Cause: ServerRegistry._withdraw acknowledged a withdrawal of a server without a lease and recorded nothing. What protects against late announcements was kept only for servers that this process had listed, and a restarted one has listed none. Likewise a withdrawal of a later incarnation than the known one was recorded under the known one.

Change: such a withdrawal is kept with its incarnation for FORGET_S, late announcements are refused, and the daemon's row lists the server for the next restart.

--- a/packages/core/src/pimentobend_core/_internal/gossip/published.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/published.py
@@ -4,6 +4,7 @@
 from pimentobend_core._internal.membership.messages import EarlierDrains
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.models.server import ServerState
 
 LEFT_SERVERS_MAX = 4  # the last servers that left one machine
@@ -37,6 +38,10 @@
         if event.presence is Presence.WITHDRAWN:
             self._keep(listed)
 
+    def add_departure(self, left: UnknownServerLeft) -> None:
+        """List a server that left without being known to this process."""
+        self._keep(HostedServer(left.server_id, "", False, left.incarnation))
+
     def restore(self, servers: tuple[HostedServer, ...]) -> EarlierDrains:
         """Return which servers of an earlier row were not ready, and list them."""
         unready = [each for each in servers if not each.is_ready]
--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -71,6 +71,13 @@
     server_id: str
 
 
+class UnknownServerLeft(NamedTuple):
+    """A server withdrew that had not announced itself since this process started."""
+
+    server_id: str
+    incarnation: int
+
+
 class ServerEvents(NamedTuple):
     """Changes received from other instances."""
 
@@ -127,6 +134,7 @@
     | WithdrawalAccepted
     | DrainReplied
     | ServerEvent
+    | UnknownServerLeft
 )
 ViewInput = (
     ServerEvent
--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from pimentobend_core._internal.membership.checks import NUMBER_MAX
 from pimentobend_core._internal.membership.checks import find_faults
 from pimentobend_core._internal.membership.checks import find_transition_faults
 from pimentobend_core._internal.membership.messages import AnnouncementAccepted
@@ -20,6 +21,7 @@
 from pimentobend_core._internal.membership.messages import RegistryInput
 from pimentobend_core._internal.membership.messages import RegistryOutput
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.membership.messages import WithdrawalAccepted
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
@@ -49,6 +51,13 @@
     sequence: int = 0  # sequence number of the latest announcement
 
 
+class _Departure(NamedTuple):
+    """Withdrawal of a server that this process had not heard of."""
+
+    incarnation: int  # the latest one that left
+    until: float  # when the record is deleted
+
+
 class ServerRegistry(StatefulFilter[RegistryInput, RegistryOutput]):
     """Turn announcements, withdrawals and expired leases into events.
 
@@ -66,7 +75,9 @@
         self._unique_addresses = unique_addresses
         self._sequence = 0
         self._leases: dict[str, _Lease] = {}
-        self._drained: dict[str, int] = {}  # drained incarnation by server
+        self._drained: dict[str, int] = {}  # latest drained incarnation by server
+        # After a restart, a withdrawal can arrive before any announcement.
+        self._departures: dict[str, _Departure] = {}
         self._last_handled_at: float | None = None
 
     def handle(self, message: RegistryInput, now: float) -> tuple[RegistryOutput, ...]:
@@ -126,6 +137,8 @@
         if known is not None:
             faults += find_transition_faults(known.server, server)
             faults += _find_withdrawal_faults(known, server)
+        elif departure := self._departures.get(server.server_id):
+            faults += _find_incarnation_faults(server, departure.incarnation)
         elif len(self._leases) >= SERVERS_MAX:
             faults += (f"server_id: limit of {SERVERS_MAX} announced servers reached",)
         if faults:
@@ -205,18 +218,39 @@
         return tuple(events)
 
     def _apply_drain(self, server: Server) -> Server:
-        if self._drained.get(server.server_id) != server.incarnation:
+        if server.incarnation > self._drained.get(server.server_id, -1):
             return server
         return server._replace(state=ServerState.DRAINING)
 
     def _withdraw(self, message: Withdrawal, now: float) -> tuple[RegistryOutput, ...]:
         accepted = WithdrawalAccepted(message.server_id)
         known = self._leases.get(message.server_id)
-        if known is None or message.incarnation < known.server.incarnation:
+        if known is None:
+            return (accepted, *self._record_departure(message, now))
+        server = known.server
+        if message.incarnation < server.incarnation:
             return (accepted,)
-        if known.presence is Presence.WITHDRAWN:
+        if server.incarnation < message.incarnation <= NUMBER_MAX:
+            # A later lifetime withdraws whose announcements have not arrived yet.
+            server = server._replace(incarnation=message.incarnation)
+        elif known.presence is Presence.WITHDRAWN:
             return (accepted,)
-        return (accepted, self._end_lease(known.server, Presence.WITHDRAWN, now))
+        return (accepted, self._end_lease(server, Presence.WITHDRAWN, now))
+
+    def _record_departure(
+        self, message: Withdrawal, now: float
+    ) -> tuple[UnknownServerLeft, ...]:
+        """Remember an unknown server that left, to refuse its late announcements."""
+        server_id, incarnation = message
+        earlier = self._departures.pop(server_id, None)
+        if earlier is not None:
+            incarnation = max(incarnation, earlier.incarnation)
+        self._departures[server_id] = _Departure(incarnation, now + FORGET_S)
+        if len(self._departures) > SERVERS_MAX:
+            del self._departures[next(iter(self._departures))]
+        if earlier is not None and earlier.incarnation == incarnation:
+            return ()
+        return (UnknownServerLeft(server_id, incarnation),)
 
     def _expire(self, now: float) -> tuple[RegistryOutput, ...]:
         events = []
@@ -228,6 +262,11 @@
             else:
                 del self._leases[server_id]
                 self._drained.pop(server_id, None)
+        self._departures = {
+            server_id: departure
+            for server_id, departure in self._departures.items()
+            if departure.until > now
+        }
         return tuple(events)
 
     def _end_lease(self, server: Server, presence: Presence, now: float) -> ServerEvent:
@@ -255,10 +294,15 @@
 
 
 def _find_withdrawal_faults(known: _Lease, server: Server) -> tuple[str, ...]:
-    withdrawn = known.presence is Presence.WITHDRAWN
-    if withdrawn and server.incarnation <= known.server.incarnation:
-        return (
-            f"incarnation: must be above {known.server.incarnation}, which was"
-            f" withdrawn, not {server.incarnation}",
-        )
-    return ()
+    if known.presence is not Presence.WITHDRAWN:
+        return ()
+    return _find_incarnation_faults(server, known.server.incarnation)
+
+
+def _find_incarnation_faults(server: Server, withdrawn: int) -> tuple[str, ...]:
+    if server.incarnation > withdrawn:
+        return ()
+    return (
+        f"incarnation: must be above {withdrawn}, which was withdrawn,"
+        f" not {server.incarnation}",
+    )
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -45,6 +45,7 @@
 from pimentobend_core._internal.membership.messages import RegistryOutput
 from pimentobend_core._internal.membership.messages import RegistryTick
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.membership.messages import WithdrawalAccepted
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.models.events import RequestEnded
@@ -75,7 +76,7 @@
         self,
         address: str,
         epoch: int,
-        on_change: Callable[[ServerEvent], None],
+        on_change: Callable[[ServerEvent | UnknownServerLeft], None],
         on_refused: Callable[[str, tuple[str, ...]], None],
     ) -> None:
         self._on_change = on_change
@@ -112,7 +113,7 @@
         self._on_refused(server_id, faults)
 
     def _handle_registry_output(self, output: RegistryOutput) -> None:
-        if isinstance(output, ServerEvent):
+        if isinstance(output, ServerEvent | UnknownServerLeft):
             self._on_change(output)
         elif isinstance(output, RegistryReply):
             self._replies.put(output)
@@ -166,7 +167,7 @@
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = LocalServers(
-            link.address, process_id, self._handle_server_event, ports.on_refused
+            link.address, process_id, self._handle_server_change, ports.on_refused
         )
         delivery = DeliveryPorts(
             process_id,
@@ -283,7 +284,15 @@
             self.host.note_failed_request()
         self._requests.put(event)
 
-    def _handle_server_event(self, event: ServerEvent) -> None:
+    def _handle_server_change(self, change: ServerEvent | UnknownServerLeft) -> None:
+        if isinstance(change, UnknownServerLeft):
+            self._published.add_departure(change)
+        else:
+            self._update_server(change)
+            self._published.update(change)
+        self._on_servers_changed(self._published.all())
+
+    def _update_server(self, event: ServerEvent) -> None:
         server = event.server
         if event.presence is Presence.LIVE:
             self._servers[server.server_id] = server
@@ -291,8 +300,6 @@
         else:
             self._servers.pop(server.server_id, None)
             self.host.remove_server(server.server_id)
-        self._published.update(event)
-        self._on_servers_changed(self._published.all())
 
     def restore(self, row: PeerRow) -> None:
         """Take over what this daemon's row said before it restarted.
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -27,6 +27,7 @@
 from pimentobend_core._internal.membership.messages import RegistryOutput
 from pimentobend_core._internal.membership.messages import RegistryTick
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.membership.pools import PoolServersChanged
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.membership.spread.messages import Row
@@ -209,10 +210,14 @@
             self.suspects.receive(reports, is_own=self._crash_rows.is_own(row))
 
     def _handle_registry_output(self, message: RegistryOutput) -> None:
-        if isinstance(message, ServerEvent):
-            self._membership.publish(message)
-            return
-        self._replies.put(message)
+        match message:
+            case ServerEvent():
+                self._membership.publish(message)
+            case UnknownServerLeft():
+                # Rows describe whole servers: this one is remembered here only.
+                get_log().info("unknown-server-left", **message._asdict())
+            case _:
+                self._replies.put(message)
 
 
 def _report_refused(metrics: Metrics, server_id: str, faults: tuple[str, ...]) -> None:
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -58,6 +58,7 @@
         self.ran: list[str] = []
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
+        self.sends_heartbeats = True
         self.hold_s = 0.0  # time that each request takes
         self.content = b""  # body of the answers, instead of the server's id
         self.hangs = False  # answer requests only after HANG_S, or once stopped
@@ -270,11 +271,27 @@
 
     def beat(self) -> int:
         """Send one heartbeat; return the status, or 0 if there is no answer."""
+        return self.send(self.make_heartbeat())
+
+    def make_heartbeat(self) -> urllib.request.Request:
+        """Return the next heartbeat."""
         self._sequence += 1
         status = {"state": self.state, "seq": self._sequence, "warmupRemainingS": 0}
+        return self._make_request("PUT", {**self._heartbeat, "status": status})
+
+    def make_withdrawal(self) -> urllib.request.Request:
+        """Return the message that this server leaves."""
+        return self._make_request("DELETE", {"born": self._heartbeat["born"]})
+
+    def _make_request(
+        self, method: str, document: dict[str, Any]
+    ) -> urllib.request.Request:
         url = f"http://{self._control}/-/instances/{self.server_id}"
-        data = json.dumps({**self._heartbeat, "status": status}).encode()
-        request = urllib.request.Request(url, data, method="PUT")
+        data = json.dumps(document).encode()
+        return urllib.request.Request(url, data, method=method)
+
+    def send(self, request: urllib.request.Request) -> int:
+        """Send a message; return the status, or 0 if there is no answer."""
         try:
             with urllib.request.urlopen(request, timeout=1) as answer:
                 code: int = answer.status
@@ -284,5 +301,5 @@
 
     def _send_heartbeats(self) -> None:
         while not self._stop.wait(0.3):
-            if not self._is_down:
+            if self.sends_heartbeats and not self._is_down:
                 self.beat()
--- a/tests/unit/gossip/test_published.py
+++ b/tests/unit/gossip/test_published.py
@@ -8,6 +8,7 @@
 from pimentobend_core._internal.membership.messages import Presence
 from pimentobend_core._internal.membership.messages import Rank
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 
@@ -59,6 +60,13 @@
     assert servers.unready() == (UNUSED,)
 
 
+def test_an_unknown_server_that_left_is_listed_for_the_next_restart() -> None:
+    servers = PublishedServers()
+    servers.add_departure(UnknownServerLeft("a", 7))
+    assert servers.unready() == (HostedServer("a", "", False, 7),)
+    assert PublishedServers().restore(servers.all()).servers == (("a", 7),)
+
+
 def test_the_list_of_servers_that_left_is_bounded() -> None:
     servers = PublishedServers()
     for number in range(3 * LEFT_SERVERS_MAX):
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -9,7 +9,9 @@
 from pimentobend_core._internal.membership.messages import RegistryInput
 from pimentobend_core._internal.membership.messages import RegistryTick
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import UnknownServerLeft
 from pimentobend_core._internal.membership.registry import FORGET_S
+from pimentobend_core._internal.membership.registry import SERVERS_MAX
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
@@ -171,3 +173,62 @@
     outputs = _run([(float(now), message) for now, message in enumerate(heard)])
     events = [output for output in outputs if isinstance(output, ServerEvent)]
     assert events[-1].server.state is state
+
+
+LEAVES = Withdrawal("kiln-1", 7)
+NO_INCARNATION = 2**62  # what the platform's adapter gives if a withdrawal names none
+LATE_ANNOUNCEMENTS = [  # what a restarted daemon hears, and the servers that it lists
+    ("of the lifetime that left", [LEAVES, _announce()], []),
+    ("of an earlier one", [LEAVES, _announce(incarnation=6)], []),
+    ("of a later one", [LEAVES, _announce(incarnation=8)], [8]),
+    (
+        "after a withdrawal without incarnation",
+        [Withdrawal("kiln-1", NO_INCARNATION), _announce()],
+        [],
+    ),
+    (
+        "after withdrawals in the wrong order",
+        [Withdrawal("kiln-1", 8), LEAVES, _announce(incarnation=8)],
+        [],
+    ),
+    (
+        "of a later lifetime that left before it was known",
+        [_announce(), Withdrawal("kiln-1", 8), _announce(incarnation=8)],
+        [7],
+    ),
+    ("of another server", [LEAVES, _announce(server_id="kiln-2")], [7]),
+    ("when it is too late to matter", [LEAVES, *[TICK] * 130, _announce()], [7]),
+]
+
+
+@pytest.mark.parametrize(
+    ("heard", "listed"),
+    [case[1:] for case in LATE_ANNOUNCEMENTS],
+    ids=[case[0] for case in LATE_ANNOUNCEMENTS],
+)
+def test_a_late_announcement_does_not_bring_back_a_server_that_left(
+    heard: list[RegistryInput], listed: list[int]
+) -> None:
+    """A restarted daemon acknowledged the withdrawal of a server it did not know."""
+    outputs = _run([(float(now), message) for now, message in enumerate(heard)])
+    events = [output for output in outputs if isinstance(output, ServerEvent)]
+    live = [event for event in events if event.presence is LIVE]
+    assert [event.server.incarnation for event in live] == listed
+    if len(events) > len(live):
+        assert events[-1].server.incarnation == 8
+
+
+def test_the_departure_of_an_unknown_server_is_reported_once() -> None:
+    outputs = _run([(0, LEAVES), (1, LEAVES), (2, Withdrawal("kiln-1", 6))])
+    reported = [each for each in outputs if isinstance(each, UnknownServerLeft)]
+    assert reported == [UnknownServerLeft("kiln-1", 7)]
+
+
+def test_the_departures_of_unknown_servers_are_bounded() -> None:
+    registry = ServerRegistry("daemon-1")
+    for number in range(2 * SERVERS_MAX):
+        registry.handle(Withdrawal(f"kiln-{number}", 7), 0.0)
+    late = _announce(server_id=f"kiln-{2 * SERVERS_MAX - 1}")
+    assert isinstance(registry.handle(late, 1.0)[-1], AnnouncementRefused)
+    forgotten = _announce(server_id="kiln-0")
+    assert isinstance(registry.handle(forgotten, 1.0)[0], AnnouncementAccepted)
