Publish the servers that leave while their daemon stops

Cause: FleetDaemon._update_servers published no change once the stop had begun, so that no other daemon could tell the next process. And a row that was published last was returned only by daemons that the next process talked to itself, which may not be those that had heard it.

Evidence: leave_during_stop and drain_during_stop of test_late_heartbeats.py failed on the untouched code; test_a_row_that_is_still_a_rumour_is_returned_to_a_restarted_daemon failed in one of three rows without the change of GossipNode.

Change: a stopping daemon publishes its servers that are not ready. A daemon that holds the earlier row as a rumour returns it when it hears of the next process from others.

Measured: test_late_heartbeats.py passes with all four rows.

--- a/packages/core/src/pimentobend_core/_internal/gossip/node.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/node.py
@@ -165,10 +165,22 @@
                 continue
             if row.address == self._own_row.address:
                 outputs.append(EarlierRowSeen(row))
-            elif row.address == sender and _is_worth_returning(known):
-                outputs.append(SendGossip(sender, Rows((known,), ())))
+            elif self._should_return(known, row, sender):
+                outputs.append(SendGossip(row.address, Rows((known,), ())))
         return outputs
 
+    def _should_return(self, known: PeerRow, row: PeerRow, sender: str) -> bool:
+        """Return whether a restarted daemon should get its earlier row from this one.
+
+        A row that is still a rumour may be unknown to the daemons that the restarted
+        one talks to itself.
+        """
+        is_rumour = known.address in self._rumour_budgets
+        may_be_needed = row.address == sender or (
+            is_rumour and row.version > known.version
+        )
+        return may_be_needed and _is_worth_returning(known)
+
     def _record_heard(self, sender: str, now: float) -> list[GossipOutput]:
         self._last_heard_at[sender] = now
         if not self._misses.pop(sender, 0):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -268,7 +268,10 @@
     def _update_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
             self._log.info("server-listed", **server._asdict())
-        if not self._is_stopping and servers != self._own_row.servers:
+        if self._is_stopping:
+            # The next process learns from this row which servers have left.
+            servers = tuple(each for each in servers if not each.is_ready)
+        if servers != self._own_row.servers:
             self._update_own_row(self._own_row._replace(servers=servers))
 
     def _update_reports(self, reports: tuple[CrashReport, ...]) -> None:
--- a/tests/functional/test_late_heartbeats.py
+++ b/tests/functional/test_late_heartbeats.py
@@ -43,6 +43,11 @@
     assert server.send(server.make_withdrawal()) == 200
 
 
+def report_draining(server: PlatformServer) -> None:
+    server.state = "draining"
+    assert server.beat() == 200
+
+
 def leave_after_restart(process: Process, server: PlatformServer) -> None:
     process.signal(signal.SIGTERM)
     restart(process)
@@ -55,7 +60,29 @@
     restart(process)
 
 
-@pytest.mark.parametrize("take_leave", [leave_after_restart, leave_between_restarts])
+def leave_during_stop(process: Process, server: PlatformServer) -> None:
+    process.signal(signal.SIGTERM)
+    wait_until(lambda: not process.is_ready(), "it is stopping")
+    leave(server)
+    restart(process)
+
+
+def drain_during_stop(process: Process, server: PlatformServer) -> None:
+    process.signal(signal.SIGTERM)
+    wait_until(lambda: not process.is_ready(), "it is stopping")
+    report_draining(server)
+    restart(process)
+
+
+@pytest.mark.parametrize(
+    "take_leave",
+    [
+        leave_after_restart,
+        leave_between_restarts,
+        leave_during_stop,
+        drain_during_stop,
+    ],
+)
 def test_a_late_heartbeat_does_not_bring_back_a_server(
     fleet: Fleet, take_leave: Callable[[Process, PlatformServer], None]
 ) -> None:
--- a/tests/unit/gossip/test_node.py
+++ b/tests/unit/gossip/test_node.py
@@ -208,6 +208,31 @@
     assert all(each == servers for each in told)
 
 
+SUCCESSORS = [  # servers in the earlier row, the restarted process's row, is it told
+    ("a server had left", (LEFT,), make_row(5, incarnation=2), True),
+    ("an older process", (LEFT,), make_row(5, incarnation=0), False),
+    ("all were ready", (SERVER,), make_row(5, incarnation=2), False),
+]
+
+
+@pytest.mark.parametrize(
+    ("servers", "successor", "is_told"),
+    [s[1:] for s in SUCCESSORS],
+    ids=[s[0] for s in SUCCESSORS],
+)
+def test_a_row_that_is_still_a_rumour_is_returned_to_a_restarted_daemon(
+    servers: tuple[HostedServer, ...], successor: PeerRow, is_told: bool
+) -> None:
+    """A daemon ended before the daemons that its successor asks knew who had left."""
+    node = GossipNode(make_row(1), (), 1)
+    earlier = make_row(5)._replace(servers=servers)
+    node.handle(GossipReceived(earlier.address, Rows((earlier,), ())), 0.0)
+    rumour = Rows((successor._replace(process_id=99),), ())
+    outputs = node.handle(GossipReceived(make_row(2).address, rumour), 0.1)
+    returned = SendGossip(earlier.address, Rows((earlier,), ()))
+    assert (returned in outputs) == is_told
+
+
 REPORTS = tuple(
     CrashReport(f"{2**32 - 1:x}-{number}", "f" * 16, 2, REPORT_S)
     for number in range(MAX_PUBLISHED)
