Restore withdrawals and drains after a restart on the own interface

What callers saw: on the own interface, a server that had withdrawn, or that an operator had drained, was listed as ready again when an announcement of it arrived after a restart of its instance.

What the instance had published before its restart comes back from the spread tree, but the registry did not read it.

Evidence: both rows of test_late_announcements.py failed without the subscription.

Change: withdrawn and draining servers among the instance's rows of earlier epochs are given to the registry as EarlierDrains. The registry's dump shows what is drained.

Measured: test_late_announcements.py and test_restarts.py pass.

--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -122,6 +122,7 @@
                 }
                 for server_id, lease in sorted(self._leases.items())
             },
+            "drained": dict(sorted(self._drained.items())),
         }
 
     def _announce(
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -116,6 +116,7 @@
             f"{settings.instance}.{epoch}", clock, metrics, self._crash_rows.publish
         )
         membership.subscribe_to_crashes(self._receive_crashes)
+        membership.subscribe_to_earlier_drains(self.registry.put)
         pipe = build_request_pipe(
             RequestPorts(
                 clock=clock,
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -15,13 +15,16 @@
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_core._internal.membership.messages import EarlierDrains
 from pimentobend_core._internal.membership.messages import ServerEvent
+from pimentobend_core._internal.membership.messages import ServerEvents
 from pimentobend_core._internal.membership.messages import ServiceChanged
 from pimentobend_core._internal.membership.messages import ViewInput
 from pimentobend_core._internal.membership.messages import ViewTick
 from pimentobend_core._internal.membership.pools import PoolServers
 from pimentobend_core._internal.membership.pools import PoolServersChanged
 from pimentobend_core._internal.membership.pools import PoolServersInput
+from pimentobend_core._internal.membership.restarts import find_earlier_drains
 from pimentobend_core._internal.membership.rows import create_server_row
 from pimentobend_core._internal.membership.rows import read_rows
 from pimentobend_core._internal.membership.spread.client import SpreadClient
@@ -69,11 +72,13 @@
         on_fault: Callable[[PimentobendError], None],
     ) -> None:
         self._link = link
+        self._epoch = epoch
         self._on_fault = on_fault
         self._parents = parents
         self._subscribers: list[Callable[[ServiceChanged], None]] = []
         self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
         self._crash_subscribers: list[Callable[[Row], None]] = []
+        self._drain_subscribers: list[Callable[[EarlierDrains], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
@@ -129,6 +134,15 @@
         """Call ``function`` with each row of reports on crashes that arrives."""
         self._crash_subscribers.append(function)
 
+    def subscribe_to_earlier_drains(
+        self, function: Callable[[EarlierDrains], None]
+    ) -> None:
+        """Call ``function`` with the servers that this process published as leaving.
+
+        Only those count that it published before its restart.
+        """
+        self._drain_subscribers.append(function)
+
     def publish_row(self, row: Row) -> None:
         """Publish a row of this process."""
         self._node.put(PublishRows((row,)))
@@ -159,6 +173,8 @@
         if isinstance(output, RowsArrived):
             for message in read_rows(output.rows, self._on_fault):
                 self._view.put(message)
+                if isinstance(message, ServerEvents):
+                    self._notify_drain_subscribers(message)
             self._notify_crash_subscribers(output.rows)
             return
         payload = encode_message(output.message)
@@ -169,6 +185,12 @@
         for function in self._subscribers:
             function(message)
 
+    def _notify_drain_subscribers(self, message: ServerEvents) -> None:
+        drains = find_earlier_drains(message.events, self._link.address, self._epoch)
+        if drains.servers:
+            for function in self._drain_subscribers:
+                function(drains)
+
     def _notify_crash_subscribers(self, rows: tuple[Row, ...]) -> None:
         for row in rows:
             if row.row_id.kind == RowKind.CRASHES:
