Acknowledge a server's message only once the registry has recorded it

A server would have counted as drained, or gone, from an acknowledgement that stood for nothing.

Cause: LocalServers answered 200 when the registry had not replied in time, and its replies were told apart by the server's id alone, so that the reply to a late heartbeat also woke the caller that waited for the withdrawal.

Change: no reply in time is 503 for a withdrawal and a fault of an announcement. Replies are told apart by server and kind.

Measured: the unit tests of membership and platform pass.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -56,8 +56,8 @@
         """Register or renew a server, or return the faults of the announcement."""
 
     @abc.abstractmethod
-    def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that is shutting down."""
+    def withdraw(self, withdrawal: Withdrawal) -> bool:
+        """Remove a server that is shutting down; return whether that is recorded."""
 
     @abc.abstractmethod
     def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -69,6 +69,17 @@
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
 
+# A server that gets this sends its announcement again.
+_NO_REPLY = ("the registry did not reply in time",)
+
+
+class _ReplyKey(NamedTuple):
+    """What a reply answers: a late announcement can arrive beside a withdrawal."""
+
+    server_id: str
+    is_withdrawal: bool
+
+
 class LocalServers(ServersPort):
     """Registry of the backend servers that announce themselves to this daemon."""
 
@@ -81,7 +92,7 @@
     ) -> None:
         self._on_change = on_change
         self._on_refused = on_refused
-        self._replies: Replies[RegistryReply] = Replies(lambda reply: reply.server_id)
+        self._replies: Replies[RegistryReply] = Replies(_key_of_reply)
         self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
             "registry",
             ServerRegistry(address, epoch, unique_addresses=True),
@@ -93,20 +104,23 @@
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
         """Register or renew a server, or return the faults of the announcement."""
         reply = self._replies.ask(
-            announcement.server.server_id,
+            _ReplyKey(announcement.server.server_id, is_withdrawal=False),
             lambda: self.task.put(announcement),
             ANSWER_TIMEOUT_S,
         )
-        if isinstance(reply, AnnouncementRefused):
-            self.report_refused(reply.server_id, reply.faults)
-            return Failure(reply.faults)
-        return Success(None)
-
-    def withdraw(self, withdrawal: Withdrawal) -> None:
-        """Remove a server that is shutting down."""
-        self._replies.ask(
-            withdrawal.server_id, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
+        if isinstance(reply, AnnouncementAccepted):
+            return Success(None)
+        faults = reply.faults if isinstance(reply, AnnouncementRefused) else _NO_REPLY
+        self.report_refused(announcement.server.server_id, faults)
+        return Failure(faults)
+
+    def withdraw(self, withdrawal: Withdrawal) -> bool:
+        """Remove a server that is shutting down; return whether that is recorded."""
+        key = _ReplyKey(withdrawal.server_id, is_withdrawal=True)
+        reply = self._replies.ask(
+            key, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
         )
+        return reply is not None
 
     def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
         """Record that an announcement was refused, and why."""
@@ -119,6 +133,10 @@
             self._replies.put(output)
 
 
+def _key_of_reply(reply: RegistryReply) -> _ReplyKey:
+    return _ReplyKey(reply.server_id, isinstance(reply, WithdrawalAccepted))
+
+
 class InstancePorts(NamedTuple):
     """Values, tasks and functions of the process that the role instance uses."""
 
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -254,8 +254,9 @@
         self.received.append(announcement)
         return Failure(self.faults) if self.faults else Success(None)
 
-    def withdraw(self, withdrawal: Withdrawal) -> None:
+    def withdraw(self, withdrawal: Withdrawal) -> bool:
         self.received.append(withdrawal)
+        return not self.faults
 
     def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
         self.refused.append(faults)
@@ -334,6 +335,7 @@
     ("POST", "/-/instances/i-1", HEARTBEAT, (), "405", 0),
     ("DELETE", "/-/instances/i-1", {"born": 5}, (), "200", 1),
     ("DELETE", "/-/instances/i-1", {}, (), "200", 1),
+    ("DELETE", "/-/instances/i-1", {}, ("not recorded",), "503", 1),
     ("DELETE", "/-/instances/i-1", {"born": "x"}, (), "400", 0),
     ("DELETE", "/-/instances/i-1", {"born": 2**70}, (), "400", 0),
     ("DELETE", "/-/instances/i-1", {"born": -1}, (), "400", 0),
