Confirm a refusal by a majority before it ends the operator's call

Cause: ConfigurationService answered CONFLICT, INVALID and TOO_LARGE from its own state. Acceptances are committed and reads are confirmed by a majority, refusals were neither, and the LeaderChanged of the replica waits behind the request in the service's inbox.

Evidence: test_a_refusal_waits_for_a_majority and the two tests after it failed (14 rows) on the untouched service. Both interfaces use this service; the ledger refuses only from committed commands.

Change: such a refusal asks for a confirmed log index as a read does, and is decided again once that index is applied. A read that waits when its replica's disk fails is ended now, as a refusal would otherwise wait for nothing (test_a_read_that_waits_at_a_disk_fault_fails, failed before).

--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -7,7 +7,6 @@
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import TablesCommand
-from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
@@ -47,11 +46,15 @@
 }
 
 
+_Confirmable = TablesReadRequest | TablesChangeRequest
+
+
 class ConfigurationService(StatefulFilter[ServiceInput, ServiceOutput]):
     """Turn submitted tables into deltas, propose them and answer after commit.
 
     Reads are linearisable: they wait until the index that the leader confirmed
-    is applied.
+    is applied. So do refusals that end a change, as a replica that led before it was
+    paused does not know what its successor has accepted meanwhile.
     """
 
     def __init__(self, replica_id: str) -> None:
@@ -64,8 +67,10 @@
         self._leader = LeaderChanged(0, None)
         self._applied = Version(0, 0)  # position of the last applied log entry
         self._compacted_index = 0
-        self._reads: dict[int, int] = {}  # token by read id
-        self._confirmed_reads: list[tuple[int, int]] = []  # log index and token
+        # Requests that wait for the confirmation of a log index, by read id.
+        self._reads: dict[int, _Confirmable] = {}
+        # Confirmed log index and request.
+        self._confirmed_reads: list[tuple[int, _Confirmable]] = []
         self._applied_bytes = 0  # log bytes applied since the last compaction
 
     @property
@@ -79,7 +84,7 @@
             case TablesChangeRequest():
                 return self._handle_change(message)
             case TablesReadRequest():
-                return self._start_read(message.token)
+                return self._confirm(message)
             case ReadReady():
                 return self._handle_read_ready(message)
             case Committed():
@@ -98,6 +103,7 @@
             **self._state.dump(),
             "applied_index": self._applied.log_index,
             "waiting": len(self._pending),
+            "confirming": len(self._reads) + len(self._confirmed_reads),
             "leader_id": self._leader.leader_id,
         }
 
@@ -114,9 +120,20 @@
         if self._applied.term != self._leader.term:
             # Entries of earlier terms may not be applied yet.
             return (self._reply(request, ChangeOutcome.NO_MAJORITY),)
+        decided = self._decide(request)
+        if isinstance(decided, ChangeOutcome):
+            return self._confirm(request)
+        return self._propose(request, decided)
+
+    def _decide(self, request: TablesChangeRequest) -> bytes | ChangeOutcome:
+        """Return the command that a change becomes, or why it is refused for good."""
         if not self._is_expected(request):
-            return (self._reply(request, ChangeOutcome.CONFLICT),)
-        return self._propose(request)
+            return ChangeOutcome.CONFLICT
+        delta = self._state.build_delta(request)
+        if not self._state.is_valid(delta, request.label):
+            return ChangeOutcome.INVALID
+        command = encode(TablesCommand(request.change_id, delta))
+        return command if len(command) <= COMMAND_BYTES else ChangeOutcome.TOO_LARGE
 
     def _is_expected(self, request: TablesChangeRequest) -> bool:
         tables = self._state.tables
@@ -124,46 +141,51 @@
             return request.expected == tables.version
         return request.label.base == tables.label
 
-    def _propose(self, request: TablesChangeRequest) -> tuple[ServiceOutput, ...]:
-        delta = self._state.build_delta(request)
-        if not self._state.is_valid(delta, request.label):
-            return (self._reply(request, ChangeOutcome.INVALID),)
-        return self._propose_delta(request, delta)
-
-    def _propose_delta(
-        self, request: TablesChangeRequest, delta: TablesDelta
+    def _propose(
+        self, request: TablesChangeRequest, command: bytes
     ) -> tuple[ServiceOutput, ...]:
-        command = encode(TablesCommand(request.change_id, delta))
-        if len(command) > COMMAND_BYTES:
-            return (self._reply(request, ChangeOutcome.TOO_LARGE),)
         proposal_id = self._next_id
         self._next_id += 1
         self._pending[proposal_id] = request
         return (Propose((Proposal(proposal_id, command),)),)
 
-    def _start_read(self, token: int) -> tuple[ServiceOutput, ...]:
+    def _confirm(self, request: _Confirmable) -> tuple[ServiceOutput, ...]:
+        """Ask a majority which log index has to be applied before the answer."""
         read_id = self._next_id
         self._next_id += 1
-        self._reads[read_id] = token
+        self._reads[read_id] = request
         return (ReadIndex(read_id),)
 
     def _handle_read_ready(self, ready: ReadReady) -> tuple[ServiceOutput, ...]:
-        token = self._reads.pop(ready.read_id, None)
-        if token is None:
+        request = self._reads.pop(ready.read_id, None)
+        if request is None:
             return ()
-        if ready.outcome is not Outcome.COMMITTED:
-            return (TablesRead(token, None, ready.leader_id),)
-        self._confirmed_reads.append((ready.log_index, token))
-        return self._finish_reads()
+        if ready.outcome is Outcome.COMMITTED:
+            self._confirmed_reads.append((ready.log_index, request))
+            return self._finish_reads()
+        if isinstance(request, TablesReadRequest):
+            return (TablesRead(request.token, None, ready.leader_id),)
+        reply = self._reply(request, _REFUSALS[ready.outcome])
+        return (reply._replace(leader_id=ready.leader_id),)
 
     def _finish_reads(self) -> tuple[ServiceOutput, ...]:
-        """Answer the reads whose log index is applied."""
+        """Answer the requests whose log index is applied."""
         applied = self._applied.log_index
-        due = [token for index, token in self._confirmed_reads if index <= applied]
+        due = [request for index, request in self._confirmed_reads if index <= applied]
         self._confirmed_reads = [
             each for each in self._confirmed_reads if each[0] > applied
         ]
-        return tuple(TablesRead(token, self._state.tables.whole()) for token in due)
+        return tuple(output for each in due for output in self._answer(each))
+
+    def _answer(self, request: _Confirmable) -> tuple[ServiceOutput, ...]:
+        """Answer a read, or a change that seemed to be refused, as of now."""
+        if isinstance(request, TablesReadRequest):
+            return (TablesRead(request.token, self._state.tables.whole()),)
+        if self._state.answer(request.change_id) is None:
+            decided = self._decide(request)
+            if isinstance(decided, ChangeOutcome):
+                return (self._reply(request, decided),)
+        return self._handle_change(request)
 
     def _apply(self, entries: tuple[Entry, ...]) -> tuple[ServiceOutput, ...]:
         deltas: list[VersionedDelta] = []
--- a/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/replica_task.py
@@ -77,6 +77,7 @@
         self._replica: Replica | None = None
         self._applied_index = 0
         self._pending_proposals: set[int] = set()
+        self._pending_reads: set[int] = set()
         self._disk_faults = 0
         self._greenlet: Any = None
 
@@ -183,6 +184,8 @@
         outputs: list[ReplicaOutput] = []
         for message in messages:
             self._pending_proposals.update(_proposal_ids(message))
+            if isinstance(message, ReadIndex):
+                self._pending_reads.add(message.read_id)
             outputs.extend(replica.handle(message, self._clock.now()))
         batch = batch_outputs(outputs)
         synced = self._disk.write(batch.writes) if batch.writes else 0
@@ -216,7 +219,10 @@
             case ProposalResult():
                 self._pending_proposals.discard(output.proposal_id)
                 self._outlet.put(output)
-            case ReadReady() | LeaderChanged():
+            case ReadReady():
+                self._pending_reads.discard(output.read_id)
+                self._outlet.put(output)
+            case LeaderChanged():
                 self._outlet.put(output)
 
     def _release_entries(self, committed: Committed) -> None:
@@ -248,27 +254,30 @@
     ) -> None:
         """Reload the stored state; refuse only proposals that were surely not written.
 
-        The outcome of all other pending proposals is unknown.
+        The outcome of all other pending proposals is unknown; pending reads fail.
         """
         self._replica = None
         self._disk_faults += 1
         try:
             stored = self._disk.load(self._settings.first_members)
         except DiskError:
-            self._end_proposals(set())
+            self._end_pending(set())
             return
         refused: set[int] = set()
         if can_refuse:
             refused.update(*(_proposal_ids(message) for message in messages))
-        self._end_proposals(refused)
+        self._end_pending(refused)
         self._open(stored)
 
-    def _end_proposals(self, refused: set[int]) -> None:
+    def _end_pending(self, refused: set[int]) -> None:
         for proposal_id in sorted(self._pending_proposals):
             is_refused = proposal_id in refused
             outcome = Outcome.STORAGE if is_refused else Outcome.UNKNOWN
             self._outlet.put(ProposalResult(proposal_id, outcome))
         self._pending_proposals.clear()
+        for read_id in sorted(self._pending_reads):
+            self._outlet.put(ReadReady(read_id, Outcome.STORAGE))
+        self._pending_reads.clear()
         self._outlet.put(LeaderChanged(0, None))
 
     def _reopen(self) -> None:
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -14,6 +14,7 @@
 from pimentobend_core._internal.configuration.messages import TablesCommand
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.service import ConfigurationService
+from pimentobend_core._internal.configuration.service_messages import NextLabel
 from pimentobend_core._internal.configuration.service_messages import ServiceInput
 from pimentobend_core._internal.configuration.service_messages import ServiceOutput
 from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
@@ -31,6 +32,8 @@
 from pimentobend_core._internal.consensus.messages import Outcome
 from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.exceptions import CodecError
 
@@ -44,6 +47,7 @@
         self.service = ConfigurationService("a")
         self.entries: list[Entry] = []
         self.waiting: list[Propose] = []
+        self.reads: list[ReadIndex] = []
         self.replies: list[TablesChangeReply] = []
         self.send(LeaderChanged(3, "a"))
         self.append(b"")
@@ -53,6 +57,8 @@
         for output in outputs:
             if isinstance(output, Propose):
                 self.waiting.append(output)
+            if isinstance(output, ReadIndex):
+                self.reads.append(output)
             if isinstance(output, TablesChangeReply):
                 self.replies.append(output)
         return outputs
@@ -71,6 +77,14 @@
                 outcome = Outcome.COMMITTED
                 self.send(ProposalResult(proposal_id, outcome, 3, entry.log_index))
 
+    def end_reads(
+        self, outcome: Outcome, log_index: int = 0, leader_id: str | None = None
+    ) -> None:
+        """End the reads that wait for a majority."""
+        reads, self.reads = self.reads, []
+        for read in reads:
+            self.send(ReadReady(read.read_id, outcome, log_index, leader_id))
+
     def ask(
         self, change_id: str, *numbers: int, expected: Version | None = None
     ) -> int:
@@ -134,6 +148,73 @@
     assert not log.waiting
 
 
+STALE = Version(1, 1)
+ORDER = TablesChangeRequest(
+    9, "order", STALE, (make_route(1),), POOLS, None, NextLabel(3, 4)
+)
+ODD_ORDERS = [  # that a replica would refuse for good, and its outcome
+    ("other version", ORDER._replace(label=None), ChangeOutcome.CONFLICT),
+    ("other base", ORDER, ChangeOutcome.CONFLICT),
+    ("no growth", ORDER._replace(label=NextLabel(0, 0)), ChangeOutcome.INVALID),
+    (
+        "unknown pool",
+        ORDER._replace(label=NextLabel(0, 1), pools=()),
+        ChangeOutcome.INVALID,
+    ),
+]
+UNCONFIRMED = [  # outcome of the read, new leader, outcome of the change
+    (Outcome.NO_MAJORITY, None, ChangeOutcome.NO_MAJORITY),
+    (Outcome.NOT_LEADER, "b", ChangeOutcome.NOT_LEADER),
+    (Outcome.STORAGE, None, ChangeOutcome.STORAGE),
+]
+
+
+@pytest.mark.parametrize(
+    ("order", "outcome"), [o[1:] for o in ODD_ORDERS], ids=[o[0] for o in ODD_ORDERS]
+)
+@pytest.mark.parametrize(("read", "leader_id", "expected"), UNCONFIRMED)
+def test_a_refusal_waits_for_a_majority(
+    order: TablesChangeRequest,
+    outcome: ChangeOutcome,
+    read: Outcome,
+    leader_id: str | None,
+    expected: ChangeOutcome,
+) -> None:
+    """A leader that was paused refused an order that its successor had accepted."""
+    log = FakeLog()
+    log.send(order)
+    assert log.replies == []
+    log.end_reads(read, leader_id=leader_id)
+    assert [reply.outcome for reply in log.replies] == [expected]
+    assert log.replies[0].leader_id == leader_id
+    log.send(order)
+    log.end_reads(Outcome.COMMITTED, len(log.entries))
+    assert [reply.outcome for reply in log.replies[1:]] == [outcome]
+    assert not log.waiting
+
+
+def test_a_refusal_is_decided_again_once_the_confirmed_index_is_applied() -> None:
+    log = FakeLog()
+    order = ORDER._replace(label=None, expected=Version(3, 2))
+    accepted = log.service.state.build_delta(order)
+    log.send(order)
+    log.end_reads(Outcome.COMMITTED, 2)
+    assert log.replies == []
+    log.append(encode(TablesCommand("order", accepted)))
+    assert [reply.outcome for reply in log.replies] == [ChangeOutcome.ACCEPTED]
+
+
+def test_a_change_is_proposed_if_the_confirmed_state_is_the_expected_one() -> None:
+    log = FakeLog()
+    log.send(ORDER._replace(label=None, expected=Version(3, 2)))
+    log.end_reads(Outcome.COMMITTED, 2)
+    other = TablesCommand("other", log.service.state.tables.diff((), POOLS))
+    log.append(encode(other))
+    assert log.replies == []
+    log.commit()
+    assert [reply.outcome for reply in log.replies] == [ChangeOutcome.ACCEPTED]
+
+
 @pytest.mark.parametrize(
     ("outcome", "expected"),
     [
--- a/tests/unit/consensus/test_replica_task.py
+++ b/tests/unit/consensus/test_replica_task.py
@@ -22,6 +22,8 @@
 from pimentobend_core._internal.consensus.messages import Proposal
 from pimentobend_core._internal.consensus.messages import ProposalResult
 from pimentobend_core._internal.consensus.messages import Propose
+from pimentobend_core._internal.consensus.messages import ReadIndex
+from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobendd._internal.control.replica_task import LogOutput
 from pimentobendd._internal.control.replica_task import ReplicaSettings
 from pimentobendd._internal.control.replica_task import ReplicaTask
@@ -139,3 +141,15 @@
         del expected[1]
     assert running.commands() == expected
     running.task.stop()
+
+
+def test_a_read_that_waits_at_a_disk_fault_fails() -> None:
+    """It stayed unanswered, as the replica that would have confirmed it was gone."""
+    running = RunningTask("a")
+    eventlet.sleep(0.05)
+    running.disk.fault = DiskFault.LOST
+    running.task.put(ReadIndex(7))
+    assert running.propose(2) is Outcome.STORAGE
+    reads = [each for each in running.outputs if isinstance(each, ReadReady)]
+    assert reads == [ReadReady(7, Outcome.STORAGE)]
+    running.task.stop()
