Wait for what servers run until shortly before the end of the grace time

Cause: a stopping daemon ended its requests 0.8 s and its attempts 0.6 s before the platform kills it. Only the writing of the last answers needs time, 0.1 s.

Change: StopPlan states the times of a stop: requests end 0.35 s, attempts 0.15 s before the kill. Requests are placed against the same time as before, which leaves stragglers 0.85 s instead of 0.4 s.

What outlasts the grace time of the daemon beside its server remains open (docs/incidents/stops-that-overlap.md).

--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -54,6 +54,8 @@
 from pimentobendd._internal.fleet.instance import InstancePorts
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
+from pimentobendd._internal.fleet.stop_plan import StopPlan
+from pimentobendd._internal.fleet.stop_plan import plan_stop
 from pimentobendd._internal.fleet.tables import FleetTables
 from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import LOOPBACK_KEY
@@ -66,13 +68,6 @@
 SETTINGS_POLL_S = 1.0  # a changed file is reloaded even without SIGHUP
 DRAIN_POLL_S = 0.05
 SHOWN_CHARACTERS = 200  # of each value that another process sent, in a log line
-# After this time, every readiness probe has seen that the daemon is stopping.
-UNREADY_NOTICE_S = 2.6
-KILL_MARGIN_S = 0.8  # the daemon ends this long before the platform kills it
-# Requests that still wait this long before that end are refused, so that the
-# refusals reach their callers.
-REFUSE_MARGIN_S = 0.4
-LAST_ANSWERS_S = 0.2  # for servers to answer once their calls have ended
 FAREWELL_S = 0.1  # for the last answers to be written
 
 
@@ -158,14 +153,9 @@
         unready = () if self._instance is None else self._instance.unready_servers()
         self._update_own_row(self._own_row._replace(is_leaving=True, servers=unready))
         if self._instance is not None:
-            min_s = min(UNREADY_NOTICE_S, self._settings.grace_s / 2)
-            max_s = max(0.0, self._settings.grace_s - KILL_MARGIN_S)
-            # Queued work does not delay the end, and a slow answer still has the rest
-            # of the grace time.
-            self._instance.stop_accepting(
-                stop_began_at + min_s, stop_began_at + max_s - REFUSE_MARGIN_S
-            )
-            self._drain(self._instance, stop_began_at, min_s, max_s)
+            plan = plan_stop(stop_began_at, self._settings.grace_s)
+            self._instance.stop_accepting(plan.noticed_at, plan.refuse_at)
+            self._drain(self._instance, plan)
             self._instance.close()
         if self._control is not None:
             self._control.stop()
@@ -370,36 +360,29 @@
     def _print_dump(self) -> None:
         print(format_dump(self.dump()), file=sys.stdout, flush=True)
 
-    def _drain(
-        self,
-        instance: FleetInstance,
-        stop_began_at: float,
-        min_s: float,
-        max_s: float,
-    ) -> None:
-        """Serve for at least ``min_s``, and until no request is in flight.
+    def _drain(self, instance: FleetInstance, plan: StopPlan) -> None:
+        """Serve until probes have noticed the stop and no request is in flight.
 
-        Requests still in flight ``max_s`` after the stop began are ended with an
-        answer that says whether they may have run.
+        What is left at the times of the plan is ended with an answer that says
+        whether it may have run.
         """
-        is_refusing = False
-        while True:
-            waited_s = self._clock.now() - stop_began_at
-            if not is_refusing and waited_s >= max_s - REFUSE_MARGIN_S:
-                is_refusing = True
-                instance.refuse_waiting()
-            is_idle = not instance.in_flight
-            if waited_s >= max_s or (is_idle and waited_s >= min_s):
+        while self._clock.now() < plan.refuse_at:
+            has_noticed = self._clock.now() >= plan.noticed_at
+            if has_noticed and not instance.in_flight:
                 break
             eventlet.sleep(DRAIN_POLL_S)
-        if not is_refusing:
-            # Of the requests that came since the last look, none may start.
-            instance.refuse_waiting()
-            eventlet.sleep(FAREWELL_S)
-        if instance.in_flight:
-            self._log.error("shutdown-cut", in_flight=instance.in_flight)
-            instance.give_up_requests()
-            # A server whose own call has ended still answers what it runs.
-            eventlet.sleep(LAST_ANSWERS_S)
-            instance.give_up_attempts()
-            eventlet.sleep(FAREWELL_S)
+        # Of the requests that came since the last look, none may start.
+        instance.refuse_waiting()
+        eventlet.sleep(FAREWELL_S)
+        self._wait_until_idle(instance, plan.end_requests_at)
+        if not instance.in_flight:
+            return
+        self._log.error("shutdown-cut", in_flight=instance.in_flight)
+        instance.give_up_requests()
+        self._wait_until_idle(instance, plan.end_attempts_at)
+        instance.give_up_attempts()
+        self._wait_until_idle(instance, self._clock.now() + FAREWELL_S)
+
+    def _wait_until_idle(self, instance: FleetInstance, until: float) -> None:
+        while instance.in_flight and (left_s := until - self._clock.now()) > 0:
+            eventlet.sleep(min(DRAIN_POLL_S, left_s))
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterator
 
 import pytest
+from platform_fleet import GRACE_S
 from platform_fleet import Fleet
 from platform_fleet import Process
 from platform_fleet import wait_until
@@ -22,6 +23,7 @@
 TIMEOUT_S = 12.0
 HELD_S = 9.0  # longer than the grace time
 LARGE_BYTES = 32 * 1024 * 1024  # more than the connections on its way can buffer
+LAST_MOMENT_S = 0.35  # before the end of the grace time
 READ_AFTER_S = 2.9  # later than a daemon without work ends
 HEAD = f"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n{PREFIX}Request-Id: half\r\n"
 UNREAD = [
@@ -83,6 +85,32 @@
     assert b"connection: close" in head
 
 
+@pytest.mark.parametrize("is_origin_stopping", [False, True])
+def test_a_run_that_ends_just_within_the_grace_time_is_answered(
+    fleet: Fleet, is_origin_stopping: bool
+) -> None:
+    """The daemon beside the server gave up the run 0.6 s before its own end."""
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    host.server.hold_s = GRACE_S - LAST_MOMENT_S
+    answers: list[Answer] = []
+    booking = threading.Thread(
+        target=lambda: answers.append(origin.request("/book/1", "POST", "long"))
+    )
+    booking.start()
+    wait_until(lambda: _has_run(host, "long"), "its server runs it")
+    host.signal(signal.SIGTERM)
+    if is_origin_stopping:
+        time.sleep(0.5)
+        origin.signal(signal.SIGTERM)
+    booking.join()
+    assert answers[0].status == 200
+    assert f"{PREFIX}Server-Stamp".lower() in answers[0].headers
+
+
 def test_a_booking_whose_call_hangs_ends_with_its_servers_answer(fleet: Fleet) -> None:
     origin, host = fleet.instances
     assert origin.server is not None
