Bound the head of an answer in bytes

A server that sends header lines without end makes each of its callers hold what it has sent, and a machine that runs out of memory ends the requests of all its clients.

Cause: a head was bounded in the length and the number of its lines only, so that each reader could hold 6.7 MB.

Change: HeadReader ends the reading of a head after 64 KB, interim answers included.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
+from pimentobend_adapters._internal.http.heads import HeadReader
 from pimentobend_adapters._internal.http.heads import LineReader
 from pimentobend_adapters._internal.http.heads import check_head
 
@@ -77,7 +78,7 @@
     def begin(self) -> None:
         """Read the head; raise ``CutLineError`` if it is not whole."""
         inner = self.fp
-        self.fp = LineReader(inner)
+        self.fp = HeadReader(inner)
         try:
             super().begin()
         finally:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -9,6 +9,7 @@
 import http.client
 from typing import Any
 
+MAX_HEAD_BYTES = 65536  # of an answer, its interim answers included
 MAX_LENGTH_DIGITS = 18  # ``int`` rejects numbers of some thousand digits
 
 # The other defects are about the parts of a body.
@@ -27,6 +28,10 @@
     """A head has lines, or a length of the body, that cannot be read."""
 
 
+class HeadTooLargeError(http.client.HTTPException):
+    """A head has more than ``MAX_HEAD_BYTES``."""
+
+
 class LineReader:
     """File whose lines raise ``CutLineError`` if they have no end."""
 
@@ -44,6 +49,26 @@
         return line
 
 
+class HeadReader(LineReader):
+    """Raises ``HeadTooLargeError`` once its lines exceed ``MAX_HEAD_BYTES`` in all.
+
+    ``http.client`` bounds the length of a line and the number of lines, so that a
+    head may have 6 MB.
+    """
+
+    def __init__(self, inner: Any) -> None:
+        super().__init__(inner)
+        self._size_bytes = 0
+
+    def readline(self, limit_bytes: int = -1) -> bytes:
+        """Return a line of at most ``limit_bytes`` bytes."""
+        line = super().readline(limit_bytes)
+        self._size_bytes += len(line)
+        if self._size_bytes > MAX_HEAD_BYTES:
+            raise HeadTooLargeError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        return line
+
+
 def check_head(headers: http.client.HTTPMessage) -> None:
     """Raise ``MalformedHeadError`` if lines or the body's length cannot be read."""
     if any(isinstance(each, _NO_HEADER) for each in headers.defects):
--- a/tests/lib/platform_process.py
+++ b/tests/lib/platform_process.py
@@ -112,6 +112,12 @@
                 self.ip, service, f"{self.ip}:8403", announced, shape.slots
             )
 
+    @property
+    def pid(self) -> int:
+        """Return the id of the running daemon."""
+        assert self._popen is not None
+        return self._popen.pid
+
     def address(self, port: int) -> str:
         """Return an address of this process."""
         return f"{self.ip}:{port}"
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -60,6 +60,8 @@
         self.callers: list[str] = []
         self.sends_heartbeats = True
         self.hold_s = 0.0  # time that each request takes
+        # First bytes of each answer, and those that follow until the caller closes.
+        self.endless: tuple[bytes, bytes] | None = None
         self.content = b""  # body of the answers, instead of the server's id
         self.hangs = False  # answer requests only after HANG_S, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
@@ -259,6 +261,11 @@
     def _answer(
         self, request: BaseHTTPRequestHandler, request_id: str, status: int
     ) -> None:
+        if self.endless is not None:
+            start, more = self.endless
+            request.wfile.write(start)
+            while True:  # until the caller closes
+                request.wfile.write(more)
         content = self.content or self.server_id.encode()
         request.send_response(status)
         if status == 503:
--- a/tests/unit/http/test_answers.py
+++ b/tests/unit/http/test_answers.py
@@ -4,6 +4,7 @@
 to the next request is expected; the id of the request that it names tells them apart.
 """
 
+import tracemalloc
 from collections.abc import Callable
 from collections.abc import Iterator
 
@@ -20,6 +21,8 @@
 
 CLIENTS: list[type[Client]] = [PlatformClient, OwnClient]
 WAIT_S = 1.0
+# Of an answer's head, or of its body before it is streamed, with copies.
+MAX_KEPT_BYTES = 2 * 1024 * 1024
 FIRST = Answer(request_id="1")
 
 # Name, answer to the second request on a kept connection, how the attempt ends, and
@@ -137,6 +140,8 @@
     ("interim answers", b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 50),
     ("one header line", b"HTTP/1.1 200 OK\r\nX: ", b"x" * 4096),
     ("header lines", b"HTTP/1.1 200 OK\r\n", b"X: y\r\n" * 500),
+    ("long lines", b"HTTP/1.1 200 OK\r\n", b"X: " + b"y" * 65000 + b"\r\n"),
+    ("long interim lines", b"", b"HTTP/1.1 100 OK\r\nX: " + b"y" * 65000 + b"\r\n\r\n"),
     ("chunk size", CHUNKED + b"ID: 1\r\n\r\n", b"0" * 4096),
     ("trailers", CHUNKED + b"ID: 1\r\n\r\n0\r\n", b"X: y\r\n" * 500),
     ("empty-looking chunks", CHUNKED + b"ID: 1\r\n\r\n", b"1\r\nx\r\n" * 500),
@@ -176,6 +181,31 @@
         assert len(beside) > 10, "other tasks must run meanwhile"
 
 
+@pytest.mark.parametrize("make_client", CLIENTS)
+@pytest.mark.parametrize(
+    ("start", "more"), [e[1:] for e in ENDLESS], ids=[e[0] for e in ENDLESS]
+)
+def test_bytes_without_end_are_not_kept(
+    start: bytes, more: bytes, make_client: Callable[[], Client]
+) -> None:
+    """A head of lines that were each short enough took 6 MB of its reader."""
+    client = make_client()
+    start = start.replace(b"ID: ", f"{client.id_header}: ".encode())
+    raw = ScriptedServer([_endless(start, more)])
+    tracemalloc.start()
+    try:
+        with eventlet.Timeout(WAIT_S * 4, False):
+            result = client.call(raw.server, "1", WAIT_S)
+            if result.body is not None:
+                with pytest.raises(AnswerTruncatedError):
+                    for _ in result.body.chunks():
+                        pass
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < MAX_KEPT_BYTES
+
+
 def _count_wakes(wakes: list[float]) -> None:
     while True:
         eventlet.sleep(0.01)
