Bound the answers that a host keeps

Bodies without end of a faulty server took memory at the daemon beside it long after their requests had ended.

Cause: HostTasks keeps each buffered answer for 10 s, without a bound on their size, and its record of an attempt refers to a streamed answer, with its first 256 KB, until 10 s after the request's deadline.

Evidence: test_the_answers_of_a_host_take_bounded_memory failed in both rows: 79 MB for 300 answers.

Change: a streamed answer frees what it has passed on.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -64,8 +64,11 @@
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body in chunks; raise AnswerTruncatedError if it is incomplete."""
-        yield self._start
+        # The answer may be referred to for long after it was read.
+        start, self._start = self._start, b""
         try:
+            yield start
+            del start
             while chunk := read_chunk(self._response, self._clock, self._deadline):
                 yield chunk
         except (HTTPError, HTTPException, EOFError, OSError) as error:
@@ -77,7 +80,8 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection and free what was read."""
+        self._start = b""
         self._connection.close()
 
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -17,6 +17,7 @@
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.blocks import BlocksInForce
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
+from pimentobend_adapters._internal.forwarding.kept_answers import KeptAnswers
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
@@ -122,6 +123,7 @@
         self._on_reports_changed = on_reports_changed
         self.blocks = BlocksInForce(clock, events)
         self._records: dict[str, _AttemptRecord] = {}
+        self._kept = KeptAnswers()
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
@@ -173,7 +175,11 @@
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the task."""
-        return {**self._task.dump(), "cells": len(self._records)}
+        return {
+            **self._task.dump(),
+            "cells": len(self._records),
+            "kept_bytes": self._kept.total_bytes,
+        }
 
     def update_server(self, server: Server) -> None:
         """Add a server, or update its state."""
@@ -299,6 +305,9 @@
             return
         record.ended_at = self._clock.now()
         record.result.send(result)
+        if isinstance(result.body, BufferedAnswer) and result.body.length:
+            for oldest in self._kept.add(attempt_id, result.body.length):
+                _drop_body(self._records[oldest])
         if result.kind is not AttemptKind.DECLINED:
             self._events.put(HostDecided("call-ended", attempt_id, result))
 
@@ -315,8 +324,10 @@
                 is_past_deadline = now > record.attempt.submit.deadline + ANSWER_KEEP_S
                 if is_past_deadline:
                     del self._records[attempt_id]
+                    self._kept.remove(attempt_id)
                 elif is_answer_expired:
                     _drop_body(record)
+                    self._kept.remove(attempt_id)
 
 
 def _drop_body(record: _AttemptRecord) -> None:
