Drop log lines that cannot be written

Cause: the log is written to standard error, a file on the same disk. The error of a line that could not be written ended the task that logged it, as the report of that error is a log line too; in one process it ended the process.

Change: LossyStream drops and counts what cannot be written, for log and state dumps.

--- a/packages/adapters/src/pimentobend_adapters/_internal/logs.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/logs.py
@@ -4,6 +4,7 @@
 import sys
 from collections.abc import MutableMapping
 from typing import Any
+from typing import TextIO
 
 import structlog
 
@@ -25,9 +26,37 @@
         return event
 
 
+class LossyStream:
+    """Text stream that drops what cannot be written, as on a full disk.
+
+    The tasks that log would otherwise end with the error.
+    """
+
+    def __init__(self, inner: TextIO) -> None:
+        self._inner = inner
+        self._dropped = 0
+
+    def write(self, text: str) -> int:
+        """Write text, after a line on what was dropped before it."""
+        try:
+            if self._dropped:
+                self._inner.write(
+                    f"level='warning' event='lines-left-out' dropped={self._dropped}\n"
+                )
+                self._dropped = 0
+            self._inner.write(text)
+            self._inner.flush()
+        except (OSError, ValueError):  # ValueError: the stream is closed
+            self._dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing; each write is flushed."""
+
+
 def configure_logs(instance: str, level: int = logging.INFO) -> None:
     """Write log lines with the instance's name to standard error."""
-    _configure(instance, sys.stderr, (), level)
+    _configure(instance, LossyStream(sys.stderr), (), level)
 
 
 def configure_bounded_logs(instance: str) -> VolumeLimit:
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.ledger import LedgerTasks
 from pimentobend_adapters._internal.links.link import Link
 from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.logs import LossyStream
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.metrics import RequestMetrics
@@ -236,7 +237,7 @@
         )
 
     def _print_dump(self) -> None:
-        print(format_dump(self._sections.dump()), file=sys.stdout, flush=True)
+        LossyStream(sys.stdout).write(format_dump(self._sections.dump()) + "\n")
 
     def _wait_for_claims(self) -> None:
         """Wait up to ``CLAIM_TIMEOUT_S`` until the outcomes of claims are recorded."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -17,6 +17,7 @@
 from pimentobend_adapters._internal.links.datagrams import DatagramLink
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.router import FrameRouter
+from pimentobend_adapters._internal.logs import LossyStream
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
@@ -358,7 +359,7 @@
             self._stopping.send(None)
 
     def _print_dump(self) -> None:
-        print(format_dump(self.dump()), file=sys.stdout, flush=True)
+        LossyStream(sys.stdout).write(format_dump(self.dump()) + "\n")
 
     def _drain(self, instance: FleetInstance, plan: StopPlan) -> None:
         """Serve until probes have noticed the stop and no request is in flight.
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -16,6 +16,7 @@
 
 RETRY_S = 0.1
 APPLY_TIMEOUT_S = 30.0
+RETRIED_STATUSES = (503, 504)
 POOLS = [{"name": "p", "service": "catalogue"}]
 
 
@@ -61,6 +62,10 @@
         self._processes[name].wait()
         del self._processes[name]
 
+    def pid(self, name: str) -> int:
+        """Return the id of a replica's process."""
+        return self._processes[name].pid
+
     def leader(self) -> str | None:
         """Return the replica that reports itself as leader in the highest term."""
         terms = {}
@@ -80,8 +85,13 @@
         tables = json.loads(self.request("GET", name, "tables").content)
         return {route["name"] for route in tables["routes"]}
 
-    def apply(self, name: str, number: int) -> Accepted:
-        """Apply routes 0 to ``number``, trying other replicas until one accepts."""
+    def apply(
+        self, name: str, number: int, retried: tuple[int, ...] = RETRIED_STATUSES
+    ) -> Accepted:
+        """Apply routes 0 to ``number``, trying other replicas until one accepts.
+
+        ``retried`` are the statuses after which the change is sent again.
+        """
         rows = [
             {"name": f"r{n}", "path": f"/{n}", "pool": "p", "repeatable": True}
             for n in range(number + 1)
@@ -101,7 +111,7 @@
                 self.version = json.loads(answer.content)["version"]
                 term, log_index = self.version.split(".")
                 return Accepted(number, (int(term), int(log_index)))
-            if answer is not None and answer.status not in (503, 504):
+            if answer is not None and answer.status not in retried:
                 raise AssertionError(f"{answer.status}: {answer.content!r}")
             time.sleep(RETRY_S)
         raise TimeoutError(f"change {number} was not accepted")
--- a/tests/unit/fleet/test_logs.py
+++ b/tests/unit/fleet/test_logs.py
@@ -1,5 +1,7 @@
 """Check the log lines of requests, limits on log volume, and exposed metrics."""
 
+import errno
+import io
 import os
 import pathlib
 import subprocess
@@ -18,6 +20,7 @@
 from pimentobend_adapters._internal.log_volume import ORDINARY_SHARE
 from pimentobend_adapters._internal.log_volume import BoundedWriter
 from pimentobend_adapters._internal.log_volume import LineBudget
+from pimentobend_adapters._internal.logs import LossyStream
 
 LOG = """\
 timestamp='2026-01-01T00:00:01Z' level='info' event='attempt-sent' instance='a' \
@@ -144,3 +147,38 @@
         table.count("requests", str(number))
     (family,) = table.collect()
     assert len(family.samples) <= 257
+
+
+class FullStream(io.StringIO):
+    """Raises an error for each write while it has one."""
+
+    def __init__(self, error: Exception) -> None:
+        super().__init__()
+        self.error: Exception | None = error
+
+    def write(self, text: str) -> int:
+        if self.error is not None:
+            raise self.error
+        return super().write(text)
+
+
+@pytest.mark.parametrize(
+    "error",
+    [
+        OSError(errno.ENOSPC, "No space left on device"),
+        OSError(errno.EFBIG, "File too large"),
+        ValueError("I/O operation on closed file"),
+    ],
+    ids=["full disk", "file limit", "closed"],
+)
+def test_a_line_that_cannot_be_written_is_dropped(error: Exception) -> None:
+    """The task that logged ended with the error, while its process ran on."""
+    inner = FullStream(error)
+    stream = LossyStream(inner)
+    for _ in range(2):
+        stream.write("lost\n")
+    inner.error = None
+    stream.write("kept\n")
+    first, second = inner.getvalue().splitlines()
+    assert "event='lines-left-out' dropped=2" in first
+    assert second == "kept"
