Report the end of a call that is cancelled before it has begun

Cause: HostTasks spawns a task for a call and kills it if it is cancelled. A task that is killed before it has begun runs no code, so that CallEnded was never sent and the slot was taken for good.

Evidence: test_a_cancelled_call_frees_its_slot failed in its row "before it has begun".

Change: the end is reported by a link of the task. ServerHost gives up a call whose end is not reported 2 s after its deadline, with a log line and a counter.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -11,6 +11,7 @@
 
 import eventlet
 import eventlet.event
+import greenlet as greenlet_module
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
@@ -39,6 +40,7 @@
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CallJudged
+from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -227,7 +229,7 @@
                 self._bids.put(output)
             case StartCall():
                 record = self._records[output.attempt_id]
-                record.greenlet = eventlet.spawn(self._call, record, output.server)
+                self._start_call(record, output.server)
             case Declined():
                 self._events.put(HostDecided("declined", output.attempt_id, output))
                 declined = make_attempt_result(AttemptKind.DECLINED, 0.0)
@@ -241,6 +243,9 @@
                 record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
+            case CallLost():
+                self._events.put(output)
+                self._end_lost_call(output.attempt_id)
             case DuplicateSubmission():
                 # The attempt came before, but its result was dropped since.
                 # It may have run.
@@ -280,24 +285,46 @@
         record.unjudged = None
         self._finish(judged.attempt_id, result)
 
-    def _call(self, record: _AttemptRecord, server: Server) -> None:
+    def _start_call(self, record: _AttemptRecord, server: Server) -> None:
+        started = self._clock.now()
+        record.greenlet = eventlet.spawn(self._call, record, server, started)
+        # Also called if the greenlet is killed before it has begun.
+        record.greenlet.link(self._report_call, record, started)
+
+    def _call(
+        self, record: _AttemptRecord, server: Server, started: float
+    ) -> AttemptResult:
         """Call the server until the deadline; killing the greenlet cancels the call."""
         submit, head, body = record.attempt
-        started = self._clock.now()
         self._events.put(HostDecided("call-started", submit.attempt_id, submit))
-        result = make_attempt_result(AttemptKind.CANCELLED, 0.0)
+        with eventlet.Timeout(max(0.0, submit.deadline - started), False):
+            return self._calls.call(server, head, body, submit.is_repeatable)
+        return _make_cancelled()
+
+    def _report_call(
+        self, greenlet: Any, record: _AttemptRecord, started: float
+    ) -> None:
+        """Report the end of a call, however it came about."""
+        attempt_id = record.attempt.submit.attempt_id
         try:
-            with eventlet.Timeout(max(0.0, submit.deadline - started), False):
-                result = self._calls.call(server, head, body, submit.is_repeatable)
-        finally:
-            result = result._replace(latency_s=self._clock.now() - started)
-            kind = _end_kind(result)
-            has_answered = result.kind is AttemptKind.ANSWERED
-            self._task.put(CallEnded(submit.attempt_id, kind, has_answered))
-            if kind is EndKind.BROKEN:
-                record.unjudged = result
-            else:
-                self._finish(submit.attempt_id, result)
+            result: AttemptResult = greenlet.wait()
+        except (Exception, greenlet_module.GreenletExit):
+            result = _make_cancelled()
+        record.greenlet = None  # it refers to the result
+        result = result._replace(latency_s=self._clock.now() - started)
+        kind = _end_kind(result)
+        has_answered = result.kind is AttemptKind.ANSWERED
+        self._task.put(CallEnded(attempt_id, kind, has_answered))
+        if kind is EndKind.BROKEN:
+            record.unjudged = result
+        else:
+            self._finish(attempt_id, result)
+
+    def _end_lost_call(self, attempt_id: str) -> None:
+        record = self._records.get(attempt_id)
+        if record is not None and record.greenlet is not None:
+            record.greenlet.kill()
+        self._finish(attempt_id, make_attempt_result(AttemptKind.NO_ANSWER, 0.0))
 
     def _finish(self, attempt_id: str, result: AttemptResult) -> None:
         record = self._records.get(attempt_id)
@@ -339,6 +366,10 @@
         record.result.send(lost)
 
 
+def _make_cancelled() -> AttemptResult:
+    return make_attempt_result(AttemptKind.CANCELLED, 0.0)
+
+
 def _end_kind(result: AttemptResult) -> EndKind:
     if result.kind is AttemptKind.ANSWERED:
         is_good = result.status < SERVER_ERROR
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -7,6 +7,7 @@
 from pimentobend_core._internal.crashes.messages import FingerprintReleased
 from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.delivery_messages import Held
+from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -73,6 +74,7 @@
     | AttemptJudged
     | DeliveryHeld
     | DeliveryEnded
+    | CallLost
     | ServerCrashed
     | FingerprintBlocked
     | FingerprintReleased
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -26,6 +26,7 @@
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
+from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
@@ -64,6 +65,8 @@
 # An attempt is declined if less than this share of its route's median answer time is
 # left before the deadline, as hardly any answer takes less.
 MIN_TIME_SHARE = 0.5
+# A call ends at its deadline, and its end is reported within this time.
+CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
 CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
@@ -449,8 +452,29 @@
                 outputs.extend(self._start_queued(hosted, now))
         return tuple(outputs)
 
+    def _release_lost(self, now: float) -> tuple[HostOutput, ...]:
+        """Free the slots of calls that must have ended without a report."""
+        outputs: list[HostOutput] = []
+        for hosted in self._servers.values():
+            for attempt_id in sorted(hosted.running):
+                record = self._records[attempt_id]
+                overdue_s = now - record.submit.deadline
+                if overdue_s < CALL_REPORT_S:
+                    continue
+                record.phase = Phase.ENDED
+                hosted.running.discard(attempt_id)
+                hosted.liveness.discard(attempt_id)
+                server_id = hosted.server.server_id
+                outputs.append(CallLost(attempt_id, server_id, overdue_s))
+                outputs.extend(self._start_queued(hosted, now))
+        return tuple(outputs)
+
     def _expire(self, now: float) -> tuple[HostOutput, ...]:
-        outputs = (*self._decline_overdue(now), *self._release_overdue(now))
+        outputs = (
+            *self._decline_overdue(now),
+            *self._release_overdue(now),
+            *self._release_lost(now),
+        )
         self._withdrawn = {
             attempt_id: at
             for attempt_id, at in self._withdrawn.items()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -89,6 +89,14 @@
     has_answered: bool = False  # the server answered, maybe with an error
 
 
+class CallLost(NamedTuple):
+    """Report a call whose end was not reported; its slot is free again."""
+
+    attempt_id: str
+    server_id: str
+    overdue_s: float  # since the deadline
+
+
 class ServerProbed(NamedTuple):
     """Report whether anything listens at the address of a server."""
 
@@ -217,6 +225,7 @@
     | Declined
     | DuplicateSubmission
     | CancelCall
+    | CallLost
     | ProbeServer
     | CallJudged
     | ServerCrashed
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -20,6 +20,7 @@
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.events import RequestBlocked
+from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
 from pimentobend_core._internal.forwarding.messages import Submit
@@ -78,6 +79,14 @@
                 self._write_host_event(
                     message.action, message.attempt_id, message.detail
                 )
+            case CallLost():
+                self._counters.count("calls_lost")
+                self._log.error(
+                    "call-lost",
+                    attempt_id=message.attempt_id,
+                    server=message.server_id,
+                    overdue_s=round(message.overdue_s, 1),
+                )
             case _:
                 self._write_crash_event(message)
 
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -119,6 +119,15 @@
                 each.shutdown(socket.SHUT_RDWR)
 
 
+def make_attempt(name: str, *, safe: bool = False) -> LocalAttempt:
+    deadline = HubClock().now() + WAIT_S
+    submit = Submit(name, "s", "r", 1, safe, 1.0, deadline, name)
+    head = RequestHead(
+        name, "POST", "h", "/x", "", (("Id", name),), "", None, 0.0, deadline
+    )
+    return LocalAttempt(submit, head, BufferedBody(b"body"))
+
+
 class HopHarness:
     """A client and a host daemon behind a proxy."""
 
@@ -136,14 +145,6 @@
         self.client = PeerClient(clock, link)
         self.clock = clock
 
-    def attempt(self, name: str, *, safe: bool = False) -> LocalAttempt:
-        deadline = self.clock.now() + WAIT_S
-        submit = Submit(name, "s", "r", 1, safe, 1.0, deadline, name)
-        head = RequestHead(
-            name, "POST", "h", "/x", "", (("Id", name),), "", None, 0.0, deadline
-        )
-        return LocalAttempt(submit, head, BufferedBody(b"body"))
-
     def run(
         self, name: str, process: int = PROCESS, *, safe: bool = False
     ) -> AttemptResult:
@@ -159,7 +160,7 @@
             (),
         )
         with eventlet.Timeout(2 * WAIT_S):
-            return self.client.run(peer, self.attempt(name, safe=safe))
+            return self.client.run(peer, make_attempt(name, safe=safe))
 
 
 # Name, duration of the call, times after which connections break, and
@@ -231,7 +232,7 @@
 
 def test_a_copy_that_comes_after_the_result_was_forgotten_does_not_run() -> None:
     harness = HopHarness()
-    attempt = harness.attempt("1")
+    attempt = make_attempt("1")
     assert harness.host.run(attempt).kind is AttemptKind.ANSWERED
     harness.host._records.clear()
     with eventlet.Timeout(WAIT_S):
@@ -256,3 +257,35 @@
         assert sum(map(len, answer.chunks())) == LARGE_BYTES
         while harness.front.in_flight:
             eventlet.sleep(0.05)
+
+
+CANCELLED_AT = [  # when a call is cancelled, and how many calls reach the server
+    ("before it has begun", False, 0),
+    ("while it runs", True, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("has_begun", "runs"),
+    [c[1:] for c in CANCELLED_AT],
+    ids=[c[0] for c in CANCELLED_AT],
+)
+def test_a_cancelled_call_frees_its_slot(has_begun: bool, runs: int) -> None:
+    """The end of a call that was cancelled before it began was never reported."""
+    calls = FakeCalls(hold_s=WAIT_S)
+    host = HostTasks(PROCESS, TERMS, calls, HubClock(), Discard())
+    host.update_server(SERVER)
+    running = eventlet.spawn(host.run, make_attempt("1", safe=True))
+    eventlet.sleep(0)
+    if has_begun:
+        host.start()
+        eventlet.sleep(0.05)
+    host.withdraw("1")
+    # Both are in the inbox when the task runs for the first time.
+    if not has_begun:
+        host.start()
+    with eventlet.Timeout(WAIT_S / 2):
+        assert running.wait().kind is AttemptKind.CANCELLED
+    assert len(calls.runs) == runs
+    servers: Any = host.dump()["servers"]
+    assert servers[SERVER.server_id]["running"] == []
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pimentobend_core._internal.forwarding.host import CALL_REPORT_S
 from pimentobend_core._internal.forwarding.host import QUEUE_LIMIT
 from pimentobend_core._internal.forwarding.host import RECORD_RETENTION_S
 from pimentobend_core._internal.forwarding.host import TRIAL_INTERVAL_S
@@ -9,6 +10,7 @@
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
+from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
@@ -511,3 +513,19 @@
         started("queued") if starts else declined("queued", DeclineReason.DRAINING)
     )
     assert [*map(type, outputs)] == [*map(type, expected)]
+
+
+@pytest.mark.parametrize(
+    ("overdue_s", "is_lost"), [(CALL_REPORT_S - 0.1, False), (CALL_REPORT_S, True)]
+)
+def test_a_call_whose_end_is_not_reported_frees_its_slot(
+    overdue_s: float, is_lost: bool
+) -> None:
+    harness = HostHarness()
+    harness.give(submit("1"), submit("2"), submit("3", deadline=60.0))
+    harness.now = 10.0 + overdue_s
+    outputs = harness.give(HostTick())
+    lost = [each.attempt_id for each in outputs if isinstance(each, CallLost)]
+    assert lost == (["1", "2"] if is_lost else [])
+    assert (StartCall("3", SERVER) in outputs) == is_lost
+    assert harness.give(ended("1")) == ([] if is_lost else [StartCall("3", SERVER)])
