Free the slot of an attempt that ends with an error

A slot of a pool, and an entry among the crash suspects, stayed taken.

Cause: AttemptFilter reported the end of an attempt only if the client returned.

Evidence: test_an_attempt_that_ends_with_an_error_frees_its_slot failed in both rows.

Change: the end is reported, and the error passed on.

Measured: the unit tests of request pass.

--- a/packages/core/src/pimentobend_core/_internal/request/attempt.py
+++ b/packages/core/src/pimentobend_core/_internal/request/attempt.py
@@ -22,6 +22,8 @@
 from pimentobend_core._internal.request.stages import PendingAttempt
 from pimentobend_core._internal.traffic.messages import Acquire
 
+_LOST = AttemptResult(AttemptKind.NO_ANSWER, 0, (), None, 0.0, False, None)
+
 
 class AdmissionFilter(Filter[PendingAttempt, Admitted]):
     """Acquires a slot of a backend server that the pool selects."""
@@ -72,9 +74,25 @@
         )
         run = Run(value.ticket, request.fingerprint, value.server)
         self._suspects.started(run, request.head)
-        result = self._backend.send(
-            value.server, request.head, request.body, is_repeatable
-        )
+        try:
+            result = self._backend.send(
+                value.server, request.head, request.body, is_repeatable
+            )
+        except BaseException:
+            # The handler was ended, or the client has a fault: free the slot as well.
+            self._report_end(value, _LOST)
+            self._suspects.ended(run, _LOST)
+            raise
+        self._report_end(value, result)
+        if result.kind is AttemptKind.ANSWERED and result.body is not None:
+            body = _ObservedAnswer(result.body, self._suspects, run, result)
+            result = result._replace(body=body)
+        else:
+            self._suspects.ended(run, result)
+        return Success(EndedAttempt(request, value.server, result))
+
+    def _report_end(self, value: Admitted, result: AttemptResult) -> None:
+        request = value.request
         self._traffic.ended(
             AttemptEnded(
                 ticket=value.ticket,
@@ -88,12 +106,6 @@
                 load=result.load,
             )
         )
-        if result.kind is AttemptKind.ANSWERED and result.body is not None:
-            body = _ObservedAnswer(result.body, self._suspects, run, result)
-            result = result._replace(body=body)
-        else:
-            self._suspects.ended(run, result)
-        return Success(EndedAttempt(request, value.server, result))
 
 
 class _ObservedAnswer(AnswerBody):
--- a/tests/unit/request/test_answer_ends.py
+++ b/tests/unit/request/test_answer_ends.py
@@ -9,6 +9,7 @@
 from fake_ports import make_head
 from fake_ports import make_route
 from fake_ports import make_server
+from greenlet import GreenletExit
 
 from pimentobend_core._internal.crashes.observer_messages import Run
 from pimentobend_core._internal.models.request import AttemptKind as Kind
@@ -119,6 +120,32 @@
     assert suspects.ends == case.after
 
 
+class FailingBackend(FakeBackend):
+    """Raises an error instead of a result."""
+
+    def __init__(self, error: BaseException) -> None:
+        self._error = error
+
+    def send(
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
+    ) -> AttemptResult:
+        """Raise the error."""
+        raise self._error
+
+
+@pytest.mark.parametrize("error", [BrokenError("a fault"), GreenletExit()])
+def test_an_attempt_that_ends_with_an_error_frees_its_slot(
+    error: BaseException,
+) -> None:
+    traffic, suspects = FakeTraffic(), FakeSuspects()
+    attempt = AttemptFilter(FailingBackend(error), traffic, suspects)
+    claimed = Claimed(make_head(), FakeBody(), make_route(True), None, "f")
+    with pytest.raises(type(error)):
+        attempt.apply(Admitted(claimed, 1, make_server("s")))
+    assert [each.kind for each in traffic.ends] == [Kind.NO_ANSWER]
+    assert suspects.ends == [Kind.NO_ANSWER]
+
+
 def _read(body: AnswerBody, count: int) -> None:
     chunks = body.chunks()
     try:
