Give a streamed answer to one reader only

Cause: the copy of an attempt that is sent after a break joins the attempt at its host. The result of a large answer can be read once; its second reader got the start again, and then the end, as a closed response has no bytes and raises no error.

Evidence: test_a_copy_of_an_attempt_gets_no_spent_answer failed in both rows with a break.

Change: the first reader takes the answer; a copy that comes later is told that the outcome is unknown. Reading an answer that was closed raises AnswerTruncatedError, also in the client of the own interface.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -61,16 +61,27 @@
         self._connection = connection
         self._clock = clock
         self._deadline = deadline
+        self._is_taken = False
+        self._is_closed = False
+
+    def take(self) -> bool:
+        """Return whether the caller is the first one, which may read the answer."""
+        is_first = not self._is_taken
+        self._is_taken = True
+        return is_first
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body in chunks; raise AnswerTruncatedError if it is incomplete."""
         # The answer may be referred to for long after it was read.
         start, self._start = self._start, b""
         try:
+            self._check_open()
             yield start
             del start
             while chunk := read_chunk(self._response, self._clock, self._deadline):
                 yield chunk
+            # A closed response has no bytes either, though it may not be complete.
+            self._check_open()
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             raise AnswerTruncatedError(
                 "the answer was truncated",
@@ -81,9 +92,14 @@
 
     def close(self) -> None:
         """Close the connection and free what was read."""
+        self._is_closed = True
         self._start = b""
         self._connection.close()
 
+    def _check_open(self) -> None:
+        if self._is_closed:
+            raise AnswerTruncatedError("the answer was closed before its end")
+
 
 def read_chunk(response: Any, clock: ClockPort, deadline: float) -> bytes:
     """Return the next bytes of a body; raise ``TimeoutError`` at the deadline."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -15,6 +15,7 @@
 
 from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
+from pimentobend_adapters._internal.forwarding.answers import StreamedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.blocks import BlocksInForce
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
@@ -197,7 +198,10 @@
         return self._bids.ask(ask.token, lambda: self._task.put(ask), ASK_TIMEOUT_S)
 
     def run(self, attempt: LocalAttempt) -> AttemptResult:
-        """Run an attempt once and return its result; repeated calls join the first."""
+        """Run an attempt once and return its result; repeated calls join the first.
+
+        Only one of them gets an answer that is streamed.
+        """
         attempt_id = attempt.submit.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
@@ -206,9 +210,11 @@
         record.waiters += 1
         try:
             result: AttemptResult = record.result.wait()
-            return result
         finally:
             record.waiters -= 1
+        if isinstance(result.body, StreamedAnswer) and not result.body.take():
+            return make_attempt_result(AttemptKind.NO_ANSWER, result.latency_s)
+        return result
 
     def has_waiters(self, attempt_id: str) -> bool:
         """Return whether a call of ``run`` waits for the end of an attempt."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -84,12 +84,16 @@
         self._clock = clock
         self._deadline = deadline
         self._is_read = False
+        self._is_closed = False
 
     def chunks(self) -> Iterator[bytes]:
         """Yield the body in chunks; raise AnswerTruncatedError if it is incomplete."""
         try:
             while chunk := read_chunk(self._response, self._clock, self._deadline):
                 yield chunk
+            # A closed response has no bytes either, though it may not be complete.
+            if self._is_closed:
+                raise AnswerTruncatedError("the answer was closed before its end")
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             self.close()
             raise AnswerTruncatedError(
@@ -101,6 +105,7 @@
     def close(self) -> None:
         """Close the connection unless the answer was read completely."""
         if not self._is_read:
+            self._is_closed = True
             self._response.close()
 
 
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -1,6 +1,7 @@
 """Test forwarding between two daemons over connections that break."""
 
 import contextlib
+import io
 import socket
 from threading import Event
 from threading import Thread
@@ -11,8 +12,10 @@
 import pytest
 
 from pimentobend_adapters._internal.clock import HubClock
+from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
+from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
@@ -40,6 +43,35 @@
 NAMES = HeaderNames(request_id="Id")
 WAIT_S = 5.0
 LARGE_BYTES = 32 * 1024 * 1024  # more than connections can buffer
+LARGE = bytes(LARGE_BYTES)
+
+
+class FakeResponse:
+    """Response of a server, and its connection, which can be read once."""
+
+    def __init__(self, content: bytes) -> None:
+        self._source = io.BytesIO(content)
+
+    def read1(self, size: int) -> bytes:
+        return b"" if self._source.closed else self._source.read(size)
+
+    def close(self) -> None:
+        self._source.close()
+
+
+class StreamingCalls(ServerCalls):
+    """Answers each call with a body that is too large to keep."""
+
+    def __init__(self) -> None:
+        super().__init__(NAMES, HubClock(), lambda: None)
+
+    def call(
+        self, server: Server, head: RequestHead, body: Body, is_repeatable: bool
+    ) -> AttemptResult:
+        response = FakeResponse(LARGE)
+        clock = HubClock()
+        content, _ = read_answer(response, response, clock, clock.now() + WAIT_S)
+        return make_attempt_result(AttemptKind.ANSWERED, 0.0, 200, (), content)
 
 
 class FakeCalls(ServerCalls):
@@ -131,9 +163,9 @@
 class HopHarness:
     """A client and a host daemon behind a proxy."""
 
-    def __init__(self, hold_s: float = 0.0) -> None:
+    def __init__(self, hold_s: float = 0.0, calls: ServerCalls | None = None) -> None:
         clock = HubClock()
-        self.calls = FakeCalls(hold_s)
+        self.calls: Any = calls or FakeCalls(hold_s)
         self.host = HostTasks(PROCESS, TERMS, self.calls, clock, Discard())
         self.host.start()
         self.host.update_server(SERVER)
@@ -289,3 +321,24 @@
     assert len(calls.runs) == runs
     servers: Any = host.dump()["servers"]
     assert servers[SERVER.server_id]["running"] == []
+
+
+@pytest.mark.parametrize("breaks_after_s", [None, 0.05, 0.3])
+def test_a_copy_of_an_attempt_gets_no_spent_answer(
+    breaks_after_s: float | None,
+) -> None:
+    """The second reader got the start of the answer, and then its end at once."""
+    harness = HopHarness(calls=StreamingCalls())
+    harness.proxy.reads_answers.clear()
+    if breaks_after_s is not None:
+        harness.proxy.breaks_after.append(breaks_after_s)
+    Timer((breaks_after_s or 0.0) + 0.2, harness.proxy.reads_answers.set).start()
+    result = harness.run("1", safe=True)
+    if breaks_after_s is None:
+        assert result.body is not None
+        assert b"".join(result.body.chunks()) == LARGE
+    elif result.body is None:
+        assert result.kind is AttemptKind.NO_ANSWER
+    else:
+        with pytest.raises(AnswerTruncatedError):
+            b"".join(result.body.chunks())
--- a/tests/unit/forwarding/test_kept_answers.py
+++ b/tests/unit/forwarding/test_kept_answers.py
@@ -101,9 +101,8 @@
     finally:
         tracemalloc.stop()
     assert kept_bytes < MAX_KEPT_BYTES + SLACK_BYTES
-    # What was dropped is not run again, and its outcome is known to be unknown.
-    again = host.run(make_attempt(0))
-    assert again.kind in (AttemptKind.NO_ANSWER, AttemptKind.ANSWERED)
+    # What was dropped, or read, is not run again, and its outcome is unknown.
+    assert host.run(make_attempt(0)).kind is AttemptKind.NO_ANSWER
 
 
 def test_the_oldest_answers_are_dropped_first() -> None:
