Refuse what cannot be framed with certainty, and end its connection

Cause: a refusal above the reader of heads kept the connection, and the reader let pass heads and chunks whose end other readers see elsewhere, in requests and in answers.

Change: HeadReader and check_head decide for both directions, StrictInput for the chunks of requests. A refused request ends its connection, also between daemons.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -82,6 +82,7 @@
             hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
             body = read_body(environ["wsgi.input"], get_content_length(environ))
         except (HopError, IncompleteBodyError):
+            environ[CONNECTION_KEY].close_connection = True
             result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
             yield from _write_result(result, start_response)
             return
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -78,7 +78,7 @@
     def begin(self) -> None:
         """Read the head; raise ``CutLineError`` if it is not whole."""
         inner = self.fp
-        self.fp = HeadReader(inner)
+        self.fp = HeadReader(inner, has_start_line=True)
         try:
             super().begin()
         finally:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -95,6 +95,8 @@
         started = self._clock.now()
         received = self._read(environ, started)
         if isinstance(received, Failure):
+            # Where the next request begins is not known.
+            environ[CONNECTION_KEY].close_connection = True
             yield from self._refuse(received.failure(), "", start_response)
             return
         request = self._set_caller_service(received.unwrap())
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -7,6 +7,7 @@
 import email.errors
 import errno
 import http.client
+import re
 from typing import Any
 
 MAX_HEAD_BYTES = 65536  # of an answer, its interim answers included
@@ -18,6 +19,8 @@
     email.errors.InvalidHeaderDefect,
     email.errors.MissingHeaderBodySeparatorDefect,
 )
+# A name, which is a token, and its colon.
+_HEADER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
 
 
 class CutLineError(OSError):
@@ -32,6 +35,10 @@
     """A head has more than ``MAX_HEAD_BYTES``."""
 
 
+class MalformedLineError(OSError):
+    """A line of a head may be understood otherwise by other readers."""
+
+
 class LineReader:
     """File whose lines raise ``CutLineError`` if they have no end."""
 
@@ -50,15 +57,18 @@
 
 
 class HeadReader(LineReader):
-    """Raises ``HeadTooLargeError`` once its lines exceed ``MAX_HEAD_BYTES`` in all.
+    """Raises an error for lines that other readers may understand otherwise.
 
+    These are continued lines, lines with CR or NUL, and names that are no tokens.
+    Raises ``HeadTooLargeError`` once the lines exceed ``MAX_HEAD_BYTES`` in all:
     ``http.client`` bounds the length of a line and the number of lines, so that a
     head may have 6 MB.
     """
 
-    def __init__(self, inner: Any) -> None:
+    def __init__(self, inner: Any, *, has_start_line: bool) -> None:
         super().__init__(inner)
         self._size_bytes = 0
+        self._is_start_line = has_start_line
 
     def readline(self, limit_bytes: int = -1) -> bytes:
         """Return a line of at most ``limit_bytes`` bytes."""
@@ -66,8 +76,30 @@
         self._size_bytes += len(line)
         if self._size_bytes > MAX_HEAD_BYTES:
             raise HeadTooLargeError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        if line.endswith(b"\n"):
+            self._check(line)
         return line
 
+    def _check(self, line: bytes) -> None:
+        text = line.removesuffix(b"\n").removesuffix(b"\r")
+        if b"\r" in text or b"\0" in text:
+            raise MalformedLineError(errno.EPROTO, "a line holds CR or NUL")
+        is_header, self._is_start_line = not self._is_start_line, not text
+        if is_header and text and not _HEADER.match(text):
+            raise MalformedLineError(errno.EPROTO, "a line of the head is no header")
+
+
+class RequestHeadReader(HeadReader):
+    """Also refuses lines that do not end with CR LF."""
+
+    def __init__(self, inner: Any) -> None:
+        super().__init__(inner, has_start_line=False)
+
+    def _check(self, line: bytes) -> None:
+        if not line.endswith(b"\r\n"):
+            raise MalformedLineError(errno.EPROTO, "a line does not end with CR LF")
+        super()._check(line)
+
 
 def check_head(headers: http.client.HTTPMessage) -> None:
     """Raise ``MalformedHeadError`` if lines or the body's length cannot be read."""
@@ -78,3 +110,8 @@
     is_number = length.isascii() and length.isdigit()
     if len(lengths) > 1 or not is_number or len(length) > MAX_LENGTH_DIGITS:
         raise MalformedHeadError("Content-Length is not a single whole number")
+    encodings = headers.get_all("Transfer-Encoding", ())
+    if encodings and [each.strip().lower() for each in encodings] != ["chunked"]:
+        raise MalformedHeadError("Transfer-Encoding is not a single 'chunked'")
+    if encodings and lengths:
+        raise MalformedHeadError("Content-Length and Transfer-Encoding are both set")
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -6,11 +6,14 @@
 
 import eventlet.wsgi
 
+from pimentobend_adapters._internal.http.chunks import StrictInput
 from pimentobend_adapters._internal.http.headers import RAN
 from pimentobend_adapters._internal.http.headers import REASON
 from pimentobend_adapters._internal.http.heads import CutLineError
 from pimentobend_adapters._internal.http.heads import LineReader
 from pimentobend_adapters._internal.http.heads import MalformedHeadError
+from pimentobend_adapters._internal.http.heads import MalformedLineError
+from pimentobend_adapters._internal.http.heads import RequestHeadReader
 from pimentobend_adapters._internal.http.heads import check_head
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
@@ -44,20 +47,23 @@
         """Return the WSGI environment with this handler in it."""
         environ: dict[str, Any] = super().get_environ()
         environ[CONNECTION_KEY] = self
-        body = environ["wsgi.input"]
-        body.rfile = LineReader(body.rfile)
+        inner = environ["wsgi.input"]
+        body = StrictInput(inner, LineReader(inner.rfile))
+        environ["wsgi.input"] = environ["eventlet.input"] = body
         return environ
 
     def parse_request(self) -> bool:
         """Parse the request line and the headers; refuse those that are not whole."""
-        self.rfile: Any = LineReader(self.rfile)
+        self.rfile: Any = RequestHeadReader(self.rfile)
         try:
             if not self.raw_requestline.endswith(b"\n"):
                 raise CutLineError(errno.EPROTO, "the request line has no end")
+            if not self.raw_requestline.endswith(b"\r\n"):
+                raise MalformedHeadError("the request line does not end with CR LF")
             if not super().parse_request():
                 return False
             check_head(self.headers)
-        except (CutLineError, MalformedHeadError) as error:
+        except (CutLineError, MalformedHeadError, MalformedLineError) as error:
             self.send_error(BAD_REQUEST, str(error))
             return False
         return True
