Pause the watch for a caller while its body is read

Cause: ConnectionWatch and the reader of a streamed body waited for the same socket, in the daemon that takes the request and in the server's ("Second simultaneous read").

Evidence: the three rows of test_bodies_that_arrive_slowly_are_served_whole failed (502, 504) on the code before.

Change: StreamedBody pauses the watch whenever it reads; a reader sees a close itself.

Measured: the rows pass (400 KB at 2 Mbit/s, three at once, by length and in chunks, one daemon and two). 1 MB, 20 KB/s, 20 at once and the memory of the daemon were not measured.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -21,6 +21,7 @@
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
+from pimentobend_adapters._internal.http.bodies import StreamedBody
 from pimentobend_adapters._internal.http.bodies import read_body
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
@@ -104,6 +105,8 @@
         watch = ConnectionWatch(
             connection, lambda: eventlet.spawn_n(_throw, handler, lost)
         )
+        if isinstance(attempt.body, StreamedBody):
+            attempt.body.watch_with(watch)
         try:
             return self._host.run(attempt)
         except _OriginLostError:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
@@ -1,5 +1,6 @@
 """Read request bodies: keep small ones in memory and stream large ones."""
 
+import abc
 from collections.abc import Iterator
 from typing import Protocol
 
@@ -20,6 +21,18 @@
         """Return up to ``size`` bytes; empty at the end of the input."""
 
 
+class ReadWatch(abc.ABC):
+    """Watch of a connection that must not go on while the connection is read."""
+
+    @abc.abstractmethod
+    def pause(self) -> None:
+        """Stop watching until ``resume``."""
+
+    @abc.abstractmethod
+    def resume(self) -> None:
+        """Watch again."""
+
+
 class BufferedBody(Body):
     """Small body that is kept in memory, so that it can be sent again."""
 
@@ -48,6 +61,11 @@
         self._start = start
         self._rest = rest
         self._length = length
+        self._watch: ReadWatch | None = None
+
+    def watch_with(self, watch: ReadWatch) -> None:
+        """Pause a watch of the connection whenever the body is read."""
+        self._watch = watch
 
     @property
     def length(self) -> int | None:
@@ -64,13 +82,23 @@
         yield self._start
         received = len(self._start)
         while self._length is None or received < self._length:
-            chunk = _read(self._rest, CHUNK_BYTES)
+            chunk = self._read_chunk()
             if not chunk:
                 break
             received += len(chunk)
             yield chunk
         _check_length(received, self._length)
 
+    def _read_chunk(self) -> bytes:
+        watch = self._watch
+        if watch is None:
+            return _read(self._rest, CHUNK_BYTES)
+        watch.pause()
+        try:
+            return _read(self._rest, CHUNK_BYTES)
+        finally:
+            watch.resume()
+
 
 def read_body(source: Readable, length: int | None) -> Body:
     """Return a body of ``length`` bytes; raise IncompleteBodyError if it is shorter."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -12,6 +12,7 @@
 
 from pimentobend_adapters._internal.exceptions import AdapterError
 from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
+from pimentobend_adapters._internal.http.bodies import StreamedBody
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
@@ -29,6 +30,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
@@ -100,7 +102,9 @@
             yield from self._refuse(received.failure(), "", start_response)
             return
         request = self._set_caller_service(received.unwrap())
-        watch = _CallerWatch(environ) if self._options.watches_callers else None
+        watch = None
+        if self._options.watches_callers:
+            watch = _CallerWatch(environ, request.body)
         if watch is not None:
             request = request._replace(on_caller_left=watch.start)
         try:
@@ -208,13 +212,16 @@
 class _CallerWatch:
     """Watches a caller's connection after ``start`` until ``stop``."""
 
-    def __init__(self, environ: Environ) -> None:
+    def __init__(self, environ: Environ, body: Body) -> None:
         self._connection = environ["wsgi.input"].get_socket()
+        self._body = body
         self._watch: ConnectionWatch | None = None
 
     def start(self, on_closed: Callable[[], None]) -> None:
         """Call a function once the caller has closed its connection."""
         self._watch = ConnectionWatch(self._connection, on_closed)
+        if isinstance(self._body, StreamedBody):
+            self._body.watch_with(self._watch)
 
     def stop(self) -> None:
         """Stop watching, so that the connection can be read again."""
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -56,6 +56,7 @@
         slots: int = 3,
     ) -> None:
         self.ran: list[str] = []
+        self.bodies: dict[str, bytes] = {}  # by request id
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
         self.sends_heartbeats = True
@@ -202,11 +203,14 @@
 
         It takes the seconds that its query names as ``hold``, and ``hold_s`` more.
         """
-        length = int(request.headers.get("Content-Length") or 0)
-        request.rfile.read(length)
+        body = read_body(request)
+        if body is None:
+            request.close_connection = True
+            return
         request_id = request.headers[f"{PREFIX}Request-Id"]
         self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
+        self.bodies[request_id] = body
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(request.path).query)
         work_s = self.hold_s + float(query.get("hold", ["0"])[0])
@@ -310,3 +314,17 @@
         while not self._stop.wait(0.3):
             if self.sends_heartbeats and not self._is_down:
                 self.beat()
+
+
+def read_body(request: BaseHTTPRequestHandler) -> bytes | None:
+    """Return a request's body, None if it ends early."""
+    if request.headers.get("Transfer-Encoding", "").lower() != "chunked":
+        length = int(request.headers.get("Content-Length") or 0)
+        body = request.rfile.read(length)
+        return body if len(body) == length else None
+    pieces = []
+    while size := int(request.rfile.readline().split(b";")[0] or b"0", 16):
+        pieces.append(request.rfile.read(size))
+        if len(pieces[-1]) < size or request.rfile.readline() != b"\r\n":
+            return None
+    return b"".join(pieces) if request.rfile.readline() == b"\r\n" else None
