Refuse a request whose body a declined attempt has begun to send

What callers saw: a large request that waited in a queue, and was declined there, ended with 504 "unknown" at its deadline. Found by the test of slow uploads.

Cause: a body is sent on while its attempt still waits for a slot. The next attempt read what was left of it and failed with an error that nobody handled.

Evidence: test_uploads_beyond_the_slots_are_served_or_refused_truthfully failed (504), as did its unit test in test_delivery.py.

Change: such a body counts as spent; the request is refused as not run, at once.

Measured: test_slow_uploads.py and the unit tests of forwarding pass.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -287,6 +287,7 @@
                 result.status,
                 blocked_s=result.blocked_s,
                 is_suspect=any(report.weight for report in result.crash_reports),
+                is_body_spent=attempt.body.is_spent,
             )
         )
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
@@ -62,6 +62,7 @@
         self._rest = rest
         self._length = length
         self._watch: ReadWatch | None = None
+        self._is_spent = False
 
     def watch_with(self, watch: ReadWatch) -> None:
         """Pause a watch of the connection whenever the body is read."""
@@ -77,9 +78,17 @@
         """Return False, as the caller's body can be read only once."""
         return False
 
+    @property
+    def is_spent(self) -> bool:
+        """Return whether a part of the body was read beyond its start."""
+        return self._is_spent
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body in chunks; raise IncompleteBodyError if it ends early."""
+        if self._is_spent:
+            raise IncompleteBodyError("the body was read by an earlier attempt")
         yield self._start
+        self._is_spent = True
         received = len(self._start)
         while self._length is None or received < self._length:
             chunk = self._read_chunk()
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -308,7 +308,9 @@
                 return self._handle_answer(done, now)
             case AttemptKind.DECLINED | AttemptKind.NOT_CONNECTED:
                 self._record_rejection(candidate)
-                return self._try_another_server(now, is_body_unsent=True)
+                return self._try_another_server(
+                    now, is_body_unsent=not done.is_body_spent
+                )
             case AttemptKind.REFUSED:
                 self._has_arrived = True
                 self._record_rejection(candidate)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -25,6 +25,7 @@
     reason: str = ""
     blocked_s: float = 0.0  # time until the end of the request's block; 0 without one
     is_suspect: bool = False  # the request may have crashed servers
+    is_body_spent: bool = False  # no other attempt can send the body
 
 
 class TimerDue(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -37,6 +37,11 @@
     def can_replay(self) -> bool:
         """Return whether ``chunks`` may be called again."""
 
+    @property
+    def is_spent(self) -> bool:
+        """Return whether the body can no longer be read from its start."""
+        return False
+
     @abc.abstractmethod
     def chunks(self) -> Iterator[bytes]:
         """Yield the chunks of the body."""
--- a/tests/functional/test_slow_uploads.py
+++ b/tests/functional/test_slow_uploads.py
@@ -79,6 +79,22 @@
     assert "Traceback" not in origin.log()
 
 
+def test_uploads_beyond_the_slots_are_served_or_refused_truthfully(
+    fleet: Fleet,
+) -> None:
+    """The second attempt sent the rest of a body that the first one had begun."""
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    statuses = upload_at_once(origin, 3 * UPLOADS)
+    assert set(statuses.values()) <= {200, 503}
+    for request_id, status in statuses.items():
+        assert host.server.ran.count(request_id) == (status == 200)
+    assert "Traceback" not in origin.log()
+
+
 def upload_at_once(process: Process, count: int) -> dict[str, int]:
     """Return the statuses of uploads that begin together, by request id."""
     statuses: dict[str, int] = {}
--- a/tests/unit/forwarding/test_delivery.py
+++ b/tests/unit/forwarding/test_delivery.py
@@ -9,6 +9,7 @@
 from delivery_driver import candidate
 
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
+from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
@@ -210,3 +211,16 @@
     last = outputs[-1]
     assert isinstance(last, Refuse)
     assert (last.refusal.status, last.refusal.ran) == answer
+
+
+@pytest.mark.parametrize("is_spent", [False, True])
+def test_a_body_that_one_attempt_has_begun_is_not_sent_by_another(
+    is_spent: bool,
+) -> None:
+    driver = Driver(Case(is_repeatable=False, can_replay=False))
+    driver.offer(candidate("a"), candidate("b"))
+    done = AttemptDone(1, AttemptKind.DECLINED, 0, is_body_spent=is_spent)
+    outputs = driver.give(done)
+    refusals = [each.refusal for each in outputs if isinstance(each, Refuse)]
+    assert bool(refusals) == is_spent
+    assert all(each.status == 503 and each.ran is Ran.NOT_RUN for each in refusals)
