Give the end of a confirmed refusal to the configuration on the own interface

What callers saw: nothing landed; with the confirmation of refusals before this commit, a change that conflicts was answered 504 on the own interface instead of 409.

Cause: the floor owner reads for itself, with ids from a counter of its own that the service's ids overlap, and the control role gave it the end of every read.

Change: the floor owner's reads have ids above the service's, and only those are its own.

The new test of a leader that wakes up on the own interface passes; it passed on the untouched code too, so it only guards the path.

--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -132,8 +132,7 @@
             self.floor.update_leader(output)
             for function in self._subscribers:
                 function(output)
-        if isinstance(output, ReadReady):
-            self.floor.handle_read_result(output)
+        if isinstance(output, ReadReady) and self.floor.handle_read_result(output):
             return
         self._service.put(output)
 
--- a/packages/daemon/src/pimentobendd/_internal/floor_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/floor_role.py
@@ -43,6 +43,7 @@
 from pimentobendd._internal.evidence import KIND_GRANTS
 from pimentobendd._internal.evidence import WINDOW_S
 
+FIRST_READ_ID = 1 << 48  # the service's own reads have smaller ids
 CONFIRM_INTERVAL_S = 0.5
 
 
@@ -65,7 +66,7 @@
         self._log = get_log()
         self._term: int | None = None
         self._pending_reads: dict[int, float] = {}  # start time (s) by read id
-        self._last_read_id = 0
+        self._last_read_id = FIRST_READ_ID
         self._observer_addresses: dict[str, str] = {}  # link address by observer
         self._confirm_greenlet: Any = None
         self._batches: Batcher[EjectionsGranted] = Batcher(self._send, WINDOW_S)
@@ -116,13 +117,13 @@
         self._term = None
         self._task.put(OwnershipLost())
 
-    def handle_read_result(self, message: ReadReady) -> None:
-        """Confirm the term if a majority answered the read."""
+    def handle_read_result(self, message: ReadReady) -> bool:
+        """Confirm the term if a majority answered; return whether the read is own."""
         began_at = self._pending_reads.pop(message.read_id, None)
-        if began_at is None or self._term is None:
-            return
-        if message.outcome is Outcome.COMMITTED:
+        is_confirmed = message.outcome is Outcome.COMMITTED
+        if began_at is not None and self._term is not None and is_confirmed:
             self._task.put(OwnershipConfirmed(self._term, began_at))
+        return message.read_id >= FIRST_READ_ID
 
     def _send(self, address: str, grants: tuple[EjectionsGranted, ...]) -> None:
         self._link.send(address, KIND_GRANTS, encode_grants(grants))
--- a/tests/functional/test_replicas.py
+++ b/tests/functional/test_replicas.py
@@ -3,6 +3,7 @@
 import pathlib
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import pytest
@@ -15,6 +16,8 @@
 
 CHANGES = 24
 KILL_BEFORE_CHANGE = 8
+WAKE_UPS = 3
+IN_FLIGHT_S = 0.2  # until a request is in the socket of a process that is paused
 ELECTION_WAIT_S = 5.0  # several election timeouts
 
 
@@ -47,6 +50,29 @@
         assert replicas.status(name)["version"] == replicas.version
 
 
+def test_a_leader_that_wakes_up_refuses_no_accepted_change(fleet: Fleet) -> None:
+    """It answered a conflict from what it had known before it was paused."""
+    replicas = Replicas(fleet, 3)
+    number = 0
+    for _ in range(WAKE_UPS):
+        replicas.apply(replicas.names[0], number)
+        wait_until(replicas.leader)
+        leader = replicas.leader()
+        assert leader is not None
+        other = next(name for name in replicas.names if name != leader)
+        replicas.pause(leader)
+        replicas.apply(other, number + 1)
+        base = replicas.version
+        number += 2
+        replicas.apply(other, number)
+        with ThreadPoolExecutor() as pool:
+            again = pool.submit(replicas.send, leader, number, base)
+            time.sleep(IN_FLIGHT_S)
+            replicas.resume(leader)
+            assert again.result().status in (200, 503, 504)
+        number += 1
+
+
 def test_all_replicas_are_killed_and_restarted(fleet: Fleet) -> None:
     replicas = Replicas(fleet, 3)
     for number in range(5):
--- a/tests/lib/replicas.py
+++ b/tests/lib/replicas.py
@@ -39,6 +39,7 @@
             settings = control_settings(name, str(fleet.folder), link)
             self.settings[name] = settings | {"control": links}
         self._processes: dict[str, Process] = {}
+        self._paused: dict[str, Process] = {}
         self.names = list(self.settings)
         self.version = "0.0"
         for name in self.names:
@@ -62,6 +63,16 @@
         self._processes[name].wait()
         del self._processes[name]
 
+    def pause(self, name: str) -> None:
+        """Suspend a replica's process, which gets no more changes from ``apply``."""
+        self._paused[name] = self._processes.pop(name)
+        self._paused[name].signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Resume a process that was paused."""
+        self._processes[name] = self._paused.pop(name)
+        self._processes[name].signal(signal.SIGCONT)
+
     def pid(self, name: str) -> int:
         """Return the id of a replica's process."""
         return self._processes[name].pid
@@ -92,12 +103,7 @@
 
         ``retried`` are the statuses after which the change is sent again.
         """
-        rows = [
-            {"name": f"r{n}", "path": f"/{n}", "pool": "p", "repeatable": True}
-            for n in range(number + 1)
-        ]
-        body = json.dumps({"routes": rows, "pools": POOLS}).encode()
-        target = f"tables?version={self.version}&change=change-{number}"
+        base = self.version
         order = self.names[self.names.index(name) :] + self.names
         until = time.monotonic() + APPLY_TIMEOUT_S
         position = 0
@@ -106,7 +112,7 @@
             position += 1
             if each not in self._processes:
                 continue
-            answer = self._try(each, target, body)
+            answer = self._try(each, number, base)
             if answer is not None and answer.status == 200:
                 self.version = json.loads(answer.content)["version"]
                 term, log_index = self.version.split(".")
@@ -124,9 +130,19 @@
         target = f"replicas/{action}?address={address}"
         return self.request("POST", leader, target).status == 200
 
-    def _try(self, name: str, target: str, body: bytes) -> Answer | None:
+    def send(self, name: str, number: int, base: str) -> Answer:
+        """Send the change that applies routes 0 to ``number`` on a version."""
+        rows = [
+            {"name": f"r{n}", "path": f"/{n}", "pool": "p", "repeatable": True}
+            for n in range(number + 1)
+        ]
+        body = json.dumps({"routes": rows, "pools": POOLS}).encode()
+        target = f"tables?version={base}&change=change-{number}"
+        return self.request("PUT", name, target, body)
+
+    def _try(self, name: str, number: int, base: str) -> Answer | None:
         try:
-            return self.request("PUT", name, target, body)
+            return self.send(name, number, base)
         except (OSError, urllib.error.URLError):
             return None
 
