Keep the limit of announced servers for those that had left before

What callers saw: nothing; found by reading the change whole. A daemon listed more than 256 servers if they had withdrawn before it knew them and came back later.

Cause: the check for a late announcement stood before the limit in one chain of elif.

Evidence: test_the_number_of_announced_servers_is_bounded failed in one of two rows.

Change: both checks of a server without a lease are in one function, the limit first.

Measured: the unit tests of the registry pass (47).

--- a/packages/core/src/pimentobend_core/_internal/membership/registry.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/registry.py
@@ -138,10 +138,8 @@
         if known is not None:
             faults += find_transition_faults(known.server, server)
             faults += _find_withdrawal_faults(known, server)
-        elif departure := self._departures.get(server.server_id):
-            faults += _find_incarnation_faults(server, departure.incarnation)
-        elif len(self._leases) >= SERVERS_MAX:
-            faults += (f"server_id: limit of {SERVERS_MAX} announced servers reached",)
+        else:
+            faults += self._find_admission_faults(server)
         if faults:
             return (AnnouncementRefused(server.server_id, faults),)
         replaced = self._replace_at_address(server, now)
@@ -153,6 +151,15 @@
             return (accepted, *replaced)
         return (accepted, *replaced, self._create_event(Presence.LIVE, server))
 
+    def _find_admission_faults(self, server: Server) -> tuple[str, ...]:
+        """Return why a server without a lease gets none."""
+        if len(self._leases) >= SERVERS_MAX:
+            return (f"server_id: limit of {SERVERS_MAX} announced servers reached",)
+        departure = self._departures.get(server.server_id)
+        if departure is None:
+            return ()
+        return _find_incarnation_faults(server, departure.incarnation)
+
     def _accept(self, message: Announcement) -> AnnouncementAccepted:
         lease_s = message.lease_s
         return AnnouncementAccepted(
--- a/tests/unit/membership/test_registry.py
+++ b/tests/unit/membership/test_registry.py
@@ -232,3 +232,16 @@
     assert isinstance(registry.handle(late, 1.0)[-1], AnnouncementRefused)
     forgotten = _announce(server_id="kiln-0")
     assert isinstance(registry.handle(forgotten, 1.0)[0], AnnouncementAccepted)
+
+
+@pytest.mark.parametrize("has_left_before", [False, True])
+def test_the_number_of_announced_servers_is_bounded(has_left_before: bool) -> None:
+    """A later lifetime of a server that had left was admitted beyond the limit."""
+    registry = ServerRegistry("daemon-1")
+    if has_left_before:
+        registry.handle(LEAVES, 0.0)
+    for number in range(SERVERS_MAX):
+        registry.handle(_announce(server_id=f"other-{number}"), 0.0)
+    refused = registry.handle(_announce(incarnation=8), 0.0)[-1]
+    assert isinstance(refused, AnnouncementRefused)
+    assert "limit" in refused.faults[0]
