Share the fixture of a running fleet among the functional tests

Six modules started and stopped a platform fleet with the same lines; EndlessServer repeated the accept loop of RawBackend. No check is changed.

--- a/tests/functional/test_endless_answers.py
+++ b/tests/functional/test_endless_answers.py
@@ -18,6 +18,7 @@
 from endless_server import EndlessServer
 from platform_fleet import Fleet
 from platform_fleet import FleetShape
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from platform_server import PREFIX
 from settings_of import control_settings
@@ -63,13 +64,10 @@
 
 @pytest.fixture
 def platform_fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path, FleetShape(slots=CALLERS, has_server_proxies=False))
-    try:
-        running.start()
+    with run_fleet(
+        tmp_path, FleetShape(slots=CALLERS, has_server_proxies=False)
+    ) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 @pytest.mark.parametrize("kind", ENDLESS)
--- a/tests/functional/test_full_disks.py
+++ b/tests/functional/test_full_disks.py
@@ -4,7 +4,6 @@
 operators of a system like this one.
 """
 
-import contextlib
 import pathlib
 import resource
 import time
@@ -15,6 +14,7 @@
 import pytest
 from platform_fleet import ROUTES
 from platform_fleet import Fleet
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from replicas import RETRIED_STATUSES
 from replicas import Replicas
@@ -49,13 +49,8 @@
 
 @pytest.fixture
 def platform_fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path)
-    try:
-        running.start()
+    with run_fleet(tmp_path) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 def routes_with(number: int) -> dict[str, Any]:
--- a/tests/functional/test_late_heartbeats.py
+++ b/tests/functional/test_late_heartbeats.py
@@ -3,7 +3,6 @@
 The restarted daemon did not know that the server had left, and used it again.
 """
 
-import contextlib
 import pathlib
 import signal
 import time
@@ -13,6 +12,7 @@
 import pytest
 from platform_fleet import Fleet
 from platform_fleet import Process
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from platform_process import ask
 from platform_server import PlatformServer
@@ -23,13 +23,8 @@
 
 @pytest.fixture
 def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path)
-    try:
-        running.start()
+    with run_fleet(tmp_path) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 def restart(process: Process) -> None:
--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -1,6 +1,5 @@
 """Check that a fleet of platform daemons forms, serves and survives restarts."""
 
-import contextlib
 import http.client
 import pathlib
 import shutil
@@ -14,19 +13,15 @@
 from platform_fleet import ROUTES
 from platform_fleet import Fleet
 from platform_fleet import Process
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from platform_server import PREFIX
 
 
 @pytest.fixture
 def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path)
-    try:
-        running.start()
+    with run_fleet(tmp_path) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 def more_routes() -> dict[str, Any]:
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -16,6 +16,7 @@
 from platform_fleet import GRACE_S
 from platform_fleet import Fleet
 from platform_fleet import Process
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from platform_process import Answer
 from platform_server import PREFIX
@@ -34,13 +35,8 @@
 
 @pytest.fixture
 def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path)
-    try:
-        running.start()
+    with run_fleet(tmp_path) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 def test_requests_whose_bodies_are_unread_at_the_end_are_refused(fleet: Fleet) -> None:
--- a/tests/functional/test_slow_uploads.py
+++ b/tests/functional/test_slow_uploads.py
@@ -4,7 +4,6 @@
 so that each body that did not arrive at once was lost.
 """
 
-import contextlib
 import http.client
 import pathlib
 import threading
@@ -13,6 +12,7 @@
 
 import pytest
 from platform_fleet import Fleet
+from platform_fleet import run_fleet
 from platform_fleet import wait_until
 from platform_process import Process
 from platform_server import PREFIX
@@ -26,13 +26,8 @@
 
 @pytest.fixture
 def fleet(tmp_path: pathlib.Path) -> Iterator[Fleet]:
-    running = Fleet(tmp_path)
-    try:
-        running.start()
+    with run_fleet(tmp_path) as running:
         yield running
-    finally:
-        with contextlib.suppress(OSError):
-            running.stop()
 
 
 def pieces() -> Iterator[bytes]:
--- a/tests/lib/endless_server.py
+++ b/tests/lib/endless_server.py
@@ -2,10 +2,10 @@
 
 import contextlib
 import socket
-import threading
 
-RECEIVE_BYTES = 65536
-IDLE_TIMEOUT_S = 5.0
+from raw_backend import RECEIVE_BYTES
+from raw_backend import RawBackend
+
 _OK = b"HTTP/1.1 200 OK\r\n"
 _CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
 # First bytes, and those that follow until the caller closes.
@@ -26,40 +26,20 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(RawBackend):
     """Sends ``start``, then ``more`` again and again until the caller closes."""
 
     def __init__(self, start: bytes, more: bytes) -> None:
         self._start = start
         self._more = more
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.requests = 0
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    @property
-    def port(self) -> int:
-        """Return the port that the server listens on."""
-        port: int = self._listener.getsockname()[1]
-        return port
-
-    def close(self) -> None:
-        """Stop accepting connections."""
-        self._listener.close()
-
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                connection.settimeout(IDLE_TIMEOUT_S)
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
+        super().__init__({})
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            if not connection.recv(RECEIVE_BYTES):
+            received = connection.recv(RECEIVE_BYTES)
+            if not received:
                 return
-            self.requests += 1
+            self.requests.append(received)
             connection.sendall(self._start)
             while True:
                 connection.sendall(self._more)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -1,10 +1,12 @@
 """Start and stop a fleet of platform daemons on loopback addresses."""
 
+import contextlib
 import itertools
 import json
 import os
 import pathlib
 import socket
+from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
 
@@ -146,3 +148,15 @@
             process.to_callers.stop()
             if process.server is not None:
                 process.server.stop()
+
+
+@contextlib.contextmanager
+def run_fleet(folder: pathlib.Path, shape: FleetShape | None = None) -> Iterator[Fleet]:
+    """Run a fleet that serves until the context ends."""
+    running = Fleet(folder, shape)
+    try:
+        running.start()
+        yield running
+    finally:
+        with contextlib.suppress(OSError):
+            running.stop()
