--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -48,6 +48,7 @@
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.traffic.shared_budget import BudgetState
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 QUEUE_LIMIT = 128  # queued attempts per server
@@ -179,6 +180,10 @@
         servers = self._service_sizes.get(hosted.server.service, 1)
         return hosted.budget.allows(servers, now)
 
+    def _describe_budget(self, hosted: HostedServer, now: float) -> BudgetState:
+        servers = self._service_sizes.get(hosted.server.service, 1)
+        return hosted.budget.describe(servers, now)
+
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (DuplicateSubmission(submit.attempt_id),)
@@ -190,7 +195,11 @@
             # Keep the record, so that a delayed copy of the submission does not run.
             self._records[submit.attempt_id] = record
             reason = reason or DeclineReason.NO_SERVER
-            return (*learnt, self._decline(record, reason, now))
+            declined = self._decline(record, reason, now)
+            if hosted is not None and reason is DeclineReason.BUDGET:
+                state = self._describe_budget(hosted, now)
+                declined = declined._replace(budget=state)
+            return (*learnt, declined)
         self._records[submit.attempt_id] = record
         self._submissions += 1
         hosted.budget.note(now, is_repeat=submit.is_repeat)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -41,7 +41,7 @@
 
     def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
         self.server = server
-        self.budget = ServerBudget(terms)
+        self.budget = ServerBudget(terms, now)
         self.running: set[str] = set()
         self.backlog = Backlog()
         self.liveness = Liveness(now)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -14,6 +14,7 @@
 from pimentobend_core._internal.crashes.messages import ReportsReceived
 from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.traffic.shared_budget import BudgetState
 
 
 class Bid(NamedTuple):
@@ -190,6 +191,7 @@
     reason: DeclineReason
     crash_reports: tuple[CrashReport, ...] = ()
     blocked_s: float = 0.0  # time until the end of the request's block
+    budget: BudgetState | None = None  # where the budget is spent
 
 
 class ProbeServer(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -26,6 +26,16 @@
     allowance: float  # repeats per window in addition to the ratio
 
 
+class BudgetState(NamedTuple):
+    """What a host counts against the limit on the repeats of a service."""
+
+    first: float  # first attempts within the window
+    repeats: float  # within the window
+    limit: float  # part of the service's limit that this host may use
+    servers: int  # number of servers among which the allowance is divided
+    age_s: float  # time for which this host has counted
+
+
 class OriginBudget(RetryPolicy):
     """Limit the requests that one daemon repeats, for each pool.
 
@@ -58,8 +68,9 @@
     Counts the first attempts and repeats that arrived within the last window.
     """
 
-    def __init__(self, terms: BudgetTerms) -> None:
+    def __init__(self, terms: BudgetTerms, now: float = 0.0) -> None:
         self._terms = terms
+        self._started_at = now
         self._arrivals: deque[tuple[float, bool]] = deque()
         self._repeats = 0
 
@@ -70,10 +81,16 @@
 
     def allows(self, servers: int, now: float) -> bool:
         """Return whether this server, one of ``servers``, may take one more repeat."""
+        state = self.describe(servers, now)
+        return state.repeats + 1 <= state.limit
+
+    def describe(self, servers: int, now: float) -> BudgetState:
+        """Return the counts at ``now`` (seconds) of one of ``servers`` servers."""
         self._drop_expired(now)
-        initial = len(self._arrivals) - self._repeats
-        limit = self._terms.ratio * initial + self._terms.allowance / max(1, servers)
-        return self._repeats + 1 <= USED_SHARE * limit
+        first = len(self._arrivals) - self._repeats
+        limit = self._terms.ratio * first + self._terms.allowance / max(1, servers)
+        age_s = now - self._started_at
+        return BudgetState(first, self._repeats, USED_SHARE * limit, servers, age_s)
 
     def _drop_expired(self, now: float) -> None:
         while self._arrivals and now - self._arrivals[0][0] > self._terms.window_s:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -27,6 +27,7 @@
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.ports import AttemptResult
+from pimentobend_core._internal.traffic.shared_budget import BudgetState
 
 MS_PER_S = 1000
 SERVER_ERROR = 500
@@ -169,8 +170,14 @@
                     "route": detail.route,
                     ORDINARY: True,
                 }
+                self._counters.count(
+                    "arrivals", "repeat" if detail.is_repeat else "first"
+                )
             case Declined():
-                values = {"reason": detail.reason.value}
+                values = {
+                    "reason": detail.reason.value,
+                    **_describe_budget(detail.budget),
+                }
                 self._counters.count("declined", detail.reason.value)
             case AttemptResult():
                 values = _describe_result(detail)
@@ -217,5 +224,17 @@
     }
 
 
+def _describe_budget(state: BudgetState | None) -> dict[str, Any]:
+    if state is None:
+        return {}
+    return {
+        "first": round(state.first, 1),
+        "repeats": round(state.repeats, 1),
+        "limit": round(state.limit, 1),
+        "servers": state.servers,
+        "counted_for_s": round(state.age_s, 1),
+    }
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * MS_PER_S, 1)
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -29,6 +29,7 @@
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.traffic.shared_budget import BudgetState
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 SERVER = Server("s", "bookings", "10.0.0.1", 80, 2, "a", "r", ServerState.READY, 1)
@@ -176,7 +177,10 @@
             submit("r")._replace(is_repeat=True),
             submit("first"),
         ],
-        [*declined("r", DeclineReason.BUDGET), *started("first")],
+        [
+            Declined("r", DeclineReason.BUDGET, budget=BudgetState(0, 0, 0.5, 10, 0.0)),
+            *started("first"),
+        ],
     ),
     (
         "a recall leaves a running attempt",
