Count as spent what a host cannot know of the retry budget

The part of the limit that a host uses was kept for one life of its server and of its process, and a daemon without a list of the fleet took its servers for the whole service.

The budget now belongs to the host and the service. Its part of the allowance counts as spent until a window after the host has servers of the service, and without a list of the fleet. A list that shrinks counts with its former size for two windows, and an own server counts at once.

Hosts use 0.6 of the limit instead of 0.5, as restarts no longer multiply it.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -48,8 +48,10 @@
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.traffic.service_sizes import SizeHistory
 from pimentobend_core._internal.traffic.shared_budget import BudgetState
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
+from pimentobend_core._internal.traffic.shared_budget import ServiceBudgets
 
 QUEUE_LIMIT = 128  # queued attempts per server
 # Twice the 10,000 attempts that arrive within 42 s at a daemon's design rate.
@@ -69,6 +71,7 @@
 # A call ends at its deadline, and its end is reported within this time.
 CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
+SIZE_MEMORY_WINDOWS = 2  # of the retry budget
 CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
 
@@ -82,8 +85,9 @@
 
     def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
-        self._terms = terms
-        self._service_sizes: dict[str, int] = {}
+        # What was spent under a size is forgotten a window after the size was.
+        self._service_sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
+        self._budgets = ServiceBudgets(terms)
         self._servers: dict[str, HostedServer] = {}
         self._records: dict[str, AttemptRecord] = {}
         # When attempts were withdrawn whose submissions have not arrived yet.
@@ -114,6 +118,7 @@
             case ReportsReceived() | EarlierReportsSeen():
                 return self._crashes.handle(message, now)
             case HostTick():
+                self._budgets.drop_unused(now)
                 return (*self._expire(now), *self._crashes.handle(CrashTick(), now))
             case _:
                 self._update_state(message, now)
@@ -142,7 +147,7 @@
     ) -> None:
         match message:
             case ServiceSizes():
-                self._service_sizes = dict(message.servers)
+                self._service_sizes.update(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
 
@@ -177,12 +182,14 @@
         )
 
     def _has_repeat_budget(self, hosted: HostedServer, now: float) -> bool:
-        servers = self._service_sizes.get(hosted.server.service, 1)
-        return hosted.budget.allows(servers, now)
+        service = hosted.server.service
+        servers = self._service_sizes.largest(service, now)
+        return self._budgets.of(service).allows(servers, now)
 
     def _describe_budget(self, hosted: HostedServer, now: float) -> BudgetState:
-        servers = self._service_sizes.get(hosted.server.service, 1)
-        return hosted.budget.describe(servers, now)
+        service = hosted.server.service
+        servers = self._service_sizes.largest(service, now)
+        return self._budgets.of(service).describe(servers, now)
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
@@ -202,7 +209,8 @@
             return (*learnt, declined)
         self._records[submit.attempt_id] = record
         self._submissions += 1
-        hosted.budget.note(now, is_repeat=submit.is_repeat)
+        budget = self._budgets.of(hosted.server.service)
+        budget.note(now, is_repeat=submit.is_repeat)
         durations = hosted.durations.of(submit.route, submit.target_s)
         durations.set_target(submit.target_s, submit.priority)
         due = min(now + durations.slack_s, submit.deadline)
@@ -407,6 +415,7 @@
         return self._remove_server(message.server_id, now)
 
     def _update_server(self, server: Server, now: float) -> tuple[HostOutput, ...]:
+        self._budgets.note_listed(server.service, now)
         hosted = self._servers.get(server.server_id)
         if hosted is None or server.incarnation != hosted.server.incarnation:
             crashed: tuple[HostOutput, ...] = ()
@@ -414,9 +423,7 @@
                 # Its calls broke, and a new life of it is here.
                 crashed = self._handle_crash(hosted, now)
             declined = self._remove_server(server.server_id, now)
-            hosted = self._servers[server.server_id] = HostedServer(
-                server, self._terms, now
-            )
+            hosted = self._servers[server.server_id] = HostedServer(server, now)
             return (*crashed, *declined)
         hosted.server = server
         if hosted.is_ready:
@@ -427,6 +434,9 @@
         hosted = self._servers.pop(server_id, None)
         if hosted is None:
             return ()
+        services = {each.server.service for each in self._servers.values()}
+        if hosted.server.service not in services:
+            self._budgets.note_unlisted(hosted.server.service, now)
         declined = self._decline_queued(hosted, DeclineReason.NO_SERVER, now)
         return (*self._release_broken(hosted, now), *declined)
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -11,8 +11,6 @@
 from pimentobend_core._internal.forwarding.shedding import RefusalShare
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
-from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
-from pimentobend_core._internal.traffic.shared_budget import ServerBudget
 
 COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
 
@@ -39,9 +37,8 @@
 class HostedServer:
     """A server with its queue, its running attempts and its statistics."""
 
-    def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
+    def __init__(self, server: Server, now: float) -> None:
         self.server = server
-        self.budget = ServerBudget(terms, now)
         self.running: set[str] = set()
         self.backlog = Backlog()
         self.liveness = Liveness(now)
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -12,7 +12,7 @@
 
 # Servers take repeats up to this share of the limit, as a repeat can cause up to two
 # calls.
-USED_SHARE = 0.5
+USED_SHARE = 0.6
 ORIGIN_SHARE = 0.3  # repeats that one success allows its origin
 ORIGIN_FLOOR_PER_S = 0.5  # repeats per second that are allowed without any success
 ORIGIN_TOKENS = 10.0  # repeats allowed at the start, and the most that accumulate
@@ -40,7 +40,7 @@
     """Limit the requests that one daemon repeats, for each pool.
 
     The limit on all daemons together is enforced by the daemons that the servers
-    are registered with, see ``ServerBudget``.
+    are registered with, see ``ServiceBudget``.
     """
 
     def __init__(self) -> None:
@@ -62,15 +62,19 @@
         return self._budgets[pool]
 
 
-class ServerBudget:
-    """Limit the repeats that arrive at one server to its part of the service's limit.
+class ServiceBudget:
+    """Limit the repeats that reach one host's servers of a service.
 
-    Counts the first attempts and repeats that arrived within the last window.
+    The host has its part of the service's limit. It counts the first attempts and
+    repeats that arrived within the last window, whichever of its servers they
+    reached. What arrived here before ``started_at`` is not known, and so are the
+    parts that other hosts had meanwhile: the allowance counts as spent until a window
+    has passed.
     """
 
-    def __init__(self, terms: BudgetTerms, now: float = 0.0) -> None:
+    def __init__(self, terms: BudgetTerms, started_at: float) -> None:
         self._terms = terms
-        self._started_at = now
+        self._started_at = started_at
         self._arrivals: deque[tuple[float, bool]] = deque()
         self._repeats = 0
 
@@ -80,19 +84,60 @@
         self._repeats += is_repeat
 
     def allows(self, servers: int, now: float) -> bool:
-        """Return whether this server, one of ``servers``, may take one more repeat."""
+        """Return whether one more repeat may come; see ``describe``."""
         state = self.describe(servers, now)
         return state.repeats + 1 <= state.limit
 
     def describe(self, servers: int, now: float) -> BudgetState:
-        """Return the counts at ``now`` (seconds) of one of ``servers`` servers."""
+        """Return the counts at ``now`` (seconds).
+
+        ``servers`` is the number of hosts that divide the service's allowance; 0 if it
+        is not known, and then none of it may be used.
+        """
         self._drop_expired(now)
         first = len(self._arrivals) - self._repeats
-        limit = self._terms.ratio * first + self._terms.allowance / max(1, servers)
         age_s = now - self._started_at
+        limit = self._terms.ratio * first
+        if servers and age_s >= self._terms.window_s:
+            limit += self._terms.allowance / servers
         return BudgetState(first, self._repeats, USED_SHARE * limit, servers, age_s)
 
     def _drop_expired(self, now: float) -> None:
         while self._arrivals and now - self._arrivals[0][0] > self._terms.window_s:
             _, is_repeat = self._arrivals.popleft()
             self._repeats -= is_repeat
+
+
+class ServiceBudgets:
+    """The budgets of a host, one for each service that it has servers of.
+
+    A budget outlives its servers for a window: those that take their place have the
+    same part of the limit.
+    """
+
+    def __init__(self, terms: BudgetTerms) -> None:
+        self._terms = terms
+        self._budgets: dict[str, ServiceBudget] = {}
+        self._unlisted_at: dict[str, float] = {}
+
+    def of(self, service: str) -> ServiceBudget:
+        """Return the budget of a service that ``note_listed`` was called for."""
+        return self._budgets[service]
+
+    def note_listed(self, service: str, now: float) -> None:
+        """Record that a server of a service is here at ``now`` (seconds)."""
+        self.drop_unused(now)
+        self._unlisted_at.pop(service, None)
+        if service not in self._budgets:
+            self._budgets[service] = ServiceBudget(self._terms, now)
+
+    def note_unlisted(self, service: str, now: float) -> None:
+        """Record that the last server of a service left at ``now`` (seconds)."""
+        self._unlisted_at[service] = now
+
+    def drop_unused(self, now: float) -> None:
+        """Delete the budgets of services without a server for a window."""
+        for service, at in list(self._unlisted_at.items()):
+            if now - at >= self._terms.window_s:
+                del self._unlisted_at[service]
+                del self._budgets[service]
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -181,6 +181,8 @@
         )
         # The crash reports in each daemon's row, by its address.
         self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
+        self._peer_services: Counter[str] = Counter()
+        self._is_fleet_known = False
         self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
@@ -234,11 +236,11 @@
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
         self.bid_collector.update_peers(peers)
-        services = [
+        self._peer_services = Counter(
             each.service for row in peers for each in row.servers if each.is_ready
-        ]
-        services += [server.service for server in self._servers.values()]
-        self.host.update_service_sizes(ServiceSizes(tuple(Counter(services).items())))
+        )
+        self._is_fleet_known = bool(peers)
+        self._update_service_sizes()
         for row in peers:
             # Only changes count: the row of a daemon that is gone grows no younger.
             if row.crash_reports != self._peer_reports.get(row.address, ()):
@@ -319,6 +321,16 @@
             self._servers.pop(server.server_id, None)
             self.host.remove_server(server.server_id)
 
+        self._update_service_sizes()
+
+    def _update_service_sizes(self) -> None:
+        """Count the servers of each service, once other daemons are known."""
+        if not self._is_fleet_known:
+            return
+        own = Counter(server.service for server in self._servers.values())
+        sizes = tuple((self._peer_services + own).items())
+        self.host.update_service_sizes(ServiceSizes(sizes))
+
     def restore(self, row: PeerRow) -> None:
         """Take over what this daemon's row said before it restarted.
 
--- a/tests/lib/played_fleet.py
+++ b/tests/lib/played_fleet.py
@@ -35,6 +35,7 @@
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
 from pimentobend_core._internal.forwarding.messages import ServerListed
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
@@ -159,7 +160,8 @@
                 ServerState.READY,
                 1,
             )
-            host.handle(ServerListed(server), 0.0)
+            host.handle(ServerListed(server), -terms.window_s)
+            host.handle(ServiceSizes(((SERVICE, count),)), -terms.window_s)
 
     def play(self) -> Outcome:
         """Play the whole load and return what the callers got."""
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -45,12 +45,16 @@
 
 
 class HostHarness:
-    """A host with one registered server, by default ``SERVER`` with two slots."""
+    """A host with one registered server, by default ``SERVER`` with two slots.
+
+    The server is here for a window of the budget before the time 0.
+    """
 
     def __init__(self, server: Server = SERVER) -> None:
         self.host = ServerHost(7, TERMS)
+        self.now = -TERMS.window_s
+        self.give(ServerListed(server), ServiceSizes((("bookings", 1),)))
         self.now = 0.0
-        self.give(ServerListed(server))
 
     def give(self, *messages: HostInput) -> list[HostOutput]:
         outputs: list[HostOutput] = []
@@ -178,7 +182,9 @@
             submit("first"),
         ],
         [
-            Declined("r", DeclineReason.BUDGET, budget=BudgetState(0, 0, 0.5, 10, 0.0)),
+            Declined(
+                "r", DeclineReason.BUDGET, budget=BudgetState(0, 0, 0.6, 10, 10.0)
+            ),
             *started("first"),
         ],
     ),
