Count attempts against the retry budget when they reach a server

The rule counts arrivals at servers; a host counted submissions to its queue. Repeats that waited for longer than the window had left the count when they arrived. A first attempt that was declined from the queue, or found no connection, counted again at the next host, up to twelve times, and raised the limit each time.

A repeat now counts from its submission until a window after its end, and not at all if it was declined from the queue; a first attempt counts once it is known to have reached its server.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -196,7 +196,7 @@
             return (DuplicateSubmission(submit.attempt_id),)
         learnt = self._crashes.learn(submit, now)
         hosted = self._servers.get(submit.server_id)
-        record = AttemptRecord(submit)
+        record = AttemptRecord(submit, now)
         reason = self._find_decline_reason(hosted, submit, now)
         if hosted is None or reason is not None:
             # Keep the record, so that a delayed copy of the submission does not run.
@@ -209,8 +209,7 @@
             return (*learnt, declined)
         self._records[submit.attempt_id] = record
         self._submissions += 1
-        budget = self._budgets.of(hosted.server.service)
-        budget.note(now, is_repeat=submit.is_repeat)
+        record.admit(self._budgets.of(hosted.server.service))
         durations = hosted.durations.of(submit.route, submit.target_s)
         durations.set_target(submit.target_s, submit.priority)
         due = min(now + durations.slack_s, submit.deadline)
@@ -299,7 +298,7 @@
         record = self._records.get(ended.attempt_id)
         if record is None or record.phase is not Phase.RUNNING:
             return ()
-        record.phase = Phase.ENDED
+        record.end(now, has_arrived=ended.kind is not EndKind.UNREACHABLE)
         hosted = self._servers.get(record.submit.server_id)
         is_current = hosted is not None and ended.attempt_id in hosted.running
         if hosted is None or not is_current:
@@ -404,7 +403,7 @@
     def _decline(
         self, record: AttemptRecord, reason: DeclineReason, now: float
     ) -> Declined:
-        record.phase = Phase.ENDED
+        record.decline()
         return self._crashes.decline(record.submit, reason, now)
 
     def _handle_listing(
@@ -480,7 +479,7 @@
                 overdue_s = now - record.submit.deadline
                 if overdue_s < CALL_REPORT_S:
                     continue
-                record.phase = Phase.ENDED
+                record.end(now, has_arrived=True)
                 hosted.running.discard(attempt_id)
                 hosted.liveness.discard(attempt_id)
                 server_id = hosted.server.server_id
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -11,6 +11,7 @@
 from pimentobend_core._internal.forwarding.shedding import RefusalShare
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.traffic.shared_budget import ServiceBudget
 
 COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
 
@@ -26,12 +27,37 @@
 class AttemptRecord:
     """State of an attempt, kept while a copy of its submission may still arrive."""
 
-    __slots__ = ("phase", "started_at", "submit")
+    __slots__ = ("budget", "phase", "started_at", "submit", "submitted_at")
 
-    def __init__(self, submit: Submit) -> None:
+    def __init__(self, submit: Submit, now: float) -> None:
         self.submit = submit
+        self.submitted_at = now
         self.phase = Phase.QUEUED
         self.started_at = 0.0
+        # Counts the attempt; None if it was declined at once.
+        self.budget: ServiceBudget | None = None
+
+    def admit(self, budget: ServiceBudget) -> None:
+        """Count the attempt with a budget until its end."""
+        self.budget = budget
+        if self.submit.is_repeat:
+            budget.reserve()
+
+    def decline(self) -> None:
+        """End an attempt that does not reach its server."""
+        self.phase = Phase.ENDED
+        if self.budget is not None and self.submit.is_repeat:
+            self.budget.release()
+
+    def end(self, now: float, *, has_arrived: bool) -> None:
+        """End an attempt that was sent to its server."""
+        self.phase = Phase.ENDED
+        if self.budget is None:
+            return
+        if self.submit.is_repeat:
+            self.budget.note_ended(now)
+        elif has_arrived:
+            self.budget.note_first(self.submitted_at)
 
 
 class HostedServer:
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -4,6 +4,7 @@
 it from its caller.
 """
 
+import bisect
 from collections import deque
 from typing import NamedTuple
 
@@ -65,23 +66,37 @@
 class ServiceBudget:
     """Limit the repeats that reach one host's servers of a service.
 
-    The host has its part of the service's limit. It counts the first attempts and
-    repeats that arrived within the last window, whichever of its servers they
-    reached. What arrived here before ``started_at`` is not known, and so are the
-    parts that other hosts had meanwhile: the allowance counts as spent until a window
-    has passed.
+    The host has its part of the service's limit. A first attempt counts once it is
+    known to have reached a server, from the time of its submission. A repeat counts
+    from its submission, while it waits and runs, until a window after its end: it
+    reaches its server at some time in between. What came here before ``started_at``
+    is not known, and so are the parts that other hosts had meanwhile: the allowance
+    counts as spent until a window has passed.
     """
 
     def __init__(self, terms: BudgetTerms, started_at: float) -> None:
         self._terms = terms
         self._started_at = started_at
-        self._arrivals: deque[tuple[float, bool]] = deque()
-        self._repeats = 0
+        self._first: list[float] = []  # times of submission, in order
+        self._pending = 0  # repeats that wait or run
+        self._ended: deque[float] = deque()  # when repeats ended
 
-    def note(self, now: float, *, is_repeat: bool) -> None:
-        """Record an arrival at ``now`` (seconds)."""
-        self._arrivals.append((now, is_repeat))
-        self._repeats += is_repeat
+    def note_first(self, submitted_at: float) -> None:
+        """Record a first attempt that reached a server."""
+        bisect.insort(self._first, submitted_at)
+
+    def reserve(self) -> None:
+        """Record a repeat that was submitted."""
+        self._pending += 1
+
+    def release(self) -> None:
+        """Record that a repeat was declined and will not reach a server."""
+        self._pending -= 1
+
+    def note_ended(self, now: float) -> None:
+        """Record that a repeat, which may have reached its server, ended at ``now``."""
+        self._pending -= 1
+        self._ended.append(now)
 
     def allows(self, servers: int, now: float) -> bool:
         """Return whether one more repeat may come; see ``describe``."""
@@ -94,18 +109,19 @@
         ``servers`` is the number of hosts that divide the service's allowance; 0 if it
         is not known, and then none of it may be used.
         """
-        self._drop_expired(now)
-        first = len(self._arrivals) - self._repeats
+        self._drop_expired(now - self._terms.window_s)
+        first, repeats = len(self._first), self._pending + len(self._ended)
         age_s = now - self._started_at
         limit = self._terms.ratio * first
         if servers and age_s >= self._terms.window_s:
             limit += self._terms.allowance / servers
-        return BudgetState(first, self._repeats, USED_SHARE * limit, servers, age_s)
+        return BudgetState(first, repeats, USED_SHARE * limit, servers, age_s)
 
-    def _drop_expired(self, now: float) -> None:
-        while self._arrivals and now - self._arrivals[0][0] > self._terms.window_s:
-            _, is_repeat = self._arrivals.popleft()
-            self._repeats -= is_repeat
+    def _drop_expired(self, begins_at: float) -> None:
+        """Drop what came before the window that begins at ``begins_at``."""
+        del self._first[: bisect.bisect_left(self._first, begins_at)]
+        while self._ended and self._ended[0] < begins_at:
+            self._ended.popleft()
 
 
 class ServiceBudgets:
--- a/tests/unit/forwarding/test_budget.py
+++ b/tests/unit/forwarding/test_budget.py
@@ -36,7 +36,11 @@
         budget = budgets[server]
         if is_repeat and not budget.allows(SERVERS, now):
             continue
-        budget.note(now, is_repeat=is_repeat)
+        if is_repeat:
+            budget.reserve()
+            budget.note_ended(now)
+        else:
+            budget.note_first(now)
         taken.append((now, is_repeat))
         window = [each for at, each in taken if now - at <= TERMS.window_s]
         limit = TERMS.ratio * window.count(False) + TERMS.allowance
@@ -47,10 +51,10 @@
 def test_the_share_of_one_server(firsts: int, repeats: int) -> None:
     budget = ServiceBudget(TERMS, LONG_AGO)
     for _ in range(firsts):
-        budget.note(0.0, is_repeat=False)
+        budget.note_first(0.0)
     allowed = 0
     while budget.allows(SERVERS, 0.0):
-        budget.note(0.0, is_repeat=True)
+        budget.reserve()
         allowed += 1
     assert allowed == repeats
 
@@ -74,10 +78,10 @@
 ) -> None:
     budget = ServiceBudget(TERMS, started_at)
     for _ in range(firsts):
-        budget.note(0.0, is_repeat=False)
+        budget.note_first(0.0)
     allowed = 0
     while budget.allows(servers, 0.0):
-        budget.note(0.0, is_repeat=True)
+        budget.reserve()
         allowed += 1
     assert allowed == repeats
 
@@ -93,12 +97,13 @@
     budgets = ServiceBudgets(TERMS)
     budgets.note_listed("bookings", LONG_AGO)
     while budgets.of("bookings").allows(SERVERS, 0.0):
-        budgets.of("bookings").note(0.0, is_repeat=True)
+        budgets.of("bookings").reserve()
+        budgets.of("bookings").note_ended(0.0)
     budgets.note_unlisted("bookings", 0.0)
     budgets.note_listed("bookings", away_s)
     repeats = 0
     while budgets.of("bookings").allows(SERVERS, away_s):
-        budgets.of("bookings").note(away_s, is_repeat=True)
+        budgets.of("bookings").reserve()
         repeats += 1
     assert repeats == allowed
 
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -539,3 +539,78 @@
     assert lost == (["1", "2"] if is_lost else [])
     assert (StartCall("3", SERVER) in outputs) == is_lost
     assert harness.give(ended("1")) == ([] if is_lost else [StartCall("3", SERVER)])
+
+
+def repeat(name: str, *, deadline: float = 40.0) -> Submit:
+    return submit(name, safe=True, deadline=deadline)._replace(is_repeat=True)
+
+
+# Six of ten repeats may come; what takes their place is declined.
+SPENT = [repeat(f"r{number}") for number in range(6)]
+FIRST = [submit(f"f{number}", deadline=40.0) for number in range(20)]
+COUNTED: list[tuple[str, int, list[tuple[float, HostInput]], int]] = [
+    ("repeats that wait", 2, [(0.0, each) for each in SPENT], 0),
+    (
+        "repeats that waited for longer than the window",
+        2,
+        [*((0.0, each) for each in SPENT), (15.0, ended("r0")), (15.0, ended("r1"))],
+        0,
+    ),
+    (
+        "repeats that ended within the window",
+        2,
+        [(0.0, SPENT[0]), (5.0, ended("r0"))],
+        5,
+    ),
+    (
+        "a repeat that was declined from the queue",
+        2,
+        [*((0.0, each) for each in SPENT), (1.0, Withdraw("r5"))],
+        1,
+    ),
+    (
+        "first attempts that reached the server",
+        20,
+        [(1.0, each) for each in FIRST]
+        + [(2.0, ended(each.attempt_id)) for each in FIRST],
+        8,
+    ),
+    (
+        "first attempts that wait",
+        2,
+        [(1.0, each) for each in FIRST],
+        6,
+    ),
+    (
+        "first attempts that were declined from the queue",
+        2,
+        [(1.0, each) for each in FIRST]
+        + [(2.0, Withdraw(each.attempt_id)) for each in FIRST],
+        6,
+    ),
+    (
+        "first attempts that did not reach the server",
+        20,
+        [(1.0, each) for each in FIRST]
+        + [(2.0, ended(each.attempt_id, EndKind.UNREACHABLE)) for each in FIRST],
+        6,
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("slots", "steps", "allowed"),
+    [case[1:] for case in COUNTED],
+    ids=[case[0] for case in COUNTED],
+)
+def test_the_budget_counts_what_arrives(
+    slots: int, steps: list[tuple[float, HostInput]], allowed: int
+) -> None:
+    harness = HostHarness(SERVER._replace(slots=slots))
+    for harness.now, message in steps:
+        harness.give(message)
+    taken = 0
+    for number in range(20):
+        outputs = harness.give(repeat(f"more{number}"))
+        taken += not any(isinstance(each, Declined) for each in outputs)
+    assert taken == allowed
