Count calls of repeated runs as repeats, and only clients' requests for the limit

Calls that servers make could not be told from clients' requests: each counted as a first attempt and raised the limit, and the calls of a repeated run were not counted at all.

A call ends by the deadline of the run that makes it, as servers pass on what time they have left. So a request that ends later than everything that the local server has run is a client's; SenderFilter judges that before the route shortens the deadline. Any other request is a repeat with the share of repeats among the local runs. Both travel with the attempt to the host, which counts the share, takes direct repeats up to 0.7 of its part of the limit and such calls up to 0.85.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -245,6 +245,7 @@
             output.is_repeat,
             routed.fingerprint,
             tuple(self._crash_reports.values()),
+            routed.sender,
         )
         age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -18,6 +18,7 @@
 
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 Rank = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+Probability = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 _ENCODER = msgspec.json.Encoder()
 
@@ -40,6 +41,8 @@
     is_repeat: bool  # an earlier attempt of the request may have reached a server
     fingerprint: str = ""  # empty if the request cannot be recognised
     crash_reports: tuple[CrashReport, ...] = ()  # that the origin has learnt of
+    is_from_client: bool = False
+    repeat_share: Probability = 0.0  # that a repeated run of a server sent it
 
 
 class HopResult(NamedTuple):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -20,6 +20,7 @@
 from pimentobend_adapters._internal.forwarding.blocks import BlocksInForce
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.kept_answers import KeptAnswers
+from pimentobend_adapters._internal.forwarding.senders import LocalSenders
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
@@ -59,6 +60,7 @@
 from pimentobend_core._internal.forwarding.messages import StartDraining
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
+from pimentobend_core._internal.forwarding.senders import LocalRuns
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
@@ -125,6 +127,7 @@
         self._events = events
         self._on_reports_changed = on_reports_changed
         self.blocks = BlocksInForce(clock, events)
+        self.senders = LocalSenders(clock)
         self._records: dict[str, _AttemptRecord] = {}
         self._kept = KeptAnswers()
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
@@ -258,6 +261,8 @@
                 self._events.put(HostDecided("joined", output.attempt_id, output))
                 lost = make_attempt_result(AttemptKind.NO_ANSWER, 0.0)
                 self._finish(output.attempt_id, lost)
+            case LocalRuns():
+                self.senders.update(output)
             case _:
                 self._handle_crash_output(output)
 
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -32,6 +32,7 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.ports import AttemptResult
 from pimentobend_core._internal.ports import Body
 from pimentobend_core._internal.ports import ClockPort
@@ -139,6 +140,7 @@
             hop.is_repeat,
             hop.fingerprint,
             hop.crash_reports,
+            Sender(hop.is_from_client, hop.repeat_share),
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -170,6 +170,8 @@
             submit.is_repeat,
             submit.fingerprint,
             submit.crash_reports,
+            submit.sender.is_client,
+            submit.sender.repeat_share,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -46,6 +46,8 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
+from pimentobend_core._internal.forwarding.senders import LocalRun
+from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.traffic.service_sizes import SizeHistory
@@ -88,6 +90,7 @@
         # What was spent under a size is forgotten a window after the size was.
         self._service_sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
         self._budgets = ServiceBudgets(terms)
+        self._runs = RunTracker()
         self._servers: dict[str, HostedServer] = {}
         self._records: dict[str, AttemptRecord] = {}
         # When attempts were withdrawn whose submissions have not arrived yet.
@@ -100,6 +103,10 @@
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
         """Process one message and return the replies and calls that follow."""
+        outputs = self._dispatch(message, now)
+        return (*outputs, *self._runs.take_change())
+
+    def _dispatch(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
         match message:
             case Ask():
                 return (self._answer_ask(message, now),)
@@ -184,7 +191,17 @@
     def _has_repeat_budget(self, hosted: HostedServer, now: float) -> bool:
         service = hosted.server.service
         servers = self._service_sizes.largest(service, now)
-        return self._budgets.of(service).allows(servers, now)
+        return self._budgets.of(service).allows_repeat(servers, now)
+
+    def _has_budget(
+        self, hosted: HostedServer, record: AttemptRecord, now: float
+    ) -> bool:
+        if record.submit.is_repeat:
+            return self._has_repeat_budget(hosted, now)
+        service = hosted.server.service
+        servers = self._service_sizes.largest(service, now)
+        budget = self._budgets.of(service)
+        return not record.weight or budget.allows_call(record.weight, servers, now)
 
     def _describe_budget(self, hosted: HostedServer, now: float) -> BudgetState:
         service = hosted.server.service
@@ -197,7 +214,7 @@
         learnt = self._crashes.learn(submit, now)
         hosted = self._servers.get(submit.server_id)
         record = AttemptRecord(submit, now)
-        reason = self._find_decline_reason(hosted, submit, now)
+        reason = self._find_decline_reason(hosted, record, now)
         if hosted is None or reason is not None:
             # Keep the record, so that a delayed copy of the submission does not run.
             self._records[submit.attempt_id] = record
@@ -219,8 +236,9 @@
         return (*learnt, *self._start_queued(hosted, now))
 
     def _find_decline_reason(
-        self, hosted: HostedServer | None, submit: Submit, now: float
+        self, hosted: HostedServer | None, record: AttemptRecord, now: float
     ) -> DeclineReason | None:
+        submit = record.submit
         if hosted is None:
             return DeclineReason.NO_SERVER
         if submit.attempt_id in self._withdrawn:
@@ -236,7 +254,7 @@
         crash_reason = self._find_crash_reason(submit, (*hosted.running, *queued), now)
         if crash_reason is not None:
             return crash_reason
-        if submit.is_repeat and not self._has_repeat_budget(hosted, now):
+        if not self._has_budget(hosted, record, now):
             return DeclineReason.BUDGET
         wait_s = hosted.wait_s(submit.route, now)
         if not self._has_time(hosted, submit, now + wait_s):
@@ -269,6 +287,11 @@
             record.phase = Phase.RUNNING
             record.started_at = now
             hosted.running.add(submit.attempt_id)
+            self._runs.begin(
+                submit.attempt_id,
+                LocalRun(record.weight, now + self._usual_s(hosted, submit)),
+                submit.deadline,
+            )
             survival = hosted.survival(submit)
             hosted.liveness.record_sent(submit.attempt_id, survival, now)
             outputs.append(StartCall(submit.attempt_id, hosted.server))
@@ -280,12 +303,16 @@
         """Return why an attempt should not start at ``start``; None if it may."""
         if not self._has_time(hosted, submit, start):
             return DeclineReason.DEADLINE
-        durations = hosted.durations.of(submit.route, submit.target_s)
-        is_late = start + hosted.slowdown * durations.p90_s >= self._finish_by
+        is_late = start + self._usual_s(hosted, submit) >= self._finish_by
         # A straggler would be cut off, and what may not be repeated would be lost.
         is_risky = self._is_stopping and not submit.is_repeatable
         return DeclineReason.DRAINING if is_late or is_risky else None
 
+    def _usual_s(self, hosted: HostedServer, submit: Submit) -> float:
+        """Return the time within which nearly all answers of the route come."""
+        durations = hosted.durations.of(submit.route, submit.target_s)
+        return hosted.slowdown * durations.p90_s
+
     def _has_time(self, hosted: HostedServer, submit: Submit, now: float) -> bool:
         """Return whether an answer is still likely to come before the deadline."""
         durations = hosted.durations.of(submit.route, submit.target_s)
@@ -299,6 +326,7 @@
         if record is None or record.phase is not Phase.RUNNING:
             return ()
         record.end(now, has_arrived=ended.kind is not EndKind.UNREACHABLE)
+        self._runs.end(ended.attempt_id)
         hosted = self._servers.get(record.submit.server_id)
         is_current = hosted is not None and ended.attempt_id in hosted.running
         if hosted is None or not is_current:
@@ -480,6 +508,7 @@
                 if overdue_s < CALL_REPORT_S:
                     continue
                 record.end(now, has_arrived=True)
+                self._runs.end(attempt_id)
                 hosted.running.discard(attempt_id)
                 hosted.liveness.discard(attempt_id)
                 server_id = hosted.server.server_id
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -13,6 +13,8 @@
 from pimentobend_core._internal.crashes.messages import EarlierReportsSeen
 from pimentobend_core._internal.crashes.messages import ReportsReceived
 from pimentobend_core._internal.crashes.messages import ServerCrashed
+from pimentobend_core._internal.forwarding.senders import LocalRuns
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.traffic.shared_budget import BudgetState
 
@@ -62,6 +64,7 @@
     is_repeat: bool = False  # an earlier attempt may have reached a server
     fingerprint: str = ""  # empty if the request cannot be recognised
     crash_reports: tuple[CrashReport, ...] = ()  # that its origin has learnt of
+    sender: Sender = Sender()
 
 
 class Withdraw(NamedTuple):
@@ -232,4 +235,5 @@
     | CallJudged
     | ServerCrashed
     | CrashOutput
+    | LocalRuns
 )
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -0,0 +1,68 @@
+"""Tell requests of clients from the calls that servers make while they run a request.
+
+Both reach a daemon in the same way. A call ends by the deadline of the run that makes
+it, so what ends later than all runs of the local servers is a client's. Any other
+request may be a call, of each of the running requests alike.
+"""
+
+from typing import NamedTuple
+
+from pimentobend_core._internal.models.request import Sender
+
+# A deadline is sent as the time that is left, so that a delay on the way moves it.
+DEADLINE_SLACK_S = 0.25
+# How long runs of an earlier process may go on after this one has started.
+EARLIER_RUNS_S = 10.0
+
+
+class LocalRun(NamedTuple):
+    """A request that a local server runs; times are in seconds of the clock."""
+
+    repeat_share: float  # probability that it is a repeat, or a call of one
+    usual_end: float
+
+
+class LocalRuns(NamedTuple):
+    """What the local servers run, and the latest deadline of all they have run."""
+
+    runs: tuple[LocalRun, ...]
+    latest_deadline: float
+
+
+def judge_sender(local: LocalRuns, deadline: float, now: float) -> Sender:
+    """Return what is known of the sender of a request with a deadline."""
+    if deadline > local.latest_deadline + DEADLINE_SLACK_S:
+        return Sender(is_client=True)
+    # A first attempt that takes far too long hangs, and makes no calls.
+    active = [each for each in local.runs if each.repeat_share or now < each.usual_end]
+    if not active:
+        return Sender()
+    share = sum(each.repeat_share for each in active) / len(active)
+    return Sender(repeat_share=min(1.0, share))
+
+
+class RunTracker:
+    """Keeps what the local servers run and reports each change once."""
+
+    def __init__(self) -> None:
+        self._runs: dict[str, LocalRun] = {}
+        self._latest_deadline = float("-inf")
+        self._has_changed = False
+
+    def begin(self, attempt_id: str, run: LocalRun, deadline: float) -> None:
+        """Add a run that its server stops at ``deadline`` (seconds)."""
+        self._runs[attempt_id] = run
+        self._latest_deadline = max(self._latest_deadline, deadline)
+        self._has_changed = True
+
+    def end(self, attempt_id: str) -> None:
+        """Remove a run."""
+        del self._runs[attempt_id]
+        self._has_changed = True
+
+    def take_change(self) -> tuple[LocalRuns, ...]:
+        """Return the runs if they changed since the last call."""
+        if not self._has_changed:
+            return ()
+        self._has_changed = False
+        return (LocalRuns(tuple(self._runs.values()), self._latest_deadline),)
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -61,6 +61,13 @@
     deadline: float
 
 
+class Sender(NamedTuple):
+    """What the daemon that received a request knows of its sender."""
+
+    is_client: bool = False  # certainly not a server on its machine
+    repeat_share: float = 0.0  # probability that a repeated run of a server sent it
+
+
 class AttemptKind(enum.Enum):
     """How an attempt on a backend server ended."""
 
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -17,6 +17,7 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
@@ -106,6 +107,17 @@
         return self.current().log_index > 0
 
 
+class SendersPort(abc.ABC):
+    """Knows what the servers on this machine run, and so may be calling."""
+
+    @abc.abstractmethod
+    def judge(self, deadline: float) -> Sender:
+        """Return what is known of the sender of a request that has come now.
+
+        ``deadline`` is the sender's, in seconds of the clock.
+        """
+
+
 class BlocksPort(abc.ABC):
     """Access to the requests that are blocked because they crash servers."""
 
--- a/packages/core/src/pimentobend_core/_internal/request/route.py
+++ b/packages/core/src/pimentobend_core/_internal/request/route.py
@@ -58,7 +58,8 @@
         deadline = min(value.head.deadline, latest_deadline)
         head = value.head._replace(deadline=deadline)
         pool = choose_pool(route, self._draw())
-        return Success(Routed(head, value.body, route, pool, value.on_caller_left))
+        routed = Routed(head, value.body, route, pool, value.on_caller_left)
+        return Success(routed._replace(sender=value.sender))
 
 
 def choose_pool(route: Route, draw: float) -> str:
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -6,6 +6,7 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.ports import AttemptResult
@@ -22,6 +23,7 @@
     head: RequestHead
     body: Body
     on_caller_left: OnCallerLeft | None = None
+    sender: Sender = Sender()
 
 
 class Routed(NamedTuple):
@@ -33,6 +35,7 @@
     pool: str = ""  # selected by the route's traffic splits
     on_caller_left: OnCallerLeft | None = None
     fingerprint: str = ""  # empty if the request cannot be recognised
+    sender: Sender = Sender()
 
 
 class Claimed(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -11,9 +11,12 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.traffic.retries import TokenBucket
 
-# Servers take repeats up to this share of the limit, as a repeat can cause up to two
-# calls.
-USED_SHARE = 0.6
+# A host takes repeats up to this share of its part of the limit. The rest is for the
+# calls that repeated runs make, which cannot be sent elsewhere without cost.
+REPEATS_SHARE = 0.7
+# Share up to which it takes those calls. Which calls they are is known only on
+# average, and the hosts do not count at the same time.
+CALLS_SHARE = 0.85
 ORIGIN_SHARE = 0.3  # repeats that one success allows its origin
 ORIGIN_FLOOR_PER_S = 0.5  # repeats per second that are allowed without any success
 ORIGIN_TOKENS = 10.0  # repeats allowed at the start, and the most that accumulate
@@ -30,9 +33,9 @@
 class BudgetState(NamedTuple):
     """What a host counts against the limit on the repeats of a service."""
 
-    first: float  # first attempts within the window
-    repeats: float  # within the window
-    limit: float  # part of the service's limit that this host may use
+    first: int  # clients' first attempts within the window
+    repeats: float  # within the window, with the calls of repeated runs
+    limit: float  # this host's part of the service's limit
     servers: int  # number of servers among which the allowance is divided
     age_s: float  # time for which this host has counted
 
@@ -66,10 +69,11 @@
 class ServiceBudget:
     """Limit the repeats that reach one host's servers of a service.
 
-    The host has its part of the service's limit. A first attempt counts once it is
-    known to have reached a server, from the time of its submission. A repeat counts
-    from its submission, while it waits and runs, until a window after its end: it
-    reaches its server at some time in between. What came here before ``started_at``
+    The host has its part of the service's limit. A client's first attempt counts once
+    it is known to have reached a server, from the time of its submission. A repeat
+    counts from its submission, while it waits and runs, until a window after its end:
+    it reaches its server at some time in between. A call that may be one of a repeated
+    run counts as a repeat by its probability. What came here before ``started_at``
     is not known, and so are the parts that other hosts had meanwhile: the allowance
     counts as spent until a window has passed.
     """
@@ -78,30 +82,36 @@
         self._terms = terms
         self._started_at = started_at
         self._first: list[float] = []  # times of submission, in order
-        self._pending = 0  # repeats that wait or run
-        self._ended: deque[float] = deque()  # when repeats ended
+        self._pending = 0.0  # weight of the repeats that wait or run
+        # When repeats ended, and their weights.
+        self._ended: deque[tuple[float, float]] = deque()
 
     def note_first(self, submitted_at: float) -> None:
-        """Record a first attempt that reached a server."""
+        """Record a client's first attempt that reached a server."""
         bisect.insort(self._first, submitted_at)
 
-    def reserve(self) -> None:
-        """Record a repeat that was submitted."""
-        self._pending += 1
+    def reserve(self, weight: float) -> None:
+        """Record that a repeat, or a call that may be one, was submitted."""
+        self._pending += weight
 
-    def release(self) -> None:
-        """Record that a repeat was declined and will not reach a server."""
-        self._pending -= 1
+    def release(self, weight: float) -> None:
+        """Record that it was declined and will not reach a server."""
+        self._pending -= weight
 
-    def note_ended(self, now: float) -> None:
-        """Record that a repeat, which may have reached its server, ended at ``now``."""
-        self._pending -= 1
-        self._ended.append(now)
+    def note_ended(self, weight: float, now: float) -> None:
+        """Record that it, which may have reached its server, ended at ``now``."""
+        self._pending -= weight
+        self._ended.append((now, weight))
 
-    def allows(self, servers: int, now: float) -> bool:
+    def allows_repeat(self, servers: int, now: float) -> bool:
         """Return whether one more repeat may come; see ``describe``."""
         state = self.describe(servers, now)
-        return state.repeats + 1 <= state.limit
+        return state.repeats + 1 <= REPEATS_SHARE * state.limit
+
+    def allows_call(self, weight: float, servers: int, now: float) -> bool:
+        """Return whether a call with a weight may come; see ``describe``."""
+        state = self.describe(servers, now)
+        return state.repeats + weight <= CALLS_SHARE * state.limit
 
     def describe(self, servers: int, now: float) -> BudgetState:
         """Return the counts at ``now`` (seconds).
@@ -110,17 +120,18 @@
         is not known, and then none of it may be used.
         """
         self._drop_expired(now - self._terms.window_s)
-        first, repeats = len(self._first), self._pending + len(self._ended)
+        first = len(self._first)
+        repeats = self._pending + sum(weight for _, weight in self._ended)
         age_s = now - self._started_at
         limit = self._terms.ratio * first
         if servers and age_s >= self._terms.window_s:
             limit += self._terms.allowance / servers
-        return BudgetState(first, repeats, USED_SHARE * limit, servers, age_s)
+        return BudgetState(first, repeats, limit, servers, age_s)
 
     def _drop_expired(self, begins_at: float) -> None:
         """Drop what came before the window that begins at ``begins_at``."""
         del self._first[: bisect.bisect_left(self._first, begins_at)]
-        while self._ended and self._ended[0] < begins_at:
+        while self._ended and self._ended[0][0] < begins_at:
             self._ended.popleft()
 
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -56,6 +56,7 @@
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.route import RouteFilter
+from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
@@ -203,6 +204,7 @@
         self._deliveries = DeliveryFilter(delivery)
         pipe = (
             DeadlineFilter(clock)
+            .then(SenderFilter(self.host.senders))
             .then(RouteFilter(tables))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
--- a/tests/lib/played_fleet.py
+++ b/tests/lib/played_fleet.py
@@ -45,6 +45,7 @@
 from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.models.tables import Route
@@ -288,6 +289,7 @@
             self._load.target_s,
             deadline,
             is_repeat=send.is_repeat,
+            sender=Sender(is_client=True),
         )
         self._at(self._now, lambda: self._run_host(number, submit))
 
--- /dev/null
+++ b/tests/unit/forwarding/test_senders.py
@@ -0,0 +1,62 @@
+"""Test how a daemon tells requests of clients from calls of its servers."""
+
+import pytest
+
+from pimentobend_core._internal.forwarding.senders import LocalRun
+from pimentobend_core._internal.forwarding.senders import LocalRuns
+from pimentobend_core._internal.forwarding.senders import RunTracker
+from pimentobend_core._internal.forwarding.senders import judge_sender
+from pimentobend_core._internal.models.request import Sender
+
+NOW = 100.0
+FIRST = LocalRun(0.0, NOW + 0.2)
+HUNG = LocalRun(0.0, NOW - 1.0)
+REPEAT = LocalRun(1.0, NOW + 0.2)
+SLOW_REPEAT = LocalRun(1.0, NOW - 1.0)
+CALL = LocalRun(0.25, NOW + 0.2)  # of a run that may be a repeat
+CLIENT = Sender(is_client=True)
+
+SENDERS = [
+    ("nothing has run", (), float("-inf"), NOW + 0.6, CLIENT),
+    ("ends after all runs", (FIRST, REPEAT), NOW + 3.0, NOW + 6.0, CLIENT),
+    ("ends with the last run", (REPEAT,), NOW + 3.0, NOW + 3.0, Sender(False, 1.0)),
+    ("ends with an earlier run", (), NOW + 3.0, NOW + 0.6, Sender()),
+    ("only first attempts run", (FIRST, FIRST), NOW + 3.0, NOW + 0.6, Sender()),
+    (
+        "one of two is a repeat",
+        (FIRST, REPEAT),
+        NOW + 3.0,
+        NOW + 0.6,
+        Sender(False, 0.5),
+    ),
+    (
+        "first attempts that hang",
+        (HUNG, HUNG, REPEAT),
+        NOW + 3.0,
+        NOW,
+        Sender(False, 1.0),
+    ),
+    ("a slow repeat", (FIRST, SLOW_REPEAT), NOW + 3.0, NOW, Sender(False, 0.5)),
+    ("calls of calls", (FIRST, CALL), NOW + 3.0, NOW, Sender(False, 0.125)),
+]
+
+
+@pytest.mark.parametrize(
+    ("runs", "latest", "deadline", "sender"),
+    [case[1:] for case in SENDERS],
+    ids=[case[0] for case in SENDERS],
+)
+def test_sender(
+    runs: tuple[LocalRun, ...], latest: float, deadline: float, sender: Sender
+) -> None:
+    assert judge_sender(LocalRuns(runs, latest), deadline, NOW) == sender
+
+
+def test_the_latest_deadline_outlasts_its_run() -> None:
+    tracker = RunTracker()
+    tracker.begin("1", FIRST, NOW + 3.0)
+    tracker.begin("2", REPEAT, NOW + 1.0)
+    assert tracker.take_change() == (LocalRuns((FIRST, REPEAT), NOW + 3.0),)
+    tracker.end("1")
+    assert tracker.take_change() == (LocalRuns((REPEAT,), NOW + 3.0),)
+    assert tracker.take_change() == ()
