Divide the minimum rate of retries among the instances of the fleet

When a pool answers nothing, each daemon goes on with 2 retries a second, and each start of a daemon has 10 more at once. Nobody sums them.

A process took its own floor, and the tokens that it started with, for those of the whole fleet.

Change: InstanceCount counts the instances from the liveness rows of the tree. There is no count before the tree lists this start of the process and the list has stopped growing for 10 s; a lost instance counts for an hour more. RetryBudget divides its floor and what the floor may save by the count, starts without tokens, and has no floor without a count. BudgetedRetries uses it, so that rule stands once. What own successes earn is as before.

Tests changed: four tables in test_retries.py took a budget that starts full, which is the fault. They now tell it 5 s earlier that it is the only instance; every number in them is the same, and one row is added. A table for the division and for fresh budgets is new.

--- a/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
+++ b/packages/bench/src/pimentobend_bench/_internal/traffic/simulation.py
@@ -120,6 +120,8 @@
             create(number, place) for number, place in enumerate(self._places)
         ]
         self._budgets = [RetryBudget() for _ in self._daemons]
+        for budget in self._budgets:
+            budget.update_instances(len(self._daemons), self._now)
         self._waiting: dict[int, Request] = {}
         self._outcomes: list[Outcome] = []
         self._sheds = 0
--- a/packages/core/src/pimentobend_core/_internal/membership/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/membership/messages.py
@@ -111,6 +111,16 @@
     """Remove the servers of instances that have been lost for long enough."""
 
 
+class InstancesTick(NamedTuple):
+    """Check whether the number of instances has changed."""
+
+
+class InstancesCounted(NamedTuple):
+    """The number of instances among which the limits of the fleet are divided."""
+
+    instances: int
+
+
 class ServiceChanged(NamedTuple):
     """The list of a service's live servers changed."""
 
@@ -144,3 +154,4 @@
     | InstanceFound
     | ViewTick
 )
+InstanceCountInput = InstanceFound | InstanceLost | InstancesTick
--- a/packages/core/src/pimentobend_core/_internal/traffic/retries.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/retries.py
@@ -3,7 +3,8 @@
 from pimentobend_core._internal.models.request import AttemptKind
 
 RETRY_SHARE = 0.2  # tokens per success
-RETRY_FLOOR_PER_S = 2.0  # tokens per second, added without any success
+# Tokens per second for each pool, added without any success, of all instances together.
+RETRY_FLOOR_PER_S = 2.0
 # Tokens for the retry of a refused request: a refusal costs a server little work.
 REFUSED_RETRY_COST = 0.25
 HEDGE_SHARE = 0.02  # tokens per success
@@ -43,6 +44,18 @@
         earned = self._share if tokens is None else tokens
         self._tokens = min(self._capacity, self._tokens + earned)
 
+    def set_floor(self, floor_per_s: float, capacity: float, now: float) -> None:
+        """Replace the minimum rate and the capacity from ``now`` (seconds)."""
+        self._refill(now)
+        self._floor_per_s = floor_per_s
+        self._capacity = capacity
+        self._tokens = min(capacity, self._tokens)
+
+    def available(self, now: float) -> float:
+        """Return the tokens that are available at ``now`` (seconds)."""
+        self._refill(now)
+        return self._tokens
+
     def can_spend(self, now: float) -> bool:
         """Return whether a token is available at ``now`` (seconds)."""
         self._refill(now)
@@ -71,21 +84,32 @@
 
 
 class RetryBudget:
-    """Allow retries for a share of recent successes, and a small minimum rate."""
+    """Allow retries of a pool for a share of recent successes, and at a minimum rate.
+
+    ``floor_per_s`` is the minimum rate of all instances together. The budget starts
+    without tokens, and has no minimum rate until the number of instances is known.
+    """
 
     def __init__(
         self, share: float = RETRY_SHARE, floor_per_s: float = RETRY_FLOOR_PER_S
     ) -> None:
-        self._budget = TokenBucket(share, floor_per_s)
+        self._floor_per_s = floor_per_s
+        self._earned = TokenBucket(share, floor_per_s=0.0)
+        self._floor = TokenBucket(share=0.0, floor_per_s=0.0)
 
     @property
     def tokens(self) -> float:
         """Return the available retries."""
-        return self._budget.tokens
+        return self._earned.tokens + self._floor.tokens
+
+    def update_instances(self, instances: int, now: float) -> None:
+        """Divide the minimum rate by the number of instances from ``now`` (seconds)."""
+        floor_per_s = self._floor_per_s / instances
+        self._floor.set_floor(floor_per_s, FLOOR_CAPACITY_S * floor_per_s, now)
 
     def note_success(self) -> None:
         """Count one request that was answered."""
-        self._budget.credit()
+        self._earned.credit()
 
     def may_retry(
         self, kind: AttemptKind, repeatable: bool, deadline: float, now: float
@@ -97,7 +121,14 @@
         if now >= deadline or not is_safe_to_repeat(kind, repeatable):
             return False
         cost = REFUSED_RETRY_COST if kind is AttemptKind.REFUSED else 1.0
-        return self._budget.spend(now, cost)
+        return self.spend(now, cost)
+
+    def spend(self, now: float, cost: float = 1.0) -> bool:
+        """Spend ``cost`` tokens at ``now`` (seconds); False if too few remain."""
+        of_floor = min(cost, self._floor.available(now))
+        return self._earned.spend(now, cost - of_floor) and self._floor.spend(
+            now, of_floor
+        )
 
 
 class HedgeBudget:
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -117,6 +117,10 @@
         )
         membership.subscribe_to_crashes(self._receive_crashes)
         membership.subscribe_to_earlier_drains(self.registry.put)
+        retries = BudgetedRetries()
+        membership.subscribe_to_instances(
+            lambda message: retries.update_instances(message.instances, clock.now())
+        )
         pipe = build_request_pipe(
             RequestPorts(
                 clock=clock,
@@ -124,7 +128,7 @@
                 traffic=self.traffic,
                 ledger=ledger,
                 backend=self._backend,
-                retries=BudgetedRetries(),
+                retries=retries,
                 suspects=self.suspects,
             )
         )
--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -15,7 +15,13 @@
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.consensus.messages import LeaderChanged
 from pimentobend_core._internal.exceptions import PimentobendError
+from pimentobend_core._internal.membership.instances import InstanceCount
 from pimentobend_core._internal.membership.messages import EarlierDrains
+from pimentobend_core._internal.membership.messages import InstanceCountInput
+from pimentobend_core._internal.membership.messages import InstanceFound
+from pimentobend_core._internal.membership.messages import InstanceLost
+from pimentobend_core._internal.membership.messages import InstancesCounted
+from pimentobend_core._internal.membership.messages import InstancesTick
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import ServerEvents
 from pimentobend_core._internal.membership.messages import ServiceChanged
@@ -49,6 +55,7 @@
 KIND_SPREAD = "spread"
 SPREAD_TICK_S = 0.1
 VIEW_TICK_S = 1.0
+INSTANCES_TICK_S = 1.0
 
 SpreadNode = StatefulFilter[RelayInput, SpreadOutput]
 
@@ -79,6 +86,7 @@
         self._pool_subscribers: list[Callable[[PoolServersChanged], None]] = []
         self._crash_subscribers: list[Callable[[Row], None]] = []
         self._drain_subscribers: list[Callable[[EarlierDrains], None]] = []
+        self._count_subscribers: list[Callable[[InstancesCounted], None]] = []
         self._node: FilterTask[RelayInput, SpreadOutput] = FilterTask(
             "spread-servers",
             _create_node(link.address, epoch, parents, is_relay),
@@ -98,23 +106,32 @@
             "pools", PoolServers(), CallOutlet(self._notify_pool_subscribers), clock
         )
         self.subscribe(self._pools.put)
+        self._instances: FilterTask[InstanceCountInput, InstancesCounted] = FilterTask(
+            "instances",
+            InstanceCount(link.address, epoch, parents),
+            CallOutlet(self._notify_count_subscribers),
+            clock,
+            PeriodicMessage(INSTANCES_TICK_S, InstancesTick()),
+        )
 
     def start(self) -> None:
         """Start the tasks."""
         self._pools.start()
         self._view.start()
+        self._instances.start()
         self._node.start()
 
     def stop(self) -> None:
         """Stop the tasks."""
         self._node.stop()
+        self._instances.stop()
         self._view.stop()
         self._pools.stop()
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the tasks."""
-        tasks = {"view": self._view.dump(), "pools": self._pools.dump()}
-        return {**tasks, self._node.name: self._node.dump()}
+        tasks = (self._view, self._pools, self._instances, self._node)
+        return {task.name: task.dump() for task in tasks}
 
     def servers(self) -> list[object]:
         """Return a row for each live server of each pool."""
@@ -130,6 +147,12 @@
         """Call ``function`` at each change of a pool's live servers."""
         self._pool_subscribers.append(function)
 
+    def subscribe_to_instances(
+        self, function: Callable[[InstancesCounted], None]
+    ) -> None:
+        """Call ``function`` at each change of the number of instances."""
+        self._count_subscribers.append(function)
+
     def subscribe_to_crashes(self, function: Callable[[Row], None]) -> None:
         """Call ``function`` with each row of reports on crashes that arrives."""
         self._crash_subscribers.append(function)
@@ -160,6 +183,8 @@
         """Become the root if this replica leads, else prefer the leader as parent."""
         if message.leader_id == self._link.address:
             self._node.put(BecomeRoot(message.term))
+            # The root has no parent that would report it as live.
+            self._instances.put(InstanceFound(self._link.address, self._epoch))
             return
         leader = () if message.leader_id is None else (message.leader_id,)
         others = tuple(one for one in self._parents if one not in leader)
@@ -175,6 +200,8 @@
                 self._view.put(message)
                 if isinstance(message, ServerEvents):
                     self._notify_drain_subscribers(message)
+                if isinstance(message, InstanceFound | InstanceLost):
+                    self._instances.put(message)
             self._notify_crash_subscribers(output.rows)
             return
         payload = encode_message(output.message)
@@ -197,6 +224,10 @@
                 for function in self._crash_subscribers:
                     function(row)
 
+    def _notify_count_subscribers(self, message: InstancesCounted) -> None:
+        for function in self._count_subscribers:
+            function(message)
+
     def _notify_pool_subscribers(self, message: PoolServersChanged) -> None:
         for function in self._pool_subscribers:
             function(message)
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -108,6 +108,16 @@
     wait_until(lambda: '"traffic.look"' in site.instance.log.read_text())
 
 
+def test_an_instance_counts_the_fleet(site: Site) -> None:
+    wait_until(lambda: _counted(site) == 2)
+
+
+def _counted(site: Site) -> int | None:
+    state = json.loads(call("GET", f"{site.operators}/v1/dump").content)
+    count: int | None = state["instances"]["counted"]
+    return count
+
+
 def _in_flight(site: Site) -> int:
     state = json.loads(call("GET", f"{site.operators}/v1/dump").content)
     count: int = state["requests"]["in_flight"]
--- a/tests/unit/traffic/test_retries.py
+++ b/tests/unit/traffic/test_retries.py
@@ -8,6 +8,13 @@
 from pimentobend_core._internal.traffic.retries import RetryBudget
 
 
+def _create_budget(share: float) -> RetryBudget:
+    """Return the budget of the only instance, which it has known of since 0 s."""
+    budget = RetryBudget(share, floor_per_s=2.0)
+    budget.update_instances(1, 0.0)
+    return budget
+
+
 @pytest.mark.parametrize(
     ("kind", "repeatable", "allowed"),
     [
@@ -28,23 +35,26 @@
 def test_only_safe_work_is_retried(
     kind: AttemptKind, repeatable: bool, allowed: bool
 ) -> None:
-    assert RetryBudget().may_retry(kind, repeatable, 10.0, 1.0) is allowed
+    budget = _create_budget(share=0.2)
+    assert budget.may_retry(kind, repeatable, 10.0, 5.0) is allowed
 
 
-@pytest.mark.parametrize(("deadline", "allowed"), [(0.5, False), (1.0, False)])
+@pytest.mark.parametrize(
+    ("deadline", "allowed"), [(4.5, False), (5.0, False), (5.5, True)]
+)
 def test_nothing_is_retried_after_the_deadline(deadline: float, allowed: bool) -> None:
-    budget = RetryBudget()
-    assert budget.may_retry(AttemptKind.REFUSED, True, deadline, 1.0) is allowed
+    budget = _create_budget(share=0.2)
+    assert budget.may_retry(AttemptKind.REFUSED, True, deadline, 5.0) is allowed
 
 
 @pytest.mark.parametrize("failures", [100, 10_000])
 @pytest.mark.parametrize("successes", [0, 50, 1000])
 def test_retries_stay_within_a_share(successes: int, failures: int) -> None:
-    budget = RetryBudget(share=0.2, floor_per_s=2.0)
+    budget = _create_budget(share=0.2)
     for _ in range(successes):
         budget.note_success()
     retries = sum(
-        budget.may_retry(AttemptKind.NO_ANSWER, True, 9.0, 0.0) for _ in range(failures)
+        budget.may_retry(AttemptKind.NO_ANSWER, True, 9.0, 5.0) for _ in range(failures)
     )
     assert 10 <= retries <= 10 + 0.2 * successes
 
@@ -54,10 +64,10 @@
     [(AttemptKind.NOT_CONNECTED, 2), (AttemptKind.REFUSED, 8)],
 )
 def test_floor_returns_with_time(kind: AttemptKind, returned: int) -> None:
-    budget = RetryBudget(share=0.0, floor_per_s=2.0)
-    while budget.may_retry(kind, True, 9.0, 0.0):
+    budget = _create_budget(share=0.0)
+    while budget.may_retry(kind, True, 9.0, 5.0):
         pass
-    allowed = [budget.may_retry(kind, True, 9.0, 1.0) for _ in range(returned + 1)]
+    allowed = [budget.may_retry(kind, True, 9.0, 6.0) for _ in range(returned + 1)]
     assert allowed == [True] * returned + [False]
 
 
@@ -77,6 +87,32 @@
 @pytest.mark.parametrize(("pool", "allowed"), [("bookings", 10), ("catalogue", 22)])
 def test_each_pool_has_its_own_budget(pool: str, allowed: int) -> None:
     policy = BudgetedRetries(share=0.125, floor_per_s=2.0)
+    policy.update_instances(1, 0.0)
     for _ in range(100):
         policy.succeeded("catalogue", 0.0)
-    assert sum(policy.may_retry(pool, 0.0) for _ in range(1000)) == allowed
+    assert sum(policy.may_retry(pool, 5.0) for _ in range(1000)) == allowed
+
+
+@pytest.mark.parametrize(
+    ("instances", "successes", "allowed"),
+    [
+        ((), 0, 0),
+        ((), 40, 10),
+        ((1,), 0, 10),
+        ((5,), 0, 2),
+        ((5,), 40, 12),
+        ((1, 5), 0, 2),
+        ((100,), 0, 0),
+        ((100,), 3, 0),
+        ((100,), 4, 1),
+    ],
+)
+def test_the_floor_is_divided_by_the_known_instances(
+    instances: tuple[int, ...], successes: int, allowed: int
+) -> None:
+    policy = BudgetedRetries(share=0.25, floor_per_s=2.0)
+    for count in instances:
+        policy.update_instances(count, 0.0)
+    for _ in range(successes):
+        policy.succeeded("bookings", 0.0)
+    assert sum(policy.may_retry("bookings", 60.0) for _ in range(100)) == allowed
