--- a/packages/daemon/src/pimentobendd/_internal/membership_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/membership_role.py
@@ -10,6 +10,7 @@
 
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
@@ -225,6 +226,7 @@
                     function(row)
 
     def _notify_count_subscribers(self, message: InstancesCounted) -> None:
+        get_log().info("instances-counted", **message._asdict())
         for function in self._count_subscribers:
             function(message)
 
