Route a path that begins with several slashes as it was sent

What callers saw: GET //look/d was run as GET /look/d, on a route whose prefix does not begin it; by the interface no route matches, which is 404.

Cause: parse_request of the standard library's handler replaces several slashes at the start of a target by one, as a guard of its file servers against redirects.

Change: the target is taken from the request line as it was read. It is the same handler for both interfaces and between daemons.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -62,6 +62,8 @@
                 raise MalformedHeadError("the request line does not end with CR LF")
             if not super().parse_request():
                 return False
+            # The library replaces several slashes at the start of a target by one.
+            self.path = self.requestline.split()[1]
             check_head(self.headers)
         except (CutLineError, MalformedHeadError, MalformedLineError) as error:
             self.send_error(BAD_REQUEST, str(error))
