Take heads up to the configured limit, whichever line is long

Cause: eventlet's reader of heads bounds each line, and the server each request line, to 8 KB. Neither bound was ours.

Change: the protocol reads the lines without eventlet's reader and bounds the head itself, to 64 KB with the request line; a head beyond that gets 400 as before. A target beyond the operators' limit gets 414, headers 431. Daemons take heads of 128 KB from each other, as they add headers to what they pass on.

Remains: a head has at most 64 KB and 100 header lines, whatever the operators' limit is.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -10,7 +10,7 @@
 import re
 from typing import Any
 
-MAX_HEAD_BYTES = 65536  # of an answer, its interim answers included
+MAX_HEAD_BYTES = 65536  # of an answer with its interim answers, or of a request
 MAX_LENGTH_DIGITS = 18  # ``int`` rejects numbers of some thousand digits
 
 # The other defects are about the parts of a body.
@@ -32,7 +32,7 @@
 
 
 class HeadTooLargeError(http.client.HTTPException):
-    """A head has more than ``MAX_HEAD_BYTES``."""
+    """A head has more bytes than its reader takes."""
 
 
 class MalformedLineError(OSError):
@@ -60,22 +60,25 @@
     """Raises an error for lines that other readers may understand otherwise.
 
     These are continued lines, lines with CR or NUL, and names that are no tokens.
-    Raises ``HeadTooLargeError`` once the lines exceed ``MAX_HEAD_BYTES`` in all:
+    Raises ``HeadTooLargeError`` once the lines exceed ``max_bytes`` in all:
     ``http.client`` bounds the length of a line and the number of lines, so that a
     head may have 6 MB.
     """
 
-    def __init__(self, inner: Any, *, has_start_line: bool) -> None:
+    def __init__(
+        self, inner: Any, *, has_start_line: bool, max_bytes: int = MAX_HEAD_BYTES
+    ) -> None:
         super().__init__(inner)
-        self._size_bytes = 0
+        self._left_bytes = max_bytes
+        self._max_bytes = max_bytes
         self._is_start_line = has_start_line
 
     def readline(self, limit_bytes: int = -1) -> bytes:
         """Return a line of at most ``limit_bytes`` bytes."""
         line = super().readline(limit_bytes)
-        self._size_bytes += len(line)
-        if self._size_bytes > MAX_HEAD_BYTES:
-            raise HeadTooLargeError(f"the head exceeds {MAX_HEAD_BYTES} bytes")
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise HeadTooLargeError(f"the head exceeds {self._max_bytes} bytes")
         if line.endswith(b"\n"):
             self._check(line)
         return line
@@ -90,10 +93,22 @@
 
 
 class RequestHeadReader(HeadReader):
-    """Also refuses lines that do not end with CR LF."""
+    """Also refuses lines that do not end with CR LF, and counts the request line."""
 
-    def __init__(self, inner: Any) -> None:
-        super().__init__(inner, has_start_line=False)
+    def __init__(self, inner: Any, request_line: bytes, max_bytes: int) -> None:
+        super().__init__(inner, has_start_line=False, max_bytes=max_bytes)
+        self._left_bytes -= len(request_line)
+
+    def readline(self, limit_bytes: int = -1) -> bytes:
+        """Return a line of at most ``limit_bytes`` bytes."""
+        most_bytes = self._left_bytes + 1
+        try:
+            return super().readline(
+                most_bytes if limit_bytes < 0 else min(limit_bytes, most_bytes)
+            )
+        except HeadTooLargeError as error:
+            # The library would answer 431, which is for the operators' limit.
+            raise MalformedLineError(errno.EPROTO, str(error)) from error
 
     def _check(self, line: bytes) -> None:
         if not line.endswith(b"\r\n"):
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -22,6 +22,8 @@
 CONNECTION_KEY = "pimentobend.connection"
 # environ key of a function that returns the idle timeout in seconds, or None
 IDLE_KEY = "pimentobend.idle"
+# environ key of the maximum size of a request's head, in bytes
+HEAD_KEY = "pimentobend.head"
 # Error responses that eventlet or ``send_error`` writes begin like this.
 _LIBRARY_ERROR = b"HTTP/1.0 4"
 _LINE_END = b"\r\n"
@@ -54,7 +56,10 @@
 
     def parse_request(self) -> bool:
         """Parse the request line and the headers; refuse those that are not whole."""
-        self.rfile: Any = RequestHeadReader(self.rfile)
+        # The library's own reader bounds each line to 8 KB.
+        inner = self.rfile.fp
+        max_bytes = self.server.environ[HEAD_KEY]
+        self.rfile: Any = RequestHeadReader(inner, self.raw_requestline, max_bytes)
         try:
             if not self.raw_requestline.endswith(b"\n"):
                 raise CutLineError(errno.EPROTO, "the request line has no end")
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -44,13 +44,16 @@
 
 
 def check_limits(environ: Environ, limits: ClientLimits | None) -> Refusal | None:
-    """Return a refusal if the headers or the body exceed their limits."""
+    """Return a refusal if the target, the headers or the body exceed their limits."""
     if limits is None:
         return None
     # Each header line has 4 more bytes: ": " and the line end.
     head_bytes = sum(len(name) + len(value) + 4 for name, value in get_headers(environ))
     if head_bytes > limits.max_header_bytes:
         return _too_large(431, "headers", limits.max_header_bytes)
+    target = f"{environ.get('RAW_PATH_INFO', '')}?{environ.get('QUERY_STRING', '')}"
+    if len(target.removesuffix("?")) > limits.max_header_bytes:
+        return _too_large(414, "target", limits.max_header_bytes)
     length = environ.get("CONTENT_LENGTH") or "0"
     if length.isascii() and length.isdigit() and int(length) > limits.max_body_bytes:
         return _too_large(413, "body", limits.max_body_bytes)
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -9,6 +9,8 @@
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_adapters._internal.http.heads import MAX_HEAD_BYTES
+from pimentobend_adapters._internal.http.protocol import HEAD_KEY
 from pimentobend_adapters._internal.http.protocol import IDLE_KEY
 from pimentobend_adapters._internal.http.protocol import RefusingProtocol
 
@@ -42,6 +44,7 @@
         address: Address,
         application: Callable[..., Any],
         idle_s: Callable[[], float | None] = lambda: None,
+        max_head_bytes: int = MAX_HEAD_BYTES,
     ) -> None:
         try:
             self._socket = eventlet.listen(
@@ -55,6 +58,7 @@
             ) from error
         self._application = application
         self._idle_s = idle_s
+        self._max_head_bytes = max_head_bytes
         self._greenlet: Any = None
 
     @property
@@ -82,7 +86,8 @@
             socket_timeout=IDLE_TIMEOUT_S,
             debug=False,
             protocol=RefusingProtocol,
-            environ={IDLE_KEY: self._idle_s},
+            environ={IDLE_KEY: self._idle_s, HEAD_KEY: self._max_head_bytes},
+            url_length_limit=self._max_head_bytes,
             minimum_chunk_size=MIN_CHUNK_BYTES,
         )
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -24,6 +24,7 @@
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.front import FrontOptions
+from pimentobend_adapters._internal.http.heads import MAX_HEAD_BYTES
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
@@ -65,6 +66,8 @@
 REGISTRY_TICK_S = 0.5
 ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 SERVER_ERROR = 500
+# Daemons add headers to the requests that they pass on.
+MAX_HOP_HEAD_BYTES = 2 * MAX_HEAD_BYTES
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
@@ -218,7 +221,9 @@
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
             HttpServer(settings.callers, self.front, idle_timeout_s),
-            HttpServer(settings.forward, self._peer_front),
+            HttpServer(
+                settings.forward, self._peer_front, max_head_bytes=MAX_HOP_HEAD_BYTES
+            ),
             HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
         )
 
