Drop the hop result that a backend server states

What callers saw: a server that sent Pimentobend-Hop-Result with its answer decided for a remote daemon what had become of the request.

Cause: the server's daemon passed the header on before its own, and the origin reads the first one. Only the origin removed it, after it had read it.

Change: calls.py drops the header where it reads a server's answer, so that it is neither passed to daemons nor to callers.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -13,6 +13,7 @@
 
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.answers import read_answer
+from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
 from pimentobend_adapters._internal.forwarding.requests import send_request
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.connections import StrictConnection
@@ -146,7 +147,12 @@
         response = send_request(
             connection, head, body, self._daemon_headers(server, head)
         )
-        headers = tuple(response.headers.items())
+        # Only a daemon may state the result of an attempt.
+        headers = tuple(
+            (name, value)
+            for name, value in response.headers.items()
+            if name.lower() != RESULT_HEADER.lower()
+        )
         exchange = Exchange(head.request_id, response.status, headers, was_reused)
         judgement = judge(exchange, self._names)
         if judgement.verdict is Verdict.FOREIGN:
--- a/tests/unit/forwarding/test_hops.py
+++ b/tests/unit/forwarding/test_hops.py
@@ -10,6 +10,9 @@
 
 import eventlet
 import pytest
+from kept_connection import Answer
+from kept_connection import PlatformClient
+from kept_connection import ScriptedServer
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
@@ -17,6 +20,9 @@
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
+from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
+from pimentobend_adapters._internal.forwarding.hop import HopResult
+from pimentobend_adapters._internal.forwarding.hop import encode_hop
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peer_front import PeerFront
@@ -342,3 +348,30 @@
     else:
         with pytest.raises(AnswerTruncatedError):
             b"".join(result.body.chunks())
+
+
+STATED_RESULTS = [
+    *(
+        (kind.name.lower(), encode_hop(HopResult(kind, "stated")))
+        for kind in AttemptKind
+    ),
+    ("empty", ""),
+    ("malformed", "{"),
+]
+
+
+@pytest.mark.parametrize(
+    "value", [r[1] for r in STATED_RESULTS], ids=[r[0] for r in STATED_RESULTS]
+)
+def test_the_result_that_a_server_states_is_not_believed(value: str) -> None:
+    whole = Answer(request_id="1").encode(PlatformClient())
+    stated = f"\r\n{RESULT_HEADER}: {value}\r\n\r\n".encode()
+    raw = ScriptedServer([whole.replace(b"\r\n\r\n", stated)])
+    calls = ServerCalls(HeaderNames(request_id="Id", stamp="Stamp"), HubClock(), int)
+    harness = HopHarness(calls=calls)
+    harness.host.update_server(raw.server)
+    result = harness.run("1")
+    assert (result.kind, result.status) == (AttemptKind.ANSWERED, 200)
+    assert isinstance(result.body, BufferedAnswer)
+    assert b"".join(result.body.chunks()) == b"ok"
+    assert RESULT_HEADER not in dict(harness.host.run(make_attempt("1")).headers)
