Refuse a change that does not fit the tables before it is proposed

Cause: a table of packed rows refuses such a key, or a number beyond its column, when the row is put. By then the delta is committed, and VersionedTables.apply has changed the rows that came before it, while version and digest stay.

Evidence: 9 rows of three tests in test_service.py failed: the change was proposed, the commit raised RowError, the tables were left between two versions.

Change: Rows.check tells whether a table can hold a row; apply asks before it changes anything; the leader refuses the change as invalid, and a replica that finds it in its log answers it as invalid and goes on.

--- a/packages/core/src/pimentobend_core/_internal/compact/packed.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/packed.py
@@ -33,11 +33,27 @@
         record = self._heap.get(encode_text(key))
         return None if record is None else self._unpack(key, record)
 
+    def check(self, row: Row) -> None:
+        """Raise RowError if the table cannot hold a row."""
+        text = self._key_of(row)
+        key_bytes = len(encode_text(text))
+        if key_bytes > MAX_KEY_BYTES:
+            raise RowError(
+                f"key is longer than {MAX_KEY_BYTES} bytes",
+                context=f"{key_bytes} bytes",
+            )
+        try:
+            self._check_numbers(row)
+        except struct.error as error:
+            raise RowError(
+                "number does not fit its column", context=repr(text), hint=str(error)
+            ) from error
+
     def put(self, row: Row) -> None:
         """Add a row, or replace the one with its key; RowError if it can't fit."""
+        self.check(row)
         text = self._key_of(row)
         key = encode_text(text)
-        self._validate(row, text, key)
         record = self._pack(row)
         try:
             replaced = self._heap.put(key, record)
@@ -65,7 +81,7 @@
         """Return the key of a row."""
 
     @abc.abstractmethod
-    def _check(self, row: Row) -> None:
+    def _check_numbers(self, row: Row) -> None:
         """Raise struct.error when a number of the row does not fit its column."""
 
     @abc.abstractmethod
@@ -84,18 +100,6 @@
     def _shared_bytes(self) -> int:
         """Return the size of the shared values, in bytes."""
 
-    def _validate(self, row: Row, text: str, key: bytes) -> None:
-        if len(key) > MAX_KEY_BYTES:
-            raise RowError(
-                f"key is longer than {MAX_KEY_BYTES} bytes", context=f"{len(key)} bytes"
-            )
-        try:
-            self._check(row)
-        except struct.error as error:
-            raise RowError(
-                "number does not fit its column", context=repr(text), hint=str(error)
-            ) from error
-
 
 def encode_text(text: str) -> bytes:
     """Encode any string as UTF-8, including lone surrogates."""
--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -36,7 +36,7 @@
     def _key_of(self, row: Route) -> str:
         return row.name
 
-    def _check(self, row: Route) -> None:
+    def _check_numbers(self, row: Route) -> None:
         _NUMBERS.pack(row.timeout_ms, row.repeatable)
 
     def _pack(self, row: Route) -> bytes:
--- a/packages/core/src/pimentobend_core/_internal/compact/rows.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/rows.py
@@ -33,6 +33,10 @@
     def get(self, key: str) -> Row | None:
         """Return the row of a key, or None."""
 
+    @abc.abstractmethod
+    def check(self, row: Row) -> None:
+        """Raise RowError if the table cannot hold a row."""
+
     @abc.abstractmethod
     def put(self, row: Row) -> None:
         """Add a row, or replace the one with its key; RowError if it can't fit."""
@@ -73,6 +77,9 @@
         """Return the row of a key, or None."""
         return self._rows.get(key)
 
+    def check(self, row: Row) -> None:
+        """Do nothing, as a dictionary holds any row."""
+
     def put(self, row: Row) -> None:
         """Add a row, or replace the one with its key."""
         self._rows[self._key_of(row)] = row
--- a/packages/core/src/pimentobend_core/_internal/compact/servers.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/servers.py
@@ -26,7 +26,7 @@
     def _key_of(self, row: Server) -> str:
         return row.server_id
 
-    def _check(self, row: Server) -> None:
+    def _check_numbers(self, row: Server) -> None:
         _NUMBERS.pack(row.port, row.slots, row.incarnation)
 
     def _pack(self, row: Server) -> bytes:
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from pimentobend_core._internal.compact.rows import RowError
 from pimentobend_core._internal.configuration.history import DeltaHistory
 from pimentobend_core._internal.configuration.messages import ChangeAnswer
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
@@ -81,10 +82,13 @@
         return delta._replace(limits=limits, label=label)
 
     def is_valid(self, delta: TablesDelta, label: NextLabel | None) -> bool:
-        """Return whether a labelled delta gives valid tables.
+        """Return whether a delta gives valid tables.
 
-        The label must grow, and each pool that a route uses must exist.
+        The tables must be able to hold its rows. If it has a label, that must grow, and
+        each pool that a route uses must exist.
         """
+        if not self._fits(delta):
+            return False
         if label is None:
             return True
         if label.number <= self._tables.label:
@@ -98,6 +102,13 @@
         }
         return not unknown and not removed & (self._find_used_pools(delta) - added)
 
+    def _fits(self, delta: TablesDelta) -> bool:
+        try:
+            self._tables.check(delta)
+        except RowError:
+            return False
+        return True
+
     def _find_used_pools(self, delta: TablesDelta) -> set[str]:
         """Return the pools that the routes use once a delta is applied."""
         replaced_or_removed = {
@@ -124,6 +135,10 @@
             conflict = ChangeAnswer(ChangeOutcome.CONFLICT, self._tables.version)
             self._cache_answer(command.change_id, conflict)
             return None
+        if not self._fits(command.delta):
+            invalid = ChangeAnswer(ChangeOutcome.INVALID, self._tables.version)
+            self._cache_answer(command.change_id, invalid)
+            return None
         self._tables.apply(command.delta, version)
         accepted = ChangeAnswer(ChangeOutcome.ACCEPTED, version)
         self._cache_answer(command.change_id, accepted)
--- a/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/versioned.py
@@ -99,13 +99,25 @@
         """Return whether a pool of this name exists."""
         return name in self._pools
 
+    def check(self, delta: TablesDelta) -> None:
+        """Raise RowError if the tables cannot hold the rows of a delta."""
+        for route in delta.routes:
+            self._routes.check(route)
+        for pool in delta.pools:
+            self._pools.check(pool)
+
     def apply(self, delta: TablesDelta, version: Version) -> None:
-        """Apply a delta; raise ConfigurationError if its base is another version."""
+        """Apply a delta.
+
+        Raises ConfigurationError if its base is another version and RowError if the
+        tables cannot hold its rows; the tables are then as they were.
+        """
         if delta.base != self._version:
             raise ConfigurationError(
                 "delta is not based on the version in force",
                 context=f"base {delta.base}, in force {self._version}",
             )
+        self.check(delta)
         for route_name in delta.removed_routes:
             self._remove(self._routes, route_name)
         for route in delta.routes:
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -12,6 +12,7 @@
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.messages import ChangeOutcome
 from pimentobend_core._internal.configuration.messages import TablesCommand
+from pimentobend_core._internal.configuration.messages import TablesDelta
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.service import ConfigurationService
 from pimentobend_core._internal.configuration.service_messages import NextLabel
@@ -36,6 +37,8 @@
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.exceptions import CodecError
+from pimentobend_core._internal.exceptions import CoreError
+from pimentobend_core._internal.models.tables import Route
 
 POOLS = (make_pool(),)
 
@@ -234,6 +237,61 @@
     assert log.service.state.tables.routes() == ()
 
 
+LONG_NAME = "x" * 65_536
+UNFIT_ROWS = [  # the row that no table can hold, and what stands beside it
+    ("a long name alone", (make_route(1)._replace(name=LONG_NAME),)),
+    ("a long name last", (make_route(1), make_route(2)._replace(name=LONG_NAME))),
+    ("a timeout of 50 days", (make_route(1), make_route(2, 1 << 32))),
+]
+unfit_rows = pytest.mark.parametrize(
+    "routes", [r[1] for r in UNFIT_ROWS], ids=[r[0] for r in UNFIT_ROWS]
+)
+
+
+@unfit_rows
+def test_a_change_that_does_not_fit_the_tables_is_refused(
+    routes: tuple[Route, ...],
+) -> None:
+    log = FakeLog()
+    order = ORDER._replace(label=NextLabel(0, 1), routes=routes)
+    for change in (order, order._replace(label=None, expected=Version(0, 0))):
+        log.send(change)
+        log.end_reads(Outcome.COMMITTED, len(log.entries))
+        assert [reply.outcome for reply in log.replies] == [ChangeOutcome.INVALID]
+        assert not log.waiting
+        log.replies.clear()
+
+
+@unfit_rows
+def test_a_committed_change_that_does_not_fit_changes_nothing(
+    routes: tuple[Route, ...],
+) -> None:
+    """Each replica stopped halfway, and none accepted a change from then on."""
+    log = FakeLog()
+    log.ask("change-0", 0)
+    log.commit()
+    before = log.service.state.tables.whole()
+    delta = TablesDelta(before.version, routes, ("r0",), POOLS, ())
+    log.append(encode(TablesCommand("unfit", delta)))
+    assert log.service.state.tables.whole() == before
+    answer = log.service.state.answer("unfit")
+    assert answer is not None
+    assert answer.outcome is ChangeOutcome.INVALID
+    log.ask("change-1", 1)
+    log.commit()
+    assert log.replies[-1].outcome is ChangeOutcome.ACCEPTED
+
+
+@unfit_rows
+def test_a_delta_is_applied_whole_or_not_at_all(routes: tuple[Route, ...]) -> None:
+    tables = VersionedTables()
+    tables.apply(tables.diff((make_route(0),), POOLS), Version(1, 1))
+    before = tables.whole()
+    with pytest.raises(CoreError):
+        tables.apply(tables.diff(routes, ()), Version(1, 2))
+    assert tables.whole() == before
+
+
 def test_answers_are_kept_for_a_bounded_number_of_changes() -> None:
     state = ConfigurationState()
     delta = state.tables.diff((), ())
