Sync the folder above a replica's data folder

Cause: FolderFiles created its folder, synced the files and names in it, but not the name of the folder itself. A file system may then lose the folder with all that was synced in it, and identity and log, which are in two folders, independently of each other.

Evidence: test_a_new_folder_survives_a_power_loss failed in 4 of 4 rows: no folder was synced. The loss itself was not played; it needs a file system that forgets.

Change: each folder that is created is synced into its parent, and the parent at each start, as the process that created the folder may have been killed before.

Measured: the 4 rows pass; unit/disk, test_replica_task.py and functional test_replicas.py pass (135).

--- a/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/disk/files.py
@@ -55,7 +55,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self._descriptors: dict[str, int] = {}
-        folder.mkdir(parents=True, exist_ok=True)
+        _create_folder(folder)
         self._lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -105,11 +105,7 @@
 
     def sync_folder(self) -> None:
         """Sync the folder, so that its file names are durable."""
-        descriptor = os.open(self._folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        _sync_folder(self._folder)
 
     def close(self) -> None:
         """Close all files and release the folder."""
@@ -127,3 +123,20 @@
         descriptor = self._descriptors.pop(name, None)
         if descriptor is not None:
             os.close(descriptor)
+
+
+def _create_folder(folder: pathlib.Path) -> None:
+    """Create a folder and its parents, so that they survive a power loss."""
+    if not folder.parent.exists():
+        _create_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    # Also if it exists: its creator may have been killed before it synced.
+    _sync_folder(folder.parent)
+
+
+def _sync_folder(folder: pathlib.Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/tests/unit/disk/test_folder.py
+++ b/tests/unit/disk/test_folder.py
@@ -1,5 +1,6 @@
 """Check that acknowledged writes survive crashes and that damage is reported."""
 
+import os
 import pathlib
 
 import pytest
@@ -164,3 +165,29 @@
     files.close()
     assert _last_index(state) == 6
     assert state.snapshot == SNAPSHOT_4
+
+
+NEW_FOLDERS = [  # folder, folders that exist before, and folders that must be synced
+    ("a", [], ["."]),
+    ("a/b", ["a"], ["a"]),
+    ("a/b/c", ["a"], ["a", "a/b"]),
+    ("a/b", ["a/b"], ["a"]),
+]
+
+
+@pytest.mark.parametrize(("name", "existing", "expected"), NEW_FOLDERS)
+def test_a_new_folder_survives_a_power_loss(
+    name: str,
+    existing: list[str],
+    expected: list[str],
+    tmp_path: pathlib.Path,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A folder that was lost took the identity and the log in it with it."""
+    for each in existing:
+        (tmp_path / each).mkdir(parents=True)
+    synced: list[int] = []
+    monkeypatch.setattr(os, "fsync", lambda fd: synced.append(os.fstat(fd).st_ino))
+    files = FolderFiles(tmp_path / name)
+    files.close()
+    assert synced == [(tmp_path / each).stat().st_ino for each in expected]
