Read the times of a configuration back as they were sent

Cause: routes and limits hold whole milliseconds, and the document is written from them.

Change: routes and limits keep both times as they were sent if one of them is finer than 1 ms. They are among the values that routes share, so that a table without such times has the size it had. Milliseconds stay what requests are timed by.

--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -22,6 +22,7 @@
     max_attempts: int
     priority: int
     target_latency_ms: int
+    sent_times_s: tuple[float, ...]
 
 
 class CompactRoutes(PackedRows[Route]):
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -32,6 +32,8 @@
     max_attempts: int = 0  # servers tried per request; 0 for the default
     priority: int = 0  # rank in a server's queue; 0 is the most urgent
     target_latency_ms: int = 0  # 0 if there is no target
+    # Timeout and target as the operators sent them, if one is finer than 1 ms.
+    sent_times_s: tuple[float, ...] = ()
 
 
 class Pool(NamedTuple):
@@ -56,6 +58,8 @@
     max_body_bytes: int
     header_timeout_ms: int
     idle_timeout_ms: int
+    # Both timeouts as the operators sent them, if one is finer than 1 ms.
+    sent_times_s: tuple[float, ...] = ()
 
 
 class Tables(NamedTuple):
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -9,6 +9,12 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.configuration.codec import decode_command
+from pimentobend_core._internal.configuration.codec import decode_snapshot
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.messages import TablesCommand
+from pimentobend_core._internal.configuration.messages import Version
+from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core.servers import Announcement
 from pimentobend_core.servers import ServerState
 from pimentobend_core.servers import Withdrawal
@@ -90,6 +96,33 @@
     assert json.loads(json.dumps(documents.write_tables(tables))) == CONFIGURATION
 
 
+FINE_TIMES = [  # finer than the daemons reckon with
+    ("routes.rows.0.4", 1.2345),
+    ("routes.rows.0.4", 0.1 + 0.2),
+    ("routes.rows.0.4", 0.0001),
+    ("routes.rows.0.4", 600 / 7),
+    ("routes.rows.1.5", 0.0375),
+    ("routes.rows.1.5", 0.0004),
+    ("limits.headerTimeoutS", 2.00049),
+    ("limits.idleTimeoutS", 1 / 3),
+]
+
+
+@pytest.mark.parametrize(("path", "time_s"), FINE_TIMES)
+def test_times_are_read_back_as_they_were_sent(path: str, time_s: float) -> None:
+    sent = changed(CONFIGURATION, path, time_s)
+    change = documents.read_whole(sent, "00000005")
+    state = ConfigurationState()
+    delta = state.tables.diff(change.routes, change.pools)
+    delta = delta._replace(limits=change.limits, label=change.label.number)
+    command = decode_command(encode(TablesCommand("change-1", delta)))
+    state.apply(command, Version(1, 1))
+    restored = ConfigurationState()
+    restored.restore(decode_snapshot(encode(state.snapshot())))
+    document = documents.write_tables(restored.tables.whole())
+    assert json.loads(json.dumps(document)) == json.loads(sent)
+
+
 @pytest.mark.parametrize("base", ["00000005", "00000006"])
 def test_equal_changes_have_equal_ids(base: str) -> None:
     data = json.dumps(CONFIGURATION).encode()
