--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -22,6 +22,7 @@
     max_attempts: int
     priority: int
     target_latency_ms: int
+    sent_times_s: tuple[float, ...]
 
 
 class CompactRoutes(PackedRows[Route]):
@@ -36,7 +37,7 @@
     def _key_of(self, row: Route) -> str:
         return row.name
 
-    def _check(self, row: Route) -> None:
+    def _check_numbers(self, row: Route) -> None:
         _NUMBERS.pack(row.timeout_ms, row.repeatable)
 
     def _pack(self, row: Route) -> bytes:
