Give up the lost calls of servers that have left, too

Only the running calls of the servers that are listed were looked at: one of a server that had left or was replaced stayed running for good, counted against the budget and raised the share of repeats that each later call is taken for. No path is known on which the adapter does not report an end.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -499,20 +499,24 @@
         return tuple(outputs)
 
     def _release_lost(self, now: float) -> tuple[HostOutput, ...]:
-        """Free the slots of calls that must have ended without a report."""
+        """End the calls that must have ended without a report, and free their slots."""
+        lost = [
+            record
+            for record in self._records.values()
+            if record.phase is Phase.RUNNING
+            and now - record.submit.deadline >= CALL_REPORT_S
+        ]
         outputs: list[HostOutput] = []
-        for hosted in self._servers.values():
-            for attempt_id in sorted(hosted.running):
-                record = self._records[attempt_id]
-                overdue_s = now - record.submit.deadline
-                if overdue_s < CALL_REPORT_S:
-                    continue
-                record.end(now, has_arrived=True)
-                self._runs.end(attempt_id)
+        for record in lost:
+            attempt_id, server_id = record.submit.attempt_id, record.submit.server_id
+            record.end(now, has_arrived=True)
+            self._runs.end(attempt_id)
+            overdue_s = now - record.submit.deadline
+            outputs.append(CallLost(attempt_id, server_id, overdue_s))
+            hosted = self._servers.get(server_id)
+            if hosted is not None and attempt_id in hosted.running:
                 hosted.running.discard(attempt_id)
                 hosted.liveness.discard(attempt_id)
-                server_id = hosted.server.server_id
-                outputs.append(CallLost(attempt_id, server_id, overdue_s))
                 outputs.extend(self._start_queued(hosted, now))
         return tuple(outputs)
 
