Count a server's new life with the budget of the earlier one, and cheaper

The review of the fix found that a server which restarted under its id had its budget marked as unused, since the earlier life was removed after the new one was noted: a window later the budget was deleted and each ask for the service ended with a KeyError. test_host_budget_machine plays servers that come, leave and restart while attempts wait and run, and failed on it.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -73,7 +73,9 @@
 # A call ends at its deadline, and its end is reported within this time.
 CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
-SIZE_MEMORY_WINDOWS = 2  # of the retry budget
+# A server may use its part of the retry budget until its service's size has changed,
+# and what it used counts for one window more.
+SIZE_MEMORY_WINDOWS = 2
 CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
 
@@ -87,7 +89,6 @@
 
     def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
-        # What was spent under a size is forgotten a window after the size was.
         self._service_sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
         self._budgets = ServiceBudgets(terms)
         self._runs = RunTracker()
@@ -183,30 +184,22 @@
             round(hosted.wait_s(route, now), 3),
             round(slowdown * durations.p90_s, 3),
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._has_repeat_budget(hosted, now),
+            self._count_repeats(hosted.server.service, now).allows_repeat,
             round(hosted.refusals.share(now), 2),
             durations.is_known,
         )
 
-    def _has_repeat_budget(self, hosted: HostedServer, now: float) -> bool:
-        service = hosted.server.service
+    def _count_repeats(self, service: str, now: float) -> BudgetState:
         servers = self._service_sizes.largest(service, now)
-        return self._budgets.of(service).allows_repeat(servers, now)
+        return self._budgets.of(service).count(servers, now)
 
-    def _has_budget(
-        self, hosted: HostedServer, record: AttemptRecord, now: float
-    ) -> bool:
+    def _has_budget(self, service: str, record: AttemptRecord, now: float) -> bool:
+        """Return whether the retry budget covers an attempt."""
         if record.submit.is_repeat:
-            return self._has_repeat_budget(hosted, now)
-        service = hosted.server.service
-        servers = self._service_sizes.largest(service, now)
-        budget = self._budgets.of(service)
-        return not record.weight or budget.allows_call(record.weight, servers, now)
-
-    def _describe_budget(self, hosted: HostedServer, now: float) -> BudgetState:
-        service = hosted.server.service
-        servers = self._service_sizes.largest(service, now)
-        return self._budgets.of(service).describe(servers, now)
+            return self._count_repeats(service, now).allows_repeat
+        if not record.repeat_share:
+            return True
+        return self._count_repeats(service, now).allows_call(record.repeat_share)
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
@@ -221,7 +214,7 @@
             reason = reason or DeclineReason.NO_SERVER
             declined = self._decline(record, reason, now)
             if hosted is not None and reason is DeclineReason.BUDGET:
-                state = self._describe_budget(hosted, now)
+                state = self._count_repeats(hosted.server.service, now)
                 declined = declined._replace(budget=state)
             return (*learnt, declined)
         self._records[submit.attempt_id] = record
@@ -254,7 +247,7 @@
         crash_reason = self._find_crash_reason(submit, (*hosted.running, *queued), now)
         if crash_reason is not None:
             return crash_reason
-        if not self._has_budget(hosted, record, now):
+        if not self._has_budget(hosted.server.service, record, now):
             return DeclineReason.BUDGET
         wait_s = hosted.wait_s(submit.route, now)
         if not self._has_time(hosted, submit, now + wait_s):
@@ -289,8 +282,11 @@
             hosted.running.add(submit.attempt_id)
             self._runs.begin(
                 submit.attempt_id,
-                LocalRun(record.weight, now + self._usual_s(hosted, submit)),
-                submit.deadline,
+                LocalRun(
+                    record.repeat_share,
+                    now + self._usual_s(hosted, submit),
+                    submit.deadline,
+                ),
             )
             survival = hosted.survival(submit)
             hosted.liveness.record_sent(submit.attempt_id, survival, now)
@@ -442,7 +438,6 @@
         return self._remove_server(message.server_id, now)
 
     def _update_server(self, server: Server, now: float) -> tuple[HostOutput, ...]:
-        self._budgets.note_listed(server.service, now)
         hosted = self._servers.get(server.server_id)
         if hosted is None or server.incarnation != hosted.server.incarnation:
             crashed: tuple[HostOutput, ...] = ()
@@ -451,6 +446,7 @@
                 crashed = self._handle_crash(hosted, now)
             declined = self._remove_server(server.server_id, now)
             hosted = self._servers[server.server_id] = HostedServer(server, now)
+            self._budgets.note_listed(server.service, now)
             return (*crashed, *declined)
         hosted.server = server
         if hosted.is_ready:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -27,35 +27,42 @@
 class AttemptRecord:
     """State of an attempt, kept while a copy of its submission may still arrive."""
 
-    __slots__ = ("budget", "phase", "started_at", "submit", "submitted_at", "weight")
+    __slots__ = (
+        "budget",
+        "phase",
+        "started_at",
+        "submit",
+        "submitted_at",
+        "repeat_share",
+    )
 
     def __init__(self, submit: Submit, now: float) -> None:
         self.submit = submit
         self.submitted_at = now
         self.phase = Phase.QUEUED
         self.started_at = 0.0
-        # How much of a repeat it counts as.
-        self.weight = 1.0 if submit.is_repeat else submit.sender.repeat_share
+        # Probability that it is a repeat, or a call of a repeated run.
+        self.repeat_share = 1.0 if submit.is_repeat else submit.sender.repeat_share
         # Counts the attempt; None if it was declined at once.
         self.budget: ServiceBudget | None = None
 
     def admit(self, budget: ServiceBudget) -> None:
         """Count the attempt with a budget until its end."""
         self.budget = budget
-        budget.reserve(self.weight)
+        budget.reserve(self.repeat_share)
 
     def decline(self) -> None:
         """End an attempt that does not reach its server."""
         self.phase = Phase.ENDED
         if self.budget is not None:
-            self.budget.release(self.weight)
+            self.budget.release(self.repeat_share)
 
     def end(self, now: float, *, has_arrived: bool) -> None:
         """End an attempt that was sent to its server."""
         self.phase = Phase.ENDED
         if self.budget is None:
             return
-        self.budget.note_ended(self.weight, now)
+        self.budget.note_ended(self.repeat_share, now)
         is_first = self.submit.sender.is_client and not self.submit.is_repeat
         if is_first and has_arrived:
             self.budget.note_first(self.submitted_at)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -2,7 +2,7 @@
 
 Both reach a daemon in the same way. A call ends by the deadline of the run that makes
 it, so what ends later than all runs of the local servers is a client's. Any other
-request may be a call, of each of the running requests alike.
+request may be a call of each of the running requests that end no sooner.
 """
 
 from typing import NamedTuple
@@ -20,6 +20,7 @@
 
     repeat_share: float  # probability that it is a repeat, or a call of one
     usual_end: float
+    deadline: float
 
 
 class LocalRuns(NamedTuple):
@@ -33,11 +34,16 @@
     """Return what is known of the sender of a request with a deadline."""
     if deadline > local.latest_deadline + DEADLINE_SLACK_S:
         return Sender(is_client=True)
-    # A first attempt that takes far too long hangs, and makes no calls.
-    active = [each for each in local.runs if each.repeat_share or now < each.usual_end]
-    if not active:
+    callers = [
+        each
+        for each in local.runs
+        if deadline <= each.deadline + DEADLINE_SLACK_S
+        # A first attempt that takes far too long hangs, and makes no calls.
+        and (each.repeat_share or now < each.usual_end)
+    ]
+    if not callers:
         return Sender()
-    share = sum(each.repeat_share for each in active) / len(active)
+    share = sum(each.repeat_share for each in callers) / len(callers)
     return Sender(repeat_share=min(1.0, share))
 
 
@@ -49,10 +55,10 @@
         self._latest_deadline = float("-inf")
         self._has_changed = False
 
-    def begin(self, attempt_id: str, run: LocalRun, deadline: float) -> None:
-        """Add a run that its server stops at ``deadline`` (seconds)."""
+    def begin(self, attempt_id: str, run: LocalRun) -> None:
+        """Add a run."""
         self._runs[attempt_id] = run
-        self._latest_deadline = max(self._latest_deadline, deadline)
+        self._latest_deadline = max(self._latest_deadline, run.deadline)
         self._has_changed = True
 
     def end(self, attempt_id: str) -> None:
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -39,6 +39,15 @@
     servers: int  # number of servers among which the allowance is divided
     age_s: float  # time for which this host has counted
 
+    @property
+    def allows_repeat(self) -> bool:
+        """Return whether one more repeat may come."""
+        return self.repeats + 1 <= REPEATS_SHARE * self.limit
+
+    def allows_call(self, repeat_share: float) -> bool:
+        """Return whether a call may come that a repeated run probably made."""
+        return self.repeats + repeat_share <= CALLS_SHARE * self.limit
+
 
 class OriginBudget(RetryPolicy):
     """Limit the requests that one daemon repeats, for each pool.
@@ -82,38 +91,29 @@
         self._terms = terms
         self._started_at = started_at
         self._first: list[float] = []  # times of submission, in order
-        self._pending = 0.0  # weight of the repeats that wait or run
-        # When repeats ended, and their weights.
+        self._pending = 0.0  # repeats that wait or run
+        # When attempts ended, and the probability that they were repeats.
         self._ended: deque[tuple[float, float]] = deque()
 
     def note_first(self, submitted_at: float) -> None:
         """Record a client's first attempt that reached a server."""
         bisect.insort(self._first, submitted_at)
 
-    def reserve(self, weight: float) -> None:
-        """Record that a repeat, or a call that may be one, was submitted."""
-        self._pending += weight
+    def reserve(self, repeat_share: float) -> None:
+        """Record that an attempt was submitted that is a repeat with a probability."""
+        self._pending += repeat_share
 
-    def release(self, weight: float) -> None:
+    def release(self, repeat_share: float) -> None:
         """Record that it was declined and will not reach a server."""
-        self._pending -= weight
+        self._pending -= repeat_share
 
-    def note_ended(self, weight: float, now: float) -> None:
+    def note_ended(self, repeat_share: float, now: float) -> None:
         """Record that it, which may have reached its server, ended at ``now``."""
-        self._pending -= weight
-        self._ended.append((now, weight))
-
-    def allows_repeat(self, servers: int, now: float) -> bool:
-        """Return whether one more repeat may come; see ``describe``."""
-        state = self.describe(servers, now)
-        return state.repeats + 1 <= REPEATS_SHARE * state.limit
-
-    def allows_call(self, weight: float, servers: int, now: float) -> bool:
-        """Return whether a call with a weight may come; see ``describe``."""
-        state = self.describe(servers, now)
-        return state.repeats + weight <= CALLS_SHARE * state.limit
+        self._pending -= repeat_share
+        if repeat_share:
+            self._ended.append((now, repeat_share))
 
-    def describe(self, servers: int, now: float) -> BudgetState:
+    def count(self, servers: int, now: float) -> BudgetState:
         """Return the counts at ``now`` (seconds).
 
         ``servers`` is the number of hosts that divide the service's allowance; 0 if it
@@ -121,7 +121,7 @@
         """
         self._drop_expired(now - self._terms.window_s)
         first = len(self._first)
-        repeats = self._pending + sum(weight for _, weight in self._ended)
+        repeats = self._pending + sum(share for _, share in self._ended)
         age_s = now - self._started_at
         limit = self._terms.ratio * first
         if servers and age_s >= self._terms.window_s:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -170,9 +170,7 @@
                     "route": detail.route,
                     ORDINARY: True,
                 }
-                self._counters.count(
-                    "arrivals", "repeat" if detail.is_repeat else "first"
-                )
+                self._counters.count("arrivals", _arrival_kind(detail))
             case Declined():
                 values = {
                     "reason": detail.reason.value,
@@ -224,6 +222,14 @@
     }
 
 
+def _arrival_kind(submit: Submit) -> str:
+    if submit.is_repeat:
+        return "repeat"
+    if submit.sender.is_client:
+        return "client"
+    return "repeated-call" if submit.sender.repeat_share else "call"
+
+
 def _describe_budget(state: BudgetState | None) -> dict[str, Any]:
     if state is None:
         return {}
--- a/tests/unit/forwarding/test_budget.py
+++ b/tests/unit/forwarding/test_budget.py
@@ -34,7 +34,7 @@
             has_restarted = True  # all daemons restart at once and lose their counts
             budgets = [ServiceBudget(TERMS, now) for _ in range(SERVERS)]
         budget = budgets[server]
-        if is_repeat and not budget.allows_repeat(SERVERS, now):
+        if is_repeat and not budget.count(SERVERS, now).allows_repeat:
             continue
         if is_repeat:
             budget.reserve(1.0)
@@ -53,7 +53,7 @@
     for _ in range(firsts):
         budget.note_first(0.0)
     allowed = 0
-    while budget.allows_repeat(SERVERS, 0.0):
+    while budget.count(SERVERS, 0.0).allows_repeat:
         budget.reserve(1.0)
         allowed += 1
     assert allowed == repeats
@@ -80,7 +80,7 @@
     for _ in range(firsts):
         budget.note_first(0.0)
     allowed = 0
-    while budget.allows_repeat(servers, 0.0):
+    while budget.count(servers, 0.0).allows_repeat:
         budget.reserve(1.0)
         allowed += 1
     assert allowed == repeats
@@ -96,13 +96,13 @@
 ) -> None:
     budgets = ServiceBudgets(TERMS)
     budgets.note_listed("bookings", LONG_AGO)
-    while budgets.of("bookings").allows_repeat(SERVERS, 0.0):
+    while budgets.of("bookings").count(SERVERS, 0.0).allows_repeat:
         budgets.of("bookings").reserve(1.0)
         budgets.of("bookings").note_ended(1.0, 0.0)
     budgets.note_unlisted("bookings", 0.0)
     budgets.note_listed("bookings", away_s)
     repeats = 0
-    while budgets.of("bookings").allows_repeat(SERVERS, away_s):
+    while budgets.of("bookings").count(SERVERS, away_s).allows_repeat:
         budgets.of("bookings").reserve(1.0)
         repeats += 1
     assert repeats == allowed
--- a/tests/unit/forwarding/test_senders.py
+++ b/tests/unit/forwarding/test_senders.py
@@ -9,11 +9,12 @@
 from pimentobend_core._internal.models.request import Sender
 
 NOW = 100.0
-FIRST = LocalRun(0.0, NOW + 0.2)
-HUNG = LocalRun(0.0, NOW - 1.0)
-REPEAT = LocalRun(1.0, NOW + 0.2)
-SLOW_REPEAT = LocalRun(1.0, NOW - 1.0)
-CALL = LocalRun(0.25, NOW + 0.2)  # of a run that may be a repeat
+FIRST = LocalRun(0.0, NOW + 0.2, NOW + 3.0)
+HUNG = LocalRun(0.0, NOW - 1.0, NOW + 3.0)
+REPEAT = LocalRun(1.0, NOW + 0.2, NOW + 3.0)
+SLOW_REPEAT = LocalRun(1.0, NOW - 1.0, NOW + 3.0)
+CALL = LocalRun(0.25, NOW + 0.2, NOW + 3.0)  # of a run that may be a repeat
+SHORT = LocalRun(0.0, NOW + 0.2, NOW + 0.5)
 CLIENT = Sender(is_client=True)
 
 SENDERS = [
@@ -37,6 +38,13 @@
         Sender(False, 1.0),
     ),
     ("a slow repeat", (FIRST, SLOW_REPEAT), NOW + 3.0, NOW, Sender(False, 0.5)),
+    (
+        "a run that ends sooner",
+        (SHORT, REPEAT),
+        NOW + 3.0,
+        NOW + 2.0,
+        Sender(False, 1.0),
+    ),
     ("calls of calls", (FIRST, CALL), NOW + 3.0, NOW, Sender(False, 0.125)),
 ]
 
@@ -54,9 +62,9 @@
 
 def test_the_latest_deadline_outlasts_its_run() -> None:
     tracker = RunTracker()
-    tracker.begin("1", FIRST, NOW + 3.0)
-    tracker.begin("2", REPEAT, NOW + 1.0)
-    assert tracker.take_change() == (LocalRuns((FIRST, REPEAT), NOW + 3.0),)
+    tracker.begin("1", FIRST)
+    tracker.begin("2", SHORT)
+    assert tracker.take_change() == (LocalRuns((FIRST, SHORT), NOW + 3.0),)
     tracker.end("1")
-    assert tracker.take_change() == (LocalRuns((REPEAT,), NOW + 3.0),)
+    assert tracker.take_change() == (LocalRuns((SHORT,), NOW + 3.0),)
     assert tracker.take_change() == ()
