--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -46,9 +46,14 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
+from pimentobend_core._internal.forwarding.senders import LocalRun
+from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.traffic.service_sizes import SizeHistory
+from pimentobend_core._internal.traffic.shared_budget import BudgetState
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
+from pimentobend_core._internal.traffic.shared_budget import ServiceBudgets
 
 QUEUE_LIMIT = 128  # queued attempts per server
 # Twice the 10,000 attempts that arrive within 42 s at a daemon's design rate.
@@ -68,6 +73,9 @@
 # A call ends at its deadline, and its end is reported within this time.
 CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
+# A server may use its part of the retry budget until its service's size has changed,
+# and what it used counts for one window more.
+SIZE_MEMORY_WINDOWS = 2
 CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
 
@@ -81,8 +89,9 @@
 
     def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
-        self._terms = terms
-        self._service_sizes: dict[str, int] = {}
+        self._service_sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
+        self._budgets = ServiceBudgets(terms)
+        self._runs = RunTracker()
         self._servers: dict[str, HostedServer] = {}
         self._records: dict[str, AttemptRecord] = {}
         # When attempts were withdrawn whose submissions have not arrived yet.
@@ -95,6 +104,10 @@
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
         """Process one message and return the replies and calls that follow."""
+        outputs = self._dispatch(message, now)
+        return (*outputs, *self._runs.take_change())
+
+    def _dispatch(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
         match message:
             case Ask():
                 return (self._answer_ask(message, now),)
@@ -113,6 +126,7 @@
             case ReportsReceived() | EarlierReportsSeen():
                 return self._crashes.handle(message, now)
             case HostTick():
+                self._budgets.drop_unused(now)
                 return (*self._expire(now), *self._crashes.handle(CrashTick(), now))
             case _:
                 self._update_state(message, now)
@@ -141,7 +155,7 @@
     ) -> None:
         match message:
             case ServiceSizes():
-                self._service_sizes = dict(message.servers)
+                self._service_sizes.update(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
 
@@ -170,30 +184,42 @@
             round(hosted.wait_s(route, now), 3),
             round(slowdown * durations.p90_s, 3),
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._has_repeat_budget(hosted, now),
+            self._count_repeats(hosted.server.service, now).allows_repeat,
             round(hosted.refusals.share(now), 2),
             durations.is_known,
         )
 
-    def _has_repeat_budget(self, hosted: HostedServer, now: float) -> bool:
-        servers = self._service_sizes.get(hosted.server.service, 1)
-        return hosted.budget.allows(servers, now)
+    def _count_repeats(self, service: str, now: float) -> BudgetState:
+        servers = self._service_sizes.largest(service, now)
+        return self._budgets.of(service).count(servers, now)
+
+    def _has_budget(self, service: str, record: AttemptRecord, now: float) -> bool:
+        """Return whether the retry budget covers an attempt."""
+        if record.submit.is_repeat:
+            return self._count_repeats(service, now).allows_repeat
+        if not record.repeat_share:
+            return True
+        return self._count_repeats(service, now).allows_call(record.repeat_share)
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (DuplicateSubmission(submit.attempt_id),)
         learnt = self._crashes.learn(submit, now)
         hosted = self._servers.get(submit.server_id)
-        record = AttemptRecord(submit)
-        reason = self._find_decline_reason(hosted, submit, now)
+        record = AttemptRecord(submit, now)
+        reason = self._find_decline_reason(hosted, record, now)
         if hosted is None or reason is not None:
             # Keep the record, so that a delayed copy of the submission does not run.
             self._records[submit.attempt_id] = record
             reason = reason or DeclineReason.NO_SERVER
-            return (*learnt, self._decline(record, reason, now))
+            declined = self._decline(record, reason, now)
+            if hosted is not None and reason is DeclineReason.BUDGET:
+                state = self._count_repeats(hosted.server.service, now)
+                declined = declined._replace(budget=state)
+            return (*learnt, declined)
         self._records[submit.attempt_id] = record
         self._submissions += 1
-        hosted.budget.note(now, is_repeat=submit.is_repeat)
+        record.admit(self._budgets.of(hosted.server.service))
         durations = hosted.durations.of(submit.route, submit.target_s)
         durations.set_target(submit.target_s, submit.priority)
         due = min(now + durations.slack_s, submit.deadline)
@@ -203,8 +229,9 @@
         return (*learnt, *self._start_queued(hosted, now))
 
     def _find_decline_reason(
-        self, hosted: HostedServer | None, submit: Submit, now: float
+        self, hosted: HostedServer | None, record: AttemptRecord, now: float
     ) -> DeclineReason | None:
+        submit = record.submit
         if hosted is None:
             return DeclineReason.NO_SERVER
         if submit.attempt_id in self._withdrawn:
@@ -220,7 +247,7 @@
         crash_reason = self._find_crash_reason(submit, (*hosted.running, *queued), now)
         if crash_reason is not None:
             return crash_reason
-        if submit.is_repeat and not self._has_repeat_budget(hosted, now):
+        if not self._has_budget(hosted.server.service, record, now):
             return DeclineReason.BUDGET
         wait_s = hosted.wait_s(submit.route, now)
         if not self._has_time(hosted, submit, now + wait_s):
@@ -253,6 +280,14 @@
             record.phase = Phase.RUNNING
             record.started_at = now
             hosted.running.add(submit.attempt_id)
+            self._runs.begin(
+                submit.attempt_id,
+                LocalRun(
+                    record.repeat_share,
+                    now + self._usual_s(hosted, submit),
+                    submit.deadline,
+                ),
+            )
             survival = hosted.survival(submit)
             hosted.liveness.record_sent(submit.attempt_id, survival, now)
             outputs.append(StartCall(submit.attempt_id, hosted.server))
@@ -264,12 +299,16 @@
         """Return why an attempt should not start at ``start``; None if it may."""
         if not self._has_time(hosted, submit, start):
             return DeclineReason.DEADLINE
-        durations = hosted.durations.of(submit.route, submit.target_s)
-        is_late = start + hosted.slowdown * durations.p90_s >= self._finish_by
+        is_late = start + self._usual_s(hosted, submit) >= self._finish_by
         # A straggler would be cut off, and what may not be repeated would be lost.
         is_risky = self._is_stopping and not submit.is_repeatable
         return DeclineReason.DRAINING if is_late or is_risky else None
 
+    def _usual_s(self, hosted: HostedServer, submit: Submit) -> float:
+        """Return the time within which nearly all answers of the route come."""
+        durations = hosted.durations.of(submit.route, submit.target_s)
+        return hosted.slowdown * durations.p90_s
+
     def _has_time(self, hosted: HostedServer, submit: Submit, now: float) -> bool:
         """Return whether an answer is still likely to come before the deadline."""
         durations = hosted.durations.of(submit.route, submit.target_s)
@@ -282,7 +321,8 @@
         record = self._records.get(ended.attempt_id)
         if record is None or record.phase is not Phase.RUNNING:
             return ()
-        record.phase = Phase.ENDED
+        record.end(now, has_arrived=ended.kind is not EndKind.UNREACHABLE)
+        self._runs.end(ended.attempt_id)
         hosted = self._servers.get(record.submit.server_id)
         is_current = hosted is not None and ended.attempt_id in hosted.running
         if hosted is None or not is_current:
@@ -387,7 +427,7 @@
     def _decline(
         self, record: AttemptRecord, reason: DeclineReason, now: float
     ) -> Declined:
-        record.phase = Phase.ENDED
+        record.decline()
         return self._crashes.decline(record.submit, reason, now)
 
     def _handle_listing(
@@ -405,9 +445,8 @@
                 # Its calls broke, and a new life of it is here.
                 crashed = self._handle_crash(hosted, now)
             declined = self._remove_server(server.server_id, now)
-            hosted = self._servers[server.server_id] = HostedServer(
-                server, self._terms, now
-            )
+            hosted = self._servers[server.server_id] = HostedServer(server, now)
+            self._budgets.note_listed(server.service, now)
             return (*crashed, *declined)
         hosted.server = server
         if hosted.is_ready:
@@ -418,6 +457,9 @@
         hosted = self._servers.pop(server_id, None)
         if hosted is None:
             return ()
+        services = {each.server.service for each in self._servers.values()}
+        if hosted.server.service not in services:
+            self._budgets.note_unlisted(hosted.server.service, now)
         declined = self._decline_queued(hosted, DeclineReason.NO_SERVER, now)
         return (*self._release_broken(hosted, now), *declined)
 
@@ -453,19 +495,24 @@
         return tuple(outputs)
 
     def _release_lost(self, now: float) -> tuple[HostOutput, ...]:
-        """Free the slots of calls that must have ended without a report."""
+        """End the calls that must have ended without a report, and free their slots."""
+        lost = [
+            record
+            for record in self._records.values()
+            if record.phase is Phase.RUNNING
+            and now - record.submit.deadline >= CALL_REPORT_S
+        ]
         outputs: list[HostOutput] = []
-        for hosted in self._servers.values():
-            for attempt_id in sorted(hosted.running):
-                record = self._records[attempt_id]
-                overdue_s = now - record.submit.deadline
-                if overdue_s < CALL_REPORT_S:
-                    continue
-                record.phase = Phase.ENDED
+        for record in lost:
+            attempt_id, server_id = record.submit.attempt_id, record.submit.server_id
+            record.end(now, has_arrived=True)
+            self._runs.end(attempt_id)
+            overdue_s = now - record.submit.deadline
+            outputs.append(CallLost(attempt_id, server_id, overdue_s))
+            hosted = self._servers.get(server_id)
+            if hosted is not None and attempt_id in hosted.running:
                 hosted.running.discard(attempt_id)
                 hosted.liveness.discard(attempt_id)
-                server_id = hosted.server.server_id
-                outputs.append(CallLost(attempt_id, server_id, overdue_s))
                 outputs.extend(self._start_queued(hosted, now))
         return tuple(outputs)
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -11,8 +11,7 @@
 from pimentobend_core._internal.forwarding.shedding import RefusalShare
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
-from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
-from pimentobend_core._internal.traffic.shared_budget import ServerBudget
+from pimentobend_core._internal.traffic.shared_budget import ServiceBudget
 
 COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
 
@@ -28,20 +27,52 @@
 class AttemptRecord:
     """State of an attempt, kept while a copy of its submission may still arrive."""
 
-    __slots__ = ("phase", "started_at", "submit")
+    __slots__ = (
+        "budget",
+        "phase",
+        "started_at",
+        "submit",
+        "submitted_at",
+        "repeat_share",
+    )
 
-    def __init__(self, submit: Submit) -> None:
+    def __init__(self, submit: Submit, now: float) -> None:
         self.submit = submit
+        self.submitted_at = now
         self.phase = Phase.QUEUED
         self.started_at = 0.0
+        # Probability that it is a repeat, or a call of a repeated run.
+        self.repeat_share = 1.0 if submit.is_repeat else submit.sender.repeat_share
+        # Counts the attempt; None if it was declined at once.
+        self.budget: ServiceBudget | None = None
+
+    def admit(self, budget: ServiceBudget) -> None:
+        """Count the attempt with a budget until its end."""
+        self.budget = budget
+        budget.reserve(self.repeat_share)
+
+    def decline(self) -> None:
+        """End an attempt that does not reach its server."""
+        self.phase = Phase.ENDED
+        if self.budget is not None:
+            self.budget.release(self.repeat_share)
+
+    def end(self, now: float, *, has_arrived: bool) -> None:
+        """End an attempt that was sent to its server."""
+        self.phase = Phase.ENDED
+        if self.budget is None:
+            return
+        self.budget.note_ended(self.repeat_share, now)
+        is_first = self.submit.sender.is_client and not self.submit.is_repeat
+        if is_first and has_arrived:
+            self.budget.note_first(self.submitted_at)
 
 
 class HostedServer:
     """A server with its queue, its running attempts and its statistics."""
 
-    def __init__(self, server: Server, terms: BudgetTerms, now: float) -> None:
+    def __init__(self, server: Server, now: float) -> None:
         self.server = server
-        self.budget = ServerBudget(terms)
         self.running: set[str] = set()
         self.backlog = Backlog()
         self.liveness = Liveness(now)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -24,6 +24,7 @@
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.http.front import CallerFront
 from pimentobend_adapters._internal.http.front import FrontOptions
+from pimentobend_adapters._internal.http.heads import MAX_HEAD_BYTES
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
@@ -56,6 +57,7 @@
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.route import RouteFilter
+from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
@@ -65,6 +67,8 @@
 REGISTRY_TICK_S = 0.5
 ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 SERVER_ERROR = 500
+# Daemons add headers to the requests that they pass on.
+MAX_HOP_HEAD_BYTES = 2 * MAX_HEAD_BYTES
 
 RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
 
@@ -181,6 +185,8 @@
         )
         # The crash reports in each daemon's row, by its address.
         self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
+        self._peer_services: Counter[str] = Counter()
+        self._is_fleet_known = False
         self.bid_collector = BidCollector(
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
@@ -201,6 +207,7 @@
         self._deliveries = DeliveryFilter(delivery)
         pipe = (
             DeadlineFilter(clock)
+            .then(SenderFilter(self.host.senders))
             .then(RouteFilter(tables))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
@@ -218,7 +225,9 @@
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
             HttpServer(settings.callers, self.front, idle_timeout_s),
-            HttpServer(settings.forward, self._peer_front),
+            HttpServer(
+                settings.forward, self._peer_front, max_head_bytes=MAX_HOP_HEAD_BYTES
+            ),
             HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
         )
 
@@ -234,11 +243,11 @@
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
         self.bid_collector.update_peers(peers)
-        services = [
+        self._peer_services = Counter(
             each.service for row in peers for each in row.servers if each.is_ready
-        ]
-        services += [server.service for server in self._servers.values()]
-        self.host.update_service_sizes(ServiceSizes(tuple(Counter(services).items())))
+        )
+        self._is_fleet_known = bool(peers)
+        self._update_service_sizes()
         for row in peers:
             # Only changes count: the row of a daemon that is gone grows no younger.
             if row.crash_reports != self._peer_reports.get(row.address, ()):
@@ -319,6 +328,16 @@
             self._servers.pop(server.server_id, None)
             self.host.remove_server(server.server_id)
 
+        self._update_service_sizes()
+
+    def _update_service_sizes(self) -> None:
+        """Count the servers of each service, once other daemons are known."""
+        if not self._is_fleet_known:
+            return
+        own = Counter(server.service for server in self._servers.values())
+        sizes = tuple((self._peer_services + own).items())
+        self.host.update_service_sizes(ServiceSizes(sizes))
+
     def restore(self, row: PeerRow) -> None:
         """Take over what this daemon's row said before it restarted.
 
--- a/tests/lib/played_fleet.py
+++ b/tests/lib/played_fleet.py
@@ -35,6 +35,7 @@
 from pimentobend_core._internal.forwarding.messages import HostOutput
 from pimentobend_core._internal.forwarding.messages import HostTick
 from pimentobend_core._internal.forwarding.messages import ServerListed
+from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.forwarding.messages import StartCall
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
@@ -44,6 +45,7 @@
 from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.models.tables import Route
@@ -159,7 +161,8 @@
                 ServerState.READY,
                 1,
             )
-            host.handle(ServerListed(server), 0.0)
+            host.handle(ServerListed(server), -terms.window_s)
+            host.handle(ServiceSizes(((SERVICE, count),)), -terms.window_s)
 
     def play(self) -> Outcome:
         """Play the whole load and return what the callers got."""
@@ -286,6 +289,7 @@
             self._load.target_s,
             deadline,
             is_repeat=send.is_repeat,
+            sender=Sender(is_client=True),
         )
         self._at(self._now, lambda: self._run_host(number, submit))
 
