Show that a caller that closes its sending side gets no answer

Cause: ConnectionWatch takes the end of what the caller sends for the end of the caller. Both are a FIN, and work for a caller that has left must end (GONE).

--- a/tests/functional/test_platform_fleet.py
+++ b/tests/functional/test_platform_fleet.py
@@ -4,6 +4,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -194,3 +195,12 @@
     response = connection.getresponse()
     assert response.status == 504
     assert response.headers["Pimentobend-Ran"] == "unknown"
+
+
+def test_a_caller_that_closes_its_sending_side_gets_its_answer(fleet: Fleet) -> None:
+    process = fleet.instances[0]
+    head = f"Host: a.example\r\n{PREFIX}Request-Id: h1\r\n{PREFIX}Deadline-Ms: 5000\r\n"
+    with socket.create_connection((process.ip, 8400), timeout=10.0) as connection:
+        connection.sendall(f"GET /look/1 HTTP/1.1\r\n{head}\r\n".encode())
+        connection.shutdown(socket.SHUT_WR)
+        assert connection.recv(65536).startswith(b"HTTP/1.1 200 ")
