--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -50,8 +50,6 @@
 from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
-from pimentobend_core._internal.traffic.service_sizes import SizeHistory
-from pimentobend_core._internal.traffic.shared_budget import BudgetState
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.traffic.shared_budget import ServiceBudgets
 
@@ -73,9 +71,6 @@
 # A call ends at its deadline, and its end is reported within this time.
 CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
-# A server may use its part of the retry budget until its service's size has changed,
-# and what it used counts for one window more.
-SIZE_MEMORY_WINDOWS = 2
 CRASHED_S = 1.0  # how long none are made for one that crashed, unless it is back
 
 
@@ -89,7 +84,6 @@
 
     def __init__(self, process_id: int, terms: BudgetTerms) -> None:
         self._process_id = process_id
-        self._service_sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
         self._budgets = ServiceBudgets(terms)
         self._runs = RunTracker()
         self._servers: dict[str, HostedServer] = {}
@@ -155,7 +149,7 @@
     ) -> None:
         match message:
             case ServiceSizes():
-                self._service_sizes.update(dict(message.servers), now)
+                self._budgets.update_sizes(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
 
@@ -184,22 +178,18 @@
             round(hosted.wait_s(route, now), 3),
             round(slowdown * durations.p90_s, 3),
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._count_repeats(hosted.server.service, now).allows_repeat,
+            self._budgets.count(hosted.server.service, now).allows_repeat,
             round(hosted.refusals.share(now), 2),
             durations.is_known,
         )
 
-    def _count_repeats(self, service: str, now: float) -> BudgetState:
-        servers = self._service_sizes.largest(service, now)
-        return self._budgets.of(service).count(servers, now)
-
     def _has_budget(self, service: str, record: AttemptRecord, now: float) -> bool:
         """Return whether the retry budget covers an attempt."""
         if record.submit.is_repeat:
-            return self._count_repeats(service, now).allows_repeat
+            return self._budgets.count(service, now).allows_repeat
         if not record.repeat_share:
             return True
-        return self._count_repeats(service, now).allows_call(record.repeat_share)
+        return self._budgets.count(service, now).allows_call(record.repeat_share)
 
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
@@ -214,7 +204,7 @@
             reason = reason or DeclineReason.NO_SERVER
             declined = self._decline(record, reason, now)
             if hosted is not None and reason is DeclineReason.BUDGET:
-                state = self._count_repeats(hosted.server.service, now)
+                state = self._budgets.count(hosted.server.service, now)
                 declined = declined._replace(budget=state)
             return (*learnt, declined)
         self._records[submit.attempt_id] = record
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -6,10 +6,12 @@
 
 import bisect
 from collections import deque
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.traffic.retries import TokenBucket
+from pimentobend_core._internal.traffic.service_sizes import SizeHistory
 
 # A host takes repeats up to this share of its part of the limit. The rest is for the
 # calls that repeated runs make, which cannot be sent elsewhere without cost.
@@ -17,6 +19,9 @@
 # Share up to which it takes those calls. Which calls they are is known only on
 # average, and the hosts do not count at the same time.
 CALLS_SHARE = 0.85
+# A host may use its part until the size of the service has changed, and what it used
+# counts for one window more.
+SIZE_MEMORY_WINDOWS = 2
 ORIGIN_SHARE = 0.3  # repeats that one success allows its origin
 ORIGIN_FLOOR_PER_S = 0.5  # repeats per second that are allowed without any success
 ORIGIN_TOKENS = 10.0  # repeats allowed at the start, and the most that accumulate
@@ -144,6 +149,7 @@
 
     def __init__(self, terms: BudgetTerms) -> None:
         self._terms = terms
+        self._sizes = SizeHistory(SIZE_MEMORY_WINDOWS * terms.window_s)
         self._budgets: dict[str, ServiceBudget] = {}
         self._unlisted_at: dict[str, float] = {}
 
@@ -151,6 +157,14 @@
         """Return the budget of a service that ``note_listed`` was called for."""
         return self._budgets[service]
 
+    def count(self, service: str, now: float) -> BudgetState:
+        """Return the counts for a service at ``now`` (seconds)."""
+        return self._budgets[service].count(self._sizes.largest(service, now), now)
+
+    def update_sizes(self, sizes: Mapping[str, int], now: float) -> None:
+        """Replace the number of servers of each service in the fleet."""
+        self._sizes.update(sizes, now)
+
     def note_listed(self, service: str, now: float) -> None:
         """Record that a server of a service is here at ``now`` (seconds)."""
         self.drop_unused(now)
