Retry an attempt that found no connection without the retry budget

On the own interface a booking that met a server which had just crashed was refused (502, not-run) instead of sent to the next server, in an instance that had just started: its budget is empty until it has counted the fleet, and the retry was charged to it. The budget bounds what reaches servers, and such an attempt reached none; three attempts stay the limit.

--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -91,6 +91,9 @@
         if kind is AttemptKind.REFUSED:
             may_offer = self._policy.may_retry_refused
             return attempts < MAX_REFUSED_ATTEMPTS and may_offer(pool, now)
+        if kind is AttemptKind.NOT_CONNECTED:
+            # The budget bounds what reaches servers, and this attempt reached none.
+            return attempts < MAX_ATTEMPTS
         return attempts < MAX_ATTEMPTS and self._policy.may_retry(pool, now)
 
 
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -144,6 +144,9 @@
 def test_each_request_that_was_taken_is_answered(
     site: Site, first: str, request_text: str, status: int, ran: str, may_return: bool
 ) -> None:
+    if (status, ran) == (503, "unknown"):
+        # Without the count of instances there is no budget for a second attempt.
+        wait_until(lambda: site.state("instances")["counted"])
     with _connect(site) as before, _connect(site) as connection:
         if first:
             before.sendall(first.encode())
