Add the types for organisations with keys, limits and priorities

Callers of the new deployments are told apart by organisation, and nothing in the core could say which one sent a request. Tables, requests, attempts and questions for bids now name the organisation, and refusals have reasons for an unknown key, unproven tables, limits, memory and calls without room.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -237,7 +237,7 @@
             attempt_id,
             candidate.server_id,
             route.name,
-            route.priority,
+            route.priority if routed.priority is None else routed.priority,
             route.repeatable,
             route.target_latency_ms / MS_PER_S,
             routed.head.deadline,
@@ -246,6 +246,7 @@
             routed.fingerprint,
             tuple(self._crash_reports.values()),
             routed.sender,
+            routed.organisation,
         )
         age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -43,6 +43,7 @@
     crash_reports: tuple[CrashReport, ...] = ()  # that the origin has learnt of
     is_from_client: bool = False
     repeat_share: Probability = 0.0  # that a repeated run of a server sent it
+    organisation: str = ""  # that sent the request; empty without one
 
 
 class HopResult(NamedTuple):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -141,6 +141,7 @@
             hop.fingerprint,
             hop.crash_reports,
             Sender(hop.is_from_client, hop.repeat_share),
+            hop.organisation,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -172,6 +172,7 @@
             submit.crash_reports,
             submit.sender.is_client,
             submit.sender.repeat_share,
+            submit.organisation,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -23,6 +23,7 @@
     priority: int
     target_latency_ms: int
     sent_times_s: tuple[float, ...]
+    allow_anonymous: bool
 
 
 class CompactRoutes(PackedRows[Route]):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -40,6 +40,7 @@
     token: int
     service: str
     route: str
+    organisation: str = ""  # that sends the request; empty without one
 
 
 class Bids(NamedTuple):
@@ -65,6 +66,7 @@
     fingerprint: str = ""  # empty if the request cannot be recognised
     crash_reports: tuple[CrashReport, ...] = ()  # that its origin has learnt of
     sender: Sender = Sender()
+    organisation: str = ""  # that sent the request; empty without one
 
 
 class Withdraw(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -31,6 +31,12 @@
     NO_TABLES = "no-tables"
     TOO_LARGE = "too-large"
     CRASHES_SERVERS = "crashes-servers"
+    UNKNOWN_KEY = "unknown-key"
+    TABLES_UNPROVEN = "tables-unproven"
+    OVER_LIMIT = "over-limit"
+    LIMIT_UNKNOWN = "limit-unknown"
+    NO_MEMORY = "no-memory"
+    NO_ROOM_BEHIND = "no-room-behind"
 
 
 class Refusal(NamedTuple):
@@ -59,6 +65,8 @@
     idempotency_key: str | None
     received_at: float
     deadline: float
+    api_key_digest: bytes = b""  # empty without a key
+    is_local: bool = False  # the connection comes from this machine
 
 
 class Sender(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -34,6 +34,7 @@
     target_latency_ms: int = 0  # 0 if there is no target
     # Timeout and target as the operators sent them, if one is finer than 1 ms.
     sent_times_s: tuple[float, ...] = ()
+    allow_anonymous: bool = False  # whether requests need no API key
 
 
 class Pool(NamedTuple):
@@ -62,8 +63,18 @@
     sent_times_s: tuple[float, ...] = ()
 
 
+class Organisation(NamedTuple):
+    """An organisation that sends requests with its API keys."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None  # goes before a route's priority; 0 is the most urgent
+    rate_per_s: float = 0.0  # requests per second over all daemons; 0 if not limited
+    burst: float = 0.0  # requests in addition to the rate
+
+
 class Tables(NamedTuple):
-    """One accepted version of the routes and pools.
+    """One accepted version of the routes, the pools and the organisations.
 
     ``term`` and ``log_index`` are its position in the replicated log; a daemon
     never returns to an earlier position.
@@ -75,6 +86,7 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
     label: int = 0  # version number given by the operators
+    organisations: tuple[Organisation, ...] = ()
 
 
 class RouteRow(TypedDict):
--- a/packages/core/src/pimentobend_core/_internal/request/stages.py
+++ b/packages/core/src/pimentobend_core/_internal/request/stages.py
@@ -36,6 +36,8 @@
     on_caller_left: OnCallerLeft | None = None
     fingerprint: str = ""  # empty if the request cannot be recognised
     sender: Sender = Sender()
+    organisation: str = ""  # that holds the request's API key; empty without one
+    priority: int | None = None  # of the organisation, goes before the route's
 
 
 class Claimed(NamedTuple):
