Confirm the leader of the configuration log at intervals

Callers saw nothing yet. Neither the bound on revoked keys nor the limits of organisations can be decided without knowing that a replica led a moment ago, and a read of the tables, which is the only confirmation so far, returns all rows.

The configuration service answers a read of the version alone (VersionRead). FleetControl names the leader's address to its subscribers.

--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -19,6 +19,8 @@
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReadRequest
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.configuration.service_messages import VersionRead
+from pimentobend_core._internal.configuration.service_messages import VersionReadRequest
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
 from pimentobend_core._internal.consensus.constants import COMPACT_BYTES
@@ -46,7 +48,7 @@
 }
 
 
-_Confirmable = TablesReadRequest | TablesChangeRequest
+_Confirmable = TablesReadRequest | VersionReadRequest | TablesChangeRequest
 
 
 class ConfigurationService(StatefulFilter[ServiceInput, ServiceOutput]):
@@ -83,7 +85,7 @@
         match message:
             case TablesChangeRequest():
                 return self._handle_change(message)
-            case TablesReadRequest():
+            case TablesReadRequest() | VersionReadRequest():
                 return self._confirm(message)
             case ReadReady():
                 return self._handle_read_ready(message)
@@ -165,6 +167,8 @@
             return self._finish_reads()
         if isinstance(request, TablesReadRequest):
             return (TablesRead(request.token, None, ready.leader_id),)
+        if isinstance(request, VersionReadRequest):
+            return (VersionRead(request.token, None),)
         reply = self._reply(request, _REFUSALS[ready.outcome])
         return (reply._replace(leader_id=ready.leader_id),)
 
@@ -181,6 +185,8 @@
         """Answer a read, or a change that seemed to be refused, as of now."""
         if isinstance(request, TablesReadRequest):
             return (TablesRead(request.token, self._state.tables.whole()),)
+        if isinstance(request, VersionReadRequest):
+            return (VersionRead(request.token, self._state.tables.version),)
         if self._state.answer(request.change_id) is None:
             decided = self._decide(request)
             if isinstance(decided, ChangeOutcome):
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -75,6 +75,22 @@
     leader_id: str | None = None
 
 
+class VersionReadRequest(NamedTuple):
+    """Request the newest version without its tables; the reply repeats ``token``."""
+
+    token: int
+
+
+class VersionRead(NamedTuple):
+    """Answer to a read of the version, which is None if no majority confirmed it.
+
+    Every version that was acknowledged before the request is at most ``version``.
+    """
+
+    token: int
+    version: Version | None
+
+
 class TablesAccepted(NamedTuple):
     """Newly committed versions, oldest first."""
 
@@ -90,6 +106,7 @@
 ServiceInput = (
     TablesChangeRequest
     | TablesReadRequest
+    | VersionReadRequest
     | Committed
     | Restored
     | ProposalResult
@@ -102,6 +119,7 @@
     | ReadIndex
     | TablesChangeReply
     | TablesRead
+    | VersionRead
     | TablesAccepted
     | TablesReplaced
 )
--- a/packages/daemon/src/pimentobendd/_internal/control/role.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/role.py
@@ -22,6 +22,7 @@
 from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.configuration.service_messages import VersionRead
 from pimentobend_core._internal.consensus.members import NO_MEMBERS
 from pimentobend_core._internal.consensus.members import Member
 from pimentobend_core._internal.consensus.members import Members
@@ -147,7 +148,7 @@
                 self._spread(
                     SpreadReceived(self._address, TablesSnapshot(output.whole))
                 )
-            case TablesRead():
+            case TablesRead() | VersionRead():
                 pass  # this role's operators' interface reads the tables in force
             case _:
                 self.replica.put(output)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -7,6 +7,7 @@
 
 import eventlet
 
+from pimentobend_adapters._internal.clock import BootClock
 from pimentobend_adapters._internal.disk.files import FolderFiles
 from pimentobend_adapters._internal.disk.folder import FolderDisk
 from pimentobend_adapters._internal.disk.task import DiskTask
@@ -28,6 +29,8 @@
 from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.configuration.service_messages import VersionRead
+from pimentobend_core._internal.consensus.formation import address_of
 from pimentobend_core._internal.consensus.formation import first_members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import LeaderChanged
@@ -44,6 +47,7 @@
 from pimentobendd._internal.control.replica_task import ReplicaTask
 from pimentobendd._internal.fleet.configuration import KINDS
 from pimentobendd._internal.fleet.configuration import LeaderClient
+from pimentobendd._internal.fleet.confirmations import LeaderConfirmations
 from pimentobendd._internal.fleet.identity import load_identity
 
 GROUP = "configuration"
@@ -84,6 +88,10 @@
         self._peers: tuple[PeerRow, ...] = ()
         self._leader_id: str | None = None
         self._leader_lost_at = clock.now()
+        self._leader_subscribers: list[Callable[[str | None], None]] = []
+        self.confirmations = LeaderConfirmations(
+            identity.replica_id, lambda read: self._service.put(read), BootClock()
+        )
         self.leader_client = LeaderClient(
             link, lambda request: self._service.put(request), clock
         )
@@ -115,6 +123,7 @@
         """Load the data folder and start the tasks; raise ``DiskError`` if it fails."""
         self._service.start()
         self._supervisor.start()
+        self.confirmations.start()
         self._replica.start()
         self._greenlets = [
             eventlet.spawn(self._supervise),
@@ -126,6 +135,7 @@
         for greenlet in self._greenlets:
             greenlet.kill()
         self._replica.stop()
+        self.confirmations.stop()
         self._supervisor.stop()
         self._service.stop()
 
@@ -136,6 +146,10 @@
         for kind in KINDS:
             router.register(kind, self.leader_client.handle_frame)
 
+    def subscribe_leader(self, function: Callable[[str | None], None]) -> None:
+        """Call ``function`` with the address of each new leader, None if unknown."""
+        self._leader_subscribers.append(function)
+
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons."""
         self._peers = peers
@@ -146,6 +160,7 @@
             self._replica.name: self._replica.dump(),
             self._service.name: self._service.dump(),
             self._supervisor.name: self._supervisor.dump(),
+            **self.confirmations.dump(),
         }
 
     def _supervise(self) -> None:
@@ -195,16 +210,25 @@
             self._supervisor.put(output)
             return
         if isinstance(output, LeaderChanged):
-            if self._leader_id is not None and output.leader_id is None:
-                self._leader_lost_at = self._clock.now()
-            self._leader_id = output.leader_id
-            self._log.info("leader", term=output.term, leader=output.leader_id)
+            self._change_leader(output)
         self._service.put(output)
 
+    def _change_leader(self, change: LeaderChanged) -> None:
+        if self._leader_id is not None and change.leader_id is None:
+            self._leader_lost_at = self._clock.now()
+        self._leader_id = change.leader_id
+        self._log.info("leader", term=change.term, leader=change.leader_id)
+        self.confirmations.put(change)
+        address = None if change.leader_id is None else address_of(change.leader_id)
+        for function in self._leader_subscribers:
+            function(address)
+
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case TablesChangeReply() | TablesRead():
                 self.leader_client.put(output)
+            case VersionRead():
+                self.confirmations.put(output)
             case TablesAccepted():
                 message = Deltas(output.deltas)
                 self._spread(SpreadReceived(self._link.address, message))
--- a/tests/unit/configuration/test_service.py
+++ b/tests/unit/configuration/test_service.py
@@ -22,6 +22,8 @@
 from pimentobend_core._internal.configuration.service_messages import (
     TablesChangeRequest,
 )
+from pimentobend_core._internal.configuration.service_messages import VersionRead
+from pimentobend_core._internal.configuration.service_messages import VersionReadRequest
 from pimentobend_core._internal.configuration.state import MAX_ANSWERS
 from pimentobend_core._internal.configuration.state import ConfigurationState
 from pimentobend_core._internal.configuration.versioned import VersionedTables
@@ -52,6 +54,7 @@
         self.waiting: list[Propose] = []
         self.reads: list[ReadIndex] = []
         self.replies: list[TablesChangeReply] = []
+        self.versions: list[VersionRead] = []
         self.send(LeaderChanged(3, "a"))
         self.append(b"")
 
@@ -64,6 +67,8 @@
                 self.reads.append(output)
             if isinstance(output, TablesChangeReply):
                 self.replies.append(output)
+            if isinstance(output, VersionRead):
+                self.versions.append(output)
         return outputs
 
     def append(self, command: bytes) -> Entry:
@@ -109,6 +114,41 @@
     assert log.service.state.tables.routes() == (make_route(1),)
 
 
+@pytest.mark.parametrize(
+    ("outcome", "is_confirmed"),
+    [
+        (Outcome.COMMITTED, True),
+        (Outcome.NO_MAJORITY, False),
+        (Outcome.NOT_LEADER, False),
+        (Outcome.STORAGE, False),
+    ],
+)
+def test_a_version_is_read_only_if_a_majority_confirms_the_leader(
+    outcome: Outcome, is_confirmed: bool
+) -> None:
+    """Guards against a deposed leader that vouches for its own version."""
+    log = FakeLog()
+    log.ask("change-1", 1)
+    log.commit()
+    (read,) = log.send(VersionReadRequest(7))
+    assert isinstance(read, ReadIndex)
+    replies = log.send(ReadReady(read.read_id, outcome, log_index=2))
+    version = log.service.state.tables.version if is_confirmed else None
+    assert replies == (VersionRead(7, version),)
+
+
+def test_a_version_is_read_once_the_confirmed_index_is_applied() -> None:
+    """Guards against a version older than one that was acknowledged before."""
+    log = FakeLog()
+    (read,) = log.send(VersionReadRequest(7))
+    assert isinstance(read, ReadIndex)
+    assert not log.send(ReadReady(read.read_id, Outcome.COMMITTED, log_index=2))
+    log.ask("change-1", 1)
+    log.commit()
+    assert log.service.state.tables.version == (3, 2)
+    assert VersionRead(7, Version(3, 2)) in log.versions
+
+
 @pytest.mark.parametrize("others", [0, 1, 500])
 def test_a_resent_change_gets_its_first_answer(others: int) -> None:
     log = FakeLog()
