Admit keyed requests only while the tables are proven

Callers with a revoked key would be served by a daemon that is cut off, frozen and resumed, or restarted with old tables, for as long as it does not hear of the version that removed the key: no daemon knew how old its knowledge was.

With the setting strict_revoke, the leader's confirmations travel to every daemon as proofs: a version, and the age of the moment at which no later version had been acknowledged. The readiness probe fails meanwhile. Without the setting nothing is created or sent.

No fleet has run with the setting yet.

--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -107,6 +107,18 @@
         return self.current().log_index > 0
 
 
+class ProofPort(abc.ABC):
+    """Access to the proof that the tables in force are the newest."""
+
+    @abc.abstractmethod
+    def is_proven(self) -> bool:
+        """Return whether the tables were proven to be the newest recently enough."""
+
+    @abc.abstractmethod
+    def await_proof(self, timeout_s: float) -> bool:
+        """Wait for a proof if one may come soon; return whether there is one."""
+
+
 class SendersPort(abc.ABC):
     """Knows what the servers on this machine run, and so may be calling."""
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -53,6 +53,8 @@
 from pimentobendd._internal.fleet.events import RequestLog
 from pimentobendd._internal.fleet.instance import FleetInstance
 from pimentobendd._internal.fleet.instance import InstancePorts
+from pimentobendd._internal.fleet.proofs import FleetProofs
+from pimentobendd._internal.fleet.proofs import ProofPorts
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.stop_plan import StopPlan
@@ -111,6 +113,7 @@
         )
         self._spread = FleetTables(self._link, self._tables.put, self._clock)
         self._control = self._create_control()
+        self._proofs = self._create_proofs()
         self._instance = self._create_instance()
         self._listeners = self._create_listeners()
         self._tables.subscribe(self._update_tables)
@@ -134,6 +137,9 @@
         self._spread.task.start()
         if self._control is not None:
             self._control.start()
+        if self._proofs is not None:
+            self._proofs.update_peers(self._own_row, ())
+            self._proofs.start()
         if self._instance is not None:
             self._instance.start()
         for listener in self._listeners:
@@ -180,6 +186,8 @@
         }
         if self._control is not None:
             state.update(self._control.dump())
+        if self._proofs is not None:
+            state.update(self._proofs.dump())
         if self._instance is not None:
             state.update(self._instance.dump())
         return state
@@ -212,6 +220,22 @@
             seed=self._process_id,
         )
 
+    def _create_proofs(self) -> FleetProofs | None:
+        """Return the tasks that prove the tables, if revoked keys are bounded."""
+        settings = self._settings
+        if settings.revoke_s is None:
+            return None
+        ports = ProofPorts(
+            link=self._link,
+            tables=self._tables,
+            control=self._control,
+            is_instance="instance" in settings.roles,
+            counters=self._counters,
+            on_newer=lambda newer: self._spread.handle_newer_version(*newer),
+            clock=self._clock,
+        )
+        return FleetProofs(settings.revoke_s, ports)
+
     def _create_instance(self) -> FleetInstance | None:
         if "instance" not in self._settings.roles:
             return None
@@ -228,6 +252,7 @@
             requests=RequestLog(self._counters),
             on_connect=lambda: self._counters.count("server_connections"),
             on_refused=self._report_refused,
+            proof=None if self._proofs is None else self._proofs.proof,
         )
         return FleetInstance(self._settings, ports)
 
@@ -250,11 +275,15 @@
         self._spread.register(self._router)
         if self._control is not None:
             self._control.register(self._router)
+        if self._proofs is not None:
+            self._proofs.register(self._router)
         if self._instance is not None:
             self._instance.register(self._router)
 
     def _is_ready(self) -> bool:
-        return not self._is_stopping and self._tables.current().log_index > 0
+        if self._is_stopping or not self._tables.current().log_index:
+            return False
+        return self._proofs is None or self._proofs.is_ready()
 
     def _update_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
@@ -303,6 +332,8 @@
         if self._control is not None:
             self._control.update_peers(peers)
             self._spread.update_peers(self._own_row, peers)
+        if self._proofs is not None:
+            self._proofs.update_peers(self._own_row, peers)
         if self._instance is not None:
             self._instance.update_peers(peers)
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -54,10 +54,15 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import Withdrawal
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.pipes import Filter
+from pimentobend_core._internal.ports import ProofPort
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
+from pimentobend_core._internal.request.stages import Received
+from pimentobend_core._internal.request.stages import Routed
+from pimentobend_core._internal.request.tables_proof import TablesProofFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
@@ -156,6 +161,7 @@
     requests: Outlet[RequestEnded]
     on_connect: Callable[[], None]
     on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
+    proof: ProofPort | None = None  # None if keyed requests need no proof of the tables
 
 
 class FleetInstance:
@@ -208,7 +214,7 @@
         pipe = (
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
-            .then(RouteFilter(tables))
+            .then(_create_routing(tables, ports.proof, clock))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
@@ -355,5 +361,15 @@
         return self._published.unready()
 
 
+def _create_routing(
+    tables: TablesInForce, proof: ProofPort | None, clock: HubClock
+) -> Filter[Received, Routed]:
+    """Return the filter that routes requests and, with a proof, checks the tables."""
+    routing = RouteFilter(tables)
+    if proof is None:
+        return routing
+    return routing.then(TablesProofFilter(proof, tables, routing, clock))
+
+
 def _idle_timeout_s(limits: ClientLimits | None) -> float | None:
     return None if limits is None else limits.idle_timeout_ms / 1000
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -62,6 +62,7 @@
                 "allowance": NumberCheck(0, 1_000_000),
             }
         ),
+        "strict_revoke": ObjectCheck({"revoke_s": NumberCheck(1, MAX_SECONDS)}),
     },
 )
 DEFAULT_HEARTBEAT_S = 2.0
@@ -98,6 +99,9 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    # From the acknowledgement of a version that removes a key to the last request that
+    # runs with it; None if that is not bounded.
+    revoke_s: float | None = None
 
     @property
     def link(self) -> str:
@@ -181,6 +185,7 @@
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
     budget = values.get("retry_budget")
     metrics_port = listen.get("metrics_port")
+    strict_revoke = values.get("strict_revoke")
     return FleetSettings(
         instance=values["instance"],
         data_centre=values["data_centre"],
@@ -201,4 +206,5 @@
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
         budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        revoke_s=strict_revoke["revoke_s"] if strict_revoke else None,
     )
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -49,6 +49,12 @@
         changed(retry_budget={"ratio": "x"}),
         ["retry_budget.ratio"],
     ),
+    ("a bound without a time", changed(strict_revoke={}), ["strict_revoke.revoke_s"]),
+    (
+        "a bound of no time",
+        changed(strict_revoke={"revoke_s": 0}),
+        ["strict_revoke.revoke_s"],
+    ),
 ]
 
 
@@ -69,3 +75,14 @@
     assert settings.metrics == ("10.0.0.1", 5)
     assert settings.budget.allowance == 56
     assert not settings.first_start
+
+
+@pytest.mark.parametrize(
+    ("strict_revoke", "revoke_s"), [(..., None), (None, None), ({"revoke_s": 5}, 5)]
+)
+def test_revoked_keys_are_bounded_only_by_the_setting(
+    strict_revoke: Any, revoke_s: float | None
+) -> None:
+    """Guards against proof frames and refusals where nothing asks for them."""
+    settings = parse_fleet_settings(changed(strict_revoke=strict_revoke), "file")
+    assert settings.revoke_s == revoke_s
