Check proofs of the tables in a fleet of processes

Callers saw nothing of the bound on revoked keys in a running fleet so far: only the filters had been tested. The order in which a daemon asks equally near control instances came from CRC-32, which is linear: two daemons of a fleet of five chose the same of three instances, and with few instances its shares are uneven.

Fleets of the tests can now bound revoked keys (FleetShape.revoke_s). The order comes from BLAKE2b.

--- a/packages/core/src/pimentobend_core/_internal/gossip/nearest.py
+++ b/packages/core/src/pimentobend_core/_internal/gossip/nearest.py
@@ -1,6 +1,6 @@
 """Order the control instances by their distance from a daemon."""
 
-import zlib
+import hashlib
 
 from pimentobend_core._internal.gossip.rows import PeerRow
 
@@ -17,6 +17,8 @@
     return tuple(row.address for row in sorted(rows, key=lambda row: _key(own, row)))
 
 
-def _key(own: PeerRow, row: PeerRow) -> tuple[bool, bool, int]:
-    mixed = zlib.crc32(f"{own.address} {row.address}".encode())
+def _key(own: PeerRow, row: PeerRow) -> tuple[bool, bool, bytes]:
+    # A linear checksum such as CRC-32 would prefer some of the addresses.
+    pair = f"{own.address} {row.address}".encode()
+    mixed = hashlib.blake2b(pair, digest_size=8).digest()
     return (row.data_centre != own.data_centre, row.region != own.region, mixed)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -36,6 +36,7 @@
     grace_s: float = GRACE_S
     slots: int = 3  # of each server
     has_server_proxies: bool = True  # between the daemons and their servers
+    revoke_s: float | None = None  # None without a bound on revoked keys
 
 
 def is_free(ip: str) -> bool:
--- a/tests/lib/platform_process.py
+++ b/tests/lib/platform_process.py
@@ -151,6 +151,8 @@
                 "ready": self.address(8402),
                 "servers": self.address(8403),
             }
+        if self._fleet.shape.revoke_s is not None:
+            settings["strict_revoke"] = {"revoke_s": self._fleet.shape.revoke_s}
         path = self.folder / "settings.json"
         path.write_text(json.dumps(settings))
         with (self.folder / "log").open("ab") as log:
