--- a/packages/daemon/src/pimentobendd/_internal/fleet/proofs.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/proofs.py
@@ -72,10 +72,11 @@
         return self._in_force
 
     def is_ready(self) -> bool:
-        """Return whether requests that need a key are admitted."""
-        return not self._ports.tables.current().organisations or (
-            self._in_force.is_proven()
+        """Return whether no request is refused for want of a proof."""
+        takes_keys = (
+            self._instance is not None and self._ports.tables.current().organisations
         )
+        return not takes_keys or self._in_force.is_proven()
 
     def start(self) -> None:
         """Start the tasks."""
