Wake the tasks that prove the tables only when they are due

Callers saw nothing; each instance and control instance ran two ticks in 0.2 s for a question every 0.5 or 0.7 s, and every control instance a tick every 0.24 s for reads that only the leader makes.

TimedFilter states when it needs its next tick, and TimedTask waits until then or for a message. A failing tick is repeated after 10 ms at the earliest.

--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -19,6 +19,7 @@
 
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.pipes import TimedFilter
 from pimentobend_core._internal.ports import ClockPort
 
 In = TypeVar("In")
@@ -27,6 +28,8 @@
 Accepted = TypeVar("Accepted", contravariant=True)
 
 DUMP_TIMEOUT_S = 2.0
+# Shortest wait for a tick, so that a filter whose tick fails is not called in a loop.
+MIN_TICK_WAIT_S = 0.01
 SHOWN_CHARACTERS = 200  # of an error, in a log line
 
 
@@ -124,7 +127,7 @@
 
     def _run(self) -> None:
         while True:
-            message = self._inbox.get()
+            message = self._receive()
             if isinstance(message, _DumpRequest):
                 message.reply.send(self._dump())
                 continue
@@ -136,6 +139,9 @@
             for output in outputs:
                 self._pass_on(output)
 
+    def _receive(self) -> Any:
+        return self._inbox.get()
+
     def _pass_on(self, output: Out) -> None:
         try:
             self._outlet.put(output)
@@ -164,6 +170,32 @@
             self._inbox.put(ticking.message)
 
 
+class TimedTask(FilterTask[In, Out]):
+    """Run a timed filter: it receives ``tick`` when it is due, and no other ticks."""
+
+    def __init__(
+        self,
+        name: str,
+        timed_filter: TimedFilter[In, Out],
+        outlet: Outlet[Out],
+        clock: ClockPort,
+        tick: In,
+    ) -> None:
+        super().__init__(name, timed_filter, outlet, clock)
+        self._timed = timed_filter
+        self._tick_message = tick
+
+    def _receive(self) -> Any:
+        due_at = self._timed.due_at
+        if due_at is None:
+            return self._inbox.get()
+        wait_s = max(MIN_TICK_WAIT_S, due_at - self._clock.now())
+        try:
+            return self._inbox.get(timeout=wait_s)
+        except eventlet.queue.Empty:
+            return self._tick_message
+
+
 def _find_place(error: Exception) -> str:
     """Return the file and line that raised an error."""
     frames = traceback.extract_tb(error.__traceback__)
--- a/packages/core/src/pimentobend_core/_internal/configuration/confirmation.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/confirmation.py
@@ -17,14 +17,14 @@
 from pimentobend_core._internal.configuration.service_messages import VersionRead
 from pimentobend_core._internal.configuration.service_messages import VersionReadRequest
 from pimentobend_core._internal.consensus.messages import LeaderChanged
-from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.pipes import TimedFilter
 
 # Below the leader's heartbeat interval of 0.25 s: a read sends the next heartbeat at
 # once, so that the confirmations take the place of heartbeats.
 INTERVAL_S = 0.24
 
 
-class LeadershipConfirmation(StatefulFilter[ConfirmationInput, ConfirmationOutput]):
+class LeadershipConfirmation(TimedFilter[ConfirmationInput, ConfirmationOutput]):
     """Read the newest version at intervals while this replica leads.
 
     ``now`` is in seconds of the clock that counts suspensions. A confirmation counts
@@ -35,10 +35,16 @@
     def __init__(self, replica_id: str) -> None:
         self._replica_id = replica_id
         self._is_leading = False
+        self._due_at = 0.0  # the next read, while this replica leads
         self._next_token = 1
         self._asked_at: dict[int, float] = {}  # reads without a reply, by token
         self._last: LeadershipConfirmed | None = None
 
+    @property
+    def due_at(self) -> float | None:
+        """Return when the next read is due; None while this replica does not lead."""
+        return self._due_at if self._is_leading else None
+
     def handle(
         self, message: ConfirmationInput, now: float
     ) -> tuple[ConfirmationOutput, ...]:
@@ -49,6 +55,7 @@
             case LeaderChanged():
                 self._is_leading = message.leader_id == self._replica_id
                 self._asked_at.clear()
+                self._due_at = now
             case VersionRead():
                 return self._confirm(message)
         return ()
@@ -69,6 +76,7 @@
         token = self._next_token
         self._next_token += 1
         self._asked_at[token] = now
+        self._due_at = now + INTERVAL_S
         return (VersionReadRequest(token),)
 
     def _confirm(self, reply: VersionRead) -> tuple[ConfirmationOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/configuration/confirmation_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/confirmation_messages.py
@@ -9,7 +9,7 @@
 
 
 class ConfirmationTick(NamedTuple):
-    """Ask for a confirmation if this replica leads; due every ``INTERVAL_S``."""
+    """Ask for a confirmation if this replica leads; due at the filter's ``due_at``."""
 
 
 class LeadershipConfirmed(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof.py
@@ -15,7 +15,7 @@
 from pimentobend_core._internal.configuration.proof_messages import ProofTargetsChanged
 from pimentobend_core._internal.configuration.proof_messages import TablesProven
 from pimentobend_core._internal.configuration.proof_messages import TablesVersionChanged
-from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.pipes import TimedFilter
 
 # Share of the bound on revoked keys up to which a proof is valid. The rest covers
 # clocks of different rates along the way of a proof.
@@ -25,7 +25,7 @@
 ASKS_PER_LIMIT = 6
 
 
-class TablesProof(StatefulFilter[ProofInput, ProofOutput]):
+class TablesProof(TimedFilter[ProofInput, ProofOutput]):
     """Ask control instances for proofs and state which one proves the tables in force.
 
     ``now`` is in seconds of the clock that counts suspensions. A proof for tables
@@ -41,6 +41,14 @@
         self._version = FIRST_VERSION  # of the tables in force
         self._proof: Proof | None = None  # the proof of the tables in force
 
+    @property
+    def due_at(self) -> float | None:
+        """Return when to ask next, or when the proof becomes too old, if earlier."""
+        proof = self._proof
+        lost_at = None if proof is None else proof.proven_at + self._limit_s
+        times = [each for each in (self._asker.due_at, lost_at) if each is not None]
+        return min(times, default=None)
+
     def handle(self, message: ProofInput, now: float) -> tuple[ProofOutput, ...]:
         """Handle a reply, newer tables, a change of targets or a tick."""
         lost = self._expire(now)
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof_asker.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof_asker.py
@@ -1,5 +1,6 @@
 """Decide which control instance to ask for a proof, when, and what its reply proves."""
 
+import math
 from collections.abc import Mapping
 
 from pimentobend_core._internal.configuration.proof_messages import Proof
@@ -7,7 +8,6 @@
 from pimentobend_core._internal.configuration.proof_messages import ProofReplyReceived
 from pimentobend_core._internal.configuration.proof_messages import ProofSent
 
-TICK_S = 0.1
 ANSWER_TIMEOUT_S = 0.2  # three round trips between regions
 RETURN_S = 10.0  # so long another control instance is asked in place of the nearest
 # A reply whose proof is older than this share of the limit counts as none, as the
@@ -35,6 +35,18 @@
         self._misses = 0  # questions in a row without a fresh reply
         self._questions: dict[int, float] = {}  # time of each by token
 
+    @property
+    def due_at(self) -> float | None:
+        """Return when the next question is due; None without a target."""
+        if not self._targets:
+            return None
+        if self._asked_at is None:
+            return -math.inf
+        has_asked_all = self._misses >= len(self._targets)
+        is_waiting = not self._is_answered and not has_asked_all
+        wait_s = ANSWER_TIMEOUT_S if is_waiting else self._interval_s
+        return self._asked_at + wait_s
+
     def update_targets(self, addresses: tuple[str, ...]) -> None:
         """Replace the control instances, and ask the first one next."""
         self._targets = addresses
@@ -44,18 +56,12 @@
 
     def tick(self, now: float) -> tuple[ProofSent, ...]:
         """Return the question that is due, if any."""
-        if not self._targets:
-            return ()
-        if self._asked_at is None:
-            return self._ask(now)
-        waited_s = now - self._asked_at
-        if self._is_answered:
-            return self._ask(now) if waited_s >= self._interval_s else ()
-        has_asked_all = self._misses >= len(self._targets)
-        if waited_s < (self._interval_s if has_asked_all else ANSWER_TIMEOUT_S):
+        due_at = self.due_at
+        if due_at is None or now < due_at:
             return ()
-        self._misses += 1
-        self._move(self._position + 1, now)
+        if self._asked_at is not None and not self._is_answered:
+            self._misses += 1
+            self._move(self._position + 1, now)
         return self._ask(now)
 
     def accept(self, received: ProofReplyReceived, now: float) -> Proof | None:
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof_messages.py
@@ -71,7 +71,7 @@
 
 
 class ProofTick(NamedTuple):
-    """Ask if it is due; sent every ``TICK_S`` seconds."""
+    """Ask if it is due, and drop a proof that has become too old."""
 
 
 class TablesProven(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof_relay.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof_relay.py
@@ -16,14 +16,14 @@
 from pimentobend_core._internal.configuration.proof_messages import ProofTargetsChanged
 from pimentobend_core._internal.configuration.proof_messages import RelayInput
 from pimentobend_core._internal.configuration.proof_messages import RelayOutput
-from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.pipes import TimedFilter
 
 ASK_INTERVAL_S = 0.5
 # A bound below 5 s shortens the interval, so that nine questions fit into it.
 ASKS_PER_LIMIT = 9
 
 
-class ProofRelay(StatefulFilter[RelayInput, RelayOutput]):
+class ProofRelay(TimedFilter[RelayInput, RelayOutput]):
     """Get proofs from confirmations or from the leader, and answer from the youngest.
 
     ``now`` is in seconds of the clock that counts suspensions. The target is the
@@ -39,6 +39,14 @@
         self._proof: Proof | None = None
         self._answered = 0
 
+    @property
+    def due_at(self) -> float | None:
+        """Return when to ask next, or when the proof becomes too old, if earlier."""
+        proof = self._proof
+        lost_at = None if proof is None else proof.proven_at + self._limit_s
+        times = [each for each in (self._asker.due_at, lost_at) if each is not None]
+        return min(times, default=None)
+
     def handle(self, message: RelayInput, now: float) -> tuple[RelayOutput, ...]:
         """Handle a question, a reply, a confirmation, another leader or a tick."""
         outputs = self._expire(now)
--- a/packages/core/src/pimentobend_core/_internal/pipes.py
+++ b/packages/core/src/pimentobend_core/_internal/pipes.py
@@ -52,3 +52,12 @@
     @abc.abstractmethod
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
+
+
+class TimedFilter(StatefulFilter[In, Out]):
+    """A state machine that states when it needs its next tick."""
+
+    @property
+    @abc.abstractmethod
+    def due_at(self) -> float | None:
+        """Return the time of the next tick (seconds, as ``now``); None for none."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/confirmations.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/confirmations.py
@@ -4,9 +4,7 @@
 from collections.abc import Mapping
 
 from pimentobend_adapters._internal.tasks import CallOutlet
-from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import PeriodicMessage
-from pimentobend_core._internal.configuration.confirmation import INTERVAL_S
+from pimentobend_adapters._internal.tasks import TimedTask
 from pimentobend_core._internal.configuration.confirmation import LeadershipConfirmation
 from pimentobend_core._internal.configuration.confirmation_messages import (
     ConfirmationInput,
@@ -41,12 +39,12 @@
     ) -> None:
         self._send_local = send_local
         self._subscribers: list[Callable[[LeadershipConfirmed], None]] = []
-        self._task: FilterTask[ConfirmationInput, ConfirmationOutput] = FilterTask(
+        self._task: TimedTask[ConfirmationInput, ConfirmationOutput] = TimedTask(
             "confirmation",
             LeadershipConfirmation(replica_id),
             CallOutlet(self._handle_output),
             clock,
-            PeriodicMessage(INTERVAL_S, ConfirmationTick()),
+            ConfirmationTick(),
         )
 
     def subscribe(self, function: Callable[[LeadershipConfirmed], None]) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/proof_tasks.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/proof_tasks.py
@@ -4,11 +4,9 @@
 
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.tasks import CallOutlet
-from pimentobend_adapters._internal.tasks import FilterTask
-from pimentobend_adapters._internal.tasks import PeriodicMessage
+from pimentobend_adapters._internal.tasks import TimedTask
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.configuration.proof import TablesProof
-from pimentobend_core._internal.configuration.proof_asker import TICK_S
 from pimentobend_core._internal.configuration.proof_messages import NewerTablesProven
 from pimentobend_core._internal.configuration.proof_messages import ProofAsk
 from pimentobend_core._internal.configuration.proof_messages import ProofInput
@@ -50,12 +48,12 @@
         self._link = link
         self._log = log
         self._on_newer = on_newer
-        self.task: FilterTask[ProofInput, ProofOutput] = FilterTask(
+        self.task: TimedTask[ProofInput, ProofOutput] = TimedTask(
             "tables_proof",
             state,
             CallOutlet(self._handle_output),
             clock,
-            PeriodicMessage(TICK_S, ProofTick()),
+            ProofTick(),
         )
 
     def _handle_output(self, output: ProofOutput) -> None:
@@ -82,12 +80,12 @@
     ) -> None:
         self._link = link
         self._log = log
-        self.task: FilterTask[RelayInput, RelayOutput] = FilterTask(
+        self.task: TimedTask[RelayInput, RelayOutput] = TimedTask(
             "proof_relay",
             state,
             CallOutlet(self._handle_output),
             clock,
-            PeriodicMessage(TICK_S, ProofTick()),
+            ProofTick(),
         )
 
     def update_leader(self, address: str | None) -> None:
--- a/tests/unit/interfaces/test_tasks.py
+++ b/tests/unit/interfaces/test_tasks.py
@@ -14,7 +14,9 @@
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
+from pimentobend_adapters._internal.tasks import TimedTask
 from pimentobend_core._internal.pipes import StatefulFilter
+from pimentobend_core._internal.pipes import TimedFilter
 
 ERRORS: list[Callable[[], Exception]] = [
     lambda: OverflowError("can't serialize ints"),
@@ -84,3 +86,48 @@
     ticking = PeriodicMessage(60.0, 1)
     task = FilterTask("echo", Echo(), CallOutlet(taken.append), HubClock(), ticking)
     assert _run(task) == {"kind": "echo"}
+
+
+class Timer(TimedFilter[int, float]):
+    """Returns the time of each tick, and is due again after ``interval_s``."""
+
+    def __init__(self, interval_s: float | None, fails: bool = False) -> None:
+        self._interval_s = interval_s
+        self._fails = fails
+        self._due_at = HubClock().now()
+        self.ticks = 0
+
+    @property
+    def due_at(self) -> float | None:
+        return None if self._interval_s is None else self._due_at
+
+    def handle(self, message: int, now: float) -> tuple[float, ...]:
+        self.ticks += 1
+        if self._fails:
+            raise ValueError
+        self._due_at = now + (self._interval_s or 0)
+        return (now,)
+
+    def dump(self) -> Mapping[str, object]:
+        return {}
+
+
+@pytest.mark.parametrize(
+    ("timer", "least", "most"),
+    [
+        (Timer(None), 0, 0),
+        (Timer(60.0), 1, 1),
+        (Timer(0.04), 3, 5),
+        (Timer(60.0, fails=True), 5, 20),
+    ],
+    ids=["never-due", "once", "at-intervals", "a-failing-tick-is-no-loop"],
+)
+def test_a_timed_task_is_called_when_its_filter_is_due(
+    timer: Timer, least: int, most: int
+) -> None:
+    """Guards against ticks without work, and a task that uses up the processor."""
+    task = TimedTask("timer", timer, CallOutlet(lambda _: None), HubClock(), 0)
+    task.start()
+    eventlet.sleep(0.2)
+    task.stop()
+    assert least <= timer.ticks <= most
