--- a/tests/unit/configuration/test_proof_machine.py
+++ b/tests/unit/configuration/test_proof_machine.py
@@ -130,7 +130,7 @@
 
 
 ProofMachine.TestCase.settings = settings(
-    max_examples=150,
+    max_examples=400,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
