Identify organisations by API keys, on both interfaces

Callers of shared deployments could not be told apart: any caller could name any organisation in a header, and nothing refused a request without a key.

The tables now hold organisations with their keys. OrganisationFilter, between route and crash guard, finds the organisation by the digest that the front computes, sets the header and the priority, and refuses other requests with 401, not run. It does nothing while the tables hold no organisations. Two organisations with one key make a change invalid, in the replicated state and in both interfaces. The platform's documents carry tenants, allowAnonymous and the type upload, and are read back as sent. Descriptions of organisations and of received requests don't show keys.

The test of patches compares removals with three parts now, as Removals has a third.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -9,6 +9,9 @@
 
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import read_body
+from pimentobend_adapters._internal.http.credentials import find_key_digest
+from pimentobend_adapters._internal.http.credentials import hide_credentials
+from pimentobend_adapters._internal.http.credentials import is_from_this_machine
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
@@ -117,6 +120,7 @@
     remaining_s = (
         DEFAULT_DEADLINE_S if deadline_ms is None else int(deadline_ms) / MS_PER_S
     )
+    headers = get_headers(environ)
     return RequestHead(
         request_id=_get_header(environ, names.request_id) or uuid.uuid4().hex,
         method=environ["REQUEST_METHOD"],
@@ -124,11 +128,13 @@
         path=environ.get("RAW_PATH_INFO") or environ.get("PATH_INFO") or "/",
         query=environ.get("QUERY_STRING") or "",
         # What a client names in Connection is dropped before a daemon adds its own.
-        headers=without_hop_by_hop(get_headers(environ)),
+        headers=without_hop_by_hop(headers),
         organisation=_get_header(environ, names.organisation) or "",
         idempotency_key=_get_header(environ, names.idempotency_key),
         received_at=now,
         deadline=now + remaining_s,
+        api_key_digest=find_key_digest(headers),
+        is_local=is_from_this_machine(environ),
     )
 
 
@@ -137,4 +143,4 @@
     raw = environ.get("headers_raw")
     if raw is None:
         return ()
-    return tuple((str(name), str(value)) for name, value in raw)
+    return hide_credentials(tuple((str(name), str(value)) for name, value in raw))
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
@@ -17,6 +17,8 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.request.stages import Finished
 
+UNAUTHORIZED = 401
+
 StartResponse = Callable[..., Any]
 
 
@@ -38,6 +40,8 @@
         headers.append((names.request_id, request_id))
     if refusal.retry_after_s is not None:
         headers.append(("Retry-After", str(refusal.retry_after_s)))
+    if refusal.status == UNAUTHORIZED:
+        headers.append(("WWW-Authenticate", "Bearer"))
     start_response(_status_line(refusal.status), headers)
     yield content
 
--- a/packages/bench/src/pimentobend_bench/_internal/capacity/rows.py
+++ b/packages/bench/src/pimentobend_bench/_internal/capacity/rows.py
@@ -5,6 +5,7 @@
 
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -55,6 +56,20 @@
     )
 
 
+def make_organisation_row(number: int) -> Organisation:
+    """Return organisation ``number``, which has one or two keys of 36 characters."""
+    keys = [
+        "".join(_make_name(f"{kind}-{part}", number) for part in range(3))
+        for kind in ("key", "second")
+    ]
+    return Organisation(
+        name=make_organisation(number),
+        api_keys=tuple(keys[: 1 + number % 2]),
+        rate_per_s=float(number % 50),
+        burst=float(number % 7),
+    )
+
+
 def make_routes(count: int) -> Iterator[Route]:
     """Yield the first ``count`` routes."""
     return (make_route(number) for number in range(count))
--- a/packages/core/src/pimentobend_core/_internal/compact/routes.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/routes.py
@@ -23,7 +23,8 @@
     priority: int
     target_latency_ms: int
     sent_times_s: tuple[float, ...]
-    allow_anonymous: bool
+    allow_anonymous: bool | None
+    is_upload: bool
 
 
 class CompactRoutes(PackedRows[Route]):
--- a/packages/core/src/pimentobend_core/_internal/configuration/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/checks.py
@@ -1,6 +1,6 @@
-"""Validate the tables of routes and pools and report every fault at once.
+"""Validate the tables and report every fault at once.
 
-A row is one route or one pool of a document.
+A row is one route, one pool or one organisation of a document.
 """
 
 from collections.abc import Iterator
@@ -10,6 +10,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.models.tables import Organisation
+from pimentobend_core._internal.models.tables import OrganisationRow
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import PoolRow
 from pimentobend_core._internal.models.tables import Route
@@ -21,12 +23,18 @@
 from pimentobend_core._internal.utils.checks import ListCheck
 from pimentobend_core._internal.utils.checks import NumberCheck
 from pimentobend_core._internal.utils.checks import ObjectCheck
+from pimentobend_core._internal.utils.checks import OptionalCheck
+from pimentobend_core._internal.utils.checks import SecretCheck
 from pimentobend_core._internal.utils.checks import TextCheck
 from pimentobend_core._internal.utils.checks import parse_document
 
 MAX_ROUTES = 50_000
 MAX_POOLS = 5_000
 MAX_METHODS = 16
+MAX_ORGANISATIONS = 100_000
+MAX_API_KEYS = 64  # of an organisation
+MAX_PRIORITY = 2**31 - 1
+MAX_REQUESTS = 10**9  # per second, or in addition
 MAX_TIMEOUT_MS = 3_600_000
 MAX_QUEUE_REQUESTS = 100_000
 MAX_FLOOR = 1.0  # the floor is the share of a pool's servers that must stay in use
@@ -51,6 +59,7 @@
             TextCheck(r"[A-Z]{1,16}", "a method in upper case"), MAX_METHODS
         ),
         "timeout_ms": IntegerCheck(1, MAX_TIMEOUT_MS),
+        "allow_anonymous": BooleanCheck(),
     },
 )
 _POOL = ObjectCheck(
@@ -61,11 +70,37 @@
         "hedge": BooleanCheck(),
     },
 )
+# A misplaced key may stand anywhere in these rows, so no value of them is shown.
+_ORGANISATIONS = SecretCheck(
+    ListCheck(
+        ObjectCheck(
+            required={
+                "name": TextCheck(
+                    r"[!-~]([ -~]{0,126}[!-~])?", "a name of 1 to 128 ASCII characters"
+                )
+            },
+            optional={
+                "api_keys": ListCheck(
+                    TextCheck(
+                        r"[!-~]{1,256}",
+                        "a key of 1 to 256 ASCII characters without spaces",
+                    ),
+                    MAX_API_KEYS,
+                ),
+                "priority": OptionalCheck(IntegerCheck(0, MAX_PRIORITY)),
+                "rate_per_s": NumberCheck(0, MAX_REQUESTS),
+                "burst": NumberCheck(0, MAX_REQUESTS),
+            },
+        ),
+        MAX_ORGANISATIONS,
+    )
+)
 _TABLES = ObjectCheck(
     required={
         "routes": ListCheck(_ROUTE, MAX_ROUTES),
         "pools": ListCheck(_POOL, MAX_POOLS),
-    }
+    },
+    optional={"organisations": _ORGANISATIONS},
 )
 
 
@@ -78,7 +113,11 @@
     if faults:
         return Failure(faults)
     tables = _fill_defaults(cast(TablesDocument, document))
-    faults = (*_find_duplicates(tables), *_find_unknown_pools(tables))
+    faults = (
+        *_find_duplicates(tables),
+        *_find_unknown_pools(tables),
+        *_find_shared_keys(tables),
+    )
     return Failure(faults) if faults else Success(tables)
 
 
@@ -93,6 +132,7 @@
             pool=row["pool"],
             repeatable=row["repeatable"],
             timeout_ms=row["timeout_ms"],
+            allow_anonymous=row.get("allow_anonymous"),
         )
         for row in document["routes"]
     )
@@ -112,15 +152,34 @@
     )
 
 
+def read_organisations(document: TablesDocument) -> tuple[Organisation, ...]:
+    """Return a checked document's organisations."""
+    return tuple(
+        Organisation(
+            name=row["name"],
+            api_keys=tuple(row["api_keys"]),
+            priority=row["priority"],
+            rate_per_s=row["rate_per_s"],
+            burst=row["burst"],
+        )
+        for row in document.get("organisations", [])
+    )
+
+
 def _fill_defaults(document: TablesDocument) -> TablesDocument:
-    return TablesDocument(
+    tables = TablesDocument(
         routes=[_fill_route_defaults(row) for row in document["routes"]],
         pools=[_fill_pool_defaults(row) for row in document["pools"]],
     )
+    if "organisations" in document:
+        tables["organisations"] = [
+            _fill_organisation_defaults(row) for row in document["organisations"]
+        ]
+    return tables
 
 
 def _fill_route_defaults(row: RouteRow) -> RouteRow:
-    return RouteRow(
+    filled = RouteRow(
         name=row["name"],
         host=row.get("host", "*"),
         path=row["path"],
@@ -129,6 +188,9 @@
         repeatable=row["repeatable"],
         timeout_ms=row.get("timeout_ms", DEFAULT_TIMEOUT_MS),
     )
+    if "allow_anonymous" in row:
+        filled["allow_anonymous"] = row["allow_anonymous"]
+    return filled
 
 
 def _fill_pool_defaults(row: PoolRow) -> PoolRow:
@@ -141,6 +203,16 @@
     )
 
 
+def _fill_organisation_defaults(row: OrganisationRow) -> OrganisationRow:
+    return OrganisationRow(
+        name=row["name"],
+        api_keys=row.get("api_keys", []),
+        priority=row.get("priority"),
+        rate_per_s=float(row.get("rate_per_s", 0.0)),
+        burst=float(row.get("burst", 0.0)),
+    )
+
+
 def _find_duplicates(tables: TablesDocument) -> Iterator[Fault]:
     names = [
         (f"routes[{i}].name", row["name"]) for i, row in enumerate(tables["routes"])
@@ -148,6 +220,11 @@
     yield from _find_duplicate_names(names)
     names = [(f"pools[{i}].name", row["name"]) for i, row in enumerate(tables["pools"])]
     yield from _find_duplicate_names(names)
+    names = [
+        (f"organisations[{i}].name", row["name"])
+        for i, row in enumerate(tables.get("organisations", []))
+    ]
+    yield from _find_duplicate_names(names)
     route_names: dict[tuple[str, str, str], str] = {}
     for i, row in enumerate(tables["routes"]):
         for method in row["methods"] or [""]:
@@ -173,3 +250,13 @@
     for i, row in enumerate(tables["routes"]):
         if row["pool"] not in pools:
             yield Fault(f"routes[{i}].pool", row["pool"], "the name of a pool")
+
+
+def _find_shared_keys(tables: TablesDocument) -> Iterator[Fault]:
+    holders: dict[str, str] = {}
+    for i, row in enumerate(tables.get("organisations", [])):
+        for key in row["api_keys"]:
+            holder = holders.setdefault(key, row["name"])
+            if holder != row["name"]:
+                expected = f"an API key that {holder} does not have"
+                yield Fault(f"organisations[{i}].api_keys", row["name"], expected)
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower.py
@@ -212,7 +212,7 @@
         self._history.clear()
         self._is_damaged = False
         is_in_force = whole.version == self._in_force
-        return (VersionInForce(whole),) if is_in_force else ()
+        return (VersionInForce(tables.in_force()),) if is_in_force else ()
 
     def _put_in_force(self, now: float) -> tuple[FollowerOutput, ...]:
         version = self._tables.version
@@ -220,7 +220,7 @@
             return ()
         previous = self._in_force
         self._in_force = version
-        return (VersionInForce(self._tables.whole()), *self._push(previous))
+        return (VersionInForce(self._tables.in_force()), *self._push(previous))
 
     def _is_starting(self, now: float) -> bool:
         """Return whether to wait for more sources; the first reply may be stale."""
--- a/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/follower_messages.py
@@ -1,7 +1,7 @@
 """Messages that replicate the tables from daemon to daemon.
 
 Senders and recipients are the addresses at which daemons reach each other. A row
-is one route or one pool.
+is one route, one pool or one organisation.
 """
 
 from typing import NamedTuple
@@ -9,6 +9,7 @@
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.messages import VersionedDelta
 from pimentobend_core._internal.configuration.messages import WholeTables
+from pimentobend_core._internal.models.tables import Tables
 
 
 class CatchUp(NamedTuple):
@@ -62,7 +63,7 @@
 class VersionInForce(NamedTuple):
     """These tables are in force from now on."""
 
-    tables: WholeTables
+    tables: Tables
 
 
 class SourcesChanged(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/history.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/history.py
@@ -48,5 +48,12 @@
 def count_rows(versioned: VersionedDelta) -> int:
     """Return how many rows a delta adds, changes or removes."""
     delta = versioned.delta
-    parts = (delta.routes, delta.removed_routes, delta.pools, delta.removed_pools)
+    parts = (
+        delta.routes,
+        delta.removed_routes,
+        delta.pools,
+        delta.removed_pools,
+        delta.organisations,
+        delta.removed_organisations,
+    )
     return sum(len(part) for part in parts)
--- a/packages/core/src/pimentobend_core/_internal/configuration/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/messages.py
@@ -1,12 +1,13 @@
-"""Versions of the tables of routes and pools, and changes between them.
+"""Versions of the tables, and changes between them.
 
-A row is one route or one pool.
+A row is one route, one pool or one organisation.
 """
 
 import enum
 from typing import NamedTuple
 
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -34,6 +35,8 @@
     removed_pools: tuple[str, ...]
     limits: ClientLimits | None = None
     label: int = 0  # the operators' number of the version, 0 without one
+    organisations: tuple[Organisation, ...] = ()
+    removed_organisations: tuple[str, ...] = ()
 
 
 class VersionedDelta(NamedTuple):
@@ -53,6 +56,7 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
     label: int = 0  # the operators' number of the version, 0 without one
+    organisations: tuple[Organisation, ...] = ()
 
 
 class TablesCommand(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service_messages.py
@@ -15,6 +15,7 @@
 from pimentobend_core._internal.consensus.messages import ReadReady
 from pimentobend_core._internal.consensus.messages import Restored
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -31,6 +32,7 @@
 
     routes: tuple[str, ...]
     pools: tuple[str, ...]
+    organisations: tuple[str, ...] = ()
 
 
 class TablesChangeRequest(NamedTuple):
@@ -48,7 +50,8 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
     label: NextLabel | None = None
-    removals: Removals | None = None  # None if routes and pools are complete tables
+    removals: Removals | None = None  # None if the tables are complete
+    organisations: tuple[Organisation, ...] = ()
 
 
 class TablesChangeReply(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/configuration/state.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/state.py
@@ -66,7 +66,7 @@
         """Return the delta from the tables in force to those that a change requests."""
         tables = self._tables
         if request.removals is None:
-            delta = tables.diff(request.routes, request.pools)
+            delta = tables.diff(request.routes, request.pools, request.organisations)
             limits = request.limits
         else:
             removals = request.removals
@@ -76,6 +76,8 @@
                 removals.routes,
                 request.pools,
                 removals.pools,
+                organisations=request.organisations,
+                removed_organisations=removals.organisations,
             )
             limits = request.limits or tables.limits
         label = 0 if request.label is None else request.label.number
@@ -84,7 +86,8 @@
     def is_valid(self, delta: TablesDelta, label: NextLabel | None) -> bool:
         """Return whether a delta gives valid tables.
 
-        The tables must be able to hold its rows. If it has a label, that must grow, and
+        The tables must be able to hold its rows, and no two organisations may have the
+        same API key. If it has a label, that must grow, and
         each pool that a route uses must exist.
         """
         if not self._fits(delta):
--- a/packages/core/src/pimentobend_core/_internal/models/tables.py
+++ b/packages/core/src/pimentobend_core/_internal/models/tables.py
@@ -1,6 +1,8 @@
 """The routing tables: routes and the pools that they refer to by name."""
 
+from collections.abc import Collection
 from typing import NamedTuple
+from typing import NotRequired
 from typing import TypedDict
 
 DEFAULT_MAX_ATTEMPTS = 3
@@ -34,7 +36,9 @@
     target_latency_ms: int = 0  # 0 if there is no target
     # Timeout and target as the operators sent them, if one is finer than 1 ms.
     sent_times_s: tuple[float, ...] = ()
-    allow_anonymous: bool = False  # whether requests need no API key
+    # Whether requests need no API key; None if the operators did not say.
+    allow_anonymous: bool | None = None
+    is_upload: bool = False  # requests carry large bodies; they are not repeatable
 
 
 class Pool(NamedTuple):
@@ -71,6 +75,12 @@
     priority: int | None = None  # goes before a route's priority; 0 is the most urgent
     rate_per_s: float = 0.0  # requests per second over all daemons; 0 if not limited
     burst: float = 0.0  # requests in addition to the rate
+    # Columns that the operators sent as 0 or empty instead of leaving them out.
+    sent_empty: tuple[str, ...] = ()
+
+    def __repr__(self) -> str:
+        """Return a description without the keys, as it may end up in a log."""
+        return f"Organisation(name={self.name!r}, api_keys=<{len(self.api_keys)}>)"
 
 
 class Tables(NamedTuple):
@@ -86,7 +96,7 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None = None
     label: int = 0  # version number given by the operators
-    organisations: tuple[Organisation, ...] = ()
+    organisations: Collection[Organisation] = ()
 
 
 class RouteRow(TypedDict):
@@ -99,6 +109,7 @@
     pool: str
     repeatable: bool
     timeout_ms: int
+    allow_anonymous: NotRequired[bool]
 
 
 class PoolRow(TypedDict):
@@ -111,8 +122,19 @@
     hedge: bool
 
 
+class OrganisationRow(TypedDict):
+    """An organisation in JSON."""
+
+    name: str
+    api_keys: list[str]
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
 class TablesDocument(TypedDict):
-    """The routes and pools in JSON."""
+    """The routes, the pools and the organisations in JSON."""
 
     routes: list[RouteRow]
     pools: list[PoolRow]
+    organisations: NotRequired[list[OrganisationRow]]
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -19,6 +19,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.server import Server
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.traffic.messages import Acquire
@@ -102,6 +103,10 @@
     def current(self) -> Tables:
         """Return the tables that this daemon uses."""
 
+    @abc.abstractmethod
+    def find_organisation(self, key_digest: bytes) -> Organisation | None:
+        """Return the organisation that holds the API key of a digest, or None."""
+
     def await_first(self, timeout_s: float) -> bool:
         """Wait until this daemon has tables, and return whether it has."""
         return self.current().log_index > 0
--- a/packages/core/src/pimentobend_core/_internal/request/pipe.py
+++ b/packages/core/src/pimentobend_core/_internal/request/pipe.py
@@ -17,6 +17,7 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 from pimentobend_core._internal.request.idempotency import IdempotencyFilter
 from pimentobend_core._internal.request.judgement import JudgementFilter
+from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.stages import Finished
 from pimentobend_core._internal.request.stages import Received
@@ -34,6 +35,7 @@
     ledger: LedgerPort
     backend: BackendPort
     retries: RetryPolicy
+    organisation_header: str  # states the sender of a forwarded request
     suspects: SuspectsPort = NO_SUSPECTS
 
 
@@ -51,6 +53,7 @@
     return (
         DeadlineFilter(ports.clock)
         .then(RouteFilter(ports.tables))
+        .then(OrganisationFilter(ports.tables, ports.organisation_header))
         .then(CrashGuardFilter(suspects, clock, uses_route_host=True))
         .then(IdempotencyFilter(ports.ledger, dispatch))
     )
--- a/packages/core/src/pimentobend_core/_internal/utils/checks.py
+++ b/packages/core/src/pimentobend_core/_internal/utils/checks.py
@@ -93,6 +93,30 @@
             yield make_fault(place, value, "true or false")
 
 
+class OptionalCheck(Check):
+    """Accepts null, and what passes a check."""
+
+    def __init__(self, inner: Check) -> None:
+        self._inner = inner
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield the faults of a value that is not null."""
+        if value is not None:
+            yield from self._inner.find(place, value)
+
+
+class SecretCheck(Check):
+    """Hides the faulty values that a check finds."""
+
+    def __init__(self, inner: Check) -> None:
+        self._inner = inner
+
+    def find(self, place: str, value: object) -> Iterator[Fault]:
+        """Yield the faults without values."""
+        for fault in self._inner.find(place, value):
+            yield fault._replace(value="a hidden value")
+
+
 class ListCheck(Check):
     """Accepts lists of at most ``most`` items that pass a check."""
 
--- a/packages/core/src/pimentobend_core/tables.py
+++ b/packages/core/src/pimentobend_core/tables.py
@@ -5,6 +5,7 @@
 from pimentobend_core._internal.configuration.service_messages import NextLabel
 from pimentobend_core._internal.configuration.service_messages import Removals
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Split
@@ -13,6 +14,7 @@
     "ChangeOutcome",
     "ClientLimits",
     "NextLabel",
+    "Organisation",
     "Pool",
     "Removals",
     "Route",
--- a/packages/daemon/src/pimentobendd/_internal/control/changes.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/changes.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.exceptions import FrameError
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_core._internal.configuration.checks import read_organisations
 from pimentobend_core._internal.configuration.checks import read_pools
 from pimentobend_core._internal.configuration.checks import read_routes
 from pimentobend_core._internal.configuration.codec import decode
@@ -65,6 +66,11 @@
     ChangeOutcome.TOO_LARGE: RefusalText(
         413, "not run: the change is too large", "split it into smaller changes"
     ),
+    ChangeOutcome.INVALID: RefusalText(
+        422,
+        "not run: the tables would have faults",
+        "check that no two organisations have the same API key",
+    ),
     ChangeOutcome.STORAGE: RefusalText(
         507,
         "not run: the leader could not write the change to its disk",
@@ -95,6 +101,7 @@
             TablesVersion(*request.expected),
             read_routes(request.document),
             read_pools(request.document),
+            organisations=read_organisations(request.document),
         )
         reply = self._ask(change, self._send_local)
         if reply.outcome is ChangeOutcome.NOT_LEADER and reply.leader_id is not None:
--- a/packages/daemon/src/pimentobendd/_internal/control/spread.py
+++ b/packages/daemon/src/pimentobendd/_internal/control/spread.py
@@ -22,7 +22,6 @@
 from pimentobend_core._internal.configuration.follower_messages import SpreadReceived
 from pimentobend_core._internal.configuration.follower_messages import SpreadSent
 from pimentobend_core._internal.configuration.follower_messages import TablesSnapshot
-from pimentobend_core._internal.configuration.messages import WholeTables
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
@@ -89,9 +88,4 @@
             kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._activate(convert_tables(output.tables))
-
-
-def convert_tables(whole: WholeTables) -> Tables:
-    """Convert received tables to the form that requests are routed by."""
-    return Tables(*whole.version, whole.routes, whole.pools, whole.limits, whole.label)
+            self._activate(output.tables)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/configuration.py
@@ -67,6 +67,7 @@
             change.limits,
             change.label,
             change.removals,
+            change.organisations,
         )
         reply = self._ask_leader(request)
         if isinstance(reply, TablesChangeReply):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/dialect.py
@@ -15,6 +15,7 @@
 from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Withdrawal
 from pimentobend_core._internal.models.tables import ClientLimits
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Route
 
@@ -34,6 +35,7 @@
     pools: tuple[Pool, ...]
     limits: ClientLimits | None
     removals: Removals | None  # None if the tables are complete
+    organisations: tuple[Organisation, ...] = ()
 
 
 class ConfigurationPort(abc.ABC):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -56,6 +56,7 @@
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
@@ -209,6 +210,7 @@
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
             .then(RouteFilter(tables))
+            .then(OrganisationFilter(tables, names.organisation))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
--- a/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/tables.py
@@ -26,7 +26,6 @@
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import ClockPort
 from pimentobendd._internal.control.spread import MESSAGE_TYPES
-from pimentobendd._internal.control.spread import convert_tables
 from pimentobendd._internal.control.spread import frame_kind
 
 FOLLOWERS_MAX = 256  # daemons to which a control instance sends new versions
@@ -96,4 +95,4 @@
             kind = frame_kind(output.message)
             self._link.send(output.recipient, kind, encode(output.message))
         else:
-            self._activate(convert_tables(output.tables))
+            self._activate(output.tables)
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -9,6 +9,7 @@
 from pimentobend_adapters._internal.health import HealthTasks
 from pimentobend_adapters._internal.http.backend import BackendClient
 from pimentobend_adapters._internal.http.front import CallerFront
+from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.logs import get_log
@@ -129,6 +130,7 @@
                 ledger=ledger,
                 backend=self._backend,
                 retries=retries,
+                organisation_header=OWN_NAMES.organisation,
                 suspects=self.suspects,
             )
         )
--- a/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
+++ b/packages/daemon/src/pimentobendd/_internal/interfaces/operators.py
@@ -10,6 +10,7 @@
 from returns.result import Failure
 
 from pimentobend_core._internal.configuration.checks import check_tables
+from pimentobend_core._internal.models.tables import OrganisationRow
 from pimentobend_core._internal.models.tables import Tables
 from pimentobendd._internal.control_port import ChangeRequest
 from pimentobendd._internal.control_port import ControlPort
@@ -115,11 +116,18 @@
 
 def describe_tables(tables: Tables) -> Mapping[str, object]:
     """Return the tables as the JSON document for operators."""
-    return {
+    document: dict[str, object] = {
         "version": str(Version(tables.term, tables.log_index)),
         "routes": [route._asdict() for route in tables.routes],
         "pools": [pool._asdict() for pool in tables.pools],
     }
+    if tables.organisations:
+        rows = sorted(tables.organisations, key=lambda row: row.name)
+        columns = OrganisationRow.__annotations__
+        document["organisations"] = [
+            {column: getattr(row, column) for column in columns} for row in rows
+        ]
+    return document
 
 
 def _read_query(environ: Environ) -> Query:
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -9,7 +9,9 @@
 import eventlet
 import eventlet.event
 
+from pimentobend_core._internal.compact.organisations import pack_organisations
 from pimentobend_core._internal.models.request import RequestHead
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import TablesPort
@@ -24,6 +26,7 @@
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
         self._matcher = RouteMatcher(EMPTY_TABLES)
+        self._organisations = pack_organisations(EMPTY_TABLES.organisations)
         self._subscribers: list[Callable[[Tables], None]] = []
         self._first_tables: Any = eventlet.event.Event()
 
@@ -35,6 +38,10 @@
         """Return the version in force."""
         return self._tables
 
+    def find_organisation(self, key_digest: bytes) -> Organisation | None:
+        """Return the organisation that holds the API key of a digest, or None."""
+        return self._organisations.find(key_digest)
+
     def await_first(self, timeout_s: float) -> bool:
         """Wait until any tables are in force; return whether they are."""
         with eventlet.Timeout(timeout_s, False):
@@ -51,6 +58,7 @@
             return False
         self._tables = tables
         self._matcher = RouteMatcher(tables)
+        self._organisations = pack_organisations(tables.organisations)
         if not self._first_tables.ready():
             self._first_tables.send(None)
         for function in self._subscribers:
--- a/tests/lib/fake_ports.py
+++ b/tests/lib/fake_ports.py
@@ -7,6 +7,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_core._internal.compact.organisations import pack_organisations
 from pimentobend_core._internal.health.messages import AttemptStarted
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
@@ -16,6 +17,7 @@
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
+from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import AttemptResult
@@ -45,16 +47,23 @@
 class FakeTables(TablesPort):
     """Tables that match every request with one route, or none."""
 
-    def __init__(self, route: Route | None) -> None:
+    def __init__(
+        self, route: Route | None, organisations: Sequence[Organisation] = ()
+    ) -> None:
         self._route = route
+        self._organisations = pack_organisations(organisations)
 
     def match(self, head: RequestHead) -> Route | None:
         """Return the configured route."""
         return self._route
 
     def current(self) -> Tables:
-        """Return empty tables."""
-        return Tables(1, 1, (), ())
+        """Return tables that hold only organisations."""
+        return Tables(1, 1, (), (), organisations=self._organisations)
+
+    def find_organisation(self, key_digest: bytes) -> Organisation | None:
+        """Return the organisation that holds a key."""
+        return self._organisations.find(key_digest)
 
 
 class FakeTraffic(TrafficPort):
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -5,6 +5,10 @@
 from typing import Any
 
 import pytest
+from platform_documents import CONFIGURATION
+from platform_documents import ROUTE_COLUMNS
+from platform_documents import ROWS
+from platform_documents import changed
 from returns.result import Failure
 from returns.result import Result
 from returns.result import Success
@@ -27,38 +31,6 @@
 from pimentobendd.fleet import LabelledChange
 from pimentobendd.fleet import ServersPort
 
-ROUTE_COLUMNS = [
-    "name",
-    "host",
-    "pathPrefix",
-    "type",
-    "timeoutS",
-    "targetLatencyS",
-    "priority",
-    "trafficSplit",
-    "maxAttempts",
-    "service",
-]
-SPLIT = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
-ROWS = [
-    ["r1", "h.example", "/x/", "safe", 3, 1.5, 2, SPLIT, 2, None],
-    ["r2", "g.example", "/y/z/", "unsafe", 4.5, 1.5, 1, None, 2, "b"],
-]
-SERVICES = {
-    "columns": ["name", "healthCheckPath", "maxConnections", "protocol", "tls"],
-    "rows": [["a", "/healthz", 360, "h1", False], ["b", "/healthz", 360, "h1", False]],
-}
-CONFIGURATION: dict[str, Any] = {
-    "version": "0000000c",
-    "routes": {"columns": ROUTE_COLUMNS, "rows": ROWS},
-    "services": SERVICES,
-    "limits": {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": 67108864,
-        "headerTimeoutS": 3,
-        "idleTimeoutS": 15,
-    },
-}
 HEARTBEAT: dict[str, Any] = {
     "address": "10.128.0.9:8080",
     "info": {"service": "a", "version": "v1", "zone": "z", "slots": 3},
@@ -67,21 +39,6 @@
 }
 
 
-def changed(document: dict[str, Any], path: str, value: object) -> bytes:
-    """Return a document with one value replaced, or removed if it is ``...``."""
-    copy = json.loads(json.dumps(document))
-    *parents, last = path.split(".")
-    node = copy
-    for part in parents:
-        node = node[int(part) if part.isdigit() else part]
-    key: Any = int(last) if last.isdigit() else last
-    if value is ...:
-        del node[key]
-    else:
-        node[key] = value
-    return json.dumps(copy).encode()
-
-
 def test_a_configuration_round_trips() -> None:
     change = documents.read_whole(json.dumps(CONFIGURATION).encode(), "00000005")
     assert change.label == (5, 12)
@@ -214,7 +171,7 @@
     }
     change = documents.read_patch(json.dumps(patch).encode(), "0000000c")
     assert [route.name for route in change.routes] == ["r1"]
-    assert change.removals == (("r9",), ())
+    assert change.removals == (("r9",), (), ())
 
 
 MALFORMED_HEARTBEATS = [
--- a/tests/unit/request/test_blocked.py
+++ b/tests/unit/request/test_blocked.py
@@ -92,6 +92,7 @@
         ledger=ledger,
         backend=backend,
         retries=FakeRetries(9),
+        organisation_header="Pimentobend-Organisation",
         suspects=suspects,
     )
     head = make_head("key")
@@ -134,6 +135,7 @@
             ledger=FakeLedger(),
             backend=FakeBackend([(Kind.NO_ANSWER, 0)]),
             retries=FakeRetries(0),
+            organisation_header="Pimentobend-Organisation",
             suspects=suspects,
         )
         build_request_pipe(ports).apply(Received(one, FakeBody()))
--- a/tests/unit/request/test_pipe.py
+++ b/tests/unit/request/test_pipe.py
@@ -88,6 +88,7 @@
             ledger=ledger,
             backend=backend,
             retries=FakeRetries(case.retries),
+            organisation_header="Pimentobend-Organisation",
         )
     )
     head = make_head("key" if has_key else None)
@@ -121,6 +122,7 @@
         ledger=FakeLedger(refusal),
         backend=backend,
         retries=FakeRetries(9),
+        organisation_header="Pimentobend-Organisation",
     )
     result = build_request_pipe(ports).apply(Received(make_head("key"), FakeBody()))
     assert result == Failure(refusal)
@@ -146,6 +148,7 @@
         ledger=FakeLedger(),
         backend=FakeBackend(()),
         retries=FakeRetries(9),
+        organisation_header="Pimentobend-Organisation",
     )
     head = make_head(remaining_s=remaining_s)
     refusal = build_request_pipe(ports).apply(Received(head, FakeBody())).failure()
