--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -102,10 +102,10 @@
         """Return the version number of the last configuration that was put."""
         return self._label
 
-    def put(self, routes: dict[str, Any]) -> int:
+    def put(self, routes: dict[str, Any], tenants: dict[str, Any] | None = None) -> int:
         """Put a configuration until a control instance acknowledges it."""
         base, self._label = self._label, self._label + 1
-        body = {
+        body: dict[str, Any] = {
             "version": f"{self._label:08x}",
             "routes": routes,
             "services": {
@@ -113,6 +113,8 @@
                 "rows": [[service, "/healthz"] for service in self.shape.services],
             },
         }
+        if tenants is not None:
+            body["tenants"] = tenants
         data = json.dumps(body).encode()
         headers = {"If-Match": f"{base:08x}"}
         statuses: list[int] = []
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -59,6 +59,7 @@
         self.bodies: dict[str, bytes] = {}  # those that were whole, by request id
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
+        self.heads: dict[str, dict[str, str]] = {}  # headers by request id
         self.sends_heartbeats = True
         self.hold_s = 0.0  # time that each request takes
         # First bytes of each answer, and those that follow until the caller closes.
@@ -209,6 +210,7 @@
         self.ran.append(request_id)
         if body is not None:
             self.bodies[request_id] = body
+        self.heads[request_id] = {k.lower(): v for k, v in request.headers.items()}
         self.callers.append(request.headers[f"{PREFIX}Caller-Service"])
         query = urllib.parse.parse_qs(urllib.parse.urlsplit(request.path).query)
         work_s = self.hold_s + float(query.get("hold", ["0"])[0])
