--- a/packages/core/src/pimentobend_core/_internal/request/tables_proof.py
+++ b/packages/core/src/pimentobend_core/_internal/request/tables_proof.py
@@ -78,8 +78,10 @@
 def needs_key(value: Routed, tables: Tables) -> bool:
     """Return whether a request must carry an API key by these tables.
 
-    A call of a backend server on this machine carries none.
+    A call of a backend server on this machine carries none. A key that is sent all the
+    same may have been revoked, and is checked like any other.
     """
-    if not tables.organisations or value.route.allow_anonymous:
+    if not tables.organisations:
         return False
-    return not value.head.is_local or bool(value.head.api_key_digest)
+    may_lack_key = value.route.allow_anonymous or value.head.is_local
+    return bool(value.head.api_key_digest) or not may_lack_key
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -58,6 +58,7 @@
 from pimentobend_core._internal.ports import ProofPort
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.request.stages import Received
@@ -215,6 +216,7 @@
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
             .then(_create_routing(tables, ports.proof, clock))
+            .then(OrganisationFilter(tables, names.organisation))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
--- a/tests/unit/request/test_tables_proof.py
+++ b/tests/unit/request/test_tables_proof.py
@@ -42,6 +42,9 @@
     def current(self) -> Tables:
         return self.tables
 
+    def find_organisation(self, key_digest: bytes) -> Organisation | None:
+        return None
+
 
 class SetProof(ProofPort):
     """A proof that a test sets; ``on_wait`` runs while a request waits."""
@@ -78,7 +81,8 @@
         (LOCAL_WITH_KEY, KEYED, ORGANISATIONS, False, True),
         (WITH_KEY, KEYED, ORGANISATIONS, True, False),
         (LOCAL, KEYED, ORGANISATIONS, False, False),
-        (WITH_KEY, OPEN, ORGANISATIONS, False, False),
+        (HEAD, OPEN, ORGANISATIONS, False, False),
+        (WITH_KEY, OPEN, ORGANISATIONS, False, True),
         (WITH_KEY, KEYED, (), False, False),
     ],
     ids=[
@@ -88,6 +92,7 @@
         "a-key-with-a-proof",
         "a-call-of-a-server-on-this-machine",
         "an-anonymous-route",
+        "a-key-on-an-anonymous-route",
         "no-organisations",
     ],
 )
@@ -149,13 +154,16 @@
 ) -> None:
     """Guards against a request that runs by a route of tables that are replaced."""
     proof, tables = SetProof(False), OneRoute(TABLES)
+    is_anonymous = newer.routes == (OPEN,)
 
     def replace() -> None:
         tables.tables = newer
         proof.is_valid = is_proven
 
     proof.on_wait = replace
-    result = make_filter(proof, tables).apply(routed(WITH_KEY, KEYED))
+    result = make_filter(proof, tables).apply(
+        routed(HEAD if is_anonymous else WITH_KEY, KEYED)
+    )
     found = (
         result.failure().reason
         if isinstance(result, Failure)
