Answer questions for bids without a greenlet and a timer for each

Each question took a greenlet, an event and a timer on its way through the host's task.

Unit tests of forwarding pass, with the known failure of the platform's fleet.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -142,7 +142,11 @@
     def handle_ask(self, frame: Frame) -> None:
         """Answer another daemon's question; raise ``CodecError`` if it is malformed."""
         ask = decode(frame.payload, Ask)
-        eventlet.spawn_n(self._answer, frame.sender, ask)
+        # A new token is needed: daemons choose theirs independently.
+        self._host.ask(
+            ask._replace(token=next(self._tokens)),
+            lambda bids: self._answer(frame.sender, bids._replace(token=ask.token)),
+        )
 
     def handle_bids(self, frame: Frame) -> None:
         """Store another daemon's bids; raise ``CodecError`` if they are malformed."""
@@ -179,7 +183,7 @@
             self._rounds[ask.token] = (pending, row.address, ask)
             tokens.append(ask.token)
             if row.address == own_address:
-                eventlet.spawn_n(self._ask_self, ask)
+                self._host.ask(ask, lambda bids: self._store(own_address, bids))
             else:
                 self._link.send(row.address, KIND_ASK, encode(ask))
         with eventlet.Timeout(TIMEOUTS_S[distance], False):
@@ -195,17 +199,8 @@
         if misses >= UNREACHABLE_AFTER:
             self._on_unreachable(address)
 
-    def _ask_self(self, ask: Ask) -> None:
-        bids = self._host.ask(ask)
-        if bids is not None:
-            self._store(self._link.address, bids)
-
-    def _answer(self, sender: str, ask: Ask) -> None:
-        # A new token is needed: daemons choose theirs independently.
-        bids = self._host.ask(ask._replace(token=next(self._tokens)))
-        if bids is not None:
-            reply = bids._replace(token=ask.token)
-            self._link.send(sender, KIND_BIDS, encode(reply))
+    def _answer(self, sender: str, bids: Bids) -> None:
+        self._link.send(sender, KIND_BIDS, encode(bids))
 
     def _store(self, sender: str, bids: Bids) -> None:
         self._unanswered.pop(sender, None)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -13,7 +13,6 @@
 import eventlet.event
 import greenlet as greenlet_module
 
-from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.answers import StreamedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
@@ -70,7 +69,6 @@
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 
 TICK_S = 0.1
-ASK_TIMEOUT_S = 0.5  # the task answers at once unless the process is stalled
 # An origin that lost its connection can request the answer again for this long.
 ANSWER_KEEP_S = 10.0
 SERVER_ERROR = 500
@@ -130,7 +128,7 @@
         self.senders = LocalSenders(clock)
         self._records: dict[str, _AttemptRecord] = {}
         self._kept = KeptAnswers()
-        self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
+        self._askers: dict[int, Callable[[Bids], None]] = {}  # by token
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
             ServerHost(process_id, terms),
@@ -196,9 +194,14 @@
         self._task.put(ServerUnlisted(server_id))
         self._calls.forget(server_id)
 
-    def ask(self, ask: Ask) -> Bids | None:
-        """Return the bids of the local servers; None if the task does not answer."""
-        return self._bids.ask(ask.token, lambda: self._task.put(ask), ASK_TIMEOUT_S)
+    def ask(self, ask: Ask, on_bids: Callable[[Bids], None]) -> None:
+        """Request the local servers' bids; the task passes them to ``on_bids``.
+
+        A daemon is asked several times for each request, so no greenlet and no timer
+        wait for the bids.
+        """
+        self._askers[ask.token] = on_bids
+        self._task.put(ask)
 
     def run(self, attempt: LocalAttempt) -> AttemptResult:
         """Run an attempt once and return its result; repeated calls join the first.
@@ -235,7 +238,7 @@
     def _handle_output(self, output: HostOutput) -> None:
         match output:
             case Bids():
-                self._bids.put(output)
+                self._askers.pop(output.token)(output)
             case StartCall():
                 record = self._records[output.attempt_id]
                 self._start_call(record, output.server)
