--- a/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/links/frames.py
@@ -4,6 +4,7 @@
 fleet's key, shows that a member of the fleet sent it.
 """
 
+import hashlib
 import hmac
 from typing import NamedTuple
 
@@ -69,4 +70,4 @@
 
 
 def _tag(body: bytes, key: bytes) -> bytes:
-    return hmac.digest(key, bytes([VERSION]) + body, "sha256")[:TAG_BYTES]
+    return hmac.new(key, bytes([VERSION]) + body, hashlib.sha256).digest()[:TAG_BYTES]
