Ask fewer daemons for bids where fresh ones are known

A fresh bid was reused, but did not count against the number of daemons to ask. It now does, unless its server is failing.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -7,7 +7,9 @@
 import itertools
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
@@ -35,7 +37,8 @@
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
 }
-ASK_LIMITS = {  # maximum number of daemons asked at once
+# Maximum number of daemons whose bids a request considers; fresh ones count.
+ASK_LIMITS = {
     Distance.DATA_CENTRE: 6,
     Distance.REGION: 2,
     Distance.FAR: 2,
@@ -120,11 +123,15 @@
             if find_distance(own_row, row) <= distance and self._may_serve(row, service)
         ]
         now = self._clock.now()
-        stale = [
-            row for row in rows if self._is_stale(own_row, row, service, route, now)
-        ]
+        stale: list[PeerRow] = []
+        fresh: Counter[Distance] = Counter()
+        for row in rows:
+            if self._is_stale(own_row, row, service, route, now):
+                stale.append(row)
+            elif not self._is_doubtful(row, service, now):
+                fresh[find_distance(own_row, row)] += 1
         chosen = _sample(
-            own_row, stale, lambda row: self._is_doubtful(row, service, now)
+            own_row, stale, fresh, lambda row: self._is_doubtful(row, service, now)
         )
         self._ask_all(chosen, service, route, distance)
         now = self._clock.now()
@@ -236,16 +243,20 @@
 
 
 def _sample(
-    own_row: PeerRow, rows: list[PeerRow], is_doubtful: Callable[[PeerRow], bool]
+    own_row: PeerRow,
+    rows: list[PeerRow],
+    fresh: Mapping[Distance, int],
+    is_doubtful: Callable[[PeerRow], bool],
 ) -> list[PeerRow]:
     """Pick daemons to ask at random, up to the limit for each distance.
 
-    Daemons with failing servers are picked only where the limit leaves room.
+    ``fresh`` is the number of usable bids that are known already. Daemons with
+    failing servers are picked only where the limit leaves room.
     """
     chosen: list[PeerRow] = []
     for distance, limit in ASK_LIMITS.items():
         candidates = [row for row in rows if find_distance(own_row, row) is distance]
         random.shuffle(candidates)
         candidates.sort(key=is_doubtful)
-        chosen.extend(candidates[:limit])
+        chosen.extend(candidates[: max(0, limit - fresh.get(distance, 0))])
     return chosen
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -105,6 +105,7 @@
         short = {distance: 0.01 for distance in Distance}
         monkeypatch.setattr(module, "TIMEOUTS_S", short)
         rows = tuple(make_row(n + 1, place) for n, place in enumerate(places))
+        self.rows = rows
         self.link = FakeLink({row.address for row in rows[down:]})
         self.clock = ManualClock()
         self.unreachable: list[str] = []
@@ -163,6 +164,33 @@
     assert bool(harness.link.asked) == asks_again
 
 
+@pytest.mark.parametrize(
+    ("places", "risk", "age_s", "asked_again"),
+    [
+        ([FAR] * 9, 0.1, 0.2, 0),
+        ([FAR] * 9, 0.1, 0.4, 2),
+        ([FAR] * 9, 0.9, 0.2, 2),
+        ([NEAR] * 30, 0.1, 0.02, 0),
+        ([NEAR] * 30, 0.1, 0.04, 6),
+    ],
+    ids=["far", "far, old", "far, failing", "near", "near, old"],
+)
+def test_fresh_bids_take_the_place_of_further_questions(
+    places: list[Place],
+    risk: float,
+    age_s: float,
+    asked_again: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a question to new daemons each time that a request is held."""
+    harness = BidCollectorHarness(places, monkeypatch)
+    harness.link.risks = {row.address: risk for row in harness.rows}
+    harness.ask(Distance.FAR)
+    harness.clock.time += age_s
+    harness.ask(Distance.FAR)
+    assert len(harness.link.asked) == asked_again
+
+
 def test_a_daemon_that_does_not_answer_is_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
