Treat answers with invalid statuses as no answer

Callers of both interfaces got a server's 600, 700 or 999 as its answer, marked as ran. On the platform's path, a status that http.client rejects (000, 099) also made the host suspect a crash, which holds back the server's queue until a probe.

http.client accepts 100 to 999 and reads the number with int, which also takes 0200, +200 and 2_00. Each status line is now checked as it was sent: what is not three digits from 100 to 599 is no answer, so the outcome is unknown and a repeatable request is sent again. Interim answers before a final one are read as before.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -20,6 +20,7 @@
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_adapters._internal.http.heads import InvalidStatusError
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
@@ -88,8 +89,9 @@
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             failed = self._failed(_classify_error(error, connection), started)
+            # A server that answers an invalid status has not crashed.
             is_broken = failed.kind is AttemptKind.NO_ANSWER and not isinstance(
-                error, TimeoutError
+                error, TimeoutError | InvalidStatusError
             )
             return failed._replace(is_broken=is_broken)
         finally:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -19,6 +19,8 @@
     email.errors.InvalidHeaderDefect,
     email.errors.MissingHeaderBodySeparatorDefect,
 )
+# Version, and a status from 100 to 599. ``int`` also reads 0200, +200 and 2_00.
+_STATUS_LINE = re.compile(rb"HTTP/\S+[ \t]+[1-5][0-9]{2}(?:\s|$)")
 # A name, which is a token, and its colon.
 _HEADER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
 
@@ -31,6 +33,10 @@
     """A head has lines, or a length of the body, that cannot be read."""
 
 
+class InvalidStatusError(http.client.HTTPException):
+    """A status line has no status that a server may answer with."""
+
+
 class HeadTooLargeError(http.client.HTTPException):
     """A head has more bytes than its reader takes."""
 
@@ -72,10 +78,17 @@
         self._left_bytes = max_bytes
         self._max_bytes = max_bytes
         self._is_start_line = has_start_line
+        self._last_line = b""
+
+    @property
+    def last_line(self) -> bytes:
+        """Return the line that was read last."""
+        return self._last_line
 
     def readline(self, limit_bytes: int = -1) -> bytes:
         """Return a line of at most ``limit_bytes`` bytes."""
         line = super().readline(limit_bytes)
+        self._last_line = line
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise HeadTooLargeError(f"the head exceeds {self._max_bytes} bytes")
@@ -116,6 +129,12 @@
         super()._check(line)
 
 
+def check_status_line(line: bytes) -> None:
+    """Raise ``InvalidStatusError`` unless the status is 100 to 599, in three digits."""
+    if not _STATUS_LINE.match(line):
+        raise InvalidStatusError("the status is not three digits from 100 to 599")
+
+
 def check_head(headers: http.client.HTTPMessage) -> None:
     """Raise ``MalformedHeadError`` if lines or the body's length cannot be read."""
     if any(isinstance(each, _NO_HEADER) for each in headers.defects):
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -63,6 +63,7 @@
         self.hold_s = 0.0  # time that each request takes
         # First bytes of each answer, and those that follow until the caller closes.
         self.endless: tuple[bytes, bytes] | None = None
+        self.status = ""  # of each answer, as it is sent; then the connection ends
         self.content = b""  # body of the answers, instead of the server's id
         self.hangs = False  # answer requests only after HANG_S, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
@@ -269,7 +270,11 @@
             while True:  # until the caller closes
                 request.wfile.write(more)
         content = self.content or self.server_id.encode()
-        request.send_response(status)
+        if self.status:
+            request.close_connection = True
+            request.wfile.write(f"HTTP/1.1 {self.status} X\r\n".encode())
+        else:
+            request.send_response(status)
         if status == 503:
             request.send_header(f"{PREFIX}Not-Executed", "1")
         request.send_header(f"{PREFIX}Request-Id", request_id)
