Limit the extra copies of requests to a share that operators set

Requests at a server that is slower than others waited for its own 90th percentile before a second server got a copy, and copies were limited by the retry budget alone, which allows four times as many as operators want.

The setting extra_copies limits the copies that a host takes to a share of the clients' first attempts that it saw in the window of the retry budget, so that the limit holds for the sum of all hosts. A copy needs a free slot and is declined first without one. Bids say whether a copy is taken. Without the setting, hosts take copies as before. A copy is now due by the median of the asked servers' 90th percentiles if the own one is longer; this holds without the setting too.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -247,6 +247,7 @@
             tuple(self._crash_reports.values()),
             routed.sender,
             routed.organisation,
+            is_copy=output.is_hedge,
         )
         age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
         ports.events.put(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -44,6 +44,7 @@
     is_from_client: bool = False
     repeat_share: Probability = 0.0  # that a repeated run of a server sent it
     organisation: str = ""  # that sent the request; empty without one
+    is_copy: bool = False  # another attempt of the request is running
 
 
 class HopResult(NamedTuple):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -142,6 +142,7 @@
             hop.crash_reports,
             Sender(hop.is_from_client, hop.repeat_share),
             hop.organisation,
+            hop.is_copy,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -173,6 +173,7 @@
             submit.sender.is_client,
             submit.sender.repeat_share,
             submit.organisation,
+            submit.is_copy,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import math
 from collections.abc import Mapping
 
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
@@ -26,10 +27,13 @@
 from pimentobend_core._internal.forwarding.delivery_messages import Stop
 from pimentobend_core._internal.forwarding.delivery_messages import TimerDue
 from pimentobend_core._internal.forwarding.delivery_messages import WakeAt
+from pimentobend_core._internal.forwarding.holding import AskInterval
 from pimentobend_core._internal.forwarding.holding import Waiting
+from pimentobend_core._internal.forwarding.holding import find_busy_reason
 from pimentobend_core._internal.forwarding.holding import find_hold_reason
 from pimentobend_core._internal.forwarding.holding import hedge_delay_s
 from pimentobend_core._internal.forwarding.holding import max_hold_s
+from pimentobend_core._internal.forwarding.holding import usual_p90_s
 from pimentobend_core._internal.forwarding.recalls import Recalls
 from pimentobend_core._internal.forwarding.recalls import SubmittedAttempt
 from pimentobend_core._internal.forwarding.rejection import is_unservable
@@ -51,9 +55,6 @@
 from pimentobend_core._internal.request.dispatch import RetryPolicy
 
 MAX_REJECTIONS = 12  # rejected attempts after which the request is refused
-# Servers are asked for bids again at an interval that doubles each time.
-ASK_INTERVAL_S = 0.1
-MAX_ASK_INTERVAL_S = 0.8
 SERVER_ERROR = 500
 MS_PER_S = 1000
 
@@ -103,7 +104,8 @@
         self._ran = Ran.NOT_RUN  # as far as known from all attempts
         self._hedge_at: float | None = None
         self._next_ask_at: float | None = None
-        self._ask_interval_s = ASK_INTERVAL_S
+        self._ask_interval = AskInterval()
+        self._usual_p90_s = math.inf  # of the answer times at the servers asked last
         self._hold_reason: HoldReason | None = None
         self._wait_s = 0.0  # wait that the best server stated last
         self._is_stopping = False
@@ -187,6 +189,7 @@
         if self._phase is not _Phase.ASKING or self._is_stopping or self._blocked_s:
             return ()
         requirements = self._requirements(now)
+        self._usual_p90_s = usual_p90_s(each.bid for each in offers.candidates)
         selection = select_next(
             offers.candidates,
             requirements,
@@ -195,7 +198,7 @@
             is_repeat=self._is_repeat(),
         )
         if selection.best is None and selection.is_hedge_optional and offers.candidates:
-            return self._hold(HoldReason.BUSY, now)
+            return self._hold(find_busy_reason(selection), now)
         if offers.distance < Distance.FAR:
             next_distance = Distance(offers.distance + 1)
             if is_worth_asking(next_distance, selection.best, requirements):
@@ -238,7 +241,7 @@
         )
         self._hold_reason = reason
         if self._running:
-            self._hedge_at = self._schedule_ask(now)
+            self._hedge_at = now + self._ask_interval.take_s()
             return reports
         hold_s = max_hold_s(
             self._deadline - self._started_at,
@@ -247,15 +250,10 @@
         )
         if now >= self._started_at + hold_s:
             return self._end_with_failure(now)
-        self._next_ask_at = self._schedule_ask(now)
+        self._next_ask_at = now + self._ask_interval.take_s()
         self._rejected_by.clear()
         return reports
 
-    def _schedule_ask(self, now: float) -> float:
-        pause_s = self._ask_interval_s
-        self._ask_interval_s = min(MAX_ASK_INTERVAL_S, 2 * pause_s)
-        return now + pause_s
-
     def _send(self, candidate: Candidate, now: float) -> tuple[DeliveryOutput, ...]:
         self._phase = _Phase.WAITING
         is_hedge = bool(self._running)
@@ -280,7 +278,8 @@
     def _find_hedge_time(self, candidate: Candidate, now: float) -> float | None:
         if not self._may_hedge():
             return None
-        return now + hedge_delay_s(candidate.bid, self._target_s)
+        delay_s = hedge_delay_s(candidate.bid, self._usual_p90_s, self._target_s)
+        return now + delay_s
 
     def _may_hedge(self) -> bool:
         if not self._is_repeatable or not self._can_replay:
@@ -344,7 +343,7 @@
             return self._end_with_failure(now)
         if self._running:
             if self._may_hedge():
-                self._hedge_at = self._schedule_ask(now)
+                self._hedge_at = now + self._ask_interval.take_s()
             return ()
         if self._rejections >= MAX_REJECTIONS:
             return self._refuse(
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -88,6 +88,7 @@
     NO_SERVER = "no-server"
     BUDGET = "budget"  # no server has retry budget left
     BUSY = "busy"  # no server has a free slot for a hedge
+    COPIES = "extra-copies"  # no server takes an extra copy, under the operators' limit
     COST = "cost"  # the best server costs more than a hedge is worth
     RISK = "risk"  # it is not repeatable, and the best server is likely failing
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -46,6 +46,8 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
+from pimentobend_core._internal.forwarding.repeat_admission import BUDGET_REASONS
+from pimentobend_core._internal.forwarding.repeat_admission import find_budget_reason
 from pimentobend_core._internal.forwarding.senders import LocalRun
 from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
@@ -171,6 +173,7 @@
         slowdown = hosted.slowdown
         risk = hosted.liveness.risk(now)
         is_idle = hosted.liveness.idle_s(now) >= TRIAL_INTERVAL_S
+        state = self._budgets.count(hosted.server.service, now)
         return Bid(
             hosted.server.server_id,
             round(risk, 3),
@@ -178,19 +181,12 @@
             round(hosted.wait_s(route, now), 3),
             round(slowdown * durations.p90_s, 3),
             risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._budgets.count(hosted.server.service, now).allows_repeat,
+            state.allows_repeat,
             round(hosted.refusals.share(now), 2),
             durations.is_known,
+            state.copies.find_refusal(hosted.free_slots) is None,
         )
 
-    def _has_budget(self, service: str, record: AttemptRecord, now: float) -> bool:
-        """Return whether the retry budget covers an attempt."""
-        if record.submit.is_repeat:
-            return self._budgets.count(service, now).allows_repeat
-        if not record.repeat_share:
-            return True
-        return self._budgets.count(service, now).allows_call(record.repeat_share)
-
     def _submit(self, submit: Submit, now: float) -> tuple[HostOutput, ...]:
         if submit.attempt_id in self._records:
             return (DuplicateSubmission(submit.attempt_id),)
@@ -203,7 +199,7 @@
             self._records[submit.attempt_id] = record
             reason = reason or DeclineReason.NO_SERVER
             declined = self._decline(record, reason, now)
-            if hosted is not None and reason is DeclineReason.BUDGET:
+            if hosted is not None and reason in BUDGET_REASONS:
                 state = self._budgets.count(hosted.server.service, now)
                 declined = declined._replace(budget=state)
             return (*learnt, declined)
@@ -237,8 +233,10 @@
         crash_reason = self._find_crash_reason(submit, (*hosted.running, *queued), now)
         if crash_reason is not None:
             return crash_reason
-        if not self._has_budget(hosted.server.service, record, now):
-            return DeclineReason.BUDGET
+        state = self._budgets.count(hosted.server.service, now)
+        budget_reason = find_budget_reason(submit, state, hosted.free_slots)
+        if budget_reason is not None:
+            return budget_reason
         wait_s = hosted.wait_s(submit.route, now)
         if not self._has_time(hosted, submit, now + wait_s):
             return DeclineReason.FULL
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -50,12 +50,16 @@
         """Count the attempt with a budget until its end."""
         self.budget = budget
         budget.reserve(self.repeat_share)
+        if self.submit.is_copy:
+            budget.copies.reserve()
 
     def decline(self) -> None:
         """End an attempt that does not reach its server."""
         self.phase = Phase.ENDED
         if self.budget is not None:
             self.budget.release(self.repeat_share)
+            if self.submit.is_copy:
+                self.budget.copies.release()
 
     def end(self, now: float, *, has_arrived: bool) -> None:
         """End an attempt that was sent to its server."""
@@ -63,6 +67,8 @@
         if self.budget is None:
             return
         self.budget.note_ended(self.repeat_share, now)
+        if self.submit.is_copy:
+            self.budget.copies.note_ended(now)
         is_first = self.submit.sender.is_client and not self.submit.is_repeat
         if is_first and has_arrived:
             self.budget.note_first(self.submitted_at)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -32,6 +32,7 @@
     takes_repeats: bool = True  # the server's share of the retry budget is not spent
     refusal_share: float = 0.0  # share of recent attempts that the server refused unrun
     is_known: bool = True  # False if the answer time is a guess, for want of answers
+    takes_copies: bool = True  # a free slot takes an attempt beside a running one
 
 
 class Ask(NamedTuple):
@@ -67,6 +68,7 @@
     crash_reports: tuple[CrashReport, ...] = ()  # that its origin has learnt of
     sender: Sender = Sender()
     organisation: str = ""  # that sent the request; empty without one
+    is_copy: bool = False  # another attempt of the request is running
 
 
 class Withdraw(NamedTuple):
@@ -177,6 +179,9 @@
     DEADLINE = "deadline"
     WITHDRAWN = "withdrawn"
     BUDGET = "budget"  # the server's share of the retry budget is spent
+    # An extra copy, under the operators' limit, at a server without a free slot.
+    NO_FREE_SLOT = "no-free-slot"
+    EXTRA_COPIES = "extra-copies"  # the host's part of the operators' limit is spent
     CRASHES_SERVERS = "crashes-servers"  # the request is blocked
     # It may have crashed a server, and so may another one that runs here.
     SUSPECT = "suspect"
@@ -196,7 +201,7 @@
     reason: DeclineReason
     crash_reports: tuple[CrashReport, ...] = ()
     blocked_s: float = 0.0  # time until the end of the request's block
-    budget: BudgetState | None = None  # where the budget is spent
+    budget: BudgetState | None = None  # where a budget or limit is spent
 
 
 class ProbeServer(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -180,6 +180,7 @@
     best: ScoredCandidate | None
     is_hedge_optional: bool  # the server that runs the request seems healthy
     lacks_budget: bool  # there are servers, but none has retry budget left
+    lacks_copies: bool = False  # nor does any take an extra copy
 
 
 def select_next(
@@ -198,11 +199,15 @@
     # While the running server seems healthy, a queued hedge only lengthens a queue.
     is_optional = bool(running) and not seems_to_fail(running, candidates)
     affordable = select_for_repeat(candidates, may_queue=not is_optional)
-    best = select_cheapest(affordable, requirements, excluded)
-    lacks_budget = (
-        best is None and select_cheapest(candidates, requirements, excluded) is not None
-    )
-    return Selection(best, is_optional, lacks_budget)
+    taking = affordable
+    if running:
+        taking = tuple(each for each in affordable if each.bid.takes_copies)
+    best = select_cheapest(taking, requirements, excluded)
+    if best is not None:
+        return Selection(best, is_optional, lacks_budget=False)
+    lacks_copies = select_cheapest(affordable, requirements, excluded) is not None
+    lacks_budget = select_cheapest(candidates, requirements, excluded) is not None
+    return Selection(None, is_optional, lacks_budget, lacks_copies)
 
 
 def seems_to_fail(
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -10,6 +10,8 @@
 from typing import NamedTuple
 
 from pimentobend_core._internal.request.dispatch import RetryPolicy
+from pimentobend_core._internal.traffic.extra_copies import CopyCount
+from pimentobend_core._internal.traffic.extra_copies import CopyState
 from pimentobend_core._internal.traffic.retries import TokenBucket
 from pimentobend_core._internal.traffic.service_sizes import SizeHistory
 
@@ -33,6 +35,7 @@
     ratio: float  # repeats per first attempt
     window_s: float
     allowance: float  # repeats per window in addition to the ratio
+    copies_share: float | None = None  # extra copies per first attempt; None: no limit
 
 
 class BudgetState(NamedTuple):
@@ -43,6 +46,7 @@
     limit: float  # this host's part of the service's limit
     servers: int  # number of servers among which the allowance is divided
     age_s: float  # time for which this host has counted
+    copies: CopyState = CopyState()
 
     @property
     def allows_repeat(self) -> bool:
@@ -99,6 +103,12 @@
         self._pending = 0.0  # repeats that wait or run
         # When attempts ended, and the probability that they were repeats.
         self._ended: deque[tuple[float, float]] = deque()
+        self._copies = CopyCount(terms.copies_share, terms.window_s)
+
+    @property
+    def copies(self) -> CopyCount:
+        """Return the count of extra copies."""
+        return self._copies
 
     def note_first(self, submitted_at: float) -> None:
         """Record a client's first attempt that reached a server."""
@@ -131,7 +141,8 @@
         limit = self._terms.ratio * first
         if servers and age_s >= self._terms.window_s:
             limit += self._terms.allowance / servers
-        return BudgetState(first, repeats, limit, servers, age_s)
+        copies = self._copies.count(first, now)
+        return BudgetState(first, repeats, limit, servers, age_s, copies)
 
     def _drop_expired(self, begins_at: float) -> None:
         """Drop what came before the window that begins at ``begins_at``."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -27,6 +27,7 @@
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.ports import AttemptResult
+from pimentobend_core._internal.traffic.extra_copies import CopyState
 from pimentobend_core._internal.traffic.shared_budget import BudgetState
 
 MS_PER_S = 1000
@@ -171,6 +172,8 @@
                     ORDINARY: True,
                 }
                 self._counters.count("arrivals", _arrival_kind(detail))
+                if detail.is_copy:
+                    self._counters.count("copies")
             case Declined():
                 values = {
                     "reason": detail.reason.value,
@@ -239,8 +242,15 @@
         "limit": round(state.limit, 1),
         "servers": state.servers,
         "counted_for_s": round(state.age_s, 1),
+        **_describe_copies(state.copies),
     }
 
 
+def _describe_copies(state: CopyState) -> dict[str, Any]:
+    if not state.is_limited:
+        return {}
+    return {"copies": state.copies, "copies_limit": round(state.limit, 1)}
+
+
 def _ms(seconds: float) -> float:
     return round(seconds * MS_PER_S, 1)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -62,6 +62,7 @@
                 "allowance": NumberCheck(0, 1_000_000),
             }
         ),
+        "extra_copies": ObjectCheck({"share": NumberCheck(0, 10)}),
     },
 )
 DEFAULT_HEARTBEAT_S = 2.0
@@ -179,7 +180,10 @@
     folder = values.get("data_folder")
     beside = values.get("beside")
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
-    budget = values.get("retry_budget")
+    budget = DEFAULT_BUDGET._replace(
+        **values.get("retry_budget", {}),
+        copies_share=values.get("extra_copies", {}).get("share"),
+    )
     metrics_port = listen.get("metrics_port")
     return FleetSettings(
         instance=values["instance"],
@@ -200,5 +204,5 @@
         data_folder=pathlib.Path(folder) if folder else None,
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
-        budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        budget=budget,
     )
--- a/tests/lib/delivery_driver.py
+++ b/tests/lib/delivery_driver.py
@@ -45,11 +45,21 @@
     distance: Distance = Distance.DATA_CENTRE,
     *,
     takes_repeats: bool = True,
+    takes_copies: bool = True,
     wants_trial: bool = False,
     free_slots: int = 3,
 ) -> Candidate:
     wait_s = 0.0 if free_slots else 0.1
-    bid = Bid(name, risk, free_slots, wait_s, 0.2, wants_trial, takes_repeats)
+    bid = Bid(
+        name,
+        risk,
+        free_slots,
+        wait_s,
+        0.2,
+        wants_trial,
+        takes_repeats,
+        takes_copies=takes_copies,
+    )
     return Candidate(PEER, bid, distance)
 
 
--- a/tests/lib/played_fleet.py
+++ b/tests/lib/played_fleet.py
@@ -54,6 +54,7 @@
 
 TICK_S = 0.1
 MAX_RETURNS = 3
+SLOWNESS = 8.0
 SERVICE = "work"
 _END_KINDS = {
     EndKind.GOOD: (AttemptKind.ANSWERED, 200),
@@ -70,6 +71,7 @@
     FAILING = "failing"  # answers most requests with an error at once
     HANGING = "hanging"  # never answers
     SHEDDING = "shedding"  # refuses most requests
+    SLOW = "slow"  # takes SLOWNESS times as long
 
 
 class Load(NamedTuple):
@@ -86,6 +88,8 @@
     is_repeatable: bool = False
     body_bytes: int = 0
     condition: Callable[[int, float], Condition] = lambda server, now: Condition.SOUND
+    copies_share: float | None = None  # the operators' limit on extra copies
+    straggler_share: float = 0.0  # requests that take SLOWNESS times as long anywhere
 
 
 class Outcome(NamedTuple):
@@ -97,6 +101,9 @@
     failed: int
     waited_s: float  # mean time until a caller that got no answer knew it
     far_share: float  # share of the attempts that left their zone
+    p50_s: float = 0.0  # of the answers
+    p99_s: float = 0.0
+    copy_share: float = 0.0  # extra copies that servers began, for each request
 
     @property
     def requests(self) -> int:
@@ -118,7 +125,7 @@
         self.generation = 0
         self.delivery: Any = None
         self.attempts: dict[int, tuple[str, int]] = {}
-        self.status = 0
+        self.statuses: dict[int, int] = {}  # by number of the attempt
         self.wake_at = 0.0
 
 
@@ -134,7 +141,9 @@
         self._attempt_owner: dict[str, tuple[_Request, int]] = {}
         self._counts: Counter[str] = Counter()
         self._unserved_waits: list[float] = []
-        terms = BudgetTerms(0.2, 10.0, 60.0)
+        self._answer_times: list[float] = []
+        self._copies: set[str] = set()
+        terms = BudgetTerms(0.2, 10.0, 60.0, load.copies_share)
         count = load.zones * load.servers_per_zone
         self._hosts = [ServerHost(number, terms) for number in range(count)]
         self._budgets = [OriginBudget() for _ in range(load.zones)]
@@ -190,8 +199,15 @@
             counts["failed"],
             sum(waits) / max(1, len(waits)),
             counts["far"] / sends,
+            self._percentile(50),
+            self._percentile(99),
+            counts["copies"] / max(1, counts["requests"]),
         )
 
+    def _percentile(self, percent: int) -> float:
+        times = sorted(self._answer_times)
+        return times[len(times) * percent // 100] if times else 0.0
+
     def _row(self, number: int) -> PeerRow:
         zone = number // self._load.servers_per_zone
         return PeerRow(
@@ -243,7 +259,7 @@
                     attempt_id, number = request.attempts[output.number]
                     self._run_host(number, Withdraw(attempt_id))
                 case Deliver():
-                    self._end(request, is_served=request.status == 200)
+                    self._end(request, is_served=request.statuses[output.number] == 200)
                 case Refuse():
                     self._handle_refusal(request, output)
                 case WakeAt():
@@ -290,7 +306,9 @@
             deadline,
             is_repeat=send.is_repeat,
             sender=Sender(is_client=True),
+            is_copy=send.is_hedge,
         )
+        self._copies.update({attempt_id} if send.is_hedge else ())
         self._at(self._now, lambda: self._run_host(number, submit))
 
     def _run_host(self, number: int, message: Any) -> None:
@@ -311,6 +329,12 @@
         condition = load.condition(number, self._now)
         chance = self._random.random()
         work_s = load.work_s * self._random.lognormvariate(0.0, 0.3)
+        self._counts["copies"] += attempt_id in self._copies
+        is_slow = condition is Condition.SLOW
+        if load.straggler_share:
+            is_slow = is_slow or self._random.random() < load.straggler_share
+        if is_slow:
+            work_s *= SLOWNESS
         kind = EndKind.GOOD
         if condition is Condition.HANGING:
             request, _ = self._attempt_owner[attempt_id]
@@ -333,7 +357,7 @@
         request, number = self._attempt_owner[attempt_id]
         if attempt_id.split(".")[1] != str(request.generation):
             return
-        request.status = status
+        request.statuses[number] = status
         self._give(request, AttemptDone(number, kind, status))
 
     def _tick(self) -> None:
@@ -357,9 +381,11 @@
         self, request: _Request, *, is_served: bool, is_refused: bool = False
     ) -> None:
         took_s = self._now - request.started_at
+        self._counts["requests"] += 1
         if is_served:
             is_in_time = took_s <= self._load.target_s
             self._counts["in_time" if is_in_time else "late"] += 1
+            self._answer_times.append(took_s)
             return
         self._unserved_waits.append(took_s)
         self._counts["refused" if is_refused else "failed"] += 1
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -25,6 +25,7 @@
     },
     "beside": {"service": "s", "address": "10.0.0.1:6"},
     "retry_budget": {"ratio": 0.2, "window_s": 10, "allowance": 56},
+    "extra_copies": {"share": 0.05},
 }
 
 
@@ -49,6 +50,12 @@
         changed(retry_budget={"ratio": "x"}),
         ["retry_budget.ratio"],
     ),
+    (
+        "a share of extra copies below 0",
+        changed(extra_copies={"share": -0.1}),
+        ["extra_copies.share"],
+    ),
+    ("extra copies without a share", changed(extra_copies={}), ["extra_copies.share"]),
 ]
 
 
@@ -68,4 +75,11 @@
     assert settings.link == "10.0.0.1:7600"
     assert settings.metrics == ("10.0.0.1", 5)
     assert settings.budget.allowance == 56
+    assert settings.budget.copies_share == 0.05
     assert not settings.first_start
+
+
+@pytest.mark.parametrize("budget", [GOOD["retry_budget"], ...])
+def test_extra_copies_are_not_limited_by_default(budget: Any) -> None:
+    text = changed(extra_copies=..., retry_budget=budget)
+    assert parse_fleet_settings(text, "file").budget.copies_share is None
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -9,7 +9,6 @@
 from delivery_driver import Driver
 from delivery_driver import candidate
 
-from pimentobend_core._internal.forwarding.delivery import MAX_ASK_INTERVAL_S
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import CancelAttempt
 from pimentobend_core._internal.forwarding.delivery_messages import Deliver
@@ -17,6 +16,11 @@
 from pimentobend_core._internal.forwarding.delivery_messages import HoldReason
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
+from pimentobend_core._internal.forwarding.holding import MAX_ASK_INTERVAL_S
+from pimentobend_core._internal.forwarding.holding import MIN_HEDGE_DELAY_S
+from pimentobend_core._internal.forwarding.holding import hedge_delay_s
+from pimentobend_core._internal.forwarding.holding import usual_p90_s
+from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.models.request import AttemptKind
@@ -132,6 +136,15 @@
     assert sent.candidate.server_id == chosen
 
 
+def test_a_retry_is_no_extra_copy() -> None:
+    driver = Driver(SAFE)
+    driver.offer(candidate("a"))
+    driver.end(1, AttemptKind.ANSWERED, 500)
+    (sent,) = driver.offer(candidate("b", takes_copies=False))
+    assert isinstance(sent, SendAttempt)
+    assert (sent.is_hedge, sent.is_repeat) == (False, True)
+
+
 @pytest.mark.parametrize("case", [UNSAFE, Case(max_attempts=1), Case(can_replay=False)])
 def test_which_requests_are_never_hedged(case: Case) -> None:
     driver = Driver(case)
@@ -207,6 +220,36 @@
     assert asked[-1].distance is furthest
 
 
+DELAYS = [  # own wait and 90th percentile, those of others, target, expected delay
+    ("alone", (0.0, 0.2), (), 0.0, 0.24),
+    ("after its wait", (0.1, 0.2), (), 0.0, 0.34),
+    ("quick", (0.0, 0.01), (), 0.0, MIN_HEDGE_DELAY_S),
+    ("target", (0.0, 2.0), (), 1.0, 0.5),
+    ("slower than usual", (0.0, 1.6), (0.2, 0.2, 0.3), 0.0, 0.24),
+    ("faster than usual", (0.0, 0.1), (0.2, 0.2, 0.3), 0.0, 0.12),
+    ("as slow as most", (0.0, 1.6), (0.2, 1.5, 1.7), 0.0, 1.8),
+    ("the others are guesses", (0.0, 1.6), (-0.2, -0.2, -0.3), 0.0, 1.92),
+]
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "target_s", "expected_s"),
+    [d[1:] for d in DELAYS],
+    ids=[d[0] for d in DELAYS],
+)
+def test_a_hedge_is_due_by_the_usual_time(
+    own: tuple[float, float],
+    others: tuple[float, ...],
+    target_s: float,
+    expected_s: float,
+) -> None:
+    """At a slow server, a hedge that was due by its own times came too late."""
+    bid = Bid("a", 0.0, 3, *own)
+    bids = [Bid("b", 0.0, 3, 0.0, abs(p90_s), is_known=p90_s > 0) for p90_s in others]
+    delay_s = hedge_delay_s(bid, usual_p90_s([bid, *bids]), target_s)
+    assert delay_s == pytest.approx(expected_s)
+
+
 HOLDS = [
     ("no server", UNSAFE, (), HoldReason.NO_SERVER, False),
     ("at risk", UNSAFE, (candidate("b", risk=0.9),), HoldReason.RISK, False),
@@ -218,6 +261,20 @@
         True,
     ),
     ("busy", SAFE, (candidate("b", free_slots=0),), HoldReason.BUSY, True),
+    (
+        "no copies",
+        SAFE,
+        (candidate("a"), candidate("b", takes_copies=False)),
+        HoldReason.COPIES,
+        True,
+    ),
+    (
+        "no copies beside a failing server",
+        SAFE,
+        (candidate("a", risk=0.9), candidate("b", takes_copies=False)),
+        HoldReason.COPIES,
+        True,
+    ),
     (
         "too costly",
         SAFE,
