--- a/packages/core/src/pimentobend_core/_internal/request/dispatch.py
+++ b/packages/core/src/pimentobend_core/_internal/request/dispatch.py
@@ -27,6 +27,11 @@
 class RetryPolicy(abc.ABC):
     """Retry budget of the pools: decides whether one more attempt is allowed."""
 
+    @property
+    def limits_copies(self) -> bool:
+        """Return whether operators limit extra copies, which are then sent sooner."""
+        return False
+
     @abc.abstractmethod
     def may_retry(self, pool: str, now: float) -> bool:
         """Spend one retry of the pool's budget at ``now`` (seconds) if any is left."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -205,7 +205,7 @@
             self.bid_collector,
             self.host,
             PeerClient(clock, link),
-            OriginBudget(),
+            OriginBudget(limits_copies=settings.budget.copies_share is not None),
             clock,
             ports.forwarding,
             lambda: str(Version(*tables.current()[:2])),
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -63,6 +63,7 @@
             }
         ),
         "strict_revoke": ObjectCheck({"revoke_s": NumberCheck(1, MAX_SECONDS)}),
+        "extra_copies": ObjectCheck({"share": NumberCheck(0, 10)}),
     },
 )
 DEFAULT_HEARTBEAT_S = 2.0
@@ -183,7 +184,10 @@
     folder = values.get("data_folder")
     beside = values.get("beside")
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
-    budget = values.get("retry_budget")
+    budget = DEFAULT_BUDGET._replace(
+        **values.get("retry_budget", {}),
+        copies_share=values.get("extra_copies", {}).get("share"),
+    )
     metrics_port = listen.get("metrics_port")
     strict_revoke = values.get("strict_revoke")
     return FleetSettings(
@@ -205,6 +209,6 @@
         data_folder=pathlib.Path(folder) if folder else None,
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
-        budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        budget=budget,
         revoke_s=strict_revoke["revoke_s"] if strict_revoke else None,
     )
