--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -7,7 +7,9 @@
 import itertools
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 from typing import NamedTuple
 
@@ -35,7 +37,8 @@
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
 }
-ASK_LIMITS = {  # maximum number of daemons asked at once
+# Maximum number of daemons whose bids a request considers; fresh ones count.
+ASK_LIMITS = {
     Distance.DATA_CENTRE: 6,
     Distance.REGION: 2,
     Distance.FAR: 2,
@@ -120,11 +123,15 @@
             if find_distance(own_row, row) <= distance and self._may_serve(row, service)
         ]
         now = self._clock.now()
-        stale = [
-            row for row in rows if self._is_stale(own_row, row, service, route, now)
-        ]
+        stale: list[PeerRow] = []
+        fresh: Counter[Distance] = Counter()
+        for row in rows:
+            if self._is_stale(own_row, row, service, route, now):
+                stale.append(row)
+            elif not self._is_doubtful(row, service, now):
+                fresh[find_distance(own_row, row)] += 1
         chosen = _sample(
-            own_row, stale, lambda row: self._is_doubtful(row, service, now)
+            own_row, stale, fresh, lambda row: self._is_doubtful(row, service, now)
         )
         self._ask_all(chosen, service, route, distance)
         now = self._clock.now()
@@ -142,7 +149,11 @@
     def handle_ask(self, frame: Frame) -> None:
         """Answer another daemon's question; raise ``CodecError`` if it is malformed."""
         ask = decode(frame.payload, Ask)
-        eventlet.spawn_n(self._answer, frame.sender, ask)
+        # A new token is needed: daemons choose theirs independently.
+        self._host.ask(
+            ask._replace(token=next(self._tokens)),
+            lambda bids: self._answer(frame.sender, bids._replace(token=ask.token)),
+        )
 
     def handle_bids(self, frame: Frame) -> None:
         """Store another daemon's bids; raise ``CodecError`` if they are malformed."""
@@ -179,7 +190,7 @@
             self._rounds[ask.token] = (pending, row.address, ask)
             tokens.append(ask.token)
             if row.address == own_address:
-                eventlet.spawn_n(self._ask_self, ask)
+                self._host.ask(ask, lambda bids: self._store(own_address, bids))
             else:
                 self._link.send(row.address, KIND_ASK, encode(ask))
         with eventlet.Timeout(TIMEOUTS_S[distance], False):
@@ -195,17 +206,8 @@
         if misses >= UNREACHABLE_AFTER:
             self._on_unreachable(address)
 
-    def _ask_self(self, ask: Ask) -> None:
-        bids = self._host.ask(ask)
-        if bids is not None:
-            self._store(self._link.address, bids)
-
-    def _answer(self, sender: str, ask: Ask) -> None:
-        # A new token is needed: daemons choose theirs independently.
-        bids = self._host.ask(ask._replace(token=next(self._tokens)))
-        if bids is not None:
-            reply = bids._replace(token=ask.token)
-            self._link.send(sender, KIND_BIDS, encode(reply))
+    def _answer(self, sender: str, bids: Bids) -> None:
+        self._link.send(sender, KIND_BIDS, encode(bids))
 
     def _store(self, sender: str, bids: Bids) -> None:
         self._unanswered.pop(sender, None)
@@ -241,16 +243,20 @@
 
 
 def _sample(
-    own_row: PeerRow, rows: list[PeerRow], is_doubtful: Callable[[PeerRow], bool]
+    own_row: PeerRow,
+    rows: list[PeerRow],
+    fresh: Mapping[Distance, int],
+    is_doubtful: Callable[[PeerRow], bool],
 ) -> list[PeerRow]:
     """Pick daemons to ask at random, up to the limit for each distance.
 
-    Daemons with failing servers are picked only where the limit leaves room.
+    ``fresh`` is the number of usable bids that are known already. Daemons with
+    failing servers are picked only where the limit leaves room.
     """
     chosen: list[PeerRow] = []
     for distance, limit in ASK_LIMITS.items():
         candidates = [row for row in rows if find_distance(own_row, row) is distance]
         random.shuffle(candidates)
         candidates.sort(key=is_doubtful)
-        chosen.extend(candidates[:limit])
+        chosen.extend(candidates[: max(0, limit - fresh.get(distance, 0))])
     return chosen
--- a/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/selection.py
@@ -26,13 +26,18 @@
 
 # All costs are shares of the value of a request.
 CROSSING_COSTS = {
-    Distance.DATA_CENTRE: CrossingCost(0.0, 0.0),
     Distance.REGION: CrossingCost(0.04, 0.04),
     Distance.FAR: CrossingCost(0.31, 0.04),
 }
 OVERHEAD_KB = 1.0  # heads, questions and a small answer of a request
-# A larger request costs no more, so that it still leaves a server that fails it.
+# A larger request costs no more by the size, so that it still leaves a server that
+# fails it.
 MAX_BILLED_KB = 4.0
+# A large body also holds up the other requests on the links of both machines: at a
+# few Mbit/s, 60 KB take 0.1 s of each. Such a body leaves its data centre only where
+# a server there would probably lose it or answer late.
+BULK_COST = 0.4
+BULK_KB = 60.0  # body that costs all of it; smaller ones cost their part
 BYTES_PER_KB = 1000
 MIN_RISK = 0.02  # risk of a server that answered a moment ago
 REPEATABLE_RISK_COST = 0.2  # cost of a failure after which a retry is possible
@@ -88,11 +93,15 @@
 
     def distance_cost(self, distance: Distance) -> float:
         """Return the cost of the traffic to a server, as a share of the value."""
-        size_kb = MAX_BILLED_KB
+        if distance is Distance.DATA_CENTRE:
+            return 0.0
+        body_kb = BULK_KB
         if self.body_bytes is not None:
-            size_kb = min(size_kb, OVERHEAD_KB + self.body_bytes / BYTES_PER_KB)
+            body_kb = self.body_bytes / BYTES_PER_KB
         cost = CROSSING_COSTS[distance]
-        return cost.base + cost.per_kb * size_kb
+        size_kb = min(MAX_BILLED_KB, OVERHEAD_KB + body_kb)
+        bulk = min(1.0, max(0.0, body_kb - MAX_BILLED_KB) / (BULK_KB - MAX_BILLED_KB))
+        return cost.base + cost.per_kb * size_kb + BULK_COST * bulk
 
 
 def find_distance(own: PeerRow, peer: PeerRow) -> Distance:
@@ -180,6 +189,7 @@
     best: ScoredCandidate | None
     is_hedge_optional: bool  # the server that runs the request seems healthy
     lacks_budget: bool  # there are servers, but none has retry budget left
+    lacks_copies: bool = False  # nor does any take an extra copy
 
 
 def select_next(
@@ -198,11 +208,15 @@
     # While the running server seems healthy, a queued hedge only lengthens a queue.
     is_optional = bool(running) and not seems_to_fail(running, candidates)
     affordable = select_for_repeat(candidates, may_queue=not is_optional)
-    best = select_cheapest(affordable, requirements, excluded)
-    lacks_budget = (
-        best is None and select_cheapest(candidates, requirements, excluded) is not None
-    )
-    return Selection(best, is_optional, lacks_budget)
+    taking = affordable
+    if running:
+        taking = tuple(each for each in affordable if each.bid.takes_copies)
+    best = select_cheapest(taking, requirements, excluded)
+    if best is not None:
+        return Selection(best, is_optional, lacks_budget=False)
+    lacks_copies = select_cheapest(affordable, requirements, excluded) is not None
+    lacks_budget = select_cheapest(candidates, requirements, excluded) is not None
+    return Selection(None, is_optional, lacks_budget, lacks_copies)
 
 
 def seems_to_fail(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -58,6 +58,7 @@
 from pimentobend_core._internal.ports import ProofPort
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.request.stages import Received
@@ -204,7 +205,7 @@
             self.bid_collector,
             self.host,
             PeerClient(clock, link),
-            OriginBudget(),
+            OriginBudget(limits_copies=settings.budget.copies_share is not None),
             clock,
             ports.forwarding,
             lambda: str(Version(*tables.current()[:2])),
@@ -215,6 +216,7 @@
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
             .then(_create_routing(tables, ports.proof, clock))
+            .then(OrganisationFilter(tables, names.organisation))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
