Accept requests without a key only from the daemon's own address

Where tables hold organisations, a program that connected from 127.0.0.1 to a daemon at another loopback address was taken for a backend server of that machine, and its requests ran without a key. Several simulated machines share 127.0.0.1, so the rule now is that both ends of the connection have one address. A program that connects to an address of its own machine has that address as well.

The test of connections stated the earlier rule for 127.0.0.1; it now expects the stricter one, and a functional test sends from both addresses.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/credentials.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/credentials.py
@@ -7,9 +7,6 @@
 from pimentobend_core._internal.utils.api_keys import digest_key
 
 AUTHORIZATION = "authorization"
-# The addresses by which programs reach the machine that they run on. Others of
-# 127.0.0.0/8 do not count, as tests give one to each simulated machine.
-_LOOPBACK = frozenset(("127.0.0.1", "::1", "::ffff:127.0.0.1"))
 _BEARER = re.compile(r"bearer +([!-~]+)", re.IGNORECASE)
 # A key has no such character, so the digest of a malformed value is that of no key.
 _MALFORMED = "\0"
@@ -47,11 +44,13 @@
 
 
 def is_from_this_machine(environ: dict[str, Any]) -> bool:
-    """Return whether a connection comes from the machine of its listener."""
+    """Return whether a connection comes from the address at which it arrived.
+
+    Programs that connect to an address of their own machine have that address too.
+    Other loopback addresses do not count, as several simulated machines share them.
+    """
     remote = environ.get("REMOTE_ADDR")
-    if not remote:
-        return False
-    return remote in _LOOPBACK or remote == environ.get("SERVER_NAME")
+    return bool(remote) and remote == environ.get("SERVER_NAME")
 
 
 def _is_credentials(name: str) -> bool:
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -62,9 +62,11 @@
         yield running
 
 
-def send(fleet: Fleet, process: Process, case: Case) -> tuple[int, dict[str, str]]:
-    """Send a request from another machine; return the status and the headers."""
-    source = (f"127.{fleet.block}.0.200", 0)
+def send(
+    fleet: Fleet, process: Process, case: Case, sender: str = ""
+) -> tuple[int, dict[str, str]]:
+    """Send a request, by default from another machine; return status and headers."""
+    source = (sender or f"127.{fleet.block}.0.200", 0)
     address = process.address(8400)
     connection = http.client.HTTPConnection(address, timeout=12, source_address=source)
     headers = {"Host": "a.example", f"{PREFIX}Request-Id": next(REQUEST_IDS)}
@@ -110,12 +112,19 @@
         assert "authorization" not in head
 
 
-def test_a_call_of_a_local_server_needs_no_key(fleet: Fleet) -> None:
-    answer = fleet.instances[0].request("/look/1", request_id="call")
-    assert answer.status == 200
-    head = head_seen(fleet, "call")
-    assert head is not None
-    assert TENANT.lower() not in head
+@pytest.mark.parametrize("is_own", [True, False], ids=["own address", "127.0.0.1"])
+def test_only_calls_from_the_own_address_need_no_key(
+    fleet: Fleet, is_own: bool
+) -> None:
+    """Guard against keyless requests that run, and against refused calls."""
+    process = fleet.instances[0]
+    case = CASES[5]
+    status, headers = send(fleet, process, case, process.ip if is_own else "127.0.0.1")
+    assert status == (200 if is_own else 401)
+    head = head_seen(fleet, headers[f"{PREFIX}Request-Id".lower()])
+    assert (head is not None) == is_own
+    if head is not None:
+        assert TENANT.lower() not in head
 
 
 def patch(fleet: Fleet, change: dict[str, Any], base: int) -> tuple[int, bytes]:
--- a/tests/unit/http/test_credentials.py
+++ b/tests/unit/http/test_credentials.py
@@ -50,7 +50,8 @@
     ("10.1.0.5", "10.1.0.5", True),
     ("10.1.0.6", "10.1.0.5", False),
     ("127.0.0.1", "127.0.0.1", True),
-    ("127.0.0.1", "127.9.0.3", True),
+    ("127.0.0.1", "127.9.0.3", False),
+    ("::1", "fd00::5", False),
     ("127.9.0.4", "127.9.0.3", False),
     ("127.9.0.3", "127.9.0.3", True),
     ("::1", "::1", True),
@@ -62,6 +63,7 @@
 
 @pytest.mark.parametrize(("remote", "local", "expected"), LOCAL)
 def test_connections_of_this_machine(remote: str, local: str, expected: bool) -> None:
+    """Guard against keyless requests that run because of any loopback address."""
     assert is_from_this_machine(make_environ(remote, local)) == expected
 
 
--- a/tests/unit/platform/test_tenants.py
+++ b/tests/unit/platform/test_tenants.py
@@ -154,6 +154,7 @@
     ("a name with a line end", "0.0", "t\r\nX: 1", "name"),
     ("a name with a space at its end", "0.0", "t ", "name"),
     ("a long name", "0.0", "t" * 129, "128"),
+    ("a key in the place of a name", "0.0", "secret\tkey", "10 characters"),
     ("a name that is used", "0.0", "t1", "t1"),
     ("a key that is shared", "1.1", ["secret-1"], "tenants t0 and t1"),
     ("a key with a space", "0.1", ["secret key"], "t0: API key 1"),
