Name the key's organisation in request log lines, and list organisations

On both interfaces, the log line of a request named the organisation that the client claimed in its header, also where its key was another's or unknown. The front now asks the tables in force, by the key's digest, for refusals as well. A lookup by an empty digest raised an error if its bucket was empty; it finds nothing now.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -46,6 +46,8 @@
     caller_service: str = ""  # the service on this machine that sends the requests
     limits: Callable[[], ClientLimits | None] = lambda: None
     watches_callers: bool = False  # end a request once its caller disconnects
+    # Returns the organisation that events name as a request's sender.
+    name_sender: Callable[[RequestHead], str] = lambda head: head.organisation
 
 
 class ProcessEndingError(AdapterError):
@@ -185,7 +187,7 @@
         self._events.put(
             RequestEnded(
                 request_id=head.request_id,
-                organisation=head.organisation,
+                organisation=self._options.name_sender(head),
                 method=head.method,
                 path=head.path,
                 status=status,
--- a/packages/client/src/pimentobend/_internal/commands/diff.py
+++ b/packages/client/src/pimentobend/_internal/commands/diff.py
@@ -10,10 +10,20 @@
 from pimentobend._internal.command import print_result
 from pimentobend._internal.files import read_tables
 from pimentobend._internal.status import Status
+from pimentobend_core._internal.models.tables import OrganisationRow
+from pimentobend_core._internal.models.tables import PoolRow
+from pimentobend_core._internal.models.tables import RouteRow
+
+_COLUMNS = {
+    "routes": RouteRow.__annotations__.keys(),
+    "pools": PoolRow.__annotations__.keys(),
+    "organisations": OrganisationRow.__annotations__.keys(),
+}
+_SECRET_COLUMNS = frozenset(("api_keys",))
 
 
 class Difference(NamedTuple):
-    """A route or pool that differs: ``kind`` is "added", "removed" or "changed"."""
+    """A row that differs: ``kind`` is "added", "removed" or "changed"."""
 
     kind: str
     table: str
@@ -22,7 +32,7 @@
 
 
 class DiffCommand(Command):
-    """Lists the routes and pools that ``apply`` would add, remove and change."""
+    """Lists the rows that ``apply`` would add, remove and change."""
 
     usage = "pimentobend diff [--json] FILE"
     summary = "compare a tables file with the tables in force"
@@ -36,6 +46,11 @@
         found = [
             *compare_rows("routes", current["routes"], wanted["routes"]),
             *compare_rows("pools", current["pools"], wanted["pools"]),
+            *compare_rows(
+                "organisations",
+                current.get("organisations", []),
+                wanted.get("organisations", []),
+            ),
         ]
         lines = [f"{d.kind} {d.table} {d.name} {d.detail}".rstrip() for d in found]
         document = {
@@ -49,7 +64,10 @@
 def compare_rows(
     table: str, current: Sequence[Any], wanted: Sequence[Any]
 ) -> Iterator[Difference]:
-    """Match the routes or pools of two tables by name and yield the differences."""
+    """Match the rows of two tables by name and yield the differences.
+
+    Only columns that tables files may have are compared.
+    """
     before = {row["name"]: row for row in current}
     after = {row["name"]: row for row in wanted}
     for name in sorted(before.keys() | after.keys()):
@@ -57,13 +75,19 @@
             yield Difference("added", table, name, "")
         elif name not in after:
             yield Difference("removed", table, name, "")
-        elif before[name] != after[name]:
-            yield Difference("changed", table, name, _detail(before[name], after[name]))
+        elif detail := _detail(table, before[name], after[name]):
+            yield Difference("changed", table, name, detail)
 
 
-def _detail(before: Any, after: Any) -> str:
+def _detail(table: str, before: Any, after: Any) -> str:
     return ", ".join(
-        f"{key}: {before.get(key)} -> {after.get(key)}"
-        for key in sorted(before.keys() | after.keys())
-        if before.get(key) != after.get(key)
+        _describe(column, before.get(column), after.get(column))
+        for column in sorted(_COLUMNS[table])
+        if before.get(column) != after.get(column)
     )
+
+
+def _describe(column: str, before: object, after: object) -> str:
+    if column in _SECRET_COLUMNS:
+        return f"{column} differ"
+    return f"{column}: {before} -> {after}"
--- a/packages/core/src/pimentobend_core/_internal/compact/key_index.py
+++ b/packages/core/src/pimentobend_core/_internal/compact/key_index.py
@@ -34,6 +34,8 @@
 
     def find(self, key_digest: bytes) -> int | None:
         """Return the position of the organisation that holds a key, or None."""
+        if not key_digest:
+            return None
         bucket = self._buckets[_number(key_digest)]
         place = _search(bucket, key_digest)
         if bucket[place : place + DIGEST_BYTES] != key_digest:
--- a/packages/core/src/pimentobend_core/_internal/request/organisation.py
+++ b/packages/core/src/pimentobend_core/_internal/request/organisation.py
@@ -8,6 +8,7 @@
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import TablesPort
@@ -61,6 +62,18 @@
         )
 
 
+def name_sender(tables: TablesPort, head: RequestHead) -> str:
+    """Return the organisation that logs name as a request's sender.
+
+    It is the holder of the request's key, and empty without a known key. While the
+    tables hold no organisations, it is the one that the request states.
+    """
+    if not tables.current().organisations:
+        return head.organisation
+    organisation = tables.find_organisation(head.api_key_digest)
+    return "" if organisation is None else organisation.name
+
+
 def _normalise(name: str) -> str:
     """Return a name in the form that servers compare; many take ``_`` for ``-``."""
     return name.lower().replace("_", "-")
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -9,6 +9,7 @@
 from pimentobend_adapters._internal.health import HealthTasks
 from pimentobend_adapters._internal.http.backend import BackendClient
 from pimentobend_adapters._internal.http.front import CallerFront
+from pimentobend_adapters._internal.http.front import FrontOptions
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.transport import Transport
@@ -36,6 +37,7 @@
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.models.tables import Tables
 from pimentobend_core._internal.ports import LedgerPort
+from pimentobend_core._internal.request.organisation import name_sender
 from pimentobend_core._internal.request.pipe import RequestPorts
 from pimentobend_core._internal.request.pipe import build_request_pipe
 from pimentobend_core._internal.traffic.policy import BudgetedRetries
@@ -134,7 +136,8 @@
                 suspects=self.suspects,
             )
         )
-        self.front = CallerFront(pipe, clock, events)
+        options = FrontOptions(name_sender=lambda head: name_sender(tables, head))
+        self.front = CallerFront(pipe, clock, events, options)
         self._callers = HttpServer(settings.callers, self.front)
         self._servers = HttpServer(
             settings.servers,
--- a/tests/unit/compact/test_organisations.py
+++ b/tests/unit/compact/test_organisations.py
@@ -52,6 +52,7 @@
         table, model = table.change(put, removed), wanted
         assert sorted(earlier, key=lambda row: row.name) == rows_before
         assert len(table) == len(model)
+        assert table.find(b"") is None
         assert {row.name: row for row in table} == model
         holders = dict(pairs)
         for key in KEYS:
--- a/tests/unit/request/test_organisation.py
+++ b/tests/unit/request/test_organisation.py
@@ -13,6 +13,7 @@
 from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.request.organisation import OrganisationFilter
+from pimentobend_core._internal.request.organisation import name_sender
 from pimentobend_core._internal.request.stages import Routed
 from pimentobend_core._internal.utils.api_keys import digest_key
 
@@ -87,6 +88,15 @@
     assert found.priority == case.priority
 
 
+@pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
+def test_logs_name_the_holder_of_the_key(case: Case) -> None:
+    """Guard against log lines that name the organisation that a client claims."""
+    routed = make_routed(case)
+    tables = FakeTables(routed.route, ORGANISATIONS)
+    assert name_sender(tables, routed.head) == (case.organisation or "")
+    assert name_sender(FakeTables(routed.route), routed.head) == "org"
+
+
 @pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
 def test_tables_without_organisations_pass_each_request_unchanged(case: Case) -> None:
     routed = make_routed(case)
