--- a/packages/core/src/pimentobend_core/_internal/configuration/history.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/history.py
@@ -25,9 +25,14 @@
             self.clear()
         self._deltas.append(delta)
         self._rows += count_rows(delta)
-        while len(self._deltas) > MAX_DELTAS or self._rows > MAX_ROWS:
+        # The newest delta is kept whatever its size, as whole tables may be too large
+        # for a frame, and a delta is not.
+        while len(self._deltas) > 1 and self._is_too_long():
             self._rows -= count_rows(self._deltas.popleft())
 
+    def _is_too_long(self) -> bool:
+        return len(self._deltas) > MAX_DELTAS or self._rows > MAX_ROWS
+
     def clear(self) -> None:
         """Discard all deltas."""
         self._deltas.clear()
--- a/tests/unit/interfaces/test_frames.py
+++ b/tests/unit/interfaces/test_frames.py
@@ -10,6 +10,12 @@
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.frames import decode_frame
 from pimentobend_adapters._internal.links.frames import encode_frame
+from pimentobend_core._internal.configuration.codec import encode
+from pimentobend_core._internal.configuration.follower_messages import Deltas
+from pimentobend_core._internal.consensus.codec import encode_envelope
+from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
+from pimentobend_core._internal.consensus.entries import Entry
+from pimentobend_core._internal.consensus.messages import AppendEntries
 
 KEY = b"k" * 16
 FRAME = Frame("127.0.0.1:1", "kind", b"payload")
@@ -35,6 +41,28 @@
         decode_frame(data, KEY)
 
 
+LARGEST = b"x" * COMMAND_BYTES
+CARRIERS = [
+    (
+        "replication",
+        encode_envelope(
+            "a" * 256, "b" * 256, AppendEntries(1, 1, 1, (Entry(1, 2, LARGEST),), 1, 0)
+        ),
+    ),
+    # A delta has about the size of the command that it arrives in.
+    ("spread", encode(Deltas(())) + LARGEST + b"x" * 256),
+]
+
+
+@pytest.mark.parametrize(
+    "payload", [c[1] for c in CARRIERS], ids=[c[0] for c in CARRIERS]
+)
+def test_the_largest_command_fits_into_a_frame(payload: bytes) -> None:
+    """Guard against a change that is in the leader's log and can never leave it."""
+    data = encode_frame(Frame("a" * 256, "kind", payload), KEY)
+    assert decode_frame(data, KEY).payload == payload
+
+
 @given(strategies.text(), strategies.text(), strategies.binary())
 @settings(derandomize=True)
 def test_frames_round_trip(sender: str, kind: str, payload: bytes) -> None:
