Admit an organisation's requests only with a token of its limit

Callers saw that an organisation's rate and burst, which the tables carry, had no effect: each daemon forwarded every request.

The leader of the configuration log now owns a token bucket for each active organisation with a limit, control instances ask it for tokens in batches, and each daemon asks a control instance for one token per request. Without a token, a request is answered with 429 over-limit or 503 limit-unknown, not run. Organisations without a limit, calls of backend servers and anonymous requests cost no message. The leader is not connected to the confirmations of its leadership yet, so it grants nothing.

--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the requests of organisations over the whole fleet."""
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -10,6 +10,8 @@
 from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.crashes.observer_messages import Run
 from pimentobend_core._internal.health.messages import AttemptStarted
+from pimentobend_core._internal.limits.messages import Verdict
+from pimentobend_core._internal.limits.terms import Limit
 from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
@@ -102,6 +104,10 @@
     def current(self) -> Tables:
         """Return the tables that this daemon uses."""
 
+    def find_limit(self, organisation: str) -> Limit | None:
+        """Return the limit of an organisation by its name; None without one."""
+        return None
+
     def await_first(self, timeout_s: float) -> bool:
         """Wait until this daemon has tables, and return whether it has."""
         return self.current().log_index > 0
@@ -130,6 +136,24 @@
         """Report that a request was refused because of its block."""
 
 
+class Permission(NamedTuple):
+    """Whether a request is within its organisation's limit.
+
+    Otherwise a request has a chance again after ``retry_after_s`` (seconds).
+    """
+
+    verdict: Verdict
+    retry_after_s: float = 0.0
+
+
+class LimitsPort(abc.ABC):
+    """Access to the tokens that admit requests within their organisations' limits."""
+
+    @abc.abstractmethod
+    def acquire(self, organisation: str, timeout_s: float) -> Permission:
+        """Wait at most ``timeout_s`` seconds for a token and use it."""
+
+
 class TrafficPort(abc.ABC):
     """Access to the tasks that assign each pool's servers to requests."""
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/control.py
@@ -28,6 +28,7 @@
 from pimentobend_core._internal.configuration.service_messages import TablesChangeReply
 from pimentobend_core._internal.configuration.service_messages import TablesRead
 from pimentobend_core._internal.configuration.service_messages import TablesReplaced
+from pimentobend_core._internal.consensus.formation import address_of
 from pimentobend_core._internal.consensus.formation import first_members
 from pimentobend_core._internal.consensus.messages import ChangeMembers
 from pimentobend_core._internal.consensus.messages import LeaderChanged
@@ -84,6 +85,7 @@
         self._peers: tuple[PeerRow, ...] = ()
         self._leader_id: str | None = None
         self._leader_lost_at = clock.now()
+        self._leader_subscribers: list[Callable[[str | None], None]] = []
         self.leader_client = LeaderClient(
             link, lambda request: self._service.put(request), clock
         )
@@ -136,6 +138,10 @@
         for kind in KINDS:
             router.register(kind, self.leader_client.handle_frame)
 
+    def subscribe_leader(self, function: Callable[[str | None], None]) -> None:
+        """Call ``function`` with the address of each new leader, None if unknown."""
+        self._leader_subscribers.append(function)
+
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons."""
         self._peers = peers
@@ -195,12 +201,18 @@
             self._supervisor.put(output)
             return
         if isinstance(output, LeaderChanged):
-            if self._leader_id is not None and output.leader_id is None:
-                self._leader_lost_at = self._clock.now()
-            self._leader_id = output.leader_id
-            self._log.info("leader", term=output.term, leader=output.leader_id)
+            self._change_leader(output)
         self._service.put(output)
 
+    def _change_leader(self, change: LeaderChanged) -> None:
+        if self._leader_id is not None and change.leader_id is None:
+            self._leader_lost_at = self._clock.now()
+        self._leader_id = change.leader_id
+        self._log.info("leader", term=change.term, leader=change.leader_id)
+        address = None if change.leader_id is None else address_of(change.leader_id)
+        for function in self._leader_subscribers:
+            function(address)
+
     def _handle_output(self, output: ServiceOutput) -> None:
         match output:
             case TablesChangeReply() | TablesRead():
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -45,6 +45,7 @@
 from pimentobend_core._internal.gossip.rows import HostedServer
 from pimentobend_core._internal.gossip.rows import PeerRow
 from pimentobend_core._internal.gossip.rows import RowVersion
+from pimentobend_core._internal.limits.messages import Verdict
 from pimentobend_core._internal.models.tables import Tables
 from pimentobendd._internal.exceptions import SettingsError
 from pimentobendd._internal.fleet.control import FleetControl
@@ -53,11 +54,13 @@
 from pimentobendd._internal.fleet.events import RequestLog
 from pimentobendd._internal.fleet.instance import FleetInstance
 from pimentobendd._internal.fleet.instance import InstancePorts
+from pimentobendd._internal.fleet.limits import DaemonLimits
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.stop_plan import StopPlan
 from pimentobendd._internal.fleet.stop_plan import plan_stop
 from pimentobendd._internal.fleet.tables import FleetTables
+from pimentobendd._internal.fleet.token_control import TokenControl
 from pimentobendd._internal.interfaces.operators import format_dump
 from pimentobendd._internal.keys import LOOPBACK_KEY
 from pimentobendd._internal.signals import SignalActions
@@ -111,6 +114,7 @@
         )
         self._spread = FleetTables(self._link, self._tables.put, self._clock)
         self._control = self._create_control()
+        self._tokens = self._create_token_control()
         self._instance = self._create_instance()
         self._listeners = self._create_listeners()
         self._tables.subscribe(self._update_tables)
@@ -132,6 +136,8 @@
         self._gossip.start()
         self._gossip.put(GossipTick())  # contact the seeds at once
         self._spread.task.start()
+        if self._tokens is not None:
+            self._tokens.start()
         if self._control is not None:
             self._control.start()
         if self._instance is not None:
@@ -160,6 +166,8 @@
             self._instance.close()
         if self._control is not None:
             self._control.stop()
+        if self._tokens is not None:
+            self._tokens.stop()
         self._link.close()
         self._log.info("stopped", took_s=round(self._clock.now() - stop_began_at, 3))
 
@@ -180,6 +188,8 @@
         }
         if self._control is not None:
             state.update(self._control.dump())
+        if self._tokens is not None:
+            state.update(self._tokens.dump())
         if self._instance is not None:
             state.update(self._instance.dump())
         return state
@@ -212,6 +222,15 @@
             seed=self._process_id,
         )
 
+    def _create_token_control(self) -> TokenControl | None:
+        if self._control is None:
+            return None
+        tokens = TokenControl(
+            self._link, self._tables, self._settings.limits, self._counters
+        )
+        self._control.subscribe_leader(tokens.update_leader)
+        return tokens
+
     def _create_instance(self) -> FleetInstance | None:
         if "instance" not in self._settings.roles:
             return None
@@ -228,6 +247,9 @@
             requests=RequestLog(self._counters),
             on_connect=lambda: self._counters.count("server_connections"),
             on_refused=self._report_refused,
+            limits=DaemonLimits(
+                self._link, lambda: self._own_row, self._count_permission
+            ),
         )
         return FleetInstance(self._settings, ports)
 
@@ -250,6 +272,8 @@
         self._spread.register(self._router)
         if self._control is not None:
             self._control.register(self._router)
+        if self._tokens is not None:
+            self._tokens.register(self._router)
         if self._instance is not None:
             self._instance.register(self._router)
 
@@ -324,6 +348,9 @@
         self._counters.count("sent_frames", kind)
         self._counters.count("sent_frame_bytes", kind, size_bytes)
 
+    def _count_permission(self, verdict: Verdict) -> None:
+        self._counters.count("limit_permissions", verdict.value)
+
     def _report_frame_error(self, error: PimentobendError) -> None:
         self._counters.count("frames_refused")
         self._log.warning("frame-refused", error=str(error))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -56,11 +56,13 @@
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.limit import LimitFilter
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
+from pimentobendd._internal.fleet.limits import DaemonLimits
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.tables import TablesInForce
 
@@ -156,6 +158,7 @@
     requests: Outlet[RequestEnded]
     on_connect: Callable[[], None]
     on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
+    limits: DaemonLimits
 
 
 class FleetInstance:
@@ -173,6 +176,7 @@
         names = dialect.names
         self._on_servers_changed = ports.on_servers_changed
         self._requests = ports.requests
+        self._limits = ports.limits
         self._servers: dict[str, Server] = {}
         self._published = PublishedServers()
         self.host = HostTasks(
@@ -209,6 +213,7 @@
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
             .then(RouteFilter(tables))
+            .then(LimitFilter(tables, ports.limits, clock))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
@@ -243,6 +248,7 @@
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
         self.bid_collector.update_peers(peers)
+        self._limits.update_peers(peers)
         self._peer_services = Counter(
             each.service for row in peers for each in row.servers if each.is_ready
         )
@@ -260,6 +266,7 @@
         """Start the tasks, then the listeners."""
         self.registry.task.start()
         self.host.start()
+        self._limits.start()
         for listener in self._listeners:
             listener.start()
 
@@ -297,6 +304,7 @@
         router.register(KIND_ASK, self.bid_collector.handle_ask)
         router.register(KIND_BIDS, self.bid_collector.handle_bids)
         router.register(KIND_WITHDRAW, self.host.handle_withdraw)
+        self._limits.register(router)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
@@ -304,6 +312,7 @@
             "registry": self.registry.task.dump(),
             "host": self.host.dump(),
             "requests": {"in_flight": self.front.in_flight},
+            "tokens": self._limits.dump(),
         }
 
     def _handle_request_ended(self, event: RequestEnded) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -9,6 +9,7 @@
 
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
+from pimentobend_core._internal.limits.terms import LimitSettings
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
@@ -62,6 +63,14 @@
                 "allowance": NumberCheck(0, 1_000_000),
             }
         ),
+        "limits": ObjectCheck(
+            {},
+            {
+                "window_s": NumberCheck(1, MAX_SECONDS),
+                "over": NumberCheck(0, 10),
+                "slack": NumberCheck(0, 1_000_000),
+            },
+        ),
     },
 )
 DEFAULT_HEARTBEAT_S = 2.0
@@ -98,6 +107,7 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    limits: LimitSettings = LimitSettings()
 
     @property
     def link(self) -> str:
@@ -201,4 +211,5 @@
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
         budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        limits=LimitSettings(**values.get("limits", {})),
     )
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -9,6 +9,7 @@
 import eventlet
 import eventlet.event
 
+from pimentobend_core._internal.limits.terms import Limit
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.models.tables import Tables
@@ -24,6 +25,7 @@
     def __init__(self) -> None:
         self._tables = EMPTY_TABLES
         self._matcher = RouteMatcher(EMPTY_TABLES)
+        self._limits: dict[str, Limit] = {}
         self._subscribers: list[Callable[[Tables], None]] = []
         self._first_tables: Any = eventlet.event.Event()
 
@@ -35,6 +37,15 @@
         """Return the version in force."""
         return self._tables
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any organisation has a limit."""
+        return bool(self._limits)
+
+    def find_limit(self, organisation: str) -> Limit | None:
+        """Return the limit of an organisation by its name; None without one."""
+        return self._limits.get(organisation)
+
     def await_first(self, timeout_s: float) -> bool:
         """Wait until any tables are in force; return whether they are."""
         with eventlet.Timeout(timeout_s, False):
@@ -51,6 +62,11 @@
             return False
         self._tables = tables
         self._matcher = RouteMatcher(tables)
+        self._limits = {
+            row.name: Limit(row.rate_per_s, row.burst)
+            for row in tables.organisations
+            if row.rate_per_s > 0
+        }
         if not self._first_tables.ready():
             self._first_tables.send(None)
         for function in self._subscribers:
--- /dev/null
+++ b/tests/unit/limits/test_limits_machine.py
@@ -0,0 +1,120 @@
+"""Check the limits' own sum while processes and messages fail in any order.
+
+The number of requests that are sent and admitted in any window, over all daemons, must
+not exceed what the requirement allows.
+"""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import rule
+from limit_fleet import LimitFleet
+from limit_fleet import allowed
+from limit_fleet import count_most
+
+from pimentobend_core._internal.limits.messages import Verdict
+from pimentobend_core._internal.limits.terms import MAX_VALID_S
+from pimentobend_core._internal.limits.terms import Limit
+from pimentobend_core._internal.limits.terms import LimitSettings
+
+DAEMONS = 5
+CONTROLS = 3
+# With each setting, the largest numbers that may be reached are different ones: with
+# little tolerance, tokens are valid for longer than half of it covers.
+SETTINGS = (LimitSettings(), LimitSettings(slack=20), LimitSettings(2.0, 0.02, 0.0))
+LIMITS = (Limit(20, 10), Limit(100, 0), Limit(0.8, 0), Limit(3, 40), Limit(50, 50))
+
+daemons = st.integers(0, DAEMONS - 1)
+controls = st.integers(0, CONTROLS - 1)
+shares = st.sampled_from((0.0, 0.0, 0.1, 0.4))
+short_s = st.sampled_from((0.0, 0.03, 0.2, 0.7, 1.3))
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """A fleet whose one organisation sends as much as it can."""
+
+    @initialize(
+        terms=st.sampled_from(SETTINGS),
+        limit=st.sampled_from(LIMITS),
+        seed=st.integers(0, 1000),
+        idle_s=st.sampled_from((0.0, 1.0, 30.0)),
+    )
+    def begin(
+        self, terms: LimitSettings, limit: Limit, seed: int, idle_s: float
+    ) -> None:
+        self.limit = self.highest = limit
+        self.terms = terms
+        self.lowered_at = 0.0
+        self.fleet = LimitFleet({"o": limit}, terms, DAEMONS, CONTROLS, 2, seed)
+        self.fleet.run(idle_s)
+
+    @rule(loss=shares, repeat=shares, late_s=short_s)
+    def change_network(self, loss: float, repeat: float, late_s: float) -> None:
+        self.fleet.loss, self.fleet.repeat = loss, repeat
+        self.fleet.late_s = late_s
+
+    @rule(count=st.integers(1, 80), over_s=short_s)
+    def send(self, count: int, over_s: float) -> None:
+        fleet = self.fleet
+        for number in range(count):
+            daemon = fleet.random.choice(fleet.daemons)
+            fleet.schedule(fleet.now + over_s * number / count, daemon, "o")
+        fleet.run(over_s)
+
+    @rule(seconds=st.sampled_from((0.05, 0.4, 0.65, 1.0, 3.0)))
+    def wait(self, seconds: float) -> None:
+        self.fleet.run(seconds)
+
+    @rule(number=daemons, seconds=short_s)
+    def freeze_daemon(self, number: int, seconds: float) -> None:
+        self.fleet.freeze(f"d{number}", seconds)
+
+    @rule(number=controls, seconds=short_s)
+    def freeze_control(self, number: int, seconds: float) -> None:
+        self.fleet.freeze(f"c{number}", seconds)
+
+    @rule(number=daemons)
+    def restart_daemon(self, number: int) -> None:
+        self.fleet.restart(f"d{number}")
+
+    @rule(number=controls)
+    def restart_control(self, number: int) -> None:
+        self.fleet.restart(f"c{number}")
+
+    @rule(number=controls, seen_s=short_s, known_s=short_s)
+    def elect(self, number: int, seen_s: float, known_s: float) -> None:
+        self.fleet.elect(f"c{number}", seen_s, known_s)
+
+    @rule(share=st.sampled_from((0.2, 0.5)), longest_s=short_s)
+    def lower_limit(self, share: float, longest_s: float) -> None:
+        """Put a lower limit in force everywhere, and check the higher one before."""
+        fleet = self.fleet
+        rate, burst = self.limit
+        self.limit = Limit(rate * share, burst * share)
+        delays = {each: fleet.random.random() * longest_s for each in fleet.processes}
+        fleet.change_limits({"o": self.limit}, delays)
+        fleet.run(longest_s)
+        self.lowered_at = fleet.now
+
+    def teardown(self) -> None:
+        if not hasattr(self, "fleet"):
+            return
+        self.fleet.run(2.0)
+        times = [
+            each.at
+            for each in self.fleet.decided
+            if each.verdict is Verdict.GRANTED and each.sent_at <= each.at
+        ]
+        window_s = self.terms.window_s
+        assert count_most(times, window_s) <= allowed(self.highest, self.terms)
+        # Tokens that were granted before all processes had the lower limit are valid
+        # for as long.
+        late = [each for each in times if each > self.lowered_at + MAX_VALID_S]
+        assert count_most(late, window_s) <= allowed(self.limit, self.terms)
+
+
+TestLimits = LimitMachine.TestCase
+TestLimits.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
