--- a/packages/core/src/pimentobend_core/_internal/limits/asker.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/asker.py
@@ -1,7 +1,7 @@
 """Ask control instances for the tokens that a daemon's requests need."""
 
+import hashlib
 import math
-import zlib
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -142,10 +142,7 @@
             order = tuple(
                 address
                 for group in self._groups
-                for address in sorted(
-                    group,
-                    key=lambda each: zlib.crc32(f"{organisation} {each}".encode()),
-                )
+                for address in sorted(group, key=lambda each: _mix(organisation, each))
             )
             self._orders[organisation] = order
         return order
@@ -192,3 +189,9 @@
         wanted = self._wanted.pop(ticket, None)
         for token in wanted.tokens if wanted else ():
             self._asked.pop(token, None)
+
+
+def _mix(organisation: str, address: str) -> bytes:
+    """Return a number that orders the control instances for an organisation."""
+    pair = f"{organisation} {address}".encode(errors="surrogatepass")
+    return hashlib.blake2b(pair, digest_size=8).digest()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -55,6 +55,8 @@
 from pimentobendd._internal.fleet.instance import FleetInstance
 from pimentobendd._internal.fleet.instance import InstancePorts
 from pimentobendd._internal.fleet.limits import DaemonLimits
+from pimentobendd._internal.fleet.proofs import FleetProofs
+from pimentobendd._internal.fleet.proofs import ProofPorts
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.settings_file import SettingsFile
 from pimentobendd._internal.fleet.stop_plan import StopPlan
@@ -115,6 +117,7 @@
         self._spread = FleetTables(self._link, self._tables.put, self._clock)
         self._control = self._create_control()
         self._tokens = self._create_token_control()
+        self._proofs = self._create_proofs()
         self._instance = self._create_instance()
         self._listeners = self._create_listeners()
         self._tables.subscribe(self._update_tables)
@@ -140,6 +143,9 @@
             self._tokens.start()
         if self._control is not None:
             self._control.start()
+        if self._proofs is not None:
+            self._proofs.update_peers(self._own_row, ())
+            self._proofs.start()
         if self._instance is not None:
             self._instance.start()
         for listener in self._listeners:
@@ -190,6 +196,8 @@
             state.update(self._control.dump())
         if self._tokens is not None:
             state.update(self._tokens.dump())
+        if self._proofs is not None:
+            state.update(self._proofs.dump())
         if self._instance is not None:
             state.update(self._instance.dump())
         return state
@@ -229,8 +237,27 @@
             self._link, self._tables, self._settings.limits, self._counters
         )
         self._control.subscribe_leader(tokens.update_leader)
+        self._control.confirmations.subscribe(
+            tokens.confirm, lambda: self._tables.has_limits
+        )
         return tokens
 
+    def _create_proofs(self) -> FleetProofs | None:
+        """Return the tasks that prove the tables, if revoked keys are bounded."""
+        settings = self._settings
+        if settings.revoke_s is None:
+            return None
+        ports = ProofPorts(
+            link=self._link,
+            tables=self._tables,
+            control=self._control,
+            is_instance="instance" in settings.roles,
+            counters=self._counters,
+            on_newer=lambda newer: self._spread.handle_newer_version(*newer),
+            clock=self._clock,
+        )
+        return FleetProofs(settings.revoke_s, ports)
+
     def _create_instance(self) -> FleetInstance | None:
         if "instance" not in self._settings.roles:
             return None
@@ -250,6 +277,7 @@
             limits=DaemonLimits(
                 self._link, lambda: self._own_row, self._count_permission
             ),
+            proof=None if self._proofs is None else self._proofs.proof,
         )
         return FleetInstance(self._settings, ports)
 
@@ -274,11 +302,15 @@
             self._control.register(self._router)
         if self._tokens is not None:
             self._tokens.register(self._router)
+        if self._proofs is not None:
+            self._proofs.register(self._router)
         if self._instance is not None:
             self._instance.register(self._router)
 
     def _is_ready(self) -> bool:
-        return not self._is_stopping and self._tables.current().log_index > 0
+        if self._is_stopping or not self._tables.current().log_index:
+            return False
+        return self._proofs is None or self._proofs.is_ready()
 
     def _update_servers(self, servers: tuple[HostedServer, ...]) -> None:
         for server in servers:
@@ -327,6 +359,8 @@
         if self._control is not None:
             self._control.update_peers(peers)
             self._spread.update_peers(self._own_row, peers)
+        if self._proofs is not None:
+            self._proofs.update_peers(self._own_row, peers)
         if self._instance is not None:
             self._instance.update_peers(peers)
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/limits.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/limits.py
@@ -144,7 +144,7 @@
 ) -> tuple[tuple[str, ...], ...]:
     """Return the addresses of the control instances, in groups from near to far."""
     groups: dict[Distance, list[str]] = {}
-    for row in peers:
+    for row in (own, *peers):
         if row.is_control and not row.is_leaving:
             groups.setdefault(find_distance(own, row), []).append(row.address)
     return tuple(tuple(sorted(groups[distance])) for distance in sorted(groups))
--- a/packages/daemon/src/pimentobendd/_internal/fleet/token_control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/token_control.py
@@ -14,6 +14,9 @@
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
+from pimentobend_core._internal.configuration.confirmation_messages import (
+    LeadershipConfirmed,
+)
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.exceptions import CodecError
 from pimentobend_core._internal.limits.codec import Message
@@ -103,9 +106,9 @@
         self._owner.put(LeadershipChanged(address == self._link.address))
         self._stock.put(LeaderKnown(address))
 
-    def confirm(self, asked_at: float, version: Version) -> None:
-        """Handle a confirmation that this replica led at ``asked_at`` (seconds)."""
-        self._owner.put(LeadershipProven(asked_at, version))
+    def confirm(self, confirmed: LeadershipConfirmed) -> None:
+        """Handle a confirmation that this replica leads."""
+        self._owner.put(LeadershipProven(confirmed.asked_at, confirmed.version))
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the tasks, one section per task."""
