Merge limits of organisations over the fleet

A limit is looked up in the packed organisations when a request needs it, in place of a dictionary with an entry for each limited organisation.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/confirmations.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/confirmations.py
@@ -27,7 +27,7 @@
 class LeaderConfirmations:
     """Passes each confirmation of this replica's leadership to its subscribers.
 
-    It asks for none without a subscriber. ``clock`` must count suspensions;
+    It asks for none unless a subscriber needs them. ``clock`` must count suspensions;
     ``send_local`` passes reads to the local configuration service.
     """
 
@@ -39,6 +39,7 @@
     ) -> None:
         self._send_local = send_local
         self._subscribers: list[Callable[[LeadershipConfirmed], None]] = []
+        self._needs: list[Callable[[], bool]] = []
         self._task: TimedTask[ConfirmationInput, ConfirmationOutput] = TimedTask(
             "confirmation",
             LeadershipConfirmation(replica_id),
@@ -47,9 +48,17 @@
             ConfirmationTick(),
         )
 
-    def subscribe(self, function: Callable[[LeadershipConfirmed], None]) -> None:
-        """Call ``function`` with each confirmation; only before ``start``."""
+    def subscribe(
+        self,
+        function: Callable[[LeadershipConfirmed], None],
+        is_needed: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """Call ``function`` with each confirmation; only before ``start``.
+
+        ``is_needed`` returns whether it needs any now.
+        """
         self._subscribers.append(function)
+        self._needs.append(is_needed)
 
     def start(self) -> None:
         """Start asking, if there is a subscriber."""
@@ -71,7 +80,10 @@
 
     def _handle_output(self, output: ConfirmationOutput) -> None:
         if isinstance(output, VersionReadRequest):
-            self._send_local(output)
+            if any(is_needed() for is_needed in self._needs):
+                self._send_local(output)
+            else:
+                self._task.put(VersionRead(output.token, None))
             return
         for function in self._subscribers:
             function(output)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -58,6 +58,7 @@
 from pimentobend_core._internal.ports import ProofPort
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
+from pimentobend_core._internal.request.limit import LimitFilter
 from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.organisation import name_sender
 from pimentobend_core._internal.request.route import RouteFilter
@@ -68,6 +69,7 @@
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
 from pimentobendd._internal.fleet.dialect import ServersPort
+from pimentobendd._internal.fleet.limits import DaemonLimits
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.tables import TablesInForce
 
@@ -163,6 +165,7 @@
     requests: Outlet[RequestEnded]
     on_connect: Callable[[], None]
     on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
+    limits: DaemonLimits
     proof: ProofPort | None = None  # None if keyed requests need no proof of the tables
 
 
@@ -181,6 +184,7 @@
         names = dialect.names
         self._on_servers_changed = ports.on_servers_changed
         self._requests = ports.requests
+        self._limits = ports.limits
         self._servers: dict[str, Server] = {}
         self._published = PublishedServers()
         self.host = HostTasks(
@@ -218,6 +222,7 @@
             .then(SenderFilter(self.host.senders))
             .then(_create_routing(tables, ports.proof, clock))
             .then(OrganisationFilter(tables, names.organisation))
+            .then(LimitFilter(tables, ports.limits, clock))
             .then(CrashGuardFilter(self.host.blocks, clock))
             .then(self._deliveries)
         )
@@ -253,6 +258,7 @@
     def update_peers(self, peers: tuple[PeerRow, ...]) -> None:
         """Replace the list of known daemons and of their servers."""
         self.bid_collector.update_peers(peers)
+        self._limits.update_peers(peers)
         self._peer_services = Counter(
             each.service for row in peers for each in row.servers if each.is_ready
         )
@@ -270,6 +276,7 @@
         """Start the tasks, then the listeners."""
         self.registry.task.start()
         self.host.start()
+        self._limits.start()
         for listener in self._listeners:
             listener.start()
 
@@ -307,6 +314,7 @@
         router.register(KIND_ASK, self.bid_collector.handle_ask)
         router.register(KIND_BIDS, self.bid_collector.handle_bids)
         router.register(KIND_WITHDRAW, self.host.handle_withdraw)
+        self._limits.register(router)
 
     def dump(self) -> Mapping[str, object]:
         """Return the state of the role's tasks."""
@@ -314,6 +322,7 @@
             "registry": self.registry.task.dump(),
             "host": self.host.dump(),
             "requests": {"in_flight": self.front.in_flight},
+            "tokens": self._limits.dump(),
         }
 
     def _handle_request_ended(self, event: RequestEnded) -> None:
