Admit requests by the room that their runs' calls have

Callers of a service whose runs call a smaller one saw errors after their requests had used a slot, and the smaller service's direct callers were crowded out: nothing told the origins that the calls would find no room, and short calls went before direct requests.

The daemon beside a server learns from deadlines which requests are calls of its runs, and how many a run of each route makes. Hosts state in their bids the slots that they have for calls and that calls want; bids for the calling routes state the share of requests whose calls have room, and origins refuse the rest as 503 no-room-behind, not run. At the called servers, calls and direct requests divide the slots by max-min, by debts of work; organisations are divided in the same way where requests name one. The setting is admission_behind_calls. Bids are cached by the organisation too.

Not measured on a fleet of processes.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -50,6 +50,20 @@
 }
 
 
+class Question(NamedTuple):
+    """What bids are asked for; requests that ask the same share the bids."""
+
+    service: str
+    route: str
+    organisation: str = ""  # that sends the request; empty without one
+    is_call: bool = False  # a backend server sends it while it runs another one
+
+
+class _CacheKey(NamedTuple):
+    address: str  # of the daemon that makes the bids
+    question: Question
+
+
 class _CachedBids(NamedTuple):
     bids: Bids
     received_at: float
@@ -87,9 +101,9 @@
         self._on_unreachable = on_unreachable
         self._peers: tuple[PeerRow, ...] = ()
         self._unreachable: set[str] = set()
-        self._cached: dict[tuple[str, str, str], _CachedBids] = {}
+        self._cached: dict[_CacheKey, _CachedBids] = {}
         self._tokens = itertools.count(1)
-        self._rounds: dict[int, tuple[_Round, str, Ask]] = {}
+        self._rounds: dict[int, tuple[_Round, str, Question]] = {}
         self._unanswered: dict[str, int] = {}
         # Until when a daemon's servers of a service are taken to be failing.
         self._doubtful_until: dict[tuple[str, str], float] = {}
@@ -106,37 +120,34 @@
         else:
             self._unreachable.add(address)
 
-    def ask(
-        self, service: str, route: str, distance: Distance
-    ) -> tuple[Candidate, ...]:
+    def ask(self, question: Question, distance: Distance) -> tuple[Candidate, ...]:
         """Return the bids for a service's servers within a distance.
 
         Daemons whose cached bids are too old are asked first.
         """
         own_row = self._own_row()
+        service = question.service
         rows = [
             row
             for row in (own_row, *self._peers)
             if find_distance(own_row, row) <= distance and self._may_serve(row, service)
         ]
         now = self._clock.now()
-        stale = [
-            row for row in rows if self._is_stale(own_row, row, service, route, now)
-        ]
+        stale = [row for row in rows if self._is_stale(own_row, row, question, now)]
         chosen = _sample(
             own_row, stale, lambda row: self._is_doubtful(row, service, now)
         )
-        self._ask_all(chosen, service, route, distance)
+        self._ask_all(chosen, question, distance)
         now = self._clock.now()
         return tuple(
             candidate
             for row in rows
-            for candidate in self._candidates(own_row, row, service, route, now)
+            for candidate in self._candidates(own_row, row, question, now)
         )
 
-    def bid_age_s(self, candidate: Candidate, service: str, route: str) -> float:
+    def bid_age_s(self, candidate: Candidate, question: Question) -> float:
         """Return how old a candidate's bid is, in seconds."""
-        cached = self._cached.get((candidate.peer.address, service, route))
+        cached = self._cached.get(_CacheKey(candidate.peer.address, question))
         return self._clock.now() - cached.received_at if cached else 0.0
 
     def handle_ask(self, frame: Frame) -> None:
@@ -159,14 +170,14 @@
         return now < self._doubtful_until.get((row.address, service), -math.inf)
 
     def _is_stale(
-        self, own_row: PeerRow, row: PeerRow, service: str, route: str, now: float
+        self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> bool:
-        cached = self._cached.get((row.address, service, route))
+        cached = self._cached.get(_CacheKey(row.address, question))
         limit_s = FRESH_S[find_distance(own_row, row)]
         return cached is None or now - cached.received_at > limit_s
 
     def _ask_all(
-        self, rows: list[PeerRow], service: str, route: str, distance: Distance
+        self, rows: list[PeerRow], question: Question, distance: Distance
     ) -> None:
         """Ask several daemons at once; wait for all answers or the timeout."""
         if not rows:
@@ -175,8 +186,8 @@
         tokens = []
         own_address = self._link.address
         for row in rows:
-            ask = Ask(next(self._tokens), service, route)
-            self._rounds[ask.token] = (pending, row.address, ask)
+            ask = Ask(next(self._tokens), *question)
+            self._rounds[ask.token] = (pending, row.address, question)
             tokens.append(ask.token)
             if row.address == own_address:
                 eventlet.spawn_n(self._ask_self, ask)
@@ -212,13 +223,12 @@
         found = self._rounds.get(bids.token)
         if found is None:
             return
-        pending, address, ask = found
+        pending, address, question = found
         if address != sender:
             return
-        key = (sender, ask.service, ask.route)
         now = self._clock.now()
-        self._cached[key] = _CachedBids(bids, now)
-        doubtful = (sender, ask.service)
+        self._cached[_CacheKey(sender, question)] = _CachedBids(bids, now)
+        doubtful = (sender, question.service)
         if any(bid.risk < FAILING_RISK or bid.wants_trial for bid in bids.bids):
             self._doubtful_until.pop(doubtful, None)
         else:
@@ -226,9 +236,9 @@
         pending.answered(sender)
 
     def _candidates(
-        self, own_row: PeerRow, row: PeerRow, service: str, route: str, now: float
+        self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> list[Candidate]:
-        key = (row.address, service, route)
+        key = _CacheKey(row.address, question)
         cached = self._cached.get(key)
         if cached is None:
             return []
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -12,11 +12,13 @@
 from returns.result import Success
 
 from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
+from pimentobend_adapters._internal.forwarding.bid_collector import Question
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.peers import PeerClient
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.forwarding.admission import find_room
 from pimentobend_core._internal.forwarding.delivery import Delivery
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
@@ -41,6 +43,7 @@
 from pimentobend_core._internal.forwarding.events import DeliveryEnded
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.forwarding.messages import CallMade
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
@@ -139,6 +142,12 @@
             ports.repeats,
             routed.body.length,
         )
+        self._question = Question(
+            routed.pool,
+            routed.route.name,
+            routed.organisation,
+            routed.sender.is_call,
+        )
 
     def put(self, message: DeliveryInput) -> None:
         """Put a message into the inbox."""
@@ -148,8 +157,11 @@
         """Run until the delivery ends."""
         if self._routed.on_caller_left is not None:
             self._routed.on_caller_left(lambda: self._inbox.put(CallerLeft()))
+        routes = self._routed.sender.calling_routes
+        if routes:
+            self._ports.host.note_call(CallMade(self._routed.pool, routes))
         now = self._ports.clock.now
-        outputs = self._delivery.begin(now())
+        outputs = self._delivery.begin(now(), self._routed.sender)
         while True:
             for output in outputs:
                 ended = self._execute(output)
@@ -222,11 +234,17 @@
         return None
 
     def _ask(self, distance: Distance) -> None:
-        routed = self._routed
-        service = routed.pool
-        candidates = self._ports.bid_collector.ask(service, routed.route.name, distance)
+        candidates = self._ports.bid_collector.ask(self._question, distance)
+        if self._routed.sender.calling_routes:
+            self._note_room(candidates)
         self._inbox.put(Offers(candidates, distance))
 
+    def _note_room(self, candidates: tuple[Candidate, ...]) -> None:
+        """Tell the host of the calling server what room the called service has."""
+        seen = find_room(self._routed.pool, (each.bid for each in candidates))
+        if seen is not None:
+            self._ports.host.note_call(seen)
+
     def _send(self, output: SendAttempt) -> None:
         ports, routed = self._ports, self._routed
         candidate = output.candidate
@@ -247,8 +265,9 @@
             tuple(self._crash_reports.values()),
             routed.sender,
             routed.organisation,
+            output.demand,
         )
-        age_s = ports.bid_collector.bid_age_s(candidate, routed.pool, route.name)
+        age_s = ports.bid_collector.bid_age_s(candidate, self._question)
         ports.events.put(
             AttemptSent(
                 routed.head.request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -18,6 +18,7 @@
 
 Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=86_400_000)]
 Rank = Annotated[int, msgspec.Meta(ge=0, le=2**31 - 1)]
+Demand = Annotated[float, msgspec.Meta(ge=1, le=1_000)]
 Probability = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
 _ENCODER = msgspec.json.Encoder()
@@ -44,6 +45,8 @@
     is_from_client: bool = False
     repeat_share: Probability = 0.0  # that a repeated run of a server sent it
     organisation: str = ""  # that sent the request; empty without one
+    is_call: bool = False  # a backend server sent it while it ran another one
+    demand: Demand = 1.0  # requests that it stands for
 
 
 class HopResult(NamedTuple):
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -38,11 +38,14 @@
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.host import ServerHost
+from pimentobend_core._internal.forwarding.messages import AdmitShareChanged
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CallJudged
 from pimentobend_core._internal.forwarding.messages import CallLost
+from pimentobend_core._internal.forwarding.messages import CallMade
+from pimentobend_core._internal.forwarding.messages import CallRoomSeen
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -121,6 +124,8 @@
         clock: ClockPort,
         events: Outlet[ForwardingEvent],
         on_reports_changed: Callable[[tuple[CrashReport, ...]], None] = _ignore,
+        *,
+        admits_by_calls: bool = False,
     ) -> None:
         self._calls = calls
         self._clock = clock
@@ -133,7 +138,7 @@
         self._bids: Replies[Bids] = Replies(lambda bids: bids.token)
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
-            ServerHost(process_id, terms),
+            ServerHost(process_id, terms, admits_by_calls=admits_by_calls),
             CallOutlet(self._handle_output),
             clock,
             PeriodicMessage(TICK_S, HostTick()),
@@ -171,6 +176,10 @@
         """Record that a request of a client on this machine failed."""
         self._task.put(LocalRequestFailed())
 
+    def note_call(self, message: CallMade | CallRoomSeen) -> None:
+        """Record a call of a local server, or what room the called service has."""
+        self._task.put(message)
+
     def receive_reports(self, reports: tuple[CrashReport, ...]) -> None:
         """Take over what another daemon holds against requests."""
         self._task.put(ReportsReceived(reports))
@@ -252,6 +261,8 @@
                 record = self._records[output.attempt_id]
                 if record.greenlet is not None:
                     record.greenlet.kill()
+            case AdmitShareChanged():
+                self._events.put(output)
             case CallLost():
                 self._events.put(output)
                 self._end_lost_call(output.attempt_id)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -140,8 +140,9 @@
             hop.is_repeat,
             hop.fingerprint,
             hop.crash_reports,
-            Sender(hop.is_from_client, hop.repeat_share),
+            Sender(hop.is_from_client, hop.repeat_share, hop.is_call),
             hop.organisation,
+            hop.demand,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -173,6 +173,8 @@
             submit.sender.is_client,
             submit.sender.repeat_share,
             submit.organisation,
+            submit.sender.is_call,
+            submit.demand,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/backlog.py
@@ -4,6 +4,9 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from pimentobend_core._internal.forwarding.fair_parts import DIRECT
+from pimentobend_core._internal.forwarding.fair_parts import Group
+
 
 class QueuedAttempt(NamedTuple):
     """A waiting attempt.
@@ -16,6 +19,7 @@
     sequence: int  # order of arrival
     attempt_id: str
     expected_s: float  # mean time that the server takes for it
+    group: Group = DIRECT  # whose request it is
 
 
 class Backlog:
--- /dev/null
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/bidding.py
@@ -0,0 +1,49 @@
+"""Make the bid of a backend server for a request of a route."""
+
+from pimentobend_core._internal.forwarding.fair_parts import make_group
+from pimentobend_core._internal.forwarding.hosted_server import HostedServer
+from pimentobend_core._internal.forwarding.messages import Ask
+from pimentobend_core._internal.forwarding.messages import Bid
+
+QUEUE_LIMIT = 128  # queued attempts per server
+# A doubtful server, one with a higher risk of failing than TRIAL_RISK, asks for a
+# trial request after this time without any request.
+TRIAL_INTERVAL_S = 1.5
+TRIAL_RISK = 0.1
+
+
+def may_bid(hosted: HostedServer, now: float) -> bool:
+    """Return whether a server takes new attempts at ``now``, in seconds."""
+    if not hosted.is_ready or now < hosted.unreachable_until:
+        return False
+    return len(hosted.backlog) < QUEUE_LIMIT
+
+
+def make_bid(
+    hosted: HostedServer,
+    ask: Ask,
+    now: float,
+    *,
+    takes_repeats: bool,
+    admit_share: float,
+) -> Bid:
+    """Return the bid of a server at ``now``, in seconds."""
+    durations = hosted.durations.of(ask.route)
+    risk = hosted.liveness.risk(now)
+    is_idle = hosted.liveness.idle_s(now) >= TRIAL_INTERVAL_S
+    group = make_group(ask.organisation, is_call=ask.is_call)
+    wait_s = hosted.wait_s(ask.route, now, group)
+    return Bid(
+        hosted.server.server_id,
+        round(risk, 3),
+        hosted.free_slots,
+        round(wait_s, 3),
+        round(hosted.slowdown * durations.p90_s, 3),
+        risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
+        takes_repeats,
+        round(hosted.refusals.share(now), 2),
+        durations.is_known,
+        admit_share,
+        round(hosted.call_room.room(hosted.server.slots), 1),
+        round(hosted.call_room.demand, 1),
+    )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -7,6 +7,7 @@
 import enum
 from collections.abc import Mapping
 
+from pimentobend_core._internal.forwarding.admission import Admission
 from pimentobend_core._internal.forwarding.delivery_messages import AskServers
 from pimentobend_core._internal.forwarding.delivery_messages import AttemptDone
 from pimentobend_core._internal.forwarding.delivery_messages import CallerLeft
@@ -30,21 +31,24 @@
 from pimentobend_core._internal.forwarding.holding import find_hold_reason
 from pimentobend_core._internal.forwarding.holding import hedge_delay_s
 from pimentobend_core._internal.forwarding.holding import max_hold_s
+from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.recalls import Recalls
 from pimentobend_core._internal.forwarding.recalls import SubmittedAttempt
-from pimentobend_core._internal.forwarding.rejection import is_unservable
+from pimentobend_core._internal.forwarding.rejection import make_blocked_refusal
 from pimentobend_core._internal.forwarding.rejection import make_refusal
+from pimentobend_core._internal.forwarding.rejection import must_reject
 from pimentobend_core._internal.forwarding.rejection import retry_after_s
-from pimentobend_core._internal.forwarding.rejection import would_outlast
 from pimentobend_core._internal.forwarding.selection import MIN_TIME_S
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Requirements
 from pimentobend_core._internal.forwarding.selection import is_worth_asking
 from pimentobend_core._internal.forwarding.selection import select_next
+from pimentobend_core._internal.models.request import UNKNOWN_SENDER
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.tables import DEFAULT_MAX_ATTEMPTS
 from pimentobend_core._internal.models.tables import Route
 from pimentobend_core._internal.pipes import StatefulFilter
@@ -82,6 +86,7 @@
         body_bytes: int | None = 0,
     ) -> None:
         self._request_id = request_id
+        self._admission = Admission(request_id, UNKNOWN_SENDER)
         self._pool = pool
         self._deadline = deadline
         self._can_replay = can_replay
@@ -112,8 +117,11 @@
         self._is_suspect = False  # it may have crashed servers
         self._blocked_s = 0.0  # time left of the request's block; 0 without one
 
-    def begin(self, now: float) -> tuple[DeliveryOutput, ...]:
+    def begin(
+        self, now: float, sender: Sender = UNKNOWN_SENDER
+    ) -> tuple[DeliveryOutput, ...]:
         """Start the request at ``now`` (seconds) and return its first outputs."""
+        self._admission = Admission(self._request_id, sender)
         self._started_at = now
         return (*self._ask(Distance.DATA_CENTRE), self._next_wake())
 
@@ -175,17 +183,17 @@
         )
 
     def _next_wake(self) -> WakeAt:
-        times = (
-            self._deadline,
-            self._hedge_at,
-            self._next_ask_at,
-            *self._recalls.times,
-        )
-        return WakeAt(min(each for each in times if each is not None))
+        times = (self._deadline, self._hedge_at, self._next_ask_at)
+        known = (each for each in (*times, *self._recalls.times) if each is not None)
+        return WakeAt(min(known))
 
     def _handle_offers(self, offers: Offers, now: float) -> tuple[DeliveryOutput, ...]:
         if self._phase is not _Phase.ASKING or self._is_stopping or self._blocked_s:
             return ()
+        if self._admission.refuses((each.bid for each in offers.candidates), now):
+            self._wait_s = self._deadline - now  # callers return spread widely
+            detail = "the services that the request needs have no room"
+            return self._refuse(RefusalReason.NO_ROOM_BEHIND, detail, now)
         requirements = self._requirements(now)
         selection = select_next(
             offers.candidates,
@@ -214,20 +222,16 @@
         reason = find_hold_reason(selection, waiting)
         if selection.best is None or reason is not None:
             return self._hold(reason or HoldReason.NO_SERVER, now)
-        if self._must_reject(selection.best.candidate, now):
+        if self._must_reject(selection.best.candidate.bid, now):
             return self._end_with_failure(now)
         return self._send(selection.best.candidate, now)
 
-    def _must_reject(self, candidate: Candidate, now: float) -> bool:
+    def _must_reject(self, bid: Bid, now: float) -> bool:
         """Return whether the request cannot be served, not even by the best server."""
-        self._wait_s = candidate.bid.wait_s
-        if self._running:
-            return False
-        if would_outlast(candidate.bid, self._recalls.finish_by - now):
-            return True
-        remaining_s = self._deadline - now
-        return is_unservable(
-            candidate.bid, remaining_s, is_repeatable=self._is_repeatable
+        self._wait_s = bid.wait_s
+        times_s = (self._deadline - now, self._recalls.finish_by - now)
+        return not self._running and must_reject(
+            bid, *times_s, is_repeatable=self._is_repeatable
         )
 
     def _hold(self, reason: HoldReason, now: float) -> tuple[DeliveryOutput, ...]:
@@ -271,7 +275,8 @@
         self._tried.add(candidate.server_id)
         self._attempts_made += 1
         self._hedge_at = self._find_hedge_time(candidate, now)
-        return (SendAttempt(self._last_number, candidate, is_hedge, is_repeat),)
+        demand = self._admission.demand
+        return (SendAttempt(self._last_number, candidate, is_hedge, is_repeat, demand),)
 
     def _is_repeat(self) -> bool:
         """Return whether one more attempt would draw on the retry budget."""
@@ -347,15 +352,11 @@
                 self._hedge_at = self._schedule_ask(now)
             return ()
         if self._rejections >= MAX_REJECTIONS:
-            return self._refuse(
-                RefusalReason.BACKEND, "every server declined the request", now
-            )
+            detail = "every server declined the request"
+            return self._refuse(RefusalReason.BACKEND, detail, now)
         if not self._can_replay and not is_body_unsent:
-            return self._refuse(
-                RefusalReason.BACKEND,
-                "a server refused the request, whose body cannot be sent again",
-                now,
-            )
+            detail = "a server refused the request, whose body cannot be sent again"
+            return self._refuse(RefusalReason.BACKEND, detail, now)
         return self._ask(Distance.DATA_CENTRE)
 
     def _retry(self, now: float) -> tuple[DeliveryOutput, ...]:
@@ -442,9 +443,7 @@
 
     def _refuse_blocked(self) -> tuple[DeliveryOutput, ...]:
         """Refuse a request that crashes servers; it may have run on some of them."""
-        detail = "the request crashed servers"
-        reason = RefusalReason.CRASHES_SERVERS
-        refusal = make_refusal(self._ran, reason, detail, self._blocked_s)
+        refusal = make_blocked_refusal(self._ran, self._blocked_s)
         return (self._finish(Refuse(refusal)),)
 
     def _finish(self, output: DeliveryOutput) -> DeliveryOutput:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -68,6 +68,7 @@
     candidate: Candidate
     is_hedge: bool
     is_repeat: bool  # an earlier attempt may have reached a server
+    demand: float = 1.0  # requests that it stands for
 
 
 class CancelAttempt(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -7,6 +7,7 @@
 from pimentobend_core._internal.crashes.messages import FingerprintReleased
 from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.delivery_messages import Held
+from pimentobend_core._internal.forwarding.messages import AdmitShareChanged
 from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -75,6 +76,7 @@
     | DeliveryHeld
     | DeliveryEnded
     | CallLost
+    | AdmitShareChanged
     | ServerCrashed
     | FingerprintBlocked
     | FingerprintReleased
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -18,15 +18,22 @@
 from pimentobend_core._internal.crashes.messages import EarlierReportsSeen
 from pimentobend_core._internal.crashes.messages import ReportsReceived
 from pimentobend_core._internal.forwarding.backlog import QueuedAttempt
+from pimentobend_core._internal.forwarding.bidding import QUEUE_LIMIT
+from pimentobend_core._internal.forwarding.bidding import make_bid
+from pimentobend_core._internal.forwarding.bidding import may_bid
+from pimentobend_core._internal.forwarding.calls_behind import CallsBehind
 from pimentobend_core._internal.forwarding.host_crashes import HostCrashes
 from pimentobend_core._internal.forwarding.hosted_server import AttemptRecord
 from pimentobend_core._internal.forwarding.hosted_server import HostedServer
 from pimentobend_core._internal.forwarding.hosted_server import Phase
+from pimentobend_core._internal.forwarding.hosted_server import group_of
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bid
 from pimentobend_core._internal.forwarding.messages import Bids
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CallLost
+from pimentobend_core._internal.forwarding.messages import CallMade
+from pimentobend_core._internal.forwarding.messages import CallRoomSeen
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DeclineReason
@@ -46,14 +53,13 @@
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
-from pimentobend_core._internal.forwarding.senders import LocalRun
+from pimentobend_core._internal.forwarding.rooms import sample_rooms
 from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.traffic.shared_budget import ServiceBudgets
 
-QUEUE_LIMIT = 128  # queued attempts per server
 # Twice the 10,000 attempts that arrive within 42 s at a daemon's design rate.
 RECORDS_LIMIT = 20_000  # attempts
 # How long a record is kept after its attempt's deadline, because a delayed copy of
@@ -61,13 +67,6 @@
 RECORD_RETENTION_S = 30.0
 # A submission that its withdrawal overtook arrives within this time.
 WITHDRAWAL_RETENTION_S = 5.0
-# A doubtful server, one with a higher risk of failing than TRIAL_RISK, asks for a
-# trial request after this time without any request.
-TRIAL_INTERVAL_S = 1.5
-TRIAL_RISK = 0.1
-# An attempt is declined if less than this share of its route's median answer time is
-# left before the deadline, as hardly any answer takes less.
-MIN_TIME_SHARE = 0.5
 # A call ends at its deadline, and its end is reported within this time.
 CALL_REPORT_S = 2.0
 UNREACHABLE_S = 0.5  # how long no bids are made for an unreachable server
@@ -82,10 +81,19 @@
     submitted.
     """
 
-    def __init__(self, process_id: int, terms: BudgetTerms) -> None:
+    def __init__(
+        self,
+        process_id: int,
+        terms: BudgetTerms,
+        *,
+        admits_by_calls: bool = False,
+    ) -> None:
         self._process_id = process_id
+        # Whether requests are admitted by the room that their calls have.
+        self._admits_by_calls = admits_by_calls
+        self._calls = CallsBehind()
+        self._runs = RunTracker(matches_calls=admits_by_calls)
         self._budgets = ServiceBudgets(terms)
-        self._runs = RunTracker()
         self._servers: dict[str, HostedServer] = {}
         self._records: dict[str, AttemptRecord] = {}
         # When attempts were withdrawn whose submissions have not arrived yet.
@@ -120,18 +128,28 @@
             case ReportsReceived() | EarlierReportsSeen():
                 return self._crashes.handle(message, now)
             case HostTick():
-                self._budgets.drop_unused(now)
-                return (*self._expire(now), *self._crashes.handle(CrashTick(), now))
+                return self._tick(now)
             case _:
                 self._update_state(message, now)
         return ()
 
+    def _tick(self, now: float) -> tuple[HostOutput, ...]:
+        self._budgets.drop_unused(now)
+        if self._admits_by_calls:
+            sample_rooms(self._servers.values(), now)
+        return (
+            *self._expire(now),
+            *self._crashes.handle(CrashTick(), now),
+            *self._calls.tick(now),
+        )
+
     def dump(self) -> Mapping[str, object]:
         """Return the state as JSON-compatible values."""
         return {
             "attempts": len(self._records),
             "is_stopping": self._is_stopping,
             "crashes": self._crashes.dump(),
+            "calls": self._calls.dump(),
             "servers": {
                 server_id: {
                     "service": hosted.server.service,
@@ -145,42 +163,36 @@
         }
 
     def _update_state(
-        self, message: ServiceSizes | LocalRequestFailed, now: float
+        self,
+        message: ServiceSizes | LocalRequestFailed | CallMade | CallRoomSeen,
+        now: float,
     ) -> None:
         match message:
             case ServiceSizes():
                 self._budgets.update_sizes(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
+            case CallMade() | CallRoomSeen():
+                self._calls.note(message, now)
 
     def _answer_ask(self, ask: Ask, now: float) -> Bids:
         bids = tuple(
-            self._make_bid(hosted, ask.route, now)
+            self._make_bid(hosted, ask, now)
             for hosted in self._servers.values()
-            if hosted.server.service == ask.service and self._may_bid(hosted, now)
+            if hosted.server.service == ask.service
+            and not self._is_stopping
+            and may_bid(hosted, now)
         )
         return Bids(ask.token, self._process_id, bids)
 
-    def _may_bid(self, hosted: HostedServer, now: float) -> bool:
-        if self._is_stopping or not hosted.is_ready:
-            return False
-        return now >= hosted.unreachable_until and len(hosted.backlog) < QUEUE_LIMIT
-
-    def _make_bid(self, hosted: HostedServer, route: str, now: float) -> Bid:
-        durations = hosted.durations.of(route)
-        slowdown = hosted.slowdown
-        risk = hosted.liveness.risk(now)
-        is_idle = hosted.liveness.idle_s(now) >= TRIAL_INTERVAL_S
-        return Bid(
-            hosted.server.server_id,
-            round(risk, 3),
-            hosted.free_slots,
-            round(hosted.wait_s(route, now), 3),
-            round(slowdown * durations.p90_s, 3),
-            risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
-            self._budgets.count(hosted.server.service, now).allows_repeat,
-            round(hosted.refusals.share(now), 2),
-            durations.is_known,
+    def _make_bid(self, hosted: HostedServer, ask: Ask, now: float) -> Bid:
+        budget = self._budgets.count(hosted.server.service, now)
+        return make_bid(
+            hosted,
+            ask,
+            now,
+            takes_repeats=budget.allows_repeat,
+            admit_share=self._calls.share(ask.route),
         )
 
     def _has_budget(self, service: str, record: AttemptRecord, now: float) -> bool:
@@ -210,12 +222,7 @@
         self._records[submit.attempt_id] = record
         self._submissions += 1
         record.admit(self._budgets.of(hosted.server.service))
-        durations = hosted.durations.of(submit.route, submit.target_s)
-        durations.set_target(submit.target_s, submit.priority)
-        due = min(now + durations.slack_s, submit.deadline)
-        attempt_id = submit.attempt_id
-        queued = QueuedAttempt(due, self._submissions, attempt_id, durations.mean_s)
-        hosted.backlog.add(queued)
+        hosted.enqueue(record, self._submissions, now)
         return (*learnt, *self._start_queued(hosted, now))
 
     def _find_decline_reason(
@@ -239,8 +246,8 @@
             return crash_reason
         if not self._has_budget(hosted.server.service, record, now):
             return DeclineReason.BUDGET
-        wait_s = hosted.wait_s(submit.route, now)
-        if not self._has_time(hosted, submit, now + wait_s):
+        wait_s = hosted.wait_s(submit.route, now, group_of(submit))
+        if not hosted.has_time(submit, now + wait_s):
             return DeclineReason.FULL
         return None
 
@@ -269,15 +276,10 @@
                 continue
             record.phase = Phase.RUNNING
             record.started_at = now
-            hosted.running.add(submit.attempt_id)
-            self._runs.begin(
-                submit.attempt_id,
-                LocalRun(
-                    record.repeat_share,
-                    now + self._usual_s(hosted, submit),
-                    submit.deadline,
-                ),
-            )
+            hosted.running[submit.attempt_id] = group_of(submit)
+            self._calls.begin_run(submit.route)
+            run = record.to_run(now + hosted.usual_s(submit))
+            self._runs.begin(submit.attempt_id, run)
             survival = hosted.survival(submit)
             hosted.liveness.record_sent(submit.attempt_id, survival, now)
             outputs.append(StartCall(submit.attempt_id, hosted.server))
@@ -287,24 +289,13 @@
         self, hosted: HostedServer, submit: Submit, start: float
     ) -> DeclineReason | None:
         """Return why an attempt should not start at ``start``; None if it may."""
-        if not self._has_time(hosted, submit, start):
+        if not hosted.has_time(submit, start):
             return DeclineReason.DEADLINE
-        is_late = start + self._usual_s(hosted, submit) >= self._finish_by
+        is_late = start + hosted.usual_s(submit) >= self._finish_by
         # A straggler would be cut off, and what may not be repeated would be lost.
         is_risky = self._is_stopping and not submit.is_repeatable
         return DeclineReason.DRAINING if is_late or is_risky else None
 
-    def _usual_s(self, hosted: HostedServer, submit: Submit) -> float:
-        """Return the time within which nearly all answers of the route come."""
-        durations = hosted.durations.of(submit.route, submit.target_s)
-        return hosted.slowdown * durations.p90_s
-
-    def _has_time(self, hosted: HostedServer, submit: Submit, now: float) -> bool:
-        """Return whether an answer is still likely to come before the deadline."""
-        durations = hosted.durations.of(submit.route, submit.target_s)
-        needed_s = MIN_TIME_SHARE * durations.median_s
-        return now + needed_s < submit.deadline
-
     def _handle_call_ended(
         self, ended: CallEnded, now: float
     ) -> tuple[HostOutput, ...]:
@@ -319,7 +310,7 @@
             # The server has left, or a new one has taken its place.
             is_broken = ended.kind is EndKind.BROKEN
             return (self._crashes.judge(record.submit, now),) if is_broken else ()
-        hosted.running.discard(ended.attempt_id)
+        hosted.running.pop(ended.attempt_id, None)
         self._record_outcome(hosted, record, ended.kind, now)
         if ended.kind is EndKind.BROKEN:
             return self._handle_break(hosted, record, now)
@@ -418,6 +409,9 @@
         self, record: AttemptRecord, reason: DeclineReason, now: float
     ) -> Declined:
         record.decline()
+        hosted = self._servers.get(record.submit.server_id)
+        if hosted is not None:
+            hosted.forgive(record)
         return self._crashes.decline(record.submit, reason, now)
 
     def _handle_listing(
@@ -501,7 +495,7 @@
             outputs.append(CallLost(attempt_id, server_id, overdue_s))
             hosted = self._servers.get(server_id)
             if hosted is not None and attempt_id in hosted.running:
-                hosted.running.discard(attempt_id)
+                hosted.running.pop(attempt_id, None)
                 hosted.liveness.discard(attempt_id)
                 outputs.extend(self._start_queued(hosted, now))
         return tuple(outputs)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -1,21 +1,38 @@
 """State of a backend server at its host, and of the attempts submitted for it."""
 
 import enum
+from collections import Counter
 
 from pimentobend_core._internal.crashes.detection import CrashDetector
 from pimentobend_core._internal.forwarding.backlog import Backlog
+from pimentobend_core._internal.forwarding.backlog import QueuedAttempt
+from pimentobend_core._internal.forwarding.call_room import CallRoom
+from pimentobend_core._internal.forwarding.durations import DurationEstimate
 from pimentobend_core._internal.forwarding.durations import RouteDurations
+from pimentobend_core._internal.forwarding.fair_parts import DIRECT
+from pimentobend_core._internal.forwarding.fair_parts import Group
+from pimentobend_core._internal.forwarding.fair_parts import GroupDebts
+from pimentobend_core._internal.forwarding.fair_parts import make_group
 from pimentobend_core._internal.forwarding.liveness import Liveness
 from pimentobend_core._internal.forwarding.liveness import Survival
 from pimentobend_core._internal.forwarding.messages import Submit
+from pimentobend_core._internal.forwarding.senders import LocalRun
 from pimentobend_core._internal.forwarding.shedding import RefusalShare
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.traffic.shared_budget import ServiceBudget
 
+# An attempt is declined if less than this share of its route's median answer time is
+# left before the deadline, as hardly any answer takes less.
+MIN_TIME_SHARE = 0.5
 COLD_MULTIPLE = 2.0  # how many times as long a server takes while it warms up
 
 
+def group_of(submit: Submit) -> Group:
+    """Return the group that an attempt counts for in the division of the slots."""
+    return make_group(submit.organisation, is_call=submit.sender.is_call)
+
+
 class Phase(enum.Enum):
     """Whether an attempt waits, runs or has ended."""
 
@@ -29,6 +46,7 @@
 
     __slots__ = (
         "budget",
+        "owed_s",
         "phase",
         "started_at",
         "submit",
@@ -43,9 +61,17 @@
         self.started_at = 0.0
         # Probability that it is a repeat, or a call of a repeated run.
         self.repeat_share = 1.0 if submit.is_repeat else submit.sender.repeat_share
+        self.owed_s = 0.0  # time of a slot that it adds to its group's debt
         # Counts the attempt; None if it was declined at once.
         self.budget: ServiceBudget | None = None
 
+    def to_run(self, usual_end: float) -> LocalRun:
+        """Return the run of the attempt, which usually ends by a clock time in s."""
+        submit = self.submit
+        return LocalRun(
+            self.repeat_share, usual_end, submit.deadline, submit.route, submit.demand
+        )
+
     def admit(self, budget: ServiceBudget) -> None:
         """Count the attempt with a budget until its end."""
         self.budget = budget
@@ -73,13 +99,15 @@
 
     def __init__(self, server: Server, now: float) -> None:
         self.server = server
-        self.running: set[str] = set()
+        self.running: dict[str, Group] = {}  # by attempt id
         self.backlog = Backlog()
         self.liveness = Liveness(now)
         self.refusals = RefusalShare(now)
         self.durations = RouteDurations()
         self.unreachable_until = 0.0
         self.crashes = CrashDetector()
+        self.call_room = CallRoom()
+        self.debts = GroupDebts()
 
     @property
     def is_ready(self) -> bool:
@@ -106,10 +134,54 @@
         """Return how long the server's slots take for work that takes ``seconds``."""
         return self.slowdown * seconds / max(1, self.server.slots)
 
-    def wait_s(self, route: str, now: float) -> float:
+    def usual_s(self, submit: Submit) -> float:
+        """Return the time within which nearly all answers of the route come."""
+        durations = self.durations.of(submit.route, submit.target_s)
+        return self.slowdown * durations.p90_s
+
+    def has_time(self, submit: Submit, start: float) -> bool:
+        """Return whether an answer is likely to come before the deadline."""
+        durations = self.durations.of(submit.route, submit.target_s)
+        return start + MIN_TIME_SHARE * durations.median_s < submit.deadline
+
+    def enqueue(self, record: AttemptRecord, sequence: int, now: float) -> None:
+        """Put an attempt that arrives at ``now`` into the queue."""
+        submit = record.submit
+        group = group_of(submit)
+        durations = self.durations.of(submit.route, submit.target_s)
+        durations.set_target(submit.target_s, submit.priority)
+        due = min(now + self._slack_s(group, durations), submit.deadline)
+        due += self._delay_s(group, now)
+        record.owed_s = self.slowdown * durations.mean_s
+        self.debts.add(group, record.owed_s)
+        if group.is_call:
+            self.call_room.add_call(record.owed_s * submit.demand)
+        attempt_id, mean_s = submit.attempt_id, durations.mean_s
+        self.backlog.add(QueuedAttempt(due, sequence, attempt_id, mean_s, group))
+
+    def forgive(self, record: AttemptRecord) -> None:
+        """Take back what a queued attempt owes that will not run."""
+        self.debts.add(group_of(record.submit), -record.owed_s)
+        record.owed_s = 0.0
+
+    def _slack_s(self, group: Group, durations: DurationEstimate) -> float:
+        """Return how long an attempt may wait; the run of a call holds a slot."""
+        return 0.0 if group.is_call else durations.slack_s
+
+    def _delay_s(self, group: Group, now: float) -> float:
+        if group == DIRECT and not self.debts.has_others:
+            return 0.0
+        queued = (each.group for each in self.backlog)
+        present = Counter((*self.running.values(), *queued))
+        return self.debts.delay_s(group, present, self.server.slots, now)
+
+    def wait_s(self, route: str, now: float, group: Group = DIRECT) -> float:
         """Return the expected time until an attempt of a route would start, in s."""
         if self.free_slots:
             return 0.0
         durations = self.durations.of(route)
-        ahead_s = self.backlog.work_before(now + durations.slack_s)
-        return self.share_of_slots(ahead_s + durations.mean_s)
+        delay_s = self._delay_s(group, now)
+        due = now + self._slack_s(group, durations) + delay_s
+        ahead_s = self.backlog.work_before(due)
+        # Who exceeds its part waits for it, also where others come later and go first.
+        return max(delay_s, self.share_of_slots(ahead_s + durations.mean_s))
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -32,6 +32,10 @@
     takes_repeats: bool = True  # the server's share of the retry budget is not spent
     refusal_share: float = 0.0  # share of recent attempts that the server refused unrun
     is_known: bool = True  # False if the answer time is a guess, for want of answers
+    # Share of the route's requests whose calls the services behind have room for.
+    admit_share: float = 1.0
+    call_room: float = 0.0  # slots for the calls of other servers
+    call_demand: float = 0.0  # slots that those calls want
 
 
 class Ask(NamedTuple):
@@ -41,6 +45,7 @@
     service: str
     route: str
     organisation: str = ""  # that sends the request; empty without one
+    is_call: bool = False  # a backend server sends it while it runs another one
 
 
 class Bids(NamedTuple):
@@ -67,6 +72,8 @@
     crash_reports: tuple[CrashReport, ...] = ()  # that its origin has learnt of
     sender: Sender = Sender()
     organisation: str = ""  # that sent the request; empty without one
+    # Requests that it stands for, as some were refused for want of room behind.
+    demand: float = 1.0
 
 
 class Withdraw(NamedTuple):
@@ -146,6 +153,21 @@
     """
 
 
+class CallMade(NamedTuple):
+    """Report a call to a service by a run of one of the routes on a local server."""
+
+    service: str
+    routes: tuple[str, ...]
+
+
+class CallRoomSeen(NamedTuple):
+    """Report the room that a service has for calls, from its bids."""
+
+    service: str
+    room: float  # slots for calls, at the servers that made bids
+    demand: float  # slots that calls want there
+
+
 class HostTick(NamedTuple):
     """Periodic tick: declines late queued attempts and drops old records."""
 
@@ -163,6 +185,8 @@
     | StartDraining
     | ServiceSizes
     | LocalRequestFailed
+    | CallMade
+    | CallRoomSeen
     | HostTick
 )
 
@@ -220,6 +244,14 @@
     attempt_id: str
 
 
+class AdmitShareChanged(NamedTuple):
+    """Report the share of a route's requests whose calls have room."""
+
+    route: str
+    services: tuple[str, ...]  # that its runs call
+    share: float
+
+
 class CancelCall(NamedTuple):
     """Cancel the running call of a repeatable attempt."""
 
@@ -233,6 +265,7 @@
     | DuplicateSubmission
     | CancelCall
     | CallLost
+    | AdmitShareChanged
     | ProbeServer
     | CallJudged
     | ServerCrashed
--- a/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/rejection.py
@@ -53,6 +53,19 @@
     return bid.wait_s + multiple * bid.p90_s >= remaining_s
 
 
+def must_reject(
+    bid: Bid, remaining_s: float, finish_in_s: float, *, is_repeatable: bool
+) -> bool:
+    """Return whether the request of the best bid cannot be served.
+
+    ``remaining_s`` is the time to its deadline, ``finish_in_s`` the time to the end of
+    this process.
+    """
+    return would_outlast(bid, finish_in_s) or is_unservable(
+        bid, remaining_s, is_repeatable=is_repeatable
+    )
+
+
 def make_refusal(
     ran: Ran, reason: RefusalReason, detail: str, pause_s: float
 ) -> Refusal:
@@ -63,6 +76,12 @@
     return Refusal(status, ran, reason, detail)
 
 
+def make_blocked_refusal(ran: Ran, blocked_s: float) -> Refusal:
+    """Return the refusal of a request that crashes servers, for a time in seconds."""
+    detail = "the request crashed servers"
+    return make_refusal(ran, RefusalReason.CRASHES_SERVERS, detail, blocked_s)
+
+
 def retry_after_s(request_id: str, wait_s: float, remaining_s: float) -> float:
     """Return after how many seconds the caller should try again.
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -11,6 +11,10 @@
 
 # A deadline is sent as the time that is left, so that a delay on the way moves it.
 DEADLINE_SLACK_S = 0.25
+# A call ends with its run, up to the rounding to milliseconds and to the time that the
+# run's head and the call take to and from the server.
+CALL_ENDS_EARLIER_S = 0.005
+CALL_ENDS_LATER_S = 0.04
 # How long runs of an earlier process may go on after this one has started.
 EARLIER_RUNS_S = 10.0
 
@@ -21,6 +25,8 @@
     repeat_share: float  # probability that it is a repeat, or a call of one
     usual_end: float
     deadline: float
+    route: str = ""  # empty if calls are not matched with runs
+    demand: float = 1.0  # requests that it stands for
 
 
 class LocalRuns(NamedTuple):
@@ -41,23 +47,42 @@
         # A first attempt that takes far too long hangs, and makes no calls.
         and (each.repeat_share or now < each.usual_end)
     ]
+    shares = [each.repeat_share for each in callers]
+    share = sum(shares) / len(shares) if shares else 0.0
+    return _add_calling_routes(Sender(repeat_share=min(1.0, share)), local, deadline)
+
+
+def _add_calling_routes(sender: Sender, local: LocalRuns, deadline: float) -> Sender:
+    """Return the sender with the routes of the runs that end with its request."""
+    callers = [
+        each
+        for each in local.runs
+        if each.route
+        and each.deadline - CALL_ENDS_EARLIER_S <= deadline
+        and deadline <= each.deadline + CALL_ENDS_LATER_S
+    ]
     if not callers:
-        return Sender()
-    share = sum(each.repeat_share for each in callers) / len(callers)
-    return Sender(repeat_share=min(1.0, share))
+        return sender
+    demand = sum(each.demand for each in callers) / len(callers)
+    routes = tuple(each.route for each in callers)
+    return sender._replace(is_call=True, calling_routes=routes, demand=demand)
 
 
 class RunTracker:
-    """Keeps what the local servers run and reports each change once."""
+    """Keeps what the local servers run and reports each change once.
+
+    ``matches_calls`` is whether calls are matched with the routes of their runs.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, matches_calls: bool = False) -> None:
+        self._matches_calls = matches_calls
         self._runs: dict[str, LocalRun] = {}
         self._latest_deadline = float("-inf")
         self._has_changed = False
 
     def begin(self, attempt_id: str, run: LocalRun) -> None:
         """Add a run."""
-        self._runs[attempt_id] = run
+        self._runs[attempt_id] = run if self._matches_calls else run._replace(route="")
         self._latest_deadline = max(self._latest_deadline, run.deadline)
         self._has_changed = True
 
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -74,6 +74,13 @@
 
     is_client: bool = False  # certainly not a server on its machine
     repeat_share: float = 0.0  # probability that a repeated run of a server sent it
+    # It ends with a run of a server on its machine, which probably makes it.
+    is_call: bool = False
+    calling_routes: tuple[str, ...] = ()  # of the runs that may make the call
+    demand: float = 1.0  # requests that the run stands for, see Submit.demand
+
+
+UNKNOWN_SENDER = Sender()
 
 
 class AttemptKind(enum.Enum):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -20,6 +20,7 @@
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.events import RequestBlocked
+from pimentobend_core._internal.forwarding.messages import AdmitShareChanged
 from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -80,6 +81,14 @@
                 self._write_host_event(
                     message.action, message.attempt_id, message.detail
                 )
+            case AdmitShareChanged():
+                self._counters.count("admit_share_changes")
+                self._log.info(
+                    "admit-share-changed",
+                    route=message.route,
+                    services=",".join(message.services),
+                    share=message.share,
+                )
             case CallLost():
                 self._counters.count("calls_lost")
                 self._log.error(
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -182,6 +182,7 @@
             clock,
             ports.forwarding,
             ports.on_reports_changed,
+            admits_by_calls=settings.admission_behind_calls,
         )
         # The crash reports in each daemon's row, by its address.
         self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -55,6 +55,7 @@
         "data_folder": _PATH,
         "heartbeat_s": NumberCheck(0.1, MAX_SECONDS),
         "grace_s": _SECONDS,
+        "admission_behind_calls": BooleanCheck(),
         "retry_budget": ObjectCheck(
             {
                 "ratio": NumberCheck(0, 10),
@@ -98,6 +99,8 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    # Whether requests are admitted by the room of the services that their runs call.
+    admission_behind_calls: bool = False
 
     @property
     def link(self) -> str:
@@ -201,4 +204,5 @@
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
         budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        admission_behind_calls=values.get("admission_behind_calls", False),
     )
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -49,6 +49,11 @@
         changed(retry_budget={"ratio": "x"}),
         ["retry_budget.ratio"],
     ),
+    (
+        "an admission that is not a boolean",
+        changed(admission_behind_calls="yes"),
+        ["admission_behind_calls"],
+    ),
 ]
 
 
@@ -69,3 +74,6 @@
     assert settings.metrics == ("10.0.0.1", 5)
     assert settings.budget.allowance == 56
     assert not settings.first_start
+    assert not settings.admission_behind_calls
+    enabled = changed(admission_behind_calls=True)
+    assert parse_fleet_settings(enabled, "file").admission_behind_calls
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -8,6 +8,7 @@
 from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
 from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
 from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
+from pimentobend_adapters._internal.forwarding.bid_collector import Question
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.links.frames import Frame
 from pimentobend_adapters._internal.links.transport import Transport
@@ -118,7 +119,7 @@
 
     def ask(self, distance: Distance) -> int:
         self.link.asked.clear()
-        return len(self.bid_collector.ask("bookings", "r1", distance))
+        return len(self.bid_collector.ask(Question("bookings", "r1"), distance))
 
 
 ASKED = [
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from pimentobend_core._internal.forwarding.bidding import QUEUE_LIMIT
+from pimentobend_core._internal.forwarding.bidding import TRIAL_INTERVAL_S
 from pimentobend_core._internal.forwarding.host import CALL_REPORT_S
-from pimentobend_core._internal.forwarding.host import QUEUE_LIMIT
 from pimentobend_core._internal.forwarding.host import RECORD_RETENTION_S
-from pimentobend_core._internal.forwarding.host import TRIAL_INTERVAL_S
 from pimentobend_core._internal.forwarding.host import ServerHost
 from pimentobend_core._internal.forwarding.messages import Ask
 from pimentobend_core._internal.forwarding.messages import Bids
