--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -140,9 +140,10 @@
             hop.is_repeat,
             hop.fingerprint,
             hop.crash_reports,
-            Sender(hop.is_from_client, hop.repeat_share),
+            Sender(hop.is_from_client, hop.repeat_share, hop.is_call),
             hop.organisation,
             hop.is_copy,
+            hop.demand,
         )
         head = RequestHead(
             request_id=request_id,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -174,6 +174,8 @@
             submit.sender.repeat_share,
             submit.organisation,
             submit.is_copy,
+            submit.sender.is_call,
+            submit.demand,
         )
 
     def _failed(self, kind: AttemptKind, started: float) -> AttemptResult:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -56,6 +56,7 @@
         "data_folder": _PATH,
         "heartbeat_s": NumberCheck(0.1, MAX_SECONDS),
         "grace_s": _SECONDS,
+        "admission_behind_calls": BooleanCheck(),
         "retry_budget": ObjectCheck(
             {
                 "ratio": NumberCheck(0, 10),
@@ -113,6 +114,8 @@
     # From the acknowledgement of a version that removes a key to the last request that
     # runs with it; None if that is not bounded.
     revoke_s: float | None = None
+    # Whether requests are admitted by the room of the services that their runs call.
+    admission_behind_calls: bool = False
 
     @property
     def link(self) -> str:
@@ -222,4 +225,5 @@
         budget=budget,
         limits=LimitSettings(**values.get("limits", {})),
         revoke_s=strict_revoke["revoke_s"] if strict_revoke else None,
+        admission_behind_calls=values.get("admission_behind_calls", False),
     )
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -62,6 +62,11 @@
         ["extra_copies.share"],
     ),
     ("extra copies without a share", changed(extra_copies={}), ["extra_copies.share"]),
+    (
+        "an admission that is not a boolean",
+        changed(admission_behind_calls="yes"),
+        ["admission_behind_calls"],
+    ),
 ]
 
 
@@ -100,3 +105,9 @@
 def test_extra_copies_are_not_limited_by_default(budget: Any) -> None:
     text = changed(extra_copies=..., retry_budget=budget)
     assert parse_fleet_settings(text, "file").budget.copies_share is None
+
+
+@pytest.mark.parametrize(("value", "expected"), [(..., False), (True, True)])
+def test_admission_behind_calls_is_off_by_default(value: Any, expected: bool) -> None:
+    text = changed(admission_behind_calls=value)
+    assert parse_fleet_settings(text, "file").admission_behind_calls is expected
