Require a proof for each key, also without organisations

A daemon cut off since before the first organisation served every key for good, also one that was added and removed meanwhile: only tables with organisations asked for a proof.

--- a/packages/core/src/pimentobend_core/_internal/request/tables_proof.py
+++ b/packages/core/src/pimentobend_core/_internal/request/tables_proof.py
@@ -1,4 +1,4 @@
-"""Admit requests that need a key only while the tables are proven to be the newest."""
+"""Admit keyed requests only while the tables are proven to be the newest."""
 
 import random
 from collections.abc import Callable
@@ -26,7 +26,7 @@
 
 
 class TablesProofFilter(Filter[Routed, Routed]):
-    """Refuses requests that need a key while the tables are unproven.
+    """Refuses requests that have or need a key while the tables are unproven.
 
     A request waits for a proof for a short time. It is routed again by ``routing`` if
     newer tables came into force meanwhile.
@@ -62,7 +62,7 @@
         return Success(value) if self._is_admitted(value) else Failure(self._refuse())
 
     def _is_admitted(self, value: Routed) -> bool:
-        return not needs_key(value, self._tables.current()) or self._proof.is_proven()
+        return not needs_proof(value, self._tables.current()) or self._proof.is_proven()
 
     def _refuse(self) -> Refusal:
         spread_s = RETRY_AFTER_MAX_S - RETRY_AFTER_MIN_S
@@ -75,13 +75,13 @@
         )
 
 
-def needs_key(value: Routed, tables: Tables) -> bool:
-    """Return whether a request must carry an API key by these tables.
+def needs_proof(value: Routed, tables: Tables) -> bool:
+    """Return whether a request carries an API key, or has to by these tables.
 
-    A call of a backend server on this machine carries none. A key that is sent all the
-    same may have been revoked, and is checked like any other.
+    A key needs a proof also where these tables hold no organisations: newer ones may
+    have added it and removed it again.
     """
-    if not tables.organisations:
-        return False
+    if value.head.api_key_digest:
+        return True
     may_lack_key = value.route.allow_anonymous or value.head.is_local
-    return bool(value.head.api_key_digest) or not may_lack_key
+    return bool(tables.organisations) and not may_lack_key
--- a/packages/daemon/src/pimentobendd/_internal/fleet/proofs.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/proofs.py
@@ -72,7 +72,7 @@
         return self._in_force
 
     def is_ready(self) -> bool:
-        """Return whether no request is refused for want of a proof."""
+        """Return whether requests are admitted that need a key by these tables."""
         takes_keys = (
             self._instance is not None and self._ports.tables.current().organisations
         )
