--- a/packages/core/src/pimentobend_core/_internal/consensus/constants.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/constants.py
@@ -30,6 +30,5 @@
 RETAINED_ENTRIES = 1024
 CAUGHT_UP_ENTRIES = 64  # a learner this close to the commit index can be promoted
 # Largest command that is accepted. It leaves 64 KB of the largest frame (4 MB) to the
-# messages that carry it, as a command that fits
-# into no frame cannot be replicated.
+# messages that carry it, as a command that fits into no frame cannot be replicated.
 COMMAND_BYTES = 4 * 1024 * 1024 - 64 * 1024
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -59,7 +59,6 @@
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.organisation import OrganisationFilter
-from pimentobend_core._internal.request.organisation import name_sender
 from pimentobend_core._internal.request.route import RouteFilter
 from pimentobend_core._internal.request.sender import SenderFilter
 from pimentobend_core._internal.request.stages import Received
@@ -226,7 +225,6 @@
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
             watches_callers=True,
-            name_sender=lambda head: name_sender(tables, head),
         )
         requests = CallOutlet(self._handle_request_ended)
         self.front = CallerFront(pipe, clock, requests, options)
--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -156,6 +156,8 @@
         ("museum", ["secret-a", "secret-b"]),
     ]
     assert all("secret" not in process.log() for process in fleet.processes)
+    logs = [process.log() for process in fleet.instances]
+    assert all("forged" not in log for log in logs)
 
 
 def is_run_for(fleet: Fleet, process: Process, organisation: str) -> bool:
