--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -9,6 +9,7 @@
 
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
+from pimentobend_core._internal.limits.terms import LimitSettings
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
@@ -62,7 +63,16 @@
                 "allowance": NumberCheck(0, 1_000_000),
             }
         ),
+        "limits": ObjectCheck(
+            {},
+            {
+                "window_s": NumberCheck(1, MAX_SECONDS),
+                "over": NumberCheck(0, 10),
+                "slack": NumberCheck(0, 1_000_000),
+            },
+        ),
         "strict_revoke": ObjectCheck({"revoke_s": NumberCheck(1, MAX_SECONDS)}),
+        "extra_copies": ObjectCheck({"share": NumberCheck(0, 10)}),
     },
 )
 DEFAULT_HEARTBEAT_S = 2.0
@@ -99,6 +109,7 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    limits: LimitSettings = LimitSettings()
     # From the acknowledgement of a version that removes a key to the last request that
     # runs with it; None if that is not bounded.
     revoke_s: float | None = None
@@ -183,7 +194,10 @@
     folder = values.get("data_folder")
     beside = values.get("beside")
     seeds = (text.rpartition(":")[0] for text in values["seeds"])
-    budget = values.get("retry_budget")
+    budget = DEFAULT_BUDGET._replace(
+        **values.get("retry_budget", {}),
+        copies_share=values.get("extra_copies", {}).get("share"),
+    )
     metrics_port = listen.get("metrics_port")
     strict_revoke = values.get("strict_revoke")
     return FleetSettings(
@@ -205,6 +219,7 @@
         data_folder=pathlib.Path(folder) if folder else None,
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
-        budget=BudgetTerms(**budget) if budget else DEFAULT_BUDGET,
+        budget=budget,
+        limits=LimitSettings(**values.get("limits", {})),
         revoke_s=strict_revoke["revoke_s"] if strict_revoke else None,
     )
--- a/packages/daemon/src/pimentobendd/_internal/tables.py
+++ b/packages/daemon/src/pimentobendd/_internal/tables.py
@@ -10,6 +10,7 @@
 import eventlet.event
 
 from pimentobend_core._internal.compact.organisations import pack_organisations
+from pimentobend_core._internal.limits.terms import Limit
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.models.tables import Route
@@ -27,6 +28,7 @@
         self._tables = EMPTY_TABLES
         self._matcher = RouteMatcher(EMPTY_TABLES)
         self._organisations = pack_organisations(EMPTY_TABLES.organisations)
+        self._has_limits = False
         self._subscribers: list[Callable[[Tables], None]] = []
         self._first_tables: Any = eventlet.event.Event()
 
@@ -42,6 +44,18 @@
         """Return the organisation that holds the API key of a digest, or None."""
         return self._organisations.find(key_digest)
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any organisation has a limit."""
+        return self._has_limits
+
+    def find_limit(self, organisation: str) -> Limit | None:
+        """Return the limit of an organisation by its name; None without one."""
+        found = self._organisations.get(organisation)
+        if found is None or found.rate_per_s <= 0:
+            return None
+        return Limit(found.rate_per_s, found.burst)
+
     def await_first(self, timeout_s: float) -> bool:
         """Wait until any tables are in force; return whether they are."""
         with eventlet.Timeout(timeout_s, False):
@@ -59,6 +73,7 @@
         self._tables = tables
         self._matcher = RouteMatcher(tables)
         self._organisations = pack_organisations(tables.organisations)
+        self._has_limits = any(row.rate_per_s > 0 for row in self._organisations)
         if not self._first_tables.ready():
             self._first_tables.send(None)
         for function in self._subscribers:
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -25,6 +25,7 @@
     },
     "beside": {"service": "s", "address": "10.0.0.1:6"},
     "retry_budget": {"ratio": 0.2, "window_s": 10, "allowance": 56},
+    "extra_copies": {"share": 0.05},
 }
 
 
@@ -55,6 +56,12 @@
         changed(strict_revoke={"revoke_s": 0}),
         ["strict_revoke.revoke_s"],
     ),
+    (
+        "a share of extra copies below 0",
+        changed(extra_copies={"share": -0.1}),
+        ["extra_copies.share"],
+    ),
+    ("extra copies without a share", changed(extra_copies={}), ["extra_copies.share"]),
 ]
 
 
@@ -74,6 +81,7 @@
     assert settings.link == "10.0.0.1:7600"
     assert settings.metrics == ("10.0.0.1", 5)
     assert settings.budget.allowance == 56
+    assert settings.budget.copies_share == 0.05
     assert not settings.first_start
 
 
@@ -86,3 +94,9 @@
     """Guards against proof frames and refusals where nothing asks for them."""
     settings = parse_fleet_settings(changed(strict_revoke=strict_revoke), "file")
     assert settings.revoke_s == revoke_s
+
+
+@pytest.mark.parametrize("budget", [GOOD["retry_budget"], ...])
+def test_extra_copies_are_not_limited_by_default(budget: Any) -> None:
+    text = changed(extra_copies=..., retry_budget=budget)
+    assert parse_fleet_settings(text, "file").budget.copies_share is None
