Share bids of free servers among organisations, and bound those kept

With organisations, a request considered only the bids that its own organisation had asked for, so that daemons were asked again for each of them, also where every server had a free slot. Such bids are the same for all, and hold for all now; those of full servers state the wait of one organisation and stay its own.

Answers were kept by organisation and dropped only when that organisation asked again, so that memory grew with the number of organisations. The latest 4,096 answers are kept.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -37,6 +37,9 @@
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
 }
+# Answers that are kept. Those of a full server are kept by organisation, and there may
+# be 85,000.
+CACHE_LIMIT = 4096
 # Maximum number of daemons whose bids a request considers; fresh ones count.
 ASK_LIMITS = {
     Distance.DATA_CENTRE: 6,
@@ -71,6 +74,12 @@
     bids: Bids
     received_at: float
 
+    @property
+    def is_for_all(self) -> bool:
+        """Return whether the bids hold for each organisation, as no one waits."""
+        made = self.bids.bids
+        return bool(made) and all(bid.free_slots > 0 for bid in made)
+
 
 class _Round:
     """Questions sent at the same time, and the daemons that have not answered yet."""
@@ -156,7 +165,7 @@
 
     def bid_age_s(self, candidate: Candidate, question: Question) -> float:
         """Return how old a candidate's bid is, in seconds."""
-        cached = self._cached.get(_CacheKey(candidate.peer.address, question))
+        cached = self._find(candidate.peer.address, question)
         return self._clock.now() - cached.received_at if cached else 0.0
 
     def handle_ask(self, frame: Frame) -> None:
@@ -185,7 +194,7 @@
     def _is_stale(
         self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> bool:
-        cached = self._cached.get(_CacheKey(row.address, question))
+        cached = self._find(row.address, question)
         limit_s = FRESH_S[find_distance(own_row, row)]
         return cached is None or now - cached.received_at > limit_s
 
@@ -231,7 +240,7 @@
         if address != sender:
             return
         now = self._clock.now()
-        self._cached[_CacheKey(sender, question)] = _CachedBids(bids, now)
+        self._keep(sender, question, _CachedBids(bids, now))
         doubtful = (sender, question.service)
         if any(bid.risk < FAILING_RISK or bid.wants_trial for bid in bids.bids):
             self._doubtful_until.pop(doubtful, None)
@@ -239,16 +248,34 @@
             self._doubtful_until[doubtful] = now + DOUBT_S
         pending.answered(sender)
 
+    def _keep(self, address: str, question: Question, cached: _CachedBids) -> None:
+        if cached.is_for_all:
+            question = question._replace(organisation="")
+        key = _CacheKey(address, question)
+        self._cached.pop(key, None)  # so that the oldest answer is the first one
+        self._cached[key] = cached
+        if len(self._cached) > CACHE_LIMIT:
+            del self._cached[next(iter(self._cached))]
+
+    def _find(self, address: str, question: Question) -> _CachedBids | None:
+        """Return the latest bids of a daemon that hold for the question."""
+        own = self._cached.get(_CacheKey(address, question))
+        if not question.organisation:
+            return own
+        general = question._replace(organisation="")
+        shared = self._cached.get(_CacheKey(address, general))
+        if shared is None or not shared.is_for_all:
+            return own
+        return shared if own is None or own.received_at < shared.received_at else own
+
     def _candidates(
         self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> list[Candidate]:
-        key = _CacheKey(row.address, question)
-        cached = self._cached.get(key)
+        cached = self._find(row.address, question)
         if cached is None:
             return []
         distance = find_distance(own_row, row)
         if now - cached.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
-            del self._cached[key]
             return []
         peer = row._replace(process_id=cached.bids.process_id)
         return [Candidate(peer, bid, distance) for bid in cached.bids.bids]
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -73,6 +73,7 @@
         self.up = up
         self.asked: list[str] = []
         self.risks: dict[str, float] = {}
+        self.free_slots = 3
         self.bid_collector: BidCollector | None = None
 
     @property
@@ -91,7 +92,17 @@
         if peer in self.up:
             token = decode(payload, Ask).token
             bids = Bids(
-                token, 5, (Bid(f"s-{peer}", self.risks.get(peer, 0.1), 3, 0.0, 0.2),)
+                token,
+                5,
+                (
+                    Bid(
+                        f"s-{peer}",
+                        self.risks.get(peer, 0.1),
+                        self.free_slots,
+                        0.0 if self.free_slots else 0.4,
+                        0.2,
+                    ),
+                ),
             )
             assert self.bid_collector is not None
             self.bid_collector.handle_bids(Frame(peer, KIND_BIDS, encode(bids)))
@@ -118,9 +129,10 @@
         self.link.bid_collector = self.bid_collector
         self.bid_collector.update_peers(rows)
 
-    def ask(self, distance: Distance) -> int:
+    def ask(self, distance: Distance, organisation: str = "") -> int:
         self.link.asked.clear()
-        return len(self.bid_collector.ask(Question("bookings", "r1"), distance))
+        question = Question("bookings", "r1", organisation)
+        return len(self.bid_collector.ask(question, distance))
 
 
 ASKED = [
@@ -227,3 +239,41 @@
     harness.clock.time += later_s
     harness.ask(Distance.FAR)
     assert bool(failing & set(harness.link.asked)) == may_ask_failing
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "free_slots", "asks_again"),
+    [
+        ("a", "b", 3, False),
+        ("a", "", 3, False),
+        ("", "a", 3, False),
+        ("a", "b", 0, True),
+        ("", "a", 0, True),
+        ("a", "a", 0, False),
+    ],
+)
+def test_which_organisations_share_bids(
+    first: str,
+    second: str,
+    free_slots: int,
+    asks_again: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against asking again for each organisation where nothing lacks room."""
+    harness = BidCollectorHarness([NEAR], monkeypatch)
+    harness.link.free_slots = free_slots
+    assert harness.ask(Distance.FAR, first) == 1
+    assert harness.ask(Distance.FAR, second) == 1
+    assert bool(harness.link.asked) == asks_again
+
+
+def test_the_bids_of_many_organisations_are_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness = BidCollectorHarness([NEAR], monkeypatch)
+    harness.link.free_slots = 0
+    for number in range(module.CACHE_LIMIT + 10):
+        harness.ask(Distance.FAR, f"o{number}")
+    assert len(harness.bid_collector._cached) == module.CACHE_LIMIT
+    assert harness.ask(Distance.FAR, f"o{number}") == 1
+    assert not harness.link.asked
