State no room for calls in bids without admission by calls

Bids of hosts without `admission_behind_calls` stated 0.93 of their slots as room for calls, as the room was computed without samples. Nobody used the number.

The new case fails with the code before (1.9 for two slots). 691 tests in tests/unit/forwarding and test_layers.py pass.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/call_room.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/call_room.py
@@ -37,7 +37,9 @@
         return self._calls
 
     def room(self, slots: int) -> float:
-        """Return how many of the server's slots are there for calls."""
+        """Return how many slots are there for calls; 0 before the first sample."""
+        if self._sampled_at is None:
+            return 0.0
         room = max(EQUAL_PART * slots, FULL_USE * slots - self._direct)
         return max(MIN_ROOM * room, room - self._waiting_s / DRAIN_S)
 
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -685,3 +685,9 @@
     assert runs.latest_deadline == 3.0
     harness.give(ended("2"))
     assert [len(each.runs) for each in harness.runs] == [1]
+
+
+def test_without_admission_by_calls_a_bid_states_no_room_for_them() -> None:
+    """Guard against other messages where the setting is off."""
+    (bid,) = HostHarness().bid().bids
+    assert (bid.admit_share, bid.call_room, bid.call_demand) == (1.0, 0.0, 0.0)
