--- a/packages/core/src/pimentobend_core/_internal/forwarding/fair_parts.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/fair_parts.py
@@ -130,6 +130,20 @@
             self._parts[group.is_call, count, weight] = part
         return part
 
+    def dump(self) -> Mapping[str, object]:
+        """Return the counts as JSON-compatible values."""
+        organisations = {
+            group.organisation: count
+            for group, count in sorted(self._counts.items())
+            if group.organisation
+        }
+        anonymous = self._counts.get(DIRECT, 0)
+        return {
+            "organisations": organisations,
+            "anonymous": anonymous,
+            "calls": self._calls,
+        }
+
     def _find_part(self, group: Group, slots: float, weight: float) -> float:
         if group.is_call:
             return find_part([Want(self._direct)], slots)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -159,6 +159,7 @@
                     "slots": hosted.server.slots,
                     "running": sorted(hosted.running),
                     "queued": [queued.attempt_id for queued in hosted.backlog],
+                    "waiting": hosted.backlog.counts.dump(),
                 }
                 for server_id, hosted in sorted(self._servers.items())
             },
--- a/tests/unit/forwarding/test_host.py
+++ b/tests/unit/forwarding/test_host.py
@@ -1,5 +1,7 @@
 """Test which attempts the daemon of a server starts, queues and declines."""
 
+from typing import Any
+
 import pytest
 
 from pimentobend_core._internal.forwarding.bidding import QUEUE_LIMIT
@@ -691,3 +693,23 @@
     """Guard against other messages where the setting is off."""
     (bid,) = HostHarness().bid().bids
     assert (bid.admit_share, bid.call_room, bid.call_demand) == (1.0, 0.0, 0.0)
+
+
+def test_the_dump_counts_who_waits() -> None:
+    """Guard against counts that drift from the queue, on which all parts depend."""
+    harness = HostHarness()
+    harness.give(submit("1"), submit("2"), submit("3"))
+    harness.give(submit("4")._replace(sender=Sender(is_call=True)))
+    for name in ("5", "6"):
+        harness.give(submit(name)._replace(organisation="a"))
+    servers: Any = harness.host.dump()["servers"]
+    waiting = {"organisations": {"a": 2}, "anonymous": 1, "calls": 1}
+    assert servers["s"]["waiting"] == waiting
+    harness.give(Withdraw("3"), Withdraw("5"), ended("1"))  # the call goes first
+    servers = harness.host.dump()["servers"]
+    waiting = {"organisations": {"a": 1}, "anonymous": 0, "calls": 0}
+    assert servers["s"]["waiting"] == waiting
+    harness.give(StartDraining(), HostTick(), ServerListed(DRAINING))
+    servers = harness.host.dump()["servers"]
+    waiting = {"organisations": {}, "anonymous": 0, "calls": 0}
+    assert servers["s"]["waiting"] == waiting
