--- a/packages/core/src/pimentobend_core/_internal/forwarding/bidding.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/bidding.py
@@ -36,16 +36,22 @@
     wait_s = hosted.wait_s(ask.route, now, group)
     return Bid(
         hosted.server.server_id,
-        round(risk, 3),
+        _shorten(risk, 3),
         hosted.free_slots,
-        round(wait_s, 3),
-        round(hosted.slowdown * durations.p90_s, 3),
+        _shorten(wait_s, 3),
+        _shorten(hosted.slowdown * durations.p90_s, 3),
         risk > TRIAL_RISK and is_idle and hosted.free_slots > 0,
         takes_repeats,
-        round(hosted.refusals.share(now), 2),
+        _shorten(hosted.refusals.share(now), 2),
         durations.is_known,
         takes_copies,
-        admit_share,
-        round(hosted.call_room.room(hosted.server.slots), 1),
-        round(hosted.call_room.demand, 1),
+        _shorten(admit_share, 2),
+        _shorten(hosted.call_room.room(hosted.server.slots), 0),
+        _shorten(hosted.call_room.demand, 1),
     )
+
+
+def _shorten(number: float, digits: int) -> float:
+    """Round a number; whole ones become integers, which take 1 byte instead of 9."""
+    rounded = round(number, digits)
+    return int(rounded) if rounded == int(rounded) else rounded
