Keep a part of the retry budget for the repeats of clients' requests

While passbook shed 55 % of its arrivals, redeemed passes were refused as often as calls: repeats of calls, which come three times as often, used up the retry budget. A repeat of a call serves a run only if its next call succeeds too. It is now taken only while less than 0.45 of the limit is used; clients' repeats go on to 0.7.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -55,6 +55,7 @@
 from pimentobend_core._internal.forwarding.rejection import UNSAFE_RISK_LIMIT
 from pimentobend_core._internal.forwarding.repeat_admission import BUDGET_REASONS
 from pimentobend_core._internal.forwarding.repeat_admission import find_budget_reason
+from pimentobend_core._internal.forwarding.repeat_admission import takes_repeats
 from pimentobend_core._internal.forwarding.rooms import sample_rooms
 from pimentobend_core._internal.forwarding.senders import RunTracker
 from pimentobend_core._internal.models.server import Server
@@ -193,7 +194,7 @@
             hosted,
             ask,
             now,
-            takes_repeats=budget.allows_repeat,
+            takes_repeats=takes_repeats(budget, is_call=ask.is_call),
             takes_copies=budget.copies.find_refusal(hosted.free_slots) is None,
             admit_share=self._calls.share(ask.route),
         )
--- a/packages/core/src/pimentobend_core/_internal/forwarding/repeat_admission.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/repeat_admission.py
@@ -27,7 +27,12 @@
             return _COPY_REASONS[refusal]
     repeat_share = submit.sender.repeat_share
     if submit.is_repeat:
-        is_allowed = state.allows_repeat
+        is_allowed = takes_repeats(state, is_call=submit.sender.is_call)
     else:
         is_allowed = not repeat_share or state.allows_call(repeat_share)
     return None if is_allowed else DeclineReason.BUDGET
+
+
+def takes_repeats(state: BudgetState, *, is_call: bool) -> bool:
+    """Return whether one more repeat may come, of a client's request or of a call."""
+    return state.allows_call_repeat if is_call else state.allows_repeat
--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -18,6 +18,9 @@
 # A host takes repeats up to this share of its part of the limit. The rest is for the
 # calls that repeated runs make, which cannot be sent elsewhere without cost.
 REPEATS_SHARE = 0.7
+# Repeats of a server's own calls stop sooner: two calls in a row have to succeed for one
+# run, while a repeat of a client's request serves that client.
+CALL_REPEATS_SHARE = 0.45
 # Share up to which it takes those calls. Which calls they are is known only on
 # average, and the hosts do not count at the same time.
 CALLS_SHARE = 0.85
@@ -53,6 +56,11 @@
         """Return whether one more repeat may come."""
         return self.repeats + 1 <= REPEATS_SHARE * self.limit
 
+    @property
+    def allows_call_repeat(self) -> bool:
+        """Return whether one more repeat of a server's call may come."""
+        return self.repeats + 1 <= CALL_REPEATS_SHARE * self.limit
+
     def allows_call(self, repeat_share: float) -> bool:
         """Return whether a call may come that a repeated run probably made."""
         return self.repeats + repeat_share <= CALLS_SHARE * self.limit
