--- a/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/shared_budget.py
@@ -18,8 +18,8 @@
 # A host takes repeats up to this share of its part of the limit. The rest is for the
 # calls that repeated runs make, which cannot be sent elsewhere without cost.
 REPEATS_SHARE = 0.7
-# Repeats of a server's own calls stop sooner: two calls in a row have to succeed for one
-# run, while a repeat of a client's request serves that client.
+# Repeats of a server's own calls stop sooner: often several calls have to succeed for
+# one run, while a repeat of a client's request serves that client.
 CALL_REPEATS_SHARE = 0.45
 # Share up to which it takes those calls. Which calls they are is known only on
 # average, and the hosts do not count at the same time.
