Ask less often for bids while a retry budget is spent

A request that was held for want of a retry budget asked the servers of all regions after 0.1, 0.2, 0.4 and 0.8 s. Budgets are renewed over a window of 10 s, so the first questions found nothing; they made up most of the questions to other regions while a service shed its load. The interval now starts at 0.4 s for this reason.

The row of the test for a spent budget fails without the change.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -244,7 +244,7 @@
         )
         self._hold_reason = reason
         if self._running:
-            self._hedge_at = now + self._ask_interval.take_s()
+            self._hedge_at = now + self._ask_interval.take_s(reason)
             return reports
         hold_s = max_hold_s(
             self._deadline - self._started_at,
@@ -253,7 +253,7 @@
         )
         if now >= self._started_at + hold_s:
             return self._end_with_failure(now)
-        self._next_ask_at = now + self._ask_interval.take_s()
+        self._next_ask_at = now + self._ask_interval.take_s(reason)
         self._rejected_by.clear()
         return reports
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/holding.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/holding.py
@@ -18,6 +18,9 @@
 # Servers are asked for bids again at an interval that doubles each time.
 ASK_INTERVAL_S = 0.1
 MAX_ASK_INTERVAL_S = 0.8
+# Retry budgets are renewed over seconds, so asking sooner only repeats the question to
+# the servers of all regions.
+MIN_BUDGET_INTERVAL_S = 0.4
 HOLD_SHARE = 0.6  # share of the time to the deadline that an unsent request may wait
 # A request that may not be repeated waits this share of its target latency for a
 # reliable server.
@@ -45,9 +48,11 @@
     def __init__(self) -> None:
         self._next_s = ASK_INTERVAL_S
 
-    def take_s(self) -> float:
+    def take_s(self, reason: HoldReason | None = None) -> float:
         """Return the interval until the next ask, and double the one after it."""
         interval_s = self._next_s
+        if reason is HoldReason.BUDGET:
+            interval_s = max(MIN_BUDGET_INTERVAL_S, interval_s)
         self._next_s = min(MAX_ASK_INTERVAL_S, 2 * interval_s)
         return interval_s
 
--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -18,6 +18,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.holding import MAX_ASK_INTERVAL_S
 from pimentobend_core._internal.forwarding.holding import MIN_HEDGE_DELAY_S
+from pimentobend_core._internal.forwarding.holding import AskInterval
 from pimentobend_core._internal.forwarding.holding import hedge_delay_s
 from pimentobend_core._internal.forwarding.holding import usual_p90_s
 from pimentobend_core._internal.forwarding.messages import Bid
@@ -300,3 +301,19 @@
         driver.wait()
     assert driver.held[0] == Held(reason, is_hedge)
     assert driver.held.count(Held(reason, is_hedge)) == 1
+
+
+@pytest.mark.parametrize(
+    ("reason", "intervals_s"),
+    [
+        (None, [0.1, 0.2, 0.4, 0.8, 0.8]),
+        (HoldReason.NO_SERVER, [0.1, 0.2, 0.4, 0.8, 0.8]),
+        (HoldReason.BUDGET, [0.4, 0.4, 0.4, 0.8, 0.8]),
+    ],
+)
+def test_how_often_servers_are_asked_again(
+    reason: HoldReason | None, intervals_s: list[float]
+) -> None:
+    """Guards against questions to all regions while a retry budget is spent."""
+    interval = AskInterval()
+    assert [interval.take_s(reason) for _ in intervals_s] == intervals_s
