--- a/tests/unit/forwarding/test_hedges.py
+++ b/tests/unit/forwarding/test_hedges.py
@@ -308,7 +308,7 @@
     [
         (None, [0.1, 0.2, 0.4, 0.8, 0.8]),
         (HoldReason.NO_SERVER, [0.1, 0.2, 0.4, 0.8, 0.8]),
-        (HoldReason.BUDGET, [0.4, 0.4, 0.4, 0.8, 0.8]),
+        (HoldReason.BUDGET, [0.4, 0.8, 0.8, 0.8, 0.8]),
     ],
 )
 def test_how_often_servers_are_asked_again(
