Do not take runs that wait for their calls for runs that hang

A daemon matches a call with the run that makes it by its deadline. While a run waits for a call, its age is no evidence against its server, and it counts anew from the end of its last call: a run that makes calls does not hang.

Five of the eight rows of the liveness test fail without the change.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -44,6 +44,7 @@
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import CallMade
+from pimentobend_core._internal.forwarding.messages import CallReturned
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
@@ -93,10 +94,16 @@
         self._tasks.add(task)
         for message in self._stop_messages:
             task.put(message)
+        host, sender = self._ports.host, value.sender
+        runs = sender.calling_runs
+        if runs:
+            host.note_call(CallMade(value.pool, sender.calling_routes, runs))
         try:
             return task.run()
         finally:
             self._tasks.discard(task)
+            if runs:
+                host.note_call(CallReturned(runs))
 
     def finish_by(self, at: float) -> None:
         """Refuse what would probably still run at ``at``, when the process ends."""
@@ -157,9 +164,6 @@
         """Run until the delivery ends."""
         if self._routed.on_caller_left is not None:
             self._routed.on_caller_left(lambda: self._inbox.put(CallerLeft()))
-        routes = self._routed.sender.calling_routes
-        if routes:
-            self._ports.host.note_call(CallMade(self._routed.pool, routes))
         now = self._ports.clock.now
         outputs = self._delivery.begin(now(), self._routed.sender)
         while True:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -43,8 +43,7 @@
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CallJudged
 from pimentobend_core._internal.forwarding.messages import CallLost
-from pimentobend_core._internal.forwarding.messages import CallMade
-from pimentobend_core._internal.forwarding.messages import CallRoomSeen
+from pimentobend_core._internal.forwarding.messages import CallNote
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
 from pimentobend_core._internal.forwarding.messages import DuplicateSubmission
@@ -174,7 +173,7 @@
         """Record that a request of a client on this machine failed."""
         self._task.put(LocalRequestFailed())
 
-    def note_call(self, message: CallMade | CallRoomSeen) -> None:
+    def note_call(self, message: CallNote) -> None:
         """Record a call of a local server, or what room the called service has."""
         self._task.put(message)
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -21,6 +21,8 @@
 from pimentobend_core._internal.forwarding.bidding import QUEUE_LIMIT
 from pimentobend_core._internal.forwarding.bidding import make_bid
 from pimentobend_core._internal.forwarding.bidding import may_bid
+from pimentobend_core._internal.forwarding.call_notes import HostView
+from pimentobend_core._internal.forwarding.call_notes import note_call
 from pimentobend_core._internal.forwarding.calls_behind import CallsBehind
 from pimentobend_core._internal.forwarding.host_crashes import HostCrashes
 from pimentobend_core._internal.forwarding.hosted_server import AttemptRecord
@@ -33,6 +35,8 @@
 from pimentobend_core._internal.forwarding.messages import CallEnded
 from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import CallMade
+from pimentobend_core._internal.forwarding.messages import CallNote
+from pimentobend_core._internal.forwarding.messages import CallReturned
 from pimentobend_core._internal.forwarding.messages import CallRoomSeen
 from pimentobend_core._internal.forwarding.messages import CancelCall
 from pimentobend_core._internal.forwarding.messages import Declined
@@ -167,7 +171,7 @@
 
     def _update_state(
         self,
-        message: ServiceSizes | LocalRequestFailed | CallMade | CallRoomSeen,
+        message: ServiceSizes | LocalRequestFailed | CallNote,
         now: float,
     ) -> None:
         match message:
@@ -175,8 +179,9 @@
                 self._budgets.update_sizes(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
-            case CallMade() | CallRoomSeen():
-                self._calls.note(message, now)
+            case CallMade() | CallReturned() | CallRoomSeen():
+                host = HostView(self._records, self._servers, self._calls)
+                note_call(message, host, now)
 
     def _answer_ask(self, ask: Ask, now: float) -> Bids:
         bids = tuple(
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -69,7 +69,12 @@
         """Return the run of the attempt, which usually ends by a clock time in s."""
         submit = self.submit
         return LocalRun(
-            self.repeat_share, usual_end, submit.deadline, submit.route, submit.demand
+            self.repeat_share,
+            usual_end,
+            submit.deadline,
+            submit.route,
+            submit.demand,
+            submit.attempt_id,
         )
 
     def admit(self, budget: ServiceBudget) -> None:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -31,11 +31,12 @@
 class _Observation:
     """One request as evidence: when it was sent, and how and when it ended."""
 
-    __slots__ = ("ended_at", "is_good", "sent_at", "survival")
+    __slots__ = ("calls", "ended_at", "is_good", "sent_at", "survival")
 
     def __init__(self, sent_at: float, survival: Survival) -> None:
         self.sent_at = sent_at
         self.survival = survival
+        self.calls = 0  # that the server waits for while it runs the request
         self.ended_at: float | None = None
         self.is_good: bool | None = None  # None while it runs, or if it was given up
 
@@ -70,9 +71,13 @@
     def record_end(self, request_id: str, now: float, *, is_good: bool | None) -> None:
         """Record the end of a request; ``is_good`` is None if it was given up."""
         observation = self._unanswered.pop(request_id, None)
-        if observation is not None:
-            observation.ended_at = now
-            observation.is_good = is_good
+        if observation is None:
+            return
+        observation.ended_at = now
+        observation.is_good = is_good
+        if observation.calls and is_good is not None:
+            observation.sent_at = now
+            self._observations.append(observation)
 
     def discard(self, request_id: str) -> None:
         """Drop a request that tells nothing about whether the server fails."""
@@ -80,6 +85,29 @@
         if observation is not None and observation in self._observations:
             self._observations.remove(observation)
 
+    def pause(self, request_id: str) -> None:
+        """Take no answer for no evidence while the request's run waits for a call."""
+        observation = self._unanswered.get(request_id)
+        if observation is None:
+            return
+        observation.calls += 1
+        if observation in self._observations:
+            self._observations.remove(observation)
+
+    def resume(self, request_id: str, now: float) -> None:
+        """Count a request from ``now`` (seconds), when its run's last call ended.
+
+        A run that makes calls does not hang, and how long they take tells nothing
+        about its server.
+        """
+        observation = self._unanswered.get(request_id)
+        if observation is None or not observation.calls:
+            return
+        observation.calls -= 1
+        if not observation.calls:
+            observation.sent_at = now
+            self._observations.append(observation)
+
     def risk(self, now: float) -> float:
         """Return the probability that the server is in its failing state now."""
         risk = self._prior_risk
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -160,6 +160,13 @@
 
     service: str
     routes: tuple[str, ...]
+    runs: tuple[str, ...] = ()  # attempt ids of the runs that may have made it
+
+
+class CallReturned(NamedTuple):
+    """Report that a call ended which one of these runs waited for."""
+
+    runs: tuple[str, ...]
 
 
 class CallRoomSeen(NamedTuple):
@@ -170,6 +177,9 @@
     demand: float  # slots that calls want there
 
 
+CallNote = CallMade | CallReturned | CallRoomSeen
+
+
 class HostTick(NamedTuple):
     """Periodic tick: declines late queued attempts and drops old records."""
 
@@ -187,8 +197,7 @@
     | StartDraining
     | ServiceSizes
     | LocalRequestFailed
-    | CallMade
-    | CallRoomSeen
+    | CallNote
     | HostTick
 )
 
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -27,6 +27,7 @@
     deadline: float
     route: str = ""  # empty if calls are not matched with runs
     demand: float = 1.0  # requests that it stands for
+    attempt_id: str = ""
 
 
 class LocalRuns(NamedTuple):
@@ -65,7 +66,12 @@
         return sender
     demand = sum(each.demand for each in callers) / len(callers)
     routes = tuple(each.route for each in callers)
-    return sender._replace(is_call=True, calling_routes=routes, demand=demand)
+    return sender._replace(
+        is_call=True,
+        demand=demand,
+        calling_routes=routes,
+        calling_runs=tuple(each.attempt_id for each in callers),
+    )
 
 
 class RunTracker:
--- a/tests/unit/forwarding/test_liveness.py
+++ b/tests/unit/forwarding/test_liveness.py
@@ -98,3 +98,44 @@
     before = durations.p90_s
     durations.record(10.0)
     assert durations.p90_s < 1.5 * before
+
+
+# Name, what happens to a request that is sent at 0 s, and bounds of the risk at 3 s.
+# Its route usually takes 0.1 s.
+CALLS = [
+    ("a run without calls", [], (0.5, 1.0)),
+    ("a run in a call", [(0.1, "call")], (0.0, 0.2)),
+    (
+        "a run in the second of two calls",
+        [(0.1, "call"), (0.1, "call"), (0.3, "back")],
+        (0.0, 0.2),
+    ),
+    ("a run whose call has just ended", [(0.1, "call"), (2.9, "back")], (0.0, 0.3)),
+    ("a run that hangs after its call", [(0.1, "call"), (0.3, "back")], (0.5, 1.0)),
+    ("a run that failed in a call", [(0.1, "call"), (1.0, "failed")], (0.5, 1.0)),
+    ("an answer during a call", [(0.1, "call"), (1.0, "good")], (0.0, 0.1)),
+    (
+        "a call whose end is reported late",
+        [(0.1, "call"), (1.0, "good"), (2.0, "back")],
+        (0.0, 0.1),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("events", "bounds"), [c[1:] for c in CALLS], ids=[c[0] for c in CALLS]
+)
+def test_a_run_that_waits_for_a_call_does_not_hang(
+    events: list[tuple[float, str]], bounds: tuple[float, float]
+) -> None:
+    """Guards against sound servers that are taken to hang while their calls wait."""
+    liveness = Liveness(0.0)
+    liveness.record_sent("run", make_estimate().survival, 0.0)
+    for at, event in events:
+        if event == "call":
+            liveness.pause("run")
+        elif event == "back":
+            liveness.resume("run", at)
+        else:
+            liveness.record_end("run", at, is_good=event == "good")
+    assert bounds[0] <= liveness.risk(3.0) <= bounds[1]
--- a/tests/unit/forwarding/test_senders.py
+++ b/tests/unit/forwarding/test_senders.py
@@ -68,3 +68,34 @@
     tracker.end("1")
     assert tracker.take_change() == (LocalRuns((SHORT,), NOW + 3.0),)
     assert tracker.take_change() == ()
+
+
+PURCHASE = LocalRun(0.0, NOW + 1.0, NOW + 8.0, "purchase", 2.0, "a1")
+OTHER = LocalRun(0.0, NOW + 1.0, NOW + 8.02, "redeem", 1.0, "a2")
+
+
+@pytest.mark.parametrize(
+    ("runs", "deadline", "routes", "attempt_ids", "demand"),
+    [
+        ((PURCHASE,), NOW + 8.0, ("purchase",), ("a1",), 2.0),
+        ((PURCHASE,), NOW + 8.03, ("purchase",), ("a1",), 2.0),
+        ((PURCHASE,), NOW + 7.9, (), (), 1.0),
+        ((PURCHASE,), NOW + 8.1, (), (), 1.0),
+        ((PURCHASE, OTHER), NOW + 8.02, ("purchase", "redeem"), ("a1", "a2"), 1.5),
+        ((FIRST,), NOW + 3.0, (), (), 1.0),
+    ],
+    ids=["exact", "delayed", "sooner", "later", "two-runs", "unmatched"],
+)
+def test_the_runs_that_make_a_call(
+    runs: tuple[LocalRun, ...],
+    deadline: float,
+    routes: tuple[str, ...],
+    attempt_ids: tuple[str, ...],
+    demand: float,
+) -> None:
+    """Guards against calls that are counted for runs that did not make them."""
+    sender = judge_sender(LocalRuns(runs, NOW + 9.0), deadline, NOW)
+    assert sender.calling_routes == routes
+    assert sender.calling_runs == attempt_ids
+    assert sender.is_call == bool(routes)
+    assert sender.demand == demand
