Ask further away only where recent bids promise something better

Bids of the last second tell what is to be found there. A request now asks a distance again only if at least one of two recent bids from there would be preferred to the best server so far; with fewer, and after a second, it asks as before.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -43,6 +43,8 @@
     Distance.REGION: 2,
     Distance.FAR: 2,
 }
+# Bids that are too old to be used tell for this long whether to ask again as far away.
+RECENT_S = 1.0
 # A daemon whose servers were failing is asked after the others for this long.
 DOUBT_S = 1.0
 UNREACHABLE_AFTER = 2  # unanswered questions in a row that make a daemon unreachable
@@ -154,6 +156,22 @@
             for candidate in self._candidates(own_row, row, question, now)
         )
 
+    def find_recent(
+        self, question: Question, distance: Distance
+    ) -> tuple[Candidate, ...]:
+        """Return the latest bids of servers further away than a distance."""
+        own_row = self._own_row()
+        now = self._clock.now()
+        found: list[Candidate] = []
+        for row in self._peers if distance < Distance.FAR else ():
+            cached = self._cached.get(_CacheKey(row.address, question))
+            if cached is None or now - cached.received_at > RECENT_S:
+                continue
+            place = find_distance(own_row, row)
+            if place > distance and self._may_serve(row, question.service):
+                found.extend(Candidate(row, bid, place) for bid in cached.bids.bids)
+        return tuple(found)
+
     def bid_age_s(self, candidate: Candidate, question: Question) -> float:
         """Return how old a candidate's bid is, in seconds."""
         cached = self._cached.get(_CacheKey(candidate.peer.address, question))
@@ -247,8 +265,10 @@
         if cached is None:
             return []
         distance = find_distance(own_row, row)
-        if now - cached.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
-            del self._cached[key]
+        age_s = now - cached.received_at
+        if age_s > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
+            if age_s > RECENT_S:
+                del self._cached[key]
             return []
         peer = row._replace(process_id=cached.bids.process_id)
         return [Candidate(peer, bid, distance) for bid in cached.bids.bids]
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -241,7 +241,8 @@
         candidates = self._ports.bid_collector.ask(self._question, distance)
         if self._routed.sender.calling_routes:
             self._note_room(candidates)
-        self._inbox.put(Offers(candidates, distance))
+        recent = self._ports.bid_collector.find_recent(self._question, distance)
+        self._inbox.put(Offers(candidates, distance, recent))
 
     def _note_room(self, candidates: tuple[Candidate, ...]) -> None:
         """Tell the host of the calling server what room the called service has."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -41,12 +41,12 @@
 from pimentobend_core._internal.forwarding.rejection import make_refusal
 from pimentobend_core._internal.forwarding.rejection import must_reject
 from pimentobend_core._internal.forwarding.rejection import retry_after_s
+from pimentobend_core._internal.forwarding.search import Wanted
+from pimentobend_core._internal.forwarding.search import find_next_distance
 from pimentobend_core._internal.forwarding.selection import MIN_TIME_S
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
 from pimentobend_core._internal.forwarding.selection import Requirements
-from pimentobend_core._internal.forwarding.selection import is_worth_asking
-from pimentobend_core._internal.forwarding.selection import select_next
 from pimentobend_core._internal.models.request import UNKNOWN_SENDER
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
@@ -195,21 +195,19 @@
             self._wait_s = self._deadline - now  # callers return spread widely
             detail = "the services that the request needs have no room"
             return self._refuse(RefusalReason.NO_ROOM_BEHIND, detail, now)
-        requirements = self._requirements(now)
         self._offered = offers.candidates
-        selection = select_next(
-            offers.candidates,
-            requirements,
+        wanted = Wanted(
+            self._requirements(now),
             frozenset(self._tried | self._rejected_by),
             tuple(each.candidate for each in self._running.values()),
-            is_repeat=self._is_repeat(),
+            self._is_repeat(),
         )
+        selection = wanted.select(offers.candidates)
         if selection.best is None and selection.is_hedge_optional and offers.candidates:
             return self._hold(find_busy_reason(selection), now)
-        if offers.distance < Distance.FAR:
-            next_distance = Distance(offers.distance + 1)
-            if is_worth_asking(next_distance, selection.best, requirements):
-                return self._ask(next_distance)
+        next_distance = find_next_distance(offers, selection.best, wanted)
+        if next_distance is not None:
+            return self._ask(next_distance)
         if selection.best is None and selection.lacks_budget:
             # A failed answer is delivered at once rather than wait for budget.
             can_wait = self._running or self._failed_answer is None
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -14,6 +14,7 @@
 
     candidates: tuple[Candidate, ...]
     distance: Distance
+    recent: tuple[Candidate, ...] = ()  # of servers further away, too old to be used
 
 
 class AttemptDone(NamedTuple):
--- a/tests/unit/forwarding/test_bid_collector.py
+++ b/tests/unit/forwarding/test_bid_collector.py
@@ -23,6 +23,7 @@
 from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.ports import ClockPort
 
+QUESTION = Question("bookings", "r1")
 OWN_ADDRESS = "10.0.0.0:7"
 
 
@@ -120,7 +121,7 @@
 
     def ask(self, distance: Distance) -> int:
         self.link.asked.clear()
-        return len(self.bid_collector.ask(Question("bookings", "r1"), distance))
+        return len(self.bid_collector.ask(QUESTION, distance))
 
 
 ASKED = [
@@ -192,6 +193,27 @@
     assert len(harness.link.asked) == asked_again
 
 
+@pytest.mark.parametrize(
+    ("beyond", "age_s", "found"),
+    [
+        (Distance.DATA_CENTRE, 0.0, 2),
+        (Distance.DATA_CENTRE, 0.9, 2),
+        (Distance.DATA_CENTRE, 1.1, 0),
+        (Distance.REGION, 0.5, 1),
+        (Distance.FAR, 0.5, 0),
+    ],
+)
+def test_recent_bids_of_servers_further_away(
+    beyond: Distance, age_s: float, found: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    harness = BidCollectorHarness([NEAR, REGION, FAR], monkeypatch)
+    harness.ask(Distance.FAR)
+    harness.clock.time += age_s
+    recent = harness.bid_collector.find_recent(QUESTION, beyond)
+    assert len(recent) == found
+    assert all(each.distance > beyond for each in recent)
+
+
 def test_a_daemon_that_does_not_answer_is_reported(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
