--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -46,6 +46,8 @@
     Distance.REGION: 2,
     Distance.FAR: 2,
 }
+# Bids that are too old to be used tell for this long whether to ask again as far away.
+RECENT_S = 1.0
 # A daemon whose servers were failing is asked after the others for this long.
 DOUBT_S = 1.0
 UNREACHABLE_AFTER = 2  # unanswered questions in a row that make a daemon unreachable
@@ -163,6 +165,22 @@
             for candidate in self._candidates(own_row, row, question, now)
         )
 
+    def find_recent(
+        self, question: Question, distance: Distance
+    ) -> tuple[Candidate, ...]:
+        """Return the latest bids of servers further away than a distance."""
+        own_row = self._own_row()
+        now = self._clock.now()
+        found: list[Candidate] = []
+        for row in self._peers if distance < Distance.FAR else ():
+            cached = self._find(row.address, question)
+            if cached is None or now - cached.received_at > RECENT_S:
+                continue
+            place = find_distance(own_row, row)
+            if place > distance and self._may_serve(row, question.service):
+                found.extend(Candidate(row, bid, place) for bid in cached.bids.bids)
+        return tuple(found)
+
     def bid_age_s(self, candidate: Candidate, question: Question) -> float:
         """Return how old a candidate's bid is, in seconds."""
         cached = self._find(candidate.peer.address, question)
