Move the dump of a hosted server out of the host

The dump is the same. 1,310 tests in tests/unit/forwarding, tests/unit/platform and test_layers.py pass.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -158,14 +158,7 @@
             "crashes": self._crashes.dump(),
             "calls": self._calls.dump(),
             "servers": {
-                server_id: {
-                    "service": hosted.server.service,
-                    "state": hosted.server.state.value,
-                    "slots": hosted.server.slots,
-                    "running": sorted(hosted.running),
-                    "queued": [queued.attempt_id for queued in hosted.backlog],
-                    "waiting": hosted.backlog.counts.dump(),
-                }
+                server_id: hosted.dump()
                 for server_id, hosted in sorted(self._servers.items())
             },
         }
--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -1,6 +1,7 @@
 """State of a backend server at its host, and of the attempts submitted for it."""
 
 import enum
+from collections.abc import Mapping
 
 from pimentobend_core._internal.crashes.detection import CrashDetector
 from pimentobend_core._internal.forwarding.backlog import Backlog
@@ -140,6 +141,17 @@
         """Return how many more requests the server can run."""
         return max(0, self.server.slots - len(self.running))
 
+    def dump(self) -> Mapping[str, object]:
+        """Return the state as JSON-compatible values."""
+        return {
+            "service": self.server.service,
+            "state": self.server.state.value,
+            "slots": self.server.slots,
+            "running": sorted(self.running),
+            "queued": [queued.attempt_id for queued in self.backlog],
+            "waiting": self.backlog.counts.dump(),
+        }
+
     def share_of_slots(self, seconds: float) -> float:
         """Return how long the server's slots take for work that takes ``seconds``."""
         return self.slowdown * seconds / max(1, self.server.slots)
