Recognise calls by where they come from, too

A call was recognised only if it ended with its run. A request from the daemon's own machine is now a call of one of the runs that have as much time left; the run that has run longest and waits for no call yet is taken to wait for it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -97,13 +97,21 @@
         host, sender = self._ports.host, value.sender
         runs = sender.calling_runs
         if runs:
-            host.note_call(CallMade(value.pool, sender.calling_routes, runs))
+            host.note_call(
+                CallMade(
+                    value.pool,
+                    sender.calling_routes,
+                    runs,
+                    value.head.request_id,
+                    sender.is_run_known,
+                )
+            )
         try:
             return task.run()
         finally:
             self._tasks.discard(task)
             if runs:
-                host.note_call(CallReturned(runs))
+                host.note_call(CallReturned(value.head.request_id))
 
     def finish_by(self, at: float) -> None:
         """Refuse what would probably still run at ``at``, when the process ends."""
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/senders.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/senders.py
@@ -22,6 +22,6 @@
         latest_deadline = max(self._earlier_runs_end, runs.latest_deadline)
         self._runs = runs._replace(latest_deadline=latest_deadline)
 
-    def judge(self, deadline: float) -> Sender:
+    def judge(self, deadline: float, *, is_local: bool = False) -> Sender:
         """Return what is known of the sender of a request that has come now."""
-        return judge_sender(self._runs, deadline, self._clock.now())
+        return judge_sender(self._runs, deadline, self._clock.now(), is_local=is_local)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/call_notes.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/call_notes.py
@@ -1,36 +1,50 @@
 """Take over what a host's daemon reports of the calls that local runs make."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
 
-from pimentobend_core._internal.forwarding.calls_behind import CallsBehind
 from pimentobend_core._internal.forwarding.hosted_server import AttemptRecord
 from pimentobend_core._internal.forwarding.hosted_server import HostedServer
+from pimentobend_core._internal.forwarding.liveness import Liveness
 from pimentobend_core._internal.forwarding.messages import CallMade
-from pimentobend_core._internal.forwarding.messages import CallNote
 from pimentobend_core._internal.forwarding.messages import CallReturned
 
 
-class HostView(NamedTuple):
-    """What a host has: its attempts, its servers and what their runs call."""
-
-    records: Mapping[str, AttemptRecord]
-    servers: Mapping[str, HostedServer]
-    calls: CallsBehind
-
-
-def note_call(message: CallNote, host: HostView, now: float) -> None:
-    """Record a call, its end or the room for it; a run that waits does not hang."""
-    if not isinstance(message, CallReturned):
-        host.calls.note(message, now)
-    if not isinstance(message, CallMade | CallReturned):
-        return
-    for attempt_id in message.runs:
-        record = host.records.get(attempt_id)
-        server = host.servers.get(record.submit.server_id) if record else None
-        if server is None:
-            continue
-        if isinstance(message, CallMade):
-            server.liveness.pause(attempt_id)
-        else:
-            server.liveness.resume(attempt_id, now)
+class CallWaits:
+    """The runs that wait for a call, whose age is no evidence against their server.
+
+    Of the runs that may have made a call, the one that has run longest is taken.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, list[str]] = {}  # attempt ids by the call's request id
+
+    def note(
+        self,
+        message: CallMade | CallReturned,
+        records: Mapping[str, AttemptRecord],
+        servers: Mapping[str, HostedServer],
+        now: float,
+    ) -> None:
+        """Record at ``now`` (seconds) that a call begins or ended."""
+
+        def find(attempt_id: str) -> Liveness | None:
+            record = records.get(attempt_id)
+            server = servers.get(record.submit.server_id) if record else None
+            return server.liveness if server else None
+
+        if isinstance(message, CallReturned):
+            for attempt_id in self._waiting.pop(message.request_id, ()):
+                liveness = find(attempt_id)
+                if liveness is not None:
+                    liveness.resume(attempt_id, now)
+            return
+        chosen = self._waiting.setdefault(message.request_id, [])
+        for attempt_id in message.runs:
+            liveness = find(attempt_id)
+            if liveness is None:
+                continue
+            if message.is_run_known or not liveness.is_paused(attempt_id):
+                liveness.pause(attempt_id)
+                chosen.append(attempt_id)
+            if chosen and not message.is_run_known:
+                return
--- a/packages/core/src/pimentobend_core/_internal/forwarding/host.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/host.py
@@ -21,8 +21,7 @@
 from pimentobend_core._internal.forwarding.bidding import has_place
 from pimentobend_core._internal.forwarding.bidding import make_bid
 from pimentobend_core._internal.forwarding.bidding import may_bid
-from pimentobend_core._internal.forwarding.call_notes import HostView
-from pimentobend_core._internal.forwarding.call_notes import note_call
+from pimentobend_core._internal.forwarding.call_notes import CallWaits
 from pimentobend_core._internal.forwarding.calls_behind import CallsBehind
 from pimentobend_core._internal.forwarding.host_crashes import HostCrashes
 from pimentobend_core._internal.forwarding.hosted_server import AttemptRecord
@@ -109,6 +108,7 @@
         self._is_stopping = False
         self._finish_by = math.inf  # what is still queued then must not start
         self._crashes = HostCrashes(process_id)
+        self._call_waits = CallWaits()
         self._local_failure_at = -math.inf  # when a local client's request failed
 
     def handle(self, message: HostInput, now: float) -> tuple[HostOutput, ...]:
@@ -173,9 +173,13 @@
                 self._budgets.update_sizes(dict(message.servers), now)
             case LocalRequestFailed():
                 self._local_failure_at = now
-            case CallMade() | CallReturned() | CallRoomSeen():
-                host = HostView(self._records, self._servers, self._calls)
-                note_call(message, host, now)
+            case CallMade():
+                self._calls.note(message, now)
+                self._call_waits.note(message, self._records, self._servers, now)
+            case CallReturned():
+                self._call_waits.note(message, self._records, self._servers, now)
+            case CallRoomSeen():
+                self._calls.note(message, now)
 
     def _answer_ask(self, ask: Ask, now: float) -> Bids:
         bids = tuple(
--- a/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/liveness.py
@@ -85,6 +85,11 @@
         if observation is not None and observation in self._observations:
             self._observations.remove(observation)
 
+    def is_paused(self, request_id: str) -> bool:
+        """Return whether a request's run waits for a call."""
+        observation = self._unanswered.get(request_id)
+        return observation is not None and observation.calls > 0
+
     def pause(self, request_id: str) -> None:
         """Take no answer for no evidence while the request's run waits for a call."""
         observation = self._unanswered.get(request_id)
--- a/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/messages.py
@@ -160,13 +160,16 @@
 
     service: str
     routes: tuple[str, ...]
-    runs: tuple[str, ...] = ()  # attempt ids of the runs that may have made it
+    # Attempt ids of the runs that may have made it, the longest one first.
+    runs: tuple[str, ...] = ()
+    request_id: str = ""  # of the call
+    is_run_known: bool = False  # these runs end with the call
 
 
 class CallReturned(NamedTuple):
-    """Report that a call ended which one of these runs waited for."""
+    """Report that a call ended."""
 
-    runs: tuple[str, ...]
+    request_id: str
 
 
 class CallRoomSeen(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -37,9 +37,11 @@
     latest_deadline: float
 
 
-def judge_sender(local: LocalRuns, deadline: float, now: float) -> Sender:
+def judge_sender(
+    local: LocalRuns, deadline: float, now: float, *, is_local: bool = False
+) -> Sender:
     """Return what is known of the sender of a request with a deadline."""
-    if deadline > local.latest_deadline + DEADLINE_SLACK_S:
+    if deadline > local.latest_deadline + DEADLINE_SLACK_S and not is_local:
         return Sender(is_client=True)
     callers = [
         each
@@ -50,20 +52,27 @@
     ]
     shares = [each.repeat_share for each in callers]
     share = sum(shares) / len(shares) if shares else 0.0
-    return _add_calling_routes(Sender(repeat_share=min(1.0, share)), local, deadline)
-
-
-def _add_calling_routes(sender: Sender, local: LocalRuns, deadline: float) -> Sender:
-    """Return the sender with the routes of the runs that end with its request."""
-    callers = [
+    sender = Sender(repeat_share=min(1.0, share))
+    runs = [each for each in local.runs if each.route]
+    ending = [
         each
-        for each in local.runs
-        if each.route
-        and each.deadline - CALL_ENDS_EARLIER_S <= deadline
+        for each in runs
+        if each.deadline - CALL_ENDS_EARLIER_S <= deadline
         and deadline <= each.deadline + CALL_ENDS_LATER_S
     ]
-    if not callers:
-        return sender
+    if ending:
+        return _add_callers(sender._replace(is_run_known=True), ending)
+    # A call that has less time than its run is known only by where it comes from.
+    longer = [
+        each
+        for each in runs
+        if is_local and deadline <= each.deadline + CALL_ENDS_LATER_S
+    ]
+    return _add_callers(sender, longer) if longer else sender
+
+
+def _add_callers(sender: Sender, callers: list[LocalRun]) -> Sender:
+    """Return the sender of a call that one of these runs made."""
     demand = sum(each.demand for each in callers) / len(callers)
     routes = tuple(each.route for each in callers)
     return sender._replace(
--- a/packages/core/src/pimentobend_core/_internal/models/request.py
+++ b/packages/core/src/pimentobend_core/_internal/models/request.py
@@ -77,7 +77,8 @@
     # It ends with a run of a server on its machine, which probably makes it.
     is_call: bool = False
     calling_routes: tuple[str, ...] = ()  # of the runs that may make the call
-    calling_runs: tuple[str, ...] = ()  # their attempt ids
+    calling_runs: tuple[str, ...] = ()  # their attempt ids, the longest run first
+    is_run_known: bool = False  # these runs end with the call, so one of them made it
     demand: float = 1.0  # requests that the run stands for, see Submit.demand
 
 
--- a/packages/core/src/pimentobend_core/_internal/ports.py
+++ b/packages/core/src/pimentobend_core/_internal/ports.py
@@ -134,7 +134,7 @@
     """Knows what the servers on this machine run, and so may be calling."""
 
     @abc.abstractmethod
-    def judge(self, deadline: float) -> Sender:
+    def judge(self, deadline: float, *, is_local: bool = False) -> Sender:
         """Return what is known of the sender of a request that has come now.
 
         ``deadline`` is the sender's, in seconds of the clock.
--- a/packages/core/src/pimentobend_core/_internal/request/sender.py
+++ b/packages/core/src/pimentobend_core/_internal/request/sender.py
@@ -17,5 +17,5 @@
 
     def apply(self, value: Received) -> Result[Received, Refusal]:
         """Return the request with its sender."""
-        sender = self._senders.judge(value.head.deadline)
+        sender = self._senders.judge(value.head.deadline, is_local=value.head.is_local)
         return Success(value._replace(sender=sender))
--- a/tests/unit/forwarding/test_senders.py
+++ b/tests/unit/forwarding/test_senders.py
@@ -72,29 +72,45 @@
 
 PURCHASE = LocalRun(0.0, NOW + 1.0, NOW + 8.0, "purchase", 2.0, "a1")
 OTHER = LocalRun(0.0, NOW + 1.0, NOW + 8.02, "redeem", 1.0, "a2")
+BOTH_ROUTES = ("purchase", "redeem")
 
 
 @pytest.mark.parametrize(
-    ("runs", "deadline", "routes", "attempt_ids", "demand"),
+    ("runs", "deadline", "is_local", "routes", "attempt_ids", "demand"),
     [
-        ((PURCHASE,), NOW + 8.0, ("purchase",), ("a1",), 2.0),
-        ((PURCHASE,), NOW + 8.03, ("purchase",), ("a1",), 2.0),
-        ((PURCHASE,), NOW + 7.9, (), (), 1.0),
-        ((PURCHASE,), NOW + 8.1, (), (), 1.0),
-        ((PURCHASE, OTHER), NOW + 8.02, ("purchase", "redeem"), ("a1", "a2"), 1.5),
-        ((FIRST,), NOW + 3.0, (), (), 1.0),
+        ((PURCHASE,), NOW + 8.0, False, ("purchase",), ("a1",), 2.0),
+        ((PURCHASE,), NOW + 8.03, False, ("purchase",), ("a1",), 2.0),
+        ((PURCHASE,), NOW + 7.9, False, (), (), 1.0),
+        ((PURCHASE,), NOW + 8.1, False, (), (), 1.0),
+        ((PURCHASE, OTHER), NOW + 8.02, False, BOTH_ROUTES, ("a1", "a2"), 1.5),
+        ((FIRST,), NOW + 3.0, False, (), (), 1.0),
+        ((PURCHASE, OTHER), NOW + 4.0, True, BOTH_ROUTES, ("a1", "a2"), 1.5),
+        ((PURCHASE, OTHER), NOW + 8.0, True, ("purchase",), ("a1",), 2.0),
+        ((PURCHASE,), NOW + 8.1, True, (), (), 1.0),
+    ],
+    ids=[
+        "exact",
+        "delayed",
+        "sooner",
+        "later",
+        "two-runs",
+        "unmatched",
+        "from-this-machine-with-less-time",
+        "from-this-machine-exact",
+        "from-this-machine-after-all-runs",
     ],
-    ids=["exact", "delayed", "sooner", "later", "two-runs", "unmatched"],
 )
 def test_the_runs_that_make_a_call(
     runs: tuple[LocalRun, ...],
     deadline: float,
+    is_local: bool,
     routes: tuple[str, ...],
     attempt_ids: tuple[str, ...],
     demand: float,
 ) -> None:
     """Guards against calls that are counted for runs that did not make them."""
-    sender = judge_sender(LocalRuns(runs, NOW + 9.0), deadline, NOW)
+    local = LocalRuns(runs, NOW + 9.0)
+    sender = judge_sender(local, deadline, NOW, is_local=is_local)
     assert sender.calling_routes == routes
     assert sender.calling_runs == attempt_ids
     assert sender.is_call == bool(routes)
