Bound the memory of requests and answers by a setting

Callers whose uploads stalled, or that did not read their answers, held memory of the daemon without a bound on the sum: 64 KB of each request, 256 KB of each answer, and several MB of each connection in the kernel, for up to 75 s. Each body was bounded alone, and only the answers kept for repeated requests were bounded together.

With memory_mb, one owner reserves memory for requests before their bodies are read and for answers before they are read. A request without room is refused 503 no-memory, not run, and its connection is closed if a body follows; a host without room declines an attempt. Answers are read up to 1 MB ahead of their callers while there is room, and by 8 KB without. A caller that takes nothing for 5 s is cut off. server_memory_mb bounds the bytes of the unfinished requests at a server. A host's record of an attempt no longer refers to the request's body once the attempt has ended; it did so until 10 s after the deadline. Without the settings, nothing else changes.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/answers.py
@@ -4,11 +4,12 @@
 from http.client import HTTPException
 from typing import Any
 
-import eventlet
 from urllib3.exceptions import HTTPError
 
 from pimentobend_adapters._internal.exceptions import AdapterError
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
+from pimentobend_adapters._internal.forwarding.read_ahead import AnswerReader
+from pimentobend_adapters._internal.memory import MemoryOwner
+from pimentobend_adapters._internal.memory import Reservation
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.ports import AnswerBody
@@ -21,8 +22,10 @@
 class BufferedAnswer(AnswerBody):
     """Answer whose body is in memory and can be read more than once."""
 
-    def __init__(self, content: bytes) -> None:
+    def __init__(self, content: bytes, reservation: Reservation | None = None) -> None:
         self._content = content
+        # Returns once nothing refers to this answer and so to its content.
+        self._reservation = reservation
 
     @property
     def length(self) -> int:
@@ -55,12 +58,11 @@
         connection: Any,
         clock: ClockPort,
         deadline: float,
+        reader: AnswerReader | None = None,
     ) -> None:
         self._start = start
-        self._response = response
         self._connection = connection
-        self._clock = clock
-        self._deadline = deadline
+        self._reader = reader or AnswerReader(response, clock, deadline, MemoryOwner())
         self._is_taken = False
         self._is_closed = False
 
@@ -76,10 +78,11 @@
         start, self._start = self._start, b""
         try:
             self._check_open()
+            start_bytes = len(start)
             yield start
             del start
-            while chunk := read_chunk(self._response, self._clock, self._deadline):
-                yield chunk
+            self._reader.reservation.change(-start_bytes)
+            yield from self._reader.read_rest()
             # A closed response has no bytes either, though it may not be complete.
             self._check_open()
         except (HTTPError, HTTPException, EOFError, OSError) as error:
@@ -94,6 +97,7 @@
         """Close the connection and free what was read."""
         self._is_closed = True
         self._start = b""
+        self._reader.close()
         self._connection.close()
 
     def _check_open(self) -> None:
@@ -101,38 +105,45 @@
             raise AnswerTruncatedError("the answer was closed before its end")
 
 
-def read_chunk(response: Any, clock: ClockPort, deadline: float) -> bytes:
-    """Return the next bytes of a body; raise ``TimeoutError`` at the deadline."""
-    timeout = eventlet.Timeout(
-        max(0.0, deadline - clock.now()), TimeoutError("the deadline passed")
-    )
-    try:
-        chunk: bytes = response.read1(CHUNK_BYTES)
-    finally:
-        timeout.cancel()
-    if clock.now() >= deadline:
-        raise TimeoutError("the deadline passed")
-    return chunk
-
-
 def read_answer(
-    response: Any, connection: Any, clock: ClockPort, deadline: float
+    response: Any,
+    connection: Any,
+    clock: ClockPort,
+    deadline: float,
+    memory: MemoryOwner | None = None,
 ) -> tuple[AnswerBody, bool]:
     """Return an answer's body and whether it was read completely.
 
+    While no memory is free, answers of more than a few bytes are streamed.
+
     Raises ``HTTPError`` or ``OSError`` if reading fails.
     """
     chunks: list[bytes] = []
+    reader = AnswerReader(response, clock, deadline, memory or MemoryOwner())
+    try:
+        is_whole = _read_start(reader, chunks)
+    except BaseException:
+        # The end of a killed task refers to its frames until garbage is collected.
+        chunks.clear()
+        reader.close()
+        raise
+    if is_whole:
+        return BufferedAnswer(b"".join(chunks), reader.reservation), True
+    return StreamedAnswer(
+        b"".join(chunks), response, connection, clock, deadline, reader
+    ), False
+
+
+def _read_start(reader: AnswerReader, chunks: list[bytes]) -> bool:
+    """Read what is buffered of an answer; return whether that is all of it."""
     size = 0
-    while size < BUFFER_BYTES:
-        chunk = read_chunk(response, clock, deadline)
+    while size < BUFFER_BYTES and (not chunks or reader.has_room):
+        chunk = reader.read()
         if not chunk:
-            return BufferedAnswer(b"".join(chunks)), True
+            return True
         chunks.append(chunk)
         size += len(chunk)
-    return StreamedAnswer(
-        b"".join(chunks), response, connection, clock, deadline
-    ), False
+    return False
 
 
 def make_attempt_result(
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -24,6 +24,7 @@
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import RequestHead
@@ -63,8 +64,13 @@
     """Calls the backend servers on this machine over kept-alive connections."""
 
     def __init__(
-        self, names: HeaderNames, clock: ClockPort, on_connect: Callable[[], None]
+        self,
+        names: HeaderNames,
+        clock: ClockPort,
+        on_connect: Callable[[], None],
+        memory: MemoryOwner | None = None,
     ) -> None:
+        self._memory = memory or MemoryOwner()
         self._names = names
         self._clock = clock
         self._on_connect = on_connect
@@ -160,7 +166,7 @@
         if judgement.verdict is Verdict.FOREIGN:
             return self._failed(AttemptKind.TRUNCATED, started), _Disposition.CLOSED
         content, is_whole = read_answer(
-            response, connection, self._clock, head.deadline
+            response, connection, self._clock, head.deadline, self._memory
         )
         may_reuse = judgement.may_reuse and not _must_close(
             headers, response, connection
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -21,7 +21,11 @@
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.kept_answers import KeptAnswers
 from pimentobend_adapters._internal.forwarding.senders import LocalSenders
+from pimentobend_adapters._internal.http.bodies import BufferedBody
 from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.memory import MemoryOwner
+from pimentobend_adapters._internal.memory import Reservation
+from pimentobend_adapters._internal.memory import ServerMemory
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -62,6 +66,7 @@
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.senders import LocalRuns
 from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.ports import AttemptResult
@@ -82,6 +87,8 @@
 }
 
 
+_NO_BODY = BufferedBody(b"")
+_NO_ROOM = (("reason", RefusalReason.NO_MEMORY.value),)
 _CrashOutput = ProbeServer | CallJudged | ServerCrashed | CrashOutput
 
 
@@ -96,8 +103,9 @@
 class _AttemptRecord:
     """An attempt, its result, and how many calls of ``run`` wait for the result."""
 
-    def __init__(self, attempt: LocalAttempt) -> None:
+    def __init__(self, attempt: LocalAttempt, sent: Reservation) -> None:
         self.attempt = attempt
+        self.sent = sent  # until the attempt has ended
         self.result: Any = eventlet.event.Event()
         # The result of a broken call, until it is known whether its server crashed.
         self.unjudged: AttemptResult | None = None
@@ -121,7 +129,11 @@
         clock: ClockPort,
         events: Outlet[ForwardingEvent],
         on_reports_changed: Callable[[tuple[CrashReport, ...]], None] = _ignore,
+        memory: MemoryOwner | None = None,
     ) -> None:
+        self._memory = memory or MemoryOwner()
+        self._memory.drop_with(self._drop_oldest)
+        self._server_memory = ServerMemory(self._memory.terms.server_bytes)
         self._calls = calls
         self._clock = clock
         self._events = events
@@ -195,6 +207,7 @@
         """Remove a server that left and close its connections."""
         self._task.put(ServerUnlisted(server_id))
         self._calls.forget(server_id)
+        self._server_memory.forget(server_id)
 
     def ask(self, ask: Ask) -> Bids | None:
         """Return the bids of the local servers; None if the task does not answer."""
@@ -208,7 +221,12 @@
         attempt_id = attempt.submit.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
-            record = self._records[attempt_id] = _AttemptRecord(attempt)
+            server_id = attempt.submit.server_id
+            sent = self._server_memory.reserve(server_id, attempt.body.length)
+            if sent is None:
+                self._memory.note_server_full()
+                return make_attempt_result(AttemptKind.DECLINED, 0.0, headers=_NO_ROOM)
+            record = self._records[attempt_id] = _AttemptRecord(attempt, sent)
             self._task.put(attempt.submit)
         record.waiters += 1
         try:
@@ -342,6 +360,9 @@
         if record is None or record.ended_at is not None:
             return
         record.ended_at = self._clock.now()
+        record.sent.release()
+        # The record is kept for longer than the request's memory is reserved.
+        record.attempt = record.attempt._replace(body=_NO_BODY)
         record.result.send(result)
         if isinstance(result.body, BufferedAnswer) and result.body.length:
             for oldest in self._kept.add(attempt_id, result.body.length):
@@ -349,6 +370,15 @@
         if result.kind is not AttemptKind.DECLINED:
             self._events.put(HostDecided("call-ended", attempt_id, result))
 
+    def _drop_oldest(self) -> bool:
+        """Drop the answer that is kept longest; return False without any."""
+        oldest = self._kept.find_oldest()
+        if oldest is None:
+            return False
+        self._kept.remove(oldest)
+        _drop_body(self._records[oldest])
+        return True
+
     def _expire(self) -> None:
         """Delete old results once they can no longer be requested."""
         while True:
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/kept_answers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/kept_answers.py
@@ -27,6 +27,10 @@
             dropped.append(oldest)
         return tuple(dropped)
 
+    def find_oldest(self) -> str | None:
+        """Return the attempt whose answer is kept longest; None without any."""
+        return next(iter(self._sizes), None)
+
     def remove(self, attempt_id: str) -> None:
         """Remove an answer, if it is kept."""
         self._total_bytes -= self._sizes.pop(attempt_id, 0)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -27,10 +27,14 @@
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
+from pimentobend_adapters._internal.http.requests import declare_length
 from pimentobend_adapters._internal.http.requests import get_content_length
 from pimentobend_adapters._internal.http.requests import get_headers
+from pimentobend_adapters._internal.http.stalls import refuse_unread
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.ports import AttemptResult
@@ -54,8 +58,14 @@
     """WSGI application that runs attempts for other daemons."""
 
     def __init__(
-        self, process_id: int, host: HostTasks, names: HeaderNames, clock: ClockPort
+        self,
+        process_id: int,
+        host: HostTasks,
+        names: HeaderNames,
+        clock: ClockPort,
+        memory: MemoryOwner | None = None,
     ) -> None:
+        self._memory = memory or MemoryOwner()
         self._process_id = process_id
         self._host = host
         self._names = names
@@ -72,10 +82,19 @@
     ) -> Iterable[bytes]:
         """Run an attempt, or return the result of one that was sent before."""
         self._in_flight += 1
+        length = declare_length(environ)
+        reservation = self._memory.reserve_request(length)
         try:
-            yield from self._serve(environ, start_response)
+            if reservation is not None:
+                yield from self._serve(environ, start_response)
+                return
+            result = HopResult(AttemptKind.DECLINED, RefusalReason.NO_MEMORY.value)
+            refusal = _write_result(result, start_response)
+            yield from refuse_unread(environ, refusal) if length != 0 else refusal
         finally:
             self._in_flight -= 1
+            if reservation is not None:
+                reservation.release()
 
     def _serve(
         self, environ: Environ, start_response: StartResponse
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peers.py
@@ -23,6 +23,7 @@
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.configuration.codec import encode
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.gossip.rows import PeerRow
@@ -51,7 +52,10 @@
     sent again on a new connection if the connection breaks.
     """
 
-    def __init__(self, clock: ClockPort, link: Transport) -> None:
+    def __init__(
+        self, clock: ClockPort, link: Transport, memory: MemoryOwner | None = None
+    ) -> None:
+        self._memory = memory or MemoryOwner()
         self._clock = clock
         self._link = link
 
@@ -148,7 +152,11 @@
                 crash_reports=hop_result.crash_reports, blocked_s=hop_result.blocked_s
             ), False
         content, is_whole = read_answer(
-            response, connection, self._clock, attempt.submit.deadline
+            response,
+            connection,
+            self._clock,
+            attempt.submit.deadline,
+            self._memory,
         )
         result = make_attempt_result(
             hop_result.kind, 0.0, response.status, headers, content
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -12,7 +12,7 @@
 from urllib3.exceptions import NewConnectionError
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
-from pimentobend_adapters._internal.forwarding.answers import read_chunk
+from pimentobend_adapters._internal.forwarding.read_ahead import read_chunk
 from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.connections import ResetError
 from pimentobend_adapters._internal.http.connections import StrictConnection
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -18,10 +18,15 @@
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
 from pimentobend_adapters._internal.http.requests import check_limits
+from pimentobend_adapters._internal.http.requests import declare_length
 from pimentobend_adapters._internal.http.requests import parse_request
+from pimentobend_adapters._internal.http.stalls import cut_stalled
+from pimentobend_adapters._internal.http.stalls import refuse_unread
 from pimentobend_adapters._internal.http.writing import StartResponse
 from pimentobend_adapters._internal.http.writing import write_answer
 from pimentobend_adapters._internal.http.writing import write_refusal
+from pimentobend_adapters._internal.memory import NO_MEMORY
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import Outlet
 from pimentobend_core._internal.models.events import RequestEnded
 from pimentobend_core._internal.models.request import Ran
@@ -46,6 +51,7 @@
     caller_service: str = ""  # the service on this machine that sends the requests
     limits: Callable[[], ClientLimits | None] = lambda: None
     watches_callers: bool = False  # end a request once its caller disconnects
+    memory: MemoryOwner = MemoryOwner()  # noqa: RUF009
 
 
 class ProcessEndingError(AdapterError):
@@ -94,6 +100,22 @@
             environ[CONNECTION_KEY].close_connection = True
             yield from self._refuse(too_large, "", start_response)
             return
+        length = declare_length(environ)
+        reservation = self._options.memory.reserve_request(length)
+        if reservation is None:
+            refusal = self._refuse(NO_MEMORY, "", start_response)
+            yield from refuse_unread(environ, refusal) if length != 0 else refusal
+            return
+        try:
+            answer = self._serve_within(environ, start_response)
+            yield from cut_stalled(answer, environ, self._options.memory, self._clock)
+        finally:
+            reservation.release()
+
+    def _serve_within(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        """Answer a request for whose body memory is reserved."""
         started = self._clock.now()
         received = self._read(environ, started)
         if isinstance(received, Failure):
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -132,6 +132,14 @@
     )
 
 
+def declare_length(environ: Environ) -> int | None:
+    """Return the length that an unchecked head declares; None if it is unknown."""
+    if "HTTP_TRANSFER_ENCODING" in environ:
+        return None
+    length = environ.get("CONTENT_LENGTH") or "0"
+    return int(length) if length.isascii() and length.isdigit() else 0
+
+
 def get_headers(environ: Environ) -> Headers:
     """Return the headers in the order and spelling in which they were sent."""
     raw = environ.get("headers_raw")
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/server.py
@@ -1,6 +1,7 @@
 """Serve WSGI applications over HTTP."""
 
 import io
+import socket
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -45,6 +46,7 @@
         application: Callable[..., Any],
         idle_s: Callable[[], float | None] = lambda: None,
         max_head_bytes: int = MAX_HEAD_BYTES,
+        buffer_bytes: int = 0,
     ) -> None:
         try:
             self._socket = eventlet.listen(
@@ -56,6 +58,9 @@
                 context=f"{address}: {error.strerror}",
                 hint="check whether another process listens on this address",
             ) from error
+        if buffer_bytes:  # the connections inherit both
+            for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+                self._socket.setsockopt(socket.SOL_SOCKET, option, buffer_bytes)
         self._application = application
         self._idle_s = idle_s
         self._max_head_bytes = max_head_bytes
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -19,6 +19,7 @@
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.logs import LossyStream
 from pimentobend_adapters._internal.logs import get_log
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
@@ -228,6 +229,7 @@
             requests=RequestLog(self._counters),
             on_connect=lambda: self._counters.count("server_connections"),
             on_refused=self._report_refused,
+            memory=MemoryOwner(self._settings.memory, self._counters),
         )
         return FleetInstance(self._settings, ports)
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -28,6 +28,7 @@
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -156,6 +157,7 @@
     requests: Outlet[RequestEnded]
     on_connect: Callable[[], None]
     on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
+    memory: MemoryOwner
 
 
 class FleetInstance:
@@ -173,15 +175,17 @@
         names = dialect.names
         self._on_servers_changed = ports.on_servers_changed
         self._requests = ports.requests
+        self._memory = ports.memory
         self._servers: dict[str, Server] = {}
         self._published = PublishedServers()
         self.host = HostTasks(
             process_id,
             settings.budget,
-            ServerCalls(names, clock, ports.on_connect),
+            ServerCalls(names, clock, ports.on_connect, ports.memory),
             clock,
             ports.forwarding,
             ports.on_reports_changed,
+            ports.memory,
         )
         # The crash reports in each daemon's row, by its address.
         self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
@@ -197,7 +201,7 @@
             process_id,
             self.bid_collector,
             self.host,
-            PeerClient(clock, link),
+            PeerClient(clock, link, ports.memory),
             OriginBudget(),
             clock,
             ports.forwarding,
@@ -217,16 +221,25 @@
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
             watches_callers=True,
+            memory=ports.memory,
         )
         requests = CallOutlet(self._handle_request_ended)
         self.front = CallerFront(pipe, clock, requests, options)
-        self._peer_front = PeerFront(process_id, self.host, names, clock)
+        self._peer_front = PeerFront(process_id, self.host, names, clock, ports.memory)
         idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
-            HttpServer(settings.callers, self.front, idle_timeout_s),
             HttpServer(
-                settings.forward, self._peer_front, max_head_bytes=MAX_HOP_HEAD_BYTES
+                settings.callers,
+                self.front,
+                idle_timeout_s,
+                buffer_bytes=ports.memory.socket_bytes,
+            ),
+            HttpServer(
+                settings.forward,
+                self._peer_front,
+                max_head_bytes=MAX_HOP_HEAD_BYTES,
+                buffer_bytes=ports.memory.socket_bytes,
             ),
             HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
         )
@@ -260,6 +273,7 @@
         """Start the tasks, then the listeners."""
         self.registry.task.start()
         self.host.start()
+        self._memory.start()
         for listener in self._listeners:
             listener.start()
 
@@ -304,6 +318,7 @@
             "registry": self.registry.task.dump(),
             "host": self.host.dump(),
             "requests": {"in_flight": self.front.in_flight},
+            "memory": {"reserved_bytes": self._memory.reserved_bytes},
         }
 
     def _handle_request_ended(self, event: RequestEnded) -> None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -9,6 +9,8 @@
 
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
+from pimentobend_core._internal.memory.budget import MemoryTerms
+from pimentobend_core._internal.memory.budget import make_terms
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
@@ -23,6 +25,7 @@
 MAX_SEEDS = 64
 MAX_PORT = 65535
 MAX_SECONDS = 3600.0
+MIN_MEMORY_MB = 64  # an idle process takes 40
 
 _ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 address and a port")
 _PATH = TextCheck(r"[^\0]{1,1023}", "a path")
@@ -62,6 +65,8 @@
                 "allowance": NumberCheck(0, 1_000_000),
             }
         ),
+        "memory_mb": NumberCheck(MIN_MEMORY_MB, 1_000_000),
+        "server_memory_mb": NumberCheck(1, 1_000_000),
         "extra_copies": ObjectCheck({"share": NumberCheck(0, 10)}),
     },
 )
@@ -99,6 +104,7 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    memory: MemoryTerms
 
     @property
     def link(self) -> str:
@@ -205,4 +211,5 @@
         heartbeat_s=values.get("heartbeat_s", DEFAULT_HEARTBEAT_S),
         grace_s=values.get("grace_s", DEFAULT_GRACE_S),
         budget=budget,
+        memory=make_terms(values.get("memory_mb"), values.get("server_memory_mb")),
     )
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -36,6 +36,8 @@
     grace_s: float = GRACE_S
     slots: int = 3  # of each server
     has_server_proxies: bool = True  # between the daemons and their servers
+    memory_mb: float | None = None  # of each daemon
+    server_memory_mb: float | None = None
 
 
 def is_free(ip: str) -> bool:
--- a/tests/lib/platform_process.py
+++ b/tests/lib/platform_process.py
@@ -136,6 +136,8 @@
             "first_start": first,
             "grace_s": self._fleet.shape.grace_s,
             "listen": {"operators": self.address(8403)},
+            "memory_mb": self._fleet.shape.memory_mb,
+            "server_memory_mb": self._fleet.shape.server_memory_mb,
         }
         if self.is_control:
             settings["data_folder"] = str(self.folder / "data")
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from pimentobend_core._internal.memory.budget import MemoryTerms
+from pimentobend_core._internal.memory.budget import make_terms
 from pimentobendd._internal.exceptions import SettingsError
 from pimentobendd._internal.fleet.settings import parse_fleet_settings
 
@@ -26,6 +28,8 @@
     "beside": {"service": "s", "address": "10.0.0.1:6"},
     "retry_budget": {"ratio": 0.2, "window_s": 10, "allowance": 56},
     "extra_copies": {"share": 0.05},
+    "memory_mb": 200,
+    "server_memory_mb": 32,
 }
 
 
@@ -55,6 +59,8 @@
         changed(extra_copies={"share": -0.1}),
         ["extra_copies.share"],
     ),
+    ("less memory than an idle process takes", changed(memory_mb=40), ["memory_mb"]),
+    ("no memory at servers", changed(server_memory_mb=0), ["server_memory_mb"]),
     ("extra copies without a share", changed(extra_copies={}), ["extra_copies.share"]),
 ]
 
@@ -76,9 +82,16 @@
     assert settings.metrics == ("10.0.0.1", 5)
     assert settings.budget.allowance == 56
     assert settings.budget.copies_share == 0.05
+    assert settings.memory == make_terms(200, 32)
     assert not settings.first_start
 
 
+@pytest.mark.parametrize("memory_mb", [None, ...])
+def test_memory_is_not_limited_by_default(memory_mb: Any) -> None:
+    text = changed(memory_mb=memory_mb, server_memory_mb=...)
+    assert parse_fleet_settings(text, "file").memory == MemoryTerms()
+
+
 @pytest.mark.parametrize("budget", [GOOD["retry_budget"], ...])
 def test_extra_copies_are_not_limited_by_default(budget: Any) -> None:
     text = changed(extra_copies=..., retry_budget=budget)
