--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -20,7 +20,11 @@
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.kept_answers import KeptAnswers
 from pimentobend_adapters._internal.forwarding.senders import LocalSenders
+from pimentobend_adapters._internal.http.bodies import BufferedBody
 from pimentobend_adapters._internal.links.frames import Frame
+from pimentobend_adapters._internal.memory import MemoryOwner
+from pimentobend_adapters._internal.memory import Reservation
+from pimentobend_adapters._internal.memory import ServerMemory
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -63,6 +67,7 @@
 from pimentobend_core._internal.forwarding.messages import Withdraw
 from pimentobend_core._internal.forwarding.senders import LocalRuns
 from pimentobend_core._internal.models.request import AttemptKind
+from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.models.request import RequestHead
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.ports import AttemptResult
@@ -82,6 +87,8 @@
 }
 
 
+_NO_BODY = BufferedBody(b"")
+_NO_ROOM = (("reason", RefusalReason.NO_MEMORY.value),)
 _CrashOutput = ProbeServer | CallJudged | ServerCrashed | CrashOutput
 
 
@@ -96,8 +103,9 @@
 class _AttemptRecord:
     """An attempt, its result, and how many calls of ``run`` wait for the result."""
 
-    def __init__(self, attempt: LocalAttempt) -> None:
+    def __init__(self, attempt: LocalAttempt, sent: Reservation) -> None:
         self.attempt = attempt
+        self.sent = sent  # until the attempt has ended
         self.result: Any = eventlet.event.Event()
         # The result of a broken call, until it is known whether its server crashed.
         self.unjudged: AttemptResult | None = None
@@ -110,6 +118,14 @@
     pass
 
 
+class HostOptions(NamedTuple):
+    """Parts of a host that a deployment may use."""
+
+    memory: MemoryOwner | None = None  # None without a limit on memory
+    # Whether requests are admitted by the room of the services that their runs call.
+    admits_by_calls: bool = False
+
+
 class HostTasks:
     """Run attempts on local servers and keep their results for repeated requests."""
 
@@ -121,9 +137,12 @@
         clock: ClockPort,
         events: Outlet[ForwardingEvent],
         on_reports_changed: Callable[[tuple[CrashReport, ...]], None] = _ignore,
-        *,
-        admits_by_calls: bool = False,
+        options: HostOptions | None = None,
     ) -> None:
+        options = options or HostOptions()
+        self._memory = options.memory or MemoryOwner()
+        self._memory.drop_with(self._drop_oldest)
+        self._server_memory = ServerMemory(self._memory.terms.server_bytes)
         self._calls = calls
         self._clock = clock
         self._events = events
@@ -135,7 +154,7 @@
         self._askers: dict[int, Callable[[Bids], None]] = {}  # by token
         self._task: FilterTask[HostInput, HostOutput] = FilterTask(
             "host",
-            ServerHost(process_id, terms, admits_by_calls=admits_by_calls),
+            ServerHost(process_id, terms, admits_by_calls=options.admits_by_calls),
             CallOutlet(self._handle_output),
             clock,
             PeriodicMessage(TICK_S, HostTick()),
@@ -201,6 +220,7 @@
         """Remove a server that left and close its connections."""
         self._task.put(ServerUnlisted(server_id))
         self._calls.forget(server_id)
+        self._server_memory.forget(server_id)
 
     def ask(self, ask: Ask, on_bids: Callable[[Bids], None]) -> None:
         """Request the local servers' bids; the task passes them to ``on_bids``.
@@ -219,7 +239,12 @@
         attempt_id = attempt.submit.attempt_id
         record = self._records.get(attempt_id)
         if record is None:
-            record = self._records[attempt_id] = _AttemptRecord(attempt)
+            server_id = attempt.submit.server_id
+            sent = self._server_memory.reserve(server_id, attempt.body.length)
+            if sent is None:
+                self._memory.note_server_full()
+                return make_attempt_result(AttemptKind.DECLINED, 0.0, headers=_NO_ROOM)
+            record = self._records[attempt_id] = _AttemptRecord(attempt, sent)
             self._task.put(attempt.submit)
         record.waiters += 1
         try:
@@ -355,6 +380,9 @@
         if record is None or record.ended_at is not None:
             return
         record.ended_at = self._clock.now()
+        record.sent.release()
+        # The record is kept for longer than the request's memory is reserved.
+        record.attempt = record.attempt._replace(body=_NO_BODY)
         record.result.send(result)
         if isinstance(result.body, BufferedAnswer) and result.body.length:
             for oldest in self._kept.add(attempt_id, result.body.length):
@@ -362,6 +390,15 @@
         if result.kind is not AttemptKind.DECLINED:
             self._events.put(HostDecided("call-ended", attempt_id, result))
 
+    def _drop_oldest(self) -> bool:
+        """Drop the answer that is kept longest; return False without any."""
+        oldest = self._kept.find_oldest()
+        if oldest is None:
+            return False
+        self._kept.remove(oldest)
+        _drop_body(self._records[oldest])
+        return True
+
     def _expire(self) -> None:
         """Delete old results once they can no longer be requested."""
         while True:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -19,6 +19,7 @@
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.logs import LossyStream
 from pimentobend_adapters._internal.logs import get_log
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import PeriodicMessage
@@ -278,6 +279,7 @@
                 self._link, lambda: self._own_row, self._count_permission
             ),
             proof=None if self._proofs is None else self._proofs.proof,
+            memory=MemoryOwner(self._settings.memory, self._counters),
         )
         return FleetInstance(self._settings, ports)
 
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -10,6 +10,8 @@
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_core._internal.configuration.checks import NAME
 from pimentobend_core._internal.limits.terms import LimitSettings
+from pimentobend_core._internal.memory.budget import MemoryTerms
+from pimentobend_core._internal.memory.budget import make_terms
 from pimentobend_core._internal.traffic.shared_budget import BudgetTerms
 from pimentobend_core._internal.utils.checks import BooleanCheck
 from pimentobend_core._internal.utils.checks import Fault
@@ -24,6 +26,7 @@
 MAX_SEEDS = 64
 MAX_PORT = 65535
 MAX_SECONDS = 3600.0
+MIN_MEMORY_MB = 64  # an idle process takes 40
 
 _ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 address and a port")
 _PATH = TextCheck(r"[^\0]{1,1023}", "a path")
@@ -73,6 +76,8 @@
             },
         ),
         "strict_revoke": ObjectCheck({"revoke_s": NumberCheck(1, MAX_SECONDS)}),
+        "memory_mb": NumberCheck(MIN_MEMORY_MB, 1_000_000),
+        "server_memory_mb": NumberCheck(1, 1_000_000),
         "extra_copies": ObjectCheck({"share": NumberCheck(0, 10)}),
     },
 )
@@ -110,6 +115,7 @@
     heartbeat_s: float
     grace_s: float  # from the stop signal until the process is killed
     budget: BudgetTerms
+    memory: MemoryTerms
     limits: LimitSettings = LimitSettings()
     # From the acknowledgement of a version that removes a key to the last request that
     # runs with it; None if that is not bounded.
@@ -226,4 +232,5 @@
         limits=LimitSettings(**values.get("limits", {})),
         revoke_s=strict_revoke["revoke_s"] if strict_revoke else None,
         admission_behind_calls=values.get("admission_behind_calls", False),
+        memory=make_terms(values.get("memory_mb"), values.get("server_memory_mb")),
     )
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -37,6 +37,8 @@
     slots: int = 3  # of each server
     has_server_proxies: bool = True  # between the daemons and their servers
     revoke_s: float | None = None  # None without a bound on revoked keys
+    memory_mb: float | None = None  # of each daemon
+    server_memory_mb: float | None = None
 
 
 def is_free(ip: str) -> bool:
