Answer limit-unknown while a new leader cannot know the level

Callers within their limit saw 429 after a change of the leader: the new leader's buckets begin empty, and each refusal was passed on as the limit being reached.

Until a bucket that was empty at the leader's first grant would be full (5 s at most), refusals say that the limit is unknown. The daemon asks again when the next token is due and refuses with 503 limit-unknown if none comes in time. Lines limit-reached and limit-kept are bounded in total, 19 per 10 s and one line that says so; counters have all.

The case for repeated Grants now keeps questions waiting: the earlier one could not fail.

--- a/packages/core/src/pimentobend_core/_internal/limits/account.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/account.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "extra",
+        "is_over_known",
         "needed",
         "over_until",
         "waiting",
@@ -44,6 +45,7 @@
         self.needed = 0
         self.extra = 0
         self.over_until = -math.inf  # until then, the leader has no token
+        self.is_over_known = True  # whether the limit is reached, as in ``Grant``
         self.waiting: deque[Waiting] = deque()
         self._lots: deque[_Lot] = deque()
         self._rate = 0.0  # questions per second when the last one came
--- a/packages/core/src/pimentobend_core/_internal/limits/asker.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/asker.py
@@ -13,6 +13,7 @@
 from pimentobend_core._internal.limits.messages import SendAsk
 from pimentobend_core._internal.limits.messages import TokenAsk
 from pimentobend_core._internal.limits.messages import TokenDecided
+from pimentobend_core._internal.limits.messages import TokenReply
 from pimentobend_core._internal.limits.messages import TokenWanted
 from pimentobend_core._internal.limits.messages import TokenWithdrawn
 from pimentobend_core._internal.limits.messages import Verdict
@@ -155,8 +156,10 @@
         if asked is None:
             return ()
         self._suspects.pop(asked.recipient, None)
-        if not reply.is_granted:
+        if not reply.is_granted and reply.is_known:
             return self._decide(asked.ticket, Verdict.OVER_LIMIT, reply.retry_after_s)
+        if not reply.is_granted:
+            return self._wait(asked.ticket, reply, now)
         valid_until = asked.sent_at + reply.valid_s
         if now >= valid_until:
             del self._asked[reply.token]
@@ -164,6 +167,22 @@
         self._forget(asked.ticket)
         return (TokenDecided(asked.ticket, Verdict.GRANTED, valid_until=valid_until),)
 
+    def _wait(
+        self, ticket: int, reply: TokenReply, now: float
+    ) -> tuple[AskerOutput, ...]:
+        """Ask again when a new leader has a token, if the request lasts as long."""
+        wanted = self._wanted[ticket]
+        resend_at = now + max(TICK_S, reply.retry_after_s)
+        if resend_at >= wanted.give_up_at:
+            return self._decide(ticket, Verdict.UNKNOWN, reply.retry_after_s)
+        # The nearest control instance answered, so that it is asked first again.
+        for token in wanted.tokens:
+            self._asked.pop(token, None)
+        self._wanted[ticket] = wanted._replace(
+            resend_at=resend_at, recipients=(), tokens=()
+        )
+        return ()
+
     def _tick(self, now: float) -> tuple[AskerOutput, ...]:
         outputs: list[AskerOutput] = []
         for ticket, wanted in list(self._wanted.items()):
--- a/packages/core/src/pimentobend_core/_internal/limits/bucket.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/bucket.py
@@ -12,6 +12,7 @@
 SLOT_S = 0.01
 MAX_NEXT_S = 60.0
 MIN_NEXT_S = 0.001
+MAX_UNKNOWN_S = 5.0  # Retry-After of 429 is right later on even for large bursts
 _ROUNDING = 1e-9
 
 
@@ -32,6 +33,7 @@
         "refused_at",
         "_first_until",
         "_granted",
+        "_known_at",
         "_level",
         "_terms",
         "_updated_at",
@@ -45,6 +47,7 @@
         self._level = 0.0
         self._updated_at = started_at
         self._first_until = started_at + terms.valid_s
+        self._known_at = started_at + _fill_s(terms)
         self._granted: deque[_Granted] = deque()
         self._valid = 0  # sum of the granted tokens
 
@@ -63,6 +66,14 @@
         """Return whether a new bucket would not differ from this one."""
         return not self._valid and self._level >= self._terms.capacity
 
+    def is_known(self, now: float) -> bool:
+        """Return whether a bucket that was not empty at the start would be no fuller.
+
+        Before, a refused organisation may be within its limit, as the level that the
+        earlier owner had is lost.
+        """
+        return now >= self._known_at
+
     def change(self, limit: Limit, terms: Terms, now: float) -> None:
         """Change the limit at ``now`` (seconds)."""
         self.update(now)
@@ -149,3 +160,10 @@
         else:
             self._granted.append(_Granted(expires_at, count))
         self._valid += count
+
+
+def _fill_s(terms: Terms) -> float:
+    """Return the time in seconds in which an empty bucket becomes full."""
+    if not terms.refill_per_s:
+        return MAX_UNKNOWN_S
+    return min(MAX_UNKNOWN_S, terms.capacity / terms.refill_per_s)
--- a/packages/core/src/pimentobend_core/_internal/limits/messages.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/messages.py
@@ -37,13 +37,15 @@
     """A control instance's answer.
 
     A granted token is valid for ``valid_s`` from when its question was sent. If it is
-    not granted, the next one is due in ``retry_after_s``.
+    not granted, the next one is due in ``retry_after_s``. Unless ``is_known``, the
+    leader is too new to tell whether the organisation has reached its limit.
     """
 
     token: int
     is_granted: bool
     retry_after_s: Duration
     valid_s: Duration = 0.0
+    is_known: bool = True
 
 
 class Want(NamedTuple):
@@ -65,13 +67,15 @@
     """The tokens that an organisation is granted.
 
     They are valid for ``valid_s`` from when the demand was sent. ``next_s`` is the
-    time until the next token, and 0 if all that were needed are granted.
+    time until the next token, and 0 if all that were needed are granted. ``is_known``
+    is as in ``TokenReply``.
     """
 
     organisation: str
     tokens: Count
     valid_s: Duration
     next_s: Duration = 0.0
+    is_known: bool = True
 
 
 class Grants(NamedTuple):
--- a/packages/core/src/pimentobend_core/_internal/limits/owner.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/owner.py
@@ -133,10 +133,11 @@
         valid_s = bucket.terms.valid_s
         if count >= want.needed:
             return Grant(name, count, valid_s)
-        if name not in self._over:
+        is_known = bucket.is_known(now)
+        if is_known and name not in self._over:
             self._over.add(name)
             outputs.append(OverLimitChanged(name, is_over=True))
-        return Grant(name, count, valid_s, bucket.next_s(now))
+        return Grant(name, count, valid_s, bucket.next_s(now), is_known)
 
     def _bucket(self, name: str, limit: Limit, now: float) -> TokenBucket:
         bucket = self._buckets.get(name)
--- a/packages/core/src/pimentobend_core/_internal/limits/stock.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/stock.py
@@ -103,9 +103,7 @@
         if expires_at is not None:
             outputs.append(_grant(Waiting(sender, token, now), expires_at))
         elif now < account.over_until:
-            outputs.append(
-                _refuse(Waiting(sender, token, now), account.over_until, now)
-            )
+            outputs.append(_refuse(Waiting(sender, token, now), account, now))
             return
         else:
             account.waiting.append(Waiting(sender, token, now))
@@ -144,9 +142,10 @@
             outputs.append(_grant(account.waiting.popleft(), expires_at))
         if grant.next_s:
             account.over_until = now + grant.next_s
+            account.is_over_known = grant.is_known
             for _ in range(min(want.needed - grant.tokens, len(account.waiting))):
                 waiting = account.waiting.popleft()
-                outputs.append(_refuse(waiting, account.over_until, now))
+                outputs.append(_refuse(waiting, account, now))
         if len(account.waiting) > account.needed:
             self._lacking[grant.organisation] = None
 
@@ -235,6 +234,11 @@
     return SendReply(waiting.sender, TokenReply(waiting.token, True, 0.0, valid_s))
 
 
-def _refuse(waiting: Waiting, until: float, now: float) -> SendReply:
-    retry_after_s = max(0.0, until - now)
-    return SendReply(waiting.sender, TokenReply(waiting.token, False, retry_after_s))
+def _refuse(waiting: Waiting, account: TokenAccount, now: float) -> SendReply:
+    reply = TokenReply(
+        waiting.token,
+        is_granted=False,
+        retry_after_s=max(0.0, account.over_until - now),
+        is_known=account.is_over_known,
+    )
+    return SendReply(waiting.sender, reply)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/token_control.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/token_control.py
@@ -1,5 +1,6 @@
 """Grant tokens at a control instance: to daemons, and to the others as leader."""
 
+import math
 import secrets
 from collections.abc import Mapping
 
@@ -53,6 +54,9 @@
 
 KIND_DEMAND = "limit.demand"
 KIND_GRANT = "limit.grant"
+# Lines about organisations' limits, which many organisations may reach at once.
+MAX_LINES = 20
+LINES_S = 10.0
 
 
 class TokenControl:
@@ -67,6 +71,9 @@
         clock: ClockPort | None = None,
     ) -> None:
         clock = clock or BootClock()
+        self._clock = clock
+        self._lines = 0  # logged and omitted in the current period
+        self._lines_until = -math.inf
         self._link = link
         self._tables = tables
         self._counters = counters
@@ -149,10 +156,21 @@
             case OverLimitChanged():
                 event = "limit-reached" if output.is_over else "limit-kept"
                 self._counters.count(event.replace("-", "_"))
-                self._log.info(event, organisation=output.organisation)
+                self._report(event, output.organisation)
             case _:
                 eventlet.spawn_after(output.delay_s, self._owner.put, OwnerSweep())
 
+    def _report(self, event: str, organisation: str) -> None:
+        """Log an event, up to a number of lines per period; counters have them all."""
+        now = self._clock.now()
+        if now >= self._lines_until:
+            self._lines_until, self._lines = now + LINES_S, 0
+        self._lines += 1
+        if self._lines < MAX_LINES:
+            self._log.info(event, organisation=organisation)
+        elif self._lines == MAX_LINES:
+            self._log.warning("limit-lines-omitted", until_s=LINES_S)
+
     def _send_grants(self, output: SendGrants) -> None:
         granted = sum(grant.tokens for grant in output.grants.grants)
         self._counters.count("limit_tokens", amount=granted)
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -62,6 +62,10 @@
         ["extra_copies.share"],
     ),
     ("extra copies without a share", changed(extra_copies={}), ["extra_copies.share"]),
+    ("a window of no time", changed(limits={"window_s": 0}), ["limits.window_s"]),
+    ("a negative tolerance", changed(limits={"over": -1}), ["limits.over"]),
+    ("a slack that is text", changed(limits={"slack": "20"}), ["limits.slack"]),
+    ("an unknown part of limits", changed(limits={"burst": 1}), ["limits.burst"]),
     (
         "an admission that is not a boolean",
         changed(admission_behind_calls="yes"),
@@ -101,6 +105,24 @@
     assert settings.revoke_s == revoke_s
 
 
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        (..., (5.0, 0.1, 0.0)),
+        (None, (5.0, 0.1, 0.0)),
+        ({}, (5.0, 0.1, 0.0)),
+        ({"slack": 20}, (5.0, 0.1, 20)),
+        ({"window_s": 2, "over": 0, "slack": 3}, (2, 0, 3)),
+    ],
+)
+def test_each_part_of_the_limits_has_a_default(
+    limits: Any, expected: tuple[float, float, float]
+) -> None:
+    """Guards against a daemon that does not start without the setting."""
+    settings = parse_fleet_settings(changed(limits=limits), "file")
+    assert settings.limits == expected
+
+
 @pytest.mark.parametrize("budget", [GOOD["retry_budget"], ...])
 def test_extra_copies_are_not_limited_by_default(budget: Any) -> None:
     text = changed(extra_copies=..., retry_budget=budget)
--- a/tests/unit/limits/test_tokens.py
+++ b/tests/unit/limits/test_tokens.py
@@ -155,8 +155,34 @@
     assert [
         each._replace(retry_after_s=round(each.retry_after_s, 6)) for each in sent
     ] == replies
-    # The same answer a second time grants nothing.
-    assert not [e for e in stock.handle(grants, at) if isinstance(e, SendReply)]
+
+
+@pytest.mark.parametrize(
+    ("number", "restarts", "granted"),
+    [(7, False, 2), (6, False, 0), (7, True, 0)],
+    ids=["repeated", "of no demand", "to an earlier process"],
+)
+def test_a_stock_counts_the_answer_to_a_demand_once(
+    number: int, restarts: bool, granted: int
+) -> None:
+    """Guards against tokens that are used twice as their message comes twice.
+
+    Five questions are open and the answer has two tokens, so that each token which is
+    counted twice admits one more request.
+    """
+    stock = TokenStock(7)
+    stock.handle(LeaderKnown("l"), 0.0)
+    for token in range(5):
+        ask_stock(stock, token, 0.0)
+    if restarts:
+        stock = TokenStock(900)
+        stock.handle(LeaderKnown("l"), 0.0)
+        for token in range(5):
+            ask_stock(stock, token, 0.0)
+    grants = GrantsReceived(Grants(number, (Grant("o", 2, 0.5),)))
+    outputs = [each for _ in range(3) for each in stock.handle(grants, 0.1)]
+    replies = [each.reply for each in outputs if isinstance(each, SendReply)]
+    assert [each.is_granted for each in replies] == [True] * granted
 
 
 def test_a_stock_refuses_until_the_next_token_is_due() -> None:
@@ -213,6 +239,37 @@
     assert [e.recipient for e in later if isinstance(e, SendAsk)] == ["far"]
 
 
+# When a burst comes after an election that is seen at 0.0, the rate, the burst, and the
+# verdicts. A new leader does not know how full the bucket was.
+ELECTION_CASES = [
+    ("a burst at the first grant", 0.65, (10, 40), 30, {"granted", "unknown"}),
+    ("a low rate", 0.9, (0.5, 3), 3, {"unknown"}),
+    ("smooth demand", 0.65, (100, 0), 8, {"granted"}),
+    ("a burst later on", 6.0, (10, 40), 40, {"granted"}),
+    ("a flood later on", 6.0, (10, 40), 90, {"granted", "over-limit"}),
+]
+
+
+@pytest.mark.parametrize(
+    ("after_s", "limit", "count", "verdicts"),
+    [c[1:] for c in ELECTION_CASES],
+    ids=[c[0] for c in ELECTION_CASES],
+)
+def test_a_new_leader_does_not_claim_that_a_limit_is_reached(
+    after_s: float, limit: tuple[float, float], count: int, verdicts: set[str]
+) -> None:
+    """Guards against 429 to an organisation that is within its limit."""
+    fleet = LimitFleet({"o": Limit(*limit)}, LimitSettings())
+    fleet.run(20)
+    fleet.elect("c1", 0.0)
+    for number in range(count):
+        daemon = fleet.random.choice(fleet.daemons)
+        fleet.schedule(fleet.now + after_s + number / 1000, daemon, "o")
+    fleet.run(after_s + 3)
+    assert len(fleet.decided) == count
+    assert {each.verdict.value for each in fleet.decided} == verdicts
+
+
 # Rate, burst, slack and the share of the limit's rate that is sent.
 LOADS = [
     (2, 2, 20, 0.9),
