Search for tokens that are used twice, late, or granted by two owners

The state machine checked only the sum of a window, which faults seldom reach, and few of its orders had a fault in the middle of a flood.

The simulated fleet now reports whatever the load a token that serves two requests, a token that is used after the last validity has ended, and an owner that grants after its successor has begun. A second machine plays elections and freezes under load; the first one keeps its 400 examples.

The new checks first reported two owners in an order that cannot occur: the simulation confirmed a replica that had not seen its election, and let it hear of elections out of order. A replica tells its owner of its election before it confirms it, in one mailbox, so the simulation keeps that order.

--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -18,6 +18,7 @@
 from pimentobend_core._internal.limits.messages import AskReceived
 from pimentobend_core._internal.limits.messages import ControlsChanged
 from pimentobend_core._internal.limits.messages import DemandReceived
+from pimentobend_core._internal.limits.messages import Grant
 from pimentobend_core._internal.limits.messages import GrantsReceived
 from pimentobend_core._internal.limits.messages import LeaderKnown
 from pimentobend_core._internal.limits.messages import LeadershipChanged
@@ -85,7 +86,8 @@
     """Daemons and control instances, their network and the log's leader.
 
     ``loss`` and ``repeat`` are the shares of messages that are lost and delivered
-    twice; ``late_s`` is the longest additional delay.
+    twice; ``late_s`` is the longest additional delay. ``faults`` names what must not
+    happen whatever the load: it shows faults that the sum of a window hides.
     """
 
     def __init__(
@@ -101,6 +103,8 @@
         self.settings = settings
         self.loss = self.repeat = self.late_s = 0.0
         self.decided: list[Decided] = []
+        self.faults: list[str] = []
+        self.granted = self.replied = self.used = 0  # tokens
         self.messages = 0
         self.message_kinds: dict[str, int] = {}
         self.random = random.Random(seed)
@@ -108,6 +112,11 @@
         self.tables: dict[str, Tables] = {}
         self.newest = Version(1, 1)
         self._limits = limits
+        self._granted_by = ""
+        self._granted_until = 0.0  # end of the validity of all tokens
+        self._earlier_owners: set[str] = set()
+        self._election = 0
+        self._terms: dict[str, int] = {}  # last election that a replica has heard of
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count(1)
         self._sent_at: dict[tuple[str, int, int], tuple[float, str]] = {}
@@ -138,12 +147,23 @@
     def elect(self, name: str, seen_after_s: float, known_after_s: float = 0.0) -> None:
         """Elect a leader; the others, and the earlier one, hear of it later."""
         self.leader = name
+        self._election += 1
         for control in self.controls:
             delay_s = seen_after_s if control == name else known_after_s + seen_after_s
             is_own = control == name
-            self._mail(control, "owner", LeadershipChanged(is_own), delay_s)
+            changed = functools.partial(
+                self._note_election, control, self._election, is_own
+            )
+            self._mail(control, "owner", changed, delay_s)
             self._mail(control, "stock", LeaderKnown(name), delay_s)
 
+    def _note_election(self, name: str, election: int, is_own: bool) -> Any:
+        """Return what a replica tells its owner; it hears of elections in order."""
+        if election < self._terms.get(name, 0):
+            return None
+        self._terms[name] = election
+        return LeadershipChanged(is_own)
+
     def change_limits(
         self, limits: dict[str, Limit], delays_s: dict[str, float]
     ) -> None:
@@ -202,19 +222,26 @@
     def _confirm(self) -> None:
         """Let each control instance ask whether it leads; a majority answers later.
 
-        It is confirmed if it still leads once the question arrives.
+        It is confirmed if it still leads once the question arrives. A replica which
+        has not seen its election asks for an earlier one, which no majority confirms.
         """
         self._after(CONFIRM_S, self._confirm)
         for name in self.controls:
             process = self.processes[name]
             if process.frozen_until <= self.now:
                 answer = functools.partial(
-                    self._answer_confirm, name, self.now, process.start
+                    self._answer_confirm,
+                    name,
+                    self.now,
+                    process.start,
+                    self._terms.get(name),
                 )
                 self._after(self.random.uniform(0.0, 0.1), answer)
 
-    def _answer_confirm(self, name: str, asked_at: float, start: int) -> None:
-        if self.leader == name:
+    def _answer_confirm(
+        self, name: str, asked_at: float, start: int, election: int | None
+    ) -> None:
+        if self.leader == name and self._election == election:
             proven = LeadershipProven(asked_at, self.newest)
             self._mail(name, "owner", proven, 0.01, start)
 
@@ -237,6 +264,8 @@
             self._mail(name, part, message, process.frozen_until - self.now, start)
             return
         value = message() if callable(message) else message
+        if value is None:
+            return
         for output in process.filters[part].handle(value, self.now):
             self._handle(process, output)
 
@@ -246,11 +275,14 @@
             case SendAsk():
                 self._send(name, output.recipient, "stock", AskReceived, output.ask)
             case SendReply():
+                self.replied += output.reply.is_granted
+                self._check(self.replied <= self.granted, "a token for two requests")
                 self._send(name, output.recipient, "asker", ReplyReceived, output.reply)
             case SendDemand():
                 received = output.demand
                 self._send(name, output.recipient, "owner", DemandReceived, received)
             case SendGrants():
+                self._note_grants(process, output.grants.grants)
                 message = lambda sender, grants: GrantsReceived(grants)  # noqa: E731
                 self._send(name, output.recipient, "stock", message, output.grants)
             case WakeAsker():
@@ -262,6 +294,24 @@
             case TokenDecided():
                 self._decide(process, output)
 
+    def _note_grants(self, process: Process, grants: tuple[Grant, ...]) -> None:
+        """Check that no owner grants after its successor has begun to."""
+        tokens = sum(grant.tokens for grant in grants)
+        if not tokens:
+            return
+        self.granted += tokens
+        longest_s = max(grant.valid_s for grant in grants)
+        self._granted_until = max(self._granted_until, self.now + longest_s)
+        owner = f"{process.address} {process.start} {self._terms[process.address]}"
+        if owner != self._granted_by:
+            self._check(owner not in self._earlier_owners, "two owners at once")
+            self._earlier_owners.add(self._granted_by)
+            self._granted_by = owner
+
+    def _check(self, holds: bool, fault: str) -> None:
+        if not holds:
+            self.faults.append(fault)
+
     def _send(
         self, sender: str, recipient: str, part: str, kind: Any, message: Any
     ) -> None:
@@ -282,6 +332,10 @@
         verdict = output.verdict
         if verdict is Verdict.GRANTED and self.now >= output.valid_until:
             verdict = Verdict.UNKNOWN
+        if verdict is Verdict.GRANTED:
+            self.used += 1
+            self._check(self.used <= self.replied, "a reply for two requests")
+            self._check(self.now < self._granted_until, "an expired token")
         decided = Decided(
             sent_at, self.now, organisation, verdict, output.retry_after_s
         )
--- a/tests/unit/limits/test_limits_machine.py
+++ b/tests/unit/limits/test_limits_machine.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 from limit_fleet import LimitFleet
 from limit_fleet import allowed
@@ -98,15 +99,18 @@
         fleet.run(longest_s)
         self.lowered_at = fleet.now
 
+    @invariant()
+    def no_token_is_used_twice_or_late(self) -> None:
+        if hasattr(self, "fleet"):
+            assert self.fleet.faults == []
+
     def teardown(self) -> None:
         if not hasattr(self, "fleet"):
             return
         self.fleet.run(2.0)
-        times = [
-            each.at
-            for each in self.fleet.decided
-            if each.verdict is Verdict.GRANTED and each.sent_at <= each.at
-        ]
+        assert self.fleet.faults == []
+        granted = [e for e in self.fleet.decided if e.verdict is Verdict.GRANTED]
+        times = [each.at for each in granted]
         window_s = self.terms.window_s
         assert count_most(times, window_s) <= allowed(self.highest, self.terms)
         # Tokens that were granted before all processes had the lower limit are valid
@@ -115,7 +119,39 @@
         assert count_most(late, window_s) <= allowed(self.limit, self.terms)
 
 
+class LoadedMachine(LimitMachine):
+    """The same, with faults in the middle of a flood, which chance seldom gives."""
+
+    @rule(
+        number=controls,
+        before_s=st.sampled_from((0.1, 0.2, 0.45)),
+        seen_s=st.sampled_from((0.0, 0.2, 0.6)),
+        known_s=long_s,
+        idle_s=st.sampled_from((0.0, 0.5, 6.0)),
+    )
+    def elect_under_load(
+        self, number: int, before_s: float, seen_s: float, known_s: float, idle_s: float
+    ) -> None:
+        """Change the leader just after a burst, and go on with the flood."""
+        self.fleet.run(idle_s)
+        self.flood(before_s)
+        self.fleet.elect(f"c{number}", seen_s, known_s)
+        self.flood(1.0)
+
+    @rule(number=processes, seconds=st.sampled_from((0.3, 0.5, 0.7)))
+    def freeze_under_load(self, number: int, seconds: float) -> None:
+        """Stop a process that holds tokens or questions, and resume it in the flood."""
+        self.flood(0.2)
+        self.fleet.freeze(self.names[number], seconds)
+        self.flood(1.0)
+
+
 TestLimits = LimitMachine.TestCase
 TestLimits.settings = settings(
     max_examples=400, stateful_step_count=25, deadline=None, derandomize=True
 )
+
+TestLimitsUnderLoad = LoadedMachine.TestCase
+TestLimitsUnderLoad.settings = settings(
+    max_examples=100, stateful_step_count=10, deadline=None, derandomize=True
+)
