Soak keys and limits of organisations under faults

No soak sent API keys, so nothing showed what callers get while keys move and daemons or control instances are killed, stopped, paused or reloaded.

The new kind "keys" adds, moves and removes keys and lowers a limit under these faults. Callers send with keys, with an unknown key and without, and forge the organisation. The checks cover runs with keys that were removed for more than revoke_s or never given, the headers that servers see, the runs of the limited organisation in any window, 429 without a limit, and 401 for proper keys at instances in touch.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -3,8 +3,8 @@
 import pathlib
 
 import pytest
+from fleet_soak import KINDS
 from fleet_soak import run_soak
-from soak_kinds import KINDS
 
 # Kind, instances, servers of a service, seed, seconds, and what went wrong where the
 # seed once failed.
@@ -14,6 +14,7 @@
     ("single", 2, 2, 114, 12.0, "SIGHUP during startup ended the daemon"),
     ("series", 2, 2, 1, 6.0, ""),
     ("series", 6, 2, 1, 6.0, "the last requests before a stop's end had no answer"),
+    ("keys", 2, 2, 1, 10.0, ""),
     ("series", 12, 3, 440, 10.0, "late requests were sent on a guess of their time"),
 ]
 
--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -15,6 +15,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 from contextlib import nullcontext
 from typing import Any
@@ -30,14 +31,22 @@
 from soak_faults import FaultInterval
 from soak_faults import ScheduledFault
 from soak_faults import Scope
-from soak_kinds import KINDS
+from soak_keys import KeyChanges
 from soak_kinds import Evidence
+from soak_kinds import SeriesOfLongRequests
+from soak_kinds import SeriesOfStops
 from soak_kinds import SingleFaults
 from soak_kinds import SoakKind
 from soak_traffic import Operator
 from soak_traffic import RequestRecord
 
 STALL_POLL_S = 0.05
+KINDS: dict[str, Callable[[int, int], SoakKind]] = {
+    "single": SingleFaults,
+    "series": SeriesOfStops,
+    "long-series": SeriesOfLongRequests,
+    "keys": KeyChanges,
+}
 
 
 class Soak:
@@ -48,7 +57,9 @@
     ) -> None:
         self._kind = kind or SingleFaults()
         self.fleet = Fleet(folder, self._kind.shape)
-        self.operator = Operator(self.fleet, seed, self._kind.make_routes)
+        self.operator = Operator(
+            self.fleet, seed, self._kind.make_routes, self._kind.make_tenants
+        )
         self.callers = self._kind.make_callers(self.fleet, seed)
         self.fault_intervals: list[FaultInterval] = []
         self._faults = self._kind.make_faults()
@@ -63,7 +74,7 @@
 
     def run(self, schedule: tuple[ScheduledFault, ...], seconds: float) -> list[str]:
         """Run a schedule and return the violations of the guarantees."""
-        self.fleet.start(self._kind.make_routes(0))
+        self.fleet.start(self._kind.make_routes(0), self._kind.make_tenants(1))
         tasks = [caller.run for caller in self.callers]
         tasks += [self.operator.update, self.operator.read, self._measure_stalls]
         traffic_threads = [
@@ -125,7 +136,9 @@
             for run in process.server.runs if process.server else ():
                 runs.setdefault(run.request_id, []).append(run)
         counts = Counter({request_id: len(each) for request_id, each in runs.items()})
-        evidence = Evidence(self.records, runs, tuple(self.fault_intervals))
+        evidence = Evidence(
+            self.records, runs, tuple(self.fault_intervals), self.operator.changes
+        )
         grace_s = self.fleet.shape.grace_s
         return [
             *self._errors,
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -37,6 +37,7 @@
     slots: int = 3  # of each server
     has_server_proxies: bool = True  # between the daemons and their servers
     revoke_s: float | None = None  # None without a bound on revoked keys
+    limits: dict[str, float] | None = None  # None without limits of organisations
 
 
 def is_free(ip: str) -> bool:
@@ -83,7 +84,9 @@
         """Return all processes."""
         return [*self.control, *self.instances]
 
-    def start(self, routes: dict[str, Any] = ROUTES) -> None:
+    def start(
+        self, routes: dict[str, Any] = ROUTES, tenants: dict[str, Any] | None = None
+    ) -> None:
         """Start all processes and apply the first configuration."""
         for process in self.processes:
             process.start(first=True)
@@ -91,7 +94,7 @@
                 process.to_server.start(process.server.address)
                 process.to_callers.start(process.address(8400))
                 process.server.start()
-        self.put(routes)
+        self.put(routes, tenants)
         for process in self.instances:
             wait_until(process.is_ready, "an instance is ready")
             wait_until(
--- a/tests/lib/platform_process.py
+++ b/tests/lib/platform_process.py
@@ -153,6 +153,8 @@
             }
         if self._fleet.shape.revoke_s is not None:
             settings["strict_revoke"] = {"revoke_s": self._fleet.shape.revoke_s}
+        if self._fleet.shape.limits is not None:
+            settings["limits"] = self._fleet.shape.limits
         path = self.folder / "settings.json"
         path.write_text(json.dumps(settings))
         with (self.folder / "log").open("ab") as log:
--- a/tests/lib/soak_faults.py
+++ b/tests/lib/soak_faults.py
@@ -6,6 +6,7 @@
 import shutil
 import signal
 import time
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from fault_proxy import ConnectionFault
@@ -208,15 +209,18 @@
 
 
 def make_schedule(
-    seed: int, seconds: float, are_control: tuple[bool, ...]
+    seed: int,
+    seconds: float,
+    are_control: tuple[bool, ...],
+    faults: Mapping[str, Fault] | None = None,
 ) -> tuple[ScheduledFault, ...]:
     """Return the faults to inject for a seed, in order of their start.
 
     Faults of the same process don't overlap. ``are_control`` tells for each
-    process whether it has the control role.
+    process whether it has the control role; all faults are chosen from by default.
     """
     rng = random.Random(seed)
-    faults = make_faults()
+    faults = make_faults() if faults is None else faults
     schedule: list[ScheduledFault] = []
     free_at = [0.0] * len(are_control)
     now = 0.0
--- a/tests/lib/soak_kinds.py
+++ b/tests/lib/soak_kinds.py
@@ -25,6 +25,7 @@
 from soak_series import make_series_faults
 from soak_traffic import BusyCaller
 from soak_traffic import Caller
+from soak_traffic import ConfigurationChange
 from soak_traffic import LastingCaller
 from soak_traffic import RequestRecord
 from soak_waves import Targets
@@ -47,6 +48,7 @@
     records: Sequence[RequestRecord]
     runs: Mapping[str, Sequence[Run]]  # by the request's id
     faults: Sequence[FaultInterval]
+    changes: Sequence[ConfigurationChange] = ()
 
 
 class SoakKind(abc.ABC):
@@ -62,6 +64,10 @@
     def make_routes(self, label: int) -> dict[str, Any]:
         """Return the routes of a version of the configuration."""
 
+    def make_tenants(self, label: int) -> dict[str, Any] | None:
+        """Return the organisations of a version, None without any."""
+        return None
+
     @abc.abstractmethod
     def make_faults(self) -> dict[str, Fault]:
         """Return new faults for one run, by name."""
@@ -112,7 +118,7 @@
     ) -> tuple[ScheduledFault, ...]:
         """Return the faults to inject for a seed, in order of their start."""
         are_control = tuple(process.is_control for process in fleet.processes)
-        return make_schedule(seed, seconds, are_control)
+        return make_schedule(seed, seconds, are_control, self.make_faults())
 
     def check_answers(self, evidence: Evidence, fleet: Fleet) -> list[str]:
         """Return the requests that ran and that only a shutdown can have cut off."""
@@ -213,13 +219,6 @@
     terms = OUTLASTING
 
 
-KINDS = {
-    "single": SingleFaults,
-    "series": SeriesOfStops,
-    "long-series": SeriesOfLongRequests,
-}
-
-
 def _is_cut_by_stop(record: RequestRecord, faults: Sequence[FaultInterval]) -> bool:
     """Return whether only a shutdown of its process can have cut a request off.
 
--- a/tests/lib/soak_traffic.py
+++ b/tests/lib/soak_traffic.py
@@ -2,6 +2,7 @@
 
 import abc
 import http.client
+import math
 import random
 import threading
 import time
@@ -43,6 +44,7 @@
     answer: Answer
     failure: Failure = Failure.NONE
     sent_at: float | None = None  # when its last byte was sent
+    api_key: str | None = None  # empty without a key; None if its route needs none
 
 
 class ConfigurationRead(NamedTuple):
@@ -52,6 +54,14 @@
     acknowledged: int
 
 
+class ConfigurationChange(NamedTuple):
+    """Version that was put; times are of the monotonic clock."""
+
+    label: int
+    began_at: float
+    acknowledged_at: float  # infinite if no answer said that it was applied
+
+
 class Caller(abc.ABC):
     """Send one request after another to one process."""
 
@@ -213,19 +223,32 @@
     """Update the configuration of a fleet, and read it back."""
 
     def __init__(
-        self, fleet: Fleet, seed: int, routes: Callable[[int], dict[str, Any]]
+        self,
+        fleet: Fleet,
+        seed: int,
+        routes: Callable[[int], dict[str, Any]],
+        tenants: Callable[[int], dict[str, Any] | None],
     ) -> None:
         self._fleet = fleet
         self._routes = routes  # by the version
+        self._tenants = tenants  # by the version
         self._rng = random.Random(seed)
         self.acknowledged = 0  # the last version that was acknowledged
         self.reads: list[ConfigurationRead] = []
+        self.changes: list[ConfigurationChange] = []
 
     def update(self, stopping: threading.Event) -> None:
         """Put one version after another, each until it is acknowledged."""
         while not stopping.wait(UPDATE_INTERVAL_S):
-            if self._fleet.put(self._routes(self._fleet.label)) == 200:
+            label = self._fleet.label
+            number, began_at = len(self.changes), time.monotonic()
+            # A version may be in force before its acknowledgement arrives.
+            self.changes.append(ConfigurationChange(label + 1, began_at, math.inf))
+            if self._fleet.put(self._routes(label), self._tenants(label + 1)) == 200:
                 self.acknowledged = self._fleet.label
+                self.changes[number] = ConfigurationChange(
+                    label + 1, began_at, time.monotonic()
+                )
 
     def read(self, stopping: threading.Event) -> None:
         """Read the configuration from randomly chosen control instances."""
