--- a/tests/lib/fleet_soak.py
+++ b/tests/lib/fleet_soak.py
@@ -1,9 +1,10 @@
 """Soak test: inject faults into a fleet of real processes and check its guarantees.
 
 Run it by hand with ``python tests/lib/fleet_soak.py --seed=1 --seconds=20``, and
-with ``--kind=series --instances=12`` for planned work that comes in series. The
-same seed gives the same schedule of faults. It exits with code 1 if a guarantee
-was violated, and then keeps the logs in a folder whose path it prints.
+with ``--kind=series --instances=12`` for planned work that comes in series, or with
+``--kind=keys`` for organisations whose API keys and limits change. The same seed
+gives the same schedule of faults. It exits with code 1 if a guarantee was violated,
+and then keeps the logs in a folder whose path it prints.
 """
 
 import argparse
