Take only requests from the server's machine for calls

A call comes from its server's machine, so only such requests are matched. Repeats of a call that was refused no longer count as further demand for room: a service that sheds half of its load has as much room as before.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/hosted_server.py
@@ -178,7 +178,8 @@
         self.debts.enter(group, record.owed_s, self.server.slots, now)
         if not group.is_call:
             self.debts.weigh(group, submit.priority)
-        if group.is_call:
+        if group.is_call and not submit.is_repeat:
+            # A repeat of a call that was refused asks for no more room than the call.
             self.call_room.add_call(record.owed_s * submit.demand)
         attempt_id, mean_s = submit.attempt_id, durations.mean_s
         self.backlog.add(QueuedAttempt(due, sequence, attempt_id, mean_s, group))
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -53,7 +53,8 @@
     shares = [each.repeat_share for each in callers]
     share = sum(shares) / len(shares) if shares else 0.0
     sender = Sender(repeat_share=min(1.0, share))
-    runs = [each for each in local.runs if each.route]
+    # Clients' requests end with a run by chance; calls come from the server's machine.
+    runs = [each for each in local.runs if each.route] if is_local else []
     ending = [
         each
         for each in runs
@@ -62,12 +63,8 @@
     ]
     if ending:
         return _add_callers(sender._replace(is_run_known=True), ending)
-    # A call that has less time than its run is known only by where it comes from.
-    longer = [
-        each
-        for each in runs
-        if is_local and deadline <= each.deadline + CALL_ENDS_LATER_S
-    ]
+    # A call that has less time than its run may be of each run that has as much.
+    longer = [each for each in runs if deadline <= each.deadline + CALL_ENDS_LATER_S]
     return _add_callers(sender, longer) if longer else sender
 
 
