Check an owner's grants against its terms in the simulated fleet

No test found buckets that a leader keeps over another one's term, and the state machine found neither valid tokens that take no room nor a new owner without its first capacity.

The simulated fleet now checks at each grant that an owner's valid tokens keep within the capacity, all its tokens within the refill since its election and the first ones within half the tolerance. A table covers a new term.

--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -35,11 +35,13 @@
 from pimentobend_core._internal.limits.messages import WakeAsker
 from pimentobend_core._internal.limits.messages import WakeOwner
 from pimentobend_core._internal.limits.messages import WakeStock
+from pimentobend_core._internal.limits.owner import CONFIRMED_S
 from pimentobend_core._internal.limits.owner import Limits
 from pimentobend_core._internal.limits.owner import TokenOwner
 from pimentobend_core._internal.limits.stock import TokenStock
 from pimentobend_core._internal.limits.terms import Limit
 from pimentobend_core._internal.limits.terms import LimitSettings
+from pimentobend_core._internal.limits.terms import find_terms
 from pimentobend_core._internal.pipes import StatefulFilter
 
 CONFIRM_S = 0.25
@@ -116,6 +118,10 @@
         self._granted_until = 0.0  # end of the validity of all tokens
         self._earlier_owners: set[str] = set()
         self._election = 0
+        self._elected_at: dict[str, float] = {}  # when a replica saw its election
+        # Ends of validity and numbers of tokens of the present owner.
+        self._granted: dict[str, list[tuple[float, int]]] = {}
+        self._highest = limits  # before any is lowered
         self._terms: dict[str, int] = {}  # last election that a replica has heard of
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count(1)
@@ -162,6 +168,8 @@
         if election < self._terms.get(name, 0):
             return None
         self._terms[name] = election
+        if is_own:
+            self._elected_at[name] = self.now
         return LeadershipChanged(is_own)
 
     def change_limits(
@@ -307,6 +315,26 @@
             self._check(owner not in self._earlier_owners, "two owners at once")
             self._earlier_owners.add(self._granted_by)
             self._granted_by = owner
+            self._granted.clear()
+        for grant in grants:
+            self._check_terms(process.address, grant)
+
+    def _check_terms(self, owner: str, grant: Grant) -> None:
+        """Check an owner's valid tokens and all that it granted since its election."""
+        limit = self._highest.get(grant.organisation)
+        if limit is None:
+            return
+        terms = find_terms(limit, self.settings)
+        granted = self._granted.setdefault(grant.organisation, [])
+        granted.append((self.now + grant.valid_s, grant.tokens))
+        valid = sum(tokens for until, tokens in granted if until > self.now)
+        self._check(valid <= terms.capacity + 0.001, "more than the capacity")
+        since_s = self.now - self._elected_at[owner] - CONFIRMED_S
+        refill = terms.refill_per_s * since_s
+        total = sum(tokens for _, tokens in granted)
+        self._check(total <= refill + 0.001, "more than the refill")
+        if since_s < terms.valid_s:
+            self._check(total <= terms.first_capacity + 0.001, "too much at first")
 
     def _check(self, holds: bool, fault: str) -> None:
         if not holds:
--- a/tests/unit/limits/test_tokens.py
+++ b/tests/unit/limits/test_tokens.py
@@ -78,6 +78,28 @@
     assert any(isinstance(each, SendGrants) for each in outputs) is grants
 
 
+@pytest.mark.parametrize(
+    ("inputs", "granted"),
+    [([], 13), ([OWN], 0), ([OTHER, OWN], 0)],
+    ids=["same term", "elected again", "deposed in between"],
+)
+def test_a_new_term_begins_with_empty_buckets(
+    inputs: list[OwnerInput], granted: int
+) -> None:
+    """Guards against a level from before another owner's grants."""
+    limits = Limits(lambda name: Limit(10, 10), lambda: VERSION)
+    owner = TokenOwner(limits, LimitSettings())
+    owner.handle(OWN, 0.0)
+    owner.handle(proven(59.0), 59.0)
+    owner.handle(DemandReceived("c", Demand(1, (Want("o", 1),))), 59.1)
+    for message in inputs:
+        owner.handle(message, 61.0)
+    owner.handle(proven(61.6), 61.6)
+    outputs = owner.handle(DemandReceived("c", Demand(2, (Want("o", 99),))), 61.61)
+    sent = [each.grants.grants for each in outputs if isinstance(each, SendGrants)]
+    assert [grant.tokens for grants in sent for grant in grants] == [granted]
+
+
 # Limit, settings, and the times and numbers of tokens that are asked for and granted.
 BUCKET_CASES = [
     ("a full bucket", (10, 10), (5, 0.1, 0), [(60, 99, 13)]),
