Claim that a limit is reached only once the bucket has been full

Organisations within their limit still got 429 some seconds after a change of the leader: the requests that waited for the leader, and the level that it did not know, stay missing for as long as demand is near the rate.

A refusal counts as the limit being reached once the new bucket has been full, or after 5 s. A flood gets limit-unknown for these 5 s.

--- a/packages/core/src/pimentobend_core/_internal/limits/bucket.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/bucket.py
@@ -12,7 +12,9 @@
 SLOT_S = 0.01
 MAX_NEXT_S = 60.0
 MIN_NEXT_S = 0.001
-MAX_UNKNOWN_S = 5.0  # Retry-After of 429 is right later on even for large bursts
+MAX_UNKNOWN_S = (
+    5.0  # then an organisation whose bucket was never full is over its limit
+)
 _ROUNDING = 1e-9
 
 
@@ -47,7 +49,7 @@
         self._level = 0.0
         self._updated_at = started_at
         self._first_until = started_at + terms.valid_s
-        self._known_at = started_at + _fill_s(terms)
+        self._known_at = started_at + MAX_UNKNOWN_S
         self._granted: deque[_Granted] = deque()
         self._valid = 0  # sum of the granted tokens
 
@@ -67,10 +69,10 @@
         return not self._valid and self._level >= self._terms.capacity
 
     def is_known(self, now: float) -> bool:
-        """Return whether a bucket that was not empty at the start would be no fuller.
+        """Return whether a refused organisation has reached its limit.
 
-        Before, a refused organisation may be within its limit, as the level that the
-        earlier owner had is lost.
+        The level that the earlier owner had is lost. Until the bucket has been full, it
+        may be lower than one that was not empty at the start.
         """
         return now >= self._known_at
 
@@ -140,7 +142,10 @@
         if now <= self._updated_at:
             return
         level = self._level + self._terms.refill_per_s * (now - self._updated_at)
-        self._level = self._capped(level, self._updated_at)
+        capped = self._capped(level, self._updated_at)
+        if capped < level and self._updated_at >= self._first_until:
+            self._known_at = min(self._known_at, now)
+        self._level = capped
         self._updated_at = now
 
     def _capped(self, level: float, at: float) -> float:
@@ -160,10 +165,3 @@
         else:
             self._granted.append(_Granted(expires_at, count))
         self._valid += count
-
-
-def _fill_s(terms: Terms) -> float:
-    """Return the time in seconds in which an empty bucket becomes full."""
-    if not terms.refill_per_s:
-        return MAX_UNKNOWN_S
-    return min(MAX_UNKNOWN_S, terms.capacity / terms.refill_per_s)
--- a/tests/unit/limits/test_tokens.py
+++ b/tests/unit/limits/test_tokens.py
@@ -132,6 +132,21 @@
     assert granted == [expected for _, _, expected in steps]
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "granted"),
+    [((10, 40), (10, 10), 13), ((10, 40), (1, 0), 1), ((10, 10), (10, 40), 13)],
+    ids=["smaller burst", "smaller both", "raised"],
+)
+def test_a_changed_limit_binds_the_next_grant(
+    before: tuple[float, float], after: tuple[float, float], granted: int
+) -> None:
+    """Guards against a level that was saved up under a higher limit."""
+    terms = [find_terms(Limit(*each), LimitSettings()) for each in (before, after)]
+    bucket = TokenBucket(Limit(*before), terms[0], 0.0)
+    bucket.change(Limit(*after), terms[1], 60.0)
+    assert bucket.take(99, 0, 60.0) == granted
+
+
 @pytest.mark.parametrize("drained", [5, 15, 25])
 def test_the_next_token_is_there_when_it_is_due(drained: int) -> None:
     """Guards against a Retry-After after which a caller is refused again."""
@@ -292,6 +307,22 @@
     assert {each.verdict.value for each in fleet.decided} == verdicts
 
 
+@pytest.mark.parametrize("limit", [(10, 10), (50, 25)])
+def test_a_new_leader_knows_no_level_before_a_bucket_was_full(
+    limit: tuple[float, float],
+) -> None:
+    """Guards against 429 while the requests of the time without a leader are late."""
+    fleet = LimitFleet({"o": Limit(*limit)}, LimitSettings())
+    fleet.run(20)
+    fleet.elect("c1", 0.0)
+    rate, burst = limit
+    times = [0.3] * int(burst) + [n / rate for n in range(3, int(4.5 * rate))]
+    for at in times:
+        fleet.schedule(fleet.now + at, fleet.random.choice(fleet.daemons), "o")
+    fleet.run(8)
+    assert {each.verdict.value for each in fleet.decided} == {"granted", "unknown"}
+
+
 # Rate, burst, slack and the share of the limit's rate that is sent.
 LOADS = [
     (2, 2, 20, 0.9),
