--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/bid_collector.py
@@ -37,12 +37,17 @@
     Distance.REGION: 0.03,
     Distance.FAR: 0.3,  # longer, as traffic between regions is billed
 }
+# Answers that are kept. Those of a full server are kept by organisation, and there may
+# be 85,000.
+CACHE_LIMIT = 4096
 # Maximum number of daemons whose bids a request considers; fresh ones count.
 ASK_LIMITS = {
     Distance.DATA_CENTRE: 6,
     Distance.REGION: 2,
     Distance.FAR: 2,
 }
+# Bids that are too old to be used tell for this long whether to ask again as far away.
+RECENT_S = 1.0
 # A daemon whose servers were failing is asked after the others for this long.
 DOUBT_S = 1.0
 UNREACHABLE_AFTER = 2  # unanswered questions in a row that make a daemon unreachable
@@ -71,6 +76,12 @@
     bids: Bids
     received_at: float
 
+    @property
+    def is_for_all(self) -> bool:
+        """Return whether the bids hold for each organisation, as no one waits."""
+        made = self.bids.bids
+        return bool(made) and all(bid.free_slots > 0 for bid in made)
+
 
 class _Round:
     """Questions sent at the same time, and the daemons that have not answered yet."""
@@ -154,9 +165,25 @@
             for candidate in self._candidates(own_row, row, question, now)
         )
 
+    def find_recent(
+        self, question: Question, distance: Distance
+    ) -> tuple[Candidate, ...]:
+        """Return the latest bids of servers further away than a distance."""
+        own_row = self._own_row()
+        now = self._clock.now()
+        found: list[Candidate] = []
+        for row in self._peers if distance < Distance.FAR else ():
+            cached = self._find(row.address, question)
+            if cached is None or now - cached.received_at > RECENT_S:
+                continue
+            place = find_distance(own_row, row)
+            if place > distance and self._may_serve(row, question.service):
+                found.extend(Candidate(row, bid, place) for bid in cached.bids.bids)
+        return tuple(found)
+
     def bid_age_s(self, candidate: Candidate, question: Question) -> float:
         """Return how old a candidate's bid is, in seconds."""
-        cached = self._cached.get(_CacheKey(candidate.peer.address, question))
+        cached = self._find(candidate.peer.address, question)
         return self._clock.now() - cached.received_at if cached else 0.0
 
     def handle_ask(self, frame: Frame) -> None:
@@ -185,7 +212,7 @@
     def _is_stale(
         self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> bool:
-        cached = self._cached.get(_CacheKey(row.address, question))
+        cached = self._find(row.address, question)
         limit_s = FRESH_S[find_distance(own_row, row)]
         return cached is None or now - cached.received_at > limit_s
 
@@ -231,7 +258,7 @@
         if address != sender:
             return
         now = self._clock.now()
-        self._cached[_CacheKey(sender, question)] = _CachedBids(bids, now)
+        self._keep(sender, question, _CachedBids(bids, now))
         doubtful = (sender, question.service)
         if any(bid.risk < FAILING_RISK or bid.wants_trial for bid in bids.bids):
             self._doubtful_until.pop(doubtful, None)
@@ -239,16 +266,34 @@
             self._doubtful_until[doubtful] = now + DOUBT_S
         pending.answered(sender)
 
+    def _keep(self, address: str, question: Question, cached: _CachedBids) -> None:
+        if cached.is_for_all:
+            question = question._replace(organisation="")
+        key = _CacheKey(address, question)
+        self._cached.pop(key, None)  # so that the oldest answer is the first one
+        self._cached[key] = cached
+        if len(self._cached) > CACHE_LIMIT:
+            del self._cached[next(iter(self._cached))]
+
+    def _find(self, address: str, question: Question) -> _CachedBids | None:
+        """Return the latest bids of a daemon that hold for the question."""
+        own = self._cached.get(_CacheKey(address, question))
+        if not question.organisation:
+            return own
+        general = question._replace(organisation="")
+        shared = self._cached.get(_CacheKey(address, general))
+        if shared is None or not shared.is_for_all:
+            return own
+        return shared if own is None or own.received_at < shared.received_at else own
+
     def _candidates(
         self, own_row: PeerRow, row: PeerRow, question: Question, now: float
     ) -> list[Candidate]:
-        key = _CacheKey(row.address, question)
-        cached = self._cached.get(key)
+        cached = self._find(row.address, question)
         if cached is None:
             return []
         distance = find_distance(own_row, row)
         if now - cached.received_at > FRESH_S[distance] + TIMEOUTS_S[Distance.FAR]:
-            del self._cached[key]
             return []
         peer = row._replace(process_id=cached.bids.process_id)
         return [Candidate(peer, bid, distance) for bid in cached.bids.bids]
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -97,13 +97,21 @@
         host, sender = self._ports.host, value.sender
         runs = sender.calling_runs
         if runs:
-            host.note_call(CallMade(value.pool, sender.calling_routes, runs))
+            host.note_call(
+                CallMade(
+                    value.pool,
+                    sender.calling_routes,
+                    runs,
+                    value.head.request_id,
+                    sender.is_run_known,
+                )
+            )
         try:
             return task.run()
         finally:
             self._tasks.discard(task)
             if runs:
-                host.note_call(CallReturned(runs))
+                host.note_call(CallReturned(value.head.request_id))
 
     def finish_by(self, at: float) -> None:
         """Refuse what would probably still run at ``at``, when the process ends."""
@@ -241,7 +249,8 @@
         candidates = self._ports.bid_collector.ask(self._question, distance)
         if self._routed.sender.calling_routes:
             self._note_room(candidates)
-        self._inbox.put(Offers(candidates, distance))
+        recent = self._ports.bid_collector.find_recent(self._question, distance)
+        self._inbox.put(Offers(candidates, distance, recent))
 
     def _note_room(self, candidates: tuple[Candidate, ...]) -> None:
         """Tell the host of the calling server what room the called service has."""
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -18,6 +18,7 @@
 from pimentobend_adapters._internal.forwarding.calls import ServerCalls
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
+from pimentobend_adapters._internal.forwarding.host import HostOptions
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.peer_front import PeerFront
 from pimentobend_adapters._internal.forwarding.peers import KIND_WITHDRAW
@@ -28,6 +29,7 @@
 from pimentobend_adapters._internal.http.server import HttpServer
 from pimentobend_adapters._internal.links.router import FrameRouter
 from pimentobend_adapters._internal.links.transport import Transport
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
@@ -165,6 +167,7 @@
     on_connect: Callable[[], None]
     on_refused: Callable[[str, tuple[str, ...]], None]  # a server's announcement
     limits: DaemonLimits
+    memory: MemoryOwner
     proof: ProofPort | None = None  # None if keyed requests need no proof of the tables
 
 
@@ -184,16 +187,17 @@
         self._on_servers_changed = ports.on_servers_changed
         self._requests = ports.requests
         self._limits = ports.limits
+        self._memory = ports.memory
         self._servers: dict[str, Server] = {}
         self._published = PublishedServers()
         self.host = HostTasks(
             process_id,
             settings.budget,
-            ServerCalls(names, clock, ports.on_connect),
+            ServerCalls(names, clock, ports.on_connect, ports.memory),
             clock,
             ports.forwarding,
             ports.on_reports_changed,
-            admits_by_calls=settings.admission_behind_calls,
+            HostOptions(ports.memory, settings.admission_behind_calls),
         )
         # The crash reports in each daemon's row, by its address.
         self._peer_reports: dict[str, tuple[CrashReport, ...]] = {}
@@ -209,7 +213,7 @@
             process_id,
             self.bid_collector,
             self.host,
-            PeerClient(clock, link),
+            PeerClient(clock, link, ports.memory),
             OriginBudget(limits_copies=settings.budget.copies_share is not None),
             clock,
             ports.forwarding,
@@ -231,16 +235,25 @@
             settings.beside.service if settings.beside else "",
             lambda: tables.current().limits,
             watches_callers=True,
+            memory=ports.memory,
         )
         requests = CallOutlet(self._handle_request_ended)
         self.front = CallerFront(pipe, clock, requests, options)
-        self._peer_front = PeerFront(process_id, self.host, names, clock)
+        self._peer_front = PeerFront(process_id, self.host, names, clock, ports.memory)
         idle_timeout_s = lambda: _idle_timeout_s(tables.current().limits)  # noqa: E731
         beside = settings.beside.address if settings.beside else ""
         self._listeners = (
-            HttpServer(settings.callers, self.front, idle_timeout_s),
             HttpServer(
-                settings.forward, self._peer_front, max_head_bytes=MAX_HOP_HEAD_BYTES
+                settings.callers,
+                self.front,
+                idle_timeout_s,
+                buffer_bytes=ports.memory.socket_bytes,
+            ),
+            HttpServer(
+                settings.forward,
+                self._peer_front,
+                max_head_bytes=MAX_HOP_HEAD_BYTES,
+                buffer_bytes=ports.memory.socket_bytes,
             ),
             HttpServer(settings.servers, dialect.create_servers(self.registry, beside)),
         )
@@ -276,6 +289,7 @@
         self.registry.task.start()
         self.host.start()
         self._limits.start()
+        self._memory.start()
         for listener in self._listeners:
             listener.start()
 
@@ -322,6 +336,7 @@
             "host": self.host.dump(),
             "requests": {"in_flight": self.front.in_flight},
             "tokens": self._limits.dump(),
+            "memory": {"reserved_bytes": self._memory.reserved_bytes},
         }
 
     def _handle_request_ended(self, event: RequestEnded) -> None:
--- a/tests/lib/platform_process.py
+++ b/tests/lib/platform_process.py
@@ -136,6 +136,8 @@
             "first_start": first,
             "grace_s": self._fleet.shape.grace_s,
             "listen": {"operators": self.address(8403)},
+            "memory_mb": self._fleet.shape.memory_mb,
+            "server_memory_mb": self._fleet.shape.server_memory_mb,
         }
         if self.is_control:
             settings["data_folder"] = str(self.folder / "data")
@@ -153,6 +155,8 @@
             }
         if self._fleet.shape.revoke_s is not None:
             settings["strict_revoke"] = {"revoke_s": self._fleet.shape.revoke_s}
+        if self._fleet.shape.limits is not None:
+            settings["limits"] = self._fleet.shape.limits
         path = self.folder / "settings.json"
         path.write_text(json.dumps(settings))
         with (self.folder / "log").open("ab") as log:
