Tell calls from clients' requests on the server's machine by their routes

Clients of the platform may run on the machine of a backend server.

A request without a key that is certainly a client's gets 401 where organisations have keys, from the server's machine, too.

--- a/packages/core/src/pimentobend_core/_internal/request/organisation.py
+++ b/packages/core/src/pimentobend_core/_internal/request/organisation.py
@@ -39,7 +39,9 @@
             return Success(value)
         head = value.head
         if not head.api_key_digest:
-            if value.route.allow_anonymous or head.is_local:
+            # Clients may run on this machine, too, but not all can be told from servers.
+            may_be_call = head.is_local and not value.sender.is_client
+            if value.route.allow_anonymous or may_be_call:
                 return Success(self._identify(value, Organisation("")))
             return Failure(_refuse("the request has no API key"))
         organisation = self._tables.find_organisation(head.api_key_digest)
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -58,6 +58,7 @@
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import ProofPort
+from pimentobend_core._internal.request.call_routes import CallRouteFilter
 from pimentobend_core._internal.request.crash_guard import CrashGuardFilter
 from pimentobend_core._internal.request.deadline import DeadlineFilter
 from pimentobend_core._internal.request.limit import LimitFilter
@@ -225,6 +226,7 @@
             DeadlineFilter(clock)
             .then(SenderFilter(self.host.senders))
             .then(_create_routing(tables, ports.proof, clock))
+            .then(CallRouteFilter())
             .then(OrganisationFilter(tables, names.organisation))
             .then(LimitFilter(tables, ports.limits, clock))
             .then(CrashGuardFilter(self.host.blocks, clock))
--- a/tests/unit/request/test_organisation.py
+++ b/tests/unit/request/test_organisation.py
@@ -11,6 +11,7 @@
 
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import RefusalReason
+from pimentobend_core._internal.models.request import Sender
 from pimentobend_core._internal.models.tables import Organisation
 from pimentobend_core._internal.request.organisation import OrganisationFilter
 from pimentobend_core._internal.request.organisation import name_sender
@@ -41,6 +42,7 @@
     priority: int | None = None
     is_anonymous: bool | None = None
     is_local: bool = False
+    is_client: bool = False
 
 
 CASES = [
@@ -54,6 +56,7 @@
     Case("anonymous route, known key", "k1", "museum", 0, is_anonymous=True),
     Case("anonymous route, revoked key", "k4", None, is_anonymous=True),
     Case("call of a local server", "", "", is_local=True),
+    Case("local client without a key", "", None, is_local=True, is_client=True),
     Case("local, known key", "k3", "archive", is_local=True),
     Case("local, unknown key", "k4", None, is_local=True),
 ]
@@ -67,7 +70,8 @@
     head = make_head()._replace(
         headers=SENT, api_key_digest=digest, is_local=case.is_local
     )
-    return Routed(head, FakeBody(), route, "p")
+    sender = Sender(is_client=case.is_client)
+    return Routed(head, FakeBody(), route, "p", sender=sender)
 
 
 @pytest.mark.parametrize("case", CASES, ids=lambda case: case.name)
