--- a/packages/core/src/pimentobend_core/_internal/request/organisation.py
+++ b/packages/core/src/pimentobend_core/_internal/request/organisation.py
@@ -39,7 +39,7 @@
             return Success(value)
         head = value.head
         if not head.api_key_digest:
-            # Clients may run on this machine, too, but not all can be told from servers.
+            # Clients may run on this machine, too; some can't be told from servers.
             may_be_call = head.is_local and not value.sender.is_client
             if value.route.allow_anonymous or may_be_call:
                 return Success(self._identify(value, Organisation("")))
