Refuse nothing for calls while the called service has free slots

The demand of calls is an estimate, and a call that is shed takes no slot. A called server now states demand for calls only while 0.85 of its slots are in use; the load tests of the admission pass as before.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/call_room.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/call_room.py
@@ -12,6 +12,9 @@
 FULL_USE = 0.93
 # Calls and direct requests may each use this share if both want more.
 EQUAL_PART = 0.5
+# With less of its slots in use, a server has room, whatever the demand is estimated to
+# be: the estimate counts stragglers, and calls that fail without taking a slot.
+CROWDED_USE = 0.85
 DRAIN_S = 2.0  # time within which waiting calls are to be worked off
 MIN_ROOM = 0.3  # share of the room that is left while they are
 
@@ -29,12 +32,13 @@
         self._calls = 0.0  # moving averages, in slots
         self._direct = 0.0
         self._waiting_s = 0.0  # work of the calls that wait
+        self._used = 0.0  # share of the slots, as a moving average
         self._sampled_at: float | None = None
 
     @property
     def demand(self) -> float:
-        """Return the slots that calls want."""
-        return self._calls
+        """Return the slots that calls want; 0 while enough slots are free."""
+        return self._calls if self._used >= CROWDED_USE else 0.0
 
     def room(self, slots: int) -> float:
         """Return how many slots are there for calls; 0 before the first sample."""
@@ -47,10 +51,12 @@
         """Record a call that arrived, with those that were refused in its favour."""
         self._arrived_s += work_s
 
-    def sample(self, direct: int, waiting_s: float, now: float) -> None:
+    def sample(
+        self, direct: int, waiting_s: float, now: float, *, used: float = 1.0
+    ) -> None:
         """Record the direct requests that wait and run, and the work of waiting calls.
 
-        Times are in seconds.
+        Times are in seconds; ``used`` is the share of the slots that are in use.
         """
         elapsed_s = 0.0 if self._sampled_at is None else now - self._sampled_at
         self._sampled_at = now
@@ -59,4 +65,5 @@
             gain = 1.0 - math.exp(-elapsed_s / SMOOTHING_S)
             self._calls += gain * (self._arrived_s / elapsed_s - self._calls)
             self._direct += gain * (direct - self._direct)
+            self._used += gain * (used - self._used)
             self._arrived_s = 0.0
--- a/packages/core/src/pimentobend_core/_internal/forwarding/rooms.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/rooms.py
@@ -14,10 +14,11 @@
     """
     for hosted in servers:
         if hosted.liveness.risk(now) >= FAILING_RISK:
-            hosted.call_room.sample(0, 0.0, now)
+            hosted.call_room.sample(0, 0.0, now, used=0.0)
             continue
         calls = (each for each in hosted.backlog if each.group.is_call)
         waiting_s = sum(each.expected_s for each in calls)
         groups = (*hosted.running.values(), *(each.group for each in hosted.backlog))
         direct = sum(not group.is_call for group in groups)
-        hosted.call_room.sample(direct, waiting_s, now)
+        used = len(hosted.running) / max(1, hosted.server.slots)
+        hosted.call_room.sample(direct, waiting_s, now, used=used)
