Count clients on a server's machine as clients again

Since requests from the server's machine are matched with its runs, none of them counted as a client's any more, although the platform's clients run there: the retry budget lost all that clients' first attempts earn, and every route counted as one of calls (storefront as called by purchases). A request that ends after all local runs is a client's wherever it comes from.

Three of the six rows of the test fail without the change.

--- a/packages/core/src/pimentobend_core/_internal/forwarding/fair_parts.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/fair_parts.py
@@ -66,9 +66,8 @@
         self._weights: dict[Group, float] = {}  # those that differ from 1
         self._calls = 0
         self._direct = 0
-        # Parts that another attempt of a group would have, by kind, count and
-        # weight, as they
-        # depend on nothing else; cleared at each change.
+        # Parts that another attempt of a group would have, by kind, count and weight,
+        # as they depend on nothing else; cleared at each change.
         self._parts: dict[tuple[bool, int, float], float] = {}
         self._parts_slots = 0.0
         for group, count in counts.items():
--- a/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/senders.py
@@ -1,8 +1,9 @@
 """Tell requests of clients from the calls that servers make while they run a request.
 
-Both reach a daemon in the same way. A call ends by the deadline of the run that makes
-it, so what ends later than all runs of the local servers is a client's. Any other
-request may be a call of each of the running requests that end no sooner.
+Both reach a daemon in the same way, and clients may run on a server's machine, too. A
+call ends by the deadline of the run that makes it, so what ends later than all runs of
+the local servers is a client's. Any other request from this machine may be a call of
+each of the running requests that end no sooner.
 """
 
 from typing import NamedTuple
@@ -41,7 +42,7 @@
     local: LocalRuns, deadline: float, now: float, *, is_local: bool = False
 ) -> Sender:
     """Return what is known of the sender of a request with a deadline."""
-    if deadline > local.latest_deadline + DEADLINE_SLACK_S and not is_local:
+    if deadline > local.latest_deadline + DEADLINE_SLACK_S:
         return Sender(is_client=True)
     callers = [
         each
--- a/tests/unit/forwarding/test_senders.py
+++ b/tests/unit/forwarding/test_senders.py
@@ -75,6 +75,19 @@
 BOTH_ROUTES = ("purchase", "redeem")
 
 
+@pytest.mark.parametrize("is_local", [False, True])
+@pytest.mark.parametrize("runs", [(), (PURCHASE,), (PURCHASE, OTHER)])
+def test_what_ends_after_all_runs_is_a_clients(
+    runs: tuple[LocalRun, ...], is_local: bool
+) -> None:
+    """Guards against clients on a server's machine that never count as such.
+
+    Their first attempts are what the retry budget grows with.
+    """
+    local = LocalRuns(runs, NOW + 9.0)
+    assert judge_sender(local, NOW + 15.0, NOW, is_local=is_local) == CLIENT
+
+
 @pytest.mark.parametrize(
     ("runs", "deadline", "is_local", "routes", "attempt_ids", "demand"),
     [
