Grant nothing under a limit of less than one request a window

A limit that was lowered to 0.024 a second with a burst of 0.32, 0.48 requests in a window of 5 s, still admitted one: a bucket of less than one token was rounded up to one, and kept the level that was saved up under the earlier limit.

--- a/packages/core/src/pimentobend_core/_internal/limits/terms.py
+++ b/packages/core/src/pimentobend_core/_internal/limits/terms.py
@@ -54,9 +54,11 @@
     """
     base = limit.rate_per_s * settings.window_s + limit.burst
     tolerance = base * settings.over + settings.slack
-    # A bucket of less than one token would never grant any.
-    capacity = max(1.0, limit.burst + tolerance / 2)
-    allowed = base + tolerance - capacity - tolerance / 2
+    # A bucket of less than one token would never grant any, which is right only where
+    # no window may hold a request.
+    may_grant = base + tolerance >= 1.0
+    capacity = max(1.0, limit.burst + tolerance / 2) if may_grant else 0.0
+    allowed = base + tolerance - capacity - tolerance / 2 if may_grant else 0.0
     return Terms(
         capacity=capacity,
         refill_per_s=max(0.0, min(limit.rate_per_s, allowed / settings.window_s)),
--- a/tests/unit/limits/test_tokens.py
+++ b/tests/unit/limits/test_tokens.py
@@ -134,8 +134,13 @@
 
 @pytest.mark.parametrize(
     ("before", "after", "granted"),
-    [((10, 40), (10, 10), 13), ((10, 40), (1, 0), 1), ((10, 10), (10, 40), 13)],
-    ids=["smaller burst", "smaller both", "raised"],
+    [
+        ((10, 40), (10, 10), 13),
+        ((10, 40), (1, 0), 1),
+        ((10, 10), (10, 40), 13),
+        ((3, 40), (0.024, 0.32), 0),
+    ],
+    ids=["smaller burst", "smaller both", "raised", "less than a request a window"],
 )
 def test_a_changed_limit_binds_the_next_grant(
     before: tuple[float, float], after: tuple[float, float], granted: int
