Send the calls of the test of keys while a run makes them

The test sent a keyless request from a server's address while the server ran nothing, and expected it to be served. The test now sends the request from inside a run, and a third row guards against a keyless request that ends after all runs. 12 tests of the file pass.

--- a/tests/functional/test_organisations.py
+++ b/tests/functional/test_organisations.py
@@ -1,8 +1,10 @@
 """Check that a fleet of platform daemons tells organisations apart by their keys."""
 
+import functools
 import http.client
 import itertools
 import json
+import time
 from collections.abc import Iterator
 from typing import Any
 from typing import NamedTuple
@@ -50,6 +52,10 @@
     Case("malformed", "Basic secret-a", "/look/1", 401),
 ]
 
+# A request whose run makes a call, and how long after its start.
+RUN = Case("run", "Bearer secret-a", "/look/run", 200, "museum")
+CALL_AFTER_S = 0.5
+
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Fleet]:
@@ -63,7 +69,11 @@
 
 
 def send(
-    fleet: Fleet, process: Process, case: Case, sender: str = ""
+    fleet: Fleet,
+    process: Process,
+    case: Case,
+    sender: str = "",
+    remaining_ms: int = 10000,
 ) -> tuple[int, dict[str, str]]:
     """Send a request, by default from another machine; return status and headers."""
     source = (sender or f"127.{fleet.block}.0.200", 0)
@@ -71,6 +81,7 @@
     connection = http.client.HTTPConnection(address, timeout=12, source_address=source)
     headers = {"Host": "a.example", f"{PREFIX}Request-Id": next(REQUEST_IDS)}
     headers[TENANT] = "forged"
+    headers[f"{PREFIX}Deadline-Ms"] = str(remaining_ms)
     if case.authorization is not None:
         headers["Authorization"] = case.authorization
     try:
@@ -112,17 +123,35 @@
         assert "authorization" not in head
 
 
-@pytest.mark.parametrize("is_own", [True, False], ids=["own address", "127.0.0.1"])
-def test_only_calls_from_the_own_address_need_no_key(
-    fleet: Fleet, is_own: bool
+@pytest.mark.parametrize(
+    ("is_own", "remaining_ms", "status"),
+    [
+        pytest.param(True, 5000, 200, id="call"),
+        pytest.param(False, 5000, 401, id="127.0.0.1"),
+        pytest.param(True, 10000, 401, id="ends after the run"),
+    ],
+)
+def test_only_calls_of_runs_from_the_own_address_need_no_key(
+    fleet: Fleet, is_own: bool, remaining_ms: int, status: int
 ) -> None:
     """Guard against keyless requests that run, and against refused calls."""
-    process = fleet.instances[0]
-    case = CASES[5]
-    status, headers = send(fleet, process, case, process.ip if is_own else "127.0.0.1")
-    assert status == (200 if is_own else 401)
+    answers: list[tuple[int, dict[str, str]]] = []
+
+    def call(process: Process, path: str) -> bool:
+        if path == RUN.path:
+            time.sleep(CALL_AFTER_S)
+            sender = process.ip if is_own else "127.0.0.1"
+            answers.append(send(fleet, process, CASES[5], sender, remaining_ms))
+        return True
+
+    for process in fleet.instances:
+        assert process.server is not None
+        process.server.call = functools.partial(call, process)
+    assert send(fleet, fleet.instances[0], RUN)[0] == 200
+    found, headers = answers[0]
+    assert found == status
     head = head_seen(fleet, headers[f"{PREFIX}Request-Id".lower()])
-    assert (head is not None) == is_own
+    assert (head is not None) == (status == 200)
     if head is not None:
         assert TENANT.lower() not in head
 
