--- a/tests/unit/fleet/test_proofs.py
+++ b/tests/unit/fleet/test_proofs.py
@@ -3,11 +3,10 @@
 import eventlet
 import pytest
 from fake_ports import FakeClock
+from no_link import NoLink
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.exposition import CounterTable
-from pimentobend_adapters._internal.links.transport import Transport
-from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.configuration.proof_messages import Proof
 from pimentobend_core._internal.models.tables import Organisation
@@ -24,22 +23,6 @@
 ORGANISATIONS = (Organisation("org", ("key",)),)
 
 
-class NoLink(Transport):
-    """A transport that sends nothing."""
-
-    def __init__(self) -> None:
-        super().__init__("a", b"", CallOutlet(lambda _: None), lambda _: None)
-
-    def start(self) -> None:
-        pass
-
-    def send(self, peer: str, kind: str, payload: bytes) -> None:
-        pass
-
-    def close(self) -> None:
-        pass
-
-
 @pytest.mark.parametrize(
     ("is_instance", "organisations", "is_ready"),
     [(True, ORGANISATIONS, False), (True, (), True), (False, ORGANISATIONS, True)],
--- a/tests/unit/fleet/test_token_control.py
+++ b/tests/unit/fleet/test_token_control.py
@@ -3,10 +3,9 @@
 import pytest
 import structlog.testing
 from fake_ports import FakeClock
+from no_link import NoLink
 
 from pimentobend_adapters._internal.exposition import CounterTable
-from pimentobend_adapters._internal.links.transport import Transport
-from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_core._internal.limits.messages import OverLimitChanged
 from pimentobend_core._internal.limits.terms import LimitSettings
 from pimentobendd._internal.fleet.token_control import LINES_S
@@ -15,22 +14,6 @@
 from pimentobendd._internal.tables import TablesInForce
 
 
-class NoLink(Transport):
-    """A transport that sends nothing."""
-
-    def __init__(self) -> None:
-        super().__init__("a", b"", CallOutlet(lambda _: None), lambda _: None)
-
-    def start(self) -> None:
-        pass
-
-    def send(self, peer: str, kind: str, payload: bytes) -> None:
-        pass
-
-    def close(self) -> None:
-        pass
-
-
 @pytest.mark.parametrize(
     ("gap_s", "lines", "omitted"),
     [
