--- a/packages/core/src/pimentobend_core/_internal/configuration/proof.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof.py
@@ -44,10 +44,7 @@
     @property
     def due_at(self) -> float | None:
         """Return when to ask next, or when the proof becomes too old, if earlier."""
-        proof = self._proof
-        lost_at = None if proof is None else proof.proven_at + self._limit_s
-        times = [each for each in (self._asker.due_at, lost_at) if each is not None]
-        return min(times, default=None)
+        return self._asker.due_with(self._proof)
 
     def handle(self, message: ProofInput, now: float) -> tuple[ProofOutput, ...]:
         """Handle a reply, newer tables, a change of targets or a tick."""
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof_asker.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof_asker.py
@@ -47,6 +47,12 @@
         wait_s = ANSWER_TIMEOUT_S if is_waiting else self._interval_s
         return self._asked_at + wait_s
 
+    def due_with(self, proof: Proof | None) -> float | None:
+        """Return when to ask next, or when a proof becomes too old, if earlier."""
+        lost_at = None if proof is None else proof.proven_at + self._limit_s
+        times = [each for each in (self.due_at, lost_at) if each is not None]
+        return min(times, default=None)
+
     def update_targets(self, addresses: tuple[str, ...]) -> None:
         """Replace the control instances, and ask the first one next."""
         self._targets = addresses
--- a/packages/core/src/pimentobend_core/_internal/configuration/proof_relay.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/proof_relay.py
@@ -42,10 +42,7 @@
     @property
     def due_at(self) -> float | None:
         """Return when to ask next, or when the proof becomes too old, if earlier."""
-        proof = self._proof
-        lost_at = None if proof is None else proof.proven_at + self._limit_s
-        times = [each for each in (self._asker.due_at, lost_at) if each is not None]
-        return min(times, default=None)
+        return self._asker.due_with(self._proof)
 
     def handle(self, message: RelayInput, now: float) -> tuple[RelayOutput, ...]:
         """Handle a question, a reply, a confirmation, another leader or a tick."""
