--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -350,6 +350,8 @@
     import sys
     import traceback
 
+    # The processes are ended also where the case itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
--- a/review/stand2/server.py
+++ b/review/stand2/server.py
@@ -12,6 +12,8 @@
 
 PREFIX = "X-Pimentobend-"
 QUEUE = 24
+UNREAD_S = 5.0
+CHUNK_BYTES = 16 * 1024
 
 
 class Run(NamedTuple):
@@ -26,7 +28,7 @@
     """Runs requests in slots, queues a few more, and drops those that are closed."""
 
     def __init__(self, machine, record, slots=3, work_s=lambda path, number: 0.1,
-                 content=b"ok", heartbeat_s=0.5):
+                 content=b"ok", heartbeat_s=0.5, writes_in_slot=True):
         self.machine, self.record = machine, record
         self.slots, self.work_s, self.content = slots, work_s, content
         self.server_id = f"i-{machine.ip.replace('.', '-')}-{int(time.time() * 1000):x}"
@@ -39,6 +41,7 @@
         self._stop = threading.Event()
         self._seq = 0
         self._heartbeat_s = heartbeat_s
+        self._writes_in_slot = writes_in_slot  # a slot is held until its answer is taken
         outer = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -121,12 +124,19 @@
         if not got_slot:
             self._answer(request, request_id, 503, b"", refused=True)
             return
+        is_held = [True]
+
+        def free():
+            if is_held:
+                is_held.clear()
+                self._free.release()
+
         try:
-            self._run(request, request_id, ends_at)
+            self._run(request, request_id, ends_at, free)
         finally:
-            self._free.release()
+            free()
 
-    def _run(self, request, request_id, ends_at):
+    def _run(self, request, request_id, ends_at, free):
         with self._lock:
             self._number += 1
             number = self._number
@@ -141,6 +151,8 @@
         else:
             try:
                 late = time.monotonic() >= ends_at
+                if not self._writes_in_slot:
+                    free()
                 self._answer(request, request_id, 504 if late else 200,
                              b"" if late else self.content)
             except OSError:
@@ -172,4 +184,10 @@
         request.send_header(f"{PREFIX}Server-Load", f"0,0,{self.slots}")
         request.send_header("Content-Length", str(len(content)))
         request.end_headers()
-        request.wfile.write(content)
+        # An answer that remains unread for some seconds is cut off.
+        request.connection.settimeout(UNREAD_S)
+        try:
+            for at in range(0, len(content), CHUNK_BYTES):
+                request.wfile.write(content[at : at + CHUNK_BYTES])
+        finally:
+            request.connection.settimeout(None)
