--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,134 +1,139 @@
-"""Two core machines lose their disks, one after the other; the configuration is gone."""
+"""A ping of another writer, for a service that is not named, takes a sound server away."""
 
 import json
 import pathlib
-import shutil
 import sys
+import threading
 import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand2"))
 
-from fleet import BOUNDS, CONTROL, CannotRunError, Fleet, ask, run_case, table  # noqa: E402
-
-CHANGES = 800  # "a day may be long and may contain hundreds of changes"
-ROUTES = 350  # big_config of kattevakt-mesh
-DARK_S = 3.0  # after_ack_wipe of kattevakt-mesh
-BACK_S = BOUNDS["catchUpS"] + 1.0  # from the return of one machine to the next loss
-READ_S = 12.0  # the operator reads back for stableWindowS at least
-COLUMNS = ("name", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS", "priority",
-           "maxAttempts", "service")
-
-
-class Operator:
-    """Sends each change until it is acknowledged, to one core machine after the other."""
-
-    def __init__(self, fleet, record):
-        self._fleet, self._record = fleet, record
-        self.version = 0
-        self.acked_by = None
-
-    def send(self, method, document, timeout_s=10.0):
-        """Return whether the change is acknowledged in time."""
-        body = json.dumps({"version": f"{self.version + 1:08x}", **document}).encode()
-        headers = {"If-Match": f"{self.version:08x}", "Content-Type": "application/json"}
-        ends_at = time.monotonic() + timeout_s
-        while time.monotonic() < ends_at:
-            # The operator picks another daemon for each change.
-            first = self.version % len(self._fleet.core)
-            for each in self._fleet.core[first:] + self._fleet.core[:first]:
-                status, _, _ = ask(each.at(CONTROL), method, "/-/config", body, headers, 1.0)
-                if status == 200:
-                    self.version += 1
-                    self.acked_by = each
-                    return True
-                if status in (400, 409, 412, 413, 422):
-                    raise CannotRunError(f"a change was answered {status}")
-            time.sleep(0.1)
-        return False
-
-    def read(self, timeout_s):
-        """Return the newest version that is read back, and the statuses of the answers."""
-        statuses, found = {}, 0
-        ends_at = time.monotonic() + timeout_s
-        while time.monotonic() < ends_at:
-            for each in self._fleet.core:
-                status, _, body = ask(each.at(CONTROL), "GET", "/-/config", timeout_s=1.0)
-                statuses[status] = statuses.get(status, 0) + 1
-                if status == 200:
-                    found = max(found, int(json.loads(body)["version"], 16))
-            if found >= self.version:
-                break
-            time.sleep(0.2)
-        return found, statuses
-
-
-def rows(number):
-    return [
-        (f"r-{each:04d}", "nony93.example", f"/puba11/wu5/{each:04d}/{'x' * 40}/", "unsafe",
-         4, 1.5 + number / 1000, 1, 2, "booking")
-        for each in range(ROUTES)
-    ]
-
-
-def change(number):
-    return {"upsert": {"routes": table(COLUMNS, rows(number))}}
+from fleet import APP, BOUNDS, CONTROL, OUTBOUND, CannotRunError, Fleet, ask, run_case  # noqa: E402
+from server import Server  # noqa: E402
+
+PER_S = 30.0  # two servers with three slots and 100 ms a run serve 40 at least
+DEADLINE_MS, TIMEOUT_S, TARGET_S = 3000, 3, 0.5
+WATCHED_S = 16.0
+WINDOW_S = 2.0
 
 
 def play(record, trouble):
-    fleet = Fleet([("a", "booking")])
-    operator = Operator(fleet, record)
+    fleet = Fleet([("a", "desk"), ("a", "booking"), ("a", "booking")])
+    servers = [Server(each, record) for each in fleet.sides]
+    desk, _, machine = fleet.sides
+    sent = []
+    stop = threading.Event()
     try:
         fleet.start()
-        services = [("booking", "/healthz", 360, "h1", False)]
-        first = {
-            "routes": table(COLUMNS, rows(0)),
-            "services": table(
-                ("name", "healthCheckPath", "maxConnections", "protocol", "tls"), services),
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
-                       "headerTimeoutS": 3, "idleTimeoutS": 15},
-        }
-        if not operator.send("PUT", first, 40.0):
-            raise CannotRunError("the first configuration is not acknowledged")
-        for number in range(CHANGES):
-            if not operator.send("PATCH", change(number)):
-                raise CannotRunError(f"change {number} is not acknowledged")
-        record(f"{CHANGES} changes are acknowledged, the last one as {operator.version}")
-        time.sleep(BOUNDS["stableWindowS"])
-        for number in (1, 2):
-            if not operator.send("PATCH", change(CHANGES + number), 15.0):
-                record(f"change {CHANGES + number} is not acknowledged within 15 s")
-                break
-            record(f"version {operator.version} is acknowledged")
-            if trouble:
-                lose_disk(fleet, operator.acked_by, record)
-            time.sleep(BACK_S)
-        time.sleep(BOUNDS["recoveryS"] - BACK_S)
-        found, statuses = operator.read(READ_S)
-        record(f"read back: version {found}, acknowledged {operator.version}; answers {statuses}")
+        for server in servers:
+            server.start()
+        route = (
+            "book",
+            "a.example",
+            "/book/",
+            "unsafe",
+            TIMEOUT_S,
+            TARGET_S,
+            1,
+            2,
+            "booking",
+        )
+        fleet.put_config([route], ["booking", "desk"])
+        fleet.wait_ready()
+        time.sleep(2.0)
+        threading.Thread(
+            target=send_all, args=(desk, sent, stop, record), daemon=True
+        ).start()
+        time.sleep(2 * BOUNDS["stableWindowS"] + 1)
+        if trouble:
+            record(f"a ping of another writer is answered {forge(machine)}")
+        began_at = time.monotonic()
+        time.sleep(WATCHED_S)
+        ends_at = time.monotonic()
+        stop.set()
+        time.sleep(DEADLINE_MS / 1000 + 0.5)
     finally:
+        stop.set()
+        for server in servers:
+            server.stop()
         fleet.close()
-    if found < operator.version:
-        return (f"LOST, CONFIG: version {operator.version} was acknowledged; read back for"
-                f" {READ_S:g} s, {BOUNDS['recoveryS']} s after the machines"
-                f" are back: {found or 'nothing'}")
+    return judge(sent, servers[1:], began_at, ends_at, record)
+
+
+def forge(machine):
+    """Send a ping whose service is not named; return the status of the answer."""
+    now_ms = int(time.time() * 1000)
+    document = {
+        "address": machine.at(APP),
+        "info": {
+            "service": "no-such-service",
+            "version": "v1",
+            "zone": "a",
+            "slots": 3,
+        },
+        "status": {"state": "ready", "seq": 1, "warmupRemainingS": 0},
+        "born": now_ms,
+    }
+    headers = {"Content-Type": "application/json"}
+    path = f"/-/instances/i-other-{now_ms:x}"
+    return ask(
+        machine.at(CONTROL), "PUT", path, json.dumps(document).encode(), headers
+    )[0]
+
+
+def send_all(machine, sent, stop, record):
+    due = time.monotonic()
+    number = 0
+    while not stop.is_set():
+        number += 1
+        entry = [f"b{number}", time.monotonic(), 0]
+        sent.append(entry)
+        threading.Thread(
+            target=send, args=(machine, entry, record), daemon=True
+        ).start()
+        due += 1 / PER_S
+        time.sleep(max(0.0, due - time.monotonic()))
+
+
+def send(machine, entry, record):
+    headers = {
+        "Host": "a.example",
+        "X-Pimentobend-Request-Id": entry[0],
+        "X-Pimentobend-Deadline-Ms": str(DEADLINE_MS),
+    }
+    path = f"/book/{entry[0]}"
+    status, _, _ = ask(machine.at(OUTBOUND), "POST", path, b"x" * 300, headers, 5)
+    entry[2] = status
+    record(f"client {entry[0]}: {status} after {time.monotonic() - entry[1]:.3f} s")
+
+
+def judge(sent, servers, began_at, ends_at, record):
+    """Return the fault: FLOOR, in windows of 2 s."""
+    broken, windows = 0, 0
+    at = began_at
+    while at + WINDOW_S <= ends_at:
+        here = [each for each in sent if at <= each[1] < at + WINDOW_S]
+        unserved = sum(each[2] != 200 for each in here) / max(1, len(here))
+        used = [
+            sum(at <= run.began_at < at + WINDOW_S for run in server.runs.values())
+            for server in servers
+        ]
+        share = sum(map(bool, used)) / len(servers)
+        is_broken = 0 < share < BOUNDS["floorShare"] and 0.1 < unserved < 0.5
+        record(
+            f"from {at - began_at:5.1f} s: {len(here)} sent, {unserved:.2f} not served, runs by server {used}"
+        )
+        broken += is_broken
+        windows += 1
+        at += WINDOW_S
+    if not any(each[2] == 200 for each in sent):
+        raise CannotRunError("nothing is served")
+    # The first window begins with the ping; one more may hold what was queued.
+    if broken:
+        return f"FLOOR: in {broken} of {windows} windows of 2 s a sound server got nothing while a tenth to a half of the requests was not served"
     return None
 
 
-def lose_disk(fleet, machine, record):
-    """Cut the power of a machine, which comes back with an empty disk."""
-    record(f"{machine.ip} loses power and its disk")
-    machine.kill()
-    shutil.rmtree(machine.folder / "data")
-    time.sleep(DARK_S)
-    machine.start()
-    ends_at = time.monotonic() + 10
-    while ask(machine.at(CONTROL), "GET", "/", timeout_s=0.5)[0] == 0:
-        if time.monotonic() > ends_at:
-            raise CannotRunError("a machine does not come back")
-        time.sleep(0.05)
-    record(f"{machine.ip} is back with an empty disk")
-
-
 if __name__ == "__main__":
     run_case(FOLDER, play)
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -74,8 +74,13 @@
 
 def play(record, trouble):
     fleet = Fleet(
-        [("a", "desk", MEMORY_MB), ("a", "booking", MEMORY_MB), ("a", "booking", MEMORY_MB),
-         ("a", "archive", MEMORY_MB), ("a", "archive", MEMORY_MB)]
+        [
+            ("a", "desk", MEMORY_MB),
+            ("a", "booking", MEMORY_MB),
+            ("a", "booking", MEMORY_MB),
+            ("a", "archive", MEMORY_MB),
+            ("a", "archive", MEMORY_MB),
+        ]
     )
     desk, first, second, *archives = fleet.sides
     # The daemon listens for other daemons behind a proxy that can reset connections.
@@ -86,7 +91,9 @@
         Server(first, record, slots=8, work_s=lambda *_: WORK_S),
         Server(second, record, slots=8, work_s=lambda *_: WORK_S),
         *[
-            Server(each, lambda text: None, slots=64, content=ANSWER, writes_in_slot=False)
+            Server(
+                each, lambda text: None, slots=64, content=ANSWER, writes_in_slot=False
+            )
             for each in archives
         ],
     ]
@@ -98,8 +105,20 @@
         for server in servers:
             server.start()
         fleet.put_config(
-            [("book", "a.example", "/book/", "unsafe", TIMEOUT_S, 5, 0, 2, "booking"),
-             ("photo", "a.example", "/photo/", "safe", 60, 10, 2, 2, "archive")],
+            [
+                (
+                    "book",
+                    "a.example",
+                    "/book/",
+                    "unsafe",
+                    TIMEOUT_S,
+                    5,
+                    0,
+                    2,
+                    "booking",
+                ),
+                ("photo", "a.example", "/photo/", "safe", 60, 10, 2, 2, "archive"),
+            ],
             ["booking", "archive", "desk"],
         )
         fleet.wait_ready()
@@ -118,7 +137,9 @@
             for line in metrics.decode().splitlines():
                 if line.startswith("pimentobend_memory_"):
                     record(f"metrics of {first.ip}: {line}")
-        record(f"readers have taken {readers.taken_bytes} bytes, {readers.closed} closed")
+        record(
+            f"readers have taken {readers.taken_bytes} bytes, {readers.closed} closed"
+        )
         if trouble:
             record(f"reset {proxy.reset_all()} connections between daemons")
         for thread in threads:
@@ -145,7 +166,9 @@
     )
     answers[request_id] = status
     reason = found.get("pimentobend-reason", "")
-    record(f"client {request_id}: {status} {reason} after {time.monotonic() - began:.3f} s")
+    record(
+        f"client {request_id}: {status} {reason} after {time.monotonic() - began:.3f} s"
+    )
 
 
 def judge(answers, servers, record):
@@ -155,7 +178,8 @@
             counts[run.request_id] = counts.get(run.request_id, 0) + 1
     twice = sorted(each for each, count in counts.items() if count > 1)
     refused = sorted(
-        each for each, status in answers.items()
+        each
+        for each, status in answers.items()
         if status in (408, 421, 429, 503) and counts[each]
     )
     record(f"runs by request: {counts}")
--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -165,7 +165,9 @@
             (self.folder / "data").mkdir(exist_ok=True)
         self.settings_path.write_text(fill(template, self.fields(first=first)))
         env = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         env["PIMENTOBEND_SETTINGS"] = str(self.settings_path)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -210,9 +212,7 @@
         self.block = _free_block(3 + len(sides))
         self.zones = sorted({each[0] for each in sides})
         self.core = [Machine(self, n, self.zones[0]) for n in (1, 2, 3)]
-        self.sides = [
-            Machine(self, 4 + n, *each) for n, each in enumerate(sides)
-        ]
+        self.sides = [Machine(self, 4 + n, *each) for n, each in enumerate(sides)]
         self.version = 0
 
     @property
@@ -229,13 +229,29 @@
         document = {
             "version": f"{self.version:08x}",
             "routes": table(
-                ("name", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS",
-                 "priority", "maxAttempts", "service"), routes),
+                (
+                    "name",
+                    "host",
+                    "pathPrefix",
+                    "type",
+                    "timeoutS",
+                    "targetLatencyS",
+                    "priority",
+                    "maxAttempts",
+                    "service",
+                ),
+                routes,
+            ),
             "services": table(
                 ("name", "healthCheckPath", "maxConnections", "protocol", "tls"),
-                [(each, "/healthz", 360, "h1", False) for each in services]),
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864,
-                       "headerTimeoutS": 3, "idleTimeoutS": 15},
+                [(each, "/healthz", 360, "h1", False) for each in services],
+            ),
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 67108864,
+                "headerTimeoutS": 3,
+                "idleTimeoutS": 15,
+            },
         }
         return self._send("PUT", document, base)
 
@@ -243,8 +259,19 @@
         """Add or replace routes; return the time of the acknowledgement."""
         base, self.version = self.version, self.version + 2
         rows = table(
-            ("name", "host", "pathPrefix", "type", "timeoutS", "targetLatencyS",
-             "priority", "maxAttempts", "service"), routes)
+            (
+                "name",
+                "host",
+                "pathPrefix",
+                "type",
+                "timeoutS",
+                "targetLatencyS",
+                "priority",
+                "maxAttempts",
+                "service",
+            ),
+            routes,
+        )
         document = {"version": f"{self.version:08x}", "upsert": {"routes": rows}}
         return self._send("PATCH", document, base)
 
@@ -254,7 +281,9 @@
         ends_at = time.monotonic() + WAIT_S
         while time.monotonic() < ends_at:
             for each in self.core:
-                status, _, _ = ask(each.at(CONTROL), method, "/-/config", body, headers, 1.0)
+                status, _, _ = ask(
+                    each.at(CONTROL), method, "/-/config", body, headers, 1.0
+                )
                 if status == 200:
                     return time.monotonic()
                 if status in (400, 409, 412, 413, 422):
--- a/review/stand2/server.py
+++ b/review/stand2/server.py
@@ -27,8 +27,16 @@
 class Server:
     """Runs requests in slots, queues a few more, and drops those that are closed."""
 
-    def __init__(self, machine, record, slots=3, work_s=lambda path, number: 0.1,
-                 content=b"ok", heartbeat_s=0.5, writes_in_slot=True):
+    def __init__(
+        self,
+        machine,
+        record,
+        slots=3,
+        work_s=lambda path, number: 0.1,
+        content=b"ok",
+        heartbeat_s=0.5,
+        writes_in_slot=True,
+    ):
         self.machine, self.record = machine, record
         self.slots, self.work_s, self.content = slots, work_s, content
         self.server_id = f"i-{machine.ip.replace('.', '-')}-{int(time.time() * 1000):x}"
@@ -41,7 +49,9 @@
         self._stop = threading.Event()
         self._seq = 0
         self._heartbeat_s = heartbeat_s
-        self._writes_in_slot = writes_in_slot  # a slot is held until its answer is taken
+        self._writes_in_slot = (
+            writes_in_slot  # a slot is held until its answer is taken
+        )
         outer = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -79,16 +89,23 @@
             self._seq += 1
             document = {
                 "address": self.machine.at(8628),
-                "info": {"service": self.machine.service, "version": "v1",
-                         "zone": self.machine.zone, "slots": self.slots},
+                "info": {
+                    "service": self.machine.service,
+                    "version": "v1",
+                    "zone": self.machine.zone,
+                    "slots": self.slots,
+                },
                 "status": {"state": "ready", "seq": self._seq, "warmupRemainingS": 0},
                 "born": self.born,
             }
             connection = http.client.HTTPConnection(self.machine.at(8620), timeout=1.0)
             try:
-                connection.request("PUT", f"/-/instances/{self.server_id}",
-                                   json.dumps(document),
-                                   {"Content-Type": "application/json"})
+                connection.request(
+                    "PUT",
+                    f"/-/instances/{self.server_id}",
+                    json.dumps(document),
+                    {"Content-Type": "application/json"},
+                )
                 connection.getresponse().read()
             except (OSError, http.client.HTTPException):
                 pass
@@ -153,8 +170,12 @@
                 late = time.monotonic() >= ends_at
                 if not self._writes_in_slot:
                     free()
-                self._answer(request, request_id, 504 if late else 200,
-                             b"" if late else self.content)
+                self._answer(
+                    request,
+                    request_id,
+                    504 if late else 200,
+                    b"" if late else self.content,
+                )
             except OSError:
                 end = "cut"
                 request.close_connection = True
