--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -151,7 +151,7 @@
             "network": {
                 "listenAddrs": listen,
                 "internalPorts": list(INTERNAL),
-                "seedNodes": [each.at(CONTROL) for each in self.fleet.core],
+                "seedNodes": [each.at(CONTROL) for each in self.fleet.seeds],
                 "zones": {each: "r" for each in self.fleet.zones},
             },
             "platform": {"heartbeatS": 1.5},
@@ -202,25 +202,31 @@
 class Fleet:
     """Three core machines and machines with an application server each."""
 
-    def __init__(self, sides, folder=None):
-        """``sides`` holds zone, service and optionally memory of each machine."""
+    def __init__(self, sides, spares=0):
+        """``sides`` holds zone, service and optionally memory of each machine.
+
+        ``spares`` is the number of core machines that may be added later.
+        """
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.roles = deploy["roles"]
         if not (ROOT / "target" / "app" / "start.py").exists():
             raise CannotRunError("the build of the deploy file is missing")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self.block = _free_block(3 + len(sides))
+        self.block = _free_block(3 + len(sides) + spares)
         self.zones = sorted({each[0] for each in sides})
         self.core = [Machine(self, n, self.zones[0]) for n in (1, 2, 3)]
+        self.seeds = list(self.core)
         self.sides = [Machine(self, 4 + n, *each) for n, each in enumerate(sides)]
+        first = 4 + len(sides)
+        self.spares = [Machine(self, first + n, self.zones[0]) for n in range(spares)]
         self.version = 0
 
     @property
     def machines(self):
-        return [*self.core, *self.sides]
+        return [*self.core, *self.sides, *self.spares]
 
     def start(self):
-        for each in self.machines:
+        for each in [*self.core, *self.sides]:
             each.start(first=True)
 
     def put_config(self, routes, services):
