Remove a lost voter that makes the number of voters even

Cause: the supervisor removed a silent voter only from five, with a learner at hand.

An even number of voters needs a larger majority and tolerates no more losses than one fewer. So a voter that is silent for 3 s is removed from an even number; in place of a silent voter of three a learner is promoted first, after which the silent one can be spared. Learners are promoted only if an odd number can follow.

--- a/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/supervisor.py
@@ -1,4 +1,8 @@
-"""Keep the cluster at ``VOTERS`` voters: admit candidates, replace lost replicas."""
+"""Keep an odd number of voters, ``VOTERS`` at most: admit and replace replicas.
+
+An even number of voters needs a larger majority and tolerates no more losses than one
+voter fewer.
+"""
 
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -14,8 +18,8 @@
 FIRST_PROPOSAL_ID = 1 << 49  # above the ids that the service and operators use
 VOTERS = 5  # a majority remains after the loss of two disks
 CANDIDATE_TIMEOUT_S = 2.0  # candidates announce themselves every 0.5 s
-# A voter that sends no reply for this long is replaced. A restart with its
-# reconnect takes less.
+# A voter that sends no reply for this long is replaced, or removed where the others
+# can spare it. A restart with its reconnect takes less.
 VOTER_ACK_TIMEOUT_S = 3.0
 LEARNER_ACK_TIMEOUT_S = 10.0  # a learner that sends no reply this long is removed
 VOTER_LIVE_S = 1.0  # a live voter has answered a heartbeat within this time
@@ -96,11 +100,12 @@
 
 
 def choose_change(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
-    """Return the next change towards ``VOTERS`` voters, or None if there is none."""
+    """Return the next change towards an odd number of live voters, None if none."""
     return (
         _remove_lost_disk(view, candidates)
         or _replace_voter(view)
         or _promote(view)
+        or _remove_surplus_voter(view)
         or _add_learner(view, candidates)
         or _remove_learner(view)
     )
@@ -121,25 +126,40 @@
 
 
 def _replace_voter(view: LeaderView) -> MemberChange | None:
-    """Remove an unresponsive voter once a learner can replace it."""
+    """Remove an unresponsive voter of a full cluster once a learner can replace it."""
     if not _ready_learners(view) or len(view.members.voters) < VOTERS:
         return None
-    ages = [
-        (view.ack_age_s.get(each, 0.0), each)
-        for each in view.members.voter_ids
-        if each != view.replica_id
-    ]
-    ack_age_s, voter = max(ages, default=(0.0, ""))
-    if ack_age_s < VOTER_ACK_TIMEOUT_S or not _keeps_majority_without(view, voter):
-        return None
-    return MemberChange(MemberAction.REMOVE, voter)
+    return _remove_silent_voter(view)
 
 
 def _promote(view: LeaderView) -> MemberChange | None:
+    """Promote a learner if an odd number of voters can follow from it.
+
+    In place of a silent voter that the others cannot spare, one is promoted first; then
+    they can.
+    """
     ready = _ready_learners(view)
-    if not ready or len(view.members.voters) >= VOTERS:
+    voters = len(view.members.voters)
+    if not ready or voters >= VOTERS:
+        return None
+    can_become_odd = voters % 2 == 0 or len(ready) > 1
+    if can_become_odd or _find_silent_voter(view) is not None:
+        return MemberChange(MemberAction.PROMOTE, ready[0])
+    return None
+
+
+def _remove_surplus_voter(view: LeaderView) -> MemberChange | None:
+    """Remove an unresponsive voter of an even number; then fewer votes are needed."""
+    if len(view.members.voters) % 2:
         return None
-    return MemberChange(MemberAction.PROMOTE, ready[0])
+    return _remove_silent_voter(view)
+
+
+def _remove_silent_voter(view: LeaderView) -> MemberChange | None:
+    voter = _find_silent_voter(view)
+    if voter is None or not _keeps_majority_without(view, voter):
+        return None
+    return MemberChange(MemberAction.REMOVE, voter)
 
 
 def _add_learner(view: LeaderView, candidates: tuple[str, ...]) -> MemberChange | None:
@@ -158,6 +178,17 @@
     return None
 
 
+def _find_silent_voter(view: LeaderView) -> str | None:
+    """Return the voter that has been unresponsive for longest, None if all respond."""
+    ages = [
+        (view.ack_age_s.get(each, 0.0), each)
+        for each in view.members.voter_ids
+        if each != view.replica_id
+    ]
+    ack_age_s, voter = max(ages, default=(0.0, ""))
+    return voter if ack_age_s >= VOTER_ACK_TIMEOUT_S else None
+
+
 def _ready_learners(view: LeaderView) -> tuple[str, ...]:
     return tuple(
         member.replica_id
