Begin nothing late in a stop that need not end before it

Cause: a late request was sent if three times the 90th percentile of its route fitted in. 3 in 100 runs take longer, and of requests sent later than 3 s after the SIGTERM the rule excuses none. An estimate can't show that the next run ends in time; the deadline, the caller's or the route's, can.

A request that begins after probes have noticed the stop (2.6 s) is sent only if its deadline passes before requests are given up (5.65 s). Others are refused at once as not run, without asking for bids. Earlier ones are placed as before.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -113,9 +113,9 @@
             if runs:
                 host.note_call(CallReturned(value.head.request_id))
 
-    def finish_by(self, at: float) -> None:
-        """Refuse what would probably still run at ``at``, when the process ends."""
-        self._tell_all(FinishBy(at))
+    def finish_by(self, finish: FinishBy) -> None:
+        """Refuse what this process would probably not see the end of."""
+        self._tell_all(finish)
 
     def cancel_unsent(self) -> None:
         """Tell every delivery to end if its request has not reached a server."""
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery.py
@@ -142,7 +142,7 @@
             case CancelUnsent():
                 outputs = self._cancel_unsent(now)
             case FinishBy():
-                outputs = self._plan_finish(message.at, now)
+                outputs = self._plan_finish(message, now)
             case GiveUp():
                 outputs = self._give_up(now)
         return outputs if self._is_ended() else (*outputs, self._next_wake())
@@ -398,8 +398,13 @@
             return self._expire(now)
         return (*self._recall_due(now), *self._ask_if_due(now))
 
-    def _plan_finish(self, at: float, now: float) -> tuple[DeliveryOutput, ...]:
-        self._recalls.plan_all(at, self._running.values())
+    def _plan_finish(self, finish: FinishBy, now: float) -> tuple[DeliveryOutput, ...]:
+        is_late = self._started_at >= finish.noticed_at
+        if is_late and self._deadline > finish.ends_at:
+            self._wait_s = finish.ends_at - now  # another process follows this one
+            detail = "the process ends before the request must have ended"
+            return self._refuse(RefusalReason.DRAINING, detail, now)
+        self._recalls.plan_all(finish.at, self._running.values())
         return self._recall_due(now)
 
     def _recall_due(self, now: float) -> tuple[DeliveryOutput, ...]:
--- a/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/delivery_messages.py
@@ -1,6 +1,7 @@
 """Input and output messages of a delivery."""
 
 import enum
+import math
 from typing import NamedTuple
 
 from pimentobend_core._internal.forwarding.selection import Candidate
@@ -42,9 +43,16 @@
 
 
 class FinishBy(NamedTuple):
-    """Send nothing that would probably run at a clock time: this process ends then."""
+    """Send nothing that this process would probably not see the end of.
 
-    at: float
+    A request that began after ``noticed_at`` is sent only if its deadline passes before
+    ``ends_at``, as its run would be lost with this process otherwise. All are times of
+    the clock, in seconds.
+    """
+
+    at: float  # runs should have ended by then; the time after it is for stragglers
+    noticed_at: float = math.inf  # callers with another choice have left by then
+    ends_at: float = math.inf  # the answers that are still due are given up
 
 
 class GiveUp(NamedTuple):
--- a/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/daemon.py
@@ -168,7 +168,7 @@
         self._update_own_row(self._own_row._replace(is_leaving=True, servers=unready))
         if self._instance is not None:
             plan = plan_stop(stop_began_at, self._settings.grace_s)
-            self._instance.stop_accepting(plan.noticed_at, plan.refuse_at)
+            self._instance.stop_accepting(plan)
             self._drain(self._instance, plan)
             self._instance.close()
         if self._control is not None:
--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -36,6 +36,7 @@
 from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.crashes.messages import CrashReport
+from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.messages import ServiceSizes
 from pimentobend_core._internal.gossip.published import PublishedServers
@@ -73,6 +74,7 @@
 from pimentobendd._internal.fleet.dialect import ServersPort
 from pimentobendd._internal.fleet.limits import DaemonLimits
 from pimentobendd._internal.fleet.settings import FleetSettings
+from pimentobendd._internal.fleet.stop_plan import StopPlan
 from pimentobendd._internal.tables import TablesInForce
 
 REGISTRY_TICK_S = 0.5
@@ -295,16 +297,17 @@
         for listener in self._listeners:
             listener.start()
 
-    def stop_accepting(self, noticed_at: float, ends_at: float) -> None:
+    def stop_accepting(self, plan: StopPlan) -> None:
         """Decline work for the local servers; close connections after a response.
 
-        Probes have noticed the stop at ``noticed_at``. Attempts of the local servers'
-        queues start only if they will probably have ended by then. Requests that would
-        probably still run at ``ends_at`` are refused.
+        Attempts of the local servers' queues start only if they will probably have
+        ended when probes have noticed the stop.
         """
-        self.host.start_draining(noticed_at)
+        self.host.start_draining(plan.noticed_at)
         self.front.stop()
-        self._deliveries.finish_by(ends_at)
+        self._deliveries.finish_by(
+            FinishBy(plan.refuse_at, plan.noticed_at, plan.end_requests_at)
+        )
 
     def refuse_waiting(self) -> None:
         """Refuse all requests that have not reached a server, or are not read yet."""
--- a/tests/functional/test_platform_stop.py
+++ b/tests/functional/test_platform_stop.py
@@ -25,6 +25,8 @@
 HELD_S = 9.0  # longer than the grace time
 LARGE_BYTES = 32 * 1024 * 1024  # more than the connections on its way can buffer
 LAST_MOMENT_S = 0.35  # before the end of the grace time
+LATE_S = 2.9  # later than probes notice a stop, long before requests are given up
+QUICK_ANSWERS = 40  # after which hosts expect quick answers of a route
 READ_AFTER_S = 2.9  # later than a daemon without work ends
 HEAD = f"POST /book/1 HTTP/1.1\r\nHost: a.example\r\n{PREFIX}Request-Id: half\r\n"
 UNREAD = [
@@ -107,6 +109,30 @@
     assert f"{PREFIX}Server-Stamp".lower() in answers[0].headers
 
 
+def test_a_booking_that_comes_late_in_a_stop_is_not_begun(fleet: Fleet) -> None:
+    """Guards against a run that a stopping daemon takes late and then gives up."""
+    origin, host = fleet.instances
+    assert origin.server is not None
+    assert host.server is not None
+    origin.server.state = "draining"
+    wait_until(lambda: origin.server.beat() == 200, "one server is draining")
+    for number in range(QUICK_ANSWERS):
+        answer = origin.request(f"/book/{number}", "POST", f"quick-{number}")
+        assert answer.status == 200
+    host.server.hold_s = HELD_S
+    name, _, port = origin.address(8400).rpartition(":")
+    with socket.create_connection((name, int(port)), TIMEOUT_S) as connection:
+        # A request that is not read yet keeps the daemon from ending early.
+        connection.sendall(UNREAD[0][1].encode())
+        origin.signal(signal.SIGTERM)
+        time.sleep(LATE_S)
+        late = origin.request("/book/1", "POST", "late")
+    assert late.status == 503
+    assert late.headers["pimentobend-ran"] == "not-run"
+    assert "retry-after" in late.headers
+    assert not _has_run(host, "late")
+
+
 def test_a_booking_whose_call_hangs_ends_with_its_servers_answer(fleet: Fleet) -> None:
     origin, host = fleet.instances
     assert origin.server is not None
--- a/tests/unit/forwarding/test_planned_stop.py
+++ b/tests/unit/forwarding/test_planned_stop.py
@@ -8,6 +8,7 @@
 import random
 
 import pytest
+from delivery_driver import DEADLINE
 from delivery_driver import SAFE
 from delivery_driver import UNSAFE
 from delivery_driver import Case
@@ -17,6 +18,7 @@
 from pimentobend_core._internal.forwarding.delivery_messages import CancelUnsent
 from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
 from pimentobend_core._internal.forwarding.delivery_messages import Refuse
+from pimentobend_core._internal.forwarding.delivery_messages import SendAttempt
 from pimentobend_core._internal.forwarding.durations import STRAGGLER_MULTIPLE
 from pimentobend_core._internal.forwarding.durations import STRAGGLER_SHARE
 from pimentobend_core._internal.forwarding.durations import DurationEstimate
@@ -76,6 +78,36 @@
     assert would_outlast(bid, remaining_s) is not is_sent
 
 
+LATE = [  # name, when the stop was noticed and the process ends, is the request sent
+    ("began before the stop was noticed", 0.1, 3.0, True),
+    ("began when the stop was noticed", 0.0, 3.0, False),
+    ("began later", -1.0, DEADLINE - 0.01, False),
+    ("began later, has to end before the process", -1.0, DEADLINE, True),
+]
+
+
+@pytest.mark.parametrize("case", [SAFE, UNSAFE])
+@pytest.mark.parametrize(
+    ("noticed_at", "ends_at", "is_sent"),
+    [e[1:] for e in LATE],
+    ids=[e[0] for e in LATE],
+)
+def test_a_late_request_is_sent_only_if_it_ends_before_its_daemon(
+    noticed_at: float, ends_at: float, is_sent: bool, case: Case
+) -> None:
+    """Guards against stragglers that a stopping daemon takes late and cuts off."""
+    driver = Driver(case)
+    outputs = driver.give(FinishBy(2.0, noticed_at, ends_at))
+    if is_sent:
+        assert isinstance(driver.offer(candidate("a"))[0], SendAttempt)
+        return
+    (refused,) = outputs
+    assert isinstance(refused, Refuse)
+    assert refused.refusal.status == 503
+    assert refused.refusal.ran is Ran.NOT_RUN
+    assert refused.refusal.retry_after_s
+
+
 @pytest.mark.parametrize("case", [SAFE, UNSAFE])
 def test_a_request_without_a_server_is_refused_before_the_end(case: Case) -> None:
     driver = Driver(case)
