Give no server late in a stop to what need not end before it (own interface)

In the second half of the grace time, requests without a server are refused as not run unless their deadline passes before requests are ended. Listeners and idle connections are closed at the start of a stop, so these are requests that were waiting, and second attempts.

--- a/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/traffic.py
@@ -1,6 +1,7 @@
 """Run a traffic task per pool and pass its replies to waiting requests."""
 
 import abc
+import math
 from collections.abc import Callable
 from typing import Any
 from typing import NamedTuple
@@ -54,6 +55,7 @@
 
 class _Waiter(NamedTuple):
     pool: str
+    deadline: float  # of the request, as a clock time in s
     event: Any  # eventlet event that the reply is sent to
 
 
@@ -72,19 +74,27 @@
         self._tasks: dict[str, TrafficTask] = {}
         self._waiting: dict[int, _Waiter] = {}
         self._is_ticking = False
-        self._is_ending = False
+        self._ends_at = math.inf  # what may be held longer gets no slot
 
     @property
     def tasks(self) -> tuple[TrafficTask, ...]:
         """Return the running tasks."""
         return tuple(self._tasks.values())
 
+    def refuse_later_than(self, ends_at: float) -> None:
+        """Refuse the requests without a slot whose deadline is after ``ends_at``.
+
+        That holds for further ones, too. The time is of the clock, in seconds.
+        """
+        self._ends_at = ends_at
+        for ticket, waiter in list(self._waiting.items()):
+            if waiter.deadline > ends_at:
+                self.put(waiter.pool, Abandon(ticket))
+                self._resolve(Rejected(ticket, _ENDING))
+
     def end_requests(self) -> None:
         """Refuse the requests that wait for a slot, and all further ones."""
-        self._is_ending = True
-        for ticket, waiter in list(self._waiting.items()):
-            self.put(waiter.pool, Abandon(ticket))
-            self._resolve(Rejected(ticket, _ENDING))
+        self.refuse_later_than(-math.inf)
 
     def configure(self, pools: tuple[Pool, ...]) -> None:
         """Start, update and stop tasks to match the table of pools."""
@@ -107,12 +117,12 @@
 
     def acquire(self, pool: str, message: Acquire) -> Result[Granted, Refusal]:
         """Wait for a slot on a backend server until the deadline."""
-        if self._is_ending:
+        if message.deadline > self._ends_at:
             return Failure(_ENDING)
         if pool not in self._tasks:
             return Failure(_pool_missing(pool))
         event = eventlet.event.Event()
-        self._waiting[message.ticket] = _Waiter(pool, event)
+        self._waiting[message.ticket] = _Waiter(pool, message.deadline, event)
         self._ensure_ticking()
         self._tasks[pool].put(message)
         try:
--- a/packages/daemon/src/pimentobendd/_internal/daemon.py
+++ b/packages/daemon/src/pimentobendd/_internal/daemon.py
@@ -249,9 +249,14 @@
             eventlet.sleep(DRAIN_POLL_S)
 
     def _wait_for_requests(self, instance: InstanceRole) -> None:
-        """Wait for the requests in flight; end them shortly before the grace does."""
+        """Wait for the requests in flight; end them shortly before the grace does.
+
+        What has no server in its second half is not begun unless it must end in time.
+        """
         grace_s = self._settings.shutdown_grace_s
         deadline = self._clock.now() + grace_s
+        self._await_idle(instance, deadline - grace_s / 2)
+        instance.refuse_later_than(deadline - END_MARGIN_S)
         self._await_idle(instance, deadline - END_MARGIN_S)
         if instance.front.in_flight:
             self._log.warning("shutdown-ending", in_flight=instance.front.in_flight)
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -164,6 +164,10 @@
         self._callers.close()
         self._servers.close()
 
+    def refuse_later_than(self, ends_at: float) -> None:
+        """Refuse requests that no server has got and that need not end by then."""
+        self.traffic.refuse_later_than(ends_at)
+
     def end_requests(self) -> None:
         """Answer the requests in flight: unsent ones as not run, others as unknown."""
         self.front.refuse_unread()
--- a/tests/unit/traffic/test_traffic_ticks.py
+++ b/tests/unit/traffic/test_traffic_ticks.py
@@ -4,13 +4,11 @@
 
 import eventlet
 import pytest
+from null_observer import NullObserver
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.traffic import TICK_S
-from pimentobend_adapters._internal.traffic import AttemptObserver
 from pimentobend_adapters._internal.traffic import TrafficTasks
-from pimentobend_core._internal.health.messages import AttemptStarted
-from pimentobend_core._internal.models.request import AttemptEnded
 from pimentobend_core._internal.models.tables import Pool
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.traffic.messages import Acquire
@@ -22,16 +20,6 @@
 TICKS_WAITED = 4
 
 
-class _NullObserver(AttemptObserver):
-    """Ignores all attempts."""
-
-    def started(self, pool: str, message: AttemptStarted) -> None:
-        """Ignore the attempt."""
-
-    def ended(self, message: AttemptEnded) -> None:
-        """Ignore the attempt."""
-
-
 class _TickCounter(StatefulFilter[TrafficInput, TrafficOutput]):
     """Counts ticks and never grants a server."""
 
@@ -56,7 +44,7 @@
         return counters.setdefault(pool.name, _TickCounter())
 
     clock = HubClock()
-    tasks = TrafficTasks(create, clock, _NullObserver())
+    tasks = TrafficTasks(create, clock, NullObserver())
     tasks.configure(POOLS)
     deadline = clock.now() + 60.0
     waiters = [
