Escape text in the headers between daemons

Cause: the name goes into the header Pimentobend-Hop as JSON that isn't escaped, and http.client encodes headers as Latin-1: "UnicodeEncodeError: 'latin-1' codec can't encode" in the log.

The JSON of both headers is now ASCII, with escapes where the text isn't. What daemons send for ASCII names doesn't change, and any daemon reads the escapes.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/hop.py
@@ -4,6 +4,7 @@
 caller's request) to the server's daemon.
 """
 
+import json
 from typing import Annotated
 from typing import NamedTuple
 
@@ -60,8 +61,11 @@
 
 
 def encode_hop(value: HopRequest | HopResult) -> str:
-    """Return the header value."""
-    return _ENCODER.encode(value).decode()
+    """Return the header value, which is ASCII whatever the text in it."""
+    encoded = _ENCODER.encode(value)
+    if encoded.isascii():
+        return encoded.decode("ascii")
+    return json.dumps(json.loads(encoded), separators=(",", ":"))
 
 
 def decode_submit(value: str) -> HopRequest:
