Send the bytes of a target as they came

Callers saw requests with bytes beyond ASCII in their path or query end with 504 after their whole time where they went to another machine, and with 502 at the server beside their daemon; on the own interface they ran with another target.

Cause: a target is bytes, read as Latin-1, and http.client encodes request lines as ASCII; urllib3 takes the characters for text and escapes their UTF-8 form, so that /r\xc3\xa9 arrived as /r%C3%83%C2%A9.

The platform's path sends the bytes as they came, since targets have to arrive unchanged. The own interface, whose library escapes targets in any case, escapes each byte as it is.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -1,5 +1,7 @@
 """Send requests to backend servers over kept-alive connections."""
 
+import string
+import urllib.parse
 from collections.abc import Iterator
 from http.client import HTTPException
 from typing import Any
@@ -261,7 +263,12 @@
 
 
 def _target(head: RequestHead) -> str:
-    return f"{head.path}?{head.query}" if head.query else head.path
+    """Return the request target, with an escape for each byte beyond ASCII.
+
+    The library would take these bytes for text and escape other ones.
+    """
+    target = f"{head.path}?{head.query}" if head.query else head.path
+    return urllib.parse.quote(target, safe=string.printable, encoding="latin-1")
 
 
 def _request_body(body: Body) -> Any:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -152,6 +152,13 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
         self.close()
 
+    def _encode_request(self, request: str) -> bytes:
+        """Return a request line with the bytes of its target as they came.
+
+        A target is read as Latin-1, one character a byte. The library takes ASCII only.
+        """
+        return request.encode("latin-1")
+
     def _new_conn(self) -> Any:
         """Open the connection; raise urllib3's connection errors."""
         try:
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -56,6 +56,7 @@
         slots: int = 3,
     ) -> None:
         self.ran: list[str] = []
+        self.targets: list[bytes] = []  # as they were received
         self.bodies: dict[str, bytes] = {}  # those that were whole, by request id
         self.arrived_at: list[float] = []  # seconds of the monotonic clock
         self.callers: list[str] = []
@@ -209,6 +210,7 @@
         request_id = request.headers[f"{PREFIX}Request-Id"]
         self.arrived_at.append(time.monotonic())
         self.ran.append(request_id)
+        self.targets.append(request.raw_requestline.split(b" ", 2)[1])
         if body is not None:
             self.bodies[request_id] = body
         self.heads[request_id] = {k.lower(): v for k, v in request.headers.items()}
