End a request at once whose task ends by an exception

A call beside its server did report its end, but swallowed the exception.

A task that owes an answer is now started by spawn_answering, which lets its owner give one: no bids for an ask, "unknown" for an attempt, since it may have reached a server, and a listening server for a probe, since nothing shows a crash. Each writes a line task-failed with the id of its request, attempt or server and counts in tasks_failed, as do calls. A task that is killed owes nothing.

Tasks that were looked at and left: answers to other control instances, who ask again after a time-out; frames, ticks and delayed messages, which nobody waits for.

A fake in test_stops had another signature than what it stands for, which the lost exception had hidden.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/delivery.py
@@ -11,6 +11,9 @@
 from returns.result import Result
 from returns.result import Success
 
+from pimentobend_adapters._internal.answering import describe_error
+from pimentobend_adapters._internal.answering import spawn_answering
+from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
 from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
 from pimentobend_adapters._internal.forwarding.bid_collector import Question
 from pimentobend_adapters._internal.forwarding.host import HostTasks
@@ -43,11 +46,13 @@
 from pimentobend_core._internal.forwarding.events import DeliveryEnded
 from pimentobend_core._internal.forwarding.events import DeliveryHeld
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
+from pimentobend_core._internal.forwarding.events import TaskFailed
 from pimentobend_core._internal.forwarding.messages import CallMade
 from pimentobend_core._internal.forwarding.messages import CallReturned
 from pimentobend_core._internal.forwarding.messages import Submit
 from pimentobend_core._internal.forwarding.selection import Candidate
 from pimentobend_core._internal.forwarding.selection import Distance
+from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
 from pimentobend_core._internal.models.request import RefusalReason
@@ -214,7 +219,7 @@
             case WakeAt():
                 self._wake_at = output.due
             case AskServers():
-                eventlet.spawn_n(self._ask, output.distance)
+                self._start_ask(output.distance)
             case SendAttempt():
                 self._send(output)
             case CancelAttempt():
@@ -245,6 +250,17 @@
                 return Failure(CALLER_LEFT)
         return None
 
+    def _start_ask(self, distance: Distance) -> None:
+        def end(error: Exception) -> None:
+            self._report_error("ask", error)
+            self._inbox.put(Offers((), distance))
+
+        spawn_answering(self._ask, distance, on_error=end)
+
+    def _report_error(self, task: str, error: Exception) -> None:
+        request_id = self._routed.head.request_id
+        self._ports.events.put(TaskFailed(task, request_id, describe_error(error)))
+
     def _ask(self, distance: Distance) -> None:
         candidates = self._ports.bid_collector.ask(self._question, distance)
         if self._routed.sender.calling_routes:
@@ -293,8 +309,22 @@
             )
         )
         attempt = LocalAttempt(submit, routed.head, routed.body)
-        self._attempts[output.number] = eventlet.spawn(
-            self._run_attempt, output.number, candidate, attempt
+        self._start_attempt(output.number, candidate, attempt)
+
+    def _start_attempt(
+        self, number: int, candidate: Candidate, attempt: LocalAttempt
+    ) -> None:
+        started = self._ports.clock.now()
+
+        def end(error: Exception) -> None:
+            # It may have reached a server.
+            self._report_error("attempt", error)
+            latency_s = self._ports.clock.now() - started
+            result = make_attempt_result(AttemptKind.NO_ANSWER, latency_s)
+            self._end_attempt(number, attempt, result)
+
+        self._attempts[number] = spawn_answering(
+            self._run_attempt, number, candidate, attempt, on_error=end
         )
 
     def _run_attempt(
@@ -305,6 +335,12 @@
             result = ports.host.run(attempt)
         else:
             result = ports.peers.run(candidate.peer, attempt)
+        self._end_attempt(number, attempt, result)
+
+    def _end_attempt(
+        self, number: int, attempt: LocalAttempt, result: AttemptResult
+    ) -> None:
+        ports = self._ports
         self._results[number] = result
         self._kinds[number] = result.kind.value
         request_id = attempt.head.request_id
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -13,6 +13,8 @@
 import eventlet.event
 import greenlet as greenlet_module
 
+from pimentobend_adapters._internal.answering import describe_error
+from pimentobend_adapters._internal.answering import spawn_answering
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
 from pimentobend_adapters._internal.forwarding.answers import StreamedAnswer
 from pimentobend_adapters._internal.forwarding.answers import make_attempt_result
@@ -40,6 +42,7 @@
 from pimentobend_core._internal.crashes.messages import ServerCrashed
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
+from pimentobend_core._internal.forwarding.events import TaskFailed
 from pimentobend_core._internal.forwarding.host import ServerHost
 from pimentobend_core._internal.forwarding.messages import AdmitShareChanged
 from pimentobend_core._internal.forwarding.messages import Ask
@@ -307,7 +310,7 @@
     def _handle_crash_output(self, output: _CrashOutput) -> None:
         match output:
             case ProbeServer():
-                eventlet.spawn_n(self._probe, output)
+                self._start_probe(output)
             case CallJudged():
                 self._finish_judged(output)
             case ReportsChanged():
@@ -318,12 +321,25 @@
             case ServerCrashed():
                 self._events.put(output)
 
+    def _start_probe(self, output: ProbeServer) -> None:
+        def end(error: Exception) -> None:
+            # Nothing shows that the server has crashed.
+            self._report_error("probe", output.server.server_id, error)
+            self._end_probe(output.server, is_listening=True)
+
+        spawn_answering(self._probe, output, on_error=end)
+
     def _probe(self, output: ProbeServer) -> None:
         eventlet.sleep(output.delay_s)
-        server = output.server
-        is_listening = self._calls.is_listening(server)
+        is_listening = self._calls.is_listening(output.server)
+        self._end_probe(output.server, is_listening=is_listening)
+
+    def _end_probe(self, server: Server, *, is_listening: bool) -> None:
         self._task.put(ServerProbed(server.server_id, server.incarnation, is_listening))
 
+    def _report_error(self, task: str, subject: str, error: Exception) -> None:
+        self._events.put(TaskFailed(task, subject, describe_error(error)))
+
     def _finish_judged(self, judged: CallJudged) -> None:
         record = self._records.get(judged.attempt_id)
         if record is None or record.unjudged is None:
@@ -357,7 +373,10 @@
         attempt_id = record.attempt.submit.attempt_id
         try:
             result: AttemptResult = greenlet.wait()
-        except (Exception, greenlet_module.GreenletExit):
+        except greenlet_module.GreenletExit:
+            result = _make_cancelled()
+        except Exception as error:
+            self._report_error("call", attempt_id, error)
             result = _make_cancelled()
         record.greenlet = None  # it refers to the result
         result = result._replace(latency_s=self._clock.now() - started)
--- a/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/tasks.py
@@ -4,8 +4,6 @@
 """
 
 import abc
-import pathlib
-import traceback
 from collections.abc import Callable
 from collections.abc import Mapping
 from typing import Any
@@ -17,6 +15,7 @@
 import eventlet.event
 import eventlet.queue
 
+from pimentobend_adapters._internal.answering import describe_error
 from pimentobend_adapters._internal.logs import get_log
 from pimentobend_core._internal.pipes import StatefulFilter
 from pimentobend_core._internal.pipes import TimedFilter
@@ -30,7 +29,6 @@
 DUMP_TIMEOUT_S = 2.0
 # Shortest wait for a tick, so that a filter whose tick fails is not called in a loop.
 MIN_TICK_WAIT_S = 0.01
-SHOWN_CHARACTERS = 200  # of an error, in a log line
 
 
 class Outlet(abc.ABC, Generic[Accepted]):
@@ -154,8 +152,7 @@
             "message-failed",
             task=self._name,
             message=type(message).__name__,
-            error=repr(error)[:SHOWN_CHARACTERS],
-            place=_find_place(error),
+            error=describe_error(error),
         )
 
     def _dump(self) -> Mapping[str, object]:
@@ -194,9 +191,3 @@
             return self._inbox.get(timeout=wait_s)
         except eventlet.queue.Empty:
             return self._tick_message
-
-
-def _find_place(error: Exception) -> str:
-    """Return the file and line that raised an error."""
-    frames = traceback.extract_tb(error.__traceback__)
-    return f"{pathlib.PurePath(frames[-1].filename).name}:{frames[-1].lineno}"
--- a/packages/core/src/pimentobend_core/_internal/forwarding/events.py
+++ b/packages/core/src/pimentobend_core/_internal/forwarding/events.py
@@ -69,6 +69,14 @@
     remaining_s: float
 
 
+class TaskFailed(NamedTuple):
+    """A task ended by an exception; who waited for it got an answer that says so."""
+
+    task: str  # ask, attempt, call or probe
+    subject: str  # id of the request, the attempt or the server
+    error: str
+
+
 ForwardingEvent = (
     HostDecided
     | AttemptSent
@@ -81,4 +89,5 @@
     | FingerprintBlocked
     | FingerprintReleased
     | RequestBlocked
+    | TaskFailed
 )
--- a/packages/daemon/src/pimentobendd/_internal/fleet/events.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/events.py
@@ -20,6 +20,7 @@
 from pimentobend_core._internal.forwarding.events import ForwardingEvent
 from pimentobend_core._internal.forwarding.events import HostDecided
 from pimentobend_core._internal.forwarding.events import RequestBlocked
+from pimentobend_core._internal.forwarding.events import TaskFailed
 from pimentobend_core._internal.forwarding.messages import AdmitShareChanged
 from pimentobend_core._internal.forwarding.messages import CallLost
 from pimentobend_core._internal.forwarding.messages import Declined
@@ -98,6 +99,14 @@
                     server=message.server_id,
                     overdue_s=round(message.overdue_s, 1),
                 )
+            case TaskFailed():
+                self._counters.count("tasks_failed", message.task)
+                self._log.error(
+                    "task-failed",
+                    task=message.task,
+                    subject=message.subject,
+                    error=message.error,
+                )
             case _:
                 self._write_crash_event(message)
 
--- a/tests/unit/forwarding/test_stops.py
+++ b/tests/unit/forwarding/test_stops.py
@@ -9,6 +9,7 @@
 
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.bid_collector import BidCollector
+from pimentobend_adapters._internal.forwarding.bid_collector import Question
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryFilter
 from pimentobend_adapters._internal.forwarding.delivery import DeliveryPorts
 from pimentobend_adapters._internal.http.bodies import BufferedBody
@@ -32,8 +33,11 @@
     def __init__(self) -> None:
         """Ask nobody."""
 
-    def ask(
-        self, service: str, route: str, distance: Distance
+    def ask(self, question: Question, distance: Distance) -> tuple[Candidate, ...]:
+        return ()
+
+    def find_recent(
+        self, question: Question, distance: Distance
     ) -> tuple[Candidate, ...]:
         return ()
 
