Take service names as operators write them

Callers had no server of a service whose name goes beyond a-z, 0-9, dot, dash and underscore: the configuration took the name, but the daemon beside each such server ended at its start ("beside.service: expected a name of a-z ...").

The settings take any name without control characters, and the header that names the caller's service holds the bytes of its UTF-8 form, as bodies do.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -15,6 +15,7 @@
 from pimentobend_adapters._internal.http.bodies import StreamedBody
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
+from pimentobend_adapters._internal.http.headers import to_header_value
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
 from pimentobend_adapters._internal.http.requests import Environ
 from pimentobend_adapters._internal.http.requests import check_limits
@@ -180,7 +181,8 @@
             for header, value in request.head.headers
             if header.lower() != name.lower()
         )
-        headers = (*headers, (name, self._options.caller_service))
+        value = to_header_value(self._options.caller_service)
+        headers = (*headers, (name, value))
         return request._replace(head=request.head._replace(headers=headers))
 
     def stop(self) -> None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -74,3 +74,8 @@
     if in_use.isascii() and in_use.isdigit() and slots.isascii() and slots.isdigit():
         return LoadReport(int(in_use), int(slots))
     return None
+
+
+def to_header_value(text: str) -> str:
+    """Return text as a header value, with one character for each byte of its UTF-8."""
+    return text.encode().decode("latin-1")
--- a/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/settings.py
@@ -29,6 +29,10 @@
 MIN_MEMORY_MB = 64  # an idle process takes 40
 
 _ADDRESS = TextCheck(r"[0-9.]+:[0-9]{1,5}", "an IPv4 address and a port")
+# Operators name services as they like; their names travel in a header, too.
+_SERVICE = TextCheck(
+    r"[^\x00-\x1f\x7f\ud800-\udfff]{1,255}", "a name without control characters"
+)
 _PATH = TextCheck(r"[^\0]{1,1023}", "a path")
 _ROLE = TextCheck(r"instance|control", "instance or control")
 _SECONDS = NumberCheck(0, MAX_SECONDS)
@@ -54,7 +58,7 @@
                 "metrics_port": IntegerCheck(1, MAX_PORT),
             },
         ),
-        "beside": ObjectCheck({"service": NAME, "address": _ADDRESS}),
+        "beside": ObjectCheck({"service": _SERVICE, "address": _ADDRESS}),
         "first_start": BooleanCheck(),
         "data_folder": _PATH,
         "heartbeat_s": NumberCheck(0.1, MAX_SECONDS),
--- a/tests/functional/test_names.py
+++ b/tests/functional/test_names.py
@@ -10,6 +10,7 @@
 import pytest
 from platform_fleet import ROUTE_COLUMNS
 from platform_fleet import Fleet
+from platform_fleet import FleetShape
 from platform_fleet import run_fleet
 from platform_fleet import wait_until
 
@@ -54,3 +55,21 @@
     assert answer.status == 200
     assert host.server is not None
     assert f"name-{number}" in host.server.ran
+
+
+@pytest.mark.parametrize("service", ["بکنگ", "Réservé 1", "\N{CAT}"])
+def test_a_service_may_have_any_name(tmp_path: pathlib.Path, service: str) -> None:
+    """Guards against daemons that end at their start beside a server of the service."""
+    rows = [["look", "a.example", "/look/", "safe", 10, service]]
+    fleet = Fleet(tmp_path, FleetShape(services=(service,)))
+    try:
+        fleet.start({"columns": ROUTE_COLUMNS, "rows": rows})
+        callers = [
+            caller.encode("latin-1").decode()
+            for process in fleet.instances
+            if process.server is not None
+            for caller in process.server.callers
+        ]
+    finally:
+        fleet.stop()
+    assert set(callers) == {service}
--- a/tests/unit/fleet/test_fleet_settings.py
+++ b/tests/unit/fleet/test_fleet_settings.py
@@ -47,6 +47,11 @@
     ("a port too high", changed(link_ports=[70000]), ["link_ports[0]"]),
     ("a seed without a port", changed(seeds=["10.0.0.1"]), ["seeds[0]"]),
     ("a seed with an invalid address", changed(seeds=["1.2.3.400:1"]), ["seeds[0]"]),
+    (
+        "a service whose name holds a line break",
+        changed(beside={"service": "a\r\nX: y", "address": "10.0.0.1:6"}),
+        ["beside.service"],
+    ),
     ("no addresses", changed(listen={}), ["callers", "forward", "servers"]),
     ("control without a folder", changed(roles=["control"]), ["data_folder"]),
     (
--- a/tests/unit/platform/test_platform.py
+++ b/tests/unit/platform/test_platform.py
@@ -320,6 +320,7 @@
     ("PUT", "/-/instances/i-1", HEARTBEAT, ("late",), "409", 1),
     ("PUT", "/-/instances/", HEARTBEAT, (), "404", 0),
     ("PUT", "/-/instances/a/b", HEARTBEAT, (), "404", 0),
+    ("PUT", "/-/instances/i\r\nX: y", HEARTBEAT, (), "400", 0),
     ("PUT", "/-/instances/i-1", {"address": "x"}, (), "400", 0),
     ("PUT", "/-/instances/i-1", {**HEARTBEAT, "address": "1.1.1.1:1"}, (), "400", 0),
     ("POST", "/-/instances/i-1", HEARTBEAT, (), "405", 0),
