Let a retry wait for its budget at the start of an instance

Cause: an instance starts without tokens, and has no minimum rate until the instances are counted, which takes 10 s or more. Five successes pay for a retry, and they come some 30 ms too late.

While there is no minimum rate, a retry now waits up to 0.25 s for the successes of its pool. No token is added, so the bound over the fleet is as before.

--- a/packages/core/src/pimentobend_core/_internal/traffic/policy.py
+++ b/packages/core/src/pimentobend_core/_internal/traffic/policy.py
@@ -22,6 +22,11 @@
         self._counted_at = 0.0  # seconds of the clock
         self._budgets: dict[str, RetryBudget] = {}
 
+    @property
+    def has_minimum_rate(self) -> bool:
+        """Return whether the instances that share the minimum rate are counted."""
+        return self._instances is not None
+
     def update_instances(self, instances: int, now: float) -> None:
         """Divide the minimum rate by the number of instances from ``now`` (seconds)."""
         self._instances = instances
--- a/packages/daemon/src/pimentobendd/_internal/instance_role.py
+++ b/packages/daemon/src/pimentobendd/_internal/instance_role.py
@@ -17,6 +17,7 @@
 from pimentobend_adapters._internal.metrics import AttemptMetrics
 from pimentobend_adapters._internal.metrics import Metrics
 from pimentobend_adapters._internal.observers import AttemptObservers
+from pimentobend_adapters._internal.retries import WaitingRetries
 from pimentobend_adapters._internal.suspects import SuspectsTask
 from pimentobend_adapters._internal.tasks import CallOutlet
 from pimentobend_adapters._internal.tasks import FilterTask
@@ -40,7 +41,6 @@
 from pimentobend_core._internal.request.organisation import name_sender
 from pimentobend_core._internal.request.pipe import RequestPorts
 from pimentobend_core._internal.request.pipe import build_request_pipe
-from pimentobend_core._internal.traffic.policy import BudgetedRetries
 from pimentobend_core._internal.traffic.pool import PoolTraffic
 from pimentobendd._internal.crash_rows import CrashRows
 from pimentobendd._internal.evidence import EvidenceReports
@@ -120,7 +120,7 @@
         )
         membership.subscribe_to_crashes(self._receive_crashes)
         membership.subscribe_to_earlier_drains(self.registry.put)
-        retries = BudgetedRetries()
+        retries = WaitingRetries(clock)
         membership.subscribe_to_instances(
             lambda message: retries.update_instances(message.instances, clock.now())
         )
