Look up an attempt before anything can refuse it

Cause: the front for other daemons reserved memory before it looked at which attempt had come, and declined the copy of one that it was running. The origin takes a decline for "not run".

The order is now: another process, known attempt, memory, the rest. A known attempt is joined, with its body counted beyond the limit. An attempt that is declined for memory, here or at its server, counts as withdrawn, so that an earlier copy which is still on its way doesn't run after all.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -245,6 +245,8 @@
             server_id = attempt.submit.server_id
             sent = self._server_memory.reserve(server_id, attempt.body.length)
             if sent is None:
+                # A copy that is still on its way must not run any more.
+                self._task.put(Withdraw(attempt_id))
                 self._memory.note_server_full()
                 return make_attempt_result(AttemptKind.DECLINED, 0.0, headers=_NO_ROOM)
             record = self._records[attempt_id] = _AttemptRecord(attempt, sent)
@@ -258,6 +260,10 @@
             return make_attempt_result(AttemptKind.NO_ANSWER, result.latency_s)
         return result
 
+    def knows(self, attempt_id: str) -> bool:
+        """Return whether an attempt was run before, whatever became of it."""
+        return attempt_id in self._records
+
     def has_waiters(self, attempt_id: str) -> bool:
         """Return whether a call of ``run`` waits for the end of an attempt."""
         record = self._records.get(attempt_id)
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -32,7 +32,9 @@
 from pimentobend_adapters._internal.http.requests import get_headers
 from pimentobend_adapters._internal.http.stalls import refuse_unread
 from pimentobend_adapters._internal.memory import MemoryOwner
+from pimentobend_adapters._internal.memory import Reservation
 from pimentobend_core._internal.forwarding.messages import Submit
+from pimentobend_core._internal.memory.budget import held_bytes
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import RefusalReason
 from pimentobend_core._internal.models.request import RequestHead
@@ -80,37 +82,57 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Run an attempt, or return the result of one that was sent before."""
+        """Run an attempt, or return the result of one that was sent before.
+
+        A copy of a known attempt is never declined: its origin takes a decline as the
+        promise that the attempt has not run.
+        """
         self._in_flight += 1
         length = declare_length(environ)
-        reservation = self._memory.reserve_request(length)
+        reservation = None
         try:
-            if reservation is not None:
-                yield from self._serve(environ, start_response)
+            try:
+                hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
+            except HopError:
+                result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
+                yield from _refuse(environ, length, result, start_response)
+                return
+            if hop.process_id != self._process_id:
+                result = HopResult(AttemptKind.DECLINED, WRONG_PROCESS)
+                yield from _refuse(environ, length, result, start_response)
                 return
-            result = HopResult(AttemptKind.DECLINED, RefusalReason.NO_MEMORY.value)
-            refusal = _write_result(result, start_response)
-            yield from refuse_unread(environ, refusal) if length != 0 else refusal
+            reservation = self._reserve(hop, length)
+            if reservation is None:
+                # An earlier copy that is still on its way must not run any more.
+                self._host.withdraw(hop.attempt_id)
+                reason = RefusalReason.NO_MEMORY.value
+                result = HopResult(AttemptKind.DECLINED, reason)
+                yield from _refuse(environ, length, result, start_response)
+                return
+            yield from self._serve(environ, hop, start_response)
         finally:
             self._in_flight -= 1
             if reservation is not None:
                 reservation.release()
 
+    def _reserve(self, hop: HopRequest, length: int | None) -> Reservation | None:
+        """Reserve memory for an attempt; for a known one also beyond the limit."""
+        if not self._host.knows(hop.attempt_id):
+            return self._memory.reserve_request(length)
+        reservation = self._memory.open()
+        reservation.change(held_bytes(length))
+        return reservation
+
     def _serve(
-        self, environ: Environ, start_response: StartResponse
+        self, environ: Environ, hop: HopRequest, start_response: StartResponse
     ) -> Iterator[bytes]:
         try:
-            hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
             body = read_body(environ["wsgi.input"], get_content_length(environ))
-        except (HopError, IncompleteBodyError):
+        except IncompleteBodyError:
             environ[CONNECTION_KEY].close_connection = True
             result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
             yield from _write_result(result, start_response)
             return
-        if hop.process_id != self._process_id:
-            result = HopResult(AttemptKind.DECLINED, WRONG_PROCESS)
-            yield from _write_result(result, start_response)
-            return
         attempt = self._read_attempt(environ, hop, body)
         attempt_result = self._run(environ["wsgi.input"].get_socket(), attempt)
         if attempt_result is None:
@@ -189,6 +211,17 @@
         handler.throw(error)
 
 
+def _refuse(
+    environ: Environ,
+    length: int | None,
+    result: HopResult,
+    start_response: StartResponse,
+) -> Iterator[bytes]:
+    """Yield the result of an attempt whose body is not read."""
+    refusal = _write_result(result, start_response)
+    yield from refuse_unread(environ, refusal) if length != 0 else refusal
+
+
 def _write_result(result: HopResult, start_response: StartResponse) -> Iterator[bytes]:
     headers = [(RESULT_HEADER, encode_hop(result)), ("Content-Length", "0")]
     start_response("200 OK", headers)
