--- a/packages/core/src/pimentobend_core/_internal/configuration/service.py
+++ b/packages/core/src/pimentobend_core/_internal/configuration/service.py
@@ -74,6 +74,7 @@
         # Confirmed log index and request.
         self._confirmed_reads: list[tuple[int, _Confirmable]] = []
         self._applied_bytes = 0  # log bytes applied since the last compaction
+        self._snapshot_bytes = 0  # size of the last snapshot
 
     @property
     def state(self) -> ConfigurationState:
@@ -228,17 +229,21 @@
         self._state.restore(decode_snapshot(snapshot.state))
         self._applied = Version(snapshot.term, snapshot.log_index)
         self._compacted_index = snapshot.log_index
+        self._snapshot_bytes = len(snapshot.state)
         replaced = TablesReplaced(self._state.tables.whole())
         return (replaced, *self._finish_reads())
 
     def _compact(self) -> tuple[ServiceOutput, ...]:
         log_index = self._applied.log_index
         is_long = log_index - self._compacted_index >= COMPACT_ENTRIES
-        if not is_long and self._applied_bytes < COMPACT_BYTES:
+        is_large = self._applied_bytes >= max(COMPACT_BYTES, self._snapshot_bytes)
+        if not is_long and not is_large:
             return ()
+        state = encode(self._state.snapshot())
         self._compacted_index = log_index
         self._applied_bytes = 0
-        return (Compact(log_index, encode(self._state.snapshot())),)
+        self._snapshot_bytes = len(state)
+        return (Compact(log_index, state),)
 
     def _reply(
         self, request: TablesChangeRequest, outcome: ChangeOutcome
--- a/packages/core/src/pimentobend_core/_internal/consensus/constants.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/constants.py
@@ -22,12 +22,15 @@
 WINDOW_ENTRIES = 4096  # entries sent to a peer that it has not acknowledged yet
 PENDING_PROPOSALS = 4096  # further proposals are refused as OVERLOADED
 SNAPSHOT_CHUNK_BYTES = 128 * 1024
-# The configuration's log is compacted after this many entries or bytes. A log of
-# twice this size still fits on a small disk.
+# The configuration's log is compacted after this many entries, or after this many bytes
+# or as many as the last snapshot has, whichever is more. A replica that joins is sent
+# the snapshot and what follows it, and may have no more than seconds for that.
 COMPACT_ENTRIES = 4096
-COMPACT_BYTES = 16 * 1024 * 1024
-# Compaction leaves this many entries, so that peers slightly behind need no snapshot.
+COMPACT_BYTES = 2 * 1024 * 1024
+# Compaction leaves so many entries at most, so that peers slightly behind need no
+# snapshot.
 RETAINED_ENTRIES = 1024
+RETAINED_BYTES = 1024 * 1024
 CAUGHT_UP_ENTRIES = 64  # a learner this close to the commit index can be promoted
 # Largest command that is accepted. It leaves 64 KB of the largest frame (4 MB) to the
 # messages that carry it, as a command that fits into no frame cannot be replicated.
--- a/packages/core/src/pimentobend_core/_internal/consensus/log.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/log.py
@@ -1,5 +1,7 @@
 """Store the entries of the replicated log that have not been compacted."""
 
+from pimentobend_core._internal.consensus.constants import RETAINED_BYTES
+from pimentobend_core._internal.consensus.constants import RETAINED_ENTRIES
 from pimentobend_core._internal.consensus.entries import BaseRecord
 from pimentobend_core._internal.consensus.entries import Entry
 from pimentobend_core._internal.consensus.members import Members
@@ -83,6 +85,16 @@
             end += 1
         return tuple(self._entries[start:end])
 
+    def count_last(self, last: int) -> int:
+        """Return how many entries up to ``last`` a compaction leaves."""
+        count = size_bytes = 0
+        for log_index in range(last, self._base.log_index, -1):
+            size_bytes += len(self.entry(log_index).command)
+            if count >= RETAINED_ENTRIES or size_bytes > RETAINED_BYTES:
+                break
+            count += 1
+        return count
+
     def append(self, entry: Entry) -> None:
         """Append the entry that follows the last one."""
         self._entries.append(entry)
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -6,7 +6,6 @@
 
 from pimentobend_core._internal.consensus.constants import COMMAND_BYTES
 from pimentobend_core._internal.consensus.constants import PENDING_PROPOSALS
-from pimentobend_core._internal.consensus.constants import RETAINED_ENTRIES
 from pimentobend_core._internal.consensus.election import Election
 from pimentobend_core._internal.consensus.entries import Entry
 from pimentobend_core._internal.consensus.entries import Snapshot
@@ -245,7 +244,7 @@
             return
         members = state.log.members_at(message.log_index)
         snapshot = Snapshot(term, message.log_index, members, message.state)
-        state.compact(snapshot, RETAINED_ENTRIES)
+        state.compact(snapshot, state.log.count_last(message.log_index))
 
     def _report_committed(self, now: float) -> None:
         """Report newly committed proposals; step down if this leader was removed."""
