--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -6,11 +6,6 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from returns.result import Failure
-from returns.result import Result
-from returns.result import Success
-
-from pimentobend_adapters._internal.asking import Replies
 from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.bid_collector import KIND_ASK
 from pimentobend_adapters._internal.forwarding.bid_collector import KIND_BIDS
@@ -31,9 +26,7 @@
 from pimentobend_adapters._internal.links.transport import Transport
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import CallOutlet
-from pimentobend_adapters._internal.tasks import FilterTask
 from pimentobend_adapters._internal.tasks import Outlet
-from pimentobend_adapters._internal.tasks import PeriodicMessage
 from pimentobend_core._internal.configuration.messages import Version
 from pimentobend_core._internal.crashes.messages import CrashReport
 from pimentobend_core._internal.forwarding.delivery_messages import FinishBy
@@ -42,20 +35,11 @@
 from pimentobend_core._internal.gossip.published import PublishedServers
 from pimentobend_core._internal.gossip.rows import HostedServer
 from pimentobend_core._internal.gossip.rows import PeerRow
-from pimentobend_core._internal.membership.messages import AnnouncementAccepted
-from pimentobend_core._internal.membership.messages import AnnouncementRefused
 from pimentobend_core._internal.membership.messages import Presence
-from pimentobend_core._internal.membership.messages import RegistryInput
-from pimentobend_core._internal.membership.messages import RegistryOutput
-from pimentobend_core._internal.membership.messages import RegistryTick
 from pimentobend_core._internal.membership.messages import ServerEvent
 from pimentobend_core._internal.membership.messages import UnknownServerLeft
-from pimentobend_core._internal.membership.messages import WithdrawalAccepted
-from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.models.events import RequestEnded
-from pimentobend_core._internal.models.server import Announcement
 from pimentobend_core._internal.models.server import Server
-from pimentobend_core._internal.models.server import Withdrawal
 from pimentobend_core._internal.models.tables import ClientLimits
 from pimentobend_core._internal.pipes import Filter
 from pimentobend_core._internal.ports import ProofPort
@@ -71,88 +55,16 @@
 from pimentobend_core._internal.request.tables_proof import TablesProofFilter
 from pimentobend_core._internal.traffic.shared_budget import OriginBudget
 from pimentobendd._internal.fleet.dialect import Dialect
-from pimentobendd._internal.fleet.dialect import ServersPort
 from pimentobendd._internal.fleet.limits import DaemonLimits
+from pimentobendd._internal.fleet.local_servers import LocalServers
 from pimentobendd._internal.fleet.settings import FleetSettings
 from pimentobendd._internal.fleet.stop_plan import StopPlan
 from pimentobendd._internal.tables import TablesInForce
 
-REGISTRY_TICK_S = 0.5
-ANSWER_TIMEOUT_S = 0.8  # servers try another daemon after 1 s
 SERVER_ERROR = 500
 # Daemons add headers to the requests that they pass on.
 MAX_HOP_HEAD_BYTES = 2 * MAX_HEAD_BYTES
 
-RegistryReply = AnnouncementAccepted | AnnouncementRefused | WithdrawalAccepted
-
-
-# A server that gets this sends its announcement again.
-_NO_REPLY = ("the registry did not reply in time",)
-
-
-class _ReplyKey(NamedTuple):
-    """What a reply answers: a late announcement can arrive beside a withdrawal."""
-
-    server_id: str
-    is_withdrawal: bool
-
-
-class LocalServers(ServersPort):
-    """Registry of the backend servers that announce themselves to this daemon."""
-
-    def __init__(
-        self,
-        address: str,
-        epoch: int,
-        on_change: Callable[[ServerEvent | UnknownServerLeft], None],
-        on_refused: Callable[[str, tuple[str, ...]], None],
-    ) -> None:
-        self._on_change = on_change
-        self._on_refused = on_refused
-        self._replies: Replies[RegistryReply] = Replies(_key_of_reply)
-        self.task: FilterTask[RegistryInput, RegistryOutput] = FilterTask(
-            "registry",
-            ServerRegistry(address, epoch, unique_addresses=True),
-            CallOutlet(self._handle_registry_output),
-            HubClock(),
-            PeriodicMessage(REGISTRY_TICK_S, RegistryTick()),
-        )
-
-    def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        """Register or renew a server, or return the faults of the announcement."""
-        reply = self._replies.ask(
-            _ReplyKey(announcement.server.server_id, is_withdrawal=False),
-            lambda: self.task.put(announcement),
-            ANSWER_TIMEOUT_S,
-        )
-        if isinstance(reply, AnnouncementAccepted):
-            return Success(None)
-        faults = reply.faults if isinstance(reply, AnnouncementRefused) else _NO_REPLY
-        self.report_refused(announcement.server.server_id, faults)
-        return Failure(faults)
-
-    def withdraw(self, withdrawal: Withdrawal) -> bool:
-        """Remove a server that is shutting down; return whether that is recorded."""
-        key = _ReplyKey(withdrawal.server_id, is_withdrawal=True)
-        reply = self._replies.ask(
-            key, lambda: self.task.put(withdrawal), ANSWER_TIMEOUT_S
-        )
-        return reply is not None
-
-    def report_refused(self, server_id: str, faults: tuple[str, ...]) -> None:
-        """Record that an announcement was refused, and why."""
-        self._on_refused(server_id, faults)
-
-    def _handle_registry_output(self, output: RegistryOutput) -> None:
-        if isinstance(output, ServerEvent | UnknownServerLeft):
-            self._on_change(output)
-        elif isinstance(output, RegistryReply):
-            self._replies.put(output)
-
-
-def _key_of_reply(reply: RegistryReply) -> _ReplyKey:
-    return _ReplyKey(reply.server_id, isinstance(reply, WithdrawalAccepted))
-
 
 class InstancePorts(NamedTuple):
     """Values, tasks and functions of the process that the role instance uses."""
