Refuse pings of services that the fleet does not know

Cause: only the address of a ping was compared, not its service.

An announcement is refused, with a log line, unless its service is that of the settings or is named in the tables in force. The server keeps its place.

--- a/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/instance.py
@@ -98,6 +98,7 @@
         clock = HubClock()
         dialect, process_id = ports.dialect, ports.process_id
         link, tables = ports.link, ports.tables
+        self._settings, self._tables = settings, tables
         names = dialect.names
         self._on_servers_changed = ports.on_servers_changed
         self._requests = ports.requests
@@ -122,7 +123,11 @@
             ports.own_row, link, self.host, clock, ports.on_unreachable
         )
         self.registry = LocalServers(
-            link.address, process_id, self._handle_server_change, ports.on_refused
+            link.address,
+            process_id,
+            self._handle_server_change,
+            ports.on_refused,
+            self._is_service,
         )
         delivery = DeliveryPorts(
             process_id,
@@ -256,6 +261,13 @@
             "memory": {"reserved_bytes": self._memory.reserved_bytes},
         }
 
+    def _is_service(self, name: str) -> bool:
+        """Return whether a service is the one beside, or is named in the tables."""
+        beside = self._settings.beside
+        if beside is None or name == beside.service:
+            return True
+        return any(pool.service == name for pool in self._tables.current().pools)
+
     def _handle_request_ended(self, event: RequestEnded) -> None:
         if event.status >= SERVER_ERROR:
             self.host.note_failed_request()
--- a/packages/daemon/src/pimentobendd/_internal/fleet/local_servers.py
+++ b/packages/daemon/src/pimentobendd/_internal/fleet/local_servers.py
@@ -51,7 +51,9 @@
         epoch: int,
         on_change: Callable[[ServerEvent | UnknownServerLeft], None],
         on_refused: Callable[[str, tuple[str, ...]], None],
+        is_service: Callable[[str], bool] = lambda name: True,
     ) -> None:
+        self._is_service = is_service
         self._on_change = on_change
         self._on_refused = on_refused
         self._replies: Replies[RegistryReply] = Replies(_key_of_reply)
@@ -64,7 +66,16 @@
         )
 
     def announce(self, announcement: Announcement) -> Result[None, tuple[str, ...]]:
-        """Register or renew a server, or return the faults of the announcement."""
+        """Register or renew a server, or return the faults of the announcement.
+
+        One of a service that is not known comes from another writer, and must not take
+        the place of the server at its address.
+        """
+        server_id, service = announcement.server[:2]
+        if not self._is_service(service):
+            fault = f"service: {service!r} is named neither here nor in the tables"
+            self.report_refused(server_id, (fault,))
+            return Failure((fault,))
         reply = self._replies.ask(
             _ReplyKey(announcement.server.server_id, is_withdrawal=False),
             lambda: self.task.put(announcement),
--- a/tests/unit/interfaces/test_odd_entries.py
+++ b/tests/unit/interfaces/test_odd_entries.py
@@ -27,7 +27,7 @@
 from pimentobend_core._internal.membership.registry import ServerRegistry
 from pimentobend_core._internal.membership.rows import create_server_row
 from pimentobend_platform.servers import ServersApplication
-from pimentobendd._internal.fleet.instance import LocalServers
+from pimentobendd._internal.fleet.local_servers import LocalServers
 from pimentobendd._internal.interfaces.servers import RegistryReply
 from pimentobendd._internal.interfaces.servers import ServersInterface
 
--- a/tests/unit/membership/test_local_servers.py
+++ b/tests/unit/membership/test_local_servers.py
@@ -10,7 +10,7 @@
 from pimentobend_core._internal.models.server import Server
 from pimentobend_core._internal.models.server import ServerState
 from pimentobend_core._internal.models.server import Withdrawal
-from pimentobendd._internal.fleet.instance import LocalServers
+from pimentobendd._internal.fleet.local_servers import LocalServers
 
 SERVER = Server(
     "kiln-1", "bookings", "127.0.0.1", 9001, 6, "a", "r", ServerState.READY, 7
