--- a/tests/unit/consensus/test_supervisor.py
+++ b/tests/unit/consensus/test_supervisor.py
@@ -43,7 +43,12 @@
     ("a candidate", view("abc"), "d/0", MemberChange(ADD, "d/0", "d")),
     ("a candidate that is a member", view("abc"), "c/0", None),
     ("a learner behind", view("abc", "d"), "", None),
-    ("an even number with a ready learner", view("abc", "d", "", "d"), "", None),
+    (
+        "a ready learner that would make the number even",
+        view("abc", "d", "", "d"),
+        "",
+        None,
+    ),
     ("ready learners", view("abc", "de", "", "de"), "", MemberChange(PROMOTE, "d/0")),
     (
         "a ready learner beside one behind",
@@ -52,7 +57,7 @@
         None,
     ),
     (
-        "an odd number with a ready learner",
+        "a ready learner that makes the number odd",
         view("abcd", "e", "", "e"),
         "",
         MemberChange(PROMOTE, "e/0"),
