Let the soak use routes with names beyond ASCII

Its series now name two of three routes in other scripts, and a request that ends with 504 at its deadline without having reached a server is a violation.

--- a/tests/lib/soak_checks.py
+++ b/tests/lib/soak_checks.py
@@ -25,6 +25,7 @@
 LATE_PART = 5 / 6  # of the grace time; what servers run after it may be cut off
 EARLY_SENT_S = 3.0  # after SIGTERM; what came later than this must not be cut off
 END_SLACK_S = 0.1  # resolution with which the end of a process is seen
+UNKNOWN_STATUS = 504  # guarantees nothing
 NOT_RUN_STATUSES = (408, 421, 429, 503)  # guarantee that no server ran the request
 
 
@@ -64,6 +65,8 @@
     status = record.answer.status
     if 400 <= status < 500 and status not in NOT_RUN_STATUSES:
         return [f"request that is allowed was denied: {details}"]
+    if has_used_its_time and status == UNKNOWN_STATUS and not runs:
+        return [f"request waited for its deadline and reached no server: {details}"]
     if has_used_its_time or _is_at_work_late(record, runs, stopped_at, stops.grace_s):
         return []
     if _was_read(record, runs):
--- a/tests/lib/soak_routes.py
+++ b/tests/lib/soak_routes.py
@@ -12,6 +12,7 @@
     """Kind of requests that each service has a route for."""
 
     name: str
+    route: str  # the start of the names of its routes, which may be any text
     is_safe: bool
     weight: int  # its share of the requests
     holds_s: tuple[float, ...]  # times that the server takes
@@ -22,9 +23,9 @@
 
 
 ROUTE_KINDS = (
-    RouteKind("look", True, 3, (0.0, 0.0, 0.02, 0.02, 0.3, 1.5)),
-    RouteKind("book", False, 3, (0.0, 0.02, 0.1, 0.1, 0.3, 3.0)),
-    RouteKind("order", False, 4, (1.0, 2.0, 3.0, 4.0, 5.0, 6.5, 8.0)),
+    RouteKind("look", "look", True, 3, (0.0, 0.0, 0.02, 0.02, 0.3, 1.5)),
+    RouteKind("book", "réservé\n", False, 3, (0.0, 0.02, 0.1, 0.1, 0.3, 3.0)),
+    RouteKind("order", "آرڈر", False, 4, (1.0, 2.0, 3.0, 4.0, 5.0, 6.5, 8.0)),
 )
 ROUTE_WEIGHTS = [kind.weight for kind in ROUTE_KINDS]
 
@@ -33,7 +34,7 @@
     """Return the routes of all services, and one more in every other version."""
     rows: list[list[Any]] = [
         [
-            f"{kind.name}-{service}",
+            f"{kind.route}-{service}",
             "a.example",
             kind.path(service),
             "safe" if kind.is_safe else "unsafe",
--- a/tests/unit/fleet/test_soak_checks.py
+++ b/tests/unit/fleet/test_soak_checks.py
@@ -73,6 +73,7 @@
     ("given up beside no stop", NO_STOP, 4.1, 502, NONE, [CUT], ""),
     ("given up long after the stop", (-7.5,), 4.1, 502, NONE, [CUT], ""),
     ("given up at the deadline", (5.0,), 9.95, 504, NONE, [HANGING], ""),
+    ("never sent to a server", NO_STOP, 9.95, 504, NONE, [], "reached no server"),
     ("answered late", NO_STOP, 10.6, 504, NONE, [HANGING], "after its deadline"),
     ("never answered", NO_STOP, 12.0, 0, Failure.TIMEOUT, [HANGING], "by its deadline"),
 ]
