--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -82,38 +82,43 @@
     def __call__(
         self, environ: Environ, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Run an attempt, or return the result of one that was sent before.
+        """Run an attempt, or return the result of one that was sent before."""
+        self._in_flight += 1
+        try:
+            yield from self._answer(environ, start_response)
+        finally:
+            self._in_flight -= 1
+
+    def _answer(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterator[bytes]:
+        """Refuse an attempt unread, or serve it.
 
         A copy of a known attempt is never declined: its origin takes a decline as the
         promise that the attempt has not run.
         """
-        self._in_flight += 1
         length = declare_length(environ)
-        reservation = None
         try:
-            try:
-                hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
-            except HopError:
-                result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
-                yield from _refuse(environ, length, result, start_response)
-                return
-            if hop.process_id != self._process_id:
-                result = HopResult(AttemptKind.DECLINED, WRONG_PROCESS)
-                yield from _refuse(environ, length, result, start_response)
-                return
-            reservation = self._reserve(hop, length)
-            if reservation is None:
-                # An earlier copy that is still on its way must not run any more.
-                self._host.withdraw(hop.attempt_id)
-                reason = RefusalReason.NO_MEMORY.value
-                result = HopResult(AttemptKind.DECLINED, reason)
-                yield from _refuse(environ, length, result, start_response)
-                return
+            hop = decode_submit(environ.get("HTTP_PIMENTOBEND_HOP") or "")
+        except HopError:
+            result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
+            yield from _refuse(environ, length, result, start_response)
+            return
+        if hop.process_id != self._process_id:
+            result = HopResult(AttemptKind.DECLINED, WRONG_PROCESS)
+            yield from _refuse(environ, length, result, start_response)
+            return
+        reservation = self._reserve(hop, length)
+        if reservation is None:
+            # An earlier copy that is still on its way must not run any more.
+            self._host.withdraw(hop.attempt_id)
+            result = HopResult(AttemptKind.DECLINED, RefusalReason.NO_MEMORY.value)
+            yield from _refuse(environ, length, result, start_response)
+            return
+        try:
             yield from self._serve(environ, hop, start_response)
         finally:
-            self._in_flight -= 1
-            if reservation is not None:
-                reservation.release()
+            reservation.release()
 
     def _reserve(self, hop: HopRequest, length: int | None) -> Reservation | None:
         """Reserve memory for an attempt; for a known one also beyond the limit."""
--- a/packages/core/src/pimentobend_core/_internal/consensus/log.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/log.py
@@ -85,7 +85,7 @@
             end += 1
         return tuple(self._entries[start:end])
 
-    def count_last(self, last: int) -> int:
+    def count_retained(self, last: int) -> int:
         """Return how many entries up to ``last`` a compaction leaves."""
         count = size_bytes = 0
         for log_index in range(last, self._base.log_index, -1):
--- a/packages/core/src/pimentobend_core/_internal/consensus/replica.py
+++ b/packages/core/src/pimentobend_core/_internal/consensus/replica.py
@@ -244,7 +244,7 @@
             return
         members = state.log.members_at(message.log_index)
         snapshot = Snapshot(term, message.log_index, members, message.state)
-        state.compact(snapshot, state.log.count_last(message.log_index))
+        state.compact(snapshot, state.log.count_retained(message.log_index))
 
     def _report_committed(self, now: float) -> None:
         """Report newly committed proposals; step down if this leader was removed."""
--- a/tests/unit/consensus/test_log_size.py
+++ b/tests/unit/consensus/test_log_size.py
@@ -47,7 +47,7 @@
     log = Log(BaseRecord(0, 0, NO_MEMBERS))
     for number in range(entries):
         log.append(Entry(1, number + 1, bytes(size_bytes)))
-    assert log.count_last(log.last_index) == retained
+    assert log.count_retained(log.last_index) == retained
 
 
 def test_a_replica_that_joins_is_sent_little_of_a_long_log() -> None:
