--- a/tests/functional/test_invalid_statuses.py
+++ b/tests/functional/test_invalid_statuses.py
@@ -6,12 +6,11 @@
 
 import contextlib
 import itertools
-import json
-import pathlib
 from collections.abc import Iterator
 
 import processes
 import pytest
+from own_fleet import start_instance
 from platform_fleet import Fleet
 from platform_fleet import run_fleet
 from platform_fleet import wait_until
@@ -19,8 +18,6 @@
 from platform_process import ask
 from platform_server import PREFIX
 from raw_backend import RawBackend
-from settings_of import control_settings
-from settings_of import instance_settings
 
 STATUSES = ["000", "099", "199", "600", "700", "999"]
 DEADLINE_MS = "3000"
@@ -29,13 +26,6 @@
 ERRORS = (502, 504)
 WARM_UP = 15  # answers that allow the own interface two retries
 NUMBERS = itertools.count(1)
-TABLES = {
-    "routes": [
-        {"name": "look", "path": "/look", "pool": "all", "repeatable": True},
-        {"name": "book", "path": "/book", "pool": "all", "repeatable": False},
-    ],
-    "pools": [{"name": "all", "service": "all"}],
-}
 
 
 @pytest.fixture(scope="module")
@@ -126,42 +116,7 @@
     folder = tmp_path_factory.mktemp("own")
     fleet = processes.Fleet(folder)
     try:
-        yield _start(fleet, folder, servers)
+        ports = [server.port for server in servers]
+        yield start_instance(fleet, folder, ports)
     finally:
         fleet.stop()
-
-
-def _start(
-    fleet: processes.Fleet, folder: pathlib.Path, servers: list[RawBackend]
-) -> str:
-    control = control_settings("control-1", str(folder))
-    instance = instance_settings("instance-1", control["control"])
-    fleet.start_daemon(control)
-    fleet.start_daemon(instance)
-    tables = folder / "tables.json"
-    tables.write_text(json.dumps(TABLES))
-    operators = f"--operators={control['listen']['operators']}"
-    processes.wait_until(
-        lambda: fleet.run_client("apply", operators, str(tables)).returncode == 0
-    )
-    listen = instance["listen"]
-    for number, server in enumerate(servers):
-        document = {
-            "server_id": f"all-{number}",
-            "service": "all",
-            "host": "127.0.0.1",
-            "port": server.port,
-            "slots": 4,
-            "data_centre": "nord-a",
-            "region": "nord",
-            "state": "ready",
-            "incarnation": 1,
-            "lease_s": 60.0,
-        }
-        url = f"http://{listen['servers']}/announce"
-        assert processes.call("POST", url, json.dumps(document).encode()).status == 200
-    callers: str = listen["callers"]
-    processes.wait_until(
-        lambda: processes.call("GET", f"http://{callers}/look/200").status == 200
-    )
-    return callers
--- a/tests/unit/http/test_cut_heads.py
+++ b/tests/unit/http/test_cut_heads.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable
-from typing import Any
 
 import eventlet
 import pytest
@@ -16,17 +15,10 @@
 from kept_connection import OwnClient
 from kept_connection import PlatformClient
 from kept_connection import ScriptedServer
+from peer_calls import run_at_peer
 
-from pimentobend_adapters._internal.clock import HubClock
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
-from pimentobend_adapters._internal.forwarding.host import LocalAttempt
-from pimentobend_adapters._internal.forwarding.peers import PeerClient
-from pimentobend_adapters._internal.http.bodies import BufferedBody
-from pimentobend_core._internal.forwarding.messages import Submit
-from pimentobend_core._internal.gossip.rows import PeerRow
-from pimentobend_core._internal.gossip.rows import RowVersion
 from pimentobend_core._internal.models.request import AttemptKind
-from pimentobend_core._internal.models.request import RequestHead
 
 CLIENTS: list[type[Client]] = [PlatformClient, OwnClient]
 WAIT_S = 2.0
@@ -174,22 +166,6 @@
 ]
 
 
-def _run_at_peer(raw: ScriptedServer) -> tuple[int, bytes]:
-    """Send an attempt to another daemon; return its answer's status and body."""
-    link: Any = None
-    clock = HubClock()
-    deadline = clock.now() + WAIT_S
-    head = RequestHead("1", "POST", "h", "/x", "", (), "", None, 0.0, deadline)
-    submit = Submit("1", "s", "r", 1, False, 1.0, deadline, "1")
-    version, port = RowVersion(1, 0), raw.server.port
-    peer = PeerRow("127.0.0.1:1", version, 7, "a", "r", False, port, False, ())
-    attempt = LocalAttempt(submit, head, BufferedBody(b""))
-    with eventlet.Timeout(WAIT_S):
-        result = PeerClient(clock, link).run(peer, attempt)
-    assert result.body is not None, result.kind
-    return result.status, b"".join(result.body.chunks())
-
-
 @pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
 @pytest.mark.parametrize("head", [h[1] for h in HOP_HEADS], ids=["first", "last"])
 def test_a_daemon_asks_again_for_an_answer_that_ended_within_its_head(
@@ -197,7 +173,7 @@
 ) -> None:
     def ask(cut: bytes) -> tuple[bytes, tuple[int, bytes], int]:
         raw = ScriptedServer([Broken(cut, ending), head + BODY])
-        return cut, _run_at_peer(raw), raw.connections
+        return cut, run_at_peer(raw, WAIT_S), raw.connections
 
     cuts = [head[:length] for length in range(len(head))]
     outcomes = list(eventlet.GreenPool().imap(ask, cuts))
