Read the fields of a head and its framing by the grammar, once

Callers saw: a server sent "Transfer-Encoding: chunked" with a vertical tab, form feed, 0x1f or no-break space beside the coding and closed. Both interfaces gave 200 with the framing of the chunks as a complete body, on the server's own machine and over a hop; on an open connection the caller waited for its whole deadline. A length with such a byte, or an empty one, gave 200. A legal blank after "chunked" gave the raw framing too. Towards servers' callers the same line let a request hide in the body of another: the daemon ran /inner from the body of /outer.

Cause: check_head and the readers understood one line in two ways. str.strip() removes whatever Unicode calls a blank, so the check took the line for chunked; http.client compares the value unstripped and read until the connection ended.

Why this works: HeadReader takes a line only if it is a field by RFC 9110 (token, colon, text without control bytes) and hands it on without the blanks (SP, HTAB) around its value, so that all later readers get the same bytes. settle_framing decides the framing from these values, leaves only the plain form of it in the headers, and BoundedAnswer reads the body by that decision and no longer by the library's. A coding in HTTP/1.0 and in a 204 is settled there as well (RFC 9112, 6.1 and 6.3).

Held before and keep their rows: names with a blank, a control byte, DEL, beyond ASCII or empty, no colon, a continued line, NUL or CR in a value, lengths that differ, signs, hexadecimal, a length beside a coding.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -14,9 +14,10 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
+from pimentobend_adapters._internal.http.framing import settle_framing
 from pimentobend_adapters._internal.http.heads import HeadReader
 from pimentobend_adapters._internal.http.heads import LineReader
-from pimentobend_adapters._internal.http.heads import check_head
+from pimentobend_adapters._internal.http.heads import MalformedHeadError
 from pimentobend_adapters._internal.http.heads import check_status_line
 
 # With this SO_LINGER value, close() sends a reset and drops unsent data.
@@ -24,6 +25,8 @@
 # Receive calls in a row after which the other tasks of the process may run.
 RECEIVES_PER_TURN = 8
 INTERIM_STATUSES = range(100, 200)
+BODILESS_STATUSES = (204, 304)
+VERSION_1_0 = 10  # as ``http.client`` writes it
 MAX_INTERIM_ANSWERS = 16
 MAX_TRAILER_LINES = 100
 MAX_LINE_BYTES = 65536
@@ -70,6 +73,12 @@
     """
 
     fp: Any
+    chunked: bool
+    length: int | None
+    will_close: bool
+    version: int
+    _check_close: Callable[[], bool]
+    _method: str
 
     def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
         super().__init__(sock, *args, **kwargs)
@@ -85,7 +94,19 @@
         finally:
             if self.fp is not None:
                 self.fp = inner
-        check_head(self.headers)
+        self._frame_body()
+
+    def _frame_body(self) -> None:
+        """Replace the library's own reading of how the body ends."""
+        framing = settle_framing(self.headers)
+        if framing.is_chunked and self.version == VERSION_1_0:
+            raise MalformedHeadError("an answer in HTTP/1.0 is chunked")
+        has_body = self.status not in BODILESS_STATUSES and self._method != "HEAD"
+        self.chunked = framing.is_chunked and has_body
+        self.length = framing.length if has_body else 0
+        self.will_close = self._check_close() or (
+            self.length is None and not self.chunked
+        )
 
     def _read_status(self) -> tuple[str, int, str]:
         """Read the status line of the answer, after the interim answers."""
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/framing.py
@@ -0,0 +1,55 @@
+"""Decide from a head how the body of its message is framed."""
+
+import http.client
+import re
+from typing import NamedTuple
+
+from pimentobend_adapters._internal.http.grammar import BLANKS
+from pimentobend_adapters._internal.http.heads import MalformedHeadError
+
+_LENGTH = "Content-Length"
+_CODING = "Transfer-Encoding"
+_CHUNKED = "chunked"
+# At most 18 digits beside zeros: ``int`` rejects numbers of some thousand digits.
+_NUMBER = re.compile(r"0*([0-9]{1,18})")
+
+
+class Framing(NamedTuple):
+    """How the end of a body is found."""
+
+    is_chunked: bool
+    length: int | None  # in bytes; None if the head has none
+
+
+def settle_framing(headers: http.client.HTTPMessage) -> Framing:
+    """Return the framing that a head states, and leave only that in the headers.
+
+    Whatever reads the headers later finds one plain length, or ``chunked``, or neither.
+    Raises ``MalformedHeadError`` if the framing is in doubt.
+    """
+    lengths = headers.get_all(_LENGTH, ())
+    codings = headers.get_all(_CODING, ())
+    if codings and lengths:
+        raise MalformedHeadError(f"{_LENGTH} and {_CODING} are both set")
+    if codings:
+        if [each.lower() for each in codings] != [_CHUNKED]:
+            raise MalformedHeadError(f"{_CODING} is not a single '{_CHUNKED}'")
+        headers.replace_header(_CODING, _CHUNKED)
+        return Framing(is_chunked=True, length=None)
+    if lengths:
+        length = _read_length(lengths)
+        if lengths != [str(length)]:
+            del headers[_LENGTH]
+            headers[_LENGTH] = str(length)
+        return Framing(is_chunked=False, length=length)
+    return Framing(is_chunked=False, length=None)
+
+
+def _read_length(values: list[str]) -> int:
+    """Return the one length that all values state."""
+    texts = [text.strip(BLANKS) for value in values for text in value.split(",")]
+    matches = [_NUMBER.fullmatch(text) for text in texts]
+    lengths = {int(match[1]) for match in matches if match is not None}
+    if None in matches or len(lengths) != 1:
+        raise MalformedHeadError(f"{_LENGTH} is not a single whole number")
+    return lengths.pop()
--- /dev/null
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
@@ -0,0 +1,28 @@
+"""Read the parts of HTTP/1.1 messages by their grammar (RFC 9110 and RFC 9112).
+
+Python's own functions accept more: ``str.strip`` removes vertical tabs and no-break
+spaces, ``int`` reads signs and underscores. Where two readers of a message accept
+different lines, they see different messages.
+"""
+
+import re
+from typing import NamedTuple
+
+BLANKS = " \t"
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_FIELD = re.compile(rb"(%s):(%s)" % (_TOKEN, _TEXT))
+
+
+class Field(NamedTuple):
+    """A header or trailer, without the blanks around its value."""
+
+    name: bytes
+    value: bytes
+
+
+def read_field(line: bytes) -> Field | None:
+    """Return the field of a line without its end; None if the line is no field."""
+    match = _FIELD.fullmatch(line)
+    return None if match is None else Field(match[1], match[2].strip(BLANKS.encode()))
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -4,25 +4,17 @@
 in its head would then be a whole message, with headers missing or cut short.
 """
 
-import email.errors
 import errno
 import http.client
 import re
 from typing import Any
 
+from pimentobend_adapters._internal.http.grammar import read_field
+
 MAX_HEAD_BYTES = 65536  # of an answer with its interim answers, or of a request
-MAX_LENGTH_DIGITS = 18  # ``int`` rejects numbers of some thousand digits
-
-# The other defects are about the parts of a body.
-_NO_HEADER = (
-    email.errors.FirstHeaderLineIsContinuationDefect,
-    email.errors.InvalidHeaderDefect,
-    email.errors.MissingHeaderBodySeparatorDefect,
-)
+
 # Version, and a status from 100 to 599. ``int`` also reads 0200, +200 and 2_00.
 _STATUS_LINE = re.compile(rb"HTTP/\S+[ \t]+[1-5][0-9]{2}(?:\s|$)")
-# A name, which is a token, and its colon.
-_HEADER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
 
 
 class CutLineError(OSError):
@@ -63,12 +55,12 @@
 
 
 class HeadReader(LineReader):
-    """Raises an error for lines that other readers may understand otherwise.
+    """Returns the header lines of a head without the blanks around their values.
 
-    These are continued lines, lines with CR or NUL, and names that are no tokens.
-    Raises ``HeadTooLargeError`` once the lines exceed ``max_bytes`` in all:
-    ``http.client`` bounds the length of a line and the number of lines, so that a
-    head may have 6 MB.
+    Raises ``MalformedLineError`` for lines that are no headers by the grammar, such as
+    continued ones: other readers may understand them otherwise. Raises
+    ``HeadTooLargeError`` once the lines exceed ``max_bytes`` in all: ``http.client``
+    bounds the length of a line and the number of lines, so that a head may have 6 MB.
     """
 
     def __init__(
@@ -92,17 +84,21 @@
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise HeadTooLargeError(f"the head exceeds {self._max_bytes} bytes")
-        if line.endswith(b"\n"):
-            self._check(line)
-        return line
+        return self._read_line(line) if line.endswith(b"\n") else line
 
-    def _check(self, line: bytes) -> None:
+    def _read_line(self, line: bytes) -> bytes:
         text = line.removesuffix(b"\n").removesuffix(b"\r")
-        if b"\r" in text or b"\0" in text:
-            raise MalformedLineError(errno.EPROTO, "a line holds CR or NUL")
-        is_header, self._is_start_line = not self._is_start_line, not text
-        if is_header and text and not _HEADER.match(text):
+        is_start_line, self._is_start_line = self._is_start_line, not text
+        if not text:
+            return line
+        if is_start_line:
+            if b"\r" in text or b"\0" in text:
+                raise MalformedLineError(errno.EPROTO, "a line holds CR or NUL")
+            return line
+        field = read_field(text)
+        if field is None:
             raise MalformedLineError(errno.EPROTO, "a line of the head is no header")
+        return b"%s:%s\r\n" % field
 
 
 class RequestHeadReader(HeadReader):
@@ -123,29 +119,13 @@
             # The library would answer 431, which is for the operators' limit.
             raise MalformedLineError(errno.EPROTO, str(error)) from error
 
-    def _check(self, line: bytes) -> None:
+    def _read_line(self, line: bytes) -> bytes:
         if not line.endswith(b"\r\n"):
             raise MalformedLineError(errno.EPROTO, "a line does not end with CR LF")
-        super()._check(line)
+        return super()._read_line(line)
 
 
 def check_status_line(line: bytes) -> None:
     """Raise ``InvalidStatusError`` unless the status is 100 to 599, in three digits."""
     if not _STATUS_LINE.match(line):
         raise InvalidStatusError("the status is not three digits from 100 to 599")
-
-
-def check_head(headers: http.client.HTTPMessage) -> None:
-    """Raise ``MalformedHeadError`` if lines or the body's length cannot be read."""
-    if any(isinstance(each, _NO_HEADER) for each in headers.defects):
-        raise MalformedHeadError("a line of the head is no header")
-    lengths = {each.strip() for each in headers.get_all("Content-Length", ())}
-    length = "".join(lengths) or "0"
-    is_number = length.isascii() and length.isdigit()
-    if len(lengths) > 1 or not is_number or len(length) > MAX_LENGTH_DIGITS:
-        raise MalformedHeadError("Content-Length is not a single whole number")
-    encodings = headers.get_all("Transfer-Encoding", ())
-    if encodings and [each.strip().lower() for each in encodings] != ["chunked"]:
-        raise MalformedHeadError("Transfer-Encoding is not a single 'chunked'")
-    if encodings and lengths:
-        raise MalformedHeadError("Content-Length and Transfer-Encoding are both set")
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -89,7 +89,7 @@
     encoding = environ.get("HTTP_TRANSFER_ENCODING")
     if encoding is not None and environ.get("CONTENT_LENGTH"):
         return "Content-Length and Transfer-Encoding are both set"
-    if encoding is not None and encoding.strip().lower() != "chunked":
+    if encoding is not None and encoding.lower() != "chunked":
         return "Transfer-Encoding is not 'chunked'"
     key = _get_header(environ, names.idempotency_key)
     if key is not None and not 0 < len(key) <= MAX_KEY_CHARACTERS:
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -66,6 +66,8 @@
         # First bytes of each answer, and those that follow until the caller closes.
         self.endless: tuple[bytes, bytes] | None = None
         self.status = ""  # of each answer, as it is sent; then the connection ends
+        # Returns all bytes of an answer with these headers; then the connection ends.
+        self.encode: Callable[[bytes], bytes] | None = None
         self.content = b""  # body of the answers, instead of the server's id
         self.hangs = False  # answer requests only after HANG_S, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
@@ -273,6 +275,10 @@
             request.wfile.write(start)
             while True:  # until the caller closes
                 request.wfile.write(more)
+        if self.encode is not None:
+            request.close_connection = True
+            request.wfile.write(self.encode(make_head(request_id)))
+            return
         content = self.content or self.server_id.encode()
         if self.status:
             request.close_connection = True
@@ -323,6 +329,12 @@
                 self.beat()
 
 
+def make_head(request_id: str) -> bytes:
+    """Return the headers that name an answer's request and show who sent it."""
+    lines = (f"{PREFIX}Request-Id: {request_id}", f"{PREFIX}Server-Stamp: stamp")
+    return "".join(f"{line}\r\n" for line in lines).encode()
+
+
 def read_body(request: BaseHTTPRequestHandler) -> bytes | None:
     """Return a request's body, None if it ends early."""
     if request.headers.get("Transfer-Encoding", "").lower() != "chunked":
--- /dev/null
+++ b/tests/unit/http/test_broken_answers.py
@@ -0,0 +1,93 @@
+"""Test answers that break the grammar of HTTP, for all readers of answers.
+
+A check took ``Transfer-Encoding: chunked`` with a vertical tab for chunked and the
+reader did not, so that the caller got the framing of the chunks as the body.
+"""
+
+from collections.abc import Callable
+
+import pytest
+from answer_table import SOUND
+from answer_table import SPOILT_HEADS
+from answer_table import AnswerCase
+from kept_connection import Broken
+from kept_connection import Client
+from kept_connection import Ending
+from kept_connection import OwnClient
+from kept_connection import PlatformClient
+from kept_connection import ScriptedServer
+from kept_connection import Step
+from peer_calls import run_at_peer
+
+from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
+from pimentobend_core._internal.models.request import AttemptKind
+
+CLIENTS: list[type[Client]] = [PlatformClient, OwnClient]
+WAIT_S = 2.0
+CLOSED = "closed"
+OPEN = "open"
+HOP_HEADERS = b'Pimentobend-Hop-Result: ["answered",""]\r\n'
+
+
+def _name(case: object) -> str | None:
+    return case.name if isinstance(case, AnswerCase) else None
+
+
+def _encode(client: Client, case: AnswerCase, request_id: str = "1") -> bytes:
+    return case.encode(f"Stamp: s\r\n{client.id_header}: {request_id}\r\n".encode())
+
+
+def _step(answer: bytes, end: str) -> Step:
+    return Broken(answer, Ending.CLOSE) if end == CLOSED else answer
+
+
+def _call(client: Client, raw: ScriptedServer, request_id: str = "1") -> object:
+    """Return the body of an answer, or how the attempt ended without a whole one."""
+    result = client.call(raw.server, request_id, WAIT_S)
+    if result.body is None:
+        return result.kind
+    try:
+        return b"".join(result.body.chunks())
+    except AnswerTruncatedError:
+        return AttemptKind.TRUNCATED
+
+
+@pytest.mark.parametrize("make_client", CLIENTS)
+@pytest.mark.parametrize("end", [CLOSED, OPEN])
+@pytest.mark.parametrize("case", SPOILT_HEADS, ids=_name)
+def test_a_spoilt_head_is_no_answer(
+    case: AnswerCase, end: str, make_client: Callable[[], Client]
+) -> None:
+    client = make_client()
+    sound = _encode(client, AnswerCase("sound"), "2")
+    raw = ScriptedServer([_step(_encode(client, case), end), sound])
+    result = client.call(raw.server, "1", WAIT_S)
+    assert (result.kind, result.status) == (AttemptKind.NO_ANSWER, 0)
+    assert result.latency_s < WAIT_S, "the rest of the deadline must be left"
+    assert _call(client, raw, "2") == b"ok"
+    assert raw.connections == 2, "the next request needs a new connection"
+
+
+@pytest.mark.parametrize("make_client", CLIENTS)
+@pytest.mark.parametrize("case", SOUND, ids=_name)
+def test_a_sound_answer_is_passed_on(
+    case: AnswerCase, make_client: Callable[[], Client]
+) -> None:
+    client = make_client()
+    raw = ScriptedServer([Broken(_encode(client, case), Ending.CLOSE)])
+    assert _call(client, raw) == case.content
+
+
+@pytest.mark.parametrize("case", SPOILT_HEADS, ids=_name)
+def test_a_daemon_asks_again_for_a_spoilt_answer(case: AnswerCase) -> None:
+    sound = AnswerCase("sound").encode(HOP_HEADERS)
+    raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE), sound])
+    assert run_at_peer(raw, WAIT_S) == (200, b"ok")
+    assert raw.connections == 2
+
+
+@pytest.mark.parametrize("case", SOUND, ids=_name)
+def test_a_daemon_takes_a_sound_answer_of_another(case: AnswerCase) -> None:
+    raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE)])
+    assert run_at_peer(raw, WAIT_S)[1] == case.content
+    assert raw.connections == 1
