Refuse answers whose body breaks before its first byte (own interface)

Callers saw: where a server sent a sound head without a length and then no chunk that can be read, the own interface answered a bare 500 without Pimentobend-Ran.

Cause: the head goes out with the first bytes of the body. The body was read only after start_response, so that the WSGI server found an exception before it had sent anything and wrote an error of its own.

Why this works: write_answer reads the first bytes of such a body before it starts the response, as it reads a small answer of known length. Nothing is sent later than before.

Evidence: two new rows of test_interfaces.py failed before on (500, no Pimentobend-Ran) and pass.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
@@ -1,6 +1,7 @@
 """Write the answers and refusals that callers get."""
 
 import http.client
+import itertools
 from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
@@ -54,14 +55,14 @@
 ) -> Iterator[bytes]:
     """Write a server's answer; yield its body.
 
-    A small answer that was cut off becomes a refusal.
+    An answer that was cut off before its head was sent becomes a refusal.
     """
     request_id = head.request_id
     body = finished.result.body
     assert body is not None
     try:
         chunks = body.chunks()
-        buffered = _read_small(chunks, finished.result.headers)
+        start = _read_start(chunks, finished.result.headers)
     except AnswerTruncatedError as error:
         body.close()
         refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
@@ -76,17 +77,21 @@
         headers.append(("Content-Length", str(body.length)))
     start_response(_status_line(finished.result.status), headers)
     try:
-        yield from buffered
+        yield from start
         yield from chunks
     finally:
         body.close()
 
 
-def _read_small(chunks: Iterator[bytes], headers: Headers) -> list[bytes]:
-    """Read a small answer of known length before its head is sent."""
+def _read_start(chunks: Iterator[bytes], headers: Headers) -> list[bytes]:
+    """Read a small answer of known length, or the first bytes of another one.
+
+    The server sends the head together with the first bytes; if they never come, it
+    would send an error of its own, which does not say whether the request ran.
+    """
     length = find_header(headers, "Content-Length")
     if length is None or int(length) > CHUNK_BYTES:
-        return []
+        return list(itertools.islice(chunks, 1))
     return list(chunks)
 
 
--- a/tests/functional/test_interfaces.py
+++ b/tests/functional/test_interfaces.py
@@ -29,6 +29,9 @@
     + b"x" * (LARGE - 1),
     "short-chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"4\r\nfine\r\n",
+    "no-chunk-size": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"zz\r\nfine\r\n0\r\n\r\n",
+    "no-chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"4\r\nfine\r\n0\r\n\r\n",
     "refuses": b"HTTP/1.1 503 Busy\r\nPimentobend-Ran: not-run\r\n"
@@ -144,6 +147,8 @@
     ("fine", 200, "ran"),
     ("chunked", 200, "ran"),
     ("short", 502, "ran"),
+    ("no-chunk-size", 502, "ran"),
+    ("no-chunk", 502, "ran"),
     ("refuses", 503, "not-run"),
     ("refuses-unnamed", 502, "unknown"),
     ("nonsense", 504, "unknown"),
