Read the status line of answers by the grammar

Callers saw: "HTTP/1.1 200<VT>OK", a tab or two blanks before the status, a control byte in the reason, the versions 0.9, 1.10, "1." and "1.1x" were 200 at both interfaces.

Cause: http.client splits the line at whatever Unicode calls a blank and looks only at the start of the version; check_status_line came after it and took \S+ for a version and \s for what follows the status.

Why this works: HeadReader checks the line before the library sees it (RFC 9112, 4). It lets pass what the library reads in the same way; only the blank before a missing reason may be left out. The check after the library and what it needed are gone.

Held before and keep their rows: the statuses 000, 00 and 2000, no status, version 2, a blank or lower case before it.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -19,7 +19,6 @@
 from pimentobend_adapters._internal.http.heads import HeadReader
 from pimentobend_adapters._internal.http.heads import LineReader
 from pimentobend_adapters._internal.http.heads import MalformedHeadError
-from pimentobend_adapters._internal.http.heads import check_status_line
 
 # With this SO_LINGER value, close() sends a reset and drops unsent data.
 _LINGER_NONE = struct.pack("ii", 1, 0)
@@ -115,23 +114,11 @@
             self._interim_answers += 1
             if self._interim_answers > MAX_INTERIM_ANSWERS:
                 raise http.client.HTTPException("too many interim answers")
-            line = self._read_status_line()
+            line: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
             if line[1] not in INTERIM_STATUSES:
                 return line
             http.client.parse_headers(self.fp)
 
-    def _read_status_line(self) -> tuple[str, int, str]:
-        reader = self.fp  # is None once a line was rejected
-        try:
-            line: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
-        except http.client.RemoteDisconnected:
-            raise
-        except http.client.BadStatusLine:
-            check_status_line(reader.last_line)
-            raise
-        check_status_line(reader.last_line)
-        return line
-
     def _get_chunk_left(self) -> int | None:
         """Return the bytes left of the current chunk; None at the end of the body."""
         if self.chunk_left:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
@@ -12,6 +12,8 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+# The blank before a reason may be missing: many servers leave both out.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: %s)?" % _TEXT)
 _FIELD = re.compile(rb"(%s):(%s)" % (_TOKEN, _TEXT))
 _QUOTED = rb'"(?:[\t\x20-\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
 _EXTENSION = rb"[ \t]*;[ \t]*%s(?:[ \t]*=[ \t]*(?:%s|%s))?" % (_TOKEN, _TOKEN, _QUOTED)
@@ -26,6 +28,11 @@
     value: bytes
 
 
+def is_status_line(line: bytes) -> bool:
+    """Return whether a line without its end has a version 1.x and a status to 599."""
+    return _STATUS_LINE.fullmatch(line) is not None
+
+
 def read_field(line: bytes) -> Field | None:
     """Return the field of a line without its end; None if the line is no field."""
     match = _FIELD.fullmatch(line)
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -6,16 +6,13 @@
 
 import errno
 import http.client
-import re
 from typing import Any
 
+from pimentobend_adapters._internal.http.grammar import is_status_line
 from pimentobend_adapters._internal.http.grammar import read_field
 
 MAX_HEAD_BYTES = 65536  # of an answer with its interim answers, or of a request
 
-# Version, and a status from 100 to 599. ``int`` also reads 0200, +200 and 2_00.
-_STATUS_LINE = re.compile(rb"HTTP/\S+[ \t]+[1-5][0-9]{2}(?:\s|$)")
-
 
 class CutLineError(OSError):
     """A connection ended within a line, or before one that must follow."""
@@ -26,7 +23,7 @@
 
 
 class InvalidStatusError(http.client.HTTPException):
-    """A status line has no status that a server may answer with."""
+    """A line is no status line, or has no status that a server may answer with."""
 
 
 class HeadTooLargeError(http.client.HTTPException):
@@ -70,17 +67,10 @@
         self._left_bytes = max_bytes
         self._max_bytes = max_bytes
         self._is_start_line = has_start_line
-        self._last_line = b""
-
-    @property
-    def last_line(self) -> bytes:
-        """Return the line that was read last."""
-        return self._last_line
 
     def readline(self, limit_bytes: int = -1) -> bytes:
         """Return a line of at most ``limit_bytes`` bytes."""
         line = super().readline(limit_bytes)
-        self._last_line = line
         self._left_bytes -= len(line)
         if self._left_bytes < 0:
             raise HeadTooLargeError(f"the head exceeds {self._max_bytes} bytes")
@@ -89,11 +79,11 @@
     def _read_line(self, line: bytes) -> bytes:
         text = line.removesuffix(b"\n").removesuffix(b"\r")
         is_start_line, self._is_start_line = self._is_start_line, not text
-        if not text:
-            return line
         if is_start_line:
-            if b"\r" in text or b"\0" in text:
-                raise MalformedLineError(errno.EPROTO, "a line holds CR or NUL")
+            if not is_status_line(text):
+                raise InvalidStatusError("no version 1.x with a status of 100 to 599")
+            return line
+        if not text:
             return line
         field = read_field(text)
         if field is None:
@@ -123,9 +113,3 @@
         if not line.endswith(b"\r\n"):
             raise MalformedLineError(errno.EPROTO, "a line does not end with CR LF")
         return super()._read_line(line)
-
-
-def check_status_line(line: bytes) -> None:
-    """Raise ``InvalidStatusError`` unless the status is 100 to 599, in three digits."""
-    if not _STATUS_LINE.match(line):
-        raise InvalidStatusError("the status is not three digits from 100 to 599")
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -14,6 +14,7 @@
 from answer_table import SPOILT_CHUNKS
 from answer_table import SPOILT_LENGTHS
 from answer_table import SPOILT_LINES
+from answer_table import SPOILT_STATUSES
 from answer_table import AnswerCase
 from own_fleet import start_instance
 from platform_fleet import Fleet
@@ -44,6 +45,10 @@
     "length, NBSP after",
     "length, empty",
     "lengths that differ",
+    "status 000",
+    "no status",
+    "VT after the status",
+    "version 2",
     "a name with a blank",
     "a name with a control byte",
     "a blank before the colon",
@@ -52,7 +57,11 @@
     "a value with NUL",
     "a value with VT",
 }
-HEADS = [case for case in [*SPOILT_LENGTHS, *SPOILT_LINES] if case.name in NAMES]
+HEADS = [
+    case
+    for case in [*SPOILT_LENGTHS, *SPOILT_STATUSES, *SPOILT_LINES]
+    if case.name in NAMES
+]
 BODY_NAMES = {
     "a size with a sign",
     "a blank before a size",
--- a/tests/lib/answer_table.py
+++ b/tests/lib/answer_table.py
@@ -92,6 +92,28 @@
     AnswerCase("a coding in HTTP/1.0", CHUNKED, CHUNKS, b"HTTP/1.0 200 OK\r\n"),
 ]
 
+SPOILT_STATUSES = [
+    _status("status 000", b"HTTP/1.1 000 OK"),
+    _status("status 00", b"HTTP/1.1 00 OK"),
+    _status("status 2000", b"HTTP/1.1 2000 OK"),
+    _status("no status", b"HTTP/1.1 OK"),
+    _status("nothing but a version", b"HTTP/1.1"),
+    _status("VT before the status", b"HTTP/1.1 \x0b200 OK"),
+    _status("VT after the status", b"HTTP/1.1 200\x0bOK"),
+    _status("NBSP after the status", b"HTTP/1.1 200\xa0OK"),
+    _status("a tab before the status", b"HTTP/1.1\t200 OK"),
+    _status("two blanks before the status", b"HTTP/1.1  200 OK"),
+    _status("a control byte in the reason", b"HTTP/1.1 200 O\x01K"),
+    _status("NUL in the reason", b"HTTP/1.1 200 O\0K"),
+    _status("a version with more", b"HTTP/1.1x 200 OK"),
+    _status("a version with two digits", b"HTTP/1.10 200 OK"),
+    _status("a version without a digit", b"HTTP/1. 200 OK"),
+    _status("version 2", b"HTTP/2 200 OK"),
+    _status("version 0.9", b"HTTP/0.9 200 OK"),
+    _status("a version in lower case", b"http/1.1 200 OK"),
+    _status("a blank before the version", b" HTTP/1.1 200 OK"),
+]
+
 SPOILT_LINES = [
     _line("a name with a blank", b"Con tent: x"),
     _line("a blank before the colon", b"Name : x"),
@@ -112,7 +134,7 @@
     AnswerCase("a body of an interim answer", first=b"HTTP/1.1 103 X\r\n\r\nbody\r\n"),
 ]
 
-SPOILT_HEADS = [*SPOILT_LENGTHS, *SPOILT_LINES]
+SPOILT_HEADS = [*SPOILT_LENGTHS, *SPOILT_STATUSES, *SPOILT_LINES]
 
 SPOILT_CHUNKS = [
     _chunks("a size with a sign", b"+2\r\nok\r\n0\r\n\r\n"),
