Take no spoilt answer for the crash of its server (platform)

Callers saw: after an answer with a head or a chunk that cannot be read, the attempts that waited for the same server were held back until a probe of it.

Cause: is_broken means that the connection ended before an answer did; every error but a time-out and an invalid status counted as that, so also bytes that came and were no answer.

Why this works: an HTTPException, but for IncompleteRead, and a malformed line are about bytes that came; what urllib3 wraps while a body is read counts by its cause. Such an attempt ends as failed, which the liveness of the server takes into account. An answer that is cut off is still a break.

--- a/tests/unit/http/test_broken_answers.py
+++ b/tests/unit/http/test_broken_answers.py
@@ -8,6 +8,7 @@
 
 import pytest
 from answer_table import CUT_TRAILERS
+from answer_table import LENGTH
 from answer_table import SOUND
 from answer_table import SPOILT_CHUNKS
 from answer_table import SPOILT_HEADS
@@ -91,6 +92,35 @@
     assert raw.connections == 2, "the next request needs a new connection"
 
 
+INTERIM = b"HTTP/1.1 103 X\r\n\r\n"
+OVERLONG = [
+    AnswerCase("too many interim answers", first=INTERIM * 20),
+    AnswerCase("too many headers", b"Name: x\r\n" * 120 + LENGTH),
+    AnswerCase("a head too large", b"Name: %s\r\n" % (b"x" * 1000) * 70 + LENGTH),
+]
+
+
+@pytest.mark.parametrize("case", [*SPOILT_HEADS, *SPOILT_CHUNKS, *OVERLONG], ids=_name)
+def test_a_server_that_sends_a_spoilt_answer_has_not_crashed(
+    case: AnswerCase,
+) -> None:
+    """A suspected crash holds back the server's queued attempts until a probe."""
+    client = PlatformClient()
+    raw = ScriptedServer([_encode(client, case)])
+    result = client.call(raw.server, "1", WAIT_S)
+    assert result.kind is AttemptKind.NO_ANSWER
+    assert not result.is_broken
+
+
+@pytest.mark.parametrize("case", CUT_TRAILERS, ids=_name)
+def test_a_server_that_ends_within_an_answer_may_have_crashed(
+    case: AnswerCase,
+) -> None:
+    client = PlatformClient()
+    raw = ScriptedServer([Broken(_encode(client, case), Ending.CLOSE)])
+    assert client.call(raw.server, "1", WAIT_S).is_broken
+
+
 @pytest.mark.parametrize("make_client", CLIENTS)
 @pytest.mark.parametrize("case", SOUND, ids=_name)
 def test_a_sound_answer_is_passed_on(
