Split the strict reading of answers from the sockets of eventlet

StrictAnswer reads by the grammar over any socket; BoundedAnswer adds the check for bytes beyond the end. No change of behaviour: the operators' client is to read its answers in the same way without importing eventlet, which would slow its start and print a deprecation warning to the operator.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -4,7 +4,6 @@
 import select
 from collections.abc import Callable
 from http.client import HTTPException
-from http.client import IncompleteRead
 from typing import Any
 from typing import NamedTuple
 
@@ -21,10 +20,10 @@
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
-from pimentobend_adapters._internal.http.heads import MalformedLineError
 from pimentobend_adapters._internal.http.judgement import Exchange
 from pimentobend_adapters._internal.http.judgement import Verdict
 from pimentobend_adapters._internal.http.judgement import judge
+from pimentobend_adapters._internal.http.strict_answer import is_malformed
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.models.request import AttemptKind
 from pimentobend_core._internal.models.request import Headers
@@ -96,8 +95,9 @@
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             failed = self._failed(_classify_error(error, connection), started)
+            # A server that sends what is no answer has not crashed.
             is_broken = failed.kind is AttemptKind.NO_ANSWER and not (
-                isinstance(error, TimeoutError) or _is_malformed(error)
+                isinstance(error, TimeoutError) or is_malformed(error)
             )
             return failed._replace(is_broken=is_broken)
         finally:
@@ -221,17 +221,6 @@
     return AttemptKind.NO_ANSWER
 
 
-def _is_malformed(error: Exception) -> bool:
-    """Return whether a server sent bytes that are no answer.
-
-    It has not crashed, as it did answer.
-    """
-    cause = error.__cause__ or error  # urllib3 wraps what it meets in a body
-    if isinstance(cause, IncompleteRead):
-        return False
-    return isinstance(cause, HTTPException | MalformedLineError)
-
-
 def _must_close(headers: Headers, response: Any, connection: Any) -> bool:
     """Return whether a connection ends with an answer, or has bytes beyond it."""
     value = find_header(headers, "Connection") or ""
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/chunk_lines.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/chunk_lines.py
@@ -2,8 +2,6 @@
 
 import http.client
 
-import eventlet.wsgi
-
 from pimentobend_adapters._internal.http.grammar import read_chunk_size
 from pimentobend_adapters._internal.http.grammar import read_field
 from pimentobend_adapters._internal.http.heads import LineReader
@@ -12,14 +10,8 @@
 _LINE_END = b"\r\n"
 
 
-class MalformedChunkError(
-    http.client.HTTPException,
-    eventlet.wsgi.ChunkReadError,  # type: ignore[misc]
-):
-    """A chunked body has a line that is none by the grammar.
-
-    Each of the two libraries handles one of the base classes.
-    """
+class MalformedChunkError(http.client.HTTPException):
+    """A chunked body has a line that is none by the grammar."""
 
 
 class ChunkLines:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/chunks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/chunks.py
@@ -6,6 +6,7 @@
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.http.chunk_lines import ChunkLines
+from pimentobend_adapters._internal.http.chunk_lines import MalformedChunkError
 
 MAX_LINE_BYTES = 4096
 
@@ -33,6 +34,12 @@
         self, rfile: Any, length: int | None = None, use_readline: bool = False
     ) -> bytes:
         """Return up to ``length`` bytes, all of the body without; raise ValueError."""
+        try:
+            return self._read_chunks(rfile, length)
+        except MalformedChunkError as error:
+            raise eventlet.wsgi.ChunkReadError(str(error)) from error
+
+    def _read_chunks(self, rfile: Any, length: int | None) -> bytes:
         if self.should_send_hundred_continue:
             self.send_hundred_continue_response()
             self.is_hundred_continue_response_sent = True
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -1,7 +1,6 @@
 """Open connections that report a reset as an error, not as an end of file."""
 
 import errno
-import http.client
 import socket
 import struct
 from collections.abc import Callable
@@ -14,21 +13,12 @@
 from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import NewConnectionError
 
-from pimentobend_adapters._internal.http.chunk_lines import ChunkLines
-from pimentobend_adapters._internal.http.framing import settle_framing
-from pimentobend_adapters._internal.http.heads import HeadReader
-from pimentobend_adapters._internal.http.heads import LineReader
-from pimentobend_adapters._internal.http.heads import MalformedHeadError
+from pimentobend_adapters._internal.http.strict_answer import StrictAnswer
 
 # With this SO_LINGER value, close() sends a reset and drops unsent data.
 _LINGER_NONE = struct.pack("ii", 1, 0)
 # Receive calls in a row after which the other tasks of the process may run.
 RECEIVES_PER_TURN = 8
-INTERIM_STATUSES = range(100, 200)
-BODILESS_STATUSES = (204, 304)
-VERSION_1_0 = 10  # as ``http.client`` writes it
-MAX_INTERIM_ANSWERS = 16
-MAX_LINE_BYTES = 65536  # of a chunk's size, or of a trailer
 
 
 class ResetError(OSError):
@@ -64,73 +54,15 @@
         return super()._recv_loop(receive, empty_val, *args)
 
 
-class BoundedAnswer(http.client.HTTPResponse):
-    """Answer with a whole head, and a bound on its interim answers and trailers.
+class BoundedAnswer(StrictAnswer):
+    """Strict answer that tells its socket of bytes beyond its end.
 
-    Bytes that came with it, beyond its end, belong to no request: its connection is
-    then not used again.
+    They belong to no request, so that the connection is not used again.
     """
 
-    fp: Any
-    chunked: bool
-    chunk_left: int | None
-    length: int | None
-    will_close: bool
-    version: int
-    _check_close: Callable[[], bool]
-    _method: str
-
     def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
         super().__init__(sock, *args, **kwargs)
         self._socket = sock
-        self._interim_answers = 0
-
-    def begin(self) -> None:
-        """Read the head; raise ``CutLineError`` if it is not whole."""
-        inner = self.fp
-        self.fp = HeadReader(inner, has_start_line=True)
-        try:
-            super().begin()
-        finally:
-            if self.fp is not None:
-                self.fp = inner
-        self._frame_body()
-
-    def _frame_body(self) -> None:
-        """Replace the library's own reading of how the body ends."""
-        framing = settle_framing(self.headers)
-        if framing.is_chunked and self.version == VERSION_1_0:
-            raise MalformedHeadError("an answer in HTTP/1.0 is chunked")
-        has_body = self.status not in BODILESS_STATUSES and self._method != "HEAD"
-        self.chunked = framing.is_chunked and has_body
-        self.length = framing.length if has_body else 0
-        self.will_close = self._check_close() or (
-            self.length is None and not self.chunked
-        )
-
-    def _read_status(self) -> tuple[str, int, str]:
-        """Read the status line of the answer, after the interim answers."""
-        while True:
-            self._interim_answers += 1
-            if self._interim_answers > MAX_INTERIM_ANSWERS:
-                raise http.client.HTTPException("too many interim answers")
-            line: tuple[str, int, str] = super()._read_status()  # type: ignore[misc]
-            if line[1] not in INTERIM_STATUSES:
-                return line
-            http.client.parse_headers(self.fp)
-
-    def _get_chunk_left(self) -> int | None:
-        """Return the bytes left of the current chunk; None at the end of the body."""
-        if self.chunk_left:
-            return self.chunk_left
-        lines = ChunkLines(LineReader(self.fp), MAX_LINE_BYTES)
-        if self.chunk_left is not None:
-            lines.read_end()
-        self.chunk_left = lines.read_size() or None
-        if self.chunk_left is None:
-            lines.discard_trailers()
-            self._close_conn()
-        return self.chunk_left
 
     def _close_conn(self) -> None:
         self._socket.is_paused = True
