Let the operators' client read responses by the grammar

Operators saw: pimentobend, the stand-in and the demo took a response for whole whose length, chunks, status line or fields cannot be read for certain, and apply reported "in force" from it.

Cause: they read answers with urllib3 and http.client alone; the strict reader was built into the connections of the daemons.

Why this works: create_pools gives them StrictAnswer over plain sockets. Such a response is an UnreachableError with its own words, so that apply sends the change again under the same id and says in the end that it may be in force, as for a lost response.

The command starts without eventlet, as before.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/connections.py
@@ -73,7 +73,7 @@
             self._socket.must_close = True
         finally:
             self._socket.is_paused = False
-        super()._close_conn()  # type: ignore[misc]
+        super()._close_conn()
 
 
 class StrictConnection(HTTPConnection):
--- a/packages/client/src/pimentobend/_internal/demo/script.py
+++ b/packages/client/src/pimentobend/_internal/demo/script.py
@@ -7,7 +7,6 @@
 from typing import NamedTuple
 
 import eventlet
-import urllib3
 
 from pimentobend._internal.demo import fleet
 from pimentobend._internal.demo.stand_in import StandInServer
@@ -17,6 +16,7 @@
 from pimentobend_adapters._internal.http.headers import RAN
 from pimentobend_adapters._internal.http.headers import REASON
 from pimentobend_adapters._internal.http.server import Address
+from pimentobend_adapters._internal.http.strict_pools import create_pools
 from pimentobend_core._internal.models.request import RefusalReason
 
 START_TIMEOUT_S = 10.0
@@ -47,7 +47,7 @@
         self._callers = callers
         self._servers = servers
         self._operators = OperatorsClient(str(operators), None)
-        self._http = urllib3.PoolManager(retries=False, timeout=5.0, maxsize=CALLERS)
+        self._http = create_pools(timeout=5.0, maxsize=CALLERS)
 
     def run(self) -> list[Step]:
         """Run all steps and return their results."""
--- a/packages/client/src/pimentobend/_internal/demo/stand_in.py
+++ b/packages/client/src/pimentobend/_internal/demo/stand_in.py
@@ -18,6 +18,7 @@
 from pimentobend_adapters._internal.http.headers import REQUEST_ID
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_adapters._internal.http.server import HttpServer
+from pimentobend_adapters._internal.http.strict_pools import create_pools
 
 LEASE_S = 6.0
 RENEW_S = 2.0  # interval of the announcements that renew the lease
@@ -113,7 +114,7 @@
         self._http = HttpServer(address, self)
         self._address = self._http.address
         self._connections: Any = weakref.WeakSet()  # sockets that carried a request
-        self._pool = urllib3.PoolManager(retries=False, timeout=ANNOUNCE_TIMEOUT_S)
+        self._pool = create_pools(timeout=ANNOUNCE_TIMEOUT_S)
         self._in_use = 0
         self._state = "ready"
         self._incarnation = time.time_ns()
--- a/packages/client/src/pimentobend/_internal/operators.py
+++ b/packages/client/src/pimentobend/_internal/operators.py
@@ -11,6 +11,8 @@
 from pimentobend._internal.exceptions import ClientError
 from pimentobend._internal.exceptions import RefusedError
 from pimentobend._internal.exceptions import UnreachableError
+from pimentobend_adapters._internal.http.strict_answer import is_malformed
+from pimentobend_adapters._internal.http.strict_pools import create_pools
 
 TIMEOUT_S = 15.0
 HTTP_OK = 200
@@ -21,16 +23,14 @@
 class OperatorsClient:
     """Sends requests to the operators' interface of one daemon.
 
-    Each request raises ``UnreachableError`` if there is no response, and
+    Each request raises ``UnreachableError`` if there is no whole response, and
     ``RefusedError`` if its status is not 200.
     """
 
     def __init__(self, address: str, token_file: str | None) -> None:
         self._address = address
         self._token_file = token_file
-        self._http = urllib3.PoolManager(
-            retries=False, timeout=urllib3.Timeout(total=TIMEOUT_S)
-        )
+        self._http = create_pools(timeout=urllib3.Timeout(total=TIMEOUT_S))
 
     def get(self, path: str, **query: str) -> Document:
         """Send a GET request and return the JSON document of the response."""
@@ -53,6 +53,12 @@
                 method, url, body=content, headers=self._headers()
             )
         except urllib3.exceptions.HTTPError as error:
+            if is_malformed(error):
+                raise UnreachableError(
+                    "the response is not HTTP",
+                    context=f"{self._address}: {error.args[-1]}",
+                    hint="is this the operators' address of a daemon?",
+                ) from error
             raise UnreachableError(
                 "no response from the daemon",
                 context=f"{self._address}: {type(error).__name__}",
--- a/tests/lib/answer_table.py
+++ b/tests/lib/answer_table.py
@@ -5,10 +5,10 @@
 
 from typing import NamedTuple
 
-BODY = b"ok"
+BODY = b"{}"  # is also a document of the operators' interface
 LENGTH = b"Content-Length: 2\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
-CHUNKS = b"2\r\nok\r\n0\r\n\r\n"
+CHUNKS = b"2\r\n{}\r\n0\r\n\r\n"
 
 
 class AnswerCase(NamedTuple):
@@ -137,33 +137,33 @@
 SPOILT_HEADS = [*SPOILT_LENGTHS, *SPOILT_STATUSES, *SPOILT_LINES]
 
 SPOILT_CHUNKS = [
-    _chunks("a size with a sign", b"+2\r\nok\r\n0\r\n\r\n"),
-    _chunks("a size with a prefix", b"0x2\r\nok\r\n0\r\n\r\n"),
-    _chunks("a size with an underscore", b"0_2\r\nok\r\n0\r\n\r\n"),
-    _chunks("a blank before a size", b" 2\r\nok\r\n0\r\n\r\n"),
-    _chunks("VT before a size", b"\x0b2\r\nok\r\n0\r\n\r\n"),
-    _chunks("VT after a size", b"2\x0b\r\nok\r\n0\r\n\r\n"),
-    _chunks("a blank after a size", b"2 \r\nok\r\n0\r\n\r\n"),
-    _chunks("a size that ends with LF", b"2\nok\r\n0\r\n\r\n"),
-    _chunks("no size", b"\r\nok\r\n0\r\n\r\n"),
-    _chunks("a huge size", b"f" * 17 + b"\r\nok\r\n0\r\n\r\n"),
-    _chunks("a sign of the last size", b"2\r\nok\r\n-0\r\n\r\n"),
-    _chunks("an extension with a control byte", b"2;a=\x01\r\nok\r\n0\r\n\r\n"),
-    _chunks("an extension with VT", b"2;\x0ba\r\nok\r\n0\r\n\r\n"),
-    _chunks("an extension without a name", b"2;=b\r\nok\r\n0\r\n\r\n"),
-    _chunks("an extension with an open quote", b'2;a="b\r\nok\r\n0\r\n\r\n'),
-    _chunks("other bytes after a chunk", b"2\r\nokxx0\r\n\r\n"),
-    _chunks("LF after a chunk", b"2\r\nok\n0\r\n\r\n"),
-    _chunks("more bytes than the size", b"2\r\noks\r\n0\r\n\r\n"),
-    _chunks("a trailer without a colon", b"2\r\nok\r\n0\r\nName\r\n\r\n"),
-    _chunks("a trailer with a blank in its name", b"2\r\nok\r\n0\r\nN a: x\r\n\r\n"),
-    _chunks("a trailer with a control byte", b"2\r\nok\r\n0\r\nN: \x01\r\n\r\n"),
-    _chunks("CR in a trailer", b"2\r\nok\r\n0\r\nN: x\ry\r\n\r\n"),
+    _chunks("a size with a sign", b"+2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a size with a prefix", b"0x2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a size with an underscore", b"0_2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a blank before a size", b" 2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("VT before a size", b"\x0b2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("VT after a size", b"2\x0b\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a blank after a size", b"2 \r\n{}\r\n0\r\n\r\n"),
+    _chunks("a size that ends with LF", b"2\n{}\r\n0\r\n\r\n"),
+    _chunks("no size", b"\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a huge size", b"f" * 17 + b"\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a sign of the last size", b"2\r\n{}\r\n-0\r\n\r\n"),
+    _chunks("an extension with a control byte", b"2;a=\x01\r\n{}\r\n0\r\n\r\n"),
+    _chunks("an extension with VT", b"2;\x0ba\r\n{}\r\n0\r\n\r\n"),
+    _chunks("an extension without a name", b"2;=b\r\n{}\r\n0\r\n\r\n"),
+    _chunks("an extension with an open quote", b'2;a="b\r\n{}\r\n0\r\n\r\n'),
+    _chunks("other bytes after a chunk", b"2\r\n{}xx0\r\n\r\n"),
+    _chunks("LF after a chunk", b"2\r\n{}\n0\r\n\r\n"),
+    _chunks("more bytes than the size", b"2\r\n{}s\r\n0\r\n\r\n"),
+    _chunks("a trailer without a colon", b"2\r\n{}\r\n0\r\nName\r\n\r\n"),
+    _chunks("a trailer with a blank in its name", b"2\r\n{}\r\n0\r\nN a: x\r\n\r\n"),
+    _chunks("a trailer with a control byte", b"2\r\n{}\r\n0\r\nN: \x01\r\n\r\n"),
+    _chunks("CR in a trailer", b"2\r\n{}\r\n0\r\nN: x\ry\r\n\r\n"),
 ]
 
 CUT_TRAILERS = [  # that count as cut only if the connection ends after them
-    _chunks("no end of the trailers", b"2\r\nok\r\n0\r\n"),
-    _chunks("a trailer cut off", b"2\r\nok\r\n0\r\nName: x"),
+    _chunks("no end of the trailers", b"2\r\n{}\r\n0\r\n"),
+    _chunks("a trailer cut off", b"2\r\n{}\r\n0\r\nName: x"),
 ]
 
 SOUND = [
@@ -182,13 +182,13 @@
     _coding("tabs around a coding", b"\tchunked\t"),
     _coding("a coding in capitals", b" CHUNKED"),
     AnswerCase("a name in capitals", b"TRANSFER-ENCODING: Chunked\r\n", CHUNKS),
-    _chunks("zeros before a size", b"002\r\nok\r\n000\r\n\r\n"),
-    _chunks("many zeros before a size", b"0" * 30 + b"2\r\nok\r\n0\r\n\r\n"),
-    _chunks("a size in lower case", b"a\r\n0123456789\r\n0\r\n\r\n")._replace(
-        content=b"0123456789"
+    _chunks("zeros before a size", b"002\r\n{}\r\n000\r\n\r\n"),
+    _chunks("many zeros before a size", b"0" * 30 + b"2\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a size in lower case", b"a\r\n1234567890\r\n0\r\n\r\n")._replace(
+        content=b"1234567890"
     ),
-    _chunks("a size in capitals", b"A\r\n0123456789\r\n0\r\n\r\n")._replace(
-        content=b"0123456789"
+    _chunks("a size in capitals", b"A\r\n1234567890\r\n0\r\n\r\n")._replace(
+        content=b"1234567890"
     ),
     AnswerCase(
         "a status without a body",
@@ -199,11 +199,11 @@
     AnswerCase(
         "a coding without a body", CHUNKED, b"", b"HTTP/1.1 204 X\r\n", content=b""
     ),
-    _chunks("an extension", b"2;a\r\nok\r\n0;b=c\r\n\r\n"),
-    _chunks("blanks in extensions", b"2 ; a = b\t;c\r\nok\r\n0\r\n\r\n"),
-    _chunks("a quoted extension", b'2;a="b;\\"c\xe9"\r\nok\r\n0\r\n\r\n'),
-    _chunks("a trailer", b"2\r\nok\r\n0\r\nName: x\r\nEmpty:\r\n\r\n"),
-    _chunks("two chunks", b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
+    _chunks("an extension", b"2;a\r\n{}\r\n0;b=c\r\n\r\n"),
+    _chunks("blanks in extensions", b"2 ; a = b\t;c\r\n{}\r\n0\r\n\r\n"),
+    _chunks("a quoted extension", b'2;a="b;\\"c\xe9"\r\n{}\r\n0\r\n\r\n'),
+    _chunks("a trailer", b"2\r\n{}\r\n0\r\nName: x\r\nEmpty:\r\n\r\n"),
+    _chunks("two chunks", b"1\r\n{\r\n1\r\n}\r\n0\r\n\r\n"),
     _status("no reason", b"HTTP/1.1 200 "),
     _status("no blank after the status", b"HTTP/1.1 200"),
     _status("a reason of several words", b"HTTP/1.1 200 All\tis well"),
--- a/tests/unit/http/test_broken_answers.py
+++ b/tests/unit/http/test_broken_answers.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import pytest
+from answer_table import BODY
 from answer_table import CUT_TRAILERS
 from answer_table import LENGTH
 from answer_table import SOUND
@@ -67,7 +68,7 @@
     result = client.call(raw.server, "1", WAIT_S)
     assert (result.kind, result.status) == (AttemptKind.NO_ANSWER, 0)
     assert result.latency_s < WAIT_S, "the rest of the deadline must be left"
-    assert _call(client, raw, "2") == b"ok"
+    assert _call(client, raw, "2") == BODY
     assert raw.connections == 2, "the next request needs a new connection"
 
 
@@ -88,7 +89,7 @@
     raw = ScriptedServer([_step(_encode(client, case), end), sound])
     outcome = _call(client, raw)
     assert outcome in (AttemptKind.NO_ANSWER, AttemptKind.TRUNCATED)
-    assert _call(client, raw, "2") == b"ok"
+    assert _call(client, raw, "2") == BODY
     assert raw.connections == 2, "the next request needs a new connection"
 
 
@@ -137,7 +138,7 @@
 def test_a_daemon_asks_again_for_a_spoilt_answer(case: AnswerCase) -> None:
     sound = AnswerCase("sound").encode(HOP_HEADERS)
     raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE), sound])
-    assert run_at_peer(raw, WAIT_S) == (200, b"ok")
+    assert run_at_peer(raw, WAIT_S) == (200, BODY)
     assert raw.connections == 2
 
 
