Read the numbers of headers within a bound (own interface)

Callers saw: an answer whose Pimentobend-Load had 5,000 digits ended the request by an exception, a bare 500 although the server had answered 200; so did a deadline of 5,000 digits in a request, which has to be refused.

Cause: int() rejects numbers of more than 4,300 digits; isdigit() before it does not. The length of a body had a bound of its own.

Why this works: read_number takes digits alone, 18 at most beside zeros, and is now the only reader of a length, a load report and a deadline.

Evidence: two new rows of test_interfaces.py failed before and pass.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/framing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/framing.py
@@ -1,17 +1,15 @@
 """Decide from a head how the body of its message is framed."""
 
 import http.client
-import re
 from typing import NamedTuple
 
 from pimentobend_adapters._internal.http.grammar import BLANKS
+from pimentobend_adapters._internal.http.grammar import read_number
 from pimentobend_adapters._internal.http.heads import MalformedHeadError
 
 _LENGTH = "Content-Length"
 _CODING = "Transfer-Encoding"
 _CHUNKED = "chunked"
-# At most 18 digits beside zeros: ``int`` rejects numbers of some thousand digits.
-_NUMBER = re.compile(r"0*([0-9]{1,18})")
 
 
 class Framing(NamedTuple):
@@ -48,8 +46,8 @@
 def _read_length(values: list[str]) -> int:
     """Return the one length that all values state."""
     texts = [text.strip(BLANKS) for value in values for text in value.split(",")]
-    matches = [_NUMBER.fullmatch(text) for text in texts]
-    lengths = {int(match[1]) for match in matches if match is not None}
-    if None in matches or len(lengths) != 1:
+    lengths = {read_number(text) for text in texts}
+    length = lengths.pop()
+    if length is None or lengths:
         raise MalformedHeadError(f"{_LENGTH} is not a single whole number")
-    return lengths.pop()
+    return length
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
@@ -15,6 +15,8 @@
 # The blank before a reason may be missing: many servers leave both out.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: %s)?" % _TEXT)
 _FIELD = re.compile(rb"(%s):(%s)" % (_TOKEN, _TEXT))
+# At most 18 digits beside zeros: ``int`` rejects numbers of some thousand digits.
+_NUMBER = re.compile(r"0*([0-9]{1,18})")
 _QUOTED = rb'"(?:[\t\x20-\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
 _EXTENSION = rb"[ \t]*;[ \t]*%s(?:[ \t]*=[ \t]*(?:%s|%s))?" % (_TOKEN, _TOKEN, _QUOTED)
 # At most 15 digits beside zeros, 1 EB.
@@ -28,6 +30,12 @@
     value: bytes
 
 
+def read_number(text: str) -> int | None:
+    """Return the number that text writes in digits alone; None if it does not."""
+    match = _NUMBER.fullmatch(text)
+    return None if match is None else int(match[1])
+
+
 def is_status_line(line: bytes) -> bool:
     """Return whether a line without its end has a version 1.x and a status to 599."""
     return _STATUS_LINE.fullmatch(line) is not None
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/headers.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from pimentobend_adapters._internal.http.grammar import read_number
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import LoadReport
 
@@ -71,9 +72,10 @@
 def parse_load(value: str | None) -> LoadReport | None:
     """Parse ``in_use/slots``; None if it is absent or malformed."""
     in_use, _, slots = (value or "").partition("/")
-    if in_use.isascii() and in_use.isdigit() and slots.isascii() and slots.isdigit():
-        return LoadReport(int(in_use), int(slots))
-    return None
+    numbers = (read_number(in_use), read_number(slots))
+    if numbers[0] is None or numbers[1] is None:
+        return None
+    return LoadReport(numbers[0], numbers[1])
 
 
 def to_header_value(text: str) -> str:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -12,6 +12,7 @@
 from pimentobend_adapters._internal.http.credentials import find_key_digest
 from pimentobend_adapters._internal.http.credentials import hide_credentials
 from pimentobend_adapters._internal.http.credentials import is_from_this_machine
+from pimentobend_adapters._internal.http.grammar import read_number
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
@@ -102,8 +103,8 @@
 def _find_deadline_fault(name: str, value: str | None) -> str | None:
     if value is None:
         return None
-    is_number = value.isascii() and value.isdigit()
-    if is_number and int(value) <= MAX_DEADLINE_MS:
+    number = read_number(value)
+    if number is not None and number <= MAX_DEADLINE_MS:
         return None
     return f"{name} is not a whole number from 0 to {MAX_DEADLINE_MS}"
 
--- a/tests/functional/test_interfaces.py
+++ b/tests/functional/test_interfaces.py
@@ -21,6 +21,7 @@
 TABLES = {"routes": [ROUTE], "pools": [{"name": "raw", "service": "raw"}]}
 
 LARGE = 300_000
+DIGITS = b"9" * 5000  # more than ``int`` reads
 ANSWERS = {
     "fine": b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nConnection: close, X-Hop\r\n"
     b"X-Hop: 1\r\nX-End: 1\r\nSet-Cookie: a\r\nSet-Cookie: b\r\n\r\nfine",
@@ -32,6 +33,8 @@
     "no-chunk-size": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"zz\r\nfine\r\n0\r\n\r\n",
     "no-chunk": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "huge-load": b"HTTP/1.1 200 OK\r\nPimentobend-Load: %s/1\r\n" % DIGITS
+    + b"Content-Length: 4\r\n\r\nfine",
     "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"4\r\nfine\r\n0\r\n\r\n",
     "refuses": b"HTTP/1.1 503 Busy\r\nPimentobend-Ran: not-run\r\n"
@@ -118,6 +121,7 @@
     ("huge line", b"GET /" + b"x" * 70_000 + b" HTTP/1.1\r\n\r\n", 414),
     ("no request", b"nonsense\r\n\r\n", 400),
     ("bad deadline", GET + b"Pimentobend-Deadline-Ms: -5\r\n\r\n", 400),
+    ("huge deadline", GET + b"Pimentobend-Deadline-Ms: %s\r\n\r\n" % DIGITS, 400),
     ("empty key", GET + b"Idempotency-Key: \r\n\r\n", 400),
 ]
 
@@ -146,6 +150,7 @@
 BACKEND_ANSWERS = [
     ("fine", 200, "ran"),
     ("chunked", 200, "ran"),
+    ("huge-load", 200, "ran"),
     ("short", 502, "ran"),
     ("no-chunk-size", 502, "ran"),
     ("no-chunk", 502, "ran"),
