--- a/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 BLANKS = " \t"
+_BLANK_BYTES = BLANKS.encode()
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -44,7 +45,7 @@
 def read_field(line: bytes) -> Field | None:
     """Return the field of a line without its end; None if the line is no field."""
     match = _FIELD.fullmatch(line)
-    return None if match is None else Field(match[1], match[2].strip(BLANKS.encode()))
+    return None if match is None else Field(match[1], match[2].strip(_BLANK_BYTES))
 
 
 def read_chunk_size(line: bytes) -> int | None:
--- a/tests/unit/http/test_broken_answers.py
+++ b/tests/unit/http/test_broken_answers.py
@@ -24,6 +24,8 @@
 from peer_calls import run_at_peer
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
+from pimentobend_adapters._internal.forwarding.host import _end_kind
+from pimentobend_core._internal.forwarding.messages import EndKind
 from pimentobend_core._internal.models.request import AttemptKind
 
 CLIENTS: list[type[Client]] = [PlatformClient, OwnClient]
@@ -111,6 +113,7 @@
     result = client.call(raw.server, "1", WAIT_S)
     assert result.kind is AttemptKind.NO_ANSWER
     assert not result.is_broken
+    assert _end_kind(result) is EndKind.FAILED, "liveness must see a failure"
 
 
 @pytest.mark.parametrize("case", CUT_TRAILERS, ids=_name)
