--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -95,7 +95,7 @@
             return self._failed(AttemptKind.CANCELLED, started)
         except (HTTPError, HTTPException, EOFError, OSError) as error:
             failed = self._failed(_classify_error(error, connection), started)
-            # A server that sends what is no answer has not crashed.
+            # A server that sends a malformed answer has not crashed.
             is_broken = failed.kind is AttemptKind.NO_ANSWER and not (
                 isinstance(error, TimeoutError) or is_malformed(error)
             )
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/chunk_lines.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/chunk_lines.py
@@ -11,7 +11,7 @@
 
 
 class MalformedChunkError(http.client.HTTPException):
-    """A chunked body has a line that is none by the grammar."""
+    """A line of a chunked body does not follow the grammar."""
 
 
 class ChunkLines:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/framing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/framing.py
@@ -19,11 +19,11 @@
     length: int | None  # in bytes; None if the head has none
 
 
-def settle_framing(headers: http.client.HTTPMessage) -> Framing:
-    """Return the framing that a head states, and leave only that in the headers.
+def resolve_framing(headers: http.client.HTTPMessage) -> Framing:
+    """Return the framing that a head states, and rewrite its headers in plain form.
 
-    Whatever reads the headers later finds one plain length, or ``chunked``, or neither.
-    Raises ``MalformedHeadError`` if the framing is in doubt.
+    Later readers of the headers find one length, or ``chunked``, or neither. Raises
+    ``MalformedHeadError`` if the framing is ambiguous or cannot be read.
     """
     lengths = headers.get_all(_LENGTH, ())
     codings = headers.get_all(_CODING, ())
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/grammar.py
@@ -1,8 +1,8 @@
 """Read the parts of HTTP/1.1 messages by their grammar (RFC 9110 and RFC 9112).
 
 Python's own functions accept more: ``str.strip`` removes vertical tabs and no-break
-spaces, ``int`` reads signs and underscores. Where two readers of a message accept
-different lines, they see different messages.
+spaces, ``int`` reads signs and underscores. Readers that accept different lines see
+different messages in the same bytes.
 """
 
 import re
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/heads.py
@@ -23,7 +23,7 @@
 
 
 class InvalidStatusError(http.client.HTTPException):
-    """A line is no status line, or has no status that a server may answer with."""
+    """A status line is malformed, or its status is beyond 100 to 599."""
 
 
 class HeadTooLargeError(http.client.HTTPException):
@@ -54,8 +54,8 @@
 class HeadReader(LineReader):
     """Returns the header lines of a head without the blanks around their values.
 
-    Raises ``MalformedLineError`` for lines that are no headers by the grammar, such as
-    continued ones: other readers may understand them otherwise. Raises
+    Raises ``InvalidStatusError`` and ``MalformedLineError`` for lines that do not
+    follow the grammar, which other readers may understand otherwise. Raises
     ``HeadTooLargeError`` once the lines exceed ``max_bytes`` in all: ``http.client``
     bounds the length of a line and the number of lines, so that a head may have 6 MB.
     """
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/protocol.py
@@ -7,7 +7,7 @@
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.http.chunks import StrictInput
-from pimentobend_adapters._internal.http.framing import settle_framing
+from pimentobend_adapters._internal.http.framing import resolve_framing
 from pimentobend_adapters._internal.http.headers import RAN
 from pimentobend_adapters._internal.http.headers import REASON
 from pimentobend_adapters._internal.http.heads import CutLineError
@@ -69,7 +69,7 @@
                 return False
             # The library replaces several slashes at the start of a target by one.
             self.path = self.requestline.split()[1]
-            settle_framing(self.headers)
+            resolve_framing(self.headers)
         except (CutLineError, MalformedHeadError, MalformedLineError) as error:
             self.send_error(BAD_REQUEST, str(error))
             return False
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/strict_answer.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/strict_answer.py
@@ -1,4 +1,4 @@
-"""Read answers by the grammar of HTTP, where ``http.client`` reads more."""
+"""Read answers by the grammar of HTTP; ``http.client`` accepts more."""
 
 import http.client
 from collections.abc import Callable
@@ -7,7 +7,7 @@
 from urllib3.exceptions import ProtocolError
 
 from pimentobend_adapters._internal.http.chunk_lines import ChunkLines
-from pimentobend_adapters._internal.http.framing import settle_framing
+from pimentobend_adapters._internal.http.framing import resolve_framing
 from pimentobend_adapters._internal.http.heads import HeadReader
 from pimentobend_adapters._internal.http.heads import LineReader
 from pimentobend_adapters._internal.http.heads import MalformedHeadError
@@ -21,7 +21,7 @@
 
 
 class StrictAnswer(http.client.HTTPResponse):
-    """Answer with a whole head, and a bound on its interim answers and trailers."""
+    """Answer that follows the grammar, with bounds on interim answers and trailers."""
 
     fp: Any
     chunked: bool
@@ -49,8 +49,8 @@
         self._frame_body()
 
     def _frame_body(self) -> None:
-        """Replace the library's own reading of how the body ends."""
-        framing = settle_framing(self.headers)
+        """Set how the body ends, in place of what the library read from the head."""
+        framing = resolve_framing(self.headers)
         if framing.is_chunked and self.version == VERSION_1_0:
             raise MalformedHeadError("an answer in HTTP/1.0 is chunked")
         has_body = self.status not in BODILESS_STATUSES and self._method != "HEAD"
@@ -86,8 +86,8 @@
 
 
 def is_malformed(error: Exception) -> bool:
-    """Return whether an answer failed because bytes came that are none."""
-    # urllib3 passes on what it wraps as its last argument.
+    """Return whether an answer was malformed; otherwise its connection failed."""
+    # The last argument of a ProtocolError is the error that urllib3 wrapped.
     wrapped = error.args[-1] if isinstance(error, ProtocolError) else error
     if isinstance(wrapped, http.client.IncompleteRead):
         return False
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/strict_pools.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/strict_pools.py
@@ -17,7 +17,7 @@
 
 
 def create_pools(**options: Any) -> urllib3.PoolManager:
-    """Return a client that sends each request once."""
+    """Return a client that reads answers strictly and sends each request once."""
     pools = urllib3.PoolManager(retries=False, **options)
     pools.pool_classes_by_scheme = {"http": _Pool}
     return pools
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -9,12 +9,12 @@
 
 import processes
 import pytest
-from answer_table import CUT_TRAILERS
-from answer_table import SOUND
-from answer_table import SPOILT_CHUNKS
-from answer_table import SPOILT_LENGTHS
-from answer_table import SPOILT_LINES
-from answer_table import SPOILT_STATUSES
+from answer_table import MALFORMED_CHUNKS
+from answer_table import MALFORMED_LENGTHS
+from answer_table import MALFORMED_LINES
+from answer_table import MALFORMED_STATUSES
+from answer_table import TRUNCATED_TRAILERS
+from answer_table import VALID
 from answer_table import AnswerCase
 from own_fleet import start_instance
 from platform_fleet import Fleet
@@ -31,7 +31,7 @@
 ERRORS = (502, 504)
 UNFINISHED = 0  # the connection ended before the answer did
 ROUTES = [("look", 3), ("book", 1)]  # and how often a request is sent at most
-SOUND_BETWEEN = 15  # answers after which a server has its caller's trust again
+VALID_BETWEEN = 15  # answers after which a server has its caller's trust again
 ORIGINS = {"on the server's machine": 0, "over a hop": 1}
 OWN_HEAD = b"Pimentobend-Request-Id: " + ECHO + b"\r\n"
 NUMBERS = itertools.count(1)
@@ -59,7 +59,7 @@
 }
 HEADS = [
     case
-    for case in [*SPOILT_LENGTHS, *SPOILT_STATUSES, *SPOILT_LINES]
+    for case in [*MALFORMED_LENGTHS, *MALFORMED_STATUSES, *MALFORMED_LINES]
     if case.name in NAMES
 ]
 BODY_NAMES = {
@@ -70,8 +70,10 @@
     "a trailer without a colon",
     "a trailer cut off",
 }
-BODIES = [case for case in [*SPOILT_CHUNKS, *CUT_TRAILERS] if case.name in BODY_NAMES]
-CASES = [*HEADS, *BODIES, *SOUND]
+BODIES = [
+    case for case in [*MALFORMED_CHUNKS, *TRUNCATED_TRAILERS] if case.name in BODY_NAMES
+]
+CASES = [*HEADS, *BODIES, *VALID]
 
 
 def _name(case: object) -> str | None:
@@ -99,7 +101,7 @@
         f"{PREFIX}Request-Id": request_id,
         f"{PREFIX}Deadline-Ms": DEADLINE_MS,
     }
-    for _ in range(SOUND_BETWEEN):
+    for _ in range(VALID_BETWEEN):
         wait_until(lambda: instance.request().status == 200, "a request is served")
     server.encode = case.encode
     path = f"/{route}/{request_id}"
@@ -122,8 +124,8 @@
 
 
 @pytest.mark.parametrize("origin", ORIGINS)
-@pytest.mark.parametrize("case", SOUND, ids=_name)
-def test_the_platforms_caller_gets_a_sound_answer(
+@pytest.mark.parametrize("case", VALID, ids=_name)
+def test_the_platforms_caller_gets_a_valid_answer(
     fleet: Fleet, case: AnswerCase, origin: str
 ) -> None:
     answer, sent = _send(fleet, case, "book", origin)
@@ -134,7 +136,7 @@
 @pytest.fixture(scope="module")
 def server() -> Iterator[RawBackend]:
     answers = {str(number): case.encode(OWN_HEAD) for number, case in enumerate(CASES)}
-    answers["200"] = AnswerCase("sound").encode(OWN_HEAD)
+    answers["200"] = AnswerCase("valid").encode(OWN_HEAD)
     backend = RawBackend(answers)
     yield backend
     backend.close()
@@ -157,7 +159,7 @@
     callers: str, server: RawBackend, route: str, case: AnswerCase
 ) -> tuple[Answer, int]:
     """Send a request that its server answers so; also return how often it ran."""
-    for _ in range(SOUND_BETWEEN):
+    for _ in range(VALID_BETWEEN):
         wait_until(
             lambda: ask(callers, "GET", "/look/200").status == 200,
             "a request is served",
@@ -184,8 +186,8 @@
     assert 1 <= sent <= most_sent
 
 
-@pytest.mark.parametrize("case", SOUND, ids=_name)
-def test_a_caller_of_the_own_interface_gets_a_sound_answer(
+@pytest.mark.parametrize("case", VALID, ids=_name)
+def test_a_caller_of_the_own_interface_gets_a_valid_answer(
     callers: str, server: RawBackend, case: AnswerCase
 ) -> None:
     answer, sent = _send_own(callers, server, "book", case)
--- a/tests/lib/answer_table.py
+++ b/tests/lib/answer_table.py
@@ -1,4 +1,4 @@
-"""Answers of servers in trouble, and sound ones that look like them.
+"""Answers of servers in trouble, and valid ones that look like them.
 
 Each is given once, so that all readers of answers are tested with the same bytes.
 """
@@ -19,7 +19,7 @@
     body: bytes = BODY
     status_line: bytes = b"HTTP/1.1 200 OK\r\n"
     first: bytes = b""  # interim answers
-    content: bytes = BODY  # of the answer if it is sound
+    content: bytes = BODY  # of the answer if it is valid
 
     def encode(self, headers: bytes) -> bytes:
         """Return the answer with more headers; lines that end with CR LF."""
@@ -48,7 +48,7 @@
     return AnswerCase(name, line + b"\r\n" + LENGTH)
 
 
-SPOILT_LENGTHS = [
+MALFORMED_LENGTHS = [
     *(
         _coding(f"coding, {name}", value)
         for name, value in [
@@ -92,7 +92,7 @@
     AnswerCase("a coding in HTTP/1.0", CHUNKED, CHUNKS, b"HTTP/1.0 200 OK\r\n"),
 ]
 
-SPOILT_STATUSES = [
+MALFORMED_STATUSES = [
     _status("status 000", b"HTTP/1.1 000 OK"),
     _status("status 00", b"HTTP/1.1 00 OK"),
     _status("status 2000", b"HTTP/1.1 2000 OK"),
@@ -114,7 +114,7 @@
     _status("a blank before the version", b" HTTP/1.1 200 OK"),
 ]
 
-SPOILT_LINES = [
+MALFORMED_LINES = [
     _line("a name with a blank", b"Con tent: x"),
     _line("a blank before the colon", b"Name : x"),
     _line("a tab before the colon", b"Name\t: x"),
@@ -130,13 +130,15 @@
     _line("a value with VT", b"Name: x\x0by"),
     _line("a value with a control byte", b"Name: x\x01y"),
     _line("a value with DEL", b"Name: x\x7fy"),
-    AnswerCase("a spoilt interim answer", first=b"HTTP/1.1 103 X\r\nN\x01: x\r\n\r\n"),
+    AnswerCase(
+        "a malformed interim answer", first=b"HTTP/1.1 103 X\r\nN\x01: x\r\n\r\n"
+    ),
     AnswerCase("a body of an interim answer", first=b"HTTP/1.1 103 X\r\n\r\nbody\r\n"),
 ]
 
-SPOILT_HEADS = [*SPOILT_LENGTHS, *SPOILT_STATUSES, *SPOILT_LINES]
+MALFORMED_HEADS = [*MALFORMED_LENGTHS, *MALFORMED_STATUSES, *MALFORMED_LINES]
 
-SPOILT_CHUNKS = [
+MALFORMED_CHUNKS = [
     _chunks("a size with a sign", b"+2\r\n{}\r\n0\r\n\r\n"),
     _chunks("a size with a prefix", b"0x2\r\n{}\r\n0\r\n\r\n"),
     _chunks("a size with an underscore", b"0_2\r\n{}\r\n0\r\n\r\n"),
@@ -161,12 +163,12 @@
     _chunks("CR in a trailer", b"2\r\n{}\r\n0\r\nN: x\ry\r\n\r\n"),
 ]
 
-CUT_TRAILERS = [  # that count as cut only if the connection ends after them
+TRUNCATED_TRAILERS = [  # that count as cut only if the connection ends after them
     _chunks("no end of the trailers", b"2\r\n{}\r\n0\r\n"),
     _chunks("a trailer cut off", b"2\r\n{}\r\n0\r\nName: x"),
 ]
 
-SOUND = [
+VALID = [
     AnswerCase("a length"),
     _length("no blank before a length", b"2"),
     _length("blanks around a length", b" \t 2 \t"),
--- a/tests/unit/http/test_broken_answers.py
+++ b/tests/unit/http/test_broken_answers.py
@@ -8,11 +8,11 @@
 
 import pytest
 from answer_table import BODY
-from answer_table import CUT_TRAILERS
 from answer_table import LENGTH
-from answer_table import SOUND
-from answer_table import SPOILT_CHUNKS
-from answer_table import SPOILT_HEADS
+from answer_table import MALFORMED_CHUNKS
+from answer_table import MALFORMED_HEADS
+from answer_table import TRUNCATED_TRAILERS
+from answer_table import VALID
 from answer_table import AnswerCase
 from kept_connection import Broken
 from kept_connection import Client
@@ -60,13 +60,13 @@
 
 @pytest.mark.parametrize("make_client", CLIENTS)
 @pytest.mark.parametrize("end", [CLOSED, OPEN])
-@pytest.mark.parametrize("case", SPOILT_HEADS, ids=_name)
-def test_a_spoilt_head_is_no_answer(
+@pytest.mark.parametrize("case", MALFORMED_HEADS, ids=_name)
+def test_a_malformed_head_is_no_answer(
     case: AnswerCase, end: str, make_client: Callable[[], Client]
 ) -> None:
     client = make_client()
-    sound = _encode(client, AnswerCase("sound"), "2")
-    raw = ScriptedServer([_step(_encode(client, case), end), sound])
+    valid = _encode(client, AnswerCase("valid"), "2")
+    raw = ScriptedServer([_step(_encode(client, case), end), valid])
     result = client.call(raw.server, "1", WAIT_S)
     assert (result.kind, result.status) == (AttemptKind.NO_ANSWER, 0)
     assert result.latency_s < WAIT_S, "the rest of the deadline must be left"
@@ -78,17 +78,17 @@
 @pytest.mark.parametrize(
     ("case", "end"),
     [
-        *((case, CLOSED) for case in [*SPOILT_CHUNKS, *CUT_TRAILERS]),
-        *((case, OPEN) for case in SPOILT_CHUNKS),
+        *((case, CLOSED) for case in [*MALFORMED_CHUNKS, *TRUNCATED_TRAILERS]),
+        *((case, OPEN) for case in MALFORMED_CHUNKS),
     ],
     ids=_name,
 )
-def test_a_spoilt_body_is_not_whole(
+def test_a_malformed_body_is_not_whole(
     case: AnswerCase, end: str, make_client: Callable[[], Client]
 ) -> None:
     client = make_client()
-    sound = _encode(client, AnswerCase("sound"), "2")
-    raw = ScriptedServer([_step(_encode(client, case), end), sound])
+    valid = _encode(client, AnswerCase("valid"), "2")
+    raw = ScriptedServer([_step(_encode(client, case), end), valid])
     outcome = _call(client, raw)
     assert outcome in (AttemptKind.NO_ANSWER, AttemptKind.TRUNCATED)
     assert _call(client, raw, "2") == BODY
@@ -103,8 +103,10 @@
 ]
 
 
-@pytest.mark.parametrize("case", [*SPOILT_HEADS, *SPOILT_CHUNKS, *OVERLONG], ids=_name)
-def test_a_server_that_sends_a_spoilt_answer_has_not_crashed(
+@pytest.mark.parametrize(
+    "case", [*MALFORMED_HEADS, *MALFORMED_CHUNKS, *OVERLONG], ids=_name
+)
+def test_a_server_that_sends_a_malformed_answer_has_not_crashed(
     case: AnswerCase,
 ) -> None:
     """A suspected crash holds back the server's queued attempts until a probe."""
@@ -116,7 +118,7 @@
     assert _end_kind(result) is EndKind.FAILED, "liveness must see a failure"
 
 
-@pytest.mark.parametrize("case", CUT_TRAILERS, ids=_name)
+@pytest.mark.parametrize("case", TRUNCATED_TRAILERS, ids=_name)
 def test_a_server_that_ends_within_an_answer_may_have_crashed(
     case: AnswerCase,
 ) -> None:
@@ -126,8 +128,8 @@
 
 
 @pytest.mark.parametrize("make_client", CLIENTS)
-@pytest.mark.parametrize("case", SOUND, ids=_name)
-def test_a_sound_answer_is_passed_on(
+@pytest.mark.parametrize("case", VALID, ids=_name)
+def test_a_valid_answer_is_passed_on(
     case: AnswerCase, make_client: Callable[[], Client]
 ) -> None:
     client = make_client()
@@ -136,17 +138,17 @@
 
 
 @pytest.mark.parametrize(
-    "case", [*SPOILT_HEADS, *SPOILT_CHUNKS, *CUT_TRAILERS], ids=_name
+    "case", [*MALFORMED_HEADS, *MALFORMED_CHUNKS, *TRUNCATED_TRAILERS], ids=_name
 )
-def test_a_daemon_asks_again_for_a_spoilt_answer(case: AnswerCase) -> None:
-    sound = AnswerCase("sound").encode(HOP_HEADERS)
-    raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE), sound])
+def test_a_daemon_asks_again_for_a_malformed_answer(case: AnswerCase) -> None:
+    valid = AnswerCase("valid").encode(HOP_HEADERS)
+    raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE), valid])
     assert run_at_peer(raw, WAIT_S) == (200, BODY)
     assert raw.connections == 2
 
 
-@pytest.mark.parametrize("case", SOUND, ids=_name)
-def test_a_daemon_takes_a_sound_answer_of_another(case: AnswerCase) -> None:
+@pytest.mark.parametrize("case", VALID, ids=_name)
+def test_a_daemon_takes_a_valid_answer_of_another(case: AnswerCase) -> None:
     raw = ScriptedServer([Broken(case.encode(HOP_HEADERS), Ending.CLOSE)])
     assert run_at_peer(raw, WAIT_S)[1] == case.content
     assert raw.connections == 1
--- a/tests/unit/interfaces/test_operators_client.py
+++ b/tests/unit/interfaces/test_operators_client.py
@@ -6,19 +6,19 @@
 from collections.abc import Iterator
 
 import pytest
-from answer_table import CUT_TRAILERS
-from answer_table import SOUND
-from answer_table import SPOILT_CHUNKS
-from answer_table import SPOILT_HEADS
+from answer_table import MALFORMED_CHUNKS
+from answer_table import MALFORMED_HEADS
+from answer_table import TRUNCATED_TRAILERS
+from answer_table import VALID
 from answer_table import AnswerCase
 from raw_backend import RawBackend
 
 from pimentobend._internal.exceptions import UnreachableError
 from pimentobend._internal.operators import OperatorsClient
 
-SPOILT = [*SPOILT_HEADS, *SPOILT_CHUNKS, *CUT_TRAILERS]
-DOCUMENTS = [case for case in SOUND if case.content]
-CASES = [*SPOILT, *DOCUMENTS]
+MALFORMED = [*MALFORMED_HEADS, *MALFORMED_CHUNKS, *TRUNCATED_TRAILERS]
+DOCUMENTS = [case for case in VALID if case.content]
+CASES = [*MALFORMED, *DOCUMENTS]
 
 
 def _name(case: AnswerCase) -> str:
@@ -41,8 +41,8 @@
 
 
 @pytest.mark.parametrize("method", ["get", "post"])
-@pytest.mark.parametrize("case", SPOILT, ids=_name)
-def test_a_spoilt_answer_is_no_document(
+@pytest.mark.parametrize("case", MALFORMED, ids=_name)
+def test_a_malformed_answer_is_no_document(
     client: OperatorsClient, case: AnswerCase, method: str
 ) -> None:
     with pytest.raises(UnreachableError):
@@ -50,6 +50,6 @@
 
 
 @pytest.mark.parametrize("case", DOCUMENTS, ids=_name)
-def test_a_sound_answer_is_read(client: OperatorsClient, case: AnswerCase) -> None:
+def test_a_valid_answer_is_read(client: OperatorsClient, case: AnswerCase) -> None:
     document = client.get("/v1/tables", case=str(CASES.index(case)))
     assert document in ({}, 1234567890)
