--- a/review/stand3/fleet.py
+++ b/review/stand3/fleet.py
@@ -10,6 +10,8 @@
 import json
 import os
 import pathlib
+import random
+import secrets
 import select
 import shutil
 import signal
@@ -167,6 +169,7 @@
         self.slots = slots
         self.work_s = work_s
         self.stream = None  # function that writes an answer in pieces
+        self.failing_share = 0.0  # of the requests that it ran
         self.runs = []  # (request id, time at which its work began)
         self.state = "ready"
         self.beats = True
@@ -180,7 +183,7 @@
     def begin_life(self, born, server_id=None):
         """Begin a lifetime; ``born`` is what the clock of its machine shows."""
         self.born = born
-        self.server_id = server_id or f"i-{born:x}"
+        self.server_id = server_id or f"i-{secrets.token_hex(4)}"
         self._sequence = 0
         self.state = "ready"
 
@@ -273,6 +276,10 @@
         if not self.work(connection, self.work_s):
             self.record.add(f"cut     {request_id} after {now() - began_at:.3f} s")
             return False
+        if random.random() < self.failing_share:
+            self.record.add(f"fails   {request_id} with 503, after its work")
+            connection.sendall(_make_head(503, own, 0))
+            return True
         connection.sendall(_make_head(200, own, 2) + b"ok")
         return True
 
