--- a/review/11/case.py
+++ b/review/11/case.py
@@ -57,11 +57,11 @@
         for thread in threads:
             thread.join(30)
         time.sleep(2)
-        runs = [run for each in fleet.instances for run in each.server.runs]
+        arrived = [each for one in fleet.instances for each in one.server.arrived]
         left_at = {each.request_id: each.left_at for each in clients}
         late = [
             (request_id, round(at - left_at[request_id], 2))
-            for request_id, at in runs
+            for request_id, at in arrived
             if left_at.get(request_id) is not None
             and at - left_at[request_id] > LATE_S
         ]
--- a/review/stand3/fleet.py
+++ b/review/stand3/fleet.py
@@ -170,6 +170,7 @@
         self.work_s = work_s
         self.stream = None  # function that writes an answer in pieces
         self.failing_share = 0.0  # of the requests that it ran
+        self.arrived = []  # (request id, time at which its head was read)
         self.runs = []  # (request id, time at which its work began)
         self.state = "ready"
         self.beats = True
@@ -246,9 +247,10 @@
         while (text := source.readline().strip()) != b"":
             name, _, value = text.decode("latin-1").partition(":")
             headers[name.lower()] = value.strip()
+        head_at = now()
+        request_id = headers.get(f"{HEADER}Request-Id".lower())
         if not _read_body(source, headers):
             return False
-        request_id = headers.get(f"{HEADER}Request-Id".lower())
         if method == "GET" and path == "/healthz":
             own = f"{HEADER}Instance-Id: {self.server_id}\r\n"
             connection.sendall(_make_head(200, own, 0))
@@ -260,6 +262,7 @@
                 own += f"{HEADER}Request-Id: {request_id}\r\n"
             connection.sendall(_make_head(421 if request_id else 400, own, 0))
             return True
+        self.arrived.append((request_id, head_at))
         with self._slots:
             return self._run(connection, request_id, path)
 
@@ -355,7 +358,8 @@
             daemon.end()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def _configure(self):
+    def make_configuration(self):
+        """Return the first configuration."""
         columns = [
             "name",
             "host",
@@ -386,7 +390,10 @@
                 "idleTimeoutS": 15,
             },
         }
-        body = json.dumps(document)
+        return json.dumps(document)
+
+    def _configure(self):
+        body = self.make_configuration()
 
         def is_accepted():
             return any(
