--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,6 @@
 """Clients with large bodies leave while their requests wait for a server."""
 
+import itertools
 import pathlib
 import sys
 import threading
@@ -15,10 +16,11 @@
 USUAL_GAP_S = 1 / 6  # the two servers are then just full
 BURST = 1.67  # times the usual, in the bursts
 # Seconds of each phase, and whether it is a burst.
-PHASES = ((5.0, True), (3.0, False), (5.0, True))
+PHASES = ((5.0, True), (3.0, False)) * 2 + ((5.0, True),)
+UPLOADS = 180
 BODY = b"m" * 100_000
 LEAVE_S = 1.0
-LEAVERS = 0.3  # share of the clients
+LEAVERS = (0, 4, 7)  # of each ten clients
 LATE_S = 0.5  # the rule's half a second
 FEW = 5  # more requests than these break the rule
 
@@ -44,11 +46,11 @@
             else:
                 client.read()
 
-        for number, gap_s in enumerate(find_gaps()):
+        for number, gap_s in enumerate(itertools.islice(find_gaps(), UPLOADS)):
             address = fleet.instances[number % 2].address("callers")
             path = f"/load/{number}"
             client = Client(record, address, f"u-{number}", path, BODY)
-            leaves = is_troubled and number * LEAVERS % 1 < LEAVERS - 1e-9
+            leaves = is_troubled and number % 10 in LEAVERS
             clients.append(client)
             thread = threading.Thread(target=play, args=(client, leaves), daemon=True)
             thread.start()
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -12,10 +12,10 @@
 from fleet import Fleet  # noqa: E402
 from fleet import run_case  # noqa: E402
 
-SERVERS = 7
-REQUESTS = 300
-GAP_S = 0.04
-FAILS_FROM_S, FAILS_FOR_S = 2.0, 8.0
+SERVERS = 8
+REQUESTS = 440
+GAP_S = 0.025
+FAILS_FROM_S, FAILS_FOR_S = 2.0, 6.5
 FAILING = 0.7  # share of the requests of one server
 PROMISES = (408, 421, 429, 503)
 
