Notice that a caller closes its connection behind unread bytes

Cause: the watch of a caller's connection waited for the socket to be readable. The rest of a body beyond 64 KB makes it readable, so the watch ended, and the close behind it was never heard; of 1 MB the kernel doesn't even take enough for the close to arrive. Ruled out: the log has no caller-left for these requests, so neither the withdrawal nor the host is late; the same client with an empty socket is noticed within milliseconds.

Change: CloseWatcher asks the kernel for the close alone, apart from bytes, in one task for all callers of a front; BodyReader reads a waiting request's body on, up to 1 MB and within the memory that is free; the last bytes of a body are passed on only while its caller is there. Nothing pauses a watch any more, as it reads nothing.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/calls.py
@@ -15,7 +15,7 @@
 from pimentobend_adapters._internal.forwarding.answers import read_answer
 from pimentobend_adapters._internal.forwarding.hop import RESULT_HEADER
 from pimentobend_adapters._internal.forwarding.requests import send_request
-from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -19,10 +19,11 @@
 from pimentobend_adapters._internal.forwarding.hop import encode_hop
 from pimentobend_adapters._internal.forwarding.host import HostTasks
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
-from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
-from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import StreamedBody
 from pimentobend_adapters._internal.http.bodies import read_body
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
+from pimentobend_adapters._internal.http.close_watcher import CloseWatcher
+from pimentobend_adapters._internal.http.close_watcher import interrupt
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_adapters._internal.http.protocol import CONNECTION_KEY
@@ -72,6 +73,7 @@
         self._host = host
         self._names = names
         self._clock = clock
+        self._closes = CloseWatcher()
         self._in_flight = 0
 
     @property
@@ -131,30 +133,35 @@
     def _serve(
         self, environ: Environ, hop: HopRequest, start_response: StartResponse
     ) -> Iterator[bytes]:
+        source = environ["wsgi.input"]
+        connection = environ[CONNECTION_KEY]
         try:
-            body = read_body(environ["wsgi.input"], get_content_length(environ))
+            body = read_body(source, get_content_length(environ), self._memory)
         except IncompleteBodyError:
-            environ[CONNECTION_KEY].close_connection = True
+            connection.close_connection = True
             result = HopResult(AttemptKind.CANCELLED, BROKEN_REQUEST)
             yield from _write_result(result, start_response)
             return
-        attempt = self._read_attempt(environ, hop, body)
-        attempt_result = self._run(environ["wsgi.input"].get_socket(), attempt)
-        if attempt_result is None:
-            environ[CONNECTION_KEY].close_connection = True
-            return
-        yield from _write_attempt_result(attempt_result, start_response)
+        is_kept = False
+        try:
+            attempt = self._read_attempt(environ, hop, body)
+            attempt_result = self._run(source.get_socket(), attempt)
+            if attempt_result is None:
+                connection.close_connection = True
+                return
+            yield from _write_attempt_result(attempt_result, start_response)
+            is_kept = not connection.close_connection
+        finally:
+            if isinstance(body, StreamedBody):
+                body.close(is_connection_kept=is_kept)
 
     def _run(self, connection: Any, attempt: LocalAttempt) -> AttemptResult | None:
         """Return an attempt's result, or None if its origin's connection is lost."""
         handler = eventlet.getcurrent()
         lost = _OriginLostError("the connection to the origin was lost")
-        watch = ConnectionWatch(
-            connection, lambda: eventlet.spawn_n(_throw, handler, lost)
-        )
-        if isinstance(attempt.body, StreamedBody):
-            attempt.body.watch_with(watch)
+        watch = self._closes.watch(connection)
         try:
+            watch.notify(lambda: interrupt(handler, lost))
             return self._host.run(attempt)
         except _OriginLostError:
             attempt_id = attempt.submit.attempt_id
@@ -210,12 +217,6 @@
             self._host.withdraw(attempt_id)
 
 
-def _throw(handler: Any, error: Exception) -> None:
-    """Raise an error in a handler unless it has ended since."""
-    if not handler.dead:
-        handler.throw(error)
-
-
 def _refuse(
     environ: Environ,
     length: int | None,
--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/read_ahead.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/read_ahead.py
@@ -9,7 +9,7 @@
 import eventlet.queue
 from urllib3.exceptions import HTTPError
 
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
+from pimentobend_adapters._internal.http.body_reader import CHUNK_BYTES
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.memory.budget import Use
 from pimentobend_core._internal.ports import ClockPort
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/backend.py
@@ -15,7 +15,7 @@
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.read_ahead import read_chunk
-from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
 from pimentobend_adapters._internal.http.connections import ResetError
 from pimentobend_adapters._internal.http.connections import StrictConnection
 from pimentobend_adapters._internal.http.headers import DEADLINE_MS
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/bodies.py
@@ -1,37 +1,16 @@
 """Read request bodies: keep small ones in memory and stream large ones."""
 
-import abc
 from collections.abc import Iterator
-from typing import Protocol
 
-from pimentobend_adapters._internal.exceptions import AdapterError
+from pimentobend_adapters._internal.http.body_reader import CHUNK_BYTES
+from pimentobend_adapters._internal.http.body_reader import BodyReader
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
+from pimentobend_adapters._internal.http.body_reader import Readable
+from pimentobend_adapters._internal.http.body_reader import read_piece
+from pimentobend_adapters._internal.http.close_watcher import CloseWatch
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.ports import Body
 
-CHUNK_BYTES = 64 * 1024
-
-
-class IncompleteBodyError(AdapterError):
-    """A request body ended early or cannot be read."""
-
-
-class Readable(Protocol):
-    """Interface of the WSGI input."""
-
-    def read(self, size: int) -> bytes:
-        """Return up to ``size`` bytes; empty at the end of the input."""
-
-
-class ReadWatch(abc.ABC):
-    """Watch of a connection that must not go on while the connection is read."""
-
-    @abc.abstractmethod
-    def pause(self) -> None:
-        """Stop watching until ``resume``."""
-
-    @abc.abstractmethod
-    def resume(self) -> None:
-        """Watch again."""
-
 
 class BufferedBody(Body):
     """Small body that is kept in memory, so that it can be sent again."""
@@ -57,16 +36,27 @@
 class StreamedBody(Body):
     """Body that is too large to keep; ``start`` holds the bytes already read."""
 
-    def __init__(self, start: bytes, rest: Readable, length: int | None) -> None:
+    def __init__(
+        self,
+        start: bytes,
+        rest: Readable,
+        length: int | None,
+        memory: MemoryOwner | None = None,
+    ) -> None:
         self._start = start
-        self._rest = rest
+        self._reader = BodyReader(rest, memory or MemoryOwner())
         self._length = length
-        self._watch: ReadWatch | None = None
+        self._watch: CloseWatch | None = None
         self._is_spent = False
 
-    def watch_with(self, watch: ReadWatch) -> None:
-        """Pause a watch of the connection whenever the body is read."""
+    def read_ahead(self, watch: CloseWatch) -> None:
+        """Read on before the body is taken; ``watch`` is that of its connection."""
         self._watch = watch
+        self._reader.start()
+
+    def close(self, *, is_connection_kept: bool) -> None:
+        """Stop reading; the body can no longer be taken."""
+        self._reader.close(is_connection_kept=is_connection_kept)
 
     @property
     def length(self) -> int | None:
@@ -80,7 +70,7 @@
 
     @property
     def is_spent(self) -> bool:
-        """Return whether a part of the body was read beyond its start."""
+        """Return whether a part of the body was taken beyond its start."""
         return self._is_spent
 
     def chunks(self) -> Iterator[bytes]:
@@ -89,40 +79,46 @@
             raise IncompleteBodyError("the body was read by an earlier attempt")
         yield self._start
         self._is_spent = True
+        self._reader.start()
         received = len(self._start)
         while self._length is None or received < self._length:
-            chunk = self._read_chunk()
+            chunk = self._reader.take()
             if not chunk:
                 break
             received += len(chunk)
+            if received == self._length:
+                self._check_caller()
             yield chunk
         _check_length(received, self._length)
+        if self._length is None:
+            self._check_caller()
+
+    def _check_caller(self) -> None:
+        """Raise IncompleteBodyError if the caller left before the body's end is sent.
 
-    def _read_chunk(self) -> bytes:
-        watch = self._watch
-        if watch is None:
-            return _read(self._rest, CHUNK_BYTES)
-        watch.pause()
-        try:
-            return _read(self._rest, CHUNK_BYTES)
-        finally:
-            watch.resume()
+        A server runs a request once it has all of it, and the close may have come
+        behind more bytes than were read ahead.
+        """
+        if self._watch is not None and self._watch.check():
+            raise IncompleteBodyError("the caller closed its connection")
 
 
-def read_body(source: Readable, length: int | None) -> Body:
+def read_body(
+    source: Readable, length: int | None, memory: MemoryOwner | None = None
+) -> Body:
     """Return a body of ``length`` bytes; raise IncompleteBodyError if it is shorter."""
     start = _read_up_to(source, CHUNK_BYTES if length is None else length)
     if len(start) < CHUNK_BYTES or len(start) == length:
         _check_length(len(start), length)
         return BufferedBody(start)
-    return StreamedBody(start, source, length)
+    return StreamedBody(start, source, length, memory)
 
 
 def _read_up_to(source: Readable, limit_bytes: int) -> bytes:
     remaining = min(limit_bytes, CHUNK_BYTES)
     chunks: list[bytes] = []
     while remaining > 0:
-        chunk = _read(source, remaining)
+        chunk = read_piece(source, remaining)
         if not chunk:
             break
         chunks.append(chunk)
@@ -130,15 +126,6 @@
     return b"".join(chunks)
 
 
-def _read(source: Readable, size: int) -> bytes:
-    try:
-        return source.read(size)
-    except (OSError, ValueError) as error:
-        raise IncompleteBodyError(
-            "the request body cannot be read", context=type(error).__name__
-        ) from error
-
-
 def _check_length(received: int, length: int | None) -> None:
     if length is not None and received < length:
         raise IncompleteBodyError(
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/chunks.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/chunks.py
@@ -3,6 +3,7 @@
 import errno
 from typing import Any
 
+import eventlet.semaphore
 import eventlet.wsgi
 
 from pimentobend_adapters._internal.http.chunk_lines import ChunkLines
@@ -29,6 +30,16 @@
         )
         self._left_bytes = 0  # of the current chunk
         self._is_ended = False
+        self._is_read = eventlet.semaphore.Semaphore()
+
+    def read(self, length: int | None = None) -> bytes:
+        """Return up to ``length`` bytes; one task at a time reads.
+
+        The rest of a body is discarded while the task that read it may still wait.
+        """
+        with self._is_read:
+            piece: bytes = super().read(length)
+            return piece
 
     def _chunked_read(
         self, rfile: Any, length: int | None = None, use_readline: bool = False
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -11,8 +11,9 @@
 from returns.result import Result
 
 from pimentobend_adapters._internal.exceptions import AdapterError
-from pimentobend_adapters._internal.forwarding.watch import ConnectionWatch
 from pimentobend_adapters._internal.http.bodies import StreamedBody
+from pimentobend_adapters._internal.http.close_watcher import CloseWatch
+from pimentobend_adapters._internal.http.close_watcher import CloseWatcher
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import to_header_value
@@ -75,6 +76,7 @@
         self._clock = clock
         self._events = events
         self._options = options or FrontOptions()
+        self._closes = CloseWatcher()
         self._in_flight = 0
         self._reading: set[Any] = set()  # greenlets that read a request's body
         self._is_stopping = False
@@ -127,19 +129,34 @@
             yield from self._refuse(received.failure(), "", start_response)
             return
         request = self._set_caller_service(received.unwrap())
-        watch = None
-        if self._options.watches_callers:
-            watch = _CallerWatch(environ, request.body)
+        watch = self._watch_caller(environ, request.body)
         if watch is not None:
-            request = request._replace(on_caller_left=watch.start)
+            request = request._replace(on_caller_left=watch.notify)
+        is_kept = False
         try:
             result = self._pipe.apply(request)
+            if watch is not None:
+                watch.stop()
+            if self._is_stopping and CONNECTION_KEY in environ:
+                environ[CONNECTION_KEY].close_connection = True
+            yield from self._respond(request, result, start_response)
+            is_kept = CONNECTION_KEY in environ and (
+                not environ[CONNECTION_KEY].close_connection
+            )
         finally:
             if watch is not None:
                 watch.stop()
-        if self._is_stopping and CONNECTION_KEY in environ:
-            environ[CONNECTION_KEY].close_connection = True
-        yield from self._respond(request, result, start_response)
+            if isinstance(request.body, StreamedBody):
+                request.body.close(is_connection_kept=is_kept)
+
+    def _watch_caller(self, environ: Environ, body: Body) -> CloseWatch | None:
+        """Watch the caller's connection; its close may come behind a large body."""
+        if not self._options.watches_callers:
+            return None
+        watch = self._closes.watch(environ["wsgi.input"].get_socket())
+        if isinstance(body, StreamedBody):
+            body.read_ahead(watch)
+        return watch
 
     def _read(self, environ: Environ, started: float) -> Result[Received, Refusal]:
         greenlet = eventlet.getcurrent()
@@ -147,7 +164,9 @@
         try:
             if self._is_ending:
                 raise ProcessEndingError(_ENDING)
-            return parse_request(environ, started, self._options.names)
+            return parse_request(
+                environ, started, self._options.names, self._options.memory
+            )
         except ProcessEndingError as error:
             environ[CONNECTION_KEY].close_connection = True
             return Failure(_refuse_unread(error))
@@ -235,26 +254,6 @@
         yield from write_answer(finished, head, self._options.names, start_response)
 
 
-class _CallerWatch:
-    """Watches a caller's connection after ``start`` until ``stop``."""
-
-    def __init__(self, environ: Environ, body: Body) -> None:
-        self._connection = environ["wsgi.input"].get_socket()
-        self._body = body
-        self._watch: ConnectionWatch | None = None
-
-    def start(self, on_closed: Callable[[], None]) -> None:
-        """Call a function once the caller has closed its connection."""
-        self._watch = ConnectionWatch(self._connection, on_closed)
-        if isinstance(self._body, StreamedBody):
-            self._body.watch_with(self._watch)
-
-    def stop(self) -> None:
-        """Stop watching, so that the connection can be read again."""
-        if self._watch is not None:
-            self._watch.stop()
-
-
 def _refuse_unread(error: ProcessEndingError) -> Refusal:
     reason = RefusalReason.DRAINING
     return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/requests.py
@@ -7,8 +7,8 @@
 from returns.result import Result
 from returns.result import Success
 
-from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import read_body
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
 from pimentobend_adapters._internal.http.credentials import find_key_digest
 from pimentobend_adapters._internal.http.credentials import hide_credentials
 from pimentobend_adapters._internal.http.credentials import is_from_this_machine
@@ -16,6 +16,7 @@
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import without_hop_by_hop
+from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.models.request import Headers
 from pimentobend_core._internal.models.request import Ran
 from pimentobend_core._internal.models.request import Refusal
@@ -33,7 +34,10 @@
 
 
 def parse_request(
-    environ: Environ, now: float, names: HeaderNames = OWN_NAMES
+    environ: Environ,
+    now: float,
+    names: HeaderNames = OWN_NAMES,
+    memory: MemoryOwner | None = None,
 ) -> Result[Received, Refusal]:
     """Return the request received at ``now`` (seconds), or a 400 refusal."""
     fault = _find_fault(environ, names)
@@ -41,7 +45,7 @@
         return Failure(refuse_malformed(fault))
     length = get_content_length(environ)
     try:
-        body = read_body(environ["wsgi.input"], length)
+        body = read_body(environ["wsgi.input"], length, memory)
     except IncompleteBodyError as error:
         return Failure(refuse_malformed(str(error)))
     return Success(Received(_make_head(environ, now, names), body))
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
@@ -8,7 +8,7 @@
 
 from pimentobend_adapters._internal.forwarding.answers import AnswerTruncatedError
 from pimentobend_adapters._internal.forwarding.answers import BufferedAnswer
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
+from pimentobend_adapters._internal.http.body_reader import CHUNK_BYTES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import find_header
 from pimentobend_core._internal.models.request import Headers
--- a/packages/core/src/pimentobend_core/_internal/memory/budget.py
+++ b/packages/core/src/pimentobend_core/_internal/memory/budget.py
@@ -25,7 +25,7 @@
     their part.
     """
 
-    AHEAD = 0.5  # of an answer, before its caller takes it
+    AHEAD = 0.5  # of a body, before it is passed on
     ANSWER = 0.625  # the start of an answer
     UPLOAD = 0.75
     REQUEST = 1.0  # without a body
--- /dev/null
+++ b/tests/functional/test_callers_that_leave.py
@@ -0,0 +1,152 @@
+"""Let callers leave while their requests wait for a server.
+
+A close that came behind bytes which nobody read was not noticed, so that requests of
+callers that had left ran.
+"""
+
+import contextlib
+import socket
+import struct
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import pytest
+from platform_fleet import Fleet
+from platform_fleet import FleetShape
+from platform_fleet import run_fleet
+from platform_fleet import wait_until
+from platform_process import Process
+from platform_server import PREFIX
+from platform_server import PlatformServer
+
+HOLD_S = 2.0  # for which the only slot is taken
+DEADLINE_MS = 15_000
+CHUNK = 10_000
+RESET = struct.pack("ii", 1, 0)  # linger for no time
+LEFT = "'caller-left'"
+
+
+class Upload(NamedTuple):
+    """A request whose caller leaves without an answer."""
+
+    name: str
+    body_bytes: int = 0
+    is_chunked: bool = False
+    expects_continue: bool = False
+    resets: bool = False
+    more: bytes = b""  # sent behind the request
+
+
+UPLOADS = [
+    Upload("small"),
+    Upload("pipelined", more=b"GET /look/2 HTTP/1.1\r\nHost: a.example\r\n\r\n"),
+    Upload("length", 100_000),
+    Upload("chunks", 100_000, is_chunked=True),
+    Upload("continue", 100_000, expects_continue=True),
+    Upload("reset", 100_000, resets=True),
+    Upload("reset-chunks", 100_000, is_chunked=True, resets=True),
+    Upload("1mb", 1_000_000),
+    Upload("1mb-chunks", 1_000_000, is_chunked=True),
+    Upload("1mb-reset", 1_000_000, resets=True),
+]
+# Which of the two servers runs nothing: the daemon's own, or that of another daemon.
+DRAINED = [(1, "local"), (0, "remote")]
+
+
+def name_of(upload: Upload) -> str:
+    return upload.name
+
+
+@pytest.fixture(
+    scope="module", params=[d[0] for d in DRAINED], ids=[d[1] for d in DRAINED]
+)
+def fleet(
+    request: pytest.FixtureRequest, tmp_path_factory: pytest.TempPathFactory
+) -> Iterator[Fleet]:
+    """Run a fleet with one server of one slot that is not drained."""
+    shape = FleetShape(slots=1, has_server_proxies=False, memory_mb=150)
+    with run_fleet(tmp_path_factory.mktemp("fleet"), shape) as running:
+        drained = running.instances[request.param].server
+        assert drained is not None
+        drained.state = "draining"
+        wait_until(lambda: drained.beat() == 200, "one server is draining")
+        yield running
+
+
+def servers(fleet: Fleet) -> list[PlatformServer]:
+    return [each.server for each in fleet.instances if each.server is not None]
+
+
+def make_head(request_id: str, line: str, upload: Upload) -> bytes:
+    lines = [
+        f"{line} HTTP/1.1",
+        "Host: a.example",
+        f"{PREFIX}Request-Id: {request_id}",
+        f"{PREFIX}Deadline-Ms: {DEADLINE_MS}",
+    ]
+    if upload.expects_continue:
+        lines.append("Expect: 100-continue")
+    if upload.is_chunked:
+        lines.append("Transfer-Encoding: chunked")
+    else:
+        lines.append(f"Content-Length: {upload.body_bytes}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def make_body(upload: Upload) -> bytes:
+    if not upload.is_chunked:
+        return bytes(upload.body_bytes)
+    chunk = b"%x\r\n%s\r\n" % (CHUNK, bytes(CHUNK))
+    return chunk * (upload.body_bytes // CHUNK) + b"0\r\n\r\n"
+
+
+def send(process: Process, request_id: str, line: str, upload: Upload) -> socket.socket:
+    """Send a whole request; return its connection."""
+    connection = socket.create_connection((process.ip, 8400), timeout=30.0)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2_000_000)
+    connection.sendall(make_head(request_id, line, upload))
+    if upload.expects_continue:
+        assert connection.recv(1000).startswith(b"HTTP/1.1 100")
+    connection.sendall(make_body(upload) + upload.more)
+    return connection
+
+
+def leave(connection: socket.socket, *, resets: bool) -> None:
+    if resets:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    connection.close()
+
+
+def lines_of(process: Process, request_id: str, text: str) -> list[str]:
+    """Return the log lines that name a request and hold a text."""
+    marker = f"request_id='{request_id}'"
+    lines = process.log().splitlines()
+    return [line for line in lines if marker in line and text in line]
+
+
+@pytest.mark.parametrize("upload", UPLOADS, ids=name_of)
+def test_a_request_of_a_caller_that_left_does_not_run(
+    fleet: Fleet, upload: Upload
+) -> None:
+    origin = fleet.instances[0]
+    busy_id, left_id, last_id = (f"{upload.name}-{n}" for n in ("busy", "left", "last"))
+    with contextlib.ExitStack() as stack:
+        line = f"POST /book/1?hold={HOLD_S}"
+        busy = stack.enter_context(send(origin, busy_id, line, Upload("busy")))
+        wait_until(lambda: has_run(fleet, busy_id), "the only slot is taken")
+        left = send(origin, left_id, "POST /book/1", upload)
+        wait_until(lambda: lines_of(origin, left_id, "'attempt-sent'"), "it waits")
+        leave(left, resets=upload.resets)
+        # A caller that stays gets its answer, and shows that the queue was worked off.
+        last = stack.enter_context(
+            send(origin, last_id, "POST /book/1", upload._replace(more=b""))
+        )
+        for each in (busy, last):
+            assert each.recv(1000).startswith(b"HTTP/1.1 200")
+    assert lines_of(origin, left_id, LEFT)
+    assert has_run(fleet, last_id)
+    assert not has_run(fleet, left_id)
+
+
+def has_run(fleet: Fleet, request_id: str) -> bool:
+    return any(request_id in server.ran for server in servers(fleet))
--- a/tests/unit/http/test_cut_requests.py
+++ b/tests/unit/http/test_cut_requests.py
@@ -12,8 +12,8 @@
 import eventlet
 import pytest
 
-from pimentobend_adapters._internal.http.bodies import IncompleteBodyError
 from pimentobend_adapters._internal.http.bodies import read_body
+from pimentobend_adapters._internal.http.body_reader import IncompleteBodyError
 from pimentobend_adapters._internal.http.requests import get_content_length
 from pimentobend_adapters._internal.http.server import Address
 from pimentobend_adapters._internal.http.server import HttpServer
--- a/tests/unit/memory/test_budget.py
+++ b/tests/unit/memory/test_budget.py
@@ -17,8 +17,8 @@
 from pimentobend_adapters._internal.forwarding.host import LocalAttempt
 from pimentobend_adapters._internal.forwarding.read_ahead import AHEAD_BYTES
 from pimentobend_adapters._internal.forwarding.read_ahead import SCANT_BYTES
-from pimentobend_adapters._internal.http.bodies import CHUNK_BYTES
 from pimentobend_adapters._internal.http.bodies import BufferedBody
+from pimentobend_adapters._internal.http.body_reader import CHUNK_BYTES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.memory import ServerMemory
