Notice that a caller leaves while its answer is on the way

Cause: the watch of a caller's connection, and that of an origin's at the server's daemon, ended once the head of the answer was there. From then on only a failed write showed a close, and the first write after a close doesn't fail.

Change: both fronts watch until the answer is written; a close ends the task that writes it, which closes the answer and the connection to the server.

--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/peer_front.py
@@ -49,6 +49,7 @@
 MS_PER_S = 1000
 WRONG_PROCESS = "wrong-process"
 BROKEN_REQUEST = "broken-request"
+_LOST = "the connection to the origin was lost"
 
 StartResponse = Callable[..., Any]
 
@@ -143,32 +144,29 @@
             yield from _write_result(result, start_response)
             return
         is_kept = False
+        handler = eventlet.getcurrent()
+        watch = self._closes.watch(source.get_socket())
         try:
-            attempt = self._read_attempt(environ, hop, body)
-            attempt_result = self._run(source.get_socket(), attempt)
+            watch.notify(lambda: interrupt(handler, _OriginLostError(_LOST)))
+            attempt_result = self._run(self._read_attempt(environ, hop, body))
             if attempt_result is None:
                 connection.close_connection = True
                 return
             yield from _write_attempt_result(attempt_result, start_response)
             is_kept = not connection.close_connection
         finally:
+            watch.stop()
             if isinstance(body, StreamedBody):
                 body.close(is_connection_kept=is_kept)
 
-    def _run(self, connection: Any, attempt: LocalAttempt) -> AttemptResult | None:
+    def _run(self, attempt: LocalAttempt) -> AttemptResult | None:
         """Return an attempt's result, or None if its origin's connection is lost."""
-        handler = eventlet.getcurrent()
-        lost = _OriginLostError("the connection to the origin was lost")
-        watch = self._closes.watch(connection)
         try:
-            watch.notify(lambda: interrupt(handler, lost))
             return self._host.run(attempt)
         except _OriginLostError:
             attempt_id = attempt.submit.attempt_id
             eventlet.spawn_after(RECONNECT_S, self._withdraw_if_unclaimed, attempt_id)
             return None
-        finally:
-            watch.stop()
 
     def _read_attempt(
         self, environ: Environ, hop: HopRequest, body: Body
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -14,6 +14,7 @@
 from pimentobend_adapters._internal.http.bodies import StreamedBody
 from pimentobend_adapters._internal.http.close_watcher import CloseWatch
 from pimentobend_adapters._internal.http.close_watcher import CloseWatcher
+from pimentobend_adapters._internal.http.close_watcher import interrupt
 from pimentobend_adapters._internal.http.headers import OWN_NAMES
 from pimentobend_adapters._internal.http.headers import HeaderNames
 from pimentobend_adapters._internal.http.headers import to_header_value
@@ -43,6 +44,7 @@
 from pimentobend_core._internal.request.stages import Received
 
 RETRY_AFTER_S = 1
+_LEFT = "the caller closed its connection"
 _ENDING = "the process ends before the request can be served"
 
 
@@ -62,6 +64,10 @@
     """The process ends; raised in the tasks that read a request's body."""
 
 
+class CallerLeftError(AdapterError):
+    """The caller closed its connection; raised in the task that answers it."""
+
+
 class CallerFront:
     """WSGI application that passes callers' requests through the request pipe."""
 
@@ -135,10 +141,11 @@
         is_kept = False
         try:
             result = self._pipe.apply(request)
-            if watch is not None:
-                watch.stop()
             if self._is_stopping and CONNECTION_KEY in environ:
                 environ[CONNECTION_KEY].close_connection = True
+            if watch is not None and not isinstance(result, Failure):
+                handler = eventlet.getcurrent()
+                watch.notify(lambda: interrupt(handler, CallerLeftError(_LEFT)))
             yield from self._respond(request, result, start_response)
             is_kept = CONNECTION_KEY in environ and (
                 not environ[CONNECTION_KEY].close_connection
--- a/tests/functional/test_callers_that_leave.py
+++ b/tests/functional/test_callers_that_leave.py
@@ -1,7 +1,8 @@
-"""Let callers leave while their requests wait for a server.
+"""Let callers leave while their requests wait, or while their answers are on the way.
 
 A close that came behind bytes which nobody read was not noticed, so that requests of
-callers that had left ran.
+callers that had left ran; and nobody looked for it once an answer had begun, so that
+servers went on with long answers.
 """
 
 import contextlib
@@ -18,9 +19,12 @@
 from platform_process import Process
 from platform_server import PREFIX
 from platform_server import PlatformServer
+from platform_server import RunEnd
 
 HOLD_S = 2.0  # for which the only slot is taken
+LONG_S = 6.0  # of work within an answer
 DEADLINE_MS = 15_000
+LARGE_ANSWER = bytes(300_000)
 CHUNK = 10_000
 RESET = struct.pack("ii", 1, 0)  # linger for no time
 LEFT = "'caller-left'"
@@ -150,3 +154,35 @@
 
 def has_run(fleet: Fleet, request_id: str) -> bool:
     return any(request_id in server.ran for server in servers(fleet))
+
+
+@pytest.mark.parametrize("resets", [False, True], ids=["close", "reset"])
+@pytest.mark.parametrize("line", ["GET /look/1", "POST /book/1"])
+def test_a_server_stops_work_on_the_answer_of_a_caller_that_left(
+    fleet: Fleet, line: str, resets: bool
+) -> None:
+    origin = fleet.instances[0]
+    request_id = f"{line}-{resets}"
+    for server in servers(fleet):
+        server.content, server.works_within_s = LARGE_ANSWER, LONG_S
+    try:
+        connection = send(origin, request_id, line, Upload("reader"))
+        received = 0
+        while received < len(LARGE_ANSWER) - 1:
+            received += len(connection.recv(65536))
+        leave(connection, resets=resets)
+        wait_until(lambda: end_of(fleet, request_id) is not RunEnd.OPEN, "it has ended")
+    finally:
+        for server in servers(fleet):
+            server.content, server.works_within_s = b"", 0.0
+    assert end_of(fleet, request_id) is RunEnd.CUT
+
+
+def end_of(fleet: Fleet, request_id: str) -> RunEnd:
+    (run,) = (
+        run
+        for server in servers(fleet)
+        for run in server.runs
+        if run.request_id == request_id
+    )
+    return run.end
--- a/tests/lib/platform_server.py
+++ b/tests/lib/platform_server.py
@@ -69,6 +69,8 @@
         # Returns all bytes of an answer with these headers; then the connection ends.
         self.encode: Callable[[bytes], bytes] | None = None
         self.content = b""  # body of the answers, instead of the server's id
+        # Work between the first and the last byte of an answer's body, in seconds.
+        self.works_within_s = 0.0
         self.hangs = False  # answer requests only after HANG_S, or once stopped
         self.hangs_on = ""  # prefix of the paths of the requests that hang
         # Called with the path of each request; if it returns False, the answer is 500.
@@ -291,6 +293,11 @@
         request.send_header(f"{PREFIX}Server-Stamp", "stamp")
         request.send_header("Content-Length", str(len(content)))
         request.end_headers()
+        if self.works_within_s:
+            request.wfile.write(content[:-1])
+            if not self._work(request.connection, self.works_within_s):
+                raise ConnectionAbortedError
+            content = content[-1:]
         request.wfile.write(content)
 
     def beat(self) -> int:
