Drop a server's own outcome and reason from its answers

Found while looking for other words that reach callers as the daemon's: a server's Pimentobend-Ran: unknown on a 404 or 500 stood in front of the daemon's ran. Cause: the answer's headers were passed on as they came, and the daemon's added behind. Two new rows of test_unstated_refusals.py failed before.

--- a/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/writing.py
@@ -68,7 +68,9 @@
         refusal = Refusal(502, Ran.RAN, RefusalReason.TRUNCATED, str(error))
         yield from write_refusal(refusal, request_id, names, start_response)
         return
-    headers = list(finished.result.headers)
+    # Only the daemon says to callers what became of their requests.
+    own_words = {names.ran.lower(), names.reason.lower()}
+    headers = [h for h in finished.result.headers if h[0].lower() not in own_words]
     if find_header(finished.result.headers, names.request_id) is None:
         headers.append((names.request_id, request_id))
     headers.append((names.ran, finished.ran.value))
--- a/tests/functional/test_unstated_refusals.py
+++ b/tests/functional/test_unstated_refusals.py
@@ -137,11 +137,13 @@
     ("book", 500, "", 500, "ran"),
     ("look", 429, "", 429, "ran"),
     ("look", 503, "", 503, "ran"),
+    ("look", 404, "Pimentobend-Ran: unknown\r\n", 404, "ran"),
+    ("book", 500, "Pimentobend-Reason: x\r\nPimentobend-Ran: unknown\r\n", 500, "ran"),
 ]
 
 
 def name_of(status: int, statement: str) -> str:
-    return f"{status}-stated" if statement else str(status)
+    return f"{status}-{len(statement)}"
 
 
 @pytest.fixture(scope="module")
@@ -151,8 +153,10 @@
         name_of(status, statement): (
             f"HTTP/1.1 {status} X\r\n{OWN_ID}{statement}{RETRY}{LENGTH}".encode()
         )
-        for _, status, statement, *_ in [*OWN_ANSWERS, ("look", 200, "")]
+        for _, status, statement, *_ in OWN_ANSWERS
     }
+    # The instance is ready once it is answered 200.
+    answers["200"] = f"HTTP/1.1 200 X\r\n{OWN_ID}{LENGTH}".encode()
     folder = tmp_path_factory.mktemp("own")
     with contextlib.ExitStack() as stack:
         fleet = processes.Fleet(folder)
@@ -176,4 +180,5 @@
     answer = processes.call("GET", url)
     assert answer.status == expected
     assert answer.headers["Pimentobend-Ran"] == outcome
+    assert answer.headers.get("Pimentobend-Reason") != "x"
     assert ("Retry-After" in answer.headers) is (outcome != "unknown")
