--- a/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/forwarding/host.py
@@ -388,8 +388,11 @@
         record.greenlet = None  # it refers to the result
         result = result._replace(latency_s=self._clock.now() - started)
         is_repeatable = record.attempt.submit.is_repeatable
-        kind = _end_kind(result, is_repeatable=is_repeatable)
+        kind = _end_kind(result)
         has_answered = result.kind is AttemptKind.ANSWERED
+        withheld = withhold_promise(result.status, is_repeatable=is_repeatable)
+        if has_answered and withheld is not None:
+            kind = EndKind.FAILED  # the caller gets an error
         self._task.put(CallEnded(attempt_id, kind, has_answered))
         if kind is EndKind.BROKEN:
             record.unjudged = result
@@ -458,10 +461,9 @@
     return make_attempt_result(AttemptKind.CANCELLED, 0.0)
 
 
-def _end_kind(result: AttemptResult, *, is_repeatable: bool) -> EndKind:
+def _end_kind(result: AttemptResult) -> EndKind:
     if result.kind is AttemptKind.ANSWERED:
-        withheld = withhold_promise(result.status, is_repeatable=is_repeatable)
-        is_good = result.status < SERVER_ERROR and withheld is None
+        is_good = result.status < SERVER_ERROR
         return EndKind.GOOD if is_good else EndKind.FAILED
     if result.is_broken:
         return EndKind.BROKEN
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/body_reader.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/body_reader.py
@@ -3,10 +3,10 @@
 from typing import Any
 from typing import Protocol
 
-import eventlet
 import eventlet.event
 import eventlet.queue
 
+from pimentobend_adapters._internal.answering import spawn_answering
 from pimentobend_adapters._internal.exceptions import AdapterError
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_core._internal.memory.budget import Use
@@ -47,12 +47,13 @@
     def start(self) -> None:
         """Start reading; further calls do nothing."""
         if self._greenlet is None and not self._is_closed:
-            self._greenlet = eventlet.spawn(self._run)
+            self._greenlet = spawn_answering(self._run, on_error=self._fail)
 
     def take(self) -> bytes:
         """Return the next bytes, none at the end; raise IncompleteBodyError."""
+        item: bytes | IncompleteBodyError | None = None
         if not self._is_closed:
-            item: bytes | IncompleteBodyError | None = self._queue.get()
+            item = self._queue.get()
         if self._is_closed or item is None:
             raise IncompleteBodyError("the request ended before its body was sent")
         if isinstance(item, IncompleteBodyError):
@@ -82,19 +83,23 @@
         taken.send()
 
     def _run(self) -> None:
-        try:
-            while not self._is_closed:
-                chunk = read_piece(self._source, CHUNK_BYTES)
-                if self._is_closed:
-                    return
-                self._queued_bytes += len(chunk)
-                self._reservation.change(len(chunk))
-                self._queue.put(chunk)
-                if not chunk:
-                    return
-                self._wait_for_room()
-        except IncompleteBodyError as error:
-            self._queue.put(error)
+        while not self._is_closed:
+            chunk = read_piece(self._source, CHUNK_BYTES)
+            if self._is_closed:
+                return
+            self._queued_bytes += len(chunk)
+            self._reservation.change(len(chunk))
+            self._queue.put(chunk)
+            if not chunk:
+                return
+            self._wait_for_room()
+
+    def _fail(self, error: Exception) -> None:
+        if not isinstance(error, IncompleteBodyError):
+            error = IncompleteBodyError(
+                "the request body cannot be read", context=type(error).__name__
+            )
+        self._queue.put(error)
 
     def _wait_for_room(self) -> None:
         while self._queued_bytes and not self._is_closed and not self._has_room():
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/close_watcher.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/close_watcher.py
@@ -38,6 +38,7 @@
             return watch
         if self._poll is None:
             self._poll = _select.epoll()
+            eventlet.hubs.notify_opened(self._poll.fileno())
             eventlet.spawn_n(self._run)
         self._watches[descriptor] = watch
         self._poll.register(descriptor, _EVENTS)
@@ -87,7 +88,7 @@
         It must not block. It is called at once if the connection is closed already.
         """
         self._on_closed = on_closed
-        if self.check():
+        if self._is_closed:
             self.report()
 
     def stop(self) -> None:
--- a/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
+++ b/packages/adapters/src/pimentobend_adapters/_internal/http/front.py
@@ -28,6 +28,7 @@
 from pimentobend_adapters._internal.http.writing import StartResponse
 from pimentobend_adapters._internal.http.writing import write_answer
 from pimentobend_adapters._internal.http.writing import write_refusal
+from pimentobend_adapters._internal.logs import get_log
 from pimentobend_adapters._internal.memory import NO_MEMORY
 from pimentobend_adapters._internal.memory import MemoryOwner
 from pimentobend_adapters._internal.tasks import Outlet
@@ -136,26 +137,37 @@
             return
         request = self._set_caller_service(received.unwrap())
         watch = self._watch_caller(environ, request.body)
-        if watch is not None:
-            request = request._replace(on_caller_left=watch.notify)
         is_kept = False
         try:
-            result = self._pipe.apply(request)
-            if self._is_stopping and CONNECTION_KEY in environ:
-                environ[CONNECTION_KEY].close_connection = True
-            if watch is not None and not isinstance(result, Failure):
-                handler = eventlet.getcurrent()
-                watch.notify(lambda: interrupt(handler, CallerLeftError(_LEFT)))
-            yield from self._respond(request, result, start_response)
-            is_kept = CONNECTION_KEY in environ and (
-                not environ[CONNECTION_KEY].close_connection
-            )
+            yield from self._run(environ, request, watch, start_response)
+            is_kept = _is_kept(environ)
+        except CallerLeftError:
+            get_log().info("answer-cut", request_id=request.head.request_id)
+            raise  # the connection is closed, so that the answer looks incomplete
         finally:
             if watch is not None:
                 watch.stop()
             if isinstance(request.body, StreamedBody):
                 request.body.close(is_connection_kept=is_kept)
 
+    def _run(
+        self,
+        environ: Environ,
+        request: Received,
+        watch: CloseWatch | None,
+        start_response: StartResponse,
+    ) -> Iterator[bytes]:
+        """Pass a request through the pipe, and answer it unless its caller leaves."""
+        if watch is not None:
+            request = request._replace(on_caller_left=watch.notify)
+        result = self._pipe.apply(request)
+        if self._is_stopping and CONNECTION_KEY in environ:
+            environ[CONNECTION_KEY].close_connection = True
+        if watch is not None and not isinstance(result, Failure):
+            handler = eventlet.getcurrent()
+            watch.notify(lambda: interrupt(handler, CallerLeftError(_LEFT)))
+        yield from self._respond(request, result, start_response)
+
     def _watch_caller(self, environ: Environ, body: Body) -> CloseWatch | None:
         """Watch the caller's connection; its close may come behind a large body."""
         if not self._options.watches_callers:
@@ -261,6 +273,12 @@
         yield from write_answer(finished, head, self._options.names, start_response)
 
 
+def _is_kept(environ: Environ) -> bool:
+    """Return whether the caller's connection is used again."""
+    connection = environ.get(CONNECTION_KEY)
+    return connection is not None and not connection.close_connection
+
+
 def _refuse_unread(error: ProcessEndingError) -> Refusal:
     reason = RefusalReason.DRAINING
     return Refusal(503, Ran.NOT_RUN, reason, str(error), RETRY_AFTER_S)
--- a/tests/functional/test_callers_that_leave.py
+++ b/tests/functional/test_callers_that_leave.py
@@ -176,6 +176,7 @@
         for server in servers(fleet):
             server.content, server.works_within_s = b"", 0.0
     assert end_of(fleet, request_id) is RunEnd.CUT
+    wait_until(lambda: lines_of(origin, request_id, "'answer-cut'"), "it is logged")
 
 
 def end_of(fleet: Fleet, request_id: str) -> RunEnd:
