--- a/packages/core/src/pimentobend_core/_internal/memory/budget.py
+++ b/packages/core/src/pimentobend_core/_internal/memory/budget.py
@@ -9,8 +9,7 @@
 PROCESS_BYTES = 48 * BYTES_PER_MB
 # The rest is for copies made while bodies are joined, idle connections and garbage.
 RESERVED_SHARE = 0.5
-# Tasks, stacks and buffers of a request in flight: 36 KB were measured for an upload
-# that waits, 137 KB for a streamed answer that is not taken.
+# Tasks, stacks and buffers of a request in flight.
 REQUEST_BYTES = 64 * 1024
 # The start of a streamed body, kept for a second attempt, and the chunk in transit.
 STREAMED_BYTES = 128 * 1024
